--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+LIBS := core config settings telemetry wire store membership routing requests caller balancer agent cli lab
+BIN := .venv/bin
+EDITABLE := $(foreach lib,$(LIBS),-e libs/$(lib))
+SOURCES := $(foreach lib,$(LIBS),libs/$(lib)/src)
+DEPLOYMENT ?= bantay
+SEED ?= 1
+
+.PHONY: setup test lint types unit demo bench capacity binary format
+
+setup: .venv/.ready
+
+.venv/.ready: requirements.lock $(foreach lib,$(LIBS),libs/$(lib)/pyproject.toml)
+	test -x $(BIN)/python || python3.11 -m venv .venv
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(EDITABLE)
+	touch $@
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+types: setup
+	$(BIN)/mypy $(SOURCES)
+
+unit: setup
+	$(BIN)/python -m pytest --doctest-modules libs tests
+
+test: lint types unit
+
+demo: setup
+	$(BIN)/fireflyford-lab demo --deployment $(DEPLOYMENT) --seed $(SEED)
+
+binary: setup
+	mkdir -p dist build
+	$(BIN)/python -m pip wheel --quiet --no-deps --no-build-isolation --wheel-dir build/wheels $(foreach lib,$(filter-out lab,$(LIBS)),./libs/$(lib))
+	$(BIN)/shiv --quiet --compressed --console-script fireflyford --output-file dist/fireflyford -r requirements.lock build/wheels/*.whl
