Add the design page, core types, settings, telemetry and encodings

Cause: every other part needs one clock, one closed list of error kinds and one way to write forwarding headers and connection IDs. Change: core, config, settings, telemetry and wire, with docs/design.md.

--- /dev/null
+++ b/libs/config/src/fireflyford/config/__init__.py
@@ -0,0 +1,29 @@
+"""Operators' configuration library: describe and print a deployment."""
+
+from fireflyford.config._text import parse
+from fireflyford.config._text import render
+from fireflyford.config._types import AvailabilityZone
+from fireflyford.config._types import CrestPolicy
+from fireflyford.config._types import Deployment
+from fireflyford.config._types import Kind
+from fireflyford.config._types import MovePolicy
+from fireflyford.config._types import Region
+from fireflyford.config._types import Service
+from fireflyford.config._types import SizeClass
+from fireflyford.config._types import Transport
+from fireflyford.config._types import Treatment
+
+__all__ = [
+    "AvailabilityZone",
+    "CrestPolicy",
+    "Deployment",
+    "Kind",
+    "MovePolicy",
+    "Region",
+    "Service",
+    "SizeClass",
+    "Transport",
+    "Treatment",
+    "parse",
+    "render",
+]
--- /dev/null
+++ b/libs/core/src/fireflyford/core/__init__.py
@@ -0,0 +1,31 @@
+"""Clock, error kinds, outcomes and identifiers shared by every library."""
+
+from fireflyford.core._clock import Clock
+from fireflyford.core._clock import ManualClock
+from fireflyford.core._clock import SystemClock
+from fireflyford.core._errors import ANSWERS
+from fireflyford.core._errors import Answer
+from fireflyford.core._errors import ErrorKind
+from fireflyford.core._errors import Execution
+from fireflyford.core._errors import Failure
+from fireflyford.core._errors import Ok
+from fireflyford.core._errors import Outcome
+from fireflyford.core._types import Address
+from fireflyford.core._types import Role
+from fireflyford.core._types import service_tag
+
+__all__ = [
+    "ANSWERS",
+    "Address",
+    "Answer",
+    "Clock",
+    "ErrorKind",
+    "Execution",
+    "Failure",
+    "ManualClock",
+    "Ok",
+    "Outcome",
+    "Role",
+    "SystemClock",
+    "service_tag",
+]
--- /dev/null
+++ b/libs/core/src/fireflyford/core/_clock.py
@@ -0,0 +1,91 @@
+"""Time in milliseconds, real or driven by hand."""
+
+import abc
+import asyncio
+import heapq
+import time
+
+
+class Clock(abc.ABC):
+    """Source of time for every decision, in milliseconds."""
+
+    @abc.abstractmethod
+    def now_ms(self) -> int:
+        """Returns a monotonic time, for measuring durations."""
+
+    @abc.abstractmethod
+    def wall_ms(self) -> int:
+        """Returns the time of day since the Unix epoch, for records."""
+
+    @abc.abstractmethod
+    async def sleep(self, duration_ms: float) -> None:
+        """Waits for `duration_ms` milliseconds."""
+
+
+class SystemClock(Clock):
+    """Clock of the operating system."""
+
+    def now_ms(self) -> int:
+        """Returns the system's monotonic time."""
+        return time.monotonic_ns() // 1_000_000
+
+    def wall_ms(self) -> int:
+        """Returns the system's time of day."""
+        return time.time_ns() // 1_000_000
+
+    async def sleep(self, duration_ms: float) -> None:
+        """Waits on the running event loop."""
+        await asyncio.sleep(duration_ms / 1000)
+
+
+class ManualClock(Clock):
+    """Clock that moves only when told to, for tests and virtual time.
+
+    >>> clock = ManualClock(start_ms=100)
+    >>> asyncio.run(clock.advance(50))
+    >>> clock.now_ms()
+    150
+    """
+
+    def __init__(self, start_ms: int = 0) -> None:
+        """Starts the clock at `start_ms`."""
+        self._now_ms = start_ms
+        self._sleepers: list[tuple[float, int, asyncio.Future[None]]] = []
+        self._sequence = 0
+
+    def now_ms(self) -> int:
+        """Returns the time set by hand."""
+        return self._now_ms
+
+    def wall_ms(self) -> int:
+        """Returns the same value as `now_ms`."""
+        return self._now_ms
+
+    async def sleep(self, duration_ms: float) -> None:
+        """Waits until `advance` reaches the wake-up time."""
+        future = asyncio.get_running_loop().create_future()
+        self._sequence += 1
+        wake_ms = self._now_ms + duration_ms
+        heapq.heappush(self._sleepers, (wake_ms, self._sequence, future))
+        await future
+
+    async def advance(self, duration_ms: int) -> None:
+        """Moves time forward and wakes the tasks that are due, in order."""
+        end_ms = self._now_ms + duration_ms
+        while self._sleepers and self._sleepers[0][0] <= end_ms:
+            wake_ms, _, future = heapq.heappop(self._sleepers)
+            self._now_ms = int(wake_ms)
+            if not future.done():
+                future.set_result(None)
+            await _run_ready_tasks()
+        self._now_ms = end_ms
+        await _run_ready_tasks()
+
+
+# A woken task may need several passes of the loop before it sleeps again.
+_PASSES_PER_WAKE = 20
+
+
+async def _run_ready_tasks() -> None:
+    for _ in range(_PASSES_PER_WAKE):
+        await asyncio.sleep(0)
--- /dev/null
+++ b/libs/settings/src/fireflyford/settings/_settings.py
@@ -0,0 +1,144 @@
+"""Settings of one process, read from JSON with comments."""
+
+import dataclasses
+import pathlib
+from typing import TypeVar
+
+import json5
+import msgspec
+
+from fireflyford import core
+
+S = TypeVar("S", "BalancerSettings", "AgentSettings")
+
+_KEY_BYTES = range(16, 33)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _InstanceSettings:
+    """Settings that every instance has.
+
+    Attributes:
+        instance_id: Name of the instance, unique while it lives.
+        region: Region of the instance.
+        availability_zone: Availability zone of the instance.
+        link_address: `ip:port` of the forwarding socket (UDP, IPv4).
+        control_address: `ip:port` of the membership socket (UDP).
+        bulk_address: `ip:port` of the bulk transfer socket (TCP).
+        status_address: `ip:port` of metrics and health (HTTP).
+        seeds: Control addresses of instances to join through.
+        store_addresses: `ip:port` of the key-value service's gateways.
+        routing_keys_hex: Keys of connection IDs; the last one signs.
+        link_key_hex: Key of forwarding headers and control messages.
+        config_path: Configuration file used until the store has one.
+        drain_limit_ms: Longest graceful shutdown.
+    """
+
+    instance_id: str
+    region: str
+    availability_zone: str
+    link_address: str
+    control_address: str
+    bulk_address: str
+    status_address: str
+    routing_keys_hex: tuple[str, ...]
+    link_key_hex: str
+    seeds: tuple[str, ...] = ()
+    store_addresses: tuple[str, ...] = ()
+    config_path: str = ""
+    drain_limit_ms: int = 30_000
+
+    @property
+    def routing_keys(self) -> tuple[bytes, ...]:
+        """Keys of connection IDs."""
+        return tuple(bytes.fromhex(key) for key in self.routing_keys_hex)
+
+    @property
+    def link_key(self) -> bytes:
+        """Key of forwarding headers and control messages."""
+        return bytes.fromhex(self.link_key_hex)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class BalancerSettings(_InstanceSettings):
+    """Settings of a balancer.
+
+    Attributes:
+        listeners: Service name to `ip:port` on which the fabric delivers.
+        capacity_weight: Size of this instance against the others.
+    """
+
+    listeners: dict[str, str]
+    capacity_weight: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AgentSettings(_InstanceSettings):
+    """Settings of an agent.
+
+    Attributes:
+        service: Service of the backend server.
+        backend_address: `ip:port` of the backend server (HTTP).
+        certificate_path: PEM file with the service's certificate chain.
+        private_key_path: PEM file with its key.
+        caller_key_hex: Key of the tokens that callers present; empty when
+            the service is open to everyone.
+        slot_count: Requests that the backend server runs at a time.
+    """
+
+    service: str
+    backend_address: str
+    certificate_path: str
+    private_key_path: str
+    caller_key_hex: str = ""
+    slot_count: int = 2
+
+
+def load(path: str, kind: type[S]) -> core.Outcome[S]:
+    """Reads and checks a settings file.
+
+    Args:
+        path: File of JSON with comments.
+        kind: `BalancerSettings` or `AgentSettings`.
+
+    Returns:
+        The settings, or `BAD_SETTINGS` with file, field and what was expected.
+    """
+    try:
+        raw = json5.loads(pathlib.Path(path).read_text())
+    except (OSError, ValueError) as error:
+        return _bad(path, str(error))
+    if not isinstance(raw, dict):
+        return _bad(path, "expected one object")
+    names = {field.name for field in dataclasses.fields(kind)}
+    unknown = sorted(set(raw) - names)
+    if unknown:
+        return _bad(path, f"unknown field `{unknown[0]}`")
+    try:
+        settings: S = msgspec.convert(raw, kind)
+    except msgspec.ValidationError as error:
+        return _bad(path, str(error))
+    return _check(path, settings)
+
+
+def _check(path: str, settings: S) -> core.Outcome[S]:
+    for field in dataclasses.fields(settings):
+        if field.name.endswith("_address"):
+            value = getattr(settings, field.name)
+            try:
+                core.Address.parse(value)
+            except ValueError:
+                return _bad(
+                    path, f"`{field.name}` is {value!r}, expected `ip:port`"
+                )
+    keys = [*settings.routing_keys_hex, settings.link_key_hex]
+    for key in keys:
+        if len(key) % 2 or len(key) // 2 not in _KEY_BYTES:
+            return _bad(path, "keys are hexadecimal, 16 to 32 bytes each")
+    if not settings.routing_keys_hex:
+        return _bad(path, "`routing_keys_hex` needs at least one key")
+    return core.Ok(settings)
+
+
+def _bad(path: str, message: str) -> core.Failure:
+    return core.Failure(core.ErrorKind.BAD_SETTINGS, f"{path}: {message}")
--- /dev/null
+++ b/libs/telemetry/src/fireflyford/telemetry/_logs.py
@@ -0,0 +1,59 @@
+"""Logs: one line of key=value pairs for each event, through eliot."""
+
+import json
+import re
+from typing import TextIO
+
+import eliot
+
+_PLAIN = re.compile(r"[A-Za-z0-9_.:/@+-]+")
+_HIDDEN = frozenset({"task_uuid", "task_level", "message_type", "timestamp"})
+
+
+def configure_logs(stream: TextIO, instance_id: str) -> None:
+    """Writes every event to `stream`, one line each.
+
+    Args:
+        stream: Open text stream, usually standard error.
+        instance_id: Added to every line.
+    """
+    eliot.add_global_fields(instance=instance_id)
+
+    def write(message: dict[str, object]) -> None:
+        stream.write(format_line(message) + "\n")
+        stream.flush()
+
+    eliot.add_destinations(write)
+
+
+def format_line(message: dict[str, object]) -> str:
+    """Formats one eliot message.
+
+    >>> format_line({"timestamp": 1.5, "message_type": "start", "port": 80})
+    'time=1.500 event=start port=80'
+    """
+    pairs = [
+        f"time={message.get('timestamp', 0):.3f}",
+        f"event={message.get('message_type', 'unnamed')}",
+    ]
+    pairs += [
+        f"{key}={_format_value(value)}"
+        for key, value in message.items()
+        if key not in _HIDDEN
+    ]
+    return " ".join(pairs)
+
+
+def log(event: str, **fields: object) -> None:
+    """Logs one event.
+
+    Args:
+        event: Name of the event, words joined by hyphens.
+        **fields: Values of the event, names ending in their unit.
+    """
+    eliot.log_message(message_type=event, **fields)
+
+
+def _format_value(value: object) -> str:
+    text = str(value)
+    return text if _PLAIN.fullmatch(text) else json.dumps(text)
