Add one path from a caller's datagram to a backend server and back

Cause: nothing ran from end to end yet. Change: ring routing, heartbeats, a balancer that forwards by connection ID, an agent that terminates QUIC and HTTP/3, a caller library, and lab stand-ins for the fabric and the backend servers. Before: nothing.

--- /dev/null
+++ b/libs/agent/src/fireflyford/agent/_backend.py
@@ -0,0 +1,149 @@
+"""Client of the backend server beside this agent, over HTTP/1.1."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+from tornado import httpclient
+from tornado import simple_httpclient
+
+from fireflyford import core
+from fireflyford import requests
+
+MAX_RESPONSE_BODY_BYTES = 64 << 20
+_MAX_CONNECTIONS = 10_000
+_CONNECT_TIMEOUT_S = 1.0
+# A backend server that never answers would hold its slot for ever.
+_GRACE_MS = 1_000
+_FEED_QUEUE_CHUNKS = 64
+
+
+class _FeedClosedError(Exception):
+    """Raised into the HTTP client to close a feed nobody reads."""
+
+
+class Backend(requests.Executor):
+    """Runs work and opens feeds on one backend server."""
+
+    def __init__(self, clock: core.Clock, address: core.Address) -> None:
+        """Prepares the client.
+
+        Args:
+            clock: Source of time.
+            address: Where the backend server listens.
+        """
+        self._clock = clock
+        self._base = f"http://{address}"
+        self._client = simple_httpclient.SimpleAsyncHTTPClient(
+            force_instance=True,
+            max_clients=_MAX_CONNECTIONS,
+            max_body_size=MAX_RESPONSE_BODY_BYTES,
+        )
+
+    async def execute(
+        self, work: requests.Work
+    ) -> core.Outcome[requests.Response]:
+        """Runs the work once on the backend server."""
+        remaining_ms = max(1, work.deadline_ms - self._clock.now_ms())
+        request = httpclient.HTTPRequest(
+            self._base + work.path,
+            method=work.method,
+            headers={
+                "X-Request-Id": work.request_id,
+                "X-Deadline-Ms": str(remaining_ms),
+            },
+            body=work.body if work.body or work.method == "POST" else None,
+            connect_timeout=_CONNECT_TIMEOUT_S,
+            request_timeout=(remaining_ms + _GRACE_MS) / 1000,
+            allow_nonstandard_methods=True,
+        )
+        try:
+            reply = await self._client.fetch(request, raise_error=False)
+        except ConnectionRefusedError:
+            return core.Failure(
+                core.ErrorKind.BACKEND_REFUSED,
+                "the backend server does not accept connections",
+            )
+        except asyncio.CancelledError:
+            self._cancel(work.request_id)
+            raise
+        except OSError as error:
+            return core.Failure(core.ErrorKind.OUTCOME_UNKNOWN, str(error))
+        return self._judge(work, reply)
+
+    def _judge(
+        self, work: requests.Work, reply: httpclient.HTTPResponse
+    ) -> core.Outcome[requests.Response]:
+        if reply.code == 599:
+            self._cancel(work.request_id)
+            return core.Failure(
+                core.ErrorKind.OUTCOME_UNKNOWN, str(reply.error)
+            )
+        if reply.code == 503 and "Retry-After" in reply.headers:
+            return core.Failure(
+                core.ErrorKind.BACKEND_REFUSED,
+                "the backend server shed the work",
+                retry_after_ms=_retry_after_ms(reply.headers["Retry-After"]),
+            )
+        if reply.code >= 500:
+            return core.Failure(
+                core.ErrorKind.BACKEND_FAILED,
+                f"the backend server answered {reply.code}",
+            )
+        content_type = reply.headers.get(
+            "Content-Type", "application/octet-stream"
+        )
+        return core.Ok(
+            requests.Response(
+                reply.code, (("content-type", content_type),), reply.body
+            )
+        )
+
+    def _cancel(self, request_id: str) -> None:
+        request = httpclient.HTTPRequest(
+            f"{self._base}/cancel?id={request_id}", method="POST", body=b""
+        )
+        future = self._client.fetch(request, raise_error=False)
+        # The outcome of the cancelled work is already decided.
+        asyncio.ensure_future(future).add_done_callback(
+            lambda done: done.exception()
+        )
+
+    async def feed(self, path: str) -> AsyncIterator[bytes]:
+        """Yields the chunks of a feed until either end closes it."""
+        chunks: asyncio.Queue[bytes | None] = asyncio.Queue(_FEED_QUEUE_CHUNKS)
+        open_feed = True
+
+        def receive(chunk: bytes) -> None:
+            if not open_feed or chunks.full():
+                raise _FeedClosedError
+            chunks.put_nowait(chunk)
+
+        request = httpclient.HTTPRequest(
+            self._base + path,
+            streaming_callback=receive,
+            connect_timeout=_CONNECT_TIMEOUT_S,
+            request_timeout=0,
+        )
+        fetch = asyncio.ensure_future(
+            self._client.fetch(request, raise_error=False)
+        )
+        fetch.add_done_callback(lambda _: _put_end(chunks))
+        try:
+            while (chunk := await chunks.get()) is not None:
+                yield chunk
+        finally:
+            open_feed = False
+            fetch.add_done_callback(lambda done: done.exception())
+
+
+def _put_end(chunks: "asyncio.Queue[bytes | None]") -> None:
+    if chunks.full():
+        chunks.get_nowait()
+    chunks.put_nowait(None)
+
+
+def _retry_after_ms(text: str) -> int:
+    try:
+        return int(float(text) * 1000)
+    except ValueError:
+        return 0
--- /dev/null
+++ b/libs/agent/src/fireflyford/agent/_service.py
@@ -0,0 +1,132 @@
+"""Answers of one target: requests through the engine, feeds directly."""
+
+import secrets
+
+from fireflyford import config
+from fireflyford import core
+from fireflyford import requests
+from fireflyford.agent import _backend
+from fireflyford.agent import _connection
+
+DEADLINE_HEADER = "fireflyford-deadline-ms"
+TICKET_HEADER = "fireflyford-ticket"
+OUTCOME_HEADER = "fireflyford-outcome"
+RETRY_AFTER_HEADER = "retry-after-ms"
+_WRITE_BYTES = 64 << 10
+
+
+class ServiceHandler(_connection.Handler):
+    """Answers the requests of one service."""
+
+    def __init__(
+        self,
+        clock: core.Clock,
+        service: config.Service,
+        engine: requests.Engine,
+        backend: _backend.Backend,
+    ) -> None:
+        """Prepares the handler.
+
+        Args:
+            clock: Source of time.
+            service: Treatments of the service.
+            engine: Runs requests.
+            backend: Opens feeds.
+        """
+        self._clock = clock
+        self.service = service
+        self._engine = engine
+        self._backend = backend
+        self.feed_count = 0
+
+    async def handle(
+        self,
+        request: _connection.Request,
+        response: _connection.ResponseStream,
+    ) -> None:
+        """Answers one request."""
+        treatment = self.service.treatment(request.method, request.path)
+        if treatment is None:
+            failure = core.Failure(
+                core.ErrorKind.BAD_REQUEST,
+                f"no treatment for {request.method} {request.path}",
+            )
+            await self._refuse(response, failure)
+        elif treatment.kind is config.Kind.FEED:
+            await self._feed(request, response)
+        else:
+            await self._answer(request, treatment, response)
+
+    async def _answer(
+        self,
+        request: _connection.Request,
+        treatment: config.Treatment,
+        response: _connection.ResponseStream,
+    ) -> None:
+        outcome = await self._engine.submit(self._work(request, treatment))
+        if isinstance(outcome, core.Failure):
+            await self._refuse(response, outcome)
+            return
+        answer = outcome.value
+        headers = (
+            *answer.headers,
+            ("content-length", str(len(answer.body))),
+            (OUTCOME_HEADER, "complete"),
+        )
+        response.start(answer.status_code, headers)
+        for start in range(0, len(answer.body), _WRITE_BYTES):
+            part = answer.body[start : start + _WRITE_BYTES]
+            await response.write(part, end=False)
+        await response.write(b"", end=True)
+
+    def _work(
+        self, request: _connection.Request, treatment: config.Treatment
+    ) -> requests.Work:
+        now_ms = self._clock.now_ms()
+        fields = dict(request.headers)
+        limit_ms = treatment.deadline_ms
+        asked = fields.get(DEADLINE_HEADER, "")
+        if asked.isdecimal():
+            limit_ms = min(limit_ms, int(asked))
+        return requests.Work(
+            request_id=secrets.token_hex(16),
+            treatment=treatment,
+            method=request.method,
+            path=request.path,
+            body=request.body,
+            caller=str(request.caller),
+            arrived_ms=now_ms,
+            deadline_ms=now_ms + limit_ms,
+            ticket=fields.get(TICKET_HEADER, ""),
+        )
+
+    async def _feed(
+        self,
+        request: _connection.Request,
+        response: _connection.ResponseStream,
+    ) -> None:
+        self.feed_count += 1
+        try:
+            response.start(200, (("content-type", "application/x-ndjson"),))
+            async for chunk in self._backend.feed(request.path):
+                await response.write(chunk, end=False)
+            await response.write(b"", end=True)
+        finally:
+            self.feed_count -= 1
+
+    async def _refuse(
+        self, response: _connection.ResponseStream, failure: core.Failure
+    ) -> None:
+        body = (failure.message + "\n").encode()
+        answer = failure.answer
+        response.start(
+            answer.status_code,
+            (
+                ("content-type", "text/plain"),
+                ("content-length", str(len(body))),
+                (OUTCOME_HEADER, answer.execution.value),
+                ("fireflyford-error", failure.kind.value),
+                (RETRY_AFTER_HEADER, str(failure.retry_after_ms)),
+            ),
+        )
+        await response.write(body, end=True)
--- /dev/null
+++ b/libs/balancer/src/fireflyford/balancer/_process.py
@@ -0,0 +1,187 @@
+"""Life of a balancer process."""
+
+import asyncio
+import random
+import signal
+import sys
+
+from fireflyford import core
+from fireflyford import membership
+from fireflyford import routing
+from fireflyford import settings
+from fireflyford import telemetry
+from fireflyford import wire
+from fireflyford.balancer import _forwarder
+
+# Time for the fabric and the agents to stop using a balancer that leaves.
+LEAVE_DELAY_MS = 2_000
+
+
+class Balancer:
+    """One balancer with its sockets and its view."""
+
+    def __init__(
+        self, options: settings.BalancerSettings, clock: core.Clock
+    ) -> None:
+        """Prepares a balancer.
+
+        Args:
+            options: Checked settings.
+            clock: Source of time.
+        """
+        self._options = options
+        self._clock = clock
+        self._counters = _forwarder.Counters()
+        self._link = _forwarder.Link(
+            wire.ForwardCodec(options.link_key), self._counters
+        )
+        self._routers = {
+            service: routing.Router() for service in options.listeners
+        }
+        self._channel = membership.UdpChannel(options.link_key)
+        self._membership = membership.Membership(
+            clock,
+            self._channel,
+            _own_member(options, clock),
+            [core.Address.parse(seed) for seed in options.seeds],
+        )
+        self._stopping = asyncio.Event()
+
+    async def run(self) -> None:
+        """Runs until a graceful shutdown has ended."""
+        await self._open_sockets()
+        self._membership.on_change(self._apply_view)
+        meter = self._make_meter()
+        status = telemetry.serve_status(
+            core.Address.parse(self._options.status_address),
+            meter,
+            ready=lambda: not self._stopping.is_set(),
+            status=self._status,
+            drain=self._stopping.set,
+        )
+        self._handle_signals()
+        telemetry.log("started", role="balancer")
+        member_task = asyncio.create_task(self._membership.run())
+        await self._stopping.wait()
+        self._membership.update(state=membership.State.DRAINING)
+        await self._clock.sleep(LEAVE_DELAY_MS)
+        self._membership.update(state=membership.State.LEFT)
+        member_task.cancel()
+        status.stop()
+        telemetry.log("stopped", role="balancer")
+
+    def _apply_view(self, view: membership.View) -> None:
+        for service, router in self._routers.items():
+            router.replace_targets(
+                routing.Target(
+                    name=member.instance_id,
+                    address=member.link_address,
+                    incarnation=member.link_incarnation,
+                    weight=member.weight,
+                    accepts_flows=member.state is membership.State.ALIVE,
+                )
+                for member in view.targets(service)
+            )
+
+    async def _open_sockets(self) -> None:
+        loop = asyncio.get_running_loop()
+        control = core.Address.parse(self._options.control_address)
+        await self._channel.open(control)
+        link = core.Address.parse(self._options.link_address)
+        await loop.create_datagram_endpoint(
+            lambda: self._link, local_addr=link.pair
+        )
+        for service, address in self._options.listeners.items():
+            await self._open_listener(service, core.Address.parse(address))
+
+    async def _open_listener(self, service: str, address: core.Address) -> None:
+        listener = _forwarder.ServiceListener(
+            service,
+            self._routers[service],
+            wire.ConnectionIdCodec(self._options.routing_keys, service),
+            self._link,
+            self._counters,
+        )
+        self._link.add_listener(listener)
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: listener, local_addr=address.pair
+        )
+
+    def _handle_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._on_signal)
+
+    def _on_signal(self) -> None:
+        if self._stopping.is_set():
+            telemetry.log("stopped-early", role="balancer")
+            sys.exit(1)
+        telemetry.log("draining", role="balancer")
+        self._stopping.set()
+
+    def _make_meter(self) -> telemetry.Meter:
+        meter = telemetry.Meter()
+        counters = self._counters
+        meter.count("to_agent_datagrams", lambda: counters.to_agent_count)
+        meter.count("to_caller_datagrams", lambda: counters.to_caller_count)
+        meter.count("malformed_datagrams", lambda: counters.malformed_count)
+        meter.count("foreign_datagrams", lambda: counters.foreign_count)
+        meter.count("no_target_datagrams", lambda: counters.no_target_count)
+        meter.count(
+            "control_sent_bytes", lambda: self._channel.sent_bytes, "By"
+        )
+        meter.count(
+            "control_received_bytes",
+            lambda: self._channel.received_bytes,
+            "By",
+        )
+        return meter
+
+    def _status(self) -> dict[str, object]:
+        view = self._membership.view()
+        return {
+            "instance_id": self._options.instance_id,
+            "role": "balancer",
+            "draining": self._stopping.is_set(),
+            "counters": vars(self._counters),
+            "members": {
+                name: {
+                    "role": member.role.value,
+                    "service": member.service,
+                    "state": member.state.name.lower(),
+                    "weight": member.weight,
+                    "link_address": str(member.link_address),
+                    "status_address": str(member.status_address),
+                }
+                for name, member in view.members.items()
+            },
+        }
+
+
+def _own_member(
+    options: settings.BalancerSettings, clock: core.Clock
+) -> membership.Member:
+    return membership.Member(
+        instance_id=options.instance_id,
+        role=core.Role.BALANCER,
+        region=options.region,
+        availability_zone=options.availability_zone,
+        service="",
+        link_address=core.Address.parse(options.link_address),
+        control_address=core.Address.parse(options.control_address),
+        bulk_address=core.Address.parse(options.bulk_address),
+        status_address=core.Address.parse(options.status_address),
+        incarnation=membership.new_incarnation(clock, random.SystemRandom()),
+        weight=options.capacity_weight,
+    )
+
+
+def run(options: settings.BalancerSettings) -> None:
+    """Runs a balancer until it is stopped."""
+    telemetry.configure_logs(sys.stderr, options.instance_id)
+    asyncio.run(_run(options))
+
+
+async def _run(options: settings.BalancerSettings) -> None:
+    await Balancer(options, core.SystemClock()).run()
--- /dev/null
+++ b/libs/cli/src/fireflyford/cli/__init__.py
@@ -0,0 +1,5 @@
+"""The command line of the one binary."""
+
+from fireflyford.cli._commands import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/libs/membership/src/fireflyford/membership/__init__.py
@@ -0,0 +1,25 @@
+"""Which instances exist, and how changes spread between them."""
+
+from fireflyford.membership._channel import Channel
+from fireflyford.membership._channel import Envelope
+from fireflyford.membership._channel import UdpChannel
+from fireflyford.membership._membership import FAILURE_TIMEOUT_MS
+from fireflyford.membership._membership import HEARTBEAT_INTERVAL_MS
+from fireflyford.membership._membership import Membership
+from fireflyford.membership._types import Member
+from fireflyford.membership._types import State
+from fireflyford.membership._types import View
+from fireflyford.membership._types import new_incarnation
+
+__all__ = [
+    "FAILURE_TIMEOUT_MS",
+    "HEARTBEAT_INTERVAL_MS",
+    "Channel",
+    "Envelope",
+    "Member",
+    "Membership",
+    "State",
+    "UdpChannel",
+    "View",
+    "new_incarnation",
+]
--- /dev/null
+++ b/libs/store/src/fireflyford/store/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's key-value service."""
