Add bulk transfers between instances and the frame of experiments

Cause: full views and configurations do not fit into a datagram, and experiments need one form of result. Change: BulkServer and fetch over pynng; Experiment, Figure and Result with the lab commands list and run.

--- a/libs/lab/src/fireflyford/lab/_commands.py
+++ b/libs/lab/src/fireflyford/lab/_commands.py
@@ -1,14 +1,75 @@
 """Commands of the lab tool."""
 
+import asyncio
+import pathlib
+import sys
+
 import fire
+import msgspec
 
 from fireflyford.lab import _backend
 from fireflyford.lab import _demo
+from fireflyford.lab import experiments
+
+
+class Commands:
+    """Experiments with real processes on loopback."""
+
+    def __init__(self) -> None:
+        """Lists the commands that other modules implement."""
+        self.backend = _backend.run_backend
+        self.demo = _demo.run_demo
+
+    def list(self) -> None:
+        """Lists the experiments."""
+        for name, experiment in experiments.find_all().items():
+            print(f"{name:20} {experiment.summary}")
+
+    def run(
+        self, name: str, seed: int = 1, json: bool = False, output: str = ""
+    ) -> None:
+        """Runs one experiment; exits with 1 when a target is missed.
+
+        Args:
+            name: Name from `list`.
+            seed: Seed of everything random.
+            json: Print one JSON object as the last line.
+            output: File for the result, for `plot` and `compare`.
+        """
+        experiment = experiments.find_all().get(name)
+        if experiment is None:
+            sys.exit(f"fireflyford-lab: no experiment `{name}`; see `list`")
+        result = asyncio.run(experiment.run(seed))
+        encoded = _encode(result)
+        if output:
+            pathlib.Path(output).write_bytes(encoded + b"\n")
+        if json:
+            print(encoded.decode())
+        else:
+            _print_table(result)
+        if not result.ok:
+            sys.exit(1)
+
+
+def _encode(result: experiments.Result) -> bytes:
+    fields = msgspec.to_builtins(result)
+    fields["ok"] = result.ok
+    for encoded, figure in zip(fields["figures"], result.figures, strict=True):
+        encoded["ok"] = figure.ok
+    return msgspec.json.encode(fields)
+
+
+def _print_table(result: experiments.Result) -> None:
+    for figure in result.figures:
+        target = ""
+        if figure.target is not None:
+            verdict = "ok" if figure.ok else "MISSED"
+            target = f"{figure.bound.value} {figure.target:g} {verdict}"
+        print(
+            f"{figure.name:40} {figure.value:12.4g} {figure.unit:10} {target}"
+        )
 
 
 def main() -> None:
     """Runs the command line of the lab."""
-    fire.Fire(
-        {"backend": _backend.run_backend, "demo": _demo.run_demo},
-        name="fireflyford-lab",
-    )
+    fire.Fire(Commands, name="fireflyford-lab")
--- a/libs/membership/src/fireflyford/membership/__init__.py
+++ b/libs/membership/src/fireflyford/membership/__init__.py
@@ -1,5 +1,7 @@
 """Which instances exist, and how changes spread between them."""
 
+from fireflyford.membership._bulk import BulkServer
+from fireflyford.membership._bulk import fetch
 from fireflyford.membership._channel import Channel
 from fireflyford.membership._channel import Envelope
 from fireflyford.membership._channel import UdpChannel
@@ -14,6 +16,7 @@
 __all__ = [
     "FAILURE_TIMEOUT_MS",
     "HEARTBEAT_INTERVAL_MS",
+    "BulkServer",
     "Channel",
     "Envelope",
     "Member",
@@ -21,5 +24,6 @@
     "State",
     "UdpChannel",
     "View",
+    "fetch",
     "new_incarnation",
 ]
