--- a/libs/agent/src/fireflyford/agent/__init__.py
+++ b/libs/agent/src/fireflyford/agent/__init__.py
@@ -1,7 +1,8 @@
 """The agent process beside each backend server."""
 
+from fireflyford.agent._access import make_token
 from fireflyford.agent._process import Agent
-from fireflyford.agent._process import load_tls
 from fireflyford.agent._process import run
+from fireflyford.agent._tls import load_tls
 
-__all__ = ["Agent", "load_tls", "run"]
+__all__ = ["Agent", "load_tls", "make_token", "run"]
--- a/libs/agent/src/fireflyford/agent/_process.py
+++ b/libs/agent/src/fireflyford/agent/_process.py
@@ -4,7 +4,6 @@
 import pathlib
 import random
 import signal
-import ssl
 import sys
 
 from aioquic.quic import configuration as quic_configuration
@@ -16,11 +15,12 @@
 from fireflyford import settings
 from fireflyford import telemetry
 from fireflyford import wire
+from fireflyford.agent import _access
 from fireflyford.agent import _backend
 from fireflyford.agent import _endpoint
 from fireflyford.agent import _service
+from fireflyford.agent import _tls
 
-_IDLE_TIMEOUT_S = 30.0
 _DRAIN_POLL_MS = 50
 # Balancers learn of a drain within 3 s, so new flows are relayed until then.
 LEAVE_DELAY_MS = 3_000
@@ -71,7 +71,9 @@
                 options.routing_keys, options.service
             ),
             configuration=tls,
-            handler=self._handler,
+            handler=_access.AccessHandler(
+                options.caller_key, service, self._handler
+            ),
             relay_target=self._relay_target,
         )
         self._stopping = asyncio.Event()
@@ -184,32 +186,10 @@
     )
 
 
-def load_tls(
-    options: settings.AgentSettings,
-) -> core.Outcome[quic_configuration.QuicConfiguration]:
-    """Loads the certificate of the service."""
-    configuration = quic_configuration.QuicConfiguration(
-        alpn_protocols=["h3"],
-        is_client=False,
-        connection_id_length=wire.CONNECTION_ID_BYTES,
-        idle_timeout=_IDLE_TIMEOUT_S,
-    )
-    try:
-        configuration.load_cert_chain(
-            options.certificate_path, options.private_key_path
-        )
-    except (OSError, ValueError, ssl.SSLError) as error:
-        return core.Failure(
-            core.ErrorKind.BAD_CERTIFICATE,
-            f"{options.certificate_path}: {error}",
-        )
-    return core.Ok(configuration)
-
-
 def run(options: settings.AgentSettings) -> core.Outcome[None]:
     """Runs an agent until it is stopped."""
     telemetry.configure_logs(sys.stderr, options.instance_id)
-    tls = load_tls(options)
+    tls = _tls.load_tls(options)
     if isinstance(tls, core.Failure):
         return tls
     parsed = config.parse(pathlib.Path(options.config_path).read_bytes())
--- /dev/null
+++ b/libs/agent/tests/test_access.py
@@ -0,0 +1,79 @@
+"""Callers' rights."""
+
+import asyncio
+
+import pytest
+
+from fireflyford import agent
+from fireflyford import config
+from fireflyford import core
+from fireflyford.agent import _access
+from fireflyford.agent import _connection
+
+KEY = b"k" * 16
+SERVICE = config.Service(
+    name="tahian", address="127.0.0.1:1", target_count=1, callers=("field",)
+)
+
+
+class Recorder(_connection.Handler, _connection.ResponseStream):
+    """Handler and stream that note what reaches them."""
+
+    def __init__(self) -> None:
+        self.handled_count = 0
+        self.status_code = 0
+
+    async def handle(
+        self,
+        request: _connection.Request,
+        response: _connection.ResponseStream,
+    ) -> None:
+        self.handled_count += 1
+
+    def start(self, status_code: int, headers: _connection.Headers) -> None:
+        self.status_code = status_code
+
+    async def write(self, data: bytes, end: bool) -> None:
+        pass
+
+
+def ask(authorization: str, key: bytes = KEY) -> Recorder:
+    recorder = Recorder()
+    handler = _access.AccessHandler(key, SERVICE, recorder)
+    request = _connection.Request(
+        method="GET",
+        path="/",
+        headers=(("authorization", authorization),),
+        body=b"",
+        caller=core.Address("127.0.0.1", 1),
+    )
+    asyncio.run(handler.handle(request, recorder))
+    return recorder
+
+
+def test_a_caller_with_a_token_is_served() -> None:
+    """Guards against refusing callers that have the right."""
+    recorder = ask("Bearer " + agent.make_token(KEY, "field"))
+    assert recorder.handled_count == 1
+
+
+@pytest.mark.parametrize(
+    "authorization",
+    [
+        "",
+        "Bearer field.00",
+        "Bearer " + agent.make_token(KEY, "stranger"),
+        "Bearer " + agent.make_token(b"x" * 16, "field"),
+        "Bearer f\u00e9ld.00",
+    ],
+)
+def test_a_caller_without_the_right_is_refused(authorization: str) -> None:
+    """Guards against work done for callers without the right."""
+    recorder = ask(authorization)
+    assert recorder.handled_count == 0
+    assert recorder.status_code == 403
+
+
+def test_an_open_service_needs_no_token() -> None:
+    """Guards against refusing everyone where no key is set."""
+    assert ask("", key=b"").handled_count == 1
--- a/libs/settings/src/fireflyford/settings/_settings.py
+++ b/libs/settings/src/fireflyford/settings/_settings.py
@@ -41,8 +41,8 @@
     control_address: str
     bulk_address: str
     status_address: str
-    routing_keys_hex: tuple[str, ...]
-    link_key_hex: str
+    routing_keys_hex: tuple[str, ...] = dataclasses.field(repr=False)
+    link_key_hex: str = dataclasses.field(repr=False)
     seeds: tuple[str, ...] = ()
     store_addresses: tuple[str, ...] = ()
     config_path: str = ""
@@ -90,9 +90,14 @@
     backend_address: str
     certificate_path: str
     private_key_path: str
-    caller_key_hex: str = ""
+    caller_key_hex: str = dataclasses.field(default="", repr=False)
     slot_count: int = 2
 
+    @property
+    def caller_key(self) -> bytes:
+        """Key of caller tokens, empty when the service is open."""
+        return bytes.fromhex(self.caller_key_hex)
+
 
 def load(path: str, kind: type[S]) -> core.Outcome[S]:
     """Reads and checks a settings file.
