--- a/libs/agent/src/fireflyford/agent/_process.py
+++ b/libs/agent/src/fireflyford/agent/_process.py
@@ -18,6 +18,7 @@
 from fireflyford.agent import _access
 from fireflyford.agent import _backend
 from fireflyford.agent import _endpoint
+from fireflyford.agent import _readiness
 from fireflyford.agent import _service
 from fireflyford.agent import _tls
 
@@ -96,6 +97,9 @@
         )
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_signal)
+        await _readiness.wait_for_backend(
+            self._clock, core.Address.parse(self._options.backend_address)
+        )
         telemetry.log("started", role="agent", service=self._options.service)
         member_task = asyncio.create_task(self._membership.run())
         await self._stopping.wait()
--- /dev/null
+++ b/libs/agent/tests/test_readiness.py
@@ -0,0 +1,32 @@
+"""Start of an agent before its backend server."""
+
+import asyncio
+
+from fireflyford import core
+from fireflyford.agent import _readiness
+
+
+async def _wait_then_listen() -> list[str]:
+    order = []
+    server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    server.close()
+    await server.wait_closed()
+    address = core.Address("127.0.0.1", port)
+
+    async def wait() -> None:
+        await _readiness.wait_for_backend(core.SystemClock(), address)
+        order.append("ready")
+
+    task = asyncio.create_task(wait())
+    await asyncio.sleep(0.15)
+    order.append("listen")
+    server = await asyncio.start_server(lambda *_: None, "127.0.0.1", port)
+    await asyncio.wait_for(task, timeout=5)
+    server.close()
+    return order
+
+
+def test_a_target_is_announced_after_its_backend_listens() -> None:
+    """Guards against requests sent to a backend server that is starting."""
+    assert asyncio.run(_wait_then_listen()) == ["listen", "ready"]
--- a/libs/lab/src/fireflyford/lab/_commands.py
+++ b/libs/lab/src/fireflyford/lab/_commands.py
@@ -9,6 +9,7 @@
 
 from fireflyford.lab import _backend
 from fireflyford.lab import _demo
+from fireflyford.lab import _plot
 from fireflyford.lab import experiments
 
 
@@ -50,6 +51,27 @@
         if not result.ok:
             sys.exit(1)
 
+    def plot(self, result: str) -> None:
+        """Draws a result as PNG next to its file.
+
+        Args:
+            result: File written by `run --output`.
+        """
+        print(_plot.plot_result(result))
+
+    def compare(self, first: str, second: str) -> None:
+        """Compares two results of one experiment.
+
+        Args:
+            first: File of the earlier version.
+            second: File of the later version.
+        """
+        try:
+            lines = _plot.compare_results(first, second)
+        except ValueError as error:
+            sys.exit(f"fireflyford-lab: {error}")
+        print("\n".join(lines))
+
 
 def _encode(result: experiments.Result) -> bytes:
     fields = msgspec.to_builtins(result)
--- /dev/null
+++ b/libs/lab/src/fireflyford/lab/scenarios/_language.py
@@ -0,0 +1,278 @@
+"""The scenario language: grammar, steps and errors with their place."""
+
+import abc
+import asyncio
+import dataclasses
+import difflib
+import importlib.resources
+import re
+
+import lark
+
+from fireflyford import core
+from fireflyford.lab import experiments
+from fireflyford.lab.scenarios import _world
+
+_UNIT_FACTORS = {"": 1.0, "ms": 1.0, "s": 1000.0, "%": 0.01}
+
+
+class Step(abc.ABC):
+    """One step of a scenario."""
+
+    @abc.abstractmethod
+    async def perform(self, world: _world.World) -> experiments.Figure | None:
+        """Performs the step; a check returns its figure."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Deploy(Step):
+    """Starts a deployment."""
+
+    deployment: str
+    balancer_count: int
+
+    async def perform(self, world: _world.World) -> None:
+        """Starts the processes."""
+        await world.deploy(self.deployment, self.balancer_count)
+
+
+@dataclasses.dataclass(frozen=True)
+class Feeds(Step):
+    """Opens feeds."""
+
+    service: str
+    count: int
+
+    async def perform(self, world: _world.World) -> None:
+        """Opens the feeds."""
+        world.add_feeds(self.service, self.count)
+
+
+@dataclasses.dataclass(frozen=True)
+class Requests(Step):
+    """Sends orders or sheets."""
+
+    service: str
+    kind: str
+    rate_per_s: float
+    duration_ms: float
+
+    async def perform(self, world: _world.World) -> None:
+        """Starts the load."""
+        world.add_requests(
+            self.service, self.kind, self.rate_per_s, self.duration_ms
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class Wait(Step):
+    """Lets the load run."""
+
+    duration_s: float
+
+    async def perform(self, world: _world.World) -> None:
+        """Waits."""
+        await world.wait(self.duration_s)
+
+
+@dataclasses.dataclass(frozen=True)
+class Act(Step):
+    """A planned change or a fault."""
+
+    action: str
+    service: str
+    values: tuple[float, ...]
+
+    async def perform(self, world: _world.World) -> None:
+        """Performs it now."""
+        await world.act(self.action, self.service, list(self.values))
+
+
+@dataclasses.dataclass(frozen=True)
+class Sometime(Step):
+    """An action at a random moment, in the background."""
+
+    limit_s: float
+    act: Act
+
+    async def perform(self, world: _world.World) -> None:
+        """Draws the moment and schedules the action."""
+        delay_s = world.random_delay_s(self.limit_s)
+        values = [delay_s, *self.act.values]
+        world.spawn(self.act.action, self.act.service, values)
+
+
+@dataclasses.dataclass(frozen=True)
+class Twice(Step):
+    """An action, and the same action again."""
+
+    act: Act
+
+    async def perform(self, world: _world.World) -> None:
+        """Performs the action two times in a row."""
+        await self.act.perform(world)
+        await self.act.perform(world)
+
+
+@dataclasses.dataclass(frozen=True)
+class Together(Step):
+    """Two actions at the same time."""
+
+    first: Act
+    second: Act
+
+    async def perform(self, world: _world.World) -> None:
+        """Performs both concurrently."""
+        await asyncio.gather(
+            self.first.perform(world), self.second.perform(world)
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class Check(Step):
+    """An assertion on a measured figure."""
+
+    measure: str
+    bound: experiments.Bound
+    target: float
+
+    async def perform(self, world: _world.World) -> experiments.Figure:
+        """Ends the load and measures."""
+        await world.finish()
+        value = await world.measure(self.measure)
+        unit = "ms" if self.measure in _TIMES else "1"
+        return experiments.Figure(
+            self.measure.replace("_", " "), value, unit, self.target, self.bound
+        )
+
+
+_TIMES = frozenset({"feed_silence", "orders_p99", "sheets_p99", "config_delay"})
+
+
+class _Builder(lark.Transformer[lark.Token, list[Step]]):
+    """Builds the steps from the parse tree."""
+
+    def __default__(
+        self, data: str, children: list[object], meta: object
+    ) -> object:
+        """Turns an action or a measure into its name and arguments."""
+        del meta
+        names = [str(c) for c in children if _type(c) == "NAME"]
+        values = tuple(float(str(c)) for c in children if _is_number(c))
+        return Act(str(data), names[0] if names else "", values)
+
+    def start(self, children: list[Step]) -> list[Step]:
+        return children
+
+    def step(self, children: list[Step]) -> Step:
+        return children[0]
+
+    def deployment(self, children: list[lark.Token]) -> Step:
+        return Deploy(str(children[0]), int(children[1]))
+
+    def feeds(self, children: list[lark.Token]) -> Step:
+        return Feeds(str(children[1]), int(children[0]))
+
+    def orders(self, children: list[lark.Token]) -> Step:
+        return _requests("orders", children)
+
+    def sheets(self, children: list[lark.Token]) -> Step:
+        return _requests("sheets", children)
+
+    def wait(self, children: list[lark.Token]) -> Step:
+        return Wait(float(children[0]))
+
+    def sometime(self, children: list[object]) -> Step:
+        act = children[1]
+        assert isinstance(act, Act)
+        return Sometime(float(str(children[0])), act)
+
+    def repeat(self, children: list[Act]) -> Step:
+        return Twice(children[0])
+
+    def together(self, children: list[Act]) -> Step:
+        return Together(children[0], children[1])
+
+    def check(self, children: list[object]) -> Step:
+        measure, bound, value, *unit = children
+        assert isinstance(measure, Act)
+        factor = _UNIT_FACTORS[str(unit[0]) if unit else ""]
+        sign = experiments.Bound(str(bound).replace(" ", "-"))
+        return Check(measure.action, sign, float(str(value)) * factor)
+
+
+def _requests(kind: str, children: list[lark.Token]) -> Requests:
+    rate, service, duration = children
+    return Requests(str(service), kind, float(rate), float(duration))
+
+
+def _type(child: object) -> str:
+    return str(getattr(child, "type", ""))
+
+
+def _is_number(child: object) -> bool:
+    return _type(child) in ("NUMBER", "INT")
+
+
+def _grammar() -> str:
+    files = importlib.resources.files("fireflyford.lab.scenarios")
+    return (files / "grammar.lark").read_text()
+
+
+def parse(text: str, name: str) -> core.Outcome[list[Step]]:
+    """Parses a scenario.
+
+    Args:
+        text: Content of the file.
+        name: Name of the file, for errors.
+
+    Returns:
+        The steps, or `BAD_CONFIG` with line, column and the nearest step.
+    """
+    parser = lark.Lark(_grammar(), parser="earley", lexer="dynamic")
+    try:
+        tree = parser.parse(text)
+    except lark.UnexpectedInput as error:
+        return _explain(text, name, error)
+    steps: list[Step] = _Builder().transform(tree)
+    return core.Ok(steps)
+
+
+def _explain(text: str, name: str, error: lark.UnexpectedInput) -> core.Failure:
+    lines = text.splitlines() or [""]
+    line = error.line if 0 < error.line <= len(lines) else len(lines)
+    wrong = lines[line - 1].strip()
+    column = error.column if error.column > 0 else len(wrong) + 1
+    nearest = difflib.get_close_matches(wrong, templates(), n=1, cutoff=0.0)
+    return core.Failure(
+        core.ErrorKind.BAD_CONFIG,
+        f"{name}:{line}:{column}: unknown step `{wrong}`; "
+        f"the nearest step is `{nearest[0]}`",
+    )
+
+
+def templates() -> list[str]:
+    """Returns the form of every step, derived from the grammar.
+
+    >>> "kill a balancer" in templates()
+    True
+    >>> "expect feed gaps at most NUMBER" in templates()
+    True
+    """
+    rules = _grammar().partition("BOUND:")[0]
+    steps, _, measures = rules.partition("measure:")
+    found = [_template(body) for body in _ALTERNATIVE.findall(steps)]
+    found += [
+        f"expect {_template(body)} at most NUMBER"
+        for body in _ALTERNATIVE.findall("measure:" + measures)
+    ]
+    return sorted(found)
+
+
+# The right side of an alternative that starts with a word or a count.
+_ALTERNATIVE = re.compile(r'[:|] ((?:INT |NUMBER )?"[a-z].*)$', re.M)
+
+
+def _template(body: str) -> str:
+    text = body.partition("->")[0].replace('"', "")
+    return " ".join(text.replace("?", "").split())
--- a/libs/lab/tests/test_path.py
+++ b/libs/lab/tests/test_path.py
@@ -24,8 +24,9 @@
         )
     return [
         outcome.value.body
-        for outcome in outcomes
         if isinstance(outcome, core.Ok)
+        else outcome.message.encode()
+        for outcome in outcomes
     ]
 
 
--- /dev/null
+++ b/libs/lab/tests/test_results.py
@@ -0,0 +1,54 @@
+"""Results of experiments: verdicts, pictures and comparisons."""
+
+import json
+import pathlib
+
+from fireflyford.lab import _commands
+from fireflyford.lab import _plot
+from fireflyford.lab import experiments
+
+
+def result(value: float) -> experiments.Result:
+    return experiments.Result(
+        name="drain",
+        seed=1,
+        figures=(
+            experiments.Figure("delay", value, "ms", target=100.0),
+            experiments.Figure(
+                "share",
+                0.9,
+                "ratio",
+                target=0.5,
+                bound=experiments.Bound.AT_LEAST,
+            ),
+        ),
+        series=(
+            experiments.Series("delay", "time (s)", "ms", ((0, 1), (1, 2))),
+        ),
+    )
+
+
+def write(path: pathlib.Path, value: float) -> str:
+    path.write_bytes(_commands._encode(result(value)))
+    return str(path)
+
+
+def test_a_missed_target_is_reported() -> None:
+    """Guards against a result that hides a missed target."""
+    assert result(100.0).ok
+    assert not result(101.0).ok
+    assert json.loads(_commands._encode(result(101.0)))["ok"] is False
+
+
+def test_a_result_becomes_a_picture(tmp_path: pathlib.Path) -> None:
+    """Guards against a plot command that writes nothing."""
+    picture = _plot.plot_result(write(tmp_path / "a.json", 50.0))
+    assert picture.read_bytes().startswith(b"\x89PNG")
+
+
+def test_two_results_are_compared(tmp_path: pathlib.Path) -> None:
+    """Guards against a comparison without the ratio."""
+    lines = _plot.compare_results(
+        write(tmp_path / "a.json", 50.0), write(tmp_path / "b.json", 75.0)
+    )
+    assert "1.500" in lines[0]
--- a/libs/membership/src/fireflyford/membership/_bulk.py
+++ b/libs/membership/src/fireflyford/membership/_bulk.py
@@ -46,8 +46,11 @@
                     tasks.create_task(self._serve(socket))
 
     async def _serve(self, socket: pynng.Rep0) -> None:
+        task = asyncio.current_task()
         with socket.new_context() as context:
-            while True:
+            # pynng drops a cancellation that meets a completed transfer, so
+            # the loop asks for it as well.
+            while task is not None and not task.cancelling():
                 data = await context.arecv()
                 self.received_bytes += len(data)
                 reply = self._answer(data)
--- a/libs/membership/tests/test_bulk.py
+++ b/libs/membership/tests/test_bulk.py
@@ -31,3 +31,15 @@
     outcome = asyncio.run(_fetch(address, OTHER_KEY))
     assert isinstance(outcome, core.Failure)
     assert outcome.kind is core.ErrorKind.INSTANCE_UNREACHABLE
+
+
+async def _fetch_in_time() -> None:
+    address = core.Address("127.0.0.1", 24_803)
+    async with asyncio.timeout(5):
+        await _fetch(address, OTHER_KEY)
+
+
+def test_a_server_stops_while_it_answers() -> None:
+    """Guards against a cancellation lost in a transfer that completes."""
+    for _ in range(10):
+        asyncio.run(_fetch_in_time())
