Search among agents for the holder of flows without identifier

Cause: plain UDP flows carry no identifier, so a balancer cannot know their holder, and a change of the ring would break them.

Change: routing.FlowTable decides search, adoption and convergence; the balancer lists likely holders from the ring and its earlier rings; the agent relays each flow over a UDP socket of its own. Sockets of the balancer read in batches, rings are rebuilt one service at a time and only when changed, and weights are bounded to a quarter and four times the median. Headers carry incarnations of holders, a stamp and the balancer's address.

--- a/libs/agent/src/fireflyford/agent/_endpoint.py
+++ b/libs/agent/src/fireflyford/agent/_endpoint.py
@@ -11,8 +11,18 @@
 from fireflyford import core
 from fireflyford import wire
 from fireflyford.agent import _connection
+from fireflyford.agent import _datagram
 from fireflyford.agent import _quic
 
+_QUIC_KINDS = frozenset({wire.ForwardType.TO_AGENT})
+_FLOW_KINDS = frozenset(
+    {
+        wire.ForwardType.TO_AGENT,
+        wire.ForwardType.ADOPT,
+        wire.ForwardType.RELEASE,
+    }
+)
+
 
 class Counters:
     """Datagrams since the process started, by what happened to them."""
@@ -39,6 +49,7 @@
         configuration: quic_configuration.QuicConfiguration,
         handler: _connection.Handler,
         relay_target: Callable[[], core.Address | None],
+        flows: _datagram.DatagramFlows | None = None,
     ) -> None:
         """Prepares the endpoint of one target.
 
@@ -52,6 +63,7 @@
             handler: Answers requests.
             relay_target: Returns a peer that accepts new flows while this
                 agent is draining, or None while it is not.
+            flows: Takes every datagram of a service that is not QUIC.
         """
         self._service_tag = core.service_tag(service)
         self._incarnation = incarnation
@@ -62,6 +74,7 @@
         self._configuration = configuration
         self._handler = handler
         self._relay_target = relay_target
+        self._flows = flows
         self._transport: asyncio.DatagramTransport | None = None
         self._by_id: dict[bytes, _connection.Connection] = {}
         self.connections: dict[_connection.Connection, asyncio.Task[None]] = {}
@@ -69,7 +82,10 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keeps the transport."""
-        self._transport = cast(asyncio.DatagramTransport, transport)
+        link = cast(asyncio.DatagramTransport, transport)
+        self._transport = link
+        if self._flows is not None:
+            self._flows.attach(lambda data, to: link.sendto(data, to.pair))
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Delivers a forwarded datagram to its connection."""
@@ -81,6 +97,10 @@
         if not self._is_ours(header):
             self.counters.misrouted_count += 1
             return
+        if self._flows is not None:
+            self.counters.received_count += 1
+            self._flows.receive(header, payload, core.Address(*addr[:2]))
+            return
         hint = wire.peek(payload)
         if hint is None:
             self.counters.foreign_count += 1
@@ -97,8 +117,9 @@
             )
 
     def _is_ours(self, header: wire.ForwardHeader) -> bool:
+        kinds = _QUIC_KINDS if self._flows is None else _FLOW_KINDS
         return (
-            header.kind is wire.ForwardType.TO_AGENT
+            header.kind in kinds
             and header.service == self._service_tag
             and header.incarnation in (0, self._incarnation)
         )
--- a/libs/agent/src/fireflyford/agent/_process.py
+++ b/libs/agent/src/fireflyford/agent/_process.py
@@ -17,8 +17,10 @@
 from fireflyford import telemetry
 from fireflyford import wire
 from fireflyford.agent import _backend
+from fireflyford.agent import _datagram
 from fireflyford.agent import _endpoint
 from fireflyford.agent import _service
+from fireflyford.agent import _successor
 
 _IDLE_TIMEOUT_S = 30.0
 _DRAIN_POLL_MS = 50
@@ -62,6 +64,10 @@
         self._handler = _service.ServiceHandler(
             clock, service, self._engine, backend
         )
+        self._stopping = asyncio.Event()
+        self._flows: _datagram.DatagramFlows | None = None
+        if service.transport is config.Transport.DATAGRAM:
+            self._flows = self._make_flows(member)
         self._endpoint = _endpoint.Endpoint(
             service=options.service,
             incarnation=member.link_incarnation,
@@ -73,8 +79,25 @@
             configuration=tls,
             handler=self._handler,
             relay_target=self._relay_target,
+            flows=self._flows,
         )
-        self._stopping = asyncio.Event()
+
+    def _make_flows(self, member: membership.Member) -> _datagram.DatagramFlows:
+        successor = _successor.RingSuccessor(
+            member, self._stopping.is_set, self._membership.view
+        )
+        flows = _datagram.DatagramFlows(
+            clock=self._clock,
+            service=self._options.service,
+            own=core.Holder(member.link_address, member.link_incarnation),
+            codec=wire.ForwardCodec(self._options.link_key),
+            backend=core.Address.parse(self._options.backend_address),
+            successor=successor,
+        )
+        self._membership.on_change(
+            lambda view: flows.forget_holders(_successor.dead_holders(view))
+        )
+        return flows
 
     async def run(self) -> None:
         """Runs until a graceful shutdown has ended."""
@@ -95,10 +118,13 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_signal)
         telemetry.log("started", role="agent", service=self._options.service)
-        member_task = asyncio.create_task(self._membership.run())
+        tasks = [asyncio.create_task(self._membership.run())]
+        if self._flows is not None:
+            tasks.append(asyncio.create_task(self._flows.run()))
         await self._stopping.wait()
         await self._drain()
-        member_task.cancel()
+        for task in tasks:
+            task.cancel()
         status.stop()
         telemetry.log("stopped", role="agent")
 
@@ -118,7 +144,8 @@
         self._membership.update(state=membership.State.LEFT)
 
     def _busy_count(self) -> int:
-        return sum(
+        flow_count = 0 if self._flows is None else self._flows.open_count
+        return flow_count + sum(
             connection.request_count
             for connection in self._endpoint.connections
         )
@@ -164,6 +191,12 @@
             "feeds": self._handler.feed_count,
             "in_flight": self._engine.in_flight_count,
             "counters": vars(self._endpoint.counters),
+            "flows": (
+                {}
+                if self._flows is None
+                else vars(self._flows.counters)
+                | {"open_count": self._flows.open_count}
+            ),
         }
 
 
--- a/libs/balancer/src/fireflyford/balancer/__init__.py
+++ b/libs/balancer/src/fireflyford/balancer/__init__.py
@@ -1,9 +1,25 @@
 """The balancer process: forwards datagrams and holds no state of flows."""
 
 from fireflyford.balancer._forwarder import Counters
+from fireflyford.balancer._forwarder import DatagramHintReader
+from fireflyford.balancer._forwarder import HintReader
 from fireflyford.balancer._forwarder import Link
+from fireflyford.balancer._forwarder import QuicHintReader
 from fireflyford.balancer._forwarder import ServiceListener
+from fireflyford.balancer._forwarding import replace_targets
 from fireflyford.balancer._process import Balancer
 from fireflyford.balancer._process import run
+from fireflyford.balancer._socket import DatagramSocket
 
-__all__ = ["Balancer", "Counters", "Link", "ServiceListener", "run"]
+__all__ = [
+    "Balancer",
+    "Counters",
+    "DatagramHintReader",
+    "DatagramSocket",
+    "HintReader",
+    "Link",
+    "QuicHintReader",
+    "ServiceListener",
+    "replace_targets",
+    "run",
+]
--- a/libs/balancer/src/fireflyford/balancer/_forwarder.py
+++ b/libs/balancer/src/fireflyford/balancer/_forwarder.py
@@ -1,11 +1,20 @@
 """Forwarding of datagrams between callers and agents."""
 
-import asyncio
-from typing import cast
+import abc
+
+import xxhash
 
 from fireflyford import core
 from fireflyford import routing
 from fireflyford import wire
+from fireflyford.balancer import _socket
+
+# A datagram must still fit into UDP with the forwarding header, a balancer
+# address and three holders before it.
+MAX_PAYLOAD_BYTES = 65_507 - wire.FORWARD_HEADER_BYTES - 6 - 3 * 10
+# Connection IDs whose tag has been verified: one for each flow that is
+# sending at the moment. The oldest is forgotten first.
+_VERIFIED_IDS = 4_096
 
 
 class Counters:
@@ -20,32 +29,101 @@
         self.no_target_count = 0
 
 
-class ServiceListener(asyncio.DatagramProtocol):
+class HintReader(abc.ABC):
+    """Reads what a caller's datagram says about its flow."""
+
+    @abc.abstractmethod
+    def read(
+        self, datagram: bytes, caller: tuple[str, int]
+    ) -> routing.Hint | None:
+        """Returns the hint, or None if the datagram is malformed."""
+
+
+class QuicHintReader(HintReader):
+    """Reads the connection ID of a QUIC packet."""
+
+    def __init__(self, codec: wire.ConnectionIdCodec) -> None:
+        """Takes the encoding of the service's connection IDs."""
+        self._codec = codec
+        self._verified: dict[bytes, routing.HolderHint] = {}
+
+    def read(
+        self, datagram: bytes, caller: tuple[str, int]
+    ) -> routing.Hint | None:
+        """Returns the holder, or the key of a new connection."""
+        packet = wire.peek(datagram)
+        if packet is None:
+            return None
+        hint = self._verified.get(packet.destination)
+        if hint is not None:
+            return hint
+        connection_id = self._codec.decode(packet.destination)
+        if connection_id is not None:
+            return self._keep(packet.destination, connection_id)
+        starts_flow = len(datagram) >= wire.MIN_INITIAL_BYTES
+        if packet.form is not wire.PacketForm.LONG or not starts_flow:
+            return None
+        return routing.NewFlowHint(routing.hash_flow(packet.destination))
+
+    def _keep(
+        self, destination: bytes, connection_id: wire.ConnectionId
+    ) -> routing.HolderHint:
+        if len(self._verified) >= _VERIFIED_IDS:
+            del self._verified[next(iter(self._verified))]
+        hint = routing.HolderHint(
+            core.Holder(connection_id.agent, connection_id.incarnation)
+        )
+        self._verified[destination] = hint
+        return hint
+
+
+class DatagramHintReader(HintReader):
+    """Makes a flow key of the caller's address and the service."""
+
+    def __init__(self, service: str) -> None:
+        """Takes the service."""
+        self._seed = core.service_tag(service)
+
+    def read(
+        self, datagram: bytes, caller: tuple[str, int]
+    ) -> routing.Hint | None:
+        """Returns the key of the caller's flow."""
+        return routing.UnnamedFlowHint(
+            xxhash.xxh64_intdigest(
+                f"{caller[0]} {caller[1]}".encode(), self._seed
+            )
+        )
+
+
+class ServiceListener:
     """Socket of one service address."""
 
     def __init__(
         self,
         service: str,
         router: routing.Router,
-        codec: wire.ConnectionIdCodec,
+        reader: HintReader,
         link: "Link",
         counters: Counters,
     ) -> None:
         """Prepares the listener of one service."""
         self.service_tag = core.service_tag(service)
         self._router = router
-        self._codec = codec
+        self._reader = reader
         self._link = link
         self._counters = counters
-        self._transport: asyncio.DatagramTransport | None = None
+        self._socket: _socket.DatagramSocket | None = None
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keeps the transport for answers."""
-        self._transport = cast(asyncio.DatagramTransport, transport)
+    async def run(self, socket: _socket.DatagramSocket) -> None:
+        """Forwards what callers send to a socket until cancelled."""
+        self._socket = socket
+        await socket.run(self.receive)
 
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+    def receive(self, data: bytes, caller: tuple[str, int]) -> None:
         """Forwards a caller's datagram to the agent of its flow."""
-        hint = self._read_hint(data)
+        hint = None
+        if 0 < len(data) <= MAX_PAYLOAD_BYTES:
+            hint = self._reader.read(data, caller)
         if hint is None:
             self._counters.malformed_count += 1
             return
@@ -53,72 +131,63 @@
         if route is None:
             self._counters.no_target_count += 1
             return
-        header = wire.ForwardHeader(
-            kind=wire.ForwardType.TO_AGENT,
-            service=self.service_tag,
-            incarnation=route.incarnation,
-            flow_key=hint.flow_key(),
-            caller=core.Address(*addr[:2]),
-        )
         self._counters.to_agent_count += 1
-        self._link.send(route.address, header, data)
-
-    def _read_hint(self, data: bytes) -> routing.Hint | None:
-        packet = wire.peek(data)
-        if packet is None:
-            return None
-        connection_id = self._codec.decode(packet.destination)
-        if connection_id is not None:
-            return routing.HolderHint(
-                connection_id.agent, connection_id.incarnation
-            )
-        starts_flow = len(data) >= wire.MIN_INITIAL_BYTES
-        if packet.form is not wire.PacketForm.LONG or not starts_flow:
-            return None
-        return routing.NewFlowHint(routing.hash_flow(packet.destination))
+        self._link.send(self.service_tag, route, hint.flow_key(), caller, data)
 
-    def send(self, caller: core.Address, payload: bytes) -> None:
+    def send(self, caller: tuple[str, int], payload: bytes) -> None:
         """Sends an answer from the service address."""
-        if self._transport is not None:
-            self._transport.sendto(payload, caller.pair)
+        if self._socket is not None:
+            self._socket.send(payload, caller)
 
 
-class Link(asyncio.DatagramProtocol):
+class Link:
     """Socket towards the agents."""
 
     def __init__(self, codec: wire.ForwardCodec, counters: Counters) -> None:
         """Prepares the socket towards the agents."""
         self._codec = codec
         self._counters = counters
-        self._transport: asyncio.DatagramTransport | None = None
+        self._socket: _socket.DatagramSocket | None = None
         self._listeners: dict[int, ServiceListener] = {}
 
     def add_listener(self, listener: ServiceListener) -> None:
         """Delivers the answers of a service through `listener`."""
         self._listeners[listener.service_tag] = listener
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keeps the transport."""
-        self._transport = cast(asyncio.DatagramTransport, transport)
+    async def run(self, socket: _socket.DatagramSocket) -> None:
+        """Hands on what agents send to a socket until cancelled."""
+        self._socket = socket
+        await socket.run(self.receive)
 
     def send(
-        self, agent: core.Address, header: wire.ForwardHeader, payload: bytes
+        self,
+        service_tag: int,
+        route: routing.Route,
+        flow_key: int,
+        caller: tuple[str, int],
+        payload: bytes,
     ) -> None:
-        """Sends a datagram to an agent."""
-        if self._transport is not None:
-            datagram = self._codec.pack(header, payload)
-            self._transport.sendto(datagram, agent.pair)
+        """Sends a caller's datagram along a route."""
+        if self._socket is None:
+            return
+        datagram = self._codec.pack_to_agent(
+            service_tag,
+            route.incarnation,
+            flow_key,
+            caller,
+            route.candidates,
+            payload,
+        )
+        self._socket.send(datagram, route.address.pair)
 
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+    def receive(self, data: bytes, agent: tuple[str, int]) -> None:
         """Hands an agent's answer to the caller."""
-        unpacked = self._codec.unpack(data)
-        if unpacked is None:
-            self._counters.foreign_count += 1
-            return
-        header, payload = unpacked
-        listener = self._listeners.get(header.service)
-        if listener is None or header.kind is not wire.ForwardType.TO_CALLER:
+        unpacked = self._codec.unpack_to_caller(data)
+        listener = None
+        if unpacked is not None:
+            listener = self._listeners.get(unpacked[0])
+        if unpacked is None or listener is None:
             self._counters.foreign_count += 1
             return
         self._counters.to_caller_count += 1
-        listener.send(header.caller, payload)
+        listener.send(unpacked[1], unpacked[2])
--- /dev/null
+++ b/libs/balancer/src/fireflyford/balancer/_forwarding.py
@@ -0,0 +1,111 @@
+"""Sockets, routers and rings of one balancer."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from fireflyford import config
+from fireflyford import core
+from fireflyford import membership
+from fireflyford import routing
+from fireflyford import settings
+from fireflyford import wire
+from fireflyford.balancer import _forwarder
+from fireflyford.balancer import _socket
+
+
+class Forwarding:
+    """Everything that forwards datagrams: one task for each socket."""
+
+    def __init__(
+        self, options: settings.BalancerSettings, clock: core.Clock
+    ) -> None:
+        """Prepares the routers; `start` opens the sockets.
+
+        Args:
+            options: Checked settings.
+            clock: Source of time.
+        """
+        self._options = options
+        self.counters = _forwarder.Counters()
+        self._link = _forwarder.Link(
+            wire.ForwardCodec(options.link_key), self.counters
+        )
+        self._routers = {
+            service: routing.Router(clock) for service in options.listeners
+        }
+        self._transports: dict[str, config.Transport] = {}
+        self._view = membership.View()
+        self._view_changed = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def apply_view(self, view: membership.View) -> None:
+        """Takes a new view; the rings follow while forwarding goes on."""
+        self._view = view
+        self._view_changed.set()
+
+    def start(self, deployment: config.Deployment | None) -> None:
+        """Opens every socket and starts its task.
+
+        Args:
+            deployment: Says which services are plain datagrams; all are QUIC
+                while there is none.
+
+        Raises:
+            OSError: An address is in use or not local.
+        """
+        if deployment is not None:
+            self._transports = {
+                service.name: service.transport
+                for service in deployment.services
+            }
+        self._spawn(self._follow_view())
+        link = core.Address.parse(self._options.link_address)
+        self._spawn(self._link.run(_socket.DatagramSocket(link)))
+        for service, address in self._options.listeners.items():
+            self._listen(service, core.Address.parse(address))
+
+    def stop(self) -> None:
+        """Ends all tasks and closes the sockets."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _listen(self, service: str, address: core.Address) -> None:
+        listener = _forwarder.ServiceListener(
+            service,
+            self._routers[service],
+            self._make_reader(service),
+            self._link,
+            self.counters,
+        )
+        self._link.add_listener(listener)
+        self._spawn(listener.run(_socket.DatagramSocket(address)))
+
+    def _make_reader(self, service: str) -> _forwarder.HintReader:
+        if self._transports.get(service) is config.Transport.DATAGRAM:
+            return _forwarder.DatagramHintReader(service)
+        return _forwarder.QuicHintReader(
+            wire.ConnectionIdCodec(self._options.routing_keys, service)
+        )
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(asyncio.create_task(work))
+
+    async def _follow_view(self) -> None:
+        while True:
+            await self._view_changed.wait()
+            self._view_changed.clear()
+            await replace_targets(self._routers, self._view)
+
+
+async def replace_targets(
+    routers: dict[str, routing.Router], view: membership.View
+) -> None:
+    """Gives each router its targets, pausing after each ring.
+
+    The longest pause of forwarding is then one ring, not 420 of them.
+    """
+    grouped = routing.group_targets(view, routers)
+    for service, targets in grouped.items():
+        if routers[service].replace_targets(targets):
+            await asyncio.sleep(0)
--- a/libs/balancer/src/fireflyford/balancer/_process.py
+++ b/libs/balancer/src/fireflyford/balancer/_process.py
@@ -1,17 +1,17 @@
 """Life of a balancer process."""
 
 import asyncio
+import pathlib
 import random
 import signal
 import sys
 
+from fireflyford import config
 from fireflyford import core
 from fireflyford import membership
-from fireflyford import routing
 from fireflyford import settings
 from fireflyford import telemetry
-from fireflyford import wire
-from fireflyford.balancer import _forwarder
+from fireflyford.balancer import _forwarding
 
 # Time for the fabric and the agents to stop using a balancer that leaves.
 LEAVE_DELAY_MS = 2_000
@@ -31,13 +31,8 @@
         """
         self._options = options
         self._clock = clock
-        self._counters = _forwarder.Counters()
-        self._link = _forwarder.Link(
-            wire.ForwardCodec(options.link_key), self._counters
-        )
-        self._routers = {
-            service: routing.Router() for service in options.listeners
-        }
+        self._forwarding = _forwarding.Forwarding(options, clock)
+        self._counters = self._forwarding.counters
         self._channel = membership.UdpChannel(options.link_key)
         self._membership = membership.Membership(
             clock,
@@ -50,7 +45,7 @@
     async def run(self) -> None:
         """Runs until a graceful shutdown has ended."""
         await self._open_sockets()
-        self._membership.on_change(self._apply_view)
+        self._membership.on_change(self._forwarding.apply_view)
         meter = self._make_meter()
         status = telemetry.serve_status(
             core.Address.parse(self._options.status_address),
@@ -67,46 +62,14 @@
         await self._clock.sleep(LEAVE_DELAY_MS)
         self._membership.update(state=membership.State.LEFT)
         member_task.cancel()
+        self._forwarding.stop()
         status.stop()
         telemetry.log("stopped", role="balancer")
 
-    def _apply_view(self, view: membership.View) -> None:
-        for service, router in self._routers.items():
-            router.replace_targets(
-                routing.Target(
-                    name=member.instance_id,
-                    address=member.link_address,
-                    incarnation=member.link_incarnation,
-                    weight=member.weight,
-                    accepts_flows=member.state is membership.State.ALIVE,
-                )
-                for member in view.targets(service)
-            )
-
     async def _open_sockets(self) -> None:
-        loop = asyncio.get_running_loop()
         control = core.Address.parse(self._options.control_address)
         await self._channel.open(control)
-        link = core.Address.parse(self._options.link_address)
-        await loop.create_datagram_endpoint(
-            lambda: self._link, local_addr=link.pair
-        )
-        for service, address in self._options.listeners.items():
-            await self._open_listener(service, core.Address.parse(address))
-
-    async def _open_listener(self, service: str, address: core.Address) -> None:
-        listener = _forwarder.ServiceListener(
-            service,
-            self._routers[service],
-            wire.ConnectionIdCodec(self._options.routing_keys, service),
-            self._link,
-            self._counters,
-        )
-        self._link.add_listener(listener)
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: listener, local_addr=address.pair
-        )
+        self._forwarding.start(_read_deployment(self._options.config_path))
 
     def _handle_signals(self) -> None:
         loop = asyncio.get_running_loop()
@@ -177,6 +140,13 @@
     )
 
 
+def _read_deployment(path: str) -> config.Deployment | None:
+    if not path:
+        return None
+    parsed = config.parse(pathlib.Path(path).read_bytes())
+    return parsed.value if isinstance(parsed, core.Ok) else None
+
+
 def run(options: settings.BalancerSettings) -> None:
     """Runs a balancer until it is stopped."""
     telemetry.configure_logs(sys.stderr, options.instance_id)
--- a/libs/core/src/fireflyford/core/__init__.py
+++ b/libs/core/src/fireflyford/core/__init__.py
@@ -11,6 +11,7 @@
 from fireflyford.core._errors import Ok
 from fireflyford.core._errors import Outcome
 from fireflyford.core._types import Address
+from fireflyford.core._types import Holder
 from fireflyford.core._types import Role
 from fireflyford.core._types import service_tag
 
@@ -22,6 +23,7 @@
     "ErrorKind",
     "Execution",
     "Failure",
+    "Holder",
     "ManualClock",
     "Ok",
     "Outcome",
--- a/libs/core/src/fireflyford/core/_types.py
+++ b/libs/core/src/fireflyford/core/_types.py
@@ -44,6 +44,19 @@
         return f"{self.host}:{self.port}"
 
 
+@dataclasses.dataclass(frozen=True, order=True)
+class Holder:
+    """The agent process that holds a flow.
+
+    Attributes:
+        address: Link address of the agent.
+        incarnation: Incarnation of the agent, low 32 bits.
+    """
+
+    address: Address
+    incarnation: int
+
+
 class Role(enum.Enum):
     """What an instance does."""
 
--- a/libs/routing/src/fireflyford/routing/__init__.py
+++ b/libs/routing/src/fireflyford/routing/__init__.py
@@ -1,5 +1,14 @@
 """Choice of a target for each flow."""
 
+from fireflyford.routing._claims import Action
+from fireflyford.routing._claims import Arrival
+from fireflyford.routing._claims import Decision
+from fireflyford.routing._claims import Notice
+from fireflyford.routing._flow_table import LATE_MS
+from fireflyford.routing._flow_table import MAX_HOPS
+from fireflyford.routing._flow_table import FlowTable
+from fireflyford.routing._flow_table import Limits
+from fireflyford.routing._flow_table import Successor
 from fireflyford.routing._ring import Target
 from fireflyford.routing._ring import TargetRing
 from fireflyford.routing._ring import hash_flow
@@ -8,14 +17,31 @@
 from fireflyford.routing._router import NewFlowHint
 from fireflyford.routing._router import Route
 from fireflyford.routing._router import Router
+from fireflyford.routing._router import UnnamedFlowHint
+from fireflyford.routing._targets import group_targets
+from fireflyford.routing._targets import make_target
+from fireflyford.routing._weights import clamp_weights
 
 __all__ = [
+    "LATE_MS",
+    "MAX_HOPS",
+    "Action",
+    "Arrival",
+    "Decision",
+    "FlowTable",
     "Hint",
     "HolderHint",
+    "Limits",
     "NewFlowHint",
+    "Notice",
     "Route",
     "Router",
+    "Successor",
     "Target",
     "TargetRing",
+    "UnnamedFlowHint",
+    "clamp_weights",
+    "group_targets",
     "hash_flow",
+    "make_target",
 ]
--- /dev/null
+++ b/libs/routing/src/fireflyford/routing/_flow_table.py
@@ -0,0 +1,390 @@
+"""Search among agents for the holder of a flow without identifier."""
+
+import abc
+from collections.abc import Set
+import dataclasses
+
+from fireflyford import core
+from fireflyford.routing import _claims
+from fireflyford.routing import _entries
+
+MAX_HOPS = 4
+FLOW_IDLE_MS = 120_000
+MAX_ENTRIES = 100_000
+# Twice the connections that a target is meant for; each holds a socket.
+MAX_HELD = 4_000
+# A search takes a few milliseconds unless a message is lost or an agent on
+# the chain is dead.
+SEARCH_TIMEOUT_MS = 200
+TENTATIVE_MS = 2_000
+# Longer than the 3 s in which members learn of a dead one.
+UNANSWERED_LIMIT_MS = 4_000
+CONFIRM_INTERVAL_MS = 1_000
+ANNOUNCE_INTERVAL_MS = FLOW_IDLE_MS // 2
+# A search that arrives later than this, or from a clock that differs by more,
+# is a stray copy.
+LATE_MS = 10_000
+# Forwarding headers carry 40 bits of the time of day.
+STAMP_RANGE_MS = 1 << 40
+_MAX_TOLD = 8
+_MAX_RIVALS = 4
+_MAX_CANDIDATES = 3
+
+
+class Successor(abc.ABC):
+    """Names the agent that adopts flows in place of a draining one."""
+
+    @abc.abstractmethod
+    def find(self, flow_key: int) -> core.Holder | None:
+        """Returns that agent, or None while this one adopts flows."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Limits:
+    """Bounds of a flow table.
+
+    Attributes:
+        max_entries: Flows and directory entries together.
+        max_held: Flows that this agent holds.
+    """
+
+    max_entries: int = MAX_ENTRIES
+    max_held: int = MAX_HELD
+
+    def __post_init__(self) -> None:
+        """Rejects bounds that admit nothing."""
+        if min(self.max_entries, self.max_held) < 1:
+            raise ValueError("bounds of a flow table must be positive")
+
+
+class FlowTable:
+    """Flows of one agent: those that it holds and a directory of others.
+
+    Every method is a decision on typed values; the caller carries it out. Two
+    claims to one flow are ordered by (stamp, holder), and the lower one wins
+    at both ends, so agents that adopt a flow at the same time agree.
+    """
+
+    def __init__(
+        self,
+        clock: core.Clock,
+        own: core.Holder,
+        successor: Successor,
+        limits: Limits | None = None,
+    ) -> None:
+        """Starts without flows.
+
+        Args:
+            clock: Source of time.
+            own: This agent.
+            successor: Names the agent that adopts flows while this one is
+                draining.
+            limits: Bounds of the table.
+        """
+        bounds = Limits() if limits is None else limits
+        self._clock = clock
+        self._own = own
+        self._successor = successor
+        self._entries = _entries.Entries(bounds.max_entries, bounds.max_held)
+
+    def __len__(self) -> int:
+        """Returns the number of flows and directory entries."""
+        return len(self._entries)
+
+    @property
+    def held_count(self) -> int:
+        """Flows that this agent holds."""
+        return self._entries.held_count
+
+    def holds(self, flow_key: int) -> bool:
+        """Returns whether this agent holds the flow."""
+        return isinstance(self._entries.get(flow_key), _entries.Held)
+
+    def receive(self, arrival: _claims.Arrival) -> _claims.Decision:
+        """Decides about a forwarded datagram."""
+        if arrival.hops > MAX_HOPS or self._is_late(arrival.stamp):
+            return _drop()
+        key = arrival.flow_key
+        entry = self._entries.use(key, self._clock.now_ms())
+        if isinstance(entry, _entries.Held):
+            return self._deliver(entry, arrival)
+        if isinstance(entry, _entries.Listed):
+            if self._is_useful(entry, arrival):
+                return self._follow(entry, arrival)
+            entry = None
+        searching = entry if isinstance(entry, _entries.Searching) else None
+        if arrival.hops == 0:
+            return self._search(searching, arrival)
+        if not arrival.chain:
+            return self._end_chain(searching, arrival)
+        return self._pass_on(searching, arrival)
+
+    def hear(
+        self, notice: _claims.Notice, sender: core.Holder
+    ) -> _claims.Decision:
+        """Decides about a notice of another agent."""
+        key = notice.flow_key
+        entry = self._entries.use(key, self._clock.now_ms())
+        listed = entry if isinstance(entry, _entries.Listed) else None
+        if notice.released:
+            if listed is not None and listed.holder == notice.holder:
+                self._entries.remove(key)
+            return _drop()
+        if notice.holder == self._own:
+            return _drop()
+        if isinstance(entry, _entries.Held):
+            return self._settle(entry, notice, sender)
+        self._list(key, notice.holder)
+        if listed is None or listed.tentative:
+            return _drop()
+        if listed.holder == notice.holder:
+            return _drop()
+        # The earlier holder, if it lives, answers the claim itself.
+        return _drop((dataclasses.replace(notice, to=listed.holder),))
+
+    def forget_holders(self, dead: Set[core.Holder]) -> None:
+        """Removes the directory entries of agents known to be dead."""
+        for key, entry in self._entries:
+            if isinstance(entry, _entries.Listed) and entry.holder in dead:
+                self._entries.remove(key)
+
+    def expire(self) -> tuple[int, ...]:
+        """Removes idle entries; returns the flows no longer held."""
+        return self._entries.remove_idle(self._clock.now_ms() - FLOW_IDLE_MS)
+
+    # Datagrams.
+
+    def _deliver(
+        self, entry: _entries.Held, arrival: _claims.Arrival
+    ) -> _claims.Decision:
+        entry.heard_stamp = self._stamp()
+        notices = self._announce(
+            entry, arrival.flow_key, arrival.chain, ANNOUNCE_INTERVAL_MS
+        )
+        if arrival.hops:
+            notices += self._confirm(entry, arrival)
+        return _claims.Decision(_claims.Action.DELIVER, notices=notices)
+
+    def _confirm(
+        self, entry: _entries.Held, arrival: _claims.Arrival
+    ) -> tuple[_claims.Notice, ...]:
+        """Answers the agent that follows a directory entry or searches."""
+        if arrival.stamp and arrival.chain:
+            return self._announce(
+                entry, arrival.flow_key, arrival.chain[-1:], 0
+            )
+        # Any incarnation of the sender may know it.
+        sender = core.Holder(arrival.sender, 0)
+        return self._announce(
+            entry, arrival.flow_key, (sender,), CONFIRM_INTERVAL_MS
+        )
+
+    def _is_useful(
+        self, entry: _entries.Listed, arrival: _claims.Arrival
+    ) -> bool:
+        """Returns whether to follow an entry; removes it when it is wrong."""
+        now_ms = self._clock.now_ms()
+        if entry.tentative:
+            wrong = now_ms - entry.listed_ms > TENTATIVE_MS
+            # Otherwise the search of the same agent passes once more.
+            again = arrival.chain[-1:] == (entry.holder,) and arrival.hops > 0
+        else:
+            since_ms = entry.unanswered_since_ms
+            wrong = arrival.sender == entry.holder.address or (
+                since_ms is not None and now_ms - since_ms > UNANSWERED_LIMIT_MS
+            )
+            again = False
+        if wrong:
+            self._entries.remove(arrival.flow_key)
+        return not wrong and not again
+
+    def _follow(
+        self, entry: _entries.Listed, arrival: _claims.Arrival
+    ) -> _claims.Decision:
+        if arrival.hops >= MAX_HOPS:
+            return _drop()
+        if entry.unanswered_since_ms is None:
+            entry.unanswered_since_ms = self._clock.now_ms()
+        chain = arrival.chain
+        if arrival.hops == 0:
+            chain = self._make_chain(arrival)
+        chain = tuple(item for item in chain if item != entry.holder)
+        return _claims.Decision(
+            _claims.Action.FORWARD, entry.holder, chain[-_MAX_CANDIDATES:]
+        )
+
+    def _search(
+        self,
+        searching: _entries.Searching | None,
+        arrival: _claims.Arrival,
+    ) -> _claims.Decision:
+        """Handles a datagram of which this agent is the first target."""
+        now_ms = self._clock.now_ms()
+        if searching is not None and now_ms < searching.deadline_ms:
+            return _claims.Decision(_claims.Action.HOLD)
+        if searching is None or (
+            now_ms - searching.deadline_ms > UNANSWERED_LIMIT_MS
+        ):
+            searching = _entries.Searching(
+                now_ms, self._stamp(), self._make_chain(arrival), now_ms
+            )
+            if not self._entries.put(arrival.flow_key, searching):
+                return _drop()
+        else:
+            searching.attempt_count += 1
+            # Another candidate goes first, in case the first one is dead.
+            *others, own = searching.chain
+            searching.chain = (*others[1:], *others[:1], own)
+        if searching.attempt_count >= len(searching.chain) - 1:
+            return self._adopt(searching, arrival)
+        searching.deadline_ms = now_ms + SEARCH_TIMEOUT_MS
+        to, *rest = searching.chain
+        return _claims.Decision(
+            _claims.Action.FORWARD, to, tuple(rest), searching.stamp
+        )
+
+    def _pass_on(
+        self,
+        searching: _entries.Searching | None,
+        arrival: _claims.Arrival,
+    ) -> _claims.Decision:
+        """Handles a datagram that another agent passed on."""
+        first = arrival.chain[-1]
+        notices: tuple[_claims.Notice, ...] = ()
+        if searching is not None:
+            if not arrival.stamp or (
+                (searching.stamp, self._own) < (arrival.stamp, first)
+            ):
+                if first not in searching.rivals:
+                    rivals = (*searching.rivals, first)
+                    searching.rivals = rivals[-_MAX_RIVALS:]
+                return _claims.Decision(_claims.Action.HOLD)
+            self._list(arrival.flow_key, first, tentative=True)
+        elif arrival.stamp:
+            self._list(arrival.flow_key, first, tentative=True)
+        else:
+            notices = (self._release(arrival),)
+        if arrival.hops >= MAX_HOPS:
+            return _drop(notices)
+        to, *rest = arrival.chain
+        return _claims.Decision(
+            _claims.Action.FORWARD, to, tuple(rest), arrival.stamp, notices
+        )
+
+    def _end_chain(
+        self,
+        searching: _entries.Searching | None,
+        arrival: _claims.Arrival,
+    ) -> _claims.Decision:
+        """Handles a datagram whose chain ends here without a holder."""
+        if searching is not None and searching.stamp != arrival.stamp:
+            # It came from a draining agent while this one is searching.
+            return _claims.Decision(_claims.Action.HOLD)
+        return self._adopt(searching, arrival)
+
+    def _adopt(
+        self,
+        searching: _entries.Searching | None,
+        arrival: _claims.Arrival,
+    ) -> _claims.Decision:
+        key = arrival.flow_key
+        stamp = self._stamp() if searching is None else searching.stamp
+        successor = self._successor.find(key)
+        if successor is not None:
+            if arrival.hops >= MAX_HOPS:
+                return _drop()
+            self._list(key, successor, tentative=True)
+            return _claims.Decision(
+                _claims.Action.FORWARD, successor, (), stamp
+            )
+        entry = _entries.Held(self._clock.now_ms(), stamp)
+        entry.heard_stamp = self._stamp()
+        if not self._entries.put(key, entry):
+            self._entries.remove(key)
+            return _drop()
+        told = arrival.chain
+        if searching is not None:
+            told = (*searching.chain, *searching.rivals)
+        notices = self._announce(entry, key, told, 0)
+        if arrival.hops and searching is None:
+            notices += self._confirm(entry, arrival)
+        return _claims.Decision(_claims.Action.DELIVER, notices=notices)
+
+    # Notices.
+
+    def _settle(
+        self,
+        entry: _entries.Held,
+        notice: _claims.Notice,
+        sender: core.Holder,
+    ) -> _claims.Decision:
+        """Resolves the claim of another agent to a flow held here."""
+        # An agent that was paused gives way to the one that took its flow.
+        slept = entry.heard_stamp + UNANSWERED_LIMIT_MS < notice.stamp
+        if slept or (notice.stamp, notice.holder) < (entry.stamp, self._own):
+            self._list(notice.flow_key, notice.holder)
+            return _claims.Decision(_claims.Action.DROP, lost=True)
+        told = [notice.holder]
+        if sender.address != notice.holder.address:
+            told.append(sender)
+        return _drop(
+            tuple(
+                _claims.Notice(to, notice.flow_key, self._own, entry.stamp)
+                for to in told
+            )
+        )
+
+    def _release(self, arrival: _claims.Arrival) -> _claims.Notice:
+        # It only removes a directory entry that names this agent, whichever
+        # incarnation of the sender has it.
+        sender = core.Holder(arrival.sender, 0)
+        return _claims.Notice(sender, arrival.flow_key, self._own, 0, True)
+
+    def _announce(
+        self,
+        entry: _entries.Held,
+        flow_key: int,
+        candidates: tuple[core.Holder, ...],
+        interval_ms: int,
+    ) -> tuple[_claims.Notice, ...]:
+        now_ms = self._clock.now_ms()
+        notices = []
+        for candidate in candidates:
+            told_ms = entry.told_ms.get(candidate, now_ms - interval_ms)
+            if candidate == self._own or now_ms - told_ms < interval_ms:
+                continue
+            if len(entry.told_ms) >= _MAX_TOLD:
+                del entry.told_ms[next(iter(entry.told_ms))]
+            entry.told_ms[candidate] = now_ms
+            notices.append(
+                _claims.Notice(candidate, flow_key, self._own, entry.stamp)
+            )
+        return tuple(notices)
+
+    # Entries and time.
+
+    def _make_chain(self, arrival: _claims.Arrival) -> tuple[core.Holder, ...]:
+        """Returns the candidates to ask, and this agent at the end."""
+        others = [item for item in arrival.chain if item != self._own]
+        if self._successor.find(arrival.flow_key) is not None:
+            # One hop is left for the agent that adopts the flow.
+            others = others[: _MAX_CANDIDATES - 1]
+        return (*others, self._own)
+
+    def _list(
+        self, flow_key: int, holder: core.Holder, tentative: bool = False
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        entry = _entries.Listed(now_ms, holder, tentative)
+        if not self._entries.put(flow_key, entry):
+            self._entries.remove(flow_key)
+
+    def _stamp(self) -> int:
+        return self._clock.wall_ms() % STAMP_RANGE_MS
+
+    def _is_late(self, stamp: int) -> bool:
+        return stamp != 0 and abs(self._stamp() - stamp) > LATE_MS
+
+
+def _drop(notices: tuple[_claims.Notice, ...] = ()) -> _claims.Decision:
+    return _claims.Decision(_claims.Action.DROP, notices=notices)
--- a/libs/wire/src/fireflyford/wire/__init__.py
+++ b/libs/wire/src/fireflyford/wire/__init__.py
@@ -6,6 +6,7 @@
 from fireflyford.wire._forward import FORWARD_HEADER_BYTES
 from fireflyford.wire._forward import MAX_HOLDERS
 from fireflyford.wire._forward import MAX_HOPS
+from fireflyford.wire._forward import STAMP_MASK
 from fireflyford.wire._forward import ForwardCodec
 from fireflyford.wire._forward import ForwardHeader
 from fireflyford.wire._forward import ForwardType
@@ -20,6 +21,7 @@
     "MAX_HOLDERS",
     "MAX_HOPS",
     "MIN_INITIAL_BYTES",
+    "STAMP_MASK",
     "ConnectionId",
     "ConnectionIdCodec",
     "ForwardCodec",
--- a/libs/wire/src/fireflyford/wire/_connection_id.py
+++ b/libs/wire/src/fireflyford/wire/_connection_id.py
@@ -7,8 +7,10 @@
 
 from collections.abc import Sequence
 import dataclasses
+import functools
 import hashlib
 import ipaddress
+import socket
 import struct
 
 from fireflyford import core
@@ -17,9 +19,11 @@
 _TAG_BYTES = 5
 _RANDOM_BYTES = 4
 _BODY = struct.Struct("!B4sHI4s")
+# As many agents as the system is meant to have.
+_CACHED_AGENTS = 4_096
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class ConnectionId:
     """What a connection ID says about its flow.
 
@@ -83,10 +87,14 @@
         if self._tag(data[0], body) != data[-_TAG_BYTES:]:
             return None
         _, host, port, incarnation, random = _BODY.unpack(body)
-        address = core.Address(".".join(map(str, host)), port)
-        return ConnectionId(address, incarnation, random)
+        return ConnectionId(_make_agent(host, port), incarnation, random)
 
     def _tag(self, key_number: int, body: bytes) -> bytes:
         hasher = self._hashers[key_number].copy()
         hasher.update(body)
         return hasher.digest()
+
+
+@functools.lru_cache(_CACHED_AGENTS)
+def _make_agent(host: bytes, port: int) -> core.Address:
+    return core.Address(socket.inet_ntoa(host), port)
--- a/libs/wire/src/fireflyford/wire/_quic.py
+++ b/libs/wire/src/fireflyford/wire/_quic.py
@@ -20,7 +20,7 @@
     LONG = "long"
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class PacketHint:
     """What the invariant header says.
 
