--- a/libs/agent/src/fireflyford/agent/_datagram.py
+++ b/libs/agent/src/fireflyford/agent/_datagram.py
@@ -98,7 +98,7 @@
         own: core.Holder,
         codec: wire.ForwardCodec,
         backend: core.Address,
-        successor: routing.Successor,
+        peers: routing.Peers,
     ) -> None:
         """Prepares the flows of one agent.
 
@@ -108,19 +108,19 @@
             own: This agent.
             codec: Encoding of forwarding headers.
             backend: Where the backend server takes datagrams.
-            successor: Names the agent that adopts flows while this one is
-                draining.
+            peers: Where this agent's view places flows.
         """
         self._clock = clock
         self._service_tag = core.service_tag(service)
         self._own = own
         self._codec = codec
         self._backend = backend
-        self._table = routing.FlowTable(clock, own, successor)
+        self._table = routing.FlowTable(clock, own, peers)
         self._send: Send | None = None
         self._flows: dict[int, _Flow] = {}
         self._waiting: dict[int, list[_Queued]] = {}
         self._waiting_count = 0
+        self._view_changed = False
         self.counters = FlowCounters()
 
     @property
@@ -137,6 +137,9 @@
         try:
             while True:
                 await self._clock.sleep(_SWEEP_INTERVAL_MS)
+                if self._view_changed:
+                    self._view_changed = False
+                    self._notify(self._table.announce())
                 for key in self._table.expire():
                     self._close(key)
                 for key in tuple(self._waiting):
@@ -145,9 +148,10 @@
             for key in tuple(self._flows):
                 self._close(key)
 
-    def forget_holders(self, dead: Set[core.Holder]) -> None:
-        """Stops passing datagrams to agents known to be dead."""
+    def follow_view(self, dead: Set[core.Holder]) -> None:
+        """Takes a new view of the peers, some of which are dead."""
         self._table.forget_holders(dead)
+        self._view_changed = True
 
     def receive(
         self, header: wire.ForwardHeader, payload: bytes, sender: core.Address
--- a/libs/agent/src/fireflyford/agent/_successor.py
+++ b/libs/agent/src/fireflyford/agent/_peers.py
@@ -1,4 +1,4 @@
-"""Agent that adopts plain-datagram flows in place of a draining one."""
+"""Where an agent's view places plain-datagram flows."""
 
 from collections.abc import Callable
 
@@ -7,8 +7,8 @@
 from fireflyford import routing
 
 
-class RingSuccessor(routing.Successor):
-    """Places flows as the balancers do once they know of the drain."""
+class RingPeers(routing.Peers):
+    """Places flows as balancers with the same view do."""
 
     def __init__(
         self,
@@ -22,26 +22,34 @@
         self._view = view
         self._known: membership.View | None = None
         self._ring = routing.TargetRing(())
+        self._others = routing.TargetRing(())
 
-    def find(self, flow_key: int) -> core.Holder | None:
-        """Returns the first target of a flow key without this agent.
+    def first(self, flow_key: int) -> core.Holder | None:
+        """Returns the first target of a flow key in the current view."""
+        self._refresh()
+        target = self._ring.find(flow_key)
+        return None if target is None else target.holder
 
-        None while this agent adopts flows, or when there is no other.
-        """
+    def successor(self, flow_key: int) -> core.Holder | None:
+        """Returns the first target besides this agent while it drains."""
         if not self._is_draining():
             return None
-        view = self._view()
-        if view is not self._known:
-            self._known = view
-            grouped = routing.group_targets(view, [self._own.service])
-            self._ring = routing.TargetRing(
-                target
-                for target in grouped[self._own.service]
-                if target.name != self._own.instance_id
-            )
-        target = self._ring.find(flow_key)
+        self._refresh()
+        target = self._others.find(flow_key)
         return None if target is None else target.holder
 
+    def _refresh(self) -> None:
+        view = self._view()
+        if view is self._known:
+            return
+        self._known = view
+        service = self._own.service
+        targets = routing.group_targets(view, [service])[service]
+        self._ring = routing.TargetRing(targets)
+        self._others = routing.TargetRing(
+            target for target in targets if target.name != self._own.instance_id
+        )
+
 
 def dead_holders(view: membership.View) -> frozenset[core.Holder]:
     """Returns the agents whose flows are free for adoption."""
--- a/libs/agent/src/fireflyford/agent/_process.py
+++ b/libs/agent/src/fireflyford/agent/_process.py
@@ -19,8 +19,8 @@
 from fireflyford.agent import _backend
 from fireflyford.agent import _datagram
 from fireflyford.agent import _endpoint
+from fireflyford.agent import _peers
 from fireflyford.agent import _service
-from fireflyford.agent import _successor
 
 _IDLE_TIMEOUT_S = 30.0
 _DRAIN_POLL_MS = 50
@@ -83,7 +83,7 @@
         )
 
     def _make_flows(self, member: membership.Member) -> _datagram.DatagramFlows:
-        successor = _successor.RingSuccessor(
+        peers = _peers.RingPeers(
             member, self._stopping.is_set, self._membership.view
         )
         flows = _datagram.DatagramFlows(
@@ -92,10 +92,10 @@
             own=core.Holder(member.link_address, member.link_incarnation),
             codec=wire.ForwardCodec(self._options.link_key),
             backend=core.Address.parse(self._options.backend_address),
-            successor=successor,
+            peers=peers,
         )
         self._membership.on_change(
-            lambda view: flows.forget_holders(_successor.dead_holders(view))
+            lambda view: flows.follow_view(_peers.dead_holders(view))
         )
         return flows
 
--- /dev/null
+++ b/libs/lab/tests/test_flow_model.py
@@ -0,0 +1,201 @@
+"""Routing and search against a plain model, under changing views."""
+
+import dataclasses
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from fireflyford import core
+from fireflyford import routing
+from fireflyford.lab import _flow_network
+
+BALANCER_COUNT = 3
+FLOWS = tuple(
+    routing.hash_flow(f"caller-{index}".encode()) for index in range(6)
+)
+# Changes that a balancer's view may be behind, as many as a chain names
+# candidates.
+MAX_LAG = 3
+MAX_TARGETS = 7
+
+
+class RoutingModel(stateful.RuleBasedStateMachine):
+    """The model is one owner for each flow."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.network = _flow_network.FlowNetwork()
+        self.routers = [
+            routing.Router(self.network.clock) for _ in range(BALANCER_COUNT)
+        ]
+        self.seen = [0] * BALANCER_COUNT
+        self.agents_seen = 0
+        self.views: list[tuple[routing.Target, ...]] = []
+        self.targets: dict[str, routing.Target] = {}
+        self.owners: dict[int, core.Holder] = {}
+        self.started_count = 0
+        for _ in range(3):
+            self.start_target()
+        self.publish()
+        self.refresh_agents()
+        for index in range(BALANCER_COUNT):
+            self.refresh(index)
+
+    def start_target(self) -> None:
+        self.started_count += 1
+        number = self.started_count
+        target = routing.Target(
+            f"target-{number}", core.Address("10.0.1.1", number), number
+        )
+        self.targets[target.name] = target
+        self.network.start(target)
+
+    def publish(self) -> None:
+        view = tuple(self.targets.values())
+        self.views.append(view)
+        self.network.clock.time_ms += 300
+        for index, seen in enumerate(self.seen):
+            if len(self.views) - 1 - seen > MAX_LAG:
+                self.refresh(index)
+        if len(self.views) - 1 - self.agents_seen > MAX_LAG:
+            self.refresh_agents()
+
+    def refresh_agents(self) -> None:
+        self.agents_seen = len(self.views) - 1
+        for node in self.network.nodes.values():
+            node.replace_targets(self.views[-1])
+            self.network.announce(node)
+        self.network.settle()
+
+    def refresh(self, index: int) -> None:
+        self.seen[index] = len(self.views) - 1
+        self.routers[index].replace_targets(self.views[-1])
+
+    def pick(self, number: int) -> routing.Target:
+        return list(self.targets.values())[number % len(self.targets)]
+
+    @stateful.precondition(lambda self: len(self.targets) < MAX_TARGETS)
+    @stateful.rule()
+    def join(self) -> None:
+        self.start_target()
+        self.publish()
+
+    @stateful.rule(number=strategies.integers(0, 20))
+    def drain(self, number: int) -> None:
+        accepting = [t for t in self.targets.values() if t.accepts_flows]
+        target = accepting[number % len(accepting)]
+        if len(accepting) > 1:
+            self.targets[target.name] = dataclasses.replace(
+                target, accepts_flows=False
+            )
+            self.network.nodes[target.address].draining = True
+            self.publish()
+
+    @stateful.rule(number=strategies.integers(0, 20))
+    def kill(self, number: int) -> None:
+        target = self.pick(number)
+        accepting = [t for t in self.targets.values() if t.accepts_flows]
+        if accepting == [target]:
+            return
+        del self.targets[target.name]
+        self.network.kill(target.address)
+        for node in self.network.nodes.values():
+            node.table.forget_holders({target.holder})
+        self.publish()
+
+    @stateful.rule(
+        number=strategies.integers(0, 20),
+        weight=strategies.sampled_from([0.25, 0.5, 1.0, 2.0, 4.0]),
+    )
+    def change_weight(self, number: int, weight: float) -> None:
+        target = self.pick(number)
+        self.targets[target.name] = dataclasses.replace(target, weight=weight)
+        self.publish()
+
+    @stateful.rule(index=strategies.integers(0, BALANCER_COUNT - 1))
+    def see_newest_view(self, index: int) -> None:
+        self.refresh(index)
+
+    @stateful.rule()
+    def agents_see_newest_view(self) -> None:
+        self.refresh_agents()
+
+    @stateful.rule(
+        flow=strategies.sampled_from(FLOWS),
+        index=strategies.integers(0, BALANCER_COUNT - 1),
+    )
+    def send(self, flow: int, index: int) -> None:
+        network = self.network
+        network.deliveries.clear()
+        balancer = core.Address("10.0.0.1", index)
+        network.send(self.routers[index], balancer, flow)
+        for _ in range(8):
+            network.settle()
+            if network.deliveries:
+                break
+            network.clock.time_ms += 250
+            network.retry_all()
+        for delivery in network.deliveries:
+            owner = self.owners.get(flow)
+            alive = owner is not None and owner.address in network.nodes
+            if not alive:
+                owner = self.owners[flow] = delivery.holder
+            assert delivery.holder == owner
+        network.deliveries.clear()
+
+    @stateful.invariant()
+    def each_flow_has_one_owner(self) -> None:
+        for flow in FLOWS:
+            assert len(self.network.holders(flow)) <= 1
+
+    @stateful.invariant()
+    def hops_are_bounded(self) -> None:
+        assert self.network.max_hops <= routing.MAX_HOPS
+
+
+TestRoutingModel = RoutingModel.TestCase
+TestRoutingModel.settings = hypothesis.settings(
+    max_examples=60,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+)
+
+
+class BlindModel(RoutingModel):
+    """Mutant whose balancers name no earlier holders."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.routers = [
+            _BlindRouter(self.network.clock) for _ in range(BALANCER_COUNT)
+        ]
+        for index in range(BALANCER_COUNT):
+            self.refresh(index)
+
+
+class _BlindRouter(routing.Router):
+    def choose(self, hint: routing.Hint) -> routing.Route | None:
+        route = super().choose(hint)
+        if route is None:
+            return None
+        return dataclasses.replace(route, candidates=())
+
+
+def test_the_model_notices_balancers_that_name_no_holders() -> None:
+    """Guards against a model test that could never fail."""
+    with pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(
+            BlindModel,
+            settings=hypothesis.settings(
+                max_examples=60,
+                stateful_step_count=40,
+                deadline=None,
+                derandomize=True,
+                database=None,
+                report_multiple_bugs=False,
+                phases=[hypothesis.Phase.generate],
+            ),
+        )
--- a/libs/routing/src/fireflyford/routing/__init__.py
+++ b/libs/routing/src/fireflyford/routing/__init__.py
@@ -8,7 +8,7 @@
 from fireflyford.routing._flow_table import MAX_HOPS
 from fireflyford.routing._flow_table import FlowTable
 from fireflyford.routing._flow_table import Limits
-from fireflyford.routing._flow_table import Successor
+from fireflyford.routing._flow_table import Peers
 from fireflyford.routing._ring import Target
 from fireflyford.routing._ring import TargetRing
 from fireflyford.routing._ring import hash_flow
@@ -34,9 +34,9 @@
     "Limits",
     "NewFlowHint",
     "Notice",
+    "Peers",
     "Route",
     "Router",
-    "Successor",
     "Target",
     "TargetRing",
     "UnnamedFlowHint",
--- a/libs/routing/src/fireflyford/routing/_entries.py
+++ b/libs/routing/src/fireflyford/routing/_entries.py
@@ -48,17 +48,18 @@
 class Listed(Entry):
     """Directory entry: another agent holds the flow.
 
-    A tentative entry says that the other agent is searching and adopts the
-    flow if nobody holds it.
+    A tentative entry says that the other agent is searching, since `stamp`,
+    and adopts the flow if nobody holds it.
     """
 
     def __init__(
-        self, now_ms: int, holder: core.Holder, tentative: bool
+        self, now_ms: int, holder: core.Holder, tentative: bool, stamp: int = 0
     ) -> None:
         """Notes the other agent."""
         super().__init__(now_ms)
         self.holder = holder
         self.tentative = tentative
+        self.stamp = stamp
         self.listed_ms = now_ms
         # First datagram passed to the holder that it has not confirmed.
         self.unanswered_since_ms: int | None = None
--- a/libs/routing/src/fireflyford/routing/_flow_table.py
+++ b/libs/routing/src/fireflyford/routing/_flow_table.py
@@ -31,12 +31,19 @@
 _MAX_CANDIDATES = 3
 
 
-class Successor(abc.ABC):
-    """Names the agent that adopts flows in place of a draining one."""
+class Peers(abc.ABC):
+    """Where an agent's own view places flows."""
 
     @abc.abstractmethod
-    def find(self, flow_key: int) -> core.Holder | None:
-        """Returns that agent, or None while this one adopts flows."""
+    def first(self, flow_key: int) -> core.Holder | None:
+        """Returns the first target of a flow key, or None without targets."""
+
+    @abc.abstractmethod
+    def successor(self, flow_key: int) -> core.Holder | None:
+        """Returns the agent that adopts a flow in place of this one.
+
+        None while this agent is not draining, and when there is no other.
+        """
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,7 +76,7 @@
         self,
         clock: core.Clock,
         own: core.Holder,
-        successor: Successor,
+        peers: Peers,
         limits: Limits | None = None,
     ) -> None:
         """Starts without flows.
@@ -77,14 +84,13 @@
         Args:
             clock: Source of time.
             own: This agent.
-            successor: Names the agent that adopts flows while this one is
-                draining.
+            peers: Where this agent's view places flows.
             limits: Bounds of the table.
         """
         bounds = Limits() if limits is None else limits
         self._clock = clock
         self._own = own
-        self._successor = successor
+        self._peers = peers
         self._entries = _entries.Entries(bounds.max_entries, bounds.max_held)
 
     def __len__(self) -> int:
@@ -148,6 +154,21 @@
             if isinstance(entry, _entries.Listed) and entry.holder in dead:
                 self._entries.remove(key)
 
+    def announce(self) -> tuple[_claims.Notice, ...]:
+        """Tells new first targets of the flows held here.
+
+        Called after a change of this agent's view. It covers flows that are
+        idle while the ring changes more often than a chain has candidates.
+        """
+        notices: list[_claims.Notice] = []
+        for key, entry in self._entries:
+            first = self._peers.first(key)
+            if first is not None and isinstance(entry, _entries.Held):
+                notices += self._announce(
+                    entry, key, (first,), ANNOUNCE_INTERVAL_MS
+                )
+        return tuple(notices)
+
     def expire(self) -> tuple[int, ...]:
         """Removes idle entries; returns the flows no longer held."""
         return self._entries.remove_idle(self._clock.now_ms() - FLOW_IDLE_MS)
@@ -185,9 +206,24 @@
         """Returns whether to follow an entry; removes it when it is wrong."""
         now_ms = self._clock.now_ms()
         if entry.tentative:
-            wrong = now_ms - entry.listed_ms > TENTATIVE_MS
-            # Otherwise the search of the same agent passes once more.
-            again = arrival.chain[-1:] == (entry.holder,) and arrival.hops > 0
+            # A search that ends here means that the other agent, which
+            # sends it, is draining and does not adopt.
+            ends_here = arrival.hops > 0 and not arrival.chain
+            wrong = now_ms - entry.listed_ms > TENTATIVE_MS or (
+                ends_here and arrival.sender == entry.holder.address
+            )
+            # The same search passes once more, or one that goes before it:
+            # two searches that waited for each other would never end.
+            again = (
+                arrival.hops > 0
+                and bool(arrival.chain)
+                and (
+                    arrival.chain[-1] == entry.holder
+                    or (arrival.stamp > 0
+                    and (arrival.stamp, arrival.chain[-1])
+                    < (entry.stamp, entry.holder))
+                )
+            )
         else:
             since_ms = entry.unanswered_since_ms
             wrong = arrival.sender == entry.holder.address or (
@@ -225,8 +261,12 @@
         if searching is None or (
             now_ms - searching.deadline_ms > UNANSWERED_LIMIT_MS
         ):
+            stamp = self._stamp()
+            if self._peers.successor(arrival.flow_key) is not None:
+                # It cannot adopt, so any other agent's search goes first.
+                stamp += LATE_MS // 2
             searching = _entries.Searching(
-                now_ms, self._stamp(), self._make_chain(arrival), now_ms
+                now_ms, stamp, self._make_chain(arrival), now_ms
             )
             if not self._entries.put(arrival.flow_key, searching):
                 return _drop()
@@ -235,7 +275,10 @@
             # Another candidate goes first, in case the first one is dead.
             *others, own = searching.chain
             searching.chain = (*others[1:], *others[:1], own)
-        if searching.attempt_count >= len(searching.chain) - 1:
+        others_count = len(searching.chain) - 1
+        # One search more than candidates, so that one lost datagram cannot
+        # make a second holder.
+        if not others_count or searching.attempt_count > others_count:
             return self._adopt(searching, arrival)
         searching.deadline_ms = now_ms + SEARCH_TIMEOUT_MS
         to, *rest = searching.chain
@@ -259,9 +302,9 @@
                     rivals = (*searching.rivals, first)
                     searching.rivals = rivals[-_MAX_RIVALS:]
                 return _claims.Decision(_claims.Action.HOLD)
-            self._list(arrival.flow_key, first, tentative=True)
+            self._reserve(arrival.flow_key, first, arrival.stamp)
         elif arrival.stamp:
-            self._list(arrival.flow_key, first, tentative=True)
+            self._reserve(arrival.flow_key, first, arrival.stamp)
         else:
             notices = (self._release(arrival),)
         if arrival.hops >= MAX_HOPS:
@@ -289,11 +332,11 @@
     ) -> _claims.Decision:
         key = arrival.flow_key
         stamp = self._stamp() if searching is None else searching.stamp
-        successor = self._successor.find(key)
+        successor = self._peers.successor(key)
         if successor is not None:
             if arrival.hops >= MAX_HOPS:
                 return _drop()
-            self._list(key, successor, tentative=True)
+            self._reserve(key, successor, stamp)
             return _claims.Decision(
                 _claims.Action.FORWARD, successor, (), stamp
             )
@@ -366,16 +409,18 @@
     def _make_chain(self, arrival: _claims.Arrival) -> tuple[core.Holder, ...]:
         """Returns the candidates to ask, and this agent at the end."""
         others = [item for item in arrival.chain if item != self._own]
-        if self._successor.find(arrival.flow_key) is not None:
+        if self._peers.successor(arrival.flow_key) is not None:
             # One hop is left for the agent that adopts the flow.
             others = others[: _MAX_CANDIDATES - 1]
         return (*others, self._own)
 
-    def _list(
-        self, flow_key: int, holder: core.Holder, tentative: bool = False
-    ) -> None:
-        now_ms = self._clock.now_ms()
-        entry = _entries.Listed(now_ms, holder, tentative)
+    def _list(self, flow_key: int, holder: core.Holder) -> None:
+        entry = _entries.Listed(self._clock.now_ms(), holder, False)
+        if not self._entries.put(flow_key, entry):
+            self._entries.remove(flow_key)
+
+    def _reserve(self, flow_key: int, holder: core.Holder, stamp: int) -> None:
+        entry = _entries.Listed(self._clock.now_ms(), holder, True, stamp)
         if not self._entries.put(flow_key, entry):
             self._entries.remove(flow_key)
 
