--- a/libs/balancer/src/fireflyford/balancer/_forwarder.py
+++ b/libs/balancer/src/fireflyford/balancer/_forwarder.py
@@ -1,6 +1,7 @@
 """Forwarding of datagrams between callers and agents."""
 
 import abc
+import dataclasses
 
 import xxhash
 
@@ -12,9 +13,12 @@
 # A datagram must still fit into UDP with the forwarding header, a balancer
 # address and three holders before it.
 MAX_PAYLOAD_BYTES = 65_507 - wire.FORWARD_HEADER_BYTES - 6 - 3 * 10
-# Connection IDs whose tag has been verified: one for each flow that is
-# sending at the moment. The oldest is forgotten first.
-_VERIFIED_IDS = 4_096
+# Flows whose forwarding header is kept: those that are sending at the moment.
+# The oldest is forgotten first, so memory does not grow with open flows.
+_KEPT_FLOWS = 4_096
+
+
+_SHORT_HEADER_BYTES = 1 + wire.CONNECTION_ID_BYTES
 
 
 class Counters:
@@ -32,6 +36,13 @@
 class HintReader(abc.ABC):
     """Reads what a caller's datagram says about its flow."""
 
+    @abc.abstractmethod
+    def identify(self, datagram: bytes) -> bytes:
+        """Returns what, with the caller's address, identifies the flow.
+
+        Datagrams of one caller with equal identification have equal hints.
+        """
+
     @abc.abstractmethod
     def read(
         self, datagram: bytes, caller: tuple[str, int]
@@ -45,7 +56,12 @@
     def __init__(self, codec: wire.ConnectionIdCodec) -> None:
         """Takes the encoding of the service's connection IDs."""
         self._codec = codec
-        self._verified: dict[bytes, routing.HolderHint] = {}
+
+    def identify(self, datagram: bytes) -> bytes:
+        """Returns the connection ID of a short header, else the datagram."""
+        if datagram[0] & 0xC0 == 0x40:
+            return datagram[1:_SHORT_HEADER_BYTES]
+        return datagram
 
     def read(
         self, datagram: bytes, caller: tuple[str, int]
@@ -54,28 +70,16 @@
         packet = wire.peek(datagram)
         if packet is None:
             return None
-        hint = self._verified.get(packet.destination)
-        if hint is not None:
-            return hint
         connection_id = self._codec.decode(packet.destination)
         if connection_id is not None:
-            return self._keep(packet.destination, connection_id)
+            return routing.HolderHint(
+                core.Holder(connection_id.agent, connection_id.incarnation)
+            )
         starts_flow = len(datagram) >= wire.MIN_INITIAL_BYTES
         if packet.form is not wire.PacketForm.LONG or not starts_flow:
             return None
         return routing.NewFlowHint(routing.hash_flow(packet.destination))
 
-    def _keep(
-        self, destination: bytes, connection_id: wire.ConnectionId
-    ) -> routing.HolderHint:
-        if len(self._verified) >= _VERIFIED_IDS:
-            del self._verified[next(iter(self._verified))]
-        hint = routing.HolderHint(
-            core.Holder(connection_id.agent, connection_id.incarnation)
-        )
-        self._verified[destination] = hint
-        return hint
-
 
 class DatagramHintReader(HintReader):
     """Makes a flow key of the caller's address and the service."""
@@ -84,6 +88,10 @@
         """Takes the service."""
         self._seed = core.service_tag(service)
 
+    def identify(self, datagram: bytes) -> bytes:
+        """Returns nothing; the caller's address identifies the flow."""
+        return b""
+
     def read(
         self, datagram: bytes, caller: tuple[str, int]
     ) -> routing.Hint | None:
@@ -95,6 +103,14 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Kept:
+    """Forwarding header of a flow and where its datagrams go."""
+
+    prefix: bytes
+    agent: tuple[str, int]
+
+
 class ServiceListener:
     """Socket of one service address."""
 
@@ -113,6 +129,8 @@
         self._link = link
         self._counters = counters
         self._socket: _socket.DatagramSocket | None = None
+        self._kept: dict[tuple[bytes, tuple[str, int]], _Kept] = {}
+        self._generation = 0
 
     async def run(self, socket: _socket.DatagramSocket) -> None:
         """Forwards what callers send to a socket until cancelled."""
@@ -121,18 +139,48 @@
 
     def receive(self, data: bytes, caller: tuple[str, int]) -> None:
         """Forwards a caller's datagram to the agent of its flow."""
-        hint = None
-        if 0 < len(data) <= MAX_PAYLOAD_BYTES:
-            hint = self._reader.read(data, caller)
-        if hint is None:
+        if not 0 < len(data) <= MAX_PAYLOAD_BYTES:
             self._counters.malformed_count += 1
             return
+        if self._generation != self._router.generation:
+            self._generation = self._router.generation
+            self._kept.clear()
+        identity = (self._reader.identify(data), caller)
+        kept = self._kept.get(identity)
+        if kept is None:
+            kept = self._route(data, caller)
+            if kept is None:
+                return
+            if len(identity[0]) <= wire.CONNECTION_ID_BYTES:
+                self._keep(identity, kept)
+        self._counters.to_agent_count += 1
+        self._link.send(kept.prefix + data, kept.agent)
+
+    def _route(self, data: bytes, caller: tuple[str, int]) -> _Kept | None:
+        hint = self._reader.read(data, caller)
+        if hint is None:
+            self._counters.malformed_count += 1
+            return None
         route = self._router.choose(hint)
         if route is None:
             self._counters.no_target_count += 1
-            return
-        self._counters.to_agent_count += 1
-        self._link.send(self.service_tag, route, hint.flow_key(), caller, data)
+            return None
+        prefix = self._link.codec.pack_to_agent(
+            self.service_tag,
+            route.incarnation,
+            hint.flow_key(),
+            caller,
+            route.candidates,
+            b"",
+        )
+        return _Kept(prefix, route.address.pair)
+
+    def _keep(
+        self, identity: tuple[bytes, tuple[str, int]], kept: _Kept
+    ) -> None:
+        if len(self._kept) >= _KEPT_FLOWS:
+            del self._kept[next(iter(self._kept))]
+        self._kept[identity] = kept
 
     def send(self, caller: tuple[str, int], payload: bytes) -> None:
         """Sends an answer from the service address."""
@@ -145,7 +193,7 @@
 
     def __init__(self, codec: wire.ForwardCodec, counters: Counters) -> None:
         """Prepares the socket towards the agents."""
-        self._codec = codec
+        self.codec = codec
         self._counters = counters
         self._socket: _socket.DatagramSocket | None = None
         self._listeners: dict[int, ServiceListener] = {}
@@ -159,30 +207,14 @@
         self._socket = socket
         await socket.run(self.receive)
 
-    def send(
-        self,
-        service_tag: int,
-        route: routing.Route,
-        flow_key: int,
-        caller: tuple[str, int],
-        payload: bytes,
-    ) -> None:
-        """Sends a caller's datagram along a route."""
-        if self._socket is None:
-            return
-        datagram = self._codec.pack_to_agent(
-            service_tag,
-            route.incarnation,
-            flow_key,
-            caller,
-            route.candidates,
-            payload,
-        )
-        self._socket.send(datagram, route.address.pair)
+    def send(self, datagram: bytes, agent: tuple[str, int]) -> None:
+        """Sends a forwarded datagram to an agent."""
+        if self._socket is not None:
+            self._socket.send(datagram, agent)
 
     def receive(self, data: bytes, agent: tuple[str, int]) -> None:
         """Hands an agent's answer to the caller."""
-        unpacked = self._codec.unpack_to_caller(data)
+        unpacked = self.codec.unpack_to_caller(data)
         listener = None
         if unpacked is not None:
             listener = self._listeners.get(unpacked[0])
--- a/libs/lab/tests/test_flow_handover.py
+++ b/libs/lab/tests/test_flow_handover.py
@@ -36,17 +36,24 @@
     crashes: int = 0
 
 
-@dataclasses.dataclass
 class World:
     """One state of the exploration."""
 
-    network: _flow_network.FlowNetwork
-    routers: list[routing.Router]
-    faults: Faults
-    # An owner that lives must keep the flow; None for a new flow.
-    owner: core.Holder | None
+    def __init__(
+        self,
+        network: _flow_network.FlowNetwork,
+        routers: list[routing.Router],
+        faults: Faults,
+        owner: core.Holder | None,
+    ) -> None:
+        """Takes the state; an `owner` that lives must keep the flow."""
+        self.network = network
+        self.routers = routers
+        self.faults = faults
+        self.owner = owner
 
     def fingerprint(self) -> str:
+        """Returns a text equal for equal states."""
         nodes = [
             (
                 str(address),
@@ -214,6 +221,7 @@
     def hear(
         self, notice: routing.Notice, sender: core.Holder
     ) -> routing.Decision:
+        """Ignores every claim while it holds the flow."""
         if self.holds(notice.flow_key):
             return routing.Decision(routing.Action.DROP)
         return super().hear(notice, sender)
@@ -223,6 +231,7 @@
     """Mutant that adopts a new flow without a search."""
 
     def receive(self, arrival: routing.Arrival) -> routing.Decision:
+        """Forgets the candidates."""
         if arrival.hops == 0:
             arrival = dataclasses.replace(arrival, chain=())
         return super().receive(arrival)
--- a/libs/lab/tests/test_flow_model.py
+++ b/libs/lab/tests/test_flow_model.py
@@ -25,6 +25,7 @@
     """The model is one owner for each flow."""
 
     def __init__(self) -> None:
+        """Starts three targets that every party knows."""
         super().__init__()
         self.network = _flow_network.FlowNetwork()
         self.routers = [
@@ -44,6 +45,7 @@
             self.refresh(index)
 
     def start_target(self) -> None:
+        """Adds a target and starts its agent."""
         self.started_count += 1
         number = self.started_count
         target = routing.Target(
@@ -53,6 +55,7 @@
         self.network.start(target)
 
     def publish(self) -> None:
+        """Makes a new view; parties too far behind take it."""
         view = tuple(self.targets.values())
         self.views.append(view)
         self.network.clock.time_ms += 300
@@ -63,6 +66,7 @@
             self.refresh_agents()
 
     def refresh_agents(self) -> None:
+        """Gives every agent the newest view."""
         self.agents_seen = len(self.views) - 1
         for node in self.network.nodes.values():
             node.replace_targets(self.views[-1])
@@ -70,20 +74,24 @@
         self.network.settle()
 
     def refresh(self, index: int) -> None:
+        """Gives one balancer the newest view."""
         self.seen[index] = len(self.views) - 1
         self.routers[index].replace_targets(self.views[-1])
 
     def pick(self, number: int) -> routing.Target:
+        """Returns some target."""
         return list(self.targets.values())[number % len(self.targets)]
 
     @stateful.precondition(lambda self: len(self.targets) < MAX_TARGETS)
     @stateful.rule()
     def join(self) -> None:
+        """A target joins."""
         self.start_target()
         self.publish()
 
     @stateful.rule(number=strategies.integers(0, 20))
     def drain(self, number: int) -> None:
+        """A target starts to drain, unless it is the last one."""
         accepting = [t for t in self.targets.values() if t.accepts_flows]
         target = accepting[number % len(accepting)]
         if len(accepting) > 1:
@@ -95,6 +103,7 @@
 
     @stateful.rule(number=strategies.integers(0, 20))
     def kill(self, number: int) -> None:
+        """A target dies, unless it is the last that accepts flows."""
         target = self.pick(number)
         accepting = [t for t in self.targets.values() if t.accepts_flows]
         if accepting == [target]:
@@ -110,16 +119,19 @@
         weight=strategies.sampled_from([0.25, 0.5, 1.0, 2.0, 4.0]),
     )
     def change_weight(self, number: int, weight: float) -> None:
+        """A target reports another weight."""
         target = self.pick(number)
         self.targets[target.name] = dataclasses.replace(target, weight=weight)
         self.publish()
 
     @stateful.rule(index=strategies.integers(0, BALANCER_COUNT - 1))
     def see_newest_view(self, index: int) -> None:
+        """One balancer catches up."""
         self.refresh(index)
 
     @stateful.rule()
     def agents_see_newest_view(self) -> None:
+        """The agents catch up."""
         self.refresh_agents()
 
     @stateful.rule(
@@ -127,6 +139,7 @@
         index=strategies.integers(0, BALANCER_COUNT - 1),
     )
     def send(self, flow: int, index: int) -> None:
+        """A caller sends; only the owner may get the datagram."""
         network = self.network
         network.deliveries.clear()
         balancer = core.Address("10.0.0.1", index)
@@ -147,11 +160,13 @@
 
     @stateful.invariant()
     def each_flow_has_one_owner(self) -> None:
+        """No two agents hold one flow."""
         for flow in FLOWS:
             assert len(self.network.holders(flow)) <= 1
 
     @stateful.invariant()
     def hops_are_bounded(self) -> None:
+        """No datagram passes more agents than allowed."""
         assert self.network.max_hops <= routing.MAX_HOPS
 
 
@@ -168,6 +183,7 @@
     """Mutant whose balancers name no earlier holders."""
 
     def __init__(self) -> None:
+        """Replaces the routers of the model."""
         super().__init__()
         self.routers = [
             _BlindRouter(self.network.clock) for _ in range(BALANCER_COUNT)
--- a/libs/routing/src/fireflyford/routing/_flow_table.py
+++ b/libs/routing/src/fireflyford/routing/_flow_table.py
@@ -212,18 +212,7 @@
             wrong = now_ms - entry.listed_ms > TENTATIVE_MS or (
                 ends_here and arrival.sender == entry.holder.address
             )
-            # The same search passes once more, or one that goes before it:
-            # two searches that waited for each other would never end.
-            again = (
-                arrival.hops > 0
-                and bool(arrival.chain)
-                and (
-                    arrival.chain[-1] == entry.holder
-                    or (arrival.stamp > 0
-                    and (arrival.stamp, arrival.chain[-1])
-                    < (entry.stamp, entry.holder))
-                )
-            )
+            again = _goes_before(arrival, entry)
         else:
             since_ms = entry.unanswered_since_ms
             wrong = arrival.sender == entry.holder.address or (
@@ -431,5 +420,20 @@
         return stamp != 0 and abs(self._stamp() - stamp) > LATE_MS
 
 
+def _goes_before(arrival: _claims.Arrival, entry: _entries.Listed) -> bool:
+    """Returns whether a search passes instead of following a reservation.
+
+    It does when it is the search that made the reservation, or one that goes
+    before that: two searches that waited for each other would never end.
+    """
+    if arrival.hops == 0 or not arrival.chain:
+        return False
+    first = arrival.chain[-1]
+    if first == entry.holder:
+        return True
+    earlier = (arrival.stamp, first) < (entry.stamp, entry.holder)
+    return arrival.stamp != 0 and earlier
+
+
 def _drop(notices: tuple[_claims.Notice, ...] = ()) -> _claims.Decision:
     return _claims.Decision(_claims.Action.DROP, notices=notices)
--- a/libs/routing/src/fireflyford/routing/_router.py
+++ b/libs/routing/src/fireflyford/routing/_router.py
@@ -118,6 +118,8 @@
         self._ring = _ring.TargetRing(())
         # Earlier rings with the time at which each was replaced, newest first.
         self._history: tuple[tuple[int, _ring.TargetRing], ...] = ()
+        # Changes with each new ring; kept routes are of no use after that.
+        self.generation = 0
 
     def replace_targets(self, targets: Iterable[_ring.Target]) -> bool:
         """Takes the targets of a new view.
@@ -133,6 +135,7 @@
             kept = ((now_ms, self._ring), *self._history)
             self._history = kept[:HISTORY_RINGS]
         self._targets = taken
+        self.generation += 1
         self._present = frozenset(target.holder for target in taken)
         self._ring = _ring.TargetRing(taken)
         return True
