--- a/libs/agent/src/fireflyford/agent/_process.py
+++ b/libs/agent/src/fireflyford/agent/_process.py
@@ -17,8 +17,10 @@
 from fireflyford import wire
 from fireflyford.agent import _access
 from fireflyford.agent import _backend
+from fireflyford.agent import _datagram
 from fireflyford.agent import _endpoint
 from fireflyford.agent import _readiness
+from fireflyford.agent import _ring_peers
 from fireflyford.agent import _service
 from fireflyford.agent import _tls
 
@@ -63,6 +65,10 @@
         self._handler = _service.ServiceHandler(
             clock, service, self._engine, backend
         )
+        self._stopping = asyncio.Event()
+        self._flows: _datagram.DatagramFlows | None = None
+        if service.transport is config.Transport.DATAGRAM:
+            self._flows = self._make_flows(member)
         self._endpoint = _endpoint.Endpoint(
             service=options.service,
             incarnation=member.link_incarnation,
@@ -76,8 +82,25 @@
                 options.caller_key, service, self._handler
             ),
             relay_target=self._relay_target,
+            flows=self._flows,
         )
-        self._stopping = asyncio.Event()
+
+    def _make_flows(self, member: membership.Member) -> _datagram.DatagramFlows:
+        peers = _ring_peers.RingPeers(
+            member, self._stopping.is_set, self._membership.view
+        )
+        flows = _datagram.DatagramFlows(
+            clock=self._clock,
+            service=self._options.service,
+            own=core.Holder(member.link_address, member.link_incarnation),
+            codec=wire.ForwardCodec(self._options.link_key),
+            backend=core.Address.parse(self._options.backend_address),
+            peers=peers,
+        )
+        self._membership.on_change(
+            lambda view: flows.follow_view(_ring_peers.dead_holders(view))
+        )
+        return flows
 
     async def run(self) -> None:
         """Runs until a graceful shutdown has ended."""
@@ -101,10 +124,13 @@
             self._clock, core.Address.parse(self._options.backend_address)
         )
         telemetry.log("started", role="agent", service=self._options.service)
-        member_task = asyncio.create_task(self._membership.run())
+        tasks = [asyncio.create_task(self._membership.run())]
+        if self._flows is not None:
+            tasks.append(asyncio.create_task(self._flows.run()))
         await self._stopping.wait()
         await self._drain()
-        member_task.cancel()
+        for task in tasks:
+            task.cancel()
         status.stop()
         telemetry.log("stopped", role="agent")
 
@@ -124,7 +150,8 @@
         self._membership.update(state=membership.State.LEFT)
 
     def _busy_count(self) -> int:
-        return sum(
+        flow_count = 0 if self._flows is None else self._flows.open_count
+        return flow_count + sum(
             connection.request_count
             for connection in self._endpoint.connections
         )
@@ -170,6 +197,12 @@
             "feeds": self._handler.feed_count,
             "in_flight": self._engine.in_flight_count,
             "counters": vars(self._endpoint.counters),
+            "flows": (
+                {}
+                if self._flows is None
+                else vars(self._flows.counters)
+                | {"open_count": self._flows.open_count}
+            ),
         }
 
 
