Move feeds make-before-break and add rolling experiments

Cause: a leaving target cut its feeds, and callers noticed only by the end of the stream.

Change: a draining agent sends GOAWAY and, to callers that announce the library, a control line in each feed; the library opens another connection, resumes after the last event and then closes the old stream. Feeds have modules of their own in agent and caller. Answers rotate over the live balancers after 300 ms without an answer, quiet paths are probed by both ends, new flows are admitted at a limited rate, responses wait for the send buffer, and a draining balancer forwards until the fabric is quiet. The lab gets caller processes and the experiments rolling-balancers, rolling-backends, rolling-both and kill-balancer.

One start of rolling-balancers ended with a timeout while the processes were starting; its message now names what was missing.

--- a/libs/agent/src/fireflyford/agent/_backend.py
+++ b/libs/agent/src/fireflyford/agent/_backend.py
@@ -1,7 +1,6 @@
 """Client of the backend server beside this agent, over HTTP/1.1."""
 
 import asyncio
-from collections.abc import AsyncIterator
 
 from tornado import httpclient
 from tornado import simple_httpclient
@@ -14,15 +13,10 @@
 _CONNECT_TIMEOUT_S = 1.0
 # A backend server that never answers would hold its slot for ever.
 _GRACE_MS = 1_000
-_FEED_QUEUE_CHUNKS = 64
-
-
-class _FeedClosedError(Exception):
-    """Raised into the HTTP client to close a feed nobody reads."""
 
 
 class Backend(requests.Executor):
-    """Runs work and opens feeds on one backend server."""
+    """Runs work on one backend server."""
 
     def __init__(self, clock: core.Clock, address: core.Address) -> None:
         """Prepares the client.
@@ -108,39 +102,6 @@
             lambda done: done.exception()
         )
 
-    async def feed(self, path: str) -> AsyncIterator[bytes]:
-        """Yields the chunks of a feed until either end closes it."""
-        chunks: asyncio.Queue[bytes | None] = asyncio.Queue(_FEED_QUEUE_CHUNKS)
-        open_feed = True
-
-        def receive(chunk: bytes) -> None:
-            if not open_feed or chunks.full():
-                raise _FeedClosedError
-            chunks.put_nowait(chunk)
-
-        request = httpclient.HTTPRequest(
-            self._base + path,
-            streaming_callback=receive,
-            connect_timeout=_CONNECT_TIMEOUT_S,
-            request_timeout=0,
-        )
-        fetch = asyncio.ensure_future(
-            self._client.fetch(request, raise_error=False)
-        )
-        fetch.add_done_callback(lambda _: _put_end(chunks))
-        try:
-            while (chunk := await chunks.get()) is not None:
-                yield chunk
-        finally:
-            open_feed = False
-            fetch.add_done_callback(lambda done: done.exception())
-
-
-def _put_end(chunks: "asyncio.Queue[bytes | None]") -> None:
-    if chunks.full():
-        chunks.get_nowait()
-    chunks.put_nowait(None)
-
 
 def _retry_after_ms(text: str) -> int:
     try:
--- a/libs/agent/src/fireflyford/agent/_endpoint.py
+++ b/libs/agent/src/fireflyford/agent/_endpoint.py
@@ -10,8 +10,10 @@
 
 from fireflyford import core
 from fireflyford import wire
+from fireflyford.agent import _admission
 from fireflyford.agent import _connection
 from fireflyford.agent import _quic
+from fireflyford.agent import _return_path
 
 
 class Counters:
@@ -24,6 +26,7 @@
         self.misrouted_count = 0
         self.unknown_flow_count = 0
         self.relayed_count = 0
+        self.rotated_count = 0
 
 
 class Endpoint(asyncio.DatagramProtocol):
@@ -38,7 +41,8 @@
         connection_ids: wire.ConnectionIdCodec,
         configuration: quic_configuration.QuicConfiguration,
         handler: _connection.Handler,
-        relay_target: Callable[[], core.Address | None],
+        relay_target: Callable[[bytes], core.Address | None],
+        balancers: _return_path.BalancerSource,
     ) -> None:
         """Prepares the endpoint of one target.
 
@@ -50,8 +54,10 @@
             connection_ids: Encoding of connection IDs.
             configuration: TLS and transport parameters.
             handler: Answers requests.
-            relay_target: Returns a peer that accepts new flows while this
-                agent is draining, or None while it is not.
+            relay_target: Returns a peer that accepts the new flow with the
+                given first destination ID while this agent does not, or
+                None while it does.
+            balancers: Knows the balancers that carry answers.
         """
         self._service_tag = core.service_tag(service)
         self._incarnation = incarnation
@@ -62,11 +68,18 @@
         self._configuration = configuration
         self._handler = handler
         self._relay_target = relay_target
+        self._balancers = balancers
+        self._admission = _admission.FlowAdmission(self._admit)
         self._transport: asyncio.DatagramTransport | None = None
         self._by_id: dict[bytes, _connection.Connection] = {}
         self.connections: dict[_connection.Connection, asyncio.Task[None]] = {}
         self.counters = Counters()
 
+    @property
+    def admission(self) -> _admission.FlowAdmission:
+        """Admission of new flows."""
+        return self._admission
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keeps the transport."""
         self._transport = cast(asyncio.DatagramTransport, transport)
@@ -86,15 +99,14 @@
             self.counters.foreign_count += 1
             return
         self.counters.received_count += 1
+        arrival = _connection.Arrival(
+            payload, header.caller, core.Address(*addr[:2])
+        )
         connection = self._by_id.get(hint.destination)
         if connection is None:
-            connection = self._accept(header, payload)
-        if connection is not None:
-            connection.deliver(
-                _connection.Arrival(
-                    payload, header.caller, core.Address(*addr[:2])
-                )
-            )
+            self._accept(header, arrival)
+        else:
+            connection.deliver(arrival)
 
     def _is_ours(self, header: wire.ForwardHeader) -> bool:
         return (
@@ -104,20 +116,27 @@
         )
 
     def _accept(
-        self, header: wire.ForwardHeader, payload: bytes
-    ) -> _connection.Connection | None:
-        if header.incarnation != 0 or len(payload) < wire.MIN_INITIAL_BYTES:
-            self.counters.unknown_flow_count += 1
-            return None
-        destination = _initial_destination(payload)
+        self, header: wire.ForwardHeader, arrival: _connection.Arrival
+    ) -> None:
+        payload = arrival.payload
+        destination = None
+        if header.incarnation == 0 and len(payload) >= wire.MIN_INITIAL_BYTES:
+            destination = _initial_destination(payload)
         if destination is None:
             self.counters.unknown_flow_count += 1
-            return None
-        peer = self._relay_target()
+            return
+        peer = self._relay_target(destination)
         if peer is not None:
             self._relay(peer, header, payload)
-            return None
-        return self._open(destination)
+        else:
+            self._admission.offer(destination, arrival)
+
+    def _admit(
+        self, destination: bytes, arrivals: list[_connection.Arrival]
+    ) -> None:
+        connection = self._open(destination)
+        for arrival in arrivals:
+            connection.deliver(arrival)
 
     def _relay(
         self, peer: core.Address, header: wire.ForwardHeader, payload: bytes
@@ -140,10 +159,14 @@
             self._configuration, self._source, destination
         )
         connection = _connection.Connection(
-            quic, self._handler, self._send, self._track_id
+            quic,
+            self._handler,
+            self._send,
+            self._track_id,
+            _return_path.ReturnPath(self._balancers),
         )
-        self._by_id[destination] = connection
-        self._by_id[quic.host_cid] = connection
+        self._add_id(destination, connection)
+        self._add_id(quic.host_cid, connection)
         task = asyncio.create_task(connection.run())
         self.connections[connection] = task
         task.add_done_callback(lambda _: self._forget(connection))
@@ -155,23 +178,30 @@
         event: quic_events.QuicEvent,
     ) -> None:
         if isinstance(event, quic_events.ConnectionIdIssued):
-            self._by_id[event.connection_id] = connection
+            self._add_id(event.connection_id, connection)
         elif isinstance(event, quic_events.ConnectionIdRetired):
             self._by_id.pop(event.connection_id, None)
+            connection.ids.discard(event.connection_id)
+
+    def _add_id(
+        self, connection_id: bytes, connection: _connection.Connection
+    ) -> None:
+        self._by_id[connection_id] = connection
+        connection.ids.add(connection_id)
 
     def _forget(self, connection: _connection.Connection) -> None:
         self.connections.pop(connection, None)
-        ids = [key for key, value in self._by_id.items() if value is connection]
-        for key in ids:
-            del self._by_id[key]
+        for connection_id in connection.ids:
+            self._by_id.pop(connection_id, None)
+        self.counters.rotated_count += connection.return_path.rotated_count
 
     def _send(
         self,
-        connection: _connection.Connection,
+        balancer: core.Address,
         caller: core.Address,
         payload: bytes,
     ) -> None:
-        if self._transport is None or connection.balancer is None:
+        if self._transport is None:
             return
         header = wire.ForwardHeader(
             kind=wire.ForwardType.TO_CALLER,
@@ -180,9 +210,7 @@
             flow_key=0,
             caller=caller,
         )
-        self._transport.sendto(
-            self._codec.pack(header, payload), connection.balancer.pair
-        )
+        self._transport.sendto(self._codec.pack(header, payload), balancer.pair)
 
 
 def _initial_destination(payload: bytes) -> bytes | None:
--- a/libs/agent/src/fireflyford/agent/_process.py
+++ b/libs/agent/src/fireflyford/agent/_process.py
@@ -17,7 +17,10 @@
 from fireflyford import telemetry
 from fireflyford import wire
 from fireflyford.agent import _backend
+from fireflyford.agent import _backend_feeds
 from fireflyford.agent import _endpoint
+from fireflyford.agent import _feeds
+from fireflyford.agent import _peers
 from fireflyford.agent import _service
 
 _IDLE_TIMEOUT_S = 30.0
@@ -46,7 +49,6 @@
         """
         self._options = options
         self._clock = clock
-        self._rng = random.SystemRandom()
         member = _own_member(options, clock)
         self._channel = membership.UdpChannel(options.link_key)
         self._membership = membership.Membership(
@@ -55,12 +57,17 @@
             member,
             [core.Address.parse(seed) for seed in options.seeds],
         )
-        backend = _backend.Backend(
-            clock, core.Address.parse(options.backend_address)
-        )
+        self._peers = _peers.Peers(self._membership, member, clock)
+        backend_address = core.Address.parse(options.backend_address)
+        backend = _backend.Backend(clock, backend_address)
         self._engine = requests.Engine(clock, backend, options.slot_count)
+        self._feeds = _feeds.FeedServer(
+            clock,
+            _backend_feeds.BackendFeeds(backend_address),
+            lambda: len(self._peers.alive()),
+        )
         self._handler = _service.ServiceHandler(
-            clock, service, self._engine, backend
+            clock, service, self._engine, self._feeds
         )
         self._endpoint = _endpoint.Endpoint(
             service=options.service,
@@ -73,6 +80,7 @@
             configuration=tls,
             handler=self._handler,
             relay_target=self._relay_target,
+            balancers=self._peers,
         )
         self._stopping = asyncio.Event()
 
@@ -90,7 +98,7 @@
             self._make_meter(),
             ready=lambda: not self._stopping.is_set(),
             status=self._status,
-            drain=self._stopping.set,
+            drain=self._start_drain,
         )
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_signal)
@@ -103,42 +111,55 @@
         telemetry.log("stopped", role="agent")
 
     async def _drain(self) -> None:
-        start_ms = self._clock.now_ms()
+        limit_ms = self._clock.now_ms() + self._options.drain_limit_ms
         self._membership.update(state=membership.State.DRAINING)
+        for connection in self._endpoint.connections:
+            connection.announce_leave()
+        mover = asyncio.create_task(self._feeds.start_move())
+        # Balancers learn of the drain meanwhile; a balancer that does not
+        # goes on sending new flows, which are relayed to peers.
         await self._clock.sleep(LEAVE_DELAY_MS)
         self._engine.drain()
-        limit_ms = start_ms + self._options.drain_limit_ms
         while self._busy_count() and self._clock.now_ms() < limit_ms:
             await self._clock.sleep(_DRAIN_POLL_MS)
+        mover.cancel()
         if self._busy_count():
-            telemetry.log("drain-limit-reached", left=self._busy_count())
+            telemetry.log("drain-limit-reached", **self._left())
         for connection in list(self._endpoint.connections):
             connection.close()
         await self._clock.sleep(_DRAIN_POLL_MS)
         self._membership.update(state=membership.State.LEFT)
 
+    def _left(self) -> dict[str, int]:
+        feeds = self._feeds.feed_count
+        return {
+            "requests": self._busy_count() - feeds,
+            "feeds": feeds,
+            "plain_feeds": self._feeds.plain_count,
+            "connections": len(self._endpoint.connections),
+        }
+
     def _busy_count(self) -> int:
         return sum(
             connection.request_count
             for connection in self._endpoint.connections
         )
 
-    def _relay_target(self) -> core.Address | None:
+    def _relay_target(self, destination: bytes) -> core.Address | None:
+        if self._stopping.is_set() or not self._feeds.backend_up:
+            return self._peers.relay_target(destination)
+        return None
+
+    def _start_drain(self) -> None:
         if not self._stopping.is_set():
-            return None
-        peers = [
-            member
-            for member in self._membership.view().targets(self._options.service)
-            if member.state is membership.State.ALIVE
-        ]
-        return self._rng.choice(peers).link_address if peers else None
+            telemetry.log("draining", role="agent", **self._left())
+            self._stopping.set()
 
     def _on_signal(self) -> None:
         if self._stopping.is_set():
-            telemetry.log("stopped-early", left=self._busy_count())
+            telemetry.log("stopped-early", **self._left())
             sys.exit(1)
-        telemetry.log("draining", role="agent")
-        self._stopping.set()
+        self._start_drain()
 
     def _make_meter(self) -> telemetry.Meter:
         meter = telemetry.Meter()
@@ -150,7 +171,15 @@
             "unknown_flow_datagrams", lambda: counters.unknown_flow_count
         )
         meter.gauge("open_connections", lambda: len(self._endpoint.connections))
-        meter.gauge("open_feeds", lambda: self._handler.feed_count)
+        meter.count("relayed_datagrams", lambda: counters.relayed_count)
+        meter.count("rotated_return_paths", lambda: counters.rotated_count)
+        meter.count(
+            "dropped_new_flows",
+            lambda: self._endpoint.admission.dropped_count,
+        )
+        meter.count("moved_feeds", lambda: self._feeds.moved_count)
+        meter.count("resumed_feeds", lambda: self._feeds.resumed_count)
+        meter.gauge("open_feeds", lambda: self._feeds.feed_count)
         meter.gauge("requests_in_flight", lambda: self._engine.in_flight_count)
         return meter
 
@@ -161,7 +190,11 @@
             "service": self._options.service,
             "draining": self._stopping.is_set(),
             "connections": len(self._endpoint.connections),
-            "feeds": self._handler.feed_count,
+            "feeds": self._feeds.feed_count,
+            "backend_up": self._feeds.backend_up,
+            "moved_feeds": self._feeds.moved_count,
+            "resumed_feeds": self._feeds.resumed_count,
+            "dropped_flows": self._endpoint.admission.dropped_count,
             "in_flight": self._engine.in_flight_count,
             "counters": vars(self._endpoint.counters),
         }
--- a/libs/agent/src/fireflyford/agent/_quic.py
+++ b/libs/agent/src/fireflyford/agent/_quic.py
@@ -78,3 +78,15 @@
                 )
             )
             self._host_cid_seq += 1
+
+    @property
+    def awaits_ack(self) -> bool:
+        """Whether the other end owes an acknowledgement."""
+        return any(space.ack_eliciting_in_flight for space in self._loss.spaces)
+
+    def unacknowledged_bytes(self, stream_id: int) -> int:
+        """Returns the bytes of a stream that are buffered for sending."""
+        stream = self._streams.get(stream_id)
+        if stream is None or stream.sender.is_finished:
+            return 0
+        return len(stream.sender._buffer)
--- /dev/null
+++ b/libs/agent/src/fireflyford/agent/_return_path.py
@@ -0,0 +1,76 @@
+"""Choice of the balancer that carries a connection's answers."""
+
+import abc
+import random
+
+from fireflyford import core
+
+# A path within a region answers in a few ms; 300 ms also covers the delayed
+# acknowledgements of a busy caller.
+SILENCE_LIMIT_S = 0.3
+
+
+class BalancerSource(abc.ABC):
+    """Knows the balancers."""
+
+    @abc.abstractmethod
+    def weights(self) -> dict[core.Address, float]:
+        """Returns the link addresses of the balancers in service.
+
+        Each has its capacity weight; a draining balancer is not listed.
+        """
+
+    @abc.abstractmethod
+    def is_leaving(self, address: core.Address) -> bool:
+        """Returns whether the balancer is known to leave or to be gone."""
+
+
+class ReturnPath:
+    """The balancer of one connection's answers."""
+
+    def __init__(self, source: BalancerSource) -> None:
+        """Starts without a balancer; the first datagram names one."""
+        self._source = source
+        self._balancer: core.Address | None = None
+        self._waiting_since_s: float | None = None
+        self._failed: set[core.Address] = set()
+        self.rotated_count = 0
+
+    def receive(self, balancer: core.Address) -> None:
+        """Takes the balancer of a received datagram."""
+        self._balancer = balancer
+        self._waiting_since_s = None
+        if self._failed:
+            self._failed.clear()
+
+    def choose(self, now_s: float, expects_answer: bool) -> core.Address | None:
+        """Returns the balancer for a datagram that is sent now.
+
+        Args:
+            now_s: Time of the event loop.
+            expects_answer: Whether the other end will acknowledge.
+        """
+        if self._balancer is None:
+            return None
+        if self._source.is_leaving(self._balancer):
+            self._rotate(now_s)
+        elif self._waiting_since_s is None:
+            if expects_answer:
+                self._waiting_since_s = now_s
+        elif now_s - self._waiting_since_s >= SILENCE_LIMIT_S:
+            self._rotate(now_s)
+        return self._balancer
+
+    def _rotate(self, now_s: float) -> None:
+        assert self._balancer is not None
+        weights = self._source.weights()
+        self._failed.add(self._balancer)
+        if self._failed >= weights.keys():
+            self._failed = {self._balancer}
+        choices = [item for item in weights if item not in self._failed]
+        if choices:
+            self.rotated_count += 1
+            self._balancer = random.choices(
+                choices, [weights[item] for item in choices]
+            )[0]
+        self._waiting_since_s = now_s
--- a/libs/agent/src/fireflyford/agent/_service.py
+++ b/libs/agent/src/fireflyford/agent/_service.py
@@ -5,8 +5,8 @@
 from fireflyford import config
 from fireflyford import core
 from fireflyford import requests
-from fireflyford.agent import _backend
 from fireflyford.agent import _connection
+from fireflyford.agent import _feeds
 
 DEADLINE_HEADER = "fireflyford-deadline-ms"
 TICKET_HEADER = "fireflyford-ticket"
@@ -23,7 +23,7 @@
         clock: core.Clock,
         service: config.Service,
         engine: requests.Engine,
-        backend: _backend.Backend,
+        feeds: _feeds.FeedServer,
     ) -> None:
         """Prepares the handler.
 
@@ -31,13 +31,12 @@
             clock: Source of time.
             service: Treatments of the service.
             engine: Runs requests.
-            backend: Opens feeds.
+            feeds: Serves feeds.
         """
         self._clock = clock
         self.service = service
         self._engine = engine
-        self._backend = backend
-        self.feed_count = 0
+        self._feeds = feeds
 
     async def handle(
         self,
@@ -53,7 +52,9 @@
             )
             await self._refuse(response, failure)
         elif treatment.kind is config.Kind.FEED:
-            await self._feed(request, response)
+            refusal = await self._feeds.serve(request, treatment, response)
+            if refusal is not None:
+                await self._refuse(response, refusal)
         else:
             await self._answer(request, treatment, response)
 
@@ -100,20 +101,6 @@
             ticket=fields.get(TICKET_HEADER, ""),
         )
 
-    async def _feed(
-        self,
-        request: _connection.Request,
-        response: _connection.ResponseStream,
-    ) -> None:
-        self.feed_count += 1
-        try:
-            response.start(200, (("content-type", "application/x-ndjson"),))
-            async for chunk in self._backend.feed(request.path):
-                await response.write(chunk, end=False)
-            await response.write(b"", end=True)
-        finally:
-            self.feed_count -= 1
-
     async def _refuse(
         self, response: _connection.ResponseStream, failure: core.Failure
     ) -> None:
--- a/libs/balancer/src/fireflyford/balancer/_forwarder.py
+++ b/libs/balancer/src/fireflyford/balancer/_forwarder.py
@@ -13,6 +13,7 @@
 
     def __init__(self) -> None:
         """Starts all counters at zero."""
+        self.received_count = 0
         self.to_agent_count = 0
         self.to_caller_count = 0
         self.malformed_count = 0
@@ -45,6 +46,7 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Forwards a caller's datagram to the agent of its flow."""
+        self._counters.received_count += 1
         hint = self._read_hint(data)
         if hint is None:
             self._counters.malformed_count += 1
--- a/libs/balancer/src/fireflyford/balancer/_process.py
+++ b/libs/balancer/src/fireflyford/balancer/_process.py
@@ -13,8 +13,13 @@
 from fireflyford import wire
 from fireflyford.balancer import _forwarder
 
-# Time for the fabric and the agents to stop using a balancer that leaves.
+# Least time for the fabric and the agents to stop using a balancer that
+# leaves: their health checks and heartbeats run every 500 ms.
 LEAVE_DELAY_MS = 2_000
+# The fabric has stopped using the balancer when no caller's datagram has come
+# for so long; callers with open answers send at least every 700 ms.
+QUIET_MS = 1_500
+_DRAIN_POLL_MS = 50
 
 
 class Balancer:
@@ -57,19 +62,36 @@
             meter,
             ready=lambda: not self._stopping.is_set(),
             status=self._status,
-            drain=self._stopping.set,
+            drain=self._start_drain,
         )
         self._handle_signals()
         telemetry.log("started", role="balancer")
         member_task = asyncio.create_task(self._membership.run())
         await self._stopping.wait()
-        self._membership.update(state=membership.State.DRAINING)
-        await self._clock.sleep(LEAVE_DELAY_MS)
-        self._membership.update(state=membership.State.LEFT)
+        await self._drain()
         member_task.cancel()
         status.stop()
         telemetry.log("stopped", role="balancer")
 
+    async def _drain(self) -> None:
+        """Forwards until the fabric has stopped using this balancer."""
+        start_ms = self._clock.now_ms()
+        limit_ms = start_ms + self._options.drain_limit_ms
+        self._membership.update(state=membership.State.DRAINING)
+        count, heard_ms = self._counters.received_count, start_ms
+        while True:
+            await self._clock.sleep(_DRAIN_POLL_MS)
+            now_ms = self._clock.now_ms()
+            if self._counters.received_count != count:
+                count, heard_ms = self._counters.received_count, now_ms
+            quiet = now_ms - heard_ms >= QUIET_MS
+            if quiet and now_ms - start_ms >= LEAVE_DELAY_MS:
+                break
+            if now_ms >= limit_ms:
+                telemetry.log("drain-limit-reached", quiet_ms=now_ms - heard_ms)
+                break
+        self._membership.update(state=membership.State.LEFT)
+
     def _apply_view(self, view: membership.View) -> None:
         for service, router in self._routers.items():
             router.replace_targets(
@@ -113,12 +135,16 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_signal)
 
+    def _start_drain(self) -> None:
+        if not self._stopping.is_set():
+            telemetry.log("draining", role="balancer")
+            self._stopping.set()
+
     def _on_signal(self) -> None:
         if self._stopping.is_set():
             telemetry.log("stopped-early", role="balancer")
             sys.exit(1)
-        telemetry.log("draining", role="balancer")
-        self._stopping.set()
+        self._start_drain()
 
     def _make_meter(self) -> telemetry.Meter:
         meter = telemetry.Meter()
--- a/libs/caller/src/fireflyford/caller/_client.py
+++ b/libs/caller/src/fireflyford/caller/_client.py
@@ -4,15 +4,14 @@
 from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
-import json
 
 from fireflyford import core
 from fireflyford.caller import _connection
+from fireflyford.caller import _feeds
 
 OUTCOME_HEADER = "fireflyford-outcome"
 ERROR_HEADER = "fireflyford-error"
 _ERROR_KINDS = {kind.value: kind for kind in core.ErrorKind}
-FEED_SILENCE_LIMIT_MS = 4_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -24,19 +23,6 @@
     body: bytes
 
 
-@dataclasses.dataclass(frozen=True)
-class FeedEvent:
-    """One event of a feed.
-
-    Attributes:
-        sequence: Position in the feed; consecutive events differ by one.
-        value: Content of the event.
-    """
-
-    sequence: int
-    value: object
-
-
 class Client:
     """A caller of one service."""
 
@@ -93,20 +79,33 @@
                 core.ErrorKind.OUTCOME_UNKNOWN, "no answer before the deadline"
             )
 
-    async def feed(self, path: str, after: int = 0) -> AsyncIterator[FeedEvent]:
-        """Yields the events of a feed, and resumes it when its flow breaks.
+    async def feed(
+        self,
+        path: str,
+        after: int = 0,
+        report: _feeds.FeedReport | None = None,
+    ) -> AsyncIterator[_feeds.FeedEvent]:
+        """Yields the events of a feed, in order, each once.
+
+        The feed moves to another connection when its target leaves, and is
+        resumed when its connection breaks.
 
         Args:
             path: HTTP path of the feed.
             after: Sequence number of the last event already seen.
+            report: Counts what happened to the feed.
+
+        Raises:
+            FeedRefusedError: The service refuses the feed for good.
         """
-        while True:
-            async with self.connect() as connection:
-                stream = connection.send("GET", f"{path}?after={after}")
-                async for event in _read_events(stream):
-                    if event.sequence > after:
-                        after = event.sequence
-                        yield event
+        reader = _feeds.FeedReader(
+            self.connect, path, after, report or _feeds.FeedReport()
+        )
+        try:
+            async for event in reader.events():
+                yield event
+        finally:
+            reader.close()
 
 
 async def _collect(stream: _connection.Stream) -> core.Outcome[Reply]:
@@ -118,7 +117,7 @@
             head = event
         elif isinstance(event, _connection.Data):
             body += event.payload
-        elif not event.complete:
+        elif isinstance(event, _connection.End) and not event.complete:
             return core.Failure(
                 core.ErrorKind.OUTCOME_UNKNOWN, "the connection ended early"
             )
@@ -132,22 +131,3 @@
         return core.Ok(Reply(head.status_code, head.headers, body))
     retry_after = head.headers.get("retry-after-ms", "0")
     return core.Failure(kind, body.decode().strip(), int(retry_after))
-
-
-async def _read_events(
-    stream: _connection.Stream,
-) -> AsyncIterator[FeedEvent]:
-    rest = b""
-    while True:
-        try:
-            async with asyncio.timeout(FEED_SILENCE_LIMIT_MS / 1000):
-                event = await stream.events.get()
-        except TimeoutError:
-            return
-        if isinstance(event, _connection.End):
-            return
-        if isinstance(event, _connection.Data):
-            *lines, rest = (rest + event.payload).split(b"\n")
-            for line in lines:
-                fields = json.loads(line)
-                yield FeedEvent(fields["sequence"], fields["value"])
--- a/libs/lab/src/fireflyford/lab/_backend.py
+++ b/libs/lab/src/fireflyford/lab/_backend.py
@@ -106,10 +106,13 @@
 
     async def get(self) -> None:
         sequence = int(self.get_query_argument("after", "0"))
+        interval_ms = int(
+            self.get_query_argument("interval_ms", str(FEED_INTERVAL_MS))
+        )
         if sequence == 0:
-            sequence = _latest_sequence()
+            sequence = _latest_sequence(interval_ms)
         while self._open:
-            while sequence < _latest_sequence():
+            while sequence < _latest_sequence(interval_ms):
                 sequence += 1
                 event = {"sequence": sequence, "value": f"price-{sequence}"}
                 self.write(json.dumps(event) + "\n")
@@ -117,11 +120,11 @@
                 await self.flush()
             except Exception:  # The reader has gone.
                 return
-            await asyncio.sleep(FEED_INTERVAL_MS / 1000 / 4)
+            await asyncio.sleep(interval_ms / 1000 / 4)
 
 
-def _latest_sequence() -> int:
-    return time.time_ns() // 1_000_000 // FEED_INTERVAL_MS
+def _latest_sequence(interval_ms: int) -> int:
+    return time.time_ns() // 1_000_000 // interval_ms
 
 
 class _LoadHandler(web.RequestHandler):
--- a/libs/lab/src/fireflyford/lab/_commands.py
+++ b/libs/lab/src/fireflyford/lab/_commands.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import pathlib
+import signal
 import sys
 
 import fire
 import msgspec
 
 from fireflyford.lab import _backend
+from fireflyford.lab import _callers
 from fireflyford.lab import _demo
 from fireflyford.lab import experiments
 
@@ -18,6 +20,7 @@
     def __init__(self) -> None:
         """Lists the commands that other modules implement."""
         self.backend = _backend.run_backend
+        self.callers = _callers.run_callers
         self.demo = _demo.run_demo
 
     def list(self) -> None:
@@ -39,6 +42,8 @@
         experiment = experiments.find_all().get(name)
         if experiment is None:
             sys.exit(f"fireflyford-lab: no experiment `{name}`; see `list`")
+        # Processes that the experiment started end with it.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
         result = asyncio.run(experiment.run(seed))
         encoded = _encode(result)
         if output:
--- a/libs/lab/src/fireflyford/lab/_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_fleet.py
@@ -10,6 +10,7 @@
 import subprocess
 import sys
 import tempfile
+from typing import Any
 
 from tornado import httpclient
 
@@ -20,6 +21,11 @@
 
 _START_LIMIT_MS = 15_000
 _POLL_MS = 50
+# Health checks of the stand-in for the fabric; a balancer that does not
+# answer twice in a row gets no more datagrams.
+_HEALTH_INTERVAL_MS = 500
+_HEALTH_FAILURES = 2
+_STATUS_LIMIT_S = 1.0
 _CLOCK = core.SystemClock()
 
 
@@ -68,7 +74,9 @@
         self._routing_key = rng.randbytes(16).hex()
         self._link_key = rng.randbytes(16).hex()
         self._sequence = 0
-        self._speeds: dict[str, float] = {}
+        self._processes: list[subprocess.Popen[bytes]] = []
+        self._unhealthy_counts: dict[str, int] = {}
+        self._in_service: set[str] = set()
         services = tuple(
             dataclasses.replace(service, address=str(free_address()))
             for service in deployment.services
@@ -120,7 +128,7 @@
         address = free_address()
         backend = subprocess.Popen(
             [
-                *_lab_command(),
+                *lab_command(),
                 "backend",
                 f"--address={address}",
                 f"--name={name}",
@@ -129,6 +137,7 @@
             stdout=(self._directory / f"{name}.executions").open("wb"),
             stderr=(self._directory / f"{name}.backend.log").open("wb"),
         )
+        self._processes.append(backend)
         options = self._common_settings(name) | {
             "service": service,
             "backend_address": str(address),
@@ -150,21 +159,85 @@
         """Waits until each balancer sees each target, then uses them all."""
         limit_ms = _CLOCK.now_ms() + _START_LIMIT_MS
         expected = set(self.targets)
-        for balancer in self.balancers.values():
-            while not expected <= await self._alive_members(balancer):
+        running = [
+            item
+            for item in self.balancers.values()
+            if item.process.poll() is None
+        ]
+        for balancer in running:
+            while missing := expected - await self._alive_members(balancer):
                 if _CLOCK.now_ms() > limit_ms:
-                    raise TimeoutError(f"{balancer.name} does not see all")
+                    ended = [
+                        name
+                        for name, item in self.targets.items()
+                        if item.agent.poll() is not None
+                    ]
+                    raise TimeoutError(
+                        f"{balancer.name} does not see {sorted(missing)}; "
+                        f"ended agents: {ended}; balancer exit status: "
+                        f"{balancer.process.poll()}"
+                    )
                 await _CLOCK.sleep(_POLL_MS)
+        self._in_service.update(self.balancers)
         self.use_balancers()
 
+    async def check_health(self) -> None:
+        """Checks the balancers as a fabric does, until cancelled."""
+        while True:
+            for balancer in list(self.balancers.values()):
+                await self._check_balancer(balancer)
+            await _CLOCK.sleep(_HEALTH_INTERVAL_MS)
+
+    async def _check_balancer(self, balancer: BalancerProcess) -> None:
+        ready = await fetch_ready(balancer.status_address)
+        count = self._unhealthy_counts.get(balancer.name, 0)
+        self._unhealthy_counts[balancer.name] = 0 if ready else count + 1
+        # A balancer that answers "not ready" is leaving as planned.
+        if ready:
+            self._in_service.add(balancer.name)
+        elif ready is False or count + 1 >= _HEALTH_FAILURES:
+            self._in_service.discard(balancer.name)
+        self.use_balancers()
+
+    async def replace_balancer(self, balancer: BalancerProcess) -> int:
+        """Starts another balancer, then stops this one gracefully.
+
+        Needs `check_health`; returns the exit status of the old one.
+        """
+        self.start_balancer()
+        await self.settle()
+        code = await self.stop_gracefully(balancer.process)
+        self.balancers.pop(balancer.name, None)
+        return code
+
+    async def replace_target(self, target: Target) -> int:
+        """Starts another target, then stops this one gracefully."""
+        self.start_target(target.service)
+        await self.settle()
+        return await self.remove_target(target)
+
+    async def remove_target(self, target: Target) -> int:
+        """Stops a target gracefully, its agent first."""
+        self.targets.pop(target.name, None)
+        status = await self.stop_gracefully(target.agent)
+        await self.stop_gracefully(target.backend)
+        return status
+
+    def kill_target(self, target: Target) -> None:
+        """Kills agent and backend server of a target at once."""
+        self.targets.pop(target.name, None)
+        target.agent.kill()
+        target.backend.kill()
+
     def use_balancers(self) -> None:
-        """Makes the fabric spray over the balancers that are running."""
+        """Makes the fabric spray over the balancers in service."""
         for service in self.deployment.services:
             self.fabric.replace_balancers(
                 service.name,
                 [
                     item.listeners[service.name]
                     for item in self.balancers.values()
+                    if item.name in self._in_service
                 ],
             )
 
@@ -207,12 +280,10 @@
 
     def stop(self) -> None:
         """Ends every process and removes the files."""
-        processes = [item.process for item in self.balancers.values()]
-        for target in self.targets.values():
-            processes += [target.agent, target.backend]
-        for process in processes:
+        for process in self._processes:
             if process.poll() is None:
                 process.kill()
+        for process in self._processes:
             process.wait()
         shutil.rmtree(self._directory, ignore_errors=True)
 
@@ -244,10 +315,12 @@
         path = self._directory / f"{name}.json"
         path.write_text(json.dumps(options, indent=2))
         command = [str(pathlib.Path(sys.executable).parent / "fireflyford")]
-        return subprocess.Popen(
+        process = subprocess.Popen(
             [*command, role, str(path)],
             stderr=(self._directory / f"{name}.log").open("wb"),
         )
+        self._processes.append(process)
+        return process
 
 
 def free_address() -> core.Address:
@@ -266,18 +339,33 @@
             return core.Address("127.0.0.1", port)
 
 
-async def fetch_status(
-    address: core.Address,
-) -> dict[str, dict[str, dict[str, str]]]:
+async def fetch_ready(address: core.Address) -> bool | None:
+    """Returns whether a process is ready, None when it does not answer."""
+    client = httpclient.AsyncHTTPClient()
+    try:
+        reply = await client.fetch(
+            f"http://{address}/readyz",
+            request_timeout=_STATUS_LIMIT_S,
+            raise_error=False,
+        )
+    except OSError:
+        return None
+    return None if reply.code == 599 else reply.code == 200
+
+
+async def fetch_status(address: core.Address) -> dict[str, Any]:
     """Returns the status of a process, empty while it does not answer."""
     client = httpclient.AsyncHTTPClient()
     try:
-        reply = await client.fetch(f"http://{address}/status")
+        reply = await client.fetch(
+            f"http://{address}/status", request_timeout=_STATUS_LIMIT_S
+        )
     except (OSError, httpclient.HTTPError):
         return {}
-    status: dict[str, dict[str, dict[str, str]]] = json.loads(reply.body)
+    status: dict[str, Any] = json.loads(reply.body)
     return status
 
 
-def _lab_command() -> list[str]:
+def lab_command() -> list[str]:
+    """Returns the start of a command line of the lab tool."""
     return [str(pathlib.Path(sys.executable).parent / "fireflyford-lab")]
--- /dev/null
+++ b/libs/lab/src/fireflyford/lab/_processes.py
@@ -0,0 +1,82 @@
+"""Caller processes of an experiment."""
+
+import asyncio
+
+import msgspec
+
+from fireflyford import config
+from fireflyford.lab import _callers
+from fireflyford.lab import _fleet
+
+_READY_LIMIT_S = 60.0
+_FINISH_LIMIT_S = 15.0
+# The figures with all latencies come in one line.
+_MAX_LINE_BYTES = 64 << 20
+
+
+class CallerProcess:
+    """One process that runs callers."""
+
+    def __init__(self, process: asyncio.subprocess.Process) -> None:
+        """Takes the running process."""
+        self._process = process
+
+    async def wait_ready(self) -> None:
+        """Waits until all feeds deliver.
+
+        Raises:
+            TimeoutError: They do not.
+        """
+        async with asyncio.timeout(_READY_LIMIT_S):
+            if await self._read_line() != b"ready":
+                raise RuntimeError("the callers have ended early")
+
+    async def finish(self) -> _callers.Figures:
+        """Stops the callers and returns their figures."""
+        assert self._process.stdin is not None
+        self._process.stdin.close()
+        async with asyncio.timeout(_FINISH_LIMIT_S):
+            line = await self._read_line()
+            await self._process.wait()
+        return msgspec.json.decode(line, type=_callers.Figures)
+
+    def kill(self) -> None:
+        """Ends the process at once if it is still running."""
+        if self._process.returncode is None:
+            self._process.kill()
+
+    async def _read_line(self) -> bytes:
+        assert self._process.stdout is not None
+        return (await self._process.stdout.readline()).strip()
+
+
+async def start_callers(
+    fleet: _fleet.Fleet,
+    service: config.Service,
+    load: _callers.Load,
+    name: str,
+) -> CallerProcess:
+    """Starts callers of one service.
+
+    Args:
+        fleet: The running fleet.
+        service: Service to call.
+        load: What the callers do.
+        name: Prefix of order bodies, unique in the run.
+    """
+    process = await asyncio.create_subprocess_exec(
+        *_fleet.lab_command(),
+        "callers",
+        f"--address={service.address}",
+        f"--service={service.name}",
+        f"--authorities={fleet.authorities_path(service.name)}",
+        f"--name={name}",
+        f"--feeds={load.feed_count}",
+        f"--orders={load.order_count}",
+        f"--sheets={load.sheet_count}",
+        f"--feed_interval_ms={load.feed_interval_ms}",
+        stdin=asyncio.subprocess.PIPE,
+        stdout=asyncio.subprocess.PIPE,
+        limit=_MAX_LINE_BYTES,
+    )
+    return CallerProcess(process)
