--- a/libs/agent/src/fireflyford/agent/_backend_feeds.py
+++ b/libs/agent/src/fireflyford/agent/_backend_feeds.py
@@ -9,11 +9,9 @@
 from tornado import http1connection
 from tornado import httputil
 from tornado import iostream
-from tornado import tcpclient
 
-from fireflyford import core
+from fireflyford.agent import _backend_watch
 
-_CONNECT_LIMIT_S = 1.0
 _READ_BYTES = 16 << 10
 # Chunks read ahead of a slow caller; the backend server waits beyond them.
 _QUEUE_CHUNKS = 4
@@ -42,23 +40,21 @@
             FeedRejectedError: The backend server answered with an error.
         """
 
-    @abc.abstractmethod
-    async def check(self) -> bool:
-        """Returns whether the backend server accepts connections."""
-
 
 class BackendFeeds(FeedSource):
     """Feeds over one TCP connection each, with back-pressure."""
 
-    def __init__(self, address: core.Address) -> None:
-        """Takes the address of the backend server."""
-        self._address = address
-        self._client = tcpclient.TCPClient()
+    def __init__(self, watch: _backend_watch.BackendWatch) -> None:
+        """Takes the watch, which connects to the backend server."""
+        self._watch = watch
 
     @contextlib.asynccontextmanager
     async def open(self, path: str) -> AsyncIterator[AsyncIterator[bytes]]:
         """Opens a feed; the context gives its chunks."""
-        stream = await self._connect()
+        try:
+            stream = await self._watch.connect()
+        except OSError as error:
+            raise FeedBrokenError(str(error)) from error
         reader = _Reader()
         task = asyncio.create_task(self._read(stream, reader, path))
         try:
@@ -69,22 +65,6 @@
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
 
-    async def check(self) -> bool:
-        """Returns whether the backend server accepts connections."""
-        try:
-            stream = await self._connect()
-        except FeedBrokenError:
-            return False
-        stream.close()
-        return True
-
-    async def _connect(self) -> iostream.IOStream:
-        try:
-            async with asyncio.timeout(_CONNECT_LIMIT_S):
-                return await self._client.connect(*self._address.pair)
-        except (OSError, TimeoutError) as error:
-            raise FeedBrokenError(str(error)) from error
-
     async def _read(
         self, stream: iostream.IOStream, reader: "_Reader", path: str
     ) -> None:
@@ -98,7 +78,7 @@
         try:
             connection.write_headers(
                 httputil.RequestStartLine("GET", path, ""),
-                httputil.HTTPHeaders({"Host": str(self._address)}),
+                httputil.HTTPHeaders({"Host": "backend"}),
             )
             connection.finish()
             await connection.read_response(reader)
--- /dev/null
+++ b/libs/agent/src/fireflyford/agent/_backend_watch.py
@@ -0,0 +1,75 @@
+"""Whether the backend server beside this agent accepts connections."""
+
+import asyncio
+from collections.abc import Callable
+
+from tornado import iostream
+from tornado import tcpclient
+
+from fireflyford import core
+from fireflyford import telemetry
+
+CHECK_INTERVAL_MS = 500
+# A backend server that pauses still accepts connections in its kernel, so
+# only an unreachable instance takes that long.
+_CONNECT_LIMIT_S = 1.0
+
+
+class BackendWatch:
+    """Checks the backend server; one task."""
+
+    def __init__(self, clock: core.Clock, address: core.Address) -> None:
+        """Prepares the watch; `run` drives it.
+
+        Args:
+            clock: Source of time.
+            address: Where the backend server listens.
+        """
+        self._clock = clock
+        self._address = address
+        self._client = tcpclient.TCPClient()
+        self._listeners: list[Callable[[], None]] = []
+        # A backend server that starts after its agent is not lost.
+        self._seen = False
+        self.up = True
+
+    def on_loss(self, listener: Callable[[], None]) -> None:
+        """Calls `listener` whenever the backend server is lost."""
+        self._listeners.append(listener)
+
+    async def connect(self) -> iostream.IOStream:
+        """Opens a connection to the backend server.
+
+        Raises:
+            OSError: It does not accept connections.
+        """
+        async with asyncio.timeout(_CONNECT_LIMIT_S):
+            return await self._client.connect(*self._address.pair)
+
+    async def check(self) -> bool:
+        """Returns whether the backend server accepts connections now."""
+        try:
+            stream = await self.connect()
+        except OSError:
+            self._note(False)
+        else:
+            stream.close()
+            self._note(True)
+        return self.up
+
+    async def run(self) -> None:
+        """Checks until cancelled."""
+        while True:
+            await self.check()
+            await self._clock.sleep(CHECK_INTERVAL_MS)
+
+    def _note(self, reachable: bool) -> None:
+        if reachable:
+            self._seen = True
+        if reachable == self.up or not self._seen:
+            return
+        self.up = reachable
+        telemetry.log("backend-found" if reachable else "backend-lost")
+        if not reachable:
+            for listener in self._listeners:
+                listener()
--- a/libs/agent/src/fireflyford/agent/_connection.py
+++ b/libs/agent/src/fireflyford/agent/_connection.py
@@ -90,12 +90,13 @@
     Attributes:
         payload: The QUIC datagram.
         caller: Where the caller sent it from.
-        balancer: Link address of the balancer that passed it on.
+        balancer: Link address of the balancer that passed it on, None when
+            a peer relayed it.
     """
 
     payload: bytes
     caller: core.Address
-    balancer: core.Address
+    balancer: core.Address | None
 
 
 class Connection:
@@ -135,6 +136,8 @@
         self._announced = False
         self._probe_s = 0.0
         self._probe_count = 0
+        # Retransmissions through other balancers since the last datagram.
+        self._rotation_count = 0
         self.caller = core.Address("0.0.0.0", 0)
         # Connection IDs under which the endpoint knows this connection.
         self.ids: set[bytes] = set()
@@ -200,12 +203,21 @@
         self._transmit(loop.time())
 
     def _next_wake_s(self) -> float | None:
-        timer_s = self._quic.get_timer()
-        if not self._tasks:
-            return timer_s
-        return self._probe_s if timer_s is None else min(timer_s, self._probe_s)
+        times_s = [self._quic.get_timer(), self._rotation_s()]
+        if self._tasks:
+            times_s.append(self._probe_s)
+        return min((item for item in times_s if item is not None), default=None)
+
+    def _rotation_s(self) -> float | None:
+        if self._rotation_count >= _MAX_PROBES or not self._quic.awaits_ack:
+            return None
+        return self.return_path.next_rotation_s()
 
     def _handle_timers(self, now_s: float) -> None:
+        rotation_s = self._rotation_s()
+        if rotation_s is not None and rotation_s <= now_s:
+            self._rotation_count += 1
+            self._quic.retransmit(now_s)
         timer_s = self._quic.get_timer()
         if timer_s is not None and timer_s <= now_s:
             self._quic.handle_timer(now_s)
@@ -224,6 +236,7 @@
         self.return_path.receive(arrival.balancer)
         self._probe_s = now_s + random.uniform(*_PROBE_INTERVAL_S)
         self._probe_count = 0
+        self._rotation_count = 0
         self._quic.receive_datagram(arrival.payload, arrival.caller.pair, now_s)
         self._handle_events()
 
--- a/libs/agent/src/fireflyford/agent/_endpoint.py
+++ b/libs/agent/src/fireflyford/agent/_endpoint.py
@@ -99,9 +99,9 @@
             self.counters.foreign_count += 1
             return
         self.counters.received_count += 1
-        arrival = _connection.Arrival(
-            payload, header.caller, core.Address(*addr[:2])
-        )
+        # A relayed datagram comes from a peer, which carries no answers.
+        balancer = None if header.hops else core.Address(*addr[:2])
+        arrival = _connection.Arrival(payload, header.caller, balancer)
         connection = self._by_id.get(hint.destination)
         if connection is None:
             self._accept(header, arrival)
@@ -163,7 +163,7 @@
             self._handler,
             self._send,
             self._track_id,
-            _return_path.ReturnPath(self._balancers),
+            _return_path.ReturnPath(self._balancers, self._count_rotation),
         )
         self._add_id(destination, connection)
         self._add_id(quic.host_cid, connection)
@@ -172,6 +172,9 @@
         task.add_done_callback(lambda _: self._forget(connection))
         return connection
 
+    def _count_rotation(self) -> None:
+        self.counters.rotated_count += 1
+
     def _track_id(
         self,
         connection: _connection.Connection,
@@ -193,7 +196,6 @@
         self.connections.pop(connection, None)
         for connection_id in connection.ids:
             self._by_id.pop(connection_id, None)
-        self.counters.rotated_count += connection.return_path.rotated_count
 
     def _send(
         self,
--- a/libs/agent/src/fireflyford/agent/_feeds.py
+++ b/libs/agent/src/fireflyford/agent/_feeds.py
@@ -1,6 +1,7 @@
 """Feeds of one target: streamed, resumed, and moved when the target leaves."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
 import random
@@ -47,6 +48,7 @@
         self,
         clock: core.Clock,
         source: _backend_feeds.FeedSource,
+        check_backend: Callable[[], Awaitable[bool]],
         peer_count: Callable[[], int],
     ) -> None:
         """Prepares the server.
@@ -54,15 +56,16 @@
         Args:
             clock: Source of time.
             source: Opens feeds of the backend server.
+            check_backend: Returns whether the backend server accepts
+                connections.
             peer_count: Returns how many peers would take feeds over.
         """
         self._clock = clock
         self._source = source
+        self._check_backend = check_backend
         self._peer_count = peer_count
         self._sessions: set[_Session] = set()
-        self._checker: asyncio.Task[None] | None = None
         self._moving = False
-        self.backend_up = True
         self.moved_count = 0
         self.resumed_count = 0
 
@@ -116,7 +119,7 @@
                 await self._give_up(session)
                 return None
             except _backend_feeds.FeedBrokenError:
-                if not await self._source.check():
+                if not await self._check_backend():
                     return await self._lose_backend(session)
                 if not session.resumable or session.position == position:
                     await self._give_up(session)
@@ -144,10 +147,6 @@
                 await session.write(chunk)
 
     async def _lose_backend(self, session: "_Session") -> core.Failure | None:
-        if self.backend_up:
-            self.backend_up = False
-            telemetry.log("backend-lost", feeds=self.feed_count)
-            self._checker = asyncio.create_task(self._check_backend())
         if not session.started:
             return core.Failure(
                 core.ErrorKind.BACKEND_REFUSED,
@@ -156,12 +155,6 @@
         await self._give_up(session)
         return None
 
-    async def _check_backend(self) -> None:
-        while not await self._source.check():
-            await self._clock.sleep(_CHECK_INTERVAL_MS)
-        self.backend_up = True
-        telemetry.log("backend-found")
-
     async def _give_up(self, session: "_Session") -> None:
         """Ends a feed here; a caller with the library resumes elsewhere."""
         if session.movable:
--- a/libs/agent/src/fireflyford/agent/_process.py
+++ b/libs/agent/src/fireflyford/agent/_process.py
@@ -18,6 +18,7 @@
 from fireflyford import wire
 from fireflyford.agent import _backend
 from fireflyford.agent import _backend_feeds
+from fireflyford.agent import _backend_watch
 from fireflyford.agent import _endpoint
 from fireflyford.agent import _feeds
 from fireflyford.agent import _peers
@@ -61,9 +62,13 @@
         backend_address = core.Address.parse(options.backend_address)
         backend = _backend.Backend(clock, backend_address)
         self._engine = requests.Engine(clock, backend, options.slot_count)
+        self._backend_watch = _backend_watch.BackendWatch(
+            clock, backend_address
+        )
         self._feeds = _feeds.FeedServer(
             clock,
-            _backend_feeds.BackendFeeds(backend_address),
+            _backend_feeds.BackendFeeds(self._backend_watch),
+            self._backend_watch.check,
             lambda: len(self._peers.alive()),
         )
         self._handler = _service.ServiceHandler(
@@ -82,14 +87,14 @@
             relay_target=self._relay_target,
             balancers=self._peers,
         )
+        self._backend_watch.on_loss(self._announce_leave)
         self._stopping = asyncio.Event()
 
     async def run(self) -> None:
         """Runs until a graceful shutdown has ended."""
         loop = asyncio.get_running_loop()
-        control = core.Address.parse(self._options.control_address)
-        await self._channel.open(control)
-        link = core.Address.parse(self._options.link_address)
+        await self._channel.open(self._options.control_listen)
+        link = self._options.link_listen
         await loop.create_datagram_endpoint(
             lambda: self._endpoint, local_addr=link.pair
         )
@@ -104,8 +109,10 @@
             loop.add_signal_handler(number, self._on_signal)
         telemetry.log("started", role="agent", service=self._options.service)
         member_task = asyncio.create_task(self._membership.run())
+        watch_task = asyncio.create_task(self._backend_watch.run())
         await self._stopping.wait()
         await self._drain()
+        watch_task.cancel()
         member_task.cancel()
         status.stop()
         telemetry.log("stopped", role="agent")
@@ -113,8 +120,7 @@
     async def _drain(self) -> None:
         limit_ms = self._clock.now_ms() + self._options.drain_limit_ms
         self._membership.update(state=membership.State.DRAINING)
-        for connection in self._endpoint.connections:
-            connection.announce_leave()
+        self._announce_leave()
         mover = asyncio.create_task(self._feeds.start_move())
         # Balancers learn of the drain meanwhile; a balancer that does not
         # goes on sending new flows, which are relayed to peers.
@@ -130,6 +136,11 @@
         await self._clock.sleep(_DRAIN_POLL_MS)
         self._membership.update(state=membership.State.LEFT)
 
+    def _announce_leave(self) -> None:
+        """Tells all callers to open other connections for new requests."""
+        for connection in self._endpoint.connections:
+            connection.announce_leave()
+
     def _left(self) -> dict[str, int]:
         feeds = self._feeds.feed_count
         return {
@@ -146,7 +157,7 @@
         )
 
     def _relay_target(self, destination: bytes) -> core.Address | None:
-        if self._stopping.is_set() or not self._feeds.backend_up:
+        if self._stopping.is_set() or not self._backend_watch.up:
             return self._peers.relay_target(destination)
         return None
 
@@ -191,7 +202,7 @@
             "draining": self._stopping.is_set(),
             "connections": len(self._endpoint.connections),
             "feeds": self._feeds.feed_count,
-            "backend_up": self._feeds.backend_up,
+            "backend_up": self._backend_watch.up,
             "moved_feeds": self._feeds.moved_count,
             "resumed_feeds": self._feeds.resumed_count,
             "dropped_flows": self._endpoint.admission.dropped_count,
--- a/libs/agent/src/fireflyford/agent/_quic.py
+++ b/libs/agent/src/fireflyford/agent/_quic.py
@@ -84,6 +84,14 @@
         """Whether the other end owes an acknowledgement."""
         return any(space.ack_eliciting_in_flight for space in self._loss.spaces)
 
+    def retransmit(self, now_s: float) -> None:
+        """Sends the oldest unacknowledged data again, as a probe timeout does.
+
+        The probe timeout itself grows to seconds when the round trips of a
+        busy instance vary.
+        """
+        self._loss.reschedule_data(now=now_s)
+
     def unacknowledged_bytes(self, stream_id: int) -> int:
         """Returns the bytes of a stream that are buffered for sending."""
         stream = self._streams.get(stream_id)
--- a/libs/agent/src/fireflyford/agent/_return_path.py
+++ b/libs/agent/src/fireflyford/agent/_return_path.py
@@ -1,6 +1,7 @@
 """Choice of the balancer that carries a connection's answers."""
 
 import abc
+from collections.abc import Callable
 import random
 
 from fireflyford import core
@@ -28,17 +29,33 @@
 class ReturnPath:
     """The balancer of one connection's answers."""
 
-    def __init__(self, source: BalancerSource) -> None:
-        """Starts without a balancer; the first datagram names one."""
+    def __init__(
+        self, source: BalancerSource, count_rotation: Callable[[], None]
+    ) -> None:
+        """Starts without a balancer; the first datagram names one.
+
+        Args:
+            source: Knows the balancers.
+            count_rotation: Called whenever another balancer is chosen.
+        """
         self._source = source
+        self._count_rotation = count_rotation
         self._balancer: core.Address | None = None
         self._waiting_since_s: float | None = None
         self._failed: set[core.Address] = set()
-        self.rotated_count = 0
 
-    def receive(self, balancer: core.Address) -> None:
-        """Takes the balancer of a received datagram."""
-        self._balancer = balancer
+    def next_rotation_s(self) -> float | None:
+        """Returns when another balancer is due, if an answer is awaited."""
+        if self._waiting_since_s is None:
+            return None
+        return self._waiting_since_s + SILENCE_LIMIT_S
+
+    def receive(self, balancer: core.Address | None) -> None:
+        """Takes the balancer of a received datagram, None if unknown."""
+        if balancer is not None:
+            self._balancer = balancer
+        elif self._balancer is None:
+            self._balancer = self._pick(self._source.weights())
         self._waiting_since_s = None
         if self._failed:
             self._failed.clear()
@@ -67,10 +84,19 @@
         self._failed.add(self._balancer)
         if self._failed >= weights.keys():
             self._failed = {self._balancer}
-        choices = [item for item in weights if item not in self._failed]
-        if choices:
-            self.rotated_count += 1
-            self._balancer = random.choices(
-                choices, [weights[item] for item in choices]
-            )[0]
+        chosen = self._pick(
+            {
+                item: weight
+                for item, weight in weights.items()
+                if item not in self._failed
+            }
+        )
+        if chosen is not None:
+            self._count_rotation()
+            self._balancer = chosen
         self._waiting_since_s = now_s
+
+    def _pick(self, weights: dict[core.Address, float]) -> core.Address | None:
+        if not weights:
+            return None
+        return random.choices(list(weights), list(weights.values()))[0]
--- a/libs/balancer/src/fireflyford/balancer/_process.py
+++ b/libs/balancer/src/fireflyford/balancer/_process.py
@@ -107,9 +107,8 @@
 
     async def _open_sockets(self) -> None:
         loop = asyncio.get_running_loop()
-        control = core.Address.parse(self._options.control_address)
-        await self._channel.open(control)
-        link = core.Address.parse(self._options.link_address)
+        await self._channel.open(self._options.control_listen)
+        link = self._options.link_listen
         await loop.create_datagram_endpoint(
             lambda: self._link, local_addr=link.pair
         )
--- a/libs/caller/src/fireflyford/caller/_connection.py
+++ b/libs/caller/src/fireflyford/caller/_connection.py
@@ -121,6 +121,16 @@
         self.quiet_ms = 0.0
         super().datagram_received(data, addr)
 
+    async def wait_connected(self) -> None:
+        try:
+            await super().wait_connected()
+        finally:
+            # A caller that gave up leaves a future that nobody reads.
+            if self._connected_waiter is not None:
+                self._connected_waiter.add_done_callback(
+                    asyncio.Future.exception
+                )
+
     async def watch(self) -> None:
         """Probes a quiet path while answers are outstanding."""
         suspected = False
--- a/libs/lab/src/fireflyford/lab/_callers.py
+++ b/libs/lab/src/fireflyford/lab/_callers.py
@@ -63,6 +63,7 @@
     unknown: int = 0
     wrong: int = 0
     connections: int = 0
+    refused_bodies: tuple[str, ...] = ()
     order_ms: tuple[float, ...] = ()
     sheet_ms: tuple[float, ...] = ()
     event_ms: tuple[float, ...] = ()
@@ -75,7 +76,7 @@
         values = [getattr(part, field.name) for part in parts]
         if field.name == "longest_silence_ms":
             sums[field.name] = max(values, default=0.0)
-        elif field.name.endswith("_ms"):
+        elif isinstance(field.default, tuple):
             sums[field.name] = tuple(item for value in values for item in value)
         else:
             sums[field.name] = sum(values)
@@ -137,6 +138,7 @@
         }
         self._order_ms: list[float] = []
         self._sheet_ms: list[float] = []
+        self._refused_bodies: list[str] = []
         self._sessions: list[caller.Session] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._stopping = False
@@ -174,6 +176,7 @@
         return dataclasses.replace(
             figures,
             connections=sum(item.opened_count for item in self._sessions),
+            refused_bodies=tuple(self._refused_bodies),
             order_ms=tuple(self._order_ms),
             sheet_ms=tuple(self._sheet_ms),
             **self._counts,
@@ -233,7 +236,7 @@
             connection, "POST", "/orders?ms=10", body.encode()
         )
         self._order_ms.append((time.monotonic() - start_s) * 1000)
-        self._judge(outcome, body.encode())
+        self._judge(outcome, body.encode(), body)
 
     async def _sheet(self, connection: caller.Connection, name: str) -> None:
         path = f"/sheets/{name}?ms=50&bytes={_SHEET_BYTES}"
@@ -242,16 +245,17 @@
             connection, "GET", path, deadline_ms=20_000
         )
         self._sheet_ms.append((time.monotonic() - start_s) * 1000)
-        self._judge(outcome, path.encode() + b"." * _SHEET_BYTES)
+        self._judge(outcome, path.encode() + b"." * _SHEET_BYTES, path)
 
     def _judge(
-        self, outcome: core.Outcome[caller.Reply], expected: bytes
+        self, outcome: core.Outcome[caller.Reply], expected: bytes, name: str
     ) -> None:
         if isinstance(outcome, core.Ok):
             self._counts["complete"] += 1
             self._counts["wrong"] += outcome.value.body != expected
         elif outcome.answer.execution is core.Execution.NOT_RUN:
             self._counts["refused"] += 1
+            self._refused_bodies.append(name)
         else:
             self._counts["unknown"] += 1
 
--- a/libs/lab/src/fireflyford/lab/_commands.py
+++ b/libs/lab/src/fireflyford/lab/_commands.py
@@ -11,6 +11,7 @@
 from fireflyford.lab import _backend
 from fireflyford.lab import _callers
 from fireflyford.lab import _demo
+from fireflyford.lab import _fault_proxy
 from fireflyford.lab import experiments
 
 
@@ -22,6 +23,7 @@
         self.backend = _backend.run_backend
         self.callers = _callers.run_callers
         self.demo = _demo.run_demo
+        self.fault_proxy = _fault_proxy.run_fault_proxy
 
     def list(self) -> None:
         """Lists the experiments."""
--- /dev/null
+++ b/libs/lab/src/fireflyford/lab/_fault_proxy.py
@@ -0,0 +1,169 @@
+"""Process that injects faults between any two parties.
+
+Usage: `fireflyford-lab fault-proxy --control IP:PORT --seed N`. Links and
+faults are set over HTTP while it runs:
+
+    POST /links           {"name", "kind", "listen", "target"}
+    PUT /faults/NAME      fields of `Faults`; `?source=IP:PORT` for one pair
+    DELETE /faults/NAME   back to no faults
+    GET /status           datagrams and streams by link
+"""
+
+import asyncio
+import dataclasses
+import json
+import signal
+import sys
+from typing import Any
+import urllib.request
+
+import msgspec
+from tornado import web
+
+from fireflyford import core
+from fireflyford.lab import _fault_links
+from fireflyford.lab import _faults
+
+_CONTROL_LIMIT_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True)
+class LinkOrder:
+    """Description of a new link.
+
+    Attributes:
+        name: Name for `PUT /faults/NAME`.
+        kind: What passes through.
+        listen: `ip:port` to listen on.
+        target: `ip:port` that it leads to.
+    """
+
+    name: str
+    kind: _fault_links.LinkKind
+    listen: str
+    target: str
+
+
+class _LinksHandler(web.RequestHandler):
+    """Adds links."""
+
+    def initialize(
+        self,
+        links: dict[str, _fault_links.Link],
+        factory: _fault_links.LinkFactory,
+    ) -> None:
+        self._links = links
+        self._factory = factory
+
+    async def post(self) -> None:
+        order = msgspec.json.decode(self.request.body, type=LinkOrder)
+        target = core.Address.parse(order.target)
+        link = self._factory.make(order.kind, target)
+        await link.listen(core.Address.parse(order.listen))
+        self._links[order.name] = link
+        self.finish()
+
+
+class _FaultsHandler(web.RequestHandler):
+    """Switches faults."""
+
+    def initialize(self, links: dict[str, _fault_links.Link]) -> None:
+        self._links = links
+
+    def put(self, name: str) -> None:
+        self._set(
+            name, msgspec.json.decode(self.request.body, type=_faults.Faults)
+        )
+
+    def delete(self, name: str) -> None:
+        self._set(name, _faults.Faults())
+
+    def _set(self, name: str, faults: _faults.Faults) -> None:
+        link = self._links.get(name)
+        if link is None:
+            raise web.HTTPError(404)
+        link.set_faults(faults, self.get_query_argument("source", ""))
+        self.finish()
+
+
+class _StatusHandler(web.RequestHandler):
+    """Reports what has passed."""
+
+    def initialize(self, links: dict[str, _fault_links.Link]) -> None:
+        self._links = links
+
+    def get(self) -> None:
+        self.finish({name: link.counts for name, link in self._links.items()})
+
+
+def run_fault_proxy(control: str, seed: int = 1) -> None:
+    """Runs the proxy until it is stopped.
+
+    Args:
+        control: `ip:port` of the control interface.
+        seed: Seed of all draws.
+    """
+    asyncio.run(_run(core.Address.parse(control), seed))
+
+
+async def _run(control: core.Address, seed: int) -> None:
+    links: dict[str, _fault_links.Link] = {}
+    factory = _fault_links.LinkFactory(seed)
+    application = web.Application(
+        [
+            ("/links", _LinksHandler, {"links": links, "factory": factory}),
+            ("/faults/(.+)", _FaultsHandler, {"links": links}),
+            ("/status", _StatusHandler, {"links": links}),
+        ],
+        log_function=lambda handler: None,
+    )
+    application.listen(control.port, control.host)
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    print("ready", file=sys.stderr, flush=True)
+    await stopping.wait()
+
+
+class ProxyControl:
+    """Client of the control interface.
+
+    Calls block for the few milliseconds that a loopback request takes.
+    """
+
+    def __init__(self, address: core.Address) -> None:
+        """Takes the address of the control interface."""
+        self._base = f"http://{address}"
+
+    def add_link(self, order: LinkOrder) -> None:
+        """Adds a link.
+
+        Raises:
+            OSError: The proxy does not answer or refuses.
+        """
+        self._call("POST", "/links", order)
+
+    def set_faults(
+        self, name: str, faults: _faults.Faults, source: str = ""
+    ) -> None:
+        """Switches the faults of a link, or of one source on it."""
+        query = f"?source={source}" if source else ""
+        self._call("PUT", f"/faults/{name}{query}", faults)
+
+    def status(self) -> dict[str, dict[str, int]]:
+        """Returns the counts by link."""
+        status: dict[str, dict[str, int]] = json.loads(
+            self._call("GET", "/status", None)
+        )
+        return status
+
+    def _call(self, method: str, path: str, body: Any) -> bytes:
+        request = urllib.request.Request(
+            self._base + path,
+            method=method,
+            data=None if body is None else msgspec.json.encode(body),
+        )
+        with urllib.request.urlopen(request, timeout=_CONTROL_LIMIT_S) as reply:
+            content: bytes = reply.read()
+            return content
--- a/libs/lab/src/fireflyford/lab/_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_fleet.py
@@ -18,6 +18,8 @@
 from fireflyford import core
 from fireflyford.lab import _certificates
 from fireflyford.lab import _fabric
+from fireflyford.lab import _fault_links
+from fireflyford.lab import _fault_proxy
 
 _START_LIMIT_MS = 15_000
 _POLL_MS = 50
@@ -38,6 +40,7 @@
     backend: subprocess.Popen[bytes]
     agent: subprocess.Popen[bytes]
     status_address: core.Address
+    control_listen: core.Address
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,6 +62,8 @@
         deployment: config.Deployment,
         rng: random.Random,
         balancer_count: int = 3,
+        proxied: bool = False,
+        drain_limit_ms: int = 30_000,
     ) -> None:
         """Prepares a fleet; `start` starts its processes.
 
@@ -67,6 +72,11 @@
                 free ports.
             rng: Random source of the fabric and of the keys.
             balancer_count: Balancers to start.
+            proxied: Whether a fault proxy stands between fabric and
+                balancers, balancers and agents, and agents and backend
+                servers. Its links are named `fabric/BALANCER/SERVICE`,
+                `link/INSTANCE`, `control/INSTANCE` and `backend/TARGET`.
+            drain_limit_ms: Longest graceful shutdown of every process.
         """
         self._rng = rng
         self._balancer_count = balancer_count
@@ -81,6 +91,9 @@
             dataclasses.replace(service, address=str(free_address()))
             for service in deployment.services
         )
+        self.proxy: _fault_proxy.ProxyControl | None = None
+        self._proxied = proxied
+        self._drain_limit_ms = drain_limit_ms
         self.deployment = dataclasses.replace(deployment, services=services)
         self.fabric = _fabric.Fabric(rng)
         self.balancers: dict[str, BalancerProcess] = {}
@@ -92,6 +105,8 @@
         """Starts all processes and waits until the balancers see them."""
         for service in self.deployment.services:
             _certificates.make_certificate(self._directory, service.name)
+        if self._proxied:
+            await self._start_proxy()
         for _ in range(self._balancer_count):
             self.start_balancer()
         for service in self.deployment.services:
@@ -102,6 +117,38 @@
             )
         await self.settle()
 
+    def _spawn_proxy(self) -> None:
+        address = free_address()
+        command = [
+            *lab_command(),
+            "fault-proxy",
+            f"--control={address}",
+            f"--seed={self._rng.getrandbits(32)}",
+        ]
+        log = (self._directory / "fault-proxy.log").open("wb")
+        self._processes.append(subprocess.Popen(command, stderr=log))
+        self.proxy = _fault_proxy.ProxyControl(address)
+
+    async def _start_proxy(self) -> None:
+        self._spawn_proxy()
+        limit_ms = _CLOCK.now_ms() + _START_LIMIT_MS
+        while "ready" not in self.log_text("fault-proxy"):
+            if _CLOCK.now_ms() > limit_ms:
+                raise TimeoutError("the fault proxy does not start")
+            await _CLOCK.sleep(_POLL_MS)
+
+    def _through_proxy(
+        self, name: str, kind: _fault_links.LinkKind, target: core.Address
+    ) -> core.Address:
+        """Returns the address that leads to `target`."""
+        if self.proxy is None:
+            return target
+        listen = free_address()
+        self.proxy.add_link(
+            _fault_proxy.LinkOrder(name, kind, str(listen), str(target))
+        )
+        return listen
+
     def start_balancer(self) -> BalancerProcess:
         """Starts one more balancer."""
         name = self._next_name("balancer")
@@ -115,7 +162,14 @@
         started = BalancerProcess(
             name=name,
             process=process,
-            listeners=listeners,
+            listeners={
+                service: self._through_proxy(
+                    f"fabric/{name}/{service}",
+                    _fault_links.LinkKind.DATAGRAM,
+                    address,
+                )
+                for service, address in listeners.items()
+            },
             control_address=core.Address.parse(str(options["control_address"])),
             status_address=core.Address.parse(str(options["status_address"])),
         )
@@ -140,7 +194,11 @@
         self._processes.append(backend)
         options = self._common_settings(name) | {
             "service": service,
-            "backend_address": str(address),
+            "backend_address": str(
+                self._through_proxy(
+                    f"backend/{name}", _fault_links.LinkKind.STREAM, address
+                )
+            ),
             "certificate_path": str(self._directory / f"{service}.pem"),
             "private_key_path": str(self._directory / f"{service}.key"),
         }
@@ -151,6 +209,9 @@
             backend=backend,
             agent=agent,
             status_address=core.Address.parse(str(options["status_address"])),
+            control_listen=core.Address.parse(
+                str(options["control_bind_address"])
+            ),
         )
         self.targets[name] = target
         return target
@@ -293,16 +354,27 @@
 
     def _common_settings(self, name: str) -> dict[str, object]:
         zones = self.deployment.regions[0].availability_zones
+        link = free_address()
+        advertised = self._through_proxy(
+            f"link/{name}", _fault_links.LinkKind.FORWARDED, link
+        )
+        control = free_address()
+        advertised_control = self._through_proxy(
+            f"control/{name}", _fault_links.LinkKind.DATAGRAM, control
+        )
         return {
             "instance_id": name,
             "region": self.deployment.regions[0].name,
             "availability_zone": zones[self._sequence % len(zones)].name,
-            "link_address": str(free_address()),
-            "control_address": str(free_address()),
+            "link_address": str(advertised),
+            "link_bind_address": str(link),
+            "control_address": str(advertised_control),
+            "control_bind_address": str(control),
             "bulk_address": str(free_address()),
             "status_address": str(free_address()),
             "routing_keys_hex": [self._routing_key],
             "link_key_hex": self._link_key,
+            "drain_limit_ms": self._drain_limit_ms,
             "seeds": [
                 str(item.control_address) for item in self.balancers.values()
             ],
--- /dev/null
+++ b/libs/lab/src/fireflyford/lab/experiments/_flow_run.py
@@ -0,0 +1,268 @@
+"""One run with open flows: fleet, caller processes and figures."""
+
+import abc
+import asyncio
+import collections
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+import random
+import time
+
+from fireflyford import core
+from fireflyford.lab import _callers
+from fireflyford.lab import _deployments
+from fireflyford.lab import _fleet
+from fireflyford.lab import _processes
+from fireflyford.lab.experiments import _framework
+
+_MAX_SILENCE_MS = 5_000
+_SETTLE_MS = 4_000
+_WATCH_INTERVAL_MS = 500
+# Feeds with short intervals measure stalls that the others cannot resolve.
+_FAST_INTERVAL_MS = 100
+
+
+@dataclasses.dataclass(frozen=True)
+class Scale:
+    """Size of a run.
+
+    Attributes:
+        feed_count: Feeds of each caller process.
+        order_count: Order tasks of each caller process.
+        process_count: Caller processes.
+        fast_feed_count: Feeds of one more caller process, with an event
+            every 100 ms.
+        balancer_count: Balancers.
+        change_count: Processes that are replaced, at most.
+        settle_ms: Time after the disturbance until the count.
+    """
+
+    feed_count: int = 340
+    order_count: int = 4
+    process_count: int = 3
+    fast_feed_count: int = 20
+    balancer_count: int = 3
+    change_count: int = 3
+    settle_ms: int = _SETTLE_MS
+
+
+SMALL = Scale(
+    feed_count=6,
+    order_count=2,
+    process_count=2,
+    fast_feed_count=2,
+    change_count=1,
+    settle_ms=1_500,
+)
+
+
+class FlowRun:
+    """Fleet and caller processes of one run."""
+
+    def __init__(self, fleet: _fleet.Fleet) -> None:
+        """Takes the fleet; callers are added later."""
+        self.fleet = fleet
+        self.callers: list[_processes.CallerProcess] = []
+        self.fast_callers: list[_processes.CallerProcess] = []
+        self.exit_codes: list[int] = []
+        # Feeds on targets that have been killed.
+        self.lost_feed_count = 0
+        self._counters: dict[str, dict[str, int]] = {}
+
+    async def open_callers(self, scale: Scale) -> None:
+        """Starts the caller processes and waits until they run."""
+        load = _callers.Load(scale.feed_count, scale.order_count)
+        fast = _callers.Load(
+            scale.fast_feed_count, feed_interval_ms=_FAST_INTERVAL_MS
+        )
+        services = self.fleet.deployment.services
+        # `tahian` has 7 of the 10 targets and gets two processes of three.
+        for index in range(scale.process_count):
+            service = services[1 if index % 3 == 1 else 0]
+            self.callers.append(
+                await _processes.start_callers(
+                    self.fleet, service, load, f"caller-{index}"
+                )
+            )
+        self.fast_callers.append(
+            await _processes.start_callers(
+                self.fleet, services[0], fast, "fast"
+            )
+        )
+        everyone = [*self.callers, *self.fast_callers]
+        await asyncio.gather(*(item.wait_ready() for item in everyone))
+
+    async def watch_agents(self) -> None:
+        """Reads the counters of all agents, also of those that leave."""
+        addresses: dict[str, core.Address] = {}
+        while True:
+            for target in self.fleet.targets.values():
+                addresses[target.name] = target.status_address
+            for name, address in addresses.items():
+                status = await _fleet.fetch_status(address)
+                if status:
+                    self._counters[name] = status["counters"]
+            await asyncio.sleep(_WATCH_INTERVAL_MS / 1000)
+
+    async def feed_count(self, target: _fleet.Target) -> int:
+        """Returns the feeds that a target serves now."""
+        status = await _fleet.fetch_status(target.status_address)
+        return int(status.get("feeds", 0))
+
+    def counter(self, name: str) -> int:
+        """Returns a counter, summed over all agents of the run."""
+        return sum(counters[name] for counters in self._counters.values())
+
+    async def finish(self) -> tuple[_callers.Figures, _callers.Figures]:
+        """Stops the callers; returns the figures, fast feeds apart."""
+        parts = await asyncio.gather(*(item.finish() for item in self.callers))
+        fast = await asyncio.gather(
+            *(item.finish() for item in self.fast_callers)
+        )
+        return (
+            _callers.add_figures(list(parts)),
+            _callers.add_figures(list(fast)),
+        )
+
+    def kill_callers(self) -> None:
+        """Ends caller processes that still run."""
+        for item in [*self.callers, *self.fast_callers]:
+            item.kill()
+
+
+@contextlib.asynccontextmanager
+async def open_run(
+    scale: Scale,
+    seed: int,
+    proxied: bool = False,
+    drain_limit_ms: int = 30_000,
+) -> AsyncIterator[FlowRun]:
+    """Starts a fleet and its callers; ends them all afterwards."""
+    fleet = _fleet.Fleet(
+        _deployments.BANTAY,
+        random.Random(seed),
+        scale.balancer_count,
+        proxied,
+        drain_limit_ms,
+    )
+    run = FlowRun(fleet)
+    tasks = []
+    try:
+        await fleet.start()
+        tasks.append(asyncio.create_task(fleet.check_health()))
+        tasks.append(asyncio.create_task(run.watch_agents()))
+        await run.open_callers(scale)
+        yield run
+    finally:
+        for task in tasks:
+            task.cancel()
+        run.kill_callers()
+        fleet.stop()
+
+
+class FlowExperiment(_framework.Experiment):
+    """Opens flows, disturbs them, and counts what callers saw."""
+
+    # Feeds that the disturbance may break beside those on killed targets.
+    broken_target: int = 0
+    # None where requests may end as "unknown".
+    unknown_target: int | None = 0
+    proxied = False
+    drain_limit_ms = 30_000
+
+    def __init__(self, scale: Scale | None = None) -> None:
+        """Takes the size of the run."""
+        self._scale = scale or Scale()
+
+    @abc.abstractmethod
+    async def disturb(self, run: FlowRun, rng: random.Random) -> None:
+        """Causes what the experiment is about."""
+
+    async def run(self, seed: int) -> _framework.Result:
+        """Runs once."""
+        async with open_run(
+            self._scale, seed, self.proxied, self.drain_limit_ms
+        ) as run:
+            start_s = time.monotonic()
+            await self.disturb(run, random.Random(seed))
+            await asyncio.sleep(self._scale.settle_ms / 1000)
+            duration_s = time.monotonic() - start_s
+            figures, fast = await run.finish()
+            executions = collections.Counter(
+                str(item["body"])
+                for item in run.fleet.executions()
+                if item["body"]
+            )
+        both = _callers.add_figures([figures, fast])
+        return _framework.Result(
+            self.name,
+            seed,
+            (
+                *self._describe_feeds(both, fast, run),
+                *self._describe_requests(figures, executions),
+                _count(
+                    "misrouted datagrams", run.counter("misrouted_count"), 0
+                ),
+                _count("relayed datagrams", run.counter("relayed_count")),
+                _count("rotated return paths", run.counter("rotated_count")),
+                _count(
+                    "bad exit statuses",
+                    sum(code != 0 for code in run.exit_codes),
+                    0,
+                ),
+                _framework.Figure("disturbed time", duration_s, "s"),
+            ),
+        )
+
+    def _describe_feeds(
+        self, figures: _callers.Figures, fast: _callers.Figures, run: FlowRun
+    ) -> tuple[_framework.Figure, ...]:
+        allowed_count = self.broken_target + run.lost_feed_count
+        return (
+            _count("open feeds", figures.feeds),
+            _count("feed events", figures.events),
+            _count("moved feeds", figures.moved),
+            _count("broken feeds", figures.broken, allowed_count),
+            _count("refused feeds", figures.refused_feeds, 0),
+            _count("gaps", figures.gaps, 0),
+            _count("duplicates", figures.duplicates, 0),
+            _framework.Figure(
+                "longest silence of a feed",
+                figures.longest_silence_ms,
+                "ms",
+                _MAX_SILENCE_MS,
+            ),
+            _framework.Figure(
+                "longest silence, 100 ms interval",
+                fast.longest_silence_ms,
+                "ms",
+                _MAX_SILENCE_MS,
+            ),
+        )
+
+    def _describe_requests(
+        self, figures: _callers.Figures, executions: collections.Counter[str]
+    ) -> tuple[_framework.Figure, ...]:
+        refused = set(figures.refused_bodies)
+        return (
+            _count("order connections", figures.connections),
+            _count("requests complete", figures.complete),
+            _count("requests refused", figures.refused),
+            _count("requests unknown", figures.unknown, self.unknown_target),
+            _count("wrong answers", figures.wrong, 0),
+            _count(
+                "refused as not run, but ran", len(refused & set(executions)), 0
+            ),
+            _count(
+                "orders run twice",
+                sum(count > 1 for count in executions.values()),
+                0,
+            ),
+        )
+
+
+def _count(
+    name: str, value: float, target: float | None = None
+) -> _framework.Figure:
+    return _framework.Figure(name, value, "1", target)
--- a/libs/settings/src/fireflyford/settings/_settings.py
+++ b/libs/settings/src/fireflyford/settings/_settings.py
@@ -23,7 +23,10 @@
         region: Region of the instance.
         availability_zone: Availability zone of the instance.
         link_address: `ip:port` of the forwarding socket (UDP, IPv4).
+        link_bind_address: Where that socket listens, when address
+            translation makes it differ from what others send to.
         control_address: `ip:port` of the membership socket (UDP).
+        control_bind_address: Where that socket listens, likewise.
         bulk_address: `ip:port` of the bulk transfer socket (TCP).
         status_address: `ip:port` of metrics and health (HTTP).
         seeds: Control addresses of instances to join through.
@@ -47,12 +50,26 @@
     store_addresses: tuple[str, ...] = ()
     config_path: str = ""
     drain_limit_ms: int = 30_000
+    link_bind_address: str = ""
+    control_bind_address: str = ""
 
     @property
     def routing_keys(self) -> tuple[bytes, ...]:
         """Keys of connection IDs."""
         return tuple(bytes.fromhex(key) for key in self.routing_keys_hex)
 
+    @property
+    def link_listen(self) -> core.Address:
+        """Where the forwarding socket listens."""
+        return core.Address.parse(self.link_bind_address or self.link_address)
+
+    @property
+    def control_listen(self) -> core.Address:
+        """Where the membership socket listens."""
+        return core.Address.parse(
+            self.control_bind_address or self.control_address
+        )
+
     @property
     def link_key(self) -> bytes:
         """Key of forwarding headers and control messages."""
@@ -125,6 +142,8 @@
     for field in dataclasses.fields(settings):
         if field.name.endswith("_address"):
             value = getattr(settings, field.name)
+            if value == field.default:
+                continue
             try:
                 core.Address.parse(value)
             except ValueError:
