--- a/libs/agent/src/fireflyford/agent/_quic.py
+++ b/libs/agent/src/fireflyford/agent/_quic.py
@@ -78,3 +78,23 @@
                 )
             )
             self._host_cid_seq += 1
+
+    @property
+    def awaits_ack(self) -> bool:
+        """Whether the other end owes an acknowledgement."""
+        return any(space.ack_eliciting_in_flight for space in self._loss.spaces)
+
+    def retransmit(self, now_s: float) -> None:
+        """Sends the oldest unacknowledged data again, as a probe timeout does.
+
+        The probe timeout itself grows to seconds when the round trips of a
+        busy instance vary.
+        """
+        self._loss.reschedule_data(now=now_s)
+
+    def unacknowledged_bytes(self, stream_id: int) -> int:
+        """Returns the bytes of a stream that are buffered for sending."""
+        stream = self._streams.get(stream_id)
+        if stream is None or stream.sender.is_finished:
+            return 0
+        return len(stream.sender._buffer)
--- a/libs/agent/tests/test_access.py
+++ b/libs/agent/tests/test_access.py
@@ -36,6 +36,9 @@
     async def write(self, data: bytes, end: bool) -> None:
         pass
 
+    def abort(self) -> None:
+        pass
+
 
 def ask(authorization: str, key: bytes = KEY) -> Recorder:
     recorder = Recorder()
--- a/libs/balancer/src/fireflyford/balancer/_forwarder.py
+++ b/libs/balancer/src/fireflyford/balancer/_forwarder.py
@@ -26,6 +26,7 @@
 
     def __init__(self) -> None:
         """Starts all counters at zero."""
+        self.received_count = 0
         self.to_agent_count = 0
         self.to_caller_count = 0
         self.malformed_count = 0
@@ -139,6 +140,7 @@
 
     def receive(self, data: bytes, caller: tuple[str, int]) -> None:
         """Forwards a caller's datagram to the agent of its flow."""
+        self._counters.received_count += 1
         if not 0 < len(data) <= MAX_PAYLOAD_BYTES:
             self._counters.malformed_count += 1
             return
--- a/libs/balancer/src/fireflyford/balancer/_forwarding.py
+++ b/libs/balancer/src/fireflyford/balancer/_forwarding.py
@@ -60,7 +60,7 @@
                 for service in deployment.services
             }
         self._spawn(self._follow_view())
-        link = core.Address.parse(self._options.link_address)
+        link = self._options.link_listen
         self._spawn(self._link.run(_socket.DatagramSocket(link)))
         for service, address in self._options.listeners.items():
             self._listen(service, core.Address.parse(address))
--- a/libs/lab/src/fireflyford/lab/_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_fleet.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+from typing import Any
 
 from tornado import httpclient
 
@@ -16,10 +17,17 @@
 from fireflyford import core
 from fireflyford.lab import _certificates
 from fireflyford.lab import _fabric
+from fireflyford.lab import _fault_links
+from fireflyford.lab import _fault_proxy
 from fireflyford.lab import _ports
 
 _START_LIMIT_MS = 60_000
 _POLL_MS = 50
+# Health checks of the stand-in for the fabric; a balancer that does not
+# answer twice in a row gets no more datagrams.
+_HEALTH_INTERVAL_MS = 500
+_HEALTH_FAILURES = 2
+_STATUS_LIMIT_S = 1.0
 _CLOCK = core.SystemClock()
 
 
@@ -32,6 +40,7 @@
     backend: subprocess.Popen[bytes]
     agent: subprocess.Popen[bytes]
     status_address: core.Address
+    control_listen: core.Address
 
 
 @dataclasses.dataclass(frozen=True)
@@ -53,6 +62,8 @@
         deployment: config.Deployment,
         rng: random.Random,
         balancer_count: int = 3,
+        proxied: bool = False,
+        drain_limit_ms: int = 30_000,
     ) -> None:
         """Prepares a fleet; `start` starts its processes.
 
@@ -61,6 +72,11 @@
                 free ports.
             rng: Random source of the fabric and of the keys.
             balancer_count: Balancers to start.
+            proxied: Whether a fault proxy stands between fabric and
+                balancers, balancers and agents, and agents and backend
+                servers. Its links are named `fabric/BALANCER/SERVICE`,
+                `link/INSTANCE`, `control/INSTANCE` and `backend/TARGET`.
+            drain_limit_ms: Longest graceful shutdown of every process.
         """
         self._rng = rng
         self._balancer_count = balancer_count
@@ -68,11 +84,16 @@
         self._routing_key = rng.randbytes(16).hex()
         self._link_key = rng.randbytes(16).hex()
         self._sequence = 0
-        self._speeds: dict[str, float] = {}
+        self._processes: list[subprocess.Popen[bytes]] = []
+        self._unhealthy_counts: dict[str, int] = {}
+        self._in_service: set[str] = set()
         services = tuple(
             dataclasses.replace(service, address=str(_ports.free_address()))
             for service in deployment.services
         )
+        self.proxy: _fault_proxy.ProxyControl | None = None
+        self._proxied = proxied
+        self._drain_limit_ms = drain_limit_ms
         self.deployment = dataclasses.replace(deployment, services=services)
         self.fabric = _fabric.Fabric(rng)
         self.balancers: dict[str, BalancerProcess] = {}
@@ -84,6 +105,8 @@
         """Starts all processes and waits until the balancers see them."""
         for service in self.deployment.services:
             _certificates.make_certificate(self._directory, service.name)
+        if self._proxied:
+            await self._start_proxy()
         for _ in range(self._balancer_count):
             self.start_balancer()
         for service in self.deployment.services:
@@ -94,6 +117,38 @@
             )
         await self.settle()
 
+    def _spawn_proxy(self) -> None:
+        address = _ports.free_address()
+        command = [
+            *lab_command(),
+            "fault-proxy",
+            f"--control={address}",
+            f"--seed={self._rng.getrandbits(32)}",
+        ]
+        log = (self._directory / "fault-proxy.log").open("wb")
+        self._processes.append(subprocess.Popen(command, stderr=log))
+        self.proxy = _fault_proxy.ProxyControl(address)
+
+    async def _start_proxy(self) -> None:
+        self._spawn_proxy()
+        limit_ms = _CLOCK.now_ms() + _START_LIMIT_MS
+        while "ready" not in self.log_text("fault-proxy"):
+            if _CLOCK.now_ms() > limit_ms:
+                raise TimeoutError("the fault proxy does not start")
+            await _CLOCK.sleep(_POLL_MS)
+
+    def _through_proxy(
+        self, name: str, kind: _fault_links.LinkKind, target: core.Address
+    ) -> core.Address:
+        """Returns the address that leads to `target`."""
+        if self.proxy is None:
+            return target
+        listen = _ports.free_address()
+        self.proxy.add_link(
+            _fault_proxy.LinkOrder(name, kind, str(listen), str(target))
+        )
+        return listen
+
     def start_balancer(self) -> BalancerProcess:
         """Starts one more balancer."""
         name = self._next_name("balancer")
@@ -108,7 +163,14 @@
         started = BalancerProcess(
             name=name,
             process=process,
-            listeners=listeners,
+            listeners={
+                service: self._through_proxy(
+                    f"fabric/{name}/{service}",
+                    _fault_links.LinkKind.DATAGRAM,
+                    address,
+                )
+                for service, address in listeners.items()
+            },
             control_address=core.Address.parse(str(options["control_address"])),
             status_address=core.Address.parse(str(options["status_address"])),
         )
@@ -121,7 +183,7 @@
         address = _ports.free_address()
         backend = subprocess.Popen(
             [
-                *_lab_command(),
+                *lab_command(),
                 "backend",
                 f"--address={address}",
                 f"--name={name}",
@@ -130,9 +192,14 @@
             stdout=(self._directory / f"{name}.executions").open("wb"),
             stderr=(self._directory / f"{name}.backend.log").open("wb"),
         )
+        self._processes.append(backend)
         options = self._common_settings(name) | {
             "service": service,
-            "backend_address": str(address),
+            "backend_address": str(
+                self._through_proxy(
+                    f"backend/{name}", _fault_links.LinkKind.STREAM, address
+                )
+            ),
             "certificate_path": str(self._directory / f"{service}.pem"),
             "private_key_path": str(self._directory / f"{service}.key"),
         }
@@ -143,6 +210,9 @@
             backend=backend,
             agent=agent,
             status_address=core.Address.parse(str(options["status_address"])),
+            control_listen=core.Address.parse(
+                str(options["control_bind_address"])
+            ),
         )
         self.targets[name] = target
         return target
@@ -151,21 +221,85 @@
         """Waits until each balancer sees each target, then uses them all."""
         limit_ms = _CLOCK.now_ms() + _START_LIMIT_MS
         expected = set(self.targets)
-        for balancer in self.balancers.values():
-            while not expected <= await self._alive_members(balancer):
+        running = [
+            item
+            for item in self.balancers.values()
+            if item.process.poll() is None
+        ]
+        for balancer in running:
+            while missing := expected - await self._alive_members(balancer):
                 if _CLOCK.now_ms() > limit_ms:
-                    raise TimeoutError(f"{balancer.name} does not see all")
+                    ended = [
+                        name
+                        for name, item in self.targets.items()
+                        if item.agent.poll() is not None
+                    ]
+                    raise TimeoutError(
+                        f"{balancer.name} does not see {sorted(missing)}; "
+                        f"ended agents: {ended}; balancer exit status: "
+                        f"{balancer.process.poll()}"
+                    )
                 await _CLOCK.sleep(_POLL_MS)
+        self._in_service.update(self.balancers)
         self.use_balancers()
 
+    async def check_health(self) -> None:
+        """Checks the balancers as a fabric does, until cancelled."""
+        while True:
+            for balancer in list(self.balancers.values()):
+                await self._check_balancer(balancer)
+            await _CLOCK.sleep(_HEALTH_INTERVAL_MS)
+
+    async def _check_balancer(self, balancer: BalancerProcess) -> None:
+        ready = await fetch_ready(balancer.status_address)
+        count = self._unhealthy_counts.get(balancer.name, 0)
+        self._unhealthy_counts[balancer.name] = 0 if ready else count + 1
+        # A balancer that answers "not ready" is leaving as planned.
+        if ready:
+            self._in_service.add(balancer.name)
+        elif ready is False or count + 1 >= _HEALTH_FAILURES:
+            self._in_service.discard(balancer.name)
+        self.use_balancers()
+
+    async def replace_balancer(self, balancer: BalancerProcess) -> int:
+        """Starts another balancer, then stops this one gracefully.
+
+        Needs `check_health`; returns the exit status of the old one.
+        """
+        self.start_balancer()
+        await self.settle()
+        code = await self.stop_gracefully(balancer.process)
+        self.balancers.pop(balancer.name, None)
+        return code
+
+    async def replace_target(self, target: Target) -> int:
+        """Starts another target, then stops this one gracefully."""
+        self.start_target(target.service)
+        await self.settle()
+        return await self.remove_target(target)
+
+    async def remove_target(self, target: Target) -> int:
+        """Stops a target gracefully, its agent first."""
+        self.targets.pop(target.name, None)
+        status = await self.stop_gracefully(target.agent)
+        await self.stop_gracefully(target.backend)
+        return status
+
+    def kill_target(self, target: Target) -> None:
+        """Kills agent and backend server of a target at once."""
+        self.targets.pop(target.name, None)
+        target.agent.kill()
+        target.backend.kill()
+
     def use_balancers(self) -> None:
-        """Makes the fabric spray over the balancers that are running."""
+        """Makes the fabric spray over the balancers in service."""
         for service in self.deployment.services:
             self.fabric.replace_balancers(
                 service.name,
                 [
                     item.listeners[service.name]
                     for item in self.balancers.values()
+                    if item.name in self._in_service
                 ],
             )
 
@@ -208,12 +342,10 @@
 
     def stop(self) -> None:
         """Ends every process and removes the files."""
-        processes = [item.process for item in self.balancers.values()]
-        for target in self.targets.values():
-            processes += [target.agent, target.backend]
-        for process in processes:
+        for process in self._processes:
             if process.poll() is None:
                 process.kill()
+        for process in self._processes:
             process.wait()
         shutil.rmtree(self._directory, ignore_errors=True)
 
@@ -223,16 +355,27 @@
 
     def _common_settings(self, name: str) -> dict[str, object]:
         zones = self.deployment.regions[0].availability_zones
+        link = _ports.free_address()
+        advertised = self._through_proxy(
+            f"link/{name}", _fault_links.LinkKind.FORWARDED, link
+        )
+        control = _ports.free_address()
+        advertised_control = self._through_proxy(
+            f"control/{name}", _fault_links.LinkKind.DATAGRAM, control
+        )
         return {
             "instance_id": name,
             "region": self.deployment.regions[0].name,
             "availability_zone": zones[self._sequence % len(zones)].name,
-            "link_address": str(_ports.free_address()),
-            "control_address": str(_ports.free_address()),
+            "link_address": str(advertised),
+            "link_bind_address": str(link),
+            "control_address": str(advertised_control),
+            "control_bind_address": str(control),
             "bulk_address": str(_ports.free_address()),
             "status_address": str(_ports.free_address()),
             "routing_keys_hex": [self._routing_key],
             "link_key_hex": self._link_key,
+            "drain_limit_ms": self._drain_limit_ms,
             "seeds": [
                 str(item.control_address) for item in self.balancers.values()
             ],
@@ -245,24 +388,41 @@
         path = self._directory / f"{name}.json"
         path.write_text(json.dumps(options, indent=2))
         command = [str(pathlib.Path(sys.executable).parent / "fireflyford")]
-        return subprocess.Popen(
+        process = subprocess.Popen(
             [*command, role, str(path)],
             stderr=(self._directory / f"{name}.log").open("wb"),
         )
+        self._processes.append(process)
+        return process
 
 
-async def fetch_status(
-    address: core.Address,
-) -> dict[str, dict[str, dict[str, str]]]:
+async def fetch_ready(address: core.Address) -> bool | None:
+    """Returns whether a process is ready, None when it does not answer."""
+    client = httpclient.AsyncHTTPClient()
+    try:
+        reply = await client.fetch(
+            f"http://{address}/readyz",
+            request_timeout=_STATUS_LIMIT_S,
+            raise_error=False,
+        )
+    except OSError:
+        return None
+    return None if reply.code == 599 else reply.code == 200
+
+
+async def fetch_status(address: core.Address) -> dict[str, Any]:
     """Returns the status of a process, empty while it does not answer."""
     client = httpclient.AsyncHTTPClient()
     try:
-        reply = await client.fetch(f"http://{address}/status")
+        reply = await client.fetch(
+            f"http://{address}/status", request_timeout=_STATUS_LIMIT_S
+        )
     except (OSError, httpclient.HTTPError):
         return {}
-    status: dict[str, dict[str, dict[str, str]]] = json.loads(reply.body)
+    status: dict[str, Any] = json.loads(reply.body)
     return status
 
 
-def _lab_command() -> list[str]:
+def lab_command() -> list[str]:
+    """Returns the start of a command line of the lab tool."""
     return [str(pathlib.Path(sys.executable).parent / "fireflyford-lab")]
