--- a/libs/requests/src/fireflyford/requests/_allowance.py
+++ b/libs/requests/src/fireflyford/requests/_allowance.py
@@ -5,10 +5,10 @@
 
 from fireflyford.requests import _targets
 
-# Long work needs some free slots to wait less; short work needs more, since
-# its waits are compared with a far shorter service time.
-_LONG_HEADROOM_RATIO = 0.8
-_SHORT_HEADROOM_RATIO = 0.6
+# Long work needs some free slots, or it queues behind itself. Short work also
+# runs on slots that long work leaves free, so its own load is reserve enough.
+_LONG_HEADROOM_RATIO = 0.85
+_SHORT_HEADROOM_RATIO = 0.75
 _MIN_LONG_LOAD = 0.01
 
 
--- a/libs/requests/src/fireflyford/requests/_engine.py
+++ b/libs/requests/src/fireflyford/requests/_engine.py
@@ -49,7 +49,7 @@
             queue: Order of waiting work; `AdmissionQueue` by default.
         """
         self._clock = clock
-        self._channel = channel or _peers.NoPeers()
+        self._channel = _peers.NoPeers() if channel is None else channel
         self.issuer = _tickets.TicketIssuer(
             clock, info.address, info.incarnation
         )
@@ -60,7 +60,8 @@
             placement,
             info,
             self._channel,
-            queue or _queue.AdmissionQueue(slot_count),
+            # An empty queue is false, so `or` would replace it.
+            _queue.AdmissionQueue(slot_count) if queue is None else queue,
         )
         self.records = _records.RequestRecords(clock, _tickets.RETENTION_MS)
         self.handoff_records = _records.RequestRecords(
@@ -195,7 +196,7 @@
                 deadline_ms=handoff.stamp_ms + handoff.remaining_ms,
             )
             dispatch = _runner.Dispatch()
-            run = self.runner.run_here(work, dispatch)
+            run = self.runner.run_here(work, dispatch, handoff.max_wait_ms)
             self._start(self.handoff_records, record, run, dispatch)
         return await record.wait()
 
--- a/libs/requests/src/fireflyford/requests/_peers.py
+++ b/libs/requests/src/fireflyford/requests/_peers.py
@@ -32,6 +32,8 @@
         stamp_ms: Time on the executor's clock that had been reached when the
             work was handed over.
         remaining_ms: Time to the deadline at that moment.
+        max_wait_ms: Expected wait above which the peer refuses, because
+            the origin has decided on an outdated report.
         work: The work.
     """
 
@@ -40,6 +42,7 @@
     executor: int
     stamp_ms: int
     remaining_ms: int
+    max_wait_ms: float
     work: _work.Work
 
     @property
--- a/libs/requests/src/fireflyford/requests/_placement.py
+++ b/libs/requests/src/fireflyford/requests/_placement.py
@@ -19,7 +19,7 @@
 _FAILURE_LIMIT = 1.05
 # Idle targets differ by service time only; this weight of recent use spreads
 # work over slow targets as well, as far as nobody waits for it.
-DEFAULT_BALANCE = 1.0
+DEFAULT_BALANCE = 6.0
 
 
 class Placement(abc.ABC):
--- a/libs/requests/src/fireflyford/requests/_queue.py
+++ b/libs/requests/src/fireflyford/requests/_queue.py
@@ -22,6 +22,9 @@
 _MAX_IDLE_CALLERS = 1_024
 
 
+_Share = tuple[str, config.SizeClass]
+
+
 @dataclasses.dataclass(frozen=True, eq=False)
 class Entry:
     """A waiting request.
@@ -146,15 +149,19 @@
             for size in config.SizeClass
         }
         self._sequence = itertools.count()
-        self._caller_ms: dict[str, float] = {}
-        self._queued_by_caller: collections.Counter[str] = collections.Counter()
+        # Long work of a caller does not delay its short work.
+        self._caller_ms: dict[_Share, float] = {}
+        self._queued_by_caller: collections.Counter[_Share] = (
+            collections.Counter()
+        )
         self.queued_bytes = 0
 
     def make_entry(
         self, work: _work.Work, expected_ms: float, now_ms: int
     ) -> Entry:
         """Returns the entry at its place in the order."""
-        start_ms = max(float(now_ms), self._caller_ms.get(work.caller, 0.0))
+        share = (work.caller, work.treatment.size)
+        start_ms = max(float(now_ms), self._caller_ms.get(share, 0.0))
         treatment = work.treatment
         start_ms += (_TOP_PRIORITY - treatment.priority) * PRIORITY_STEP_MS
         if treatment.size is config.SizeClass.LONG:
@@ -163,14 +170,14 @@
 
     def push(self, entry: Entry) -> Entry | None:
         """Adds an entry; a full queue gives up its last one."""
-        caller = entry.work.caller
-        self._queued_by_caller[caller] += 1
+        share = (entry.work.caller, entry.size)
+        self._queued_by_caller[share] += 1
         share_ms = (
             entry.expected_ms * len(self._queued_by_caller) / self._slot_count
         )
         arrived_ms = float(entry.work.arrived_ms)
-        self._caller_ms[caller] = (
-            max(arrived_ms, self._caller_ms.get(caller, 0.0)) + share_ms
+        self._caller_ms[share] = (
+            max(arrived_ms, self._caller_ms.get(share, 0.0)) + share_ms
         )
         self._forget_idle_callers(arrived_ms)
         self._lists[entry.size].add(entry)
@@ -188,9 +195,9 @@
         if len(self._caller_ms) <= _MAX_IDLE_CALLERS:
             return
         self._caller_ms = {
-            caller: time_ms
-            for caller, time_ms in self._caller_ms.items()
-            if time_ms > now_ms or caller in self._queued_by_caller
+            share: time_ms
+            for share, time_ms in self._caller_ms.items()
+            if time_ms > now_ms or share in self._queued_by_caller
         }
 
     def pop(self, allow_long: bool) -> Entry | None:
@@ -214,10 +221,10 @@
             return
         del items[index]
         self.queued_bytes -= len(entry.work.body)
-        caller = entry.work.caller
-        self._queued_by_caller[caller] -= 1
-        if not self._queued_by_caller[caller]:
-            del self._queued_by_caller[caller]
+        share = (entry.work.caller, entry.size)
+        self._queued_by_caller[share] -= 1
+        if not self._queued_by_caller[share]:
+            del self._queued_by_caller[share]
 
     def ahead(self, entry: Entry) -> Iterator[Entry]:
         """Yields the entries with a lower key."""
--- a/libs/requests/src/fireflyford/requests/_runner.py
+++ b/libs/requests/src/fireflyford/requests/_runner.py
@@ -17,6 +17,11 @@
 
 # The answer of a peer may arrive this long after the deadline.
 REPLY_GRACE_MS = 200
+# Each refusal costs one message each way, about 2 ms.
+_MAX_REFUSALS = 2
+_ANY_WAIT_MS = 1e9
+# Waits up to this part of the service time are not worth another message.
+_WAIT_TOLERANCE_RATIO = 0.3
 
 
 class Dispatch:
@@ -113,22 +118,34 @@
     async def place(
         self, work: _work.Work, dispatch: Dispatch
     ) -> core.Outcome[_work.Response]:
-        """Runs work at the target that placement chooses."""
-        candidates = self.peers.candidates(work.treatment.size)
-        if not self._draining:
-            candidates.insert(0, self._own_candidate(work))
-        if not candidates:
-            return _draining()
-        chosen = self._placement.choose(candidates)
-        peer = self.peers.get(chosen.target_id)
-        if chosen.is_own or peer is None:
-            return await self.run_here(work, dispatch)
-        outcome = await self._run_at_peer(peer, chosen, work, dispatch)
-        if dispatch.started:
-            return outcome
-        if _is_kind(outcome, core.ErrorKind.OVERLOADED):
-            return outcome
-        return await self.run_here(work, dispatch)
+        """Runs work at the target that placement chooses.
+
+        A peer that is busier than its report said refuses at once, and
+        placement chooses again; the last choice is taken as it is.
+        """
+        refused: set[str] = set()
+        while True:
+            candidates = self._candidates(work, refused)
+            if not candidates:
+                return _draining()
+            chosen = self._placement.choose(candidates)
+            peer = self.peers.get(chosen.target_id)
+            if chosen.is_own or peer is None:
+                return await self.run_here(work, dispatch)
+            last = len(refused) >= _MAX_REFUSALS
+            outcome = await self._run_at_peer(
+                peer, chosen, work, dispatch, last
+            )
+            if dispatch.started or last or not _may_move(outcome):
+                return outcome
+            refused.add(chosen.target_id)
+
+    def _candidates(
+        self, work: _work.Work, refused: set[str]
+    ) -> list[_targets.Candidate]:
+        own = [] if self._draining else [self._own_candidate(work)]
+        peers = self.peers.candidates(work.treatment.size)
+        return own + [c for c in peers if c.target_id not in refused]
 
     def _own_candidate(self, work: _work.Work) -> _targets.Candidate:
         times = self.service_times
@@ -156,6 +173,7 @@
         chosen: _targets.Candidate,
         work: _work.Work,
         dispatch: Dispatch,
+        last: bool,
     ) -> core.Outcome[_work.Response]:
         now_ms = self._clock.now_ms()
         refusal = self.admission.check(
@@ -169,6 +187,7 @@
             executor=peer.info.incarnation,
             stamp_ms=peer.clock_ms(now_ms),
             remaining_ms=work.deadline_ms - now_ms,
+            max_wait_ms=_ANY_WAIT_MS if last else _wait_limit_ms(chosen),
             work=work,
         )
         peer.record_sent(now_ms, chosen.service_ms)
@@ -191,10 +210,17 @@
             raise
         if _is_not_run(outcome):
             dispatch.started = False
+            if isinstance(outcome, core.Failure) and outcome.retry_after_ms:
+                peer.record_refused(
+                    self._clock.now_ms(), outcome.retry_after_ms
+                )
         return outcome
 
     async def run_here(
-        self, work: _work.Work, dispatch: Dispatch
+        self,
+        work: _work.Work,
+        dispatch: Dispatch,
+        max_wait_ms: float = _ANY_WAIT_MS,
     ) -> core.Outcome[_work.Response]:
         """Runs work at this target, when it is admitted."""
         if self._draining:
@@ -203,6 +229,12 @@
         expected_ms = self.service_times.expected_ms(work.treatment)
         entry = self._queue.make_entry(work, expected_ms, now_ms)
         wait_ms = self.slots.expected_wait_ms(entry)
+        if wait_ms > max_wait_ms:
+            return core.Failure(
+                core.ErrorKind.OVERLOADED,
+                "the target is busier than its report said",
+                retry_after_ms=round(wait_ms),
+            )
         refusal = self.admission.check(work, wait_ms, expected_ms, now_ms)
         if refusal is None:
             refusal = await self.slots.acquire(entry)
@@ -248,10 +280,18 @@
         )
 
 
-def _is_kind(
-    outcome: core.Outcome[_work.Response], kind: core.ErrorKind
-) -> bool:
-    return isinstance(outcome, core.Failure) and outcome.kind is kind
+def _wait_limit_ms(chosen: _targets.Candidate) -> float:
+    return chosen.wait_ms + chosen.service_ms * _WAIT_TOLERANCE_RATIO
+
+
+def _may_move(outcome: core.Outcome[_work.Response]) -> bool:
+    """Returns whether another target may still run refused work."""
+    return isinstance(outcome, core.Failure) and outcome.kind in (
+        core.ErrorKind.OVERLOADED,
+        core.ErrorKind.DRAINING,
+        core.ErrorKind.INSTANCE_UNREACHABLE,
+        core.ErrorKind.BACKEND_REFUSED,
+    )
 
 
 def _is_not_run(outcome: core.Outcome[_work.Response]) -> bool:
--- a/libs/requests/src/fireflyford/requests/_slots.py
+++ b/libs/requests/src/fireflyford/requests/_slots.py
@@ -7,8 +7,8 @@
 from fireflyford import config
 from fireflyford import core
 from fireflyford.requests import _queue
+from fireflyford.requests import _targets
 
-_UTILIZATION_PERIOD_MS = 500.0
 _LOAD_PERIOD_MS = 4_000.0
 # Running work that has exceeded its expected time is expected to need this
 # part of it again.
@@ -65,7 +65,7 @@
         self._waiters: dict[
             _queue.Entry, asyncio.Future[core.Failure | None]
         ] = {}
-        self._utilization = DecayingMean(clock, _UTILIZATION_PERIOD_MS)
+        self._utilization = DecayingMean(clock, _targets.UTILIZATION_PERIOD_MS)
         self._load = {
             size: DecayingMean(clock, _LOAD_PERIOD_MS)
             for size in config.SizeClass
--- a/libs/requests/src/fireflyford/requests/_targets.py
+++ b/libs/requests/src/fireflyford/requests/_targets.py
@@ -7,6 +7,9 @@
 
 # A report older than this says nothing about a queue of short work.
 STALE_REPORT_MS = 600
+# Use of slots is averaged over this period: long against a request, short
+# against the second in which imbalance is judged.
+UTILIZATION_PERIOD_MS = 300.0
 # The peer handles handed-over work in this time or not at all.
 HANDOFF_WINDOW_MS = 10_000
 
@@ -136,6 +139,19 @@
         """Notes work that the last report does not include."""
         self._sent_ms.append((now_ms, service_ms))
 
+    def record_refused(self, now_ms: int, wait_ms: float) -> None:
+        """Takes the wait that the peer stated when it refused work."""
+        if self.report is None:
+            return
+        age_ms = now_ms - self.received_ms
+        # Reports are aged by the time since they came, so it is added here.
+        self.report = dataclasses.replace(
+            self.report,
+            idle_count=0,
+            short_wait_ms=wait_ms + age_ms,
+            long_wait_ms=max(wait_ms + age_ms, self.report.long_wait_ms),
+        )
+
     def clock_ms(self, now_ms: int) -> int:
         """Returns a time on the peer's clock that it has reached already."""
         assert self.report is not None
@@ -162,9 +178,9 @@
         wait_ms = report.wait_ms(size) - age_ms
         if not free:
             wait_ms += unseen_ms / report.slot_count
-        decay = max(0.0, 1 - age_ms / STALE_REPORT_MS)
-        busy = report.utilization_ratio * decay
-        busy += len(self._sent_ms) / report.slot_count / 10
+        # Work handed over since the report adds to the use that it will show.
+        busy = report.utilization_ratio
+        busy += unseen_ms / report.slot_count / UTILIZATION_PERIOD_MS
         return Candidate(
             target_id=self.info.target_id,
             is_own=False,
