--- a/libs/agent/src/fireflyford/agent/_connection.py
+++ b/libs/agent/src/fireflyford/agent/_connection.py
@@ -13,6 +13,7 @@
 
 from fireflyford import caller
 from fireflyford import core
+from fireflyford import requests
 from fireflyford import telemetry
 from fireflyford.agent import _quic
 from fireflyford.agent import _return_path
@@ -184,7 +185,7 @@
                 await self._step()
         finally:
             for task in self._tasks.values():
-                task.cancel()
+                task.cancel(requests.CONNECTION_LOST)
 
     async def _step(self) -> None:
         loop = asyncio.get_running_loop()
--- a/libs/agent/src/fireflyford/agent/_process.py
+++ b/libs/agent/src/fireflyford/agent/_process.py
@@ -22,10 +22,12 @@
 from fireflyford.agent import _datagram
 from fireflyford.agent import _endpoint
 from fireflyford.agent import _feeds
+from fireflyford.agent import _peer
 from fireflyford.agent import _peers
 from fireflyford.agent import _readiness
 from fireflyford.agent import _ring_peers
 from fireflyford.agent import _service
+from fireflyford.agent import _ticket_codec
 from fireflyford.agent import _tls
 
 _DRAIN_POLL_MS = 50
@@ -64,7 +66,15 @@
         self._peers = _peers.Peers(self._membership, member, clock)
         backend_address = core.Address.parse(options.backend_address)
         backend = _backend.Backend(clock, backend_address)
-        self._engine = requests.Engine(clock, backend, options.slot_count)
+        self._executors = _peer.PynngPeers(clock, options.link_key)
+        self._engine = requests.Engine(
+            clock,
+            backend,
+            options.slot_count,
+            requests.ExpectedCompletion(random.SystemRandom()),
+            _peer_info(member),
+            self._executors,
+        )
         self._backend_watch = _backend_watch.BackendWatch(
             clock, backend_address
         )
@@ -75,7 +85,11 @@
             lambda: len(self._peers.alive()),
         )
         self._handler = _service.ServiceHandler(
-            clock, service, self._engine, self._feeds
+            clock,
+            service,
+            self._engine,
+            self._feeds,
+            _ticket_codec.TicketCodec(options.link_key),
         )
         self._stopping = asyncio.Event()
         self._flows: _datagram.DatagramFlows | None = None
@@ -137,9 +151,14 @@
             self._clock, core.Address.parse(self._options.backend_address)
         )
         telemetry.log("started", role="agent", service=self._options.service)
+        self._membership.on_change(self._take_view)
+        server = _peer.PeerServer(
+            self._clock, self._options.link_key, self._engine
+        )
         tasks = [
             asyncio.create_task(self._membership.run()),
             asyncio.create_task(self._backend_watch.run()),
+            asyncio.create_task(server.run(link)),
         ]
         if self._flows is not None:
             tasks.append(asyncio.create_task(self._flows.run()))
@@ -147,9 +166,21 @@
         await self._drain()
         for task in tasks:
             task.cancel()
+        self._engine.close()
+        self._executors.close()
         status.stop()
         telemetry.log("stopped", role="agent")
 
+    def _take_view(self, view: membership.View) -> None:
+        """Gives the engine its peers; tickets may still name others."""
+        self._engine.set_peers(
+            [
+                _peer_info(member)
+                for member in view.targets(self._options.service)
+                if member.instance_id != self._options.instance_id
+            ]
+        )
+
     async def _drain(self) -> None:
         limit_ms = self._clock.now_ms() + self._options.drain_limit_ms
         self._membership.update(state=membership.State.DRAINING)
@@ -185,9 +216,14 @@
 
     def _busy_count(self) -> int:
         flow_count = 0 if self._flows is None else self._flows.open_count
-        return flow_count + sum(
-            connection.request_count
-            for connection in self._endpoint.connections
+        peer_count = self._engine.pending_count
+        return (
+            flow_count
+            + peer_count
+            + sum(
+                connection.request_count
+                for connection in self._endpoint.connections
+            )
         )
 
     def _relay_target(self, destination: bytes) -> core.Address | None:
@@ -226,6 +262,7 @@
         meter.count("resumed_feeds", lambda: self._feeds.resumed_count)
         meter.gauge("open_feeds", lambda: self._feeds.feed_count)
         meter.gauge("requests_in_flight", lambda: self._engine.in_flight_count)
+        _admission_metrics(meter, self._engine)
         return meter
 
     def _status(self) -> dict[str, object]:
@@ -248,9 +285,32 @@
                 else vars(self._flows.counters)
                 | {"open_count": self._flows.open_count}
             ),
+            "admission": self._engine.status(),
         }
 
 
+def _admission_metrics(meter: telemetry.Meter, engine: requests.Engine) -> None:
+    runner = engine.runner
+    admission = runner.admission
+    meter.count("requests_admitted", lambda: admission.admitted_count)
+    meter.count("requests_refused", lambda: admission.refused_count)
+    meter.count("requests_handed_over", lambda: runner.handed_over_count)
+    meter.gauge("requests_running", lambda: runner.slots.running_count)
+    meter.gauge("requests_queued", lambda: runner.slots.queued_count)
+    meter.gauge("slot_utilization", runner.slots.utilization)
+    meter.gauge("request_records", lambda: len(engine.records))
+
+
+def _peer_info(member: membership.Member) -> requests.PeerInfo:
+    return requests.PeerInfo(
+        target_id=member.instance_id,
+        address=member.link_address,
+        incarnation=member.incarnation,
+        availability_zone=member.availability_zone,
+        draining=member.state is membership.State.DRAINING,
+    )
+
+
 def _own_member(
     options: settings.AgentSettings, clock: core.Clock
 ) -> membership.Member:
--- a/libs/agent/src/fireflyford/agent/_service.py
+++ b/libs/agent/src/fireflyford/agent/_service.py
@@ -7,6 +7,7 @@
 from fireflyford import requests
 from fireflyford.agent import _connection
 from fireflyford.agent import _feeds
+from fireflyford.agent import _ticket_codec
 
 DEADLINE_HEADER = "fireflyford-deadline-ms"
 TICKET_HEADER = "fireflyford-ticket"
@@ -24,6 +25,7 @@
         service: config.Service,
         engine: requests.Engine,
         feeds: _feeds.FeedServer,
+        tickets: _ticket_codec.TicketCodec,
     ) -> None:
         """Prepares the handler.
 
@@ -32,11 +34,13 @@
             service: Treatments of the service.
             engine: Runs requests.
             feeds: Serves feeds.
+            tickets: Encodes tickets.
         """
         self._clock = clock
         self.service = service
         self._engine = engine
         self._feeds = feeds
+        self._tickets = tickets
 
     async def handle(
         self,
@@ -64,7 +68,7 @@
         treatment: config.Treatment,
         response: _connection.ResponseStream,
     ) -> None:
-        outcome = await self._engine.submit(self._work(request, treatment))
+        outcome = await self._submit(request, treatment)
         if isinstance(outcome, core.Failure):
             await self._refuse(response, outcome)
             return
@@ -73,6 +77,7 @@
             *answer.headers,
             ("content-length", str(len(answer.body))),
             (OUTCOME_HEADER, "complete"),
+            self._fresh_ticket(),
         )
         response.start(answer.status_code, headers)
         for start in range(0, len(answer.body), _WRITE_BYTES):
@@ -80,6 +85,22 @@
             await response.write(part, end=False)
         await response.write(b"", end=True)
 
+    async def _submit(
+        self, request: _connection.Request, treatment: config.Treatment
+    ) -> core.Outcome[requests.Response]:
+        text = dict(request.headers).get(TICKET_HEADER, "")
+        ticket: requests.Ticket | None = None
+        if text and not treatment.idempotent:
+            decoded = self._tickets.decode(text)
+            if isinstance(decoded, core.Failure):
+                return decoded
+            ticket = decoded.value
+        return await self._engine.submit(self._work(request, treatment), ticket)
+
+    def _fresh_ticket(self) -> tuple[str, str]:
+        ticket = self._engine.issuer.issue()
+        return (TICKET_HEADER, self._tickets.encode(ticket))
+
     def _work(
         self, request: _connection.Request, treatment: config.Treatment
     ) -> requests.Work:
@@ -98,7 +119,6 @@
             caller=str(request.caller),
             arrived_ms=now_ms,
             deadline_ms=now_ms + limit_ms,
-            ticket=fields.get(TICKET_HEADER, ""),
         )
 
     async def _refuse(
@@ -114,6 +134,7 @@
                 (OUTCOME_HEADER, answer.execution.value),
                 ("fireflyford-error", failure.kind.value),
                 (RETRY_AFTER_HEADER, str(failure.retry_after_ms)),
+                self._fresh_ticket(),
             ),
         )
         await response.write(body, end=True)
--- a/libs/caller/src/fireflyford/caller/__init__.py
+++ b/libs/caller/src/fireflyford/caller/__init__.py
@@ -1,7 +1,6 @@
 """Caller library: requests and feeds that resume."""
 
 from fireflyford.caller._client import Client
-from fireflyford.caller._client import Reply
 from fireflyford.caller._connection import CALLER_HEADER
 from fireflyford.caller._connection import Connection
 from fireflyford.caller._connection import open_connection
@@ -9,6 +8,7 @@
 from fireflyford.caller._feeds import FeedEvent
 from fireflyford.caller._feeds import FeedRefusedError
 from fireflyford.caller._feeds import FeedReport
+from fireflyford.caller._requests import Reply
 from fireflyford.caller._session import Session
 
 __all__ = [
