Add the store, pushes by compare-and-swap, and following

Cause: configurations could only be given as files at start.

Change: a client of the etcd v3 JSON gateway; pushes that swap the head together with record and audit entry; followers that read the store on three balancers of each region and pull from peers otherwise; check and compare of deployments; a stand-in store with faults for tests.

--- /dev/null
+++ b/libs/agent/src/fireflyford/agent/_configuration.py
@@ -0,0 +1,45 @@
+"""Configuration of an agent: its own service's part, pulled from balancers."""
+
+from collections.abc import Sequence
+
+from fireflyford import core
+from fireflyford import membership
+from fireflyford import settings
+from fireflyford import store
+
+
+class AgentPeers(store.Peers):
+    """Following through the membership of an agent, never from the store."""
+
+    def __init__(
+        self, options: settings.AgentSettings, members: membership.Membership
+    ) -> None:
+        """Takes settings and membership of the agent."""
+        self._options = options
+        self._members = members
+
+    def is_reader(self) -> bool:
+        """Returns False; agents leave the store alone."""
+        return False
+
+    def sources(self, above: int) -> Sequence[store.Source]:
+        """Returns the balancers that announce a higher version."""
+        return [
+            store.Source(
+                member.instance_id, member.bulk_address, member.config_version
+            )
+            for member in self._members.view().balancers()
+            if member.config_version > above
+        ]
+
+    def announce(self, version: int) -> None:
+        """Announces a version in this agent's own record."""
+        self._members.update(config_version=version)
+
+    async def pull(
+        self, source: store.Source, payload: bytes
+    ) -> core.Outcome[bytes]:
+        """Calls a balancer."""
+        return await membership.fetch(
+            source.address, self._options.link_key, store.TOPIC, payload
+        )
--- a/libs/agent/src/fireflyford/agent/_process.py
+++ b/libs/agent/src/fireflyford/agent/_process.py
@@ -14,9 +14,11 @@
 from fireflyford import membership
 from fireflyford import requests
 from fireflyford import settings
+from fireflyford import store
 from fireflyford import telemetry
 from fireflyford import wire
 from fireflyford.agent import _backend
+from fireflyford.agent import _configuration
 from fireflyford.agent import _endpoint
 from fireflyford.agent import _service
 
@@ -74,6 +76,13 @@
             handler=self._handler,
             relay_target=self._relay_target,
         )
+        self._follower = store.Follower(
+            clock,
+            self._rng,
+            _configuration.AgentPeers(options, self._membership),
+            self._apply_deployment,
+            service=options.service,
+        )
         self._stopping = asyncio.Event()
 
     async def run(self) -> None:
@@ -95,13 +104,24 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_signal)
         telemetry.log("started", role="agent", service=self._options.service)
-        member_task = asyncio.create_task(self._membership.run())
+        self._membership.on_change(lambda _: self._follower.notify())
+        tasks = [
+            asyncio.create_task(self._membership.run()),
+            asyncio.create_task(self._follower.run()),
+        ]
         await self._stopping.wait()
         await self._drain()
-        member_task.cancel()
+        for task in tasks:
+            task.cancel()
         status.stop()
         telemetry.log("stopped", role="agent")
 
+    def _apply_deployment(self, deployment: config.Deployment) -> None:
+        service = deployment.service(self._options.service)
+        # Without its service an agent goes on with the last treatments.
+        if service is not None:
+            self._handler.service = service
+
     async def _drain(self) -> None:
         start_ms = self._clock.now_ms()
         self._membership.update(state=membership.State.DRAINING)
@@ -164,6 +184,7 @@
             "feeds": self._handler.feed_count,
             "in_flight": self._engine.in_flight_count,
             "counters": vars(self._endpoint.counters),
+            "config": self._follower.status(),
         }
 
 
--- a/libs/balancer/src/fireflyford/balancer/_process.py
+++ b/libs/balancer/src/fireflyford/balancer/_process.py
@@ -5,12 +5,15 @@
 import signal
 import sys
 
+from fireflyford import config
 from fireflyford import core
 from fireflyford import membership
 from fireflyford import routing
 from fireflyford import settings
+from fireflyford import store
 from fireflyford import telemetry
 from fireflyford import wire
+from fireflyford.balancer import _configuration
 from fireflyford.balancer import _forwarder
 
 # Time for the fabric and the agents to stop using a balancer that leaves.
@@ -45,6 +48,16 @@
             _own_member(options, clock),
             [core.Address.parse(seed) for seed in options.seeds],
         )
+        self._bulk = membership.BulkServer(options.link_key)
+        self._deployment: config.Deployment | None = None
+        self._follower = store.Follower(
+            clock,
+            random.SystemRandom(),
+            _configuration.BalancerPeers(options, self._membership),
+            self._apply_deployment,
+            _configuration.make_config_store(options, clock),
+        )
+        self._bulk.register(store.TOPIC, self._follower.answer)
         self._stopping = asyncio.Event()
 
     async def run(self) -> None:
@@ -58,27 +71,48 @@
             ready=lambda: not self._stopping.is_set(),
             status=self._status,
             drain=self._stopping.set,
+            pages={"/config": self._follower.text},
         )
         self._handle_signals()
         telemetry.log("started", role="balancer")
-        member_task = asyncio.create_task(self._membership.run())
+        bulk = core.Address.parse(self._options.bulk_address)
+        tasks = [
+            asyncio.create_task(self._membership.run()),
+            asyncio.create_task(self._bulk.run(bulk)),
+            asyncio.create_task(self._follower.run()),
+        ]
         await self._stopping.wait()
         self._membership.update(state=membership.State.DRAINING)
         await self._clock.sleep(LEAVE_DELAY_MS)
         self._membership.update(state=membership.State.LEFT)
-        member_task.cancel()
+        for task in tasks:
+            task.cancel()
         status.stop()
         telemetry.log("stopped", role="balancer")
 
+    def _apply_deployment(self, deployment: config.Deployment) -> None:
+        self._deployment = deployment
+        self._apply_view(self._membership.view())
+
+    def _accepts_flows(self, service: str) -> bool:
+        """Whether the configuration lets a service take new flows."""
+        if self._deployment is None:
+            return True
+        known = self._deployment.service(service)
+        return known is not None and not known.draining
+
     def _apply_view(self, view: membership.View) -> None:
+        self._follower.notify()
         for service, router in self._routers.items():
+            accepts_flows = self._accepts_flows(service)
             router.replace_targets(
                 routing.Target(
                     name=member.instance_id,
                     address=member.link_address,
                     incarnation=member.link_incarnation,
                     weight=member.weight,
-                    accepts_flows=member.state is membership.State.ALIVE,
+                    accepts_flows=accepts_flows
+                    and member.state is membership.State.ALIVE,
                 )
                 for member in view.targets(service)
             )
@@ -136,6 +170,7 @@
             lambda: self._channel.received_bytes,
             "By",
         )
+        meter.gauge("config_version", lambda: self._follower.version)
         return meter
 
     def _status(self) -> dict[str, object]:
@@ -145,12 +180,16 @@
             "role": "balancer",
             "draining": self._stopping.is_set(),
             "counters": vars(self._counters),
+            "config": self._follower.status(),
             "members": {
                 name: {
                     "role": member.role.value,
                     "service": member.service,
                     "state": member.state.name.lower(),
                     "weight": member.weight,
+                    "availability_zone": member.availability_zone,
+                    "incarnation": member.link_incarnation,
+                    "config_version": member.config_version,
                     "link_address": str(member.link_address),
                     "status_address": str(member.status_address),
                 }
--- a/libs/config/src/fireflyford/config/__init__.py
+++ b/libs/config/src/fireflyford/config/__init__.py
@@ -1,7 +1,11 @@
 """Operators' configuration library: describe and print a deployment."""
 
+from fireflyford.config._check import check
+from fireflyford.config._compare import compare
+from fireflyford.config._compare import find_stranded
 from fireflyford.config._text import parse
 from fireflyford.config._text import render
+from fireflyford.config._types import FORMAT
 from fireflyford.config._types import AvailabilityZone
 from fireflyford.config._types import CrestPolicy
 from fireflyford.config._types import Deployment
@@ -14,6 +18,7 @@
 from fireflyford.config._types import Treatment
 
 __all__ = [
+    "FORMAT",
     "AvailabilityZone",
     "CrestPolicy",
     "Deployment",
@@ -24,6 +29,9 @@
     "SizeClass",
     "Transport",
     "Treatment",
+    "check",
+    "compare",
+    "find_stranded",
     "parse",
     "render",
 ]
--- a/libs/config/src/fireflyford/config/_types.py
+++ b/libs/config/src/fireflyford/config/_types.py
@@ -3,6 +3,9 @@
 import dataclasses
 import enum
 
+# Raised when a text stops being readable by instances of the version before.
+FORMAT = 1
+
 
 class Kind(enum.Enum):
     """Shape of the work behind a path."""
@@ -82,6 +85,9 @@
         transport: What callers speak.
         callers: Names in caller certificates that may use the service;
             empty means everyone.
+        draining: Whether the service takes no new flows any more. A service
+            is removed, or moved to another address, only after a
+            configuration in which it was draining.
     """
 
     name: str
@@ -92,6 +98,7 @@
     treatments: tuple[Treatment, ...] = ()
     transport: Transport = Transport.QUIC
     callers: tuple[str, ...] = ()
+    draining: bool = False
 
     def treatment(self, method: str, path: str) -> Treatment | None:
         """Returns the first treatment that matches, or None."""
@@ -129,11 +136,20 @@
 
 @dataclasses.dataclass(frozen=True)
 class Deployment:
-    """Everything that an operator promises, in one readable value."""
+    """Everything that an operator promises, in one readable value.
+
+    Attributes:
+        name: Name of the deployment.
+        regions: Regions with their zones and delays.
+        services: Services behind their addresses.
+        format: Format number of the text; an instance holds back a text with
+            a higher number than its own.
+    """
 
     name: str
     regions: tuple[Region, ...]
     services: tuple[Service, ...]
+    format: int = FORMAT
 
     def service(self, name: str) -> Service | None:
         """Returns the service of that name, or None."""
@@ -141,3 +157,10 @@
             if service.name == name:
                 return service
         return None
+
+    def only(self, service_name: str) -> "Deployment":
+        """Returns the part that the agents of one service need."""
+        kept = tuple(
+            service for service in self.services if service.name == service_name
+        )
+        return dataclasses.replace(self, services=kept)
--- a/libs/lab/src/fireflyford/lab/_commands.py
+++ b/libs/lab/src/fireflyford/lab/_commands.py
@@ -9,6 +9,7 @@
 
 from fireflyford.lab import _backend
 from fireflyford.lab import _demo
+from fireflyford.lab import _store_server
 from fireflyford.lab import experiments
 
 
@@ -19,6 +20,7 @@
         """Lists the commands that other modules implement."""
         self.backend = _backend.run_backend
         self.demo = _demo.run_demo
+        self.store = _store_server.run_store
 
     def list(self) -> None:
         """Lists the experiments."""
--- a/libs/lab/src/fireflyford/lab/_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_fleet.py
@@ -75,6 +75,8 @@
         )
         self.deployment = dataclasses.replace(deployment, services=services)
         self.fabric = _fabric.Fabric(rng)
+        self.store_address = free_address()
+        self.store_process: subprocess.Popen[bytes] | None = None
         self.balancers: dict[str, BalancerProcess] = {}
         self.targets: dict[str, Target] = {}
         self._config_path = self._directory / "config.json"
@@ -84,6 +86,7 @@
         """Starts all processes and waits until the balancers see them."""
         for service in self.deployment.services:
             _certificates.make_certificate(self._directory, service.name)
+        self._start_store()
         for _ in range(self._balancer_count):
             self.start_balancer()
         for service in self.deployment.services:
@@ -94,6 +97,12 @@
             )
         await self.settle()
 
+    def _start_store(self) -> None:
+        self.store_process = subprocess.Popen(
+            [*_lab_command(), "store", str(self.store_address)],
+            stderr=(self._directory / "store.log").open("wb"),
+        )
+
     def start_balancer(self) -> BalancerProcess:
         """Starts one more balancer."""
         name = self._next_name("balancer")
@@ -210,6 +219,8 @@
         processes = [item.process for item in self.balancers.values()]
         for target in self.targets.values():
             processes += [target.agent, target.backend]
+        if self.store_process is not None:
+            processes.append(self.store_process)
         for process in processes:
             if process.poll() is None:
                 process.kill()
@@ -235,6 +246,7 @@
             "seeds": [
                 str(item.control_address) for item in self.balancers.values()
             ],
+            "store_addresses": [str(self.store_address)],
             "config_path": str(self._config_path),
         }
 
--- a/libs/store/src/fireflyford/store/__init__.py
+++ b/libs/store/src/fireflyford/store/__init__.py
@@ -1,1 +1,47 @@
-"""Client of the platform's key-value service."""
+"""Client of the platform's key-value service, and configuration kept there."""
+
+from fireflyford.store._config_store import MAX_VALUE_BYTES
+from fireflyford.store._config_store import Accepted
+from fireflyford.store._config_store import ConfigState
+from fireflyford.store._config_store import ConfigStore
+from fireflyford.store._config_store import Push
+from fireflyford.store._etcd import EtcdStore
+from fireflyford.store._follower import READER_COUNT
+from fireflyford.store._follower import READER_KEY
+from fireflyford.store._follower import TOPIC
+from fireflyford.store._follower import Follower
+from fireflyford.store._follower import Peers
+from fireflyford.store._follower import Source
+from fireflyford.store._record import AuditEntry
+from fireflyford.store._record import Record
+from fireflyford.store._store import Commit
+from fireflyford.store._store import DeleteRange
+from fireflyford.store._store import Entry
+from fireflyford.store._store import Expectation
+from fireflyford.store._store import Reading
+from fireflyford.store._store import Store
+from fireflyford.store._store import Write
+
+__all__ = [
+    "MAX_VALUE_BYTES",
+    "READER_COUNT",
+    "READER_KEY",
+    "TOPIC",
+    "Accepted",
+    "AuditEntry",
+    "Commit",
+    "ConfigState",
+    "ConfigStore",
+    "DeleteRange",
+    "Entry",
+    "EtcdStore",
+    "Expectation",
+    "Follower",
+    "Peers",
+    "Push",
+    "Reading",
+    "Record",
+    "Source",
+    "Store",
+    "Write",
+]
--- /dev/null
+++ b/libs/store/src/fireflyford/store/_etcd.py
@@ -0,0 +1,344 @@
+"""Client of the etcd v3 JSON gateway.
+
+Source: https://etcd.io/docs/v3.5/dev-guide/api_grpc_gateway/. Keys and values
+are base64, which `msgspec` applies to every `bytes` field; 64-bit integers are
+strings.
+"""
+
+import asyncio
+import collections
+from collections.abc import AsyncIterator
+from collections.abc import Sequence
+import dataclasses
+from typing import Any
+from typing import TypeVar
+
+import msgspec
+from tornado import httpclient
+
+from fireflyford import core
+from fireflyford.store import _store
+
+T = TypeVar("T")
+
+# Answers of the store take milliseconds; a second means that it is in trouble.
+TIMEOUT_MS = 1_000
+CONNECT_TIMEOUT_MS = 500
+# A watch and a few calls at the same time.
+_MAX_CLIENTS = 16
+_WATCH_PATH = "/v3/watch"
+
+
+@dataclasses.dataclass(frozen=True)
+class _Header:
+    revision: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class _KeyValue:
+    key: bytes = b""
+    value: bytes = b""
+    mod_revision: int = 0
+
+    def entry(self) -> _store.Entry:
+        return _store.Entry(self.key.decode(), self.value, self.mod_revision)
+
+
+@dataclasses.dataclass(frozen=True)
+class _RangeReply:
+    header: _Header = _Header()
+    kvs: tuple[_KeyValue, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class _TxnReply:
+    header: _Header = _Header()
+    succeeded: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class _LeaseReply:
+    ID: int = 0
+    TTL: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class _KeepAliveReply:
+    result: _LeaseReply = _LeaseReply()
+
+
+@dataclasses.dataclass(frozen=True)
+class _EmptyReply:
+    pass
+
+
+@dataclasses.dataclass(frozen=True)
+class _Event:
+    kv: _KeyValue = _KeyValue()
+    type: str = "PUT"
+
+
+@dataclasses.dataclass(frozen=True)
+class _WatchResult:
+    header: _Header = _Header()
+    events: tuple[_Event, ...] = ()
+    canceled: bool = False
+    cancel_reason: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class _WatchReply:
+    result: _WatchResult | None = None
+
+
+class EtcdStore(_store.Store):
+    """Store behind one or more gateways, tried in turn."""
+
+    def __init__(
+        self,
+        gateways: Sequence[core.Address],
+        timeout_ms: int = TIMEOUT_MS,
+    ) -> None:
+        """Takes the addresses of the gateways.
+
+        Raises:
+            ValueError: No gateway is given.
+        """
+        if not gateways:
+            raise ValueError("the store needs at least one gateway address")
+        self._gateways = tuple(gateways)
+        self._preferred = 0
+        self._timeout_ms = timeout_ms
+        self._client: httpclient.AsyncHTTPClient | None = None
+        self.call_counts: collections.Counter[str] = collections.Counter()
+
+    async def read(
+        self, prefix: str, limit: int = 0, newest_first: bool = False
+    ) -> core.Outcome[_store.Reading]:
+        """Reads through /v3/kv/range, linearizable."""
+        body = {
+            "key": prefix.encode(),
+            "range_end": _store.prefix_end(prefix).encode(),
+            "limit": str(limit),
+            "sort_order": "DESCEND" if newest_first else "ASCEND",
+            "sort_target": "KEY",
+        }
+        reply = await self._call("/v3/kv/range", body, _RangeReply)
+        if isinstance(reply, core.Failure):
+            return reply
+        entries = tuple(item.entry() for item in reply.value.kvs)
+        return core.Ok(_store.Reading(entries, reply.value.header.revision))
+
+    async def commit(
+        self,
+        expectations: Sequence[_store.Expectation],
+        writes: Sequence[_store.Write | _store.DeleteRange],
+    ) -> core.Outcome[_store.Commit]:
+        """Writes through /v3/kv/txn."""
+        body = {
+            "compare": [_encode_expectation(item) for item in expectations],
+            "success": [_encode_write(item) for item in writes],
+        }
+        reply = await self._call("/v3/kv/txn", body, _TxnReply, writes=True)
+        if isinstance(reply, core.Failure):
+            return reply
+        value = reply.value
+        return core.Ok(_store.Commit(value.succeeded, value.header.revision))
+
+    async def grant_lease(self, duration_s: int) -> core.Outcome[int]:
+        """Grants through /v3/lease/grant."""
+        body = {"TTL": str(duration_s), "ID": "0"}
+        reply = await self._call(
+            "/v3/lease/grant", body, _LeaseReply, writes=True
+        )
+        if isinstance(reply, core.Failure):
+            return reply
+        return core.Ok(reply.value.ID)
+
+    async def keep_lease(self, lease_id: int) -> core.Outcome[bool]:
+        """Renews through /v3/lease/keepalive."""
+        body = {"ID": str(lease_id)}
+        reply = await self._call("/v3/lease/keepalive", body, _KeepAliveReply)
+        if isinstance(reply, core.Failure):
+            return reply
+        return core.Ok(reply.value.result.TTL > 0)
+
+    async def revoke_lease(self, lease_id: int) -> core.Outcome[None]:
+        """Revokes through /v3/kv/lease/revoke."""
+        body = {"ID": str(lease_id)}
+        reply = await self._call(
+            "/v3/kv/lease/revoke", body, _EmptyReply, writes=True
+        )
+        return reply if isinstance(reply, core.Failure) else core.Ok(None)
+
+    async def watch(
+        self, prefix: str, start_revision: int, limit_ms: int
+    ) -> AsyncIterator[core.Outcome[_store.Reading]]:
+        """Watches through the stream of /v3/watch."""
+        lines: asyncio.Queue[bytes | None] = asyncio.Queue()
+        stream = asyncio.ensure_future(
+            self._stream(prefix, start_revision, limit_ms, lines)
+        )
+        try:
+            while (line := await lines.get()) is not None:
+                reading = _decode_watch(line)
+                yield reading
+                if isinstance(reading, core.Failure):
+                    return
+            failure = await stream
+            if failure is not None:
+                yield failure
+        finally:
+            stream.cancel()
+
+    async def _stream(
+        self,
+        prefix: str,
+        start_revision: int,
+        limit_ms: int,
+        lines: asyncio.Queue[bytes | None],
+    ) -> core.Failure | None:
+        create = {
+            "key": prefix.encode(),
+            "range_end": _store.prefix_end(prefix).encode(),
+            "start_revision": str(start_revision),
+        }
+        pending = bytearray()
+
+        def receive(chunk: bytes) -> None:
+            pending.extend(chunk)
+            *complete, rest = bytes(pending).split(b"\n")
+            pending[:] = rest
+            for line in complete:
+                lines.put_nowait(line)
+
+        request = self._request(
+            self._gateways[self._preferred],
+            _WATCH_PATH,
+            {"create_request": create},
+            limit_ms,
+        )
+        request.streaming_callback = receive
+        self.call_counts[_WATCH_PATH] += 1
+        try:
+            await self._http().fetch(request)
+        except (OSError, httpclient.HTTPError) as error:
+            # The client cannot abort a request, so a watch ends by timeout.
+            if "during request" in str(error):
+                return None
+            self._prefer_next()
+            return _unavailable(str(error))
+        finally:
+            lines.put_nowait(None)
+        return _unavailable("the watch was closed")
+
+    async def _call(
+        self,
+        path: str,
+        body: dict[str, Any],
+        kind: type[T],
+        writes: bool = False,
+    ) -> core.Outcome[T]:
+        failure = _unavailable("no gateway")
+        for _ in self._gateways:
+            self.call_counts[path] += 1
+            request = self._request(
+                self._gateways[self._preferred], path, body, self._timeout_ms
+            )
+            try:
+                reply = await self._http().fetch(request)
+                return core.Ok(
+                    msgspec.json.decode(reply.body, type=kind, strict=False)
+                )
+            except msgspec.DecodeError as error:
+                failure = _unavailable(f"unreadable answer: {error}")
+            except (OSError, httpclient.HTTPError) as error:
+                failure = _unavailable(f"{request.url}: {error}")
+                if not writes or _certainly_not_sent(error):
+                    self._prefer_next()
+                    continue
+            if writes:
+                return core.Failure(
+                    core.ErrorKind.STORE_OUTCOME_UNKNOWN,
+                    f"no answer to a write: {failure.message}",
+                )
+        return failure
+
+    def _request(
+        self,
+        gateway: core.Address,
+        path: str,
+        body: dict[str, Any],
+        timeout_ms: int,
+    ) -> httpclient.HTTPRequest:
+        return httpclient.HTTPRequest(
+            f"http://{gateway}{path}",
+            method="POST",
+            body=msgspec.json.encode(body),
+            headers={"Content-Type": "application/json"},
+            connect_timeout=CONNECT_TIMEOUT_MS / 1000,
+            request_timeout=timeout_ms / 1000,
+        )
+
+    def _http(self) -> httpclient.AsyncHTTPClient:
+        if self._client is None:
+            self._client = httpclient.AsyncHTTPClient(
+                force_instance=True, max_clients=_MAX_CLIENTS
+            )
+        return self._client
+
+    def _prefer_next(self) -> None:
+        self._preferred = (self._preferred + 1) % len(self._gateways)
+
+
+def _encode_expectation(item: _store.Expectation) -> dict[str, Any]:
+    body: dict[str, Any] = {"key": item.key.encode(), "result": "EQUAL"}
+    if item.value is None:
+        return body | {"target": "CREATE", "create_revision": "0"}
+    return body | {"target": "VALUE", "value": item.value}
+
+
+def _encode_write(item: _store.Write | _store.DeleteRange) -> dict[str, Any]:
+    if isinstance(item, _store.DeleteRange):
+        return {
+            "request_delete_range": {
+                "key": item.first_key.encode(),
+                "range_end": item.end_key.encode(),
+            }
+        }
+    return {
+        "request_put": {
+            "key": item.key.encode(),
+            "value": item.value,
+            "lease": str(item.lease_id),
+        }
+    }
+
+
+def _decode_watch(line: bytes) -> core.Outcome[_store.Reading]:
+    try:
+        reply = msgspec.json.decode(line, type=_WatchReply, strict=False)
+    except msgspec.DecodeError as error:
+        return _unavailable(f"unreadable watch: {error}")
+    result = reply.result
+    if result is None or result.canceled:
+        reason = "error" if result is None else result.cancel_reason
+        return _unavailable(f"the watch was cancelled: {reason}")
+    entries = tuple(
+        event.kv.entry() for event in result.events if event.type == "PUT"
+    )
+    return core.Ok(_store.Reading(entries, result.header.revision))
+
+
+def _certainly_not_sent(error: Exception) -> bool:
+    return isinstance(error, ConnectionRefusedError) or (
+        "while connecting" in str(error)
+    )
+
+
+def _unavailable(reason: str) -> core.Failure:
+    return core.Failure(
+        core.ErrorKind.STORE_UNAVAILABLE,
+        f"the store does not answer ({reason}); the running configuration "
+        "stays in force, try again later",
+    )
--- /dev/null
+++ b/libs/store/src/fireflyford/store/_follower.py
@@ -0,0 +1,280 @@
+"""Following the configuration in force, without ever going back.
+
+A few readers read and watch the store; every instance pulls what its peers
+announce. All of them pass through `Follower.offer`, the only place where a
+configuration takes effect.
+"""
+
+import abc
+import asyncio
+from collections.abc import Callable
+from collections.abc import Sequence
+import dataclasses
+import random
+
+from fireflyford import config
+from fireflyford import core
+from fireflyford import telemetry
+from fireflyford.store import _config_store
+from fireflyford.store import _record
+
+TOPIC = "config"
+# Key of the rendezvous choice of readers, and how many a region has.
+READER_KEY = "config-reader"
+READER_COUNT = 3
+# A watch that hangs without an error costs at most this much of the 3 s in
+# which a configuration must be in force.
+WATCH_LIMIT_MS = 2_000
+# How soon an instance notices that it has become a reader, and how often a
+# reader asks a store that does not answer.
+_READER_POLL_MS = 500
+# Spreads the pulls of all instances that hear of a version at once.
+_PULL_JITTER_MS = 100
+_FIRST_BACKOFF_MS = 200
+_LAST_BACKOFF_MS = 5_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Source:
+    """A peer that announces a configuration version."""
+
+    name: str
+    address: core.Address
+    version: int
+
+
+class Peers(abc.ABC):
+    """What following needs of membership."""
+
+    @abc.abstractmethod
+    def is_reader(self) -> bool:
+        """Whether this instance reads the store, by its own view."""
+
+    @abc.abstractmethod
+    def sources(self, above: int) -> Sequence[Source]:
+        """Returns peers that announce a version above `above`."""
+
+    @abc.abstractmethod
+    def announce(self, version: int) -> None:
+        """Tells the peers that this instance can hand out a version."""
+
+    @abc.abstractmethod
+    async def pull(self, source: Source, payload: bytes) -> core.Outcome[bytes]:
+        """Calls `Follower.answer` of another instance."""
+
+
+class Follower:
+    """Highest configuration that this instance has seen.
+
+    A record that this instance cannot read is held: it is passed on to peers,
+    but the configuration before it stays in force as a whole.
+    """
+
+    def __init__(
+        self,
+        clock: core.Clock,
+        rng: random.Random,
+        peers: Peers,
+        apply: Callable[[config.Deployment], None],
+        config_store: _config_store.ConfigStore | None = None,
+        service: str = "",
+    ) -> None:
+        """Prepares following.
+
+        Args:
+            clock: Source of time.
+            rng: Spreads and shuffles pulls.
+            peers: Other instances.
+            apply: Puts a deployment in force in this process.
+            config_store: The store, or None for an instance that never reads.
+            service: Follow only this service's part.
+        """
+        self._clock = clock
+        self._rng = rng
+        self._peers = peers
+        self._apply = apply
+        self._config_store = config_store
+        self._service = service
+        self._in_force: _record.Record | None = None
+        self._highest: _record.Record | None = None
+        self._changed = asyncio.Event()
+        self._alarmed_version = -1
+        self.alarm = ""
+        self.stale_answer_count = 0
+
+    @property
+    def version(self) -> int:
+        """Version in force, 0 for the configuration file."""
+        return 0 if self._in_force is None else self._in_force.version
+
+    @property
+    def highest_version(self) -> int:
+        """Highest version seen, higher than `version` when it is held back."""
+        return 0 if self._highest is None else self._highest.version
+
+    def status(self) -> dict[str, object]:
+        """Describes the configuration for the command line."""
+        record = self._in_force
+        return {
+            "version": self.version,
+            "highest_version": self.highest_version,
+            "identity": "" if record is None else record.identity,
+            "author": "" if record is None else record.author,
+            "alarm": self.alarm,
+        }
+
+    def text(self) -> str:
+        """Returns the text in force, empty for the configuration file."""
+        return "" if self._in_force is None else self._in_force.text
+
+    def notify(self) -> None:
+        """Wakes the pull task, because peers may announce a new version."""
+        self._changed.set()
+
+    def offer(self, record: _record.Record, source: str) -> bool:
+        """Puts a record in force if it is newer than all before it.
+
+        Args:
+            record: Record from the store or from a peer.
+            source: Where it came from, for the log.
+
+        Returns:
+            Whether the record was newer.
+        """
+        if record.version <= self.highest_version:
+            return False
+        self._highest = record
+        readable = record.read()
+        if isinstance(readable, core.Failure):
+            self.alarm = f"version {record.version}: {readable.message}"
+            telemetry.log(
+                "config-held-back",
+                version=record.version,
+                kept_version=self.version,
+                reason=readable.message,
+            )
+        else:
+            self._in_force = record
+            self.alarm = ""
+            self._apply(readable.value)
+            telemetry.log(
+                "config-in-force", version=record.version, source=source
+            )
+        self._peers.announce(record.version)
+        return True
+
+    def answer(self, payload: bytes) -> bytes:
+        """Answers a peer's pull with a record, or nothing."""
+        request = _record.decode(payload, _record.PullRequest)
+        record = self._highest
+        if request is None or record is None:
+            return b""
+        if request.service:
+            record = self._part(request.service)
+        if record is None or record.version <= request.above:
+            return b""
+        return _record.encode(record)
+
+    def _part(self, service: str) -> _record.Record | None:
+        record = self._in_force
+        readable = None if record is None else record.read()
+        if record is None or not isinstance(readable, core.Ok):
+            return None
+        part = config.render(readable.value.only(service))
+        return dataclasses.replace(record, text=part)
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._pull_loop())
+            if self._config_store is not None:
+                tasks.create_task(self._read_loop(self._config_store))
+
+    async def _read_loop(self, config_store: _config_store.ConfigStore) -> None:
+        while True:
+            if not self._peers.is_reader():
+                await self._clock.sleep(_READER_POLL_MS)
+                continue
+            revision = await self._read(config_store)
+            if revision is None:
+                await self._clock.sleep(_READER_POLL_MS)
+                continue
+            watch = config_store.watch(revision + 1, WATCH_LIMIT_MS)
+            async for outcome in watch:
+                if isinstance(outcome, core.Ok):
+                    self.offer(outcome.value, "store")
+                else:
+                    await self._clock.sleep(_READER_POLL_MS)
+
+    async def _read(
+        self, config_store: _config_store.ConfigStore
+    ) -> int | None:
+        state = await config_store.read_state()
+        if isinstance(state, core.Failure):
+            return None
+        head = state.value.head
+        if head.version > self.highest_version:
+            record = await config_store.read(head.version)
+            if isinstance(record, core.Failure):
+                return None
+            if record.value is not None:
+                self.offer(record.value, "store")
+        await self._check_store(config_store, state.value)
+        return state.value.revision
+
+    async def _check_store(
+        self,
+        config_store: _config_store.ConfigStore,
+        state: _config_store.ConfigState,
+    ) -> None:
+        """Raises an alarm when the store lost what instances run."""
+        known = self._highest
+        if known is None or state.head.version > known.version:
+            return
+        if state.head == _record.Head(known.version, known.identity):
+            self._alarmed_version = -1
+            return
+        # With another record under the same number, neither number can serve
+        # as a base, so the floor is one above both.
+        same_number = state.head.version == known.version
+        floor = known.version + same_number
+        if self._alarmed_version != state.head.version:
+            self._alarmed_version = state.head.version
+            self.alarm = (
+                f"the store holds version {state.head.version}, which is not "
+                f"what runs ({known.version}); it was restored from an older "
+                f"snapshot: push again with --base {floor}"
+            )
+            telemetry.log(
+                "config-store-went-back",
+                store_version=state.head.version,
+                kept_version=known.version,
+                base_version=floor,
+            )
+        await config_store.raise_floor(state, floor)
+
+    async def _pull_loop(self) -> None:
+        backoff_ms = _FIRST_BACKOFF_MS
+        while True:
+            self._changed.clear()
+            sources = self._peers.sources(self.highest_version)
+            if not sources:
+                await self._changed.wait()
+                continue
+            await self._clock.sleep(self._rng.uniform(0, _PULL_JITTER_MS))
+            if await self._pull(self._rng.choice(sources)):
+                backoff_ms = _FIRST_BACKOFF_MS
+            else:
+                await self._clock.sleep(backoff_ms)
+                backoff_ms = min(2 * backoff_ms, _LAST_BACKOFF_MS)
+
+    async def _pull(self, source: Source) -> bool:
+        request = _record.PullRequest(self.highest_version, self._service)
+        outcome = await self._peers.pull(source, _record.encode(request))
+        if isinstance(outcome, core.Failure):
+            return False
+        record = _record.decode(outcome.value, _record.Record)
+        if record is not None and self.offer(record, source.name):
+            return True
+        self.stale_answer_count += self.highest_version < source.version
+        return False
--- a/libs/telemetry/src/fireflyford/telemetry/_status.py
+++ b/libs/telemetry/src/fireflyford/telemetry/_status.py
@@ -1,6 +1,8 @@
 """Status endpoints of one process, served by tornado."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
+import types
 from typing import Any
 
 from tornado import httpserver
@@ -57,6 +59,19 @@
         self.finish(self._status())
 
 
+class _PageHandler(web.RequestHandler):
+    """A text of the process, for the command line."""
+
+    def initialize(self, read: Callable[[], str]) -> None:
+        """Takes the function that returns the text."""
+        self._read = read
+
+    def get(self) -> None:
+        """Answers with the current text."""
+        self.set_header("Content-Type", "text/plain; charset=utf-8")
+        self.finish(self._read())
+
+
 class _DrainHandler(web.RequestHandler):
     """Starts a graceful shutdown."""
 
@@ -77,6 +92,7 @@
     ready: Callable[[], bool],
     status: Callable[[], dict[str, Any]],
     drain: Callable[[], None],
+    pages: Mapping[str, Callable[[], str]] = types.MappingProxyType({}),
 ) -> httpserver.HTTPServer:
     """Listens for metrics, health, readiness, status and drain requests.
 
@@ -86,6 +102,7 @@
         ready: Whether the process takes new work.
         status: Returns the state for the command line.
         drain: Starts a graceful shutdown.
+        pages: Further texts by path.
 
     Returns:
         The running server; call `stop()` on it at shutdown.
@@ -97,6 +114,10 @@
             ("/readyz", _ReadyHandler, {"ready": ready}),
             ("/status", _StatusHandler, {"status": status}),
             ("/drain", _DrainHandler, {"drain": drain}),
+            *(
+                (path, _PageHandler, {"read": read})
+                for path, read in pages.items()
+            ),
         ],
         log_function=lambda handler: None,
     )
