Check every field of the settings at start

Cause: list elements, listener addresses, files and ranges were not checked, so a wrong setting showed up only when it was used.

Change: one rule for each field; a fault gives file, field and what was expected, for list elements and listeners as well.

--- a/libs/settings/src/fireflyford/settings/_settings.py
+++ b/libs/settings/src/fireflyford/settings/_settings.py
@@ -1,6 +1,7 @@
 """Settings of one process, read from JSON with comments."""
 
 import dataclasses
+import difflib
 import pathlib
 from typing import TypeVar
 
@@ -8,11 +9,10 @@
 import msgspec
 
 from fireflyford import core
+from fireflyford.settings import _checks
 
 S = TypeVar("S", "BalancerSettings", "AgentSettings")
 
-_KEY_BYTES = range(16, 33)
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _InstanceSettings:
@@ -105,39 +105,41 @@
         The settings, or `BAD_SETTINGS` with file, field and what was expected.
     """
     try:
-        raw = json5.loads(pathlib.Path(path).read_text())
+        raw = json5.loads(
+            pathlib.Path(path).read_text(), allow_duplicate_keys=False
+        )
     except (OSError, ValueError) as error:
         return _bad(path, str(error))
     if not isinstance(raw, dict):
         return _bad(path, "expected one object")
     names = {field.name for field in dataclasses.fields(kind)}
-    unknown = sorted(set(raw) - names)
-    if unknown:
-        return _bad(path, f"unknown field `{unknown[0]}`")
+    for name in sorted(set(raw) - names):
+        return _bad(path, _describe_unknown(name, names))
     try:
         settings: S = msgspec.convert(raw, kind)
     except msgspec.ValidationError as error:
-        return _bad(path, str(error))
-    return _check(path, settings)
-
-
-def _check(path: str, settings: S) -> core.Outcome[S]:
-    for field in dataclasses.fields(settings):
-        if field.name.endswith("_address"):
-            value = getattr(settings, field.name)
-            try:
-                core.Address.parse(value)
-            except ValueError:
-                return _bad(
-                    path, f"`{field.name}` is {value!r}, expected `ip:port`"
-                )
-    keys = [*settings.routing_keys_hex, settings.link_key_hex]
-    for key in keys:
-        if len(key) % 2 or len(key) // 2 not in _KEY_BYTES:
-            return _bad(path, "keys are hexadecimal, 16 to 32 bytes each")
-    if not settings.routing_keys_hex:
-        return _bad(path, "`routing_keys_hex` needs at least one key")
-    return core.Ok(settings)
+        return _bad(path, _describe_type(str(error)))
+    fault = _checks.find_fault(
+        {name: getattr(settings, name) for name in names}
+    )
+    return core.Ok(settings) if fault is None else _bad(path, fault)
+
+
+def _describe_unknown(name: str, names: set[str]) -> str:
+    similar = difflib.get_close_matches(name, names, n=1)
+    hint = f"expected `{similar[0]}`?" if similar else "remove it"
+    return f"unknown field `{name}`, {hint}"
+
+
+def _describe_type(message: str) -> str:
+    """Puts the field of a message of msgspec first.
+
+    >>> _describe_type("Expected `int`, got `str` - at `$.slot_count`")
+    '`slot_count`: expected `int`, got `str`'
+    """
+    reason, _, place = message.partition(" - at ")
+    reason = reason[:1].lower() + reason[1:]
+    return f"{place.replace('$.', '')}: {reason}" if place else reason
 
 
 def _bad(path: str, message: str) -> core.Failure:
