--- /dev/null
+++ b/examples/hanul.py
@@ -0,0 +1,44 @@
+"""Configuration of Hanul Jute Trading's deployment.
+
+Usage: python examples/hanul.py > examples/hanul.json
+"""
+
+from fireflyford import config
+
+ZONES = ("busan-port", "daegu-yard", "ulsan-depot")
+REGION = config.Region(
+    name="yeongnam",
+    availability_zones=tuple(config.AvailabilityZone(zone) for zone in ZONES),
+    zone_delay_ms=1.0,
+    caller_delay_ms=3.0,
+)
+
+
+def service(
+    name: str, port: int, target_count: int, order: str, sheet: str, feed: str
+) -> config.Service:
+    """Returns a service with orders, sheets and one feed."""
+    long, stream = config.SizeClass.LONG, config.Kind.FEED
+    treatments = (
+        config.Treatment(
+            order, "POST", "/orders", idempotent=False, priority=8
+        ),
+        config.Treatment(
+            sheet, "GET", "/sheets", size=long, deadline_ms=20_000, priority=3
+        ),
+        config.Treatment(feed, "GET", "/feed", kind=stream),
+    )
+    address = f"127.0.0.1:{port}"
+    return config.Service(name, address, target_count, treatments=treatments)
+
+
+DESK = service(
+    "auction-desk", 4433, 7, "reservation", "lot-sheet", "price-board"
+)
+SHEETS = service(
+    "catalogue", 4434, 3, "sheet-order", "photo-sheet", "news-feed"
+)
+DEPLOYMENT = config.Deployment("hanul", (REGION,), (DESK, SHEETS))
+
+if __name__ == "__main__":
+    print(config.render(DEPLOYMENT), end="")
