Add the operators' command line

Cause: configurations and instances could not be reviewed or changed from the command line.

Change: config check, print, diff, push, show and history; status, targets, drain, audit, explain and token. A command runs only after the whole command line was understood, because fire calls it before it finds an unknown flag: a push with a mistyped flag was sent before it failed. Arguments such as 00e1 stay text instead of becoming numbers.

--- a/libs/cli/src/fireflyford/cli/_commands.py
+++ b/libs/cli/src/fireflyford/cli/_commands.py
@@ -1,7 +1,7 @@
 """Commands of the `fireflyford` binary."""
 
+import hashlib
 import sys
-from typing import TypeVar
 
 import fire
 
@@ -9,47 +9,179 @@
 from fireflyford import balancer
 from fireflyford import core
 from fireflyford import settings
+from fireflyford.cli import _config_commands
+from fireflyford.cli import _explain
+from fireflyford.cli import _job
+from fireflyford.cli import _targets
 
 VERSION = "0.1.0"
 
-T = TypeVar("T")
-
 
 class Commands:
-    """Layer-4 load balancer for services with long-lived flows."""
+    """Layer-4 load balancer for services with long-lived flows.
+
+    Commands about instances take --instance, the status port of a balancer
+    (or FIREFLYFORD_INSTANCE); commands about configurations take --store, the
+    gateways of the store (or FIREFLYFORD_STORE).
+    """
+
+    def __init__(self) -> None:
+        """Adds the group of configuration commands."""
+        self.config = _config_commands.ConfigCommands()
 
-    def balancer(self, settings_path: str) -> None:
+    def balancer(self, settings_path: str) -> _job.Job:
         """Runs a balancer.
 
         Args:
             settings_path: Settings file, JSON with comments.
         """
-        options = _require(
-            settings.load(settings_path, settings.BalancerSettings)
-        )
-        balancer.run(options)
+        return _job.Job(lambda: _run_balancer(settings_path))
 
-    def agent(self, settings_path: str) -> None:
+    def agent(self, settings_path: str) -> _job.Job:
         """Runs the agent beside a backend server.
 
         Args:
             settings_path: Settings file, JSON with comments.
         """
-        options = _require(settings.load(settings_path, settings.AgentSettings))
-        _require(agent.run(options))
+        return _job.Job(lambda: _run_agent(settings_path))
+
+    def status(self, instance: str = "") -> _job.Job:
+        """Shows a balancer and the instances that it sees.
+
+        Args:
+            instance: Status port of a balancer, ip:port.
+        """
+        return _job.make_job(lambda: _targets.describe_status(instance))
+
+    def targets(self, service: str = "", instance: str = "") -> _job.Job:
+        """Shows the targets with their connections and running work.
+
+        Args:
+            service: Only this service.
+            instance: Status port of a balancer, ip:port.
+        """
+        return _job.make_job(
+            lambda: _targets.describe_targets(service, instance)
+        )
+
+    def drain(self, target: str, instance: str = "") -> _job.Job:
+        """Starts the graceful shutdown of one instance.
+
+        Args:
+            target: Name of the instance, or ip:port of its status port.
+            instance: Status port of a balancer that knows the name.
+        """
+        return _job.make_job(lambda: _targets.drain(str(target), instance))
 
-    def version(self) -> None:
+    def audit(self, limit: int = 20, store: str = "") -> _job.Job:
+        """Shows who changed what, when, from which version to which.
+
+        Args:
+            limit: Largest number of entries, newest first.
+            store: Gateways of the store, ip:port,...
+        """
+        return _job.make_job(
+            lambda: _config_commands.read_audit(limit, store, details=True)
+        )
+
+    def explain(
+        self,
+        service: str,
+        connection_id: str = "",
+        method: str = "GET",
+        path: str = "",
+        settings_path: str = "",
+        instance: str = "",
+    ) -> _job.Job:
+        """Explains where a flow or a request would go, and why.
+
+        Args:
+            service: Name of the service.
+            connection_id: Destination connection ID of a packet, hexadecimal.
+            method: HTTP method of a request.
+            path: Path of a request.
+            settings_path: Balancer settings, for the keys that read the
+                connection ID of an established flow.
+            instance: Status port of a balancer, ip:port.
+        """
+        return _job.make_job(
+            lambda: _explain.explain(
+                service,
+                str(connection_id),
+                method,
+                path,
+                settings_path,
+                instance,
+            )
+        )
+
+    def token(
+        self, name: str, settings_path: str = "", key_hex: str = ""
+    ) -> _job.Job:
+        """Issues the token that a caller presents to a closed service.
+
+        Args:
+            name: Name of the caller.
+            settings_path: Agent settings that hold `caller_key_hex`.
+            key_hex: The key itself, instead of a settings file.
+        """
+        return _job.Job(
+            lambda: _issue_token(str(name), settings_path, str(key_hex))
+        )
+
+    def version(self) -> _job.Job:
         """Prints the version."""
-        print(VERSION)
+        return _job.Job(lambda: core.Ok(VERSION))
+
+
+def _run_balancer(path: str) -> core.Outcome[str]:
+    options = settings.load(path, settings.BalancerSettings)
+    if isinstance(options, core.Failure):
+        return options
+    balancer.run(options.value)
+    return core.Ok("")
+
+
+def _run_agent(path: str) -> core.Outcome[str]:
+    options = settings.load(path, settings.AgentSettings)
+    if isinstance(options, core.Failure):
+        return options
+    outcome = agent.run(options.value)
+    return outcome if isinstance(outcome, core.Failure) else core.Ok("")
+
+
+def _issue_token(
+    name: str, settings_path: str, key_hex: str
+) -> core.Outcome[str]:
+    if settings_path:
+        options = settings.load(settings_path, settings.AgentSettings)
+        if isinstance(options, core.Failure):
+            return options
+        key_hex = options.value.caller_key_hex
+    try:
+        key = bytes.fromhex(key_hex)
+    except ValueError:
+        key = b""
+    if not 16 <= len(key) <= hashlib.blake2s.MAX_KEY_SIZE:
+        return _bad_token(
+            "no usable key; give --settings-path of an agent that has "
+            "`caller_key_hex`, or --key-hex of 16 to 32 bytes"
+        )
+    if not name or "." in name or not name.isprintable() or " " in name:
+        return _bad_token(f"{name!r} is no name; use one without `.` or spaces")
+    tag = hashlib.blake2s(name.encode(), key=key).hexdigest()
+    return core.Ok(f"{name}.{tag}")
 
 
-def _require(outcome: core.Outcome[T]) -> T:
-    if isinstance(outcome, core.Failure):
-        print(f"fireflyford: {outcome.message}", file=sys.stderr)
-        sys.exit(outcome.answer.exit_code)
-    return outcome.value
+def _bad_token(message: str) -> core.Failure:
+    return core.Failure(core.ErrorKind.BAD_REQUEST, message)
 
 
 def main() -> None:
     """Runs the command line."""
-    fire.Fire(Commands, name="fireflyford")
+    fire.Fire(
+        Commands(),
+        command=[_job.keep_text(item) for item in sys.argv[1:]],
+        name="fireflyford",
+        serialize=_job.run_result,
+    )
--- /dev/null
+++ b/libs/cli/src/fireflyford/cli/_config_commands.py
@@ -0,0 +1,290 @@
+"""Commands of the group `config`."""
+
+import getpass
+import pathlib
+import runpy
+import sys
+import time
+
+from fireflyford import config
+from fireflyford import core
+from fireflyford import store
+from fireflyford.cli import _instances
+from fireflyford.cli import _job
+from fireflyford.cli import _targets
+
+_PROGRAM_SUFFIX = ".py"
+_PROGRAM_VALUE = "DEPLOYMENT"
+
+
+class ConfigCommands:
+    """Reviews, pushes and shows configurations.
+
+    A file is either a printed configuration (JSON) or an operator's program
+    (.py) with a value DEPLOYMENT.
+    """
+
+    def check(self, file: str) -> _job.Job:
+        """Finds the faults of a configuration, one line each.
+
+        Args:
+            file: Configuration or program.
+        """
+        return _job.Job(lambda: _check(file))
+
+    def print(self, file: str) -> _job.Job:
+        """Prints a configuration in its reviewed form.
+
+        Args:
+            file: Configuration or program.
+        """
+        return _job.Job(lambda: _print(file))
+
+    def diff(self, file: str, version: int = 0, store: str = "") -> _job.Job:
+        """Compares the configuration in force with a file, line by line.
+
+        Args:
+            file: Configuration or program.
+            version: Compare with this version instead of the one in force.
+            store: Gateways of the store, ip:port,...; or FIREFLYFORD_STORE.
+        """
+        return _job.make_job(lambda: _diff(file, version, store))
+
+    def push(
+        self,
+        file: str,
+        base: int,
+        author: str = "",
+        instance: str = "",
+        store: str = "",
+    ) -> _job.Job:
+        """Puts a configuration in force.
+
+        The push is accepted only if the version in force is still `base`.
+        Repeating a push is safe: it applies once.
+
+        Args:
+            file: Configuration or program.
+            base: Version that you started from, as `config show` printed it;
+                0 for the first push.
+            author: Name in the audit trail; the user's name if not given.
+            instance: Status port of a balancer, ip:port; with it, removing a
+                service that still has connections is refused.
+            store: Gateways of the store, ip:port,...; or FIREFLYFORD_STORE.
+        """
+        return _job.make_job(lambda: _push(file, base, author, instance, store))
+
+    def show(
+        self, version: int = 0, instance: str = "", store: str = ""
+    ) -> _job.Job:
+        """Prints the configuration in force; its version goes to stderr.
+
+        Args:
+            version: Print this version from the history instead.
+            instance: Print what this instance runs, by its status port.
+            store: Gateways of the store, ip:port,...; or FIREFLYFORD_STORE.
+        """
+        return _job.make_job(lambda: _show(version, instance, store))
+
+    def history(self, limit: int = 20, store: str = "") -> _job.Job:
+        """Lists the latest versions with author and time, newest first.
+
+        Args:
+            limit: Largest number of versions.
+            store: Gateways of the store, ip:port,...; or FIREFLYFORD_STORE.
+        """
+        return _job.make_job(lambda: read_audit(limit, store, details=False))
+
+
+def open_store(text: str) -> core.Outcome[store.ConfigStore]:
+    """Returns the configuration store behind the given gateways."""
+    gateways = _job.parse_addresses(text, _job.STORE_VARIABLE, "--store")
+    if isinstance(gateways, core.Failure):
+        return gateways
+    client = store.EtcdStore(gateways.value)
+    return core.Ok(store.ConfigStore(client, core.SystemClock()))
+
+
+async def read_audit(
+    limit: int, gateways: str, details: bool
+) -> core.Outcome[str]:
+    """Formats the audit trail, newest first."""
+    opened = open_store(gateways)
+    if isinstance(opened, core.Failure):
+        return opened
+    history = await opened.value.history(limit)
+    if isinstance(history, core.Failure):
+        return history
+    lines = []
+    for entry in history.value:
+        lines.append(_format_entry(entry))
+        if details:
+            lines += [f"    {change}" for change in entry.changes]
+            hidden_count = entry.change_count - len(entry.changes)
+            if hidden_count:
+                lines.append(f"    and {hidden_count} more")
+    return core.Ok("\n".join(lines) or "no configuration was pushed yet")
+
+
+def _format_entry(entry: store.AuditEntry) -> str:
+    line = (
+        f"version {entry.version} from {entry.base_version} "
+        f"{_format_time(entry.wall_ms)} {entry.author} "
+        f"{entry.change_count} changes, push {entry.identity}"
+    )
+    if entry.replaced_version != entry.base_version:
+        line += f", replaced {entry.replaced_version} after a restore"
+    return line
+
+
+def _format_time(wall_ms: int) -> str:
+    return time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(wall_ms / 1000))
+
+
+def _load(file: str) -> core.Outcome[config.Deployment]:
+    file = str(file)  # `fire` reads a bare number as one.
+    try:
+        if file.endswith(_PROGRAM_SUFFIX):
+            return _load_program(file)
+        parsed = config.parse(pathlib.Path(file).read_bytes())
+    except OSError as error:
+        return _bad(file, error.strerror or str(error))
+    if isinstance(parsed, core.Failure):
+        return _bad(file, parsed.message)
+    return parsed
+
+
+def _load_program(file: str) -> core.Outcome[config.Deployment]:
+    try:
+        value = runpy.run_path(file).get(_PROGRAM_VALUE)
+    except OSError:
+        raise
+    except Exception as error:  # Whatever the operator's program raises.
+        return _bad(file, f"the program failed: {error!r}")
+    if not isinstance(value, config.Deployment):
+        return _bad(file, f"the program has no {_PROGRAM_VALUE}; add one")
+    return core.Ok(value)
+
+
+def _check(file: str) -> core.Outcome[str]:
+    loaded = _load(file)
+    if isinstance(loaded, core.Failure):
+        return loaded
+    faults = config.check(loaded.value)
+    for line in faults:
+        print(f"{file}: {line}", file=sys.stderr)
+    if faults:
+        return _bad(file, f"{len(faults)} faults; correct the lines above")
+    return core.Ok(f"{file}: no faults")
+
+
+def _print(file: str) -> core.Outcome[str]:
+    loaded = _load(file)
+    if isinstance(loaded, core.Failure):
+        return loaded
+    return core.Ok(config.render(loaded.value))
+
+
+async def _diff(file: str, version: int, gateways: str) -> core.Outcome[str]:
+    loaded, opened = _load(file), open_store(gateways)
+    if isinstance(loaded, core.Failure):
+        return loaded
+    if isinstance(opened, core.Failure):
+        return opened
+    record = await opened.value.read(version or None)
+    if isinstance(record, core.Failure):
+        return record
+    if record.value is None:
+        return core.Ok("\n".join(config.compare(None, loaded.value)))
+    old = record.value.read()
+    if isinstance(old, core.Failure):
+        return old
+    print(f"against version {record.value.version}", file=sys.stderr)
+    lines = config.compare(old.value, loaded.value)
+    return core.Ok("\n".join(lines) or "no difference")
+
+
+async def _push(
+    file: str, base: int, author: str, instance: str, gateways: str
+) -> core.Outcome[str]:
+    loaded, opened = _load(file), open_store(gateways)
+    if isinstance(loaded, core.Failure):
+        return loaded
+    if isinstance(opened, core.Failure):
+        return opened
+    if not isinstance(base, int) or base < 0:
+        return core.Failure(
+            core.ErrorKind.BAD_REQUEST,
+            f"--base is {base!r}, expected the version that `config show` "
+            "printed",
+        )
+    if instance:
+        stranded = await _targets.find_stranded(loaded.value, instance)
+        if isinstance(stranded, core.Failure):
+            return stranded
+    push = store.Push(
+        text=config.render(loaded.value),
+        base_version=base,
+        author=author or getpass.getuser(),
+    )
+    outcome = await opened.value.push(push)
+    if isinstance(outcome, core.Failure):
+        return outcome
+    return core.Ok(_format_accepted(outcome.value))
+
+
+def _format_accepted(accepted: store.Accepted) -> str:
+    record = accepted.record
+    line = f"accepted as version {record.version}, push {record.identity}"
+    if accepted.earlier:
+        line += "; an earlier attempt had already applied it"
+    if accepted.replaced_version != record.base_version:
+        line += (
+            f"; it replaces version {accepted.replaced_version} in the store"
+        )
+    return line
+
+
+async def _show(
+    version: int, instance: str, gateways: str
+) -> core.Outcome[str]:
+    if instance:
+        return await _show_instance(instance)
+    opened = open_store(gateways)
+    if isinstance(opened, core.Failure):
+        return opened
+    outcome = await opened.value.read(version or None)
+    if isinstance(outcome, core.Failure):
+        return outcome
+    record = outcome.value
+    if record is None:
+        return core.Failure(
+            core.ErrorKind.BAD_REQUEST,
+            f"version {version} is not in the store; see `config history`"
+            if version
+            else "no configuration was pushed yet; push one with --base 0",
+        )
+    print(
+        f"version {record.version} pushed by {record.author} at "
+        f"{_format_time(record.wall_ms)}",
+        file=sys.stderr,
+    )
+    return core.Ok(record.text)
+
+
+async def _show_instance(instance: str) -> core.Outcome[str]:
+    fetched = await _instances.fetch_balancer(instance)
+    if isinstance(fetched, core.Failure):
+        return fetched
+    address, status = fetched.value
+    body = await _instances.call(address, "/config")
+    if isinstance(body, core.Failure):
+        return body
+    print(f"version {status.config.version} runs there", file=sys.stderr)
+    if status.config.alarm:
+        print(f"alarm: {status.config.alarm}", file=sys.stderr)
+    return core.Ok(body.value.decode())
+
+
+def _bad(file: str, message: str) -> core.Failure:
+    return core.Failure(core.ErrorKind.BAD_CONFIG, f"{file}: {message}")
--- /dev/null
+++ b/libs/cli/src/fireflyford/cli/_explain.py
@@ -0,0 +1,179 @@
+"""Where a flow or a request would go, and why."""
+
+from collections.abc import Iterator
+
+from fireflyford import config
+from fireflyford import core
+from fireflyford import routing
+from fireflyford import settings
+from fireflyford import wire
+from fireflyford.cli import _instances
+
+_ALIVE = "alive"
+
+
+async def explain(
+    service: str,
+    connection_id: str,
+    method: str,
+    path: str,
+    settings_path: str,
+    instance: str,
+) -> core.Outcome[str]:
+    """Explains a flow, and a request when `path` is given.
+
+    Args:
+        service: Name of the service.
+        connection_id: Destination connection ID in hexadecimal, or empty.
+        method: HTTP method.
+        path: Path of a request, or empty.
+        settings_path: Balancer settings with the routing keys, or empty.
+        instance: Status port of the balancer whose view counts.
+    """
+    fetched = await _instances.fetch_balancer(instance)
+    if isinstance(fetched, core.Failure):
+        return fetched
+    address, status = fetched.value
+    text = await _instances.call(address, "/config")
+    if isinstance(text, core.Failure):
+        return text
+    parsed = config.parse(text.value) if text.value else None
+    known = (
+        parsed.value.service(service) if isinstance(parsed, core.Ok) else None
+    )
+    members = {
+        name: member
+        for name, member in status.members.items()
+        if member.service == service and member.role == core.Role.AGENT.value
+    }
+    if known is None and not members:
+        return core.Failure(
+            core.ErrorKind.NO_SUCH_SERVICE,
+            f"{status.instance_id} knows no service {service!r}; see "
+            "`fireflyford status`",
+        )
+    flow = _explain_flow(service, connection_id, settings_path, known, members)
+    if isinstance(flow, core.Failure):
+        return flow
+    lines = [f"as {status.instance_id} sees it:", *flow.value]
+    if path:
+        lines += _explain_request(known, method, path)
+    return core.Ok("\n".join(lines))
+
+
+def _explain_flow(
+    service: str,
+    connection_id: str,
+    settings_path: str,
+    known: config.Service | None,
+    members: dict[str, _instances.MemberStatus],
+) -> core.Outcome[list[str]]:
+    try:
+        identifier = bytes.fromhex(connection_id)
+    except ValueError:
+        return core.Failure(
+            core.ErrorKind.BAD_REQUEST,
+            f"--connection-id is {connection_id!r}, expected hexadecimal",
+        )
+    if settings_path:
+        loaded = settings.load(settings_path, settings.BalancerSettings)
+        if isinstance(loaded, core.Failure):
+            return loaded
+        codec = wire.ConnectionIdCodec(loaded.value.routing_keys, service)
+        holder = codec.decode(identifier)
+        if holder is not None:
+            return core.Ok(list(_explain_holder(holder, members)))
+    draining = known is not None and known.draining
+    return core.Ok(list(_explain_new_flow(identifier, draining, members)))
+
+
+def _explain_holder(
+    holder: wire.ConnectionId, members: dict[str, _instances.MemberStatus]
+) -> Iterator[str]:
+    yield (
+        f"flow: to {holder.agent}, because the connection ID names that agent "
+        f"with incarnation {holder.incarnation}"
+    )
+    for name, member in members.items():
+        if member.link_address != str(holder.agent):
+            continue
+        if member.incarnation == holder.incarnation:
+            yield f"  this is {name}, {member.state}"
+        else:
+            yield (
+                f"  {name} has that address with another incarnation, so it "
+                "drops the packet and the caller opens a new connection"
+            )
+        return
+    yield "  no member in the view has that address; it is used all the same"
+
+
+def _explain_new_flow(
+    identifier: bytes,
+    draining: bool,
+    members: dict[str, _instances.MemberStatus],
+) -> Iterator[str]:
+    targets = []
+    for name, member in sorted(members.items()):
+        accepts_flows = member.state == _ALIVE and not draining
+        targets.append(
+            routing.Target(
+                name=name,
+                address=core.Address.parse(member.link_address),
+                incarnation=member.incarnation,
+                weight=member.weight,
+                accepts_flows=accepts_flows,
+            )
+        )
+        if not accepts_flows:
+            reason = member.state if member.state != _ALIVE else "alive"
+            yield f"  not {name}: {reason}" + (
+                ", and the service is draining" if draining else ""
+            )
+    ring = routing.TargetRing(targets)
+    total = sum(item.weight for item in targets if item.accepts_flows)
+    chosen = ring.find(routing.hash_flow(identifier)) if identifier else None
+    if not total:
+        yield "flow: nowhere, because no target accepts new flows"
+    elif chosen is None:
+        yield (
+            "flow: to one of the targets below, by the hash of its first "
+            "connection ID (give --connection-id to see which)"
+        )
+        for item in targets:
+            if item.accepts_flows:
+                yield f"  {item.name}: about {item.weight / total:.0%}"
+    else:
+        yield (
+            f"flow: to {chosen.name} at {chosen.address}, a new flow placed "
+            f"on the ring by its connection ID; its weight is "
+            f"{chosen.weight:g} of {total:g}"
+        )
+
+
+def _explain_request(
+    service: config.Service | None, method: str, path: str
+) -> Iterator[str]:
+    if service is None:
+        yield "request: unknown, because no pushed configuration is in force"
+        return
+    treatment = service.treatment(method, path)
+    if treatment is None:
+        yield (
+            f"request: refused, because no treatment matches {method} {path}"
+        )
+        return
+    yield (
+        f"request: treatment {treatment.name}, the first that matches "
+        f"{treatment.method} {treatment.path_prefix}"
+    )
+    ticket = (
+        "runs again on a retry"
+        if treatment.idempotent
+        else ("needs a ticket and runs at most once")
+    )
+    yield f"  {treatment.kind.value}, {treatment.size.value}, {ticket}"
+    yield (
+        f"  deadline {treatment.deadline_ms} ms, priority "
+        f"{treatment.priority}, at the crest: {treatment.at_crest.value}"
+    )
--- /dev/null
+++ b/libs/cli/tests/test_cli.py
@@ -0,0 +1,192 @@
+"""The command line, alone and against real processes."""
+
+import asyncio
+import dataclasses
+import hashlib
+import os
+import pathlib
+import random
+import subprocess
+import sys
+
+import pytest
+
+from fireflyford import cli
+from fireflyford import config
+from fireflyford.lab import _deployments
+from fireflyford.lab import _fleet
+
+KEY = "00112233445566778899aabbccddeeff"
+BASE = _deployments.BANTAY
+Output = pytest.CaptureFixture[str]
+
+
+def call(
+    monkeypatch: pytest.MonkeyPatch, capsys: Output, *arguments: str
+) -> tuple[int, str, str]:
+    monkeypatch.setattr(sys, "argv", ["fireflyford", *arguments])
+    try:
+        cli.main()
+        code = 0
+    except SystemExit as error:
+        code = int(error.code or 0)
+    captured = capsys.readouterr()
+    return code, captured.out, captured.err
+
+
+def test_a_token_is_keyed_by_its_name(
+    monkeypatch: pytest.MonkeyPatch, capsys: Output
+) -> None:
+    """Guards against tokens that the agent does not accept."""
+    code, out, _ = call(monkeypatch, capsys, "token", "ana", "--key-hex", KEY)
+    tag = hashlib.blake2s(b"ana", key=bytes.fromhex(KEY)).hexdigest()
+    assert (code, out) == (0, f"ana.{tag}\n")
+
+
+def test_hexadecimal_digits_stay_text(
+    monkeypatch: pytest.MonkeyPatch, capsys: Output
+) -> None:
+    """Guards against a key such as 00e1 that is read as a number."""
+    key = "00e1" + "0" * 28
+    _, out, _ = call(monkeypatch, capsys, "token", "ana", f"--key-hex={key}")
+    tag = hashlib.blake2s(b"ana", key=bytes.fromhex(key)).hexdigest()
+    assert out == f"ana.{tag}\n"
+
+
+@pytest.mark.parametrize(
+    ("arguments", "code", "message"),
+    [
+        (("token", "ana"), 2, "no usable key; give --settings-path"),
+        (("token", "a.b", "--key-hex", KEY), 2, "'a.b' is no name"),
+        (("status",), 2, "give --instance ip:port or set"),
+        (("status", "--instance", "x"), 2, "correct --instance"),
+        (("status", "--instance", "127.0.0.1:9"), 8, "check the address"),
+        (("config", "check", "/none"), 2, "/none: No such file"),
+        (("config", "show", "--store", "127.0.0.1:9"), 8, "does not answer"),
+        (("balancer", "/none"), 2, "/none"),
+    ],
+)
+def test_an_error_is_one_line_with_its_exit_code(
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: Output,
+    arguments: tuple[str, ...],
+    code: int,
+    message: str,
+) -> None:
+    """Guards against traces, and exit codes that are not in the table."""
+    found, out, err = call(monkeypatch, capsys, *arguments)
+    assert (found, out) == (code, "")
+    assert message in err
+    assert err.startswith("fireflyford: ")
+    assert err.count("\n") == 1
+
+
+def test_every_fault_of_a_file_is_printed(
+    monkeypatch: pytest.MonkeyPatch, capsys: Output, tmp_path: pathlib.Path
+) -> None:
+    """Guards against a check that stops at the first fault."""
+    wrong = dataclasses.replace(BASE, regions=(), name="")
+    path = tmp_path / "wrong.json"
+    path.write_text(config.render(wrong))
+    code, _, err = call(monkeypatch, capsys, "config", "check", str(path))
+    assert code == 2
+    assert len(err.splitlines()) == 3
+
+
+def test_an_unknown_flag_runs_nothing(
+    monkeypatch: pytest.MonkeyPatch, capsys: Output
+) -> None:
+    """Guards against a push that ran before its flags were understood."""
+    code, _, err = call(
+        monkeypatch,
+        capsys,
+        *("config", "push", "x.json", "--base", "0", "--dry-run"),
+    )
+    assert code == 2
+    assert "x.json: " not in err
+
+
+class _Shell:
+    """Runs the installed command against one fleet."""
+
+    def __init__(self, fleet: _fleet.Fleet) -> None:
+        """Takes the addresses of a fleet."""
+        balancers = fleet.balancers.values()
+        self._variables = os.environ | {
+            "FIREFLYFORD_STORE": str(fleet.store_address),
+            "FIREFLYFORD_INSTANCE": ",".join(
+                str(item.status_address) for item in balancers
+            ),
+        }
+
+    def run(self, *arguments: str) -> tuple[int, str]:
+        """Returns the exit code and all output."""
+        command = pathlib.Path(sys.executable).parent / "fireflyford"
+        done = subprocess.run(
+            [str(command), *arguments],
+            env=self._variables,
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        return done.returncode, done.stdout + done.stderr
+
+
+def test_operators_work_with_running_instances(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against commands that do not fit the running processes."""
+    services = tuple(
+        dataclasses.replace(service, target_count=1)
+        for service in BASE.services
+    )
+    fleet = _fleet.Fleet(
+        dataclasses.replace(BASE, services=services), random.Random(1), 1
+    )
+    path = tmp_path / "new.json"
+    path.write_text(config.render(fleet.deployment))
+    removed = tmp_path / "removed.json"
+    without = dataclasses.replace(fleet.deployment, services=services[:1])
+    removed.write_text(config.render(without))
+    try:
+        asyncio.run(fleet.start())
+        shell = _Shell(fleet)
+        push = ("config", "push", str(path), "--author", "ana", "--base")
+        assert shell.run(*push, "0")[0] == 0
+        assert "already applied" in shell.run(*push, "0")[1]
+        code, text = shell.run("config", "push", str(removed), "--base", "0")
+        assert code == 7
+        assert "ana pushed version 1 at" in text
+        code, text = shell.run("config", "push", str(removed), "--base", "1")
+        assert code == 2
+        assert "padron would be removed" in text
+        assert "no difference" in shell.run("config", "diff", str(path))[1]
+        assert "from 0" in shell.run("config", "history")[1]
+        assert "+ deployment bantay" in shell.run("audit")[1]
+        assert shell.run("config", "show")[1].startswith("{")
+        _check_instances(fleet, shell)
+    finally:
+        fleet.stop()
+
+
+def _check_instances(fleet: _fleet.Fleet, shell: _Shell) -> None:
+    target = next(
+        name for name, item in fleet.targets.items() if item.service == "padron"
+    )
+    status = shell.run("status")[1]
+    assert "configuration version 1 by ana" in status
+    assert target in status
+    assert "alive" in shell.run("targets", "padron")[1]
+    code, text = shell.run(
+        *("explain", "padron", "--method=POST", "--path=/orders"),
+        "--connection-id=00e1",
+    )
+    assert code == 0
+    assert f"flow: to {target} at " in text
+    assert "treatment sheet-order" in text
+    assert shell.run("explain", "none")[0] == 2
+    assert shell.run("drain", target) == (
+        0,
+        f"{target} is draining; see `fireflyford targets`\n",
+    )
+    assert f"not {target}: draining" in shell.run("explain", "padron")[1]
