--- a/libs/agent/src/fireflyford/agent/_process.py
+++ b/libs/agent/src/fireflyford/agent/_process.py
@@ -13,12 +13,14 @@
 from fireflyford import membership
 from fireflyford import requests
 from fireflyford import settings
+from fireflyford import store
 from fireflyford import telemetry
 from fireflyford import wire
 from fireflyford.agent import _access
 from fireflyford.agent import _backend
 from fireflyford.agent import _backend_feeds
 from fireflyford.agent import _backend_watch
+from fireflyford.agent import _configuration
 from fireflyford.agent import _datagram
 from fireflyford.agent import _endpoint
 from fireflyford.agent import _feeds
@@ -91,6 +93,9 @@
             self._feeds,
             _ticket_codec.TicketCodec(options.link_key),
         )
+        self._access = _access.AccessHandler(
+            options.caller_key, service, self._handler
+        )
         self._stopping = asyncio.Event()
         self._flows: _datagram.DatagramFlows | None = None
         if service.transport is config.Transport.DATAGRAM:
@@ -104,13 +109,18 @@
                 options.routing_keys, options.service
             ),
             configuration=tls,
-            handler=_access.AccessHandler(
-                options.caller_key, service, self._handler
-            ),
+            handler=self._access,
             relay_target=self._relay_target,
             balancers=self._peers,
             flows=self._flows,
         )
+        self._follower = store.Follower(
+            clock,
+            random.SystemRandom(),
+            _configuration.AgentPeers(options, self._membership),
+            self._apply_deployment,
+            service=options.service,
+        )
         self._backend_watch.on_loss(self._announce_leave)
 
     def _make_flows(self, member: membership.Member) -> _datagram.DatagramFlows:
@@ -151,6 +161,7 @@
             self._clock, core.Address.parse(self._options.backend_address)
         )
         telemetry.log("started", role="agent", service=self._options.service)
+        self._membership.on_change(lambda _: self._follower.notify())
         self._membership.on_change(self._take_view)
         server = _peer.PeerServer(
             self._clock, self._options.link_key, self._engine
@@ -159,6 +170,7 @@
             asyncio.create_task(self._membership.run()),
             asyncio.create_task(self._backend_watch.run()),
             asyncio.create_task(server.run(link)),
+            asyncio.create_task(self._follower.run()),
         ]
         if self._flows is not None:
             tasks.append(asyncio.create_task(self._flows.run()))
@@ -181,6 +193,13 @@
             ]
         )
 
+    def _apply_deployment(self, deployment: config.Deployment) -> None:
+        service = deployment.service(self._options.service)
+        # Without its service an agent goes on with the last treatments.
+        if service is not None:
+            self._handler.service = service
+            self._access.service = service
+
     async def _drain(self) -> None:
         limit_ms = self._clock.now_ms() + self._options.drain_limit_ms
         self._membership.update(state=membership.State.DRAINING)
@@ -286,6 +305,7 @@
                 | {"open_count": self._flows.open_count}
             ),
             "admission": self._engine.status(),
+            "config": self._follower.status(),
         }
 
 
--- a/libs/balancer/src/fireflyford/balancer/_forwarding.py
+++ b/libs/balancer/src/fireflyford/balancer/_forwarding.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections.abc import Coroutine
+from collections.abc import Set
+import dataclasses
 from typing import Any
 
 from fireflyford import config
@@ -36,9 +38,20 @@
         }
         self._transports: dict[str, config.Transport] = {}
         self._view = membership.View()
+        # Until a configuration arrives, every service takes new flows.
+        self._open_services = frozenset(options.listeners)
         self._view_changed = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
+    def apply_deployment(self, deployment: config.Deployment) -> None:
+        """Takes a configuration; a draining service gets no new flows."""
+        self._open_services = frozenset(
+            service.name
+            for service in deployment.services
+            if not service.draining
+        )
+        self._view_changed.set()
+
     def apply_view(self, view: membership.View) -> None:
         """Takes a new view; the rings follow while forwarding goes on."""
         self._view = view
@@ -95,11 +108,15 @@
         while True:
             await self._view_changed.wait()
             self._view_changed.clear()
-            await replace_targets(self._routers, self._view)
+            await replace_targets(
+                self._routers, self._view, self._open_services
+            )
 
 
 async def replace_targets(
-    routers: dict[str, routing.Router], view: membership.View
+    routers: dict[str, routing.Router],
+    view: membership.View,
+    open_services: Set[str],
 ) -> None:
     """Gives each router its targets, pausing after each ring.
 
@@ -107,5 +124,10 @@
     """
     grouped = routing.group_targets(view, routers)
     for service, targets in grouped.items():
+        if service not in open_services:
+            targets = tuple(
+                dataclasses.replace(target, accepts_flows=False)
+                for target in targets
+            )
         if routers[service].replace_targets(targets):
             await asyncio.sleep(0)
--- a/libs/balancer/src/fireflyford/balancer/_process.py
+++ b/libs/balancer/src/fireflyford/balancer/_process.py
@@ -10,7 +10,9 @@
 from fireflyford import core
 from fireflyford import membership
 from fireflyford import settings
+from fireflyford import store
 from fireflyford import telemetry
+from fireflyford.balancer import _configuration
 from fireflyford.balancer import _forwarding
 
 # Least time for the fabric and the agents to stop using a balancer that
@@ -45,12 +47,21 @@
             _own_member(options, clock),
             [core.Address.parse(seed) for seed in options.seeds],
         )
+        self._bulk = membership.BulkServer(options.link_key)
+        self._follower = store.Follower(
+            clock,
+            random.SystemRandom(),
+            _configuration.BalancerPeers(options, self._membership),
+            self._apply_deployment,
+            _configuration.make_config_store(options, clock),
+        )
+        self._bulk.register(store.TOPIC, self._follower.answer)
         self._stopping = asyncio.Event()
 
     async def run(self) -> None:
         """Runs until a graceful shutdown has ended."""
         await self._open_sockets()
-        self._membership.on_change(self._forwarding.apply_view)
+        self._membership.on_change(self._apply_view)
         meter = self._make_meter()
         status = telemetry.serve_status(
             core.Address.parse(self._options.status_address),
@@ -58,13 +69,20 @@
             ready=lambda: not self._stopping.is_set(),
             status=self._status,
             drain=self._start_drain,
+            pages={"/config": self._follower.text},
         )
         self._handle_signals()
         telemetry.log("started", role="balancer")
-        member_task = asyncio.create_task(self._membership.run())
+        bulk = core.Address.parse(self._options.bulk_address)
+        tasks = [
+            asyncio.create_task(self._membership.run()),
+            asyncio.create_task(self._bulk.run(bulk)),
+            asyncio.create_task(self._follower.run()),
+        ]
         await self._stopping.wait()
         await self._drain()
-        member_task.cancel()
+        for task in tasks:
+            task.cancel()
         self._forwarding.stop()
         status.stop()
         telemetry.log("stopped", role="balancer")
@@ -88,6 +106,13 @@
                 break
         self._membership.update(state=membership.State.LEFT)
 
+    def _apply_deployment(self, deployment: config.Deployment) -> None:
+        self._forwarding.apply_deployment(deployment)
+
+    def _apply_view(self, view: membership.View) -> None:
+        self._follower.notify()
+        self._forwarding.apply_view(view)
+
     async def _open_sockets(self) -> None:
         await self._channel.open(self._options.control_listen)
         self._forwarding.start(_read_deployment(self._options.config_path))
@@ -124,6 +149,7 @@
             lambda: self._channel.received_bytes,
             "By",
         )
+        meter.gauge("config_version", lambda: self._follower.version)
         return meter
 
     def _status(self) -> dict[str, object]:
@@ -133,12 +159,16 @@
             "role": "balancer",
             "draining": self._stopping.is_set(),
             "counters": vars(self._counters),
+            "config": self._follower.status(),
             "members": {
                 name: {
                     "role": member.role.value,
                     "service": member.service,
                     "state": member.state.name.lower(),
                     "weight": member.weight,
+                    "availability_zone": member.availability_zone,
+                    "incarnation": member.link_incarnation,
+                    "config_version": member.config_version,
                     "link_address": str(member.link_address),
                     "status_address": str(member.status_address),
                 }
--- a/libs/lab/src/fireflyford/lab/_commands.py
+++ b/libs/lab/src/fireflyford/lab/_commands.py
@@ -13,6 +13,7 @@
 from fireflyford.lab import _demo
 from fireflyford.lab import _fault_proxy
 from fireflyford.lab import _plot
+from fireflyford.lab import _store_server
 from fireflyford.lab import experiments
 
 
@@ -25,6 +26,7 @@
         self.callers = _callers.run_callers
         self.demo = _demo.run_demo
         self.fault_proxy = _fault_proxy.run_fault_proxy
+        self.store = _store_server.run_store
 
     def list(self) -> None:
         """Lists the experiments."""
--- a/libs/lab/src/fireflyford/lab/_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_fleet.py
@@ -96,6 +96,7 @@
         self._drain_limit_ms = drain_limit_ms
         self.deployment = dataclasses.replace(deployment, services=services)
         self.fabric = _fabric.Fabric(rng)
+        self.store_address = _ports.free_address()
         self.balancers: dict[str, BalancerProcess] = {}
         self.targets: dict[str, Target] = {}
         self._config_path = self._directory / "config.json"
@@ -107,6 +108,7 @@
             _certificates.make_certificate(self._directory, service.name)
         if self._proxied:
             await self._start_proxy()
+        self._start_store()
         for _ in range(self._balancer_count):
             self.start_balancer()
         for service in self.deployment.services:
@@ -149,6 +151,14 @@
         )
         return listen
 
+    def _start_store(self) -> None:
+        self._processes.append(
+            subprocess.Popen(
+                [*lab_command(), "store", str(self.store_address)],
+                stderr=(self._directory / "store.log").open("wb"),
+            )
+        )
+
     def start_balancer(self) -> BalancerProcess:
         """Starts one more balancer."""
         name = self._next_name("balancer")
@@ -379,6 +389,7 @@
             "seeds": [
                 str(item.control_address) for item in self.balancers.values()
             ],
+            "store_addresses": [str(self.store_address)],
             "config_path": str(self._config_path),
         }
 
