Observe members by two balancers and gossip only what is new

Cause: every member sent heartbeats to every balancer and got the whole view back, so control traffic grew with the square of the fleet.

Change: heartbeats go to two observers chosen by rendezvous hash; an observer answers with the deltas that this member needs and has not acknowledged, and asks the other candidates and the member itself before it declares a death. Members refute a rumour of their death and step back for a later start; dead records are forgotten and leave a tombstone. Deaths of half of a zone's targets of a service stay eligible as a last resort. Configuration versions are announced by the member that has them in force.

--- a/libs/agent/src/fireflyford/agent/_process.py
+++ b/libs/agent/src/fireflyford/agent/_process.py
@@ -95,6 +95,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_signal)
         telemetry.log("started", role="agent", service=self._options.service)
+        self._membership.on_withdrawal(self._stopping.set)
         member_task = asyncio.create_task(self._membership.run())
         await self._stopping.wait()
         await self._drain()
--- a/libs/balancer/src/fireflyford/balancer/_process.py
+++ b/libs/balancer/src/fireflyford/balancer/_process.py
@@ -38,7 +38,8 @@
         self._routers = {
             service: routing.Router() for service in options.listeners
         }
-        self._channel = membership.UdpChannel(options.link_key)
+        self._bulk = membership.BulkServer(options.link_key)
+        self._channel = membership.UdpChannel(options.link_key, self._bulk)
         self._membership = membership.Membership(
             clock,
             self._channel,
@@ -51,6 +52,7 @@
         """Runs until a graceful shutdown has ended."""
         await self._open_sockets()
         self._membership.on_change(self._apply_view)
+        self._membership.on_withdrawal(self._stopping.set)
         meter = self._make_meter()
         status = telemetry.serve_status(
             core.Address.parse(self._options.status_address),
@@ -61,12 +63,16 @@
         )
         self._handle_signals()
         telemetry.log("started", role="balancer")
+        bulk_task = asyncio.create_task(
+            self._bulk.run(core.Address.parse(self._options.bulk_address))
+        )
         member_task = asyncio.create_task(self._membership.run())
         await self._stopping.wait()
         self._membership.update(state=membership.State.DRAINING)
         await self._clock.sleep(LEAVE_DELAY_MS)
         self._membership.update(state=membership.State.LEFT)
         member_task.cancel()
+        bulk_task.cancel()
         status.stop()
         telemetry.log("stopped", role="balancer")
 
@@ -78,9 +84,9 @@
                     address=member.link_address,
                     incarnation=member.link_incarnation,
                     weight=member.weight,
-                    accepts_flows=member.state is membership.State.ALIVE,
+                    accepts_flows=member.state is not membership.State.DRAINING,
                 )
-                for member in view.targets(service)
+                for member in _eligible(view, service)
             )
 
     async def _open_sockets(self) -> None:
@@ -159,6 +165,16 @@
         }
 
 
+def _eligible(
+    view: membership.View, service: str
+) -> tuple[membership.Member, ...]:
+    """Returns the targets, with the doubted ones if no other is alive."""
+    targets = view.targets(service)
+    if any(target.state is membership.State.ALIVE for target in targets):
+        return targets
+    return (*targets, *view.last_resort(service))
+
+
 def _own_member(
     options: settings.BalancerSettings, clock: core.Clock
 ) -> membership.Member:
--- a/libs/membership/src/fireflyford/membership/__init__.py
+++ b/libs/membership/src/fireflyford/membership/__init__.py
@@ -3,11 +3,14 @@
 from fireflyford.membership._bulk import BulkServer
 from fireflyford.membership._bulk import fetch
 from fireflyford.membership._channel import Channel
-from fireflyford.membership._channel import Envelope
+from fireflyford.membership._channel import PullSource
 from fireflyford.membership._channel import UdpChannel
-from fireflyford.membership._membership import FAILURE_TIMEOUT_MS
-from fireflyford.membership._membership import HEARTBEAT_INTERVAL_MS
+from fireflyford.membership._conversations import HEARTBEAT_INTERVAL_MS
 from fireflyford.membership._membership import Membership
+from fireflyford.membership._memory import MemoryChannel
+from fireflyford.membership._memory import MemoryNetwork
+from fireflyford.membership._observer import FAILURE_TIMEOUT_MS
+from fireflyford.membership._rendezvous import rendezvous
 from fireflyford.membership._types import Member
 from fireflyford.membership._types import State
 from fireflyford.membership._types import View
@@ -18,12 +21,15 @@
     "HEARTBEAT_INTERVAL_MS",
     "BulkServer",
     "Channel",
-    "Envelope",
     "Member",
     "Membership",
+    "MemoryChannel",
+    "MemoryNetwork",
+    "PullSource",
     "State",
     "UdpChannel",
     "View",
     "fetch",
     "new_incarnation",
+    "rendezvous",
 ]
--- a/libs/membership/src/fireflyford/membership/_types.py
+++ b/libs/membership/src/fireflyford/membership/_types.py
@@ -4,9 +4,12 @@
 from collections.abc import Mapping
 import dataclasses
 import enum
+import functools
 import random
 import types
 
+import xxhash
+
 from fireflyford import core
 
 
@@ -61,6 +64,18 @@
         """Sort key of records of one instance; the highest wins."""
         return (self.incarnation, self.version, self.state.value)
 
+    @functools.cached_property
+    def fingerprint(self) -> int:
+        """64-bit hash of instance and incarnation, for short messages."""
+        return xxhash.xxh64_intdigest(
+            f"{self.instance_id}/{self.incarnation}".encode()
+        )
+
+    @property
+    def is_live(self) -> bool:
+        """Whether the member is alive or draining."""
+        return self.state in (State.ALIVE, State.DRAINING)
+
     @property
     def link_incarnation(self) -> int:
         """Low 32 bits of the incarnation, as forwarding headers carry it."""
@@ -70,11 +85,20 @@
 class View:
     """Immutable set of members, one record for each instance."""
 
-    def __init__(self, members: Iterable[Member] = ()) -> None:
-        """Takes the records; a later duplicate replaces an earlier one."""
+    def __init__(
+        self, members: Iterable[Member] = (), doubted: Iterable[str] = ()
+    ) -> None:
+        """Takes the records; a later duplicate replaces an earlier one.
+
+        Args:
+            members: Records of the members.
+            doubted: Names of dead members that may be alive after all,
+                because too many died at once.
+        """
         self.members: Mapping[str, Member] = types.MappingProxyType(
             {member.instance_id: member for member in members}
         )
+        self._doubted = frozenset(doubted)
 
     def targets(self, service: str) -> tuple[Member, ...]:
         """Returns the agents of a service that are alive or draining."""
@@ -83,7 +107,21 @@
             for member in self.members.values()
             if member.role is core.Role.AGENT
             and member.service == service
-            and member.state in (State.ALIVE, State.DRAINING)
+            and member.is_live
+        )
+
+    def last_resort(self, service: str) -> tuple[Member, ...]:
+        """Returns dead agents to use only when no target is alive.
+
+        They died together with half or more of their availability zone's
+        targets, which is more often a fault of the path to them.
+        """
+        return tuple(
+            self.members[name]
+            for name in sorted(self._doubted)
+            if name in self.members
+            and self.members[name].service == service
+            and self.members[name].state is State.DEAD
         )
 
     def balancers(self) -> tuple[Member, ...]:
@@ -91,8 +129,7 @@
         return tuple(
             member
             for member in self.members.values()
-            if member.role is core.Role.BALANCER
-            and member.state in (State.ALIVE, State.DRAINING)
+            if member.role is core.Role.BALANCER and member.is_live
         )
 
 
--- /dev/null
+++ b/libs/membership/tests/conftest.py
@@ -0,0 +1,154 @@
+"""A fleet of members in virtual time, for the tests of this library."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import random
+
+import pytest
+
+from fireflyford import core
+from fireflyford import membership
+
+START_MS = 1_000_000
+
+
+class SimulatedFleet:
+    """Members on an in-memory network, with faults on demand."""
+
+    def __init__(self, seed: int = 1, loss_ratio: float = 0.0) -> None:
+        """Prepares a fleet without members."""
+        self.rng = random.Random(seed)
+        self.clock = core.ManualClock(START_MS)
+        self.network = membership.MemoryNetwork(
+            self.clock, self.rng, loss_ratio=loss_ratio
+        )
+        self.members: dict[str, membership.Membership] = {}
+        self.records: dict[str, membership.Member] = {}
+        self.channels: dict[str, membership.MemoryChannel] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._port = 10_000
+
+    def start(
+        self,
+        name: str,
+        service: str = "",
+        zone: str = "cebu",
+        region: str = "visayas",
+        seeds: list[str] | None = None,
+        control: core.Address | None = None,
+    ) -> membership.Membership:
+        """Starts a member; one with a service is an agent."""
+        self._port += 10
+        control = control or core.Address("127.0.0.1", self._port)
+        bulk = core.Address("127.0.0.1", self._port + 1)
+        record = membership.Member(
+            instance_id=name,
+            role=core.Role.AGENT if service else core.Role.BALANCER,
+            region=region,
+            availability_zone=zone,
+            service=service,
+            link_address=core.Address("127.0.0.1", self._port + 2),
+            control_address=control,
+            bulk_address=bulk,
+            status_address=core.Address("127.0.0.1", self._port + 3),
+            incarnation=membership.new_incarnation(self.clock, self.rng),
+        )
+        if seeds is None:
+            seeds = [other for other in self.records if "balancer" in other][:3]
+        channel = self.network.open(control, bulk)
+        member = membership.Membership(
+            self.clock,
+            channel,
+            record,
+            [self.records[seed].control_address for seed in seeds],
+            random.Random(self.rng.random()),
+        )
+        self.members[name] = member
+        self.records[name] = record
+        self.channels[name] = channel
+        self._tasks[name] = asyncio.create_task(member.run())
+        return member
+
+    def start_many(self, balancers: int, agents: int = 0) -> None:
+        """Starts members spread over three availability zones."""
+        for index in range(balancers):
+            self.start(f"balancer-{index}", zone=f"zone-{index % 3}")
+        for index in range(agents):
+            self.start(f"tahian-{index}", "tahian", zone=f"zone-{index % 3}")
+
+    async def run(self, duration_ms: int) -> None:
+        """Lets virtual time pass."""
+        # New tasks have to reach their first sleep before time moves.
+        await self.clock.advance(0)
+        await self.clock.advance(duration_ms)
+
+    async def kill(self, name: str) -> None:
+        """Ends a member without notice."""
+        self.channels[name].pause()
+        task = self._tasks.pop(name)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        del self.members[name]
+
+    async def stop(self) -> None:
+        """Ends all members."""
+        for name in list(self.members):
+            await self.kill(name)
+
+    def cut(self, left: set[str], right: set[str]) -> None:
+        """Drops what `left` sends to `right`, not the other direction."""
+        sources = {self.records[name].control_address for name in left}
+        targets = {self.records[name].control_address for name in right}
+        self.network.block(
+            lambda source, destination: (
+                source in sources and destination in targets
+            )
+        )
+
+    def partition(self, left: set[str], right: set[str]) -> None:
+        """Drops everything between the two sides."""
+        sides = [
+            {self.records[name].control_address for name in side}
+            for side in (left, right)
+        ]
+        self.network.block(
+            lambda source, destination: (
+                (source in sides[0] and destination in sides[1])
+                or (source in sides[1] and destination in sides[0])
+            )
+        )
+
+    def state(self, observer: str, name: str) -> membership.State | None:
+        """State of one member in the view of another."""
+        member = self.members[observer].view().members.get(name)
+        return None if member is None else member.state
+
+    def states(self, name: str) -> set[membership.State | None]:
+        """States of one member in the views of all other balancers."""
+        return {
+            self.state(other, name)
+            for other in self.members
+            if other.startswith("balancer") and other != name
+        }
+
+
+@pytest.fixture
+def simulate() -> Callable[..., None]:
+    """Runs a scenario on a new fleet and stops the fleet afterwards."""
+
+    def run(
+        scenario: Callable[[SimulatedFleet], Awaitable[None]],
+        seed: int = 1,
+        loss_ratio: float = 0.0,
+    ) -> None:
+        async def body() -> None:
+            fleet = SimulatedFleet(seed, loss_ratio)
+            try:
+                await scenario(fleet)
+            finally:
+                await fleet.stop()
+
+        asyncio.run(body())
+
+    return run
--- /dev/null
+++ b/libs/membership/tests/test_codec.py
@@ -0,0 +1,59 @@
+"""Encoding of control messages."""
+
+import pytest
+
+from fireflyford import core
+from fireflyford import membership
+from fireflyford.membership import _codec
+from fireflyford.membership import _messages
+
+MEMBER = membership.Member(
+    instance_id="tahian-3",
+    role=core.Role.AGENT,
+    region="visayas",
+    availability_zone="cebu",
+    service="tahian",
+    link_address=core.Address("10.1.2.3", 9_000),
+    control_address=core.Address("10.1.2.3", 9_001),
+    bulk_address=core.Address("10.9.9.9", 9_002),
+    status_address=core.Address("fd00::1", 9_003),
+    incarnation=1_790_000_000_000 << 20,
+    version=4,
+    state=membership.State.DRAINING,
+    weight=1.25,
+    config_version=380,
+)
+CHANGE = _messages.Change.of(MEMBER)
+FINGERPRINT = MEMBER.fingerprint
+MESSAGES = (
+    _messages.Heartbeat(FINGERPRINT, 4, 65_000),
+    _messages.Announcement(MEMBER, 0),
+    _messages.Acknowledgement(_messages.Answer.UNKNOWN),
+    _messages.Update(3, 380, 4_590, (MEMBER,), (CHANGE,)),
+    _messages.Gossip(FINGERPRINT, 380, (MEMBER,), (CHANGE, CHANGE)),
+    _messages.Query(FINGERPRINT),
+    _messages.Reply(FINGERPRINT, True),
+    _messages.Digest(FINGERPRINT, 380, (1 << 64) - 1, False),
+)
+
+
+@pytest.mark.parametrize("message", MESSAGES)
+def test_a_message_survives_its_encoding(message: _messages.Message) -> None:
+    """Guards against a field that is lost or changed on the way."""
+    assert _codec.decode(_codec.encode(message)) == message
+
+
+@pytest.mark.parametrize("message", MESSAGES)
+def test_a_damaged_message_is_refused(message: _messages.Message) -> None:
+    """Guards against an exception that ends the receiving task."""
+    data = _codec.encode(message)
+    for end in range(len(data)):
+        with pytest.raises((ValueError, IndexError)):
+            _codec.decode(data[:end])
+
+
+def test_frequent_messages_are_small() -> None:
+    """Guards against heartbeats that use up the control traffic."""
+    assert len(_codec.encode(MESSAGES[0])) <= 16
+    assert len(_codec.encode(MESSAGES[2])) <= 4
+    assert len(_codec.encode(MESSAGES[1])) <= 120
--- /dev/null
+++ b/libs/membership/tests/test_failures.py
@@ -0,0 +1,367 @@
+"""Each failure of a member, its path or its observers, in virtual time."""
+
+import dataclasses
+
+from fireflyford import core
+from fireflyford import membership
+
+ALIVE = membership.State.ALIVE
+DRAINING = membership.State.DRAINING
+DEAD = membership.State.DEAD
+LEFT = membership.State.LEFT
+BOUND_MS = 3_000
+SETTLE_MS = 8_000
+
+
+def test_a_dead_target_is_out_of_every_view_in_time(simulate) -> None:
+    """Guards against a dead target that stays in some balancer's view."""
+
+    async def scenario(fleet) -> None:
+        fleet.start_many(balancers=8, agents=6)
+        await fleet.run(SETTLE_MS)
+        assert fleet.states("tahian-0") == {ALIVE}
+        await fleet.kill("tahian-0")
+        await fleet.run(BOUND_MS)
+        assert fleet.states("tahian-0") == {DEAD}
+
+    for seed in range(5):
+        simulate(scenario, seed)
+
+
+def test_loss_causes_no_false_death(simulate) -> None:
+    """Guards against a death declared because of lost datagrams."""
+
+    async def scenario(fleet) -> None:
+        deaths = []
+        fleet.start_many(balancers=5, agents=4)
+        await fleet.run(SETTLE_MS)
+        for member in fleet.members.values():
+            member.on_change(
+                lambda view: deaths.extend(
+                    name
+                    for name, record in view.members.items()
+                    if record.state is DEAD
+                )
+            )
+        await fleet.run(60_000)
+        assert deaths == []
+
+    simulate(scenario, loss_ratio=0.1)
+
+
+def test_a_pause_of_a_second_is_no_death(simulate) -> None:
+    """Guards against a paused backend server that is declared dead."""
+
+    async def scenario(fleet) -> None:
+        fleet.start_many(balancers=5, agents=4)
+        await fleet.run(SETTLE_MS)
+        for step_ms in range(0, 500, 50):
+            await fleet.run(1_500 + step_ms)
+            fleet.channels["tahian-1"].pause()
+            await fleet.run(1_000)
+            fleet.channels["tahian-1"].resume()
+            await fleet.run(1_500)
+            assert fleet.states("tahian-1") == {ALIVE}
+            record = fleet.members["balancer-0"].view().members["tahian-1"]
+            assert record.version == 0
+
+    simulate(scenario)
+
+
+def test_a_long_pause_is_refuted(simulate) -> None:
+    """Guards against a member that stays dead after it has resumed."""
+
+    async def scenario(fleet) -> None:
+        fleet.start_many(balancers=5, agents=4)
+        await fleet.run(SETTLE_MS)
+        fleet.channels["tahian-1"].pause()
+        await fleet.run(BOUND_MS)
+        assert fleet.states("tahian-1") == {DEAD}
+        fleet.channels["tahian-1"].resume()
+        await fleet.run(BOUND_MS)
+        assert fleet.states("tahian-1") == {ALIVE}
+
+    simulate(scenario)
+
+
+def test_a_one_way_cut_to_one_observer_is_no_death(simulate) -> None:
+    """Guards against a death that only one observer believes in."""
+
+    async def scenario(fleet) -> None:
+        fleet.start_many(balancers=5, agents=3)
+        await fleet.run(SETTLE_MS)
+        observers = fleet.members["tahian-0"].observers()
+        for observer in observers:
+            fleet.cut({"tahian-0"}, {observer.instance_id})
+            await fleet.run(10_000)
+            assert fleet.states("tahian-0") == {ALIVE}
+            fleet.cut({observer.instance_id}, {"tahian-0"})
+            await fleet.run(10_000)
+            assert fleet.states("tahian-0") == {ALIVE}
+            record = fleet.members["balancer-0"].view().members["tahian-0"]
+            assert record.version == 0
+
+    simulate(scenario)
+
+
+def test_a_target_that_dies_with_both_observers_is_found(simulate) -> None:
+    """Guards against a dead target that nobody is left to declare dead."""
+
+    async def scenario(fleet) -> None:
+        fleet.start_many(balancers=6, agents=3)
+        await fleet.run(SETTLE_MS)
+        observers = fleet.members["tahian-0"].observers()
+        for name in [*(item.instance_id for item in observers), "tahian-0"]:
+            await fleet.kill(name)
+        await fleet.run(10_000)
+        assert fleet.states("tahian-0") == {DEAD}
+
+    simulate(scenario)
+
+
+def test_draining_and_leaving_are_known_in_time(simulate) -> None:
+    """Guards against new work for a target that leaves."""
+
+    async def scenario(fleet) -> None:
+        fleet.start_many(balancers=8, agents=4)
+        await fleet.run(SETTLE_MS)
+        fleet.members["tahian-0"].update(state=DRAINING)
+        await fleet.run(BOUND_MS)
+        assert fleet.states("tahian-0") == {DRAINING}
+        assert fleet.state("tahian-1", "tahian-0") is DRAINING
+        fleet.members["tahian-0"].update(state=LEFT)
+        await fleet.kill("tahian-0")
+        await fleet.run(BOUND_MS)
+        assert fleet.states("tahian-0") == {LEFT}
+
+    simulate(scenario, loss_ratio=0.02)
+
+
+def test_a_stale_rumour_changes_nothing(simulate) -> None:
+    """Guards against an old record that undoes a newer one."""
+
+    async def scenario(fleet) -> None:
+        fleet.start_many(balancers=4, agents=2)
+        await fleet.run(SETTLE_MS)
+        stale = fleet.records["tahian-0"]
+        await fleet.kill("tahian-0")
+        await fleet.run(BOUND_MS)
+        table = fleet.members["balancer-0"]._table
+        table.merge([stale])
+        table.merge([dataclasses.replace(stale, incarnation=1, version=99)])
+        await fleet.run(BOUND_MS)
+        assert fleet.states("tahian-0") == {DEAD}
+
+    simulate(scenario)
+
+
+def test_a_restart_on_the_same_address_wins(simulate) -> None:
+    """Guards against an earlier start that survives in a view."""
+
+    async def scenario(fleet) -> None:
+        fleet.start_many(balancers=4, agents=2)
+        await fleet.run(SETTLE_MS)
+        first = fleet.records["tahian-0"]
+        await fleet.kill("tahian-0")
+        await fleet.run(700)
+        fleet.start("tahian-0", "tahian", control=first.control_address)
+        await fleet.run(BOUND_MS)
+        assert fleet.states("tahian-0") == {ALIVE}
+        for member in fleet.members.values():
+            record = member.view().members["tahian-0"]
+            assert record.incarnation > first.incarnation
+
+    simulate(scenario)
+
+
+def test_an_earlier_start_steps_back(simulate) -> None:
+    """Guards against a resumed process that fights its successor."""
+
+    async def scenario(fleet) -> None:
+        fleet.start_many(balancers=4, agents=1)
+        await fleet.run(SETTLE_MS)
+        withdrawn = []
+        first = fleet.members["tahian-0"]
+        first.on_withdrawal(lambda: withdrawn.append(True))
+        fleet.start("tahian-0", "tahian")
+        successor = fleet.records["tahian-0"]
+        await fleet.run(BOUND_MS)
+        assert withdrawn == [True]
+        assert first.view().members["tahian-0"].state is LEFT
+        await fleet.run(BOUND_MS)
+        assert fleet.states("tahian-0") == {ALIVE}
+        for balancer in fleet.members.values():
+            record = balancer.view().members["tahian-0"]
+            assert record.incarnation == successor.incarnation
+
+    simulate(scenario)
+
+
+def test_half_of_a_zone_stays_eligible_as_a_last_resort(simulate) -> None:
+    """Guards against a service without targets after a fault of the path."""
+
+    async def scenario(fleet) -> None:
+        fleet.start_many(balancers=4)
+        names = [f"tahian-{index}" for index in range(4)]
+        for name in names:
+            fleet.start(name, "tahian", zone="iloilo")
+        fleet.start("tahian-far", "tahian", zone="tacloban")
+        await fleet.run(SETTLE_MS)
+        for name in names[:2]:
+            await fleet.kill(name)
+        fleet.channels[names[2]].pause()
+        await fleet.run(BOUND_MS)
+        view = fleet.members["balancer-0"].view()
+        doubted = [member.instance_id for member in view.last_resort("tahian")]
+        assert doubted == names[:3]
+        fleet.channels[names[2]].resume()
+        await fleet.run(BOUND_MS)
+        view = fleet.members["balancer-0"].view()
+        doubted = [member.instance_id for member in view.last_resort("tahian")]
+        assert doubted == names[:2]
+        assert fleet.states(names[2]) == {ALIVE}
+        await fleet.run(40_000)
+        view = fleet.members["balancer-0"].view()
+        assert view.last_resort("tahian") == ()
+
+    simulate(scenario)
+
+
+def test_one_death_of_many_is_no_panic(simulate) -> None:
+    """Guards against a last resort that is offered after a single death."""
+
+    async def scenario(fleet) -> None:
+        fleet.start_many(balancers=3)
+        for index in range(4):
+            fleet.start(f"tahian-{index}", "tahian", zone="iloilo")
+        await fleet.run(SETTLE_MS)
+        await fleet.kill("tahian-0")
+        await fleet.run(BOUND_MS)
+        view = fleet.members["balancer-0"].view()
+        assert fleet.states("tahian-0") == {DEAD}
+        assert view.last_resort("tahian") == ()
+
+    simulate(scenario)
+
+
+def test_partitioned_regions_go_on_and_merge(simulate) -> None:
+    """Guards against views that stay divided after a partition."""
+
+    async def scenario(fleet) -> None:
+        sides = []
+        for region in ("visayas", "yeongnam"):
+            names = {f"balancer-{region}-{index}" for index in range(3)}
+            for name in sorted(names):
+                fleet.start(name, region=region)
+            fleet.start(f"tahian-{region}", "tahian", region=region)
+            sides.append({*names, f"tahian-{region}"})
+        await fleet.run(SETTLE_MS)
+        assert fleet.states("tahian-visayas") == {ALIVE}
+        fleet.partition(*sides)
+        await fleet.run(120_000)
+        for region, other in (("visayas", "yeongnam"), ("yeongnam", "visayas")):
+            observer = f"balancer-{region}-0"
+            assert fleet.state(observer, f"tahian-{region}") is ALIVE
+            assert fleet.state(observer, f"tahian-{other}") is DEAD
+        fleet.network.heal()
+        await fleet.run(30_000)
+        for name in fleet.records:
+            assert fleet.states(name) == {ALIVE}
+
+    simulate(scenario)
+
+
+def test_any_live_seed_is_sufficient(simulate) -> None:
+    """Guards against a joiner that depends on one seed or on a balancer."""
+
+    async def scenario(fleet) -> None:
+        fleet.start_many(balancers=5, agents=3)
+        await fleet.run(SETTLE_MS)
+        await fleet.kill("balancer-0")
+        await fleet.kill("balancer-1")
+        seeds = ["balancer-0", "balancer-1", "tahian-0"]
+        fleet.start("balancer-late", seeds=seeds)
+        fleet.start("tahian-late", "tahian", seeds=[*seeds[:2], "balancer-2"])
+        await fleet.run(SETTLE_MS)
+        assert fleet.states("balancer-late") == {ALIVE}
+        assert fleet.states("tahian-late") == {ALIVE}
+        assert fleet.state("tahian-0", "tahian-late") is ALIVE
+        for name in ("balancer-4", "tahian-1", "tahian-2"):
+            assert fleet.state("balancer-late", name) is ALIVE
+
+    simulate(scenario)
+
+
+def test_a_forgotten_member_does_not_come_back(simulate) -> None:
+    """Guards against a record that a long paused balancer brings back."""
+
+    async def scenario(fleet) -> None:
+        fleet.start_many(balancers=3, agents=2)
+        await fleet.run(SETTLE_MS)
+        stale = fleet.records["tahian-0"]
+        await fleet.kill("tahian-0")
+        await fleet.run(BOUND_MS)
+        for member in fleet.members.values():
+            table = member._table
+            table._ended_ms = dict.fromkeys(table._ended_ms, -(1 << 40))
+        await fleet.run(12_000)
+        assert fleet.states("tahian-0") == {None}
+        # A balancer that joins later has no memory of the death.
+        fleet.start("balancer-late")
+        await fleet.run(SETTLE_MS)
+        fleet.members["balancer-late"]._table.merge([stale])
+        assert fleet.state("balancer-late", "tahian-0") is ALIVE
+        await fleet.run(12_000)
+        assert fleet.state("balancer-0", "tahian-0") is None
+        assert fleet.state("balancer-late", "tahian-0") is DEAD
+
+    simulate(scenario)
+
+
+def test_a_config_version_reaches_everyone_in_time(simulate) -> None:
+    """Guards against an instance that never hears of a configuration."""
+
+    async def scenario(fleet) -> None:
+        fleet.start_many(balancers=10, agents=6)
+        await fleet.run(SETTLE_MS)
+        announcers = {}
+
+        def listen(name: str, member: membership.Membership) -> None:
+            def take(announcer: membership.Member, version: int) -> None:
+                announcers.setdefault(name, announcer)
+                member.update(config_version=version)
+
+            member.on_config_version(take)
+
+        for name, member in fleet.members.items():
+            listen(name, member)
+        fleet.members["balancer-3"].update(config_version=7)
+        await fleet.run(BOUND_MS)
+        assert set(announcers) == set(fleet.members) - {"balancer-3"}
+        assert all(
+            announcer.role is core.Role.BALANCER
+            for announcer in announcers.values()
+        )
+
+    simulate(scenario, loss_ratio=0.02)
+
+
+def test_small_changes_of_weight_are_held_back(simulate) -> None:
+    """Guards against weights that fill the control traffic."""
+
+    async def scenario(fleet) -> None:
+        fleet.start_many(balancers=3, agents=2)
+        await fleet.run(SETTLE_MS)
+        agent = fleet.members["tahian-0"]
+        agent.update(weight=2.0)
+        for step in range(100):
+            agent.update(weight=1.0 + step % 2)
+            await fleet.run(100)
+        agent.update(weight=3.0)
+        agent.update(weight=2.95)
+        await fleet.run(BOUND_MS)
+        record = fleet.members["balancer-0"].view().members["tahian-0"]
+        assert record.weight == 2.95
+        assert record.version <= 12
+
+    simulate(scenario)
--- /dev/null
+++ b/libs/membership/tests/test_merge.py
@@ -0,0 +1,175 @@
+"""The merge of records, against a plain model of their order."""
+
+import random
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+
+from fireflyford import core
+from fireflyford import membership
+from fireflyford.membership import _messages
+from fireflyford.membership import _table
+
+NAMES = ("agent-0", "agent-1", "balancer-0")
+OWN = "own"
+
+
+def record(
+    name: str, incarnation: int, version: int, state: membership.State
+) -> membership.Member:
+    port = 1_000 + 10 * [*NAMES, OWN].index(name)
+    balancer = not name.startswith("agent")
+    return membership.Member(
+        instance_id=name,
+        role=core.Role.BALANCER if balancer else core.Role.AGENT,
+        region="visayas",
+        availability_zone="cebu",
+        service="" if balancer else "tahian",
+        link_address=core.Address("127.0.0.1", port),
+        control_address=core.Address("127.0.0.1", port + 1),
+        bulk_address=core.Address("127.0.0.1", port + 2),
+        status_address=core.Address("127.0.0.1", port + 3),
+        incarnation=incarnation,
+        version=version,
+        state=state,
+        weight=version + 1.0,
+    )
+
+
+RECORDS = strategies.builds(
+    record,
+    strategies.sampled_from(NAMES),
+    strategies.integers(1, 3),
+    strategies.integers(0, 3),
+    strategies.sampled_from(membership.State),
+)
+
+
+class Merge(stateful.RuleBasedStateMachine):
+    """Two tables merge records, changes and pulls in any order."""
+
+    def __init__(self) -> None:
+        """Starts with two empty tables and two empty models."""
+        super().__init__()
+        clock = core.ManualClock(1_000)
+        own = record(OWN, 5, 0, membership.State.ALIVE)
+        self.clock = clock
+        self.tables = [_table.MemberTable(clock, own) for _ in range(2)]
+        # The highest record ever merged, and whether it was forgotten.
+        self.models: list[dict[str, membership.Member]] = [{}, {}]
+        self.forgotten: list[set[str]] = [set(), set()]
+
+    def _expect(self, side: int, member: membership.Member) -> None:
+        known = self.models[side].get(member.instance_id)
+        if known is None or member.order > known.order:
+            self.models[side][member.instance_id] = member
+            self.forgotten[side].discard(member.instance_id)
+
+    @stateful.rule(side=strategies.integers(0, 1), member=RECORDS)
+    def merge_record(self, side: int, member: membership.Member) -> None:
+        """A whole record arrives."""
+        self.tables[side].merge([member])
+        self._expect(side, member)
+
+    @stateful.rule(side=strategies.integers(0, 1), member=RECORDS)
+    def merge_change(self, side: int, member: membership.Member) -> None:
+        """A change arrives; it counts only for the known incarnation."""
+        self.tables[side].merge((), [_messages.Change.of(member)])
+        known = self.models[side].get(member.instance_id)
+        if (
+            known is not None
+            and known.incarnation == member.incarnation
+            and member.instance_id not in self.forgotten[side]
+        ):
+            self._expect(side, member)
+
+    @stateful.rule(side=strategies.integers(0, 1))
+    def forget(self, side: int) -> None:
+        """Time passes until all that has ended is forgotten."""
+        table = self.tables[side]
+        table._ended_ms = dict.fromkeys(
+            table._ended_ms, self.clock.now_ms() - _table.FORGET_MS
+        )
+        table.forget_ended()
+        self.forgotten[side] |= {
+            name
+            for name, member in self.models[side].items()
+            if not member.is_live
+        }
+
+    @stateful.rule()
+    def exchange(self) -> None:
+        """Both sides merge everything the other one has."""
+        everything = [list(table.members.values()) for table in self.tables]
+        for side, other in ((0, 1), (1, 0)):
+            self.tables[side].merge(everything[other])
+            for member in everything[other]:
+                if member.instance_id != OWN:
+                    self._expect(side, member)
+
+    @stateful.invariant()
+    def tables_match_the_models(self) -> None:
+        """Each table holds the highest records that are not forgotten."""
+        for side, table in enumerate(self.tables):
+            expected = {
+                name: member
+                for name, member in self.models[side].items()
+                if name not in self.forgotten[side]
+            }
+            found = dict(table.members)
+            assert found.pop(OWN).state is membership.State.ALIVE
+            assert found == expected
+
+    @stateful.invariant()
+    def equal_live_records_have_equal_digests(self) -> None:
+        """Digests differ exactly when live records differ."""
+        live = [
+            {
+                name: member.order
+                for name, member in table.members.items()
+                if member.is_live
+            }
+            for table in self.tables
+        ]
+        roots = [table.root() for table in self.tables]
+        assert (live[0] == live[1]) == (roots[0] == roots[1])
+
+
+TestMerge = Merge.TestCase
+TestMerge.settings = settings(
+    max_examples=100, stateful_step_count=30, deadline=None, derandomize=True
+)
+
+
+def test_a_rumour_of_the_own_death_is_refuted() -> None:
+    """Guards against a live member that accepts its own death."""
+    own = record(OWN, 5, 0, membership.State.ALIVE)
+    table = _table.MemberTable(core.ManualClock(1_000), own)
+    table.merge([record(OWN, 5, 3, membership.State.DEAD)])
+    assert table.own.order == (5, 4, membership.State.ALIVE.value)
+    assert not table.withdrawn
+
+
+def test_choice_by_rendezvous_moves_few_keys() -> None:
+    """Guards against observers that all change with one balancer."""
+    rng = random.Random(1)
+    balancers = [
+        record("balancer-0", 1, 0, membership.State.ALIVE),
+        *(
+            membership.Member(
+                **{
+                    **vars(record("balancer-0", 1, 0, membership.State.ALIVE)),
+                    "instance_id": f"balancer-{rng.getrandbits(32)}",
+                }
+            )
+            for _ in range(19)
+        ),
+    ]
+    moved = 0
+    for key in range(1_000):
+        before = membership.rendezvous(f"key-{key}", balancers, 2)
+        after = membership.rendezvous(f"key-{key}", balancers[1:], 2)
+        moved += before != after
+        assert set(before) - {balancers[0]} <= set(after)
+    assert 50 < moved < 150
