--- a/libs/agent/src/fireflyford/agent/_process.py
+++ b/libs/agent/src/fireflyford/agent/_process.py
@@ -161,6 +161,7 @@
             self._clock, core.Address.parse(self._options.backend_address)
         )
         telemetry.log("started", role="agent", service=self._options.service)
+        self._membership.on_withdrawal(self._stopping.set)
         self._membership.on_change(lambda _: self._follower.notify())
         self._membership.on_change(self._take_view)
         server = _peer.PeerServer(
--- a/libs/balancer/src/fireflyford/balancer/_process.py
+++ b/libs/balancer/src/fireflyford/balancer/_process.py
@@ -40,14 +40,14 @@
         self._clock = clock
         self._forwarding = _forwarding.Forwarding(options, clock)
         self._counters = self._forwarding.counters
-        self._channel = membership.UdpChannel(options.link_key)
+        self._bulk = membership.BulkServer(options.link_key)
+        self._channel = membership.UdpChannel(options.link_key, self._bulk)
         self._membership = membership.Membership(
             clock,
             self._channel,
             _own_member(options, clock),
             [core.Address.parse(seed) for seed in options.seeds],
         )
-        self._bulk = membership.BulkServer(options.link_key)
         self._follower = store.Follower(
             clock,
             random.SystemRandom(),
@@ -62,6 +62,7 @@
         """Runs until a graceful shutdown has ended."""
         await self._open_sockets()
         self._membership.on_change(self._apply_view)
+        self._membership.on_withdrawal(self._stopping.set)
         meter = self._make_meter()
         status = telemetry.serve_status(
             core.Address.parse(self._options.status_address),
--- a/libs/routing/src/fireflyford/routing/_targets.py
+++ b/libs/routing/src/fireflyford/routing/_targets.py
@@ -1,6 +1,7 @@
 """Targets of every service as a membership view describes them."""
 
 from collections.abc import Iterable
+import dataclasses
 
 from fireflyford import core
 from fireflyford import membership
@@ -24,12 +25,23 @@
             continue
         if member.state in _PRESENT:
             found[member.service].append(make_target(member))
+    for service, targets in found.items():
+        if not any(target.accepts_flows for target in targets):
+            targets += _last_resort(view, service)
     return {
         service: _weights.clamp_weights(targets)
         for service, targets in found.items()
     }
 
 
+def _last_resort(view: membership.View, service: str) -> list[_ring.Target]:
+    """Returns targets whose death is doubted, while no other is alive."""
+    return [
+        dataclasses.replace(make_target(member), accepts_flows=True)
+        for member in view.last_resort(service)
+    ]
+
+
 def make_target(member: membership.Member) -> _ring.Target:
     """Returns the target that an agent's record describes."""
     return _ring.Target(
