--- a/libs/agent/src/fireflyford/agent/_process.py
+++ b/libs/agent/src/fireflyford/agent/_process.py
@@ -1,6 +1,7 @@
 """Life of an agent process."""
 
 import asyncio
+import dataclasses
 import pathlib
 import random
 import signal
@@ -97,7 +98,9 @@
         status = telemetry.serve_status(
             core.Address.parse(self._options.status_address),
             self._make_meter(),
-            ready=lambda: not self._stopping.is_set(),
+            ready=lambda: (
+                not self._stopping.is_set() and self._follower.settled
+            ),
             status=self._status,
             drain=self._stopping.set,
         )
@@ -251,4 +254,6 @@
     service: config.Service,
     tls: quic_configuration.QuicConfiguration,
 ) -> None:
+    seeds = await store.find_seeds(options.seeds, options.store_addresses)
+    options = dataclasses.replace(options, seeds=seeds)
     await Agent(options, service, tls, core.SystemClock()).run()
--- a/libs/balancer/src/fireflyford/balancer/_configuration.py
+++ b/libs/balancer/src/fireflyford/balancer/_configuration.py
@@ -1,15 +1,23 @@
 """Configuration of a balancer: readers in each region, spread through peers."""
 
+import asyncio
+from collections.abc import Callable
 from collections.abc import Sequence
+import pathlib
 import random
 
 import xxhash
 
+from fireflyford import config
 from fireflyford import core
 from fireflyford import membership
 from fireflyford import settings
 from fireflyford import store
 
+# A balancer that has just started sees itself alone and would read the store;
+# with many starting at once, all of them would.
+JOIN_DELAY_MS = 1_500
+
 
 class BalancerPeers(store.Peers):
     """Following through the membership of a balancer."""
@@ -18,13 +26,18 @@
         self,
         options: settings.BalancerSettings,
         members: membership.Membership,
+        clock: core.Clock,
     ) -> None:
-        """Takes settings and membership of the balancer."""
+        """Takes settings, membership and clock of the balancer."""
         self._options = options
         self._members = members
+        self._clock = clock
+        self._created_ms = clock.now_ms()
 
     def is_reader(self) -> bool:
         """Whether this balancer has one of the region's highest scores."""
+        if self._clock.now_ms() - self._created_ms < JOIN_DELAY_MS:
+            return False
         candidates = [
             member.instance_id
             for member in self._members.view().balancers()
@@ -79,9 +92,9 @@
     return frozenset(ranked[: store.READER_COUNT])
 
 
-def make_config_store(
-    options: settings.BalancerSettings, clock: core.Clock
-) -> store.ConfigStore | None:
+def open_store(
+    options: settings.BalancerSettings,
+) -> store.EtcdStore | None:
     """Returns the store of the settings, or None without store addresses."""
     gateways = [core.Address.parse(item) for item in options.store_addresses]
     if not gateways:
@@ -89,4 +102,57 @@
     # Balancers start with different gateways, so that one gateway does not
     # serve all readers.
     random.SystemRandom().shuffle(gateways)
-    return store.ConfigStore(store.EtcdStore(gateways), clock)
+    return store.EtcdStore(gateways)
+
+
+class Configuration:
+    """Following and the join entry of one balancer."""
+
+    def __init__(
+        self,
+        options: settings.BalancerSettings,
+        clock: core.Clock,
+        members: membership.Membership,
+        apply: Callable[[config.Deployment], None],
+    ) -> None:
+        """Prepares both.
+
+        Args:
+            options: Checked settings.
+            clock: Source of time.
+            members: Membership of the balancer.
+            apply: Puts a deployment in force in this process.
+        """
+        peers = BalancerPeers(options, members, clock)
+        client = open_store(options)
+        config_store = None
+        self._entry: store.JoinEntry | None = None
+        if client is not None:
+            config_store = store.ConfigStore(client, clock)
+            self._entry = store.JoinEntry(
+                client,
+                clock,
+                options.instance_id,
+                core.Address.parse(options.control_address),
+                peers.is_reader,
+            )
+        self.follower = store.Follower(
+            clock, random.SystemRandom(), peers, apply, config_store
+        )
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.follower.run())
+            if self._entry is not None:
+                tasks.create_task(self._entry.run())
+
+
+def load_file(path: str) -> core.Outcome[config.Deployment | None]:
+    """Reads the configuration file used until a version is in force."""
+    if not path:
+        return core.Ok(None)
+    parsed = config.parse(pathlib.Path(path).read_bytes())
+    if isinstance(parsed, core.Failure):
+        return core.Failure(parsed.kind, f"{path}: {parsed.message}")
+    return core.Ok(parsed.value)
--- a/libs/balancer/src/fireflyford/balancer/_process.py
+++ b/libs/balancer/src/fireflyford/balancer/_process.py
@@ -1,6 +1,7 @@
 """Life of a balancer process."""
 
 import asyncio
+import dataclasses
 import random
 import signal
 import sys
@@ -24,13 +25,17 @@
     """One balancer with its sockets and its view."""
 
     def __init__(
-        self, options: settings.BalancerSettings, clock: core.Clock
+        self,
+        options: settings.BalancerSettings,
+        clock: core.Clock,
+        deployment: config.Deployment | None = None,
     ) -> None:
         """Prepares a balancer.
 
         Args:
             options: Checked settings.
             clock: Source of time.
+            deployment: Configuration until a pushed one is in force.
         """
         self._options = options
         self._clock = clock
@@ -49,14 +54,11 @@
             [core.Address.parse(seed) for seed in options.seeds],
         )
         self._bulk = membership.BulkServer(options.link_key)
-        self._deployment: config.Deployment | None = None
-        self._follower = store.Follower(
-            clock,
-            random.SystemRandom(),
-            _configuration.BalancerPeers(options, self._membership),
-            self._apply_deployment,
-            _configuration.make_config_store(options, clock),
+        self._deployment = deployment
+        self._configuration = _configuration.Configuration(
+            options, clock, self._membership, self._apply_deployment
         )
+        self._follower = self._configuration.follower
         self._bulk.register(store.TOPIC, self._follower.answer)
         self._stopping = asyncio.Event()
 
@@ -68,10 +70,12 @@
         status = telemetry.serve_status(
             core.Address.parse(self._options.status_address),
             meter,
-            ready=lambda: not self._stopping.is_set(),
+            ready=lambda: (
+                not self._stopping.is_set() and self._follower.settled
+            ),
             status=self._status,
             drain=self._stopping.set,
-            pages={"/config": self._follower.text},
+            pages={"/config": self._config_text},
         )
         self._handle_signals()
         telemetry.log("started", role="balancer")
@@ -79,7 +83,7 @@
         tasks = [
             asyncio.create_task(self._membership.run()),
             asyncio.create_task(self._bulk.run(bulk)),
-            asyncio.create_task(self._follower.run()),
+            asyncio.create_task(self._configuration.run()),
         ]
         await self._stopping.wait()
         self._membership.update(state=membership.State.DRAINING)
@@ -94,6 +98,10 @@
         self._deployment = deployment
         self._apply_view(self._membership.view())
 
+    def _config_text(self) -> str:
+        deployment = self._deployment
+        return "" if deployment is None else config.render(deployment)
+
     def _accepts_flows(self, service: str) -> bool:
         """Whether the configuration lets a service take new flows."""
         if self._deployment is None:
@@ -216,11 +224,19 @@
     )
 
 
-def run(options: settings.BalancerSettings) -> None:
+def run(options: settings.BalancerSettings) -> core.Outcome[None]:
     """Runs a balancer until it is stopped."""
     telemetry.configure_logs(sys.stderr, options.instance_id)
-    asyncio.run(_run(options))
-
-
-async def _run(options: settings.BalancerSettings) -> None:
-    await Balancer(options, core.SystemClock()).run()
+    loaded = _configuration.load_file(options.config_path)
+    if isinstance(loaded, core.Failure):
+        return loaded
+    asyncio.run(_run(options, loaded.value))
+    return core.Ok(None)
+
+
+async def _run(
+    options: settings.BalancerSettings, deployment: config.Deployment | None
+) -> None:
+    seeds = await store.find_seeds(options.seeds, options.store_addresses)
+    options = dataclasses.replace(options, seeds=seeds)
+    await Balancer(options, core.SystemClock(), deployment).run()
--- a/libs/cli/src/fireflyford/cli/_commands.py
+++ b/libs/cli/src/fireflyford/cli/_commands.py
@@ -138,8 +138,8 @@
     options = settings.load(path, settings.BalancerSettings)
     if isinstance(options, core.Failure):
         return options
-    balancer.run(options.value)
-    return core.Ok("")
+    outcome = balancer.run(options.value)
+    return outcome if isinstance(outcome, core.Failure) else core.Ok("")
 
 
 def _run_agent(path: str) -> core.Outcome[str]:
--- a/libs/lab/src/fireflyford/lab/_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_fleet.py
@@ -1,12 +1,12 @@
 """Real processes of one deployment on loopback, for tests and experiments."""
 
 import dataclasses
+import functools
 import json
 import pathlib
 import random
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -17,6 +17,7 @@
 from fireflyford import core
 from fireflyford.lab import _certificates
 from fireflyford.lab import _fabric
+from fireflyford.lab import _ports
 
 _START_LIMIT_MS = 15_000
 _POLL_MS = 50
@@ -262,20 +263,14 @@
         )
 
 
+@functools.cache
+def _port_block() -> _ports.PortBlock:
+    return _ports.PortBlock()
+
+
 def free_address() -> core.Address:
     """Returns a loopback address with a port free for TCP and UDP."""
-    while True:
-        with (
-            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream,
-            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagram,
-        ):
-            stream.bind(("127.0.0.1", 0))
-            port = stream.getsockname()[1]
-            try:
-                datagram.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return core.Address("127.0.0.1", port)
+    return _port_block().take()
 
 
 async def fetch_status(
--- a/libs/lab/src/fireflyford/lab/_store_server.py
+++ b/libs/lab/src/fireflyford/lab/_store_server.py
@@ -335,6 +335,7 @@
 
     def on_connection_close(self) -> None:
         self._open = False
+        self._closing = asyncio.create_task(self.state.announce())
 
     async def post(self) -> None:
         self.server.counts[self.request.path] += 1
--- a/libs/store/src/fireflyford/store/__init__.py
+++ b/libs/store/src/fireflyford/store/__init__.py
@@ -12,6 +12,9 @@
 from fireflyford.store._follower import Follower
 from fireflyford.store._follower import Peers
 from fireflyford.store._follower import Source
+from fireflyford.store._join import LEASE_DURATION_S
+from fireflyford.store._join import JoinEntry
+from fireflyford.store._join import find_seeds
 from fireflyford.store._record import AuditEntry
 from fireflyford.store._record import Record
 from fireflyford.store._store import Commit
@@ -23,6 +26,7 @@
 from fireflyford.store._store import Write
 
 __all__ = [
+    "LEASE_DURATION_S",
     "MAX_VALUE_BYTES",
     "READER_COUNT",
     "READER_KEY",
@@ -37,6 +41,7 @@
     "EtcdStore",
     "Expectation",
     "Follower",
+    "JoinEntry",
     "Peers",
     "Push",
     "Reading",
@@ -44,4 +49,5 @@
     "Source",
     "Store",
     "Write",
+    "find_seeds",
 ]
--- a/libs/store/src/fireflyford/store/_follower.py
+++ b/libs/store/src/fireflyford/store/_follower.py
@@ -25,11 +25,17 @@
 # A watch that hangs without an error costs at most this much of the 3 s in
 # which a configuration must be in force.
 WATCH_LIMIT_MS = 2_000
-# How soon an instance notices that it has become a reader, and how often a
-# reader asks a store that does not answer.
+# How soon an instance notices that it has become a reader.
 _READER_POLL_MS = 500
+# How often a reader asks a store that does not answer. At 500 ms the readers
+# missed a version that a store accepted right after an outage and 200 ms
+# before the next one.
+_RETRY_MS = 100
 # Spreads the pulls of all instances that hear of a version at once.
 _PULL_JITTER_MS = 100
+# How long a new instance may wait for the version in force before it serves
+# with the configuration file.
+SETTLE_LIMIT_MS = 3_000
 _FIRST_BACKOFF_MS = 200
 _LAST_BACKOFF_MS = 5_000
 
@@ -99,6 +105,8 @@
         self._highest: _record.Record | None = None
         self._changed = asyncio.Event()
         self._alarmed_version = -1
+        self._settled = False
+        self._created_ms = clock.now_ms()
         self.alarm = ""
         self.stale_answer_count = 0
 
@@ -112,6 +120,20 @@
         """Highest version seen, higher than `version` when it is held back."""
         return 0 if self._highest is None else self._highest.version
 
+    @property
+    def settled(self) -> bool:
+        """Whether the version in force is known, or cannot be learned.
+
+        An instance that took work earlier could, after a restart, serve with
+        a configuration file that is older than what it ran before.
+        """
+        waited_ms = self._clock.now_ms() - self._created_ms
+        return (
+            self._settled
+            or self.highest_version > 0
+            or waited_ms >= SETTLE_LIMIT_MS
+        )
+
     def status(self) -> dict[str, object]:
         """Describes the configuration for the command line."""
         record = self._in_force
@@ -197,14 +219,14 @@
                 continue
             revision = await self._read(config_store)
             if revision is None:
-                await self._clock.sleep(_READER_POLL_MS)
+                await self._clock.sleep(_RETRY_MS)
                 continue
             watch = config_store.watch(revision + 1, WATCH_LIMIT_MS)
             async for outcome in watch:
                 if isinstance(outcome, core.Ok):
                     self.offer(outcome.value, "store")
                 else:
-                    await self._clock.sleep(_READER_POLL_MS)
+                    await self._clock.sleep(_RETRY_MS)
 
     async def _read(
         self, config_store: _config_store.ConfigStore
@@ -219,6 +241,7 @@
                 return None
             if record.value is not None:
                 self.offer(record.value, "store")
+        self._settled |= head.version == 0
         await self._check_store(config_store, state.value)
         return state.value.revision
 
