Compress pulled configurations and let agents wait for the version in force

A restarted agent took flows with its configuration file until it had pulled the version in force.

An alarm about the store ends when the store holds what runs.

--- a/libs/agent/src/fireflyford/agent/_process.py
+++ b/libs/agent/src/fireflyford/agent/_process.py
@@ -91,6 +91,13 @@
         loop = asyncio.get_running_loop()
         control = core.Address.parse(self._options.control_address)
         await self._channel.open(control)
+        self._membership.on_change(lambda _: self._follower.notify())
+        tasks = [
+            asyncio.create_task(self._membership.run()),
+            asyncio.create_task(self._follower.run()),
+        ]
+        # Earlier flows could be treated by an older configuration file.
+        await self._follower.wait_until_settled()
         link = core.Address.parse(self._options.link_address)
         await loop.create_datagram_endpoint(
             lambda: self._endpoint, local_addr=link.pair
@@ -107,11 +114,6 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_signal)
         telemetry.log("started", role="agent", service=self._options.service)
-        self._membership.on_change(lambda _: self._follower.notify())
-        tasks = [
-            asyncio.create_task(self._membership.run()),
-            asyncio.create_task(self._follower.run()),
-        ]
         await self._stopping.wait()
         await self._drain()
         for task in tasks:
--- a/libs/cli/src/fireflyford/cli/_config_commands.py
+++ b/libs/cli/src/fireflyford/cli/_config_commands.py
@@ -253,7 +253,19 @@
     opened = open_store(gateways)
     if isinstance(opened, core.Failure):
         return opened
-    outcome = await opened.value.read(version or None)
+    state = await opened.value.read_state()
+    if isinstance(state, core.Failure):
+        return state
+    head_version = state.value.head.version
+    if head_version < state.value.floor_version:
+        print(
+            f"alarm: the store holds version {head_version}, but instances "
+            f"run another one: it was restored from an older snapshot; see "
+            "`config show --instance ADDRESS` and push with "
+            f"--base {state.value.floor_version}",
+            file=sys.stderr,
+        )
+    outcome = await opened.value.read(version or head_version)
     if isinstance(outcome, core.Failure):
         return outcome
     record = outcome.value
--- a/libs/settings/src/fireflyford/settings/_checks.py
+++ b/libs/settings/src/fireflyford/settings/_checks.py
@@ -126,6 +126,8 @@
                     "a wrong key" if field.endswith("_hex") else repr(element)
                 )
                 return f"`{path}` is {shown}, expected {rule.expected}"
+    if "service" in values and not values["config_path"]:
+        return f"`config_path` is empty, expected {_FILE.expected}"
     for name in values.get("listeners", {}):
         if not _NAMED.holds(name):
             return f"`listeners.{name}`: expected a key of {_NAMED.expected}"
--- a/libs/settings/tests/test_settings.py
+++ b/libs/settings/tests/test_settings.py
@@ -36,6 +36,7 @@
         "backend_address": "127.0.0.1:1006",
         "certificate_path": str(directory / "file"),
         "private_key_path": str(directory / "file"),
+        "config_path": str(directory / "file"),
     }
 
 
@@ -104,6 +105,7 @@
         ("certificate_path", "/none", "`certificate_path` is '/none', exp"),
         ("private_key_path", "", "`private_key_path` is '', expected the"),
         ("caller_key_hex", "12", "`caller_key_hex` is"),
+        ("config_path", "", "`config_path` is empty, expected the path of"),
         ("slot_count", 0, "`slot_count` is 0, expected a number from 1"),
         ("listeners", {}, "unknown field `listeners`"),
     ],
--- a/libs/store/src/fireflyford/store/_follower.py
+++ b/libs/store/src/fireflyford/store/_follower.py
@@ -36,6 +36,7 @@
 # How long a new instance may wait for the version in force before it serves
 # with the configuration file.
 SETTLE_LIMIT_MS = 3_000
+_SETTLE_POLL_MS = 20
 _FIRST_BACKOFF_MS = 200
 _LAST_BACKOFF_MS = 5_000
 
@@ -102,12 +103,16 @@
         self._config_store = config_store
         self._service = service
         self._in_force: _record.Record | None = None
+        self._deployment: config.Deployment | None = None
         self._highest: _record.Record | None = None
+        # Packing takes milliseconds, and many peers ask at once.
+        self._packed = b""
         self._changed = asyncio.Event()
         self._alarmed_version = -1
-        self._settled = False
+        self._store_is_empty = False
         self._created_ms = clock.now_ms()
-        self.alarm = ""
+        self._held_alarm = ""
+        self._store_alarm = ""
         self.stale_answer_count = 0
 
     @property
@@ -128,11 +133,22 @@
         a configuration file that is older than what it ran before.
         """
         waited_ms = self._clock.now_ms() - self._created_ms
-        return (
-            self._settled
-            or self.highest_version > 0
-            or waited_ms >= SETTLE_LIMIT_MS
-        )
+        if self._store_is_empty or waited_ms >= SETTLE_LIMIT_MS:
+            return True
+        versions = [peer.version for peer in self._peers.sources(-1)]
+        if not versions:
+            return self.highest_version > 0
+        return self.highest_version >= max(versions)
+
+    async def wait_until_settled(self) -> None:
+        """Waits until `settled`, at most `SETTLE_LIMIT_MS` after the start."""
+        while not self.settled:
+            await self._clock.sleep(_SETTLE_POLL_MS)
+
+    @property
+    def alarm(self) -> str:
+        """What an operator has to repair, or an empty text."""
+        return self._store_alarm or self._held_alarm
 
     def status(self) -> dict[str, object]:
         """Describes the configuration for the command line."""
@@ -166,9 +182,10 @@
         if record.version <= self.highest_version:
             return False
         self._highest = record
+        self._packed = b""
         readable = record.read()
         if isinstance(readable, core.Failure):
-            self.alarm = f"version {record.version}: {readable.message}"
+            self._held_alarm = f"version {record.version}: {readable.message}"
             telemetry.log(
                 "config-held-back",
                 version=record.version,
@@ -177,7 +194,8 @@
             )
         else:
             self._in_force = record
-            self.alarm = ""
+            self._deployment = readable.value
+            self._held_alarm = ""
             self._apply(readable.value)
             telemetry.log(
                 "config-in-force", version=record.version, source=source
@@ -188,22 +206,23 @@
     def answer(self, payload: bytes) -> bytes:
         """Answers a peer's pull with a record, or nothing."""
         request = _record.decode(payload, _record.PullRequest)
-        record = self._highest
-        if request is None or record is None:
+        if request is None or request.above >= self.highest_version:
             return b""
         if request.service:
-            record = self._part(request.service)
-        if record is None or record.version <= request.above:
-            return b""
-        return _record.encode(record)
-
-    def _part(self, service: str) -> _record.Record | None:
-        record = self._in_force
-        readable = None if record is None else record.read()
-        if record is None or not isinstance(readable, core.Ok):
+            part = self._part(request)
+            return b"" if part is None else _record.pack(part)
+        if not self._packed and self._highest is not None:
+            self._packed = _record.pack(self._highest)
+        return self._packed
+
+    def _part(self, request: _record.PullRequest) -> _record.Record | None:
+        record, deployment = self._in_force, self._deployment
+        if record is None or deployment is None:
+            return None
+        if record.version <= request.above:
             return None
-        part = config.render(readable.value.only(service))
-        return dataclasses.replace(record, text=part)
+        text = config.render(deployment.only(request.service))
+        return dataclasses.replace(record, text=text)
 
     async def run(self) -> None:
         """Runs until cancelled."""
@@ -241,7 +260,7 @@
                 return None
             if record.value is not None:
                 self.offer(record.value, "store")
-        self._settled |= head.version == 0
+        self._store_is_empty = head.version == 0
         await self._check_store(config_store, state.value)
         return state.value.revision
 
@@ -253,9 +272,11 @@
         """Raises an alarm when the store lost what instances run."""
         known = self._highest
         if known is None or state.head.version > known.version:
+            self._store_alarm = ""
             return
         if state.head == _record.Head(known.version, known.identity):
             self._alarmed_version = -1
+            self._store_alarm = ""
             return
         # With another record under the same number, neither number can serve
         # as a base, so the floor is one above both.
@@ -263,7 +284,7 @@
         floor = known.version + same_number
         if self._alarmed_version != state.head.version:
             self._alarmed_version = state.head.version
-            self.alarm = (
+            self._store_alarm = (
                 f"the store holds version {state.head.version}, which is not "
                 f"what runs ({known.version}); it was restored from an older "
                 f"snapshot: push again with --base {floor}"
@@ -296,7 +317,7 @@
         outcome = await self._peers.pull(source, _record.encode(request))
         if isinstance(outcome, core.Failure):
             return False
-        record = _record.decode(outcome.value, _record.Record)
+        record = _record.unpack(outcome.value)
         if record is not None and self.offer(record, source.name):
             return True
         self.stale_answer_count += self.highest_version < source.version
--- a/libs/store/src/fireflyford/store/_record.py
+++ b/libs/store/src/fireflyford/store/_record.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 from typing import TypeVar
+import zlib
 
 import msgspec
 
@@ -12,6 +13,8 @@
 
 # Format of `Record` itself; the text inside has a number of its own.
 RECORD_FORMAT = 1
+# Larger than the store's values, so that no record is cut.
+_MAX_MESSAGE_BYTES = 4 << 20
 
 
 @dataclasses.dataclass(frozen=True)
@@ -128,3 +131,21 @@
         return msgspec.json.decode(data, type=kind)
     except msgspec.DecodeError:
         return None
+
+
+def pack(record: Record) -> bytes:
+    """Encodes a record for a peer, compressed.
+
+    Uncompressed, the records of 420 services would cost each instance more
+    than the 3 KB/s that it may spend on control.
+    """
+    return zlib.compress(encode(record))
+
+
+def unpack(data: bytes) -> Record | None:
+    """Decodes what `pack` encoded, or returns None."""
+    try:
+        body = zlib.decompressobj().decompress(data, _MAX_MESSAGE_BYTES)
+    except zlib.error:
+        return None
+    return decode(body, Record)
--- a/libs/store/tests/test_follower.py
+++ b/libs/store/tests/test_follower.py
@@ -125,6 +125,28 @@
     asyncio.run(body())
 
 
+def test_a_new_instance_waits_for_the_version_in_force() -> None:
+    """Guards against a restart that serves with an old configuration file."""
+
+    async def body() -> None:
+        peer, instance = Instance(), Instance()
+        peer.follower.offer(record(4), "test")
+        assert not instance.follower.settled
+        instance.hear(4, peer)
+        assert not instance.follower.settled
+        await instance.run(250)
+        assert instance.follower.settled
+
+    asyncio.run(body())
+
+
+def test_an_instance_without_any_version_settles_with_its_peers() -> None:
+    """Guards against new deployments that wait for a version in vain."""
+    peer, instance = Instance(), Instance()
+    instance.hear(0, peer)
+    assert instance.follower.settled
+
+
 def test_an_agent_gets_only_its_own_service() -> None:
     """Guards against configurations that reach agents of other services."""
 
