--- a/libs/agent/src/fireflyford/agent/_process.py
+++ b/libs/agent/src/fireflyford/agent/_process.py
@@ -1,6 +1,7 @@
 """Life of an agent process."""
 
 import asyncio
+import dataclasses
 import pathlib
 import random
 import signal
@@ -144,6 +145,18 @@
         """Runs until a graceful shutdown has ended."""
         loop = asyncio.get_running_loop()
         await self._channel.open(self._options.control_listen)
+        await _readiness.wait_for_backend(
+            self._clock, core.Address.parse(self._options.backend_address)
+        )
+        self._membership.on_withdrawal(self._stopping.set)
+        self._membership.on_change(lambda _: self._follower.notify())
+        self._membership.on_change(self._take_view)
+        tasks = [
+            asyncio.create_task(self._membership.run()),
+            asyncio.create_task(self._follower.run()),
+        ]
+        # Earlier flows could be treated by an older configuration file.
+        await self._follower.wait_until_settled()
         link = self._options.link_listen
         await loop.create_datagram_endpoint(
             lambda: self._endpoint, local_addr=link.pair
@@ -151,30 +164,25 @@
         status = telemetry.serve_status(
             core.Address.parse(self._options.status_address),
             self._make_meter(),
-            ready=lambda: not self._stopping.is_set(),
+            ready=lambda: (
+                not self._stopping.is_set() and self._follower.settled
+            ),
             status=self._status,
             drain=self._start_drain,
         )
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_signal)
-        await _readiness.wait_for_backend(
-            self._clock, core.Address.parse(self._options.backend_address)
-        )
         telemetry.log("started", role="agent", service=self._options.service)
-        self._membership.on_withdrawal(self._stopping.set)
-        self._membership.on_change(lambda _: self._follower.notify())
-        self._membership.on_change(self._take_view)
         server = _peer.PeerServer(
             self._clock, self._options.link_key, self._engine
         )
-        tasks = [
-            asyncio.create_task(self._membership.run()),
+        tasks += [
             asyncio.create_task(self._backend_watch.run()),
             asyncio.create_task(server.run(link)),
-            asyncio.create_task(self._follower.run()),
         ]
         if self._flows is not None:
             tasks.append(asyncio.create_task(self._flows.run()))
+        self._membership.update(state=membership.State.ALIVE)
         await self._stopping.wait()
         await self._drain()
         for task in tasks:
@@ -346,6 +354,8 @@
         bulk_address=core.Address.parse(options.bulk_address),
         status_address=core.Address.parse(options.status_address),
         incarnation=membership.new_incarnation(clock, random.SystemRandom()),
+        # Takes no flows until its sockets are open.
+        state=membership.State.DRAINING,
     )
 
 
@@ -373,4 +383,6 @@
     service: config.Service,
     tls: quic_configuration.QuicConfiguration,
 ) -> None:
+    seeds = await store.find_seeds(options.seeds, options.store_addresses)
+    options = dataclasses.replace(options, seeds=seeds)
     await Agent(options, service, tls, core.SystemClock()).run()
--- a/libs/lab/src/fireflyford/lab/_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_fleet.py
@@ -1,5 +1,6 @@
 """Real processes of one deployment on loopback, for tests and experiments."""
 
+import asyncio
 import dataclasses
 import json
 import pathlib
@@ -108,7 +109,7 @@
             _certificates.make_certificate(self._directory, service.name)
         if self._proxied:
             await self._start_proxy()
-        self._start_store()
+        await self._start_store()
         for _ in range(self._balancer_count):
             self.start_balancer()
         for service in self.deployment.services:
@@ -151,13 +152,18 @@
         )
         return listen
 
-    def _start_store(self) -> None:
+    async def _start_store(self) -> None:
         self._processes.append(
             subprocess.Popen(
                 [*lab_command(), "store", str(self.store_address)],
                 stderr=(self._directory / "store.log").open("wb"),
             )
         )
+        limit_ms = _CLOCK.now_ms() + _START_LIMIT_MS
+        while not await _accepts_connections(self.store_address):
+            if _CLOCK.now_ms() > limit_ms:
+                raise TimeoutError("the store does not start")
+            await _CLOCK.sleep(_POLL_MS)
 
     def start_balancer(self) -> BalancerProcess:
         """Starts one more balancer."""
@@ -407,6 +413,15 @@
         return process
 
 
+async def _accepts_connections(address: core.Address) -> bool:
+    try:
+        _, writer = await asyncio.open_connection(address.host, address.port)
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
 async def fetch_ready(address: core.Address) -> bool | None:
     """Returns whether a process is ready, None when it does not answer."""
     client = httpclient.AsyncHTTPClient()
