--- a/libs/agent/src/fireflyford/agent/_peers.py
+++ b/libs/agent/src/fireflyford/agent/_peers.py
@@ -44,7 +44,8 @@
             return
         self._known = view
         service = self._own.service
-        targets = routing.group_targets(view, [service])[service]
+        members = routing.group_members(view, [service])[service]
+        targets = routing.make_targets(members)
         self._ring = routing.TargetRing(targets)
         self._others = routing.TargetRing(
             target for target in targets if target.name != self._own.instance_id
--- a/libs/balancer/src/fireflyford/balancer/__init__.py
+++ b/libs/balancer/src/fireflyford/balancer/__init__.py
@@ -6,7 +6,7 @@
 from fireflyford.balancer._forwarder import Link
 from fireflyford.balancer._forwarder import QuicHintReader
 from fireflyford.balancer._forwarder import ServiceListener
-from fireflyford.balancer._forwarding import replace_targets
+from fireflyford.balancer._forwarding import follow_view
 from fireflyford.balancer._process import Balancer
 from fireflyford.balancer._process import run
 from fireflyford.balancer._socket import DatagramSocket
@@ -20,6 +20,6 @@
     "Link",
     "QuicHintReader",
     "ServiceListener",
-    "replace_targets",
+    "follow_view",
     "run",
 ]
--- a/libs/balancer/src/fireflyford/balancer/_forwarding.py
+++ b/libs/balancer/src/fireflyford/balancer/_forwarding.py
@@ -92,20 +92,31 @@
         self._tasks.append(asyncio.create_task(work))
 
     async def _follow_view(self) -> None:
+        known: dict[str, tuple[membership.Member, ...]] = {}
         while True:
             await self._view_changed.wait()
             self._view_changed.clear()
-            await replace_targets(self._routers, self._view)
+            await follow_view(self._routers, self._view, known)
 
 
-async def replace_targets(
-    routers: dict[str, routing.Router], view: membership.View
+async def follow_view(
+    routers: dict[str, routing.Router],
+    view: membership.View,
+    known: dict[str, tuple[membership.Member, ...]],
 ) -> None:
     """Gives each router its targets, pausing after each ring.
 
     The longest pause of forwarding is then one ring, not 420 of them.
+
+    Args:
+        routers: Router of each service.
+        view: The new view.
+        known: Members that the routers have taken, by service; updated.
     """
-    grouped = routing.group_targets(view, routers)
-    for service, targets in grouped.items():
-        if routers[service].replace_targets(targets):
-            await asyncio.sleep(0)
+    for service, members in routing.group_members(view, routers).items():
+        # Unchanged records are the same objects, so this is quick.
+        if members == known.get(service):
+            continue
+        known[service] = members
+        routers[service].replace_targets(routing.make_targets(members))
+        await asyncio.sleep(0)
--- a/libs/lab/src/fireflyford/lab/_forward_load.py
+++ b/libs/lab/src/fireflyford/lab/_forward_load.py
@@ -71,14 +71,13 @@
 
 
 def make_quic_datagrams(
-    key: bytes, count: int, rng: random.Random
+    key: bytes, count: int, agent: core.Address, rng: random.Random
 ) -> list[bytes]:
-    """Returns datagrams of open QUIC flows, each with another holder."""
+    """Returns a datagram of each of `count` open QUIC flows at one agent."""
     codec = wire.ConnectionIdCodec([key], _forward_worker.SERVICE)
     body = rng.randbytes(PAYLOAD_BYTES - 1 - wire.CONNECTION_ID_BYTES)
     datagrams = []
     for _ in range(count):
-        agent = core.Address("127.0.0.1", rng.randint(20_000, 60_000))
         connection_id = wire.ConnectionId(
             agent, rng.getrandbits(32), rng.randbytes(4)
         )
--- a/libs/routing/src/fireflyford/routing/__init__.py
+++ b/libs/routing/src/fireflyford/routing/__init__.py
@@ -18,8 +18,8 @@
 from fireflyford.routing._router import Route
 from fireflyford.routing._router import Router
 from fireflyford.routing._router import UnnamedFlowHint
-from fireflyford.routing._targets import group_targets
-from fireflyford.routing._targets import make_target
+from fireflyford.routing._targets import group_members
+from fireflyford.routing._targets import make_targets
 from fireflyford.routing._weights import clamp_weights
 
 __all__ = [
@@ -41,7 +41,7 @@
     "TargetRing",
     "UnnamedFlowHint",
     "clamp_weights",
-    "group_targets",
+    "group_members",
     "hash_flow",
-    "make_target",
+    "make_targets",
 ]
--- a/libs/routing/src/fireflyford/routing/_targets.py
+++ b/libs/routing/src/fireflyford/routing/_targets.py
@@ -10,24 +10,30 @@
 _PRESENT = (membership.State.ALIVE, membership.State.DRAINING)
 
 
-def group_targets(
+def group_members(
     view: membership.View, services: Iterable[str]
-) -> dict[str, tuple[_ring.Target, ...]]:
-    """Returns the targets of each service, with bounded weights.
+) -> dict[str, tuple[membership.Member, ...]]:
+    """Returns the agents of each service that are alive or draining.
 
     One pass over the members serves all services; one pass for each of 420
     services over 4,600 members would stall forwarding.
     """
-    found: dict[str, list[_ring.Target]] = {name: [] for name in services}
+    found: dict[str, list[membership.Member]] = {name: [] for name in services}
     for member in view.members.values():
-        if member.role is not core.Role.AGENT or member.service not in found:
-            continue
-        if member.state in _PRESENT:
-            found[member.service].append(make_target(member))
-    return {
-        service: _weights.clamp_weights(targets)
-        for service, targets in found.items()
-    }
+        if (
+            member.role is core.Role.AGENT
+            and member.service in found
+            and member.state in _PRESENT
+        ):
+            found[member.service].append(member)
+    return {service: tuple(members) for service, members in found.items()}
+
+
+def make_targets(
+    members: Iterable[membership.Member],
+) -> tuple[_ring.Target, ...]:
+    """Returns the targets of one service, with bounded weights."""
+    return _weights.clamp_weights(make_target(member) for member in members)
 
 
 def make_target(member: membership.Member) -> _ring.Target:
