Test codecs, sockets and flow tables against arbitrary input

Cause: only the path test covered forwarding.

IPv6 callers are written in their canonical form, and an unused directory entry makes room in a full table.

Checked: make test.

--- /dev/null
+++ b/libs/agent/tests/test_datagram.py
@@ -0,0 +1,241 @@
+"""Plain-datagram flows of agents on real sockets."""
+
+import asyncio
+import socket
+from typing import cast
+
+from aioquic.quic import configuration as quic_configuration
+import hypothesis
+from hypothesis import strategies
+
+from fireflyford import balancer
+from fireflyford import core
+from fireflyford import routing
+from fireflyford import wire
+from fireflyford.agent import _connection
+from fireflyford.agent import _datagram
+from fireflyford.agent import _endpoint
+
+KEY = b"k" * 16
+LOCAL = ("127.0.0.1", 0)
+SERVICE = "gauge"
+CODEC = wire.ForwardCodec(KEY)
+
+
+class Peers(routing.Peers):
+    """Names a successor while the agent is draining."""
+
+    def __init__(self) -> None:
+        """Starts without draining."""
+        self.next: core.Holder | None = None
+
+    def first(self, flow_key: int) -> core.Holder | None:
+        """Returns no agent."""
+        return None
+
+    def successor(self, flow_key: int) -> core.Holder | None:
+        """Returns the successor."""
+        return self.next
+
+
+class Echo(asyncio.DatagramProtocol):
+    """Backend server that answers with its name."""
+
+    def __init__(self, name: bytes) -> None:
+        """Takes the name."""
+        self._name = name
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport."""
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Answers."""
+        self._transport.sendto(self._name + b" " + data, addr)
+
+
+class Agent:
+    """Endpoint and flows of one agent."""
+
+    def __init__(self, name: str, incarnation: int) -> None:
+        """Prepares; `open` opens the sockets."""
+        self.name = name
+        self.incarnation = incarnation
+        self.peers = Peers()
+
+    async def open(self) -> None:
+        """Opens backend server and link socket."""
+        loop = asyncio.get_running_loop()
+        backend, _ = await loop.create_datagram_endpoint(
+            lambda: Echo(self.name.encode()), local_addr=LOCAL
+        )
+        link = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        link.bind(LOCAL)
+        address = core.Address(*link.getsockname())
+        self.target = routing.Target(self.name, address, self.incarnation)
+        self.flows = _datagram.DatagramFlows(
+            core.SystemClock(),
+            SERVICE,
+            self.target.holder,
+            CODEC,
+            core.Address(*backend.get_extra_info("sockname")),
+            self.peers,
+        )
+        self.endpoint = _endpoint.Endpoint(
+            SERVICE,
+            self.incarnation,
+            address,
+            CODEC,
+            wire.ConnectionIdCodec([KEY], SERVICE),
+            quic_configuration.QuicConfiguration(is_client=False),
+            cast(_connection.Handler, None),
+            lambda: None,
+            self.flows,
+        )
+        await loop.create_datagram_endpoint(lambda: self.endpoint, sock=link)
+        self.task = asyncio.create_task(self.flows.run())
+
+
+class Front:
+    """One balancer."""
+
+    def __init__(self, targets: list[routing.Target]) -> None:
+        """Opens the sockets of a balancer with its own view."""
+        self.counters = balancer.Counters()
+        self.router = routing.Router(core.SystemClock())
+        self.router.replace_targets(targets)
+        link = balancer.Link(CODEC, self.counters)
+        reader = balancer.DatagramHintReader(SERVICE)
+        listener = balancer.ServiceListener(
+            SERVICE, self.router, reader, link, self.counters
+        )
+        link.add_listener(listener)
+        front, back = (
+            balancer.DatagramSocket(core.Address(*LOCAL)) for _ in range(2)
+        )
+        self.pair = front.address.pair
+        self.tasks = [
+            asyncio.create_task(listener.run(front)),
+            asyncio.create_task(link.run(back)),
+        ]
+
+
+async def ask(caller: socket.socket, front: Front, text: bytes) -> bytes:
+    loop = asyncio.get_running_loop()
+    caller.sendto(text, front.pair)
+    async with asyncio.timeout(5):
+        answer, sender = await loop.sock_recvfrom(caller, 2_000)
+    assert sender == front.pair
+    return answer
+
+
+def open_caller() -> socket.socket:
+    caller = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    caller.bind(LOCAL)
+    caller.setblocking(False)
+    return caller
+
+
+async def _run_through_changes() -> list[set[bytes]]:
+    agents = [Agent(f"agent-{number}", number + 1) for number in range(4)]
+    for agent in agents:
+        await agent.open()
+    targets = [agent.target for agent in agents]
+    old, new = Front(targets[:3]), Front(targets)
+    callers = [open_caller() for _ in range(30)]
+    answers = [{await ask(caller, old, b"1")} for caller in callers]
+    for caller, seen in zip(callers, answers, strict=True):
+        seen.add(await ask(caller, new, b"1"))
+    # One agent drains; only itself and one balancer know.
+    leaving = agents[0]
+    leaving.peers.next = targets[1].holder
+    new.router.replace_targets(targets[1:])
+    for caller, seen in zip(callers, answers, strict=True):
+        seen.add(await ask(caller, new, b"1"))
+        seen.add(await ask(caller, old, b"1"))
+    late = open_caller()
+    first = await ask(late, old, b"2")
+    answers.append({first, await ask(late, new, b"2")})
+    assert not first.startswith(b"agent-0")
+    assert sum(agent.flows.open_count for agent in agents) == 31
+    for agent in agents:
+        agent.task.cancel()
+    for caller in (*callers, late):
+        caller.close()
+    return answers
+
+
+def test_flows_keep_their_backend_server_through_changes() -> None:
+    """Guards against flows that move, and answers that lose their way."""
+    answers = asyncio.run(_run_through_changes())
+    assert all(len(seen) == 1 for seen in answers)
+    assert len(set.union(*answers)) >= 3
+
+
+def make_header(agent: Agent, **fields: object) -> wire.ForwardHeader:
+    known: dict[str, object] = {
+        "kind": wire.ForwardType.TO_AGENT,
+        "service": core.service_tag(SERVICE),
+        "incarnation": agent.incarnation,
+        "flow_key": 7,
+        "caller": core.Address("127.0.0.1", 5),
+    }
+    return wire.ForwardHeader(**(known | fields))
+
+
+async def _send_mismatches() -> _endpoint.Counters:
+    agent = Agent("agent", 2)
+    await agent.open()
+    balancer_address = ("127.0.0.1", 9)
+    for fields in (
+        {"service": core.service_tag("other")},
+        # What the agent before this one on the same address was sent.
+        {"incarnation": 1},
+        {"kind": wire.ForwardType.TO_CALLER},
+        {"kind": wire.ForwardType.ADOPT, "incarnation": 1},
+    ):
+        packed = CODEC.pack(make_header(agent, **fields), b"payload")
+        agent.endpoint.datagram_received(packed, balancer_address)
+    foreign = wire.ForwardCodec(b"o" * 16).pack(make_header(agent), b"")
+    agent.endpoint.datagram_received(foreign, balancer_address)
+    assert agent.flows.open_count == 0
+    agent.task.cancel()
+    return agent.endpoint.counters
+
+
+def test_mismatched_datagrams_are_dropped_and_counted() -> None:
+    """Guards against late datagrams for an earlier agent on one address."""
+    counters = asyncio.run(_send_mismatches())
+    assert counters.misrouted_count == 4
+    assert counters.foreign_count == 1
+
+
+async def _fuzz(datagrams: list[bytes], notices: list[bytes]) -> None:
+    agent = Agent("agent", 2)
+    await agent.open()
+    holder = core.Holder(core.Address("127.0.0.1", 9), 3)
+    for datagram in datagrams:
+        agent.endpoint.datagram_received(datagram, ("127.0.0.1", 9))
+    assert agent.endpoint.counters.foreign_count == len(datagrams)
+    for payload in notices:
+        for kind in (wire.ForwardType.ADOPT, wire.ForwardType.RELEASE):
+            header = make_header(agent, kind=kind, holders=(holder,))
+            packed = CODEC.pack(header, payload)
+            agent.endpoint.datagram_received(packed, ("127.0.0.1", 9))
+    counters = agent.flows.counters
+    assert counters.dropped_count + counters.late_notice_count == 2 * len(
+        notices
+    )
+    agent.task.cancel()
+
+
+@hypothesis.settings(max_examples=25, deadline=None, derandomize=True)
+@hypothesis.given(
+    strategies.lists(strategies.binary(max_size=120), max_size=8),
+    strategies.lists(strategies.binary(max_size=9), max_size=8),
+)
+def test_agents_survive_arbitrary_datagrams(
+    datagrams: list[bytes], notices: list[bytes]
+) -> None:
+    """Guards against exceptions, and notices that are old or malformed."""
+    asyncio.run(_fuzz(datagrams, notices))
--- a/libs/routing/src/fireflyford/routing/_entries.py
+++ b/libs/routing/src/fireflyford/routing/_entries.py
@@ -5,6 +5,10 @@
 
 from fireflyford import core
 
+# When the table is full, an entry of a flow held elsewhere that was unused for
+# this long makes room; a search is over long before.
+RECLAIM_AFTER_MS = 5_000
+
 
 class Entry:
     """State of one flow at this agent."""
@@ -105,7 +109,7 @@
             ones, so a flood of new keys cannot break them.
         """
         known = self._by_key.get(flow_key)
-        if known is None and len(self._by_key) >= self._max_entries:
+        if known is None and not self._has_room(entry.used_ms):
             return False
         if isinstance(entry, Held):
             if self.held_count >= self._max_held:
@@ -117,6 +121,18 @@
         self._by_key.move_to_end(flow_key)
         return True
 
+    def _has_room(self, now_ms: int) -> bool:
+        if len(self._by_key) < self._max_entries:
+            return True
+        key, oldest = next(iter(self._by_key.items()))
+        if (
+            isinstance(oldest, Held)
+            or now_ms - oldest.used_ms < RECLAIM_AFTER_MS
+        ):
+            return False
+        self.remove(key)
+        return True
+
     def remove(self, flow_key: int) -> None:
         """Removes an entry."""
         if isinstance(self._by_key.pop(flow_key, None), Held):
--- /dev/null
+++ b/libs/routing/tests/test_flow_table.py
@@ -0,0 +1,106 @@
+"""Bounds and lateness of the flow table."""
+
+from fireflyford import core
+from fireflyford import routing
+
+OWN = core.Holder(core.Address("10.0.1.1", 1), 1)
+PEER = core.Holder(core.Address("10.0.1.1", 2), 2)
+BALANCER = core.Address("10.0.0.1", 1)
+
+
+class NoPeers(routing.Peers):
+    """Knows no other agent."""
+
+    def first(self, flow_key: int) -> core.Holder | None:
+        """Returns no agent."""
+        return None
+
+    def successor(self, flow_key: int) -> core.Holder | None:
+        """Returns no agent."""
+        return None
+
+
+class Clock(core.ManualClock):
+    """Clock that a test sets without an event loop."""
+
+    def set(self, now_ms: int) -> None:
+        """Sets the time."""
+        self._now_ms = now_ms
+
+
+def make_table(**bounds: int) -> tuple[Clock, routing.FlowTable]:
+    clock = Clock(1_000_000)
+    limits = routing.Limits(**bounds)
+    return clock, routing.FlowTable(clock, OWN, NoPeers(), limits)
+
+
+def test_a_flood_of_keys_breaks_no_open_flow() -> None:
+    """Guards against growing memory, and eviction of open flows."""
+    _, table = make_table(max_entries=20, max_held=10)
+    for key in range(100):
+        table.receive(routing.Arrival(key, BALANCER))
+        table.receive(routing.Arrival(1_000 + key, BALANCER, 0, (PEER,)))
+        table.hear(routing.Notice(OWN, 2_000 + key, PEER, 5), PEER)
+    assert len(table) <= 20
+    assert table.held_count == 7
+    assert all(table.holds(key) for key in range(7))
+
+
+def test_held_flows_are_bounded() -> None:
+    """Guards against more sockets than the process may open."""
+    _, table = make_table(max_held=10)
+    for key in range(100):
+        table.receive(routing.Arrival(key, BALANCER))
+    assert table.held_count == 10
+
+
+def test_unused_directory_entries_make_room() -> None:
+    """Guards against a flood that blocks new flows for minutes."""
+    clock, table = make_table(max_entries=20)
+    for key in range(100):
+        table.receive(routing.Arrival(key, BALANCER, 0, (PEER,)))
+    clock.set(clock.now_ms() + 10_000)
+    table.receive(routing.Arrival(500, BALANCER))
+    assert table.holds(500)
+    assert len(table) <= 20
+
+
+def test_idle_flows_end() -> None:
+    """Guards against flows and sockets that are never given back."""
+    clock, table = make_table()
+    table.receive(routing.Arrival(1, BALANCER))
+    clock.set(1_100_000)
+    table.receive(routing.Arrival(2, BALANCER))
+    clock.set(1_150_000)
+    assert table.expire() == (1,)
+    assert table.held_count == 1
+
+
+def test_a_late_search_makes_no_flow() -> None:
+    """Guards against a stray copy that takes a flow from its holder."""
+    clock, table = make_table()
+    search = routing.Arrival(1, PEER.address, 4, (), clock.wall_ms())
+    clock.set(clock.now_ms() + 60_000)
+    assert table.receive(search).action is routing.Action.DROP
+    assert not table.holds(1)
+
+
+def test_a_paused_holder_gives_way() -> None:
+    """Guards against a flow that moves back to an agent thought dead."""
+    clock, table = make_table()
+    table.receive(routing.Arrival(1, BALANCER))
+    claim = routing.Notice(OWN, 1, PEER, clock.wall_ms() + 30_000)
+    clock.set(clock.now_ms() + 60_000)
+    assert table.hear(claim, PEER).lost
+    assert not table.holds(1)
+
+
+def test_a_silent_holder_is_given_up() -> None:
+    """Guards against datagrams sent to a dead agent for ever."""
+    clock, table = make_table()
+    table.hear(routing.Notice(OWN, 1, PEER, 5), PEER)
+    first = table.receive(routing.Arrival(1, BALANCER))
+    assert (first.action, first.to) == (routing.Action.FORWARD, PEER)
+    clock.set(clock.now_ms() + 5_000)
+    last = table.receive(routing.Arrival(1, BALANCER))
+    assert last.action is routing.Action.DELIVER
--- /dev/null
+++ b/libs/routing/tests/test_ring.py
@@ -0,0 +1,139 @@
+"""Ring, weights and routes."""
+
+import collections
+import dataclasses
+import math
+
+import hypothesis
+from hypothesis import strategies
+
+from fireflyford import core
+from fireflyford import routing
+
+
+def make_targets(count: int) -> list[routing.Target]:
+    return [
+        routing.Target(
+            f"target-{number}", core.Address("10.0.1.1", number), number
+        )
+        for number in range(1, count + 1)
+    ]
+
+
+def routes(router: routing.Router, keys: range) -> list[routing.Route]:
+    found = [
+        router.choose(routing.UnnamedFlowHint(routing.hash_flow(b"%d" % key)))
+        for key in keys
+    ]
+    assert None not in found
+    return [route for route in found if route is not None]
+
+
+weights = strategies.floats() | strategies.floats(1e-3, 1e3)
+
+
+@hypothesis.settings(max_examples=200, deadline=None, derandomize=True)
+@hypothesis.given(strategies.lists(weights, min_size=1, max_size=9))
+def test_weights_are_bounded(values: list[float]) -> None:
+    """Guards against a wrong figure that attracts or starves a target."""
+    targets = [
+        dataclasses.replace(target, weight=weight)
+        for target, weight in zip(
+            make_targets(len(values)), values, strict=True
+        )
+    ]
+    for target in routing.clamp_weights(targets):
+        assert math.isfinite(target.weight)
+        assert 0.25 <= target.weight <= 4.0
+
+
+def test_weights_keep_their_order_around_the_median() -> None:
+    """Guards against weights that are clamped but not used."""
+    targets = [
+        dataclasses.replace(target, weight=weight)
+        for target, weight in zip(
+            make_targets(5), (10.0, 20.0, 20.0, 40.0, 9_999.0), strict=True
+        )
+    ]
+    found = [target.weight for target in routing.clamp_weights(targets)]
+    assert found == [0.5, 1.0, 1.0, 2.0, 4.0]
+
+
+def test_share_follows_weight() -> None:
+    """Guards against a ring that ignores weights."""
+    targets = make_targets(4)
+    targets[0] = dataclasses.replace(targets[0], weight=4.0)
+    ring = routing.TargetRing(targets)
+    counts = collections.Counter(
+        target.name
+        for key in range(7_000)
+        if (target := ring.find(routing.hash_flow(b"%d" % key)))
+    )
+    assert 3_200 < counts["target-1"] < 4_800
+
+
+def test_a_draining_target_is_listed_but_not_first() -> None:
+    """Guards against new flows at a draining target, and lost open ones."""
+    clock = core.ManualClock()
+    router = routing.Router(clock)
+    targets = make_targets(5)
+    router.replace_targets(targets)
+    before = routes(router, range(300))
+    leaving = dataclasses.replace(targets[2], accepts_flows=False)
+    router.replace_targets([*targets[:2], leaving, *targets[3:]])
+    after = routes(router, range(300))
+    for old, new in zip(before, after, strict=True):
+        assert new.address != leaving.address
+        if old.address == leaving.address:
+            assert leaving.holder in new.candidates
+
+
+def test_a_balancer_that_starts_late_lists_the_draining_target() -> None:
+    """Guards against flows lost by balancers without earlier rings."""
+    targets = make_targets(5)
+    old = routing.Router(core.ManualClock())
+    old.replace_targets(targets)
+    leaving = dataclasses.replace(targets[2], accepts_flows=False)
+    new = routing.Router(core.ManualClock())
+    new.replace_targets([*targets[:2], leaving, *targets[3:]])
+    for before, after in zip(
+        routes(old, range(300)), routes(new, range(300)), strict=True
+    ):
+        if before.address == leaving.address:
+            assert after.candidates[0] == leaving.holder
+
+
+def test_earlier_rings_are_kept_for_a_while_only() -> None:
+    """Guards against rings that pile up, and against forgetting at once."""
+    clock = core.ManualClock()
+    router = routing.Router(clock)
+    targets = make_targets(6)
+    router.replace_targets(targets)
+    before = routes(router, range(200))
+    light = dataclasses.replace(targets[0], weight=0.25)
+    router.replace_targets([light, *targets[1:]])
+    for old, new in zip(before, routes(router, range(200)), strict=True):
+        known = {new.address, *(item.address for item in new.candidates)}
+        assert old.address in known
+    for weight in range(1, 40):
+        changed = dataclasses.replace(targets[0], weight=weight / 8)
+        router.replace_targets([changed, *targets[1:]])
+    assert len(router._history) <= 4
+
+
+def test_an_unchanged_view_rebuilds_nothing() -> None:
+    """Guards against pauses for views that change other services."""
+    router = routing.Router(core.ManualClock())
+    assert router.replace_targets(make_targets(3))
+    generation = router.generation
+    assert not router.replace_targets(reversed(make_targets(3)))
+    assert router.generation == generation
+
+
+def test_a_named_holder_needs_no_view() -> None:
+    """Guards against packets dropped by a balancer that knows no target."""
+    router = routing.Router(core.ManualClock())
+    holder = core.Holder(core.Address("10.0.9.9", 9), 77)
+    route = router.choose(routing.HolderHint(holder))
+    assert route == routing.Route(holder.address, holder.incarnation)
+    assert router.choose(routing.NewFlowHint(1)) is None
--- a/libs/wire/src/fireflyford/wire/_forward.py
+++ b/libs/wire/src/fireflyford/wire/_forward.py
@@ -14,6 +14,7 @@
 import enum
 import functools
 import hashlib
+import ipaddress
 import socket
 import struct
 
@@ -239,7 +240,7 @@
 def _unpack_host(data: bytes) -> str:
     if data.startswith(_IPV4_PREFIX):
         return socket.inet_ntoa(data[12:])
-    return socket.inet_ntop(socket.AF_INET6, data)
+    return str(ipaddress.IPv6Address(data))
 
 
 def _pack_holders(holders: Sequence[core.Holder]) -> bytes:
