--- a/libs/lab/src/fireflyford/lab/_backend.py
+++ b/libs/lab/src/fireflyford/lab/_backend.py
@@ -13,6 +13,7 @@
 from tornado import web
 
 from fireflyford import core
+from fireflyford.lab import _datagram_backend
 
 FEED_INTERVAL_MS = 200
 
@@ -171,6 +172,7 @@
         log_function=lambda handler: None,
     )
     application.listen(address.port, address.host)
+    await _datagram_backend.open_echo(address, name)
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
