Merge bounded weights; follow announced configuration versions

Cause: with gossip, configuration versions travel as announcements and no longer in the records of other members, so agents never pulled a version and test_configuration waited for ever.

--- a/libs/agent/src/fireflyford/agent/_configuration.py
+++ b/libs/agent/src/fireflyford/agent/_configuration.py
@@ -17,6 +17,7 @@
         """Takes settings and membership of the agent."""
         self._options = options
         self._members = members
+        self._announcements = membership.Announcements(members)
 
     def is_reader(self) -> bool:
         """Returns False; agents leave the store alone."""
@@ -25,11 +26,9 @@
     def sources(self, above: int) -> Sequence[store.Source]:
         """Returns the balancers that announce a higher version."""
         return [
-            store.Source(
-                member.instance_id, member.bulk_address, member.config_version
-            )
-            for member in self._members.view().balancers()
-            if member.config_version > above
+            store.Source(member.instance_id, member.bulk_address, version)
+            for member, version in self._announcements.above(above)
+            if member.role is core.Role.BALANCER
         ]
 
     def announce(self, version: int) -> None:
--- a/libs/agent/src/fireflyford/agent/_process.py
+++ b/libs/agent/src/fireflyford/agent/_process.py
@@ -149,7 +149,7 @@
             self._clock, core.Address.parse(self._options.backend_address)
         )
         self._membership.on_withdrawal(self._stopping.set)
-        self._membership.on_change(lambda _: self._follower.notify())
+        self._membership.on_config_version(lambda *_: self._follower.notify())
         self._membership.on_change(self._take_view)
         tasks = [
             asyncio.create_task(self._membership.run()),
--- a/libs/balancer/src/fireflyford/balancer/_configuration.py
+++ b/libs/balancer/src/fireflyford/balancer/_configuration.py
@@ -6,8 +6,6 @@
 import pathlib
 import random
 
-import xxhash
-
 from fireflyford import config
 from fireflyford import core
 from fireflyford import membership
@@ -32,6 +30,7 @@
         self._options = options
         self._members = members
         self._clock = clock
+        self._announcements = membership.Announcements(members)
         self._created_ms = clock.now_ms()
 
     def is_reader(self) -> bool:
@@ -39,32 +38,33 @@
         if self._clock.now_ms() - self._created_ms < JOIN_DELAY_MS:
             return False
         candidates = [
-            member.instance_id
+            member
             for member in self._members.view().balancers()
             if member.region == self._options.region
             and member.state is membership.State.ALIVE
         ]
-        readers = choose_readers(candidates)
-        return self._options.instance_id in readers
+        readers = membership.rendezvous(
+            store.READER_KEY, candidates, store.READER_COUNT
+        )
+        return self._options.instance_id in {
+            reader.instance_id for reader in readers
+        }
 
     def sources(self, above: int) -> Sequence[store.Source]:
         """Returns announcing balancers, those of the own region if any."""
         announcing = [
-            member
-            for member in self._members.view().balancers()
-            if member.config_version > above
-            and member.instance_id != self._options.instance_id
+            item
+            for item in self._announcements.above(above)
+            if item[0].role is core.Role.BALANCER
         ]
         near = [
-            member
-            for member in announcing
-            if member.region == self._options.region
+            item
+            for item in announcing
+            if item[0].region == self._options.region
         ]
         return [
-            store.Source(
-                member.instance_id, member.bulk_address, member.config_version
-            )
-            for member in near or announcing
+            store.Source(member.instance_id, member.bulk_address, version)
+            for member, version in near or announcing
         ]
 
     def announce(self, version: int) -> None:
@@ -80,18 +80,6 @@
         )
 
 
-def choose_readers(names: Sequence[str]) -> frozenset[str]:
-    """Returns the names with the highest rendezvous scores."""
-    ranked = sorted(
-        names,
-        key=lambda name: xxhash.xxh64_intdigest(
-            f"{store.READER_KEY}/{name}".encode()
-        ),
-        reverse=True,
-    )
-    return frozenset(ranked[: store.READER_COUNT])
-
-
 def open_store(
     options: settings.BalancerSettings,
 ) -> store.EtcdStore | None:
--- a/libs/balancer/src/fireflyford/balancer/_forwarder.py
+++ b/libs/balancer/src/fireflyford/balancer/_forwarder.py
@@ -26,13 +26,17 @@
 
     def __init__(self) -> None:
         """Starts all counters at zero."""
-        self.received_count = 0
         self.to_agent_count = 0
         self.to_caller_count = 0
         self.malformed_count = 0
         self.foreign_count = 0
         self.no_target_count = 0
 
+    @property
+    def received_count(self) -> int:
+        """Datagrams of callers, whatever happened to them."""
+        return self.to_agent_count + self.malformed_count + self.no_target_count
+
 
 class HintReader(abc.ABC):
     """Reads what a caller's datagram says about its flow."""
@@ -140,7 +144,6 @@
 
     def receive(self, data: bytes, caller: tuple[str, int]) -> None:
         """Forwards a caller's datagram to the agent of its flow."""
-        self._counters.received_count += 1
         if not 0 < len(data) <= MAX_PAYLOAD_BYTES:
             self._counters.malformed_count += 1
             return
--- a/libs/balancer/src/fireflyford/balancer/_forwarding.py
+++ b/libs/balancer/src/fireflyford/balancer/_forwarding.py
@@ -15,6 +15,9 @@
 from fireflyford.balancer import _forwarder
 from fireflyford.balancer import _socket
 
+# Members that a router has taken, and whether its service takes new flows.
+Known = tuple[tuple[membership.Member, ...], bool]
+
 
 class Forwarding:
     """Everything that forwards datagrams: one task for each socket."""
@@ -105,29 +108,42 @@
         self._tasks.append(asyncio.create_task(work))
 
     async def _follow_view(self) -> None:
+        known: dict[str, Known] = {}
         while True:
             await self._view_changed.wait()
             self._view_changed.clear()
-            await replace_targets(
-                self._routers, self._view, self._open_services
+            await follow_view(
+                self._routers, self._view, self._open_services, known
             )
 
 
-async def replace_targets(
+async def follow_view(
     routers: dict[str, routing.Router],
     view: membership.View,
     open_services: Set[str],
+    known: dict[str, Known],
 ) -> None:
     """Gives each router its targets, pausing after each ring.
 
     The longest pause of forwarding is then one ring, not 420 of them.
+
+    Args:
+        routers: Router of each service.
+        view: The new view.
+        open_services: Services that take new flows.
+        known: What the routers have taken, by service; updated.
     """
-    grouped = routing.group_targets(view, routers)
-    for service, targets in grouped.items():
-        if service not in open_services:
+    for service, members in routing.group_members(view, routers).items():
+        accepts_flows = service in open_services
+        # Unchanged records are the same objects, so this is quick.
+        if known.get(service) == (members, accepts_flows):
+            continue
+        known[service] = (members, accepts_flows)
+        targets = routing.make_targets(members)
+        if not accepts_flows:
             targets = tuple(
                 dataclasses.replace(target, accepts_flows=False)
                 for target in targets
             )
-        if routers[service].replace_targets(targets):
-            await asyncio.sleep(0)
+        routers[service].replace_targets(targets)
+        await asyncio.sleep(0)
--- a/libs/balancer/src/fireflyford/balancer/_process.py
+++ b/libs/balancer/src/fireflyford/balancer/_process.py
@@ -64,6 +64,7 @@
         """Runs until a graceful shutdown has ended."""
         await self._open_sockets()
         self._membership.on_change(self._apply_view)
+        self._membership.on_config_version(lambda *_: self._follower.notify())
         self._membership.on_withdrawal(self._stopping.set)
         meter = self._make_meter()
         status = telemetry.serve_status(
--- a/libs/lab/src/fireflyford/lab/_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_fleet.py
@@ -152,13 +152,16 @@
         )
         return listen
 
-    async def _start_store(self) -> None:
+    def _spawn_store(self) -> None:
         self._processes.append(
             subprocess.Popen(
                 [*lab_command(), "store", str(self.store_address)],
                 stderr=(self._directory / "store.log").open("wb"),
             )
         )
+
+    async def _start_store(self) -> None:
+        self._spawn_store()
         limit_ms = _CLOCK.now_ms() + _START_LIMIT_MS
         while not await _accepts_connections(self.store_address):
             if _CLOCK.now_ms() > limit_ms:
--- a/libs/membership/src/fireflyford/membership/__init__.py
+++ b/libs/membership/src/fireflyford/membership/__init__.py
@@ -1,5 +1,6 @@
 """Which instances exist, and how changes spread between them."""
 
+from fireflyford.membership._announcements import Announcements
 from fireflyford.membership._bulk import BulkServer
 from fireflyford.membership._bulk import fetch
 from fireflyford.membership._channel import Channel
@@ -19,6 +20,7 @@
 __all__ = [
     "FAILURE_TIMEOUT_MS",
     "HEARTBEAT_INTERVAL_MS",
+    "Announcements",
     "BulkServer",
     "Channel",
     "Member",
--- a/libs/routing/src/fireflyford/routing/_targets.py
+++ b/libs/routing/src/fireflyford/routing/_targets.py
@@ -1,7 +1,6 @@
 """Targets of every service as a membership view describes them."""
 
 from collections.abc import Iterable
-import dataclasses
 
 from fireflyford import core
 from fireflyford import membership
@@ -11,35 +10,35 @@
 _PRESENT = (membership.State.ALIVE, membership.State.DRAINING)
 
 
-def group_targets(
+def group_members(
     view: membership.View, services: Iterable[str]
-) -> dict[str, tuple[_ring.Target, ...]]:
-    """Returns the targets of each service, with bounded weights.
+) -> dict[str, tuple[membership.Member, ...]]:
+    """Returns the agents of each service that are alive or draining.
+
+    While none is alive, agents whose death is doubted are added.
 
     One pass over the members serves all services; one pass for each of 420
     services over 4,600 members would stall forwarding.
     """
-    found: dict[str, list[_ring.Target]] = {name: [] for name in services}
+    found: dict[str, list[membership.Member]] = {name: [] for name in services}
     for member in view.members.values():
-        if member.role is not core.Role.AGENT or member.service not in found:
-            continue
-        if member.state in _PRESENT:
-            found[member.service].append(make_target(member))
-    for service, targets in found.items():
-        if not any(target.accepts_flows for target in targets):
-            targets += _last_resort(view, service)
-    return {
-        service: _weights.clamp_weights(targets)
-        for service, targets in found.items()
-    }
-
-
-def _last_resort(view: membership.View, service: str) -> list[_ring.Target]:
-    """Returns targets whose death is doubted, while no other is alive."""
-    return [
-        dataclasses.replace(make_target(member), accepts_flows=True)
-        for member in view.last_resort(service)
-    ]
+        if (
+            member.role is core.Role.AGENT
+            and member.service in found
+            and member.state in _PRESENT
+        ):
+            found[member.service].append(member)
+    for service, members in found.items():
+        if not any(item.state is membership.State.ALIVE for item in members):
+            members += view.last_resort(service)
+    return {service: tuple(members) for service, members in found.items()}
+
+
+def make_targets(
+    members: Iterable[membership.Member],
+) -> tuple[_ring.Target, ...]:
+    """Returns the targets of one service, with bounded weights."""
+    return _weights.clamp_weights(make_target(member) for member in members)
 
 
 def make_target(member: membership.Member) -> _ring.Target:
@@ -49,5 +48,6 @@
         address=member.link_address,
         incarnation=member.link_incarnation,
         weight=member.weight,
-        accepts_flows=member.state is membership.State.ALIVE,
+        # A dead member is only here as a last resort.
+        accepts_flows=member.state is not membership.State.DRAINING,
     )
