--- a/libs/agent/src/fireflyford/agent/_backend_watch.py
+++ b/libs/agent/src/fireflyford/agent/_backend_watch.py
@@ -28,13 +28,13 @@
         self._clock = clock
         self._address = address
         self._client = tcpclient.TCPClient()
-        self._listeners: list[Callable[[], None]] = []
+        self._listeners: list[Callable[[bool], None]] = []
         # A backend server that starts after its agent is not lost.
         self._seen = False
         self.up = True
 
-    def on_loss(self, listener: Callable[[], None]) -> None:
-        """Calls `listener` whenever the backend server is lost."""
+    def on_change(self, listener: Callable[[bool], None]) -> None:
+        """Calls `listener` with whether the backend server is up."""
         self._listeners.append(listener)
 
     async def connect(self) -> iostream.IOStream:
@@ -70,6 +70,5 @@
             return
         self.up = reachable
         telemetry.log("backend-found" if reachable else "backend-lost")
-        if not reachable:
-            for listener in self._listeners:
-                listener()
+        for listener in self._listeners:
+            listener(reachable)
--- a/libs/agent/src/fireflyford/agent/_feeds.py
+++ b/libs/agent/src/fireflyford/agent/_feeds.py
@@ -20,7 +20,7 @@
 # over may spend half of their time on handshakes.
 _MOVE_COST_MS = 10
 _LEAST_WINDOW_MS = 200
-# Detection takes 2.4 s of the 5 s that a feed may be silent.
+# Detection takes 2 s of the 5 s that a feed may be silent.
 _MAX_RESUME_JITTER_MS = 1_500
 # A backend server that pauses for a second is not suspected.
 _SILENCE_LIMIT_MS = (2_500.0, 3_500.0)
@@ -129,6 +129,7 @@
     async def _stream(self, session: "_Session") -> bool:
         """Streams until the feed ends; False when the path fell silent."""
         async with self._source.open(session.resume_path()) as chunks:
+            session.drop_partial_line()
             if not session.started:
                 session.start(self._jitter_ms())
                 if self._moving and self._peer_count():
@@ -226,6 +227,10 @@
             return _AFTER.sub(lambda match: match[0][0] + after, self.path)
         return self.path + ("&" if "?" in self.path else "?") + after
 
+    def drop_partial_line(self) -> None:
+        """Forgets an event that was cut; the resumed feed repeats it."""
+        self._rest = b""
+
     async def write(self, chunk: bytes) -> None:
         """Writes the whole lines of a chunk."""
         if not self.resumable:
--- a/libs/agent/src/fireflyford/agent/_peers.py
+++ b/libs/agent/src/fireflyford/agent/_peers.py
@@ -10,7 +10,7 @@
 
 # A caller repeats its first datagram until it is answered; all of them go to
 # one peer, unless that peer has not answered for so long.
-_RELAY_ATTEMPT_MS = 700
+_RELAY_ATTEMPT_MS = 400
 _MAX_REMEMBERED_FLOWS = 4_096
 
 
--- a/libs/agent/src/fireflyford/agent/_process.py
+++ b/libs/agent/src/fireflyford/agent/_process.py
@@ -87,7 +87,7 @@
             relay_target=self._relay_target,
             balancers=self._peers,
         )
-        self._backend_watch.on_loss(self._announce_leave)
+        self._backend_watch.on_change(self._apply_backend)
         self._stopping = asyncio.Event()
 
     async def run(self) -> None:
@@ -136,6 +136,16 @@
         await self._clock.sleep(_DRAIN_POLL_MS)
         self._membership.update(state=membership.State.LEFT)
 
+    def _apply_backend(self, up: bool) -> None:
+        """Takes no new flows while the backend server is gone."""
+        if self._stopping.is_set():
+            return
+        if up:
+            self._membership.update(state=membership.State.ALIVE)
+        else:
+            self._membership.update(state=membership.State.DRAINING)
+            self._announce_leave()
+
     def _announce_leave(self) -> None:
         """Tells all callers to open other connections for new requests."""
         for connection in self._endpoint.connections:
--- /dev/null
+++ b/libs/agent/tests/test_return_path.py
@@ -0,0 +1,84 @@
+"""Choice of the balancer that carries answers."""
+
+from fireflyford import core
+from fireflyford.agent import _return_path
+
+FIRST = core.Address("127.0.0.1", 1)
+SECOND = core.Address("127.0.0.1", 2)
+THIRD = core.Address("127.0.0.1", 3)
+
+
+class _Balancers(_return_path.BalancerSource):
+    def __init__(self) -> None:
+        self.alive = {FIRST: 1.0, SECOND: 1.0, THIRD: 1.0}
+        self.leaving: set[core.Address] = set()
+
+    def weights(self) -> dict[core.Address, float]:
+        return self.alive
+
+    def is_leaving(self, address: core.Address) -> bool:
+        return address in self.leaving
+
+
+def make_path(balancers: _Balancers) -> _return_path.ReturnPath:
+    path = _return_path.ReturnPath(balancers, lambda: None)
+    path.receive(FIRST)
+    return path
+
+
+def test_answers_use_the_last_balancer_while_datagrams_arrive() -> None:
+    """Guards against rotation away from a balancer that works."""
+    path = make_path(_Balancers())
+    for step in range(20):
+        assert path.choose(step * 0.1, True) == FIRST
+        path.receive(FIRST)
+
+
+def test_rotation_tries_every_live_balancer() -> None:
+    """Guards against a flow that stays on a dead return balancer."""
+    path = make_path(_Balancers())
+    path.choose(0.0, True)
+    tried = [path.choose(0.31 * step, True) for step in (1, 2)]
+    assert set(tried) == {SECOND, THIRD}
+
+
+def test_an_acknowledgement_alone_starts_no_rotation() -> None:
+    """Guards against rotation when the other end owes no answer."""
+    path = make_path(_Balancers())
+    path.choose(0.0, False)
+    assert path.choose(9.0, True) == FIRST
+
+
+def test_a_leaving_balancer_is_left_at_once() -> None:
+    """Guards against a stall of 300 ms at every planned change."""
+    balancers = _Balancers()
+    path = make_path(balancers)
+    balancers.leaving.add(FIRST)
+    balancers.alive = {SECOND: 1.0}
+    assert path.choose(0.0, True) == SECOND
+
+
+def test_the_only_balancer_is_kept() -> None:
+    """Guards against an agent that stops answering without a choice."""
+    balancers = _Balancers()
+    balancers.alive = {FIRST: 1.0}
+    path = make_path(balancers)
+    path.choose(0.0, True)
+    assert path.choose(1.0, True) == FIRST
+
+
+def test_a_relayed_flow_answers_through_a_balancer() -> None:
+    """Guards against answers sent to the agent that relayed the flow."""
+    path = _return_path.ReturnPath(_Balancers(), lambda: None)
+    path.receive(None)
+    assert path.choose(0.0, True) in (FIRST, SECOND, THIRD)
+
+
+def test_weights_decide_the_share_of_rotations() -> None:
+    """Guards against rotation onto balancers without capacity."""
+    balancers = _Balancers()
+    balancers.alive = {FIRST: 1.0, SECOND: 0.0, THIRD: 1.0}
+    for _ in range(20):
+        path = make_path(balancers)
+        path.choose(0.0, True)
+        assert path.choose(0.31, True) == THIRD
--- a/libs/caller/src/fireflyford/caller/_connection.py
+++ b/libs/caller/src/fireflyford/caller/_connection.py
@@ -26,9 +26,9 @@
 # connections of one caller do not probe at the same moment.
 _TICK_MS = (250.0, 450.0)
 PROBE_AFTER_MS = 700.0
-# At least four probes are unanswered by then; an instance that pauses for a
+# At least three probes are unanswered by then; an instance that pauses for a
 # second is not suspected.
-SUSPECT_AFTER_MS = 2_400.0
+SUSPECT_AFTER_MS = 2_000.0
 # Requests on a path that stays silent end as "unknown".
 ABANDON_AFTER_MS = 4_000.0
 
--- a/libs/lab/src/fireflyford/lab/experiments/_flow_run.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_flow_run.py
@@ -9,6 +9,7 @@
 import random
 import time
 
+from fireflyford import config
 from fireflyford import core
 from fireflyford.lab import _callers
 from fireflyford.lab import _deployments
@@ -34,6 +35,7 @@
         fast_feed_count: Feeds of one more caller process, with an event
             every 100 ms.
         balancer_count: Balancers.
+        target_count: Targets of each service, 0 for those of the deployment.
         change_count: Processes that are replaced, at most.
         settle_ms: Time after the disturbance until the count.
     """
@@ -43,6 +45,7 @@
     process_count: int = 3
     fast_feed_count: int = 20
     balancer_count: int = 3
+    target_count: int = 0
     change_count: int = 3
     settle_ms: int = _SETTLE_MS
 
@@ -52,6 +55,7 @@
     order_count=2,
     process_count=2,
     fast_feed_count=2,
+    target_count=3,
     change_count=1,
     settle_ms=1_500,
 )
@@ -131,16 +135,27 @@
             item.kill()
 
 
+def _deployment(scale: Scale) -> config.Deployment:
+    deployment = _deployments.BANTAY
+    if not scale.target_count:
+        return deployment
+    services = tuple(
+        dataclasses.replace(service, target_count=scale.target_count)
+        for service in deployment.services
+    )
+    return dataclasses.replace(deployment, services=services)
+
+
 @contextlib.asynccontextmanager
 async def open_run(
     scale: Scale,
     seed: int,
-    proxied: bool = False,
+    proxied: frozenset[str] = frozenset(),
     drain_limit_ms: int = 30_000,
 ) -> AsyncIterator[FlowRun]:
     """Starts a fleet and its callers; ends them all afterwards."""
     fleet = _fleet.Fleet(
-        _deployments.BANTAY,
+        _deployment(scale),
         random.Random(seed),
         scale.balancer_count,
         proxied,
@@ -166,14 +181,15 @@
 
     # Feeds that the disturbance may break beside those on killed targets.
     broken_target: int = 0
+    full_scale = Scale()
     # None where requests may end as "unknown".
     unknown_target: int | None = 0
-    proxied = False
+    proxied: frozenset[str] = frozenset()
     drain_limit_ms = 30_000
 
     def __init__(self, scale: Scale | None = None) -> None:
         """Takes the size of the run."""
-        self._scale = scale or Scale()
+        self._scale = scale or self.full_scale
 
     @abc.abstractmethod
     async def disturb(self, run: FlowRun, rng: random.Random) -> None:
--- a/libs/lab/src/fireflyford/lab/experiments/_flows.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_flows.py
@@ -19,6 +19,8 @@
 # A leaving target gets no new work after this.
 _LEAVE_BOUND_MS = 3_000
 _NEW_CONNECTIONS = 20
+# The fault proxy is one process and carries every datagram.
+_PROXIED_SCALE = _flow_run.Scale(feed_count=120)
 
 
 class RollingBalancers(_flow_run.FlowExperiment):
@@ -100,7 +102,8 @@
     name = "silent-path"
     summary = "freezes three of ten open flows; new ones work"
     unknown_target = None
-    proxied = True
+    proxied = frozenset({"fabric"})
+    full_scale = _PROXIED_SCALE
 
     async def disturb(self, run: _flow_run.FlowRun, rng: random.Random) -> None:
         """Freezes the same flows in front of all balancers."""
@@ -120,6 +123,23 @@
         self.broken_target = int(mean + 5 * mean**0.5)
 
 
+class KillAndSilence(_flow_run.FlowExperiment):
+    """A target dies while open flows stop passing datagrams."""
+
+    name = "kill-and-silence"
+    summary = "kills targets and freezes open flows at the same time"
+    unknown_target = None
+    proxied = frozenset({"fabric"})
+    full_scale = _PROXIED_SCALE
+
+    async def disturb(self, run: _flow_run.FlowRun, rng: random.Random) -> None:
+        """Causes both."""
+        silence = SilentPath(self._scale)
+        await KillBackend(self._scale).disturb(run, rng)
+        await silence.disturb(run, rng)
+        self.broken_target = silence.broken_target
+
+
 class PauseBackend(_flow_run.FlowExperiment):
     """A target pauses for a second, which is no failure."""
 
@@ -145,7 +165,8 @@
 
     name = "drain"
     summary = "drains a target that is cut off from all balancers"
-    proxied = True
+    proxied = frozenset({"control"})
+    full_scale = _PROXIED_SCALE
     drain_limit_ms = _DRAIN_LIMIT_MS
 
     async def run(self, seed: int) -> _framework.Result:
@@ -239,6 +260,7 @@
     KillBalancer(),
     KillBackend(),
     SilentPath(),
+    KillAndSilence(),
     PauseBackend(),
     Drain(),
 )
