--- a/libs/lab/src/fireflyford/lab/_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_fleet.py
@@ -29,6 +29,7 @@
 _HEALTH_INTERVAL_MS = 500
 _HEALTH_FAILURES = 2
 _STATUS_LIMIT_S = 1.0
+# Several fleets on one machine must not draw the same ports.
 _CLOCK = core.SystemClock()
 
 
@@ -63,7 +64,7 @@
         deployment: config.Deployment,
         rng: random.Random,
         balancer_count: int = 3,
-        proxied: bool = False,
+        proxied: frozenset[str] = frozenset(),
         drain_limit_ms: int = 30_000,
     ) -> None:
         """Prepares a fleet; `start` starts its processes.
@@ -73,10 +74,11 @@
                 free ports.
             rng: Random source of the fabric and of the keys.
             balancer_count: Balancers to start.
-            proxied: Whether a fault proxy stands between fabric and
-                balancers, balancers and agents, and agents and backend
-                servers. Its links are named `fabric/BALANCER/SERVICE`,
-                `link/INSTANCE`, `control/INSTANCE` and `backend/TARGET`.
+            proxied: Where a fault proxy stands: `fabric` (in front of the
+                balancers), `link` (between balancers and agents), `control`
+                (membership) and `backend` (agents to backend servers). Its
+                links are named `fabric/BALANCER/SERVICE`, `link/INSTANCE`,
+                `control/INSTANCE` and `backend/TARGET`.
             drain_limit_ms: Longest graceful shutdown of every process.
         """
         self._rng = rng
@@ -144,7 +146,7 @@
         self, name: str, kind: _fault_links.LinkKind, target: core.Address
     ) -> core.Address:
         """Returns the address that leads to `target`."""
-        if self.proxy is None:
+        if self.proxy is None or name.split("/")[0] not in self._proxied:
             return target
         listen = _ports.free_address()
         self.proxy.add_link(
@@ -248,15 +250,11 @@
         for balancer in running:
             while missing := expected - await self._alive_members(balancer):
                 if _CLOCK.now_ms() > limit_ms:
-                    ended = [
-                        name
-                        for name, item in self.targets.items()
-                        if item.agent.poll() is not None
-                    ]
+                    logs = "".join(map(self.log_text, sorted(missing)))
                     raise TimeoutError(
                         f"{balancer.name} does not see {sorted(missing)}; "
-                        f"ended agents: {ended}; balancer exit status: "
-                        f"{balancer.process.poll()}"
+                        f"balancer exit status {balancer.process.poll()}; "
+                        f"their logs end with:\n{logs[-2000:]}"
                     )
                 await _CLOCK.sleep(_POLL_MS)
         self._in_service.update(self.balancers)
