Measure requests against baselines and over real processes

Cause: the policy of admission and placement had no figures, and no run showed its rules with sockets and killed processes.

--- a/libs/lab/src/fireflyford/lab/_backend.py
+++ b/libs/lab/src/fireflyford/lab/_backend.py
@@ -2,10 +2,14 @@
 
 Usage: `fireflyford-lab backend --address IP:PORT --name NAME ...`. It runs
 work on a fixed number of slots, streams a feed, and writes each execution to
-a log file that the history checker reads.
+a log file that the history checker reads. It can start cold, shed load, drain,
+fail at once, and report load and health that lag or are wrong. A response 503
+with `Retry-After` means that the work has not been started.
 """
 
 import asyncio
+import collections
+import dataclasses
 import json
 import signal
 import time
@@ -15,19 +19,54 @@
 from fireflyford import core
 
 FEED_INTERVAL_MS = 200
+_COLD_FACTOR = 3.0
+_DRAIN_POLL_MS = 20
+
+
+@dataclasses.dataclass(frozen=True)
+class Behaviour:
+    """How a backend server treats work and what it reports.
+
+    Attributes:
+        slot_count: Requests that run at a time.
+        speed: Speed against the nominal durations.
+        cold_count: First requests, which take three times as long.
+        max_waiting_count: Waiting requests above which it sheds load.
+        report_lag_ms: Age of the load and health that it reports.
+        reports_idle: Whether it always reports no load.
+        reports_healthy: Whether it always reports good health.
+    """
+
+    slot_count: int = 2
+    speed: float = 1.0
+    cold_count: int = 0
+    max_waiting_count: int = 1_000
+    report_lag_ms: int = 0
+    reports_idle: bool = False
+    reports_healthy: bool = True
 
 
 class _State:
-    """Slots and execution log of one backend server."""
+    """Slots, faults and execution log of one backend server."""
 
-    def __init__(self, name: str, slot_count: int, speed: float) -> None:
+    def __init__(self, name: str, behaviour: Behaviour) -> None:
         self.name = name
-        self.slots = asyncio.Semaphore(slot_count)
-        self.speed = speed
-        self.running: dict[str, asyncio.Task[None]] = {}
+        self.behaviour = behaviour
+        self.slots = asyncio.Semaphore(behaviour.slot_count)
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.running_count = 0
         self.executed_count = 0
+        self.draining = False
+        self.failing = False
+        self._reports: collections.deque[tuple[float, int, bool]] = (
+            collections.deque()
+        )
 
-    def record(self, request_id: str, body: str) -> None:
+    @property
+    def waiting_count(self) -> int:
+        return len(self.tasks) - self.running_count
+
+    def record(self, request_id: str, path: str, body: str) -> None:
         self.executed_count += 1
         print(
             json.dumps(
@@ -35,6 +74,7 @@
                     "event": "executed",
                     "backend": self.name,
                     "request_id": request_id,
+                    "path": path,
                     "body": body,
                     "wall_ms": time.time_ns() // 1_000_000,
                 }
@@ -42,6 +82,20 @@
             flush=True,
         )
 
+    def reported(self) -> tuple[int, bool]:
+        """Returns load and health as of `report_lag_ms` ago."""
+        now_ms = time.monotonic() * 1000
+        healthy = not (self.draining or self.failing)
+        self._reports.append((now_ms, len(self.tasks), healthy))
+        limit_ms = now_ms - self.behaviour.report_lag_ms
+        while len(self._reports) > 1 and self._reports[1][0] <= limit_ms:
+            self._reports.popleft()
+        _, load, healthy = self._reports[0]
+        return (
+            0 if self.behaviour.reports_idle else load,
+            healthy or self.behaviour.reports_healthy,
+        )
+
 
 class _WorkHandler(web.RequestHandler):
     """Runs one request on a slot."""
@@ -50,32 +104,60 @@
         self._state = state
 
     async def post(self) -> None:
-        await self._run()
+        await self._answer()
 
     async def get(self) -> None:
-        await self._run()
-
-    async def _run(self) -> None:
+        await self._answer()
+
+    async def _answer(self) -> None:
+        state = self._state
+        if state.failing:
+            self.set_status(500)
+            return
+        full = state.waiting_count >= state.behaviour.max_waiting_count
+        if state.draining or full:
+            self._shed()
+            return
         request_id = self.request.headers.get("X-Request-Id", "")
-        duration_ms = float(self.get_query_argument("ms", "5"))
-        size_bytes = int(self.get_query_argument("bytes", "0"))
-        async with self._state.slots:
-            self._state.record(request_id, self.request.body.decode())
-            task = asyncio.create_task(
-                asyncio.sleep(duration_ms / 1000 / self._state.speed)
-            )
-            self._state.running[request_id] = task
-            try:
-                await task
-            except asyncio.CancelledError:
-                self.set_status(499)
+        task = asyncio.create_task(self._run(request_id))
+        state.tasks[request_id] = task
+        try:
+            await task
+        except asyncio.CancelledError:
+            self.set_status(499)
+        finally:
+            state.tasks.pop(request_id, None)
+
+    def _shed(self) -> None:
+        self.set_status(503)
+        self.set_header("Retry-After", "0.1")
+
+    async def _run(self, request_id: str) -> None:
+        state = self._state
+        limit_ms = float(self.request.headers.get("X-Deadline-Ms", "60000"))
+        arrived = time.monotonic()
+        async with state.slots:
+            if (time.monotonic() - arrived) * 1000 >= limit_ms:
+                self._shed()
                 return
+            body = self.request.body.decode()
+            state.record(request_id, self.request.uri or "", body)
+            state.running_count += 1
+            try:
+                await asyncio.sleep(self._duration_ms() / 1000)
             finally:
-                del self._state.running[request_id]
+                state.running_count -= 1
+        size_bytes = int(self.get_query_argument("bytes", "0"))
         self.set_header("Content-Type", "application/octet-stream")
-        echo = self.request.body or self.request.uri.encode()
+        echo = self.request.body or (self.request.uri or "").encode()
         self.finish(echo + b"." * size_bytes)
 
+    def _duration_ms(self) -> float:
+        behaviour = self._state.behaviour
+        nominal_ms = float(self.get_query_argument("ms", "5"))
+        cold = self._state.executed_count <= behaviour.cold_count
+        return nominal_ms * (_COLD_FACTOR if cold else 1) / behaviour.speed
+
 
 class _CancelHandler(web.RequestHandler):
     """Cancels running work."""
@@ -84,7 +166,7 @@
         self._state = state
 
     def post(self) -> None:
-        task = self._state.running.get(self.get_query_argument("id"))
+        task = self._state.tasks.get(self.get_query_argument("id"))
         if task is not None:
             task.cancel()
         self.finish()
@@ -131,41 +213,78 @@
         self._state = state
 
     def get(self) -> None:
-        self.finish({"running": len(self._state.running)})
+        self.finish({"running": self._state.reported()[0]})
 
 
 class _HealthHandler(web.RequestHandler):
-    """Reports health."""
+    """Reports health, which may lag or be wrong."""
+
+    def initialize(self, state: _State) -> None:
+        self._state = state
 
     def get(self) -> None:
-        self.finish("ok\n")
+        healthy = self._state.reported()[1]
+        self.set_status(200 if healthy else 503)
+        self.finish("ok\n" if healthy else "not ready\n")
+
+
+class _FaultHandler(web.RequestHandler):
+    """Makes all further work fail at once, or ends that."""
+
+    def initialize(self, state: _State) -> None:
+        self._state = state
+
+    def post(self) -> None:
+        self._state.failing = self.get_query_argument("failing") == "yes"
+        self.finish()
 
 
 def run_backend(
-    address: str, name: str, slot_count: int = 2, speed: float = 1.0
+    address: str,
+    name: str,
+    slot_count: int = 2,
+    speed: float = 1.0,
+    cold_count: int = 0,
+    max_waiting_count: int = 1_000,
+    report_lag_ms: int = 0,
+    reports_idle: bool = False,
+    reports_healthy: bool = True,
 ) -> None:
-    """Runs a backend server until it is stopped.
+    """Runs a backend server until it is stopped and has drained.
 
     Args:
         address: `ip:port` to listen on.
         name: Name in the execution log.
         slot_count: Requests that run at a time.
         speed: Speed against the nominal durations.
+        cold_count: First requests, which take three times as long.
+        max_waiting_count: Waiting requests above which it sheds load.
+        report_lag_ms: Age of the load and health that it reports.
+        reports_idle: Whether it always reports no load.
+        reports_healthy: Whether it always reports good health.
     """
-    asyncio.run(_run(core.Address.parse(address), name, slot_count, speed))
+    behaviour = Behaviour(
+        slot_count,
+        speed,
+        cold_count,
+        max_waiting_count,
+        report_lag_ms,
+        reports_idle,
+        reports_healthy,
+    )
+    asyncio.run(_run(core.Address.parse(address), name, behaviour))
 
 
-async def _run(
-    address: core.Address, name: str, slot_count: int, speed: float
-) -> None:
-    state = _State(name, slot_count, speed)
+async def _run(address: core.Address, name: str, behaviour: Behaviour) -> None:
+    state = _State(name, behaviour)
     options = {"state": state}
     application = web.Application(
         [
             ("/feed", _FeedHandler, options),
             ("/cancel", _CancelHandler, options),
             ("/load", _LoadHandler, options),
-            ("/healthz", _HealthHandler),
+            ("/healthz", _HealthHandler, options),
+            ("/fault", _FaultHandler, options),
             ("/.*", _WorkHandler, options),
         ],
         log_function=lambda handler: None,
@@ -176,3 +295,8 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     await stopping.wait()
+    state.draining = True
+    while state.tasks:
+        await asyncio.sleep(_DRAIN_POLL_MS / 1000)
+    # Responses leave before the process ends.
+    await asyncio.sleep(_DRAIN_POLL_MS / 1000)
--- a/libs/lab/src/fireflyford/lab/_load.py
+++ b/libs/lab/src/fireflyford/lab/_load.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 import dataclasses
 import random
+from typing import Any
 
 from fireflyford import core
 
@@ -49,7 +50,7 @@
         return self.failure is None and self.elapsed_ms <= self.job.deadline_ms
 
 
-Send = Callable[[Job], Awaitable[core.Outcome[object]]]
+Send = Callable[[Job], Awaitable[core.Outcome[Any]]]
 
 
 async def run_open_loop(
--- a/libs/lab/src/fireflyford/lab/_model.py
+++ b/libs/lab/src/fireflyford/lab/_model.py
@@ -258,6 +258,7 @@
 
 MakePlacement = Callable[[random.Random], requests.Placement]
 MakeQueue = Callable[[int], requests.WorkQueue]
+MakeAdmission = Callable[[], requests.Admission]
 
 
 def expected_completion(rng: random.Random) -> requests.Placement:
@@ -274,12 +275,14 @@
         rng: random.Random,
         make_placement: MakePlacement = expected_completion,
         make_queue: MakeQueue = requests.AdmissionQueue,
+        make_admission: MakeAdmission = requests.ExpectedWait,
     ) -> None:
         """Prepares an empty service."""
         self._clock = clock
         self._rng = rng
         self._make_placement = make_placement
         self._make_queue = make_queue
+        self._make_admission = make_admission
         self._incarnation = 0
         self.network = ModelNetwork(clock, rng)
         self.nodes: list[ModelNode] = []
@@ -305,6 +308,7 @@
             info,
             ModelChannel(self._clock, self.network),
             self._make_queue(slot_count),
+            self._make_admission(),
         )
         node = ModelNode(info, backend, engine)
         self.backends.append(backend)
--- /dev/null
+++ b/libs/lab/src/fireflyford/lab/_process_runs.py
@@ -0,0 +1,301 @@
+"""Runs of one service with real processes, over the whole path."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import contextlib
+import dataclasses
+import random
+import signal
+
+from fireflyford import caller
+from fireflyford import config
+from fireflyford import core
+from fireflyford.lab import _deployments
+from fireflyford.lab import _fleet
+from fireflyford.lab import _history
+from fireflyford.lab import _load
+
+_SERVICE = "tahian"
+_TICKET_HEADER = "fireflyford-ticket"
+_SETTLE_S = 1.5
+_KINDS = {kind.value: kind for kind in core.ErrorKind}
+
+
+@contextlib.asynccontextmanager
+async def running_service(
+    seed: int, speeds: tuple[float, ...], balancer_count: int = 1
+) -> AsyncIterator[_fleet.Fleet]:
+    """Runs one service with a target of each speed.
+
+    Args:
+        seed: Seed of the fabric and of the keys.
+        speeds: Speed of each target.
+        balancer_count: Balancers in front of the service.
+    """
+    service = _deployments.BANTAY.service(_SERVICE)
+    assert service is not None
+    treatments = (
+        *service.treatments,
+        config.Treatment(name="short", method="GET", path_prefix="/short"),
+    )
+    deployment = dataclasses.replace(
+        _deployments.BANTAY,
+        services=(
+            dataclasses.replace(service, target_count=0, treatments=treatments),
+        ),
+    )
+    fleet = _fleet.Fleet(deployment, random.Random(seed), balancer_count)
+    try:
+        await fleet.start()
+        for speed in speeds:
+            fleet.start_target(_SERVICE, speed)
+        await fleet.settle()
+        # Agents learn of each other and exchange their first reports.
+        await asyncio.sleep(_SETTLE_S)
+        yield fleet
+    finally:
+        fleet.stop()
+
+
+def make_client(fleet: _fleet.Fleet) -> caller.Client:
+    """Returns a caller of the service."""
+    address = core.Address.parse(fleet.deployment.services[0].address)
+    return caller.Client(address, _SERVICE, fleet.authorities_path(_SERVICE))
+
+
+@dataclasses.dataclass(frozen=True)
+class Demand:
+    """Load of short work over several connections.
+
+    Attributes:
+        seed: Seed of arrivals and lengths.
+        mean_ms: Mean length of the work at speed 1.
+        connection_count: Connections, each of its own caller.
+        duration_ms: Length of the load.
+        rate: Requests per second at a time in ms.
+    """
+
+    seed: int
+    mean_ms: float
+    connection_count: int
+    duration_ms: int
+    rate: Callable[[float], float]
+
+
+async def run_demand(
+    fleet: _fleet.Fleet, demand: Demand
+) -> tuple[list[_load.Sample], int]:
+    """Sends the load; returns samples and the number of attempts."""
+    rng = random.Random(demand.seed)
+    async with contextlib.AsyncExitStack() as stack:
+        lanes = []
+        for _ in range(demand.connection_count):
+            client = make_client(fleet)
+            connection = await stack.enter_async_context(client.connect())
+            lanes.append((client, connection))
+
+        def make_job(number: int) -> _load.Job:
+            length_ms = rng.gammavariate(4, demand.mean_ms / 4)
+            return _load.Job(number, "short", length_ms, 2_000)
+
+        async def send(job: _load.Job) -> core.Outcome[caller.Reply]:
+            client, connection = lanes[job.number % len(lanes)]
+            path = f"/short?ms={job.nominal_ms:.2f}"
+            return await client.request(
+                connection, "GET", path, deadline_ms=job.deadline_ms
+            )
+
+        samples = await _load.run_open_loop(
+            rng, demand.rate, demand.duration_ms, make_job, send
+        )
+        return samples, sum(client.attempt_count for client, _ in lanes)
+
+
+def work_by_target(
+    executions: list[dict[str, object]], speeds: dict[str, float]
+) -> dict[tuple[str, int], float]:
+    """Returns the busy slot time in ms by target and wall-clock second."""
+    busy: dict[tuple[str, int], float] = {}
+    for item in executions:
+        name = str(item["backend"])
+        query = str(item["path"]).partition("ms=")[2]
+        start_ms = float(str(item["wall_ms"]))
+        left_ms = float(query) / speeds[name]
+        while left_ms > 0:
+            second = int(start_ms // 1000)
+            part_ms = min(left_ms, (second + 1) * 1000 - start_ms)
+            key = (name, second)
+            busy[key] = busy.get(key, 0.0) + part_ms
+            start_ms += part_ms
+            left_ms -= part_ms
+    return busy
+
+
+@dataclasses.dataclass(frozen=True)
+class OrderRun:
+    """History of one run of orders under faults."""
+
+    faults: tuple[str, ...]
+    violations: tuple[_history.Violation, ...]
+    told_count: int
+    ran_count: int
+    unknown_count: int
+
+
+FAULTS = ("kill-agent", "pause-agent", "kill-target", "drain", "kill-balancer")
+
+
+async def run_orders(seed: int, faults: tuple[str, ...]) -> OrderRun:
+    """Sends orders with copies while faults happen; checks the history.
+
+    Args:
+        seed: Seed of the run.
+        faults: Members of `FAULTS`.
+    """
+    rng = random.Random(seed)
+    async with running_service(seed, (1.0, 1.0, 1.0), 2) as fleet:
+        orders = _Orders(fleet, rng)
+        async with asyncio.TaskGroup() as tasks:
+            for lane in range(4):
+                tasks.create_task(orders.run_lane(f"lane{lane}"))
+            for fault in faults:
+                tasks.create_task(_cause(fleet, rng, fault))
+        await asyncio.sleep(1.0)
+        ran = [
+            _history.Ran(
+                str(item["body"]).partition("/")[0],
+                str(item["body"]),
+                str(item["backend"]),
+            )
+            for item in fleet.executions()
+        ]
+    violations = _history.check(orders.told, ran, orders.bodies)
+    unknown = core.Execution.UNKNOWN
+    return OrderRun(
+        faults=faults,
+        violations=tuple(violations),
+        told_count=len(orders.told),
+        ran_count=len(ran),
+        unknown_count=sum(t.execution is unknown for t in orders.told),
+    )
+
+
+async def _cause(fleet: _fleet.Fleet, rng: random.Random, fault: str) -> None:
+    await asyncio.sleep(rng.uniform(0.5, 2.0))
+    target = rng.choice(list(fleet.targets.values()))
+    if fault == "kill-agent":
+        fleet.kill(target.agent)
+    elif fault == "pause-agent":
+        target.agent.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(rng.uniform(0.5, 3.0))
+        target.agent.send_signal(signal.SIGCONT)
+    elif fault == "kill-target":
+        fleet.kill(target.agent)
+        fleet.kill(target.backend)
+    elif fault == "drain":
+        target.agent.send_signal(signal.SIGTERM)
+    elif fault == "kill-balancer":
+        balancer = next(iter(fleet.balancers.values()))
+        fleet.kill(balancer.process)
+        del fleet.balancers[balancer.name]
+        fleet.use_balancers()
+
+
+class _Orders:
+    """Callers that present each ticket once or twice, on any connection."""
+
+    _ORDERS_PER_LANE = 40
+    _DEADLINE_MS = 2_000
+
+    def __init__(self, fleet: _fleet.Fleet, rng: random.Random) -> None:
+        self._fleet = fleet
+        self._rng = rng
+        self.told: list[_history.Told] = []
+        self.bodies: dict[str, bytes] = {}
+
+    async def run_lane(self, lane: str) -> None:
+        number = 0
+        while number < self._ORDERS_PER_LANE:
+            with contextlib.suppress(ConnectionError, TimeoutError):
+                client = make_client(self._fleet)
+                async with (
+                    asyncio.timeout(8),
+                    client.connect() as first,
+                    client.connect() as second,
+                ):
+                    # New connections after a while, as flows break.
+                    for _ in range(10):
+                        number += 1
+                        await self._order(f"{lane}-{number}", first, second)
+
+    async def _order(
+        self, name: str, first: caller.Connection, second: caller.Connection
+    ) -> None:
+        for attempt in range(2):
+            ticket = f"{name}/{attempt}"
+            self.bodies[ticket] = ticket.encode()
+            _, header = await self._present(first, ticket, "")
+            if not header:
+                return
+            copies = [self._copy(name, first, ticket, header, 0)]
+            if self._rng.random() < 0.6:
+                delay_s = self._rng.uniform(0, 0.3)
+                copies.append(self._copy(name, second, ticket, header, delay_s))
+            told = await asyncio.gather(*copies)
+            if any(t.execution is not core.Execution.NOT_RUN for t in told):
+                return
+
+    async def _copy(
+        self,
+        name: str,
+        connection: caller.Connection,
+        ticket: str,
+        header: str,
+        delay_s: float,
+    ) -> _history.Told:
+        await asyncio.sleep(delay_s)
+        outcome, _ = await self._present(connection, ticket, header)
+        if isinstance(outcome, core.Ok):
+            told = _history.Told(
+                name, ticket, core.Execution.RAN, outcome.value
+            )
+        else:
+            told = _history.Told(name, ticket, outcome.answer.execution)
+        self.told.append(told)
+        return told
+
+    async def _present(
+        self, connection: caller.Connection, ticket: str, header: str
+    ) -> tuple[core.Outcome[bytes], str]:
+        """Sends one copy by hand: the library never sends a copy itself."""
+        headers = [("fireflyford-deadline-ms", str(self._DEADLINE_MS))]
+        if header:
+            headers.append((_TICKET_HEADER, header))
+        # The same for each copy of a ticket.
+        length_ms = 20 + len(ticket) % 3 * 50
+        path = f"/orders?ms={length_ms}"
+        stream = connection.send("POST", path, ticket.encode(), tuple(headers))
+        fields: dict[str, str] = {}
+        body = b""
+        unknown = core.Failure(core.ErrorKind.OUTCOME_UNKNOWN, "no answer")
+        try:
+            async with asyncio.timeout(self._DEADLINE_MS / 1000 + 0.5):
+                while True:
+                    event = await stream.events.get()
+                    if hasattr(event, "headers"):
+                        fields = event.headers
+                    elif hasattr(event, "payload"):
+                        body += event.payload
+                    else:
+                        break
+        except TimeoutError:
+            stream.cancel()
+            return unknown, ""
+        if not event.complete:
+            return unknown, ""
+        fresh = fields.get(_TICKET_HEADER, "")
+        kind = _KINDS.get(fields.get("fireflyford-error", ""))
+        if kind is None:
+            return core.Ok(body), fresh
+        return core.Failure(kind, body.decode()), fresh
--- a/libs/requests/src/fireflyford/requests/__init__.py
+++ b/libs/requests/src/fireflyford/requests/__init__.py
@@ -1,6 +1,8 @@
 """Admission, execution and outcomes of requests."""
 
 from fireflyford.requests._admission import Admission
+from fireflyford.requests._admission import AdmitAll
+from fireflyford.requests._admission import ExpectedWait
 from fireflyford.requests._allowance import long_allowance
 from fireflyford.requests._budget import RetryBudget
 from fireflyford.requests._budget import retry_delay_ms
@@ -40,12 +42,14 @@
     "RETENTION_MS",
     "Admission",
     "AdmissionQueue",
+    "AdmitAll",
     "Candidate",
     "Claim",
     "Engine",
     "Entry",
     "Executor",
     "ExpectedCompletion",
+    "ExpectedWait",
     "FifoQueue",
     "Handoff",
     "LeastReported",
--- a/libs/requests/src/fireflyford/requests/_admission.py
+++ b/libs/requests/src/fireflyford/requests/_admission.py
@@ -1,5 +1,7 @@
 """Early refusal of work that would wait too long."""
 
+import abc
+
 from fireflyford import config
 from fireflyford import core
 from fireflyford.requests import _work
@@ -16,20 +18,15 @@
 _MIN_LEARNED_WAIT_MS = 20.0
 
 
-class Admission:
+class Admission(abc.ABC):
     """Decides whether a request may wait for a slot."""
 
     def __init__(self) -> None:
         """Starts without a correction of estimates."""
-        self._correction = 1.0
+        self.correction = 1.0
         self.refused_count = 0
         self.admitted_count = 0
 
-    @property
-    def correction(self) -> float:
-        """Ratio of actual to expected waits."""
-        return self._correction
-
     def check(
         self,
         work: _work.Work,
@@ -45,9 +42,58 @@
             service_ms: Expected service time.
             now_ms: Current time.
         """
+        failure = self._judge(work, wait_ms, service_ms, now_ms)
+        if failure is None:
+            self.admitted_count += 1
+        else:
+            self.refused_count += 1
+        return failure
+
+    @abc.abstractmethod
+    def _judge(
+        self,
+        work: _work.Work,
+        wait_ms: float,
+        service_ms: float,
+        now_ms: int,
+    ) -> core.Failure | None:
+        """Returns a refusal or None, as `check` does."""
+
+    def learn(self, expected_ms: float, actual_ms: float) -> None:
+        """Compares an expected wait with the actual one."""
+        if expected_ms < _MIN_LEARNED_WAIT_MS:
+            return
+        low, high = _CORRECTION_RANGE
+        ratio = min(high, max(low, actual_ms / expected_ms))
+        self.correction += _GAIN * (ratio - self.correction)
+
+
+class AdmitAll(Admission):
+    """Baseline: everything may wait until its deadline."""
+
+    def _judge(
+        self,
+        work: _work.Work,
+        wait_ms: float,
+        service_ms: float,
+        now_ms: int,
+    ) -> core.Failure | None:
+        del work, wait_ms, service_ms, now_ms
+        return None
+
+
+class ExpectedWait(Admission):
+    """Refuses work whose expected wait is too long."""
+
+    def _judge(
+        self,
+        work: _work.Work,
+        wait_ms: float,
+        service_ms: float,
+        now_ms: int,
+    ) -> core.Failure | None:
         remaining_ms = work.deadline_ms - now_ms
         if remaining_ms <= 0:
-            self.refused_count += 1
             return core.Failure(
                 core.ErrorKind.DEADLINE_BEFORE_START, "the deadline has passed"
             )
@@ -57,23 +103,13 @@
                 limit_ms,
                 max(MAX_QUEUE_DELAY_MS, service_ms * _DELAY_PER_SERVICE),
             )
-        expected_ms = wait_ms * self._correction
-        if expected_ms > limit_ms:
-            self.refused_count += 1
-            return core.Failure(
-                core.ErrorKind.OVERLOADED,
-                f"a slot is expected in {expected_ms:.0f} ms",
-                retry_after_ms=max(
-                    _MIN_RETRY_AFTER_MS, round(expected_ms - limit_ms)
-                ),
-            )
-        self.admitted_count += 1
-        return None
-
-    def learn(self, expected_ms: float, actual_ms: float) -> None:
-        """Compares an expected wait with the actual one."""
-        if expected_ms < _MIN_LEARNED_WAIT_MS:
-            return
-        low, high = _CORRECTION_RANGE
-        ratio = min(high, max(low, actual_ms / expected_ms))
-        self._correction += _GAIN * (ratio - self._correction)
+        expected_ms = wait_ms * self.correction
+        if expected_ms <= limit_ms:
+            return None
+        return core.Failure(
+            core.ErrorKind.OVERLOADED,
+            f"a slot is expected in {expected_ms:.0f} ms",
+            retry_after_ms=max(
+                _MIN_RETRY_AFTER_MS, round(expected_ms - limit_ms)
+            ),
+        )
--- a/libs/requests/src/fireflyford/requests/_allowance.py
+++ b/libs/requests/src/fireflyford/requests/_allowance.py
@@ -5,10 +5,11 @@
 
 from fireflyford.requests import _targets
 
-# Long work needs some free slots, or it queues behind itself. Short work also
-# runs on slots that long work leaves free, so its own load is reserve enough.
-_LONG_HEADROOM_RATIO = 0.85
-_SHORT_HEADROOM_RATIO = 0.75
+# Short work keeps two thirds more slots than it uses: with fewer its waits grow
+# to many service times whenever long work fills the rest.
+_SHORT_HEADROOM_RATIO = 0.6
+# At least this part of all slots stays open to long work.
+_LONG_MIN_RATIO = 0.5
 _MIN_LONG_LOAD = 0.01
 
 
@@ -18,8 +19,8 @@
     """Returns the slots of one target that long work may hold.
 
     All targets compute the same division from each other's measurements:
-    long and short work get slots in proportion to their needs, and at least
-    one slot of each target stays open to long work, so it never starves.
+    short work keeps slots in proportion to its need, long work may hold the
+    others, and one slot of each target at least, so it never starves.
 
     Args:
         own_id: Name of the target.
@@ -32,10 +33,8 @@
     own_slots = reports[own_id].slot_count
     if long_load < _MIN_LONG_LOAD:
         return max(1, own_slots - 1)
-    long_need = long_load / _LONG_HEADROOM_RATIO
-    if long_need + short_need > slots:
-        long_need *= slots / (long_need + short_need)
-    reserved = min(slots - math.ceil(long_need), math.ceil(short_need))
+    limit = math.floor(slots * (1 - _LONG_MIN_RATIO))
+    reserved = min(limit, math.ceil(short_need))
     return _own_share(own_id, reports, slots - reserved)
 
 
--- a/libs/requests/src/fireflyford/requests/_engine.py
+++ b/libs/requests/src/fireflyford/requests/_engine.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from fireflyford import core
+from fireflyford.requests import _admission
 from fireflyford.requests import _peers
 from fireflyford.requests import _placement
 from fireflyford.requests import _queue
@@ -36,6 +37,7 @@
         info: _targets.PeerInfo,
         channel: _peers.PeerChannel | None = None,
         queue: _queue.WorkQueue | None = None,
+        admission: _admission.Admission | None = None,
     ) -> None:
         """Prepares the engine of one target.
 
@@ -47,6 +49,7 @@
             info: What peers see of this target.
             channel: Reaches peers; None for a target alone.
             queue: Order of waiting work; `AdmissionQueue` by default.
+            admission: Early refusal; `ExpectedWait` by default.
         """
         self._clock = clock
         self._channel = _peers.NoPeers() if channel is None else channel
@@ -62,6 +65,7 @@
             self._channel,
             # An empty queue is false, so `or` would replace it.
             _queue.AdmissionQueue(slot_count) if queue is None else queue,
+            admission or _admission.ExpectedWait(),
         )
         self.records = _records.RequestRecords(clock, _tickets.RETENTION_MS)
         self.handoff_records = _records.RequestRecords(
--- a/libs/requests/src/fireflyford/requests/_runner.py
+++ b/libs/requests/src/fireflyford/requests/_runner.py
@@ -44,6 +44,7 @@
         info: _targets.PeerInfo,
         channel: _peers.PeerChannel,
         queue: _queue.WorkQueue,
+        admission: _admission.Admission,
     ) -> None:
         """Prepares the runner of one target.
 
@@ -55,6 +56,7 @@
             info: What peers see of this target.
             channel: Reaches peers.
             queue: Order of waiting work.
+            admission: Refuses work that would wait too long.
         """
         self._clock = clock
         self._executor = executor
@@ -64,7 +66,7 @@
         self._channel = channel
         self._queue = queue
         self.slots = _slots.SlotPool(clock, queue, slot_count)
-        self.admission = _admission.Admission()
+        self.admission = admission
         self.service_times = _service_times.ServiceTimes()
         self.peers = _peers.PeerTable(
             clock,
--- /dev/null
+++ b/libs/requests/tests/test_policy.py
@@ -0,0 +1,195 @@
+"""Order, admission, slots and placement of requests."""
+
+import dataclasses
+import random
+
+from fireflyford import config
+from fireflyford import core
+from fireflyford import requests
+
+_SHORT = config.Treatment(name="short", method="GET", path_prefix="/s")
+_LONG = config.Treatment(
+    name="long",
+    method="GET",
+    path_prefix="/l",
+    size=config.SizeClass.LONG,
+    deadline_ms=20_000,
+)
+
+
+def _work(
+    caller: str = "a",
+    treatment: config.Treatment = _SHORT,
+    now_ms: int = 0,
+    body: bytes = b"",
+) -> requests.Work:
+    deadline_ms = now_ms + treatment.deadline_ms
+    return requests.Work(
+        "id", treatment, "GET", "/", body, caller, now_ms, deadline_ms
+    )
+
+
+def _push(
+    queue: requests.WorkQueue, work: requests.Work, expected_ms: float = 10
+) -> requests.Entry | None:
+    return queue.push(queue.make_entry(work, expected_ms, work.arrived_ms))
+
+
+def _pop_caller(queue: requests.WorkQueue) -> str:
+    entry = queue.pop(allow_long=True)
+    assert entry is not None
+    return entry.work.caller
+
+
+def test_one_caller_cannot_keep_the_others_waiting() -> None:
+    """Guards against a caller whose burst delays everyone else."""
+    queue = requests.AdmissionQueue(slot_count=1)
+    for _ in range(20):
+        _push(queue, _work("greedy"))
+    _push(queue, _work("modest", now_ms=15))
+    order = [_pop_caller(queue) for _ in range(4)]
+    assert "modest" in order
+
+
+def test_priority_orders_but_does_not_starve() -> None:
+    """Guards against ignored priorities and against starvation by them."""
+    queue = requests.AdmissionQueue(slot_count=2)
+    low = dataclasses.replace(_SHORT, priority=0)
+    high = dataclasses.replace(_SHORT, priority=9)
+    _push(queue, _work("low", low, now_ms=0))
+    _push(queue, _work("high", high, now_ms=1))
+    assert _pop_caller(queue) == "high"
+    _push(queue, _work("late", high, now_ms=1_000))
+    assert _pop_caller(queue) == "low"
+
+
+def test_long_work_is_passed_only_for_a_while() -> None:
+    """Guards against starvation of long work by a stream of short work."""
+    queue = requests.AdmissionQueue(slot_count=2)
+    _push(queue, _work("long", _LONG), expected_ms=500)
+    passed = 0
+    for step in range(100):
+        _push(queue, _work("short", now_ms=step * 10))
+        if _pop_caller(queue) == "long":
+            break
+        passed += 1
+    assert 0 < passed < 50
+
+
+def test_queue_is_bounded_by_count_and_bytes() -> None:
+    """Guards against unbounded memory and eviction of the wrong entry."""
+    queue = requests.AdmissionQueue(1, max_count=2, max_bytes=100)
+    first = _work("a", body=b"x" * 60)
+    assert _push(queue, first) is None
+    big = _work("b", now_ms=1, body=b"x" * 60)
+    evicted = _push(queue, big)
+    assert evicted is not None and evicted.work is big
+    assert _push(queue, _work("c", now_ms=2)) is None
+    assert _push(queue, _work("d", now_ms=3)) is not None
+    assert len(queue) == 2 and queue.queued_bytes == 60
+
+
+def test_hopeless_work_is_refused_with_a_delay() -> None:
+    """Guards against work that waits in vain for its deadline."""
+    admission = requests.ExpectedWait()
+    assert admission.check(_work(), 100, 20, 0) is None
+    refusal = admission.check(_work(), 1_900, 200, 0)
+    assert refusal is not None
+    assert refusal.kind is core.ErrorKind.OVERLOADED
+    assert refusal.retry_after_ms > 1_000
+    expired = admission.check(_work(), 0, 20, 2_000)
+    assert expired is not None
+    assert expired.kind is core.ErrorKind.DEADLINE_BEFORE_START
+
+
+def _candidate(name: str, **fields: object) -> requests.Candidate:
+    base = requests.Candidate(
+        target_id=name,
+        is_own=name == "own",
+        same_zone=True,
+        hop_ms=0 if name == "own" else 2,
+        slot_count=2,
+        wait_ms=0,
+        service_ms=20,
+        failure_ratio=0,
+        utilization_ratio=0.5,
+        completed_count=100,
+        reported_load=0,
+    )
+    return dataclasses.replace(base, **fields)  # type: ignore[arg-type]
+
+
+def _choose(*candidates: requests.Candidate) -> str:
+    placement = requests.ExpectedCompletion(random.Random(1))
+    return placement.choose(candidates).target_id
+
+
+def test_own_target_and_own_zone_go_first() -> None:
+    """Guards against needless hand-over and needless zone crossing."""
+    near = _candidate("near")
+    far = _candidate("far", same_zone=False, hop_ms=4)
+    assert _choose(far, near, _candidate("own")) == "own"
+    assert _choose(far, near, _candidate("own", wait_ms=50)) == "near"
+    assert _choose(far, _candidate("near", wait_ms=50)) == "far"
+
+
+def test_failing_target_does_not_look_fast() -> None:
+    """Guards against a target that attracts work by failing at once."""
+    failing = _candidate("failing", service_ms=1, failure_ratio=0.9)
+    assert _choose(failing, _candidate("slow", service_ms=60)) == "slow"
+
+
+def test_wrong_service_time_has_bounded_effect() -> None:
+    """Guards against a report that draws all work to a queue."""
+    liar = _candidate("liar", service_ms=0.001, wait_ms=30)
+    assert _choose(liar, _candidate("a"), _candidate("b")) in ("a", "b")
+
+
+def test_cold_target_starts_slowly() -> None:
+    """Guards against a flood on a target with cold caches."""
+    cold = _candidate("cold", completed_count=0)
+    assert _choose(cold, _candidate("warm", wait_ms=5)) == "warm"
+
+
+def _report(name: str, short: float, long: float) -> requests.TargetReport:
+    return requests.TargetReport(
+        target_id=name,
+        incarnation=1,
+        clock_ms=0,
+        slot_count=2,
+        idle_count=0,
+        short_wait_ms=0,
+        long_wait_ms=0,
+        short_ms=20,
+        long_ms=1_000,
+        failure_ratio=0,
+        utilization_ratio=0.7,
+        short_load=short,
+        long_load=long,
+        completed_count=9,
+        draining=False,
+    )
+
+
+def _allowances(short: float, long: float) -> list[int]:
+    names = [f"target-{index}" for index in range(7)]
+    reports = {name: _report(name, short, long) for name in names}
+    return [requests.long_allowance(name, reports) for name in names]
+
+
+def test_slots_are_divided_by_need() -> None:
+    """Guards against starved long work and against slots without a use."""
+    assert sum(_allowances(short=0.4, long=1.0)) in (9, 10, 11)
+    assert sum(_allowances(short=0.01, long=1.2)) >= 13
+    assert _allowances(short=2.0, long=0.0) == [1] * 7
+    assert min(_allowances(short=1.8, long=0.05)) == 1
+
+
+def test_retry_budget_is_a_tenth_of_successes() -> None:
+    """Guards against retries that multiply the load at a demand peak."""
+    budget = requests.RetryBudget()
+    spent = 0
+    for _ in range(1_000):
+        budget.record_success()
+        spent += budget.spend()
+    assert 95 <= spent <= 101
