--- a/libs/agent/src/fireflyford/agent/_process.py
+++ b/libs/agent/src/fireflyford/agent/_process.py
@@ -96,6 +96,8 @@
             asyncio.create_task(self._membership.run()),
             asyncio.create_task(self._follower.run()),
         ]
+        for task in tasks:
+            task.add_done_callback(telemetry.log_task_failure)
         # Earlier flows could be treated by an older configuration file.
         await self._follower.wait_until_settled()
         link = core.Address.parse(self._options.link_address)
--- a/libs/balancer/src/fireflyford/balancer/_process.py
+++ b/libs/balancer/src/fireflyford/balancer/_process.py
@@ -85,6 +85,8 @@
             asyncio.create_task(self._bulk.run(bulk)),
             asyncio.create_task(self._configuration.run()),
         ]
+        for task in tasks:
+            task.add_done_callback(telemetry.log_task_failure)
         await self._stopping.wait()
         self._membership.update(state=membership.State.DRAINING)
         await self._clock.sleep(LEAVE_DELAY_MS)
--- a/libs/cli/src/fireflyford/cli/_config_commands.py
+++ b/libs/cli/src/fireflyford/cli/_config_commands.py
@@ -1,6 +1,7 @@
 """Commands of the group `config`."""
 
 import getpass
+import os
 import pathlib
 import runpy
 import sys
@@ -68,8 +69,9 @@
             base: Version that you started from, as `config show` printed it;
                 0 for the first push.
             author: Name in the audit trail; the user's name if not given.
-            instance: Status port of a balancer, ip:port; with it, removing a
-                service that still has connections is refused.
+            instance: Status port of a balancer, ip:port, or
+                FIREFLYFORD_INSTANCE; with it, removing a service that still
+                has connections is refused.
             store: Gateways of the store, ip:port,...; or FIREFLYFORD_STORE.
         """
         return _job.make_job(lambda: _push(file, base, author, instance, store))
@@ -218,10 +220,9 @@
             f"--base is {base!r}, expected the version that `config show` "
             "printed",
         )
-    if instance:
-        stranded = await _targets.find_stranded(loaded.value, instance)
-        if isinstance(stranded, core.Failure):
-            return stranded
+    checked = await _check_running(opened.value, loaded.value, base, instance)
+    if isinstance(checked, core.Failure):
+        return checked
     push = store.Push(
         text=config.render(loaded.value),
         base_version=base,
@@ -233,6 +234,23 @@
     return core.Ok(_format_accepted(outcome.value))
 
 
+async def _check_running(
+    config_store: store.ConfigStore,
+    deployment: config.Deployment,
+    base: int,
+    instance: str,
+) -> core.Outcome[None]:
+    """Compares with what runs, unless the push conflicts or is a retry."""
+    if not (instance or os.environ.get(_job.INSTANCE_VARIABLE)):
+        return core.Ok(None)
+    state = await config_store.read_state()
+    if isinstance(state, core.Failure):
+        return state
+    if state.value.head.version > base:
+        return core.Ok(None)
+    return await _targets.find_stranded(deployment, instance)
+
+
 def _format_accepted(accepted: store.Accepted) -> str:
     record = accepted.record
     line = f"accepted as version {record.version}, push {record.identity}"
--- a/libs/cli/src/fireflyford/cli/_targets.py
+++ b/libs/cli/src/fireflyford/cli/_targets.py
@@ -85,14 +85,33 @@
 async def find_stranded(
     new: config.Deployment, instance: str
 ) -> core.Outcome[None]:
-    """Refuses to remove services that still have connections."""
+    """Refuses changes that take flows their service, by what really runs.
+
+    Args:
+        new: Deployment that an operator wants to push.
+        instance: Status port of a balancer.
+    """
+    running = await _fetch_running(instance)
+    if isinstance(running, core.Failure):
+        return running
+    if running.value is not None:
+        lines = config.find_stranded(running.value, new)
+        if lines:
+            return core.Failure(core.ErrorKind.BAD_CONFIG, "; ".join(lines))
     fetched = await _fetch_agents("", instance)
     if isinstance(fetched, core.Failure):
         return fetched
     counts: Counter[str] = Counter()
-    for member, status in fetched.value.values():
-        if status is not None and new.service(member.service) is None:
-            counts[member.service] += status.connections
+    for name, (member, status) in fetched.value.items():
+        if new.service(member.service) is not None:
+            continue
+        if status is None:
+            return core.Failure(
+                core.ErrorKind.INSTANCE_UNREACHABLE,
+                f"service {member.service} would be removed, but {name} does "
+                "not answer and may hold connections; drain it first",
+            )
+        counts[member.service] += status.connections
     for service, count in counts.items():
         if count:
             return core.Failure(
@@ -103,6 +122,21 @@
     return core.Ok(None)
 
 
+async def _fetch_running(
+    instance: str,
+) -> core.Outcome[config.Deployment | None]:
+    fetched = await _instances.fetch_balancer(instance)
+    if isinstance(fetched, core.Failure):
+        return fetched
+    text = await _instances.call(fetched.value[0], "/config")
+    if isinstance(text, core.Failure):
+        return text
+    if not text.value:
+        return core.Ok(None)
+    parsed = config.parse(text.value)
+    return parsed if isinstance(parsed, core.Failure) else core.Ok(parsed.value)
+
+
 _Agent = tuple[_instances.MemberStatus, _instances.InstanceStatus | None]
 
 
--- a/libs/cli/tests/test_cli.py
+++ b/libs/cli/tests/test_cli.py
@@ -11,8 +11,10 @@
 
 import pytest
 
+from fireflyford import caller
 from fireflyford import cli
 from fireflyford import config
+from fireflyford import core
 from fireflyford.lab import _deployments
 from fireflyford.lab import _fleet
 
@@ -143,32 +145,51 @@
     fleet = _fleet.Fleet(
         dataclasses.replace(BASE, services=services), random.Random(1), 1
     )
-    path = tmp_path / "new.json"
-    path.write_text(config.render(fleet.deployment))
-    removed = tmp_path / "removed.json"
-    without = dataclasses.replace(fleet.deployment, services=services[:1])
-    removed.write_text(config.render(without))
+    first, second = fleet.deployment.services
+    draining = dataclasses.replace(second, draining=True)
+    for name, kept in (
+        ("new", (first, second)),
+        ("draining", (first, draining)),
+        ("removed", (first,)),
+    ):
+        deployment = dataclasses.replace(fleet.deployment, services=kept)
+        path = tmp_path / f"{name}.json"
+        path.write_text(config.render(deployment))
     try:
-        asyncio.run(fleet.start())
-        shell = _Shell(fleet)
-        push = ("config", "push", str(path), "--author", "ana", "--base")
-        assert shell.run(*push, "0")[0] == 0
-        assert "already applied" in shell.run(*push, "0")[1]
-        code, text = shell.run("config", "push", str(removed), "--base", "0")
-        assert code == 7
-        assert "ana pushed version 1 at" in text
-        code, text = shell.run("config", "push", str(removed), "--base", "1")
-        assert code == 2
-        assert "padron would be removed" in text
-        assert "no difference" in shell.run("config", "diff", str(path))[1]
-        assert "from 0" in shell.run("config", "history")[1]
-        assert "+ deployment bantay" in shell.run("audit")[1]
-        assert shell.run("config", "show")[1].startswith("{")
-        _check_instances(fleet, shell)
+        asyncio.run(_operate(fleet, tmp_path))
     finally:
         fleet.stop()
 
 
+async def _operate(fleet: _fleet.Fleet, directory: pathlib.Path) -> None:
+    await fleet.start()
+    shell = _Shell(fleet)
+    new = str(directory / "new.json")
+    removed = str(directory / "removed.json")
+    push = ("config", "push", new, "--author", "ana", "--base")
+    assert shell.run(*push, "0")[0] == 0
+    assert "already applied" in shell.run(*push, "0")[1]
+    code, text = shell.run("config", "push", removed, "--base", "0")
+    assert code == 7
+    assert "ana pushed version 1 at" in text
+    code, text = shell.run("config", "push", removed, "--base", "1")
+    assert code == 2
+    assert "padron would be removed" in text
+    diff, history, audit, show = await asyncio.gather(
+        asyncio.to_thread(shell.run, "config", "diff", new),
+        asyncio.to_thread(shell.run, "config", "history"),
+        asyncio.to_thread(shell.run, "audit"),
+        asyncio.to_thread(shell.run, "config", "show"),
+    )
+    assert "no difference" in diff[1]
+    assert "version 1 from 0" in history[1]
+    assert "+ deployment bantay" in audit[1]
+    assert show[1].startswith("{")
+    _check_instances(fleet, shell)
+    refused = await _push_while_connected(fleet, shell, directory)
+    assert "padron would be removed, but holds 1 connections" in refused
+
+
 def _check_instances(fleet: _fleet.Fleet, shell: _Shell) -> None:
     target = next(
         name for name, item in fleet.targets.items() if item.service == "padron"
@@ -185,8 +206,28 @@
     assert f"flow: to {target} at " in text
     assert "treatment sheet-order" in text
     assert shell.run("explain", "none")[0] == 2
-    assert shell.run("drain", target) == (
+    other = next(name for name in fleet.targets if name != target)
+    assert shell.run("drain", other) == (
         0,
-        f"{target} is draining; see `fireflyford targets`\n",
+        f"{other} is draining; see `fireflyford targets`\n",
+    )
+    assert f"not {other}: draining" in shell.run("explain", "tahian")[1]
+
+
+async def _push_while_connected(
+    fleet: _fleet.Fleet, shell: _Shell, directory: pathlib.Path
+) -> str:
+    service = fleet.deployment.services[1]
+    client = caller.Client(
+        core.Address.parse(service.address),
+        service.name,
+        fleet.authorities_path(service.name),
     )
-    assert f"not {target}: draining" in shell.run("explain", "padron")[1]
+    async with client.connect() as connection:
+        await client.request(connection, "GET", "/sheets", b"")
+        push = ("config", "push", str(directory / "draining.json"))
+        assert shell.run(*push, "--base", "1")[0] == 0
+        while "version 2" not in shell.run("status")[1]:
+            await asyncio.sleep(0.1)
+        push = ("config", "push", str(directory / "removed.json"))
+        return shell.run(*push, "--base", "2")[1]
--- a/libs/telemetry/src/fireflyford/telemetry/_logs.py
+++ b/libs/telemetry/src/fireflyford/telemetry/_logs.py
@@ -1,5 +1,6 @@
 """Logs: one line of key=value pairs for each event, through eliot."""
 
+import asyncio
 import json
 import re
 from typing import TextIO
@@ -54,6 +55,12 @@
     eliot.log_message(message_type=event, **fields)
 
 
+def log_task_failure(task: asyncio.Task[None]) -> None:
+    """Logs why a background task ended; use it as its done callback."""
+    if not task.cancelled() and task.exception() is not None:
+        log("task-failed", task=task.get_name(), reason=repr(task.exception()))
+
+
 def _format_value(value: object) -> str:
     text = str(value)
     return text if _PLAIN.fullmatch(text) else json.dumps(text)
