Check reports of pushes against the audit trail under random faults

Cause: single faults were tested, not their combinations.

Change: three operators push while the store goes down, slows down and loses answers at random (3 seeds); every report must agree with the audit trail. The test fails when the identity is not compared or the head is not expected (tried by removing either). A write without an answer moves on to the next gateway.

--- a/libs/store/src/fireflyford/store/_etcd.py
+++ b/libs/store/src/fireflyford/store/_etcd.py
@@ -254,8 +254,8 @@
                 failure = _unavailable(f"unreadable answer: {error}")
             except (OSError, httpclient.HTTPError) as error:
                 failure = _unavailable(f"{request.url}: {error}")
+                self._prefer_next()
                 if not writes or _certainly_not_sent(error):
-                    self._prefer_next()
                     continue
             if writes:
                 return core.Failure(
--- a/libs/store/src/fireflyford/store/_follower.py
+++ b/libs/store/src/fireflyford/store/_follower.py
@@ -159,6 +159,7 @@
             "identity": "" if record is None else record.identity,
             "author": "" if record is None else record.author,
             "alarm": self.alarm,
+            "stale_answer_count": self.stale_answer_count,
         }
 
     def text(self) -> str:
--- a/libs/store/tests/test_config_store.py
+++ b/libs/store/tests/test_config_store.py
@@ -4,8 +4,10 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
+import random
 
 import msgspec
+import pytest
 
 from fireflyford import config
 from fireflyford import core
@@ -227,3 +229,67 @@
         )
 
     run(body)
+
+
+async def _break_store(server: Server, rng: random.Random) -> None:
+    """Switches faults on and off until cancelled."""
+    switches = server.switches
+    while True:
+        switches.down = rng.random() < 0.3
+        switches.lose_answer_count = rng.choice((0, 0, 1, 2))
+        switches.slow_ms = rng.choice((0, 0, 5, 400))
+        await asyncio.sleep(rng.uniform(0.01, 0.05))
+
+
+async def _operate(
+    config_store: store.ConfigStore, author: str, rng: random.Random
+) -> list[tuple[str, core.Outcome[store.Accepted]]]:
+    """Pushes from the version that this operator believes to be in force."""
+    reports = []
+    for _ in range(6):
+        state = await config_store.read_state()
+        if isinstance(state, core.Failure):
+            continue
+        base = state.value.head.version
+        request = store.Push(with_targets(rng.randint(1, 99)), base, author)
+        for _ in range(rng.choice((1, 2))):
+            outcome = await config_store.push(request)
+            reports.append((request.identity, outcome))
+    return reports
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_reports_match_the_audit_trail(seed: int) -> None:
+    """Guards against reports that random faults and races make false."""
+    rng = random.Random(seed)
+
+    async def body(config_store: store.ConfigStore, server: Server) -> None:
+        breaker = asyncio.create_task(_break_store(server, rng))
+        reports = await asyncio.gather(
+            *(
+                _operate(config_store, author, random.Random(f"{seed}{author}"))
+                for author in ("ana", "ben", "cho")
+            )
+        )
+        breaker.cancel()
+        server.switches = _store_server.Switches()
+        history = await config_store.history(100)
+        assert isinstance(history, core.Ok)
+        trail = [entry.identity for entry in reversed(history.value)]
+        versions = [entry.version for entry in reversed(history.value)]
+        assert versions == list(range(1, len(trail) + 1))
+        assert len(set(trail)) == len(trail)
+        all_reports = [item for part in reports for item in part]
+        assert any(isinstance(item, core.Ok) for _, item in all_reports)
+        for identity, outcome in all_reports:
+            if isinstance(outcome, core.Ok):
+                assert trail[outcome.value.record.version - 1] == identity
+            elif outcome.kind is core.ErrorKind.CONFIG_CONFLICT:
+                assert identity not in trail
+        certain = core.ErrorKind.STORE_UNAVAILABLE
+        for identity in {item for item, _ in all_reports}:
+            outcomes = [out for item, out in all_reports if item == identity]
+            if all(kind(outcome) is certain for outcome in outcomes):
+                assert identity not in trail
+
+    run(body)
--- a/libs/store/tests/test_follower.py
+++ b/libs/store/tests/test_follower.py
@@ -93,6 +93,21 @@
         task.cancel()
 
 
+def test_versions_only_rise_in_any_order() -> None:
+    """Guards against a rollback by records that arrive in another order."""
+    unreadable = config.render(dataclasses.replace(BASE, format=2))
+    for seed in range(50):
+        rng = random.Random(seed)
+        instance = Instance()
+        versions = []
+        for version in rng.choices(range(1, 30), k=60):
+            text = unreadable if version % 5 == 0 else ""
+            instance.follower.offer(record(version, text), "test")
+            versions.append(instance.follower.version)
+        assert versions == sorted(versions)
+        assert instance.peers.announced == sorted(set(instance.peers.announced))
+
+
 def test_a_stale_peer_changes_nothing() -> None:
     """Guards against a rollback by a peer that announces more than it has."""
 
