Hold back unreadable records with an alarm, check faults at the push only

Cause: a record that could not be decoded at all was left out without an alarm, and an instance with stricter checks than the push would have held back a configuration that is in force elsewhere.

Change: readers report such records; instances only require that a text is readable; a push is refused for every fault before the store is asked.

--- a/libs/balancer/src/fireflyford/balancer/_configuration.py
+++ b/libs/balancer/src/fireflyford/balancer/_configuration.py
@@ -38,14 +38,11 @@
         """Whether this balancer has one of the region's highest scores."""
         if self._clock.now_ms() - self._created_ms < JOIN_DELAY_MS:
             return False
-        candidates = [
-            member.instance_id
-            for member in self._members.view().balancers()
-            if member.region == self._options.region
-            and member.state is membership.State.ALIVE
-        ]
-        readers = choose_readers(candidates)
-        return self._options.instance_id in readers
+        return is_config_reader(
+            self._members.view(),
+            self._options.instance_id,
+            self._options.region,
+        )
 
     def sources(self, above: int) -> Sequence[store.Source]:
         """Returns announcing balancers, those of the own region if any."""
@@ -80,6 +77,16 @@
         )
 
 
+def is_config_reader(view: membership.View, name: str, region: str) -> bool:
+    """Whether a balancer has one of its region's highest rendezvous scores."""
+    candidates = [
+        member.instance_id
+        for member in view.balancers()
+        if member.region == region and member.state is membership.State.ALIVE
+    ]
+    return name in choose_readers(candidates)
+
+
 def choose_readers(names: Sequence[str]) -> frozenset[str]:
     """Returns the names with the highest rendezvous scores."""
     ranked = sorted(
--- a/libs/store/src/fireflyford/store/_config_store.py
+++ b/libs/store/src/fireflyford/store/_config_store.py
@@ -217,9 +217,12 @@
                 f"{MAX_VALUE_BYTES}; make it smaller, nothing was pushed",
             )
         readable = record.read()
-        return (
-            readable if isinstance(readable, core.Failure) else core.Ok(record)
-        )
+        if isinstance(readable, core.Failure):
+            return readable
+        faults = config.check(readable.value)
+        if faults:
+            return core.Failure(core.ErrorKind.BAD_CONFIG, "; ".join(faults))
+        return core.Ok(record)
 
     async def _attempt(self, record: _record.Record) -> core.Outcome[Accepted]:
         outcome = await self.read_state()
--- a/libs/store/src/fireflyford/store/_follower.py
+++ b/libs/store/src/fireflyford/store/_follower.py
@@ -133,12 +133,12 @@
         a configuration file that is older than what it ran before.
         """
         waited_ms = self._clock.now_ms() - self._created_ms
-        if self._store_is_empty or waited_ms >= SETTLE_LIMIT_MS:
+        if waited_ms >= SETTLE_LIMIT_MS:
             return True
         versions = [peer.version for peer in self._peers.sources(-1)]
-        if not versions:
-            return self.highest_version > 0
-        return self.highest_version >= max(versions)
+        if versions:
+            return self.highest_version >= max(versions)
+        return self._store_is_empty or self.highest_version > 0
 
     async def wait_until_settled(self) -> None:
         """Waits until `settled`, at most `SETTLE_LIMIT_MS` after the start."""
@@ -162,10 +162,6 @@
             "stale_answer_count": self.stale_answer_count,
         }
 
-    def text(self) -> str:
-        """Returns the text in force, empty for the configuration file."""
-        return "" if self._in_force is None else self._in_force.text
-
     def notify(self) -> None:
         """Wakes the pull task, because peers may announce a new version."""
         self._changed.set()
@@ -186,13 +182,7 @@
         self._packed = b""
         readable = record.read()
         if isinstance(readable, core.Failure):
-            self._held_alarm = f"version {record.version}: {readable.message}"
-            telemetry.log(
-                "config-held-back",
-                version=record.version,
-                kept_version=self.version,
-                reason=readable.message,
-            )
+            self._hold(record.version, readable.message)
         else:
             self._in_force = record
             self._deployment = readable.value
@@ -204,6 +194,17 @@
         self._peers.announce(record.version)
         return True
 
+    def _hold(self, version: int, reason: str) -> None:
+        alarm = f"version {version} is held back: {reason}"
+        if alarm != self._held_alarm:
+            self._held_alarm = alarm
+            telemetry.log(
+                "config-held-back",
+                version=version,
+                kept_version=self.version,
+                reason=reason,
+            )
+
     def answer(self, payload: bytes) -> bytes:
         """Answers a peer's pull with a record, or nothing."""
         request = _record.decode(payload, _record.PullRequest)
@@ -259,7 +260,9 @@
             record = await config_store.read(head.version)
             if isinstance(record, core.Failure):
                 return None
-            if record.value is not None:
+            if record.value is None:
+                self._hold(head.version, "its record is missing or unreadable")
+            else:
                 self.offer(record.value, "store")
         self._store_is_empty = head.version == 0
         await self._check_store(config_store, state.value)
--- a/libs/store/src/fireflyford/store/_record.py
+++ b/libs/store/src/fireflyford/store/_record.py
@@ -47,13 +47,9 @@
                 f"record format {self.format} is not readable here, which "
                 f"reads format {RECORD_FORMAT}",
             )
-        parsed = config.parse(self.text)
-        if isinstance(parsed, core.Failure):
-            return parsed
-        faults = config.check(parsed.value)
-        if faults:
-            return core.Failure(core.ErrorKind.BAD_CONFIG, faults[0])
-        return parsed
+        # Only pushes are checked for faults: an instance with stricter checks
+        # than the push had must not hold back what is in force.
+        return config.parse(self.text)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/libs/store/tests/test_config_store.py
+++ b/libs/store/tests/test_config_store.py
@@ -167,6 +167,17 @@
     run(body)
 
 
+def test_a_configuration_with_faults_is_refused() -> None:
+    """Guards against faults that reach instances by a push without review."""
+
+    async def body(config_store: store.ConfigStore, server: Server) -> None:
+        outcome = await push(config_store, with_targets(0), 0)
+        assert kind(outcome) is core.ErrorKind.BAD_CONFIG
+        assert not server.counts
+
+    run(body)
+
+
 def test_a_service_that_is_not_draining_cannot_be_removed() -> None:
     """Guards against flows that lose their service."""
     kept = BASE.services[:1]
