--- a/libs/balancer/src/fireflyford/balancer/__init__.py
+++ b/libs/balancer/src/fireflyford/balancer/__init__.py
@@ -1,5 +1,6 @@
 """The balancer process: forwards datagrams and holds no state of flows."""
 
+from fireflyford.balancer._configuration import is_config_reader
 from fireflyford.balancer._forwarder import Counters
 from fireflyford.balancer._forwarder import DatagramHintReader
 from fireflyford.balancer._forwarder import HintReader
@@ -23,5 +24,6 @@
     "QuicHintReader",
     "ServiceListener",
     "follow_view",
+    "is_config_reader",
     "run",
 ]
--- a/libs/balancer/src/fireflyford/balancer/_configuration.py
+++ b/libs/balancer/src/fireflyford/balancer/_configuration.py
@@ -37,18 +37,11 @@
         """Whether this balancer has one of the region's highest scores."""
         if self._clock.now_ms() - self._created_ms < JOIN_DELAY_MS:
             return False
-        candidates = [
-            member
-            for member in self._members.view().balancers()
-            if member.region == self._options.region
-            and member.state is membership.State.ALIVE
-        ]
-        readers = membership.rendezvous(
-            store.READER_KEY, candidates, store.READER_COUNT
+        return is_config_reader(
+            self._members.view(),
+            self._options.instance_id,
+            self._options.region,
         )
-        return self._options.instance_id in {
-            reader.instance_id for reader in readers
-        }
 
     def sources(self, above: int) -> Sequence[store.Source]:
         """Returns announcing balancers, those of the own region if any."""
@@ -80,6 +73,19 @@
         )
 
 
+def is_config_reader(view: membership.View, name: str, region: str) -> bool:
+    """Whether a balancer has one of its region's highest rendezvous scores."""
+    candidates = [
+        member
+        for member in view.balancers()
+        if member.region == region and member.state is membership.State.ALIVE
+    ]
+    readers = membership.rendezvous(
+        store.READER_KEY, candidates, store.READER_COUNT
+    )
+    return name in {reader.instance_id for reader in readers}
+
+
 def open_store(
     options: settings.BalancerSettings,
 ) -> store.EtcdStore | None:
--- a/libs/balancer/src/fireflyford/balancer/_process.py
+++ b/libs/balancer/src/fireflyford/balancer/_process.py
@@ -85,6 +85,8 @@
             asyncio.create_task(self._bulk.run(bulk)),
             asyncio.create_task(self._configuration.run()),
         ]
+        for task in tasks:
+            task.add_done_callback(telemetry.log_task_failure)
         await self._stopping.wait()
         await self._drain()
         for task in tasks:
--- a/libs/lab/tests/test_ports.py
+++ b/libs/lab/tests/test_ports.py
@@ -1,5 +1,6 @@
 """Ports of processes that are started later."""
 
+import socket
 import subprocess
 import sys
 
@@ -30,3 +31,11 @@
     # neither may have a port of this process, which still holds its blocks.
     assert not set(own) & set(ports[150:])
     assert len(set(own)) == 150
+
+
+def test_a_port_in_use_is_left_out() -> None:
+    """Guards against ports that a program outside the lab uses."""
+    port = _ports.free_address().port
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as used:
+        used.bind(("127.0.0.1", port + 1))
+        assert _ports.free_address().port != port + 1
