Find seeds that start late, and end bulk servers that are cancelled

Cause: under load one of three balancers started after the others had called it once, and was called again only 30 s later, so the path test timed out waiting for its view (3 of 8 starts). A cancelled bulk server went on when the cancellation arrived while pynng completed a send: the test hung until its 120 s timeout. Free ports of the lab were in the range of outgoing connections and were taken before a process had bound them.

Change: seeds that are not known are called each second during the first 30 s; a member that nobody answers asks any known member; digests are compared each second during the first 10 s and pulled 300 ms after they differ. The bulk server looks for its cancellation itself. Errors of the membership tasks are logged. Lab ports are taken below 32,000.

--- a/libs/lab/src/fireflyford/lab/_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_fleet.py
@@ -250,16 +250,21 @@
         )
 
 
+# Below the range that the system takes ports of outgoing connections from, so
+# that none of them occupies a port before its process has started.
+_PORTS = range(10_000, 32_000)
+
+
 def free_address() -> core.Address:
     """Returns a loopback address with a port free for TCP and UDP."""
     while True:
+        port = random.SystemRandom().choice(_PORTS)
         with (
             socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream,
             socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagram,
         ):
-            stream.bind(("127.0.0.1", 0))
-            port = stream.getsockname()[1]
             try:
+                stream.bind(("127.0.0.1", port))
                 datagram.bind(("127.0.0.1", port))
             except OSError:
                 continue
--- a/libs/membership/src/fireflyford/membership/_anti_entropy.py
+++ b/libs/membership/src/fireflyford/membership/_anti_entropy.py
@@ -1,5 +1,6 @@
 """Comparison of whole views, which finds what gossip has missed."""
 
+import asyncio
 from collections.abc import Sequence
 import random
 
@@ -11,8 +12,13 @@
 from fireflyford.membership import _types
 
 ANTI_ENTROPY_INTERVAL_MS = 5_000
-# Until the first pull a joining balancer knows only a part of the members.
+# Until the first pull a joining balancer knows only a part of the members, and
+# gossip sent before its socket was open is lost; so it compares often at first.
 _JOIN_INTERVAL_MS = 300
+_FIRST_INTERVAL_MS = 1_000
+_FIRST_COUNT = 10
+# Gossip on its way explains most differences of two digests.
+_PULL_DELAY_MS = 300
 
 
 class AntiEntropy(_channel.PullSource):
@@ -34,18 +40,16 @@
         self._versions = versions
         self._joined = False
         self._differing: list[_types.Member] = []
+        self._differs = asyncio.Event()
         channel.answer_pulls(self)
 
     async def run(self) -> None:
         """Joins, then compares until cancelled."""
         while not self._joined:
             await self._join()
-        while True:
-            await self._clock.sleep(ANTI_ENTROPY_INTERVAL_MS)
-            for peer in self._choose_peers():
-                self._send_digest(peer.control_address, answer=False)
-            await self._clock.sleep(_JOIN_INTERVAL_MS)
-            await self._pull_from_differing()
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._compare_loop())
+            tasks.create_task(self._pull_loop())
 
     def receive(self, address: core.Address, digest: _messages.Digest) -> None:
         """Takes the digest of another balancer."""
@@ -57,6 +61,7 @@
             self._send_digest(address, answer=True)
         if sender is not None and sender not in self._differing:
             self._differing.append(sender)
+            self._differs.set()
 
     def differing(self, digests: tuple[int, ...]) -> tuple[int, ...]:
         """Returns the numbers of the buckets whose digest differs."""
@@ -96,9 +101,24 @@
         if peers:
             self._joined = await self._pull(self._rng.choice(peers))
 
-    async def _pull_from_differing(self) -> None:
-        differing, self._differing = self._differing, []
-        if differing:
+    async def _compare_loop(self) -> None:
+        for _ in range(_FIRST_COUNT):
+            self._compare()
+            await self._clock.sleep(_FIRST_INTERVAL_MS)
+        while True:
+            self._compare()
+            await self._clock.sleep(ANTI_ENTROPY_INTERVAL_MS)
+
+    def _compare(self) -> None:
+        for peer in self._choose_peers():
+            self._send_digest(peer.control_address, answer=False)
+
+    async def _pull_loop(self) -> None:
+        while True:
+            await self._differs.wait()
+            await self._clock.sleep(_PULL_DELAY_MS)
+            self._differs.clear()
+            differing, self._differing = self._differing, []
             await self._pull(self._rng.choice(differing))
 
     async def _pull(self, peer: _types.Member) -> bool:
--- a/libs/membership/src/fireflyford/membership/_bulk.py
+++ b/libs/membership/src/fireflyford/membership/_bulk.py
@@ -8,6 +8,7 @@
 import pynng
 
 from fireflyford import core
+from fireflyford import telemetry
 
 _TAG_BYTES = 8
 MAX_TRANSFER_BYTES = 4 << 20
@@ -37,7 +38,16 @@
         self._handlers[topic] = handler
 
     async def run(self, address: core.Address) -> None:
-        """Serves until cancelled."""
+        """Serves until cancelled; an error is logged, then raised."""
+        try:
+            await self._run(address)
+        except* pynng.NNGException as errors:
+            telemetry.log(
+                "bulk-failed", address=str(address), error=repr(errors)
+            )
+            raise
+
+    async def _run(self, address: core.Address) -> None:
         with pynng.Rep0(
             listen=f"tcp://{address}", recv_max_size=MAX_TRANSFER_BYTES
         ) as socket:
@@ -46,8 +56,11 @@
                     tasks.create_task(self._serve(socket))
 
     async def _serve(self, socket: pynng.Rep0) -> None:
+        task = asyncio.current_task()
         with socket.new_context() as context:
-            while True:
+            # pynng swallows a cancellation that arrives while its operation
+            # completes, so the task has to look for it.
+            while task is not None and not task.cancelling():
                 data = await context.arecv()
                 self.received_bytes += len(data)
                 reply = self._answer(data)
--- a/libs/membership/src/fireflyford/membership/_conversations.py
+++ b/libs/membership/src/fireflyford/membership/_conversations.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
+import random
 
 from fireflyford import core
 from fireflyford.membership import _channel
@@ -21,6 +22,8 @@
 _SEED_INTERVAL_MS = 1_000
 # Seeds that are not in the view may be the other side of a healed partition.
 _SEED_CHECK_MS = 30_000
+# Instances that start together do not all listen at once.
+_START_MS = 30_000
 # An agent keeps records only while an observer sends them.
 _PRUNE_MS = 5_000
 
@@ -42,6 +45,7 @@
     def __init__(
         self,
         clock: core.Clock,
+        rng: random.Random,
         channel: _channel.Channel,
         table: _table.MemberTable,
         versions: _config_versions.ConfigVersions,
@@ -49,6 +53,8 @@
     ) -> None:
         """Prepares the conversations; `run` starts them."""
         self._clock = clock
+        self._rng = rng
+        self._start_ms = clock.now_ms()
         self._channel = channel
         self._table = table
         self._versions = versions
@@ -179,7 +185,8 @@
     def _call_seeds(self) -> None:
         now_ms = self._clock.now_ms()
         alone = now_ms - self._answered_ms > ANSWER_TIMEOUT_MS
-        interval_ms = _SEED_INTERVAL_MS if alone else _SEED_CHECK_MS
+        starting = now_ms - self._start_ms < _START_MS
+        interval_ms = _SEED_INTERVAL_MS if alone or starting else _SEED_CHECK_MS
         if now_ms - self._seeds_ms < interval_ms:
             return
         self._seeds_ms = now_ms
@@ -187,6 +194,19 @@
             known = self._table.at_address(seed)
             if alone or known is None or not known.is_live:
                 self._send_record(seed, 0)
+        if alone:
+            self._call_anyone()
+
+    def _call_anyone(self) -> None:
+        """Asks some known member, since an agent knows balancers too."""
+        own = self._table.own.instance_id
+        live = [
+            member
+            for member in self._table.members.values()
+            if member.is_live and member.instance_id != own
+        ]
+        if live:
+            self._send_record(self._rng.choice(live).control_address, 0)
 
     def _prune(self) -> None:
         """Drops an agent's records that no observer keeps up to date."""
--- a/libs/membership/src/fireflyford/membership/_membership.py
+++ b/libs/membership/src/fireflyford/membership/_membership.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 import dataclasses
 import random
+import traceback
 
 from fireflyford import core
 from fireflyford import telemetry
@@ -53,7 +54,7 @@
         self._versions = _config_versions.ConfigVersions(clock, table)
         self._panic = _panic.Panic(clock, table)
         self._conversations = _conversations.Conversations(
-            clock, channel, table, self._versions, seeds
+            clock, rng, channel, table, self._versions, seeds
         )
         self._gossip = _gossip.Gossip(
             clock, rng, channel, table, self._versions
@@ -132,7 +133,17 @@
         self._announce_weight()
 
     async def run(self) -> None:
-        """Runs until cancelled."""
+        """Runs until cancelled; an error is logged, then raised."""
+        try:
+            await self._run()
+        except Exception as error:
+            telemetry.log(
+                "membership-failed",
+                error="".join(traceback.format_exception(error)),
+            )
+            raise
+
+    async def _run(self) -> None:
         async with asyncio.TaskGroup() as tasks:
             self._tasks = tasks
             tasks.create_task(self._receive_loop())
--- a/libs/membership/tests/test_failures.py
+++ b/libs/membership/tests/test_failures.py
@@ -292,6 +292,22 @@
     simulate(scenario)
 
 
+def test_a_seed_that_starts_last_is_found(simulate) -> None:
+    """Guards against a balancer that was called before it listened."""
+
+    async def scenario(fleet) -> None:
+        fleet.start_many(balancers=3, agents=3)
+        others = set(fleet.records) - {"balancer-0"}
+        fleet.cut(others, {"balancer-0"})
+        await fleet.run(5_000)
+        fleet.network.heal()
+        await fleet.run(BOUND_MS)
+        assert len(fleet.members["balancer-0"].view().members) == 6
+        assert fleet.states("balancer-0") == {ALIVE}
+
+    simulate(scenario)
+
+
 def test_a_forgotten_member_does_not_come_back(simulate) -> None:
     """Guards against a record that a long paused balancer brings back."""
 
