--- a/libs/lab/src/fireflyford/lab/_process_runs.py
+++ b/libs/lab/src/fireflyford/lab/_process_runs.py
@@ -346,7 +346,7 @@
         except TimeoutError:
             stream.cancel()
             return unknown, ""
-        if not event.complete:
+        if not getattr(event, "complete", False):
             return unknown, ""
         fresh = fields.get(_TICKET_HEADER, "")
         kind = _KINDS.get(fields.get("fireflyford-error", ""))
