--- a/libs/lab/src/fireflyford/lab/_commands.py
+++ b/libs/lab/src/fireflyford/lab/_commands.py
@@ -8,6 +8,7 @@
 import fire
 import msgspec
 
+from fireflyford import core
 from fireflyford.lab import _backend
 from fireflyford.lab import _callers
 from fireflyford.lab import _demo
@@ -15,6 +16,7 @@
 from fireflyford.lab import _plot
 from fireflyford.lab import _store_server
 from fireflyford.lab import experiments
+from fireflyford.lab import scenarios
 
 
 class Commands:
@@ -49,16 +51,31 @@
             sys.exit(f"fireflyford-lab: no experiment `{name}`; see `list`")
         # Processes that the experiment started end with it.
         signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
-        result = asyncio.run(experiment.run(seed))
-        encoded = _encode(result)
-        if output:
-            pathlib.Path(output).write_bytes(encoded + b"\n")
-        if json:
-            print(encoded.decode())
-        else:
-            _print_table(result)
-        if not result.ok:
-            sys.exit(1)
+        _finish(asyncio.run(experiment.run(seed)), json, output)
+
+    def play(
+        self, path: str, seed: int = 1, json: bool = False, output: str = ""
+    ) -> None:
+        """Plays a scenario; exits with 1 when a check fails.
+
+        Args:
+            path: Scenario file, see docs/scenarios.md.
+            seed: Seed of everything random.
+            json: Print one JSON object as the last line.
+            output: File for the result, for `plot` and `compare`.
+        """
+        try:
+            text = pathlib.Path(path).read_text()
+        except OSError as error:
+            sys.exit(f"fireflyford-lab: {error}")
+        outcome = asyncio.run(scenarios.play(text, path, seed))
+        if isinstance(outcome, core.Failure):
+            sys.exit(f"fireflyford-lab: {outcome.message}")
+        _finish(outcome.value, json, output)
+
+    def steps(self) -> None:
+        """Lists the steps of the scenario language."""
+        print("\n".join(scenarios.templates()))
 
     def plot(self, result: str) -> None:
         """Draws a result as PNG next to its file.
@@ -82,6 +99,18 @@
         print("\n".join(lines))
 
 
+def _finish(result: experiments.Result, json: bool, output: str) -> None:
+    encoded = _encode(result)
+    if output:
+        pathlib.Path(output).write_bytes(encoded + b"\n")
+    if json:
+        print(encoded.decode())
+    else:
+        _print_table(result)
+    if not result.ok:
+        sys.exit(1)
+
+
 def _encode(result: experiments.Result) -> bytes:
     fields = msgspec.to_builtins(result)
     fields["ok"] = result.ok
--- a/libs/lab/src/fireflyford/lab/scenarios/_language.py
+++ b/libs/lab/src/fireflyford/lab/scenarios/_language.py
@@ -45,7 +45,7 @@
 
     async def perform(self, world: _world.World) -> None:
         """Opens the feeds."""
-        world.add_feeds(self.service, self.count)
+        await world.add_feeds(self.service, self.count)
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/libs/lab/src/fireflyford/lab/scenarios/_play.py
@@ -0,0 +1,39 @@
+"""Runs a scenario file."""
+
+import pathlib
+
+from fireflyford import core
+from fireflyford.lab import experiments
+from fireflyford.lab.scenarios import _lab_world
+from fireflyford.lab.scenarios import _language
+
+
+async def play(
+    text: str, path: str, seed: int
+) -> core.Outcome[experiments.Result]:
+    """Plays a scenario on real processes.
+
+    Args:
+        text: Content of the scenario file.
+        path: Its path, for errors and the name of the result.
+        seed: Seed of everything random.
+
+    Returns:
+        The figures of all checks, or `BAD_CONFIG` for a wrong file.
+    """
+    parsed = _language.parse(text, path)
+    if isinstance(parsed, core.Failure):
+        return parsed
+    world = _lab_world.LabWorld(seed)
+    figures = []
+    try:
+        for step in parsed.value:
+            figure = await step.perform(world)
+            if figure is not None:
+                figures.append(figure)
+    except (RuntimeError, ValueError) as error:
+        return core.Failure(core.ErrorKind.BAD_CONFIG, f"{path}: {error}")
+    finally:
+        world.close()
+    name = pathlib.Path(path).stem
+    return core.Ok(experiments.Result(name, seed, tuple(figures)))
--- a/libs/lab/src/fireflyford/lab/scenarios/_world.py
+++ b/libs/lab/src/fireflyford/lab/scenarios/_world.py
@@ -15,8 +15,8 @@
         """Lets the load run."""
 
     @abc.abstractmethod
-    def add_feeds(self, service: str, count: int) -> None:
-        """Opens feeds that stay open until the end."""
+    async def add_feeds(self, service: str, count: int) -> None:
+        """Opens feeds that stay open until the end, and waits for them."""
 
     @abc.abstractmethod
     def add_requests(
