Cancel a feed's old stream reliably before closing it

Cause: a leg that was replaced only closed its connection. The datagram that says so is sent once; when it was lost, the agent kept the feed until its probes had failed, and a drain waited up to 10 s for it.

Change: the library cancels the old stream and waits, at most 1.5 s, for an acknowledged probe before it closes the connection. Changes of an experiment end after 35 s, and a figure says whether they finished.

--- a/libs/caller/src/fireflyford/caller/_feeds.py
+++ b/libs/caller/src/fireflyford/caller/_feeds.py
@@ -24,6 +24,7 @@
 _ERROR_KINDS = {kind.value: kind for kind in core.ErrorKind}
 # Leaves room for a second attempt within the 5 s that a feed may be silent.
 _OPEN_LIMIT_MS = 1_500
+_LEAVE_LIMIT_MS = 1_500
 _DEFAULT_JITTER_MS = 200
 _MAX_JITTER_MS = 2_000
 # Attempts that keep failing wait longer and longer: an instance that is short
@@ -139,9 +140,12 @@
                     _path_after(self._reader.path, self.after),
                     resumable=True,
                 )
-                ended = await self._read(stream)
-                # Told before the connection is closed, which takes a while.
-                self._tell(ended)
+                try:
+                    ended = await self._read(stream)
+                    # Told before the connection is closed, which takes long.
+                    self._tell(ended)
+                finally:
+                    await _leave(connection, stream)
         except (OSError, TimeoutError):
             self._tell(ended)
 
@@ -316,6 +320,22 @@
         leg.task.add_done_callback(self._legs.discard)
 
 
+async def _leave(
+    connection: _connection.Connection, stream: _connection.Stream
+) -> None:
+    """Cancels a stream and waits until the other end knows.
+
+    The datagram that closes a connection is sent once; when it is lost, the
+    agent keeps the feed until its probes have failed, and a drain waits.
+    """
+    if connection.closed:
+        return
+    stream.cancel()
+    with contextlib.suppress(TimeoutError, ConnectionError):
+        async with asyncio.timeout(_LEAVE_LIMIT_MS / 1000):
+            await connection.ping()
+
+
 def _path_after(path: str, after: int) -> str:
     joint = "&" if "?" in path else "?"
     return f"{path}{joint}after={after}"
--- a/libs/caller/tests/test_feed_reader.py
+++ b/libs/caller/tests/test_feed_reader.py
@@ -63,7 +63,7 @@
             return stream
 
         try:
-            yield mock.Mock(send=send)
+            yield mock.Mock(send=send, closed=False, ping=mock.AsyncMock())
         finally:
             self.closed.append(number)
 
@@ -155,6 +155,15 @@
     assert report.gap_count == 0
 
 
+def test_a_replaced_stream_is_cancelled() -> None:
+    """Guards against a drain that waits for feeds that have moved away."""
+    service = _Service(
+        [HEAD, data(1), control("resume")], [HEAD, data(2), data(3)]
+    )
+    read(service, 3)
+    service.streams[0].cancel.assert_called_once()
+
+
 def test_a_complete_feed_ends() -> None:
     """Guards against a finished feed that is opened again for ever."""
     seen, _ = read(_Service([HEAD, data(1), COMPLETE]), 99)
--- a/libs/lab/src/fireflyford/lab/experiments/_flow_run.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_flow_run.py
@@ -20,6 +20,8 @@
 _MAX_SILENCE_MS = 5_000
 _SETTLE_MS = 4_000
 _WATCH_INTERVAL_MS = 500
+# With 40 s for opening the flows, a run ends within about 90 s.
+_DISTURB_LIMIT_S = 35.0
 # Feeds with short intervals measure stalls that the others cannot resolve.
 _FAST_INTERVAL_MS = 100
 
@@ -201,7 +203,7 @@
             self._scale, seed, self.proxied, self.drain_limit_ms
         ) as run:
             start_s = time.monotonic()
-            await self.disturb(run, random.Random(seed))
+            finished = await self._disturb_in_time(run, seed)
             await asyncio.sleep(self._scale.settle_ms / 1000)
             duration_s = time.monotonic() - start_s
             figures, fast = await run.finish()
@@ -227,10 +229,25 @@
                     sum(code != 0 for code in run.exit_codes),
                     0,
                 ),
+                _framework.Figure(
+                    "changes finished in time",
+                    float(finished),
+                    "1",
+                    1,
+                    _framework.Bound.AT_LEAST,
+                ),
                 _framework.Figure("disturbed time", duration_s, "s"),
             ),
         )
 
+    async def _disturb_in_time(self, run: FlowRun, seed: int) -> bool:
+        try:
+            async with asyncio.timeout(_DISTURB_LIMIT_S):
+                await self.disturb(run, random.Random(seed))
+        except TimeoutError:
+            return False
+        return True
+
     def _describe_feeds(
         self, figures: _callers.Figures, fast: _callers.Figures, run: FlowRun
     ) -> tuple[_framework.Figure, ...]:
