Retrieve the outcome of probes that nobody awaits

Cause: a leg that stopped waiting for its last probe left a future whose error asyncio reported when the connection ended.

--- a/libs/caller/src/fireflyford/caller/_connection.py
+++ b/libs/caller/src/fireflyford/caller/_connection.py
@@ -121,6 +121,14 @@
         self.quiet_ms = 0.0
         super().datagram_received(data, addr)
 
+    async def ping(self) -> None:
+        try:
+            await super().ping()
+        finally:
+            # A caller that gave up leaves a future that nobody reads.
+            for waiter in self._ping_waiters.values():
+                waiter.add_done_callback(asyncio.Future.exception)
+
     async def wait_connected(self) -> None:
         try:
             await super().wait_connected()
