End the tasks that answer peers when a cancellation is swallowed

Cause: pynng drops a cancellation when its operation succeeds at the same moment; the task then waited for ever, so a test of calls between agents hung and an agent could hang at the end of its drain.

Conclusion: the hang was ours to avoid.

--- a/libs/agent/src/fireflyford/agent/_peer.py
+++ b/libs/agent/src/fireflyford/agent/_peer.py
@@ -148,8 +148,12 @@
                     tasks.create_task(self._serve(socket))
 
     async def _serve(self, socket: pynng.Rep0) -> None:
+        task = asyncio.current_task()
+        assert task is not None
         with socket.new_context() as context:
-            while True:
+            # pynng swallows a cancellation when its operation succeeds at
+            # the same moment, and the task would then wait for ever.
+            while not task.cancelling():
                 data = await context.arecv()
                 call = self._codec.decode_call(data)
                 if call is None:
