--- a/libs/membership/src/fireflyford/membership/_conversations.py
+++ b/libs/membership/src/fireflyford/membership/_conversations.py
@@ -13,11 +13,13 @@
 from fireflyford.membership import _types
 
 HEARTBEAT_INTERVAL_MS = 500
-# Observers answer at least every second heartbeat, so that two answers in a
+# Observers answer at least every fourth heartbeat, so that two answers in a
 # row are lost before a member uses another observer.
-ANSWER_TIMEOUT_MS = 2_500
+ANSWER_TIMEOUT_MS = 5_000
 # Time before an observer that did not answer is tried again.
 _AVOID_MS = 10_000
+# Time before an observer that watches enough members is tried again.
+_REFUSED_MS = 60_000
 _CHOICE_INTERVAL_MS = 250
 _SEED_INTERVAL_MS = 1_000
 # Seeds that are not in the view may be the other side of a healed partition.
@@ -97,9 +99,18 @@
             for member in usable
             if self._avoided_ms.get(member.control_address, 0) <= now_ms
         ]
-        return _rendezvous.rendezvous(
-            own, answering or usable, _rendezvous.OBSERVER_COUNT
+        chosen = _rendezvous.rendezvous(
+            own, answering, _rendezvous.OBSERVER_COUNT
         )
+        missing_count = _rendezvous.OBSERVER_COUNT - len(chosen)
+        if not missing_count:
+            return chosen
+        # Too few are left: those that were avoided first are tried again.
+        avoided = [member for member in usable if member not in answering]
+        avoided.sort(
+            key=lambda member: self._avoided_ms[member.control_address]
+        )
+        return (*chosen, *avoided[:missing_count])
 
     def announce(self) -> None:
         """Sends this instance's whole record to its observers now."""
@@ -117,7 +128,7 @@
             acknowledged = conversation.acknowledged if conversation else 0
             self._send_record(address, acknowledged)
         elif message.answer is _messages.Answer.REFUSED:
-            self._avoid(address)
+            self._avoid(address, _REFUSED_MS)
 
     def receive_update(
         self, address: core.Address, update: _messages.Update
@@ -141,12 +152,16 @@
         while self._is_chosen(address) and not self._table.withdrawn:
             silent_ms = self._clock.now_ms() - conversation.heard_ms
             if silent_ms > ANSWER_TIMEOUT_MS:
-                self._avoid(address)
+                self._avoid(address, _AVOID_MS)
                 break
             self._send_heartbeat(address, conversation)
             await self._clock.sleep(HEARTBEAT_INTERVAL_MS)
         del self._open[address]
 
+    @property
+    def _is_balancer(self) -> bool:
+        return self._table.own.role is core.Role.BALANCER
+
     def _is_chosen(self, address: core.Address) -> bool:
         return any(
             observer.control_address == address for observer in self.observers()
@@ -179,8 +194,8 @@
             conversation.heard_ms = self._answered_ms
         return conversation
 
-    def _avoid(self, address: core.Address) -> None:
-        self._avoided_ms[address] = self._clock.now_ms() + _AVOID_MS
+    def _avoid(self, address: core.Address, duration_ms: int) -> None:
+        self._avoided_ms[address] = self._clock.now_ms() + duration_ms
 
     def _call_seeds(self) -> None:
         now_ms = self._clock.now_ms()
@@ -192,7 +207,9 @@
         self._seeds_ms = now_ms
         for seed in self._seeds:
             known = self._table.at_address(seed)
-            if alone or known is None or not known.is_live:
+            missing = known is None or not known.is_live
+            # An agent that has observers need not know every seed.
+            if alone or (missing and self._is_balancer):
                 self._send_record(seed, 0)
         if alone:
             self._call_anyone()
@@ -217,7 +234,7 @@
             and now_ms - conversation.heard_ms < ANSWER_TIMEOUT_MS
             for conversation in self._open.values()
         )
-        if own.role is core.Role.BALANCER or not settled:
+        if self._is_balancer or not settled:
             return
         kept = {own.instance_id}
         for conversation in self._open.values():
--- a/libs/membership/src/fireflyford/membership/_observation.py
+++ b/libs/membership/src/fireflyford/membership/_observation.py
@@ -9,6 +9,8 @@
 from fireflyford.membership import _types
 
 _SEQUENCE_BITS = 16
+# Confirmations in a row without a heartbeat between them.
+_PROBE_LIMIT = 2
 # Together these stay under 1,200 bytes, so that no datagram is fragmented.
 _MEMBERS_PER_UPDATE = 10
 _CHANGES_PER_UPDATE = 20
@@ -46,6 +48,8 @@
         self.heard_ms = heard_ms
         self.heard = False
         self.beat_count = 0
+        self._probe_count = 0
+        self._probed_beat_count = 0
         self.replies: dict[core.Address, bool] = {}
         self._sequence = rng.getrandbits(_SEQUENCE_BITS) + 1
         self._acknowledged: dict[str, tuple[int, int, int]] = {}
@@ -71,6 +75,16 @@
             )
             self._in_flight = {}
 
+    def only_answers_probes(self) -> bool:
+        """Returns whether the member sends its heartbeats to others.
+
+        Called after each confirmation that found the member alive.
+        """
+        beat_count = self.beat_count - self._probed_beat_count
+        self._probed_beat_count = self.beat_count
+        self._probe_count = 0 if beat_count > 1 else self._probe_count + 1
+        return self._probe_count >= _PROBE_LIMIT
+
     def is_current(self, change_count: int, config_version: int) -> bool:
         """Returns whether nothing can be missing at the member.
 
--- a/libs/membership/src/fireflyford/membership/_observer.py
+++ b/libs/membership/src/fireflyford/membership/_observer.py
@@ -24,6 +24,12 @@
 _QUERY_INTERVAL_MS = 150
 _QUERY_COUNT = 3
 _ASSIGNMENT_INTERVAL_MS = 500
+# An answer to every heartbeat would take a third more of the control traffic.
+_BEATS_PER_ANSWER = 4
+# Rendezvous hash alone gives the busiest of 590 balancers twice the mean. With
+# this bound a member goes on to its next candidate instead.
+_LOAD_BOUND_RATIO = 1.25
+_LOAD_BOUND_SLACK = 2
 # A member needs this long to notice that its observers are gone and to turn to
 # the next ones.
 _ORPHAN_GRACE_MS = 3_000
@@ -95,8 +101,7 @@
         if member.version > heartbeat.version or not member.is_live:
             self._send_correction(address, (), (_messages.Change.of(member),))
         if member.is_live:
-            observation = self._hear(member, address, heartbeat.acknowledged)
-            self._tell(observation, member)
+            self._serve(member, address, heartbeat.acknowledged)
 
     def receive_announcement(
         self, address: core.Address, announcement: _messages.Announcement
@@ -118,10 +123,7 @@
             self._table.merge([member])
             self._gossip.flush()
             if member.is_live:
-                observation = self._hear(
-                    member, address, announcement.acknowledged
-                )
-                self._tell(observation, member)
+                self._serve(member, address, announcement.acknowledged)
 
     def receive_query(
         self, address: core.Address, query: _messages.Query
@@ -145,6 +147,25 @@
         """Members that this balancer watches."""
         return len(self._observed)
 
+    def _serve(
+        self, member: _types.Member, address: core.Address, acknowledged: int
+    ) -> None:
+        if member.instance_id not in self._observed and self._is_full():
+            self._answer(address, _messages.Answer.REFUSED)
+            return
+        observation = self._hear(member, address, acknowledged)
+        self._tell(observation, member)
+
+    def _is_full(self) -> bool:
+        balancer_count = len(self._table.observing_balancers())
+        if balancer_count <= _rendezvous.CANDIDATE_COUNT:
+            return False
+        mean_count = (
+            _rendezvous.OBSERVER_COUNT * self._table.live_count / balancer_count
+        )
+        bound = _LOAD_BOUND_RATIO * mean_count + _LOAD_BOUND_SLACK
+        return len(self._observed) >= bound
+
     def _hears(self, instance_id: str) -> bool:
         observation = self._observed.get(instance_id)
         if observation is None or not observation.heard:
@@ -187,7 +208,10 @@
             verdict = await self._confirm(observation)
             if verdict is _Verdict.SILENT:
                 self._declare_dead(observation)
-            elif verdict is _Verdict.HEARD_ELSEWHERE:
+            elif (
+                verdict is _Verdict.HEARD_ELSEWHERE
+                or observation.only_answers_probes()
+            ):
                 self._elsewhere[name] = self._assignments.candidates(name)
                 break
         if self._observed.get(name) is observation:
@@ -215,10 +239,11 @@
                 self._channel.send(address, _messages.Query(member.fingerprint))
             self._answer(member.control_address, _messages.Answer.UNKNOWN)
             await self._sleep(observation, _QUERY_INTERVAL_MS)
-            if observation.heard_ms > heard_ms:
-                return _Verdict.HEARD
+            # A member that has moved to other observers answers as well.
             if any(observation.replies.values()):
                 return _Verdict.HEARD_ELSEWHERE
+            if observation.heard_ms > heard_ms:
+                return _Verdict.HEARD
             if others <= observation.replies.keys():
                 break
         return _Verdict.SILENT
@@ -297,7 +322,7 @@
             ):
                 self._send_update(observation, news.members, news.changes)
                 return
-        if observation.beat_count % 2:
+        if observation.beat_count % _BEATS_PER_ANSWER == 1:
             self._answer(observation.address, _messages.Answer.HEARD)
 
     def _needed(
--- a/libs/membership/src/fireflyford/membership/_table.py
+++ b/libs/membership/src/fireflyford/membership/_table.py
@@ -75,6 +75,11 @@
         name = self._names.get(fingerprint)
         return None if name is None else self._members[name]
 
+    @property
+    def live_count(self) -> int:
+        """Members that are alive or draining."""
+        return len(self._members) - len(self._ended_ms)
+
     def at_address(self, address: core.Address) -> _types.Member | None:
         """Returns the member with a control address."""
         name = self._addresses.get(address)
--- a/libs/membership/tests/test_failures.py
+++ b/libs/membership/tests/test_failures.py
@@ -362,6 +362,27 @@
     simulate(scenario, loss_ratio=0.02)
 
 
+def test_no_balancer_observes_far_more_than_its_share(simulate) -> None:
+    """Guards against a balancer whose traffic is twice the mean."""
+
+    async def scenario(fleet) -> None:
+        fleet.start_many(balancers=6)
+        await fleet.run(SETTLE_MS)
+        fleet.start_many(balancers=0, agents=30)
+        await fleet.run(12_000)
+        counts = [
+            fleet.members[f"balancer-{index}"].observed_count
+            for index in range(6)
+        ]
+        assert max(counts) <= 1.25 * 12 + 3
+        assert sum(counts) >= 2 * 36
+        await fleet.kill("tahian-7")
+        await fleet.run(BOUND_MS)
+        assert fleet.states("tahian-7") == {DEAD}
+
+    simulate(scenario)
+
+
 def test_small_changes_of_weight_are_held_back(simulate) -> None:
     """Guards against weights that fill the control traffic."""
 
