--- a/libs/membership/src/fireflyford/membership/_gossip.py
+++ b/libs/membership/src/fireflyford/membership/_gossip.py
@@ -70,7 +70,12 @@
 
     def receive(self, address: core.Address, gossip: _messages.Gossip) -> None:
         """Merges news of another balancer."""
+        count = self._table.change_count
         corrections = self._table.merge(gossip.members, gossip.changes)
+        if self._table.change_count > count:
+            # The first transmissions do not wait for the interval, which
+            # would add up over the hops to 590 balancers.
+            self.flush()
         if corrections:
             self._channel.send(address, self._message((), tuple(corrections)))
         sender = self._table.find(gossip.fingerprint)
--- a/libs/membership/src/fireflyford/membership/_observer.py
+++ b/libs/membership/src/fireflyford/membership/_observer.py
@@ -26,8 +26,8 @@
 _ASSIGNMENT_INTERVAL_MS = 500
 # An answer to every heartbeat would take a third more of the control traffic.
 _BEATS_PER_ANSWER = 4
-# Rendezvous hash alone gives the busiest of 590 balancers twice the mean. With
-# this bound a member goes on to its next candidate instead.
+# Rendezvous hash alone gives the busiest of 590 balancers 27 members, 1.7 times
+# the mean. With this bound a member goes on to its next candidate instead.
 _LOAD_BOUND_RATIO = 1.25
 _LOAD_BOUND_SLACK = 1
 # A member needs this long to notice that its observers are gone and to turn to
