--- /dev/null
+++ b/libs/membership/src/fireflyford/membership/_needs.py
@@ -0,0 +1,54 @@
+"""Which records an observed member needs."""
+
+from collections.abc import Iterable
+
+from fireflyford import core
+from fireflyford.membership import _rendezvous
+from fireflyford.membership import _table
+from fireflyford.membership import _types
+
+# Agents return datagrams through these balancers when no other is known.
+_RETURN_BALANCER_COUNT = 4
+
+
+def find_needed(
+    table: _table.MemberTable,
+    member: _types.Member,
+    candidates: Iterable[str],
+    told: Iterable[str],
+) -> list[_types.Member]:
+    """Returns the records that a member needs.
+
+    Every member needs the candidates for its observers. An agent also needs
+    its service's peers, and a few balancers to return datagrams through.
+
+    Args:
+        table: Records of the observer.
+        member: The observed member.
+        candidates: Names of the candidates for its observers.
+        told: Names of the members that it was told before.
+    """
+    names = {*candidates, *told, table.own.instance_id}
+    if member.role is core.Role.AGENT:
+        peers = table.service_members(member.service)
+        names.update(peer.instance_id for peer in peers)
+        names.update(_return_balancers(table, member))
+    names.discard(member.instance_id)
+    known = table.members
+    return [known[name] for name in sorted(names) if name in known]
+
+
+def _return_balancers(
+    table: _table.MemberTable, member: _types.Member
+) -> list[str]:
+    """Returns balancers of the member's own availability zone."""
+    near = [
+        other
+        for other in table.balancers()
+        if other.state is _types.State.ALIVE
+        and other.availability_zone == member.availability_zone
+    ]
+    chosen = _rendezvous.rendezvous(
+        f"return/{member.instance_id}", near, _RETURN_BALANCER_COUNT
+    )
+    return [other.instance_id for other in chosen]
--- a/libs/membership/src/fireflyford/membership/_observer.py
+++ b/libs/membership/src/fireflyford/membership/_observer.py
@@ -11,6 +11,7 @@
 from fireflyford.membership import _channel
 from fireflyford.membership import _gossip
 from fireflyford.membership import _messages
+from fireflyford.membership import _needs
 from fireflyford.membership import _observation
 from fireflyford.membership import _panic
 from fireflyford.membership import _rendezvous
@@ -40,8 +41,6 @@
 # and the silence it sees is its own.
 _LATE_MS = 250
 _PROBE_INTERVAL_MS = 1_000
-# Agents return datagrams through these balancers when no other is known.
-_RETURN_BALANCER_COUNT = 4
 
 
 class _Verdict(enum.Enum):
@@ -313,7 +312,13 @@
         version = self._table.own.config_version
         if not observation.is_current(self._table.change_count, version):
             news = observation.missing(
-                self._needed(observation, member), self._table.change_count
+                _needs.find_needed(
+                    self._table,
+                    member,
+                    self._assignments.candidates(member.instance_id),
+                    observation.told,
+                ),
+                self._table.change_count,
             )
             if (
                 news.members
@@ -325,39 +330,6 @@
         if observation.beat_count % _BEATS_PER_ANSWER == 1:
             self._answer(observation.address, _messages.Answer.HEARD)
 
-    def _needed(
-        self, observation: _observation.Observation, member: _types.Member
-    ) -> list[_types.Member]:
-        """Returns the records that a member needs.
-
-        Every member needs the candidates for its observers. An agent also
-        needs its service's peers, and a few balancers to return datagrams
-        through.
-        """
-        names = set(self._assignments.candidates(member.instance_id))
-        names.add(self._table.own.instance_id)
-        names.update(observation.told)
-        if member.role is core.Role.AGENT:
-            peers = self._table.service_members(member.service)
-            names.update(peer.instance_id for peer in peers)
-            names.update(self._return_balancers(member))
-        names.discard(member.instance_id)
-        known = self._table.members
-        return [known[name] for name in sorted(names) if name in known]
-
-    def _return_balancers(self, member: _types.Member) -> list[str]:
-        """Returns balancers of the member's own availability zone."""
-        near = [
-            other
-            for other in self._table.balancers()
-            if other.state is _types.State.ALIVE
-            and other.availability_zone == member.availability_zone
-        ]
-        chosen = _rendezvous.rendezvous(
-            f"return/{member.instance_id}", near, _RETURN_BALANCER_COUNT
-        )
-        return [other.instance_id for other in chosen]
-
     def _send_update(
         self,
         observation: _observation.Observation,
