End a balancer whose forwarding task fails, and fuzz signed headers

Cause: an error in a socket's task would have stopped forwarding in a process that still looked healthy; agents had no test of headers that are signed but make no sense.

--- a/libs/agent/tests/test_datagram.py
+++ b/libs/agent/tests/test_datagram.py
@@ -239,3 +239,44 @@
 ) -> None:
     """Guards against exceptions, and notices that are old or malformed."""
     asyncio.run(_fuzz(datagrams, notices))
+
+
+addresses = strategies.builds(
+    core.Address, strategies.just("127.0.0.1"), strategies.integers(1, 3)
+)
+holders = strategies.builds(core.Holder, addresses, strategies.integers(0, 2))
+fields = strategies.fixed_dictionaries(
+    {
+        "kind": strategies.sampled_from(wire.ForwardType),
+        "flow_key": strategies.integers(0, 3),
+        "hops": strategies.integers(0, 255),
+        "holders": strategies.lists(holders, max_size=3).map(tuple),
+        "stamp": strategies.integers(0, 3)
+        | strategies.integers(0, wire.STAMP_MASK),
+        "balancer": strategies.none() | addresses,
+    }
+)
+
+
+async def _fuzz_signed(headers: list[dict[str, object]]) -> None:
+    agent = Agent("agent", 2)
+    await agent.open()
+    sent_ms = core.SystemClock().wall_ms().to_bytes(8, "big")
+    for number, known in enumerate(headers):
+        packed = CODEC.pack(make_header(agent, **known), sent_ms)
+        sender = ("127.0.0.1", 1 + number % 3)
+        agent.endpoint.datagram_received(packed, sender)
+        await asyncio.sleep(0)
+    assert agent.flows.open_count <= 4
+    assert len(agent.flows._table) <= 4
+    assert not agent.task.done()
+    agent.task.cancel()
+
+
+@hypothesis.settings(max_examples=60, deadline=None, derandomize=True)
+@hypothesis.given(strategies.lists(fields, max_size=30))
+def test_agents_survive_any_signed_header(
+    headers: list[dict[str, object]],
+) -> None:
+    """Guards against exceptions for headers that no peer would send."""
+    asyncio.run(_fuzz_signed(headers))
--- a/libs/balancer/src/fireflyford/balancer/_forwarding.py
+++ b/libs/balancer/src/fireflyford/balancer/_forwarding.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+import sys
 from typing import Any
 
 from fireflyford import config
@@ -9,6 +10,7 @@
 from fireflyford import membership
 from fireflyford import routing
 from fireflyford import settings
+from fireflyford import telemetry
 from fireflyford import wire
 from fireflyford.balancer import _forwarder
 from fireflyford.balancer import _socket
@@ -89,7 +91,9 @@
         )
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        self._tasks.append(asyncio.create_task(work))
+        task = asyncio.create_task(work)
+        task.add_done_callback(_exit_on_failure)
+        self._tasks.append(task)
 
     async def _follow_view(self) -> None:
         known: dict[str, tuple[membership.Member, ...]] = {}
@@ -99,6 +103,15 @@
             await follow_view(self._routers, self._view, known)
 
 
+def _exit_on_failure(task: asyncio.Task[None]) -> None:
+    """Ends the process: without this task it would only seem to work."""
+    if not task.cancelled() and (error := task.exception()) is not None:
+        telemetry.log(
+            "forwarding-failed", error=f"{type(error).__name__}: {error}"
+        )
+        sys.exit(1)
+
+
 async def follow_view(
     routers: dict[str, routing.Router],
     view: membership.View,
