Split bounds and interfaces from the flow table

Change: bounds, Limits and Peers move to _flow_bounds.py, and the rule by which a search passes a reservation to its entry. No change of behaviour.

--- a/libs/routing/src/fireflyford/routing/__init__.py
+++ b/libs/routing/src/fireflyford/routing/__init__.py
@@ -4,11 +4,11 @@
 from fireflyford.routing._claims import Arrival
 from fireflyford.routing._claims import Decision
 from fireflyford.routing._claims import Notice
-from fireflyford.routing._flow_table import LATE_MS
-from fireflyford.routing._flow_table import MAX_HOPS
+from fireflyford.routing._flow_bounds import LATE_MS
+from fireflyford.routing._flow_bounds import MAX_HOPS
+from fireflyford.routing._flow_bounds import Limits
+from fireflyford.routing._flow_bounds import Peers
 from fireflyford.routing._flow_table import FlowTable
-from fireflyford.routing._flow_table import Limits
-from fireflyford.routing._flow_table import Peers
 from fireflyford.routing._ring import Target
 from fireflyford.routing._ring import TargetRing
 from fireflyford.routing._ring import hash_flow
--- a/libs/routing/src/fireflyford/routing/_entries.py
+++ b/libs/routing/src/fireflyford/routing/_entries.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 
 from fireflyford import core
+from fireflyford.routing import _claims
 
 # When the table is full, an entry of a flow held elsewhere that was unused for
 # this long makes room; a search is over long before.
@@ -70,6 +71,21 @@
         self.unanswered_count = 0
         self.counted_ms = now_ms
 
+    def lets_pass(self, arrival: _claims.Arrival) -> bool:
+        """Returns whether a search passes this reservation.
+
+        It does when it is the search that made the reservation, or one that
+        goes before that: two searches that waited for each other would never
+        end.
+        """
+        if arrival.hops == 0 or not arrival.chain:
+            return False
+        first = arrival.chain[-1]
+        if first == self.holder:
+            return True
+        earlier = (arrival.stamp, first) < (self.stamp, self.holder)
+        return arrival.stamp != 0 and earlier
+
 
 class Entries:
     """Entries by flow key, least recently used first."""
--- a/libs/routing/src/fireflyford/routing/_flow_table.py
+++ b/libs/routing/src/fireflyford/routing/_flow_table.py
@@ -1,70 +1,12 @@
 """Search among agents for the holder of a flow without identifier."""
 
-import abc
 from collections.abc import Set
 import dataclasses
 
 from fireflyford import core
 from fireflyford.routing import _claims
 from fireflyford.routing import _entries
-
-MAX_HOPS = 4
-FLOW_IDLE_MS = 120_000
-MAX_ENTRIES = 100_000
-# Twice the connections that a target is meant for; each holds a socket.
-MAX_HELD = 4_000
-# A search takes a few milliseconds unless a message is lost or an agent on
-# the chain is dead.
-SEARCH_TIMEOUT_MS = 200
-TENTATIVE_MS = 2_000
-# Longer than the 3 s in which members learn of a dead one.
-PAUSE_LIMIT_MS = 4_000
-CONFIRM_INTERVAL_MS = 1_000
-# A holder confirms one datagram in a second, so this many mean as many
-# seconds, or a flow that sends rarely; one lost confirmation means nothing.
-MAX_UNANSWERED = 4
-ANNOUNCE_INTERVAL_MS = FLOW_IDLE_MS // 2
-# A search that arrives later than this, or from a clock that differs by more,
-# is a stray copy.
-LATE_MS = 10_000
-# Forwarding headers carry 40 bits of the time of day.
-STAMP_RANGE_MS = 1 << 40
-_MAX_TOLD = 8
-_MAX_RIVALS = 4
-_MAX_CANDIDATES = 3
-
-
-class Peers(abc.ABC):
-    """Where an agent's own view places flows."""
-
-    @abc.abstractmethod
-    def first(self, flow_key: int) -> core.Holder | None:
-        """Returns the first target of a flow key, or None without targets."""
-
-    @abc.abstractmethod
-    def successor(self, flow_key: int) -> core.Holder | None:
-        """Returns the agent that adopts a flow in place of this one.
-
-        None while this agent is not draining, and when there is no other.
-        """
-
-
-@dataclasses.dataclass(frozen=True)
-class Limits:
-    """Bounds of a flow table.
-
-    Attributes:
-        max_entries: Flows and directory entries together.
-        max_held: Flows that this agent holds.
-    """
-
-    max_entries: int = MAX_ENTRIES
-    max_held: int = MAX_HELD
-
-    def __post_init__(self) -> None:
-        """Rejects bounds that admit nothing."""
-        if min(self.max_entries, self.max_held) < 1:
-            raise ValueError("bounds of a flow table must be positive")
+from fireflyford.routing import _flow_bounds
 
 
 class FlowTable:
@@ -79,8 +21,8 @@
         self,
         clock: core.Clock,
         own: core.Holder,
-        peers: Peers,
-        limits: Limits | None = None,
+        peers: _flow_bounds.Peers,
+        limits: _flow_bounds.Limits | None = None,
     ) -> None:
         """Starts without flows.
 
@@ -90,7 +32,7 @@
             peers: Where this agent's view places flows.
             limits: Bounds of the table.
         """
-        bounds = Limits() if limits is None else limits
+        bounds = _flow_bounds.Limits() if limits is None else limits
         self._clock = clock
         self._own = own
         self._peers = peers
@@ -111,7 +53,7 @@
 
     def receive(self, arrival: _claims.Arrival) -> _claims.Decision:
         """Decides about a forwarded datagram."""
-        if arrival.hops > MAX_HOPS or self._is_late(arrival.stamp):
+        if arrival.hops > _flow_bounds.MAX_HOPS or self._is_late(arrival.stamp):
             return _drop()
         key = arrival.flow_key
         entry = self._entries.use(key, self._clock.now_ms())
@@ -168,13 +110,15 @@
             first = self._peers.first(key)
             if first is not None and isinstance(entry, _entries.Held):
                 notices += self._announce(
-                    entry, key, (first,), ANNOUNCE_INTERVAL_MS
+                    entry, key, (first,), _flow_bounds.ANNOUNCE_INTERVAL_MS
                 )
         return tuple(notices)
 
     def expire(self) -> tuple[int, ...]:
         """Removes idle entries; returns the flows no longer held."""
-        return self._entries.remove_idle(self._clock.now_ms() - FLOW_IDLE_MS)
+        return self._entries.remove_idle(
+            self._clock.now_ms() - _flow_bounds.FLOW_IDLE_MS
+        )
 
     # Datagrams.
 
@@ -183,7 +127,10 @@
     ) -> _claims.Decision:
         entry.heard_stamp = self._stamp()
         notices = self._announce(
-            entry, arrival.flow_key, arrival.chain, ANNOUNCE_INTERVAL_MS
+            entry,
+            arrival.flow_key,
+            arrival.chain,
+            _flow_bounds.ANNOUNCE_INTERVAL_MS,
         )
         if arrival.hops:
             notices += self._confirm(entry, arrival)
@@ -200,7 +147,7 @@
         # Any incarnation of the sender may know it.
         sender = core.Holder(arrival.sender, 0)
         return self._announce(
-            entry, arrival.flow_key, (sender,), CONFIRM_INTERVAL_MS
+            entry, arrival.flow_key, (sender,), _flow_bounds.CONFIRM_INTERVAL_MS
         )
 
     def _is_useful(
@@ -212,17 +159,18 @@
             # A search that ends here means that the other agent, which
             # sends it, is draining and does not adopt.
             ends_here = arrival.hops > 0 and not arrival.chain
-            wrong = now_ms - entry.listed_ms > TENTATIVE_MS or (
+            wrong = now_ms - entry.listed_ms > _flow_bounds.TENTATIVE_MS or (
                 ends_here and arrival.sender == entry.holder.address
             )
-            again = _goes_before(arrival, entry)
+            again = entry.lets_pass(arrival)
         else:
             # A stray copy of the search by which the holder adopted the flow
             # says nothing about the flow.
             again = arrival.stamp != 0 and arrival.chain[-1:] == (entry.holder,)
             silent = (
-                entry.unanswered_count >= MAX_UNANSWERED
-                and now_ms - entry.counted_ms >= CONFIRM_INTERVAL_MS
+                entry.unanswered_count >= _flow_bounds.MAX_UNANSWERED
+                and now_ms - entry.counted_ms
+                >= _flow_bounds.CONFIRM_INTERVAL_MS
             )
             by_holder = arrival.sender == entry.holder.address
             wrong = silent or (by_holder and not again)
@@ -233,10 +181,10 @@
     def _follow(
         self, entry: _entries.Listed, arrival: _claims.Arrival
     ) -> _claims.Decision:
-        if arrival.hops >= MAX_HOPS:
+        if arrival.hops >= _flow_bounds.MAX_HOPS:
             return _drop()
         now_ms = self._clock.now_ms()
-        if now_ms - entry.counted_ms >= CONFIRM_INTERVAL_MS:
+        if now_ms - entry.counted_ms >= _flow_bounds.CONFIRM_INTERVAL_MS:
             entry.unanswered_count += 1
             entry.counted_ms = now_ms
         chain = arrival.chain
@@ -244,7 +192,9 @@
             chain = self._make_chain(arrival)
         chain = tuple(item for item in chain if item != entry.holder)
         return _claims.Decision(
-            _claims.Action.FORWARD, entry.holder, chain[-_MAX_CANDIDATES:]
+            _claims.Action.FORWARD,
+            entry.holder,
+            chain[-_flow_bounds.MAX_CANDIDATES :],
         )
 
     def _search(
@@ -257,12 +207,12 @@
         if searching is not None and now_ms < searching.deadline_ms:
             return _claims.Decision(_claims.Action.HOLD)
         if searching is None or (
-            now_ms - searching.deadline_ms > PAUSE_LIMIT_MS
+            now_ms - searching.deadline_ms > _flow_bounds.PAUSE_LIMIT_MS
         ):
             stamp = self._stamp()
             if self._peers.successor(arrival.flow_key) is not None:
                 # It cannot adopt, so any other agent's search goes first.
-                stamp += LATE_MS // 2
+                stamp += _flow_bounds.LATE_MS // 2
             searching = _entries.Searching(
                 now_ms, stamp, self._make_chain(arrival), now_ms
             )
@@ -278,7 +228,7 @@
         # make a second holder.
         if not others_count or searching.attempt_count > others_count:
             return self._adopt(searching, arrival)
-        searching.deadline_ms = now_ms + SEARCH_TIMEOUT_MS
+        searching.deadline_ms = now_ms + _flow_bounds.SEARCH_TIMEOUT_MS
         to, *rest = searching.chain
         return _claims.Decision(
             _claims.Action.FORWARD, to, tuple(rest), searching.stamp
@@ -298,14 +248,14 @@
             ):
                 if first not in searching.rivals:
                     rivals = (*searching.rivals, first)
-                    searching.rivals = rivals[-_MAX_RIVALS:]
+                    searching.rivals = rivals[-_flow_bounds.MAX_RIVALS :]
                 return _claims.Decision(_claims.Action.HOLD)
             self._reserve(arrival.flow_key, first, arrival.stamp)
         elif arrival.stamp:
             self._reserve(arrival.flow_key, first, arrival.stamp)
         else:
             notices = (self._release(arrival),)
-        if arrival.hops >= MAX_HOPS:
+        if arrival.hops >= _flow_bounds.MAX_HOPS:
             return _drop(notices)
         to, *rest = arrival.chain
         return _claims.Decision(
@@ -332,7 +282,7 @@
         stamp = self._stamp() if searching is None else searching.stamp
         successor = self._peers.successor(key)
         if successor is not None:
-            if arrival.hops >= MAX_HOPS:
+            if arrival.hops >= _flow_bounds.MAX_HOPS:
                 return _drop()
             self._reserve(key, successor, stamp)
             return _claims.Decision(
@@ -361,7 +311,7 @@
     ) -> _claims.Decision:
         """Resolves the claim of another agent to a flow held here."""
         # An agent that was paused gives way to the one that took its flow.
-        slept = entry.heard_stamp + PAUSE_LIMIT_MS < notice.stamp
+        slept = entry.heard_stamp + _flow_bounds.PAUSE_LIMIT_MS < notice.stamp
         if slept or (notice.stamp, notice.holder) < (entry.stamp, self._own):
             self._list(notice.flow_key, notice.holder)
             return _claims.Decision(_claims.Action.DROP, lost=True)
@@ -394,7 +344,7 @@
             told_ms = entry.told_ms.get(candidate, now_ms - interval_ms)
             if candidate == self._own or now_ms - told_ms < interval_ms:
                 continue
-            if len(entry.told_ms) >= _MAX_TOLD:
+            if len(entry.told_ms) >= _flow_bounds.MAX_TOLD:
                 del entry.told_ms[next(iter(entry.told_ms))]
             entry.told_ms[candidate] = now_ms
             notices.append(
@@ -409,7 +359,7 @@
         others = [item for item in arrival.chain if item != self._own]
         if self._peers.successor(arrival.flow_key) is not None:
             # One hop is left for the agent that adopts the flow.
-            others = others[: _MAX_CANDIDATES - 1]
+            others = others[: _flow_bounds.MAX_CANDIDATES - 1]
         return (*others, self._own)
 
     def _list(self, flow_key: int, holder: core.Holder) -> None:
@@ -430,25 +380,10 @@
             self._entries.remove(flow_key)
 
     def _stamp(self) -> int:
-        return self._clock.wall_ms() % STAMP_RANGE_MS
+        return self._clock.wall_ms() % _flow_bounds.STAMP_RANGE_MS
 
     def _is_late(self, stamp: int) -> bool:
-        return stamp != 0 and abs(self._stamp() - stamp) > LATE_MS
-
-
-def _goes_before(arrival: _claims.Arrival, entry: _entries.Listed) -> bool:
-    """Returns whether a search passes instead of following a reservation.
-
-    It does when it is the search that made the reservation, or one that goes
-    before that: two searches that waited for each other would never end.
-    """
-    if arrival.hops == 0 or not arrival.chain:
-        return False
-    first = arrival.chain[-1]
-    if first == entry.holder:
-        return True
-    earlier = (arrival.stamp, first) < (entry.stamp, entry.holder)
-    return arrival.stamp != 0 and earlier
+        return stamp != 0 and abs(self._stamp() - stamp) > _flow_bounds.LATE_MS
 
 
 def _drop(notices: tuple[_claims.Notice, ...] = ()) -> _claims.Decision:
