--- a/libs/balancer/src/fireflyford/balancer/_forwarding.py
+++ b/libs/balancer/src/fireflyford/balancer/_forwarding.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Coroutine
-import sys
 from typing import Any
 
 from fireflyford import config
@@ -90,9 +89,18 @@
             wire.ConnectionIdCodec(self._options.routing_keys, service)
         )
 
+    @staticmethod
+    def _exit_on_failure(task: asyncio.Task[None]) -> None:
+        # Without this task the process would only seem to work.
+        if not task.cancelled() and (error := task.exception()) is not None:
+            telemetry.log(
+                "forwarding-failed", error=f"{type(error).__name__}: {error}"
+            )
+            raise SystemExit(1)
+
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
-        task.add_done_callback(_exit_on_failure)
+        task.add_done_callback(self._exit_on_failure)
         self._tasks.append(task)
 
     async def _follow_view(self) -> None:
@@ -103,15 +111,6 @@
             await follow_view(self._routers, self._view, known)
 
 
-def _exit_on_failure(task: asyncio.Task[None]) -> None:
-    """Ends the process: without this task it would only seem to work."""
-    if not task.cancelled() and (error := task.exception()) is not None:
-        telemetry.log(
-            "forwarding-failed", error=f"{type(error).__name__}: {error}"
-        )
-        sys.exit(1)
-
-
 async def follow_view(
     routers: dict[str, routing.Router],
     view: membership.View,
--- a/libs/balancer/tests/test_forwarder.py
+++ b/libs/balancer/tests/test_forwarder.py
@@ -5,11 +5,14 @@
 
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from fireflyford import balancer
 from fireflyford import core
 from fireflyford import routing
+from fireflyford import settings
 from fireflyford import wire
+from fireflyford.balancer import _forwarding
 
 KEY = b"k" * 16
 LOCAL = core.Address("127.0.0.1", 0)
@@ -142,3 +145,31 @@
     counted, payload = asyncio.run(_flood(datagrams))
     assert counted >= 1
     assert payload.startswith(b"\x40")
+
+
+async def _fail() -> None:
+    raise ValueError("bad")
+
+
+async def _spawn_failing() -> None:
+    options = settings.BalancerSettings(
+        instance_id="balancer-1",
+        region="visayas",
+        availability_zone="cebu",
+        link_address="127.0.0.1:0",
+        control_address="127.0.0.1:0",
+        bulk_address="127.0.0.1:0",
+        status_address="127.0.0.1:0",
+        routing_keys_hex=("00" * 16,),
+        link_key_hex="00" * 16,
+        listeners={},
+    )
+    forwarding = _forwarding.Forwarding(options, core.ManualClock())
+    forwarding._spawn(_fail())
+    await asyncio.sleep(5)
+
+
+def test_a_failing_task_ends_the_process() -> None:
+    """Guards against a balancer that looks healthy and forwards nothing."""
+    with pytest.raises(SystemExit):
+        asyncio.run(_spawn_failing())
