--- a/libs/balancer/src/fireflyford/balancer/_forwarding.py
+++ b/libs/balancer/src/fireflyford/balancer/_forwarding.py
@@ -11,6 +11,7 @@
 from fireflyford import membership
 from fireflyford import routing
 from fireflyford import settings
+from fireflyford import telemetry
 from fireflyford import wire
 from fireflyford.balancer import _forwarder
 from fireflyford.balancer import _socket
@@ -104,8 +105,19 @@
             wire.ConnectionIdCodec(self._options.routing_keys, service)
         )
 
+    @staticmethod
+    def _exit_on_failure(task: asyncio.Task[None]) -> None:
+        # Without this task the process would only seem to work.
+        if not task.cancelled() and (error := task.exception()) is not None:
+            telemetry.log(
+                "forwarding-failed", error=f"{type(error).__name__}: {error}"
+            )
+            raise SystemExit(1)
+
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        self._tasks.append(asyncio.create_task(work))
+        task = asyncio.create_task(work)
+        task.add_done_callback(self._exit_on_failure)
+        self._tasks.append(task)
 
     async def _follow_view(self) -> None:
         known: dict[str, Known] = {}
