--- a/libs/cli/tests/test_cli.py
+++ b/libs/cli/tests/test_cli.py
@@ -1,12 +1,12 @@
 """The command line, alone and against real processes."""
 
 import asyncio
+import contextlib
 import dataclasses
 import hashlib
-import os
+import io
 import pathlib
 import random
-import subprocess
 import sys
 
 import pytest
@@ -109,33 +109,46 @@
 
 
 class _Shell:
-    """Runs the installed command against one fleet."""
+    """Runs commands against one fleet, in a thread of this process."""
 
-    def __init__(self, fleet: _fleet.Fleet) -> None:
+    def __init__(
+        self, fleet: _fleet.Fleet, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
         """Takes the addresses of a fleet."""
+        self._monkeypatch = monkeypatch
         balancers = fleet.balancers.values()
-        self._variables = os.environ | {
-            "FIREFLYFORD_STORE": str(fleet.store_address),
-            "FIREFLYFORD_INSTANCE": ",".join(
-                str(item.status_address) for item in balancers
-            ),
-        }
-
-    def run(self, *arguments: str) -> tuple[int, str]:
+        addresses = ",".join(str(item.status_address) for item in balancers)
+        monkeypatch.setenv("FIREFLYFORD_STORE", str(fleet.store_address))
+        monkeypatch.setenv("FIREFLYFORD_INSTANCE", addresses)
+
+    async def run(self, *arguments: str) -> tuple[int, str]:
         """Returns the exit code and all output."""
-        command = pathlib.Path(sys.executable).parent / "fireflyford"
-        done = subprocess.run(
-            [str(command), *arguments],
-            env=self._variables,
-            capture_output=True,
-            text=True,
-            check=False,
-        )
-        return done.returncode, done.stdout + done.stderr
+        return await asyncio.to_thread(self._run, *arguments)
+
+    async def wait_for(self, text: str, *arguments: str) -> str:
+        """Repeats a command until its output has a text, at most 5 s."""
+        async with asyncio.timeout(5):
+            while text not in (output := (await self.run(*arguments))[1]):
+                await asyncio.sleep(0.05)
+        return output
+
+    def _run(self, *arguments: str) -> tuple[int, str]:
+        self._monkeypatch.setattr(sys, "argv", ["fireflyford", *arguments])
+        output = io.StringIO()
+        code = 0
+        with (
+            contextlib.redirect_stdout(output),
+            contextlib.redirect_stderr(output),
+        ):
+            try:
+                cli.main()
+            except SystemExit as error:
+                code = int(error.code or 0)
+        return code, output.getvalue()
 
 
 def test_operators_work_with_running_instances(
-    tmp_path: pathlib.Path,
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against commands that do not fit the running processes."""
     services = tuple(
@@ -156,62 +169,60 @@
         path = tmp_path / f"{name}.json"
         path.write_text(config.render(deployment))
     try:
-        asyncio.run(_operate(fleet, tmp_path))
+        asyncio.run(_operate(fleet, tmp_path, monkeypatch))
     finally:
         fleet.stop()
 
 
-async def _operate(fleet: _fleet.Fleet, directory: pathlib.Path) -> None:
+async def _operate(
+    fleet: _fleet.Fleet,
+    directory: pathlib.Path,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     await fleet.start()
-    shell = _Shell(fleet)
+    shell = _Shell(fleet, monkeypatch)
     new = str(directory / "new.json")
     removed = str(directory / "removed.json")
     push = ("config", "push", new, "--author", "ana", "--base")
-    assert shell.run(*push, "0")[0] == 0
-    assert "already applied" in shell.run(*push, "0")[1]
-    code, text = shell.run("config", "push", removed, "--base", "0")
+    assert (await shell.run(*push, "0"))[0] == 0
+    assert "already applied" in (await shell.run(*push, "0"))[1]
+    code, text = await shell.run("config", "push", removed, "--base", "0")
     assert code == 7
     assert "ana pushed version 1 at" in text
-    code, text = shell.run("config", "push", removed, "--base", "1")
+    code, text = await shell.run("config", "push", removed, "--base", "1")
     assert code == 2
     assert "padron would be removed" in text
-    diff, history, audit, show = await asyncio.gather(
-        asyncio.to_thread(shell.run, "config", "diff", new),
-        asyncio.to_thread(shell.run, "config", "history"),
-        asyncio.to_thread(shell.run, "audit"),
-        asyncio.to_thread(shell.run, "config", "show"),
-    )
-    assert "no difference" in diff[1]
-    assert "version 1 from 0" in history[1]
-    assert "+ deployment bantay" in audit[1]
-    assert show[1].startswith("{")
-    _check_instances(fleet, shell)
+    assert "no difference" in (await shell.run("config", "diff", new))[1]
+    assert "version 1 from 0" in (await shell.run("config", "history"))[1]
+    assert "+ deployment bantay" in (await shell.run("audit"))[1]
+    assert "\n{" in (await shell.run("config", "show"))[1]
+    await _check_instances(fleet, shell)
     refused = await _push_while_connected(fleet, shell, directory)
     assert "padron would be removed, but holds 1 connections" in refused
 
 
-def _check_instances(fleet: _fleet.Fleet, shell: _Shell) -> None:
+async def _check_instances(fleet: _fleet.Fleet, shell: _Shell) -> None:
     target = next(
         name for name, item in fleet.targets.items() if item.service == "padron"
     )
-    status = shell.run("status")[1]
-    assert "configuration version 1 by ana" in status
+    running = "configuration version 1 by ana"
+    status = await shell.wait_for(running, "status")
     assert target in status
-    assert "alive" in shell.run("targets", "padron")[1]
-    code, text = shell.run(
+    assert "alive" in (await shell.run("targets", "padron"))[1]
+    code, text = await shell.run(
         *("explain", "padron", "--method=POST", "--path=/orders"),
         "--connection-id=00e1",
     )
     assert code == 0
     assert f"flow: to {target} at " in text
     assert "treatment sheet-order" in text
-    assert shell.run("explain", "none")[0] == 2
+    assert (await shell.run("explain", "none"))[0] == 2
     other = next(name for name in fleet.targets if name != target)
-    assert shell.run("drain", other) == (
+    assert await shell.run("drain", other) == (
         0,
         f"{other} is draining; see `fireflyford targets`\n",
     )
-    assert f"not {other}: draining" in shell.run("explain", "tahian")[1]
+    await shell.wait_for(f"not {other}: draining", "explain", "tahian")
 
 
 async def _push_while_connected(
@@ -226,8 +237,7 @@
     async with client.connect() as connection:
         await client.request(connection, "GET", "/sheets", b"")
         push = ("config", "push", str(directory / "draining.json"))
-        assert shell.run(*push, "--base", "1")[0] == 0
-        while "version 2" not in shell.run("status")[1]:
-            await asyncio.sleep(0.1)
+        assert (await shell.run(*push, "--base", "1"))[0] == 0
+        await shell.wait_for("configuration version 2", "status")
         push = ("config", "push", str(directory / "removed.json"))
-        return shell.run(*push, "--base", "2")[1]
+        return (await shell.run(*push, "--base", "2"))[1]
--- a/libs/store/tests/test_config_store.py
+++ b/libs/store/tests/test_config_store.py
@@ -256,8 +256,8 @@
     config_store: store.ConfigStore, author: str, rng: random.Random
 ) -> list[tuple[str, core.Outcome[store.Accepted]]]:
     """Pushes from the version that this operator believes to be in force."""
-    reports = []
-    for _ in range(6):
+    reports: list[tuple[str, core.Outcome[store.Accepted]]] = []
+    while len(reports) < 6:
         state = await config_store.read_state()
         if isinstance(state, core.Failure):
             continue
