--- a/libs/lab/src/fireflyford/lab/experiments/_control_fleet.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_control_fleet.py
@@ -9,7 +9,7 @@
 
 from fireflyford import core
 from fireflyford import membership
-from fireflyford.lab import _fleet
+from fireflyford.lab import _ports
 
 _SERVICE_SIZE = 10
 _ZONE_COUNT = 7
@@ -116,7 +116,7 @@
         await _CLOCK.sleep(_SETTLE_MS)
 
     async def _start(self, name: str, service: str) -> Node:
-        link, control, bulk, status = (_fleet.free_address() for _ in range(4))
+        link, control, bulk, status = (_ports.free_address() for _ in range(4))
         record = membership.Member(
             instance_id=name,
             role=core.Role.AGENT if service else core.Role.BALANCER,
