--- a/libs/agent/src/fireflyford/agent/_process.py
+++ b/libs/agent/src/fireflyford/agent/_process.py
@@ -34,6 +34,7 @@
 from fireflyford.agent import _tls
 
 _DRAIN_POLL_MS = 50
+_WEIGHT_INTERVAL_MS = 1_000
 # Balancers learn of a drain within 3 s, so new flows are relayed until then.
 LEAVE_DELAY_MS = 3_000
 
@@ -181,6 +182,7 @@
         tasks += [
             asyncio.create_task(self._backend_watch.run()),
             asyncio.create_task(server.run(link)),
+            asyncio.create_task(self._announce_weight()),
         ]
         if self._flows is not None:
             tasks.append(asyncio.create_task(self._flows.run()))
@@ -197,6 +199,12 @@
         status.stop()
         telemetry.log("stopped", role="agent")
 
+    async def _announce_weight(self) -> None:
+        """Announces the measured speed; membership paces the changes."""
+        while True:
+            await self._clock.sleep(_WEIGHT_INTERVAL_MS)
+            self._membership.update(weight=self._engine.relative_speed())
+
     def _take_view(self, view: membership.View) -> None:
         """Gives the engine its peers; tickets may still name others."""
         self._engine.set_peers(
--- a/libs/balancer/src/fireflyford/balancer/_forwarder.py
+++ b/libs/balancer/src/fireflyford/balancer/_forwarder.py
@@ -137,6 +137,11 @@
         self._kept: dict[tuple[bytes, tuple[str, int]], _Kept] = {}
         self._generation = 0
 
+    def replace_reader(self, reader: HintReader) -> None:
+        """Reads datagrams in another way from now on."""
+        self._reader = reader
+        self._kept.clear()
+
     async def run(self, socket: _socket.DatagramSocket) -> None:
         """Forwards what callers send to a socket until cancelled."""
         self._socket = socket
--- a/libs/balancer/src/fireflyford/balancer/_forwarding.py
+++ b/libs/balancer/src/fireflyford/balancer/_forwarding.py
@@ -45,6 +45,7 @@
         # Until a configuration arrives, every service takes new flows.
         self._open_services = frozenset(options.listeners)
         self._view_changed = asyncio.Event()
+        self._listeners: dict[str, _forwarder.ServiceListener] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
     def apply_deployment(self, deployment: config.Deployment) -> None:
@@ -54,8 +55,17 @@
             for service in deployment.services
             if not service.draining
         )
+        self._apply_transports(deployment)
         self._view_changed.set()
 
+    def _apply_transports(self, deployment: config.Deployment) -> None:
+        for service in deployment.services:
+            known = self._transports.get(service.name)
+            self._transports[service.name] = service.transport
+            listener = self._listeners.get(service.name)
+            if listener is not None and service.transport is not known:
+                listener.replace_reader(self._make_reader(service.name))
+
     def apply_view(self, view: membership.View) -> None:
         """Takes a new view; the rings follow while forwarding goes on."""
         self._view = view
@@ -95,6 +105,7 @@
             self._link,
             self.counters,
         )
+        self._listeners[service] = listener
         self._link.add_listener(listener)
         self._spawn(listener.run(_socket.DatagramSocket(address)))
 
--- a/libs/cli/src/fireflyford/cli/_commands.py
+++ b/libs/cli/src/fireflyford/cli/_commands.py
@@ -169,8 +169,7 @@
         )
     if not name or "." in name or not name.isprintable() or " " in name:
         return _bad_token(f"{name!r} is no name; use one without `.` or spaces")
-    tag = hashlib.blake2s(name.encode(), key=key).hexdigest()
-    return core.Ok(f"{name}.{tag}")
+    return core.Ok(agent.make_token(key, name))
 
 
 def _bad_token(message: str) -> core.Failure:
--- a/libs/requests/src/fireflyford/requests/_engine.py
+++ b/libs/requests/src/fireflyford/requests/_engine.py
@@ -15,6 +15,7 @@
 from fireflyford.requests import _queue
 from fireflyford.requests import _records
 from fireflyford.requests import _runner
+from fireflyford.requests import _speed
 from fireflyford.requests import _targets
 from fireflyford.requests import _tickets
 from fireflyford.requests import _work
@@ -89,6 +90,15 @@
         """Takes the peer targets of a new view."""
         self.runner.peers.replace(infos)
 
+    def relative_speed(self) -> float:
+        """Returns this target's service rate over its service's median."""
+        reports = [
+            peer.report
+            for peer in self.runner.peers.usable()
+            if peer.report is not None
+        ]
+        return _speed.relative_speed(self.runner.report(), reports)
+
     def status(self) -> dict[str, object]:
         """Returns the state of admission for status pages."""
         runner = self.runner
--- /dev/null
+++ b/libs/requests/src/fireflyford/requests/_speed.py
@@ -0,0 +1,37 @@
+"""Speed of a target against its peers, from measured service times."""
+
+from collections.abc import Iterable
+import statistics
+
+from fireflyford.requests import _targets
+
+# Fewer measurements say more about single requests than about the target.
+MIN_COMPLETED_COUNT = 50
+
+
+def relative_speed(
+    own: _targets.TargetReport, peers: Iterable[_targets.TargetReport]
+) -> float:
+    """Returns a target's service rate over the median of its service.
+
+    Reported load plays no part, since it may lag or be wrong.
+
+    Args:
+        own: The target's own measurements.
+        peers: Reports of the other targets of the service.
+
+    Returns:
+        The ratio; 1.0 while the target has measured too little.
+    """
+    if own.completed_count < MIN_COMPLETED_COUNT or own.short_ms <= 0:
+        return 1.0
+    rates = [
+        _rate_per_s(report)
+        for report in (own, *peers)
+        if report.completed_count >= MIN_COMPLETED_COUNT and report.short_ms > 0
+    ]
+    return _rate_per_s(own) / statistics.median(rates)
+
+
+def _rate_per_s(report: _targets.TargetReport) -> float:
+    return report.slot_count / report.short_ms * 1_000
