Keep reports between agents within the control budget

Cause: each pair of agents exchanged 705 bytes every 50 ms while there was work, about 100 KB/s for a node at 7 targets; the budget for all control is 3 KB/s and 4.3 % of a core. Change: the interval follows from 2,000 B/s and the number of peers, reports travel without field names (361 and 344 bytes before, 169 and 152 after), and answers to handed-over work carry the peer's report. Ruled out: a longer interval without reports in answers, and sampled peers. Conclusion: the reports that matter come with the work; the rest was waste.

--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,10 @@
 bench: setup
 	failed=0; for name in $(BENCH); do echo "== $$name"; $(BIN)/fireflyford-lab run $$name --seed $(SEED) || failed=1; done; exit $$failed
 
+# Slopes behind docs/CAPACITY.md.
+capacity: setup
+	$(BIN)/fireflyford-lab capacity --seed $(SEED)
+
 binary: setup
 	mkdir -p dist build
 	$(BIN)/python -m pip wheel --quiet --no-deps --no-build-isolation --wheel-dir build/wheels $(foreach lib,$(filter-out lab,$(LIBS)),./libs/$(lib))
--- a/libs/agent/src/fireflyford/agent/_peer.py
+++ b/libs/agent/src/fireflyford/agent/_peer.py
@@ -46,7 +46,10 @@
         """Hands work to a peer and waits for the outcome."""
         execute = _peer_codec.Execute(handoff)
         reply = await self._call(address, _peer_codec.Call(execute=execute))
-        return reply if isinstance(reply, core.Failure) else reply.outcome()
+        if isinstance(reply, core.Failure):
+            return reply
+        self.tell_report(reply.report)
+        return reply.outcome()
 
     async def present(
         self,
@@ -64,13 +67,14 @@
         self, address: core.Address, report: requests.TargetReport
     ) -> core.Outcome[requests.TargetReport]:
         """Sends the own report and returns that of the peer."""
-        exchange = _peer_codec.Exchange(report)
+        exchange = _peer_codec.Exchange(_peer_codec.pack_report(report))
         reply = await self._call(address, _peer_codec.Call(exchange=exchange))
         if isinstance(reply, core.Failure):
             return reply
-        if reply.report is None:
+        peer_report = reply.report
+        if peer_report is None:
             return _unknown("the peer sent no report")
-        return core.Ok(reply.report)
+        return core.Ok(peer_report)
 
     def cancel(self, address: core.Address, key: tuple[int, int]) -> None:
         """Tells a peer that handed-over work is no longer wanted."""
@@ -166,8 +170,11 @@
 
     async def _answer(self, call: _peer_codec.Call) -> _peer_codec.Reply:
         if call.exchange is not None:
-            report = self._engine.accept_report(call.exchange.report)
-            return _peer_codec.Reply(report=report)
+            sent = _peer_codec.unpack_report(call.exchange.row)
+            if sent is None:
+                return _peer_codec.Reply()
+            report = self._engine.accept_report(sent)
+            return _peer_codec.Reply(row=_peer_codec.pack_report(report))
         if call.cancel is not None:
             self._engine.cancel_handoff(
                 (call.cancel.origin, call.cancel.serial)
@@ -188,9 +195,10 @@
                 outcome = _unknown("an empty call")
         finally:
             self._busy_count -= 1
+        row = _peer_codec.pack_report(self._engine.runner.report())
         if isinstance(outcome, core.Failure):
-            return _peer_codec.Reply(failure=outcome)
-        return _peer_codec.Reply(response=outcome.value)
+            return _peer_codec.Reply(failure=outcome, row=row)
+        return _peer_codec.Reply(response=outcome.value, row=row)
 
     def _present(
         self, present: _peer_codec.Present
--- a/libs/agent/src/fireflyford/agent/_peer_codec.py
+++ b/libs/agent/src/fireflyford/agent/_peer_codec.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import hashlib
+from typing import Any
 
 import msgspec
 
@@ -12,6 +13,29 @@
 MAX_MESSAGE_BYTES = 80 << 20
 
 
+# A report without field names, which would be most of its bytes.
+ReportRow = tuple[Any, ...]
+_REPORT_FIELDS = tuple(
+    field.name for field in dataclasses.fields(requests.TargetReport)
+)
+
+
+def pack_report(report: requests.TargetReport) -> ReportRow:
+    """Returns the values of a report in the order of its fields."""
+    return tuple(getattr(report, name) for name in _REPORT_FIELDS)
+
+
+def unpack_report(row: ReportRow | None) -> requests.TargetReport | None:
+    """Returns the report of a row, or None if its values do not fit."""
+    if row is None or len(row) != len(_REPORT_FIELDS):
+        return None
+    values = dict(zip(_REPORT_FIELDS, row, strict=True))
+    try:
+        return msgspec.convert(values, requests.TargetReport)
+    except msgspec.ValidationError:
+        return None
+
+
 @dataclasses.dataclass(frozen=True)
 class Execute:
     """Work handed over."""
@@ -32,7 +56,7 @@
 class Exchange:
     """The sender's report; the answer is the receiver's."""
 
-    report: requests.TargetReport
+    row: ReportRow
 
 
 @dataclasses.dataclass(frozen=True)
@@ -55,11 +79,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class Reply:
-    """Answer to a call; at most one field is set."""
+    """Answer to a call: a response or a failure, and the peer's report."""
 
     response: requests.Response | None = None
     failure: core.Failure | None = None
-    report: requests.TargetReport | None = None
+    row: ReportRow | None = None
+
+    @property
+    def report(self) -> requests.TargetReport | None:
+        """The report that came with the answer, if any."""
+        return unpack_report(self.row)
 
     def outcome(self) -> core.Outcome[requests.Response]:
         """Returns the outcome of handed-over or presented work."""
--- a/libs/caller/src/fireflyford/caller/_client.py
+++ b/libs/caller/src/fireflyford/caller/_client.py
@@ -14,7 +14,11 @@
     """A caller of one service."""
 
     def __init__(
-        self, address: core.Address, service: str, authorities_path: str
+        self,
+        address: core.Address,
+        service: str,
+        authorities_path: str,
+        token: str = "",
     ) -> None:
         """Prepares a caller.
 
@@ -22,7 +26,9 @@
             address: Service address.
             service: Name of the service.
             authorities_path: PEM file with the authorities to trust.
+            token: Caller token of a closed service.
         """
+        self._token = token
         self._address = address
         self._service = service
         self._authorities_path = authorities_path
@@ -38,7 +44,7 @@
     ) -> contextlib.AbstractAsyncContextManager[_connection.Connection]:
         """Opens a connection; use it with `async with`."""
         return _connection.open_connection(
-            self._address, self._service, self._authorities_path
+            self._address, self._service, self._authorities_path, self._token
         )
 
     async def request(
--- a/libs/caller/src/fireflyford/caller/_connection.py
+++ b/libs/caller/src/fireflyford/caller/_connection.py
@@ -236,10 +236,13 @@
 class Connection:
     """An open connection to a service."""
 
-    def __init__(self, protocol: _HttpProtocol, authority: str) -> None:
+    def __init__(
+        self, protocol: _HttpProtocol, authority: str, token: str = ""
+    ) -> None:
         """Wraps the protocol; use `open_connection` instead."""
         self._protocol = protocol
         self._authority = authority
+        self._token = token
 
     @property
     def closed(self) -> bool:
@@ -283,6 +286,9 @@
             (b":path", path.encode()),
             (CALLER_HEADER.encode(), b"1"),
         ]
+        if self._token:
+            credentials = f"Bearer {self._token}"
+            encoded.append((b"authorization", credentials.encode()))
         encoded += [(name.encode(), value.encode()) for name, value in headers]
         return self._protocol.open_stream(encoded, body, resumable)
 
@@ -293,7 +299,10 @@
 
 @contextlib.asynccontextmanager
 async def open_connection(
-    address: core.Address, service: str, authorities_path: str
+    address: core.Address,
+    service: str,
+    authorities_path: str,
+    token: str = "",
 ) -> AsyncIterator[Connection]:
     """Opens a connection to a service address.
 
@@ -301,6 +310,7 @@
         address: Service address.
         service: Name that the service's certificate must carry.
         authorities_path: PEM file with the authorities to trust.
+        token: Caller token of a closed service.
 
     Raises:
         ConnectionError: No connection could be opened.
@@ -322,6 +332,6 @@
         protocol = cast(_HttpProtocol, opened)
         watcher = asyncio.create_task(protocol.watch())
         try:
-            yield Connection(protocol, service)
+            yield Connection(protocol, service, token)
         finally:
             watcher.cancel()
--- a/libs/lab/src/fireflyford/lab/_commands.py
+++ b/libs/lab/src/fireflyford/lab/_commands.py
@@ -11,6 +11,7 @@
 from fireflyford import core
 from fireflyford.lab import _backend
 from fireflyford.lab import _callers
+from fireflyford.lab import _capacity
 from fireflyford.lab import _demo
 from fireflyford.lab import _fault_proxy
 from fireflyford.lab import _plot
@@ -73,6 +74,19 @@
             sys.exit(f"fireflyford-lab: {outcome.message}")
         _finish(outcome.value, json, output)
 
+    def capacity(self, seed: int = 1) -> None:
+        """Measures the slopes behind docs/CAPACITY.md; takes minutes.
+
+        Args:
+            seed: Seed of everything random.
+        """
+        results = _capacity.measure_slopes(seed)
+        for result in results:
+            print(f"== {result.name}, seed {result.seed}")
+            _print_table(result)
+        if not all(result.ok for result in results):
+            sys.exit(1)
+
     def steps(self) -> None:
         """Lists the steps of the scenario language."""
         print("\n".join(scenarios.templates()))
--- a/libs/lab/src/fireflyford/lab/_model.py
+++ b/libs/lab/src/fireflyford/lab/_model.py
@@ -214,12 +214,16 @@
         self, address: core.Address, handoff: requests.Handoff
     ) -> core.Outcome[requests.Response]:
         """Hands work to a peer and waits for the outcome."""
-        return await self._network.call(
+        outcome = await self._network.call(
             address,
             lambda node: asyncio.create_task(
                 node.engine.accept_handoff(handoff)
             ),
         )
+        node = self._network.nodes.get(address)
+        if node is not None and not node.dead.is_set() and not node.paused:
+            self.tell_report(node.engine.runner.report())
+        return outcome
 
     async def present(
         self,
--- a/libs/requests/src/fireflyford/requests/_peers.py
+++ b/libs/requests/src/fireflyford/requests/_peers.py
@@ -12,10 +12,16 @@
 from fireflyford.requests import _tickets
 from fireflyford.requests import _work
 
-# A report each way costs an agent about 1 ms of CPU, so the interval decides
-# what a service with many targets spends on reports.
-ACTIVE_INTERVAL_MS = 50
-IDLE_INTERVAL_MS = 400
+# A report each way, with 52 bytes of IP and TCP header for each of three
+# segments, as both ends count it.
+EXCHANGE_BYTES = 500
+# Heartbeats need up to 440 of the 3,000 bytes a second that a node may spend
+# on control.
+REPORT_BUDGET_BYTES_PER_S = 2_000
+# Answers to handed-over work bring reports as well, so that the targets that
+# get work are known better than by the exchanges alone.
+LEAST_INTERVAL_MS = 50
+IDLE_FACTOR = 4
 _EXCHANGE_LIMIT_MS = 1_000
 # One-way delays of the deployments are below 1 ms; a hand-over costs a
 # message each way and a turn of two event loops.
@@ -61,6 +67,19 @@
     `OUTCOME_UNKNOWN`.
     """
 
+    _report_listener: Callable[[_targets.TargetReport], None] | None = None
+
+    def on_report(
+        self, listener: Callable[[_targets.TargetReport], None]
+    ) -> None:
+        """Calls `listener` with the reports that answers bring."""
+        self._report_listener = listener
+
+    def tell_report(self, report: _targets.TargetReport | None) -> None:
+        """Passes on the report that came with an answer, if any."""
+        if report is not None and self._report_listener is not None:
+            self._report_listener(report)
+
     @abc.abstractmethod
     async def execute(
         self, address: core.Address, handoff: Handoff
@@ -145,6 +164,19 @@
         self._is_active = is_active
         self._peers: dict[str, _targets.Peer] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
+        channel.on_report(self.accept)
+
+    @property
+    def interval_ms(self) -> float:
+        """Time between two exchanges with one peer, within the budget."""
+        bytes_per_round = EXCHANGE_BYTES * len(self._peers)
+        budget_ms = bytes_per_round / REPORT_BUDGET_BYTES_PER_S * 1_000
+        return max(LEAST_INTERVAL_MS, budget_ms)
+
+    @property
+    def stale_ms(self) -> float:
+        """Age at which a report says nothing about a queue any more."""
+        return max(_targets.STALE_REPORT_MS, 3 * self.interval_ms)
 
     def replace(self, infos: Sequence[_targets.PeerInfo]) -> None:
         """Takes the peers of a new view; needs a running event loop."""
@@ -181,7 +213,8 @@
     def usable(self) -> list[_targets.Peer]:
         """Returns the peers that take new work."""
         now_ms = self._clock.now_ms()
-        return [p for p in self._peers.values() if p.usable(now_ms)]
+        limit_ms = self.stale_ms
+        return [p for p in self._peers.values() if p.usable(now_ms, limit_ms)]
 
     def candidates(self, size: config.SizeClass) -> list[_targets.Candidate]:
         """Returns the usable peers as placement sees them."""
@@ -205,13 +238,13 @@
         if self._target_id < peer.info.target_id:
             return True
         age_ms = self._clock.now_ms() - peer.received_ms
-        return peer.report is None or age_ms > IDLE_INTERVAL_MS + HOP_MS
+        return peer.report is None or age_ms > IDLE_FACTOR * self.interval_ms
 
     async def _exchange(self, peer: _targets.Peer) -> None:
         while True:
             active = self._is_active()
             if not self._must_ask(peer):
-                await self._clock.sleep(IDLE_INTERVAL_MS / 2)
+                await self._clock.sleep(self.interval_ms)
                 continue
             asked_ms = self._clock.now_ms()
             try:
@@ -224,9 +257,8 @@
             if isinstance(outcome, core.Ok):
                 peer.update(outcome.value, asked_ms, self._clock.now_ms())
                 active = active or outcome.value.utilization_ratio > 0
-            await self._clock.sleep(
-                ACTIVE_INTERVAL_MS if active else IDLE_INTERVAL_MS
-            )
+            factor = 1 if active else IDLE_FACTOR
+            await self._clock.sleep(factor * self.interval_ms)
 
 
 def _same_incarnation(
--- a/libs/requests/src/fireflyford/requests/_targets.py
+++ b/libs/requests/src/fireflyford/requests/_targets.py
@@ -5,7 +5,7 @@
 from fireflyford import config
 from fireflyford import core
 
-# A report older than this says nothing about a queue of short work.
+# The least age at which a report says nothing about a queue of short work.
 STALE_REPORT_MS = 600
 # Use of slots is averaged over this period: long against a request, short
 # against the second in which imbalance is judged.
@@ -157,13 +157,18 @@
         assert self.report is not None
         return self.report.clock_ms + now_ms - self.received_ms
 
-    def usable(self, now_ms: int) -> bool:
-        """Returns whether new work may be handed over."""
+    def usable(self, now_ms: int, limit_ms: float) -> bool:
+        """Returns whether new work may be handed over.
+
+        Args:
+            now_ms: Time on the own clock.
+            limit_ms: Age at which a report is too old.
+        """
         return (
             self.report is not None
             and not self.report.draining
             and not self.info.draining
-            and now_ms - self.received_ms <= STALE_REPORT_MS
+            and now_ms - self.received_ms <= limit_ms
         )
 
     def candidate(
