--- a/libs/lab/src/fireflyford/lab/_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_fleet.py
@@ -248,9 +248,11 @@
             if item.process.poll() is None
         ]
         for balancer in running:
-            # A balancer that leaves meanwhile need not see anything.
+            # A balancer that leaves meanwhile need not see anything, and a
+            # target that leaves meanwhile need not be seen.
             while balancer.process.poll() is None and (
-                missing := expected - await self._alive_members(balancer)
+                missing := (expected - await self._alive_members(balancer))
+                & self.targets.keys()
             ):
                 if _CLOCK.now_ms() > limit_ms:
                     logs = "".join(map(self.log_text, sorted(missing)))
