--- a/libs/cli/src/fireflyford/cli/_targets.py
+++ b/libs/cli/src/fireflyford/cli/_targets.py
@@ -1,6 +1,6 @@
 """Commands about instances: status, targets and drain."""
 
-from collections import Counter
+import collections
 from collections.abc import Sequence
 
 from fireflyford import config
@@ -101,7 +101,7 @@
     fetched = await _fetch_agents("", instance)
     if isinstance(fetched, core.Failure):
         return fetched
-    counts: Counter[str] = Counter()
+    counts: collections.Counter[str] = collections.Counter()
     for name, (member, status) in fetched.value.items():
         if new.service(member.service) is not None:
             continue
--- a/libs/config/src/fireflyford/config/_check.py
+++ b/libs/config/src/fireflyford/config/_check.py
@@ -1,6 +1,6 @@
 """Faults of a deployment that types cannot express."""
 
-from collections import Counter
+import collections
 from collections.abc import Iterable
 from collections.abc import Iterator
 import re
@@ -170,6 +170,6 @@
 
 
 def _find_duplicates(what: str, names: Iterable[str]) -> Iterator[str]:
-    for name, count in Counter(names).items():
+    for name, count in collections.Counter(names).items():
         if count > 1:
             yield f"{what} {name} appears {count} times; names must differ"
