--- a/libs/agent/src/fireflyford/agent/_process.py
+++ b/libs/agent/src/fireflyford/agent/_process.py
@@ -25,7 +25,7 @@
 from fireflyford.agent import _datagram
 from fireflyford.agent import _endpoint
 from fireflyford.agent import _feeds
-from fireflyford.agent import _peer
+from fireflyford.agent import _peer_channel
 from fireflyford.agent import _peers
 from fireflyford.agent import _readiness
 from fireflyford.agent import _ring_peers
@@ -70,7 +70,7 @@
         self._peers = _peers.Peers(self._membership, member, clock)
         backend_address = core.Address.parse(options.backend_address)
         backend = _backend.Backend(clock, backend_address)
-        self._executors = _peer.PynngPeers(clock, options.link_key)
+        self._executors = _peer_channel.PynngPeers(clock, options.link_key)
         self._engine = requests.Engine(
             clock,
             backend,
@@ -176,7 +176,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_signal)
         telemetry.log("started", role="agent", service=self._options.service)
-        server = _peer.PeerServer(
+        server = _peer_channel.PeerServer(
             self._clock, self._options.link_key, self._engine
         )
         tasks += [
--- a/libs/agent/tests/test_peer.py
+++ b/libs/agent/tests/test_peer.py
@@ -7,7 +7,7 @@
 from fireflyford import config
 from fireflyford import core
 from fireflyford import requests
-from fireflyford.agent import _peer
+from fireflyford.agent import _peer_channel
 from fireflyford.agent import _ticket_codec
 
 _KEY = b"k" * 16
@@ -77,9 +77,9 @@
 async def _call_twice() -> tuple[list[core.Outcome[requests.Response]], int]:
     address, executor = _free_address(), _Echo()
     engine = _engine(address, executor)
-    server = _peer.PeerServer(_CLOCK, _KEY, engine)
+    server = _peer_channel.PeerServer(_CLOCK, _KEY, engine)
     task = asyncio.create_task(server.run(address))
-    peers = _peer.PynngPeers(_CLOCK, _KEY)
+    peers = _peer_channel.PynngPeers(_CLOCK, _KEY)
     try:
         await asyncio.sleep(0.05)
         copies = [await peers.execute(address, _handoff("/")) for _ in "ab"]
@@ -103,9 +103,9 @@
 async def _lose_peer() -> list[core.Outcome[requests.Response]]:
     address, executor = _free_address(), _Echo()
     engine = _engine(address, executor)
-    server = _peer.PeerServer(_CLOCK, _KEY, engine)
+    server = _peer_channel.PeerServer(_CLOCK, _KEY, engine)
     task = asyncio.create_task(server.run(address))
-    peers = _peer.PynngPeers(_CLOCK, _KEY)
+    peers = _peer_channel.PynngPeers(_CLOCK, _KEY)
     try:
         await asyncio.sleep(0.05)
         call = asyncio.create_task(peers.execute(address, _handoff("/hang")))
