Wait for the backend server through its watch

Cause: the agent had two probes of its backend server, one before it announced its target and one while it ran. Change: BackendWatch.wait_until_seen replaces the module _readiness; the test keeps its assertion. A probe at the start is now limited to 1 s as well.

--- a/libs/agent/src/fireflyford/agent/_backend_watch.py
+++ b/libs/agent/src/fireflyford/agent/_backend_watch.py
@@ -10,6 +10,7 @@
 from fireflyford import telemetry
 
 CHECK_INTERVAL_MS = 500
+_START_POLL_MS = 50
 _CONNECT_LIMIT_S = 1.0
 # A refused connection is a loss at once. One that takes too long may only
 # mean that this instance is short of CPU, so several are needed.
@@ -64,6 +65,18 @@
             self._note(True)
         return self.up
 
+    async def wait_until_seen(self) -> None:
+        """Waits until the backend server has accepted a connection.
+
+        A target announced earlier would draw requests that nobody can run.
+        Health endpoints may mislead, so this asks for a connection only.
+        """
+        while True:
+            await self.check()
+            if self._seen:
+                return
+            await self._clock.sleep(_START_POLL_MS)
+
     async def run(self) -> None:
         """Checks until cancelled."""
         while True:
--- a/libs/agent/src/fireflyford/agent/_process.py
+++ b/libs/agent/src/fireflyford/agent/_process.py
@@ -27,7 +27,6 @@
 from fireflyford.agent import _feeds
 from fireflyford.agent import _peer_channel
 from fireflyford.agent import _peers
-from fireflyford.agent import _readiness
 from fireflyford.agent import _ring_peers
 from fireflyford.agent import _service
 from fireflyford.agent import _ticket_codec
@@ -146,9 +145,7 @@
         """Runs until a graceful shutdown has ended."""
         loop = asyncio.get_running_loop()
         await self._channel.open(self._options.control_listen)
-        await _readiness.wait_for_backend(
-            self._clock, core.Address.parse(self._options.backend_address)
-        )
+        await self._backend_watch.wait_until_seen()
         self._membership.on_withdrawal(self._stopping.set)
         self._membership.on_config_version(lambda *_: self._follower.notify())
         self._membership.on_change(self._take_view)
--- a/libs/agent/tests/test_readiness.py
+++ b/libs/agent/tests/test_backend_watch_start.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from fireflyford import core
-from fireflyford.agent import _readiness
+from fireflyford.agent import _backend_watch
 
 
 async def _wait_then_listen() -> list[str]:
@@ -15,7 +15,8 @@
     address = core.Address("127.0.0.1", port)
 
     async def wait() -> None:
-        await _readiness.wait_for_backend(core.SystemClock(), address)
+        watch = _backend_watch.BackendWatch(core.SystemClock(), address)
+        await watch.wait_until_seen()
         order.append("ready")
 
     task = asyncio.create_task(wait())
