--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
-LIBS := core config settings telemetry wire store membership routing requests caller balancer agent cli lab
+LIBS := core config settings telemetry wire store membership routing flows requests caller runtime balancer agent cli lab
 BIN := .venv/bin
-EDITABLE := $(foreach lib,$(LIBS),-e libs/$(lib))
-SOURCES := $(foreach lib,$(LIBS),libs/$(lib)/src)
+EDITABLE := $(foreach lib,$(LIBS),-e libs/$(lib)) -e platform
+SOURCES := $(foreach lib,$(LIBS),libs/$(lib)/src) platform/src
 DEPLOYMENT ?= bantay
 SEED ?= 1
 
@@ -27,7 +27,7 @@
 	$(BIN)/mypy $(SOURCES)
 
 unit: setup
-	$(BIN)/python -m pytest --doctest-modules libs tests
+	$(BIN)/python -m pytest --doctest-modules libs platform tests
 
 test: lint types unit
 
--- a/libs/core/src/fireflyford/core/__init__.py
+++ b/libs/core/src/fireflyford/core/__init__.py
@@ -10,6 +10,7 @@
 from fireflyford.core._errors import Failure
 from fireflyford.core._errors import Ok
 from fireflyford.core._errors import Outcome
+from fireflyford.core._lazy import lazy_exports
 from fireflyford.core._types import Address
 from fireflyford.core._types import Holder
 from fireflyford.core._types import Role
@@ -29,5 +30,6 @@
     "Outcome",
     "Role",
     "SystemClock",
+    "lazy_exports",
     "service_tag",
 ]
--- /dev/null
+++ b/libs/flows/src/fireflyford/flows/_balancer.py
@@ -0,0 +1,340 @@
+"""All decisions of one balancer.
+
+A balancer keeps nothing that a flow depends on: its memory of holders is a
+cache in front of the directory at the flows' homes.
+"""
+
+import collections
+from collections.abc import Mapping
+import dataclasses
+
+from fireflyford import core
+from fireflyford import routing
+from fireflyford import telemetry
+from fireflyford.flows import _fleet
+from fireflyford.flows import _messages
+from fireflyford.flows import _types
+
+# Flows whose holder a balancer remembers; some 100 bytes each.
+MAX_CACHED = 65_536
+# A home that has not answered for so long is passed over for a while.
+HOME_TIMEOUT_MS = 150
+SUSPECT_MS = 1_000
+# Candidates on the ring that may act as home while the first ones are silent.
+HOME_CANDIDATES = 4
+# Packets whose fate is not known yet.
+MAX_PENDING = 16_384
+PENDING_LIMIT_MS = 5_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Share:
+    """A service with its share of the new flows of a route."""
+
+    service: str
+    weight: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Route:
+    """Where the flows to one address and port go.
+
+    Attributes:
+        name: Name of the route.
+        address: Address and port to which clients send.
+        shares: Services of new flows.
+        lasting: Whether flows of this route carry many requests.
+    """
+
+    name: str
+    address: core.Address
+    shares: tuple[Share, ...]
+    lasting: bool
+
+    def service(self, flow: bytes) -> str:
+        """Returns the service of a new flow, by the weights."""
+        total = sum(share.weight for share in self.shares)
+        point = routing.hash_flow(flow) % max(1, total)
+        for share in self.shares:
+            point -= share.weight
+            if point < 0:
+                return share.service
+        return self.shares[0].service
+
+
+@dataclasses.dataclass(frozen=True)
+class RouteTable:
+    """Routes of one version of the configuration."""
+
+    version: int
+    routes: Mapping[core.Address, Route]
+
+
+class _Pending:
+    """A packet whose flow the balancer has asked the home about."""
+
+    def __init__(
+        self,
+        packet: _types.Packet,
+        service: str,
+        others: list[str],
+        home: core.Address,
+        now_ms: int,
+    ):
+        self.packet = packet
+        self.service = service
+        self.others = others
+        self.home = home
+        self.asked_ms = now_ms
+
+
+class BalancerFlows:
+    """Decides about every packet and message of one balancer."""
+
+    def __init__(
+        self, clock: core.Clock, own: _types.Instance, fleet: _fleet.Fleet
+    ) -> None:
+        """Starts without a configuration.
+
+        Args:
+            clock: Source of time.
+            own: This balancer.
+            fleet: View of the other instances.
+        """
+        self._clock = clock
+        self._own = own
+        self._fleet = fleet
+        self._table: RouteTable | None = None
+        # Services to which earlier versions sent the flows of a route.
+        self._earlier: dict[core.Address, tuple[str, ...]] = {}
+        self._dropped: set[core.Address] = set()
+        self._holders: collections.OrderedDict[
+            bytes, tuple[core.Address, str]
+        ] = collections.OrderedDict()
+        self._pending: collections.OrderedDict[bytes, _Pending] = (
+            collections.OrderedDict()
+        )
+        self._suspects: dict[core.Address, int] = {}
+        # Whether the configuration is known to be the newest one.
+        self.is_current = False
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force, 0 for none."""
+        return 0 if self._table is None else self._table.version
+
+    @property
+    def cached_count(self) -> int:
+        """Flows whose holder is remembered."""
+        return len(self._holders)
+
+    def apply(self, table: RouteTable) -> bool:
+        """Takes a configuration; returns False for one that is not newer."""
+        if table.version <= self.version:
+            return False
+        if self._table is not None:
+            for address, route in self._table.routes.items():
+                services = tuple(share.service for share in route.shares)
+                known = self._earlier.get(address, ())
+                self._earlier[address] = tuple(
+                    dict.fromkeys([*services, *known])
+                )
+                if address not in table.routes:
+                    self._dropped.add(address)
+        self._dropped -= table.routes.keys()
+        telemetry.log(
+            "config-applied",
+            version=table.version,
+            before=self.version,
+            routes=len(table.routes),
+        )
+        self._table = table
+        return True
+
+    def receive(self, packet: _types.Packet) -> list[_types.Action]:
+        """Handles a packet of a client."""
+        address = _types.route_address(packet.flow)
+        route = None
+        if self._table is not None:
+            route = self._table.routes.get(address)
+        if route is None or not route.shares:
+            return self._reject(packet, address)
+        known = self._holders.get(packet.flow)
+        if known is not None:
+            holder, service = known
+            if holder in self._fleet:
+                self._holders.move_to_end(packet.flow)
+                return [
+                    self._forward(
+                        _messages.Handling.HELD, holder, packet, service, route
+                    )
+                ]
+            del self._holders[packet.flow]
+        services = self._services(route, packet)
+        pending = self._pending.get(packet.flow)
+        if pending is not None:
+            self._doubt(pending)
+            if not packet.opens and pending.service in services:
+                at = services.index(pending.service)
+                services = services[at:]
+        return self._ask(packet, services, route)
+
+    def hear(
+        self, sender: core.Address, message: _messages.Message
+    ) -> list[_types.Action]:
+        """Handles a message about flows or about an instance."""
+        if isinstance(message, _messages.Located):
+            self._locate(sender, message.flow)
+        elif isinstance(message, _messages.Absent):
+            known = self._holders.get(message.flow)
+            if known is not None and known[0] == sender:
+                del self._holders[message.flow]
+            return []
+        elif isinstance(message, _messages.Unknown):
+            return self._try_next(message)
+        elif isinstance(message, _messages.Refused):
+            return self._refuse(message)
+        elif isinstance(message, _messages.Beat):
+            self._fleet.hear(message)
+        return []
+
+    def sweep(self) -> None:
+        """Forgets packets that nobody answered about."""
+        oldest_ms = self._clock.now_ms() - PENDING_LIMIT_MS
+        while self._pending:
+            flow, pending = next(iter(self._pending.items()))
+            if pending.asked_ms >= oldest_ms:
+                break
+            del self._pending[flow]
+
+    def _services(self, route: Route, packet: _types.Packet) -> list[str]:
+        """Returns the services that may hold the flow, likeliest first."""
+        first = route.service(packet.flow)
+        if packet.opens:
+            return [first]
+        others = [share.service for share in route.shares]
+        earlier = self._earlier.get(route.address, ())
+        return list(dict.fromkeys([first, *others, *earlier]))
+
+    def _ask(
+        self, packet: _types.Packet, services: list[str], route: Route
+    ) -> list[_types.Action]:
+        service, *others = services
+        home = self._home(service, packet.flow)
+        if home is None:
+            telemetry.log(
+                "no-agent",
+                flow=_types.describe_flow(packet.flow),
+                service=service,
+            )
+            return []
+        pending = _Pending(packet, service, others, home, self._clock.now_ms())
+        self._pending[packet.flow] = pending
+        self._pending.move_to_end(packet.flow)
+        if len(self._pending) > MAX_PENDING:
+            self._pending.popitem(last=False)
+        return [
+            self._forward(
+                _messages.Handling.RESOLVE, home, packet, service, route
+            )
+        ]
+
+    def _home(self, service: str, flow: bytes) -> core.Address | None:
+        homes = self._fleet.homes(service, flow, HOME_CANDIDATES)
+        now_ms = self._clock.now_ms()
+        for home in homes:
+            if self._suspects.get(home, 0) <= now_ms:
+                return home
+        return homes[0] if homes else None
+
+    def _doubt(self, pending: _Pending) -> None:
+        """Passes over a home that has not answered about a flow."""
+        now_ms = self._clock.now_ms()
+        if now_ms - pending.asked_ms >= HOME_TIMEOUT_MS:
+            if self._suspects.get(pending.home, 0) <= now_ms:
+                telemetry.log(
+                    "home-silent",
+                    flow=_types.describe_flow(pending.packet.flow),
+                    home=pending.home,
+                )
+            self._suspects[pending.home] = now_ms + SUSPECT_MS
+
+    def _locate(self, sender: core.Address, flow: bytes) -> None:
+        self._suspects.pop(sender, None)
+        pending = self._pending.pop(flow, None)
+        if pending is not None:
+            service = pending.service
+        else:
+            instance = self._fleet.find(sender)
+            if instance is None:
+                return
+            service = instance.service
+        self._holders[flow] = (sender, service)
+        self._holders.move_to_end(flow)
+        if len(self._holders) > MAX_CACHED:
+            self._holders.popitem(last=False)
+
+    def _try_next(self, message: _messages.Unknown) -> list[_types.Action]:
+        """Asks another service of the route, or ends the flow."""
+        flow = message.flow
+        pending = self._pending.pop(flow, None)
+        route = None
+        if self._table is not None:
+            route = self._table.routes.get(_types.route_address(flow))
+        if pending is not None and pending.others and route is not None:
+            return self._ask(pending.packet, pending.others, route)
+        if not message.awaited:
+            return []
+        telemetry.log(
+            "flow-reset", flow=_types.describe_flow(flow), reason="no-holder"
+        )
+        return [_types.Reset(flow, message.ack)]
+
+    def _refuse(self, message: _messages.Refused) -> list[_types.Action]:
+        pending = self._pending.pop(message.flow, None)
+        if pending is None or not pending.packet.opens:
+            return []
+        telemetry.log(
+            "flow-reset",
+            flow=_types.describe_flow(message.flow),
+            reason=f"refused-{message.reason.name.lower()}",
+            service=pending.service,
+        )
+        return [_types.Reset(message.flow, 0)]
+
+    def _reject(
+        self, packet: _types.Packet, address: core.Address
+    ) -> list[_types.Action]:
+        """Resets a flow for which there is certainly no route."""
+        certain = address in self._dropped or packet.opens
+        if self._table is None or not self.is_current or not certain:
+            return []
+        if packet.resets:
+            return []
+        telemetry.log(
+            "flow-reset",
+            flow=_types.describe_flow(packet.flow),
+            reason="no-route",
+            version=self.version,
+        )
+        return [_types.Reset(packet.flow, packet.ack)]
+
+    def _forward(
+        self,
+        handling: _messages.Handling,
+        to: core.Address,
+        packet: _types.Packet,
+        service: str,
+        route: Route,
+    ) -> _messages.Send:
+        message = _messages.Forward(
+            handling,
+            service,
+            self._own.address,
+            to,
+            0,
+            route.lasting,
+            False,
+            packet.data,
+        )
+        return _messages.Send(to, message)
--- /dev/null
+++ b/libs/flows/src/fireflyford/flows/_held.py
@@ -0,0 +1,227 @@
+"""Flows of the backend server beside an agent, and its load."""
+
+import collections
+
+from fireflyford import core
+from fireflyford.flows import _types
+
+# A new flow reserves a slot until its first request, at most this long: the
+# client sends it one round trip after the flow opened.
+RESERVATION_MS = 300
+# A request without a response no longer counts as work after this time; it
+# exceeds the deadlines of all kinds of requests.
+WORK_LIMIT_MS = 15_000
+# Flows that ended are remembered for late retransmissions of both ends, which
+# follow each other by up to 1.6 s.
+ENDED_KEPT_MS = 10_000
+# Flows may be discarded when older than this or idle.
+FLOW_LIFETIME_MS = 120_000
+FLOW_IDLE_MS = 60_000
+# Weight of a new sample in the mean service time.
+_SAMPLE_WEIGHT = 0.1
+# Service times have a long tail; a sample counts at most this many means.
+_MAX_SAMPLE_FACTOR = 4.0
+
+
+class HeldFlow:
+    """One flow that the backend server holds."""
+
+    def __init__(self, now_ms: int, lasting: bool) -> None:
+        """Notes when the flow became known.
+
+        Args:
+            now_ms: Time of the clock.
+            lasting: Whether it is expected to carry many requests.
+        """
+        self.opened_ms = now_ms
+        self.used_ms = now_ms
+        self.lasting = lasting
+        # First sequence number of the backend server, None after a restart of
+        # the agent, and the end of what it has sent so far.
+        self.first_seq: int | None = None
+        self.sent_end = 0
+        self.client_end: int | None = None
+        self.client_ack = 0
+        self.reserved_until_ms = now_ms + RESERVATION_MS
+        self.busy_since_ms: int | None = None
+        self.started_idle = False
+        self.ended = False
+        # When each instance was last told who holds the flow.
+        self.told_ms: dict[core.Address, int] = {}
+
+    def matches(self, packet: _types.Packet) -> bool:
+        """Returns whether a client's packet belongs to this flow.
+
+        A client may have opened the flow at another backend server that also
+        answered its first packet; it then acknowledges another sequence.
+        """
+        if packet.opens or self.first_seq is None or not packet.acknowledges:
+            return True
+        sent = _types.sequence_distance(self.first_seq, self.sent_end)
+        acknowledged = _types.sequence_distance(self.first_seq, packet.ack)
+        return 0 < acknowledged <= sent
+
+
+class HeldFlows:
+    """All flows that the backend server is known to hold."""
+
+    def __init__(self, clock: core.Clock, slot_count: int = 1) -> None:
+        """Starts without flows.
+
+        Args:
+            clock: Source of time.
+            slot_count: Requests worked on at the same time.
+        """
+        self._clock = clock
+        self._flows: collections.OrderedDict[bytes, HeldFlow] = (
+            collections.OrderedDict()
+        )
+        self.slot_count = slot_count
+        self.service_ms = 0.0
+        self._busy_count = 0
+
+    def __len__(self) -> int:
+        """Returns the number of flows, recently ended ones included."""
+        return len(self._flows)
+
+    def __contains__(self, flow: bytes) -> bool:
+        """Returns whether a flow is held."""
+        return flow in self._flows
+
+    def get(self, flow: bytes) -> HeldFlow | None:
+        """Returns a flow, or None."""
+        return self._flows.get(flow)
+
+    def open_flows(self) -> tuple[bytes, ...]:
+        """Returns the flows that have not ended."""
+        return tuple(
+            flow for flow, held in self._flows.items() if not held.ended
+        )
+
+    def add(
+        self, flow: bytes, lasting: bool, first_seq: int | None
+    ) -> HeldFlow:
+        """Adds a flow that the backend server has accepted."""
+        held = HeldFlow(self._clock.now_ms(), lasting)
+        if first_seq is None:
+            held.reserved_until_ms = held.opened_ms
+        else:
+            held.first_seq = first_seq
+            held.sent_end = (first_seq + 1) % _types.SEQUENCE_MODULUS
+        self.remove(flow)
+        self._flows[flow] = held
+        return held
+
+    def remove(self, flow: bytes) -> None:
+        """Forgets a flow."""
+        held = self._flows.pop(flow, None)
+        if held is not None:
+            self._finish(held)
+
+    def clear(self) -> None:
+        """Forgets all flows."""
+        for flow in tuple(self._flows):
+            self.remove(flow)
+
+    def receive(self, held: HeldFlow, packet: _types.Packet) -> None:
+        """Notes a packet of the client."""
+        now_ms = self._clock.now_ms()
+        held.used_ms = now_ms
+        self._flows.move_to_end(packet.flow)
+        if packet.opens:
+            return
+        held.client_ack = packet.ack
+        if packet.resets:
+            self._end(held)
+            return
+        if packet.payload_bytes and _extends(held.client_end, packet):
+            held.client_end = _end_of(packet)
+            held.reserved_until_ms = now_ms
+            if held.busy_since_ms is None and not held.ended:
+                held.busy_since_ms = now_ms
+                held.started_idle = self._busy_count < self.slot_count
+                self._busy_count += 1
+        if packet.ends:
+            self._end(held)
+
+    def answer(self, held: HeldFlow, packet: _types.Packet) -> None:
+        """Notes a packet of the backend server."""
+        held.used_ms = self._clock.now_ms()
+        if packet.resets:
+            self._finish(held)
+            self._end(held)
+            return
+        if packet.payload_bytes or packet.ends:
+            end = _end_of(packet)
+            if held.first_seq is None or (
+                _types.sequence_distance(held.first_seq, end)
+                > _types.sequence_distance(held.first_seq, held.sent_end)
+            ):
+                held.sent_end = end
+        if packet.payload_bytes and held.busy_since_ms is not None:
+            if held.started_idle:
+                self._sample(held.used_ms - held.busy_since_ms)
+            self._finish(held)
+        if packet.ends:
+            self._end(held)
+
+    def load(self, state: _types.TargetState) -> _types.Load:
+        """Returns the load of the backend server."""
+        now_ms = self._clock.now_ms()
+        reserved_count = lasting_count = 0
+        for held in self._flows.values():
+            if held.ended:
+                continue
+            lasting_count += held.lasting
+            reserved_count += held.reserved_until_ms > now_ms
+        return _types.Load(
+            state=state,
+            slot_count=self.slot_count,
+            busy_count=self._busy_count,
+            reserved_count=reserved_count,
+            lasting_count=lasting_count,
+            service_ms=round(self.service_ms, 1),
+        )
+
+    def sweep(self) -> None:
+        """Forgets flows that are over, and work without a response."""
+        now_ms = self._clock.now_ms()
+        for flow, held in tuple(self._flows.items()):
+            idle_ms = now_ms - held.used_ms
+            limit_ms = ENDED_KEPT_MS if held.ended else FLOW_IDLE_MS
+            if idle_ms > limit_ms or now_ms - held.opened_ms > FLOW_LIFETIME_MS:
+                self.remove(flow)
+            elif (
+                held.busy_since_ms is not None
+                and now_ms - held.busy_since_ms > WORK_LIMIT_MS
+            ):
+                self._finish(held)
+
+    def _end(self, held: HeldFlow) -> None:
+        held.ended = True
+
+    def _finish(self, held: HeldFlow) -> None:
+        if held.busy_since_ms is not None:
+            held.busy_since_ms = None
+            self._busy_count -= 1
+
+    def _sample(self, duration_ms: float) -> None:
+        sample_ms = max(float(duration_ms), 1.0)
+        if not self.service_ms:
+            self.service_ms = sample_ms
+            return
+        sample_ms = min(sample_ms, self.service_ms * _MAX_SAMPLE_FACTOR)
+        self.service_ms += _SAMPLE_WEIGHT * (sample_ms - self.service_ms)
+
+
+def _end_of(packet: _types.Packet) -> int:
+    return (
+        packet.seq + packet.payload_bytes + packet.ends
+    ) % _types.SEQUENCE_MODULUS
+
+
+def _extends(known_end: int | None, packet: _types.Packet) -> bool:
+    if known_end is None:
+        return True
+    ahead = _types.sequence_distance(known_end, _end_of(packet))
+    return 0 < ahead < _types.SEQUENCE_MODULUS // 2
--- /dev/null
+++ b/libs/flows/src/fireflyford/flows/_keeper.py
@@ -0,0 +1,409 @@
+"""Decisions about the flows of the backend server beside an agent.
+
+The backend server is the last authority on what it holds: it returns each
+packet of a flow that it does not hold, and each first packet that it does
+not accept.
+"""
+
+import collections
+import dataclasses
+
+from fireflyford import core
+from fireflyford import telemetry
+from fireflyford.flows import _fleet
+from fireflyford.flows import _held
+from fireflyford.flows import _messages
+from fireflyford.flows import _types
+
+# A backend server accepts a new flow within a millisecond while it runs.
+OPENING_LIMIT_MS = 50
+# A returned packet comes back within a millisecond as well.
+PROBE_LIMIT_MS = 50
+# Notes that mark delivered packets; a note comes back with the packet.
+_MAX_NOTE = 0x7FFFFFFF
+# A holder repeats to a balancer where a flow is at most this often.
+TELL_INTERVAL_MS = 2_000
+# Chains of agents are bounded, since two views may point at each other.
+MAX_HOPS = 4
+# Flows announced in one message.
+HOLDING_BATCH_COUNT = 64
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Opening:
+    """A new flow that was offered to the backend server."""
+
+    forward: _messages.Forward
+    sender: core.Address
+    deadline_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Probe:
+    """A packet delivered to learn whether the backend server holds a flow."""
+
+    forward: _messages.Forward
+    sender: core.Address
+    packet: _types.Packet
+    deadline_ms: int
+
+
+class Keeper:
+    """Delivers packets to one backend server and knows its flows."""
+
+    def __init__(
+        self,
+        clock: core.Clock,
+        own: _types.Instance,
+        fleet: _fleet.Fleet,
+    ) -> None:
+        """Starts without flows.
+
+        Args:
+            clock: Source of time.
+            own: This agent.
+            fleet: View of the other instances.
+        """
+        self._clock = clock
+        self._own = own
+        self._fleet = fleet
+        self.held = _held.HeldFlows(clock)
+        self.state = _types.TargetState.UNKNOWN
+        # Flows may be held that this process has not seen open.
+        self.may_hold_others = True
+        self._openings: dict[bytes, _Opening] = {}
+        self._probes: collections.OrderedDict[int, _Probe] = (
+            collections.OrderedDict()
+        )
+        self._note = 0
+
+    def load(self) -> _types.Load:
+        """Returns the load of the backend server."""
+        return self.held.load(self.state)
+
+    # Packets of clients.
+
+    def receive(
+        self,
+        sender: core.Address,
+        forward: _messages.Forward,
+        packet: _types.Packet,
+    ) -> list[_types.Action]:
+        """Handles a packet that is meant for the backend server."""
+        if forward.handling is _messages.Handling.PLACE:
+            return self._open(sender, forward, packet)
+        held = self.held.get(packet.flow)
+        if self.state is _types.TargetState.DOWN:
+            return self._miss(sender, forward, packet)
+        if held is not None and held.matches(packet):
+            self.held.receive(held, packet)
+            return [
+                _types.Deliver(packet),
+                *self._tell(held, packet.flow, forward, sender),
+            ]
+        if packet.opens:
+            if packet.flow in self._openings:
+                return []
+            return self._miss(sender, forward, packet)
+        if held is None and self.may_hold_others:
+            return self._probe(sender, forward, packet)
+        return self._miss(sender, forward, packet)
+
+    def _open(
+        self,
+        sender: core.Address,
+        forward: _messages.Forward,
+        packet: _types.Packet,
+    ) -> list[_types.Action]:
+        if packet.flow in self.held:
+            held = self.held.get(packet.flow)
+            assert held is not None
+            self.held.receive(held, packet)
+            return [
+                _types.Deliver(packet),
+                _messages.Send(
+                    sender, _messages.Located(packet.flow, self.load())
+                ),
+            ]
+        if packet.flow in self._openings:
+            return []
+        reason = self._decline_reason(forward)
+        if reason is not None:
+            return [self._decline(sender, packet.flow, reason)]
+        opening = _Opening(
+            forward, sender, self._clock.now_ms() + OPENING_LIMIT_MS
+        )
+        self._openings[packet.flow] = opening
+        return [_types.Deliver(packet)]
+
+    def _decline_reason(
+        self, forward: _messages.Forward
+    ) -> _messages.DeclineReason | None:
+        reasons = _messages.DeclineReason
+        if self.state is _types.TargetState.DRAINING:
+            return reasons.DRAINING
+        if self.state is _types.TargetState.DOWN:
+            return reasons.DOWN
+        if self.state is _types.TargetState.UNKNOWN:
+            return reasons.UNKNOWN_STATE
+        load = self.load()
+        pending = load.busy_count + load.reserved_count + len(self._openings)
+        is_choosy = not forward.firm and not forward.lasting
+        if is_choosy and pending >= load.slot_count:
+            return reasons.BUSY
+        return None
+
+    def _decline(
+        self,
+        home: core.Address,
+        flow: bytes,
+        reason: _messages.DeclineReason,
+    ) -> _messages.Send:
+        return _messages.Send(
+            home, _messages.Declined(flow, reason, self.load())
+        )
+
+    def _probe(
+        self,
+        sender: core.Address,
+        forward: _messages.Forward,
+        packet: _types.Packet,
+    ) -> list[_types.Action]:
+        self._note = self._note % _MAX_NOTE + 1
+        self._probes[self._note] = _Probe(
+            forward, sender, packet, self._clock.now_ms() + PROBE_LIMIT_MS
+        )
+        return [_types.Deliver(packet, self._note)]
+
+    def _miss(
+        self,
+        sender: core.Address,
+        forward: _messages.Forward,
+        packet: _types.Packet,
+    ) -> list[_types.Action]:
+        """Says that the flow is not here and looks for it elsewhere."""
+        actions: list[_types.Action] = [
+            _messages.Send(sender, _messages.Absent(packet.flow))
+        ]
+        if forward.handling is _messages.Handling.SEARCH:
+            return actions
+        return actions + self._send_home(forward, packet)
+
+    def _send_home(
+        self, forward: _messages.Forward, packet: _types.Packet
+    ) -> list[_types.Action]:
+        if forward.hop_count >= MAX_HOPS:
+            return []
+        homes = self._fleet.homes(self._own.service, packet.flow, 1)
+        if not homes:
+            return []
+        message = _messages.Forward(
+            _messages.Handling.RESOLVE,
+            forward.service,
+            forward.balancer,
+            homes[0],
+            forward.hop_count + 1,
+            forward.lasting,
+            False,
+            packet.data,
+        )
+        return [_messages.Send(homes[0], message)]
+
+    def _tell(
+        self,
+        held: _held.HeldFlow,
+        flow: bytes,
+        forward: _messages.Forward,
+        sender: core.Address,
+    ) -> list[_types.Action]:
+        """Tells the balancer and the home of a packet where its flow is."""
+        found = forward.handling is _messages.Handling.SEARCH
+        receivers = [forward.balancer]
+        if sender == forward.balancer and not found:
+            # The balancer knows; only a new home has to learn it.
+            receivers = []
+        if found:
+            receivers.append(forward.home)
+        now_ms = self._clock.now_ms()
+        actions: list[_types.Action] = []
+        for to in receivers:
+            told_ms = held.told_ms.get(to)
+            if (
+                not found
+                and told_ms is not None
+                and now_ms - told_ms < TELL_INTERVAL_MS
+            ):
+                continue
+            held.told_ms[to] = now_ms
+            actions.append(
+                _messages.Send(to, _messages.Located(flow, self.load()))
+            )
+        return actions
+
+    # Packets of the backend server.
+
+    def answer(self, packet: _types.Packet) -> list[_types.Action]:
+        """Handles a packet that the backend server sends."""
+        if packet.bounced:
+            return self._bounce(packet)
+        if self.state is _types.TargetState.DOWN:
+            telemetry.log("target-back")
+            self.state = _types.TargetState.UNKNOWN
+        if packet.opens:
+            return self._accept(packet)
+        held = self.held.get(packet.flow)
+        actions: list[_types.Action] = [_types.Reply(packet)]
+        if held is None:
+            held = self.held.add(packet.flow, False, None)
+            actions += self._announce(packet.flow)
+        self.held.answer(held, packet)
+        return actions
+
+    def _accept(self, packet: _types.Packet) -> list[_types.Action]:
+        held = self.held.get(packet.flow)
+        if held is not None:
+            return [_types.Reply(packet)]
+        opening = self._openings.pop(packet.flow, None)
+        if opening is None:
+            # The flow was placed elsewhere meanwhile.
+            return []
+        held = self.held.add(packet.flow, opening.forward.lasting, packet.seq)
+        located = _messages.Located(packet.flow, self.load())
+        now_ms = self._clock.now_ms()
+        receivers = {opening.sender, opening.forward.balancer}
+        for to in receivers:
+            held.told_ms[to] = now_ms
+        telemetry.log(
+            "flow-opened",
+            flow=_types.describe_flow(packet.flow),
+            balancer=opening.forward.balancer,
+            lasting=opening.forward.lasting,
+            busy=located.load.busy_count,
+        )
+        return [
+            _types.Reply(packet),
+            *(_messages.Send(to, located) for to in sorted(receivers)),
+        ]
+
+    def _bounce(self, packet: _types.Packet) -> list[_types.Action]:
+        if packet.opens:
+            opening = self._openings.pop(packet.flow, None)
+            if opening is None:
+                return []
+            return [
+                self._decline(
+                    opening.sender,
+                    packet.flow,
+                    _messages.DeclineReason.FULL,
+                )
+            ]
+        probe = self._probes.pop(packet.note, None) if packet.note else None
+        if probe is not None:
+            return self._miss(probe.sender, probe.forward, probe.packet)
+        held = self.held.get(packet.flow)
+        if held is None or held.ended:
+            return []
+        telemetry.log(
+            "flow-lost-by-target", flow=_types.describe_flow(packet.flow)
+        )
+        self.held.remove(packet.flow)
+        if packet.resets:
+            return []
+        return [_types.Reset(packet.flow, packet.ack)]
+
+    # State of the backend server.
+
+    def follow(self, state: _types.TargetState, slot_count: int) -> None:
+        """Takes what the backend server says of itself."""
+        self.held.slot_count = max(1, slot_count)
+        if state is not self.state:
+            telemetry.log(
+                "target-state",
+                state=state.name.lower(),
+                before=self.state.name.lower(),
+                held=len(self.held),
+            )
+            self.state = state
+
+    def fail(self, reason: str) -> list[_types.Action]:
+        """Takes the news that the backend server does not run.
+
+        Its flows are gone with it, so clients that wait are told.
+        """
+        if self.state is _types.TargetState.DOWN:
+            return []
+        telemetry.log("target-down", reason=reason, held=len(self.held))
+        self.state = _types.TargetState.DOWN
+        self.may_hold_others = False
+        actions: list[_types.Action] = []
+        for flow, opening in tuple(self._openings.items()):
+            actions.append(
+                self._decline(
+                    opening.sender, flow, _messages.DeclineReason.DOWN
+                )
+            )
+        self._openings.clear()
+        self._probes.clear()
+        for flow in self.held.open_flows():
+            held = self.held.get(flow)
+            assert held is not None
+            actions.append(_types.Reset(flow, held.client_ack))
+        self.held.clear()
+        return actions
+
+    # Time and views.
+
+    def sweep(self) -> list[_types.Action]:
+        """Ends openings and probes that wait for too long."""
+        now_ms = self._clock.now_ms()
+        actions: list[_types.Action] = []
+        for flow, opening in tuple(self._openings.items()):
+            if now_ms >= opening.deadline_ms:
+                del self._openings[flow]
+                actions.append(
+                    self._decline(
+                        opening.sender, flow, _messages.DeclineReason.SILENT
+                    )
+                )
+        while self._probes:
+            note, probe = next(iter(self._probes.items()))
+            if now_ms < probe.deadline_ms:
+                break
+            del self._probes[note]
+            actions += self._adopt(probe)
+        return actions
+
+    def _adopt(self, probe: _Probe) -> list[_types.Action]:
+        """Takes a flow whose packet the backend server has not returned."""
+        flow = probe.packet.flow
+        if flow in self.held:
+            return []
+        telemetry.log("flow-adopted", flow=_types.describe_flow(flow))
+        held = self.held.add(flow, probe.forward.lasting, None)
+        located = _messages.Located(flow, self.load())
+        held.told_ms[probe.forward.balancer] = self._clock.now_ms()
+        return [
+            _messages.Send(probe.forward.balancer, located),
+            *self._announce(flow),
+        ]
+
+    def _announce(self, flow: bytes) -> list[_types.Action]:
+        return [
+            _messages.Send(home, _messages.Holding((flow,)))
+            for home in self._fleet.homes(self._own.service, flow, 1)
+        ]
+
+    def announce_all(self) -> list[_types.Action]:
+        """Enters all flows in the directories of their present homes."""
+        by_home: dict[core.Address, list[bytes]] = {}
+        for flow in self.held.open_flows():
+            for home in self._fleet.homes(self._own.service, flow, 1):
+                by_home.setdefault(home, []).append(flow)
+        return [
+            _messages.Send(
+                home,
+                _messages.Holding(tuple(flows[at : at + HOLDING_BATCH_COUNT])),
+            )
+            for home, flows in by_home.items()
+            for at in range(0, len(flows), HOLDING_BATCH_COUNT)
+        ]
--- /dev/null
+++ b/libs/flows/src/fireflyford/flows/_placement.py
@@ -0,0 +1,110 @@
+"""Which backend server takes a new flow."""
+
+import abc
+from collections.abc import Sequence
+import dataclasses
+import random
+import statistics
+
+from fireflyford import core
+from fireflyford.flows import _types
+
+# Assumed service time while no agent of the service has measured one.
+DEFAULT_SERVICE_MS = 30.0
+# A measured service time counts at most this factor away from the median, so
+# that one wrong figure has a limited effect.
+MAX_SPEED_FACTOR = 4.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """An agent that may take a new flow.
+
+    Attributes:
+        address: Address of the agent.
+        load: Last known load of its backend server.
+        placed_count: Flows placed there since that load was reported.
+        is_near: Whether it is in the availability zone of the home.
+    """
+
+    address: core.Address
+    load: _types.Load
+    placed_count: int = 0
+    is_near: bool = False
+
+
+class Placement(abc.ABC):
+    """Chooses the backend server of a new flow."""
+
+    @abc.abstractmethod
+    def choose(
+        self, candidates: Sequence[Candidate], lasting: bool
+    ) -> Candidate:
+        """Returns one of the candidates; there is at least one.
+
+        Args:
+            candidates: Agents whose backend servers take new flows.
+            lasting: Whether the flow will carry many requests.
+        """
+
+
+class Random(Placement):
+    """Baseline: any candidate."""
+
+    def __init__(self, rng: random.Random) -> None:
+        """Takes the random source."""
+        self._rng = rng
+
+    def choose(
+        self, candidates: Sequence[Candidate], lasting: bool
+    ) -> Candidate:
+        """Returns a random candidate."""
+        return self._rng.choice(candidates)
+
+
+class LeastCompletion(Placement):
+    """Earliest completion for single requests, even shares for lasting flows.
+
+    Answers unequal speeds and work that arrives faster than it is reported:
+    a single request goes where it is expected to finish first; a lasting flow
+    goes where the flows already open leave the largest share of capacity,
+    because its later requests follow it there.
+    """
+
+    def choose(
+        self, candidates: Sequence[Candidate], lasting: bool
+    ) -> Candidate:
+        """Returns the candidate of least cost."""
+        times = [
+            item.load.service_ms for item in candidates if item.load.service_ms
+        ]
+        median_ms = statistics.median(times) if times else DEFAULT_SERVICE_MS
+        cost = _share_cost if lasting else _completion_cost
+        return min(
+            candidates,
+            key=lambda item: cost(item, _service_ms(item.load, median_ms)),
+        )
+
+
+def _service_ms(load: _types.Load, median_ms: float) -> float:
+    measured_ms = load.service_ms or median_ms
+    return min(
+        max(measured_ms, median_ms / MAX_SPEED_FACTOR),
+        median_ms * MAX_SPEED_FACTOR,
+    )
+
+
+def _completion_cost(item: Candidate, service_ms: float) -> tuple[float, ...]:
+    load = item.load
+    ahead = load.busy_count + load.reserved_count + item.placed_count
+    queued = max(0, ahead - load.slot_count + 1)
+    wait_ms = service_ms * queued / load.slot_count
+    share = service_ms * load.lasting_count / load.slot_count
+    return (wait_ms + service_ms, share, not item.is_near)
+
+
+def _share_cost(item: Candidate, service_ms: float) -> tuple[float, ...]:
+    load = item.load
+    flows = load.lasting_count + item.placed_count + 1
+    ahead = load.busy_count + load.reserved_count
+    return (service_ms * flows / load.slot_count, ahead, not item.is_near)
--- /dev/null
+++ b/libs/runtime/src/fireflyford/runtime/_agent.py
@@ -0,0 +1,190 @@
+"""Life of an agent process that forwards packets of flows."""
+
+import asyncio
+import sys
+from typing import Any
+
+from fireflyford import core
+from fireflyford import flows
+from fireflyford import telemetry
+from fireflyford.runtime import _beats
+from fireflyford.runtime import _link
+from fireflyford.runtime import _packets
+from fireflyford.runtime import _process
+from fireflyford.runtime import _settings
+
+
+class Agent(_process.FlowProcess):
+    """The agent beside one backend server."""
+
+    role = core.Role.AGENT
+
+    def __init__(
+        self,
+        options: _settings.FlowSettings,
+        front_end: _packets.FrontEnd,
+        clock: core.Clock,
+    ) -> None:
+        """Prepares an agent.
+
+        Args:
+            options: Settings of an agent.
+            front_end: Encodings and calls of the surroundings.
+            clock: Source of time.
+        """
+        super().__init__(options, front_end, clock, options.service)
+        self.flows = flows.AgentFlows(clock, self.own, self.fleet)
+        self.target_watch = flows.TargetWatch(
+            clock,
+            options.service,
+            self.flows.keeper,
+            options.report_interval_ms,
+        )
+        self._target = _link.DatagramSocket(
+            self._ignore, refused=self._target_refused
+        )
+        self._outbound = _link.DatagramSocket(self._take_answer)
+        self._codec = front_end.packets
+
+    async def run(self) -> None:
+        """Runs until a signal ends the process."""
+        report_address = self.options.report_address
+        assert report_address is not None
+        self.listen(
+            report_address,
+            self.front_end.report_handlers(self.target_watch),
+        )
+        self.listen(
+            self.options.readiness_address,
+            self.front_end.readiness_handlers(
+                lambda: not self.stopping.is_set()
+            ),
+        )
+        await self._target.open(remote=self.options.backend_address)
+        await self._outbound.open(local=self.options.outbound_address)
+        self.link.attach_target(self._target)
+        await self.start()
+        self.start_task("loads", self._report_loads())
+        await self.stopping.wait()
+        await self._leave()
+        await self.finish()
+
+    async def _leave(self) -> None:
+        """Ends at once; flows of a backend server that lives need a restart.
+
+        A backend server that has left is gone by the time of the signal, so
+        its remaining flows end with it.
+        """
+        if not self.target_watch.has_left:
+            return
+        self.link.run(self.flows.keeper.fail("left"))
+        self.send_beats(self.beat_receivers(), leaving=True)
+        await self.registry.withdraw()
+
+    def hear(self, sender: core.Address, message: flows.Message) -> None:
+        """Handles a message of another instance, or of this one."""
+        if isinstance(message, flows.Forward):
+            outcome = self._codec.from_client(message.data)
+            if isinstance(outcome, core.Failure):
+                self.link.counters.malformed_count += 1
+                return
+            self.link.run(self.flows.receive(sender, message, outcome.value))
+            return
+        if isinstance(message, flows.Beat):
+            known = message.instance.address in self.fleet
+            self.link.run(self.flows.hear(sender, message))
+            if not known and not message.leaving:
+                self.send_beats([message.instance.address])
+            return
+        self.link.run(self.flows.hear(sender, message))
+
+    def _take_answer(self, data: bytes, sender: core.Address) -> None:
+        del sender
+        outcome = self._codec.from_target(data)
+        if isinstance(outcome, core.Failure):
+            self.link.counters.malformed_count += 1
+            return
+        self.link.run(self.flows.keeper.answer(outcome.value))
+
+    def _ignore(self, data: bytes, sender: core.Address) -> None:
+        """Drops what comes to the sending socket; answers come elsewhere."""
+
+    def _target_refused(self) -> None:
+        self.link.run(self.flows.keeper.fail("port closed"))
+
+    def sweep(self) -> None:
+        """Acts on timeouts."""
+        self.target_watch.sweep()
+        self.link.run(self.flows.sweep())
+
+    def expire(self) -> None:
+        """Forgets what has not been used for long."""
+        self.flows.expire()
+
+    def load(self) -> flows.Load:
+        """Returns the load of the backend server."""
+        return self.flows.keeper.load()
+
+    def beat_receivers(self) -> list[core.Address]:
+        """Returns the agents of the service and the balancers."""
+        return [
+            item.address
+            for item in (
+                *self.fleet.agents(self.own.service),
+                *self.fleet.balancers(),
+            )
+        ]
+
+    async def _report_loads(self) -> None:
+        """Sends changed loads to the agents of the service."""
+        sent = None
+        while True:
+            peers = [
+                item.address
+                for item in self.fleet.agents(self.own.service)
+                if item.address != self.own.address
+            ]
+            load = self.load()
+            if load != sent:
+                sent = load
+                report = flows.LoadReport(load)
+                for address in peers:
+                    self.link.send(address, report)
+            # The own home needs it as well.
+            self.flows.home.take_load(self.own.address, load)
+            await self.clock.sleep(_beats.load_interval_ms(len(peers)))
+
+    def status(self) -> dict[str, Any]:
+        """Returns the state of the process for operators."""
+        load = self.load()
+        return super().status() | {
+            "service": self.own.service,
+            "target_state": load.state.name.lower(),
+            "busy": load.busy_count,
+            "lasting_flows": load.lasting_count,
+            "service_ms": load.service_ms,
+            "held_flows": len(self.flows.keeper.held),
+            "directory_entries": len(self.flows.home),
+        }
+
+    def metrics(self) -> dict[str, float]:
+        """Returns the counters and gauges of the process."""
+        load = self.load()
+        return super().metrics() | {
+            "busy_requests": load.busy_count,
+            "held_flows": len(self.flows.keeper.held),
+            "directory_entries": len(self.flows.home),
+            "service_ms": load.service_ms,
+        }
+
+
+def run_agent(
+    options: _settings.FlowSettings, front_end: _packets.FrontEnd
+) -> None:
+    """Runs an agent until it is stopped."""
+    telemetry.configure_logs(sys.stdout, options.instance_id)
+
+    async def main() -> None:
+        await Agent(options, front_end, core.SystemClock()).run()
+
+    asyncio.run(main())
--- /dev/null
+++ b/libs/runtime/src/fireflyford/runtime/_link_codec.py
@@ -0,0 +1,191 @@
+"""Encoding of messages between instances.
+
+One byte for the kind, then a msgpack array of the fields. Instances and loads
+are arrays within it; addresses are `ip:port`.
+"""
+
+import functools
+from typing import Any
+
+import msgspec
+
+from fireflyford import core
+from fireflyford import flows
+
+_KINDS: dict[int, type[Any]] = {
+    1: flows.Forward,
+    2: flows.Located,
+    3: flows.Declined,
+    4: flows.Absent,
+    5: flows.Unknown,
+    6: flows.Refused,
+    7: flows.Holding,
+    8: flows.Beat,
+    9: flows.LoadReport,
+}
+_CODES = {kind: code for code, kind in _KINDS.items()}
+
+_Address = str
+_Load = tuple[int, int, int, int, int, float]
+_Instance = tuple[str, str, str, str, _Address, int]
+_FIELDS: dict[int, Any] = {
+    1: tuple[int, str, _Address, _Address, int, bool, bool, bytes],
+    2: tuple[bytes, _Load],
+    3: tuple[bytes, int, _Load],
+    4: tuple[bytes],
+    5: tuple[bytes, int, bool],
+    6: tuple[bytes, int],
+    7: tuple[tuple[bytes, ...]],
+    8: tuple[_Instance, _Load, int, bool],
+    9: tuple[_Load],
+}
+_DECODERS = {
+    code: msgspec.msgpack.Decoder(fields) for code, fields in _FIELDS.items()
+}
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+@functools.lru_cache(8_192)
+def _address(text: str) -> core.Address:
+    return core.Address.parse(text)
+
+
+@functools.lru_cache(8_192)
+def _text(address: core.Address) -> str:
+    return str(address)
+
+
+def _pack_load(load: flows.Load) -> _Load:
+    return (
+        load.state,
+        load.slot_count,
+        load.busy_count,
+        load.reserved_count,
+        load.lasting_count,
+        load.service_ms,
+    )
+
+
+def _unpack_load(fields: _Load) -> flows.Load:
+    state, *counts, service_ms = fields
+    slots, busy, reserved, lasting = counts
+    return flows.Load(
+        flows.TargetState(int(state)),
+        int(slots),
+        int(busy),
+        int(reserved),
+        int(lasting),
+        float(service_ms),
+    )
+
+
+def pack(message: flows.Message) -> bytes:
+    """Encodes a message."""
+    code = _CODES[type(message)]
+    return bytes((code,)) + _ENCODER.encode(_fields(message))
+
+
+def _fields(message: flows.Message) -> tuple[Any, ...]:
+    if isinstance(message, flows.Forward):
+        return (
+            message.handling,
+            message.service,
+            _text(message.balancer),
+            _text(message.home),
+            message.hop_count,
+            message.lasting,
+            message.firm,
+            message.data,
+        )
+    if isinstance(message, flows.Located):
+        return (message.flow, _pack_load(message.load))
+    if isinstance(message, flows.Declined):
+        return (message.flow, message.reason, _pack_load(message.load))
+    if isinstance(message, flows.Absent):
+        return (message.flow,)
+    if isinstance(message, flows.Unknown):
+        return (message.flow, message.ack, message.awaited)
+    if isinstance(message, flows.Refused):
+        return (message.flow, message.reason)
+    if isinstance(message, flows.Holding):
+        return (message.flows,)
+    if isinstance(message, flows.LoadReport):
+        return (_pack_load(message.load),)
+    return (
+        pack_instance(message.instance),
+        _pack_load(message.load),
+        message.config_version,
+        message.leaving,
+    )
+
+
+def pack_instance(instance: flows.Instance) -> _Instance:
+    """Returns the fields of an instance as plain values."""
+    return (
+        instance.instance_id,
+        instance.role.value,
+        instance.service,
+        instance.availability_zone,
+        _text(instance.address),
+        instance.incarnation,
+    )
+
+
+def unpack_instance(fields: _Instance) -> flows.Instance:
+    """Returns the instance that plain values describe.
+
+    Raises:
+        ValueError: The role or the address is wrong.
+    """
+    name, role, service, zone, address, incarnation = fields
+    return flows.Instance(
+        name, core.Role(role), service, zone, _address(address), incarnation
+    )
+
+
+def unpack(data: bytes) -> core.Outcome[flows.Message]:
+    """Decodes a message.
+
+    Returns:
+        The message, or a failure `BAD_MESSAGE`.
+    """
+    try:
+        return core.Ok(_unpack(data[0], data[1:]))
+    except (IndexError, KeyError, ValueError) as error:
+        return core.Failure(
+            core.ErrorKind.BAD_MESSAGE, f"unreadable message: {error}"
+        )
+
+
+def _unpack(code: int, body: bytes) -> flows.Message:
+    fields = _DECODERS[code].decode(body)
+    kind = _KINDS[code]
+    if kind is flows.Forward:
+        handling, service, balancer, home, *rest = fields
+        hop_count, lasting, firm, data = rest
+        return flows.Forward(
+            flows.Handling(handling),
+            service,
+            _address(balancer),
+            _address(home),
+            hop_count,
+            lasting,
+            firm,
+            data,
+        )
+    if kind is flows.Located:
+        return flows.Located(fields[0], _unpack_load(fields[1]))
+    if kind is flows.Declined:
+        reason = flows.DeclineReason(fields[1])
+        return flows.Declined(fields[0], reason, _unpack_load(fields[2]))
+    if kind is flows.LoadReport:
+        return flows.LoadReport(_unpack_load(fields[0]))
+    if kind is flows.Refused:
+        return flows.Refused(fields[0], flows.DeclineReason(fields[1]))
+    if kind is flows.Beat:
+        instance, load, version, leaving = fields
+        return flows.Beat(
+            unpack_instance(instance), _unpack_load(load), version, leaving
+        )
+    message: flows.Message = kind(*fields)
+    return message
--- /dev/null
+++ b/libs/runtime/src/fireflyford/runtime/_process.py
@@ -0,0 +1,268 @@
+"""What balancer and agent processes have in common."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import json
+import os
+import random
+import signal
+from typing import Any
+
+from tornado import httpserver
+from tornado import web
+
+from fireflyford import core
+from fireflyford import flows
+from fireflyford import store
+from fireflyford import telemetry
+from fireflyford.runtime import _beats
+from fireflyford.runtime import _config_source
+from fireflyford.runtime import _link
+from fireflyford.runtime import _link_codec
+from fireflyford.runtime import _packets
+from fireflyford.runtime import _registry
+from fireflyford.runtime import _settings
+
+INSTANCES_PATH = "/instances"
+# Timeouts of decisions are tens of milliseconds.
+SWEEP_INTERVAL_MS = 20
+EXPIRE_INTERVAL_MS = 1_000
+# Time for the tasks of a process to start before peers are asked.
+JOIN_DELAY_MS = 300
+
+
+class Page(web.RequestHandler):
+    """A document of the process."""
+
+    def initialize(self, read: Callable[[], bytes]) -> None:
+        """Takes the function that returns the document."""
+        self._read = read
+
+    def get(self) -> None:
+        """Answers with the document."""
+        self.finish(self._read())
+
+
+class FlowProcess:
+    """Sockets, registry, beats and signals of one process."""
+
+    role: core.Role
+
+    def __init__(
+        self,
+        options: _settings.FlowSettings,
+        front_end: _packets.FrontEnd,
+        clock: core.Clock,
+        service: str,
+    ) -> None:
+        """Prepares a process.
+
+        Args:
+            options: Settings.
+            front_end: Encodings and calls of the surroundings.
+            clock: Source of time.
+            service: Service of an agent, empty for a balancer.
+        """
+        self.options = options
+        self.clock = clock
+        self.front_end = front_end
+        self.rng = random.Random()
+        self.own = flows.Instance(
+            instance_id=options.instance_id,
+            role=self.role,
+            service=service,
+            availability_zone=options.availability_zone,
+            address=options.link_address,
+            incarnation=clock.wall_ms(),
+        )
+        self.fleet = flows.Fleet(clock)
+        self.store: store.Store = front_end.open_store()
+        self.registry = _registry.Registry(
+            self.store, clock, self.rng, self.own, self.fleet
+        )
+        self.pages = _config_source.HttpPeerPages()
+        self.link = _link.Link(
+            options.link_address,
+            front_end.packets,
+            options.client_port,
+            self.hear,
+        )
+        self.stopping = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._servers: list[httpserver.HTTPServer] = []
+
+    # To be provided by each kind of process.
+
+    def hear(self, sender: core.Address, message: flows.Message) -> None:
+        """Handles a message of another instance, or of this one."""
+        raise NotImplementedError
+
+    def sweep(self) -> None:
+        """Acts on timeouts."""
+        raise NotImplementedError
+
+    def load(self) -> flows.Load:
+        """Returns the load to announce."""
+        return flows.Load()
+
+    def config_version(self) -> int:
+        """Returns the version of the configuration to announce."""
+        return 0
+
+    def beat_receivers(self) -> list[core.Address]:
+        """Returns the instances that need this one's signs of life."""
+        raise NotImplementedError
+
+    # Life of the process.
+
+    def start_task(self, name: str, work: Coroutine[Any, Any, None]) -> None:
+        """Runs a task until the process ends."""
+        task = asyncio.create_task(work, name=name)
+        task.add_done_callback(telemetry.log_task_failure)
+        self._tasks.append(task)
+
+    def listen(self, address: core.Address, rules: _packets.Rules) -> None:
+        """Serves HTTP."""
+        application = web.Application(
+            rules,
+            log_function=lambda handler: None,
+        )
+        self._servers.append(
+            application.listen(address.port, address.host, backlog=256)
+        )
+
+    async def start(self) -> None:
+        """Opens the link and starts the common tasks."""
+        telemetry.log(
+            "started",
+            role=self.role.value,
+            service=self.own.service,
+            incarnation=self.own.incarnation,
+        )
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self.link.open()
+        self.listen(self.options.status_address, self._status_rules())
+        self.start_task("publish", self.registry.publish())
+        self.start_task("registry", self.registry.follower.run())
+        self.start_task("join", self._join())
+        self.start_task("beats", self._beat())
+        self.start_task("sweep", self._sweep())
+        self.start_task("expire", self._expire())
+
+    async def finish(self) -> None:
+        """Ends all tasks and sockets."""
+        for task in self._tasks:
+            task.cancel()
+        for server in self._servers:
+            server.stop()
+        self.link.close()
+        telemetry.log("stopped", role=self.role.value)
+
+    def _stop(self) -> None:
+        telemetry.log("stopping", role=self.role.value)
+        self.stopping.set()
+
+    def _reload(self) -> None:
+        telemetry.log("reload", effect="settings are read at each start")
+
+    async def _beat(self) -> None:
+        while True:
+            receivers = self.beat_receivers()
+            self.send_beats(receivers)
+            interval_ms = _beats.beat_interval_ms(len(receivers))
+            await self.clock.sleep(interval_ms)
+
+    def send_beats(
+        self, receivers: list[core.Address], leaving: bool = False
+    ) -> None:
+        """Sends one sign of life to each receiver."""
+        beat = flows.Beat(self.own, self.load(), self.config_version(), leaving)
+        for address in receivers:
+            if address != self.own.address:
+                self.link.send(address, beat)
+
+    async def _sweep(self) -> None:
+        while True:
+            await self.clock.sleep(SWEEP_INTERVAL_MS)
+            self.sweep()
+
+    async def _expire(self) -> None:
+        while True:
+            await self.clock.sleep(EXPIRE_INTERVAL_MS)
+            self.fleet.refresh()
+            self.expire()
+
+    def expire(self) -> None:
+        """Forgets what has not been used for long."""
+
+    async def _join(self) -> None:
+        """Learns of the other instances from seeds while the store is away."""
+        while self.registry.follower.heard_ms is None:
+            await self.clock.sleep(JOIN_DELAY_MS)
+            if self.registry.follower.heard_ms is not None:
+                return
+            for seed in self.options.seed_addresses:
+                if seed != self.options.status_address:
+                    await self.join_from(seed)
+
+    async def join_from(self, seed: core.Address) -> None:
+        """Takes the instances that a running one knows."""
+        outcome = await self.pages.read(seed, INSTANCES_PATH)
+        if isinstance(outcome, core.Failure):
+            telemetry.log("seed-silent", seed=seed, reason=outcome.message)
+            return
+        found = []
+        for item in json.loads(outcome.value):
+            found.append(_link_codec.unpack_instance(tuple(item)))
+        for instance in found:
+            if instance.address != self.own.address:
+                self.fleet.hear(flows.Beat(instance, flows.Load(), 0, False))
+        self.send_beats([item.address for item in found])
+        telemetry.log("seed-answered", seed=seed, instances=len(found))
+
+    def _instances_page(self) -> bytes:
+        items = [
+            _link_codec.pack_instance(item) for item in self.fleet.instances()
+        ]
+        return json.dumps(items).encode()
+
+    def _status_rules(self) -> _packets.Rules:
+        rules: _packets.Rules = [
+            (INSTANCES_PATH, Page, {"read": self._instances_page}),
+            ("/status", Page, {"read": self._status_page}),
+            ("/metrics", Page, {"read": self._metrics_page}),
+        ]
+        return rules + self.status_rules()
+
+    def status_rules(self) -> _packets.Rules:
+        """Returns further handlers of the status address."""
+        return []
+
+    def status(self) -> dict[str, Any]:
+        """Returns the state of the process for operators."""
+        return {
+            "instance_id": self.own.instance_id,
+            "role": self.role.value,
+            "process_id": os.getpid(),
+            "stopping": self.stopping.is_set(),
+            "store_lost": self.registry.follower.is_lost,
+            "instances": len(self.fleet.instances()),
+            "counters": vars(self.link.counters),
+        }
+
+    def _status_page(self) -> bytes:
+        return json.dumps(self.status(), default=str).encode()
+
+    def _metrics_page(self) -> bytes:
+        return telemetry.expose_counts(self.metrics())
+
+    def metrics(self) -> dict[str, float]:
+        """Returns the counters and gauges of the process."""
+        values: dict[str, float] = dict(vars(self.link.counters))
+        values["instances"] = len(self.fleet.instances())
+        values["store_lost"] = self.registry.follower.is_lost
+        return values
--- /dev/null
+++ b/libs/runtime/src/fireflyford/runtime/_registry.py
@@ -0,0 +1,124 @@
+"""Entries of instances in the store, by which instances find each other."""
+
+import random
+
+import msgspec
+
+from fireflyford import core
+from fireflyford import flows
+from fireflyford import store
+from fireflyford import telemetry
+from fireflyford.runtime import _follow
+from fireflyford.runtime import _link_codec
+
+PREFIX = "fireflyford/instances/"
+# Two renewals may be lost before an entry lapses.
+LEASE_DURATION_S = 4
+RENEW_INTERVAL_MS = 1_200
+# Pause after a failed write.
+RETRY_MS = 400
+
+_DECODER = msgspec.json.Decoder(tuple[str, str, str, str, str, int])
+
+
+class Registry(_follow.Listener):
+    """Keeps the own entry and the fleet's view of all entries."""
+
+    def __init__(
+        self,
+        client: store.Store,
+        clock: core.Clock,
+        rng: random.Random,
+        own: flows.Instance,
+        fleet: flows.Fleet,
+    ) -> None:
+        """Prepares the registry.
+
+        Args:
+            client: The store.
+            clock: Source of time.
+            rng: Source of jitter.
+            own: This instance.
+            fleet: View to be kept up to date.
+        """
+        self._client = client
+        self._clock = clock
+        self._rng = rng
+        self._own = own
+        self._fleet = fleet
+        self._key = f"{PREFIX}{own.address}"
+        self._value = msgspec.json.encode(_link_codec.pack_instance(own))
+        self._lease_id = 0
+        self._is_missing = True
+        self.follower = _follow.PrefixFollower(client, clock, rng, PREFIX, self)
+
+    async def publish(self) -> None:
+        """Keeps the own entry until cancelled."""
+        while True:
+            if not self._lease_id or self._is_missing:
+                done = await self._write()
+            else:
+                done = await self._renew()
+            pause_ms = RENEW_INTERVAL_MS if done else RETRY_MS
+            await self._clock.sleep(pause_ms * self._rng.uniform(0.9, 1.0))
+
+    async def withdraw(self) -> None:
+        """Removes the own entry."""
+        lease_id, self._lease_id = self._lease_id, 0
+        if lease_id:
+            outcome = await self._client.revoke_lease(lease_id)
+            if isinstance(outcome, core.Failure):
+                telemetry.log("entry-not-withdrawn", reason=outcome.message)
+
+    async def _write(self) -> bool:
+        if not self._lease_id:
+            lease = await self._client.grant_lease(LEASE_DURATION_S)
+            if isinstance(lease, core.Failure):
+                telemetry.log("lease-not-granted", reason=lease.message)
+                return False
+            self._lease_id = lease.value
+        write = store.Write(self._key, self._value, self._lease_id)
+        outcome = await self._client.commit([], [write])
+        if isinstance(outcome, core.Failure):
+            telemetry.log("entry-not-written", reason=outcome.message)
+            # The lease may have ended; a new one is safe in each case.
+            self._lease_id = 0
+            return False
+        self._is_missing = False
+        telemetry.log("entry-written", lease_id=self._lease_id)
+        return True
+
+    async def _renew(self) -> bool:
+        outcome = await self._client.keep_lease(self._lease_id)
+        if isinstance(outcome, core.Failure):
+            return False
+        if not outcome.value:
+            telemetry.log("lease-lapsed", lease_id=self._lease_id)
+            self._lease_id = 0
+            return await self._write()
+        return True
+
+    def take_all(self, reading: store.Reading) -> None:
+        """Takes all entries."""
+        if not any(entry.key == self._key for entry in reading.entries):
+            self._is_missing = True
+        self._fleet.register(_instances(reading))
+
+    def take_changes(self, reading: store.Reading) -> None:
+        """Takes changed entries."""
+        if self._key in reading.deleted:
+            self._is_missing = True
+        written = _instances(reading)
+        gone = {key.removeprefix(PREFIX) for key in reading.deleted}
+        self._fleet.update(written, gone)
+
+
+def _instances(reading: store.Reading) -> list[flows.Instance]:
+    found = []
+    for entry in reading.entries:
+        try:
+            fields = _DECODER.decode(entry.value)
+            found.append(_link_codec.unpack_instance(fields))
+        except ValueError as error:
+            telemetry.log("bad-entry", key=entry.key, reason=str(error))
+    return found
--- /dev/null
+++ b/libs/runtime/src/fireflyford/runtime/_settings.py
@@ -0,0 +1,48 @@
+"""Settings of the processes that forward packets of flows."""
+
+import dataclasses
+
+from fireflyford import core
+
+
+@dataclasses.dataclass(frozen=True)
+class FlowSettings:
+    """What a balancer or an agent needs to know at its start.
+
+    Attributes:
+        instance_id: Name of the instance.
+        availability_zone: Where it runs.
+        service: Service of the backend server, empty for a balancer.
+        packet_address: Where a balancer takes packets of clients.
+        client_port: Port of the clients to which answers go.
+        readiness_address: Where the fabric asks for readiness.
+        report_address: Where the backend server reports, None for a balancer.
+        outbound_address: Where the backend server sends its packets, None for
+            a balancer.
+        backend_address: Where the backend server takes packets, None for a
+            balancer.
+        link_address: Messages between instances, UDP.
+        status_address: Metrics, status and configuration for peers, HTTP.
+        seed_addresses: Status addresses of instances that may be running.
+        store_address: The store.
+        config_key: Key of the configuration in the store.
+        report_interval_ms: How often the backend server reports.
+        grace_ms: Time from the first signal to the end of the process.
+    """
+
+    instance_id: str
+    availability_zone: str
+    service: str
+    packet_address: core.Address
+    client_port: int
+    readiness_address: core.Address
+    report_address: core.Address | None
+    outbound_address: core.Address | None
+    backend_address: core.Address | None
+    link_address: core.Address
+    status_address: core.Address
+    seed_addresses: tuple[core.Address, ...]
+    store_address: core.Address
+    config_key: str
+    report_interval_ms: int
+    grace_ms: int
--- a/libs/store/src/fireflyford/store/_etcd.py
+++ b/libs/store/src/fireflyford/store/_etcd.py
@@ -327,7 +327,10 @@
     entries = tuple(
         event.kv.entry() for event in result.events if event.type == "PUT"
     )
-    return core.Ok(_store.Reading(entries, result.header.revision))
+    deleted = tuple(
+        event.kv.key.decode() for event in result.events if event.type != "PUT"
+    )
+    return core.Ok(_store.Reading(entries, result.header.revision, deleted))
 
 
 def _certainly_not_sent(error: Exception) -> bool:
--- a/libs/store/src/fireflyford/store/_store.py
+++ b/libs/store/src/fireflyford/store/_store.py
@@ -25,10 +25,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Reading:
-    """Entries in the order of their keys, as of one revision."""
+    """Entries in the order of their keys, as of one revision.
+
+    Attributes:
+        entries: Entries that were found, or written in the case of a watch.
+        revision: Revision of the store.
+        deleted: Keys that were deleted, in the case of a watch.
+    """
 
     entries: tuple[Entry, ...]
     revision: int
+    deleted: tuple[str, ...] = ()
 
     def value(self, key: str) -> bytes | None:
         """Returns the value of a key, or None if it was not found."""
@@ -123,7 +130,7 @@
     def watch(
         self, prefix: str, start_revision: int, limit_ms: int
     ) -> AsyncIterator[core.Outcome[Reading]]:
-        """Yields written entries under `prefix` from `start_revision` on.
+        """Yields changes under `prefix` from `start_revision` on.
 
         Ends after `limit_ms`, or with a failure when the watch broke; the
         caller reads again before it watches again.
--- /dev/null
+++ b/libs/telemetry/src/fireflyford/telemetry/_exposition.py
@@ -0,0 +1,27 @@
+"""Text exposition of plain counts, for processes that start small."""
+
+from collections.abc import Mapping
+
+_PREFIX = "fireflyford_"
+_COUNT_SUFFIX = "_count"
+
+
+def expose_counts(values: Mapping[str, float]) -> bytes:
+    """Returns counters and gauges in the Prometheus text format.
+
+    Loading the exporter's library would double the memory of a small
+    process. Names that end in `_count` are counters.
+
+    >>> print(expose_counts({"reset_count": 2}).decode(), end="")
+    # TYPE fireflyford_reset_total counter
+    fireflyford_reset_total 2
+    """
+    lines = []
+    for name, value in sorted(values.items()):
+        kind = "gauge"
+        if name.endswith(_COUNT_SUFFIX):
+            kind = "counter"
+            name = name.removesuffix(_COUNT_SUFFIX) + "_total"
+        lines.append(f"# TYPE {_PREFIX}{name} {kind}")
+        lines.append(f"{_PREFIX}{name} {float(value):g}")
+    return ("\n".join(lines) + "\n").encode()
--- a/libs/telemetry/src/fireflyford/telemetry/_logs.py
+++ b/libs/telemetry/src/fireflyford/telemetry/_logs.py
@@ -7,12 +7,14 @@
 
 import eliot
 
+from fireflyford.telemetry import _writer
+
 _PLAIN = re.compile(r"[A-Za-z0-9_.:/@+-]+")
 _HIDDEN = frozenset({"task_uuid", "task_level", "message_type", "timestamp"})
 
 
 def configure_logs(stream: TextIO, instance_id: str) -> None:
-    """Writes every event to `stream`, one line each.
+    """Writes every event to `stream`, one line each, without waiting.
 
     Args:
         stream: Open text stream, usually standard error.
@@ -20,9 +22,10 @@
     """
     eliot.add_global_fields(instance=instance_id)
 
+    writer = _writer.LineWriter(stream)
+
     def write(message: dict[str, object]) -> None:
-        stream.write(format_line(message) + "\n")
-        stream.flush()
+        writer.write(format_line(message))
 
     eliot.add_destinations(write)
 
