Take over the drain mark of an earlier process at the start of an agent

Cause: after all processes were killed, each agent declined new flows until its backend server's next report, up to 1.2 s later, and balancers were not ready until they heard a beat. Now an agent's entry says whether its backend server drains; a restarted agent reads it before it writes its own. Beats go out at the first sight of the registry and answer the first beat of a process.

--- a/libs/flows/src/fireflyford/flows/_keeper.py
+++ b/libs/flows/src/fireflyford/flows/_keeper.py
@@ -325,6 +325,16 @@
             )
             self.state = state
 
+    def assume(self, state: _types.TargetState) -> None:
+        """Takes the state that an earlier process left behind.
+
+        It holds until the first report of the backend server, so that a
+        restarted agent need not wait for it.
+        """
+        if self.state is _types.TargetState.UNKNOWN:
+            telemetry.log("target-assumed", state=state.name.lower())
+            self.state = state
+
     def fail(self, reason: str) -> list[_types.Action]:
         """Takes the news that the backend server does not run.
 
@@ -343,6 +353,8 @@
                 )
             )
         self._openings.clear()
+        for probe in self._probes.values():
+            actions += self._miss(probe.sender, probe.forward, probe.packet)
         self._probes.clear()
         for flow in self.held.open_flows():
             held = self.held.get(flow)
--- a/libs/flows/src/fireflyford/flows/_types.py
+++ b/libs/flows/src/fireflyford/flows/_types.py
@@ -80,6 +80,7 @@
         address: Where it takes messages of other instances.
         incarnation: Start of the process in ms since the Unix epoch; a later
             process at the same address has a larger one.
+        is_draining: Whether the backend server beside it takes no new flows.
     """
 
     instance_id: str
@@ -88,6 +89,7 @@
     availability_zone: str
     address: core.Address
     incarnation: int
+    is_draining: bool = False
 
 
 class TargetState(enum.IntEnum):
--- a/libs/runtime/src/fireflyford/runtime/_agent.py
+++ b/libs/runtime/src/fireflyford/runtime/_agent.py
@@ -1,6 +1,7 @@
 """Life of an agent process that forwards packets of flows."""
 
 import asyncio
+import dataclasses
 import sys
 from typing import Any
 
@@ -91,11 +92,7 @@
             self.link.run(self.flows.receive(sender, message, outcome.value))
             return
         if isinstance(message, flows.Beat):
-            known = message.instance.address in self.fleet
-            self.link.run(self.flows.hear(sender, message))
-            if not known and not message.leaving:
-                self.send_beats([message.instance.address])
-            return
+            self.greet(message)
         self.link.run(self.flows.hear(sender, message))
 
     def _take_answer(self, data: bytes, sender: core.Address) -> None:
@@ -112,8 +109,23 @@
     def _target_refused(self) -> None:
         self.link.run(self.flows.keeper.fail("port closed"))
 
+    def joined(self, earlier: flows.Instance | None) -> None:
+        """Takes over what an earlier process knew of the backend server."""
+        if earlier is None or earlier.service != self.own.service:
+            return
+        state = flows.TargetState.READY
+        if earlier.is_draining:
+            state = flows.TargetState.DRAINING
+        self.flows.keeper.assume(state)
+
     def sweep(self) -> None:
         """Acts on timeouts."""
+        state = self.flows.keeper.state
+        is_draining = state is flows.TargetState.DRAINING
+        if is_draining != self.own.is_draining:
+            self.own = dataclasses.replace(self.own, is_draining=is_draining)
+            self.registry.change(self.own)
+            self.send_beats(self.beat_receivers())
         self.target_watch.sweep()
         self.link.run(self.flows.sweep())
 
--- a/libs/runtime/src/fireflyford/runtime/_balancer.py
+++ b/libs/runtime/src/fireflyford/runtime/_balancer.py
@@ -115,9 +115,7 @@
         if isinstance(message, flows.Beat):
             if message.instance.role is core.Role.AGENT:
                 self._agent_heard_ms = self.clock.now_ms()
-            known = message.instance.address in self.fleet
-            if not known and not message.leaving:
-                self.send_beats([message.instance.address])
+            self.greet(message)
             if message.config_version > self.flows.version:
                 self._wanted[sender] = message.config_version
                 self._news.set()
--- a/libs/runtime/src/fireflyford/runtime/_link_codec.py
+++ b/libs/runtime/src/fireflyford/runtime/_link_codec.py
@@ -27,7 +27,7 @@
 
 _Address = str
 _Load = tuple[int, int, int, int, int, float]
-_Instance = tuple[str, str, str, str, _Address, int]
+_Instance = tuple[str, str, str, str, _Address, int, bool]
 _FIELDS: dict[int, Any] = {
     1: tuple[int, str, _Address, _Address, int, bool, bool, bytes],
     2: tuple[bytes, _Load],
@@ -128,6 +128,7 @@
         instance.availability_zone,
         _text(instance.address),
         instance.incarnation,
+        instance.is_draining,
     )
 
 
@@ -137,9 +138,15 @@
     Raises:
         ValueError: The role or the address is wrong.
     """
-    name, role, service, zone, address, incarnation = fields
+    name, role, service, zone, address, incarnation, is_draining = fields
     return flows.Instance(
-        name, core.Role(role), service, zone, _address(address), incarnation
+        name,
+        core.Role(role),
+        service,
+        zone,
+        _address(address),
+        incarnation,
+        is_draining,
     )
 
 
--- a/libs/runtime/src/fireflyford/runtime/_process.py
+++ b/libs/runtime/src/fireflyford/runtime/_process.py
@@ -79,7 +79,7 @@
         self.fleet = flows.Fleet(clock)
         self.store: store.Store = front_end.open_store()
         self.registry = _registry.Registry(
-            self.store, clock, self.rng, self.own, self.fleet
+            self.store, clock, self.rng, self.own, self.fleet, self._join
         )
         self.pages = _config_source.HttpPeerPages()
         self.link = _link.Link(
@@ -148,7 +148,7 @@
         self.listen(self.options.status_address, self._status_rules())
         self.start_task("publish", self.registry.publish())
         self.start_task("registry", self.registry.follower.run())
-        self.start_task("join", self._join())
+        self.start_task("seeds", self._ask_seeds())
         self.start_task("beats", self._beat())
         self.start_task("sweep", self._sweep())
         self.start_task("expire", self._expire())
@@ -199,7 +199,25 @@
     def expire(self) -> None:
         """Forgets what has not been used for long."""
 
-    async def _join(self) -> None:
+    def _join(self, earlier: flows.Instance | None) -> None:
+        self.joined(earlier)
+        self.send_beats(self.beat_receivers())
+
+    def joined(self, earlier: flows.Instance | None) -> None:
+        """Handles the first sight of the registry.
+
+        Args:
+            earlier: Entry that an earlier process left at this address.
+        """
+
+    def greet(self, beat: flows.Beat) -> None:
+        """Answers the first beat of a process, which may know nobody yet."""
+        known = self.fleet.find(beat.instance.address)
+        is_new = known is None or known.incarnation < beat.instance.incarnation
+        if is_new and not beat.leaving:
+            self.send_beats([beat.instance.address])
+
+    async def _ask_seeds(self) -> None:
         """Learns of the other instances from seeds while the store is away."""
         while self.registry.follower.heard_ms is None:
             await self.clock.sleep(JOIN_DELAY_MS)
--- a/libs/runtime/src/fireflyford/runtime/_registry.py
+++ b/libs/runtime/src/fireflyford/runtime/_registry.py
@@ -1,5 +1,7 @@
 """Entries of instances in the store, by which instances find each other."""
 
+import asyncio
+from collections.abc import Callable
 import random
 
 import msgspec
@@ -18,7 +20,7 @@
 # Pause after a failed write.
 RETRY_MS = 400
 
-_DECODER = msgspec.json.Decoder(tuple[str, str, str, str, str, int])
+_DECODER = msgspec.json.Decoder(tuple[str, str, str, str, str, int, bool])
 
 
 class Registry(_follow.Listener):
@@ -31,6 +33,7 @@
         rng: random.Random,
         own: flows.Instance,
         fleet: flows.Fleet,
+        joined: Callable[[flows.Instance | None], None],
     ) -> None:
         """Prepares the registry.
 
@@ -40,6 +43,8 @@
             rng: Source of jitter.
             own: This instance.
             fleet: View to be kept up to date.
+            joined: Called after the first reading with the entry that an
+                earlier process left at this address.
         """
         self._client = client
         self._clock = clock
@@ -47,20 +52,30 @@
         self._own = own
         self._fleet = fleet
         self._key = f"{PREFIX}{own.address}"
-        self._value = msgspec.json.encode(_link_codec.pack_instance(own))
+        self._joined = joined
+        self._has_joined = asyncio.Event()
+        self._changed = asyncio.Event()
         self._lease_id = 0
         self._is_missing = True
         self.follower = _follow.PrefixFollower(client, clock, rng, PREFIX, self)
 
     async def publish(self) -> None:
         """Keeps the own entry until cancelled."""
+        # The entry of an earlier process is read before it is replaced.
+        await self._has_joined.wait()
         while True:
             if not self._lease_id or self._is_missing:
                 done = await self._write()
             else:
                 done = await self._renew()
             pause_ms = RENEW_INTERVAL_MS if done else RETRY_MS
-            await self._clock.sleep(pause_ms * self._rng.uniform(0.9, 1.0))
+            await self._pause(pause_ms * self._rng.uniform(0.9, 1.0))
+
+    def change(self, own: flows.Instance) -> None:
+        """Replaces the own entry, at the next write if not at once."""
+        self._own = own
+        self._is_missing = True
+        self._changed.set()
 
     async def withdraw(self) -> None:
         """Removes the own entry."""
@@ -70,6 +85,17 @@
             if isinstance(outcome, core.Failure):
                 telemetry.log("entry-not-withdrawn", reason=outcome.message)
 
+    async def _pause(self, duration_ms: float) -> None:
+        """Waits, or until the own entry changes."""
+        waits = [
+            asyncio.create_task(self._clock.sleep(duration_ms)),
+            asyncio.create_task(self._changed.wait()),
+        ]
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        for wait in waits:
+            wait.cancel()
+        self._changed.clear()
+
     async def _write(self) -> bool:
         if not self._lease_id:
             lease = await self._client.grant_lease(LEASE_DURATION_S)
@@ -77,14 +103,15 @@
                 telemetry.log("lease-not-granted", reason=lease.message)
                 return False
             self._lease_id = lease.value
-        write = store.Write(self._key, self._value, self._lease_id)
+        value = msgspec.json.encode(_link_codec.pack_instance(self._own))
+        write = store.Write(self._key, value, self._lease_id)
+        self._is_missing = False
         outcome = await self._client.commit([], [write])
         if isinstance(outcome, core.Failure):
             telemetry.log("entry-not-written", reason=outcome.message)
             # The lease may have ended; a new one is safe in each case.
             self._lease_id = 0
             return False
-        self._is_missing = False
         telemetry.log("entry-written", lease_id=self._lease_id)
         return True
 
@@ -100,9 +127,14 @@
 
     def take_all(self, reading: store.Reading) -> None:
         """Takes all entries."""
-        if not any(entry.key == self._key for entry in reading.entries):
+        instances = _instances(reading)
+        own = [item for item in instances if item.address == self._own.address]
+        if not own:
             self._is_missing = True
-        self._fleet.register(_instances(reading))
+        self._fleet.register(instances)
+        if not self._has_joined.is_set():
+            self._has_joined.set()
+            self._joined(own[0] if own else None)
 
     def take_changes(self, reading: store.Reading) -> None:
         """Takes changed entries."""
