Hold new flows at their home until a backend server has room

Cause: after all processes were killed, clients returned together, the first backend servers to be ready got most new flows and shed requests (503); lost first packets waited for the client's next copy; agents that had left stayed in the registry and kept searches from ending.

Change: a home offers a flow only where fewer than 4 flows a slot are pending, lets it wait up to 600 ms, then refuses it as not run. Balancers repeat packets that nobody answered. A holder that turns up during a search ends it. Work of a client that closed its flow no longer counts. A leaving agent ends its tasks before it removes its entry and tries again while the store is away. Instances that the store turns away are introduced to new ones.

--- a/libs/flows/src/fireflyford/flows/__init__.py
+++ b/libs/flows/src/fireflyford/flows/__init__.py
@@ -24,6 +24,7 @@
 from fireflyford.flows._messages import Refused
 from fireflyford.flows._messages import Send
 from fireflyford.flows._messages import Unknown
+from fireflyford.flows._messages import Waiting
 from fireflyford.flows._placement import Candidate
 from fireflyford.flows._placement import LeastCompletion
 from fireflyford.flows._placement import Placement
@@ -78,6 +79,7 @@
     "TargetState",
     "TargetWatch",
     "Unknown",
+    "Waiting",
     "client_address",
     "describe_flow",
     "route_address",
--- a/libs/flows/src/fireflyford/flows/_agent.py
+++ b/libs/flows/src/fireflyford/flows/_agent.py
@@ -60,8 +60,8 @@
         if isinstance(message, _messages.Absent):
             return self.home.absent(sender, message.flow)
         if isinstance(message, _messages.Holding):
-            self.home.hold(sender, message.flows)
-        elif isinstance(message, _messages.LoadReport):
+            return self.home.hold(sender, message.flows)
+        if isinstance(message, _messages.LoadReport):
             self.home.take_load(sender, message.load)
         elif isinstance(message, _messages.Beat):
             self._fleet.hear(message)
--- a/libs/flows/src/fireflyford/flows/_balancer.py
+++ b/libs/flows/src/fireflyford/flows/_balancer.py
@@ -17,14 +17,20 @@
 
 # Flows whose holder a balancer remembers; some 100 bytes each.
 MAX_CACHED = 65_536
-# A home that has not answered for so long is passed over for a while.
+# A home that has not answered for so long is passed over for a while: the
+# limits of placement (`_home.PLACE_TIMEOUT_MS`) and search fit in.
 HOME_TIMEOUT_MS = 150
 SUSPECT_MS = 1_000
+# A packet without an answer is sent again after this time, then after twice
+# as long, and so on. The client's own copies come 200, 600 and 1,400 ms after
+# the first packet, so a restarted agent serves it sooner this way.
+REPEAT_MS = 80
+# After this time the client has given up an opening or repeated its packet.
+REPEAT_LIMIT_MS = 1_300
 # Candidates on the ring that may act as home while the first ones are silent.
 HOME_CANDIDATES = 4
 # Packets whose fate is not known yet.
 MAX_PENDING = 16_384
-PENDING_LIMIT_MS = 5_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,14 +84,20 @@
         packet: _types.Packet,
         service: str,
         others: list[str],
-        home: core.Address,
+        home: core.Address | None,
+        route: Route,
         now_ms: int,
     ):
         self.packet = packet
         self.service = service
         self.others = others
         self.home = home
+        self.route = route
+        self.taken_ms = now_ms
         self.asked_ms = now_ms
+        self.pause_ms = REPEAT_MS
+        # Whether the home keeps the packet until a backend server has room.
+        self.is_waiting = False
 
 
 class BalancerFlows:
@@ -173,6 +185,9 @@
         services = self._services(route, packet)
         pending = self._pending.get(packet.flow)
         if pending is not None:
+            if packet.opens and pending.packet.opens:
+                # A copy by the client; copies are repeated here anyway.
+                return []
             self._doubt(pending)
             if not packet.opens and pending.service in services:
                 at = services.index(pending.service)
@@ -192,20 +207,49 @@
             return []
         elif isinstance(message, _messages.Unknown):
             return self._try_next(message)
+        elif isinstance(message, _messages.Waiting):
+            pending = self._pending.get(message.flow)
+            if pending is not None:
+                pending.is_waiting = True
         elif isinstance(message, _messages.Refused):
             return self._refuse(message)
         elif isinstance(message, _messages.Beat):
             self._fleet.hear(message)
         return []
 
-    def sweep(self) -> None:
-        """Forgets packets that nobody answered about."""
-        oldest_ms = self._clock.now_ms() - PENDING_LIMIT_MS
-        while self._pending:
-            flow, pending = next(iter(self._pending.items()))
-            if pending.asked_ms >= oldest_ms:
-                break
-            del self._pending[flow]
+    def sweep(self) -> list[_types.Action]:
+        """Repeats packets that nobody has answered, for a while."""
+        now_ms = self._clock.now_ms()
+        actions: list[_types.Action] = []
+        for flow, pending in tuple(self._pending.items()):
+            if now_ms - pending.taken_ms >= REPEAT_LIMIT_MS:
+                del self._pending[flow]
+            elif (
+                now_ms - pending.asked_ms >= pending.pause_ms
+                and not pending.is_waiting
+            ):
+                actions += self._repeat(pending)
+        return actions
+
+    def _repeat(self, pending: _Pending) -> list[_types.Action]:
+        self._doubt(pending)
+        now_ms = self._clock.now_ms()
+        pending.asked_ms = now_ms
+        pending.pause_ms *= 2
+        packet = pending.packet
+        home = self._home(pending.service, packet.flow)
+        if home is None:
+            return []
+        pending.home = home
+        return [
+            self._forward(
+                _messages.Handling.RESOLVE,
+                home,
+                packet,
+                pending.service,
+                pending.route,
+            )
+        ]
 
     def _services(self, route: Route, packet: _types.Packet) -> list[str]:
         """Returns the services that may hold the flow, likeliest first."""
@@ -221,6 +265,13 @@
     ) -> list[_types.Action]:
         service, *others = services
         home = self._home(service, packet.flow)
+        pending = _Pending(
+            packet, service, others, home, route, self._clock.now_ms()
+        )
+        self._pending[packet.flow] = pending
+        self._pending.move_to_end(packet.flow)
+        if len(self._pending) > MAX_PENDING:
+            self._pending.popitem(last=False)
         if home is None:
             telemetry.log(
                 "no-agent",
@@ -228,11 +279,6 @@
                 service=service,
             )
             return []
-        pending = _Pending(packet, service, others, home, self._clock.now_ms())
-        self._pending[packet.flow] = pending
-        self._pending.move_to_end(packet.flow)
-        if len(self._pending) > MAX_PENDING:
-            self._pending.popitem(last=False)
         return [
             self._forward(
                 _messages.Handling.RESOLVE, home, packet, service, route
@@ -250,6 +296,8 @@
     def _doubt(self, pending: _Pending) -> None:
         """Passes over a home that has not answered about a flow."""
         now_ms = self._clock.now_ms()
+        if pending.home is None:
+            return
         if now_ms - pending.asked_ms >= HOME_TIMEOUT_MS:
             if self._suspects.get(pending.home, 0) <= now_ms:
                 telemetry.log(
--- a/libs/flows/src/fireflyford/flows/_fleet.py
+++ b/libs/flows/src/fireflyford/flows/_fleet.py
@@ -74,10 +74,11 @@
         return known != instance
 
     def note_load(self, address: core.Address, load: _types.Load) -> None:
-        """Takes the load that came with another message."""
+        """Takes the load that came with a message, a sign of life as well."""
         instance = self._present.get(address)
         if instance is None:
             return
+        self._heard[address] = (self._clock.now_ms(), instance)
         accepted = self.accepts(address)
         self._loads[address] = load
         if accepted != self.accepts(address):
@@ -128,6 +129,18 @@
         """Returns the last load heard of an agent."""
         return self._loads.get(address, _types.Load())
 
+    def is_load_known(self, address: core.Address) -> bool:
+        """Returns whether an agent has reported its load."""
+        return address in self._loads
+
+    def unregistered(self) -> tuple[_types.Instance, ...]:
+        """Returns instances that are heard but have no entry."""
+        return tuple(
+            item
+            for address, item in self._present.items()
+            if str(address) not in self._registered
+        )
+
     def accepts(self, address: core.Address) -> bool:
         """Returns whether an agent may be the home of flows."""
         return self.load(address).state in (
--- a/libs/flows/src/fireflyford/flows/_held.py
+++ b/libs/flows/src/fireflyford/flows/_held.py
@@ -6,11 +6,12 @@
 from fireflyford.flows import _types
 
 # A new flow reserves a slot until its first request, at most this long: the
-# client sends it one round trip after the flow opened.
-RESERVATION_MS = 300
-# A request without a response no longer counts as work after this time; it
-# exceeds the deadlines of all kinds of requests.
-WORK_LIMIT_MS = 15_000
+# client sends it one round trip after the flow opened, some 10 ms.
+RESERVATION_MS = 60
+# A request without a response no longer counts as work after this time: the
+# client has given up most of them, and what counts as work wrongly would keep
+# a slot empty.
+WORK_LIMIT_MS = 3_000
 # Flows that ended are remembered for late retransmissions of both ends, which
 # follow each other by up to 1.6 s.
 ENDED_KEPT_MS = 10_000
@@ -131,7 +132,9 @@
         if packet.opens:
             return
         held.client_ack = packet.ack
-        if packet.resets:
+        if packet.resets or packet.ends:
+            # The client waits for no response any more.
+            self._finish(held)
             self._end(held)
             return
         if packet.payload_bytes and _extends(held.client_end, packet):
@@ -141,8 +144,6 @@
                 held.busy_since_ms = now_ms
                 held.started_idle = self._busy_count < self.slot_count
                 self._busy_count += 1
-        if packet.ends:
-            self._end(held)
 
     def answer(self, held: HeldFlow, packet: _types.Packet) -> None:
         """Notes a packet of the backend server."""
@@ -199,6 +200,7 @@
 
     def _end(self, held: HeldFlow) -> None:
         held.ended = True
+        held.reserved_until_ms = held.used_ms
 
     def _finish(self, held: HeldFlow) -> None:
         if held.busy_since_ms is not None:
--- a/libs/flows/src/fireflyford/flows/_home.py
+++ b/libs/flows/src/fireflyford/flows/_home.py
@@ -11,6 +11,7 @@
 from fireflyford import core
 from fireflyford import telemetry
 from fireflyford.flows import _fleet
+from fireflyford.flows import _held
 from fireflyford.flows import _messages
 from fireflyford.flows import _placement
 from fireflyford.flows import _types
@@ -23,12 +24,22 @@
 SUSPECT_MS = 1_000
 # How many times a new flow looks for a free slot before any slot will do.
 BUSY_LIMIT_COUNT = 2
+# A new flow waits so long for a backend server with room, then it is refused;
+# the client itself gives up 1.4 s after its first packet.
+WAIT_LIMIT_MS = 600
+# How often a waiting flow looks for room.
+WAIT_RETRY_MS = 20
 # Answers to a search are due within this time; the client sends its packet
 # again after 200 ms.
 SEARCH_TIMEOUT_MS = 150
 # Packets of one flow that wait for the end of a search: a window of the client.
 MAX_WAITING_PACKETS = 16
 MAX_SEARCHES = 4_096
+# A home that has just started may not know of agents that the registry does
+# not show; until their beats can have come, no search says that a flow is gone.
+FRESH_MS = 300
+# States in which an agent declines every new flow.
+_NOT_TAKING = frozenset(_types.TargetState) - {_types.TargetState.READY}
 MAX_ENTRIES = 200_000
 # Entries of flows that are not used for so long are removed.
 ENTRY_IDLE_MS = 60_000
@@ -37,15 +48,18 @@
 class _Attempt:
     """Placement of one new flow."""
 
-    def __init__(self, forward: _messages.Forward, packet: _types.Packet):
+    def __init__(
+        self, forward: _messages.Forward, packet: _types.Packet, now_ms: int
+    ):
         self.forward = forward
         self.packet = packet
+        self.started_ms = now_ms
         self.tried: set[core.Address] = set()
         self.asked: core.Address | None = None
         self.deadline_ms = 0
         self.busy_count = 0
         self.reason = _messages.DeclineReason.UNKNOWN_STATE
-        self.is_certain = True
+        self.is_waiting = False
 
 
 class _Search:
@@ -85,6 +99,7 @@
             placement: Policy for new flows.
         """
         self._clock = clock
+        self._started_ms = clock.now_ms()
         self._own = own
         self._fleet = fleet
         self._placement = placement
@@ -94,7 +109,8 @@
         self._attempts: dict[bytes, _Attempt] = {}
         self._searches: dict[bytes, _Search] = {}
         self._suspects: dict[core.Address, int] = {}
-        self._placed: collections.Counter[core.Address] = collections.Counter()
+        # Times of the placements that the load of an agent does not show yet.
+        self._placed: dict[core.Address, list[int]] = {}
 
     def __len__(self) -> int:
         """Returns the number of directory entries."""
@@ -122,7 +138,7 @@
         if attempt is not None:
             # A copy of the first packet; the attempt has its own timeout.
             return []
-        attempt = _Attempt(forward, packet)
+        attempt = _Attempt(forward, packet, self._clock.now_ms())
         self._attempts[packet.flow] = attempt
         return self._place(attempt)
 
@@ -134,6 +150,10 @@
         self._suspects.pop(sender, None)
         flow = message.flow
         self._attempts.pop(flow, None)
+        return self._found(flow, sender)
+
+    def _found(self, flow: bytes, sender: core.Address) -> list[_types.Action]:
+        """Enters the holder of a flow and ends a search for it."""
         self._enter(flow, sender)
         search = self._searches.pop(flow, None)
         if search is None:
@@ -159,6 +179,9 @@
             flow=_types.describe_flow(message.flow),
             holder=sender,
             reason=message.reason.name.lower(),
+            busy=message.load.busy_count,
+            reserved=message.load.reserved_count,
+            slots=message.load.slot_count,
         )
         if message.reason is _messages.DeclineReason.BUSY:
             attempt.busy_count += 1
@@ -179,6 +202,8 @@
         if search.asked:
             return []
         del self._searches[flow]
+        if self._clock.now_ms() - self._started_ms < FRESH_MS:
+            return []
         telemetry.log(
             "flow-unknown",
             flow=_types.describe_flow(flow),
@@ -190,10 +215,14 @@
         )
         return [_messages.Send(search.forward.balancer, unknown)]
 
-    def hold(self, sender: core.Address, flows: tuple[bytes, ...]) -> None:
+    def hold(
+        self, sender: core.Address, flows: tuple[bytes, ...]
+    ) -> list[_types.Action]:
         """Takes directory entries from a holder."""
+        actions: list[_types.Action] = []
         for flow in flows:
-            self._enter(flow, sender)
+            actions += self._found(flow, sender)
+        return actions
 
     def sweep(self) -> list[_types.Action]:
         """Ends attempts and searches that wait for too long."""
@@ -203,7 +232,7 @@
             if now_ms < attempt.deadline_ms:
                 continue
             if attempt.asked is None:
-                del self._attempts[flow]
+                actions += self._place(attempt)
                 continue
             telemetry.log(
                 "flow-placement-timeout",
@@ -212,7 +241,6 @@
             )
             self._suspects[attempt.asked] = now_ms + SUSPECT_MS
             attempt.tried.add(attempt.asked)
-            attempt.is_certain = False
             actions += self._place(attempt)
         for flow, search in tuple(self._searches.items()):
             if now_ms >= search.deadline_ms:
@@ -245,31 +273,19 @@
         self._entries.move_to_end(flow)
 
     def _place(self, attempt: _Attempt) -> list[_types.Action]:
-        flow = attempt.packet.flow
+        """Offers a new flow to a backend server, or lets it wait."""
         candidates = self._candidates(attempt)
         if not candidates:
-            attempt.asked = None
-            # Copies of the first packet find the attempt until then.
-            attempt.deadline_ms = self._clock.now_ms() + PLACE_TIMEOUT_MS
-            telemetry.log(
-                "flow-refused",
-                flow=_types.describe_flow(flow),
-                reason=attempt.reason.name.lower(),
-                certain=attempt.is_certain,
-            )
-            if not attempt.is_certain or not attempt.tried:
-                return []
-            del self._attempts[flow]
-            refusal = _messages.Refused(flow, attempt.reason)
-            return [_messages.Send(attempt.forward.balancer, refusal)]
+            return self._wait(attempt)
         chosen = self._placement.choose(candidates, attempt.forward.lasting)
-        self._placed[chosen.address] += 1
+        now_ms = self._clock.now_ms()
+        self._placed.setdefault(chosen.address, []).append(now_ms)
         attempt.asked = chosen.address
-        attempt.deadline_ms = self._clock.now_ms() + PLACE_TIMEOUT_MS
+        attempt.deadline_ms = now_ms + PLACE_TIMEOUT_MS
         firm = attempt.busy_count >= BUSY_LIMIT_COUNT or len(candidates) == 1
         telemetry.log(
             "flow-placed",
-            flow=_types.describe_flow(flow),
+            flow=_types.describe_flow(attempt.packet.flow),
             holder=chosen.address,
             busy=chosen.load.busy_count,
             reserved=chosen.load.reserved_count,
@@ -289,6 +305,37 @@
             )
         ]
 
+    def _wait(self, attempt: _Attempt) -> list[_types.Action]:
+        """Lets a new flow wait for room, or refuses it."""
+        now_ms = self._clock.now_ms()
+        flow = attempt.packet.flow
+        if now_ms - attempt.started_ms >= WAIT_LIMIT_MS:
+            del self._attempts[flow]
+            telemetry.log(
+                "flow-refused",
+                flow=_types.describe_flow(flow),
+                reason=attempt.reason.name.lower(),
+                waited_ms=now_ms - attempt.started_ms,
+            )
+            refusal = _messages.Refused(flow, attempt.reason)
+            return [_messages.Send(attempt.forward.balancer, refusal)]
+        is_first = not attempt.is_waiting
+        attempt.asked = None
+        attempt.is_waiting = True
+        attempt.deadline_ms = now_ms + WAIT_RETRY_MS
+        # Agents that could not take it may be able to by then.
+        attempt.tried.clear()
+        if not is_first:
+            return []
+        telemetry.log(
+            "flow-waits",
+            flow=_types.describe_flow(flow),
+            reason=attempt.reason.name.lower(),
+        )
+        return [
+            _messages.Send(attempt.forward.balancer, _messages.Waiting(flow))
+        ]
+
     def _candidates(self, attempt: _Attempt) -> list[_placement.Candidate]:
         now_ms = self._clock.now_ms()
         preferred, last_resort = [], []
@@ -299,18 +346,30 @@
             candidate = _placement.Candidate(
                 agent.address,
                 load,
-                self._placed[agent.address],
+                self._placed_count(agent.address),
                 agent.availability_zone == self._own.availability_zone,
             )
+            is_heard = self._fleet.is_load_known(agent.address)
+            if is_heard and load.state in _NOT_TAKING:
+                continue
+            if not _placement.has_room(load, candidate.placed_count):
+                continue
             if (
                 load.state is _types.TargetState.READY
                 and self._suspects.get(agent.address, 0) <= now_ms
             ):
                 preferred.append(candidate)
-            elif load.state is not _types.TargetState.DRAINING:
+            else:
                 last_resort.append(candidate)
         return preferred or last_resort
 
+    def _placed_count(self, address: core.Address) -> int:
+        """Returns the flows placed at an agent since its last load report."""
+        oldest_ms = self._clock.now_ms() - _held.RESERVATION_MS
+        times = [at for at in self._placed.get(address, ()) if at >= oldest_ms]
+        self._placed[address] = times
+        return len(times)
+
     def _search(
         self, forward: _messages.Forward, packet: _types.Packet
     ) -> list[_types.Action]:
--- a/libs/flows/src/fireflyford/flows/_keeper.py
+++ b/libs/flows/src/fireflyford/flows/_keeper.py
@@ -13,6 +13,7 @@
 from fireflyford.flows import _fleet
 from fireflyford.flows import _held
 from fireflyford.flows import _messages
+from fireflyford.flows import _placement
 from fireflyford.flows import _types
 
 # A backend server accepts a new flow within a millisecond while it runs.
@@ -22,7 +23,7 @@
 # Notes that mark delivered packets; a note comes back with the packet.
 _MAX_NOTE = 0x7FFFFFFF
 # A holder repeats to a balancer where a flow is at most this often.
-TELL_INTERVAL_MS = 2_000
+TELL_INTERVAL_MS = 200
 # Chains of agents are bounded, since two views may point at each other.
 MAX_HOPS = 4
 # Flows announced in one message.
@@ -151,6 +152,8 @@
         is_choosy = not forward.firm and not forward.lasting
         if is_choosy and pending >= load.slot_count:
             return reasons.BUSY
+        if not _placement.has_room(load, len(self._openings)):
+            return reasons.BUSY
         return None
 
     def _decline(
@@ -254,8 +257,9 @@
         held = self.held.get(packet.flow)
         actions: list[_types.Action] = [_types.Reply(packet)]
         if held is None:
-            held = self.held.add(packet.flow, False, None)
-            actions += self._announce(packet.flow)
+            actions += self._adopt(packet.flow)
+            held = self.held.get(packet.flow)
+            assert held is not None
         self.held.answer(held, packet)
         return actions
 
@@ -381,23 +385,33 @@
             note, probe = next(iter(self._probes.items()))
             if now_ms < probe.deadline_ms:
                 break
-            del self._probes[note]
-            actions += self._adopt(probe)
+            if probe.packet.flow not in self.held:
+                actions += self._adopt(probe.packet.flow)
+            self._probes.pop(note, None)
         return actions
 
-    def _adopt(self, probe: _Probe) -> list[_types.Action]:
-        """Takes a flow whose packet the backend server has not returned."""
-        flow = probe.packet.flow
-        if flow in self.held:
-            return []
+    def _adopt(self, flow: bytes) -> list[_types.Action]:
+        """Takes a flow that an earlier process saw open.
+
+        The backend server has answered on it, or has not returned a packet.
+        """
         telemetry.log("flow-adopted", flow=_types.describe_flow(flow))
-        held = self.held.add(flow, probe.forward.lasting, None)
-        located = _messages.Located(flow, self.load())
-        held.told_ms[probe.forward.balancer] = self._clock.now_ms()
-        return [
-            _messages.Send(probe.forward.balancer, located),
-            *self._announce(flow),
+        probes = [
+            (note, probe)
+            for note, probe in self._probes.items()
+            if probe.packet.flow == flow
         ]
+        lasting = any(probe.forward.lasting for _, probe in probes)
+        held = self.held.add(flow, lasting, None)
+        located = _messages.Located(flow, self.load())
+        actions = self._announce(flow)
+        for note, probe in probes:
+            del self._probes[note]
+            balancer = probe.forward.balancer
+            if balancer not in held.told_ms:
+                held.told_ms[balancer] = self._clock.now_ms()
+                actions.append(_messages.Send(balancer, located))
+        return actions
 
     def _announce(self, flow: bytes) -> list[_types.Action]:
         return [
--- a/libs/flows/src/fireflyford/flows/_messages.py
+++ b/libs/flows/src/fireflyford/flows/_messages.py
@@ -98,6 +98,13 @@
     awaited: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Waiting:
+    """A new flow waits at its home for a backend server with room."""
+
+    flow: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refused:
     """No backend server takes a new flow; from home to balancer."""
@@ -144,6 +151,7 @@
     | Declined
     | Absent
     | Unknown
+    | Waiting
     | Refused
     | Holding
     | Beat
--- a/libs/flows/src/fireflyford/flows/_placement.py
+++ b/libs/flows/src/fireflyford/flows/_placement.py
@@ -16,6 +16,28 @@
 MAX_SPEED_FACTOR = 4.0
 
 
+# Requests and reserved flows that a backend server gets for each slot, the one
+# that is worked on included. Slots then stay busy while homes with older loads
+# look for room, and what queues still ends within some 100 ms.
+PENDING_PER_SLOT = 4
+
+
+def has_room(load: _types.Load, added_count: int = 0) -> bool:
+    """Returns whether a backend server should get another flow now.
+
+    Args:
+        load: Load of the backend server.
+        added_count: Flows that the load does not show yet.
+
+    >>> has_room(_types.Load(slot_count=2, busy_count=7))
+    True
+    >>> has_room(_types.Load(slot_count=2, busy_count=7), added_count=1)
+    False
+    """
+    pending = load.busy_count + load.reserved_count + added_count
+    return pending < load.slot_count * PENDING_PER_SLOT
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Candidate:
     """An agent that may take a new flow.
--- a/libs/runtime/src/fireflyford/runtime/_agent.py
+++ b/libs/runtime/src/fireflyford/runtime/_agent.py
@@ -79,8 +79,7 @@
         if not self.target_watch.has_left:
             return
         self.link.run(self.flows.keeper.fail("left"))
-        self.send_beats(self.beat_receivers(), leaving=True)
-        await self.registry.withdraw()
+        await self.leave()
 
     def hear(self, sender: core.Address, message: flows.Message) -> None:
         """Handles a message of another instance, or of this one."""
@@ -125,7 +124,7 @@
         if is_draining != self.own.is_draining:
             self.own = dataclasses.replace(self.own, is_draining=is_draining)
             self.registry.change(self.own)
-            self.send_beats(self.beat_receivers())
+            self.send_beats(self.all_receivers())
         self.target_watch.sweep()
         self.link.run(self.flows.sweep())
 
@@ -138,18 +137,18 @@
         return self.flows.keeper.load()
 
     def beat_receivers(self) -> list[core.Address]:
-        """Returns the agents of the service and the balancers."""
-        return [
-            item.address
-            for item in (
-                *self.fleet.agents(self.own.service),
-                *self.fleet.balancers(),
-            )
-        ]
+        """Returns the balancers; peers get load reports as signs of life."""
+        return [item.address for item in self.fleet.balancers()]
+
+    def all_receivers(self) -> list[core.Address]:
+        """Returns the balancers and the agents of the service."""
+        peers = self.fleet.agents(self.own.service)
+        return self.beat_receivers() + [item.address for item in peers]
 
     async def _report_loads(self) -> None:
         """Sends changed loads to the agents of the service."""
         sent = None
+        sent_ms = 0
         while True:
             peers = [
                 item.address
@@ -157,8 +156,9 @@
                 if item.address != self.own.address
             ]
             load = self.load()
-            if load != sent:
-                sent = load
+            now_ms = self.clock.now_ms()
+            if load != sent or now_ms - sent_ms >= _beats.LOAD_REPEAT_MS:
+                sent, sent_ms = load, now_ms
                 report = flows.LoadReport(load)
                 for address in peers:
                     self.link.send(address, report)
--- a/libs/runtime/src/fireflyford/runtime/_balancer.py
+++ b/libs/runtime/src/fireflyford/runtime/_balancer.py
@@ -18,8 +18,6 @@
 LEAVE_DELAY_MS = 1_200
 # No client packet for so long means that the fabric has stopped.
 QUIET_MS = 300
-# Kept for the end of the process before the platform kills it.
-GRACE_RESERVE_MS = 1_000
 _DRAIN_POLL_MS = 50
 # A balancer that hears no agent for so long cannot forward; agents send signs
 # of life each second and some may be lost.
@@ -88,7 +86,7 @@
     async def _drain(self) -> None:
         """Forwards until the fabric has stopped using this balancer."""
         start_ms = self.clock.now_ms()
-        limit_ms = start_ms + self.options.grace_ms - GRACE_RESERVE_MS
+        limit_ms = start_ms + self.options.grace_ms - _process.GRACE_RESERVE_MS
         while True:
             await self.clock.sleep(_DRAIN_POLL_MS)
             now_ms = self.clock.now_ms()
@@ -98,8 +96,7 @@
             if now_ms >= limit_ms:
                 telemetry.log("drain-limit-reached")
                 break
-        self.send_beats(self.beat_receivers(), leaving=True)
-        await self.registry.withdraw()
+        await self.leave()
 
     def _take_packet(self, data: bytes, sender: core.Address) -> None:
         del sender
@@ -127,7 +124,7 @@
         self.flows.is_current = (
             follower.heard_ms is not None and not follower.is_lost
         )
-        self.flows.sweep()
+        self.link.run(self.flows.sweep())
 
     def beat_receivers(self) -> list[core.Address]:
         """Returns all other instances."""
--- a/libs/runtime/src/fireflyford/runtime/_link_codec.py
+++ b/libs/runtime/src/fireflyford/runtime/_link_codec.py
@@ -22,6 +22,7 @@
     7: flows.Holding,
     8: flows.Beat,
     9: flows.LoadReport,
+    10: flows.Waiting,
 }
 _CODES = {kind: code for code, kind in _KINDS.items()}
 
@@ -38,6 +39,7 @@
     7: tuple[tuple[bytes, ...]],
     8: tuple[_Instance, _Load, int, bool],
     9: tuple[_Load],
+    10: tuple[bytes],
 }
 _DECODERS = {
     code: msgspec.msgpack.Decoder(fields) for code, fields in _FIELDS.items()
@@ -101,7 +103,7 @@
         return (message.flow, _pack_load(message.load))
     if isinstance(message, flows.Declined):
         return (message.flow, message.reason, _pack_load(message.load))
-    if isinstance(message, flows.Absent):
+    if isinstance(message, flows.Absent | flows.Waiting):
         return (message.flow,)
     if isinstance(message, flows.Unknown):
         return (message.flow, message.ack, message.awaited)
--- a/libs/runtime/src/fireflyford/runtime/_process.py
+++ b/libs/runtime/src/fireflyford/runtime/_process.py
@@ -28,6 +28,8 @@
 # Timeouts of decisions are tens of milliseconds.
 SWEEP_INTERVAL_MS = 20
 EXPIRE_INTERVAL_MS = 1_000
+# Kept for the end of the process before the platform kills it.
+GRACE_RESERVE_MS = 1_000
 # Time for the tasks of a process to start before peers are asked.
 JOIN_DELAY_MS = 300
 
@@ -114,6 +116,10 @@
         """Returns the instances that need this one's signs of life."""
         raise NotImplementedError
 
+    def all_receivers(self) -> list[core.Address]:
+        """Returns the instances that hear of a start, an end or a drain."""
+        return self.beat_receivers()
+
     # Life of the process.
 
     def start_task(self, name: str, work: Coroutine[Any, Any, None]) -> None:
@@ -153,6 +159,14 @@
         self.start_task("sweep", self._sweep())
         self.start_task("expire", self._expire())
 
+    async def leave(self) -> None:
+        """Tells the others that this instance ends for good."""
+        # Tasks that go on would write the entry again.
+        for task in self._tasks:
+            task.cancel()
+        self.send_beats(self.all_receivers(), leaving=True)
+        await self.registry.withdraw(self.options.grace_ms - GRACE_RESERVE_MS)
+
     async def finish(self) -> None:
         """Ends all tasks and sockets."""
         for task in self._tasks:
@@ -201,7 +215,7 @@
 
     def _join(self, earlier: flows.Instance | None) -> None:
         self.joined(earlier)
-        self.send_beats(self.beat_receivers())
+        self.send_beats(self.all_receivers())
 
     def joined(self, earlier: flows.Instance | None) -> None:
         """Handles the first sight of the registry.
@@ -211,11 +225,24 @@
         """
 
     def greet(self, beat: flows.Beat) -> None:
-        """Answers the first beat of a process, which may know nobody yet."""
-        known = self.fleet.find(beat.instance.address)
-        is_new = known is None or known.incarnation < beat.instance.incarnation
-        if is_new and not beat.leaving:
-            self.send_beats([beat.instance.address])
+        """Answers the first beat of a process, which may know nobody yet.
+
+        The registry shows it all instances but those that the store turns
+        away, which are introduced to it here.
+        """
+        newcomer = beat.instance
+        known = self.fleet.find(newcomer.address)
+        is_new = known is None or known.incarnation < newcomer.incarnation
+        if not is_new or beat.leaving:
+            return
+        self.send_beats([newcomer.address])
+        for other in self.fleet.unregistered():
+            if other.address in (newcomer.address, self.own.address):
+                continue
+            load = self.fleet.load(other.address)
+            introduction = flows.Beat(other, load, 0, False)
+            self.link.send(newcomer.address, introduction)
+            self.link.send(other.address, beat)
 
     async def _ask_seeds(self) -> None:
         """Learns of the other instances from seeds while the store is away."""
--- a/libs/runtime/src/fireflyford/runtime/_registry.py
+++ b/libs/runtime/src/fireflyford/runtime/_registry.py
@@ -15,8 +15,8 @@
 
 PREFIX = "fireflyford/instances/"
 # Two renewals may be lost before an entry lapses.
-LEASE_DURATION_S = 4
-RENEW_INTERVAL_MS = 1_200
+LEASE_DURATION_S = 3
+RENEW_INTERVAL_MS = 900
 # Pause after a failed write.
 RETRY_MS = 400
 
@@ -77,13 +77,22 @@
         self._is_missing = True
         self._changed.set()
 
-    async def withdraw(self) -> None:
-        """Removes the own entry."""
+    async def withdraw(self, limit_ms: int) -> None:
+        """Removes the own entry; tries again while the store is away.
+
+        Args:
+            limit_ms: How long to try.
+        """
         lease_id, self._lease_id = self._lease_id, 0
-        if lease_id:
+        end_ms = self._clock.now_ms() + limit_ms
+        while lease_id:
             outcome = await self._client.revoke_lease(lease_id)
-            if isinstance(outcome, core.Failure):
-                telemetry.log("entry-not-withdrawn", reason=outcome.message)
+            if isinstance(outcome, core.Ok):
+                return
+            telemetry.log("entry-not-withdrawn", reason=outcome.message)
+            if self._clock.now_ms() + RETRY_MS >= end_ms:
+                return
+            await self._clock.sleep(RETRY_MS)
 
     async def _pause(self, duration_ms: float) -> None:
         """Waits, or until the own entry changes."""
