--- /dev/null
+++ b/libs/flows/tests/test_decisions.py
@@ -0,0 +1,411 @@
+"""Single decisions of agents and balancers."""
+
+import dataclasses
+
+import pytest
+
+from fireflyford import core
+from fireflyford import flows
+from fireflyford.flows import _held
+from fireflyford.flows import _keeper
+from fireflyford.flows import _placement
+
+OWN = core.Address("10.0.1.1", 7_000)
+PEER = core.Address("10.0.1.2", 7_000)
+BALANCER = core.Address("10.0.0.1", 7_000)
+FLOW = bytes((10, 9, 0, 7, 1, 1, 198, 18, 0, 1, 1, 187))
+ROUTE = core.Address("198.18.0.1", 443)
+SEQ = 4_000_000_000
+
+
+class Clock(core.ManualClock):
+    """Clock that a test sets without an event loop."""
+
+    def set(self, now_ms: int) -> None:
+        """Sets the time."""
+        self._now_ms = now_ms
+
+
+def instance(
+    address: core.Address,
+    role: core.Role = core.Role.AGENT,
+    incarnation: int = 1,
+) -> flows.Instance:
+    service = "board" if role is core.Role.AGENT else ""
+    return flows.Instance(
+        str(address), role, service, "a", address, incarnation
+    )
+
+
+def forward(
+    handling: flows.Handling,
+    firm: bool = True,
+    service: str = "board",
+    lasting: bool = False,
+) -> flows.Forward:
+    return flows.Forward(
+        handling, service, BALANCER, OWN, 0, lasting, firm, b""
+    )
+
+
+def make_keeper() -> tuple[Clock, flows.Fleet, _keeper.Keeper]:
+    clock = Clock(1_000_000)
+    fleet = flows.Fleet(clock)
+    fleet.register([instance(OWN), instance(PEER)])
+    keeper = _keeper.Keeper(clock, instance(OWN), fleet)
+    keeper.follow(flows.TargetState.READY, 2)
+    return clock, fleet, keeper
+
+
+def sent(actions: list[flows.Action], kind: type) -> list[flows.Send]:
+    return [
+        action
+        for action in actions
+        if isinstance(action, flows.Send) and isinstance(action.message, kind)
+    ]
+
+
+def open_flow(keeper: _keeper.Keeper, flow: bytes = FLOW) -> None:
+    opening = flows.Packet(flow, b"", opens=True)
+    keeper.receive(BALANCER, forward(flows.Handling.PLACE), opening)
+    accepted = flows.Packet(flow, b"", opens=True, acknowledges=True, seq=SEQ)
+    keeper.answer(accepted)
+
+
+def data_packet(ack: int = SEQ + 1, seq: int = 10) -> flows.Packet:
+    return flows.Packet(
+        FLOW, b"", acknowledges=True, payload_bytes=100, seq=seq, ack=ack
+    )
+
+
+def test_a_flow_opened_elsewhere_is_not_delivered_here() -> None:
+    """Guards against packets for another backend server's answer.
+
+    Both backend servers answered the first packet; the client acknowledges
+    the other one's sequence.
+    """
+    _, _, keeper = make_keeper()
+    open_flow(keeper)
+    actions = keeper.receive(
+        PEER, forward(flows.Handling.SEARCH), data_packet(ack=SEQ + 5_000)
+    )
+    assert not any(isinstance(item, flows.Deliver) for item in actions)
+    assert sent(actions, flows.Absent)
+
+
+def test_a_late_answer_to_a_first_packet_is_dropped() -> None:
+    """Guards against a flow that opens at two backend servers."""
+    clock, _, keeper = make_keeper()
+    opening = flows.Packet(FLOW, b"", opens=True)
+    keeper.receive(BALANCER, forward(flows.Handling.PLACE), opening)
+    clock.set(1_000_000 + _keeper.OPENING_LIMIT_MS)
+    declined = sent(keeper.sweep(), flows.Declined)
+    assert len(declined) == 1
+    accepted = flows.Packet(FLOW, b"", opens=True, acknowledges=True, seq=SEQ)
+    assert keeper.answer(accepted) == []
+
+
+@pytest.mark.parametrize(
+    ("state", "reason"),
+    [
+        (flows.TargetState.DRAINING, flows.DeclineReason.DRAINING),
+        (flows.TargetState.DOWN, flows.DeclineReason.DOWN),
+        (flows.TargetState.UNKNOWN, flows.DeclineReason.UNKNOWN_STATE),
+    ],
+)
+def test_new_flows_are_declined_by_state(
+    state: flows.TargetState, reason: flows.DeclineReason
+) -> None:
+    """Guards against new flows at a backend server that must not get them."""
+    _, _, keeper = make_keeper()
+    keeper.follow(state, 2)
+    opening = flows.Packet(FLOW, b"", opens=True)
+    actions = keeper.receive(PEER, forward(flows.Handling.PLACE), opening)
+    (declined,) = sent(actions, flows.Declined)
+    assert isinstance(declined.message, flows.Declined)
+    assert declined.message.reason is reason
+    assert len(actions) == 1
+
+
+def test_a_returned_packet_of_a_held_flow_resets_it() -> None:
+    """Guards against a client that waits for a restarted backend server."""
+    _, _, keeper = make_keeper()
+    open_flow(keeper)
+    returned = dataclasses.replace(data_packet(), bounced=True)
+    actions = keeper.answer(returned)
+    assert actions == [flows.Reset(FLOW, SEQ + 1)]
+    assert FLOW not in keeper.held
+
+
+def test_a_returned_packet_of_an_ended_flow_resets_nothing() -> None:
+    """Guards against resets after a flow has closed."""
+    _, _, keeper = make_keeper()
+    open_flow(keeper)
+    closing = flows.Packet(FLOW, b"", acknowledges=True, ends=True, ack=SEQ + 1)
+    keeper.receive(BALANCER, forward(flows.Handling.HELD), closing)
+    assert keeper.answer(dataclasses.replace(closing, bounced=True)) == []
+
+
+def test_probes_are_answered_when_the_target_is_down() -> None:
+    """Guards against a search that waits for an agent without a target."""
+    _, _, keeper = make_keeper()
+    keeper.receive(PEER, forward(flows.Handling.SEARCH), data_packet())
+    assert sent(keeper.fail("port closed"), flows.Absent)
+
+
+def test_work_of_a_client_that_gave_up_does_not_count() -> None:
+    """Load: clients that give up while a backend server is slow.
+
+    Guards against slots that stay occupied by requests nobody waits for,
+    until every backend server looks full.
+    """
+    _, _, keeper = make_keeper()
+    open_flow(keeper)
+    keeper.receive(BALANCER, forward(flows.Handling.HELD), data_packet())
+    assert keeper.load().busy_count == 1
+    given_up = flows.Packet(
+        FLOW, b"", acknowledges=True, ends=True, ack=SEQ + 1
+    )
+    keeper.receive(BALANCER, forward(flows.Handling.HELD), given_up)
+    assert keeper.load().busy_count == 0
+    assert keeper.load().reserved_count == 0
+
+
+def test_a_repeated_request_counts_once() -> None:
+    """Guards against retransmissions taken for more work."""
+    _, _, keeper = make_keeper()
+    open_flow(keeper)
+    for _ in range(3):
+        keeper.receive(BALANCER, forward(flows.Handling.HELD), data_packet())
+    assert keeper.load().busy_count == 1
+
+
+def test_a_target_without_room_declines_even_a_firm_flow() -> None:
+    """Load: a crowd that returns after an outage.
+
+    Guards against queues at a backend server that it would shed.
+    """
+    _, _, keeper = make_keeper()
+    limit = 2 * _placement.PENDING_PER_SLOT
+    for index in range(limit):
+        open_flow(keeper, FLOW[:5] + bytes((index,)) + FLOW[6:])
+    opening = flows.Packet(FLOW[:5] + b"\xff" + FLOW[6:], b"", opens=True)
+    actions = keeper.receive(PEER, forward(flows.Handling.PLACE), opening)
+    (declined,) = sent(actions, flows.Declined)
+    assert isinstance(declined.message, flows.Declined)
+    assert declined.message.reason is flows.DeclineReason.BUSY
+
+
+def test_reservations_end() -> None:
+    """Guards against clients that open a flow and send nothing."""
+    clock, _, keeper = make_keeper()
+    open_flow(keeper)
+    assert keeper.load().reserved_count == 1
+    clock.set(1_000_000 + _held.RESERVATION_MS)
+    assert keeper.load().reserved_count == 0
+
+
+def make_home() -> tuple[Clock, flows.Fleet, flows.AgentFlows]:
+    clock = Clock(1_000_000)
+    fleet = flows.Fleet(clock)
+    fleet.register([instance(OWN), instance(PEER)])
+    decisions = flows.AgentFlows(clock, instance(OWN), fleet)
+    for address in (OWN, PEER):
+        load = flows.Load(flows.TargetState.READY, 2)
+        decisions.home.take_load(address, load)
+    return clock, fleet, decisions
+
+
+def test_placements_count_until_they_are_reported_or_old() -> None:
+    """Guards against backend servers that look full for ever.
+
+    A load that does not change is not reported again at once.
+    """
+    clock, _, decisions = make_home()
+    for index in range(40):
+        flow = FLOW[:5] + bytes((index,)) + FLOW[6:]
+        decisions.receive(
+            BALANCER,
+            forward(flows.Handling.RESOLVE),
+            flows.Packet(flow, b"", opens=True),
+        )
+    waiting = FLOW[:5] + b"\xfe" + FLOW[6:]
+    opening = flows.Packet(waiting, b"", opens=True)
+    request = forward(flows.Handling.RESOLVE)
+    first = decisions.receive(BALANCER, request, opening)
+    assert sent(first, flows.Waiting)
+    clock.set(1_000_000 + _held.RESERVATION_MS + 40)
+    placed = [
+        action.message
+        for action in sent(decisions.sweep(), flows.Forward)
+        if isinstance(action.message, flows.Forward)
+    ]
+    assert placed
+    assert all(item.handling is flows.Handling.PLACE for item in placed)
+
+
+def test_a_flow_that_finds_no_room_is_refused_in_time() -> None:
+    """Guards against clients held until they give up."""
+    clock, _, decisions = make_home()
+    for address in (OWN, PEER):
+        full = flows.Load(flows.TargetState.READY, 2, busy_count=8)
+        decisions.home.take_load(address, full)
+    opening = flows.Packet(FLOW, b"", opens=True)
+    request = forward(flows.Handling.RESOLVE)
+    assert sent(decisions.receive(BALANCER, request, opening), flows.Waiting)
+    refused = []
+    # The client gives up 1,400 ms after its first packet.
+    for now_ms in range(1_000_020, 1_001_000, 20):
+        clock.set(now_ms)
+        refused += sent(decisions.sweep(), flows.Refused)
+    assert len(refused) == 1
+
+
+def test_a_fresh_home_says_of_no_flow_that_it_is_gone() -> None:
+    """Guards against resets by a home that cannot know all agents yet."""
+    _, _, decisions = make_home()
+    request = forward(flows.Handling.RESOLVE)
+    decisions.receive(BALANCER, request, data_packet())
+    actions = []
+    for address in (OWN, PEER):
+        actions += decisions.hear(address, flows.Absent(FLOW))
+    assert actions == []
+
+
+def test_a_search_that_every_agent_denies_ends_the_flow() -> None:
+    """Guards against clients that wait for a flow nobody holds."""
+    clock, _, decisions = make_home()
+    clock.set(1_010_000)
+    request = forward(flows.Handling.RESOLVE)
+    decisions.receive(BALANCER, request, data_packet())
+    assert decisions.hear(OWN, flows.Absent(FLOW)) == []
+    actions = decisions.hear(PEER, flows.Absent(FLOW))
+    assert actions == [flows.Send(BALANCER, flows.Unknown(FLOW, SEQ + 1, True))]
+
+
+def make_balancer(
+    service: str = "board",
+) -> tuple[Clock, flows.Fleet, flows.BalancerFlows]:
+    clock = Clock(1_000_000)
+    fleet = flows.Fleet(clock)
+    fleet.register([instance(OWN), instance(PEER)])
+    decisions = flows.BalancerFlows(
+        clock, instance(BALANCER, core.Role.BALANCER), fleet
+    )
+    decisions.apply(make_table(1, service))
+    return clock, fleet, decisions
+
+
+def make_table(version: int, service: str) -> flows.RouteTable:
+    route = flows.Route("r", ROUTE, (flows.Share(service, 1),), True)
+    return flows.RouteTable(version, {ROUTE: route})
+
+
+def test_a_configuration_never_goes_back() -> None:
+    """Guards against an earlier version that comes late."""
+    _, _, decisions = make_balancer()
+    assert decisions.apply(make_table(5, "board"))
+    assert not decisions.apply(make_table(4, "sheets"))
+    assert not decisions.apply(make_table(5, "sheets"))
+    assert decisions.version == 5
+
+
+def test_only_a_current_configuration_says_that_a_route_is_missing() -> None:
+    """Guards against resets on routes that are too new for this balancer."""
+    _, _, decisions = make_balancer()
+    other = FLOW[:10] + bytes((0, 99))
+    opening = flows.Packet(other, b"", opens=True)
+    assert decisions.receive(opening) == []
+    decisions.is_current = True
+    assert decisions.receive(opening) == [flows.Reset(other, 0)]
+    # An open flow may belong to a route that is only known elsewhere.
+    packet = dataclasses.replace(data_packet(), flow=other)
+    assert decisions.receive(packet) == []
+
+
+def test_a_flow_of_a_changed_route_is_found_at_its_earlier_service() -> None:
+    """Guards against a configuration that moves open flows."""
+    clock, fleet, decisions = make_balancer("old")
+    old = dataclasses.replace(instance(PEER), service="old")
+    fleet.register([instance(OWN), old])
+    decisions.apply(make_table(2, "board"))
+    (first,) = sent(decisions.receive(data_packet()), flows.Forward)
+    assert first.to == OWN
+    clock.set(1_000_010)
+    unknown = flows.Unknown(FLOW, SEQ + 1, True)
+    (second,) = sent(decisions.hear(OWN, unknown), flows.Forward)
+    assert second.to == PEER
+    assert decisions.hear(PEER, unknown) == [flows.Reset(FLOW, SEQ + 1)]
+
+
+def test_a_silent_home_is_passed_over() -> None:
+    """Guards against new flows that wait for an agent that is gone."""
+    clock, _, decisions = make_balancer()
+    opening = flows.Packet(FLOW, b"", opens=True)
+    (first,) = sent(decisions.receive(opening), flows.Forward)
+    asked = {first.to}
+    for now_ms in range(1_000_020, 1_000_600, 20):
+        clock.set(now_ms)
+        asked |= {item.to for item in sent(decisions.sweep(), flows.Forward)}
+    assert asked == {OWN, PEER}
+
+
+def report(
+    sequence: int,
+    state: flows.TargetState = flows.TargetState.READY,
+    started_ms: int = 1_000,
+    target_id: str = "i-1",
+) -> flows.TargetReport:
+    return flows.TargetReport(
+        target_id, "board", state, 2, started_ms, sequence
+    )
+
+
+def test_reports_count_in_the_order_in_which_they_were_sent() -> None:
+    """Guards against late reports of earlier starts and states."""
+    clock, _, keeper = make_keeper()
+    watch = flows.TargetWatch(clock, "board", keeper, 1_200)
+    watch.take(report(5, flows.TargetState.DRAINING))
+    watch.take(report(4))
+    assert keeper.state is flows.TargetState.DRAINING
+    watch.take(report(6))
+    assert keeper.state is flows.TargetState.DRAINING
+    # A new start under the same name counts anew.
+    watch.take(report(1, started_ms=2_000))
+    assert keeper.state is flows.TargetState.READY
+    watch.take(report(99, flows.TargetState.DRAINING))
+    assert keeper.state is flows.TargetState.READY
+
+
+def test_a_late_leave_of_an_earlier_target_changes_nothing() -> None:
+    """Guards against a new backend server that is taken for the old one."""
+    clock, _, keeper = make_keeper()
+    watch = flows.TargetWatch(clock, "board", keeper, 1_200)
+    watch.take(report(1, target_id="i-2"))
+    watch.leave("i-1")
+    assert keeper.state is flows.TargetState.READY
+    assert not watch.has_left
+
+
+def test_a_silent_target_gets_no_new_flows() -> None:
+    """Guards against flows to a backend server that may be gone."""
+    clock, _, keeper = make_keeper()
+    watch = flows.TargetWatch(clock, "board", keeper, 1_200)
+    watch.take(report(1))
+    clock.set(1_000_000 + 5_000)
+    watch.sweep()
+    assert keeper.state is flows.TargetState.UNKNOWN
+    watch.take(report(2))
+    assert keeper.state is flows.TargetState.READY
+
+
+def test_an_earlier_process_is_not_heard_any_more() -> None:
+    """Guards against a late beat of what had this address before."""
+    clock = Clock(1_000_000)
+    fleet = flows.Fleet(clock)
+    fleet.hear(flows.Beat(instance(OWN, incarnation=2), flows.Load(), 0, False))
+    earlier = instance(OWN, incarnation=1)
+    fleet.hear(flows.Beat(earlier, flows.Load(), 0, True))
+    found = fleet.find(OWN)
+    assert found is not None
+    assert found.incarnation == 2
--- /dev/null
+++ b/libs/lab/src/fireflyford/lab/_packet_fleet.py
@@ -0,0 +1,602 @@
+"""Balancers, agents, backend servers and clients in virtual time.
+
+The decision code of `fireflyford.flows` runs here as it does in the processes.
+Messages take a fixed time, backend servers have slots and a queue, and clients
+repeat their packets. Everything is driven by one queue of events.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import enum
+import heapq
+import itertools
+import random
+
+from fireflyford import core
+from fireflyford import flows
+
+LINK_MS = 1
+CLIENT_MS = 2
+SWEEP_MS = 20
+LOAD_MS = 100
+BEAT_MS = 900
+# Copies of a first packet, and the end of the attempt.
+OPENING_COPIES_MS = (0, 200, 600)
+OPENING_LIMIT_MS = 1_400
+# Copies of a request while nobody answers.
+REQUEST_COPIES_MS = (0, 200, 600, 1_400)
+ROUTE = core.Address("198.18.0.1", 443)
+SERVICE = "board"
+
+
+class EventClock(core.ManualClock):
+    """Clock set by the queue of events."""
+
+    def set(self, now_ms: int) -> None:
+        """Moves to a time."""
+        self._now_ms = now_ms
+
+
+class Ending(enum.Enum):
+    """How a request of a client ended."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    RESET = "reset"
+    SHED = "shed"
+    SILENCE = "silence"
+
+
+@dataclasses.dataclass(frozen=True)
+class Result:
+    """One request as its client saw it.
+
+    Attributes:
+        flow: Its flow.
+        started_ms: When the client began.
+        ended_ms: When it ended.
+        ending: How it ended.
+    """
+
+    flow: bytes
+    started_ms: int
+    ended_ms: int
+    ending: Ending
+
+    @property
+    def duration_ms(self) -> int:
+        """Time that the client waited."""
+        return self.ended_ms - self.started_ms
+
+
+@dataclasses.dataclass(frozen=True)
+class TargetPlan:
+    """A backend server of the fleet.
+
+    Attributes:
+        slot_count: Requests worked on at the same time.
+        queue_count: Requests that wait; more are shed.
+        service_ms: Time for one request.
+        service: Its service.
+    """
+
+    slot_count: int = 2
+    queue_count: int = 8
+    service_ms: int = 30
+    service: str = SERVICE
+
+
+class Target:
+    """Stand-in of a backend server."""
+
+    def __init__(self, fleet: "PacketFleet", plan: TargetPlan, index: int):
+        """Starts without flows."""
+        self._fleet = fleet
+        self.plan = plan
+        self.index = index
+        self.up = True
+        self.first_seqs: dict[bytes, int] = {}
+        self.opened: list[tuple[int, bytes]] = []
+        self.foreign_count = 0
+        self.working: list[bytes] = []
+        self.queue: list[bytes] = []
+
+    def crash(self) -> None:
+        """Ends with all flows; the port is closed."""
+        self.up = False
+        self.first_seqs.clear()
+        self.working.clear()
+        self.queue.clear()
+
+    def receive(self, packet: flows.Packet, note: int) -> None:
+        """Handles a packet that the agent delivers."""
+        node = self._fleet.agents[self.index]
+        if not self.up:
+            node.target_refused()
+            return
+        if packet.opens:
+            self._accept(packet)
+            return
+        if packet.flow not in self.first_seqs:
+            bounced = dataclasses.replace(packet, bounced=True, note=note)
+            node.answer(bounced)
+            return
+        if packet.payload_bytes and packet.flow not in (
+            *self.working,
+            *self.queue,
+        ):
+            self._take(packet.flow)
+
+    def _accept(self, packet: flows.Packet) -> None:
+        seq = self.first_seqs.get(packet.flow)
+        if seq is None:
+            seq = self._fleet.rng.randrange(1 << 32)
+            self.first_seqs[packet.flow] = seq
+            self.opened.append((self._fleet.clock.now_ms(), packet.flow))
+        self._answer(packet.flow, opens=True, seq=seq)
+
+    def _take(self, flow: bytes) -> None:
+        if len(self.working) < self.plan.slot_count:
+            self._work(flow)
+        elif len(self.queue) < self.plan.queue_count:
+            self.queue.append(flow)
+        else:
+            self._fleet.sheds.add(flow)
+            self._answer(flow, payload_bytes=1)
+
+    def _work(self, flow: bytes) -> None:
+        self.working.append(flow)
+        self._fleet.after(self.plan.service_ms, lambda: self._finish(flow))
+
+    def _finish(self, flow: bytes) -> None:
+        if flow not in self.working:
+            return
+        self.working.remove(flow)
+        if self.queue:
+            self._work(self.queue.pop(0))
+        self._answer(flow, payload_bytes=1)
+
+    def _answer(
+        self,
+        flow: bytes,
+        opens: bool = False,
+        payload_bytes: int = 0,
+        seq: int = 0,
+    ) -> None:
+        if not opens:
+            seq = self.first_seqs.get(flow, 0) + 1
+        packet = flows.Packet(
+            flow,
+            b"",
+            opens=opens,
+            acknowledges=True,
+            payload_bytes=payload_bytes,
+            seq=seq % (1 << 32),
+        )
+        self._fleet.agents[self.index].answer(packet)
+
+
+class AgentNode:
+    """One agent with its decisions; a restart forgets everything."""
+
+    def __init__(self, fleet: "PacketFleet", index: int, target: Target):
+        """Starts a process."""
+        self._fleet = fleet
+        self.index = index
+        self.target = target
+        self.address = core.Address(f"10.0.1.{index + 1}", 7000)
+        self.up = False
+        self.start()
+
+    def start(self) -> None:
+        """Starts a new process."""
+        fleet = self._fleet
+        self.up = True
+        self.instance = flows.Instance(
+            f"agent-{self.index}",
+            core.Role.AGENT,
+            self.target.plan.service,
+            "zone",
+            self.address,
+            fleet.clock.wall_ms(),
+        )
+        self.view = flows.Fleet(fleet.clock)
+        self.flows = flows.AgentFlows(
+            fleet.clock, self.instance, self.view, fleet.placement
+        )
+        self.watch = flows.TargetWatch(
+            fleet.clock, self.target.plan.service, self.flows.keeper, 1_200
+        )
+
+    def receive(self, sender: core.Address, message: flows.Message) -> None:
+        """Handles a message."""
+        if not self.up:
+            return
+        if isinstance(message, flows.Forward):
+            packet = self._fleet.packet(message.data)
+            self.run(self.flows.receive(sender, message, packet))
+        else:
+            self.run(self.flows.hear(sender, message))
+
+    def answer(self, packet: flows.Packet) -> None:
+        """Handles a packet of the backend server."""
+        if self.up:
+            self.run(self.flows.keeper.answer(packet))
+
+    def target_refused(self) -> None:
+        """Learns that the port of the backend server is closed."""
+        self.run(self.flows.keeper.fail("port closed"))
+
+    def report(self, state: flows.TargetState, sequence: int) -> None:
+        """Takes a report of the backend server."""
+        plan = self.target.plan
+        self.watch.take(
+            flows.TargetReport(
+                "target", plan.service, state, plan.slot_count, 1, sequence
+            )
+        )
+
+    def run(self, actions: list[flows.Action]) -> None:
+        """Carries out actions."""
+        for action in actions:
+            if isinstance(action, flows.Deliver):
+                self.target.receive(action.packet, action.note)
+            else:
+                self._fleet.carry(self.address, action)
+
+
+class BalancerNode:
+    """One balancer with its decisions."""
+
+    def __init__(self, fleet: "PacketFleet", index: int):
+        """Starts a process."""
+        self._fleet = fleet
+        self.index = index
+        self.address = core.Address(f"10.0.0.{index + 1}", 7000)
+        self.up = False
+        self.start()
+
+    def start(self) -> None:
+        """Starts a new process."""
+        fleet = self._fleet
+        self.up = True
+        self.instance = flows.Instance(
+            f"balancer-{self.index}",
+            core.Role.BALANCER,
+            "",
+            "zone",
+            self.address,
+            fleet.clock.wall_ms(),
+        )
+        self.view = flows.Fleet(fleet.clock)
+        self.flows = flows.BalancerFlows(fleet.clock, self.instance, self.view)
+        self.flows.apply(fleet.table)
+        self.flows.is_current = True
+
+    def receive(self, sender: core.Address, message: flows.Message) -> None:
+        """Handles a message."""
+        if self.up:
+            self.run(self.flows.hear(sender, message))
+
+    def take(self, packet: flows.Packet) -> None:
+        """Handles a packet of a client."""
+        if self.up:
+            self.run(self.flows.receive(packet))
+
+    def run(self, actions: list[flows.Action]) -> None:
+        """Carries out actions."""
+        for action in actions:
+            self._fleet.carry(self.address, action)
+
+
+class Client:
+    """One client flow with one request at a time."""
+
+    def __init__(self, fleet: "PacketFleet", flow: bytes):
+        """Prepares a flow that is not open yet."""
+        self._fleet = fleet
+        self.flow = flow
+        self.is_open = False
+        self.is_ended = False
+        self._first_seq = 0
+        self._seq = 1
+        self._started_ms = 0
+        self._waits = False
+        self._deadline_ms = 0
+
+    def open(self, deadline_ms: int = 2_500) -> None:
+        """Opens the flow and sends a request."""
+        self._started_ms = self._fleet.clock.now_ms()
+        self._deadline_ms = deadline_ms
+        self._waits = True
+        for delay_ms in OPENING_COPIES_MS:
+            self._fleet.after(delay_ms, self._send_opening)
+        self._fleet.after(OPENING_LIMIT_MS, self._give_up_opening)
+
+    def request(self, deadline_ms: int = 2_500) -> None:
+        """Sends a request on the open flow."""
+        self._started_ms = self._fleet.clock.now_ms()
+        self._deadline_ms = deadline_ms
+        self._waits = True
+        self._send_request()
+
+    def receive(self, packet: flows.Packet) -> None:
+        """Handles a packet of the backend server."""
+        if self.is_ended:
+            return
+        if packet.opens:
+            if not self.is_open:
+                self.is_open = True
+                self._first_seq = packet.seq
+                self._send_request()
+        elif packet.payload_bytes and self._waits:
+            shed = self.flow in self._fleet.sheds
+            self._fleet.sheds.discard(self.flow)
+            self._end(Ending.SHED if shed else Ending.ANSWERED)
+
+    def reset(self) -> None:
+        """Handles a reset."""
+        if self.is_ended:
+            return
+        self.is_ended = True
+        holder = self._fleet.holder(self.flow)
+        if self.is_open and holder is not None:
+            self._fleet.broken.append(self.flow)
+        if self._waits:
+            self._end(Ending.RESET if self.is_open else Ending.REFUSED)
+
+    def _send_opening(self) -> None:
+        if not self.is_open and not self.is_ended:
+            self._fleet.from_client(
+                flows.Packet(self.flow, b"", opens=True, seq=self._seq)
+            )
+
+    def _give_up_opening(self) -> None:
+        if not self.is_open and not self.is_ended:
+            self.is_ended = True
+            self._end(Ending.SILENCE)
+
+    def _send_request(self) -> None:
+        self._seq += 1
+        seq = self._seq
+        began_ms = self._started_ms
+
+        def copy() -> None:
+            if (
+                self._waits
+                and not self.is_ended
+                and began_ms == (self._started_ms)
+            ):
+                self._fleet.from_client(
+                    flows.Packet(
+                        self.flow,
+                        b"",
+                        acknowledges=True,
+                        payload_bytes=1,
+                        seq=seq,
+                        ack=(self._first_seq + 1) % (1 << 32),
+                    )
+                )
+
+        def give_up() -> None:
+            if self._waits and began_ms == self._started_ms:
+                self.is_ended = True
+                self._end(Ending.SILENCE)
+
+        for delay_ms in REQUEST_COPIES_MS:
+            self._fleet.after(delay_ms, copy)
+        left_ms = began_ms + self._deadline_ms - self._fleet.clock.now_ms()
+        self._fleet.after(max(0, left_ms), give_up)
+
+    def _end(self, ending: Ending) -> None:
+        self._waits = False
+        self._fleet.results.append(
+            Result(
+                self.flow,
+                self._started_ms,
+                self._fleet.clock.now_ms(),
+                ending,
+            )
+        )
+
+
+class PacketFleet:
+    """The whole path in virtual time."""
+
+    def __init__(
+        self,
+        seed: int,
+        plans: list[TargetPlan],
+        balancer_count: int = 3,
+        placement: flows.Placement | None = None,
+        lasting: bool = False,
+    ) -> None:
+        """Starts all processes with a common view.
+
+        Args:
+            seed: Seed of all random choices.
+            plans: The backend servers.
+            balancer_count: Number of balancers.
+            placement: Policy for new flows.
+            lasting: Whether flows carry many requests.
+        """
+        self.rng = random.Random(seed)
+        self.clock = EventClock(1_000_000)
+        self.placement = placement
+        self._events: list[tuple[int, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._packets: dict[bytes, flows.Packet] = {}
+        self._clients: dict[bytes, Client] = {}
+        self.results: list[Result] = []
+        self.broken: list[bytes] = []
+        self.sheds: set[bytes] = set()
+        route = flows.Route("board", ROUTE, (flows.Share(SERVICE, 1),), lasting)
+        self.table = flows.RouteTable(1, {ROUTE: route})
+        self.targets = [
+            Target(self, plan, index) for index, plan in enumerate(plans)
+        ]
+        self.agents = [
+            AgentNode(self, index, target)
+            for index, target in enumerate(self.targets)
+        ]
+        self.balancers = [
+            BalancerNode(self, index) for index in range(balancer_count)
+        ]
+        self.rotation = list(self.balancers)
+        # Agents that the registry does not show.
+        self.hidden: set[core.Address] = set()
+        self.register()
+        for node in self.agents:
+            node.report(flows.TargetState.READY, 1)
+        self._every(SWEEP_MS, self._sweep)
+        self._every(LOAD_MS, self._report_loads)
+        self._every(BEAT_MS, self._beat)
+        self._report_loads()
+
+    # Time.
+
+    def after(self, delay_ms: int, work: Callable[[], None]) -> None:
+        """Runs `work` later."""
+        at_ms = self.clock.now_ms() + delay_ms
+        heapq.heappush(self._events, (at_ms, next(self._order), work))
+
+    def _every(self, interval_ms: int, work: Callable[[], None]) -> None:
+        def step() -> None:
+            work()
+            self.after(interval_ms, step)
+
+        self.after(interval_ms, step)
+
+    def run(self, duration_ms: int) -> None:
+        """Plays all events of some time."""
+        end_ms = self.clock.now_ms() + duration_ms
+        while self._events and self._events[0][0] <= end_ms:
+            at_ms, _, work = heapq.heappop(self._events)
+            self.clock.set(at_ms)
+            work()
+        self.clock.set(end_ms)
+
+    def _sweep(self) -> None:
+        for agent in self.agents:
+            if agent.up:
+                agent.run(agent.flows.sweep())
+        for balancer in self.balancers:
+            if balancer.up:
+                balancer.run(balancer.flows.sweep())
+
+    def _report_loads(self) -> None:
+        for agent in self.agents:
+            if not agent.up:
+                continue
+            load = agent.flows.keeper.load()
+            agent.flows.home.take_load(agent.address, load)
+            for peer in agent.view.agents(agent.instance.service):
+                if peer.address != agent.address:
+                    report = flows.LoadReport(load)
+                    self.carry(agent.address, flows.Send(peer.address, report))
+
+    def _beat(self) -> None:
+        for agent in self.agents:
+            if agent.up:
+                beat = flows.Beat(
+                    agent.instance, agent.flows.keeper.load(), 0, False
+                )
+                for balancer in self.balancers:
+                    self.carry(
+                        agent.address, flows.Send(balancer.address, beat)
+                    )
+        for node in self._nodes():
+            if node.up:
+                node.view.refresh()
+
+    def register(self) -> None:
+        """Gives every process the present registry."""
+        instances = [
+            node.instance
+            for node in self._nodes()
+            if node.up and node.address not in self.hidden
+        ]
+        for node in self._nodes():
+            if node.up:
+                node.view.register(instances)
+
+    # Packets and messages.
+
+    def packet(self, data: bytes) -> flows.Packet:
+        """Returns the packet that `data` stands for."""
+        return self._packets[data]
+
+    def from_client(self, packet: flows.Packet) -> None:
+        """Sends a client's packet to the balancer of the rotation."""
+        data = len(self._packets).to_bytes(8, "big")
+        packet = dataclasses.replace(packet, data=data)
+        self._packets[data] = packet
+        if not self.rotation:
+            return
+        index = int.from_bytes(packet.flow, "big") % len(self.rotation)
+        balancer = self.rotation[index]
+        self.after(CLIENT_MS, lambda: balancer.take(packet))
+
+    def carry(self, sender: core.Address, action: flows.Action) -> None:
+        """Carries out an action that leaves an instance."""
+        if isinstance(action, flows.Send):
+            node = self._node(action.to)
+            delay_ms = 0 if action.to == sender else LINK_MS
+            message = action.message
+            if node is not None:
+                receive = node.receive
+                self.after(delay_ms, lambda: receive(sender, message))
+        elif isinstance(action, flows.Reply):
+            client = self._clients.get(action.packet.flow)
+            packet = action.packet
+            if client is not None:
+                take = client.receive
+                self.after(CLIENT_MS, lambda: take(packet))
+        elif isinstance(action, flows.Reset):
+            client = self._clients.get(action.flow)
+            if client is not None:
+                self.after(CLIENT_MS, client.reset)
+
+    def _nodes(self) -> list[AgentNode | BalancerNode]:
+        return [*self.agents, *self.balancers]
+
+    def _node(self, address: core.Address) -> AgentNode | BalancerNode | None:
+        for node in self._nodes():
+            if node.address == address:
+                return node
+        return None
+
+    # Clients.
+
+    def client(self) -> Client:
+        """Returns a new client flow."""
+        number = len(self._clients)
+        host = 0x0A800000 + number // 40_000
+        port = 1_024 + number % 40_000
+        flow = host.to_bytes(4, "big") + port.to_bytes(2, "big")
+        flow += bytes(int(part) for part in ROUTE.host.split("."))
+        flow += ROUTE.port.to_bytes(2, "big")
+        client = Client(self, flow)
+        self._clients[flow] = client
+        return client
+
+    def holder(self, flow: bytes) -> Target | None:
+        """Returns the backend server that holds a flow."""
+        for target in self.targets:
+            if target.up and flow in target.first_seqs:
+                return target
+        return None
+
+    def answered_share(self, limit_ms: int, since_ms: int = 0) -> float:
+        """Returns the share of requests answered within a time.
+
+        Args:
+            limit_ms: Longest duration that counts.
+            since_ms: Only requests begun from then on.
+        """
+        results = [item for item in self.results if item.started_ms >= since_ms]
+        good = sum(
+            item.ending is Ending.ANSWERED and item.duration_ms <= limit_ms
+            for item in results
+        )
+        return good / max(1, len(results))
--- /dev/null
+++ b/libs/lab/tests/test_packet_fleet.py
@@ -0,0 +1,256 @@
+"""Flows on the decision code in virtual time, under changes and failures."""
+
+import pytest
+
+from fireflyford import flows
+from fireflyford.lab import _packet_fleet
+
+PLANS = [_packet_fleet.TargetPlan() for _ in range(7)]
+# A calm request takes two round trips to the balancer and 30 ms of work.
+CALM_MS = 60
+
+
+def open_clients(
+    fleet: _packet_fleet.PacketFleet, count: int, gap_ms: int = 20
+) -> list[_packet_fleet.Client]:
+    clients = []
+    for _ in range(count):
+        client = fleet.client()
+        client.open()
+        clients.append(client)
+        fleet.run(gap_ms)
+    fleet.run(100)
+    return clients
+
+
+def request_on_all(
+    fleet: _packet_fleet.PacketFleet,
+    clients: list[_packet_fleet.Client],
+    gap_ms: int = 20,
+) -> None:
+    fleet.results.clear()
+    for client in clients:
+        # A client whose flow was reset would open another one.
+        if not client.is_ended:
+            client.request()
+            fleet.run(gap_ms)
+    fleet.run(3_000)
+
+
+def endings(
+    fleet: _packet_fleet.PacketFleet,
+) -> set[_packet_fleet.Ending]:
+    return {result.ending for result in fleet.results}
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_calm_fleet_serves_everything(seed: int) -> None:
+    """Guards against needless hops, waits and copies."""
+    fleet = _packet_fleet.PacketFleet(seed, PLANS)
+    open_clients(fleet, 100)
+    assert fleet.answered_share(CALM_MS) == 1.0
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_flows_stay_when_the_rotation_changes(seed: int) -> None:
+    """Guards against flows that depend on the balancer of their opening."""
+    fleet = _packet_fleet.PacketFleet(seed, PLANS, 4, lasting=True)
+    clients = open_clients(fleet, 80)
+    fleet.rotation = fleet.balancers[1:]
+    request_on_all(fleet, clients)
+    assert fleet.broken == []
+    assert fleet.answered_share(CALM_MS) == 1.0
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_flows_survive_a_restart_of_any_agent(seed: int) -> None:
+    """Guards against state that only the agents' memory holds."""
+    fleet = _packet_fleet.PacketFleet(seed, PLANS, lasting=True)
+    clients = open_clients(fleet, 80)
+    for agent in fleet.agents[:3]:
+        agent.up = False
+        fleet.run(300)
+        agent.start()
+        fleet.register()
+        agent.report(flows.TargetState.READY, 2)
+    for balancer in fleet.balancers:
+        balancer.start()
+    fleet.register()
+    fleet.run(400)
+    request_on_all(fleet, clients)
+    assert fleet.broken == []
+    assert endings(fleet) == {_packet_fleet.Ending.ANSWERED}
+
+
+def test_flows_survive_a_restart_of_all_processes() -> None:
+    """Guards against agents that forget what their backend servers hold."""
+    fleet = _packet_fleet.PacketFleet(1, PLANS, lasting=True)
+    clients = open_clients(fleet, 80)
+    for node in (*fleet.agents, *fleet.balancers):
+        node.start()
+    fleet.register()
+    for agent in fleet.agents:
+        agent.report(flows.TargetState.READY, 2)
+    fleet.run(400)
+    request_on_all(fleet, clients)
+    assert fleet.broken == []
+    assert endings(fleet) == {_packet_fleet.Ending.ANSWERED}
+
+
+def test_a_crashed_target_resets_its_flows_at_once() -> None:
+    """Guards against clients that wait for a backend server that is gone."""
+    fleet = _packet_fleet.PacketFleet(2, PLANS, lasting=True)
+    clients = open_clients(fleet, 80)
+    fleet.targets[0].crash()
+    request_on_all(fleet, clients)
+    assert fleet.broken == []
+    lost = [
+        result
+        for result in fleet.results
+        if result.ending is not _packet_fleet.Ending.ANSWERED
+    ]
+    assert len([client for client in clients if client.is_ended]) >= 5
+    for result in lost:
+        assert result.ending is _packet_fleet.Ending.RESET
+        assert result.duration_ms <= 50
+
+
+def test_a_vanished_target_ends_its_flows_when_it_is_gone() -> None:
+    """Guards against flows that wait for a machine that lost its power."""
+    fleet = _packet_fleet.PacketFleet(3, PLANS, lasting=True)
+    clients = open_clients(fleet, 80)
+    fleet.targets[0].crash()
+    fleet.agents[0].up = False
+    fleet.run(4_000)
+    fleet.register()
+    fleet.run(1_000)
+    request_on_all(fleet, clients)
+    for result in fleet.results:
+        assert result.ending in (
+            _packet_fleet.Ending.ANSWERED,
+            _packet_fleet.Ending.RESET,
+        )
+        assert result.duration_ms <= CALM_MS
+
+
+def test_a_draining_target_gets_no_new_flow() -> None:
+    """Guards against homes and balancers that have not heard of a drain."""
+    fleet = _packet_fleet.PacketFleet(4, PLANS)
+    fleet.agents[2].report(flows.TargetState.DRAINING, 2)
+    drained_ms = fleet.clock.now_ms()
+    open_clients(fleet, 100, gap_ms=5)
+    assert fleet.answered_share(2 * CALM_MS) == 1.0
+    assert all(at_ms < drained_ms for at_ms, _ in fleet.targets[2].opened)
+
+
+def test_a_reused_address_gets_no_flow_of_the_earlier_service() -> None:
+    """Guards against routing to a backend server by its address alone."""
+    fleet = _packet_fleet.PacketFleet(5, PLANS, lasting=True)
+    clients = open_clients(fleet, 80)
+    agent = fleet.agents[1]
+    fleet.targets[1].crash()
+    other = _packet_fleet.TargetPlan(service="sheets")
+    fleet.targets[1].plan = other
+    fleet.targets[1].up = True
+    # The balancers and the other agents do not know yet.
+    agent.start()
+    agent.report(flows.TargetState.READY, 1)
+    opened_count = len(fleet.targets[1].opened)
+    request_on_all(fleet, clients)
+    open_clients(fleet, 50)
+    assert len(fleet.targets[1].opened) == opened_count
+    assert fleet.broken == []
+
+
+def test_an_agent_that_the_registry_hides_keeps_its_flows() -> None:
+    """Guards against resets by homes that see the registry only."""
+    fleet = _packet_fleet.PacketFleet(6, PLANS, lasting=True)
+    clients = open_clients(fleet, 80)
+    fleet.hidden.add(fleet.agents[0].address)
+    fleet.register()
+    fleet.run(6_000)
+    for balancer in fleet.balancers:
+        balancer.start()
+    fleet.register()
+    request_on_all(fleet, clients)
+    assert fleet.broken == []
+    assert endings(fleet) == {_packet_fleet.Ending.ANSWERED}
+
+
+def test_a_returning_crowd_is_served_without_sheds() -> None:
+    """Load: all clients of two seconds come back in a moment.
+
+    Guards against the first backend servers to be ready getting more than
+    they can queue, and against work that counts for clients that are gone.
+    """
+    fleet = _packet_fleet.PacketFleet(7, PLANS)
+    clients = [fleet.client() for _ in range(350)]
+    for client in clients:
+        client.open()
+    fleet.run(4_000)
+    kinds = [result.ending for result in fleet.results]
+    assert _packet_fleet.Ending.SHED not in kinds
+    # 350 requests of 30 ms on 14 slots take 750 ms.
+    assert kinds.count(_packet_fleet.Ending.ANSWERED) >= 0.6 * len(kinds)
+    assert _packet_fleet.Ending.SILENCE not in kinds
+    since_ms = fleet.clock.now_ms()
+    open_clients(fleet, 100)
+    assert fleet.answered_share(CALM_MS, since_ms) == 1.0
+
+
+def test_first_packets_lost_at_a_restarting_agent_come_again() -> None:
+    """Load: requests that arrive in the last moment of an outage.
+
+    Guards against waiting for the client's own copy.
+    """
+    fleet = _packet_fleet.PacketFleet(8, PLANS)
+    for agent in fleet.agents:
+        agent.up = False
+    clients = [fleet.client() for _ in range(20)]
+    for client in clients:
+        client.open()
+    fleet.run(120)
+    for agent in fleet.agents:
+        agent.start()
+        agent.report(flows.TargetState.READY, 2)
+    fleet.register()
+    for agent in fleet.agents:
+        agent.flows.home.take_load(agent.address, agent.flows.keeper.load())
+    fleet.run(2_000)
+    assert fleet.answered_share(OUTAGE_LIMIT_MS) == 1.0
+
+
+# The outage of 120 ms, one repetition after at most 240 ms, the work, and the
+# wait for a slot; the client's copy would come 600 ms after its first packet.
+OUTAGE_LIMIT_MS = 450
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_placement_by_completion_beats_random_at_the_crest(seed: int) -> None:
+    """Load: 70 % of capacity on backend servers of threefold speeds.
+
+    Baseline in the same run: random placement without regard to load.
+    """
+    speeds_ms = (18, 43, 43, 18, 43, 43, 43)
+    plans = [_packet_fleet.TargetPlan(service_ms=item) for item in speeds_ms]
+    shares = []
+    for random_placement in (False, True):
+        fleet = _packet_fleet.PacketFleet(seed, plans)
+        if random_placement:
+            policy = flows.Random(fleet.rng)
+            fleet.placement = policy
+            for agent in fleet.agents:
+                agent.start()
+            fleet.register()
+            for agent in fleet.agents:
+                agent.report(flows.TargetState.READY, 2)
+            fleet.run(200)
+        for _ in range(1_500):
+            fleet.client().open()
+            gap_ms = fleet.rng.expovariate(1 / 3.2)
+            fleet.run(max(1, round(gap_ms)))
+        fleet.run(3_000)
+        shares.append(fleet.answered_share(100))
+    assert shares[0] >= 0.95
+    # At most half as many late answers as the baseline.
+    assert 1 - shares[0] <= (1 - shares[1]) / 2
--- /dev/null
+++ b/libs/telemetry/tests/test_writer.py
@@ -0,0 +1,34 @@
+"""Log lines to a reader that does not read."""
+
+import os
+import pathlib
+
+from fireflyford.telemetry import _writer
+
+
+def test_a_reader_that_does_not_read_stops_nobody() -> None:
+    """Guards against a process that waits for its log, and endless memory."""
+    reading, writing = os.pipe()
+    with open(reading, "rb") as reader, open(writing, "w") as stream:
+        writer = _writer.LineWriter(stream)
+        for index in range(5_000):
+            writer.write(f"event=line index={index} filler={'x' * 200}")
+        assert writer.dropped_total > 0
+        os.set_blocking(reader.fileno(), False)
+        while reader.read(65_536):
+            pass
+        writer._allowance = _writer.BURST_LINES
+        writer.write("event=after")
+        assert b"event=log-lines-dropped" in (reader.read(1 << 20) or b"")
+
+
+def test_every_line_of_a_calm_process_is_written(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against lines that are lost without need."""
+    path = tmp_path / "log"
+    with path.open("w") as stream:
+        writer = _writer.LineWriter(stream)
+        for index in range(100):
+            writer.write(f"event=line index={index}")
+    assert len(path.read_text().splitlines()) == 100
--- /dev/null
+++ b/tests/adapter/test_formats.py
@@ -0,0 +1,246 @@
+"""Formats of the platform: packets, settings, configuration, reports."""
+
+import json
+
+from hypothesis import given
+from hypothesis import strategies
+import pytest
+
+from fireflyford import core
+from fireflyford import flows
+from fireflyford.platform import _api
+from fireflyford.platform import _config
+from fireflyford.platform import _packet
+from fireflyford.platform import _settings
+
+CLIENT = core.Address("100.64.0.9", 40_002)
+ROUTE = core.Address("198.18.0.3", 8_443)
+FLOW = _packet.flow_id(CLIENT, ROUTE)
+SYN, ACK, FIN, RST, BOUNCED = 128, 1, 2, 16, 8
+
+
+def encode(
+    flags: int,
+    data: bytes = b"",
+    seq: int = 0,
+    ack: int = 0,
+    to_client: bool = False,
+    echo: int = 0,
+) -> bytes:
+    ends = (CLIENT, ROUTE)
+    source, destination = reversed(ends) if to_client else ends
+    numbers = {
+        end: int.from_bytes(bytes(map(int, end.host.split("."))), "big")
+        for end in ends
+    }
+    return (
+        len(data).to_bytes(2, "little")
+        + echo.to_bytes(4, "little")
+        + destination.port.to_bytes(2, "little")
+        + numbers[source].to_bytes(4, "little")
+        + numbers[destination].to_bytes(4, "little")
+        + source.port.to_bytes(2, "little")
+        + bytes((flags,))
+        + bytes(5)
+        + (0x12345678).to_bytes(4, "little")
+        + seq.to_bytes(4, "little")
+        + ack.to_bytes(4, "little")
+        + data
+    )
+
+
+def decode(data: bytes, by_target: bool = False) -> flows.Packet:
+    codec = _packet.PlatformPackets()
+    outcome = codec.from_target(data) if by_target else codec.from_client(data)
+    assert isinstance(outcome, core.Ok)
+    return outcome.value
+
+
+def test_fields_of_a_client_packet() -> None:
+    """Guards against swapped fields and byte order."""
+    packet = decode(encode(ACK | FIN, b"abc", seq=7, ack=9))
+    assert packet.flow == FLOW
+    assert (packet.payload_bytes, packet.seq, packet.ack) == (3, 7, 9)
+    assert packet.acknowledges
+    assert packet.ends
+    assert not packet.opens
+    assert not packet.resets
+    assert flows.client_address(FLOW) == CLIENT
+    assert flows.route_address(FLOW) == ROUTE
+
+
+def test_both_directions_and_returned_packets_have_one_flow() -> None:
+    """Guards against a flow that is unknown on its way back."""
+    assert decode(encode(SYN)).flow == FLOW
+    answer = decode(encode(SYN | ACK, to_client=True), by_target=True)
+    assert answer.flow == FLOW
+    returned = decode(encode(SYN | BOUNCED, echo=77), by_target=True)
+    assert returned.flow == FLOW
+    assert returned.bounced
+    assert returned.note == 77
+
+
+def test_a_delivered_packet_changes_in_note_and_mark_only() -> None:
+    """Guards against packets that their sender did not write so."""
+    data = encode(ACK | BOUNCED, b"payload", seq=5, ack=6)
+    codec = _packet.PlatformPackets()
+    delivered = codec.deliverable(decode(data, by_target=True), 0xABCD)
+    assert delivered == encode(ACK, b"payload", seq=5, ack=6, echo=0xABCD)
+
+
+def test_a_reset_comes_from_the_route() -> None:
+    """Guards against resets that the client does not take."""
+    data = _packet.PlatformPackets().reset(FLOW, 0x01020304)
+    expected = bytearray(encode(RST, seq=0x01020304, to_client=True))
+    expected[24:28] = bytes(4)
+    assert data == bytes(expected)
+
+
+@given(strategies.binary(max_size=80))
+def test_any_bytes_are_decoded_or_refused(data: bytes) -> None:
+    """Guards against exceptions on foreign datagrams."""
+    codec = _packet.PlatformPackets()
+    for outcome in (codec.from_client(data), codec.from_target(data)):
+        if isinstance(outcome, core.Failure):
+            assert outcome.kind is core.ErrorKind.BAD_MESSAGE
+        else:
+            assert outcome.value.payload_bytes == len(data) - 36
+
+
+BOOT = {
+    "node_id": "side-a-1",
+    "ip": "10.1.0.13",
+    "zone": "a",
+    "service": "board",
+    "app": "10.1.0.13:8080",
+    "listen": {
+        "datagram_addr": "10.1.0.13:8172",
+        "outbound": "10.1.0.13:8162",
+        "readiness_addr": "10.1.0.13:8167",
+        "control": "10.1.0.13:8166",
+    },
+    "internal_ports": [7720, 7735],
+    "seeds": ["10.1.0.10:8166"],
+    "heartbeat_ms": 1200,
+    "bounds": {"grace_s": 6},
+    "platform": {"address": "10.200.1.7:8169"},
+    "a_new_field": {"of": ["any", "kind"]},
+}
+
+
+def test_settings_of_an_agent() -> None:
+    """Guards against settings that go to the wrong place."""
+    outcome = _settings.parse_settings(json.dumps(BOOT).encode())
+    assert isinstance(outcome, core.Ok)
+    options = outcome.value
+    assert options.link_address == core.Address("10.1.0.13", 7720)
+    assert options.seed_addresses == (core.Address("10.1.0.10", 7721),)
+    assert options.client_port == 8172
+    assert options.backend_address == core.Address("10.1.0.13", 8080)
+    assert options.grace_ms == 6_000
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"ip": 7},
+        {"listen": {}},
+        {"platform": {"address": "nowhere"}},
+        {"bounds": {}},
+    ],
+)
+def test_bad_settings_are_named(change: dict[str, object]) -> None:
+    """Guards against a start with settings that are only partly read."""
+    outcome = _settings.parse_settings(json.dumps(BOOT | change).encode())
+    assert isinstance(outcome, core.Failure)
+    assert outcome.kind is core.ErrorKind.BAD_SETTINGS
+
+
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": ROUTE.host,
+            "prefix": "/8443/",
+            "type": "safe",
+            "backends": [
+                {"service": "board", "weight": 90},
+                {"service": "sheets", "weight": 10},
+                {"service": "old", "weight": 0},
+            ],
+        },
+        {
+            "name": "r-2",
+            "host": "198.18.0.4",
+            "prefix": "/80/",
+            "type": "non_idempotent",
+            "service": "board",
+        },
+    ],
+    "services": [],
+}
+
+
+def test_routes_of_a_configuration() -> None:
+    """Guards against routes without a service, and lost weights."""
+    outcome = _config.OperatorConfig().parse(json.dumps(CONFIG).encode())
+    assert isinstance(outcome, core.Ok)
+    table = outcome.value
+    assert table.version == 7
+    split = table.routes[ROUTE]
+    assert split.lasting
+    assert split.shares == (
+        flows.Share("board", 90),
+        flows.Share("sheets", 10),
+    )
+    plain = table.routes[core.Address("198.18.0.4", 80)]
+    assert not plain.lasting
+    assert plain.service(FLOW) == "board"
+
+
+@pytest.mark.parametrize(
+    "document",
+    [b"", b"[]", b'{"version":"7"}', b'{"version":1,"routes":[{"name":"x"}]}'],
+)
+def test_an_unreadable_configuration_is_held_back(document: bytes) -> None:
+    """Guards against a partial configuration in force."""
+    outcome = _config.OperatorConfig().parse(document)
+    assert isinstance(outcome, core.Failure)
+    assert outcome.kind is core.ErrorKind.BAD_CONFIG
+
+
+REPORT = {
+    "service": "board",
+    "state": "ready",
+    "slots": 2,
+    "seq": 4,
+    "born": 1_700_000_000_000,
+    "address": "10.1.0.13:8080",
+}
+
+
+def test_a_report_is_translated() -> None:
+    """Guards against a report under the wire's names."""
+    report = _api.parse_report("i-1", json.dumps(REPORT).encode())
+    assert report == flows.TargetReport(
+        "i-1", "board", flows.TargetState.READY, 2, 1_700_000_000_000, 4
+    )
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "resting"},
+        {"slots": 0},
+        {"slots": "2"},
+        {"born": None},
+        {"seq": 1.5},
+    ],
+)
+def test_a_report_of_another_writer_names_no_target(
+    change: dict[str, object],
+) -> None:
+    """Guards against use of what cannot be understood."""
+    body = json.dumps(REPORT | change).encode()
+    assert _api.parse_report("i-1", body) is None
--- /dev/null
+++ b/tests/adapter/test_processes.py
@@ -0,0 +1,410 @@
+"""Real balancer and agent processes on loopback, with the store's stand-in."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Iterator
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+
+import pytest
+
+from fireflyford import core
+from fireflyford import flows
+from fireflyford.lab import _platform_store
+from fireflyford.platform import _packet
+
+SERVICE = "board"
+ROUTE = core.Address("198.18.0.1", 8_443)
+CLIENT_HOST = "127.1.0.7"
+SYN, ACK, RST, BOUNCED = 128, 1, 16, 8
+FLAGS_OFFSET = 18
+STORE_HOST = "127.1.0.99"
+PACKET_PORT = 18_172
+OUTBOUND_PORT = 18_162
+READINESS_PORT = 18_167
+REPORT_PORT = 18_166
+APP_PORT = 18_080
+LINK_PORT = 17_720
+BALANCER_HOST = "127.1.0.1"
+AGENT_HOSTS = ("127.1.0.11", "127.1.0.12", "127.1.0.13")
+CONFIG = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "r",
+            "host": ROUTE.host,
+            "prefix": f"/{ROUTE.port}/",
+            "type": "safe",
+            "service": SERVICE,
+        }
+    ],
+}
+
+
+class Target(asyncio.DatagramProtocol):
+    """Stand-in of a backend server: accepts flows and echoes data."""
+
+    def __init__(self, host: str) -> None:
+        """Starts without flows."""
+        self.host = host
+        self.flows: set[bytes] = set()
+        self.delivered: list[bytes] = []
+        self._transport: asyncio.DatagramTransport | None = None
+        self.sequence = 0
+
+    async def open(self) -> None:
+        """Binds the socket."""
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(self.host, APP_PORT)
+        )
+
+    def close(self) -> None:
+        """Closes the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Answers as a backend server does."""
+        assert self._transport is not None
+        self.delivered.append(data)
+        outcome = _packet.PlatformPackets().from_client(data)
+        assert isinstance(outcome, core.Ok)
+        packet = outcome.value
+        outbound = (self.host, OUTBOUND_PORT)
+        if packet.opens:
+            self.flows.add(packet.flow)
+            answer = to_client(packet.flow, SYN | ACK, seq=1_000)
+        elif packet.flow in self.flows:
+            answer = to_client(
+                packet.flow, ACK, data[36:] + self.host.encode(), seq=1_001
+            )
+        else:
+            returned = bytearray(data)
+            returned[FLAGS_OFFSET] |= BOUNCED
+            answer = bytes(returned)
+        self._transport.sendto(answer, outbound)
+
+    async def report(self, state: str = "ready") -> int:
+        """Reports to the agent; returns the status of the answer."""
+        self.sequence += 1
+        body = json.dumps(
+            {
+                "service": SERVICE,
+                "state": state,
+                "slots": 2,
+                "seq": self.sequence,
+                "born": 1_700_000_000_000,
+            }
+        ).encode()
+        return await post(
+            core.Address(self.host, REPORT_PORT),
+            f"/Instances.Heartbeat/i-{self.host}",
+            body,
+        )
+
+
+def to_client(
+    flow: bytes, flags: int, data: bytes = b"", seq: int = 0
+) -> bytes:
+    packet = bytearray(_packet.PlatformPackets().reset(flow, seq))
+    packet[0:2] = len(data).to_bytes(2, "little")
+    packet[FLAGS_OFFSET] = flags
+    return bytes(packet) + data
+
+
+def from_client(
+    client: core.Address, flags: int, data: bytes = b"", ack: int = 0
+) -> bytes:
+    # The reverse of a packet to the client.
+    flow = _packet.flow_id(ROUTE, client)
+    packet = bytearray(to_client(flow, flags, data, seq=5))
+    packet[32:36] = ack.to_bytes(4, "little")
+    return bytes(packet)
+
+
+async def post(address: core.Address, path: str, body: bytes) -> int:
+    return (await call(address, "POST", path, body))[0]
+
+
+async def call(
+    address: core.Address, method: str, path: str, body: bytes = b""
+) -> tuple[int, bytes]:
+    reader, writer = await asyncio.open_connection(*address.pair)
+    head = (
+        f"{method} {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    writer.write(head.encode() + body)
+    reply = await reader.read()
+    writer.close()
+    top, _, content = reply.partition(b"\r\n\r\n")
+    return int(top.split()[1]), content
+
+
+class ClientEnd(asyncio.DatagramProtocol):
+    """Socket on which all clients of one host are answered."""
+
+    def __init__(self) -> None:
+        """Starts without packets."""
+        self.packets: list[bytes] = []
+        self.transport: asyncio.DatagramTransport | None = None
+
+    async def open(self) -> None:
+        """Binds the socket."""
+        loop = asyncio.get_running_loop()
+        self.transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(CLIENT_HOST, PACKET_PORT)
+        )
+
+    def close(self) -> None:
+        """Closes the socket."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Keeps a packet."""
+        self.packets.append(data)
+
+    async def exchange(self, data: bytes) -> bytes:
+        """Sends a packet and returns the next one that comes."""
+        assert self.transport is not None
+        count = len(self.packets)
+        self.transport.sendto(data, (BALANCER_HOST, PACKET_PORT))
+        assert await _platform_store.wait_until(
+            lambda: len(self.packets) > count
+        )
+        return self.packets[count]
+
+
+def boot(
+    name: str, host: str, is_agent: bool, store: core.Address
+) -> dict[str, object]:
+    listen = {
+        "datagram_addr": f"{host}:{PACKET_PORT}",
+        "readiness_addr": f"{host}:{READINESS_PORT}",
+    }
+    document: dict[str, object] = {
+        "node_id": name,
+        "ip": host,
+        "zone": "a",
+        "listen": listen,
+        "internal_ports": [LINK_PORT, LINK_PORT + 15],
+        "seeds": [],
+        "heartbeat_ms": 1_200,
+        "bounds": {"grace_s": 3},
+        "platform": {"address": str(store)},
+    }
+    if is_agent:
+        listen["outbound"] = f"{host}:{OUTBOUND_PORT}"
+        listen["control"] = f"{host}:{REPORT_PORT}"
+        document["service"] = SERVICE
+        document["app"] = f"{host}:{APP_PORT}"
+    return document
+
+
+class Fleet:
+    """The processes of one test, ended by their ids."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        """Prepares without processes."""
+        self._folder = folder
+        with socket.socket() as probe:
+            probe.bind((STORE_HOST, 0))
+            self.store = core.Address(STORE_HOST, probe.getsockname()[1])
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+
+    def start(self, name: str, host: str, is_agent: bool) -> None:
+        """Starts a process."""
+        path = self._folder / f"{name}.json"
+        path.write_text(json.dumps(boot(name, host, is_agent, self.store)))
+        program = "agent" if is_agent else "balancer"
+        with (self._folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", "fireflyford.platform", program],
+                env=os.environ | {"FIREFLYFORD_BOOT": str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def log(self, name: str) -> str:
+        """Returns what a process has logged."""
+        return (self._folder / f"{name}.log").read_text()
+
+    def stop(self) -> None:
+        """Ends all processes."""
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+
+
+@pytest.fixture
+def fleet(tmp_path: pathlib.Path) -> Iterator[Fleet]:
+    processes = Fleet(tmp_path)
+    yield processes
+    processes.stop()
+
+
+async def is_ready(host: str) -> bool:
+    try:
+        status, _ = await call(
+            core.Address(host, READINESS_PORT), "GET", "/ready"
+        )
+    except OSError:
+        return False
+    return status == 200
+
+
+async def wait_ready(host: str) -> None:
+    for _ in range(200):
+        if await is_ready(host):
+            return
+        await asyncio.sleep(0.05)
+    raise AssertionError(f"{host} is not ready")
+
+
+@contextlib.asynccontextmanager
+async def running(
+    fleet: Fleet,
+) -> AsyncIterator[tuple[list[Target], ClientEnd]]:
+    """Starts store, processes and targets; closes what is in this process."""
+    server = _platform_store.PlatformStoreServer(fleet.store)
+    server.state.put("op/config", json.dumps(CONFIG).encode())
+    server.start()
+    fleet.start("balancer", BALANCER_HOST, False)
+    targets = [Target(host) for host in AGENT_HOSTS]
+    for index, target in enumerate(targets):
+        await target.open()
+        fleet.start(f"agent-{index}", target.host, True)
+    await wait_ready(BALANCER_HOST)
+    for target in targets:
+        await wait_ready(target.host)
+        assert await target.report() == 200
+    # Loads reach the peers within some report intervals.
+    await asyncio.sleep(0.6)
+    client = ClientEnd()
+    await client.open()
+    try:
+        yield targets, client
+    finally:
+        client.close()
+        for target in targets:
+            target.close()
+        server.stop()
+
+
+def test_the_whole_path(fleet: Fleet) -> None:
+    """Guards against a flow that breaks over restarts, crashes and drains."""
+
+    async def check(targets: list[Target], client: ClientEnd) -> None:
+        ends = [core.Address(CLIENT_HOST, 40_000 + at) for at in range(12)]
+        holders = {}
+        for end in ends:
+            accepted = await client.exchange(from_client(end, SYN))
+            assert accepted[FLAGS_OFFSET] == SYN | ACK
+            request = from_client(end, ACK, b"x", ack=1_001)
+            holders[end] = (await client.exchange(request))[36:]
+        assert len(set(holders.values())) == len(targets)
+
+        # A balancer and an agent that start anew know nothing.
+        for name, host in (
+            ("balancer", BALANCER_HOST),
+            ("agent-0", AGENT_HOSTS[0]),
+        ):
+            fleet.processes[name].send_signal(signal.SIGKILL)
+            fleet.processes[name].wait()
+            fleet.start(name, host, name != "balancer")
+            await wait_ready(host)
+        await asyncio.sleep(0.6)
+        for end in ends:
+            request = from_client(end, ACK, b"x", ack=1_001)
+            assert (await client.exchange(request))[36:] == holders[end]
+
+        # New flows go past a backend server that leaves.
+        assert await targets[1].report("draining") == 200
+        opened = set(targets[1].flows)
+        for at in range(12):
+            end = core.Address(CLIENT_HOST, 41_000 + at)
+            accepted = await client.exchange(from_client(end, SYN))
+            assert accepted[FLAGS_OFFSET] == SYN | ACK
+        assert targets[1].flows == opened
+
+        # Flows of a backend server that is gone are reset.
+        gone = targets[2]
+        gone.close()
+        end = next(
+            end for end in ends if holders[end].endswith(gone.host.encode())
+        )
+        request = from_client(end, ACK, b"x", ack=1_001)
+        ended = await client.exchange(request)
+        assert ended[FLAGS_OFFSET] == RST
+
+    async def work() -> None:
+        async with running(fleet) as (targets, client):
+            await check(targets, client)
+
+    asyncio.run(work())
+    assert "event=task-failed" not in fleet.log("balancer")
+    assert "event=task-failed" not in fleet.log("agent-0")
+
+
+def test_signals(fleet: Fleet) -> None:
+    """Guards against an end by SIGHUP, and a stop that outlasts its grace."""
+
+    async def check(targets: list[Target]) -> None:
+        for process in fleet.processes.values():
+            process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.3)
+        for name, process in fleet.processes.items():
+            assert process.poll() is None, name
+            assert "event=reload" in fleet.log(name)
+        for process in fleet.processes.values():
+            process.send_signal(signal.SIGTERM)
+        ended = await _platform_store.wait_until(
+            lambda: all(
+                process.poll() is not None
+                for process in fleet.processes.values()
+            ),
+            3_000,
+        )
+        assert ended
+        for name, process in fleet.processes.items():
+            assert process.returncode == 0, fleet.log(name)
+
+    async def work() -> None:
+        async with running(fleet) as (targets, _):
+            await check(targets)
+
+    asyncio.run(work())
+
+
+def test_status_and_metrics(fleet: Fleet) -> None:
+    """Guards against a process that operators cannot look into."""
+
+    async def check(targets: list[Target]) -> None:
+        status_port = LINK_PORT + 1
+        address = core.Address(BALANCER_HOST, status_port)
+        status, body = await call(address, "GET", "/status")
+        assert status == 200
+        described = json.loads(body)
+        assert described["config_version"] == CONFIG["version"]
+        assert described["ready"]
+        _, text = await call(address, "GET", "/metrics")
+        assert b"fireflyford_config_version 3" in text
+        agent = core.Address(AGENT_HOSTS[0], status_port)
+        described = json.loads((await call(agent, "GET", "/status"))[1])
+        assert described["target_state"] == (
+            flows.TargetState.READY.name.lower()
+        )
+
+    async def work() -> None:
+        async with running(fleet) as (targets, _):
+            await check(targets)
+
+    asyncio.run(work())
--- /dev/null
+++ b/tests/adapter/test_store.py
@@ -0,0 +1,269 @@
+"""The client of the platform's store, against the stand-in."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import random
+import socket
+
+from fireflyford import core
+from fireflyford import flows
+from fireflyford import store
+from fireflyford.lab import _platform_store
+from fireflyford.platform import _store
+from fireflyford.runtime import _registry
+
+Server = _platform_store.PlatformStoreServer
+
+
+def free_address() -> core.Address:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return core.Address("127.0.0.1", probe.getsockname()[1])
+
+
+def play(
+    work: Callable[[Server, _store.PlatformStore], Awaitable[None]],
+) -> None:
+    async def main() -> None:
+        server = Server(free_address())
+        server.start()
+        try:
+            await work(server, _store.PlatformStore(server.address))
+        finally:
+            server.stop()
+
+    asyncio.run(main())
+
+
+def value_of(outcome: core.Outcome[store.Reading], key: str) -> bytes | None:
+    assert isinstance(outcome, core.Ok)
+    return outcome.value.value(key)
+
+
+def test_reads_all_pages() -> None:
+    """Guards against entries beyond the first page that stay unseen."""
+
+    async def work(server: Server, client: _store.PlatformStore) -> None:
+        for index in range(5):
+            server.state.put(f"a/{index}", b"%d" % index)
+        server.state.put("b/0", b"other")
+        outcome = await client.read("a/")
+        assert isinstance(outcome, core.Ok)
+        values = [entry.value for entry in outcome.value.entries]
+        assert values == [b"0", b"1", b"2", b"3", b"4"]
+
+    play(work)
+
+
+def test_a_commit_holds_its_expectations() -> None:
+    """Guards against writes over another writer's change."""
+
+    async def work(server: Server, client: _store.PlatformStore) -> None:
+        none = store.Expectation("a", None)
+        first = await client.commit([none], [store.Write("a", b"1")])
+        second = await client.commit([none], [store.Write("a", b"2")])
+        assert isinstance(first, core.Ok)
+        assert isinstance(second, core.Ok)
+        assert first.value.applied
+        assert not second.value.applied
+        assert server.state.items["a"].value == b"1"
+
+    play(work)
+
+
+def test_a_lost_answer_is_not_taken_for_a_failure() -> None:
+    """Guards against "not done" said of a write that was done."""
+
+    async def work(server: Server, client: _store.PlatformStore) -> None:
+        server.state.hidden_writes = 1
+        outcome = await client.commit([], [store.Write("a", b"1")])
+        assert isinstance(outcome, core.Failure)
+        assert outcome.kind is core.ErrorKind.STORE_OUTCOME_UNKNOWN
+        assert value_of(await client.read("a"), "a") == b"1"
+
+    play(work)
+
+
+def test_a_refusal_is_certain() -> None:
+    """Guards against doubt about a call that the store refused."""
+
+    async def work(server: Server, client: _store.PlatformStore) -> None:
+        server.state.refusal = 503
+        outcome = await client.commit([], [store.Write("a", b"1")])
+        assert isinstance(outcome, core.Failure)
+        assert outcome.kind is core.ErrorKind.STORE_UNAVAILABLE
+        reading = await client.read("a")
+        assert isinstance(reading, core.Failure)
+
+    play(work)
+
+
+def test_a_watch_tells_writes_and_deletions() -> None:
+    """Guards against entries that stay after their deletion."""
+
+    async def work(server: Server, client: _store.PlatformStore) -> None:
+        start = server.state.revision
+        server.state.put("a/1", b"1")
+        server.state.put("a/2", b"2")
+        server.state.delete("a/1")
+        async for change in client.watch("a/", start + 1, 1_000):
+            assert isinstance(change, core.Ok)
+            assert [item.key for item in change.value.entries] == ["a/2"]
+            assert change.value.deleted == ("a/1",)
+
+    play(work)
+
+
+def test_a_watch_fails_when_history_is_gone() -> None:
+    """Guards against a watch that goes on over a gap."""
+
+    async def work(server: Server, client: _store.PlatformStore) -> None:
+        start = server.state.revision
+        server.state.put("a/1", b"1")
+        server.state.put("a/2", b"2")
+        server.state.forget_history()
+        async for change in client.watch("a/", start + 1, 200):
+            assert isinstance(change, core.Failure)
+
+    play(work)
+
+
+def make_registry(
+    client: _store.PlatformStore,
+    joined: Callable[[flows.Instance | None], None] = lambda _: None,
+    incarnation: int = 1,
+) -> tuple[flows.Instance, flows.Fleet, _registry.Registry]:
+    clock = core.SystemClock()
+    own = flows.Instance(
+        "agent-1",
+        core.Role.AGENT,
+        "board",
+        "a",
+        core.Address("10.0.0.1", 7_000),
+        incarnation,
+    )
+    fleet = flows.Fleet(clock)
+    rng = random.Random(1)
+    return (
+        own,
+        fleet,
+        _registry.Registry(client, clock, rng, own, fleet, joined),
+    )
+
+
+def test_an_entry_is_back_after_it_was_taken_away() -> None:
+    """Guards against an instance that stays unseen after an outage.
+
+    The store takes the key away without ending the lease, and says nothing.
+    The bound is the two seconds that the store's users promise.
+    """
+
+    async def work(server: Server, client: _store.PlatformStore) -> None:
+        own, fleet, registry = make_registry(client)
+        key = f"{_registry.PREFIX}{own.address}"
+        tasks = [
+            asyncio.create_task(registry.publish()),
+            asyncio.create_task(registry.follower.run()),
+        ]
+        items = server.state.items
+        assert await _platform_store.wait_until(lambda: key in items)
+        assert await _platform_store.wait_until(lambda: own.address in fleet)
+        server.state.refusal = 503
+        server.state.delete(key)
+        await asyncio.sleep(1)
+        server.state.refusal = 0
+        assert await _platform_store.wait_until(lambda: key in items, 2_000)
+        for task in tasks:
+            task.cancel()
+
+    play(work)
+
+
+def test_a_withdrawn_entry_stays_away() -> None:
+    """Guards against an entry that a change writes again at the end."""
+
+    async def work(server: Server, client: _store.PlatformStore) -> None:
+        own, _, registry = make_registry(client)
+        key = f"{_registry.PREFIX}{own.address}"
+        tasks = [
+            asyncio.create_task(registry.publish()),
+            asyncio.create_task(registry.follower.run()),
+        ]
+        items = server.state.items
+        assert await _platform_store.wait_until(lambda: key in items)
+        for task in tasks:
+            task.cancel()
+        await registry.withdraw(1_000)
+        await asyncio.sleep(0.3)
+        assert key not in items
+
+    play(work)
+
+
+def test_a_withdrawal_waits_for_the_store() -> None:
+    """Guards against entries of instances that left during an outage."""
+
+    async def work(server: Server, client: _store.PlatformStore) -> None:
+        own, _, registry = make_registry(client)
+        key = f"{_registry.PREFIX}{own.address}"
+        tasks = [
+            asyncio.create_task(registry.publish()),
+            asyncio.create_task(registry.follower.run()),
+        ]
+        items = server.state.items
+        assert await _platform_store.wait_until(lambda: key in items)
+        for task in tasks:
+            task.cancel()
+        server.state.refusal = 503
+        leaving = asyncio.create_task(registry.withdraw(3_000))
+        await asyncio.sleep(0.5)
+        server.state.refusal = 0
+        await leaving
+        assert key not in items
+
+    play(work)
+
+
+def test_a_restarted_agent_reads_the_drain_mark_before_it_writes() -> None:
+    """Guards against a drain that a restart of the agent forgets."""
+
+    async def work(server: Server, client: _store.PlatformStore) -> None:
+        own, _, registry = make_registry(client)
+        found: list[flows.Instance | None] = []
+        _, _, later = make_registry(client, found.append, 2)
+        tasks = [
+            asyncio.create_task(registry.publish()),
+            asyncio.create_task(registry.follower.run()),
+        ]
+        items = server.state.items
+        key = f"{_registry.PREFIX}{own.address}"
+        assert await _platform_store.wait_until(lambda: key in items)
+        first_value = items[key].value
+        registry.change(
+            flows.Instance(
+                own.instance_id,
+                own.role,
+                own.service,
+                own.availability_zone,
+                own.address,
+                own.incarnation,
+                True,
+            )
+        )
+        assert await _platform_store.wait_until(
+            lambda: items[key].value != first_value
+        )
+        for task in tasks:
+            task.cancel()
+        tasks = [
+            asyncio.create_task(later.publish()),
+            asyncio.create_task(later.follower.run()),
+        ]
+        assert await _platform_store.wait_until(lambda: bool(found))
+        assert found[0] is not None
+        assert found[0].is_draining
+        for task in tasks:
+            task.cancel()
+
+    play(work)
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -2,10 +2,14 @@
 
 import ast
 import pathlib
+import subprocess
+import sys
 
 import pytest
 
-LIBS = pathlib.Path(__file__).parent.parent / "libs"
+ROOT = pathlib.Path(__file__).parent.parent
+LIBS = ROOT / "libs"
+ADAPTER = ROOT / "platform" / "src"
 # A library may use only those before it.
 ORDER = (
     "core",
@@ -16,15 +20,17 @@
     "store",
     "membership",
     "routing",
+    "flows",
     "requests",
     "caller",
+    "runtime",
     "balancer",
     "agent",
     "cli",
     "lab",
 )
 # Decision libraries take typed values only; encodings stay elsewhere.
-DECISIONS = ("routing", "requests")
+DECISIONS = ("routing", "flows", "requests")
 ENCODINGS = frozenset({"socket", "struct", "aioquic", "pynng"})
 
 
@@ -54,6 +60,44 @@
                 assert parts[1] in allowed, f"{path.name} imports {module}"
 
 
+def test_only_the_adapter_knows_the_platform() -> None:
+    """Guards against the platform's formats in the product itself."""
+    for library in ORDER[:-1]:
+        for path in sources(library):
+            for module in imported_modules(path):
+                assert not module.startswith("fireflyford.platform"), path
+
+
+def test_the_adapter_uses_what_front_ends_may_use() -> None:
+    """Guards against an adapter that decides or goes around interfaces."""
+    allowed = {"core", "telemetry", "store", "flows", "runtime", "platform"}
+    for path in ADAPTER.rglob("*.py"):
+        for module in imported_modules(path):
+            parts = module.split(".")
+            if parts[0] != "fireflyford" or len(parts) < 2:
+                continue
+            assert parts[1] in allowed, f"{path.name}: {module}"
+            if parts[1] != "platform" and len(parts) > 2:
+                assert not parts[2].startswith("_"), f"{path}: {module}"
+
+
+def test_a_flow_process_starts_small() -> None:
+    """Guards against libraries that only the QUIC front end needs."""
+    heavy = ("aioquic", "pynng", "fire", "opentelemetry", "cryptography")
+    check = (
+        "import sys, fireflyford.platform.__main__;"
+        f"print([name for name in {heavy!r} if name in sys.modules])"
+    )
+    found = subprocess.run(
+        [sys.executable, "-c", check],
+        capture_output=True,
+        check=True,
+        text=True,
+        cwd=ROOT / "tests",
+    )
+    assert found.stdout.strip() == "[]"
+
+
 @pytest.mark.parametrize("library", ORDER)
 def test_private_modules_stay_private(library: str) -> None:
     """Guards against imports that go around another library's interface."""
