--- a/libs/flows/src/fireflyford/flows/_home.py
+++ b/libs/flows/src/fireflyford/flows/_home.py
@@ -29,6 +29,8 @@
 WAIT_LIMIT_MS = 600
 # How often a waiting flow looks for room.
 WAIT_RETRY_MS = 20
+# Offers of one flow that are logged; a waiting flow makes one each 20 ms.
+LOGGED_OFFERS = 3
 # Answers to a search are due within this time; the client sends its packet
 # again after 200 ms.
 SEARCH_TIMEOUT_MS = 150
@@ -58,6 +60,7 @@
         self.asked: core.Address | None = None
         self.deadline_ms = 0
         self.busy_count = 0
+        self.offer_count = 0
         self.reason = _messages.DeclineReason.UNKNOWN_STATE
         self.is_waiting = False
 
@@ -174,15 +177,16 @@
         attempt = self._attempts.get(message.flow)
         if attempt is None or attempt.asked != sender:
             return []
-        telemetry.log(
-            "flow-declined",
-            flow=_types.describe_flow(message.flow),
-            holder=sender,
-            reason=message.reason.name.lower(),
-            busy=message.load.busy_count,
-            reserved=message.load.reserved_count,
-            slots=message.load.slot_count,
-        )
+        if attempt.offer_count <= LOGGED_OFFERS:
+            telemetry.log(
+                "flow-declined",
+                flow=_types.describe_flow(message.flow),
+                holder=sender,
+                reason=message.reason.name.lower(),
+                busy=message.load.busy_count,
+                reserved=message.load.reserved_count,
+                slots=message.load.slot_count,
+            )
         if message.reason is _messages.DeclineReason.BUSY:
             attempt.busy_count += 1
         else:
@@ -283,18 +287,20 @@
         attempt.asked = chosen.address
         attempt.deadline_ms = now_ms + PLACE_TIMEOUT_MS
         firm = attempt.busy_count >= BUSY_LIMIT_COUNT or len(candidates) == 1
-        telemetry.log(
-            "flow-placed",
-            flow=_types.describe_flow(attempt.packet.flow),
-            holder=chosen.address,
-            busy=chosen.load.busy_count,
-            reserved=chosen.load.reserved_count,
-            lasting=chosen.load.lasting_count,
-            service_ms=chosen.load.service_ms,
-            age_ms=self._fleet.silence_ms(chosen.address),
-            candidates=len(candidates),
-            firm=firm,
-        )
+        attempt.offer_count += 1
+        if attempt.offer_count <= LOGGED_OFFERS:
+            telemetry.log(
+                "flow-placed",
+                flow=_types.describe_flow(attempt.packet.flow),
+                holder=chosen.address,
+                busy=chosen.load.busy_count,
+                reserved=chosen.load.reserved_count,
+                lasting=chosen.load.lasting_count,
+                service_ms=chosen.load.service_ms,
+                age_ms=self._fleet.silence_ms(chosen.address),
+                candidates=len(candidates),
+                firm=firm,
+            )
         return [
             self._forward(
                 attempt.forward,
@@ -315,6 +321,7 @@
                 "flow-refused",
                 flow=_types.describe_flow(flow),
                 reason=attempt.reason.name.lower(),
+                offers=attempt.offer_count,
                 waited_ms=now_ms - attempt.started_ms,
             )
             refusal = _messages.Refused(flow, attempt.reason)
--- a/libs/runtime/src/fireflyford/runtime/_follow.py
+++ b/libs/runtime/src/fireflyford/runtime/_follow.py
@@ -42,6 +42,7 @@
         rng: random.Random,
         prefix: str,
         listener: Listener,
+        pause_ms: int = 0,
     ) -> None:
         """Prepares to follow.
 
@@ -51,12 +52,15 @@
             rng: Source of jitter.
             prefix: Start of the keys.
             listener: Takes readings.
+            pause_ms: Wait after changes before the next watch, so that
+                changes which come together cost one call.
         """
         self._client = client
         self._clock = clock
         self._rng = rng
         self._prefix = prefix
         self._listener = listener
+        self._pause_ms = pause_ms
         self._is_lost = False
         # When the store last answered, None before the first answer.
         self.heard_ms: int | None = None
@@ -99,6 +103,7 @@
                 revision = max(revision, change.value.revision)
                 if change.value.entries or change.value.deleted:
                     self._listener.take_changes(change.value)
+                    await self._clock.sleep(self._pause_ms)
 
     def _hear(self) -> None:
         if self._is_lost:
--- a/libs/runtime/src/fireflyford/runtime/_registry.py
+++ b/libs/runtime/src/fireflyford/runtime/_registry.py
@@ -17,6 +17,9 @@
 # Two renewals may be lost before an entry lapses.
 LEASE_DURATION_S = 3
 RENEW_INTERVAL_MS = 900
+# Starts, drains and ends are told by beats at once, so the watch may be late.
+# Below the silence after which an instance without an entry is gone.
+WATCH_PAUSE_MS = 1_500
 # Pause after a failed write.
 RETRY_MS = 400
 
@@ -57,7 +60,9 @@
         self._changed = asyncio.Event()
         self._lease_id = 0
         self._is_missing = True
-        self.follower = _follow.PrefixFollower(client, clock, rng, PREFIX, self)
+        self.follower = _follow.PrefixFollower(
+            client, clock, rng, PREFIX, self, WATCH_PAUSE_MS
+        )
 
     async def publish(self) -> None:
         """Keeps the own entry until cancelled."""
@@ -77,6 +82,11 @@
         self._is_missing = True
         self._changed.set()
 
+    def _miss(self) -> None:
+        """Writes an entry that the store no longer has at once."""
+        self._is_missing = True
+        self._changed.set()
+
     async def withdraw(self, limit_ms: int) -> None:
         """Removes the own entry; tries again while the store is away.
 
@@ -139,7 +149,7 @@
         instances = _instances(reading)
         own = [item for item in instances if item.address == self._own.address]
         if not own:
-            self._is_missing = True
+            self._miss()
         self._fleet.register(instances)
         if not self._has_joined.is_set():
             self._has_joined.set()
@@ -148,7 +158,7 @@
     def take_changes(self, reading: store.Reading) -> None:
         """Takes changed entries."""
         if self._key in reading.deleted:
-            self._is_missing = True
+            self._miss()
         written = _instances(reading)
         gone = {key.removeprefix(PREFIX) for key in reading.deleted}
         self._fleet.update(written, gone)
