--- a/libs/flows/src/fireflyford/flows/_fleet.py
+++ b/libs/flows/src/fireflyford/flows/_fleet.py
@@ -125,6 +125,15 @@
         """Returns the instance at an address."""
         return self._present.get(address)
 
+    def is_agent(self, address: core.Address) -> bool:
+        """Returns whether an agent is present at an address."""
+        instance = self._present.get(address)
+        return instance is not None and instance.role is core.Role.AGENT
+
+    def agent_count(self) -> int:
+        """Returns the number of agents of all services."""
+        return sum(map(self.is_agent, self._present))
+
     def load(self, address: core.Address) -> _types.Load:
         """Returns the last load heard of an agent."""
         return self._loads.get(address, _types.Load())
--- a/libs/flows/src/fireflyford/flows/_home.py
+++ b/libs/flows/src/fireflyford/flows/_home.py
@@ -334,10 +334,17 @@
         attempt.tried.clear()
         if not is_first:
             return []
+        agents = self._fleet.agents(self._own.service)
+        loads = [self._fleet.load(agent.address) for agent in agents]
         telemetry.log(
             "flow-waits",
             flow=_types.describe_flow(flow),
             reason=attempt.reason.name.lower(),
+            agents=len(loads),
+            slots=sum(load.slot_count for load in loads),
+            busy=sum(load.busy_count for load in loads),
+            reserved=sum(load.reserved_count for load in loads),
+            placed=sum(self._placed_count(item.address) for item in agents),
         )
         return [
             _messages.Send(attempt.forward.balancer, _messages.Waiting(flow))
@@ -360,6 +367,7 @@
             if is_heard and load.state in _NOT_TAKING:
                 continue
             if not _placement.has_room(load, candidate.placed_count):
+                attempt.reason = _messages.DeclineReason.BUSY
                 continue
             if (
                 load.state is _types.TargetState.READY
--- a/libs/runtime/src/fireflyford/runtime/_balancer.py
+++ b/libs/runtime/src/fireflyford/runtime/_balancer.py
@@ -19,9 +19,12 @@
 # No client packet for so long means that the fabric has stopped.
 QUIET_MS = 300
 _DRAIN_POLL_MS = 50
-# A balancer that hears no agent for so long cannot forward; agents send signs
-# of life each second and some may be lost.
-DEAF_MS = 3_500
+# A balancer that hears no agent for so long cannot forward. Each agent sends a
+# beat about every second, so several agents together are never so silent.
+DEAF_MS = 1_000
+SEVERAL_AGENTS = 4
+# With fewer agents, some beats of each may be lost.
+FEW_AGENTS_DEAF_MS = 3_500
 
 
 class Balancer(_process.FlowProcess):
@@ -81,7 +84,10 @@
         heard_ms = self._agent_heard_ms
         if heard_ms is None:
             return False
-        return self.clock.now_ms() - heard_ms < DEAF_MS
+        limit_ms = DEAF_MS
+        if self.fleet.agent_count() < SEVERAL_AGENTS:
+            limit_ms = FEW_AGENTS_DEAF_MS
+        return self.clock.now_ms() - heard_ms < limit_ms
 
     async def _drain(self) -> None:
         """Forwards until the fabric has stopped using this balancer."""
@@ -110,13 +116,13 @@
     def hear(self, sender: core.Address, message: flows.Message) -> None:
         """Handles a message of another instance, or of this one."""
         if isinstance(message, flows.Beat):
-            if message.instance.role is core.Role.AGENT:
-                self._agent_heard_ms = self.clock.now_ms()
             self.greet(message)
             if message.config_version > self.flows.version:
                 self._wanted[sender] = message.config_version
                 self._news.set()
         self.link.run(self.flows.hear(sender, message))
+        if self.fleet.is_agent(sender):
+            self._agent_heard_ms = self.clock.now_ms()
 
     def sweep(self) -> None:
         """Acts on timeouts."""
