--- a/libs/cli/src/fireflyford/cli/_commands.py
+++ b/libs/cli/src/fireflyford/cli/_commands.py
@@ -13,6 +13,7 @@
 from fireflyford.cli import _explain
 from fireflyford.cli import _job
 from fireflyford.cli import _targets
+from fireflyford.cli import _trace
 
 VERSION = "0.1.0"
 
@@ -129,6 +130,15 @@
             lambda: _issue_token(str(name), settings_path, str(key_hex))
         )
 
+    def trace(self, flow: str, *logs: str) -> _job.Job:
+        """Tells the story of one flow on the users' platform.
+
+        Args:
+            flow: Client's and route's ip:port as in the logs, or a part of it.
+            logs: Log files of the instances.
+        """
+        return _job.Job(lambda: _trace.trace(str(flow), logs))
+
     def version(self) -> _job.Job:
         """Prints the version."""
         return _job.Job(lambda: core.Ok(VERSION))
--- a/libs/flows/src/fireflyford/flows/_balancer.py
+++ b/libs/flows/src/fireflyford/flows/_balancer.py
@@ -213,6 +213,8 @@
                 pending.is_waiting = True
         elif isinstance(message, _messages.Refused):
             return self._refuse(message)
+        elif isinstance(message, _messages.LoadReport):
+            self._fleet.note_load(sender, message.load)
         elif isinstance(message, _messages.Beat):
             self._fleet.hear(message)
         return []
--- a/libs/flows/src/fireflyford/flows/_messages.py
+++ b/libs/flows/src/fireflyford/flows/_messages.py
@@ -140,7 +140,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Load of the sender's backend server, to agents of its service."""
+    """Load of the sender's backend server, a short sign of life as well."""
 
     load: _types.Load
 
--- a/libs/runtime/src/fireflyford/runtime/_agent.py
+++ b/libs/runtime/src/fireflyford/runtime/_agent.py
@@ -66,6 +66,7 @@
         self.link.attach_target(self._target)
         await self.start()
         self.start_task("loads", self._report_loads())
+        self.start_task("signs", self._send_signs())
         await self.stopping.wait()
         await self._leave()
         await self.finish()
@@ -137,7 +138,7 @@
         return self.flows.keeper.load()
 
     def beat_receivers(self) -> list[core.Address]:
-        """Returns the balancers; peers get load reports as signs of life."""
+        """Returns the balancers; peers get load reports instead."""
         return [item.address for item in self.fleet.balancers()]
 
     def all_receivers(self) -> list[core.Address]:
@@ -145,6 +146,16 @@
         peers = self.fleet.agents(self.own.service)
         return self.beat_receivers() + [item.address for item in peers]
 
+    async def _send_signs(self) -> None:
+        """Sends short signs of life to the balancers."""
+        while True:
+            receivers = self.beat_receivers()
+            sign = flows.LoadReport(self.load())
+            for address in receivers:
+                self.link.send(address, sign)
+            interval_ms = _beats.sign_interval_ms(len(receivers))
+            await self.clock.sleep(_beats.jittered(interval_ms, self.rng))
+
     async def _report_loads(self) -> None:
         """Sends changed loads to the agents of the service."""
         sent = None
--- a/libs/runtime/src/fireflyford/runtime/_process.py
+++ b/libs/runtime/src/fireflyford/runtime/_process.py
@@ -188,7 +188,7 @@
             receivers = self.beat_receivers()
             self.send_beats(receivers)
             interval_ms = _beats.beat_interval_ms(len(receivers))
-            await self.clock.sleep(interval_ms)
+            await self.clock.sleep(_beats.jittered(interval_ms, self.rng))
 
     def send_beats(
         self, receivers: list[core.Address], leaving: bool = False
@@ -260,9 +260,15 @@
         if isinstance(outcome, core.Failure):
             telemetry.log("seed-silent", seed=seed, reason=outcome.message)
             return
-        found = []
-        for item in json.loads(outcome.value):
-            found.append(_link_codec.unpack_instance(tuple(item)))
+        try:
+            found = [
+                _link_codec.unpack_instance(tuple(item))
+                for item in json.loads(outcome.value)
+            ]
+        except (TypeError, ValueError) as error:
+            # Another release may describe instances in another way.
+            telemetry.log("seed-unreadable", seed=seed, reason=str(error))
+            return
         for instance in found:
             if instance.address != self.own.address:
                 self.fleet.hear(flows.Beat(instance, flows.Load(), 0, False))
