Wait as long as answers take, so that slow agents are not asked more

Fixed waits of 70 to 150 ms took slow agents for silent ones: 43,916 offers timed out, each flow was offered to all agents by several homes, 8,696 searches asked all agents, and lines were made only to be dropped.

Change: waits follow the measured response time and grow while nothing is answered; at most three agents are offered a flow without an answer; a flow searched in vain is not searched again for 250 ms; a log line that may not be written is not made, and the rate is 50 a second.

--- a/libs/flows/src/fireflyford/flows/_balancer.py
+++ b/libs/flows/src/fireflyford/flows/_balancer.py
@@ -13,6 +13,7 @@
 from fireflyford import telemetry
 from fireflyford.flows import _fleet
 from fireflyford.flows import _messages
+from fireflyford.flows import _response_timer
 from fireflyford.flows import _types
 
 # Flows whose holder a balancer remembers; some 100 bytes each.
@@ -25,6 +26,7 @@
 # as long, and so on. The client's own copies come 200, 600 and 1,400 ms after
 # the first packet, so a restarted agent serves it sooner this way.
 REPEAT_MS = 80
+REPEAT_MOST_MS = 800
 # After this time the client has given up an opening or repeated its packet.
 REPEAT_LIMIT_MS = 1_300
 # Candidates on the ring that may act as home while the first ones are silent.
@@ -87,6 +89,7 @@
         home: core.Address | None,
         route: Route,
         now_ms: int,
+        pause_ms: int,
     ):
         self.packet = packet
         self.service = service
@@ -95,7 +98,7 @@
         self.route = route
         self.taken_ms = now_ms
         self.asked_ms = now_ms
-        self.pause_ms = REPEAT_MS
+        self.pause_ms = pause_ms
         # Whether the home keeps the packet until a backend server has room.
         self.is_waiting = False
 
@@ -127,6 +130,7 @@
             collections.OrderedDict()
         )
         self._suspects: dict[core.Address, int] = {}
+        self._timer = _response_timer.ResponseTimer(REPEAT_MS, REPEAT_MOST_MS)
         # Whether the configuration is known to be the newest one.
         self.is_current = False
 
@@ -211,6 +215,7 @@
             pending = self._pending.get(message.flow)
             if pending is not None:
                 pending.is_waiting = True
+                self._timer.sample(self._clock.now_ms() - pending.taken_ms)
         elif isinstance(message, _messages.Refused):
             return self._refuse(message)
         elif isinstance(message, _messages.LoadReport):
@@ -234,6 +239,7 @@
         return actions
 
     def _repeat(self, pending: _Pending) -> list[_types.Action]:
+        self._timer.expire()
         self._doubt(pending)
         now_ms = self._clock.now_ms()
         pending.asked_ms = now_ms
@@ -268,7 +274,13 @@
         service, *others = services
         home = self._home(service, packet.flow)
         pending = _Pending(
-            packet, service, others, home, route, self._clock.now_ms()
+            packet,
+            service,
+            others,
+            home,
+            route,
+            self._clock.now_ms(),
+            self._timer.timeout_ms(),
         )
         self._pending[packet.flow] = pending
         self._pending.move_to_end(packet.flow)
@@ -300,7 +312,8 @@
         now_ms = self._clock.now_ms()
         if pending.home is None:
             return
-        if now_ms - pending.asked_ms >= HOME_TIMEOUT_MS:
+        limit_ms = max(HOME_TIMEOUT_MS, self._timer.timeout_ms())
+        if now_ms - pending.asked_ms >= limit_ms:
             if self._suspects.get(pending.home, 0) <= now_ms:
                 telemetry.log(
                     "home-silent",
@@ -313,6 +326,7 @@
         self._suspects.pop(sender, None)
         pending = self._pending.pop(flow, None)
         if pending is not None:
+            self._timer.sample(self._clock.now_ms() - pending.taken_ms)
             service = pending.service
         else:
             instance = self._fleet.find(sender)
--- a/libs/flows/src/fireflyford/flows/_home.py
+++ b/libs/flows/src/fireflyford/flows/_home.py
@@ -14,12 +14,17 @@
 from fireflyford.flows import _held
 from fireflyford.flows import _messages
 from fireflyford.flows import _placement
+from fireflyford.flows import _response_timer
 from fireflyford.flows import _types
 
 # An agent that has not answered for so long is passed over. Within the
 # agent's own limit for its backend server (`_keeper.OPENING_LIMIT_MS`) plus
 # two crossings between availability zones.
 PLACE_TIMEOUT_MS = 70
+PLACE_TIMEOUT_MOST_MS = 600
+# Agents that are asked about one flow without an answer; more would add to the
+# load that makes them slow.
+MAX_UNANSWERED_OFFERS = 3
 # How long an agent that did not answer is the last choice.
 SUSPECT_MS = 1_000
 # How many times a new flow looks for a free slot before any slot will do.
@@ -34,6 +39,10 @@
 # Answers to a search are due within this time; the client sends its packet
 # again after 200 ms.
 SEARCH_TIMEOUT_MS = 150
+SEARCH_TIMEOUT_MOST_MS = 1_000
+# A flow that was searched without a holder is not searched again for so long;
+# its packets come again and again from balancers and the client.
+SEARCH_PAUSE_MS = 250
 # Packets of one flow that wait for the end of a search: a window of the client.
 MAX_WAITING_PACKETS = 16
 MAX_SEARCHES = 4_096
@@ -61,6 +70,8 @@
         self.deadline_ms = 0
         self.busy_count = 0
         self.offer_count = 0
+        self.unanswered_count = 0
+        self.asked_ms = now_ms
         self.reason = _messages.DeclineReason.UNKNOWN_STATE
         self.is_waiting = False
 
@@ -68,8 +79,11 @@
 class _Search:
     """Search for the holder of one flow."""
 
-    def __init__(self, forward: _messages.Forward, deadline_ms: int):
+    def __init__(
+        self, forward: _messages.Forward, now_ms: int, deadline_ms: int
+    ):
         self.forward = forward
+        self.started_ms = now_ms
         self.deadline_ms = deadline_ms
         self.asked: set[core.Address] = set()
         self.packets: list[_types.Packet] = []
@@ -112,6 +126,14 @@
         self._attempts: dict[bytes, _Attempt] = {}
         self._searches: dict[bytes, _Search] = {}
         self._suspects: dict[core.Address, int] = {}
+        self._place_timer = _response_timer.ResponseTimer(
+            PLACE_TIMEOUT_MS, PLACE_TIMEOUT_MOST_MS
+        )
+        self._search_timer = _response_timer.ResponseTimer(
+            SEARCH_TIMEOUT_MS, SEARCH_TIMEOUT_MOST_MS
+        )
+        # When flows were last searched in vain, oldest first.
+        self._missed: dict[bytes, int] = {}
         # Times of the placements that the load of an agent does not show yet.
         self._placed: dict[core.Address, list[int]] = {}
 
@@ -152,7 +174,9 @@
         self.take_load(sender, message.load)
         self._suspects.pop(sender, None)
         flow = message.flow
-        self._attempts.pop(flow, None)
+        attempt = self._attempts.pop(flow, None)
+        if attempt is not None:
+            self._place_timer.sample(self._clock.now_ms() - attempt.asked_ms)
         return self._found(flow, sender)
 
     def _found(self, flow: bytes, sender: core.Address) -> list[_types.Action]:
@@ -177,6 +201,7 @@
         attempt = self._attempts.get(message.flow)
         if attempt is None or attempt.asked != sender:
             return []
+        self._place_timer.sample(self._clock.now_ms() - attempt.asked_ms)
         if attempt.offer_count <= LOGGED_OFFERS:
             telemetry.log(
                 "flow-declined",
@@ -206,8 +231,11 @@
         if search.asked:
             return []
         del self._searches[flow]
-        if self._clock.now_ms() - self._started_ms < FRESH_MS:
+        now_ms = self._clock.now_ms()
+        self._search_timer.sample(now_ms - search.started_ms)
+        if now_ms - self._started_ms < FRESH_MS:
             return []
+        self._miss(flow)
         telemetry.log(
             "flow-unknown",
             flow=_types.describe_flow(flow),
@@ -243,12 +271,20 @@
                 flow=_types.describe_flow(flow),
                 holder=attempt.asked,
             )
+            self._place_timer.expire()
             self._suspects[attempt.asked] = now_ms + SUSPECT_MS
             attempt.tried.add(attempt.asked)
+            attempt.unanswered_count += 1
+            if attempt.unanswered_count >= MAX_UNANSWERED_OFFERS:
+                # An answer may still come; the client asks again as well.
+                del self._attempts[flow]
+                continue
             actions += self._place(attempt)
         for flow, search in tuple(self._searches.items()):
             if now_ms >= search.deadline_ms:
                 del self._searches[flow]
+                self._search_timer.expire()
+                self._miss(flow)
                 telemetry.log(
                     "flow-search-timeout",
                     flow=_types.describe_flow(flow),
@@ -285,7 +321,8 @@
         now_ms = self._clock.now_ms()
         self._placed.setdefault(chosen.address, []).append(now_ms)
         attempt.asked = chosen.address
-        attempt.deadline_ms = now_ms + PLACE_TIMEOUT_MS
+        attempt.asked_ms = now_ms
+        attempt.deadline_ms = now_ms + self._place_timer.timeout_ms()
         firm = attempt.busy_count >= BUSY_LIMIT_COUNT or len(candidates) == 1
         attempt.offer_count += 1
         if attempt.offer_count <= LOGGED_OFFERS:
@@ -378,6 +415,17 @@
                 last_resort.append(candidate)
         return preferred or last_resort
 
+    def _miss(self, flow: bytes) -> None:
+        """Remembers for a moment that a flow was searched in vain."""
+        now_ms = self._clock.now_ms()
+        self._missed.pop(flow, None)
+        self._missed[flow] = now_ms
+        while self._missed:
+            oldest, missed_ms = next(iter(self._missed.items()))
+            if now_ms - missed_ms < SEARCH_PAUSE_MS:
+                break
+            del self._missed[oldest]
+
     def _placed_count(self, address: core.Address) -> int:
         """Returns the flows placed at an agent since its last load report."""
         oldest_ms = self._clock.now_ms() - _held.RESERVATION_MS
@@ -393,9 +441,13 @@
             if len(search.packets) < MAX_WAITING_PACKETS:
                 search.packets.append(packet)
             return []
-        if len(self._searches) >= MAX_SEARCHES:
+        now_ms = self._clock.now_ms()
+        missed_ms = self._missed.get(packet.flow, now_ms - SEARCH_PAUSE_MS)
+        is_early = now_ms - missed_ms < SEARCH_PAUSE_MS
+        if is_early or len(self._searches) >= MAX_SEARCHES:
             return []
-        search = _Search(forward, self._clock.now_ms() + SEARCH_TIMEOUT_MS)
+        deadline_ms = now_ms + self._search_timer.timeout_ms()
+        search = _Search(forward, now_ms, deadline_ms)
         search.packets.append(packet)
         agents = self._fleet.agents(self._own.service)
         search.asked = {agent.address for agent in agents}
--- a/libs/telemetry/src/fireflyford/telemetry/_logs.py
+++ b/libs/telemetry/src/fireflyford/telemetry/_logs.py
@@ -13,6 +13,10 @@
 _HIDDEN = frozenset({"task_uuid", "task_level", "message_type", "timestamp"})
 
 
+# Writer of this process, None while logs go nowhere.
+_active_writer: _writer.LineWriter | None = None
+
+
 def configure_logs(stream: TextIO, instance_id: str) -> None:
     """Writes every event to `stream`, one line each, without waiting.
 
@@ -22,7 +26,9 @@
     """
     eliot.add_global_fields(instance=instance_id)
 
+    global _active_writer
     writer = _writer.LineWriter(stream)
+    _active_writer = writer
 
     def write(message: dict[str, object]) -> None:
         writer.write(format_line(message))
@@ -55,6 +61,8 @@
         event: Name of the event, words joined by hyphens.
         **fields: Values of the event, names ending in their unit.
     """
+    if _active_writer is not None and not _active_writer.admit():
+        return
     eliot.log_message(message_type=event, **fields)
 
 
--- a/libs/telemetry/src/fireflyford/telemetry/_writer.py
+++ b/libs/telemetry/src/fireflyford/telemetry/_writer.py
@@ -8,8 +8,9 @@
 # Lines kept while the reader is slow; some 200 KB.
 MAX_WAITING_LINES = 1_000
 # Rate and burst of lines of one process: a summary replaces what exceeds it.
-LINES_PER_S = 300.0
-BURST_LINES = 600.0
+# A line costs some 0.1 ms of a core, so this is half a percent of one.
+LINES_PER_S = 50.0
+BURST_LINES = 300.0
 
 
 class LineWriter:
@@ -30,12 +31,19 @@
         if self._descriptor is not None:
             os.set_blocking(self._descriptor, False)
 
+    def admit(self) -> bool:
+        """Returns whether a line may be written now; counts one that may not.
+
+        Asked before a line is made, since making it costs most.
+        """
+        if self._may_write() and len(self._waiting) < MAX_WAITING_LINES:
+            return True
+        self._dropped_count += 1
+        self.dropped_total += 1
+        return False
+
     def write(self, line: str) -> None:
-        """Writes a line, or counts it as dropped."""
-        if not self._may_write() or len(self._waiting) >= MAX_WAITING_LINES:
-            self._dropped_count += 1
-            self.dropped_total += 1
-            return
+        """Writes a line that was admitted."""
         if self._dropped_count:
             summary = f"event=log-lines-dropped count={self._dropped_count}\n"
             self._waiting.append(summary.encode())
