--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -1,8 +1,11 @@
 """The client of the platform's store, against the stand-in."""
 
 import asyncio
+from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
+import dataclasses
 import random
 import socket
 
@@ -152,6 +155,25 @@
     )
 
 
+@contextlib.asynccontextmanager
+async def running(registry: _registry.Registry) -> AsyncIterator[None]:
+    """Publishes and follows the registry meanwhile."""
+    tasks = [
+        asyncio.create_task(registry.publish()),
+        asyncio.create_task(registry.follower.run()),
+    ]
+    try:
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
+
+
+async def wait_for_entry(server: Server, key: str) -> None:
+    items = server.state.items
+    assert await _platform_store.wait_until(lambda: key in items)
+
+
 def test_an_entry_is_back_after_it_was_taken_away() -> None:
     """Guards against an instance that stays unseen after an outage.
 
@@ -162,20 +184,17 @@
     async def work(server: Server, client: _store.PlatformStore) -> None:
         own, fleet, registry = make_registry(client)
         key = f"{_registry.PREFIX}{own.address}"
-        tasks = [
-            asyncio.create_task(registry.publish()),
-            asyncio.create_task(registry.follower.run()),
-        ]
         items = server.state.items
-        assert await _platform_store.wait_until(lambda: key in items)
-        assert await _platform_store.wait_until(lambda: own.address in fleet)
-        server.state.refusal = 503
-        server.state.delete(key)
-        await asyncio.sleep(1)
-        server.state.refusal = 0
-        assert await _platform_store.wait_until(lambda: key in items, 2_000)
-        for task in tasks:
-            task.cancel()
+        async with running(registry):
+            await wait_for_entry(server, key)
+            assert await _platform_store.wait_until(
+                lambda: own.address in fleet
+            )
+            server.state.refusal = 503
+            server.state.delete(key)
+            await asyncio.sleep(1)
+            server.state.refusal = 0
+            assert await _platform_store.wait_until(lambda: key in items, 2_000)
 
     play(work)
 
@@ -186,17 +205,11 @@
     async def work(server: Server, client: _store.PlatformStore) -> None:
         own, _, registry = make_registry(client)
         key = f"{_registry.PREFIX}{own.address}"
-        tasks = [
-            asyncio.create_task(registry.publish()),
-            asyncio.create_task(registry.follower.run()),
-        ]
-        items = server.state.items
-        assert await _platform_store.wait_until(lambda: key in items)
-        for task in tasks:
-            task.cancel()
+        async with running(registry):
+            await wait_for_entry(server, key)
         await registry.withdraw(1_000)
         await asyncio.sleep(0.3)
-        assert key not in items
+        assert key not in server.state.items
 
     play(work)
 
@@ -207,20 +220,14 @@
     async def work(server: Server, client: _store.PlatformStore) -> None:
         own, _, registry = make_registry(client)
         key = f"{_registry.PREFIX}{own.address}"
-        tasks = [
-            asyncio.create_task(registry.publish()),
-            asyncio.create_task(registry.follower.run()),
-        ]
-        items = server.state.items
-        assert await _platform_store.wait_until(lambda: key in items)
-        for task in tasks:
-            task.cancel()
+        async with running(registry):
+            await wait_for_entry(server, key)
         server.state.refusal = 503
         leaving = asyncio.create_task(registry.withdraw(3_000))
         await asyncio.sleep(0.5)
         server.state.refusal = 0
         await leaving
-        assert key not in items
+        assert key not in server.state.items
 
     play(work)
 
@@ -232,38 +239,18 @@
         own, _, registry = make_registry(client)
         found: list[flows.Instance | None] = []
         _, _, later = make_registry(client, found.append, 2)
-        tasks = [
-            asyncio.create_task(registry.publish()),
-            asyncio.create_task(registry.follower.run()),
-        ]
         items = server.state.items
         key = f"{_registry.PREFIX}{own.address}"
-        assert await _platform_store.wait_until(lambda: key in items)
-        first_value = items[key].value
-        registry.change(
-            flows.Instance(
-                own.instance_id,
-                own.role,
-                own.service,
-                own.availability_zone,
-                own.address,
-                own.incarnation,
-                True,
+        async with running(registry):
+            await wait_for_entry(server, key)
+            first_value = items[key].value
+            registry.change(dataclasses.replace(own, is_draining=True))
+            assert await _platform_store.wait_until(
+                lambda: items[key].value != first_value
             )
-        )
-        assert await _platform_store.wait_until(
-            lambda: items[key].value != first_value
-        )
-        for task in tasks:
-            task.cancel()
-        tasks = [
-            asyncio.create_task(later.publish()),
-            asyncio.create_task(later.follower.run()),
-        ]
-        assert await _platform_store.wait_until(lambda: bool(found))
+        async with running(later):
+            assert await _platform_store.wait_until(lambda: bool(found))
         assert found[0] is not None
         assert found[0].is_draining
-        for task in tasks:
-            task.cancel()
 
     play(work)
