Tell each balancer that asks a home where its flow is

Cause: a holder told a balancer at most every 200 ms, also one that had asked the home again because it does not know the holder's agent yet. Such a balancer repeats its packet after 80 ms until it is told, so the request was delivered twice. Change: each packet that came by way of the home is answered with Located; the times of earlier messages are no longer kept. Keeper._open looks a flow up once. Tests: test_a_balancer_that_asks_the_home_is_always_told and test_each_request_is_delivered_once, both failed before.

--- a/libs/flows/src/fireflyford/flows/_held.py
+++ b/libs/flows/src/fireflyford/flows/_held.py
@@ -47,8 +47,6 @@
         self.busy_since_ms: int | None = None
         self.started_idle = False
         self.ended = False
-        # When each instance was last told who holds the flow.
-        self.told_ms: dict[core.Address, int] = {}
 
     def matches(self, packet: _types.Packet) -> bool:
         """Returns whether a client's packet belongs to this flow.
--- a/libs/flows/src/fireflyford/flows/_keeper.py
+++ b/libs/flows/src/fireflyford/flows/_keeper.py
@@ -22,8 +22,6 @@
 PROBE_LIMIT_MS = 50
 # Notes that mark delivered packets; a note comes back with the packet.
 _MAX_NOTE = 0x7FFFFFFF
-# A holder repeats to a balancer where a flow is at most this often.
-TELL_INTERVAL_MS = 200
 # Chains of agents are bounded, since two views may point at each other.
 MAX_HOPS = 4
 # Flows announced in one message.
@@ -100,7 +98,7 @@
             self.held.receive(held, packet)
             return [
                 _types.Deliver(packet),
-                *self._tell(held, packet.flow, forward, sender),
+                *self._tell(packet.flow, forward, sender),
             ]
         if packet.opens:
             if packet.flow in self._openings:
@@ -116,9 +114,8 @@
         forward: _messages.Forward,
         packet: _types.Packet,
     ) -> list[_types.Action]:
-        if packet.flow in self.held:
-            held = self.held.get(packet.flow)
-            assert held is not None
+        held = self.held.get(packet.flow)
+        if held is not None:
             self.held.receive(held, packet)
             return [
                 _types.Deliver(packet),
@@ -213,35 +210,20 @@
         return [_messages.Send(homes[0], message)]
 
     def _tell(
-        self,
-        held: _held.HeldFlow,
-        flow: bytes,
-        forward: _messages.Forward,
-        sender: core.Address,
+        self, flow: bytes, forward: _messages.Forward, sender: core.Address
     ) -> list[_types.Action]:
-        """Tells the balancer and the home of a packet where its flow is."""
-        found = forward.handling is _messages.Handling.SEARCH
-        receivers = [forward.balancer]
-        if sender == forward.balancer and not found:
-            # The balancer knows; only a new home has to learn it.
-            receivers = []
-        if found:
+        """Tells those who did not know where the flow of a packet is.
+
+        A balancer that asked the home repeats its packet until it is told,
+        so each such packet is answered.
+        """
+        receivers = []
+        if sender != forward.balancer:
+            receivers.append(forward.balancer)
+        if forward.handling is _messages.Handling.SEARCH:
             receivers.append(forward.home)
-        now_ms = self._clock.now_ms()
-        actions: list[_types.Action] = []
-        for to in receivers:
-            told_ms = held.told_ms.get(to)
-            if (
-                not found
-                and told_ms is not None
-                and now_ms - told_ms < TELL_INTERVAL_MS
-            ):
-                continue
-            held.told_ms[to] = now_ms
-            actions.append(
-                _messages.Send(to, _messages.Located(flow, self.load()))
-            )
-        return actions
+        located = _messages.Located(flow, self.load())
+        return [_messages.Send(to, located) for to in receivers]
 
     # Packets of the backend server.
 
@@ -271,12 +253,9 @@
         if opening is None:
             # The flow was placed elsewhere meanwhile.
             return []
-        held = self.held.add(packet.flow, opening.forward.lasting, packet.seq)
+        self.held.add(packet.flow, opening.forward.lasting, packet.seq)
         located = _messages.Located(packet.flow, self.load())
-        now_ms = self._clock.now_ms()
         receivers = {opening.sender, opening.forward.balancer}
-        for to in receivers:
-            held.told_ms[to] = now_ms
         telemetry.log(
             "flow-opened",
             flow=_types.describe_flow(packet.flow),
@@ -402,16 +381,15 @@
             if probe.packet.flow == flow
         ]
         lasting = any(probe.forward.lasting for _, probe in probes)
-        held = self.held.add(flow, lasting, None)
-        located = _messages.Located(flow, self.load())
-        actions = self._announce(flow)
-        for note, probe in probes:
+        self.held.add(flow, lasting, None)
+        for note, _ in probes:
             del self._probes[note]
-            balancer = probe.forward.balancer
-            if balancer not in held.told_ms:
-                held.told_ms[balancer] = self._clock.now_ms()
-                actions.append(_messages.Send(balancer, located))
-        return actions
+        located = _messages.Located(flow, self.load())
+        balancers = {probe.forward.balancer for _, probe in probes}
+        return [
+            *self._announce(flow),
+            *(_messages.Send(to, located) for to in sorted(balancers)),
+        ]
 
     def _announce(self, flow: bytes) -> list[_types.Action]:
         return [
--- a/libs/flows/tests/test_decisions.py
+++ b/libs/flows/tests/test_decisions.py
@@ -93,6 +93,18 @@
     assert sent(actions, flows.Absent)
 
 
+def test_a_balancer_that_asks_the_home_is_always_told() -> None:
+    """Guards against a request that is delivered twice.
+
+    A balancer that was told where the flow is may not know the holder, asks
+    the home, and repeats its packet until it is told again.
+    """
+    _, _, keeper = make_keeper()
+    open_flow(keeper)
+    actions = keeper.receive(PEER, forward(flows.Handling.HELD), data_packet())
+    assert [item.to for item in sent(actions, flows.Located)] == [BALANCER]
+
+
 def test_a_late_answer_to_a_first_packet_is_dropped() -> None:
     """Guards against a flow that opens at two backend servers."""
     clock, _, keeper = make_keeper()
--- a/libs/lab/src/fireflyford/lab/_packet_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_packet_fleet.py
@@ -5,6 +5,7 @@
 repeat their packets. Everything is driven by one queue of events.
 """
 
+import collections
 from collections.abc import Callable
 import dataclasses
 import enum
@@ -98,6 +99,10 @@
         self.first_seqs: dict[bytes, int] = {}
         self.opened: list[tuple[int, bytes]] = []
         self.foreign_count = 0
+        # How often each request was delivered, by flow and sequence.
+        self.request_counts: collections.Counter[tuple[bytes, int]] = (
+            collections.Counter()
+        )
         self.working: list[bytes] = []
         self.queue: list[bytes] = []
 
@@ -121,6 +126,8 @@
             bounced = dataclasses.replace(packet, bounced=True, note=note)
             node.answer(bounced)
             return
+        if packet.payload_bytes:
+            self.request_counts[packet.flow, packet.seq] += 1
         if packet.payload_bytes and packet.flow not in (
             *self.working,
             *self.queue,
--- a/libs/lab/tests/test_packet_fleet.py
+++ b/libs/lab/tests/test_packet_fleet.py
@@ -51,6 +51,23 @@
     assert fleet.answered_share(CALM_MS) == 1.0
 
 
+def test_each_request_is_delivered_once() -> None:
+    """Guards against copies from balancers that do not know an agent yet."""
+    fleet = _packet_fleet.PacketFleet(1, PLANS)
+    unknown = fleet.agents[0].address
+    for balancer in fleet.balancers:
+        balancer.view.register(
+            node.instance
+            for node in (*fleet.agents, *fleet.balancers)
+            if node.address != unknown
+        )
+    open_clients(fleet, 30)
+    assert endings(fleet) == {_packet_fleet.Ending.ANSWERED}
+    delivered = [target.request_counts for target in fleet.targets]
+    assert delivered[0]
+    assert all(set(counts.values()) <= {1} for counts in delivered)
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_flows_stay_when_the_rotation_changes(seed: int) -> None:
     """Guards against flows that depend on the balancer of their opening."""
