Greet instances that the registry shows

Cause: of two instances that start together each may read the registry before the other has written its entry. Change: an instance sends a beat to each process that a later reading shows, and the watch pauses 0.1 s until the own entry is seen; entries written before it are then seen as well. Test: test_instances_that_start_together_find_each_other, failed before.

--- a/libs/flows/src/fireflyford/flows/_fleet.py
+++ b/libs/flows/src/fireflyford/flows/_fleet.py
@@ -36,20 +36,30 @@
         # Changes with each change of the instances or of what they take.
         self.generation = 0
 
-    def register(self, instances: Iterable[_types.Instance]) -> None:
-        """Replaces all entries of the registry."""
+    def register(
+        self, instances: Iterable[_types.Instance]
+    ) -> list[_types.Instance]:
+        """Replaces all entries of the registry.
+
+        Returns:
+            Instances whose process was not known before.
+        """
         self._registered = {str(item.address): item for item in instances}
-        self.refresh()
+        return self.refresh()
 
     def update(
         self, put: Iterable[_types.Instance], deleted: Iterable[str]
-    ) -> None:
-        """Takes changed entries and the addresses of deleted ones."""
+    ) -> list[_types.Instance]:
+        """Takes changed entries and the addresses of deleted ones.
+
+        Returns:
+            Instances whose process was not known before.
+        """
         for address in deleted:
             self._registered.pop(address, None)
         for instance in put:
             self._registered[str(instance.address)] = instance
-        self.refresh()
+        return self.refresh()
 
     def hear(self, beat: _messages.Beat) -> bool:
         """Takes a beat.
@@ -85,8 +95,12 @@
             self._rings.pop(instance.service, None)
             self.generation += 1
 
-    def refresh(self) -> None:
-        """Merges both sources again; call it now and then for silence."""
+    def refresh(self) -> list[_types.Instance]:
+        """Merges both sources again; call it now and then for silence.
+
+        Returns:
+            Instances whose process was not known before.
+        """
         oldest_ms = self._clock.now_ms() - SILENCE_MS
         present: dict[core.Address, _types.Instance] = {}
         heard = [item for at, item in self._heard.values() if at >= oldest_ms]
@@ -95,7 +109,7 @@
             if rival is None or rival.incarnation <= instance.incarnation:
                 present[instance.address] = instance
         if present == self._present:
-            return
+            return []
         for address, instance in self._present.items():
             if address not in present:
                 self._loads.pop(address, None)
@@ -104,8 +118,12 @@
                     peer=instance.instance_id,
                     address=address,
                 )
+        found = []
         for address, instance in present.items():
-            if self._present.get(address) != instance:
+            known = self._present.get(address)
+            if known is None or known.incarnation != instance.incarnation:
+                found.append(instance)
+            if known != instance:
                 telemetry.log(
                     "instance-found",
                     peer=instance.instance_id,
@@ -116,6 +134,7 @@
         self._present = present
         self._rings.clear()
         self.generation += 1
+        return found
 
     def __contains__(self, address: object) -> bool:
         """Returns whether an instance at the address is present."""
--- a/libs/runtime/src/fireflyford/runtime/_follow.py
+++ b/libs/runtime/src/fireflyford/runtime/_follow.py
@@ -27,6 +27,13 @@
     def take_changes(self, reading: store.Reading) -> None:
         """Takes written and deleted keys."""
 
+    def pause_ms(self) -> int:
+        """Returns how long to wait after changes before the next watch.
+
+        Changes that come together then cost one call.
+        """
+        return 0
+
     def lose(self, reason: str) -> None:
         """Notes that the store does not answer."""
         del reason
@@ -42,7 +49,6 @@
         rng: random.Random,
         prefix: str,
         listener: Listener,
-        pause_ms: int = 0,
     ) -> None:
         """Prepares to follow.
 
@@ -52,15 +58,12 @@
             rng: Source of jitter.
             prefix: Start of the keys.
             listener: Takes readings.
-            pause_ms: Wait after changes before the next watch, so that
-                changes which come together cost one call.
         """
         self._client = client
         self._clock = clock
         self._rng = rng
         self._prefix = prefix
         self._listener = listener
-        self._pause_ms = pause_ms
         self._is_lost = False
         # When the store last answered, None before the first answer.
         self.heard_ms: int | None = None
@@ -103,7 +106,7 @@
                 revision = max(revision, change.value.revision)
                 if change.value.entries or change.value.deleted:
                     self._listener.take_changes(change.value)
-                    await self._clock.sleep(self._pause_ms)
+                    await self._clock.sleep(self._listener.pause_ms())
 
     def _hear(self) -> None:
         if self._is_lost:
--- a/libs/runtime/src/fireflyford/runtime/_process.py
+++ b/libs/runtime/src/fireflyford/runtime/_process.py
@@ -81,7 +81,13 @@
         self.fleet = flows.Fleet(clock)
         self.store: store.Store = front_end.open_store()
         self.registry = _registry.Registry(
-            self.store, clock, self.rng, self.own, self.fleet, self._join
+            self.store,
+            clock,
+            self.rng,
+            self.own,
+            self.fleet,
+            self._join,
+            self._meet,
         )
         self.pages = _config_source.HttpPeerPages()
         self.link = _link.Link(
@@ -217,6 +223,16 @@
         self.joined(earlier)
         self.send_beats(self.all_receivers())
 
+    def _meet(self, found: list[flows.Instance]) -> None:
+        """Makes this instance known to processes that the registry showed.
+
+        They may have read it before this instance was there.
+        """
+        receivers = set(self.all_receivers())
+        self.send_beats(
+            [item.address for item in found if item.address in receivers]
+        )
+
     def joined(self, earlier: flows.Instance | None) -> None:
         """Handles the first sight of the registry.
 
--- a/libs/runtime/src/fireflyford/runtime/_registry.py
+++ b/libs/runtime/src/fireflyford/runtime/_registry.py
@@ -20,6 +20,9 @@
 # Starts, drains and ends are told by beats at once, so the watch may be late.
 # Below the silence after which an instance without an entry is gone.
 WATCH_PAUSE_MS = 1_500
+# Until the own entry is seen, so that an entry written before it is seen soon:
+# of two instances that start together, one then knows the other.
+JOIN_PAUSE_MS = 100
 # Pause after a failed write.
 RETRY_MS = 400
 
@@ -37,6 +40,7 @@
         own: flows.Instance,
         fleet: flows.Fleet,
         joined: Callable[[flows.Instance | None], None],
+        found: Callable[[list[flows.Instance]], None],
     ) -> None:
         """Prepares the registry.
 
@@ -48,6 +52,8 @@
             fleet: View to be kept up to date.
             joined: Called after the first reading with the entry that an
                 earlier process left at this address.
+            found: Called with the processes that a later reading shows and
+                that were not known.
         """
         self._client = client
         self._clock = clock
@@ -56,13 +62,12 @@
         self._fleet = fleet
         self._key = f"{PREFIX}{own.address}"
         self._joined = joined
+        self._found = found
         self._has_joined = asyncio.Event()
         self._changed = asyncio.Event()
         self._lease_id = 0
         self._is_missing = True
-        self.follower = _follow.PrefixFollower(
-            client, clock, rng, PREFIX, self, WATCH_PAUSE_MS
-        )
+        self.follower = _follow.PrefixFollower(client, clock, rng, PREFIX, self)
 
     async def publish(self) -> None:
         """Keeps the own entry until cancelled."""
@@ -150,18 +155,27 @@
         own = [item for item in instances if item.address == self._own.address]
         if not own:
             self._miss()
-        self._fleet.register(instances)
-        if not self._has_joined.is_set():
+        found = self._fleet.register(instances)
+        if self._has_joined.is_set():
+            self._found(found)
+        else:
             self._has_joined.set()
             self._joined(own[0] if own else None)
 
+    def pause_ms(self) -> int:
+        """Returns how long to wait before the next watch."""
+        known = self._fleet.find(self._own.address)
+        if known is None or known.incarnation != self._own.incarnation:
+            return JOIN_PAUSE_MS
+        return WATCH_PAUSE_MS
+
     def take_changes(self, reading: store.Reading) -> None:
         """Takes changed entries."""
         if self._key in reading.deleted:
             self._miss()
         written = _instances(reading)
         gone = {key.removeprefix(PREFIX) for key in reading.deleted}
-        self._fleet.update(written, gone)
+        self._found(self._fleet.update(written, gone))
 
 
 def _instances(reading: store.Reading) -> list[flows.Instance]:
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import json
 import random
 import socket
 
@@ -14,6 +15,7 @@
 from fireflyford import store
 from fireflyford.lab import _platform_store
 from fireflyford.platform import _store
+from fireflyford.runtime import _link_codec
 from fireflyford.runtime import _registry
 
 Server = _platform_store.PlatformStoreServer
@@ -136,6 +138,7 @@
     client: _store.PlatformStore,
     joined: Callable[[flows.Instance | None], None] = lambda _: None,
     incarnation: int = 1,
+    found: Callable[[list[flows.Instance]], None] = lambda _: None,
 ) -> tuple[flows.Instance, flows.Fleet, _registry.Registry]:
     clock = core.SystemClock()
     own = flows.Instance(
@@ -151,7 +154,7 @@
     return (
         own,
         fleet,
-        _registry.Registry(client, clock, rng, own, fleet, joined),
+        _registry.Registry(client, clock, rng, own, fleet, joined, found),
     )
 
 
@@ -199,6 +202,44 @@
     play(work)
 
 
+def test_instances_that_start_together_find_each_other() -> None:
+    """Guards against a pair of which neither knows the other for long.
+
+    Each reads the registry before the other has written its entry; the bound
+    is the time that the processes of a test wait before the first flow.
+    """
+
+    async def work(server: Server, client: _store.PlatformStore) -> None:
+        met: list[flows.Instance] = []
+        _, _, registry = make_registry(client, found=met.extend)
+        following = asyncio.create_task(registry.follower.run())
+        try:
+            assert await _platform_store.wait_until(
+                lambda: registry.follower.heard_ms is not None
+            )
+            others = [
+                flows.Instance(
+                    f"agent-{index}",
+                    core.Role.AGENT,
+                    "board",
+                    "a",
+                    core.Address(f"10.0.0.{index}", 7_000),
+                    1,
+                )
+                for index in (2, 3)
+            ]
+            for other in others:
+                value = json.dumps(_link_codec.pack_instance(other)).encode()
+                server.state.put(f"{_registry.PREFIX}{other.address}", value)
+                assert await _platform_store.wait_until(
+                    lambda sought=other: sought in met, 600
+                )
+        finally:
+            following.cancel()
+
+    play(work)
+
+
 def test_a_withdrawn_entry_stays_away() -> None:
     """Guards against an entry that a change writes again at the end."""
 
