Place single requests by two random choices

Cause: homes work on loads that are 0.1 s old or more, and each took the agent of least expected completion, so all homes took the same one until its load was reported. Change: a single request goes to the sooner of two random candidates. Lasting flows keep the choice among all, which is better for them. AgentNode and BalancerNode of the lab share their process part.

--- a/libs/flows/src/fireflyford/flows/_agent.py
+++ b/libs/flows/src/fireflyford/flows/_agent.py
@@ -18,7 +18,7 @@
         clock: core.Clock,
         own: _types.Instance,
         fleet: _fleet.Fleet,
-        placement: _placement.Placement | None = None,
+        placement: _placement.Placement,
     ) -> None:
         """Starts without flows.
 
@@ -26,14 +26,12 @@
             clock: Source of time.
             own: This agent.
             fleet: View of the other instances.
-            placement: Policy for new flows, `LeastCompletion` if not given.
+            placement: Policy for new flows.
         """
         self._own = own
         self._fleet = fleet
         self.keeper = _keeper.Keeper(clock, own, fleet)
-        self.home = _home.Home(
-            clock, own, fleet, placement or _placement.LeastCompletion()
-        )
+        self.home = _home.Home(clock, own, fleet, placement)
         self._announced_generation = -1
 
     def receive(
--- a/libs/flows/src/fireflyford/flows/_placement.py
+++ b/libs/flows/src/fireflyford/flows/_placement.py
@@ -16,6 +16,11 @@
 MAX_SPEED_FACTOR = 4.0
 
 
+# Candidates drawn for a single request. Homes work on loads that are 0.1 s old
+# or more; if each took the best of all, they would all take the same one. Two
+# is the least number with a choice (Mitzenmacher, "How useful is old
+# information?", IEEE TPDS 11, 2000).
+SAMPLE_COUNT = 2
 # Requests and reserved flows that a backend server gets for each slot, the one
 # that is worked on included. Slots then stay busy while homes with older loads
 # look for room, and what queues still ends within some 100 ms.
@@ -88,11 +93,16 @@
     """Earliest completion for single requests, even shares for lasting flows.
 
     Answers unequal speeds and work that arrives faster than it is reported:
-    a single request goes where it is expected to finish first; a lasting flow
-    goes where the flows already open leave the largest share of capacity,
-    because its later requests follow it there.
+    of two random candidates, a single request goes to the one where it is
+    expected to finish first. A lasting flow goes where the flows already open
+    leave the largest share of capacity, because its later requests follow it
+    there; such flows come rarely enough for their homes to know the loads.
     """
 
+    def __init__(self, rng: random.Random) -> None:
+        """Takes the random source."""
+        self._rng = rng
+
     def choose(
         self, candidates: Sequence[Candidate], lasting: bool
     ) -> Candidate:
@@ -101,7 +111,11 @@
             item.load.service_ms for item in candidates if item.load.service_ms
         ]
         median_ms = statistics.median(times) if times else DEFAULT_SERVICE_MS
-        cost = _share_cost if lasting else _completion_cost
+        cost = _share_cost
+        if not lasting:
+            cost = _completion_cost
+            count = min(SAMPLE_COUNT, len(candidates))
+            candidates = self._rng.sample(candidates, count)
         return min(
             candidates,
             key=lambda item: cost(item, _service_ms(item.load, median_ms)),
--- a/libs/flows/tests/test_decisions.py
+++ b/libs/flows/tests/test_decisions.py
@@ -1,6 +1,7 @@
 """Single decisions of agents and balancers."""
 
 import dataclasses
+import random
 
 import pytest
 
@@ -221,7 +222,8 @@
     clock = Clock(1_000_000)
     fleet = flows.Fleet(clock)
     fleet.register([instance(OWN), instance(PEER)])
-    decisions = flows.AgentFlows(clock, instance(OWN), fleet)
+    policy = flows.LeastCompletion(random.Random(1))
+    decisions = flows.AgentFlows(clock, instance(OWN), fleet, policy)
     for address in (OWN, PEER):
         load = flows.Load(flows.TargetState.READY, 2)
         decisions.home.take_load(address, load)
--- a/libs/lab/src/fireflyford/lab/_packet_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_packet_fleet.py
@@ -29,6 +29,8 @@
 ROUTE = core.Address("198.18.0.1", 443)
 SERVICE = "board"
 
+PlacementMaker = Callable[[core.Address], flows.Placement]
+
 
 class EventClock(core.ManualClock):
     """Clock set by the queue of events."""
@@ -103,6 +105,8 @@
         self.request_counts: collections.Counter[tuple[bytes, int]] = (
             collections.Counter()
         )
+        # Time spent on requests.
+        self.worked_ms = 0
         self.working: list[bytes] = []
         self.queue: list[bytes] = []
 
@@ -153,6 +157,7 @@
 
     def _work(self, flow: bytes) -> None:
         self.working.append(flow)
+        self.worked_ms += self.plan.service_ms
         self._fleet.after(self.plan.service_ms, lambda: self._finish(flow))
 
     def _finish(self, flow: bytes) -> None:
@@ -183,33 +188,70 @@
         self._fleet.agents[self.index].answer(packet)
 
 
-class AgentNode:
-    """One agent with its decisions; a restart forgets everything."""
+class Node:
+    """A process with its view of the others; a restart forgets everything."""
 
-    def __init__(self, fleet: "PacketFleet", index: int, target: Target):
+    def __init__(
+        self,
+        fleet: "PacketFleet",
+        role: core.Role,
+        address: core.Address,
+    ):
         """Starts a process."""
         self._fleet = fleet
-        self.index = index
-        self.target = target
-        self.address = core.Address(f"10.0.1.{index + 1}", 7000)
-        self.up = False
+        self._role = role
+        self.address = address
         self.start()
 
     def start(self) -> None:
         """Starts a new process."""
-        fleet = self._fleet
+        clock = self._fleet.clock
         self.up = True
         self.instance = flows.Instance(
-            f"agent-{self.index}",
-            core.Role.AGENT,
-            self.target.plan.service,
+            f"{self._role.value}-{self.address.host}",
+            self._role,
+            self.service(),
             "zone",
             self.address,
-            fleet.clock.wall_ms(),
+            clock.wall_ms(),
         )
-        self.view = flows.Fleet(fleet.clock)
+        self.view = flows.Fleet(clock)
+        self.decide()
+
+    def service(self) -> str:
+        """Returns the service of an agent, empty for a balancer."""
+        return ""
+
+    def decide(self) -> None:
+        """Makes the decision code of a new process."""
+        raise NotImplementedError
+
+    def receive(self, sender: core.Address, message: flows.Message) -> None:
+        """Handles a message."""
+        raise NotImplementedError
+
+
+class AgentNode(Node):
+    """One agent with its decisions."""
+
+    def __init__(self, fleet: "PacketFleet", index: int, target: Target):
+        """Starts a process."""
+        self.target = target
+        address = core.Address(f"10.0.1.{index + 1}", 7000)
+        super().__init__(fleet, core.Role.AGENT, address)
+
+    def service(self) -> str:
+        """Returns the service of the backend server."""
+        return self.target.plan.service
+
+    def decide(self) -> None:
+        """Makes the decision code of a new process."""
+        fleet = self._fleet
         self.flows = flows.AgentFlows(
-            fleet.clock, self.instance, self.view, fleet.placement
+            fleet.clock,
+            self.instance,
+            self.view,
+            fleet.make_placement(self.address),
         )
         self.watch = flows.TargetWatch(
             fleet.clock, self.target.plan.service, self.flows.keeper, 1_200
@@ -252,30 +294,17 @@
                 self._fleet.carry(self.address, action)
 
 
-class BalancerNode:
+class BalancerNode(Node):
     """One balancer with its decisions."""
 
     def __init__(self, fleet: "PacketFleet", index: int):
         """Starts a process."""
-        self._fleet = fleet
-        self.index = index
-        self.address = core.Address(f"10.0.0.{index + 1}", 7000)
-        self.up = False
-        self.start()
+        address = core.Address(f"10.0.0.{index + 1}", 7000)
+        super().__init__(fleet, core.Role.BALANCER, address)
 
-    def start(self) -> None:
-        """Starts a new process."""
+    def decide(self) -> None:
+        """Makes the decision code of a new process."""
         fleet = self._fleet
-        self.up = True
-        self.instance = flows.Instance(
-            f"balancer-{self.index}",
-            core.Role.BALANCER,
-            "",
-            "zone",
-            self.address,
-            fleet.clock.wall_ms(),
-        )
-        self.view = flows.Fleet(fleet.clock)
         self.flows = flows.BalancerFlows(fleet.clock, self.instance, self.view)
         self.flows.apply(fleet.table)
         self.flows.is_current = True
@@ -308,14 +337,14 @@
         self._first_seq = 0
         self._seq = 1
         self._started_ms = 0
-        self._waits = False
+        self.waits = False
         self._deadline_ms = 0
 
     def open(self, deadline_ms: int = 2_500) -> None:
         """Opens the flow and sends a request."""
         self._started_ms = self._fleet.clock.now_ms()
         self._deadline_ms = deadline_ms
-        self._waits = True
+        self.waits = True
         for delay_ms in OPENING_COPIES_MS:
             self._fleet.after(delay_ms, self._send_opening)
         self._fleet.after(OPENING_LIMIT_MS, self._give_up_opening)
@@ -324,7 +353,7 @@
         """Sends a request on the open flow."""
         self._started_ms = self._fleet.clock.now_ms()
         self._deadline_ms = deadline_ms
-        self._waits = True
+        self.waits = True
         self._send_request()
 
     def receive(self, packet: flows.Packet) -> None:
@@ -336,7 +365,7 @@
                 self.is_open = True
                 self._first_seq = packet.seq
                 self._send_request()
-        elif packet.payload_bytes and self._waits:
+        elif packet.payload_bytes and self.waits:
             shed = self.flow in self._fleet.sheds
             self._fleet.sheds.discard(self.flow)
             self._end(Ending.SHED if shed else Ending.ANSWERED)
@@ -349,7 +378,7 @@
         holder = self._fleet.holder(self.flow)
         if self.is_open and holder is not None:
             self._fleet.broken.append(self.flow)
-        if self._waits:
+        if self.waits:
             self._end(Ending.RESET if self.is_open else Ending.REFUSED)
 
     def _send_opening(self) -> None:
@@ -370,7 +399,7 @@
 
         def copy() -> None:
             if (
-                self._waits
+                self.waits
                 and not self.is_ended
                 and began_ms == (self._started_ms)
             ):
@@ -386,7 +415,7 @@
                 )
 
         def give_up() -> None:
-            if self._waits and began_ms == self._started_ms:
+            if self.waits and began_ms == self._started_ms:
                 self.is_ended = True
                 self._end(Ending.SILENCE)
 
@@ -396,7 +425,7 @@
         self._fleet.after(max(0, left_ms), give_up)
 
     def _end(self, ending: Ending) -> None:
-        self._waits = False
+        self.waits = False
         self._fleet.results.append(
             Result(
                 self.flow,
@@ -415,7 +444,7 @@
         seed: int,
         plans: list[TargetPlan],
         balancer_count: int = 3,
-        placement: flows.Placement | None = None,
+        make_placement: PlacementMaker | None = None,
         lasting: bool = False,
     ) -> None:
         """Starts all processes with a common view.
@@ -424,12 +453,14 @@
             seed: Seed of all random choices.
             plans: The backend servers.
             balancer_count: Number of balancers.
-            placement: Policy for new flows.
+            make_placement: Policy for new flows at the agent of an address,
+                the one in use if not given.
             lasting: Whether flows carry many requests.
         """
         self.rng = random.Random(seed)
         self.clock = EventClock(1_000_000)
-        self.placement = placement
+        policy = flows.LeastCompletion(random.Random(seed))
+        self.make_placement = make_placement or (lambda _: policy)
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self._packets: dict[bytes, flows.Packet] = {}
--- a/libs/lab/tests/test_packet_fleet.py
+++ b/libs/lab/tests/test_packet_fleet.py
@@ -255,7 +255,7 @@
         fleet = _packet_fleet.PacketFleet(seed, plans)
         if random_placement:
             policy = flows.Random(fleet.rng)
-            fleet.placement = policy
+            fleet.make_placement = lambda _, policy=policy: policy
             for agent in fleet.agents:
                 agent.start()
             fleet.register()
--- a/libs/runtime/src/fireflyford/runtime/_agent.py
+++ b/libs/runtime/src/fireflyford/runtime/_agent.py
@@ -34,7 +34,9 @@
             clock: Source of time.
         """
         super().__init__(options, front_end, clock, options.service)
-        self.flows = flows.AgentFlows(clock, self.own, self.fleet)
+        self.flows = flows.AgentFlows(
+            clock, self.own, self.fleet, flows.LeastCompletion(self.rng)
+        )
         self.target_watch = flows.TargetWatch(
             clock,
             options.service,
