Serve histograms and counts of events on the metrics address

telemetry.log counts each event by its name and reason, also those whose lines are dropped, so logs and metrics share their names. The number of series is bounded. docs/OPERATIONS.md lists them, and a test compares the list with the code.

--- a/libs/flows/src/fireflyford/flows/_balancer.py
+++ b/libs/flows/src/fireflyford/flows/_balancer.py
@@ -326,7 +326,10 @@
         self._suspects.pop(sender, None)
         pending = self._pending.pop(flow, None)
         if pending is not None:
-            self._timer.sample(self._clock.now_ms() - pending.taken_ms)
+            duration_ms = self._clock.now_ms() - pending.taken_ms
+            self._timer.sample(duration_ms)
+            kind = "new" if pending.packet.opens else "known"
+            telemetry.observe("flow_locate", duration_ms, kind)
             service = pending.service
         else:
             instance = self._fleet.find(sender)
--- a/libs/flows/src/fireflyford/flows/_held.py
+++ b/libs/flows/src/fireflyford/flows/_held.py
@@ -3,6 +3,7 @@
 import collections
 
 from fireflyford import core
+from fireflyford import telemetry
 from fireflyford.flows import _types
 
 # A new flow reserves a slot until its first request, at most this long: the
@@ -158,8 +159,11 @@
             ):
                 held.sent_end = end
         if packet.payload_bytes and held.busy_since_ms is not None:
+            duration_ms = held.used_ms - held.busy_since_ms
+            kind = "free-slot" if held.started_idle else "queued"
+            telemetry.observe("response", duration_ms, kind)
             if held.started_idle:
-                self._sample(held.used_ms - held.busy_since_ms)
+                self._sample(duration_ms)
             self._finish(held)
         if packet.ends:
             self._end(held)
--- a/libs/flows/src/fireflyford/flows/_home.py
+++ b/libs/flows/src/fireflyford/flows/_home.py
@@ -178,8 +178,13 @@
         attempt = self._attempts.pop(flow, None)
         if attempt is not None:
             in_time = attempt.asked == sender
+            now_ms = self._clock.now_ms()
             since_ms = attempt.asked_ms if in_time else attempt.started_ms
-            self._place_timer.sample(self._clock.now_ms() - since_ms)
+            self._place_timer.sample(now_ms - since_ms)
+            kind = "waited" if attempt.is_waiting else "at-once"
+            telemetry.observe(
+                "flow_placement", now_ms - attempt.started_ms, kind
+            )
         return self._found(flow, sender)
 
     def _found(self, flow: bytes, sender: core.Address) -> list[_types.Action]:
--- a/libs/runtime/src/fireflyford/runtime/_balancer.py
+++ b/libs/runtime/src/fireflyford/runtime/_balancer.py
@@ -190,6 +190,7 @@
         """Returns the counters and gauges of the process."""
         return super().metrics() | {
             "config_version": self.flows.version,
+            "config_age_ms": self.age_ms(self.config.follower.heard_ms),
             "cached_flows": self.flows.cached_count,
             "ready": self.is_ready(),
         }
--- a/libs/runtime/src/fireflyford/runtime/_process.py
+++ b/libs/runtime/src/fireflyford/runtime/_process.py
@@ -207,7 +207,10 @@
 
     async def _sweep(self) -> None:
         while True:
+            due_ms = self.clock.now_ms() + SWEEP_INTERVAL_MS
             await self.clock.sleep(SWEEP_INTERVAL_MS)
+            delay_ms = max(0, self.clock.now_ms() - due_ms)
+            telemetry.observe("event_loop_delay", delay_ms)
             self.sweep()
 
     async def _expire(self) -> None:
@@ -325,11 +328,17 @@
         return json.dumps(self.status(), default=str).encode()
 
     def _metrics_page(self) -> bytes:
-        return telemetry.expose_counts(self.metrics())
+        counts = telemetry.expose_counts(self.metrics())
+        return counts + telemetry.expose_instruments()
+
+    def age_ms(self, heard_ms: int | None) -> int:
+        """Returns the time since the store told something, -1 for never."""
+        return -1 if heard_ms is None else self.clock.now_ms() - heard_ms
 
     def metrics(self) -> dict[str, float]:
         """Returns the counters and gauges of the process."""
         values: dict[str, float] = dict(vars(self.link.counters))
         values["instances"] = len(self.fleet.instances())
         values["store_lost"] = self.registry.follower.is_lost
+        values["view_age_ms"] = self.age_ms(self.registry.follower.heard_ms)
         return values
--- a/libs/telemetry/src/fireflyford/telemetry/__init__.py
+++ b/libs/telemetry/src/fireflyford/telemetry/__init__.py
@@ -6,6 +6,8 @@
 
 if typing.TYPE_CHECKING:
     from fireflyford.telemetry._exposition import expose_counts
+    from fireflyford.telemetry._instruments import expose_instruments
+    from fireflyford.telemetry._instruments import observe
     from fireflyford.telemetry._logs import configure_logs
     from fireflyford.telemetry._logs import format_line
     from fireflyford.telemetry._logs import log
@@ -17,9 +19,11 @@
     "Meter",
     "configure_logs",
     "expose_counts",
+    "expose_instruments",
     "format_line",
     "log",
     "log_task_failure",
+    "observe",
     "serve_status",
 ]
 
@@ -27,6 +31,7 @@
     __name__,
     {
         "_exposition": ("expose_counts",),
+        "_instruments": ("expose_instruments", "observe"),
         "_logs": (
             "configure_logs",
             "format_line",
--- a/libs/telemetry/src/fireflyford/telemetry/_logs.py
+++ b/libs/telemetry/src/fireflyford/telemetry/_logs.py
@@ -7,6 +7,7 @@
 
 import eliot
 
+from fireflyford.telemetry import _instruments
 from fireflyford.telemetry import _writer
 
 _PLAIN = re.compile(r"[A-Za-z0-9_.:/@+-]+")
@@ -55,12 +56,13 @@
 
 
 def log(event: str, **fields: object) -> None:
-    """Logs one event.
+    """Logs one event and counts it by its name and `reason`.
 
     Args:
         event: Name of the event, words joined by hyphens.
         **fields: Values of the event, names ending in their unit.
     """
+    _instruments.count(event, fields.get("reason", ""))
     if _active_writer is not None and not _active_writer.admit():
         return
     eliot.log_message(message_type=event, **fields)
--- a/tests/test_event_names.py
+++ b/tests/test_event_names.py
@@ -1,4 +1,4 @@
-"""The table of log events in docs/OPERATIONS.md against the code."""
+"""Tables of docs/OPERATIONS.md against the code."""
 
 import ast
 import pathlib
@@ -11,11 +11,12 @@
     "libs/telemetry/src",
     "platform/src",
 )
-_NAME = re.compile(r"`([a-z]+(?:-[a-z]+)*)`")
+_NAME = re.compile(r"`([a-z]+(?:[-_][a-z]+)*)`")
 
 
-def logged_events() -> set[str]:
-    found = {"log-lines-dropped"}
+def first_arguments(functions: tuple[str, ...]) -> set[str]:
+    """Returns the literal first arguments of all calls of some functions."""
+    found: set[str] = set()
     for folder in FOLDERS:
         for path in (ROOT / folder).rglob("*.py"):
             for node in ast.walk(ast.parse(path.read_text())):
@@ -23,16 +24,15 @@
                     continue
                 name = ast.unparse(node.func)
                 first = node.args[0]
-                if name in ("telemetry.log", "log") and isinstance(
-                    first, ast.Constant
-                ):
+                if name in functions and isinstance(first, ast.Constant):
                     found.add(str(first.value))
     return found
 
 
-def documented_events() -> set[str]:
+def documented_names(heading: str) -> set[str]:
+    """Returns the names in the first column of a table."""
     page = (ROOT / "docs" / "OPERATIONS.md").read_text()
-    table = page.split("| Event |")[1].split("\n\n")[0]
+    table = page.split(f"| {heading} |")[1].split("\n\n")[0]
     found: set[str] = set()
     for line in table.splitlines()[2:]:
         found.update(_NAME.findall(line.split("|")[1]))
@@ -41,4 +41,11 @@
 
 def test_every_event_is_documented() -> None:
     """Guards against events that an on-call engineer cannot look up."""
-    assert logged_events() == documented_events()
+    logged = first_arguments(("telemetry.log", "log"))
+    assert logged | {"log-lines-dropped"} == documented_names("Event")
+
+
+def test_every_histogram_is_documented() -> None:
+    """Guards against durations whose meaning has to be guessed."""
+    observed = first_arguments(("telemetry.observe",))
+    assert observed == documented_names("Histogram")
