--- a/libs/flows/src/fireflyford/flows/_balancer.py
+++ b/libs/flows/src/fireflyford/flows/_balancer.py
@@ -19,7 +19,7 @@
 # Flows whose holder a balancer remembers; some 100 bytes each.
 MAX_CACHED = 65_536
 # A home that has not answered for so long is passed over for a while: the
-# limits of placement (`_home.PLACE_TIMEOUT_MS`) and search fit in.
+# limits of placement (`_offers.PLACE_TIMEOUT_MS`) and search fit in.
 HOME_TIMEOUT_MS = 150
 SUSPECT_MS = 1_000
 # A packet without an answer is sent again after this time, then after twice
--- a/libs/flows/src/fireflyford/flows/_messages.py
+++ b/libs/flows/src/fireflyford/flows/_messages.py
@@ -46,6 +46,34 @@
     firm: bool
     data: bytes
 
+    def pass_on(
+        self,
+        handling: Handling,
+        home: _types.Instance,
+        to: core.Address,
+        packet: _types.Packet,
+        firm: bool = False,
+    ) -> "Send":
+        """Returns the message with which a home passes a packet on.
+
+        Args:
+            handling: What the receiver does with it.
+            home: The home, one of the service's agents.
+            to: The receiver.
+            packet: This packet, or another one of its flow.
+            firm: Whether the receiver takes the flow without a free slot.
+        """
+        message = dataclasses.replace(
+            self,
+            handling=handling,
+            service=home.service,
+            home=home.address,
+            hop_count=self.hop_count + 1,
+            firm=firm,
+            data=packet.data,
+        )
+        return Send(to, message)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Located:
