Let new flows wait 0.8 s for room

Cause: in the seconds after a power cut backend servers are slow and behind; flows refused after 0.6 s came again at once as new ones, at the end of the line. Change: the wait uses the time that the client leaves after its last copy.

--- a/libs/flows/src/fireflyford/flows/_offers.py
+++ b/libs/flows/src/fireflyford/flows/_offers.py
@@ -21,9 +21,10 @@
 SUSPECT_MS = 1_000
 # How many times a new flow looks for a free slot before any slot will do.
 BUSY_LIMIT_COUNT = 2
-# A new flow waits so long for a backend server with room, then it is refused;
-# the client itself gives up 1.4 s after its first packet.
-WAIT_LIMIT_MS = 600
+# A new flow waits so long for a backend server with room, then it is refused.
+# The client sends copies of its first packet for 600 ms, of which the last one
+# may be the first to arrive, and gives up 1.4 s after the first one.
+WAIT_LIMIT_MS = 800
 # How often a waiting flow looks for room.
 WAIT_RETRY_MS = 20
 # Offers of one flow that are logged; a waiting flow makes one each 20 ms.
