Bound the end of a process by its grace period as a whole

Change: what is left is counted from the signal, and the withdrawal ends with it, with half a second kept for it. Test: test_a_withdrawal_ends_with_its_limit failed before.

--- a/libs/runtime/src/fireflyford/runtime/_agent.py
+++ b/libs/runtime/src/fireflyford/runtime/_agent.py
@@ -80,14 +80,10 @@
         which finds the entry of this one. Those of one that is gone end now,
         and the entry goes, since every search for a flow would wait for it.
         """
-        signal_ms = self.clock.now_ms()
-        end_ms = signal_ms + self.options.grace_ms - _process.GRACE_RESERVE_MS
-        fate = self.target_watch.fate(signal_ms)
-        while fate is flows.TargetFate.UNKNOWN and (
-            self.clock.now_ms() < end_ms
-        ):
+        fate = self.target_watch.fate(self.stopped_ms)
+        while fate is flows.TargetFate.UNKNOWN and self.grace_left_ms() > 0:
             await self.clock.sleep(_process.SWEEP_INTERVAL_MS)
-            fate = self.target_watch.fate(signal_ms)
+            fate = self.target_watch.fate(self.stopped_ms)
         telemetry.log("target-fate", fate=fate.value)
         if fate is flows.TargetFate.GONE:
             self.link.run(self.flows.keeper.fail("left"))
--- a/libs/runtime/src/fireflyford/runtime/_balancer.py
+++ b/libs/runtime/src/fireflyford/runtime/_balancer.py
@@ -91,15 +91,13 @@
 
     async def _drain(self) -> None:
         """Forwards until the fabric has stopped using this balancer."""
-        start_ms = self.clock.now_ms()
-        limit_ms = start_ms + self.options.grace_ms - _process.GRACE_RESERVE_MS
         while True:
             await self.clock.sleep(_DRAIN_POLL_MS)
             now_ms = self.clock.now_ms()
             quiet = now_ms - self._taken_ms >= QUIET_MS
-            if quiet and now_ms - start_ms >= LEAVE_DELAY_MS:
+            if quiet and now_ms - self.stopped_ms >= LEAVE_DELAY_MS:
                 break
-            if now_ms >= limit_ms:
+            if self.grace_left_ms() <= 0:
                 telemetry.log("drain-limit-reached")
                 break
         await self.leave()
--- a/libs/runtime/src/fireflyford/runtime/_process.py
+++ b/libs/runtime/src/fireflyford/runtime/_process.py
@@ -30,6 +30,8 @@
 EXPIRE_INTERVAL_MS = 1_000
 # Kept for the end of the process before the platform kills it.
 GRACE_RESERVE_MS = 1_000
+# Part of that for the withdrawal of the entry; a call takes some milliseconds.
+LEAVE_RESERVE_MS = 500
 # Time for the tasks of a process to start before peers are asked.
 JOIN_DELAY_MS = 300
 
@@ -97,6 +99,8 @@
             self.hear,
         )
         self.stopping = asyncio.Event()
+        # When the signal to stop came.
+        self.stopped_ms = 0
         self._tasks: list[asyncio.Task[None]] = []
         self._servers: list[httpserver.HTTPServer] = []
 
@@ -171,7 +175,12 @@
         for task in self._tasks:
             task.cancel()
         self.send_beats(self.all_receivers(), leaving=True)
-        await self.registry.withdraw(self.options.grace_ms - GRACE_RESERVE_MS)
+        await self.registry.withdraw(self.grace_left_ms() + LEAVE_RESERVE_MS)
+
+    def grace_left_ms(self) -> int:
+        """Returns how long this process may still run after its signal."""
+        spent_ms = self.clock.now_ms() - self.stopped_ms
+        return self.options.grace_ms - GRACE_RESERVE_MS - spent_ms
 
     async def finish(self) -> None:
         """Ends all tasks and sockets."""
@@ -184,6 +193,7 @@
 
     def _stop(self) -> None:
         telemetry.log("stopping", role=self.role.value)
+        self.stopped_ms = self.clock.now_ms()
         self.stopping.set()
 
     def _reload(self) -> None:
--- a/libs/runtime/src/fireflyford/runtime/_registry.py
+++ b/libs/runtime/src/fireflyford/runtime/_registry.py
@@ -99,16 +99,23 @@
             limit_ms: How long to try.
         """
         lease_id, self._lease_id = self._lease_id, 0
-        end_ms = self._clock.now_ms() + limit_ms
-        while lease_id:
-            outcome = await self._client.revoke_lease(lease_id)
-            if isinstance(outcome, core.Ok):
-                telemetry.log("entry-withdrawn", lease_id=lease_id)
-                return
+        if not lease_id:
+            return
+        try:
+            async with asyncio.timeout(max(0, limit_ms) / 1_000):
+                while not await self._end_lease(lease_id):
+                    await self._clock.sleep(RETRY_MS)
+        except TimeoutError:
+            # The lease ends by itself.
+            telemetry.log("entry-not-withdrawn", reason="no time left")
+
+    async def _end_lease(self, lease_id: int) -> bool:
+        outcome = await self._client.revoke_lease(lease_id)
+        if isinstance(outcome, core.Failure):
             telemetry.log("entry-not-withdrawn", reason=outcome.message)
-            if self._clock.now_ms() + RETRY_MS >= end_ms:
-                return
-            await self._clock.sleep(RETRY_MS)
+            return False
+        telemetry.log("entry-withdrawn", lease_id=lease_id)
+        return True
 
     async def _pause(self, duration_ms: float) -> None:
         """Waits, or until the own entry changes."""
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -10,6 +10,8 @@
 import random
 import socket
 
+import pytest
+
 from fireflyford import core
 from fireflyford import flows
 from fireflyford import store
@@ -273,6 +275,32 @@
     play(work)
 
 
+def test_a_withdrawal_ends_with_its_limit(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a process that outlasts its grace while the store is away.
+
+    A call to a store that does not answer takes longer than the limit.
+    """
+
+    async def wait_in_vain(lease_id: int) -> core.Outcome[None]:
+        del lease_id
+        await asyncio.sleep(_store.TIMEOUT_MS / 1_000)
+        return core.Ok(None)
+
+    async def work(server: Server, client: _store.PlatformStore) -> None:
+        own, _, registry = make_registry(client)
+        key = f"{_registry.PREFIX}{own.address}"
+        async with running(registry):
+            await wait_for_entry(server, key)
+        monkeypatch.setattr(client, "revoke_lease", wait_in_vain)
+        started_ms = core.SystemClock().now_ms()
+        await registry.withdraw(300)
+        assert core.SystemClock().now_ms() - started_ms < 1_000
+
+    play(work)
+
+
 def test_a_restarted_agent_reads_the_drain_mark_before_it_writes() -> None:
     """Guards against a drain that a restart of the agent forgets."""
 
