Adopt no flow for a target that gives no sign of life

Cause: a restarted agent takes a packet that its backend server neither returns nor answers within 50 ms as held there. Change: silence counts as holding only after a report or a packet of the backend server in the life of the process. Without one the agent waits for 2.5 s, two report intervals and some more, then says that it does not hold the flow. Tests: test_a_target_without_a_sign_of_life_holds_no_flow failed before; test_a_silent_packet_stays_where_a_target_lives.

--- a/libs/flows/src/fireflyford/flows/_keeper.py
+++ b/libs/flows/src/fireflyford/flows/_keeper.py
@@ -20,6 +20,9 @@
 OPENING_LIMIT_MS = 50
 # A returned packet comes back within a millisecond as well.
 PROBE_LIMIT_MS = 50
+# A backend server that lives has reported once within this time: reports come
+# every 1.2 s at the most, and one may be lost.
+FIRST_SIGN_MS = 2_500
 # Notes that mark delivered packets; a note comes back with the packet.
 _MAX_NOTE = 0x7FFFFFFF
 # Chains of agents are bounded, since two views may point at each other.
@@ -64,8 +67,11 @@
             fleet: View of the other instances.
         """
         self._clock = clock
+        self._started_ms = clock.now_ms()
         self._own = own
         self._fleet = fleet
+        # Whether this process has heard of the backend server at all.
+        self._has_sign = False
         self.held = _held.HeldFlows(clock)
         self.state = _types.TargetState.UNKNOWN
         # Flows may be held that this process has not seen open.
@@ -229,6 +235,7 @@
 
     def answer(self, packet: _types.Packet) -> list[_types.Action]:
         """Handles a packet that the backend server sends."""
+        self.note_life()
         if packet.bounced:
             return self._bounce(packet)
         if self.state is _types.TargetState.DOWN:
@@ -296,6 +303,10 @@
 
     # State of the backend server.
 
+    def note_life(self) -> None:
+        """Takes a sign of life of the backend server."""
+        self._has_sign = True
+
     def follow(self, state: _types.TargetState, slot_count: int) -> None:
         """Takes what the backend server says of itself."""
         self.held.slot_count = max(1, slot_count)
@@ -364,7 +375,13 @@
             note, probe = next(iter(self._probes.items()))
             if now_ms < probe.deadline_ms:
                 break
-            if probe.packet.flow not in self.held:
+            is_new = now_ms - self._started_ms < FIRST_SIGN_MS
+            if not self._has_sign and is_new:
+                # Silence means that a live server took the packet.
+                break
+            if not self._has_sign:
+                actions += self._miss(probe.sender, probe.forward, probe.packet)
+            elif probe.packet.flow not in self.held:
                 actions += self._adopt(probe.packet.flow)
             self._probes.pop(note, None)
         return actions
--- a/libs/flows/src/fireflyford/flows/_target_watch.py
+++ b/libs/flows/src/fireflyford/flows/_target_watch.py
@@ -104,6 +104,7 @@
                 report, state=_types.TargetState.DRAINING
             )
         self._last = report
+        self._keeper.note_life()
         self._heard_ms = self._clock.now_ms()
         self.has_left = False
         self._keeper.follow(report.state, report.slot_count)
--- a/libs/flows/tests/test_decisions.py
+++ b/libs/flows/tests/test_decisions.py
@@ -218,6 +218,44 @@
     assert keeper.load().reserved_count == 0
 
 
+def probed_keeper() -> tuple[Clock, _keeper.Keeper]:
+    """Returns a restarted keeper with a packet of an unknown flow."""
+    clock = Clock(1_000_000)
+    fleet = flows.Fleet(clock)
+    fleet.register([instance(OWN), instance(PEER)])
+    keeper = _keeper.Keeper(clock, instance(OWN), fleet)
+    keeper.assume(flows.TargetState.DRAINING)
+    search = forward(flows.Handling.SEARCH)
+    (delivery,) = keeper.receive(PEER, search, data_packet())
+    assert isinstance(delivery, flows.Deliver)
+    return clock, keeper
+
+
+def test_a_target_without_a_sign_of_life_holds_no_flow() -> None:
+    """Guards against flows that are sent to a backend server that is gone.
+
+    Its agent was started again after a power cut, the backend server was not.
+    """
+    clock, keeper = probed_keeper()
+    clock.set(1_000_000 + _keeper.PROBE_LIMIT_MS)
+    assert keeper.sweep() == []
+    clock.set(1_000_000 + _keeper.FIRST_SIGN_MS)
+    actions = keeper.sweep()
+    assert FLOW not in keeper.held
+    assert [item.to for item in sent(actions, flows.Absent)] == [PEER]
+
+
+def test_a_silent_packet_stays_where_a_target_lives() -> None:
+    """Guards against a slow request that is taken for a flow held elsewhere."""
+    clock, keeper = probed_keeper()
+    watch = flows.TargetWatch(clock, "board", keeper, 1_200)
+    clock.set(1_000_700)
+    watch.take(report(1))
+    actions = keeper.sweep()
+    assert FLOW in keeper.held
+    assert [item.to for item in sent(actions, flows.Located)] == [BALANCER]
+
+
 def make_home() -> tuple[Clock, flows.Fleet, flows.AgentFlows]:
     clock = Clock(1_000_000)
     fleet = flows.Fleet(clock)
