--- a/libs/flows/src/fireflyford/flows/_target_watch.py
+++ b/libs/flows/src/fireflyford/flows/_target_watch.py
@@ -17,7 +17,8 @@
     """What is known of a backend server when its agent is to end.
 
     LIVES: it has reported since; another process of the agent follows.
-    GONE: it has left, its port is closed, or it has been silent since.
+    GONE: it has left, its port is closed, or it has been silent since. Silence
+        before does not count: after a freeze, reports wait to be read.
     UNKNOWN: neither.
     """
 
--- a/libs/flows/tests/test_decisions.py
+++ b/libs/flows/tests/test_decisions.py
@@ -475,6 +475,8 @@
     assert watch.fate(signal_ms) is flows.TargetFate.UNKNOWN
     clock.set(signal_ms + 4_500)
     assert watch.fate(signal_ms) is flows.TargetFate.GONE
+    # An agent that wakes after a freeze has its reports still to read.
+    assert watch.fate(clock.now_ms()) is flows.TargetFate.UNKNOWN
     clock.set(signal_ms + 900)
     watch.take(report(2))
     assert watch.fate(signal_ms) is flows.TargetFate.LIVES
--- a/libs/lab/src/fireflyford/lab/experiments/_packet_flows.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_packet_flows.py
@@ -97,11 +97,6 @@
     before: Callable[[_packet_fleet.PacketFleet], None] | None = None
 
 
-def _hide_balancer(fleet: _packet_fleet.PacketFleet) -> None:
-    fleet.balancers[0].up = False
-    fleet.rotation = fleet.balancers[1:]
-
-
 def _hide_target(fleet: _packet_fleet.PacketFleet) -> None:
     fleet.targets[-1].up = False
     fleet.agents[-1].up = False
@@ -109,7 +104,7 @@
 
 _CHANGES = (
     _Change("balancer stops", _stop_balancer),
-    _Change("balancer starts", _start_balancer, _hide_balancer),
+    _Change("balancer starts", _start_balancer, _stop_balancer),
     _Change("backend server goes", _remove_target),
     _Change("backend server comes", _add_target, _hide_target),
 )
