Undo what a test of the counters does to the logs

Found when telemetry's tests ran before lab's: the test left a bounded writer behind, which dropped lines that test_explaining reads. The assertions are as before.

--- a/libs/telemetry/tests/test_instruments.py
+++ b/libs/telemetry/tests/test_instruments.py
@@ -1,7 +1,11 @@
 """Counts and histograms of a process."""
 
+from collections.abc import Iterator
 import io
 
+import eliot
+import pytest
+
 from fireflyford.telemetry import _instruments
 from fireflyford.telemetry import _logs
 
@@ -42,13 +46,33 @@
     assert 'fireflyford_store_call_ms_count{kind="read-ok"} 4' in text
 
 
-def test_events_count_also_when_their_lines_are_dropped() -> None:
-    """Guards against counters that miss what the log could not hold."""
+@pytest.fixture
+def log_stream(monkeypatch: pytest.MonkeyPatch) -> Iterator[io.StringIO]:
+    """Logs of this process; later tests log as if it had never been used."""
+    added = []
+    add_destinations = eliot.add_destinations
+
+    def add(*destinations: object) -> None:
+        added.extend(destinations)
+        add_destinations(*destinations)
+
+    monkeypatch.setattr(eliot, "add_destinations", add)
+    monkeypatch.setattr(eliot, "add_global_fields", lambda **fields: None)
+    monkeypatch.setattr(_logs, "_active_writer", None)
     stream = io.StringIO()
     _logs.configure_logs(stream, "agent-1")
+    yield stream
+    for destination in added:
+        eliot.remove_destination(destination)
+
+
+def test_events_count_also_when_their_lines_are_dropped(
+    log_stream: io.StringIO,
+) -> None:
+    """Guards against counters that miss what the log could not hold."""
     for _ in range(1_000):
         _logs.log("flow-opened")
-    assert stream.getvalue().count("event=flow-opened") < 1_000
+    assert log_stream.getvalue().count("event=flow-opened") < 1_000
     text = _instruments.expose_instruments().decode()
     (line,) = [item for item in text.splitlines() if "flow-opened" in item]
     assert int(line.rsplit(" ", 1)[1]) >= 1_000
