Use one piece of code for what the front end wrote several times

No change of behaviour. Load.pending_count and Candidate.pending_count replace six sums; Keeper uses Forward.pass_on, which keeps the service (a packet of another one is refused before); run_until_stopped starts both kinds of process; the prefix of metrics stands once; Fleet.hear returns nothing, as nobody read it; an idle load is not copied when it ages; readiness_address, close to a name of the platform, is readiness_check_address.

--- a/libs/flows/src/fireflyford/flows/_fleet.py
+++ b/libs/flows/src/fireflyford/flows/_fleet.py
@@ -61,27 +61,22 @@
             self._registered[str(instance.address)] = instance
         return self.refresh()
 
-    def hear(self, beat: _messages.Beat) -> bool:
-        """Takes a beat.
-
-        Returns:
-            Whether the sender's process was not known before.
-        """
+    def hear(self, beat: _messages.Beat) -> None:
+        """Takes a beat."""
         instance = beat.instance
         address = instance.address
         known = self._present.get(address)
         if known is not None and known.incarnation > instance.incarnation:
-            return False
+            return
         if beat.leaving:
             self._heard.pop(address, None)
             if self._registered.pop(str(address), None) or known:
                 self.refresh()
-            return False
+            return
         self._heard[address] = (self._clock.now_ms(), instance)
         if known != instance:
             self.refresh()
         self.note_load(address, beat.load)
-        return known != instance
 
     def note_load(self, address: core.Address, load: _types.Load) -> None:
         """Takes the load that came with a message, a sign of life as well."""
--- a/libs/flows/src/fireflyford/flows/_home.py
+++ b/libs/flows/src/fireflyford/flows/_home.py
@@ -72,7 +72,8 @@
             entry.used_ms = self._clock.now_ms()
             self._entries.move_to_end(packet.flow)
             handling = _messages.Handling.HELD
-            return [forward.pass_on(handling, self._own, entry.holder, packet)]
+            own = self._own.address
+            return [forward.pass_on(handling, own, entry.holder, packet)]
         if packet.opens:
             return self._offers.begin(forward, packet)
         return self._searches.begin(forward, packet)
--- a/libs/flows/src/fireflyford/flows/_keeper.py
+++ b/libs/flows/src/fireflyford/flows/_keeper.py
@@ -151,7 +151,7 @@
         if self.state is _types.TargetState.UNKNOWN:
             return reasons.UNKNOWN_STATE
         load = self.load()
-        pending = load.busy_count + load.reserved_count + len(self._openings)
+        pending = load.pending_count + len(self._openings)
         is_choosy = not forward.firm and not forward.lasting
         if is_choosy and pending >= load.slot_count:
             return reasons.BUSY
@@ -203,17 +203,9 @@
         homes = self._fleet.homes(self._own.service, packet.flow, 1)
         if not homes:
             return []
-        message = _messages.Forward(
-            _messages.Handling.RESOLVE,
-            forward.service,
-            forward.balancer,
-            homes[0],
-            forward.hop_count + 1,
-            forward.lasting,
-            False,
-            packet.data,
-        )
-        return [_messages.Send(homes[0], message)]
+        (home,) = homes
+        handling = _messages.Handling.RESOLVE
+        return [forward.pass_on(handling, home, home, packet)]
 
     def _tell(
         self, flow: bytes, forward: _messages.Forward, sender: core.Address
--- a/libs/flows/src/fireflyford/flows/_messages.py
+++ b/libs/flows/src/fireflyford/flows/_messages.py
@@ -49,16 +49,16 @@
     def pass_on(
         self,
         handling: Handling,
-        home: _types.Instance,
+        home: core.Address,
         to: core.Address,
         packet: _types.Packet,
         firm: bool = False,
     ) -> "Send":
-        """Returns the message with which a home passes a packet on.
+        """Returns the message with which an agent passes a packet on.
 
         Args:
             handling: What the receiver does with it.
-            home: The home, one of the service's agents.
+            home: Agent that keeps the directory entry of the flow.
             to: The receiver.
             packet: This packet, or another one of its flow.
             firm: Whether the receiver takes the flow without a free slot.
@@ -66,8 +66,7 @@
         message = dataclasses.replace(
             self,
             handling=handling,
-            service=home.service,
-            home=home.address,
+            home=home,
             hop_count=self.hop_count + 1,
             firm=firm,
             data=packet.data,
--- a/libs/flows/src/fireflyford/flows/_offers.py
+++ b/libs/flows/src/fireflyford/flows/_offers.py
@@ -203,7 +203,7 @@
         return [
             attempt.forward.pass_on(
                 _messages.Handling.PLACE,
-                self._own,
+                self._own.address,
                 chosen.address,
                 attempt.packet,
                 firm,
--- a/libs/flows/src/fireflyford/flows/_placement.py
+++ b/libs/flows/src/fireflyford/flows/_placement.py
@@ -39,7 +39,7 @@
     >>> has_room(_types.Load(slot_count=2, busy_count=7), added_count=1)
     False
     """
-    pending = load.busy_count + load.reserved_count + added_count
+    pending = load.pending_count + added_count
     return pending < load.slot_count * PENDING_PER_SLOT
 
 
@@ -60,7 +60,9 @@
     """
     service_ms = load.service_ms or DEFAULT_SERVICE_MS
     done_count = int(age_ms * load.slot_count / service_ms)
-    left_count = max(0, load.busy_count + load.reserved_count - done_count)
+    if not done_count or not load.pending_count:
+        return load
+    left_count = max(0, load.pending_count - done_count)
     reserved_count = min(load.reserved_count, left_count)
     return dataclasses.replace(
         load,
@@ -85,6 +87,11 @@
     placed_count: int = 0
     is_near: bool = False
 
+    @property
+    def pending_count(self) -> int:
+        """Requests ahead of another one, those placed meanwhile included."""
+        return self.load.pending_count + self.placed_count
+
 
 class Placement(abc.ABC):
     """Chooses the backend server of a new flow."""
@@ -158,7 +165,7 @@
 
 def _completion_cost(item: Candidate, service_ms: float) -> tuple[float, ...]:
     load = item.load
-    ahead = load.busy_count + load.reserved_count + item.placed_count
+    ahead = item.pending_count
     queued = max(0, ahead - load.slot_count + 1)
     wait_ms = service_ms * queued / load.slot_count
     share = service_ms * load.lasting_count / load.slot_count
@@ -168,5 +175,5 @@
 def _share_cost(item: Candidate, service_ms: float) -> tuple[float, ...]:
     load = item.load
     flows = load.lasting_count + item.placed_count + 1
-    ahead = load.busy_count + load.reserved_count
+    ahead = load.pending_count
     return (service_ms * flows / load.slot_count, ahead, not item.is_near)
--- a/libs/flows/src/fireflyford/flows/_searches.py
+++ b/libs/flows/src/fireflyford/flows/_searches.py
@@ -90,7 +90,7 @@
         )
         handling = _messages.Handling.SEARCH
         return [
-            forward.pass_on(handling, self._own, address, packet)
+            forward.pass_on(handling, self._own.address, address, packet)
             for address in search.asked
         ]
 
@@ -101,7 +101,7 @@
             return []
         handling = _messages.Handling.HELD
         return [
-            search.forward.pass_on(handling, self._own, holder, packet)
+            search.forward.pass_on(handling, self._own.address, holder, packet)
             for packet in search.packets[1:]
         ]
 
--- a/libs/flows/src/fireflyford/flows/_types.py
+++ b/libs/flows/src/fireflyford/flows/_types.py
@@ -122,6 +122,11 @@
     lasting_count: int = 0
     service_ms: float = 0.0
 
+    @property
+    def pending_count(self) -> int:
+        """Requests at the backend server and those that are about to come."""
+        return self.busy_count + self.reserved_count
+
 
 class Action:
     """Something that a decision asks its process to do."""
--- a/libs/lab/src/fireflyford/lab/_packet_baselines.py
+++ b/libs/lab/src/fireflyford/lab/_packet_baselines.py
@@ -60,18 +60,16 @@
         idle = [
             item
             for item in candidates
-            if _pending(item, lasting=False) * item.load.slot_count
-            < item.load.slot_count
+            if item.pending_count < item.load.slot_count
         ]
         return self._rng.choice(idle or list(candidates))
 
 
 def _pending(item: flows.Candidate, lasting: bool) -> float:
-    load = item.load
-    count = load.busy_count + load.reserved_count + item.placed_count
+    count = item.pending_count
     if lasting:
-        count += load.lasting_count
-    return count / max(1, load.slot_count)
+        count += item.load.lasting_count
+    return count / max(1, item.load.slot_count)
 
 
 def central_queue_ms(
--- a/libs/runtime/src/fireflyford/runtime/_agent.py
+++ b/libs/runtime/src/fireflyford/runtime/_agent.py
@@ -1,8 +1,6 @@
 """Life of an agent process that forwards packets of flows."""
 
-import asyncio
 import dataclasses
-import sys
 from typing import Any
 
 from fireflyford import core
@@ -58,7 +56,7 @@
             self.front_end.report_handlers(self.target_watch),
         )
         self.listen(
-            self.options.readiness_address,
+            self.options.readiness_check_address,
             self.front_end.readiness_handlers(
                 lambda: not self.stopping.is_set()
             ),
@@ -212,9 +210,6 @@
     options: _settings.FlowSettings, front_end: _packets.FrontEnd
 ) -> None:
     """Runs an agent until it is stopped."""
-    telemetry.configure_logs(sys.stdout, options.instance_id)
-
-    async def main() -> None:
-        await Agent(options, front_end, core.SystemClock()).run()
-
-    asyncio.run(main())
+    _process.run_until_stopped(
+        options, lambda clock: Agent(options, front_end, clock)
+    )
--- a/libs/runtime/src/fireflyford/runtime/_balancer.py
+++ b/libs/runtime/src/fireflyford/runtime/_balancer.py
@@ -1,7 +1,6 @@
 """Life of a balancer process that forwards packets of flows."""
 
 import asyncio
-import sys
 from typing import Any
 
 from fireflyford import core
@@ -66,7 +65,7 @@
         """Runs until a signal ends the process."""
         await self._clients.open(local=self.options.packet_address)
         self.listen(
-            self.options.readiness_address,
+            self.options.readiness_check_address,
             self.front_end.readiness_handlers(self.is_ready),
         )
         await self.start()
@@ -198,9 +197,6 @@
     options: _settings.FlowSettings, front_end: _packets.FrontEnd
 ) -> None:
     """Runs a balancer until it is stopped."""
-    telemetry.configure_logs(sys.stdout, options.instance_id)
-
-    async def main() -> None:
-        await Balancer(options, front_end, core.SystemClock()).run()
-
-    asyncio.run(main())
+    _process.run_until_stopped(
+        options, lambda clock: Balancer(options, front_end, clock)
+    )
--- a/libs/runtime/src/fireflyford/runtime/_process.py
+++ b/libs/runtime/src/fireflyford/runtime/_process.py
@@ -7,6 +7,7 @@
 import os
 import random
 import signal
+import sys
 from typing import Any
 
 from tornado import httpserver
@@ -106,6 +107,10 @@
 
     # To be provided by each kind of process.
 
+    async def run(self) -> None:
+        """Runs until a signal ends the process."""
+        raise NotImplementedError
+
     def hear(self, sender: core.Address, message: flows.Message) -> None:
         """Handles a message of another instance, or of this one."""
         raise NotImplementedError
@@ -352,3 +357,21 @@
         values["store_lost"] = self.registry.follower.is_lost
         values["view_age_ms"] = self.age_ms(self.registry.follower.heard_ms)
         return values
+
+
+def run_until_stopped(
+    options: _settings.FlowSettings,
+    make: Callable[[core.Clock], FlowProcess],
+) -> None:
+    """Runs a process until a signal ends it.
+
+    Args:
+        options: Its settings.
+        make: Makes the process, in the running event loop.
+    """
+    telemetry.configure_logs(sys.stdout, options.instance_id)
+
+    async def main() -> None:
+        await make(core.SystemClock()).run()
+
+    asyncio.run(main())
--- a/libs/runtime/src/fireflyford/runtime/_settings.py
+++ b/libs/runtime/src/fireflyford/runtime/_settings.py
@@ -15,7 +15,7 @@
         service: Service of the backend server, empty for a balancer.
         packet_address: Where a balancer takes packets of clients.
         client_port: Port of the clients to which answers go.
-        readiness_address: Where the fabric asks for readiness.
+        readiness_check_address: Where the fabric asks for readiness.
         report_address: Where the backend server reports, None for a balancer.
         outbound_address: Where the backend server sends its packets, None for
             a balancer.
@@ -35,7 +35,7 @@
     service: str
     packet_address: core.Address
     client_port: int
-    readiness_address: core.Address
+    readiness_check_address: core.Address
     report_address: core.Address | None
     outbound_address: core.Address | None
     backend_address: core.Address | None
--- a/libs/telemetry/src/fireflyford/telemetry/_exposition.py
+++ b/libs/telemetry/src/fireflyford/telemetry/_exposition.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-_PREFIX = "fireflyford_"
+METRIC_PREFIX = "fireflyford_"
 _COUNT_SUFFIX = "_count"
 
 
@@ -22,6 +22,6 @@
         if name.endswith(_COUNT_SUFFIX):
             kind = "counter"
             name = name.removesuffix(_COUNT_SUFFIX) + "_total"
-        lines.append(f"# TYPE {_PREFIX}{name} {kind}")
-        lines.append(f"{_PREFIX}{name} {float(value):g}")
+        lines.append(f"# TYPE {METRIC_PREFIX}{name} {kind}")
+        lines.append(f"{METRIC_PREFIX}{name} {float(value):g}")
     return ("\n".join(lines) + "\n").encode()
--- a/libs/telemetry/src/fireflyford/telemetry/_instruments.py
+++ b/libs/telemetry/src/fireflyford/telemetry/_instruments.py
@@ -7,6 +7,8 @@
 import bisect
 import re
 
+from fireflyford.telemetry import _exposition
+
 # Upper bounds of the buckets: from one packet's way to the longest wait of a
 # client.
 BOUNDS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000)
@@ -15,7 +17,6 @@
 # Reasons that name a kind; others are texts of foreign programs.
 _KIND = re.compile(r"[a-z0-9_-]{1,40}")
 _OTHER = "other"
-_PREFIX = "fireflyford_"
 
 
 class Histogram:
@@ -90,13 +91,17 @@
         """
         lines = []
         if self._events:
-            lines.append(f"# TYPE {_PREFIX}events_total counter")
+            lines.append(
+                f"# TYPE {_exposition.METRIC_PREFIX}events_total counter"
+            )
         for (event, reason), count in sorted(self._events.items()):
             labels = f'event="{event}",reason="{reason}"'
-            lines.append(f"{_PREFIX}events_total{{{labels}}} {count}")
+            lines.append(
+                f"{_exposition.METRIC_PREFIX}events_total{{{labels}}} {count}"
+            )
         described = ""
         for (name, kind), histogram in sorted(self._histograms.items()):
-            full = f"{_PREFIX}{name}_ms"
+            full = f"{_exposition.METRIC_PREFIX}{name}_ms"
             if name != described:
                 lines.append(f"# TYPE {full} histogram")
                 described = name
