--- a/libs/flows/src/fireflyford/flows/__init__.py
+++ b/libs/flows/src/fireflyford/flows/__init__.py
@@ -11,27 +11,27 @@
 from fireflyford.flows._balancer import RouteTable
 from fireflyford.flows._balancer import Share
 from fireflyford.flows._fleet import Fleet
-from fireflyford.flows._messages import Absent
-from fireflyford.flows._messages import Beat
-from fireflyford.flows._messages import Declined
 from fireflyford.flows._messages import DeclineReason
+from fireflyford.flows._messages import FlowAnnouncement
+from fireflyford.flows._messages import FlowLocated
+from fireflyford.flows._messages import FlowNotFound
 from fireflyford.flows._messages import Forward
 from fireflyford.flows._messages import Handling
-from fireflyford.flows._messages import Holding
+from fireflyford.flows._messages import Heartbeat
 from fireflyford.flows._messages import LoadReport
-from fireflyford.flows._messages import Located
 from fireflyford.flows._messages import Message
-from fireflyford.flows._messages import Refused
+from fireflyford.flows._messages import NotHeld
+from fireflyford.flows._messages import PlacementDeclined
+from fireflyford.flows._messages import PlacementQueued
+from fireflyford.flows._messages import PlacementRefused
 from fireflyford.flows._messages import Send
-from fireflyford.flows._messages import Unknown
-from fireflyford.flows._messages import Waiting
 from fireflyford.flows._placement import Candidate
 from fireflyford.flows._placement import LeastCompletion
 from fireflyford.flows._placement import Placement
 from fireflyford.flows._placement import Random
-from fireflyford.flows._target_watch import TargetFate
+from fireflyford.flows._target_watch import TargetLiveness
+from fireflyford.flows._target_watch import TargetMonitor
 from fireflyford.flows._target_watch import TargetReport
-from fireflyford.flows._target_watch import TargetWatch
 from fireflyford.flows._types import FLOW_ID_BYTES
 from fireflyford.flows._types import Action
 from fireflyford.flows._types import Deliver
@@ -47,41 +47,41 @@
 
 __all__ = [
     "FLOW_ID_BYTES",
-    "Absent",
     "Action",
     "AgentFlows",
     "BalancerFlows",
-    "Beat",
     "Candidate",
     "DeclineReason",
-    "Declined",
     "Deliver",
     "Fleet",
+    "FlowAnnouncement",
+    "FlowLocated",
+    "FlowNotFound",
     "Forward",
     "Handling",
-    "Holding",
+    "Heartbeat",
     "Instance",
     "LeastCompletion",
     "Load",
     "LoadReport",
-    "Located",
     "Message",
+    "NotHeld",
     "Packet",
     "Placement",
+    "PlacementDeclined",
+    "PlacementQueued",
+    "PlacementRefused",
     "Random",
-    "Refused",
     "Reply",
     "Reset",
     "Route",
     "RouteTable",
     "Send",
     "Share",
-    "TargetFate",
+    "TargetLiveness",
+    "TargetMonitor",
     "TargetReport",
     "TargetState",
-    "TargetWatch",
-    "Unknown",
-    "Waiting",
     "client_address",
     "describe_flow",
     "route_address",
--- a/libs/flows/src/fireflyford/flows/_agent.py
+++ b/libs/flows/src/fireflyford/flows/_agent.py
@@ -30,8 +30,8 @@
         """
         self._own = own
         self._fleet = fleet
-        self.keeper = _keeper.Keeper(clock, own, fleet)
-        self.home = _home.Home(clock, own, fleet, placement)
+        self.forwarder = _keeper.TargetForwarder(clock, own, fleet)
+        self.directory = _home.FlowDirectory(clock, own, fleet, placement)
         self._announced_generation = -1
 
     def receive(
@@ -44,40 +44,40 @@
         if forward.service != self._own.service:
             return self._refuse_foreign(sender, forward, packet)
         if forward.handling is _messages.Handling.RESOLVE:
-            return self.home.resolve(forward, packet)
-        return self.keeper.receive(sender, forward, packet)
+            return self.directory.resolve(forward, packet)
+        return self.forwarder.receive(sender, forward, packet)
 
-    def hear(
+    def handle_message(
         self, sender: core.Address, message: _messages.Message
     ) -> list[_types.Action]:
         """Handles a message about flows or about an instance."""
-        if isinstance(message, _messages.Located):
-            return self.home.locate(sender, message)
-        if isinstance(message, _messages.Declined):
-            return self.home.decline(sender, message)
-        if isinstance(message, _messages.Absent):
-            return self.home.absent(sender, message.flow)
-        if isinstance(message, _messages.Holding):
-            return self.home.hold(sender, message.flows)
+        if isinstance(message, _messages.FlowLocated):
+            return self.directory.locate(sender, message)
+        if isinstance(message, _messages.PlacementDeclined):
+            return self.directory.decline(sender, message)
+        if isinstance(message, _messages.NotHeld):
+            return self.directory.absent(sender, message.flow)
+        if isinstance(message, _messages.FlowAnnouncement):
+            return self.directory.hold(sender, message.flows)
         if isinstance(message, _messages.LoadReport):
-            self.home.take_load(sender, message.load)
-        elif isinstance(message, _messages.Beat):
-            self._fleet.hear(message)
-            self.home.take_load(sender, message.load)
+            self.directory.record_load(sender, message.load)
+        elif isinstance(message, _messages.Heartbeat):
+            self._fleet.apply_heartbeat(message)
+            self.directory.record_load(sender, message.load)
         return []
 
     def sweep(self) -> list[_types.Action]:
         """Acts on timeouts and on changes of the view."""
-        actions = [*self.keeper.sweep(), *self.home.sweep()]
+        actions = [*self.forwarder.sweep(), *self.directory.sweep()]
         if self._fleet.generation != self._announced_generation:
             self._announced_generation = self._fleet.generation
-            actions += self.keeper.announce_all()
+            actions += self.forwarder.announce_all()
         return actions
 
     def expire(self) -> None:
         """Forgets what has not been used for long."""
-        self.keeper.held.sweep()
-        self.home.expire()
+        self.forwarder.tracker.sweep()
+        self.directory.expire()
 
     def _refuse_foreign(
         self,
@@ -93,8 +93,8 @@
         )
         if forward.handling is _messages.Handling.PLACE:
             reason = _messages.DeclineReason.OTHER_SERVICE
-            declined = _messages.Declined(
-                packet.flow, reason, self.keeper.load()
+            declined = _messages.PlacementDeclined(
+                packet.flow, reason, self.forwarder.load()
             )
             return [_messages.Send(sender, declined)]
-        return [_messages.Send(sender, _messages.Absent(packet.flow))]
+        return [_messages.Send(sender, _messages.NotHeld(packet.flow))]
--- a/libs/flows/src/fireflyford/flows/_balancer.py
+++ b/libs/flows/src/fireflyford/flows/_balancer.py
@@ -51,13 +51,13 @@
         name: Name of the route.
         address: Address and port to which clients send.
         shares: Services of new flows.
-        lasting: Whether flows of this route carry many requests.
+        long_lived: Whether flows of this route carry many requests.
     """
 
     name: str
     address: core.Address
     shares: tuple[Share, ...]
-    lasting: bool
+    long_lived: bool
 
     def service(self, flow: bytes) -> str:
         """Returns the service of a new flow, by the weights."""
@@ -86,7 +86,7 @@
         packet: _types.Packet,
         service: str,
         others: list[str],
-        home: core.Address | None,
+        directory_agent: core.Address | None,
         route: Route,
         now_ms: int,
         pause_ms: int,
@@ -94,7 +94,7 @@
         self.packet = packet
         self.service = service
         self.others = others
-        self.home = home
+        self.directory_agent = directory_agent
         self.route = route
         self.taken_ms = now_ms
         self.asked_ms = now_ms
@@ -198,30 +198,30 @@
                 services = services[at:]
         return self._ask(packet, services, route)
 
-    def hear(
+    def handle_message(
         self, sender: core.Address, message: _messages.Message
     ) -> list[_types.Action]:
         """Handles a message about flows or about an instance."""
-        if isinstance(message, _messages.Located):
+        if isinstance(message, _messages.FlowLocated):
             self._locate(sender, message.flow)
-        elif isinstance(message, _messages.Absent):
+        elif isinstance(message, _messages.NotHeld):
             known = self._holders.get(message.flow)
             if known is not None and known[0] == sender:
                 del self._holders[message.flow]
             return []
-        elif isinstance(message, _messages.Unknown):
+        elif isinstance(message, _messages.FlowNotFound):
             return self._try_next(message)
-        elif isinstance(message, _messages.Waiting):
+        elif isinstance(message, _messages.PlacementQueued):
             pending = self._pending.get(message.flow)
             if pending is not None:
                 pending.is_waiting = True
                 self._timer.sample(self._clock.now_ms() - pending.taken_ms)
-        elif isinstance(message, _messages.Refused):
+        elif isinstance(message, _messages.PlacementRefused):
             return self._refuse(message)
         elif isinstance(message, _messages.LoadReport):
-            self._fleet.note_load(sender, message.load)
-        elif isinstance(message, _messages.Beat):
-            self._fleet.hear(message)
+            self._fleet.record_load(sender, message.load)
+        elif isinstance(message, _messages.Heartbeat):
+            self._fleet.apply_heartbeat(message)
         return []
 
     def sweep(self) -> list[_types.Action]:
@@ -245,14 +245,14 @@
         pending.asked_ms = now_ms
         pending.pause_ms *= 2
         packet = pending.packet
-        home = self._home(pending.service, packet.flow)
-        if home is None:
+        directory_agent = self._home(pending.service, packet.flow)
+        if directory_agent is None:
             return []
-        pending.home = home
+        pending.directory_agent = directory_agent
         return [
             self._forward(
                 _messages.Handling.RESOLVE,
-                home,
+                directory_agent,
                 packet,
                 pending.service,
                 pending.route,
@@ -272,12 +272,12 @@
         self, packet: _types.Packet, services: list[str], route: Route
     ) -> list[_types.Action]:
         service, *others = services
-        home = self._home(service, packet.flow)
+        directory_agent = self._home(service, packet.flow)
         pending = _Pending(
             packet,
             service,
             others,
-            home,
+            directory_agent,
             route,
             self._clock.now_ms(),
             self._timer.timeout_ms(),
@@ -286,7 +286,7 @@
         self._pending.move_to_end(packet.flow)
         if len(self._pending) > MAX_PENDING:
             self._pending.popitem(last=False)
-        if home is None:
+        if directory_agent is None:
             telemetry.log(
                 "no-agent",
                 flow=_types.describe_flow(packet.flow),
@@ -295,32 +295,38 @@
             return []
         return [
             self._forward(
-                _messages.Handling.RESOLVE, home, packet, service, route
+                _messages.Handling.RESOLVE,
+                directory_agent,
+                packet,
+                service,
+                route,
             )
         ]
 
     def _home(self, service: str, flow: bytes) -> core.Address | None:
-        homes = self._fleet.homes(service, flow, HOME_CANDIDATES)
+        directory_agents = self._fleet.directory_agents(
+            service, flow, HOME_CANDIDATES
+        )
         now_ms = self._clock.now_ms()
-        for home in homes:
-            if self._suspects.get(home, 0) <= now_ms:
-                return home
-        return homes[0] if homes else None
+        for directory_agent in directory_agents:
+            if self._suspects.get(directory_agent, 0) <= now_ms:
+                return directory_agent
+        return directory_agents[0] if directory_agents else None
 
     def _doubt(self, pending: _Pending) -> None:
         """Passes over a home that has not answered about a flow."""
         now_ms = self._clock.now_ms()
-        if pending.home is None:
+        if pending.directory_agent is None:
             return
         limit_ms = max(HOME_TIMEOUT_MS, self._timer.timeout_ms())
         if now_ms - pending.asked_ms >= limit_ms:
-            if self._suspects.get(pending.home, 0) <= now_ms:
+            if self._suspects.get(pending.directory_agent, 0) <= now_ms:
                 telemetry.log(
                     "home-silent",
                     flow=_types.describe_flow(pending.packet.flow),
-                    home=pending.home,
+                    home=pending.directory_agent,
                 )
-            self._suspects[pending.home] = now_ms + SUSPECT_MS
+            self._suspects[pending.directory_agent] = now_ms + SUSPECT_MS
 
     def _locate(self, sender: core.Address, flow: bytes) -> None:
         self._suspects.pop(sender, None)
@@ -341,7 +347,7 @@
         if len(self._holders) > MAX_CACHED:
             self._holders.popitem(last=False)
 
-    def _try_next(self, message: _messages.Unknown) -> list[_types.Action]:
+    def _try_next(self, message: _messages.FlowNotFound) -> list[_types.Action]:
         """Asks another service of the route, or ends the flow."""
         flow = message.flow
         pending = self._pending.pop(flow, None)
@@ -350,14 +356,16 @@
             route = self._table.routes.get(_types.route_address(flow))
         if pending is not None and pending.others and route is not None:
             return self._ask(pending.packet, pending.others, route)
-        if not message.awaited:
+        if not message.expects_response:
             return []
         telemetry.log(
             "flow-reset", flow=_types.describe_flow(flow), reason="no-holder"
         )
         return [_types.Reset(flow, message.ack)]
 
-    def _refuse(self, message: _messages.Refused) -> list[_types.Action]:
+    def _refuse(
+        self, message: _messages.PlacementRefused
+    ) -> list[_types.Action]:
         pending = self._pending.pop(message.flow, None)
         if pending is None or not pending.packet.opens:
             return []
@@ -400,7 +408,7 @@
             self._own.address,
             to,
             0,
-            route.lasting,
+            route.long_lived,
             False,
             packet.data,
         )
--- a/libs/flows/src/fireflyford/flows/_fleet.py
+++ b/libs/flows/src/fireflyford/flows/_fleet.py
@@ -36,7 +36,7 @@
         # Changes with each change of the instances or of what they take.
         self.generation = 0
 
-    def register(
+    def replace_entries(
         self, instances: Iterable[_types.Instance]
     ) -> list[_types.Instance]:
         """Replaces all entries of the registry.
@@ -47,7 +47,7 @@
         self._registered = {str(item.address): item for item in instances}
         return self.refresh()
 
-    def update(
+    def update_entries(
         self, put: Iterable[_types.Instance], deleted: Iterable[str]
     ) -> list[_types.Instance]:
         """Takes changed entries and the addresses of deleted ones.
@@ -61,7 +61,7 @@
             self._registered[str(instance.address)] = instance
         return self.refresh()
 
-    def hear(self, beat: _messages.Beat) -> None:
+    def apply_heartbeat(self, beat: _messages.Heartbeat) -> None:
         """Takes a beat."""
         instance = beat.instance
         address = instance.address
@@ -76,9 +76,9 @@
         self._heard[address] = (self._clock.now_ms(), instance)
         if known != instance:
             self.refresh()
-        self.note_load(address, beat.load)
+        self.record_load(address, beat.load)
 
-    def note_load(self, address: core.Address, load: _types.Load) -> None:
+    def record_load(self, address: core.Address, load: _types.Load) -> None:
         """Takes the load that came with a message, a sign of life as well."""
         instance = self._present.get(address)
         if instance is None:
@@ -212,7 +212,7 @@
             self._rings[service] = ring
         return ring
 
-    def homes(
+    def directory_agents(
         self, service: str, flow: bytes, count: int
     ) -> tuple[core.Address, ...]:
         """Returns where the directory entry of a flow belongs.
--- a/libs/flows/src/fireflyford/flows/_held.py
+++ b/libs/flows/src/fireflyford/flows/_held.py
@@ -25,19 +25,19 @@
 _MAX_SAMPLE_FACTOR = 4.0
 
 
-class HeldFlow:
+class TrackedFlow:
     """One flow that the backend server holds."""
 
-    def __init__(self, now_ms: int, lasting: bool) -> None:
+    def __init__(self, now_ms: int, long_lived: bool) -> None:
         """Notes when the flow became known.
 
         Args:
             now_ms: Time of the clock.
-            lasting: Whether it is expected to carry many requests.
+            long_lived: Whether it is expected to carry many requests.
         """
         self.opened_ms = now_ms
         self.used_ms = now_ms
-        self.lasting = lasting
+        self.long_lived = long_lived
         # First sequence number of the backend server, None after a restart of
         # the agent, and the end of what it has sent so far.
         self.first_seq: int | None = None
@@ -62,7 +62,7 @@
         return 0 < acknowledged <= sent
 
 
-class HeldFlows:
+class FlowTracker:
     """All flows that the backend server is known to hold."""
 
     def __init__(self, clock: core.Clock, slot_count: int = 1) -> None:
@@ -73,7 +73,7 @@
             slot_count: Requests worked on at the same time.
         """
         self._clock = clock
-        self._flows: collections.OrderedDict[bytes, HeldFlow] = (
+        self._flows: collections.OrderedDict[bytes, TrackedFlow] = (
             collections.OrderedDict()
         )
         self.slot_count = slot_count
@@ -88,125 +88,128 @@
         """Returns whether a flow is held."""
         return flow in self._flows
 
-    def get(self, flow: bytes) -> HeldFlow | None:
+    def get(self, flow: bytes) -> TrackedFlow | None:
         """Returns a flow, or None."""
         return self._flows.get(flow)
 
     def open_flows(self) -> tuple[bytes, ...]:
         """Returns the flows that have not ended."""
         return tuple(
-            flow for flow, held in self._flows.items() if not held.ended
+            flow for flow, tracked in self._flows.items() if not tracked.ended
         )
 
     def add(
-        self, flow: bytes, lasting: bool, first_seq: int | None
-    ) -> HeldFlow:
+        self, flow: bytes, long_lived: bool, first_seq: int | None
+    ) -> TrackedFlow:
         """Adds a flow that the backend server has accepted."""
-        held = HeldFlow(self._clock.now_ms(), lasting)
+        tracked = TrackedFlow(self._clock.now_ms(), long_lived)
         if first_seq is None:
-            held.reserved_until_ms = held.opened_ms
+            tracked.reserved_until_ms = tracked.opened_ms
         else:
-            held.first_seq = first_seq
-            held.sent_end = (first_seq + 1) % _types.SEQUENCE_MODULUS
+            tracked.first_seq = first_seq
+            tracked.sent_end = (first_seq + 1) % _types.SEQUENCE_MODULUS
         self.remove(flow)
-        self._flows[flow] = held
-        return held
+        self._flows[flow] = tracked
+        return tracked
 
     def remove(self, flow: bytes) -> None:
         """Forgets a flow."""
-        held = self._flows.pop(flow, None)
-        if held is not None:
-            self._finish(held)
+        tracked = self._flows.pop(flow, None)
+        if tracked is not None:
+            self._finish(tracked)
 
     def clear(self) -> None:
         """Forgets all flows."""
         for flow in tuple(self._flows):
             self.remove(flow)
 
-    def receive(self, held: HeldFlow, packet: _types.Packet) -> None:
+    def receive(self, tracked: TrackedFlow, packet: _types.Packet) -> None:
         """Notes a packet of the client."""
         now_ms = self._clock.now_ms()
-        held.used_ms = now_ms
+        tracked.used_ms = now_ms
         self._flows.move_to_end(packet.flow)
         if packet.opens:
             return
-        held.client_ack = packet.ack
+        tracked.client_ack = packet.ack
         if packet.resets or packet.ends:
             # The client waits for no response any more.
-            self._finish(held)
-            self._end(held)
+            self._finish(tracked)
+            self._end(tracked)
             return
-        if packet.payload_bytes and _extends(held.client_end, packet):
-            held.client_end = _end_of(packet)
-            held.reserved_until_ms = now_ms
-            if held.busy_since_ms is None and not held.ended:
-                held.busy_since_ms = now_ms
-                held.started_idle = self._busy_count < self.slot_count
+        if packet.payload_bytes and _extends(tracked.client_end, packet):
+            tracked.client_end = _end_of(packet)
+            tracked.reserved_until_ms = now_ms
+            if tracked.busy_since_ms is None and not tracked.ended:
+                tracked.busy_since_ms = now_ms
+                tracked.started_idle = self._busy_count < self.slot_count
                 self._busy_count += 1
 
-    def answer(self, held: HeldFlow, packet: _types.Packet) -> None:
+    def answer(self, tracked: TrackedFlow, packet: _types.Packet) -> None:
         """Notes a packet of the backend server."""
-        held.used_ms = self._clock.now_ms()
+        tracked.used_ms = self._clock.now_ms()
         if packet.resets:
-            self._finish(held)
-            self._end(held)
+            self._finish(tracked)
+            self._end(tracked)
             return
         if packet.payload_bytes or packet.ends:
             end = _end_of(packet)
-            if held.first_seq is None or (
-                _types.sequence_distance(held.first_seq, end)
-                > _types.sequence_distance(held.first_seq, held.sent_end)
+            if tracked.first_seq is None or (
+                _types.sequence_distance(tracked.first_seq, end)
+                > _types.sequence_distance(tracked.first_seq, tracked.sent_end)
             ):
-                held.sent_end = end
-        if packet.payload_bytes and held.busy_since_ms is not None:
-            duration_ms = held.used_ms - held.busy_since_ms
-            kind = "free-slot" if held.started_idle else "queued"
+                tracked.sent_end = end
+        if packet.payload_bytes and tracked.busy_since_ms is not None:
+            duration_ms = tracked.used_ms - tracked.busy_since_ms
+            kind = "free-slot" if tracked.started_idle else "queued"
             telemetry.observe("response", duration_ms, kind)
-            if held.started_idle:
+            if tracked.started_idle:
                 self._sample(duration_ms)
-            self._finish(held)
+            self._finish(tracked)
         if packet.ends:
-            self._end(held)
+            self._end(tracked)
 
     def load(self, state: _types.TargetState) -> _types.Load:
         """Returns the load of the backend server."""
         now_ms = self._clock.now_ms()
-        reserved_count = lasting_count = 0
-        for held in self._flows.values():
-            if held.ended:
+        reserved_count = long_lived_count = 0
+        for tracked in self._flows.values():
+            if tracked.ended:
                 continue
-            lasting_count += held.lasting
-            reserved_count += held.reserved_until_ms > now_ms
+            long_lived_count += tracked.long_lived
+            reserved_count += tracked.reserved_until_ms > now_ms
         return _types.Load(
             state=state,
             slot_count=self.slot_count,
             busy_count=self._busy_count,
             reserved_count=reserved_count,
-            lasting_count=lasting_count,
+            long_lived_count=long_lived_count,
             service_ms=round(self.service_ms, 1),
         )
 
     def sweep(self) -> None:
         """Forgets flows that are over, and work without a response."""
         now_ms = self._clock.now_ms()
-        for flow, held in tuple(self._flows.items()):
-            idle_ms = now_ms - held.used_ms
-            limit_ms = ENDED_KEPT_MS if held.ended else FLOW_IDLE_MS
-            if idle_ms > limit_ms or now_ms - held.opened_ms > FLOW_LIFETIME_MS:
+        for flow, tracked in tuple(self._flows.items()):
+            idle_ms = now_ms - tracked.used_ms
+            limit_ms = ENDED_KEPT_MS if tracked.ended else FLOW_IDLE_MS
+            if (
+                idle_ms > limit_ms
+                or now_ms - tracked.opened_ms > FLOW_LIFETIME_MS
+            ):
                 self.remove(flow)
             elif (
-                held.busy_since_ms is not None
-                and now_ms - held.busy_since_ms > WORK_LIMIT_MS
+                tracked.busy_since_ms is not None
+                and now_ms - tracked.busy_since_ms > WORK_LIMIT_MS
             ):
-                self._finish(held)
+                self._finish(tracked)
 
-    def _end(self, held: HeldFlow) -> None:
-        held.ended = True
-        held.reserved_until_ms = held.used_ms
+    def _end(self, tracked: TrackedFlow) -> None:
+        tracked.ended = True
+        tracked.reserved_until_ms = tracked.used_ms
 
-    def _finish(self, held: HeldFlow) -> None:
-        if held.busy_since_ms is not None:
-            held.busy_since_ms = None
+    def _finish(self, tracked: TrackedFlow) -> None:
+        if tracked.busy_since_ms is not None:
+            tracked.busy_since_ms = None
             self._busy_count -= 1
 
     def _sample(self, duration_ms: float) -> None:
--- a/libs/flows/src/fireflyford/flows/_home.py
+++ b/libs/flows/src/fireflyford/flows/_home.py
@@ -29,7 +29,7 @@
         self.used_ms = now_ms
 
 
-class Home:
+class FlowDirectory:
     """Knows holders, and has them searched or new flows placed."""
 
     def __init__(
@@ -73,24 +73,24 @@
             self._entries.move_to_end(packet.flow)
             handling = _messages.Handling.HELD
             own = self._own.address
-            return [forward.pass_on(handling, own, entry.holder, packet)]
+            return [forward.relay(handling, own, entry.holder, packet)]
         if packet.opens:
             return self._offers.begin(forward, packet)
         return self._searches.begin(forward, packet)
 
     def locate(
-        self, sender: core.Address, message: _messages.Located
+        self, sender: core.Address, message: _messages.FlowLocated
     ) -> list[_types.Action]:
         """Takes the news that the sender holds a flow."""
-        self.take_load(sender, message.load)
+        self.record_load(sender, message.load)
         self._offers.accept(sender, message.flow)
         return self._found(message.flow, sender)
 
     def decline(
-        self, sender: core.Address, message: _messages.Declined
+        self, sender: core.Address, message: _messages.PlacementDeclined
     ) -> list[_types.Action]:
         """Looks for another backend server after a refusal."""
-        self.take_load(sender, message.load)
+        self.record_load(sender, message.load)
         return self._offers.decline(sender, message)
 
     def absent(self, sender: core.Address, flow: bytes) -> list[_types.Action]:
@@ -109,9 +109,9 @@
             actions += self._found(flow, sender)
         return actions
 
-    def take_load(self, sender: core.Address, load: _types.Load) -> None:
+    def record_load(self, sender: core.Address, load: _types.Load) -> None:
         """Takes the load of an agent."""
-        self._offers.take_load(sender, load)
+        self._offers.record_load(sender, load)
 
     def sweep(self) -> list[_types.Action]:
         """Ends offers and searches that wait for too long."""
--- a/libs/flows/src/fireflyford/flows/_keeper.py
+++ b/libs/flows/src/fireflyford/flows/_keeper.py
@@ -50,7 +50,7 @@
     deadline_ms: int
 
 
-class Keeper:
+class TargetForwarder:
     """Delivers packets to one backend server and knows its flows."""
 
     def __init__(
@@ -72,7 +72,7 @@
         self._fleet = fleet
         # Whether this process has heard of the backend server at all.
         self._has_sign = False
-        self.held = _held.HeldFlows(clock)
+        self.tracker = _held.FlowTracker(clock)
         self.state = _types.TargetState.UNKNOWN
         # Flows may be held that this process has not seen open.
         self.may_hold_others = True
@@ -84,7 +84,7 @@
 
     def load(self) -> _types.Load:
         """Returns the load of the backend server."""
-        return self.held.load(self.state)
+        return self.tracker.load(self.state)
 
     # Packets of clients.
 
@@ -97,11 +97,11 @@
         """Handles a packet that is meant for the backend server."""
         if forward.handling is _messages.Handling.PLACE:
             return self._open(sender, forward, packet)
-        held = self.held.get(packet.flow)
+        tracked = self.tracker.get(packet.flow)
         if self.state is _types.TargetState.DOWN:
             return self._miss(sender, forward, packet)
-        if held is not None and held.matches(packet):
-            self.held.receive(held, packet)
+        if tracked is not None and tracked.matches(packet):
+            self.tracker.receive(tracked, packet)
             return [
                 _types.Deliver(packet),
                 *self._tell(packet.flow, forward, sender),
@@ -110,7 +110,7 @@
             if packet.flow in self._openings:
                 return []
             return self._miss(sender, forward, packet)
-        if held is None and self.may_hold_others:
+        if tracked is None and self.may_hold_others:
             return self._probe(sender, forward, packet)
         return self._miss(sender, forward, packet)
 
@@ -120,13 +120,13 @@
         forward: _messages.Forward,
         packet: _types.Packet,
     ) -> list[_types.Action]:
-        held = self.held.get(packet.flow)
-        if held is not None:
-            self.held.receive(held, packet)
+        tracked = self.tracker.get(packet.flow)
+        if tracked is not None:
+            self.tracker.receive(tracked, packet)
             return [
                 _types.Deliver(packet),
                 _messages.Send(
-                    sender, _messages.Located(packet.flow, self.load())
+                    sender, _messages.FlowLocated(packet.flow, self.load())
                 ),
             ]
         if packet.flow in self._openings:
@@ -152,7 +152,7 @@
             return reasons.UNKNOWN_STATE
         load = self.load()
         pending = load.pending_count + len(self._openings)
-        is_choosy = not forward.firm and not forward.lasting
+        is_choosy = not forward.allow_queueing and not forward.long_lived
         if is_choosy and pending >= load.slot_count:
             return reasons.BUSY
         if not _placement.has_room(load, len(self._openings)):
@@ -161,12 +161,13 @@
 
     def _decline(
         self,
-        home: core.Address,
+        directory_agent: core.Address,
         flow: bytes,
         reason: _messages.DeclineReason,
     ) -> _messages.Send:
         return _messages.Send(
-            home, _messages.Declined(flow, reason, self.load())
+            directory_agent,
+            _messages.PlacementDeclined(flow, reason, self.load()),
         )
 
     def _probe(
@@ -189,7 +190,7 @@
     ) -> list[_types.Action]:
         """Says that the flow is not here and looks for it elsewhere."""
         actions: list[_types.Action] = [
-            _messages.Send(sender, _messages.Absent(packet.flow))
+            _messages.Send(sender, _messages.NotHeld(packet.flow))
         ]
         if forward.handling is _messages.Handling.SEARCH:
             return actions
@@ -200,12 +201,16 @@
     ) -> list[_types.Action]:
         if forward.hop_count >= MAX_HOPS:
             return []
-        homes = self._fleet.homes(self._own.service, packet.flow, 1)
-        if not homes:
+        directory_agents = self._fleet.directory_agents(
+            self._own.service, packet.flow, 1
+        )
+        if not directory_agents:
             return []
-        (home,) = homes
+        (directory_agent,) = directory_agents
         handling = _messages.Handling.RESOLVE
-        return [forward.pass_on(handling, home, home, packet)]
+        return [
+            forward.relay(handling, directory_agent, directory_agent, packet)
+        ]
 
     def _tell(
         self, flow: bytes, forward: _messages.Forward, sender: core.Address
@@ -219,15 +224,15 @@
         if sender != forward.balancer:
             receivers.append(forward.balancer)
         if forward.handling is _messages.Handling.SEARCH:
-            receivers.append(forward.home)
-        located = _messages.Located(flow, self.load())
+            receivers.append(forward.directory_agent)
+        located = _messages.FlowLocated(flow, self.load())
         return [_messages.Send(to, located) for to in receivers]
 
     # Packets of the backend server.
 
-    def answer(self, packet: _types.Packet) -> list[_types.Action]:
+    def receive_from_target(self, packet: _types.Packet) -> list[_types.Action]:
         """Handles a packet that the backend server sends."""
-        self.note_life()
+        self.record_keepalive()
         if packet.bounced:
             return self._bounce(packet)
         if self.state is _types.TargetState.DOWN:
@@ -235,31 +240,31 @@
             self.state = _types.TargetState.UNKNOWN
         if packet.opens:
             return self._accept(packet)
-        held = self.held.get(packet.flow)
+        tracked = self.tracker.get(packet.flow)
         actions: list[_types.Action] = [_types.Reply(packet)]
-        if held is None:
+        if tracked is None:
             actions += self._adopt(packet.flow)
-            held = self.held.get(packet.flow)
-            assert held is not None
-        self.held.answer(held, packet)
+            tracked = self.tracker.get(packet.flow)
+            assert tracked is not None
+        self.tracker.answer(tracked, packet)
         return actions
 
     def _accept(self, packet: _types.Packet) -> list[_types.Action]:
-        held = self.held.get(packet.flow)
-        if held is not None:
+        tracked = self.tracker.get(packet.flow)
+        if tracked is not None:
             return [_types.Reply(packet)]
         opening = self._openings.pop(packet.flow, None)
         if opening is None:
             # The flow was placed elsewhere meanwhile.
             return []
-        self.held.add(packet.flow, opening.forward.lasting, packet.seq)
-        located = _messages.Located(packet.flow, self.load())
+        self.tracker.add(packet.flow, opening.forward.long_lived, packet.seq)
+        located = _messages.FlowLocated(packet.flow, self.load())
         receivers = {opening.sender, opening.forward.balancer}
         telemetry.log(
             "flow-opened",
             flow=_types.describe_flow(packet.flow),
             balancer=opening.forward.balancer,
-            lasting=opening.forward.lasting,
+            lasting=opening.forward.long_lived,
             busy=located.load.busy_count,
         )
         return [
@@ -279,39 +284,43 @@
                     _messages.DeclineReason.FULL,
                 )
             ]
-        probe = self._probes.pop(packet.note, None) if packet.note else None
+        probe = (
+            self._probes.pop(packet.delivery_tag, None)
+            if packet.delivery_tag
+            else None
+        )
         if probe is not None:
             return self._miss(probe.sender, probe.forward, probe.packet)
-        held = self.held.get(packet.flow)
-        if held is None or held.ended:
+        tracked = self.tracker.get(packet.flow)
+        if tracked is None or tracked.ended:
             return []
         telemetry.log(
             "flow-lost-by-target", flow=_types.describe_flow(packet.flow)
         )
-        self.held.remove(packet.flow)
+        self.tracker.remove(packet.flow)
         if packet.resets:
             return []
         return [_types.Reset(packet.flow, packet.ack)]
 
     # State of the backend server.
 
-    def note_life(self) -> None:
+    def record_keepalive(self) -> None:
         """Takes a sign of life of the backend server."""
         self._has_sign = True
 
-    def follow(self, state: _types.TargetState, slot_count: int) -> None:
+    def update_state(self, state: _types.TargetState, slot_count: int) -> None:
         """Takes what the backend server says of itself."""
-        self.held.slot_count = max(1, slot_count)
+        self.tracker.slot_count = max(1, slot_count)
         if state is not self.state:
             telemetry.log(
                 "target-state",
                 state=state.name.lower(),
                 before=self.state.name.lower(),
-                held=len(self.held),
+                held=len(self.tracker),
             )
             self.state = state
 
-    def assume(self, state: _types.TargetState) -> None:
+    def assume_state(self, state: _types.TargetState) -> None:
         """Takes the state that an earlier process left behind.
 
         It holds until the first report of the backend server, so that a
@@ -321,14 +330,14 @@
             telemetry.log("target-assumed", state=state.name.lower())
             self.state = state
 
-    def fail(self, reason: str) -> list[_types.Action]:
+    def mark_down(self, reason: str) -> list[_types.Action]:
         """Takes the news that the backend server does not run.
 
         Its flows are gone with it, so clients that wait are told.
         """
         if self.state is _types.TargetState.DOWN:
             return []
-        telemetry.log("target-down", reason=reason, held=len(self.held))
+        telemetry.log("target-down", reason=reason, held=len(self.tracker))
         self.state = _types.TargetState.DOWN
         self.may_hold_others = False
         actions: list[_types.Action] = []
@@ -342,11 +351,11 @@
         for probe in self._probes.values():
             actions += self._miss(probe.sender, probe.forward, probe.packet)
         self._probes.clear()
-        for flow in self.held.open_flows():
-            held = self.held.get(flow)
-            assert held is not None
-            actions.append(_types.Reset(flow, held.client_ack))
-        self.held.clear()
+        for flow in self.tracker.open_flows():
+            tracked = self.tracker.get(flow)
+            assert tracked is not None
+            actions.append(_types.Reset(flow, tracked.client_ack))
+        self.tracker.clear()
         return actions
 
     # Time and views.
@@ -364,7 +373,7 @@
                     )
                 )
         while self._probes:
-            note, probe = next(iter(self._probes.items()))
+            delivery_tag, probe = next(iter(self._probes.items()))
             if now_ms < probe.deadline_ms:
                 break
             is_new = now_ms - self._started_ms < FIRST_SIGN_MS
@@ -373,9 +382,9 @@
                 break
             if not self._has_sign:
                 actions += self._miss(probe.sender, probe.forward, probe.packet)
-            elif probe.packet.flow not in self.held:
+            elif probe.packet.flow not in self.tracker:
                 actions += self._adopt(probe.packet.flow)
-            self._probes.pop(note, None)
+            self._probes.pop(delivery_tag, None)
         return actions
 
     def _adopt(self, flow: bytes) -> list[_types.Action]:
@@ -385,15 +394,15 @@
         """
         telemetry.log("flow-adopted", flow=_types.describe_flow(flow))
         probes = [
-            (note, probe)
-            for note, probe in self._probes.items()
+            (delivery_tag, probe)
+            for delivery_tag, probe in self._probes.items()
             if probe.packet.flow == flow
         ]
-        lasting = any(probe.forward.lasting for _, probe in probes)
-        self.held.add(flow, lasting, None)
-        for note, _ in probes:
-            del self._probes[note]
-        located = _messages.Located(flow, self.load())
+        long_lived = any(probe.forward.long_lived for _, probe in probes)
+        self.tracker.add(flow, long_lived, None)
+        for delivery_tag, _ in probes:
+            del self._probes[delivery_tag]
+        located = _messages.FlowLocated(flow, self.load())
         balancers = {probe.forward.balancer for _, probe in probes}
         return [
             *self._announce(flow),
@@ -402,21 +411,27 @@
 
     def _announce(self, flow: bytes) -> list[_types.Action]:
         return [
-            _messages.Send(home, _messages.Holding((flow,)))
-            for home in self._fleet.homes(self._own.service, flow, 1)
+            _messages.Send(directory_agent, _messages.FlowAnnouncement((flow,)))
+            for directory_agent in self._fleet.directory_agents(
+                self._own.service, flow, 1
+            )
         ]
 
     def announce_all(self) -> list[_types.Action]:
         """Enters all flows in the directories of their present homes."""
         by_home: dict[core.Address, list[bytes]] = {}
-        for flow in self.held.open_flows():
-            for home in self._fleet.homes(self._own.service, flow, 1):
-                by_home.setdefault(home, []).append(flow)
+        for flow in self.tracker.open_flows():
+            for directory_agent in self._fleet.directory_agents(
+                self._own.service, flow, 1
+            ):
+                by_home.setdefault(directory_agent, []).append(flow)
         return [
             _messages.Send(
-                home,
-                _messages.Holding(tuple(flows[at : at + HOLDING_BATCH_COUNT])),
+                directory_agent,
+                _messages.FlowAnnouncement(
+                    tuple(flows[at : at + HOLDING_BATCH_COUNT])
+                ),
             )
-            for home, flows in by_home.items()
+            for directory_agent, flows in by_home.items()
             for at in range(0, len(flows), HOLDING_BATCH_COUNT)
         ]
--- a/libs/flows/src/fireflyford/flows/_messages.py
+++ b/libs/flows/src/fireflyford/flows/_messages.py
@@ -30,52 +30,54 @@
         handling: What the receiver does with it.
         service: Service of the flow; an agent of another one refuses it.
         balancer: Balancer that took the packet from the client.
-        home: Agent that keeps the directory entry of the flow.
+        directory_agent: Agent that keeps the directory entry of the flow.
         hop_count: Agents that have passed it on.
-        lasting: Whether flows of this route carry many requests.
-        firm: Whether the receiver takes the flow even without a free slot.
+        long_lived: Whether flows of this route carry many requests.
+        allow_queueing: Whether the receiver takes the flow even if its requests
+            have to wait for a slot.
         data: The encoded packet.
     """
 
     handling: Handling
     service: str
     balancer: core.Address
-    home: core.Address
+    directory_agent: core.Address
     hop_count: int
-    lasting: bool
-    firm: bool
+    long_lived: bool
+    allow_queueing: bool
     data: bytes
 
-    def pass_on(
+    def relay(
         self,
         handling: Handling,
-        home: core.Address,
+        directory_agent: core.Address,
         to: core.Address,
         packet: _types.Packet,
-        firm: bool = False,
+        allow_queueing: bool = False,
     ) -> "Send":
         """Returns the message with which an agent passes a packet on.
 
         Args:
             handling: What the receiver does with it.
-            home: Agent that keeps the directory entry of the flow.
+            directory_agent: Agent that keeps the directory entry of the flow.
             to: The receiver.
             packet: This packet, or another one of its flow.
-            firm: Whether the receiver takes the flow without a free slot.
+            allow_queueing: Whether the receiver takes the flow even if its
+                requests have to wait for a slot.
         """
         message = dataclasses.replace(
             self,
             handling=handling,
-            home=home,
+            directory_agent=directory_agent,
             hop_count=self.hop_count + 1,
-            firm=firm,
+            allow_queueing=allow_queueing,
             data=packet.data,
         )
         return Send(to, message)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Located:
+class FlowLocated:
     """The sender's backend server holds a flow."""
 
     flow: bytes
@@ -95,7 +97,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Declined:
+class PlacementDeclined:
     """The sender does not take a new flow; nothing of it has run there."""
 
     flow: bytes
@@ -104,36 +106,36 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Absent:
+class NotHeld:
     """The sender's backend server does not hold a flow."""
 
     flow: bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Unknown:
+class FlowNotFound:
     """No backend server of the service holds a flow; from home to balancer.
 
     Attributes:
         flow: The flow.
         ack: Last acknowledgment of the client, for a reset.
-        awaited: Whether the client waits for a response to its packet.
+        expects_response: Whether the client waits for a response to its packet.
     """
 
     flow: bytes
     ack: int
-    awaited: bool
+    expects_response: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Waiting:
+class PlacementQueued:
     """A new flow waits at its home for a backend server with room."""
 
     flow: bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Refused:
+class PlacementRefused:
     """No backend server takes a new flow; from home to balancer."""
 
     flow: bytes
@@ -141,14 +143,14 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Holding:
+class FlowAnnouncement:
     """Flows that the sender holds, for their home's directory."""
 
     flows: tuple[bytes, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Beat:
+class Heartbeat:
     """Sign of life of an instance, with its own entry and its load.
 
     Attributes:
@@ -174,14 +176,14 @@
 
 Message = (
     Forward
-    | Located
-    | Declined
-    | Absent
-    | Unknown
-    | Waiting
-    | Refused
-    | Holding
-    | Beat
+    | FlowLocated
+    | PlacementDeclined
+    | NotHeld
+    | FlowNotFound
+    | PlacementQueued
+    | PlacementRefused
+    | FlowAnnouncement
+    | Heartbeat
     | LoadReport
 )
 
--- a/libs/flows/src/fireflyford/flows/_offers.py
+++ b/libs/flows/src/fireflyford/flows/_offers.py
@@ -109,7 +109,7 @@
         telemetry.observe("flow_placement", now_ms - attempt.started_ms, kind)
 
     def decline(
-        self, sender: core.Address, message: _messages.Declined
+        self, sender: core.Address, message: _messages.PlacementDeclined
     ) -> list[_types.Action]:
         """Looks for another backend server after a refusal."""
         attempt = self._attempts.get(message.flow)
@@ -133,9 +133,9 @@
         attempt.reason = message.reason
         return self._place(attempt)
 
-    def take_load(self, sender: core.Address, load: _types.Load) -> None:
+    def record_load(self, sender: core.Address, load: _types.Load) -> None:
         """Takes the load of an agent and counts placements there anew."""
-        self._fleet.note_load(sender, load)
+        self._fleet.record_load(sender, load)
         self._placed.pop(sender, None)
 
     def sweep(self) -> list[_types.Action]:
@@ -179,13 +179,15 @@
         candidates = self._candidates(attempt)
         if not candidates:
             return self._wait(attempt)
-        chosen = self._placement.choose(candidates, attempt.forward.lasting)
+        chosen = self._placement.choose(candidates, attempt.forward.long_lived)
         now_ms = self._clock.now_ms()
         self._placed.setdefault(chosen.address, []).append(now_ms)
         attempt.asked = chosen.address
         attempt.asked_ms = now_ms
         attempt.deadline_ms = now_ms + self._timer.timeout_ms()
-        firm = attempt.busy_count >= BUSY_LIMIT_COUNT or len(candidates) == 1
+        allow_queueing = (
+            attempt.busy_count >= BUSY_LIMIT_COUNT or len(candidates) == 1
+        )
         attempt.offer_count += 1
         if attempt.offer_count <= LOGGED_OFFERS:
             telemetry.log(
@@ -194,19 +196,19 @@
                 holder=chosen.address,
                 busy=chosen.load.busy_count,
                 reserved=chosen.load.reserved_count,
-                lasting=chosen.load.lasting_count,
+                lasting=chosen.load.long_lived_count,
                 service_ms=chosen.load.service_ms,
                 age_ms=self._fleet.silence_ms(chosen.address),
                 candidates=len(candidates),
-                firm=firm,
+                firm=allow_queueing,
             )
         return [
-            attempt.forward.pass_on(
+            attempt.forward.relay(
                 _messages.Handling.PLACE,
                 self._own.address,
                 chosen.address,
                 attempt.packet,
-                firm,
+                allow_queueing,
             )
         ]
 
@@ -223,7 +225,7 @@
                 offers=attempt.offer_count,
                 waited_ms=now_ms - attempt.started_ms,
             )
-            refusal = _messages.Refused(flow, attempt.reason)
+            refusal = _messages.PlacementRefused(flow, attempt.reason)
             return [_messages.Send(attempt.forward.balancer, refusal)]
         is_first = not attempt.is_waiting
         attempt.asked = None
@@ -235,7 +237,9 @@
             return []
         self._log_wait(attempt)
         return [
-            _messages.Send(attempt.forward.balancer, _messages.Waiting(flow))
+            _messages.Send(
+                attempt.forward.balancer, _messages.PlacementQueued(flow)
+            )
         ]
 
     def _log_wait(self, attempt: _Attempt) -> None:
--- a/libs/flows/src/fireflyford/flows/_placement.py
+++ b/libs/flows/src/fireflyford/flows/_placement.py
@@ -98,13 +98,13 @@
 
     @abc.abstractmethod
     def choose(
-        self, candidates: Sequence[Candidate], lasting: bool
+        self, candidates: Sequence[Candidate], long_lived: bool
     ) -> Candidate:
         """Returns one of the candidates; there is at least one.
 
         Args:
             candidates: Agents whose backend servers take new flows.
-            lasting: Whether the flow will carry many requests.
+            long_lived: Whether the flow will carry many requests.
         """
 
 
@@ -116,7 +116,7 @@
         self._rng = rng
 
     def choose(
-        self, candidates: Sequence[Candidate], lasting: bool
+        self, candidates: Sequence[Candidate], long_lived: bool
     ) -> Candidate:
         """Returns a random candidate."""
         return self._rng.choice(candidates)
@@ -137,7 +137,7 @@
         self._rng = rng
 
     def choose(
-        self, candidates: Sequence[Candidate], lasting: bool
+        self, candidates: Sequence[Candidate], long_lived: bool
     ) -> Candidate:
         """Returns the candidate of least cost."""
         times = [
@@ -145,7 +145,7 @@
         ]
         median_ms = statistics.median(times) if times else DEFAULT_SERVICE_MS
         cost = _share_cost
-        if not lasting:
+        if not long_lived:
             cost = _completion_cost
             count = min(SAMPLE_COUNT, len(candidates))
             candidates = self._rng.sample(candidates, count)
@@ -168,12 +168,12 @@
     ahead = item.pending_count
     queued = max(0, ahead - load.slot_count + 1)
     wait_ms = service_ms * queued / load.slot_count
-    share = service_ms * load.lasting_count / load.slot_count
+    share = service_ms * load.long_lived_count / load.slot_count
     return (wait_ms + service_ms, share, not item.is_near)
 
 
 def _share_cost(item: Candidate, service_ms: float) -> tuple[float, ...]:
     load = item.load
-    flows = load.lasting_count + item.placed_count + 1
+    flows = load.long_lived_count + item.placed_count + 1
     ahead = load.pending_count
     return (service_ms * flows / load.slot_count, ahead, not item.is_near)
--- a/libs/flows/src/fireflyford/flows/_searches.py
+++ b/libs/flows/src/fireflyford/flows/_searches.py
@@ -90,7 +90,7 @@
         )
         handling = _messages.Handling.SEARCH
         return [
-            forward.pass_on(handling, self._own.address, address, packet)
+            forward.relay(handling, self._own.address, address, packet)
             for address in search.asked
         ]
 
@@ -101,7 +101,7 @@
             return []
         handling = _messages.Handling.HELD
         return [
-            search.forward.pass_on(handling, self._own.address, holder, packet)
+            search.forward.relay(handling, self._own.address, holder, packet)
             for packet in search.packets[1:]
         ]
 
@@ -128,7 +128,7 @@
             service=self._own.service,
         )
         last = search.packets[-1]
-        unknown = _messages.Unknown(
+        unknown = _messages.FlowNotFound(
             flow, last.ack, last.payload_bytes > 0 and not last.resets
         )
         return [_messages.Send(search.forward.balancer, unknown)]
--- a/libs/flows/src/fireflyford/flows/_target_watch.py
+++ b/libs/flows/src/fireflyford/flows/_target_watch.py
@@ -13,16 +13,16 @@
 MISSED_REPORTS = 3.5
 
 
-class TargetFate(enum.Enum):
+class TargetLiveness(enum.Enum):
     """What is known of a backend server when its agent is to end.
 
-    LIVES: it has reported since; another process of the agent follows.
+    ALIVE: it has reported since; another process of the agent follows.
     GONE: it has left, its port is closed, or it has been silent since. Silence
         before does not count: after a freeze, reports wait to be read.
     UNKNOWN: neither.
     """
 
-    LIVES = "lives"
+    ALIVE = "lives"
     GONE = "gone"
     UNKNOWN = "unknown"
 
@@ -48,14 +48,14 @@
     sequence: int
 
 
-class TargetWatch:
+class TargetMonitor:
     """Follows the state of the backend server beside an agent."""
 
     def __init__(
         self,
         clock: core.Clock,
         service: str,
-        keeper: _keeper.Keeper,
+        forwarder: _keeper.TargetForwarder,
         report_interval_ms: int,
     ) -> None:
         """Starts without a report.
@@ -63,18 +63,18 @@
         Args:
             clock: Source of time.
             service: Service that the backend server must name.
-            keeper: Told of each change.
+            forwarder: Told of each change.
             report_interval_ms: How often the backend server reports.
         """
         self._clock = clock
         self._service = service
-        self._keeper = keeper
+        self._keeper = forwarder
         self._silence_limit_ms = report_interval_ms * MISSED_REPORTS
         self._last: TargetReport | None = None
         self._heard_ms = clock.now_ms()
         self.has_left = False
 
-    def take(self, report: TargetReport) -> None:
+    def record_report(self, report: TargetReport) -> None:
         """Takes a report, unless a later one is known."""
         last = self._last
         if report.service != self._service:
@@ -105,23 +105,23 @@
                 report, state=_types.TargetState.DRAINING
             )
         self._last = report
-        self._keeper.note_life()
+        self._keeper.record_keepalive()
         self._heard_ms = self._clock.now_ms()
         self.has_left = False
-        self._keeper.follow(report.state, report.slot_count)
+        self._keeper.update_state(report.state, report.slot_count)
 
-    def leave(self, target_id: str) -> None:
+    def record_leave(self, target_id: str) -> None:
         """Takes the backend server's word that it ends now."""
         if self._last is not None and target_id != self._last.target_id:
             telemetry.log("late-leave", target=target_id)
             return
         telemetry.log("target-left", target=target_id)
         self.has_left = True
-        self._keeper.follow(
-            _types.TargetState.DRAINING, self._keeper.held.slot_count
+        self._keeper.update_state(
+            _types.TargetState.DRAINING, self._keeper.tracker.slot_count
         )
 
-    def fate(self, since_ms: int) -> TargetFate:
+    def liveness(self, since_ms: int) -> TargetLiveness:
         """Returns what is known of the backend server.
 
         Args:
@@ -129,12 +129,12 @@
                 backend server may have ended after them.
         """
         if self.has_left or self._keeper.state is _types.TargetState.DOWN:
-            return TargetFate.GONE
+            return TargetLiveness.GONE
         if self._last is not None and self._heard_ms > since_ms:
-            return TargetFate.LIVES
+            return TargetLiveness.ALIVE
         if self._clock.now_ms() - since_ms > self._silence_limit_ms:
-            return TargetFate.GONE
-        return TargetFate.UNKNOWN
+            return TargetLiveness.GONE
+        return TargetLiveness.UNKNOWN
 
     def sweep(self) -> None:
         """Offers no new flows to a backend server that is silent."""
@@ -144,6 +144,6 @@
             and self._keeper.state is _types.TargetState.READY
         ):
             telemetry.log("target-silent", silent_ms=silent_ms)
-            self._keeper.follow(
-                _types.TargetState.UNKNOWN, self._keeper.held.slot_count
+            self._keeper.update_state(
+                _types.TargetState.UNKNOWN, self._keeper.tracker.slot_count
             )
--- a/libs/flows/src/fireflyford/flows/_types.py
+++ b/libs/flows/src/fireflyford/flows/_types.py
@@ -26,7 +26,7 @@
         payload_bytes: Length of the data that it carries.
         seq: First byte of the data in the sender's sequence space.
         ack: Next byte that its sender expects.
-        note: Value that the agent attached when it delivered the packet.
+        delivery_tag: Value that the agent attached on delivery.
     """
 
     flow: bytes
@@ -39,7 +39,7 @@
     payload_bytes: int = 0
     seq: int = 0
     ack: int = 0
-    note: int = 0
+    delivery_tag: int = 0
 
 
 @functools.lru_cache(4_096)
@@ -110,7 +110,7 @@
         slot_count: Requests that it works on at the same time.
         busy_count: Requests that wait for the first byte of their response.
         reserved_count: New flows whose first request has not come yet.
-        lasting_count: Open flows that carry many requests.
+        long_lived_count: Open flows that carry many requests.
         service_ms: Mean time from a request to its response, measured while
             a slot was free; 0 when unknown.
     """
@@ -119,7 +119,7 @@
     slot_count: int = 1
     busy_count: int = 0
     reserved_count: int = 0
-    lasting_count: int = 0
+    long_lived_count: int = 0
     service_ms: float = 0.0
 
     @property
@@ -137,7 +137,7 @@
     """Give a packet to the backend server beside this agent."""
 
     packet: Packet
-    note: int = 0
+    delivery_tag: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/flows/tests/test_decisions.py
+++ b/libs/flows/tests/test_decisions.py
@@ -40,22 +40,22 @@
 
 def forward(
     handling: flows.Handling,
-    firm: bool = True,
+    allow_queueing: bool = True,
     service: str = "board",
-    lasting: bool = False,
+    long_lived: bool = False,
 ) -> flows.Forward:
     return flows.Forward(
-        handling, service, BALANCER, OWN, 0, lasting, firm, b""
+        handling, service, BALANCER, OWN, 0, long_lived, allow_queueing, b""
     )
 
 
-def make_keeper() -> tuple[Clock, flows.Fleet, _keeper.Keeper]:
+def make_forwarder() -> tuple[Clock, flows.Fleet, _keeper.TargetForwarder]:
     clock = Clock(1_000_000)
     fleet = flows.Fleet(clock)
-    fleet.register([instance(OWN), instance(PEER)])
-    keeper = _keeper.Keeper(clock, instance(OWN), fleet)
-    keeper.follow(flows.TargetState.READY, 2)
-    return clock, fleet, keeper
+    fleet.replace_entries([instance(OWN), instance(PEER)])
+    forwarder = _keeper.TargetForwarder(clock, instance(OWN), fleet)
+    forwarder.update_state(flows.TargetState.READY, 2)
+    return clock, fleet, forwarder
 
 
 def sent(actions: list[flows.Action], kind: type) -> list[flows.Send]:
@@ -66,11 +66,11 @@
     ]
 
 
-def open_flow(keeper: _keeper.Keeper, flow: bytes = FLOW) -> None:
+def open_flow(forwarder: _keeper.TargetForwarder, flow: bytes = FLOW) -> None:
     opening = flows.Packet(flow, b"", opens=True)
-    keeper.receive(BALANCER, forward(flows.Handling.PLACE), opening)
+    forwarder.receive(BALANCER, forward(flows.Handling.PLACE), opening)
     accepted = flows.Packet(flow, b"", opens=True, acknowledges=True, seq=SEQ)
-    keeper.answer(accepted)
+    forwarder.receive_from_target(accepted)
 
 
 def data_packet(ack: int = SEQ + 1, seq: int = 10) -> flows.Packet:
@@ -85,13 +85,13 @@
     Both backend servers answered the first packet; the client acknowledges
     the other one's sequence.
     """
-    _, _, keeper = make_keeper()
-    open_flow(keeper)
-    actions = keeper.receive(
+    _, _, forwarder = make_forwarder()
+    open_flow(forwarder)
+    actions = forwarder.receive(
         PEER, forward(flows.Handling.SEARCH), data_packet(ack=SEQ + 5_000)
     )
     assert not any(isinstance(item, flows.Deliver) for item in actions)
-    assert sent(actions, flows.Absent)
+    assert sent(actions, flows.NotHeld)
 
 
 def test_a_balancer_that_asks_the_home_is_always_told() -> None:
@@ -100,22 +100,24 @@
     A balancer that was told where the flow is may not know the holder, asks
     the home, and repeats its packet until it is told again.
     """
-    _, _, keeper = make_keeper()
-    open_flow(keeper)
-    actions = keeper.receive(PEER, forward(flows.Handling.HELD), data_packet())
-    assert [item.to for item in sent(actions, flows.Located)] == [BALANCER]
+    _, _, forwarder = make_forwarder()
+    open_flow(forwarder)
+    actions = forwarder.receive(
+        PEER, forward(flows.Handling.HELD), data_packet()
+    )
+    assert [item.to for item in sent(actions, flows.FlowLocated)] == [BALANCER]
 
 
 def test_a_late_answer_to_a_first_packet_is_dropped() -> None:
     """Guards against a flow that opens at two backend servers."""
-    clock, _, keeper = make_keeper()
+    clock, _, forwarder = make_forwarder()
     opening = flows.Packet(FLOW, b"", opens=True)
-    keeper.receive(BALANCER, forward(flows.Handling.PLACE), opening)
+    forwarder.receive(BALANCER, forward(flows.Handling.PLACE), opening)
     clock.set(1_000_000 + _keeper.OPENING_LIMIT_MS)
-    declined = sent(keeper.sweep(), flows.Declined)
+    declined = sent(forwarder.sweep(), flows.PlacementDeclined)
     assert len(declined) == 1
     accepted = flows.Packet(FLOW, b"", opens=True, acknowledges=True, seq=SEQ)
-    assert keeper.answer(accepted) == []
+    assert forwarder.receive_from_target(accepted) == []
 
 
 @pytest.mark.parametrize(
@@ -130,40 +132,45 @@
     state: flows.TargetState, reason: flows.DeclineReason
 ) -> None:
     """Guards against new flows at a backend server that must not get them."""
-    _, _, keeper = make_keeper()
-    keeper.follow(state, 2)
+    _, _, forwarder = make_forwarder()
+    forwarder.update_state(state, 2)
     opening = flows.Packet(FLOW, b"", opens=True)
-    actions = keeper.receive(PEER, forward(flows.Handling.PLACE), opening)
-    (declined,) = sent(actions, flows.Declined)
-    assert isinstance(declined.message, flows.Declined)
+    actions = forwarder.receive(PEER, forward(flows.Handling.PLACE), opening)
+    (declined,) = sent(actions, flows.PlacementDeclined)
+    assert isinstance(declined.message, flows.PlacementDeclined)
     assert declined.message.reason is reason
     assert len(actions) == 1
 
 
 def test_a_returned_packet_of_a_held_flow_resets_it() -> None:
     """Guards against a client that waits for a restarted backend server."""
-    _, _, keeper = make_keeper()
-    open_flow(keeper)
+    _, _, forwarder = make_forwarder()
+    open_flow(forwarder)
     returned = dataclasses.replace(data_packet(), bounced=True)
-    actions = keeper.answer(returned)
+    actions = forwarder.receive_from_target(returned)
     assert actions == [flows.Reset(FLOW, SEQ + 1)]
-    assert FLOW not in keeper.held
+    assert FLOW not in forwarder.tracker
 
 
 def test_a_returned_packet_of_an_ended_flow_resets_nothing() -> None:
     """Guards against resets after a flow has closed."""
-    _, _, keeper = make_keeper()
-    open_flow(keeper)
+    _, _, forwarder = make_forwarder()
+    open_flow(forwarder)
     closing = flows.Packet(FLOW, b"", acknowledges=True, ends=True, ack=SEQ + 1)
-    keeper.receive(BALANCER, forward(flows.Handling.HELD), closing)
-    assert keeper.answer(dataclasses.replace(closing, bounced=True)) == []
+    forwarder.receive(BALANCER, forward(flows.Handling.HELD), closing)
+    assert (
+        forwarder.receive_from_target(
+            dataclasses.replace(closing, bounced=True)
+        )
+        == []
+    )
 
 
 def test_probes_are_answered_when_the_target_is_down() -> None:
     """Guards against a search that waits for an agent without a target."""
-    _, _, keeper = make_keeper()
-    keeper.receive(PEER, forward(flows.Handling.SEARCH), data_packet())
-    assert sent(keeper.fail("port closed"), flows.Absent)
+    _, _, forwarder = make_forwarder()
+    forwarder.receive(PEER, forward(flows.Handling.SEARCH), data_packet())
+    assert sent(forwarder.mark_down("port closed"), flows.NotHeld)
 
 
 def test_work_of_a_client_that_gave_up_does_not_count() -> None:
@@ -172,25 +179,25 @@
     Guards against slots that stay occupied by requests nobody waits for,
     until every backend server looks full.
     """
-    _, _, keeper = make_keeper()
-    open_flow(keeper)
-    keeper.receive(BALANCER, forward(flows.Handling.HELD), data_packet())
-    assert keeper.load().busy_count == 1
+    _, _, forwarder = make_forwarder()
+    open_flow(forwarder)
+    forwarder.receive(BALANCER, forward(flows.Handling.HELD), data_packet())
+    assert forwarder.load().busy_count == 1
     given_up = flows.Packet(
         FLOW, b"", acknowledges=True, ends=True, ack=SEQ + 1
     )
-    keeper.receive(BALANCER, forward(flows.Handling.HELD), given_up)
-    assert keeper.load().busy_count == 0
-    assert keeper.load().reserved_count == 0
+    forwarder.receive(BALANCER, forward(flows.Handling.HELD), given_up)
+    assert forwarder.load().busy_count == 0
+    assert forwarder.load().reserved_count == 0
 
 
 def test_a_repeated_request_counts_once() -> None:
     """Guards against retransmissions taken for more work."""
-    _, _, keeper = make_keeper()
-    open_flow(keeper)
+    _, _, forwarder = make_forwarder()
+    open_flow(forwarder)
     for _ in range(3):
-        keeper.receive(BALANCER, forward(flows.Handling.HELD), data_packet())
-    assert keeper.load().busy_count == 1
+        forwarder.receive(BALANCER, forward(flows.Handling.HELD), data_packet())
+    assert forwarder.load().busy_count == 1
 
 
 def test_a_target_without_room_declines_even_a_firm_flow() -> None:
@@ -198,37 +205,37 @@
 
     Guards against queues at a backend server that it would shed.
     """
-    _, _, keeper = make_keeper()
+    _, _, forwarder = make_forwarder()
     limit = 2 * _placement.PENDING_PER_SLOT
     for index in range(limit):
-        open_flow(keeper, FLOW[:5] + bytes((index,)) + FLOW[6:])
+        open_flow(forwarder, FLOW[:5] + bytes((index,)) + FLOW[6:])
     opening = flows.Packet(FLOW[:5] + b"\xff" + FLOW[6:], b"", opens=True)
-    actions = keeper.receive(PEER, forward(flows.Handling.PLACE), opening)
-    (declined,) = sent(actions, flows.Declined)
-    assert isinstance(declined.message, flows.Declined)
+    actions = forwarder.receive(PEER, forward(flows.Handling.PLACE), opening)
+    (declined,) = sent(actions, flows.PlacementDeclined)
+    assert isinstance(declined.message, flows.PlacementDeclined)
     assert declined.message.reason is flows.DeclineReason.BUSY
 
 
 def test_reservations_end() -> None:
     """Guards against clients that open a flow and send nothing."""
-    clock, _, keeper = make_keeper()
-    open_flow(keeper)
-    assert keeper.load().reserved_count == 1
+    clock, _, forwarder = make_forwarder()
+    open_flow(forwarder)
+    assert forwarder.load().reserved_count == 1
     clock.set(1_000_000 + _held.RESERVATION_MS)
-    assert keeper.load().reserved_count == 0
+    assert forwarder.load().reserved_count == 0
 
 
-def probed_keeper() -> tuple[Clock, _keeper.Keeper]:
+def make_probed_forwarder() -> tuple[Clock, _keeper.TargetForwarder]:
     """Returns a restarted keeper with a packet of an unknown flow."""
     clock = Clock(1_000_000)
     fleet = flows.Fleet(clock)
-    fleet.register([instance(OWN), instance(PEER)])
-    keeper = _keeper.Keeper(clock, instance(OWN), fleet)
-    keeper.assume(flows.TargetState.DRAINING)
+    fleet.replace_entries([instance(OWN), instance(PEER)])
+    forwarder = _keeper.TargetForwarder(clock, instance(OWN), fleet)
+    forwarder.assume_state(flows.TargetState.DRAINING)
     search = forward(flows.Handling.SEARCH)
-    (delivery,) = keeper.receive(PEER, search, data_packet())
+    (delivery,) = forwarder.receive(PEER, search, data_packet())
     assert isinstance(delivery, flows.Deliver)
-    return clock, keeper
+    return clock, forwarder
 
 
 def test_a_target_without_a_sign_of_life_holds_no_flow() -> None:
@@ -236,35 +243,35 @@
 
     Its agent was started again after a power cut, the backend server was not.
     """
-    clock, keeper = probed_keeper()
+    clock, forwarder = make_probed_forwarder()
     clock.set(1_000_000 + _keeper.PROBE_LIMIT_MS)
-    assert keeper.sweep() == []
+    assert forwarder.sweep() == []
     clock.set(1_000_000 + _keeper.FIRST_SIGN_MS)
-    actions = keeper.sweep()
-    assert FLOW not in keeper.held
-    assert [item.to for item in sent(actions, flows.Absent)] == [PEER]
+    actions = forwarder.sweep()
+    assert FLOW not in forwarder.tracker
+    assert [item.to for item in sent(actions, flows.NotHeld)] == [PEER]
 
 
 def test_a_silent_packet_stays_where_a_target_lives() -> None:
     """Guards against a slow request that is taken for a flow held elsewhere."""
-    clock, keeper = probed_keeper()
-    watch = flows.TargetWatch(clock, "board", keeper, 1_200)
+    clock, forwarder = make_probed_forwarder()
+    watch = flows.TargetMonitor(clock, "board", forwarder, 1_200)
     clock.set(1_000_700)
-    watch.take(report(1))
-    actions = keeper.sweep()
-    assert FLOW in keeper.held
-    assert [item.to for item in sent(actions, flows.Located)] == [BALANCER]
+    watch.record_report(report(1))
+    actions = forwarder.sweep()
+    assert FLOW in forwarder.tracker
+    assert [item.to for item in sent(actions, flows.FlowLocated)] == [BALANCER]
 
 
 def make_home() -> tuple[Clock, flows.Fleet, flows.AgentFlows]:
     clock = Clock(1_000_000)
     fleet = flows.Fleet(clock)
-    fleet.register([instance(OWN), instance(PEER)])
+    fleet.replace_entries([instance(OWN), instance(PEER)])
     policy = flows.LeastCompletion(random.Random(1))
     decisions = flows.AgentFlows(clock, instance(OWN), fleet, policy)
     for address in (OWN, PEER):
         load = flows.Load(flows.TargetState.READY, 2)
-        decisions.home.take_load(address, load)
+        decisions.directory.record_load(address, load)
     return clock, fleet, decisions
 
 
@@ -285,7 +292,7 @@
     opening = flows.Packet(waiting, b"", opens=True)
     request = forward(flows.Handling.RESOLVE)
     first = decisions.receive(BALANCER, request, opening)
-    assert sent(first, flows.Waiting)
+    assert sent(first, flows.PlacementQueued)
     clock.set(1_000_000 + _held.RESERVATION_MS + 40)
     placed = [
         action.message
@@ -303,18 +310,20 @@
     def report_full() -> None:
         for address in (OWN, PEER):
             full = flows.Load(flows.TargetState.READY, 2, busy_count=8)
-            decisions.home.take_load(address, full)
+            decisions.directory.record_load(address, full)
 
     report_full()
     opening = flows.Packet(FLOW, b"", opens=True)
     request = forward(flows.Handling.RESOLVE)
-    assert sent(decisions.receive(BALANCER, request, opening), flows.Waiting)
+    assert sent(
+        decisions.receive(BALANCER, request, opening), flows.PlacementQueued
+    )
     refused = []
     # The client gives up 1,400 ms after its first packet.
     for now_ms in range(1_000_020, 1_001_000, 20):
         clock.set(now_ms)
         report_full()
-        refused += sent(decisions.sweep(), flows.Refused)
+        refused += sent(decisions.sweep(), flows.PlacementRefused)
     assert len(refused) == 1
 
 
@@ -325,10 +334,12 @@
         full = flows.Load(
             flows.TargetState.READY, 2, busy_count=4, reserved_count=4
         )
-        decisions.home.take_load(address, full)
+        decisions.directory.record_load(address, full)
     opening = flows.Packet(FLOW, b"", opens=True)
     request = forward(flows.Handling.RESOLVE)
-    assert sent(decisions.receive(BALANCER, request, opening), flows.Waiting)
+    assert sent(
+        decisions.receive(BALANCER, request, opening), flows.PlacementQueued
+    )
     # Two slots end eight requests of 30 ms in 120 ms.
     clock.set(1_000_130)
     (offer,) = sent(decisions.sweep(), flows.Forward)
@@ -343,7 +354,7 @@
     decisions.receive(BALANCER, request, data_packet())
     actions = []
     for address in (OWN, PEER):
-        actions += decisions.hear(address, flows.Absent(FLOW))
+        actions += decisions.handle_message(address, flows.NotHeld(FLOW))
     assert actions == []
 
 
@@ -353,9 +364,11 @@
     clock.set(1_010_000)
     request = forward(flows.Handling.RESOLVE)
     decisions.receive(BALANCER, request, data_packet())
-    assert decisions.hear(OWN, flows.Absent(FLOW)) == []
-    actions = decisions.hear(PEER, flows.Absent(FLOW))
-    assert actions == [flows.Send(BALANCER, flows.Unknown(FLOW, SEQ + 1, True))]
+    assert decisions.handle_message(OWN, flows.NotHeld(FLOW)) == []
+    actions = decisions.handle_message(PEER, flows.NotHeld(FLOW))
+    assert actions == [
+        flows.Send(BALANCER, flows.FlowNotFound(FLOW, SEQ + 1, True))
+    ]
 
 
 def make_balancer(
@@ -363,7 +376,7 @@
 ) -> tuple[Clock, flows.Fleet, flows.BalancerFlows]:
     clock = Clock(1_000_000)
     fleet = flows.Fleet(clock)
-    fleet.register([instance(OWN), instance(PEER)])
+    fleet.replace_entries([instance(OWN), instance(PEER)])
     decisions = flows.BalancerFlows(
         clock, instance(BALANCER, core.Role.BALANCER), fleet
     )
@@ -402,15 +415,17 @@
     """Guards against a configuration that moves open flows."""
     clock, fleet, decisions = make_balancer("old")
     old = dataclasses.replace(instance(PEER), service="old")
-    fleet.register([instance(OWN), old])
+    fleet.replace_entries([instance(OWN), old])
     decisions.apply(make_table(2, "board"))
     (first,) = sent(decisions.receive(data_packet()), flows.Forward)
     assert first.to == OWN
     clock.set(1_000_010)
-    unknown = flows.Unknown(FLOW, SEQ + 1, True)
-    (second,) = sent(decisions.hear(OWN, unknown), flows.Forward)
+    unknown = flows.FlowNotFound(FLOW, SEQ + 1, True)
+    (second,) = sent(decisions.handle_message(OWN, unknown), flows.Forward)
     assert second.to == PEER
-    assert decisions.hear(PEER, unknown) == [flows.Reset(FLOW, SEQ + 1)]
+    assert decisions.handle_message(PEER, unknown) == [
+        flows.Reset(FLOW, SEQ + 1)
+    ]
 
 
 def test_a_silent_home_is_passed_over() -> None:
@@ -438,71 +453,73 @@
 
 def test_reports_count_in_the_order_in_which_they_were_sent() -> None:
     """Guards against late reports of earlier starts and states."""
-    clock, _, keeper = make_keeper()
-    watch = flows.TargetWatch(clock, "board", keeper, 1_200)
-    watch.take(report(5, flows.TargetState.DRAINING))
-    watch.take(report(4))
-    assert keeper.state is flows.TargetState.DRAINING
-    watch.take(report(6))
-    assert keeper.state is flows.TargetState.DRAINING
+    clock, _, forwarder = make_forwarder()
+    watch = flows.TargetMonitor(clock, "board", forwarder, 1_200)
+    watch.record_report(report(5, flows.TargetState.DRAINING))
+    watch.record_report(report(4))
+    assert forwarder.state is flows.TargetState.DRAINING
+    watch.record_report(report(6))
+    assert forwarder.state is flows.TargetState.DRAINING
     # A new start under the same name counts anew.
-    watch.take(report(1, started_ms=2_000))
-    assert keeper.state is flows.TargetState.READY
-    watch.take(report(99, flows.TargetState.DRAINING))
-    assert keeper.state is flows.TargetState.READY
+    watch.record_report(report(1, started_ms=2_000))
+    assert forwarder.state is flows.TargetState.READY
+    watch.record_report(report(99, flows.TargetState.DRAINING))
+    assert forwarder.state is flows.TargetState.READY
 
 
 def test_a_late_leave_of_an_earlier_target_changes_nothing() -> None:
     """Guards against a new backend server that is taken for the old one."""
-    clock, _, keeper = make_keeper()
-    watch = flows.TargetWatch(clock, "board", keeper, 1_200)
-    watch.take(report(1, target_id="i-2"))
-    watch.leave("i-1")
-    assert keeper.state is flows.TargetState.READY
+    clock, _, forwarder = make_forwarder()
+    watch = flows.TargetMonitor(clock, "board", forwarder, 1_200)
+    watch.record_report(report(1, target_id="i-2"))
+    watch.record_leave("i-1")
+    assert forwarder.state is flows.TargetState.READY
     assert not watch.has_left
 
 
 def test_only_a_report_after_the_signal_shows_that_a_target_lives() -> None:
     """Guards against an agent that ends while searches wait for its answer."""
-    clock, _, keeper = make_keeper()
-    watch = flows.TargetWatch(clock, "board", keeper, 1_200)
-    watch.take(report(1))
+    clock, _, forwarder = make_forwarder()
+    watch = flows.TargetMonitor(clock, "board", forwarder, 1_200)
+    watch.record_report(report(1))
     signal_ms = 1_000_100
     clock.set(signal_ms)
-    assert watch.fate(signal_ms) is flows.TargetFate.UNKNOWN
+    assert watch.liveness(signal_ms) is flows.TargetLiveness.UNKNOWN
     # Some reports may be lost, so many are not.
     clock.set(signal_ms + 3_000)
-    assert watch.fate(signal_ms) is flows.TargetFate.UNKNOWN
+    assert watch.liveness(signal_ms) is flows.TargetLiveness.UNKNOWN
     clock.set(signal_ms + 4_500)
-    assert watch.fate(signal_ms) is flows.TargetFate.GONE
+    assert watch.liveness(signal_ms) is flows.TargetLiveness.GONE
     # An agent that wakes after a freeze has its reports still to read.
-    assert watch.fate(clock.now_ms()) is flows.TargetFate.UNKNOWN
+    assert watch.liveness(clock.now_ms()) is flows.TargetLiveness.UNKNOWN
     clock.set(signal_ms + 900)
-    watch.take(report(2))
-    assert watch.fate(signal_ms) is flows.TargetFate.LIVES
-    keeper.fail("port closed")
-    assert watch.fate(signal_ms) is flows.TargetFate.GONE
+    watch.record_report(report(2))
+    assert watch.liveness(signal_ms) is flows.TargetLiveness.ALIVE
+    forwarder.mark_down("port closed")
+    assert watch.liveness(signal_ms) is flows.TargetLiveness.GONE
 
 
 def test_a_silent_target_gets_no_new_flows() -> None:
     """Guards against flows to a backend server that may be gone."""
-    clock, _, keeper = make_keeper()
-    watch = flows.TargetWatch(clock, "board", keeper, 1_200)
-    watch.take(report(1))
+    clock, _, forwarder = make_forwarder()
+    watch = flows.TargetMonitor(clock, "board", forwarder, 1_200)
+    watch.record_report(report(1))
     clock.set(1_000_000 + 5_000)
     watch.sweep()
-    assert keeper.state is flows.TargetState.UNKNOWN
-    watch.take(report(2))
-    assert keeper.state is flows.TargetState.READY
+    assert forwarder.state is flows.TargetState.UNKNOWN
+    watch.record_report(report(2))
+    assert forwarder.state is flows.TargetState.READY
 
 
 def test_an_earlier_process_is_not_heard_any_more() -> None:
     """Guards against a late beat of what had this address before."""
     clock = Clock(1_000_000)
     fleet = flows.Fleet(clock)
-    fleet.hear(flows.Beat(instance(OWN, incarnation=2), flows.Load(), 0, False))
+    fleet.apply_heartbeat(
+        flows.Heartbeat(instance(OWN, incarnation=2), flows.Load(), 0, False)
+    )
     earlier = instance(OWN, incarnation=1)
-    fleet.hear(flows.Beat(earlier, flows.Load(), 0, True))
+    fleet.apply_heartbeat(flows.Heartbeat(earlier, flows.Load(), 0, True))
     found = fleet.find(OWN)
     assert found is not None
     assert found.incarnation == 2
@@ -529,7 +546,7 @@
             offers += sent(decisions.sweep(), flows.Forward)
         # The answer to the first offer comes after 200 ms.
         load = flows.Load(flows.TargetState.READY, 2)
-        decisions.hear(PEER, flows.Located(flow, load))
+        decisions.handle_message(PEER, flows.FlowLocated(flow, load))
     # At first three offers for a flow, later one.
     assert len(offers) <= 1.5 * 50
 
@@ -542,7 +559,7 @@
     first = decisions.receive(BALANCER, request, data_packet())
     assert len(sent(first, flows.Forward)) == 2
     for address in (OWN, PEER):
-        decisions.hear(address, flows.Absent(FLOW))
+        decisions.handle_message(address, flows.NotHeld(FLOW))
     clock.set(1_010_100)
     assert decisions.receive(BALANCER, request, data_packet()) == []
     clock.set(1_010_400)
--- a/libs/lab/src/fireflyford/lab/_packet_baselines.py
+++ b/libs/lab/src/fireflyford/lab/_packet_baselines.py
@@ -19,10 +19,10 @@
         self._own = own
 
     def choose(
-        self, candidates: Sequence[flows.Candidate], lasting: bool
+        self, candidates: Sequence[flows.Candidate], long_lived: bool
     ) -> flows.Candidate:
         """Returns the home if it is a candidate, else the first one."""
-        del lasting
+        del long_lived
         for candidate in candidates:
             if candidate.address == self._own:
                 return candidate
@@ -37,12 +37,12 @@
         self._rng = rng
 
     def choose(
-        self, candidates: Sequence[flows.Candidate], lasting: bool
+        self, candidates: Sequence[flows.Candidate], long_lived: bool
     ) -> flows.Candidate:
         """Returns the candidate with fewer requests or flows per slot."""
         count = min(2, len(candidates))
         drawn = self._rng.sample(list(candidates), count)
-        return min(drawn, key=lambda item: _pending(item, lasting))
+        return min(drawn, key=lambda item: _pending(item, long_lived))
 
 
 class JoinIdleQueue(flows.Placement):
@@ -53,10 +53,10 @@
         self._rng = rng
 
     def choose(
-        self, candidates: Sequence[flows.Candidate], lasting: bool
+        self, candidates: Sequence[flows.Candidate], long_lived: bool
     ) -> flows.Candidate:
         """Returns a candidate with a free slot if there is one."""
-        del lasting
+        del long_lived
         idle = [
             item
             for item in candidates
@@ -68,7 +68,7 @@
 def _pending(item: flows.Candidate, lasting: bool) -> float:
     count = item.pending_count
     if lasting:
-        count += item.load.lasting_count
+        count += item.load.long_lived_count
     return count / max(1, item.load.slot_count)
 
 
--- a/libs/lab/src/fireflyford/lab/_packet_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_packet_fleet.py
@@ -127,7 +127,9 @@
             self._accept(packet)
             return
         if packet.flow not in self.first_seqs:
-            bounced = dataclasses.replace(packet, bounced=True, note=note)
+            bounced = dataclasses.replace(
+                packet, bounced=True, delivery_tag=note
+            )
             node.answer(bounced)
             return
         if packet.payload_bytes:
@@ -253,8 +255,8 @@
             self.view,
             fleet.make_placement(self.address),
         )
-        self.watch = flows.TargetWatch(
-            fleet.clock, self.target.plan.service, self.flows.keeper, 1_200
+        self.watch = flows.TargetMonitor(
+            fleet.clock, self.target.plan.service, self.flows.forwarder, 1_200
         )
 
     def receive(self, sender: core.Address, message: flows.Message) -> None:
@@ -265,21 +267,21 @@
             packet = self._fleet.packet(message.data)
             self.run(self.flows.receive(sender, message, packet))
         else:
-            self.run(self.flows.hear(sender, message))
+            self.run(self.flows.handle_message(sender, message))
 
     def answer(self, packet: flows.Packet) -> None:
         """Handles a packet of the backend server."""
         if self.up:
-            self.run(self.flows.keeper.answer(packet))
+            self.run(self.flows.forwarder.receive_from_target(packet))
 
     def target_refused(self) -> None:
         """Learns that the port of the backend server is closed."""
-        self.run(self.flows.keeper.fail("port closed"))
+        self.run(self.flows.forwarder.mark_down("port closed"))
 
     def report(self, state: flows.TargetState, sequence: int) -> None:
         """Takes a report of the backend server."""
         plan = self.target.plan
-        self.watch.take(
+        self.watch.record_report(
             flows.TargetReport(
                 "target", plan.service, state, plan.slot_count, 1, sequence
             )
@@ -289,7 +291,7 @@
         """Carries out actions."""
         for action in actions:
             if isinstance(action, flows.Deliver):
-                self.target.receive(action.packet, action.note)
+                self.target.receive(action.packet, action.delivery_tag)
             else:
                 self._fleet.carry(self.address, action)
 
@@ -312,7 +314,7 @@
     def receive(self, sender: core.Address, message: flows.Message) -> None:
         """Handles a message."""
         if self.up:
-            self.run(self.flows.hear(sender, message))
+            self.run(self.flows.handle_message(sender, message))
 
     def take(self, packet: flows.Packet) -> None:
         """Handles a packet of a client."""
@@ -529,8 +531,8 @@
         for agent in self.agents:
             if not agent.up:
                 continue
-            load = agent.flows.keeper.load()
-            agent.flows.home.take_load(agent.address, load)
+            load = agent.flows.forwarder.load()
+            agent.flows.directory.record_load(agent.address, load)
             for peer in agent.view.agents(agent.instance.service):
                 if peer.address != agent.address:
                     report = flows.LoadReport(load)
@@ -539,8 +541,8 @@
     def _beat(self) -> None:
         for agent in self.agents:
             if agent.up:
-                beat = flows.Beat(
-                    agent.instance, agent.flows.keeper.load(), 0, False
+                beat = flows.Heartbeat(
+                    agent.instance, agent.flows.forwarder.load(), 0, False
                 )
                 for balancer in self.balancers:
                     self.carry(
@@ -559,7 +561,7 @@
         ]
         for node in self._nodes():
             if node.up:
-                node.view.register(instances)
+                node.view.replace_entries(instances)
 
     # Packets and messages.
 
--- a/libs/lab/tests/test_packet_fleet.py
+++ b/libs/lab/tests/test_packet_fleet.py
@@ -56,7 +56,7 @@
     fleet = _packet_fleet.PacketFleet(1, PLANS)
     unknown = fleet.agents[0].address
     for balancer in fleet.balancers:
-        balancer.view.register(
+        balancer.view.replace_entries(
             node.instance
             for node in (*fleet.agents, *fleet.balancers)
             if node.address != unknown
@@ -260,7 +260,9 @@
         agent.report(flows.TargetState.READY, 2)
     fleet.register()
     for agent in fleet.agents:
-        agent.flows.home.take_load(agent.address, agent.flows.keeper.load())
+        agent.flows.directory.record_load(
+            agent.address, agent.flows.forwarder.load()
+        )
     fleet.run(2_000)
     assert fleet.answered_share(OUTAGE_LIMIT_MS) == 1.0
 
--- a/libs/runtime/src/fireflyford/runtime/_agent.py
+++ b/libs/runtime/src/fireflyford/runtime/_agent.py
@@ -35,10 +35,10 @@
         self.flows = flows.AgentFlows(
             clock, self.own, self.fleet, flows.LeastCompletion(self.rng)
         )
-        self.target_watch = flows.TargetWatch(
+        self.target_watch = flows.TargetMonitor(
             clock,
             options.service,
-            self.flows.keeper,
+            self.flows.forwarder,
             options.report_interval_ms,
         )
         self._target = _link.DatagramSocket(
@@ -78,13 +78,13 @@
         which finds the entry of this one. Those of one that is gone end now,
         and the entry goes, since every search for a flow would wait for it.
         """
-        fate = self.target_watch.fate(self.stopped_ms)
-        while fate is flows.TargetFate.UNKNOWN and self.grace_left_ms() > 0:
+        fate = self.target_watch.liveness(self.stopped_ms)
+        while fate is flows.TargetLiveness.UNKNOWN and self.grace_left_ms() > 0:
             await self.clock.sleep(_process.SWEEP_INTERVAL_MS)
-            fate = self.target_watch.fate(self.stopped_ms)
+            fate = self.target_watch.liveness(self.stopped_ms)
         telemetry.log("target-fate", fate=fate.value)
-        if fate is flows.TargetFate.GONE:
-            self.link.run(self.flows.keeper.fail("left"))
+        if fate is flows.TargetLiveness.GONE:
+            self.link.run(self.flows.forwarder.mark_down("left"))
             await self.leave()
 
     def hear(self, sender: core.Address, message: flows.Message) -> None:
@@ -96,9 +96,9 @@
                 return
             self.link.run(self.flows.receive(sender, message, outcome.value))
             return
-        if isinstance(message, flows.Beat):
+        if isinstance(message, flows.Heartbeat):
             self.greet(message)
-        self.link.run(self.flows.hear(sender, message))
+        self.link.run(self.flows.handle_message(sender, message))
 
     def _take_answer(self, data: bytes, sender: core.Address) -> None:
         del sender
@@ -106,13 +106,13 @@
         if isinstance(outcome, core.Failure):
             self.link.counters.malformed_count += 1
             return
-        self.link.run(self.flows.keeper.answer(outcome.value))
+        self.link.run(self.flows.forwarder.receive_from_target(outcome.value))
 
     def _ignore(self, data: bytes, sender: core.Address) -> None:
         """Drops what comes to the sending socket; answers come elsewhere."""
 
     def _target_refused(self) -> None:
-        self.link.run(self.flows.keeper.fail("port closed"))
+        self.link.run(self.flows.forwarder.mark_down("port closed"))
 
     def joined(self, earlier: flows.Instance | None) -> None:
         """Takes over what an earlier process knew of the backend server."""
@@ -121,11 +121,11 @@
         state = flows.TargetState.READY
         if earlier.is_draining:
             state = flows.TargetState.DRAINING
-        self.flows.keeper.assume(state)
+        self.flows.forwarder.assume_state(state)
 
     def sweep(self) -> None:
         """Acts on timeouts."""
-        state = self.flows.keeper.state
+        state = self.flows.forwarder.state
         is_draining = state is flows.TargetState.DRAINING
         if is_draining != self.own.is_draining:
             self.own = dataclasses.replace(self.own, is_draining=is_draining)
@@ -140,7 +140,7 @@
 
     def load(self) -> flows.Load:
         """Returns the load of the backend server."""
-        return self.flows.keeper.load()
+        return self.flows.forwarder.load()
 
     def beat_receivers(self) -> list[core.Address]:
         """Returns the balancers; peers get load reports instead."""
@@ -179,7 +179,7 @@
                 for address in peers:
                     self.link.send(address, report)
             # The own home needs it as well.
-            self.flows.home.take_load(self.own.address, load)
+            self.flows.directory.record_load(self.own.address, load)
             await self.clock.sleep(_beats.load_interval_ms(len(peers)))
 
     def status(self) -> dict[str, Any]:
@@ -189,10 +189,10 @@
             "service": self.own.service,
             "target_state": load.state.name.lower(),
             "busy": load.busy_count,
-            "lasting_flows": load.lasting_count,
+            "lasting_flows": load.long_lived_count,
             "service_ms": load.service_ms,
-            "held_flows": len(self.flows.keeper.held),
-            "directory_entries": len(self.flows.home),
+            "held_flows": len(self.flows.forwarder.tracker),
+            "directory_entries": len(self.flows.directory),
         }
 
     def metrics(self) -> dict[str, float]:
@@ -200,8 +200,8 @@
         load = self.load()
         return super().metrics() | {
             "busy_requests": load.busy_count,
-            "held_flows": len(self.flows.keeper.held),
-            "directory_entries": len(self.flows.home),
+            "held_flows": len(self.flows.forwarder.tracker),
+            "directory_entries": len(self.flows.directory),
             "service_ms": load.service_ms,
         }
 
--- a/libs/runtime/src/fireflyford/runtime/_balancer.py
+++ b/libs/runtime/src/fireflyford/runtime/_balancer.py
@@ -112,12 +112,12 @@
 
     def hear(self, sender: core.Address, message: flows.Message) -> None:
         """Handles a message of another instance, or of this one."""
-        if isinstance(message, flows.Beat):
+        if isinstance(message, flows.Heartbeat):
             self.greet(message)
             if message.config_version > self.flows.version:
                 self._wanted[sender] = message.config_version
                 self._news.set()
-        self.link.run(self.flows.hear(sender, message))
+        self.link.run(self.flows.handle_message(sender, message))
         if self.fleet.is_agent(sender):
             self._agent_heard_ms = self.clock.now_ms()
 
--- a/libs/runtime/src/fireflyford/runtime/_link.py
+++ b/libs/runtime/src/fireflyford/runtime/_link.py
@@ -168,7 +168,7 @@
             telemetry.log("no-target-socket")
             return
         self.counters.delivered_count += 1
-        data = self._codec.deliverable(action.packet, action.note)
+        data = self._codec.deliverable(action.packet, action.delivery_tag)
         self._target.send(data)
 
     def _to_client(self, flow: bytes, data: bytes) -> None:
--- a/libs/runtime/src/fireflyford/runtime/_link_codec.py
+++ b/libs/runtime/src/fireflyford/runtime/_link_codec.py
@@ -14,15 +14,15 @@
 
 _KINDS: dict[int, type[Any]] = {
     1: flows.Forward,
-    2: flows.Located,
-    3: flows.Declined,
-    4: flows.Absent,
-    5: flows.Unknown,
-    6: flows.Refused,
-    7: flows.Holding,
-    8: flows.Beat,
+    2: flows.FlowLocated,
+    3: flows.PlacementDeclined,
+    4: flows.NotHeld,
+    5: flows.FlowNotFound,
+    6: flows.PlacementRefused,
+    7: flows.FlowAnnouncement,
+    8: flows.Heartbeat,
     9: flows.LoadReport,
-    10: flows.Waiting,
+    10: flows.PlacementQueued,
 }
 _CODES = {kind: code for code, kind in _KINDS.items()}
 
@@ -63,7 +63,7 @@
         load.slot_count,
         load.busy_count,
         load.reserved_count,
-        load.lasting_count,
+        load.long_lived_count,
         load.service_ms,
     )
 
@@ -93,23 +93,23 @@
             message.handling,
             message.service,
             _text(message.balancer),
-            _text(message.home),
+            _text(message.directory_agent),
             message.hop_count,
-            message.lasting,
-            message.firm,
+            message.long_lived,
+            message.allow_queueing,
             message.data,
         )
-    if isinstance(message, flows.Located):
+    if isinstance(message, flows.FlowLocated):
         return (message.flow, _pack_load(message.load))
-    if isinstance(message, flows.Declined):
+    if isinstance(message, flows.PlacementDeclined):
         return (message.flow, message.reason, _pack_load(message.load))
-    if isinstance(message, flows.Absent | flows.Waiting):
+    if isinstance(message, flows.NotHeld | flows.PlacementQueued):
         return (message.flow,)
-    if isinstance(message, flows.Unknown):
-        return (message.flow, message.ack, message.awaited)
-    if isinstance(message, flows.Refused):
+    if isinstance(message, flows.FlowNotFound):
+        return (message.flow, message.ack, message.expects_response)
+    if isinstance(message, flows.PlacementRefused):
         return (message.flow, message.reason)
-    if isinstance(message, flows.Holding):
+    if isinstance(message, flows.FlowAnnouncement):
         return (message.flows,)
     if isinstance(message, flows.LoadReport):
         return (_pack_load(message.load),)
@@ -182,18 +182,20 @@
             firm,
             data,
         )
-    if kind is flows.Located:
-        return flows.Located(fields[0], _unpack_load(fields[1]))
-    if kind is flows.Declined:
+    if kind is flows.FlowLocated:
+        return flows.FlowLocated(fields[0], _unpack_load(fields[1]))
+    if kind is flows.PlacementDeclined:
         reason = flows.DeclineReason(fields[1])
-        return flows.Declined(fields[0], reason, _unpack_load(fields[2]))
+        return flows.PlacementDeclined(
+            fields[0], reason, _unpack_load(fields[2])
+        )
     if kind is flows.LoadReport:
         return flows.LoadReport(_unpack_load(fields[0]))
-    if kind is flows.Refused:
-        return flows.Refused(fields[0], flows.DeclineReason(fields[1]))
-    if kind is flows.Beat:
+    if kind is flows.PlacementRefused:
+        return flows.PlacementRefused(fields[0], flows.DeclineReason(fields[1]))
+    if kind is flows.Heartbeat:
         instance, load, version, leaving = fields
-        return flows.Beat(
+        return flows.Heartbeat(
             unpack_instance(instance), _unpack_load(load), version, leaving
         )
     message: flows.Message = kind(*fields)
--- a/libs/runtime/src/fireflyford/runtime/_packets.py
+++ b/libs/runtime/src/fireflyford/runtime/_packets.py
@@ -66,5 +66,5 @@
         """Returns the HTTP handlers that tell the fabric of readiness."""
 
     @abc.abstractmethod
-    def report_handlers(self, listener: flows.TargetWatch) -> Rules:
+    def report_handlers(self, listener: flows.TargetMonitor) -> Rules:
         """Returns the HTTP handlers through which a backend server reports."""
--- a/libs/runtime/src/fireflyford/runtime/_process.py
+++ b/libs/runtime/src/fireflyford/runtime/_process.py
@@ -215,7 +215,9 @@
         self, receivers: list[core.Address], leaving: bool = False
     ) -> None:
         """Sends one sign of life to each receiver."""
-        beat = flows.Beat(self.own, self.load(), self.config_version(), leaving)
+        beat = flows.Heartbeat(
+            self.own, self.load(), self.config_version(), leaving
+        )
         for address in receivers:
             if address != self.own.address:
                 self.link.send(address, beat)
@@ -258,7 +260,7 @@
             earlier: Entry that an earlier process left at this address.
         """
 
-    def greet(self, beat: flows.Beat) -> None:
+    def greet(self, beat: flows.Heartbeat) -> None:
         """Answers the first beat of a process, which may know nobody yet.
 
         The registry shows it all instances but those that the store turns
@@ -274,7 +276,7 @@
             if other.address in (newcomer.address, self.own.address):
                 continue
             load = self.fleet.load(other.address)
-            introduction = flows.Beat(other, load, 0, False)
+            introduction = flows.Heartbeat(other, load, 0, False)
             self.link.send(newcomer.address, introduction)
             self.link.send(other.address, beat)
 
@@ -305,7 +307,9 @@
             return
         for instance in found:
             if instance.address != self.own.address:
-                self.fleet.hear(flows.Beat(instance, flows.Load(), 0, False))
+                self.fleet.apply_heartbeat(
+                    flows.Heartbeat(instance, flows.Load(), 0, False)
+                )
         self.send_beats([item.address for item in found])
         telemetry.log("seed-answered", seed=seed, instances=len(found))
 
--- a/libs/runtime/src/fireflyford/runtime/_registry.py
+++ b/libs/runtime/src/fireflyford/runtime/_registry.py
@@ -163,7 +163,7 @@
         own = [item for item in instances if item.address == self._own.address]
         if not own:
             self._miss()
-        found = self._fleet.register(instances)
+        found = self._fleet.replace_entries(instances)
         if self._has_joined.is_set():
             self._found(found)
         else:
@@ -183,7 +183,7 @@
             self._miss()
         written = _instances(reading)
         gone = {key.removeprefix(PREFIX) for key in reading.deleted}
-        self._found(self._fleet.update(written, gone))
+        self._found(self._fleet.update_entries(written, gone))
 
 
 def _instances(reading: store.Reading) -> list[flows.Instance]:
--- a/libs/runtime/tests/test_beats.py
+++ b/libs/runtime/tests/test_beats.py
@@ -49,7 +49,7 @@
         core.Address("10.128.100.100", 17_720),
         1_796_385_769_363,
     )
-    beat = flows.Beat(instance, load, 1_000, False)
+    beat = flows.Heartbeat(instance, load, 1_000, False)
     sign = flows.LoadReport(load)
     assert len(_link_codec.pack(beat)) + HEADER_BYTES <= _beats.BEAT_BYTES
     assert len(_link_codec.pack(sign)) + HEADER_BYTES <= _beats.LOAD_BYTES
--- a/libs/runtime/tests/test_link_codec.py
+++ b/libs/runtime/tests/test_link_codec.py
@@ -19,14 +19,14 @@
     flows.Forward(
         flows.Handling.PLACE, "board", HERE, THERE, 2, True, False, b"data"
     ),
-    flows.Located(FLOW, LOAD),
-    flows.Declined(FLOW, flows.DeclineReason.DRAINING, LOAD),
-    flows.Absent(FLOW),
-    flows.Unknown(FLOW, 77, True),
-    flows.Waiting(FLOW),
-    flows.Refused(FLOW, flows.DeclineReason.BUSY),
-    flows.Holding((FLOW, FLOW[::-1])),
-    flows.Beat(INSTANCE, LOAD, 12, False),
+    flows.FlowLocated(FLOW, LOAD),
+    flows.PlacementDeclined(FLOW, flows.DeclineReason.DRAINING, LOAD),
+    flows.NotHeld(FLOW),
+    flows.FlowNotFound(FLOW, 77, True),
+    flows.PlacementQueued(FLOW),
+    flows.PlacementRefused(FLOW, flows.DeclineReason.BUSY),
+    flows.FlowAnnouncement((FLOW, FLOW[::-1])),
+    flows.Heartbeat(INSTANCE, LOAD, 12, False),
     flows.LoadReport(LOAD),
 ]
 
--- a/tests/adapter/test_formats.py
+++ b/tests/adapter/test_formats.py
@@ -77,7 +77,7 @@
     returned = decode(encode(SYN | BOUNCED, echo=77), by_target=True)
     assert returned.flow == FLOW
     assert returned.bounced
-    assert returned.note == 77
+    assert returned.delivery_tag == 77
 
 
 def test_a_delivered_packet_changes_in_note_and_mark_only() -> None:
@@ -189,13 +189,13 @@
     table = outcome.value
     assert table.version == 7
     split = table.routes[ROUTE]
-    assert split.lasting
+    assert split.long_lived
     assert split.shares == (
         flows.Share("board", 90),
         flows.Share("sheets", 10),
     )
     plain = table.routes[core.Address("198.18.0.4", 80)]
-    assert not plain.lasting
+    assert not plain.long_lived
     assert plain.service(FLOW) == "board"
 
 
