Rename exported names of routing and membership

routing: Arrival is ForwardedDatagram, Peers is FlowPlacement (first is first_target), Limits is FlowTableLimits (max_held is max_held_flows), LATE_MS is MAX_MESSAGE_AGE_MS, UnnamedFlowHint is UnidentifiedFlowHint (is_searched is needs_search), clamp_weights is normalize_weights, group_members is group_by_service. FlowTable.receive, hear and forget_holders are handle_datagram, handle_notice and remove_holders; the fields stamp and lost are timestamp_ms and flow_lost.

membership: Announcements is ConfigAnnouncements (above is newer_than), PullSource is PullHandler (differing is differing_buckets), answer_pulls is register_pull_handler, fetch is fetch_bulk, rendezvous is select_by_rendezvous, View.last_resort is last_resort_targets and its parameter doubted is unconfirmed.

Names only; nothing on the wire, in logs or in settings changes. The strings in core.lazy_exports of routing follow the names.

--- a/libs/agent/src/fireflyford/agent/_configuration.py
+++ b/libs/agent/src/fireflyford/agent/_configuration.py
@@ -17,7 +17,7 @@
         """Takes settings and membership of the agent."""
         self._options = options
         self._members = members
-        self._announcements = membership.Announcements(members)
+        self._announcements = membership.ConfigAnnouncements(members)
 
     def is_reader(self) -> bool:
         """Returns False; agents leave the store alone."""
@@ -27,7 +27,7 @@
         """Returns the balancers that announce a higher version."""
         return [
             store.Source(member.instance_id, member.bulk_address, version)
-            for member, version in self._announcements.above(above)
+            for member, version in self._announcements.newer_than(above)
             if member.role is core.Role.BALANCER
         ]
 
@@ -39,6 +39,6 @@
         self, source: store.Source, payload: bytes
     ) -> core.Outcome[bytes]:
         """Calls a balancer."""
-        return await membership.fetch(
+        return await membership.fetch_bulk(
             source.address, self._options.link_key, store.TOPIC, payload
         )
--- a/libs/agent/src/fireflyford/agent/_datagram.py
+++ b/libs/agent/src/fireflyford/agent/_datagram.py
@@ -100,7 +100,7 @@
         own: core.Holder,
         codec: wire.ForwardCodec,
         backend: core.Address,
-        peers: routing.Peers,
+        peers: routing.FlowPlacement,
     ) -> None:
         """Prepares the flows of one agent.
 
@@ -158,7 +158,7 @@
 
     def follow_view(self, dead: Set[core.Holder]) -> None:
         """Takes a new view of the peers, some of which are dead."""
-        self._table.forget_holders(dead)
+        self._table.remove_holders(dead)
         self._view_changed = True
 
     def receive(
@@ -178,8 +178,8 @@
 
     def _decide(self, queued: _Queued) -> None:
         header = queued.header
-        decision = self._table.receive(
-            routing.Arrival(
+        decision = self._table.handle_datagram(
+            routing.ForwardedDatagram(
                 header.flow_key,
                 queued.sender,
                 header.hops,
@@ -201,7 +201,7 @@
     def _hear(
         self, header: wire.ForwardHeader, sent_ms: int, sender: core.Address
     ) -> None:
-        if abs(self._clock.wall_ms() - sent_ms) > routing.LATE_MS:
+        if abs(self._clock.wall_ms() - sent_ms) > routing.MAX_MESSAGE_AGE_MS:
             self.counters.late_notice_count += 1
             return
         notice = routing.Notice(
@@ -211,9 +211,9 @@
             header.stamp,
             header.kind is wire.ForwardType.RELEASE,
         )
-        decision = self._table.hear(notice, core.Holder(sender, 0))
+        decision = self._table.handle_notice(notice, core.Holder(sender, 0))
         self._notify(decision.notices)
-        if decision.lost:
+        if decision.flow_lost:
             self.counters.lost_flow_count += 1
             self._close(header.flow_key)
 
@@ -256,7 +256,7 @@
             incarnation=to.incarnation,
             hops=header.hops + 1,
             holders=decision.chain,
-            stamp=decision.stamp,
+            stamp=decision.timestamp_ms,
             balancer=header.balancer or queued.sender,
         )
         self._transmit(forwarded, queued.payload, to.address)
@@ -273,7 +273,7 @@
                 flow_key=notice.flow_key,
                 caller=core.Address("0.0.0.0", 0),
                 holders=(notice.holder,),
-                stamp=notice.stamp,
+                stamp=notice.timestamp_ms,
             )
             self.counters.notice_count += 1
             sent = _SENT.pack(self._clock.wall_ms())
--- a/libs/agent/src/fireflyford/agent/_ring_peers.py
+++ b/libs/agent/src/fireflyford/agent/_ring_peers.py
@@ -7,7 +7,7 @@
 from fireflyford import routing
 
 
-class RingPeers(routing.Peers):
+class RingPeers(routing.FlowPlacement):
     """Places flows as balancers with the same view do."""
 
     def __init__(
@@ -24,7 +24,7 @@
         self._ring = routing.TargetRing(())
         self._others = routing.TargetRing(())
 
-    def first(self, flow_key: int) -> core.Holder | None:
+    def first_target(self, flow_key: int) -> core.Holder | None:
         """Returns the first target of a flow key in the current view."""
         self._refresh()
         target = self._ring.find(flow_key)
@@ -44,7 +44,7 @@
             return
         self._known = view
         service = self._own.service
-        members = routing.group_members(view, [service])[service]
+        members = routing.group_by_service(view, [service])[service]
         targets = routing.make_targets(members)
         self._ring = routing.TargetRing(targets)
         self._others = routing.TargetRing(
--- a/libs/agent/tests/test_datagram.py
+++ b/libs/agent/tests/test_datagram.py
@@ -23,14 +23,14 @@
 CODEC = wire.ForwardCodec(KEY)
 
 
-class Peers(routing.Peers):
+class Peers(routing.FlowPlacement):
     """Names a successor while the agent is draining."""
 
     def __init__(self) -> None:
         """Starts without draining."""
         self.next: core.Holder | None = None
 
-    def first(self, flow_key: int) -> core.Holder | None:
+    def first_target(self, flow_key: int) -> core.Holder | None:
         """Returns no agent."""
         return None
 
--- a/libs/balancer/src/fireflyford/balancer/_configuration.py
+++ b/libs/balancer/src/fireflyford/balancer/_configuration.py
@@ -30,7 +30,7 @@
         self._options = options
         self._members = members
         self._clock = clock
-        self._announcements = membership.Announcements(members)
+        self._announcements = membership.ConfigAnnouncements(members)
         self._created_ms = clock.now_ms()
 
     def is_reader(self) -> bool:
@@ -47,7 +47,7 @@
         """Returns announcing balancers, those of the own region if any."""
         announcing = [
             item
-            for item in self._announcements.above(above)
+            for item in self._announcements.newer_than(above)
             if item[0].role is core.Role.BALANCER
         ]
         near = [
@@ -68,7 +68,7 @@
         self, source: store.Source, payload: bytes
     ) -> core.Outcome[bytes]:
         """Calls another balancer."""
-        return await membership.fetch(
+        return await membership.fetch_bulk(
             source.address, self._options.link_key, store.TOPIC, payload
         )
 
@@ -80,7 +80,7 @@
         for member in view.balancers()
         if member.region == region and member.state is membership.State.ALIVE
     ]
-    readers = membership.rendezvous(
+    readers = membership.select_by_rendezvous(
         store.READER_KEY, candidates, store.READER_COUNT
     )
     return name in {reader.instance_id for reader in readers}
--- a/libs/balancer/src/fireflyford/balancer/_forwarder.py
+++ b/libs/balancer/src/fireflyford/balancer/_forwarder.py
@@ -101,7 +101,7 @@
         self, datagram: bytes, caller: tuple[str, int]
     ) -> routing.Hint | None:
         """Returns the key of the caller's flow."""
-        return routing.UnnamedFlowHint(
+        return routing.UnidentifiedFlowHint(
             xxhash.xxh64_intdigest(
                 f"{caller[0]} {caller[1]}".encode(), self._seed
             )
--- a/libs/balancer/src/fireflyford/balancer/_forwarding.py
+++ b/libs/balancer/src/fireflyford/balancer/_forwarding.py
@@ -156,7 +156,7 @@
         open_services: Services that take new flows.
         known: What the routers have taken, by service; updated.
     """
-    for service, members in routing.group_members(view, routers).items():
+    for service, members in routing.group_by_service(view, routers).items():
         accepts_flows = service in open_services
         # Unchanged records are the same objects, so this is quick.
         if known.get(service) == (members, accepts_flows):
--- a/libs/lab/src/fireflyford/lab/_flow_network.py
+++ b/libs/lab/src/fireflyford/lab/_flow_network.py
@@ -47,11 +47,11 @@
 
     to: core.Holder
     sender: core.Address
-    body: routing.Arrival | routing.Notice
+    body: routing.ForwardedDatagram | routing.Notice
     packet: int = 0
 
 
-class Node(routing.Peers):
+class Node(routing.FlowPlacement):
     """One agent: its flow table and the view it has of its peers."""
 
     def __init__(
@@ -66,7 +66,7 @@
         self._ring = routing.TargetRing(())
         self._others = routing.TargetRing(())
 
-    def first(self, flow_key: int) -> core.Holder | None:
+    def first_target(self, flow_key: int) -> core.Holder | None:
         """Returns the first target in this agent's view."""
         target = self._ring.find(flow_key)
         return None if target is None else target.holder
@@ -86,7 +86,7 @@
 
 
 TableMaker = Callable[
-    [core.Clock, core.Holder, routing.Peers], routing.FlowTable
+    [core.Clock, core.Holder, routing.FlowPlacement], routing.FlowTable
 ]
 
 
@@ -135,11 +135,13 @@
     ) -> int:
         """Sends a caller's datagram through a balancer; returns its number."""
         self._packet_count += 1
-        route = router.choose(routing.UnnamedFlowHint(flow_key))
+        route = router.choose(routing.UnidentifiedFlowHint(flow_key))
         if route is None:
             self.dropped_count += 1
             return self._packet_count
-        arrival = routing.Arrival(flow_key, balancer, 0, route.candidates)
+        arrival = routing.ForwardedDatagram(
+            flow_key, balancer, 0, route.candidates
+        )
         to = core.Holder(route.address, route.incarnation)
         self.in_flight.append(
             Message(to, balancer, arrival, self._packet_count)
@@ -189,10 +191,12 @@
         body = message.body
         if isinstance(body, routing.Notice):
             sender = core.Holder(message.sender, 0)
-            self._send_notices(node, node.table.hear(body, sender).notices)
+            self._send_notices(
+                node, node.table.handle_notice(body, sender).notices
+            )
             return
         self.max_hops = max(self.max_hops, body.hops)
-        decision = node.table.receive(body)
+        decision = node.table.handle_datagram(body)
         self._send_notices(node, decision.notices)
         if decision.action is routing.Action.DELIVER:
             self.deliveries.append(
@@ -200,12 +204,12 @@
             )
         elif decision.action is routing.Action.FORWARD:
             assert decision.to is not None
-            onward = routing.Arrival(
+            onward = routing.ForwardedDatagram(
                 body.flow_key,
                 node.holder.address,
                 body.hops + 1,
                 decision.chain,
-                decision.stamp,
+                decision.timestamp_ms,
             )
             self.in_flight.append(
                 Message(
--- a/libs/lab/src/fireflyford/lab/_flow_run.py
+++ b/libs/lab/src/fireflyford/lab/_flow_run.py
@@ -229,5 +229,5 @@
     ) -> None:
         if self.network.nodes.get(node.holder.address) is node:
             node.replace_targets(view)
-            node.table.forget_holders(self._dead)
+            node.table.remove_holders(self._dead)
             self.network.announce(node)
--- a/libs/lab/src/fireflyford/lab/experiments/_control.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_control.py
@@ -48,7 +48,7 @@
     limit = _LOAD_BOUND_RATIO * mean_count + _LOAD_BOUND_SLACK
     loads = dict.fromkeys((item.instance_id for item in balancers), 0)
     for name in names:
-        ranked = membership.rendezvous(name, balancers, _RANK_COUNT)
+        ranked = membership.select_by_rendezvous(name, balancers, _RANK_COUNT)
         usable = [
             observer.instance_id
             for observer in ranked
--- a/libs/lab/src/fireflyford/lab/experiments/_forwarding.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_forwarding.py
@@ -232,7 +232,7 @@
     router = routing.Router(core.SystemClock())
     router.replace_targets(_make_targets("one", target_count))
     hints = [
-        routing.UnnamedFlowHint(rng.getrandbits(64)) for _ in range(20_000)
+        routing.UnidentifiedFlowHint(rng.getrandbits(64)) for _ in range(20_000)
     ]
     best_s = math.inf
     for _ in range(5):
--- a/libs/lab/tests/test_flow_handover.py
+++ b/libs/lab/tests/test_flow_handover.py
@@ -157,7 +157,7 @@
             target for target in router._targets if target.address in alive
         )
     for _ in range(8):
-        network.clock.time_ms += routing.LATE_MS // 2
+        network.clock.time_ms += routing.MAX_MESSAGE_AGE_MS // 2
         network.retry_all()
         for router, balancer in zip(world.routers, BALANCERS, strict=True):
             network.send(router, balancer, KEY)
@@ -233,23 +233,25 @@
 class StubbornTable(routing.FlowTable):
     """Mutant that never gives a flow up."""
 
-    def hear(
+    def handle_notice(
         self, notice: routing.Notice, sender: core.Holder
     ) -> routing.Decision:
         """Ignores every claim while it holds the flow."""
         if self.holds(notice.flow_key):
             return routing.Decision(routing.Action.DROP)
-        return super().hear(notice, sender)
+        return super().handle_notice(notice, sender)
 
 
 class HastyTable(routing.FlowTable):
     """Mutant that adopts a new flow without a search."""
 
-    def receive(self, arrival: routing.Arrival) -> routing.Decision:
+    def handle_datagram(
+        self, datagram: routing.ForwardedDatagram
+    ) -> routing.Decision:
         """Forgets the candidates."""
-        if arrival.hops == 0:
-            arrival = dataclasses.replace(arrival, chain=())
-        return super().receive(arrival)
+        if datagram.hops == 0:
+            datagram = dataclasses.replace(datagram, chain=())
+        return super().handle_datagram(datagram)
 
 
 def test_the_exploration_notices_faulty_tables() -> None:
--- a/libs/lab/tests/test_flow_model.py
+++ b/libs/lab/tests/test_flow_model.py
@@ -111,7 +111,7 @@
         del self.targets[target.name]
         self.network.kill(target.address)
         for node in self.network.nodes.values():
-            node.table.forget_holders({target.holder})
+            node.table.remove_holders({target.holder})
         self.publish()
 
     @stateful.rule(
--- a/libs/membership/src/fireflyford/membership/__init__.py
+++ b/libs/membership/src/fireflyford/membership/__init__.py
@@ -1,17 +1,17 @@
 """Which instances exist, and how changes spread between them."""
 
-from fireflyford.membership._announcements import Announcements
+from fireflyford.membership._announcements import ConfigAnnouncements
 from fireflyford.membership._bulk import BulkServer
-from fireflyford.membership._bulk import fetch
+from fireflyford.membership._bulk import fetch_bulk
 from fireflyford.membership._channel import Channel
-from fireflyford.membership._channel import PullSource
+from fireflyford.membership._channel import PullHandler
 from fireflyford.membership._channel import UdpChannel
 from fireflyford.membership._conversations import HEARTBEAT_INTERVAL_MS
 from fireflyford.membership._membership import Membership
 from fireflyford.membership._memory import MemoryChannel
 from fireflyford.membership._memory import MemoryNetwork
 from fireflyford.membership._observer import FAILURE_TIMEOUT_MS
-from fireflyford.membership._rendezvous import rendezvous
+from fireflyford.membership._rendezvous import select_by_rendezvous
 from fireflyford.membership._types import Member
 from fireflyford.membership._types import State
 from fireflyford.membership._types import View
@@ -20,18 +20,18 @@
 __all__ = [
     "FAILURE_TIMEOUT_MS",
     "HEARTBEAT_INTERVAL_MS",
-    "Announcements",
     "BulkServer",
     "Channel",
+    "ConfigAnnouncements",
     "Member",
     "Membership",
     "MemoryChannel",
     "MemoryNetwork",
-    "PullSource",
+    "PullHandler",
     "State",
     "UdpChannel",
     "View",
-    "fetch",
+    "fetch_bulk",
     "new_incarnation",
-    "rendezvous",
+    "select_by_rendezvous",
 ]
--- a/libs/membership/src/fireflyford/membership/_announcements.py
+++ b/libs/membership/src/fireflyford/membership/_announcements.py
@@ -7,7 +7,7 @@
 _MAX_SOURCES = 8
 
 
-class Announcements:
+class ConfigAnnouncements:
     """The last members that announced a high configuration version."""
 
     def __init__(self, members: _membership.Membership) -> None:
@@ -15,7 +15,7 @@
         self._versions: dict[str, tuple[_types.Member, int]] = {}
         members.on_config_version(self._keep)
 
-    def above(self, version: int) -> list[tuple[_types.Member, int]]:
+    def newer_than(self, version: int) -> list[tuple[_types.Member, int]]:
         """Returns announcing members and their versions, highest first."""
         found = [item for item in self._versions.values() if item[1] > version]
         return sorted(found, key=lambda item: item[1], reverse=True)
--- a/libs/membership/src/fireflyford/membership/_anti_entropy.py
+++ b/libs/membership/src/fireflyford/membership/_anti_entropy.py
@@ -21,7 +21,7 @@
 _PULL_DELAY_MS = 300
 
 
-class AntiEntropy(_channel.PullSource):
+class AntiEntropy(_channel.PullHandler):
     """Compares digests with one random balancer after another."""
 
     def __init__(
@@ -41,7 +41,7 @@
         self._joined = False
         self._differing: list[_types.Member] = []
         self._differs = asyncio.Event()
-        channel.answer_pulls(self)
+        channel.register_pull_handler(self)
 
     async def run(self) -> None:
         """Joins, then compares until cancelled."""
@@ -63,7 +63,7 @@
             self._differing.append(sender)
             self._differs.set()
 
-    def differing(self, digests: tuple[int, ...]) -> tuple[int, ...]:
+    def differing_buckets(self, digests: tuple[int, ...]) -> tuple[int, ...]:
         """Returns the numbers of the buckets whose digest differs."""
         pairs = zip(self._table.digests(), digests, strict=False)
         return tuple(
--- a/libs/membership/src/fireflyford/membership/_bulk.py
+++ b/libs/membership/src/fireflyford/membership/_bulk.py
@@ -81,7 +81,7 @@
         )
 
 
-async def fetch(
+async def fetch_bulk(
     address: core.Address, key: bytes, topic: str, payload: bytes
 ) -> core.Outcome[bytes]:
     """Calls another instance.
--- a/libs/membership/src/fireflyford/membership/_channel.py
+++ b/libs/membership/src/fireflyford/membership/_channel.py
@@ -15,11 +15,11 @@
 _PULL_TOPIC = "membership-pull"
 
 
-class PullSource(abc.ABC):
+class PullHandler(abc.ABC):
     """Answers the bulk calls of other balancers."""
 
     @abc.abstractmethod
-    def differing(self, digests: tuple[int, ...]) -> tuple[int, ...]:
+    def differing_buckets(self, digests: tuple[int, ...]) -> tuple[int, ...]:
         """Returns the numbers of the buckets whose digest differs."""
 
     @abc.abstractmethod
@@ -39,7 +39,7 @@
         """Waits for the next message."""
 
     @abc.abstractmethod
-    def answer_pulls(self, source: PullSource) -> None:
+    def register_pull_handler(self, source: PullHandler) -> None:
         """Answers bulk calls of other members from `source`."""
 
     @abc.abstractmethod
@@ -130,7 +130,7 @@
             return
         self._inbox.put_nowait((core.Address(*addr[:2]), message))
 
-    def answer_pulls(self, source: PullSource) -> None:
+    def register_pull_handler(self, source: PullHandler) -> None:
         """Registers the two calls with the bulk server, if there is one."""
         if self._bulk_server is None:
             return
@@ -140,7 +140,7 @@
                 digests = _codec.decode_digests(payload)
             except ValueError:
                 return b""
-            return _codec.encode_digests(source.differing(digests))
+            return _codec.encode_digests(source.differing_buckets(digests))
 
         def answer_pull(payload: bytes) -> bytes:
             try:
@@ -177,7 +177,7 @@
     async def _fetch(
         self, address: core.Address, topic: str, payload: bytes
     ) -> bytes | None:
-        outcome = await _bulk.fetch(address, self._key, topic, payload)
+        outcome = await _bulk.fetch_bulk(address, self._key, topic, payload)
         self.pull_count += 1
         self.pulled_bytes += len(payload)
         if isinstance(outcome, core.Failure):
--- a/libs/membership/src/fireflyford/membership/_conversations.py
+++ b/libs/membership/src/fireflyford/membership/_conversations.py
@@ -99,7 +99,7 @@
             for member in usable
             if self._avoided_ms.get(member.control_address, 0) <= now_ms
         ]
-        chosen = _rendezvous.rendezvous(
+        chosen = _rendezvous.select_by_rendezvous(
             own, answering, _rendezvous.OBSERVER_COUNT
         )
         missing_count = _rendezvous.OBSERVER_COUNT - len(chosen)
--- a/libs/membership/src/fireflyford/membership/_membership.py
+++ b/libs/membership/src/fireflyford/membership/_membership.py
@@ -264,7 +264,7 @@
     def _publish(self) -> None:
         self._published_ms = self._clock.now_ms()
         self._view = _types.View(
-            self._table.members.values(), self._panic.doubted()
+            self._table.members.values(), self._panic.unconfirmed()
         )
         for listener in self._listeners:
             listener(self._view)
--- a/libs/membership/src/fireflyford/membership/_memory.py
+++ b/libs/membership/src/fireflyford/membership/_memory.py
@@ -111,7 +111,7 @@
         self._inbox: asyncio.Queue[tuple[core.Address, _messages.Message]] = (
             asyncio.Queue()
         )
-        self._source: _channel.PullSource | None = None
+        self._source: _channel.PullHandler | None = None
         self._running = asyncio.Event()
         self._running.set()
         self.sent_bytes = 0
@@ -145,7 +145,7 @@
         """Takes a message from the network."""
         self._inbox.put_nowait((source, message))
 
-    def answer_pulls(self, source: _channel.PullSource) -> None:
+    def register_pull_handler(self, source: _channel.PullHandler) -> None:
         """Answers bulk calls from `source`."""
         self._source = source
 
@@ -154,7 +154,7 @@
     ) -> tuple[int, ...] | None:
         """Asks which buckets differ."""
         source = await self._reach(address)
-        return None if source is None else source.differing(digests)
+        return None if source is None else source.differing_buckets(digests)
 
     async def fetch_records(
         self, address: core.Address, request: _messages.PullRequest
@@ -163,7 +163,9 @@
         source = await self._reach(address)
         return None if source is None else source.pull(request)
 
-    async def _reach(self, address: core.Address) -> _channel.PullSource | None:
+    async def _reach(
+        self, address: core.Address
+    ) -> _channel.PullHandler | None:
         await self._network.wait()
         channel = self._network.channel(address)
         if channel is None or not channel._running.is_set():
--- a/libs/membership/src/fireflyford/membership/_needs.py
+++ b/libs/membership/src/fireflyford/membership/_needs.py
@@ -48,7 +48,7 @@
         if other.state is _types.State.ALIVE
         and other.availability_zone == member.availability_zone
     ]
-    chosen = _rendezvous.rendezvous(
+    chosen = _rendezvous.select_by_rendezvous(
         f"return/{member.instance_id}", near, _RETURN_BALANCER_COUNT
     )
     return [other.instance_id for other in chosen]
--- a/libs/membership/src/fireflyford/membership/_observer.py
+++ b/libs/membership/src/fireflyford/membership/_observer.py
@@ -84,7 +84,7 @@
             self._tasks = tasks
             for observation in self._observed.values():
                 tasks.create_task(self._watch(observation))
-            tasks.create_task(self._probe_doubted())
+            tasks.create_task(self._probe_unconfirmed())
             while True:
                 self._assign()
                 await self._clock.sleep(_ASSIGNMENT_INTERVAL_MS)
@@ -376,12 +376,12 @@
                 new.control_address, (), (_messages.Change.of(new),)
             )
 
-    async def _probe_doubted(self) -> None:
+    async def _probe_unconfirmed(self) -> None:
         """Lets doubted members that are alive refute, one by one."""
         while True:
             await self._clock.sleep(_PROBE_INTERVAL_MS)
             own = self._table.own.instance_id
-            for name in self._panic.doubted():
+            for name in self._panic.unconfirmed():
                 member = self._table.members.get(name)
                 candidates = self._assignments.candidates(name)
                 if (
--- a/libs/membership/src/fireflyford/membership/_panic.py
+++ b/libs/membership/src/fireflyford/membership/_panic.py
@@ -26,23 +26,23 @@
         self._deaths: dict[_Group, dict[str, int]] = collections.defaultdict(
             dict
         )
-        self._doubted_ms: dict[str, int] = {}
+        self._unconfirmed_ms: dict[str, int] = {}
         table.on_accept(self._watch)
 
-    def doubted(self) -> tuple[str, ...]:
+    def unconfirmed(self) -> tuple[str, ...]:
         """Returns the names of the dead members that are not confirmed."""
-        return tuple(self._doubted_ms)
+        return tuple(self._unconfirmed_ms)
 
     def confirm_old(self) -> bool:
         """Ends the doubt about old deaths; returns whether any ended."""
         limit_ms = self._clock.now_ms() - CONFIRMATION_MS
         old = [
             name
-            for name, death_ms in self._doubted_ms.items()
+            for name, death_ms in self._unconfirmed_ms.items()
             if death_ms <= limit_ms
         ]
         for name in old:
-            del self._doubted_ms[name]
+            del self._unconfirmed_ms[name]
         return bool(old)
 
     def _watch(
@@ -55,7 +55,7 @@
             if old is not None and old.is_live:
                 self._count_death(new)
             return
-        self._doubted_ms.pop(new.instance_id, None)
+        self._unconfirmed_ms.pop(new.instance_id, None)
         self._deaths[_group(new)].pop(new.instance_id, None)
 
     def _count_death(self, member: _types.Member) -> None:
@@ -74,7 +74,7 @@
         )
         total_count = live_count + len(recent)
         if len(recent) >= PANIC_RATIO * total_count:
-            self._doubted_ms.update(recent)
+            self._unconfirmed_ms.update(recent)
 
 
 def _group(member: _types.Member) -> _Group:
--- a/libs/membership/src/fireflyford/membership/_rendezvous.py
+++ b/libs/membership/src/fireflyford/membership/_rendezvous.py
@@ -13,7 +13,7 @@
 CANDIDATE_COUNT = 4
 
 
-def rendezvous(
+def select_by_rendezvous(
     key: str, members: Iterable[_types.Member], count: int
 ) -> tuple[_types.Member, ...]:
     """Returns the `count` members with the highest score for `key`.
--- a/libs/membership/src/fireflyford/membership/_types.py
+++ b/libs/membership/src/fireflyford/membership/_types.py
@@ -86,19 +86,19 @@
     """Immutable set of members, one record for each instance."""
 
     def __init__(
-        self, members: Iterable[Member] = (), doubted: Iterable[str] = ()
+        self, members: Iterable[Member] = (), unconfirmed: Iterable[str] = ()
     ) -> None:
         """Takes the records; a later duplicate replaces an earlier one.
 
         Args:
             members: Records of the members.
-            doubted: Names of dead members that may be alive after all,
+            unconfirmed: Names of dead members that may be alive after all,
                 because too many died at once.
         """
         self.members: Mapping[str, Member] = types.MappingProxyType(
             {member.instance_id: member for member in members}
         )
-        self._doubted = frozenset(doubted)
+        self._unconfirmed = frozenset(unconfirmed)
 
     def targets(self, service: str) -> tuple[Member, ...]:
         """Returns the agents of a service that are alive or draining."""
@@ -110,7 +110,7 @@
             and member.is_live
         )
 
-    def last_resort(self, service: str) -> tuple[Member, ...]:
+    def last_resort_targets(self, service: str) -> tuple[Member, ...]:
         """Returns dead agents to use only when no target is alive.
 
         They died together with half or more of their availability zone's
@@ -118,7 +118,7 @@
         """
         return tuple(
             self.members[name]
-            for name in sorted(self._doubted)
+            for name in sorted(self._unconfirmed)
             if name in self.members
             and self.members[name].service == service
             and self.members[name].state is State.DEAD
--- a/libs/membership/tests/test_bulk.py
+++ b/libs/membership/tests/test_bulk.py
@@ -22,7 +22,7 @@
     task = asyncio.create_task(server.run(address))
     await asyncio.sleep(0)
     try:
-        return await membership.fetch(address, key, "echo", b"ab")
+        return await membership.fetch_bulk(address, key, "echo", b"ab")
     finally:
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
--- a/libs/membership/tests/test_failures.py
+++ b/libs/membership/tests/test_failures.py
@@ -231,17 +231,21 @@
         fleet.pause(names[2])
         await fleet.run(BOUND_MS)
         view = fleet.members["balancer-0"].view()
-        doubted = [member.instance_id for member in view.last_resort("tahian")]
-        assert doubted == names[:3]
+        unconfirmed = [
+            member.instance_id for member in view.last_resort_targets("tahian")
+        ]
+        assert unconfirmed == names[:3]
         fleet.resume(names[2])
         await fleet.run(BOUND_MS)
         view = fleet.members["balancer-0"].view()
-        doubted = [member.instance_id for member in view.last_resort("tahian")]
-        assert doubted == names[:2]
+        unconfirmed = [
+            member.instance_id for member in view.last_resort_targets("tahian")
+        ]
+        assert unconfirmed == names[:2]
         assert fleet.states(names[2]) == {ALIVE}
         await fleet.run(40_000)
         view = fleet.members["balancer-0"].view()
-        assert view.last_resort("tahian") == ()
+        assert view.last_resort_targets("tahian") == ()
 
     simulate(scenario)
 
@@ -258,7 +262,7 @@
         await fleet.run(BOUND_MS)
         view = fleet.members["balancer-0"].view()
         assert fleet.states("tahian-0") == {DEAD}
-        assert view.last_resort("tahian") == ()
+        assert view.last_resort_targets("tahian") == ()
 
     simulate(scenario)
 
--- a/libs/membership/tests/test_merge.py
+++ b/libs/membership/tests/test_merge.py
@@ -168,8 +168,8 @@
     ]
     moved = 0
     for key in range(1_000):
-        before = membership.rendezvous(f"key-{key}", balancers, 2)
-        after = membership.rendezvous(f"key-{key}", balancers[1:], 2)
+        before = membership.select_by_rendezvous(f"key-{key}", balancers, 2)
+        after = membership.select_by_rendezvous(f"key-{key}", balancers[1:], 2)
         moved += before != after
         assert set(before) - {balancers[0]} <= set(after)
     assert 50 < moved < 150
--- a/libs/routing/src/fireflyford/routing/__init__.py
+++ b/libs/routing/src/fireflyford/routing/__init__.py
@@ -6,13 +6,13 @@
 
 if typing.TYPE_CHECKING:
     from fireflyford.routing._claims import Action
-    from fireflyford.routing._claims import Arrival
     from fireflyford.routing._claims import Decision
+    from fireflyford.routing._claims import ForwardedDatagram
     from fireflyford.routing._claims import Notice
-    from fireflyford.routing._flow_bounds import LATE_MS
     from fireflyford.routing._flow_bounds import MAX_HOPS
-    from fireflyford.routing._flow_bounds import Limits
-    from fireflyford.routing._flow_bounds import Peers
+    from fireflyford.routing._flow_bounds import MAX_MESSAGE_AGE_MS
+    from fireflyford.routing._flow_bounds import FlowPlacement
+    from fireflyford.routing._flow_bounds import FlowTableLimits
     from fireflyford.routing._flow_table import FlowTable
     from fireflyford.routing._ring import Target
     from fireflyford.routing._ring import TargetRing
@@ -22,33 +22,33 @@
     from fireflyford.routing._router import NewFlowHint
     from fireflyford.routing._router import Route
     from fireflyford.routing._router import Router
-    from fireflyford.routing._router import UnnamedFlowHint
-    from fireflyford.routing._targets import group_members
+    from fireflyford.routing._router import UnidentifiedFlowHint
+    from fireflyford.routing._targets import group_by_service
     from fireflyford.routing._targets import make_targets
-    from fireflyford.routing._weights import clamp_weights
+    from fireflyford.routing._weights import normalize_weights
 
 __all__ = [
-    "LATE_MS",
     "MAX_HOPS",
+    "MAX_MESSAGE_AGE_MS",
     "Action",
-    "Arrival",
     "Decision",
+    "FlowPlacement",
     "FlowTable",
+    "FlowTableLimits",
+    "ForwardedDatagram",
     "Hint",
     "HolderHint",
-    "Limits",
     "NewFlowHint",
     "Notice",
-    "Peers",
     "Route",
     "Router",
     "Target",
     "TargetRing",
-    "UnnamedFlowHint",
-    "clamp_weights",
-    "group_members",
+    "UnidentifiedFlowHint",
+    "group_by_service",
     "hash_flow",
     "make_targets",
+    "normalize_weights",
 ]
 
 __getattr__ = core.lazy_exports(
@@ -56,15 +56,15 @@
     {
         "_claims": (
             "Action",
-            "Arrival",
             "Decision",
+            "ForwardedDatagram",
             "Notice",
         ),
         "_flow_bounds": (
-            "LATE_MS",
             "MAX_HOPS",
-            "Limits",
-            "Peers",
+            "MAX_MESSAGE_AGE_MS",
+            "FlowPlacement",
+            "FlowTableLimits",
         ),
         "_flow_table": ("FlowTable",),
         "_ring": (
@@ -78,12 +78,12 @@
             "NewFlowHint",
             "Route",
             "Router",
-            "UnnamedFlowHint",
+            "UnidentifiedFlowHint",
         ),
         "_targets": (
-            "group_members",
+            "group_by_service",
             "make_targets",
         ),
-        "_weights": ("clamp_weights",),
+        "_weights": ("normalize_weights",),
     },
 )
--- a/libs/routing/src/fireflyford/routing/_claims.py
+++ b/libs/routing/src/fireflyford/routing/_claims.py
@@ -16,7 +16,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Arrival:
+class ForwardedDatagram:
     """One forwarded datagram, without its payload.
 
     Attributes:
@@ -33,7 +33,7 @@
     sender: core.Address
     hops: int = 0
     chain: tuple[core.Holder, ...] = ()
-    stamp: int = 0
+    timestamp_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,7 +51,7 @@
     to: core.Holder
     flow_key: int
     holder: core.Holder
-    stamp: int
+    timestamp_ms: int
     released: bool = False
 
 
@@ -71,6 +71,6 @@
     action: Action
     to: core.Holder | None = None
     chain: tuple[core.Holder, ...] = ()
-    stamp: int = 0
+    timestamp_ms: int = 0
     notices: tuple[Notice, ...] = ()
-    lost: bool = False
+    flow_lost: bool = False
--- a/libs/routing/src/fireflyford/routing/_entries.py
+++ b/libs/routing/src/fireflyford/routing/_entries.py
@@ -22,12 +22,12 @@
 class Held(Entry):
     """This agent holds the flow."""
 
-    def __init__(self, now_ms: int, stamp: int) -> None:
+    def __init__(self, now_ms: int, timestamp_ms: int) -> None:
         """Notes when the flow was adopted."""
         super().__init__(now_ms)
-        self.stamp = stamp
+        self.timestamp_ms = timestamp_ms
         # Last datagram of the caller, on the scale of stamps.
-        self.heard_stamp = stamp
+        self.heard_stamp = timestamp_ms
         self.told_ms: dict[core.Holder, int] = {}
 
 
@@ -37,13 +37,13 @@
     def __init__(
         self,
         now_ms: int,
-        stamp: int,
+        timestamp_ms: int,
         chain: tuple[core.Holder, ...],
         deadline_ms: int,
     ) -> None:
         """Notes the chain that is asked."""
         super().__init__(now_ms)
-        self.stamp = stamp
+        self.timestamp_ms = timestamp_ms
         self.chain = chain
         self.attempt_count = 0
         self.deadline_ms = deadline_ms
@@ -58,42 +58,49 @@
     """
 
     def __init__(
-        self, now_ms: int, holder: core.Holder, tentative: bool, stamp: int = 0
+        self,
+        now_ms: int,
+        holder: core.Holder,
+        tentative: bool,
+        timestamp_ms: int = 0,
     ) -> None:
         """Notes the other agent."""
         super().__init__(now_ms)
         self.holder = holder
         self.tentative = tentative
-        self.stamp = stamp
+        self.timestamp_ms = timestamp_ms
         self.listed_ms = now_ms
         # Datagrams passed to the holder that it should have confirmed, and
         # the time of the last one.
         self.unanswered_count = 0
         self.counted_ms = now_ms
 
-    def lets_pass(self, arrival: _claims.Arrival) -> bool:
+    def lets_pass(self, datagram: _claims.ForwardedDatagram) -> bool:
         """Returns whether a search passes this reservation.
 
         It does when it is the search that made the reservation, or one that
         goes before that: two searches that waited for each other would never
         end.
         """
-        if arrival.hops == 0 or not arrival.chain:
+        if datagram.hops == 0 or not datagram.chain:
             return False
-        first = arrival.chain[-1]
+        first = datagram.chain[-1]
         if first == self.holder:
             return True
-        earlier = (arrival.stamp, first) < (self.stamp, self.holder)
-        return arrival.stamp != 0 and earlier
+        earlier = (datagram.timestamp_ms, first) < (
+            self.timestamp_ms,
+            self.holder,
+        )
+        return datagram.timestamp_ms != 0 and earlier
 
 
 class Entries:
     """Entries by flow key, least recently used first."""
 
-    def __init__(self, max_entries: int, max_held: int) -> None:
+    def __init__(self, max_entries: int, max_held_flows: int) -> None:
         """Takes the bounds of all entries and of held flows."""
         self._max_entries = max_entries
-        self._max_held = max_held
+        self._max_held = max_held_flows
         self._by_key: collections.OrderedDict[int, Entry] = (
             collections.OrderedDict()
         )
--- a/libs/routing/src/fireflyford/routing/_flow_bounds.py
+++ b/libs/routing/src/fireflyford/routing/_flow_bounds.py
@@ -23,7 +23,7 @@
 ANNOUNCE_INTERVAL_MS = FLOW_IDLE_MS // 2
 # A search that arrives later than this, or from a clock that differs by more,
 # is a stray copy.
-LATE_MS = 10_000
+MAX_MESSAGE_AGE_MS = 10_000
 # Forwarding headers carry 40 bits of the time of day.
 STAMP_RANGE_MS = 1 << 40
 MAX_TOLD = 8
@@ -31,11 +31,11 @@
 MAX_CANDIDATES = 3
 
 
-class Peers(abc.ABC):
+class FlowPlacement(abc.ABC):
     """Where an agent's own view places flows."""
 
     @abc.abstractmethod
-    def first(self, flow_key: int) -> core.Holder | None:
+    def first_target(self, flow_key: int) -> core.Holder | None:
         """Returns the first target of a flow key, or None without targets."""
 
     @abc.abstractmethod
@@ -47,7 +47,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Limits:
+class FlowTableLimits:
     """Bounds of a flow table.
 
     Attributes:
@@ -56,9 +56,9 @@
     """
 
     max_entries: int = MAX_ENTRIES
-    max_held: int = MAX_HELD
+    max_held_flows: int = MAX_HELD
 
     def __post_init__(self) -> None:
         """Rejects bounds that admit nothing."""
-        if min(self.max_entries, self.max_held) < 1:
+        if min(self.max_entries, self.max_held_flows) < 1:
             raise ValueError("bounds of a flow table must be positive")
--- a/libs/routing/src/fireflyford/routing/_router.py
+++ b/libs/routing/src/fireflyford/routing/_router.py
@@ -27,7 +27,7 @@
         """Returns the key by which a new flow is placed."""
 
     @abc.abstractmethod
-    def is_searched(self) -> bool:
+    def needs_search(self) -> bool:
         """Returns whether the agents search for the holder."""
 
 
@@ -45,7 +45,7 @@
         """Returns 0; the flow is already placed."""
         return 0
 
-    def is_searched(self) -> bool:
+    def needs_search(self) -> bool:
         """Returns False; the holder is known."""
         return False
 
@@ -64,13 +64,13 @@
         """Returns the key by which the flow is placed."""
         return self.key
 
-    def is_searched(self) -> bool:
+    def needs_search(self) -> bool:
         """Returns False; the flow is new."""
         return False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class UnnamedFlowHint(Hint):
+class UnidentifiedFlowHint(Hint):
     """A datagram of a new or open flow that carries no identifier."""
 
     key: int
@@ -83,7 +83,7 @@
         """Returns the key by which the flow is placed."""
         return self.key
 
-    def is_searched(self) -> bool:
+    def needs_search(self) -> bool:
         """Returns True; any earlier holder may hold the flow."""
         return True
 
@@ -152,7 +152,7 @@
         target = self._ring.find(flow_key)
         if target is None:
             return self._choose_leaving(hint)
-        if not hint.is_searched():
+        if not hint.needs_search():
             return Route(target.address, 0)
         return Route(
             target.address,
@@ -162,7 +162,7 @@
 
     def _choose_leaving(self, hint: Hint) -> Route | None:
         # With every target draining, open flows still reach their holders.
-        if not hint.is_searched():
+        if not hint.needs_search():
             return None
         found = self._ring.walk(hint.flow_key(), 1)
         if not found:
--- a/libs/routing/src/fireflyford/routing/_targets.py
+++ b/libs/routing/src/fireflyford/routing/_targets.py
@@ -10,7 +10,7 @@
 _PRESENT = (membership.State.ALIVE, membership.State.DRAINING)
 
 
-def group_members(
+def group_by_service(
     view: membership.View, services: Iterable[str]
 ) -> dict[str, tuple[membership.Member, ...]]:
     """Returns the agents of each service that are alive or draining.
@@ -30,7 +30,7 @@
             found[member.service].append(member)
     for service, members in found.items():
         if not any(item.state is membership.State.ALIVE for item in members):
-            members += view.last_resort(service)
+            members += view.last_resort_targets(service)
     return {service: tuple(members) for service, members in found.items()}
 
 
@@ -38,7 +38,7 @@
     members: Iterable[membership.Member],
 ) -> tuple[_ring.Target, ...]:
     """Returns the targets of one service, with bounded weights."""
-    return _weights.clamp_weights(make_target(member) for member in members)
+    return _weights.normalize_weights(make_target(member) for member in members)
 
 
 def make_target(member: membership.Member) -> _ring.Target:
--- a/libs/routing/src/fireflyford/routing/_weights.py
+++ b/libs/routing/src/fireflyford/routing/_weights.py
@@ -15,7 +15,7 @@
 _STEPS_PER_DOUBLING = 4
 
 
-def clamp_weights(
+def normalize_weights(
     targets: Iterable[_ring.Target],
 ) -> tuple[_ring.Target, ...]:
     """Returns the targets of one service with weights around 1.
--- a/libs/routing/tests/test_flow_table.py
+++ b/libs/routing/tests/test_flow_table.py
@@ -8,10 +8,10 @@
 BALANCER = core.Address("10.0.0.1", 1)
 
 
-class NoPeers(routing.Peers):
+class NoPeers(routing.FlowPlacement):
     """Knows no other agent."""
 
-    def first(self, flow_key: int) -> core.Holder | None:
+    def first_target(self, flow_key: int) -> core.Holder | None:
         """Returns no agent."""
         return None
 
@@ -30,17 +30,19 @@
 
 def make_table(**bounds: int) -> tuple[Clock, routing.FlowTable]:
     clock = Clock(1_000_000)
-    limits = routing.Limits(**bounds)
+    limits = routing.FlowTableLimits(**bounds)
     return clock, routing.FlowTable(clock, OWN, NoPeers(), limits)
 
 
 def test_a_flood_of_keys_breaks_no_open_flow() -> None:
     """Guards against growing memory, and eviction of open flows."""
-    _, table = make_table(max_entries=20, max_held=10)
+    _, table = make_table(max_entries=20, max_held_flows=10)
     for key in range(100):
-        table.receive(routing.Arrival(key, BALANCER))
-        table.receive(routing.Arrival(1_000 + key, BALANCER, 0, (PEER,)))
-        table.hear(routing.Notice(OWN, 2_000 + key, PEER, 5), PEER)
+        table.handle_datagram(routing.ForwardedDatagram(key, BALANCER))
+        table.handle_datagram(
+            routing.ForwardedDatagram(1_000 + key, BALANCER, 0, (PEER,))
+        )
+        table.handle_notice(routing.Notice(OWN, 2_000 + key, PEER, 5), PEER)
     assert len(table) <= 20
     assert table.held_count == 7
     assert all(table.holds(key) for key in range(7))
@@ -48,9 +50,9 @@
 
 def test_held_flows_are_bounded() -> None:
     """Guards against more sockets than the process may open."""
-    _, table = make_table(max_held=10)
+    _, table = make_table(max_held_flows=10)
     for key in range(100):
-        table.receive(routing.Arrival(key, BALANCER))
+        table.handle_datagram(routing.ForwardedDatagram(key, BALANCER))
     assert table.held_count == 10
 
 
@@ -58,9 +60,11 @@
     """Guards against a flood that blocks new flows for minutes."""
     clock, table = make_table(max_entries=20)
     for key in range(100):
-        table.receive(routing.Arrival(key, BALANCER, 0, (PEER,)))
+        table.handle_datagram(
+            routing.ForwardedDatagram(key, BALANCER, 0, (PEER,))
+        )
     clock.set(clock.now_ms() + 10_000)
-    table.receive(routing.Arrival(500, BALANCER))
+    table.handle_datagram(routing.ForwardedDatagram(500, BALANCER))
     assert table.holds(500)
     assert len(table) <= 20
 
@@ -68,9 +72,9 @@
 def test_idle_flows_end() -> None:
     """Guards against flows and sockets that are never given back."""
     clock, table = make_table()
-    table.receive(routing.Arrival(1, BALANCER))
+    table.handle_datagram(routing.ForwardedDatagram(1, BALANCER))
     clock.set(1_100_000)
-    table.receive(routing.Arrival(2, BALANCER))
+    table.handle_datagram(routing.ForwardedDatagram(2, BALANCER))
     clock.set(1_150_000)
     assert table.expire() == (1,)
     assert table.held_count == 1
@@ -79,52 +83,56 @@
 def test_a_late_search_makes_no_flow() -> None:
     """Guards against a stray copy that takes a flow from its holder."""
     clock, table = make_table()
-    search = routing.Arrival(1, PEER.address, 4, (), clock.wall_ms())
+    search = routing.ForwardedDatagram(1, PEER.address, 4, (), clock.wall_ms())
     clock.set(clock.now_ms() + 60_000)
-    assert table.receive(search).action is routing.Action.DROP
+    assert table.handle_datagram(search).action is routing.Action.DROP
     assert not table.holds(1)
 
 
 def test_a_paused_holder_gives_way() -> None:
     """Guards against a flow that moves back to an agent thought dead."""
     clock, table = make_table()
-    table.receive(routing.Arrival(1, BALANCER))
+    table.handle_datagram(routing.ForwardedDatagram(1, BALANCER))
     claim = routing.Notice(OWN, 1, PEER, clock.wall_ms() + 30_000)
     clock.set(clock.now_ms() + 60_000)
-    assert table.hear(claim, PEER).lost
+    assert table.handle_notice(claim, PEER).flow_lost
     assert not table.holds(1)
 
 
 def test_a_silent_holder_is_given_up() -> None:
     """Guards against datagrams sent to a dead agent for ever."""
     clock, table = make_table()
-    table.hear(routing.Notice(OWN, 1, PEER, 5), PEER)
-    first = table.receive(routing.Arrival(1, BALANCER))
+    table.handle_notice(routing.Notice(OWN, 1, PEER, 5), PEER)
+    first = table.handle_datagram(routing.ForwardedDatagram(1, BALANCER))
     assert (first.action, first.to) == (routing.Action.FORWARD, PEER)
     for _ in range(4):
         clock.set(clock.now_ms() + 1_100)
-        decision = table.receive(routing.Arrival(1, BALANCER))
+        decision = table.handle_datagram(routing.ForwardedDatagram(1, BALANCER))
         assert decision.to == PEER
     clock.set(clock.now_ms() + 1_100)
-    last = table.receive(routing.Arrival(1, BALANCER))
+    last = table.handle_datagram(routing.ForwardedDatagram(1, BALANCER))
     assert last.action is routing.Action.DELIVER
 
 
 def test_a_rare_datagram_does_not_end_a_directory_entry() -> None:
     """Guards against a holder given up after one lost confirmation."""
     clock, table = make_table()
-    table.hear(routing.Notice(OWN, 1, PEER, 5), PEER)
+    table.handle_notice(routing.Notice(OWN, 1, PEER, 5), PEER)
     for _ in range(3):
         clock.set(clock.now_ms() + 10_000)
-        decision = table.receive(routing.Arrival(1, BALANCER))
+        decision = table.handle_datagram(routing.ForwardedDatagram(1, BALANCER))
         assert decision.to == PEER
 
 
 def test_a_stray_search_of_the_holder_keeps_its_entry() -> None:
     """Guards against a duplicate that makes room for a second holder."""
     clock, table = make_table()
-    table.hear(routing.Notice(OWN, 1, PEER, clock.wall_ms()), PEER)
-    stray = routing.Arrival(1, PEER.address, 1, (PEER,), clock.wall_ms())
-    table.receive(stray)
+    table.handle_notice(routing.Notice(OWN, 1, PEER, clock.wall_ms()), PEER)
+    stray = routing.ForwardedDatagram(
+        1, PEER.address, 1, (PEER,), clock.wall_ms()
+    )
+    table.handle_datagram(stray)
     clock.set(clock.now_ms() + 10_000)
-    assert table.receive(routing.Arrival(1, BALANCER)).to == PEER
+    assert (
+        table.handle_datagram(routing.ForwardedDatagram(1, BALANCER)).to == PEER
+    )
--- a/libs/routing/tests/test_ring.py
+++ b/libs/routing/tests/test_ring.py
@@ -22,7 +22,9 @@
 
 def routes(router: routing.Router, keys: range) -> list[routing.Route]:
     found = [
-        router.choose(routing.UnnamedFlowHint(routing.hash_flow(b"%d" % key)))
+        router.choose(
+            routing.UnidentifiedFlowHint(routing.hash_flow(b"%d" % key))
+        )
         for key in keys
     ]
     assert None not in found
@@ -42,7 +44,7 @@
             make_targets(len(values)), values, strict=True
         )
     ]
-    for target in routing.clamp_weights(targets):
+    for target in routing.normalize_weights(targets):
         assert math.isfinite(target.weight)
         assert 0.25 <= target.weight <= 4.0
 
@@ -55,7 +57,7 @@
             make_targets(5), (10.0, 20.0, 20.0, 40.0, 9_999.0), strict=True
         )
     ]
-    found = [target.weight for target in routing.clamp_weights(targets)]
+    found = [target.weight for target in routing.normalize_weights(targets)]
     assert found == [0.5, 1.0, 1.0, 2.0, 4.0]
 
 
