--- a/libs/agent/src/fireflyford/agent/_backend.py
+++ b/libs/agent/src/fireflyford/agent/_backend.py
@@ -34,7 +34,7 @@
         )
 
     async def execute(
-        self, work: requests.Work
+        self, work: requests.WorkItem
     ) -> core.Outcome[requests.Response]:
         """Runs the work once on the backend server."""
         remaining_ms = max(1, work.deadline_ms - self._clock.now_ms())
@@ -65,7 +65,7 @@
         return self._judge(work, reply)
 
     def _judge(
-        self, work: requests.Work, reply: httpclient.HTTPResponse
+        self, work: requests.WorkItem, reply: httpclient.HTTPResponse
     ) -> core.Outcome[requests.Response]:
         if reply.code == 599:
             self._cancel(work.request_id)
--- a/libs/agent/src/fireflyford/agent/_datagram.py
+++ b/libs/agent/src/fireflyford/agent/_datagram.py
@@ -184,7 +184,7 @@
                 queued.sender,
                 header.hops,
                 header.holders,
-                header.stamp,
+                header.timestamp_ms,
             )
         )
         self._notify(decision.notices)
@@ -208,7 +208,7 @@
             self._own,
             header.flow_key,
             header.holders[0],
-            header.stamp,
+            header.timestamp_ms,
             header.kind is wire.ForwardType.RELEASE,
         )
         decision = self._table.hear(notice, core.Holder(sender, 0))
@@ -256,7 +256,7 @@
             incarnation=to.incarnation,
             hops=header.hops + 1,
             holders=decision.chain,
-            stamp=decision.stamp,
+            timestamp_ms=decision.stamp,
             balancer=header.balancer or queued.sender,
         )
         self._transmit(forwarded, queued.payload, to.address)
@@ -273,7 +273,7 @@
                 flow_key=notice.flow_key,
                 caller=core.Address("0.0.0.0", 0),
                 holders=(notice.holder,),
-                stamp=notice.stamp,
+                timestamp_ms=notice.stamp,
             )
             self.counters.notice_count += 1
             sent = _SENT.pack(self._clock.wall_ms())
--- a/libs/agent/src/fireflyford/agent/_endpoint.py
+++ b/libs/agent/src/fireflyford/agent/_endpoint.py
@@ -114,7 +114,7 @@
             self.counters.received_count += 1
             self._flows.receive(header, payload, core.Address(*addr[:2]))
             return
-        hint = wire.peek(payload)
+        hint = wire.parse_invariant_header(payload)
         if hint is None:
             self.counters.foreign_count += 1
             return
@@ -122,7 +122,7 @@
         # A relayed datagram comes from a peer, which carries no answers.
         balancer = None if header.hops else core.Address(*addr[:2])
         arrival = _connection.Arrival(payload, header.caller, balancer)
-        connection = self._by_id.get(hint.destination)
+        connection = self._by_id.get(hint.destination_connection_id)
         if connection is None:
             self._accept(header, arrival)
         else:
--- a/libs/agent/src/fireflyford/agent/_peer_channel.py
+++ b/libs/agent/src/fireflyford/agent/_peer_channel.py
@@ -48,14 +48,14 @@
         reply = await self._call(address, _peer_codec.Call(execute=execute))
         if isinstance(reply, core.Failure):
             return reply
-        self.tell_report(reply.report)
+        self.notify_report(reply.report)
         return reply.outcome()
 
     async def present(
         self,
         address: core.Address,
         ticket: requests.Ticket,
-        work: requests.Work,
+        work: requests.WorkItem,
     ) -> core.Outcome[requests.Response]:
         """Presents a ticket to its issuer and waits for the outcome."""
         remaining_ms = work.deadline_ms - self._clock.now_ms()
@@ -133,7 +133,7 @@
     """Answers the calls of peers."""
 
     def __init__(
-        self, clock: core.Clock, key: bytes, engine: requests.Engine
+        self, clock: core.Clock, key: bytes, engine: requests.RequestEngine
     ) -> None:
         """Takes the engine that decides, and the link key."""
         self._clock = clock
@@ -195,7 +195,7 @@
                 outcome = _unknown("an empty call")
         finally:
             self._busy_count -= 1
-        row = _peer_codec.pack_report(self._engine.runner.report())
+        row = _peer_codec.pack_report(self._engine.scheduler.report())
         if isinstance(outcome, core.Failure):
             return _peer_codec.Reply(failure=outcome, row=row)
         return _peer_codec.Reply(response=outcome.value, row=row)
--- a/libs/agent/src/fireflyford/agent/_peer_codec.py
+++ b/libs/agent/src/fireflyford/agent/_peer_codec.py
@@ -48,7 +48,7 @@
     """A ticket for its issuer, and the time left for the answer."""
 
     ticket: requests.Ticket
-    work: requests.Work
+    work: requests.WorkItem
     remaining_ms: int
 
 
--- a/libs/agent/src/fireflyford/agent/_process.py
+++ b/libs/agent/src/fireflyford/agent/_process.py
@@ -70,11 +70,11 @@
         backend_address = core.Address.parse(options.backend_address)
         backend = _backend.Backend(clock, backend_address)
         self._executors = _peer_channel.PynngPeers(clock, options.link_key)
-        self._engine = requests.Engine(
+        self._engine = requests.RequestEngine(
             clock,
             backend,
             options.slot_count,
-            requests.ExpectedCompletion(random.SystemRandom()),
+            requests.ShortestExpectedDelay(random.SystemRandom()),
             _peer_info(member),
             self._executors,
         )
@@ -338,15 +338,17 @@
         }
 
 
-def _admission_metrics(meter: telemetry.Meter, engine: requests.Engine) -> None:
-    runner = engine.runner
-    admission = runner.admission
+def _admission_metrics(
+    meter: telemetry.Meter, engine: requests.RequestEngine
+) -> None:
+    scheduler = engine.scheduler
+    admission = scheduler.admission
     meter.count("requests_admitted", lambda: admission.admitted_count)
     meter.count("requests_refused", lambda: admission.refused_count)
-    meter.count("requests_handed_over", lambda: runner.handed_over_count)
-    meter.gauge("requests_running", lambda: runner.slots.running_count)
-    meter.gauge("requests_queued", lambda: runner.slots.queued_count)
-    meter.gauge("slot_utilization", runner.slots.utilization)
+    meter.count("requests_handed_over", lambda: scheduler.handed_over_count)
+    meter.gauge("requests_running", lambda: scheduler.slots.running_count)
+    meter.gauge("requests_queued", lambda: scheduler.slots.queued_count)
+    meter.gauge("slot_utilization", scheduler.slots.utilization)
     meter.gauge("request_records", lambda: len(engine.records))
 
 
--- a/libs/agent/src/fireflyford/agent/_service.py
+++ b/libs/agent/src/fireflyford/agent/_service.py
@@ -23,7 +23,7 @@
         self,
         clock: core.Clock,
         service: config.Service,
-        engine: requests.Engine,
+        engine: requests.RequestEngine,
         feeds: _feeds.FeedServer,
         tickets: _ticket_codec.TicketCodec,
     ) -> None:
@@ -103,14 +103,14 @@
 
     def _work(
         self, request: _connection.Request, treatment: config.Treatment
-    ) -> requests.Work:
+    ) -> requests.WorkItem:
         now_ms = self._clock.now_ms()
         fields = dict(request.headers)
         limit_ms = treatment.deadline_ms
         asked = fields.get(DEADLINE_HEADER, "")
         if asked.isdecimal():
             limit_ms = min(limit_ms, int(asked))
-        return requests.Work(
+        return requests.WorkItem(
             request_id=secrets.token_hex(16),
             treatment=treatment,
             method=request.method,
--- a/libs/agent/tests/test_datagram.py
+++ b/libs/agent/tests/test_datagram.py
@@ -253,8 +253,8 @@
         "flow_key": strategies.integers(0, 3),
         "hops": strategies.integers(0, 255),
         "holders": strategies.lists(holders, max_size=3).map(tuple),
-        "stamp": strategies.integers(0, 3)
-        | strategies.integers(0, wire.STAMP_MASK),
+        "timestamp_ms": strategies.integers(0, 3)
+        | strategies.integers(0, wire.TIMESTAMP_MASK),
         "balancer": strategies.none() | addresses,
     }
 )
--- a/libs/agent/tests/test_peer.py
+++ b/libs/agent/tests/test_peer.py
@@ -44,7 +44,7 @@
         self.run_count = 0
 
     async def execute(
-        self, work: requests.Work
+        self, work: requests.WorkItem
     ) -> core.Outcome[requests.Response]:
         self.run_count += 1
         self.started.set()
@@ -61,14 +61,16 @@
 
 def _engine(
     address: core.Address, executor: requests.Executor
-) -> requests.Engine:
+) -> requests.RequestEngine:
     info = requests.PeerInfo("peer", address, 9, "")
-    return requests.Engine(_CLOCK, executor, 2, requests.Own(), info)
+    return requests.RequestEngine(
+        _CLOCK, executor, 2, requests.LocalOnly(), info
+    )
 
 
 def _handoff(path: str, serial: int = 1) -> requests.Handoff:
     now_ms = _CLOCK.now_ms()
-    work = requests.Work(
+    work = requests.WorkItem(
         "id", _ORDER, "POST", path, b"body", "caller", now_ms, now_ms + 2_000
     )
     return requests.Handoff(5, serial, 9, now_ms, 2_000, 1e9, work)
--- a/libs/balancer/src/fireflyford/balancer/_forwarder.py
+++ b/libs/balancer/src/fireflyford/balancer/_forwarder.py
@@ -72,18 +72,20 @@
         self, datagram: bytes, caller: tuple[str, int]
     ) -> routing.Hint | None:
         """Returns the holder, or the key of a new connection."""
-        packet = wire.peek(datagram)
+        packet = wire.parse_invariant_header(datagram)
         if packet is None:
             return None
-        connection_id = self._codec.decode(packet.destination)
+        connection_id = self._codec.decode(packet.destination_connection_id)
         if connection_id is not None:
             return routing.HolderHint(
                 core.Holder(connection_id.agent, connection_id.incarnation)
             )
         starts_flow = len(datagram) >= wire.MIN_INITIAL_BYTES
-        if packet.form is not wire.PacketForm.LONG or not starts_flow:
+        if packet.form is not wire.HeaderForm.LONG or not starts_flow:
             return None
-        return routing.NewFlowHint(routing.hash_flow(packet.destination))
+        return routing.NewFlowHint(
+            routing.hash_flow(packet.destination_connection_id)
+        )
 
 
 class DatagramHintReader(HintReader):
--- a/libs/caller/src/fireflyford/caller/__init__.py
+++ b/libs/caller/src/fireflyford/caller/__init__.py
@@ -7,8 +7,8 @@
 from fireflyford.caller._feeds import RESUME_JITTER_HEADER
 from fireflyford.caller._feeds import FeedEvent
 from fireflyford.caller._feeds import FeedRefusedError
-from fireflyford.caller._feeds import FeedReport
-from fireflyford.caller._requests import Reply
+from fireflyford.caller._feeds import FeedStatistics
+from fireflyford.caller._requests import Response
 from fireflyford.caller._session import Session
 
 __all__ = [
@@ -18,8 +18,8 @@
     "Connection",
     "FeedEvent",
     "FeedRefusedError",
-    "FeedReport",
-    "Reply",
+    "FeedStatistics",
+    "Response",
     "Session",
     "open_connection",
 ]
--- a/libs/caller/src/fireflyford/caller/_client.py
+++ b/libs/caller/src/fireflyford/caller/_client.py
@@ -55,7 +55,7 @@
         body: bytes = b"",
         deadline_ms: int = 5_000,
         idempotent: bool | None = None,
-    ) -> core.Outcome[_requests.Reply]:
+    ) -> core.Outcome[_requests.Response]:
         """Sends one request and waits for its whole answer.
 
         Work that is not idempotent carries a ticket, so it runs at most once.
@@ -80,7 +80,7 @@
         self,
         path: str,
         after: int = 0,
-        report: _feeds.FeedReport | None = None,
+        statistics: _feeds.FeedStatistics | None = None,
     ) -> AsyncIterator[_feeds.FeedEvent]:
         """Yields the events of a feed, in order, each once.
 
@@ -90,13 +90,13 @@
         Args:
             path: HTTP path of the feed.
             after: Sequence number of the last event already seen.
-            report: Counts what happened to the feed.
+            statistics: Counts what happened to the feed.
 
         Raises:
             FeedRefusedError: The service refuses the feed for good.
         """
         reader = _feeds.FeedReader(
-            self.connect, path, after, report or _feeds.FeedReport()
+            self.connect, path, after, statistics or _feeds.FeedStatistics()
         )
         try:
             async for event in reader.events():
--- a/libs/caller/src/fireflyford/caller/_feeds.py
+++ b/libs/caller/src/fireflyford/caller/_feeds.py
@@ -50,7 +50,7 @@
     value: object
 
 
-class FeedReport:
+class FeedStatistics:
     """What happened to a feed since it was opened."""
 
     def __init__(self) -> None:
@@ -181,7 +181,7 @@
     """Yields the events of a feed from the legs that carry it."""
 
     def __init__(
-        self, connect: Connect, path: str, after: int, report: FeedReport
+        self, connect: Connect, path: str, after: int, report: FeedStatistics
     ) -> None:
         """Prepares the reader.
 
--- a/libs/caller/src/fireflyford/caller/_requests.py
+++ b/libs/caller/src/fireflyford/caller/_requests.py
@@ -30,7 +30,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Reply:
+class Response:
     """The whole answer to a request."""
 
     status_code: int
@@ -65,7 +65,7 @@
         answered: Whether the other end has answered at all.
     """
 
-    outcome: core.Outcome[Reply]
+    outcome: core.Outcome[Response]
     ticket: str = ""
     answered: bool = True
 
@@ -90,7 +90,7 @@
 
     async def send(
         self, connection: _connection.Connection, call: Call, deadline_ms: int
-    ) -> core.Outcome[Reply]:
+    ) -> core.Outcome[Response]:
         """Sends a request until it has an outcome that may not be retried.
 
         Args:
@@ -108,7 +108,7 @@
         connection: _connection.Connection,
         call: Call,
         end_s: float,
-    ) -> core.Outcome[Reply]:
+    ) -> core.Outcome[Response]:
         ticket = "" if call.idempotent else self._take_ticket(connection)
         asked_for_ticket = False
         while True:
@@ -143,7 +143,7 @@
     async def _wait_to_retry(self, failure: core.Failure, end_s: float) -> bool:
         delay_ms = requests.retry_delay_ms(self._rng, failure.retry_after_ms)
         left_ms = (end_s - time.monotonic()) * 1000
-        if left_ms < delay_ms + _MIN_ATTEMPT_MS or not self._budget.spend():
+        if left_ms < delay_ms + _MIN_ATTEMPT_MS or not self._budget.try_spend():
             return False
         await asyncio.sleep(delay_ms / 1000)
         return True
@@ -237,10 +237,10 @@
             return Attempt(_judge(head, bytes(body)), ticket)
 
 
-def _judge(head: _connection.Head, body: bytes) -> core.Outcome[Reply]:
+def _judge(head: _connection.Head, body: bytes) -> core.Outcome[Response]:
     kind = _ERROR_KINDS.get(head.headers.get(ERROR_HEADER, ""))
     if kind is None:
-        return core.Ok(Reply(head.status_code, head.headers, body))
+        return core.Ok(Response(head.status_code, head.headers, body))
     retry_after = head.headers.get(RETRY_AFTER_HEADER, "0")
     delay_ms = int(retry_after) if retry_after.isdecimal() else 0
     return core.Failure(kind, body.decode(errors="replace").strip(), delay_ms)
--- a/libs/caller/tests/test_feed_reader.py
+++ b/libs/caller/tests/test_feed_reader.py
@@ -70,8 +70,8 @@
 
 def read(
     service: _Service, count: int, after: int = 0
-) -> tuple[list[int], _feeds.FeedReport]:
-    report = _feeds.FeedReport()
+) -> tuple[list[int], _feeds.FeedStatistics]:
+    report = _feeds.FeedStatistics()
 
     async def run() -> list[int]:
         reader = _feeds.FeedReader(service.connect, "/feed", after, report)
--- a/libs/caller/tests/test_requests.py
+++ b/libs/caller/tests/test_requests.py
@@ -51,13 +51,13 @@
 
 def _send(
     connection: _Connection, method: str
-) -> core.Outcome[_requests.Reply]:
+) -> core.Outcome[_requests.Response]:
     other: Any = connection
 
     def connect() -> Any:
         return contextlib.nullcontext(other)
 
-    async def run() -> core.Outcome[_requests.Reply]:
+    async def run() -> core.Outcome[_requests.Response]:
         sender = _requests.Sender(connect, random.Random(1))
         call = _requests.make_call(method, "/", b"", None)
         return await sender.send(other, call, 1_000)
--- a/libs/lab/src/fireflyford/lab/_callers.py
+++ b/libs/lab/src/fireflyford/lab/_callers.py
@@ -92,7 +92,7 @@
     """Checks one feed as its user sees it."""
 
     def __init__(self) -> None:
-        self.report = caller.FeedReport()
+        self.report = caller.FeedStatistics()
         self.gap_count = 0
         self.duplicate_count = 0
         self.refused = False
@@ -244,7 +244,7 @@
         interval_ms = self._load.feed_interval_ms
         path = f"/feed?interval_ms={interval_ms}"
         try:
-            async for event in self._client.feed(path, report=watch.report):
+            async for event in self._client.feed(path, statistics=watch.report):
                 watch.see(event, interval_ms)
         except caller.FeedRefusedError:
             watch.refused = True
@@ -287,7 +287,7 @@
         self._judge(outcome, path.encode() + b"." * _SHEET_BYTES, path)
 
     def _judge(
-        self, outcome: core.Outcome[caller.Reply], expected: bytes, name: str
+        self, outcome: core.Outcome[caller.Response], expected: bytes, name: str
     ) -> None:
         if isinstance(outcome, core.Ok):
             self._counts["complete"] += 1
--- a/libs/lab/src/fireflyford/lab/_fault_runs.py
+++ b/libs/lab/src/fireflyford/lab/_fault_runs.py
@@ -23,7 +23,7 @@
     name="order", method="POST", path_prefix="/orders", idempotent=False
 )
 # A copy after the retention of tickets must not run either.
-_VERY_LATE_MS = requests.RETENTION_MS + 5_000
+_VERY_LATE_MS = requests.TICKET_RETENTION_MS + 5_000
 
 
 class Fault(enum.Enum):
@@ -163,7 +163,7 @@
     ) -> _history.Told:
         now_ms = self._clock.now_ms()
         body = ticket.encode()
-        work = requests.Work(
+        work = requests.WorkItem(
             request_id=ticket,
             treatment=_ORDER,
             method="POST",
@@ -240,7 +240,7 @@
             told_count=len(self._told),
             ran_count=len(ran),
             handed_over_count=sum(
-                node.engine.runner.handed_over_count
+                node.engine.scheduler.handed_over_count
                 for node in self._service.nodes
             ),
             complete_count=executions.count(core.Execution.RAN),
--- a/libs/lab/src/fireflyford/lab/_model.py
+++ b/libs/lab/src/fireflyford/lab/_model.py
@@ -45,7 +45,7 @@
         self.failing = False
 
     async def execute(
-        self, work: requests.Work
+        self, work: requests.WorkItem
     ) -> core.Outcome[requests.Response]:
         """Runs work for its nominal time divided by the speed."""
         if self.dead:
@@ -57,7 +57,7 @@
             return await self._run(work)
 
     async def _run(
-        self, work: requests.Work
+        self, work: requests.WorkItem
     ) -> core.Outcome[requests.Response]:
         start_ms = self._clock.now_ms()
         self.executions.append(Execution(self.name, work.body, start_ms))
@@ -99,7 +99,7 @@
         self,
         info: requests.PeerInfo,
         backend: ModelBackend,
-        engine: requests.Engine,
+        engine: requests.RequestEngine,
     ) -> None:
         """Prepares a running node."""
         self.info = info
@@ -222,14 +222,14 @@
         )
         node = self._network.nodes.get(address)
         if node is not None and not node.dead.is_set() and not node.paused:
-            self.tell_report(node.engine.runner.report())
+            self.notify_report(node.engine.scheduler.report())
         return outcome
 
     async def present(
         self,
         address: core.Address,
         ticket: requests.Ticket,
-        work: requests.Work,
+        work: requests.WorkItem,
     ) -> core.Outcome[requests.Response]:
         """Presents a ticket to its issuer and waits for the outcome."""
         return await self._network.call(
@@ -262,12 +262,12 @@
 
 MakePlacement = Callable[[random.Random], requests.Placement]
 MakeQueue = Callable[[int], requests.WorkQueue]
-MakeAdmission = Callable[[], requests.Admission]
+MakeAdmission = Callable[[], requests.AdmissionPolicy]
 
 
 def expected_completion(rng: random.Random) -> requests.Placement:
     """Returns the placement that agents use."""
-    return requests.ExpectedCompletion(rng)
+    return requests.ShortestExpectedDelay(rng)
 
 
 class ModelService:
@@ -278,8 +278,8 @@
         clock: core.Clock,
         rng: random.Random,
         make_placement: MakePlacement = expected_completion,
-        make_queue: MakeQueue = requests.AdmissionQueue,
-        make_admission: MakeAdmission = requests.ExpectedWait,
+        make_queue: MakeQueue = requests.FairQueue,
+        make_admission: MakeAdmission = requests.ExpectedWaitAdmission,
     ) -> None:
         """Prepares an empty service."""
         self._clock = clock
@@ -304,7 +304,7 @@
             availability_zone=f"zone-{index % 3}",
         )
         backend = ModelBackend(self._clock, info.target_id, slot_count, speed)
-        engine = requests.Engine(
+        engine = requests.RequestEngine(
             self._clock,
             backend,
             slot_count,
--- a/libs/lab/src/fireflyford/lab/_process_runs.py
+++ b/libs/lab/src/fireflyford/lab/_process_runs.py
@@ -99,7 +99,7 @@
             length_ms = rng.gammavariate(4, demand.mean_ms / 4)
             return _load.Job(number, "short", length_ms, 2_000)
 
-        async def send(job: _load.Job) -> core.Outcome[caller.Reply]:
+        async def send(job: _load.Job) -> core.Outcome[caller.Response]:
             client, connection = lanes[job.number % len(lanes)]
             path = f"/short?ms={job.nominal_ms:.2f}"
             return await client.request(
--- a/libs/lab/src/fireflyford/lab/_service_runs.py
+++ b/libs/lab/src/fireflyford/lab/_service_runs.py
@@ -43,10 +43,10 @@
 
 
 _PLACEMENTS: dict[Policy, _model.MakePlacement] = {
-    Policy.RANDOM: requests.Random,
+    Policy.RANDOM: requests.RandomPlacement,
     Policy.ROUND_ROBIN: lambda rng: requests.RoundRobin(rng.randrange(100)),
-    Policy.LEAST_REPORTED: requests.LeastReported,
-    Policy.TWO_CHOICES: requests.TwoChoicesReported,
+    Policy.LEAST_REPORTED: requests.LeastReportedLoad,
+    Policy.TWO_CHOICES: requests.PowerOfTwoChoices,
 }
 
 
@@ -182,8 +182,8 @@
             self._clock,
             self._rng,
             _PLACEMENTS.get(plan.policy, _model.expected_completion),
-            _fifo_queue if fifo else requests.AdmissionQueue,
-            requests.AdmitAll if fifo else requests.ExpectedWait,
+            _fifo_queue if fifo else requests.FairQueue,
+            requests.AdmitAll if fifo else requests.ExpectedWaitAdmission,
         )
         self._budgets = [requests.RetryBudget() for _ in range(_CALLER_COUNT)]
         self._homes: list[_model.ModelNode] = []
@@ -236,7 +236,7 @@
                 self._rng, outcome.retry_after_ms
             )
             late = self._clock.now_ms() + delay_ms >= end_ms
-            if late or not self._budgets[caller].spend():
+            if late or not self._budgets[caller].try_spend():
                 return outcome
             await self._clock.sleep(delay_ms)
 
@@ -244,7 +244,7 @@
         self, job: _load.Job, caller: int, end_ms: int
     ) -> core.Outcome[requests.Response]:
         treatment = _TREATMENTS[job.name]
-        work = requests.Work(
+        work = requests.WorkItem(
             request_id=str(job.number),
             treatment=treatment,
             method=treatment.method,
@@ -284,7 +284,9 @@
             await self._clock.sleep(_REPORT_LAG_MS)
             for index, node in enumerate(nodes):
                 lies = self._plan.lying and index in (0, 3)
-                node.engine.runner.reported_load = 0 if lies else loads[index]
+                node.engine.scheduler.reported_load = (
+                    0 if lies else loads[index]
+                )
 
     async def _cause_fault(self) -> None:
         await self._clock.sleep(self._plan.fault_ms)
--- a/libs/lab/src/fireflyford/lab/scenarios/_load.py
+++ b/libs/lab/src/fireflyford/lab/scenarios/_load.py
@@ -81,7 +81,7 @@
         self._judge(outcome, body, expected)
 
     def _judge(
-        self, outcome: core.Outcome[caller.Reply], body: str, expected: bytes
+        self, outcome: core.Outcome[caller.Response], body: str, expected: bytes
     ) -> None:
         if isinstance(outcome, core.Ok):
             self.counts["complete"] += 1
--- a/libs/lab/tests/test_at_most_once.py
+++ b/libs/lab/tests/test_at_most_once.py
@@ -8,7 +8,7 @@
 from fireflyford import requests
 from fireflyford.lab import _fault_runs
 from fireflyford.lab import _history
-from fireflyford.requests import _runner
+from fireflyford.requests import _scheduler
 
 # CI runs these; the experiment `at-most-once` runs at least 200.
 _SEEDS = range(12)
@@ -65,17 +65,17 @@
     def pretend(outcome: Outcome) -> bool:
         return isinstance(outcome, core.Failure)
 
-    original = _runner.Runner._run_at_peer
+    original = _scheduler.Scheduler._run_at_peer
 
     async def lying(
-        self: _runner.Runner, *args: object
+        self: _scheduler.Scheduler, *args: object
     ) -> core.Outcome[requests.Response]:
         outcome = await original(self, *args)  # type: ignore[arg-type]
         if pretend(outcome):
             return core.Failure(core.ErrorKind.NO_TARGET, "not run")
         return outcome
 
-    monkeypatch.setattr(_runner.Runner, "_run_at_peer", lying)
+    monkeypatch.setattr(_scheduler.Scheduler, "_run_at_peer", lying)
     # Seed 14 loses replies of peers.
     assert _fault_runs.choose_faults(14) == (_fault_runs.Fault.LOST_REPLY,)
     rules = _broken_rules(range(14, 15))
@@ -86,10 +86,10 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against copies that run at a restarted peer."""
-    accept = requests.Engine.accept_handoff
+    accept = requests.RequestEngine.accept_handoff
 
     async def gullible(
-        self: requests.Engine, handoff: requests.Handoff
+        self: requests.RequestEngine, handoff: requests.Handoff
     ) -> Outcome:
         same = dataclasses.replace(
             handoff,
@@ -98,7 +98,7 @@
         )
         return await accept(self, same)
 
-    monkeypatch.setattr(requests.Engine, "accept_handoff", gullible)
+    monkeypatch.setattr(requests.RequestEngine, "accept_handoff", gullible)
     run = _fault_runs._FaultRun(
         5, (_fault_runs.Fault.LATE_COPY, _fault_runs.Fault.REUSED_ADDRESS)
     )
--- a/libs/lab/tests/test_interleavings.py
+++ b/libs/lab/tests/test_interleavings.py
@@ -33,7 +33,7 @@
     def choose(
         self, candidates: Sequence[requests.Candidate]
     ) -> requests.Candidate:
-        return next((c for c in candidates if not c.is_own), candidates[0])
+        return next((c for c in candidates if not c.is_local), candidates[0])
 
 
 class _Executor(requests.Executor):
@@ -41,7 +41,7 @@
         self._world = world
         self._index = index
 
-    async def execute(self, work: requests.Work) -> Outcome:
+    async def execute(self, work: requests.WorkItem) -> Outcome:
         self._world.run_count += 1
         done: asyncio.Future[Outcome] = (
             asyncio.get_running_loop().create_future()
@@ -53,7 +53,7 @@
 @dataclasses.dataclass(frozen=True, eq=False)
 class _Message:
     receiver: int
-    start: Callable[[requests.Engine], object]
+    start: Callable[[requests.RequestEngine], object]
     reply: "asyncio.Future[Outcome] | None"
     answer: "Outcome | None" = None
 
@@ -73,7 +73,7 @@
         self,
         address: core.Address,
         ticket: requests.Ticket,
-        work: requests.Work,
+        work: requests.WorkItem,
     ) -> Outcome:
         return await self._world.post(
             address, lambda engine: engine.accept_presented(ticket, work)
@@ -94,7 +94,7 @@
 
     def __init__(self, clock: core.Clock) -> None:
         self.clock = clock
-        self.engines: list[requests.Engine] = []
+        self.engines: list[requests.RequestEngine] = []
         self.messages: list[_Message] = []
         self.running: list[tuple[int, asyncio.Future[Outcome]]] = []
         self.run_count = 0
@@ -107,12 +107,12 @@
         self._connect()
         self.ticket = self.engines[0].issuer.issue()
 
-    def _start(self, index: int) -> requests.Engine:
+    def _start(self, index: int) -> requests.RequestEngine:
         self.incarnation += 1
         info = requests.PeerInfo(
             f"t{index}", _ADDRESSES[index], self.incarnation, ""
         )
-        return requests.Engine(
+        return requests.RequestEngine(
             self.clock,
             _Executor(self, index),
             2,
@@ -130,7 +130,9 @@
             engine.set_peers([info])
 
     async def post(
-        self, address: core.Address, start: Callable[[requests.Engine], object]
+        self,
+        address: core.Address,
+        start: Callable[[requests.RequestEngine], object],
     ) -> Outcome:
         reply: asyncio.Future[Outcome] = (
             asyncio.get_running_loop().create_future()
@@ -141,7 +143,7 @@
 
     def present(self, index: int) -> None:
         now_ms = self.clock.now_ms()
-        work = requests.Work(
+        work = requests.WorkItem(
             "id", _ORDER, "POST", "/", b"", "caller", now_ms, now_ms + 2_000
         )
         run = self.engines[index].submit(work, self.ticket)
@@ -309,14 +311,14 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against copies that run again at a restarted peer."""
-    accept = requests.Engine.accept_handoff
+    accept = requests.RequestEngine.accept_handoff
 
     async def gullible(
-        self: requests.Engine, handoff: requests.Handoff
+        self: requests.RequestEngine, handoff: requests.Handoff
     ) -> Outcome:
         own = self.issuer.incarnation
         return await accept(self, dataclasses.replace(handoff, executor=own))
 
-    monkeypatch.setattr(requests.Engine, "accept_handoff", gullible)
+    monkeypatch.setattr(requests.RequestEngine, "accept_handoff", gullible)
     _, fault = _virtual.run(_explore())
     assert fault.startswith("ran twice")
--- a/libs/requests/src/fireflyford/requests/_admission.py
+++ b/libs/requests/src/fireflyford/requests/_admission.py
@@ -4,7 +4,7 @@
 
 from fireflyford import config
 from fireflyford import core
-from fireflyford.requests import _work
+from fireflyford.requests import _work_item
 
 # A longer queue adds no throughput, and it must be gone within 2 s after a
 # demand peak.
@@ -18,7 +18,7 @@
 _MIN_LEARNED_WAIT_MS = 20.0
 
 
-class Admission(abc.ABC):
+class AdmissionPolicy(abc.ABC):
     """Decides whether a request may wait for a slot."""
 
     def __init__(self) -> None:
@@ -29,7 +29,7 @@
 
     def check(
         self,
-        work: _work.Work,
+        work: _work_item.WorkItem,
         wait_ms: float,
         service_ms: float,
         now_ms: int,
@@ -52,7 +52,7 @@
     @abc.abstractmethod
     def _judge(
         self,
-        work: _work.Work,
+        work: _work_item.WorkItem,
         wait_ms: float,
         service_ms: float,
         now_ms: int,
@@ -68,12 +68,12 @@
         self.correction += _GAIN * (ratio - self.correction)
 
 
-class AdmitAll(Admission):
+class AdmitAll(AdmissionPolicy):
     """Baseline: everything may wait until its deadline."""
 
     def _judge(
         self,
-        work: _work.Work,
+        work: _work_item.WorkItem,
         wait_ms: float,
         service_ms: float,
         now_ms: int,
@@ -82,12 +82,12 @@
         return None
 
 
-class ExpectedWait(Admission):
+class ExpectedWaitAdmission(AdmissionPolicy):
     """Refuses work whose expected wait is too long."""
 
     def _judge(
         self,
-        work: _work.Work,
+        work: _work_item.WorkItem,
         wait_ms: float,
         service_ms: float,
         now_ms: int,
--- a/libs/requests/src/fireflyford/requests/_budget.py
+++ b/libs/requests/src/fireflyford/requests/_budget.py
@@ -13,10 +13,10 @@
     """Allows retries up to a ratio of successes.
 
     >>> budget = RetryBudget(ratio=0.5)
-    >>> budget.spend(), budget.spend()
+    >>> budget.try_spend(), budget.try_spend()
     (True, False)
     >>> budget.record_success(); budget.record_success()
-    >>> budget.spend()
+    >>> budget.try_spend()
     True
     """
 
@@ -29,7 +29,7 @@
         """Earns a part of a retry."""
         self._tokens = min(_MAX_TOKENS, self._tokens + self._ratio)
 
-    def spend(self) -> bool:
+    def try_spend(self) -> bool:
         """Takes one retry from the budget, if there is one."""
         if self._tokens < 1.0:
             return False
--- a/libs/requests/src/fireflyford/requests/_engine.py
+++ b/libs/requests/src/fireflyford/requests/_engine.py
@@ -14,11 +14,11 @@
 from fireflyford.requests import _placement
 from fireflyford.requests import _queue
 from fireflyford.requests import _records
-from fireflyford.requests import _runner
+from fireflyford.requests import _scheduler
 from fireflyford.requests import _speed
 from fireflyford.requests import _targets
 from fireflyford.requests import _tickets
-from fireflyford.requests import _work
+from fireflyford.requests import _work_item
 
 # Argument of a task's cancellation when the connection broke but the caller
 # has not asked to stop: ticketed work goes on, so that its outcome is there
@@ -26,19 +26,19 @@
 CONNECTION_LOST = "connection-lost"
 
 
-class Engine:
+class RequestEngine:
     """Decides about the requests of one target."""
 
     def __init__(
         self,
         clock: core.Clock,
-        executor: _work.Executor,
+        executor: _work_item.Executor,
         slot_count: int,
         placement: _placement.Placement,
         info: _targets.PeerInfo,
         channel: _peers.PeerChannel | None = None,
         queue: _queue.WorkQueue | None = None,
-        admission: _admission.Admission | None = None,
+        admission: _admission.AdmissionPolicy | None = None,
     ) -> None:
         """Prepares the engine of one target.
 
@@ -53,11 +53,11 @@
             admission: Early refusal; `ExpectedWait` by default.
         """
         self._clock = clock
-        self._channel = _peers.NoPeers() if channel is None else channel
+        self._channel = _peers.NullPeerChannel() if channel is None else channel
         self.issuer = _tickets.TicketIssuer(
             clock, info.address, info.incarnation
         )
-        self.runner = _runner.Runner(
+        self.scheduler = _scheduler.Scheduler(
             clock,
             executor,
             slot_count,
@@ -65,15 +65,17 @@
             info,
             self._channel,
             # An empty queue is false, so `or` would replace it.
-            _queue.AdmissionQueue(slot_count) if queue is None else queue,
-            admission or _admission.ExpectedWait(),
+            _queue.FairQueue(slot_count) if queue is None else queue,
+            admission or _admission.ExpectedWaitAdmission(),
+        )
+        self.records = _records.RequestRecords(
+            clock, _tickets.TICKET_RETENTION_MS
         )
-        self.records = _records.RequestRecords(clock, _tickets.RETENTION_MS)
         self.handoff_records = _records.RequestRecords(
             clock, _targets.HANDOFF_WINDOW_MS
         )
         self._tasks: dict[
-            Hashable, asyncio.Task[core.Outcome[_work.Response]]
+            Hashable, asyncio.Task[core.Outcome[_work_item.Response]]
         ] = {}
         self.in_flight_count = 0
 
@@ -84,43 +86,43 @@
 
     def drain(self) -> None:
         """Refuses new work from now on."""
-        self.runner.drain()
+        self.scheduler.drain()
 
     def set_peers(self, infos: Sequence[_targets.PeerInfo]) -> None:
         """Takes the peer targets of a new view."""
-        self.runner.peers.replace(infos)
+        self.scheduler.peers.replace(infos)
 
     def relative_speed(self) -> float:
         """Returns this target's service rate over its service's median."""
         reports = [
             peer.report
-            for peer in self.runner.peers.usable()
+            for peer in self.scheduler.peers.usable()
             if peer.report is not None
         ]
-        return _speed.relative_speed(self.runner.report(), reports)
+        return _speed.relative_speed(self.scheduler.report(), reports)
 
     def status(self) -> dict[str, object]:
         """Returns the state of admission for status pages."""
-        runner = self.runner
+        scheduler = self.scheduler
         return {
-            "report": dataclasses.asdict(runner.report()),
-            "running_count": runner.slots.running_count,
-            "queued_count": runner.slots.queued_count,
-            "long_allowance": runner.slots.long_allowance,
-            "admitted_count": runner.admission.admitted_count,
-            "refused_count": runner.admission.refused_count,
-            "wait_correction_ratio": runner.admission.correction,
-            "handed_over_count": runner.handed_over_count,
+            "report": dataclasses.asdict(scheduler.report()),
+            "running_count": scheduler.slots.running_count,
+            "queued_count": scheduler.slots.queued_count,
+            "long_allowance": scheduler.slots.long_slot_limit,
+            "admitted_count": scheduler.admission.admitted_count,
+            "refused_count": scheduler.admission.refused_count,
+            "wait_correction_ratio": scheduler.admission.correction,
+            "handed_over_count": scheduler.handed_over_count,
             "record_count": len(self.records),
             "dropped_record_count": self.records.dropped_count,
             "usable_peers": [
-                peer.info.target_id for peer in runner.peers.usable()
+                peer.info.target_id for peer in scheduler.peers.usable()
             ],
         }
 
     async def submit(
-        self, work: _work.Work, ticket: _tickets.Ticket | None = None
-    ) -> core.Outcome[_work.Response]:
+        self, work: _work_item.WorkItem, ticket: _tickets.Ticket | None = None
+    ) -> core.Outcome[_work_item.Response]:
         """Answers one request of a caller.
 
         Args:
@@ -130,7 +132,7 @@
         self.in_flight_count += 1
         try:
             if work.treatment.idempotent:
-                return await self.runner.place(work, _runner.Dispatch())
+                return await self.scheduler.place(work, _scheduler.Dispatch())
             if ticket is None:
                 return core.Failure(
                     core.ErrorKind.TICKET_REQUIRED,
@@ -143,8 +145,8 @@
             self.in_flight_count -= 1
 
     async def _submit_own(
-        self, work: _work.Work, ticket: _tickets.Ticket
-    ) -> core.Outcome[_work.Response]:
+        self, work: _work_item.WorkItem, ticket: _tickets.Ticket
+    ) -> core.Outcome[_work_item.Response]:
         claimed = self.records.begin(
             ticket.serial, ticket.issued_ms, _fingerprint(work)
         )
@@ -152,18 +154,18 @@
             return claimed
         record = claimed.value.record
         if claimed.value.first:
-            dispatch = _runner.Dispatch()
-            run = self.runner.place(work, dispatch)
+            dispatch = _scheduler.Dispatch()
+            run = self.scheduler.place(work, dispatch)
             self._start(self.records, record, run, dispatch)
         return await self._follow(record, work, owner=claimed.value.first)
 
     async def _submit_to_issuer(
-        self, work: _work.Work, ticket: _tickets.Ticket
-    ) -> core.Outcome[_work.Response]:
+        self, work: _work_item.WorkItem, ticket: _tickets.Ticket
+    ) -> core.Outcome[_work_item.Response]:
         if ticket.issuer == self.issuer.address:
             return _unknown("the issuer of the ticket has been restarted")
         limit_ms = (
-            work.deadline_ms - self._clock.now_ms() + _runner.REPLY_GRACE_MS
+            work.deadline_ms - self._clock.now_ms() + _scheduler.REPLY_GRACE_MS
         )
         try:
             async with asyncio.timeout(max(0, limit_ms) / 1000):
@@ -183,12 +185,12 @@
         self, report: _targets.TargetReport
     ) -> _targets.TargetReport:
         """Takes a peer's report and returns the own one."""
-        self.runner.peers.accept(report)
-        return self.runner.report()
+        self.scheduler.peers.accept(report)
+        return self.scheduler.report()
 
     async def accept_presented(
-        self, ticket: _tickets.Ticket, work: _work.Work
-    ) -> core.Outcome[_work.Response]:
+        self, ticket: _tickets.Ticket, work: _work_item.WorkItem
+    ) -> core.Outcome[_work_item.Response]:
         """Answers a ticket that a caller presented at a peer."""
         if not self.issuer.is_issuer_of(ticket):
             return _unknown("the ticket is of another incarnation")
@@ -196,7 +198,7 @@
 
     async def accept_handoff(
         self, handoff: _peers.Handoff
-    ) -> core.Outcome[_work.Response]:
+    ) -> core.Outcome[_work_item.Response]:
         """Runs work that a peer hands over, unless it is a copy.
 
         The answer is that of this incarnation only: work meant for an earlier
@@ -216,8 +218,8 @@
                 arrived_ms=self._clock.now_ms(),
                 deadline_ms=handoff.stamp_ms + handoff.remaining_ms,
             )
-            dispatch = _runner.Dispatch()
-            run = self.runner.run_here(work, dispatch, handoff.max_wait_ms)
+            dispatch = _scheduler.Dispatch()
+            run = self.scheduler.run_here(work, dispatch, handoff.max_wait_ms)
             self._start(self.handoff_records, record, run, dispatch)
         return await record.wait()
 
@@ -230,9 +232,9 @@
     def _start(
         self,
         records: _records.RequestRecords,
-        record: _records.Record,
-        run: Coroutine[Any, Any, core.Outcome[_work.Response]],
-        dispatch: _runner.Dispatch,
+        record: _records.RequestRecord,
+        run: Coroutine[Any, Any, core.Outcome[_work_item.Response]],
+        dispatch: _scheduler.Dispatch,
     ) -> None:
         """Runs recorded work in a task of its own, whoever waits for it."""
         task = asyncio.create_task(run)
@@ -241,7 +243,7 @@
         # A callback, because a task cancelled before its first step never
         # reaches its own `finally`.
         def settle(
-            done: asyncio.Task[core.Outcome[_work.Response]],
+            done: asyncio.Task[core.Outcome[_work_item.Response]],
         ) -> None:
             self._tasks.pop(record.key, None)
             records.finish(record, _settled(done, dispatch))
@@ -249,11 +251,16 @@
         task.add_done_callback(settle)
 
     async def _follow(
-        self, record: _records.Record, work: _work.Work, owner: bool
-    ) -> core.Outcome[_work.Response]:
+        self,
+        record: _records.RequestRecord,
+        work: _work_item.WorkItem,
+        owner: bool,
+    ) -> core.Outcome[_work_item.Response]:
         """Waits for a recorded outcome; its owner may cancel the work."""
         limit_ms = (
-            work.deadline_ms - self._clock.now_ms() + 2 * _runner.REPLY_GRACE_MS
+            work.deadline_ms
+            - self._clock.now_ms()
+            + 2 * _scheduler.REPLY_GRACE_MS
         )
         try:
             async with asyncio.timeout(max(0, limit_ms) / 1000):
@@ -272,12 +279,12 @@
 
     def close(self) -> None:
         """Ends all tasks of the engine."""
-        self.runner.peers.close()
+        self.scheduler.peers.close()
         for task in list(self._tasks.values()):
             task.cancel()
 
 
-def _fingerprint(work: _work.Work) -> bytes:
+def _fingerprint(work: _work_item.WorkItem) -> bytes:
     digest = hashlib.blake2s(digest_size=16)
     for part in (work.method.encode(), work.path.encode(), work.body):
         digest.update(len(part).to_bytes(8, "big") + part)
@@ -285,9 +292,9 @@
 
 
 def _settled(
-    task: "asyncio.Task[core.Outcome[_work.Response]]",
-    dispatch: _runner.Dispatch,
-) -> core.Outcome[_work.Response]:
+    task: "asyncio.Task[core.Outcome[_work_item.Response]]",
+    dispatch: _scheduler.Dispatch,
+) -> core.Outcome[_work_item.Response]:
     if not task.cancelled():
         error = task.exception()
         return task.result() if error is None else _unknown(repr(error))
--- a/libs/requests/src/fireflyford/requests/_peers.py
+++ b/libs/requests/src/fireflyford/requests/_peers.py
@@ -10,7 +10,7 @@
 from fireflyford import core
 from fireflyford.requests import _targets
 from fireflyford.requests import _tickets
-from fireflyford.requests import _work
+from fireflyford.requests import _work_item
 
 # A report each way, with 52 bytes of IP and TCP header for each of three
 # segments, as both ends count it.
@@ -51,7 +51,7 @@
     stamp_ms: int
     remaining_ms: int
     max_wait_ms: float
-    work: _work.Work
+    work: _work_item.WorkItem
 
     @property
     def key(self) -> tuple[int, int]:
@@ -75,7 +75,7 @@
         """Calls `listener` with the reports that answers bring."""
         self._report_listener = listener
 
-    def tell_report(self, report: _targets.TargetReport | None) -> None:
+    def notify_report(self, report: _targets.TargetReport | None) -> None:
         """Passes on the report that came with an answer, if any."""
         if report is not None and self._report_listener is not None:
             self._report_listener(report)
@@ -83,13 +83,16 @@
     @abc.abstractmethod
     async def execute(
         self, address: core.Address, handoff: Handoff
-    ) -> core.Outcome[_work.Response]:
+    ) -> core.Outcome[_work_item.Response]:
         """Hands work to a peer and waits for the outcome."""
 
     @abc.abstractmethod
     async def present(
-        self, address: core.Address, ticket: _tickets.Ticket, work: _work.Work
-    ) -> core.Outcome[_work.Response]:
+        self,
+        address: core.Address,
+        ticket: _tickets.Ticket,
+        work: _work_item.WorkItem,
+    ) -> core.Outcome[_work_item.Response]:
         """Presents a ticket to its issuer and waits for the outcome."""
 
     @abc.abstractmethod
@@ -103,18 +106,21 @@
         """Tells a peer that handed-over work is no longer wanted."""
 
 
-class NoPeers(PeerChannel):
+class NullPeerChannel(PeerChannel):
     """Channel of a target that has no peers."""
 
     async def execute(
         self, address: core.Address, handoff: Handoff
-    ) -> core.Outcome[_work.Response]:
+    ) -> core.Outcome[_work_item.Response]:
         """Reaches nobody."""
         return _no_peer(address)
 
     async def present(
-        self, address: core.Address, ticket: _tickets.Ticket, work: _work.Work
-    ) -> core.Outcome[_work.Response]:
+        self,
+        address: core.Address,
+        ticket: _tickets.Ticket,
+        work: _work_item.WorkItem,
+    ) -> core.Outcome[_work_item.Response]:
         """Reaches nobody."""
         return _no_peer(address)
 
--- a/libs/requests/src/fireflyford/requests/_placement.py
+++ b/libs/requests/src/fireflyford/requests/_placement.py
@@ -32,17 +32,17 @@
         """Returns one of the candidates; there is at least one."""
 
 
-class Own(Placement):
+class LocalOnly(Placement):
     """Baseline: the target of the caller's connection."""
 
     def choose(
         self, candidates: Sequence[_targets.Candidate]
     ) -> _targets.Candidate:
         """Returns the agent's own target."""
-        return next((c for c in candidates if c.is_own), candidates[0])
+        return next((c for c in candidates if c.is_local), candidates[0])
 
 
-class Random(Placement):
+class RandomPlacement(Placement):
     """Baseline: any target."""
 
     def __init__(self, rng: random.Random) -> None:
@@ -72,7 +72,7 @@
         return ordered[self._next % len(ordered)]
 
 
-class LeastReported(Placement):
+class LeastReportedLoad(Placement):
     """Baseline: the lowest load that backend servers report."""
 
     def __init__(self, rng: random.Random) -> None:
@@ -88,7 +88,7 @@
         )
 
 
-class TwoChoicesReported(Placement):
+class PowerOfTwoChoices(Placement):
     """Baseline: the lower reported load of two random targets."""
 
     def __init__(self, rng: random.Random) -> None:
@@ -111,7 +111,7 @@
     total_ms: float
 
 
-class ExpectedCompletion(Placement):
+class ShortestExpectedDelay(Placement):
     """The earliest expected completion among several random targets."""
 
     def __init__(
@@ -141,8 +141,8 @@
         self, candidates: Sequence[_targets.Candidate]
     ) -> _targets.Candidate:
         """Returns the candidate with the earliest expected completion."""
-        own = [c for c in candidates if c.is_own]
-        others = [c for c in candidates if not c.is_own]
+        own = [c for c in candidates if c.is_local]
+        others = [c for c in candidates if not c.is_local]
         count = min(self._choice_count - len(own), len(others))
         sample = own + self._rng.sample(others, count)
         median_ms = statistics.median(c.service_ms for c in sample)
--- a/libs/requests/src/fireflyford/requests/_queue.py
+++ b/libs/requests/src/fireflyford/requests/_queue.py
@@ -9,7 +9,7 @@
 import sortedcontainers
 
 from fireflyford import config
-from fireflyford.requests import _work
+from fireflyford.requests import _work_item
 
 DEFAULT_MAX_COUNT = 256
 DEFAULT_MAX_BYTES = 16 << 20
@@ -26,7 +26,7 @@
 
 
 @dataclasses.dataclass(frozen=True, eq=False)
-class Entry:
+class QueueEntry:
     """A waiting request.
 
     Attributes:
@@ -35,7 +35,7 @@
         key: Place in the order; lower runs first.
     """
 
-    work: _work.Work
+    work: _work_item.WorkItem
     expected_ms: float
     key: tuple[float, int]
 
@@ -50,24 +50,24 @@
 
     @abc.abstractmethod
     def make_entry(
-        self, work: _work.Work, expected_ms: float, now_ms: int
-    ) -> Entry:
+        self, work: _work_item.WorkItem, expected_ms: float, now_ms: int
+    ) -> QueueEntry:
         """Returns the entry that `push` would add, without adding it."""
 
     @abc.abstractmethod
-    def push(self, entry: Entry) -> Entry | None:
+    def push(self, entry: QueueEntry) -> QueueEntry | None:
         """Adds an entry; returns the one that has to leave, if any."""
 
     @abc.abstractmethod
-    def pop(self, allow_long: bool) -> Entry | None:
+    def pop(self, allow_long: bool) -> QueueEntry | None:
         """Takes the next entry that may start."""
 
     @abc.abstractmethod
-    def remove(self, entry: Entry) -> None:
+    def remove(self, entry: QueueEntry) -> None:
         """Takes an entry out, if it is still there."""
 
     @abc.abstractmethod
-    def ahead(self, entry: Entry) -> Iterator[Entry]:
+    def ahead(self, entry: QueueEntry) -> Iterator[QueueEntry]:
         """Yields the entries that would start before `entry`."""
 
     @abc.abstractmethod
@@ -81,23 +81,23 @@
     def __init__(self, max_count: int = DEFAULT_MAX_COUNT) -> None:
         """Takes the bound."""
         self._max_count = max_count
-        self._entries: dict[Entry, None] = {}
+        self._entries: dict[QueueEntry, None] = {}
         self._sequence = itertools.count()
 
     def make_entry(
-        self, work: _work.Work, expected_ms: float, now_ms: int
-    ) -> Entry:
+        self, work: _work_item.WorkItem, expected_ms: float, now_ms: int
+    ) -> QueueEntry:
         """Returns an entry behind all others."""
-        return Entry(work, expected_ms, (now_ms, next(self._sequence)))
+        return QueueEntry(work, expected_ms, (now_ms, next(self._sequence)))
 
-    def push(self, entry: Entry) -> Entry | None:
+    def push(self, entry: QueueEntry) -> QueueEntry | None:
         """Adds an entry at the end; a full queue returns it."""
         if len(self._entries) >= self._max_count:
             return entry
         self._entries[entry] = None
         return None
 
-    def pop(self, allow_long: bool) -> Entry | None:
+    def pop(self, allow_long: bool) -> QueueEntry | None:
         """Takes the oldest entry, long or short."""
         del allow_long
         for entry in self._entries:
@@ -105,11 +105,11 @@
             return entry
         return None
 
-    def remove(self, entry: Entry) -> None:
+    def remove(self, entry: QueueEntry) -> None:
         """Takes an entry out, if it is still there."""
         self._entries.pop(entry, None)
 
-    def ahead(self, entry: Entry) -> Iterator[Entry]:
+    def ahead(self, entry: QueueEntry) -> Iterator[QueueEntry]:
         """Yields all entries."""
         del entry
         return iter(self._entries)
@@ -119,7 +119,7 @@
         return len(self._entries)
 
 
-class AdmissionQueue(WorkQueue):
+class FairQueue(WorkQueue):
     """Separate queues of short and long work, fair between callers.
 
     The key of an entry is its arrival time, delayed by its priority, by the
@@ -157,8 +157,8 @@
         self.queued_bytes = 0
 
     def make_entry(
-        self, work: _work.Work, expected_ms: float, now_ms: int
-    ) -> Entry:
+        self, work: _work_item.WorkItem, expected_ms: float, now_ms: int
+    ) -> QueueEntry:
         """Returns the entry at its place in the order."""
         share = (work.caller, work.treatment.size)
         start_ms = max(float(now_ms), self._caller_ms.get(share, 0.0))
@@ -166,9 +166,9 @@
         start_ms += (_TOP_PRIORITY - treatment.priority) * PRIORITY_STEP_MS
         if treatment.size is config.SizeClass.LONG:
             start_ms += expected_ms * _LONG_SLACK_RATIO
-        return Entry(work, expected_ms, (start_ms, next(self._sequence)))
+        return QueueEntry(work, expected_ms, (start_ms, next(self._sequence)))
 
-    def push(self, entry: Entry) -> Entry | None:
+    def push(self, entry: QueueEntry) -> QueueEntry | None:
         """Adds an entry; a full queue gives up its last one."""
         share = (entry.work.caller, entry.size)
         self._queued_by_caller[share] += 1
@@ -183,7 +183,7 @@
         self._lists[entry.size].add(entry)
         self.queued_bytes += len(entry.work.body)
         if len(self) > self._max_count or self.queued_bytes > self._max_bytes:
-            last: Entry = max(
+            last: QueueEntry = max(
                 (items[-1] for items in self._lists.values() if items),
                 key=lambda item: item.key,
             )
@@ -200,7 +200,7 @@
             if time_ms > now_ms or share in self._queued_by_caller
         }
 
-    def pop(self, allow_long: bool) -> Entry | None:
+    def pop(self, allow_long: bool) -> QueueEntry | None:
         """Takes the entry with the lowest key that may start."""
         heads = [
             items[0]
@@ -209,11 +209,11 @@
         ]
         if not heads:
             return None
-        entry: Entry = min(heads, key=lambda item: item.key)
+        entry: QueueEntry = min(heads, key=lambda item: item.key)
         self.remove(entry)
         return entry
 
-    def remove(self, entry: Entry) -> None:
+    def remove(self, entry: QueueEntry) -> None:
         """Takes an entry out, if it is still there."""
         items = self._lists[entry.size]
         index = items.bisect_key_left(entry.key)
@@ -226,7 +226,7 @@
         if not self._queued_by_caller[share]:
             del self._queued_by_caller[share]
 
-    def ahead(self, entry: Entry) -> Iterator[Entry]:
+    def ahead(self, entry: QueueEntry) -> Iterator[QueueEntry]:
         """Yields the entries with a lower key."""
         for items in self._lists.values():
             yield from items.irange_key(max_key=entry.key, inclusive=(1, 0))
--- a/libs/requests/src/fireflyford/requests/_records.py
+++ b/libs/requests/src/fireflyford/requests/_records.py
@@ -7,20 +7,20 @@
 import itertools
 
 from fireflyford import core
-from fireflyford.requests import _work
+from fireflyford.requests import _work_item
 
 DEFAULT_MAX_COUNT = 65_536
 DEFAULT_MAX_BYTES = 32 << 20
 
 
-class Record:
+class RequestRecord:
     """One request and its outcome, once it is known."""
 
     def __init__(self, key: Hashable, fingerprint: bytes) -> None:
         """Takes the identity and the digest of the request's content."""
         self.key = key
         self.fingerprint = fingerprint
-        self.outcome: core.Outcome[_work.Response] | None = None
+        self.outcome: core.Outcome[_work_item.Response] | None = None
         self._done = asyncio.Event()
 
     @property
@@ -30,14 +30,14 @@
             return len(self.outcome.value.body)
         return 0
 
-    def finish(self, outcome: core.Outcome[_work.Response]) -> None:
+    def finish(self, outcome: core.Outcome[_work_item.Response]) -> None:
         """Sets the outcome; a second call is a programming error."""
         if self.outcome is not None:
             raise RuntimeError("a record has one outcome")
         self.outcome = outcome
         self._done.set()
 
-    async def wait(self) -> core.Outcome[_work.Response]:
+    async def wait(self) -> core.Outcome[_work_item.Response]:
         """Waits for the outcome."""
         await self._done.wait()
         assert self.outcome is not None
@@ -53,7 +53,7 @@
         first: Whether this copy is the one that may run.
     """
 
-    record: Record
+    record: RequestRecord
     first: bool
 
 
@@ -90,7 +90,7 @@
         self._retention_ms = retention_ms
         self._max_count = max_count
         self._max_bytes = max_bytes
-        self._records: dict[Hashable, Record] = {}
+        self._records: dict[Hashable, RequestRecord] = {}
         self._by_age: list[tuple[int, int, Hashable]] = []
         self._sequence = itertools.count()
         self._floor_ms = -1
@@ -127,7 +127,7 @@
             return core.Ok(Claim(record, first=False))
         if issued_ms <= self._floor_ms:
             return _too_old()
-        record = Record(key, fingerprint)
+        record = RequestRecord(key, fingerprint)
         self._records[key] = record
         heapq.heappush(self._by_age, (issued_ms, next(self._sequence), key))
         self._enforce_bounds()
@@ -136,7 +136,7 @@
         return core.Ok(Claim(record, first=True))
 
     def finish(
-        self, record: Record, outcome: core.Outcome[_work.Response]
+        self, record: RequestRecord, outcome: core.Outcome[_work_item.Response]
     ) -> None:
         """Sets the outcome of a request that `begin` let run."""
         record.finish(outcome)
--- a/libs/requests/src/fireflyford/requests/_runner.py
+++ b/libs/requests/src/fireflyford/requests/_scheduler.py
@@ -6,14 +6,14 @@
 from fireflyford import config
 from fireflyford import core
 from fireflyford.requests import _admission
-from fireflyford.requests import _allowance
 from fireflyford.requests import _peers
 from fireflyford.requests import _placement
 from fireflyford.requests import _queue
 from fireflyford.requests import _service_times
+from fireflyford.requests import _slot_limits
 from fireflyford.requests import _slots
 from fireflyford.requests import _targets
-from fireflyford.requests import _work
+from fireflyford.requests import _work_item
 
 # The answer of a peer may arrive this long after the deadline.
 REPLY_GRACE_MS = 200
@@ -32,19 +32,19 @@
         self.started = False
 
 
-class Runner:
+class Scheduler:
     """Slots of one target and the way to those of its peers."""
 
     def __init__(
         self,
         clock: core.Clock,
-        executor: _work.Executor,
+        executor: _work_item.Executor,
         slot_count: int,
         placement: _placement.Placement,
         info: _targets.PeerInfo,
         channel: _peers.PeerChannel,
         queue: _queue.WorkQueue,
-        admission: _admission.Admission,
+        admission: _admission.AdmissionPolicy,
     ) -> None:
         """Prepares the runner of one target.
 
@@ -67,7 +67,7 @@
         self._queue = queue
         self.slots = _slots.SlotPool(clock, queue, slot_count)
         self.admission = admission
-        self.service_times = _service_times.ServiceTimes()
+        self.service_times = _service_times.ServiceTimeEstimates()
         self.peers = _peers.PeerTable(
             clock,
             channel,
@@ -114,13 +114,15 @@
         treatment = config.Treatment(
             name="", method="", path_prefix="", size=size
         )
-        work = _work.Work("", treatment, "", "", b"", "", now_ms, now_ms)
+        work = _work_item.WorkItem(
+            "", treatment, "", "", b"", "", now_ms, now_ms
+        )
         entry = self._queue.make_entry(work, service_ms, now_ms)
         return self.slots.expected_wait_ms(entry)
 
     async def place(
-        self, work: _work.Work, dispatch: Dispatch
-    ) -> core.Outcome[_work.Response]:
+        self, work: _work_item.WorkItem, dispatch: Dispatch
+    ) -> core.Outcome[_work_item.Response]:
         """Runs work at the target that placement chooses.
 
         A peer that is busier than its report said refuses at once, and
@@ -133,7 +135,7 @@
                 return _draining()
             chosen = self._placement.choose(candidates)
             peer = self.peers.get(chosen.target_id)
-            if chosen.is_own or peer is None:
+            if chosen.is_local or peer is None:
                 return await self.run_here(work, dispatch)
             last = len(refused) >= _MAX_REFUSALS
             outcome = await self._run_at_peer(
@@ -144,13 +146,13 @@
             refused.add(chosen.target_id)
 
     def _candidates(
-        self, work: _work.Work, refused: set[str]
+        self, work: _work_item.WorkItem, refused: set[str]
     ) -> list[_targets.Candidate]:
         own = [] if self._draining else [self._own_candidate(work)]
         peers = self.peers.candidates(work.treatment.size)
         return own + [c for c in peers if c.target_id not in refused]
 
-    def _own_candidate(self, work: _work.Work) -> _targets.Candidate:
+    def _own_candidate(self, work: _work_item.WorkItem) -> _targets.Candidate:
         times = self.service_times
         size = work.treatment.size
         entry = self._queue.make_entry(
@@ -158,7 +160,7 @@
         )
         return _targets.Candidate(
             target_id=self._target_id,
-            is_own=True,
+            is_local=True,
             same_zone=True,
             hop_ms=0,
             slot_count=self.slots.slot_count,
@@ -174,10 +176,10 @@
         self,
         peer: _targets.Peer,
         chosen: _targets.Candidate,
-        work: _work.Work,
+        work: _work_item.WorkItem,
         dispatch: Dispatch,
         last: bool,
-    ) -> core.Outcome[_work.Response]:
+    ) -> core.Outcome[_work_item.Response]:
         now_ms = self._clock.now_ms()
         refusal = self.admission.check(
             work, chosen.wait_ms, chosen.service_ms, now_ms
@@ -221,10 +223,10 @@
 
     async def run_here(
         self,
-        work: _work.Work,
+        work: _work_item.WorkItem,
         dispatch: Dispatch,
         max_wait_ms: float = _ANY_WAIT_MS,
-    ) -> core.Outcome[_work.Response]:
+    ) -> core.Outcome[_work_item.Response]:
         """Runs work at this target, when it is admitted."""
         if self._draining:
             return _draining()
@@ -251,8 +253,8 @@
             self._divide_slots()
 
     async def _execute(
-        self, work: _work.Work, dispatch: Dispatch
-    ) -> core.Outcome[_work.Response]:
+        self, work: _work_item.WorkItem, dispatch: Dispatch
+    ) -> core.Outcome[_work_item.Response]:
         start_ms = self._clock.now_ms()
         dispatch.started = True
         try:
@@ -278,7 +280,7 @@
         for peer in self.peers.usable():
             if peer.report is not None:
                 reports[peer.info.target_id] = peer.report
-        self.slots.long_allowance = _allowance.long_allowance(
+        self.slots.long_slot_limit = _slot_limits.long_slot_limit(
             self._target_id, reports
         )
 
@@ -287,7 +289,7 @@
     return chosen.wait_ms + chosen.service_ms * _WAIT_TOLERANCE_RATIO
 
 
-def _may_move(outcome: core.Outcome[_work.Response]) -> bool:
+def _may_move(outcome: core.Outcome[_work_item.Response]) -> bool:
     """Returns whether another target may still run refused work."""
     return isinstance(outcome, core.Failure) and outcome.kind in (
         core.ErrorKind.OVERLOADED,
@@ -297,7 +299,7 @@
     )
 
 
-def _is_not_run(outcome: core.Outcome[_work.Response]) -> bool:
+def _is_not_run(outcome: core.Outcome[_work_item.Response]) -> bool:
     return (
         isinstance(outcome, core.Failure)
         and outcome.answer.execution is core.Execution.NOT_RUN
--- a/libs/requests/src/fireflyford/requests/_service_times.py
+++ b/libs/requests/src/fireflyford/requests/_service_times.py
@@ -10,7 +10,7 @@
 _MIN_SERVICE_MS = 0.5
 
 
-class ServiceTimes:
+class ServiceTimeEstimates:
     """Mean service times by treatment and by size class."""
 
     def __init__(self) -> None:
--- a/libs/requests/src/fireflyford/requests/_allowance.py
+++ b/libs/requests/src/fireflyford/requests/_slot_limits.py
@@ -13,7 +13,7 @@
 _MIN_LONG_LOAD = 0.01
 
 
-def long_allowance(
+def long_slot_limit(
     own_id: str, reports: Mapping[str, _targets.TargetReport]
 ) -> int:
     """Returns the slots of one target that long work may hold.
--- a/libs/requests/src/fireflyford/requests/_slots.py
+++ b/libs/requests/src/fireflyford/requests/_slots.py
@@ -60,10 +60,10 @@
         self._clock = clock
         self._queue = queue
         self.slot_count = slot_count
-        self.long_allowance = slot_count
-        self._running: dict[_queue.Entry, int] = {}
+        self.long_slot_limit = slot_count
+        self._running: dict[_queue.QueueEntry, int] = {}
         self._waiters: dict[
-            _queue.Entry, asyncio.Future[core.Failure | None]
+            _queue.QueueEntry, asyncio.Future[core.Failure | None]
         ] = {}
         self._utilization = DecayingMean(clock, _targets.UTILIZATION_PERIOD_MS)
         self._load = {
@@ -94,7 +94,7 @@
         """Returns the mean number of slots that a size class holds."""
         return self._load[size].value()
 
-    async def acquire(self, entry: _queue.Entry) -> core.Failure | None:
+    async def acquire(self, entry: _queue.QueueEntry) -> core.Failure | None:
         """Waits for a slot; returns a refusal when the work has to leave."""
         future: asyncio.Future[core.Failure | None] = (
             asyncio.get_running_loop().create_future()
@@ -126,7 +126,7 @@
 
     def _leave(
         self,
-        entry: _queue.Entry,
+        entry: _queue.QueueEntry,
         future: "asyncio.Future[core.Failure | None]",
     ) -> None:
         self._queue.remove(entry)
@@ -136,7 +136,7 @@
         if granted:
             self.release(entry)
 
-    def release(self, entry: _queue.Entry) -> None:
+    def release(self, entry: _queue.QueueEntry) -> None:
         """Frees the slot that `entry` holds."""
         if self._running.pop(entry, None) is not None:
             self._track()
@@ -145,7 +145,7 @@
     def dispatch(self) -> None:
         """Gives free slots to waiting work; drops what has expired."""
         while len(self._running) < self.slot_count:
-            entry = self._queue.pop(self._long_count() < self.long_allowance)
+            entry = self._queue.pop(self._long_count() < self.long_slot_limit)
             if entry is None:
                 return
             now_ms = self._clock.now_ms()
@@ -159,7 +159,7 @@
             self._track()
             future.set_result(None)
 
-    def _refuse(self, entry: _queue.Entry, failure: core.Failure) -> None:
+    def _refuse(self, entry: _queue.QueueEntry, failure: core.Failure) -> None:
         future = self._waiters.get(entry)
         if future is not None and not future.done():
             future.set_result(failure)
@@ -176,11 +176,11 @@
         self._load[config.SizeClass.LONG].set_level(long_count)
         self._load[config.SizeClass.SHORT].set_level(count - long_count)
 
-    def expected_wait_ms(self, entry: _queue.Entry) -> float:
+    def expected_wait_ms(self, entry: _queue.QueueEntry) -> float:
         """Returns the expected wait of an entry that is not queued yet."""
         now_ms = self._clock.now_ms()
         free_ms = [0.0] * self.idle_count
-        long_free_ms = [0.0] * max(0, self.long_allowance - self._long_count())
+        long_free_ms = [0.0] * max(0, self.long_slot_limit - self._long_count())
         for running, started_ms in self._running.items():
             left_ms = max(
                 started_ms + running.expected_ms - now_ms,
@@ -197,7 +197,7 @@
 
 
 def _assign(
-    free_ms: list[float], long_free_ms: list[float], entry: _queue.Entry
+    free_ms: list[float], long_free_ms: list[float], entry: _queue.QueueEntry
 ) -> float:
     """Gives the next free slot to `entry` and returns when it is free."""
     start_ms = heapq.heappop(free_ms)
--- a/libs/requests/src/fireflyford/requests/_targets.py
+++ b/libs/requests/src/fireflyford/requests/_targets.py
@@ -84,7 +84,7 @@
 
     Attributes:
         target_id: Name of the target.
-        is_own: Whether it is the agent's own target.
+        is_local: Whether it is the agent's own target.
         same_zone: Whether it is in the agent's availability zone.
         hop_ms: Time for the way there and back.
         slot_count: Slots.
@@ -97,7 +97,7 @@
     """
 
     target_id: str
-    is_own: bool
+    is_local: bool
     same_zone: bool
     hop_ms: float
     slot_count: int
@@ -188,7 +188,7 @@
         busy += unseen_ms / report.slot_count / UTILIZATION_PERIOD_MS
         return Candidate(
             target_id=self.info.target_id,
-            is_own=False,
+            is_local=False,
             same_zone=same_zone,
             hop_ms=hop_ms,
             slot_count=report.slot_count,
--- a/libs/requests/src/fireflyford/requests/_tickets.py
+++ b/libs/requests/src/fireflyford/requests/_tickets.py
@@ -5,7 +5,7 @@
 from fireflyford import core
 
 # A response may be repeated for this long after its ticket was issued.
-RETENTION_MS = 120_000
+TICKET_RETENTION_MS = 120_000
 
 
 @dataclasses.dataclass(frozen=True)
--- a/libs/requests/src/fireflyford/requests/_work.py
+++ b/libs/requests/src/fireflyford/requests/_work_item.py
@@ -8,7 +8,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Work:
+class WorkItem:
     """One request.
 
     Attributes:
@@ -45,7 +45,7 @@
     """Runs work on a backend server."""
 
     @abc.abstractmethod
-    async def execute(self, work: Work) -> core.Outcome[Response]:
+    async def execute(self, work: WorkItem) -> core.Outcome[Response]:
         """Runs the work once.
 
         From the call on, the work may have run, unless the outcome says
--- a/libs/requests/tests/test_policy.py
+++ b/libs/requests/tests/test_policy.py
@@ -22,16 +22,16 @@
     treatment: config.Treatment = _SHORT,
     now_ms: int = 0,
     body: bytes = b"",
-) -> requests.Work:
+) -> requests.WorkItem:
     deadline_ms = now_ms + treatment.deadline_ms
-    return requests.Work(
+    return requests.WorkItem(
         "id", treatment, "GET", "/", body, caller, now_ms, deadline_ms
     )
 
 
 def _push(
-    queue: requests.WorkQueue, work: requests.Work, expected_ms: float = 10
-) -> requests.Entry | None:
+    queue: requests.WorkQueue, work: requests.WorkItem, expected_ms: float = 10
+) -> requests.QueueEntry | None:
     return queue.push(queue.make_entry(work, expected_ms, work.arrived_ms))
 
 
@@ -43,7 +43,7 @@
 
 def test_one_caller_cannot_keep_the_others_waiting() -> None:
     """Guards against a caller whose burst delays everyone else."""
-    queue = requests.AdmissionQueue(slot_count=1)
+    queue = requests.FairQueue(slot_count=1)
     for _ in range(20):
         _push(queue, _work("greedy"))
     _push(queue, _work("modest", now_ms=15))
@@ -53,7 +53,7 @@
 
 def test_priority_orders_but_does_not_starve() -> None:
     """Guards against ignored priorities and against starvation by them."""
-    queue = requests.AdmissionQueue(slot_count=2)
+    queue = requests.FairQueue(slot_count=2)
     low = dataclasses.replace(_SHORT, priority=0)
     high = dataclasses.replace(_SHORT, priority=9)
     _push(queue, _work("low", low, now_ms=0))
@@ -65,7 +65,7 @@
 
 def test_long_work_is_passed_only_for_a_while() -> None:
     """Guards against starvation of long work by a stream of short work."""
-    queue = requests.AdmissionQueue(slot_count=2)
+    queue = requests.FairQueue(slot_count=2)
     _push(queue, _work("long", _LONG), expected_ms=500)
     passed = 0
     for step in range(100):
@@ -78,7 +78,7 @@
 
 def test_queue_is_bounded_by_count_and_bytes() -> None:
     """Guards against unbounded memory and eviction of the wrong entry."""
-    queue = requests.AdmissionQueue(1, max_count=2, max_bytes=100)
+    queue = requests.FairQueue(1, max_count=2, max_bytes=100)
     first = _work("a", body=b"x" * 60)
     assert _push(queue, first) is None
     big = _work("b", now_ms=1, body=b"x" * 60)
@@ -91,7 +91,7 @@
 
 def test_hopeless_work_is_refused_with_a_delay() -> None:
     """Guards against work that waits in vain for its deadline."""
-    admission = requests.ExpectedWait()
+    admission = requests.ExpectedWaitAdmission()
     assert admission.check(_work(), 100, 20, 0) is None
     refusal = admission.check(_work(), 1_900, 200, 0)
     assert refusal is not None
@@ -105,7 +105,7 @@
 def _candidate(name: str, **fields: object) -> requests.Candidate:
     base = requests.Candidate(
         target_id=name,
-        is_own=name == "own",
+        is_local=name == "own",
         same_zone=True,
         hop_ms=0 if name == "own" else 2,
         slot_count=2,
@@ -120,7 +120,7 @@
 
 
 def _choose(*candidates: requests.Candidate) -> str:
-    placement = requests.ExpectedCompletion(random.Random(1))
+    placement = requests.ShortestExpectedDelay(random.Random(1))
     return placement.choose(candidates).target_id
 
 
@@ -174,7 +174,7 @@
 def _allowances(short: float, long: float) -> list[int]:
     names = [f"target-{index}" for index in range(7)]
     reports = {name: _report(name, short, long) for name in names}
-    return [requests.long_allowance(name, reports) for name in names]
+    return [requests.long_slot_limit(name, reports) for name in names]
 
 
 def test_slots_are_divided_by_need() -> None:
@@ -191,5 +191,5 @@
     spent = 0
     for _ in range(1_000):
         budget.record_success()
-        spent += budget.spend()
+        spent += budget.try_spend()
     assert 95 <= spent <= 101
--- a/libs/requests/tests/test_records_stateful.py
+++ b/libs/requests/tests/test_records_stateful.py
@@ -39,7 +39,7 @@
             self.clock, _RETENTION_MS, _MAX_COUNT, _MAX_BYTES
         )
         self.issued: dict[int, int] = {}
-        self.running: dict[int, requests.Record] = {}
+        self.running: dict[int, requests.RequestRecord] = {}
         self.outcomes: dict[int, core.Outcome[requests.Response]] = {}
 
     @stateful.rule(duration_ms=strategies.integers(0, 600))
--- a/libs/wire/src/fireflyford/wire/__init__.py
+++ b/libs/wire/src/fireflyford/wire/__init__.py
@@ -6,14 +6,14 @@
 from fireflyford.wire._forward import FORWARD_HEADER_BYTES
 from fireflyford.wire._forward import MAX_HOLDERS
 from fireflyford.wire._forward import MAX_HOPS
-from fireflyford.wire._forward import STAMP_MASK
+from fireflyford.wire._forward import TIMESTAMP_MASK
 from fireflyford.wire._forward import ForwardCodec
 from fireflyford.wire._forward import ForwardHeader
 from fireflyford.wire._forward import ForwardType
-from fireflyford.wire._quic import MIN_INITIAL_BYTES
-from fireflyford.wire._quic import PacketForm
-from fireflyford.wire._quic import PacketHint
-from fireflyford.wire._quic import peek
+from fireflyford.wire._invariant_header import MIN_INITIAL_BYTES
+from fireflyford.wire._invariant_header import HeaderForm
+from fireflyford.wire._invariant_header import InvariantHeader
+from fireflyford.wire._invariant_header import parse_invariant_header
 
 __all__ = [
     "CONNECTION_ID_BYTES",
@@ -21,13 +21,13 @@
     "MAX_HOLDERS",
     "MAX_HOPS",
     "MIN_INITIAL_BYTES",
-    "STAMP_MASK",
+    "TIMESTAMP_MASK",
     "ConnectionId",
     "ConnectionIdCodec",
     "ForwardCodec",
     "ForwardHeader",
     "ForwardType",
-    "PacketForm",
-    "PacketHint",
-    "peek",
+    "HeaderForm",
+    "InvariantHeader",
+    "parse_invariant_header",
 ]
--- a/libs/wire/src/fireflyford/wire/_forward.py
+++ b/libs/wire/src/fireflyford/wire/_forward.py
@@ -34,7 +34,7 @@
 MAX_HOLDERS = 3
 # Stamps are milliseconds of the time of day in 40 bits, which wrap after 34
 # years.
-STAMP_MASK = (1 << 40) - 1
+TIMESTAMP_MASK = (1 << 40) - 1
 _IPV4_PREFIX = b"\0" * 10 + b"\xff\xff"
 # Addresses of balancers and agents recur; callers of one service may be
 # millions, so the cache is bounded and small.
@@ -69,7 +69,7 @@
         hops: How many agents have passed the datagram on.
         holders: Possible holders of the flow, in search order. Of a notice,
             the holder that it is about.
-        stamp: Time of day at which a search or a claim started, in ms, the
+        timestamp_ms: Time of day at which a search or a claim started, the
             low 40 bits; 0 when there is neither.
         balancer: Link address of the balancer, set by the agent that passes a
             datagram on.
@@ -82,7 +82,7 @@
     caller: core.Address
     hops: int = 0
     holders: tuple[core.Holder, ...] = ()
-    stamp: int = 0
+    timestamp_ms: int = 0
     balancer: core.Address | None = None
 
 
@@ -116,7 +116,7 @@
             host = socket.inet_aton(header.balancer.host)
             lists = _BALANCER.pack(host, header.balancer.port) + lists
             count |= _BALANCER_BIT
-        stamp = header.stamp & STAMP_MASK
+        stamp = header.timestamp_ms & TIMESTAMP_MASK
         body = _BODY.pack(
             _MAGIC,
             _VERSION,
@@ -219,7 +219,7 @@
             caller=_make_caller(fields[7], fields[8]),
             hops=fields[3],
             holders=_unpack_holders(lists) if lists else (),
-            stamp=fields[10] << 32 | fields[11],
+            timestamp_ms=fields[10] << 32 | fields[11],
             balancer=balancer,
         )
         return header, datagram[start:]
--- a/libs/wire/src/fireflyford/wire/_quic.py
+++ b/libs/wire/src/fireflyford/wire/_invariant_header.py
@@ -13,7 +13,7 @@
 _MAX_CONNECTION_ID_BYTES = 20
 
 
-class PacketForm(enum.Enum):
+class HeaderForm(enum.Enum):
     """Form of the first packet in a datagram."""
 
     SHORT = "short"
@@ -21,19 +21,19 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class PacketHint:
+class InvariantHeader:
     """What the invariant header says.
 
     Attributes:
         form: Header form.
-        destination: Destination connection ID.
+        destination_connection_id: Destination connection ID.
     """
 
-    form: PacketForm
-    destination: bytes
+    form: HeaderForm
+    destination_connection_id: bytes
 
 
-def peek(datagram: bytes) -> PacketHint | None:
+def parse_invariant_header(datagram: bytes) -> InvariantHeader | None:
     """Reads the version-independent header of the first packet.
 
     Args:
@@ -42,7 +42,7 @@
     Returns:
         The hint, or None when the datagram is not a QUIC packet.
 
-    >>> peek(b"") is None
+    >>> parse_invariant_header(b"") is None
     True
     """
     if not datagram:
@@ -52,7 +52,7 @@
         end = 1 + _connection_id.CONNECTION_ID_BYTES
         if not first & _FIXED_BIT or len(datagram) < end:
             return None
-        return PacketHint(PacketForm.SHORT, datagram[1:end])
+        return InvariantHeader(HeaderForm.SHORT, datagram[1:end])
     start = 2 + _VERSION_BYTES
     if len(datagram) < start:
         return None
@@ -62,4 +62,4 @@
         return None
     if len(destination) != length_bytes:
         return None
-    return PacketHint(PacketForm.LONG, destination)
+    return InvariantHeader(HeaderForm.LONG, destination)
--- a/libs/wire/tests/test_codecs.py
+++ b/libs/wire/tests/test_codecs.py
@@ -36,7 +36,7 @@
     caller=callers,
     hops=strategies.integers(0, 255),
     holders=strategies.lists(holders, max_size=wire.MAX_HOLDERS).map(tuple),
-    stamp=strategies.integers(0, wire.STAMP_MASK),
+    timestamp_ms=strategies.integers(0, wire.TIMESTAMP_MASK),
     balancer=strategies.none() | addresses,
 )
 settings = hypothesis.settings(
@@ -58,7 +58,7 @@
     assert CODEC.unpack(data) is None
     assert CODEC.unpack_to_caller(data) is None
     assert IDS.decode(data) is None
-    wire.peek(data)
+    wire.parse_invariant_header(data)
 
 
 @settings
