Rename exported names of store and core

No string that leaves the process changes: docstrings only follow the names.

store: Accepted -> AcceptedPush, its `earlier` -> `already_applied`; Follower -> ConfigFollower, its `settled`, `wait_until_settled`, `offer`, `answer` -> `synced`, `wait_until_synced`, `apply_if_newer`, `handle_pull`; Peers -> ConfigPeers; Source -> PullSource; TOPIC -> CONFIG_TOPIC; Reading -> ReadResult, its `value` -> `get`; Expectation -> Precondition; Commit -> CommitResult; Record -> ConfigRecord; `Store.keep_lease` -> `renew_lease`; parameters `newest_first` -> `descending`, `expectations` -> `preconditions`, `limit_ms` of `watch` -> `duration_ms`.

core: Answer -> ErrorSpec, ANSWERS -> ERROR_SPECS, `Failure.answer` -> `Failure.spec`.

--- a/libs/agent/src/fireflyford/agent/_access.py
+++ b/libs/agent/src/fireflyford/agent/_access.py
@@ -57,7 +57,7 @@
             return
         self.refused_count += 1
         kind = core.ErrorKind.FORBIDDEN
-        answer = core.ANSWERS[kind]
+        answer = core.ERROR_SPECS[kind]
         response.start(
             answer.status_code,
             (
--- a/libs/agent/src/fireflyford/agent/_configuration.py
+++ b/libs/agent/src/fireflyford/agent/_configuration.py
@@ -8,7 +8,7 @@
 from fireflyford import store
 
 
-class AgentPeers(store.Peers):
+class AgentPeers(store.ConfigPeers):
     """Following through the membership of an agent, never from the store."""
 
     def __init__(
@@ -23,10 +23,10 @@
         """Returns False; agents leave the store alone."""
         return False
 
-    def sources(self, above: int) -> Sequence[store.Source]:
+    def sources(self, above: int) -> Sequence[store.PullSource]:
         """Returns the balancers that announce a higher version."""
         return [
-            store.Source(member.instance_id, member.bulk_address, version)
+            store.PullSource(member.instance_id, member.bulk_address, version)
             for member, version in self._announcements.above(above)
             if member.role is core.Role.BALANCER
         ]
@@ -36,9 +36,9 @@
         self._members.update(config_version=version)
 
     async def pull(
-        self, source: store.Source, payload: bytes
+        self, source: store.PullSource, payload: bytes
     ) -> core.Outcome[bytes]:
         """Calls a balancer."""
         return await membership.fetch(
-            source.address, self._options.link_key, store.TOPIC, payload
+            source.address, self._options.link_key, store.CONFIG_TOPIC, payload
         )
--- a/libs/agent/src/fireflyford/agent/_process.py
+++ b/libs/agent/src/fireflyford/agent/_process.py
@@ -115,7 +115,7 @@
             balancers=self._peers,
             flows=self._flows,
         )
-        self._follower = store.Follower(
+        self._follower = store.ConfigFollower(
             clock,
             random.SystemRandom(),
             _configuration.AgentPeers(options, self._membership),
@@ -156,7 +156,7 @@
         for task in tasks:
             task.add_done_callback(telemetry.log_task_failure)
         # Earlier flows could be treated by an older configuration file.
-        await self._follower.wait_until_settled()
+        await self._follower.wait_until_synced()
         link = self._options.link_listen
         await loop.create_datagram_endpoint(
             lambda: self._endpoint, local_addr=link.pair
@@ -164,9 +164,7 @@
         status = telemetry.serve_status(
             core.Address.parse(self._options.status_address),
             self._make_meter(),
-            ready=lambda: (
-                not self._stopping.is_set() and self._follower.settled
-            ),
+            ready=lambda: not self._stopping.is_set() and self._follower.synced,
             status=self._status,
             drain=self._start_drain,
         )
--- a/libs/agent/src/fireflyford/agent/_service.py
+++ b/libs/agent/src/fireflyford/agent/_service.py
@@ -125,7 +125,7 @@
         self, response: _connection.ResponseStream, failure: core.Failure
     ) -> None:
         body = (failure.message + "\n").encode()
-        answer = failure.answer
+        answer = failure.spec
         response.start(
             answer.status_code,
             (
--- a/libs/balancer/src/fireflyford/balancer/_configuration.py
+++ b/libs/balancer/src/fireflyford/balancer/_configuration.py
@@ -17,7 +17,7 @@
 JOIN_DELAY_MS = 1_500
 
 
-class BalancerPeers(store.Peers):
+class BalancerPeers(store.ConfigPeers):
     """Following through the membership of a balancer."""
 
     def __init__(
@@ -43,7 +43,7 @@
             self._options.region,
         )
 
-    def sources(self, above: int) -> Sequence[store.Source]:
+    def sources(self, above: int) -> Sequence[store.PullSource]:
         """Returns announcing balancers, those of the own region if any."""
         announcing = [
             item
@@ -56,7 +56,7 @@
             if item[0].region == self._options.region
         ]
         return [
-            store.Source(member.instance_id, member.bulk_address, version)
+            store.PullSource(member.instance_id, member.bulk_address, version)
             for member, version in near or announcing
         ]
 
@@ -65,11 +65,11 @@
         self._members.update(config_version=version)
 
     async def pull(
-        self, source: store.Source, payload: bytes
+        self, source: store.PullSource, payload: bytes
     ) -> core.Outcome[bytes]:
         """Calls another balancer."""
         return await membership.fetch(
-            source.address, self._options.link_key, store.TOPIC, payload
+            source.address, self._options.link_key, store.CONFIG_TOPIC, payload
         )
 
 
@@ -130,7 +130,7 @@
                 core.Address.parse(options.control_address),
                 peers.is_reader,
             )
-        self.follower = store.Follower(
+        self.follower = store.ConfigFollower(
             clock, random.SystemRandom(), peers, apply, config_store
         )
 
--- a/libs/balancer/src/fireflyford/balancer/_process.py
+++ b/libs/balancer/src/fireflyford/balancer/_process.py
@@ -57,7 +57,7 @@
             options, clock, self._membership, self._apply_deployment
         )
         self._follower = self._configuration.follower
-        self._bulk.register(store.TOPIC, self._follower.answer)
+        self._bulk.register(store.CONFIG_TOPIC, self._follower.handle_pull)
         self._stopping = asyncio.Event()
 
     async def run(self) -> None:
@@ -70,9 +70,7 @@
         status = telemetry.serve_status(
             core.Address.parse(self._options.status_address),
             meter,
-            ready=lambda: (
-                not self._stopping.is_set() and self._follower.settled
-            ),
+            ready=lambda: not self._stopping.is_set() and self._follower.synced,
             status=self._status,
             drain=self._start_drain,
             pages={"/config": self._config_text},
--- a/libs/caller/src/fireflyford/caller/_feeds.py
+++ b/libs/caller/src/fireflyford/caller/_feeds.py
@@ -286,7 +286,7 @@
 
     def _end(self, leg: _Leg, ended: _Ended) -> bool:
         failure = ended.failure
-        if failure is not None and not failure.answer.retry_allowed:
+        if failure is not None and not failure.spec.retry_allowed:
             raise FeedRefusedError(failure)
         if leg is self._replacement:
             self._retry(0 if failure is None else failure.retry_after_ms)
--- a/libs/caller/src/fireflyford/caller/_requests.py
+++ b/libs/caller/src/fireflyford/caller/_requests.py
@@ -204,8 +204,8 @@
         ask_again: Whether the answer to a ticket was lost; the same ticket
             then asks for the outcome and never starts a second run.
     """
-    if failure.answer.execution is core.Execution.NOT_RUN:
-        return failure.answer.retry_allowed
+    if failure.spec.execution is core.Execution.NOT_RUN:
+        return failure.spec.retry_allowed
     return call.idempotent or ask_again
 
 
--- a/libs/cli/src/fireflyford/cli/_config_commands.py
+++ b/libs/cli/src/fireflyford/cli/_config_commands.py
@@ -251,10 +251,10 @@
     return await _targets.find_stranded(deployment, instance)
 
 
-def _format_accepted(accepted: store.Accepted) -> str:
+def _format_accepted(accepted: store.AcceptedPush) -> str:
     record = accepted.record
     line = f"accepted as version {record.version}, push {record.identity}"
-    if accepted.earlier:
+    if accepted.already_applied:
         line += "; an earlier attempt had already applied it"
     if accepted.replaced_version != record.base_version:
         line += (
--- a/libs/cli/src/fireflyford/cli/_job.py
+++ b/libs/cli/src/fireflyford/cli/_job.py
@@ -48,7 +48,7 @@
     outcome = result._work()
     if isinstance(outcome, core.Failure):
         print(f"fireflyford: {outcome.message}", file=sys.stderr)
-        sys.exit(outcome.answer.exit_code)
+        sys.exit(outcome.spec.exit_code)
     if outcome.value:
         print(outcome.value.rstrip("\n"))
     return None
--- a/libs/core/src/fireflyford/core/__init__.py
+++ b/libs/core/src/fireflyford/core/__init__.py
@@ -3,9 +3,9 @@
 from fireflyford.core._clock import Clock
 from fireflyford.core._clock import ManualClock
 from fireflyford.core._clock import SystemClock
-from fireflyford.core._errors import ANSWERS
-from fireflyford.core._errors import Answer
+from fireflyford.core._errors import ERROR_SPECS
 from fireflyford.core._errors import ErrorKind
+from fireflyford.core._errors import ErrorSpec
 from fireflyford.core._errors import Execution
 from fireflyford.core._errors import Failure
 from fireflyford.core._errors import Ok
@@ -17,11 +17,11 @@
 from fireflyford.core._types import service_tag
 
 __all__ = [
-    "ANSWERS",
+    "ERROR_SPECS",
     "Address",
-    "Answer",
     "Clock",
     "ErrorKind",
+    "ErrorSpec",
     "Execution",
     "Failure",
     "Holder",
--- a/libs/core/src/fireflyford/core/_errors.py
+++ b/libs/core/src/fireflyford/core/_errors.py
@@ -48,7 +48,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Answer:
+class ErrorSpec:
     """How one error kind is answered.
 
     Attributes:
@@ -86,9 +86,9 @@
     retry_after_ms: int = 0
 
     @property
-    def answer(self) -> Answer:
-        """Answer of the table for this kind."""
-        return ANSWERS[self.kind]
+    def spec(self) -> ErrorSpec:
+        """Returns the row of `ERROR_SPECS` for this kind."""
+        return ERROR_SPECS[self.kind]
 
 
 Outcome = Ok[T] | Failure
@@ -97,32 +97,32 @@
 _RAN = Execution.RAN
 _UNKNOWN = Execution.UNKNOWN
 
-ANSWERS = types.MappingProxyType(
+ERROR_SPECS = types.MappingProxyType(
     {
-        ErrorKind.BAD_REQUEST: Answer(400, _NOT_RUN, 2, False),
-        ErrorKind.FORBIDDEN: Answer(403, _NOT_RUN, 3, False),
-        ErrorKind.NO_SUCH_SERVICE: Answer(404, _NOT_RUN, 2, False),
-        ErrorKind.TICKET_REQUIRED: Answer(428, _NOT_RUN, 2, True),
-        ErrorKind.TICKET_INVALID: Answer(400, _NOT_RUN, 2, False),
-        ErrorKind.OVERLOADED: Answer(503, _NOT_RUN, 4, True),
-        ErrorKind.DRAINING: Answer(503, _NOT_RUN, 4, True),
-        ErrorKind.DEADLINE_BEFORE_START: Answer(504, _NOT_RUN, 4, True),
-        ErrorKind.CANCELLED_BEFORE_START: Answer(499, _NOT_RUN, 4, True),
-        ErrorKind.NO_TARGET: Answer(503, _NOT_RUN, 4, True),
-        ErrorKind.BACKEND_REFUSED: Answer(503, _NOT_RUN, 4, True),
-        ErrorKind.BACKEND_FAILED: Answer(502, _RAN, 5, False),
-        ErrorKind.DEADLINE_AFTER_START: Answer(504, _UNKNOWN, 6, False),
-        ErrorKind.OUTCOME_UNKNOWN: Answer(502, _UNKNOWN, 6, False),
-        ErrorKind.TICKET_TOO_OLD: Answer(409, _UNKNOWN, 6, False),
-        ErrorKind.BAD_SETTINGS: Answer(500, _NOT_RUN, 2, False),
-        ErrorKind.BAD_CONFIG: Answer(400, _NOT_RUN, 2, False),
-        ErrorKind.CONFIG_CONFLICT: Answer(409, _NOT_RUN, 7, False),
-        ErrorKind.CONFIG_TOO_LARGE: Answer(413, _NOT_RUN, 2, False),
-        ErrorKind.CONFIG_STALE: Answer(409, _NOT_RUN, 7, False),
-        ErrorKind.STORE_UNAVAILABLE: Answer(503, _NOT_RUN, 8, True),
-        ErrorKind.STORE_OUTCOME_UNKNOWN: Answer(504, _UNKNOWN, 6, False),
-        ErrorKind.INSTANCE_UNREACHABLE: Answer(503, _NOT_RUN, 8, True),
-        ErrorKind.BAD_CERTIFICATE: Answer(500, _NOT_RUN, 2, False),
-        ErrorKind.BAD_MESSAGE: Answer(400, _NOT_RUN, 2, False),
+        ErrorKind.BAD_REQUEST: ErrorSpec(400, _NOT_RUN, 2, False),
+        ErrorKind.FORBIDDEN: ErrorSpec(403, _NOT_RUN, 3, False),
+        ErrorKind.NO_SUCH_SERVICE: ErrorSpec(404, _NOT_RUN, 2, False),
+        ErrorKind.TICKET_REQUIRED: ErrorSpec(428, _NOT_RUN, 2, True),
+        ErrorKind.TICKET_INVALID: ErrorSpec(400, _NOT_RUN, 2, False),
+        ErrorKind.OVERLOADED: ErrorSpec(503, _NOT_RUN, 4, True),
+        ErrorKind.DRAINING: ErrorSpec(503, _NOT_RUN, 4, True),
+        ErrorKind.DEADLINE_BEFORE_START: ErrorSpec(504, _NOT_RUN, 4, True),
+        ErrorKind.CANCELLED_BEFORE_START: ErrorSpec(499, _NOT_RUN, 4, True),
+        ErrorKind.NO_TARGET: ErrorSpec(503, _NOT_RUN, 4, True),
+        ErrorKind.BACKEND_REFUSED: ErrorSpec(503, _NOT_RUN, 4, True),
+        ErrorKind.BACKEND_FAILED: ErrorSpec(502, _RAN, 5, False),
+        ErrorKind.DEADLINE_AFTER_START: ErrorSpec(504, _UNKNOWN, 6, False),
+        ErrorKind.OUTCOME_UNKNOWN: ErrorSpec(502, _UNKNOWN, 6, False),
+        ErrorKind.TICKET_TOO_OLD: ErrorSpec(409, _UNKNOWN, 6, False),
+        ErrorKind.BAD_SETTINGS: ErrorSpec(500, _NOT_RUN, 2, False),
+        ErrorKind.BAD_CONFIG: ErrorSpec(400, _NOT_RUN, 2, False),
+        ErrorKind.CONFIG_CONFLICT: ErrorSpec(409, _NOT_RUN, 7, False),
+        ErrorKind.CONFIG_TOO_LARGE: ErrorSpec(413, _NOT_RUN, 2, False),
+        ErrorKind.CONFIG_STALE: ErrorSpec(409, _NOT_RUN, 7, False),
+        ErrorKind.STORE_UNAVAILABLE: ErrorSpec(503, _NOT_RUN, 8, True),
+        ErrorKind.STORE_OUTCOME_UNKNOWN: ErrorSpec(504, _UNKNOWN, 6, False),
+        ErrorKind.INSTANCE_UNREACHABLE: ErrorSpec(503, _NOT_RUN, 8, True),
+        ErrorKind.BAD_CERTIFICATE: ErrorSpec(500, _NOT_RUN, 2, False),
+        ErrorKind.BAD_MESSAGE: ErrorSpec(400, _NOT_RUN, 2, False),
     }
 )
--- a/libs/lab/src/fireflyford/lab/_callers.py
+++ b/libs/lab/src/fireflyford/lab/_callers.py
@@ -292,7 +292,7 @@
         if isinstance(outcome, core.Ok):
             self._counts["complete"] += 1
             self._counts["wrong"] += outcome.value.body != expected
-        elif outcome.answer.execution is core.Execution.NOT_RUN:
+        elif outcome.spec.execution is core.Execution.NOT_RUN:
             self._counts["refused"] += 1
             self._refused_bodies.append(name)
         else:
--- a/libs/lab/src/fireflyford/lab/_fault_runs.py
+++ b/libs/lab/src/fireflyford/lab/_fault_runs.py
@@ -181,7 +181,7 @@
             execution = core.Execution.RAN
             answer: bytes | None = outcome.value.body
         else:
-            execution, answer = outcome.answer.execution, None
+            execution, answer = outcome.spec.execution, None
         told = _history.Told(name, ticket, execution, answer)
         self._told.append(told)
         return told
--- a/libs/lab/src/fireflyford/lab/_process_runs.py
+++ b/libs/lab/src/fireflyford/lab/_process_runs.py
@@ -315,7 +315,7 @@
                 name, ticket, core.Execution.RAN, outcome.value
             )
         else:
-            told = _history.Told(name, ticket, outcome.answer.execution)
+            told = _history.Told(name, ticket, outcome.spec.execution)
         self.told.append(told)
         return told
 
--- a/libs/lab/src/fireflyford/lab/experiments/_config_trial.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_config_trial.py
@@ -53,7 +53,7 @@
 
     async def push(
         self, base: int, author: str = "operator"
-    ) -> core.Outcome[store.Accepted]:
+    ) -> core.Outcome[store.AcceptedPush]:
         """Pushes a new text and keeps the version when it is accepted."""
         push = store.Push(self.new_text(), base, author)
         outcome = await self.config_store.push(push)
--- a/libs/lab/src/fireflyford/lab/experiments/_configuration.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_configuration.py
@@ -135,7 +135,7 @@
                 await trial.switch(lose_answer_count=0, slow_ms=0)
                 false_count += not isinstance(first, core.Ok)
                 retry_count += not (
-                    isinstance(again, core.Ok) and again.value.earlier
+                    isinstance(again, core.Ok) and again.value.already_applied
                 )
                 times_ms.append(await watcher)
             history = await trial.config_store.history(100)
--- a/libs/lab/src/fireflyford/lab/scenarios/_load.py
+++ b/libs/lab/src/fireflyford/lab/scenarios/_load.py
@@ -86,7 +86,7 @@
         if isinstance(outcome, core.Ok):
             self.counts["complete"] += 1
             self.counts["wrong"] += outcome.value.body != expected
-        elif outcome.answer.execution is core.Execution.NOT_RUN:
+        elif outcome.spec.execution is core.Execution.NOT_RUN:
             self.counts["refused"] += 1
             self.refused_bodies.add(body)
         else:
--- a/libs/lab/tests/test_interleavings.py
+++ b/libs/lab/tests/test_interleavings.py
@@ -257,8 +257,7 @@
             if world.run_count == 0:
                 return "complete but not run"
         elif (
-            outcome.answer.execution is core.Execution.NOT_RUN
-            and world.run_count
+            outcome.spec.execution is core.Execution.NOT_RUN and world.run_count
         ):
             return "not run but ran"
     return ""
--- a/libs/requests/src/fireflyford/requests/_runner.py
+++ b/libs/requests/src/fireflyford/requests/_runner.py
@@ -300,7 +300,7 @@
 def _is_not_run(outcome: core.Outcome[_work.Response]) -> bool:
     return (
         isinstance(outcome, core.Failure)
-        and outcome.answer.execution is core.Execution.NOT_RUN
+        and outcome.spec.execution is core.Execution.NOT_RUN
     )
 
 
--- a/libs/runtime/src/fireflyford/runtime/_config_source.py
+++ b/libs/runtime/src/fireflyford/runtime/_config_source.py
@@ -65,11 +65,11 @@
         self.document = document
         return True
 
-    def take_all(self, reading: store.Reading) -> None:
+    def take_all(self, reading: store.ReadResult) -> None:
         """Takes the configuration of a reading."""
         self.take_changes(reading)
 
-    def take_changes(self, reading: store.Reading) -> None:
+    def take_changes(self, reading: store.ReadResult) -> None:
         """Takes a changed configuration."""
         for entry in reading.entries:
             if entry.key == self._key:
--- a/libs/runtime/src/fireflyford/runtime/_follow.py
+++ b/libs/runtime/src/fireflyford/runtime/_follow.py
@@ -20,11 +20,11 @@
     """Takes what the store holds under a prefix."""
 
     @abc.abstractmethod
-    def take_all(self, reading: store.Reading) -> None:
+    def take_all(self, reading: store.ReadResult) -> None:
         """Takes a complete reading."""
 
     @abc.abstractmethod
-    def take_changes(self, reading: store.Reading) -> None:
+    def take_changes(self, reading: store.ReadResult) -> None:
         """Takes written and deleted keys."""
 
     def pause_ms(self) -> int:
--- a/libs/runtime/src/fireflyford/runtime/_registry.py
+++ b/libs/runtime/src/fireflyford/runtime/_registry.py
@@ -148,7 +148,7 @@
         return True
 
     async def _renew(self) -> bool:
-        outcome = await self._client.keep_lease(self._lease_id)
+        outcome = await self._client.renew_lease(self._lease_id)
         if isinstance(outcome, core.Failure):
             return False
         if not outcome.value:
@@ -157,7 +157,7 @@
             return await self._write()
         return True
 
-    def take_all(self, reading: store.Reading) -> None:
+    def take_all(self, reading: store.ReadResult) -> None:
         """Takes all entries."""
         instances = _instances(reading)
         own = [item for item in instances if item.address == self._own.address]
@@ -177,7 +177,7 @@
             return JOIN_PAUSE_MS
         return WATCH_PAUSE_MS
 
-    def take_changes(self, reading: store.Reading) -> None:
+    def take_changes(self, reading: store.ReadResult) -> None:
         """Takes changed entries."""
         if self._key in reading.deleted:
             self._miss()
@@ -186,7 +186,7 @@
         self._found(self._fleet.update(written, gone))
 
 
-def _instances(reading: store.Reading) -> list[flows.Instance]:
+def _instances(reading: store.ReadResult) -> list[flows.Instance]:
     found = []
     for entry in reading.entries:
         try:
--- a/libs/store/src/fireflyford/store/__init__.py
+++ b/libs/store/src/fireflyford/store/__init__.py
@@ -6,52 +6,52 @@
 
 if typing.TYPE_CHECKING:
     from fireflyford.store._config_store import MAX_VALUE_BYTES
-    from fireflyford.store._config_store import Accepted
+    from fireflyford.store._config_store import AcceptedPush
     from fireflyford.store._config_store import ConfigState
     from fireflyford.store._config_store import ConfigStore
     from fireflyford.store._config_store import Push
     from fireflyford.store._etcd import EtcdStore
+    from fireflyford.store._follower import CONFIG_TOPIC
     from fireflyford.store._follower import READER_COUNT
     from fireflyford.store._follower import READER_KEY
-    from fireflyford.store._follower import TOPIC
-    from fireflyford.store._follower import Follower
-    from fireflyford.store._follower import Peers
-    from fireflyford.store._follower import Source
+    from fireflyford.store._follower import ConfigFollower
+    from fireflyford.store._follower import ConfigPeers
+    from fireflyford.store._follower import PullSource
     from fireflyford.store._join import LEASE_DURATION_S
     from fireflyford.store._join import JoinEntry
     from fireflyford.store._join import find_seeds
     from fireflyford.store._record import AuditEntry
-    from fireflyford.store._record import Record
-    from fireflyford.store._store import Commit
+    from fireflyford.store._record import ConfigRecord
+    from fireflyford.store._store import CommitResult
     from fireflyford.store._store import DeleteRange
     from fireflyford.store._store import Entry
-    from fireflyford.store._store import Expectation
-    from fireflyford.store._store import Reading
+    from fireflyford.store._store import Precondition
+    from fireflyford.store._store import ReadResult
     from fireflyford.store._store import Store
     from fireflyford.store._store import Write
 
 __all__ = [
+    "CONFIG_TOPIC",
     "LEASE_DURATION_S",
     "MAX_VALUE_BYTES",
     "READER_COUNT",
     "READER_KEY",
-    "TOPIC",
-    "Accepted",
+    "AcceptedPush",
     "AuditEntry",
-    "Commit",
+    "CommitResult",
+    "ConfigFollower",
+    "ConfigPeers",
+    "ConfigRecord",
     "ConfigState",
     "ConfigStore",
     "DeleteRange",
     "Entry",
     "EtcdStore",
-    "Expectation",
-    "Follower",
     "JoinEntry",
-    "Peers",
+    "Precondition",
+    "PullSource",
     "Push",
-    "Reading",
-    "Record",
-    "Source",
+    "ReadResult",
     "Store",
     "Write",
     "find_seeds",
@@ -62,7 +62,7 @@
     {
         "_config_store": (
             "MAX_VALUE_BYTES",
-            "Accepted",
+            "AcceptedPush",
             "ConfigState",
             "ConfigStore",
             "Push",
@@ -71,10 +71,10 @@
         "_follower": (
             "READER_COUNT",
             "READER_KEY",
-            "TOPIC",
-            "Follower",
-            "Peers",
-            "Source",
+            "CONFIG_TOPIC",
+            "ConfigFollower",
+            "ConfigPeers",
+            "PullSource",
         ),
         "_join": (
             "LEASE_DURATION_S",
@@ -83,14 +83,14 @@
         ),
         "_record": (
             "AuditEntry",
-            "Record",
+            "ConfigRecord",
         ),
         "_store": (
-            "Commit",
+            "CommitResult",
             "DeleteRange",
             "Entry",
-            "Expectation",
-            "Reading",
+            "Precondition",
+            "ReadResult",
             "Store",
             "Write",
         ),
--- a/libs/store/src/fireflyford/store/_config_store.py
+++ b/libs/store/src/fireflyford/store/_config_store.py
@@ -61,18 +61,18 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Accepted:
+class AcceptedPush:
     """A push that is in the store.
 
     Attributes:
         record: The accepted record.
         replaced_version: Version that the store held before.
-        earlier: Whether an earlier attempt of the same push had done it.
+        already_applied: Whether an earlier attempt of this push wrote it.
     """
 
-    record: _record.Record
+    record: _record.ConfigRecord
     replaced_version: int
-    earlier: bool
+    already_applied: bool
 
 
 @dataclasses.dataclass(frozen=True)
@@ -94,7 +94,7 @@
         self._store = store
         self._clock = clock
 
-    async def push(self, push: Push) -> core.Outcome[Accepted]:
+    async def push(self, push: Push) -> core.Outcome[AcceptedPush]:
         """Puts a configuration in force.
 
         Returns:
@@ -125,7 +125,7 @@
         if isinstance(outcome, core.Failure):
             return outcome
         reading = outcome.value
-        head_value, floor_value = reading.value(_HEAD), reading.value(_FLOOR)
+        head_value, floor_value = reading.get(_HEAD), reading.get(_FLOOR)
         floor = _record.decode(floor_value, _record.Floor)
         return core.Ok(
             ConfigState(
@@ -140,7 +140,7 @@
 
     async def read(
         self, version: int | None = None
-    ) -> core.Outcome[_record.Record | None]:
+    ) -> core.Outcome[_record.ConfigRecord | None]:
         """Reads the record of a version, or of the one in force."""
         if version is None:
             state = await self.read_state()
@@ -151,14 +151,14 @@
         outcome = await self._store.read(key)
         if isinstance(outcome, core.Failure):
             return outcome
-        value = outcome.value.value(key)
-        return core.Ok(_record.decode(value, _record.Record))
+        value = outcome.value.get(key)
+        return core.Ok(_record.decode(value, _record.ConfigRecord))
 
     async def history(
         self, limit: int
     ) -> core.Outcome[tuple[_record.AuditEntry, ...]]:
         """Reads the audit trail, newest first."""
-        outcome = await self._store.read(_AUDIT, limit, newest_first=True)
+        outcome = await self._store.read(_AUDIT, limit, descending=True)
         if isinstance(outcome, core.Failure):
             return outcome
         entries = (
@@ -174,20 +174,20 @@
         outcome = await self._store.read(key)
         if isinstance(outcome, core.Failure):
             return outcome
-        value = outcome.value.value(key)
+        value = outcome.value.get(key)
         return core.Ok(_record.decode(value, _record.AuditEntry))
 
     async def watch(
-        self, start_revision: int, limit_ms: int
-    ) -> AsyncIterator[core.Outcome[_record.Record]]:
+        self, start_revision: int, duration_ms: int
+    ) -> AsyncIterator[core.Outcome[_record.ConfigRecord]]:
         """Yields records as they are accepted; see `Store.watch`."""
-        watch = self._store.watch(_VERSION, start_revision, limit_ms)
+        watch = self._store.watch(_VERSION, start_revision, duration_ms)
         async for outcome in watch:
             if isinstance(outcome, core.Failure):
                 yield outcome
                 return
             for entry in outcome.value.entries:
-                record = _record.decode(entry.value, _record.Record)
+                record = _record.decode(entry.value, _record.ConfigRecord)
                 if record is not None:
                     yield core.Ok(record)
 
@@ -196,12 +196,12 @@
         if version <= state.floor_version:
             return
         await self._store.commit(
-            [_store.Expectation(_FLOOR, state.floor_value)],
+            [_store.Precondition(_FLOOR, state.floor_value)],
             [_store.Write(_FLOOR, _record.encode(_record.Floor(version)))],
         )
 
-    def _make_record(self, push: Push) -> core.Outcome[_record.Record]:
-        record = _record.Record(
+    def _make_record(self, push: Push) -> core.Outcome[_record.ConfigRecord]:
+        record = _record.ConfigRecord(
             version=push.base_version + 1,
             identity=push.identity,
             author=push.author,
@@ -224,7 +224,9 @@
             return core.Failure(core.ErrorKind.BAD_CONFIG, "; ".join(faults))
         return core.Ok(record)
 
-    async def _attempt(self, record: _record.Record) -> core.Outcome[Accepted]:
+    async def _attempt(
+        self, record: _record.ConfigRecord
+    ) -> core.Outcome[AcceptedPush]:
         outcome = await self.read_state()
         if isinstance(outcome, core.Failure):
             return outcome
@@ -244,9 +246,9 @@
     async def _swap(
         self,
         state: ConfigState,
-        record: _record.Record,
+        record: _record.ConfigRecord,
         changes: tuple[str, ...],
-    ) -> core.Outcome[Accepted]:
+    ) -> core.Outcome[AcceptedPush]:
         head = _record.Head(record.version, record.identity)
         entry = _record.AuditEntry(
             version=record.version,
@@ -260,8 +262,8 @@
         )
         outcome = await self._store.commit(
             [
-                _store.Expectation(_HEAD, state.head_value),
-                _store.Expectation(_FLOOR, state.floor_value),
+                _store.Precondition(_HEAD, state.head_value),
+                _store.Precondition(_FLOOR, state.floor_value),
             ],
             [
                 _store.Write(_HEAD, _record.encode(head)),
@@ -276,18 +278,22 @@
             return outcome
         if not outcome.value.applied:
             return await self._attempt(record)
-        return core.Ok(Accepted(record, state.head.version, earlier=False))
+        return core.Ok(
+            AcceptedPush(record, state.head.version, already_applied=False)
+        )
 
     async def _explain_conflict(
-        self, state: ConfigState, record: _record.Record
-    ) -> core.Outcome[Accepted]:
+        self, state: ConfigState, record: _record.ConfigRecord
+    ) -> core.Outcome[AcceptedPush]:
         own = await self._read_audit_entry(record.version)
         if isinstance(own, core.Failure):
             return own
         if own.value is not None and own.value.identity == record.identity:
             accepted = dataclasses.replace(record, wall_ms=own.value.wall_ms)
             return core.Ok(
-                Accepted(accepted, own.value.replaced_version, earlier=True)
+                AcceptedPush(
+                    accepted, own.value.replaced_version, already_applied=True
+                )
             )
         outcome = await self.history(_EXPLAINED_COUNT)
         if isinstance(outcome, core.Failure):
@@ -307,7 +313,7 @@
         )
 
 
-def _needs_retry(outcome: core.Outcome[Accepted], unknown: bool) -> bool:
+def _needs_retry(outcome: core.Outcome[AcceptedPush], unknown: bool) -> bool:
     if isinstance(outcome, core.Ok):
         return False
     if outcome.kind is core.ErrorKind.STORE_OUTCOME_UNKNOWN:
@@ -325,7 +331,7 @@
 
 
 def _check_change(
-    current: _record.Record | None, record: _record.Record
+    current: _record.ConfigRecord | None, record: _record.ConfigRecord
 ) -> core.Outcome[tuple[str, ...]]:
     new = record.read()
     if isinstance(new, core.Failure):
--- a/libs/store/src/fireflyford/store/_etcd.py
+++ b/libs/store/src/fireflyford/store/_etcd.py
@@ -113,37 +113,39 @@
         self.call_counts: collections.Counter[str] = collections.Counter()
 
     async def read(
-        self, prefix: str, limit: int = 0, newest_first: bool = False
-    ) -> core.Outcome[_store.Reading]:
+        self, prefix: str, limit: int = 0, descending: bool = False
+    ) -> core.Outcome[_store.ReadResult]:
         """Reads through /v3/kv/range, linearizable."""
         body = {
             "key": prefix.encode(),
             "range_end": _store.prefix_end(prefix).encode(),
             "limit": str(limit),
-            "sort_order": "DESCEND" if newest_first else "ASCEND",
+            "sort_order": "DESCEND" if descending else "ASCEND",
             "sort_target": "KEY",
         }
         reply = await self._call("/v3/kv/range", body, _RangeReply)
         if isinstance(reply, core.Failure):
             return reply
         entries = tuple(item.entry() for item in reply.value.kvs)
-        return core.Ok(_store.Reading(entries, reply.value.header.revision))
+        return core.Ok(_store.ReadResult(entries, reply.value.header.revision))
 
     async def commit(
         self,
-        expectations: Sequence[_store.Expectation],
+        preconditions: Sequence[_store.Precondition],
         writes: Sequence[_store.Write | _store.DeleteRange],
-    ) -> core.Outcome[_store.Commit]:
+    ) -> core.Outcome[_store.CommitResult]:
         """Writes through /v3/kv/txn."""
         body = {
-            "compare": [_encode_expectation(item) for item in expectations],
+            "compare": [_encode_precondition(item) for item in preconditions],
             "success": [_encode_write(item) for item in writes],
         }
         reply = await self._call("/v3/kv/txn", body, _TxnReply, writes=True)
         if isinstance(reply, core.Failure):
             return reply
         value = reply.value
-        return core.Ok(_store.Commit(value.succeeded, value.header.revision))
+        return core.Ok(
+            _store.CommitResult(value.succeeded, value.header.revision)
+        )
 
     async def grant_lease(self, duration_s: int) -> core.Outcome[int]:
         """Grants through /v3/lease/grant."""
@@ -155,7 +157,7 @@
             return reply
         return core.Ok(reply.value.ID)
 
-    async def keep_lease(self, lease_id: int) -> core.Outcome[bool]:
+    async def renew_lease(self, lease_id: int) -> core.Outcome[bool]:
         """Renews through /v3/lease/keepalive."""
         body = {"ID": str(lease_id)}
         reply = await self._call("/v3/lease/keepalive", body, _KeepAliveReply)
@@ -172,12 +174,12 @@
         return reply if isinstance(reply, core.Failure) else core.Ok(None)
 
     async def watch(
-        self, prefix: str, start_revision: int, limit_ms: int
-    ) -> AsyncIterator[core.Outcome[_store.Reading]]:
+        self, prefix: str, start_revision: int, duration_ms: int
+    ) -> AsyncIterator[core.Outcome[_store.ReadResult]]:
         """Watches through the stream of /v3/watch."""
         lines: asyncio.Queue[bytes | None] = asyncio.Queue()
         stream = asyncio.ensure_future(
-            self._stream(prefix, start_revision, limit_ms, lines)
+            self._stream(prefix, start_revision, duration_ms, lines)
         )
         try:
             while (line := await lines.get()) is not None:
@@ -195,7 +197,7 @@
         self,
         prefix: str,
         start_revision: int,
-        limit_ms: int,
+        duration_ms: int,
         lines: asyncio.Queue[bytes | None],
     ) -> core.Failure | None:
         create = {
@@ -216,7 +218,7 @@
             self._gateways[self._preferred],
             _WATCH_PATH,
             {"create_request": create},
-            limit_ms,
+            duration_ms,
         )
         request.streaming_callback = receive
         self.call_counts[_WATCH_PATH] += 1
@@ -291,7 +293,7 @@
         self._preferred = (self._preferred + 1) % len(self._gateways)
 
 
-def _encode_expectation(item: _store.Expectation) -> dict[str, Any]:
+def _encode_precondition(item: _store.Precondition) -> dict[str, Any]:
     body: dict[str, Any] = {"key": item.key.encode(), "result": "EQUAL"}
     if item.value is None:
         return body | {"target": "CREATE", "create_revision": "0"}
@@ -315,7 +317,7 @@
     }
 
 
-def _decode_watch(line: bytes) -> core.Outcome[_store.Reading]:
+def _decode_watch(line: bytes) -> core.Outcome[_store.ReadResult]:
     try:
         reply = msgspec.json.decode(line, type=_WatchReply, strict=False)
     except msgspec.DecodeError as error:
@@ -330,7 +332,7 @@
     deleted = tuple(
         event.kv.key.decode() for event in result.events if event.type != "PUT"
     )
-    return core.Ok(_store.Reading(entries, result.header.revision, deleted))
+    return core.Ok(_store.ReadResult(entries, result.header.revision, deleted))
 
 
 def _certainly_not_sent(error: Exception) -> bool:
--- a/libs/store/src/fireflyford/store/_follower.py
+++ b/libs/store/src/fireflyford/store/_follower.py
@@ -1,8 +1,8 @@
 """Following the configuration in force, without ever going back.
 
 A few readers read and watch the store; every instance pulls what its peers
-announce. All of them pass through `Follower.offer`, the only place where a
-configuration takes effect.
+announce. All of them pass through `ConfigFollower.apply_if_newer`, the only
+place where a configuration takes effect.
 """
 
 import abc
@@ -18,7 +18,7 @@
 from fireflyford.store import _config_store
 from fireflyford.store import _record
 
-TOPIC = "config"
+CONFIG_TOPIC = "config"
 # Key of the rendezvous choice of readers, and how many a region has.
 READER_KEY = "config-reader"
 READER_COUNT = 3
@@ -42,7 +42,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Source:
+class PullSource:
     """A peer that announces a configuration version."""
 
     name: str
@@ -50,7 +50,7 @@
     version: int
 
 
-class Peers(abc.ABC):
+class ConfigPeers(abc.ABC):
     """What following needs of membership."""
 
     @abc.abstractmethod
@@ -58,7 +58,7 @@
         """Whether this instance reads the store, by its own view."""
 
     @abc.abstractmethod
-    def sources(self, above: int) -> Sequence[Source]:
+    def sources(self, above: int) -> Sequence[PullSource]:
         """Returns peers that announce a version above `above`."""
 
     @abc.abstractmethod
@@ -66,11 +66,13 @@
         """Tells the peers that this instance can hand out a version."""
 
     @abc.abstractmethod
-    async def pull(self, source: Source, payload: bytes) -> core.Outcome[bytes]:
-        """Calls `Follower.answer` of another instance."""
+    async def pull(
+        self, source: PullSource, payload: bytes
+    ) -> core.Outcome[bytes]:
+        """Calls `ConfigFollower.handle_pull` of another instance."""
 
 
-class Follower:
+class ConfigFollower:
     """Highest configuration that this instance has seen.
 
     A record that this instance cannot read is held: it is passed on to peers,
@@ -81,7 +83,7 @@
         self,
         clock: core.Clock,
         rng: random.Random,
-        peers: Peers,
+        peers: ConfigPeers,
         apply: Callable[[config.Deployment], None],
         config_store: _config_store.ConfigStore | None = None,
         service: str = "",
@@ -102,9 +104,9 @@
         self._apply = apply
         self._config_store = config_store
         self._service = service
-        self._in_force: _record.Record | None = None
+        self._in_force: _record.ConfigRecord | None = None
         self._deployment: config.Deployment | None = None
-        self._highest: _record.Record | None = None
+        self._highest: _record.ConfigRecord | None = None
         # Packing takes milliseconds, and many peers ask at once.
         self._packed = b""
         self._changed = asyncio.Event()
@@ -126,7 +128,7 @@
         return 0 if self._highest is None else self._highest.version
 
     @property
-    def settled(self) -> bool:
+    def synced(self) -> bool:
         """Whether the version in force is known, or cannot be learned.
 
         An instance that took work earlier could, after a restart, serve with
@@ -140,9 +142,9 @@
             return self.highest_version >= max(versions)
         return self._store_is_empty or self.highest_version > 0
 
-    async def wait_until_settled(self) -> None:
-        """Waits until `settled`, at most `SETTLE_LIMIT_MS` after the start."""
-        while not self.settled:
+    async def wait_until_synced(self) -> None:
+        """Waits until `synced`, at most `SETTLE_LIMIT_MS` after the start."""
+        while not self.synced:
             await self._clock.sleep(_SETTLE_POLL_MS)
 
     @property
@@ -166,7 +168,7 @@
         """Wakes the pull task, because peers may announce a new version."""
         self._changed.set()
 
-    def offer(self, record: _record.Record, source: str) -> bool:
+    def apply_if_newer(self, record: _record.ConfigRecord, source: str) -> bool:
         """Puts a record in force if it is newer than all before it.
 
         Args:
@@ -205,7 +207,7 @@
                 reason=reason,
             )
 
-    def answer(self, payload: bytes) -> bytes:
+    def handle_pull(self, payload: bytes) -> bytes:
         """Answers a peer's pull with a record, or nothing."""
         request = _record.decode(payload, _record.PullRequest)
         if request is None or request.above >= self.highest_version:
@@ -217,7 +219,9 @@
             self._packed = _record.pack(self._highest)
         return self._packed
 
-    def _part(self, request: _record.PullRequest) -> _record.Record | None:
+    def _part(
+        self, request: _record.PullRequest
+    ) -> _record.ConfigRecord | None:
         record, deployment = self._in_force, self._deployment
         if record is None or deployment is None:
             return None
@@ -245,7 +249,7 @@
             watch = config_store.watch(revision + 1, WATCH_LIMIT_MS)
             async for outcome in watch:
                 if isinstance(outcome, core.Ok):
-                    self.offer(outcome.value, "store")
+                    self.apply_if_newer(outcome.value, "store")
                 else:
                     await self._clock.sleep(_RETRY_MS)
 
@@ -263,7 +267,7 @@
             if record.value is None:
                 self._hold(head.version, "its record is missing or unreadable")
             else:
-                self.offer(record.value, "store")
+                self.apply_if_newer(record.value, "store")
         self._store_is_empty = head.version == 0
         await self._check_store(config_store, state.value)
         return state.value.revision
@@ -316,13 +320,13 @@
                 await self._clock.sleep(backoff_ms)
                 backoff_ms = min(2 * backoff_ms, _LAST_BACKOFF_MS)
 
-    async def _pull(self, source: Source) -> bool:
+    async def _pull(self, source: PullSource) -> bool:
         request = _record.PullRequest(self.highest_version, self._service)
         outcome = await self._peers.pull(source, _record.encode(request))
         if isinstance(outcome, core.Failure):
             return False
         record = _record.unpack(outcome.value)
-        if record is not None and self.offer(record, source.name):
+        if record is not None and self.apply_if_newer(record, source.name):
             return True
         self.stale_answer_count += self.highest_version < source.version
         return False
--- a/libs/store/src/fireflyford/store/_join.py
+++ b/libs/store/src/fireflyford/store/_join.py
@@ -74,7 +74,7 @@
 
     async def _renew(self) -> bool:
         """Returns whether the next renewal can wait."""
-        outcome = await self._store.keep_lease(self._lease_id)
+        outcome = await self._store.renew_lease(self._lease_id)
         if isinstance(outcome, core.Failure):
             return True
         if not outcome.value:
--- a/libs/store/src/fireflyford/store/_record.py
+++ b/libs/store/src/fireflyford/store/_record.py
@@ -11,14 +11,14 @@
 
 T = TypeVar("T")
 
-# Format of `Record` itself; the text inside has a number of its own.
+# Format of `ConfigRecord` itself; the text inside has a number of its own.
 RECORD_FORMAT = 1
 # Larger than the store's values, so that no record is cut.
 _MAX_MESSAGE_BYTES = 4 << 20
 
 
 @dataclasses.dataclass(frozen=True)
-class Record:
+class ConfigRecord:
     """One accepted configuration.
 
     Attributes:
@@ -129,7 +129,7 @@
         return None
 
 
-def pack(record: Record) -> bytes:
+def pack(record: ConfigRecord) -> bytes:
     """Encodes a record for a peer, compressed.
 
     Uncompressed, the records of 420 services would cost each instance more
@@ -138,10 +138,10 @@
     return zlib.compress(encode(record))
 
 
-def unpack(data: bytes) -> Record | None:
+def unpack(data: bytes) -> ConfigRecord | None:
     """Decodes what `pack` encoded, or returns None."""
     try:
         body = zlib.decompressobj().decompress(data, _MAX_MESSAGE_BYTES)
     except zlib.error:
         return None
-    return decode(body, Record)
+    return decode(body, ConfigRecord)
--- a/libs/store/src/fireflyford/store/_store.py
+++ b/libs/store/src/fireflyford/store/_store.py
@@ -24,7 +24,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Reading:
+class ReadResult:
     """Entries in the order of their keys, as of one revision.
 
     Attributes:
@@ -37,7 +37,7 @@
     revision: int
     deleted: tuple[str, ...] = ()
 
-    def value(self, key: str) -> bytes | None:
+    def get(self, key: str) -> bytes | None:
         """Returns the value of a key, or None if it was not found."""
         for entry in self.entries:
             if entry.key == key:
@@ -46,7 +46,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Expectation:
+class Precondition:
     """Value that a key must have for a commit; None expects no entry.
 
     The value is compared rather than the revision, because revisions repeat
@@ -75,11 +75,11 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Commit:
+class CommitResult:
     """Result of a transaction.
 
     Attributes:
-        applied: Whether the expectations held and everything was written.
+        applied: Whether the preconditions held and everything was written.
         revision: Revision of the store afterwards.
     """
 
@@ -96,30 +96,30 @@
 
     @abc.abstractmethod
     async def read(
-        self, prefix: str, limit: int = 0, newest_first: bool = False
-    ) -> core.Outcome[Reading]:
+        self, prefix: str, limit: int = 0, descending: bool = False
+    ) -> core.Outcome[ReadResult]:
         """Reads the entries whose keys start with `prefix`.
 
         Args:
             prefix: Start of the keys, or a whole key.
             limit: Largest number of entries, 0 for all.
-            newest_first: Orders by descending key instead of ascending.
+            descending: Orders by descending key instead of ascending.
         """
 
     @abc.abstractmethod
     async def commit(
         self,
-        expectations: Sequence[Expectation],
+        preconditions: Sequence[Precondition],
         writes: Sequence[Write | DeleteRange],
-    ) -> core.Outcome[Commit]:
-        """Writes everything if all expectations hold, otherwise nothing."""
+    ) -> core.Outcome[CommitResult]:
+        """Writes everything if all preconditions hold, otherwise nothing."""
 
     @abc.abstractmethod
     async def grant_lease(self, duration_s: int) -> core.Outcome[int]:
         """Returns the identifier of a new lease."""
 
     @abc.abstractmethod
-    async def keep_lease(self, lease_id: int) -> core.Outcome[bool]:
+    async def renew_lease(self, lease_id: int) -> core.Outcome[bool]:
         """Renews a lease; returns False when it has already expired."""
 
     @abc.abstractmethod
@@ -128,11 +128,11 @@
 
     @abc.abstractmethod
     def watch(
-        self, prefix: str, start_revision: int, limit_ms: int
-    ) -> AsyncIterator[core.Outcome[Reading]]:
+        self, prefix: str, start_revision: int, duration_ms: int
+    ) -> AsyncIterator[core.Outcome[ReadResult]]:
         """Yields changes under `prefix` from `start_revision` on.
 
-        Ends after `limit_ms`, or with a failure when the watch broke; the
+        Ends after `duration_ms`, or with a failure when the watch broke; the
         caller reads again before it watches again.
         """
 
--- a/libs/store/tests/test_config_store.py
+++ b/libs/store/tests/test_config_store.py
@@ -48,11 +48,11 @@
 
 async def push(
     config_store: store.ConfigStore, text: str, base: int, author: str = "ana"
-) -> core.Outcome[store.Accepted]:
+) -> core.Outcome[store.AcceptedPush]:
     return await config_store.push(store.Push(text, base, author))
 
 
-def kind(outcome: core.Outcome[store.Accepted]) -> core.ErrorKind | None:
+def kind(outcome: core.Outcome[store.AcceptedPush]) -> core.ErrorKind | None:
     return outcome.kind if isinstance(outcome, core.Failure) else None
 
 
@@ -87,7 +87,7 @@
         server.switches.lose_answer_count = 1
         outcome = await push(config_store, with_targets(7), 0)
         assert isinstance(outcome, core.Ok)
-        assert outcome.value.earlier
+        assert outcome.value.already_applied
         history = await config_store.history(10)
         assert isinstance(history, core.Ok)
         assert [entry.version for entry in history.value] == [1]
@@ -105,7 +105,7 @@
         assert isinstance(first, core.Ok)
         assert isinstance(again, core.Ok)
         assert again.value.record == first.value.record
-        assert again.value.earlier
+        assert again.value.already_applied
         state = await config_store.read_state()
         assert isinstance(state, core.Ok)
         assert state.value.head.version == 2
@@ -254,9 +254,9 @@
 
 async def _operate(
     config_store: store.ConfigStore, author: str, rng: random.Random
-) -> list[tuple[str, core.Outcome[store.Accepted]]]:
+) -> list[tuple[str, core.Outcome[store.AcceptedPush]]]:
     """Pushes from the version that this operator believes to be in force."""
-    reports: list[tuple[str, core.Outcome[store.Accepted]]] = []
+    reports: list[tuple[str, core.Outcome[store.AcceptedPush]]] = []
     while len(reports) < 6:
         state = await config_store.read_state()
         if isinstance(state, core.Failure):
--- a/libs/store/tests/test_follower.py
+++ b/libs/store/tests/test_follower.py
@@ -18,8 +18,8 @@
 
 def record(
     version: int, text: str = "", identity: str = "push"
-) -> store.Record:
-    return store.Record(
+) -> store.ConfigRecord:
+    return store.ConfigRecord(
         version=version,
         identity=identity,
         author="ana",
@@ -29,23 +29,23 @@
     )
 
 
-class MemoryPeers(store.Peers):
+class MemoryPeers(store.ConfigPeers):
     """Instances in memory, with a switch for reading the store."""
 
     def __init__(self, reader: bool = False) -> None:
         """Starts without other instances."""
         self.reader = reader
         self.announced: list[int] = []
-        self.others: list[tuple[int, store.Follower]] = []
+        self.others: list[tuple[int, store.ConfigFollower]] = []
 
     def is_reader(self) -> bool:
         """Returns the switch."""
         return self.reader
 
-    def sources(self, above: int) -> Sequence[store.Source]:
+    def sources(self, above: int) -> Sequence[store.PullSource]:
         """Returns the instances that were heard of."""
         return [
-            store.Source(str(index), ADDRESS, version)
+            store.PullSource(str(index), ADDRESS, version)
             for index, (version, _) in enumerate(self.others)
             if version > above
         ]
@@ -55,10 +55,10 @@
         self.announced.append(version)
 
     async def pull(
-        self, source: store.Source, payload: bytes
+        self, source: store.PullSource, payload: bytes
     ) -> core.Outcome[bytes]:
         """Asks the other instance."""
-        return core.Ok(self.others[int(source.name)][1].answer(payload))
+        return core.Ok(self.others[int(source.name)][1].handle_pull(payload))
 
 
 class Instance:
@@ -72,7 +72,7 @@
         """Starts without a configuration."""
         self.peers = MemoryPeers(reader=config_store is not None)
         self.applied: list[config.Deployment] = []
-        self.follower = store.Follower(
+        self.follower = store.ConfigFollower(
             core.SystemClock(),
             random.Random(1),
             self.peers,
@@ -102,7 +102,7 @@
         versions = []
         for version in rng.choices(range(1, 30), k=60):
             text = unreadable if version % 5 == 0 else ""
-            instance.follower.offer(record(version, text), "test")
+            instance.follower.apply_if_newer(record(version, text), "test")
             versions.append(instance.follower.version)
         assert versions == sorted(versions)
         assert instance.peers.announced == sorted(set(instance.peers.announced))
@@ -113,8 +113,8 @@
 
     async def body() -> None:
         stale, instance = Instance(), Instance()
-        stale.follower.offer(record(3), "test")
-        instance.follower.offer(record(5), "test")
+        stale.follower.apply_if_newer(record(3), "test")
+        instance.follower.apply_if_newer(record(5), "test")
         instance.hear(9, stale)
         await instance.run(250)
         assert instance.follower.version == 5
@@ -131,7 +131,7 @@
         client = store.EtcdStore([_ports.free_address()])
         config_store = store.ConfigStore(client, core.SystemClock())
         peer, instance = Instance(), Instance(config_store)
-        peer.follower.offer(record(4), "test")
+        peer.follower.apply_if_newer(record(4), "test")
         instance.hear(4, peer)
         await instance.run(250)
         assert instance.follower.version == 4
@@ -145,12 +145,12 @@
 
     async def body() -> None:
         peer, instance = Instance(), Instance()
-        peer.follower.offer(record(4), "test")
-        assert not instance.follower.settled
+        peer.follower.apply_if_newer(record(4), "test")
+        assert not instance.follower.synced
         instance.hear(4, peer)
-        assert not instance.follower.settled
+        assert not instance.follower.synced
         await instance.run(250)
-        assert instance.follower.settled
+        assert instance.follower.synced
 
     asyncio.run(body())
 
@@ -159,7 +159,7 @@
     """Guards against new deployments that wait for a version in vain."""
     peer, instance = Instance(), Instance()
     instance.hear(0, peer)
-    assert instance.follower.settled
+    assert instance.follower.synced
 
 
 def test_an_agent_gets_only_its_own_service() -> None:
@@ -167,7 +167,7 @@
 
     async def body() -> None:
         balancer, agent = Instance(), Instance(service="padron")
-        balancer.follower.offer(record(2), "test")
+        balancer.follower.apply_if_newer(record(2), "test")
         agent.hear(2, balancer)
         await agent.run(250)
         assert [item.name for item in agent.applied[0].services] == ["padron"]
@@ -181,8 +181,10 @@
 
     async def body() -> None:
         first, second = Instance(), Instance()
-        first.follower.offer(record(1), "test")
-        assert first.follower.offer(record(2, config.render(newer)), "test")
+        first.follower.apply_if_newer(record(1), "test")
+        assert first.follower.apply_if_newer(
+            record(2, config.render(newer)), "test"
+        )
         assert first.follower.version == 1
         assert first.peers.announced == [1, 2]
         assert "format 2" in first.follower.alarm
@@ -190,7 +192,7 @@
         await second.run(250)
         assert second.follower.highest_version == 2
         assert second.applied == []
-        first.follower.offer(record(3), "test")
+        first.follower.apply_if_newer(record(3), "test")
         assert first.follower.version == 3
 
     asyncio.run(body())
@@ -202,13 +204,13 @@
         '"target_count": 7', '"target_count": 7, "shadow": true'
     )
     instance = Instance()
-    instance.follower.offer(record(1, text), "test")
+    instance.follower.apply_if_newer(record(1, text), "test")
     assert instance.applied == []
     assert "services[0].shadow" in instance.follower.alarm
 
 
 async def _restore(
-    kept: store.Record, pushes_after: Sequence[str]
+    kept: store.ConfigRecord, pushes_after: Sequence[str]
 ) -> tuple[Instance, core.Outcome[store.ConfigState]]:
     """Lets a reader meet a store that holds less than it runs."""
     server = _store_server.StoreServer()
@@ -218,7 +220,7 @@
         store.EtcdStore([address]), core.SystemClock()
     )
     instance = Instance(config_store)
-    instance.follower.offer(kept, "test")
+    instance.follower.apply_if_newer(kept, "test")
     for base, author in enumerate(pushes_after):
         push = store.Push(config.render(BASE), base, author)
         await config_store.push(push)
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -43,9 +43,9 @@
     asyncio.run(main())
 
 
-def value_of(outcome: core.Outcome[store.Reading], key: str) -> bytes | None:
+def value_of(outcome: core.Outcome[store.ReadResult], key: str) -> bytes | None:
     assert isinstance(outcome, core.Ok)
-    return outcome.value.value(key)
+    return outcome.value.get(key)
 
 
 def test_reads_all_pages() -> None:
@@ -67,7 +67,7 @@
     """Guards against writes over another writer's change."""
 
     async def work(server: Server, client: _store.PlatformStore) -> None:
-        none = store.Expectation("a", None)
+        none = store.Precondition("a", None)
         first = await client.commit([none], [store.Write("a", b"1")])
         second = await client.commit([none], [store.Write("a", b"2")])
         assert isinstance(first, core.Ok)
