--- a/libs/flows/src/fireflyford/flows/__init__.py
+++ b/libs/flows/src/fireflyford/flows/__init__.py
@@ -1,8 +1,8 @@
-"""Placement and memory of flows whose packets show when they open.
+"""Placement and tracking of packet flows with an explicit opening packet.
 
-The decisions of balancers and agents for packets that may reach any balancer
-and carry nothing that names their holder. No module here knows an encoding
-or a socket.
+Implements the decisions of balancers and agents for packets that may arrive at
+any balancer and do not identify their holder. No module here depends on an
+encoding or a socket.
 """
 
 from fireflyford.flows._agent import AgentFlows
@@ -29,9 +29,9 @@
 from fireflyford.flows._placement import LeastCompletion
 from fireflyford.flows._placement import Placement
 from fireflyford.flows._placement import Random
-from fireflyford.flows._target_watch import TargetLiveness
-from fireflyford.flows._target_watch import TargetMonitor
-from fireflyford.flows._target_watch import TargetReport
+from fireflyford.flows._target_monitor import TargetLiveness
+from fireflyford.flows._target_monitor import TargetMonitor
+from fireflyford.flows._target_monitor import TargetReport
 from fireflyford.flows._types import FLOW_ID_BYTES
 from fireflyford.flows._types import Action
 from fireflyford.flows._types import Deliver
--- a/libs/flows/src/fireflyford/flows/_agent.py
+++ b/libs/flows/src/fireflyford/flows/_agent.py
@@ -1,17 +1,17 @@
-"""All decisions of one agent: its backend server's flows and its directory."""
+"""Decisions of one agent about its backend server's flows and its directory."""
 
 from fireflyford import core
 from fireflyford import telemetry
 from fireflyford.flows import _fleet
-from fireflyford.flows import _home
-from fireflyford.flows import _keeper
+from fireflyford.flows import _flow_directory
 from fireflyford.flows import _messages
 from fireflyford.flows import _placement
+from fireflyford.flows import _target_forwarder
 from fireflyford.flows import _types
 
 
 class AgentFlows:
-    """Decides about every packet and message of one agent."""
+    """Handles every packet and message of one agent."""
 
     def __init__(
         self,
@@ -20,7 +20,7 @@
         fleet: _fleet.Fleet,
         placement: _placement.Placement,
     ) -> None:
-        """Starts without flows.
+        """Initializes an agent without flows.
 
         Args:
             clock: Source of time.
@@ -30,8 +30,10 @@
         """
         self._own = own
         self._fleet = fleet
-        self.forwarder = _keeper.TargetForwarder(clock, own, fleet)
-        self.directory = _home.FlowDirectory(clock, own, fleet, placement)
+        self.forwarder = _target_forwarder.TargetForwarder(clock, own, fleet)
+        self.directory = _flow_directory.FlowDirectory(
+            clock, own, fleet, placement
+        )
         self._announced_generation = -1
 
     def receive(
@@ -40,9 +42,9 @@
         forward: _messages.Forward,
         packet: _types.Packet,
     ) -> list[_types.Action]:
-        """Handles a packet that a balancer or another agent passed on."""
+        """Handles a packet forwarded by a balancer or another agent."""
         if forward.service != self._own.service:
-            return self._refuse_foreign(sender, forward, packet)
+            return self._decline_other_service(sender, forward, packet)
         if forward.handling is _messages.Handling.RESOLVE:
             return self.directory.resolve(forward, packet)
         return self.forwarder.receive(sender, forward, packet)
@@ -52,13 +54,13 @@
     ) -> list[_types.Action]:
         """Handles a message about flows or about an instance."""
         if isinstance(message, _messages.FlowLocated):
-            return self.directory.locate(sender, message)
+            return self.directory.handle_located(sender, message)
         if isinstance(message, _messages.PlacementDeclined):
-            return self.directory.decline(sender, message)
+            return self.directory.handle_declined(sender, message)
         if isinstance(message, _messages.NotHeld):
-            return self.directory.absent(sender, message.flow)
+            return self.directory.handle_not_held(sender, message.flow)
         if isinstance(message, _messages.FlowAnnouncement):
-            return self.directory.hold(sender, message.flows)
+            return self.directory.handle_announcement(sender, message.flows)
         if isinstance(message, _messages.LoadReport):
             self.directory.record_load(sender, message.load)
         elif isinstance(message, _messages.Heartbeat):
@@ -67,7 +69,7 @@
         return []
 
     def sweep(self) -> list[_types.Action]:
-        """Acts on timeouts and on changes of the view."""
+        """Handles timeouts, and announces flows after a change of the view."""
         actions = [*self.forwarder.sweep(), *self.directory.sweep()]
         if self._fleet.generation != self._announced_generation:
             self._announced_generation = self._fleet.generation
@@ -75,17 +77,17 @@
         return actions
 
     def expire(self) -> None:
-        """Forgets what has not been used for long."""
+        """Removes idle flows and idle directory entries."""
         self.forwarder.tracker.sweep()
         self.directory.expire()
 
-    def _refuse_foreign(
+    def _decline_other_service(
         self,
         sender: core.Address,
         forward: _messages.Forward,
         packet: _types.Packet,
     ) -> list[_types.Action]:
-        """Refuses a packet of a service that had this address before."""
+        """Declines a packet for a service that used this address before."""
         telemetry.log(
             "foreign-service",
             flow=_types.describe_flow(packet.flow),
--- a/libs/flows/src/fireflyford/flows/_balancer.py
+++ b/libs/flows/src/fireflyford/flows/_balancer.py
@@ -1,7 +1,7 @@
-"""All decisions of one balancer.
+"""Decisions of one balancer.
 
-A balancer keeps nothing that a flow depends on: its memory of holders is a
-cache in front of the directory at the flows' homes.
+A balancer keeps no state that a flow depends on: its table of holders is a
+cache in front of the directories at the agents.
 """
 
 import collections
@@ -16,28 +16,30 @@
 from fireflyford.flows import _response_timer
 from fireflyford.flows import _types
 
-# Flows whose holder a balancer remembers; some 100 bytes each.
-MAX_CACHED = 65_536
-# A home that has not answered for so long is passed over for a while: the
-# limits of placement (`_offers.PLACE_TIMEOUT_MS`) and search fit in.
-HOME_TIMEOUT_MS = 150
+# A cached holder takes some 100 bytes.
+MAX_CACHED_HOLDERS = 65_536
+# A directory agent that has not answered within this time is a suspect for
+# `SUSPECT_MS`. Covers the time limits of an offer
+# (`_flow_placer.OFFER_TIMEOUT_MS`) and of a search.
+DIRECTORY_TIMEOUT_MS = 150
 SUSPECT_MS = 1_000
-# A packet without an answer is sent again after this time, then after twice
-# as long, and so on. The client's own copies come 200, 600 and 1,400 ms after
-# the first packet, so a restarted agent serves it sooner this way.
-REPEAT_MS = 80
-REPEAT_MOST_MS = 800
-# After this time the client has given up an opening or repeated its packet.
-REPEAT_LIMIT_MS = 1_300
-# Candidates on the ring that may act as home while the first ones are silent.
-HOME_CANDIDATES = 4
-# Packets whose fate is not known yet.
+# Delay before an unanswered packet is sent again; it doubles with each retry.
+# The client retransmits only 200, 600 and 1,400 ms after its first packet, so a
+# restarted agent gets the packet sooner.
+RETRY_MS = 80
+MAX_RETRY_MS = 800
+# By then the client has given up opening the flow or retransmitted its packet.
+RETRY_LIMIT_MS = 1_300
+# Agents on the ring that may act as directory agent while earlier ones are
+# suspects.
+DIRECTORY_CANDIDATE_COUNT = 4
+# Limit of packets that wait for the directory agent's answer.
 MAX_PENDING = 16_384
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Share:
-    """A service with its share of the new flows of a route."""
+    """A service and its weight among the services of a route."""
 
     service: str
     weight: int
@@ -45,12 +47,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class Route:
-    """Where the flows to one address and port go.
+    """Destination of the flows to one address and port.
 
     Attributes:
         name: Name of the route.
         address: Address and port to which clients send.
-        shares: Services of new flows.
+        shares: Weighted services for new flows.
         long_lived: Whether flows of this route carry many requests.
     """
 
@@ -60,7 +62,7 @@
     long_lived: bool
 
     def service(self, flow: bytes) -> str:
-        """Returns the service of a new flow, by the weights."""
+        """Returns the service of a new flow, chosen by hash and weight."""
         total = sum(share.weight for share in self.shares)
         point = routing.hash_flow(flow) % max(1, total)
         for share in self.shares:
@@ -78,38 +80,39 @@
     routes: Mapping[core.Address, Route]
 
 
-class _Pending:
-    """A packet whose flow the balancer has asked the home about."""
+class _PendingPacket:
+    """A packet whose flow the directory agent has been asked to resolve."""
 
     def __init__(
         self,
         packet: _types.Packet,
         service: str,
-        others: list[str],
+        other_services: list[str],
         directory_agent: core.Address | None,
         route: Route,
         now_ms: int,
-        pause_ms: int,
+        retry_delay_ms: int,
     ):
         self.packet = packet
         self.service = service
-        self.others = others
+        self.other_services = other_services
         self.directory_agent = directory_agent
         self.route = route
-        self.taken_ms = now_ms
-        self.asked_ms = now_ms
-        self.pause_ms = pause_ms
-        # Whether the home keeps the packet until a backend server has room.
-        self.is_waiting = False
+        self.received_ms = now_ms
+        self.sent_ms = now_ms
+        self.retry_delay_ms = retry_delay_ms
+        # Whether the directory agent has queued the packet until a backend
+        # server has room.
+        self.is_queued = False
 
 
 class BalancerFlows:
-    """Decides about every packet and message of one balancer."""
+    """Handles every packet and message of one balancer."""
 
     def __init__(
         self, clock: core.Clock, own: _types.Instance, fleet: _fleet.Fleet
     ) -> None:
-        """Starts without a configuration.
+        """Initializes a balancer without a configuration.
 
         Args:
             clock: Source of time.
@@ -120,18 +123,18 @@
         self._own = own
         self._fleet = fleet
         self._table: RouteTable | None = None
-        # Services to which earlier versions sent the flows of a route.
-        self._earlier: dict[core.Address, tuple[str, ...]] = {}
-        self._dropped: set[core.Address] = set()
+        # Services of each route in earlier versions of the configuration.
+        self._earlier_services: dict[core.Address, tuple[str, ...]] = {}
+        self._removed_routes: set[core.Address] = set()
         self._holders: collections.OrderedDict[
             bytes, tuple[core.Address, str]
         ] = collections.OrderedDict()
-        self._pending: collections.OrderedDict[bytes, _Pending] = (
+        self._pending: collections.OrderedDict[bytes, _PendingPacket] = (
             collections.OrderedDict()
         )
         self._suspects: dict[core.Address, int] = {}
-        self._timer = _response_timer.ResponseTimer(REPEAT_MS, REPEAT_MOST_MS)
-        # Whether the configuration is known to be the newest one.
+        self._timer = _response_timer.ResponseTimer(RETRY_MS, MAX_RETRY_MS)
+        # Whether the configuration is known to be the latest version.
         self.is_current = False
 
     @property
@@ -141,23 +144,23 @@
 
     @property
     def cached_count(self) -> int:
-        """Flows whose holder is remembered."""
+        """Number of flows whose holder is cached."""
         return len(self._holders)
 
     def apply(self, table: RouteTable) -> bool:
-        """Takes a configuration; returns False for one that is not newer."""
+        """Applies a configuration; returns False if it is not newer."""
         if table.version <= self.version:
             return False
         if self._table is not None:
             for address, route in self._table.routes.items():
                 services = tuple(share.service for share in route.shares)
-                known = self._earlier.get(address, ())
-                self._earlier[address] = tuple(
+                known = self._earlier_services.get(address, ())
+                self._earlier_services[address] = tuple(
                     dict.fromkeys([*services, *known])
                 )
                 if address not in table.routes:
-                    self._dropped.add(address)
-        self._dropped -= table.routes.keys()
+                    self._removed_routes.add(address)
+        self._removed_routes -= table.routes.keys()
         telemetry.log(
             "config-applied",
             version=table.version,
@@ -174,7 +177,7 @@
         if self._table is not None:
             route = self._table.routes.get(address)
         if route is None or not route.shares:
-            return self._reject(packet, address)
+            return self._reset_unrouted(packet, address)
         known = self._holders.get(packet.flow)
         if known is not None:
             holder, service = known
@@ -186,24 +189,24 @@
                     )
                 ]
             del self._holders[packet.flow]
-        services = self._services(route, packet)
+        services = self._candidate_services(route, packet)
         pending = self._pending.get(packet.flow)
         if pending is not None:
             if packet.opens and pending.packet.opens:
-                # A copy by the client; copies are repeated here anyway.
+                # A retransmission; the first packet is already being retried.
                 return []
-            self._doubt(pending)
+            self._suspect_if_overdue(pending)
             if not packet.opens and pending.service in services:
                 at = services.index(pending.service)
                 services = services[at:]
-        return self._ask(packet, services, route)
+        return self._resolve(packet, services, route)
 
     def handle_message(
         self, sender: core.Address, message: _messages.Message
     ) -> list[_types.Action]:
         """Handles a message about flows or about an instance."""
         if isinstance(message, _messages.FlowLocated):
-            self._locate(sender, message.flow)
+            self._record_holder(sender, message.flow)
         elif isinstance(message, _messages.NotHeld):
             known = self._holders.get(message.flow)
             if known is not None and known[0] == sender:
@@ -214,10 +217,12 @@
         elif isinstance(message, _messages.PlacementQueued):
             pending = self._pending.get(message.flow)
             if pending is not None:
-                pending.is_waiting = True
-                self._timer.sample(self._clock.now_ms() - pending.taken_ms)
+                pending.is_queued = True
+                self._timer.record_response(
+                    self._clock.now_ms() - pending.received_ms
+                )
         elif isinstance(message, _messages.PlacementRefused):
-            return self._refuse(message)
+            return self._handle_refused(message)
         elif isinstance(message, _messages.LoadReport):
             self._fleet.record_load(sender, message.load)
         elif isinstance(message, _messages.Heartbeat):
@@ -225,27 +230,27 @@
         return []
 
     def sweep(self) -> list[_types.Action]:
-        """Repeats packets that nobody has answered, for a while."""
+        """Retries unanswered packets until their time limit."""
         now_ms = self._clock.now_ms()
         actions: list[_types.Action] = []
         for flow, pending in tuple(self._pending.items()):
-            if now_ms - pending.taken_ms >= REPEAT_LIMIT_MS:
+            if now_ms - pending.received_ms >= RETRY_LIMIT_MS:
                 del self._pending[flow]
             elif (
-                now_ms - pending.asked_ms >= pending.pause_ms
-                and not pending.is_waiting
+                now_ms - pending.sent_ms >= pending.retry_delay_ms
+                and not pending.is_queued
             ):
-                actions += self._repeat(pending)
+                actions += self._retry(pending)
         return actions
 
-    def _repeat(self, pending: _Pending) -> list[_types.Action]:
-        self._timer.expire()
-        self._doubt(pending)
+    def _retry(self, pending: _PendingPacket) -> list[_types.Action]:
+        self._timer.record_timeout()
+        self._suspect_if_overdue(pending)
         now_ms = self._clock.now_ms()
-        pending.asked_ms = now_ms
-        pending.pause_ms *= 2
+        pending.sent_ms = now_ms
+        pending.retry_delay_ms *= 2
         packet = pending.packet
-        directory_agent = self._home(pending.service, packet.flow)
+        directory_agent = self._directory_agent(pending.service, packet.flow)
         if directory_agent is None:
             return []
         pending.directory_agent = directory_agent
@@ -259,24 +264,26 @@
             )
         ]
 
-    def _services(self, route: Route, packet: _types.Packet) -> list[str]:
-        """Returns the services that may hold the flow, likeliest first."""
+    def _candidate_services(
+        self, route: Route, packet: _types.Packet
+    ) -> list[str]:
+        """Returns the services that may hold the flow, most likely first."""
         first = route.service(packet.flow)
         if packet.opens:
             return [first]
-        others = [share.service for share in route.shares]
-        earlier = self._earlier.get(route.address, ())
-        return list(dict.fromkeys([first, *others, *earlier]))
+        other_services = [share.service for share in route.shares]
+        earlier = self._earlier_services.get(route.address, ())
+        return list(dict.fromkeys([first, *other_services, *earlier]))
 
-    def _ask(
+    def _resolve(
         self, packet: _types.Packet, services: list[str], route: Route
     ) -> list[_types.Action]:
-        service, *others = services
-        directory_agent = self._home(service, packet.flow)
-        pending = _Pending(
+        service, *other_services = services
+        directory_agent = self._directory_agent(service, packet.flow)
+        pending = _PendingPacket(
             packet,
             service,
-            others,
+            other_services,
             directory_agent,
             route,
             self._clock.now_ms(),
@@ -303,9 +310,11 @@
             )
         ]
 
-    def _home(self, service: str, flow: bytes) -> core.Address | None:
+    def _directory_agent(
+        self, service: str, flow: bytes
+    ) -> core.Address | None:
         directory_agents = self._fleet.directory_agents(
-            service, flow, HOME_CANDIDATES
+            service, flow, DIRECTORY_CANDIDATE_COUNT
         )
         now_ms = self._clock.now_ms()
         for directory_agent in directory_agents:
@@ -313,13 +322,13 @@
                 return directory_agent
         return directory_agents[0] if directory_agents else None
 
-    def _doubt(self, pending: _Pending) -> None:
-        """Passes over a home that has not answered about a flow."""
+    def _suspect_if_overdue(self, pending: _PendingPacket) -> None:
+        """Marks a directory agent as suspect if it has not answered in time."""
         now_ms = self._clock.now_ms()
         if pending.directory_agent is None:
             return
-        limit_ms = max(HOME_TIMEOUT_MS, self._timer.timeout_ms())
-        if now_ms - pending.asked_ms >= limit_ms:
+        limit_ms = max(DIRECTORY_TIMEOUT_MS, self._timer.timeout_ms())
+        if now_ms - pending.sent_ms >= limit_ms:
             if self._suspects.get(pending.directory_agent, 0) <= now_ms:
                 telemetry.log(
                     "home-silent",
@@ -328,12 +337,12 @@
                 )
             self._suspects[pending.directory_agent] = now_ms + SUSPECT_MS
 
-    def _locate(self, sender: core.Address, flow: bytes) -> None:
+    def _record_holder(self, sender: core.Address, flow: bytes) -> None:
         self._suspects.pop(sender, None)
         pending = self._pending.pop(flow, None)
         if pending is not None:
-            duration_ms = self._clock.now_ms() - pending.taken_ms
-            self._timer.sample(duration_ms)
+            duration_ms = self._clock.now_ms() - pending.received_ms
+            self._timer.record_response(duration_ms)
             kind = "new" if pending.packet.opens else "known"
             telemetry.observe("flow_locate", duration_ms, kind)
             service = pending.service
@@ -344,18 +353,18 @@
             service = instance.service
         self._holders[flow] = (sender, service)
         self._holders.move_to_end(flow)
-        if len(self._holders) > MAX_CACHED:
+        if len(self._holders) > MAX_CACHED_HOLDERS:
             self._holders.popitem(last=False)
 
     def _try_next(self, message: _messages.FlowNotFound) -> list[_types.Action]:
-        """Asks another service of the route, or ends the flow."""
+        """Asks another service of the route, or resets the flow."""
         flow = message.flow
         pending = self._pending.pop(flow, None)
         route = None
         if self._table is not None:
             route = self._table.routes.get(_types.route_address(flow))
-        if pending is not None and pending.others and route is not None:
-            return self._ask(pending.packet, pending.others, route)
+        if pending is not None and pending.other_services and route is not None:
+            return self._resolve(pending.packet, pending.other_services, route)
         if not message.expects_response:
             return []
         telemetry.log(
@@ -363,7 +372,7 @@
         )
         return [_types.Reset(flow, message.ack)]
 
-    def _refuse(
+    def _handle_refused(
         self, message: _messages.PlacementRefused
     ) -> list[_types.Action]:
         pending = self._pending.pop(message.flow, None)
@@ -377,12 +386,12 @@
         )
         return [_types.Reset(message.flow, 0)]
 
-    def _reject(
+    def _reset_unrouted(
         self, packet: _types.Packet, address: core.Address
     ) -> list[_types.Action]:
-        """Resets a flow for which there is certainly no route."""
-        certain = address in self._dropped or packet.opens
-        if self._table is None or not self.is_current or not certain:
+        """Resets a flow if its route is known not to exist."""
+        is_certain = address in self._removed_routes or packet.opens
+        if self._table is None or not self.is_current or not is_certain:
             return []
         if packet.resets:
             return []
--- a/libs/flows/src/fireflyford/flows/_fleet.py
+++ b/libs/flows/src/fireflyford/flows/_fleet.py
@@ -1,8 +1,8 @@
-"""The instances of the system as one of them sees them.
+"""View of the instances of the system at one of them.
 
-Two sources are merged: entries in the registry, which survive the sight of
-their instances, and beats, which need no store. An instance is gone when it
-has no entry and has been silent; either source alone keeps it.
+Merges two sources: entries in the registry, which persist while an instance is
+unreachable, and heartbeats, which need no store. An instance is removed from
+the view only when it has no entry and its heartbeats have timed out.
 """
 
 from collections.abc import Iterable
@@ -13,33 +13,35 @@
 from fireflyford.flows import _messages
 from fireflyford.flows import _types
 
-# An instance without an entry in the registry is gone after this silence:
-# some beats may be lost, and a restarted process is back within it.
-SILENCE_MS = 3_000
+# Time without a heartbeat after which an instance without an entry is removed:
+# a few heartbeats may be lost, and a process restarts within this time.
+HEARTBEAT_TIMEOUT_MS = 3_000
 
 
 class Fleet:
-    """View of the balancers and agents."""
+    """Balancers and agents that are known to be present."""
 
     def __init__(self, clock: core.Clock) -> None:
-        """Starts empty.
+        """Initializes an empty view.
 
         Args:
-            clock: Source of time for the age of beats.
+            clock: Source of time for the age of heartbeats.
         """
         self._clock = clock
         self._registered: dict[str, _types.Instance] = {}
-        self._heard: dict[core.Address, tuple[int, _types.Instance]] = {}
+        # Time of the last keepalive of each instance, and the instance itself.
+        self._heartbeats: dict[core.Address, tuple[int, _types.Instance]] = {}
         self._loads: dict[core.Address, _types.Load] = {}
         self._present: dict[core.Address, _types.Instance] = {}
         self._rings: dict[str, routing.TargetRing] = {}
-        # Changes with each change of the instances or of what they take.
+        # Increases whenever the instances change or an agent starts or stops
+        # accepting new flows.
         self.generation = 0
 
     def replace_entries(
         self, instances: Iterable[_types.Instance]
     ) -> list[_types.Instance]:
-        """Replaces all entries of the registry.
+        """Replaces all registry entries.
 
         Returns:
             Instances whose process was not known before.
@@ -50,7 +52,11 @@
     def update_entries(
         self, put: Iterable[_types.Instance], deleted: Iterable[str]
     ) -> list[_types.Instance]:
-        """Takes changed entries and the addresses of deleted ones.
+        """Updates the registry entries.
+
+        Args:
+            put: Added and changed entries.
+            deleted: Addresses of deleted entries.
 
         Returns:
             Instances whose process was not known before.
@@ -61,47 +67,49 @@
             self._registered[str(instance.address)] = instance
         return self.refresh()
 
-    def apply_heartbeat(self, beat: _messages.Heartbeat) -> None:
-        """Takes a beat."""
-        instance = beat.instance
+    def apply_heartbeat(self, heartbeat: _messages.Heartbeat) -> None:
+        """Applies a heartbeat, unless it is from an earlier process."""
+        instance = heartbeat.instance
         address = instance.address
         known = self._present.get(address)
         if known is not None and known.incarnation > instance.incarnation:
             return
-        if beat.leaving:
-            self._heard.pop(address, None)
+        if heartbeat.leaving:
+            self._heartbeats.pop(address, None)
             if self._registered.pop(str(address), None) or known:
                 self.refresh()
             return
-        self._heard[address] = (self._clock.now_ms(), instance)
+        self._heartbeats[address] = (self._clock.now_ms(), instance)
         if known != instance:
             self.refresh()
-        self.record_load(address, beat.load)
+        self.record_load(address, heartbeat.load)
 
     def record_load(self, address: core.Address, load: _types.Load) -> None:
-        """Takes the load that came with a message, a sign of life as well."""
+        """Records the load from a message, which also counts as a keepalive."""
         instance = self._present.get(address)
         if instance is None:
             return
-        self._heard[address] = (self._clock.now_ms(), instance)
-        accepted = self.accepts(address)
+        self._heartbeats[address] = (self._clock.now_ms(), instance)
+        accepted = self.accepts_flows(address)
         self._loads[address] = load
-        if accepted != self.accepts(address):
+        if accepted != self.accepts_flows(address):
             self._rings.pop(instance.service, None)
             self.generation += 1
 
     def refresh(self) -> list[_types.Instance]:
-        """Merges both sources again; call it now and then for silence.
+        """Merges both sources again; call it periodically to expire heartbeats.
 
         Returns:
             Instances whose process was not known before.
         """
-        oldest_ms = self._clock.now_ms() - SILENCE_MS
+        oldest_ms = self._clock.now_ms() - HEARTBEAT_TIMEOUT_MS
         present: dict[core.Address, _types.Instance] = {}
-        heard = [item for at, item in self._heard.values() if at >= oldest_ms]
-        for instance in (*self._registered.values(), *heard):
-            rival = present.get(instance.address)
-            if rival is None or rival.incarnation <= instance.incarnation:
+        live = [
+            item for at, item in self._heartbeats.values() if at >= oldest_ms
+        ]
+        for instance in (*self._registered.values(), *live):
+            other = present.get(instance.address)
+            if other is None or other.incarnation <= instance.incarnation:
                 present[instance.address] = instance
         if present == self._present:
             return []
@@ -149,7 +157,7 @@
         return sum(map(self.is_agent, self._present))
 
     def load(self, address: core.Address) -> _types.Load:
-        """Returns the last load heard of an agent."""
+        """Returns the last reported load of an agent."""
         return self._loads.get(address, _types.Load())
 
     def is_load_known(self, address: core.Address) -> bool:
@@ -157,24 +165,24 @@
         return address in self._loads
 
     def unregistered(self) -> tuple[_types.Instance, ...]:
-        """Returns instances that are heard but have no entry."""
+        """Returns instances that send heartbeats but have no registry entry."""
         return tuple(
             item
             for address, item in self._present.items()
             if str(address) not in self._registered
         )
 
-    def accepts(self, address: core.Address) -> bool:
-        """Returns whether an agent may be the home of flows."""
+    def accepts_flows(self, address: core.Address) -> bool:
+        """Returns whether an agent may be the directory agent of flows."""
         return self.load(address).state in (
             _types.TargetState.UNKNOWN,
             _types.TargetState.READY,
         )
 
-    def silence_ms(self, address: core.Address) -> int | None:
-        """Returns the time since the last beat, None if there was none."""
-        heard = self._heard.get(address)
-        return None if heard is None else self._clock.now_ms() - heard[0]
+    def keepalive_age_ms(self, address: core.Address) -> int | None:
+        """Returns the time since the last keepalive, None if there was none."""
+        last = self._heartbeats.get(address)
+        return None if last is None else self._clock.now_ms() - last[0]
 
     def agents(self, service: str) -> tuple[_types.Instance, ...]:
         """Returns the agents of one service."""
@@ -197,7 +205,7 @@
         )
 
     def ring(self, service: str) -> routing.TargetRing:
-        """Returns the ring on which the flows of a service have their home."""
+        """Returns the ring that maps flows of a service to directory agents."""
         ring = self._rings.get(service)
         if ring is None:
             ring = routing.TargetRing(
@@ -205,7 +213,7 @@
                     name=str(item.address),
                     address=item.address,
                     incarnation=0,
-                    accepts_flows=self.accepts(item.address),
+                    accepts_flows=self.accepts_flows(item.address),
                 )
                 for item in self.agents(service)
             )
@@ -215,18 +223,18 @@
     def directory_agents(
         self, service: str, flow: bytes, count: int
     ) -> tuple[core.Address, ...]:
-        """Returns where the directory entry of a flow belongs.
+        """Returns the agents that may keep the directory entry of a flow.
 
         Args:
             service: Service of the flow.
             flow: The flow.
-            count: Number of candidates, the first choice first.
+            count: Number of candidates, most preferred first.
         """
         ring = self.ring(service)
         key = routing.hash_flow(flow)
         first = ring.find(key)
-        walked = [item.address for item in ring.walk(key, count)]
+        successors = [item.address for item in ring.walk(key, count)]
         if first is None:
-            return tuple(walked)
-        others = [item for item in walked if item != first.address]
+            return tuple(successors)
+        others = [item for item in successors if item != first.address]
         return (first.address, *others)[:count]
--- a/libs/flows/src/fireflyford/flows/_home.py
+++ b/libs/flows/src/fireflyford/flows/_flow_directory.py
@@ -1,23 +1,23 @@
-"""Directory of flows at the flows' home agent.
+"""Directory of flows at their directory agent.
 
-Each flow of a service has one home among the service's agents, found on a
-ring. The home remembers which agent's backend server holds the flow. All of
-it is soft state: holders announce their flows when homes move, and a home
-that does not know a flow asks the other agents.
+A ring assigns each flow of a service to one directory agent among the agents
+of the service, which records the flow's holder. All entries are soft state:
+holders announce their flows again when the assignment changes, and a directory
+agent that has no entry for a flow asks the other agents.
 """
 
 import collections
 
 from fireflyford import core
 from fireflyford.flows import _fleet
+from fireflyford.flows import _flow_placer
+from fireflyford.flows import _holder_search
 from fireflyford.flows import _messages
-from fireflyford.flows import _offers
 from fireflyford.flows import _placement
-from fireflyford.flows import _searches
 from fireflyford.flows import _types
 
 MAX_ENTRIES = 200_000
-# Entries of flows that are not used for so long are removed.
+# Idle time after which an entry is removed.
 ENTRY_IDLE_MS = 60_000
 
 
@@ -26,11 +26,11 @@
 
     def __init__(self, holder: core.Address, now_ms: int):
         self.holder = holder
-        self.used_ms = now_ms
+        self.last_used_ms = now_ms
 
 
 class FlowDirectory:
-    """Knows holders, and has them searched or new flows placed."""
+    """Looks up the holders of flows, searches for them and places new flows."""
 
     def __init__(
         self,
@@ -39,7 +39,7 @@
         fleet: _fleet.Fleet,
         placement: _placement.Placement,
     ) -> None:
-        """Starts with an empty directory.
+        """Initializes an empty directory.
 
         Args:
             clock: Source of time.
@@ -53,8 +53,8 @@
         self._entries: collections.OrderedDict[bytes, _Entry] = (
             collections.OrderedDict()
         )
-        self._offers = _offers.Offers(clock, own, fleet, placement)
-        self._searches = _searches.Searches(clock, own, fleet)
+        self._placer = _flow_placer.FlowPlacer(clock, own, fleet, placement)
+        self._searches = _holder_search.HolderSearches(clock, own, fleet)
 
     def __len__(self) -> int:
         """Returns the number of directory entries."""
@@ -63,74 +63,78 @@
     def resolve(
         self, forward: _messages.Forward, packet: _types.Packet
     ) -> list[_types.Action]:
-        """Handles a packet for which this agent is the home."""
+        """Handles a packet of a flow whose directory agent is this one."""
         entry = self._entries.get(packet.flow)
         if entry is not None and entry.holder not in self._fleet:
             del self._entries[packet.flow]
             entry = None
         if entry is not None:
-            entry.used_ms = self._clock.now_ms()
+            entry.last_used_ms = self._clock.now_ms()
             self._entries.move_to_end(packet.flow)
             handling = _messages.Handling.HELD
             own = self._own.address
             return [forward.relay(handling, own, entry.holder, packet)]
         if packet.opens:
-            return self._offers.begin(forward, packet)
+            return self._placer.begin(forward, packet)
         return self._searches.begin(forward, packet)
 
-    def locate(
+    def handle_located(
         self, sender: core.Address, message: _messages.FlowLocated
     ) -> list[_types.Action]:
-        """Takes the news that the sender holds a flow."""
+        """Records that the sender holds a flow."""
         self.record_load(sender, message.load)
-        self._offers.accept(sender, message.flow)
-        return self._found(message.flow, sender)
+        self._placer.finish(sender, message.flow)
+        return self._record_holder(message.flow, sender)
 
-    def decline(
+    def handle_declined(
         self, sender: core.Address, message: _messages.PlacementDeclined
     ) -> list[_types.Action]:
-        """Looks for another backend server after a refusal."""
+        """Offers a flow to another agent after the sender has declined it."""
         self.record_load(sender, message.load)
-        return self._offers.decline(sender, message)
+        return self._placer.handle_declined(sender, message)
 
-    def absent(self, sender: core.Address, flow: bytes) -> list[_types.Action]:
-        """Takes the news that the sender does not hold a flow."""
+    def handle_not_held(
+        self, sender: core.Address, flow: bytes
+    ) -> list[_types.Action]:
+        """Removes the sender as holder of a flow and continues a search."""
         entry = self._entries.get(flow)
         if entry is not None and entry.holder == sender:
             del self._entries[flow]
-        return self._searches.absent(sender, flow)
+        return self._searches.handle_not_held(sender, flow)
 
-    def hold(
+    def handle_announcement(
         self, sender: core.Address, flows: tuple[bytes, ...]
     ) -> list[_types.Action]:
-        """Takes directory entries from a holder."""
+        """Records the flows that a holder announces."""
         actions: list[_types.Action] = []
         for flow in flows:
-            actions += self._found(flow, sender)
+            actions += self._record_holder(flow, sender)
         return actions
 
     def record_load(self, sender: core.Address, load: _types.Load) -> None:
-        """Takes the load of an agent."""
-        self._offers.record_load(sender, load)
+        """Records the load of an agent."""
+        self._placer.record_load(sender, load)
 
     def sweep(self) -> list[_types.Action]:
-        """Ends offers and searches that wait for too long."""
+        """Handles offers and searches that have timed out."""
         self._searches.sweep()
-        return self._offers.sweep()
+        return self._placer.sweep()
 
     def expire(self) -> None:
-        """Removes unused entries."""
+        """Removes idle entries."""
         oldest_ms = self._clock.now_ms() - ENTRY_IDLE_MS
         while self._entries:
             flow, entry = next(iter(self._entries.items()))
-            if entry.used_ms >= oldest_ms:
+            if entry.last_used_ms >= oldest_ms:
                 break
             del self._entries[flow]
 
-    def _found(self, flow: bytes, holder: core.Address) -> list[_types.Action]:
-        """Enters the holder of a flow and ends a search for it."""
+    def _record_holder(
+        self, flow: bytes, holder: core.Address
+    ) -> list[_types.Action]:
+        """Records the holder of a flow and completes a search for it."""
         if len(self._entries) >= MAX_ENTRIES and flow not in self._entries:
             self._entries.popitem(last=False)
         self._entries[flow] = _Entry(holder, self._clock.now_ms())
         self._entries.move_to_end(flow)
-        return self._searches.found(flow, holder)
+        return self._searches.finish(flow, holder)
--- a/libs/flows/src/fireflyford/flows/_offers.py
+++ b/libs/flows/src/fireflyford/flows/_flow_placer.py
@@ -1,39 +1,42 @@
-"""Offers of new flows to agents, until one takes the flow."""
+"""Placement of new flows by offers to agents until one accepts."""
 
 from fireflyford import core
 from fireflyford import telemetry
 from fireflyford.flows import _fleet
-from fireflyford.flows import _held
+from fireflyford.flows import _flow_tracker
 from fireflyford.flows import _messages
 from fireflyford.flows import _placement
 from fireflyford.flows import _response_timer
 from fireflyford.flows import _types
 
-# An agent that has not answered for so long is passed over. Within the
-# agent's own limit for its backend server (`_keeper.OPENING_LIMIT_MS`) plus
-# two crossings between availability zones.
-PLACE_TIMEOUT_MS = 70
-PLACE_TIMEOUT_MOST_MS = 600
-# Agents that are asked about one flow without an answer; more would add to the
-# load that makes them slow.
+# Minimum time after which an unanswered offer goes to another agent. Covers the
+# agent's own limit for its backend server
+# (`_target_forwarder.OPENING_LIMIT_MS`) plus a round trip between availability
+# zones.
+OFFER_TIMEOUT_MS = 70
+MAX_OFFER_TIMEOUT_MS = 600
+# Offers of one flow that may remain unanswered; more would add to the load that
+# makes the agents slow.
 MAX_UNANSWERED_OFFERS = 3
-# How long an agent that did not answer is the last choice.
+# How long an agent that has not answered is a suspect, which is offered flows
+# only if no other agent has room.
 SUSPECT_MS = 1_000
-# How many times a new flow looks for a free slot before any slot will do.
-BUSY_LIMIT_COUNT = 2
-# A new flow waits so long for a backend server with room, then it is refused.
-# The client sends copies of its first packet for 600 ms, of which the last one
-# may be the first to arrive, and gives up 1.4 s after the first one.
-WAIT_LIMIT_MS = 800
-# How often a waiting flow looks for room.
-WAIT_RETRY_MS = 20
-# Offers of one flow that are logged; a waiting flow makes one each 20 ms.
-LOGGED_OFFERS = 3
-# States in which an agent declines every new flow.
-_NOT_TAKING = frozenset(_types.TargetState) - {_types.TargetState.READY}
+# Declines for lack of a free slot after which any agent with room may queue the
+# flow.
+MAX_BUSY_DECLINES = 2
+# A new flow is refused if no backend server has had room within this time. The
+# client retransmits its opening packet for 600 ms and gives up 1.4 s after the
+# first one; the last retransmission may be the first packet to arrive.
+QUEUE_LIMIT_MS = 800
+# Interval at which placement of a queued flow is tried again.
+QUEUE_RETRY_MS = 20
+# Bounds the log lines of a queued flow, which may make an offer every 20 ms.
+MAX_LOGGED_OFFERS = 3
+# Target states in which an agent declines every new flow.
+_DECLINING_STATES = frozenset(_types.TargetState) - {_types.TargetState.READY}
 
 
-class _Attempt:
+class _PlacementAttempt:
     """Placement of one new flow."""
 
     def __init__(
@@ -42,20 +45,20 @@
         self.forward = forward
         self.packet = packet
         self.started_ms = now_ms
-        self.tried: set[core.Address] = set()
-        self.asked: core.Address | None = None
+        self.tried_agents: set[core.Address] = set()
+        self.offered_to: core.Address | None = None
         self.deadline_ms = 0
         self.busy_count = 0
         self.offer_count = 0
         self.unanswered_count = 0
-        self.has_given_up = False
-        self.asked_ms = now_ms
+        self.is_abandoned = False
+        self.offered_ms = now_ms
         self.reason = _messages.DeclineReason.UNKNOWN_STATE
-        self.is_waiting = False
+        self.is_queued = False
 
 
-class Offers:
-    """Finds a backend server for each new flow, or refuses it."""
+class FlowPlacer:
+    """Places each new flow at a backend server, or refuses it."""
 
     def __init__(
         self,
@@ -64,11 +67,11 @@
         fleet: _fleet.Fleet,
         placement: _placement.Placement,
     ) -> None:
-        """Starts without new flows.
+        """Initializes a placer without new flows.
 
         Args:
             clock: Source of time.
-            own: The agent that offers.
+            own: This agent.
             fleet: View of the other instances.
             placement: Policy for new flows.
         """
@@ -76,47 +79,51 @@
         self._own = own
         self._fleet = fleet
         self._placement = placement
-        self._attempts: dict[bytes, _Attempt] = {}
+        self._attempts: dict[bytes, _PlacementAttempt] = {}
         self._suspects: dict[core.Address, int] = {}
         self._timer = _response_timer.ResponseTimer(
-            PLACE_TIMEOUT_MS, PLACE_TIMEOUT_MOST_MS
+            OFFER_TIMEOUT_MS, MAX_OFFER_TIMEOUT_MS
         )
-        # Times of the placements that the load of an agent does not show yet.
-        self._placed: dict[core.Address, list[int]] = {}
+        # Times of the placements since the last load report of each agent.
+        self._recent_placements: dict[core.Address, list[int]] = {}
 
     def begin(
         self, forward: _messages.Forward, packet: _types.Packet
     ) -> list[_types.Action]:
-        """Offers a new flow, unless a copy of its packet is offered already."""
+        """Starts to place a new flow, unless that is already in progress."""
         if packet.flow in self._attempts:
-            # The attempt has its own timeout.
+            # A retransmission; the attempt in progress has its own timeout.
             return []
-        attempt = _Attempt(forward, packet, self._clock.now_ms())
+        attempt = _PlacementAttempt(forward, packet, self._clock.now_ms())
         self._attempts[packet.flow] = attempt
         return self._place(attempt)
 
-    def accept(self, sender: core.Address, flow: bytes) -> None:
-        """Takes the news that the sender holds a flow."""
+    def finish(self, sender: core.Address, flow: bytes) -> None:
+        """Completes a placement after the sender has accepted the flow."""
         self._suspects.pop(sender, None)
         attempt = self._attempts.pop(flow, None)
         if attempt is None:
             return
         now_ms = self._clock.now_ms()
-        in_time = attempt.asked == sender
-        since_ms = attempt.asked_ms if in_time else attempt.started_ms
-        self._timer.sample(now_ms - since_ms)
-        kind = "waited" if attempt.is_waiting else "at-once"
+        in_time = attempt.offered_to == sender
+        since_ms = attempt.offered_ms if in_time else attempt.started_ms
+        self._timer.record_response(now_ms - since_ms)
+        kind = "waited" if attempt.is_queued else "at-once"
         telemetry.observe("flow_placement", now_ms - attempt.started_ms, kind)
 
-    def decline(
+    def handle_declined(
         self, sender: core.Address, message: _messages.PlacementDeclined
     ) -> list[_types.Action]:
-        """Looks for another backend server after a refusal."""
+        """Offers a flow to another agent after the sender has declined it."""
         attempt = self._attempts.get(message.flow)
-        if attempt is None or attempt.asked != sender or attempt.has_given_up:
+        if (
+            attempt is None
+            or attempt.offered_to != sender
+            or attempt.is_abandoned
+        ):
             return []
-        self._timer.sample(self._clock.now_ms() - attempt.asked_ms)
-        if attempt.offer_count <= LOGGED_OFFERS:
+        self._timer.record_response(self._clock.now_ms() - attempt.offered_ms)
+        if attempt.offer_count <= MAX_LOGGED_OFFERS:
             telemetry.log(
                 "flow-declined",
                 flow=_types.describe_flow(message.flow),
@@ -129,67 +136,67 @@
         if message.reason is _messages.DeclineReason.BUSY:
             attempt.busy_count += 1
         else:
-            attempt.tried.add(sender)
+            attempt.tried_agents.add(sender)
         attempt.reason = message.reason
         return self._place(attempt)
 
     def record_load(self, sender: core.Address, load: _types.Load) -> None:
-        """Takes the load of an agent and counts placements there anew."""
+        """Records the load of an agent and resets its count of placements."""
         self._fleet.record_load(sender, load)
-        self._placed.pop(sender, None)
+        self._recent_placements.pop(sender, None)
 
     def sweep(self) -> list[_types.Action]:
-        """Goes on with offers that nobody answers and flows that wait."""
+        """Handles unanswered offers and retries queued flows."""
         now_ms = self._clock.now_ms()
         actions: list[_types.Action] = []
         for flow, attempt in tuple(self._attempts.items()):
             if now_ms < attempt.deadline_ms:
                 continue
-            if attempt.has_given_up:
+            if attempt.is_abandoned:
                 del self._attempts[flow]
-            elif attempt.asked is None:
+            elif attempt.offered_to is None:
                 actions += self._place(attempt)
             else:
-                actions += self._pass_over(attempt, attempt.asked)
+                actions += self._handle_timeout(attempt, attempt.offered_to)
         return actions
 
-    def _pass_over(
-        self, attempt: _Attempt, asked: core.Address
+    def _handle_timeout(
+        self, attempt: _PlacementAttempt, offered_to: core.Address
     ) -> list[_types.Action]:
-        """Offers a flow elsewhere when an agent has not answered."""
+        """Offers a flow to another agent after an offer has timed out."""
         now_ms = self._clock.now_ms()
         telemetry.log(
             "flow-placement-timeout",
             flow=_types.describe_flow(attempt.packet.flow),
-            holder=asked,
+            holder=offered_to,
         )
-        self._timer.expire()
-        self._suspects[asked] = now_ms + SUSPECT_MS
-        attempt.tried.add(asked)
+        self._timer.record_timeout()
+        self._suspects[offered_to] = now_ms + SUSPECT_MS
+        attempt.tried_agents.add(offered_to)
         attempt.unanswered_count += 1
         if attempt.unanswered_count < MAX_UNANSWERED_OFFERS:
             return self._place(attempt)
-        # A late answer still counts, for the flow and for the timer.
-        attempt.has_given_up = True
-        attempt.deadline_ms = now_ms + PLACE_TIMEOUT_MOST_MS
+        # A late answer is still used for the flow and for the timer.
+        attempt.is_abandoned = True
+        attempt.deadline_ms = now_ms + MAX_OFFER_TIMEOUT_MS
         return []
 
-    def _place(self, attempt: _Attempt) -> list[_types.Action]:
-        """Offers a new flow to a backend server, or lets it wait."""
+    def _place(self, attempt: _PlacementAttempt) -> list[_types.Action]:
+        """Offers a new flow to an agent, or queues it."""
         candidates = self._candidates(attempt)
         if not candidates:
-            return self._wait(attempt)
+            return self._queue(attempt)
         chosen = self._placement.choose(candidates, attempt.forward.long_lived)
         now_ms = self._clock.now_ms()
-        self._placed.setdefault(chosen.address, []).append(now_ms)
-        attempt.asked = chosen.address
-        attempt.asked_ms = now_ms
+        self._recent_placements.setdefault(chosen.address, []).append(now_ms)
+        attempt.offered_to = chosen.address
+        attempt.offered_ms = now_ms
         attempt.deadline_ms = now_ms + self._timer.timeout_ms()
         allow_queueing = (
-            attempt.busy_count >= BUSY_LIMIT_COUNT or len(candidates) == 1
+            attempt.busy_count >= MAX_BUSY_DECLINES or len(candidates) == 1
         )
         attempt.offer_count += 1
-        if attempt.offer_count <= LOGGED_OFFERS:
+        if attempt.offer_count <= MAX_LOGGED_OFFERS:
             telemetry.log(
                 "flow-placed",
                 flow=_types.describe_flow(attempt.packet.flow),
@@ -198,7 +205,7 @@
                 reserved=chosen.load.reserved_count,
                 lasting=chosen.load.long_lived_count,
                 service_ms=chosen.load.service_ms,
-                age_ms=self._fleet.silence_ms(chosen.address),
+                age_ms=self._fleet.keepalive_age_ms(chosen.address),
                 candidates=len(candidates),
                 firm=allow_queueing,
             )
@@ -212,11 +219,11 @@
             )
         ]
 
-    def _wait(self, attempt: _Attempt) -> list[_types.Action]:
-        """Lets a new flow wait for room, or refuses it."""
+    def _queue(self, attempt: _PlacementAttempt) -> list[_types.Action]:
+        """Queues a new flow, or refuses it after its time limit."""
         now_ms = self._clock.now_ms()
         flow = attempt.packet.flow
-        if now_ms - attempt.started_ms >= WAIT_LIMIT_MS:
+        if now_ms - attempt.started_ms >= QUEUE_LIMIT_MS:
             del self._attempts[flow]
             telemetry.log(
                 "flow-refused",
@@ -227,22 +234,22 @@
             )
             refusal = _messages.PlacementRefused(flow, attempt.reason)
             return [_messages.Send(attempt.forward.balancer, refusal)]
-        is_first = not attempt.is_waiting
-        attempt.asked = None
-        attempt.is_waiting = True
-        attempt.deadline_ms = now_ms + WAIT_RETRY_MS
-        # Agents that could not take it may be able to by then.
-        attempt.tried.clear()
-        if not is_first:
+        is_newly_queued = not attempt.is_queued
+        attempt.offered_to = None
+        attempt.is_queued = True
+        attempt.deadline_ms = now_ms + QUEUE_RETRY_MS
+        # Agents that declined the flow may accept it on the next try.
+        attempt.tried_agents.clear()
+        if not is_newly_queued:
             return []
-        self._log_wait(attempt)
+        self._log_queued(attempt)
         return [
             _messages.Send(
                 attempt.forward.balancer, _messages.PlacementQueued(flow)
             )
         ]
 
-    def _log_wait(self, attempt: _Attempt) -> None:
+    def _log_queued(self, attempt: _PlacementAttempt) -> None:
         agents = self._fleet.agents(self._own.service)
         loads = [self._expected_load(agent.address) for agent in agents]
         telemetry.log(
@@ -253,25 +260,29 @@
             slots=sum(load.slot_count for load in loads),
             busy=sum(load.busy_count for load in loads),
             reserved=sum(load.reserved_count for load in loads),
-            placed=sum(self._placed_count(item.address) for item in agents),
+            placed=sum(
+                self._recent_placement_count(item.address) for item in agents
+            ),
         )
 
-    def _candidates(self, attempt: _Attempt) -> list[_placement.Candidate]:
-        """Returns the agents that may take a flow, suspects only if alone."""
+    def _candidates(
+        self, attempt: _PlacementAttempt
+    ) -> list[_placement.Candidate]:
+        """Returns the agents with room, suspects only as a last resort."""
         now_ms = self._clock.now_ms()
         preferred, last_resort = [], []
         for agent in self._fleet.agents(self._own.service):
-            if agent.address in attempt.tried:
+            if agent.address in attempt.tried_agents:
                 continue
             load = self._expected_load(agent.address)
             candidate = _placement.Candidate(
                 agent.address,
                 load,
-                self._placed_count(agent.address),
+                self._recent_placement_count(agent.address),
                 agent.availability_zone == self._own.availability_zone,
             )
-            is_heard = self._fleet.is_load_known(agent.address)
-            if is_heard and load.state in _NOT_TAKING:
+            is_load_known = self._fleet.is_load_known(agent.address)
+            if is_load_known and load.state in _DECLINING_STATES:
                 continue
             if not _placement.has_room(load, candidate.placed_count):
                 attempt.reason = _messages.DeclineReason.BUSY
@@ -286,12 +297,16 @@
         return preferred or last_resort
 
     def _expected_load(self, address: core.Address) -> _types.Load:
-        age_ms = self._fleet.silence_ms(address) or 0
+        age_ms = self._fleet.keepalive_age_ms(address) or 0
         return _placement.expected_load(self._fleet.load(address), age_ms)
 
-    def _placed_count(self, address: core.Address) -> int:
+    def _recent_placement_count(self, address: core.Address) -> int:
         """Returns the flows placed at an agent since its last load report."""
-        oldest_ms = self._clock.now_ms() - _held.RESERVATION_MS
-        times = [at for at in self._placed.get(address, ()) if at >= oldest_ms]
-        self._placed[address] = times
+        oldest_ms = self._clock.now_ms() - _flow_tracker.RESERVATION_MS
+        times = [
+            at
+            for at in self._recent_placements.get(address, ())
+            if at >= oldest_ms
+        ]
+        self._recent_placements[address] = times
         return len(times)
--- a/libs/flows/src/fireflyford/flows/_held.py
+++ b/libs/flows/src/fireflyford/flows/_flow_tracker.py
@@ -1,4 +1,4 @@
-"""Flows of the backend server beside an agent, and its load."""
+"""Flows and load of the backend server of an agent."""
 
 import collections
 
@@ -6,22 +6,22 @@
 from fireflyford import telemetry
 from fireflyford.flows import _types
 
-# A new flow reserves a slot until its first request, at most this long: the
-# client sends it one round trip after the flow opened, some 10 ms.
+# How long a new flow reserves a slot for its first request, which the client
+# sends one round trip after the flow opens, some 10 ms.
 RESERVATION_MS = 60
-# A request without a response no longer counts as work after this time: the
-# client has given up most of them, and what counts as work wrongly would keep
-# a slot empty.
-WORK_LIMIT_MS = 3_000
-# Flows that ended are remembered for late retransmissions of both ends, which
-# follow each other by up to 1.6 s.
-ENDED_KEPT_MS = 10_000
-# Flows may be discarded when older than this or idle.
+# An unanswered request is no longer counted as in progress after this time: the
+# client has usually given up, and an overcount would leave a slot unused.
+REQUEST_LIMIT_MS = 3_000
+# Ended flows are kept for late retransmissions of both sides, which are up to
+# 1.6 s apart.
+ENDED_FLOW_RETENTION_MS = 10_000
+# Age and idle time after which a flow may be discarded.
 FLOW_LIFETIME_MS = 120_000
 FLOW_IDLE_MS = 60_000
 # Weight of a new sample in the mean service time.
 _SAMPLE_WEIGHT = 0.1
-# Service times have a long tail; a sample counts at most this many means.
+# A sample is capped at this multiple of the mean, as service times have a long
+# tail.
 _MAX_SAMPLE_FACTOR = 4.0
 
 
@@ -29,48 +29,48 @@
     """One flow that the backend server holds."""
 
     def __init__(self, now_ms: int, long_lived: bool) -> None:
-        """Notes when the flow became known.
+        """Initializes a flow with a reserved slot.
 
         Args:
             now_ms: Time of the clock.
             long_lived: Whether it is expected to carry many requests.
         """
         self.opened_ms = now_ms
-        self.used_ms = now_ms
+        self.last_used_ms = now_ms
         self.long_lived = long_lived
-        # First sequence number of the backend server, None after a restart of
-        # the agent, and the end of what it has sent so far.
+        # First sequence number of the backend server (None if the agent has
+        # restarted since), and the end of the data that it has sent so far.
         self.first_seq: int | None = None
-        self.sent_end = 0
-        self.client_end: int | None = None
+        self.sent_seq_end = 0
+        self.client_seq_end: int | None = None
         self.client_ack = 0
         self.reserved_until_ms = now_ms + RESERVATION_MS
         self.busy_since_ms: int | None = None
-        self.started_idle = False
+        self.had_free_slot = False
         self.ended = False
 
     def matches(self, packet: _types.Packet) -> bool:
         """Returns whether a client's packet belongs to this flow.
 
-        A client may have opened the flow at another backend server that also
-        answered its first packet; it then acknowledges another sequence.
+        If another backend server also answered the first packet, the client
+        may have opened the flow there and acknowledges that sequence instead.
         """
         if packet.opens or self.first_seq is None or not packet.acknowledges:
             return True
-        sent = _types.sequence_distance(self.first_seq, self.sent_end)
+        sent = _types.sequence_distance(self.first_seq, self.sent_seq_end)
         acknowledged = _types.sequence_distance(self.first_seq, packet.ack)
         return 0 < acknowledged <= sent
 
 
 class FlowTracker:
-    """All flows that the backend server is known to hold."""
+    """Flows that the backend server is known to hold, and their load."""
 
     def __init__(self, clock: core.Clock, slot_count: int = 1) -> None:
-        """Starts without flows.
+        """Initializes a tracker without flows.
 
         Args:
             clock: Source of time.
-            slot_count: Requests worked on at the same time.
+            slot_count: Requests processed concurrently.
         """
         self._clock = clock
         self._flows: collections.OrderedDict[bytes, TrackedFlow] = (
@@ -81,7 +81,7 @@
         self._busy_count = 0
 
     def __len__(self) -> int:
-        """Returns the number of flows, recently ended ones included."""
+        """Returns the number of flows, including those that ended recently."""
         return len(self._flows)
 
     def __contains__(self, flow: bytes) -> bool:
@@ -107,66 +107,74 @@
             tracked.reserved_until_ms = tracked.opened_ms
         else:
             tracked.first_seq = first_seq
-            tracked.sent_end = (first_seq + 1) % _types.SEQUENCE_MODULUS
+            tracked.sent_seq_end = (first_seq + 1) % _types.SEQUENCE_MODULUS
         self.remove(flow)
         self._flows[flow] = tracked
         return tracked
 
     def remove(self, flow: bytes) -> None:
-        """Forgets a flow."""
+        """Removes a flow."""
         tracked = self._flows.pop(flow, None)
         if tracked is not None:
-            self._finish(tracked)
+            self._finish_request(tracked)
 
     def clear(self) -> None:
-        """Forgets all flows."""
+        """Removes all flows."""
         for flow in tuple(self._flows):
             self.remove(flow)
 
-    def receive(self, tracked: TrackedFlow, packet: _types.Packet) -> None:
-        """Notes a packet of the client."""
+    def record_client_packet(
+        self, tracked: TrackedFlow, packet: _types.Packet
+    ) -> None:
+        """Updates a flow for a packet from the client."""
         now_ms = self._clock.now_ms()
-        tracked.used_ms = now_ms
+        tracked.last_used_ms = now_ms
         self._flows.move_to_end(packet.flow)
         if packet.opens:
             return
         tracked.client_ack = packet.ack
         if packet.resets or packet.ends:
-            # The client waits for no response any more.
-            self._finish(tracked)
-            self._end(tracked)
+            # The client no longer waits for a response.
+            self._finish_request(tracked)
+            self._mark_ended(tracked)
             return
-        if packet.payload_bytes and _extends(tracked.client_end, packet):
-            tracked.client_end = _end_of(packet)
+        if packet.payload_bytes and _has_new_data(
+            tracked.client_seq_end, packet
+        ):
+            tracked.client_seq_end = _sequence_end(packet)
             tracked.reserved_until_ms = now_ms
             if tracked.busy_since_ms is None and not tracked.ended:
                 tracked.busy_since_ms = now_ms
-                tracked.started_idle = self._busy_count < self.slot_count
+                tracked.had_free_slot = self._busy_count < self.slot_count
                 self._busy_count += 1
 
-    def answer(self, tracked: TrackedFlow, packet: _types.Packet) -> None:
-        """Notes a packet of the backend server."""
-        tracked.used_ms = self._clock.now_ms()
+    def record_target_packet(
+        self, tracked: TrackedFlow, packet: _types.Packet
+    ) -> None:
+        """Updates a flow for a packet from the backend server."""
+        tracked.last_used_ms = self._clock.now_ms()
         if packet.resets:
-            self._finish(tracked)
-            self._end(tracked)
+            self._finish_request(tracked)
+            self._mark_ended(tracked)
             return
         if packet.payload_bytes or packet.ends:
-            end = _end_of(packet)
+            end = _sequence_end(packet)
             if tracked.first_seq is None or (
                 _types.sequence_distance(tracked.first_seq, end)
-                > _types.sequence_distance(tracked.first_seq, tracked.sent_end)
+                > _types.sequence_distance(
+                    tracked.first_seq, tracked.sent_seq_end
+                )
             ):
-                tracked.sent_end = end
+                tracked.sent_seq_end = end
         if packet.payload_bytes and tracked.busy_since_ms is not None:
-            duration_ms = tracked.used_ms - tracked.busy_since_ms
-            kind = "free-slot" if tracked.started_idle else "queued"
+            duration_ms = tracked.last_used_ms - tracked.busy_since_ms
+            kind = "free-slot" if tracked.had_free_slot else "queued"
             telemetry.observe("response", duration_ms, kind)
-            if tracked.started_idle:
-                self._sample(duration_ms)
-            self._finish(tracked)
+            if tracked.had_free_slot:
+                self._record_service_time(duration_ms)
+            self._finish_request(tracked)
         if packet.ends:
-            self._end(tracked)
+            self._mark_ended(tracked)
 
     def load(self, state: _types.TargetState) -> _types.Load:
         """Returns the load of the backend server."""
@@ -187,11 +195,13 @@
         )
 
     def sweep(self) -> None:
-        """Forgets flows that are over, and work without a response."""
+        """Removes ended and idle flows, and times out unanswered requests."""
         now_ms = self._clock.now_ms()
         for flow, tracked in tuple(self._flows.items()):
-            idle_ms = now_ms - tracked.used_ms
-            limit_ms = ENDED_KEPT_MS if tracked.ended else FLOW_IDLE_MS
+            idle_ms = now_ms - tracked.last_used_ms
+            limit_ms = (
+                ENDED_FLOW_RETENTION_MS if tracked.ended else FLOW_IDLE_MS
+            )
             if (
                 idle_ms > limit_ms
                 or now_ms - tracked.opened_ms > FLOW_LIFETIME_MS
@@ -199,20 +209,20 @@
                 self.remove(flow)
             elif (
                 tracked.busy_since_ms is not None
-                and now_ms - tracked.busy_since_ms > WORK_LIMIT_MS
+                and now_ms - tracked.busy_since_ms > REQUEST_LIMIT_MS
             ):
-                self._finish(tracked)
+                self._finish_request(tracked)
 
-    def _end(self, tracked: TrackedFlow) -> None:
+    def _mark_ended(self, tracked: TrackedFlow) -> None:
         tracked.ended = True
-        tracked.reserved_until_ms = tracked.used_ms
+        tracked.reserved_until_ms = tracked.last_used_ms
 
-    def _finish(self, tracked: TrackedFlow) -> None:
+    def _finish_request(self, tracked: TrackedFlow) -> None:
         if tracked.busy_since_ms is not None:
             tracked.busy_since_ms = None
             self._busy_count -= 1
 
-    def _sample(self, duration_ms: float) -> None:
+    def _record_service_time(self, duration_ms: float) -> None:
         sample_ms = max(float(duration_ms), 1.0)
         if not self.service_ms:
             self.service_ms = sample_ms
@@ -221,14 +231,14 @@
         self.service_ms += _SAMPLE_WEIGHT * (sample_ms - self.service_ms)
 
 
-def _end_of(packet: _types.Packet) -> int:
+def _sequence_end(packet: _types.Packet) -> int:
     return (
         packet.seq + packet.payload_bytes + packet.ends
     ) % _types.SEQUENCE_MODULUS
 
 
-def _extends(known_end: int | None, packet: _types.Packet) -> bool:
+def _has_new_data(known_end: int | None, packet: _types.Packet) -> bool:
     if known_end is None:
         return True
-    ahead = _types.sequence_distance(known_end, _end_of(packet))
+    ahead = _types.sequence_distance(known_end, _sequence_end(packet))
     return 0 < ahead < _types.SEQUENCE_MODULUS // 2
--- a/libs/flows/src/fireflyford/flows/_searches.py
+++ b/libs/flows/src/fireflyford/flows/_holder_search.py
@@ -1,4 +1,4 @@
-"""Searches for the holders of flows that a home does not know."""
+"""Search for the holders of flows without a directory entry."""
 
 from fireflyford import core
 from fireflyford import telemetry
@@ -7,19 +7,20 @@
 from fireflyford.flows import _response_timer
 from fireflyford.flows import _types
 
-# Answers to a search are due within this time; the client sends its packet
-# again after 200 ms.
+# Minimum time limit for answers to a search; the client retransmits its packet
+# after 200 ms.
 SEARCH_TIMEOUT_MS = 150
-SEARCH_TIMEOUT_MOST_MS = 1_000
-# A flow that was searched without a holder is not searched again for so long;
-# its packets come again and again from balancers and the client.
-SEARCH_PAUSE_MS = 250
-# Packets of one flow that wait for the end of a search: a window of the client.
-MAX_WAITING_PACKETS = 16
+MAX_SEARCH_TIMEOUT_MS = 1_000
+# Minimum delay between searches for a flow after one has failed; balancers and
+# the client keep sending its packets.
+SEARCH_RETRY_DELAY_MS = 250
+# Packets of one flow that are queued during a search: a window of the client.
+MAX_QUEUED_PACKETS = 16
 MAX_SEARCHES = 4_096
-# A home that has just started may not know of agents that the registry does
-# not show; until their beats can have come, no search says that a flow is gone.
-FRESH_MS = 300
+# A directory agent that has just started may not know agents without a registry
+# entry. Until their heartbeats have had time to arrive, a search never reports
+# a flow as not found.
+STARTUP_GRACE_MS = 300
 
 
 class _Search:
@@ -35,22 +36,22 @@
         self.forward = forward
         self.started_ms = now_ms
         self.deadline_ms = deadline_ms
-        self.asked: set[core.Address] = set()
-        # The search itself carries the first one.
+        self.unanswered: set[core.Address] = set()
+        # The first packet is sent with the search itself.
         self.packets = [packet]
 
 
-class Searches:
-    """Asks all agents of the service for the holders of flows."""
+class HolderSearches:
+    """Asks all agents of a service for the holders of flows."""
 
     def __init__(
         self, clock: core.Clock, own: _types.Instance, fleet: _fleet.Fleet
     ) -> None:
-        """Starts without searches.
+        """Initializes the searches of an agent, none of which is in progress.
 
         Args:
             clock: Source of time.
-            own: The agent that searches.
+            own: This agent.
             fleet: View of the other instances.
         """
         self._clock = clock
@@ -59,43 +60,45 @@
         self._fleet = fleet
         self._searches: dict[bytes, _Search] = {}
         self._timer = _response_timer.ResponseTimer(
-            SEARCH_TIMEOUT_MS, SEARCH_TIMEOUT_MOST_MS
+            SEARCH_TIMEOUT_MS, MAX_SEARCH_TIMEOUT_MS
         )
-        # When flows were last searched in vain, oldest first.
-        self._missed: dict[bytes, int] = {}
+        # Time of the last failed search for each flow, oldest first.
+        self._failures: dict[bytes, int] = {}
 
     def begin(
         self, forward: _messages.Forward, packet: _types.Packet
     ) -> list[_types.Action]:
-        """Asks all agents to take a packet if they hold its flow."""
+        """Sends a packet to all agents, to be delivered by the holder."""
         search = self._searches.get(packet.flow)
         if search is not None:
-            if len(search.packets) < MAX_WAITING_PACKETS:
+            if len(search.packets) < MAX_QUEUED_PACKETS:
                 search.packets.append(packet)
             return []
         now_ms = self._clock.now_ms()
-        missed_ms = self._missed.get(packet.flow, now_ms - SEARCH_PAUSE_MS)
-        is_early = now_ms - missed_ms < SEARCH_PAUSE_MS
-        if is_early or len(self._searches) >= MAX_SEARCHES:
+        failed_ms = self._failures.get(
+            packet.flow, now_ms - SEARCH_RETRY_DELAY_MS
+        )
+        is_too_early = now_ms - failed_ms < SEARCH_RETRY_DELAY_MS
+        if is_too_early or len(self._searches) >= MAX_SEARCHES:
             return []
         deadline_ms = now_ms + self._timer.timeout_ms()
         search = _Search(forward, packet, now_ms, deadline_ms)
         agents = self._fleet.agents(self._own.service)
-        search.asked = {agent.address for agent in agents}
+        search.unanswered = {agent.address for agent in agents}
         self._searches[packet.flow] = search
         telemetry.log(
             "flow-searched",
             flow=_types.describe_flow(packet.flow),
-            agents=len(search.asked),
+            agents=len(search.unanswered),
         )
         handling = _messages.Handling.SEARCH
         return [
             forward.relay(handling, self._own.address, address, packet)
-            for address in search.asked
+            for address in search.unanswered
         ]
 
-    def found(self, flow: bytes, holder: core.Address) -> list[_types.Action]:
-        """Ends the search for a flow; packets that waited go to its holder."""
+    def finish(self, flow: bytes, holder: core.Address) -> list[_types.Action]:
+        """Completes the search for a flow; queued packets go to the holder."""
         search = self._searches.pop(flow, None)
         if search is None:
             return []
@@ -105,23 +108,25 @@
             for packet in search.packets[1:]
         ]
 
-    def absent(self, sender: core.Address, flow: bytes) -> list[_types.Action]:
-        """Takes the news that the sender does not hold a flow.
+    def handle_not_held(
+        self, sender: core.Address, flow: bytes
+    ) -> list[_types.Action]:
+        """Records that the sender does not hold a flow.
 
-        When all agents have said so, the balancer is told.
+        When all agents have answered so, the balancer is notified.
         """
         search = self._searches.get(flow)
         if search is None:
             return []
-        search.asked.discard(sender)
-        if search.asked:
+        search.unanswered.discard(sender)
+        if search.unanswered:
             return []
         del self._searches[flow]
         now_ms = self._clock.now_ms()
-        self._timer.sample(now_ms - search.started_ms)
-        if now_ms - self._started_ms < FRESH_MS:
+        self._timer.record_response(now_ms - search.started_ms)
+        if now_ms - self._started_ms < STARTUP_GRACE_MS:
             return []
-        self._miss(flow)
+        self._record_failure(flow)
         telemetry.log(
             "flow-unknown",
             flow=_types.describe_flow(flow),
@@ -134,28 +139,28 @@
         return [_messages.Send(search.forward.balancer, unknown)]
 
     def sweep(self) -> None:
-        """Ends searches that wait for too long."""
+        """Ends searches that have timed out."""
         now_ms = self._clock.now_ms()
         for flow, search in tuple(self._searches.items()):
             if now_ms < search.deadline_ms:
                 continue
             del self._searches[flow]
-            self._timer.expire()
-            self._miss(flow)
+            self._timer.record_timeout()
+            self._record_failure(flow)
             telemetry.log(
                 "flow-search-timeout",
                 flow=_types.describe_flow(flow),
-                silent_count=len(search.asked),
-                silent=min(search.asked, default=None),
+                silent_count=len(search.unanswered),
+                silent=min(search.unanswered, default=None),
             )
 
-    def _miss(self, flow: bytes) -> None:
-        """Remembers for a moment that a flow was searched in vain."""
+    def _record_failure(self, flow: bytes) -> None:
+        """Records that a search has failed, and removes old records."""
         now_ms = self._clock.now_ms()
-        self._missed.pop(flow, None)
-        self._missed[flow] = now_ms
-        while self._missed:
-            oldest, missed_ms = next(iter(self._missed.items()))
-            if now_ms - missed_ms < SEARCH_PAUSE_MS:
+        self._failures.pop(flow, None)
+        self._failures[flow] = now_ms
+        while self._failures:
+            oldest, failed_ms = next(iter(self._failures.items()))
+            if now_ms - failed_ms < SEARCH_RETRY_DELAY_MS:
                 break
-            del self._missed[oldest]
+            del self._failures[oldest]
--- a/libs/flows/src/fireflyford/flows/_messages.py
+++ b/libs/flows/src/fireflyford/flows/_messages.py
@@ -10,10 +10,11 @@
 class Handling(enum.IntEnum):
     """What the receiver of a forwarded packet does with it.
 
-    RESOLVE: the home of the flow finds its holder, or places a new flow.
-    HELD: the receiver is believed to hold the flow.
-    PLACE: the receiver is asked to take a new flow.
-    SEARCH: the receiver takes the packet only if it holds the flow.
+    RESOLVE: as directory agent of the flow, finds its holder, or places it if
+        it is new.
+    HELD: delivers the packet as the presumed holder of the flow.
+    PLACE: accepts or declines a new flow.
+    SEARCH: delivers the packet only if it holds the flow.
     """
 
     RESOLVE = 0
@@ -28,13 +29,13 @@
 
     Attributes:
         handling: What the receiver does with it.
-        service: Service of the flow; an agent of another one refuses it.
-        balancer: Balancer that took the packet from the client.
+        service: Service of the flow; an agent of another service declines it.
+        balancer: Balancer that received the packet from the client.
         directory_agent: Agent that keeps the directory entry of the flow.
-        hop_count: Agents that have passed it on.
+        hop_count: Number of agents that have relayed the packet.
         long_lived: Whether flows of this route carry many requests.
-        allow_queueing: Whether the receiver takes the flow even if its requests
-            have to wait for a slot.
+        allow_queueing: Whether the receiver accepts the flow even if its
+            requests have to wait for a slot.
         data: The encoded packet.
     """
 
@@ -55,14 +56,14 @@
         packet: _types.Packet,
         allow_queueing: bool = False,
     ) -> "Send":
-        """Returns the message with which an agent passes a packet on.
+        """Returns the message that relays a packet to another agent.
 
         Args:
             handling: What the receiver does with it.
             directory_agent: Agent that keeps the directory entry of the flow.
             to: The receiver.
-            packet: This packet, or another one of its flow.
-            allow_queueing: Whether the receiver takes the flow even if its
+            packet: This packet, or another one of the same flow.
+            allow_queueing: Whether the receiver accepts the flow even if its
                 requests have to wait for a slot.
         """
         message = dataclasses.replace(
@@ -85,7 +86,7 @@
 
 
 class DeclineReason(enum.IntEnum):
-    """Why an agent does not take a new flow."""
+    """Why an agent declines a new flow."""
 
     BUSY = 0
     DRAINING = 1
@@ -98,7 +99,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlacementDeclined:
-    """The sender does not take a new flow; nothing of it has run there."""
+    """The sender declines a new flow, none of which was processed there."""
 
     flow: bytes
     reason: DeclineReason
@@ -114,11 +115,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FlowNotFound:
-    """No backend server of the service holds a flow; from home to balancer.
+    """No backend server holds a flow; from directory agent to balancer.
 
     Attributes:
         flow: The flow.
-        ack: Last acknowledgment of the client, for a reset.
+        ack: Last acknowledgment number of the client, for a reset.
         expects_response: Whether the client waits for a response to its packet.
     """
 
@@ -129,14 +130,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlacementQueued:
-    """A new flow waits at its home for a backend server with room."""
+    """A new flow is queued until a backend server has room."""
 
     flow: bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlacementRefused:
-    """No backend server takes a new flow; from home to balancer."""
+    """No backend server accepts a flow; from directory agent to balancer."""
 
     flow: bytes
     reason: DeclineReason
@@ -144,21 +145,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FlowAnnouncement:
-    """Flows that the sender holds, for their home's directory."""
+    """Flows that the sender holds, for the directory of the receiver."""
 
     flows: tuple[bytes, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Sign of life of an instance, with its own entry and its load.
+    """Keepalive of an instance, with its own entry and its load.
 
     Attributes:
         instance: Entry of the sender.
         load: Load of an agent's backend server.
         config_version: Version of the configuration in force at the sender,
             0 for none.
-        leaving: Whether the sender ends now.
+        leaving: Whether the sender is shutting down.
     """
 
     instance: _types.Instance
@@ -169,7 +170,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Load of the sender's backend server, a short sign of life as well."""
+    """Load of the sender's backend server; also counts as a keepalive."""
 
     load: _types.Load
 
--- a/libs/flows/src/fireflyford/flows/_placement.py
+++ b/libs/flows/src/fireflyford/flows/_placement.py
@@ -1,4 +1,4 @@
-"""Which backend server takes a new flow."""
+"""Policies that choose the backend server of a new flow."""
 
 import abc
 from collections.abc import Sequence
@@ -9,30 +9,30 @@
 from fireflyford import core
 from fireflyford.flows import _types
 
-# Assumed service time while no agent of the service has measured one.
+# Used while no agent of the service has measured a service time.
 DEFAULT_SERVICE_MS = 30.0
-# A measured service time counts at most this factor away from the median, so
-# that one wrong figure has a limited effect.
+# Service times are clamped to this factor around the median, which limits the
+# effect of a wrong measurement.
 MAX_SPEED_FACTOR = 4.0
 
 
-# Candidates drawn for a single request. Homes work on loads that are 0.1 s old
-# or more; if each took the best of all, they would all take the same one. Two
-# is the least number with a choice (Mitzenmacher, "How useful is old
-# information?", IEEE TPDS 11, 2000).
+# Random candidates compared for a single request. Directory agents see loads
+# that are at least 0.1 s old; if each chose the best of all, they would all
+# choose the same one. Two is the smallest number that leaves a choice
+# (Mitzenmacher, "How useful is old information?", IEEE TPDS 11, 2000).
 SAMPLE_COUNT = 2
-# Requests and reserved flows that a backend server gets for each slot, the one
-# that is worked on included. Slots then stay busy while homes with older loads
-# look for room, and what queues still ends within some 100 ms.
+# Limit of requests and reserved flows for each slot of a backend server,
+# including the request in progress. Keeps slots busy although directory agents
+# see old loads, while queued requests still finish within some 100 ms.
 PENDING_PER_SLOT = 4
 
 
 def has_room(load: _types.Load, added_count: int = 0) -> bool:
-    """Returns whether a backend server should get another flow now.
+    """Returns whether a backend server may be given another flow.
 
     Args:
         load: Load of the backend server.
-        added_count: Flows that the load does not show yet.
+        added_count: Flows that the load does not include yet.
 
     >>> has_room(_types.Load(slot_count=2, busy_count=7))
     True
@@ -44,16 +44,16 @@
 
 
 def expected_load(load: _types.Load, age_ms: int) -> _types.Load:
-    """Returns what a load has become after some time without news.
+    """Estimates the current load from an older report.
 
-    With many agents, loads are reported less often than requests end. Each
-    slot is taken to finish one request in a service time, and reserved flows
-    to have become requests meanwhile. An agent that is busier than expected
-    declines and reports its load with that.
+    With many agents, the interval between load reports is longer than the
+    service time. Each slot is assumed to finish one request per service time,
+    and reserved flows to have sent their request. An agent that is busier than
+    estimated declines the flow and reports its load with the answer.
 
     Args:
-        load: Load of a backend server.
-        age_ms: Time since it was reported.
+        load: Last reported load of a backend server.
+        age_ms: Time since the report.
 
     >>> expected_load(_types.Load(busy_count=3, service_ms=20.0), 45).busy_count
     1
@@ -73,23 +73,24 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Candidate:
-    """An agent that may take a new flow.
+    """An agent that may accept a new flow.
 
     Attributes:
         address: Address of the agent.
         load: Last known load of its backend server.
         placed_count: Flows placed there since that load was reported.
-        is_near: Whether it is in the availability zone of the home.
+        in_same_zone: Whether it is in the availability zone of the directory
+            agent.
     """
 
     address: core.Address
     load: _types.Load
     placed_count: int = 0
-    is_near: bool = False
+    in_same_zone: bool = False
 
     @property
     def pending_count(self) -> int:
-        """Requests ahead of another one, those placed meanwhile included."""
+        """Number of requests ahead of a new one."""
         return self.load.pending_count + self.placed_count
 
 
@@ -100,19 +101,20 @@
     def choose(
         self, candidates: Sequence[Candidate], long_lived: bool
     ) -> Candidate:
-        """Returns one of the candidates; there is at least one.
+        """Returns one of the candidates.
 
         Args:
-            candidates: Agents whose backend servers take new flows.
+            candidates: Agents whose backend servers accept new flows, at least
+                one.
             long_lived: Whether the flow will carry many requests.
         """
 
 
 class Random(Placement):
-    """Baseline: any candidate."""
+    """Uniformly random choice, as a baseline."""
 
     def __init__(self, rng: random.Random) -> None:
-        """Takes the random source."""
+        """Initializes a policy with its random source."""
         self._rng = rng
 
     def choose(
@@ -123,23 +125,24 @@
 
 
 class LeastCompletion(Placement):
-    """Earliest completion for single requests, even shares for lasting flows.
-
-    Answers unequal speeds and work that arrives faster than it is reported:
-    of two random candidates, a single request goes to the one where it is
-    expected to finish first. A lasting flow goes where the flows already open
-    leave the largest share of capacity, because its later requests follow it
-    there; such flows come rarely enough for their homes to know the loads.
+    """Earliest completion for single requests, even load for long-lived flows.
+
+    Handles backend servers of unequal speed and requests that arrive faster
+    than loads are reported: of two random candidates, a single request goes to
+    the one where it is expected to finish first. A long-lived flow goes where
+    the open flows leave the largest share of capacity, because its later
+    requests go to the same backend server; such flows are rare enough for the
+    directory agents to know the current loads.
     """
 
     def __init__(self, rng: random.Random) -> None:
-        """Takes the random source."""
+        """Initializes a policy with its random source."""
         self._rng = rng
 
     def choose(
         self, candidates: Sequence[Candidate], long_lived: bool
     ) -> Candidate:
-        """Returns the candidate of least cost."""
+        """Returns the candidate with the lowest cost."""
         times = [
             item.load.service_ms for item in candidates if item.load.service_ms
         ]
@@ -151,11 +154,13 @@
             candidates = self._rng.sample(candidates, count)
         return min(
             candidates,
-            key=lambda item: cost(item, _service_ms(item.load, median_ms)),
+            key=lambda item: cost(
+                item, _bounded_service_ms(item.load, median_ms)
+            ),
         )
 
 
-def _service_ms(load: _types.Load, median_ms: float) -> float:
+def _bounded_service_ms(load: _types.Load, median_ms: float) -> float:
     measured_ms = load.service_ms or median_ms
     return min(
         max(measured_ms, median_ms / MAX_SPEED_FACTOR),
@@ -165,15 +170,19 @@
 
 def _completion_cost(item: Candidate, service_ms: float) -> tuple[float, ...]:
     load = item.load
-    ahead = item.pending_count
-    queued = max(0, ahead - load.slot_count + 1)
+    ahead_count = item.pending_count
+    queued = max(0, ahead_count - load.slot_count + 1)
     wait_ms = service_ms * queued / load.slot_count
     share = service_ms * load.long_lived_count / load.slot_count
-    return (wait_ms + service_ms, share, not item.is_near)
+    return (wait_ms + service_ms, share, not item.in_same_zone)
 
 
 def _share_cost(item: Candidate, service_ms: float) -> tuple[float, ...]:
     load = item.load
-    flows = load.long_lived_count + item.placed_count + 1
-    ahead = load.pending_count
-    return (service_ms * flows / load.slot_count, ahead, not item.is_near)
+    flow_count = load.long_lived_count + item.placed_count + 1
+    ahead_count = load.pending_count
+    return (
+        service_ms * flow_count / load.slot_count,
+        ahead_count,
+        not item.in_same_zone,
+    )
--- a/libs/flows/src/fireflyford/flows/_keeper.py
+++ b/libs/flows/src/fireflyford/flows/_target_forwarder.py
@@ -1,8 +1,8 @@
-"""Decisions about the flows of the backend server beside an agent.
+"""Forwarding of packets to the backend server of an agent.
 
-The backend server is the last authority on what it holds: it returns each
-packet of a flow that it does not hold, and each first packet that it does
-not accept.
+The backend server is the authority on which flows it holds: it returns each
+packet of a flow that it does not hold, and each opening packet that it does not
+accept.
 """
 
 import collections
@@ -11,29 +11,29 @@
 from fireflyford import core
 from fireflyford import telemetry
 from fireflyford.flows import _fleet
-from fireflyford.flows import _held
+from fireflyford.flows import _flow_tracker
 from fireflyford.flows import _messages
 from fireflyford.flows import _placement
 from fireflyford.flows import _types
 
-# A backend server accepts a new flow within a millisecond while it runs.
+# A running backend server accepts a new flow within a millisecond.
 OPENING_LIMIT_MS = 50
-# A returned packet comes back within a millisecond as well.
+# A running backend server also returns a packet within a millisecond.
 PROBE_LIMIT_MS = 50
-# A backend server that lives has reported once within this time: reports come
-# every 1.2 s at the most, and one may be lost.
-FIRST_SIGN_MS = 2_500
-# Notes that mark delivered packets; a note comes back with the packet.
-_MAX_NOTE = 0x7FFFFFFF
-# Chains of agents are bounded, since two views may point at each other.
+# A running backend server sends a report within this time: the interval is at
+# most 1.2 s, and one report may be lost.
+FIRST_KEEPALIVE_MS = 2_500
+# A delivery tag identifies a delivered packet; a returned packet carries it.
+_MAX_DELIVERY_TAG = 0x7FFFFFFF
+# Prevents forwarding loops between agents whose views differ.
 MAX_HOPS = 4
 # Flows announced in one message.
-HOLDING_BATCH_COUNT = 64
+ANNOUNCEMENT_BATCH_COUNT = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Opening:
-    """A new flow that was offered to the backend server."""
+    """A new flow whose opening packet the backend server has not answered."""
 
     forward: _messages.Forward
     sender: core.Address
@@ -42,7 +42,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Probe:
-    """A packet delivered to learn whether the backend server holds a flow."""
+    """A packet that tests whether the backend server holds a flow."""
 
     forward: _messages.Forward
     sender: core.Address
@@ -51,7 +51,7 @@
 
 
 class TargetForwarder:
-    """Delivers packets to one backend server and knows its flows."""
+    """Delivers packets to one backend server and tracks its flows."""
 
     def __init__(
         self,
@@ -59,7 +59,7 @@
         own: _types.Instance,
         fleet: _fleet.Fleet,
     ) -> None:
-        """Starts without flows.
+        """Initializes a forwarder without flows.
 
         Args:
             clock: Source of time.
@@ -70,17 +70,19 @@
         self._started_ms = clock.now_ms()
         self._own = own
         self._fleet = fleet
-        # Whether this process has heard of the backend server at all.
-        self._has_sign = False
-        self.tracker = _held.FlowTracker(clock)
+        # Whether the backend server has sent anything since this process
+        # started.
+        self._has_keepalive = False
+        self.tracker = _flow_tracker.FlowTracker(clock)
         self.state = _types.TargetState.UNKNOWN
-        # Flows may be held that this process has not seen open.
-        self.may_hold_others = True
+        # Whether the backend server may hold flows that were opened before
+        # this process started.
+        self.may_hold_unknown = True
         self._openings: dict[bytes, _Opening] = {}
         self._probes: collections.OrderedDict[int, _Probe] = (
             collections.OrderedDict()
         )
-        self._note = 0
+        self._last_delivery_tag = 0
 
     def load(self) -> _types.Load:
         """Returns the load of the backend server."""
@@ -94,25 +96,25 @@
         forward: _messages.Forward,
         packet: _types.Packet,
     ) -> list[_types.Action]:
-        """Handles a packet that is meant for the backend server."""
+        """Handles a packet for the backend server."""
         if forward.handling is _messages.Handling.PLACE:
             return self._open(sender, forward, packet)
         tracked = self.tracker.get(packet.flow)
         if self.state is _types.TargetState.DOWN:
-            return self._miss(sender, forward, packet)
+            return self._report_not_held(sender, forward, packet)
         if tracked is not None and tracked.matches(packet):
-            self.tracker.receive(tracked, packet)
+            self.tracker.record_client_packet(tracked, packet)
             return [
                 _types.Deliver(packet),
-                *self._tell(packet.flow, forward, sender),
+                *self._notify_located(packet.flow, forward, sender),
             ]
         if packet.opens:
             if packet.flow in self._openings:
                 return []
-            return self._miss(sender, forward, packet)
-        if tracked is None and self.may_hold_others:
+            return self._report_not_held(sender, forward, packet)
+        if tracked is None and self.may_hold_unknown:
             return self._probe(sender, forward, packet)
-        return self._miss(sender, forward, packet)
+        return self._report_not_held(sender, forward, packet)
 
     def _open(
         self,
@@ -122,7 +124,7 @@
     ) -> list[_types.Action]:
         tracked = self.tracker.get(packet.flow)
         if tracked is not None:
-            self.tracker.receive(tracked, packet)
+            self.tracker.record_client_packet(tracked, packet)
             return [
                 _types.Deliver(packet),
                 _messages.Send(
@@ -152,8 +154,8 @@
             return reasons.UNKNOWN_STATE
         load = self.load()
         pending = load.pending_count + len(self._openings)
-        is_choosy = not forward.allow_queueing and not forward.long_lived
-        if is_choosy and pending >= load.slot_count:
+        needs_free_slot = not forward.allow_queueing and not forward.long_lived
+        if needs_free_slot and pending >= load.slot_count:
             return reasons.BUSY
         if not _placement.has_room(load, len(self._openings)):
             return reasons.BUSY
@@ -176,27 +178,29 @@
         forward: _messages.Forward,
         packet: _types.Packet,
     ) -> list[_types.Action]:
-        self._note = self._note % _MAX_NOTE + 1
-        self._probes[self._note] = _Probe(
+        self._last_delivery_tag = (
+            self._last_delivery_tag % _MAX_DELIVERY_TAG + 1
+        )
+        self._probes[self._last_delivery_tag] = _Probe(
             forward, sender, packet, self._clock.now_ms() + PROBE_LIMIT_MS
         )
-        return [_types.Deliver(packet, self._note)]
+        return [_types.Deliver(packet, self._last_delivery_tag)]
 
-    def _miss(
+    def _report_not_held(
         self,
         sender: core.Address,
         forward: _messages.Forward,
         packet: _types.Packet,
     ) -> list[_types.Action]:
-        """Says that the flow is not here and looks for it elsewhere."""
+        """Reports a flow as not held and relays its packet unless searched."""
         actions: list[_types.Action] = [
             _messages.Send(sender, _messages.NotHeld(packet.flow))
         ]
         if forward.handling is _messages.Handling.SEARCH:
             return actions
-        return actions + self._send_home(forward, packet)
+        return actions + self._relay_to_directory_agent(forward, packet)
 
-    def _send_home(
+    def _relay_to_directory_agent(
         self, forward: _messages.Forward, packet: _types.Packet
     ) -> list[_types.Action]:
         if forward.hop_count >= MAX_HOPS:
@@ -212,13 +216,13 @@
             forward.relay(handling, directory_agent, directory_agent, packet)
         ]
 
-    def _tell(
+    def _notify_located(
         self, flow: bytes, forward: _messages.Forward, sender: core.Address
     ) -> list[_types.Action]:
-        """Tells those who did not know where the flow of a packet is.
+        """Notifies the instances that did not know the holder of the flow.
 
-        A balancer that asked the home repeats its packet until it is told,
-        so each such packet is answered.
+        A balancer that has asked the directory agent retries its packet until
+        it is notified, so each such packet is answered.
         """
         receivers = []
         if sender != forward.balancer:
@@ -231,31 +235,31 @@
     # Packets of the backend server.
 
     def receive_from_target(self, packet: _types.Packet) -> list[_types.Action]:
-        """Handles a packet that the backend server sends."""
+        """Handles a packet from the backend server."""
         self.record_keepalive()
         if packet.bounced:
-            return self._bounce(packet)
+            return self._handle_bounced(packet)
         if self.state is _types.TargetState.DOWN:
             telemetry.log("target-back")
             self.state = _types.TargetState.UNKNOWN
         if packet.opens:
-            return self._accept(packet)
+            return self._handle_accepted(packet)
         tracked = self.tracker.get(packet.flow)
         actions: list[_types.Action] = [_types.Reply(packet)]
         if tracked is None:
             actions += self._adopt(packet.flow)
             tracked = self.tracker.get(packet.flow)
             assert tracked is not None
-        self.tracker.answer(tracked, packet)
+        self.tracker.record_target_packet(tracked, packet)
         return actions
 
-    def _accept(self, packet: _types.Packet) -> list[_types.Action]:
+    def _handle_accepted(self, packet: _types.Packet) -> list[_types.Action]:
         tracked = self.tracker.get(packet.flow)
         if tracked is not None:
             return [_types.Reply(packet)]
         opening = self._openings.pop(packet.flow, None)
         if opening is None:
-            # The flow was placed elsewhere meanwhile.
+            # The offer timed out, so the flow may be placed elsewhere.
             return []
         self.tracker.add(packet.flow, opening.forward.long_lived, packet.seq)
         located = _messages.FlowLocated(packet.flow, self.load())
@@ -272,7 +276,7 @@
             *(_messages.Send(to, located) for to in sorted(receivers)),
         ]
 
-    def _bounce(self, packet: _types.Packet) -> list[_types.Action]:
+    def _handle_bounced(self, packet: _types.Packet) -> list[_types.Action]:
         if packet.opens:
             opening = self._openings.pop(packet.flow, None)
             if opening is None:
@@ -290,7 +294,9 @@
             else None
         )
         if probe is not None:
-            return self._miss(probe.sender, probe.forward, probe.packet)
+            return self._report_not_held(
+                probe.sender, probe.forward, probe.packet
+            )
         tracked = self.tracker.get(packet.flow)
         if tracked is None or tracked.ended:
             return []
@@ -305,11 +311,11 @@
     # State of the backend server.
 
     def record_keepalive(self) -> None:
-        """Takes a sign of life of the backend server."""
-        self._has_sign = True
+        """Records that the backend server has sent something."""
+        self._has_keepalive = True
 
     def update_state(self, state: _types.TargetState, slot_count: int) -> None:
-        """Takes what the backend server says of itself."""
+        """Applies the state that the backend server reports."""
         self.tracker.slot_count = max(1, slot_count)
         if state is not self.state:
             telemetry.log(
@@ -321,25 +327,25 @@
             self.state = state
 
     def assume_state(self, state: _types.TargetState) -> None:
-        """Takes the state that an earlier process left behind.
+        """Applies the state that an earlier process of this agent registered.
 
-        It holds until the first report of the backend server, so that a
-        restarted agent need not wait for it.
+        It is used until the first report of the backend server, so that a
+        restarted agent does not have to wait for one.
         """
         if self.state is _types.TargetState.UNKNOWN:
             telemetry.log("target-assumed", state=state.name.lower())
             self.state = state
 
     def mark_down(self, reason: str) -> list[_types.Action]:
-        """Takes the news that the backend server does not run.
+        """Handles the failure of the backend server.
 
-        Its flows are gone with it, so clients that wait are told.
+        Its flows are lost, so they are reset for the clients that wait.
         """
         if self.state is _types.TargetState.DOWN:
             return []
         telemetry.log("target-down", reason=reason, held=len(self.tracker))
         self.state = _types.TargetState.DOWN
-        self.may_hold_others = False
+        self.may_hold_unknown = False
         actions: list[_types.Action] = []
         for flow, opening in tuple(self._openings.items()):
             actions.append(
@@ -349,7 +355,9 @@
             )
         self._openings.clear()
         for probe in self._probes.values():
-            actions += self._miss(probe.sender, probe.forward, probe.packet)
+            actions += self._report_not_held(
+                probe.sender, probe.forward, probe.packet
+            )
         self._probes.clear()
         for flow in self.tracker.open_flows():
             tracked = self.tracker.get(flow)
@@ -358,10 +366,10 @@
         self.tracker.clear()
         return actions
 
-    # Time and views.
+    # Timeouts and announcements.
 
     def sweep(self) -> list[_types.Action]:
-        """Ends openings and probes that wait for too long."""
+        """Handles openings and probes that have timed out."""
         now_ms = self._clock.now_ms()
         actions: list[_types.Action] = []
         for flow, opening in tuple(self._openings.items()):
@@ -376,21 +384,25 @@
             delivery_tag, probe = next(iter(self._probes.items()))
             if now_ms < probe.deadline_ms:
                 break
-            is_new = now_ms - self._started_ms < FIRST_SIGN_MS
-            if not self._has_sign and is_new:
-                # Silence means that a live server took the packet.
+            is_starting = now_ms - self._started_ms < FIRST_KEEPALIVE_MS
+            if not self._has_keepalive and is_starting:
+                # A packet that is not returned shows a held flow only if the
+                # server runs, which its first report has yet to show.
                 break
-            if not self._has_sign:
-                actions += self._miss(probe.sender, probe.forward, probe.packet)
+            if not self._has_keepalive:
+                actions += self._report_not_held(
+                    probe.sender, probe.forward, probe.packet
+                )
             elif probe.packet.flow not in self.tracker:
                 actions += self._adopt(probe.packet.flow)
             self._probes.pop(delivery_tag, None)
         return actions
 
     def _adopt(self, flow: bytes) -> list[_types.Action]:
-        """Takes a flow that an earlier process saw open.
+        """Starts to track a flow that was opened before this process started.
 
-        The backend server has answered on it, or has not returned a packet.
+        The backend server has sent a packet of the flow, or has not returned
+        one in time.
         """
         telemetry.log("flow-adopted", flow=_types.describe_flow(flow))
         probes = [
@@ -418,20 +430,20 @@
         ]
 
     def announce_all(self) -> list[_types.Action]:
-        """Enters all flows in the directories of their present homes."""
-        by_home: dict[core.Address, list[bytes]] = {}
+        """Announces all open flows to their current directory agents."""
+        by_agent: dict[core.Address, list[bytes]] = {}
         for flow in self.tracker.open_flows():
             for directory_agent in self._fleet.directory_agents(
                 self._own.service, flow, 1
             ):
-                by_home.setdefault(directory_agent, []).append(flow)
+                by_agent.setdefault(directory_agent, []).append(flow)
         return [
             _messages.Send(
                 directory_agent,
                 _messages.FlowAnnouncement(
-                    tuple(flows[at : at + HOLDING_BATCH_COUNT])
+                    tuple(flows[at : at + ANNOUNCEMENT_BATCH_COUNT])
                 ),
             )
-            for directory_agent, flows in by_home.items()
-            for at in range(0, len(flows), HOLDING_BATCH_COUNT)
+            for directory_agent, flows in by_agent.items()
+            for at in range(0, len(flows), ANNOUNCEMENT_BATCH_COUNT)
         ]
--- a/libs/flows/src/fireflyford/flows/_types.py
+++ b/libs/flows/src/fireflyford/flows/_types.py
@@ -1,4 +1,4 @@
-"""Flows, their packets and the instances that carry them, as typed values."""
+"""Packets, instances, loads and actions as immutable values."""
 
 import dataclasses
 import enum
@@ -13,19 +13,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Packet:
-    """What the decisions need of one packet of a flow.
+    """Header fields and data of one packet of a flow.
 
     Attributes:
         flow: Identifier of the flow, the same in both directions.
-        data: The encoded packet; decisions never look inside.
-        opens: Whether it asks for a new flow.
+        data: The encoded packet, opaque to the decisions.
+        opens: Whether it opens or accepts a flow.
         acknowledges: Whether `ack` is valid.
-        ends: Whether its sender has nothing more to send.
-        resets: Whether it ends the flow at once.
+        ends: Whether its sender will send no more data.
+        resets: Whether it resets the flow.
         bounced: Whether the backend server returned it.
-        payload_bytes: Length of the data that it carries.
-        seq: First byte of the data in the sender's sequence space.
-        ack: Next byte that its sender expects.
+        payload_bytes: Length of its payload.
+        seq: Sequence number of the first payload byte.
+        ack: Sequence number that its sender expects next.
         delivery_tag: Value that the agent attached on delivery.
     """
 
@@ -44,7 +44,7 @@
 
 @functools.lru_cache(4_096)
 def client_address(flow: bytes) -> core.Address:
-    """Returns the client's end of a flow.
+    """Returns the client address of a flow.
 
     >>> str(client_address(bytes([10, 0, 0, 7, 0, 80, 10, 0, 0, 1, 1, 187])))
     '10.0.0.7:80'
@@ -70,17 +70,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Instance:
-    """One process of the system, as its entry in the registry says.
+    """One instance of the system, as described by its registry entry.
 
     Attributes:
         instance_id: Name of the instance.
-        role: What the instance does.
+        role: Role of the instance.
         service: Service of an agent's backend server, empty for a balancer.
-        availability_zone: Where the instance runs.
-        address: Where it takes messages of other instances.
-        incarnation: Start of the process in ms since the Unix epoch; a later
-            process at the same address has a larger one.
-        is_draining: Whether the backend server beside it takes no new flows.
+        availability_zone: Availability zone of the instance.
+        address: Address for messages from other instances.
+        incarnation: Start time of the process in ms since the Unix epoch; a
+            later process at the same address has a larger one.
+        is_draining: Whether the backend server of an agent is draining.
     """
 
     instance_id: str
@@ -93,7 +93,7 @@
 
 
 class TargetState(enum.IntEnum):
-    """What an agent knows of its backend server."""
+    """State of a backend server as known to its agent."""
 
     UNKNOWN = 0
     READY = 1
@@ -103,13 +103,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
-    """Work at one backend server, as its agent sees it in the packets.
+    """Load of one backend server, as its agent observes it from packets.
 
     Attributes:
-        state: Whether it takes new flows.
-        slot_count: Requests that it works on at the same time.
-        busy_count: Requests that wait for the first byte of their response.
-        reserved_count: New flows whose first request has not come yet.
+        state: State of the backend server.
+        slot_count: Requests that it processes concurrently.
+        busy_count: Requests whose response has not started.
+        reserved_count: New flows whose first request has not arrived.
         long_lived_count: Open flows that carry many requests.
         service_ms: Mean time from a request to its response, measured while
             a slot was free; 0 when unknown.
@@ -124,17 +124,17 @@
 
     @property
     def pending_count(self) -> int:
-        """Requests at the backend server and those that are about to come."""
+        """Number of requests at the backend server or expected shortly."""
         return self.busy_count + self.reserved_count
 
 
 class Action:
-    """Something that a decision asks its process to do."""
+    """An effect that the process must carry out after a decision."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Deliver(Action):
-    """Give a packet to the backend server beside this agent."""
+    """Deliver a packet to the backend server of this agent."""
 
     packet: Packet
     delivery_tag: int = 0
@@ -142,18 +142,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply(Action):
-    """Send a packet of the backend server to the client."""
+    """Send a packet from the backend server to the client."""
 
     packet: Packet
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reset(Action):
-    """End a flow towards its client.
+    """Reset a flow at its client.
 
     Attributes:
         flow: The flow.
-        seq: Sequence number that the client accepts: its last `ack`.
+        seq: Sequence number that the client accepts, its last `ack`.
     """
 
     flow: bytes
@@ -161,7 +161,7 @@
 
 
 def sequence_distance(start: int, end: int) -> int:
-    """Returns how far `end` is after `start`, modulo 2**32.
+    """Returns the distance from `start` to `end`, modulo 2**32.
 
     >>> sequence_distance(0xFFFFFFFF, 1)
     2
--- a/libs/flows/tests/test_decisions.py
+++ b/libs/flows/tests/test_decisions.py
@@ -1,4 +1,4 @@
-"""Single decisions of agents and balancers."""
+"""Tests of individual decisions of agents and balancers."""
 
 import dataclasses
 import random
@@ -7,9 +7,9 @@
 
 from fireflyford import core
 from fireflyford import flows
-from fireflyford.flows import _held
-from fireflyford.flows import _keeper
+from fireflyford.flows import _flow_tracker
 from fireflyford.flows import _placement
+from fireflyford.flows import _target_forwarder
 
 OWN = core.Address("10.0.1.1", 7_000)
 PEER = core.Address("10.0.1.2", 7_000)
@@ -20,7 +20,7 @@
 
 
 class Clock(core.ManualClock):
-    """Clock that a test sets without an event loop."""
+    """Clock whose time a test sets without an event loop."""
 
     def set(self, now_ms: int) -> None:
         """Sets the time."""
@@ -49,11 +49,13 @@
     )
 
 
-def make_forwarder() -> tuple[Clock, flows.Fleet, _keeper.TargetForwarder]:
+def make_forwarder() -> tuple[
+    Clock, flows.Fleet, _target_forwarder.TargetForwarder
+]:
     clock = Clock(1_000_000)
     fleet = flows.Fleet(clock)
     fleet.replace_entries([instance(OWN), instance(PEER)])
-    forwarder = _keeper.TargetForwarder(clock, instance(OWN), fleet)
+    forwarder = _target_forwarder.TargetForwarder(clock, instance(OWN), fleet)
     forwarder.update_state(flows.TargetState.READY, 2)
     return clock, fleet, forwarder
 
@@ -66,7 +68,9 @@
     ]
 
 
-def open_flow(forwarder: _keeper.TargetForwarder, flow: bytes = FLOW) -> None:
+def open_flow(
+    forwarder: _target_forwarder.TargetForwarder, flow: bytes = FLOW
+) -> None:
     opening = flows.Packet(flow, b"", opens=True)
     forwarder.receive(BALANCER, forward(flows.Handling.PLACE), opening)
     accepted = flows.Packet(flow, b"", opens=True, acknowledges=True, seq=SEQ)
@@ -79,11 +83,11 @@
     )
 
 
-def test_a_flow_opened_elsewhere_is_not_delivered_here() -> None:
-    """Guards against packets for another backend server's answer.
+def test_packet_for_another_sequence_is_not_delivered() -> None:
+    """Guards against delivery to the wrong backend server.
 
-    Both backend servers answered the first packet; the client acknowledges
-    the other one's sequence.
+    Two backend servers answered the opening packet, and the client
+    acknowledges the sequence of the other one.
     """
     _, _, forwarder = make_forwarder()
     open_flow(forwarder)
@@ -94,11 +98,11 @@
     assert sent(actions, flows.NotHeld)
 
 
-def test_a_balancer_that_asks_the_home_is_always_told() -> None:
-    """Guards against a request that is delivered twice.
+def test_balancer_that_asks_directory_agent_is_always_notified() -> None:
+    """Guards against duplicate delivery of a request.
 
-    A balancer that was told where the flow is may not know the holder, asks
-    the home, and repeats its packet until it is told again.
+    A balancer whose view of the instances lacks the holder asks the directory
+    agent, and retries its packet until it is notified again.
     """
     _, _, forwarder = make_forwarder()
     open_flow(forwarder)
@@ -108,12 +112,12 @@
     assert [item.to for item in sent(actions, flows.FlowLocated)] == [BALANCER]
 
 
-def test_a_late_answer_to_a_first_packet_is_dropped() -> None:
-    """Guards against a flow that opens at two backend servers."""
+def test_late_answer_to_opening_packet_is_dropped() -> None:
+    """Guards against a flow that is open at two backend servers."""
     clock, _, forwarder = make_forwarder()
     opening = flows.Packet(FLOW, b"", opens=True)
     forwarder.receive(BALANCER, forward(flows.Handling.PLACE), opening)
-    clock.set(1_000_000 + _keeper.OPENING_LIMIT_MS)
+    clock.set(1_000_000 + _target_forwarder.OPENING_LIMIT_MS)
     declined = sent(forwarder.sweep(), flows.PlacementDeclined)
     assert len(declined) == 1
     accepted = flows.Packet(FLOW, b"", opens=True, acknowledges=True, seq=SEQ)
@@ -128,10 +132,10 @@
         (flows.TargetState.UNKNOWN, flows.DeclineReason.UNKNOWN_STATE),
     ],
 )
-def test_new_flows_are_declined_by_state(
+def test_new_flow_is_declined_by_target_state(
     state: flows.TargetState, reason: flows.DeclineReason
 ) -> None:
-    """Guards against new flows at a backend server that must not get them."""
+    """Guards against new flows at a backend server that is not ready."""
     _, _, forwarder = make_forwarder()
     forwarder.update_state(state, 2)
     opening = flows.Packet(FLOW, b"", opens=True)
@@ -142,8 +146,8 @@
     assert len(actions) == 1
 
 
-def test_a_returned_packet_of_a_held_flow_resets_it() -> None:
-    """Guards against a client that waits for a restarted backend server."""
+def test_returned_packet_resets_held_flow() -> None:
+    """Guards against a client that waits after a backend server restart."""
     _, _, forwarder = make_forwarder()
     open_flow(forwarder)
     returned = dataclasses.replace(data_packet(), bounced=True)
@@ -152,8 +156,8 @@
     assert FLOW not in forwarder.tracker
 
 
-def test_a_returned_packet_of_an_ended_flow_resets_nothing() -> None:
-    """Guards against resets after a flow has closed."""
+def test_returned_packet_does_not_reset_ended_flow() -> None:
+    """Guards against resets after a flow has ended."""
     _, _, forwarder = make_forwarder()
     open_flow(forwarder)
     closing = flows.Packet(FLOW, b"", acknowledges=True, ends=True, ack=SEQ + 1)
@@ -166,18 +170,18 @@
     )
 
 
-def test_probes_are_answered_when_the_target_is_down() -> None:
-    """Guards against a search that waits for an agent without a target."""
+def test_probes_are_answered_when_target_goes_down() -> None:
+    """Guards against a search that waits for an agent whose target is down."""
     _, _, forwarder = make_forwarder()
     forwarder.receive(PEER, forward(flows.Handling.SEARCH), data_packet())
     assert sent(forwarder.mark_down("port closed"), flows.NotHeld)
 
 
-def test_work_of_a_client_that_gave_up_does_not_count() -> None:
-    """Load: clients that give up while a backend server is slow.
+def test_abandoned_request_is_not_counted() -> None:
+    """Guards against slots occupied by requests that clients have abandoned.
 
-    Guards against slots that stay occupied by requests nobody waits for,
-    until every backend server looks full.
+    While a backend server is slow, clients give up; if their requests stayed
+    counted, every backend server would look full.
     """
     _, _, forwarder = make_forwarder()
     open_flow(forwarder)
@@ -191,8 +195,8 @@
     assert forwarder.load().reserved_count == 0
 
 
-def test_a_repeated_request_counts_once() -> None:
-    """Guards against retransmissions taken for more work."""
+def test_retransmitted_request_is_counted_once() -> None:
+    """Guards against retransmissions that are counted as new requests."""
     _, _, forwarder = make_forwarder()
     open_flow(forwarder)
     for _ in range(3):
@@ -200,10 +204,10 @@
     assert forwarder.load().busy_count == 1
 
 
-def test_a_target_without_room_declines_even_a_firm_flow() -> None:
-    """Load: a crowd that returns after an outage.
+def test_target_without_room_declines_flow_that_allows_queueing() -> None:
+    """Guards against queues so long that the backend server would shed them.
 
-    Guards against queues at a backend server that it would shed.
+    They arise when many clients return at once after an outage.
     """
     _, _, forwarder = make_forwarder()
     limit = 2 * _placement.PENDING_PER_SLOT
@@ -216,21 +220,21 @@
     assert declined.message.reason is flows.DeclineReason.BUSY
 
 
-def test_reservations_end() -> None:
-    """Guards against clients that open a flow and send nothing."""
+def test_reservation_expires() -> None:
+    """Guards against reservations of clients that never send a request."""
     clock, _, forwarder = make_forwarder()
     open_flow(forwarder)
     assert forwarder.load().reserved_count == 1
-    clock.set(1_000_000 + _held.RESERVATION_MS)
+    clock.set(1_000_000 + _flow_tracker.RESERVATION_MS)
     assert forwarder.load().reserved_count == 0
 
 
-def make_probed_forwarder() -> tuple[Clock, _keeper.TargetForwarder]:
-    """Returns a restarted keeper with a packet of an unknown flow."""
+def make_probed_forwarder() -> tuple[Clock, _target_forwarder.TargetForwarder]:
+    """Returns a new forwarder that probes a packet of an unknown flow."""
     clock = Clock(1_000_000)
     fleet = flows.Fleet(clock)
     fleet.replace_entries([instance(OWN), instance(PEER)])
-    forwarder = _keeper.TargetForwarder(clock, instance(OWN), fleet)
+    forwarder = _target_forwarder.TargetForwarder(clock, instance(OWN), fleet)
     forwarder.assume_state(flows.TargetState.DRAINING)
     search = forward(flows.Handling.SEARCH)
     (delivery,) = forwarder.receive(PEER, search, data_packet())
@@ -238,32 +242,32 @@
     return clock, forwarder
 
 
-def test_a_target_without_a_sign_of_life_holds_no_flow() -> None:
-    """Guards against flows that are sent to a backend server that is gone.
+def test_target_without_keepalive_holds_no_flow() -> None:
+    """Guards against packets sent to a backend server that no longer runs.
 
-    Its agent was started again after a power cut, the backend server was not.
+    After a power cut, its agent was restarted and the backend server was not.
     """
     clock, forwarder = make_probed_forwarder()
-    clock.set(1_000_000 + _keeper.PROBE_LIMIT_MS)
+    clock.set(1_000_000 + _target_forwarder.PROBE_LIMIT_MS)
     assert forwarder.sweep() == []
-    clock.set(1_000_000 + _keeper.FIRST_SIGN_MS)
+    clock.set(1_000_000 + _target_forwarder.FIRST_KEEPALIVE_MS)
     actions = forwarder.sweep()
     assert FLOW not in forwarder.tracker
     assert [item.to for item in sent(actions, flows.NotHeld)] == [PEER]
 
 
-def test_a_silent_packet_stays_where_a_target_lives() -> None:
-    """Guards against a slow request that is taken for a flow held elsewhere."""
+def test_unreturned_packet_is_adopted_if_target_is_alive() -> None:
+    """Guards against a slow request mistaken for a flow held elsewhere."""
     clock, forwarder = make_probed_forwarder()
-    watch = flows.TargetMonitor(clock, "board", forwarder, 1_200)
+    monitor = flows.TargetMonitor(clock, "board", forwarder, 1_200)
     clock.set(1_000_700)
-    watch.record_report(report(1))
+    monitor.record_report(report(1))
     actions = forwarder.sweep()
     assert FLOW in forwarder.tracker
     assert [item.to for item in sent(actions, flows.FlowLocated)] == [BALANCER]
 
 
-def make_home() -> tuple[Clock, flows.Fleet, flows.AgentFlows]:
+def make_agent() -> tuple[Clock, flows.Fleet, flows.AgentFlows]:
     clock = Clock(1_000_000)
     fleet = flows.Fleet(clock)
     fleet.replace_entries([instance(OWN), instance(PEER)])
@@ -275,12 +279,12 @@
     return clock, fleet, decisions
 
 
-def test_placements_count_until_they_are_reported_or_old() -> None:
-    """Guards against backend servers that look full for ever.
+def test_placements_are_counted_until_reported_or_expired() -> None:
+    """Guards against backend servers that look full indefinitely.
 
-    A load that does not change is not reported again at once.
+    An unchanged load is not reported again immediately.
     """
-    clock, _, decisions = make_home()
+    clock, _, decisions = make_agent()
     for index in range(40):
         flow = FLOW[:5] + bytes((index,)) + FLOW[6:]
         decisions.receive(
@@ -288,12 +292,12 @@
             forward(flows.Handling.RESOLVE),
             flows.Packet(flow, b"", opens=True),
         )
-    waiting = FLOW[:5] + b"\xfe" + FLOW[6:]
-    opening = flows.Packet(waiting, b"", opens=True)
+    queued_flow = FLOW[:5] + b"\xfe" + FLOW[6:]
+    opening = flows.Packet(queued_flow, b"", opens=True)
     request = forward(flows.Handling.RESOLVE)
     first = decisions.receive(BALANCER, request, opening)
     assert sent(first, flows.PlacementQueued)
-    clock.set(1_000_000 + _held.RESERVATION_MS + 40)
+    clock.set(1_000_000 + _flow_tracker.RESERVATION_MS + 40)
     placed = [
         action.message
         for action in sent(decisions.sweep(), flows.Forward)
@@ -303,9 +307,9 @@
     assert all(item.handling is flows.Handling.PLACE for item in placed)
 
 
-def test_a_flow_that_finds_no_room_is_refused_in_time() -> None:
-    """Guards against clients held until they give up."""
-    clock, _, decisions = make_home()
+def test_flow_without_room_is_refused_before_client_gives_up() -> None:
+    """Guards against flows that stay queued until their clients give up."""
+    clock, _, decisions = make_agent()
 
     def report_full() -> None:
         for address in (OWN, PEER):
@@ -327,9 +331,9 @@
     assert len(refused) == 1
 
 
-def test_an_old_load_does_not_keep_a_flow_waiting() -> None:
-    """Guards against waiting for work that has ended since the last report."""
-    clock, _, decisions = make_home()
+def test_old_load_does_not_keep_flow_queued() -> None:
+    """Guards against waiting for requests that have already finished."""
+    clock, _, decisions = make_agent()
     for address in (OWN, PEER):
         full = flows.Load(
             flows.TargetState.READY, 2, busy_count=4, reserved_count=4
@@ -340,16 +344,16 @@
     assert sent(
         decisions.receive(BALANCER, request, opening), flows.PlacementQueued
     )
-    # Two slots end eight requests of 30 ms in 120 ms.
+    # Two slots finish eight requests of 30 ms in 120 ms.
     clock.set(1_000_130)
     (offer,) = sent(decisions.sweep(), flows.Forward)
     assert isinstance(offer.message, flows.Forward)
     assert offer.message.handling is flows.Handling.PLACE
 
 
-def test_a_fresh_home_says_of_no_flow_that_it_is_gone() -> None:
-    """Guards against resets by a home that cannot know all agents yet."""
-    _, _, decisions = make_home()
+def test_new_directory_agent_reports_no_flow_as_not_found() -> None:
+    """Guards against resets while a new agent may not know all other agents."""
+    _, _, decisions = make_agent()
     request = forward(flows.Handling.RESOLVE)
     decisions.receive(BALANCER, request, data_packet())
     actions = []
@@ -358,9 +362,9 @@
     assert actions == []
 
 
-def test_a_search_that_every_agent_denies_ends_the_flow() -> None:
-    """Guards against clients that wait for a flow nobody holds."""
-    clock, _, decisions = make_home()
+def test_search_without_holder_reports_flow_not_found() -> None:
+    """Guards against clients that wait for a flow without a holder."""
+    clock, _, decisions = make_agent()
     clock.set(1_010_000)
     request = forward(flows.Handling.RESOLVE)
     decisions.receive(BALANCER, request, data_packet())
@@ -389,8 +393,8 @@
     return flows.RouteTable(version, {ROUTE: route})
 
 
-def test_a_configuration_never_goes_back() -> None:
-    """Guards against an earlier version that comes late."""
+def test_earlier_configuration_is_ignored() -> None:
+    """Guards against an earlier version that arrives late."""
     _, _, decisions = make_balancer()
     assert decisions.apply(make_table(5, "board"))
     assert not decisions.apply(make_table(4, "sheets"))
@@ -398,21 +402,21 @@
     assert decisions.version == 5
 
 
-def test_only_a_current_configuration_says_that_a_route_is_missing() -> None:
-    """Guards against resets on routes that are too new for this balancer."""
+def test_flow_without_route_is_reset_only_if_configuration_is_current() -> None:
+    """Guards against resets on routes that this balancer does not know yet."""
     _, _, decisions = make_balancer()
     other = FLOW[:10] + bytes((0, 99))
     opening = flows.Packet(other, b"", opens=True)
     assert decisions.receive(opening) == []
     decisions.is_current = True
     assert decisions.receive(opening) == [flows.Reset(other, 0)]
-    # An open flow may belong to a route that is only known elsewhere.
+    # An open flow may belong to a route that only other balancers know.
     packet = dataclasses.replace(data_packet(), flow=other)
     assert decisions.receive(packet) == []
 
 
-def test_a_flow_of_a_changed_route_is_found_at_its_earlier_service() -> None:
-    """Guards against a configuration that moves open flows."""
+def test_flow_of_changed_route_is_found_at_earlier_service() -> None:
+    """Guards against a configuration change that moves open flows."""
     clock, fleet, decisions = make_balancer("old")
     old = dataclasses.replace(instance(PEER), service="old")
     fleet.replace_entries([instance(OWN), old])
@@ -428,8 +432,8 @@
     ]
 
 
-def test_a_silent_home_is_passed_over() -> None:
-    """Guards against new flows that wait for an agent that is gone."""
+def test_directory_agent_that_does_not_answer_is_skipped() -> None:
+    """Guards against new flows that wait for an agent that no longer runs."""
     clock, _, decisions = make_balancer()
     opening = flows.Packet(FLOW, b"", opens=True)
     (first,) = sent(decisions.receive(opening), flows.Forward)
@@ -451,68 +455,68 @@
     )
 
 
-def test_reports_count_in_the_order_in_which_they_were_sent() -> None:
+def test_reports_are_applied_in_order_of_sending() -> None:
     """Guards against late reports of earlier starts and states."""
     clock, _, forwarder = make_forwarder()
-    watch = flows.TargetMonitor(clock, "board", forwarder, 1_200)
-    watch.record_report(report(5, flows.TargetState.DRAINING))
-    watch.record_report(report(4))
+    monitor = flows.TargetMonitor(clock, "board", forwarder, 1_200)
+    monitor.record_report(report(5, flows.TargetState.DRAINING))
+    monitor.record_report(report(4))
     assert forwarder.state is flows.TargetState.DRAINING
-    watch.record_report(report(6))
+    monitor.record_report(report(6))
     assert forwarder.state is flows.TargetState.DRAINING
-    # A new start under the same name counts anew.
-    watch.record_report(report(1, started_ms=2_000))
+    # After a restart under the same name, the sequence starts again.
+    monitor.record_report(report(1, started_ms=2_000))
     assert forwarder.state is flows.TargetState.READY
-    watch.record_report(report(99, flows.TargetState.DRAINING))
+    monitor.record_report(report(99, flows.TargetState.DRAINING))
     assert forwarder.state is flows.TargetState.READY
 
 
-def test_a_late_leave_of_an_earlier_target_changes_nothing() -> None:
-    """Guards against a new backend server that is taken for the old one."""
+def test_late_leave_of_earlier_target_is_ignored() -> None:
+    """Guards against a new backend server mistaken for the earlier one."""
     clock, _, forwarder = make_forwarder()
-    watch = flows.TargetMonitor(clock, "board", forwarder, 1_200)
-    watch.record_report(report(1, target_id="i-2"))
-    watch.record_leave("i-1")
+    monitor = flows.TargetMonitor(clock, "board", forwarder, 1_200)
+    monitor.record_report(report(1, target_id="i-2"))
+    monitor.record_leave("i-1")
     assert forwarder.state is flows.TargetState.READY
-    assert not watch.has_left
+    assert not monitor.has_left
 
 
-def test_only_a_report_after_the_signal_shows_that_a_target_lives() -> None:
-    """Guards against an agent that ends while searches wait for its answer."""
+def test_only_report_after_signal_shows_that_target_is_alive() -> None:
+    """Guards against an agent that exits while searches await its answer."""
     clock, _, forwarder = make_forwarder()
-    watch = flows.TargetMonitor(clock, "board", forwarder, 1_200)
-    watch.record_report(report(1))
+    monitor = flows.TargetMonitor(clock, "board", forwarder, 1_200)
+    monitor.record_report(report(1))
     signal_ms = 1_000_100
     clock.set(signal_ms)
-    assert watch.liveness(signal_ms) is flows.TargetLiveness.UNKNOWN
-    # Some reports may be lost, so many are not.
+    assert monitor.liveness(signal_ms) is flows.TargetLiveness.UNKNOWN
+    # Two reports in a row may be missing, but not three.
     clock.set(signal_ms + 3_000)
-    assert watch.liveness(signal_ms) is flows.TargetLiveness.UNKNOWN
+    assert monitor.liveness(signal_ms) is flows.TargetLiveness.UNKNOWN
     clock.set(signal_ms + 4_500)
-    assert watch.liveness(signal_ms) is flows.TargetLiveness.GONE
-    # An agent that wakes after a freeze has its reports still to read.
-    assert watch.liveness(clock.now_ms()) is flows.TargetLiveness.UNKNOWN
+    assert monitor.liveness(signal_ms) is flows.TargetLiveness.GONE
+    # After a freeze of the agent, reports are still waiting to be read.
+    assert monitor.liveness(clock.now_ms()) is flows.TargetLiveness.UNKNOWN
     clock.set(signal_ms + 900)
-    watch.record_report(report(2))
-    assert watch.liveness(signal_ms) is flows.TargetLiveness.ALIVE
+    monitor.record_report(report(2))
+    assert monitor.liveness(signal_ms) is flows.TargetLiveness.ALIVE
     forwarder.mark_down("port closed")
-    assert watch.liveness(signal_ms) is flows.TargetLiveness.GONE
+    assert monitor.liveness(signal_ms) is flows.TargetLiveness.GONE
 
 
-def test_a_silent_target_gets_no_new_flows() -> None:
-    """Guards against flows to a backend server that may be gone."""
+def test_target_without_reports_gets_no_new_flows() -> None:
+    """Guards against flows to a backend server that may no longer run."""
     clock, _, forwarder = make_forwarder()
-    watch = flows.TargetMonitor(clock, "board", forwarder, 1_200)
-    watch.record_report(report(1))
+    monitor = flows.TargetMonitor(clock, "board", forwarder, 1_200)
+    monitor.record_report(report(1))
     clock.set(1_000_000 + 5_000)
-    watch.sweep()
+    monitor.sweep()
     assert forwarder.state is flows.TargetState.UNKNOWN
-    watch.record_report(report(2))
+    monitor.record_report(report(2))
     assert forwarder.state is flows.TargetState.READY
 
 
-def test_an_earlier_process_is_not_heard_any_more() -> None:
-    """Guards against a late beat of what had this address before."""
+def test_heartbeat_of_earlier_process_is_ignored() -> None:
+    """Guards against late heartbeats of an earlier process at the address."""
     clock = Clock(1_000_000)
     fleet = flows.Fleet(clock)
     fleet.apply_heartbeat(
@@ -525,14 +529,14 @@
     assert found.incarnation == 2
 
 
-def test_a_slow_agent_is_not_asked_more_the_slower_it_is() -> None:
-    """Load: agents so slow that every answer comes after its first timeout.
+def test_slow_agents_do_not_increase_number_of_offers() -> None:
+    """Guards against offers and searches that multiply until nothing is served.
 
-    Guards against offers and searches that multiply until nothing is served:
-    after a power cut on machines of 0.15 of a core each new flow was offered
-    to all agents by several homes.
+    Every answer arrives after its initial timeout. After a power cut on
+    machines with 0.15 of a core, several directory agents offered each new flow
+    to all agents.
     """
-    clock, _, decisions = make_home()
+    clock, _, decisions = make_agent()
     offers = []
     for flow_index in range(50):
         flow = FLOW[:5] + bytes((flow_index,)) + FLOW[6:]
@@ -544,16 +548,16 @@
         for _ in range(10):
             clock.set(clock.now_ms() + 20)
             offers += sent(decisions.sweep(), flows.Forward)
-        # The answer to the first offer comes after 200 ms.
+        # The answer to the first offer arrives after 200 ms.
         load = flows.Load(flows.TargetState.READY, 2)
         decisions.handle_message(PEER, flows.FlowLocated(flow, load))
-    # At first three offers for a flow, later one.
+    # Three offers for each of the first flows, then one.
     assert len(offers) <= 1.5 * 50
 
 
-def test_a_flow_searched_in_vain_is_not_searched_again_at_once() -> None:
-    """Guards against searches for each copy of a packet."""
-    clock, _, decisions = make_home()
+def test_failed_search_is_not_repeated_immediately() -> None:
+    """Guards against a search for every retransmission of a packet."""
+    clock, _, decisions = make_agent()
     clock.set(1_010_000)
     request = forward(flows.Handling.RESOLVE)
     first = decisions.receive(BALANCER, request, data_packet())
