--- a/libs/routing/src/fireflyford/routing/__init__.py
+++ b/libs/routing/src/fireflyford/routing/__init__.py
@@ -1,18 +1,18 @@
-"""Choice of a target for each flow."""
+"""Selection of a target for each flow."""
 
 import typing
 
 from fireflyford import core
 
 if typing.TYPE_CHECKING:
-    from fireflyford.routing._claims import Action
-    from fireflyford.routing._claims import Decision
-    from fireflyford.routing._claims import ForwardedDatagram
-    from fireflyford.routing._claims import Notice
-    from fireflyford.routing._flow_bounds import MAX_HOPS
-    from fireflyford.routing._flow_bounds import MAX_MESSAGE_AGE_MS
-    from fireflyford.routing._flow_bounds import FlowPlacement
-    from fireflyford.routing._flow_bounds import FlowTableLimits
+    from fireflyford.routing._flow_limits import MAX_HOPS
+    from fireflyford.routing._flow_limits import MAX_MESSAGE_AGE_MS
+    from fireflyford.routing._flow_limits import FlowPlacement
+    from fireflyford.routing._flow_limits import FlowTableLimits
+    from fireflyford.routing._flow_messages import Action
+    from fireflyford.routing._flow_messages import Decision
+    from fireflyford.routing._flow_messages import ForwardedDatagram
+    from fireflyford.routing._flow_messages import Notice
     from fireflyford.routing._flow_table import FlowTable
     from fireflyford.routing._ring import Target
     from fireflyford.routing._ring import TargetRing
@@ -54,18 +54,18 @@
 __getattr__ = core.lazy_exports(
     __name__,
     {
-        "_claims": (
-            "Action",
-            "Decision",
-            "ForwardedDatagram",
-            "Notice",
-        ),
-        "_flow_bounds": (
+        "_flow_limits": (
             "MAX_HOPS",
             "MAX_MESSAGE_AGE_MS",
             "FlowPlacement",
             "FlowTableLimits",
         ),
+        "_flow_messages": (
+            "Action",
+            "Decision",
+            "ForwardedDatagram",
+            "Notice",
+        ),
         "_flow_table": ("FlowTable",),
         "_ring": (
             "Target",
--- a/libs/routing/src/fireflyford/routing/_entries.py
+++ b/libs/routing/src/fireflyford/routing/_entries.py
@@ -1,38 +1,58 @@
-"""What one agent knows of each flow, bounded by count and idle time."""
+"""Entries of an agent's flow table, bounded by count and idle time."""
 
 import collections
 from collections.abc import Iterator
 
 from fireflyford import core
-from fireflyford.routing import _claims
+from fireflyford.routing import _flow_messages
 
-# When the table is full, an entry of a flow held elsewhere that was unused for
-# this long makes room; a search is over long before.
-RECLAIM_AFTER_MS = 5_000
+# A full table evicts an entry of a flow that is held elsewhere once the entry
+# is idle for this long. Searches take far less time, so none is evicted while
+# it runs.
+MIN_EVICTION_IDLE_MS = 5_000
 
 
 class Entry:
-    """State of one flow at this agent."""
+    """State of one flow at this agent.
+
+    Attributes:
+        used_ms: Time of the last use.
+    """
 
     def __init__(self, now_ms: int) -> None:
-        """Notes the time of the last use."""
+        """Creates an entry that was last used at `now_ms`."""
         self.used_ms = now_ms
 
 
-class Held(Entry):
-    """This agent holds the flow."""
+class HeldEntry(Entry):
+    """Entry of a flow that this agent holds.
+
+    Attributes:
+        timestamp_ms: Wall-clock time of the adoption.
+        last_datagram_timestamp_ms: Wall-clock time of the caller's last
+            datagram.
+        notified_ms: Time of the last notice to each agent.
+    """
 
     def __init__(self, now_ms: int, timestamp_ms: int) -> None:
-        """Notes when the flow was adopted."""
+        """Creates the entry of a flow adopted at `timestamp_ms`."""
         super().__init__(now_ms)
         self.timestamp_ms = timestamp_ms
-        # Last datagram of the caller, on the scale of stamps.
-        self.heard_stamp = timestamp_ms
-        self.told_ms: dict[core.Holder, int] = {}
+        self.last_datagram_timestamp_ms = timestamp_ms
+        self.notified_ms: dict[core.Holder, int] = {}
 
 
-class Searching(Entry):
-    """This agent is the flow's first target and asks the candidates."""
+class SearchEntry(Entry):
+    """Entry of a flow whose holder this agent searches for.
+
+    Attributes:
+        timestamp_ms: Wall-clock start of the search.
+        chain: Candidates to ask in order, followed by this agent.
+        attempt_count: Searches repeated after a timeout.
+        deadline_ms: Time at which the current attempt times out.
+        competing_agents: Agents whose datagrams of the flow were held back
+            until this search ends.
+    """
 
     def __init__(
         self,
@@ -41,20 +61,29 @@
         chain: tuple[core.Holder, ...],
         deadline_ms: int,
     ) -> None:
-        """Notes the chain that is asked."""
+        """Creates the entry of a search that has sent nothing yet."""
         super().__init__(now_ms)
         self.timestamp_ms = timestamp_ms
         self.chain = chain
         self.attempt_count = 0
         self.deadline_ms = deadline_ms
-        self.rivals: tuple[core.Holder, ...] = ()
+        self.competing_agents: tuple[core.Holder, ...] = ()
+
 
+class DirectoryEntry(Entry):
+    """Entry of a flow that another agent holds.
 
-class Listed(Entry):
-    """Directory entry: another agent holds the flow.
+    A tentative entry records that the other agent started a search at
+    `timestamp_ms` and adopts the flow if no agent holds it.
 
-    A tentative entry says that the other agent is searching, since `stamp`,
-    and adopts the flow if nobody holds it.
+    Attributes:
+        holder: The other agent.
+        tentative: Whether the other agent is still searching.
+        timestamp_ms: Wall-clock start of the search for a tentative entry.
+        added_ms: Time at which the entry was added.
+        unconfirmed_count: Datagrams forwarded to the holder that it should
+            have confirmed.
+        last_counted_ms: Time at which `unconfirmed_count` last increased.
     """
 
     def __init__(
@@ -64,41 +93,46 @@
         tentative: bool,
         timestamp_ms: int = 0,
     ) -> None:
-        """Notes the other agent."""
+        """Creates an entry without unconfirmed datagrams."""
         super().__init__(now_ms)
         self.holder = holder
         self.tentative = tentative
         self.timestamp_ms = timestamp_ms
-        self.listed_ms = now_ms
-        # Datagrams passed to the holder that it should have confirmed, and
-        # the time of the last one.
-        self.unanswered_count = 0
-        self.counted_ms = now_ms
-
-    def lets_pass(self, datagram: _claims.ForwardedDatagram) -> bool:
-        """Returns whether a search passes this reservation.
-
-        It does when it is the search that made the reservation, or one that
-        goes before that: two searches that waited for each other would never
-        end.
+        self.added_ms = now_ms
+        self.unconfirmed_count = 0
+        self.last_counted_ms = now_ms
+
+    def permits_search(
+        self, datagram: _flow_messages.ForwardedDatagram
+    ) -> bool:
+        """Returns whether a search may proceed despite this tentative entry.
+
+        True for the search that created the entry and for searches that take
+        precedence over it. Otherwise two searches could wait for each other
+        indefinitely.
         """
         if datagram.hops == 0 or not datagram.chain:
             return False
-        first = datagram.chain[-1]
-        if first == self.holder:
+        searcher = datagram.chain[-1]
+        if searcher == self.holder:
             return True
-        earlier = (datagram.timestamp_ms, first) < (
+        earlier = (datagram.timestamp_ms, searcher) < (
             self.timestamp_ms,
             self.holder,
         )
         return datagram.timestamp_ms != 0 and earlier
 
 
-class Entries:
-    """Entries by flow key, least recently used first."""
+class EntryTable:
+    """Entries by flow key, in order from least to most recently used."""
 
     def __init__(self, max_entries: int, max_held_flows: int) -> None:
-        """Takes the bounds of all entries and of held flows."""
+        """Creates an empty table.
+
+        Args:
+            max_entries: Maximum number of entries of all kinds.
+            max_held_flows: Maximum number of entries of held flows.
+        """
         self._max_entries = max_entries
         self._max_held = max_held_flows
         self._by_key: collections.OrderedDict[int, Entry] = (
@@ -107,19 +141,19 @@
         self.held_count = 0
 
     def __len__(self) -> int:
-        """Returns the number of entries."""
+        """Returns the number of entries of all kinds."""
         return len(self._by_key)
 
     def __iter__(self) -> Iterator[tuple[int, Entry]]:
-        """Iterates over a copy, so that entries may be removed."""
+        """Iterates over a snapshot, so that callers may remove entries."""
         return iter(tuple(self._by_key.items()))
 
     def get(self, flow_key: int) -> Entry | None:
-        """Returns an entry without using it."""
+        """Returns an entry without marking it as used."""
         return self._by_key.get(flow_key)
 
-    def use(self, flow_key: int, now_ms: int) -> Entry | None:
-        """Returns an entry and notes the use."""
+    def touch(self, flow_key: int, now_ms: int) -> Entry | None:
+        """Returns an entry and marks it as most recently used."""
         entry = self._by_key.get(flow_key)
         if entry is not None:
             entry.used_ms = now_ms
@@ -130,51 +164,51 @@
         """Adds or replaces an entry.
 
         Returns:
-            False if there is no room: open flows are never given up for new
-            ones, so a flood of new keys cannot break them.
+            False if the table is full. Held flows are never evicted, so a
+            flood of new keys cannot break open flows.
         """
         known = self._by_key.get(flow_key)
-        if known is None and not self._has_room(entry.used_ms):
+        if known is None and not self._make_room(entry.used_ms):
             return False
-        if isinstance(entry, Held):
+        if isinstance(entry, HeldEntry):
             if self.held_count >= self._max_held:
                 return False
             self.held_count += 1
-        if isinstance(known, Held):
+        if isinstance(known, HeldEntry):
             self.held_count -= 1
         self._by_key[flow_key] = entry
         self._by_key.move_to_end(flow_key)
         return True
 
-    def _has_room(self, now_ms: int) -> bool:
+    def _make_room(self, now_ms: int) -> bool:
         if len(self._by_key) < self._max_entries:
             return True
         key, oldest = next(iter(self._by_key.items()))
         if (
-            isinstance(oldest, Held)
-            or now_ms - oldest.used_ms < RECLAIM_AFTER_MS
+            isinstance(oldest, HeldEntry)
+            or now_ms - oldest.used_ms < MIN_EVICTION_IDLE_MS
         ):
             return False
         self.remove(key)
         return True
 
     def remove(self, flow_key: int) -> None:
-        """Removes an entry."""
-        if isinstance(self._by_key.pop(flow_key, None), Held):
+        """Removes an entry, if there is one."""
+        if isinstance(self._by_key.pop(flow_key, None), HeldEntry):
             self.held_count -= 1
 
     def remove_idle(self, oldest_ms: int) -> tuple[int, ...]:
-        """Removes entries last used before a time.
+        """Removes the entries that were last used before `oldest_ms`.
 
         Returns:
-            Keys of the held flows among them.
+            Keys of the held flows among the removed entries.
         """
         dropped = []
         while self._by_key:
             key, entry = next(iter(self._by_key.items()))
             if entry.used_ms >= oldest_ms:
                 break
-            if isinstance(entry, Held):
+            if isinstance(entry, HeldEntry):
                 dropped.append(key)
             self.remove(key)
         return tuple(dropped)
--- a/libs/routing/src/fireflyford/routing/_claims.py
+++ b/libs/routing/src/fireflyford/routing/_flow_messages.py
@@ -1,4 +1,4 @@
-"""What agents tell one another about flows without identifier."""
+"""Messages and decisions of the search for flows without identifier."""
 
 import dataclasses
 import enum
@@ -22,10 +22,10 @@
     Attributes:
         flow_key: Key of the flow.
         sender: Link address of the balancer or agent that sent it.
-        hops: How many agents have passed it on.
-        chain: Agents still to be asked; in a datagram that an agent passed
-            on, the last one adopts the flow when nobody holds it.
-        stamp: Start of the search in ms of the time of day, 0 when the
+        hops: Number of agents that have forwarded it.
+        chain: Agents still to be asked. In a datagram forwarded by an agent,
+            the last one adopts the flow if no agent holds it.
+        timestamp_ms: Wall-clock start of the search, low 40 bits; 0 when the
             datagram follows a directory entry.
     """
 
@@ -41,11 +41,12 @@
     """A message about a flow from one agent to another.
 
     Attributes:
-        to: Agent that it is meant for.
+        to: Receiver.
         flow_key: Key of the flow.
-        holder: Agent that holds the flow, or that does not when `released`.
-        stamp: When the holder adopted the flow, in ms of the time of day.
-        released: Whether the holder does not hold the flow.
+        holder: Agent that the notice is about.
+        timestamp_ms: Wall-clock time at which the holder adopted the flow,
+            low 40 bits.
+        released: True if `holder` does not hold the flow, False if it does.
     """
 
     to: core.Holder
@@ -60,12 +61,13 @@
     """What the agent does with one datagram or notice.
 
     Attributes:
-        action: What happens to the datagram; `DROP` for a notice.
-        to: Next agent when the action is `FORWARD`.
-        chain: Chain to send along.
-        stamp: Stamp to send along.
-        notices: Messages to send to other agents.
-        lost: Whether this agent gives up the flow and its socket.
+        action: What happens to the datagram; always `DROP` for a notice.
+        to: Next agent if the action is `FORWARD`.
+        chain: Chain of the forwarded datagram.
+        timestamp_ms: Timestamp of the forwarded datagram.
+        notices: Notices to send to other agents.
+        flow_lost: Whether this agent no longer holds the flow and has to close
+            its socket.
     """
 
     action: Action
--- a/libs/routing/src/fireflyford/routing/_flow_table.py
+++ b/libs/routing/src/fireflyford/routing/_flow_table.py
@@ -1,431 +1,485 @@
-"""Search among agents for the holder of a flow without identifier."""
+"""Flow table of an agent, which finds holders of flows without identifier."""
 
 from collections.abc import Set
 import dataclasses
 
 from fireflyford import core
-from fireflyford.routing import _claims
 from fireflyford.routing import _entries
-from fireflyford.routing import _flow_bounds
+from fireflyford.routing import _flow_limits
+from fireflyford.routing import _flow_messages
 
 
 class FlowTable:
-    """Flows of one agent: those that it holds and a directory of others.
+    """Flows held by one agent and a directory of flows held by others.
 
-    Every method is a decision on typed values; the caller carries it out. Two
-    claims to one flow are ordered by (stamp, holder), and the lower one wins
-    at both ends, so agents that adopt a flow at the same time agree.
+    Methods take and return typed values and do no I/O; the code that calls
+    them carries the decisions out. Competing claims to a flow are ordered by
+    (timestamp, holder) and every agent accepts the lower one, so agents that
+    adopt a flow at the same time agree on its holder.
     """
 
     def __init__(
         self,
         clock: core.Clock,
         own: core.Holder,
-        peers: _flow_bounds.FlowPlacement,
-        limits: _flow_bounds.FlowTableLimits | None = None,
+        placement: _flow_limits.FlowPlacement,
+        limits: _flow_limits.FlowTableLimits | None = None,
     ) -> None:
-        """Starts without flows.
+        """Creates an empty table.
 
         Args:
             clock: Source of time.
             own: This agent.
-            peers: Where this agent's view places flows.
-            limits: Bounds of the table.
+            placement: Placement of flows according to this agent's view.
+            limits: Capacity limits; the defaults if not given.
         """
-        bounds = _flow_bounds.FlowTableLimits() if limits is None else limits
+        bounds = _flow_limits.FlowTableLimits() if limits is None else limits
         self._clock = clock
         self._own = own
-        self._peers = peers
-        self._entries = _entries.Entries(
+        self._placement = placement
+        self._entries = _entries.EntryTable(
             bounds.max_entries, bounds.max_held_flows
         )
 
     def __len__(self) -> int:
-        """Returns the number of flows and directory entries."""
+        """Returns the number of held flows, searches and directory entries."""
         return len(self._entries)
 
     @property
     def held_count(self) -> int:
-        """Flows that this agent holds."""
+        """Number of flows that this agent holds."""
         return self._entries.held_count
 
     def holds(self, flow_key: int) -> bool:
         """Returns whether this agent holds the flow."""
-        return isinstance(self._entries.get(flow_key), _entries.Held)
+        return isinstance(self._entries.get(flow_key), _entries.HeldEntry)
 
     def handle_datagram(
-        self, datagram: _claims.ForwardedDatagram
-    ) -> _claims.Decision:
-        """Decides about a forwarded datagram."""
-        if datagram.hops > _flow_bounds.MAX_HOPS or self._is_late(
+        self, datagram: _flow_messages.ForwardedDatagram
+    ) -> _flow_messages.Decision:
+        """Decides what to do with a forwarded datagram."""
+        if datagram.hops > _flow_limits.MAX_HOPS or self._is_stale(
             datagram.timestamp_ms
         ):
             return _drop()
         key = datagram.flow_key
-        entry = self._entries.use(key, self._clock.now_ms())
-        if isinstance(entry, _entries.Held):
+        entry = self._entries.touch(key, self._clock.now_ms())
+        if isinstance(entry, _entries.HeldEntry):
             return self._deliver(entry, datagram)
-        if isinstance(entry, _entries.Listed):
-            if self._is_useful(entry, datagram):
-                return self._follow(entry, datagram)
+        if isinstance(entry, _entries.DirectoryEntry):
+            if self._should_follow(entry, datagram):
+                return self._forward_to_holder(entry, datagram)
             entry = None
-        searching = entry if isinstance(entry, _entries.Searching) else None
+        searching = entry if isinstance(entry, _entries.SearchEntry) else None
         if datagram.hops == 0:
             return self._search(searching, datagram)
         if not datagram.chain:
-            return self._end_chain(searching, datagram)
-        return self._pass_on(searching, datagram)
+            return self._end_search(searching, datagram)
+        return self._relay_search(searching, datagram)
 
     def handle_notice(
-        self, notice: _claims.Notice, sender: core.Holder
-    ) -> _claims.Decision:
-        """Decides about a notice of another agent."""
+        self, notice: _flow_messages.Notice, sender: core.Holder
+    ) -> _flow_messages.Decision:
+        """Applies a notice from another agent.
+
+        Args:
+            notice: The notice.
+            sender: Agent that sent it, which need not be the claiming one.
+        """
         key = notice.flow_key
-        entry = self._entries.use(key, self._clock.now_ms())
-        listed = entry if isinstance(entry, _entries.Listed) else None
+        entry = self._entries.touch(key, self._clock.now_ms())
+        listed = entry if isinstance(entry, _entries.DirectoryEntry) else None
         if notice.released:
             if listed is not None and listed.holder == notice.holder:
                 self._entries.remove(key)
             return _drop()
         if notice.holder == self._own:
             return _drop()
-        if isinstance(entry, _entries.Held):
-            return self._settle(entry, notice, sender)
-        self._list(key, notice.holder)
+        if isinstance(entry, _entries.HeldEntry):
+            return self._resolve_claim(entry, notice, sender)
+        self._add_directory_entry(key, notice.holder)
         if listed is None or listed.tentative:
             return _drop()
         if listed.holder == notice.holder:
             return _drop()
-        # The earlier holder, if it lives, answers the claim itself.
+        # Forwarded to the previous holder, which disputes the claim if it is
+        # still alive.
         return _drop((dataclasses.replace(notice, to=listed.holder),))
 
     def remove_holders(self, dead: Set[core.Holder]) -> None:
-        """Removes the directory entries of agents known to be dead."""
+        """Removes directory entries whose holder is known to be dead."""
         for key, entry in self._entries:
-            if isinstance(entry, _entries.Listed) and entry.holder in dead:
+            if (
+                isinstance(entry, _entries.DirectoryEntry)
+                and entry.holder in dead
+            ):
                 self._entries.remove(key)
 
-    def announce(self) -> tuple[_claims.Notice, ...]:
-        """Tells new first targets of the flows held here.
+    def announce(self) -> tuple[_flow_messages.Notice, ...]:
+        """Announces held flows to the targets on which they are now placed.
 
-        Called after a change of this agent's view. It covers flows that are
-        idle while the ring changes more often than a chain has candidates.
+        Called after this agent's view has changed. Without it, a flow could
+        not be found after it was idle for more ring changes than a chain has
+        candidates.
         """
-        notices: list[_claims.Notice] = []
+        notices: list[_flow_messages.Notice] = []
         for key, entry in self._entries:
-            first = self._peers.first_target(key)
-            if first is not None and isinstance(entry, _entries.Held):
+            first = self._placement.first_target(key)
+            if first is not None and isinstance(entry, _entries.HeldEntry):
                 notices += self._announce(
-                    entry, key, (first,), _flow_bounds.ANNOUNCE_INTERVAL_MS
+                    entry, key, (first,), _flow_limits.ANNOUNCE_INTERVAL_MS
                 )
         return tuple(notices)
 
     def expire(self) -> tuple[int, ...]:
-        """Removes idle entries; returns the flows no longer held."""
+        """Removes idle entries; returns the keys of held flows among them."""
         return self._entries.remove_idle(
-            self._clock.now_ms() - _flow_bounds.FLOW_IDLE_MS
+            self._clock.now_ms() - _flow_limits.FLOW_IDLE_TIMEOUT_MS
         )
 
-    # Datagrams.
-
     def _deliver(
-        self, entry: _entries.Held, datagram: _claims.ForwardedDatagram
-    ) -> _claims.Decision:
-        entry.heard_stamp = self._stamp()
+        self,
+        entry: _entries.HeldEntry,
+        datagram: _flow_messages.ForwardedDatagram,
+    ) -> _flow_messages.Decision:
+        entry.last_datagram_timestamp_ms = self._timestamp_ms()
         notices = self._announce(
             entry,
             datagram.flow_key,
             datagram.chain,
-            _flow_bounds.ANNOUNCE_INTERVAL_MS,
+            _flow_limits.ANNOUNCE_INTERVAL_MS,
         )
         if datagram.hops:
             notices += self._confirm(entry, datagram)
-        return _claims.Decision(_claims.Action.DELIVER, notices=notices)
+        return _flow_messages.Decision(
+            _flow_messages.Action.DELIVER, notices=notices
+        )
 
     def _confirm(
-        self, entry: _entries.Held, datagram: _claims.ForwardedDatagram
-    ) -> tuple[_claims.Notice, ...]:
-        """Answers the agent that follows a directory entry or searches."""
+        self,
+        entry: _entries.HeldEntry,
+        datagram: _flow_messages.ForwardedDatagram,
+    ) -> tuple[_flow_messages.Notice, ...]:
+        """Confirms to the forwarding or searching agent that the flow is held.
+
+        Searches are always answered. Confirmations to an agent that follows a
+        directory entry are limited to one per interval.
+        """
         if datagram.timestamp_ms and datagram.chain:
             return self._announce(
                 entry, datagram.flow_key, datagram.chain[-1:], 0
             )
-        # Any incarnation of the sender may know it.
+        # Incarnation 0 matches every incarnation of the sender.
         sender = core.Holder(datagram.sender, 0)
         return self._announce(
             entry,
             datagram.flow_key,
             (sender,),
-            _flow_bounds.CONFIRM_INTERVAL_MS,
+            _flow_limits.CONFIRMATION_INTERVAL_MS,
         )
 
-    def _is_useful(
-        self, entry: _entries.Listed, datagram: _claims.ForwardedDatagram
+    def _should_follow(
+        self,
+        entry: _entries.DirectoryEntry,
+        datagram: _flow_messages.ForwardedDatagram,
     ) -> bool:
-        """Returns whether to follow an entry; removes it when it is wrong."""
+        """Returns whether to forward to the holder that an entry names.
+
+        Removes the entry if it is no longer valid.
+        """
         now_ms = self._clock.now_ms()
         if entry.tentative:
-            # A search that ends here means that the other agent, which
-            # sends it, is draining and does not adopt.
+            # A search that its own agent sends here with an empty chain shows
+            # that the agent is draining and does not adopt the flow.
             ends_here = datagram.hops > 0 and not datagram.chain
-            wrong = now_ms - entry.listed_ms > _flow_bounds.TENTATIVE_MS or (
-                ends_here and datagram.sender == entry.holder.address
+            invalid = (
+                now_ms - entry.added_ms > _flow_limits.TENTATIVE_LIFETIME_MS
+                or (ends_here and datagram.sender == entry.holder.address)
             )
-            again = entry.lets_pass(datagram)
+            bypass = entry.permits_search(datagram)
         else:
-            # A stray copy of the search by which the holder adopted the flow
-            # says nothing about the flow.
-            again = datagram.timestamp_ms != 0 and datagram.chain[-1:] == (
+            # A stray copy of the search after which the holder adopted the
+            # flow does not invalidate the entry.
+            bypass = datagram.timestamp_ms != 0 and datagram.chain[-1:] == (
                 entry.holder,
             )
-            silent = (
-                entry.unanswered_count >= _flow_bounds.MAX_UNANSWERED
-                and now_ms - entry.counted_ms
-                >= _flow_bounds.CONFIRM_INTERVAL_MS
+            unresponsive = (
+                entry.unconfirmed_count >= _flow_limits.MAX_UNCONFIRMED_COUNT
+                and now_ms - entry.last_counted_ms
+                >= _flow_limits.CONFIRMATION_INTERVAL_MS
             )
             by_holder = datagram.sender == entry.holder.address
-            wrong = silent or (by_holder and not again)
-        if wrong:
+            invalid = unresponsive or (by_holder and not bypass)
+        if invalid:
             self._entries.remove(datagram.flow_key)
-        return not wrong and not again
+        return not invalid and not bypass
 
-    def _follow(
-        self, entry: _entries.Listed, datagram: _claims.ForwardedDatagram
-    ) -> _claims.Decision:
-        if datagram.hops >= _flow_bounds.MAX_HOPS:
+    def _forward_to_holder(
+        self,
+        entry: _entries.DirectoryEntry,
+        datagram: _flow_messages.ForwardedDatagram,
+    ) -> _flow_messages.Decision:
+        if datagram.hops >= _flow_limits.MAX_HOPS:
             return _drop()
         now_ms = self._clock.now_ms()
-        if now_ms - entry.counted_ms >= _flow_bounds.CONFIRM_INTERVAL_MS:
-            entry.unanswered_count += 1
-            entry.counted_ms = now_ms
+        if (
+            now_ms - entry.last_counted_ms
+            >= _flow_limits.CONFIRMATION_INTERVAL_MS
+        ):
+            entry.unconfirmed_count += 1
+            entry.last_counted_ms = now_ms
         chain = datagram.chain
         if datagram.hops == 0:
             chain = self._make_chain(datagram)
         chain = tuple(item for item in chain if item != entry.holder)
-        return _claims.Decision(
-            _claims.Action.FORWARD,
+        return _flow_messages.Decision(
+            _flow_messages.Action.FORWARD,
             entry.holder,
-            chain[-_flow_bounds.MAX_CANDIDATES :],
+            chain[-_flow_limits.MAX_CANDIDATES :],
         )
 
     def _search(
         self,
-        searching: _entries.Searching | None,
-        datagram: _claims.ForwardedDatagram,
-    ) -> _claims.Decision:
-        """Handles a datagram of which this agent is the first target."""
+        searching: _entries.SearchEntry | None,
+        datagram: _flow_messages.ForwardedDatagram,
+    ) -> _flow_messages.Decision:
+        """Starts or repeats the search for a datagram sent by a balancer."""
         now_ms = self._clock.now_ms()
         if searching is not None and now_ms < searching.deadline_ms:
-            return _claims.Decision(_claims.Action.HOLD)
+            return _flow_messages.Decision(_flow_messages.Action.HOLD)
         if searching is None or (
-            now_ms - searching.deadline_ms > _flow_bounds.PAUSE_LIMIT_MS
+            now_ms - searching.deadline_ms > _flow_limits.PAUSE_THRESHOLD_MS
         ):
-            timestamp_ms = self._stamp()
-            if self._peers.successor(datagram.flow_key) is not None:
-                # It cannot adopt, so any other agent's search goes first.
-                timestamp_ms += _flow_bounds.MAX_MESSAGE_AGE_MS // 2
-            searching = _entries.Searching(
+            timestamp_ms = self._timestamp_ms()
+            if self._placement.successor(datagram.flow_key) is not None:
+                # A draining agent does not adopt flows. The later timestamp
+                # gives precedence to the search of any other agent.
+                timestamp_ms += _flow_limits.MAX_MESSAGE_AGE_MS // 2
+            searching = _entries.SearchEntry(
                 now_ms, timestamp_ms, self._make_chain(datagram), now_ms
             )
             if not self._entries.put(datagram.flow_key, searching):
                 return _drop()
         else:
             searching.attempt_count += 1
-            # Another candidate goes first, in case the first one is dead.
+            # Rotates the candidates, because the first one may be dead.
             *others, own = searching.chain
             searching.chain = (*others[1:], *others[:1], own)
         others_count = len(searching.chain) - 1
-        # One search more than candidates, so that one lost datagram cannot
-        # make a second holder.
+        # One attempt more than there are candidates, so that a single lost
+        # datagram cannot lead to a second holder.
         if not others_count or searching.attempt_count > others_count:
             return self._adopt(searching, datagram)
-        searching.deadline_ms = now_ms + _flow_bounds.SEARCH_TIMEOUT_MS
+        searching.deadline_ms = now_ms + _flow_limits.SEARCH_TIMEOUT_MS
         to, *rest = searching.chain
-        return _claims.Decision(
-            _claims.Action.FORWARD, to, tuple(rest), searching.timestamp_ms
+        return _flow_messages.Decision(
+            _flow_messages.Action.FORWARD,
+            to,
+            tuple(rest),
+            searching.timestamp_ms,
         )
 
-    def _pass_on(
+    def _relay_search(
         self,
-        searching: _entries.Searching | None,
-        datagram: _claims.ForwardedDatagram,
-    ) -> _claims.Decision:
-        """Handles a datagram that another agent passed on."""
-        first = datagram.chain[-1]
-        notices: tuple[_claims.Notice, ...] = ()
+        searching: _entries.SearchEntry | None,
+        datagram: _flow_messages.ForwardedDatagram,
+    ) -> _flow_messages.Decision:
+        """Handles a forwarded datagram that has candidates left to ask."""
+        searcher = datagram.chain[-1]
+        notices: tuple[_flow_messages.Notice, ...] = ()
         if searching is not None:
             if not datagram.timestamp_ms or (
                 (searching.timestamp_ms, self._own)
-                < (datagram.timestamp_ms, first)
+                < (datagram.timestamp_ms, searcher)
             ):
-                if first not in searching.rivals:
-                    rivals = (*searching.rivals, first)
-                    searching.rivals = rivals[-_flow_bounds.MAX_RIVALS :]
-                return _claims.Decision(_claims.Action.HOLD)
-            self._reserve(datagram.flow_key, first, datagram.timestamp_ms)
+                if searcher not in searching.competing_agents:
+                    competing_agents = (*searching.competing_agents, searcher)
+                    searching.competing_agents = competing_agents[
+                        -_flow_limits.MAX_COMPETING_AGENTS :
+                    ]
+                return _flow_messages.Decision(_flow_messages.Action.HOLD)
+            self._add_tentative_entry(
+                datagram.flow_key, searcher, datagram.timestamp_ms
+            )
         elif datagram.timestamp_ms:
-            self._reserve(datagram.flow_key, first, datagram.timestamp_ms)
+            self._add_tentative_entry(
+                datagram.flow_key, searcher, datagram.timestamp_ms
+            )
         else:
-            notices = (self._release(datagram),)
-        if datagram.hops >= _flow_bounds.MAX_HOPS:
+            notices = (self._make_release_notice(datagram),)
+        if datagram.hops >= _flow_limits.MAX_HOPS:
             return _drop(notices)
         to, *rest = datagram.chain
-        return _claims.Decision(
-            _claims.Action.FORWARD,
+        return _flow_messages.Decision(
+            _flow_messages.Action.FORWARD,
             to,
             tuple(rest),
             datagram.timestamp_ms,
             notices,
         )
 
-    def _end_chain(
+    def _end_search(
         self,
-        searching: _entries.Searching | None,
-        datagram: _claims.ForwardedDatagram,
-    ) -> _claims.Decision:
-        """Handles a datagram whose chain ends here without a holder."""
+        searching: _entries.SearchEntry | None,
+        datagram: _flow_messages.ForwardedDatagram,
+    ) -> _flow_messages.Decision:
+        """Handles a search that has asked all candidates without a result."""
         if (
             searching is not None
             and searching.timestamp_ms != datagram.timestamp_ms
         ):
-            # It came from a draining agent while this one is searching.
-            return _claims.Decision(_claims.Action.HOLD)
+            # A draining agent passed its search on while this agent runs its
+            # own.
+            return _flow_messages.Decision(_flow_messages.Action.HOLD)
         return self._adopt(searching, datagram)
 
     def _adopt(
         self,
-        searching: _entries.Searching | None,
-        datagram: _claims.ForwardedDatagram,
-    ) -> _claims.Decision:
+        searching: _entries.SearchEntry | None,
+        datagram: _flow_messages.ForwardedDatagram,
+    ) -> _flow_messages.Decision:
+        """Adopts a flow, or passes it to the successor while draining."""
         key = datagram.flow_key
         timestamp_ms = (
-            self._stamp() if searching is None else searching.timestamp_ms
+            self._timestamp_ms()
+            if searching is None
+            else searching.timestamp_ms
         )
-        successor = self._peers.successor(key)
+        successor = self._placement.successor(key)
         if successor is not None:
-            if datagram.hops >= _flow_bounds.MAX_HOPS:
+            if datagram.hops >= _flow_limits.MAX_HOPS:
                 return _drop()
-            self._reserve(key, successor, timestamp_ms)
-            return _claims.Decision(
-                _claims.Action.FORWARD, successor, (), timestamp_ms
+            self._add_tentative_entry(key, successor, timestamp_ms)
+            return _flow_messages.Decision(
+                _flow_messages.Action.FORWARD, successor, (), timestamp_ms
             )
-        entry = _entries.Held(self._clock.now_ms(), timestamp_ms)
-        entry.heard_stamp = self._stamp()
+        entry = _entries.HeldEntry(self._clock.now_ms(), timestamp_ms)
+        entry.last_datagram_timestamp_ms = self._timestamp_ms()
         if not self._entries.put(key, entry):
             self._entries.remove(key)
             return _drop()
-        told = datagram.chain
+        recipients = datagram.chain
         if searching is not None:
-            told = (*searching.chain, *searching.rivals)
-        notices = self._announce(entry, key, told, 0)
+            recipients = (*searching.chain, *searching.competing_agents)
+        notices = self._announce(entry, key, recipients, 0)
         if datagram.hops and searching is None:
             notices += self._confirm(entry, datagram)
-        return _claims.Decision(_claims.Action.DELIVER, notices=notices)
-
-    # Notices.
+        return _flow_messages.Decision(
+            _flow_messages.Action.DELIVER, notices=notices
+        )
 
-    def _settle(
+    def _resolve_claim(
         self,
-        entry: _entries.Held,
-        notice: _claims.Notice,
+        entry: _entries.HeldEntry,
+        notice: _flow_messages.Notice,
         sender: core.Holder,
-    ) -> _claims.Decision:
-        """Resolves the claim of another agent to a flow held here."""
-        # An agent that was paused gives way to the one that took its flow.
-        slept = (
-            entry.heard_stamp + _flow_bounds.PAUSE_LIMIT_MS
+    ) -> _flow_messages.Decision:
+        """Decides between this agent and another that claims a held flow."""
+        # The flow was adopted elsewhere while this agent was paused.
+        was_paused = (
+            entry.last_datagram_timestamp_ms + _flow_limits.PAUSE_THRESHOLD_MS
             < notice.timestamp_ms
         )
-        if slept or (notice.timestamp_ms, notice.holder) < (
+        if was_paused or (notice.timestamp_ms, notice.holder) < (
             entry.timestamp_ms,
             self._own,
         ):
-            self._list(notice.flow_key, notice.holder)
-            return _claims.Decision(_claims.Action.DROP, flow_lost=True)
-        told = [notice.holder]
+            self._add_directory_entry(notice.flow_key, notice.holder)
+            return _flow_messages.Decision(
+                _flow_messages.Action.DROP, flow_lost=True
+            )
+        recipients = [notice.holder]
         if sender.address != notice.holder.address:
-            told.append(sender)
+            recipients.append(sender)
         return _drop(
             tuple(
-                _claims.Notice(
+                _flow_messages.Notice(
                     to, notice.flow_key, self._own, entry.timestamp_ms
                 )
-                for to in told
+                for to in recipients
             )
         )
 
-    def _release(self, datagram: _claims.ForwardedDatagram) -> _claims.Notice:
-        # It only removes a directory entry that names this agent, whichever
-        # incarnation of the sender has it.
+    def _make_release_notice(
+        self, datagram: _flow_messages.ForwardedDatagram
+    ) -> _flow_messages.Notice:
+        """Returns a notice to the sender that this agent does not hold a flow.
+
+        The receiver removes only a directory entry that names this agent.
+        Incarnation 0 matches every incarnation of the sender.
+        """
         sender = core.Holder(datagram.sender, 0)
-        return _claims.Notice(sender, datagram.flow_key, self._own, 0, True)
+        return _flow_messages.Notice(
+            sender, datagram.flow_key, self._own, 0, True
+        )
 
     def _announce(
         self,
-        entry: _entries.Held,
+        entry: _entries.HeldEntry,
         flow_key: int,
         candidates: tuple[core.Holder, ...],
         interval_ms: int,
-    ) -> tuple[_claims.Notice, ...]:
+    ) -> tuple[_flow_messages.Notice, ...]:
+        """Returns notices to agents not notified within `interval_ms`."""
         now_ms = self._clock.now_ms()
         notices = []
         for candidate in candidates:
-            told_ms = entry.told_ms.get(candidate, now_ms - interval_ms)
-            if candidate == self._own or now_ms - told_ms < interval_ms:
+            notified_ms = entry.notified_ms.get(candidate, now_ms - interval_ms)
+            if candidate == self._own or now_ms - notified_ms < interval_ms:
                 continue
-            if len(entry.told_ms) >= _flow_bounds.MAX_TOLD:
-                del entry.told_ms[next(iter(entry.told_ms))]
-            entry.told_ms[candidate] = now_ms
+            if len(entry.notified_ms) >= _flow_limits.MAX_NOTIFIED_AGENTS:
+                del entry.notified_ms[next(iter(entry.notified_ms))]
+            entry.notified_ms[candidate] = now_ms
             notices.append(
-                _claims.Notice(
+                _flow_messages.Notice(
                     candidate, flow_key, self._own, entry.timestamp_ms
                 )
             )
         return tuple(notices)
 
-    # Entries and time.
-
     def _make_chain(
-        self, datagram: _claims.ForwardedDatagram
+        self, datagram: _flow_messages.ForwardedDatagram
     ) -> tuple[core.Holder, ...]:
-        """Returns the candidates to ask, and this agent at the end."""
+        """Returns the candidates to ask, followed by this agent."""
         others = [item for item in datagram.chain if item != self._own]
-        if self._peers.successor(datagram.flow_key) is not None:
-            # One hop is left for the agent that adopts the flow.
-            others = others[: _flow_bounds.MAX_CANDIDATES - 1]
+        if self._placement.successor(datagram.flow_key) is not None:
+            # Leaves one hop for the successor that adopts the flow.
+            others = others[: _flow_limits.MAX_CANDIDATES - 1]
         return (*others, self._own)
 
-    def _list(self, flow_key: int, holder: core.Holder) -> None:
-        entry = _entries.Listed(self._clock.now_ms(), holder, False)
+    def _add_directory_entry(self, flow_key: int, holder: core.Holder) -> None:
+        entry = _entries.DirectoryEntry(self._clock.now_ms(), holder, False)
         if not self._entries.put(flow_key, entry):
             self._entries.remove(flow_key)
 
-    def _reserve(
+    def _add_tentative_entry(
         self, flow_key: int, holder: core.Holder, timestamp_ms: int
     ) -> None:
         known = self._entries.get(flow_key)
         if (
-            isinstance(known, _entries.Listed)
+            isinstance(known, _entries.DirectoryEntry)
             and not known.tentative
             and known.holder == holder
         ):
             return
-        entry = _entries.Listed(
+        entry = _entries.DirectoryEntry(
             self._clock.now_ms(), holder, True, timestamp_ms
         )
         if not self._entries.put(flow_key, entry):
             self._entries.remove(flow_key)
 
-    def _stamp(self) -> int:
-        return self._clock.wall_ms() % _flow_bounds.STAMP_RANGE_MS
+    def _timestamp_ms(self) -> int:
+        return self._clock.wall_ms() % _flow_limits.TIMESTAMP_RANGE_MS
 
-    def _is_late(self, timestamp_ms: int) -> bool:
+    def _is_stale(self, timestamp_ms: int) -> bool:
         return (
             timestamp_ms != 0
-            and abs(self._stamp() - timestamp_ms)
-            > _flow_bounds.MAX_MESSAGE_AGE_MS
+            and abs(self._timestamp_ms() - timestamp_ms)
+            > _flow_limits.MAX_MESSAGE_AGE_MS
         )
 
 
-def _drop(notices: tuple[_claims.Notice, ...] = ()) -> _claims.Decision:
-    return _claims.Decision(_claims.Action.DROP, notices=notices)
+def _drop(
+    notices: tuple[_flow_messages.Notice, ...] = (),
+) -> _flow_messages.Decision:
+    return _flow_messages.Decision(_flow_messages.Action.DROP, notices=notices)
--- a/libs/routing/src/fireflyford/routing/_ring.py
+++ b/libs/routing/src/fireflyford/routing/_ring.py
@@ -9,24 +9,26 @@
 
 from fireflyford import core
 
-# More points spread load more evenly and make the ring slower to rebuild; at
-# 100 points a target's share deviates by about a tenth.
+# Points on the ring for a target of weight 1. More points spread load more
+# evenly but make the ring slower to rebuild; with 100 points a target's share
+# deviates by about 10 %.
 POINTS_PER_WEIGHT = 100
-# Points of every target that the system is meant to have, so that a view
-# change hashes only the new ones.
+# Large enough for every target of a deployment of the intended size, so that a
+# view change computes the points of new targets only.
 _CACHED_TARGETS = 8_192
 
 
 @dataclasses.dataclass(frozen=True)
 class Target:
-    """One target as routing sees it.
+    """One target as the ring and the router use it.
 
     Attributes:
         name: Instance name of the agent.
         address: Link address of the agent.
-        incarnation: Incarnation of the agent, low 32 bits.
-        weight: Share of new flows against the other targets.
-        accepts_flows: Whether it takes new flows; a draining target does not.
+        incarnation: Low 32 bits of the agent's incarnation.
+        weight: Relative share of new flows.
+        accepts_flows: Whether new flows may be placed on the target; False
+            while it is draining.
     """
 
     name: str
@@ -42,10 +44,10 @@
 
 
 class TargetRing:
-    """Immutable ring; finding a target takes logarithmic time.
+    """Immutable consistent-hash ring with lookup in logarithmic time.
 
-    Draining targets keep their points. They are skipped when a flow is
-    placed, but searched as possible holders.
+    Draining targets keep their points: lookups for new flows skip them, but
+    they are returned as possible holders of open flows.
     """
 
     def __init__(self, targets: Iterable[Target]) -> None:
@@ -61,18 +63,22 @@
         self._hashes = sorted(owners)
         self._targets = [owners[point] for point in self._hashes]
         self._target_count = len(names)
-        self._is_plain = accepting_count == len(names)
+        self._all_accept_flows = accepting_count == len(names)
         self._accepting_count = accepting_count
 
     def find(self, flow_key: int) -> Target | None:
-        """Returns the target of a flow key, or None if none accepts flows."""
+        """Returns the target that owns a flow key.
+
+        Targets that do not accept flows are skipped; returns None if no target
+        accepts flows.
+        """
         if not self._accepting_count:
             return None
         index = bisect.bisect_right(self._hashes, flow_key)
         if index == len(self._targets):
             index = 0
         target = self._targets[index]
-        if self._is_plain:
+        if self._all_accept_flows:
             return target
         while not target.accepts_flows:
             index = (index + 1) % len(self._targets)
@@ -80,9 +86,9 @@
         return target
 
     def walk(self, flow_key: int, count: int) -> list[Target]:
-        """Returns up to `count` distinct targets from a flow key on.
+        """Returns up to `count` distinct targets in ring order.
 
-        Draining targets are included.
+        The walk starts at the flow key and includes draining targets.
         """
         targets = self._targets
         wanted = min(count, self._target_count)
@@ -93,15 +99,16 @@
                 index = 0
             target = targets[index]
             index += 1
-            # Each target is one object in its ring, and comparing its fields
-            # would take longer than the whole walk.
+            # A ring holds one object for each target. Comparing by identity
+            # matters because comparing all fields would take longer than the
+            # rest of the walk.
             if all(target is not item for item in found):
                 found.append(target)
         return found
 
 
 def hash_flow(data: bytes) -> int:
-    """Returns the 64-bit flow key of some identifying bytes."""
+    """Returns the 64-bit flow key of the bytes that identify a flow."""
     return xxhash.xxh64_intdigest(data)
 
 
--- a/libs/routing/src/fireflyford/routing/_router.py
+++ b/libs/routing/src/fireflyford/routing/_router.py
@@ -1,4 +1,4 @@
-"""Choice of the agent for one datagram."""
+"""Stateless routing of datagrams to agents."""
 
 import abc
 from collections.abc import Iterable
@@ -7,16 +7,17 @@
 from fireflyford import core
 from fireflyford.routing import _ring
 
-# Possible holders listed with a datagram of a flow without identifier.
+# Maximum number of possible holders sent along with a datagram of a flow
+# without identifier.
 MAX_CANDIDATES = 3
-# Earlier rings are kept until every balancer has the new view and every agent
-# that holds flows has announced them to the new candidates.
-HISTORY_MS = 60_000
-HISTORY_RINGS = 4
+# Previous rings are kept long enough for every balancer to receive the new view
+# and for every holder to announce its flows to the new candidates.
+RING_HISTORY_MS = 60_000
+MAX_HISTORY_RINGS = 4
 
 
 class Hint(abc.ABC):
-    """What a datagram says about its flow, without its encoding."""
+    """Routing information in a datagram, independent of its encoding."""
 
     @abc.abstractmethod
     def holder(self) -> core.Holder | None:
@@ -24,16 +25,16 @@
 
     @abc.abstractmethod
     def flow_key(self) -> int:
-        """Returns the key by which a new flow is placed."""
+        """Returns the key by which a new flow is placed on the ring."""
 
     @abc.abstractmethod
     def needs_search(self) -> bool:
-        """Returns whether the agents search for the holder."""
+        """Returns whether agents have to search for the holder."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HolderHint(Hint):
-    """A datagram that names the agent holding its flow."""
+    """Hint of a datagram that names the holder of its flow."""
 
     named: core.Holder
 
@@ -42,17 +43,17 @@
         return self.named
 
     def flow_key(self) -> int:
-        """Returns 0; the flow is already placed."""
+        """Returns 0, because the flow is already placed."""
         return 0
 
     def needs_search(self) -> bool:
-        """Returns False; the holder is known."""
+        """Returns False, because the holder is known."""
         return False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NewFlowHint(Hint):
-    """A datagram that starts a flow whose later datagrams name the holder."""
+    """Hint of a first datagram in a flow whose later ones name the holder."""
 
     key: int
 
@@ -65,13 +66,13 @@
         return self.key
 
     def needs_search(self) -> bool:
-        """Returns False; the flow is new."""
+        """Returns False, because a new flow has no holder."""
         return False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UnidentifiedFlowHint(Hint):
-    """A datagram of a new or open flow that carries no identifier."""
+    """Hint of a datagram without identifier, in a new or an open flow."""
 
     key: int
 
@@ -84,17 +85,17 @@
         return self.key
 
     def needs_search(self) -> bool:
-        """Returns True; any earlier holder may hold the flow."""
+        """Returns True, because another agent may hold the flow already."""
         return True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Route:
-    """Where one datagram goes.
+    """Destination of one datagram.
 
     Attributes:
         address: Link address of the agent.
-        incarnation: Incarnation that the agent must have, 0 for a new flow.
+        incarnation: Required incarnation of the agent; 0 accepts any.
         candidates: Other agents that may hold the flow, in search order.
     """
 
@@ -104,28 +105,29 @@
 
 
 class Router:
-    """Routes the datagrams of one service without any state of flows."""
+    """Routes the datagrams of one service without per-flow state."""
 
     def __init__(self, clock: core.Clock) -> None:
-        """Starts without targets.
+        """Creates a router without targets.
 
         Args:
-            clock: Source of time for the age of earlier rings.
+            clock: Source of time for the age of previous rings.
         """
         self._clock = clock
         self._targets: tuple[_ring.Target, ...] = ()
-        self._present: frozenset[core.Holder] = frozenset()
+        self._present_holders: frozenset[core.Holder] = frozenset()
         self._ring = _ring.TargetRing(())
-        # Earlier rings with the time at which each was replaced, newest first.
+        # Previous rings and the times at which they were replaced, newest
+        # first.
         self._history: tuple[tuple[int, _ring.TargetRing], ...] = ()
-        # Changes with each new ring; kept routes are of no use after that.
+        # Incremented with each new ring; invalidates cached routes.
         self.generation = 0
 
     def replace_targets(self, targets: Iterable[_ring.Target]) -> bool:
-        """Takes the targets of a new view.
+        """Replaces the targets and rebuilds the ring if they have changed.
 
         Returns:
-            Whether anything has changed; if not, nothing is rebuilt.
+            Whether the targets have changed.
         """
         taken = tuple(sorted(targets, key=lambda item: item.name))
         if taken == self._targets:
@@ -133,17 +135,17 @@
         now_ms = self._clock.now_ms()
         if self._targets:
             kept = ((now_ms, self._ring), *self._history)
-            self._history = kept[:HISTORY_RINGS]
+            self._history = kept[:MAX_HISTORY_RINGS]
         self._targets = taken
         self.generation += 1
-        self._present = frozenset(target.holder for target in taken)
+        self._present_holders = frozenset(target.holder for target in taken)
         self._ring = _ring.TargetRing(taken)
         return True
 
     def choose(self, hint: Hint) -> Route | None:
         """Returns the route of a datagram, or None if there is no target.
 
-        A named holder is used even when the view has never heard of it.
+        A holder named by the datagram is used even if it is not in the view.
         """
         holder = hint.holder()
         if holder is not None:
@@ -151,7 +153,7 @@
         flow_key = hint.flow_key()
         target = self._ring.find(flow_key)
         if target is None:
-            return self._choose_leaving(hint)
+            return self._choose_draining(hint)
         if not hint.needs_search():
             return Route(target.address, 0)
         return Route(
@@ -160,8 +162,8 @@
             self._candidates(flow_key, target.holder),
         )
 
-    def _choose_leaving(self, hint: Hint) -> Route | None:
-        # With every target draining, open flows still reach their holders.
+    def _choose_draining(self, hint: Hint) -> Route | None:
+        """Routes to a draining target, so open flows reach their holders."""
         if not hint.needs_search():
             return None
         found = self._ring.walk(hint.flow_key(), 1)
@@ -174,17 +176,21 @@
     def _candidates(
         self, flow_key: int, first: core.Holder
     ) -> tuple[core.Holder, ...]:
-        """Returns likely holders of a flow besides its first target.
+        """Returns likely holders of a flow other than its first target.
 
-        Those at which earlier rings placed the flow come first, then the next
-        targets on the ring: a leaving target hands its keys to the next one,
-        and a joining target takes them from the next one.
+        Targets on which previous rings placed the flow come first, followed by
+        the next targets on the current ring: when a target leaves, its keys
+        move to the next one, and when a target joins, it takes keys from the
+        next one.
         """
         found: dict[core.Holder, None] = {}
         if self._history:
             for ring in self._recent_rings():
                 earlier = ring.find(flow_key)
-                if earlier is not None and earlier.holder in self._present:
+                if (
+                    earlier is not None
+                    and earlier.holder in self._present_holders
+                ):
                     found[earlier.holder] = None
         for target in self._ring.walk(flow_key, MAX_CANDIDATES + 1):
             found.setdefault(target.holder, None)
@@ -192,7 +198,7 @@
         return tuple(found)[:MAX_CANDIDATES]
 
     def _recent_rings(self) -> list[_ring.TargetRing]:
-        oldest_ms = self._clock.now_ms() - HISTORY_MS
+        oldest_ms = self._clock.now_ms() - RING_HISTORY_MS
         if self._history[-1][0] < oldest_ms:
             self._history = tuple(
                 item for item in self._history if item[0] >= oldest_ms
--- a/libs/routing/src/fireflyford/routing/_targets.py
+++ b/libs/routing/src/fireflyford/routing/_targets.py
@@ -1,4 +1,4 @@
-"""Targets of every service as a membership view describes them."""
+"""Conversion of membership views to the targets of each service."""
 
 from collections.abc import Iterable
 
@@ -15,10 +15,11 @@
 ) -> dict[str, tuple[membership.Member, ...]]:
     """Returns the agents of each service that are alive or draining.
 
-    While none is alive, agents whose death is doubted are added.
+    If a service has no agent that is alive, its agents whose death is not
+    confirmed are added.
 
-    One pass over the members serves all services; one pass for each of 420
-    services over 4,600 members would stall forwarding.
+    All services share one pass over the members, because a pass for each of
+    420 services over 4,600 members would stall forwarding.
     """
     found: dict[str, list[membership.Member]] = {name: [] for name in services}
     for member in view.members.values():
@@ -37,7 +38,7 @@
 def make_targets(
     members: Iterable[membership.Member],
 ) -> tuple[_ring.Target, ...]:
-    """Returns the targets of one service, with bounded weights."""
+    """Returns the targets of one service, with normalized weights."""
     return _weights.normalize_weights(make_target(member) for member in members)
 
 
@@ -48,6 +49,7 @@
         address=member.link_address,
         incarnation=member.link_incarnation,
         weight=member.weight,
-        # A dead member is only here as a last resort.
+        # Dead members are passed in only as last-resort targets, which have
+        # to accept flows.
         accepts_flows=member.state is not membership.State.DRAINING,
     )
--- a/libs/routing/src/fireflyford/routing/_weights.py
+++ b/libs/routing/src/fireflyford/routing/_weights.py
@@ -1,4 +1,4 @@
-"""Weights of targets as the ring uses them."""
+"""Normalization of target weights for the ring."""
 
 from collections.abc import Iterable
 import dataclasses
@@ -7,22 +7,22 @@
 
 from fireflyford.routing import _ring
 
-# A target that reports a wrong figure gets at most four times, and at least a
-# quarter, of the median target's share.
-MAX_RATIO = 4.0
-# Weights move in steps of about 19 %, so that small changes of a measured rate
-# move no flow keys.
+# Limits a target that reports a wrong weight to between a quarter and four
+# times the share of the median target.
+MAX_WEIGHT_RATIO = 4.0
+# Rounding weights to steps of about 19 % keeps small changes of a measured
+# rate from moving flow keys.
 _STEPS_PER_DOUBLING = 4
 
 
 def normalize_weights(
     targets: Iterable[_ring.Target],
 ) -> tuple[_ring.Target, ...]:
-    """Returns the targets of one service with weights around 1.
+    """Returns the targets of one service with weights relative to the median.
 
-    Each weight becomes a multiple of the median of the targets that accept
-    flows, between a quarter and four, rounded to a step. A weight that is not
-    a positive number counts as the median.
+    Each weight is divided by the median weight of the targets that accept
+    flows, clamped to between a quarter and four, and rounded to a step. A
+    weight that is not a positive finite number is replaced by the median.
     """
     known = tuple(targets)
     usable = [
@@ -32,7 +32,7 @@
     ]
     median = statistics.median(usable) if usable else 1.0
     return tuple(
-        dataclasses.replace(target, weight=_clamp(target.weight, median))
+        dataclasses.replace(target, weight=_normalize(target.weight, median))
         for target in known
     )
 
@@ -41,10 +41,10 @@
     return math.isfinite(weight) and weight > 0
 
 
-def _clamp(weight: float, median: float) -> float:
+def _normalize(weight: float, median: float) -> float:
     if not _is_usable(weight):
         return 1.0
-    limit = math.log2(MAX_RATIO)
+    limit = math.log2(MAX_WEIGHT_RATIO)
     doublings = math.log2(weight) - math.log2(median)
     doublings = max(-limit, min(limit, doublings))
     steps = round(doublings * _STEPS_PER_DOUBLING)
--- a/libs/routing/tests/test_flow_table.py
+++ b/libs/routing/tests/test_flow_table.py
@@ -1,4 +1,4 @@
-"""Bounds and lateness of the flow table."""
+"""Tests of the flow table: limits, expiry, and late or conflicting messages."""
 
 from fireflyford import core
 from fireflyford import routing
@@ -8,8 +8,8 @@
 BALANCER = core.Address("10.0.0.1", 1)
 
 
-class NoPeers(routing.FlowPlacement):
-    """Knows no other agent."""
+class EmptyPlacement(routing.FlowPlacement):
+    """Placement without other agents."""
 
     def first_target(self, flow_key: int) -> core.Holder | None:
         """Returns no agent."""
@@ -20,22 +20,22 @@
         return None
 
 
-class Clock(core.ManualClock):
-    """Clock that a test sets without an event loop."""
+class SettableClock(core.ManualClock):
+    """Clock that a test can set without an event loop."""
 
     def set(self, now_ms: int) -> None:
         """Sets the time."""
         self._now_ms = now_ms
 
 
-def make_table(**bounds: int) -> tuple[Clock, routing.FlowTable]:
-    clock = Clock(1_000_000)
+def make_table(**bounds: int) -> tuple[SettableClock, routing.FlowTable]:
+    clock = SettableClock(1_000_000)
     limits = routing.FlowTableLimits(**bounds)
-    return clock, routing.FlowTable(clock, OWN, NoPeers(), limits)
+    return clock, routing.FlowTable(clock, OWN, EmptyPlacement(), limits)
 
 
 def test_a_flood_of_keys_breaks_no_open_flow() -> None:
-    """Guards against growing memory, and eviction of open flows."""
+    """Guards against unbounded memory and against eviction of open flows."""
     _, table = make_table(max_entries=20, max_held_flows=10)
     for key in range(100):
         table.handle_datagram(routing.ForwardedDatagram(key, BALANCER))
@@ -49,7 +49,7 @@
 
 
 def test_held_flows_are_bounded() -> None:
-    """Guards against more sockets than the process may open."""
+    """Guards against exceeding the process's limit of sockets."""
     _, table = make_table(max_held_flows=10)
     for key in range(100):
         table.handle_datagram(routing.ForwardedDatagram(key, BALANCER))
@@ -57,7 +57,7 @@
 
 
 def test_unused_directory_entries_make_room() -> None:
-    """Guards against a flood that blocks new flows for minutes."""
+    """Guards against unused entries that block new flows for minutes."""
     clock, table = make_table(max_entries=20)
     for key in range(100):
         table.handle_datagram(
@@ -70,7 +70,7 @@
 
 
 def test_idle_flows_end() -> None:
-    """Guards against flows and sockets that are never given back."""
+    """Guards against idle flows whose sockets are never closed."""
     clock, table = make_table()
     table.handle_datagram(routing.ForwardedDatagram(1, BALANCER))
     clock.set(1_100_000)
@@ -81,7 +81,7 @@
 
 
 def test_a_late_search_makes_no_flow() -> None:
-    """Guards against a stray copy that takes a flow from its holder."""
+    """Guards against a delayed search that creates a second holder."""
     clock, table = make_table()
     search = routing.ForwardedDatagram(1, PEER.address, 4, (), clock.wall_ms())
     clock.set(clock.now_ms() + 60_000)
@@ -89,8 +89,8 @@
     assert not table.holds(1)
 
 
-def test_a_paused_holder_gives_way() -> None:
-    """Guards against a flow that moves back to an agent thought dead."""
+def test_a_paused_holder_yields_its_flow() -> None:
+    """Guards against a flow that returns to a holder after a long pause."""
     clock, table = make_table()
     table.handle_datagram(routing.ForwardedDatagram(1, BALANCER))
     claim = routing.Notice(OWN, 1, PEER, clock.wall_ms() + 30_000)
@@ -99,8 +99,8 @@
     assert not table.holds(1)
 
 
-def test_a_silent_holder_is_given_up() -> None:
-    """Guards against datagrams sent to a dead agent for ever."""
+def test_an_unresponsive_holder_is_replaced() -> None:
+    """Guards against forwarding to a dead agent indefinitely."""
     clock, table = make_table()
     table.handle_notice(routing.Notice(OWN, 1, PEER, 5), PEER)
     first = table.handle_datagram(routing.ForwardedDatagram(1, BALANCER))
@@ -115,7 +115,7 @@
 
 
 def test_a_rare_datagram_does_not_end_a_directory_entry() -> None:
-    """Guards against a holder given up after one lost confirmation."""
+    """Guards against dropping an entry after one lost confirmation."""
     clock, table = make_table()
     table.handle_notice(routing.Notice(OWN, 1, PEER, 5), PEER)
     for _ in range(3):
@@ -125,7 +125,7 @@
 
 
 def test_a_stray_search_of_the_holder_keeps_its_entry() -> None:
-    """Guards against a duplicate that makes room for a second holder."""
+    """Guards against a duplicate search that leads to a second holder."""
     clock, table = make_table()
     table.handle_notice(routing.Notice(OWN, 1, PEER, clock.wall_ms()), PEER)
     stray = routing.ForwardedDatagram(
--- a/libs/routing/tests/test_ring.py
+++ b/libs/routing/tests/test_ring.py
@@ -1,4 +1,4 @@
-"""Ring, weights and routes."""
+"""Tests of the ring, weight normalization and the router."""
 
 import collections
 import dataclasses
@@ -37,7 +37,7 @@
 @hypothesis.settings(max_examples=200, deadline=None, derandomize=True)
 @hypothesis.given(strategies.lists(weights, min_size=1, max_size=9))
 def test_weights_are_bounded(values: list[float]) -> None:
-    """Guards against a wrong figure that attracts or starves a target."""
+    """Guards against a wrong weight that overloads or starves a target."""
     targets = [
         dataclasses.replace(target, weight=weight)
         for target, weight in zip(
@@ -50,7 +50,7 @@
 
 
 def test_weights_keep_their_order_around_the_median() -> None:
-    """Guards against weights that are clamped but not used."""
+    """Guards against normalization that loses the ratios between weights."""
     targets = [
         dataclasses.replace(target, weight=weight)
         for target, weight in zip(
@@ -75,7 +75,7 @@
 
 
 def test_a_draining_target_is_listed_but_not_first() -> None:
-    """Guards against new flows at a draining target, and lost open ones."""
+    """Guards against new flows on a draining target and lost open flows."""
     clock = core.ManualClock()
     router = routing.Router(clock)
     targets = make_targets(5)
@@ -91,7 +91,7 @@
 
 
 def test_a_balancer_that_starts_late_lists_the_draining_target() -> None:
-    """Guards against flows lost by balancers without earlier rings."""
+    """Guards against lost flows at a balancer without previous rings."""
     targets = make_targets(5)
     old = routing.Router(core.ManualClock())
     old.replace_targets(targets)
@@ -105,8 +105,8 @@
             assert after.candidates[0] == leaving.holder
 
 
-def test_earlier_rings_are_kept_for_a_while_only() -> None:
-    """Guards against rings that pile up, and against forgetting at once."""
+def test_ring_history_is_kept_but_bounded() -> None:
+    """Guards against unbounded ring history and against keeping none."""
     clock = core.ManualClock()
     router = routing.Router(clock)
     targets = make_targets(6)
@@ -124,7 +124,7 @@
 
 
 def test_an_unchanged_view_rebuilds_nothing() -> None:
-    """Guards against pauses for views that change other services."""
+    """Guards against rebuilding a ring when only other services change."""
     router = routing.Router(core.ManualClock())
     assert router.replace_targets(make_targets(3))
     generation = router.generation
@@ -133,7 +133,7 @@
 
 
 def test_a_named_holder_needs_no_view() -> None:
-    """Guards against packets dropped by a balancer that knows no target."""
+    """Guards against a balancer without targets that drops open flows."""
     router = routing.Router(core.ManualClock())
     holder = core.Holder(core.Address("10.0.9.9", 9), 77)
     route = router.choose(routing.HolderHint(holder))
