--- a/libs/membership/src/fireflyford/membership/__init__.py
+++ b/libs/membership/src/fireflyford/membership/__init__.py
@@ -1,16 +1,16 @@
-"""Which instances exist, and how changes spread between them."""
+"""Cluster membership: known instances, failure detection and dissemination."""
 
-from fireflyford.membership._announcements import ConfigAnnouncements
 from fireflyford.membership._bulk import BulkServer
 from fireflyford.membership._bulk import fetch_bulk
 from fireflyford.membership._channel import Channel
 from fireflyford.membership._channel import PullHandler
 from fireflyford.membership._channel import UdpChannel
-from fireflyford.membership._conversations import HEARTBEAT_INTERVAL_MS
+from fireflyford.membership._config_announcements import ConfigAnnouncements
 from fireflyford.membership._membership import Membership
-from fireflyford.membership._memory import MemoryChannel
-from fireflyford.membership._memory import MemoryNetwork
+from fireflyford.membership._memory_network import MemoryChannel
+from fireflyford.membership._memory_network import MemoryNetwork
 from fireflyford.membership._observer import FAILURE_TIMEOUT_MS
+from fireflyford.membership._observer_sessions import HEARTBEAT_INTERVAL_MS
 from fireflyford.membership._rendezvous import select_by_rendezvous
 from fireflyford.membership._types import Member
 from fireflyford.membership._types import State
--- a/libs/membership/src/fireflyford/membership/_anti_entropy.py
+++ b/libs/membership/src/fireflyford/membership/_anti_entropy.py
@@ -1,4 +1,4 @@
-"""Comparison of whole views, which finds what gossip has missed."""
+"""Anti-entropy between balancers, which repairs what gossip has missed."""
 
 import asyncio
 from collections.abc import Sequence
@@ -12,17 +12,19 @@
 from fireflyford.membership import _types
 
 ANTI_ENTROPY_INTERVAL_MS = 5_000
-# Until the first pull a joining balancer knows only a part of the members, and
-# gossip sent before its socket was open is lost; so it compares often at first.
+# Before its first pull a joining balancer knows only part of the members, and
+# gossip sent before its socket was open is lost. It therefore compares more
+# often at first.
 _JOIN_INTERVAL_MS = 300
-_FIRST_INTERVAL_MS = 1_000
-_FIRST_COUNT = 10
-# Gossip on its way explains most differences of two digests.
+_STARTUP_INTERVAL_MS = 1_000
+_STARTUP_COMPARISON_COUNT = 10
+# Most digest differences are due to gossip in flight and vanish within this
+# time.
 _PULL_DELAY_MS = 300
 
 
 class AntiEntropy(_channel.PullHandler):
-    """Compares digests with one random balancer after another."""
+    """Compares digests with random balancers and pulls differing records."""
 
     def __init__(
         self,
@@ -30,51 +32,53 @@
         rng: random.Random,
         channel: _channel.Channel,
         table: _table.MemberTable,
-        versions: _config_versions.ConfigVersions,
+        versions: _config_versions.ConfigVersionNotifier,
     ) -> None:
-        """Prepares the comparison; `run` starts it."""
+        """Creates the state and registers the pull handler; `run` starts."""
         self._clock = clock
         self._rng = rng
         self._channel = channel
         self._table = table
         self._versions = versions
         self._joined = False
-        self._differing: list[_types.Member] = []
-        self._differs = asyncio.Event()
+        self._differing_peers: list[_types.Member] = []
+        self._difference_found = asyncio.Event()
         channel.register_pull_handler(self)
 
     async def run(self) -> None:
-        """Joins, then compares until cancelled."""
+        """Pulls all records once, then compares until cancelled."""
         while not self._joined:
             await self._join()
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._compare_loop())
             tasks.create_task(self._pull_loop())
 
-    def receive(self, address: core.Address, digest: _messages.Digest) -> None:
-        """Takes the digest of another balancer."""
-        sender = self._table.find(digest.fingerprint)
-        self._versions.hear(sender, digest.config_version)
-        if digest.root == self._table.root():
+    def receive(
+        self, address: core.Address, digest: _messages.ViewDigest
+    ) -> None:
+        """Handles the digest of another balancer."""
+        sender = self._table.find_by_fingerprint(digest.fingerprint)
+        self._versions.handle_version(sender, digest.config_version)
+        if digest.root_digest == self._table.root_digest():
             return
-        if not digest.answer:
-            self._send_digest(address, answer=True)
-        if sender is not None and sender not in self._differing:
-            self._differing.append(sender)
-            self._differs.set()
+        if not digest.is_reply:
+            self._send_digest(address, is_reply=True)
+        if sender is not None and sender not in self._differing_peers:
+            self._differing_peers.append(sender)
+            self._difference_found.set()
 
     def differing_buckets(self, digests: tuple[int, ...]) -> tuple[int, ...]:
-        """Returns the numbers of the buckets whose digest differs."""
+        """Returns the numbers of the buckets whose digests differ."""
         pairs = zip(self._table.digests(), digests, strict=False)
         return tuple(
             number for number, (own, other) in enumerate(pairs) if own != other
         )
 
     def pull(self, request: _messages.PullRequest) -> _messages.PullReply:
-        """Returns what the asker lacks.
+        """Returns the records that the requesting balancer lacks.
 
-        Records that ended are told only to an asker that may have an older
-        one, so that they are not passed on for ever.
+        Records of ended members are sent only if the requesting balancer may
+        have an older record. Otherwise they would circulate indefinitely.
         """
         known = {
             summary.fingerprint: (summary.version, summary.state.value)
@@ -88,10 +92,11 @@
             if order is None:
                 (members if member.is_live else ended).append(member)
             elif order < member.order[1:]:
-                changes.append(_messages.Change.of(member))
-        changes += self._table.burials(known)
+                changes.append(_messages.RecordChange.from_member(member))
+        changes += self._table.find_tombstones(known)
         if known:
-            # What is left may be earlier incarnations of those that ended.
+            # The remaining summaries may belong to earlier incarnations of
+            # ended members.
             members += ended
         return _messages.PullReply(tuple(members), tuple(changes))
 
@@ -102,27 +107,27 @@
             self._joined = await self._pull(self._rng.choice(peers))
 
     async def _compare_loop(self) -> None:
-        for _ in range(_FIRST_COUNT):
-            self._compare()
-            await self._clock.sleep(_FIRST_INTERVAL_MS)
+        for _ in range(_STARTUP_COMPARISON_COUNT):
+            self._send_digests()
+            await self._clock.sleep(_STARTUP_INTERVAL_MS)
         while True:
-            self._compare()
+            self._send_digests()
             await self._clock.sleep(ANTI_ENTROPY_INTERVAL_MS)
 
-    def _compare(self) -> None:
+    def _send_digests(self) -> None:
         for peer in self._choose_peers():
-            self._send_digest(peer.control_address, answer=False)
+            self._send_digest(peer.control_address, is_reply=False)
 
     async def _pull_loop(self) -> None:
         while True:
-            await self._differs.wait()
+            await self._difference_found.wait()
             await self._clock.sleep(_PULL_DELAY_MS)
-            self._differs.clear()
-            differing, self._differing = self._differing, []
-            await self._pull(self._rng.choice(differing))
+            self._difference_found.clear()
+            peers, self._differing_peers = self._differing_peers, []
+            await self._pull(self._rng.choice(peers))
 
     async def _pull(self, peer: _types.Member) -> bool:
-        buckets = await self._channel.fetch_differing(
+        buckets = await self._channel.fetch_differing_buckets(
             peer.bulk_address, self._table.digests()
         )
         if buckets is None:
@@ -130,7 +135,9 @@
         if not buckets:
             return True
         summaries = tuple(
-            _messages.Summary(member.fingerprint, member.version, member.state)
+            _messages.RecordSummary(
+                member.fingerprint, member.version, member.state
+            )
             for member in self._table.in_buckets(buckets)
         )
         reply = await self._channel.fetch_records(
@@ -138,16 +145,17 @@
         )
         if reply is None:
             return False
-        # Everyone pulls for itself. After a partition, deaths that are about
-        # to be refuted spread no faster this way than the refutations.
-        self._table.merge(reply.members, reply.changes, spread=False)
+        # Pulled records are not propagated, because every balancer pulls for
+        # itself. After a partition, deaths that are about to be refuted would
+        # otherwise spread faster than their refutations.
+        self._table.merge(reply.members, reply.changes, propagate=False)
         return True
 
     def _choose_peers(self) -> Sequence[_types.Member]:
-        """Returns a live peer and a dead one.
+        """Returns a random live balancer and a random dead one, if any.
 
-        After a partition each side holds the other for dead; the digest that
-        reaches a dead balancer makes the two sides compare their views.
+        After a partition each side considers the other dead. A digest that
+        reaches a supposedly dead balancer makes the sides compare their views.
         """
         live = self._live_peers()
         dead = [
@@ -165,9 +173,12 @@
             if member.is_live and member.instance_id != own
         ]
 
-    def _send_digest(self, address: core.Address, answer: bool) -> None:
+    def _send_digest(self, address: core.Address, is_reply: bool) -> None:
         own = self._table.own
-        digest = _messages.Digest(
-            own.fingerprint, own.config_version, self._table.root(), answer
+        digest = _messages.ViewDigest(
+            own.fingerprint,
+            own.config_version,
+            self._table.root_digest(),
+            is_reply,
         )
         self._channel.send(address, digest)
--- a/libs/membership/src/fireflyford/membership/_bulk.py
+++ b/libs/membership/src/fireflyford/membership/_bulk.py
@@ -1,4 +1,4 @@
-"""Transfers too large for a datagram, between two instances, over pynng."""
+"""Request-reply transfers too large for a datagram, over pynng."""
 
 import asyncio
 from collections.abc import Callable
@@ -10,35 +10,39 @@
 from fireflyford import core
 from fireflyford import telemetry
 
-_TAG_BYTES = 8
+_MAC_BYTES = 8
 MAX_TRANSFER_BYTES = 4 << 20
 _TIMEOUT_MS = 2_000
 _WORKER_COUNT = 8
 
 
-class _Call(msgspec.Struct, frozen=True, array_like=True):
-    """One call: topic and payload."""
+class _Request(msgspec.Struct, frozen=True, array_like=True):
+    """Encoded content of one request."""
 
     topic: str
     payload: bytes
 
 
 class BulkServer:
-    """Answers calls of other instances by topic."""
+    """Answers requests of other instances with a handler for each topic."""
 
     def __init__(self, key: bytes) -> None:
-        """Takes the link key."""
+        """Creates a server without handlers.
+
+        Args:
+            key: Link key, which authenticates requests and replies.
+        """
         self._key = key
         self._handlers: dict[str, Callable[[bytes], bytes]] = {}
         self.sent_bytes = 0
         self.received_bytes = 0
 
     def register(self, topic: str, handler: Callable[[bytes], bytes]) -> None:
-        """Answers calls of `topic` with what `handler` returns."""
+        """Sets the handler that returns the reply payload for a topic."""
         self._handlers[topic] = handler
 
     async def run(self, address: core.Address) -> None:
-        """Serves until cancelled; an error is logged, then raised."""
+        """Serves until cancelled; logs an error before raising it."""
         try:
             await self._run(address)
         except* pynng.NNGException as errors:
@@ -58,8 +62,8 @@
     async def _serve(self, socket: pynng.Rep0) -> None:
         task = asyncio.current_task()
         with socket.new_context() as context:
-            # pynng swallows a cancellation that arrives while its operation
-            # completes, so the task has to look for it.
+            # pynng swallows a cancellation that arrives while an operation
+            # completes, so the loop checks for it.
             while task is not None and not task.cancelling():
                 data = await context.arecv()
                 self.received_bytes += len(data)
@@ -68,34 +72,36 @@
                 await context.asend(reply)
 
     def _answer(self, data: bytes) -> bytes:
-        body = _open(self._key, data)
+        body = _verify(self._key, data)
         if body is None:
             return b""
         try:
-            call = msgspec.msgpack.decode(body, type=_Call)
+            request = msgspec.msgpack.decode(body, type=_Request)
         except msgspec.DecodeError:
             return b""
-        handler = self._handlers.get(call.topic)
+        handler = self._handlers.get(request.topic)
         return (
-            b"" if handler is None else _seal(self._key, handler(call.payload))
+            b""
+            if handler is None
+            else _sign(self._key, handler(request.payload))
         )
 
 
 async def fetch_bulk(
     address: core.Address, key: bytes, topic: str, payload: bytes
 ) -> core.Outcome[bytes]:
-    """Calls another instance.
+    """Sends a request to another instance and waits for the reply.
 
     Args:
         address: Bulk address of the other instance.
         key: Link key.
-        topic: What is asked for.
-        payload: Content of the call, defined by the topic.
+        topic: Topic of the request.
+        payload: Payload of the request, in a format defined by the topic.
 
     Returns:
-        The answer, or `INSTANCE_UNREACHABLE`.
+        The reply payload, or a failure of kind `INSTANCE_UNREACHABLE`.
     """
-    call = msgspec.msgpack.encode(_Call(topic, payload))
+    request = msgspec.msgpack.encode(_Request(topic, payload))
     try:
         with pynng.Req0(
             send_timeout=_TIMEOUT_MS,
@@ -103,8 +109,8 @@
             recv_max_size=MAX_TRANSFER_BYTES,
         ) as socket:
             socket.dial(f"tcp://{address}", block=False)
-            await socket.asend(_seal(key, call))
-            body = _open(key, await socket.arecv())
+            await socket.asend(_sign(key, request))
+            body = _verify(key, await socket.arecv())
     except pynng.NNGException as error:
         return _unreachable(address, str(error))
     if body is None:
@@ -118,14 +124,14 @@
     )
 
 
-def _seal(key: bytes, body: bytes) -> bytes:
-    return _tag(key, body) + body
+def _sign(key: bytes, body: bytes) -> bytes:
+    return _mac(key, body) + body
 
 
-def _open(key: bytes, data: bytes) -> bytes | None:
-    tag, body = data[:_TAG_BYTES], data[_TAG_BYTES:]
-    return body if tag == _tag(key, body) else None
+def _verify(key: bytes, data: bytes) -> bytes | None:
+    mac, body = data[:_MAC_BYTES], data[_MAC_BYTES:]
+    return body if mac == _mac(key, body) else None
 
 
-def _tag(key: bytes, body: bytes) -> bytes:
-    return hashlib.blake2s(body, key=key, digest_size=_TAG_BYTES).digest()
+def _mac(key: bytes, body: bytes) -> bytes:
+    return hashlib.blake2s(body, key=key, digest_size=_MAC_BYTES).digest()
--- a/libs/membership/src/fireflyford/membership/_channel.py
+++ b/libs/membership/src/fireflyford/membership/_channel.py
@@ -1,4 +1,4 @@
-"""Channels that carry control messages between members."""
+"""Channels for control messages between members."""
 
 import abc
 import asyncio
@@ -9,26 +9,26 @@
 from fireflyford.membership import _codec
 from fireflyford.membership import _messages
 
-_TAG_BYTES = 8
-_INBOX_COUNT = 1_000
+_MAC_BYTES = 8
+_INBOX_CAPACITY = 1_000
 _DIGESTS_TOPIC = "membership-digests"
 _PULL_TOPIC = "membership-pull"
 
 
 class PullHandler(abc.ABC):
-    """Answers the bulk calls of other balancers."""
+    """Answers bulk requests of other balancers for missing records."""
 
     @abc.abstractmethod
     def differing_buckets(self, digests: tuple[int, ...]) -> tuple[int, ...]:
-        """Returns the numbers of the buckets whose digest differs."""
+        """Returns the numbers of the buckets whose digests differ."""
 
     @abc.abstractmethod
     def pull(self, request: _messages.PullRequest) -> _messages.PullReply:
-        """Returns what the asker lacks."""
+        """Returns the records that the requesting balancer lacks."""
 
 
 class Channel(abc.ABC):
-    """Carries messages between members, unreliably."""
+    """Unreliable message transport between members."""
 
     @abc.abstractmethod
     def send(self, address: core.Address, message: _messages.Message) -> None:
@@ -39,14 +39,14 @@
         """Waits for the next message."""
 
     @abc.abstractmethod
-    def register_pull_handler(self, source: PullHandler) -> None:
-        """Answers bulk calls of other members from `source`."""
+    def register_pull_handler(self, handler: PullHandler) -> None:
+        """Sets the handler that answers bulk requests of other members."""
 
     @abc.abstractmethod
-    async def fetch_differing(
+    async def fetch_differing_buckets(
         self, address: core.Address, digests: tuple[int, ...]
     ) -> tuple[int, ...] | None:
-        """Asks a member's bulk address which buckets differ.
+        """Requests from a bulk address which buckets differ.
 
         Returns:
             Numbers of the buckets, or None if there is no answer.
@@ -56,7 +56,7 @@
     async def fetch_records(
         self, address: core.Address, request: _messages.PullRequest
     ) -> _messages.PullReply | None:
-        """Pulls records from a member's bulk address.
+        """Requests records from a bulk address.
 
         Returns:
             The records, or None if there is no answer.
@@ -64,21 +64,21 @@
 
 
 class UdpChannel(Channel, asyncio.DatagramProtocol):
-    """Messages in msgpack with a keyed tag over UDP, pulls over pynng."""
+    """Authenticated messages over UDP, and bulk requests over pynng."""
 
     def __init__(
         self, key: bytes, bulk_server: _bulk.BulkServer | None = None
     ) -> None:
-        """Takes the link key; call `open` before use.
+        """Creates a closed channel; call `open` before use.
 
         Args:
-            key: Link key.
-            bulk_server: Serves the pulls of other balancers.
+            key: Link key, which authenticates messages.
+            bulk_server: Server for the bulk requests of other balancers.
         """
         self._key = key
         self._bulk_server = bulk_server
         self._inbox: asyncio.Queue[tuple[core.Address, _messages.Message]] = (
-            asyncio.Queue(maxsize=_INBOX_COUNT)
+            asyncio.Queue(maxsize=_INBOX_CAPACITY)
         )
         self._transport: asyncio.DatagramTransport | None = None
         self.sent_bytes = 0
@@ -106,21 +106,21 @@
         if self._transport is None:
             raise RuntimeError("the channel is not open")
         body = _codec.encode(message)
-        datagram = self._tag(body) + body
+        datagram = self._mac(body) + body
         self.sent_bytes += len(datagram)
         self.sent_count += 1
         self._transport.sendto(datagram, address.pair)
 
     async def receive(self) -> tuple[core.Address, _messages.Message]:
-        """Waits for the next message that verifies."""
+        """Waits for the next authentic message."""
         return await self._inbox.get()
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Queues a message that verifies, counts the others."""
+        """Queues an authentic message; counts rejected datagrams."""
         self.received_bytes += len(data)
         self.received_count += 1
-        tag, body = data[:_TAG_BYTES], data[_TAG_BYTES:]
-        if tag != self._tag(body) or self._inbox.full():
+        mac, body = data[:_MAC_BYTES], data[_MAC_BYTES:]
+        if mac != self._mac(body) or self._inbox.full():
             self.rejected_count += 1
             return
         try:
@@ -130,8 +130,8 @@
             return
         self._inbox.put_nowait((core.Address(*addr[:2]), message))
 
-    def register_pull_handler(self, source: PullHandler) -> None:
-        """Registers the two calls with the bulk server, if there is one."""
+    def register_pull_handler(self, handler: PullHandler) -> None:
+        """Registers both topics with the bulk server, if there is one."""
         if self._bulk_server is None:
             return
 
@@ -140,22 +140,22 @@
                 digests = _codec.decode_digests(payload)
             except ValueError:
                 return b""
-            return _codec.encode_digests(source.differing_buckets(digests))
+            return _codec.encode_digests(handler.differing_buckets(digests))
 
         def answer_pull(payload: bytes) -> bytes:
             try:
                 request = _codec.decode_request(payload)
             except ValueError:
                 return b""
-            return _codec.encode_reply(source.pull(request))
+            return _codec.encode_reply(handler.pull(request))
 
         self._bulk_server.register(_DIGESTS_TOPIC, answer_digests)
         self._bulk_server.register(_PULL_TOPIC, answer_pull)
 
-    async def fetch_differing(
+    async def fetch_differing_buckets(
         self, address: core.Address, digests: tuple[int, ...]
     ) -> tuple[int, ...] | None:
-        """Asks which buckets differ."""
+        """Requests from a bulk address which buckets differ."""
         payload = _codec.encode_digests(digests)
         answer = await self._fetch(address, _DIGESTS_TOPIC, payload)
         try:
@@ -166,7 +166,7 @@
     async def fetch_records(
         self, address: core.Address, request: _messages.PullRequest
     ) -> _messages.PullReply | None:
-        """Pulls records."""
+        """Requests records from a bulk address."""
         payload = _codec.encode_request(request)
         answer = await self._fetch(address, _PULL_TOPIC, payload)
         try:
@@ -185,7 +185,7 @@
         self.pulled_bytes += len(outcome.value)
         return outcome.value
 
-    def _tag(self, body: bytes) -> bytes:
+    def _mac(self, body: bytes) -> bytes:
         return hashlib.blake2s(
-            body, key=self._key, digest_size=_TAG_BYTES
+            body, key=self._key, digest_size=_MAC_BYTES
         ).digest()
--- a/libs/membership/src/fireflyford/membership/_codec.py
+++ b/libs/membership/src/fireflyford/membership/_codec.py
@@ -1,4 +1,4 @@
-"""Encoding of control messages: a type byte and one msgpack array."""
+"""Encoding of control messages as a type byte followed by a msgpack array."""
 
 from collections.abc import Callable
 import dataclasses
@@ -12,11 +12,12 @@
 from fireflyford.membership import _types
 
 _ROLES = (core.Role.BALANCER, core.Role.AGENT)
-# Weights travel as whole hundredths.
+# Weights are encoded as integer hundredths.
 _WEIGHT_SCALE = 100
 _PORT_BYTES = 2
 
-# A port on the host of the link address, or another host and port.
+# A port if the host equals that of the link address, otherwise packed host and
+# port.
 _WireAddress = int | bytes
 _WireMember = tuple[
     str,
@@ -39,16 +40,17 @@
 
 
 def encode(message: _messages.Message) -> bytes:
-    """Returns a message as bytes."""
-    number = _NUMBERS[type(message)]
-    return bytes([number]) + _ENCODER.encode(_values(message))
+    """Returns the encoded message."""
+    number = _TYPE_NUMBERS[type(message)]
+    return bytes([number]) + _ENCODER.encode(_field_values(message))
 
 
 def decode(data: bytes) -> _messages.Message:
-    """Returns the message in `data`.
+    """Returns the decoded message.
 
     Raises:
-        ValueError: The bytes are no message.
+        ValueError: `data` is not a valid message.
+        IndexError: The role of a member is unknown.
     """
     if not data or data[0] >= len(_FORMATS):
         raise ValueError("unknown type of control message")
@@ -58,75 +60,77 @@
 
 
 def encode_digests(digests: tuple[int, ...]) -> bytes:
-    """Returns the digests of buckets, or numbers of buckets, as bytes."""
+    """Returns encoded bucket digests or bucket numbers."""
     return _ENCODER.encode(digests)
 
 
 def decode_digests(data: bytes) -> tuple[int, ...]:
-    """Returns digests or numbers; raises ValueError on anything else."""
+    """Returns bucket digests or numbers; raises ValueError if malformed."""
     return msgspec.msgpack.decode(data, type=tuple[int, ...])
 
 
 def encode_request(request: _messages.PullRequest) -> bytes:
-    """Returns a pull request as bytes."""
-    return _ENCODER.encode(_values(request))
+    """Returns an encoded pull request."""
+    return _ENCODER.encode(_field_values(request))
 
 
 def decode_request(data: bytes) -> _messages.PullRequest:
-    """Returns a pull request; raises ValueError on anything else."""
+    """Returns a decoded pull request; raises ValueError if malformed."""
     buckets, summaries = msgspec.msgpack.decode(
         data, type=tuple[tuple[int, ...], tuple[_WireSummary, ...]]
     )
     return _messages.PullRequest(
         buckets,
         tuple(
-            _messages.Summary(fingerprint, version, _types.State(state))
+            _messages.RecordSummary(fingerprint, version, _types.State(state))
             for fingerprint, version, state in summaries
         ),
     )
 
 
 def encode_reply(reply: _messages.PullReply) -> bytes:
-    """Returns the answer to a pull request as bytes."""
-    return _ENCODER.encode(_values(reply))
+    """Returns an encoded reply to a pull request."""
+    return _ENCODER.encode(_field_values(reply))
 
 
 def decode_reply(data: bytes) -> _messages.PullReply:
-    """Returns an answer; raises ValueError on anything else."""
+    """Returns a decoded pull reply; raises the same errors as `decode`."""
     members, changes = msgspec.msgpack.decode(
         data, type=tuple[tuple[_WireMember, ...], tuple[_WireChange, ...]]
     )
-    return _messages.PullReply(_members(members), _changes(changes))
+    return _messages.PullReply(
+        _members_from_wire(members), _changes_from_wire(changes)
+    )
 
 
-def _values(message: Any) -> tuple[Any, ...]:
+def _field_values(message: Any) -> tuple[Any, ...]:
     return tuple(
-        _plain(getattr(message, field.name))
+        _to_wire(getattr(message, field.name))
         for field in dataclasses.fields(message)
     )
 
 
-def _plain(value: Any) -> Any:
+def _to_wire(value: Any) -> Any:
     match value:
         case _types.Member():
-            return _plain_member(value)
-        case _messages.Change():
+            return _member_to_wire(value)
+        case _messages.RecordChange():
             return (
                 value.fingerprint,
                 value.version,
                 value.state.value,
                 round(value.weight * _WEIGHT_SCALE),
             )
-        case _messages.Summary():
+        case _messages.RecordSummary():
             return (value.fingerprint, value.version, value.state.value)
-        case _messages.Answer():
+        case _messages.HeartbeatStatus():
             return value.value
         case tuple():
-            return tuple(_plain(item) for item in value)
+            return tuple(_to_wire(item) for item in value)
     return value
 
 
-def _plain_member(member: _types.Member) -> _WireMember:
+def _member_to_wire(member: _types.Member) -> _WireMember:
     host = member.link_address.host
     return (
         member.instance_id,
@@ -135,9 +139,9 @@
         member.availability_zone,
         member.service,
         _pack_address(member.link_address),
-        _short_address(member.control_address, host),
-        _short_address(member.bulk_address, host),
-        _short_address(member.status_address, host),
+        _compact_address(member.control_address, host),
+        _compact_address(member.bulk_address, host),
+        _compact_address(member.status_address, host),
         member.incarnation,
         member.version,
         member.state.value,
@@ -146,7 +150,7 @@
     )
 
 
-def _build_member(wire: _WireMember) -> _types.Member:
+def _member_from_wire(wire: _WireMember) -> _types.Member:
     link = _unpack_address(wire[5])
     return _types.Member(
         instance_id=wire[0],
@@ -155,9 +159,9 @@
         availability_zone=wire[3],
         service=wire[4],
         link_address=link,
-        control_address=_long_address(wire[6], link.host),
-        bulk_address=_long_address(wire[7], link.host),
-        status_address=_long_address(wire[8], link.host),
+        control_address=_expand_address(wire[6], link.host),
+        bulk_address=_expand_address(wire[7], link.host),
+        status_address=_expand_address(wire[8], link.host),
         incarnation=wire[9],
         version=wire[10],
         state=_types.State(wire[11]),
@@ -176,25 +180,27 @@
     return core.Address(str(host), int.from_bytes(data[-_PORT_BYTES:]))
 
 
-def _short_address(address: core.Address, host: str) -> _WireAddress:
+def _compact_address(address: core.Address, host: str) -> _WireAddress:
     return address.port if address.host == host else _pack_address(address)
 
 
-def _long_address(wire: _WireAddress, host: str) -> core.Address:
+def _expand_address(wire: _WireAddress, host: str) -> core.Address:
     if isinstance(wire, int):
         return core.Address(host, wire)
     return _unpack_address(wire)
 
 
-def _members(
+def _members_from_wire(
     wire: tuple[_WireMember, ...],
 ) -> tuple[_types.Member, ...]:
-    return tuple(_build_member(item) for item in wire)
+    return tuple(_member_from_wire(item) for item in wire)
 
 
-def _changes(wire: tuple[_WireChange, ...]) -> tuple[_messages.Change, ...]:
+def _changes_from_wire(
+    wire: tuple[_WireChange, ...],
+) -> tuple[_messages.RecordChange, ...]:
     return tuple(
-        _messages.Change(
+        _messages.RecordChange(
             fingerprint, version, _types.State(state), weight / _WEIGHT_SCALE
         )
         for fingerprint, version, state, weight in wire
@@ -204,11 +210,11 @@
 def _build_announcement(
     wire: _WireMember, acknowledged: int
 ) -> _messages.Announcement:
-    return _messages.Announcement(_build_member(wire), acknowledged)
+    return _messages.Announcement(_member_from_wire(wire), acknowledged)
 
 
 def _build_acknowledgement(answer: int) -> _messages.Acknowledgement:
-    return _messages.Acknowledgement(_messages.Answer(answer))
+    return _messages.Acknowledgement(_messages.HeartbeatStatus(answer))
 
 
 def _build_update(
@@ -222,8 +228,8 @@
         sequence,
         config_version,
         member_count,
-        _members(members),
-        _changes(changes),
+        _members_from_wire(members),
+        _changes_from_wire(changes),
     )
 
 
@@ -234,7 +240,10 @@
     changes: tuple[_WireChange, ...],
 ) -> _messages.Gossip:
     return _messages.Gossip(
-        fingerprint, config_version, _members(members), _changes(changes)
+        fingerprint,
+        config_version,
+        _members_from_wire(members),
+        _changes_from_wire(changes),
     )
 
 
@@ -249,24 +258,24 @@
     return (msgspec.msgpack.Decoder(shape), build)
 
 
-# The position of a format is the type byte of its messages.
+# Indexed by the type byte of a message.
 _FORMATS = (
     _format(_messages.Heartbeat, int, int, int),
     _format(_build_announcement, _WireMember, int),
     _format(_build_acknowledgement, int),
     _format(_build_update, int, int, int, *_RECORDS),
     _format(_build_gossip, int, int, *_RECORDS),
-    _format(_messages.Query, int),
-    _format(_messages.Reply, int, bool),
-    _format(_messages.Digest, int, int, int, bool),
+    _format(_messages.LivenessQuery, int),
+    _format(_messages.LivenessReply, int, bool),
+    _format(_messages.ViewDigest, int, int, int, bool),
 )
-_NUMBERS: dict[type, int] = {
+_TYPE_NUMBERS: dict[type, int] = {
     _messages.Heartbeat: 0,
     _messages.Announcement: 1,
     _messages.Acknowledgement: 2,
     _messages.Update: 3,
     _messages.Gossip: 4,
-    _messages.Query: 5,
-    _messages.Reply: 6,
-    _messages.Digest: 7,
+    _messages.LivenessQuery: 5,
+    _messages.LivenessReply: 6,
+    _messages.ViewDigest: 7,
 }
--- a/libs/membership/src/fireflyford/membership/_config_versions.py
+++ b/libs/membership/src/fireflyford/membership/_config_versions.py
@@ -1,4 +1,4 @@
-"""Configuration versions that other members announce."""
+"""Notification of configuration versions that other members announce."""
 
 from collections.abc import Callable
 
@@ -6,39 +6,45 @@
 from fireflyford.membership import _table
 from fireflyford.membership import _types
 
-# A pull that failed is tried again when the version is announced again.
-_REPEAT_MS = 1_000
+# Listeners are notified of a repeated announcement after this interval, so that
+# they can retry a failed pull.
+_RENOTIFY_INTERVAL_MS = 1_000
 
 
-class ConfigVersions:
-    """Tells listeners of versions higher than the one in force here."""
+class ConfigVersionNotifier:
+    """Notifies listeners of versions higher than the one in force locally."""
 
     def __init__(self, clock: core.Clock, table: _table.MemberTable) -> None:
-        """Starts without listeners."""
+        """Creates a notifier without listeners."""
         self._clock = clock
         self._table = table
         self._listeners: list[Callable[[_types.Member, int], None]] = []
-        self._told_ms: dict[tuple[str, int], int] = {}
+        self._notified_ms: dict[tuple[str, int], int] = {}
 
     def on_version(
         self, listener: Callable[[_types.Member, int], None]
     ) -> None:
-        """Calls `listener` with the announcing member and its version."""
+        """Registers a listener for (announcing member, version)."""
         self._listeners.append(listener)
 
-    def hear(self, member: _types.Member | None, version: int) -> None:
-        """Takes a version that a member announces."""
+    def handle_version(
+        self, member: _types.Member | None, version: int
+    ) -> None:
+        """Handles an announced version; ignores it if `member` is None."""
         if member is None or version <= self._table.own.config_version:
             return
         now_ms = self._clock.now_ms()
         key = (member.instance_id, version)
-        if now_ms - self._told_ms.get(key, -_REPEAT_MS) < _REPEAT_MS:
+        if (
+            now_ms - self._notified_ms.get(key, -_RENOTIFY_INTERVAL_MS)
+            < _RENOTIFY_INTERVAL_MS
+        ):
             return
-        self._told_ms = {
-            told: told_ms
-            for told, told_ms in self._told_ms.items()
-            if now_ms - told_ms < _REPEAT_MS
+        self._notified_ms = {
+            notified: notified_ms
+            for notified, notified_ms in self._notified_ms.items()
+            if now_ms - notified_ms < _RENOTIFY_INTERVAL_MS
         }
-        self._told_ms[key] = now_ms
+        self._notified_ms[key] = now_ms
         for listener in self._listeners:
             listener(member, version)
--- a/libs/membership/src/fireflyford/membership/_gossip.py
+++ b/libs/membership/src/fireflyford/membership/_gossip.py
@@ -1,4 +1,4 @@
-"""Push gossip of fresh records among balancers."""
+"""Push gossip of recently accepted records among balancers."""
 
 import math
 import random
@@ -12,27 +12,34 @@
 
 GOSSIP_INTERVAL_MS = 200
 FAN_OUT = 3
-# A change of weight alone is not urgent; what these few transmissions miss is
-# found by anti-entropy.
+# A change of weight alone is not urgent. Balancers missed by these few
+# transmissions are updated by anti-entropy.
 WEIGHT_TRANSMISSION_COUNT = 6
-# Shortest time between two rounds when news does not wait for the interval.
+# Minimum time between rounds when updates do not wait for the gossip interval.
 _FLUSH_INTERVAL_MS = 50
-# Together these stay under 1,200 bytes, so that no datagram is fragmented.
+# Together these limits keep a message below 1,200 bytes, which avoids
+# fragmentation.
 _MEMBERS_PER_MESSAGE = 6
 _CHANGES_PER_MESSAGE = 20
 
 
-class _Item:
-    """One fresh record and what is left to send of it."""
+class _PendingRecord:
+    """Transmission state of one record.
 
-    def __init__(self, limit: int, whole: bool) -> None:
-        self.limit = limit
-        self.whole = whole
+    Attributes:
+        max_transmissions: Number of times that the record is sent.
+        full: Whether to send the full record instead of the change.
+        sent_count: Number of transmissions so far.
+    """
+
+    def __init__(self, max_transmissions: int, full: bool) -> None:
+        self.max_transmissions = max_transmissions
+        self.full = full
         self.sent_count = 0
 
 
 class Gossip:
-    """Sends what this balancer has learned lately to random others."""
+    """Sends recently accepted records to random other balancers."""
 
     def __init__(
         self,
@@ -40,62 +47,70 @@
         rng: random.Random,
         channel: _channel.Channel,
         table: _table.MemberTable,
-        versions: _config_versions.ConfigVersions,
+        versions: _config_versions.ConfigVersionNotifier,
     ) -> None:
-        """Prepares the gossip; `run` sends it."""
+        """Creates the state; `run` starts the rounds."""
         self._clock = clock
         self._rng = rng
         self._channel = channel
         self._table = table
         self._versions = versions
-        self._items: dict[str, _Item] = {}
+        self._pending_records: dict[str, _PendingRecord] = {}
         self._config_version = 0
-        self._config_left_count = 0
+        self._remaining_config_transmissions = 0
         self._last_round_ms = -_FLUSH_INTERVAL_MS
-        # Agents know a part of the members and pass on nothing.
+        # Agents know only part of the members and do not gossip.
         self._active = table.own.role is core.Role.BALANCER
         table.on_accept(self._enqueue)
 
     async def run(self) -> None:
-        """Sends rounds until cancelled."""
+        """Sends a round at every interval until cancelled."""
         while True:
             await self._clock.sleep(GOSSIP_INTERVAL_MS)
             self._send_round()
 
     def flush(self) -> None:
-        """Sends news now, unless a round has just been sent."""
+        """Sends a round now, unless one was sent very recently."""
         elapsed_ms = self._clock.now_ms() - self._last_round_ms
         if self._active and elapsed_ms >= _FLUSH_INTERVAL_MS:
             self._send_round()
 
     def receive(self, address: core.Address, gossip: _messages.Gossip) -> None:
-        """Merges news of another balancer."""
+        """Merges records from another balancer."""
         count = self._table.change_count
         corrections = self._table.merge(gossip.members, gossip.changes)
         if self._table.change_count > count:
-            # The first transmissions do not wait for the interval, which
-            # would add up over the hops to 590 balancers.
+            # The first transmissions do not wait for the interval, because
+            # the delays would add up over the hops to 590 balancers.
             self.flush()
         if corrections:
-            self._channel.send(address, self._message((), tuple(corrections)))
-        sender = self._table.find(gossip.fingerprint)
-        self._versions.hear(sender, gossip.config_version)
+            self._channel.send(
+                address, self._make_message((), tuple(corrections))
+            )
+        sender = self._table.find_by_fingerprint(gossip.fingerprint)
+        self._versions.handle_version(sender, gossip.config_version)
 
     def _enqueue(
-        self, old: _types.Member | None, new: _types.Member, spread: bool
+        self, old: _types.Member | None, new: _types.Member, propagate: bool
     ) -> None:
-        if not spread or not self._active:
+        if not propagate or not self._active:
             return
-        limit = self._transmission_limit()
-        whole = old is None or old.incarnation != new.incarnation
-        if not whole and old is not None and old.state is new.state:
+        max_transmissions = self._transmission_limit()
+        full = old is None or old.incarnation != new.incarnation
+        if not full and old is not None and old.state is new.state:
             refuted = new.weight == old.weight
-            limit = limit if refuted else WEIGHT_TRANSMISSION_COUNT
-        waiting = self._items.get(new.instance_id)
-        if waiting is not None:
-            whole |= waiting.whole
-            limit = max(limit, waiting.limit - waiting.sent_count)
-        self._items[new.instance_id] = _Item(limit, whole)
+            max_transmissions = (
+                max_transmissions if refuted else WEIGHT_TRANSMISSION_COUNT
+            )
+        queued = self._pending_records.get(new.instance_id)
+        if queued is not None:
+            full |= queued.full
+            max_transmissions = max(
+                max_transmissions, queued.max_transmissions - queued.sent_count
+            )
+        self._pending_records[new.instance_id] = _PendingRecord(
+            max_transmissions, full
+        )
 
     def _transmission_limit(self) -> int:
         count = len(self._table.balancers())
@@ -104,21 +119,26 @@
     def _send_round(self) -> None:
         self._last_round_ms = self._clock.now_ms()
         self._check_config_version()
-        if not self._items and not self._config_left_count:
+        if (
+            not self._pending_records
+            and not self._remaining_config_transmissions
+        ):
             return
         peers = self._choose_peers()
         if not peers:
-            self._items.clear()
+            self._pending_records.clear()
             return
         for peer in peers:
             self._channel.send(peer.control_address, self._next_message())
-        self._config_left_count = max(0, self._config_left_count - len(peers))
+        self._remaining_config_transmissions = max(
+            0, self._remaining_config_transmissions - len(peers)
+        )
 
     def _check_config_version(self) -> None:
         version = self._table.own.config_version
         if version > self._config_version:
             self._config_version = version
-            self._config_left_count = self._transmission_limit()
+            self._remaining_config_transmissions = self._transmission_limit()
 
     def _choose_peers(self) -> list[_types.Member]:
         own = self._table.own.instance_id
@@ -131,29 +151,31 @@
 
     def _next_message(self) -> _messages.Gossip:
         members: list[_types.Member] = []
-        changes: list[_messages.Change] = []
-        fresh = sorted(self._items.items(), key=lambda pair: pair[1].sent_count)
-        for name, item in fresh:
+        changes: list[_messages.RecordChange] = []
+        pending = sorted(
+            self._pending_records.items(), key=lambda pair: pair[1].sent_count
+        )
+        for name, item in pending:
             member = self._table.members.get(name)
             if member is None:
-                del self._items[name]
-            elif item.whole and len(members) < _MEMBERS_PER_MESSAGE:
+                del self._pending_records[name]
+            elif item.full and len(members) < _MEMBERS_PER_MESSAGE:
                 members.append(member)
                 self._count_transmission(name, item)
-            elif not item.whole and len(changes) < _CHANGES_PER_MESSAGE:
-                changes.append(_messages.Change.of(member))
+            elif not item.full and len(changes) < _CHANGES_PER_MESSAGE:
+                changes.append(_messages.RecordChange.from_member(member))
                 self._count_transmission(name, item)
-        return self._message(tuple(members), tuple(changes))
+        return self._make_message(tuple(members), tuple(changes))
 
-    def _count_transmission(self, name: str, item: _Item) -> None:
+    def _count_transmission(self, name: str, item: _PendingRecord) -> None:
         item.sent_count += 1
-        if item.sent_count >= item.limit:
-            del self._items[name]
+        if item.sent_count >= item.max_transmissions:
+            del self._pending_records[name]
 
-    def _message(
+    def _make_message(
         self,
         members: tuple[_types.Member, ...],
-        changes: tuple[_messages.Change, ...],
+        changes: tuple[_messages.RecordChange, ...],
     ) -> _messages.Gossip:
         own = self._table.own
         return _messages.Gossip(
--- a/libs/membership/src/fireflyford/membership/_panic.py
+++ b/libs/membership/src/fireflyford/membership/_mass_failure.py
@@ -1,4 +1,4 @@
-"""Doubt about deaths of too many targets at once."""
+"""Detection of mass failures, whose deaths need confirmation."""
 
 import collections
 
@@ -6,36 +6,40 @@
 from fireflyford.membership import _table
 from fireflyford.membership import _types
 
-PANIC_WINDOW_MS = 10_000
-# When this part of the targets dies within the window, a fault of the path to
-# them is more likely than as many faults of their own.
-PANIC_RATIO = 0.5
-# Observers probe each of them during this time; silence confirms the death.
-CONFIRMATION_MS = 30_000
+MASS_FAILURE_WINDOW_MS = 10_000
+# If this fraction of the targets dies within the window, a network fault is
+# more likely than that many independent failures.
+MASS_FAILURE_RATIO = 0.5
+# Observers probe unconfirmed members during this time; a member that does not
+# answer is confirmed dead.
+DEATH_CONFIRMATION_MS = 30_000
 
 _Group = tuple[str, str]
 
 
-class Panic:
-    """Finds the dead targets that stay eligible as a last resort."""
+class MassFailureDetector:
+    """Tracks dead targets that stay eligible as last-resort targets.
+
+    Deaths are grouped by availability zone and service.
+    """
 
     def __init__(self, clock: core.Clock, table: _table.MemberTable) -> None:
-        """Watches the records of a table."""
+        """Subscribes to the records that a table accepts."""
         self._clock = clock
         self._table = table
         self._deaths: dict[_Group, dict[str, int]] = collections.defaultdict(
             dict
         )
         self._unconfirmed_ms: dict[str, int] = {}
-        table.on_accept(self._watch)
+        table.on_accept(self._handle_record)
 
     def unconfirmed(self) -> tuple[str, ...]:
-        """Returns the names of the dead members that are not confirmed."""
+        """Returns the names of members whose death is not confirmed."""
         return tuple(self._unconfirmed_ms)
 
-    def confirm_old(self) -> bool:
-        """Ends the doubt about old deaths; returns whether any ended."""
-        limit_ms = self._clock.now_ms() - CONFIRMATION_MS
+    def confirm_expired(self) -> bool:
+        """Confirms deaths older than the limit; returns whether any were."""
+        limit_ms = self._clock.now_ms() - DEATH_CONFIRMATION_MS
         old = [
             name
             for name, death_ms in self._unconfirmed_ms.items()
@@ -45,26 +49,26 @@
             del self._unconfirmed_ms[name]
         return bool(old)
 
-    def _watch(
-        self, old: _types.Member | None, new: _types.Member, spread: bool
+    def _handle_record(
+        self, old: _types.Member | None, new: _types.Member, propagate: bool
     ) -> None:
-        del spread
+        del propagate
         if new.role is not core.Role.AGENT:
             return
         if new.state is _types.State.DEAD:
             if old is not None and old.is_live:
-                self._count_death(new)
+                self._record_death(new)
             return
         self._unconfirmed_ms.pop(new.instance_id, None)
         self._deaths[_group(new)].pop(new.instance_id, None)
 
-    def _count_death(self, member: _types.Member) -> None:
+    def _record_death(self, member: _types.Member) -> None:
         now_ms = self._clock.now_ms()
         group = _group(member)
         recent = {
             name: death_ms
             for name, death_ms in self._deaths[group].items()
-            if now_ms - death_ms < PANIC_WINDOW_MS
+            if now_ms - death_ms < MASS_FAILURE_WINDOW_MS
         }
         recent[member.instance_id] = now_ms
         self._deaths[group] = recent
@@ -73,7 +77,7 @@
             for other in self._table.service_members(member.service)
         )
         total_count = live_count + len(recent)
-        if len(recent) >= PANIC_RATIO * total_count:
+        if len(recent) >= MASS_FAILURE_RATIO * total_count:
             self._unconfirmed_ms.update(recent)
 
 
--- a/libs/membership/src/fireflyford/membership/_membership.py
+++ b/libs/membership/src/fireflyford/membership/_membership.py
@@ -1,4 +1,4 @@
-"""One instance's part in membership, put together from its conversations."""
+"""Membership of one instance in the cluster."""
 
 import asyncio
 from collections.abc import Callable
@@ -12,22 +12,23 @@
 from fireflyford.membership import _anti_entropy
 from fireflyford.membership import _channel
 from fireflyford.membership import _config_versions
-from fireflyford.membership import _conversations
 from fireflyford.membership import _gossip
+from fireflyford.membership import _mass_failure
 from fireflyford.membership import _messages
 from fireflyford.membership import _observer
-from fireflyford.membership import _panic
+from fireflyford.membership import _observer_sessions
 from fireflyford.membership import _table
 from fireflyford.membership import _types
-from fireflyford.membership import _weight
+from fireflyford.membership import _weight_throttle
 
 _CHECK_INTERVAL_MS = 250
-# Listeners rebuild their rings, which takes longer than a batch of records.
+# Limits how often views are published, because listeners rebuild their rings,
+# which takes longer than merging a batch of records.
 _PUBLISH_INTERVAL_MS = 50
 
 
 class Membership:
-    """One instance's part in membership."""
+    """Membership of one instance: announces it and tracks other members."""
 
     def __init__(
         self,
@@ -37,23 +38,23 @@
         seeds: Sequence[core.Address],
         rng: random.Random | None = None,
     ) -> None:
-        """Prepares the instance's part.
+        """Creates the membership; `run` starts it.
 
         Args:
             clock: Source of time.
-            channel: Carries messages to other members.
+            channel: Channel for messages to other members.
             member: Record of this instance.
-            seeds: Control addresses to join through.
-            rng: Random source; seeded by the incarnation if not given.
+            seeds: Control addresses of members to join through.
+            rng: Random source; seeded with the incarnation if not given.
         """
         self._clock = clock
         self._channel = channel
         rng = rng or random.Random(member.incarnation)
         table = _table.MemberTable(clock, member)
         self._table = table
-        self._versions = _config_versions.ConfigVersions(clock, table)
-        self._panic = _panic.Panic(clock, table)
-        self._conversations = _conversations.Conversations(
+        self._versions = _config_versions.ConfigVersionNotifier(clock, table)
+        self._mass_failure = _mass_failure.MassFailureDetector(clock, table)
+        self._observer_sessions = _observer_sessions.ObserverSessions(
             clock, rng, channel, table, self._versions, seeds
         )
         self._gossip = _gossip.Gossip(
@@ -63,9 +64,11 @@
             clock, rng, channel, table, self._versions
         )
         self._observer = _observer.Observer(
-            clock, rng, channel, table, self._gossip, self._panic
+            clock, rng, channel, table, self._gossip, self._mass_failure
+        )
+        self._weight_throttle = _weight_throttle.WeightThrottle(
+            clock, member.weight
         )
-        self._weight = _weight.WeightPacer(clock, member.weight)
         self._view = _types.View([member])
         self._listeners: list[Callable[[_types.View], None]] = []
         self._withdrawal_listeners: list[Callable[[], None]] = []
@@ -75,36 +78,40 @@
         table.on_batch(self._schedule_publication)
 
     def view(self) -> _types.View:
-        """Returns the current view."""
+        """Returns the view that was published last."""
         return self._view
 
     def observers(self) -> tuple[_types.Member, ...]:
         """Returns the balancers that observe this instance."""
-        return self._conversations.observers()
+        return self._observer_sessions.observers()
 
     @property
     def observed_count(self) -> int:
-        """Members that this instance observes."""
+        """Number of members that this instance observes."""
         return self._observer.observed_count
 
     def on_change(self, listener: Callable[[_types.View], None]) -> None:
-        """Calls `listener` with each new view."""
+        """Registers a listener for new views."""
         self._listeners.append(listener)
 
     def on_config_version(
         self, listener: Callable[[_types.Member, int], None]
     ) -> None:
-        """Calls `listener` when a higher configuration version is seen.
+        """Registers a listener for higher configuration versions.
 
-        Higher means than the one given to `update` last. The listener gets
-        the member that has the version in force and the version. It is called
-        again, with the same or another member, until `update` says that the
-        version is in force here.
+        The listener is called with a member and the version in force there, if
+        that version is higher than the one last passed to `update`. Calls are
+        repeated, with the same or another member, until `update` reports that
+        the version is in force at this instance.
         """
         self._versions.on_version(listener)
 
     def on_withdrawal(self, listener: Callable[[], None]) -> None:
-        """Calls `listener` when a later start has taken this one's place."""
+        """Registers a listener for the start of a successor of this instance.
+
+        A successor has the same name or control address and a later
+        incarnation.
+        """
         self._withdrawal_listeners.append(listener)
 
     def update(
@@ -113,18 +120,18 @@
         weight: float | None = None,
         config_version: int | None = None,
     ) -> None:
-        """Changes this instance's own record.
+        """Updates this instance's own record.
 
-        A change of weight is announced when it is large enough and the last
-        one is old enough; `state` and `config_version` are announced at once.
+        `state` and `config_version` are announced immediately; `weight` is
+        subject to a rate limit and a minimum change.
         """
         if weight is not None:
-            self._weight.want(weight)
+            self._weight_throttle.set_weight(weight)
         if state is not None and state is not self._table.own.state:
             self._set_own(state=state)
         if config_version is not None:
-            # No new version of the record: at each push every member would
-            # have one, which is more than gossip can carry.
+            # The record keeps its version. Otherwise every push would change
+            # the records of all members, which exceeds gossip's capacity.
             own = dataclasses.replace(
                 self._table.own, config_version=config_version
             )
@@ -133,7 +140,7 @@
         self._announce_weight()
 
     async def run(self) -> None:
-        """Runs until cancelled; an error is logged, then raised."""
+        """Runs until cancelled; logs an error before raising it."""
         try:
             await self._run()
         except Exception as error:
@@ -147,7 +154,7 @@
         async with asyncio.TaskGroup() as tasks:
             self._tasks = tasks
             tasks.create_task(self._receive_loop())
-            tasks.create_task(self._conversations.run())
+            tasks.create_task(self._observer_sessions.run())
             tasks.create_task(self._check_loop())
             if self._is_balancer:
                 tasks.create_task(self._observer.run())
@@ -176,8 +183,8 @@
     async def _check_loop(self) -> None:
         while not self._table.withdrawn:
             self._announce_weight()
-            self._table.forget_ended()
-            if self._panic.confirm_old():
+            self._table.expire_ended()
+            if self._mass_failure.confirm_expired():
                 self._schedule_publication()
             await self._clock.sleep(_CHECK_INTERVAL_MS)
         telemetry.log(
@@ -190,8 +197,10 @@
             listener()
 
     def _announce_weight(self) -> None:
-        count = max(self._conversations.member_count, len(self._table.members))
-        weight = self._weight.due(count)
+        count = max(
+            self._observer_sessions.member_count, len(self._table.members)
+        )
+        weight = self._weight_throttle.take_due(count)
         if weight is not None:
             self._set_own(weight=weight)
 
@@ -211,13 +220,13 @@
                 self._observer.receive_heartbeat(address, message)
             case _messages.Announcement():
                 self._observer.receive_announcement(address, message)
-            case _messages.Query():
+            case _messages.LivenessQuery():
                 self._observer.receive_query(address, message)
-            case _messages.Reply():
+            case _messages.LivenessReply():
                 self._observer.receive_reply(address, message)
             case _messages.Gossip():
                 self._gossip.receive(address, message)
-            case _messages.Digest():
+            case _messages.ViewDigest():
                 self._anti_entropy.receive(address, message)
             case _:
                 self._receive_answer(address, message)
@@ -236,12 +245,14 @@
     ) -> None:
         match message:
             case _messages.Acknowledgement():
-                self._conversations.receive_acknowledgement(address, message)
+                self._observer_sessions.receive_acknowledgement(
+                    address, message
+                )
             case _messages.Update():
-                self._conversations.receive_update(address, message)
+                self._observer_sessions.receive_update(address, message)
 
     def _introduce(self, address: core.Address) -> None:
-        """Tells a joining member the balancers that this agent knows."""
+        """Sends a joining member the balancers that this agent knows."""
         balancers = tuple(self._table.observing_balancers())
         update = _messages.Update(0, 0, len(self._table.members), balancers, ())
         self._channel.send(address, update)
@@ -264,7 +275,7 @@
     def _publish(self) -> None:
         self._published_ms = self._clock.now_ms()
         self._view = _types.View(
-            self._table.members.values(), self._panic.unconfirmed()
+            self._table.members.values(), self._mass_failure.unconfirmed()
         )
         for listener in self._listeners:
             listener(self._view)
--- a/libs/membership/src/fireflyford/membership/_messages.py
+++ b/libs/membership/src/fireflyford/membership/_messages.py
@@ -1,4 +1,4 @@
-"""Messages between members, as typed values without their encoding."""
+"""Typed messages between members, independent of their encoding."""
 
 import dataclasses
 import enum
@@ -6,25 +6,25 @@
 from fireflyford.membership import _types
 
 
-class Answer(enum.Enum):
-    """What an observer says to a heartbeat without other content."""
+class HeartbeatStatus(enum.Enum):
+    """Status in an acknowledgement of a heartbeat."""
 
-    HEARD = 0
-    # The observer lacks the record of the sender or has an older one.
-    UNKNOWN = 1
-    # The observer watches its share of members already.
+    RECEIVED = 0
+    # The observer has no record of the sender, or an older version of it.
+    UNKNOWN_MEMBER = 1
+    # The observer already observes its share of members.
     REFUSED = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Change:
-    """New state of a member whose record the receiver has.
+class RecordChange:
+    """Changed fields of a record that the receiver already has.
 
     Attributes:
         fingerprint: Fingerprint of the member.
-        version: Version of the record.
-        state: Life of the member.
-        weight: Capacity of the member.
+        version: New version of the record.
+        state: New state of the member.
+        weight: New capacity of the member.
     """
 
     fingerprint: int
@@ -33,14 +33,14 @@
     weight: float
 
     @classmethod
-    def of(cls, member: _types.Member) -> "Change":
-        """Returns the part of a record that changes within an incarnation."""
+    def from_member(cls, member: _types.Member) -> "RecordChange":
+        """Returns the fields of a record that change within an incarnation."""
         return cls(
             member.fingerprint, member.version, member.state, member.weight
         )
 
     def apply(self, member: _types.Member) -> _types.Member:
-        """Returns `member` with this change."""
+        """Returns a copy of `member` with this change applied."""
         return dataclasses.replace(
             member, version=self.version, state=self.state, weight=self.weight
         )
@@ -48,7 +48,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """A sign of life, from a member to an observer that has its record.
+    """Keepalive from a member to an observer that has its record.
 
     Attributes:
         fingerprint: Fingerprint of the sender.
@@ -63,7 +63,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Announcement:
-    """A heartbeat with the sender's whole record."""
+    """Heartbeat with the sender's full record."""
 
     member: _types.Member
     acknowledged: int
@@ -71,77 +71,83 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Acknowledgement:
-    """Answer to a heartbeat when there is nothing new to tell."""
+    """Answer to a heartbeat without new records."""
 
-    answer: Answer
+    status: HeartbeatStatus
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Update:
-    """Answer to a heartbeat with what that member needs.
+    """Answer to a heartbeat with records that the member needs.
 
     Attributes:
-        sequence: Returned by the next heartbeat.
+        sequence: Sequence number that the next heartbeat acknowledges; 0 for
+            a correction, which is not acknowledged.
         config_version: Configuration version in force at the observer.
-        member_count: Members that the observer knows.
-        members: Whole records.
-        changes: Changes of records sent before.
+        member_count: Number of members that the observer knows.
+        members: Full records.
+        changes: Changes to records sent before.
     """
 
     sequence: int
     config_version: int
     member_count: int
     members: tuple[_types.Member, ...]
-    changes: tuple[Change, ...]
+    changes: tuple[RecordChange, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Gossip:
-    """Fresh records, from a balancer to another one.
+    """Recently accepted records, from one balancer to another.
 
     Attributes:
         fingerprint: Fingerprint of the sender.
         config_version: Configuration version in force at the sender.
-        members: Whole records.
-        changes: Changes of records spread before.
+        members: Full records.
+        changes: Changes to records that were disseminated before.
     """
 
     fingerprint: int
     config_version: int
     members: tuple[_types.Member, ...]
-    changes: tuple[Change, ...]
+    changes: tuple[RecordChange, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Query:
-    """Asks another observer whether it hears a member."""
+class LivenessQuery:
+    """Question to another observer whether a member is reachable."""
 
     fingerprint: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Reply:
-    """Answer to a query."""
+class LivenessReply:
+    """Answer to a `LivenessQuery`.
+
+    Attributes:
+        fingerprint: Fingerprint of the member.
+        reachable: Whether the sender receives heartbeats of the member.
+    """
 
     fingerprint: int
-    heard: bool
+    reachable: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Digest:
-    """Digest of a whole view, for comparison with another balancer's.
+class ViewDigest:
+    """Digest of all records, for comparison with another balancer's.
 
     Attributes:
         fingerprint: Fingerprint of the sender.
         config_version: Configuration version in force at the sender.
-        root: Digest over all buckets.
-        answer: Whether this answers another digest.
+        root_digest: Digest over all buckets.
+        is_reply: Whether this message replies to another digest.
     """
 
     fingerprint: int
     config_version: int
-    root: int
-    answer: bool
+    root_digest: int
+    is_reply: bool
 
 
 Message = (
@@ -150,15 +156,15 @@
     | Acknowledgement
     | Update
     | Gossip
-    | Query
-    | Reply
-    | Digest
+    | LivenessQuery
+    | LivenessReply
+    | ViewDigest
 )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Summary:
-    """Identity and order of one record, without its content."""
+class RecordSummary:
+    """Identity and precedence of one record, without its content."""
 
     fingerprint: int
     version: int
@@ -167,20 +173,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PullRequest:
-    """Asks for what the asker lacks in some buckets.
+    """Request for missing or outdated records in some buckets.
 
     Attributes:
         buckets: Numbers of the buckets.
-        summaries: Everything that the asker has in these buckets.
+        summaries: Summaries of all records that the sender has in them.
     """
 
     buckets: tuple[int, ...]
-    summaries: tuple[Summary, ...]
+    summaries: tuple[RecordSummary, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PullReply:
-    """Records that are newer than the asker's."""
+    """Records that are missing or outdated at the requesting balancer."""
 
     members: tuple[_types.Member, ...]
-    changes: tuple[Change, ...]
+    changes: tuple[RecordChange, ...]
--- a/libs/membership/src/fireflyford/membership/_needs.py
+++ b/libs/membership/src/fireflyford/membership/_needed_records.py
@@ -1,4 +1,4 @@
-"""Which records an observed member needs."""
+"""Selection of the records that an observed member needs."""
 
 from collections.abc import Iterable
 
@@ -7,28 +7,30 @@
 from fireflyford.membership import _table
 from fireflyford.membership import _types
 
-# Agents return datagrams through these balancers when no other is known.
+# Number of balancers through which an agent returns datagrams when it knows no
+# other.
 _RETURN_BALANCER_COUNT = 4
 
 
-def find_needed(
+def find_needed_records(
     table: _table.MemberTable,
     member: _types.Member,
     candidates: Iterable[str],
-    told: Iterable[str],
+    acknowledged_names: Iterable[str],
 ) -> list[_types.Member]:
-    """Returns the records that a member needs.
+    """Returns the records that a member needs, sorted by name.
 
-    Every member needs the candidates for its observers. An agent also needs
-    its service's peers, and a few balancers to return datagrams through.
+    Every member needs its observer candidates. An agent also needs the other
+    agents of its service and a few balancers to return datagrams through.
 
     Args:
         table: Records of the observer.
         member: The observed member.
-        candidates: Names of the candidates for its observers.
-        told: Names of the members that it was told before.
+        candidates: Names of its observer candidates.
+        acknowledged_names: Names of the members whose records it has
+            acknowledged.
     """
-    names = {*candidates, *told, table.own.instance_id}
+    names = {*candidates, *acknowledged_names, table.own.instance_id}
     if member.role is core.Role.AGENT:
         peers = table.service_members(member.service)
         names.update(peer.instance_id for peer in peers)
@@ -41,7 +43,7 @@
 def _return_balancers(
     table: _table.MemberTable, member: _types.Member
 ) -> list[str]:
-    """Returns balancers of the member's own availability zone."""
+    """Returns the names of balancers in the member's availability zone."""
     near = [
         other
         for other in table.balancers()
--- a/libs/membership/src/fireflyford/membership/_observation.py
+++ b/libs/membership/src/fireflyford/membership/_observation.py
@@ -1,4 +1,4 @@
-"""What an observer keeps for one member that it hears."""
+"""State that an observer keeps for one observed member."""
 
 from collections.abc import Iterable
 import dataclasses
@@ -9,65 +9,68 @@
 from fireflyford.membership import _types
 
 _SEQUENCE_BITS = 16
-# Confirmations in a row without a heartbeat between them.
-_PROBE_LIMIT = 2
-# Together these stay under 1,200 bytes, so that no datagram is fragmented.
+# After this many consecutive confirmations with no other heartbeat in between,
+# the member is considered to send its heartbeats to other observers.
+_MAX_CONSECUTIVE_PROBES = 2
+# Together these limits keep an update below 1,200 bytes, which avoids
+# fragmentation.
 _MEMBERS_PER_UPDATE = 10
 _CHANGES_PER_UPDATE = 20
 
 
 @dataclasses.dataclass(frozen=True)
-class News:
-    """What one update carries."""
+class UpdateContent:
+    """Records that one update carries."""
 
     members: tuple[_types.Member, ...]
-    changes: tuple[_messages.Change, ...]
+    changes: tuple[_messages.RecordChange, ...]
 
 
 class Observation:
-    """Signs of life of one member, and what it has acknowledged."""
+    """Keepalives of one member and the records that it has acknowledged."""
 
     def __init__(
         self,
         instance_id: str,
         address: core.Address,
-        heard_ms: int,
+        silent_since_ms: int,
         rng: random.Random,
     ) -> None:
-        """Starts with nothing acknowledged.
+        """Creates the state of a member that has acknowledged nothing.
 
         Args:
-            instance_id: The member.
-            address: Where it sends from.
-            heard_ms: Time from which its silence counts.
-            rng: Gives the first sequence number, so that numbers of an
-                earlier observer at this address are not taken for ours.
+            instance_id: Name of the member.
+            address: Control address that the member sends from.
+            silent_since_ms: Time from which the failure timeout counts.
+            rng: Source of the first sequence number. A random start keeps
+                acknowledgements meant for an earlier observer at this address
+                from being taken for those of this one.
         """
         self.instance_id = instance_id
         self.address = address
-        self.heard_ms = heard_ms
-        self.heard = False
-        self.beat_count = 0
+        self.silent_since_ms = silent_since_ms
+        self.received_heartbeat = False
+        self.heartbeat_count = 0
         self._probe_count = 0
-        self._probed_beat_count = 0
+        self._probed_heartbeat_count = 0
         self.replies: dict[core.Address, bool] = {}
         self._sequence = rng.getrandbits(_SEQUENCE_BITS) + 1
         self._acknowledged: dict[str, tuple[int, int, int]] = {}
         self._in_flight: dict[str, tuple[int, int, int]] = {}
         self._in_flight_version = 0
-        self._checked = -1
+        self._checked_change_count = -1
         self._config_version = 0
 
-    def hear(self, now_ms: int, acknowledged: int) -> None:
-        """Takes a sign of life and what it acknowledges."""
-        self.heard_ms = now_ms
-        self.heard = True
-        self.beat_count += 1
+    def apply_heartbeat(self, now_ms: int, acknowledged: int) -> None:
+        """Applies a keepalive and the sequence number that it acknowledges."""
+        self.silent_since_ms = now_ms
+        self.received_heartbeat = True
+        self.heartbeat_count += 1
         if not acknowledged:
-            # The member has started a new conversation and knows nothing.
+            # The member has started a new session and has no records yet.
             self._acknowledged.clear()
             self._config_version = 0
-            self._checked = -1
+            self._checked_change_count = -1
         if acknowledged == self._sequence:
             self._acknowledged.update(self._in_flight)
             self._config_version = max(
@@ -76,32 +79,32 @@
             self._in_flight = {}
 
     def only_answers_probes(self) -> bool:
-        """Returns whether the member sends its heartbeats to others.
+        """Returns whether the member sends its heartbeats to other observers.
 
-        Called after each confirmation that found the member alive.
+        Must be called after each confirmation that found the member alive.
         """
-        beat_count = self.beat_count - self._probed_beat_count
-        self._probed_beat_count = self.beat_count
-        self._probe_count = 0 if beat_count > 1 else self._probe_count + 1
-        return self._probe_count >= _PROBE_LIMIT
+        heartbeat_count = self.heartbeat_count - self._probed_heartbeat_count
+        self._probed_heartbeat_count = self.heartbeat_count
+        self._probe_count = 0 if heartbeat_count > 1 else self._probe_count + 1
+        return self._probe_count >= _MAX_CONSECUTIVE_PROBES
 
-    def is_current(self, change_count: int, config_version: int) -> bool:
-        """Returns whether nothing can be missing at the member.
+    def is_up_to_date(self, change_count: int, config_version: int) -> bool:
+        """Returns whether the member has acknowledged everything it needs.
 
         Args:
-            change_count: Count of the observer's changes.
-            config_version: Configuration version at the observer.
+            change_count: Number of changes that the observer's table has had.
+            config_version: Configuration version in force at the observer.
         """
         return (
-            self._checked == change_count
+            self._checked_change_count == change_count
             and not self._in_flight
             and self._config_version >= config_version
         )
 
-    def missing(
+    def find_missing(
         self, needed: Iterable[_types.Member], change_count: int
-    ) -> News:
-        """Returns the part of `needed` that is not acknowledged."""
+    ) -> UpdateContent:
+        """Returns unacknowledged records of `needed`, up to the limits."""
         members = []
         changes = []
         for member in needed:
@@ -113,31 +116,33 @@
             elif order is not None or member.is_live:
                 members.append(member)
         if not members and not changes:
-            self._checked = change_count
+            self._checked_change_count = change_count
         del members[_MEMBERS_PER_UPDATE:], changes[_CHANGES_PER_UPDATE:]
         self._in_flight = {
             member.instance_id: member.order for member in (*members, *changes)
         }
-        return News(
+        return UpdateContent(
             tuple(members),
-            tuple(_messages.Change.of(member) for member in changes),
+            tuple(
+                _messages.RecordChange.from_member(member) for member in changes
+            ),
         )
 
     def next_sequence(self, config_version: int) -> int:
-        """Returns the number of the next update.
+        """Returns the sequence number of the next update.
 
         Args:
-            config_version: Version that the update carries.
+            config_version: Configuration version that the update carries.
         """
         self._sequence += 1
         self._in_flight_version = config_version
         return self._sequence
 
     @property
-    def told(self) -> Iterable[str]:
-        """Names of the members that this member has records of."""
+    def acknowledged_names(self) -> Iterable[str]:
+        """Names of the members whose records this member has acknowledged."""
         return self._acknowledged.keys()
 
-    def needs_version(self, config_version: int) -> bool:
-        """Returns whether the member lacks a configuration version."""
+    def lacks_config_version(self, config_version: int) -> bool:
+        """Returns whether the member has not acknowledged the version."""
         return self._config_version < config_version
--- a/libs/membership/src/fireflyford/membership/_observer.py
+++ b/libs/membership/src/fireflyford/membership/_observer.py
@@ -1,4 +1,4 @@
-"""The part of a balancer that observes members."""
+"""Observation of members by a balancer: updates and failure detection."""
 
 import asyncio
 from collections.abc import Sequence
@@ -10,49 +10,50 @@
 from fireflyford import telemetry
 from fireflyford.membership import _channel
 from fireflyford.membership import _gossip
+from fireflyford.membership import _mass_failure
 from fireflyford.membership import _messages
-from fireflyford.membership import _needs
+from fireflyford.membership import _needed_records
 from fireflyford.membership import _observation
-from fireflyford.membership import _panic
 from fireflyford.membership import _rendezvous
 from fireflyford.membership import _table
 from fireflyford.membership import _types
 
-# Three lost heartbeats; a backend server that pauses for a second is no
-# failure.
+# Three heartbeat intervals. A backend server that pauses for a second must not
+# be declared dead.
 FAILURE_TIMEOUT_MS = 1_500
-# Answers between regions arrive within tens of milliseconds.
+# Replies from other regions take tens of milliseconds.
 _QUERY_INTERVAL_MS = 150
-_QUERY_COUNT = 3
+_QUERY_ATTEMPTS = 3
 _ASSIGNMENT_INTERVAL_MS = 500
-# An answer to every heartbeat would take a third more of the control traffic.
-_BEATS_PER_ANSWER = 4
-# Rendezvous hash alone gives the busiest of 590 balancers 27 members, 1.7 times
-# the mean. With this bound a member goes on to its next candidate instead.
+# Answering every heartbeat would increase control traffic by a third.
+_HEARTBEATS_PER_ANSWER = 4
+# Rendezvous hashing alone assigns 27 members to the busiest of 590 balancers,
+# 1.7 times the mean. A balancer above this bound refuses further members, which
+# then use their next candidate.
 _LOAD_BOUND_RATIO = 1.25
 _LOAD_BOUND_SLACK = 1
-# A member needs this long to notice that its observers are gone and to turn to
-# the next ones.
-_ORPHAN_GRACE_MS = 3_000
-# Ranking 590 balancers takes about 0.3 ms; a joining balancer spreads the
-# work for 4,000 agents over about 30 s.
+# Time that a member needs to detect that its observers have failed and to
+# switch to the next candidates.
+_TAKEOVER_GRACE_MS = 3_000
+# Ranking 590 balancers takes about 0.3 ms, so a joining balancer spreads the
+# rankings for 4,000 agents over about 30 s.
 _RANKINGS_PER_ROUND = 64
-# A sleep that ends this late means that this process was paused or starved,
-# and the silence it sees is its own.
-_LATE_MS = 250
+# A timer that fires this late shows that this process was paused or starved of
+# CPU time; the delay must not count as silence of the observed members.
+_LATE_WAKEUP_MS = 250
 _PROBE_INTERVAL_MS = 1_000
 
 
-class _Verdict(enum.Enum):
-    """What the confirmation of a silence has shown."""
+class _ConfirmationResult(enum.Enum):
+    """Result of confirming that a member is silent."""
 
-    HEARD = enum.auto()
-    HEARD_ELSEWHERE = enum.auto()
-    SILENT = enum.auto()
+    REACHABLE = enum.auto()
+    REACHABLE_ELSEWHERE = enum.auto()
+    UNREACHABLE = enum.auto()
 
 
 class Observer:
-    """Hears members, tells them news, and declares silent ones dead."""
+    """Receives heartbeats, sends updates, and declares silent members dead."""
 
     def __init__(
         self,
@@ -61,7 +62,7 @@
         channel: _channel.Channel,
         table: _table.MemberTable,
         gossip: _gossip.Gossip,
-        panic: _panic.Panic,
+        mass_failure: _mass_failure.MassFailureDetector,
     ) -> None:
         """Prepares the observer; `run` starts it."""
         self._clock = clock
@@ -69,21 +70,22 @@
         self._channel = channel
         self._table = table
         self._gossip = gossip
-        self._panic = panic
-        self._assignments = _rendezvous.Assignments()
+        self._mass_failure = mass_failure
+        self._assignments = _rendezvous.ObserverAssignments()
         self._observed: dict[str, _observation.Observation] = {}
-        # Candidates of members that another observer was found to hear.
-        self._elsewhere: dict[str, tuple[str, ...]] = {}
+        # Candidates of members that are reachable through another observer, as
+        # they were when that was found.
+        self._observed_elsewhere: dict[str, tuple[str, ...]] = {}
         self._tasks: asyncio.TaskGroup | None = None
         self._assigned_count = -1
-        table.on_accept(self._react)
+        table.on_accept(self._handle_record)
 
     async def run(self) -> None:
-        """Watches the members assigned to this balancer until cancelled."""
+        """Observes the members assigned to this balancer until cancelled."""
         async with asyncio.TaskGroup() as tasks:
             self._tasks = tasks
             for observation in self._observed.values():
-                tasks.create_task(self._watch(observation))
+                tasks.create_task(self._monitor(observation))
             tasks.create_task(self._probe_unconfirmed())
             while True:
                 self._assign()
@@ -92,70 +94,80 @@
     def receive_heartbeat(
         self, address: core.Address, heartbeat: _messages.Heartbeat
     ) -> None:
-        """Answers a short heartbeat."""
-        member = self._table.find(heartbeat.fingerprint)
+        """Handles a heartbeat without a record."""
+        member = self._table.find_by_fingerprint(heartbeat.fingerprint)
         if member is None or member.version < heartbeat.version:
-            self._answer(address, _messages.Answer.UNKNOWN)
+            self._acknowledge(address, _messages.HeartbeatStatus.UNKNOWN_MEMBER)
             return
         if member.version > heartbeat.version or not member.is_live:
-            self._send_correction(address, (), (_messages.Change.of(member),))
+            self._send_correction(
+                address, (), (_messages.RecordChange.from_member(member),)
+            )
         if member.is_live:
-            self._serve(member, address, heartbeat.acknowledged)
+            self._process_heartbeat(member, address, heartbeat.acknowledged)
 
     def receive_announcement(
         self, address: core.Address, announcement: _messages.Announcement
     ) -> None:
-        """Answers a heartbeat with a record."""
+        """Handles a heartbeat with the sender's full record."""
         member = announcement.member
-        buried = self._table.buried(member)
+        tombstone = self._table.find_tombstone(member)
         known = self._table.members.get(member.instance_id)
-        if buried is not None:
-            self._send_correction(address, (), (buried,))
+        if tombstone is not None:
+            self._send_correction(address, (), (tombstone,))
         elif known is not None and known.order > member.order:
-            same = known.incarnation == member.incarnation
+            same_incarnation = known.incarnation == member.incarnation
             self._send_correction(
                 address,
-                () if same else (known,),
-                (_messages.Change.of(known),) if same else (),
+                () if same_incarnation else (known,),
+                (_messages.RecordChange.from_member(known),)
+                if same_incarnation
+                else (),
             )
         else:
             self._table.merge([member])
             self._gossip.flush()
             if member.is_live:
-                self._serve(member, address, announcement.acknowledged)
+                self._process_heartbeat(
+                    member, address, announcement.acknowledged
+                )
 
     def receive_query(
-        self, address: core.Address, query: _messages.Query
+        self, address: core.Address, query: _messages.LivenessQuery
     ) -> None:
-        """Tells another observer whether a member is heard here."""
-        member = self._table.find(query.fingerprint)
-        heard = member is not None and self._hears(member.instance_id)
-        self._channel.send(address, _messages.Reply(query.fingerprint, heard))
+        """Replies to another observer whether a member is reachable here."""
+        member = self._table.find_by_fingerprint(query.fingerprint)
+        reachable = member is not None and self._is_reachable(
+            member.instance_id
+        )
+        self._channel.send(
+            address, _messages.LivenessReply(query.fingerprint, reachable)
+        )
 
     def receive_reply(
-        self, address: core.Address, reply: _messages.Reply
+        self, address: core.Address, reply: _messages.LivenessReply
     ) -> None:
-        """Takes the answer to a query."""
-        member = self._table.find(reply.fingerprint)
+        """Records the reply to a query of this observer."""
+        member = self._table.find_by_fingerprint(reply.fingerprint)
         if member is not None and member.instance_id in self._observed:
             replies = self._observed[member.instance_id].replies
-            replies[address] = reply.heard
+            replies[address] = reply.reachable
 
     @property
     def observed_count(self) -> int:
-        """Members that this balancer watches."""
+        """Number of members that this balancer observes."""
         return len(self._observed)
 
-    def _serve(
+    def _process_heartbeat(
         self, member: _types.Member, address: core.Address, acknowledged: int
     ) -> None:
-        if member.instance_id not in self._observed and self._is_full():
-            self._answer(address, _messages.Answer.REFUSED)
+        if member.instance_id not in self._observed and self._is_at_capacity():
+            self._acknowledge(address, _messages.HeartbeatStatus.REFUSED)
             return
-        observation = self._hear(member, address, acknowledged)
-        self._tell(observation, member)
+        observation = self._apply_heartbeat(member, address, acknowledged)
+        self._notify_member(observation, member)
 
-    def _is_full(self) -> bool:
+    def _is_at_capacity(self) -> bool:
         balancer_count = len(self._table.observing_balancers())
         if balancer_count <= _rendezvous.CANDIDATE_COUNT:
             return False
@@ -165,53 +177,55 @@
         bound = _LOAD_BOUND_RATIO * mean_count + _LOAD_BOUND_SLACK
         return len(self._observed) >= bound
 
-    def _hears(self, instance_id: str) -> bool:
+    def _is_reachable(self, instance_id: str) -> bool:
         observation = self._observed.get(instance_id)
-        if observation is None or not observation.heard:
+        if observation is None or not observation.received_heartbeat:
             return False
-        silent_ms = self._clock.now_ms() - observation.heard_ms
+        silent_ms = self._clock.now_ms() - observation.silent_since_ms
         return silent_ms < FAILURE_TIMEOUT_MS
 
-    def _hear(
+    def _apply_heartbeat(
         self, member: _types.Member, address: core.Address, acknowledged: int
     ) -> _observation.Observation:
         now_ms = self._clock.now_ms()
         observation = self._observe(member, now_ms)
         observation.address = address
-        observation.hear(now_ms, acknowledged)
-        self._elsewhere.pop(member.instance_id, None)
+        observation.apply_heartbeat(now_ms, acknowledged)
+        self._observed_elsewhere.pop(member.instance_id, None)
         return observation
 
     def _observe(
-        self, member: _types.Member, heard_ms: int
+        self, member: _types.Member, silent_since_ms: int
     ) -> _observation.Observation:
         name = member.instance_id
         observation = self._observed.get(name)
         if observation is None:
             observation = _observation.Observation(
-                name, member.control_address, heard_ms, self._rng
+                name, member.control_address, silent_since_ms, self._rng
             )
             self._observed[name] = observation
             if self._tasks is not None:
-                self._tasks.create_task(self._watch(observation))
+                self._tasks.create_task(self._monitor(observation))
         return observation
 
-    async def _watch(self, observation: _observation.Observation) -> None:
-        """Follows one member until it ends or is heard elsewhere."""
+    async def _monitor(self, observation: _observation.Observation) -> None:
+        """Monitors a member until it ends or is reachable elsewhere."""
         name = observation.instance_id
         while self._is_live(name):
-            silent_ms = self._clock.now_ms() - observation.heard_ms
+            silent_ms = self._clock.now_ms() - observation.silent_since_ms
             if silent_ms < FAILURE_TIMEOUT_MS:
                 await self._sleep(observation, FAILURE_TIMEOUT_MS - silent_ms)
                 continue
-            verdict = await self._confirm(observation)
-            if verdict is _Verdict.SILENT:
+            result = await self._confirm_silence(observation)
+            if result is _ConfirmationResult.UNREACHABLE:
                 self._declare_dead(observation)
             elif (
-                verdict is _Verdict.HEARD_ELSEWHERE
+                result is _ConfirmationResult.REACHABLE_ELSEWHERE
                 or observation.only_answers_probes()
             ):
-                self._elsewhere[name] = self._assignments.candidates(name)
+                self._observed_elsewhere[name] = self._assignments.candidates(
+                    name
+                )
                 break
         if self._observed.get(name) is observation:
             del self._observed[name]
@@ -222,30 +236,38 @@
         start_ms = self._clock.now_ms()
         await self._clock.sleep(duration_ms)
         late_ms = self._clock.now_ms() - start_ms - duration_ms
-        if late_ms > _LATE_MS:
-            observation.heard_ms += late_ms
+        if late_ms > _LATE_WAKEUP_MS:
+            observation.silent_since_ms += late_ms
 
-    async def _confirm(self, observation: _observation.Observation) -> _Verdict:
-        """Asks the other candidates and the member itself."""
+    async def _confirm_silence(
+        self, observation: _observation.Observation
+    ) -> _ConfirmationResult:
+        """Queries the other candidates and probes the member itself."""
         others = self._other_candidates(observation.instance_id)
         observation.replies.clear()
-        heard_ms = observation.heard_ms
-        for _ in range(_QUERY_COUNT):
+        silent_since_ms = observation.silent_since_ms
+        for _ in range(_QUERY_ATTEMPTS):
             member = self._table.members.get(observation.instance_id)
             if member is None:
-                return _Verdict.HEARD
+                return _ConfirmationResult.REACHABLE
             for address in others - observation.replies.keys():
-                self._channel.send(address, _messages.Query(member.fingerprint))
-            self._answer(member.control_address, _messages.Answer.UNKNOWN)
+                self._channel.send(
+                    address, _messages.LivenessQuery(member.fingerprint)
+                )
+            # Prompts the member to send its record.
+            self._acknowledge(
+                member.control_address, _messages.HeartbeatStatus.UNKNOWN_MEMBER
+            )
             await self._sleep(observation, _QUERY_INTERVAL_MS)
-            # A member that has moved to other observers answers as well.
+            # Checked first, because a member that has switched to other
+            # observers also answers the probe.
             if any(observation.replies.values()):
-                return _Verdict.HEARD_ELSEWHERE
-            if observation.heard_ms > heard_ms:
-                return _Verdict.HEARD
+                return _ConfirmationResult.REACHABLE_ELSEWHERE
+            if observation.silent_since_ms > silent_since_ms:
+                return _ConfirmationResult.REACHABLE
             if others <= observation.replies.keys():
                 break
-        return _Verdict.SILENT
+        return _ConfirmationResult.UNREACHABLE
 
     def _other_candidates(self, instance_id: str) -> set[core.Address]:
         own = self._table.own.instance_id
@@ -262,7 +284,7 @@
         telemetry.log(
             "member-dead",
             member=member.instance_id,
-            silent_ms=self._clock.now_ms() - observation.heard_ms,
+            silent_ms=self._clock.now_ms() - observation.silent_since_ms,
         )
         self._table.merge(
             [dataclasses.replace(member, state=_types.State.DEAD)]
@@ -270,7 +292,7 @@
         self._gossip.flush()
 
     def _assign(self) -> None:
-        """Starts to watch the members that this balancer is to observe."""
+        """Starts to observe newly assigned members, in bounded steps."""
         if self._assigned_count == self._table.change_count:
             return
         count = self._table.change_count
@@ -280,20 +302,20 @@
                 for member in self._table.observing_balancers()
             )
         )
-        left = _RANKINGS_PER_ROUND
+        remaining = _RANKINGS_PER_ROUND
         for member in list(self._table.members.values()):
             name = member.instance_id
             if not member.is_live:
-                self._assignments.forget(name)
-                self._elsewhere.pop(name, None)
+                self._assignments.remove(name)
+                self._observed_elsewhere.pop(name, None)
                 continue
-            left -= not self._assignments.has(name)
-            if left < 0:
+            remaining -= not self._assignments.is_ranked(name)
+            if remaining < 0:
                 return
-            self._adopt(member)
+            self._observe_if_assigned(member)
         self._assigned_count = count
 
-    def _adopt(self, member: _types.Member) -> None:
+    def _observe_if_assigned(self, member: _types.Member) -> None:
         own = self._table.own.instance_id
         name = member.instance_id
         candidates = self._assignments.candidates(name)
@@ -301,40 +323,42 @@
             name != own
             and name not in self._observed
             and own in candidates[: _rendezvous.OBSERVER_COUNT]
-            and self._elsewhere.get(name) != candidates
+            and self._observed_elsewhere.get(name) != candidates
         ):
-            grace_ms = _ORPHAN_GRACE_MS - FAILURE_TIMEOUT_MS
+            grace_ms = _TAKEOVER_GRACE_MS - FAILURE_TIMEOUT_MS
             self._observe(member, self._clock.now_ms() + grace_ms)
 
-    def _tell(
+    def _notify_member(
         self, observation: _observation.Observation, member: _types.Member
     ) -> None:
         version = self._table.own.config_version
-        if not observation.is_current(self._table.change_count, version):
-            news = observation.missing(
-                _needs.find_needed(
+        if not observation.is_up_to_date(self._table.change_count, version):
+            content = observation.find_missing(
+                _needed_records.find_needed_records(
                     self._table,
                     member,
                     self._assignments.candidates(member.instance_id),
-                    observation.told,
+                    observation.acknowledged_names,
                 ),
                 self._table.change_count,
             )
             if (
-                news.members
-                or news.changes
-                or observation.needs_version(version)
+                content.members
+                or content.changes
+                or observation.lacks_config_version(version)
             ):
-                self._send_update(observation, news.members, news.changes)
+                self._send_update(observation, content.members, content.changes)
                 return
-        if observation.beat_count % _BEATS_PER_ANSWER == 1:
-            self._answer(observation.address, _messages.Answer.HEARD)
+        if observation.heartbeat_count % _HEARTBEATS_PER_ANSWER == 1:
+            self._acknowledge(
+                observation.address, _messages.HeartbeatStatus.RECEIVED
+            )
 
     def _send_update(
         self,
         observation: _observation.Observation,
         members: Sequence[_types.Member],
-        changes: Sequence[_messages.Change],
+        changes: Sequence[_messages.RecordChange],
     ) -> None:
         version = self._table.own.config_version
         self._channel.send(
@@ -352,36 +376,42 @@
         self,
         address: core.Address,
         members: Sequence[_types.Member],
-        changes: Sequence[_messages.Change],
+        changes: Sequence[_messages.RecordChange],
     ) -> None:
         update = _messages.Update(
             0, 0, len(self._table.members), tuple(members), tuple(changes)
         )
         self._channel.send(address, update)
 
-    def _answer(self, address: core.Address, answer: _messages.Answer) -> None:
-        self._channel.send(address, _messages.Acknowledgement(answer))
+    def _acknowledge(
+        self, address: core.Address, status: _messages.HeartbeatStatus
+    ) -> None:
+        self._channel.send(address, _messages.Acknowledgement(status))
 
     def _is_live(self, instance_id: str) -> bool:
         member = self._table.members.get(instance_id)
         return member is not None and member.is_live
 
-    def _react(
-        self, old: _types.Member | None, new: _types.Member, spread: bool
+    def _handle_record(
+        self, old: _types.Member | None, new: _types.Member, propagate: bool
     ) -> None:
-        """Lets a member that is heard here refute its death at once."""
-        del old, spread
-        if new.state is _types.State.DEAD and self._hears(new.instance_id):
+        """Prompts a reachable member to refute its death immediately."""
+        del old, propagate
+        if new.state is _types.State.DEAD and self._is_reachable(
+            new.instance_id
+        ):
             self._send_correction(
-                new.control_address, (), (_messages.Change.of(new),)
+                new.control_address,
+                (),
+                (_messages.RecordChange.from_member(new),),
             )
 
     async def _probe_unconfirmed(self) -> None:
-        """Lets doubted members that are alive refute, one by one."""
+        """Prompts members whose death is not confirmed to refute it."""
         while True:
             await self._clock.sleep(_PROBE_INTERVAL_MS)
             own = self._table.own.instance_id
-            for name in self._panic.unconfirmed():
+            for name in self._mass_failure.unconfirmed():
                 member = self._table.members.get(name)
                 candidates = self._assignments.candidates(name)
                 if (
@@ -391,5 +421,5 @@
                     self._send_correction(
                         member.control_address,
                         (),
-                        (_messages.Change.of(member),),
+                        (_messages.RecordChange.from_member(member),),
                     )
--- a/libs/membership/src/fireflyford/membership/_table.py
+++ b/libs/membership/src/fireflyford/membership/_table.py
@@ -1,4 +1,4 @@
-"""Records of all members that an instance knows, merged by their order."""
+"""Table of member records, merged by their precedence."""
 
 from collections.abc import Callable
 from collections.abc import Container
@@ -13,29 +13,30 @@
 from fireflyford.membership import _types
 
 BUCKET_COUNT = 64
-# Dead balancers stay known for longer than partitions last, so that the two
-# sides find each other again.
-FORGET_MS = 3_600_000
-# A forgotten record cannot come back from a member that was paused for less.
-TOMBSTONE_MS = 86_400_000
-
-# Takes the old record, the new one, and whether to spread it further.
+# Records of ended members are kept for longer than partitions last, so that the
+# balancers of both sides find each other again.
+ENDED_RETENTION_MS = 3_600_000
+# A member that was paused for less than this cannot reintroduce a removed
+# record.
+TOMBSTONE_LIFETIME_MS = 86_400_000
+
+# Called with the old record, the new one, and whether to propagate it.
 AcceptListener = Callable[[_types.Member | None, _types.Member, bool], None]
 
 
 @dataclasses.dataclass(frozen=True)
 class _Tombstone:
-    """Order of a forgotten record; older records are refused."""
+    """Last content of a removed record; records not newer are refused."""
 
     member: _types.Member
     until_ms: int
 
 
 class MemberTable:
-    """The one place where records are accepted or refused."""
+    """Accepts or refuses records and notifies listeners of changes."""
 
     def __init__(self, clock: core.Clock, own: _types.Member) -> None:
-        """Starts with this instance's own record."""
+        """Creates a table that holds this instance's own record."""
         self._clock = clock
         self.own = own
         self.withdrawn = False
@@ -50,53 +51,53 @@
         self._digests = [0] * BUCKET_COUNT
         self._accept_listeners: list[AcceptListener] = []
         self._batch_listeners: list[Callable[[], None]] = []
-        self._own_listeners: list[Callable[[], None]] = []
+        self._own_change_listeners: list[Callable[[], None]] = []
         self._store(own)
 
     @property
     def members(self) -> Mapping[str, _types.Member]:
-        """Records by instance name."""
+        """Records of all known members by instance name."""
         return self._members
 
     def on_accept(self, listener: AcceptListener) -> None:
-        """Calls `listener` for each accepted record."""
+        """Registers a listener for each accepted record."""
         self._accept_listeners.append(listener)
 
     def on_batch(self, listener: Callable[[], None]) -> None:
-        """Calls `listener` after records were accepted together."""
+        """Registers a listener called once after each batch of changes."""
         self._batch_listeners.append(listener)
 
-    def on_own(self, listener: Callable[[], None]) -> None:
-        """Calls `listener` after this instance's record was changed."""
-        self._own_listeners.append(listener)
+    def on_own_change(self, listener: Callable[[], None]) -> None:
+        """Registers a listener for changes of this instance's record."""
+        self._own_change_listeners.append(listener)
 
-    def find(self, fingerprint: int) -> _types.Member | None:
-        """Returns the member with a fingerprint."""
+    def find_by_fingerprint(self, fingerprint: int) -> _types.Member | None:
+        """Returns the member with a fingerprint, if it is known."""
         name = self._names.get(fingerprint)
         return None if name is None else self._members[name]
 
     @property
     def live_count(self) -> int:
-        """Members that are alive or draining."""
+        """Number of members that are alive or draining."""
         return len(self._members) - len(self._ended_ms)
 
-    def at_address(self, address: core.Address) -> _types.Member | None:
-        """Returns the member with a control address."""
+    def find_by_address(self, address: core.Address) -> _types.Member | None:
+        """Returns the member with a control address, if it is known."""
         name = self._addresses.get(address)
         return None if name is None else self._members.get(name)
 
     def service_members(self, service: str) -> list[_types.Member]:
-        """Returns every known agent of a service, dead ones included."""
+        """Returns all known agents of a service, including ended ones."""
         return [self._members[name] for name in self._services.get(service, ())]
 
     def balancers(self) -> list[_types.Member]:
-        """Returns every known balancer, dead ones included."""
+        """Returns all known balancers, including ended ones."""
         return [self._members[name] for name in self._balancers]
 
     def observing_balancers(self) -> list[_types.Member]:
-        """Returns the balancers that members choose their observers from.
+        """Returns the balancers that can observe members.
 
-        Draining balancers serve only when no other one is left.
+        Draining balancers are used only if no balancer is alive.
         """
         live = [member for member in self.balancers() if member.is_live]
         alive = [
@@ -107,29 +108,29 @@
     def merge(
         self,
         members: Iterable[_types.Member],
-        changes: Iterable[_messages.Change] = (),
-        spread: bool = True,
-    ) -> list[_messages.Change]:
-        """Accepts the records that are newer than the known ones.
+        changes: Iterable[_messages.RecordChange] = (),
+        propagate: bool = True,
+    ) -> list[_messages.RecordChange]:
+        """Accepts records that are newer than the known ones.
 
         Args:
-            members: Whole records.
-            changes: Changes of records, dropped when the record is unknown.
-            spread: Whether the news may be told to others.
+            members: Full records.
+            changes: Changes of records; ignored if the record is unknown.
+            propagate: Whether accepted records may be sent to other members.
 
         Returns:
-            Corrections for the sender, where it has a forgotten record.
+            Tombstones that correct records of removed members at the sender.
         """
         count = self.change_count
         corrections = []
         for member in members:
-            tombstone = self._merge_one(member, spread)
+            tombstone = self._merge_one(member, propagate)
             if tombstone is not None:
                 corrections.append(tombstone)
         for change in changes:
-            known = self.find(change.fingerprint)
+            known = self.find_by_fingerprint(change.fingerprint)
             if known is not None:
-                self._merge_one(change.apply(known), spread)
+                self._merge_one(change.apply(known), propagate)
         if self.change_count > count:
             self._notify_batch()
         return corrections
@@ -140,27 +141,31 @@
         self._store(own)
         if own.order != old.order:
             self._notify(old, own, True)
-        for listener in self._own_listeners:
+        for listener in self._own_change_listeners:
             listener()
         self._notify_batch()
 
-    def buried(self, member: _types.Member) -> _messages.Change | None:
-        """Returns the tombstone that refuses a record, if there is one."""
+    def find_tombstone(
+        self, member: _types.Member
+    ) -> _messages.RecordChange | None:
+        """Returns the tombstone that supersedes a record, if there is one."""
         tombstone = self._tombstones.get(member.instance_id)
         if tombstone is None or member.order > tombstone.member.order:
             return None
-        return _messages.Change.of(tombstone.member)
+        return _messages.RecordChange.from_member(tombstone.member)
 
-    def burials(self, fingerprints: Container[int]) -> list[_messages.Change]:
-        """Returns the tombstones of some fingerprints."""
+    def find_tombstones(
+        self, fingerprints: Container[int]
+    ) -> list[_messages.RecordChange]:
+        """Returns the tombstones with the given fingerprints."""
         return [
-            _messages.Change.of(tombstone.member)
+            _messages.RecordChange.from_member(tombstone.member)
             for tombstone in self._tombstones.values()
             if tombstone.member.fingerprint in fingerprints
         ]
 
     def drop(self, names: Iterable[str]) -> None:
-        """Removes records that this instance no longer needs."""
+        """Removes records without creating tombstones."""
         dropped = [self._members[name] for name in names]
         for member in dropped:
             self._remove(member)
@@ -168,17 +173,21 @@
             self.change_count += 1
             self._notify_batch()
 
-    def forget_ended(self) -> None:
-        """Replaces records that ended long ago by tombstones."""
+    def expire_ended(self) -> None:
+        """Replaces old records of ended members by tombstones.
+
+        Also removes tombstones at the end of their lifetime.
+        """
         now_ms = self._clock.now_ms()
         old = [
             name
             for name, ended_ms in self._ended_ms.items()
-            if now_ms - ended_ms >= FORGET_MS and name != self.own.instance_id
+            if now_ms - ended_ms >= ENDED_RETENTION_MS
+            and name != self.own.instance_id
         ]
         for name in old:
             self._tombstones[name] = _Tombstone(
-                self._members[name], now_ms + TOMBSTONE_MS
+                self._members[name], now_ms + TOMBSTONE_LIFETIME_MS
             )
         self.drop(old)
         for name, tombstone in list(self._tombstones.items()):
@@ -189,13 +198,13 @@
         """Returns the digest of each bucket."""
         return tuple(self._digests)
 
-    def root(self) -> int:
+    def root_digest(self) -> int:
         """Returns the digest over all buckets."""
         data = b"".join(digest.to_bytes(8) for digest in self._digests)
         return xxhash.xxh64_intdigest(data)
 
     def in_buckets(self, buckets: Iterable[int]) -> list[_types.Member]:
-        """Returns the records in some buckets."""
+        """Returns the records in the given buckets."""
         wanted = frozenset(buckets)
         return [
             member
@@ -204,17 +213,17 @@
         ]
 
     def _merge_one(
-        self, member: _types.Member, spread: bool
-    ) -> _messages.Change | None:
-        if self._concerns_own(member):
+        self, member: _types.Member, propagate: bool
+    ) -> _messages.RecordChange | None:
+        if self._handle_own_record(member):
             return None
-        tombstone = self.buried(member)
+        tombstone = self.find_tombstone(member)
         if tombstone is not None:
             return tombstone
         known = self._members.get(member.instance_id)
         if known is None or member.order > known.order:
             self._store(member)
-            self._notify(known, member, spread)
+            self._notify(known, member, propagate)
         elif (
             member.order == known.order
             and member.config_version > known.config_version
@@ -222,7 +231,7 @@
             self._members[member.instance_id] = member
         return None
 
-    def _concerns_own(self, member: _types.Member) -> bool:
+    def _handle_own_record(self, member: _types.Member) -> bool:
         own = self.own
         same_name = member.instance_id == own.instance_id
         same_address = member.control_address == own.control_address
@@ -252,7 +261,7 @@
         if not member.is_live:
             self._ended_ms[name] = self._clock.now_ms()
         self._tombstones.pop(name, None)
-        self._digests[_bucket(member)] ^= _item_digest(member)
+        self._digests[_bucket(member)] ^= _record_digest(member)
 
     def _remove(self, member: _types.Member) -> None:
         name = member.instance_id
@@ -267,14 +276,14 @@
             if not names:
                 del self._services[member.service]
         self._ended_ms.pop(name, None)
-        self._digests[_bucket(member)] ^= _item_digest(member)
+        self._digests[_bucket(member)] ^= _record_digest(member)
 
     def _notify(
-        self, old: _types.Member | None, new: _types.Member, spread: bool
+        self, old: _types.Member | None, new: _types.Member, propagate: bool
     ) -> None:
         self.change_count += 1
         for listener in self._accept_listeners:
-            listener(old, new, spread)
+            listener(old, new, propagate)
 
     def _notify_batch(self) -> None:
         for listener in self._batch_listeners:
@@ -285,11 +294,11 @@
     return xxhash.xxh64_intdigest(member.instance_id.encode()) % BUCKET_COUNT
 
 
-def _item_digest(member: _types.Member) -> int:
-    # Records that ended count as absent, so that an instance which joined
-    # later need not learn them and nothing keeps them alive for ever. The
-    # configuration version is left out: every member changes it at each push,
-    # and it spreads by itself.
+def _record_digest(member: _types.Member) -> int:
+    # Ended members count as absent, so that instances which joined later do
+    # not have to learn them and their records do not circulate indefinitely.
+    # The configuration version is excluded, because every member changes it at
+    # each push and it is propagated separately.
     if not member.is_live:
         return 0
     return xxhash.xxh64_intdigest(
--- a/libs/membership/src/fireflyford/membership/_types.py
+++ b/libs/membership/src/fireflyford/membership/_types.py
@@ -1,4 +1,4 @@
-"""Members and the view that an instance has of them."""
+"""Records of members and immutable views of them."""
 
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -14,7 +14,7 @@
 
 
 class State(enum.Enum):
-    """Life of a member, in the order in which later states win."""
+    """State of a member; of two records of one version, the higher wins."""
 
     ALIVE = 0
     DRAINING = 1
@@ -24,24 +24,24 @@
 
 @dataclasses.dataclass(frozen=True)
 class Member:
-    """One instance as its last accepted record describes it.
+    """Record of one instance.
 
     Attributes:
         instance_id: Name of the instance.
-        role: What the instance does.
+        role: Role of the instance.
         region: Region of the instance.
         availability_zone: Availability zone of the instance.
-        service: Service of an agent, empty for a balancer.
-        link_address: Forwarding socket.
-        control_address: Membership socket.
-        bulk_address: Bulk transfer socket.
-        status_address: Metrics and health.
+        service: Service of an agent; empty for a balancer.
+        link_address: Address for forwarded datagrams.
+        control_address: Address for membership messages.
+        bulk_address: Address for bulk transfers.
+        status_address: Address of the metrics and health endpoints.
         incarnation: Start time in ms, shifted left by 20, plus 20 random
-            bits; a later start of the same instance is always larger.
+            bits, so a later start of the same instance has a larger value.
         version: Version of this record within the incarnation.
-        state: Life of the member.
-        weight: Capacity against the other members of the same kind.
-        config_version: Highest configuration version in force there.
+        state: State of the member.
+        weight: Capacity relative to other members of the same kind.
+        config_version: Highest configuration version in force at the member.
     """
 
     instance_id: str
@@ -61,12 +61,12 @@
 
     @property
     def order(self) -> tuple[int, int, int]:
-        """Sort key of records of one instance; the highest wins."""
+        """Precedence among the records of one instance; the highest wins."""
         return (self.incarnation, self.version, self.state.value)
 
     @functools.cached_property
     def fingerprint(self) -> int:
-        """64-bit hash of instance and incarnation, for short messages."""
+        """64-bit hash that identifies instance and incarnation in messages."""
         return xxhash.xxh64_intdigest(
             f"{self.instance_id}/{self.incarnation}".encode()
         )
@@ -88,12 +88,12 @@
     def __init__(
         self, members: Iterable[Member] = (), unconfirmed: Iterable[str] = ()
     ) -> None:
-        """Takes the records; a later duplicate replaces an earlier one.
+        """Creates a view; of duplicate records, the last one is used.
 
         Args:
             members: Records of the members.
-            unconfirmed: Names of dead members that may be alive after all,
-                because too many died at once.
+            unconfirmed: Names of members whose death is not confirmed, because
+                many targets were declared dead at once.
         """
         self.members: Mapping[str, Member] = types.MappingProxyType(
             {member.instance_id: member for member in members}
@@ -111,10 +111,10 @@
         )
 
     def last_resort_targets(self, service: str) -> tuple[Member, ...]:
-        """Returns dead agents to use only when no target is alive.
+        """Returns dead agents to use only if no target is alive.
 
-        They died together with half or more of their availability zone's
-        targets, which is more often a fault of the path to them.
+        They were declared dead together with at least half of the targets in
+        their availability zone, which more likely indicates a network fault.
         """
         return tuple(
             self.members[name]
@@ -137,5 +137,5 @@
 
 
 def new_incarnation(clock: core.Clock, rng: random.Random) -> int:
-    """Returns an incarnation that is larger than those of earlier starts."""
+    """Returns an incarnation larger than those of earlier starts."""
     return clock.wall_ms() << _RANDOM_BITS | rng.getrandbits(_RANDOM_BITS)
--- a/libs/membership/tests/conftest.py
+++ b/libs/membership/tests/conftest.py
@@ -1,4 +1,4 @@
-"""A fleet of members in virtual time, for the tests of this library."""
+"""Simulated fleet of members in virtual time."""
 
 import asyncio
 from collections.abc import Awaitable
@@ -14,33 +14,33 @@
 
 
 class PausableClock(core.Clock):
-    """Clock of one member; sleeps end only while the member runs."""
+    """Clock of one member, whose sleeps do not end while it is paused."""
 
     def __init__(self, clock: core.Clock) -> None:
-        """Takes the clock of the fleet."""
+        """Wraps the clock of the fleet."""
         self._clock = clock
         self.running = asyncio.Event()
         self.running.set()
 
     def now_ms(self) -> int:
-        """Returns the time of the fleet."""
+        """Returns the fleet's time."""
         return self._clock.now_ms()
 
     def wall_ms(self) -> int:
-        """Returns the time of the fleet."""
+        """Returns the fleet's time."""
         return self._clock.wall_ms()
 
     async def sleep(self, duration_ms: float) -> None:
-        """Waits, and longer while the member is paused."""
+        """Waits for the duration and until the member is not paused."""
         await self._clock.sleep(duration_ms)
         await self.running.wait()
 
 
 class SimulatedFleet:
-    """Members on an in-memory network, with faults on demand."""
+    """Members on an in-memory network with fault injection."""
 
     def __init__(self, seed: int = 1, loss_ratio: float = 0.0) -> None:
-        """Prepares a fleet without members."""
+        """Creates a fleet without members."""
         self.rng = random.Random(seed)
         self.clock = core.ManualClock(START_MS)
         self.network = membership.MemoryNetwork(
@@ -62,7 +62,7 @@
         seeds: list[str] | None = None,
         control: core.Address | None = None,
     ) -> membership.Membership:
-        """Starts a member; one with a service is an agent."""
+        """Starts an agent if a service is given, otherwise a balancer."""
         self._port += 10
         control = control or core.Address("127.0.0.1", self._port)
         bulk = core.Address("127.0.0.1", self._port + 1)
@@ -104,13 +104,13 @@
             self.start(f"tahian-{index}", "tahian", zone=f"zone-{index % 3}")
 
     async def run(self, duration_ms: int) -> None:
-        """Lets virtual time pass."""
-        # New tasks have to reach their first sleep before time moves.
+        """Advances virtual time."""
+        # New tasks have to reach their first sleep before time advances.
         await self.clock.advance(0)
         await self.clock.advance(duration_ms)
 
     async def kill(self, name: str) -> None:
-        """Ends a member without notice."""
+        """Stops a member without a notice to others."""
         self.channels[name].pause()
         task = self._tasks.pop(name)
         task.cancel()
@@ -118,7 +118,7 @@
         del self.members[name]
 
     def pause(self, name: str) -> None:
-        """Stops a member as SIGSTOP does."""
+        """Pauses a member as SIGSTOP does."""
         self.channels[name].pause()
         self.clocks[name].running.clear()
 
@@ -128,12 +128,12 @@
         self.clocks[name].running.set()
 
     async def stop(self) -> None:
-        """Ends all members."""
+        """Stops all members."""
         for name in list(self.members):
             await self.kill(name)
 
     def cut(self, left: set[str], right: set[str]) -> None:
-        """Drops what `left` sends to `right`, not the other direction."""
+        """Drops messages from `left` to `right`, but not the reverse."""
         sources = {self.records[name].control_address for name in left}
         targets = {self.records[name].control_address for name in right}
         self.network.block(
@@ -143,7 +143,7 @@
         )
 
     def partition(self, left: set[str], right: set[str]) -> None:
-        """Drops everything between the two sides."""
+        """Drops all messages between the two sides."""
         sides = [
             {self.records[name].control_address for name in side}
             for side in (left, right)
@@ -156,12 +156,12 @@
         )
 
     def state(self, observer: str, name: str) -> membership.State | None:
-        """State of one member in the view of another."""
+        """Returns the state of one member in the view of another."""
         member = self.members[observer].view().members.get(name)
         return None if member is None else member.state
 
     def states(self, name: str) -> set[membership.State | None]:
-        """States of one member in the views of all other balancers."""
+        """Returns a member's states in the views of all other balancers."""
         return {
             self.state(other, name)
             for other in self.members
@@ -171,7 +171,7 @@
 
 @pytest.fixture
 def simulate() -> Callable[..., None]:
-    """Runs a scenario on a new fleet and stops the fleet afterwards."""
+    """Returns a function that runs a scenario on a new fleet."""
 
     def run(
         scenario: Callable[[SimulatedFleet], Awaitable[None]],
--- a/libs/membership/tests/test_bulk.py
+++ b/libs/membership/tests/test_bulk.py
@@ -1,4 +1,4 @@
-"""Bulk transfers between instances."""
+"""Tests of bulk transfers between instances."""
 
 import asyncio
 import socket
@@ -28,22 +28,22 @@
         await asyncio.gather(task, return_exceptions=True)
 
 
-def test_a_call_is_answered() -> None:
-    """Guards against a lost or changed answer."""
+def test_a_request_is_answered() -> None:
+    """Guards against a lost or altered reply."""
     address = _free_address()
     assert asyncio.run(_fetch(address, KEY)) == core.Ok(b"abab")
 
 
-def test_a_foreign_key_is_refused() -> None:
-    """Guards against answers to instances without the link key."""
+def test_a_wrong_link_key_is_refused() -> None:
+    """Guards against replies to instances without the link key."""
     address = _free_address()
     outcome = asyncio.run(_fetch(address, OTHER_KEY))
     assert isinstance(outcome, core.Failure)
     assert outcome.kind is core.ErrorKind.INSTANCE_UNREACHABLE
 
 
-def test_a_server_ends_while_it_answers() -> None:
-    """Guards against a cancellation lost while an answer is sent."""
+def test_a_server_stops_while_it_replies() -> None:
+    """Guards against a cancellation that is lost while a reply is sent."""
 
     async def body() -> None:
         for _ in range(12):
--- a/libs/membership/tests/test_codec.py
+++ b/libs/membership/tests/test_codec.py
@@ -1,4 +1,4 @@
-"""Encoding of control messages."""
+"""Tests of the encoding of control messages."""
 
 import pytest
 
@@ -23,29 +23,29 @@
     weight=1.25,
     config_version=380,
 )
-CHANGE = _messages.Change.of(MEMBER)
+CHANGE = _messages.RecordChange.from_member(MEMBER)
 FINGERPRINT = MEMBER.fingerprint
 MESSAGES = (
     _messages.Heartbeat(FINGERPRINT, 4, 65_000),
     _messages.Announcement(MEMBER, 0),
-    _messages.Acknowledgement(_messages.Answer.UNKNOWN),
+    _messages.Acknowledgement(_messages.HeartbeatStatus.UNKNOWN_MEMBER),
     _messages.Update(3, 380, 4_590, (MEMBER,), (CHANGE,)),
     _messages.Gossip(FINGERPRINT, 380, (MEMBER,), (CHANGE, CHANGE)),
-    _messages.Query(FINGERPRINT),
-    _messages.Reply(FINGERPRINT, True),
-    _messages.Digest(FINGERPRINT, 380, (1 << 64) - 1, False),
+    _messages.LivenessQuery(FINGERPRINT),
+    _messages.LivenessReply(FINGERPRINT, True),
+    _messages.ViewDigest(FINGERPRINT, 380, (1 << 64) - 1, False),
 )
 
 
 @pytest.mark.parametrize("message", MESSAGES)
 def test_a_message_survives_its_encoding(message: _messages.Message) -> None:
-    """Guards against a field that is lost or changed on the way."""
+    """Guards against fields that are lost or altered in transit."""
     assert _codec.decode(_codec.encode(message)) == message
 
 
 @pytest.mark.parametrize("message", MESSAGES)
 def test_a_damaged_message_is_refused(message: _messages.Message) -> None:
-    """Guards against an exception that ends the receiving task."""
+    """Guards against an unexpected exception in the receiving task."""
     data = _codec.encode(message)
     for end in range(len(data)):
         with pytest.raises((ValueError, IndexError)):
@@ -53,7 +53,7 @@
 
 
 def test_frequent_messages_are_small() -> None:
-    """Guards against heartbeats that use up the control traffic."""
+    """Guards against frequent messages that exceed the traffic budget."""
     assert len(_codec.encode(MESSAGES[0])) <= 16
     assert len(_codec.encode(MESSAGES[2])) <= 4
     assert len(_codec.encode(MESSAGES[1])) <= 120
--- a/libs/membership/tests/test_failures.py
+++ b/libs/membership/tests/test_failures.py
@@ -1,4 +1,4 @@
-"""Each failure of a member, its path or its observers, in virtual time."""
+"""Failures of members, network paths and observers, in virtual time."""
 
 import dataclasses
 
@@ -14,7 +14,7 @@
 
 
 def test_a_dead_target_is_out_of_every_view_in_time(simulate) -> None:
-    """Guards against a dead target that stays in some balancer's view."""
+    """Guards against a dead target that stays alive in a balancer's view."""
 
     async def scenario(fleet) -> None:
         fleet.start_many(balancers=8, agents=6)
@@ -29,7 +29,7 @@
 
 
 def test_loss_causes_no_false_death(simulate) -> None:
-    """Guards against a death declared because of lost datagrams."""
+    """Guards against deaths declared because of lost datagrams."""
 
     async def scenario(fleet) -> None:
         deaths = []
@@ -50,7 +50,7 @@
 
 
 def test_a_pause_of_a_second_is_no_death(simulate) -> None:
-    """Guards against a paused backend server that is declared dead."""
+    """Guards against declaring a briefly paused backend server dead."""
 
     async def scenario(fleet) -> None:
         fleet.start_many(balancers=5, agents=4)
@@ -84,8 +84,8 @@
     simulate(scenario)
 
 
-def test_a_paused_observer_blames_nobody(simulate) -> None:
-    """Guards against an observer that takes its own pause for a silence."""
+def test_a_paused_observer_declares_nobody_dead(simulate) -> None:
+    """Guards against an observer that mistakes its own pause for silence."""
 
     async def scenario(fleet) -> None:
         fleet.start_many(balancers=4, agents=6)
@@ -104,7 +104,7 @@
 
 
 def test_a_one_way_cut_to_one_observer_is_no_death(simulate) -> None:
-    """Guards against a death that only one observer believes in."""
+    """Guards against a death declared by a single observer."""
 
     async def scenario(fleet) -> None:
         fleet.start_many(balancers=5, agents=3)
@@ -124,7 +124,7 @@
 
 
 def test_a_target_that_dies_with_both_observers_is_found(simulate) -> None:
-    """Guards against a dead target that nobody is left to declare dead."""
+    """Guards against a dead target whose observers died with it."""
 
     async def scenario(fleet) -> None:
         fleet.start_many(balancers=6, agents=3)
@@ -139,7 +139,7 @@
 
 
 def test_draining_and_leaving_are_known_in_time(simulate) -> None:
-    """Guards against new work for a target that leaves."""
+    """Guards against new flows on a target that is leaving."""
 
     async def scenario(fleet) -> None:
         fleet.start_many(balancers=8, agents=4)
@@ -156,8 +156,8 @@
     simulate(scenario, loss_ratio=0.02)
 
 
-def test_a_stale_rumour_changes_nothing(simulate) -> None:
-    """Guards against an old record that undoes a newer one."""
+def test_a_stale_record_changes_nothing(simulate) -> None:
+    """Guards against an old record that replaces a newer one."""
 
     async def scenario(fleet) -> None:
         fleet.start_many(balancers=4, agents=2)
@@ -175,7 +175,7 @@
 
 
 def test_a_restart_on_the_same_address_wins(simulate) -> None:
-    """Guards against an earlier start that survives in a view."""
+    """Guards against the record of an earlier start surviving in a view."""
 
     async def scenario(fleet) -> None:
         fleet.start_many(balancers=4, agents=2)
@@ -193,8 +193,8 @@
     simulate(scenario)
 
 
-def test_an_earlier_start_steps_back(simulate) -> None:
-    """Guards against a resumed process that fights its successor."""
+def test_an_earlier_start_withdraws(simulate) -> None:
+    """Guards against a resumed process that competes with its successor."""
 
     async def scenario(fleet) -> None:
         fleet.start_many(balancers=4, agents=1)
@@ -217,7 +217,7 @@
 
 
 def test_half_of_a_zone_stays_eligible_as_a_last_resort(simulate) -> None:
-    """Guards against a service without targets after a fault of the path."""
+    """Guards against a service without targets after a network fault."""
 
     async def scenario(fleet) -> None:
         fleet.start_many(balancers=4)
@@ -250,8 +250,8 @@
     simulate(scenario)
 
 
-def test_one_death_of_many_is_no_panic(simulate) -> None:
-    """Guards against a last resort that is offered after a single death."""
+def test_a_single_death_is_no_mass_failure(simulate) -> None:
+    """Guards against last-resort targets after a single death."""
 
     async def scenario(fleet) -> None:
         fleet.start_many(balancers=3)
@@ -268,7 +268,7 @@
 
 
 def test_partitioned_regions_go_on_and_merge(simulate) -> None:
-    """Guards against views that stay divided after a partition."""
+    """Guards against views that still differ after a partition has healed."""
 
     async def scenario(fleet) -> None:
         sides = []
@@ -295,7 +295,7 @@
 
 
 def test_any_live_seed_is_sufficient(simulate) -> None:
-    """Guards against a joiner that depends on one seed or on a balancer."""
+    """Guards against joining that depends on one seed or on a balancer."""
 
     async def scenario(fleet) -> None:
         fleet.start_many(balancers=5, agents=3)
@@ -316,7 +316,7 @@
 
 
 def test_a_seed_that_starts_last_is_found(simulate) -> None:
-    """Guards against a balancer that was called before it listened."""
+    """Guards against missing a seed that was contacted before it listened."""
 
     async def scenario(fleet) -> None:
         fleet.start_many(balancers=3, agents=3)
@@ -331,8 +331,8 @@
     simulate(scenario)
 
 
-def test_a_forgotten_member_does_not_come_back(simulate) -> None:
-    """Guards against a record that a long paused balancer brings back."""
+def test_a_removed_member_does_not_reappear(simulate) -> None:
+    """Guards against a removed record that a long-paused balancer returns."""
 
     async def scenario(fleet) -> None:
         fleet.start_many(balancers=3, agents=2)
@@ -345,7 +345,7 @@
             table._ended_ms = dict.fromkeys(table._ended_ms, -(1 << 40))
         await fleet.run(12_000)
         assert fleet.states("tahian-0") == {None}
-        # A balancer that joins later has no memory of the death.
+        # A balancer that joins later has no tombstone of the member.
         fleet.start("balancer-late")
         await fleet.run(SETTLE_MS)
         fleet.members["balancer-late"]._table.merge([stale])
@@ -358,7 +358,7 @@
 
 
 def test_a_config_version_reaches_everyone_in_time(simulate) -> None:
-    """Guards against an instance that never hears of a configuration."""
+    """Guards against an instance that misses a configuration version."""
 
     async def scenario(fleet) -> None:
         fleet.start_many(balancers=10, agents=6)
@@ -386,7 +386,7 @@
 
 
 def test_no_balancer_observes_far_more_than_its_share(simulate) -> None:
-    """Guards against a balancer whose traffic is twice the mean."""
+    """Guards against a balancer with far more control traffic than others."""
 
     async def scenario(fleet) -> None:
         fleet.start_many(balancers=6)
@@ -406,8 +406,8 @@
     simulate(scenario)
 
 
-def test_small_changes_of_weight_are_held_back(simulate) -> None:
-    """Guards against weights that fill the control traffic."""
+def test_small_and_frequent_weight_changes_are_suppressed(simulate) -> None:
+    """Guards against control traffic dominated by weight changes."""
 
     async def scenario(fleet) -> None:
         fleet.start_many(balancers=3, agents=2)
--- a/libs/membership/tests/test_merge.py
+++ b/libs/membership/tests/test_merge.py
@@ -1,4 +1,4 @@
-"""The merge of records, against a plain model of their order."""
+"""Model-based tests of merging records, and of observer selection."""
 
 import random
 
@@ -47,7 +47,7 @@
 
 
 class Merge(stateful.RuleBasedStateMachine):
-    """Two tables merge records, changes and pulls in any order."""
+    """Merges records, changes and pulls into two tables in any order."""
 
     def __init__(self) -> None:
         """Starts with two empty tables and two empty models."""
@@ -56,43 +56,46 @@
         own = record(OWN, 5, 0, membership.State.ALIVE)
         self.clock = clock
         self.tables = [_table.MemberTable(clock, own) for _ in range(2)]
-        # The highest record ever merged, and whether it was forgotten.
+        # The highest record merged for each name, and the names whose records
+        # have expired.
         self.models: list[dict[str, membership.Member]] = [{}, {}]
-        self.forgotten: list[set[str]] = [set(), set()]
+        self.expired: list[set[str]] = [set(), set()]
 
     def _expect(self, side: int, member: membership.Member) -> None:
         known = self.models[side].get(member.instance_id)
         if known is None or member.order > known.order:
             self.models[side][member.instance_id] = member
-            self.forgotten[side].discard(member.instance_id)
+            self.expired[side].discard(member.instance_id)
 
     @stateful.rule(side=strategies.integers(0, 1), member=RECORDS)
     def merge_record(self, side: int, member: membership.Member) -> None:
-        """A whole record arrives."""
+        """Merges a full record."""
         self.tables[side].merge([member])
         self._expect(side, member)
 
     @stateful.rule(side=strategies.integers(0, 1), member=RECORDS)
     def merge_change(self, side: int, member: membership.Member) -> None:
-        """A change arrives; it counts only for the known incarnation."""
-        self.tables[side].merge((), [_messages.Change.of(member)])
+        """Merges a change, which applies only to the known incarnation."""
+        self.tables[side].merge(
+            (), [_messages.RecordChange.from_member(member)]
+        )
         known = self.models[side].get(member.instance_id)
         if (
             known is not None
             and known.incarnation == member.incarnation
-            and member.instance_id not in self.forgotten[side]
+            and member.instance_id not in self.expired[side]
         ):
             self._expect(side, member)
 
     @stateful.rule(side=strategies.integers(0, 1))
-    def forget(self, side: int) -> None:
-        """Time passes until all that has ended is forgotten."""
+    def expire(self, side: int) -> None:
+        """Expires the records of all ended members."""
         table = self.tables[side]
         table._ended_ms = dict.fromkeys(
-            table._ended_ms, self.clock.now_ms() - _table.FORGET_MS
+            table._ended_ms, self.clock.now_ms() - _table.ENDED_RETENTION_MS
         )
-        table.forget_ended()
-        self.forgotten[side] |= {
+        table.expire_ended()
+        self.expired[side] |= {
             name
             for name, member in self.models[side].items()
             if not member.is_live
@@ -100,7 +103,7 @@
 
     @stateful.rule()
     def exchange(self) -> None:
-        """Both sides merge everything the other one has."""
+        """Merges all records of each side into the other."""
         everything = [list(table.members.values()) for table in self.tables]
         for side, other in ((0, 1), (1, 0)):
             self.tables[side].merge(everything[other])
@@ -110,12 +113,12 @@
 
     @stateful.invariant()
     def tables_match_the_models(self) -> None:
-        """Each table holds the highest records that are not forgotten."""
+        """Each table holds the highest records that have not expired."""
         for side, table in enumerate(self.tables):
             expected = {
                 name: member
                 for name, member in self.models[side].items()
-                if name not in self.forgotten[side]
+                if name not in self.expired[side]
             }
             found = dict(table.members)
             assert found.pop(OWN).state is membership.State.ALIVE
@@ -123,7 +126,7 @@
 
     @stateful.invariant()
     def equal_live_records_have_equal_digests(self) -> None:
-        """Digests differ exactly when live records differ."""
+        """Root digests are equal if and only if the live records are."""
         live = [
             {
                 name: member.order
@@ -132,7 +135,7 @@
             }
             for table in self.tables
         ]
-        roots = [table.root() for table in self.tables]
+        roots = [table.root_digest() for table in self.tables]
         assert (live[0] == live[1]) == (roots[0] == roots[1])
 
 
@@ -142,8 +145,8 @@
 )
 
 
-def test_a_rumour_of_the_own_death_is_refuted() -> None:
-    """Guards against a live member that accepts its own death."""
+def test_a_record_of_the_own_death_is_refuted() -> None:
+    """Guards against a live member that accepts a record of its death."""
     own = record(OWN, 5, 0, membership.State.ALIVE)
     table = _table.MemberTable(core.ManualClock(1_000), own)
     table.merge([record(OWN, 5, 3, membership.State.DEAD)])
@@ -151,8 +154,8 @@
     assert not table.withdrawn
 
 
-def test_choice_by_rendezvous_moves_few_keys() -> None:
-    """Guards against observers that all change with one balancer."""
+def test_rendezvous_selection_moves_few_keys() -> None:
+    """Guards against all observers changing when one balancer leaves."""
     rng = random.Random(1)
     balancers = [
         record("balancer-0", 1, 0, membership.State.ALIVE),
