--- a/libs/store/src/fireflyford/store/__init__.py
+++ b/libs/store/src/fireflyford/store/__init__.py
@@ -1,4 +1,4 @@
-"""Client of the platform's key-value service, and configuration kept there."""
+"""Key-value store client and the configuration stored in it."""
 
 import typing
 
--- a/libs/store/src/fireflyford/store/_config_store.py
+++ b/libs/store/src/fireflyford/store/_config_store.py
@@ -1,10 +1,10 @@
-"""Configurations in the store: pushes by compare-and-swap, and history.
+"""Configuration storage: compare-and-swap pushes, history and audit trail.
 
 Keys below `fireflyford/config/`:
 
-- `state/head`: version and identity in force; a push swaps it.
+- `state/head`: version and identity of the current record; each push swaps it.
 - `state/floor`: written by readers only after a restore (see `Floor`).
-- `version/<number>`: full records, the last `HISTORY_COUNT`.
+- `version/<number>`: complete records, the last `HISTORY_COUNT`.
 - `audit/<number>`: audit trail, the last `AUDIT_COUNT`.
 
 A push writes head, record and audit entry in one transaction, so none of them
@@ -21,17 +21,17 @@
 from fireflyford.store import _record
 from fireflyford.store import _store
 
-# The store's limit for one value.
+# Size limit of one value in the store.
 MAX_VALUE_BYTES = 1_000_000
 HISTORY_COUNT = 50
-# 30 days at 380 changes a day.
+# Covers 30 days at 380 changes a day.
 AUDIT_COUNT = 12_000
-# A push gives up asking for a lost answer after this time.
-PUSH_LIMIT_MS = 8_000
-_RETRY_MS = 200
-_AUDITED_CHANGE_COUNT = 20
-# A conflict names the latest pushes; `config history` shows all.
-_EXPLAINED_COUNT = 5
+# Time limit for resolving a push whose response was lost.
+PUSH_TIMEOUT_MS = 8_000
+_RETRY_INTERVAL_MS = 200
+_MAX_AUDITED_CHANGES = 20
+# A conflict message lists only the latest pushes; `config history` shows all.
+_MAX_LISTED_PUSHES = 5
 _STATE = "fireflyford/config/state/"
 _HEAD = _STATE + "head"
 _FLOOR = _STATE + "floor"
@@ -41,12 +41,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class Push:
-    """What an operator wants to put in force.
+    """Request to replace the current configuration.
 
     Attributes:
-        text: Printed deployment.
-        base_version: Version that the operator started from, 0 for none.
-        author: Who pushes.
+        text: Rendered deployment.
+        base_version: Version that the operator edited, 0 for none.
+        author: Author of the push.
     """
 
     text: str
@@ -55,19 +55,19 @@
 
     @property
     def identity(self) -> str:
-        """Identity that a retry of the same push shares."""
+        """Idempotency key, equal for retries of the same push."""
         parts = f"{self.base_version}\n{self.author}\n{self.text}"
         return hashlib.blake2s(parts.encode(), digest_size=16).hexdigest()
 
 
 @dataclasses.dataclass(frozen=True)
 class AcceptedPush:
-    """A push that is in the store.
+    """Result of a successful push.
 
     Attributes:
         record: The accepted record.
-        replaced_version: Version that the store held before.
-        already_applied: Whether an earlier attempt of this push wrote it.
+        replaced_version: Previous version in the store.
+        already_applied: Whether an earlier attempt of the push was applied.
     """
 
     record: _record.ConfigRecord
@@ -77,7 +77,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class ConfigState:
-    """What the store says is in force, as of one revision."""
+    """Head and floor in the store at one revision."""
 
     head: _record.Head
     floor_version: int
@@ -87,40 +87,39 @@
 
 
 class ConfigStore:
-    """Configurations in a store."""
+    """Reads and writes configurations in a key-value store."""
 
     def __init__(self, store: _store.Store, clock: core.Clock) -> None:
-        """Takes the store and the source of time."""
+        """Uses `clock` for timestamps and retries."""
         self._store = store
         self._clock = clock
 
     async def push(self, push: Push) -> core.Outcome[AcceptedPush]:
-        """Puts a configuration in force.
+        """Replaces the current configuration if it is the push's base.
 
         Returns:
             The accepted record, or `BAD_CONFIG`, `CONFIG_TOO_LARGE`,
-            `CONFIG_CONFLICT` (names who changed what), `CONFIG_STALE` (after
-            a restore), `STORE_UNAVAILABLE` (nothing was written) or
-            `STORE_OUTCOME_UNKNOWN` (the same push may be repeated, it
-            applies once).
+            `CONFIG_CONFLICT` (lists the conflicting changes), `CONFIG_STALE`
+            (after a restore), `STORE_UNAVAILABLE` (nothing was written) or
+            `STORE_OUTCOME_UNKNOWN` (a retry is safe, the push is idempotent).
         """
         record = self._make_record(push)
         if isinstance(record, core.Failure):
             return record
-        limit_ms = self._clock.now_ms() + PUSH_LIMIT_MS
-        unknown: core.Failure | None = None
+        deadline_ms = self._clock.now_ms() + PUSH_TIMEOUT_MS
+        first_unknown: core.Failure | None = None
         while True:
-            outcome = await self._attempt(record.value)
-            if not _needs_retry(outcome, unknown is not None):
+            outcome = await self._try_push(record.value)
+            if not _needs_retry(outcome, first_unknown is not None):
                 return outcome
             if isinstance(outcome, core.Failure):
-                unknown = unknown or outcome
-            if self._clock.now_ms() >= limit_ms:
-                return _still_unknown(push, unknown)
-            await self._clock.sleep(_RETRY_MS)
+                first_unknown = first_unknown or outcome
+            if self._clock.now_ms() >= deadline_ms:
+                return _unknown_outcome(push, first_unknown)
+            await self._clock.sleep(_RETRY_INTERVAL_MS)
 
     async def read_state(self) -> core.Outcome[ConfigState]:
-        """Reads which version is in force, in one call."""
+        """Reads head and floor in one call."""
         outcome = await self._store.read(_STATE)
         if isinstance(outcome, core.Failure):
             return outcome
@@ -141,7 +140,7 @@
     async def read(
         self, version: int | None = None
     ) -> core.Outcome[_record.ConfigRecord | None]:
-        """Reads the record of a version, or of the one in force."""
+        """Reads the record of a version, by default the current one."""
         if version is None:
             state = await self.read_state()
             if isinstance(state, core.Failure):
@@ -180,7 +179,7 @@
     async def watch(
         self, start_revision: int, duration_ms: int
     ) -> AsyncIterator[core.Outcome[_record.ConfigRecord]]:
-        """Yields records as they are accepted; see `Store.watch`."""
+        """Yields newly accepted records; see `Store.watch`."""
         watch = self._store.watch(_VERSION, start_revision, duration_ms)
         async for outcome in watch:
             if isinstance(outcome, core.Failure):
@@ -192,7 +191,7 @@
                     yield core.Ok(record)
 
     async def raise_floor(self, state: ConfigState, version: int) -> None:
-        """Refuses pushes that start below `version` from now on."""
+        """Raises the lowest base version of future pushes to `version`."""
         if version <= state.floor_version:
             return
         await self._store.commit(
@@ -213,18 +212,18 @@
         if size_bytes > MAX_VALUE_BYTES:
             return core.Failure(
                 core.ErrorKind.CONFIG_TOO_LARGE,
-                f"the configuration takes {size_bytes} bytes, the store holds "
-                f"{MAX_VALUE_BYTES}; make it smaller, nothing was pushed",
+                f"configuration too large: {size_bytes} bytes, limit "
+                f"{MAX_VALUE_BYTES} bytes; nothing was written",
             )
-        readable = record.read()
-        if isinstance(readable, core.Failure):
-            return readable
-        faults = config.check(readable.value)
-        if faults:
-            return core.Failure(core.ErrorKind.BAD_CONFIG, "; ".join(faults))
+        parsed = record.read()
+        if isinstance(parsed, core.Failure):
+            return parsed
+        errors = config.check(parsed.value)
+        if errors:
+            return core.Failure(core.ErrorKind.BAD_CONFIG, "; ".join(errors))
         return core.Ok(record)
 
-    async def _attempt(
+    async def _try_push(
         self, record: _record.ConfigRecord
     ) -> core.Outcome[AcceptedPush]:
         outcome = await self.read_state()
@@ -232,18 +231,18 @@
             return outcome
         state = outcome.value
         if state.head.version >= record.version:
-            return await self._explain_conflict(state, record)
+            return await self._resolve_conflict(state, record)
         if record.base_version < state.floor_version:
-            return _stale(state)
+            return _stale_base(state)
         current = await self.read(state.head.version)
         if isinstance(current, core.Failure):
             return current
-        checked = _check_change(current.value, record)
-        if isinstance(checked, core.Failure):
-            return checked
-        return await self._swap(state, record, checked.value)
+        diff = _check_change(current.value, record)
+        if isinstance(diff, core.Failure):
+            return diff
+        return await self._commit_record(state, record, diff.value)
 
-    async def _swap(
+    async def _commit_record(
         self,
         state: ConfigState,
         record: _record.ConfigRecord,
@@ -257,7 +256,7 @@
             identity=record.identity,
             author=record.author,
             wall_ms=record.wall_ms,
-            changes=changes[:_AUDITED_CHANGE_COUNT],
+            changes=changes[:_MAX_AUDITED_CHANGES],
             change_count=len(changes),
         )
         outcome = await self._store.commit(
@@ -271,62 +270,75 @@
                     _version_key(record.version), _record.encode(record)
                 ),
                 _store.Write(_audit_key(record.version), _record.encode(entry)),
-                *_trims(record.version),
+                *_expired_ranges(record.version),
             ],
         )
         if isinstance(outcome, core.Failure):
             return outcome
         if not outcome.value.applied:
-            return await self._attempt(record)
+            return await self._try_push(record)
         return core.Ok(
             AcceptedPush(record, state.head.version, already_applied=False)
         )
 
-    async def _explain_conflict(
+    async def _resolve_conflict(
         self, state: ConfigState, record: _record.ConfigRecord
     ) -> core.Outcome[AcceptedPush]:
-        own = await self._read_audit_entry(record.version)
-        if isinstance(own, core.Failure):
-            return own
-        if own.value is not None and own.value.identity == record.identity:
-            accepted = dataclasses.replace(record, wall_ms=own.value.wall_ms)
+        audited = await self._read_audit_entry(record.version)
+        if isinstance(audited, core.Failure):
+            return audited
+        if (
+            audited.value is not None
+            and audited.value.identity == record.identity
+        ):
+            accepted = dataclasses.replace(
+                record, wall_ms=audited.value.wall_ms
+            )
             return core.Ok(
                 AcceptedPush(
-                    accepted, own.value.replaced_version, already_applied=True
+                    accepted,
+                    audited.value.replaced_version,
+                    already_applied=True,
                 )
             )
-        outcome = await self.history(_EXPLAINED_COUNT)
+        outcome = await self.history(_MAX_LISTED_PUSHES)
         if isinstance(outcome, core.Failure):
             return outcome
-        since = [
+        conflicting = [
             entry
             for entry in outcome.value
             if entry.version > record.base_version
         ]
         return core.Failure(
             core.ErrorKind.CONFIG_CONFLICT,
-            f"version {state.head.version} is in force, but the push starts "
-            f"from {record.base_version}; nothing was pushed. "
-            + "; ".join(_describe(entry) for entry in reversed(since))
-            + ". Take these changes over and push with "
+            f"the current version is {state.head.version}, but the push is "
+            f"based on version {record.base_version}; nothing was written. "
+            + "; ".join(
+                _format_audit_entry(entry) for entry in reversed(conflicting)
+            )
+            + ". Merge these changes and push with "
             f"--base {state.head.version}",
         )
 
 
-def _needs_retry(outcome: core.Outcome[AcceptedPush], unknown: bool) -> bool:
+def _needs_retry(
+    outcome: core.Outcome[AcceptedPush], has_unknown_attempt: bool
+) -> bool:
     if isinstance(outcome, core.Ok):
         return False
     if outcome.kind is core.ErrorKind.STORE_OUTCOME_UNKNOWN:
         return True
-    return unknown and outcome.kind is core.ErrorKind.STORE_UNAVAILABLE
+    return (
+        has_unknown_attempt and outcome.kind is core.ErrorKind.STORE_UNAVAILABLE
+    )
 
 
-def _still_unknown(push: Push, failure: core.Failure | None) -> core.Failure:
+def _unknown_outcome(push: Push, failure: core.Failure | None) -> core.Failure:
     reason = "" if failure is None else failure.message
     return core.Failure(
         core.ErrorKind.STORE_OUTCOME_UNKNOWN,
-        f"push {push.identity} may or may not be accepted ({reason}); repeat "
-        "the same command, it applies once",
+        f"outcome of push {push.identity} unknown ({reason}); repeat the same "
+        "command, the push is applied at most once",
     )
 
 
@@ -342,39 +354,40 @@
     if isinstance(old, core.Failure):
         return core.Failure(
             old.kind,
-            f"version {current.version} in the store is unreadable here, so "
-            f"the change cannot be checked: {old.message}",
+            f"cannot check the change, because version {current.version} in "
+            f"the store cannot be parsed: {old.message}",
         )
-    stranded = config.find_stranded(old.value, new.value)
-    if stranded:
-        return core.Failure(core.ErrorKind.BAD_CONFIG, "; ".join(stranded))
+    violations = config.find_stranded(old.value, new.value)
+    if violations:
+        return core.Failure(core.ErrorKind.BAD_CONFIG, "; ".join(violations))
     return core.Ok(config.compare(old.value, new.value))
 
 
-def _stale(state: ConfigState) -> core.Failure:
+def _stale_base(state: ConfigState) -> core.Failure:
     return core.Failure(
         core.ErrorKind.CONFIG_STALE,
-        f"the store holds version {state.head.version}, but instances run "
-        f"{state.floor_version} or below: it was restored from an older "
-        "snapshot. Save what runs with `config show --instance ADDRESS`, "
-        f"review it, and push it with --base {state.floor_version}",
+        f"the store was restored from an older snapshot: it has version "
+        f"{state.head.version}, but instances run up to version "
+        f"{state.floor_version}. Save the active configuration with "
+        "`config show --instance ADDRESS`, review it, and push it with "
+        f"--base {state.floor_version}",
     )
 
 
-def _describe(entry: _record.AuditEntry) -> str:
-    when = time.strftime(
+def _format_audit_entry(entry: _record.AuditEntry) -> str:
+    pushed_at = time.strftime(
         "%Y-%m-%d %H:%M:%S UTC", time.gmtime(entry.wall_ms / 1000)
     )
     changes = ", ".join(entry.changes) or "no difference"
-    more = entry.change_count - len(entry.changes)
-    tail = f" and {more} more" if more > 0 else ""
+    omitted_count = entry.change_count - len(entry.changes)
+    suffix = f" and {omitted_count} more" if omitted_count > 0 else ""
     return (
-        f"{entry.author} pushed version {entry.version} at {when}: "
-        f"{changes}{tail}"
+        f"{entry.author} pushed version {entry.version} at {pushed_at}: "
+        f"{changes}{suffix}"
     )
 
 
-def _trims(version: int) -> tuple[_store.DeleteRange, ...]:
+def _expired_ranges(version: int) -> tuple[_store.DeleteRange, ...]:
     return tuple(
         _store.DeleteRange(prefix, f"{prefix}{version - count + 1:012d}")
         for prefix, count in ((_VERSION, HISTORY_COUNT), (_AUDIT, AUDIT_COUNT))
--- a/libs/store/src/fireflyford/store/_etcd.py
+++ b/libs/store/src/fireflyford/store/_etcd.py
@@ -1,8 +1,8 @@
 """Client of the etcd v3 JSON gateway.
 
-Source: https://etcd.io/docs/v3.5/dev-guide/api_grpc_gateway/. Keys and values
-are base64, which `msgspec` applies to every `bytes` field; 64-bit integers are
-strings.
+See https://etcd.io/docs/v3.5/dev-guide/api_grpc_gateway/. Keys and values are
+base64-encoded, which `msgspec` does for every `bytes` field; 64-bit integers
+are strings.
 """
 
 import asyncio
@@ -21,11 +21,12 @@
 
 T = TypeVar("T")
 
-# Answers of the store take milliseconds; a second means that it is in trouble.
+# The store usually responds within milliseconds; a second without a response
+# indicates a fault.
 TIMEOUT_MS = 1_000
 CONNECT_TIMEOUT_MS = 500
-# A watch and a few calls at the same time.
-_MAX_CLIENTS = 16
+# Concurrent connections: one watch and a few calls.
+_MAX_CONNECTIONS = 16
 _WATCH_PATH = "/v3/watch"
 
 
@@ -92,22 +93,26 @@
 
 
 class EtcdStore(_store.Store):
-    """Store behind one or more gateways, tried in turn."""
+    """etcd store reached through one or more gateways, with failover."""
 
     def __init__(
         self,
         gateways: Sequence[core.Address],
         timeout_ms: int = TIMEOUT_MS,
     ) -> None:
-        """Takes the addresses of the gateways.
+        """Creates a client without opening a connection.
+
+        Args:
+            gateways: Gateway addresses in order of preference.
+            timeout_ms: Time limit of one request to one gateway.
 
         Raises:
-            ValueError: No gateway is given.
+            ValueError: `gateways` is empty.
         """
         if not gateways:
             raise ValueError("the store needs at least one gateway address")
         self._gateways = tuple(gateways)
-        self._preferred = 0
+        self._gateway_index = 0
         self._timeout_ms = timeout_ms
         self._client: httpclient.AsyncHTTPClient | None = None
         self.call_counts: collections.Counter[str] = collections.Counter()
@@ -115,7 +120,7 @@
     async def read(
         self, prefix: str, limit: int = 0, descending: bool = False
     ) -> core.Outcome[_store.ReadResult]:
-        """Reads through /v3/kv/range, linearizable."""
+        """Performs a linearizable read with /v3/kv/range."""
         body = {
             "key": prefix.encode(),
             "range_end": _store.prefix_end(prefix).encode(),
@@ -134,12 +139,12 @@
         preconditions: Sequence[_store.Precondition],
         writes: Sequence[_store.Write | _store.DeleteRange],
     ) -> core.Outcome[_store.CommitResult]:
-        """Writes through /v3/kv/txn."""
+        """Commits a transaction with /v3/kv/txn."""
         body = {
             "compare": [_encode_precondition(item) for item in preconditions],
             "success": [_encode_write(item) for item in writes],
         }
-        reply = await self._call("/v3/kv/txn", body, _TxnReply, writes=True)
+        reply = await self._call("/v3/kv/txn", body, _TxnReply, is_write=True)
         if isinstance(reply, core.Failure):
             return reply
         value = reply.value
@@ -148,17 +153,17 @@
         )
 
     async def grant_lease(self, duration_s: int) -> core.Outcome[int]:
-        """Grants through /v3/lease/grant."""
+        """Creates a lease with /v3/lease/grant."""
         body = {"TTL": str(duration_s), "ID": "0"}
         reply = await self._call(
-            "/v3/lease/grant", body, _LeaseReply, writes=True
+            "/v3/lease/grant", body, _LeaseReply, is_write=True
         )
         if isinstance(reply, core.Failure):
             return reply
         return core.Ok(reply.value.ID)
 
     async def renew_lease(self, lease_id: int) -> core.Outcome[bool]:
-        """Renews through /v3/lease/keepalive."""
+        """Renews a lease with /v3/lease/keepalive."""
         body = {"ID": str(lease_id)}
         reply = await self._call("/v3/lease/keepalive", body, _KeepAliveReply)
         if isinstance(reply, core.Failure):
@@ -166,20 +171,20 @@
         return core.Ok(reply.value.result.TTL > 0)
 
     async def revoke_lease(self, lease_id: int) -> core.Outcome[None]:
-        """Revokes through /v3/kv/lease/revoke."""
+        """Revokes a lease with /v3/kv/lease/revoke."""
         body = {"ID": str(lease_id)}
         reply = await self._call(
-            "/v3/kv/lease/revoke", body, _EmptyReply, writes=True
+            "/v3/kv/lease/revoke", body, _EmptyReply, is_write=True
         )
         return reply if isinstance(reply, core.Failure) else core.Ok(None)
 
     async def watch(
         self, prefix: str, start_revision: int, duration_ms: int
     ) -> AsyncIterator[core.Outcome[_store.ReadResult]]:
-        """Watches through the stream of /v3/watch."""
+        """Watches keys with the response stream of /v3/watch."""
         lines: asyncio.Queue[bytes | None] = asyncio.Queue()
         stream = asyncio.ensure_future(
-            self._stream(prefix, start_revision, duration_ms, lines)
+            self._stream_watch(prefix, start_revision, duration_ms, lines)
         )
         try:
             while (line := await lines.get()) is not None:
@@ -193,7 +198,7 @@
         finally:
             stream.cancel()
 
-    async def _stream(
+    async def _stream_watch(
         self,
         prefix: str,
         start_revision: int,
@@ -207,66 +212,72 @@
         }
         pending = bytearray()
 
-        def receive(chunk: bytes) -> None:
+        def on_chunk(chunk: bytes) -> None:
             pending.extend(chunk)
             *complete, rest = bytes(pending).split(b"\n")
             pending[:] = rest
             for line in complete:
                 lines.put_nowait(line)
 
-        request = self._request(
-            self._gateways[self._preferred],
+        request = self._build_request(
+            self._gateways[self._gateway_index],
             _WATCH_PATH,
             {"create_request": create},
             duration_ms,
         )
-        request.streaming_callback = receive
+        request.streaming_callback = on_chunk
         self.call_counts[_WATCH_PATH] += 1
         try:
-            await self._http().fetch(request)
+            await self._http_client().fetch(request)
         except (OSError, httpclient.HTTPError) as error:
-            # The client cannot abort a request, so a watch ends by timeout.
+            # The HTTP client cannot abort a request, so a watch ends by the
+            # request timeout.
             if "during request" in str(error):
                 return None
-            self._prefer_next()
+            self._switch_gateway()
             return _unavailable(str(error))
         finally:
             lines.put_nowait(None)
-        return _unavailable("the watch was closed")
+        return _unavailable("the store closed the watch")
 
     async def _call(
         self,
         path: str,
         body: dict[str, Any],
-        kind: type[T],
-        writes: bool = False,
+        response_type: type[T],
+        is_write: bool = False,
     ) -> core.Outcome[T]:
-        failure = _unavailable("no gateway")
+        failure = _unavailable("no gateway was contacted")
         for _ in self._gateways:
             self.call_counts[path] += 1
-            request = self._request(
-                self._gateways[self._preferred], path, body, self._timeout_ms
+            request = self._build_request(
+                self._gateways[self._gateway_index],
+                path,
+                body,
+                self._timeout_ms,
             )
             try:
-                reply = await self._http().fetch(request)
+                reply = await self._http_client().fetch(request)
                 return core.Ok(
-                    msgspec.json.decode(reply.body, type=kind, strict=False)
+                    msgspec.json.decode(
+                        reply.body, type=response_type, strict=False
+                    )
                 )
             except msgspec.DecodeError as error:
-                failure = _unavailable(f"unreadable answer: {error}")
+                failure = _unavailable(f"cannot decode the response: {error}")
             except (OSError, httpclient.HTTPError) as error:
                 failure = _unavailable(f"{request.url}: {error}")
-                self._prefer_next()
-                if not writes or _certainly_not_sent(error):
+                self._switch_gateway()
+                if not is_write or _was_not_sent(error):
                     continue
-            if writes:
+            if is_write:
                 return core.Failure(
                     core.ErrorKind.STORE_OUTCOME_UNKNOWN,
-                    f"no answer to a write: {failure.message}",
+                    f"no response to a write: {failure.message}",
                 )
         return failure
 
-    def _request(
+    def _build_request(
         self,
         gateway: core.Address,
         path: str,
@@ -282,15 +293,15 @@
             request_timeout=timeout_ms / 1000,
         )
 
-    def _http(self) -> httpclient.AsyncHTTPClient:
+    def _http_client(self) -> httpclient.AsyncHTTPClient:
         if self._client is None:
             self._client = httpclient.AsyncHTTPClient(
-                force_instance=True, max_clients=_MAX_CLIENTS
+                force_instance=True, max_clients=_MAX_CONNECTIONS
             )
         return self._client
 
-    def _prefer_next(self) -> None:
-        self._preferred = (self._preferred + 1) % len(self._gateways)
+    def _switch_gateway(self) -> None:
+        self._gateway_index = (self._gateway_index + 1) % len(self._gateways)
 
 
 def _encode_precondition(item: _store.Precondition) -> dict[str, Any]:
@@ -321,11 +332,11 @@
     try:
         reply = msgspec.json.decode(line, type=_WatchReply, strict=False)
     except msgspec.DecodeError as error:
-        return _unavailable(f"unreadable watch: {error}")
+        return _unavailable(f"cannot decode the watch response: {error}")
     result = reply.result
     if result is None or result.canceled:
         reason = "error" if result is None else result.cancel_reason
-        return _unavailable(f"the watch was cancelled: {reason}")
+        return _unavailable(f"the store cancelled the watch: {reason}")
     entries = tuple(
         event.kv.entry() for event in result.events if event.type == "PUT"
     )
@@ -335,7 +346,7 @@
     return core.Ok(_store.ReadResult(entries, result.header.revision, deleted))
 
 
-def _certainly_not_sent(error: Exception) -> bool:
+def _was_not_sent(error: Exception) -> bool:
     return isinstance(error, ConnectionRefusedError) or (
         "while connecting" in str(error)
     )
@@ -344,6 +355,6 @@
 def _unavailable(reason: str) -> core.Failure:
     return core.Failure(
         core.ErrorKind.STORE_UNAVAILABLE,
-        f"the store does not answer ({reason}); the running configuration "
-        "stays in force, try again later",
+        f"the store does not answer ({reason}); the active configuration is "
+        "kept, try again later",
     )
--- a/libs/store/src/fireflyford/store/_follower.py
+++ b/libs/store/src/fireflyford/store/_follower.py
@@ -1,7 +1,7 @@
-"""Following the configuration in force, without ever going back.
+"""Distribution of configurations to instances, in rising version order.
 
-A few readers read and watch the store; every instance pulls what its peers
-announce. All of them pass through `ConfigFollower.apply_if_newer`, the only
+A few readers per region read and watch the store. All instances pull newer
+versions that their peers announce. `ConfigFollower.apply_if_newer` is the only
 place where a configuration takes effect.
 """
 
@@ -19,31 +19,30 @@
 from fireflyford.store import _record
 
 CONFIG_TOPIC = "config"
-# Key of the rendezvous choice of readers, and how many a region has.
+# Rendezvous hashing key that selects the readers of a region.
 READER_KEY = "config-reader"
 READER_COUNT = 3
-# A watch that hangs without an error costs at most this much of the 3 s in
-# which a configuration must be in force.
-WATCH_LIMIT_MS = 2_000
-# How soon an instance notices that it has become a reader.
-_READER_POLL_MS = 500
-# How often a reader asks a store that does not answer. At 500 ms the readers
-# missed a version that a store accepted right after an outage and 200 ms
-# before the next one.
-_RETRY_MS = 100
-# Spreads the pulls of all instances that hear of a version at once.
-_PULL_JITTER_MS = 100
-# How long a new instance may wait for the version in force before it serves
-# with the configuration file.
-SETTLE_LIMIT_MS = 3_000
-_SETTLE_POLL_MS = 20
-_FIRST_BACKOFF_MS = 200
-_LAST_BACKOFF_MS = 5_000
+# Bounds the delay caused by a watch that hangs without an error; a
+# configuration must be active within 3 s.
+WATCH_DURATION_MS = 2_000
+# Interval at which an instance checks whether it has become a reader.
+_READER_POLL_INTERVAL_MS = 500
+# Retry interval while the store is unavailable. At 500 ms, readers missed a
+# version that was accepted right after an outage and 200 ms before the next.
+_RETRY_INTERVAL_MS = 100
+# Spreads the pulls of instances that learn of a version simultaneously.
+_MAX_PULL_JITTER_MS = 100
+# A new instance that has not received the active version by then starts with
+# its configuration file.
+SYNC_TIMEOUT_MS = 3_000
+_SYNC_POLL_INTERVAL_MS = 20
+_INITIAL_BACKOFF_MS = 200
+_MAX_BACKOFF_MS = 5_000
 
 
 @dataclasses.dataclass(frozen=True)
 class PullSource:
-    """A peer that announces a configuration version."""
+    """A peer from which an announced version can be pulled."""
 
     name: str
     address: core.Address
@@ -51,32 +50,32 @@
 
 
 class ConfigPeers(abc.ABC):
-    """What following needs of membership."""
+    """Access to peers that exchange configurations."""
 
     @abc.abstractmethod
     def is_reader(self) -> bool:
-        """Whether this instance reads the store, by its own view."""
+        """Whether this instance reads the store, in its own membership view."""
 
     @abc.abstractmethod
     def sources(self, above: int) -> Sequence[PullSource]:
-        """Returns peers that announce a version above `above`."""
+        """Returns peers that announce a version higher than `above`."""
 
     @abc.abstractmethod
     def announce(self, version: int) -> None:
-        """Tells the peers that this instance can hand out a version."""
+        """Announces to the peers that a version can be pulled here."""
 
     @abc.abstractmethod
     async def pull(
         self, source: PullSource, payload: bytes
     ) -> core.Outcome[bytes]:
-        """Calls `ConfigFollower.handle_pull` of another instance."""
+        """Calls `ConfigFollower.handle_pull` of a peer."""
 
 
 class ConfigFollower:
-    """Highest configuration that this instance has seen.
+    """Applies the newest configuration and serves it to peers.
 
-    A record that this instance cannot read is held: it is passed on to peers,
-    but the configuration before it stays in force as a whole.
+    A record that this instance cannot parse is served to peers but not
+    applied; the previous configuration stays active unchanged.
     """
 
     def __init__(
@@ -88,15 +87,15 @@
         config_store: _config_store.ConfigStore | None = None,
         service: str = "",
     ) -> None:
-        """Prepares following.
+        """Starts without a configuration.
 
         Args:
-            clock: Source of time.
-            rng: Spreads and shuffles pulls.
-            peers: Other instances.
-            apply: Puts a deployment in force in this process.
-            config_store: The store, or None for an instance that never reads.
-            service: Follow only this service's part.
+            clock: Clock for waits and timeouts.
+            rng: Random source for jitter and for the choice of peers.
+            peers: Access to other instances.
+            apply: Applies a deployment to this process.
+            config_store: Store to read, or None if this instance never reads.
+            service: Service to restrict pulls to, or empty for all services.
         """
         self._clock = clock
         self._rng = rng
@@ -104,57 +103,58 @@
         self._apply = apply
         self._config_store = config_store
         self._service = service
-        self._in_force: _record.ConfigRecord | None = None
+        self._active: _record.ConfigRecord | None = None
         self._deployment: config.Deployment | None = None
         self._highest: _record.ConfigRecord | None = None
-        # Packing takes milliseconds, and many peers ask at once.
-        self._packed = b""
-        self._changed = asyncio.Event()
+        # Cached, because compression takes milliseconds and many peers pull
+        # simultaneously.
+        self._compressed_highest = b""
+        self._announced = asyncio.Event()
         self._alarmed_version = -1
-        self._store_is_empty = False
+        self._is_store_empty = False
         self._created_ms = clock.now_ms()
-        self._held_alarm = ""
+        self._rejected_alarm = ""
         self._store_alarm = ""
         self.stale_answer_count = 0
 
     @property
     def version(self) -> int:
-        """Version in force, 0 for the configuration file."""
-        return 0 if self._in_force is None else self._in_force.version
+        """Active version, 0 for the configuration file."""
+        return 0 if self._active is None else self._active.version
 
     @property
     def highest_version(self) -> int:
-        """Highest version seen, higher than `version` when it is held back."""
+        """Highest version received, above `version` if it cannot be applied."""
         return 0 if self._highest is None else self._highest.version
 
     @property
     def synced(self) -> bool:
-        """Whether the version in force is known, or cannot be learned.
+        """Whether the initial synchronization has finished or timed out.
 
-        An instance that took work earlier could, after a restart, serve with
-        a configuration file that is older than what it ran before.
+        Serving earlier could use a configuration file that is older than the
+        version that was active before a restart.
         """
-        waited_ms = self._clock.now_ms() - self._created_ms
-        if waited_ms >= SETTLE_LIMIT_MS:
+        elapsed_ms = self._clock.now_ms() - self._created_ms
+        if elapsed_ms >= SYNC_TIMEOUT_MS:
             return True
         versions = [peer.version for peer in self._peers.sources(-1)]
         if versions:
             return self.highest_version >= max(versions)
-        return self._store_is_empty or self.highest_version > 0
+        return self._is_store_empty or self.highest_version > 0
 
     async def wait_until_synced(self) -> None:
-        """Waits until `synced`, at most `SETTLE_LIMIT_MS` after the start."""
+        """Waits until `synced`, at most `SYNC_TIMEOUT_MS` after creation."""
         while not self.synced:
-            await self._clock.sleep(_SETTLE_POLL_MS)
+            await self._clock.sleep(_SYNC_POLL_INTERVAL_MS)
 
     @property
     def alarm(self) -> str:
-        """What an operator has to repair, or an empty text."""
-        return self._store_alarm or self._held_alarm
+        """Condition that needs operator action, or an empty string."""
+        return self._store_alarm or self._rejected_alarm
 
     def status(self) -> dict[str, object]:
-        """Describes the configuration for the command line."""
-        record = self._in_force
+        """Returns the configuration state for the status page."""
+        record = self._active
         return {
             "version": self.version,
             "highest_version": self.highest_version,
@@ -165,15 +165,15 @@
         }
 
     def notify(self) -> None:
-        """Wakes the pull task, because peers may announce a new version."""
-        self._changed.set()
+        """Wakes the pull task after an announcement of a peer."""
+        self._announced.set()
 
     def apply_if_newer(self, record: _record.ConfigRecord, source: str) -> bool:
-        """Puts a record in force if it is newer than all before it.
+        """Applies a record if its version is the highest received so far.
 
         Args:
             record: Record from the store or from a peer.
-            source: Where it came from, for the log.
+            source: Origin of the record for the log.
 
         Returns:
             Whether the record was newer.
@@ -181,25 +181,25 @@
         if record.version <= self.highest_version:
             return False
         self._highest = record
-        self._packed = b""
-        readable = record.read()
-        if isinstance(readable, core.Failure):
-            self._hold(record.version, readable.message)
+        self._compressed_highest = b""
+        parsed = record.read()
+        if isinstance(parsed, core.Failure):
+            self._reject(record.version, parsed.message)
         else:
-            self._in_force = record
-            self._deployment = readable.value
-            self._held_alarm = ""
-            self._apply(readable.value)
+            self._active = record
+            self._deployment = parsed.value
+            self._rejected_alarm = ""
+            self._apply(parsed.value)
             telemetry.log(
                 "config-in-force", version=record.version, source=source
             )
         self._peers.announce(record.version)
         return True
 
-    def _hold(self, version: int, reason: str) -> None:
-        alarm = f"version {version} is held back: {reason}"
-        if alarm != self._held_alarm:
-            self._held_alarm = alarm
+    def _reject(self, version: int, reason: str) -> None:
+        alarm = f"version {version} was not applied: {reason}"
+        if alarm != self._rejected_alarm:
+            self._rejected_alarm = alarm
             telemetry.log(
                 "config-held-back",
                 version=version,
@@ -208,21 +208,23 @@
             )
 
     def handle_pull(self, payload: bytes) -> bytes:
-        """Answers a peer's pull with a record, or nothing."""
+        """Returns the compressed record for a pull; empty if none is newer."""
         request = _record.decode(payload, _record.PullRequest)
         if request is None or request.above >= self.highest_version:
             return b""
         if request.service:
-            part = self._part(request)
-            return b"" if part is None else _record.pack(part)
-        if not self._packed and self._highest is not None:
-            self._packed = _record.pack(self._highest)
-        return self._packed
+            filtered = self._service_record(request)
+            return (
+                b"" if filtered is None else _record.compress_record(filtered)
+            )
+        if not self._compressed_highest and self._highest is not None:
+            self._compressed_highest = _record.compress_record(self._highest)
+        return self._compressed_highest
 
-    def _part(
+    def _service_record(
         self, request: _record.PullRequest
     ) -> _record.ConfigRecord | None:
-        record, deployment = self._in_force, self._deployment
+        record, deployment = self._active, self._deployment
         if record is None or deployment is None:
             return None
         if record.version <= request.above:
@@ -240,20 +242,20 @@
     async def _read_loop(self, config_store: _config_store.ConfigStore) -> None:
         while True:
             if not self._peers.is_reader():
-                await self._clock.sleep(_READER_POLL_MS)
+                await self._clock.sleep(_READER_POLL_INTERVAL_MS)
                 continue
-            revision = await self._read(config_store)
+            revision = await self._read_store(config_store)
             if revision is None:
-                await self._clock.sleep(_RETRY_MS)
+                await self._clock.sleep(_RETRY_INTERVAL_MS)
                 continue
-            watch = config_store.watch(revision + 1, WATCH_LIMIT_MS)
+            watch = config_store.watch(revision + 1, WATCH_DURATION_MS)
             async for outcome in watch:
                 if isinstance(outcome, core.Ok):
                     self.apply_if_newer(outcome.value, "store")
                 else:
-                    await self._clock.sleep(_RETRY_MS)
+                    await self._clock.sleep(_RETRY_INTERVAL_MS)
 
-    async def _read(
+    async def _read_store(
         self, config_store: _config_store.ConfigStore
     ) -> int | None:
         state = await config_store.read_state()
@@ -265,67 +267,69 @@
             if isinstance(record, core.Failure):
                 return None
             if record.value is None:
-                self._hold(head.version, "its record is missing or unreadable")
+                self._reject(
+                    head.version, "its record is missing or cannot be decoded"
+                )
             else:
                 self.apply_if_newer(record.value, "store")
-        self._store_is_empty = head.version == 0
-        await self._check_store(config_store, state.value)
+        self._is_store_empty = head.version == 0
+        await self._check_store_version(config_store, state.value)
         return state.value.revision
 
-    async def _check_store(
+    async def _check_store_version(
         self,
         config_store: _config_store.ConfigStore,
         state: _config_store.ConfigState,
     ) -> None:
-        """Raises an alarm when the store lost what instances run."""
-        known = self._highest
-        if known is None or state.head.version > known.version:
+        """Raises an alarm if the store no longer has the active version."""
+        highest = self._highest
+        if highest is None or state.head.version > highest.version:
             self._store_alarm = ""
             return
-        if state.head == _record.Head(known.version, known.identity):
+        if state.head == _record.Head(highest.version, highest.identity):
             self._alarmed_version = -1
             self._store_alarm = ""
             return
-        # With another record under the same number, neither number can serve
-        # as a base, so the floor is one above both.
-        same_number = state.head.version == known.version
-        floor = known.version + same_number
+        # If two records have the same version, that version is ambiguous as a
+        # base, so the floor is one higher.
+        same_version = state.head.version == highest.version
+        floor = highest.version + same_version
         if self._alarmed_version != state.head.version:
             self._alarmed_version = state.head.version
             self._store_alarm = (
-                f"the store holds version {state.head.version}, which is not "
-                f"what runs ({known.version}); it was restored from an older "
-                f"snapshot: push again with --base {floor}"
+                f"version {state.head.version} in the store differs from the "
+                f"active version {highest.version}; the store was restored "
+                f"from an older snapshot: push again with --base {floor}"
             )
             telemetry.log(
                 "config-store-went-back",
                 store_version=state.head.version,
-                kept_version=known.version,
+                kept_version=highest.version,
                 base_version=floor,
             )
         await config_store.raise_floor(state, floor)
 
     async def _pull_loop(self) -> None:
-        backoff_ms = _FIRST_BACKOFF_MS
+        backoff_ms = _INITIAL_BACKOFF_MS
         while True:
-            self._changed.clear()
+            self._announced.clear()
             sources = self._peers.sources(self.highest_version)
             if not sources:
-                await self._changed.wait()
+                await self._announced.wait()
                 continue
-            await self._clock.sleep(self._rng.uniform(0, _PULL_JITTER_MS))
+            await self._clock.sleep(self._rng.uniform(0, _MAX_PULL_JITTER_MS))
             if await self._pull(self._rng.choice(sources)):
-                backoff_ms = _FIRST_BACKOFF_MS
+                backoff_ms = _INITIAL_BACKOFF_MS
             else:
                 await self._clock.sleep(backoff_ms)
-                backoff_ms = min(2 * backoff_ms, _LAST_BACKOFF_MS)
+                backoff_ms = min(2 * backoff_ms, _MAX_BACKOFF_MS)
 
     async def _pull(self, source: PullSource) -> bool:
         request = _record.PullRequest(self.highest_version, self._service)
         outcome = await self._peers.pull(source, _record.encode(request))
         if isinstance(outcome, core.Failure):
             return False
-        record = _record.unpack(outcome.value)
+        record = _record.decompress_record(outcome.value)
         if record is not None and self.apply_if_newer(record, source.name):
             return True
         self.stale_answer_count += self.highest_version < source.version
--- a/libs/store/src/fireflyford/store/_join.py
+++ b/libs/store/src/fireflyford/store/_join.py
@@ -1,9 +1,10 @@
-"""Addresses in the store through which new instances join.
+"""Seed addresses in the store for instances that join.
 
-The readers of each region keep one entry each, under a lease, so that entries
-of instances that are gone disappear. A lease guards nothing else: a holder
-that was paused past its lease and the reader that took its place both write
-addresses of running instances, and either serves a joining instance.
+Each configuration reader of a region maintains one entry under a lease, so
+that entries of stopped instances expire. The lease provides no mutual
+exclusion: an instance that was paused beyond its lease and the reader that
+replaced it both write addresses of running instances, and a new instance can
+join through either.
 """
 
 from collections.abc import Callable
@@ -16,13 +17,13 @@
 
 _PREFIX = "fireflyford/join/"
 LEASE_DURATION_S = 10
-# Two renewals may be lost before the lease ends.
+# Allows two lost renewals before the lease expires.
 RENEW_INTERVAL_MS = 3_000
-_POLL_MS = 500
+_POLL_INTERVAL_MS = 500
 
 
 class JoinEntry:
-    """Keeps one instance's entry while it is wanted."""
+    """Maintains the entry of one instance while it should exist."""
 
     def __init__(
         self,
@@ -30,35 +31,35 @@
         clock: core.Clock,
         instance_id: str,
         address: core.Address,
-        wanted: Callable[[], bool],
+        is_wanted: Callable[[], bool],
     ) -> None:
-        """Prepares the entry.
+        """Initializes without contacting the store.
 
         Args:
-            store: Where the entry is kept.
-            clock: Source of time.
-            instance_id: Name of the instance.
+            store: Store for the entry.
+            clock: Clock for renewals.
+            instance_id: ID of the instance.
             address: Control address of the instance.
-            wanted: Whether the instance should have an entry now.
+            is_wanted: Returns whether the entry should exist now.
         """
         self._store = store
         self._clock = clock
         self._key = _PREFIX + instance_id
         self._value = str(address).encode()
-        self._wanted = wanted
+        self._is_wanted = is_wanted
         self._lease_id = 0
-        self.lapsed_count = 0
+        self.expired_count = 0
 
     async def run(self) -> None:
         """Runs until cancelled."""
         while True:
-            if not self._wanted():
-                await self._drop()
-                await self._clock.sleep(_POLL_MS)
+            if not self._is_wanted():
+                await self._revoke()
+                await self._clock.sleep(_POLL_INTERVAL_MS)
             elif self._lease_id == 0:
                 await self._write()
                 await self._clock.sleep(
-                    RENEW_INTERVAL_MS if self._lease_id else _POLL_MS
+                    RENEW_INTERVAL_MS if self._lease_id else _POLL_INTERVAL_MS
                 )
             elif await self._renew():
                 await self._clock.sleep(RENEW_INTERVAL_MS)
@@ -73,17 +74,17 @@
             self._lease_id = lease.value
 
     async def _renew(self) -> bool:
-        """Returns whether the next renewal can wait."""
+        """Renews the lease; returns False if the entry must be rewritten."""
         outcome = await self._store.renew_lease(self._lease_id)
         if isinstance(outcome, core.Failure):
             return True
         if not outcome.value:
             telemetry.log("join-lease-lapsed", key=self._key)
-            self.lapsed_count += 1
+            self.expired_count += 1
             self._lease_id = 0
         return outcome.value
 
-    async def _drop(self) -> None:
+    async def _revoke(self) -> None:
         if self._lease_id:
             await self._store.revoke_lease(self._lease_id)
             self._lease_id = 0
@@ -92,11 +93,11 @@
 async def find_seeds(
     seeds: Sequence[str], gateways: Sequence[str]
 ) -> tuple[str, ...]:
-    """Returns the seeds of the settings and those of the store.
+    """Returns the seeds from the settings and from the store, deduplicated.
 
     Args:
-        seeds: Control addresses from the settings, as `ip:port`.
-        gateways: Gateways of the store, as `ip:port`; may be empty.
+        seeds: Control addresses from the settings as `ip:port`.
+        gateways: Store gateways as `ip:port`; may be empty.
     """
     if not gateways:
         return tuple(seeds)
--- a/libs/store/src/fireflyford/store/_record.py
+++ b/libs/store/src/fireflyford/store/_record.py
@@ -1,4 +1,4 @@
-"""Encoded values of the store and of the messages between instances."""
+"""Encoding of stored values and of messages between instances."""
 
 import dataclasses
 from typing import TypeVar
@@ -11,24 +11,24 @@
 
 T = TypeVar("T")
 
-# Format of `ConfigRecord` itself; the text inside has a number of its own.
+# Format version of `ConfigRecord`; its text has a separate format version.
 RECORD_FORMAT = 1
-# Larger than the store's values, so that no record is cut.
+# Above the store's value limit, so that no record is truncated.
 _MAX_MESSAGE_BYTES = 4 << 20
 
 
 @dataclasses.dataclass(frozen=True)
 class ConfigRecord:
-    """One accepted configuration.
+    """An accepted configuration.
 
     Attributes:
-        version: Version, higher than that of every earlier record.
-        identity: Identity of the push.
-        author: Who pushed it.
-        wall_ms: When it was pushed, by the operator's clock.
-        base_version: Version that the operator started from.
-        text: Printed deployment.
-        format: Format number of this record.
+        version: Version number, higher than in all earlier records.
+        identity: Idempotency key of the push.
+        author: Author of the push.
+        wall_ms: Time of the push by the operator's clock.
+        base_version: Version that the operator edited.
+        text: Rendered deployment.
+        format: Format version of this record.
     """
 
     version: int
@@ -40,21 +40,21 @@
     format: int = RECORD_FORMAT
 
     def read(self) -> core.Outcome[config.Deployment]:
-        """Returns the deployment, or `BAD_CONFIG` when it is unreadable."""
+        """Parses the deployment, or fails with `BAD_CONFIG`."""
         if self.format != RECORD_FORMAT:
             return core.Failure(
                 core.ErrorKind.BAD_CONFIG,
-                f"record format {self.format} is not readable here, which "
-                f"reads format {RECORD_FORMAT}",
+                f"record format {self.format} is not supported, expected "
+                f"format {RECORD_FORMAT}",
             )
-        # Only pushes are checked for faults: an instance with stricter checks
-        # than the push had must not hold back what is in force.
+        # Validation happens only at push time: an instance with stricter
+        # checks than the pushing client must not reject an accepted record.
         return config.parse(self.text)
 
 
 @dataclasses.dataclass(frozen=True)
 class Head:
-    """Which record is in force; pushes compare and swap this value."""
+    """Reference to the latest record, updated by compare-and-swap."""
 
     version: int
     identity: str
@@ -62,9 +62,9 @@
 
 @dataclasses.dataclass(frozen=True)
 class Floor:
-    """Lowest version from which a push may start.
+    """Lowest base version that a push may have.
 
-    Readers write it when the store holds less than what is in force, which
+    Readers write it if the store's version is behind the active one, which
     happens after a restore from an older snapshot.
     """
 
@@ -73,18 +73,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class AuditEntry:
-    """Who changed what, when, from which version to which.
+    """Audit trail entry of one push.
 
     Attributes:
         version: Version after the change.
-        base_version: Version that the operator started from.
-        replaced_version: Version that the store held, lower than
+        base_version: Version that the operator edited.
+        replaced_version: Previous version in the store, lower than
             `base_version` after a restore from an older snapshot.
-        identity: Identity of the push.
-        author: Who pushed.
-        wall_ms: When, by the operator's clock.
-        changes: First lines of the comparison.
-        change_count: Number of all lines.
+        identity: Idempotency key of the push.
+        author: Author of the push.
+        wall_ms: Time of the push by the operator's clock.
+        changes: First lines of the diff.
+        change_count: Total number of lines of the diff.
     """
 
     version: int
@@ -99,11 +99,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class PullRequest:
-    """Question for a record above a version.
+    """Request for a record newer than a version.
 
     Attributes:
-        above: Version that the asking instance already has.
-        service: Only this service's part, or everything when empty.
+        above: Version that the requesting instance has.
+        service: Service to restrict the record to, or empty for all services.
     """
 
     above: int
@@ -111,15 +111,15 @@
 
 
 def encode(value: object) -> bytes:
-    """Encodes one of the classes of this module as JSON."""
+    """Encodes an instance of a class of this module as JSON."""
     return msgspec.json.encode(value)
 
 
 def decode(data: bytes | None, kind: type[T]) -> T | None:
-    """Decodes one of the classes of this module, or returns None.
+    """Decodes an instance of a class of this module; None if invalid.
 
-    Unknown fields are left out, so that a record of a newer format can still
-    be passed on by its version.
+    Unknown fields are ignored, so that a record of a newer format can still be
+    forwarded by its version.
     """
     if not data:
         return None
@@ -129,17 +129,17 @@
         return None
 
 
-def pack(record: ConfigRecord) -> bytes:
-    """Encodes a record for a peer, compressed.
+def compress_record(record: ConfigRecord) -> bytes:
+    """Encodes and compresses a record for a peer.
 
-    Uncompressed, the records of 420 services would cost each instance more
-    than the 3 KB/s that it may spend on control.
+    Uncompressed records of 420 services would exceed the budget of 3 KB/s of
+    control traffic for each instance.
     """
     return zlib.compress(encode(record))
 
 
-def unpack(data: bytes) -> ConfigRecord | None:
-    """Decodes what `pack` encoded, or returns None."""
+def decompress_record(data: bytes) -> ConfigRecord | None:
+    """Decodes the output of `compress_record`; None if invalid."""
     try:
         body = zlib.decompressobj().decompress(data, _MAX_MESSAGE_BYTES)
     except zlib.error:
--- a/libs/store/src/fireflyford/store/_store.py
+++ b/libs/store/src/fireflyford/store/_store.py
@@ -1,4 +1,4 @@
-"""What the project needs of a key-value service."""
+"""Interface of a key-value store with transactions, leases and watches."""
 
 import abc
 from collections.abc import AsyncIterator
@@ -10,12 +10,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class Entry:
-    """One key with its value.
+    """A key-value pair.
 
     Attributes:
-        key: Name of the entry.
-        value: Content.
-        mod_revision: Revision of the store at which it was last written.
+        key: Key of the pair.
+        value: Stored bytes.
+        mod_revision: Store revision of the last write to the key.
     """
 
     key: str
@@ -25,12 +25,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class ReadResult:
-    """Entries in the order of their keys, as of one revision.
+    """Entries in key order at one store revision.
 
     Attributes:
-        entries: Entries that were found, or written in the case of a watch.
-        revision: Revision of the store.
-        deleted: Keys that were deleted, in the case of a watch.
+        entries: Entries found by a read, or written during a watch.
+        revision: Store revision of the result.
+        deleted: Keys deleted during a watch, always empty for a read.
     """
 
     entries: tuple[Entry, ...]
@@ -47,10 +47,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class Precondition:
-    """Value that a key must have for a commit; None expects no entry.
+    """Value that a key must have for a commit; None requires its absence.
 
-    The value is compared rather than the revision, because revisions repeat
-    after the store was restored from a snapshot.
+    The value is compared instead of the revision, because revisions repeat
+    after the store is restored from a snapshot.
     """
 
     key: str
@@ -59,7 +59,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Write:
-    """One entry to write, under a lease unless `lease_id` is 0."""
+    """A write of one key, attached to a lease unless `lease_id` is 0."""
 
     key: str
     value: bytes
@@ -68,7 +68,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class DeleteRange:
-    """Deletion of the keys from `first_key` up to, but not, `end_key`."""
+    """Deletion of the keys in the half-open range [first_key, end_key)."""
 
     first_key: str
     end_key: str
@@ -79,8 +79,8 @@
     """Result of a transaction.
 
     Attributes:
-        applied: Whether the preconditions held and everything was written.
-        revision: Revision of the store afterwards.
+        applied: Whether the preconditions held and all writes were applied.
+        revision: Store revision after the transaction.
     """
 
     applied: bool
@@ -88,10 +88,11 @@
 
 
 class Store(abc.ABC):
-    """A key-value service with transactions, leases and watches.
+    """A key-value store with transactions, leases and watches.
 
-    Reads fail with `STORE_UNAVAILABLE`. Writes fail with it only when they
-    certainly did not take effect, otherwise with `STORE_OUTCOME_UNKNOWN`.
+    Reads fail with `STORE_UNAVAILABLE`. Writes fail with `STORE_UNAVAILABLE`
+    only if they definitely had no effect, otherwise with
+    `STORE_OUTCOME_UNKNOWN`.
     """
 
     @abc.abstractmethod
@@ -101,9 +102,9 @@
         """Reads the entries whose keys start with `prefix`.
 
         Args:
-            prefix: Start of the keys, or a whole key.
-            limit: Largest number of entries, 0 for all.
-            descending: Orders by descending key instead of ascending.
+            prefix: Key prefix or a complete key.
+            limit: Maximum number of entries, 0 for no limit.
+            descending: Sort by key in descending instead of ascending order.
         """
 
     @abc.abstractmethod
@@ -112,33 +113,33 @@
         preconditions: Sequence[Precondition],
         writes: Sequence[Write | DeleteRange],
     ) -> core.Outcome[CommitResult]:
-        """Writes everything if all preconditions hold, otherwise nothing."""
+        """Applies all writes atomically if all preconditions hold."""
 
     @abc.abstractmethod
     async def grant_lease(self, duration_s: int) -> core.Outcome[int]:
-        """Returns the identifier of a new lease."""
+        """Creates a lease and returns its ID."""
 
     @abc.abstractmethod
     async def renew_lease(self, lease_id: int) -> core.Outcome[bool]:
-        """Renews a lease; returns False when it has already expired."""
+        """Renews a lease; returns False if it has already expired."""
 
     @abc.abstractmethod
     async def revoke_lease(self, lease_id: int) -> core.Outcome[None]:
-        """Ends a lease and deletes its entries."""
+        """Revokes a lease and deletes the keys attached to it."""
 
     @abc.abstractmethod
     def watch(
         self, prefix: str, start_revision: int, duration_ms: int
     ) -> AsyncIterator[core.Outcome[ReadResult]]:
-        """Yields changes under `prefix` from `start_revision` on.
+        """Yields changes below `prefix`, starting at `start_revision`.
 
-        Ends after `duration_ms`, or with a failure when the watch broke; the
-        caller reads again before it watches again.
+        Ends after `duration_ms`, or with a failure if the watch is interrupted.
+        After a failure the caller must read again before the next watch.
         """
 
 
 def prefix_end(prefix: str) -> str:
-    """Returns the first key after all keys that start with `prefix`.
+    """Returns the exclusive end of the key range with this prefix.
 
     >>> prefix_end("config/")
     'config0'
--- a/libs/store/tests/test_config_store.py
+++ b/libs/store/tests/test_config_store.py
@@ -1,4 +1,4 @@
-"""Pushes to a store that fails in every way that the stand-in knows."""
+"""Tests of configuration pushes under all faults of the fake store."""
 
 import asyncio
 from collections.abc import Awaitable
@@ -28,22 +28,24 @@
     return config.render(dataclasses.replace(BASE, services=services))
 
 
-def run(
+def run_with_store(
     body: Callable[[store.ConfigStore, Server], Awaitable[None]],
-    dead_gateways: int = 0,
+    unreachable_gateway_count: int = 0,
 ) -> None:
-    async def start() -> None:
+    async def run_body() -> None:
         server = Server()
         address = _ports.free_address()
         server.listen(address)
-        dead = [_ports.free_address() for _ in range(dead_gateways)]
-        client = store.EtcdStore([*dead, address], timeout_ms=300)
+        unreachable = [
+            _ports.free_address() for _ in range(unreachable_gateway_count)
+        ]
+        client = store.EtcdStore([*unreachable, address], timeout_ms=300)
         try:
             await body(store.ConfigStore(client, core.SystemClock()), server)
         finally:
             server.stop()
 
-    asyncio.run(start())
+    asyncio.run(run_body())
 
 
 async def push(
@@ -56,8 +58,8 @@
     return outcome.kind if isinstance(outcome, core.Failure) else None
 
 
-def test_one_of_two_operators_wins() -> None:
-    """Guards against a lost update and a conflict that names nobody."""
+def test_one_of_two_concurrent_pushes_succeeds() -> None:
+    """Guards against lost updates and conflicts without an author."""
 
     async def body(config_store: store.ConfigStore, _: Server) -> None:
         await push(config_store, with_targets(7), 0)
@@ -65,23 +67,23 @@
             push(config_store, with_targets(8), 1, "ana"),
             push(config_store, with_targets(9), 1, "ben"),
         )
-        losers = [item for item in outcomes if isinstance(item, core.Failure)]
-        assert [item.kind for item in losers] == [
+        rejected = [item for item in outcomes if isinstance(item, core.Failure)]
+        assert [item.kind for item in rejected] == [
             core.ErrorKind.CONFIG_CONFLICT
         ]
-        winner = next(item for item in outcomes if isinstance(item, core.Ok))
-        assert f"{winner.value.record.author} pushed version 2" in (
-            losers[0].message
+        accepted = next(item for item in outcomes if isinstance(item, core.Ok))
+        assert f"{accepted.value.record.author} pushed version 2" in (
+            rejected[0].message
         )
-        assert "services.tahian.target_count: 7 -> " in losers[0].message
+        assert "services.tahian.target_count: 7 -> " in rejected[0].message
         current = await config_store.read()
-        assert current == core.Ok(winner.value.record)
+        assert current == core.Ok(accepted.value.record)
 
-    run(body)
+    run_with_store(body)
 
 
-def test_a_lost_answer_is_reported_as_accepted() -> None:
-    """Guards against a false failure, and a second application, of a push."""
+def test_push_with_lost_response_is_accepted() -> None:
+    """Guards against a false failure or a second write of a push."""
 
     async def body(config_store: store.ConfigStore, server: Server) -> None:
         server.switches.lose_answer_count = 1
@@ -92,11 +94,11 @@
         assert isinstance(history, core.Ok)
         assert [entry.version for entry in history.value] == [1]
 
-    run(body)
+    run_with_store(body)
 
 
-def test_a_retried_push_applies_once() -> None:
-    """Guards against a retry that conflicts with itself or applies twice."""
+def test_retried_push_is_applied_once() -> None:
+    """Guards against retries that conflict with themselves or write twice."""
 
     async def body(config_store: store.ConfigStore, _: Server) -> None:
         first = await push(config_store, with_targets(7), 0)
@@ -110,11 +112,11 @@
         assert isinstance(state, core.Ok)
         assert state.value.head.version == 2
 
-    run(body)
+    run_with_store(body)
 
 
-def test_a_push_to_a_store_that_is_down_writes_nothing() -> None:
-    """Guards against a push that hangs or claims to be accepted."""
+def test_push_to_unavailable_store_writes_nothing() -> None:
+    """Guards against a push that hangs or results a false success."""
 
     async def body(config_store: store.ConfigStore, server: Server) -> None:
         server.switches.down = True
@@ -123,11 +125,11 @@
         server.switches.down = False
         assert await config_store.read() == core.Ok(None)
 
-    run(body)
+    run_with_store(body)
 
 
-def test_a_store_that_goes_down_during_a_push_tells_the_truth() -> None:
-    """Guards against a false answer when the store goes down mid-push."""
+def test_store_failure_during_push_is_resolved() -> None:
+    """Guards against a false result if the store fails during a push."""
 
     async def body(config_store: store.ConfigStore, server: Server) -> None:
         server.switches.lose_answer_count = 1
@@ -142,21 +144,21 @@
         assert isinstance(outcome, core.Ok)
         assert outcome.value.record.version == 1
 
-    run(body)
+    run_with_store(body)
 
 
-def test_a_push_continues_through_another_gateway() -> None:
-    """Guards against one dead gateway that stops all pushes."""
+def test_push_fails_over_to_another_gateway() -> None:
+    """Guards against one unreachable gateway that blocks all pushes."""
 
     async def body(config_store: store.ConfigStore, _: Server) -> None:
         outcome = await push(config_store, with_targets(7), 0)
         assert isinstance(outcome, core.Ok)
 
-    run(body, dead_gateways=1)
+    run_with_store(body, unreachable_gateway_count=1)
 
 
-def test_a_large_configuration_is_refused_before_the_push() -> None:
-    """Guards against a value that the store cannot hold."""
+def test_too_large_configuration_is_rejected_before_push() -> None:
+    """Guards against values above the store's size limit."""
 
     async def body(config_store: store.ConfigStore, server: Server) -> None:
         text = with_targets(7) + " " * store.MAX_VALUE_BYTES
@@ -164,22 +166,22 @@
         assert kind(outcome) is core.ErrorKind.CONFIG_TOO_LARGE
         assert not server.counts
 
-    run(body)
+    run_with_store(body)
 
 
-def test_a_configuration_with_faults_is_refused() -> None:
-    """Guards against faults that reach instances by a push without review."""
+def test_invalid_configuration_is_rejected() -> None:
+    """Guards against invalid configurations pushed without a prior check."""
 
     async def body(config_store: store.ConfigStore, server: Server) -> None:
         outcome = await push(config_store, with_targets(0), 0)
         assert kind(outcome) is core.ErrorKind.BAD_CONFIG
         assert not server.counts
 
-    run(body)
+    run_with_store(body)
 
 
-def test_a_service_that_is_not_draining_cannot_be_removed() -> None:
-    """Guards against flows that lose their service."""
+def test_only_draining_services_can_be_removed() -> None:
+    """Guards against the removal of a service that still has flows."""
     kept = BASE.services[:1]
     padron = dataclasses.replace(BASE.services[1], draining=True)
     removed = config.render(dataclasses.replace(BASE, services=kept))
@@ -196,10 +198,10 @@
         assert isinstance(await push(config_store, draining, 1), core.Ok)
         assert isinstance(await push(config_store, removed, 2), core.Ok)
 
-    run(body)
+    run_with_store(body)
 
 
-def test_after_a_restore_a_push_must_start_from_what_runs() -> None:
+def test_push_after_restore_requires_active_base() -> None:
     """Guards against accepted pushes that no instance would apply."""
 
     async def body(config_store: store.ConfigStore, server: Server) -> None:
@@ -218,11 +220,11 @@
         assert outcome.value.record.version == 4
         assert outcome.value.replaced_version == 1
 
-    run(body)
+    run_with_store(body)
 
 
 def test_history_is_bounded() -> None:
-    """Guards against a store that fills up with old configurations."""
+    """Guards against unbounded growth by old configurations."""
 
     async def body(config_store: store.ConfigStore, server: Server) -> None:
         for version in range(55):
@@ -239,11 +241,11 @@
             b'["~ services.tahian.target_count: 58 -> 59"]'
         )
 
-    run(body)
+    run_with_store(body)
 
 
-async def _break_store(server: Server, rng: random.Random) -> None:
-    """Switches faults on and off until cancelled."""
+async def _inject_faults(server: Server, rng: random.Random) -> None:
+    """Toggles store faults randomly until cancelled."""
     switches = server.switches
     while True:
         switches.down = rng.random() < 0.3
@@ -252,12 +254,12 @@
         await asyncio.sleep(rng.uniform(0.01, 0.05))
 
 
-async def _operate(
+async def _push_repeatedly(
     config_store: store.ConfigStore, author: str, rng: random.Random
 ) -> list[tuple[str, core.Outcome[store.AcceptedPush]]]:
-    """Pushes from the version that this operator believes to be in force."""
-    reports: list[tuple[str, core.Outcome[store.AcceptedPush]]] = []
-    while len(reports) < 6:
+    """Pushes changes based on the latest version that was read."""
+    results: list[tuple[str, core.Outcome[store.AcceptedPush]]] = []
+    while len(results) < 6:
         state = await config_store.read_state()
         if isinstance(state, core.Failure):
             continue
@@ -265,42 +267,44 @@
         request = store.Push(with_targets(rng.randint(1, 99)), base, author)
         for _ in range(rng.choice((1, 2))):
             outcome = await config_store.push(request)
-            reports.append((request.identity, outcome))
-    return reports
+            results.append((request.identity, outcome))
+    return results
 
 
 @pytest.mark.parametrize("seed", range(3))
-def test_reports_match_the_audit_trail(seed: int) -> None:
-    """Guards against reports that random faults and races make false."""
+def test_push_results_match_audit_trail(seed: int) -> None:
+    """Guards against false results under random faults and races."""
     rng = random.Random(seed)
 
     async def body(config_store: store.ConfigStore, server: Server) -> None:
-        breaker = asyncio.create_task(_break_store(server, rng))
-        reports = await asyncio.gather(
+        fault_task = asyncio.create_task(_inject_faults(server, rng))
+        results = await asyncio.gather(
             *(
-                _operate(config_store, author, random.Random(f"{seed}{author}"))
+                _push_repeatedly(
+                    config_store, author, random.Random(f"{seed}{author}")
+                )
                 for author in ("ana", "ben", "cho")
             )
         )
-        breaker.cancel()
+        fault_task.cancel()
         server.switches = _store_server.Switches()
         history = await config_store.history(100)
         assert isinstance(history, core.Ok)
-        trail = [entry.identity for entry in reversed(history.value)]
+        audited = [entry.identity for entry in reversed(history.value)]
         versions = [entry.version for entry in reversed(history.value)]
-        assert versions == list(range(1, len(trail) + 1))
-        assert len(set(trail)) == len(trail)
-        all_reports = [item for part in reports for item in part]
-        assert any(isinstance(item, core.Ok) for _, item in all_reports)
-        for identity, outcome in all_reports:
+        assert versions == list(range(1, len(audited) + 1))
+        assert len(set(audited)) == len(audited)
+        all_results = [item for part in results for item in part]
+        assert any(isinstance(item, core.Ok) for _, item in all_results)
+        for identity, outcome in all_results:
             if isinstance(outcome, core.Ok):
-                assert trail[outcome.value.record.version - 1] == identity
+                assert audited[outcome.value.record.version - 1] == identity
             elif outcome.kind is core.ErrorKind.CONFIG_CONFLICT:
-                assert identity not in trail
-        certain = core.ErrorKind.STORE_UNAVAILABLE
-        for identity in {item for item, _ in all_reports}:
-            outcomes = [out for item, out in all_reports if item == identity]
-            if all(kind(outcome) is certain for outcome in outcomes):
-                assert identity not in trail
-
-    run(body)
+                assert identity not in audited
+        not_written = core.ErrorKind.STORE_UNAVAILABLE
+        for identity in {item for item, _ in all_results}:
+            outcomes = [out for item, out in all_results if item == identity]
+            if all(kind(outcome) is not_written for outcome in outcomes):
+                assert identity not in audited
+
+    run_with_store(body)
--- a/libs/store/tests/test_follower.py
+++ b/libs/store/tests/test_follower.py
@@ -1,4 +1,4 @@
-"""Following of the configuration by instances with peers held in memory."""
+"""Tests of configuration distribution between in-memory peers."""
 
 import asyncio
 from collections.abc import Sequence
@@ -16,7 +16,7 @@
 ADDRESS = core.Address("127.0.0.1", 1)
 
 
-def record(
+def make_record(
     version: int, text: str = "", identity: str = "push"
 ) -> store.ConfigRecord:
     return store.ConfigRecord(
@@ -30,39 +30,41 @@
 
 
 class MemoryPeers(store.ConfigPeers):
-    """Instances in memory, with a switch for reading the store."""
+    """In-memory peers, optionally as a store reader."""
 
     def __init__(self, reader: bool = False) -> None:
-        """Starts without other instances."""
-        self.reader = reader
+        """Starts without peers."""
+        self._is_reader = reader
         self.announced: list[int] = []
-        self.others: list[tuple[int, store.ConfigFollower]] = []
+        self.announcements: list[tuple[int, store.ConfigFollower]] = []
 
     def is_reader(self) -> bool:
-        """Returns the switch."""
-        return self.reader
+        """Returns the value given at creation."""
+        return self._is_reader
 
     def sources(self, above: int) -> Sequence[store.PullSource]:
-        """Returns the instances that were heard of."""
+        """Returns peers that announced a newer version."""
         return [
             store.PullSource(str(index), ADDRESS, version)
-            for index, (version, _) in enumerate(self.others)
+            for index, (version, _) in enumerate(self.announcements)
             if version > above
         ]
 
     def announce(self, version: int) -> None:
-        """Keeps the version."""
+        """Records the announced version."""
         self.announced.append(version)
 
     async def pull(
         self, source: store.PullSource, payload: bytes
     ) -> core.Outcome[bytes]:
-        """Asks the other instance."""
-        return core.Ok(self.others[int(source.name)][1].handle_pull(payload))
+        """Calls the peer's handler directly."""
+        return core.Ok(
+            self.announcements[int(source.name)][1].handle_pull(payload)
+        )
 
 
 class Instance:
-    """A follower and what it has put in force."""
+    """A follower and the deployments that it applied."""
 
     def __init__(
         self,
@@ -81,20 +83,20 @@
             service,
         )
 
-    def hear(self, version: int, other: "Instance") -> None:
-        """Announces another instance's version to this one."""
-        self.peers.others.append((version, other.follower))
+    def receive_announcement(self, version: int, other: "Instance") -> None:
+        """Receives the announcement of a version by a peer."""
+        self.peers.announcements.append((version, other.follower))
         self.follower.notify()
 
     async def run(self, duration_ms: int) -> None:
-        """Follows for a while."""
+        """Runs the follower for a limited time."""
         task = asyncio.create_task(self.follower.run())
         await asyncio.sleep(duration_ms / 1000)
         task.cancel()
 
 
-def test_versions_only_rise_in_any_order() -> None:
-    """Guards against a rollback by records that arrive in another order."""
+def test_versions_only_increase() -> None:
+    """Guards against a rollback by records that arrive out of order."""
     unreadable = config.render(dataclasses.replace(BASE, format=2))
     for seed in range(50):
         rng = random.Random(seed)
@@ -102,20 +104,20 @@
         versions = []
         for version in rng.choices(range(1, 30), k=60):
             text = unreadable if version % 5 == 0 else ""
-            instance.follower.apply_if_newer(record(version, text), "test")
+            instance.follower.apply_if_newer(make_record(version, text), "test")
             versions.append(instance.follower.version)
         assert versions == sorted(versions)
         assert instance.peers.announced == sorted(set(instance.peers.announced))
 
 
-def test_a_stale_peer_changes_nothing() -> None:
-    """Guards against a rollback by a peer that announces more than it has."""
+def test_stale_peer_is_ignored() -> None:
+    """Guards against a rollback by a peer that announces a missing version."""
 
     async def body() -> None:
         stale, instance = Instance(), Instance()
-        stale.follower.apply_if_newer(record(3), "test")
-        instance.follower.apply_if_newer(record(5), "test")
-        instance.hear(9, stale)
+        stale.follower.apply_if_newer(make_record(3), "test")
+        instance.follower.apply_if_newer(make_record(5), "test")
+        instance.receive_announcement(9, stale)
         await instance.run(250)
         assert instance.follower.version == 5
         assert len(instance.applied) == 1
@@ -124,15 +126,15 @@
     asyncio.run(body())
 
 
-def test_a_restart_with_the_store_down_learns_from_a_peer() -> None:
-    """Guards against an instance that returns to its configuration file."""
+def test_restart_without_store_pulls_from_peer() -> None:
+    """Guards against a fallback to the configuration file after a restart."""
 
     async def body() -> None:
         client = store.EtcdStore([_ports.free_address()])
         config_store = store.ConfigStore(client, core.SystemClock())
         peer, instance = Instance(), Instance(config_store)
-        peer.follower.apply_if_newer(record(4), "test")
-        instance.hear(4, peer)
+        peer.follower.apply_if_newer(make_record(4), "test")
+        instance.receive_announcement(4, peer)
         await instance.run(250)
         assert instance.follower.version == 4
         assert instance.peers.announced == [4]
@@ -140,14 +142,14 @@
     asyncio.run(body())
 
 
-def test_a_new_instance_waits_for_the_version_in_force() -> None:
-    """Guards against a restart that serves with an old configuration file."""
+def test_new_instance_waits_for_active_version() -> None:
+    """Guards against a restart that serves an outdated configuration file."""
 
     async def body() -> None:
         peer, instance = Instance(), Instance()
-        peer.follower.apply_if_newer(record(4), "test")
+        peer.follower.apply_if_newer(make_record(4), "test")
         assert not instance.follower.synced
-        instance.hear(4, peer)
+        instance.receive_announcement(4, peer)
         assert not instance.follower.synced
         await instance.run(250)
         assert instance.follower.synced
@@ -155,64 +157,64 @@
     asyncio.run(body())
 
 
-def test_an_instance_without_any_version_settles_with_its_peers() -> None:
-    """Guards against new deployments that wait for a version in vain."""
+def test_instance_without_any_version_is_synced() -> None:
+    """Guards against a wait for a version that no instance has."""
     peer, instance = Instance(), Instance()
-    instance.hear(0, peer)
+    instance.receive_announcement(0, peer)
     assert instance.follower.synced
 
 
-def test_an_agent_gets_only_its_own_service() -> None:
-    """Guards against configurations that reach agents of other services."""
+def test_agent_receives_only_own_service() -> None:
+    """Guards against configurations of other services on an agent."""
 
     async def body() -> None:
         balancer, agent = Instance(), Instance(service="padron")
-        balancer.follower.apply_if_newer(record(2), "test")
-        agent.hear(2, balancer)
+        balancer.follower.apply_if_newer(make_record(2), "test")
+        agent.receive_announcement(2, balancer)
         await agent.run(250)
         assert [item.name for item in agent.applied[0].services] == ["padron"]
 
     asyncio.run(body())
 
 
-def test_a_newer_format_is_held_back_whole_and_passed_on() -> None:
-    """Guards against a configuration that is applied in part, or lost."""
+def test_newer_format_is_not_applied_but_served() -> None:
+    """Guards against partial application or loss of a newer format."""
     newer = dataclasses.replace(BASE, name="later", format=2)
 
     async def body() -> None:
         first, second = Instance(), Instance()
-        first.follower.apply_if_newer(record(1), "test")
+        first.follower.apply_if_newer(make_record(1), "test")
         assert first.follower.apply_if_newer(
-            record(2, config.render(newer)), "test"
+            make_record(2, config.render(newer)), "test"
         )
         assert first.follower.version == 1
         assert first.peers.announced == [1, 2]
         assert "format 2" in first.follower.alarm
-        second.hear(2, first)
+        second.receive_announcement(2, first)
         await second.run(250)
         assert second.follower.highest_version == 2
         assert second.applied == []
-        first.follower.apply_if_newer(record(3), "test")
+        first.follower.apply_if_newer(make_record(3), "test")
         assert first.follower.version == 3
 
     asyncio.run(body())
 
 
-def test_an_unknown_field_is_not_left_out() -> None:
-    """Guards against a configuration applied without what is not known."""
+def test_unknown_field_prevents_application() -> None:
+    """Guards against a configuration applied without its unknown fields."""
     text = config.render(BASE).replace(
         '"target_count": 7', '"target_count": 7, "shadow": true'
     )
     instance = Instance()
-    instance.follower.apply_if_newer(record(1, text), "test")
+    instance.follower.apply_if_newer(make_record(1, text), "test")
     assert instance.applied == []
     assert "services[0].shadow" in instance.follower.alarm
 
 
-async def _restore(
-    kept: store.ConfigRecord, pushes_after: Sequence[str]
+async def _run_with_restored_store(
+    active_record: store.ConfigRecord, pushes_after: Sequence[str]
 ) -> tuple[Instance, core.Outcome[store.ConfigState]]:
-    """Lets a reader meet a store that holds less than it runs."""
+    """Runs a reader whose store is behind the active version."""
     server = _store_server.StoreServer()
     address = _ports.free_address()
     server.listen(address)
@@ -220,7 +222,7 @@
         store.EtcdStore([address]), core.SystemClock()
     )
     instance = Instance(config_store)
-    instance.follower.apply_if_newer(kept, "test")
+    instance.follower.apply_if_newer(active_record, "test")
     for base, author in enumerate(pushes_after):
         push = store.Push(config.render(BASE), base, author)
         await config_store.push(push)
@@ -230,18 +232,22 @@
     return instance, state
 
 
-def test_a_restored_store_does_not_bring_an_old_version_back() -> None:
+def test_restored_store_does_not_roll_back() -> None:
     """Guards against a rollback by a store restored from a snapshot."""
-    instance, state = asyncio.run(_restore(record(3), ["ana"]))
+    instance, state = asyncio.run(
+        _run_with_restored_store(make_record(3), ["ana"])
+    )
     assert instance.follower.version == 3
     assert "push again with --base 3" in instance.follower.alarm
     assert isinstance(state, core.Ok)
     assert state.value.floor_version == 3
 
 
-def test_two_records_with_one_number_are_told_apart() -> None:
-    """Guards against a push after a restore that reuses a version number."""
-    instance, state = asyncio.run(_restore(record(1), ["ben"]))
+def test_records_with_same_version_are_distinguished() -> None:
+    """Guards against a version number that is reused after a restore."""
+    instance, state = asyncio.run(
+        _run_with_restored_store(make_record(1), ["ben"])
+    )
     assert instance.follower.version == 1
     assert "push again with --base 2" in instance.follower.alarm
     assert isinstance(state, core.Ok)
--- a/libs/store/tests/test_join.py
+++ b/libs/store/tests/test_join.py
@@ -1,4 +1,4 @@
-"""Join entries under leases."""
+"""Tests of join entries and their leases."""
 
 import asyncio
 
@@ -12,14 +12,14 @@
 
 
 class FastClock(core.SystemClock):
-    """Clock whose waits are a hundredth as long."""
+    """Clock that runs 100 times faster."""
 
     async def sleep(self, duration_ms: float) -> None:
-        """Waits for a hundredth of the time."""
+        """Waits a hundredth of the duration."""
         await asyncio.sleep(duration_ms / 100_000)
 
 
-async def _follow_lapse() -> tuple[store.JoinEntry, tuple[str, ...]]:
+async def _run_past_lease_expiry() -> tuple[store.JoinEntry, tuple[str, ...]]:
     server = _store_server.StoreServer()
     address = _ports.free_address()
     server.listen(address)
@@ -38,15 +38,15 @@
     return entry, seeds
 
 
-def test_a_lapsed_lease_is_taken_again() -> None:
-    """Guards against a holder that trusts a lease which it no longer has."""
-    entry, seeds = asyncio.run(_follow_lapse())
-    assert entry.lapsed_count == 1
+def test_expired_lease_is_renewed() -> None:
+    """Guards against an entry that is not rewritten after its lease expired."""
+    entry, seeds = asyncio.run(_run_past_lease_expiry())
+    assert entry.expired_count == 1
     assert seeds == ("127.0.0.1:1", str(CONTROL), str(OTHER))
 
 
-def test_a_store_that_is_down_leaves_the_seeds() -> None:
-    """Guards against an instance that cannot start without the store."""
+def test_unavailable_store_keeps_configured_seeds() -> None:
+    """Guards against a start that fails without the store."""
     gateway = str(_ports.free_address())
     seeds = asyncio.run(store.find_seeds(["127.0.0.1:1"], [gateway]))
     assert seeds == ("127.0.0.1:1",)
