Reword libs/config in plain technical English

Comments, docstrings, private names and message texts only. The exported names and the fields of the configuration are unchanged, and no string without spaces changes.

--- a/libs/config/src/fireflyford/config/__init__.py
+++ b/libs/config/src/fireflyford/config/__init__.py
@@ -1,4 +1,4 @@
-"""Operators' configuration library: describe and print a deployment."""
+"""Describe, validate, compare and render the configuration of a deployment."""
 
 from fireflyford.config._check import check
 from fireflyford.config._compare import compare
--- a/libs/config/src/fireflyford/config/_check.py
+++ b/libs/config/src/fireflyford/config/_check.py
@@ -1,4 +1,4 @@
-"""Faults of a deployment that types cannot express."""
+"""Validation of constraints that the types do not express."""
 
 import collections
 from collections.abc import Iterable
@@ -8,23 +8,23 @@
 from fireflyford import core
 from fireflyford.config import _types
 
-# Names appear in DNS names, certificates and keys of the store.
-_NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
-# Records of requests are kept for 120 s, so no deadline may outlive them.
+# Names are used in DNS names, certificates and store keys.
+_NAME_PATTERN = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
+# Request records are retained for 120 s, and no deadline may exceed that.
 MAX_DEADLINE_MS = 120_000
 MAX_PRIORITY = 9
 MAX_DELAY_MS = 10_000
 _METHODS = frozenset({"DELETE", "GET", "HEAD", "PATCH", "POST", "PUT"})
 # Methods that HTTP defines as not idempotent (RFC 9110, 9.2.2).
-_REPEATING_METHODS = frozenset({"PATCH", "POST"})
+_NON_IDEMPOTENT_METHODS = frozenset({"PATCH", "POST"})
 
 
 def check(deployment: _types.Deployment) -> tuple[str, ...]:
-    """Returns one line for each fault; empty when there is none."""
-    return tuple(_find_faults(deployment))
+    """Returns one line per error, empty for a valid deployment."""
+    return tuple(_find_errors(deployment))
 
 
-def _find_faults(deployment: _types.Deployment) -> Iterator[str]:
+def _find_errors(deployment: _types.Deployment) -> Iterator[str]:
     yield from _check_name("deployment", deployment.name)
     if not deployment.regions:
         yield "the deployment has no region; add at least one"
@@ -48,80 +48,84 @@
 
 
 def _check_region(region: _types.Region) -> Iterator[str]:
-    where = f"region {region.name}"
+    prefix = f"region {region.name}"
     yield from _check_name("region", region.name)
     if not region.availability_zones:
-        yield f"{where}: no availability zone; add at least one"
+        yield f"{prefix}: no availability zone; add at least one"
     for zone in region.availability_zones:
-        yield from _check_name(f"{where}: availability zone", zone.name)
+        yield from _check_name(f"{prefix}: availability zone", zone.name)
     for field, value in (
         ("zone_delay_ms", region.zone_delay_ms),
         ("caller_delay_ms", region.caller_delay_ms),
     ):
         if not 0 <= value <= MAX_DELAY_MS:
             yield (
-                f"{where}: `{field}` is {value:g}, expected 0 to {MAX_DELAY_MS}"
+                f"{prefix}: `{field}` is {value:g}, expected 0 to "
+                f"{MAX_DELAY_MS}"
             )
 
 
 def _check_service(service: _types.Service) -> Iterator[str]:
-    where = f"service {service.name}"
+    prefix = f"service {service.name}"
     yield from _check_name("service", service.name)
     if _parse_address(service.address) is None:
         yield (
-            f"{where}: `address` is {service.address!r}, expected `ip:port` "
+            f"{prefix}: `address` is {service.address!r}, expected `ip:port` "
             "with a port from 1 to 65535"
         )
     for field in ("target_count", "slots_per_target", "connections_per_target"):
         value = getattr(service, field)
         if value < 1:
-            yield f"{where}: `{field}` is {value}, expected 1 or more"
+            yield f"{prefix}: `{field}` is {value}, expected 1 or more"
     quic = service.transport is _types.Transport.QUIC
     if quic and not service.treatments:
-        yield f"{where}: no treatment; add one for each kind of work"
+        yield f"{prefix}: no treatment; add one for each kind of request"
     if not quic and service.treatments:
-        yield f"{where}: datagram flows have no treatments; remove them"
-    yield from _find_duplicates(f"{where}: caller", service.callers)
+        yield f"{prefix}: datagram flows have no treatments; remove them"
+    yield from _find_duplicates(f"{prefix}: caller", service.callers)
     names = (item.name for item in service.treatments)
-    yield from _find_duplicates(f"{where}: treatment", names)
+    yield from _find_duplicates(f"{prefix}: treatment", names)
     for index, treatment in enumerate(service.treatments):
-        yield from _check_treatment(where, treatment)
-        yield from _find_hidden(where, service.treatments[:index], treatment)
+        yield from _check_treatment(prefix, treatment)
+        yield from _find_shadowed(prefix, service.treatments[:index], treatment)
 
 
-def _check_treatment(where: str, item: _types.Treatment) -> Iterator[str]:
-    where = f"{where}: treatment {item.name}"
-    if not _NAME.fullmatch(item.name):
-        yield f"{where}: the name needs a-z, 0-9 and hyphens, 1 to 63 of them"
+def _check_treatment(prefix: str, item: _types.Treatment) -> Iterator[str]:
+    prefix = f"{prefix}: treatment {item.name}"
+    if not _NAME_PATTERN.fullmatch(item.name):
+        yield (
+            f"{prefix}: the name must have 1 to 63 characters a-z, 0-9 or "
+            "hyphen"
+        )
     if item.method not in _METHODS:
         expected = ", ".join(sorted(_METHODS))
-        yield f"{where}: `method` is {item.method!r}, expected {expected}"
+        yield f"{prefix}: `method` is {item.method!r}, expected {expected}"
     if not item.path_prefix.startswith("/"):
         yield (
-            f"{where}: `path_prefix` is {item.path_prefix!r}, expected a "
+            f"{prefix}: `path_prefix` is {item.path_prefix!r}, expected a "
             "path that starts with /"
         )
     if not 1 <= item.deadline_ms <= MAX_DEADLINE_MS:
         yield (
-            f"{where}: `deadline_ms` is {item.deadline_ms}, expected 1 to "
+            f"{prefix}: `deadline_ms` is {item.deadline_ms}, expected 1 to "
             f"{MAX_DEADLINE_MS}"
         )
     if not 0 <= item.priority <= MAX_PRIORITY:
         yield (
-            f"{where}: `priority` is {item.priority}, expected 0 to "
+            f"{prefix}: `priority` is {item.priority}, expected 0 to "
             f"{MAX_PRIORITY}"
         )
     if item.kind is _types.Kind.FEED and item.method != "GET":
-        yield f"{where}: a feed needs method GET, not {item.method}"
-    if item.idempotent and item.method in _REPEATING_METHODS:
+        yield f"{prefix}: a feed needs method GET, not {item.method}"
+    if item.idempotent and item.method in _NON_IDEMPOTENT_METHODS:
         yield (
-            f"{where}: {item.method} is not idempotent; set `idempotent` to "
-            "false, so that the work runs at most once"
+            f"{prefix}: {item.method} is not idempotent; set `idempotent` to "
+            "false, so that requests are executed at most once"
         )
 
 
-def _find_hidden(
-    where: str,
+def _find_shadowed(
+    prefix: str,
     earlier: Iterable[_types.Treatment],
     treatment: _types.Treatment,
 ) -> Iterator[str]:
@@ -131,8 +135,8 @@
             and treatment.path_prefix.startswith(other.path_prefix)
         ):
             yield (
-                f"{where}: treatment {treatment.name} never applies, because "
-                f"{other.name} before it matches the same paths; put it first"
+                f"{prefix}: treatment {treatment.name} never applies, because "
+                f"{other.name} matches the same paths first; change the order"
             )
             return
 
@@ -149,7 +153,7 @@
         if owner != service.name:
             yield (
                 f"services {owner} and {service.name} share the address "
-                f"{address}; give each its own"
+                f"{address}; use a different address for each"
             )
 
 
@@ -161,15 +165,15 @@
     return address if address.port else None
 
 
-def _check_name(what: str, name: str) -> Iterator[str]:
-    if not _NAME.fullmatch(name):
+def _check_name(label: str, name: str) -> Iterator[str]:
+    if not _NAME_PATTERN.fullmatch(name):
         yield (
-            f"{what} {name!r}: the name needs a-z, 0-9 and hyphens, 1 to 63 "
-            "of them"
+            f"{label} {name!r}: the name must have 1 to 63 characters a-z, "
+            "0-9 or hyphen"
         )
 
 
-def _find_duplicates(what: str, names: Iterable[str]) -> Iterator[str]:
+def _find_duplicates(label: str, names: Iterable[str]) -> Iterator[str]:
     for name, count in collections.Counter(names).items():
         if count > 1:
-            yield f"{what} {name} appears {count} times; names must differ"
+            yield f"{label} {name} appears {count} times; names must be unique"
--- a/libs/config/src/fireflyford/config/_compare.py
+++ b/libs/config/src/fireflyford/config/_compare.py
@@ -1,4 +1,4 @@
-"""Differences between two deployments, and services left stranded."""
+"""Differences between deployments, and changes that would break flows."""
 
 from collections.abc import Iterator
 from typing import Any
@@ -7,15 +7,15 @@
 
 from fireflyford.config import _types
 
-# Lists of these elements are matched by name, so that an inserted element
-# does not show every later one as changed.
-_KEY = "name"
+# List elements are matched by this field, so that an insertion does not report
+# all later elements as changed.
+_NAME_FIELD = "name"
 
 
 def compare(
     old: _types.Deployment | None, new: _types.Deployment
 ) -> tuple[str, ...]:
-    """Returns one line for each difference, for review.
+    """Returns one line per difference, for review.
 
     >>> region = _types.Region("north", (), 1.0, 1.0)
     >>> old = _types.Deployment("shop", (region,), ())
@@ -25,31 +25,31 @@
     """
     if old is None:
         return (f"+ deployment {new.name}",)
-    return tuple(_walk(msgspec.to_builtins(old), msgspec.to_builtins(new), ""))
+    return tuple(_diff(msgspec.to_builtins(old), msgspec.to_builtins(new), ""))
 
 
 def find_stranded(
     old: _types.Deployment, new: _types.Deployment
 ) -> tuple[str, ...]:
-    """Returns one line for each service whose flows would be lost.
+    """Returns one line per service whose flows the change would break.
 
-    Flows live on the address and the transport of their service, so a service
-    may lose either only after a configuration in which it was draining.
+    Flows are bound to the address and transport of their service, so either
+    may change only after a configuration in which the service is draining.
     """
     lines = []
     for service in old.services:
-        after = new.service(service.name)
-        reason = _reason(service, after)
-        if reason and not service.draining:
+        replacement = new.service(service.name)
+        change = _breaking_change(service, replacement)
+        if change and not service.draining:
             lines.append(
-                f"service {service.name} would {reason} while it may hold "
+                f"service {service.name} would {change} while it may hold "
                 "flows; first push it with `draining: true` and wait until "
                 "`fireflyford targets` shows no connections"
             )
     return tuple(lines)
 
 
-def _reason(old: _types.Service, new: _types.Service | None) -> str:
+def _breaking_change(old: _types.Service, new: _types.Service | None) -> str:
     if new is None:
         return "be removed"
     if new.address != old.address:
@@ -59,36 +59,36 @@
     return ""
 
 
-def _walk(old: Any, new: Any, path: str) -> Iterator[str]:
-    old, new = _by_name(old), _by_name(new)
+def _diff(old: Any, new: Any, path: str) -> Iterator[str]:
+    old, new = _index_by_name(old), _index_by_name(new)
     if not (isinstance(old, dict) and isinstance(new, dict)):
         if old != new:
-            yield f"~ {path}: {_show(old)} -> {_show(new)}"
+            yield f"~ {path}: {_format_value(old)} -> {_format_value(new)}"
         return
     for key in old:
         if key not in new:
-            yield f"- {_join(path, key)}"
+            yield f"- {_join_path(path, key)}"
     for key, value in new.items():
         if key not in old:
-            yield f"+ {_join(path, key)}"
+            yield f"+ {_join_path(path, key)}"
         else:
-            yield from _walk(old[key], value, _join(path, key))
-    kept = [key for key in old if key in new]
-    if kept != [key for key in new if key in old]:
+            yield from _diff(old[key], value, _join_path(path, key))
+    common = [key for key in old if key in new]
+    if common != [key for key in new if key in old]:
         yield f"~ {path}: order is now {', '.join(new)}"
 
 
-def _by_name(value: Any) -> Any:
+def _index_by_name(value: Any) -> Any:
     if not isinstance(value, list | tuple) or not value:
         return {} if value in ([], ()) else value
-    if all(isinstance(item, dict) and _KEY in item for item in value):
-        return {item[_KEY]: item for item in value}
+    if all(isinstance(item, dict) and _NAME_FIELD in item for item in value):
+        return {item[_NAME_FIELD]: item for item in value}
     return value
 
 
-def _show(value: Any) -> str:
+def _format_value(value: Any) -> str:
     return msgspec.json.encode(value).decode()
 
 
-def _join(path: str, key: str) -> str:
+def _join_path(path: str, key: str) -> str:
     return f"{path}.{key}" if path else key
--- a/libs/config/src/fireflyford/config/_types.py
+++ b/libs/config/src/fireflyford/config/_types.py
@@ -1,42 +1,42 @@
-"""What an operator describes: services, places and treatments of work."""
+"""Configuration of a deployment: services, regions and treatments."""
 
 import dataclasses
 import enum
 
-# Raised when a text stops being readable by instances of the version before.
+# Increased when instances of the previous release can no longer parse a text.
 FORMAT = 1
 
 
 class Kind(enum.Enum):
-    """Shape of the work behind a path."""
+    """Communication pattern of a treatment: single request or event feed."""
 
     REQUEST = "request"
     FEED = "feed"
 
 
 class SizeClass(enum.Enum):
-    """Expected length of the work."""
+    """Expected service time of a request."""
 
     SHORT = "short"
     LONG = "long"
 
 
 class Transport(enum.Enum):
-    """What callers speak to a service."""
+    """Transport protocol between callers and a service."""
 
     QUIC = "quic"
     DATAGRAM = "datagram"
 
 
 class CrestPolicy(enum.Enum):
-    """What happens to work that cannot finish within its deadline."""
+    """Overload policy for requests that would exceed their deadline."""
 
     REFUSE = "refuse"
     QUEUE = "queue"
 
 
 class MovePolicy(enum.Enum):
-    """How a feed goes on when its backend server leaves."""
+    """How a feed continues when its backend server is removed."""
 
     RESUME = "resume"
     RECONNECT = "reconnect"
@@ -44,19 +44,19 @@
 
 @dataclasses.dataclass(frozen=True)
 class Treatment:
-    """How one kind of work is treated.
+    """Scheduling policy for requests that match a method and path prefix.
 
     Attributes:
         name: Name, unique within the service.
-        method: HTTP method that selects the treatment.
-        path_prefix: Path prefix that selects the treatment.
+        method: HTTP method to match.
+        path_prefix: Path prefix to match.
         kind: Request or feed.
-        idempotent: Whether running the work twice is harmless.
-        size: Expected length.
-        deadline_ms: Longest useful time from arrival to answer.
-        priority: Higher runs first; 0 to 9.
-        at_crest: What happens when demand exceeds capacity.
-        on_move: How a feed goes on after a move.
+        idempotent: Whether a request may be executed more than once.
+        size: Expected service time.
+        deadline_ms: Maximum time from arrival to response.
+        priority: Priority from 0 to 9; higher values run first.
+        at_crest: Policy under overload.
+        on_move: How a feed continues after it moves to another target.
     """
 
     name: str
@@ -73,21 +73,21 @@
 
 @dataclasses.dataclass(frozen=True)
 class Service:
-    """One service behind one address.
+    """A service with its address and targets.
 
     Attributes:
         name: Name, unique within the deployment.
         address: Service address as `ip:port`.
         target_count: Planned number of targets.
-        slots_per_target: Requests that one target runs at a time.
-        connections_per_target: Connections that one target is meant to hold.
-        treatments: Treatments in order; the first match applies.
-        transport: What callers speak.
-        callers: Names in caller certificates that may use the service;
-            empty means everyone.
-        draining: Whether the service takes no new flows any more. A service
-            is removed, or moved to another address, only after a
-            configuration in which it was draining.
+        slots_per_target: Maximum number of concurrent requests per target.
+        connections_per_target: Planned number of connections per target.
+        treatments: Treatments in matching order; the first match applies.
+        transport: Transport protocol towards callers.
+        callers: Certificate names of callers that may use the service; empty
+            allows all callers.
+        draining: Whether the service accepts no new flows. A service may be
+            removed or moved to another address only after a configuration in
+            which it is draining.
     """
 
     name: str
@@ -101,7 +101,7 @@
     draining: bool = False
 
     def treatment(self, method: str, path: str) -> Treatment | None:
-        """Returns the first treatment that matches, or None."""
+        """Returns the first treatment that matches a request, or None."""
         for treatment in self.treatments:
             if treatment.method == method and path.startswith(
                 treatment.path_prefix
@@ -119,12 +119,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class Region:
-    """A region and its delays.
+    """A region with its availability zones and network delays.
 
     Attributes:
-        name: Name of the region.
-        availability_zones: Zones of the region.
-        zone_delay_ms: One-way delay between zones.
+        name: Name, unique within the deployment.
+        availability_zones: Availability zones of the region.
+        zone_delay_ms: One-way delay between availability zones.
         caller_delay_ms: One-way delay to callers.
     """
 
@@ -136,14 +136,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Deployment:
-    """Everything that an operator promises, in one readable value.
+    """Complete configuration of a deployment.
 
     Attributes:
         name: Name of the deployment.
-        regions: Regions with their zones and delays.
-        services: Services behind their addresses.
-        format: Format number of the text; an instance holds back a text with
-            a higher number than its own.
+        regions: Regions of the deployment.
+        services: Services of the deployment.
+        format: Format version of the text; instances do not apply a text with
+            a format version that they do not support.
     """
 
     name: str
@@ -152,14 +152,14 @@
     format: int = FORMAT
 
     def service(self, name: str) -> Service | None:
-        """Returns the service of that name, or None."""
+        """Returns the service with this name, or None."""
         for service in self.services:
             if service.name == name:
                 return service
         return None
 
     def only(self, service_name: str) -> "Deployment":
-        """Returns the part that the agents of one service need."""
+        """Returns a copy restricted to one service, for its agents."""
         kept = tuple(
             service for service in self.services if service.name == service_name
         )
--- a/libs/config/tests/test_check.py
+++ b/libs/config/tests/test_check.py
@@ -1,4 +1,4 @@
-"""Faults of deployments, their comparison and their text."""
+"""Tests of validation, comparison and parsing of deployments."""
 
 import dataclasses
 from typing import Any
@@ -37,7 +37,7 @@
         (dataclasses.replace(BASE, regions=()), "the deployment has no region"),
         (dataclasses.replace(BASE, services=()), "the deployment has no serv"),
         (with_service(name="padron"), "service padron appears 2 times"),
-        (with_service(name=""), "service '': the name needs"),
+        (with_service(name=""), "service '': the name must have"),
         (with_service(address="127.0.0.1:4434"), "tahian and padron share"),
         (with_service(address="host:1"), "`address` is 'host:1', expected"),
         (with_service(target_count=0), "`target_count` is 0, expected 1 or"),
@@ -77,22 +77,22 @@
         (with_order(priority=10), "`priority` is 10, expected 0 to 9"),
         (with_order(method="post"), "`method` is 'post', expected DELETE"),
         (with_order(path_prefix="x"), "`path_prefix` is 'x', expected a path"),
-        (with_order(name="A"), "treatment A: the name needs"),
+        (with_order(name="A"), "treatment A: the name must have"),
         (with_order(idempotent=True), "POST is not idempotent; set"),
         (with_order(kind=config.Kind.FEED), "a feed needs method GET"),
     ],
 )
-def test_each_fault_gives_one_line(
+def test_each_error_is_reported_once(
     deployment: config.Deployment, expected: str
 ) -> None:
-    """Guards against a wrong configuration that passes the check."""
+    """Guards against an invalid configuration that passes validation."""
     lines = [line for line in config.check(deployment) if expected in line]
     assert len(lines) == 1, config.check(deployment)
     assert "\n" not in lines[0]
 
 
-def test_a_comparison_names_what_changed() -> None:
-    """Guards against a review that shows unrelated lines as changed."""
+def test_comparison_lists_changed_elements() -> None:
+    """Guards against a diff that reports unrelated elements as changed."""
     added = dataclasses.replace(SHEET, name="index", path_prefix="/index")
     new = with_service(target_count=9, treatments=(ORDER, added, SHEET, FEED))
     assert config.compare(BASE, new) == (
@@ -118,10 +118,10 @@
         (with_service(target_count=1), ""),
     ],
 )
-def test_a_service_with_flows_is_not_stranded(
+def test_breaking_change_requires_draining(
     new: config.Deployment, expected: str
 ) -> None:
-    """Guards against a change that takes a service's flows their address."""
+    """Guards against a change that breaks the flows of a service."""
     lines = config.find_stranded(BASE, new)
     assert [expected in line for line in lines] == [True] * bool(expected)
     assert config.find_stranded(with_service(draining=True), new) == ()
@@ -130,7 +130,7 @@
 @pytest.mark.parametrize(
     ("old", "new", "expected"),
     [
-        ('"format": 1', '"format": 2', "format 2 is not readable here"),
+        ('"format": 1', '"format": 2', "format 2 is not supported, expected"),
         ('"target_count"', '"target_cuont"', "missing required field"),
         ('"priority"', '"priorty"', "treatments[0].priorty"),
         ('"kind": "feed"', '"kind": "food"', "services[0].treatments[2].kind"),
@@ -138,10 +138,8 @@
         ('"name"', "name", "JSON is malformed"),
     ],
 )
-def test_an_unreadable_text_is_refused_whole(
-    old: str, new: str, expected: str
-) -> None:
-    """Guards against a text that is read in part."""
+def test_invalid_text_is_rejected(old: str, new: str, expected: str) -> None:
+    """Guards against a text that is parsed partially."""
     text = config.render(BASE).replace(old, new, 1)
     outcome = config.parse(text)
     assert isinstance(outcome, core.Failure)
--- a/libs/config/tests/test_examples.py
+++ b/libs/config/tests/test_examples.py
@@ -1,4 +1,4 @@
-"""The operators' programs and their printed texts."""
+"""Tests of the example programs and their rendered configurations."""
 
 import pathlib
 import runpy
@@ -13,10 +13,10 @@
 
 
 @pytest.mark.parametrize("name", ["bantay", "hanul"])
-def test_the_printed_text_is_current(
+def test_rendered_text_is_current(
     name: str, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    """Guards against a committed text that its program no longer prints."""
+    """Guards against a committed text that differs from the program output."""
     runpy.run_path(str(EXAMPLES / f"{name}.py"), run_name="__main__")
     printed = capsys.readouterr().out
     assert printed == (EXAMPLES / f"{name}.json").read_text()
