Reword libs/settings in plain technical English

Comments, docstrings, private names and message texts only. Fields and defaults are unchanged, and no string without spaces changes.

Four expectations in test_settings.py follow reworded messages and check at least as much: "is a wrong" and "is a wrong key, expected hex" -> "is an invalid key" and "is an invalid key, expected hex"; "another address than `bulk_add" and "`link_" -> "a different address than `bulk_address`" and "`link_address`".

--- a/libs/settings/src/fireflyford/settings/__init__.py
+++ b/libs/settings/src/fireflyford/settings/__init__.py
@@ -1,4 +1,4 @@
-"""Checked settings of one process, read from JSON with comments."""
+"""Settings of one process, loaded from JSON with comments and validated."""
 
 from fireflyford.settings._settings import AgentSettings
 from fireflyford.settings._settings import BalancerSettings
--- a/libs/settings/src/fireflyford/settings/_checks.py
+++ b/libs/settings/src/fireflyford/settings/_checks.py
@@ -1,4 +1,4 @@
-"""What each field of the settings must look like."""
+"""Validation rules for the fields of the settings."""
 
 from collections.abc import Callable
 from collections.abc import Iterator
@@ -12,25 +12,27 @@
 from fireflyford import core
 
 MAX_DRAIN_LIMIT_MS = 3_600_000
-MAX_WEIGHT = 1_000
+MAX_CAPACITY_WEIGHT = 1_000
 MAX_SLOT_COUNT = 10_000
-_NAME = re.compile(r"[A-Za-z0-9]([A-Za-z0-9._-]{0,61}[A-Za-z0-9])?")
-# BLAKE2s takes keys up to 32 bytes; below 16 they can be guessed.
+_IDENTIFIER_PATTERN = re.compile(
+    r"[A-Za-z0-9]([A-Za-z0-9._-]{0,61}[A-Za-z0-9])?"
+)
+# BLAKE2s accepts keys of up to 32 bytes; keys below 16 bytes can be guessed.
 _KEY_BYTES = range(16, 33)
 
-Check = Callable[[Any], bool]
+Validator = Callable[[Any], bool]
 
 
 @dataclasses.dataclass(frozen=True)
 class Rule:
-    """A condition on a value, in code and in words.
+    """Validation rule for a value.
 
     Attributes:
-        holds: Whether the value is right.
-        expected: What the value must be.
+        is_valid: Returns whether a value is valid.
+        expected: Description of valid values for error messages.
     """
 
-    holds: Check
+    is_valid: Validator
     expected: str
 
 
@@ -60,40 +62,40 @@
 
 
 _ADDRESS = Rule(_is_address, "`ip:port` with a port from 1 to 65535")
-# A connection ID has room for an IPv4 address only.
+# Connection IDs have space only for an IPv4 address.
 _IPV4_ADDRESS = Rule(_is_ipv4_address, "`ip:port` with an IPv4 address")
 _KEY = Rule(_is_key, "hexadecimal digits of 16 to 32 bytes")
 _FILE = Rule(_is_file, "the path of a file that exists")
-_NAMED = Rule(
-    lambda value: _NAME.fullmatch(value) is not None,
+_IDENTIFIER = Rule(
+    lambda value: _IDENTIFIER_PATTERN.fullmatch(value) is not None,
     "1 to 63 letters, digits, `.`, `_` or `-`",
 )
 
 
-def _or_empty(rule: Rule) -> Rule:
+def _optional(rule: Rule) -> Rule:
     return Rule(
-        lambda value: value == "" or rule.holds(value),
+        lambda value: value == "" or rule.is_valid(value),
         f"{rule.expected}, or empty",
     )
 
 
-def _between(low: float, high: float) -> Rule:
+def _in_range(low: float, high: float) -> Rule:
     return Rule(
         lambda value: math.isfinite(value) and low <= value <= high,
         f"a number from {low:g} to {high:g}",
     )
 
 
-# Elements of lists and values of objects have the rule of their field.
+# A rule also applies to each element of a list and each value of an object.
 _RULES = {
-    "instance_id": _NAMED,
-    "region": _NAMED,
-    "availability_zone": _NAMED,
-    "service": _NAMED,
+    "instance_id": _IDENTIFIER,
+    "region": _IDENTIFIER,
+    "availability_zone": _IDENTIFIER,
+    "service": _IDENTIFIER,
     "link_address": _IPV4_ADDRESS,
-    "link_bind_address": _or_empty(_IPV4_ADDRESS),
+    "link_bind_address": _optional(_IPV4_ADDRESS),
     "control_address": _ADDRESS,
-    "control_bind_address": _or_empty(_ADDRESS),
+    "control_bind_address": _optional(_ADDRESS),
     "bulk_address": _ADDRESS,
     "status_address": _ADDRESS,
     "backend_address": _ADDRESS,
@@ -102,45 +104,49 @@
     "listeners": _ADDRESS,
     "routing_keys_hex": _KEY,
     "link_key_hex": _KEY,
-    "caller_key_hex": _or_empty(_KEY),
-    "config_path": _or_empty(_FILE),
+    "caller_key_hex": _optional(_KEY),
+    "config_path": _optional(_FILE),
     "certificate_path": _FILE,
     "private_key_path": _FILE,
-    "drain_limit_ms": _between(0, MAX_DRAIN_LIMIT_MS),
-    "capacity_weight": _between(0.01, MAX_WEIGHT),
-    "slot_count": _between(1, MAX_SLOT_COUNT),
+    "drain_limit_ms": _in_range(0, MAX_DRAIN_LIMIT_MS),
+    "capacity_weight": _in_range(0.01, MAX_CAPACITY_WEIGHT),
+    "slot_count": _in_range(1, MAX_SLOT_COUNT),
 }
-_NOT_EMPTY = ("routing_keys_hex", "listeners")
-# Two sockets of one protocol cannot share an address.
+_NON_EMPTY_FIELDS = ("routing_keys_hex", "listeners")
+# Sockets of the same protocol must have different addresses.
 _UDP_FIELDS = ("link_address", "control_address", "listeners")
 _TCP_FIELDS = ("bulk_address", "status_address", "backend_address")
 
 
-def find_fault(values: dict[str, Any]) -> str | None:
-    """Returns the first wrong field and what was expected, or None."""
+def find_error(values: dict[str, Any]) -> str | None:
+    """Returns a message for the first invalid field, or None."""
     for field, value in values.items():
-        if field in _NOT_EMPTY and not value:
+        if field in _NON_EMPTY_FIELDS and not value:
             return f"`{field}` is empty, expected at least one element"
         rule = _RULES.get(field)
-        for path, element in _elements(field, value):
-            if rule is not None and not rule.holds(element):
-                shown = (
-                    "a wrong key" if field.endswith("_hex") else repr(element)
+        for path, element in _flatten(field, value):
+            if rule is not None and not rule.is_valid(element):
+                value_text = (
+                    "an invalid key"
+                    if field.endswith("_hex")
+                    else repr(element)
                 )
-                return f"`{path}` is {shown}, expected {rule.expected}"
+                return f"`{path}` is {value_text}, expected {rule.expected}"
     if "service" in values and not values["config_path"]:
         return f"`config_path` is empty, expected {_FILE.expected}"
     for name in values.get("listeners", {}):
-        if not _NAMED.holds(name):
-            return f"`listeners.{name}`: expected a key of {_NAMED.expected}"
+        if not _IDENTIFIER.is_valid(name):
+            return (
+                f"`listeners.{name}`: expected a key of {_IDENTIFIER.expected}"
+            )
     for fields in (_UDP_FIELDS, _TCP_FIELDS):
-        fault = _find_shared(values, fields)
-        if fault is not None:
-            return fault
+        error = _find_shared_address(values, fields)
+        if error is not None:
+            return error
     return None
 
 
-def _elements(field: str, value: Any) -> Iterator[tuple[str, Any]]:
+def _flatten(field: str, value: Any) -> Iterator[tuple[str, Any]]:
     if isinstance(value, dict):
         for key, element in value.items():
             yield f"{field}.{key}", element
@@ -151,14 +157,16 @@
         yield field, value
 
 
-def _find_shared(values: dict[str, Any], fields: tuple[str, ...]) -> str | None:
+def _find_shared_address(
+    values: dict[str, Any], fields: tuple[str, ...]
+) -> str | None:
     owners: dict[str, str] = {}
     for field in fields:
-        for path, address in _elements(field, values.get(field, "")):
+        for path, address in _flatten(field, values.get(field, "")):
             owner = owners.setdefault(address, path) if address else path
             if owner != path:
                 return (
-                    f"`{path}` is {address!r}, expected another address than "
-                    f"`{owner}`"
+                    f"`{path}` is {address!r}, expected a different address "
+                    f"than `{owner}`"
                 )
     return None
--- a/libs/settings/src/fireflyford/settings/_settings.py
+++ b/libs/settings/src/fireflyford/settings/_settings.py
@@ -1,4 +1,4 @@
-"""Settings of one process, read from JSON with comments."""
+"""Settings classes and the loader for JSON with comments."""
 
 import dataclasses
 import difflib
@@ -16,25 +16,26 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _InstanceSettings:
-    """Settings that every instance has.
+    """Settings common to all instances.
 
     Attributes:
-        instance_id: Name of the instance, unique while it lives.
+        instance_id: ID of the instance, unique among running instances.
         region: Region of the instance.
         availability_zone: Availability zone of the instance.
         link_address: `ip:port` of the forwarding socket (UDP, IPv4).
-        link_bind_address: Where that socket listens, when address
-            translation makes it differ from what others send to.
+        link_bind_address: Bind address of the forwarding socket if address
+            translation makes it differ from `link_address`.
         control_address: `ip:port` of the membership socket (UDP).
-        control_bind_address: Where that socket listens, likewise.
+        control_bind_address: Bind address of the membership socket if it
+            differs from `control_address`.
         bulk_address: `ip:port` of the bulk transfer socket (TCP).
-        status_address: `ip:port` of metrics and health (HTTP).
-        seeds: Control addresses of instances to join through.
-        store_addresses: `ip:port` of the key-value service's gateways.
-        routing_keys_hex: Keys of connection IDs; the last one signs.
-        link_key_hex: Key of forwarding headers and control messages.
-        config_path: Configuration file used until the store has one.
-        drain_limit_ms: Longest graceful shutdown.
+        status_address: `ip:port` of the status endpoints (HTTP).
+        seeds: Control addresses of instances to join.
+        store_addresses: `ip:port` of the gateways of the key-value store.
+        routing_keys_hex: Keys for connection IDs; the last one signs new IDs.
+        link_key_hex: Key for forwarding headers and control messages.
+        config_path: Configuration file used until a version is received.
+        drain_limit_ms: Maximum duration of a graceful shutdown.
     """
 
     instance_id: str
@@ -55,24 +56,24 @@
 
     @property
     def routing_keys(self) -> tuple[bytes, ...]:
-        """Keys of connection IDs."""
+        """Decoded keys for connection IDs."""
         return tuple(bytes.fromhex(key) for key in self.routing_keys_hex)
 
     @property
     def link_listen(self) -> core.Address:
-        """Where the forwarding socket listens."""
+        """Bind address of the forwarding socket."""
         return core.Address.parse(self.link_bind_address or self.link_address)
 
     @property
     def control_listen(self) -> core.Address:
-        """Where the membership socket listens."""
+        """Bind address of the membership socket."""
         return core.Address.parse(
             self.control_bind_address or self.control_address
         )
 
     @property
     def link_key(self) -> bytes:
-        """Key of forwarding headers and control messages."""
+        """Decoded key for forwarding headers and control messages."""
         return bytes.fromhex(self.link_key_hex)
 
 
@@ -81,8 +82,8 @@
     """Settings of a balancer.
 
     Attributes:
-        listeners: Service name to `ip:port` on which the fabric delivers.
-        capacity_weight: Size of this instance against the others.
+        listeners: Listening `ip:port` for each service name.
+        capacity_weight: Capacity relative to other balancers.
     """
 
     listeners: dict[str, str]
@@ -96,11 +97,12 @@
     Attributes:
         service: Service of the backend server.
         backend_address: `ip:port` of the backend server (HTTP).
-        certificate_path: PEM file with the service's certificate chain.
-        private_key_path: PEM file with its key.
-        caller_key_hex: Key of the tokens that callers present; empty when
-            the service is open to everyone.
-        slot_count: Requests that the backend server runs at a time.
+        certificate_path: PEM file with the certificate chain of the service.
+        private_key_path: PEM file with the private key of the certificate.
+        caller_key_hex: Key for caller tokens, empty if the service requires no
+            token.
+        slot_count: Maximum number of concurrent requests at the backend
+            server.
     """
 
     service: str
@@ -112,57 +114,61 @@
 
     @property
     def caller_key(self) -> bytes:
-        """Key of caller tokens, empty when the service is open."""
+        """Decoded key for caller tokens, empty if none are required."""
         return bytes.fromhex(self.caller_key_hex)
 
 
 def load(path: str, kind: type[S]) -> core.Outcome[S]:
-    """Reads and checks a settings file.
+    """Loads and validates a settings file.
 
     Args:
-        path: File of JSON with comments.
+        path: Path of a file of JSON with comments.
         kind: `BalancerSettings` or `AgentSettings`.
 
     Returns:
-        The settings, or `BAD_SETTINGS` with file, field and what was expected.
+        The settings, or `BAD_SETTINGS` with file, field and expected value.
     """
     try:
         raw = json5.loads(
             pathlib.Path(path).read_text(), allow_duplicate_keys=False
         )
     except (OSError, ValueError) as error:
-        return _bad(path, str(error))
+        return _failure(path, str(error))
     if not isinstance(raw, dict):
-        return _bad(path, "expected one object")
+        return _failure(path, "expected a JSON object")
     names = {field.name for field in dataclasses.fields(kind)}
     for name in sorted(set(raw) - names):
-        return _bad(path, _describe_unknown(name, names))
+        return _failure(path, _format_unknown_field(name, names))
     try:
         settings: S = msgspec.convert(raw, kind)
     except msgspec.ValidationError as error:
-        return _bad(path, _describe_type(str(error)))
-    fault = _checks.find_fault(
+        return _failure(path, _format_type_error(str(error)))
+    error_message = _checks.find_error(
         {name: getattr(settings, name) for name in names}
     )
-    return core.Ok(settings) if fault is None else _bad(path, fault)
+    return (
+        core.Ok(settings)
+        if error_message is None
+        else _failure(path, error_message)
+    )
 
 
-def _describe_unknown(name: str, names: set[str]) -> str:
-    similar = difflib.get_close_matches(name, names, n=1)
-    hint = f"expected `{similar[0]}`?" if similar else "remove it"
+def _format_unknown_field(name: str, names: set[str]) -> str:
+    matches = difflib.get_close_matches(name, names, n=1)
+    hint = f"expected `{matches[0]}`?" if matches else "remove it"
     return f"unknown field `{name}`, {hint}"
 
 
-def _describe_type(message: str) -> str:
-    """Puts the field of a message of msgspec first.
+def _format_type_error(message: str) -> str:
+    """Moves the field name to the front of a msgspec error message.
 
-    >>> _describe_type("Expected `int`, got `str` - at `$.slot_count`")
+    >>> _format_type_error("Expected `int`, got `str` - at `$.slot_count`")
     '`slot_count`: expected `int`, got `str`'
     """
-    reason, _, place = message.partition(" - at ")
+    reason, _, field = message.partition(" - at ")
     reason = reason[:1].lower() + reason[1:]
-    return f"{place.replace('$.', '')}: {reason}" if place else reason
+    return f"{field.replace('$.', '')}: {reason}" if field else reason
 
 
-def _bad(path: str, message: str) -> core.Failure:
+def _failure(path: str, message: str) -> core.Failure:
     return core.Failure(core.ErrorKind.BAD_SETTINGS, f"{path}: {message}")
--- a/libs/settings/tests/test_settings.py
+++ b/libs/settings/tests/test_settings.py
@@ -1,4 +1,4 @@
-"""Checks of settings files."""
+"""Tests of loading and validation of settings files."""
 
 import json
 import pathlib
@@ -11,7 +11,7 @@
 KEY = "0f" * 16
 
 
-def common(directory: pathlib.Path) -> dict[str, object]:
+def common_values(directory: pathlib.Path) -> dict[str, object]:
     (directory / "file").write_text("")
     return {
         "instance_id": "one",
@@ -26,12 +26,12 @@
     }
 
 
-def balancer(directory: pathlib.Path) -> dict[str, object]:
-    return common(directory) | {"listeners": {"shop": "127.0.0.1:1005"}}
+def balancer_values(directory: pathlib.Path) -> dict[str, object]:
+    return common_values(directory) | {"listeners": {"shop": "127.0.0.1:1005"}}
 
 
-def agent(directory: pathlib.Path) -> dict[str, object]:
-    return common(directory) | {
+def agent_values(directory: pathlib.Path) -> dict[str, object]:
+    return common_values(directory) | {
         "service": "shop",
         "backend_address": "127.0.0.1:1006",
         "certificate_path": str(directory / "file"),
@@ -40,7 +40,7 @@
     }
 
 
-def read(
+def load_values(
     directory: pathlib.Path, values: object, kind: type[object]
 ) -> core.Outcome[object]:
     path = directory / "settings.json"
@@ -48,13 +48,13 @@
     return settings.load(str(path), kind)
 
 
-def test_right_settings_are_read(tmp_path: pathlib.Path) -> None:
-    """Guards against checks that refuse working settings."""
+def test_valid_settings_are_loaded(tmp_path: pathlib.Path) -> None:
+    """Guards against validation that rejects valid settings."""
     for values, kind in (
-        (balancer(tmp_path), settings.BalancerSettings),
-        (agent(tmp_path), settings.AgentSettings),
+        (balancer_values(tmp_path), settings.BalancerSettings),
+        (agent_values(tmp_path), settings.AgentSettings),
     ):
-        assert isinstance(read(tmp_path, values, kind), core.Ok)
+        assert isinstance(load_values(tmp_path, values, kind), core.Ok)
 
 
 @pytest.mark.parametrize(
@@ -67,30 +67,46 @@
         ("control_address", "localhost:1", "`control_address` is 'localhost"),
         ("bulk_address", "127.0.0.1", "`bulk_address` is '127.0.0.1', expect"),
         ("status_address", "127.0.0.1:0", "`status_address` is '127.0.0.1:0'"),
-        ("status_address", "127.0.0.1:1003", "another address than `bulk_add"),
+        (
+            "status_address",
+            "127.0.0.1:1003",
+            "a different address than `bulk_address`",
+        ),
         ("seeds", ["127.0.0.1:1", "x"], "`seeds[1]` is 'x', expected `ip:po"),
         ("seeds", "127.0.0.1:1", "`seeds`: expected `array`, got `str`"),
         ("store_addresses", ["127.0.0.1:70000"], "`store_addresses[0]` is"),
         ("routing_keys_hex", [], "`routing_keys_hex` is empty"),
-        ("routing_keys_hex", [KEY, "zz"], "`routing_keys_hex[1]` is a wrong"),
-        ("link_key_hex", "0f", "`link_key_hex` is a wrong key, expected hex"),
+        (
+            "routing_keys_hex",
+            [KEY, "zz"],
+            "`routing_keys_hex[1]` is an invalid key",
+        ),
+        (
+            "link_key_hex",
+            "0f",
+            "`link_key_hex` is an invalid key, expected hex",
+        ),
         ("config_path", "/none", "`config_path` is '/none', expected the pa"),
         ("drain_limit_ms", -1, "`drain_limit_ms` is -1, expected a number"),
         ("drain_limit_ms", "9", "`drain_limit_ms`: expected `int`, got `str`"),
         ("listeners", {}, "`listeners` is empty"),
         ("listeners", {"shop": "x"}, "`listeners.shop` is 'x', expected `ip"),
         ("listeners", {"a b": "127.0.0.1:9"}, "`listeners.a b`: expected a"),
-        ("listeners", {"a": "127.0.0.1:1001"}, "another address than `link_"),
+        (
+            "listeners",
+            {"a": "127.0.0.1:1001"},
+            "a different address than `link_address`",
+        ),
         ("capacity_weight", 0, "`capacity_weight` is 0.0, expected a number"),
         ("sedes", [], "unknown field `sedes`, expected `seeds`?"),
     ],
 )
-def test_a_wrong_balancer_field_is_named(
+def test_invalid_balancer_field_is_reported(
     tmp_path: pathlib.Path, field: str, value: object, expected: str
 ) -> None:
-    """Guards against a wrong field that is accepted or not named."""
-    values = balancer(tmp_path) | {field: value}
-    outcome = read(tmp_path, values, settings.BalancerSettings)
+    """Guards against an invalid field that is accepted or not reported."""
+    values = balancer_values(tmp_path) | {field: value}
+    outcome = load_values(tmp_path, values, settings.BalancerSettings)
     assert isinstance(outcome, core.Failure)
     assert outcome.kind is core.ErrorKind.BAD_SETTINGS
     assert outcome.message.startswith(str(tmp_path / "settings.json"))
@@ -110,27 +126,27 @@
         ("listeners", {}, "unknown field `listeners`"),
     ],
 )
-def test_a_wrong_agent_field_is_named(
+def test_invalid_agent_field_is_reported(
     tmp_path: pathlib.Path, field: str, value: object, expected: str
 ) -> None:
-    """Guards against a wrong field that is accepted or not named."""
-    values = agent(tmp_path) | {field: value}
-    outcome = read(tmp_path, values, settings.AgentSettings)
+    """Guards against an invalid field that is accepted or not reported."""
+    values = agent_values(tmp_path) | {field: value}
+    outcome = load_values(tmp_path, values, settings.AgentSettings)
     assert isinstance(outcome, core.Failure)
     assert expected in outcome.message
 
 
-def test_a_missing_field_is_named(tmp_path: pathlib.Path) -> None:
-    """Guards against a missing field that is found only when it is used."""
-    values = balancer(tmp_path)
+def test_missing_field_is_reported(tmp_path: pathlib.Path) -> None:
+    """Guards against a missing field that is detected only on use."""
+    values = balancer_values(tmp_path)
     del values["region"]
-    outcome = read(tmp_path, values, settings.BalancerSettings)
+    outcome = load_values(tmp_path, values, settings.BalancerSettings)
     assert isinstance(outcome, core.Failure)
     assert "`region`" in outcome.message
 
 
-def test_a_field_that_appears_twice_is_refused(tmp_path: pathlib.Path) -> None:
-    """Guards against one of two values that is silently left out."""
+def test_duplicate_field_is_rejected(tmp_path: pathlib.Path) -> None:
+    """Guards against duplicate fields of which one is silently ignored."""
     path = tmp_path / "settings.json"
     path.write_text('{"region": "a", "region": "b"}')
     outcome = settings.load(str(path), settings.BalancerSettings)
