--- a/libs/telemetry/src/fireflyford/telemetry/_exposition.py
+++ b/libs/telemetry/src/fireflyford/telemetry/_exposition.py
@@ -1,4 +1,4 @@
-"""Text exposition of plain counts, for processes that start small."""
+"""Prometheus text exposition of plain values, without OpenTelemetry."""
 
 from collections.abc import Mapping
 
@@ -7,10 +7,10 @@
 
 
 def expose_counts(values: Mapping[str, float]) -> bytes:
-    """Returns counters and gauges in the Prometheus text format.
+    """Renders counters and gauges in the Prometheus text format.
 
-    Loading the exporter's library would double the memory of a small
-    process. Names that end in `_count` are counters.
+    Names that end in `_count` are counters, all others are gauges. Importing
+    the exporter library would double the memory of a small process.
 
     >>> print(expose_counts({"reset_count": 2}).decode(), end="")
     # TYPE fireflyford_reset_total counter
--- a/libs/telemetry/src/fireflyford/telemetry/_instruments.py
+++ b/libs/telemetry/src/fireflyford/telemetry/_instruments.py
@@ -1,7 +1,7 @@
-"""Counts of events and histograms of durations of one process.
+"""Event counters and duration histograms of one process.
 
-Both grow by one dictionary entry for each new name, so their number is
-bounded; what exceeds the bound is counted under the label `other`.
+Each new label set adds a dictionary entry, so the number of series is limited;
+further series are aggregated under the label `other`.
 """
 
 import bisect
@@ -9,39 +9,39 @@
 
 from fireflyford.telemetry import _exposition
 
-# Upper bounds of the buckets: from one packet's way to the longest wait of a
-# client.
+# Upper bucket bounds, from the transit time of a packet to the longest client
+# wait.
 BOUNDS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000)
-# Series of one process; each takes some 100 bytes in a reading.
+# Limit per process; each series takes about 100 bytes in a scrape.
 MAX_SERIES = 300
-# Reasons that name a kind; others are texts of foreign programs.
-_KIND = re.compile(r"[a-z0-9_-]{1,40}")
-_OTHER = "other"
+# Reasons that are identifiers; other reasons are messages of external programs.
+_IDENTIFIER_PATTERN = re.compile(r"[a-z0-9_-]{1,40}")
+_OVERFLOW_LABEL = "other"
 
 
 class Histogram:
-    """Durations by bucket.
+    """Histogram of durations with fixed buckets.
 
     >>> histogram = Histogram()
-    >>> histogram.add(3)
+    >>> histogram.record(3)
     >>> histogram.counts[BOUNDS_MS.index(5)]
     1
     """
 
     def __init__(self) -> None:
         """Starts empty."""
-        # One more than bounds, for longer durations.
+        # The last bucket counts durations above all bounds.
         self.counts = [0] * (len(BOUNDS_MS) + 1)
         self.sum_ms = 0.0
 
-    def add(self, duration_ms: float) -> None:
-        """Adds one duration."""
+    def record(self, duration_ms: float) -> None:
+        """Records a duration."""
         self.counts[bisect.bisect_left(BOUNDS_MS, duration_ms)] += 1
         self.sum_ms += duration_ms
 
 
 class Instruments:
-    """All counts and histograms of a process."""
+    """Registry of the counters and histograms of a process."""
 
     def __init__(self) -> None:
         """Starts empty."""
@@ -49,39 +49,40 @@
         self._histograms: dict[tuple[str, str], Histogram] = {}
 
     def count(self, event: str, reason: object = "") -> None:
-        """Counts an event by its name and reason.
+        """Counts an event by name and reason.
 
         Args:
             event: Name of the event.
-            reason: Why it happened; a text that names no kind counts as
-                `other`.
+            reason: Cause of the event; reasons that are not identifiers are
+                counted as `other`.
         """
         label = str(reason)
-        if label and not _KIND.fullmatch(label):
-            label = _OTHER
+        if label and not _IDENTIFIER_PATTERN.fullmatch(label):
+            label = _OVERFLOW_LABEL
         key = (event, label)
         if key not in self._events and len(self._events) >= MAX_SERIES:
-            key = (_OTHER, "")
+            key = (_OVERFLOW_LABEL, "")
         self._events[key] = self._events.get(key, 0) + 1
 
     def observe(self, name: str, duration_ms: float, kind: str = "") -> None:
-        """Adds a duration.
+        """Records a duration.
 
         Args:
-            name: Name of what took the time.
-            duration_ms: The time.
-            kind: Distinguishes durations of one name, such as the result.
+            name: Name of the operation.
+            duration_ms: Duration of the operation.
+            kind: Label that distinguishes series of one name, such as the
+                result.
         """
         key = (name, kind)
         histogram = self._histograms.get(key)
         if histogram is None:
             if len(self._histograms) >= MAX_SERIES:
-                key = (name, _OTHER)
+                key = (name, _OVERFLOW_LABEL)
             histogram = self._histograms.setdefault(key, Histogram())
-        histogram.add(duration_ms)
+        histogram.record(duration_ms)
 
     def expose(self) -> bytes:
-        """Returns everything in the Prometheus text format.
+        """Renders all series in the Prometheus text format.
 
         >>> instruments = Instruments()
         >>> instruments.count("flow-reset", "no-route")
@@ -99,44 +100,44 @@
             lines.append(
                 f"{_exposition.METRIC_PREFIX}events_total{{{labels}}} {count}"
             )
-        described = ""
+        last_declared_name = ""
         for (name, kind), histogram in sorted(self._histograms.items()):
-            full = f"{_exposition.METRIC_PREFIX}{name}_ms"
-            if name != described:
-                lines.append(f"# TYPE {full} histogram")
-                described = name
-            lines += _bucket_lines(full, kind, histogram)
+            metric_name = f"{_exposition.METRIC_PREFIX}{name}_ms"
+            if name != last_declared_name:
+                lines.append(f"# TYPE {metric_name} histogram")
+                last_declared_name = name
+            lines += _bucket_lines(metric_name, kind, histogram)
         return "".join(f"{line}\n" for line in lines).encode()
 
 
 def _bucket_lines(name: str, kind: str, histogram: Histogram) -> list[str]:
     lines = []
-    total = 0
-    edges = [*map(str, BOUNDS_MS), "+Inf"]
-    for edge, count in zip(edges, histogram.counts, strict=True):
-        total += count
-        labels = f'kind="{kind}",le="{edge}"'
-        lines.append(f"{name}_bucket{{{labels}}} {total}")
+    cumulative_count = 0
+    bounds = [*map(str, BOUNDS_MS), "+Inf"]
+    for bound, count in zip(bounds, histogram.counts, strict=True):
+        cumulative_count += count
+        labels = f'kind="{kind}",le="{bound}"'
+        lines.append(f"{name}_bucket{{{labels}}} {cumulative_count}")
     labels = f'kind="{kind}"'
     lines.append(f"{name}_sum{{{labels}}} {histogram.sum_ms:g}")
-    lines.append(f"{name}_count{{{labels}}} {total}")
+    lines.append(f"{name}_count{{{labels}}} {cumulative_count}")
     return lines
 
 
-# The instruments of this process.
-_active = Instruments()
+# Registry of this process.
+_registry = Instruments()
 
 
 def count(event: str, reason: object = "") -> None:
-    """Counts an event of this process; see `Instruments.count`."""
-    _active.count(event, reason)
+    """Counts an event in this process; see `Instruments.count`."""
+    _registry.count(event, reason)
 
 
 def observe(name: str, duration_ms: float, kind: str = "") -> None:
-    """Adds a duration of this process; see `Instruments.observe`."""
-    _active.observe(name, duration_ms, kind)
+    """Records a duration in this process; see `Instruments.observe`."""
+    _registry.observe(name, duration_ms, kind)
 
 
 def expose_instruments() -> bytes:
-    """Returns the counts and histograms of this process as text."""
-    return _active.expose()
+    """Renders the counters and histograms of this process."""
+    return _registry.expose()
--- a/libs/telemetry/src/fireflyford/telemetry/_logs.py
+++ b/libs/telemetry/src/fireflyford/telemetry/_logs.py
@@ -1,4 +1,4 @@
-"""Logs: one line of key=value pairs for each event, through eliot."""
+"""Structured logs: one line of key=value pairs per event, using eliot."""
 
 import asyncio
 import json
@@ -10,20 +10,22 @@
 from fireflyford.telemetry import _instruments
 from fireflyford.telemetry import _writer
 
-_PLAIN = re.compile(r"[A-Za-z0-9_.:/@+-]+")
-_HIDDEN = frozenset({"task_uuid", "task_level", "message_type", "timestamp"})
+_UNQUOTED_PATTERN = re.compile(r"[A-Za-z0-9_.:/@+-]+")
+_OMITTED_FIELDS = frozenset(
+    {"task_uuid", "task_level", "message_type", "timestamp"}
+)
 
 
-# Writer of this process, None while logs go nowhere.
+# Log writer of this process, None until logs are configured.
 _active_writer: _writer.LineWriter | None = None
 
 
 def configure_logs(stream: TextIO, instance_id: str) -> None:
-    """Writes every event to `stream`, one line each, without waiting.
+    """Writes each event as one line to `stream` without blocking.
 
     Args:
         stream: Open text stream, usually standard error.
-        instance_id: Added to every line.
+        instance_id: Instance ID that is added to each line.
     """
     eliot.add_global_fields(instance=instance_id)
 
@@ -38,7 +40,7 @@
 
 
 def format_line(message: dict[str, object]) -> str:
-    """Formats one eliot message.
+    """Formats an eliot message as a log line.
 
     >>> format_line({"timestamp": 1.5, "message_type": "start", "port": 80})
     'time=1.500 event=start port=80'
@@ -50,17 +52,17 @@
     pairs += [
         f"{key}={_format_value(value)}"
         for key, value in message.items()
-        if key not in _HIDDEN
+        if key not in _OMITTED_FIELDS
     ]
     return " ".join(pairs)
 
 
 def log(event: str, **fields: object) -> None:
-    """Logs one event and counts it by its name and `reason`.
+    """Logs an event and counts it by name and `reason`.
 
     Args:
-        event: Name of the event, words joined by hyphens.
-        **fields: Values of the event, names ending in their unit.
+        event: Name of the event in words joined by hyphens.
+        **fields: Fields of the event, with names that end in their unit.
     """
     _instruments.count(event, fields.get("reason", ""))
     if _active_writer is not None and not _active_writer.admit():
@@ -69,11 +71,11 @@
 
 
 def log_task_failure(task: asyncio.Task[None]) -> None:
-    """Logs why a background task ended; use it as its done callback."""
+    """Logs the exception of a background task; use as its done callback."""
     if not task.cancelled() and task.exception() is not None:
         log("task-failed", task=task.get_name(), reason=repr(task.exception()))
 
 
 def _format_value(value: object) -> str:
     text = str(value)
-    return text if _PLAIN.fullmatch(text) else json.dumps(text)
+    return text if _UNQUOTED_PATTERN.fullmatch(text) else json.dumps(text)
--- a/libs/telemetry/src/fireflyford/telemetry/_metrics.py
+++ b/libs/telemetry/src/fireflyford/telemetry/_metrics.py
@@ -1,4 +1,4 @@
-"""Metrics by OpenTelemetry, exposed as text."""
+"""OpenTelemetry metrics with Prometheus text exposition."""
 
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -10,14 +10,14 @@
 
 
 class Meter:
-    """Instruments of one process.
+    """OpenTelemetry instruments of one process.
 
-    Hot paths count in plain integers; the instruments read them when the
-    metrics are collected, so that counting costs nothing for each packet.
+    Hot paths update plain integers, which observable instruments read only
+    during collection. This avoids OpenTelemetry calls per packet.
     """
 
     def __init__(self) -> None:
-        """Prepares a meter with the text exporter."""
+        """Creates a meter with a Prometheus reader."""
         reader = prometheus.PrometheusMetricReader()
         provider = sdk_metrics.MeterProvider(metric_readers=[reader])
         self._meter = provider.get_meter("fireflyford")
@@ -25,29 +25,29 @@
     def count(
         self, name: str, read: Callable[[], int], unit: str = "1"
     ) -> None:
-        """Registers a counter read through `read`."""
+        """Registers a counter whose value `read` returns."""
         self._meter.create_observable_counter(
-            name, callbacks=[_observer(read)], unit=unit
+            name, callbacks=[_make_callback(read)], unit=unit
         )
 
     def gauge(
         self, name: str, read: Callable[[], float], unit: str = "1"
     ) -> None:
-        """Registers a gauge read through `read`."""
+        """Registers a gauge whose value `read` returns."""
         self._meter.create_observable_gauge(
-            name, callbacks=[_observer(read)], unit=unit
+            name, callbacks=[_make_callback(read)], unit=unit
         )
 
     def histogram(self, name: str, unit: str) -> metrics.Histogram:
-        """Creates a histogram."""
+        """Creates a histogram that the caller records to."""
         return self._meter.create_histogram(name, unit=unit)
 
     def expose(self) -> bytes:
-        """Returns the text exposition of all instruments."""
+        """Renders all instruments in the Prometheus text format."""
         return prometheus_client.generate_latest()
 
 
-def _observer(
+def _make_callback(
     read: Callable[[], float],
 ) -> Callable[[metrics.CallbackOptions], Iterable[metrics.Observation]]:
     def observe(
--- a/libs/telemetry/src/fireflyford/telemetry/_status.py
+++ b/libs/telemetry/src/fireflyford/telemetry/_status.py
@@ -1,4 +1,4 @@
-"""Status endpoints of one process, served by tornado."""
+"""HTTP status endpoints of one process."""
 
 from collections.abc import Callable
 from collections.abc import Mapping
@@ -13,61 +13,61 @@
 
 
 class _MetricsHandler(web.RequestHandler):
-    """Text exposition of the metrics."""
+    """Serves the metrics of the process."""
 
     def initialize(self, meter: _metrics.Meter) -> None:
-        """Takes the meter of the process."""
+        """Stores the meter of the process."""
         self._meter = meter
 
     def get(self) -> None:
-        """Answers with the current values."""
+        """Responds with the metrics in the Prometheus text format."""
         self.set_header("Content-Type", "text/plain; version=0.0.4")
         self.finish(self._meter.expose())
 
 
 class _HealthHandler(web.RequestHandler):
-    """Answers 200 while the event loop runs."""
+    """Liveness check: responds with 200 while the event loop runs."""
 
     def get(self) -> None:
-        """Answers with a fixed text."""
+        """Responds with a constant text."""
         self.finish("ok\n")
 
 
 class _ReadyHandler(web.RequestHandler):
-    """Answers 200 only while the process takes new work."""
+    """Readiness check: responds with 200 if new work is accepted."""
 
     def initialize(self, ready: Callable[[], bool]) -> None:
-        """Takes the readiness check."""
+        """Stores the readiness check."""
         self._ready = ready
 
     def get(self) -> None:
-        """Answers 200 or 503."""
+        """Responds with 200 or 503."""
         if not self._ready():
             self.set_status(503)
         self.finish("ready\n" if self._ready() else "not ready\n")
 
 
 class _StatusHandler(web.RequestHandler):
-    """State of the process for the command line."""
+    """Serves the state of the process for the command line."""
 
     def initialize(self, status: Callable[[], dict[str, Any]]) -> None:
-        """Takes the function that describes the process."""
+        """Stores the function that returns the state."""
         self._status = status
 
     def get(self) -> None:
-        """Answers with one JSON object."""
+        """Responds with the state as a JSON object."""
         self.finish(self._status())
 
 
 class _PageHandler(web.RequestHandler):
-    """A text of the process, for the command line."""
+    """Serves a text of the process for the command line."""
 
     def initialize(self, read: Callable[[], str]) -> None:
-        """Takes the function that returns the text."""
+        """Stores the function that returns the text."""
         self._read = read
 
     def get(self) -> None:
-        """Answers with the current text."""
+        """Responds with the current text."""
         self.set_header("Content-Type", "text/plain; charset=utf-8")
         self.finish(self._read())
 
@@ -76,11 +76,11 @@
     """Starts a graceful shutdown."""
 
     def initialize(self, drain: Callable[[], None]) -> None:
-        """Takes the function that starts the drain."""
+        """Stores the function that starts the shutdown."""
         self._drain = drain
 
     def post(self) -> None:
-        """Starts the drain and answers at once."""
+        """Starts the shutdown and responds without waiting for it."""
         self._drain()
         self.set_status(202)
         self.finish("draining\n")
@@ -94,18 +94,18 @@
     drain: Callable[[], None],
     pages: Mapping[str, Callable[[], str]] = types.MappingProxyType({}),
 ) -> httpserver.HTTPServer:
-    """Listens for metrics, health, readiness, status and drain requests.
+    """Starts a server for metrics, health, readiness, status and drain.
 
     Args:
-        address: Where to listen.
+        address: Address to listen on.
         meter: Metrics of the process.
-        ready: Whether the process takes new work.
+        ready: Returns whether the process accepts new work.
         status: Returns the state for the command line.
         drain: Starts a graceful shutdown.
-        pages: Further texts by path.
+        pages: Functions that return additional texts, by path.
 
     Returns:
-        The running server; call `stop()` on it at shutdown.
+        The running server; call its `stop()` method at shutdown.
     """
     application = web.Application(
         [
--- a/libs/telemetry/src/fireflyford/telemetry/_writer.py
+++ b/libs/telemetry/src/fireflyford/telemetry/_writer.py
@@ -1,85 +1,88 @@
-"""Writing log lines without waiting for the reader."""
+"""Non-blocking, rate-limited writer for log lines."""
 
 import collections
 import os
 import time
 from typing import TextIO
 
-# Lines kept while the reader is slow; some 200 KB.
-MAX_WAITING_LINES = 1_000
-# Rate and burst of lines of one process: a summary replaces what exceeds it.
-# A line costs some 0.1 ms of a core, so this is half a percent of one.
+# Limit of buffered lines while the reader is slow; about 200 KB.
+MAX_BUFFERED_LINES = 1_000
+# Rate limit of lines of one process; a summary line replaces excess lines. A
+# line takes about 0.1 ms of CPU time, so the limit is 0.5 % of a core.
 LINES_PER_S = 50.0
 BURST_LINES = 300.0
 
 
 class LineWriter:
-    """Writes lines to a stream and drops what exceeds its bounds.
+    """Writes lines to a stream and drops lines above its limits.
 
-    Dropped lines are counted, and the count is written before the next line.
+    Dropped lines are counted, and the count is logged before the next line.
     """
 
     def __init__(self, stream: TextIO) -> None:
-        """Takes a stream; one with a descriptor is no longer waited for."""
+        """Takes a stream; its file descriptor, if any, becomes non-blocking."""
         self._stream = stream
-        self._waiting: collections.deque[bytes] = collections.deque()
-        self._allowance = BURST_LINES
+        self._buffer: collections.deque[bytes] = collections.deque()
+        self._tokens = BURST_LINES
         self._refilled_s = time.monotonic()
-        self._dropped_count = 0
+        self._unreported_count = 0
         self.dropped_total = 0
-        self._descriptor = _descriptor(stream)
-        if self._descriptor is not None:
-            os.set_blocking(self._descriptor, False)
+        self._file_descriptor = _file_descriptor(stream)
+        if self._file_descriptor is not None:
+            os.set_blocking(self._file_descriptor, False)
 
     def admit(self) -> bool:
-        """Returns whether a line may be written now; counts one that may not.
+        """Returns whether a line may be written, and counts it if not.
 
-        Asked before a line is made, since making it costs most.
+        Callers check this before they format a line, because formatting is the
+        most expensive part.
         """
-        if self._may_write() and len(self._waiting) < MAX_WAITING_LINES:
+        if self._take_token() and len(self._buffer) < MAX_BUFFERED_LINES:
             return True
-        self._dropped_count += 1
+        self._unreported_count += 1
         self.dropped_total += 1
         return False
 
     def write(self, line: str) -> None:
         """Writes a line that was admitted."""
-        if self._dropped_count:
-            summary = f"event=log-lines-dropped count={self._dropped_count}\n"
-            self._waiting.append(summary.encode())
-            self._dropped_count = 0
-        self._waiting.append(line.encode() + b"\n")
+        if self._unreported_count:
+            summary = (
+                f"event=log-lines-dropped count={self._unreported_count}\n"
+            )
+            self._buffer.append(summary.encode())
+            self._unreported_count = 0
+        self._buffer.append(line.encode() + b"\n")
         self._flush()
 
-    def _may_write(self) -> bool:
+    def _take_token(self) -> bool:
         now_s = time.monotonic()
-        earned = (now_s - self._refilled_s) * LINES_PER_S
+        added_tokens = (now_s - self._refilled_s) * LINES_PER_S
         self._refilled_s = now_s
-        self._allowance = min(BURST_LINES, self._allowance + earned)
-        if self._allowance < 1:
+        self._tokens = min(BURST_LINES, self._tokens + added_tokens)
+        if self._tokens < 1:
             return False
-        self._allowance -= 1
+        self._tokens -= 1
         return True
 
     def _flush(self) -> None:
-        if self._descriptor is None:
-            while self._waiting:
-                self._stream.write(self._waiting.popleft().decode())
+        if self._file_descriptor is None:
+            while self._buffer:
+                self._stream.write(self._buffer.popleft().decode())
             self._stream.flush()
             return
-        while self._waiting:
-            line = self._waiting.popleft()
+        while self._buffer:
+            line = self._buffer.popleft()
             try:
-                written_bytes = os.write(self._descriptor, line)
+                written_bytes = os.write(self._file_descriptor, line)
             except BlockingIOError:
-                self._waiting.appendleft(line)
+                self._buffer.appendleft(line)
                 return
             if written_bytes < len(line):
-                self._waiting.appendleft(line[written_bytes:])
+                self._buffer.appendleft(line[written_bytes:])
                 return
 
 
-def _descriptor(stream: TextIO) -> int | None:
+def _file_descriptor(stream: TextIO) -> int | None:
     try:
         return stream.fileno()
     except (AttributeError, OSError):
--- a/libs/telemetry/tests/test_instruments.py
+++ b/libs/telemetry/tests/test_instruments.py
@@ -1,4 +1,4 @@
-"""Counts and histograms of a process."""
+"""Tests of event counters and duration histograms."""
 
 from collections.abc import Iterator
 import io
@@ -10,8 +10,8 @@
 from fireflyford.telemetry import _logs
 
 
-def test_reasons_of_other_programs_share_one_series() -> None:
-    """Guards against a series for each text of a foreign error."""
+def test_messages_as_reasons_share_one_series() -> None:
+    """Guards against one series per error message of an external program."""
     instruments = _instruments.Instruments()
     for index in range(10):
         instruments.count("store-lost", f"connection {index} refused")
@@ -20,19 +20,19 @@
     assert lines[1:] == [expected]
 
 
-def test_the_number_of_series_is_bounded() -> None:
-    """Guards against memory that grows with the names."""
+def test_number_of_series_is_bounded() -> None:
+    """Guards against unbounded memory with many event names."""
     instruments = _instruments.Instruments()
     for index in range(_instruments.MAX_SERIES + 50):
         instruments.count(f"event-{index}")
     lines = instruments.expose().decode().splitlines()
-    # The type line, the series, and the one for all that exceed the bound.
+    # The type line, the limit, and one overflow series.
     assert len(lines) == _instruments.MAX_SERIES + 2
     assert 'fireflyford_events_total{event="other",reason=""} 50' in lines
 
 
 def test_buckets_are_cumulative() -> None:
-    """Guards against quantiles that readers compute from wrong buckets."""
+    """Guards against wrong quantiles from non-cumulative buckets."""
     instruments = _instruments.Instruments()
     for duration_ms in (0.5, 5, 5.1, 9_000):
         instruments.observe("store_call", duration_ms, "read-ok")
@@ -48,12 +48,12 @@
 
 @pytest.fixture
 def log_stream(monkeypatch: pytest.MonkeyPatch) -> Iterator[io.StringIO]:
-    """Logs of this process; later tests log as if it had never been used."""
-    added = []
+    """Log stream of this process; restores the unconfigured state."""
+    added_destinations = []
     add_destinations = eliot.add_destinations
 
     def add(*destinations: object) -> None:
-        added.extend(destinations)
+        added_destinations.extend(destinations)
         add_destinations(*destinations)
 
     monkeypatch.setattr(eliot, "add_destinations", add)
@@ -62,14 +62,14 @@
     stream = io.StringIO()
     _logs.configure_logs(stream, "agent-1")
     yield stream
-    for destination in added:
+    for destination in added_destinations:
         eliot.remove_destination(destination)
 
 
-def test_events_count_also_when_their_lines_are_dropped(
+def test_events_with_dropped_lines_are_counted(
     log_stream: io.StringIO,
 ) -> None:
-    """Guards against counters that miss what the log could not hold."""
+    """Guards against counters that miss events with dropped lines."""
     for _ in range(1_000):
         _logs.log("flow-opened")
     assert log_stream.getvalue().count("event=flow-opened") < 1_000
--- a/libs/telemetry/tests/test_writer.py
+++ b/libs/telemetry/tests/test_writer.py
@@ -1,4 +1,4 @@
-"""Log lines to a reader that does not read."""
+"""Tests of the log writer with slow and fast readers."""
 
 import os
 import pathlib
@@ -6,19 +6,19 @@
 from fireflyford.telemetry import _writer
 
 
-def test_a_reader_that_does_not_read_stops_nobody() -> None:
-    """Guards against a process that waits for its log, and endless memory."""
-    reading, writing = os.pipe()
-    with open(reading, "rb") as reader, open(writing, "w") as stream:
+def test_blocked_reader_does_not_block_writer() -> None:
+    """Guards against a process that blocks on its log, and unbounded memory."""
+    read_end, write_end = os.pipe()
+    with open(read_end, "rb") as reader, open(write_end, "w") as stream:
         writer = _writer.LineWriter(stream)
         for index in range(5_000):
             if writer.admit():
                 writer.write(f"event=line index={index} filler={'x' * 200}")
         assert writer.dropped_total > 0
         os.set_blocking(reader.fileno(), False)
-        writer._allowance = _writer.BURST_LINES
+        writer._tokens = _writer.BURST_LINES
         read = b""
-        # A pipe holds a part of what waits.
+        # The pipe holds only a part of the buffered lines.
         for _ in range(50):
             assert writer.admit()
             writer.write("event=after")
@@ -27,10 +27,10 @@
         assert read.endswith(b"event=after\n")
 
 
-def test_every_line_of_a_calm_process_is_written(
+def test_lines_below_limits_are_written(
     tmp_path: pathlib.Path,
 ) -> None:
-    """Guards against lines that are lost without need."""
+    """Guards against lines dropped below the limits."""
     path = tmp_path / "log"
     with path.open("w") as stream:
         writer = _writer.LineWriter(stream)
