Reword libs/core in plain technical English

Comments, docstrings, private names and one error text (a port outside 0 to 65535). Error kinds, status and exit codes are unchanged, and no string without spaces changes.

--- a/libs/core/src/fireflyford/core/__init__.py
+++ b/libs/core/src/fireflyford/core/__init__.py
@@ -1,4 +1,4 @@
-"""Clock, error kinds, outcomes and identifiers shared by every library."""
+"""Clocks, error kinds, outcomes and identifiers shared by all libraries."""
 
 from fireflyford.core._clock import Clock
 from fireflyford.core._clock import ManualClock
--- a/libs/core/src/fireflyford/core/_clock.py
+++ b/libs/core/src/fireflyford/core/_clock.py
@@ -1,4 +1,4 @@
-"""Time in milliseconds, real or driven by hand."""
+"""System clock and manually advanced clock, in milliseconds."""
 
 import abc
 import asyncio
@@ -7,15 +7,15 @@
 
 
 class Clock(abc.ABC):
-    """Source of time for every decision, in milliseconds."""
+    """Interface of a clock with millisecond resolution."""
 
     @abc.abstractmethod
     def now_ms(self) -> int:
-        """Returns a monotonic time, for measuring durations."""
+        """Returns the monotonic time, for durations and timeouts."""
 
     @abc.abstractmethod
     def wall_ms(self) -> int:
-        """Returns the time of day since the Unix epoch, for records."""
+        """Returns the time since the Unix epoch, for timestamps."""
 
     @abc.abstractmethod
     async def sleep(self, duration_ms: float) -> None:
@@ -23,23 +23,23 @@
 
 
 class SystemClock(Clock):
-    """Clock of the operating system."""
+    """Clock based on the operating system's time."""
 
     def now_ms(self) -> int:
-        """Returns the system's monotonic time."""
+        """Returns the monotonic time of the system."""
         return time.monotonic_ns() // 1_000_000
 
     def wall_ms(self) -> int:
-        """Returns the system's time of day."""
+        """Returns the system time since the Unix epoch."""
         return time.time_ns() // 1_000_000
 
     async def sleep(self, duration_ms: float) -> None:
-        """Waits on the running event loop."""
+        """Sleeps in the running event loop."""
         await asyncio.sleep(duration_ms / 1000)
 
 
 class ManualClock(Clock):
-    """Clock that moves only when told to, for tests and virtual time.
+    """Clock that only `advance` moves, for tests and virtual time.
 
     >>> clock = ManualClock(start_ms=100)
     >>> asyncio.run(clock.advance(50))
@@ -54,7 +54,7 @@
         self._sequence = 0
 
     def now_ms(self) -> int:
-        """Returns the time set by hand."""
+        """Returns the virtual time."""
         return self._now_ms
 
     def wall_ms(self) -> int:
@@ -70,7 +70,7 @@
         await future
 
     async def advance(self, duration_ms: int) -> None:
-        """Moves time forward and wakes the tasks that are due, in order."""
+        """Advances the time and wakes due tasks in order of wake-up time."""
         end_ms = self._now_ms + duration_ms
         while self._sleepers and self._sleepers[0][0] <= end_ms:
             wake_ms, _, future = heapq.heappop(self._sleepers)
@@ -82,10 +82,10 @@
         await _run_ready_tasks()
 
 
-# A woken task may need several passes of the loop before it sleeps again.
-_PASSES_PER_WAKE = 20
+# A task may need several event loop iterations before it sleeps again.
+_LOOP_ITERATIONS_PER_WAKE = 20
 
 
 async def _run_ready_tasks() -> None:
-    for _ in range(_PASSES_PER_WAKE):
+    for _ in range(_LOOP_ITERATIONS_PER_WAKE):
         await asyncio.sleep(0)
--- a/libs/core/src/fireflyford/core/_errors.py
+++ b/libs/core/src/fireflyford/core/_errors.py
@@ -1,4 +1,4 @@
-"""The closed list of error kinds, and the answer that each one gives."""
+"""Error kinds with their protocol mapping, and the outcome types."""
 
 import dataclasses
 import enum
@@ -10,7 +10,7 @@
 
 
 class ErrorKind(enum.Enum):
-    """Every kind of error that crosses a library boundary."""
+    """Closed set of errors that cross library boundaries."""
 
     BAD_REQUEST = "bad-request"
     FORBIDDEN = "forbidden"
@@ -40,7 +40,7 @@
 
 
 class Execution(enum.Enum):
-    """Whether the work of a request reached a backend server."""
+    """Whether a backend server executed a request."""
 
     RAN = "ran"
     NOT_RUN = "not-run"
@@ -49,13 +49,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class ErrorSpec:
-    """How one error kind is answered.
+    """Protocol mapping of an error kind.
 
     Attributes:
-        status_code: HTTP status towards callers.
-        execution: Whether the work ran.
-        exit_code: Exit status of the command line.
-        retry_allowed: Whether the same request may be sent again.
+        status_code: HTTP status code for callers.
+        execution: Whether the request was executed.
+        exit_code: Exit code of the command line.
+        retry_allowed: Whether the same request may be retried.
     """
 
     status_code: int
@@ -66,19 +66,19 @@
 
 @dataclasses.dataclass(frozen=True)
 class Ok(Generic[T]):
-    """A successful outcome."""
+    """Successful outcome with its value."""
 
     value: T
 
 
 @dataclasses.dataclass(frozen=True)
 class Failure:
-    """A failed outcome.
+    """Failed outcome.
 
     Attributes:
-        kind: Member of the closed list.
-        message: One line that says what to do.
-        retry_after_ms: Earliest useful retry, 0 when unknown.
+        kind: Kind of the error.
+        message: One-line description with the action to take.
+        retry_after_ms: Recommended delay before a retry, 0 if unknown.
     """
 
     kind: ErrorKind
@@ -87,7 +87,7 @@
 
     @property
     def spec(self) -> ErrorSpec:
-        """Returns the row of `ERROR_SPECS` for this kind."""
+        """Protocol mapping of this error kind."""
         return ERROR_SPECS[self.kind]
 
 
--- a/libs/core/src/fireflyford/core/_types.py
+++ b/libs/core/src/fireflyford/core/_types.py
@@ -1,4 +1,4 @@
-"""Identifiers and addresses used across the libraries."""
+"""Addresses and identifiers shared by all libraries."""
 
 import dataclasses
 import enum
@@ -19,24 +19,24 @@
     port: int
 
     def __post_init__(self) -> None:
-        """Rejects host names and ports out of range."""
+        """Rejects host names and ports outside 0 to 65535."""
         ipaddress.ip_address(self.host)
         if not 0 <= self.port <= 65535:
-            raise ValueError(f"port {self.port} is not between 0 and 65535")
+            raise ValueError(f"port {self.port} is not in the range 0 to 65535")
 
     @classmethod
     def parse(cls, text: str) -> "Address":
         """Parses `host:port`.
 
         Raises:
-            ValueError: The text is not an IP address and a port.
+            ValueError: `text` is not an IP address with a port.
         """
         host, _, port = text.rpartition(":")
         return cls(host.strip("[]"), int(port))
 
     @property
     def pair(self) -> tuple[str, int]:
-        """The address as the socket library takes it."""
+        """Address tuple for the socket module."""
         return (self.host, self.port)
 
     def __str__(self) -> str:
@@ -46,11 +46,11 @@
 
 @dataclasses.dataclass(frozen=True, order=True)
 class Holder:
-    """The agent process that holds a flow.
+    """Agent process whose backend server holds a flow.
 
     Attributes:
         address: Link address of the agent.
-        incarnation: Incarnation of the agent, low 32 bits.
+        incarnation: Lower 32 bits of the agent's incarnation.
     """
 
     address: Address
@@ -58,14 +58,14 @@
 
 
 class Role(enum.Enum):
-    """What an instance does."""
+    """Role of an instance."""
 
     BALANCER = "balancer"
     AGENT = "agent"
 
 
 def service_tag(name: str) -> int:
-    """Returns the 64-bit tag of a service name.
+    """Returns the 64-bit hash of a service name.
 
     >>> service_tag("tahian") != service_tag("padron")
     True
