Rename exported names of the balancer package

balancer.Known -> balancer.RouterInput: what a router was last given. balancer.follow_view -> balancer.update_routers: it hands each router its targets. The agent package exports no name that needs a change.

--- a/libs/balancer/src/fireflyford/balancer/__init__.py
+++ b/libs/balancer/src/fireflyford/balancer/__init__.py
@@ -7,8 +7,8 @@
 from fireflyford.balancer._forwarder import Link
 from fireflyford.balancer._forwarder import QuicHintReader
 from fireflyford.balancer._forwarder import ServiceListener
-from fireflyford.balancer._forwarding import Known
-from fireflyford.balancer._forwarding import follow_view
+from fireflyford.balancer._forwarding import RouterInput
+from fireflyford.balancer._forwarding import update_routers
 from fireflyford.balancer._process import Balancer
 from fireflyford.balancer._process import run
 from fireflyford.balancer._socket import DatagramSocket
@@ -19,11 +19,11 @@
     "DatagramHintReader",
     "DatagramSocket",
     "HintReader",
-    "Known",
     "Link",
     "QuicHintReader",
+    "RouterInput",
     "ServiceListener",
-    "follow_view",
     "is_config_reader",
     "run",
+    "update_routers",
 ]
--- a/libs/balancer/src/fireflyford/balancer/_forwarding.py
+++ b/libs/balancer/src/fireflyford/balancer/_forwarding.py
@@ -17,7 +17,7 @@
 from fireflyford.balancer import _socket
 
 # Members that a router has taken, and whether its service takes new flows.
-Known = tuple[tuple[membership.Member, ...], bool]
+RouterInput = tuple[tuple[membership.Member, ...], bool]
 
 
 class Forwarding:
@@ -131,20 +131,20 @@
         self._tasks.append(task)
 
     async def _follow_view(self) -> None:
-        known: dict[str, Known] = {}
+        known: dict[str, RouterInput] = {}
         while True:
             await self._view_changed.wait()
             self._view_changed.clear()
-            await follow_view(
+            await update_routers(
                 self._routers, self._view, self._open_services, known
             )
 
 
-async def follow_view(
+async def update_routers(
     routers: dict[str, routing.Router],
     view: membership.View,
     open_services: Set[str],
-    known: dict[str, Known],
+    known: dict[str, RouterInput],
 ) -> None:
     """Gives each router its targets, pausing after each ring.
 
--- a/libs/lab/src/fireflyford/lab/experiments/_forwarding.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_forwarding.py
@@ -293,7 +293,7 @@
 async def _longest_pause_ms(
     routers: dict[str, routing.Router],
     view: membership.View,
-    known: dict[str, balancer.Known],
+    known: dict[str, balancer.RouterInput],
 ) -> float:
     """Returns the longest time for which no datagram would be read."""
     pauses_ms = [0.0]
@@ -309,7 +309,7 @@
 
     ticking = asyncio.create_task(tick())
     await asyncio.sleep(0)
-    await balancer.follow_view(routers, view, routers.keys(), known)
+    await balancer.update_routers(routers, view, routers.keys(), known)
     done.set()
     await ticking
     return max(pauses_ms)
@@ -327,7 +327,7 @@
         "one target changed": _make_view(one),
         "every target changed": _make_view(every),
     }
-    known: dict[str, balancer.Known] = {}
+    known: dict[str, balancer.RouterInput] = {}
     gc.collect()
     figures = []
     for name, view in views.items():
