--- a/libs/agent/src/fireflyford/agent/_access.py
+++ b/libs/agent/src/fireflyford/agent/_authorization.py
@@ -1,4 +1,4 @@
-"""Callers' rights: a token is checked before any work is done."""
+"""Authorization of callers by token, before any work is done."""
 
 import hashlib
 import hmac
@@ -8,7 +8,7 @@
 from fireflyford.agent import _connection
 
 TOKEN_HEADER = "authorization"
-_SCHEME = "Bearer "
+_AUTH_SCHEME = "Bearer "
 _TAG_BYTES = 16
 
 
@@ -17,7 +17,7 @@
 
     Args:
         key: Caller key of the service, 16 to 32 bytes.
-        caller: Name of the caller, without a dot.
+        caller: Name of the caller; must not contain a dot.
 
     >>> make_token(b"k" * 16, "buyer").startswith("buyer.")
     True
@@ -28,22 +28,25 @@
     return f"{caller}.{tag}"
 
 
-class AccessHandler(_connection.Handler):
-    """Refuses callers without a right, and hands the others on."""
+class AuthorizationHandler(_connection.RequestHandler):
+    """Rejects unauthorized requests and passes on all others."""
 
     def __init__(
-        self, key: bytes, service: config.Service, inner: _connection.Handler
+        self,
+        key: bytes,
+        service: config.Service,
+        inner_handler: _connection.RequestHandler,
     ) -> None:
-        """Prepares the check.
+        """Initializes the handler.
 
         Args:
-            key: Caller key; empty when the service is open to everyone.
-            service: Names the callers that may use it.
-            inner: Answers the requests of callers with the right.
+            key: Caller key; empty if the service is open to everyone.
+            service: Service with the list of authorized callers.
+            inner_handler: Handler of authorized requests.
         """
         self._key = key
         self.service = service
-        self._inner = inner
+        self._inner_handler = inner_handler
         self.refused_count = 0
 
     async def handle(
@@ -51,26 +54,26 @@
         request: _connection.Request,
         response: _connection.ResponseStream,
     ) -> None:
-        """Answers one request, or refuses it."""
-        if self._allows(dict(request.headers).get(TOKEN_HEADER, "")):
-            await self._inner.handle(request, response)
+        """Handles one request, or rejects it as forbidden."""
+        if self._is_authorized(dict(request.headers).get(TOKEN_HEADER, "")):
+            await self._inner_handler.handle(request, response)
             return
         self.refused_count += 1
         kind = core.ErrorKind.FORBIDDEN
-        answer = core.ERROR_SPECS[kind]
+        spec = core.ERROR_SPECS[kind]
         response.start(
-            answer.status_code,
+            spec.status_code,
             (
-                ("fireflyford-outcome", answer.execution.value),
+                ("fireflyford-outcome", spec.execution.value),
                 ("fireflyford-error", kind.value),
             ),
         )
-        await response.write(b"present a valid caller token\n", end=True)
+        await response.write(b"missing or invalid caller token\n", end=True)
 
-    def _allows(self, header: str) -> bool:
+    def _is_authorized(self, header: str) -> bool:
         if not self._key:
             return True
-        token = header.removeprefix(_SCHEME)
+        token = header.removeprefix(_AUTH_SCHEME)
         caller, _, _ = token.partition(".")
         expected = make_token(self._key, caller)
         if not hmac.compare_digest(token.encode(), expected.encode()):
--- a/libs/agent/src/fireflyford/agent/_backend.py
+++ b/libs/agent/src/fireflyford/agent/_backend_client.py
@@ -1,4 +1,4 @@
-"""Client of the backend server beside this agent, over HTTP/1.1."""
+"""Client for requests to the local backend server, over HTTP/1.1."""
 
 import asyncio
 
@@ -11,22 +11,23 @@
 MAX_RESPONSE_BODY_BYTES = 64 << 20
 _MAX_CONNECTIONS = 10_000
 _CONNECT_TIMEOUT_S = 1.0
-# A backend server that never answers would hold its slot for ever.
-_GRACE_MS = 1_000
+# Added to the deadline of a request. Without a timeout, a backend server that
+# never responds would occupy a slot forever.
+_TIMEOUT_GRACE_MS = 1_000
 
 
-class Backend(requests.Executor):
-    """Runs work on one backend server."""
+class BackendClient(requests.Executor):
+    """Executor that runs work on one backend server."""
 
     def __init__(self, clock: core.Clock, address: core.Address) -> None:
-        """Prepares the client.
+        """Initializes the client.
 
         Args:
             clock: Source of time.
-            address: Where the backend server listens.
+            address: Address on which the backend server listens.
         """
         self._clock = clock
-        self._base = f"http://{address}"
+        self._base_url = f"http://{address}"
         self._client = simple_httpclient.SimpleAsyncHTTPClient(
             force_instance=True,
             max_clients=_MAX_CONNECTIONS,
@@ -39,7 +40,7 @@
         """Runs the work once on the backend server."""
         remaining_ms = max(1, work.deadline_ms - self._clock.now_ms())
         request = httpclient.HTTPRequest(
-            self._base + work.path,
+            self._base_url + work.path,
             method=work.method,
             headers={
                 "X-Request-Id": work.request_id,
@@ -47,7 +48,7 @@
             },
             body=work.body if work.body or work.method == "POST" else None,
             connect_timeout=_CONNECT_TIMEOUT_S,
-            request_timeout=(remaining_ms + _GRACE_MS) / 1000,
+            request_timeout=(remaining_ms + _TIMEOUT_GRACE_MS) / 1000,
             allow_nonstandard_methods=True,
         )
         try:
@@ -55,16 +56,16 @@
         except ConnectionRefusedError:
             return core.Failure(
                 core.ErrorKind.BACKEND_REFUSED,
-                "the backend server does not accept connections",
+                "backend server does not accept connections",
             )
         except asyncio.CancelledError:
             self._cancel(work.request_id)
             raise
         except OSError as error:
             return core.Failure(core.ErrorKind.OUTCOME_UNKNOWN, str(error))
-        return self._judge(work, reply)
+        return self._to_outcome(work, reply)
 
-    def _judge(
+    def _to_outcome(
         self, work: requests.WorkItem, reply: httpclient.HTTPResponse
     ) -> core.Outcome[requests.Response]:
         if reply.code == 599:
@@ -75,13 +76,13 @@
         if reply.code == 503 and "Retry-After" in reply.headers:
             return core.Failure(
                 core.ErrorKind.BACKEND_REFUSED,
-                "the backend server shed the work",
+                "backend server shed the request with status 503",
                 retry_after_ms=_retry_after_ms(reply.headers["Retry-After"]),
             )
         if reply.code >= 500:
             return core.Failure(
                 core.ErrorKind.BACKEND_FAILED,
-                f"the backend server answered {reply.code}",
+                f"backend server responded with status {reply.code}",
             )
         content_type = reply.headers.get(
             "Content-Type", "application/octet-stream"
@@ -94,10 +95,11 @@
 
     def _cancel(self, request_id: str) -> None:
         request = httpclient.HTTPRequest(
-            f"{self._base}/cancel?id={request_id}", method="POST", body=b""
+            f"{self._base_url}/cancel?id={request_id}", method="POST", body=b""
         )
         future = self._client.fetch(request, raise_error=False)
-        # The outcome of the cancelled work is already decided.
+        # The outcome of the cancelled work is already decided, so errors of the
+        # cancellation are ignored.
         asyncio.ensure_future(future).add_done_callback(
             lambda done: done.exception()
         )
--- a/libs/agent/src/fireflyford/agent/_backend_feeds.py
+++ b/libs/agent/src/fireflyford/agent/_backend_feeds.py
@@ -1,4 +1,4 @@
-"""Feeds of the backend server beside this agent, over HTTP/1.1."""
+"""Client for feeds of the local backend server, over HTTP/1.1."""
 
 import abc
 import asyncio
@@ -10,52 +10,54 @@
 from tornado import httputil
 from tornado import iostream
 
-from fireflyford.agent import _backend_watch
+from fireflyford.agent import _backend_monitor
 
 _READ_BYTES = 16 << 10
-# Chunks read ahead of a slow caller; the backend server waits beyond them.
-_QUEUE_CHUNKS = 4
+# Chunks read ahead of a slow caller; reading from the backend server stops when
+# the queue is full.
+_MAX_QUEUED_CHUNKS = 4
 
 
 class FeedBrokenError(Exception):
-    """The backend server left before the feed ended."""
+    """The connection to the backend server ended before the feed."""
 
 
 class FeedRejectedError(Exception):
-    """The backend server answered with something other than a feed."""
+    """The backend server responded with a status other than 200."""
 
 
 class FeedSource(abc.ABC):
-    """Opens feeds."""
+    """Source of feeds."""
 
     @abc.abstractmethod
     def open(
         self, path: str
     ) -> contextlib.AbstractAsyncContextManager[AsyncIterator[bytes]]:
-        """Opens a feed; the context gives its chunks.
+        """Opens a feed; the context yields an iterator over its chunks.
 
         Raises:
-            FeedBrokenError: The backend server cannot be reached, or left
-                before the feed ended.
-            FeedRejectedError: The backend server answered with an error.
+            FeedBrokenError: The backend server cannot be reached, or the
+                connection ended before the feed.
+            FeedRejectedError: The backend server responded with a status other
+                than 200.
         """
 
 
 class BackendFeeds(FeedSource):
-    """Feeds over one TCP connection each, with back-pressure."""
+    """Feeds over one TCP connection each, with backpressure."""
 
-    def __init__(self, watch: _backend_watch.BackendWatch) -> None:
-        """Takes the watch, which connects to the backend server."""
-        self._watch = watch
+    def __init__(self, monitor: _backend_monitor.BackendMonitor) -> None:
+        """Initializes the source with the monitor that opens connections."""
+        self._monitor = monitor
 
     @contextlib.asynccontextmanager
     async def open(self, path: str) -> AsyncIterator[AsyncIterator[bytes]]:
-        """Opens a feed; the context gives its chunks."""
+        """Opens a feed; the context yields an iterator over its chunks."""
         try:
-            stream = await self._watch.connect()
+            stream = await self._monitor.connect()
         except OSError as error:
             raise FeedBrokenError(str(error)) from error
-        reader = _Reader()
+        reader = _FeedReader()
         task = asyncio.create_task(self._read(stream, reader, path))
         try:
             await reader.opened
@@ -66,7 +68,7 @@
             await asyncio.gather(task, return_exceptions=True)
 
     async def _read(
-        self, stream: iostream.IOStream, reader: "_Reader", path: str
+        self, stream: iostream.IOStream, reader: "_FeedReader", path: str
     ) -> None:
         connection = http1connection.HTTP1Connection(
             stream,
@@ -85,17 +87,19 @@
         except (OSError, iostream.StreamClosedError):
             pass
         finally:
-            await reader.end()
+            await reader.close_queue()
 
 
-class _Reader(httputil.HTTPMessageDelegate, AsyncIterator[bytes]):
-    """Receives one response and hands its chunks on."""
+class _FeedReader(httputil.HTTPMessageDelegate, AsyncIterator[bytes]):
+    """Receives one response and provides its chunks through a queue."""
 
     def __init__(self) -> None:
         self.opened: asyncio.Future[None] = (
             asyncio.get_running_loop().create_future()
         )
-        self._chunks: asyncio.Queue[bytes | None] = asyncio.Queue(_QUEUE_CHUNKS)
+        self._chunks: asyncio.Queue[bytes | None] = asyncio.Queue(
+            _MAX_QUEUED_CHUNKS
+        )
         self._complete = False
 
     def headers_received(
@@ -120,19 +124,22 @@
     def on_connection_close(self) -> None:
         pass
 
-    async def end(self) -> None:
+    async def close_queue(self) -> None:
         if not self.opened.done():
-            self.opened.set_exception(FeedBrokenError("closed before headers"))
+            self.opened.set_exception(
+                FeedBrokenError("connection closed before the response headers")
+            )
         await self._chunks.put(None)
 
     def __aiter__(self) -> AsyncIterator[bytes]:
         return self
 
     async def __anext__(self) -> bytes:
-        # Not a generator: a read that times out must not end the feed.
+        # Not an async generator, because cancellation by a read timeout would
+        # finish the generator and thereby the feed.
         chunk = await self._chunks.get()
         if chunk is not None:
             return chunk
         if self._complete:
             raise StopAsyncIteration
-        raise FeedBrokenError("closed before the end")
+        raise FeedBrokenError("connection closed before the end of the feed")
--- a/libs/agent/src/fireflyford/agent/_backend_watch.py
+++ b/libs/agent/src/fireflyford/agent/_backend_monitor.py
@@ -1,4 +1,4 @@
-"""Whether the backend server beside this agent accepts connections."""
+"""Health check of the local backend server by TCP connection."""
 
 import asyncio
 from collections.abc import Callable
@@ -11,84 +11,85 @@
 
 CHECK_INTERVAL_MS = 500
 _START_POLL_MS = 50
-_CONNECT_LIMIT_S = 1.0
-# A refused connection is a loss at once. One that takes too long may only
-# mean that this instance is short of CPU, so several are needed.
+_CONNECT_TIMEOUT_S = 1.0
+# A refused connection counts as a loss at once. A timeout may only mean that
+# this instance is short of CPU, so several in a row are required.
 _MAX_TIMEOUTS = 3
 
 
-class BackendWatch:
-    """Checks the backend server; one task."""
+class BackendMonitor:
+    """Monitor of the backend server, driven by a single task."""
 
     def __init__(self, clock: core.Clock, address: core.Address) -> None:
-        """Prepares the watch; `run` drives it.
+        """Initializes the monitor; `run` drives it.
 
         Args:
             clock: Source of time.
-            address: Where the backend server listens.
+            address: Address on which the backend server listens.
         """
         self._clock = clock
         self._address = address
         self._client = tcpclient.TCPClient()
         self._listeners: list[Callable[[bool], None]] = []
-        # A backend server that starts after its agent is not lost.
-        self._seen = False
+        # Until the first connection, an unreachable backend server counts as
+        # starting, not as lost.
+        self._has_connected = False
         self._timeout_count = 0
-        self.up = True
+        self.is_up = True
 
     def on_change(self, listener: Callable[[bool], None]) -> None:
-        """Calls `listener` with whether the backend server is up."""
+        """Registers a listener for whether the backend server is up."""
         self._listeners.append(listener)
 
     async def connect(self) -> iostream.IOStream:
         """Opens a connection to the backend server.
 
         Raises:
-            OSError: It does not accept connections.
+            OSError: The backend server does not accept connections.
         """
-        async with asyncio.timeout(_CONNECT_LIMIT_S):
+        async with asyncio.timeout(_CONNECT_TIMEOUT_S):
             return await self._client.connect(*self._address.pair)
 
     async def check(self) -> bool:
-        """Returns whether the backend server accepts connections now."""
+        """Connects to the backend server; returns whether it counts as up."""
         try:
             stream = await self.connect()
         except TimeoutError:
             self._timeout_count += 1
             if self._timeout_count >= _MAX_TIMEOUTS:
-                self._note(False)
+                self._update_state(False)
         except OSError:
-            self._note(False)
+            self._update_state(False)
         else:
             stream.close()
             self._timeout_count = 0
-            self._note(True)
-        return self.up
+            self._update_state(True)
+        return self.is_up
 
-    async def wait_until_seen(self) -> None:
+    async def wait_until_reachable(self) -> None:
         """Waits until the backend server has accepted a connection.
 
-        A target announced earlier would draw requests that nobody can run.
-        Health endpoints may mislead, so this asks for a connection only.
+        A target announced earlier would receive requests that it cannot run.
+        Health endpoints may be misleading, so only a connection is required.
         """
         while True:
             await self.check()
-            if self._seen:
+            if self._has_connected:
                 return
             await self._clock.sleep(_START_POLL_MS)
 
     async def run(self) -> None:
-        """Checks until cancelled."""
+        """Checks periodically until cancelled."""
         while True:
             await self.check()
             await self._clock.sleep(CHECK_INTERVAL_MS)
 
-    def _note(self, reachable: bool) -> None:
+    def _update_state(self, reachable: bool) -> None:
         if reachable:
-            self._seen = True
-        if reachable == self.up or not self._seen:
+            self._has_connected = True
+        if reachable == self.is_up or not self._has_connected:
             return
-        self.up = reachable
+        self.is_up = reachable
         telemetry.log("backend-found" if reachable else "backend-lost")
         for listener in self._listeners:
             listener(reachable)
--- a/libs/agent/src/fireflyford/agent/_configuration.py
+++ b/libs/agent/src/fireflyford/agent/_configuration.py
@@ -1,4 +1,4 @@
-"""Configuration of an agent: its own service's part, pulled from balancers."""
+"""Configuration source of an agent: its service, pulled from balancers."""
 
 from collections.abc import Sequence
 
@@ -8,19 +8,19 @@
 from fireflyford import store
 
 
-class AgentPeers(store.ConfigPeers):
-    """Following through the membership of an agent, never from the store."""
+class AgentConfigPeers(store.ConfigPeers):
+    """Configuration peers of an agent, which never reads the store."""
 
     def __init__(
         self, options: settings.AgentSettings, members: membership.Membership
     ) -> None:
-        """Takes settings and membership of the agent."""
+        """Initializes the peers with settings and membership of the agent."""
         self._options = options
         self._members = members
         self._announcements = membership.ConfigAnnouncements(members)
 
     def is_reader(self) -> bool:
-        """Returns False; agents leave the store alone."""
+        """Returns False, because agents do not read the store."""
         return False
 
     def sources(self, above: int) -> Sequence[store.PullSource]:
@@ -32,13 +32,13 @@
         ]
 
     def announce(self, version: int) -> None:
-        """Announces a version in this agent's own record."""
+        """Announces a version in the membership record of this agent."""
         self._members.update(config_version=version)
 
     async def pull(
         self, source: store.PullSource, payload: bytes
     ) -> core.Outcome[bytes]:
-        """Calls a balancer."""
+        """Pulls a configuration from a balancer."""
         return await membership.fetch_bulk(
             source.address, self._options.link_key, store.CONFIG_TOPIC, payload
         )
--- a/libs/agent/src/fireflyford/agent/_connection.py
+++ b/libs/agent/src/fireflyford/agent/_connection.py
@@ -1,4 +1,4 @@
-"""One caller's connection: one task that receives, decides and sends."""
+"""QUIC connection of one caller, driven by a single task."""
 
 import abc
 import asyncio
@@ -19,22 +19,24 @@
 from fireflyford.agent import _return_path
 
 MAX_REQUEST_BODY_BYTES = 1 << 20
-# All request bodies of one connection that are still arriving.
-MAX_PENDING_BYTES = 4 << 20
-# All response bytes of one connection that wait for an acknowledgement,
-# shared by its streams, so that one slow stream cannot hold up the others.
-MAX_UNSENT_BYTES = 1 << 20
-_LEAST_STREAM_BYTES = 16 << 10
-# A caller that takes nothing for so long has gone.
-WRITE_STALL_LIMIT_S = 30.0
-# RFC 9114, section 5.2: the first GOAWAY of a server that accepts the
-# requests that are already on their way.
+# Total size of the incomplete request bodies of one connection.
+MAX_PENDING_BODY_BYTES = 4 << 20
+# Total size of the unacknowledged response data of one connection. The budget
+# is divided among its streams so that a slow stream does not block the others.
+MAX_UNACKNOWLEDGED_BYTES = 1 << 20
+_MIN_STREAM_BUFFER_BYTES = 16 << 10
+# A caller that acknowledges nothing for this long is considered gone.
+WRITE_STALL_TIMEOUT_S = 30.0
+# RFC 9114, section 5.2: stream ID of an initial GOAWAY, with which a server
+# still accepts the requests that are in flight.
 _GOAWAY_STREAM_ID = (1 << 62) - 4
-# More datagrams than a congestion window holds mean a stuck task.
-_INBOX_DATAGRAMS = 1_024
-# A quiet path with open requests is probed; a caller with the library has
-# resumed elsewhere well before the last probe, so its work is freed. Other
-# callers keep their connection until QUIC's idle timeout.
+# Above the datagrams of a congestion window; a longer queue means that the
+# task is stuck.
+_MAX_QUEUED_DATAGRAMS = 1_024
+# A path without incoming datagrams is probed while requests are open. A caller
+# that uses the caller library has resumed elsewhere well before the last probe,
+# so its connection is closed and its work freed; other callers keep their
+# connection until the QUIC idle timeout.
 _PROBE_INTERVAL_S = (1.0, 2.0)
 _MAX_PROBES = 5
 
@@ -43,7 +45,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Request:
-    """One HTTP/3 request with its whole body."""
+    """An HTTP/3 request with its complete body."""
 
     method: str
     path: str
@@ -53,45 +55,46 @@
 
 
 class ResponseStream(abc.ABC):
-    """Where the answer to one request is written."""
+    """Writable response to one request."""
 
     @abc.abstractmethod
     def start(self, status_code: int, headers: Headers) -> None:
-        """Writes the status and the headers."""
+        """Writes the status code and the headers."""
 
     @abc.abstractmethod
     async def write(self, data: bytes, end: bool) -> None:
-        """Writes a part of the body; waits while the caller reads slowly.
+        """Writes a part of the body; waits while the send buffer is full.
 
         Raises:
-            StalledError: The caller has taken nothing for a long time.
+            StalledError: The caller has acknowledged no data for
+                `WRITE_STALL_TIMEOUT_S`.
         """
 
     @abc.abstractmethod
     def abort(self) -> None:
-        """Ends an answer that cannot be completed."""
+        """Resets the stream of a response that cannot be completed."""
 
 
 class StalledError(Exception):
-    """A caller has taken nothing for `WRITE_STALL_LIMIT_S`."""
+    """The caller has acknowledged no data for `WRITE_STALL_TIMEOUT_S`."""
 
 
-class Handler(abc.ABC):
-    """Answers the requests of all connections."""
+class RequestHandler(abc.ABC):
+    """Handles the requests of all connections."""
 
     @abc.abstractmethod
     async def handle(self, request: Request, response: ResponseStream) -> None:
-        """Answers one request; cancelled when the caller gives up."""
+        """Handles one request; cancelled when the caller cancels it."""
 
 
 @dataclasses.dataclass(frozen=True)
-class Arrival:
-    """One datagram of the connection.
+class ReceivedDatagram:
+    """A datagram received for a connection.
 
     Attributes:
         payload: The QUIC datagram.
-        caller: Where the caller sent it from.
-        balancer: Link address of the balancer that passed it on, None when
+        caller: Source address of the caller.
+        balancer: Link address of the balancer that forwarded it, or None if
             a peer relayed it.
     """
 
@@ -101,24 +104,25 @@
 
 
 class Connection:
-    """One QUIC connection and its request streams."""
+    """A QUIC connection and its request streams."""
 
     def __init__(
         self,
         quic: _quic.ServerConnection,
-        handler: Handler,
+        handler: RequestHandler,
         send: Callable[[core.Address, core.Address, bytes], None],
         track_id: Callable[["Connection", quic_events.QuicEvent], None],
         return_path: _return_path.ReturnPath,
     ) -> None:
-        """Prepares a connection; `run` drives it.
+        """Initializes the connection; `run` drives it.
 
         Args:
-            quic: Server side of the connection.
-            handler: Answers requests.
-            send: Sends through a balancer, to the caller's address.
-            track_id: Told of connection IDs issued and retired.
-            return_path: Chooses the balancer of answers.
+            quic: Server side of the QUIC connection.
+            handler: Handler of requests.
+            send: Sends a payload through a balancer to a caller's address.
+            track_id: Called with every event, among them connection IDs that
+                are issued or retired.
+            return_path: Selects the balancer that carries responses.
         """
         self._quic = quic
         self._http: h3_connection.H3Connection | None = None
@@ -126,40 +130,41 @@
         self._send = send
         self._track_id = track_id
         self.return_path = return_path
-        self._inbox: asyncio.Queue[Arrival | None] = asyncio.Queue(
-            maxsize=_INBOX_DATAGRAMS
+        self._queue: asyncio.Queue[ReceivedDatagram | None] = asyncio.Queue(
+            maxsize=_MAX_QUEUED_DATAGRAMS
         )
-        self._pending: dict[int, _PendingRequest] = {}
+        self._pending_requests: dict[int, _PendingRequest] = {}
         self._tasks: dict[int, asyncio.Task[None]] = {}
         self._closed = False
-        self._progress = asyncio.Event()
-        self._pending_bytes = 0
-        self._announced = False
-        self._probe_s = 0.0
+        self._send_progress = asyncio.Event()
+        self._pending_body_bytes = 0
+        self._uses_caller_library = False
+        self._next_probe_s = 0.0
         self._probe_count = 0
-        # Retransmissions through other balancers since the last datagram.
+        # Retransmissions through other balancers since the last received
+        # datagram.
         self._rotation_count = 0
         self.caller = core.Address("0.0.0.0", 0)
-        # Connection IDs under which the endpoint knows this connection.
-        self.ids: set[bytes] = set()
+        # Connection IDs registered for this connection at the endpoint.
+        self.connection_ids: set[bytes] = set()
 
     @property
     def request_count(self) -> int:
-        """Requests that have not been answered in full."""
+        """Number of requests without a complete response."""
         return len(self._tasks)
 
-    def deliver(self, arrival: Arrival) -> None:
-        """Queues a datagram; drops it when the queue is full."""
-        if not self._inbox.full():
-            self._inbox.put_nowait(arrival)
+    def deliver(self, datagram: ReceivedDatagram) -> None:
+        """Queues a datagram; drops it if the queue is full."""
+        if not self._queue.full():
+            self._queue.put_nowait(datagram)
 
     def wake(self) -> None:
-        """Makes the task send what streams have written."""
-        if self._inbox.empty():
-            self._inbox.put_nowait(None)
+        """Wakes the task so that it sends the data written by streams."""
+        if self._queue.empty():
+            self._queue.put_nowait(None)
 
-    def announce_leave(self) -> None:
-        """Tells the caller to open another connection for new requests."""
+    def send_goaway(self) -> None:
+        """Sends GOAWAY: new requests need another connection."""
         if self._closed or self._http is None:
             return
         control_stream_id = self._http._local_control_stream_id
@@ -169,17 +174,18 @@
             h3_connection.FrameType.GOAWAY,
             quic_buffer.encode_uint_var(_GOAWAY_STREAM_ID),
         )
-        # aioquic cannot send GOAWAY; the version is pinned.
+        # aioquic has no API for GOAWAY, so private fields are used; its version
+        # is pinned.
         self._quic.send_stream_data(control_stream_id, frame)
         self.wake()
 
     def close(self) -> None:
-        """Closes the connection towards the caller."""
+        """Closes the connection without an error."""
         self._quic.close(error_code=h3_connection.ErrorCode.H3_NO_ERROR)
         self.wake()
 
     async def run(self) -> None:
-        """Drives the connection until it ends."""
+        """Drives the connection until it is closed."""
         try:
             while not self._closed:
                 await self._step()
@@ -190,55 +196,59 @@
     async def _step(self) -> None:
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout_at(self._next_wake_s()):
-                arrival = await self._inbox.get()
+            async with asyncio.timeout_at(self._next_deadline_s()):
+                datagram = await self._queue.get()
         except TimeoutError:
             self._handle_timers(loop.time())
-            arrival = None
+            datagram = None
         while True:
-            if arrival is not None:
-                self._receive(arrival, loop.time())
-            if self._inbox.empty():
+            if datagram is not None:
+                self._receive(datagram, loop.time())
+            if self._queue.empty():
                 break
-            arrival = self._inbox.get_nowait()
+            datagram = self._queue.get_nowait()
         self._transmit(loop.time())
 
-    def _next_wake_s(self) -> float | None:
-        times_s = [self._quic.get_timer(), self._rotation_s()]
+    def _next_deadline_s(self) -> float | None:
+        deadlines_s = [self._quic.get_timer(), self._next_rotation_s()]
         if self._tasks:
-            times_s.append(self._probe_s)
-        return min((item for item in times_s if item is not None), default=None)
+            deadlines_s.append(self._next_probe_s)
+        return min(
+            (item for item in deadlines_s if item is not None), default=None
+        )
 
-    def _rotation_s(self) -> float | None:
+    def _next_rotation_s(self) -> float | None:
         if self._rotation_count >= _MAX_PROBES or not self._quic.awaits_ack:
             return None
         return self.return_path.next_rotation_s(self._quic.round_trip_s)
 
     def _handle_timers(self, now_s: float) -> None:
-        rotation_s = self._rotation_s()
+        rotation_s = self._next_rotation_s()
         if rotation_s is not None and rotation_s <= now_s:
             self._rotation_count += 1
             self._quic.retransmit(now_s)
         timer_s = self._quic.get_timer()
         if timer_s is not None and timer_s <= now_s:
             self._quic.handle_timer(now_s)
-        if not self._tasks or now_s < self._probe_s:
+        if not self._tasks or now_s < self._next_probe_s:
             return
-        self._probe_s = now_s + random.uniform(*_PROBE_INTERVAL_S)
+        self._next_probe_s = now_s + random.uniform(*_PROBE_INTERVAL_S)
         self._probe_count += 1
-        if self._announced and self._probe_count > _MAX_PROBES:
+        if self._uses_caller_library and self._probe_count > _MAX_PROBES:
             telemetry.log("path-silent", requests=len(self._tasks))
             self._quic.close(error_code=h3_connection.ErrorCode.H3_NO_ERROR)
         else:
             self._quic.send_ping(0)
 
-    def _receive(self, arrival: Arrival, now_s: float) -> None:
-        self.caller = arrival.caller
-        self.return_path.receive(arrival.balancer)
-        self._probe_s = now_s + random.uniform(*_PROBE_INTERVAL_S)
+    def _receive(self, datagram: ReceivedDatagram, now_s: float) -> None:
+        self.caller = datagram.caller
+        self.return_path.record_receipt(datagram.balancer)
+        self._next_probe_s = now_s + random.uniform(*_PROBE_INTERVAL_S)
         self._probe_count = 0
         self._rotation_count = 0
-        self._quic.receive_datagram(arrival.payload, arrival.caller.pair, now_s)
+        self._quic.receive_datagram(
+            datagram.payload, datagram.caller.pair, now_s
+        )
         self._handle_events()
 
     def _transmit(self, now_s: float) -> None:
@@ -247,7 +257,7 @@
             balancer = self.return_path.choose(now_s, self._quic.awaits_ack)
             if balancer is not None:
                 self._send(balancer, core.Address(*address[:2]), payload)
-        self._progress.set()
+        self._send_progress.set()
 
     def _handle_events(self) -> None:
         while (event := self._quic.next_event()) is not None:
@@ -267,54 +277,58 @@
 
     def _handle_http(self, event: h3_events.H3Event) -> None:
         if isinstance(event, h3_events.HeadersReceived):
-            self._pending[event.stream_id] = _PendingRequest(event.headers)
+            self._pending_requests[event.stream_id] = _PendingRequest(
+                event.headers
+            )
         elif isinstance(event, h3_events.DataReceived):
-            pending = self._pending.get(event.stream_id)
+            pending = self._pending_requests.get(event.stream_id)
             if pending is not None:
-                self._collect(event.stream_id, pending, event.data)
+                self._append_body(event.stream_id, pending, event.data)
         else:
             return
         if event.stream_ended:
-            self._start(event.stream_id)
+            self._start_request(event.stream_id)
 
-    def _collect(
+    def _append_body(
         self, stream_id: int, pending: "_PendingRequest", data: bytes
     ) -> None:
         pending.body += data
-        self._pending_bytes += len(data)
+        self._pending_body_bytes += len(data)
         too_long = len(pending.body) > MAX_REQUEST_BODY_BYTES
-        if too_long or self._pending_bytes > MAX_PENDING_BYTES:
-            self._drop_pending(stream_id)
+        if too_long or self._pending_body_bytes > MAX_PENDING_BODY_BYTES:
+            self._pop_pending(stream_id)
             self._quic.stop_stream(
                 stream_id, h3_connection.ErrorCode.H3_EXCESSIVE_LOAD
             )
-            stream = _Stream(self, stream_id)
+            stream = _Http3ResponseStream(self, stream_id)
             stream.start(413, (("content-length", "0"),))
             stream.finish()
 
-    def _drop_pending(self, stream_id: int) -> "_PendingRequest | None":
-        pending = self._pending.pop(stream_id, None)
+    def _pop_pending(self, stream_id: int) -> "_PendingRequest | None":
+        pending = self._pending_requests.pop(stream_id, None)
         if pending is not None:
-            self._pending_bytes -= len(pending.body)
+            self._pending_body_bytes -= len(pending.body)
         return pending
 
-    def _start(self, stream_id: int) -> None:
-        pending = self._drop_pending(stream_id)
+    def _start_request(self, stream_id: int) -> None:
+        pending = self._pop_pending(stream_id)
         if pending is None:
             return
-        stream = _Stream(self, stream_id)
-        request = pending.request(self.caller)
-        self._announced |= any(
+        stream = _Http3ResponseStream(self, stream_id)
+        request = pending.to_request(self.caller)
+        self._uses_caller_library |= any(
             name == caller.CALLER_HEADER for name, _ in request.headers
         )
-        task = asyncio.create_task(self._answer(request, stream))
+        task = asyncio.create_task(self._handle_request(request, stream))
         self._tasks[stream_id] = task
         task.add_done_callback(lambda _: self._tasks.pop(stream_id, None))
 
-    async def _answer(self, request: Request, stream: "_Stream") -> None:
+    async def _handle_request(
+        self, request: Request, stream: "_Http3ResponseStream"
+    ) -> None:
         try:
             await self._handler.handle(request, stream)
-        except Exception as error:  # A fault in one request ends only it.
+        except Exception as error:  # A failed request ends no other request.
             telemetry.log(
                 "request-failed",
                 path=request.path,
@@ -323,17 +337,17 @@
             stream.abort()
 
     def _cancel(self, stream_id: int) -> None:
-        self._drop_pending(stream_id)
+        self._pop_pending(stream_id)
         task = self._tasks.get(stream_id)
         if task is not None:
             task.cancel()
 
-    # The methods below serve the streams of this connection.
+    # Interface for the response streams of this connection.
 
     def write_headers(
         self, stream_id: int, status_code: int, headers: Headers
     ) -> None:
-        """Writes status and headers of an answer."""
+        """Writes the status code and the headers of a response."""
         if self._closed or self._http is None:
             return
         encoded = [(b":status", str(status_code).encode())]
@@ -344,30 +358,40 @@
         self.wake()
 
     def write_data(self, stream_id: int, data: bytes, end: bool) -> None:
-        """Writes a part of the body of an answer."""
+        """Writes a part of the body of a response."""
         if self._closed or self._http is None:
             return
         self._http.send_data(stream_id, data, end)
         self.wake()
 
-    async def wait_for_room(self, stream_id: int) -> None:
-        """Waits until the stream may buffer more bytes."""
+    async def wait_for_buffer_space(self, stream_id: int) -> None:
+        """Waits until the stream is below its share of the send buffer.
+
+        Raises:
+            StalledError: The caller has acknowledged no data for
+                `WRITE_STALL_TIMEOUT_S`.
+        """
         while not self._closed:
-            share = MAX_UNSENT_BYTES // max(1, len(self._tasks))
-            limit = max(share, _LEAST_STREAM_BYTES)
-            before = self._quic.unacknowledged_bytes(stream_id)
-            if before <= limit:
+            share_bytes = MAX_UNACKNOWLEDGED_BYTES // max(1, len(self._tasks))
+            limit_bytes = max(share_bytes, _MIN_STREAM_BUFFER_BYTES)
+            buffered_bytes = self._quic.unacknowledged_bytes(stream_id)
+            if buffered_bytes <= limit_bytes:
                 return
             try:
-                async with asyncio.timeout(WRITE_STALL_LIMIT_S):
-                    while self._quic.unacknowledged_bytes(stream_id) == before:
-                        self._progress.clear()
-                        await self._progress.wait()
+                async with asyncio.timeout(WRITE_STALL_TIMEOUT_S):
+                    while (
+                        self._quic.unacknowledged_bytes(stream_id)
+                        == buffered_bytes
+                    ):
+                        self._send_progress.clear()
+                        await self._send_progress.wait()
             except TimeoutError:
-                raise StalledError(f"{before} bytes not taken") from None
+                raise StalledError(
+                    f"no acknowledgement for {buffered_bytes} buffered bytes"
+                ) from None
 
     def reset_stream(self, stream_id: int) -> None:
-        """Ends an answer that cannot be completed."""
+        """Resets the stream of a response that cannot be completed."""
         if not self._closed:
             self._quic.reset_stream(
                 stream_id, h3_connection.ErrorCode.H3_INTERNAL_ERROR
@@ -376,7 +400,7 @@
 
 
 class _PendingRequest:
-    """A request whose body is still arriving."""
+    """A request whose body is incomplete."""
 
     def __init__(self, headers: list[tuple[bytes, bytes]]) -> None:
         self._headers = tuple(
@@ -384,7 +408,7 @@
         )
         self.body = bytearray()
 
-    def request(self, address: core.Address) -> Request:
+    def to_request(self, address: core.Address) -> Request:
         fields = dict(self._headers)
         return Request(
             method=fields.get(":method", ""),
@@ -395,8 +419,8 @@
         )
 
 
-class _Stream(ResponseStream):
-    """The answer to one request on its connection."""
+class _Http3ResponseStream(ResponseStream):
+    """Response stream on an HTTP/3 connection."""
 
     def __init__(self, connection: Connection, stream_id: int) -> None:
         self._connection = connection
@@ -408,7 +432,7 @@
     async def write(self, data: bytes, end: bool) -> None:
         self._connection.write_data(self._stream_id, data, end)
         if not end:
-            await self._connection.wait_for_room(self._stream_id)
+            await self._connection.wait_for_buffer_space(self._stream_id)
 
     def finish(self) -> None:
         self._connection.write_data(self._stream_id, b"", True)
--- a/libs/agent/src/fireflyford/agent/_datagram.py
+++ b/libs/agent/src/fireflyford/agent/_datagram.py
@@ -1,4 +1,4 @@
-"""Flows of plain datagrams: search, adoption and relay to the backend."""
+"""Plain-datagram flows: search, adoption and relay to the backend server."""
 
 import asyncio
 from collections.abc import Callable
@@ -11,18 +11,19 @@
 from fireflyford import routing
 from fireflyford import wire
 
-Send = Callable[[bytes, core.Address], None]
+SendDatagram = Callable[[bytes, core.Address], None]
 
-# Times of notices in ms; a notice that is older may contradict a newer one.
-_SENT = struct.Struct("!Q")
+# Payload of a notice: its send time in ms of the time of day. Late notices are
+# discarded because they may contradict newer ones.
+_SEND_TIME = struct.Struct("!Q")
 _SWEEP_INTERVAL_MS = 50
-# Announcing looks at every flow, some 10 ms for 4,000 of them.
-_ANNOUNCE_GAP_MS = 1_000
-# Datagrams that wait for the end of a search, which takes a few milliseconds.
-_MAX_WAITING = 1_024
+# An announcement iterates over all flows, about 10 ms for 4,000 flows.
+_ANNOUNCE_INTERVAL_MS = 1_000
+# Bounds on datagrams that wait for a search, which takes a few milliseconds.
+_MAX_WAITING_DATAGRAMS = 1_024
 _MAX_WAITING_PER_FLOW = 16
-_WAITING_LIMIT_MS = 1_000
-_INBOX_DATAGRAMS = 256
+_MAX_WAIT_MS = 1_000
+_MAX_QUEUED_DATAGRAMS = 256
 
 
 class FlowCounters:
@@ -39,53 +40,53 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Queued:
-    """A verified datagram, which may wait for the end of a search."""
+class _VerifiedDatagram:
+    """An authenticated datagram; it may have to wait for a search to end."""
 
     header: wire.ForwardHeader
     payload: bytes
     sender: core.Address
-    since_ms: int
+    received_ms: int
 
 
 class _Flow(asyncio.DatagramProtocol):
-    """One flow held here, with its socket to the backend server."""
+    """A flow held by this agent, with its socket to the backend server."""
 
     def __init__(
         self,
         caller: core.Address,
         balancer: core.Address,
-        answer: Callable[["_Flow", bytes], None],
+        send_response: Callable[["_Flow", bytes], None],
     ) -> None:
         self.caller = caller
         self.balancer = balancer
-        self._answer = answer
-        self._inbox: asyncio.Queue[bytes] = asyncio.Queue(_INBOX_DATAGRAMS)
+        self._send_response = send_response
+        self._queue: asyncio.Queue[bytes] = asyncio.Queue(_MAX_QUEUED_DATAGRAMS)
         self.task: asyncio.Task[None] | None = None
 
     def deliver(self, payload: bytes) -> bool:
-        """Queues a datagram; returns False when the queue is full."""
-        if self._inbox.full():
+        """Queues a datagram; returns False if the queue is full."""
+        if self._queue.full():
             return False
-        self._inbox.put_nowait(payload)
+        self._queue.put_nowait(payload)
         return True
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Sends what the backend server answers to the caller."""
-        self._answer(self, data)
+        """Forwards a response of the backend server to the caller."""
+        self._send_response(self, data)
 
     def error_received(self, exc: Exception) -> None:
-        """Ignores a refusal; the backend server may be starting."""
+        """Ignores ICMP errors; the backend server may still be starting."""
 
-    async def run(self, backend: core.Address) -> None:
-        """Relays to the backend server until cancelled."""
+    async def run(self, backend_address: core.Address) -> None:
+        """Relays queued datagrams to the backend server until cancelled."""
         loop = asyncio.get_running_loop()
         transport, _ = await loop.create_datagram_endpoint(
-            lambda: self, remote_addr=backend.pair
+            lambda: self, remote_addr=backend_address.pair
         )
         try:
             while True:
-                transport.sendto(await self._inbox.get())
+                transport.sendto(await self._queue.get())
         finally:
             transport.close()
 
@@ -97,30 +98,31 @@
         self,
         clock: core.Clock,
         service: str,
-        own: core.Holder,
+        own_holder: core.Holder,
         codec: wire.ForwardCodec,
-        backend: core.Address,
-        peers: routing.FlowPlacement,
+        backend_address: core.Address,
+        placement: routing.FlowPlacement,
     ) -> None:
-        """Prepares the flows of one agent.
+        """Initializes an empty set of flows.
 
         Args:
             clock: Source of time.
             service: Service of the target.
-            own: This agent.
+            own_holder: Holder that stands for this agent.
             codec: Encoding of forwarding headers.
-            backend: Where the backend server takes datagrams.
-            peers: Where this agent's view places flows.
+            backend_address: Address where the backend server receives
+                datagrams.
+            placement: Placement of flows in this agent's view.
         """
         self._clock = clock
         self._service_tag = core.service_tag(service)
-        self._own = own
+        self._own_holder = own_holder
         self._codec = codec
-        self._backend = backend
-        self._table = routing.FlowTable(clock, own, peers)
-        self._send: Send | None = None
+        self._backend_address = backend_address
+        self._table = routing.FlowTable(clock, own_holder, placement)
+        self._send: SendDatagram | None = None
         self._flows: dict[int, _Flow] = {}
-        self._waiting: dict[int, list[_Queued]] = {}
+        self._waiting: dict[int, list[_VerifiedDatagram]] = {}
         self._waiting_count = 0
         self._view_changed = False
         self._next_announce_ms = 0
@@ -128,15 +130,15 @@
 
     @property
     def open_count(self) -> int:
-        """Flows that this agent holds."""
+        """Number of flows that this agent holds."""
         return self._table.held_count
 
-    def attach(self, send: Send) -> None:
-        """Takes the sending side of the link socket."""
+    def attach(self, send: SendDatagram) -> None:
+        """Sets the function that sends through the link socket."""
         self._send = send
 
     async def run(self) -> None:
-        """Ends idle flows and repeats searches until cancelled."""
+        """Expires idle flows and retries waiting datagrams until cancelled."""
         try:
             while True:
                 await self._clock.sleep(_SWEEP_INTERVAL_MS)
@@ -153,66 +155,79 @@
         now_ms = self._clock.now_ms()
         if self._view_changed and now_ms >= self._next_announce_ms:
             self._view_changed = False
-            self._next_announce_ms = now_ms + _ANNOUNCE_GAP_MS
-            self._notify(self._table.announce())
+            self._next_announce_ms = now_ms + _ANNOUNCE_INTERVAL_MS
+            self._send_notices(self._table.announce())
 
-    def follow_view(self, dead: Set[core.Holder]) -> None:
-        """Takes a new view of the peers, some of which are dead."""
+    def handle_view_change(self, dead: Set[core.Holder]) -> None:
+        """Handles a change of the membership view.
+
+        Args:
+            dead: Holders whose agents are dead or have left.
+        """
         self._table.remove_holders(dead)
         self._view_changed = True
 
     def receive(
         self, header: wire.ForwardHeader, payload: bytes, sender: core.Address
     ) -> None:
-        """Handles what the link socket has verified."""
+        """Handles an authenticated datagram or notice from the link socket."""
         if header.kind is wire.ForwardType.TO_AGENT:
             now_ms = self._clock.now_ms()
-            self._decide(_Queued(header, payload, sender, now_ms))
-            # A returned search ends the wait of the datagrams behind it.
+            self._handle_datagram(
+                _VerifiedDatagram(header, payload, sender, now_ms)
+            )
+            # The datagram may be a search that came back, which decides the
+            # flow, so the datagrams waiting for it are retried.
             self._retry(header.flow_key)
-        elif len(header.holders) == 1 and len(payload) == _SENT.size:
-            self._hear(header, _SENT.unpack(payload)[0], sender)
+        elif len(header.holders) == 1 and len(payload) == _SEND_TIME.size:
+            self._handle_notice(header, _SEND_TIME.unpack(payload)[0], sender)
             self._retry(header.flow_key)
         else:
             self.counters.dropped_count += 1
 
-    def _decide(self, queued: _Queued) -> None:
-        header = queued.header
+    def _handle_datagram(self, datagram: _VerifiedDatagram) -> None:
+        header = datagram.header
         decision = self._table.handle_datagram(
             routing.ForwardedDatagram(
                 header.flow_key,
-                queued.sender,
+                datagram.sender,
                 header.hops,
                 header.holders,
                 header.timestamp_ms,
             )
         )
-        self._notify(decision.notices)
+        self._send_notices(decision.notices)
         if decision.action is routing.Action.DELIVER:
-            balancer = header.balancer or queued.sender
-            self._deliver(header, queued.payload, balancer)
+            balancer = header.balancer or datagram.sender
+            self._deliver(header, datagram.payload, balancer)
         elif decision.action is routing.Action.FORWARD:
-            self._forward(decision, queued)
+            self._forward(decision, datagram)
         elif decision.action is routing.Action.HOLD:
-            self._wait(queued)
+            self._enqueue_waiting(datagram)
         else:
             self.counters.dropped_count += 1
 
-    def _hear(
-        self, header: wire.ForwardHeader, sent_ms: int, sender: core.Address
+    def _handle_notice(
+        self,
+        header: wire.ForwardHeader,
+        notice_sent_ms: int,
+        sender: core.Address,
     ) -> None:
-        if abs(self._clock.wall_ms() - sent_ms) > routing.MAX_MESSAGE_AGE_MS:
+        if (
+            abs(self._clock.wall_ms() - notice_sent_ms)
+            > routing.MAX_MESSAGE_AGE_MS
+        ):
             self.counters.late_notice_count += 1
             return
         notice = routing.Notice(
-            self._own,
+            self._own_holder,
             header.flow_key,
             header.holders[0],
             header.timestamp_ms,
             header.kind is wire.ForwardType.RELEASE,
         )
         decision = self._table.handle_notice(notice, core.Holder(sender, 0))
-        self._notify(decision.notices)
+        self._send_notices(decision.notices)
         if decision.flow_lost:
             self.counters.lost_flow_count += 1
             self._close(header.flow_key)
@@ -227,41 +242,44 @@
     ) -> None:
         flow = self._flows.get(header.flow_key)
         if flow is None:
-            flow = _Flow(header.caller, balancer, self._answer)
-            flow.task = asyncio.create_task(flow.run(self._backend))
+            flow = _Flow(header.caller, balancer, self._send_response)
+            flow.task = asyncio.create_task(flow.run(self._backend_address))
             self._flows[header.flow_key] = flow
-        # Two callers with one key would otherwise see each other's answers.
+        # If two callers share a flow key, each would otherwise receive the
+        # responses to the other.
         if flow.caller != header.caller or not flow.deliver(payload):
             self.counters.dropped_count += 1
             return
         flow.balancer = balancer
         self.counters.delivered_count += 1
 
-    def _answer(self, flow: _Flow, payload: bytes) -> None:
+    def _send_response(self, flow: _Flow, payload: bytes) -> None:
         header = wire.ForwardHeader(
             kind=wire.ForwardType.TO_CALLER,
             service=self._service_tag,
-            incarnation=self._own.incarnation,
+            incarnation=self._own_holder.incarnation,
             flow_key=0,
             caller=flow.caller,
         )
         self._transmit(header, payload, flow.balancer)
 
-    def _forward(self, decision: routing.Decision, queued: _Queued) -> None:
-        to = cast(core.Holder, decision.to)
-        header = queued.header
+    def _forward(
+        self, decision: routing.Decision, datagram: _VerifiedDatagram
+    ) -> None:
+        destination = cast(core.Holder, decision.to)
+        header = datagram.header
         self.counters.passed_on_count += 1
         forwarded = dataclasses.replace(
             header,
-            incarnation=to.incarnation,
+            incarnation=destination.incarnation,
             hops=header.hops + 1,
             holders=decision.chain,
             timestamp_ms=decision.timestamp_ms,
-            balancer=header.balancer or queued.sender,
+            balancer=header.balancer or datagram.sender,
         )
-        self._transmit(forwarded, queued.payload, to.address)
+        self._transmit(forwarded, datagram.payload, destination.address)
 
-    def _notify(self, notices: tuple[routing.Notice, ...]) -> None:
+    def _send_notices(self, notices: tuple[routing.Notice, ...]) -> None:
         for notice in notices:
             kind = wire.ForwardType.ADOPT
             if notice.released:
@@ -276,44 +294,47 @@
                 timestamp_ms=notice.timestamp_ms,
             )
             self.counters.notice_count += 1
-            sent = _SENT.pack(self._clock.wall_ms())
-            self._transmit(header, sent, notice.to.address)
+            send_time = _SEND_TIME.pack(self._clock.wall_ms())
+            self._transmit(header, send_time, notice.to.address)
 
     def _transmit(
-        self, header: wire.ForwardHeader, payload: bytes, to: core.Address
+        self,
+        header: wire.ForwardHeader,
+        payload: bytes,
+        destination: core.Address,
     ) -> None:
         if self._send is not None:
-            self._send(self._codec.pack(header, payload), to)
+            self._send(self._codec.pack(header, payload), destination)
 
     def _close(self, flow_key: int) -> None:
         flow = self._flows.pop(flow_key, None)
         if flow is not None and flow.task is not None:
             flow.task.cancel()
 
-    # Datagrams that wait for the end of a search.
+    # Datagrams that wait for a search.
 
-    def _wait(self, queued: _Queued) -> None:
-        key = queued.header.flow_key
+    def _enqueue_waiting(self, datagram: _VerifiedDatagram) -> None:
+        key = datagram.header.flow_key
         waiting = self._waiting.get(key, [])
         if (
-            self._waiting_count >= _MAX_WAITING
+            self._waiting_count >= _MAX_WAITING_DATAGRAMS
             or len(waiting) >= _MAX_WAITING_PER_FLOW
         ):
             self.counters.dropped_count += 1
             return
-        waiting.append(queued)
+        waiting.append(datagram)
         self._waiting[key] = waiting
         self._waiting_count += 1
 
     def _retry(self, flow_key: int) -> None:
-        """Decides again about the datagrams of a flow that wait."""
+        """Handles the waiting datagrams of a flow again; drops expired ones."""
         waiting = self._waiting.pop(flow_key, None)
         if waiting is None:
             return
         self._waiting_count -= len(waiting)
-        oldest_ms = self._clock.now_ms() - _WAITING_LIMIT_MS
-        for item in waiting:
-            if item.since_ms < oldest_ms:
+        earliest_ms = self._clock.now_ms() - _MAX_WAIT_MS
+        for waiting_datagram in waiting:
+            if waiting_datagram.received_ms < earliest_ms:
                 self.counters.dropped_count += 1
             else:
-                self._decide(item)
+                self._handle_datagram(waiting_datagram)
--- a/libs/agent/src/fireflyford/agent/_endpoint.py
+++ b/libs/agent/src/fireflyford/agent/_endpoint.py
@@ -1,4 +1,4 @@
-"""Link socket of an agent: finds the connection of each datagram."""
+"""Link socket of an agent: dispatches datagrams to connections."""
 
 import asyncio
 from collections.abc import Callable
@@ -16,8 +16,8 @@
 from fireflyford.agent import _quic
 from fireflyford.agent import _return_path
 
-_QUIC_KINDS = frozenset({wire.ForwardType.TO_AGENT})
-_FLOW_KINDS = frozenset(
+_QUIC_FORWARD_TYPES = frozenset({wire.ForwardType.TO_AGENT})
+_DATAGRAM_FORWARD_TYPES = frozenset(
     {
         wire.ForwardType.TO_AGENT,
         wire.ForwardType.ADOPT,
@@ -27,7 +27,7 @@
 
 
 class Counters:
-    """Datagrams since the process started, by what happened to them."""
+    """Datagrams since the process started, by outcome."""
 
     def __init__(self) -> None:
         """Starts all counters at zero."""
@@ -40,7 +40,7 @@
 
 
 class Endpoint(asyncio.DatagramProtocol):
-    """Ends the flows of one target."""
+    """Terminates the flows of one target."""
 
     def __init__(
         self,
@@ -48,116 +48,131 @@
         incarnation: int,
         address: core.Address,
         codec: wire.ForwardCodec,
-        connection_ids: wire.ConnectionIdCodec,
+        connection_id_codec: wire.ConnectionIdCodec,
         configuration: quic_configuration.QuicConfiguration,
-        handler: _connection.Handler,
-        relay_target: Callable[[bytes], core.Address | None],
+        handler: _connection.RequestHandler,
+        find_relay_peer: Callable[[bytes], core.Address | None],
         balancers: _return_path.BalancerSource,
-        flows: _datagram.DatagramFlows | None = None,
+        datagram_flows: _datagram.DatagramFlows | None = None,
     ) -> None:
-        """Prepares the endpoint of one target.
+        """Initializes the endpoint of one target.
 
         Args:
             service: Service of the target.
             incarnation: Link incarnation of this agent.
             address: Link address of this agent.
             codec: Encoding of forwarding headers.
-            connection_ids: Encoding of connection IDs.
+            connection_id_codec: Encoding of connection IDs.
             configuration: TLS and transport parameters.
-            handler: Answers requests.
-            relay_target: Returns a peer that accepts the new flow with the
-                given first destination ID while this agent does not, or
-                None while it does.
-            balancers: Knows the balancers that carry answers.
-            flows: Takes every datagram of a service that is not QUIC.
+            handler: Handler of requests.
+            find_relay_peer: Given the first destination ID of a new flow,
+                returns the peer to relay it to, or None if this agent
+                accepts the flow.
+            balancers: Source of the balancers that carry responses.
+            datagram_flows: Receives all datagrams if the service uses plain
+                datagrams; None for QUIC.
         """
         self._service_tag = core.service_tag(service)
         self._incarnation = incarnation
         self._codec = codec
-        self._source = _quic.ConnectionIdSource(
-            connection_ids, address, incarnation
+        self._connection_id_source = _quic.ConnectionIdSource(
+            connection_id_codec, address, incarnation
         )
         self._configuration = configuration
         self._handler = handler
-        self._relay_target = relay_target
-        self._flows = flows
+        self._find_relay_peer = find_relay_peer
+        self._datagram_flows = datagram_flows
         self._balancers = balancers
         self._admission = _admission.FlowAdmission(self._admit)
         self._transport: asyncio.DatagramTransport | None = None
-        self._by_id: dict[bytes, _connection.Connection] = {}
+        self._connections_by_id: dict[bytes, _connection.Connection] = {}
         self.connections: dict[_connection.Connection, asyncio.Task[None]] = {}
         self.counters = Counters()
 
     @property
     def admission(self) -> _admission.FlowAdmission:
-        """Admission of new flows."""
+        """Rate limit for new flows."""
         return self._admission
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keeps the transport."""
+        """Stores the transport of the link socket."""
         link = cast(asyncio.DatagramTransport, transport)
         self._transport = link
-        if self._flows is not None:
-            self._flows.attach(lambda data, to: link.sendto(data, to.pair))
+        if self._datagram_flows is not None:
+            self._datagram_flows.attach(
+                lambda data, to: link.sendto(data, to.pair)
+            )
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Delivers a forwarded datagram to its connection."""
+        """Dispatches a forwarded datagram to its connection."""
         unpacked = self._codec.unpack(data)
         if unpacked is None:
             self.counters.foreign_count += 1
             return
         header, payload = unpacked
-        if not self._is_ours(header):
+        if not self._is_for_this_target(header):
             self.counters.misrouted_count += 1
             return
-        if self._flows is not None:
+        if self._datagram_flows is not None:
             self.counters.received_count += 1
-            self._flows.receive(header, payload, core.Address(*addr[:2]))
+            self._datagram_flows.receive(
+                header, payload, core.Address(*addr[:2])
+            )
             return
-        hint = wire.parse_invariant_header(payload)
-        if hint is None:
+        invariant_header = wire.parse_invariant_header(payload)
+        if invariant_header is None:
             self.counters.foreign_count += 1
             return
         self.counters.received_count += 1
-        # A relayed datagram comes from a peer, which carries no answers.
+        # A relayed datagram comes from a peer, which carries no responses.
         balancer = None if header.hops else core.Address(*addr[:2])
-        arrival = _connection.Arrival(payload, header.caller, balancer)
-        connection = self._by_id.get(hint.destination_connection_id)
+        datagram = _connection.ReceivedDatagram(
+            payload, header.caller, balancer
+        )
+        connection = self._connections_by_id.get(
+            invariant_header.destination_connection_id
+        )
         if connection is None:
-            self._accept(header, arrival)
+            self._handle_unknown_id(header, datagram)
         else:
-            connection.deliver(arrival)
+            connection.deliver(datagram)
 
-    def _is_ours(self, header: wire.ForwardHeader) -> bool:
-        kinds = _QUIC_KINDS if self._flows is None else _FLOW_KINDS
+    def _is_for_this_target(self, header: wire.ForwardHeader) -> bool:
+        accepted_types = (
+            _QUIC_FORWARD_TYPES
+            if self._datagram_flows is None
+            else _DATAGRAM_FORWARD_TYPES
+        )
         return (
-            header.kind in kinds
+            header.kind in accepted_types
             and header.service == self._service_tag
             and header.incarnation in (0, self._incarnation)
         )
 
-    def _accept(
-        self, header: wire.ForwardHeader, arrival: _connection.Arrival
+    def _handle_unknown_id(
+        self, header: wire.ForwardHeader, datagram: _connection.ReceivedDatagram
     ) -> None:
-        payload = arrival.payload
-        destination = None
+        payload = datagram.payload
+        destination_id = None
         if header.incarnation == 0 and len(payload) >= wire.MIN_INITIAL_BYTES:
-            destination = _initial_destination(payload)
-        if destination is None:
+            destination_id = _initial_destination_id(payload)
+        if destination_id is None:
             self.counters.unknown_flow_count += 1
             return
-        peer = self._relay_target(destination)
+        peer = self._find_relay_peer(destination_id)
         if peer is not None:
             self._relay(peer, header, payload)
         else:
-            self._admission.offer(destination, arrival)
+            self._admission.submit(destination_id, datagram)
 
     def _admit(
-        self, destination: bytes, arrivals: list[_connection.Arrival]
+        self,
+        destination_id: bytes,
+        datagrams: list[_connection.ReceivedDatagram],
     ) -> None:
-        connection = self._open(destination)
-        for arrival in arrivals:
-            connection.deliver(arrival)
+        connection = self._open_connection(destination_id)
+        for datagram in datagrams:
+            connection.deliver(datagram)
 
     def _relay(
         self, peer: core.Address, header: wire.ForwardHeader, payload: bytes
@@ -175,9 +190,9 @@
         )
         self._transport.sendto(self._codec.pack(relayed, payload), peer.pair)
 
-    def _open(self, destination: bytes) -> _connection.Connection:
+    def _open_connection(self, destination_id: bytes) -> _connection.Connection:
         quic = _quic.ServerConnection(
-            self._configuration, self._source, destination
+            self._configuration, self._connection_id_source, destination_id
         )
         connection = _connection.Connection(
             quic,
@@ -186,11 +201,11 @@
             self._track_id,
             _return_path.ReturnPath(self._balancers, self._count_rotation),
         )
-        self._add_id(destination, connection)
+        self._add_id(destination_id, connection)
         self._add_id(quic.host_cid, connection)
         task = asyncio.create_task(connection.run())
         self.connections[connection] = task
-        task.add_done_callback(lambda _: self._forget(connection))
+        task.add_done_callback(lambda _: self._remove_connection(connection))
         return connection
 
     def _count_rotation(self) -> None:
@@ -204,19 +219,19 @@
         if isinstance(event, quic_events.ConnectionIdIssued):
             self._add_id(event.connection_id, connection)
         elif isinstance(event, quic_events.ConnectionIdRetired):
-            self._by_id.pop(event.connection_id, None)
-            connection.ids.discard(event.connection_id)
+            self._connections_by_id.pop(event.connection_id, None)
+            connection.connection_ids.discard(event.connection_id)
 
     def _add_id(
         self, connection_id: bytes, connection: _connection.Connection
     ) -> None:
-        self._by_id[connection_id] = connection
-        connection.ids.add(connection_id)
+        self._connections_by_id[connection_id] = connection
+        connection.connection_ids.add(connection_id)
 
-    def _forget(self, connection: _connection.Connection) -> None:
+    def _remove_connection(self, connection: _connection.Connection) -> None:
         self.connections.pop(connection, None)
-        for connection_id in connection.ids:
-            self._by_id.pop(connection_id, None)
+        for connection_id in connection.connection_ids:
+            self._connections_by_id.pop(connection_id, None)
 
     def _send(
         self,
@@ -236,7 +251,7 @@
         self._transport.sendto(self._codec.pack(header, payload), balancer.pair)
 
 
-def _initial_destination(payload: bytes) -> bytes | None:
+def _initial_destination_id(payload: bytes) -> bytes | None:
     try:
         header = quic_packet.pull_quic_header(
             quic_packet.Buffer(data=payload),
--- a/libs/agent/src/fireflyford/agent/_feeds.py
+++ b/libs/agent/src/fireflyford/agent/_feeds.py
@@ -1,4 +1,4 @@
-"""Feeds of one target: streamed, resumed, and moved when the target leaves."""
+"""Feed server of one target: streams, resumes and moves feeds."""
 
 import asyncio
 from collections.abc import Awaitable
@@ -16,29 +16,29 @@
 from fireflyford.agent import _backend_feeds
 from fireflyford.agent import _connection
 
-# A handshake costs an agent about 5 ms of CPU; the peers that take the feeds
-# over may spend half of their time on handshakes.
+# A handshake takes an agent about 5 ms of CPU time; the peers that take over
+# the feeds may spend half of their time on handshakes.
 _MOVE_COST_MS = 10
-_LEAST_WINDOW_MS = 200
-# Detection takes 2 s of the 5 s that a feed may be silent.
+_MIN_WINDOW_MS = 200
+# A feed may be silent for 5 s, of which failure detection takes 2 s.
 _MAX_RESUME_JITTER_MS = 1_500
-# A backend server that pauses for a second is not suspected.
-_SILENCE_LIMIT_MS = (2_500.0, 3_500.0)
-# Callers that have been told to move close their old stream themselves.
-_MOVE_LIMIT_MS = 5_000
-_CHECK_INTERVAL_MS = 500
+# A backend server may pause for a second without the feed being reopened.
+_FEED_TIMEOUT_MS = (2_500.0, 3_500.0)
+# Time for callers that were asked to move to close their old stream themselves.
+_MOVE_TIMEOUT_MS = 5_000
+_PEER_POLL_INTERVAL_MS = 500
 _MAX_LINE_BYTES = 1 << 20
-_AFTER = re.compile(r"([?&]after=)\d*")
+_AFTER_PARAMETER = re.compile(r"([?&]after=)\d*")
 
 
 @dataclasses.dataclass(frozen=True)
-class _Position:
-    """The part of an event that the agent reads."""
+class _SequencedEvent:
+    """Part of a feed event that the agent decodes."""
 
     sequence: int
 
 
-_DECODER = msgspec.json.Decoder(_Position)
+_EVENT_DECODER = msgspec.json.Decoder(_SequencedEvent)
 
 
 class FeedServer:
@@ -48,35 +48,35 @@
         self,
         clock: core.Clock,
         source: _backend_feeds.FeedSource,
-        check_backend: Callable[[], Awaitable[bool]],
+        is_backend_reachable: Callable[[], Awaitable[bool]],
         peer_count: Callable[[], int],
     ) -> None:
-        """Prepares the server.
+        """Initializes the server.
 
         Args:
             clock: Source of time.
-            source: Opens feeds of the backend server.
-            check_backend: Returns whether the backend server accepts
+            source: Source of the feeds of the backend server.
+            is_backend_reachable: Returns whether the backend server accepts
                 connections.
-            peer_count: Returns how many peers would take feeds over.
+            peer_count: Returns the number of peers that can take over feeds.
         """
         self._clock = clock
         self._source = source
-        self._check_backend = check_backend
+        self._is_backend_reachable = is_backend_reachable
         self._peer_count = peer_count
-        self._sessions: set[_Session] = set()
+        self._sessions: set[_FeedSession] = set()
         self._moving = False
         self.moved_count = 0
         self.resumed_count = 0
 
     @property
     def feed_count(self) -> int:
-        """Open feeds."""
+        """Number of open feeds."""
         return len(self._sessions)
 
     @property
     def plain_count(self) -> int:
-        """Open feeds of callers that cannot be asked to move."""
+        """Number of open feeds whose callers cannot be asked to move."""
         return sum(not session.movable for session in self._sessions)
 
     async def serve(
@@ -85,13 +85,13 @@
         treatment: config.Treatment,
         response: _connection.ResponseStream,
     ) -> core.Failure | None:
-        """Streams one feed until either end closes it.
+        """Streams a feed until the caller or the backend server closes it.
 
         Returns:
-            Why the feed was refused, or None if it was opened.
+            Reason for refusing the feed, or None if it was opened.
         """
         fields = dict(request.headers)
-        session = _Session(
+        session = _FeedSession(
             request.path,
             treatment,
             response,
@@ -103,9 +103,9 @@
         finally:
             self._sessions.discard(session)
 
-    async def _run(self, session: "_Session") -> core.Failure | None:
+    async def _run(self, session: "_FeedSession") -> core.Failure | None:
         while True:
-            position = session.position
+            last_sequence = session.last_sequence
             try:
                 if await self._stream(session):
                     await session.response.write(b"", end=True)
@@ -114,30 +114,33 @@
                 if not session.started:
                     return core.Failure(
                         core.ErrorKind.BACKEND_FAILED,
-                        f"the backend server answered {error} to a feed",
+                        f"backend server rejected the feed with status {error}",
                     )
-                await self._give_up(session)
+                await self._end_session(session)
                 return None
             except _backend_feeds.FeedBrokenError:
-                if not await self._check_backend():
-                    return await self._lose_backend(session)
-                if not session.resumable or session.position == position:
-                    await self._give_up(session)
+                if not await self._is_backend_reachable():
+                    return await self._handle_backend_loss(session)
+                if (
+                    not session.resumable
+                    or session.last_sequence == last_sequence
+                ):
+                    await self._end_session(session)
                     return None
             self.resumed_count += 1
 
-    async def _stream(self, session: "_Session") -> bool:
-        """Streams until the feed ends; False when the path fell silent."""
+    async def _stream(self, session: "_FeedSession") -> bool:
+        """Streams until the feed ends; returns False if it timed out."""
         async with self._source.open(session.resume_path()) as chunks:
             session.drop_partial_line()
             if not session.started:
                 session.start(self._jitter_ms())
                 if self._moving and self._peer_count():
-                    await self._ask_to_move(session)
+                    await self._request_move(session)
             while True:
-                limit_ms = random.uniform(*_SILENCE_LIMIT_MS)
+                timeout_ms = random.uniform(*_FEED_TIMEOUT_MS)
                 try:
-                    async with asyncio.timeout(limit_ms / 1000):
+                    async with asyncio.timeout(timeout_ms / 1000):
                         chunk = await anext(chunks, None)
                 except TimeoutError:
                     if session.resumable:
@@ -147,30 +150,33 @@
                     return True
                 await session.write(chunk)
 
-    async def _lose_backend(self, session: "_Session") -> core.Failure | None:
+    async def _handle_backend_loss(
+        self, session: "_FeedSession"
+    ) -> core.Failure | None:
         if not session.started:
             return core.Failure(
                 core.ErrorKind.BACKEND_REFUSED,
-                "the backend server does not accept connections",
+                "backend server does not accept connections",
             )
-        await self._give_up(session)
+        await self._end_session(session)
         return None
 
-    async def _give_up(self, session: "_Session") -> None:
-        """Ends a feed here; a caller with the library resumes elsewhere."""
+    async def _end_session(self, session: "_FeedSession") -> None:
+        """Ends a feed; asks its caller to resume elsewhere if possible."""
         if session.movable:
-            await self._ask_to_move(session)
-            await self._clock.sleep(_MOVE_LIMIT_MS)
+            await self._request_move(session)
+            await self._clock.sleep(_MOVE_TIMEOUT_MS)
         session.response.abort()
 
     async def start_move(self) -> None:
-        """Asks all callers with the library to move, now and from now on.
+        """Asks the callers of all present and future feeds to move.
 
-        Without a peer to move to, waits for one.
+        This concerns only callers that use the caller library. Waits until a
+        peer is available.
         """
         self._moving = True
         while not self._peer_count():
-            await self._clock.sleep(_CHECK_INTERVAL_MS)
+            await self._clock.sleep(_PEER_POLL_INTERVAL_MS)
         movable = [item for item in self._sessions if item.movable]
         telemetry.log(
             "moving-feeds",
@@ -178,22 +184,22 @@
             plain=self.plain_count,
             window_ms=self._window_ms(),
         )
-        await asyncio.gather(*(self._ask_to_move(item) for item in movable))
+        await asyncio.gather(*(self._request_move(item) for item in movable))
 
-    async def _ask_to_move(self, session: "_Session") -> None:
+    async def _request_move(self, session: "_FeedSession") -> None:
         self.moved_count += 1
-        await session.control(self._window_ms())
+        await session.write_control_line(self._window_ms())
 
     def _window_ms(self) -> int:
         cost_ms = _MOVE_COST_MS * self.feed_count / max(1, self._peer_count())
-        return max(_LEAST_WINDOW_MS, int(cost_ms))
+        return max(_MIN_WINDOW_MS, int(cost_ms))
 
     def _jitter_ms(self) -> int:
         return min(self._window_ms(), _MAX_RESUME_JITTER_MS)
 
 
-class _Session:
-    """One open feed."""
+class _FeedSession:
+    """State of one open feed."""
 
     def __init__(
         self,
@@ -207,10 +213,10 @@
         self.response = response
         self.movable = movable
         self.started = False
-        # Cleared when the content shows no sequence numbers.
+        # Cleared if the content has no sequence numbers.
         self.resumable = True
-        self.position = 0
-        self._rest = b""
+        self.last_sequence = 0
+        self._partial_line = b""
 
     def start(self, jitter_ms: int) -> None:
         self.started = True
@@ -220,42 +226,46 @@
         self.response.start(200, tuple(headers))
 
     def resume_path(self) -> str:
-        if not self.position:
+        if not self.last_sequence:
             return self.path
-        after = f"after={self.position}"
-        if _AFTER.search(self.path):
-            return _AFTER.sub(lambda match: match[0][0] + after, self.path)
+        after = f"after={self.last_sequence}"
+        if _AFTER_PARAMETER.search(self.path):
+            return _AFTER_PARAMETER.sub(
+                lambda match: match[0][0] + after, self.path
+            )
         return self.path + ("&" if "?" in self.path else "?") + after
 
     def drop_partial_line(self) -> None:
-        """Forgets an event that was cut; the resumed feed repeats it."""
-        self._rest = b""
+        """Discards an incomplete event; the resumed feed repeats it."""
+        self._partial_line = b""
 
     async def write(self, chunk: bytes) -> None:
-        """Writes the whole lines of a chunk."""
+        """Writes the complete lines of a chunk."""
         if not self.resumable:
             await self.response.write(chunk, end=False)
             return
-        lines, newline, self._rest = (self._rest + chunk).rpartition(b"\n")
+        lines, newline, self._partial_line = (
+            self._partial_line + chunk
+        ).rpartition(b"\n")
         if not newline:
-            if len(self._rest) > _MAX_LINE_BYTES:
-                await self._stop_reading()
+            if len(self._partial_line) > _MAX_LINE_BYTES:
+                await self._stop_parsing()
             return
         try:
-            last = _DECODER.decode(lines[lines.rfind(b"\n") + 1 :])
+            last_event = _EVENT_DECODER.decode(lines[lines.rfind(b"\n") + 1 :])
         except msgspec.DecodeError:
-            self._rest = lines + newline + self._rest
-            await self._stop_reading()
+            self._partial_line = lines + newline + self._partial_line
+            await self._stop_parsing()
             return
-        self.position = last.sequence
+        self.last_sequence = last_event.sequence
         await self.response.write(lines + newline, end=False)
 
-    async def _stop_reading(self) -> None:
+    async def _stop_parsing(self) -> None:
         self.resumable = False
-        await self.response.write(self._rest, end=False)
+        await self.response.write(self._partial_line, end=False)
 
-    async def control(self, window_ms: int) -> None:
-        """Writes a control line; the stream is at the end of a line."""
+    async def write_control_line(self, window_ms: int) -> None:
+        """Writes a control line; the stream is always at a line boundary."""
         resume = self._treatment.on_move is config.MovePolicy.RESUME
         line = msgspec.json.encode(
             {
--- a/libs/agent/src/fireflyford/agent/_peer_codec.py
+++ b/libs/agent/src/fireflyford/agent/_peer_codec.py
@@ -1,4 +1,4 @@
-"""Messages between agents of one service."""
+"""Encoding of messages between agents of one service."""
 
 import dataclasses
 import hashlib
@@ -13,7 +13,7 @@
 MAX_MESSAGE_BYTES = 80 << 20
 
 
-# A report without field names, which would be most of its bytes.
+# Reports are sent without field names, which would be most of their size.
 ReportRow = tuple[Any, ...]
 _REPORT_FIELDS = tuple(
     field.name for field in dataclasses.fields(requests.TargetReport)
@@ -21,31 +21,31 @@
 
 
 def pack_report(report: requests.TargetReport) -> ReportRow:
-    """Returns the values of a report in the order of its fields."""
+    """Returns the values of a report in field order."""
     return tuple(getattr(report, name) for name in _REPORT_FIELDS)
 
 
 def unpack_report(row: ReportRow | None) -> requests.TargetReport | None:
-    """Returns the report of a row, or None if its values do not fit."""
+    """Returns the report of a row, or None if the row is malformed."""
     if row is None or len(row) != len(_REPORT_FIELDS):
         return None
-    values = dict(zip(_REPORT_FIELDS, row, strict=True))
+    fields_by_name = dict(zip(_REPORT_FIELDS, row, strict=True))
     try:
-        return msgspec.convert(values, requests.TargetReport)
+        return msgspec.convert(fields_by_name, requests.TargetReport)
     except msgspec.ValidationError:
         return None
 
 
 @dataclasses.dataclass(frozen=True)
 class Execute:
-    """Work handed over."""
+    """Request to run handed-over work."""
 
     handoff: requests.Handoff
 
 
 @dataclasses.dataclass(frozen=True)
 class Present:
-    """A ticket for its issuer, and the time left for the answer."""
+    """A ticket presented to its issuer, with the time to the deadline."""
 
     ticket: requests.Ticket
     work: requests.WorkItem
@@ -54,14 +54,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Exchange:
-    """The sender's report; the answer is the receiver's."""
+    """Report of the sender; the reply holds the report of the receiver."""
 
     row: ReportRow
 
 
 @dataclasses.dataclass(frozen=True)
 class Cancel:
-    """Handed-over work that is no longer wanted."""
+    """Cancellation of handed-over work."""
 
     origin: int
     serial: int
@@ -69,7 +69,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Call:
-    """One message; exactly one field is set."""
+    """A call to a peer; exactly one field is set."""
 
     execute: Execute | None = None
     present: Present | None = None
@@ -79,7 +79,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Reply:
-    """Answer to a call: a response or a failure, and the peer's report."""
+    """Reply to a call: a response or a failure, and the peer's report."""
 
     response: requests.Response | None = None
     failure: core.Failure | None = None
@@ -87,7 +87,7 @@
 
     @property
     def report(self) -> requests.TargetReport | None:
-        """The report that came with the answer, if any."""
+        """Report contained in the reply, if any."""
         return unpack_report(self.row)
 
     def outcome(self) -> core.Outcome[requests.Response]:
@@ -95,41 +95,42 @@
         if self.response is not None:
             return core.Ok(self.response)
         return self.failure or core.Failure(
-            core.ErrorKind.OUTCOME_UNKNOWN, "the peer sent an empty answer"
+            core.ErrorKind.OUTCOME_UNKNOWN,
+            "peer reply holds neither a response nor a failure",
         )
 
 
 class PeerCodec:
-    """Encodes calls and replies with a keyed tag."""
+    """Codec for calls and replies, authenticated by a keyed tag."""
 
     def __init__(self, key: bytes) -> None:
-        """Takes the link key."""
+        """Initializes the codec with the link key."""
         self._key = key
-        self._calls = msgspec.msgpack.Decoder(Call)
-        self._replies = msgspec.msgpack.Decoder(Reply)
+        self._call_decoder = msgspec.msgpack.Decoder(Call)
+        self._reply_decoder = msgspec.msgpack.Decoder(Reply)
 
     def encode(self, message: Call | Reply) -> bytes:
-        """Returns the bytes of a message."""
+        """Returns an encoded message with its tag."""
         body = msgspec.msgpack.encode(message)
         return self._tag(body) + body
 
     def decode_call(self, data: bytes) -> Call | None:
-        """Returns a call, or None for foreign or broken bytes."""
-        body = self._open(data)
+        """Returns a call, or None if the tag or the encoding is invalid."""
+        body = self._verify(data)
         try:
-            return None if body is None else self._calls.decode(body)
+            return None if body is None else self._call_decoder.decode(body)
         except msgspec.DecodeError:
             return None
 
     def decode_reply(self, data: bytes) -> Reply | None:
-        """Returns a reply, or None for foreign or broken bytes."""
-        body = self._open(data)
+        """Returns a reply, or None if the tag or the encoding is invalid."""
+        body = self._verify(data)
         try:
-            return None if body is None else self._replies.decode(body)
+            return None if body is None else self._reply_decoder.decode(body)
         except msgspec.DecodeError:
             return None
 
-    def _open(self, data: bytes) -> bytes | None:
+    def _verify(self, data: bytes) -> bytes | None:
         tag, body = data[:_TAG_BYTES], data[_TAG_BYTES:]
         return body if tag == self._tag(body) else None
 
--- a/libs/agent/src/fireflyford/agent/_process.py
+++ b/libs/agent/src/fireflyford/agent/_process.py
@@ -1,4 +1,4 @@
-"""Life of an agent process."""
+"""Lifecycle of an agent process."""
 
 import asyncio
 import dataclasses
@@ -17,29 +17,30 @@
 from fireflyford import store
 from fireflyford import telemetry
 from fireflyford import wire
-from fireflyford.agent import _access
-from fireflyford.agent import _backend
+from fireflyford.agent import _authorization
+from fireflyford.agent import _backend_client
 from fireflyford.agent import _backend_feeds
-from fireflyford.agent import _backend_watch
+from fireflyford.agent import _backend_monitor
 from fireflyford.agent import _configuration
 from fireflyford.agent import _datagram
 from fireflyford.agent import _endpoint
 from fireflyford.agent import _feeds
 from fireflyford.agent import _peer_channel
-from fireflyford.agent import _peers
-from fireflyford.agent import _ring_peers
+from fireflyford.agent import _peer_selector
+from fireflyford.agent import _ring_placement
 from fireflyford.agent import _service
 from fireflyford.agent import _ticket_codec
 from fireflyford.agent import _tls
 
 _DRAIN_POLL_MS = 50
 _WEIGHT_INTERVAL_MS = 1_000
-# Balancers learn of a drain within 3 s, so new flows are relayed until then.
-LEAVE_DELAY_MS = 3_000
+# Balancers learn of a drain within 3 s; new flows that arrive until then are
+# relayed to peers.
+DRAIN_NOTICE_MS = 3_000
 
 
 class Agent:
-    """One agent with its flows and its backend server."""
+    """An agent with its flows and its backend server."""
 
     def __init__(
         self,
@@ -48,11 +49,11 @@
         tls: quic_configuration.QuicConfiguration,
         clock: core.Clock,
     ) -> None:
-        """Prepares an agent.
+        """Initializes an agent.
 
         Args:
-            options: Checked settings.
-            service: The service of the backend server.
+            options: Validated settings.
+            service: Service of the backend server.
             tls: QUIC configuration with the certificate.
             clock: Source of time.
         """
@@ -66,26 +67,30 @@
             member,
             [core.Address.parse(seed) for seed in options.seeds],
         )
-        self._peers = _peers.Peers(self._membership, member, clock)
+        self._peer_selector = _peer_selector.PeerSelector(
+            self._membership, member, clock
+        )
         backend_address = core.Address.parse(options.backend_address)
-        backend = _backend.Backend(clock, backend_address)
-        self._executors = _peer_channel.PynngPeers(clock, options.link_key)
+        backend = _backend_client.BackendClient(clock, backend_address)
+        self._peer_channel = _peer_channel.PynngPeerChannel(
+            clock, options.link_key
+        )
         self._engine = requests.RequestEngine(
             clock,
             backend,
             options.slot_count,
             requests.ShortestExpectedDelay(random.SystemRandom()),
             _peer_info(member),
-            self._executors,
+            self._peer_channel,
         )
-        self._backend_watch = _backend_watch.BackendWatch(
+        self._backend_monitor = _backend_monitor.BackendMonitor(
             clock, backend_address
         )
         self._feeds = _feeds.FeedServer(
             clock,
-            _backend_feeds.BackendFeeds(self._backend_watch),
-            self._backend_watch.check,
-            lambda: len(self._peers.alive()),
+            _backend_feeds.BackendFeeds(self._backend_monitor),
+            self._backend_monitor.check,
+            lambda: len(self._peer_selector.alive_peers()),
         )
         self._handler = _service.ServiceHandler(
             clock,
@@ -94,7 +99,7 @@
             self._feeds,
             _ticket_codec.TicketCodec(options.link_key),
         )
-        self._access = _access.AccessHandler(
+        self._authorization = _authorization.AuthorizationHandler(
             options.caller_key, service, self._handler
         )
         self._stopping = asyncio.Event()
@@ -106,56 +111,61 @@
             incarnation=member.link_incarnation,
             address=member.link_address,
             codec=wire.ForwardCodec(options.link_key),
-            connection_ids=wire.ConnectionIdCodec(
+            connection_id_codec=wire.ConnectionIdCodec(
                 options.routing_keys, options.service
             ),
             configuration=tls,
-            handler=self._access,
-            relay_target=self._relay_target,
-            balancers=self._peers,
-            flows=self._flows,
+            handler=self._authorization,
+            find_relay_peer=self._find_relay_peer,
+            balancers=self._peer_selector,
+            datagram_flows=self._flows,
         )
         self._follower = store.ConfigFollower(
             clock,
             random.SystemRandom(),
-            _configuration.AgentPeers(options, self._membership),
+            _configuration.AgentConfigPeers(options, self._membership),
             self._apply_deployment,
             service=options.service,
         )
-        self._backend_watch.on_change(self._apply_backend)
+        self._backend_monitor.on_change(self._handle_backend_change)
 
     def _make_flows(self, member: membership.Member) -> _datagram.DatagramFlows:
-        peers = _ring_peers.RingPeers(
+        placement = _ring_placement.RingFlowPlacement(
             member, self._stopping.is_set, self._membership.view
         )
         flows = _datagram.DatagramFlows(
             clock=self._clock,
             service=self._options.service,
-            own=core.Holder(member.link_address, member.link_incarnation),
+            own_holder=core.Holder(
+                member.link_address, member.link_incarnation
+            ),
             codec=wire.ForwardCodec(self._options.link_key),
-            backend=core.Address.parse(self._options.backend_address),
-            peers=peers,
+            backend_address=core.Address.parse(self._options.backend_address),
+            placement=placement,
         )
         self._membership.on_change(
-            lambda view: flows.follow_view(_ring_peers.dead_holders(view))
+            lambda view: flows.handle_view_change(
+                _ring_placement.dead_holders(view)
+            )
         )
         return flows
 
     async def run(self) -> None:
-        """Runs until a graceful shutdown has ended."""
+        """Runs until a graceful shutdown is complete."""
         loop = asyncio.get_running_loop()
         await self._channel.open(self._options.control_listen)
-        await self._backend_watch.wait_until_seen()
+        await self._backend_monitor.wait_until_reachable()
         self._membership.on_withdrawal(self._stopping.set)
         self._membership.on_config_version(lambda *_: self._follower.notify())
-        self._membership.on_change(self._take_view)
+        self._membership.on_change(self._apply_view)
         tasks = [
             asyncio.create_task(self._membership.run()),
             asyncio.create_task(self._follower.run()),
         ]
         for task in tasks:
             task.add_done_callback(telemetry.log_task_failure)
-        # Earlier flows could be treated by an older configuration file.
+        # Flows accepted before the first synchronization could be handled
+        # according to an outdated configuration file.
         await self._follower.wait_until_synced()
         link = self._options.link_listen
         await loop.create_datagram_endpoint(
@@ -168,15 +178,15 @@
             status=self._status,
             drain=self._start_drain,
         )
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._on_signal)
+        for signal_number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(signal_number, self._on_signal)
         telemetry.log("started", role="agent", service=self._options.service)
-        server = _peer_channel.PeerServer(
+        peer_server = _peer_channel.PeerServer(
             self._clock, self._options.link_key, self._engine
         )
         tasks += [
-            asyncio.create_task(self._backend_watch.run()),
-            asyncio.create_task(server.run(link)),
+            asyncio.create_task(self._backend_monitor.run()),
+            asyncio.create_task(peer_server.run(link)),
             asyncio.create_task(self._announce_weight()),
         ]
         if self._flows is not None:
@@ -187,21 +197,22 @@
         self._engine.close()
         for task in tasks:
             task.cancel()
-        # pynng may abort the process when a socket closes under a call.
+        # pynng may abort the process if a socket is closed during a call, so
+        # all calls end first.
         await asyncio.wait(tasks)
         await self._clock.sleep(_DRAIN_POLL_MS)
-        self._executors.close()
+        self._peer_channel.close()
         status.stop()
         telemetry.log("stopped", role="agent")
 
     async def _announce_weight(self) -> None:
-        """Announces the measured speed; membership paces the changes."""
+        """Announces the measured speed; membership limits the change rate."""
         while True:
             await self._clock.sleep(_WEIGHT_INTERVAL_MS)
             self._membership.update(weight=self._engine.relative_speed())
 
-    def _take_view(self, view: membership.View) -> None:
-        """Gives the engine its peers; tickets may still name others."""
+    def _apply_view(self, view: membership.View) -> None:
+        """Sets the peers of the engine; tickets may still name former peers."""
         self._engine.set_peers(
             [
                 _peer_info(member)
@@ -212,55 +223,55 @@
 
     def _apply_deployment(self, deployment: config.Deployment) -> None:
         service = deployment.service(self._options.service)
-        # Without its service an agent goes on with the last treatments.
+        # If its service is missing, an agent keeps the last treatments.
         if service is not None:
             self._handler.service = service
-            self._access.service = service
+            self._authorization.service = service
 
     async def _drain(self) -> None:
         limit_ms = self._clock.now_ms() + self._options.drain_limit_ms
         self._membership.update(state=membership.State.DRAINING)
-        self._announce_leave()
-        mover = asyncio.create_task(self._feeds.start_move())
-        # Balancers learn of the drain meanwhile; a balancer that does not
-        # goes on sending new flows, which are relayed to peers.
-        await self._clock.sleep(LEAVE_DELAY_MS)
+        self._send_goaways()
+        move_task = asyncio.create_task(self._feeds.start_move())
+        # Balancers learn of the drain during this time. New flows from a
+        # balancer that does not are relayed to peers.
+        await self._clock.sleep(DRAIN_NOTICE_MS)
         self._engine.drain()
-        while self._busy_count() and self._clock.now_ms() < limit_ms:
+        while self._unfinished_count() and self._clock.now_ms() < limit_ms:
             await self._clock.sleep(_DRAIN_POLL_MS)
-        mover.cancel()
-        if self._busy_count():
-            telemetry.log("drain-limit-reached", **self._left())
+        move_task.cancel()
+        if self._unfinished_count():
+            telemetry.log("drain-limit-reached", **self._unfinished_work())
         for connection in list(self._endpoint.connections):
             connection.close()
         await self._clock.sleep(_DRAIN_POLL_MS)
         self._membership.update(state=membership.State.LEFT)
 
-    def _apply_backend(self, up: bool) -> None:
-        """Takes no new flows while the backend server is gone."""
+    def _handle_backend_change(self, is_up: bool) -> None:
+        """Accepts new flows only while the backend server is reachable."""
         if self._stopping.is_set():
             return
-        if up:
+        if is_up:
             self._membership.update(state=membership.State.ALIVE)
         else:
             self._membership.update(state=membership.State.DRAINING)
-            self._announce_leave()
+            self._send_goaways()
 
-    def _announce_leave(self) -> None:
-        """Tells all callers to open other connections for new requests."""
+    def _send_goaways(self) -> None:
+        """Asks all callers to open other connections for new requests."""
         for connection in self._endpoint.connections:
-            connection.announce_leave()
+            connection.send_goaway()
 
-    def _left(self) -> dict[str, int]:
+    def _unfinished_work(self) -> dict[str, int]:
         feeds = self._feeds.feed_count
         return {
-            "requests": self._busy_count() - feeds,
+            "requests": self._unfinished_count() - feeds,
             "feeds": feeds,
             "plain_feeds": self._feeds.plain_count,
             "connections": len(self._endpoint.connections),
         }
 
-    def _busy_count(self) -> int:
+    def _unfinished_count(self) -> int:
         flow_count = 0 if self._flows is None else self._flows.open_count
         peer_count = self._engine.pending_count
         return (
@@ -272,19 +283,19 @@
             )
         )
 
-    def _relay_target(self, destination: bytes) -> core.Address | None:
-        if self._stopping.is_set() or not self._backend_watch.up:
-            return self._peers.relay_target(destination)
+    def _find_relay_peer(self, destination_id: bytes) -> core.Address | None:
+        if self._stopping.is_set() or not self._backend_monitor.is_up:
+            return self._peer_selector.find_relay_peer(destination_id)
         return None
 
     def _start_drain(self) -> None:
         if not self._stopping.is_set():
-            telemetry.log("draining", role="agent", **self._left())
+            telemetry.log("draining", role="agent", **self._unfinished_work())
             self._stopping.set()
 
     def _on_signal(self) -> None:
         if self._stopping.is_set():
-            telemetry.log("stopped-early", **self._left())
+            telemetry.log("stopped-early", **self._unfinished_work())
             sys.exit(1)
         self._start_drain()
 
@@ -308,7 +319,7 @@
         meter.count("resumed_feeds", lambda: self._feeds.resumed_count)
         meter.gauge("open_feeds", lambda: self._feeds.feed_count)
         meter.gauge("requests_in_flight", lambda: self._engine.in_flight_count)
-        _admission_metrics(meter, self._engine)
+        _add_admission_metrics(meter, self._engine)
         return meter
 
     def _status(self) -> dict[str, object]:
@@ -319,7 +330,7 @@
             "draining": self._stopping.is_set(),
             "connections": len(self._endpoint.connections),
             "feeds": self._feeds.feed_count,
-            "backend_up": self._backend_watch.up,
+            "backend_up": self._backend_monitor.is_up,
             "moved_feeds": self._feeds.moved_count,
             "resumed_feeds": self._feeds.resumed_count,
             "dropped_flows": self._endpoint.admission.dropped_count,
@@ -336,7 +347,7 @@
         }
 
 
-def _admission_metrics(
+def _add_admission_metrics(
     meter: telemetry.Meter, engine: requests.RequestEngine
 ) -> None:
     scheduler = engine.scheduler
@@ -374,7 +385,7 @@
         bulk_address=core.Address.parse(options.bulk_address),
         status_address=core.Address.parse(options.status_address),
         incarnation=membership.new_incarnation(clock, random.SystemRandom()),
-        # Takes no flows until its sockets are open.
+        # Accepts no flows until the sockets are open.
         state=membership.State.DRAINING,
     )
 
@@ -392,7 +403,7 @@
     if service is None:
         return core.Failure(
             core.ErrorKind.NO_SUCH_SERVICE,
-            f"{options.service} is not in {options.config_path}",
+            f"{options.service} is not defined in {options.config_path}",
         )
     asyncio.run(_run(options, service, tls.value))
     return core.Ok(None)
--- a/libs/agent/src/fireflyford/agent/_quic.py
+++ b/libs/agent/src/fireflyford/agent/_quic.py
@@ -1,4 +1,4 @@
-"""QUIC connections whose identifiers name this agent."""
+"""QUIC connections whose connection IDs identify this agent."""
 
 import os
 
@@ -8,14 +8,14 @@
 from fireflyford import core
 from fireflyford import wire
 
-# aioquic keeps up to 8 identifiers for a connection; the path of a flow does
-# not change behind the fabric, so 2 are enough and cost less memory.
+# aioquic issues up to 8 connection IDs for each connection. The path of a flow
+# does not change behind the fabric, so 2 suffice and take less memory.
 _MAX_CONNECTION_IDS = 2
 _RESET_TOKEN_BYTES = 16
 
 
 class ConnectionIdSource:
-    """Makes connection IDs that name this agent."""
+    """Generator of connection IDs that identify this agent."""
 
     def __init__(
         self,
@@ -23,7 +23,13 @@
         address: core.Address,
         incarnation: int,
     ) -> None:
-        """Takes the link address and incarnation to put into each ID."""
+        """Initializes the source.
+
+        Args:
+            codec: Encoding of connection IDs.
+            address: Link address of this agent.
+            incarnation: Link incarnation of this agent.
+        """
         self._codec = codec
         self._address = address
         self._incarnation = incarnation
@@ -36,34 +42,34 @@
 
 
 class ServerConnection(quic_connection.QuicConnection):
-    """Server side of a QUIC connection with our connection IDs.
+    """Server side of a QUIC connection with custom connection IDs.
 
-    aioquic offers no public way to choose connection IDs, so this class
-    overrides the two places that draw them; the version is pinned.
+    aioquic has no public API for choosing connection IDs, so this class
+    overrides the two places that generate them; its version is pinned.
     """
 
     def __init__(
         self,
         configuration: quic_configuration.QuicConfiguration,
-        source: ConnectionIdSource,
+        connection_id_source: ConnectionIdSource,
         original_destination: bytes,
     ) -> None:
-        """Prepares the server side of one connection.
+        """Initializes the server side of a connection.
 
         Args:
             configuration: TLS and transport parameters.
-            source: Makes the connection IDs.
+            connection_id_source: Generator of connection IDs.
             original_destination: Destination ID of the first datagram.
         """
-        self._source = source
+        self._connection_id_source = connection_id_source
         super().__init__(
             configuration=configuration,
             original_destination_connection_id=original_destination,
         )
-        first = source.make()
-        self._host_cids[0].cid = first
-        self.host_cid = first
-        self._local_initial_source_connection_id = first
+        first_id = connection_id_source.make()
+        self._host_cids[0].cid = first_id
+        self.host_cid = first_id
+        self._local_initial_source_connection_id = first_id
 
     def _replenish_connection_ids(self) -> None:
         limit = min(
@@ -72,7 +78,7 @@
         while len(self._host_cids) < limit:
             self._host_cids.append(
                 quic_connection.QuicConnectionId(
-                    cid=self._source.make(),
+                    cid=self._connection_id_source.make(),
                     sequence_number=self._host_cid_seq,
                     stateless_reset_token=os.urandom(_RESET_TOKEN_BYTES),
                 )
@@ -81,24 +87,24 @@
 
     @property
     def awaits_ack(self) -> bool:
-        """Whether the other end owes an acknowledgement."""
+        """Whether the peer has to acknowledge data in flight."""
         return any(space.ack_eliciting_in_flight for space in self._loss.spaces)
 
     @property
     def round_trip_s(self) -> float:
-        """Smoothed round trip, 0 before the first sample."""
+        """Smoothed round-trip time, 0 before the first sample."""
         return float(self._loss._rtt_smoothed)
 
     def retransmit(self, now_s: float) -> None:
-        """Sends the oldest unacknowledged data again, as a probe timeout does.
+        """Retransmits the oldest unacknowledged data.
 
-        The probe timeout itself grows to seconds when the round trips of a
-        busy instance vary.
+        This is what a probe timeout does, but the probe timeout grows to
+        seconds when the round-trip times of a busy instance vary.
         """
         self._loss.reschedule_data(now=now_s)
 
     def unacknowledged_bytes(self, stream_id: int) -> int:
-        """Returns the bytes of a stream that are buffered for sending."""
+        """Returns the number of buffered bytes of a stream."""
         stream = self._streams.get(stream_id)
         if stream is None or stream.sender.is_finished:
             return 0
--- a/libs/agent/src/fireflyford/agent/_return_path.py
+++ b/libs/agent/src/fireflyford/agent/_return_path.py
@@ -1,4 +1,4 @@
-"""Choice of the balancer that carries a connection's answers."""
+"""Selection of the balancer that carries the responses of a connection."""
 
 import abc
 from collections.abc import Callable
@@ -6,41 +6,42 @@
 
 from fireflyford import core
 
-# A path within a region answers in a few ms; 300 ms also covers the delayed
+# Round trips within a region take a few ms; 300 ms also covers the delayed
 # acknowledgements of a busy caller.
-SILENCE_LIMIT_S = 0.3
-# Data is sent again after at least two round trips: on an instance short of
-# CPU, where answers take longer than 300 ms, it would only add to the load.
+RESPONSE_TIMEOUT_S = 0.3
+# Data is retransmitted after at least two round trips. On an instance short of
+# CPU, where round trips exceed 300 ms, earlier retransmissions would only add
+# load.
 _RETRANSMIT_ROUND_TRIPS = 2.0
-_MAX_RETRANSMIT_S = 1.0
+_MAX_RETRANSMIT_WAIT_S = 1.0
 
 
 class BalancerSource(abc.ABC):
-    """Knows the balancers."""
+    """Source of the balancers known to this agent."""
 
     @abc.abstractmethod
     def weights(self) -> dict[core.Address, float]:
-        """Returns the link addresses of the balancers in service.
+        """Returns the capacity weights of the balancers in service.
 
-        Each has its capacity weight; a draining balancer is not listed.
+        The keys are link addresses; draining balancers are excluded.
         """
 
     @abc.abstractmethod
-    def is_leaving(self, address: core.Address) -> bool:
-        """Returns whether the balancer is known to leave or to be gone."""
+    def is_unavailable(self, address: core.Address) -> bool:
+        """Returns whether the balancer is draining, dead or departed."""
 
 
 class ReturnPath:
-    """The balancer of one connection's answers."""
+    """Balancer that carries the responses of one connection."""
 
     def __init__(
         self, source: BalancerSource, count_rotation: Callable[[], None]
     ) -> None:
-        """Starts without a balancer; the first datagram names one.
+        """Initializes the path; the first datagram sets the balancer.
 
         Args:
-            source: Knows the balancers.
-            count_rotation: Called whenever another balancer is chosen.
+            source: Source of the known balancers.
+            count_rotation: Called whenever the balancer changes.
         """
         self._source = source
         self._count_rotation = count_rotation
@@ -49,44 +50,44 @@
         self._failed: set[core.Address] = set()
 
     def next_rotation_s(self, round_trip_s: float) -> float | None:
-        """Returns when data is due to be sent again by another balancer.
+        """Returns when data is retransmitted through another balancer.
 
         Args:
-            round_trip_s: Smoothed round trip of the connection.
+            round_trip_s: Smoothed round-trip time of the connection.
 
         Returns:
-            Time of the event loop, or None when no answer is awaited.
+            Event loop time, or None if no acknowledgement is awaited.
         """
         if self._waiting_since_s is None:
             return None
-        wait_s = max(SILENCE_LIMIT_S, _RETRANSMIT_ROUND_TRIPS * round_trip_s)
-        return self._waiting_since_s + min(wait_s, _MAX_RETRANSMIT_S)
+        wait_s = max(RESPONSE_TIMEOUT_S, _RETRANSMIT_ROUND_TRIPS * round_trip_s)
+        return self._waiting_since_s + min(wait_s, _MAX_RETRANSMIT_WAIT_S)
 
-    def receive(self, balancer: core.Address | None) -> None:
-        """Takes the balancer of a received datagram, None if unknown."""
+    def record_receipt(self, balancer: core.Address | None) -> None:
+        """Records the balancer of a received datagram, None if unknown."""
         if balancer is not None:
             self._balancer = balancer
         elif self._balancer is None:
-            self._balancer = self._pick(self._source.weights())
+            self._balancer = self._choose_weighted(self._source.weights())
         self._waiting_since_s = None
         if self._failed:
             self._failed.clear()
 
-    def choose(self, now_s: float, expects_answer: bool) -> core.Address | None:
-        """Returns the balancer for a datagram that is sent now.
+    def choose(self, now_s: float, expects_ack: bool) -> core.Address | None:
+        """Returns the balancer for the next outgoing datagram.
 
         Args:
-            now_s: Time of the event loop.
-            expects_answer: Whether the other end will acknowledge.
+            now_s: Event loop time.
+            expects_ack: Whether the caller has to acknowledge data.
         """
         if self._balancer is None:
             return None
-        if self._source.is_leaving(self._balancer):
+        if self._source.is_unavailable(self._balancer):
             self._rotate(now_s)
         elif self._waiting_since_s is None:
-            if expects_answer:
+            if expects_ack:
                 self._waiting_since_s = now_s
-        elif now_s - self._waiting_since_s >= SILENCE_LIMIT_S:
+        elif now_s - self._waiting_since_s >= RESPONSE_TIMEOUT_S:
             self._rotate(now_s)
         return self._balancer
 
@@ -96,7 +97,7 @@
         self._failed.add(self._balancer)
         if self._failed >= weights.keys():
             self._failed = {self._balancer}
-        chosen = self._pick(
+        chosen = self._choose_weighted(
             {
                 item: weight
                 for item, weight in weights.items()
@@ -108,7 +109,9 @@
             self._balancer = chosen
         self._waiting_since_s = now_s
 
-    def _pick(self, weights: dict[core.Address, float]) -> core.Address | None:
+    def _choose_weighted(
+        self, weights: dict[core.Address, float]
+    ) -> core.Address | None:
         if not weights:
             return None
         return random.choices(list(weights), list(weights.values()))[0]
--- a/libs/agent/src/fireflyford/agent/_ring_peers.py
+++ b/libs/agent/src/fireflyford/agent/_ring_placement.py
@@ -1,4 +1,4 @@
-"""Where an agent's view places plain-datagram flows."""
+"""Placement of plain-datagram flows on the ring of an agent's view."""
 
 from collections.abc import Callable
 
@@ -7,53 +7,61 @@
 from fireflyford import routing
 
 
-class RingPeers(routing.FlowPlacement):
-    """Places flows as balancers with the same view do."""
+class RingFlowPlacement(routing.FlowPlacement):
+    """Places flows in the same way as balancers with the same view."""
 
     def __init__(
         self,
-        own: membership.Member,
+        own_member: membership.Member,
         is_draining: Callable[[], bool],
         view: Callable[[], membership.View],
     ) -> None:
-        """Takes this agent's record, its state and the source of views."""
-        self._own = own
+        """Initializes the placement.
+
+        Args:
+            own_member: Membership record of this agent.
+            is_draining: Returns whether this agent is draining.
+            view: Returns the current membership view.
+        """
+        self._own_member = own_member
         self._is_draining = is_draining
         self._view = view
-        self._known: membership.View | None = None
+        self._last_view: membership.View | None = None
         self._ring = routing.TargetRing(())
-        self._others = routing.TargetRing(())
+        self._ring_without_self = routing.TargetRing(())
 
     def first_target(self, flow_key: int) -> core.Holder | None:
-        """Returns the first target of a flow key in the current view."""
+        """Returns the first target for a flow key in the current view."""
         self._refresh()
         target = self._ring.find(flow_key)
         return None if target is None else target.holder
 
     def successor(self, flow_key: int) -> core.Holder | None:
-        """Returns the first target besides this agent while it drains."""
+        """Returns the first other target while this agent is draining."""
         if not self._is_draining():
             return None
         self._refresh()
-        target = self._others.find(flow_key)
+        target = self._ring_without_self.find(flow_key)
         return None if target is None else target.holder
 
     def _refresh(self) -> None:
         view = self._view()
-        if view is self._known:
+        if view is self._last_view:
             return
-        self._known = view
-        service = self._own.service
+        self._last_view = view
+        service = self._own_member.service
         members = routing.group_by_service(view, [service])[service]
         targets = routing.make_targets(members)
         self._ring = routing.TargetRing(targets)
-        self._others = routing.TargetRing(
-            target for target in targets if target.name != self._own.instance_id
+        self._ring_without_self = routing.TargetRing(
+            target
+            for target in targets
+            if target.name != self._own_member.instance_id
         )
 
 
 def dead_holders(view: membership.View) -> frozenset[core.Holder]:
-    """Returns the agents whose flows are free for adoption."""
+    """Returns dead and departed agents, whose flows may be adopted."""
     return frozenset(
         core.Holder(member.link_address, member.link_incarnation)
         for member in view.members.values()
--- a/libs/agent/src/fireflyford/agent/_ticket_codec.py
+++ b/libs/agent/src/fireflyford/agent/_ticket_codec.py
@@ -1,4 +1,4 @@
-"""Text form of tickets, in the header `fireflyford-ticket`."""
+"""Text encoding of tickets for the header `fireflyford-ticket`."""
 
 import base64
 import binascii
@@ -10,22 +10,22 @@
 from fireflyford import requests
 
 # IPv4 address, port, incarnation, serial, issue time (6 bytes).
-_FIELDS = struct.Struct("!4sHQI6s")
+_TICKET_LAYOUT = struct.Struct("!4sHQI6s")
 _TAG_BYTES = 8
-TICKET_BYTES = _FIELDS.size + _TAG_BYTES
+TICKET_BYTES = _TICKET_LAYOUT.size + _TAG_BYTES
 _TIME_BYTES = 6
 
 
 class TicketCodec:
-    """Encodes tickets of 32 bytes, with a keyed tag, as base64url."""
+    """Codec for tickets: 32 bytes with a keyed tag, encoded as base64url."""
 
     def __init__(self, key: bytes) -> None:
-        """Takes the link key, which all agents of a deployment share."""
+        """Initializes the codec with the link key of the deployment."""
         self._key = key
 
     def encode(self, ticket: requests.Ticket) -> str:
-        """Returns the text of a ticket."""
-        fields = _FIELDS.pack(
+        """Returns the encoded ticket."""
+        fields = _TICKET_LAYOUT.pack(
             ipaddress.IPv4Address(ticket.issuer.host).packed,
             ticket.issuer.port,
             ticket.incarnation,
@@ -35,19 +35,24 @@
         return base64.urlsafe_b64encode(fields + self._tag(fields)).decode()
 
     def decode(self, text: str) -> core.Outcome[requests.Ticket]:
-        """Returns the ticket, or `TICKET_INVALID`."""
+        """Returns the decoded ticket, or a `TICKET_INVALID` failure."""
         try:
             data = base64.b64decode(text, altchars=b"-_", validate=True)
         except (binascii.Error, ValueError):
-            return _invalid()
-        fields, tag = data[: _FIELDS.size], data[_FIELDS.size :]
+            return _ticket_invalid()
+        fields, tag = data[: _TICKET_LAYOUT.size], data[_TICKET_LAYOUT.size :]
         if len(data) != TICKET_BYTES or tag != self._tag(fields):
-            return _invalid()
-        host, port, incarnation, serial, issued = _FIELDS.unpack(fields)
+            return _ticket_invalid()
+        host, port, incarnation, serial, issued_bytes = _TICKET_LAYOUT.unpack(
+            fields
+        )
         address = core.Address(str(ipaddress.IPv4Address(host)), port)
         return core.Ok(
             requests.Ticket(
-                address, incarnation, serial, int.from_bytes(issued, "big")
+                address,
+                incarnation,
+                serial,
+                int.from_bytes(issued_bytes, "big"),
             )
         )
 
@@ -57,7 +62,8 @@
         ).digest()
 
 
-def _invalid() -> core.Failure:
+def _ticket_invalid() -> core.Failure:
     return core.Failure(
-        core.ErrorKind.TICKET_INVALID, "the ticket is not one of this service"
+        core.ErrorKind.TICKET_INVALID,
+        "ticket is malformed or its authentication tag is wrong",
     )
--- a/libs/agent/src/fireflyford/agent/_tls.py
+++ b/libs/agent/src/fireflyford/agent/_tls.py
@@ -1,4 +1,4 @@
-"""The certificate of a service, checked before the agent starts."""
+"""Loading and validation of the certificate before the agent starts."""
 
 import datetime
 import pathlib
@@ -17,15 +17,15 @@
 def load_tls(
     options: settings.AgentSettings,
 ) -> core.Outcome[quic_configuration.QuicConfiguration]:
-    """Loads the certificate and the key named in the settings.
+    """Loads the certificate and the private key named in the settings.
 
     Returns:
-        The QUIC configuration, or `BAD_CERTIFICATE` with the file and what
-        is wrong with it.
+        The QUIC configuration, or a `BAD_CERTIFICATE` failure that names the
+        file and the error.
     """
-    problem = _find_problem(options)
-    if problem:
-        return core.Failure(core.ErrorKind.BAD_CERTIFICATE, problem)
+    error_text = _find_certificate_error(options)
+    if error_text:
+        return core.Failure(core.ErrorKind.BAD_CERTIFICATE, error_text)
     configuration = quic_configuration.QuicConfiguration(
         alpn_protocols=["h3"],
         is_client=False,
@@ -38,7 +38,7 @@
     return core.Ok(configuration)
 
 
-def _find_problem(options: settings.AgentSettings) -> str:
+def _find_certificate_error(options: settings.AgentSettings) -> str:
     certificate_path = options.certificate_path
     try:
         data = pathlib.Path(certificate_path).read_bytes()
@@ -50,23 +50,25 @@
         key_data = pathlib.Path(key_path).read_bytes()
         key = serialization.load_pem_private_key(key_data, password=None)
     except (OSError, ValueError, TypeError):
-        # The error text of the parser may quote the file.
+        # The message of the parser is not used, because it may quote the file.
         return f"{key_path}: expected an unencrypted private key in PEM"
     if key.public_key() != certificate.public_key():
-        return f"{key_path}: does not belong to {certificate_path}"
+        return f"{key_path}: private key does not belong to {certificate_path}"
     now = datetime.datetime.now(datetime.UTC)
     if certificate.not_valid_after_utc <= now:
         end = certificate.not_valid_after_utc.isoformat()
-        return f"{certificate_path}: expired at {end}; install a new one"
+        return (
+            f"{certificate_path}: expired at {end}; install a new certificate"
+        )
     if certificate.not_valid_before_utc > now:
         start = certificate.not_valid_before_utc.isoformat()
         return f"{certificate_path}: not valid before {start}"
-    if options.service not in _names(certificate):
+    if options.service not in _dns_names(certificate):
         return f"{certificate_path}: not issued for {options.service}"
     return ""
 
 
-def _names(certificate: x509.Certificate) -> list[str]:
+def _dns_names(certificate: x509.Certificate) -> list[str]:
     try:
         extension = certificate.extensions.get_extension_for_class(
             x509.SubjectAlternativeName
--- a/libs/agent/tests/test_admission.py
+++ b/libs/agent/tests/test_admission.py
@@ -1,4 +1,4 @@
-"""Limited admission of new flows."""
+"""Tests of the rate limit for new flows."""
 
 import asyncio
 
@@ -6,10 +6,10 @@
 from fireflyford.agent import _admission
 from fireflyford.agent import _connection
 
-ARRIVAL = _connection.Arrival(b"", core.Address("127.0.0.1", 1), None)
+DATAGRAM = _connection.ReceivedDatagram(b"", core.Address("127.0.0.1", 1), None)
 
 
-def offer_many(count: int, wait_s: float) -> tuple[list[bytes], int]:
+def submit_many(count: int, wait_s: float) -> tuple[list[bytes], int]:
     admitted: list[bytes] = []
 
     async def run() -> int:
@@ -17,7 +17,7 @@
             lambda destination, arrivals: admitted.append(destination)
         )
         for number in range(count):
-            admission.offer(number.to_bytes(4, "big"), ARRIVAL)
+            admission.submit(number.to_bytes(4, "big"), DATAGRAM)
         at_once = len(admitted)
         await asyncio.sleep(wait_s)
         return at_once
@@ -27,22 +27,22 @@
 
 
 def test_a_burst_is_admitted_at_a_limited_rate() -> None:
-    """Guards against handshakes that starve the flows that are open."""
-    admitted, at_once = offer_many(60, 0.2)
+    """Guards against handshakes that starve open flows."""
+    admitted, at_once = submit_many(60, 0.2)
     assert at_once == _admission.BURST_FLOWS
     assert at_once < len(admitted) < 60
 
 
 def test_waiting_flows_are_bounded_and_keep_their_order() -> None:
-    """Guards against memory that grows with a flood of new flows."""
-    admitted, _ = offer_many(1_000, 1.6)
-    limit = _admission.BURST_FLOWS + _admission.MAX_WAITING_FLOWS
+    """Guards against memory growth during a flood of new flows."""
+    admitted, _ = submit_many(1_000, 1.6)
+    limit = _admission.BURST_FLOWS + _admission.MAX_QUEUED_FLOWS
     assert admitted == sorted(admitted)
     assert len(admitted) <= limit
 
 
 def test_a_repeated_first_datagram_opens_one_flow() -> None:
-    """Guards against two connections for one impatient caller."""
+    """Guards against two connections for a caller that retransmits."""
     opened: list[int] = []
 
     async def run() -> None:
@@ -50,9 +50,9 @@
             lambda destination, arrivals: opened.append(len(arrivals))
         )
         for number in range(_admission.BURST_FLOWS):
-            admission.offer(bytes([number]), ARRIVAL)
+            admission.submit(bytes([number]), DATAGRAM)
         for _ in range(3):
-            admission.offer(b"repeated", ARRIVAL)
+            admission.submit(b"repeated", DATAGRAM)
         await asyncio.sleep(0.1)
 
     asyncio.run(run())
--- a/libs/agent/tests/test_access.py
+++ b/libs/agent/tests/test_authorization.py
@@ -1,4 +1,4 @@
-"""Callers' rights."""
+"""Tests of the authorization of callers."""
 
 import asyncio
 
@@ -7,7 +7,7 @@
 from fireflyford import agent
 from fireflyford import config
 from fireflyford import core
-from fireflyford.agent import _access
+from fireflyford.agent import _authorization
 from fireflyford.agent import _connection
 
 KEY = b"k" * 16
@@ -16,8 +16,8 @@
 )
 
 
-class Recorder(_connection.Handler, _connection.ResponseStream):
-    """Handler and stream that note what reaches them."""
+class Recorder(_connection.RequestHandler, _connection.ResponseStream):
+    """Handler and response stream that record their calls."""
 
     def __init__(self) -> None:
         self.handled_count = 0
@@ -40,9 +40,9 @@
         pass
 
 
-def ask(authorization: str, key: bytes = KEY) -> Recorder:
+def authorize(authorization: str, key: bytes = KEY) -> Recorder:
     recorder = Recorder()
-    handler = _access.AccessHandler(key, SERVICE, recorder)
+    handler = _authorization.AuthorizationHandler(key, SERVICE, recorder)
     request = _connection.Request(
         method="GET",
         path="/",
@@ -55,8 +55,8 @@
 
 
 def test_a_caller_with_a_token_is_served() -> None:
-    """Guards against refusing callers that have the right."""
-    recorder = ask("Bearer " + agent.make_token(KEY, "field"))
+    """Guards against rejecting an authorized caller."""
+    recorder = authorize("Bearer " + agent.make_token(KEY, "field"))
     assert recorder.handled_count == 1
 
 
@@ -70,13 +70,13 @@
         "Bearer f\u00e9ld.00",
     ],
 )
-def test_a_caller_without_the_right_is_refused(authorization: str) -> None:
-    """Guards against work done for callers without the right."""
-    recorder = ask(authorization)
+def test_an_unauthorized_caller_is_rejected(authorization: str) -> None:
+    """Guards against doing work for an unauthorized caller."""
+    recorder = authorize(authorization)
     assert recorder.handled_count == 0
     assert recorder.status_code == 403
 
 
 def test_an_open_service_needs_no_token() -> None:
-    """Guards against refusing everyone where no key is set."""
-    assert ask("", key=b"").handled_count == 1
+    """Guards against rejecting all callers when no key is set."""
+    assert authorize("", key=b"").handled_count == 1
--- a/libs/agent/tests/test_backend_watch_start.py
+++ b/libs/agent/tests/test_backend_monitor_start.py
@@ -1,9 +1,9 @@
-"""Start of an agent before its backend server."""
+"""Tests of an agent that starts before its backend server."""
 
 import asyncio
 
 from fireflyford import core
-from fireflyford.agent import _backend_watch
+from fireflyford.agent import _backend_monitor
 
 
 async def _wait_then_listen() -> list[str]:
@@ -15,8 +15,8 @@
     address = core.Address("127.0.0.1", port)
 
     async def wait() -> None:
-        watch = _backend_watch.BackendWatch(core.SystemClock(), address)
-        await watch.wait_until_seen()
+        monitor = _backend_monitor.BackendMonitor(core.SystemClock(), address)
+        await monitor.wait_until_reachable()
         order.append("ready")
 
     task = asyncio.create_task(wait())
@@ -29,5 +29,5 @@
 
 
 def test_a_target_is_announced_after_its_backend_listens() -> None:
-    """Guards against requests sent to a backend server that is starting."""
+    """Guards against requests to a backend server that is still starting."""
     assert asyncio.run(_wait_then_listen()) == ["listen", "ready"]
--- a/libs/agent/tests/test_connection.py
+++ b/libs/agent/tests/test_connection.py
@@ -1,4 +1,4 @@
-"""One caller's connection, against an HTTP/3 client in memory."""
+"""Tests of a connection against an in-memory HTTP/3 client."""
 
 import asyncio
 import ssl
@@ -27,12 +27,12 @@
     def weights(self) -> dict[core.Address, float]:
         return {BALANCER: 1.0}
 
-    def is_leaving(self, address: core.Address) -> bool:
+    def is_unavailable(self, address: core.Address) -> bool:
         return False
 
 
-class _Handler(_connection.Handler):
-    """Writes a heavy answer, or waits for ever at `/wait`."""
+class _Handler(_connection.RequestHandler):
+    """Writes a large response, or blocks for requests to `/wait`."""
 
     def __init__(self) -> None:
         self.written_bytes = 0
@@ -59,7 +59,7 @@
 
 
 class _Client(quic_connection.QuicConnection):
-    """_Client that may keep its flow control window closed."""
+    """Client that can stop extending its flow control windows."""
 
     reads = True
 
@@ -73,7 +73,7 @@
 
 
 class _Pair:
-    """A connection of the agent and its client, joined in memory."""
+    """A connection of the agent and a client, connected in memory."""
 
     def __init__(self, handler: _Handler, tls: Any, reads: bool = True) -> None:
         self.client = _Client(
@@ -115,23 +115,23 @@
         while loop.time() < end_s:
             while (event := self.client.next_event()) is not None:
                 for item in self.http.handle_event(event):
-                    self._note(item)
+                    self._record(item)
             timer_s = self.client.get_timer()
             if timer_s is not None and timer_s <= loop.time():
                 self.client.handle_timer(loop.time())
             for payload, _ in self.client.datagrams_to_send(loop.time()):
                 self.server.deliver(
-                    _connection.Arrival(payload, CALLER, BALANCER)
+                    _connection.ReceivedDatagram(payload, CALLER, BALANCER)
                 )
             await asyncio.sleep(0.001)
 
-    def _note(self, event: h3_events.H3Event) -> None:
+    def _record(self, event: h3_events.H3Event) -> None:
         if isinstance(event, h3_events.HeadersReceived):
             self.status_codes.append(int(dict(event.headers)[b":status"]))
         elif isinstance(event, h3_events.DataReceived):
             self.received_bytes += len(event.data)
 
-    def ask(self, path: str, body: bytes = b"") -> int:
+    def send_request(self, path: str, body: bytes = b"") -> int:
         stream_id: int = self.client.get_next_available_stream_id()
         headers = [
             (b":method", b"GET"),
@@ -162,29 +162,31 @@
 
 
 def test_a_slow_caller_bounds_what_the_agent_buffers(tls: Any) -> None:
-    """Guards against a heavy answer that fills the agent's memory."""
+    """Guards against a large response that fills the agent's memory."""
 
     async def run() -> tuple[int, int]:
         handler = _Handler()
         pair = _Pair(handler, tls, reads=False)
         await pair.pump(0.1)
-        pair.ask("/heavy")
+        pair.send_request("/heavy")
         await pair.pump(0.8)
         return handler.written_bytes, pair.received_bytes
 
     written, received = asyncio.run(run())
-    # The client's window is 1 MB; the agent holds at most 1 MB and one part.
+    # The client's window is 1 MB; the agent buffers at most 1 MB and one part.
     assert received <= 1 << 20
-    assert written <= received + _connection.MAX_UNSENT_BYTES + len(PART)
+    assert written <= received + _connection.MAX_UNACKNOWLEDGED_BYTES + len(
+        PART
+    )
 
 
-def test_a_caller_that_reads_gets_the_whole_answer(tls: Any) -> None:
-    """Guards against a writer that never wakes up again."""
+def test_a_caller_that_reads_gets_the_whole_response(tls: Any) -> None:
+    """Guards against a writer that is not woken when space is free."""
 
     async def run() -> int:
         pair = _Pair(_Handler(), tls)
         await pair.pump(0.1)
-        pair.ask("/heavy")
+        pair.send_request("/heavy")
         for _ in range(100):
             await pair.pump(0.1)
             if pair.received_bytes == PARTS * len(PART):
@@ -195,13 +197,13 @@
 
 
 def test_cancellation_frees_the_work(tls: Any) -> None:
-    """Guards against work that goes on for a caller that gave up."""
+    """Guards against work that continues after the caller cancelled."""
 
     async def run() -> bool:
         handler = _Handler()
         pair = _Pair(handler, tls)
         await pair.pump(0.1)
-        stream_id = pair.ask("/wait")
+        stream_id = pair.send_request("/wait")
         await pair.pump(0.05)
         pair.client.stop_stream(
             stream_id, h3_connection.ErrorCode.H3_REQUEST_CANCELLED
@@ -219,7 +221,9 @@
         handler = _Handler()
         pair = _Pair(handler, tls)
         await pair.pump(0.1)
-        pair.ask("/heavy", b"b" * (3 * _connection.MAX_REQUEST_BODY_BYTES))
+        pair.send_request(
+            "/heavy", b"b" * (3 * _connection.MAX_REQUEST_BODY_BYTES)
+        )
         for _ in range(100):
             await pair.pump(0.1)
             if pair.status_codes:
--- a/libs/agent/tests/test_datagram.py
+++ b/libs/agent/tests/test_datagram.py
@@ -1,4 +1,4 @@
-"""Plain-datagram flows of agents on real sockets."""
+"""Tests of plain-datagram flows of agents over real sockets."""
 
 import asyncio
 import socket
@@ -23,49 +23,49 @@
 CODEC = wire.ForwardCodec(KEY)
 
 
-class Peers(routing.FlowPlacement):
-    """Names a successor while the agent is draining."""
+class Placement(routing.FlowPlacement):
+    """Placement with a successor that can be set to simulate draining."""
 
     def __init__(self) -> None:
-        """Starts without draining."""
-        self.next: core.Holder | None = None
+        """Starts without a successor."""
+        self.next_holder: core.Holder | None = None
 
     def first_target(self, flow_key: int) -> core.Holder | None:
-        """Returns no agent."""
+        """Returns None."""
         return None
 
     def successor(self, flow_key: int) -> core.Holder | None:
         """Returns the successor."""
-        return self.next
+        return self.next_holder
 
 
 class Echo(asyncio.DatagramProtocol):
-    """Backend server that answers with its name."""
+    """Backend server that echoes datagrams prefixed with its name."""
 
     def __init__(self, name: bytes) -> None:
-        """Takes the name."""
+        """Stores the name."""
         self._name = name
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keeps the transport."""
+        """Stores the transport."""
         self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Answers."""
+        """Sends the response."""
         self._transport.sendto(self._name + b" " + data, addr)
 
 
-class Agent:
+class AgentFixture:
     """Endpoint and flows of one agent."""
 
     def __init__(self, name: str, incarnation: int) -> None:
-        """Prepares; `open` opens the sockets."""
+        """Initializes the agent; `open` opens the sockets."""
         self.name = name
         self.incarnation = incarnation
-        self.peers = Peers()
+        self.placement = Placement()
 
     async def open(self) -> None:
-        """Opens backend server and link socket."""
+        """Opens the sockets of the backend server and the link."""
         loop = asyncio.get_running_loop()
         backend, _ = await loop.create_datagram_endpoint(
             lambda: Echo(self.name.encode()), local_addr=LOCAL
@@ -80,7 +80,7 @@
             self.target.holder,
             CODEC,
             core.Address(*backend.get_extra_info("sockname")),
-            self.peers,
+            self.placement,
         )
         self.endpoint = _endpoint.Endpoint(
             SERVICE,
@@ -89,7 +89,7 @@
             CODEC,
             wire.ConnectionIdCodec([KEY], SERVICE),
             quic_configuration.QuicConfiguration(is_client=False),
-            cast(_connection.Handler, None),
+            cast(_connection.RequestHandler, None),
             lambda destination: None,
             cast(_return_path.BalancerSource, None),
             self.flows,
@@ -98,11 +98,11 @@
         self.task = asyncio.create_task(self.flows.run())
 
 
-class Front:
-    """One balancer."""
+class BalancerFixture:
+    """Sockets and router of one balancer."""
 
     def __init__(self, targets: list[routing.Target]) -> None:
-        """Opens the sockets of a balancer with its own view."""
+        """Opens the sockets of a balancer with the given targets."""
         self.counters = balancer.Counters()
         self.router = routing.Router(core.SystemClock())
         self.router.replace_targets(targets)
@@ -122,13 +122,15 @@
         ]
 
 
-async def ask(caller: socket.socket, front: Front, text: bytes) -> bytes:
+async def exchange(
+    caller: socket.socket, front: BalancerFixture, text: bytes
+) -> bytes:
     loop = asyncio.get_running_loop()
     caller.sendto(text, front.pair)
     async with asyncio.timeout(5):
-        answer, sender = await loop.sock_recvfrom(caller, 2_000)
+        response, sender = await loop.sock_recvfrom(caller, 2_000)
     assert sender == front.pair
-    return answer
+    return response
 
 
 def open_caller() -> socket.socket:
@@ -139,42 +141,44 @@
 
 
 async def _run_through_changes() -> list[set[bytes]]:
-    agents = [Agent(f"agent-{number}", number + 1) for number in range(4)]
+    agents = [
+        AgentFixture(f"agent-{number}", number + 1) for number in range(4)
+    ]
     for agent in agents:
         await agent.open()
     targets = [agent.target for agent in agents]
-    old, new = Front(targets[:3]), Front(targets)
+    old, new = BalancerFixture(targets[:3]), BalancerFixture(targets)
     callers = [open_caller() for _ in range(30)]
-    answers = [{await ask(caller, old, b"1")} for caller in callers]
-    for caller, seen in zip(callers, answers, strict=True):
-        seen.add(await ask(caller, new, b"1"))
-    # One agent drains; only itself and one balancer know.
+    responses = [{await exchange(caller, old, b"1")} for caller in callers]
+    for caller, seen in zip(callers, responses, strict=True):
+        seen.add(await exchange(caller, new, b"1"))
+    # One agent drains; only that agent and one balancer know of it.
     leaving = agents[0]
-    leaving.peers.next = targets[1].holder
+    leaving.placement.next_holder = targets[1].holder
     new.router.replace_targets(targets[1:])
-    for caller, seen in zip(callers, answers, strict=True):
-        seen.add(await ask(caller, new, b"1"))
-        seen.add(await ask(caller, old, b"1"))
+    for caller, seen in zip(callers, responses, strict=True):
+        seen.add(await exchange(caller, new, b"1"))
+        seen.add(await exchange(caller, old, b"1"))
     late = open_caller()
-    first = await ask(late, old, b"2")
-    answers.append({first, await ask(late, new, b"2")})
+    first = await exchange(late, old, b"2")
+    responses.append({first, await exchange(late, new, b"2")})
     assert not first.startswith(b"agent-0")
     assert sum(agent.flows.open_count for agent in agents) == 31
     for agent in agents:
         agent.task.cancel()
     for caller in (*callers, late):
         caller.close()
-    return answers
+    return responses
 
 
 def test_flows_keep_their_backend_server_through_changes() -> None:
-    """Guards against flows that move, and answers that lose their way."""
-    answers = asyncio.run(_run_through_changes())
-    assert all(len(seen) == 1 for seen in answers)
-    assert len(set.union(*answers)) >= 3
+    """Guards against flows that move and responses that are misrouted."""
+    responses = asyncio.run(_run_through_changes())
+    assert all(len(seen) == 1 for seen in responses)
+    assert len(set.union(*responses)) >= 3
 
 
-def make_header(agent: Agent, **fields: object) -> wire.ForwardHeader:
+def make_header(agent: AgentFixture, **fields: object) -> wire.ForwardHeader:
     known: dict[str, object] = {
         "kind": wire.ForwardType.TO_AGENT,
         "service": core.service_tag(SERVICE),
@@ -186,12 +190,12 @@
 
 
 async def _send_mismatches() -> _endpoint.Counters:
-    agent = Agent("agent", 2)
+    agent = AgentFixture("agent", 2)
     await agent.open()
     balancer_address = ("127.0.0.1", 9)
     for fields in (
         {"service": core.service_tag("other")},
-        # What the agent before this one on the same address was sent.
+        # Sent to an earlier agent at the same address.
         {"incarnation": 1},
         {"kind": wire.ForwardType.TO_CALLER},
         {"kind": wire.ForwardType.ADOPT, "incarnation": 1},
@@ -206,14 +210,14 @@
 
 
 def test_mismatched_datagrams_are_dropped_and_counted() -> None:
-    """Guards against late datagrams for an earlier agent on one address."""
+    """Guards against late datagrams for an earlier agent at the address."""
     counters = asyncio.run(_send_mismatches())
     assert counters.misrouted_count == 4
     assert counters.foreign_count == 1
 
 
 async def _fuzz(datagrams: list[bytes], notices: list[bytes]) -> None:
-    agent = Agent("agent", 2)
+    agent = AgentFixture("agent", 2)
     await agent.open()
     holder = core.Holder(core.Address("127.0.0.1", 9), 3)
     for datagram in datagrams:
@@ -239,7 +243,7 @@
 def test_agents_survive_arbitrary_datagrams(
     datagrams: list[bytes], notices: list[bytes]
 ) -> None:
-    """Guards against exceptions, and notices that are old or malformed."""
+    """Guards against exceptions and against old or malformed notices."""
     asyncio.run(_fuzz(datagrams, notices))
 
 
@@ -261,7 +265,7 @@
 
 
 async def _fuzz_signed(headers: list[dict[str, object]]) -> None:
-    agent = Agent("agent", 2)
+    agent = AgentFixture("agent", 2)
     await agent.open()
     sent_ms = core.SystemClock().wall_ms().to_bytes(8, "big")
     for number, known in enumerate(headers):
--- a/libs/agent/tests/test_feeds.py
+++ b/libs/agent/tests/test_feeds.py
@@ -1,4 +1,4 @@
-"""Feeds of one target, with a backend server that can be broken."""
+"""Tests of feeds with a backend server that fails as scripted."""
 
 import asyncio
 from collections.abc import AsyncIterator
@@ -24,22 +24,22 @@
     return json.dumps({"sequence": sequence, "value": "x"}).encode() + b"\n"
 
 
-class _Source(_backend_feeds.FeedSource):
-    """Gives one list of chunks for each time the feed is opened.
+class _ScriptedSource(_backend_feeds.FeedSource):
+    """Yields one list of chunks each time the feed is opened.
 
-    An exception breaks the feed, None keeps it open without events.
+    An exception breaks the feed; None keeps it open without events.
     """
 
-    def __init__(self, *plays: list[bytes | Exception | None]) -> None:
-        self._plays = list(plays)
+    def __init__(self, *scripts: list[bytes | Exception | None]) -> None:
+        self._scripts = list(scripts)
         self.paths: list[str] = []
 
     @contextlib.asynccontextmanager
     async def open(self, path: str) -> AsyncIterator[AsyncIterator[bytes]]:
         self.paths.append(path)
-        yield self._play(self._plays.pop(0))
+        yield self._run_script(self._scripts.pop(0))
 
-    async def _play(
+    async def _run_script(
         self, chunks: list[bytes | Exception | None]
     ) -> AsyncIterator[bytes]:
         for chunk in chunks:
@@ -76,18 +76,18 @@
         ]
 
 
-async def up() -> bool:
+async def backend_reachable() -> bool:
     return True
 
 
-async def down() -> bool:
+async def backend_unreachable() -> bool:
     return False
 
 
 def serve(
-    source: _Source,
+    source: _ScriptedSource,
     headers: _connection.Headers = LIBRARY,
-    check: Callable[[], Awaitable[bool]] = up,
+    check: Callable[[], Awaitable[bool]] = backend_reachable,
     treatment: config.Treatment = TREATMENT,
     move: bool = False,
 ) -> _Response:
@@ -110,8 +110,8 @@
 
 
 def test_a_broken_feed_resumes_after_the_last_event() -> None:
-    """Guards against a gap or repetition when a backend stream breaks."""
-    source = _Source([line(1), line(2), BROKEN], [line(3)])
+    """Guards against gaps and repetitions when a backend stream breaks."""
+    source = _ScriptedSource([line(1), line(2), BROKEN], [line(3)])
     response = serve(source)
     assert source.paths == ["/feed?after=0", "/feed?after=2"]
     assert [item["sequence"] for item in response.lines] == [1, 2, 3]
@@ -120,21 +120,21 @@
 
 def test_half_a_line_is_not_followed_by_another_line() -> None:
     """Guards against control lines or resumed events inside an event."""
-    source = _Source([line(1) + line(2)[:9], BROKEN], [line(2), None])
+    source = _ScriptedSource([line(1) + line(2)[:9], BROKEN], [line(2), None])
     response = serve(source, move=True)
     kinds = [item.get("sequence", "control") for item in response.lines]
     assert kinds == [1, 2, "control"]
 
 
 def test_plain_callers_get_no_control_line() -> None:
-    """Guards against lines that a plain HTTP/3 client does not know."""
-    response = serve(_Source([line(1), None]), headers=(), move=True)
+    """Guards against control lines that a plain HTTP/3 client cannot parse."""
+    response = serve(_ScriptedSource([line(1), None]), headers=(), move=True)
     assert response.lines == [{"sequence": 1, "value": "x"}]
     assert not response.ended and not response.aborted
 
 
 def test_the_treatment_decides_how_a_feed_moves() -> None:
-    """Guards against resumption where the treatment asks for a new start."""
+    """Guards against resumption if the treatment requires a reconnection."""
     treatment = config.Treatment(
         "feed",
         "GET",
@@ -142,36 +142,44 @@
         kind=config.Kind.FEED,
         on_move=config.MovePolicy.RECONNECT,
     )
-    response = serve(_Source([line(1), None]), treatment=treatment, move=True)
+    response = serve(
+        _ScriptedSource([line(1), None]), treatment=treatment, move=True
+    )
     assert response.lines[-1]["fireflyford-control"] == "reconnect"
 
 
 def test_callers_move_when_the_backend_server_is_gone() -> None:
-    """Guards against feeds that stay with an agent without a backend."""
-    response = serve(_Source([line(1), BROKEN]), check=down)
+    """Guards against feeds that stay at an agent without a backend server."""
+    response = serve(
+        _ScriptedSource([line(1), BROKEN]), check=backend_unreachable
+    )
     assert response.lines[-1]["fireflyford-control"] == "resume"
     assert not response.ended
 
 
 def test_plain_callers_are_cut_when_the_backend_server_is_gone() -> None:
-    """Guards against a feed that looks complete though it is not."""
-    response = serve(_Source([line(1), BROKEN]), headers=(), check=down)
+    """Guards against an incomplete feed that looks complete."""
+    response = serve(
+        _ScriptedSource([line(1), BROKEN]),
+        headers=(),
+        check=backend_unreachable,
+    )
     assert response.aborted and not response.ended
 
 
 def test_a_silent_backend_stream_is_replaced() -> None:
-    """Guards against a feed that stays on a stream that passes nothing."""
-    with mock.patch.object(_feeds, "_SILENCE_LIMIT_MS", (10.0, 20.0)):
-        response = serve(_Source([line(1), None], [line(2)]))
+    """Guards against a feed that stays on a stalled stream."""
+    with mock.patch.object(_feeds, "_FEED_TIMEOUT_MS", (10.0, 20.0)):
+        response = serve(_ScriptedSource([line(1), None], [line(2)]))
     assert [item["sequence"] for item in response.lines] == [1, 2]
 
 
 def test_content_without_sequence_numbers_passes_unchanged() -> None:
-    """Guards against a feed of another format that loses bytes."""
+    """Guards against lost bytes in feeds of another format."""
     chunks: list[bytes | Exception | None] = [
         b"data: a\n\ndata",
         b": b\n\n",
         b"\xff\xfe",
     ]
-    response = serve(_Source(chunks), headers=())
+    response = serve(_ScriptedSource(chunks), headers=())
     assert response.writes[:-1] == [b"data: a\n\ndata", b": b\n\n", b"\xff\xfe"]
--- a/libs/agent/tests/test_peer.py
+++ b/libs/agent/tests/test_peer.py
@@ -1,4 +1,4 @@
-"""Tickets as text, and calls between agents over pynng."""
+"""Tests of the ticket encoding and of calls between agents over pynng."""
 
 import asyncio
 import base64
@@ -12,13 +12,13 @@
 
 _KEY = b"k" * 16
 _CLOCK = core.SystemClock()
-_ORDER = config.Treatment(
+_TREATMENT = config.Treatment(
     name="order", method="POST", path_prefix="/", idempotent=False
 )
 
 
 def test_ticket_survives_its_text_form() -> None:
-    """Guards against a lost field and against a longer header."""
+    """Guards against lost fields and against a longer header."""
     codec = _ticket_codec.TicketCodec(_KEY)
     address = core.Address("127.0.0.1", 7_001)
     ticket = requests.Ticket(address, 2**62 + 5, 7, 123_456_789)
@@ -28,7 +28,7 @@
 
 
 def test_forged_ticket_is_refused() -> None:
-    """Guards against tickets that nobody issued."""
+    """Guards against accepting a ticket that no agent issued."""
     codec = _ticket_codec.TicketCodec(_KEY)
     ticket = requests.Ticket(core.Address("127.0.0.1", 1), 1, 1, 1)
     other = _ticket_codec.TicketCodec(b"o" * 16).encode(ticket)
@@ -71,7 +71,14 @@
 def _handoff(path: str, serial: int = 1) -> requests.Handoff:
     now_ms = _CLOCK.now_ms()
     work = requests.WorkItem(
-        "id", _ORDER, "POST", path, b"body", "caller", now_ms, now_ms + 2_000
+        "id",
+        _TREATMENT,
+        "POST",
+        path,
+        b"body",
+        "caller",
+        now_ms,
+        now_ms + 2_000,
     )
     return requests.Handoff(5, serial, 9, now_ms, 2_000, 1e9, work)
 
@@ -81,7 +88,7 @@
     engine = _engine(address, executor)
     server = _peer_channel.PeerServer(_CLOCK, _KEY, engine)
     task = asyncio.create_task(server.run(address))
-    peers = _peer_channel.PynngPeers(_CLOCK, _KEY)
+    peers = _peer_channel.PynngPeerChannel(_CLOCK, _KEY)
     try:
         await asyncio.sleep(0.05)
         copies = [await peers.execute(address, _handoff("/")) for _ in "ab"]
@@ -93,8 +100,8 @@
     return copies, executor.run_count
 
 
-def test_copy_of_a_handover_gets_the_first_answer() -> None:
-    """Guards against a second run at the peer."""
+def test_copy_of_a_handover_gets_the_first_response() -> None:
+    """Guards against running handed-over work twice at the peer."""
     copies, run_count = asyncio.run(_call_twice())
     assert (
         copies[0] == copies[1] == core.Ok(requests.Response(200, (), b"body"))
@@ -107,7 +114,7 @@
     engine = _engine(address, executor)
     server = _peer_channel.PeerServer(_CLOCK, _KEY, engine)
     task = asyncio.create_task(server.run(address))
-    peers = _peer_channel.PynngPeers(_CLOCK, _KEY)
+    peers = _peer_channel.PynngPeerChannel(_CLOCK, _KEY)
     try:
         await asyncio.sleep(0.05)
         call = asyncio.create_task(peers.execute(address, _handoff("/hang")))
@@ -122,8 +129,8 @@
     return [lost, unreachable]
 
 
-def test_lost_peer_is_unknown_and_absent_peer_is_not_run() -> None:
-    """Guards against "not run" for work that a peer has received."""
+def test_lost_peer_is_unknown_and_unreachable_peer_is_not_run() -> None:
+    """Guards against reporting "not run" for work that a peer received."""
     lost, unreachable = asyncio.run(_lose_peer())
     assert isinstance(lost, core.Failure)
     assert lost.kind is core.ErrorKind.OUTCOME_UNKNOWN
--- a/libs/agent/tests/test_return_path.py
+++ b/libs/agent/tests/test_return_path.py
@@ -1,4 +1,4 @@
-"""Choice of the balancer that carries answers."""
+"""Tests of the selection of the balancer that carries responses."""
 
 from fireflyford import core
 from fireflyford.agent import _return_path
@@ -11,31 +11,31 @@
 class _Balancers(_return_path.BalancerSource):
     def __init__(self) -> None:
         self.alive = {FIRST: 1.0, SECOND: 1.0, THIRD: 1.0}
-        self.leaving: set[core.Address] = set()
+        self.unavailable: set[core.Address] = set()
 
     def weights(self) -> dict[core.Address, float]:
         return self.alive
 
-    def is_leaving(self, address: core.Address) -> bool:
-        return address in self.leaving
+    def is_unavailable(self, address: core.Address) -> bool:
+        return address in self.unavailable
 
 
 def make_path(balancers: _Balancers) -> _return_path.ReturnPath:
     path = _return_path.ReturnPath(balancers, lambda: None)
-    path.receive(FIRST)
+    path.record_receipt(FIRST)
     return path
 
 
-def test_answers_use_the_last_balancer_while_datagrams_arrive() -> None:
+def test_responses_use_the_last_balancer_while_datagrams_arrive() -> None:
     """Guards against rotation away from a balancer that works."""
     path = make_path(_Balancers())
     for step in range(20):
         assert path.choose(step * 0.1, True) == FIRST
-        path.receive(FIRST)
+        path.record_receipt(FIRST)
 
 
 def test_rotation_tries_every_live_balancer() -> None:
-    """Guards against a flow that stays on a dead return balancer."""
+    """Guards against a flow that keeps sending through a dead balancer."""
     path = make_path(_Balancers())
     path.choose(0.0, True)
     tried = [path.choose(0.31 * step, True) for step in (1, 2)]
@@ -43,23 +43,23 @@
 
 
 def test_an_acknowledgement_alone_starts_no_rotation() -> None:
-    """Guards against rotation when the other end owes no answer."""
+    """Guards against rotation while no acknowledgement is awaited."""
     path = make_path(_Balancers())
     path.choose(0.0, False)
     assert path.choose(9.0, True) == FIRST
 
 
-def test_a_leaving_balancer_is_left_at_once() -> None:
-    """Guards against a stall of 300 ms at every planned change."""
+def test_a_draining_balancer_is_replaced_at_once() -> None:
+    """Guards against a stall of 300 ms at every planned replacement."""
     balancers = _Balancers()
     path = make_path(balancers)
-    balancers.leaving.add(FIRST)
+    balancers.unavailable.add(FIRST)
     balancers.alive = {SECOND: 1.0}
     assert path.choose(0.0, True) == SECOND
 
 
 def test_the_only_balancer_is_kept() -> None:
-    """Guards against an agent that stops answering without a choice."""
+    """Guards against an agent that stops sending without an alternative."""
     balancers = _Balancers()
     balancers.alive = {FIRST: 1.0}
     path = make_path(balancers)
@@ -67,15 +67,15 @@
     assert path.choose(1.0, True) == FIRST
 
 
-def test_a_relayed_flow_answers_through_a_balancer() -> None:
-    """Guards against answers sent to the agent that relayed the flow."""
+def test_a_relayed_flow_responds_through_a_balancer() -> None:
+    """Guards against responses sent to the agent that relayed the flow."""
     path = _return_path.ReturnPath(_Balancers(), lambda: None)
-    path.receive(None)
+    path.record_receipt(None)
     assert path.choose(0.0, True) in (FIRST, SECOND, THIRD)
 
 
 def test_weights_decide_the_share_of_rotations() -> None:
-    """Guards against rotation onto balancers without capacity."""
+    """Guards against rotation to balancers without capacity."""
     balancers = _Balancers()
     balancers.alive = {FIRST: 1.0, SECOND: 0.0, THIRD: 1.0}
     for _ in range(20):
