Use the terms of the field in the balancer package

BalancerPeers -> BalancerConfigPeers, _Kept -> _CachedRoute, _follow_view -> _run_router_updates, LEAVE_DELAY_MS -> MIN_DRAIN_MS, QUIET_MS -> QUIET_PERIOD_MS, BATCH_DATAGRAMS -> MAX_BATCH_DATAGRAMS. The tests follow.

--- a/libs/balancer/src/fireflyford/balancer/__init__.py
+++ b/libs/balancer/src/fireflyford/balancer/__init__.py
@@ -1,4 +1,4 @@
-"""The balancer process: forwards datagrams and holds no state of flows."""
+"""Balancer process: forwards datagrams and holds no flow state."""
 
 from fireflyford.balancer._configuration import is_config_reader
 from fireflyford.balancer._forwarder import Counters
--- a/libs/balancer/src/fireflyford/balancer/_configuration.py
+++ b/libs/balancer/src/fireflyford/balancer/_configuration.py
@@ -1,4 +1,4 @@
-"""Configuration of a balancer: readers in each region, spread through peers."""
+"""Configuration of a balancer, read from the store or pulled from peers."""
 
 import asyncio
 from collections.abc import Callable
@@ -12,13 +12,13 @@
 from fireflyford import settings
 from fireflyford import store
 
-# A balancer that has just started sees itself alone and would read the store;
-# with many starting at once, all of them would.
+# A balancer that has just started does not know its peers yet and would select
+# itself as a reader; if many start at once, all of them would read the store.
 JOIN_DELAY_MS = 1_500
 
 
-class BalancerPeers(store.ConfigPeers):
-    """Following through the membership of a balancer."""
+class BalancerConfigPeers(store.ConfigPeers):
+    """Configuration peers of a balancer, found through its membership."""
 
     def __init__(
         self,
@@ -26,7 +26,13 @@
         members: membership.Membership,
         clock: core.Clock,
     ) -> None:
-        """Takes settings, membership and clock of the balancer."""
+        """Initializes the peers.
+
+        Args:
+            options: Validated settings.
+            members: Membership of the balancer.
+            clock: Source of time.
+        """
         self._options = options
         self._members = members
         self._clock = clock
@@ -34,7 +40,7 @@
         self._created_ms = clock.now_ms()
 
     def is_reader(self) -> bool:
-        """Whether this balancer has one of the region's highest scores."""
+        """Returns whether this balancer reads the store for its region."""
         if self._clock.now_ms() - self._created_ms < JOIN_DELAY_MS:
             return False
         return is_config_reader(
@@ -44,37 +50,46 @@
         )
 
     def sources(self, above: int) -> Sequence[store.PullSource]:
-        """Returns announcing balancers, those of the own region if any."""
+        """Returns balancers that announce a higher version.
+
+        Balancers of the same region are preferred.
+        """
         announcing = [
             item
             for item in self._announcements.newer_than(above)
             if item[0].role is core.Role.BALANCER
         ]
-        near = [
+        same_region = [
             item
             for item in announcing
             if item[0].region == self._options.region
         ]
         return [
             store.PullSource(member.instance_id, member.bulk_address, version)
-            for member, version in near or announcing
+            for member, version in same_region or announcing
         ]
 
     def announce(self, version: int) -> None:
-        """Announces a version in this balancer's own record."""
+        """Announces a version in the membership record of this balancer."""
         self._members.update(config_version=version)
 
     async def pull(
         self, source: store.PullSource, payload: bytes
     ) -> core.Outcome[bytes]:
-        """Calls another balancer."""
+        """Pulls a configuration from another balancer."""
         return await membership.fetch_bulk(
             source.address, self._options.link_key, store.CONFIG_TOPIC, payload
         )
 
 
-def is_config_reader(view: membership.View, name: str, region: str) -> bool:
-    """Whether a balancer has one of its region's highest rendezvous scores."""
+def is_config_reader(
+    view: membership.View, instance_id: str, region: str
+) -> bool:
+    """Returns whether a balancer reads the store for its region.
+
+    The readers of a region are the balancers with the highest rendezvous
+    scores.
+    """
     candidates = [
         member
         for member in view.balancers()
@@ -83,24 +98,23 @@
     readers = membership.select_by_rendezvous(
         store.READER_KEY, candidates, store.READER_COUNT
     )
-    return name in {reader.instance_id for reader in readers}
+    return instance_id in {reader.instance_id for reader in readers}
 
 
 def open_store(
     options: settings.BalancerSettings,
 ) -> store.EtcdStore | None:
-    """Returns the store of the settings, or None without store addresses."""
+    """Returns the configured store, or None without store addresses."""
     gateways = [core.Address.parse(item) for item in options.store_addresses]
     if not gateways:
         return None
-    # Balancers start with different gateways, so that one gateway does not
-    # serve all readers.
+    # The order is random so that the readers do not all use the same gateway.
     random.SystemRandom().shuffle(gateways)
     return store.EtcdStore(gateways)
 
 
 class Configuration:
-    """Following and the join entry of one balancer."""
+    """Configuration follower and join entry of one balancer."""
 
     def __init__(
         self,
@@ -109,22 +123,22 @@
         members: membership.Membership,
         apply: Callable[[config.Deployment], None],
     ) -> None:
-        """Prepares both.
+        """Initializes the follower and the join entry.
 
         Args:
-            options: Checked settings.
+            options: Validated settings.
             clock: Source of time.
             members: Membership of the balancer.
-            apply: Puts a deployment in force in this process.
+            apply: Applies a deployment in this process.
         """
-        peers = BalancerPeers(options, members, clock)
-        client = open_store(options)
+        peers = BalancerConfigPeers(options, members, clock)
+        etcd_store = open_store(options)
         config_store = None
-        self._entry: store.JoinEntry | None = None
-        if client is not None:
-            config_store = store.ConfigStore(client, clock)
-            self._entry = store.JoinEntry(
-                client,
+        self._join_entry: store.JoinEntry | None = None
+        if etcd_store is not None:
+            config_store = store.ConfigStore(etcd_store, clock)
+            self._join_entry = store.JoinEntry(
+                etcd_store,
                 clock,
                 options.instance_id,
                 core.Address.parse(options.control_address),
@@ -135,15 +149,15 @@
         )
 
     async def run(self) -> None:
-        """Runs until cancelled."""
+        """Runs both until cancelled."""
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self.follower.run())
-            if self._entry is not None:
-                tasks.create_task(self._entry.run())
+            if self._join_entry is not None:
+                tasks.create_task(self._join_entry.run())
 
 
 def load_file(path: str) -> core.Outcome[config.Deployment | None]:
-    """Reads the configuration file used until a version is in force."""
+    """Reads the configuration file that applies until a version is in force."""
     if not path:
         return core.Ok(None)
     parsed = config.parse(pathlib.Path(path).read_bytes())
--- a/libs/balancer/src/fireflyford/balancer/_forwarder.py
+++ b/libs/balancer/src/fireflyford/balancer/_forwarder.py
@@ -1,4 +1,4 @@
-"""Forwarding of datagrams between callers and agents."""
+"""Sockets that forward datagrams between callers and agents."""
 
 import abc
 import dataclasses
@@ -10,19 +10,19 @@
 from fireflyford import wire
 from fireflyford.balancer import _socket
 
-# A datagram must still fit into UDP with the forwarding header, a balancer
-# address and three holders before it.
+# A forwarded UDP datagram also holds the forwarding header, the address of a
+# balancer (6 bytes) and up to three holders (10 bytes each).
 MAX_PAYLOAD_BYTES = 65_507 - wire.FORWARD_HEADER_BYTES - 6 - 3 * 10
-# Flows whose forwarding header is kept: those that are sending at the moment.
-# The oldest is forgotten first, so memory does not grow with open flows.
-_KEPT_FLOWS = 4_096
+# Maximum number of routes cached for active flows. The oldest entry is evicted
+# first, so memory use does not grow with the number of open flows.
+_MAX_CACHED_ROUTES = 4_096
 
 
 _SHORT_HEADER_BYTES = 1 + wire.CONNECTION_ID_BYTES
 
 
 class Counters:
-    """Datagrams since the process started, by what happened to them."""
+    """Datagrams since the process started, by outcome."""
 
     def __init__(self) -> None:
         """Starts all counters at zero."""
@@ -34,32 +34,32 @@
 
     @property
     def received_count(self) -> int:
-        """Datagrams of callers, whatever happened to them."""
+        """Number of datagrams from callers, whatever their outcome."""
         return self.to_agent_count + self.malformed_count + self.no_target_count
 
 
 class HintReader(abc.ABC):
-    """Reads what a caller's datagram says about its flow."""
+    """Extracts a routing hint from a datagram of a caller."""
 
     @abc.abstractmethod
     def identify(self, datagram: bytes) -> bytes:
-        """Returns what, with the caller's address, identifies the flow.
+        """Returns bytes that identify the flow among those of the caller.
 
-        Datagrams of one caller with equal identification have equal hints.
+        Datagrams of one caller with equal identifiers have equal hints.
         """
 
     @abc.abstractmethod
     def read(
         self, datagram: bytes, caller: tuple[str, int]
     ) -> routing.Hint | None:
-        """Returns the hint, or None if the datagram is malformed."""
+        """Returns the routing hint, or None if the datagram is malformed."""
 
 
 class QuicHintReader(HintReader):
-    """Reads the connection ID of a QUIC packet."""
+    """Extracts the hint from the connection ID of a QUIC packet."""
 
     def __init__(self, codec: wire.ConnectionIdCodec) -> None:
-        """Takes the encoding of the service's connection IDs."""
+        """Initializes the reader with the codec for connection IDs."""
         self._codec = codec
 
     def identify(self, datagram: bytes) -> bytes:
@@ -71,7 +71,7 @@
     def read(
         self, datagram: bytes, caller: tuple[str, int]
     ) -> routing.Hint | None:
-        """Returns the holder, or the key of a new connection."""
+        """Returns the holder, or the flow key of a new connection."""
         packet = wire.parse_invariant_header(datagram)
         if packet is None:
             return None
@@ -89,20 +89,20 @@
 
 
 class DatagramHintReader(HintReader):
-    """Makes a flow key of the caller's address and the service."""
+    """Derives the flow key from the address of the caller and the service."""
 
     def __init__(self, service: str) -> None:
-        """Takes the service."""
+        """Initializes the reader for a service."""
         self._seed = core.service_tag(service)
 
     def identify(self, datagram: bytes) -> bytes:
-        """Returns nothing; the caller's address identifies the flow."""
+        """Returns no bytes; the address of the caller identifies the flow."""
         return b""
 
     def read(
         self, datagram: bytes, caller: tuple[str, int]
     ) -> routing.Hint | None:
-        """Returns the key of the caller's flow."""
+        """Returns the flow key of the caller."""
         return routing.UnidentifiedFlowHint(
             xxhash.xxh64_intdigest(
                 f"{caller[0]} {caller[1]}".encode(), self._seed
@@ -111,15 +111,15 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Kept:
-    """Forwarding header of a flow and where its datagrams go."""
+class _CachedRoute:
+    """Encoded forwarding header of a flow and the agent to send it to."""
 
     prefix: bytes
     agent: tuple[str, int]
 
 
 class ServiceListener:
-    """Socket of one service address."""
+    """Listener on the address of one service."""
 
     def __init__(
         self,
@@ -129,46 +129,58 @@
         link: "Link",
         counters: Counters,
     ) -> None:
-        """Prepares the listener of one service."""
+        """Initializes the listener of one service.
+
+        Args:
+            service: Name of the service.
+            router: Router for the targets of the service.
+            reader: Reader of routing hints.
+            link: Socket towards the agents.
+            counters: Counters of the balancer.
+        """
         self.service_tag = core.service_tag(service)
         self._router = router
         self._reader = reader
         self._link = link
         self._counters = counters
         self._socket: _socket.DatagramSocket | None = None
-        self._kept: dict[tuple[bytes, tuple[str, int]], _Kept] = {}
-        self._generation = 0
+        self._route_cache: dict[
+            tuple[bytes, tuple[str, int]], _CachedRoute
+        ] = {}
+        self._ring_generation = 0
 
     def replace_reader(self, reader: HintReader) -> None:
-        """Reads datagrams in another way from now on."""
+        """Replaces the hint reader and clears the cached routes."""
         self._reader = reader
-        self._kept.clear()
+        self._route_cache.clear()
 
     async def run(self, socket: _socket.DatagramSocket) -> None:
-        """Forwards what callers send to a socket until cancelled."""
+        """Forwards datagrams received on a socket until cancelled."""
         self._socket = socket
         await socket.run(self.receive)
 
     def receive(self, data: bytes, caller: tuple[str, int]) -> None:
-        """Forwards a caller's datagram to the agent of its flow."""
+        """Forwards a datagram of a caller to the agent of its flow."""
         if not 0 < len(data) <= MAX_PAYLOAD_BYTES:
             self._counters.malformed_count += 1
             return
-        if self._generation != self._router.generation:
-            self._generation = self._router.generation
-            self._kept.clear()
-        identity = (self._reader.identify(data), caller)
-        kept = self._kept.get(identity)
-        if kept is None:
-            kept = self._route(data, caller)
-            if kept is None:
+        if self._ring_generation != self._router.generation:
+            self._ring_generation = self._router.generation
+            self._route_cache.clear()
+        cache_key = (self._reader.identify(data), caller)
+        cached_route = self._route_cache.get(cache_key)
+        if cached_route is None:
+            cached_route = self._route(data, caller)
+            if cached_route is None:
                 return
-            if len(identity[0]) <= wire.CONNECTION_ID_BYTES:
-                self._keep(identity, kept)
+            if len(cache_key[0]) <= wire.CONNECTION_ID_BYTES:
+                self._cache_route(cache_key, cached_route)
         self._counters.to_agent_count += 1
-        self._link.send(kept.prefix + data, kept.agent)
+        self._link.send(cached_route.prefix + data, cached_route.agent)
 
-    def _route(self, data: bytes, caller: tuple[str, int]) -> _Kept | None:
+    def _route(
+        self, data: bytes, caller: tuple[str, int]
+    ) -> _CachedRoute | None:
         hint = self._reader.read(data, caller)
         if hint is None:
             self._counters.malformed_count += 1
@@ -185,17 +197,19 @@
             route.candidates,
             b"",
         )
-        return _Kept(prefix, route.address.pair)
+        return _CachedRoute(prefix, route.address.pair)
 
-    def _keep(
-        self, identity: tuple[bytes, tuple[str, int]], kept: _Kept
+    def _cache_route(
+        self,
+        cache_key: tuple[bytes, tuple[str, int]],
+        cached_route: _CachedRoute,
     ) -> None:
-        if len(self._kept) >= _KEPT_FLOWS:
-            del self._kept[next(iter(self._kept))]
-        self._kept[identity] = kept
+        if len(self._route_cache) >= _MAX_CACHED_ROUTES:
+            del self._route_cache[next(iter(self._route_cache))]
+        self._route_cache[cache_key] = cached_route
 
     def send(self, caller: tuple[str, int], payload: bytes) -> None:
-        """Sends an answer from the service address."""
+        """Sends a response from the service address."""
         if self._socket is not None:
             self._socket.send(payload, caller)
 
@@ -204,28 +218,33 @@
     """Socket towards the agents."""
 
     def __init__(self, codec: wire.ForwardCodec, counters: Counters) -> None:
-        """Prepares the socket towards the agents."""
+        """Initializes the link.
+
+        Args:
+            codec: Encoding of forwarding headers.
+            counters: Counters of the balancer.
+        """
         self.codec = codec
         self._counters = counters
         self._socket: _socket.DatagramSocket | None = None
         self._listeners: dict[int, ServiceListener] = {}
 
     def add_listener(self, listener: ServiceListener) -> None:
-        """Delivers the answers of a service through `listener`."""
+        """Registers the listener that sends the responses of its service."""
         self._listeners[listener.service_tag] = listener
 
     async def run(self, socket: _socket.DatagramSocket) -> None:
-        """Hands on what agents send to a socket until cancelled."""
+        """Forwards responses received on a socket until cancelled."""
         self._socket = socket
         await socket.run(self.receive)
 
     def send(self, datagram: bytes, agent: tuple[str, int]) -> None:
-        """Sends a forwarded datagram to an agent."""
+        """Sends a datagram to an agent."""
         if self._socket is not None:
             self._socket.send(datagram, agent)
 
     def receive(self, data: bytes, agent: tuple[str, int]) -> None:
-        """Hands an agent's answer to the caller."""
+        """Forwards the response of an agent to the caller."""
         unpacked = self.codec.unpack_to_caller(data)
         listener = None
         if unpacked is not None:
--- a/libs/balancer/src/fireflyford/balancer/_forwarding.py
+++ b/libs/balancer/src/fireflyford/balancer/_forwarding.py
@@ -1,4 +1,4 @@
-"""Sockets, routers and rings of one balancer."""
+"""Tasks, sockets and routers of one balancer."""
 
 import asyncio
 from collections.abc import Coroutine
@@ -16,20 +16,20 @@
 from fireflyford.balancer import _forwarder
 from fireflyford.balancer import _socket
 
-# Members that a router has taken, and whether its service takes new flows.
+# Members last applied to a router, and whether its service accepts new flows.
 RouterInput = tuple[tuple[membership.Member, ...], bool]
 
 
 class Forwarding:
-    """Everything that forwards datagrams: one task for each socket."""
+    """Forwarding of one balancer, with one task for each socket."""
 
     def __init__(
         self, options: settings.BalancerSettings, clock: core.Clock
     ) -> None:
-        """Prepares the routers; `start` opens the sockets.
+        """Initializes the routers; `start` opens the sockets.
 
         Args:
-            options: Checked settings.
+            options: Validated settings.
             clock: Source of time.
         """
         self._options = options
@@ -42,14 +42,14 @@
         }
         self._transports: dict[str, config.Transport] = {}
         self._view = membership.View()
-        # Until a configuration arrives, every service takes new flows.
+        # Until a configuration is applied, all services accept new flows.
         self._open_services = frozenset(options.listeners)
         self._view_changed = asyncio.Event()
         self._listeners: dict[str, _forwarder.ServiceListener] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
     def apply_deployment(self, deployment: config.Deployment) -> None:
-        """Takes a configuration; a draining service gets no new flows."""
+        """Applies a configuration; draining services accept no new flows."""
         self._open_services = frozenset(
             service.name
             for service in deployment.services
@@ -60,14 +60,14 @@
 
     def _apply_transports(self, deployment: config.Deployment) -> None:
         for service in deployment.services:
-            known = self._transports.get(service.name)
+            previous = self._transports.get(service.name)
             self._transports[service.name] = service.transport
             listener = self._listeners.get(service.name)
-            if listener is not None and service.transport is not known:
+            if listener is not None and service.transport is not previous:
                 listener.replace_reader(self._make_reader(service.name))
 
     def apply_view(self, view: membership.View) -> None:
-        """Takes a new view; the rings follow while forwarding goes on."""
+        """Sets the view; the rings are updated in the background."""
         self._view = view
         self._view_changed.set()
 
@@ -75,8 +75,8 @@
         """Opens every socket and starts its task.
 
         Args:
-            deployment: Says which services are plain datagrams; all are QUIC
-                while there is none.
+            deployment: Configuration with the transport of each service; if
+                None, all services use QUIC.
 
         Raises:
             OSError: An address is in use or not local.
@@ -86,14 +86,14 @@
                 service.name: service.transport
                 for service in deployment.services
             }
-        self._spawn(self._follow_view())
+        self._start_task(self._run_router_updates())
         link = self._options.link_listen
-        self._spawn(self._link.run(_socket.DatagramSocket(link)))
+        self._start_task(self._link.run(_socket.DatagramSocket(link)))
         for service, address in self._options.listeners.items():
             self._listen(service, core.Address.parse(address))
 
     def stop(self) -> None:
-        """Ends all tasks and closes the sockets."""
+        """Cancels all tasks, which closes the sockets."""
         for task in self._tasks:
             task.cancel()
 
@@ -107,7 +107,7 @@
         )
         self._listeners[service] = listener
         self._link.add_listener(listener)
-        self._spawn(listener.run(_socket.DatagramSocket(address)))
+        self._start_task(listener.run(_socket.DatagramSocket(address)))
 
     def _make_reader(self, service: str) -> _forwarder.HintReader:
         if self._transports.get(service) is config.Transport.DATAGRAM:
@@ -118,25 +118,25 @@
 
     @staticmethod
     def _exit_on_failure(task: asyncio.Task[None]) -> None:
-        # Without this task the process would only seem to work.
+        # A process without this task would look healthy but forward nothing.
         if not task.cancelled() and (error := task.exception()) is not None:
             telemetry.log(
                 "forwarding-failed", error=f"{type(error).__name__}: {error}"
             )
             raise SystemExit(1)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
+    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coroutine)
         task.add_done_callback(self._exit_on_failure)
         self._tasks.append(task)
 
-    async def _follow_view(self) -> None:
-        known: dict[str, RouterInput] = {}
+    async def _run_router_updates(self) -> None:
+        applied: dict[str, RouterInput] = {}
         while True:
             await self._view_changed.wait()
             self._view_changed.clear()
             await update_routers(
-                self._routers, self._view, self._open_services, known
+                self._routers, self._view, self._open_services, applied
             )
 
 
@@ -144,24 +144,24 @@
     routers: dict[str, routing.Router],
     view: membership.View,
     open_services: Set[str],
-    known: dict[str, RouterInput],
+    applied: dict[str, RouterInput],
 ) -> None:
-    """Gives each router its targets, pausing after each ring.
+    """Updates the targets of each router, yielding after each ring.
 
-    The longest pause of forwarding is then one ring, not 420 of them.
+    Forwarding is then paused for the time to build one ring at most, not 420.
 
     Args:
-        routers: Router of each service.
+        routers: Routers by service.
         view: The new view.
-        open_services: Services that take new flows.
-        known: What the routers have taken, by service; updated.
+        open_services: Services that accept new flows.
+        applied: Last input of each router by service; updated in place.
     """
     for service, members in routing.group_by_service(view, routers).items():
         accepts_flows = service in open_services
-        # Unchanged records are the same objects, so this is quick.
-        if known.get(service) == (members, accepts_flows):
+        # Unchanged records are identical objects, so the comparison is fast.
+        if applied.get(service) == (members, accepts_flows):
             continue
-        known[service] = (members, accepts_flows)
+        applied[service] = (members, accepts_flows)
         targets = routing.make_targets(members)
         if not accepts_flows:
             targets = tuple(
--- a/libs/balancer/src/fireflyford/balancer/_process.py
+++ b/libs/balancer/src/fireflyford/balancer/_process.py
@@ -1,4 +1,4 @@
-"""Life of a balancer process."""
+"""Lifecycle of a balancer process."""
 
 import asyncio
 import dataclasses
@@ -15,17 +15,17 @@
 from fireflyford.balancer import _configuration
 from fireflyford.balancer import _forwarding
 
-# Least time for the fabric and the agents to stop using a balancer that
-# leaves: their health checks and heartbeats run every 500 ms.
-LEAVE_DELAY_MS = 2_000
-# The fabric has stopped using the balancer when no caller's datagram has come
-# for so long; callers with open answers send at least every 700 ms.
-QUIET_MS = 1_500
+# The fabric and the agents need this time to stop using a draining balancer;
+# their health checks and heartbeats run every 500 ms.
+MIN_DRAIN_MS = 2_000
+# Without datagrams from callers for this time, the fabric no longer uses the
+# balancer. Callers with incomplete responses send at least every 700 ms.
+QUIET_PERIOD_MS = 1_500
 _DRAIN_POLL_MS = 50
 
 
 class Balancer:
-    """One balancer with its sockets and its view."""
+    """A balancer with its sockets and its membership view."""
 
     def __init__(
         self,
@@ -33,19 +33,22 @@
         clock: core.Clock,
         deployment: config.Deployment | None = None,
     ) -> None:
-        """Prepares a balancer.
+        """Initializes a balancer.
 
         Args:
-            options: Checked settings.
+            options: Validated settings.
             clock: Source of time.
-            deployment: Configuration until a pushed one is in force.
+            deployment: Configuration that applies until a pushed version is in
+                force.
         """
         self._options = options
         self._clock = clock
         self._forwarding = _forwarding.Forwarding(options, clock)
         self._counters = self._forwarding.counters
-        self._bulk = membership.BulkServer(options.link_key)
-        self._channel = membership.UdpChannel(options.link_key, self._bulk)
+        self._bulk_server = membership.BulkServer(options.link_key)
+        self._channel = membership.UdpChannel(
+            options.link_key, self._bulk_server
+        )
         self._membership = membership.Membership(
             clock,
             self._channel,
@@ -57,11 +60,13 @@
             options, clock, self._membership, self._apply_deployment
         )
         self._follower = self._configuration.follower
-        self._bulk.register(store.CONFIG_TOPIC, self._follower.handle_pull)
+        self._bulk_server.register(
+            store.CONFIG_TOPIC, self._follower.handle_pull
+        )
         self._stopping = asyncio.Event()
 
     async def run(self) -> None:
-        """Runs until a graceful shutdown has ended."""
+        """Runs until a graceful shutdown is complete."""
         await self._open_sockets()
         self._membership.on_change(self._apply_view)
         self._membership.on_config_version(lambda *_: self._follower.notify())
@@ -73,14 +78,14 @@
             ready=lambda: not self._stopping.is_set() and self._follower.synced,
             status=self._status,
             drain=self._start_drain,
-            pages={"/config": self._config_text},
+            pages={"/config": self._render_config},
         )
-        self._handle_signals()
+        self._install_signal_handlers()
         telemetry.log("started", role="balancer")
-        bulk = core.Address.parse(self._options.bulk_address)
+        bulk_address = core.Address.parse(self._options.bulk_address)
         tasks = [
             asyncio.create_task(self._membership.run()),
-            asyncio.create_task(self._bulk.run(bulk)),
+            asyncio.create_task(self._bulk_server.run(bulk_address)),
             asyncio.create_task(self._configuration.run()),
         ]
         for task in tasks:
@@ -94,21 +99,29 @@
         telemetry.log("stopped", role="balancer")
 
     async def _drain(self) -> None:
-        """Forwards until the fabric has stopped using this balancer."""
+        """Keeps forwarding until the fabric no longer uses this balancer."""
         start_ms = self._clock.now_ms()
         limit_ms = start_ms + self._options.drain_limit_ms
         self._membership.update(state=membership.State.DRAINING)
-        count, heard_ms = self._counters.received_count, start_ms
+        received_count, last_received_ms = (
+            self._counters.received_count,
+            start_ms,
+        )
         while True:
             await self._clock.sleep(_DRAIN_POLL_MS)
             now_ms = self._clock.now_ms()
-            if self._counters.received_count != count:
-                count, heard_ms = self._counters.received_count, now_ms
-            quiet = now_ms - heard_ms >= QUIET_MS
-            if quiet and now_ms - start_ms >= LEAVE_DELAY_MS:
+            if self._counters.received_count != received_count:
+                received_count, last_received_ms = (
+                    self._counters.received_count,
+                    now_ms,
+                )
+            is_quiet = now_ms - last_received_ms >= QUIET_PERIOD_MS
+            if is_quiet and now_ms - start_ms >= MIN_DRAIN_MS:
                 break
             if now_ms >= limit_ms:
-                telemetry.log("drain-limit-reached", quiet_ms=now_ms - heard_ms)
+                telemetry.log(
+                    "drain-limit-reached", quiet_ms=now_ms - last_received_ms
+                )
                 break
         self._membership.update(state=membership.State.LEFT)
 
@@ -116,7 +129,7 @@
         self._deployment = deployment
         self._forwarding.apply_deployment(deployment)
 
-    def _config_text(self) -> str:
+    def _render_config(self) -> str:
         deployment = self._deployment
         return "" if deployment is None else config.render(deployment)
 
@@ -128,10 +141,10 @@
         await self._channel.open(self._options.control_listen)
         self._forwarding.start(self._deployment)
 
-    def _handle_signals(self) -> None:
+    def _install_signal_handlers(self) -> None:
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._on_signal)
+        for signal_number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(signal_number, self._on_signal)
 
     def _start_drain(self) -> None:
         if not self._stopping.is_set():
--- a/libs/balancer/src/fireflyford/balancer/_socket.py
+++ b/libs/balancer/src/fireflyford/balancer/_socket.py
@@ -1,4 +1,4 @@
-"""UDP socket that reads several datagrams each time it becomes readable."""
+"""UDP socket that reads datagrams in batches."""
 
 import asyncio
 from collections.abc import Callable
@@ -6,20 +6,20 @@
 
 from fireflyford import core
 
-# An asyncio transport reads one datagram for each turn of the event loop, and
-# the turn costs more than the datagram. More than this at a time would delay
-# the other sockets and membership by milliseconds.
-BATCH_DATAGRAMS = 64
+# An asyncio transport reads one datagram per iteration of the event loop, which
+# costs more than the datagram itself. Larger batches would delay other sockets
+# and membership by milliseconds.
+MAX_BATCH_DATAGRAMS = 64
 _MAX_DATAGRAM_BYTES = 65_535
-# Room for the datagrams that arrive during a pause of the process of some
-# 50 ms at 20,000 a second.
-_BUFFER_BYTES = 4 << 20
+# Holds the datagrams that arrive while the process is paused for about 50 ms at
+# 20,000 datagrams per second.
+_SOCKET_BUFFER_BYTES = 4 << 20
 
-Receiver = Callable[[bytes, tuple[str, int]], None]
+DatagramReceiver = Callable[[bytes, tuple[str, int]], None]
 
 
 class DatagramSocket:
-    """One bound UDP socket; `run` is its task."""
+    """A bound UDP socket; `run` is its task."""
 
     def __init__(self, address: core.Address) -> None:
         """Binds the socket.
@@ -31,7 +31,9 @@
         self._socket = socket.socket(family, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
         for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
-            self._socket.setsockopt(socket.SOL_SOCKET, option, _BUFFER_BYTES)
+            self._socket.setsockopt(
+                socket.SOL_SOCKET, option, _SOCKET_BUFFER_BYTES
+            )
         try:
             self._socket.bind(address.pair)
         except OSError:
@@ -42,19 +44,19 @@
 
     @property
     def address(self) -> core.Address:
-        """Where the socket is bound."""
+        """Address to which the socket is bound."""
         return core.Address(*self._socket.getsockname()[:2])
 
-    def send(self, datagram: bytes, to: tuple[str, int]) -> None:
-        """Sends a datagram; drops it when the system does not take it."""
+    def send(self, datagram: bytes, destination: tuple[str, int]) -> None:
+        """Sends a datagram; drops it if the system does not accept it."""
         try:
-            self._socket.sendto(datagram, to)
+            self._socket.sendto(datagram, destination)
         except (OSError, OverflowError, ValueError):
-            # The buffer is full, the datagram is too long, or the address,
-            # which another instance sent, cannot be reached.
+            # The send buffer is full, the datagram is too long, or the address,
+            # which came from another instance, is invalid or unreachable.
             self.unsent_count += 1
 
-    async def run(self, receive: Receiver) -> None:
+    async def run(self, receive: DatagramReceiver) -> None:
         """Passes every datagram to `receive` until cancelled."""
         loop = asyncio.get_running_loop()
         loop.add_reader(self._socket, self._readable.set)
@@ -67,14 +69,14 @@
             loop.remove_reader(self._socket)
             self._socket.close()
 
-    def _receive_batch(self, receive: Receiver) -> None:
-        read = self._socket.recvfrom
-        for _ in range(BATCH_DATAGRAMS):
+    def _receive_batch(self, receive: DatagramReceiver) -> None:
+        receive_from = self._socket.recvfrom
+        for _ in range(MAX_BATCH_DATAGRAMS):
             try:
-                datagram, sender = read(_MAX_DATAGRAM_BYTES)
+                datagram, sender = receive_from(_MAX_DATAGRAM_BYTES)
             except BlockingIOError:
                 return
             except OSError:
-                # An earlier datagram was refused by its receiver.
+                # ICMP error: the receiver of an earlier datagram refused it.
                 continue
             receive(datagram, sender)
--- a/libs/balancer/tests/test_forwarder.py
+++ b/libs/balancer/tests/test_forwarder.py
@@ -1,4 +1,4 @@
-"""Sockets of a balancer against arbitrary datagrams, and isolation."""
+"""Tests of forwarding with arbitrary datagrams and of service isolation."""
 
 import asyncio
 import socket
@@ -18,14 +18,14 @@
 LOCAL = core.Address("127.0.0.1", 0)
 CALLER = ("127.0.0.1", 40_000)
 HOLDER = core.Holder(core.Address("127.0.0.1", 9), 1)
-TAHIAN = wire.ConnectionIdCodec([b"r" * 16], "tahian")
+TAHIAN_CODEC = wire.ConnectionIdCodec([b"r" * 16], "tahian")
 
 
-class Sides:
-    """Listener and link of one service, without sockets."""
+class ServiceFixture:
+    """Listener and link of one service without sockets."""
 
     def __init__(self, service: str = "tahian") -> None:
-        """Knows one target."""
+        """Sets up a router with one target."""
         self.counters = balancer.Counters()
         self.router = routing.Router(core.ManualClock())
         self.router.replace_targets(
@@ -42,40 +42,40 @@
         )
         self.link.add_listener(self.listener)
 
-    def counted(self) -> int:
-        """Returns the number of datagrams of every outcome."""
+    def counted_datagrams(self) -> int:
+        """Returns the number of datagrams over all outcomes."""
         return sum(vars(self.counters).values())
 
 
 @hypothesis.settings(max_examples=200, deadline=None, derandomize=True)
 @hypothesis.given(strategies.lists(strategies.binary(max_size=80)))
 def test_every_datagram_is_counted(datagrams: list[bytes]) -> None:
-    """Guards against exceptions and datagrams that vanish unseen."""
-    sides = Sides()
+    """Guards against exceptions and datagrams that are not counted."""
+    fixture = ServiceFixture()
     for datagram in datagrams:
-        sides.listener.receive(datagram, CALLER)
-        sides.link.receive(datagram, CALLER)
-    assert sides.counted() == 2 * len(datagrams)
-    assert sides.counters.to_agent_count == 0
-    assert sides.counters.to_caller_count == 0
+        fixture.listener.receive(datagram, CALLER)
+        fixture.link.receive(datagram, CALLER)
+    assert fixture.counted_datagrams() == 2 * len(datagrams)
+    assert fixture.counters.to_agent_count == 0
+    assert fixture.counters.to_caller_count == 0
 
 
 def test_a_connection_id_of_another_service_is_dropped() -> None:
-    """Guards against a packet of one service at another one's target."""
-    datagram = b"\x40" + TAHIAN.encode(
+    """Guards against packets that reach a target of another service."""
+    datagram = b"\x40" + TAHIAN_CODEC.encode(
         wire.ConnectionId(HOLDER.address, 1, b"abcd")
     )
-    right, wrong = Sides("tahian"), Sides("padron")
-    for sides in (right, wrong):
-        sides.listener.receive(datagram + bytes(30), CALLER)
+    right, wrong = ServiceFixture("tahian"), ServiceFixture("padron")
+    for fixture in (right, wrong):
+        fixture.listener.receive(datagram + bytes(30), CALLER)
     assert right.counters.to_agent_count == 1
     assert wrong.counters.to_agent_count == 0
     assert wrong.counters.malformed_count == 1
 
 
-def test_answers_of_other_services_and_keys_are_dropped() -> None:
-    """Guards against answers that leave from the wrong address."""
-    sides = Sides()
+def test_responses_of_other_services_and_keys_are_dropped() -> None:
+    """Guards against responses sent from the wrong service address."""
+    fixture = ServiceFixture()
     for service, key in (("padron", KEY), ("tahian", b"o" * 16)):
         header = wire.ForwardHeader(
             wire.ForwardType.TO_CALLER,
@@ -85,47 +85,47 @@
             core.Address(*CALLER),
         )
         packed = wire.ForwardCodec(key).pack(header, b"answer")
-        sides.link.receive(packed, HOLDER.address.pair)
-    assert sides.counters.foreign_count == 2
-    assert sides.counters.to_caller_count == 0
+        fixture.link.receive(packed, HOLDER.address.pair)
+    assert fixture.counters.foreign_count == 2
+    assert fixture.counters.to_caller_count == 0
 
 
 def test_an_oversized_datagram_is_dropped() -> None:
-    """Guards against a header that no longer fits in front of a payload."""
-    sides = Sides()
-    sides.listener.receive(b"\x40" * 65_500, CALLER)
-    assert sides.counters.malformed_count == 1
+    """Guards against a payload that leaves no room for the header."""
+    fixture = ServiceFixture()
+    fixture.listener.receive(b"\x40" * 65_500, CALLER)
+    assert fixture.counters.malformed_count == 1
 
 
-def test_kept_headers_follow_the_ring_and_stay_bounded() -> None:
-    """Guards against stale routes and memory that grows with flows."""
-    sides = Sides()
-    sides.listener._reader = balancer.DatagramHintReader("tahian")
+def test_cached_routes_follow_the_ring_and_are_bounded() -> None:
+    """Guards against stale routes and memory growth with open flows."""
+    fixture = ServiceFixture()
+    fixture.listener._reader = balancer.DatagramHintReader("tahian")
     sent: list[tuple[bytes, tuple[str, int]]] = []
-    sides.link.send = lambda data, agent: sent.append((data, agent))
-    sides.listener.receive(b"x", CALLER)
+    fixture.link.send = lambda data, agent: sent.append((data, agent))
+    fixture.listener.receive(b"x", CALLER)
     other = core.Address("127.0.0.1", 10)
-    sides.router.replace_targets([routing.Target("other", other, 2)])
-    sides.listener.receive(b"x", CALLER)
+    fixture.router.replace_targets([routing.Target("other", other, 2)])
+    fixture.listener.receive(b"x", CALLER)
     assert [agent for _, agent in sent] == [HOLDER.address.pair, other.pair]
     for number in range(6_000):
-        sides.listener.receive(b"x", ("10.0.0.1", number))
-    assert len(sides.listener._kept) <= 4_096
+        fixture.listener.receive(b"x", ("10.0.0.1", number))
+    assert len(fixture.listener._route_cache) <= 4_096
 
 
 async def _flood(datagrams: list[bytes]) -> tuple[int, bytes]:
-    """Sends datagrams to a real listener, then one that must pass."""
-    sides = Sides()
+    """Sends datagrams to real sockets, then one that must be forwarded."""
+    fixture = ServiceFixture()
     agent = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     agent.bind(LOCAL.pair)
     agent.settimeout(5)
     target = core.Address(*agent.getsockname())
     front, back = (balancer.DatagramSocket(LOCAL) for _ in range(2))
     tasks = [
-        asyncio.create_task(sides.listener.run(front)),
-        asyncio.create_task(sides.link.run(back)),
+        asyncio.create_task(fixture.listener.run(front)),
+        asyncio.create_task(fixture.link.run(back)),
     ]
-    good = b"\x40" + TAHIAN.encode(wire.ConnectionId(target, 1, b"abcd"))
+    good = b"\x40" + TAHIAN_CODEC.encode(wire.ConnectionId(target, 1, b"abcd"))
     with agent, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as caller:
         for datagram in datagrams:
             caller.sendto(datagram, front.address.pair)
@@ -135,15 +135,15 @@
         received = await asyncio.to_thread(agent.recv, 2_000)
     for task in tasks:
         task.cancel()
-    return sides.counted(), received[wire.FORWARD_HEADER_BYTES :]
+    return fixture.counted_datagrams(), received[wire.FORWARD_HEADER_BYTES :]
 
 
 @hypothesis.settings(max_examples=10, deadline=None, derandomize=True)
 @hypothesis.given(strategies.lists(strategies.binary(max_size=1_300)))
 def test_sockets_survive_arbitrary_datagrams(datagrams: list[bytes]) -> None:
-    """Guards against a task that ends with a bad datagram."""
-    counted, payload = asyncio.run(_flood(datagrams))
-    assert counted >= 1
+    """Guards against a bad datagram that ends the task of a socket."""
+    counted_datagrams, payload = asyncio.run(_flood(datagrams))
+    assert counted_datagrams >= 1
     assert payload.startswith(b"\x40")
 
 
@@ -151,7 +151,7 @@
     raise ValueError("bad")
 
 
-async def _spawn_failing() -> None:
+async def _start_failing_task() -> None:
     options = settings.BalancerSettings(
         instance_id="balancer-1",
         region="visayas",
@@ -165,11 +165,11 @@
         listeners={},
     )
     forwarding = _forwarding.Forwarding(options, core.ManualClock())
-    forwarding._spawn(_fail())
+    forwarding._start_task(_fail())
     await asyncio.sleep(5)
 
 
 def test_a_failing_task_ends_the_process() -> None:
-    """Guards against a balancer that looks healthy and forwards nothing."""
+    """Guards against a balancer that looks healthy but forwards nothing."""
     with pytest.raises(SystemExit):
-        asyncio.run(_spawn_failing())
+        asyncio.run(_start_failing_task())
--- a/libs/balancer/tests/test_readers.py
+++ b/libs/balancer/tests/test_readers.py
@@ -1,4 +1,4 @@
-"""Choice of the balancers that read the store."""
+"""Tests of the selection of balancers that read the store."""
 
 import dataclasses
 
--- a/libs/balancer/tests/test_transport.py
+++ b/libs/balancer/tests/test_transport.py
@@ -1,4 +1,4 @@
-"""Transport of a service that a configuration changes while it runs."""
+"""Tests of a transport change by a pushed configuration."""
 
 from fireflyford import config
 from fireflyford import core
@@ -32,7 +32,7 @@
 )
 
 
-def test_a_pushed_transport_is_followed() -> None:
+def test_a_pushed_transport_is_applied() -> None:
     """Guards against plain datagrams dropped as malformed QUIC packets."""
     forwarding = _forwarding.Forwarding(OPTIONS, core.ManualClock())
     counters = forwarding.counters
