--- a/libs/runtime/src/fireflyford/runtime/_balancer.py
+++ b/libs/runtime/src/fireflyford/runtime/_balancer.py
@@ -1,4 +1,4 @@
-"""Life of a balancer process that forwards packets of flows."""
+"""Balancer process that forwards packets of flows."""
 
 import asyncio
 from typing import Any
@@ -7,45 +7,47 @@
 from fireflyford import flows
 from fireflyford import telemetry
 from fireflyford.runtime import _config_source
+from fireflyford.runtime import _front_end
 from fireflyford.runtime import _link
-from fireflyford.runtime import _packets
 from fireflyford.runtime import _process
 from fireflyford.runtime import _settings
 
-# The fabric stops using a balancer after two failed readiness checks, which
-# come twice a second.
-LEAVE_DELAY_MS = 1_200
-# No client packet for so long means that the fabric has stopped.
-QUIET_MS = 300
+# The fabric checks readiness twice a second and stops sending packets after
+# two failed checks.
+MIN_DRAIN_MS = 1_200
+# After this time without client packets the fabric has stopped sending.
+IDLE_LIMIT_MS = 300
 _DRAIN_POLL_MS = 50
-# A balancer that hears no agent for so long cannot forward. Each agent sends a
-# beat about every second, so several agents together are never so silent.
-DEAF_MS = 1_000
-SEVERAL_AGENTS = 4
-# With fewer agents, some beats of each may be lost.
-FEW_AGENTS_DEAF_MS = 3_500
+# A balancer that receives no messages from agents for this time is not ready.
+# Each agent sends a keepalive about every second, so with `MANY_AGENTS` or more
+# the gaps between messages stay shorter.
+AGENT_SILENCE_LIMIT_MS = 1_000
+MANY_AGENTS = 4
+# Applies with fewer agents, where a few lost keepalives leave longer gaps.
+FEW_AGENTS_SILENCE_LIMIT_MS = 3_500
 
 
 class Balancer(_process.FlowProcess):
-    """One balancer."""
+    """A balancer."""
 
     role = core.Role.BALANCER
 
     def __init__(
         self,
         options: _settings.FlowSettings,
-        front_end: _packets.FrontEnd,
+        front_end: _front_end.FrontEnd,
         clock: core.Clock,
     ) -> None:
         """Prepares a balancer.
 
         Args:
-            options: Settings of a balancer.
-            front_end: Encodings and calls of the surroundings.
+            options: Settings of the balancer.
+            front_end: Packet encoding, configuration format, store and HTTP
+                handlers.
             clock: Source of time.
         """
         super().__init__(options, front_end, clock, "")
-        self.flows = flows.BalancerFlows(clock, self.own, self.fleet)
+        self.flows = flows.BalancerFlows(clock, self.own_instance, self.fleet)
         self.config = _config_source.ConfigSource(
             self.store,
             clock,
@@ -54,82 +56,85 @@
             front_end.config_format,
             self.flows.apply,
         )
-        self._codec = front_end.packets
-        self._clients = _link.DatagramSocket(self._take_packet)
-        self._taken_ms = clock.now_ms()
-        self._wanted: dict[core.Address, int] = {}
-        self._news = asyncio.Event()
-        self._agent_heard_ms: int | None = None
+        self._codec = front_end.packet_codec
+        self._client_socket = _link.DatagramSocket(self._receive_packet)
+        self._last_packet_ms = clock.now_ms()
+        self._announced_versions: dict[core.Address, int] = {}
+        self._version_announced = asyncio.Event()
+        self._last_agent_message_ms: int | None = None
 
     async def run(self) -> None:
-        """Runs until a signal ends the process."""
-        await self._clients.open(local=self.options.packet_address)
+        """Runs until the process is stopped by a signal."""
+        await self._client_socket.open(local=self.options.packet_address)
         self.listen(
             self.options.readiness_check_address,
             self.front_end.readiness_handlers(self.is_ready),
         )
         await self.start()
         self.start_task("config", self.config.follower.run())
-        self.start_task("pull", self._pull())
+        self.start_task("pull", self._pull_configs())
         await self.stopping.wait()
         await self._drain()
-        self._clients.close()
-        await self.finish()
+        self._client_socket.close()
+        await self.shut_down()
 
     def is_ready(self) -> bool:
-        """Returns whether the fabric should send packets here."""
+        """Returns whether the fabric may send packets to this balancer."""
         if self.stopping.is_set() or not self.flows.version:
             return False
-        heard_ms = self._agent_heard_ms
-        if heard_ms is None:
+        last_message_ms = self._last_agent_message_ms
+        if last_message_ms is None:
             return False
-        limit_ms = DEAF_MS
-        if self.fleet.agent_count() < SEVERAL_AGENTS:
-            limit_ms = FEW_AGENTS_DEAF_MS
-        return self.clock.now_ms() - heard_ms < limit_ms
+        limit_ms = AGENT_SILENCE_LIMIT_MS
+        if self.fleet.agent_count() < MANY_AGENTS:
+            limit_ms = FEW_AGENTS_SILENCE_LIMIT_MS
+        return self.clock.now_ms() - last_message_ms < limit_ms
 
     async def _drain(self) -> None:
-        """Forwards until the fabric has stopped using this balancer."""
+        """Forwards until the fabric sends no more packets, then leaves."""
         while True:
             await self.clock.sleep(_DRAIN_POLL_MS)
             now_ms = self.clock.now_ms()
-            quiet = now_ms - self._taken_ms >= QUIET_MS
-            if quiet and now_ms - self.stopped_ms >= LEAVE_DELAY_MS:
+            is_idle = now_ms - self._last_packet_ms >= IDLE_LIMIT_MS
+            if is_idle and now_ms - self.stop_requested_ms >= MIN_DRAIN_MS:
                 break
-            if self.grace_left_ms() <= 0:
+            if self.remaining_grace_ms() <= 0:
                 telemetry.log("drain-limit-reached")
                 break
         await self.leave()
 
-    def _take_packet(self, data: bytes, sender: core.Address) -> None:
+    def _receive_packet(self, data: bytes, sender: core.Address) -> None:
         del sender
-        self._taken_ms = self.clock.now_ms()
-        outcome = self._codec.from_client(data)
+        self._last_packet_ms = self.clock.now_ms()
+        outcome = self._codec.decode_client_packet(data)
         if isinstance(outcome, core.Failure):
             self.link.counters.malformed_count += 1
             return
-        self.link.run(self.flows.receive(outcome.value))
+        self.link.execute(self.flows.receive(outcome.value))
 
-    def hear(self, sender: core.Address, message: flows.Message) -> None:
-        """Handles a message of another instance, or of this one."""
+    def handle_message(
+        self, sender: core.Address, message: flows.Message
+    ) -> None:
+        """Handles a message from another instance or from this one."""
         if isinstance(message, flows.Heartbeat):
-            self.greet(message)
+            self.introduce(message)
             if message.config_version > self.flows.version:
-                self._wanted[sender] = message.config_version
-                self._news.set()
-        self.link.run(self.flows.handle_message(sender, message))
+                self._announced_versions[sender] = message.config_version
+                self._version_announced.set()
+        self.link.execute(self.flows.handle_message(sender, message))
         if self.fleet.is_agent(sender):
-            self._agent_heard_ms = self.clock.now_ms()
+            self._last_agent_message_ms = self.clock.now_ms()
 
     def sweep(self) -> None:
-        """Acts on timeouts."""
+        """Handles expired timeouts."""
         follower = self.config.follower
         self.flows.is_current = (
-            follower.heard_ms is not None and not follower.is_lost
+            follower.last_response_ms is not None
+            and not follower.is_unreachable
         )
-        self.link.run(self.flows.sweep())
+        self.link.execute(self.flows.sweep())
 
-    def beat_receivers(self) -> list[core.Address]:
+    def heartbeat_receivers(self) -> list[core.Address]:
         """Returns all other instances."""
         return [item.address for item in self.fleet.instances()]
 
@@ -137,45 +142,47 @@
         """Returns the version of the configuration in force."""
         return self.flows.version
 
-    async def join_from(self, seed: core.Address) -> None:
-        """Takes instances and configuration of a running instance."""
-        await super().join_from(seed)
+    async def join_via_seed(self, seed: core.Address) -> None:
+        """Learns instances and configuration from a running instance."""
+        await super().join_via_seed(seed)
         if not self.flows.version:
-            await self._pull_from(seed)
+            await self._pull_config(seed)
 
-    async def _pull(self) -> None:
-        """Gets configurations that peers have and the store did not tell."""
+    async def _pull_configs(self) -> None:
+        """Fetches configuration versions that peers announce in heartbeats."""
         while True:
-            await self._news.wait()
-            self._news.clear()
-            while self._wanted:
-                sender, version = self._wanted.popitem()
+            await self._version_announced.wait()
+            self._version_announced.clear()
+            while self._announced_versions:
+                sender, version = self._announced_versions.popitem()
                 if version > self.flows.version:
-                    await self._pull_from(
+                    await self._pull_config(
                         core.Address(
                             sender.host, self.options.status_address.port
                         )
                     )
 
-    async def _pull_from(self, address: core.Address) -> None:
-        outcome = await self.pages.read(address, _config_source.CONFIG_PATH)
+    async def _pull_config(self, address: core.Address) -> None:
+        outcome = await self.peer_client.read(
+            address, _config_source.CONFIG_PATH
+        )
         if isinstance(outcome, core.Failure):
             telemetry.log("config-not-pulled", reason=outcome.message)
         elif outcome.value:
-            self.config.offer(outcome.value, str(address))
+            self.config.apply_document(outcome.value, str(address))
 
-    def status_rules(self) -> list[Any]:
-        """Returns the configuration for peers."""
+    def extra_status_handlers(self) -> list[Any]:
+        """Returns the handler that serves the configuration to peers."""
         return [
             (
                 _config_source.CONFIG_PATH,
-                _process.Page,
+                _process.DocumentHandler,
                 {"read": lambda: self.config.document},
             )
         ]
 
     def status(self) -> dict[str, Any]:
-        """Returns the state of the process for operators."""
+        """Returns the content of the status page."""
         return super().status() | {
             "config_version": self.flows.version,
             "config_current": self.flows.is_current,
@@ -187,16 +194,16 @@
         """Returns the counters and gauges of the process."""
         return super().metrics() | {
             "config_version": self.flows.version,
-            "config_age_ms": self.age_ms(self.config.follower.heard_ms),
+            "config_age_ms": self.age_ms(self.config.follower.last_response_ms),
             "cached_flows": self.flows.cached_count,
             "ready": self.is_ready(),
         }
 
 
 def run_balancer(
-    options: _settings.FlowSettings, front_end: _packets.FrontEnd
+    options: _settings.FlowSettings, front_end: _front_end.FrontEnd
 ) -> None:
-    """Runs a balancer until it is stopped."""
+    """Runs a balancer until it is stopped by a signal."""
     _process.run_until_stopped(
         options, lambda clock: Balancer(options, front_end, clock)
     )
--- a/libs/runtime/src/fireflyford/runtime/_config_source.py
+++ b/libs/runtime/src/fireflyford/runtime/_config_source.py
@@ -1,4 +1,4 @@
-"""The operators' configuration, from the store or from peers."""
+"""Operators' configuration, read from the store or from peers."""
 
 import abc
 from collections.abc import Callable
@@ -10,19 +10,19 @@
 from fireflyford import flows
 from fireflyford import store
 from fireflyford import telemetry
-from fireflyford.runtime import _follow
+from fireflyford.runtime import _front_end
 from fireflyford.runtime import _http
-from fireflyford.runtime import _packets
+from fireflyford.runtime import _prefix_follower
 
 CONFIG_PATH = "/config"
 # Peers answer within milliseconds.
 PEER_TIMEOUT_MS = 800
-# Pause between attempts to get a version that a peer has announced.
+# Delay before another attempt to fetch a version that a peer has announced.
 PULL_RETRY_MS = 200
 
 
-class ConfigSource(_follow.Listener):
-    """Keeps the newest configuration that this instance has seen."""
+class ConfigSource(_prefix_follower.PrefixListener):
+    """Applies newer configurations and keeps the document in force."""
 
     def __init__(
         self,
@@ -30,7 +30,7 @@
         clock: core.Clock,
         rng: random.Random,
         key: str,
-        config_format: _packets.ConfigFormat,
+        config_format: _front_end.ConfigFormat,
         apply: Callable[[flows.RouteTable], bool],
     ) -> None:
         """Prepares to follow the configuration.
@@ -41,16 +41,19 @@
             rng: Source of jitter.
             key: Key of the configuration.
             config_format: Format of the document.
-            apply: Takes a configuration; returns whether it was newer.
+            apply: Applies a configuration if it is newer; returns whether it
+                was.
         """
         self._format = config_format
         self._key = key
         self._apply = apply
         self.document = b""
-        self.follower = _follow.PrefixFollower(client, clock, rng, key, self)
+        self.follower = _prefix_follower.PrefixFollower(
+            client, clock, rng, key, self
+        )
 
-    def offer(self, document: bytes, source: str) -> bool:
-        """Takes a document; returns whether it is in force now."""
+    def apply_document(self, document: bytes, source: str) -> bool:
+        """Applies a document if it is newer; returns whether it was applied."""
         outcome = self._format.parse(document)
         if isinstance(outcome, core.Failure):
             telemetry.log(
@@ -65,19 +68,19 @@
         self.document = document
         return True
 
-    def take_all(self, reading: store.ReadResult) -> None:
-        """Takes the configuration of a reading."""
-        self.take_changes(reading)
+    def handle_full_read(self, result: store.ReadResult) -> None:
+        """Applies the configuration of a full read."""
+        self.handle_changes(result)
 
-    def take_changes(self, reading: store.ReadResult) -> None:
-        """Takes a changed configuration."""
-        for entry in reading.entries:
+    def handle_changes(self, result: store.ReadResult) -> None:
+        """Applies a changed configuration."""
+        for entry in result.entries:
             if entry.key == self._key:
-                self.offer(entry.value, "store")
+                self.apply_document(entry.value, "store")
 
 
-class PeerPages(abc.ABC):
-    """Documents that running instances give to each other."""
+class PeerClient(abc.ABC):
+    """Client for documents on the status pages of peers."""
 
     @abc.abstractmethod
     async def read(
@@ -86,11 +89,11 @@
         """Reads a document from the status address of a peer."""
 
 
-class HttpPeerPages(PeerPages):
-    """Documents of peers over HTTP."""
+class HttpPeerClient(PeerClient):
+    """Reads documents of peers over HTTP."""
 
     def __init__(self) -> None:
-        """Prepares without a connection."""
+        """Prepares the client; the first read creates its HTTP client."""
         self._client: httpclient.AsyncHTTPClient | None = None
 
     async def read(
--- a/libs/runtime/src/fireflyford/runtime/_http.py
+++ b/libs/runtime/src/fireflyford/runtime/_http.py
@@ -1,4 +1,4 @@
-"""HTTP client for short calls to addresses, without name lookups."""
+"""HTTP client for calls to IP addresses, without name resolution."""
 
 import asyncio
 import datetime
@@ -10,19 +10,19 @@
 from tornado import simple_httpclient
 from tornado import tcpclient
 
-# A connection that went silent is given up after three probes. A watch that
-# waits would otherwise not notice it.
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 3
-UNACKNOWLEDGED_LIMIT_MS = 3_000
-# Calls of one process at the same time; two of them are watches.
-MAX_CALLS = 16
+# TCP keepalive closes a dead connection after three unanswered probes. A
+# waiting watch, which sends nothing, would otherwise not detect it.
+TCP_KEEPALIVE_IDLE_S = 1
+TCP_KEEPALIVE_INTERVAL_S = 1
+TCP_KEEPALIVE_PROBES = 3
+TCP_USER_TIMEOUT_MS = 3_000
+# Includes the watches on the registry and the configuration.
+MAX_CONCURRENT_REQUESTS = 16
 MAX_BODY_BYTES = 16 << 20
 
 
 class _DirectTcpClient(tcpclient.TCPClient):
-    """Connects to IP addresses without the resolver's threads."""
+    """Connects to IP addresses without the threads of a resolver."""
 
     async def connect(
         self,
@@ -35,23 +35,23 @@
         source_port: int | None = None,
         timeout: float | datetime.timedelta | None = None,
     ) -> iostream.IOStream:
-        """Opens a connection with keep-alive probes."""
+        """Opens a connection with TCP keepalive."""
         del af, ssl_options, source_ip, source_port
-        handle = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         for option, value in (
-            (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-            (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-            (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-            (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS),
+            (socket.TCP_KEEPIDLE, TCP_KEEPALIVE_IDLE_S),
+            (socket.TCP_KEEPINTVL, TCP_KEEPALIVE_INTERVAL_S),
+            (socket.TCP_KEEPCNT, TCP_KEEPALIVE_PROBES),
+            (socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
         ):
-            handle.setsockopt(socket.IPPROTO_TCP, option, value)
-        handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        stream = iostream.IOStream(handle, max_buffer_size=max_buffer_size)
-        limit_s = timeout
+            sock.setsockopt(socket.IPPROTO_TCP, option, value)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        stream = iostream.IOStream(sock, max_buffer_size=max_buffer_size)
+        timeout_s = timeout
         if isinstance(timeout, datetime.timedelta):
-            limit_s = timeout.total_seconds()
+            timeout_s = timeout.total_seconds()
         try:
-            async with asyncio.timeout(limit_s):  # type: ignore[arg-type]
+            async with asyncio.timeout(timeout_s):  # type: ignore[arg-type]
                 await stream.connect((host, port))
         except BaseException:
             stream.close()
@@ -60,10 +60,10 @@
 
 
 def make_http_client() -> simple_httpclient.SimpleAsyncHTTPClient:
-    """Returns a client of its own for the running event loop."""
+    """Returns a new HTTP client for the running event loop."""
     client = simple_httpclient.SimpleAsyncHTTPClient(
         force_instance=True,
-        max_clients=MAX_CALLS,
+        max_clients=MAX_CONCURRENT_REQUESTS,
         max_body_size=MAX_BODY_BYTES,
         max_buffer_size=MAX_BODY_BYTES,
     )
--- a/libs/runtime/src/fireflyford/runtime/_link.py
+++ b/libs/runtime/src/fireflyford/runtime/_link.py
@@ -1,4 +1,4 @@
-"""Datagram sockets and the execution of decisions."""
+"""Datagram sockets, messages between instances and execution of actions."""
 
 import asyncio
 from collections.abc import Callable
@@ -7,31 +7,31 @@
 from fireflyford import core
 from fireflyford import flows
 from fireflyford import telemetry
+from fireflyford.runtime import _front_end
 from fireflyford.runtime import _link_codec
-from fireflyford.runtime import _packets
 
-Receive = Callable[[bytes, core.Address], None]
-# Room for bursts while the process waits for the processor; a window of each
-# of some hundred clients.
-SOCKET_BUFFER_BYTES = 1 << 20
+DatagramHandler = Callable[[bytes, core.Address], None]
+# Holds bursts while the process waits for the CPU, about one window of each of
+# some hundred clients.
+RECEIVE_BUFFER_BYTES = 1 << 20
 
 
 class DatagramSocket(asyncio.DatagramProtocol):
-    """A UDP socket that hands each datagram to a function."""
+    """A UDP socket that passes each datagram to a callback."""
 
     def __init__(
         self,
-        receive: Receive,
-        refused: Callable[[], None] | None = None,
+        receive: DatagramHandler,
+        on_refused: Callable[[], None] | None = None,
     ) -> None:
-        """Takes the receiver.
+        """Prepares the socket without opening it.
 
         Args:
             receive: Called with each datagram and its sender.
-            refused: Called when the peer's port is closed.
+            on_refused: Called when the port of the peer is closed.
         """
         self._receive = receive
-        self._refused = refused
+        self._on_refused = on_refused
         self._transport: asyncio.DatagramTransport | None = None
 
     async def open(
@@ -46,24 +46,24 @@
             local_addr=local.pair if local else None,
             remote_addr=remote.pair if remote else None,
         )
-        handle = self._transport.get_extra_info("socket")
-        handle.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES
+        sock = self._transport.get_extra_info("socket")
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
         )
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Hands a datagram on."""
+        """Passes a datagram to the callback."""
         self._receive(data, core.Address(*addr))
 
     def error_received(self, exc: Exception) -> None:
-        """Notes a refusal; other errors concern one datagram only."""
-        if self._refused is not None and isinstance(
+        """Reports a closed port; other errors affect one datagram only."""
+        if self._on_refused is not None and isinstance(
             exc, ConnectionRefusedError
         ):
-            self._refused()
+            self._on_refused()
 
     def send(self, data: bytes, to: core.Address | None = None) -> None:
-        """Sends a datagram, or drops it while the socket is closed."""
+        """Sends a datagram; drops it if the socket is not open."""
         if self._transport is not None and not self._transport.is_closing():
             self._transport.sendto(data, to.pair if to else None)
 
@@ -74,10 +74,10 @@
 
 
 class LinkCounters:
-    """Datagrams of one process since its start."""
+    """Counters of datagrams and messages since the process started."""
 
     def __init__(self) -> None:
-        """Starts at zero."""
+        """Starts all counters at zero."""
         self.received_count = 0
         self.malformed_count = 0
         self.forwarded_count = 0
@@ -89,38 +89,39 @@
 
 
 class Link:
-    """Messages to other instances, and actions of the decision code."""
+    """Exchanges messages between instances and executes actions."""
 
     def __init__(
         self,
-        own: core.Address,
-        codec: _packets.PacketCodec,
+        own_address: core.Address,
+        codec: _front_end.PacketCodec,
         client_port: int,
-        hear: Callable[[core.Address, flows.Message], None],
+        handle_message: Callable[[core.Address, flows.Message], None],
     ) -> None:
         """Prepares the link of one instance.
 
         Args:
-            own: Address of the instance.
-            codec: Encoding of packets.
-            client_port: Port of the clients to which answers go.
-            hear: Takes each message of another instance or of this one.
+            own_address: Address of the instance.
+            codec: Packet codec.
+            client_port: Port of the clients to which replies are sent.
+            handle_message: Called with each message from another instance or
+                from this one.
         """
-        self._own = own
+        self._own_address = own_address
         self._codec = codec
         self._client_port = client_port
-        self._hear = hear
+        self._handle_message = handle_message
         self._socket = DatagramSocket(self._receive)
-        self._target: DatagramSocket | None = None
+        self._target_socket: DatagramSocket | None = None
         self.counters = LinkCounters()
 
     async def open(self) -> None:
         """Opens the socket."""
-        await self._socket.open(local=self._own)
+        await self._socket.open(local=self._own_address)
 
     def attach_target(self, target: DatagramSocket) -> None:
-        """Takes the socket to the backend server."""
-        self._target = target
+        """Sets the socket that delivers packets to the backend server."""
+        self._target_socket = target
 
     def close(self) -> None:
         """Closes the socket."""
@@ -132,10 +133,10 @@
         if isinstance(outcome, core.Failure):
             self.counters.malformed_count += 1
             return
-        self._hear(sender, outcome.value)
+        self._handle_message(sender, outcome.value)
 
-    def run(self, actions: list[flows.Action]) -> None:
-        """Carries out what a decision asks for."""
+    def execute(self, actions: list[flows.Action]) -> None:
+        """Executes actions in order."""
         for action in actions:
             if isinstance(action, flows.Send):
                 self.send(action.to, action.message)
@@ -143,17 +144,17 @@
                 self._deliver(action)
             elif isinstance(action, flows.Reply):
                 self.counters.replied_count += 1
-                self._to_client(action.packet.flow, action.packet.data)
+                self._send_to_client(action.packet.flow, action.packet.data)
             elif isinstance(action, flows.Reset):
                 self.counters.reset_count += 1
-                data = self._codec.reset(action.flow, action.seq)
-                self._to_client(action.flow, data)
+                data = self._codec.encode_reset(action.flow, action.seq)
+                self._send_to_client(action.flow, data)
 
     def send(self, to: core.Address, message: flows.Message) -> None:
-        """Sends a message; one to this instance is handled next."""
-        if to == self._own:
+        """Sends a message; one to this instance is queued on the event loop."""
+        if to == self._own_address:
             loop = asyncio.get_running_loop()
-            loop.call_soon(self._hear, to, message)
+            loop.call_soon(self._handle_message, to, message)
             return
         data = _link_codec.pack(message)
         if isinstance(message, flows.Forward):
@@ -164,13 +165,13 @@
         self._socket.send(data, to)
 
     def _deliver(self, action: flows.Deliver) -> None:
-        if self._target is None:
+        if self._target_socket is None:
             telemetry.log("no-target-socket")
             return
         self.counters.delivered_count += 1
-        data = self._codec.deliverable(action.packet, action.delivery_tag)
-        self._target.send(data)
+        data = self._codec.encode_delivery(action.packet, action.delivery_tag)
+        self._target_socket.send(data)
 
-    def _to_client(self, flow: bytes, data: bytes) -> None:
+    def _send_to_client(self, flow: bytes, data: bytes) -> None:
         client = flows.client_address(flow)
         self._socket.send(data, core.Address(client.host, self._client_port))
--- a/libs/runtime/src/fireflyford/runtime/_link_codec.py
+++ b/libs/runtime/src/fireflyford/runtime/_link_codec.py
@@ -1,7 +1,7 @@
 """Encoding of messages between instances.
 
-One byte for the kind, then a msgpack array of the fields. Instances and loads
-are arrays within it; addresses are `ip:port`.
+A message is one byte for its type and a msgpack array of its fields. Instances
+and loads are nested arrays; addresses are `ip:port`.
 """
 
 import functools
@@ -12,7 +12,7 @@
 from fireflyford import core
 from fireflyford import flows
 
-_KINDS: dict[int, type[Any]] = {
+_MESSAGE_TYPES: dict[int, type[Any]] = {
     1: flows.Forward,
     2: flows.FlowLocated,
     3: flows.PlacementDeclined,
@@ -24,7 +24,9 @@
     9: flows.LoadReport,
     10: flows.PlacementQueued,
 }
-_CODES = {kind: code for code, kind in _KINDS.items()}
+_TYPE_CODES = {
+    message_type: code for code, message_type in _MESSAGE_TYPES.items()
+}
 
 _Address = str
 _Load = tuple[int, int, int, int, int, float]
@@ -48,12 +50,12 @@
 
 
 @functools.lru_cache(8_192)
-def _address(text: str) -> core.Address:
+def _parse_address(text: str) -> core.Address:
     return core.Address.parse(text)
 
 
 @functools.lru_cache(8_192)
-def _text(address: core.Address) -> str:
+def _format_address(address: core.Address) -> str:
     return str(address)
 
 
@@ -70,20 +72,20 @@
 
 def _unpack_load(fields: _Load) -> flows.Load:
     state, *counts, service_ms = fields
-    slots, busy, reserved, lasting = counts
+    slots, busy, reserved, long_lived = counts
     return flows.Load(
         flows.TargetState(int(state)),
         int(slots),
         int(busy),
         int(reserved),
-        int(lasting),
+        int(long_lived),
         float(service_ms),
     )
 
 
 def pack(message: flows.Message) -> bytes:
     """Encodes a message."""
-    code = _CODES[type(message)]
+    code = _TYPE_CODES[type(message)]
     return bytes((code,)) + _ENCODER.encode(_fields(message))
 
 
@@ -92,8 +94,8 @@
         return (
             message.handling,
             message.service,
-            _text(message.balancer),
-            _text(message.directory_agent),
+            _format_address(message.balancer),
+            _format_address(message.directory_agent),
             message.hop_count,
             message.long_lived,
             message.allow_queueing,
@@ -122,23 +124,23 @@
 
 
 def pack_instance(instance: flows.Instance) -> _Instance:
-    """Returns the fields of an instance as plain values."""
+    """Returns the fields of an instance as built-in types."""
     return (
         instance.instance_id,
         instance.role.value,
         instance.service,
         instance.availability_zone,
-        _text(instance.address),
+        _format_address(instance.address),
         instance.incarnation,
         instance.is_draining,
     )
 
 
 def unpack_instance(fields: _Instance) -> flows.Instance:
-    """Returns the instance that plain values describe.
+    """Restores an instance from the fields of `pack_instance`.
 
     Raises:
-        ValueError: The role or the address is wrong.
+        ValueError: The role or the address is invalid.
     """
     name, role, service, zone, address, incarnation, is_draining = fields
     return flows.Instance(
@@ -146,7 +148,7 @@
         core.Role(role),
         service,
         zone,
-        _address(address),
+        _parse_address(address),
         incarnation,
         is_draining,
     )
@@ -162,41 +164,41 @@
         return core.Ok(_unpack(data[0], data[1:]))
     except (IndexError, KeyError, ValueError) as error:
         return core.Failure(
-            core.ErrorKind.BAD_MESSAGE, f"unreadable message: {error}"
+            core.ErrorKind.BAD_MESSAGE, f"malformed link message: {error}"
         )
 
 
 def _unpack(code: int, body: bytes) -> flows.Message:
     fields = _DECODERS[code].decode(body)
-    kind = _KINDS[code]
-    if kind is flows.Forward:
-        handling, service, balancer, home, *rest = fields
-        hop_count, lasting, firm, data = rest
+    message_type = _MESSAGE_TYPES[code]
+    if message_type is flows.Forward:
+        handling, service, balancer, directory_agent, *rest = fields
+        hop_count, long_lived, allow_queueing, data = rest
         return flows.Forward(
             flows.Handling(handling),
             service,
-            _address(balancer),
-            _address(home),
+            _parse_address(balancer),
+            _parse_address(directory_agent),
             hop_count,
-            lasting,
-            firm,
+            long_lived,
+            allow_queueing,
             data,
         )
-    if kind is flows.FlowLocated:
+    if message_type is flows.FlowLocated:
         return flows.FlowLocated(fields[0], _unpack_load(fields[1]))
-    if kind is flows.PlacementDeclined:
+    if message_type is flows.PlacementDeclined:
         reason = flows.DeclineReason(fields[1])
         return flows.PlacementDeclined(
             fields[0], reason, _unpack_load(fields[2])
         )
-    if kind is flows.LoadReport:
+    if message_type is flows.LoadReport:
         return flows.LoadReport(_unpack_load(fields[0]))
-    if kind is flows.PlacementRefused:
+    if message_type is flows.PlacementRefused:
         return flows.PlacementRefused(fields[0], flows.DeclineReason(fields[1]))
-    if kind is flows.Heartbeat:
+    if message_type is flows.Heartbeat:
         instance, load, version, leaving = fields
         return flows.Heartbeat(
             unpack_instance(instance), _unpack_load(load), version, leaving
         )
-    message: flows.Message = kind(*fields)
+    message: flows.Message = message_type(*fields)
     return message
--- a/libs/runtime/src/fireflyford/runtime/_process.py
+++ b/libs/runtime/src/fireflyford/runtime/_process.py
@@ -1,4 +1,4 @@
-"""What balancer and agent processes have in common."""
+"""Base class of balancer and agent processes."""
 
 import asyncio
 from collections.abc import Callable
@@ -17,55 +17,57 @@
 from fireflyford import flows
 from fireflyford import store
 from fireflyford import telemetry
-from fireflyford.runtime import _beats
 from fireflyford.runtime import _config_source
+from fireflyford.runtime import _front_end
+from fireflyford.runtime import _heartbeats
 from fireflyford.runtime import _link
 from fireflyford.runtime import _link_codec
-from fireflyford.runtime import _packets
 from fireflyford.runtime import _registry
 from fireflyford.runtime import _settings
 
 INSTANCES_PATH = "/instances"
-# Timeouts of decisions are tens of milliseconds.
+# Short enough for decision timeouts of tens of milliseconds.
 SWEEP_INTERVAL_MS = 20
 EXPIRE_INTERVAL_MS = 1_000
-# Kept for the end of the process before the platform kills it.
+# Reserved for shutdown before the platform kills the process.
 GRACE_RESERVE_MS = 1_000
-# Part of that for the withdrawal of the entry; a call takes some milliseconds.
-LEAVE_RESERVE_MS = 500
-# Time for the tasks of a process to start before peers are asked.
-JOIN_DELAY_MS = 300
+# Part of the reserve for withdrawing the registry entry; a call to the store
+# takes a few milliseconds.
+WITHDRAW_RESERVE_MS = 500
+# Also lets the tasks of this process start before the first query.
+SEED_QUERY_INTERVAL_MS = 300
 
 
-class Page(web.RequestHandler):
-    """A document of the process."""
+class DocumentHandler(web.RequestHandler):
+    """Serves one document of the process."""
 
     def initialize(self, read: Callable[[], bytes]) -> None:
-        """Takes the function that returns the document."""
+        """Sets the function that returns the document."""
         self._read = read
 
     def get(self) -> None:
-        """Answers with the document."""
+        """Responds with the document."""
         self.finish(self._read())
 
 
 class FlowProcess:
-    """Sockets, registry, beats and signals of one process."""
+    """Sockets, registry, heartbeats and signal handling of a process."""
 
     role: core.Role
 
     def __init__(
         self,
         options: _settings.FlowSettings,
-        front_end: _packets.FrontEnd,
+        front_end: _front_end.FrontEnd,
         clock: core.Clock,
         service: str,
     ) -> None:
         """Prepares a process.
 
         Args:
-            options: Settings.
-            front_end: Encodings and calls of the surroundings.
+            options: Settings of the process.
+            front_end: Packet encoding, configuration format, store and HTTP
+                handlers.
             clock: Source of time.
             service: Service of an agent, empty for a balancer.
         """
@@ -73,7 +75,7 @@
         self.clock = clock
         self.front_end = front_end
         self.rng = random.Random()
-        self.own = flows.Instance(
+        self.own_instance = flows.Instance(
             instance_id=options.instance_id,
             role=self.role,
             service=service,
@@ -87,36 +89,38 @@
             self.store,
             clock,
             self.rng,
-            self.own,
+            self.own_instance,
             self.fleet,
-            self._join,
-            self._meet,
+            self._complete_join,
+            self._introduce_self,
         )
-        self.pages = _config_source.HttpPeerPages()
+        self.peer_client = _config_source.HttpPeerClient()
         self.link = _link.Link(
             options.link_address,
-            front_end.packets,
+            front_end.packet_codec,
             options.client_port,
-            self.hear,
+            self.handle_message,
         )
         self.stopping = asyncio.Event()
-        # When the signal to stop came.
-        self.stopped_ms = 0
+        # Time of the signal to stop.
+        self.stop_requested_ms = 0
         self._tasks: list[asyncio.Task[None]] = []
         self._servers: list[httpserver.HTTPServer] = []
 
-    # To be provided by each kind of process.
+    # Implemented by each kind of process.
 
     async def run(self) -> None:
-        """Runs until a signal ends the process."""
+        """Runs until the process is stopped by a signal."""
         raise NotImplementedError
 
-    def hear(self, sender: core.Address, message: flows.Message) -> None:
-        """Handles a message of another instance, or of this one."""
+    def handle_message(
+        self, sender: core.Address, message: flows.Message
+    ) -> None:
+        """Handles a message from another instance or from this one."""
         raise NotImplementedError
 
     def sweep(self) -> None:
-        """Acts on timeouts."""
+        """Handles expired timeouts; called every `SWEEP_INTERVAL_MS`."""
         raise NotImplementedError
 
     def load(self) -> flows.Load:
@@ -127,26 +131,28 @@
         """Returns the version of the configuration to announce."""
         return 0
 
-    def beat_receivers(self) -> list[core.Address]:
-        """Returns the instances that need this one's signs of life."""
+    def heartbeat_receivers(self) -> list[core.Address]:
+        """Returns the receivers of regular heartbeats."""
         raise NotImplementedError
 
-    def all_receivers(self) -> list[core.Address]:
-        """Returns the instances that hear of a start, an end or a drain."""
-        return self.beat_receivers()
+    def announcement_receivers(self) -> list[core.Address]:
+        """Returns the receivers of heartbeats on a start, drain or leave."""
+        return self.heartbeat_receivers()
 
-    # Life of the process.
+    # Lifecycle.
 
     def start_task(self, name: str, work: Coroutine[Any, Any, None]) -> None:
-        """Runs a task until the process ends."""
+        """Starts a task that is cancelled when the process ends."""
         task = asyncio.create_task(work, name=name)
         task.add_done_callback(telemetry.log_task_failure)
         self._tasks.append(task)
 
-    def listen(self, address: core.Address, rules: _packets.Rules) -> None:
-        """Serves HTTP."""
+    def listen(
+        self, address: core.Address, handlers: _front_end.Handlers
+    ) -> None:
+        """Serves HTTP at an address."""
         application = web.Application(
-            rules,
+            handlers,
             log_function=lambda handler: None,
         )
         self._servers.append(
@@ -158,37 +164,39 @@
         telemetry.log(
             "started",
             role=self.role.value,
-            service=self.own.service,
-            incarnation=self.own.incarnation,
+            service=self.own_instance.service,
+            incarnation=self.own_instance.incarnation,
         )
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self.link.open()
-        self.listen(self.options.status_address, self._status_rules())
+        self.listen(self.options.status_address, self._status_handlers())
         self.start_task("publish", self.registry.publish())
         self.start_task("registry", self.registry.follower.run())
-        self.start_task("seeds", self._ask_seeds())
-        self.start_task("beats", self._beat())
+        self.start_task("seeds", self._query_seeds())
+        self.start_task("beats", self._heartbeat_loop())
         self.start_task("sweep", self._sweep())
         self.start_task("expire", self._expire())
 
     async def leave(self) -> None:
-        """Tells the others that this instance ends for good."""
-        # Tasks that go on would write the entry again.
+        """Announces that this instance leaves and withdraws its entry."""
+        # A task that is still running would write the entry again.
         for task in self._tasks:
             task.cancel()
-        self.send_beats(self.all_receivers(), leaving=True)
-        await self.registry.withdraw(self.grace_left_ms() + LEAVE_RESERVE_MS)
+        self.send_heartbeats(self.announcement_receivers(), leaving=True)
+        await self.registry.withdraw(
+            self.remaining_grace_ms() + WITHDRAW_RESERVE_MS
+        )
 
-    def grace_left_ms(self) -> int:
-        """Returns how long this process may still run after its signal."""
-        spent_ms = self.clock.now_ms() - self.stopped_ms
+    def remaining_grace_ms(self) -> int:
+        """Returns the rest of the grace period after the signal to stop."""
+        spent_ms = self.clock.now_ms() - self.stop_requested_ms
         return self.options.grace_ms - GRACE_RESERVE_MS - spent_ms
 
-    async def finish(self) -> None:
-        """Ends all tasks and sockets."""
+    async def shut_down(self) -> None:
+        """Cancels all tasks and closes servers and the link."""
         for task in self._tasks:
             task.cancel()
         for server in self._servers:
@@ -198,29 +206,31 @@
 
     def _stop(self) -> None:
         telemetry.log("stopping", role=self.role.value)
-        self.stopped_ms = self.clock.now_ms()
+        self.stop_requested_ms = self.clock.now_ms()
         self.stopping.set()
 
     def _reload(self) -> None:
         telemetry.log("reload", effect="settings are read at each start")
 
-    async def _beat(self) -> None:
+    async def _heartbeat_loop(self) -> None:
         while True:
-            receivers = self.beat_receivers()
-            self.send_beats(receivers)
-            interval_ms = _beats.beat_interval_ms(len(receivers))
-            await self.clock.sleep(_beats.jittered(interval_ms, self.rng))
-
-    def send_beats(
+            receivers = self.heartbeat_receivers()
+            self.send_heartbeats(receivers)
+            interval_ms = _heartbeats.heartbeat_interval_ms(len(receivers))
+            await self.clock.sleep(
+                _heartbeats.apply_jitter(interval_ms, self.rng)
+            )
+
+    def send_heartbeats(
         self, receivers: list[core.Address], leaving: bool = False
     ) -> None:
-        """Sends one sign of life to each receiver."""
-        beat = flows.Heartbeat(
-            self.own, self.load(), self.config_version(), leaving
+        """Sends a heartbeat to each receiver but this instance."""
+        heartbeat = flows.Heartbeat(
+            self.own_instance, self.load(), self.config_version(), leaving
         )
         for address in receivers:
-            if address != self.own.address:
-                self.link.send(address, beat)
+            if address != self.own_instance.address:
+                self.link.send(address, heartbeat)
 
     async def _sweep(self) -> None:
         while True:
@@ -237,62 +247,66 @@
             self.expire()
 
     def expire(self) -> None:
-        """Forgets what has not been used for long."""
+        """Discards state that has not been used recently."""
 
-    def _join(self, earlier: flows.Instance | None) -> None:
-        self.joined(earlier)
-        self.send_beats(self.all_receivers())
+    def _complete_join(self, previous: flows.Instance | None) -> None:
+        self.handle_registry_loaded(previous)
+        self.send_heartbeats(self.announcement_receivers())
 
-    def _meet(self, found: list[flows.Instance]) -> None:
-        """Makes this instance known to processes that the registry showed.
+    def _introduce_self(self, found: list[flows.Instance]) -> None:
+        """Sends heartbeats to instances that are new in the registry.
 
-        They may have read it before this instance was there.
+        They may have read the registry before it contained this instance.
         """
-        receivers = set(self.all_receivers())
-        self.send_beats(
+        receivers = set(self.announcement_receivers())
+        self.send_heartbeats(
             [item.address for item in found if item.address in receivers]
         )
 
-    def joined(self, earlier: flows.Instance | None) -> None:
-        """Handles the first sight of the registry.
+    def handle_registry_loaded(self, previous: flows.Instance | None) -> None:
+        """Handles the first complete read of the registry.
 
         Args:
-            earlier: Entry that an earlier process left at this address.
+            previous: Entry that a previous process left at this address.
         """
 
-    def greet(self, beat: flows.Heartbeat) -> None:
-        """Answers the first beat of a process, which may know nobody yet.
+    def introduce(self, heartbeat: flows.Heartbeat) -> None:
+        """Replies to the first heartbeat of a process with introductions.
 
-        The registry shows it all instances but those that the store turns
-        away, which are introduced to it here.
+        The new process finds most instances in the registry. Instances without
+        an entry there, such as those that the store rejects, are introduced to
+        it, and it to them.
         """
-        newcomer = beat.instance
-        known = self.fleet.find(newcomer.address)
-        is_new = known is None or known.incarnation < newcomer.incarnation
-        if not is_new or beat.leaving:
+        new_instance = heartbeat.instance
+        known = self.fleet.find(new_instance.address)
+        is_new = known is None or known.incarnation < new_instance.incarnation
+        if not is_new or heartbeat.leaving:
             return
-        self.send_beats([newcomer.address])
+        self.send_heartbeats([new_instance.address])
         for other in self.fleet.unregistered():
-            if other.address in (newcomer.address, self.own.address):
+            if other.address in (
+                new_instance.address,
+                self.own_instance.address,
+            ):
                 continue
             load = self.fleet.load(other.address)
             introduction = flows.Heartbeat(other, load, 0, False)
-            self.link.send(newcomer.address, introduction)
-            self.link.send(other.address, beat)
-
-    async def _ask_seeds(self) -> None:
-        """Learns of the other instances from seeds while the store is away."""
-        while self.registry.follower.heard_ms is None:
-            await self.clock.sleep(JOIN_DELAY_MS)
-            if self.registry.follower.heard_ms is not None:
+            self.link.send(new_instance.address, introduction)
+            self.link.send(other.address, heartbeat)
+
+    async def _query_seeds(self) -> None:
+        """Learns instances from seeds until the store responds."""
+        while self.registry.follower.last_response_ms is None:
+            await self.clock.sleep(SEED_QUERY_INTERVAL_MS)
+            if self.registry.follower.last_response_ms is not None:
                 return
             for seed in self.options.seed_addresses:
                 if seed != self.options.status_address:
-                    await self.join_from(seed)
+                    await self.join_via_seed(seed)
 
-    async def join_from(self, seed: core.Address) -> None:
-        """Takes the instances that a running one knows."""
-        outcome = await self.pages.read(seed, INSTANCES_PATH)
+    async def join_via_seed(self, seed: core.Address) -> None:
+        """Learns the instances that a running instance knows."""
+        outcome = await self.peer_client.read(seed, INSTANCES_PATH)
         if isinstance(outcome, core.Failure):
             telemetry.log("seed-silent", seed=seed, reason=outcome.message)
             return
@@ -302,15 +316,15 @@
                 for item in json.loads(outcome.value)
             ]
         except (TypeError, ValueError) as error:
-            # Another release may describe instances in another way.
+            # Another release may encode instances differently.
             telemetry.log("seed-unreadable", seed=seed, reason=str(error))
             return
         for instance in found:
-            if instance.address != self.own.address:
+            if instance.address != self.own_instance.address:
                 self.fleet.apply_heartbeat(
                     flows.Heartbeat(instance, flows.Load(), 0, False)
                 )
-        self.send_beats([item.address for item in found])
+        self.send_heartbeats([item.address for item in found])
         telemetry.log("seed-answered", seed=seed, instances=len(found))
 
     def _instances_page(self) -> bytes:
@@ -319,26 +333,26 @@
         ]
         return json.dumps(items).encode()
 
-    def _status_rules(self) -> _packets.Rules:
-        rules: _packets.Rules = [
-            (INSTANCES_PATH, Page, {"read": self._instances_page}),
-            ("/status", Page, {"read": self._status_page}),
-            ("/metrics", Page, {"read": self._metrics_page}),
+    def _status_handlers(self) -> _front_end.Handlers:
+        handlers: _front_end.Handlers = [
+            (INSTANCES_PATH, DocumentHandler, {"read": self._instances_page}),
+            ("/status", DocumentHandler, {"read": self._status_page}),
+            ("/metrics", DocumentHandler, {"read": self._metrics_page}),
         ]
-        return rules + self.status_rules()
+        return handlers + self.extra_status_handlers()
 
-    def status_rules(self) -> _packets.Rules:
-        """Returns further handlers of the status address."""
+    def extra_status_handlers(self) -> _front_end.Handlers:
+        """Returns additional handlers of the status address."""
         return []
 
     def status(self) -> dict[str, Any]:
-        """Returns the state of the process for operators."""
+        """Returns the content of the status page."""
         return {
-            "instance_id": self.own.instance_id,
+            "instance_id": self.own_instance.instance_id,
             "role": self.role.value,
             "process_id": os.getpid(),
             "stopping": self.stopping.is_set(),
-            "store_lost": self.registry.follower.is_lost,
+            "store_lost": self.registry.follower.is_unreachable,
             "instances": len(self.fleet.instances()),
             "counters": vars(self.link.counters),
         }
@@ -350,32 +364,38 @@
         counts = telemetry.expose_counts(self.metrics())
         return counts + telemetry.expose_instruments()
 
-    def age_ms(self, heard_ms: int | None) -> int:
-        """Returns the time since the store told something, -1 for never."""
-        return -1 if heard_ms is None else self.clock.now_ms() - heard_ms
+    def age_ms(self, last_response_ms: int | None) -> int:
+        """Returns the time since the last response, -1 if there was none."""
+        return (
+            -1
+            if last_response_ms is None
+            else self.clock.now_ms() - last_response_ms
+        )
 
     def metrics(self) -> dict[str, float]:
         """Returns the counters and gauges of the process."""
         values: dict[str, float] = dict(vars(self.link.counters))
         values["instances"] = len(self.fleet.instances())
-        values["store_lost"] = self.registry.follower.is_lost
-        values["view_age_ms"] = self.age_ms(self.registry.follower.heard_ms)
+        values["store_lost"] = self.registry.follower.is_unreachable
+        values["view_age_ms"] = self.age_ms(
+            self.registry.follower.last_response_ms
+        )
         return values
 
 
 def run_until_stopped(
     options: _settings.FlowSettings,
-    make: Callable[[core.Clock], FlowProcess],
+    create_process: Callable[[core.Clock], FlowProcess],
 ) -> None:
-    """Runs a process until a signal ends it.
+    """Runs a process until it is stopped by a signal.
 
     Args:
-        options: Its settings.
-        make: Makes the process, in the running event loop.
+        options: Settings of the process.
+        create_process: Creates the process in the running event loop.
     """
     telemetry.configure_logs(sys.stdout, options.instance_id)
 
     async def main() -> None:
-        await make(core.SystemClock()).run()
+        await create_process(core.SystemClock()).run()
 
     asyncio.run(main())
--- a/libs/runtime/src/fireflyford/runtime/_registry.py
+++ b/libs/runtime/src/fireflyford/runtime/_registry.py
@@ -1,4 +1,4 @@
-"""Entries of instances in the store, by which instances find each other."""
+"""Registry of instances in the store, for discovery."""
 
 import asyncio
 from collections.abc import Callable
@@ -10,37 +10,37 @@
 from fireflyford import flows
 from fireflyford import store
 from fireflyford import telemetry
-from fireflyford.runtime import _follow
 from fireflyford.runtime import _link_codec
+from fireflyford.runtime import _prefix_follower
 
 PREFIX = "fireflyford/instances/"
-# Two renewals may be lost before an entry lapses.
+# A lease outlives two failed renewals.
 LEASE_DURATION_S = 3
 RENEW_INTERVAL_MS = 900
-# Starts, drains and ends are told by beats at once, so the watch may be late.
-# Below the silence after which an instance without an entry is gone.
-WATCH_PAUSE_MS = 1_500
-# Until the own entry is seen, so that an entry written before it is seen soon:
-# of two instances that start together, one then knows the other.
-JOIN_PAUSE_MS = 100
-# Pause after a failed write.
+# Heartbeats announce starts, drains and leaves at once, so the watch may lag.
+# Less than the silence after which an instance without an entry is removed.
+WATCH_DELAY_MS = 1_500
+# Applies until the watch shows the own entry, and thereby any entry written
+# before it: of two instances that start together, one finds the other soon.
+JOIN_WATCH_DELAY_MS = 100
+# Delay after a failed write.
 RETRY_MS = 400
 
 _DECODER = msgspec.json.Decoder(tuple[str, str, str, str, str, int, bool])
 
 
-class Registry(_follow.Listener):
-    """Keeps the own entry and the fleet's view of all entries."""
+class Registry(_prefix_follower.PrefixListener):
+    """Publishes the own entry and keeps the fleet up to date."""
 
     def __init__(
         self,
         client: store.Store,
         clock: core.Clock,
         rng: random.Random,
-        own: flows.Instance,
+        own_instance: flows.Instance,
         fleet: flows.Fleet,
-        joined: Callable[[flows.Instance | None], None],
-        found: Callable[[list[flows.Instance]], None],
+        on_loaded: Callable[[flows.Instance | None], None],
+        on_discovered: Callable[[list[flows.Instance]], None],
     ) -> None:
         """Prepares the registry.
 
@@ -48,55 +48,57 @@
             client: The store.
             clock: Source of time.
             rng: Source of jitter.
-            own: This instance.
-            fleet: View to be kept up to date.
-            joined: Called after the first reading with the entry that an
-                earlier process left at this address.
-            found: Called with the processes that a later reading shows and
-                that were not known.
+            own_instance: Instance to publish.
+            fleet: Updated with the entries of the registry.
+            on_loaded: Called after the first read with the entry that a
+                previous process left at this address.
+            on_discovered: Called after each later read or change with the
+                processes that were not known before.
         """
         self._client = client
         self._clock = clock
         self._rng = rng
-        self._own = own
+        self._own_instance = own_instance
         self._fleet = fleet
-        self._key = f"{PREFIX}{own.address}"
-        self._joined = joined
-        self._found = found
-        self._has_joined = asyncio.Event()
+        self._key = f"{PREFIX}{own_instance.address}"
+        self._on_loaded = on_loaded
+        self._on_discovered = on_discovered
+        self._is_loaded = asyncio.Event()
         self._changed = asyncio.Event()
         self._lease_id = 0
-        self._is_missing = True
-        self.follower = _follow.PrefixFollower(client, clock, rng, PREFIX, self)
+        self._needs_write = True
+        self.follower = _prefix_follower.PrefixFollower(
+            client, clock, rng, PREFIX, self
+        )
 
     async def publish(self) -> None:
-        """Keeps the own entry until cancelled."""
-        # The entry of an earlier process is read before it is replaced.
-        await self._has_joined.wait()
+        """Publishes the own entry and renews its lease until cancelled."""
+        # Reads the entry of a previous process before it is overwritten.
+        await self._is_loaded.wait()
         while True:
-            if not self._lease_id or self._is_missing:
-                done = await self._write()
+            if not self._lease_id or self._needs_write:
+                succeeded = await self._write()
             else:
-                done = await self._renew()
-            pause_ms = RENEW_INTERVAL_MS if done else RETRY_MS
-            await self._pause(pause_ms * self._rng.uniform(0.9, 1.0))
-
-    def change(self, own: flows.Instance) -> None:
-        """Replaces the own entry, at the next write if not at once."""
-        self._own = own
-        self._is_missing = True
+                succeeded = await self._renew()
+            pause_ms = RENEW_INTERVAL_MS if succeeded else RETRY_MS
+            await self._wait_for_change(pause_ms * self._rng.uniform(0.9, 1.0))
+
+    def update(self, own_instance: flows.Instance) -> None:
+        """Replaces the own entry; a failed write is repeated."""
+        self._own_instance = own_instance
+        self._needs_write = True
         self._changed.set()
 
-    def _miss(self) -> None:
-        """Writes an entry that the store no longer has at once."""
-        self._is_missing = True
+    def _schedule_write(self) -> None:
+        """Schedules a write of an entry that the store no longer has."""
+        self._needs_write = True
         self._changed.set()
 
     async def withdraw(self, limit_ms: int) -> None:
-        """Removes the own entry; tries again while the store is away.
+        """Removes the own entry; retries while the store is unavailable.
 
         Args:
-            limit_ms: How long to try.
+            limit_ms: Time limit.
         """
         lease_id, self._lease_id = self._lease_id, 0
         if not lease_id:
@@ -106,8 +108,8 @@
                 while not await self._end_lease(lease_id):
                     await self._clock.sleep(RETRY_MS)
         except TimeoutError:
-            # The lease ends by itself.
-            telemetry.log("entry-not-withdrawn", reason="no time left")
+            # The entry is deleted when the lease expires.
+            telemetry.log("entry-not-withdrawn", reason="time limit reached")
 
     async def _end_lease(self, lease_id: int) -> bool:
         outcome = await self._client.revoke_lease(lease_id)
@@ -117,15 +119,15 @@
         telemetry.log("entry-withdrawn", lease_id=lease_id)
         return True
 
-    async def _pause(self, duration_ms: float) -> None:
-        """Waits, or until the own entry changes."""
-        waits = [
+    async def _wait_for_change(self, duration_ms: float) -> None:
+        """Waits for a time, or until the own entry has to be written."""
+        tasks = [
             asyncio.create_task(self._clock.sleep(duration_ms)),
             asyncio.create_task(self._changed.wait()),
         ]
-        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
-        for wait in waits:
-            wait.cancel()
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for task in tasks:
+            task.cancel()
         self._changed.clear()
 
     async def _write(self) -> bool:
@@ -135,13 +137,15 @@
                 telemetry.log("lease-not-granted", reason=lease.message)
                 return False
             self._lease_id = lease.value
-        value = msgspec.json.encode(_link_codec.pack_instance(self._own))
+        value = msgspec.json.encode(
+            _link_codec.pack_instance(self._own_instance)
+        )
         write = store.Write(self._key, value, self._lease_id)
-        self._is_missing = False
+        self._needs_write = False
         outcome = await self._client.commit([], [write])
         if isinstance(outcome, core.Failure):
             telemetry.log("entry-not-written", reason=outcome.message)
-            # The lease may have ended; a new one is safe in each case.
+            # The lease may have expired; a new one is always safe.
             self._lease_id = 0
             return False
         telemetry.log("entry-written", lease_id=self._lease_id)
@@ -157,38 +161,42 @@
             return await self._write()
         return True
 
-    def take_all(self, reading: store.ReadResult) -> None:
-        """Takes all entries."""
-        instances = _instances(reading)
-        own = [item for item in instances if item.address == self._own.address]
-        if not own:
-            self._miss()
+    def handle_full_read(self, result: store.ReadResult) -> None:
+        """Replaces the entries in the fleet."""
+        instances = _instances(result)
+        own_entries = [
+            item
+            for item in instances
+            if item.address == self._own_instance.address
+        ]
+        if not own_entries:
+            self._schedule_write()
         found = self._fleet.replace_entries(instances)
-        if self._has_joined.is_set():
-            self._found(found)
+        if self._is_loaded.is_set():
+            self._on_discovered(found)
         else:
-            self._has_joined.set()
-            self._joined(own[0] if own else None)
-
-    def pause_ms(self) -> int:
-        """Returns how long to wait before the next watch."""
-        known = self._fleet.find(self._own.address)
-        if known is None or known.incarnation != self._own.incarnation:
-            return JOIN_PAUSE_MS
-        return WATCH_PAUSE_MS
-
-    def take_changes(self, reading: store.ReadResult) -> None:
-        """Takes changed entries."""
-        if self._key in reading.deleted:
-            self._miss()
-        written = _instances(reading)
-        gone = {key.removeprefix(PREFIX) for key in reading.deleted}
-        self._found(self._fleet.update_entries(written, gone))
-
-
-def _instances(reading: store.ReadResult) -> list[flows.Instance]:
+            self._is_loaded.set()
+            self._on_loaded(own_entries[0] if own_entries else None)
+
+    def watch_delay_ms(self) -> int:
+        """Returns the delay before the next watch."""
+        known = self._fleet.find(self._own_instance.address)
+        if known is None or known.incarnation != self._own_instance.incarnation:
+            return JOIN_WATCH_DELAY_MS
+        return WATCH_DELAY_MS
+
+    def handle_changes(self, result: store.ReadResult) -> None:
+        """Updates changed entries in the fleet."""
+        if self._key in result.deleted:
+            self._schedule_write()
+        written = _instances(result)
+        gone = {key.removeprefix(PREFIX) for key in result.deleted}
+        self._on_discovered(self._fleet.update_entries(written, gone))
+
+
+def _instances(result: store.ReadResult) -> list[flows.Instance]:
     found = []
-    for entry in reading.entries:
+    for entry in result.entries:
         try:
             fields = _DECODER.decode(entry.value)
             found.append(_link_codec.unpack_instance(fields))
--- a/libs/runtime/src/fireflyford/runtime/_settings.py
+++ b/libs/runtime/src/fireflyford/runtime/_settings.py
@@ -7,27 +7,29 @@
 
 @dataclasses.dataclass(frozen=True)
 class FlowSettings:
-    """What a balancer or an agent needs to know at its start.
+    """Settings of a balancer or an agent.
 
     Attributes:
         instance_id: Name of the instance.
-        availability_zone: Where it runs.
+        availability_zone: Zone in which the instance runs.
         service: Service of the backend server, empty for a balancer.
-        packet_address: Where a balancer takes packets of clients.
-        client_port: Port of the clients to which answers go.
-        readiness_check_address: Where the fabric asks for readiness.
-        report_address: Where the backend server reports, None for a balancer.
+        packet_address: Where a balancer receives packets of clients.
+        client_port: Port of the clients to which replies are sent.
+        readiness_check_address: Where the fabric checks readiness, HTTP.
+        report_address: Where the backend server sends reports, None for a
+            balancer.
         outbound_address: Where the backend server sends its packets, None for
             a balancer.
-        backend_address: Where the backend server takes packets, None for a
-            balancer.
-        link_address: Messages between instances, UDP.
-        status_address: Metrics, status and configuration for peers, HTTP.
+        backend_address: Where the backend server receives packets, None for
+            a balancer.
+        link_address: Where messages between instances are received, UDP.
+        status_address: Where metrics, status and documents for peers are
+            served, HTTP.
         seed_addresses: Status addresses of instances that may be running.
-        store_address: The store.
+        store_address: Address of the store.
         config_key: Key of the configuration in the store.
         report_interval_ms: How often the backend server reports.
-        grace_ms: Time from the first signal to the end of the process.
+        grace_ms: Time from the signal to stop to the end of the process.
     """
 
     instance_id: str
--- /dev/null
+++ b/libs/runtime/tests/test_heartbeats.py
@@ -0,0 +1,82 @@
+"""Intervals and sizes of heartbeats, keepalives and load reports."""
+
+import itertools
+import random
+
+import pytest
+
+from fireflyford import core
+from fireflyford import flows
+from fireflyford.runtime import _balancer
+from fireflyford.runtime import _heartbeats
+from fireflyford.runtime import _link_codec
+
+# UDP and IPv4.
+HEADER_BYTES = 28
+
+
+@pytest.mark.parametrize(("agents", "balancers"), [(10, 6), (62, 24)])
+@pytest.mark.parametrize("seed", range(3))
+def test_gaps_between_keepalives_stay_below_the_silence_limit(
+    agents: int, balancers: int, seed: int
+) -> None:
+    """Guards against keepalives of all agents that are sent in step.
+
+    Without jitter, agents that start together keep sending at the same time.
+    With 24 balancers the gaps were three seconds long, and no balancer was
+    ready.
+    """
+    rng = random.Random(seed)
+    interval_ms = _heartbeats.keepalive_interval_ms(balancers)
+    heard = []
+    for _ in range(agents):
+        at_ms = rng.uniform(0, 300)
+        while at_ms < 60_000:
+            heard.append(at_ms)
+            at_ms += _heartbeats.apply_jitter(interval_ms, rng)
+    heard.sort()
+    gaps = [later - earlier for earlier, later in itertools.pairwise(heard)]
+    assert max(gaps) < _balancer.AGENT_SILENCE_LIMIT_MS
+
+
+def test_messages_fit_their_assumed_sizes() -> None:
+    """Guards against a budget based on sizes that messages exceed."""
+    load = flows.Load(flows.TargetState.READY, 2, 100, 100, 2_000, 123.4)
+    instance = flows.Instance(
+        "side-changwon-shed-12",
+        core.Role.AGENT,
+        "auction",
+        "changwon-shed",
+        core.Address("10.128.100.100", 17_720),
+        1_796_385_769_363,
+    )
+    heartbeat = flows.Heartbeat(instance, load, 1_000, False)
+    keepalive = flows.LoadReport(load)
+    assert (
+        len(_link_codec.pack(heartbeat)) + HEADER_BYTES
+        <= _heartbeats.HEARTBEAT_BYTES
+    )
+    assert (
+        len(_link_codec.pack(keepalive)) + HEADER_BYTES
+        <= _heartbeats.LOAD_REPORT_BYTES
+    )
+
+
+@pytest.mark.parametrize("receivers", [1, 10, 86, 590])
+def test_control_traffic_stays_within_the_budget(receivers: int) -> None:
+    """Guards against control traffic that grows with the fleet.
+
+    The limit is 3 KB/s for each node.
+    """
+    rates = [
+        receivers
+        * _heartbeats.HEARTBEAT_BYTES
+        / _heartbeats.heartbeat_interval_ms(receivers),
+        receivers
+        * _heartbeats.LOAD_REPORT_BYTES
+        / _heartbeats.keepalive_interval_ms(receivers),
+        receivers
+        * _heartbeats.LOAD_REPORT_BYTES
+        / _heartbeats.load_report_interval_ms(receivers),
+    ]
+    assert sum(rates) * 1_000 <= 3_000
--- a/libs/runtime/tests/test_link_codec.py
+++ b/libs/runtime/tests/test_link_codec.py
@@ -1,4 +1,4 @@
-"""Encoding of messages between instances."""
+"""Encoding and decoding of messages between instances."""
 
 from hypothesis import given
 from hypothesis import strategies
@@ -9,15 +9,28 @@
 from fireflyford.runtime import _link_codec
 
 LOAD = flows.Load(flows.TargetState.READY, 2, 1, 3, 40, 26.5)
-HERE = core.Address("10.0.0.1", 7_000)
-THERE = core.Address("10.0.0.2", 7_000)
+FIRST_ADDRESS = core.Address("10.0.0.1", 7_000)
+SECOND_ADDRESS = core.Address("10.0.0.2", 7_000)
 FLOW = bytes(range(flows.FLOW_ID_BYTES))
 INSTANCE = flows.Instance(
-    "agent-1", core.Role.AGENT, "board", "a", HERE, 1_700_000_000_000, True
+    "agent-1",
+    core.Role.AGENT,
+    "board",
+    "a",
+    FIRST_ADDRESS,
+    1_700_000_000_000,
+    True,
 )
 MESSAGES = [
     flows.Forward(
-        flows.Handling.PLACE, "board", HERE, THERE, 2, True, False, b"data"
+        flows.Handling.PLACE,
+        "board",
+        FIRST_ADDRESS,
+        SECOND_ADDRESS,
+        2,
+        True,
+        False,
+        b"data",
     ),
     flows.FlowLocated(FLOW, LOAD),
     flows.PlacementDeclined(FLOW, flows.DeclineReason.DRAINING, LOAD),
@@ -32,24 +45,24 @@
 
 
 @pytest.mark.parametrize("message", MESSAGES, ids=lambda item: type(item))
-def test_messages_come_back_as_they_were(message: flows.Message) -> None:
-    """Guards against fields that are swapped or lost."""
+def test_messages_survive_a_round_trip(message: flows.Message) -> None:
+    """Guards against swapped or lost fields."""
     assert _link_codec.unpack(_link_codec.pack(message)) == core.Ok(message)
 
 
 @given(strategies.binary(max_size=64))
-def test_any_bytes_are_decoded_or_refused(data: bytes) -> None:
-    """Guards against exceptions on foreign datagrams."""
+def test_arbitrary_bytes_are_decoded_or_rejected(data: bytes) -> None:
+    """Guards against exceptions on datagrams of other senders."""
     outcome = _link_codec.unpack(data)
     if isinstance(outcome, core.Failure):
         assert outcome.kind is core.ErrorKind.BAD_MESSAGE
 
 
 @given(strategies.sampled_from(MESSAGES), strategies.data())
-def test_cut_messages_are_refused(
+def test_truncated_messages_are_rejected(
     message: flows.Message, data: strategies.DataObject
 ) -> None:
-    """Guards against half a message taken for a whole one."""
+    """Guards against a truncated message decoded as a complete one."""
     whole = _link_codec.pack(message)
     length = data.draw(strategies.integers(0, len(whole) - 1))
     assert isinstance(_link_codec.unpack(whole[:length]), core.Failure)
--- a/tests/adapter/test_formats.py
+++ b/tests/adapter/test_formats.py
@@ -51,7 +51,11 @@
 
 def decode(data: bytes, by_target: bool = False) -> flows.Packet:
     codec = _packet.PlatformPackets()
-    outcome = codec.from_target(data) if by_target else codec.from_client(data)
+    outcome = (
+        codec.decode_target_packet(data)
+        if by_target
+        else codec.decode_client_packet(data)
+    )
     assert isinstance(outcome, core.Ok)
     return outcome.value
 
@@ -84,13 +88,13 @@
     """Guards against packets that their sender did not write so."""
     data = encode(ACK | BOUNCED, b"payload", seq=5, ack=6)
     codec = _packet.PlatformPackets()
-    delivered = codec.deliverable(decode(data, by_target=True), 0xABCD)
+    delivered = codec.encode_delivery(decode(data, by_target=True), 0xABCD)
     assert delivered == encode(ACK, b"payload", seq=5, ack=6, echo=0xABCD)
 
 
 def test_a_reset_comes_from_the_route() -> None:
     """Guards against resets that the client does not take."""
-    data = _packet.PlatformPackets().reset(FLOW, 0x01020304)
+    data = _packet.PlatformPackets().encode_reset(FLOW, 0x01020304)
     expected = bytearray(encode(RST, seq=0x01020304, to_client=True))
     expected[24:28] = bytes(4)
     assert data == bytes(expected)
@@ -100,7 +104,10 @@
 def test_any_bytes_are_decoded_or_refused(data: bytes) -> None:
     """Guards against exceptions on foreign datagrams."""
     codec = _packet.PlatformPackets()
-    for outcome in (codec.from_client(data), codec.from_target(data)):
+    for outcome in (
+        codec.decode_client_packet(data),
+        codec.decode_target_packet(data),
+    ):
         if isinstance(outcome, core.Failure):
             assert outcome.kind is core.ErrorKind.BAD_MESSAGE
         else:
--- a/tests/adapter/test_processes.py
+++ b/tests/adapter/test_processes.py
@@ -87,7 +87,7 @@
         """Answers as a backend server does."""
         assert self._transport is not None
         self.delivered.append(data)
-        outcome = _packet.PlatformPackets().from_client(data)
+        outcome = _packet.PlatformPackets().decode_client_packet(data)
         assert isinstance(outcome, core.Ok)
         packet = outcome.value
         outbound = (self.host, OUTBOUND_PORT)
@@ -126,7 +126,7 @@
 def to_client(
     flow: bytes, flags: int, data: bytes = b"", seq: int = 0
 ) -> bytes:
-    packet = bytearray(_packet.PlatformPackets().reset(flow, seq))
+    packet = bytearray(_packet.PlatformPackets().encode_reset(flow, seq))
     packet[0:2] = len(data).to_bytes(2, "little")
     packet[FLAGS_OFFSET] = flags
     return bytes(packet) + data
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -217,7 +217,7 @@
         following = asyncio.create_task(registry.follower.run())
         try:
             assert await _platform_store.wait_until(
-                lambda: registry.follower.heard_ms is not None
+                lambda: registry.follower.last_response_ms is not None
             )
             others = [
                 flows.Instance(
@@ -313,7 +313,7 @@
         async with running(registry):
             await wait_for_entry(server, key)
             first_value = items[key].value
-            registry.change(dataclasses.replace(own, is_draining=True))
+            registry.update(dataclasses.replace(own, is_draining=True))
             assert await _platform_store.wait_until(
                 lambda: items[key].value != first_value
             )
