Describe the platform adapter in terms of the field

Names, comments, docstrings and texts only. PlatformPackets -> PlatformPacketCodec, OperatorConfig -> OperatorConfigFormat.

--- a/tests/adapter/test_doctests.py
+++ b/tests/adapter/test_doctests.py
@@ -1,7 +1,7 @@
-"""Examples in the docstrings of the adapter.
+"""Runs the examples in the docstrings of the adapter.
 
-pytest would import the adapter's folder under the name of the standard
-library's module `platform`, so the examples are run from here.
+pytest would import the adapter's folder as `platform`, the name of a module of
+the standard library.
 """
 
 import doctest
@@ -12,7 +12,7 @@
 
 
 def test_examples_hold() -> None:
-    """Guards against examples that no longer show what happens."""
+    """Guards against examples that do not match the code."""
     attempted_count = 0
     for found in pkgutil.iter_modules(platform.__path__):
         if found.name == "__main__":
--- a/tests/adapter/test_formats.py
+++ b/tests/adapter/test_formats.py
@@ -1,4 +1,4 @@
-"""Formats of the platform: packets, settings, configuration, reports."""
+"""Formats of packets, settings, configuration and reports."""
 
 import json
 
@@ -27,18 +27,20 @@
     to_client: bool = False,
     echo: int = 0,
 ) -> bytes:
-    ends = (CLIENT, ROUTE)
-    source, destination = reversed(ends) if to_client else ends
-    numbers = {
-        end: int.from_bytes(bytes(map(int, end.host.split("."))), "big")
-        for end in ends
+    endpoints = (CLIENT, ROUTE)
+    source, destination = reversed(endpoints) if to_client else endpoints
+    hosts = {
+        endpoint: int.from_bytes(
+            bytes(map(int, endpoint.host.split("."))), "big"
+        )
+        for endpoint in endpoints
     }
     return (
         len(data).to_bytes(2, "little")
         + echo.to_bytes(4, "little")
         + destination.port.to_bytes(2, "little")
-        + numbers[source].to_bytes(4, "little")
-        + numbers[destination].to_bytes(4, "little")
+        + hosts[source].to_bytes(4, "little")
+        + hosts[destination].to_bytes(4, "little")
         + source.port.to_bytes(2, "little")
         + bytes((flags,))
         + bytes(5)
@@ -50,7 +52,7 @@
 
 
 def decode(data: bytes, by_target: bool = False) -> flows.Packet:
-    codec = _packet.PlatformPackets()
+    codec = _packet.PlatformPacketCodec()
     outcome = (
         codec.decode_target_packet(data)
         if by_target
@@ -60,8 +62,8 @@
     return outcome.value
 
 
-def test_fields_of_a_client_packet() -> None:
-    """Guards against swapped fields and byte order."""
+def test_client_packet_is_decoded() -> None:
+    """Guards against swapped fields and a wrong byte order."""
     packet = decode(encode(ACK | FIN, b"abc", seq=7, ack=9))
     assert packet.flow == FLOW
     assert (packet.payload_bytes, packet.seq, packet.ack) == (3, 7, 9)
@@ -73,8 +75,8 @@
     assert flows.route_address(FLOW) == ROUTE
 
 
-def test_both_directions_and_returned_packets_have_one_flow() -> None:
-    """Guards against a flow that is unknown on its way back."""
+def test_both_directions_and_returned_packets_have_the_same_flow() -> None:
+    """Guards against packets from a backend server under another flow."""
     assert decode(encode(SYN)).flow == FLOW
     answer = decode(encode(SYN | ACK, to_client=True), by_target=True)
     assert answer.flow == FLOW
@@ -84,26 +86,26 @@
     assert returned.delivery_tag == 77
 
 
-def test_a_delivered_packet_changes_in_note_and_mark_only() -> None:
-    """Guards against packets that their sender did not write so."""
+def test_delivery_changes_only_the_tag_and_the_returned_flag() -> None:
+    """Guards against other changes to the packet of a client."""
     data = encode(ACK | BOUNCED, b"payload", seq=5, ack=6)
-    codec = _packet.PlatformPackets()
+    codec = _packet.PlatformPacketCodec()
     delivered = codec.encode_delivery(decode(data, by_target=True), 0xABCD)
     assert delivered == encode(ACK, b"payload", seq=5, ack=6, echo=0xABCD)
 
 
-def test_a_reset_comes_from_the_route() -> None:
-    """Guards against resets that the client does not take."""
-    data = _packet.PlatformPackets().encode_reset(FLOW, 0x01020304)
+def test_reset_is_sent_by_the_route() -> None:
+    """Guards against resets that the client ignores."""
+    data = _packet.PlatformPacketCodec().encode_reset(FLOW, 0x01020304)
     expected = bytearray(encode(RST, seq=0x01020304, to_client=True))
     expected[24:28] = bytes(4)
     assert data == bytes(expected)
 
 
 @given(strategies.binary(max_size=80))
-def test_any_bytes_are_decoded_or_refused(data: bytes) -> None:
-    """Guards against exceptions on foreign datagrams."""
-    codec = _packet.PlatformPackets()
+def test_arbitrary_bytes_are_decoded_or_rejected(data: bytes) -> None:
+    """Guards against exceptions on datagrams of other senders."""
+    codec = _packet.PlatformPacketCodec()
     for outcome in (
         codec.decode_client_packet(data),
         codec.decode_target_packet(data),
@@ -135,8 +137,8 @@
 }
 
 
-def test_settings_of_an_agent() -> None:
-    """Guards against settings that go to the wrong place."""
+def test_agent_settings_are_translated() -> None:
+    """Guards against settings assigned to the wrong attribute."""
     outcome = _settings.parse_settings(json.dumps(BOOT).encode())
     assert isinstance(outcome, core.Ok)
     options = outcome.value
@@ -156,8 +158,8 @@
         {"bounds": {}},
     ],
 )
-def test_bad_settings_are_named(change: dict[str, object]) -> None:
-    """Guards against a start with settings that are only partly read."""
+def test_invalid_settings_are_rejected(change: dict[str, object]) -> None:
+    """Guards against a start with incomplete settings."""
     outcome = _settings.parse_settings(json.dumps(BOOT | change).encode())
     assert isinstance(outcome, core.Failure)
     assert outcome.kind is core.ErrorKind.BAD_SETTINGS
@@ -189,9 +191,9 @@
 }
 
 
-def test_routes_of_a_configuration() -> None:
-    """Guards against routes without a service, and lost weights."""
-    outcome = _config.OperatorConfig().parse(json.dumps(CONFIG).encode())
+def test_configuration_is_translated_to_routes() -> None:
+    """Guards against routes without a service and lost weights."""
+    outcome = _config.OperatorConfigFormat().parse(json.dumps(CONFIG).encode())
     assert isinstance(outcome, core.Ok)
     table = outcome.value
     assert table.version == 7
@@ -210,9 +212,9 @@
     "document",
     [b"", b"[]", b'{"version":"7"}', b'{"version":1,"routes":[{"name":"x"}]}'],
 )
-def test_an_unreadable_configuration_is_held_back(document: bytes) -> None:
-    """Guards against a partial configuration in force."""
-    outcome = _config.OperatorConfig().parse(document)
+def test_malformed_configuration_is_rejected(document: bytes) -> None:
+    """Guards against a partly applied configuration."""
+    outcome = _config.OperatorConfigFormat().parse(document)
     assert isinstance(outcome, core.Failure)
     assert outcome.kind is core.ErrorKind.BAD_CONFIG
 
@@ -227,8 +229,8 @@
 }
 
 
-def test_a_report_is_translated() -> None:
-    """Guards against a report under the wire's names."""
+def test_report_is_translated() -> None:
+    """Guards against fields of a report assigned to the wrong attribute."""
     report = _api.parse_report("i-1", json.dumps(REPORT).encode())
     assert report == flows.TargetReport(
         "i-1", "board", flows.TargetState.READY, 2, 1_700_000_000_000, 4
@@ -245,9 +247,9 @@
         {"seq": 1.5},
     ],
 )
-def test_a_report_of_another_writer_names_no_target(
+def test_malformed_report_is_rejected(
     change: dict[str, object],
 ) -> None:
-    """Guards against use of what cannot be understood."""
+    """Guards against reports with invalid fields that are used anyway."""
     body = json.dumps(REPORT | change).encode()
     assert _api.parse_report("i-1", body) is None
--- a/tests/adapter/test_processes.py
+++ b/tests/adapter/test_processes.py
@@ -1,4 +1,4 @@
-"""Real balancer and agent processes on loopback, with the store's stand-in."""
+"""Balancer and agent processes on loopback with a simulated store."""
 
 import asyncio
 from collections.abc import AsyncIterator
@@ -34,8 +34,8 @@
 LINK_PORT = 17_720
 BALANCER_HOST = "127.1.0.1"
 AGENT_HOSTS = ("127.1.0.11", "127.1.0.12", "127.1.0.13")
-# Pauses of a client between a packet, its copies and its end of patience.
-COPIES_MS = (200, 400, 800)
+# Delays of a client after a packet and after each of its retransmissions.
+RETRANSMISSION_DELAYS_MS = (200, 400, 800)
 CONFIG = {
     "version": 3,
     "routes": [
@@ -51,7 +51,7 @@
 
 
 class Target(asyncio.DatagramProtocol):
-    """Stand-in of a backend server: accepts flows and echoes data."""
+    """Simulated backend server that accepts flows and echoes data."""
 
     def __init__(self, host: str) -> None:
         """Starts without flows."""
@@ -72,40 +72,40 @@
     async def close(self) -> None:
         """Closes the socket.
 
-        A socket that is about to close still takes a packet, which nobody
-        would then answer or refuse.
+        Waits until it is closed: a socket that is closing still receives
+        packets, which would get neither a response nor a port-closed error.
         """
         if self._transport is not None:
             self._transport.close()
             await self._closed.wait()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Notes that the socket is closed."""
+        """Records that the socket is closed."""
         self._closed.set()
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Answers as a backend server does."""
+        """Responds as a backend server does."""
         assert self._transport is not None
         self.delivered.append(data)
-        outcome = _packet.PlatformPackets().decode_client_packet(data)
+        outcome = _packet.PlatformPacketCodec().decode_client_packet(data)
         assert isinstance(outcome, core.Ok)
         packet = outcome.value
         outbound = (self.host, OUTBOUND_PORT)
         if packet.opens:
             self.flows.add(packet.flow)
-            answer = to_client(packet.flow, SYN | ACK, seq=1_000)
+            response = to_client(packet.flow, SYN | ACK, seq=1_000)
         elif packet.flow in self.flows:
-            answer = to_client(
+            response = to_client(
                 packet.flow, ACK, data[36:] + self.host.encode(), seq=1_001
             )
         else:
             returned = bytearray(data)
             returned[FLAGS_OFFSET] |= BOUNCED
-            answer = bytes(returned)
-        self._transport.sendto(answer, outbound)
+            response = bytes(returned)
+        self._transport.sendto(response, outbound)
 
     async def report(self, state: str = "ready") -> int:
-        """Reports to the agent; returns the status of the answer."""
+        """Sends a report to the agent; returns the HTTP status."""
         self.sequence += 1
         body = json.dumps(
             {
@@ -126,7 +126,7 @@
 def to_client(
     flow: bytes, flags: int, data: bytes = b"", seq: int = 0
 ) -> bytes:
-    packet = bytearray(_packet.PlatformPackets().encode_reset(flow, seq))
+    packet = bytearray(_packet.PlatformPacketCodec().encode_reset(flow, seq))
     packet[0:2] = len(data).to_bytes(2, "little")
     packet[FLAGS_OFFSET] = flags
     return bytes(packet) + data
@@ -135,7 +135,7 @@
 def from_client(
     client: core.Address, flags: int, data: bytes = b"", ack: int = 0
 ) -> bytes:
-    # The reverse of a packet to the client.
+    # A packet to the client with both ends swapped.
     flow = _packet.flow_id(ROUTE, client)
     packet = bytearray(to_client(flow, flags, data, seq=5))
     packet[32:36] = ack.to_bytes(4, "little")
@@ -150,19 +150,19 @@
     address: core.Address, method: str, path: str, body: bytes = b""
 ) -> tuple[int, bytes]:
     reader, writer = await asyncio.open_connection(*address.pair)
-    head = (
+    request_head = (
         f"{method} {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
         f"Content-Length: {len(body)}\r\n\r\n"
     )
-    writer.write(head.encode() + body)
-    reply = await reader.read()
+    writer.write(request_head.encode() + body)
+    response = await reader.read()
     writer.close()
-    top, _, content = reply.partition(b"\r\n\r\n")
-    return int(top.split()[1]), content
+    response_head, _, content = response.partition(b"\r\n\r\n")
+    return int(response_head.split()[1]), content
 
 
-class ClientEnd(asyncio.DatagramProtocol):
-    """Socket on which all clients of one host are answered."""
+class ClientSocket(asyncio.DatagramProtocol):
+    """Socket on which all clients of one host receive packets."""
 
     def __init__(self) -> None:
         """Starts without packets."""
@@ -182,30 +182,31 @@
             self.transport.close()
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Keeps a packet."""
+        """Records a packet."""
         self.packets.append(data)
 
     async def exchange(
-        self, data: bytes, pauses_ms: tuple[int, ...] = (5_000,)
+        self, data: bytes, delays_ms: tuple[int, ...] = (5_000,)
     ) -> bytes:
-        """Sends a packet and returns the next one that comes.
+        """Sends a packet and returns the next one received.
 
         Args:
             data: The packet.
-            pauses_ms: How long to wait after the packet and after each copy.
+            delays_ms: How long to wait after the packet and after each
+                retransmission.
         """
         assert self.transport is not None
         count = len(self.packets)
-        for pause_ms in pauses_ms:
+        for delay_ms in delays_ms:
             self.transport.sendto(data, (BALANCER_HOST, PACKET_PORT))
             if await _platform_store.wait_until(
-                lambda: len(self.packets) > count, pause_ms
+                lambda: len(self.packets) > count, delay_ms
             ):
                 return self.packets[count]
-        raise AssertionError("no packet came")
+        raise AssertionError("no packet received before the timeout")
 
 
-def boot(
+def boot_document(
     name: str, host: str, is_agent: bool, store: core.Address
 ) -> dict[str, object]:
     listen = {
@@ -232,7 +233,7 @@
 
 
 class Fleet:
-    """The processes of one test, ended by their ids."""
+    """The processes of one test."""
 
     def __init__(self, folder: pathlib.Path) -> None:
         """Prepares without processes."""
@@ -245,7 +246,9 @@
     def start(self, name: str, host: str, is_agent: bool) -> None:
         """Starts a process."""
         path = self._folder / f"{name}.json"
-        path.write_text(json.dumps(boot(name, host, is_agent, self.store)))
+        path.write_text(
+            json.dumps(boot_document(name, host, is_agent, self.store))
+        )
         program = "agent" if is_agent else "balancer"
         with (self._folder / f"{name}.log").open("ab") as log:
             self.processes[name] = subprocess.Popen(
@@ -260,7 +263,7 @@
         return (self._folder / f"{name}.log").read_text()
 
     def stop(self) -> None:
-        """Ends all processes."""
+        """Kills all processes."""
         for process in self.processes.values():
             process.kill()
             process.wait()
@@ -294,8 +297,8 @@
 @contextlib.asynccontextmanager
 async def running(
     fleet: Fleet,
-) -> AsyncIterator[tuple[list[Target], ClientEnd]]:
-    """Starts store, processes and targets; closes what is in this process."""
+) -> AsyncIterator[tuple[list[Target], ClientSocket]]:
+    """Runs store, targets and processes; the fixture stops the processes."""
     server = _platform_store.PlatformStoreServer(fleet.store)
     server.state.put("op/config", json.dumps(CONFIG).encode())
     server.start()
@@ -308,9 +311,9 @@
     for target in targets:
         await wait_ready(target.host)
         assert await target.report() == 200
-    # Loads reach the peers within some report intervals.
+    # Load reports reach the peers within a few report intervals.
     await asyncio.sleep(0.6)
-    client = ClientEnd()
+    client = ClientSocket()
     await client.open()
     try:
         yield targets, client
@@ -321,20 +324,22 @@
         server.stop()
 
 
-def test_the_whole_path(fleet: Fleet) -> None:
-    """Guards against a flow that breaks over restarts, crashes and drains."""
+def test_flows_survive_restarts_and_drains(fleet: Fleet) -> None:
+    """Guards against flows broken by crashes, restarts and drains."""
 
-    async def check(targets: list[Target], client: ClientEnd) -> None:
-        ends = [core.Address(CLIENT_HOST, 40_000 + at) for at in range(12)]
+    async def check(targets: list[Target], client: ClientSocket) -> None:
+        addresses = [
+            core.Address(CLIENT_HOST, 40_000 + index) for index in range(12)
+        ]
         holders = {}
-        for end in ends:
-            accepted = await client.exchange(from_client(end, SYN))
+        for address in addresses:
+            accepted = await client.exchange(from_client(address, SYN))
             assert accepted[FLAGS_OFFSET] == SYN | ACK
-            request = from_client(end, ACK, b"x", ack=1_001)
-            holders[end] = (await client.exchange(request))[36:]
+            request = from_client(address, ACK, b"x", ack=1_001)
+            holders[address] = (await client.exchange(request))[36:]
         assert len(set(holders.values())) == len(targets)
 
-        # A balancer and an agent that start anew know nothing.
+        # A restarted balancer and a restarted agent have lost their state.
         for name, host in (
             ("balancer", BALANCER_HOST),
             ("agent-0", AGENT_HOSTS[0]),
@@ -344,26 +349,28 @@
             fleet.start(name, host, name != "balancer")
             await wait_ready(host)
         await asyncio.sleep(0.6)
-        for end in ends:
-            request = from_client(end, ACK, b"x", ack=1_001)
-            assert (await client.exchange(request))[36:] == holders[end]
+        for address in addresses:
+            request = from_client(address, ACK, b"x", ack=1_001)
+            assert (await client.exchange(request))[36:] == holders[address]
 
-        # New flows go past a backend server that leaves.
+        # A draining backend server gets no new flows.
         assert await targets[1].report("draining") == 200
         opened = set(targets[1].flows)
-        for at in range(12):
-            end = core.Address(CLIENT_HOST, 41_000 + at)
-            accepted = await client.exchange(from_client(end, SYN))
+        for index in range(12):
+            address = core.Address(CLIENT_HOST, 41_000 + index)
+            accepted = await client.exchange(from_client(address, SYN))
             assert accepted[FLAGS_OFFSET] == SYN | ACK
         assert targets[1].flows == opened
 
-        # Flows of a backend server that is gone are reset.
+        # Flows of a backend server whose port is closed are reset.
         gone = targets[2]
         await gone.close()
-        end = next(
-            end for end in ends if holders[end].endswith(gone.host.encode())
+        address = next(
+            address
+            for address in addresses
+            if holders[address].endswith(gone.host.encode())
         )
-        request = from_client(end, ACK, b"x", ack=1_001)
+        request = from_client(address, ACK, b"x", ack=1_001)
         ended = await client.exchange(request)
         assert ended[FLAGS_OFFSET] == RST
 
@@ -379,22 +386,24 @@
 def test_a_stopping_agent_answers_for_a_target_that_is_gone(
     fleet: Fleet,
 ) -> None:
-    """Guards against searches that wait for an agent which has just ended.
+    """Guards against searches that wait for an agent that has just stopped.
 
-    After a power cut the agent of a backend server that was leaving is started
-    again and stopped at once, without knowing that its backend server ended.
+    After a power cut, the agent of a leaving backend server may be restarted
+    and stopped at once, before it detects that its backend server is gone.
     """
 
-    async def check(targets: list[Target], client: ClientEnd) -> None:
-        ends = [core.Address(CLIENT_HOST, 42_000 + at) for at in range(12)]
+    async def check(targets: list[Target], client: ClientSocket) -> None:
+        addresses = [
+            core.Address(CLIENT_HOST, 42_000 + index) for index in range(12)
+        ]
         gone = targets[0]
         lost = []
-        for end in ends:
-            await client.exchange(from_client(end, SYN))
-            request = from_client(end, ACK, b"x", ack=1_001)
-            answer = await client.exchange(request)
-            if answer.endswith(gone.host.encode()):
-                lost.append(end)
+        for address in addresses:
+            await client.exchange(from_client(address, SYN))
+            request = from_client(address, ACK, b"x", ack=1_001)
+            response = await client.exchange(request)
+            if response.endswith(gone.host.encode()):
+                lost.append(address)
         assert lost
         fleet.processes["agent-0"].kill()
         fleet.processes["agent-0"].wait()
@@ -403,11 +412,11 @@
         await wait_ready(gone.host)
         fleet.processes["agent-0"].terminate()
         await asyncio.sleep(0.1)
-        for end in lost:
-            request = from_client(end, ACK, b"x", ack=1_001)
-            # The entry of a process that just ends stays for three seconds.
-            answer = await client.exchange(request, COPIES_MS)
-            assert answer[FLAGS_OFFSET] == RST
+        for address in lost:
+            request = from_client(address, ACK, b"x", ack=1_001)
+            # An entry that is not withdrawn would stay for three seconds.
+            response = await client.exchange(request, RETRANSMISSION_DELAYS_MS)
+            assert response[FLAGS_OFFSET] == RST
         ended = await _platform_store.wait_until(
             lambda: fleet.processes["agent-0"].poll() is not None
         )
@@ -422,7 +431,7 @@
 
 
 def test_signals(fleet: Fleet) -> None:
-    """Guards against an end by SIGHUP, and a stop that outlasts its grace."""
+    """Guards against an exit on SIGHUP and a stop beyond the grace period."""
 
     async def check(targets: list[Target]) -> None:
         for process in fleet.processes.values():
@@ -452,7 +461,7 @@
 
 
 def test_status_and_metrics(fleet: Fleet) -> None:
-    """Guards against a process that operators cannot look into."""
+    """Guards against missing status fields and metrics."""
 
     async def check(targets: list[Target]) -> None:
         status_port = LINK_PORT + 1
@@ -471,8 +480,8 @@
             b"fireflyford_config_age_ms ",
         ):
             assert sample in text, sample
-        # The registry and the configuration; a registry that already shows
-        # the other instances takes a page more.
+        # One read of the registry and one of the configuration; a registry
+        # that already contains the other instances takes another page.
         reads = rb'fireflyford_store_call_ms_count\{kind="read-200"\} [23]\n'
         assert re.search(reads, text)
         agent = core.Address(AGENT_HOSTS[0], status_port)
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -1,4 +1,4 @@
-"""The client of the platform's store, against the stand-in."""
+"""Store client and registry against a simulated store."""
 
 import asyncio
 from collections.abc import AsyncIterator
@@ -29,7 +29,7 @@
         return core.Address("127.0.0.1", probe.getsockname()[1])
 
 
-def play(
+def run_with_store(
     work: Callable[[Server, _store.PlatformStore], Awaitable[None]],
 ) -> None:
     async def main() -> None:
@@ -49,7 +49,7 @@
 
 
 def test_reads_all_pages() -> None:
-    """Guards against entries beyond the first page that stay unseen."""
+    """Guards against reads that miss entries beyond the first page."""
 
     async def work(server: Server, client: _store.PlatformStore) -> None:
         for index in range(5):
@@ -60,11 +60,11 @@
         values = [entry.value for entry in outcome.value.entries]
         assert values == [b"0", b"1", b"2", b"3", b"4"]
 
-    play(work)
+    run_with_store(work)
 
 
-def test_a_commit_holds_its_expectations() -> None:
-    """Guards against writes over another writer's change."""
+def test_commit_checks_its_preconditions() -> None:
+    """Guards against overwriting the change of another writer."""
 
     async def work(server: Server, client: _store.PlatformStore) -> None:
         none = store.Precondition("a", None)
@@ -76,11 +76,11 @@
         assert not second.value.applied
         assert server.state.items["a"].value == b"1"
 
-    play(work)
+    run_with_store(work)
 
 
-def test_a_lost_answer_is_not_taken_for_a_failure() -> None:
-    """Guards against "not done" said of a write that was done."""
+def test_commit_without_a_response_has_an_unknown_outcome() -> None:
+    """Guards against an applied write reported as not applied."""
 
     async def work(server: Server, client: _store.PlatformStore) -> None:
         server.state.hidden_writes = 1
@@ -89,11 +89,11 @@
         assert outcome.kind is core.ErrorKind.STORE_OUTCOME_UNKNOWN
         assert value_of(await client.read("a"), "a") == b"1"
 
-    play(work)
+    run_with_store(work)
 
 
-def test_a_refusal_is_certain() -> None:
-    """Guards against doubt about a call that the store refused."""
+def test_rejected_commit_has_a_known_outcome() -> None:
+    """Guards against an unknown outcome of a call that the store rejected."""
 
     async def work(server: Server, client: _store.PlatformStore) -> None:
         server.state.refusal = 503
@@ -103,11 +103,11 @@
         reading = await client.read("a")
         assert isinstance(reading, core.Failure)
 
-    play(work)
+    run_with_store(work)
 
 
-def test_a_watch_tells_writes_and_deletions() -> None:
-    """Guards against entries that stay after their deletion."""
+def test_watch_returns_writes_and_deletions() -> None:
+    """Guards against entries that are kept after their deletion."""
 
     async def work(server: Server, client: _store.PlatformStore) -> None:
         start = server.state.revision
@@ -119,11 +119,11 @@
             assert [item.key for item in change.value.entries] == ["a/2"]
             assert change.value.deleted == ("a/1",)
 
-    play(work)
+    run_with_store(work)
 
 
-def test_a_watch_fails_when_history_is_gone() -> None:
-    """Guards against a watch that goes on over a gap."""
+def test_watch_fails_when_its_history_is_gone() -> None:
+    """Guards against a watch that skips changes without an error."""
 
     async def work(server: Server, client: _store.PlatformStore) -> None:
         start = server.state.revision
@@ -133,17 +133,17 @@
         async for change in client.watch("a/", start + 1, 200):
             assert isinstance(change, core.Failure)
 
-    play(work)
+    run_with_store(work)
 
 
 def make_registry(
     client: _store.PlatformStore,
-    joined: Callable[[flows.Instance | None], None] = lambda _: None,
+    on_loaded: Callable[[flows.Instance | None], None] = lambda _: None,
     incarnation: int = 1,
-    found: Callable[[list[flows.Instance]], None] = lambda _: None,
+    on_discovered: Callable[[list[flows.Instance]], None] = lambda _: None,
 ) -> tuple[flows.Instance, flows.Fleet, _registry.Registry]:
     clock = core.SystemClock()
-    own = flows.Instance(
+    instance = flows.Instance(
         "agent-1",
         core.Role.AGENT,
         "board",
@@ -154,15 +154,17 @@
     fleet = flows.Fleet(clock)
     rng = random.Random(1)
     return (
-        own,
+        instance,
         fleet,
-        _registry.Registry(client, clock, rng, own, fleet, joined, found),
+        _registry.Registry(
+            client, clock, rng, instance, fleet, on_loaded, on_discovered
+        ),
     )
 
 
 @contextlib.asynccontextmanager
 async def running(registry: _registry.Registry) -> AsyncIterator[None]:
-    """Publishes and follows the registry meanwhile."""
+    """Publishes the entry and follows the registry within the context."""
     tasks = [
         asyncio.create_task(registry.publish()),
         asyncio.create_task(registry.follower.run()),
@@ -179,21 +181,21 @@
     assert await _platform_store.wait_until(lambda: key in items)
 
 
-def test_an_entry_is_back_after_it_was_taken_away() -> None:
-    """Guards against an instance that stays unseen after an outage.
+def test_lost_entry_is_written_again_after_an_outage() -> None:
+    """Guards against an instance without an entry after an outage.
 
-    The store takes the key away without ending the lease, and says nothing.
-    The bound is the two seconds that the store's users promise.
+    The store deletes the key without ending the lease, and the deletion is not
+    reported. The entry must be back within two seconds of the recovery.
     """
 
     async def work(server: Server, client: _store.PlatformStore) -> None:
-        own, fleet, registry = make_registry(client)
-        key = f"{_registry.PREFIX}{own.address}"
+        instance, fleet, registry = make_registry(client)
+        key = f"{_registry.PREFIX}{instance.address}"
         items = server.state.items
         async with running(registry):
             await wait_for_entry(server, key)
             assert await _platform_store.wait_until(
-                lambda: own.address in fleet
+                lambda: instance.address in fleet
             )
             server.state.refusal = 503
             server.state.delete(key)
@@ -201,19 +203,19 @@
             server.state.refusal = 0
             assert await _platform_store.wait_until(lambda: key in items, 2_000)
 
-    play(work)
+    run_with_store(work)
 
 
 def test_instances_that_start_together_find_each_other() -> None:
-    """Guards against a pair of which neither knows the other for long.
+    """Guards against instances that discover each other too late.
 
-    Each reads the registry before the other has written its entry; the bound
-    is the time that the processes of a test wait before the first flow.
+    Each reads the registry before the other has written its entry. The limit
+    is the time that the process tests wait before they open the first flow.
     """
 
     async def work(server: Server, client: _store.PlatformStore) -> None:
-        met: list[flows.Instance] = []
-        _, _, registry = make_registry(client, found=met.extend)
+        discovered: list[flows.Instance] = []
+        _, _, registry = make_registry(client, on_discovered=discovered.extend)
         following = asyncio.create_task(registry.follower.run())
         try:
             assert await _platform_store.wait_until(
@@ -234,35 +236,35 @@
                 value = json.dumps(_link_codec.pack_instance(other)).encode()
                 server.state.put(f"{_registry.PREFIX}{other.address}", value)
                 assert await _platform_store.wait_until(
-                    lambda sought=other: sought in met, 600
+                    lambda sought=other: sought in discovered, 600
                 )
         finally:
             following.cancel()
 
-    play(work)
+    run_with_store(work)
 
 
-def test_a_withdrawn_entry_stays_away() -> None:
-    """Guards against an entry that a change writes again at the end."""
+def test_withdrawn_entry_is_not_written_again() -> None:
+    """Guards against a pending change that restores a withdrawn entry."""
 
     async def work(server: Server, client: _store.PlatformStore) -> None:
-        own, _, registry = make_registry(client)
-        key = f"{_registry.PREFIX}{own.address}"
+        instance, _, registry = make_registry(client)
+        key = f"{_registry.PREFIX}{instance.address}"
         async with running(registry):
             await wait_for_entry(server, key)
         await registry.withdraw(1_000)
         await asyncio.sleep(0.3)
         assert key not in server.state.items
 
-    play(work)
+    run_with_store(work)
 
 
-def test_a_withdrawal_waits_for_the_store() -> None:
-    """Guards against entries of instances that left during an outage."""
+def test_withdrawal_is_retried_until_the_store_recovers() -> None:
+    """Guards against stale entries of instances that left in an outage."""
 
     async def work(server: Server, client: _store.PlatformStore) -> None:
-        own, _, registry = make_registry(client)
-        key = f"{_registry.PREFIX}{own.address}"
+        instance, _, registry = make_registry(client)
+        key = f"{_registry.PREFIX}{instance.address}"
         async with running(registry):
             await wait_for_entry(server, key)
         server.state.refusal = 503
@@ -272,15 +274,15 @@
         await leaving
         assert key not in server.state.items
 
-    play(work)
+    run_with_store(work)
 
 
-def test_a_withdrawal_ends_with_its_limit(
+def test_withdrawal_stops_at_its_time_limit(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Guards against a process that outlasts its grace while the store is away.
+    """Guards against a process that exceeds its grace period in an outage.
 
-    A call to a store that does not answer takes longer than the limit.
+    A call without a response takes longer than the limit.
     """
 
     async def wait_in_vain(lease_id: int) -> core.Outcome[None]:
@@ -289,8 +291,8 @@
         return core.Ok(None)
 
     async def work(server: Server, client: _store.PlatformStore) -> None:
-        own, _, registry = make_registry(client)
-        key = f"{_registry.PREFIX}{own.address}"
+        instance, _, registry = make_registry(client)
+        key = f"{_registry.PREFIX}{instance.address}"
         async with running(registry):
             await wait_for_entry(server, key)
         monkeypatch.setattr(client, "revoke_lease", wait_in_vain)
@@ -298,28 +300,30 @@
         await registry.withdraw(300)
         assert core.SystemClock().now_ms() - started_ms < 1_000
 
-    play(work)
+    run_with_store(work)
 
 
-def test_a_restarted_agent_reads_the_drain_mark_before_it_writes() -> None:
-    """Guards against a drain that a restart of the agent forgets."""
+def test_restarted_agent_reads_the_drain_state_before_it_writes() -> None:
+    """Guards against a drain that is lost when the agent restarts."""
 
     async def work(server: Server, client: _store.PlatformStore) -> None:
-        own, _, registry = make_registry(client)
-        found: list[flows.Instance | None] = []
-        _, _, later = make_registry(client, found.append, 2)
+        instance, _, registry = make_registry(client)
+        previous_entries: list[flows.Instance | None] = []
+        _, _, later = make_registry(client, previous_entries.append, 2)
         items = server.state.items
-        key = f"{_registry.PREFIX}{own.address}"
+        key = f"{_registry.PREFIX}{instance.address}"
         async with running(registry):
             await wait_for_entry(server, key)
             first_value = items[key].value
-            registry.update(dataclasses.replace(own, is_draining=True))
+            registry.update(dataclasses.replace(instance, is_draining=True))
             assert await _platform_store.wait_until(
                 lambda: items[key].value != first_value
             )
         async with running(later):
-            assert await _platform_store.wait_until(lambda: bool(found))
-        assert found[0] is not None
-        assert found[0].is_draining
+            assert await _platform_store.wait_until(
+                lambda: bool(previous_entries)
+            )
+        assert previous_entries[0] is not None
+        assert previous_entries[0].is_draining
 
-    play(work)
+    run_with_store(work)
