Restore the body of the 403 response and a logged reason

Both leave the process: the body goes to callers, and reasons of events are part of the interface to operators.

--- a/libs/agent/src/fireflyford/agent/_authorization.py
+++ b/libs/agent/src/fireflyford/agent/_authorization.py
@@ -68,7 +68,7 @@
                 ("fireflyford-error", kind.value),
             ),
         )
-        await response.write(b"missing or invalid caller token\n", end=True)
+        await response.write(b"present a valid caller token\n", end=True)
 
     def _is_authorized(self, header: str) -> bool:
         if not self._key:
--- a/libs/runtime/src/fireflyford/runtime/_registry.py
+++ b/libs/runtime/src/fireflyford/runtime/_registry.py
@@ -109,7 +109,7 @@
                     await self._clock.sleep(RETRY_MS)
         except TimeoutError:
             # The entry is deleted when the lease expires.
-            telemetry.log("entry-not-withdrawn", reason="time limit reached")
+            telemetry.log("entry-not-withdrawn", reason="no time left")
 
     async def _end_lease(self, lease_id: int) -> bool:
         outcome = await self._client.revoke_lease(lease_id)
