Rename exported names of experiments and scenarios to terms of the field

scenarios: World -> Environment, LabWorld -> ProcessEnvironment, play -> run, templates -> step_templates; modules _world -> _environment, _lab_world -> _process_environment, _play -> _runner.

experiments: module _flow_run -> _flow_experiment (lab has another _flow_run), SMALL -> SMALL_SCALE; in _packet_flows LoadPlan -> RequestPlan, LoadResult -> RequestResult, in_aim_share -> within_objective_ratio, run_single -> run_short_lived, run_lasting -> run_long_lived.

Strings without spaces that changed: the entries of __all__ for these names. Names of figures, steps of the language and commands stay.

--- a/libs/lab/src/fireflyford/lab/_commands.py
+++ b/libs/lab/src/fireflyford/lab/_commands.py
@@ -69,7 +69,7 @@
             text = pathlib.Path(path).read_text()
         except OSError as error:
             sys.exit(f"fireflyford-lab: {error}")
-        outcome = asyncio.run(scenarios.play(text, path, seed))
+        outcome = asyncio.run(scenarios.run(text, path, seed))
         if isinstance(outcome, core.Failure):
             sys.exit(f"fireflyford-lab: {outcome.message}")
         _finish(outcome.value, json, output)
@@ -89,7 +89,7 @@
 
     def steps(self) -> None:
         """Lists the steps of the scenario language."""
-        print("\n".join(scenarios.templates()))
+        print("\n".join(scenarios.step_templates()))
 
     def plot(self, result: str) -> None:
         """Draws a result as PNG next to its file.
--- a/libs/lab/src/fireflyford/lab/experiments/_flow_run.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_flow_experiment.py
@@ -52,7 +52,7 @@
     settle_ms: int = _SETTLE_MS
 
 
-SMALL = Scale(
+SMALL_SCALE = Scale(
     feed_count=6,
     order_count=2,
     process_count=2,
--- a/libs/lab/src/fireflyford/lab/experiments/_flows.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_flows.py
@@ -10,7 +10,7 @@
 from fireflyford.lab import _faults
 from fireflyford.lab import _fleet
 from fireflyford.lab import _plain_client
-from fireflyford.lab.experiments import _flow_run
+from fireflyford.lab.experiments import _flow_experiment
 from fireflyford.lab.experiments import _framework
 
 _PAUSE_MS = 1_000
@@ -21,16 +21,18 @@
 _LEAVE_BOUND_MS = 3_000
 _NEW_CONNECTIONS = 20
 # The fault proxy is one process and carries every datagram.
-_PROXIED_SCALE = _flow_run.Scale(feed_count=120)
+_PROXIED_SCALE = _flow_experiment.Scale(feed_count=120)
 
 
-class RollingBalancers(_flow_run.FlowExperiment):
+class RollingBalancers(_flow_experiment.FlowExperiment):
     """Every balancer is replaced, one after another."""
 
     name = "rolling-balancers"
     summary = "replaces every balancer while flows are open"
 
-    async def disturb(self, run: _flow_run.FlowRun, rng: random.Random) -> None:
+    async def disturb(
+        self, run: _flow_experiment.FlowRun, rng: random.Random
+    ) -> None:
         """Replaces every balancer."""
         balancers = list(run.fleet.balancers.values())
         for balancer in balancers[: self._scale.change_count]:
@@ -38,13 +40,15 @@
             run.exit_codes.append(code)
 
 
-class RollingBackends(_flow_run.FlowExperiment):
+class RollingBackends(_flow_experiment.FlowExperiment):
     """Backend servers are replaced, one after another."""
 
     name = "rolling-backends"
     summary = "replaces backend servers while flows are open"
 
-    async def disturb(self, run: _flow_run.FlowRun, rng: random.Random) -> None:
+    async def disturb(
+        self, run: _flow_experiment.FlowRun, rng: random.Random
+    ) -> None:
         """Replaces randomly chosen targets."""
         targets = rng.sample(
             list(run.fleet.targets.values()), self._scale.change_count
@@ -53,13 +57,15 @@
             run.exit_codes.append(await run.fleet.replace_target(target))
 
 
-class RollingBoth(_flow_run.FlowExperiment):
+class RollingBoth(_flow_experiment.FlowExperiment):
     """Balancers and backend servers are replaced at the same time."""
 
     name = "rolling-both"
     summary = "replaces balancers and backend servers at the same time"
 
-    async def disturb(self, run: _flow_run.FlowRun, rng: random.Random) -> None:
+    async def disturb(
+        self, run: _flow_experiment.FlowRun, rng: random.Random
+    ) -> None:
         """Replaces both kinds together."""
         await asyncio.gather(
             RollingBalancers(self._scale).disturb(run, rng),
@@ -67,26 +73,30 @@
         )
 
 
-class KillBalancer(_flow_run.FlowExperiment):
+class KillBalancer(_flow_experiment.FlowExperiment):
     """A balancer dies without notice."""
 
     name = "kill-balancer"
     summary = "kills one balancer without notice"
 
-    async def disturb(self, run: _flow_run.FlowRun, rng: random.Random) -> None:
+    async def disturb(
+        self, run: _flow_experiment.FlowRun, rng: random.Random
+    ) -> None:
         """Kills one balancer."""
         victim = rng.choice(list(run.fleet.balancers.values()))
         run.fleet.kill(victim.process)
 
 
-class KillBackend(_flow_run.FlowExperiment):
+class KillBackend(_flow_experiment.FlowExperiment):
     """One target dies without notice, another loses its backend server."""
 
     name = "kill-backend"
     summary = "kills one target, and the backend server of another"
     unknown_target = None
 
-    async def disturb(self, run: _flow_run.FlowRun, rng: random.Random) -> None:
+    async def disturb(
+        self, run: _flow_experiment.FlowRun, rng: random.Random
+    ) -> None:
         """Kills a whole target and a backend server."""
         targets = list(run.fleet.targets.values())
         whole, half = rng.sample(
@@ -97,7 +107,7 @@
         run.fleet.kill(half.backend)
 
 
-class SilentPath(_flow_run.FlowExperiment):
+class SilentPath(_flow_experiment.FlowExperiment):
     """Open flows stop passing datagrams while new ones work."""
 
     name = "silent-path"
@@ -106,7 +116,9 @@
     proxied = frozenset({"fabric"})
     full_scale = _PROXIED_SCALE
 
-    async def disturb(self, run: _flow_run.FlowRun, rng: random.Random) -> None:
+    async def disturb(
+        self, run: _flow_experiment.FlowRun, rng: random.Random
+    ) -> None:
         """Freezes the same flows in front of all balancers."""
         del rng
         proxy = run.fleet.proxy
@@ -124,7 +136,7 @@
         self.broken_target = int(mean + 5 * mean**0.5)
 
 
-class KillAndSilence(_flow_run.FlowExperiment):
+class KillAndSilence(_flow_experiment.FlowExperiment):
     """A target dies while open flows stop passing datagrams."""
 
     name = "kill-and-silence"
@@ -133,7 +145,9 @@
     proxied = frozenset({"fabric"})
     full_scale = _PROXIED_SCALE
 
-    async def disturb(self, run: _flow_run.FlowRun, rng: random.Random) -> None:
+    async def disturb(
+        self, run: _flow_experiment.FlowRun, rng: random.Random
+    ) -> None:
         """Causes both."""
         silence = SilentPath(self._scale)
         await KillBackend(self._scale).disturb(run, rng)
@@ -141,13 +155,15 @@
         self.broken_target = silence.broken_target
 
 
-class PauseBackend(_flow_run.FlowExperiment):
+class PauseBackend(_flow_experiment.FlowExperiment):
     """A target pauses for a second, which is no failure."""
 
     name = "pause-backend"
     summary = "pauses one target for 1 s; nothing may break"
 
-    async def disturb(self, run: _flow_run.FlowRun, rng: random.Random) -> None:
+    async def disturb(
+        self, run: _flow_experiment.FlowRun, rng: random.Random
+    ) -> None:
         """Stops and continues agent and backend server of one target."""
         target = rng.choice(list(run.fleet.targets.values()))
         processes = (target.agent, target.backend)
@@ -158,7 +174,7 @@
             process.send_signal(signal.SIGCONT)
 
 
-class Drain(_flow_run.FlowExperiment):
+class Drain(_flow_experiment.FlowExperiment):
     """A target that no balancer hears from leaves as planned.
 
     It has a request in flight and the feed of a plain HTTP/3 client.
@@ -178,7 +194,9 @@
             self.name, seed, (*result.figures, *self._extra)
         )
 
-    async def disturb(self, run: _flow_run.FlowRun, rng: random.Random) -> None:
+    async def disturb(
+        self, run: _flow_experiment.FlowRun, rng: random.Random
+    ) -> None:
         """Cuts off a target, drains it and watches what it takes."""
         target = next(
             item
@@ -224,7 +242,7 @@
         )
 
 
-def _cut_off(run: _flow_run.FlowRun, target: _fleet.Target) -> None:
+def _cut_off(run: _flow_experiment.FlowRun, target: _fleet.Target) -> None:
     """Cuts the control traffic between a target and all balancers."""
     proxy = run.fleet.proxy
     assert proxy is not None
@@ -236,7 +254,9 @@
         )
 
 
-async def _open_newcomers(run: _flow_run.FlowRun, target: _fleet.Target) -> int:
+async def _open_newcomers(
+    run: _flow_experiment.FlowRun, target: _fleet.Target
+) -> int:
     """Opens connections while the balancers still use the target.
 
     Returns:
--- a/libs/lab/src/fireflyford/lab/experiments/_packet_flows.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_packet_flows.py
@@ -166,24 +166,24 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class LoadResult:
+class RequestResult:
     """Requests of one run near capacity.
 
     Attributes:
-        in_aim_share: Share answered within the aim.
+        within_objective_ratio: Share answered within the latency objective.
         mean_ms: Mean response time of answered requests.
         p99_ms: 99th percentile of it.
         busiest_ratio: Use of the busiest backend server over the mean.
     """
 
-    in_aim_share: float
+    within_objective_ratio: float
     mean_ms: float
     p99_ms: float
     busiest_ratio: float
 
 
 @dataclasses.dataclass(frozen=True)
-class LoadPlan:
+class RequestPlan:
     """Requests at random times on backend servers of different speeds.
 
     Attributes:
@@ -219,7 +219,9 @@
         return times
 
 
-def _summary(fleet: _packet_fleet.PacketFleet, duration_ms: int) -> LoadResult:
+def _summary(
+    fleet: _packet_fleet.PacketFleet, duration_ms: int
+) -> RequestResult:
     done = _packet_fleet.Ending.ANSWERED
     times = sorted(
         item.duration_ms for item in fleet.results if item.ending is done
@@ -229,7 +231,7 @@
         target.worked_ms / target.plan.slot_count / duration_ms
         for target in fleet.targets
     ]
-    return LoadResult(
+    return RequestResult(
         good / max(1, len(fleet.results)),
         statistics.fmean(times),
         times[int(0.99 * len(times))],
@@ -237,7 +239,7 @@
     )
 
 
-def run_single(policy: Policy, plan: LoadPlan) -> LoadResult:
+def run_short_lived(policy: Policy, plan: RequestPlan) -> RequestResult:
     """Plays a flow for each request."""
     fleet = _packet_fleet.PacketFleet(
         plan.seed, plan.targets(), _BALANCER_COUNT, policy.maker
@@ -249,7 +251,7 @@
     return _summary(fleet, arrivals[-1])
 
 
-def run_lasting(policy: Policy, plan: LoadPlan) -> LoadResult:
+def run_long_lived(policy: Policy, plan: RequestPlan) -> RequestResult:
     """Plays flows that stay open and carry all requests."""
     fleet = _packet_fleet.PacketFleet(
         plan.seed,
@@ -281,7 +283,7 @@
     return _summary(fleet, arrivals[-1])
 
 
-def run_one_queue(plan: LoadPlan) -> LoadResult:
+def run_one_queue(plan: RequestPlan) -> RequestResult:
     """Returns the work-conserving bound on the same arrivals."""
     slots = [item for item in _SERVICE_MS for _ in range(plan.slot_count)]
     arrivals = plan.arrivals_ms()
@@ -290,7 +292,7 @@
         for item in _packet_baselines.central_queue_ms(arrivals, slots)
     )
     good = sum(item <= _AIM_MS for item in times)
-    return LoadResult(
+    return RequestResult(
         good / len(times),
         statistics.fmean(times),
         times[int(0.99 * len(times))],
@@ -298,9 +300,11 @@
     )
 
 
-def _load_figures(title: str, result: LoadResult) -> list[_framework.Figure]:
+def _load_figures(title: str, result: RequestResult) -> list[_framework.Figure]:
     return [
-        _framework.Figure(f"{title}: in aim", result.in_aim_share, "share"),
+        _framework.Figure(
+            f"{title}: in aim", result.within_objective_ratio, "share"
+        ),
         _framework.Figure(f"{title}: mean", result.mean_ms, "ms"),
         _framework.Figure(f"{title}: p99", result.p99_ms, "ms"),
         _framework.Figure(
@@ -342,14 +346,14 @@
     for slot_count in (1, 2):
         for utilization in _UTILIZATIONS:
             title = f"{slot_count} slots, {utilization:.0%}"
-            plan = LoadPlan(seed, slot_count, utilization)
+            plan = RequestPlan(seed, slot_count, utilization)
             for policy in policies(seed):
-                result = run_single(policy, plan)
+                result = run_short_lived(policy, plan)
                 figures += _load_figures(f"{title}, {policy.name}", result)
             result = run_one_queue(plan)
             figures += _load_figures(f"{title}, one queue", result)
     for policy in policies(seed):
-        result = run_lasting(policy, LoadPlan(seed, 2, _UTILIZATIONS[0]))
+        result = run_long_lived(policy, RequestPlan(seed, 2, _UTILIZATIONS[0]))
         title = f"lasting flows, 2 slots, {_UTILIZATIONS[0]:.0%}"
         figures += _load_figures(f"{title}, {policy.name}", result)
     return figures
--- a/libs/lab/src/fireflyford/lab/scenarios/__init__.py
+++ b/libs/lab/src/fireflyford/lab/scenarios/__init__.py
@@ -1,9 +1,9 @@
 """Scenarios: a small language for changes, faults and assertions."""
 
+from fireflyford.lab.scenarios._environment import Environment
 from fireflyford.lab.scenarios._language import Step
 from fireflyford.lab.scenarios._language import parse
-from fireflyford.lab.scenarios._language import templates
-from fireflyford.lab.scenarios._play import play
-from fireflyford.lab.scenarios._world import World
+from fireflyford.lab.scenarios._language import step_templates
+from fireflyford.lab.scenarios._runner import run
 
-__all__ = ["Step", "World", "parse", "play", "templates"]
+__all__ = ["Environment", "Step", "parse", "run", "step_templates"]
--- a/libs/lab/src/fireflyford/lab/scenarios/_world.py
+++ b/libs/lab/src/fireflyford/lab/scenarios/_environment.py
@@ -3,7 +3,7 @@
 import abc
 
 
-class World(abc.ABC):
+class Environment(abc.ABC):
     """A running deployment with load, faults and measured figures."""
 
     @abc.abstractmethod
--- a/libs/lab/src/fireflyford/lab/scenarios/_language.py
+++ b/libs/lab/src/fireflyford/lab/scenarios/_language.py
@@ -11,7 +11,7 @@
 
 from fireflyford import core
 from fireflyford.lab import experiments
-from fireflyford.lab.scenarios import _world
+from fireflyford.lab.scenarios import _environment
 
 _UNIT_FACTORS = {"": 1.0, "ms": 1.0, "s": 1000.0, "%": 0.01}
 
@@ -20,7 +20,9 @@
     """One step of a scenario."""
 
     @abc.abstractmethod
-    async def perform(self, world: _world.World) -> experiments.Figure | None:
+    async def perform(
+        self, environment: _environment.Environment
+    ) -> experiments.Figure | None:
         """Performs the step; a check returns its figure."""
 
 
@@ -31,9 +33,9 @@
     deployment: str
     balancer_count: int
 
-    async def perform(self, world: _world.World) -> None:
+    async def perform(self, environment: _environment.Environment) -> None:
         """Starts the processes."""
-        await world.deploy(self.deployment, self.balancer_count)
+        await environment.deploy(self.deployment, self.balancer_count)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -43,9 +45,9 @@
     service: str
     count: int
 
-    async def perform(self, world: _world.World) -> None:
+    async def perform(self, environment: _environment.Environment) -> None:
         """Opens the feeds."""
-        await world.add_feeds(self.service, self.count)
+        await environment.add_feeds(self.service, self.count)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -57,9 +59,9 @@
     rate_per_s: float
     duration_ms: float
 
-    async def perform(self, world: _world.World) -> None:
+    async def perform(self, environment: _environment.Environment) -> None:
         """Starts the load."""
-        world.add_requests(
+        environment.add_requests(
             self.service, self.kind, self.rate_per_s, self.duration_ms
         )
 
@@ -70,9 +72,9 @@
 
     duration_s: float
 
-    async def perform(self, world: _world.World) -> None:
+    async def perform(self, environment: _environment.Environment) -> None:
         """Waits."""
-        await world.wait(self.duration_s)
+        await environment.wait(self.duration_s)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -83,9 +85,9 @@
     service: str
     values: tuple[float, ...]
 
-    async def perform(self, world: _world.World) -> None:
+    async def perform(self, environment: _environment.Environment) -> None:
         """Performs it now."""
-        await world.act(self.action, self.service, list(self.values))
+        await environment.act(self.action, self.service, list(self.values))
 
 
 @dataclasses.dataclass(frozen=True)
@@ -95,11 +97,11 @@
     limit_s: float
     act: Act
 
-    async def perform(self, world: _world.World) -> None:
+    async def perform(self, environment: _environment.Environment) -> None:
         """Draws the moment and schedules the action."""
-        delay_s = world.random_delay_s(self.limit_s)
+        delay_s = environment.random_delay_s(self.limit_s)
         values = [delay_s, *self.act.values]
-        world.spawn(self.act.action, self.act.service, values)
+        environment.spawn(self.act.action, self.act.service, values)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -108,10 +110,10 @@
 
     act: Act
 
-    async def perform(self, world: _world.World) -> None:
+    async def perform(self, environment: _environment.Environment) -> None:
         """Performs the action two times in a row."""
-        await self.act.perform(world)
-        await self.act.perform(world)
+        await self.act.perform(environment)
+        await self.act.perform(environment)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -121,10 +123,10 @@
     first: Act
     second: Act
 
-    async def perform(self, world: _world.World) -> None:
+    async def perform(self, environment: _environment.Environment) -> None:
         """Performs both concurrently."""
         await asyncio.gather(
-            self.first.perform(world), self.second.perform(world)
+            self.first.perform(environment), self.second.perform(environment)
         )
 
 
@@ -136,10 +138,12 @@
     bound: experiments.Bound
     target: float
 
-    async def perform(self, world: _world.World) -> experiments.Figure:
+    async def perform(
+        self, environment: _environment.Environment
+    ) -> experiments.Figure:
         """Ends the load and measures."""
-        await world.finish()
-        value = await world.measure(self.measure)
+        await environment.finish()
+        value = await environment.measure(self.measure)
         unit = "ms" if self.measure in _TIMES else "1"
         return experiments.Figure(
             self.measure.replace("_", " "), value, unit, self.target, self.bound
@@ -243,7 +247,9 @@
     line = error.line if 0 < error.line <= len(lines) else len(lines)
     wrong = lines[line - 1].strip()
     column = error.column if error.column > 0 else len(wrong) + 1
-    nearest = difflib.get_close_matches(wrong, templates(), n=1, cutoff=0.0)
+    nearest = difflib.get_close_matches(
+        wrong, step_templates(), n=1, cutoff=0.0
+    )
     return core.Failure(
         core.ErrorKind.BAD_CONFIG,
         f"{name}:{line}:{column}: unknown step `{wrong}`; "
@@ -251,12 +257,12 @@
     )
 
 
-def templates() -> list[str]:
+def step_templates() -> list[str]:
     """Returns the form of every step, derived from the grammar.
 
-    >>> "kill a balancer" in templates()
+    >>> "kill a balancer" in step_templates()
     True
-    >>> "expect feed gaps at most NUMBER" in templates()
+    >>> "expect feed gaps at most NUMBER" in step_templates()
     True
     """
     rules = _grammar().partition("BOUND:")[0]
--- a/libs/lab/src/fireflyford/lab/scenarios/_lab_world.py
+++ b/libs/lab/src/fireflyford/lab/scenarios/_process_environment.py
@@ -15,8 +15,8 @@
 from fireflyford.lab import _faults
 from fireflyford.lab import _fleet
 from fireflyford.lab.experiments import _config_trial
+from fireflyford.lab.scenarios import _environment
 from fireflyford.lab.scenarios import _load
-from fireflyford.lab.scenarios import _world
 
 _FEED_INTERVAL_MS = 200
 _SAMPLE_MS = 100
@@ -24,7 +24,7 @@
 _PROXIED = frozenset({"fabric"})
 
 
-class LabWorld(_world.World):
+class ProcessEnvironment(_environment.Environment):
     """A fleet of real processes with callers, faults and figures."""
 
     def __init__(self, seed: int) -> None:
--- a/libs/lab/src/fireflyford/lab/scenarios/_play.py
+++ b/libs/lab/src/fireflyford/lab/scenarios/_runner.py
@@ -4,11 +4,11 @@
 
 from fireflyford import core
 from fireflyford.lab import experiments
-from fireflyford.lab.scenarios import _lab_world
 from fireflyford.lab.scenarios import _language
+from fireflyford.lab.scenarios import _process_environment
 
 
-async def play(
+async def run(
     text: str, path: str, seed: int
 ) -> core.Outcome[experiments.Result]:
     """Plays a scenario on real processes.
@@ -24,16 +24,16 @@
     parsed = _language.parse(text, path)
     if isinstance(parsed, core.Failure):
         return parsed
-    world = _lab_world.LabWorld(seed)
+    environment = _process_environment.ProcessEnvironment(seed)
     figures = []
     try:
         for step in parsed.value:
-            figure = await step.perform(world)
+            figure = await step.perform(environment)
             if figure is not None:
                 figures.append(figure)
     except (RuntimeError, ValueError) as error:
         return core.Failure(core.ErrorKind.BAD_CONFIG, f"{path}: {error}")
     finally:
-        world.close()
+        environment.close()
     name = pathlib.Path(path).stem
     return core.Ok(experiments.Result(name, seed, tuple(figures)))
--- a/libs/lab/tests/test_packet_flows.py
+++ b/libs/lab/tests/test_packet_flows.py
@@ -17,11 +17,13 @@
     Guards against homes that all choose the same backend server, since all of
     them read the same old loads.
     """
-    plan = _packet_flows.LoadPlan(1, slot_count, utilization, REQUEST_COUNT)
+    plan = _packet_flows.RequestPlan(1, slot_count, utilization, REQUEST_COUNT)
     built, *others = _packet_flows.policies(plan.seed)
-    result = _packet_flows.run_single(built, plan)
+    result = _packet_flows.run_short_lived(built, plan)
     for other in others:
-        baseline = _packet_flows.run_single(other, plan)
+        baseline = _packet_flows.run_short_lived(other, plan)
         assert result.mean_ms < baseline.mean_ms, other.name
         assert result.p99_ms <= baseline.p99_ms, other.name
-        assert result.in_aim_share >= baseline.in_aim_share, other.name
+        assert (
+            result.within_objective_ratio >= baseline.within_objective_ratio
+        ), other.name
