--- a/libs/lab/src/fireflyford/lab/experiments/__init__.py
+++ b/libs/lab/src/fireflyford/lab/experiments/__init__.py
@@ -1,6 +1,6 @@
 """Named experiments.
 
-Each module of this package that measures something has a tuple `EXPERIMENTS`.
+A module lists its experiments in a tuple `EXPERIMENTS`, which `find_all` reads.
 """
 
 import importlib
--- a/libs/lab/src/fireflyford/lab/experiments/_config_trial.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_config_trial.py
@@ -1,4 +1,4 @@
-"""A fleet whose configuration versions are sampled, for experiments."""
+"""Fleet whose configuration versions are sampled, for experiments on pushes."""
 
 from collections.abc import AsyncIterator
 from collections.abc import Iterable
@@ -16,19 +16,19 @@
 from fireflyford.lab import _fleet
 from fireflyford.lab.experiments import _framework
 
-IN_FORCE_LIMIT_MS = 3_000
-_GIVE_UP_MS = 10_000
-_SAMPLE_MS = 20
+MAX_ACTIVATION_MS = 3_000
+_TIMEOUT_MS = 10_000
+_SAMPLE_INTERVAL_MS = 20
 _BALANCER_COUNT = 6
 CLOCK = core.SystemClock()
 Figure = _framework.Figure
 
 
 class Trial:
-    """One running fleet, its store, and what was seen of versions."""
+    """A running fleet, its store, and the versions sampled so far."""
 
     def __init__(self, fleet: _fleet.Fleet, rng: random.Random) -> None:
-        """Takes a fleet that runs."""
+        """Initializes a trial on a running fleet."""
         self.fleet = fleet
         self.rng = rng
         self.config_store = store.ConfigStore(
@@ -36,15 +36,15 @@
         )
         self.accepted_version = 0
         self.rollback_count = 0
-        self._seen: dict[str, int] = {}
-        self._serial = 0
+        self._highest_versions: dict[str, int] = {}
+        self._config_number = 0
 
-    def new_text(self) -> str:
-        """Returns a deployment that differs from all before it."""
-        self._serial += 1
+    def make_config_text(self) -> str:
+        """Returns the text of a deployment that differs from earlier ones."""
+        self._config_number += 1
         first, *rest = self.fleet.deployment.services
         first = dataclasses.replace(
-            first, connections_per_target=2_000 + self._serial
+            first, connections_per_target=2_000 + self._config_number
         )
         deployment = dataclasses.replace(
             self.fleet.deployment, services=(first, *rest)
@@ -54,8 +54,8 @@
     async def push(
         self, base: int, author: str = "operator"
     ) -> core.Outcome[store.AcceptedPush]:
-        """Pushes a new text and keeps the version when it is accepted."""
-        push = store.Push(self.new_text(), base, author)
+        """Pushes a new configuration and records the accepted version."""
+        push = store.Push(self.make_config_text(), base, author)
         outcome = await self.config_store.push(push)
         if isinstance(outcome, core.Ok):
             self.accepted_version = max(
@@ -63,16 +63,16 @@
             )
         return outcome
 
-    async def switch(self, **switches: object) -> None:
-        """Switches faults of the store."""
+    async def set_store_faults(self, **faults: object) -> None:
+        """Sets or clears faults of the store."""
         await httpclient.AsyncHTTPClient().fetch(
             f"http://{self.fleet.store_address}/switch",
             method="POST",
-            body=json.dumps(switches),
+            body=json.dumps(faults),
         )
 
-    async def counts(self) -> dict[str, int]:
-        """Returns the calls of the store and its pending watches."""
+    async def count_store_calls(self) -> dict[str, int]:
+        """Returns the number of store calls and of pending watches."""
         reply = await httpclient.AsyncHTTPClient().fetch(
             f"http://{self.fleet.store_address}/counts"
         )
@@ -82,55 +82,57 @@
             "watches": counts["pending_watch_count"],
         }
 
-    async def time_in_force(
+    async def measure_activation_ms(
         self, version: int, balancers: Iterable[str] = ()
     ) -> float:
-        """Returns the time until every balancer runs a version.
+        """Measures the time until every balancer runs a version.
 
-        Started before the push, it gives an upper bound of the time from
-        acceptance, because it contains the push itself.
+        Started before the push, it gives an upper bound of the time since
+        acceptance, because it includes the push itself.
 
         Args:
             version: Version to wait for.
-            balancers: Names of the balancers that count, all when empty.
+            balancers: Names of the balancers to wait for, all when empty.
 
         Returns:
-            Milliseconds from now, the limit when it did not happen.
+            Milliseconds from now, the timeout if it was reached.
         """
         start_ms = CLOCK.now_ms()
         names = list(balancers) or list(self.fleet.balancers)
-        while CLOCK.now_ms() - start_ms < _GIVE_UP_MS:
-            versions = [await self.sample(name) for name in names]
+        while CLOCK.now_ms() - start_ms < _TIMEOUT_MS:
+            versions = [await self.sample_version(name) for name in names]
             if min(versions) >= version:
                 break
-            await CLOCK.sleep(_SAMPLE_MS)
+            await CLOCK.sleep(_SAMPLE_INTERVAL_MS)
         return CLOCK.now_ms() - start_ms
 
-    async def sample(self, name: str) -> int:
-        """Returns a balancer's version, and counts it if it went back."""
+    async def sample_version(self, name: str) -> int:
+        """Returns the version of a balancer; counts it if it is a rollback."""
         address = self.fleet.balancers[name].status_address
         status = await _fleet.fetch_status(address)
         version = int(str(status.get("config", {}).get("version", -1)))
         if version >= 0:
-            self.rollback_count += version < self._seen.get(name, 0)
-            self._seen[name] = max(version, self._seen.get(name, 0))
+            self.rollback_count += version < self._highest_versions.get(name, 0)
+            self._highest_versions[name] = max(
+                version, self._highest_versions.get(name, 0)
+            )
         return version
 
-    async def ready_version(self, name: str) -> int:
-        """Returns the version of a new balancer when it takes work."""
+    async def wait_ready_version(self, name: str) -> int:
+        """Returns the version of a new balancer once it is ready, or -1."""
         address = self.fleet.balancers[name].status_address
         client = httpclient.AsyncHTTPClient()
-        limit_ms = CLOCK.now_ms() + _GIVE_UP_MS
+        limit_ms = CLOCK.now_ms() + _TIMEOUT_MS
         while CLOCK.now_ms() < limit_ms:
             with contextlib.suppress(OSError, httpclient.HTTPError):
                 await client.fetch(f"http://{address}/readyz")
-                return await self.sample(name)
-            await CLOCK.sleep(_SAMPLE_MS)
+                return await self.sample_version(name)
+            await CLOCK.sleep(_SAMPLE_INTERVAL_MS)
         return -1
 
 
 @contextlib.asynccontextmanager
-async def running(
+async def run_trial(
     seed: int, balancer_count: int = _BALANCER_COUNT
 ) -> AsyncIterator[Trial]:
     """Runs balancers, one target of each service, and the store."""
@@ -145,23 +147,23 @@
     )
     try:
         await fleet.start()
-        # Readers are chosen once every balancer knows the others.
+        # Config readers are selected once all balancers know each other.
         await CLOCK.sleep(2_000)
         yield Trial(fleet, rng)
     finally:
         fleet.stop()
 
 
-def in_force_figure(times_ms: list[float]) -> Figure:
-    """Returns the longest of the times with its target."""
+def activation_figure(times_ms: list[float]) -> Figure:
+    """Returns the longest of the times as a figure with its target."""
     return Figure(
         "longest time until in force at every balancer",
         max(times_ms),
         "ms",
-        IN_FORCE_LIMIT_MS,
+        MAX_ACTIVATION_MS,
     )
 
 
-def zero(name: str, count: int) -> Figure:
-    """Returns a figure that must be 0."""
+def zero_figure(name: str, count: int) -> Figure:
+    """Returns a figure whose target is 0."""
     return Figure(name, count, "1", 0)
--- a/libs/lab/src/fireflyford/lab/experiments/_configuration.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_configuration.py
@@ -1,7 +1,7 @@
-"""Configuration: acceptance, spread, and a store that fails.
+"""Experiments on configuration pushes, propagation and store failures.
 
-Every experiment runs real balancers, agents and the stand-in store, and
-samples the version at every instance while it runs.
+Every experiment runs real balancers, agents and the test store, and samples
+the version of every balancer meanwhile.
 """
 
 import asyncio
@@ -17,17 +17,17 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class _Round:
-    """What one round of pushes from one base gave."""
+class _PushRound:
+    """Outcomes of concurrent pushes with the same base version."""
 
     push_count: int
     winner_count: int
-    unnamed_count: int
+    winner_not_named_count: int
     elapsed_ms: float
 
 
-class _Race(_framework.Experiment):
-    """Operators that push at the same time."""
+class _ConcurrentPushes(_framework.Experiment):
+    """Several operators push at the same time."""
 
     _ROUND_COUNT = 20
 
@@ -38,13 +38,13 @@
 
     @property
     def summary(self) -> str:
-        """One line for the list."""
+        """One-line description that `list` prints."""
         return "2 to 4 operators push from one base; exactly one must win"
 
     async def run(self, seed: int) -> _framework.Result:
         """Runs 20 rounds."""
-        rounds: list[_Round] = []
-        async with _config_trial.running(seed) as trial:
+        rounds: list[_PushRound] = []
+        async with _config_trial.run_trial(seed) as trial:
             for version in range(self._ROUND_COUNT):
                 rounds.append(await self._run_round(trial, version))
             history = await trial.config_store.history(100)
@@ -55,32 +55,36 @@
             seed,
             (
                 Figure("pushes", sum(item.push_count for item in rounds), "1"),
-                _config_trial.zero(
+                _config_trial.zero_figure(
                     "rounds without exactly one winner",
                     sum(item.winner_count != 1 for item in rounds),
                 ),
-                _config_trial.zero(
+                _config_trial.zero_figure(
                     "losers not told who changed what",
-                    sum(item.unnamed_count for item in rounds),
+                    sum(item.winner_not_named_count for item in rounds),
                 ),
-                _config_trial.zero(
+                _config_trial.zero_figure(
                     "versions missing in the audit trail",
                     self._ROUND_COUNT - len(entries),
                 ),
-                _config_trial.in_force_figure(
+                _config_trial.activation_figure(
                     [item.elapsed_ms for item in rounds]
                 ),
-                _config_trial.zero("versions that went back", rollback_count),
+                _config_trial.zero_figure(
+                    "versions that went back", rollback_count
+                ),
             ),
         )
 
     async def _run_round(
         self, trial: _config_trial.Trial, version: int
-    ) -> _Round:
+    ) -> _PushRound:
         authors = [
             f"operator-{index}" for index in range(trial.rng.choice((2, 3, 4)))
         ]
-        watcher = asyncio.create_task(trial.time_in_force(version + 1))
+        activation = asyncio.create_task(
+            trial.measure_activation_ms(version + 1)
+        )
         outcomes = await asyncio.gather(
             *(trial.push(version, author) for author in authors)
         )
@@ -89,22 +93,22 @@
             for item in outcomes
             if isinstance(item, core.Ok)
         ]
-        unnamed_count = sum(
+        winner_not_named_count = sum(
             item.kind is not core.ErrorKind.CONFIG_CONFLICT
             or not any(winner in item.message for winner in winners)
             for item in outcomes
             if isinstance(item, core.Failure)
         )
-        return _Round(
+        return _PushRound(
             push_count=len(outcomes),
             winner_count=len(winners),
-            unnamed_count=unnamed_count,
-            elapsed_ms=await watcher,
+            winner_not_named_count=winner_not_named_count,
+            elapsed_ms=await activation,
         )
 
 
-class _LostAnswer(_framework.Experiment):
-    """Answers lost after the write took effect."""
+class _LostResponse(_framework.Experiment):
+    """The store loses responses after the write took effect."""
 
     _ROUND_COUNT = 20
 
@@ -115,56 +119,62 @@
 
     @property
     def summary(self) -> str:
-        """One line for the list."""
-        return "answers of the store are lost; reports must be true, once each"
+        """One-line description that `list` prints."""
+        return (
+            "answers of the store are lost; pushes apply once, reports are true"
+        )
 
     async def run(self, seed: int) -> _framework.Result:
         """Runs 20 rounds, some on a slow store."""
-        false_count = retry_count = 0
+        failed_count = unrecognized_count = 0
         times_ms: list[float] = []
-        async with _config_trial.running(seed) as trial:
+        async with _config_trial.run_trial(seed) as trial:
             for version in range(self._ROUND_COUNT):
-                await trial.switch(
+                await trial.set_store_faults(
                     lose_answer_count=trial.rng.choice((1, 2)),
                     slow_ms=trial.rng.choice((0, 0, 50, 300)),
                 )
-                push = store.Push(trial.new_text(), version, "operator")
-                watcher = asyncio.create_task(trial.time_in_force(version + 1))
+                push = store.Push(trial.make_config_text(), version, "operator")
+                activation = asyncio.create_task(
+                    trial.measure_activation_ms(version + 1)
+                )
                 first = await trial.config_store.push(push)
                 again = await trial.config_store.push(push)
-                await trial.switch(lose_answer_count=0, slow_ms=0)
-                false_count += not isinstance(first, core.Ok)
-                retry_count += not (
+                await trial.set_store_faults(lose_answer_count=0, slow_ms=0)
+                failed_count += not isinstance(first, core.Ok)
+                unrecognized_count += not (
                     isinstance(again, core.Ok) and again.value.already_applied
                 )
-                times_ms.append(await watcher)
+                times_ms.append(await activation)
             history = await trial.config_store.history(100)
             rollback_count = trial.rollback_count
         entries = history.value if isinstance(history, core.Ok) else ()
-        extra_count = len({item.identity for item in entries})
+        distinct_count = len({item.identity for item in entries})
         return _framework.Result(
             self.name,
             seed,
             (
-                _config_trial.zero(
-                    "accepted pushes reported as failed", false_count
+                _config_trial.zero_figure(
+                    "accepted pushes reported as failed", failed_count
                 ),
-                _config_trial.zero(
-                    "retried pushes not recognised", retry_count
+                _config_trial.zero_figure(
+                    "retried pushes not recognised", unrecognized_count
                 ),
-                _config_trial.zero(
+                _config_trial.zero_figure(
                     "pushes not applied exactly once",
                     abs(len(entries) - self._ROUND_COUNT)
-                    + abs(extra_count - self._ROUND_COUNT),
+                    + abs(distinct_count - self._ROUND_COUNT),
+                ),
+                _config_trial.activation_figure(times_ms),
+                _config_trial.zero_figure(
+                    "versions that went back", rollback_count
                 ),
-                _config_trial.in_force_figure(times_ms),
-                _config_trial.zero("versions that went back", rollback_count),
             ),
         )
 
 
-class _Outage(_framework.Experiment):
-    """A store that goes down just after it accepted, and is restored old."""
+class _StoreOutage(_framework.Experiment):
+    """The store fails just after a push, and is restored from a snapshot."""
 
     _ROUND_COUNT = 8
 
@@ -175,85 +185,97 @@
 
     @property
     def summary(self) -> str:
-        """One line for the list."""
+        """One-line description that `list` prints."""
         return "the store goes down 200 ms after acceptance, restarts, restore"
 
     async def run(self, seed: int) -> _framework.Result:
-        """Runs outages, restarts and a restore, then counts calls."""
-        async with _config_trial.running(seed) as trial:
+        """Runs outages, restarts and a restore, then counts store calls."""
+        async with _config_trial.run_trial(seed) as trial:
             times_ms = [
-                await self._outage(trial, version)
+                await self._run_outage(trial, version)
                 for version in range(self._ROUND_COUNT)
             ]
             figures = [
-                _config_trial.in_force_figure(times_ms),
-                *await self._restart(trial),
-                *await self._restore(trial),
-                _config_trial.zero(
+                _config_trial.activation_figure(times_ms),
+                *await self._replace_balancers(trial),
+                *await self._restore_snapshot(trial),
+                _config_trial.zero_figure(
                     "versions that went back", trial.rollback_count
                 ),
             ]
         return _framework.Result(
-            self.name, seed, (*figures, *await _compare_calls(seed))
+            self.name, seed, (*figures, *await _compare_store_calls(seed))
         )
 
-    async def _outage(self, trial: _config_trial.Trial, version: int) -> float:
-        watcher = asyncio.create_task(trial.time_in_force(version + 1))
+    async def _run_outage(
+        self, trial: _config_trial.Trial, version: int
+    ) -> float:
+        activation = asyncio.create_task(
+            trial.measure_activation_ms(version + 1)
+        )
         await trial.push(version)
         accepted_ms = _config_trial.CLOCK.now_ms()
         await _config_trial.CLOCK.sleep(
             200 - (_config_trial.CLOCK.now_ms() - accepted_ms)
         )
-        await trial.switch(down=True)
-        elapsed_ms = await watcher
+        await trial.set_store_faults(down=True)
+        elapsed_ms = await activation
         await _config_trial.CLOCK.sleep(trial.rng.uniform(0, 2_000))
-        await trial.switch(down=False)
+        await trial.set_store_faults(down=False)
         return elapsed_ms
 
-    async def _restart(self, trial: _config_trial.Trial) -> list[Figure]:
-        """Replaces balancers, the first reader included, without a store."""
-        await trial.switch(down=True)
+    async def _replace_balancers(
+        self, trial: _config_trial.Trial
+    ) -> list[Figure]:
+        """Replaces three balancers, one a reader, while the store is down."""
+        await trial.set_store_faults(down=True)
         old_count = 0
         for name in list(trial.fleet.balancers)[:3]:
             balancer = trial.fleet.balancers.pop(name)
             trial.fleet.kill(balancer.process)
             started = trial.fleet.start_balancer()
-            version = await trial.ready_version(started.name)
+            version = await trial.wait_ready_version(started.name)
             old_count += version != trial.accepted_version
-        await trial.switch(down=False)
+        await trial.set_store_faults(down=False)
         return [
-            _config_trial.zero(
+            _config_trial.zero_figure(
                 "restarts that served an old version", old_count
             ),
             Figure("accepted version", trial.accepted_version, "1"),
         ]
 
-    async def _restore(self, trial: _config_trial.Trial) -> list[Figure]:
-        """Restores a snapshot from before two pushes."""
-        await trial.switch(save_snapshot=True)
+    async def _restore_snapshot(
+        self, trial: _config_trial.Trial
+    ) -> list[Figure]:
+        """Restores a snapshot that is two pushes old."""
+        await trial.set_store_faults(save_snapshot=True)
         before = trial.accepted_version
         for base in (before, before + 1):
             await trial.push(base)
-        lost = trial.accepted_version
-        await trial.time_in_force(lost)
-        await trial.switch(restore_snapshot=True)
+        latest = trial.accepted_version
+        await trial.measure_activation_ms(latest)
+        await trial.set_store_faults(restore_snapshot=True)
         await _config_trial.CLOCK.sleep(3_000)
-        kept = [await trial.sample(name) for name in trial.fleet.balancers]
+        versions = [
+            await trial.sample_version(name) for name in trial.fleet.balancers
+        ]
         stale = await trial.push(before)
-        watcher = asyncio.create_task(trial.time_in_force(lost + 1))
-        repaired = await trial.push(lost)
-        elapsed_ms = await watcher
+        activation = asyncio.create_task(
+            trial.measure_activation_ms(latest + 1)
+        )
+        repaired = await trial.push(latest)
+        elapsed_ms = await activation
         return [
-            _config_trial.zero(
+            _config_trial.zero_figure(
                 "balancers that followed the restored store",
-                sum(version != lost for version in kept),
+                sum(version != latest for version in versions),
             ),
-            _config_trial.zero(
+            _config_trial.zero_figure(
                 "pushes from the restored version that were accepted",
                 not isinstance(stale, core.Failure)
                 or stale.kind is not core.ErrorKind.CONFIG_STALE,
             ),
-            _config_trial.zero(
+            _config_trial.zero_figure(
                 "pushes with the base in force that were refused",
                 isinstance(repaired, core.Failure),
             ),
@@ -261,15 +283,15 @@
                 "time until in force after the restore",
                 elapsed_ms,
                 "ms",
-                _config_trial.IN_FORCE_LIMIT_MS,
+                _config_trial.MAX_ACTIVATION_MS,
             ),
         ]
 
 
-async def _compare_calls(seed: int) -> list[Figure]:
-    """Compares the store's load by few and by many balancers."""
-    few = await _measure_calls(seed, 4)
-    many = await _measure_calls(seed, 12)
+async def _compare_store_calls(seed: int) -> list[Figure]:
+    """Compares the load on the store of 4 and of 12 balancers."""
+    few = await _measure_store_calls(seed, 4)
+    many = await _measure_store_calls(seed, 12)
     return [
         Figure("store calls of 4 balancers", few[0], "1/s"),
         Figure("store calls of 12 balancers", many[0], "1/s"),
@@ -279,14 +301,17 @@
     ]
 
 
-async def _measure_calls(seed: int, count: int) -> tuple[float, int]:
-    async with _config_trial.running(seed, count) as trial:
+async def _measure_store_calls(seed: int, count: int) -> tuple[float, int]:
+    async with _config_trial.run_trial(seed, count) as trial:
         await _config_trial.CLOCK.sleep(2_000)
-        before, start_ms = await trial.counts(), _config_trial.CLOCK.now_ms()
+        before, start_ms = (
+            await trial.count_store_calls(),
+            _config_trial.CLOCK.now_ms(),
+        )
         watches = []
         for _ in range(10):
             await _config_trial.CLOCK.sleep(1_000)
-            after = await trial.counts()
+            after = await trial.count_store_calls()
             watches.append(after["watches"])
         elapsed_ms = _config_trial.CLOCK.now_ms() - start_ms
     rate = (after["calls"] - before["calls"]) * 1000 / elapsed_ms
@@ -294,7 +319,7 @@
 
 
 class _LeasePause(_framework.Experiment):
-    """A lease that expires while its holder is paused."""
+    """The lease of a config reader expires while the reader is paused."""
 
     @property
     def name(self) -> str:
@@ -303,14 +328,16 @@
 
     @property
     def summary(self) -> str:
-        """One line for the list."""
-        return "a reader is paused past its lease; two hold it, none is harmed"
+        """One-line description that `list` prints."""
+        return (
+            "a reader is paused past its lease; two readers at once do no harm"
+        )
 
     async def run(self, seed: int) -> _framework.Result:
-        """Pauses each reader in turn while operators push."""
+        """Pauses a randomly chosen reader while operators push."""
         times_ms: list[float] = []
-        async with _config_trial.running(seed) as trial:
-            readers = await self._readers(trial)
+        async with _config_trial.run_trial(seed) as trial:
+            readers = await self._list_readers(trial)
             paused = trial.rng.choice(readers)
             process = trial.fleet.balancers[paused].process
             process.send_signal(signal.SIGSTOP)
@@ -319,27 +346,29 @@
                 await _config_trial.CLOCK.sleep(
                     (store.LEASE_DURATION_S + 3) * 1000
                 )
-                during = await self._readers(trial)
-                watcher = asyncio.create_task(trial.time_in_force(1, running))
+                during = await self._list_readers(trial)
+                activation = asyncio.create_task(
+                    trial.measure_activation_ms(1, running)
+                )
                 await trial.push(0)
-                times_ms.append(await watcher)
+                times_ms.append(await activation)
             finally:
                 process.send_signal(signal.SIGCONT)
-            times_ms.append(await trial.time_in_force(1))
+            times_ms.append(await trial.measure_activation_ms(1))
             await _config_trial.CLOCK.sleep(4_000)
-            after = await self._readers(trial)
-            watcher = asyncio.create_task(trial.time_in_force(2))
+            after = await self._list_readers(trial)
+            activation = asyncio.create_task(trial.measure_activation_ms(2))
             await trial.push(1)
-            times_ms.append(await watcher)
+            times_ms.append(await activation)
             joined = trial.fleet.start_balancer()
-            version = await trial.ready_version(joined.name)
+            version = await trial.wait_ready_version(joined.name)
             rollback_count = trial.rollback_count
         return _framework.Result(
             self.name,
             seed,
             (
                 Figure("join entries before the pause", len(readers), "1", 3),
-                _config_trial.zero(
+                _config_trial.zero_figure(
                     "entry of the paused holder kept", paused in during
                 ),
                 Figure(
@@ -350,19 +379,26 @@
                     _framework.Bound.AT_LEAST,
                 ),
                 Figure("join entries after the pause", len(after), "1", 4),
-                _config_trial.in_force_figure(times_ms),
-                _config_trial.zero(
+                _config_trial.activation_figure(times_ms),
+                _config_trial.zero_figure(
                     "balancer that joined with an old version", version != 2
                 ),
-                _config_trial.zero("versions that went back", rollback_count),
+                _config_trial.zero_figure(
+                    "versions that went back", rollback_count
+                ),
             ),
         )
 
-    async def _readers(self, trial: _config_trial.Trial) -> list[str]:
+    async def _list_readers(self, trial: _config_trial.Trial) -> list[str]:
         client = store.EtcdStore([trial.fleet.store_address])
         outcome = await client.read("fireflyford/join/")
         entries = outcome.value.entries if isinstance(outcome, core.Ok) else ()
         return [entry.key.rpartition("/")[2] for entry in entries]
 
 
-EXPERIMENTS = (_Race(), _LostAnswer(), _Outage(), _LeasePause())
+EXPERIMENTS = (
+    _ConcurrentPushes(),
+    _LostResponse(),
+    _StoreOutage(),
+    _LeasePause(),
+)
--- a/libs/lab/src/fireflyford/lab/experiments/_control.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_control.py
@@ -1,4 +1,4 @@
-"""Cost and speed of membership, over real sockets on loopback."""
+"""Experiment on the cost and speed of membership over loopback sockets."""
 
 from collections.abc import Callable
 import math
@@ -14,33 +14,35 @@
 from fireflyford.lab.experiments import _control_fleet
 from fireflyford.lab.experiments import _framework
 
-# Balancers and agents, in about the proportion of 590 to 4,000.
-FLEETS = ((2, 8), (4, 26), (13, 87))
+# Balancers and agents, in about the full-scale proportion of 590 to 4,000.
+FLEET_SIZES = ((2, 8), (4, 26), (13, 87))
 FULL_BALANCER_COUNT = 590
 FULL_AGENT_COUNT = 4_000
-# Restarts make three changes each, failures and pushes one.
+# Each restart causes three changes, each failure and each push one.
 CHANGES_PER_DAY = 230 * 3 + 12 + 380
 _SECONDS_PER_DAY = 86_400
-# The bound that balancers keep, and the candidates that a member knows.
+# Bound on the members that a balancer observes, and the number of candidates
+# that a member ranks.
 _LOAD_BOUND_RATIO = 1.25
 _LOAD_BOUND_SLACK = 1
-_RANK_COUNT = 8
+_CANDIDATE_COUNT = 8
 _MAX_BYTES_PER_S = 3_000
 _MAX_CPU_RATIO = 0.043
 _MAX_MEMORY_MB = 128
-_MAX_SPREAD_MS = 3_000
+_MAX_PROPAGATION_MS = 3_000
 _MB = 1e6
 
 
 def full_scale_loads() -> list[int]:
-    """Returns how many members each of 590 balancers would observe.
+    """Returns the number of members that each of 590 balancers would observe.
 
-    Each member goes to its best two candidates that are not full, in the
-    order of the members' names; a balancer is full at 1.25 times the mean
-    and one more.
+    Members are assigned in the order of their names, each to its two
+    highest-ranked candidates below the limit, which is 1.25 times the mean
+    plus one.
     """
     balancers = [
-        _record(f"balancer-{index}") for index in range(FULL_BALANCER_COUNT)
+        _make_member(f"balancer-{index}")
+        for index in range(FULL_BALANCER_COUNT)
     ]
     names = [f"agent-{index}" for index in range(FULL_AGENT_COUNT)]
     names += [balancer.instance_id for balancer in balancers]
@@ -48,7 +50,9 @@
     limit = _LOAD_BOUND_RATIO * mean_count + _LOAD_BOUND_SLACK
     loads = dict.fromkeys((item.instance_id for item in balancers), 0)
     for name in names:
-        ranked = membership.select_by_rendezvous(name, balancers, _RANK_COUNT)
+        ranked = membership.select_by_rendezvous(
+            name, balancers, _CANDIDATE_COUNT
+        )
         usable = [
             observer.instance_id
             for observer in ranked
@@ -61,11 +65,11 @@
 
 
 def view_memory_mb(member_count: int) -> float:
-    """Returns the memory of one view, measured."""
+    """Measures the memory of one view."""
     tracemalloc.start()
     try:
         view = membership.View(
-            _record(f"agent-{index}") for index in range(member_count)
+            _make_member(f"agent-{index}") for index in range(member_count)
         )
         for member in view.members.values():
             _ = member.fingerprint
@@ -75,7 +79,7 @@
     return used_bytes / _MB
 
 
-def _record(name: str) -> membership.Member:
+def _make_member(name: str) -> membership.Member:
     return membership.Member(
         instance_id=name,
         role=core.Role.BALANCER,
@@ -90,9 +94,11 @@
     )
 
 
-def _fit(points: list[tuple[float, float]]) -> Callable[[float], float]:
-    slope, start = np.polyfit([x for x, _ in points], [y for _, y in points], 1)
-    return lambda x: float(start + slope * x)
+def _fit_line(points: list[tuple[float, float]]) -> Callable[[float], float]:
+    slope, intercept = np.polyfit(
+        [x for x, _ in points], [y for _, y in points], 1
+    )
+    return lambda x: float(intercept + slope * x)
 
 
 def _fleet_figures(sample: _control_fleet.Sample) -> list[_framework.Figure]:
@@ -120,13 +126,13 @@
             f"death-known-worst-{size}",
             max(sample.death_ms),
             "ms",
-            _MAX_SPREAD_MS,
+            _MAX_PROPAGATION_MS,
         ),
         figure(
             f"drain-known-worst-{size}",
             max(sample.drain_ms),
             "ms",
-            _MAX_SPREAD_MS,
+            _MAX_PROPAGATION_MS,
         ),
     ]
 
@@ -135,7 +141,7 @@
     samples: list[_control_fleet.Sample], base_memory_mb: float
 ) -> list[_framework.Figure]:
     """Extrapolates to 590 balancers and 4,000 agents."""
-    bytes_at = _fit(
+    bytes_at = _fit_line(
         [
             (float(observed), rate)
             for sample in samples
@@ -143,15 +149,17 @@
         ]
     )
     largest = samples[-1]
-    rounds = math.log2(FULL_BALANCER_COUNT) / math.log2(largest.balancer_count)
-    change_bytes = largest.change_bytes * rounds
+    round_ratio = math.log2(FULL_BALANCER_COUNT) / math.log2(
+        largest.balancer_count
+    )
+    change_bytes = largest.change_bytes * round_ratio
     change_rate = change_bytes * CHANGES_PER_DAY / _SECONDS_PER_DAY
     loads = full_scale_loads()
     worst_bytes = bytes_at(max(loads)) + change_rate
     total_bytes = sum(rate for _, rate in largest.balancer_loads)
     total_bytes += sum(largest.agent_bytes_per_s)
     cpu_per_byte = largest.cpu_ratio / total_bytes
-    death_at = _fit(
+    death_at = _fit_line(
         [
             (math.log2(sample.balancer_count), delay_ms)
             for sample in samples
@@ -187,13 +195,13 @@
             "death-known-mean-590",
             death_at(math.log2(FULL_BALANCER_COUNT)),
             "ms",
-            _MAX_SPREAD_MS,
+            _MAX_PROPAGATION_MS,
         ),
     ]
 
 
 class ControlCost(_framework.Experiment):
-    """Traffic, processor, memory and speed of membership."""
+    """Network traffic, CPU, memory and propagation delay of membership."""
 
     @property
     def name(self) -> str:
@@ -202,18 +210,20 @@
 
     @property
     def summary(self) -> str:
-        """One line for the list."""
+        """One-line description that `list` prints."""
         return "membership at 10, 30 and 100 members, and at 590 and 4,000"
 
     async def run(self, seed: int) -> _framework.Result:
-        """Runs once.
+        """Runs the experiment once.
 
         Args:
-            seed: Seed of keys, zones and gossip.
+            seed: Seed of incarnations, zones and gossip.
         """
         rng = random.Random(seed)
         base_memory_mb = psutil.Process().memory_info().rss / _MB
-        samples = [await _control_fleet.measure(*size, rng) for size in FLEETS]
+        samples = [
+            await _control_fleet.measure(*size, rng) for size in FLEET_SIZES
+        ]
         figures = [
             figure for sample in samples for figure in _fleet_figures(sample)
         ]
--- a/libs/lab/src/fireflyford/lab/experiments/_control_fleet.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_control_fleet.py
@@ -1,4 +1,4 @@
-"""Members with real sockets in one process, and what they cost."""
+"""Membership fleet with real sockets in one process, and its measurements."""
 
 import asyncio
 from collections.abc import Iterable
@@ -13,26 +13,26 @@
 
 _SERVICE_SIZE = 10
 _ZONE_COUNT = 7
-# Header of IP and UDP.
+# Headers of IPv4 and UDP.
 _HEADER_BYTES = 28
-# Connection, handshake and end of one pull over TCP, estimated.
+# Approximate size of connection set-up, handshake and close of a pull over TCP.
 _PULL_OVERHEAD_BYTES = 1_000
-# Joining balancers compare their views often during the first 10 s, and refused
-# members try again after 20 s.
+# Joining balancers exchange view digests frequently during the first 10 s, and
+# refused members retry after 20 s.
 _SETTLE_MS = 25_000
 _STEADY_MS = 10_000
-_LIMIT_MS = 20_000
-_POLL_MS = 5
+_TIMEOUT_MS = 20_000
+_POLL_INTERVAL_MS = 5
 _CHANGE_COUNT = 4
-# Time in which the gossip of one change ends.
-_SPREAD_MS = 3_000
+# Time for the gossip about one change to end.
+_PROPAGATION_MS = 3_000
 _CLOCK = core.SystemClock()
 _KEY = b"k" * 16
 
 
 @dataclasses.dataclass(frozen=True)
 class Node:
-    """One member and its sockets."""
+    """A member with its sockets and tasks."""
 
     name: str
     member: membership.Membership
@@ -40,7 +40,7 @@
     tasks: tuple[asyncio.Task[None], ...]
 
     def traffic(self) -> tuple[int, int]:
-        """Returns bytes with headers and datagrams, both directions."""
+        """Returns the bytes with headers, and datagrams, of both directions."""
         channel = self.channel
         count = channel.sent_count + channel.received_count
         total_bytes = (
@@ -53,7 +53,7 @@
         return (total_bytes, count)
 
     async def stop(self) -> None:
-        """Ends the member without notice."""
+        """Stops the member abruptly, without announcing that it leaves."""
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -62,17 +62,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Sample:
-    """What one fleet has shown.
+    """Measurements of one fleet.
 
     Attributes:
         balancer_count: Balancers of the fleet.
         agent_count: Agents of the fleet.
         balancer_loads: Observed members and bytes per second of each balancer.
         agent_bytes_per_s: Traffic of each agent.
-        cpu_ratio: Processor time of the process over elapsed time.
-        datagrams_per_s: Datagrams sent and received in the process.
-        change_bytes: Bytes per balancer that one change costs.
-        detection_ms: Time from a kill to the first view that shows it.
+        cpu_ratio: CPU time of the process over elapsed time.
+        datagrams_per_s: Datagrams that the process sends and receives.
+        change_bytes: Traffic of one change, in bytes per balancer.
+        detection_ms: Time from a kill until the first view shows it.
         death_ms: Time from a kill until every view shows it.
         drain_ms: Time from a drain until every view shows it.
     """
@@ -95,10 +95,10 @@
 
 
 class MemberFleet:
-    """Members in this process, each with sockets of its own."""
+    """Members in this process, each with its own sockets."""
 
     def __init__(self, rng: random.Random) -> None:
-        """Starts without members."""
+        """Initializes an empty fleet."""
         self._rng = rng
         self._seeds: list[core.Address] = []
         self.balancers: list[Node] = []
@@ -148,36 +148,38 @@
     async def wait_for(
         self, names: Iterable[str], state: membership.State
     ) -> tuple[float, float]:
-        """Waits until every balancer has the members in a state.
+        """Waits until every balancer's view shows the members in a state.
 
         Returns:
-            Time until the first and until the last balancer, in ms.
+            Time until the first and until the last view does, in ms.
 
         Raises:
-            TimeoutError: It took more than 20 s.
+            TimeoutError: Not all views did within 20 s.
         """
-        wanted = list(names)
+        expected = list(names)
         start_ms = _CLOCK.now_ms()
         waiting = {node.name: node.member for node in self.balancers}
         first_ms = math.inf
         while waiting:
             elapsed_ms = _CLOCK.now_ms() - start_ms
-            if elapsed_ms > _LIMIT_MS:
-                raise TimeoutError(f"{wanted[0]} is not {state} everywhere")
+            if elapsed_ms > _TIMEOUT_MS:
+                raise TimeoutError(
+                    f"{expected[0]} is not {state} in every view after 20 s"
+                )
             for name, member in list(waiting.items()):
-                if _shows(member.view(), wanted, state):
+                if _all_in_state(member.view(), expected, state):
                     del waiting[name]
                     first_ms = min(first_ms, elapsed_ms)
-            await _CLOCK.sleep(_POLL_MS)
+            await _CLOCK.sleep(_POLL_INTERVAL_MS)
         return (first_ms, _CLOCK.now_ms() - start_ms)
 
     async def stop(self) -> None:
-        """Ends all members."""
+        """Stops all members."""
         for node in (*self.agents, *self.balancers):
             await node.stop()
 
 
-def _shows(
+def _all_in_state(
     view: membership.View, names: list[str], state: membership.State
 ) -> bool:
     return all(
@@ -189,7 +191,7 @@
 async def measure(
     balancer_count: int, agent_count: int, rng: random.Random
 ) -> Sample:
-    """Runs one fleet and returns what it has shown."""
+    """Runs one fleet and returns its measurements."""
     fleet = MemberFleet(rng)
     try:
         await fleet.start(balancer_count, agent_count)
@@ -209,10 +211,10 @@
             (node.member.observed_count, rates[node.name])
             for node in fleet.balancers
         )
-        change_bytes, drain_ms = await _drain_some(
+        change_bytes, drain_ms = await _drain_agents(
             fleet, sum(load[1] for load in loads) / balancer_count
         )
-        deaths = await _kill_some(fleet)
+        kill_delays = await _kill_agents(fleet)
     finally:
         await fleet.stop()
     return Sample(
@@ -223,20 +225,20 @@
         cpu_ratio=cpu_s / elapsed_s,
         datagrams_per_s=count / elapsed_s,
         change_bytes=change_bytes,
-        detection_ms=tuple(first for first, _ in deaths),
-        death_ms=tuple(last for _, last in deaths),
+        detection_ms=tuple(first for first, _ in kill_delays),
+        death_ms=tuple(last for _, last in kill_delays),
         drain_ms=drain_ms,
     )
 
 
-async def _drain_some(
+async def _drain_agents(
     fleet: MemberFleet, steady_bytes_per_s: float
 ) -> tuple[float, tuple[float, ...]]:
-    """Drains agents one by one.
+    """Drains agents one after another.
 
     Returns:
-        Bytes per balancer that one change costs, and the times until every
-        view shows each change.
+        Traffic of one change in bytes per balancer, and for each change the
+        time until every view shows it.
     """
     before = sum(node.traffic()[0] for node in fleet.balancers)
     start_ms = _CLOCK.now_ms()
@@ -248,7 +250,7 @@
             [node.name], membership.State.DRAINING
         )
         times_ms.append(last_ms)
-        await _CLOCK.sleep(_SPREAD_MS)
+        await _CLOCK.sleep(_PROPAGATION_MS)
     after = sum(node.traffic()[0] for node in fleet.balancers)
     elapsed_s = (_CLOCK.now_ms() - start_ms) / 1_000
     extra_bytes = (after - before) / len(
@@ -257,7 +259,7 @@
     return (max(0.0, extra_bytes / len(drained)), tuple(times_ms))
 
 
-async def _kill_some(fleet: MemberFleet) -> list[tuple[float, float]]:
+async def _kill_agents(fleet: MemberFleet) -> list[tuple[float, float]]:
     times_ms = []
     for node in fleet.agents[:_CHANGE_COUNT]:
         await node.stop()
--- a/libs/lab/src/fireflyford/lab/experiments/_datagram_flows.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_datagram_flows.py
@@ -1,4 +1,4 @@
-"""Flows without identifier under planned changes and kills."""
+"""Experiment on flows without identifier under planned changes and kills."""
 
 import asyncio
 import random
@@ -6,12 +6,20 @@
 from fireflyford.lab import _flow_run
 from fireflyford.lab.experiments import _framework
 
-_FLOWS = 5_000
-_PACKETS = 40_000
+_FLOW_COUNT = 5_000
+_PACKET_COUNT = 40_000
 _DURATION_MS = 40_000
 _BALANCER_COUNTS = (3, 5, 8)
-_PLANNED = ("drain", "join", "weight", "drain", "join", "weight", "join")
-_KILLS = ("kill", "join", "kill", "drain", "kill")
+_PLANNED_CHANGES = (
+    "drain",
+    "join",
+    "weight",
+    "drain",
+    "join",
+    "weight",
+    "join",
+)
+_KILLS_AND_CHANGES = ("kill", "join", "kill", "drain", "kill")
 
 
 def _run(plan: _flow_run.Plan, seed: int) -> _flow_run.FlowRun:
@@ -56,7 +64,7 @@
 
 
 class DatagramFlowsExperiment(_framework.Experiment):
-    """Decision code of balancers and agents in virtual time."""
+    """Runs the decision code of balancers and agents in virtual time."""
 
     @property
     def name(self) -> str:
@@ -65,7 +73,7 @@
 
     @property
     def summary(self) -> str:
-        """One line for the list."""
+        """One-line description that `list` prints."""
         return "flows without identifier, virtual time, against baselines"
 
     async def run(self, seed: int) -> _framework.Result:
@@ -73,12 +81,18 @@
         figures = []
         for balancer_count in _BALANCER_COUNTS:
             plan = _flow_run.Plan(
-                balancer_count, _FLOWS, _PACKETS, _DURATION_MS, _PLANNED
+                balancer_count,
+                _FLOW_COUNT,
+                _PACKET_COUNT,
+                _DURATION_MS,
+                _PLANNED_CHANGES,
             )
             run = await asyncio.to_thread(_run, plan, seed)
             title = f"planned, {balancer_count} balancers"
             figures += _make_figures(title, run)
-        plan = _flow_run.Plan(5, _FLOWS, _PACKETS, _DURATION_MS, _KILLS)
+        plan = _flow_run.Plan(
+            5, _FLOW_COUNT, _PACKET_COUNT, _DURATION_MS, _KILLS_AND_CHANGES
+        )
         run = await asyncio.to_thread(_run, plan, seed)
         figures += _make_figures("kills, 5 balancers", run)
         return _framework.Result(self.name, seed, tuple(figures))
--- a/libs/lab/src/fireflyford/lab/experiments/_datagram_processes.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_datagram_processes.py
@@ -1,4 +1,4 @@
-"""Flows without identifier through real balancers and agents."""
+"""Experiment on flows without identifier with real balancers and agents."""
 
 import asyncio
 import contextlib
@@ -10,11 +10,11 @@
 from fireflyford.lab import _fleet
 from fireflyford.lab.experiments import _framework
 
-_CALLERS = 200
-_INTERVAL_S = 0.1
-_STEP_S = 4.0
-_TARGETS = 4
-_PLACE = config.Region(
+_CALLER_COUNT = 200
+_SEND_INTERVAL_S = 0.1
+_CHANGE_INTERVAL_S = 4.0
+_TARGET_COUNT = 4
+_REGION = config.Region(
     name="visayas",
     availability_zones=(config.AvailabilityZone("cebu"),),
     zone_delay_ms=0.5,
@@ -26,14 +26,14 @@
     service = config.Service(
         name="gauge",
         address="127.0.0.1:4433",
-        target_count=_TARGETS,
+        target_count=_TARGET_COUNT,
         transport=config.Transport.DATAGRAM,
     )
-    return config.Deployment("gauges", (_PLACE,), (service,))
+    return config.Deployment("gauges", (_REGION,), (service,))
 
 
 class _Caller:
-    """One flow: sends numbers and notes which backend server answers."""
+    """Sends numbered datagrams and records which backend server answers."""
 
     def __init__(self, service: core.Address) -> None:
         self._service = service
@@ -41,10 +41,10 @@
         self._socket.setblocking(False)
         self._socket.bind(("127.0.0.1", 0))
         self.sent_count = 0
-        self.answers: list[str] = []
+        self.responders: list[str] = []
 
     async def run(self, start_s: float) -> None:
-        """Sends until cancelled."""
+        """Sends datagrams on one flow until cancelled."""
         loop = asyncio.get_running_loop()
         await asyncio.sleep(start_s)
         loop.add_reader(self._socket, self._receive)
@@ -53,30 +53,32 @@
                 self.sent_count += 1
                 text = str(self.sent_count).encode()
                 self._socket.sendto(text, self._service.pair)
-                await asyncio.sleep(_INTERVAL_S)
+                await asyncio.sleep(_SEND_INTERVAL_S)
         finally:
             loop.remove_reader(self._socket)
             self._socket.close()
 
     def _receive(self) -> None:
         with contextlib.suppress(OSError):
-            self.answers.append(self._socket.recv(2_000).decode().split(" ")[0])
+            self.responders.append(
+                self._socket.recv(2_000).decode().split(" ")[0]
+            )
 
-    def switches(self) -> int:
-        """Returns how often another backend server answered."""
-        if not self.answers:
+    def count_switches(self) -> int:
+        """Counts the answers of other backend servers than the first one."""
+        if not self.responders:
             return 0
-        return sum(name != self.answers[0] for name in self.answers)
+        return sum(name != self.responders[0] for name in self.responders)
 
 
 async def _change_fleet(fleet: _fleet.Fleet) -> None:
-    """Makes one planned change after another, and kills a balancer."""
-    await asyncio.sleep(_STEP_S)
+    """Adds and drains a target, then stops and kills a balancer."""
+    await asyncio.sleep(_CHANGE_INTERVAL_S)
     fleet.start_target("gauge")
-    await asyncio.sleep(_STEP_S)
-    leaving = next(iter(fleet.targets.values()))
-    leaving.agent.terminate()
-    await asyncio.sleep(_STEP_S)
+    await asyncio.sleep(_CHANGE_INTERVAL_S)
+    drained = next(iter(fleet.targets.values()))
+    drained.agent.terminate()
+    await asyncio.sleep(_CHANGE_INTERVAL_S)
     name, stopped = next(iter(fleet.balancers.items()))
     del fleet.balancers[name]
     fleet.use_balancers()
@@ -86,7 +88,7 @@
     await asyncio.sleep(0.5)
     del fleet.balancers[name]
     fleet.use_balancers()
-    await asyncio.sleep(_STEP_S)
+    await asyncio.sleep(_CHANGE_INTERVAL_S)
 
 
 async def _run(seed: int) -> list[_Caller]:
@@ -94,10 +96,12 @@
     try:
         await fleet.start()
         address = core.Address.parse(fleet.deployment.services[0].address)
-        callers = [_Caller(address) for _ in range(_CALLERS)]
+        callers = [_Caller(address) for _ in range(_CALLER_COUNT)]
         tasks = [
-            asyncio.create_task(caller.run(number * _INTERVAL_S / _CALLERS))
-            for number, caller in enumerate(callers)
+            asyncio.create_task(
+                caller.run(index * _SEND_INTERVAL_S / _CALLER_COUNT)
+            )
+            for index, caller in enumerate(callers)
         ]
         await _change_fleet(fleet)
         for task in tasks:
@@ -109,7 +113,7 @@
 
 
 class DatagramProcessesExperiment(_framework.Experiment):
-    """Join, drain, balancer stopped and balancer killed."""
+    """Measures broken flows while targets and balancers change."""
 
     @property
     def name(self) -> str:
@@ -118,29 +122,31 @@
 
     @property
     def summary(self) -> str:
-        """One line for the list."""
+        """One-line description that `list` prints."""
         return "flows without identifier, real processes, changes and a kill"
 
     async def run(self, seed: int) -> _framework.Result:
         """Runs once with 4 targets and 3 balancers."""
         callers = await _run(seed)
         sent_count = sum(caller.sent_count for caller in callers)
-        answer_count = sum(len(caller.answers) for caller in callers)
-        switches = [caller.switches() for caller in callers]
+        answer_count = sum(len(caller.responders) for caller in callers)
+        switch_counts = [caller.count_switches() for caller in callers]
         return _framework.Result(
             self.name,
             seed,
             (
                 _framework.Figure(
                     "broken flows",
-                    sum(count > 0 for count in switches),
+                    sum(count > 0 for count in switch_counts),
                     "flows",
                     0.0,
                 ),
-                _framework.Figure("misrouted", sum(switches), "packets", 0.0),
+                _framework.Figure(
+                    "misrouted", sum(switch_counts), "packets", 0.0
+                ),
                 _framework.Figure(
                     "flows without any answer",
-                    sum(not caller.answers for caller in callers),
+                    sum(not caller.responders for caller in callers),
                     "flows",
                     0.0,
                 ),
--- a/libs/lab/src/fireflyford/lab/experiments/_flow_experiment.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_flow_experiment.py
@@ -1,4 +1,4 @@
-"""One run with open flows: fleet, caller processes and figures."""
+"""Base of experiments with open flows on a fleet with caller processes."""
 
 import abc
 import asyncio
@@ -19,11 +19,12 @@
 
 _MAX_SILENCE_MS = 5_000
 _SETTLE_MS = 4_000
-_WATCH_INTERVAL_MS = 500
+_POLL_INTERVAL_MS = 500
 # With 40 s for opening the flows, a run ends within about 90 s.
-_DISTURB_LIMIT_S = 35.0
-# Feeds with short intervals measure stalls that the others cannot resolve.
-_FAST_INTERVAL_MS = 100
+_DISTURBANCE_TIMEOUT_S = 35.0
+# A short interval between events resolves stalls that are too short to show up
+# at the default interval.
+_FAST_FEED_INTERVAL_MS = 100
 
 
 @dataclasses.dataclass(frozen=True)
@@ -34,12 +35,13 @@
         feed_count: Feeds of each caller process.
         order_count: Order tasks of each caller process.
         process_count: Caller processes.
-        fast_feed_count: Feeds of one more caller process, with an event
-            every 100 ms.
+        fast_feed_count: Feeds of an additional caller process, which receive
+            an event every 100 ms.
         balancer_count: Balancers.
-        target_count: Targets of each service, 0 for those of the deployment.
-        change_count: Processes that are replaced, at most.
-        settle_ms: Time after the disturbance until the count.
+        target_count: Targets of each service, 0 for the number that the
+            deployment sets.
+        change_count: Maximum number of processes to replace.
+        settle_ms: Time between the disturbance and reading the results.
     """
 
     feed_count: int = 340
@@ -67,23 +69,23 @@
     """Fleet and caller processes of one run."""
 
     def __init__(self, fleet: _fleet.Fleet) -> None:
-        """Takes the fleet; callers are added later."""
+        """Initializes a run without callers."""
         self.fleet = fleet
         self.callers: list[_processes.CallerProcess] = []
         self.fast_callers: list[_processes.CallerProcess] = []
         self.exit_codes: list[int] = []
-        # Feeds on targets that have been killed.
+        # Feeds that were open on targets when these were killed.
         self.lost_feed_count = 0
         self._counters: dict[str, dict[str, int]] = {}
 
     async def open_callers(self, scale: Scale) -> None:
-        """Starts the caller processes and waits until they run."""
+        """Starts the caller processes and waits until they are ready."""
         load = _callers.Load(scale.feed_count, scale.order_count)
         fast = _callers.Load(
-            scale.fast_feed_count, feed_interval_ms=_FAST_INTERVAL_MS
+            scale.fast_feed_count, feed_interval_ms=_FAST_FEED_INTERVAL_MS
         )
         services = self.fleet.deployment.services
-        # `tahian` has 7 of the 10 targets and gets two processes of three.
+        # `tahian` has 7 of the 10 targets and gets two of three processes.
         for index in range(scale.process_count):
             service = services[1 if index % 3 == 1 else 0]
             self.callers.append(
@@ -96,11 +98,11 @@
                 self.fleet, services[0], fast, "fast"
             )
         )
-        everyone = [*self.callers, *self.fast_callers]
-        await asyncio.gather(*(item.wait_ready() for item in everyone))
+        all_callers = [*self.callers, *self.fast_callers]
+        await asyncio.gather(*(item.wait_ready() for item in all_callers))
 
-    async def watch_agents(self) -> None:
-        """Reads the counters of all agents, also of those that leave."""
+    async def poll_counters(self) -> None:
+        """Polls the counters of all agents, including removed ones."""
         addresses: dict[str, core.Address] = {}
         while True:
             for target in self.fleet.targets.values():
@@ -109,19 +111,19 @@
                 status = await _fleet.fetch_status(address)
                 if status:
                     self._counters[name] = status["counters"]
-            await asyncio.sleep(_WATCH_INTERVAL_MS / 1000)
+            await asyncio.sleep(_POLL_INTERVAL_MS / 1000)
 
     async def feed_count(self, target: _fleet.Target) -> int:
-        """Returns the feeds that a target serves now."""
+        """Returns the number of feeds that a target serves now."""
         status = await _fleet.fetch_status(target.status_address)
         return int(status.get("feeds", 0))
 
-    def counter(self, name: str) -> int:
-        """Returns a counter, summed over all agents of the run."""
+    def sum_counter(self, name: str) -> int:
+        """Returns the sum of a counter over all agents of the run."""
         return sum(counters[name] for counters in self._counters.values())
 
     async def finish(self) -> tuple[_callers.Figures, _callers.Figures]:
-        """Stops the callers; returns the figures, fast feeds apart."""
+        """Stops the callers; returns the figures of regular and fast feeds."""
         parts = await asyncio.gather(*(item.finish() for item in self.callers))
         fast = await asyncio.gather(
             *(item.finish() for item in self.fast_callers)
@@ -132,7 +134,7 @@
         )
 
     def kill_callers(self) -> None:
-        """Ends caller processes that still run."""
+        """Kills the caller processes that are still running."""
         for item in [*self.callers, *self.fast_callers]:
             item.kill()
 
@@ -155,7 +157,7 @@
     proxied: frozenset[str] = frozenset(),
     drain_limit_ms: int = 30_000,
 ) -> AsyncIterator[FlowRun]:
-    """Starts a fleet and its callers; ends them all afterwards."""
+    """Starts a fleet and its callers, and stops them on exit."""
     fleet = _fleet.Fleet(
         _deployment(scale),
         random.Random(seed),
@@ -168,7 +170,7 @@
     try:
         await fleet.start()
         tasks.append(asyncio.create_task(fleet.check_health()))
-        tasks.append(asyncio.create_task(run.watch_agents()))
+        tasks.append(asyncio.create_task(run.poll_counters()))
         await run.open_callers(scale)
         yield run
     finally:
@@ -179,31 +181,31 @@
 
 
 class FlowExperiment(_framework.Experiment):
-    """Opens flows, disturbs them, and counts what callers saw."""
+    """Opens flows, causes a change or fault, and counts what callers see."""
 
-    # Feeds that the disturbance may break beside those on killed targets.
-    broken_target: int = 0
+    # Feeds that may break in addition to those on killed targets.
+    max_broken_feeds: int = 0
     full_scale = Scale()
-    # None where requests may end as "unknown".
-    unknown_target: int | None = 0
+    # None if any number of requests may end with an unknown outcome.
+    max_unknown_requests: int | None = 0
     proxied: frozenset[str] = frozenset()
     drain_limit_ms = 30_000
 
     def __init__(self, scale: Scale | None = None) -> None:
-        """Takes the size of the run."""
+        """Initializes the experiment with the size of a run."""
         self._scale = scale or self.full_scale
 
     @abc.abstractmethod
     async def disturb(self, run: FlowRun, rng: random.Random) -> None:
-        """Causes what the experiment is about."""
+        """Applies the changes or faults under test."""
 
     async def run(self, seed: int) -> _framework.Result:
-        """Runs once."""
+        """Runs the experiment once."""
         async with open_run(
             self._scale, seed, self.proxied, self.drain_limit_ms
         ) as run:
             start_s = time.monotonic()
-            finished = await self._disturb_in_time(run, seed)
+            finished = await self._disturb_within_timeout(run, seed)
             await asyncio.sleep(self._scale.settle_ms / 1000)
             duration_s = time.monotonic() - start_s
             figures, fast = await run.finish()
@@ -212,18 +214,20 @@
                 for item in run.fleet.executions()
                 if item["body"]
             )
-        both = _callers.add_figures([figures, fast])
+        combined = _callers.add_figures([figures, fast])
         return _framework.Result(
             self.name,
             seed,
             (
-                *self._describe_feeds(both, fast, run),
-                *self._describe_requests(figures, executions),
+                *self._feed_figures(combined, fast, run),
+                *self._request_figures(figures, executions),
                 _count(
-                    "misrouted datagrams", run.counter("misrouted_count"), 0
+                    "misrouted datagrams", run.sum_counter("misrouted_count"), 0
+                ),
+                _count("relayed datagrams", run.sum_counter("relayed_count")),
+                _count(
+                    "rotated return paths", run.sum_counter("rotated_count")
                 ),
-                _count("relayed datagrams", run.counter("relayed_count")),
-                _count("rotated return paths", run.counter("rotated_count")),
                 _count(
                     "bad exit statuses",
                     sum(code != 0 for code in run.exit_codes),
@@ -240,23 +244,23 @@
             ),
         )
 
-    async def _disturb_in_time(self, run: FlowRun, seed: int) -> bool:
+    async def _disturb_within_timeout(self, run: FlowRun, seed: int) -> bool:
         try:
-            async with asyncio.timeout(_DISTURB_LIMIT_S):
+            async with asyncio.timeout(_DISTURBANCE_TIMEOUT_S):
                 await self.disturb(run, random.Random(seed))
         except TimeoutError:
             return False
         return True
 
-    def _describe_feeds(
+    def _feed_figures(
         self, figures: _callers.Figures, fast: _callers.Figures, run: FlowRun
     ) -> tuple[_framework.Figure, ...]:
-        allowed_count = self.broken_target + run.lost_feed_count
+        allowed_broken_count = self.max_broken_feeds + run.lost_feed_count
         return (
             _count("open feeds", figures.feeds),
             _count("feed events", figures.events),
             _count("moved feeds", figures.moved),
-            _count("broken feeds", figures.broken, allowed_count),
+            _count("broken feeds", figures.broken, allowed_broken_count),
             _count("refused feeds", figures.refused_feeds, 0),
             _count("gaps", figures.gaps, 0),
             _count("duplicates", figures.duplicates, 0),
@@ -274,7 +278,7 @@
             ),
         )
 
-    def _describe_requests(
+    def _request_figures(
         self, figures: _callers.Figures, executions: collections.Counter[str]
     ) -> tuple[_framework.Figure, ...]:
         refused = set(figures.refused_bodies)
@@ -282,7 +286,9 @@
             _count("order connections", figures.connections),
             _count("requests complete", figures.complete),
             _count("requests refused", figures.refused),
-            _count("requests unknown", figures.unknown, self.unknown_target),
+            _count(
+                "requests unknown", figures.unknown, self.max_unknown_requests
+            ),
             _count("wrong answers", figures.wrong, 0),
             _count(
                 "refused as not run, but ran", len(refused & set(executions)), 0
--- a/libs/lab/src/fireflyford/lab/experiments/_flows.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_flows.py
@@ -1,4 +1,4 @@
-"""Open flows through planned changes, kills and silent paths."""
+"""Experiments on open flows under planned changes, kills and silent paths."""
 
 import asyncio
 import random
@@ -14,18 +14,18 @@
 from fireflyford.lab.experiments import _framework
 
 _PAUSE_MS = 1_000
-_FROZEN_RATIO = 0.3
-_LONG_WORK_MS = 5_000
+_FREEZE_RATIO = 0.3
+_LONG_REQUEST_MS = 5_000
 _DRAIN_LIMIT_MS = 9_000
-# A leaving target gets no new work after this.
-_LEAVE_BOUND_MS = 3_000
-_NEW_CONNECTIONS = 20
-# The fault proxy is one process and carries every datagram.
+# A draining target must receive no new work from this time on.
+_NO_NEW_WORK_AFTER_MS = 3_000
+_NEW_CONNECTION_COUNT = 20
+# Smaller, since the fault proxy is one process that forwards every datagram.
 _PROXIED_SCALE = _flow_experiment.Scale(feed_count=120)
 
 
 class RollingBalancers(_flow_experiment.FlowExperiment):
-    """Every balancer is replaced, one after another."""
+    """Replaces every balancer, one after another."""
 
     name = "rolling-balancers"
     summary = "replaces every balancer while flows are open"
@@ -33,7 +33,7 @@
     async def disturb(
         self, run: _flow_experiment.FlowRun, rng: random.Random
     ) -> None:
-        """Replaces every balancer."""
+        """Replaces the balancers."""
         balancers = list(run.fleet.balancers.values())
         for balancer in balancers[: self._scale.change_count]:
             code = await run.fleet.replace_balancer(balancer)
@@ -41,7 +41,7 @@
 
 
 class RollingBackends(_flow_experiment.FlowExperiment):
-    """Backend servers are replaced, one after another."""
+    """Replaces backend servers, one after another."""
 
     name = "rolling-backends"
     summary = "replaces backend servers while flows are open"
@@ -58,7 +58,7 @@
 
 
 class RollingBoth(_flow_experiment.FlowExperiment):
-    """Balancers and backend servers are replaced at the same time."""
+    """Replaces balancers and backend servers at the same time."""
 
     name = "rolling-both"
     summary = "replaces balancers and backend servers at the same time"
@@ -66,7 +66,7 @@
     async def disturb(
         self, run: _flow_experiment.FlowRun, rng: random.Random
     ) -> None:
-        """Replaces both kinds together."""
+        """Replaces both concurrently."""
         await asyncio.gather(
             RollingBalancers(self._scale).disturb(run, rng),
             RollingBackends(self._scale).disturb(run, rng),
@@ -74,7 +74,7 @@
 
 
 class KillBalancer(_flow_experiment.FlowExperiment):
-    """A balancer dies without notice."""
+    """Kills a balancer without notice."""
 
     name = "kill-balancer"
     summary = "kills one balancer without notice"
@@ -82,48 +82,48 @@
     async def disturb(
         self, run: _flow_experiment.FlowRun, rng: random.Random
     ) -> None:
-        """Kills one balancer."""
-        victim = rng.choice(list(run.fleet.balancers.values()))
-        run.fleet.kill(victim.process)
+        """Kills a randomly chosen balancer."""
+        balancer = rng.choice(list(run.fleet.balancers.values()))
+        run.fleet.kill(balancer.process)
 
 
 class KillBackend(_flow_experiment.FlowExperiment):
-    """One target dies without notice, another loses its backend server."""
+    """Kills one target, and only the backend server of another."""
 
     name = "kill-backend"
     summary = "kills one target, and the backend server of another"
-    unknown_target = None
+    max_unknown_requests = None
 
     async def disturb(
         self, run: _flow_experiment.FlowRun, rng: random.Random
     ) -> None:
-        """Kills a whole target and a backend server."""
+        """Kills a whole target and a backend server of `tahian`."""
         targets = list(run.fleet.targets.values())
-        whole, half = rng.sample(
+        killed, without_backend = rng.sample(
             [item for item in targets if item.service == "tahian"], 2
         )
-        run.lost_feed_count = await run.feed_count(whole)
-        run.fleet.kill_target(whole)
-        run.fleet.kill(half.backend)
+        run.lost_feed_count = await run.feed_count(killed)
+        run.fleet.kill_target(killed)
+        run.fleet.kill(without_backend.backend)
 
 
 class SilentPath(_flow_experiment.FlowExperiment):
-    """Open flows stop passing datagrams while new ones work."""
+    """Drops the datagrams of some open flows, but not those of new flows."""
 
     name = "silent-path"
     summary = "freezes three of ten open flows; new ones work"
-    unknown_target = None
+    max_unknown_requests = None
     proxied = frozenset({"fabric"})
     full_scale = _PROXIED_SCALE
 
     async def disturb(
         self, run: _flow_experiment.FlowRun, rng: random.Random
     ) -> None:
-        """Freezes the same flows in front of all balancers."""
+        """Freezes flows on the links to all balancers."""
         del rng
         proxy = run.fleet.proxy
         assert proxy is not None
-        faults = _faults.Faults(freeze_ratio=_FROZEN_RATIO)
+        faults = _faults.Faults(freeze_ratio=_FREEZE_RATIO)
         for balancer in run.fleet.balancers.values():
             for service in run.fleet.deployment.services:
                 proxy.set_faults(
@@ -131,32 +131,35 @@
                 )
         scale = self._scale
         flow_count = scale.feed_count * scale.process_count
-        # A binomial draw; five standard deviations above its mean.
-        mean = (flow_count + scale.fast_feed_count) * _FROZEN_RATIO
-        self.broken_target = int(mean + 5 * mean**0.5)
+        # The number of frozen flows is binomial; the limit is five standard
+        # deviations above its mean.
+        mean_frozen_count = (flow_count + scale.fast_feed_count) * _FREEZE_RATIO
+        self.max_broken_feeds = int(
+            mean_frozen_count + 5 * mean_frozen_count**0.5
+        )
 
 
 class KillAndSilence(_flow_experiment.FlowExperiment):
-    """A target dies while open flows stop passing datagrams."""
+    """Kills targets while the path drops datagrams of open flows."""
 
     name = "kill-and-silence"
     summary = "kills targets and freezes open flows at the same time"
-    unknown_target = None
+    max_unknown_requests = None
     proxied = frozenset({"fabric"})
     full_scale = _PROXIED_SCALE
 
     async def disturb(
         self, run: _flow_experiment.FlowRun, rng: random.Random
     ) -> None:
-        """Causes both."""
-        silence = SilentPath(self._scale)
+        """Causes both faults."""
+        silent_path = SilentPath(self._scale)
         await KillBackend(self._scale).disturb(run, rng)
-        await silence.disturb(run, rng)
-        self.broken_target = silence.broken_target
+        await silent_path.disturb(run, rng)
+        self.max_broken_feeds = silent_path.max_broken_feeds
 
 
 class PauseBackend(_flow_experiment.FlowExperiment):
-    """A target pauses for a second, which is no failure."""
+    """Pauses a target for one second, which must not count as a failure."""
 
     name = "pause-backend"
     summary = "pauses one target for 1 s; nothing may break"
@@ -164,7 +167,7 @@
     async def disturb(
         self, run: _flow_experiment.FlowRun, rng: random.Random
     ) -> None:
-        """Stops and continues agent and backend server of one target."""
+        """Suspends and resumes agent and backend server of one target."""
         target = rng.choice(list(run.fleet.targets.values()))
         processes = (target.agent, target.backend)
         for process in processes:
@@ -175,9 +178,10 @@
 
 
 class Drain(_flow_experiment.FlowExperiment):
-    """A target that no balancer hears from leaves as planned.
+    """Drains a target that is partitioned from all balancers.
 
-    It has a request in flight and the feed of a plain HTTP/3 client.
+    The target has a request in flight and an open feed of an HTTP/3 client
+    that does not use the caller library.
     """
 
     name = "drain"
@@ -187,54 +191,54 @@
     drain_limit_ms = _DRAIN_LIMIT_MS
 
     async def run(self, seed: int) -> _framework.Result:
-        """Runs once."""
-        self._extra: tuple[_framework.Figure, ...] = ()
+        """Runs the experiment once."""
+        self._drain_figures: tuple[_framework.Figure, ...] = ()
         result = await super().run(seed)
         return _framework.Result(
-            self.name, seed, (*result.figures, *self._extra)
+            self.name, seed, (*result.figures, *self._drain_figures)
         )
 
     async def disturb(
         self, run: _flow_experiment.FlowRun, rng: random.Random
     ) -> None:
-        """Cuts off a target, drains it and watches what it takes."""
+        """Partitions a target, drains it and measures what it still accepts."""
         target = next(
             item
             for item in run.fleet.targets.values()
             if item.service == "padron"
         )
-        plain = await _plain_client.open_on(run.fleet, target, "/feed")
-        work = await _plain_client.open_on(
-            run.fleet, target, f"/sheets/long?ms={_LONG_WORK_MS}"
+        plain_feed = await _plain_client.open_on(run.fleet, target, "/feed")
+        long_request = await _plain_client.open_on(
+            run.fleet, target, f"/sheets/long?ms={_LONG_REQUEST_MS}"
         )
-        _cut_off(run, target)
+        _drop_control_traffic(run, target)
         start_ms = time.time() * 1000
         stopping = asyncio.create_task(run.fleet.remove_target(target))
-        newcomers = await _open_newcomers(run, target)
+        failed_count = await _count_failed_connections(run, target)
         await asyncio.sleep(1)
         code = await stopping
         run.exit_codes.append(code)
-        plain_ms = await plain.wait_closed_ms() - start_ms
-        late = [
+        plain_ms = await plain_feed.wait_closed_ms() - start_ms
+        late_executions = [
             item
             for item in run.fleet.executions()
             if item["backend"] == target.name
-            and float(str(item["wall_ms"])) > start_ms + _LEAVE_BOUND_MS
+            and float(str(item["wall_ms"])) > start_ms + _NO_NEW_WORK_AFTER_MS
         ]
         at_most, at_least = _framework.Bound.AT_MOST, _framework.Bound.AT_LEAST
-        self._extra = (
+        self._drain_figures = (
             _framework.Figure(
-                "executions after 3 s", len(late), "1", 0, at_most
+                "executions after 3 s", len(late_executions), "1", 0, at_most
             ),
             _framework.Figure(
                 "request in flight complete",
-                float(await work.is_complete()),
+                float(await long_request.is_complete()),
                 "1",
                 1,
                 at_least,
             ),
             _framework.Figure(
-                "new connections refused", newcomers, "1", 0, at_most
+                "new connections refused", failed_count, "1", 0, at_most
             ),
             _framework.Figure(
                 "plain feed kept", plain_ms, "ms", _DRAIN_LIMIT_MS, at_least
@@ -242,8 +246,10 @@
         )
 
 
-def _cut_off(run: _flow_experiment.FlowRun, target: _fleet.Target) -> None:
-    """Cuts the control traffic between a target and all balancers."""
+def _drop_control_traffic(
+    run: _flow_experiment.FlowRun, target: _fleet.Target
+) -> None:
+    """Drops the control traffic between a target and all balancers."""
     proxy = run.fleet.proxy
     assert proxy is not None
     for balancer in run.fleet.balancers.values():
@@ -254,26 +260,26 @@
         )
 
 
-async def _open_newcomers(
+async def _count_failed_connections(
     run: _flow_experiment.FlowRun, target: _fleet.Target
 ) -> int:
-    """Opens connections while the balancers still use the target.
+    """Opens connections while the balancers still choose the target.
 
     Returns:
-        How many could not be used.
+        The number of connections on which a request failed.
     """
     service = run.fleet.deployment.service(target.service)
     assert service is not None
-    failed = 0
-    for _ in range(_NEW_CONNECTIONS):
+    failed_count = 0
+    for _ in range(_NEW_CONNECTION_COUNT):
         client = _callers.make_client(run.fleet, service)
         try:
             async with asyncio.timeout(2), client.connect() as connection:
                 outcome = await client.request(connection, "GET", "/sheets/n")
-                failed += not isinstance(outcome, core.Ok)
+                failed_count += not isinstance(outcome, core.Ok)
         except (OSError, TimeoutError):
-            failed += 1
-    return failed
+            failed_count += 1
+    return failed_count
 
 
 EXPERIMENTS: tuple[_framework.Experiment, ...] = (
--- a/libs/lab/src/fireflyford/lab/experiments/_forwarding.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_forwarding.py
@@ -1,4 +1,4 @@
-"""Cost of forwarding in the balancer."""
+"""Experiment on the cost of forwarding in the balancer."""
 
 import asyncio
 import gc
@@ -17,23 +17,24 @@
 from fireflyford.lab import _forward_worker
 from fireflyford.lab.experiments import _framework
 
-# Below saturation, so that the bare relay loses nothing either.
+# Below saturation, so that the bare relay loses no datagrams either.
 _RATE_PER_S = 8_000
-_MEASURED_DATAGRAMS = 16_000
-_WARM_UP_DATAGRAMS = 2_000
-_ROUNDS = 3
-_SENDERS = 64
-_SENDING_FLOWS = 1_024
-_MANY_FLOWS = 20_000
-_FEW_OPEN_FLOWS = 1_000
-_OPEN_FLOWS = 300_000
-_PORTS_PER_SOURCE = 20_000
-# Fewer than a receive buffer of the usual size holds.
-_UNSEEN_DATAGRAMS = 100
-_NEW_FLOWS = 20_000
+_MEASURED_DATAGRAM_COUNT = 16_000
+_WARM_UP_DATAGRAM_COUNT = 2_000
+_ROUND_COUNT = 3
+_SENDER_COUNT = 64
+_FLOW_COUNT = 1_024
+_MANY_FLOW_COUNT = 20_000
+_FEW_OPEN_FLOW_COUNT = 1_000
+_OPEN_FLOW_COUNT = 300_000
+_PORT_COUNT_PER_SOURCE = 20_000
+# Datagrams sent before waiting for the worker; fewer than fit into a receive
+# buffer of the usual size.
+_BATCH_DATAGRAM_COUNT = 100
+_NEW_FLOW_COUNT = 20_000
 _NEW_FLOWS_PER_S = 5_000
-_SERVICES = 420
-_TARGETS = 4_000
+_SERVICE_COUNT = 420
+_TARGET_COUNT = 4_000
 _SETTLE_S = 0.2
 
 
@@ -44,7 +45,7 @@
 
 
 class _Case:
-    """One kind of datagram through one kind of forwarder."""
+    """One kind of datagram sent through one kind of forwarder."""
 
     def __init__(
         self,
@@ -64,17 +65,25 @@
     def measure(
         self, sink: core.Address, key: bytes, senders: list[socket.socket]
     ) -> None:
-        """Measures the CPU time for each datagram once."""
+        """Adds one measurement of the CPU time per datagram."""
         worker = _forward_load.Worker(self.kind, sink, key)
         try:
-            to = worker.addresses[self.socket_index]
+            destination = worker.addresses[self.socket_index]
             _forward_load.send_paced(
-                senders, to, self.datagrams, _WARM_UP_DATAGRAMS, _RATE_PER_S
+                senders,
+                destination,
+                self.datagrams,
+                _WARM_UP_DATAGRAM_COUNT,
+                _RATE_PER_S,
             )
             time.sleep(_SETTLE_S)
             before = worker.report()
             _forward_load.send_paced(
-                senders, to, self.datagrams, _MEASURED_DATAGRAMS, _RATE_PER_S
+                senders,
+                destination,
+                self.datagrams,
+                _MEASURED_DATAGRAM_COUNT,
+                _RATE_PER_S,
             )
             time.sleep(_SETTLE_S)
             after = worker.report()
@@ -88,10 +97,10 @@
     key: bytes, sink: core.Address, rng: random.Random
 ) -> list[_Case]:
     plain = [rng.randbytes(_forward_load.PAYLOAD_BYTES)]
-    open_flows = _forward_load.make_quic_datagrams(
-        key, _SENDING_FLOWS, sink, rng
+    open_flows = _forward_load.make_quic_datagrams(key, _FLOW_COUNT, sink, rng)
+    many_flows = _forward_load.make_quic_datagrams(
+        key, _MANY_FLOW_COUNT, sink, rng
     )
-    many_flows = _forward_load.make_quic_datagrams(key, _MANY_FLOWS, sink, rng)
     answers = _forward_load.make_answers(key, sink)
     return [
         _Case("bare relay", "relay", 0, plain, None),
@@ -106,22 +115,25 @@
     rng = random.Random(seed)
     key = rng.randbytes(16)
     sink, address = _open_sink()
-    senders = _forward_load.open_sockets(_SENDERS)
+    senders = _forward_load.open_sockets(_SENDER_COUNT)
     cases = _make_cases(key, address, rng)
-    for _ in range(_ROUNDS):
+    for _ in range(_ROUND_COUNT):
         for case in cases:
             case.measure(address, key, senders)
-    for opened in (sink, *senders):
-        opened.close()
-    bare, *others = cases
+    for open_socket in (sink, *senders):
+        open_socket.close()
+    relay, *forwarders = cases
     figures = [
-        _framework.Figure("bare relay", statistics.median(bare.costs_us), "us")
+        _framework.Figure("bare relay", statistics.median(relay.costs_us), "us")
     ]
-    for case in others:
-        # Ratios of one round, since other work on the machine comes and goes.
+    for case in forwarders:
+        # Each ratio compares costs of the same round, since other load on the
+        # machine varies between rounds.
         ratios = [
-            own / reference
-            for own, reference in zip(case.costs_us, bare.costs_us, strict=True)
+            cost / relay_cost
+            for cost, relay_cost in zip(
+                case.costs_us, relay.costs_us, strict=True
+            )
         ]
         figures.append(
             _framework.Figure(
@@ -134,21 +146,23 @@
 def _send_open_flows(
     worker: _forward_load.Worker, key: bytes, first: int, last: int
 ) -> None:
-    """Sends one datagram of each flow from an address of its own."""
-    to = worker.addresses[0]
+    """Sends one datagram of each flow, each from a different address."""
+    destination = worker.addresses[0]
     codec = wire.ConnectionIdCodec([key], _forward_worker.SERVICE)
     rng = random.Random(first)
     for number in range(first, last):
-        source, port = divmod(number, _PORTS_PER_SOURCE)
+        source, port = divmod(number, _PORT_COUNT_PER_SOURCE)
         connection_id = codec.encode(
-            wire.ConnectionId(to, number, rng.randbytes(4))
+            wire.ConnectionId(destination, number, rng.randbytes(4))
         )
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
             sender.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             sender.bind((f"127.0.1.{source + 1}", 10_000 + port))
-            sender.sendto(b"\x40" + connection_id + bytes(100), to.pair)
-        if number % _UNSEEN_DATAGRAMS == 0:
-            # Also makes the sender wait until the process has caught up.
+            sender.sendto(
+                b"\x40" + connection_id + bytes(100), destination.pair
+            )
+        if number % _BATCH_DATAGRAM_COUNT == 0:
+            # The report waits until the worker has caught up.
             worker.report()
 
 
@@ -157,21 +171,27 @@
     worker = _forward_load.Worker(kind, address, key)
     try:
         await asyncio.to_thread(
-            _send_open_flows, worker, key, 0, _FEW_OPEN_FLOWS
+            _send_open_flows, worker, key, 0, _FEW_OPEN_FLOW_COUNT
         )
         await asyncio.sleep(_SETTLE_S)
         before_bytes = worker.memory_bytes()
         await asyncio.to_thread(
-            _send_open_flows, worker, key, _FEW_OPEN_FLOWS, _OPEN_FLOWS
+            _send_open_flows,
+            worker,
+            key,
+            _FEW_OPEN_FLOW_COUNT,
+            _OPEN_FLOW_COUNT,
         )
         await asyncio.sleep(_SETTLE_S)
         grown_bytes = worker.memory_bytes() - before_bytes
-        seen_ratio = worker.report().count / _OPEN_FLOWS
+        received_ratio = worker.report().count / _OPEN_FLOW_COUNT
     finally:
         worker.stop()
         sink.close()
-    if seen_ratio < 0.9:
-        raise RuntimeError("too many datagrams were lost to judge memory")
+    if received_ratio < 0.9:
+        raise RuntimeError(
+            "memory not measurable: fewer than 90 % of datagrams arrived"
+        )
     return _framework.Figure(
         f"memory from 1,000 to 300,000 {kind} flows",
         grown_bytes / 1e6,
@@ -181,7 +201,7 @@
 
 
 def _measure_new_flows(kind: str, seed: int) -> _framework.Figure:
-    """Measures the decision path: read, choose, pack; no socket."""
+    """Measures parsing, choosing a target and encoding, without a socket."""
     rng = random.Random(seed)
     key = rng.randbytes(16)
     router = routing.Router(core.SystemClock())
@@ -197,21 +217,21 @@
     listener = balancer.ServiceListener(
         _forward_worker.SERVICE, router, reader, link, counters
     )
-    tail = bytes(wire.MIN_INITIAL_BYTES)
-    arrivals = [
+    padding = bytes(wire.MIN_INITIAL_BYTES)
+    datagrams = [
         (
-            b"\xc0\0\0\0\1\x08" + rng.randbytes(8) + tail,
+            b"\xc0\0\0\0\1\x08" + rng.randbytes(8) + padding,
             (f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}", 40_000),
         )
-        for n in range(_NEW_FLOWS)
+        for n in range(_NEW_FLOW_COUNT)
     ]
     start_s = time.process_time()
-    for datagram, caller in arrivals:
+    for datagram, caller in datagrams:
         listener.receive(datagram, caller)
     elapsed_s = time.process_time() - start_s
     return _framework.Figure(
         f"5,000 new {kind} flows a second",
-        elapsed_s / _NEW_FLOWS * _NEW_FLOWS_PER_S,
+        elapsed_s / _NEW_FLOW_COUNT * _NEW_FLOWS_PER_S,
         "cores",
         0.5,
     )
@@ -247,10 +267,10 @@
     seed: int,
 ) -> tuple[list[_framework.Figure], _framework.Series]:
     rng = random.Random(seed)
-    counts = (10, 100, 1_000, _TARGETS)
+    counts = (10, 100, 1_000, _TARGET_COUNT)
     times_us = [_time_route_us(count, rng) for count in counts]
-    # Points on the ring grow with the targets, 100 for each.
-    allowed = math.log2(counts[-1] * 100) / math.log2(counts[0] * 100)
+    # The ring has 100 points for each target.
+    log_growth = math.log2(counts[-1] * 100) / math.log2(counts[0] * 100)
     series = _framework.Series(
         "time to route one packet",
         "targets",
@@ -262,7 +282,7 @@
         _framework.Figure("route among 4,000 targets", times_us[-1], "us"),
         _framework.Figure(
             "growth over growth of the logarithm",
-            times_us[-1] / times_us[0] / allowed,
+            times_us[-1] / times_us[0] / log_growth,
             "ratio",
             1.0,
         ),
@@ -278,7 +298,7 @@
             role=core.Role.AGENT,
             region="region",
             availability_zone="zone",
-            service=f"service-{number % _SERVICES}",
+            service=f"service-{number % _SERVICE_COUNT}",
             link_address=address,
             control_address=address,
             bulk_address=address,
@@ -286,52 +306,52 @@
             incarnation=number + 1,
             weight=weights.get(number, 1.0),
         )
-        for number in range(_TARGETS)
+        for number in range(_TARGET_COUNT)
     )
 
 
 async def _longest_pause_ms(
     routers: dict[str, routing.Router],
     view: membership.View,
-    known: dict[str, balancer.Known],
+    known_targets: dict[str, balancer.Known],
 ) -> float:
-    """Returns the longest time for which no datagram would be read."""
+    """Returns the longest time during which no datagram would be read."""
     pauses_ms = [0.0]
-    done = asyncio.Event()
+    finished = asyncio.Event()
 
-    async def tick() -> None:
+    async def measure_gaps() -> None:
         last_s = time.perf_counter()
-        while not done.is_set():
+        while not finished.is_set():
             await asyncio.sleep(0)
             now_s = time.perf_counter()
             pauses_ms.append((now_s - last_s) * 1e3)
             last_s = now_s
 
-    ticking = asyncio.create_task(tick())
+    measuring = asyncio.create_task(measure_gaps())
     await asyncio.sleep(0)
-    await balancer.follow_view(routers, view, routers.keys(), known)
-    done.set()
-    await ticking
+    await balancer.follow_view(routers, view, routers.keys(), known_targets)
+    finished.set()
+    await measuring
     return max(pauses_ms)
 
 
 async def _measure_pauses() -> list[_framework.Figure]:
     routers = {
         f"service-{number}": routing.Router(core.SystemClock())
-        for number in range(_SERVICES)
+        for number in range(_SERVICE_COUNT)
     }
-    one = {17: 2.0}
-    every = {number: 1.0 + number % 3 for number in range(_TARGETS)}
+    one_changed = {17: 2.0}
+    all_changed = {number: 1.0 + number % 3 for number in range(_TARGET_COUNT)}
     views = {
         "first view": _make_view({}),
-        "one target changed": _make_view(one),
-        "every target changed": _make_view(every),
+        "one target changed": _make_view(one_changed),
+        "every target changed": _make_view(all_changed),
     }
-    known: dict[str, balancer.Known] = {}
+    known_targets: dict[str, balancer.Known] = {}
     gc.collect()
     figures = []
     for name, view in views.items():
-        pause_ms = await _longest_pause_ms(routers, view, known)
+        pause_ms = await _longest_pause_ms(routers, view, known_targets)
         figures.append(
             _framework.Figure(f"longest pause, {name}", pause_ms, "ms", 50.0)
         )
@@ -339,7 +359,7 @@
 
 
 class ForwardingExperiment(_framework.Experiment):
-    """CPU, memory and pauses of forwarding."""
+    """Measures CPU time, memory and pauses of forwarding."""
 
     @property
     def name(self) -> str:
@@ -348,7 +368,7 @@
 
     @property
     def summary(self) -> str:
-        """One line for the list."""
+        """One-line description that `list` prints."""
         return "cost of forwarding against a bare relay; memory; ring pauses"
 
     async def run(self, seed: int) -> _framework.Result:
--- a/libs/lab/src/fireflyford/lab/experiments/_framework.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_framework.py
@@ -1,4 +1,4 @@
-"""What an experiment is, and the result that it gives."""
+"""Interface of experiments and types of their results."""
 
 import abc
 import dataclasses
@@ -6,7 +6,7 @@
 
 
 class Bound(enum.Enum):
-    """Side on which a target bounds a figure."""
+    """Whether a target is an upper or a lower bound of a figure."""
 
     AT_MOST = "at-most"
     AT_LEAST = "at-least"
@@ -19,9 +19,9 @@
     Attributes:
         name: Name of the figure.
         value: Measured value.
-        unit: Unit of the value; `ratio` and `1` are units too.
-        target: Stated target, or None for a figure without one.
-        bound: Side of the target that is allowed.
+        unit: Unit of the value; dimensionless values use `ratio` or `1`.
+        target: Target of the value, or None for a figure without one.
+        bound: Whether the target is an upper or a lower bound.
     """
 
     name: str
@@ -32,7 +32,7 @@
 
     @property
     def ok(self) -> bool:
-        """Whether the figure keeps its target."""
+        """Whether the figure meets its target."""
         if self.target is None:
             return True
         if self.bound is Bound.AT_MOST:
@@ -42,13 +42,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class Series:
-    """Points for a picture.
+    """Data points of one line of a plot.
 
     Attributes:
         name: Name of the series.
-        x_label: Label with unit.
-        y_label: Label with unit.
-        points: Pairs of x and y.
+        x_label: Label of the axis, with its unit.
+        y_label: Label of the axis, with its unit.
+        points: Pairs of x and y values.
     """
 
     name: str
@@ -68,12 +68,12 @@
 
     @property
     def ok(self) -> bool:
-        """Whether every figure keeps its target."""
+        """Whether every figure meets its target."""
         return all(figure.ok for figure in self.figures)
 
 
 class Experiment(abc.ABC):
-    """A measurement with real processes or with decision code alone."""
+    """A measurement of real processes, or of decision code in virtual time."""
 
     @property
     @abc.abstractmethod
@@ -83,12 +83,12 @@
     @property
     @abc.abstractmethod
     def summary(self) -> str:
-        """One line for the list."""
+        """One-line description that `list` prints."""
 
     @abc.abstractmethod
     async def run(self, seed: int) -> Result:
-        """Runs once.
+        """Runs the experiment once.
 
         Args:
-            seed: Seed of everything random in the run.
+            seed: Seed of all random choices of the run.
         """
--- a/libs/lab/src/fireflyford/lab/experiments/_packet_flows.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_packet_flows.py
@@ -1,7 +1,7 @@
-"""The packet front end in virtual time, against other policies.
+"""Compares placement policies of the packet front end in virtual time.
 
-Two questions: how many flows break when instances come and go, and how long
-requests take near capacity.
+Measures how many flows break when instances come and go, and the response
+times of requests near capacity.
 """
 
 import asyncio
@@ -22,36 +22,36 @@
 _AGENT_COUNT = 8
 _BALANCER_COUNT = 4
 _FLOW_COUNT = 300
-_FLOW_GAP_MS = 10
-# Time in which leases end, views follow and clients repeat their packets.
+_FLOW_INTERVAL_MS = 10
+# Time for leases to expire, views to be updated and clients to retransmit.
 _SETTLE_MS = 4_000
-# Aim of the heaviest requests on the users' sheets.
-_AIM_MS = 250
-# Speeds differ more than twofold, as on the users' sheets.
+# Latency objective of the heaviest requests in the users' data sheets.
+_LATENCY_OBJECTIVE_MS = 250
+# Service times differ more than twofold, as in the users' data sheets.
 _SERVICE_MS = (18, 43, 43, 18, 43, 43, 43, 26)
 _REQUEST_COUNT = 4_000
-_LASTING_COUNT = 60
+_LONG_LIVED_FLOW_COUNT = 60
 _UTILIZATIONS = (0.7, 0.9)
-# A client's packet to the balancer, its way to the agent by the home, and the
-# answer, for the first packet and for the request; a lower bound of each path.
-_PATH_MS = 4 * _packet_fleet.CLIENT_MS + 2 * _packet_fleet.LINK_MS
+# Lower bound of the network delay, for the first packet and for the request:
+# from client to balancer, by the directory agent to the agent, and the answer.
+_MIN_PATH_DELAY_MS = 4 * _packet_fleet.CLIENT_MS + 2 * _packet_fleet.LINK_MS
 
 
 @dataclasses.dataclass(frozen=True)
 class Policy:
-    """A way to place new flows.
+    """A placement policy for new flows.
 
     Attributes:
         name: Name in figures.
-        maker: Makes the policy of one agent, None for the one in use.
+        factory: Creates the policy of one agent, None for the default policy.
     """
 
     name: str
-    maker: _packet_fleet.PlacementMaker | None
+    factory: _packet_fleet.PlacementMaker | None
 
 
 def policies(seed: int) -> list[Policy]:
-    """Returns the policy in use, then the others."""
+    """Returns the default policy, followed by the baselines."""
     rng = random.Random(seed)
     return [
         Policy("built", None),
@@ -64,9 +64,6 @@
     ]
 
 
-# Changes.
-
-
 def _stop_balancer(fleet: _packet_fleet.PacketFleet) -> None:
     fleet.balancers[0].up = False
     fleet.rotation = fleet.balancers[1:]
@@ -90,14 +87,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Change:
-    """Something that comes or goes while flows are open."""
+    """A change of the fleet while flows are open."""
 
     name: str
     apply: Callable[[_packet_fleet.PacketFleet], None]
-    before: Callable[[_packet_fleet.PacketFleet], None] | None = None
+    prepare: Callable[[_packet_fleet.PacketFleet], None] | None = None
 
 
-def _hide_target(fleet: _packet_fleet.PacketFleet) -> None:
+def _take_target_down(fleet: _packet_fleet.PacketFleet) -> None:
     fleet.targets[-1].up = False
     fleet.agents[-1].up = False
 
@@ -106,41 +103,43 @@
     _Change("balancer stops", _stop_balancer),
     _Change("balancer starts", _start_balancer, _stop_balancer),
     _Change("backend server goes", _remove_target),
-    _Change("backend server comes", _add_target, _hide_target),
+    _Change("backend server comes", _add_target, _take_target_down),
 )
 
 
-def _count_broken(change: _Change, policy: Policy, seed: int) -> int:
-    """Returns the flows that end although their backend server lives."""
+def _count_broken_flows(change: _Change, policy: Policy, seed: int) -> int:
+    """Counts flows that break although their backend server is running."""
     plans = [_packet_fleet.TargetPlan() for _ in range(_AGENT_COUNT)]
     fleet = _packet_fleet.PacketFleet(
-        seed, plans, _BALANCER_COUNT, policy.maker, lasting=True
+        seed, plans, _BALANCER_COUNT, policy.factory, lasting=True
     )
-    if change.before is not None:
-        change.before(fleet)
+    if change.prepare is not None:
+        change.prepare(fleet)
         fleet.register()
     clients = []
     for _ in range(_FLOW_COUNT):
         clients.append(fleet.client())
         clients[-1].open()
-        fleet.run(_FLOW_GAP_MS)
+        fleet.run(_FLOW_INTERVAL_MS)
     fleet.run(_SETTLE_MS)
     change.apply(fleet)
     fleet.register()
-    kept = [item for item in clients if fleet.holder(item.flow) is not None]
+    open_clients = [
+        item for item in clients if fleet.holder(item.flow) is not None
+    ]
     fleet.results.clear()
-    for client in kept:
+    for client in open_clients:
         client.request()
-        fleet.run(_FLOW_GAP_MS)
+        fleet.run(_FLOW_INTERVAL_MS)
     fleet.run(_SETTLE_MS)
     answered = collections.Counter(result.ending for result in fleet.results)
-    return len(kept) - answered[_packet_fleet.Ending.ANSWERED]
+    return len(open_clients) - answered[_packet_fleet.Ending.ANSWERED]
 
 
-def _count_moved(
+def _count_moved_flows(
     baseline: _flow_baselines.Baseline, change: _Change, seed: int
 ) -> int:
-    """Returns the flows that a hash without memory sends elsewhere."""
+    """Counts flows that a stateless hash moves to another backend server."""
     targets = [
         routing.Target(
             f"agent-{index}", core.Address(f"10.0.1.{index + 1}", 7000), 0
@@ -152,28 +151,29 @@
         after = targets[1:]
     elif change.apply is _add_target:
         before = targets[:-1]
-    living = {item.name for item in after}
+    remaining = {item.name for item in after}
     rng = random.Random(seed)
-    moved = 0
+    moved_count = 0
     for _ in range(_FLOW_COUNT):
         key = rng.getrandbits(64)
-        held = baseline.choose(0, before, key)
-        moved += held in living and baseline.choose(0, after, key) != held
-    return moved
-
-
-# Load.
+        chosen = baseline.choose(0, before, key)
+        moved_count += (
+            chosen in remaining and baseline.choose(0, after, key) != chosen
+        )
+    return moved_count
 
 
 @dataclasses.dataclass(frozen=True)
 class RequestResult:
-    """Requests of one run near capacity.
+    """Response times and utilization of one run near capacity.
 
     Attributes:
-        within_objective_ratio: Share answered within the latency objective.
+        within_objective_ratio: Share of requests answered within the latency
+            objective.
         mean_ms: Mean response time of answered requests.
-        p99_ms: 99th percentile of it.
-        busiest_ratio: Use of the busiest backend server over the mean.
+        p99_ms: 99th percentile of the response time.
+        busiest_ratio: Utilization of the busiest backend server over the mean
+            utilization.
     """
 
     within_objective_ratio: float
@@ -184,12 +184,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class RequestPlan:
-    """Requests at random times on backend servers of different speeds.
+    """Poisson arrivals of requests at backend servers of different speeds.
 
     Attributes:
         seed: Seed of all random choices.
         slot_count: Slots of each backend server.
-        utilization: Part of the capacity that is asked for.
+        utilization: Offered load as a fraction of the capacity.
         request_count: Number of requests.
     """
 
@@ -208,7 +208,7 @@
         ]
 
     def arrivals_ms(self) -> list[int]:
-        """Returns the times of the requests."""
+        """Returns the arrival times of the requests."""
         rng = random.Random(self.seed)
         capacity = sum(self.slot_count / item for item in _SERVICE_MS)
         now_ms = 0.0
@@ -219,52 +219,54 @@
         return times
 
 
-def _summary(
+def _summarize(
     fleet: _packet_fleet.PacketFleet, duration_ms: int
 ) -> RequestResult:
-    done = _packet_fleet.Ending.ANSWERED
+    answered = _packet_fleet.Ending.ANSWERED
     times = sorted(
-        item.duration_ms for item in fleet.results if item.ending is done
+        item.duration_ms for item in fleet.results if item.ending is answered
     )
-    good = sum(item <= _AIM_MS for item in times)
-    use = [
+    within_objective_count = sum(
+        item <= _LATENCY_OBJECTIVE_MS for item in times
+    )
+    utilizations = [
         target.worked_ms / target.plan.slot_count / duration_ms
         for target in fleet.targets
     ]
     return RequestResult(
-        good / max(1, len(fleet.results)),
+        within_objective_count / max(1, len(fleet.results)),
         statistics.fmean(times),
         times[int(0.99 * len(times))],
-        max(use) / statistics.fmean(use),
+        max(utilizations) / statistics.fmean(utilizations),
     )
 
 
 def run_short_lived(policy: Policy, plan: RequestPlan) -> RequestResult:
-    """Plays a flow for each request."""
+    """Simulates one short-lived flow for each request."""
     fleet = _packet_fleet.PacketFleet(
-        plan.seed, plan.targets(), _BALANCER_COUNT, policy.maker
+        plan.seed, plan.targets(), _BALANCER_COUNT, policy.factory
     )
     arrivals = plan.arrivals_ms()
     for at_ms in arrivals:
         fleet.after(at_ms, fleet.client().open)
     fleet.run(arrivals[-1] + _SETTLE_MS)
-    return _summary(fleet, arrivals[-1])
+    return _summarize(fleet, arrivals[-1])
 
 
 def run_long_lived(policy: Policy, plan: RequestPlan) -> RequestResult:
-    """Plays flows that stay open and carry all requests."""
+    """Simulates long-lived flows that carry all requests."""
     fleet = _packet_fleet.PacketFleet(
         plan.seed,
         plan.targets(),
         _BALANCER_COUNT,
-        policy.maker,
+        policy.factory,
         lasting=True,
     )
     clients = []
-    for _ in range(_LASTING_COUNT):
+    for _ in range(_LONG_LIVED_FLOW_COUNT):
         clients.append(fleet.client())
         clients[-1].open()
-        fleet.run(_FLOW_GAP_MS)
+        fleet.run(_FLOW_INTERVAL_MS)
     fleet.run(_SETTLE_MS)
     fleet.results.clear()
     for target in fleet.targets:
@@ -280,27 +282,31 @@
     for at_ms in arrivals:
         fleet.after(at_ms, send)
     fleet.run(arrivals[-1] + _SETTLE_MS)
-    return _summary(fleet, arrivals[-1])
+    return _summarize(fleet, arrivals[-1])
 
 
-def run_one_queue(plan: RequestPlan) -> RequestResult:
-    """Returns the work-conserving bound on the same arrivals."""
+def run_central_queue(plan: RequestPlan) -> RequestResult:
+    """Returns the bound of a work-conserving central queue."""
     slots = [item for item in _SERVICE_MS for _ in range(plan.slot_count)]
     arrivals = plan.arrivals_ms()
     times = sorted(
-        item + _PATH_MS
+        item + _MIN_PATH_DELAY_MS
         for item in _packet_baselines.central_queue_ms(arrivals, slots)
     )
-    good = sum(item <= _AIM_MS for item in times)
+    within_objective_count = sum(
+        item <= _LATENCY_OBJECTIVE_MS for item in times
+    )
     return RequestResult(
-        good / len(times),
+        within_objective_count / len(times),
         statistics.fmean(times),
         times[int(0.99 * len(times))],
         1.0,
     )
 
 
-def _load_figures(title: str, result: RequestResult) -> list[_framework.Figure]:
+def _request_figures(
+    title: str, result: RequestResult
+) -> list[_framework.Figure]:
     return [
         _framework.Figure(
             f"{title}: in aim", result.within_objective_ratio, "share"
@@ -315,12 +321,12 @@
 
 def _measure(seed: int) -> list[_framework.Figure]:
     figures = []
-    built, ring, *_ = policies(seed)
+    default, ring, *_ = policies(seed)
     for change in _CHANGES:
         figures.append(
             _framework.Figure(
                 f"{change.name}, built: broken",
-                _count_broken(change, built, seed),
+                _count_broken_flows(change, default, seed),
                 "flows",
                 0.0,
             )
@@ -328,7 +334,7 @@
         figures.append(
             _framework.Figure(
                 f"{change.name}, ring with search: broken",
-                _count_broken(change, ring, seed),
+                _count_broken_flows(change, ring, seed),
                 "flows",
             )
         )
@@ -339,7 +345,7 @@
             figures.append(
                 _framework.Figure(
                     f"{change.name}, {baseline.name}: broken",
-                    _count_moved(baseline, change, seed),
+                    _count_moved_flows(baseline, change, seed),
                     "flows",
                 )
             )
@@ -349,18 +355,18 @@
             plan = RequestPlan(seed, slot_count, utilization)
             for policy in policies(seed):
                 result = run_short_lived(policy, plan)
-                figures += _load_figures(f"{title}, {policy.name}", result)
-            result = run_one_queue(plan)
-            figures += _load_figures(f"{title}, one queue", result)
+                figures += _request_figures(f"{title}, {policy.name}", result)
+            result = run_central_queue(plan)
+            figures += _request_figures(f"{title}, one queue", result)
     for policy in policies(seed):
         result = run_long_lived(policy, RequestPlan(seed, 2, _UTILIZATIONS[0]))
         title = f"lasting flows, 2 slots, {_UTILIZATIONS[0]:.0%}"
-        figures += _load_figures(f"{title}, {policy.name}", result)
+        figures += _request_figures(f"{title}, {policy.name}", result)
     return figures
 
 
 class PacketFlowsExperiment(_framework.Experiment):
-    """Decision code of the packet front end in virtual time."""
+    """Runs the decision code of the packet front end in virtual time."""
 
     @property
     def name(self) -> str:
@@ -369,11 +375,11 @@
 
     @property
     def summary(self) -> str:
-        """One line for the list."""
+        """One-line description that `list` prints."""
         return "packet front end, virtual time: changes and placement"
 
     async def run(self, seed: int) -> _framework.Result:
-        """Runs changes of instances, then loads near capacity."""
+        """Runs the changes of instances, then the loads near capacity."""
         figures = await asyncio.to_thread(_measure, seed)
         return _framework.Result(self.name, seed, tuple(figures))
 
--- a/libs/lab/src/fireflyford/lab/experiments/_quic_cost.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_quic_cost.py
@@ -1,4 +1,7 @@
-"""What QUIC through aioquic costs: both ends in this process, no sockets."""
+"""Experiment on the cost of QUIC with aioquic.
+
+Both ends of the connections are in this process, without sockets.
+"""
 
 import asyncio
 import gc
@@ -15,18 +18,18 @@
 from fireflyford.lab import _certificates
 from fireflyford.lab.experiments import _framework
 
-_HANDSHAKES = 100
-_IDLE_CONNECTIONS = 400
+_HANDSHAKE_COUNT = 100
+_IDLE_CONNECTION_COUNT = 400
 _TRANSFER_BYTES = 8 << 20
 _CHUNK_BYTES = 64 << 10
-_CLIENT = ("127.0.0.1", 1)
-_SERVER = ("127.0.0.1", 2)
+_CLIENT_ADDRESS = ("127.0.0.1", 1)
+_SERVER_ADDRESS = ("127.0.0.1", 2)
 
 _Quic = quic_connection.QuicConnection
 
 
-class _Pair:
-    """Two ends of one connection and a virtual time between them."""
+class _ConnectionPair:
+    """Both ends of one connection, with a virtual clock."""
 
     def __init__(
         self,
@@ -41,28 +44,28 @@
                 self.client.original_destination_connection_id
             ),
         )
-        self.client.connect(_SERVER, now=self.now_s)
+        self.client.connect(_SERVER_ADDRESS, now=self.now_s)
 
     def exchange(self) -> bool:
-        """Moves all datagrams once; returns whether there were any."""
+        """Exchanges pending datagrams; returns whether any were sent."""
         self.now_s += 0.001
-        moved = False
-        for source, sink, address in (
-            (self.client, self.server, _CLIENT),
-            (self.server, self.client, _SERVER),
+        sent = False
+        for sender, receiver, address in (
+            (self.client, self.server, _CLIENT_ADDRESS),
+            (self.server, self.client, _SERVER_ADDRESS),
         ):
-            for data, _ in source.datagrams_to_send(now=self.now_s):
-                moved = True
-                sink.receive_datagram(data, address, now=self.now_s)
-        return moved
+            for data, _ in sender.datagrams_to_send(now=self.now_s):
+                sent = True
+                receiver.receive_datagram(data, address, now=self.now_s)
+        return sent
 
-    def settle(self) -> None:
-        """Moves datagrams until neither end sends any."""
+    def exchange_all(self) -> None:
+        """Exchanges datagrams until neither end sends any."""
         while self.exchange():
             pass
 
     def fire_timers(self) -> None:
-        """Moves the time to the next timer of either end."""
+        """Advances the clock to the next timer of either end and fires it."""
         timers = [
             (timer, end)
             for end in (self.client, self.server)
@@ -73,8 +76,8 @@
         end.handle_timer(now=self.now_s)
 
 
-def _drain(end: _Quic) -> int:
-    """Returns the stream bytes that an end has received."""
+def _read_stream_bytes(end: _Quic) -> int:
+    """Consumes the events of an end; returns the received stream bytes."""
     received_bytes = 0
     while (event := end.next_event()) is not None:
         if isinstance(event, quic_events.StreamDataReceived):
@@ -103,30 +106,30 @@
 def _open_pair(
     client: quic_configuration.QuicConfiguration,
     server: quic_configuration.QuicConfiguration,
-) -> _Pair:
-    pair = _Pair(client, server)
-    pair.settle()
-    _drain(pair.client)
-    _drain(pair.server)
+) -> _ConnectionPair:
+    pair = _ConnectionPair(client, server)
+    pair.exchange_all()
+    _read_stream_bytes(pair.client)
+    _read_stream_bytes(pair.server)
     return pair
 
 
-def _transfer_s(pair: _Pair) -> float:
-    """Returns the CPU time of moving bytes from server to client."""
+def _measure_transfer_s(pair: _ConnectionPair) -> float:
+    """Returns the CPU time of a transfer from server to client."""
     stream_id = pair.client.get_next_available_stream_id()
     pair.client.send_stream_data(stream_id, b"get")
-    pair.settle()
-    _drain(pair.server)
+    pair.exchange_all()
+    _read_stream_bytes(pair.server)
     received_bytes = sent_bytes = 0
     start_s = time.process_time()
     while received_bytes < _TRANSFER_BYTES:
-        # One chunk ahead, as the agent writes answers.
+        # Sends only a few chunks ahead, as the agent does with responses.
         if sent_bytes - received_bytes < 4 * _CHUNK_BYTES:
             pair.server.send_stream_data(stream_id, bytes(_CHUNK_BYTES))
             sent_bytes += _CHUNK_BYTES
         if not pair.exchange():
             pair.fire_timers()
-        received_bytes += _drain(pair.client)
+        received_bytes += _read_stream_bytes(pair.client)
     return time.process_time() - start_s
 
 
@@ -135,20 +138,22 @@
         client, server = _make_configurations(pathlib.Path(name))
         _open_pair(client, server)
         start_s = time.process_time()
-        for _ in range(_HANDSHAKES):
+        for _ in range(_HANDSHAKE_COUNT):
             _open_pair(client, server)
-        handshake_ms = (time.process_time() - start_s) / _HANDSHAKES * 1e3
+        handshake_ms = (time.process_time() - start_s) / _HANDSHAKE_COUNT * 1e3
         gc.collect()
         before_bytes = psutil.Process().memory_info().rss
-        pairs = [_open_pair(client, server) for _ in range(_IDLE_CONNECTIONS)]
+        pairs = [
+            _open_pair(client, server) for _ in range(_IDLE_CONNECTION_COUNT)
+        ]
         gc.collect()
         grown_bytes = psutil.Process().memory_info().rss - before_bytes
-        transfer_s = _transfer_s(pairs[0])
+        transfer_s = _measure_transfer_s(pairs[0])
     return (
         _framework.Figure("handshake, both ends", handshake_ms, "ms"),
         _framework.Figure(
             "idle connection, both ends",
-            grown_bytes / _IDLE_CONNECTIONS / 1e3,
+            grown_bytes / _IDLE_CONNECTION_COUNT / 1e3,
             "KB",
         ),
         _framework.Figure(
@@ -160,7 +165,7 @@
 
 
 class QuicCostExperiment(_framework.Experiment):
-    """CPU and memory of QUIC without sockets."""
+    """Measures CPU and memory of QUIC without sockets."""
 
     @property
     def name(self) -> str:
@@ -169,11 +174,11 @@
 
     @property
     def summary(self) -> str:
-        """One line for the list."""
+        """One-line description that `list` prints."""
         return "CPU and memory of QUIC through aioquic, both ends"
 
     async def run(self, seed: int) -> _framework.Result:
-        """Measures once; nothing in it is random but keys."""
+        """Runs the experiment once; only keys are random, not by `seed`."""
         figures = await asyncio.to_thread(_measure)
         return _framework.Result(self.name, seed, figures)
 
--- a/libs/lab/src/fireflyford/lab/experiments/_request_processes.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_request_processes.py
@@ -1,7 +1,7 @@
-"""Requests over the whole path, with real processes.
+"""End-to-end experiments on requests with real processes.
 
 The other experiments on requests use virtual time; these check that the same
-decisions hold with sockets, real backend stand-ins and a busy machine.
+decisions hold with sockets, test backend servers and a busy machine.
 """
 
 import asyncio
@@ -23,8 +23,8 @@
 )
 
 
-class CrestProcesses(_framework.Experiment):
-    """The demand peak over the whole path."""
+class OverloadProcesses(_framework.Experiment):
+    """The demand peak end to end."""
 
     @property
     def name(self) -> str:
@@ -33,15 +33,15 @@
 
     @property
     def summary(self) -> str:
-        """One line for the list."""
+        """One-line description that `list` prints."""
         return "demand peak of 300 % for 10 s, real processes"
 
     async def run(self, seed: int) -> _framework.Result:
         """Runs the peak against seven targets."""
         # Three times the capacity is 168 requests per second, which one load
-        # generator with the fabric beside it can send.
-        mean_ms, slots = 250.0, 14
-        capacity = slots / mean_ms * 1000
+        # generator can send while it shares the machine with the fabric.
+        mean_ms, slot_count = 250.0, 14
+        capacity = slot_count / mean_ms * 1000
 
         def rate(time_ms: float) -> float:
             if not 4_000 <= time_ms < 15_000:
@@ -52,9 +52,9 @@
             seed, mean_ms, _CONNECTION_COUNT, 20_000, rate
         )
         async with _process_runs.running_service(seed, (1.0,) * 7) as fleet:
-            trip_ms = await _process_runs.measure_round_trip_ms(fleet, 40)
-            measured = await _process_runs.measure_capacity(
-                fleet, mean_ms, 2 * slots, _CAPACITY_RUN_S
+            round_trip_ms = await _process_runs.measure_round_trip_ms(fleet, 40)
+            measured_capacity = await _process_runs.measure_capacity(
+                fleet, mean_ms, 2 * slot_count, _CAPACITY_RUN_S
             )
             samples, attempts = await _process_runs.run_demand(fleet, demand)
         goodput = _goodput_ms(samples, 5_000, 15_000) / 10_000
@@ -68,13 +68,15 @@
         figures = (
             _framework.Figure(
                 "goodput against measured capacity",
-                goodput / measured,
+                goodput / measured_capacity,
                 "ratio",
                 0.95,
                 _framework.Bound.AT_LEAST,
             ),
-            _framework.Figure("measured capacity", measured / slots, "ratio"),
-            _framework.Figure("empty request", trip_ms, "ms"),
+            _framework.Figure(
+                "measured capacity", measured_capacity / slot_count, "ratio"
+            ),
+            _framework.Figure("empty request", round_trip_ms, "ms"),
             _framework.Figure(
                 "median refusal", _load.percentile(refusals, 0.5), "ms", 50.0
             ),
@@ -84,8 +86,8 @@
                 "ratio",
                 1.5,
             ),
-            # The first request of a connection fetches its ticket; these
-            # requests need none.
+            # Does not count the fetch of a ticket by the first request of a
+            # connection, since these requests need no ticket.
             _framework.Figure(
                 "attempts per request", attempts / len(samples), "ratio", 1.1
             ),
@@ -96,7 +98,7 @@
 
 
 class ImbalanceProcesses(_framework.Experiment):
-    """Use of targets over the whole path."""
+    """Utilization of targets end to end."""
 
     @property
     def name(self) -> str:
@@ -105,11 +107,11 @@
 
     @property
     def summary(self) -> str:
-        """One line for the list."""
+        """One-line description that `list` prints."""
         return "use of targets at 70 % load, fourfold speeds, real processes"
 
     async def run(self, seed: int) -> _framework.Result:
-        """Runs 16 s at 70 % load; use follows from the execution logs."""
+        """Runs 16 s at 70 % load; execution logs give the utilization."""
         speeds = (0.5, 2.0, 1.0, 0.5, 1.5, 2.0, 1.0)
         mean_ms = 80.0
         rate = 0.7 * 2 * sum(speeds) / mean_ms * 1000
@@ -119,27 +121,27 @@
         async with _process_runs.running_service(seed, speeds) as fleet:
             by_name = dict(zip(fleet.targets, speeds, strict=True))
             samples, _ = await _process_runs.run_demand(fleet, demand)
-            busy = _process_runs.work_by_target(fleet.executions(), by_name)
-        seconds = sorted({second for _, second in busy})[4:-3]
+            work_ms = _process_runs.work_by_target(fleet.executions(), by_name)
+        seconds = sorted({second for _, second in work_ms})[4:-3]
         ratios = []
         totals = dict.fromkeys(by_name, 0.0)
         for second in seconds:
-            uses = [busy.get((name, second), 0.0) for name in by_name]
-            ratios.append(max(uses) / statistics.mean(uses))
-            for name, use_ms in zip(by_name, uses, strict=True):
-                totals[name] += use_ms
-        whole = max(totals.values()) / statistics.mean(totals.values())
+            busy_ms = [work_ms.get((name, second), 0.0) for name in by_name]
+            ratios.append(max(busy_ms) / statistics.mean(busy_ms))
+            for name, target_busy_ms in zip(by_name, busy_ms, strict=True):
+                totals[name] += target_busy_ms
+        total_ratio = max(totals.values()) / statistics.mean(totals.values())
         figures = (
             _framework.Figure("median second", statistics.median(ratios), "1"),
             _framework.Figure("worst second", max(ratios), "1", 1.15),
-            _framework.Figure("whole run", whole, "1", 1.15),
+            _framework.Figure("whole run", total_ratio, "1", 1.15),
             _framework.Figure("p99", _p99_ms(samples, 4_000, 16_000), "ms"),
         )
         return _framework.Result(self.name, seed, figures)
 
 
 class AtMostOnceProcesses(_framework.Experiment):
-    """Orders under faults over the whole path."""
+    """Orders under faults end to end."""
 
     @property
     def name(self) -> str:
@@ -148,7 +150,7 @@
 
     @property
     def summary(self) -> str:
-        """One line for the list."""
+        """One-line description that `list` prints."""
         return "orders with copies under kills, pauses, drains; real processes"
 
     async def run(self, seed: int) -> _framework.Result:
@@ -196,4 +198,4 @@
     return _load.percentile(values, 0.99)
 
 
-EXPERIMENTS = (CrestProcesses(), ImbalanceProcesses(), AtMostOnceProcesses())
+EXPERIMENTS = (OverloadProcesses(), ImbalanceProcesses(), AtMostOnceProcesses())
--- a/libs/lab/src/fireflyford/lab/experiments/_requests.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_requests.py
@@ -1,7 +1,7 @@
-"""Requests: imbalance, head-of-line blocking, demand peaks, outcomes.
+"""Experiments on requests: imbalance, head-of-line blocking, overload, faults.
 
-These experiments run the decision code of agents in virtual time against
-modelled backend servers; every baseline runs in the same experiment.
+They run the decision code of agents in virtual time against simulated backend
+servers; baselines run in the same experiment.
 """
 
 import asyncio
@@ -22,17 +22,19 @@
 R = TypeVar("R")
 
 _WORKER_COUNT = 4
-# Estimates are learned from nothing in the first seconds.
+# Estimates of service times have no history yet in the first seconds.
 _WARM_UP_S = 4
 _SPEEDS = (1.0, 4.0, 2.0, 1.0, 3.0, 4.0, 2.0)
 _FAULT_RUN_COUNT = 200
 _Policy = _service_runs.Policy
 
 
-async def _map(function: Callable[[A], R], items: Iterable[A]) -> list[R]:
-    """Applies a function in a few processes, in order."""
+async def _map_in_processes(
+    function: Callable[[A], R], items: Iterable[A]
+) -> list[R]:
+    """Applies a function to items in worker processes; keeps the order."""
     loop = asyncio.get_running_loop()
-    # A copy of this process would copy its running event loop too.
+    # A forked process would inherit a copy of the running event loop.
     context = multiprocessing.get_context("spawn")
     with futures.ProcessPoolExecutor(_WORKER_COUNT, context) as pool:
         return await asyncio.gather(
@@ -41,7 +43,7 @@
 
 
 class Imbalance(_framework.Experiment):
-    """Use of targets with different speeds and lying load endpoints."""
+    """Utilization of targets of different speeds that report wrong loads."""
 
     @property
     def name(self) -> str:
@@ -50,11 +52,11 @@
 
     @property
     def summary(self) -> str:
-        """One line for the list."""
+        """One-line description that `list` prints."""
         return "use of targets by second, 70 % load, fourfold speeds"
 
     async def run(self, seed: int) -> _framework.Result:
-        """Runs our placement and the baselines."""
+        """Runs our placement policy and the baselines."""
         policies = (
             _Policy.OURS,
             _Policy.RANDOM,
@@ -65,7 +67,7 @@
         plan = _service_runs.Plan(
             seed, speeds=_SPEEDS, lying=True, duration_ms=16_000
         )
-        results = await _map(
+        results = await _map_in_processes(
             _service_runs.run,
             [dataclasses.replace(plan, policy=policy) for policy in policies],
         )
@@ -91,7 +93,7 @@
 
 
 class HeadOfLine(_framework.Experiment):
-    """Short work with and without stragglers."""
+    """Response times of short requests with and without stragglers."""
 
     @property
     def name(self) -> str:
@@ -100,38 +102,48 @@
 
     @property
     def summary(self) -> str:
-        """One line for the list."""
+        """One-line description that `list` prints."""
         return "p99 of short work with 5 % stragglers of 50 times the length"
 
     async def run(self, seed: int) -> _framework.Result:
-        """Runs with and without stragglers, and the baseline FIFO."""
-        mixed = _service_runs.Plan(seed, long_ratio=0.05, duration_ms=60_000)
+        """Runs with and without stragglers, and the baselines."""
+        with_stragglers = _service_runs.Plan(
+            seed, long_ratio=0.05, duration_ms=60_000
+        )
         plans = (
-            mixed,
-            dataclasses.replace(mixed, long_ratio=0.0, duration_ms=20_000),
-            dataclasses.replace(mixed, policy=_Policy.FIFO),
-            dataclasses.replace(mixed, policy=_Policy.TWO_CHOICES),
+            with_stragglers,
+            dataclasses.replace(
+                with_stragglers, long_ratio=0.0, duration_ms=20_000
+            ),
+            dataclasses.replace(with_stragglers, policy=_Policy.FIFO),
+            dataclasses.replace(with_stragglers, policy=_Policy.TWO_CHOICES),
+        )
+        ours, without_stragglers, fifo, two_choices = await _map_in_processes(
+            _service_runs.run, plans
+        )
+        base_ms = _load.percentile(
+            without_stragglers.elapsed_ms("short", 4_000), 0.99
         )
-        ours, plain, fifo, two = await _map(_service_runs.run, plans)
-        base_ms = _load.percentile(plain.elapsed_ms("short", 4_000), 0.99)
-        ideal_ms = _load.percentile(
+        ideal_ratio = _load.percentile(
             _service_runs.ideal_elapsed_ms(ours), 0.99
-        ) / _load.percentile(_service_runs.ideal_elapsed_ms(plain), 0.99)
+        ) / _load.percentile(
+            _service_runs.ideal_elapsed_ms(without_stragglers), 0.99
+        )
         fifo_long = fifo.elapsed_ms("long", 4_000)
-        our_long = ours.elapsed_ms("long", 4_000)
+        ours_long = ours.elapsed_ms("long", 4_000)
         figures = (
             _ratio("short p99, ours", _p99_ms(ours) / base_ms, 1.5),
             _ratio("short p99, FIFO", _p99_ms(fifo) / base_ms),
-            _ratio("short p99, two choices", _p99_ms(two) / base_ms),
-            _ratio("short p99, ideal scheduler", ideal_ms),
+            _ratio("short p99, two choices", _p99_ms(two_choices) / base_ms),
+            _ratio("short p99, ideal scheduler", ideal_ratio),
             _ratio(
                 "stragglers against FIFO, mean",
-                statistics.mean(our_long) / statistics.mean(fifo_long),
+                statistics.mean(ours_long) / statistics.mean(fifo_long),
                 1.3,
             ),
             _ratio(
                 "stragglers against FIFO, p99",
-                _load.percentile(our_long, 0.99)
+                _load.percentile(ours_long, 0.99)
                 / _load.percentile(fifo_long, 0.99),
             ),
             _framework.Figure("short p99 without stragglers", base_ms, "ms"),
@@ -141,7 +153,7 @@
         return _framework.Result(self.name, seed, figures)
 
 
-class Crest(_framework.Experiment):
+class Overload(_framework.Experiment):
     """Demand that rises from 50 % to 300 % of capacity."""
 
     @property
@@ -151,11 +163,11 @@
 
     @property
     def summary(self) -> str:
-        """One line for the list."""
+        """One-line description that `list` prints."""
         return "demand peak of 300 % for 10 s, with and without a fault"
 
     async def run(self, seed: int) -> _framework.Result:
-        """Runs the peak with our policy, FIFO, and with faults."""
+        """Runs the peak with our policy, the baselines, and with faults."""
         plan = _service_runs.Plan(
             seed,
             mean_ms=40.0,
@@ -173,22 +185,24 @@
                 for fault in (faults.KILL, faults.PAUSE, faults.FAIL_FAST)
             ),
         ]
-        ours, fifo, blind, *faulty = await _map(_service_runs.run, plans)
+        ours, fifo, fifo_random, *with_faults = await _map_in_processes(
+            _service_runs.run, plans
+        )
         figures = [
             *_peak_figures("ours", ours, with_target=True),
             *_peak_figures("FIFO", fifo, with_target=False),
-            *_peak_figures("FIFO and random", blind, with_target=False),
+            *_peak_figures("FIFO and random", fifo_random, with_target=False),
         ]
-        for result in faulty:
-            # Six of seven targets are left, from 3 s after the fault on.
-            left = result.goodput_ratio(12_000, 15_000) * 7 / 6
+        for result in with_faults:
+            # Six of seven targets remain; measured from 3 s after the fault.
+            goodput = result.goodput_ratio(12_000, 15_000) * 7 / 6
             name = f"goodput of the rest, {result.plan.fault.value}"
-            figures.append(_at_least(name, left, 0.95))
+            figures.append(_at_least(name, goodput, 0.95))
         return _framework.Result(self.name, seed, tuple(figures))
 
 
 class AtMostOnce(_framework.Experiment):
-    """Fault runs with the history checker."""
+    """Runs with faults whose request history is checked."""
 
     @property
     def name(self) -> str:
@@ -197,18 +211,24 @@
 
     @property
     def summary(self) -> str:
-        """One line for the list."""
+        """One-line description that `list` prints."""
         return "200 runs with one or two faults, checked by their history"
 
     async def run(self, seed: int) -> _framework.Result:
-        """Runs 200 seeds from 200 times `seed`."""
+        """Runs 200 consecutive seeds, starting at 200 times `seed`."""
         first = seed * _FAULT_RUN_COUNT
-        results = await _map(
+        results = await _map_in_processes(
             _fault_runs.run_once, range(first, first + _FAULT_RUN_COUNT)
         )
-        broken = [result for result in results if result.violations]
+        runs_with_violations = [
+            result for result in results if result.violations
+        ]
         figures = [
-            _count("violations", sum(len(r.violations) for r in broken), 0),
+            _count(
+                "violations",
+                sum(len(r.violations) for r in runs_with_violations),
+                0,
+            ),
             _count("runs", len(results)),
             _count("answers", sum(r.told_count for r in results)),
             _count("executions", sum(r.ran_count for r in results)),
@@ -217,7 +237,7 @@
         ]
         figures += [
             _count(f"broken run, seed {result.seed}", len(result.violations))
-            for result in broken
+            for result in runs_with_violations
         ]
         return _framework.Result(self.name, seed, tuple(figures))
 
@@ -288,4 +308,4 @@
     return _framework.Figure(name, value, "1", target)
 
 
-EXPERIMENTS = (Imbalance(), HeadOfLine(), Crest(), AtMostOnce())
+EXPERIMENTS = (Imbalance(), HeadOfLine(), Overload(), AtMostOnce())
--- a/libs/lab/src/fireflyford/lab/scenarios/_process_environment.py
+++ b/libs/lab/src/fireflyford/lab/scenarios/_process_environment.py
@@ -219,7 +219,7 @@
                     counters = status["counters"]
                     self._misrouted[name] = counters["misrouted_count"]
             for name in list(self.fleet.balancers):
-                await self.trial.sample(name)
+                await self.trial.sample_version(name)
             await asyncio.sleep(_SAMPLE_MS / 1000)
 
     def _some_balancer(self) -> _fleet.BalancerProcess:
@@ -293,22 +293,22 @@
         await _pause(self._some_target(service).backend, values[0])
 
     async def _store_down(self, service: str, values: list[float]) -> None:
-        await self.trial.switch(down=True)
+        await self.trial.set_store_faults(down=True)
         await asyncio.sleep(values[0])
-        await self.trial.switch(down=False)
+        await self.trial.set_store_faults(down=False)
 
     async def _store_slow(self, service: str, values: list[float]) -> None:
-        await self.trial.switch(slow_ms=values[0])
+        await self.trial.set_store_faults(slow_ms=values[0])
         await asyncio.sleep(values[1])
-        await self.trial.switch(slow_ms=0)
+        await self.trial.set_store_faults(slow_ms=0)
 
     async def _store_lost_answer(
         self, service: str, values: list[float]
     ) -> None:
-        await self.trial.switch(lose_answer_count=1)
+        await self.trial.set_store_faults(lose_answer_count=1)
 
     async def _store_lease(self, service: str, values: list[float]) -> None:
-        await self.trial.switch(lapse_leases=True)
+        await self.trial.set_store_faults(lapse_leases=True)
 
     async def _lose_datagrams(self, service: str, values: list[float]) -> None:
         self._set_faults(_faults.Faults(loss_ratio=values[0] / 100))
@@ -334,7 +334,9 @@
         await self._push_and_time(base, 2)
 
     async def _push_and_time(self, base: int, operator_count: int) -> None:
-        watcher = asyncio.create_task(self.trial.time_in_force(base + 1))
+        watcher = asyncio.create_task(
+            self.trial.measure_activation_ms(base + 1)
+        )
         outcomes = await asyncio.gather(
             *(
                 self.trial.push(base, f"operator-{index}")
