Reword the scenario library in the usual terms of the field

Act -> Action, its field action -> name; Environment.act -> perform_action, spawn -> schedule_action; names of private functions say what they do. The grammar, the steps and the names of measures stay.

One error message says what needs the fault proxy.

--- a/libs/lab/src/fireflyford/lab/scenarios/__init__.py
+++ b/libs/lab/src/fireflyford/lab/scenarios/__init__.py
@@ -1,4 +1,4 @@
-"""Scenarios: a small language for changes, faults and assertions."""
+"""Scenarios: a small language for fleet changes, faults and assertions."""
 
 from fireflyford.lab.scenarios._environment import Environment
 from fireflyford.lab.scenarios._language import Step
--- a/libs/lab/src/fireflyford/lab/scenarios/_environment.py
+++ b/libs/lab/src/fireflyford/lab/scenarios/_environment.py
@@ -1,10 +1,10 @@
-"""What the steps of a scenario act on."""
+"""Interface to the deployment that the steps of a scenario act on."""
 
 import abc
 
 
 class Environment(abc.ABC):
-    """A running deployment with load, faults and measured figures."""
+    """A deployment with load, faults and measured figures."""
 
     @abc.abstractmethod
     async def deploy(self, deployment: str, balancer_count: int) -> None:
@@ -12,7 +12,7 @@
 
     @abc.abstractmethod
     async def wait(self, duration_s: float) -> None:
-        """Lets the load run."""
+        """Waits while the load runs."""
 
     @abc.abstractmethod
     async def add_feeds(self, service: str, count: int) -> None:
@@ -22,30 +22,34 @@
     def add_requests(
         self, service: str, kind: str, rate_per_s: float, duration_ms: float
     ) -> None:
-        """Sends orders or sheets at a rate until the end."""
+        """Starts sending orders or sheets at a constant rate until the end."""
 
     @abc.abstractmethod
-    async def act(self, action: str, service: str, values: list[float]) -> None:
-        """Performs one change or fault.
+    async def perform_action(
+        self, action: str, service: str, values: list[float]
+    ) -> None:
+        """Performs a change or a fault.
 
         Args:
-            action: Name of the grammar's alternative, such as `kill_agent`.
-            service: Service named in the step, else empty.
+            action: Alias of the grammar rule, such as `kill_agent`.
+            service: Service that the step names, or empty.
             values: Numbers of the step, in order.
         """
 
     @abc.abstractmethod
     def random_delay_s(self, limit_s: float) -> float:
-        """Draws a moment from the seed."""
+        """Returns a random delay that follows from the seed."""
 
     @abc.abstractmethod
-    def spawn(self, action: str, service: str, values: list[float]) -> None:
-        """Performs an action in the background, after `values[0]` seconds."""
+    def schedule_action(
+        self, action: str, service: str, values: list[float]
+    ) -> None:
+        """Performs an action in the background after `values[0]` seconds."""
 
     @abc.abstractmethod
     async def finish(self) -> None:
-        """Waits for background actions, then ends the load."""
+        """Waits for background actions, then stops the load."""
 
     @abc.abstractmethod
     async def measure(self, name: str) -> float:
-        """Returns a figure; times are in ms."""
+        """Returns the value of a figure; times are in ms."""
--- a/libs/lab/src/fireflyford/lab/scenarios/_language.py
+++ b/libs/lab/src/fireflyford/lab/scenarios/_language.py
@@ -1,4 +1,4 @@
-"""The scenario language: grammar, steps and errors with their place."""
+"""Parser and steps of the scenario language."""
 
 import abc
 import asyncio
@@ -23,7 +23,7 @@
     async def perform(
         self, environment: _environment.Environment
     ) -> experiments.Figure | None:
-        """Performs the step; a check returns its figure."""
+        """Performs the step; a check returns its figure, other steps None."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -52,7 +52,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Requests(Step):
-    """Sends orders or sheets."""
+    """Sends orders or sheets at a constant rate."""
 
     service: str
     kind: str
@@ -68,63 +68,67 @@
 
 @dataclasses.dataclass(frozen=True)
 class Wait(Step):
-    """Lets the load run."""
+    """Waits while the load runs."""
 
     duration_s: float
 
     async def perform(self, environment: _environment.Environment) -> None:
-        """Waits."""
+        """Waits for the duration."""
         await environment.wait(self.duration_s)
 
 
 @dataclasses.dataclass(frozen=True)
-class Act(Step):
+class Action(Step):
     """A planned change or a fault."""
 
-    action: str
+    name: str
     service: str
     values: tuple[float, ...]
 
     async def perform(self, environment: _environment.Environment) -> None:
-        """Performs it now."""
-        await environment.act(self.action, self.service, list(self.values))
+        """Performs the action immediately."""
+        await environment.perform_action(
+            self.name, self.service, list(self.values)
+        )
 
 
 @dataclasses.dataclass(frozen=True)
 class Sometime(Step):
-    """An action at a random moment, in the background."""
+    """An action after a random delay, in the background."""
 
     limit_s: float
-    act: Act
+    action: Action
 
     async def perform(self, environment: _environment.Environment) -> None:
-        """Draws the moment and schedules the action."""
+        """Schedules the action after a random delay."""
         delay_s = environment.random_delay_s(self.limit_s)
-        values = [delay_s, *self.act.values]
-        environment.spawn(self.act.action, self.act.service, values)
+        values = [delay_s, *self.action.values]
+        environment.schedule_action(
+            self.action.name, self.action.service, values
+        )
 
 
 @dataclasses.dataclass(frozen=True)
 class Twice(Step):
-    """An action, and the same action again."""
+    """An action that is performed twice."""
 
-    act: Act
+    action: Action
 
     async def perform(self, environment: _environment.Environment) -> None:
-        """Performs the action two times in a row."""
-        await self.act.perform(environment)
-        await self.act.perform(environment)
+        """Performs the action twice in a row."""
+        await self.action.perform(environment)
+        await self.action.perform(environment)
 
 
 @dataclasses.dataclass(frozen=True)
 class Together(Step):
-    """Two actions at the same time."""
+    """Two actions that are performed concurrently."""
 
-    first: Act
-    second: Act
+    first: Action
+    second: Action
 
     async def perform(self, environment: _environment.Environment) -> None:
-        """Performs both concurrently."""
+        """Performs both actions and waits for them."""
         await asyncio.gather(
             self.first.perform(environment), self.second.perform(environment)
         )
@@ -141,29 +145,35 @@
     async def perform(
         self, environment: _environment.Environment
     ) -> experiments.Figure:
-        """Ends the load and measures."""
+        """Stops the load and measures the figure."""
         await environment.finish()
         value = await environment.measure(self.measure)
-        unit = "ms" if self.measure in _TIMES else "1"
+        unit = "ms" if self.measure in _TIME_MEASURES else "1"
         return experiments.Figure(
-            self.measure.replace("_", " "), value, unit, self.target, self.bound
+            self.measure.replace("_", " "),
+            value,
+            unit,
+            self.target,
+            self.bound,
         )
 
 
-_TIMES = frozenset({"feed_silence", "orders_p99", "sheets_p99", "config_delay"})
+_TIME_MEASURES = frozenset(
+    {"feed_silence", "orders_p99", "sheets_p99", "config_delay"}
+)
 
 
-class _Builder(lark.Transformer[lark.Token, list[Step]]):
+class _StepBuilder(lark.Transformer[lark.Token, list[Step]]):
     """Builds the steps from the parse tree."""
 
     def __default__(
         self, data: str, children: list[object], meta: object
     ) -> object:
-        """Turns an action or a measure into its name and arguments."""
+        """Converts an action or a measure to its name and arguments."""
         del meta
-        names = [str(c) for c in children if _type(c) == "NAME"]
+        names = [str(c) for c in children if _token_type(c) == "NAME"]
         values = tuple(float(str(c)) for c in children if _is_number(c))
-        return Act(str(data), names[0] if names else "", values)
+        return Action(str(data), names[0] if names else "", values)
 
     def start(self, children: list[Step]) -> list[Step]:
         return children
@@ -178,47 +188,47 @@
         return Feeds(str(children[1]), int(children[0]))
 
     def orders(self, children: list[lark.Token]) -> Step:
-        return _requests("orders", children)
+        return _make_requests("orders", children)
 
     def sheets(self, children: list[lark.Token]) -> Step:
-        return _requests("sheets", children)
+        return _make_requests("sheets", children)
 
     def wait(self, children: list[lark.Token]) -> Step:
         return Wait(float(children[0]))
 
     def sometime(self, children: list[object]) -> Step:
-        act = children[1]
-        assert isinstance(act, Act)
-        return Sometime(float(str(children[0])), act)
+        action = children[1]
+        assert isinstance(action, Action)
+        return Sometime(float(str(children[0])), action)
 
-    def repeat(self, children: list[Act]) -> Step:
+    def repeat(self, children: list[Action]) -> Step:
         return Twice(children[0])
 
-    def together(self, children: list[Act]) -> Step:
+    def together(self, children: list[Action]) -> Step:
         return Together(children[0], children[1])
 
     def check(self, children: list[object]) -> Step:
-        measure, bound, value, *unit = children
-        assert isinstance(measure, Act)
+        measure, bound_text, value, *unit = children
+        assert isinstance(measure, Action)
         factor = _UNIT_FACTORS[str(unit[0]) if unit else ""]
-        sign = experiments.Bound(str(bound).replace(" ", "-"))
-        return Check(measure.action, sign, float(str(value)) * factor)
+        bound = experiments.Bound(str(bound_text).replace(" ", "-"))
+        return Check(measure.name, bound, float(str(value)) * factor)
 
 
-def _requests(kind: str, children: list[lark.Token]) -> Requests:
+def _make_requests(kind: str, children: list[lark.Token]) -> Requests:
     rate, service, duration = children
     return Requests(str(service), kind, float(rate), float(duration))
 
 
-def _type(child: object) -> str:
+def _token_type(child: object) -> str:
     return str(getattr(child, "type", ""))
 
 
 def _is_number(child: object) -> bool:
-    return _type(child) in ("NUMBER", "INT")
+    return _token_type(child) in ("NUMBER", "INT")
 
 
-def _grammar() -> str:
+def _read_grammar() -> str:
     files = importlib.resources.files("fireflyford.lab.scenarios")
     return (files / "grammar.lark").read_text()
 
@@ -228,57 +238,59 @@
 
     Args:
         text: Content of the file.
-        name: Name of the file, for errors.
+        name: Name of the file, for error messages.
 
     Returns:
-        The steps, or `BAD_CONFIG` with line, column and the nearest step.
+        The steps, or `BAD_CONFIG` with line, column and the most similar step.
     """
-    parser = lark.Lark(_grammar(), parser="earley", lexer="dynamic")
+    parser = lark.Lark(_read_grammar(), parser="earley", lexer="dynamic")
     try:
         tree = parser.parse(text)
     except lark.UnexpectedInput as error:
-        return _explain(text, name, error)
-    steps: list[Step] = _Builder().transform(tree)
+        return _describe_error(text, name, error)
+    steps: list[Step] = _StepBuilder().transform(tree)
     return core.Ok(steps)
 
 
-def _explain(text: str, name: str, error: lark.UnexpectedInput) -> core.Failure:
+def _describe_error(
+    text: str, name: str, error: lark.UnexpectedInput
+) -> core.Failure:
     lines = text.splitlines() or [""]
     line = error.line if 0 < error.line <= len(lines) else len(lines)
-    wrong = lines[line - 1].strip()
-    column = error.column if error.column > 0 else len(wrong) + 1
+    invalid_line = lines[line - 1].strip()
+    column = error.column if error.column > 0 else len(invalid_line) + 1
     nearest = difflib.get_close_matches(
-        wrong, step_templates(), n=1, cutoff=0.0
+        invalid_line, step_templates(), n=1, cutoff=0.0
     )
     return core.Failure(
         core.ErrorKind.BAD_CONFIG,
-        f"{name}:{line}:{column}: unknown step `{wrong}`; "
+        f"{name}:{line}:{column}: unknown step `{invalid_line}`; "
         f"the nearest step is `{nearest[0]}`",
     )
 
 
 def step_templates() -> list[str]:
-    """Returns the form of every step, derived from the grammar.
+    """Returns a template of every step, derived from the grammar.
 
     >>> "kill a balancer" in step_templates()
     True
     >>> "expect feed gaps at most NUMBER" in step_templates()
     True
     """
-    rules = _grammar().partition("BOUND:")[0]
+    rules = _read_grammar().partition("BOUND:")[0]
     steps, _, measures = rules.partition("measure:")
-    found = [_template(body) for body in _ALTERNATIVE.findall(steps)]
+    found = [_make_template(body) for body in _ALTERNATIVE.findall(steps)]
     found += [
-        f"expect {_template(body)} at most NUMBER"
+        f"expect {_make_template(body)} at most NUMBER"
         for body in _ALTERNATIVE.findall("measure:" + measures)
     ]
     return sorted(found)
 
 
-# The right side of an alternative that starts with a word or a count.
+# Right-hand side of a grammar alternative that starts with a word or a number.
 _ALTERNATIVE = re.compile(r'[:|] ((?:INT |NUMBER )?"[a-z].*)$', re.M)
 
 
-def _template(body: str) -> str:
+def _make_template(body: str) -> str:
     text = body.partition("->")[0].replace('"', "")
     return " ".join(text.replace("?", "").split())
--- a/libs/lab/src/fireflyford/lab/scenarios/_load.py
+++ b/libs/lab/src/fireflyford/lab/scenarios/_load.py
@@ -1,4 +1,4 @@
-"""Requests of a scenario, sent at a rate, and what came of them."""
+"""Request load of a scenario, with counts of the outcomes."""
 
 import asyncio
 import collections
@@ -7,8 +7,8 @@
 from fireflyford import caller
 from fireflyford import core
 
-_SHEET_BYTES = 50_000
-_RECONNECT_PAUSE_S = 0.1
+_SHEET_SIZE_BYTES = 50_000
+_RECONNECT_DELAY_S = 0.1
 _DEADLINE_MS = {"orders": 5_000, "sheets": 20_000}
 
 
@@ -18,13 +18,13 @@
     def __init__(
         self, client: caller.Client, name: str, kind: str, rate_per_s: float
     ) -> None:
-        """Prepares the load.
+        """Initializes the load.
 
         Args:
             client: Client of the service.
-            name: Prefix of order bodies, unique in the scenario.
+            name: Prefix of request bodies, unique in the scenario.
             kind: `orders` or `sheets`.
-            rate_per_s: Requests started in a second.
+            rate_per_s: Requests started per second.
         """
         self._client = client
         self._name = name
@@ -37,15 +37,15 @@
         self.refused_bodies: set[str] = set()
 
     async def run(self, duration_ms: float) -> None:
-        """Starts requests until cancelled.
+        """Starts requests at the constant rate until cancelled.
 
         Args:
-            duration_ms: Nominal time of the work at the backend server.
+            duration_ms: Nominal service time at the backend server.
         """
-        number = 0
+        request_number = 0
         while True:
-            number += 1
-            body = f"{self._name}-{number}"
+            request_number += 1
+            body = f"{self._name}-{request_number}"
             task = asyncio.create_task(self._send(body, duration_ms))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
@@ -61,14 +61,16 @@
         try:
             connection = await self._session.connection()
         except ConnectionError:
-            # Nothing has been sent, so nothing is counted.
-            await asyncio.sleep(_RECONNECT_PAUSE_S)
+            # No request was sent, so there is no outcome to count.
+            await asyncio.sleep(_RECONNECT_DELAY_S)
             return
         path = f"/orders?ms={duration_ms:g}"
         expected = body.encode()
         if self.kind == "sheets":
-            path = f"/sheets/{body}?ms={duration_ms:g}&bytes={_SHEET_BYTES}"
-            expected = path.encode() + b"." * _SHEET_BYTES
+            path = (
+                f"/sheets/{body}?ms={duration_ms:g}&bytes={_SHEET_SIZE_BYTES}"
+            )
+            expected = path.encode() + b"." * _SHEET_SIZE_BYTES
         start_s = time.monotonic()
         outcome = await self._client.request(
             connection,
@@ -78,9 +80,9 @@
             deadline_ms=_DEADLINE_MS[self.kind],
         )
         self.durations_ms.append((time.monotonic() - start_s) * 1000)
-        self._judge(outcome, body, expected)
+        self._count_outcome(outcome, body, expected)
 
-    def _judge(
+    def _count_outcome(
         self, outcome: core.Outcome[caller.Response], body: str, expected: bytes
     ) -> None:
         if isinstance(outcome, core.Ok):
--- a/libs/lab/src/fireflyford/lab/scenarios/_process_environment.py
+++ b/libs/lab/src/fireflyford/lab/scenarios/_process_environment.py
@@ -1,4 +1,4 @@
-"""Scenarios on real processes."""
+"""Environment of scenarios that run on real processes."""
 
 import asyncio
 import collections
@@ -19,7 +19,7 @@
 from fireflyford.lab.scenarios import _load
 
 _FEED_INTERVAL_MS = 200
-_SAMPLE_MS = 100
+_POLL_INTERVAL_MS = 100
 # Every link between the fabric and the balancers passes the fault proxy.
 _PROXIED = frozenset({"fabric"})
 
@@ -28,7 +28,7 @@
     """A fleet of real processes with callers, faults and figures."""
 
     def __init__(self, seed: int) -> None:
-        """Takes the seed of everything random."""
+        """Initializes the environment with the seed of all random choices."""
         self._rng = random.Random(seed)
         self._fleet: _fleet.Fleet | None = None
         self._trial: _config_trial.Trial | None = None
@@ -55,13 +55,17 @@
 
     @property
     def trial(self) -> _config_trial.Trial:
-        """Pushes and samples of configuration versions."""
+        """Pushes and samples configuration versions.
+
+        Raises:
+            RuntimeError: The scenario has not deployed anything yet.
+        """
         if self._trial is None:
             raise RuntimeError("the first step must be a deployment")
         return self._trial
 
     def close(self) -> None:
-        """Ends every task and process."""
+        """Stops all tasks and processes."""
         for task in [*self._tasks, *self._actions]:
             task.cancel()
         for feeds in self._feeds:
@@ -75,22 +79,22 @@
         Raises:
             ValueError: There is no deployment of that name.
         """
-        known = _deployments.DEPLOYMENTS.get(deployment)
-        if known is None:
+        found = _deployments.DEPLOYMENTS.get(deployment)
+        if found is None:
             names = ", ".join(_deployments.DEPLOYMENTS)
             raise ValueError(f"no deployment {deployment}; there are {names}")
-        self._fleet = _fleet.Fleet(known, self._rng, balancer_count, _PROXIED)
+        self._fleet = _fleet.Fleet(found, self._rng, balancer_count, _PROXIED)
         await self._fleet.start()
         self._trial = _config_trial.Trial(self._fleet, self._rng)
         self._tasks.append(asyncio.create_task(self._fleet.check_health()))
-        self._tasks.append(asyncio.create_task(self._watch()))
+        self._tasks.append(asyncio.create_task(self._poll_instances()))
 
     async def wait(self, duration_s: float) -> None:
-        """Lets the load run."""
+        """Waits while the load runs."""
         await asyncio.sleep(duration_s)
 
     async def add_feeds(self, service: str, count: int) -> None:
-        """Opens feeds and waits until they deliver."""
+        """Opens feeds and waits until they deliver events."""
         load = _callers.Load(count, feed_interval_ms=_FEED_INTERVAL_MS)
         name = f"feeds-{len(self._feeds)}"
         feeds = _callers.Callers(self._client(service), load, name)
@@ -100,27 +104,31 @@
     def add_requests(
         self, service: str, kind: str, rate_per_s: float, duration_ms: float
     ) -> None:
-        """Sends orders or sheets at a rate until the end."""
+        """Starts sending orders or sheets at a constant rate until the end."""
         name = f"{kind}-{len(self._loads)}"
         load = _load.RequestLoad(self._client(service), name, kind, rate_per_s)
         self._loads.append(load)
         self._tasks.append(asyncio.create_task(load.run(duration_ms)))
 
     def random_delay_s(self, limit_s: float) -> float:
-        """Draws a moment from the seed."""
+        """Returns a random delay that follows from the seed."""
         return self._rng.uniform(0, limit_s)
 
-    def spawn(self, action: str, service: str, values: list[float]) -> None:
-        """Performs an action in the background, after `values[0]` seconds."""
+    def schedule_action(
+        self, action: str, service: str, values: list[float]
+    ) -> None:
+        """Performs an action in the background after `values[0]` seconds."""
 
-        async def later() -> None:
+        async def perform_later() -> None:
             await asyncio.sleep(values[0])
-            await self.act(action, service, values[1:])
+            await self.perform_action(action, service, values[1:])
 
-        self._actions.append(asyncio.create_task(later()))
+        self._actions.append(asyncio.create_task(perform_later()))
 
-    async def act(self, action: str, service: str, values: list[float]) -> None:
-        """Performs one change or fault."""
+    async def perform_action(
+        self, action: str, service: str, values: list[float]
+    ) -> None:
+        """Performs a change or a fault."""
         handlers: dict[str, Callable[[str, list[float]], Awaitable[None]]] = {
             "kill_balancer": self._kill_balancer,
             "kill_backend": self._kill_backend,
@@ -147,7 +155,7 @@
         await handlers[action](service, values)
 
     async def finish(self) -> None:
-        """Waits for background actions, then ends the load."""
+        """Waits for background actions, then stops the load."""
         if self._finished:
             return
         self._finished = True
@@ -160,7 +168,7 @@
             await load.finish()
 
     async def measure(self, name: str) -> float:
-        """Returns a figure; times are in ms."""
+        """Returns the value of a figure; times are in ms."""
         feeds = self._feed_figures
         counts: collections.Counter[str] = collections.Counter()
         for load in self._loads:
@@ -202,13 +210,13 @@
         return values[int(0.99 * (len(values) - 1))] if values else 0.0
 
     def _client(self, service: str) -> caller.Client:
-        known = self.fleet.deployment.service(service)
-        if known is None:
+        found = self.fleet.deployment.service(service)
+        if found is None:
             raise ValueError(f"no service {service} in the deployment")
-        return _callers.make_client(self.fleet, known)
+        return _callers.make_client(self.fleet, found)
 
-    async def _watch(self) -> None:
-        """Samples misrouted datagrams and configuration versions."""
+    async def _poll_instances(self) -> None:
+        """Polls counts of misrouted datagrams and configuration versions."""
         addresses: dict[str, core.Address] = {}
         while True:
             for target in list(self.fleet.targets.values()):
@@ -220,9 +228,9 @@
                     self._misrouted[name] = counters["misrouted_count"]
             for name in list(self.fleet.balancers):
                 await self.trial.sample_version(name)
-            await asyncio.sleep(_SAMPLE_MS / 1000)
+            await asyncio.sleep(_POLL_INTERVAL_MS / 1000)
 
-    def _some_balancer(self) -> _fleet.BalancerProcess:
+    def _choose_balancer(self) -> _fleet.BalancerProcess:
         running = [
             item
             for item in self.fleet.balancers.values()
@@ -230,7 +238,7 @@
         ]
         return self._rng.choice(running)
 
-    def _some_target(self, service: str) -> _fleet.Target:
+    def _choose_target(self, service: str) -> _fleet.Target:
         targets = [
             item
             for item in self.fleet.targets.values()
@@ -241,22 +249,22 @@
         return self._rng.choice(targets)
 
     async def _kill_balancer(self, service: str, values: list[float]) -> None:
-        balancer = self._some_balancer()
+        balancer = self._choose_balancer()
         self.fleet.kill(balancer.process)
         self.fleet.balancers.pop(balancer.name)
 
     async def _kill_backend(self, service: str, values: list[float]) -> None:
-        self.fleet.kill(self._some_target(service).backend)
+        self.fleet.kill(self._choose_target(service).backend)
 
     async def _kill_agent(self, service: str, values: list[float]) -> None:
-        target = self._some_target(service)
+        target = self._choose_target(service)
         self.fleet.targets.pop(target.name)
         self.fleet.kill(target.agent)
 
     async def _replace_balancer(
         self, service: str, values: list[float]
     ) -> None:
-        await self.fleet.replace_balancer(self._some_balancer())
+        await self.fleet.replace_balancer(self._choose_balancer())
 
     async def _replace_balancers(
         self, service: str, values: list[float]
@@ -265,7 +273,7 @@
             await self.fleet.replace_balancer(balancer)
 
     async def _replace_target(self, service: str, values: list[float]) -> None:
-        await self.fleet.replace_target(self._some_target(service))
+        await self.fleet.replace_target(self._choose_target(service))
 
     async def _replace_targets(self, service: str, values: list[float]) -> None:
         for target in list(self.fleet.targets.values()):
@@ -273,7 +281,7 @@
                 await self.fleet.replace_target(target)
 
     async def _drain_target(self, service: str, values: list[float]) -> None:
-        await self.fleet.remove_target(self._some_target(service))
+        await self.fleet.remove_target(self._choose_target(service))
 
     async def _add_balancer(self, service: str, values: list[float]) -> None:
         self.fleet.start_balancer()
@@ -284,13 +292,13 @@
         await self.fleet.settle()
 
     async def _pause_balancer(self, service: str, values: list[float]) -> None:
-        await _pause(self._some_balancer().process, values[0])
+        await _pause(self._choose_balancer().process, values[0])
 
     async def _pause_agent(self, service: str, values: list[float]) -> None:
-        await _pause(self._some_target(service).agent, values[0])
+        await _pause(self._choose_target(service).agent, values[0])
 
     async def _pause_backend(self, service: str, values: list[float]) -> None:
-        await _pause(self._some_target(service).backend, values[0])
+        await _pause(self._choose_target(service).backend, values[0])
 
     async def _store_down(self, service: str, values: list[float]) -> None:
         await self.trial.set_store_faults(down=True)
@@ -321,20 +329,22 @@
     def _set_faults(self, faults: _faults.Faults) -> None:
         proxy = self.fleet.proxy
         if proxy is None:
-            raise RuntimeError("the fleet has no fault proxy")
+            raise RuntimeError(
+                "datagram faults need a fleet with a fault proxy"
+            )
         for name in proxy.status():
             proxy.set_faults(name, faults)
 
     async def _push_config(self, service: str, values: list[float]) -> None:
         base = self.trial.accepted_version
-        await self._push_and_time(base, 1)
+        await self._push_and_measure(base, 1)
 
     async def _push_race(self, service: str, values: list[float]) -> None:
         base = self.trial.accepted_version
-        await self._push_and_time(base, 2)
+        await self._push_and_measure(base, 2)
 
-    async def _push_and_time(self, base: int, operator_count: int) -> None:
-        watcher = asyncio.create_task(
+    async def _push_and_measure(self, base: int, operator_count: int) -> None:
+        activation = asyncio.create_task(
             self.trial.measure_activation_ms(base + 1)
         )
         outcomes = await asyncio.gather(
@@ -345,11 +355,11 @@
         )
         winners = [item for item in outcomes if isinstance(item, core.Ok)]
         if not winners:
-            watcher.cancel()
+            activation.cancel()
             return
-        # More than one winner on one base means that a push was overwritten.
+        # Two accepted pushes on one base mean that one was overwritten.
         self._lost_push_count += len(winners) - 1
-        self._config_delays_ms.append(await watcher)
+        self._config_delays_ms.append(await activation)
 
 
 async def _pause(process: subprocess.Popen[bytes], duration_s: float) -> None:
--- a/libs/lab/src/fireflyford/lab/scenarios/_runner.py
+++ b/libs/lab/src/fireflyford/lab/scenarios/_runner.py
@@ -11,15 +11,16 @@
 async def run(
     text: str, path: str, seed: int
 ) -> core.Outcome[experiments.Result]:
-    """Plays a scenario on real processes.
+    """Runs a scenario on real processes.
 
     Args:
         text: Content of the scenario file.
-        path: Its path, for errors and the name of the result.
-        seed: Seed of everything random.
+        path: Path of the file, for error messages and the name of the result.
+        seed: Seed of all random choices.
 
     Returns:
-        The figures of all checks, or `BAD_CONFIG` for a wrong file.
+        The figures of all checks, or `BAD_CONFIG` if the file is invalid or a
+        step cannot be performed.
     """
     parsed = _language.parse(text, path)
     if isinstance(parsed, core.Failure):
