Reword the command line in the usual terms of the field

Help texts, docstrings and names of private functions only; commands, flags and exit codes stay.

Tests have the same assertions.

--- a/libs/cli/src/fireflyford/cli/__init__.py
+++ b/libs/cli/src/fireflyford/cli/__init__.py
@@ -1,4 +1,4 @@
-"""The command line of the one binary."""
+"""Command line of the `fireflyford` binary."""
 
 from fireflyford.cli._commands import main
 
--- a/libs/cli/src/fireflyford/cli/_commands.py
+++ b/libs/cli/src/fireflyford/cli/_commands.py
@@ -1,4 +1,4 @@
-"""Commands of the `fireflyford` binary."""
+"""Commands of the `fireflyford` binary, except those of the group `config`."""
 
 import hashlib
 import sys
@@ -21,13 +21,13 @@
 class Commands:
     """Layer-4 load balancer for services with long-lived flows.
 
-    Commands about instances take --instance, the status port of a balancer
-    (or FIREFLYFORD_INSTANCE); commands about configurations take --store, the
-    gateways of the store (or FIREFLYFORD_STORE).
+    Commands about instances take --instance, the address of the status port of
+    a balancer (or FIREFLYFORD_INSTANCE); commands about configurations take
+    --store, the addresses of the gateways of the store (or FIREFLYFORD_STORE).
     """
 
     def __init__(self) -> None:
-        """Adds the group of configuration commands."""
+        """Adds the command group `config`."""
         self.config = _config_commands.ConfigCommands()
 
     def balancer(self, settings_path: str) -> _job.Job:
@@ -47,41 +47,43 @@
         return _job.Job(lambda: _run_agent(settings_path))
 
     def status(self, instance: str = "") -> _job.Job:
-        """Shows a balancer and the instances that it sees.
+        """Shows a balancer and the instances in its view.
 
         Args:
             instance: Status port of a balancer, ip:port.
         """
-        return _job.make_job(lambda: _targets.describe_status(instance))
+        return _job.make_async_job(lambda: _targets.describe_status(instance))
 
     def targets(self, service: str = "", instance: str = "") -> _job.Job:
-        """Shows the targets with their connections and running work.
+        """Shows the targets with their connections and requests in flight.
 
         Args:
-            service: Only this service.
+            service: Show only the targets of this service.
             instance: Status port of a balancer, ip:port.
         """
-        return _job.make_job(
+        return _job.make_async_job(
             lambda: _targets.describe_targets(service, instance)
         )
 
     def drain(self, target: str, instance: str = "") -> _job.Job:
-        """Starts the graceful shutdown of one instance.
+        """Starts the graceful shutdown of an instance.
 
         Args:
             target: Name of the instance, or ip:port of its status port.
             instance: Status port of a balancer that knows the name.
         """
-        return _job.make_job(lambda: _targets.drain(str(target), instance))
+        return _job.make_async_job(
+            lambda: _targets.drain(str(target), instance)
+        )
 
     def audit(self, limit: int = 20, store: str = "") -> _job.Job:
-        """Shows who changed what, when, from which version to which.
+        """Shows the audit trail: author, time, versions and changes.
 
         Args:
-            limit: Largest number of entries, newest first.
+            limit: Maximum number of entries, newest first.
             store: Gateways of the store, ip:port,...
         """
-        return _job.make_job(
+        return _job.make_async_job(
             lambda: _config_commands.read_audit(limit, store, details=True)
         )
 
@@ -94,18 +96,18 @@
         settings_path: str = "",
         instance: str = "",
     ) -> _job.Job:
-        """Explains where a flow or a request would go, and why.
+        """Explains where a flow or a request would be routed, and why.
 
         Args:
             service: Name of the service.
             connection_id: Destination connection ID of a packet, hexadecimal.
             method: HTTP method of a request.
             path: Path of a request.
-            settings_path: Balancer settings, for the keys that read the
-                connection ID of an established flow.
+            settings_path: Balancer settings, for the routing keys that decode
+                the connection ID of an established flow.
             instance: Status port of a balancer, ip:port.
         """
-        return _job.make_job(
+        return _job.make_async_job(
             lambda: _explain.explain(
                 service,
                 str(connection_id),
@@ -119,19 +121,21 @@
     def token(
         self, name: str, settings_path: str = "", key_hex: str = ""
     ) -> _job.Job:
-        """Issues the token that a caller presents to a closed service.
+        """Issues the token that a caller needs for a closed service.
 
         Args:
             name: Name of the caller.
             settings_path: Agent settings that hold `caller_key_hex`.
-            key_hex: The key itself, instead of a settings file.
+            key_hex: The key in hexadecimal, instead of a settings file.
         """
         return _job.Job(
             lambda: _issue_token(str(name), settings_path, str(key_hex))
         )
 
     def trace(self, flow: str, *logs: str) -> _job.Job:
-        """Tells the story of one flow on the users' platform.
+        """Prints the log lines of a flow on the users' platform.
+
+        Also prints events of its instances that may have caused its end.
 
         Args:
             flow: Client's and route's ip:port as in the logs, or a part of it.
@@ -173,16 +177,18 @@
     except ValueError:
         key = b""
     if not 16 <= len(key) <= hashlib.blake2s.MAX_KEY_SIZE:
-        return _bad_token(
+        return _token_error(
             "no usable key; give --settings-path of an agent that has "
             "`caller_key_hex`, or --key-hex of 16 to 32 bytes"
         )
     if not name or "." in name or not name.isprintable() or " " in name:
-        return _bad_token(f"{name!r} is no name; use one without `.` or spaces")
+        return _token_error(
+            f"{name!r} is not a valid name; use one without `.` or spaces"
+        )
     return core.Ok(agent.make_token(key, name))
 
 
-def _bad_token(message: str) -> core.Failure:
+def _token_error(message: str) -> core.Failure:
     return core.Failure(core.ErrorKind.BAD_REQUEST, message)
 
 
@@ -190,7 +196,7 @@
     """Runs the command line."""
     fire.Fire(
         Commands(),
-        command=[_job.keep_text(item) for item in sys.argv[1:]],
+        command=[_job.quote_lossy_number(item) for item in sys.argv[1:]],
         name="fireflyford",
         serialize=_job.run_result,
     )
--- a/libs/cli/src/fireflyford/cli/_config_commands.py
+++ b/libs/cli/src/fireflyford/cli/_config_commands.py
@@ -1,4 +1,4 @@
-"""Commands of the group `config`."""
+"""Commands of the group `config`, and the audit trail."""
 
 import getpass
 import os
@@ -26,7 +26,7 @@
     """
 
     def check(self, file: str) -> _job.Job:
-        """Finds the faults of a configuration, one line each.
+        """Validates a configuration and prints each fault on a line.
 
         Args:
             file: Configuration or program.
@@ -34,7 +34,7 @@
         return _job.Job(lambda: _check(file))
 
     def print(self, file: str) -> _job.Job:
-        """Prints a configuration in its reviewed form.
+        """Prints a configuration in its canonical form, for review.
 
         Args:
             file: Configuration or program.
@@ -49,7 +49,7 @@
             version: Compare with this version instead of the one in force.
             store: Gateways of the store, ip:port,...; or FIREFLYFORD_STORE.
         """
-        return _job.make_job(lambda: _diff(file, version, store))
+        return _job.make_async_job(lambda: _diff(file, version, store))
 
     def push(
         self,
@@ -61,20 +61,22 @@
     ) -> _job.Job:
         """Puts a configuration in force.
 
-        The push is accepted only if the version in force is still `base`.
-        Repeating a push is safe: it applies once.
+        The push is accepted only if the version in force is still `base`. A
+        push can be repeated safely, since it is applied only once.
 
         Args:
             file: Configuration or program.
             base: Version that you started from, as `config show` printed it;
                 0 for the first push.
-            author: Name in the audit trail; the user's name if not given.
+            author: Name in the audit trail; the login name if not given.
             instance: Status port of a balancer, ip:port, or
                 FIREFLYFORD_INSTANCE; with it, removing a service that still
                 has connections is refused.
             store: Gateways of the store, ip:port,...; or FIREFLYFORD_STORE.
         """
-        return _job.make_job(lambda: _push(file, base, author, instance, store))
+        return _job.make_async_job(
+            lambda: _push(file, base, author, instance, store)
+        )
 
     def show(
         self, version: int = 0, instance: str = "", store: str = ""
@@ -86,20 +88,22 @@
             instance: Print what this instance runs, by its status port.
             store: Gateways of the store, ip:port,...; or FIREFLYFORD_STORE.
         """
-        return _job.make_job(lambda: _show(version, instance, store))
+        return _job.make_async_job(lambda: _show(version, instance, store))
 
     def history(self, limit: int = 20, store: str = "") -> _job.Job:
         """Lists the latest versions with author and time, newest first.
 
         Args:
-            limit: Largest number of versions.
+            limit: Maximum number of versions.
             store: Gateways of the store, ip:port,...; or FIREFLYFORD_STORE.
         """
-        return _job.make_job(lambda: read_audit(limit, store, details=False))
+        return _job.make_async_job(
+            lambda: read_audit(limit, store, details=False)
+        )
 
 
-def open_store(text: str) -> core.Outcome[store.ConfigStore]:
-    """Returns the configuration store behind the given gateways."""
+def _open_store(text: str) -> core.Outcome[store.ConfigStore]:
+    """Returns a client of the configuration store at the given gateways."""
     gateways = _job.parse_addresses(text, _job.STORE_VARIABLE, "--store")
     if isinstance(gateways, core.Failure):
         return gateways
@@ -111,7 +115,7 @@
     limit: int, gateways: str, details: bool
 ) -> core.Outcome[str]:
     """Formats the audit trail, newest first."""
-    opened = open_store(gateways)
+    opened = _open_store(gateways)
     if isinstance(opened, core.Failure):
         return opened
     history = await opened.value.history(limit)
@@ -144,15 +148,15 @@
 
 
 def _load(file: str) -> core.Outcome[config.Deployment]:
-    file = str(file)  # `fire` reads a bare number as one.
+    file = str(file)  # `fire` converts an argument such as `1` to a number.
     try:
         if file.endswith(_PROGRAM_SUFFIX):
             return _load_program(file)
         parsed = config.parse(pathlib.Path(file).read_bytes())
     except OSError as error:
-        return _bad(file, error.strerror or str(error))
+        return _config_error(file, error.strerror or str(error))
     if isinstance(parsed, core.Failure):
-        return _bad(file, parsed.message)
+        return _config_error(file, parsed.message)
     return parsed
 
 
@@ -161,10 +165,12 @@
         value = runpy.run_path(file).get(_PROGRAM_VALUE)
     except OSError:
         raise
-    except Exception as error:  # Whatever the operator's program raises.
-        return _bad(file, f"the program failed: {error!r}")
+    except Exception as error:  # The operator's program may raise anything.
+        return _config_error(file, f"the program failed: {error!r}")
     if not isinstance(value, config.Deployment):
-        return _bad(file, f"the program has no {_PROGRAM_VALUE}; add one")
+        return _config_error(
+            file, f"the program has no {_PROGRAM_VALUE}; add one"
+        )
     return core.Ok(value)
 
 
@@ -176,7 +182,9 @@
     for line in faults:
         print(f"{file}: {line}", file=sys.stderr)
     if faults:
-        return _bad(file, f"{len(faults)} faults; correct the lines above")
+        return _config_error(
+            file, f"{len(faults)} faults; correct the lines above"
+        )
     return core.Ok(f"{file}: no faults")
 
 
@@ -188,7 +196,7 @@
 
 
 async def _diff(file: str, version: int, gateways: str) -> core.Outcome[str]:
-    loaded, opened = _load(file), open_store(gateways)
+    loaded, opened = _load(file), _open_store(gateways)
     if isinstance(loaded, core.Failure):
         return loaded
     if isinstance(opened, core.Failure):
@@ -198,18 +206,18 @@
         return record
     if record.value is None:
         return core.Ok("\n".join(config.compare(None, loaded.value)))
-    old = record.value.read()
-    if isinstance(old, core.Failure):
-        return old
+    stored = record.value.read()
+    if isinstance(stored, core.Failure):
+        return stored
     print(f"against version {record.value.version}", file=sys.stderr)
-    lines = config.compare(old.value, loaded.value)
+    lines = config.compare(stored.value, loaded.value)
     return core.Ok("\n".join(lines) or "no difference")
 
 
 async def _push(
     file: str, base: int, author: str, instance: str, gateways: str
 ) -> core.Outcome[str]:
-    loaded, opened = _load(file), open_store(gateways)
+    loaded, opened = _load(file), _open_store(gateways)
     if isinstance(loaded, core.Failure):
         return loaded
     if isinstance(opened, core.Failure):
@@ -220,7 +228,9 @@
             f"--base is {base!r}, expected the version that `config show` "
             "printed",
         )
-    checked = await _check_running(opened.value, loaded.value, base, instance)
+    checked = await _check_running_instances(
+        opened.value, loaded.value, base, instance
+    )
     if isinstance(checked, core.Failure):
         return checked
     push = store.Push(
@@ -234,13 +244,17 @@
     return core.Ok(_format_accepted(outcome.value))
 
 
-async def _check_running(
+async def _check_running_instances(
     config_store: store.ConfigStore,
     deployment: config.Deployment,
     base: int,
     instance: str,
 ) -> core.Outcome[None]:
-    """Compares with what runs, unless the push conflicts or is a retry."""
+    """Checks the change against running instances.
+
+    Skipped without an instance to ask, and for a push that conflicts or is a
+    retry.
+    """
     if not (instance or os.environ.get(_job.INSTANCE_VARIABLE)):
         return core.Ok(None)
     state = await config_store.read_state()
@@ -248,7 +262,7 @@
         return state
     if state.value.head.version > base:
         return core.Ok(None)
-    return await _targets.find_stranded(deployment, instance)
+    return await _targets.check_removed_services(deployment, instance)
 
 
 def _format_accepted(accepted: store.AcceptedPush) -> str:
@@ -268,7 +282,7 @@
 ) -> core.Outcome[str]:
     if instance:
         return await _show_instance(instance)
-    opened = open_store(gateways)
+    opened = _open_store(gateways)
     if isinstance(opened, core.Failure):
         return opened
     state = await opened.value.read_state()
@@ -316,5 +330,5 @@
     return core.Ok(body.value.decode())
 
 
-def _bad(file: str, message: str) -> core.Failure:
+def _config_error(file: str, message: str) -> core.Failure:
     return core.Failure(core.ErrorKind.BAD_CONFIG, f"{file}: {message}")
--- a/libs/cli/src/fireflyford/cli/_explain.py
+++ b/libs/cli/src/fireflyford/cli/_explain.py
@@ -1,4 +1,4 @@
-"""Where a flow or a request would go, and why."""
+"""Explains where a flow or a request would be routed, and why."""
 
 from collections.abc import Iterator
 
@@ -9,7 +9,7 @@
 from fireflyford import wire
 from fireflyford.cli import _instances
 
-_ALIVE = "alive"
+_ALIVE_STATE = "alive"
 
 
 async def explain(
@@ -20,7 +20,7 @@
     settings_path: str,
     instance: str,
 ) -> core.Outcome[str]:
-    """Explains a flow, and a request when `path` is given.
+    """Explains the route of a flow, and of a request if `path` is given.
 
     Args:
         service: Name of the service.
@@ -28,17 +28,17 @@
         method: HTTP method.
         path: Path of a request, or empty.
         settings_path: Balancer settings with the routing keys, or empty.
-        instance: Status port of the balancer whose view counts.
+        instance: Status port of the balancer whose view is used.
     """
     fetched = await _instances.fetch_balancer(instance)
     if isinstance(fetched, core.Failure):
         return fetched
     address, status = fetched.value
-    text = await _instances.call(address, "/config")
-    if isinstance(text, core.Failure):
-        return text
-    parsed = config.parse(text.value) if text.value else None
-    known = (
+    config_text = await _instances.call(address, "/config")
+    if isinstance(config_text, core.Failure):
+        return config_text
+    parsed = config.parse(config_text.value) if config_text.value else None
+    service_config = (
         parsed.value.service(service) if isinstance(parsed, core.Ok) else None
     )
     members = {
@@ -46,18 +46,20 @@
         for name, member in status.members.items()
         if member.service == service and member.role == core.Role.AGENT.value
     }
-    if known is None and not members:
+    if service_config is None and not members:
         return core.Failure(
             core.ErrorKind.NO_SUCH_SERVICE,
             f"{status.instance_id} knows no service {service!r}; see "
             "`fireflyford status`",
         )
-    flow = _explain_flow(service, connection_id, settings_path, known, members)
+    flow = _explain_flow(
+        service, connection_id, settings_path, service_config, members
+    )
     if isinstance(flow, core.Failure):
         return flow
     lines = [f"as {status.instance_id} sees it:", *flow.value]
     if path:
-        lines += _explain_request(known, method, path)
+        lines += _explain_request(service_config, method, path)
     return core.Ok("\n".join(lines))
 
 
@@ -65,7 +67,7 @@
     service: str,
     connection_id: str,
     settings_path: str,
-    known: config.Service | None,
+    service_config: config.Service | None,
     members: dict[str, _instances.MemberStatus],
 ) -> core.Outcome[list[str]]:
     try:
@@ -83,7 +85,7 @@
         holder = codec.decode(identifier)
         if holder is not None:
             return core.Ok(list(_explain_holder(holder, members)))
-    draining = known is not None and known.draining
+    draining = service_config is not None and service_config.draining
     return core.Ok(list(_explain_new_flow(identifier, draining, members)))
 
 
@@ -105,7 +107,7 @@
                 "drops the packet and the caller opens a new connection"
             )
         return
-    yield "  no member in the view has that address; it is used all the same"
+    yield "  no member in the view has that address; packets still go there"
 
 
 def _explain_new_flow(
@@ -115,7 +117,7 @@
 ) -> Iterator[str]:
     targets = []
     for name, member in sorted(members.items()):
-        accepts_flows = member.state == _ALIVE and not draining
+        accepts_flows = member.state == _ALIVE_STATE and not draining
         targets.append(
             routing.Target(
                 name=name,
@@ -126,15 +128,15 @@
             )
         )
         if not accepts_flows:
-            reason = member.state if member.state != _ALIVE else "alive"
+            reason = member.state if member.state != _ALIVE_STATE else "alive"
             yield f"  not {name}: {reason}" + (
                 ", and the service is draining" if draining else ""
             )
     ring = routing.TargetRing(targets)
-    total = sum(item.weight for item in targets if item.accepts_flows)
+    total_weight = sum(item.weight for item in targets if item.accepts_flows)
     chosen = ring.find(routing.hash_flow(identifier)) if identifier else None
-    if not total:
-        yield "flow: nowhere, because no target accepts new flows"
+    if not total_weight:
+        yield "flow: not routable, because no target accepts new flows"
     elif chosen is None:
         yield (
             "flow: to one of the targets below, by the hash of its first "
@@ -142,12 +144,12 @@
         )
         for item in targets:
             if item.accepts_flows:
-                yield f"  {item.name}: about {item.weight / total:.0%}"
+                yield f"  {item.name}: about {item.weight / total_weight:.0%}"
     else:
         yield (
             f"flow: to {chosen.name} at {chosen.address}, a new flow placed "
             f"on the ring by its connection ID; its weight is "
-            f"{chosen.weight:g} of {total:g}"
+            f"{chosen.weight:g} of {total_weight:g}"
         )
 
 
@@ -175,5 +177,5 @@
     yield f"  {treatment.kind.value}, {treatment.size.value}, {ticket}"
     yield (
         f"  deadline {treatment.deadline_ms} ms, priority "
-        f"{treatment.priority}, at the crest: {treatment.at_crest.value}"
+        f"{treatment.priority}, under overload: {treatment.at_crest.value}"
     )
--- a/libs/cli/src/fireflyford/cli/_instances.py
+++ b/libs/cli/src/fireflyford/cli/_instances.py
@@ -1,4 +1,4 @@
-"""Calls to the status ports of instances."""
+"""Client of the status ports of instances."""
 
 import asyncio
 from collections.abc import Iterable
@@ -11,13 +11,13 @@
 from fireflyford.cli import _job
 
 _TIMEOUT_S = 2.0
-# Calls that run at a time when every target is asked.
-_PARALLEL_COUNT = 20
+# Limit of concurrent calls when all targets are queried.
+_MAX_PARALLEL_CALLS = 20
 
 
 @dataclasses.dataclass(frozen=True)
 class MemberStatus:
-    """A member as a balancer describes it."""
+    """Status of a member in the view of a balancer."""
 
     role: str
     service: str
@@ -32,7 +32,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class ConfigStatus:
-    """Configuration of an instance."""
+    """Status of the configuration of an instance."""
 
     version: int = 0
     highest_version: int = 0
@@ -43,7 +43,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class InstanceStatus:
-    """What an instance tells about itself; agents have no members."""
+    """Status that an instance reports; agents report no members."""
 
     instance_id: str
     role: str
@@ -57,7 +57,7 @@
 
 
 async def fetch_status(address: core.Address) -> core.Outcome[InstanceStatus]:
-    """Asks one instance for its status."""
+    """Fetches the status of one instance."""
     body = await call(address, "/status")
     if isinstance(body, core.Failure):
         return body
@@ -71,9 +71,9 @@
 async def fetch_balancer(
     instance: str,
 ) -> core.Outcome[tuple[core.Address, InstanceStatus]]:
-    """Asks the balancer of `--instance` for its status.
+    """Fetches the status of the balancer given by `--instance`.
 
-    Several addresses may be given; the first one that answers counts.
+    If several addresses are given, returns the first balancer that responds.
     """
     parsed = _job.parse_addresses(
         instance, _job.INSTANCE_VARIABLE, "--instance"
@@ -86,7 +86,9 @@
         if isinstance(status, core.Ok):
             if status.value.role == core.Role.BALANCER.value:
                 return core.Ok((address, status.value))
-            status = _unreachable(address, "is no balancer; give one")
+            status = _unreachable(
+                address, "is not a balancer; give the status port of one"
+            )
         failure = status
     return failure or _unreachable("--instance", "no address")
 
@@ -94,11 +96,11 @@
 async def fetch_all(
     addresses: Iterable[str],
 ) -> list[core.Outcome[InstanceStatus]]:
-    """Asks several instances, a bounded number at a time."""
-    slots = asyncio.Semaphore(_PARALLEL_COUNT)
+    """Fetches the status of instances, with limited concurrency."""
+    semaphore = asyncio.Semaphore(_MAX_PARALLEL_CALLS)
 
     async def fetch(text: str) -> core.Outcome[InstanceStatus]:
-        async with slots:
+        async with semaphore:
             return await fetch_status(core.Address.parse(text))
 
     return await asyncio.gather(*(fetch(item) for item in addresses))
@@ -107,7 +109,7 @@
 async def call(
     address: core.Address, path: str, method: str = "GET"
 ) -> core.Outcome[bytes]:
-    """Calls a path of an instance's status port."""
+    """Sends an HTTP request to the status port of an instance."""
     request = httpclient.HTTPRequest(
         f"http://{address}{path}",
         method=method,
@@ -116,10 +118,10 @@
         request_timeout=_TIMEOUT_S,
     )
     try:
-        reply = await httpclient.AsyncHTTPClient().fetch(request)
+        response = await httpclient.AsyncHTTPClient().fetch(request)
     except (OSError, httpclient.HTTPError) as error:
         return _unreachable(address, str(error))
-    return core.Ok(reply.body)
+    return core.Ok(response.body)
 
 
 def _unreachable(address: object, reason: str) -> core.Failure:
--- a/libs/cli/src/fireflyford/cli/_job.py
+++ b/libs/cli/src/fireflyford/cli/_job.py
@@ -1,8 +1,8 @@
-"""Commands that run only after the whole command line was understood.
+"""Deferred execution of commands until the whole command line is parsed.
 
-`fire` calls a command before it finds out that a later argument is unknown.
-Commands therefore return a `Job`, which runs when nothing is left over; a
-mistyped flag of `config push` thus pushes nothing.
+`fire` calls a command before it detects that a later argument is unknown.
+Commands therefore return a `Job`, which runs only if all arguments are known;
+with a mistyped flag, `config push` pushes nothing.
 """
 
 import asyncio
@@ -21,7 +21,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Job:
-    """Work of one command, which gives the text to print."""
+    """Deferred work of a command, which returns the text to print."""
 
     _work: Callable[[], core.Outcome[str]]
 
@@ -30,7 +30,7 @@
         return "the command"
 
 
-def make_job(
+def make_async_job(
     work: Callable[[], Coroutine[Any, Any, core.Outcome[str]]],
 ) -> Job:
     """Returns a job that runs a coroutine."""
@@ -38,10 +38,10 @@
 
 
 def run_result(result: object) -> object:
-    """Runs the job that a command returned; prints its text or its failure.
+    """Runs the job that a command returned; prints its text or its error.
 
-    Other results, such as a group of commands, are returned for `fire` to
-    describe.
+    Other results, such as a command group, are returned unchanged, so that
+    `fire` prints their help.
     """
     if not isinstance(result, Job):
         return result
@@ -54,10 +54,10 @@
     return None
 
 
-def keep_text(argument: str) -> str:
-    """Quotes an argument that `fire` would read as a number with a loss.
+def quote_lossy_number(argument: str) -> str:
+    """Quotes an argument whose text `fire` would change by parsing a number.
 
-    >>> keep_text("--connection-id=00e1"), keep_text("7")
+    >>> quote_lossy_number("--connection-id=00e1"), quote_lossy_number("7")
     ("--connection-id='00e1'", '7')
     """
     flag, equals, value = "", "", argument
@@ -72,12 +72,12 @@
 def parse_addresses(
     text: str, variable: str, flag: str
 ) -> core.Outcome[tuple[core.Address, ...]]:
-    """Reads addresses from a flag, or else from the environment.
+    """Parses addresses from a flag, or else from an environment variable.
 
     Args:
         text: `ip:port` items, separated by commas; may be empty.
         variable: Environment variable used when `text` is empty.
-        flag: Name of the flag, for messages.
+        flag: Name of the flag, for error messages.
     """
     text = text or os.environ.get(variable, "")
     if not text:
@@ -86,11 +86,11 @@
             f"no address; give {flag} ip:port or set {variable}",
         )
     try:
-        items = [core.Address.parse(item) for item in text.split(",")]
+        addresses = [core.Address.parse(item) for item in text.split(",")]
     except ValueError:
         return core.Failure(
             core.ErrorKind.BAD_REQUEST,
             f"{text!r} is not a list of `ip:port`; correct {flag} or "
             f"{variable}",
         )
-    return core.Ok(tuple(items))
+    return core.Ok(tuple(addresses))
--- a/libs/cli/src/fireflyford/cli/_targets.py
+++ b/libs/cli/src/fireflyford/cli/_targets.py
@@ -9,7 +9,7 @@
 
 
 async def describe_status(instance: str) -> core.Outcome[str]:
-    """Describes one balancer and the members that it sees."""
+    """Describes one balancer and the members in its view."""
     fetched = await _instances.fetch_balancer(instance)
     if isinstance(fetched, core.Failure):
         return fetched
@@ -76,26 +76,28 @@
                 f"no instance {target!r}; see `fireflyford status`",
             )
         address = core.Address.parse(member.status_address)
-    answer = await _instances.call(address, "/drain", method="POST")
-    if isinstance(answer, core.Failure):
-        return answer
+    response = await _instances.call(address, "/drain", method="POST")
+    if isinstance(response, core.Failure):
+        return response
     return core.Ok(f"{target} is draining; see `fireflyford targets`")
 
 
-async def find_stranded(
+async def check_removed_services(
     new: config.Deployment, instance: str
 ) -> core.Outcome[None]:
-    """Refuses changes that take flows their service, by what really runs.
+    """Refuses a change that removes a service which still has connections.
+
+    Compares with the configuration and the connections of running instances.
 
     Args:
         new: Deployment that an operator wants to push.
         instance: Status port of a balancer.
     """
-    running = await _fetch_running(instance)
-    if isinstance(running, core.Failure):
-        return running
-    if running.value is not None:
-        lines = config.find_stranded(running.value, new)
+    current = await _fetch_deployment(instance)
+    if isinstance(current, core.Failure):
+        return current
+    if current.value is not None:
+        lines = config.find_stranded(current.value, new)
         if lines:
             return core.Failure(core.ErrorKind.BAD_CONFIG, "; ".join(lines))
     fetched = await _fetch_agents("", instance)
@@ -122,7 +124,7 @@
     return core.Ok(None)
 
 
-async def _fetch_running(
+async def _fetch_deployment(
     instance: str,
 ) -> core.Outcome[config.Deployment | None]:
     fetched = await _instances.fetch_balancer(instance)
@@ -137,12 +139,12 @@
     return parsed if isinstance(parsed, core.Failure) else core.Ok(parsed.value)
 
 
-_Agent = tuple[_instances.MemberStatus, _instances.InstanceStatus | None]
+_AgentStatus = tuple[_instances.MemberStatus, _instances.InstanceStatus | None]
 
 
 async def _fetch_agents(
     service: str, instance: str
-) -> core.Outcome[dict[str, _Agent]]:
+) -> core.Outcome[dict[str, _AgentStatus]]:
     fetched = await _instances.fetch_balancer(instance)
     if isinstance(fetched, core.Failure):
         return fetched
--- a/libs/cli/src/fireflyford/cli/_trace.py
+++ b/libs/cli/src/fireflyford/cli/_trace.py
@@ -1,4 +1,4 @@
-"""The story of one flow, from the logs of all instances."""
+"""Log lines of one flow, from the logs of all instances."""
 
 from collections.abc import Iterable
 import dataclasses
@@ -7,11 +7,11 @@
 
 from fireflyford import core
 
-# How long before the last line of a flow other events may be its cause: the
+# Events this close to the last line of a flow may have caused its end; the
 # deadline of most requests.
 CAUSE_WINDOW_S = 4.0
 # Events that concern all flows of the instance that logs them.
-_CAUSES = frozenset(
+_CAUSE_EVENTS = frozenset(
     {
         "target-down",
         "target-silent",
@@ -25,11 +25,11 @@
         "log-lines-dropped",
     }
 )
-_PAIR = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"|\S+)')
+_FIELD = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"|\S+)')
 
 
 @dataclasses.dataclass(frozen=True)
-class Line:
+class LogLine:
     """One log line.
 
     Attributes:
@@ -47,18 +47,18 @@
     text: str
 
 
-def parse_line(text: str) -> Line | None:
-    """Reads a log line, None for any other text.
+def parse_line(text: str) -> LogLine | None:
+    """Parses a log line; returns None for any other text.
 
     >>> parse_line("time=1.5 event=started instance=agent-1").event
     'started'
     """
-    fields = {key: value.strip('"') for key, value in _PAIR.findall(text)}
+    fields = {key: value.strip('"') for key, value in _FIELD.findall(text)}
     try:
         time_s = float(fields["time"])
     except (KeyError, ValueError):
         return None
-    return Line(
+    return LogLine(
         time_s,
         fields.get("event", ""),
         fields.get("instance", ""),
@@ -67,32 +67,32 @@
     )
 
 
-def tell(lines: Iterable[Line], flow: str) -> list[Line]:
-    """Returns the lines of a flow, and what may have caused its end.
+def select_lines(lines: Iterable[LogLine], flow: str) -> list[LogLine]:
+    """Selects the lines of a flow and events that may have caused its end.
 
     Args:
         lines: Lines of all instances, in any order.
         flow: The flow, or a part of its text such as the client's address.
     """
-    known = sorted(lines, key=lambda line: line.time_s)
-    story = [line for line in known if flow in line.flow]
-    if not story:
+    sorted_lines = sorted(lines, key=lambda line: line.time_s)
+    selected = [line for line in sorted_lines if flow in line.flow]
+    if not selected:
         return []
-    instances = {line.instance for line in story}
-    end_s = story[-1].time_s
+    instances = {line.instance for line in selected}
+    end_s = selected[-1].time_s
     causes = [
         line
-        for line in known
-        if line.event in _CAUSES
+        for line in sorted_lines
+        if line.event in _CAUSE_EVENTS
         and line.instance in instances
         and end_s - CAUSE_WINDOW_S <= line.time_s <= end_s + CAUSE_WINDOW_S
     ]
-    return sorted([*story, *causes], key=lambda line: line.time_s)
+    return sorted([*selected, *causes], key=lambda line: line.time_s)
 
 
 def trace(flow: str, paths: tuple[str, ...]) -> core.Outcome[str]:
-    """Reads log files and tells the story of a flow."""
-    lines: list[Line] = []
+    """Returns the lines of a flow, and possible causes, from log files."""
+    lines: list[LogLine] = []
     for path in paths:
         try:
             text = pathlib.Path(path).read_text(errors="replace")
@@ -100,11 +100,11 @@
             return core.Failure(core.ErrorKind.BAD_REQUEST, str(error))
         found = map(parse_line, text.splitlines())
         lines += [line for line in found if line is not None]
-    story = tell(lines, flow)
-    if not story:
+    selected = select_lines(lines, flow)
+    if not selected:
         return core.Failure(
             core.ErrorKind.BAD_REQUEST,
-            f"no line of {len(lines)} names the flow {flow}; flows are "
+            f"none of {len(lines)} log lines has the flow {flow}; flows are "
             "written `client ip:port>route ip:port`",
         )
-    return core.Ok("\n".join(line.text for line in story))
+    return core.Ok("\n".join(line.text for line in selected))
--- a/libs/cli/tests/test_trace.py
+++ b/libs/cli/tests/test_trace.py
@@ -1,4 +1,4 @@
-"""The story of one flow from log files."""
+"""Tests of the log lines that `fireflyford trace` selects."""
 
 import pathlib
 
@@ -20,14 +20,14 @@
 
 
 def test_a_trace_shows_the_flow_and_its_cause(tmp_path: pathlib.Path) -> None:
-    """Guards against a cause that stays in another instance's log."""
+    """Guards against missing the cause in the log of another instance."""
     for name, text in (("edge", BALANCER), ("side", AGENT)):
         (tmp_path / name).write_text(text)
     paths = (str(tmp_path / "edge"), str(tmp_path / "side"))
     outcome = _trace.trace(FLOW, paths)
     assert isinstance(outcome, core.Ok)
-    told = [line.split()[1] for line in outcome.value.splitlines()]
-    assert told == [
+    events = [line.split()[1] for line in outcome.value.splitlines()]
+    assert events == [
         "event=flow-opened",
         "event=target-down",
         "event=flow-reset",
@@ -36,10 +36,10 @@
     assert "100.64.0.8" not in outcome.value
 
 
-def test_an_unknown_flow_is_said_to_be_unknown(
+def test_an_unknown_flow_is_reported(
     tmp_path: pathlib.Path,
 ) -> None:
-    """Guards against an empty answer."""
+    """Guards against empty output for an unknown flow or a missing file."""
     (tmp_path / "edge").write_text(BALANCER)
     outcome = _trace.trace("100.64.9.9:1", (str(tmp_path / "edge"),))
     assert isinstance(outcome, core.Failure)
