Reword the checks of layout and documented names

Names of tests and constants say what is checked; the assertions are the same. test_a_flow_process_starts_small keeps its name, as a page of docs/incidents refers to it. No string without spaces changed.

--- a/tests/test_event_names.py
+++ b/tests/test_event_names.py
@@ -1,4 +1,4 @@
-"""Tables of docs/OPERATIONS.md against the code."""
+"""Compares the tables of docs/OPERATIONS.md with the code."""
 
 import ast
 import pathlib
@@ -11,11 +11,11 @@
     "libs/telemetry/src",
     "platform/src",
 )
-_NAME = re.compile(r"`([a-z]+(?:[-_][a-z]+)*)`")
+_QUOTED_NAME = re.compile(r"`([a-z]+(?:[-_][a-z]+)*)`")
 
 
 def first_arguments(functions: tuple[str, ...]) -> set[str]:
-    """Returns the literal first arguments of all calls of some functions."""
+    """Returns the literal first arguments of all calls of the functions."""
     found: set[str] = set()
     for folder in FOLDERS:
         for path in (ROOT / folder).rglob("*.py"):
@@ -35,17 +35,17 @@
     table = page.split(f"| {heading} |")[1].split("\n\n")[0]
     found: set[str] = set()
     for line in table.splitlines()[2:]:
-        found.update(_NAME.findall(line.split("|")[1]))
+        found.update(_QUOTED_NAME.findall(line.split("|")[1]))
     return found
 
 
 def test_every_event_is_documented() -> None:
-    """Guards against events that an on-call engineer cannot look up."""
+    """Guards against log events that are missing in the documentation."""
     logged = first_arguments(("telemetry.log", "log"))
     assert logged | {"log-lines-dropped"} == documented_names("Event")
 
 
 def test_every_histogram_is_documented() -> None:
-    """Guards against durations whose meaning has to be guessed."""
+    """Guards against histograms that are missing in the documentation."""
     observed = first_arguments(("telemetry.observe",))
     assert observed == documented_names("Histogram")
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -1,4 +1,4 @@
-"""Checks of the workspace's layout."""
+"""Checks the layout of the workspace and the imports between libraries."""
 
 import ast
 import pathlib
@@ -10,8 +10,8 @@
 ROOT = pathlib.Path(__file__).parent.parent
 LIBS = ROOT / "libs"
 ADAPTER = ROOT / "platform" / "src"
-# A library may use only those before it.
-ORDER = (
+# Each library may import only those before it.
+LAYERS = (
     "core",
     "config",
     "settings",
@@ -29,9 +29,9 @@
     "cli",
     "lab",
 )
-# Decision libraries take typed values only; encodings stay elsewhere.
-DECISIONS = ("routing", "flows", "requests")
-ENCODINGS = frozenset({"socket", "struct", "aioquic", "pynng"})
+# Libraries of decision code take typed values; they do not encode or decode.
+DECISION_LIBRARIES = ("routing", "flows", "requests")
+ENCODING_MODULES = frozenset({"socket", "struct", "aioquic", "pynng"})
 
 
 def imported_modules(path: pathlib.Path) -> set[str]:
@@ -49,10 +49,10 @@
     return sorted((LIBS / library / "src").rglob("*.py"))
 
 
-@pytest.mark.parametrize("library", ORDER)
-def test_dependencies_point_one_way(library: str) -> None:
-    """Guards against a library that imports one built on top of it."""
-    allowed = set(ORDER[: ORDER.index(library) + 1])
+@pytest.mark.parametrize("library", LAYERS)
+def test_libraries_import_only_lower_layers(library: str) -> None:
+    """Guards against a library that imports one of a higher layer."""
+    allowed = set(LAYERS[: LAYERS.index(library) + 1])
     for path in sources(library):
         for module in imported_modules(path):
             parts = module.split(".")
@@ -60,16 +60,16 @@
                 assert parts[1] in allowed, f"{path.name} imports {module}"
 
 
-def test_only_the_adapter_knows_the_platform() -> None:
-    """Guards against the platform's formats in the product itself."""
-    for library in ORDER[:-1]:
+def test_only_the_adapter_imports_the_platform() -> None:
+    """Guards against dependencies of libraries on the platform's formats."""
+    for library in LAYERS[:-1]:
         for path in sources(library):
             for module in imported_modules(path):
                 assert not module.startswith("fireflyford.platform"), path
 
 
-def test_the_adapter_uses_what_front_ends_may_use() -> None:
-    """Guards against an adapter that decides or goes around interfaces."""
+def test_the_adapter_imports_only_front_end_libraries() -> None:
+    """Guards against decision code or private imports in the adapter."""
     allowed = {"core", "telemetry", "store", "flows", "runtime", "platform"}
     for path in ADAPTER.rglob("*.py"):
         for module in imported_modules(path):
@@ -82,14 +82,17 @@
 
 
 def test_a_flow_process_starts_small() -> None:
-    """Guards against libraries that only the QUIC front end needs."""
+    """Guards against loading libraries that only the QUIC front end needs.
+
+    Processes on the platform are small and restart often.
+    """
     heavy = ("aioquic", "pynng", "fire", "opentelemetry", "cryptography")
-    check = (
+    program = (
         "import sys, fireflyford.platform.__main__;"
         f"print([name for name in {heavy!r} if name in sys.modules])"
     )
     found = subprocess.run(
-        [sys.executable, "-c", check],
+        [sys.executable, "-c", program],
         capture_output=True,
         check=True,
         text=True,
@@ -98,9 +101,9 @@
     assert found.stdout.strip() == "[]"
 
 
-@pytest.mark.parametrize("library", ORDER)
+@pytest.mark.parametrize("library", LAYERS)
 def test_private_modules_stay_private(library: str) -> None:
-    """Guards against imports that go around another library's interface."""
+    """Guards against imports that bypass another library's interface."""
     for path in sources(library):
         for module in imported_modules(path):
             parts = module.split(".")
@@ -110,10 +113,10 @@
                 assert not parts[2].startswith("_"), f"{path}: {module}"
 
 
-@pytest.mark.parametrize("library", DECISIONS)
-def test_decisions_never_see_encodings(library: str) -> None:
-    """Guards against sockets or encodings in decision code."""
+@pytest.mark.parametrize("library", DECISION_LIBRARIES)
+def test_decision_libraries_import_no_encodings(library: str) -> None:
+    """Guards against sockets or message encodings in decision code."""
     for path in sources(library):
-        roots = {module.split(".")[0] for module in imported_modules(path)}
-        assert not roots & ENCODINGS, path
+        packages = {module.split(".")[0] for module in imported_modules(path)}
+        assert not packages & ENCODING_MODULES, path
         assert "fireflyford.wire" not in imported_modules(path), path
