--- a/examples/bantay.py
+++ b/examples/bantay.py
@@ -1,4 +1,4 @@
-"""Configuration of the Bantay Balat Tubig Foundation's deployment.
+"""Example configuration: deployment of the Bantay Balat Tubig Foundation.
 
 Usage: python examples/bantay.py > examples/bantay.json
 """
@@ -18,8 +18,8 @@
 def service(
     name: str, port: int, target_count: int, order: str, sheet: str, feed: str
 ) -> config.Service:
-    """Returns a service with orders, sheets and one feed."""
-    long, stream = config.SizeClass.LONG, config.Kind.FEED
+    """Returns a service with treatments for orders, sheets and a feed."""
+    long, feed_kind = config.SizeClass.LONG, config.Kind.FEED
     treatments = (
         config.Treatment(
             order, "POST", "/orders", idempotent=False, priority=8
@@ -27,7 +27,7 @@
         config.Treatment(
             sheet, "GET", "/sheets", size=long, deadline_ms=20_000, priority=3
         ),
-        config.Treatment(feed, "GET", "/feed", kind=stream),
+        config.Treatment(feed, "GET", "/feed", kind=feed_kind),
     )
     address = f"127.0.0.1:{port}"
     return config.Service(name, address, target_count, treatments=treatments)
