--- a/libs/cli/src/fireflyford/cli/_explain.py
+++ b/libs/cli/src/fireflyford/cli/_explain.py
@@ -49,7 +49,7 @@
     if service_config is None and not members:
         return core.Failure(
             core.ErrorKind.NO_SUCH_SERVICE,
-            f"{status.instance_id} knows no service {service!r}; see "
+            f"{status.instance_id} has no service {service!r}; see "
             "`fireflyford status`",
         )
     flow = _explain_flow(
--- a/libs/cli/tests/test_cli.py
+++ b/libs/cli/tests/test_cli.py
@@ -88,9 +88,9 @@
     monkeypatch: pytest.MonkeyPatch, capsys: Output, tmp_path: pathlib.Path
 ) -> None:
     """Guards against validation that stops at the first fault."""
-    wrong = dataclasses.replace(BASE, regions=(), name="")
+    invalid = dataclasses.replace(BASE, regions=(), name="")
     path = tmp_path / "wrong.json"
-    path.write_text(config.render(wrong))
+    path.write_text(config.render(invalid))
     code, _, err = run_cli(monkeypatch, capsys, "config", "check", str(path))
     assert code == 2
     assert len(err.splitlines()) == 3
@@ -161,12 +161,14 @@
     )
     first, second = fleet.deployment.services
     draining = dataclasses.replace(second, draining=True)
-    for name, kept in (
+    for name, kept_services in (
         ("new", (first, second)),
         ("draining", (first, draining)),
         ("removed", (first,)),
     ):
-        deployment = dataclasses.replace(fleet.deployment, services=kept)
+        deployment = dataclasses.replace(
+            fleet.deployment, services=kept_services
+        )
         path = tmp_path / f"{name}.json"
         path.write_text(config.render(deployment))
     try:
--- a/libs/lab/src/fireflyford/lab/experiments/_config_trial.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_config_trial.py
@@ -87,8 +87,8 @@
     ) -> float:
         """Measures the time until every balancer runs a version.
 
-        Started before the push, it gives an upper bound of the time since
-        acceptance, because it includes the push itself.
+        Started before the push, it gives an upper bound of the time from
+        acceptance to activation, because it includes the push itself.
 
         Args:
             version: Version to wait for.
--- a/libs/lab/src/fireflyford/lab/experiments/_control.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_control.py
@@ -141,7 +141,7 @@
     samples: list[_control_fleet.Sample], base_memory_mb: float
 ) -> list[_framework.Figure]:
     """Extrapolates to 590 balancers and 4,000 agents."""
-    bytes_at = _fit_line(
+    predict_bytes_per_s = _fit_line(
         [
             (float(observed), rate)
             for sample in samples
@@ -155,11 +155,11 @@
     change_bytes = largest.change_bytes * round_ratio
     change_rate = change_bytes * CHANGES_PER_DAY / _SECONDS_PER_DAY
     loads = full_scale_loads()
-    worst_bytes = bytes_at(max(loads)) + change_rate
+    worst_bytes = predict_bytes_per_s(max(loads)) + change_rate
     total_bytes = sum(rate for _, rate in largest.balancer_loads)
     total_bytes += sum(largest.agent_bytes_per_s)
     cpu_per_byte = largest.cpu_ratio / total_bytes
-    death_at = _fit_line(
+    predict_death_ms = _fit_line(
         [
             (math.log2(sample.balancer_count), delay_ms)
             for sample in samples
@@ -172,7 +172,7 @@
         figure("observed-worst-590", max(loads), "members"),
         figure(
             "balancer-mean-590",
-            bytes_at(statistics.mean(loads)) + change_rate,
+            predict_bytes_per_s(statistics.mean(loads)) + change_rate,
             "B/s",
             _MAX_BYTES_PER_S,
         ),
@@ -193,7 +193,7 @@
         ),
         figure(
             "death-known-mean-590",
-            death_at(math.log2(FULL_BALANCER_COUNT)),
+            predict_death_ms(math.log2(FULL_BALANCER_COUNT)),
             "ms",
             _MAX_PROPAGATION_MS,
         ),
--- a/libs/lab/src/fireflyford/lab/experiments/_datagram_processes.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_datagram_processes.py
@@ -43,10 +43,10 @@
         self.sent_count = 0
         self.responders: list[str] = []
 
-    async def run(self, start_s: float) -> None:
+    async def run(self, delay_s: float) -> None:
         """Sends datagrams on one flow until cancelled."""
         loop = asyncio.get_running_loop()
-        await asyncio.sleep(start_s)
+        await asyncio.sleep(delay_s)
         loop.add_reader(self._socket, self._receive)
         try:
             while True:
--- a/libs/lab/src/fireflyford/lab/experiments/_flow_experiment.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_flow_experiment.py
@@ -139,7 +139,7 @@
             item.kill()
 
 
-def _deployment(scale: Scale) -> config.Deployment:
+def _make_deployment(scale: Scale) -> config.Deployment:
     deployment = _deployments.BANTAY
     if not scale.target_count:
         return deployment
@@ -157,9 +157,9 @@
     proxied: frozenset[str] = frozenset(),
     drain_limit_ms: int = 30_000,
 ) -> AsyncIterator[FlowRun]:
-    """Starts a fleet and its callers, and stops them on exit."""
+    """Starts a fleet and its callers; stops them on exit."""
     fleet = _fleet.Fleet(
-        _deployment(scale),
+        _make_deployment(scale),
         random.Random(seed),
         scale.balancer_count,
         proxied,
