--- a/libs/lab/src/fireflyford/lab/_processes.py
+++ b/libs/lab/src/fireflyford/lab/_caller_processes.py
@@ -31,7 +31,7 @@
             if await self._read_line() != b"ready":
                 raise RuntimeError("the callers have ended early")
 
-    async def finish(self) -> _callers.Figures:
+    async def finish(self) -> _callers.CallerStatistics:
         """Stops the callers and returns their figures."""
         assert self._process.stdin is not None
         self._process.stdin.close()
@@ -39,7 +39,7 @@
             line = await self._read_line()
         # Closing a thousand connections properly would take many seconds.
         self.kill()
-        return msgspec.json.decode(line, type=_callers.Figures)
+        return msgspec.json.decode(line, type=_callers.CallerStatistics)
 
     def kill(self) -> None:
         """Ends the process at once if it is still running."""
@@ -54,7 +54,7 @@
 async def start_callers(
     fleet: _fleet.Fleet,
     service: config.Service,
-    load: _callers.Load,
+    load: _callers.CallerLoad,
     name: str,
 ) -> CallerProcess:
     """Starts callers of one service.
--- a/libs/lab/src/fireflyford/lab/_callers.py
+++ b/libs/lab/src/fireflyford/lab/_callers.py
@@ -35,7 +35,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Load:
+class CallerLoad:
     """What the callers of one process do.
 
     Attributes:
@@ -52,7 +52,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Figures:
+class CallerStatistics:
     """What the callers saw, as the user of the library sees it."""
 
     feeds: int = 0
@@ -74,10 +74,10 @@
     event_ms: tuple[float, ...] = ()
 
 
-def add_figures(parts: list[Figures]) -> Figures:
+def merge_statistics(parts: list[CallerStatistics]) -> CallerStatistics:
     """Returns the figures of several processes together."""
     sums: dict[str, Any] = {}
-    for field in dataclasses.fields(Figures):
+    for field in dataclasses.fields(CallerStatistics):
         values = [getattr(part, field.name) for part in parts]
         if field.name == "longest_silence_ms":
             sums[field.name] = max(values, default=0.0)
@@ -85,7 +85,7 @@
             sums[field.name] = tuple(item for value in values for item in value)
         else:
             sums[field.name] = sum(values)
-    return Figures(**sums)
+    return CallerStatistics(**sums)
 
 
 class _FeedWatch:
@@ -138,10 +138,12 @@
             self.longest_silence_s = max(self.longest_silence_s, silence_s)
 
 
-class Callers:
+class CallerGroup:
     """Tasks of the callers of one service."""
 
-    def __init__(self, client: caller.Client, load: Load, name: str) -> None:
+    def __init__(
+        self, client: caller.Client, load: CallerLoad, name: str
+    ) -> None:
         """Prepares the callers.
 
         Args:
@@ -188,7 +190,7 @@
         for index in range(self._load.sheet_count):
             self._start(self._send(self._sheet, index, _SHEET_PAUSE_MS))
 
-    async def stop(self) -> Figures:
+    async def stop(self) -> CallerStatistics:
         """Lets requests in flight finish, and counts."""
         self._stopping = True
         now_s = time.monotonic()
@@ -221,9 +223,9 @@
         for session in self._sessions:
             await session.close()
 
-    def _count_feeds(self) -> Figures:
+    def _count_feeds(self) -> CallerStatistics:
         feeds = [item for item in self._feeds if item.started.is_set()]
-        return Figures(
+        return CallerStatistics(
             feeds=len(feeds),
             events=sum(item.report.event_count for item in feeds),
             moved=sum(item.moved_count for item in feeds),
@@ -336,11 +338,11 @@
         feed_interval_ms: Time between two events of a feed.
     """
     client = caller.Client(core.Address.parse(address), service, authorities)
-    load = Load(feeds, orders, sheets, feed_interval_ms)
-    asyncio.run(_run(Callers(client, load, name)))
+    load = CallerLoad(feeds, orders, sheets, feed_interval_ms)
+    asyncio.run(_run(CallerGroup(client, load, name)))
 
 
-async def _run(callers: Callers) -> None:
+async def _run(callers: CallerGroup) -> None:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/libs/lab/src/fireflyford/lab/_demo.py
+++ b/libs/lab/src/fireflyford/lab/_demo.py
@@ -11,7 +11,7 @@
 from fireflyford.lab import _deployments
 from fireflyford.lab import _fleet
 
-_LOAD = _callers.Load(
+_LOAD = _callers.CallerLoad(
     feed_count=10, order_count=3, sheet_count=2, feed_interval_ms=200
 )
 _MAX_SILENCE_MS = 5_000
@@ -77,12 +77,12 @@
 
 async def _demo(
     deployment: str, seed: int, duration_s: float
-) -> tuple[_callers.Figures, int]:
+) -> tuple[_callers.CallerStatistics, int]:
     async with _running_fleet(deployment, seed) as fleet:
         misrouted = _Misrouted(fleet)
         watcher = asyncio.create_task(misrouted.watch())
         callers = [
-            _callers.Callers(
+            _callers.CallerGroup(
                 _callers.make_client(fleet, service), _LOAD, service.name
             )
             for service in fleet.deployment.services
@@ -94,10 +94,10 @@
         # Closing in good order matters to nobody here; the fleet ends now.
         for item in callers:
             item.cancel()
-        return _callers.add_figures(list(parts)), misrouted.count
+        return _callers.merge_statistics(list(parts)), misrouted.count
 
 
-def _report(figures: _callers.Figures, misrouted_count: int) -> bool:
+def _report(figures: _callers.CallerStatistics, misrouted_count: int) -> bool:
     print(f"{'kind':10} {'count':>8} {'p50 ms':>10} {'p99 ms':>10}")
     for kind, values in (
         ("orders", figures.order_ms),
--- a/libs/lab/src/fireflyford/lab/_fault_runs.py
+++ b/libs/lab/src/fireflyford/lab/_fault_runs.py
@@ -48,8 +48,8 @@
     seed: int
     faults: tuple[Fault, ...]
     violations: tuple[_history.Violation, ...]
-    told_count: int
-    ran_count: int
+    answer_count: int
+    execution_count: int
     handed_over_count: int
     complete_count: int
     unknown_count: int
@@ -237,8 +237,8 @@
             seed=self._seed,
             faults=self._faults,
             violations=tuple(_history.check(self._told, ran, self._bodies)),
-            told_count=len(self._told),
-            ran_count=len(ran),
+            answer_count=len(self._told),
+            execution_count=len(ran),
             handed_over_count=sum(
                 node.engine.scheduler.handed_over_count
                 for node in self._service.nodes
--- a/libs/lab/src/fireflyford/lab/_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_fleet.py
@@ -120,7 +120,7 @@
             await self.fabric.add_service(
                 service.name, core.Address.parse(service.address), ()
             )
-        await self.settle()
+        await self.wait_for_discovery()
 
     def _spawn_proxy(self) -> None:
         address = _ports.free_address()
@@ -238,7 +238,7 @@
         self.targets[name] = target
         return target
 
-    async def settle(self) -> None:
+    async def wait_for_discovery(self) -> None:
         """Waits until each balancer sees each target, then uses them all."""
         limit_ms = _CLOCK.now_ms() + _START_LIMIT_MS
         expected = set(self.targets)
@@ -263,7 +263,7 @@
                     )
                 await _CLOCK.sleep(_POLL_MS)
         self._in_service.update(self.balancers)
-        self.use_balancers()
+        self.update_fabric()
 
     async def check_health(self) -> None:
         """Checks the balancers as a fabric does, until cancelled."""
@@ -281,7 +281,7 @@
             self._in_service.add(balancer.name)
         elif ready is False or count + 1 >= _HEALTH_FAILURES:
             self._in_service.discard(balancer.name)
-        self.use_balancers()
+        self.update_fabric()
 
     async def replace_balancer(self, balancer: BalancerProcess) -> int:
         """Starts another balancer, then stops this one gracefully.
@@ -289,7 +289,7 @@
         Needs `check_health`; returns the exit status of the old one.
         """
         self.start_balancer()
-        await self.settle()
+        await self.wait_for_discovery()
         code = await self.stop_gracefully(balancer.process)
         self.balancers.pop(balancer.name, None)
         return code
@@ -297,7 +297,7 @@
     async def replace_target(self, target: Target) -> int:
         """Starts another target, then stops this one gracefully."""
         self.start_target(target.service)
-        await self.settle()
+        await self.wait_for_discovery()
         return await self.remove_target(target)
 
     async def remove_target(self, target: Target) -> int:
@@ -313,7 +313,7 @@
         target.agent.kill()
         target.backend.kill()
 
-    def use_balancers(self) -> None:
+    def update_fabric(self) -> None:
         """Makes the fabric spray over the balancers in service."""
         for service in self.deployment.services:
             self.fabric.replace_balancers(
--- a/libs/lab/src/fireflyford/lab/_flow_run.py
+++ b/libs/lab/src/fireflyford/lab/_flow_run.py
@@ -41,13 +41,13 @@
     new_flow_ratio: float = 0.05
 
 
-class Tally:
+class DeliveryCounts:
     """Where the datagrams of one way of routing went."""
 
     def __init__(self) -> None:
         """Starts without flows."""
         self._owners: dict[int, str] = {}
-        self.broken: set[int] = set()
+        self.broken_flows: set[int] = set()
         self.misrouted_count = 0
         self.delivered_count = 0
 
@@ -59,7 +59,7 @@
             self._owners[flow_key] = target
         elif owner != target:
             self.misrouted_count += 1
-            self.broken.add(flow_key)
+            self.broken_flows.add(flow_key)
 
 
 class FlowRun:
@@ -81,15 +81,15 @@
         self._views: list[Sequence[routing.Target]] = []
         self._flows: list[int] = []
         self._seen_deliveries = 0
-        self.tally = Tally()
-        self.baselines: dict[str, Tally] = {}
+        self.delivery_counts = DeliveryCounts()
+        self.baselines: dict[str, DeliveryCounts] = {}
         self._baselines: list[_flow_baselines.Baseline] = [
             _flow_baselines.ModuloHash(),
             _flow_baselines.RendezvousHash(),
             _flow_baselines.BalancerFlowTable(),
         ]
         for baseline in self._baselines:
-            self.baselines[baseline.name] = Tally()
+            self.baselines[baseline.name] = DeliveryCounts()
         self.hops: list[int] = []
         self._dead: set[core.Holder] = set()
         self.sent_count = 0
@@ -145,7 +145,7 @@
         names = {node.holder: node.name for node in self.network.nodes.values()}
         for delivery in self.network.deliveries:
             self.hops.append(delivery.hops)
-            self.tally.add(
+            self.delivery_counts.add(
                 delivery.flow_key, names[delivery.holder], set(self._targets)
             )
         self.network.deliveries.clear()
--- a/libs/lab/src/fireflyford/lab/_load.py
+++ b/libs/lab/src/fireflyford/lab/_load.py
@@ -45,7 +45,7 @@
     failure: core.ErrorKind | None
 
     @property
-    def in_time(self) -> bool:
+    def within_deadline(self) -> bool:
         """Whether the answer is complete and within the deadline."""
         return self.failure is None and self.elapsed_ms <= self.job.deadline_ms
 
--- a/libs/lab/src/fireflyford/lab/_packet_baselines.py
+++ b/libs/lab/src/fireflyford/lab/_packet_baselines.py
@@ -8,7 +8,7 @@
 from fireflyford import flows
 
 
-class AtHome(flows.Placement):
+class DirectoryAgentFirst(flows.Placement):
     """Ring with search: a flow goes to its home, whatever the load.
 
     Answers no load; a flow is moved on only when its home has no room.
@@ -29,7 +29,7 @@
         return candidates[0]
 
 
-class TwoChoices(flows.Placement):
+class PowerOfTwoChoices(flows.Placement):
     """The less loaded of two random candidates, by their reported load."""
 
     def __init__(self, rng: random.Random) -> None:
@@ -72,7 +72,7 @@
     return count / max(1, item.load.slot_count)
 
 
-def central_queue_ms(
+def central_queue_response_ms(
     arrivals_ms: Sequence[int], service_ms: Sequence[int]
 ) -> list[int]:
     """Returns response times of one queue in front of all slots.
--- a/libs/lab/src/fireflyford/lab/_packet_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_packet_fleet.py
@@ -16,10 +16,10 @@
 from fireflyford import core
 from fireflyford import flows
 
-LINK_MS = 1
-CLIENT_MS = 2
+LINK_DELAY_MS = 1
+CLIENT_DELAY_MS = 2
 SWEEP_MS = 20
-LOAD_MS = 100
+LOAD_INTERVAL_MS = 100
 BEAT_MS = 900
 # Copies of a first packet, and the end of the attempt.
 OPENING_COPIES_MS = (0, 200, 600)
@@ -40,31 +40,31 @@
         self._now_ms = now_ms
 
 
-class Ending(enum.Enum):
+class RequestOutcome(enum.Enum):
     """How a request of a client ended."""
 
     ANSWERED = "answered"
     REFUSED = "refused"
     RESET = "reset"
     SHED = "shed"
-    SILENCE = "silence"
+    TIMED_OUT = "silence"
 
 
 @dataclasses.dataclass(frozen=True)
-class Result:
+class RequestResult:
     """One request as its client saw it.
 
     Attributes:
         flow: Its flow.
         started_ms: When the client began.
         ended_ms: When it ended.
-        ending: How it ended.
+        outcome: How it ended.
     """
 
     flow: bytes
     started_ms: int
     ended_ms: int
-    ending: Ending
+    outcome: RequestOutcome
 
     @property
     def duration_ms(self) -> int:
@@ -73,7 +73,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class TargetPlan:
+class TargetSpec:
     """A backend server of the fleet.
 
     Attributes:
@@ -92,10 +92,10 @@
 class Target:
     """Stand-in of a backend server."""
 
-    def __init__(self, fleet: "PacketFleet", plan: TargetPlan, index: int):
+    def __init__(self, fleet: "PacketFleet", spec: TargetSpec, index: int):
         """Starts without flows."""
         self._fleet = fleet
-        self.plan = plan
+        self.spec = spec
         self.index = index
         self.up = True
         self.first_seqs: dict[bytes, int] = {}
@@ -106,7 +106,7 @@
             collections.Counter()
         )
         # Time spent on requests.
-        self.worked_ms = 0
+        self.busy_ms = 0
         self.working: list[bytes] = []
         self.queue: list[bytes] = []
 
@@ -149,9 +149,9 @@
         self._answer(packet.flow, opens=True, seq=seq)
 
     def _take(self, flow: bytes) -> None:
-        if len(self.working) < self.plan.slot_count:
+        if len(self.working) < self.spec.slot_count:
             self._work(flow)
-        elif len(self.queue) < self.plan.queue_count:
+        elif len(self.queue) < self.spec.queue_count:
             self.queue.append(flow)
         else:
             self._fleet.sheds.add(flow)
@@ -159,8 +159,8 @@
 
     def _work(self, flow: bytes) -> None:
         self.working.append(flow)
-        self.worked_ms += self.plan.service_ms
-        self._fleet.after(self.plan.service_ms, lambda: self._finish(flow))
+        self.busy_ms += self.spec.service_ms
+        self._fleet.call_later(self.spec.service_ms, lambda: self._finish(flow))
 
     def _finish(self, flow: bytes) -> None:
         if flow not in self.working:
@@ -244,7 +244,7 @@
 
     def service(self) -> str:
         """Returns the service of the backend server."""
-        return self.target.plan.service
+        return self.target.spec.service
 
     def decide(self) -> None:
         """Makes the decision code of a new process."""
@@ -256,7 +256,7 @@
             fleet.make_placement(self.address),
         )
         self.watch = flows.TargetMonitor(
-            fleet.clock, self.target.plan.service, self.flows.forwarder, 1_200
+            fleet.clock, self.target.spec.service, self.flows.forwarder, 1_200
         )
 
     def receive(self, sender: core.Address, message: flows.Message) -> None:
@@ -280,10 +280,10 @@
 
     def report(self, state: flows.TargetState, sequence: int) -> None:
         """Takes a report of the backend server."""
-        plan = self.target.plan
+        spec = self.target.spec
         self.watch.record_report(
             flows.TargetReport(
-                "target", plan.service, state, plan.slot_count, 1, sequence
+                "target", spec.service, state, spec.slot_count, 1, sequence
             )
         )
 
@@ -339,23 +339,23 @@
         self._first_seq = 0
         self._seq = 1
         self._started_ms = 0
-        self.waits = False
+        self.is_waiting = False
         self._deadline_ms = 0
 
     def open(self, deadline_ms: int = 2_500) -> None:
         """Opens the flow and sends a request."""
         self._started_ms = self._fleet.clock.now_ms()
         self._deadline_ms = deadline_ms
-        self.waits = True
+        self.is_waiting = True
         for delay_ms in OPENING_COPIES_MS:
-            self._fleet.after(delay_ms, self._send_opening)
-        self._fleet.after(OPENING_LIMIT_MS, self._give_up_opening)
+            self._fleet.call_later(delay_ms, self._send_opening)
+        self._fleet.call_later(OPENING_LIMIT_MS, self._give_up_opening)
 
     def request(self, deadline_ms: int = 2_500) -> None:
         """Sends a request on the open flow."""
         self._started_ms = self._fleet.clock.now_ms()
         self._deadline_ms = deadline_ms
-        self.waits = True
+        self.is_waiting = True
         self._send_request()
 
     def receive(self, packet: flows.Packet) -> None:
@@ -367,10 +367,10 @@
                 self.is_open = True
                 self._first_seq = packet.seq
                 self._send_request()
-        elif packet.payload_bytes and self.waits:
+        elif packet.payload_bytes and self.is_waiting:
             shed = self.flow in self._fleet.sheds
             self._fleet.sheds.discard(self.flow)
-            self._end(Ending.SHED if shed else Ending.ANSWERED)
+            self._end(RequestOutcome.SHED if shed else RequestOutcome.ANSWERED)
 
     def reset(self) -> None:
         """Handles a reset."""
@@ -380,8 +380,10 @@
         holder = self._fleet.holder(self.flow)
         if self.is_open and holder is not None:
             self._fleet.broken.append(self.flow)
-        if self.waits:
-            self._end(Ending.RESET if self.is_open else Ending.REFUSED)
+        if self.is_waiting:
+            self._end(
+                RequestOutcome.RESET if self.is_open else RequestOutcome.REFUSED
+            )
 
     def _send_opening(self) -> None:
         if not self.is_open and not self.is_ended:
@@ -392,7 +394,7 @@
     def _give_up_opening(self) -> None:
         if not self.is_open and not self.is_ended:
             self.is_ended = True
-            self._end(Ending.SILENCE)
+            self._end(RequestOutcome.TIMED_OUT)
 
     def _send_request(self) -> None:
         self._seq += 1
@@ -401,7 +403,7 @@
 
         def copy() -> None:
             if (
-                self.waits
+                self.is_waiting
                 and not self.is_ended
                 and began_ms == (self._started_ms)
             ):
@@ -417,23 +419,23 @@
                 )
 
         def give_up() -> None:
-            if self.waits and began_ms == self._started_ms:
+            if self.is_waiting and began_ms == self._started_ms:
                 self.is_ended = True
-                self._end(Ending.SILENCE)
+                self._end(RequestOutcome.TIMED_OUT)
 
         for delay_ms in REQUEST_COPIES_MS:
-            self._fleet.after(delay_ms, copy)
+            self._fleet.call_later(delay_ms, copy)
         left_ms = began_ms + self._deadline_ms - self._fleet.clock.now_ms()
-        self._fleet.after(max(0, left_ms), give_up)
+        self._fleet.call_later(max(0, left_ms), give_up)
 
-    def _end(self, ending: Ending) -> None:
-        self.waits = False
+    def _end(self, outcome: RequestOutcome) -> None:
+        self.is_waiting = False
         self._fleet.results.append(
-            Result(
+            RequestResult(
                 self.flow,
                 self._started_ms,
                 self._fleet.clock.now_ms(),
-                ending,
+                outcome,
             )
         )
 
@@ -444,21 +446,21 @@
     def __init__(
         self,
         seed: int,
-        plans: list[TargetPlan],
+        specs: list[TargetSpec],
         balancer_count: int = 3,
         make_placement: PlacementMaker | None = None,
-        lasting: bool = False,
-        load_interval_ms: int = LOAD_MS,
+        long_lived: bool = False,
+        load_interval_ms: int = LOAD_INTERVAL_MS,
     ) -> None:
         """Starts all processes with a common view.
 
         Args:
             seed: Seed of all random choices.
-            plans: The backend servers.
+            specs: The backend servers.
             balancer_count: Number of balancers.
             make_placement: Policy for new flows at the agent of an address,
                 the one in use if not given.
-            lasting: Whether flows carry many requests.
+            long_lived: Whether flows carry many requests.
             load_interval_ms: How often agents report their loads; the control
                 budget makes it longer the more agents there are.
         """
@@ -470,13 +472,15 @@
         self._order = itertools.count()
         self._packets: dict[bytes, flows.Packet] = {}
         self._clients: dict[bytes, Client] = {}
-        self.results: list[Result] = []
+        self.results: list[RequestResult] = []
         self.broken: list[bytes] = []
         self.sheds: set[bytes] = set()
-        route = flows.Route("board", ROUTE, (flows.Share(SERVICE, 1),), lasting)
+        route = flows.Route(
+            "board", ROUTE, (flows.Share(SERVICE, 1),), long_lived
+        )
         self.table = flows.RouteTable(1, {ROUTE: route})
         self.targets = [
-            Target(self, plan, index) for index, plan in enumerate(plans)
+            Target(self, spec, index) for index, spec in enumerate(specs)
         ]
         self.agents = [
             AgentNode(self, index, target)
@@ -488,7 +492,7 @@
         self.rotation = list(self.balancers)
         # Agents that the registry does not show.
         self.hidden: set[core.Address] = set()
-        self.register()
+        self.publish_registry()
         for node in self.agents:
             node.report(flows.TargetState.READY, 1)
         self._every(SWEEP_MS, self._sweep)
@@ -498,7 +502,7 @@
 
     # Time.
 
-    def after(self, delay_ms: int, work: Callable[[], None]) -> None:
+    def call_later(self, delay_ms: int, work: Callable[[], None]) -> None:
         """Runs `work` later."""
         at_ms = self.clock.now_ms() + delay_ms
         heapq.heappush(self._events, (at_ms, next(self._order), work))
@@ -506,9 +510,9 @@
     def _every(self, interval_ms: int, work: Callable[[], None]) -> None:
         def step() -> None:
             work()
-            self.after(interval_ms, step)
+            self.call_later(interval_ms, step)
 
-        self.after(interval_ms, step)
+        self.call_later(interval_ms, step)
 
     def run(self, duration_ms: int) -> None:
         """Plays all events of some time."""
@@ -552,7 +556,7 @@
             if node.up:
                 node.view.refresh()
 
-    def register(self) -> None:
+    def publish_registry(self) -> None:
         """Gives every process the present registry."""
         instances = [
             node.instance
@@ -578,27 +582,27 @@
             return
         index = int.from_bytes(packet.flow, "big") % len(self.rotation)
         balancer = self.rotation[index]
-        self.after(CLIENT_MS, lambda: balancer.take(packet))
+        self.call_later(CLIENT_DELAY_MS, lambda: balancer.take(packet))
 
     def carry(self, sender: core.Address, action: flows.Action) -> None:
         """Carries out an action that leaves an instance."""
         if isinstance(action, flows.Send):
             node = self._node(action.to)
-            delay_ms = 0 if action.to == sender else LINK_MS
+            delay_ms = 0 if action.to == sender else LINK_DELAY_MS
             message = action.message
             if node is not None:
                 receive = node.receive
-                self.after(delay_ms, lambda: receive(sender, message))
+                self.call_later(delay_ms, lambda: receive(sender, message))
         elif isinstance(action, flows.Reply):
             client = self._clients.get(action.packet.flow)
             packet = action.packet
             if client is not None:
                 take = client.receive
-                self.after(CLIENT_MS, lambda: take(packet))
+                self.call_later(CLIENT_DELAY_MS, lambda: take(packet))
         elif isinstance(action, flows.Reset):
             client = self._clients.get(action.flow)
             if client is not None:
-                self.after(CLIENT_MS, client.reset)
+                self.call_later(CLIENT_DELAY_MS, client.reset)
 
     def _nodes(self) -> list[AgentNode | BalancerNode]:
         return [*self.agents, *self.balancers]
@@ -639,7 +643,8 @@
         """
         results = [item for item in self.results if item.started_ms >= since_ms]
         good = sum(
-            item.ending is Ending.ANSWERED and item.duration_ms <= limit_ms
+            item.outcome is RequestOutcome.ANSWERED
+            and item.duration_ms <= limit_ms
             for item in results
         )
         return good / max(1, len(results))
--- a/libs/lab/src/fireflyford/lab/_plain_client.py
+++ b/libs/lab/src/fireflyford/lab/_plain_client.py
@@ -106,7 +106,7 @@
     return connection
 
 
-async def open_on(
+async def open_on_target(
     fleet: _fleet.Fleet, target: _fleet.Target, path: str
 ) -> PlainConnection:
     """Sends a request on a plain connection that ends at a given target.
--- a/libs/lab/src/fireflyford/lab/_platform_store.py
+++ b/libs/lab/src/fireflyford/lab/_platform_store.py
@@ -44,8 +44,8 @@
     """Items, leases and history of the store.
 
     Attributes:
-        refusal: Status with which every call is refused, 0 for none.
-        hidden_writes: Writes that are done and not answered.
+        refusal_status: Status with which every call is refused, 0 for none.
+        unanswered_write_count: Writes that are done and not answered.
     """
 
     def __init__(self) -> None:
@@ -55,8 +55,8 @@
         self.leases: dict[int, tuple[float, float]] = {}
         self.events: list[dict[str, Any]] = []
         self.first_event_revision = FIRST_REVISION
-        self.refusal = 0
-        self.hidden_writes = 0
+        self.refusal_status = 0
+        self.unanswered_write_count = 0
         self.calls: list[str] = []
 
     def put(self, key: str, value: bytes, lease: int = 0) -> None:
@@ -76,7 +76,7 @@
         event = {"key": key, "revision": self.revision, "deleted": True}
         self.events.append(event)
 
-    def forget_history(self) -> None:
+    def compact_history(self) -> None:
         """Drops all events, so that watches have to read again."""
         self.events.clear()
         self.first_event_revision = self.revision
@@ -105,8 +105,8 @@
     def prepare(self) -> None:
         """Counts the call and refuses it if told to."""
         self.state.calls.append(f"{self.request.method} {self.request.path}")
-        if self.state.refusal:
-            self.send_error(self.state.refusal)
+        if self.state.refusal_status:
+            self.send_error(self.state.refusal_status)
 
     def answer(self, document: dict[str, Any], status: int = 200) -> None:
         """Sends a document."""
@@ -177,8 +177,8 @@
             state.put(write["key"], value, write["lease"])
         for key in body["remove"]:
             state.delete(key)
-        if state.hidden_writes:
-            state.hidden_writes -= 1
+        if state.unanswered_write_count:
+            state.unanswered_write_count -= 1
             self.request.connection.stream.close()  # type: ignore[union-attr]
             return
         self.answer({"revision": state.revision})
--- a/libs/lab/src/fireflyford/lab/_process_runs.py
+++ b/libs/lab/src/fireflyford/lab/_process_runs.py
@@ -50,7 +50,7 @@
         await fleet.start()
         for speed in speeds:
             fleet.start_target(_SERVICE, speed)
-        await fleet.settle()
+        await fleet.wait_for_discovery()
         # Agents learn of each other and exchange their first reports.
         await asyncio.sleep(_SETTLE_S)
         yield fleet
@@ -65,7 +65,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Demand:
+class LoadProfile:
     """Load of short work over several connections.
 
     Attributes:
@@ -83,20 +83,20 @@
     rate: Callable[[float], float]
 
 
-async def run_demand(
-    fleet: _fleet.Fleet, demand: Demand
+async def run_load(
+    fleet: _fleet.Fleet, profile: LoadProfile
 ) -> tuple[list[_load.Sample], int]:
     """Sends the load; returns samples and the number of attempts."""
-    rng = random.Random(demand.seed)
+    rng = random.Random(profile.seed)
     async with contextlib.AsyncExitStack() as stack:
         lanes = []
-        for _ in range(demand.connection_count):
+        for _ in range(profile.connection_count):
             client = make_client(fleet)
             connection = await stack.enter_async_context(client.connect())
             lanes.append((client, connection))
 
         def make_job(number: int) -> _load.Job:
-            length_ms = rng.gammavariate(4, demand.mean_ms / 4)
+            length_ms = rng.gammavariate(4, profile.mean_ms / 4)
             return _load.Job(number, "short", length_ms, 2_000)
 
         async def send(job: _load.Job) -> core.Outcome[caller.Response]:
@@ -107,7 +107,7 @@
             )
 
         samples = await _load.run_open_loop(
-            rng, demand.rate, demand.duration_ms, make_job, send
+            rng, profile.rate, profile.duration_ms, make_job, send
         )
         return samples, sum(client.attempt_count for client, _ in lanes)
 
@@ -166,7 +166,7 @@
     return _load.percentile(values, 0.5)
 
 
-def work_by_target(
+def busy_ms_by_target(
     executions: list[dict[str, object]], speeds: dict[str, float]
 ) -> dict[tuple[str, int], float]:
     """Returns the busy slot time in ms by target and wall-clock second."""
@@ -192,8 +192,8 @@
 
     faults: tuple[str, ...]
     violations: tuple[_history.Violation, ...]
-    told_count: int
-    ran_count: int
+    answer_count: int
+    execution_count: int
     unknown_count: int
 
 
@@ -229,8 +229,8 @@
     return OrderRun(
         faults=faults,
         violations=tuple(violations),
-        told_count=len(orders.told),
-        ran_count=len(ran),
+        answer_count=len(orders.told),
+        execution_count=len(ran),
         unknown_count=sum(t.execution is unknown for t in orders.told),
     )
 
@@ -253,7 +253,7 @@
         balancer = next(iter(fleet.balancers.values()))
         fleet.kill(balancer.process)
         del fleet.balancers[balancer.name]
-        fleet.use_balancers()
+        fleet.update_fabric()
 
 
 class _Orders:
--- a/libs/lab/src/fireflyford/lab/_service_runs.py
+++ b/libs/lab/src/fireflyford/lab/_service_runs.py
@@ -34,7 +34,7 @@
 class Policy(enum.Enum):
     """What decides about placement, order and admission."""
 
-    OURS = "ours"
+    DEFAULT = "ours"
     FIFO = "fifo"
     RANDOM = "random"
     ROUND_ROBIN = "round-robin"
@@ -82,11 +82,12 @@
         peak_end_ms: End of the peak.
         fault: What happens to one target.
         fault_ms: When it happens.
-        lying: Whether load endpoints lag, and two always report idle.
+        inaccurate_reports: Whether load endpoints lag, and two of them always
+            report idle.
     """
 
     seed: int
-    policy: Policy = Policy.OURS
+    policy: Policy = Policy.DEFAULT
     speeds: tuple[float, ...] = (1.0,) * 7
     mean_ms: float = 20.0
     long_ratio: float = 0.0
@@ -98,7 +99,7 @@
     peak_end_ms: int = 15_000
     fault: TargetFault = TargetFault.NONE
     fault_ms: int = 9_000
-    lying: bool = False
+    inaccurate_reports: bool = False
 
     @property
     def slots(self) -> float:
@@ -159,7 +160,7 @@
         work_ms = sum(
             sample.job.nominal_ms
             for sample in self.samples
-            if sample.in_time
+            if sample.within_deadline
             and start_ms <= sample.started_ms + sample.elapsed_ms < end_ms
         )
         return work_ms / (self.plan.slots * (end_ms - start_ms))
@@ -177,7 +178,7 @@
         # Apart, so that every policy sees the same arrivals.
         self._load_rng = random.Random(f"load-{plan.seed}")
         self._clock = _virtual.VirtualClock()
-        fifo = plan.policy is not Policy.OURS
+        fifo = plan.policy is not Policy.DEFAULT
         self._service = _model.ModelService(
             self._clock,
             self._rng,
@@ -283,7 +284,7 @@
             loads = [float(node.backend.running_count) for node in nodes]
             await self._clock.sleep(_REPORT_LAG_MS)
             for index, node in enumerate(nodes):
-                lies = self._plan.lying and index in (0, 3)
+                lies = self._plan.inaccurate_reports and index in (0, 3)
                 node.engine.scheduler.reported_load = (
                     0 if lies else loads[index]
                 )
--- a/libs/lab/src/fireflyford/lab/_store_server.py
+++ b/libs/lab/src/fireflyford/lab/_store_server.py
@@ -45,7 +45,7 @@
     value: _Value | None
 
 
-class Switches:
+class FaultSwitches:
     """Faults that are switched on."""
 
     def __init__(self) -> None:
@@ -146,8 +146,8 @@
     def __init__(self) -> None:
         """Starts with an empty state and without faults."""
         self.state = StoreState()
-        self.switches = Switches()
-        self.counts: collections.Counter[str] = collections.Counter()
+        self.switches = FaultSwitches()
+        self.call_counts: collections.Counter[str] = collections.Counter()
         self.pending_watch_count = 0
         self._servers: list[httpserver.HTTPServer] = []
         self._lease_task: asyncio.Task[None] | None = None
@@ -202,7 +202,7 @@
 
     async def post(self) -> None:
         switches = self.server.switches
-        self.server.counts[self.request.path] += 1
+        self.server.call_counts[self.request.path] += 1
         if switches.slow_ms:
             await asyncio.sleep(switches.slow_ms / 1000)
         if switches.down:
@@ -338,7 +338,7 @@
         self._closing = asyncio.create_task(self.state.announce())
 
     async def post(self) -> None:
-        self.server.counts[self.request.path] += 1
+        self.server.call_counts[self.request.path] += 1
         create = json.loads(self.request.body)["create_request"]
         first = _decode(create["key"])
         end = _decode(create.get("range_end", ""))
@@ -414,7 +414,7 @@
     def get(self) -> None:
         self.finish(
             {
-                "calls": dict(self.server.counts),
+                "calls": dict(self.server.call_counts),
                 "pending_watch_count": self.server.pending_watch_count,
             }
         )
--- a/libs/lab/src/fireflyford/lab/experiments/_datagram_flows.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_datagram_flows.py
@@ -23,13 +23,19 @@
 def _make_figures(
     title: str, run: _flow_run.FlowRun
 ) -> list[_framework.Figure]:
-    lost_count = run.sent_count - run.tally.delivered_count
+    lost_count = run.sent_count - run.delivery_counts.delivered_count
     figures = [
         _framework.Figure(
-            f"{title}, broken flows", len(run.tally.broken), "flows", 0.0
+            f"{title}, broken flows",
+            len(run.delivery_counts.broken_flows),
+            "flows",
+            0.0,
         ),
         _framework.Figure(
-            f"{title}, misrouted", run.tally.misrouted_count, "packets", 0.0
+            f"{title}, misrouted",
+            run.delivery_counts.misrouted_count,
+            "packets",
+            0.0,
         ),
         _framework.Figure(f"{title}, lost", lost_count, "packets"),
         _framework.Figure(
@@ -42,7 +48,7 @@
     for name, tally in run.baselines.items():
         figures.append(
             _framework.Figure(
-                f"{title}, {name}: broken", len(tally.broken), "flows"
+                f"{title}, {name}: broken", len(tally.broken_flows), "flows"
             )
         )
         figures.append(
--- a/libs/lab/src/fireflyford/lab/experiments/_datagram_processes.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_datagram_processes.py
@@ -79,13 +79,13 @@
     await asyncio.sleep(_STEP_S)
     name, stopped = next(iter(fleet.balancers.items()))
     del fleet.balancers[name]
-    fleet.use_balancers()
+    fleet.update_fabric()
     await fleet.stop_gracefully(stopped.process)
     name, killed = next(iter(fleet.balancers.items()))
     fleet.kill(killed.process)
     await asyncio.sleep(0.5)
     del fleet.balancers[name]
-    fleet.use_balancers()
+    fleet.update_fabric()
     await asyncio.sleep(_STEP_S)
 
 
--- a/libs/lab/src/fireflyford/lab/experiments/_flow_run.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_flow_run.py
@@ -11,10 +11,10 @@
 
 from fireflyford import config
 from fireflyford import core
+from fireflyford.lab import _caller_processes
 from fireflyford.lab import _callers
 from fireflyford.lab import _deployments
 from fireflyford.lab import _fleet
-from fireflyford.lab import _processes
 from fireflyford.lab.experiments import _framework
 
 _MAX_SILENCE_MS = 5_000
@@ -69,8 +69,8 @@
     def __init__(self, fleet: _fleet.Fleet) -> None:
         """Takes the fleet; callers are added later."""
         self.fleet = fleet
-        self.callers: list[_processes.CallerProcess] = []
-        self.fast_callers: list[_processes.CallerProcess] = []
+        self.callers: list[_caller_processes.CallerProcess] = []
+        self.fast_callers: list[_caller_processes.CallerProcess] = []
         self.exit_codes: list[int] = []
         # Feeds on targets that have been killed.
         self.lost_feed_count = 0
@@ -78,8 +78,8 @@
 
     async def open_callers(self, scale: Scale) -> None:
         """Starts the caller processes and waits until they run."""
-        load = _callers.Load(scale.feed_count, scale.order_count)
-        fast = _callers.Load(
+        load = _callers.CallerLoad(scale.feed_count, scale.order_count)
+        fast = _callers.CallerLoad(
             scale.fast_feed_count, feed_interval_ms=_FAST_INTERVAL_MS
         )
         services = self.fleet.deployment.services
@@ -87,12 +87,12 @@
         for index in range(scale.process_count):
             service = services[1 if index % 3 == 1 else 0]
             self.callers.append(
-                await _processes.start_callers(
+                await _caller_processes.start_callers(
                     self.fleet, service, load, f"caller-{index}"
                 )
             )
         self.fast_callers.append(
-            await _processes.start_callers(
+            await _caller_processes.start_callers(
                 self.fleet, services[0], fast, "fast"
             )
         )
@@ -120,15 +120,17 @@
         """Returns a counter, summed over all agents of the run."""
         return sum(counters[name] for counters in self._counters.values())
 
-    async def finish(self) -> tuple[_callers.Figures, _callers.Figures]:
+    async def finish(
+        self,
+    ) -> tuple[_callers.CallerStatistics, _callers.CallerStatistics]:
         """Stops the callers; returns the figures, fast feeds apart."""
         parts = await asyncio.gather(*(item.finish() for item in self.callers))
         fast = await asyncio.gather(
             *(item.finish() for item in self.fast_callers)
         )
         return (
-            _callers.add_figures(list(parts)),
-            _callers.add_figures(list(fast)),
+            _callers.merge_statistics(list(parts)),
+            _callers.merge_statistics(list(fast)),
         )
 
     def kill_callers(self) -> None:
@@ -212,7 +214,7 @@
                 for item in run.fleet.executions()
                 if item["body"]
             )
-        both = _callers.add_figures([figures, fast])
+        both = _callers.merge_statistics([figures, fast])
         return _framework.Result(
             self.name,
             seed,
@@ -249,7 +251,10 @@
         return True
 
     def _describe_feeds(
-        self, figures: _callers.Figures, fast: _callers.Figures, run: FlowRun
+        self,
+        figures: _callers.CallerStatistics,
+        fast: _callers.CallerStatistics,
+        run: FlowRun,
     ) -> tuple[_framework.Figure, ...]:
         allowed_count = self.broken_target + run.lost_feed_count
         return (
@@ -275,7 +280,9 @@
         )
 
     def _describe_requests(
-        self, figures: _callers.Figures, executions: collections.Counter[str]
+        self,
+        figures: _callers.CallerStatistics,
+        executions: collections.Counter[str],
     ) -> tuple[_framework.Figure, ...]:
         refused = set(figures.refused_bodies)
         return (
--- a/libs/lab/src/fireflyford/lab/experiments/_flows.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_flows.py
@@ -185,8 +185,8 @@
             for item in run.fleet.targets.values()
             if item.service == "padron"
         )
-        plain = await _plain_client.open_on(run.fleet, target, "/feed")
-        work = await _plain_client.open_on(
+        plain = await _plain_client.open_on_target(run.fleet, target, "/feed")
+        work = await _plain_client.open_on_target(
             run.fleet, target, f"/sheets/long?ms={_LONG_WORK_MS}"
         )
         _cut_off(run, target)
--- a/libs/lab/src/fireflyford/lab/experiments/_packet_flows.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_packet_flows.py
@@ -34,7 +34,7 @@
 _UTILIZATIONS = (0.7, 0.9)
 # A client's packet to the balancer, its way to the agent by the home, and the
 # answer, for the first packet and for the request; a lower bound of each path.
-_PATH_MS = 4 * _packet_fleet.CLIENT_MS + 2 * _packet_fleet.LINK_MS
+_PATH_MS = 4 * _packet_fleet.CLIENT_DELAY_MS + 2 * _packet_fleet.LINK_DELAY_MS
 
 
 @dataclasses.dataclass(frozen=True)
@@ -55,9 +55,11 @@
     rng = random.Random(seed)
     return [
         Policy("built", None),
-        Policy("ring with search", _packet_baselines.AtHome),
+        Policy("ring with search", _packet_baselines.DirectoryAgentFirst),
         Policy("random", lambda _: flows.Random(rng)),
-        Policy("two choices", lambda _: _packet_baselines.TwoChoices(rng)),
+        Policy(
+            "two choices", lambda _: _packet_baselines.PowerOfTwoChoices(rng)
+        ),
         Policy(
             "join idle queue", lambda _: _packet_baselines.JoinIdleQueue(rng)
         ),
@@ -112,13 +114,13 @@
 
 def _count_broken(change: _Change, policy: Policy, seed: int) -> int:
     """Returns the flows that end although their backend server lives."""
-    plans = [_packet_fleet.TargetPlan() for _ in range(_AGENT_COUNT)]
+    plans = [_packet_fleet.TargetSpec() for _ in range(_AGENT_COUNT)]
     fleet = _packet_fleet.PacketFleet(
-        seed, plans, _BALANCER_COUNT, policy.maker, lasting=True
+        seed, plans, _BALANCER_COUNT, policy.maker, long_lived=True
     )
     if change.before is not None:
         change.before(fleet)
-        fleet.register()
+        fleet.publish_registry()
     clients = []
     for _ in range(_FLOW_COUNT):
         clients.append(fleet.client())
@@ -126,15 +128,15 @@
         fleet.run(_FLOW_GAP_MS)
     fleet.run(_SETTLE_MS)
     change.apply(fleet)
-    fleet.register()
+    fleet.publish_registry()
     kept = [item for item in clients if fleet.holder(item.flow) is not None]
     fleet.results.clear()
     for client in kept:
         client.request()
         fleet.run(_FLOW_GAP_MS)
     fleet.run(_SETTLE_MS)
-    answered = collections.Counter(result.ending for result in fleet.results)
-    return len(kept) - answered[_packet_fleet.Ending.ANSWERED]
+    answered = collections.Counter(result.outcome for result in fleet.results)
+    return len(kept) - answered[_packet_fleet.RequestOutcome.ANSWERED]
 
 
 def _count_moved(
@@ -198,10 +200,10 @@
     utilization: float
     request_count: int = _REQUEST_COUNT
 
-    def targets(self) -> list[_packet_fleet.TargetPlan]:
+    def targets(self) -> list[_packet_fleet.TargetSpec]:
         """Returns the backend servers."""
         return [
-            _packet_fleet.TargetPlan(
+            _packet_fleet.TargetSpec(
                 slot_count=self.slot_count, service_ms=item
             )
             for item in _SERVICE_MS
@@ -220,13 +222,13 @@
 
 
 def _summary(fleet: _packet_fleet.PacketFleet, duration_ms: int) -> LoadResult:
-    done = _packet_fleet.Ending.ANSWERED
+    done = _packet_fleet.RequestOutcome.ANSWERED
     times = sorted(
-        item.duration_ms for item in fleet.results if item.ending is done
+        item.duration_ms for item in fleet.results if item.outcome is done
     )
     good = sum(item <= _AIM_MS for item in times)
     use = [
-        target.worked_ms / target.plan.slot_count / duration_ms
+        target.busy_ms / target.spec.slot_count / duration_ms
         for target in fleet.targets
     ]
     return LoadResult(
@@ -244,7 +246,7 @@
     )
     arrivals = plan.arrivals_ms()
     for at_ms in arrivals:
-        fleet.after(at_ms, fleet.client().open)
+        fleet.call_later(at_ms, fleet.client().open)
     fleet.run(arrivals[-1] + _SETTLE_MS)
     return _summary(fleet, arrivals[-1])
 
@@ -256,7 +258,7 @@
         plan.targets(),
         _BALANCER_COUNT,
         policy.maker,
-        lasting=True,
+        long_lived=True,
     )
     clients = []
     for _ in range(_LASTING_COUNT):
@@ -266,17 +268,17 @@
     fleet.run(_SETTLE_MS)
     fleet.results.clear()
     for target in fleet.targets:
-        target.worked_ms = 0
+        target.busy_ms = 0
     arrivals = plan.arrivals_ms()
     rng = random.Random(plan.seed)
 
     def send() -> None:
-        idle = [item for item in clients if not item.waits]
+        idle = [item for item in clients if not item.is_waiting]
         if idle:
             rng.choice(idle).request()
 
     for at_ms in arrivals:
-        fleet.after(at_ms, send)
+        fleet.call_later(at_ms, send)
     fleet.run(arrivals[-1] + _SETTLE_MS)
     return _summary(fleet, arrivals[-1])
 
@@ -287,7 +289,7 @@
     arrivals = plan.arrivals_ms()
     times = sorted(
         item + _PATH_MS
-        for item in _packet_baselines.central_queue_ms(arrivals, slots)
+        for item in _packet_baselines.central_queue_response_ms(arrivals, slots)
     )
     good = sum(item <= _AIM_MS for item in times)
     return LoadResult(
--- a/libs/lab/src/fireflyford/lab/experiments/_request_processes.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_request_processes.py
@@ -48,7 +48,7 @@
                 return capacity * 0.5
             return capacity * (0.5 + 2.5 * min(1.0, (time_ms - 4_000) / 1000))
 
-        demand = _process_runs.Demand(
+        demand = _process_runs.LoadProfile(
             seed, mean_ms, _CONNECTION_COUNT, 20_000, rate
         )
         async with _process_runs.running_service(seed, (1.0,) * 7) as fleet:
@@ -56,7 +56,7 @@
             measured = await _process_runs.measure_capacity(
                 fleet, mean_ms, 2 * slots, _CAPACITY_RUN_S
             )
-            samples, attempts = await _process_runs.run_demand(fleet, demand)
+            samples, attempts = await _process_runs.run_load(fleet, demand)
         goodput = _goodput_ms(samples, 5_000, 15_000) / 10_000
         refusals = [
             sample.elapsed_ms
@@ -113,13 +113,13 @@
         speeds = (0.5, 2.0, 1.0, 0.5, 1.5, 2.0, 1.0)
         mean_ms = 80.0
         rate = 0.7 * 2 * sum(speeds) / mean_ms * 1000
-        demand = _process_runs.Demand(
+        demand = _process_runs.LoadProfile(
             seed, mean_ms, _CONNECTION_COUNT, 16_000, lambda time_ms: rate
         )
         async with _process_runs.running_service(seed, speeds) as fleet:
             by_name = dict(zip(fleet.targets, speeds, strict=True))
-            samples, _ = await _process_runs.run_demand(fleet, demand)
-            busy = _process_runs.work_by_target(fleet.executions(), by_name)
+            samples, _ = await _process_runs.run_load(fleet, demand)
+            busy = _process_runs.busy_ms_by_target(fleet.executions(), by_name)
         seconds = sorted({second for _, second in busy})[4:-3]
         ratios = []
         totals = dict.fromkeys(by_name, 0.0)
@@ -163,9 +163,11 @@
                 "violations", sum(len(r.violations) for r in runs), "1", 0
             ),
             _framework.Figure("runs", len(runs), "1"),
-            _framework.Figure("answers", sum(r.told_count for r in runs), "1"),
             _framework.Figure(
-                "executions", sum(r.ran_count for r in runs), "1"
+                "answers", sum(r.answer_count for r in runs), "1"
+            ),
+            _framework.Figure(
+                "executions", sum(r.execution_count for r in runs), "1"
             ),
             _framework.Figure(
                 "answers unknown", sum(r.unknown_count for r in runs), "1"
@@ -180,7 +182,7 @@
     return sum(
         sample.job.nominal_ms
         for sample in samples
-        if sample.in_time
+        if sample.within_deadline
         and start_ms <= sample.started_ms + sample.elapsed_ms < end_ms
     )
 
--- a/libs/lab/src/fireflyford/lab/experiments/_requests.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_requests.py
@@ -56,14 +56,14 @@
     async def run(self, seed: int) -> _framework.Result:
         """Runs our placement and the baselines."""
         policies = (
-            _Policy.OURS,
+            _Policy.DEFAULT,
             _Policy.RANDOM,
             _Policy.ROUND_ROBIN,
             _Policy.LEAST_REPORTED,
             _Policy.TWO_CHOICES,
         )
         plan = _service_runs.Plan(
-            seed, speeds=_SPEEDS, lying=True, duration_ms=16_000
+            seed, speeds=_SPEEDS, inaccurate_reports=True, duration_ms=16_000
         )
         results = await _map(
             _service_runs.run,
@@ -74,7 +74,7 @@
         for result in results:
             name = result.plan.policy.value
             values = result.imbalances(_WARM_UP_S)
-            target = 1.15 if result.plan.policy is _Policy.OURS else None
+            target = 1.15 if result.plan.policy is _Policy.DEFAULT else None
             figures += [
                 _ratio(f"{name} worst second", max(values), target),
                 _ratio(f"{name} median second", statistics.median(values)),
@@ -210,8 +210,8 @@
         figures = [
             _count("violations", sum(len(r.violations) for r in broken), 0),
             _count("runs", len(results)),
-            _count("answers", sum(r.told_count for r in results)),
-            _count("executions", sum(r.ran_count for r in results)),
+            _count("answers", sum(r.answer_count for r in results)),
+            _count("executions", sum(r.execution_count for r in results)),
             _count("hand-overs", sum(r.handed_over_count for r in results)),
             _count("answers unknown", sum(r.unknown_count for r in results)),
         ]
@@ -257,7 +257,7 @@
 
 def _completed_ratio(result: _service_runs.RunResult) -> float:
     short = [s for s in result.samples if s.job.name == "short"]
-    return sum(sample.in_time for sample in short) / len(short)
+    return sum(sample.within_deadline for sample in short) / len(short)
 
 
 def _p99_ms(result: _service_runs.RunResult) -> float:
--- a/libs/lab/src/fireflyford/lab/scenarios/_lab_world.py
+++ b/libs/lab/src/fireflyford/lab/scenarios/_lab_world.py
@@ -32,11 +32,11 @@
         self._rng = random.Random(seed)
         self._fleet: _fleet.Fleet | None = None
         self._trial: _config_trial.Trial | None = None
-        self._feeds: list[_callers.Callers] = []
+        self._feeds: list[_callers.CallerGroup] = []
         self._loads: list[_load.RequestLoad] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._actions: list[asyncio.Task[None]] = []
-        self._feed_figures = _callers.Figures()
+        self._feed_figures = _callers.CallerStatistics()
         self._misrouted: dict[str, int] = {}
         self._config_delays_ms: list[float] = []
         self._lost_push_count = 0
@@ -91,9 +91,9 @@
 
     async def add_feeds(self, service: str, count: int) -> None:
         """Opens feeds and waits until they deliver."""
-        load = _callers.Load(count, feed_interval_ms=_FEED_INTERVAL_MS)
+        load = _callers.CallerLoad(count, feed_interval_ms=_FEED_INTERVAL_MS)
         name = f"feeds-{len(self._feeds)}"
-        feeds = _callers.Callers(self._client(service), load, name)
+        feeds = _callers.CallerGroup(self._client(service), load, name)
         self._feeds.append(feeds)
         await feeds.open()
 
@@ -153,7 +153,7 @@
         self._finished = True
         await asyncio.gather(*self._actions)
         parts = [await feeds.stop() for feeds in self._feeds]
-        self._feed_figures = _callers.add_figures(parts)
+        self._feed_figures = _callers.merge_statistics(parts)
         for task in self._tasks[2:]:
             task.cancel()
         for load in self._loads:
@@ -277,11 +277,11 @@
 
     async def _add_balancer(self, service: str, values: list[float]) -> None:
         self.fleet.start_balancer()
-        await self.fleet.settle()
+        await self.fleet.wait_for_discovery()
 
     async def _add_target(self, service: str, values: list[float]) -> None:
         self.fleet.start_target(service)
-        await self.fleet.settle()
+        await self.fleet.wait_for_discovery()
 
     async def _pause_balancer(self, service: str, values: list[float]) -> None:
         await _pause(self._some_balancer().process, values[0])
--- a/libs/lab/tests/test_at_most_once.py
+++ b/libs/lab/tests/test_at_most_once.py
@@ -20,7 +20,7 @@
     """Guards against second runs and false answers under faults."""
     result = _fault_runs.run_once(seed)
     assert result.violations == ()
-    assert result.ran_count > 20
+    assert result.execution_count > 20
 
 
 def _broken_rules(seeds: range) -> set[_history.Rule]:
--- a/libs/lab/tests/test_explaining.py
+++ b/libs/lab/tests/test_explaining.py
@@ -32,7 +32,7 @@
     lines: list[dict[str, object]],
 ) -> None:
     """Guards against refusals that no line explains."""
-    plans = [_packet_fleet.TargetPlan(service_ms=2_000, queue_count=20)]
+    plans = [_packet_fleet.TargetSpec(service_ms=2_000, queue_count=20)]
     fleet = _packet_fleet.PacketFleet(1, plans)
     clients = [fleet.client() for _ in range(30)]
     for client in clients:
@@ -41,7 +41,7 @@
     refused = next(
         result
         for result in fleet.results
-        if result.ending is _packet_fleet.Ending.REFUSED
+        if result.outcome is _packet_fleet.RequestOutcome.REFUSED
     )
     story = of_flow(lines, refused.flow)
     assert "flow-waits" in events(story)
@@ -60,8 +60,8 @@
     lines: list[dict[str, object]],
 ) -> None:
     """Guards against resets whose holder cannot be told."""
-    plans = [_packet_fleet.TargetPlan() for _ in range(3)]
-    fleet = _packet_fleet.PacketFleet(2, plans, lasting=True)
+    plans = [_packet_fleet.TargetSpec() for _ in range(3)]
+    fleet = _packet_fleet.PacketFleet(2, plans, long_lived=True)
     client = fleet.client()
     client.open()
     fleet.run(500)
@@ -86,7 +86,7 @@
     lines: list[dict[str, object]],
 ) -> None:
     """Guards against a version that cannot be told afterwards."""
-    plans = [_packet_fleet.TargetPlan() for _ in range(3)]
+    plans = [_packet_fleet.TargetSpec() for _ in range(3)]
     fleet = _packet_fleet.PacketFleet(3, plans)
     newer = flows.RouteTable(2, {})
     for balancer in fleet.balancers[1:]:
--- a/libs/lab/tests/test_packet_fleet.py
+++ b/libs/lab/tests/test_packet_fleet.py
@@ -5,7 +5,7 @@
 from fireflyford import flows
 from fireflyford.lab import _packet_fleet
 
-PLANS = [_packet_fleet.TargetPlan() for _ in range(7)]
+PLANS = [_packet_fleet.TargetSpec() for _ in range(7)]
 # A calm request takes two round trips to the balancer and 30 ms of work.
 CALM_MS = 60
 
@@ -37,10 +37,10 @@
     fleet.run(3_000)
 
 
-def endings(
+def outcomes(
     fleet: _packet_fleet.PacketFleet,
-) -> set[_packet_fleet.Ending]:
-    return {result.ending for result in fleet.results}
+) -> set[_packet_fleet.RequestOutcome]:
+    return {result.outcome for result in fleet.results}
 
 
 @pytest.mark.parametrize("seed", range(3))
@@ -62,7 +62,7 @@
             if node.address != unknown
         )
     open_clients(fleet, 30)
-    assert endings(fleet) == {_packet_fleet.Ending.ANSWERED}
+    assert outcomes(fleet) == {_packet_fleet.RequestOutcome.ANSWERED}
     delivered = [target.request_counts for target in fleet.targets]
     assert delivered[0]
     assert all(set(counts.values()) <= {1} for counts in delivered)
@@ -71,7 +71,7 @@
 @pytest.mark.parametrize("seed", range(3))
 def test_flows_stay_when_the_rotation_changes(seed: int) -> None:
     """Guards against flows that depend on the balancer of their opening."""
-    fleet = _packet_fleet.PacketFleet(seed, PLANS, 4, lasting=True)
+    fleet = _packet_fleet.PacketFleet(seed, PLANS, 4, long_lived=True)
     clients = open_clients(fleet, 80)
     fleet.rotation = fleet.balancers[1:]
     request_on_all(fleet, clients)
@@ -82,41 +82,41 @@
 @pytest.mark.parametrize("seed", range(3))
 def test_flows_survive_a_restart_of_any_agent(seed: int) -> None:
     """Guards against state that only the agents' memory holds."""
-    fleet = _packet_fleet.PacketFleet(seed, PLANS, lasting=True)
+    fleet = _packet_fleet.PacketFleet(seed, PLANS, long_lived=True)
     clients = open_clients(fleet, 80)
     for agent in fleet.agents[:3]:
         agent.up = False
         fleet.run(300)
         agent.start()
-        fleet.register()
+        fleet.publish_registry()
         agent.report(flows.TargetState.READY, 2)
     for balancer in fleet.balancers:
         balancer.start()
-    fleet.register()
+    fleet.publish_registry()
     fleet.run(400)
     request_on_all(fleet, clients)
     assert fleet.broken == []
-    assert endings(fleet) == {_packet_fleet.Ending.ANSWERED}
+    assert outcomes(fleet) == {_packet_fleet.RequestOutcome.ANSWERED}
 
 
 def test_flows_survive_a_restart_of_all_processes() -> None:
     """Guards against agents that forget what their backend servers hold."""
-    fleet = _packet_fleet.PacketFleet(1, PLANS, lasting=True)
+    fleet = _packet_fleet.PacketFleet(1, PLANS, long_lived=True)
     clients = open_clients(fleet, 80)
     for node in (*fleet.agents, *fleet.balancers):
         node.start()
-    fleet.register()
+    fleet.publish_registry()
     for agent in fleet.agents:
         agent.report(flows.TargetState.READY, 2)
     fleet.run(400)
     request_on_all(fleet, clients)
     assert fleet.broken == []
-    assert endings(fleet) == {_packet_fleet.Ending.ANSWERED}
+    assert outcomes(fleet) == {_packet_fleet.RequestOutcome.ANSWERED}
 
 
 def test_a_crashed_target_resets_its_flows_at_once() -> None:
     """Guards against clients that wait for a backend server that is gone."""
-    fleet = _packet_fleet.PacketFleet(2, PLANS, lasting=True)
+    fleet = _packet_fleet.PacketFleet(2, PLANS, long_lived=True)
     clients = open_clients(fleet, 80)
     fleet.targets[0].crash()
     request_on_all(fleet, clients)
@@ -124,28 +124,28 @@
     lost = [
         result
         for result in fleet.results
-        if result.ending is not _packet_fleet.Ending.ANSWERED
+        if result.outcome is not _packet_fleet.RequestOutcome.ANSWERED
     ]
     assert len([client for client in clients if client.is_ended]) >= 5
     for result in lost:
-        assert result.ending is _packet_fleet.Ending.RESET
+        assert result.outcome is _packet_fleet.RequestOutcome.RESET
         assert result.duration_ms <= 50
 
 
 def test_a_vanished_target_ends_its_flows_when_it_is_gone() -> None:
     """Guards against flows that wait for a machine that lost its power."""
-    fleet = _packet_fleet.PacketFleet(3, PLANS, lasting=True)
+    fleet = _packet_fleet.PacketFleet(3, PLANS, long_lived=True)
     clients = open_clients(fleet, 80)
     fleet.targets[0].crash()
     fleet.agents[0].up = False
     fleet.run(4_000)
-    fleet.register()
+    fleet.publish_registry()
     fleet.run(1_000)
     request_on_all(fleet, clients)
     for result in fleet.results:
-        assert result.ending in (
-            _packet_fleet.Ending.ANSWERED,
-            _packet_fleet.Ending.RESET,
+        assert result.outcome in (
+            _packet_fleet.RequestOutcome.ANSWERED,
+            _packet_fleet.RequestOutcome.RESET,
         )
         assert result.duration_ms <= CALM_MS
 
@@ -162,12 +162,12 @@
 
 def test_a_reused_address_gets_no_flow_of_the_earlier_service() -> None:
     """Guards against routing to a backend server by its address alone."""
-    fleet = _packet_fleet.PacketFleet(5, PLANS, lasting=True)
+    fleet = _packet_fleet.PacketFleet(5, PLANS, long_lived=True)
     clients = open_clients(fleet, 80)
     agent = fleet.agents[1]
     fleet.targets[1].crash()
-    other = _packet_fleet.TargetPlan(service="sheets")
-    fleet.targets[1].plan = other
+    other = _packet_fleet.TargetSpec(service="sheets")
+    fleet.targets[1].spec = other
     fleet.targets[1].up = True
     # The balancers and the other agents do not know yet.
     agent.start()
@@ -181,17 +181,17 @@
 
 def test_an_agent_that_the_registry_hides_keeps_its_flows() -> None:
     """Guards against resets by homes that see the registry only."""
-    fleet = _packet_fleet.PacketFleet(6, PLANS, lasting=True)
+    fleet = _packet_fleet.PacketFleet(6, PLANS, long_lived=True)
     clients = open_clients(fleet, 80)
     fleet.hidden.add(fleet.agents[0].address)
-    fleet.register()
+    fleet.publish_registry()
     fleet.run(6_000)
     for balancer in fleet.balancers:
         balancer.start()
-    fleet.register()
+    fleet.publish_registry()
     request_on_all(fleet, clients)
     assert fleet.broken == []
-    assert endings(fleet) == {_packet_fleet.Ending.ANSWERED}
+    assert outcomes(fleet) == {_packet_fleet.RequestOutcome.ANSWERED}
 
 
 def test_a_returning_crowd_is_served_without_sheds() -> None:
@@ -205,11 +205,13 @@
     for client in clients:
         client.open()
     fleet.run(4_000)
-    kinds = [result.ending for result in fleet.results]
-    assert _packet_fleet.Ending.SHED not in kinds
+    kinds = [result.outcome for result in fleet.results]
+    assert _packet_fleet.RequestOutcome.SHED not in kinds
     # 350 requests of 30 ms on 14 slots take 750 ms.
-    assert kinds.count(_packet_fleet.Ending.ANSWERED) >= 0.6 * len(kinds)
-    assert _packet_fleet.Ending.SILENCE not in kinds
+    assert kinds.count(_packet_fleet.RequestOutcome.ANSWERED) >= 0.6 * len(
+        kinds
+    )
+    assert _packet_fleet.RequestOutcome.TIMED_OUT not in kinds
     since_ms = fleet.clock.now_ms()
     open_clients(fleet, 100)
     assert fleet.answered_share(CALM_MS, since_ms) == 1.0
@@ -224,8 +226,8 @@
     old load still shows requests that ended long ago.
     """
     results = []
-    for interval_ms in (_packet_fleet.LOAD_MS, 2_000):
-        plans = [_packet_fleet.TargetPlan(slot_count=slot_count)] * 14
+    for interval_ms in (_packet_fleet.LOAD_INTERVAL_MS, 2_000):
+        plans = [_packet_fleet.TargetSpec(slot_count=slot_count)] * 14
         fleet = _packet_fleet.PacketFleet(
             9, plans, load_interval_ms=interval_ms
         )
@@ -238,7 +240,7 @@
         fleet.run(3_000)
         results.append(fleet)
     fresh, old = results
-    assert endings(old) == {_packet_fleet.Ending.ANSWERED}
+    assert outcomes(old) == {_packet_fleet.RequestOutcome.ANSWERED}
     limit_ms = 3 * CALM_MS
     assert old.answered_share(limit_ms) >= 0.9 * fresh.answered_share(limit_ms)
 
@@ -258,7 +260,7 @@
     for agent in fleet.agents:
         agent.start()
         agent.report(flows.TargetState.READY, 2)
-    fleet.register()
+    fleet.publish_registry()
     for agent in fleet.agents:
         agent.flows.directory.record_load(
             agent.address, agent.flows.forwarder.load()
@@ -279,7 +281,7 @@
     Baseline in the same run: random placement without regard to load.
     """
     speeds_ms = (18, 43, 43, 18, 43, 43, 43)
-    plans = [_packet_fleet.TargetPlan(service_ms=item) for item in speeds_ms]
+    plans = [_packet_fleet.TargetSpec(service_ms=item) for item in speeds_ms]
     shares = []
     for random_placement in (False, True):
         fleet = _packet_fleet.PacketFleet(seed, plans)
@@ -288,7 +290,7 @@
             fleet.make_placement = lambda _, policy=policy: policy
             for agent in fleet.agents:
                 agent.start()
-            fleet.register()
+            fleet.publish_registry()
             for agent in fleet.agents:
                 agent.report(flows.TargetState.READY, 2)
             fleet.run(200)
--- a/libs/store/tests/test_config_store.py
+++ b/libs/store/tests/test_config_store.py
@@ -162,7 +162,7 @@
         text = with_targets(7) + " " * store.MAX_VALUE_BYTES
         outcome = await push(config_store, text, 0)
         assert kind(outcome) is core.ErrorKind.CONFIG_TOO_LARGE
-        assert not server.counts
+        assert not server.call_counts
 
     run(body)
 
@@ -173,7 +173,7 @@
     async def body(config_store: store.ConfigStore, server: Server) -> None:
         outcome = await push(config_store, with_targets(0), 0)
         assert kind(outcome) is core.ErrorKind.BAD_CONFIG
-        assert not server.counts
+        assert not server.call_counts
 
     run(body)
 
@@ -283,7 +283,7 @@
             )
         )
         breaker.cancel()
-        server.switches = _store_server.Switches()
+        server.switches = _store_server.FaultSwitches()
         history = await config_store.history(100)
         assert isinstance(history, core.Ok)
         trail = [entry.identity for entry in reversed(history.value)]
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -83,7 +83,7 @@
     """Guards against "not done" said of a write that was done."""
 
     async def work(server: Server, client: _store.PlatformStore) -> None:
-        server.state.hidden_writes = 1
+        server.state.unanswered_write_count = 1
         outcome = await client.commit([], [store.Write("a", b"1")])
         assert isinstance(outcome, core.Failure)
         assert outcome.kind is core.ErrorKind.STORE_OUTCOME_UNKNOWN
@@ -96,7 +96,7 @@
     """Guards against doubt about a call that the store refused."""
 
     async def work(server: Server, client: _store.PlatformStore) -> None:
-        server.state.refusal = 503
+        server.state.refusal_status = 503
         outcome = await client.commit([], [store.Write("a", b"1")])
         assert isinstance(outcome, core.Failure)
         assert outcome.kind is core.ErrorKind.STORE_UNAVAILABLE
@@ -129,7 +129,7 @@
         start = server.state.revision
         server.state.put("a/1", b"1")
         server.state.put("a/2", b"2")
-        server.state.forget_history()
+        server.state.compact_history()
         async for change in client.watch("a/", start + 1, 200):
             assert isinstance(change, core.Failure)
 
@@ -195,10 +195,10 @@
             assert await _platform_store.wait_until(
                 lambda: own.address in fleet
             )
-            server.state.refusal = 503
+            server.state.refusal_status = 503
             server.state.delete(key)
             await asyncio.sleep(1)
-            server.state.refusal = 0
+            server.state.refusal_status = 0
             assert await _platform_store.wait_until(lambda: key in items, 2_000)
 
     play(work)
@@ -265,10 +265,10 @@
         key = f"{_registry.PREFIX}{own.address}"
         async with running(registry):
             await wait_for_entry(server, key)
-        server.state.refusal = 503
+        server.state.refusal_status = 503
         leaving = asyncio.create_task(registry.withdraw(3_000))
         await asyncio.sleep(0.5)
-        server.state.refusal = 0
+        server.state.refusal_status = 0
         await leaving
         assert key not in server.state.items
 
