--- a/libs/lab/src/fireflyford/lab/_packet_baselines.py
+++ b/libs/lab/src/fireflyford/lab/_packet_baselines.py
@@ -84,7 +84,7 @@
         arrivals_ms: Times of the requests, ascending.
         service_ms: Time for a request at each slot.
 
-    >>> central_queue_ms([0, 0, 0], [10, 30])
+    >>> central_queue_response_ms([0, 0, 0], [10, 30])
     [10, 30, 20]
     """
     free = [(0, duration) for duration in service_ms]
