--- a/libs/lab/src/fireflyford/lab/__init__.py
+++ b/libs/lab/src/fireflyford/lab/__init__.py
@@ -1,4 +1,4 @@
-"""Stand-ins, fault injection, load and experiments."""
+"""Test lab: stand-ins, fault injection, load generation and experiments."""
 
 from fireflyford.lab._commands import main
 
--- a/libs/lab/src/fireflyford/lab/_backend.py
+++ b/libs/lab/src/fireflyford/lab/_backend.py
@@ -1,10 +1,10 @@
-"""Stand-in for a backend server.
+"""Simulated backend server.
 
-Usage: `fireflyford-lab backend --address IP:PORT --name NAME ...`. It runs
-work on a fixed number of slots, streams a feed, and writes each execution to
-a log file that the history checker reads. It can start cold, shed load, drain,
-fail at once, and report load and health that lag or are wrong. A response 503
-with `Retry-After` means that the work has not been started.
+Usage: `fireflyford-lab backend --address IP:PORT --name NAME ...`. It executes
+requests on a fixed number of slots, streams a feed, and logs each execution to
+standard output for the history checker. It can start cold, shed load, drain,
+fail immediately, and report load and health that lag or are wrong. A 503
+response with `Retry-After` means that the request has not been started.
 """
 
 import asyncio
@@ -20,20 +20,20 @@
 from fireflyford.lab import _datagram_backend
 
 FEED_INTERVAL_MS = 200
-_COLD_FACTOR = 3.0
+_COLD_START_FACTOR = 3.0
 _DRAIN_POLL_MS = 20
 
 
 @dataclasses.dataclass(frozen=True)
 class Behaviour:
-    """How a backend server treats work and what it reports.
+    """Simulated behaviour of a backend server.
 
     Attributes:
         slot_count: Requests that run at a time.
-        speed: Speed against the nominal durations.
-        cold_count: First requests, which take three times as long.
-        max_waiting_count: Waiting requests above which it sheds load.
-        report_lag_ms: Age of the load and health that it reports.
+        speed: Speed relative to the nominal execution times.
+        cold_count: Number of first requests that take three times as long.
+        max_waiting_count: Waiting requests from which on it sheds load.
+        report_lag_ms: Age of the reported load and health.
         reports_idle: Whether it always reports no load.
         reports_healthy: Whether it always reports good health.
     """
@@ -48,7 +48,7 @@
 
 
 class _State:
-    """Slots, faults and execution log of one backend server."""
+    """Slots, tasks and faults of the backend server."""
 
     def __init__(self, name: str, behaviour: Behaviour) -> None:
         self.name = name
@@ -83,7 +83,7 @@
             flush=True,
         )
 
-    def reported(self) -> tuple[int, bool]:
+    def reported_status(self) -> tuple[int, bool]:
         """Returns load and health as of `report_lag_ms` ago."""
         now_ms = time.monotonic() * 1000
         healthy = not (self.draining or self.failing)
@@ -99,7 +99,7 @@
 
 
 class _WorkHandler(web.RequestHandler):
-    """Runs one request on a slot."""
+    """Executes one request on a slot."""
 
     def initialize(self, state: _State) -> None:
         self._state = state
@@ -117,7 +117,7 @@
             return
         full = state.waiting_count >= state.behaviour.max_waiting_count
         if state.draining or full:
-            self._shed()
+            self._reject()
             return
         request_id = self.request.headers.get("X-Request-Id", "")
         task = asyncio.create_task(self._run(request_id))
@@ -129,7 +129,7 @@
         finally:
             state.tasks.pop(request_id, None)
 
-    def _shed(self) -> None:
+    def _reject(self) -> None:
         self.set_status(503)
         self.set_header("Retry-After", "0.1")
 
@@ -139,7 +139,7 @@
         arrived = time.monotonic()
         async with state.slots:
             if (time.monotonic() - arrived) * 1000 >= limit_ms:
-                self._shed()
+                self._reject()
                 return
             body = self.request.body.decode()
             state.record(request_id, self.request.uri or "", body)
@@ -157,11 +157,13 @@
         behaviour = self._state.behaviour
         nominal_ms = float(self.get_query_argument("ms", "5"))
         cold = self._state.executed_count <= behaviour.cold_count
-        return nominal_ms * (_COLD_FACTOR if cold else 1) / behaviour.speed
+        return (
+            nominal_ms * (_COLD_START_FACTOR if cold else 1) / behaviour.speed
+        )
 
 
 class _CancelHandler(web.RequestHandler):
-    """Cancels running work."""
+    """Cancels a waiting or running request."""
 
     def initialize(self, state: _State) -> None:
         self._state = state
@@ -174,10 +176,10 @@
 
 
 class _FeedHandler(web.RequestHandler):
-    """Streams events; the sequence follows the time of day.
+    """Streams events whose sequence numbers follow the wall clock.
 
-    All backend servers of a service thus serve the same events, as replicas
-    of one price board do.
+    All backend servers of a service thus stream the same events, like
+    replicas of a common data source.
     """
 
     def initialize(self, state: _State) -> None:
@@ -201,7 +203,7 @@
                 self.write(json.dumps(event) + "\n")
             try:
                 await self.flush()
-            except Exception:  # The reader has gone.
+            except Exception:  # The client has disconnected.
                 return
             await asyncio.sleep(interval_ms / 1000 / 4)
 
@@ -211,29 +213,29 @@
 
 
 class _LoadHandler(web.RequestHandler):
-    """Reports load, which may lag or be wrong."""
+    """Reports the load, which may lag or be wrong."""
 
     def initialize(self, state: _State) -> None:
         self._state = state
 
     def get(self) -> None:
-        self.finish({"running": self._state.reported()[0]})
+        self.finish({"running": self._state.reported_status()[0]})
 
 
 class _HealthHandler(web.RequestHandler):
-    """Reports health, which may lag or be wrong."""
+    """Reports the health, which may lag or be wrong."""
 
     def initialize(self, state: _State) -> None:
         self._state = state
 
     def get(self) -> None:
-        healthy = self._state.reported()[1]
+        healthy = self._state.reported_status()[1]
         self.set_status(200 if healthy else 503)
         self.finish("ok\n" if healthy else "not ready\n")
 
 
 class _FaultHandler(web.RequestHandler):
-    """Makes all further work fail at once, or ends that."""
+    """Turns immediate failure of all further requests on or off."""
 
     def initialize(self, state: _State) -> None:
         self._state = state
@@ -260,10 +262,10 @@
         address: `ip:port` to listen on.
         name: Name in the execution log.
         slot_count: Requests that run at a time.
-        speed: Speed against the nominal durations.
-        cold_count: First requests, which take three times as long.
-        max_waiting_count: Waiting requests above which it sheds load.
-        report_lag_ms: Age of the load and health that it reports.
+        speed: Speed relative to the nominal execution times.
+        cold_count: Number of first requests that take three times as long.
+        max_waiting_count: Waiting requests from which on it sheds load.
+        report_lag_ms: Age of the reported load and health.
         reports_idle: Whether it always reports no load.
         reports_healthy: Whether it always reports good health.
     """
@@ -303,5 +305,5 @@
     state.draining = True
     while state.tasks:
         await asyncio.sleep(_DRAIN_POLL_MS / 1000)
-    # Responses leave before the process ends.
+    # Lets the last responses leave before the process exits.
     await asyncio.sleep(_DRAIN_POLL_MS / 1000)
--- a/libs/lab/src/fireflyford/lab/_caller_processes.py
+++ b/libs/lab/src/fireflyford/lab/_caller_processes.py
@@ -1,4 +1,4 @@
-"""Caller processes of an experiment."""
+"""Control of the caller processes of an experiment."""
 
 import asyncio
 
@@ -8,41 +8,42 @@
 from fireflyford.lab import _callers
 from fireflyford.lab import _fleet
 
-_READY_LIMIT_S = 60.0
-_FINISH_LIMIT_S = 15.0
-# The figures with all latencies come in one line.
+_READY_TIMEOUT_S = 60.0
+_FINISH_TIMEOUT_S = 15.0
+# The statistics, with all latencies, are a single line of JSON.
 _MAX_LINE_BYTES = 64 << 20
 
 
 class CallerProcess:
-    """One process that runs callers."""
+    """Handle of one process that runs callers."""
 
     def __init__(self, process: asyncio.subprocess.Process) -> None:
         """Takes the running process."""
         self._process = process
 
     async def wait_ready(self) -> None:
-        """Waits until all feeds deliver.
+        """Waits until all feeds deliver events.
 
         Raises:
-            TimeoutError: They do not.
+            TimeoutError: They do not within 60 s.
+            RuntimeError: The process exited or printed something else.
         """
-        async with asyncio.timeout(_READY_LIMIT_S):
+        async with asyncio.timeout(_READY_TIMEOUT_S):
             if await self._read_line() != b"ready":
-                raise RuntimeError("the callers have ended early")
+                raise RuntimeError("caller process exited before it was ready")
 
     async def finish(self) -> _callers.CallerStatistics:
-        """Stops the callers and returns their figures."""
+        """Stops the callers and returns their statistics."""
         assert self._process.stdin is not None
         self._process.stdin.close()
-        async with asyncio.timeout(_FINISH_LIMIT_S):
+        async with asyncio.timeout(_FINISH_TIMEOUT_S):
             line = await self._read_line()
-        # Closing a thousand connections properly would take many seconds.
+        # A graceful close of a thousand connections would take many seconds.
         self.kill()
         return msgspec.json.decode(line, type=_callers.CallerStatistics)
 
     def kill(self) -> None:
-        """Ends the process at once if it is still running."""
+        """Kills the process if it is still running."""
         if self._process.returncode is None:
             self._process.kill()
 
@@ -57,12 +58,12 @@
     load: _callers.CallerLoad,
     name: str,
 ) -> CallerProcess:
-    """Starts callers of one service.
+    """Starts a process with callers of one service.
 
     Args:
-        fleet: The running fleet.
+        fleet: Running fleet.
         service: Service to call.
-        load: What the callers do.
+        load: Load that the callers generate.
         name: Prefix of order bodies, unique in the run.
     """
     process = await asyncio.create_subprocess_exec(
--- a/libs/lab/src/fireflyford/lab/_callers.py
+++ b/libs/lab/src/fireflyford/lab/_callers.py
@@ -1,8 +1,8 @@
-"""Callers in a process of their own: open feeds and a load of requests.
+"""Callers in a separate process that keep feeds open and send requests.
 
 Usage: `fireflyford-lab callers --address IP:PORT --service NAME ...`. It
-prints `ready` when all feeds deliver, and its figures as one JSON object when
-its standard input closes.
+prints `ready` once all feeds deliver events, and its statistics as one JSON
+object when its standard input closes.
 """
 
 import asyncio
@@ -22,26 +22,27 @@
 from fireflyford import core
 from fireflyford.lab import _fleet
 
-# Opening 60 flows a second takes about a quarter of a core here.
+# Limits the load of handshakes: 60 flows a second take about a quarter of a
+# core.
 OPEN_FLOWS_PER_SECOND = 60
-_MAX_OPENING = 20
-# Feeds that do not deliver by then are not counted as open.
-_OPEN_LIMIT_S = 40.0
+_MAX_CONCURRENT_OPENINGS = 20
+# Feeds that deliver no event within this time do not count as open.
+_OPEN_TIMEOUT_S = 40.0
 _ORDER_PAUSE_MS = 100
 _SHEET_PAUSE_MS = 300
 _RECONNECT_PAUSE_MS = 100
 _SHEET_BYTES = 200_000
-_STOP_LIMIT_MS = 6_000
+_STOP_TIMEOUT_MS = 6_000
 
 
 @dataclasses.dataclass(frozen=True)
 class CallerLoad:
-    """What the callers of one process do.
+    """Load that the callers of one process generate.
 
     Attributes:
-        feed_count: Feeds, each on a connection of its own.
-        order_count: Tasks that send orders one after another.
-        sheet_count: Tasks that ask for heavy sheets one after another.
+        feed_count: Feeds, each on its own connection.
+        order_count: Tasks that send orders sequentially.
+        sheet_count: Tasks that request large sheets sequentially.
         feed_interval_ms: Time between two events of a feed.
     """
 
@@ -53,7 +54,27 @@
 
 @dataclasses.dataclass(frozen=True)
 class CallerStatistics:
-    """What the callers saw, as the user of the library sees it."""
+    """Statistics of the callers, as a user of the client library sees them.
+
+    Attributes:
+        feeds: Feeds that have delivered events.
+        events: Events of all feeds.
+        moved: Times that a feed moved to another connection.
+        broken: Times that the connection of a feed broke.
+        gaps: Gaps in the sequence numbers of feeds.
+        duplicates: Events that do not follow the previous sequence number.
+        longest_silence_ms: Longest time without an event on a feed.
+        refused_feeds: Feeds that were refused.
+        complete: Requests with a complete response.
+        refused: Requests that failed as not run.
+        unknown: Requests with an unknown outcome.
+        wrong: Complete responses with a wrong body.
+        connections: Connections opened for requests.
+        refused_bodies: Order bodies and sheet paths of the refused requests.
+        order_ms: Response times of orders.
+        sheet_ms: Response times of sheets.
+        event_ms: Delays from the creation of events to their arrival.
+    """
 
     feeds: int = 0
     events: int = 0
@@ -75,7 +96,7 @@
 
 
 def merge_statistics(parts: list[CallerStatistics]) -> CallerStatistics:
-    """Returns the figures of several processes together."""
+    """Returns the combined statistics of several processes."""
     sums: dict[str, Any] = {}
     for field in dataclasses.fields(CallerStatistics):
         values = [getattr(part, field.name) for part in parts]
@@ -88,58 +109,58 @@
     return CallerStatistics(**sums)
 
 
-class _FeedWatch:
-    """Checks one feed as its user sees it."""
+class _FeedMonitor:
+    """Checks the events of one feed as its user receives them."""
 
     def __init__(self) -> None:
-        self.report = caller.FeedStatistics()
+        self.statistics = caller.FeedStatistics()
         self.gap_count = 0
         self.duplicate_count = 0
         self.refused = False
         self.started = asyncio.Event()
         self.longest_silence_s = 0.0
         self.event_ms: list[float] = []
-        self._before = (0, 0)
-        self._last = 0
-        self._heard_s = 0.0
+        self._initial_counts = (0, 0)
+        self._last_sequence = 0
+        self._last_event_s = 0.0
 
-    def see(self, event: caller.FeedEvent, interval_ms: int) -> None:
+    def record_event(self, event: caller.FeedEvent, interval_ms: int) -> None:
         now_s = time.monotonic()
-        if self._last:
-            self.gap_count += event.sequence > self._last + 1
-            self.duplicate_count += event.sequence <= self._last
-            self.end(now_s)
-            made_ms = event.sequence * interval_ms
-            self.event_ms.append(time.time() * 1000 - made_ms)
-        self._last = event.sequence
-        self._heard_s = now_s
+        if self._last_sequence:
+            self.gap_count += event.sequence > self._last_sequence + 1
+            self.duplicate_count += event.sequence <= self._last_sequence
+            self.record_silence(now_s)
+            created_ms = event.sequence * interval_ms
+            self.event_ms.append(time.time() * 1000 - created_ms)
+        self._last_sequence = event.sequence
+        self._last_event_s = now_s
         self.started.set()
 
-    def count_from_now(self) -> None:
-        """Leaves out what happened while the flows were being opened."""
-        self._before = (
-            self.report.moved_count,
-            self.report.broken_count,
+    def start_measurement(self) -> None:
+        """Resets what the opening of the flows has affected."""
+        self._initial_counts = (
+            self.statistics.moved_count,
+            self.statistics.broken_count,
         )
         self.longest_silence_s = 0.0
         self.event_ms.clear()
 
     @property
     def moved_count(self) -> int:
-        return self.report.moved_count - self._before[0]
+        return self.statistics.moved_count - self._initial_counts[0]
 
     @property
     def broken_count(self) -> int:
-        return self.report.broken_count - self._before[1]
+        return self.statistics.broken_count - self._initial_counts[1]
 
-    def end(self, now_s: float) -> None:
-        if self._last:
-            silence_s = now_s - self._heard_s
+    def record_silence(self, now_s: float) -> None:
+        if self._last_sequence:
+            silence_s = now_s - self._last_event_s
             self.longest_silence_s = max(self.longest_silence_s, silence_s)
 
 
 class CallerGroup:
-    """Tasks of the callers of one service."""
+    """Caller tasks of one service."""
 
     def __init__(
         self, client: caller.Client, load: CallerLoad, name: str
@@ -148,13 +169,13 @@
 
         Args:
             client: Client of the service.
-            load: What they do.
+            load: Load to generate.
             name: Prefix of order bodies, unique in the run.
         """
         self._client = client
         self._load = load
         self._name = name
-        self._feeds = [_FeedWatch() for _ in range(load.feed_count)]
+        self._feeds = [_FeedMonitor() for _ in range(load.feed_count)]
         self._counts: dict[str, Any] = {
             "complete": 0,
             "refused": 0,
@@ -169,41 +190,49 @@
         self._stopping = False
 
     async def open(self) -> None:
-        """Opens everything at a limited rate and waits until it runs."""
-        places = asyncio.Semaphore(_MAX_OPENING)
+        """Opens feeds at a limited rate, then starts to send requests."""
+        opening_slots = asyncio.Semaphore(_MAX_CONCURRENT_OPENINGS)
         try:
             async with (
-                asyncio.timeout(_OPEN_LIMIT_S),
+                asyncio.timeout(_OPEN_TIMEOUT_S),
                 asyncio.TaskGroup() as group,
             ):
-                for watch in self._feeds:
-                    await places.acquire()
-                    self._start(self._follow(watch))
-                    group.create_task(_release(places, watch))
+                for monitor in self._feeds:
+                    await opening_slots.acquire()
+                    self._start(self._follow_feed(monitor))
+                    group.create_task(
+                        _release_when_started(opening_slots, monitor)
+                    )
                     await asyncio.sleep(1 / OPEN_FLOWS_PER_SECOND)
         except TimeoutError:
-            print("not all feeds are open", file=sys.stderr)
-        for watch in self._feeds:
-            watch.count_from_now()
+            print("opening feeds timed out", file=sys.stderr)
+        for monitor in self._feeds:
+            monitor.start_measurement()
         for index in range(self._load.order_count):
-            self._start(self._send(self._order, index, _ORDER_PAUSE_MS))
+            self._start(
+                self._send_repeatedly(self._send_order, index, _ORDER_PAUSE_MS)
+            )
         for index in range(self._load.sheet_count):
-            self._start(self._send(self._sheet, index, _SHEET_PAUSE_MS))
+            self._start(
+                self._send_repeatedly(
+                    self._request_sheet, index, _SHEET_PAUSE_MS
+                )
+            )
 
     async def stop(self) -> CallerStatistics:
-        """Lets requests in flight finish, and counts."""
+        """Waits for requests in flight and returns the statistics."""
         self._stopping = True
         now_s = time.monotonic()
-        for watch in self._feeds:
-            watch.end(now_s)
+        for monitor in self._feeds:
+            monitor.record_silence(now_s)
         request_count = self._load.order_count + self._load.sheet_count
-        split = len(self._tasks) - request_count
-        others = self._tasks[split:]
-        figures = self._count_feeds()
-        if others:
-            await asyncio.wait(others, timeout=_STOP_LIMIT_MS / 1000)
+        first_request_task = len(self._tasks) - request_count
+        request_tasks = self._tasks[first_request_task:]
+        statistics = self._count_feeds()
+        if request_tasks:
+            await asyncio.wait(request_tasks, timeout=_STOP_TIMEOUT_MS / 1000)
         return dataclasses.replace(
-            figures,
+            statistics,
             connections=sum(item.opened_count for item in self._sessions),
             refused_bodies=tuple(self._refused_bodies),
             order_ms=tuple(self._order_ms),
@@ -212,12 +241,12 @@
         )
 
     def cancel(self) -> None:
-        """Ends everything without waiting."""
+        """Cancels all tasks without waiting for them."""
         for task in self._tasks:
             task.cancel()
 
     async def close(self) -> None:
-        """Closes everything; takes seconds with many connections."""
+        """Closes all connections; takes seconds if there are many."""
         self.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for session in self._sessions:
@@ -227,7 +256,7 @@
         feeds = [item for item in self._feeds if item.started.is_set()]
         return CallerStatistics(
             feeds=len(feeds),
-            events=sum(item.report.event_count for item in feeds),
+            events=sum(item.statistics.event_count for item in feeds),
             moved=sum(item.moved_count for item in feeds),
             broken=sum(item.broken_count for item in feeds),
             gaps=sum(item.gap_count for item in feeds),
@@ -242,16 +271,18 @@
     def _start(self, work: Coroutine[None, None, None]) -> None:
         self._tasks.append(asyncio.create_task(work))
 
-    async def _follow(self, watch: _FeedWatch) -> None:
+    async def _follow_feed(self, monitor: _FeedMonitor) -> None:
         interval_ms = self._load.feed_interval_ms
         path = f"/feed?interval_ms={interval_ms}"
         try:
-            async for event in self._client.feed(path, statistics=watch.report):
-                watch.see(event, interval_ms)
+            async for event in self._client.feed(
+                path, statistics=monitor.statistics
+            ):
+                monitor.record_event(event, interval_ms)
         except caller.FeedRefusedError:
-            watch.refused = True
+            monitor.refused = True
 
-    async def _send(
+    async def _send_repeatedly(
         self,
         send: Callable[[caller.Connection, str], Awaitable[None]],
         index: int,
@@ -265,30 +296,34 @@
             try:
                 connection = await session.connection()
             except ConnectionError:
-                # Nothing has been sent, so nothing is counted.
+                # No request was sent, so none is counted.
                 await asyncio.sleep(_RECONNECT_PAUSE_MS / 1000)
                 continue
             await send(connection, f"{self._name}-{index}-{number}")
             await asyncio.sleep(pause_ms / 1000)
 
-    async def _order(self, connection: caller.Connection, body: str) -> None:
+    async def _send_order(
+        self, connection: caller.Connection, body: str
+    ) -> None:
         start_s = time.monotonic()
         outcome = await self._client.request(
             connection, "POST", "/orders?ms=10", body.encode()
         )
         self._order_ms.append((time.monotonic() - start_s) * 1000)
-        self._judge(outcome, body.encode(), body)
+        self._record_outcome(outcome, body.encode(), body)
 
-    async def _sheet(self, connection: caller.Connection, name: str) -> None:
+    async def _request_sheet(
+        self, connection: caller.Connection, name: str
+    ) -> None:
         path = f"/sheets/{name}?ms=50&bytes={_SHEET_BYTES}"
         start_s = time.monotonic()
         outcome = await self._client.request(
             connection, "GET", path, deadline_ms=20_000
         )
         self._sheet_ms.append((time.monotonic() - start_s) * 1000)
-        self._judge(outcome, path.encode() + b"." * _SHEET_BYTES, path)
+        self._record_outcome(outcome, path.encode() + b"." * _SHEET_BYTES, path)
 
-    def _judge(
+    def _record_outcome(
         self, outcome: core.Outcome[caller.Response], expected: bytes, name: str
     ) -> None:
         if isinstance(outcome, core.Ok):
@@ -310,9 +345,11 @@
     )
 
 
-async def _release(places: asyncio.Semaphore, watch: _FeedWatch) -> None:
-    await watch.started.wait()
-    places.release()
+async def _release_when_started(
+    opening_slots: asyncio.Semaphore, monitor: _FeedMonitor
+) -> None:
+    await monitor.started.wait()
+    opening_slots.release()
 
 
 def run_callers(
@@ -334,7 +371,7 @@
         name: Prefix of order bodies, unique in the run.
         feeds: Feeds to keep open.
         orders: Tasks that send orders.
-        sheets: Tasks that ask for heavy sheets.
+        sheets: Tasks that request large sheets.
         feed_interval_ms: Time between two events of a feed.
     """
     client = caller.Client(core.Address.parse(address), service, authorities)
@@ -347,7 +384,8 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    # Ends with the process that started this one, however that ends.
+    # Standard input closes whenever the parent process exits, so this process
+    # does not outlive it.
     loop.add_reader(sys.stdin, stopping.set)
     opening = asyncio.create_task(callers.open())
     ending = asyncio.create_task(stopping.wait())
@@ -356,6 +394,6 @@
         print("ready", flush=True)
     await ending
     opening.cancel()
-    figures = await callers.stop()
-    print(msgspec.json.encode(figures).decode(), flush=True)
+    statistics = await callers.stop()
+    print(msgspec.json.encode(statistics).decode(), flush=True)
     await callers.close()
--- a/libs/lab/src/fireflyford/lab/_certificates.py
+++ b/libs/lab/src/fireflyford/lab/_certificates.py
@@ -1,4 +1,4 @@
-"""Certificates for the lab."""
+"""Self-signed certificates for tests and experiments."""
 
 import datetime
 import pathlib
@@ -16,9 +16,9 @@
     """Writes a self-signed certificate and its key.
 
     Args:
-        directory: Where to write the two files.
+        directory: Directory of the two files.
         name: Name of the service.
-        valid_days: Validity from now; negative for an expired certificate.
+        valid_days: Days until expiry; negative for an expired certificate.
 
     Returns:
         Paths of the certificate and of the key.
--- a/libs/lab/src/fireflyford/lab/_commands.py
+++ b/libs/lab/src/fireflyford/lab/_commands.py
@@ -1,4 +1,4 @@
-"""Commands of the lab tool."""
+"""Command-line interface of the lab."""
 
 import asyncio
 import pathlib
@@ -24,7 +24,7 @@
     """Experiments with real processes on loopback."""
 
     def __init__(self) -> None:
-        """Lists the commands that other modules implement."""
+        """Adds the commands that other modules implement."""
         self.backend = _backend.run_backend
         self.callers = _callers.run_callers
         self.demo = _demo.run_demo
@@ -43,14 +43,16 @@
 
         Args:
             name: Name from `list`.
-            seed: Seed of everything random.
-            json: Print one JSON object as the last line.
-            output: File for the result, for `plot` and `compare`.
+            seed: Seed of all random choices.
+            json: Print the result as one JSON object on the last line, not as
+                a table.
+            output: File to write the result to, for `plot` and `compare`.
         """
         experiment = experiments.find_all().get(name)
         if experiment is None:
             sys.exit(f"fireflyford-lab: no experiment `{name}`; see `list`")
-        # Processes that the experiment started end with it.
+        # Raises SystemExit on SIGTERM, so that the experiment stops the
+        # processes that it started.
         signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
         _finish(asyncio.run(experiment.run(seed)), json, output)
 
@@ -61,9 +63,10 @@
 
         Args:
             path: Scenario file, see docs/scenarios.md.
-            seed: Seed of everything random.
-            json: Print one JSON object as the last line.
-            output: File for the result, for `plot` and `compare`.
+            seed: Seed of all random choices.
+            json: Print the result as one JSON object on the last line, not as
+                a table.
+            output: File to write the result to, for `plot` and `compare`.
         """
         try:
             text = pathlib.Path(path).read_text()
@@ -75,10 +78,10 @@
         _finish(outcome.value, json, output)
 
     def capacity(self, seed: int = 1) -> None:
-        """Measures the slopes behind docs/CAPACITY.md; takes minutes.
+        """Measures the slopes used in docs/CAPACITY.md; takes minutes.
 
         Args:
-            seed: Seed of everything random.
+            seed: Seed of all random choices.
         """
         results = _capacity.measure_slopes(seed)
         for result in results:
@@ -92,7 +95,7 @@
         print("\n".join(scenarios.templates()))
 
     def plot(self, result: str) -> None:
-        """Draws a result as PNG next to its file.
+        """Plots a result to a PNG file next to the result file.
 
         Args:
             result: File written by `run --output`.
@@ -145,5 +148,5 @@
 
 
 def main() -> None:
-    """Runs the command line of the lab."""
+    """Runs the command-line interface of the lab."""
     fire.Fire(Commands, name="fireflyford-lab")
--- a/libs/lab/src/fireflyford/lab/_datagram_backend.py
+++ b/libs/lab/src/fireflyford/lab/_datagram_backend.py
@@ -1,4 +1,4 @@
-"""Plain-datagram side of the stand-in for a backend server."""
+"""UDP echo service of the simulated backend server."""
 
 import asyncio
 from typing import cast
@@ -7,7 +7,7 @@
 
 
 class _Echo(asyncio.DatagramProtocol):
-    """Answers each datagram with the server's name and the datagram."""
+    """Replies to each datagram with the server's name and the datagram."""
 
     def __init__(self, name: str) -> None:
         self._name = name.encode()
@@ -20,7 +20,7 @@
 
 
 async def open_echo(address: core.Address, name: str) -> None:
-    """Answers datagrams on an address for the life of the process."""
+    """Starts the echo service on an address until the process exits."""
     loop = asyncio.get_running_loop()
     await loop.create_datagram_endpoint(
         lambda: _Echo(name), local_addr=address.pair
--- a/libs/lab/src/fireflyford/lab/_demo.py
+++ b/libs/lab/src/fireflyford/lab/_demo.py
@@ -1,4 +1,4 @@
-"""The main job from end to end, with planned changes and a kill."""
+"""End-to-end demo with planned replacements and a killed balancer."""
 
 import asyncio
 from collections.abc import AsyncIterator
@@ -15,11 +15,11 @@
     feed_count=10, order_count=3, sheet_count=2, feed_interval_ms=200
 )
 _MAX_SILENCE_MS = 5_000
-_WATCH_INTERVAL_MS = 300
+_POLL_INTERVAL_MS = 300
 
 
-class _Misrouted:
-    """Datagrams that agents had to reject, also of agents that left."""
+class _MisroutedCounter:
+    """Counts misrouted datagrams at all agents, including stopped ones."""
 
     def __init__(self, fleet: _fleet.Fleet) -> None:
         self._fleet = fleet
@@ -29,7 +29,7 @@
     def count(self) -> int:
         return sum(self._counts.values())
 
-    async def watch(self) -> None:
+    async def poll(self) -> None:
         addresses: dict[str, core.Address] = {}
         while True:
             for target in self._fleet.targets.values():
@@ -39,7 +39,7 @@
                 if status:
                     counters = status["counters"]
                     self._counts[name] = counters["misrouted_count"]
-            await asyncio.sleep(_WATCH_INTERVAL_MS / 1000)
+            await asyncio.sleep(_POLL_INTERVAL_MS / 1000)
 
 
 @contextlib.asynccontextmanager
@@ -49,19 +49,19 @@
     fleet = _fleet.Fleet(
         _deployments.DEPLOYMENTS[deployment], random.Random(seed)
     )
-    health = None
+    health_task = None
     try:
         await fleet.start()
-        health = asyncio.create_task(fleet.check_health())
+        health_task = asyncio.create_task(fleet.check_health())
         yield fleet
     finally:
-        if health is not None:
-            health.cancel()
+        if health_task is not None:
+            health_task.cancel()
         fleet.stop()
 
 
-async def _change(fleet: _fleet.Fleet, pause_s: float) -> None:
-    """Replaces a balancer and a target as planned, and kills a balancer."""
+async def _apply_changes(fleet: _fleet.Fleet, pause_s: float) -> None:
+    """Replaces a balancer and a target gracefully, then kills a balancer."""
     await asyncio.sleep(pause_s)
     balancer = next(iter(fleet.balancers.values()))
     print(f"replacing {balancer.name}", flush=True)
@@ -69,9 +69,9 @@
     target = next(iter(fleet.targets.values()))
     print(f"replacing {target.name}", flush=True)
     await fleet.replace_target(target)
-    victim = next(iter(fleet.balancers.values()))
-    print(f"killing {victim.name}", flush=True)
-    fleet.kill(victim.process)
+    killed = next(iter(fleet.balancers.values()))
+    print(f"killing {killed.name}", flush=True)
+    fleet.kill(killed.process)
     await asyncio.sleep(pause_s)
 
 
@@ -79,8 +79,8 @@
     deployment: str, seed: int, duration_s: float
 ) -> tuple[_callers.CallerStatistics, int]:
     async with _running_fleet(deployment, seed) as fleet:
-        misrouted = _Misrouted(fleet)
-        watcher = asyncio.create_task(misrouted.watch())
+        misrouted = _MisroutedCounter(fleet)
+        poll_task = asyncio.create_task(misrouted.poll())
         callers = [
             _callers.CallerGroup(
                 _callers.make_client(fleet, service), _LOAD, service.name
@@ -88,47 +88,52 @@
             for service in fleet.deployment.services
         ]
         await asyncio.gather(*(item.open() for item in callers))
-        await _change(fleet, duration_s / 2)
-        parts = await asyncio.gather(*(item.stop() for item in callers))
-        watcher.cancel()
-        # Closing in good order matters to nobody here; the fleet ends now.
+        await _apply_changes(fleet, duration_s / 2)
+        statistics = await asyncio.gather(*(item.stop() for item in callers))
+        poll_task.cancel()
+        # Connections need no graceful close, since the fleet stops now.
         for item in callers:
             item.cancel()
-        return _callers.merge_statistics(list(parts)), misrouted.count
+        return _callers.merge_statistics(list(statistics)), misrouted.count
 
 
-def _report(figures: _callers.CallerStatistics, misrouted_count: int) -> bool:
+def _report(
+    statistics: _callers.CallerStatistics, misrouted_count: int
+) -> bool:
     print(f"{'kind':10} {'count':>8} {'p50 ms':>10} {'p99 ms':>10}")
     for kind, values in (
-        ("orders", figures.order_ms),
-        ("sheets", figures.sheet_ms),
-        ("feeds", figures.event_ms),
+        ("orders", statistics.order_ms),
+        ("sheets", statistics.sheet_ms),
+        ("feeds", statistics.event_ms),
     ):
         p50, p99 = _percentile(values, 0.5), _percentile(values, 0.99)
         print(f"{kind:10} {len(values):8} {p50:10.1f} {p99:10.1f}")
     print(
-        f"requests: {figures.complete} complete, {figures.refused} refused, "
-        f"{figures.unknown} unknown, {figures.wrong} wrong"
+        f"requests: {statistics.complete} complete, "
+        f"{statistics.refused} refused, "
+        f"{statistics.unknown} unknown, {statistics.wrong} wrong"
     )
     print(
-        f"feeds: {figures.feeds} open, {figures.moved} moved, "
-        f"{figures.broken} broken, {figures.gaps} gaps, "
-        f"{figures.duplicates} duplicates, longest silence "
-        f"{figures.longest_silence_ms:.0f} ms"
+        f"feeds: {statistics.feeds} open, {statistics.moved} moved, "
+        f"{statistics.broken} broken, {statistics.gaps} gaps, "
+        f"{statistics.duplicates} duplicates, longest silence "
+        f"{statistics.longest_silence_ms:.0f} ms"
     )
     print(f"misrouted datagrams: {misrouted_count}")
     violations = (
-        figures.unknown,
-        figures.wrong,
-        figures.broken,
-        figures.gaps,
-        figures.duplicates,
+        statistics.unknown,
+        statistics.wrong,
+        statistics.broken,
+        statistics.gaps,
+        statistics.duplicates,
         misrouted_count,
     )
-    silent = figures.longest_silence_ms > _MAX_SILENCE_MS
-    kept = not any(violations) and not silent and figures.feeds > 0
-    print("guarantees: " + ("kept" if kept else "BROKEN"))
-    return kept
+    is_silence_too_long = statistics.longest_silence_ms > _MAX_SILENCE_MS
+    guarantees_hold = (
+        not any(violations) and not is_silence_too_long and statistics.feeds > 0
+    )
+    print("guarantees: " + ("kept" if guarantees_hold else "BROKEN"))
+    return guarantees_hold
 
 
 def _percentile(values: tuple[float, ...], ratio: float) -> float:
@@ -140,15 +145,15 @@
 def run_demo(
     deployment: str = "bantay", seed: int = 1, duration_s: float = 6.0
 ) -> None:
-    """Runs the main job and prints a table.
+    """Runs callers against a deployment and prints a table of results.
 
-    During the run one balancer and one target are replaced as planned, and
+    During the run one balancer and one target are replaced gracefully, and
     one balancer is killed. Exits with 1 when a guarantee is broken.
 
     Args:
         deployment: `bantay` or `hanul`.
         seed: Seed of the fabric and of the keys.
-        duration_s: Time before and after the changes together.
+        duration_s: Total time before and after the changes.
     """
     if not _report(*asyncio.run(_demo(deployment, seed, duration_s))):
         sys.exit(1)
--- a/libs/lab/src/fireflyford/lab/_deployments.py
+++ b/libs/lab/src/fireflyford/lab/_deployments.py
@@ -1,4 +1,4 @@
-"""The deployments of the two user organisations."""
+"""Deployments of the two user organisations, as test configurations."""
 
 from fireflyford import config
 
--- a/libs/lab/src/fireflyford/lab/_fabric.py
+++ b/libs/lab/src/fireflyford/lab/_fabric.py
@@ -1,7 +1,8 @@
-"""Stand-in for the fabric: sprays each datagram over the balancers.
+"""Stand-in for the network fabric in front of the balancers.
 
-Each caller address gets one socket towards the balancers, so that a balancer
-sees a distinct source address for each caller and answers to it.
+Each datagram goes to a randomly chosen balancer (per-packet load balancing).
+Each caller address gets its own socket towards the balancers, so that a
+balancer sees a distinct source address for each caller and can reply to it.
 """
 
 import asyncio
@@ -12,8 +13,8 @@
 from fireflyford import core
 
 
-class _CallerSide(asyncio.DatagramProtocol):
-    """Service address towards the callers."""
+class _ServiceListener(asyncio.DatagramProtocol):
+    """Socket on a service address that receives datagrams from callers."""
 
     def __init__(
         self, balancers: Sequence[core.Address], rng: random.Random
@@ -21,57 +22,64 @@
         self.balancers = list(balancers)
         self._rng = rng
         self._transport: asyncio.DatagramTransport | None = None
-        self._inner: dict[tuple[str, int], asyncio.DatagramTransport] = {}
-        self._waiting: dict[tuple[str, int], list[bytes]] = {}
+        self._balancer_transports: dict[
+            tuple[str, int], asyncio.DatagramTransport
+        ] = {}
+        self._pending: dict[tuple[str, int], list[bytes]] = {}
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        inner = self._inner.get(addr)
-        if inner is not None:
-            self._spray(inner, data)
+        transport = self._balancer_transports.get(addr)
+        if transport is not None:
+            self._forward(transport, data)
             return
-        if addr not in self._waiting:
-            self._opening = asyncio.ensure_future(self._open(addr))
-        self._waiting.setdefault(addr, []).append(data)
+        if addr not in self._pending:
+            self._open_task = asyncio.ensure_future(self._open(addr))
+        self._pending.setdefault(addr, []).append(data)
 
-    def _spray(self, inner: asyncio.DatagramTransport, data: bytes) -> None:
+    def _forward(
+        self, transport: asyncio.DatagramTransport, data: bytes
+    ) -> None:
         if self.balancers:
-            inner.sendto(data, self._rng.choice(self.balancers).pair)
+            transport.sendto(data, self._rng.choice(self.balancers).pair)
 
     async def _open(self, addr: tuple[str, int]) -> None:
         assert self._transport is not None
         loop = asyncio.get_running_loop()
-        outer = self._transport
-        inner, _ = await loop.create_datagram_endpoint(
-            lambda: _BalancerSide(outer, addr), local_addr=("127.0.0.1", 0)
+        service_transport = self._transport
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: _CallerSocket(service_transport, addr),
+            local_addr=("127.0.0.1", 0),
         )
-        self._inner[addr] = inner
-        for data in self._waiting.pop(addr):
-            self._spray(inner, data)
+        self._balancer_transports[addr] = transport
+        for data in self._pending.pop(addr):
+            self._forward(transport, data)
 
 
-class _BalancerSide(asyncio.DatagramProtocol):
-    """Address of one caller as the balancers see it."""
+class _CallerSocket(asyncio.DatagramProtocol):
+    """Socket whose address represents one caller to the balancers."""
 
     def __init__(
-        self, outer: asyncio.DatagramTransport, caller: tuple[str, int]
+        self,
+        service_transport: asyncio.DatagramTransport,
+        caller: tuple[str, int],
     ) -> None:
-        self._outer = outer
+        self._service_transport = service_transport
         self._caller = caller
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        self._outer.sendto(data, self._caller)
+        self._service_transport.sendto(data, self._caller)
 
 
 class Fabric:
-    """Sprays the datagrams of service addresses over balancers."""
+    """Distributes the datagrams of service addresses among balancers."""
 
     def __init__(self, rng: random.Random) -> None:
-        """Takes the random source of the spraying."""
+        """Takes the random source for the choice of balancers."""
         self._rng = rng
-        self._sides: dict[str, _CallerSide] = {}
+        self._listeners: dict[str, _ServiceListener] = {}
 
     async def add_service(
         self,
@@ -80,15 +88,15 @@
         balancers: Sequence[core.Address],
     ) -> None:
         """Opens a service address in front of the given balancers."""
-        side = _CallerSide(balancers, self._rng)
-        self._sides[service] = side
+        listener = _ServiceListener(balancers, self._rng)
+        self._listeners[service] = listener
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(
-            lambda: side, local_addr=address.pair
+            lambda: listener, local_addr=address.pair
         )
 
     def replace_balancers(
         self, service: str, balancers: Sequence[core.Address]
     ) -> None:
-        """Sprays over other balancers from now on."""
-        self._sides[service].balancers = list(balancers)
+        """Replaces the balancers that receive the datagrams of a service."""
+        self._listeners[service].balancers = list(balancers)
--- a/libs/lab/src/fireflyford/lab/_fault_links.py
+++ b/libs/lab/src/fireflyford/lab/_fault_links.py
@@ -1,4 +1,4 @@
-"""Links of the fault proxy: datagrams and TCP streams between two parties."""
+"""Links of the fault proxy: forwarded datagrams and TCP streams."""
 
 import abc
 import asyncio
@@ -16,16 +16,16 @@
 # Position of the caller's address and port in a forwarding header.
 _CALLER_BYTES = slice(24, 42)
 _READ_BYTES = 64 << 10
-_FREEZE_POLL_S = 0.05
+_FREEZE_POLL_INTERVAL_S = 0.05
 
 
 class LinkKind(enum.Enum):
-    """What passes through a link.
+    """Traffic that a link carries.
 
     Attributes:
-        DATAGRAM: UDP; one source address is one flow.
-        FORWARDED: UDP with forwarding headers; one caller is one flow.
-        STREAM: TCP; one connection is one flow.
+        DATAGRAM: UDP; each source address is a flow.
+        FORWARDED: UDP with forwarding headers; each caller is a flow.
+        STREAM: TCP; each connection is a flow.
     """
 
     DATAGRAM = "datagram"
@@ -34,7 +34,7 @@
 
 
 class Link(abc.ABC):
-    """One listening address and the target behind it."""
+    """Forwards traffic from a listening address to a target."""
 
     def __init__(
         self, target: core.Address, seed: int, flows: set[bytes]
@@ -42,10 +42,10 @@
         """Prepares a link without faults.
 
         Args:
-            target: Where the link leads.
-            seed: Seed of the draws.
-            flows: Flows that exist, shared by the links that carry parts of
-                the same flows.
+            target: Address to which the link forwards.
+            seed: Seed of the random choices.
+            flows: Known flows, shared by all links that carry parts of the
+                same flows.
         """
         self._target = target
         self._seed = seed
@@ -56,10 +56,10 @@
 
     @abc.abstractmethod
     async def listen(self, address: core.Address) -> None:
-        """Starts to listen."""
+        """Starts to listen on an address."""
 
     def set_faults(self, faults: _faults.Faults, source: str) -> None:
-        """Switches faults for one source, or for all with an empty one."""
+        """Sets the faults of one source, or of all others if it is empty."""
         plan = _faults.FaultPlan(faults, self._seed)
         self._plans[source] = plan
         self._frozen[source] = {
@@ -68,17 +68,17 @@
         self.counts["frozen"] = len(self._frozen[source])
 
     def plan(self, source: str) -> _faults.FaultPlan:
-        """Returns the plan of a source."""
+        """Returns the fault plan of a source."""
         return self._plans.get(source) or self._plans[""]
 
     def is_frozen(self, flow: bytes, source: str) -> bool:
-        """Returns whether a flow passes nothing."""
+        """Returns whether a flow is frozen and all its traffic is held."""
         key = source if source in self._plans else ""
         return flow in self._frozen.get(key, ())
 
 
 class DatagramLink(Link, asyncio.DatagramProtocol):
-    """UDP: one socket towards the target for each source."""
+    """UDP link with one socket towards the target for each source."""
 
     def __init__(
         self,
@@ -87,11 +87,20 @@
         flows: set[bytes],
         forwarded: bool,
     ) -> None:
-        """Prepares a link; `forwarded` tells flows apart by header."""
+        """Prepares a link without faults.
+
+        Args:
+            target: Address to which the link forwards.
+            seed: Seed of the random choices.
+            flows: Known flows, shared by all links that carry parts of the
+                same flows.
+            forwarded: Whether flows are identified by the forwarding header
+                instead of the source address.
+        """
         super().__init__(target, seed, flows)
         self._forwarded = forwarded
         self._transport: asyncio.DatagramTransport | None = None
-        self._sides: dict[tuple[str, int], _TargetSide] = {}
+        self._target_sockets: dict[tuple[str, int], _TargetSocket] = {}
 
     async def listen(self, address: core.Address) -> None:
         """Starts to listen."""
@@ -101,18 +110,20 @@
         )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keeps the transport."""
+        """Stores the transport."""
         self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Passes a datagram towards the target."""
-        side = self._sides.get(addr)
-        if side is None:
-            side = self._sides[addr] = _TargetSide(self, addr)
-            side.open(self._target)
-        side.send(data)
-
-    def answer(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Forwards a datagram towards the target."""
+        target_socket = self._target_sockets.get(addr)
+        if target_socket is None:
+            target_socket = self._target_sockets[addr] = _TargetSocket(
+                self, addr
+            )
+            target_socket.open(self._target)
+        target_socket.send(data)
+
+    def send_to_source(self, data: bytes, addr: tuple[str, int]) -> None:
         """Sends a datagram back to a source."""
         if self._transport is not None:
             self._transport.sendto(data, addr)
@@ -123,7 +134,7 @@
         addr: tuple[str, int],
         direction: _faults.Direction,
     ) -> list[float]:
-        """Returns the delay of each copy of a datagram that arrives."""
+        """Returns the delay of each copy to deliver; none if it is dropped."""
         source = f"{addr[0]}:{addr[1]}"
         flow = data[_CALLER_BYTES] if self._forwarded else source.encode()
         self._flows.add(flow)
@@ -140,17 +151,17 @@
         return delays_ms
 
 
-class _TargetSide(asyncio.DatagramProtocol):
-    """Socket towards the target on behalf of one source."""
+class _TargetSocket(asyncio.DatagramProtocol):
+    """Socket towards the target for the datagrams of one source."""
 
     def __init__(self, link: DatagramLink, addr: tuple[str, int]) -> None:
         self._link = link
         self._addr = addr
         self._transport: asyncio.DatagramTransport | None = None
-        self._waiting: list[bytes] = []
+        self._pending: list[bytes] = []
 
     def open(self, target: core.Address) -> None:
-        self._opening = asyncio.ensure_future(
+        self._open_task = asyncio.ensure_future(
             asyncio.get_running_loop().create_datagram_endpoint(
                 lambda: self, remote_addr=target.pair
             )
@@ -158,25 +169,25 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.DatagramTransport, transport)
-        for data in self._waiting:
+        for data in self._pending:
             self._transport.sendto(data)
-        self._waiting.clear()
+        self._pending.clear()
 
     def error_received(self, exc: Exception) -> None:
-        pass  # The target is not there; datagrams are lost as on a network.
+        pass  # The target does not listen; its datagrams are lost.
 
     def send(self, data: bytes) -> None:
         direction = _faults.Direction.FORWARD
         for delay_ms in self._link.delays_ms(data, self._addr, direction):
             if delay_ms:
                 loop = asyncio.get_running_loop()
-                loop.call_later(delay_ms / 1000, self._pass_on, data)
+                loop.call_later(delay_ms / 1000, self._forward, data)
             else:
-                self._pass_on(data)
+                self._forward(data)
 
-    def _pass_on(self, data: bytes) -> None:
+    def _forward(self, data: bytes) -> None:
         if self._transport is None:
-            self._waiting.append(data)
+            self._pending.append(data)
         else:
             self._transport.sendto(data)
 
@@ -186,21 +197,21 @@
             if delay_ms:
                 loop = asyncio.get_running_loop()
                 loop.call_later(
-                    delay_ms / 1000, self._link.answer, data, self._addr
+                    delay_ms / 1000, self._link.send_to_source, data, self._addr
                 )
             else:
-                self._link.answer(data, self._addr)
+                self._link.send_to_source(data, self._addr)
 
 
 class StreamLink(Link):
-    """TCP: one connection to the target for each accepted one.
+    """TCP link with one connection to the target for each accepted one.
 
-    Loss, reordering and duplication have no meaning here; a cut or frozen
-    stream holds its bytes back without closing.
+    Loss, reordering and duplication do not apply. A cut or frozen stream
+    holds its data back without closing.
     """
 
     def __init__(self, target: core.Address, seed: int) -> None:
-        """Prepares a link; its flows are its own."""
+        """Prepares a link that shares its flows with no other link."""
         super().__init__(target, seed, set())
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
@@ -213,7 +224,7 @@
         )
 
     def set_faults(self, faults: _faults.Faults, source: str) -> None:
-        """Switches faults; `reset` resets the open streams."""
+        """Sets the faults; `reset` also resets the open streams."""
         super().set_faults(faults, source)
         if faults.reset:
             for writer in list(self._writers):
@@ -225,40 +236,49 @@
         source = str(core.Address(*writer.get_extra_info("peername")[:2]))
         self._sequence += 1
         flow = self._sequence.to_bytes(8, "big")
-        pair = [writer]
+        writers = [writer]
         try:
-            there = await asyncio.open_connection(*self._target.pair)
+            target_stream = await asyncio.open_connection(*self._target.pair)
         except OSError:
             _reset(writer)
             return
-        pair.append(there[1])
-        self._writers.update(pair)
+        writers.append(target_stream[1])
+        self._writers.update(writers)
         self._flows.add(flow)
         self.counts["streams"] += 1
         tasks = [
             asyncio.create_task(
-                self._pump(
-                    reader, there[1], flow, source, _faults.Direction.FORWARD
+                self._relay(
+                    reader,
+                    target_stream[1],
+                    flow,
+                    source,
+                    _faults.Direction.FORWARD,
                 )
             ),
             asyncio.create_task(
-                self._pump(
-                    there[0], writer, flow, source, _faults.Direction.BACKWARD
+                self._relay(
+                    target_stream[0],
+                    writer,
+                    flow,
+                    source,
+                    _faults.Direction.BACKWARD,
                 )
             ),
         ]
         try:
-            # Either end closing ends the stream, as HTTP/1.1 uses it.
+            # The stream ends when either side closes; HTTP/1.1 needs no
+            # half-closed connections.
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         finally:
             for task in tasks:
                 task.cancel()
-            for item in pair:
+            for item in writers:
                 item.close()
-            self._writers.difference_update(pair)
+            self._writers.difference_update(writers)
             self._flows.discard(flow)
 
-    async def _pump(
+    async def _relay(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
@@ -271,22 +291,22 @@
                 plan = self.plan(source)
                 faults = plan.faults
                 if faults.rate_bytes_per_s:
-                    # A stream waits for its turn instead of losing bytes.
-                    seconds = len(data) / faults.rate_bytes_per_s
-                    await asyncio.sleep(seconds)
+                    # A rate limit delays a stream instead of dropping data.
+                    delay_s = len(data) / faults.rate_bytes_per_s
+                    await asyncio.sleep(delay_s)
                 if faults.delay_ms:
                     await asyncio.sleep(faults.delay_ms / 1000)
                 while self.is_frozen(flow, source) or self.plan(
                     source
                 ).faults.cut.stops(direction):
-                    await asyncio.sleep(_FREEZE_POLL_S)
+                    await asyncio.sleep(_FREEZE_POLL_INTERVAL_S)
                 self.counts[direction.value] += 1
                 writer.write(data)
                 await writer.drain()
 
 
 def _reset(writer: asyncio.StreamWriter) -> None:
-    """Closes with RST instead of FIN."""
+    """Closes a connection with RST instead of FIN."""
     sock = writer.get_extra_info("socket")
     if sock is not None:
         sock.setsockopt(
@@ -296,10 +316,10 @@
 
 
 class LinkFactory:
-    """Makes the links of one proxy."""
+    """Creates the links of one proxy."""
 
     def __init__(self, seed: int) -> None:
-        """Takes the seed; one for all links, so that they freeze alike."""
+        """Takes the seed of all links, so that they freeze the same flows."""
         self._seed = seed
         self._flows: dict[LinkKind, set[bytes]] = {
             kind: set() for kind in LinkKind
--- a/libs/lab/src/fireflyford/lab/_fault_proxy.py
+++ b/libs/lab/src/fireflyford/lab/_fault_proxy.py
@@ -1,12 +1,12 @@
-"""Process that injects faults between any two parties.
+"""Proxy process that injects network faults between two parties.
 
 Usage: `fireflyford-lab fault-proxy --control IP:PORT --seed N`. Links and
-faults are set over HTTP while it runs:
+faults are controlled over HTTP while it runs:
 
     POST /links           {"name", "kind", "listen", "target"}
-    PUT /faults/NAME      fields of `Faults`; `?source=IP:PORT` for one pair
-    DELETE /faults/NAME   back to no faults
-    GET /status           datagrams and streams by link
+    PUT /faults/NAME      fields of `Faults`; `?source=IP:PORT` for one source
+    DELETE /faults/NAME   clears all faults
+    GET /status           counts of datagrams and streams by link
 """
 
 import asyncio
@@ -24,18 +24,18 @@
 from fireflyford.lab import _fault_links
 from fireflyford.lab import _faults
 
-_CONTROL_LIMIT_S = 5.0
+_CONTROL_TIMEOUT_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True)
-class LinkOrder:
-    """Description of a new link.
+class LinkRequest:
+    """Request to add a link.
 
     Attributes:
-        name: Name for `PUT /faults/NAME`.
-        kind: What passes through.
+        name: Name of the link, as in `PUT /faults/NAME`.
+        kind: Traffic that the link carries.
         listen: `ip:port` to listen on.
-        target: `ip:port` that it leads to.
+        target: `ip:port` to forward to.
     """
 
     name: str
@@ -56,16 +56,16 @@
         self._factory = factory
 
     async def post(self) -> None:
-        order = msgspec.json.decode(self.request.body, type=LinkOrder)
-        target = core.Address.parse(order.target)
-        link = self._factory.make(order.kind, target)
-        await link.listen(core.Address.parse(order.listen))
-        self._links[order.name] = link
+        link_request = msgspec.json.decode(self.request.body, type=LinkRequest)
+        target = core.Address.parse(link_request.target)
+        link = self._factory.make(link_request.kind, target)
+        await link.listen(core.Address.parse(link_request.listen))
+        self._links[link_request.name] = link
         self.finish()
 
 
 class _FaultsHandler(web.RequestHandler):
-    """Switches faults."""
+    """Sets and clears the faults of a link."""
 
     def initialize(self, links: dict[str, _fault_links.Link]) -> None:
         self._links = links
@@ -87,7 +87,7 @@
 
 
 class _StatusHandler(web.RequestHandler):
-    """Reports what has passed."""
+    """Reports the traffic counts of all links."""
 
     def initialize(self, links: dict[str, _fault_links.Link]) -> None:
         self._links = links
@@ -97,11 +97,11 @@
 
 
 def run_fault_proxy(control: str, seed: int = 1) -> None:
-    """Runs the proxy until it is stopped.
+    """Runs the proxy until SIGTERM or SIGINT.
 
     Args:
         control: `ip:port` of the control interface.
-        seed: Seed of all draws.
+        seed: Seed of all random choices.
     """
     asyncio.run(_run(core.Address.parse(control), seed))
 
@@ -126,8 +126,8 @@
     await stopping.wait()
 
 
-class ProxyControl:
-    """Client of the control interface.
+class FaultProxyClient:
+    """Client of the fault proxy's control interface.
 
     Calls block for the few milliseconds that a loopback request takes.
     """
@@ -136,23 +136,23 @@
         """Takes the address of the control interface."""
         self._base = f"http://{address}"
 
-    def add_link(self, order: LinkOrder) -> None:
+    def add_link(self, link_request: LinkRequest) -> None:
         """Adds a link.
 
         Raises:
-            OSError: The proxy does not answer or refuses.
+            OSError: The proxy does not respond or rejects the link.
         """
-        self._call("POST", "/links", order)
+        self._call("POST", "/links", link_request)
 
     def set_faults(
         self, name: str, faults: _faults.Faults, source: str = ""
     ) -> None:
-        """Switches the faults of a link, or of one source on it."""
+        """Sets the faults of a link, or of a single source on it."""
         query = f"?source={source}" if source else ""
         self._call("PUT", f"/faults/{name}{query}", faults)
 
     def status(self) -> dict[str, dict[str, int]]:
-        """Returns the counts by link."""
+        """Returns the traffic counts by link."""
         status: dict[str, dict[str, int]] = json.loads(
             self._call("GET", "/status", None)
         )
@@ -164,6 +164,8 @@
             method=method,
             data=None if body is None else msgspec.json.encode(body),
         )
-        with urllib.request.urlopen(request, timeout=_CONTROL_LIMIT_S) as reply:
+        with urllib.request.urlopen(
+            request, timeout=_CONTROL_TIMEOUT_S
+        ) as reply:
             content: bytes = reply.read()
             return content
--- a/libs/lab/src/fireflyford/lab/_fault_runs.py
+++ b/libs/lab/src/fireflyford/lab/_fault_runs.py
@@ -1,4 +1,4 @@
-"""Short runs of one service under faults, in virtual time, with a history."""
+"""Short simulated runs of one service under faults, with a history check."""
 
 import asyncio
 from collections.abc import Coroutine
@@ -13,7 +13,7 @@
 from fireflyford import requests
 from fireflyford.lab import _history
 from fireflyford.lab import _model
-from fireflyford.lab import _virtual
+from fireflyford.lab import _virtual_time
 
 _NODE_COUNT = 4
 _ORDER_COUNT = 60
@@ -22,12 +22,13 @@
 _ORDER = config.Treatment(
     name="order", method="POST", path_prefix="/orders", idempotent=False
 )
-# A copy after the retention of tickets must not run either.
-_VERY_LATE_MS = requests.TICKET_RETENTION_MS + 5_000
+# A copy that arrives after the retention time of its ticket must not run
+# either.
+_EXPIRED_COPY_DELAY_MS = requests.TICKET_RETENTION_MS + 5_000
 
 
 class Fault(enum.Enum):
-    """What goes wrong in a run."""
+    """Kinds of faults that a run can inject."""
 
     NONE = "none"
     KILL = "kill"
@@ -43,7 +44,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class RunResult:
-    """What one run gave."""
+    """Result of one run."""
 
     seed: int
     faults: tuple[Fault, ...]
@@ -56,7 +57,10 @@
 
 
 def choose_faults(seed: int) -> tuple[Fault, ...]:
-    """Returns one fault, or a pair for odd seeds; all come up in turn."""
+    """Returns the faults of a seed.
+
+    Even seeds cycle through all single faults; odd seeds choose a random pair.
+    """
     kinds = [fault for fault in Fault if fault is not Fault.NONE]
     if seed % 2 == 0:
         return (kinds[seed // 2 % len(kinds)],)
@@ -65,20 +69,20 @@
 
 
 def run_once(seed: int) -> RunResult:
-    """Runs the faults of a seed and checks the history."""
-    return _virtual.run(_FaultRun(seed, choose_faults(seed)).run())
+    """Runs once with the faults of a seed and checks the history."""
+    return _virtual_time.run(_FaultRun(seed, choose_faults(seed)).run())
 
 
 class _FaultRun:
-    """One run: callers with orders, and a task that causes the faults."""
+    """One run: callers that send orders, and one task for each fault."""
 
     def __init__(self, seed: int, faults: Sequence[Fault]) -> None:
         self._seed = seed
         self._faults = tuple(faults)
         self._rng = random.Random(seed)
-        self._clock = _virtual.VirtualClock()
+        self._clock = _virtual_time.VirtualClock()
         self._service = _model.ModelService(self._clock, self._rng)
-        self._told: list[_history.Told] = []
+        self._answers: list[_history.Answer] = []
         self._bodies: dict[str, bytes] = {}
         self._copies: set[asyncio.Task[None]] = set()
 
@@ -90,39 +94,39 @@
         self._service.network.faults = self._link_faults()
         async with asyncio.TaskGroup() as tasks:
             for number in range(_ORDER_COUNT):
-                tasks.create_task(self._order(f"order-{number}"))
+                tasks.create_task(self._run_order(f"order-{number}"))
             for fault in self._faults:
-                tasks.create_task(self._cause(fault))
+                tasks.create_task(self._inject_fault(fault))
         while self._copies:
             await asyncio.wait(self._copies)
         self._service.close()
         return self._result()
 
-    def _link_faults(self) -> _model.Faults:
+    def _link_faults(self) -> _model.LinkFaults:
         copied = {Fault.DUPLICATE, Fault.LATE_COPY} & set(self._faults)
         late = Fault.LATE_COPY in self._faults
         lost = Fault.LOST_REPLY in self._faults
-        return _model.Faults(
+        return _model.LinkFaults(
             duplicate_ratio=0.5 if copied else 0.0,
             late_ms=15_000 if late else 50,
             lost_reply_ratio=0.2 if lost else 0.0,
         )
 
-    async def _order(self, name: str) -> None:
+    async def _run_order(self, name: str) -> None:
         await self._clock.sleep(self._rng.uniform(0, _LOAD_MS))
         for attempt in range(_MAX_ATTEMPTS):
-            told = await self._attempt(name, f"{name}/{attempt}")
-            if told is None or told.execution is not core.Execution.NOT_RUN:
+            answer = await self._attempt(name, f"{name}/{attempt}")
+            if answer is None or answer.execution is not core.Execution.NOT_RUN:
                 return
             await self._clock.sleep(self._rng.uniform(10, 200))
 
-    async def _attempt(self, name: str, ticket: str) -> _history.Told | None:
+    async def _attempt(self, name: str, ticket: str) -> _history.Answer | None:
         alive = [n for n in self._service.nodes if not n.dead.is_set()]
         issuer = self._rng.choice(alive)
         issued = issuer.engine.issuer.issue()
         self._bodies[ticket] = ticket.encode()
         if self._rng.random() < 0.3:
-            self._copy_later(name, ticket, issued, self._late_ms())
+            self._copy_later(name, ticket, issued, self._copy_delay_ms())
         target = issuer if self._rng.random() < 0.7 else self._rng.choice(alive)
         run = self._present(name, ticket, issued, target.info.address)
         if Fault.CANCEL in self._faults and self._rng.random() < 0.4:
@@ -130,9 +134,9 @@
             return None
         return await run
 
-    def _late_ms(self) -> float:
+    def _copy_delay_ms(self) -> float:
         if Fault.LATE_COPY in self._faults and self._rng.random() < 0.2:
-            return _VERY_LATE_MS
+            return _EXPIRED_COPY_DELAY_MS
         return self._rng.uniform(0, 2_500)
 
     async def _cancel(self, run: Coroutine[Any, Any, object]) -> None:
@@ -160,7 +164,7 @@
         ticket: str,
         issued: requests.Ticket,
         address: core.Address,
-    ) -> _history.Told:
+    ) -> _history.Answer:
         now_ms = self._clock.now_ms()
         body = ticket.encode()
         work = requests.WorkItem(
@@ -179,14 +183,14 @@
         )
         if isinstance(outcome, core.Ok):
             execution = core.Execution.RAN
-            answer: bytes | None = outcome.value.body
+            answer_body: bytes | None = outcome.value.body
         else:
-            execution, answer = outcome.spec.execution, None
-        told = _history.Told(name, ticket, execution, answer)
-        self._told.append(told)
-        return told
+            execution, answer_body = outcome.spec.execution, None
+        answer = _history.Answer(name, ticket, execution, answer_body)
+        self._answers.append(answer)
+        return answer
 
-    async def _cause(self, fault: Fault) -> None:
+    async def _inject_fault(self, fault: Fault) -> None:
         await self._clock.sleep(self._rng.uniform(500, _LOAD_MS - 1_000))
         node = self._rng.choice(self._service.nodes)
         index = int(node.info.target_id.rpartition("-")[2])
@@ -223,8 +227,8 @@
         self._service.connect()
 
     def _result(self) -> RunResult:
-        ran = [
-            _history.Ran(
+        executions = [
+            _history.ExecutionRecord(
                 execution.body.decode().partition("/")[0],
                 execution.body.decode(),
                 execution.backend,
@@ -232,17 +236,19 @@
             for backend in self._service.backends
             for execution in backend.executions
         ]
-        executions = [told.execution for told in self._told]
+        outcomes = [answer.execution for answer in self._answers]
         return RunResult(
             seed=self._seed,
             faults=self._faults,
-            violations=tuple(_history.check(self._told, ran, self._bodies)),
-            answer_count=len(self._told),
-            execution_count=len(ran),
+            violations=tuple(
+                _history.check(self._answers, executions, self._bodies)
+            ),
+            answer_count=len(self._answers),
+            execution_count=len(executions),
             handed_over_count=sum(
                 node.engine.scheduler.handed_over_count
                 for node in self._service.nodes
             ),
-            complete_count=executions.count(core.Execution.RAN),
-            unknown_count=executions.count(core.Execution.UNKNOWN),
+            complete_count=outcomes.count(core.Execution.RAN),
+            unknown_count=outcomes.count(core.Execution.UNKNOWN),
         )
--- a/libs/lab/src/fireflyford/lab/_faults.py
+++ b/libs/lab/src/fireflyford/lab/_faults.py
@@ -1,4 +1,4 @@
-"""Faults between two parties, and what they do to one datagram."""
+"""Network faults between two parties and their effect on datagrams."""
 
 import dataclasses
 import enum
@@ -8,14 +8,14 @@
 
 
 class Direction(enum.Enum):
-    """Way through the proxy."""
+    """Direction of traffic through the proxy."""
 
     FORWARD = "forward"
     BACKWARD = "backward"
 
 
 class Cut(enum.Enum):
-    """Directions in which nothing passes."""
+    """Directions in which all traffic is blocked."""
 
     NONE = "none"
     FORWARD = "forward"
@@ -23,27 +23,29 @@
     BOTH = "both"
 
     def stops(self, direction: Direction) -> bool:
-        """Returns whether the direction is cut."""
+        """Returns whether traffic in this direction is blocked."""
         return self is Cut.BOTH or self.value == direction.value
 
 
 @dataclasses.dataclass(frozen=True)
 class Faults:
-    """Faults between two parties; the default passes everything.
+    """Faults between two parties; by default there are none.
 
     Attributes:
-        loss_ratio: Datagrams that are lost.
+        loss_ratio: Fraction of datagrams that are lost.
         delay_ms: One-way delay.
-        jitter_ms: Further delay, drawn uniformly up to this.
-        reorder_ratio: Datagrams that are held back by `reorder_ms`.
-        reorder_ms: See `reorder_ratio`.
-        duplicate_ratio: Datagrams that arrive twice.
+        jitter_ms: Maximum of an additional, uniformly distributed delay.
+        reorder_ratio: Fraction of datagrams that are delayed by another
+            `reorder_ms`.
+        reorder_ms: Additional delay of reordered datagrams.
+        duplicate_ratio: Fraction of datagrams that arrive twice.
         rate_bytes_per_s: Throughput limit, 0 for none.
-        cut: Directions in which nothing passes.
-        freeze_ratio: Flows that pass nothing any more, of those that exist
-            when the fault is switched on; later flows are not affected.
-        late_ratio: Datagrams of which a copy arrives `late_ms` later.
-        late_ms: See `late_ratio`; up to a minute.
+        cut: Directions in which all traffic is blocked.
+        freeze_ratio: Fraction of flows whose traffic is blocked, of those
+            that exist when the fault is set; later flows are not affected.
+        late_ratio: Fraction of datagrams of which a copy arrives `late_ms`
+            later.
+        late_ms: Delay of late copies, up to a minute.
         reset: Whether open TCP streams are reset when the fault is set.
     """
 
@@ -70,19 +72,19 @@
                 raise ValueError(f"{field.name} must not be negative")
 
 
-# A queue longer than this in front of a rate limit drops datagrams.
+# A datagram that would wait longer for its turn under a rate limit is dropped.
 _MAX_QUEUE_MS = 1_000.0
 
 
 class FaultPlan:
-    """Applies the faults between two parties; all draws are seeded."""
+    """Applies the faults between two parties, with seeded random choices."""
 
     def __init__(self, faults: Faults, seed: int) -> None:
         """Prepares the plan.
 
         Args:
-            faults: What to do.
-            seed: Seed of the draws.
+            faults: Faults to apply.
+            seed: Seed of the random choices.
         """
         self.faults = faults
         self._seed = seed
@@ -90,10 +92,10 @@
         self._free_ms = dict.fromkeys(Direction, 0.0)
 
     def freezes(self, flow: bytes) -> bool:
-        """Returns whether a flow is chosen to be frozen.
+        """Returns whether a flow is selected to be frozen.
 
-        The choice depends on the flow and the seed only, so that several
-        proxies that carry one flow freeze the same ones.
+        The selection depends only on the flow and the seed, so that all
+        proxies on the path of a flow select the same flows.
         """
         point: int = xxhash.xxh32_intdigest(flow, seed=self._seed)
         return point < self.faults.freeze_ratio * 2**32
@@ -101,12 +103,12 @@
     def delays_ms(
         self, now_ms: float, size_bytes: int, direction: Direction
     ) -> list[float]:
-        """Returns the delay of each copy of a datagram that arrives.
+        """Returns the delay of each copy to deliver; none if it is dropped.
 
         Args:
             now_ms: Current time.
             size_bytes: Size of the datagram.
-            direction: Way through the proxy.
+            direction: Direction of the datagram through the proxy.
         """
         faults = self.faults
         if faults.cut.stops(direction):
@@ -136,7 +138,10 @@
     def queue_ms(
         self, now_ms: float, size_bytes: int, direction: Direction
     ) -> float:
-        """Takes a place behind the rate limit and returns the wait."""
+        """Enqueues a datagram at the rate limit and returns its wait.
+
+        A datagram that waits too long takes no capacity, as it is dropped.
+        """
         start_ms = max(now_ms, self._free_ms[direction])
         wait_ms = start_ms - now_ms
         if wait_ms <= _MAX_QUEUE_MS:
--- a/libs/lab/src/fireflyford/lab/_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_fleet.py
@@ -1,4 +1,4 @@
-"""Real processes of one deployment on loopback, for tests and experiments."""
+"""Processes of one deployment on loopback, for tests and experiments."""
 
 import asyncio
 import dataclasses
@@ -22,20 +22,19 @@
 from fireflyford.lab import _fault_proxy
 from fireflyford.lab import _ports
 
-_START_LIMIT_MS = 60_000
+_START_TIMEOUT_MS = 60_000
 _POLL_MS = 50
-# Health checks of the stand-in for the fabric; a balancer that does not
-# answer twice in a row gets no more datagrams.
+# Health checks of the simulated fabric. A balancer that fails two in a row gets
+# no more datagrams.
 _HEALTH_INTERVAL_MS = 500
-_HEALTH_FAILURES = 2
-_STATUS_LIMIT_S = 1.0
-# Several fleets on one machine must not draw the same ports.
+_UNHEALTHY_THRESHOLD = 2
+_STATUS_TIMEOUT_S = 1.0
 _CLOCK = core.SystemClock()
 
 
 @dataclasses.dataclass(frozen=True)
 class Target:
-    """The processes of one target."""
+    """Processes and addresses of one target."""
 
     name: str
     service: str
@@ -47,7 +46,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class BalancerProcess:
-    """One balancer and its addresses."""
+    """Process and addresses of one balancer."""
 
     name: str
     process: subprocess.Popen[bytes]
@@ -70,16 +69,18 @@
         """Prepares a fleet; `start` starts its processes.
 
         Args:
-            deployment: What to run; its service addresses are replaced by
-                free ports.
+            deployment: Deployment to run. Its service addresses are replaced
+                by loopback addresses with free ports.
             rng: Random source of the fabric and of the keys.
-            balancer_count: Balancers to start.
-            proxied: Where a fault proxy stands: `fabric` (in front of the
-                balancers), `link` (between balancers and agents), `control`
-                (membership) and `backend` (agents to backend servers). Its
-                links are named `fabric/BALANCER/SERVICE`, `link/INSTANCE`,
+            balancer_count: Number of balancers to start.
+            proxied: Traffic that passes through the fault proxy: `fabric` (to
+                the balancers), `link` (between balancers and agents),
+                `control` (membership) and `backend` (agents to backend
+                servers). The links of the proxy are named
+                `fabric/BALANCER/SERVICE`, `link/INSTANCE`,
                 `control/INSTANCE` and `backend/TARGET`.
-            drain_limit_ms: Longest graceful shutdown of every process.
+            drain_limit_ms: Time limit of the graceful shutdown of each
+                process.
         """
         self._rng = rng
         self._balancer_count = balancer_count
@@ -88,13 +89,13 @@
         self._link_key = rng.randbytes(16).hex()
         self._sequence = 0
         self._processes: list[subprocess.Popen[bytes]] = []
-        self._unhealthy_counts: dict[str, int] = {}
+        self._failed_check_counts: dict[str, int] = {}
         self._in_service: set[str] = set()
         services = tuple(
             dataclasses.replace(service, address=str(_ports.free_address()))
             for service in deployment.services
         )
-        self.proxy: _fault_proxy.ProxyControl | None = None
+        self.proxy: _fault_proxy.FaultProxyClient | None = None
         self._proxied = proxied
         self._drain_limit_ms = drain_limit_ms
         self.deployment = dataclasses.replace(deployment, services=services)
@@ -106,7 +107,7 @@
         self._config_path.write_text(config.render(self.deployment))
 
     async def start(self) -> None:
-        """Starts all processes and waits until the balancers see them."""
+        """Starts all processes and waits until the balancers know them."""
         for service in self.deployment.services:
             _certificates.make_certificate(self._directory, service.name)
         if self._proxied:
@@ -132,25 +133,28 @@
         ]
         log = (self._directory / "fault-proxy.log").open("wb")
         self._processes.append(subprocess.Popen(command, stderr=log))
-        self.proxy = _fault_proxy.ProxyControl(address)
+        self.proxy = _fault_proxy.FaultProxyClient(address)
 
     async def _start_proxy(self) -> None:
         self._spawn_proxy()
-        limit_ms = _CLOCK.now_ms() + _START_LIMIT_MS
+        deadline_ms = _CLOCK.now_ms() + _START_TIMEOUT_MS
         while "ready" not in self.log_text("fault-proxy"):
-            if _CLOCK.now_ms() > limit_ms:
-                raise TimeoutError("the fault proxy does not start")
+            if _CLOCK.now_ms() > deadline_ms:
+                raise TimeoutError("fault proxy did not become ready in time")
             await _CLOCK.sleep(_POLL_MS)
 
     def _through_proxy(
         self, name: str, kind: _fault_links.LinkKind, target: core.Address
     ) -> core.Address:
-        """Returns the address that leads to `target`."""
+        """Returns the address to use for `target`.
+
+        It is that of a new proxy link if traffic of this kind is proxied.
+        """
         if self.proxy is None or name.split("/")[0] not in self._proxied:
             return target
         listen = _ports.free_address()
         self.proxy.add_link(
-            _fault_proxy.LinkOrder(name, kind, str(listen), str(target))
+            _fault_proxy.LinkRequest(name, kind, str(listen), str(target))
         )
         return listen
 
@@ -164,14 +168,14 @@
 
     async def _start_store(self) -> None:
         self._spawn_store()
-        limit_ms = _CLOCK.now_ms() + _START_LIMIT_MS
+        deadline_ms = _CLOCK.now_ms() + _START_TIMEOUT_MS
         while not await _accepts_connections(self.store_address):
-            if _CLOCK.now_ms() > limit_ms:
-                raise TimeoutError("the store does not start")
+            if _CLOCK.now_ms() > deadline_ms:
+                raise TimeoutError("store accepted no connection in time")
             await _CLOCK.sleep(_POLL_MS)
 
     def start_balancer(self) -> BalancerProcess:
-        """Starts one more balancer."""
+        """Starts an additional balancer."""
         name = self._next_name("balancer")
         listeners = {
             service.name: _ports.free_address()
@@ -199,7 +203,7 @@
         return started
 
     def start_target(self, service: str, speed: float = 1.0) -> Target:
-        """Starts one more backend server with its agent."""
+        """Starts an additional backend server with its agent."""
         name = self._next_name(service)
         address = _ports.free_address()
         backend = subprocess.Popen(
@@ -239,8 +243,11 @@
         return target
 
     async def wait_for_discovery(self) -> None:
-        """Waits until each balancer sees each target, then uses them all."""
-        limit_ms = _CLOCK.now_ms() + _START_LIMIT_MS
+        """Waits until each balancer knows each target.
+
+        Then puts all balancers into service.
+        """
+        deadline_ms = _CLOCK.now_ms() + _START_TIMEOUT_MS
         expected = set(self.targets)
         running = [
             item
@@ -248,25 +255,26 @@
             if item.process.poll() is None
         ]
         for balancer in running:
-            # A balancer that leaves meanwhile need not see anything, and a
-            # target that leaves meanwhile need not be seen.
+            # Processes that stop during the wait are left out: such a balancer
+            # need not know any target, and no balancer such a target.
             while balancer.process.poll() is None and (
                 missing := (expected - await self._alive_members(balancer))
                 & self.targets.keys()
             ):
-                if _CLOCK.now_ms() > limit_ms:
+                if _CLOCK.now_ms() > deadline_ms:
                     logs = "".join(map(self.log_text, sorted(missing)))
                     raise TimeoutError(
-                        f"{balancer.name} does not see {sorted(missing)}; "
+                        f"{balancer.name} did not discover targets "
+                        f"{sorted(missing)} in time; "
                         f"balancer exit status {balancer.process.poll()}; "
-                        f"their logs end with:\n{logs[-2000:]}"
+                        f"end of the targets' logs:\n{logs[-2000:]}"
                     )
                 await _CLOCK.sleep(_POLL_MS)
         self._in_service.update(self.balancers)
         self.update_fabric()
 
     async def check_health(self) -> None:
-        """Checks the balancers as a fabric does, until cancelled."""
+        """Runs the fabric's health checks of the balancers until cancelled."""
         while True:
             for balancer in list(self.balancers.values()):
                 await self._check_balancer(balancer)
@@ -274,19 +282,21 @@
 
     async def _check_balancer(self, balancer: BalancerProcess) -> None:
         ready = await fetch_ready(balancer.status_address)
-        count = self._unhealthy_counts.get(balancer.name, 0)
-        self._unhealthy_counts[balancer.name] = 0 if ready else count + 1
-        # A balancer that answers "not ready" is leaving as planned.
+        count = self._failed_check_counts.get(balancer.name, 0)
+        self._failed_check_counts[balancer.name] = 0 if ready else count + 1
+        # A balancer that answers "not ready" is shutting down gracefully and
+        # leaves service at once.
         if ready:
             self._in_service.add(balancer.name)
-        elif ready is False or count + 1 >= _HEALTH_FAILURES:
+        elif ready is False or count + 1 >= _UNHEALTHY_THRESHOLD:
             self._in_service.discard(balancer.name)
         self.update_fabric()
 
     async def replace_balancer(self, balancer: BalancerProcess) -> int:
-        """Starts another balancer, then stops this one gracefully.
+        """Starts a new balancer, then stops this one gracefully.
 
-        Needs `check_health`; returns the exit status of the old one.
+        Requires `check_health` to run. Returns the exit status of the stopped
+        balancer.
         """
         self.start_balancer()
         await self.wait_for_discovery()
@@ -295,26 +305,26 @@
         return code
 
     async def replace_target(self, target: Target) -> int:
-        """Starts another target, then stops this one gracefully."""
+        """Starts a new target, then stops this one gracefully."""
         self.start_target(target.service)
         await self.wait_for_discovery()
         return await self.remove_target(target)
 
     async def remove_target(self, target: Target) -> int:
-        """Stops a target gracefully, its agent first."""
+        """Stops a target gracefully: first its agent, then its server."""
         self.targets.pop(target.name, None)
         status = await self.stop_gracefully(target.agent)
         await self.stop_gracefully(target.backend)
         return status
 
     def kill_target(self, target: Target) -> None:
-        """Kills agent and backend server of a target at once."""
+        """Kills the agent and the backend server of a target."""
         self.targets.pop(target.name, None)
         target.agent.kill()
         target.backend.kill()
 
     def update_fabric(self) -> None:
-        """Makes the fabric spray over the balancers in service."""
+        """Configures the fabric to use the balancers in service."""
         for service in self.deployment.services:
             self.fabric.replace_balancers(
                 service.name,
@@ -335,19 +345,19 @@
         }
 
     def kill(self, process: subprocess.Popen[bytes]) -> None:
-        """Kills a process without warning."""
+        """Kills a process with SIGKILL."""
         process.kill()
         process.wait()
 
     async def stop_gracefully(self, process: subprocess.Popen[bytes]) -> int:
-        """Sends SIGTERM and waits for the end; returns the exit status."""
+        """Sends SIGTERM, waits for the exit and returns the exit status."""
         process.send_signal(signal.SIGTERM)
         while process.poll() is None:
             await _CLOCK.sleep(_POLL_MS)
         return process.returncode
 
     def executions(self) -> list[dict[str, object]]:
-        """Returns what the backend servers have executed, unordered."""
+        """Returns the execution logs of the backend servers, unordered."""
         lines = []
         for path in self._directory.glob("*.executions"):
             for line in path.read_text().splitlines():
@@ -355,7 +365,7 @@
         return lines
 
     def log_text(self, name: str) -> str:
-        """Returns the log of a balancer or agent."""
+        """Returns the log of a balancer, an agent or the fault proxy."""
         return (self._directory / f"{name}.log").read_text()
 
     def authorities_path(self, service: str) -> str:
@@ -363,7 +373,7 @@
         return str(self._directory / f"{service}.pem")
 
     def stop(self) -> None:
-        """Ends every process and removes the files."""
+        """Kills all processes and removes their files."""
         for process in self._processes:
             if process.poll() is None:
                 process.kill()
@@ -429,12 +439,12 @@
 
 
 async def fetch_ready(address: core.Address) -> bool | None:
-    """Returns whether a process is ready, None when it does not answer."""
+    """Returns whether a process is ready, None if it does not respond."""
     client = httpclient.AsyncHTTPClient()
     try:
         reply = await client.fetch(
             f"http://{address}/readyz",
-            request_timeout=_STATUS_LIMIT_S,
+            request_timeout=_STATUS_TIMEOUT_S,
             raise_error=False,
         )
     except OSError:
@@ -443,11 +453,11 @@
 
 
 async def fetch_status(address: core.Address) -> dict[str, Any]:
-    """Returns the status of a process, empty while it does not answer."""
+    """Returns the status of a process, empty if it does not respond."""
     client = httpclient.AsyncHTTPClient()
     try:
         reply = await client.fetch(
-            f"http://{address}/status", request_timeout=_STATUS_LIMIT_S
+            f"http://{address}/status", request_timeout=_STATUS_TIMEOUT_S
         )
     except (OSError, httpclient.HTTPError):
         return {}
@@ -456,5 +466,5 @@
 
 
 def lab_command() -> list[str]:
-    """Returns the start of a command line of the lab tool."""
+    """Returns the command of the lab tool, to be followed by arguments."""
     return [str(pathlib.Path(sys.executable).parent / "fireflyford-lab")]
--- a/libs/lab/src/fireflyford/lab/_flow_baselines.py
+++ b/libs/lab/src/fireflyford/lab/_flow_baselines.py
@@ -1,4 +1,4 @@
-"""Other ways to route flows without identifier, for comparison."""
+"""Baseline routing methods for flows without an identifier."""
 
 import abc
 from collections.abc import Sequence
@@ -9,12 +9,12 @@
 
 
 class Baseline(abc.ABC):
-    """Chooses a target from one balancer's view alone."""
+    """Chooses a target from the view of a single balancer."""
 
     @property
     @abc.abstractmethod
     def name(self) -> str:
-        """Name in figures."""
+        """Name in results."""
 
     @abc.abstractmethod
     def choose(
@@ -32,29 +32,29 @@
 
     @property
     def name(self) -> str:
-        """Name in figures."""
+        """Name in results."""
         return "modulo hash"
 
     def choose(
         self, balancer: int, view: Sequence[routing.Target], flow_key: int
     ) -> str:
-        """Returns the target at the remainder."""
+        """Returns the target whose index is the remainder."""
         names = _accepting(view)
         return names[flow_key % len(names)]
 
 
 class RendezvousHash(Baseline):
-    """Highest score of flow key and target name, without a search."""
+    """Rendezvous hashing of flow key and target name, without a search."""
 
     @property
     def name(self) -> str:
-        """Name in figures."""
+        """Name in results."""
         return "rendezvous hash"
 
     def choose(
         self, balancer: int, view: Sequence[routing.Target], flow_key: int
     ) -> str:
-        """Returns the target with the highest score."""
+        """Returns the target with the highest hash."""
         seed = flow_key
         return max(
             _accepting(view),
@@ -63,7 +63,7 @@
 
 
 class BalancerFlowTable(Baseline):
-    """A flow table in each balancer, filled by rendezvous hash."""
+    """Flow table local to each balancer, with rendezvous hashing of misses."""
 
     def __init__(self) -> None:
         """Starts with empty tables."""
@@ -72,13 +72,13 @@
 
     @property
     def name(self) -> str:
-        """Name in figures."""
+        """Name in results."""
         return "flow table in each balancer"
 
     def choose(
         self, balancer: int, view: Sequence[routing.Target], flow_key: int
     ) -> str:
-        """Returns the target of this balancer's table while it exists."""
+        """Returns the table's target; chooses a new one if it is gone."""
         placed = self._placed.get((balancer, flow_key))
         if placed is None or all(target.name != placed for target in view):
             placed = self._hash.choose(balancer, view, flow_key)
--- a/libs/lab/src/fireflyford/lab/_flow_network.py
+++ b/libs/lab/src/fireflyford/lab/_flow_network.py
@@ -1,7 +1,8 @@
 """Agents and balancers of plain-datagram flows in virtual time.
 
-The decision code is the product's own; messages, clock and views are kept
-here, so that tests and experiments choose their order.
+The decisions are made by the production code of `fireflyford.routing`.
+Messages, clock and views are simulated, so that tests and experiments can
+choose their order.
 """
 
 from collections.abc import Callable
@@ -11,81 +12,83 @@
 from fireflyford import core
 from fireflyford import routing
 
-_MAX_HELD_BACK = 16
+_MAX_PENDING_MESSAGES = 16
 
 
-class VirtualClock(core.Clock):
-    """Clock that tests and experiments set."""
+class SettableClock(core.Clock):
+    """Clock whose time is set by tests and experiments."""
 
     def __init__(self, now_ms: int = 1_000_000) -> None:
-        """Starts at a time long after zero, as wall clocks do."""
+        """Starts at a time well above zero, like a wall clock."""
         self.time_ms = now_ms
 
     def now_ms(self) -> int:
-        """Returns the time that was set."""
+        """Returns the current setting."""
         return self.time_ms
 
     def wall_ms(self) -> int:
-        """Returns the time that was set."""
+        """Returns the current setting."""
         return self.time_ms
 
     async def sleep(self, duration_ms: float) -> None:
-        """Moves the time on at once."""
+        """Advances the time without waiting."""
         self.time_ms += int(duration_ms)
 
 
 @dataclasses.dataclass(frozen=True)
 class Message:
-    """A datagram or notice on its way to an agent.
+    """A datagram or notice in transit to an agent.
 
     Attributes:
-        to: Agent that it is meant for.
+        recipient: Agent that the message is addressed to.
         sender: Link address of the sender.
         body: Datagram or notice.
-        packet: Number of the caller's datagram, 0 for a notice.
+        packet: Sequence number of the caller's datagram, 0 for a notice.
     """
 
-    to: core.Holder
+    recipient: core.Holder
     sender: core.Address
     body: routing.ForwardedDatagram | routing.Notice
     packet: int = 0
 
 
 class Node(routing.FlowPlacement):
-    """One agent: its flow table and the view it has of its peers."""
+    """One agent with its flow table and its view of the targets."""
 
     def __init__(
         self, network: "FlowNetwork", name: str, holder: core.Holder
     ) -> None:
-        """Starts an agent that knows no peers."""
+        """Starts an agent with an empty view."""
         self.name = name
         self.holder = holder
         self.draining = False
         self.table = network.make_table(network.clock, holder, self)
-        self.held_back: list[Message] = []
+        self.pending_messages: list[Message] = []
         self._ring = routing.TargetRing(())
-        self._others = routing.TargetRing(())
+        self._ring_without_self = routing.TargetRing(())
 
     def first_target(self, flow_key: int) -> core.Holder | None:
-        """Returns the first target in this agent's view."""
+        """Returns the first target for a flow in this agent's view."""
         target = self._ring.find(flow_key)
         return None if target is None else target.holder
 
     def successor(self, flow_key: int) -> core.Holder | None:
-        """Returns the first target besides this agent while it drains."""
-        target = self._others.find(flow_key) if self.draining else None
+        """Returns the first other target for a flow; None if not draining."""
+        target = (
+            self._ring_without_self.find(flow_key) if self.draining else None
+        )
         return None if target is None else target.holder
 
     def replace_targets(self, targets: Iterable[routing.Target]) -> None:
-        """Takes the targets of a new view."""
+        """Replaces the targets of this agent's view."""
         known = tuple(targets)
         self._ring = routing.TargetRing(known)
-        self._others = routing.TargetRing(
+        self._ring_without_self = routing.TargetRing(
             item for item in known if item.name != self.name
         )
 
 
-TableMaker = Callable[
+FlowTableFactory = Callable[
     [core.Clock, core.Holder, routing.FlowPlacement], routing.FlowTable
 ]
 
@@ -101,21 +104,23 @@
 
 
 class FlowNetwork:
-    """Agents, and the messages on their way between them."""
+    """Agents and the messages in transit between them."""
 
-    def __init__(self, make_table: TableMaker = routing.FlowTable) -> None:
+    def __init__(
+        self, make_table: FlowTableFactory = routing.FlowTable
+    ) -> None:
         """Starts without agents.
 
         Args:
-            make_table: Makes the flow table of each agent; tests pass faulty
-                tables to show that a check notices them.
+            make_table: Creates the flow table of each agent. Tests pass
+                faulty tables to verify that a check detects them.
         """
-        self.clock = VirtualClock()
+        self.clock = SettableClock()
         self.make_table = make_table
         self.nodes: dict[core.Address, Node] = {}
         self.in_flight: list[Message] = []
         self.deliveries: list[Delivery] = []
-        self.mismatch_count = 0
+        self.incarnation_mismatch_count = 0
         self.dropped_count = 0
         self.max_hops = 0
         self._packet_count = 0
@@ -127,24 +132,24 @@
         return node
 
     def kill(self, address: core.Address) -> None:
-        """Ends an agent without warning."""
+        """Removes an agent abruptly, as in a crash."""
         del self.nodes[address]
 
     def send(
         self, router: routing.Router, balancer: core.Address, flow_key: int
     ) -> int:
-        """Sends a caller's datagram through a balancer; returns its number."""
+        """Sends a caller's datagram via a balancer; returns its number."""
         self._packet_count += 1
         route = router.choose(routing.UnidentifiedFlowHint(flow_key))
         if route is None:
             self.dropped_count += 1
             return self._packet_count
-        arrival = routing.ForwardedDatagram(
+        datagram = routing.ForwardedDatagram(
             flow_key, balancer, 0, route.candidates
         )
-        to = core.Holder(route.address, route.incarnation)
+        recipient = core.Holder(route.address, route.incarnation)
         self.in_flight.append(
-            Message(to, balancer, arrival, self._packet_count)
+            Message(recipient, balancer, datagram, self._packet_count)
         )
         return self._packet_count
 
@@ -157,37 +162,37 @@
         ]
 
     def deliver(self, message: Message) -> None:
-        """Hands a message to its agent; it need not be in flight."""
-        node = self.nodes.get(message.to.address)
+        """Delivers a message to its agent; it need not be in `in_flight`."""
+        node = self.nodes.get(message.recipient.address)
         if node is None:
             return
-        if message.to.incarnation not in (0, node.holder.incarnation):
-            self.mismatch_count += 1
+        if message.recipient.incarnation not in (0, node.holder.incarnation):
+            self.incarnation_mismatch_count += 1
             return
-        self._handle(node, message)
+        self._handle_message(node, message)
         self.retry(node)
 
     def retry(self, node: Node) -> None:
-        """Decides again about the datagrams that an agent holds back."""
-        waiting, node.held_back = node.held_back, []
+        """Reprocesses the datagrams that an agent holds back."""
+        waiting, node.pending_messages = node.pending_messages, []
         for message in waiting:
-            self._handle(node, message)
+            self._handle_message(node, message)
 
     def retry_all(self) -> None:
-        """Does what the timer of every agent does."""
+        """Retries the held datagrams of all agents, as their timers do."""
         for node in tuple(self.nodes.values()):
             self.retry(node)
 
-    def settle(self) -> None:
-        """Delivers messages in order until none is left."""
+    def deliver_all(self) -> None:
+        """Delivers messages in order until none is in transit."""
         while self.in_flight:
             self.deliver(self.in_flight.pop(0))
 
     def announce(self, node: Node) -> None:
-        """Does what an agent does after a change of its view."""
+        """Sends the notices that an agent sends after a change of its view."""
         self._send_notices(node, node.table.announce())
 
-    def _handle(self, node: Node, message: Message) -> None:
+    def _handle_message(self, node: Node, message: Message) -> None:
         body = message.body
         if isinstance(body, routing.Notice):
             sender = core.Holder(message.sender, 0)
@@ -204,7 +209,7 @@
             )
         elif decision.action is routing.Action.FORWARD:
             assert decision.to is not None
-            onward = routing.ForwardedDatagram(
+            forwarded = routing.ForwardedDatagram(
                 body.flow_key,
                 node.holder.address,
                 body.hops + 1,
@@ -213,14 +218,14 @@
             )
             self.in_flight.append(
                 Message(
-                    decision.to, node.holder.address, onward, message.packet
+                    decision.to, node.holder.address, forwarded, message.packet
                 )
             )
         elif (
             decision.action is routing.Action.HOLD
-            and len(node.held_back) < _MAX_HELD_BACK
+            and len(node.pending_messages) < _MAX_PENDING_MESSAGES
         ):
-            node.held_back.append(message)
+            node.pending_messages.append(message)
         else:
             self.dropped_count += 1
 
--- a/libs/lab/src/fireflyford/lab/_flow_run.py
+++ b/libs/lab/src/fireflyford/lab/_flow_run.py
@@ -1,4 +1,4 @@
-"""One run of plain-datagram flows in virtual time under changing views."""
+"""Simulation of plain-datagram flows in virtual time under changing views."""
 
 from collections.abc import Callable
 from collections.abc import Sequence
@@ -13,24 +13,24 @@
 from fireflyford.lab import _flow_network
 
 _TARGET_COUNT = 10
-_MESSAGE_MS = (0.5, 1.5)
-# A view arrives everywhere within 3 s.
-_VIEW_LAG_MS = (50, 3_000)
-_TIMER_MS = 50
+_MESSAGE_DELAY_MS = (0.5, 1.5)
+# A view reaches every balancer and agent within 3 s.
+_VIEW_DELAY_MS = (50, 3_000)
+_RETRY_INTERVAL_MS = 50
 
 
 @dataclasses.dataclass(frozen=True)
 class Plan:
-    """What happens in one run.
+    """Parameters of one run.
 
     Attributes:
-        balancer_count: Balancers, each with a view of its own.
-        flow_count: Flows open from the start.
-        packet_count: Datagrams of callers.
-        duration_ms: Length of the run.
-        changes: Kinds of change, at even distances: `join`, `drain`,
+        balancer_count: Number of balancers, each with its own view.
+        flow_count: Flows opened during the warm-up.
+        packet_count: Datagrams that callers send after the warm-up.
+        duration_ms: Length of the run after the warm-up.
+        changes: Changes of the targets at regular intervals: `join`, `drain`,
             `weight` or `kill`.
-        new_flow_ratio: Share of datagrams that start a flow.
+        new_flow_ratio: Fraction of datagrams that start a new flow.
     """
 
     balancer_count: int
@@ -42,7 +42,7 @@
 
 
 class DeliveryCounts:
-    """Where the datagrams of one way of routing went."""
+    """Delivery statistics of one routing method."""
 
     def __init__(self) -> None:
         """Starts without flows."""
@@ -52,7 +52,10 @@
         self.delivered_count = 0
 
     def add(self, flow_key: int, target: str, alive: set[str]) -> None:
-        """Notes a delivery; another target than a living owner is wrong."""
+        """Records a delivery.
+
+        A delivery to another target is misrouted while the owner is alive.
+        """
         self.delivered_count += 1
         owner = self._owners.get(flow_key)
         if owner is None or owner not in alive:
@@ -63,10 +66,10 @@
 
 
 class FlowRun:
-    """Runs one plan against the product's decision code and baselines."""
+    """Runs one plan with the production routing code and with baselines."""
 
     def __init__(self, plan: Plan, rng: random.Random) -> None:
-        """Prepares targets, balancers and flows."""
+        """Prepares an empty network and the routers of the balancers."""
         self._plan = plan
         self._rng = rng
         self.network = _flow_network.FlowNetwork()
@@ -91,7 +94,7 @@
         for baseline in self._baselines:
             self.baselines[baseline.name] = DeliveryCounts()
         self.hops: list[int] = []
-        self._dead: set[core.Holder] = set()
+        self._killed_holders: set[core.Holder] = set()
         self.sent_count = 0
 
     def run(self) -> None:
@@ -104,40 +107,42 @@
             router.replace_targets(view)
         for node in self.network.nodes.values():
             node.replace_targets(view)
-        self._plan_events()
+        self._schedule_events()
         while self._events:
-            time_ms, _, act = heapq.heappop(self._events)
+            time_ms, _, callback = heapq.heappop(self._events)
             self._clock.time_ms = int(time_ms)
-            act()
-            self._collect(time_ms)
+            callback()
+            self._process_messages(time_ms)
 
-    def _plan_events(self) -> None:
+    def _schedule_events(self) -> None:
         plan = self._plan
         start_ms = float(self._clock.time_ms)
         warm_up_ms = 2_000.0
         for number in range(plan.flow_count):
             at_ms = start_ms + warm_up_ms * number / plan.flow_count
-            self._at(at_ms, self._open_flow)
+            self._schedule(at_ms, self._open_flow)
         start_ms += warm_up_ms
         for _ in range(plan.packet_count):
             at_ms = start_ms + self._rng.random() * plan.duration_ms
-            self._at(at_ms, self._send_packet)
+            self._schedule(at_ms, self._send_packet)
         gap_ms = plan.duration_ms / (len(plan.changes) + 1)
         for number, change in enumerate(plan.changes):
             at_ms = start_ms + gap_ms * (number + 1)
-            self._at(at_ms, functools.partial(self._change, change))
-        for tick in range(int((plan.duration_ms + 4_000) / _TIMER_MS)):
-            self._at(start_ms + tick * _TIMER_MS, self.network.retry_all)
+            self._schedule(at_ms, functools.partial(self._change, change))
+        for tick in range(int((plan.duration_ms + 4_000) / _RETRY_INTERVAL_MS)):
+            self._schedule(
+                start_ms + tick * _RETRY_INTERVAL_MS, self.network.retry_all
+            )
 
-    def _at(self, time_ms: float, act: Callable[[], None]) -> None:
+    def _schedule(self, time_ms: float, callback: Callable[[], None]) -> None:
         self._event_count += 1
-        heapq.heappush(self._events, (time_ms, self._event_count, act))
+        heapq.heappush(self._events, (time_ms, self._event_count, callback))
 
-    def _collect(self, time_ms: float) -> None:
-        """Puts new messages on their way and counts deliveries."""
+    def _process_messages(self, time_ms: float) -> None:
+        """Schedules the delivery of new messages and records deliveries."""
         for message in self.network.in_flight:
-            delay_ms = self._rng.uniform(*_MESSAGE_MS)
-            self._at(
+            delay_ms = self._rng.uniform(*_MESSAGE_DELAY_MS)
+            self._schedule(
                 time_ms + delay_ms,
                 functools.partial(self.network.deliver, message),
             )
@@ -159,7 +164,8 @@
 
     def _send_packet(self) -> None:
         if self._rng.random() < self._plan.new_flow_ratio:
-            # Two datagrams at once meet agents that both may adopt the flow.
+            # Two datagrams sent at once can reach different agents, each of
+            # which may adopt the flow.
             self._open_flow()
             self._send(self._flows[-1])
         else:
@@ -204,30 +210,35 @@
             )
         else:
             del self._targets[target.name]
-            self._dead.add(target.holder)
+            self._killed_holders.add(target.holder)
             self.network.kill(target.address)
         self._spread(tuple(self._targets.values()))
 
     def _spread(self, view: Sequence[routing.Target]) -> None:
         now_ms = self._clock.time_ms
         for index in range(self._plan.balancer_count):
-            lag_ms = self._rng.uniform(*_VIEW_LAG_MS)
-            self._at(
-                now_ms + lag_ms,
-                functools.partial(self._see, index, view),
+            delay_ms = self._rng.uniform(*_VIEW_DELAY_MS)
+            self._schedule(
+                now_ms + delay_ms,
+                functools.partial(self._apply_balancer_view, index, view),
             )
         for node in tuple(self.network.nodes.values()):
-            lag_ms = self._rng.uniform(*_VIEW_LAG_MS)
-            self._at(now_ms + lag_ms, functools.partial(self._show, node, view))
+            delay_ms = self._rng.uniform(*_VIEW_DELAY_MS)
+            self._schedule(
+                now_ms + delay_ms,
+                functools.partial(self._apply_agent_view, node, view),
+            )
 
-    def _see(self, index: int, view: Sequence[routing.Target]) -> None:
+    def _apply_balancer_view(
+        self, index: int, view: Sequence[routing.Target]
+    ) -> None:
         self._views[index] = view
         self._routers[index].replace_targets(view)
 
-    def _show(
+    def _apply_agent_view(
         self, node: _flow_network.Node, view: Sequence[routing.Target]
     ) -> None:
         if self.network.nodes.get(node.holder.address) is node:
             node.replace_targets(view)
-            node.table.remove_holders(self._dead)
+            node.table.remove_holders(self._killed_holders)
             self.network.announce(node)
--- a/libs/lab/src/fireflyford/lab/_forward_load.py
+++ b/libs/lab/src/fireflyford/lab/_forward_load.py
@@ -1,4 +1,4 @@
-"""Sender of the forwarding experiments and control of their workers."""
+"""Load generator of the forwarding experiments and control of workers."""
 
 import dataclasses
 import json
@@ -16,26 +16,26 @@
 from fireflyford import wire
 from fireflyford.lab import _forward_worker
 
-# Callers' datagrams in the measurements: about a request with its headers.
+# Size of a caller's datagram: about that of a request with its headers.
 PAYLOAD_BYTES = 200
-# More would overflow the receive buffer of a bare relay between two turns of
-# its event loop.
+# Larger bursts would overflow the receive buffer of a bare relay between two
+# iterations of its event loop.
 _BURST_DATAGRAMS = 16
 
 
 @dataclasses.dataclass(frozen=True)
-class Report:
-    """CPU time and forwarded datagrams of a worker so far."""
+class WorkerReport:
+    """CPU time and forwarded datagrams of a worker since its start."""
 
     cpu_s: float
     count: int
 
 
 class Worker:
-    """One forwarding process."""
+    """Handle of a forwarding process."""
 
     def __init__(self, kind: str, target: core.Address, key: bytes) -> None:
-        """Starts the process and waits for its sockets."""
+        """Starts the process and waits until its sockets are open."""
         self._process = subprocess.Popen(
             [
                 sys.executable,
@@ -54,18 +54,18 @@
         ports = json.loads(self._output.readline())
         self.addresses = [core.Address("127.0.0.1", port) for port in ports]
 
-    def report(self) -> Report:
-        """Returns what the process has done so far."""
+    def report(self) -> WorkerReport:
+        """Returns the current report of the process."""
         self._input.write("report\n")
         self._input.flush()
-        return Report(**json.loads(self._output.readline()))
+        return WorkerReport(**json.loads(self._output.readline()))
 
     def memory_bytes(self) -> int:
         """Returns the resident memory of the process."""
         return int(psutil.Process(self._process.pid).memory_info().rss)
 
     def stop(self) -> None:
-        """Ends the process."""
+        """Stops the process and waits for its exit."""
         self._input.close()
         self._process.wait()
 
@@ -73,7 +73,7 @@
 def make_quic_datagrams(
     key: bytes, count: int, agent: core.Address, rng: random.Random
 ) -> list[bytes]:
-    """Returns a datagram of each of `count` open QUIC flows at one agent."""
+    """Returns one datagram for each of `count` QUIC flows at one agent."""
     codec = wire.ConnectionIdCodec([key], _forward_worker.SERVICE)
     body = rng.randbytes(PAYLOAD_BYTES - 1 - wire.CONNECTION_ID_BYTES)
     datagrams = []
@@ -86,7 +86,7 @@
 
 
 def make_answers(key: bytes, caller: core.Address) -> list[bytes]:
-    """Returns one answer of an agent to a caller."""
+    """Returns one reply datagram of an agent to a caller."""
     header = wire.ForwardHeader(
         kind=wire.ForwardType.TO_CALLER,
         service=core.service_tag(_forward_worker.SERVICE),
@@ -99,12 +99,12 @@
 
 def send_paced(
     sockets: list[socket.socket],
-    to: core.Address,
+    destination: core.Address,
     datagrams: list[bytes],
     count: int,
     rate_per_s: float,
 ) -> None:
-    """Sends datagrams at a steady rate, in small bursts."""
+    """Sends datagrams at a constant rate, in small bursts."""
     start_s = time.monotonic()
     for number in range(count):
         if number % _BURST_DATAGRAMS == 0:
@@ -113,11 +113,11 @@
             if delay_s > 0:
                 time.sleep(delay_s)
         sender = sockets[number % len(sockets)]
-        sender.sendto(datagrams[number % len(datagrams)], to.pair)
+        sender.sendto(datagrams[number % len(datagrams)], destination.pair)
 
 
 def open_sockets(count: int) -> list[socket.socket]:
-    """Returns UDP sockets, each with an address of its own."""
+    """Returns UDP sockets with distinct loopback addresses."""
     sockets = []
     for _ in range(count):
         opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
--- a/libs/lab/src/fireflyford/lab/_forward_worker.py
+++ b/libs/lab/src/fireflyford/lab/_forward_worker.py
@@ -1,8 +1,8 @@
-"""Process that forwards datagrams, measured by the forwarding experiments.
+"""Forwarding process that the forwarding experiments measure.
 
 Usage: `python -m fireflyford.lab._forward_worker KIND TARGET KEY`. It prints
-the addresses of its sockets, then answers each line on standard input with
-its CPU time and its number of forwarded datagrams.
+the ports of its sockets as a JSON list. For each line on standard input it
+prints a JSON object with its CPU time and its number of forwarded datagrams.
 """
 
 import asyncio
@@ -22,7 +22,7 @@
 
 
 class _BareRelay(asyncio.DatagramProtocol):
-    """Copies each datagram to one address, as little as a relay can do."""
+    """Forwards each datagram to one address; a lower bound of the cost."""
 
     def __init__(self, target: core.Address) -> None:
         self._pair = target.pair
@@ -37,7 +37,7 @@
 
 
 class _Worker:
-    """Sockets of one kind of forwarder."""
+    """Sockets and counters of one kind of forwarder."""
 
     def __init__(self) -> None:
         self.ports: list[int] = []
@@ -46,7 +46,7 @@
         self.counters = balancer.Counters()
 
     async def open_relay(self, target: core.Address) -> None:
-        """Opens a bare relay."""
+        """Opens a bare relay to the target."""
         loop = asyncio.get_running_loop()
         transport, relay = await loop.create_datagram_endpoint(
             lambda: _BareRelay(target), local_addr=_LOCAL.pair
@@ -74,7 +74,7 @@
             self.tasks.append(asyncio.create_task(part.run(socket)))
 
     def report(self) -> str:
-        """Returns CPU time and number of datagrams."""
+        """Returns the CPU time and the number of datagrams as JSON."""
         counters = self.counters
         count = counters.to_agent_count + counters.to_caller_count
         if self.relay is not None:
@@ -94,13 +94,13 @@
     print(json.dumps(worker.ports), flush=True)
     stopped = asyncio.Event()
 
-    def answer() -> None:
+    def handle_command() -> None:
         if sys.stdin.readline():
             print(worker.report(), flush=True)
         else:
             stopped.set()
 
-    asyncio.get_running_loop().add_reader(sys.stdin, answer)
+    asyncio.get_running_loop().add_reader(sys.stdin, handle_command)
     await stopped.wait()
 
 
--- a/libs/lab/src/fireflyford/lab/_history.py
+++ b/libs/lab/src/fireflyford/lab/_history.py
@@ -1,4 +1,4 @@
-"""Checks what callers were told against what backend servers ran."""
+"""Checks the answers that callers received against what was executed."""
 
 from collections.abc import Sequence
 import dataclasses
@@ -8,14 +8,14 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Told:
-    """An answer that a caller received.
+class Answer:
+    """Answer that a caller received.
 
     Attributes:
-        request: Name of the caller's order, over all its tickets.
+        request: Name of the order; all tickets of an order share it.
         ticket: Name of the ticket that the answer belongs to.
-        execution: What the answer says; `RAN` for a complete answer and for
-            a failure after the run.
+        execution: Whether the work ran according to the answer; `RAN` for a
+            complete answer and for a failure after execution.
         body: Body of a complete answer, else None.
     """
 
@@ -26,8 +26,8 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Ran:
-    """A start of work at a backend server."""
+class ExecutionRecord:
+    """Start of the execution of a request at a backend server."""
 
     request: str
     ticket: str
@@ -35,7 +35,16 @@
 
 
 class Rule(enum.Enum):
-    """What every history must keep."""
+    """Consistency rules of a history, named by their violation.
+
+    Attributes:
+        RAN_TWICE: A request was executed more than once.
+        NOT_RUN_BUT_RAN: An answer says "not run", but the work was executed.
+        COMPLETE_BUT_NOT_RUN: An answer says that the work ran, but it was not
+            executed.
+        WRONG_ANSWER: The body of a complete answer is wrong.
+        DIFFERENT_ANSWERS: Two answers to one ticket contradict each other.
+    """
 
     RAN_TWICE = "ran-twice"
     NOT_RUN_BUT_RAN = "not-run-but-ran"
@@ -46,7 +55,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Violation:
-    """A broken rule."""
+    """Violation of a rule by a request."""
 
     rule: Rule
     request: str
@@ -54,27 +63,29 @@
 
 
 def check(
-    told: Sequence[Told], ran: Sequence[Ran], bodies: dict[str, bytes]
+    answers: Sequence[Answer],
+    executions: Sequence[ExecutionRecord],
+    bodies: dict[str, bytes],
 ) -> list[Violation]:
-    """Returns every violation of a finished history.
+    """Returns all violations of a complete history.
 
     Args:
-        told: All answers.
-        ran: All starts of work.
+        answers: All answers that callers received.
+        executions: All starts of work at backend servers.
         bodies: Expected body of a complete answer, by ticket.
     """
-    found = _check_runs(ran)
-    ran_tickets = {item.ticket for item in ran}
-    for item in told:
-        found += _check_answer(item, ran_tickets, bodies)
-    found += _check_agreement(told)
+    found = _check_executions(executions)
+    executed_tickets = {item.ticket for item in executions}
+    for item in answers:
+        found += _check_answer(item, executed_tickets, bodies)
+    found += _check_agreement(answers)
     return found
 
 
-def _check_runs(ran: Sequence[Ran]) -> list[Violation]:
+def _check_executions(executions: Sequence[ExecutionRecord]) -> list[Violation]:
     seen: set[str] = set()
     found = []
-    for item in ran:
+    for item in executions:
         if item.request in seen:
             found.append(Violation(Rule.RAN_TWICE, item.request, item.ticket))
         seen.add(item.request)
@@ -82,10 +93,10 @@
 
 
 def _check_answer(
-    item: Told, ran_tickets: set[str], bodies: dict[str, bytes]
+    item: Answer, executed_tickets: set[str], bodies: dict[str, bytes]
 ) -> list[Violation]:
     rules = []
-    has_run = item.ticket in ran_tickets
+    has_run = item.ticket in executed_tickets
     if item.execution is core.Execution.NOT_RUN and has_run:
         rules.append(Rule.NOT_RUN_BUT_RAN)
     if item.execution is core.Execution.RAN and not has_run:
@@ -95,10 +106,10 @@
     return [Violation(rule, item.request, item.ticket) for rule in rules]
 
 
-def _check_agreement(told: Sequence[Told]) -> list[Violation]:
+def _check_agreement(answers: Sequence[Answer]) -> list[Violation]:
     first: dict[str, core.Execution] = {}
     found = []
-    for item in told:
+    for item in answers:
         if item.execution is core.Execution.UNKNOWN:
             continue
         known = first.setdefault(item.ticket, item.execution)
--- a/libs/lab/src/fireflyford/lab/_load.py
+++ b/libs/lab/src/fireflyford/lab/_load.py
@@ -1,4 +1,4 @@
-"""Open-loop load: arrivals do not wait for answers."""
+"""Open-loop load generator: arrivals do not depend on responses."""
 
 import asyncio
 from collections.abc import Awaitable
@@ -16,10 +16,10 @@
     """One request of the load.
 
     Attributes:
-        number: Number of the request in the run.
-        name: Kind of the request, for the figures.
-        nominal_ms: Duration at speed 1.
-        deadline_ms: Longest useful time.
+        number: Sequence number of the request in the run.
+        name: Kind of the request, by which results are grouped.
+        nominal_ms: Execution time on a backend server of speed 1.
+        deadline_ms: Time after which a response is of no use.
     """
 
     number: int
@@ -34,9 +34,9 @@
 
     Attributes:
         job: The request.
-        started_ms: When it arrived, from the start of the load.
-        elapsed_ms: Time to the answer.
-        failure: Kind of the failure, or None for a complete answer.
+        started_ms: Arrival time, relative to the start of the load.
+        elapsed_ms: Response time.
+        failure: Kind of the failure, or None for a complete response.
     """
 
     job: Job
@@ -46,7 +46,7 @@
 
     @property
     def within_deadline(self) -> bool:
-        """Whether the answer is complete and within the deadline."""
+        """Whether the response is complete and met the deadline."""
         return self.failure is None and self.elapsed_ms <= self.job.deadline_ms
 
 
@@ -60,13 +60,13 @@
     make_job: Callable[[int], Job],
     send: Send,
 ) -> list[Sample]:
-    """Sends requests at random times and waits for all answers.
+    """Sends requests with Poisson arrivals and waits for all responses.
 
     Args:
         rng: Random source of the arrivals.
-        rate: Requests per second at a time in ms from the start.
-        duration_ms: Length of the load.
-        make_job: Returns the request of a number.
+        rate: Returns the requests per second at a time in ms from the start.
+        duration_ms: Time during which requests arrive.
+        make_job: Returns the request with a given sequence number.
         send: Sends one request and returns its outcome.
     """
     loop = asyncio.get_running_loop()
@@ -74,21 +74,21 @@
     samples: list[Sample] = []
     tasks: set[asyncio.Task[None]] = set()
 
-    async def one(job: Job, started_ms: float) -> None:
+    async def send_one(job: Job, started_ms: float) -> None:
         outcome = await send(job)
         elapsed_ms = (loop.time() - start_s) * 1000 - started_ms
         kind = outcome.kind if isinstance(outcome, core.Failure) else None
         samples.append(Sample(job, started_ms, elapsed_ms, kind))
 
-    next_ms = 0.0
+    arrival_ms = 0.0
     number = 0
     while True:
-        next_ms += rng.expovariate(rate(next_ms)) * 1000
-        if next_ms >= duration_ms:
+        arrival_ms += rng.expovariate(rate(arrival_ms)) * 1000
+        if arrival_ms >= duration_ms:
             break
-        await asyncio.sleep(max(0.0, start_s + next_ms / 1000 - loop.time()))
+        await asyncio.sleep(max(0.0, start_s + arrival_ms / 1000 - loop.time()))
         number += 1
-        task = asyncio.create_task(one(make_job(number), next_ms))
+        task = asyncio.create_task(send_one(make_job(number), arrival_ms))
         tasks.add(task)
         task.add_done_callback(tasks.discard)
     while tasks:
@@ -97,7 +97,7 @@
 
 
 def percentile(values: Sequence[float], ratio: float) -> float:
-    """Returns a percentile by nearest rank; 0 for no values.
+    """Returns a percentile by the nearest-rank method; 0 for no values.
 
     >>> percentile([1, 2, 3, 4], 0.5)
     2
--- a/libs/lab/src/fireflyford/lab/_model.py
+++ b/libs/lab/src/fireflyford/lab/_model.py
@@ -1,4 +1,4 @@
-"""Model of one service in virtual time, around the real decision code."""
+"""Simulation of one service in virtual time, with the production scheduler."""
 
 import asyncio
 import collections
@@ -10,7 +10,7 @@
 from fireflyford import core
 from fireflyford import requests
 
-# Connection set-up and HTTP on loopback, as measured between processes.
+# Connection set-up and HTTP between processes on loopback take this long.
 _OVERHEAD_MS = 1.0
 _LINK_DELAY_MS = 1.0
 _PAUSE_POLL_MS = 5
@@ -18,7 +18,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Execution:
-    """One start of work at a backend server."""
+    """Start of one execution at a backend server."""
 
     backend: str
     body: bytes
@@ -26,7 +26,7 @@
 
 
 class ModelBackend(requests.Executor):
-    """Backend server with slots, a speed and faults."""
+    """Simulated backend server with slots, a speed and faults."""
 
     def __init__(
         self, clock: core.Clock, name: str, slot_count: int, speed: float
@@ -47,7 +47,7 @@
     async def execute(
         self, work: requests.WorkItem
     ) -> core.Outcome[requests.Response]:
-        """Runs work for its nominal time divided by the speed."""
+        """Runs work for its nominal execution time divided by the speed."""
         if self.dead:
             return core.Failure(core.ErrorKind.BACKEND_REFUSED, "dead")
         if self.failing:
@@ -68,7 +68,7 @@
             await self._wait_while_paused()
         finally:
             self.running_count -= 1
-            self._count_busy(start_ms, self._clock.now_ms())
+            self._record_busy_time(start_ms, self._clock.now_ms())
         await self._clock.sleep(_OVERHEAD_MS)
         if self.dead:
             return core.Failure(core.ErrorKind.OUTCOME_UNKNOWN, "died")
@@ -78,7 +78,7 @@
         while self.paused and not self.dead:
             await self._clock.sleep(_PAUSE_POLL_MS)
 
-    def _count_busy(self, start_ms: int, end_ms: int) -> None:
+    def _record_busy_time(self, start_ms: int, end_ms: int) -> None:
         while start_ms < end_ms:
             second = start_ms // 1000
             stop_ms = min(end_ms, (second + 1) * 1000)
@@ -87,13 +87,13 @@
 
 
 def nominal_ms(path: str) -> float:
-    """Returns the duration that a path asks for."""
+    """Returns the nominal execution time that a path requests."""
     query = parse.parse_qs(parse.urlsplit(path).query)
     return float(query.get("ms", ["5"])[0])
 
 
 class ModelNode:
-    """One target: engine, backend server and its reachability."""
+    """Simulated target: request engine, backend server and reachability."""
 
     def __init__(
         self,
@@ -109,20 +109,20 @@
         self.paused = False
 
     def kill(self) -> None:
-        """Ends the node without warning."""
+        """Terminates the node abruptly, as in a crash."""
         self.dead.set()
         self.backend.dead = True
         self.engine.close()
 
 
 @dataclasses.dataclass(frozen=True)
-class Faults:
+class LinkFaults:
     """Faults of the links between agents.
 
     Attributes:
-        duplicate_ratio: Messages that arrive twice.
-        late_ms: Longest delay of the second copy.
-        lost_reply_ratio: Answers that are lost.
+        duplicate_ratio: Fraction of messages that arrive twice.
+        late_ms: Maximum delay of the second copy.
+        lost_reply_ratio: Fraction of replies that are lost.
     """
 
     duplicate_ratio: float = 0.0
@@ -131,15 +131,15 @@
 
 
 class ModelNetwork:
-    """Reaches nodes by address."""
+    """Simulated network that delivers messages to nodes by address."""
 
     def __init__(self, clock: core.Clock, rng: random.Random) -> None:
         """Prepares an empty network without faults."""
         self._clock = clock
         self._rng = rng
         self.nodes: dict[core.Address, ModelNode] = {}
-        self.faults = Faults()
-        self._copies: set[asyncio.Task[None]] = set()
+        self.faults = LinkFaults()
+        self._copy_tasks: set[asyncio.Task[None]] = set()
 
     async def call(
         self,
@@ -148,18 +148,18 @@
             [ModelNode], "asyncio.Task[core.Outcome[requests.Response]]"
         ],
     ) -> core.Outcome[requests.Response]:
-        """Delivers a message and returns the answer, under the faults."""
+        """Delivers a message, subject to faults, and returns the reply."""
         if address not in self.nodes:
             return core.Failure(core.ErrorKind.INSTANCE_UNREACHABLE, "gone")
         await self._clock.sleep(_LINK_DELAY_MS)
         if self._rng.random() < self.faults.duplicate_ratio:
             copy = asyncio.create_task(self._deliver_late(address, answer))
-            self._copies.add(copy)
-            copy.add_done_callback(self._copies.discard)
+            self._copy_tasks.add(copy)
+            copy.add_done_callback(self._copy_tasks.discard)
         outcome = await self.deliver(address, answer)
         await self._clock.sleep(_LINK_DELAY_MS)
         if self._rng.random() < self.faults.lost_reply_ratio:
-            return core.Failure(core.ErrorKind.OUTCOME_UNKNOWN, "lost answer")
+            return core.Failure(core.ErrorKind.OUTCOME_UNKNOWN, "reply lost")
         return outcome
 
     async def _deliver_late(
@@ -179,31 +179,31 @@
             [ModelNode], "asyncio.Task[core.Outcome[requests.Response]]"
         ],
     ) -> core.Outcome[requests.Response]:
-        """Delivers a message once and returns the answer."""
+        """Delivers a message once, without faults, and returns the reply."""
         node = self.nodes.get(address)
         while node is not None and node.paused and not node.dead.is_set():
             await self._clock.sleep(_PAUSE_POLL_MS)
-        # A paused node may have been replaced at its address meanwhile.
+        # Another node may have taken over the address during the pause.
         node = self.nodes.get(address)
         if node is None or node.dead.is_set():
             return core.Failure(core.ErrorKind.OUTCOME_UNKNOWN, "died")
         task = answer(node)
-        death = asyncio.create_task(node.dead.wait())
+        death_task = asyncio.create_task(node.dead.wait())
         try:
             await asyncio.wait(
-                {task, death}, return_when=asyncio.FIRST_COMPLETED
+                {task, death_task}, return_when=asyncio.FIRST_COMPLETED
             )
             if node.dead.is_set() or not task.done():
                 return core.Failure(core.ErrorKind.OUTCOME_UNKNOWN, "died")
             return task.result()
         finally:
-            death.cancel()
+            death_task.cancel()
             if not task.done():
                 task.cancel()
 
 
 class ModelChannel(requests.PeerChannel):
-    """Channel of one node through the model network."""
+    """Channel of a node to its peers through the simulated network."""
 
     def __init__(self, clock: core.Clock, network: ModelNetwork) -> None:
         """Takes the network."""
@@ -213,7 +213,7 @@
     async def execute(
         self, address: core.Address, handoff: requests.Handoff
     ) -> core.Outcome[requests.Response]:
-        """Hands work to a peer and waits for the outcome."""
+        """Hands off work to a peer and waits for the outcome."""
         outcome = await self._network.call(
             address,
             lambda node: asyncio.create_task(
@@ -242,7 +242,7 @@
     async def exchange(
         self, address: core.Address, report: requests.TargetReport
     ) -> core.Outcome[requests.TargetReport]:
-        """Sends the own report and returns that of the peer."""
+        """Sends a report to a peer and returns the peer's report."""
         await self._clock.sleep(_LINK_DELAY_MS)
         node = self._network.nodes.get(address)
         while node is not None and node.paused and not node.dead.is_set():
@@ -254,34 +254,34 @@
         return core.Ok(peer_report)
 
     def cancel(self, address: core.Address, key: tuple[int, int]) -> None:
-        """Tells a peer that handed-over work is no longer wanted."""
+        """Cancels work that was handed off to a peer."""
         node = self._network.nodes.get(address)
         if node is not None and not node.paused:
             node.engine.cancel_handoff(key)
 
 
-MakePlacement = Callable[[random.Random], requests.Placement]
-MakeQueue = Callable[[int], requests.WorkQueue]
-MakeAdmission = Callable[[], requests.AdmissionPolicy]
+PlacementFactory = Callable[[random.Random], requests.Placement]
+QueueFactory = Callable[[int], requests.WorkQueue]
+AdmissionFactory = Callable[[], requests.AdmissionPolicy]
 
 
-def expected_completion(rng: random.Random) -> requests.Placement:
-    """Returns the placement that agents use."""
+def shortest_expected_delay(rng: random.Random) -> requests.Placement:
+    """Returns the placement policy that agents use."""
     return requests.ShortestExpectedDelay(rng)
 
 
 class ModelService:
-    """Nodes of one service that know each other."""
+    """Simulated service whose nodes can hand off work to each other."""
 
     def __init__(
         self,
         clock: core.Clock,
         rng: random.Random,
-        make_placement: MakePlacement = expected_completion,
-        make_queue: MakeQueue = requests.FairQueue,
-        make_admission: MakeAdmission = requests.ExpectedWaitAdmission,
+        make_placement: PlacementFactory = shortest_expected_delay,
+        make_queue: QueueFactory = requests.FairQueue,
+        make_admission: AdmissionFactory = requests.ExpectedWaitAdmission,
     ) -> None:
-        """Prepares an empty service."""
+        """Prepares a service without nodes."""
         self._clock = clock
         self._rng = rng
         self._make_placement = make_placement
@@ -295,7 +295,7 @@
     def start_node(
         self, index: int, speed: float = 1.0, slot_count: int = 2
     ) -> ModelNode:
-        """Starts a node; at the index of an old one it takes its address."""
+        """Starts a node; it replaces any node with the same index."""
         self._incarnation += 1
         info = requests.PeerInfo(
             target_id=f"target-{index}",
@@ -322,12 +322,12 @@
         return node
 
     def connect(self) -> None:
-        """Gives every node the same view of all living nodes."""
+        """Updates all live nodes with the same view of their peers."""
         alive = [node for node in self.nodes if not node.dead.is_set()]
         for node in alive:
             node.engine.set_peers([n.info for n in alive if n is not node])
 
     def close(self) -> None:
-        """Ends all tasks of the nodes."""
+        """Stops the engines of all nodes."""
         for node in self.nodes:
             node.engine.close()
--- a/libs/lab/src/fireflyford/lab/_packet_baselines.py
+++ b/libs/lab/src/fireflyford/lab/_packet_baselines.py
@@ -1,4 +1,4 @@
-"""Other policies for new flows, for comparison with the one in use."""
+"""Baseline placement policies for new flows."""
 
 from collections.abc import Sequence
 import heapq
@@ -9,28 +9,29 @@
 
 
 class DirectoryAgentFirst(flows.Placement):
-    """Ring with search: a flow goes to its home, whatever the load.
+    """Places a flow on the target of its directory agent.
 
-    Answers no load; a flow is moved on only when its home has no room.
+    This is consistent hashing with a search. It does not react to load: a
+    flow goes to another target only when that of its directory agent is full.
     """
 
-    def __init__(self, own: core.Address) -> None:
-        """Takes the address of the home."""
-        self._own = own
+    def __init__(self, own_address: core.Address) -> None:
+        """Takes the address of the directory agent."""
+        self._own_address = own_address
 
     def choose(
         self, candidates: Sequence[flows.Candidate], long_lived: bool
     ) -> flows.Candidate:
-        """Returns the home if it is a candidate, else the first one."""
+        """Returns the directory agent's target, else the first candidate."""
         del long_lived
         for candidate in candidates:
-            if candidate.address == self._own:
+            if candidate.address == self._own_address:
                 return candidate
         return candidates[0]
 
 
 class PowerOfTwoChoices(flows.Placement):
-    """The less loaded of two random candidates, by their reported load."""
+    """Chooses the less loaded of two random candidates, by reported load."""
 
     def __init__(self, rng: random.Random) -> None:
         """Takes the random source."""
@@ -39,14 +40,19 @@
     def choose(
         self, candidates: Sequence[flows.Candidate], long_lived: bool
     ) -> flows.Candidate:
-        """Returns the candidate with fewer requests or flows per slot."""
+        """Returns the candidate with fewer pending requests per slot.
+
+        For long-lived flows, the open ones count as well.
+        """
         count = min(2, len(candidates))
-        drawn = self._rng.sample(list(candidates), count)
-        return min(drawn, key=lambda item: _pending(item, long_lived))
+        sampled = self._rng.sample(list(candidates), count)
+        return min(
+            sampled, key=lambda item: _pending_per_slot(item, long_lived)
+        )
 
 
 class JoinIdleQueue(flows.Placement):
-    """A random idle candidate, else a random one."""
+    """Chooses a random idle candidate, or any candidate if none is idle."""
 
     def __init__(self, rng: random.Random) -> None:
         """Takes the random source."""
@@ -55,7 +61,7 @@
     def choose(
         self, candidates: Sequence[flows.Candidate], long_lived: bool
     ) -> flows.Candidate:
-        """Returns a candidate with a free slot if there is one."""
+        """Returns a random candidate with a free slot, if there is one."""
         del long_lived
         idle = [
             item
@@ -65,9 +71,9 @@
         return self._rng.choice(idle or list(candidates))
 
 
-def _pending(item: flows.Candidate, lasting: bool) -> float:
+def _pending_per_slot(item: flows.Candidate, long_lived: bool) -> float:
     count = item.pending_count
-    if lasting:
+    if long_lived:
         count += item.load.long_lived_count
     return count / max(1, item.load.slot_count)
 
@@ -75,14 +81,15 @@
 def central_queue_response_ms(
     arrivals_ms: Sequence[int], service_ms: Sequence[int]
 ) -> list[int]:
-    """Returns response times of one queue in front of all slots.
+    """Returns the response times of a central queue in front of all slots.
 
-    No policy without knowledge of the future keeps slots busier: a request
-    takes the fastest free slot, or the first one to be free.
+    Each request takes the fastest free slot, or the first slot to become
+    free. The queue is work-conserving: no policy without knowledge of future
+    arrivals keeps slots busier.
 
     Args:
-        arrivals_ms: Times of the requests, ascending.
-        service_ms: Time for a request at each slot.
+        arrivals_ms: Arrival times of the requests, ascending.
+        service_ms: Service time of each slot.
 
     >>> central_queue_response_ms([0, 0, 0], [10, 30])
     [10, 30, 20]
--- a/libs/lab/src/fireflyford/lab/_packet_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_packet_fleet.py
@@ -1,8 +1,8 @@
-"""Balancers, agents, backend servers and clients in virtual time.
+"""Discrete-event simulation of balancers, agents, backend servers and clients.
 
-The decision code of `fireflyford.flows` runs here as it does in the processes.
-Messages take a fixed time, backend servers have slots and a queue, and clients
-repeat their packets. Everything is driven by one queue of events.
+The decisions are made by the production code of `fireflyford.flows`. Messages
+have a fixed delay, backend servers have slots and a queue, and clients
+retransmit their packets. A single event queue drives the simulation.
 """
 
 import collections
@@ -18,30 +18,39 @@
 
 LINK_DELAY_MS = 1
 CLIENT_DELAY_MS = 2
-SWEEP_MS = 20
+SWEEP_INTERVAL_MS = 20
 LOAD_INTERVAL_MS = 100
-BEAT_MS = 900
-# Copies of a first packet, and the end of the attempt.
-OPENING_COPIES_MS = (0, 200, 600)
-OPENING_LIMIT_MS = 1_400
-# Copies of a request while nobody answers.
-REQUEST_COPIES_MS = (0, 200, 600, 1_400)
-ROUTE = core.Address("198.18.0.1", 443)
+HEARTBEAT_INTERVAL_MS = 900
+# Transmissions of the packet that opens a flow, and the time-out of the
+# attempt.
+OPENING_SEND_TIMES_MS = (0, 200, 600)
+OPENING_TIMEOUT_MS = 1_400
+# Transmissions of a request while there is no response.
+REQUEST_SEND_TIMES_MS = (0, 200, 600, 1_400)
+ROUTE_ADDRESS = core.Address("198.18.0.1", 443)
 SERVICE = "board"
 
 PlacementMaker = Callable[[core.Address], flows.Placement]
 
 
 class EventClock(core.ManualClock):
-    """Clock set by the queue of events."""
+    """Clock that the event queue sets."""
 
     def set(self, now_ms: int) -> None:
-        """Moves to a time."""
+        """Sets the time."""
         self._now_ms = now_ms
 
 
 class RequestOutcome(enum.Enum):
-    """How a request of a client ended."""
+    """Outcome of a client's request.
+
+    Attributes:
+        ANSWERED: The backend server responded.
+        REFUSED: The flow was reset before it was open.
+        RESET: The open flow was reset.
+        SHED: The queue of the backend server was full.
+        TIMED_OUT: The client got no response in time.
+    """
 
     ANSWERED = "answered"
     REFUSED = "refused"
@@ -52,13 +61,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class RequestResult:
-    """One request as its client saw it.
+    """Result of one request as its client observed it.
 
     Attributes:
-        flow: Its flow.
-        started_ms: When the client began.
-        ended_ms: When it ended.
-        outcome: How it ended.
+        flow: Flow of the request.
+        started_ms: Time when the client opened the flow or sent the request.
+        ended_ms: Time of the outcome.
+        outcome: Outcome of the request.
     """
 
     flow: bytes
@@ -68,19 +77,19 @@
 
     @property
     def duration_ms(self) -> int:
-        """Time that the client waited."""
+        """Response time, or time until the failure."""
         return self.ended_ms - self.started_ms
 
 
 @dataclasses.dataclass(frozen=True)
 class TargetSpec:
-    """A backend server of the fleet.
+    """Parameters of a backend server.
 
     Attributes:
-        slot_count: Requests worked on at the same time.
-        queue_count: Requests that wait; more are shed.
-        service_ms: Time for one request.
-        service: Its service.
+        slot_count: Requests that run at a time.
+        queue_count: Maximum length of the queue; further requests are shed.
+        service_ms: Service time of a request.
+        service: Service to which the backend server belongs.
     """
 
     slot_count: int = 2
@@ -90,7 +99,7 @@
 
 
 class Target:
-    """Stand-in of a backend server."""
+    """Simulated backend server."""
 
     def __init__(self, fleet: "PacketFleet", spec: TargetSpec, index: int):
         """Starts without flows."""
@@ -98,76 +107,76 @@
         self.spec = spec
         self.index = index
         self.up = True
-        self.first_seqs: dict[bytes, int] = {}
+        self.initial_seqs: dict[bytes, int] = {}
         self.opened: list[tuple[int, bytes]] = []
         self.foreign_count = 0
-        # How often each request was delivered, by flow and sequence.
+        # Deliveries of each request, by flow and sequence number.
         self.request_counts: collections.Counter[tuple[bytes, int]] = (
             collections.Counter()
         )
-        # Time spent on requests.
+        # Total service time of all requests.
         self.busy_ms = 0
-        self.working: list[bytes] = []
+        self.running: list[bytes] = []
         self.queue: list[bytes] = []
 
     def crash(self) -> None:
-        """Ends with all flows; the port is closed."""
+        """Drops all flows and closes the port."""
         self.up = False
-        self.first_seqs.clear()
-        self.working.clear()
+        self.initial_seqs.clear()
+        self.running.clear()
         self.queue.clear()
 
-    def receive(self, packet: flows.Packet, note: int) -> None:
-        """Handles a packet that the agent delivers."""
+    def receive(self, packet: flows.Packet, delivery_tag: int) -> None:
+        """Handles a packet that the agent delivered."""
         node = self._fleet.agents[self.index]
         if not self.up:
-            node.target_refused()
+            node.handle_connection_refused()
             return
         if packet.opens:
             self._accept(packet)
             return
-        if packet.flow not in self.first_seqs:
+        if packet.flow not in self.initial_seqs:
             bounced = dataclasses.replace(
-                packet, bounced=True, delivery_tag=note
+                packet, bounced=True, delivery_tag=delivery_tag
             )
             node.answer(bounced)
             return
         if packet.payload_bytes:
             self.request_counts[packet.flow, packet.seq] += 1
         if packet.payload_bytes and packet.flow not in (
-            *self.working,
+            *self.running,
             *self.queue,
         ):
-            self._take(packet.flow)
+            self._start_or_queue(packet.flow)
 
     def _accept(self, packet: flows.Packet) -> None:
-        seq = self.first_seqs.get(packet.flow)
+        seq = self.initial_seqs.get(packet.flow)
         if seq is None:
             seq = self._fleet.rng.randrange(1 << 32)
-            self.first_seqs[packet.flow] = seq
+            self.initial_seqs[packet.flow] = seq
             self.opened.append((self._fleet.clock.now_ms(), packet.flow))
         self._answer(packet.flow, opens=True, seq=seq)
 
-    def _take(self, flow: bytes) -> None:
-        if len(self.working) < self.spec.slot_count:
-            self._work(flow)
+    def _start_or_queue(self, flow: bytes) -> None:
+        if len(self.running) < self.spec.slot_count:
+            self._start_work(flow)
         elif len(self.queue) < self.spec.queue_count:
             self.queue.append(flow)
         else:
-            self._fleet.sheds.add(flow)
+            self._fleet.shed_flows.add(flow)
             self._answer(flow, payload_bytes=1)
 
-    def _work(self, flow: bytes) -> None:
-        self.working.append(flow)
+    def _start_work(self, flow: bytes) -> None:
+        self.running.append(flow)
         self.busy_ms += self.spec.service_ms
         self._fleet.call_later(self.spec.service_ms, lambda: self._finish(flow))
 
     def _finish(self, flow: bytes) -> None:
-        if flow not in self.working:
+        if flow not in self.running:
             return
-        self.working.remove(flow)
+        self.running.remove(flow)
         if self.queue:
-            self._work(self.queue.pop(0))
+            self._start_work(self.queue.pop(0))
         self._answer(flow, payload_bytes=1)
 
     def _answer(
@@ -178,7 +187,7 @@
         seq: int = 0,
     ) -> None:
         if not opens:
-            seq = self.first_seqs.get(flow, 0) + 1
+            seq = self.initial_seqs.get(flow, 0) + 1
         packet = flows.Packet(
             flow,
             b"",
@@ -191,7 +200,7 @@
 
 
 class Node:
-    """A process with its view of the others; a restart forgets everything."""
+    """Simulated process with its view of the others; a restart clears both."""
 
     def __init__(
         self,
@@ -206,7 +215,7 @@
         self.start()
 
     def start(self) -> None:
-        """Starts a new process."""
+        """Starts a new process without state."""
         clock = self._fleet.clock
         self.up = True
         self.instance = flows.Instance(
@@ -218,14 +227,14 @@
             clock.wall_ms(),
         )
         self.view = flows.Fleet(clock)
-        self.decide()
+        self.create_logic()
 
     def service(self) -> str:
         """Returns the service of an agent, empty for a balancer."""
         return ""
 
-    def decide(self) -> None:
-        """Makes the decision code of a new process."""
+    def create_logic(self) -> None:
+        """Creates the decision code of a new process."""
         raise NotImplementedError
 
     def receive(self, sender: core.Address, message: flows.Message) -> None:
@@ -234,7 +243,7 @@
 
 
 class AgentNode(Node):
-    """One agent with its decisions."""
+    """Simulated agent."""
 
     def __init__(self, fleet: "PacketFleet", index: int, target: Target):
         """Starts a process."""
@@ -246,8 +255,8 @@
         """Returns the service of the backend server."""
         return self.target.spec.service
 
-    def decide(self) -> None:
-        """Makes the decision code of a new process."""
+    def create_logic(self) -> None:
+        """Creates the decision code of a new process."""
         fleet = self._fleet
         self.flows = flows.AgentFlows(
             fleet.clock,
@@ -255,7 +264,7 @@
             self.view,
             fleet.make_placement(self.address),
         )
-        self.watch = flows.TargetMonitor(
+        self.monitor = flows.TargetMonitor(
             fleet.clock, self.target.spec.service, self.flows.forwarder, 1_200
         )
 
@@ -270,42 +279,42 @@
             self.run(self.flows.handle_message(sender, message))
 
     def answer(self, packet: flows.Packet) -> None:
-        """Handles a packet of the backend server."""
+        """Handles a packet from the backend server."""
         if self.up:
             self.run(self.flows.forwarder.receive_from_target(packet))
 
-    def target_refused(self) -> None:
-        """Learns that the port of the backend server is closed."""
+    def handle_connection_refused(self) -> None:
+        """Handles a closed port at the backend server."""
         self.run(self.flows.forwarder.mark_down("port closed"))
 
     def report(self, state: flows.TargetState, sequence: int) -> None:
-        """Takes a report of the backend server."""
+        """Handles a status report of the backend server."""
         spec = self.target.spec
-        self.watch.record_report(
+        self.monitor.record_report(
             flows.TargetReport(
                 "target", spec.service, state, spec.slot_count, 1, sequence
             )
         )
 
     def run(self, actions: list[flows.Action]) -> None:
-        """Carries out actions."""
+        """Performs the actions that the decision code returned."""
         for action in actions:
             if isinstance(action, flows.Deliver):
                 self.target.receive(action.packet, action.delivery_tag)
             else:
-                self._fleet.carry(self.address, action)
+                self._fleet.perform(self.address, action)
 
 
 class BalancerNode(Node):
-    """One balancer with its decisions."""
+    """Simulated balancer."""
 
     def __init__(self, fleet: "PacketFleet", index: int):
         """Starts a process."""
         address = core.Address(f"10.0.0.{index + 1}", 7000)
         super().__init__(fleet, core.Role.BALANCER, address)
 
-    def decide(self) -> None:
-        """Makes the decision code of a new process."""
+    def create_logic(self) -> None:
+        """Creates the decision code of a new process."""
         fleet = self._fleet
         self.flows = flows.BalancerFlows(fleet.clock, self.instance, self.view)
         self.flows.apply(fleet.table)
@@ -316,22 +325,22 @@
         if self.up:
             self.run(self.flows.handle_message(sender, message))
 
-    def take(self, packet: flows.Packet) -> None:
-        """Handles a packet of a client."""
+    def receive_packet(self, packet: flows.Packet) -> None:
+        """Handles a packet from a client."""
         if self.up:
             self.run(self.flows.receive(packet))
 
     def run(self, actions: list[flows.Action]) -> None:
-        """Carries out actions."""
+        """Performs the actions that the decision code returned."""
         for action in actions:
-            self._fleet.carry(self.address, action)
+            self._fleet.perform(self.address, action)
 
 
 class Client:
-    """One client flow with one request at a time."""
+    """Client of one flow, with at most one request at a time."""
 
     def __init__(self, fleet: "PacketFleet", flow: bytes):
-        """Prepares a flow that is not open yet."""
+        """Prepares a flow that is not yet open."""
         self._fleet = fleet
         self.flow = flow
         self.is_open = False
@@ -347,9 +356,9 @@
         self._started_ms = self._fleet.clock.now_ms()
         self._deadline_ms = deadline_ms
         self.is_waiting = True
-        for delay_ms in OPENING_COPIES_MS:
+        for delay_ms in OPENING_SEND_TIMES_MS:
             self._fleet.call_later(delay_ms, self._send_opening)
-        self._fleet.call_later(OPENING_LIMIT_MS, self._give_up_opening)
+        self._fleet.call_later(OPENING_TIMEOUT_MS, self._time_out_opening)
 
     def request(self, deadline_ms: int = 2_500) -> None:
         """Sends a request on the open flow."""
@@ -359,7 +368,7 @@
         self._send_request()
 
     def receive(self, packet: flows.Packet) -> None:
-        """Handles a packet of the backend server."""
+        """Handles a packet from the backend server."""
         if self.is_ended:
             return
         if packet.opens:
@@ -368,18 +377,18 @@
                 self._first_seq = packet.seq
                 self._send_request()
         elif packet.payload_bytes and self.is_waiting:
-            shed = self.flow in self._fleet.sheds
-            self._fleet.sheds.discard(self.flow)
+            shed = self.flow in self._fleet.shed_flows
+            self._fleet.shed_flows.discard(self.flow)
             self._end(RequestOutcome.SHED if shed else RequestOutcome.ANSWERED)
 
     def reset(self) -> None:
-        """Handles a reset."""
+        """Handles a reset of the flow."""
         if self.is_ended:
             return
         self.is_ended = True
         holder = self._fleet.holder(self.flow)
         if self.is_open and holder is not None:
-            self._fleet.broken.append(self.flow)
+            self._fleet.broken_flows.append(self.flow)
         if self.is_waiting:
             self._end(
                 RequestOutcome.RESET if self.is_open else RequestOutcome.REFUSED
@@ -387,11 +396,11 @@
 
     def _send_opening(self) -> None:
         if not self.is_open and not self.is_ended:
-            self._fleet.from_client(
+            self._fleet.send_from_client(
                 flows.Packet(self.flow, b"", opens=True, seq=self._seq)
             )
 
-    def _give_up_opening(self) -> None:
+    def _time_out_opening(self) -> None:
         if not self.is_open and not self.is_ended:
             self.is_ended = True
             self._end(RequestOutcome.TIMED_OUT)
@@ -399,15 +408,15 @@
     def _send_request(self) -> None:
         self._seq += 1
         seq = self._seq
-        began_ms = self._started_ms
+        request_started_ms = self._started_ms
 
-        def copy() -> None:
+        def send_copy() -> None:
             if (
                 self.is_waiting
                 and not self.is_ended
-                and began_ms == (self._started_ms)
+                and request_started_ms == (self._started_ms)
             ):
-                self._fleet.from_client(
+                self._fleet.send_from_client(
                     flows.Packet(
                         self.flow,
                         b"",
@@ -418,15 +427,17 @@
                     )
                 )
 
-        def give_up() -> None:
-            if self.is_waiting and began_ms == self._started_ms:
+        def time_out() -> None:
+            if self.is_waiting and request_started_ms == self._started_ms:
                 self.is_ended = True
                 self._end(RequestOutcome.TIMED_OUT)
 
-        for delay_ms in REQUEST_COPIES_MS:
-            self._fleet.call_later(delay_ms, copy)
-        left_ms = began_ms + self._deadline_ms - self._fleet.clock.now_ms()
-        self._fleet.call_later(max(0, left_ms), give_up)
+        for delay_ms in REQUEST_SEND_TIMES_MS:
+            self._fleet.call_later(delay_ms, send_copy)
+        left_ms = (
+            request_started_ms + self._deadline_ms - self._fleet.clock.now_ms()
+        )
+        self._fleet.call_later(max(0, left_ms), time_out)
 
     def _end(self, outcome: RequestOutcome) -> None:
         self.is_waiting = False
@@ -441,7 +452,7 @@
 
 
 class PacketFleet:
-    """The whole path in virtual time."""
+    """Simulation of the complete path from clients to backend servers."""
 
     def __init__(
         self,
@@ -452,33 +463,34 @@
         long_lived: bool = False,
         load_interval_ms: int = LOAD_INTERVAL_MS,
     ) -> None:
-        """Starts all processes with a common view.
+        """Starts all processes with the same view.
 
         Args:
             seed: Seed of all random choices.
-            specs: The backend servers.
+            specs: Parameters of the backend servers.
             balancer_count: Number of balancers.
-            make_placement: Policy for new flows at the agent of an address,
-                the one in use if not given.
+            make_placement: Creates the placement policy for new flows of the
+                agent with a given address. Defaults to the production policy.
             long_lived: Whether flows carry many requests.
-            load_interval_ms: How often agents report their loads; the control
-                budget makes it longer the more agents there are.
+            load_interval_ms: Interval at which agents report their load. In
+                production the control budget makes it longer the more agents
+                there are.
         """
         self.rng = random.Random(seed)
         self.clock = EventClock(1_000_000)
         policy = flows.LeastCompletion(random.Random(seed))
         self.make_placement = make_placement or (lambda _: policy)
         self._events: list[tuple[int, int, Callable[[], None]]] = []
-        self._order = itertools.count()
+        self._event_numbers = itertools.count()
         self._packets: dict[bytes, flows.Packet] = {}
         self._clients: dict[bytes, Client] = {}
         self.results: list[RequestResult] = []
-        self.broken: list[bytes] = []
-        self.sheds: set[bytes] = set()
+        self.broken_flows: list[bytes] = []
+        self.shed_flows: set[bytes] = set()
         route = flows.Route(
-            "board", ROUTE, (flows.Share(SERVICE, 1),), long_lived
+            "board", ROUTE_ADDRESS, (flows.Share(SERVICE, 1),), long_lived
         )
-        self.table = flows.RouteTable(1, {ROUTE: route})
+        self.table = flows.RouteTable(1, {ROUTE_ADDRESS: route})
         self.targets = [
             Target(self, spec, index) for index, spec in enumerate(specs)
         ]
@@ -490,22 +502,22 @@
             BalancerNode(self, index) for index in range(balancer_count)
         ]
         self.rotation = list(self.balancers)
-        # Agents that the registry does not show.
-        self.hidden: set[core.Address] = set()
+        # Instances that are missing from the registry.
+        self.unregistered: set[core.Address] = set()
         self.publish_registry()
         for node in self.agents:
             node.report(flows.TargetState.READY, 1)
-        self._every(SWEEP_MS, self._sweep)
+        self._every(SWEEP_INTERVAL_MS, self._sweep)
         self._every(load_interval_ms, self._report_loads)
-        self._every(BEAT_MS, self._beat)
+        self._every(HEARTBEAT_INTERVAL_MS, self._send_heartbeats)
         self._report_loads()
 
-    # Time.
+    # Event queue.
 
     def call_later(self, delay_ms: int, work: Callable[[], None]) -> None:
-        """Runs `work` later."""
+        """Schedules a call after a delay."""
         at_ms = self.clock.now_ms() + delay_ms
-        heapq.heappush(self._events, (at_ms, next(self._order), work))
+        heapq.heappush(self._events, (at_ms, next(self._event_numbers), work))
 
     def _every(self, interval_ms: int, work: Callable[[], None]) -> None:
         def step() -> None:
@@ -515,7 +527,7 @@
         self.call_later(interval_ms, step)
 
     def run(self, duration_ms: int) -> None:
-        """Plays all events of some time."""
+        """Processes all events of the next `duration_ms`."""
         end_ms = self.clock.now_ms() + duration_ms
         while self._events and self._events[0][0] <= end_ms:
             at_ms, _, work = heapq.heappop(self._events)
@@ -540,28 +552,30 @@
             for peer in agent.view.agents(agent.instance.service):
                 if peer.address != agent.address:
                     report = flows.LoadReport(load)
-                    self.carry(agent.address, flows.Send(peer.address, report))
+                    self.perform(
+                        agent.address, flows.Send(peer.address, report)
+                    )
 
-    def _beat(self) -> None:
+    def _send_heartbeats(self) -> None:
         for agent in self.agents:
             if agent.up:
-                beat = flows.Heartbeat(
+                heartbeat = flows.Heartbeat(
                     agent.instance, agent.flows.forwarder.load(), 0, False
                 )
                 for balancer in self.balancers:
-                    self.carry(
-                        agent.address, flows.Send(balancer.address, beat)
+                    self.perform(
+                        agent.address, flows.Send(balancer.address, heartbeat)
                     )
         for node in self._nodes():
             if node.up:
                 node.view.refresh()
 
     def publish_registry(self) -> None:
-        """Gives every process the present registry."""
+        """Sends the current registry to all running processes."""
         instances = [
             node.instance
             for node in self._nodes()
-            if node.up and node.address not in self.hidden
+            if node.up and node.address not in self.unregistered
         ]
         for node in self._nodes():
             if node.up:
@@ -570,11 +584,11 @@
     # Packets and messages.
 
     def packet(self, data: bytes) -> flows.Packet:
-        """Returns the packet that `data` stands for."""
+        """Returns the packet that was sent as `data`."""
         return self._packets[data]
 
-    def from_client(self, packet: flows.Packet) -> None:
-        """Sends a client's packet to the balancer of the rotation."""
+    def send_from_client(self, packet: flows.Packet) -> None:
+        """Sends a client's packet to a balancer in rotation, by its flow."""
         data = len(self._packets).to_bytes(8, "big")
         packet = dataclasses.replace(packet, data=data)
         self._packets[data] = packet
@@ -582,10 +596,12 @@
             return
         index = int.from_bytes(packet.flow, "big") % len(self.rotation)
         balancer = self.rotation[index]
-        self.call_later(CLIENT_DELAY_MS, lambda: balancer.take(packet))
+        self.call_later(
+            CLIENT_DELAY_MS, lambda: balancer.receive_packet(packet)
+        )
 
-    def carry(self, sender: core.Address, action: flows.Action) -> None:
-        """Carries out an action that leaves an instance."""
+    def perform(self, sender: core.Address, action: flows.Action) -> None:
+        """Performs an action that sends something from an instance."""
         if isinstance(action, flows.Send):
             node = self._node(action.to)
             delay_ms = 0 if action.to == sender else LINK_DELAY_MS
@@ -616,13 +632,13 @@
     # Clients.
 
     def client(self) -> Client:
-        """Returns a new client flow."""
+        """Returns a client with a new flow."""
         number = len(self._clients)
         host = 0x0A800000 + number // 40_000
         port = 1_024 + number % 40_000
         flow = host.to_bytes(4, "big") + port.to_bytes(2, "big")
-        flow += bytes(int(part) for part in ROUTE.host.split("."))
-        flow += ROUTE.port.to_bytes(2, "big")
+        flow += bytes(int(part) for part in ROUTE_ADDRESS.host.split("."))
+        flow += ROUTE_ADDRESS.port.to_bytes(2, "big")
         client = Client(self, flow)
         self._clients[flow] = client
         return client
@@ -630,16 +646,16 @@
     def holder(self, flow: bytes) -> Target | None:
         """Returns the backend server that holds a flow."""
         for target in self.targets:
-            if target.up and flow in target.first_seqs:
+            if target.up and flow in target.initial_seqs:
                 return target
         return None
 
     def answered_share(self, limit_ms: int, since_ms: int = 0) -> float:
-        """Returns the share of requests answered within a time.
+        """Returns the fraction of requests answered within a time limit.
 
         Args:
-            limit_ms: Longest duration that counts.
-            since_ms: Only requests begun from then on.
+            limit_ms: Maximum response time.
+            since_ms: Start time from which requests are included.
         """
         results = [item for item in self.results if item.started_ms >= since_ms]
         good = sum(
--- a/libs/lab/src/fireflyford/lab/_plain_client.py
+++ b/libs/lab/src/fireflyford/lab/_plain_client.py
@@ -1,4 +1,4 @@
-"""A plain HTTP/3 client, as one that knows nothing of this project."""
+"""Standard HTTP/3 client that uses no extension of this project."""
 
 import asyncio
 import ssl
@@ -21,7 +21,7 @@
 
 
 class PlainConnection(quic_protocol.QuicConnectionProtocol):
-    """One HTTP/3 connection with one request."""
+    """HTTP/3 connection for a single request."""
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         """Prepares the HTTP layer."""
@@ -50,7 +50,7 @@
         self.transmit()
 
     def quic_event_received(self, event: quic_events.QuicEvent) -> None:
-        """Collects the answer."""
+        """Collects the response."""
         if isinstance(
             event, quic_events.StreamReset | quic_events.ConnectionTerminated
         ):
@@ -72,12 +72,12 @@
             self._ended.set()
 
     async def is_complete(self) -> bool:
-        """Waits for the end and returns whether the whole answer came."""
+        """Waits for the end; returns whether the response is complete."""
         await self._ended.wait()
         return self._complete
 
     async def wait_closed_ms(self) -> float:
-        """Waits for the end and returns its time of day."""
+        """Waits for the end and returns its wall-clock time."""
         await self._ended.wait()
         return self._closed_ms
 
@@ -85,7 +85,7 @@
 async def open_plain(
     address: core.Address, service: str, authorities_path: str
 ) -> PlainConnection:
-    """Opens a connection that stays open with its process."""
+    """Opens a connection that stays open until the process exits."""
     configuration = quic_configuration.QuicConfiguration(
         alpn_protocols=["h3"],
         is_client=True,
@@ -101,7 +101,8 @@
         create_protocol=PlainConnection,
     )
     connection = cast(PlainConnection, await context.__aenter__())
-    # The context closes the connection when it is collected.
+    # Keeps a reference, because the context closes the connection when it is
+    # garbage-collected.
     connection.context = context
     return connection
 
@@ -109,7 +110,9 @@
 async def open_on_target(
     fleet: _fleet.Fleet, target: _fleet.Target, path: str
 ) -> PlainConnection:
-    """Sends a request on a plain connection that ends at a given target.
+    """Sends a request on a standard connection to a given target.
+
+    Connections are opened until one is routed to the target.
 
     Raises:
         TimeoutError: No connection reached the target.
--- a/libs/lab/src/fireflyford/lab/_platform_store.py
+++ b/libs/lab/src/fireflyford/lab/_platform_store.py
@@ -1,4 +1,4 @@
-"""Stand-in of the platform's metadata store, with faults on demand."""
+"""Stand-in for the platform's metadata store, with fault injection."""
 
 import asyncio
 import base64
@@ -13,7 +13,7 @@
 
 from fireflyford import core
 
-# Revisions start above 0.
+# Revision of the empty store; above 0, since revision 0 means "no such key".
 FIRST_REVISION = 100
 _EXPIRY_INTERVAL_S = 0.05
 _WATCH_POLL_S = 0.01
@@ -21,7 +21,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Item:
-    """One key as it was last written."""
+    """Stored value of one key with its revisions and lease."""
 
     key: str
     value: bytes
@@ -30,7 +30,7 @@
     lease: int
 
     def document(self) -> dict[str, Any]:
-        """Returns the item as the store sends it."""
+        """Returns the item in the format of the store's responses."""
         return {
             "key": self.key,
             "value": base64.b64encode(self.value).decode(),
@@ -41,11 +41,13 @@
 
 
 class StoreState:
-    """Items, leases and history of the store.
+    """Items, leases and event history of the store.
 
     Attributes:
-        refusal_status: Status with which every call is refused, 0 for none.
-        unanswered_write_count: Writes that are done and not answered.
+        refusal_status: HTTP status with which every call is refused, 0 for
+            none.
+        unanswered_write_count: Number of next writes that are applied but get
+            no response.
     """
 
     def __init__(self) -> None:
@@ -62,8 +64,8 @@
     def put(self, key: str, value: bytes, lease: int = 0) -> None:
         """Writes a key."""
         self.revision += 1
-        known = self.items.get(key)
-        created = known.create_revision if known else self.revision
+        existing = self.items.get(key)
+        created = existing.create_revision if existing else self.revision
         item = Item(key, value, self.revision, created, lease)
         self.items[key] = item
         self.events.append(item.document())
@@ -77,19 +79,19 @@
         self.events.append(event)
 
     def compact_history(self) -> None:
-        """Drops all events, so that watches have to read again."""
+        """Drops all events, so that watches have to read all items again."""
         self.events.clear()
         self.first_event_revision = self.revision
 
     def expire(self) -> None:
-        """Ends the leases that were not renewed."""
+        """Ends the leases that were not renewed in time."""
         now_s = time.monotonic()
         for lease, (_, end_s) in tuple(self.leases.items()):
             if end_s <= now_s:
                 self.end_lease(lease)
 
     def end_lease(self, lease: int) -> bool:
-        """Ends a lease with its keys; returns whether it existed."""
+        """Ends a lease, deletes its keys and returns whether it existed."""
         if self.leases.pop(lease, None) is None:
             return False
         for key, item in tuple(self.items.items()):
@@ -98,26 +100,28 @@
         return True
 
 
-class _Call(web.RequestHandler):
+class _StoreHandler(web.RequestHandler):
     def initialize(self, state: StoreState) -> None:
         self.state = state
 
     def prepare(self) -> None:
-        """Counts the call and refuses it if told to."""
+        """Records the call and refuses it if that fault is set."""
         self.state.calls.append(f"{self.request.method} {self.request.path}")
         if self.state.refusal_status:
             self.send_error(self.state.refusal_status)
 
-    def answer(self, document: dict[str, Any], status: int = 200) -> None:
-        """Sends a document."""
+    def send_document(
+        self, document: dict[str, Any], status: int = 200
+    ) -> None:
+        """Sends a JSON document as the response."""
         self.set_status(status)
         self.set_header("Content-Type", "application/json")
         self.finish(json.dumps(document))
 
 
-class _Range(_Call):
+class _RangeHandler(_StoreHandler):
     def get(self) -> None:
-        """Answers with the items under a prefix, two a page."""
+        """Returns the items under a prefix, in pages of two."""
         prefix = self.get_query_argument("prefix")
         after = self.get_query_argument("after", "")
         found = [
@@ -126,7 +130,7 @@
             if key.startswith(prefix) and key > after
         ]
         page = found[:2]
-        self.answer(
+        self.send_document(
             {
                 "items": [item.document() for item in page],
                 "truncated": len(found) > len(page),
@@ -135,9 +139,9 @@
         )
 
 
-class _Watch(_Call):
+class _WatchHandler(_StoreHandler):
     async def get(self) -> None:
-        """Waits for events."""
+        """Waits for events under a prefix, up to the given time."""
         prefix = self.get_query_argument("prefix")
         after = int(self.get_query_argument("after"))
         wait_s = int(self.get_query_argument("wait_ms")) / 1_000
@@ -154,19 +158,19 @@
             if events or time.monotonic() >= end_s:
                 break
             await asyncio.sleep(_WATCH_POLL_S)
-        self.answer({"events": events, "as_of": self.state.revision})
+        self.send_document({"events": events, "as_of": self.state.revision})
 
 
-class _Transaction(_Call):
+class _TransactionHandler(_StoreHandler):
     def post(self) -> None:
-        """Writes everything if the expectations hold."""
+        """Applies all writes if all expected revisions match."""
         body = json.loads(self.request.body)
         state = self.state
         current = [state.items.get(row["key"]) for row in body["expect"]]
         for row, item in zip(body["expect"], current, strict=True):
             if row["revision"] != (item.revision if item else 0):
                 items = [item.document() for item in current if item]
-                self.answer({"items": items}, 412)
+                self.send_document({"items": items}, 412)
                 return
         for write in body["writes"]:
             if write["lease"] and write["lease"] not in state.leases:
@@ -181,60 +185,60 @@
             state.unanswered_write_count -= 1
             self.request.connection.stream.close()  # type: ignore[union-attr]
             return
-        self.answer({"revision": state.revision})
+        self.send_document({"revision": state.revision})
 
 
-class _Grant(_Call):
+class _GrantHandler(_StoreHandler):
     def post(self) -> None:
         """Grants a lease."""
         ttl_ms = json.loads(self.request.body)["ttl_ms"]
         lease = len(self.state.leases) + self.state.revision * 1_000
         ttl_s = ttl_ms / 1_000
         self.state.leases[lease] = (ttl_s, time.monotonic() + ttl_s)
-        self.answer({"lease": lease, "ttl_ms": ttl_ms})
+        self.send_document({"lease": lease, "ttl_ms": ttl_ms})
 
 
-class _Keep(_Call):
+class _RenewHandler(_StoreHandler):
     def post(self, lease: str) -> None:
         """Renews a lease."""
-        known = self.state.leases.get(int(lease))
-        if known is None:
+        existing = self.state.leases.get(int(lease))
+        if existing is None:
             self.send_error(404)
             return
-        ttl_s, _ = known
+        ttl_s, _ = existing
         self.state.leases[int(lease)] = (ttl_s, time.monotonic() + ttl_s)
-        self.answer({"ttl_ms": int(ttl_s * 1_000)})
+        self.send_document({"ttl_ms": int(ttl_s * 1_000)})
 
 
-class _End(_Call):
+class _EndHandler(_StoreHandler):
     def delete(self, lease: str) -> None:
         """Ends a lease."""
         if not self.state.end_lease(int(lease)):
             self.send_error(404)
             return
-        self.answer({})
+        self.send_document({})
 
 
 class PlatformStoreServer:
-    """The stand-in as a server on a loopback address."""
+    """HTTP server of the stand-in."""
 
     def __init__(self, address: core.Address) -> None:
-        """Prepares the server."""
+        """Prepares a server with an empty state."""
         self.address = address
         self.state = StoreState()
         self._server: httpserver.HTTPServer | None = None
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
-        """Listens."""
+        """Starts to listen and to expire leases."""
         arguments = {"state": self.state}
         rules: list[Any] = [
-            ("/kv-range", _Range, arguments),
-            ("/kv-watch", _Watch, arguments),
-            ("/kv-txn", _Transaction, arguments),
-            ("/kv-lease", _Grant, arguments),
-            (r"/kv-keep/(\d+)", _Keep, arguments),
-            (r"/kv-lease-end/(\d+)", _End, arguments),
+            ("/kv-range", _RangeHandler, arguments),
+            ("/kv-watch", _WatchHandler, arguments),
+            ("/kv-txn", _TransactionHandler, arguments),
+            ("/kv-lease", _GrantHandler, arguments),
+            (r"/kv-keep/(\d+)", _RenewHandler, arguments),
+            (r"/kv-lease-end/(\d+)", _EndHandler, arguments),
         ]
         application = web.Application(rules, log_function=lambda _: None)
         self._server = application.listen(self.address.port, self.address.host)
@@ -246,7 +250,7 @@
             self.state.expire()
 
     def stop(self) -> None:
-        """Ends the server."""
+        """Stops the server."""
         if self._server is not None:
             self._server.stop()
         if self._task is not None:
@@ -256,7 +260,7 @@
 async def wait_until(
     condition: Callable[[], bool], limit_ms: int = 5_000
 ) -> bool:
-    """Waits for a condition; returns whether it came true in time."""
+    """Polls a condition and returns whether it became true in time."""
     end_s = time.monotonic() + limit_ms / 1_000
     while not condition():
         if time.monotonic() >= end_s:
--- a/libs/lab/src/fireflyford/lab/_plot.py
+++ b/libs/lab/src/fireflyford/lab/_plot.py
@@ -1,4 +1,4 @@
-"""Pictures and comparisons of results."""
+"""Plots and comparisons of experiment results."""
 
 import pathlib
 from typing import Any
@@ -25,14 +25,14 @@
 
 
 def plot_result(path: str) -> pathlib.Path:
-    """Draws a result next to its file.
+    """Plots a result to a PNG file next to the result file.
 
     Args:
         path: File written by `run --output`.
 
     Returns:
-        Path of the PNG file: one panel for each series, or bars of the
-        figures against their targets when there is none.
+        Path of the PNG file. It has one panel for each series or, without
+        series, a bar chart of the figures relative to their targets.
     """
     result = load_result(path)
     series = result.get("series", [])
@@ -87,12 +87,13 @@
         One line for each figure, with both values and their ratio.
 
     Raises:
-        ValueError: The files hold different experiments.
+        ValueError: The files are results of different experiments.
     """
     before, after = load_result(first), load_result(second)
     if before["name"] != after["name"]:
         raise ValueError(
-            f"{first} is `{before['name']}`, {second} is `{after['name']}`"
+            f"{first} has results of `{before['name']}`, but {second} of "
+            f"`{after['name']}`"
         )
     old = {item["name"]: item["value"] for item in before["figures"]}
     return [
--- a/libs/lab/src/fireflyford/lab/_ports.py
+++ b/libs/lab/src/fireflyford/lab/_ports.py
@@ -1,9 +1,9 @@
-"""Free ports for processes that are started later.
+"""Allocation of free ports for processes that are started later.
 
-Several runs go side by side, so a port found by binding to port 0 may be
-taken by another run before its process starts. Each run therefore claims a
-block of ports below the range that the kernel hands out, by listening on the
-first port of the block as long as it lives.
+Several runs can share a machine, so a port found by binding to port 0 may be
+taken by another run before its process starts. Each run therefore reserves
+blocks of ports below the kernel's ephemeral range. It listens on the first
+port of each block for its whole lifetime.
 """
 
 import random
@@ -13,45 +13,46 @@
 
 _HOST = "127.0.0.1"
 _FIRST_PORT = 10_000
-# The kernel hands out ports from 32,768 on.
+# The kernel's ephemeral ports start at 32,768.
 _END_PORT = 32_700
 _BLOCK_PORTS = 100
 
-# Blocks that this process has claimed, and the ports left in the last one.
-_guards: list[socket.socket] = []
-_unused: list[int] = []
+# Sockets that hold the blocks of this process, and the unused ports of the last
+# block.
+_block_claims: list[socket.socket] = []
+_unused_ports: list[int] = []
 
 
 def free_address() -> core.Address:
-    """Returns a loopback address with a port free for TCP and UDP.
+    """Returns a loopback address whose port is free for TCP and UDP.
 
     Raises:
-        RuntimeError: Every block of ports is claimed.
+        RuntimeError: All blocks of ports are in use.
     """
     while True:
-        if not _unused:
+        if not _unused_ports:
             _claim_block()
-        port = _unused.pop()
+        port = _unused_ports.pop()
         if _is_free(port):
             return core.Address(_HOST, port)
 
 
 def _claim_block() -> None:
     starts = list(range(_FIRST_PORT, _END_PORT, _BLOCK_PORTS))
-    # Not seeded: runs with equal seeds must not contend for the same block.
+    # Unseeded, so that runs with the same seed do not contend for one block.
     random.SystemRandom().shuffle(starts)
     for start in starts:
-        guard = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        claim = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
-            guard.bind((_HOST, start))
-            guard.listen(1)
+            claim.bind((_HOST, start))
+            claim.listen(1)
         except OSError:
-            guard.close()
+            claim.close()
             continue
-        _guards.append(guard)
-        _unused.extend(range(start + _BLOCK_PORTS - 1, start, -1))
+        _block_claims.append(claim)
+        _unused_ports.extend(range(start + _BLOCK_PORTS - 1, start, -1))
         return
-    raise RuntimeError("every block of ports is claimed")
+    raise RuntimeError("no free block of ports: all are claimed by other runs")
 
 
 def _is_free(port: int) -> bool:
--- a/libs/lab/src/fireflyford/lab/_process_runs.py
+++ b/libs/lab/src/fireflyford/lab/_process_runs.py
@@ -1,4 +1,4 @@
-"""Runs of one service with real processes, over the whole path."""
+"""Load and fault runs of one service end to end, with real processes."""
 
 import asyncio
 from collections.abc import AsyncIterator
@@ -18,20 +18,20 @@
 
 _SERVICE = "tahian"
 _TICKET_HEADER = "fireflyford-ticket"
-_SETTLE_S = 1.5
-_KINDS = {kind.value: kind for kind in core.ErrorKind}
+_WARM_UP_S = 1.5
+_ERROR_KINDS = {kind.value: kind for kind in core.ErrorKind}
 
 
 @contextlib.asynccontextmanager
 async def running_service(
     seed: int, speeds: tuple[float, ...], balancer_count: int = 1
 ) -> AsyncIterator[_fleet.Fleet]:
-    """Runs one service with a target of each speed.
+    """Runs one service with one target per given speed.
 
     Args:
         seed: Seed of the fabric and of the keys.
-        speeds: Speed of each target.
-        balancer_count: Balancers in front of the service.
+        speeds: Relative speed of each target.
+        balancer_count: Number of balancers in front of the service.
     """
     service = _deployments.BANTAY.service(_SERVICE)
     assert service is not None
@@ -51,29 +51,29 @@
         for speed in speeds:
             fleet.start_target(_SERVICE, speed)
         await fleet.wait_for_discovery()
-        # Agents learn of each other and exchange their first reports.
-        await asyncio.sleep(_SETTLE_S)
+        # Agents discover each other and exchange their first load reports.
+        await asyncio.sleep(_WARM_UP_S)
         yield fleet
     finally:
         fleet.stop()
 
 
 def make_client(fleet: _fleet.Fleet) -> caller.Client:
-    """Returns a caller of the service."""
+    """Returns a client of the service."""
     address = core.Address.parse(fleet.deployment.services[0].address)
     return caller.Client(address, _SERVICE, fleet.authorities_path(_SERVICE))
 
 
 @dataclasses.dataclass(frozen=True)
 class LoadProfile:
-    """Load of short work over several connections.
+    """Open-loop load of short requests over several connections.
 
     Attributes:
-        seed: Seed of arrivals and lengths.
-        mean_ms: Mean length of the work at speed 1.
-        connection_count: Connections, each of its own caller.
-        duration_ms: Length of the load.
-        rate: Requests per second at a time in ms.
+        seed: Seed of arrivals and execution times.
+        mean_ms: Mean execution time at speed 1.
+        connection_count: Number of connections, each with its own client.
+        duration_ms: Time during which requests arrive.
+        rate: Returns the requests per second at a time in ms.
     """
 
     seed: int
@@ -86,21 +86,21 @@
 async def run_load(
     fleet: _fleet.Fleet, profile: LoadProfile
 ) -> tuple[list[_load.Sample], int]:
-    """Sends the load; returns samples and the number of attempts."""
+    """Sends the load; returns its samples and the number of attempts."""
     rng = random.Random(profile.seed)
     async with contextlib.AsyncExitStack() as stack:
-        lanes = []
+        connections = []
         for _ in range(profile.connection_count):
             client = make_client(fleet)
             connection = await stack.enter_async_context(client.connect())
-            lanes.append((client, connection))
+            connections.append((client, connection))
 
         def make_job(number: int) -> _load.Job:
             length_ms = rng.gammavariate(4, profile.mean_ms / 4)
             return _load.Job(number, "short", length_ms, 2_000)
 
         async def send(job: _load.Job) -> core.Outcome[caller.Response]:
-            client, connection = lanes[job.number % len(lanes)]
+            client, connection = connections[job.number % len(connections)]
             path = f"/short?ms={job.nominal_ms:.2f}"
             return await client.request(
                 connection, "GET", path, deadline_ms=job.deadline_ms
@@ -109,35 +109,36 @@
         samples = await _load.run_open_loop(
             rng, profile.rate, profile.duration_ms, make_job, send
         )
-        return samples, sum(client.attempt_count for client, _ in lanes)
+        return samples, sum(client.attempt_count for client, _ in connections)
 
 
 async def measure_capacity(
     fleet: _fleet.Fleet, mean_ms: float, worker_count: int, duration_s: float
 ) -> float:
-    """Returns the work done per ms when every slot always has work waiting.
+    """Returns the work completed per ms while all slots are saturated.
 
-    The work is nominal; what the path and the machine cost is left out of it,
-    as it is for any load in the same run.
+    Work is counted by its nominal execution time, without the overhead of the
+    path and the machine, as for any other load in the same run.
 
     Args:
-        fleet: The service.
-        mean_ms: Length of each request.
-        worker_count: Requests under way at any time, twice the slots.
-        duration_s: Length of the measurement.
+        fleet: Fleet that runs the service.
+        mean_ms: Nominal execution time of each request.
+        worker_count: Concurrent requests; twice the number of slots keeps
+            every slot busy.
+        duration_s: Duration of the measurement.
     """
     loop = asyncio.get_running_loop()
     end_s = loop.time() + duration_s
-    done_ms = 0.0
+    completed_ms = 0.0
 
     async def work(connection: caller.Connection) -> None:
-        nonlocal done_ms
+        nonlocal completed_ms
         client = make_client(fleet)
         while loop.time() < end_s:
             path = f"/short?ms={mean_ms}"
             outcome = await client.request(connection, "GET", path)
             if isinstance(outcome, core.Ok) and loop.time() < end_s:
-                done_ms += mean_ms
+                completed_ms += mean_ms
 
     async with contextlib.AsyncExitStack() as stack:
         connections = [
@@ -150,11 +151,11 @@
                 for index in range(worker_count)
             )
         )
-    return done_ms / (duration_s * 1000)
+    return completed_ms / (duration_s * 1000)
 
 
 async def measure_round_trip_ms(fleet: _fleet.Fleet, count: int) -> float:
-    """Returns the median time of a request without work."""
+    """Returns the median response time of requests without work."""
     loop = asyncio.get_running_loop()
     client = make_client(fleet)
     values = []
@@ -169,7 +170,12 @@
 def busy_ms_by_target(
     executions: list[dict[str, object]], speeds: dict[str, float]
 ) -> dict[tuple[str, int], float]:
-    """Returns the busy slot time in ms by target and wall-clock second."""
+    """Returns the busy slot time in ms by target and wall-clock second.
+
+    Args:
+        executions: Execution log of the backend servers.
+        speeds: Relative speed of each target by name.
+    """
     busy: dict[tuple[str, int], float] = {}
     for item in executions:
         name = str(item["backend"])
@@ -188,7 +194,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class OrderRun:
-    """History of one run of orders under faults."""
+    """Result of one run of orders under faults."""
 
     faults: tuple[str, ...]
     violations: tuple[_history.Violation, ...]
@@ -201,41 +207,43 @@
 
 
 async def run_orders(seed: int, faults: tuple[str, ...]) -> OrderRun:
-    """Sends orders with copies while faults happen; checks the history.
+    """Sends orders and duplicates under faults, then checks the history.
 
     Args:
         seed: Seed of the run.
-        faults: Members of `FAULTS`.
+        faults: Faults to inject, members of `FAULTS`.
     """
     rng = random.Random(seed)
     async with running_service(seed, (1.0, 1.0, 1.0), 2) as fleet:
-        orders = _Orders(fleet, rng)
+        orders = _OrderCallers(fleet, rng)
         async with asyncio.TaskGroup() as tasks:
-            for lane in range(4):
-                tasks.create_task(orders.run_lane(f"lane{lane}"))
+            for index in range(4):
+                tasks.create_task(orders.run_caller(f"lane{index}"))
             for fault in faults:
-                tasks.create_task(_cause(fleet, rng, fault))
+                tasks.create_task(_inject_fault(fleet, rng, fault))
         await asyncio.sleep(1.0)
-        ran = [
-            _history.Ran(
+        executions = [
+            _history.ExecutionRecord(
                 str(item["body"]).partition("/")[0],
                 str(item["body"]),
                 str(item["backend"]),
             )
             for item in fleet.executions()
         ]
-    violations = _history.check(orders.told, ran, orders.bodies)
+    violations = _history.check(orders.answers, executions, orders.bodies)
     unknown = core.Execution.UNKNOWN
     return OrderRun(
         faults=faults,
         violations=tuple(violations),
-        answer_count=len(orders.told),
-        execution_count=len(ran),
-        unknown_count=sum(t.execution is unknown for t in orders.told),
+        answer_count=len(orders.answers),
+        execution_count=len(executions),
+        unknown_count=sum(item.execution is unknown for item in orders.answers),
     )
 
 
-async def _cause(fleet: _fleet.Fleet, rng: random.Random, fault: str) -> None:
+async def _inject_fault(
+    fleet: _fleet.Fleet, rng: random.Random, fault: str
+) -> None:
     await asyncio.sleep(rng.uniform(0.5, 2.0))
     target = rng.choice(list(fleet.targets.values()))
     if fault == "kill-agent":
@@ -256,21 +264,21 @@
         fleet.update_fabric()
 
 
-class _Orders:
-    """Callers that present each ticket once or twice, on any connection."""
+class _OrderCallers:
+    """Callers that present each ticket once or twice, on two connections."""
 
-    _ORDERS_PER_LANE = 40
+    _ORDERS_PER_CALLER = 40
     _DEADLINE_MS = 2_000
 
     def __init__(self, fleet: _fleet.Fleet, rng: random.Random) -> None:
         self._fleet = fleet
         self._rng = rng
-        self.told: list[_history.Told] = []
+        self.answers: list[_history.Answer] = []
         self.bodies: dict[str, bytes] = {}
 
-    async def run_lane(self, lane: str) -> None:
+    async def run_caller(self, caller_name: str) -> None:
         number = 0
-        while number < self._ORDERS_PER_LANE:
+        while number < self._ORDERS_PER_CALLER:
             with contextlib.suppress(ConnectionError, TimeoutError):
                 client = make_client(self._fleet)
                 async with (
@@ -278,61 +286,73 @@
                     client.connect() as first,
                     client.connect() as second,
                 ):
-                    # New connections after a while, as flows break.
+                    # Reconnects every 10 orders, since faults break flows.
                     for _ in range(10):
                         number += 1
-                        await self._order(f"{lane}-{number}", first, second)
+                        await self._send_order(
+                            f"{caller_name}-{number}", first, second
+                        )
 
-    async def _order(
+    async def _send_order(
         self, name: str, first: caller.Connection, second: caller.Connection
     ) -> None:
         for attempt in range(2):
             ticket = f"{name}/{attempt}"
             self.bodies[ticket] = ticket.encode()
-            _, header = await self._present(first, ticket, "")
+            _, header = await self._present_ticket(first, ticket, "")
             if not header:
                 return
-            copies = [self._copy(name, first, ticket, header, 0)]
+            copies = [self._send_copy(name, first, ticket, header, 0)]
             if self._rng.random() < 0.6:
                 delay_s = self._rng.uniform(0, 0.3)
-                copies.append(self._copy(name, second, ticket, header, delay_s))
-            told = await asyncio.gather(*copies)
-            if any(t.execution is not core.Execution.NOT_RUN for t in told):
+                copies.append(
+                    self._send_copy(name, second, ticket, header, delay_s)
+                )
+            answers = await asyncio.gather(*copies)
+            if any(
+                item.execution is not core.Execution.NOT_RUN for item in answers
+            ):
                 return
 
-    async def _copy(
+    async def _send_copy(
         self,
         name: str,
         connection: caller.Connection,
         ticket: str,
         header: str,
         delay_s: float,
-    ) -> _history.Told:
+    ) -> _history.Answer:
         await asyncio.sleep(delay_s)
-        outcome, _ = await self._present(connection, ticket, header)
+        outcome, _ = await self._present_ticket(connection, ticket, header)
         if isinstance(outcome, core.Ok):
-            told = _history.Told(
+            answer = _history.Answer(
                 name, ticket, core.Execution.RAN, outcome.value
             )
         else:
-            told = _history.Told(name, ticket, outcome.spec.execution)
-        self.told.append(told)
-        return told
+            answer = _history.Answer(name, ticket, outcome.spec.execution)
+        self.answers.append(answer)
+        return answer
 
-    async def _present(
+    async def _present_ticket(
         self, connection: caller.Connection, ticket: str, header: str
     ) -> tuple[core.Outcome[bytes], str]:
-        """Sends one copy by hand: the library never sends a copy itself."""
+        """Sends one copy of a request; returns its outcome and a new ticket.
+
+        Uses the connection directly, because the client library never sends
+        duplicates.
+        """
         headers = [("fireflyford-deadline-ms", str(self._DEADLINE_MS))]
         if header:
             headers.append((_TICKET_HEADER, header))
-        # The same for each copy of a ticket.
+        # All copies of a ticket have to be identical.
         length_ms = 20 + len(ticket) % 3 * 50
         path = f"/orders?ms={length_ms}"
         stream = connection.send("POST", path, ticket.encode(), tuple(headers))
         fields: dict[str, str] = {}
         body = b""
-        unknown = core.Failure(core.ErrorKind.OUTCOME_UNKNOWN, "no answer")
+        unknown = core.Failure(
+            core.ErrorKind.OUTCOME_UNKNOWN, "no response before the deadline"
+        )
         try:
             async with asyncio.timeout(self._DEADLINE_MS / 1000 + 0.5):
                 while True:
@@ -348,8 +368,8 @@
             return unknown, ""
         if not getattr(event, "complete", False):
             return unknown, ""
-        fresh = fields.get(_TICKET_HEADER, "")
-        kind = _KINDS.get(fields.get("fireflyford-error", ""))
+        issued_ticket = fields.get(_TICKET_HEADER, "")
+        kind = _ERROR_KINDS.get(fields.get("fireflyford-error", ""))
         if kind is None:
-            return core.Ok(body), fresh
-        return core.Failure(kind, body.decode()), fresh
+            return core.Ok(body), issued_ticket
+        return core.Failure(kind, body.decode()), issued_ticket
