--- a/libs/lab/src/fireflyford/lab/_service_runs.py
+++ b/libs/lab/src/fireflyford/lab/_service_runs.py
@@ -1,4 +1,4 @@
-"""Runs of one service in virtual time: load in, samples and use out."""
+"""Simulation of one service under load in virtual time."""
 
 import asyncio
 import dataclasses
@@ -12,13 +12,14 @@
 from fireflyford import requests
 from fireflyford.lab import _load
 from fireflyford.lab import _model
-from fireflyford.lab import _virtual
+from fireflyford.lab import _virtual_time
 
 _CALLER_COUNT = 40
-_SETTLE_MS = 1_000
+_WARM_UP_MS = 1_000
 _REPORT_LAG_MS = 1_000
-# Erlang-4 service times: some spread, as real work of one kind has.
-_SHAPE = 4
+# Erlang-4 service times: a moderate variance, as is typical of requests of one
+# kind.
+_ERLANG_SHAPE = 4
 
 SHORT = config.Treatment(name="short", method="GET", path_prefix="/short")
 LONG = config.Treatment(
@@ -32,7 +33,17 @@
 
 
 class Policy(enum.Enum):
-    """What decides about placement, order and admission."""
+    """Policies of placement, queueing and admission that are compared.
+
+    Attributes:
+        DEFAULT: The policies that agents use.
+        FIFO: Default placement with a FIFO queue that admits everything, as
+            for all policies below.
+        RANDOM: A random target.
+        ROUND_ROBIN: Each target in turn.
+        LEAST_REPORTED: The target with the lowest reported load.
+        TWO_CHOICES: The less loaded of two random targets, by reported load.
+    """
 
     DEFAULT = "ours"
     FIFO = "fifo"
@@ -42,7 +53,7 @@
     TWO_CHOICES = "two-choices-reported"
 
 
-_PLACEMENTS: dict[Policy, _model.MakePlacement] = {
+_PLACEMENTS: dict[Policy, _model.PlacementFactory] = {
     Policy.RANDOM: requests.RandomPlacement,
     Policy.ROUND_ROBIN: lambda rng: requests.RoundRobin(rng.randrange(100)),
     Policy.LEAST_REPORTED: requests.LeastReportedLoad,
@@ -56,7 +67,7 @@
 
 
 class TargetFault(enum.Enum):
-    """What happens to one target at the peak."""
+    """Fault of one target during the run."""
 
     NONE = "none"
     KILL = "kill"
@@ -66,24 +77,26 @@
 
 @dataclasses.dataclass(frozen=True)
 class Plan:
-    """One run.
+    """Parameters of one run.
 
     Attributes:
-        seed: Seed of everything random.
-        policy: What decides.
-        speeds: Speed of each target.
-        mean_ms: Mean duration of short work at speed 1.
-        long_ratio: Part of the requests that are stragglers.
-        long_factor: Length of a straggler against short work.
-        duration_ms: Length of the load.
-        load_ratio: Demand against capacity outside the peak.
-        peak_ratio: Demand against capacity at the peak; 0 for no peak.
-        peak_start_ms: Start of the rise, which takes 1 s.
+        seed: Seed of all random choices.
+        policy: Policies of placement, queueing and admission.
+        speeds: Relative speed of each target.
+        mean_ms: Mean execution time of short requests at speed 1.
+        long_ratio: Fraction of requests that are long.
+        long_factor: Execution time of a long request relative to the mean of
+            short ones.
+        duration_ms: Time during which requests arrive.
+        load_ratio: Offered load relative to capacity outside the peak.
+        peak_ratio: Offered load relative to capacity at the peak; 0 for no
+            peak.
+        peak_start_ms: Start of the increase to the peak, which takes 1 s.
         peak_end_ms: End of the peak.
-        fault: What happens to one target.
-        fault_ms: When it happens.
-        inaccurate_reports: Whether load endpoints lag, and two of them always
-            report idle.
+        fault: Fault of one target.
+        fault_ms: Time of the fault.
+        inaccurate_reports: Whether the load reports of two targets always say
+            idle. The reports of the others lag in every run.
     """
 
     seed: int
@@ -103,11 +116,11 @@
 
     @property
     def slots(self) -> float:
-        """Slots of the service at speed 1."""
+        """Capacity of the service in slots of speed 1."""
         return 2 * sum(self.speeds)
 
     def rate(self, time_ms: float) -> float:
-        """Returns the demand in requests per second."""
+        """Returns the offered load in requests per second."""
         work_ms = self.mean_ms * (1 + self.long_ratio * (self.long_factor - 1))
         capacity = self.slots / work_ms * 1000
         ratio = self.load_ratio
@@ -121,32 +134,32 @@
 
 @dataclasses.dataclass(frozen=True)
 class RunResult:
-    """What one run gave.
+    """Measurements of one run.
 
     Attributes:
-        plan: The run.
-        samples: One for each request.
-        use_ratios: Use of each target's slots, second by second.
-        attempt_count: Attempts of all requests.
+        plan: Parameters of the run.
+        samples: Outcome of each request.
+        utilization_ratios: Slot utilization of each target for each second.
+        attempt_count: Attempts of all requests, including retries.
     """
 
     plan: Plan
     samples: tuple[_load.Sample, ...]
-    use_ratios: tuple[tuple[float, ...], ...]
+    utilization_ratios: tuple[tuple[float, ...], ...]
     attempt_count: int
 
     def imbalances(self, first_second: int) -> list[float]:
-        """Returns the highest over the mean use, second by second."""
+        """Returns the highest utilization over the mean for each second."""
         last = self.plan.duration_ms // 1000
         return [
             max(row) / statistics.mean(row)
-            for row in self.use_ratios[first_second:last]
+            for row in self.utilization_ratios[first_second:last]
         ]
 
     def elapsed_ms(
         self, name: str, start_ms: float = 0, end_ms: float = 1e9
     ) -> list[float]:
-        """Returns the times of complete answers by arrival."""
+        """Returns times of complete responses by kind and arrival time."""
         return [
             sample.elapsed_ms
             for sample in self.samples
@@ -156,7 +169,7 @@
         ]
 
     def goodput_ratio(self, start_ms: float, end_ms: float) -> float:
-        """Returns the work completed in time over the capacity."""
+        """Returns the work completed within its deadline over the capacity."""
         work_ms = sum(
             sample.job.nominal_ms
             for sample in self.samples
@@ -168,26 +181,26 @@
 
 def run(plan: Plan) -> RunResult:
     """Runs a plan in virtual time."""
-    return _virtual.run(_Run(plan).run())
+    return _virtual_time.run(_Run(plan).run())
 
 
 class _Run:
     def __init__(self, plan: Plan) -> None:
         self._plan = plan
         self._rng = random.Random(plan.seed)
-        # Apart, so that every policy sees the same arrivals.
+        # A separate random source, so that every policy sees the same arrivals.
         self._load_rng = random.Random(f"load-{plan.seed}")
-        self._clock = _virtual.VirtualClock()
+        self._clock = _virtual_time.VirtualClock()
         fifo = plan.policy is not Policy.DEFAULT
         self._service = _model.ModelService(
             self._clock,
             self._rng,
-            _PLACEMENTS.get(plan.policy, _model.expected_completion),
+            _PLACEMENTS.get(plan.policy, _model.shortest_expected_delay),
             _fifo_queue if fifo else requests.FairQueue,
             requests.AdmitAll if fifo else requests.ExpectedWaitAdmission,
         )
         self._budgets = [requests.RetryBudget() for _ in range(_CALLER_COUNT)]
-        self._homes: list[_model.ModelNode] = []
+        self._connected_nodes: list[_model.ModelNode] = []
         self._attempt_count = 0
 
     async def run(self) -> RunResult:
@@ -196,11 +209,13 @@
             self._service.start_node(index, speed)
         self._service.connect()
         nodes = self._service.nodes
-        self._homes = [self._rng.choice(nodes) for _ in range(_CALLER_COUNT)]
-        await self._clock.sleep(_SETTLE_MS)
-        helpers = [
+        self._connected_nodes = [
+            self._rng.choice(nodes) for _ in range(_CALLER_COUNT)
+        ]
+        await self._clock.sleep(_WARM_UP_MS)
+        background_tasks = [
             asyncio.create_task(self._report_load()),
-            asyncio.create_task(self._cause_fault()),
+            asyncio.create_task(self._inject_fault()),
         ]
         samples = await _load.run_open_loop(
             self._load_rng,
@@ -209,11 +224,14 @@
             self._make_job,
             self._send,
         )
-        for task in helpers:
+        for task in background_tasks:
             task.cancel()
         self._service.close()
         return RunResult(
-            plan, tuple(samples), self._use_ratios(), self._attempt_count
+            plan,
+            tuple(samples),
+            self._utilization_ratios(),
+            self._attempt_count,
         )
 
     def _make_job(self, number: int) -> _load.Job:
@@ -221,7 +239,9 @@
         if self._load_rng.random() < plan.long_ratio:
             length_ms = plan.mean_ms * plan.long_factor
             return _load.Job(number, "long", length_ms, LONG.deadline_ms)
-        length_ms = self._load_rng.gammavariate(_SHAPE, plan.mean_ms / _SHAPE)
+        length_ms = self._load_rng.gammavariate(
+            _ERLANG_SHAPE, plan.mean_ms / _ERLANG_SHAPE
+        )
         return _load.Job(number, "short", length_ms, SHORT.deadline_ms)
 
     async def _send(self, job: _load.Job) -> core.Outcome[requests.Response]:
@@ -255,22 +275,25 @@
             arrived_ms=self._clock.now_ms(),
             deadline_ms=end_ms,
         )
-        home = self._homes[caller]
+        connected_node = self._connected_nodes[caller]
         outcome: core.Outcome[requests.Response]
         try:
             async with asyncio.timeout(job.deadline_ms / 1000):
                 outcome = await self._service.network.deliver(
-                    home.info.address,
+                    connected_node.info.address,
                     lambda node: asyncio.create_task(node.engine.submit(work)),
                 )
         except TimeoutError:
-            outcome = core.Failure(core.ErrorKind.OUTCOME_UNKNOWN, "no answer")
-        if home.dead.is_set() or home.paused:
-            # The caller opens a new connection when the old one is silent.
-            self._homes[caller] = self._rng.choice(self._living())
+            outcome = core.Failure(
+                core.ErrorKind.OUTCOME_UNKNOWN,
+                "no response before the deadline",
+            )
+        if connected_node.dead.is_set() or connected_node.paused:
+            # The caller reconnects when its connection stops responding.
+            self._connected_nodes[caller] = self._rng.choice(self._live_nodes())
         return outcome
 
-    def _living(self) -> list[_model.ModelNode]:
+    def _live_nodes(self) -> list[_model.ModelNode]:
         return [
             node
             for node in self._service.nodes
@@ -278,31 +301,32 @@
         ]
 
     async def _report_load(self) -> None:
-        """Load endpoints lag by a second; two of them always say idle."""
+        """Updates load reports with a lag of 1 s; two may always say idle."""
         nodes = self._service.nodes
         while True:
             loads = [float(node.backend.running_count) for node in nodes]
             await self._clock.sleep(_REPORT_LAG_MS)
             for index, node in enumerate(nodes):
-                lies = self._plan.inaccurate_reports and index in (0, 3)
+                reports_idle = self._plan.inaccurate_reports and index in (0, 3)
                 node.engine.scheduler.reported_load = (
-                    0 if lies else loads[index]
+                    0 if reports_idle else loads[index]
                 )
 
-    async def _cause_fault(self) -> None:
+    async def _inject_fault(self) -> None:
         await self._clock.sleep(self._plan.fault_ms)
         node = self._service.nodes[0]
         if self._plan.fault is TargetFault.KILL:
             node.kill()
-            await self._clock.sleep(2_000)  # Bound of failure detection: 3 s.
+            # Failure detection takes at most 3 s.
+            await self._clock.sleep(2_000)
             self._service.connect()
         elif self._plan.fault is TargetFault.PAUSE:
             node.paused = node.backend.paused = True
         elif self._plan.fault is TargetFault.FAIL_FAST:
             node.backend.failing = True
 
-    def _use_ratios(self) -> tuple[tuple[float, ...], ...]:
-        first = _SETTLE_MS // 1000
+    def _utilization_ratios(self) -> tuple[tuple[float, ...], ...]:
+        first = _WARM_UP_MS // 1000
         last = first + self._plan.duration_ms // 1000
         return tuple(
             tuple(
@@ -314,13 +338,14 @@
 
 
 def ideal_elapsed_ms(result: RunResult) -> list[float]:
-    """Returns times of short work under an ideal scheduler.
+    """Returns response times of short requests under an ideal scheduler.
 
-    The bound is a single queue for all slots that knows everything, never
-    leaves a slot idle and runs short work first, on the same arrivals.
+    The ideal scheduler is a single queue with complete knowledge. It never
+    leaves a slot idle while work waits and runs short requests first, on the
+    same arrivals.
 
     Args:
-        result: Run whose arrivals are used; all speeds are 1.
+        result: Run whose arrivals are used; all speeds must be 1.
     """
     jobs = sorted(result.samples, key=lambda sample: sample.started_ms)
     free_ms = [0.0] * round(result.plan.slots)
--- a/libs/lab/src/fireflyford/lab/_store_server.py
+++ b/libs/lab/src/fireflyford/lab/_store_server.py
@@ -1,10 +1,9 @@
-"""Stand-in for the platform's key-value service.
+"""In-memory stand-in for the etcd key-value store, with fault injection.
 
-Speaks the paths of the etcd v3 JSON gateway that the client uses, keeps
-everything in memory and fails on request: POST /switch with a JSON object of
-`down`, `slow_ms`, `lose_answer_count`, `lapse_leases`, `save_snapshot` and
-`restore_snapshot`; GET /counts returns the calls by path and the pending
-watches.
+Implements the endpoints of the etcd v3 JSON gateway that the client uses.
+`POST /switch` sets faults by a JSON object with the keys `down`, `slow_ms`,
+`lose_answer_count`, `lapse_leases`, `save_snapshot` and `restore_snapshot`.
+`GET /counts` returns the number of calls by path and of pending watches.
 """
 
 import asyncio
@@ -22,13 +21,13 @@
 from fireflyford import core
 
 _LEASE_CHECK_MS = 100
-# The published default limit of one request of etcd.
+# Documented default limit of the size of a request in etcd.
 _MAX_REQUEST_BYTES = 1_572_864
 
 
 @dataclasses.dataclass(frozen=True)
-class _Value:
-    """One entry as the service keeps it."""
+class _StoredValue:
+    """Stored value of one key with its revisions and lease."""
 
     value: bytes
     create_revision: int
@@ -38,15 +37,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Event:
-    """One change, for watches."""
+    """One change of a key, as reported to watches; no value if deleted."""
 
     revision: int
     key: bytes
-    value: _Value | None
+    value: _StoredValue | None
 
 
 class FaultSwitches:
-    """Faults that are switched on."""
+    """Faults that are in effect."""
 
     def __init__(self) -> None:
         """Starts without faults."""
@@ -56,46 +55,48 @@
 
 
 class StoreState:
-    """Entries, leases and changes of the service."""
+    """Entries, leases and change history of the store."""
 
     def __init__(self) -> None:
         """Starts empty."""
         self.revision = 1
-        self.values: dict[bytes, _Value] = {}
+        self.values: dict[bytes, _StoredValue] = {}
         self.events: list[_Event] = []
         self.leases: dict[int, tuple[int, float]] = {}
         self.changed = asyncio.Condition()
-        self._snapshot: tuple[int, dict[bytes, _Value]] = (1, {})
+        self._snapshot: tuple[int, dict[bytes, _StoredValue]] = (1, {})
         self._next_lease_id = 1_000
 
     def put(self, key: bytes, value: bytes, lease_id: int) -> None:
         """Writes one entry at the current revision."""
-        known = self.values.get(key)
-        created = self.revision if known is None else known.create_revision
-        entry = _Value(value, created, self.revision, lease_id)
+        existing = self.values.get(key)
+        created = (
+            self.revision if existing is None else existing.create_revision
+        )
+        entry = _StoredValue(value, created, self.revision, lease_id)
         self.values[key] = entry
         self.events.append(_Event(self.revision, key, entry))
 
     def delete(self, first: bytes, end: bytes) -> None:
         """Deletes the entries of a range."""
-        for key in self.find(first, end):
+        for key in self.find_keys(first, end):
             del self.values[key]
             self.events.append(_Event(self.revision, key, None))
 
-    def find(self, first: bytes, end: bytes) -> list[bytes]:
-        """Returns the keys of a range in order."""
+    def find_keys(self, first: bytes, end: bytes) -> list[bytes]:
+        """Returns the keys of a range in ascending order."""
         if not end:
             return [first] if first in self.values else []
         return sorted(key for key in self.values if first <= key < end)
 
     def grant(self, duration_s: int) -> int:
-        """Returns the identifier of a new lease."""
+        """Grants a lease and returns its identifier."""
         self._next_lease_id += 1
         expiry = time.monotonic() + duration_s
         self.leases[self._next_lease_id] = (duration_s, expiry)
         return self._next_lease_id
 
-    def keep(self, lease_id: int) -> int:
+    def renew(self, lease_id: int) -> int:
         """Renews a lease; returns its duration, 0 when it has lapsed."""
         if lease_id not in self.leases:
             return 0
@@ -116,35 +117,35 @@
             self.delete(key, key + b"\0")
 
     def end_lapsed_leases(self, every: bool = False) -> None:
-        """Ends the leases that are due, or all of them."""
+        """Ends expired leases, or all leases if `every` is set."""
         now = time.monotonic()
         for lease_id, (_, expiry) in list(self.leases.items()):
             if every or expiry < now:
                 self.end_lease(lease_id)
 
     def save_snapshot(self) -> None:
-        """Keeps the current entries for `restore_snapshot`."""
+        """Saves the current entries for `restore_snapshot`."""
         self._snapshot = (self.revision, dict(self.values))
 
     def restore_snapshot(self) -> None:
-        """Returns to the saved entries and their revision."""
+        """Rolls back to the saved entries and their revision."""
         self.revision, values = self._snapshot
         self.values = dict(values)
         self.events = [
             event for event in self.events if event.revision <= self.revision
         ]
 
-    async def announce(self) -> None:
-        """Wakes the watches."""
+    async def notify_watches(self) -> None:
+        """Wakes up pending watches and lets them check for events."""
         async with self.changed:
             self.changed.notify_all()
 
 
 class StoreServer:
-    """The service with its switches; several ports share one state."""
+    """HTTP server of the store; several addresses can share one state."""
 
     def __init__(self) -> None:
-        """Starts with an empty state and without faults."""
+        """Prepares a server with an empty state and without faults."""
         self.state = StoreState()
         self.switches = FaultSwitches()
         self.call_counts: collections.Counter[str] = collections.Counter()
@@ -153,7 +154,7 @@
         self._lease_task: asyncio.Task[None] | None = None
 
     def listen(self, address: core.Address) -> None:
-        """Serves one gateway address until `stop`."""
+        """Starts to serve on one more address, until `stop`."""
         options = {"server": self}
         application = web.Application(
             [
@@ -178,7 +179,7 @@
             self._lease_task = asyncio.create_task(self._expire_leases())
 
     def stop(self) -> None:
-        """Stops serving."""
+        """Stops serving on all addresses."""
         for server in self._servers:
             server.stop()
         if self._lease_task is not None:
@@ -188,13 +189,13 @@
         while True:
             await asyncio.sleep(_LEASE_CHECK_MS / 1000)
             self.state.end_lapsed_leases()
-            await self.state.announce()
+            await self.state.notify_watches()
 
 
 class _GatewayHandler(web.RequestHandler):
-    """One path of the gateway, with the faults applied."""
+    """Base class of the gateway's endpoints; applies the faults."""
 
-    writes = False
+    is_write = False
 
     def initialize(self, server: StoreServer) -> None:
         self.server = server
@@ -206,30 +207,30 @@
         if switches.slow_ms:
             await asyncio.sleep(switches.slow_ms / 1000)
         if switches.down:
-            self._hang_up()
+            self._close_connection()
             return
-        reply = self.answer(json.loads(self.request.body))
-        if self.writes:
-            await self.state.announce()
+        reply = self.handle_request(json.loads(self.request.body))
+        if self.is_write:
+            await self.state.notify_watches()
             if switches.lose_answer_count:
                 switches.lose_answer_count -= 1
-                self._hang_up()
+                self._close_connection()
                 return
         reply["header"] = {"revision": str(self.state.revision)}
         self.finish(reply)
 
-    def answer(self, body: dict[str, Any]) -> dict[str, Any]:
+    def handle_request(self, body: dict[str, Any]) -> dict[str, Any]:
         raise NotImplementedError
 
-    def _hang_up(self) -> None:
+    def _close_connection(self) -> None:
         self.detach().close()
 
 
 class _RangeHandler(_GatewayHandler):
-    """Reads of keys."""
+    """Reads a range of keys."""
 
-    def answer(self, body: dict[str, Any]) -> dict[str, Any]:
-        keys = self.state.find(
+    def handle_request(self, body: dict[str, Any]) -> dict[str, Any]:
+        keys = self.state.find_keys(
             _decode(body["key"]), _decode(body.get("range_end", ""))
         )
         if body.get("sort_order") == "DESCEND":
@@ -243,11 +244,11 @@
 
 
 class _PutHandler(_GatewayHandler):
-    """Writes of one key."""
+    """Writes one key."""
 
-    writes = True
+    is_write = True
 
-    def answer(self, body: dict[str, Any]) -> dict[str, Any]:
+    def handle_request(self, body: dict[str, Any]) -> dict[str, Any]:
         self.state.revision += 1
         self.state.put(
             _decode(body["key"]),
@@ -258,11 +259,11 @@
 
 
 class _TxnHandler(_GatewayHandler):
-    """Transactions with comparisons."""
+    """Executes a transaction with comparisons."""
 
-    writes = True
+    is_write = True
 
-    def answer(self, body: dict[str, Any]) -> dict[str, Any]:
+    def handle_request(self, body: dict[str, Any]) -> dict[str, Any]:
         succeeded = all(self._holds(item) for item in body.get("compare", ()))
         operations = body.get("success" if succeeded else "failure", ())
         self.state.revision += bool(operations)
@@ -271,14 +272,14 @@
         return {"succeeded": True} if succeeded else {}
 
     def _holds(self, compare: dict[str, Any]) -> bool:
-        known = self.state.values.get(_decode(compare["key"]))
+        existing = self.state.values.get(_decode(compare["key"]))
         if compare["target"] == "VALUE":
             expected = _decode(compare.get("value", ""))
-            return known is not None and known.value == expected
+            return existing is not None and existing.value == expected
         if compare["target"] == "MOD":
-            revision = 0 if known is None else known.mod_revision
+            revision = 0 if existing is None else existing.mod_revision
             return revision == int(compare.get("mod_revision", 0))
-        revision = 0 if known is None else known.create_revision
+        revision = 0 if existing is None else existing.create_revision
         return revision == int(compare.get("create_revision", 0))
 
     def _apply(self, operation: dict[str, Any]) -> None:
@@ -297,45 +298,45 @@
 
 
 class _GrantHandler(_GatewayHandler):
-    """Grants of leases."""
+    """Grants a lease."""
 
-    writes = True
+    is_write = True
 
-    def answer(self, body: dict[str, Any]) -> dict[str, Any]:
+    def handle_request(self, body: dict[str, Any]) -> dict[str, Any]:
         duration_s = int(body["TTL"])
         lease_id = self.state.grant(duration_s)
         return {"ID": str(lease_id), "TTL": str(duration_s)}
 
 
 class _KeepAliveHandler(_GatewayHandler):
-    """Renewals of leases."""
+    """Renews a lease."""
 
-    def answer(self, body: dict[str, Any]) -> dict[str, Any]:
-        duration_s = self.state.keep(int(body["ID"]))
+    def handle_request(self, body: dict[str, Any]) -> dict[str, Any]:
+        duration_s = self.state.renew(int(body["ID"]))
         return {"result": {"ID": body["ID"], "TTL": str(duration_s)}}
 
 
 class _RevokeHandler(_GatewayHandler):
-    """Ends of leases."""
+    """Revokes a lease."""
 
-    writes = True
+    is_write = True
 
-    def answer(self, body: dict[str, Any]) -> dict[str, Any]:
+    def handle_request(self, body: dict[str, Any]) -> dict[str, Any]:
         self.state.end_lease(int(body["ID"]))
         return {}
 
 
 class _WatchHandler(web.RequestHandler):
-    """Streams of changes."""
+    """Streams the changes of a range of keys."""
 
     def initialize(self, server: StoreServer) -> None:
         self.server = server
         self.state = server.state
-        self._open = True
+        self._is_open = True
 
     def on_connection_close(self) -> None:
-        self._open = False
-        self._closing = asyncio.create_task(self.state.announce())
+        self._is_open = False
+        self._closing = asyncio.create_task(self.state.notify_watches())
 
     async def post(self) -> None:
         self.server.call_counts[self.request.path] += 1
@@ -348,7 +349,7 @@
         self.server.pending_watch_count += 1
         try:
             await self._send({"created": True})
-            while self._open and not self.server.switches.down:
+            while self._is_open and not self.server.switches.down:
                 events = [
                     event
                     for event in self.state.events
@@ -361,13 +362,13 @@
                     await self._send(
                         {"events": [_encode_event(item) for item in events]}
                     )
-                await self._wait()
+                await self._wait_for_change()
         finally:
             self.server.pending_watch_count -= 1
-        if self._open:
+        if self._is_open:
             self.detach().close()
 
-    async def _wait(self) -> None:
+    async def _wait_for_change(self) -> None:
         async with self.state.changed:
             await self.state.changed.wait()
 
@@ -382,31 +383,31 @@
 
 
 class _SwitchHandler(web.RequestHandler):
-    """Switches faults."""
+    """Sets faults."""
 
     def initialize(self, server: StoreServer) -> None:
         self.server = server
 
     async def post(self) -> None:
-        wanted = json.loads(self.request.body)
+        requested = json.loads(self.request.body)
         switches, state = self.server.switches, self.server.state
-        switches.down = wanted.get("down", switches.down)
-        switches.slow_ms = wanted.get("slow_ms", switches.slow_ms)
-        switches.lose_answer_count = wanted.get(
+        switches.down = requested.get("down", switches.down)
+        switches.slow_ms = requested.get("slow_ms", switches.slow_ms)
+        switches.lose_answer_count = requested.get(
             "lose_answer_count", switches.lose_answer_count
         )
-        if wanted.get("lapse_leases"):
+        if requested.get("lapse_leases"):
             state.end_lapsed_leases(every=True)
-        if wanted.get("save_snapshot"):
+        if requested.get("save_snapshot"):
             state.save_snapshot()
-        if wanted.get("restore_snapshot"):
+        if requested.get("restore_snapshot"):
             state.restore_snapshot()
-        await state.announce()
+        await state.notify_watches()
         self.finish(vars(switches))
 
 
 class _CountsHandler(web.RequestHandler):
-    """Counts of calls."""
+    """Reports the number of calls by path and of pending watches."""
 
     def initialize(self, server: StoreServer) -> None:
         self.server = server
@@ -424,7 +425,7 @@
     return base64.b64decode(text)
 
 
-def _encode_entry(key: bytes, entry: _Value) -> dict[str, str]:
+def _encode_entry(key: bytes, entry: _StoredValue) -> dict[str, str]:
     return {
         "key": base64.b64encode(key).decode(),
         "value": base64.b64encode(entry.value).decode(),
@@ -445,7 +446,7 @@
 
 
 def run_store(*addresses: str) -> None:
-    """Runs the stand-in store until it is stopped.
+    """Runs the stand-in store until SIGTERM or SIGINT.
 
     Args:
         *addresses: `ip:port` of each gateway.
--- a/libs/lab/src/fireflyford/lab/_virtual.py
+++ b/libs/lab/src/fireflyford/lab/_virtual_time.py
@@ -1,4 +1,4 @@
-"""Virtual time: unchanged asyncio code, without waiting."""
+"""Virtual time for unmodified asyncio code."""
 
 import asyncio
 from collections.abc import Coroutine
@@ -11,8 +11,8 @@
 T = TypeVar("T")
 
 
-class _JumpingSelector(selectors.SelectSelector):
-    """Moves the time forward instead of waiting."""
+class _VirtualTimeSelector(selectors.SelectSelector):
+    """Advances the virtual time instead of waiting for I/O."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -22,30 +22,33 @@
         self, timeout: float | None = None
     ) -> list[tuple[selectors.SelectorKey, int]]:
         if timeout is None:
-            raise RuntimeError("all tasks wait and no timer is set")
+            raise RuntimeError(
+                "deadlock in virtual time: all tasks are waiting and no timer "
+                "is scheduled"
+            )
         self.now_s += max(0.0, timeout)
         return []
 
 
-class VirtualLoop(asyncio.SelectorEventLoop):
-    """Event loop whose time moves when nothing is left to do."""
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
+    """Event loop whose time advances only when no callback is ready."""
 
     def __init__(self) -> None:
         """Starts at time zero."""
-        self._jumping = _JumpingSelector()
-        super().__init__(self._jumping)
+        self._time_selector = _VirtualTimeSelector()
+        super().__init__(self._time_selector)
 
     def time(self) -> float:
         """Returns the virtual time in seconds."""
-        return self._jumping.now_s
+        return self._time_selector.now_s
 
 
 class VirtualClock(core.Clock):
-    """Clock of the running event loop."""
+    """Clock that reads the time of the running event loop."""
 
     def now_ms(self) -> int:
         """Returns the virtual time."""
-        # Rounds, since timers sum up binary fractions of a second.
+        # Corrects rounding errors: timers add up binary fractions of a second.
         return int(asyncio.get_running_loop().time() * 1000 + 1e-6)
 
     def wall_ms(self) -> int:
@@ -53,15 +56,15 @@
         return self.now_ms()
 
     async def sleep(self, duration_ms: float) -> None:
-        """Waits for virtual time."""
+        """Waits for a duration in virtual time."""
         await asyncio.sleep(duration_ms / 1000)
 
 
 def run(main: Coroutine[Any, Any, T]) -> T:
-    """Runs a coroutine in virtual time, from time zero.
+    """Runs a coroutine in virtual time, starting at time zero.
 
     >>> run(asyncio.sleep(3600, "an hour later"))
     'an hour later'
     """
-    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
         return runner.run(main)
--- a/libs/lab/tests/test_at_most_once.py
+++ b/libs/lab/tests/test_at_most_once.py
@@ -102,7 +102,7 @@
     run = _fault_runs._FaultRun(
         5, (_fault_runs.Fault.LATE_COPY, _fault_runs.Fault.REUSED_ADDRESS)
     )
-    result = _fault_runs._virtual.run(run.run())
+    result = _fault_runs._virtual_time.run(run.run())
     rules = {violation.rule for violation in result.violations}
     assert _history.Rule.RAN_TWICE in rules
 
@@ -120,7 +120,7 @@
     execution: str, body: bytes | None, ran: int, rule: str
 ) -> None:
     """Guards against a rule of the checker that never fires."""
-    told = _history.Told("o", "o/0", core.Execution[execution], body)
-    runs = [_history.Ran("o", "o/0", "backend")] * ran
-    found = _history.check([told], runs, {"o/0": b"a"})
+    answer = _history.Answer("o", "o/0", core.Execution[execution], body)
+    runs = [_history.ExecutionRecord("o", "o/0", "backend")] * ran
+    found = _history.check([answer], runs, {"o/0": b"a"})
     assert [violation.rule for violation in found] == [_history.Rule[rule]]
--- a/libs/lab/tests/test_flow_handover.py
+++ b/libs/lab/tests/test_flow_handover.py
@@ -61,7 +61,7 @@
                     (key, type(entry).__name__, vars(entry))
                     for key, entry in node.table._entries
                 ],
-                node.held_back,
+                node.pending_messages,
             )
             for address, node in self.network.nodes.items()
         ]
@@ -74,7 +74,7 @@
     views: list[list[routing.Target]],
     faults: Faults,
     owner: routing.Target | None,
-    table: _flow_network.TableMaker = routing.FlowTable,
+    table: _flow_network.FlowTableFactory = routing.FlowTable,
 ) -> World:
     network = _flow_network.FlowNetwork(table)
     routers = [routing.Router(network.clock) for _ in views]
@@ -82,7 +82,7 @@
         network.start(owner)
         routers[0].replace_targets([dataclasses.replace(owner)])
         network.send(routers[0], BALANCERS[0], KEY)
-        network.settle()
+        network.deliver_all()
         network.deliveries.clear()
         network.clock.time_ms += 1_000
     for view in views:
@@ -106,7 +106,7 @@
     rings = [router._ring for router in world.routers]
     rings += [old for router in world.routers for _, old in router._history]
     for node in world.network.nodes.values():
-        rings += [node._ring, node._others]
+        rings += [node._ring, node._ring_without_self]
     return copy.deepcopy(world, {id(ring): ring for ring in rings})
 
 
@@ -161,17 +161,17 @@
         network.retry_all()
         for router, balancer in zip(world.routers, BALANCERS, strict=True):
             network.send(router, balancer, KEY)
-        network.settle()
+        network.deliver_all()
     for _ in range(6):
         network.clock.time_ms += 250
         network.retry_all()
-        network.settle()
+        network.deliver_all()
     holders = network.holders(KEY)
     assert len(holders) == 1, holders
     network.deliveries.clear()
     for router, balancer in zip(world.routers, BALANCERS, strict=True):
         network.send(router, balancer, KEY)
-    network.settle()
+    network.deliver_all()
     assert [d.holder for d in network.deliveries] == holders * 2
 
 
--- a/libs/lab/tests/test_flow_model.py
+++ b/libs/lab/tests/test_flow_model.py
@@ -71,7 +71,7 @@
         for node in self.network.nodes.values():
             node.replace_targets(self.views[-1])
             self.network.announce(node)
-        self.network.settle()
+        self.network.deliver_all()
 
     def refresh(self, index: int) -> None:
         """Gives one balancer the newest view."""
@@ -145,7 +145,7 @@
         balancer = core.Address("10.0.0.1", index)
         network.send(self.routers[index], balancer, flow)
         for _ in range(8):
-            network.settle()
+            network.deliver_all()
             if network.deliveries:
                 break
             network.clock.time_ms += 250
--- a/libs/lab/tests/test_interleavings.py
+++ b/libs/lab/tests/test_interleavings.py
@@ -15,7 +15,7 @@
 from fireflyford import config
 from fireflyford import core
 from fireflyford import requests
-from fireflyford.lab import _virtual
+from fireflyford.lab import _virtual_time
 
 _MAX_CHOICES = 5
 _PASSES = 8
@@ -223,7 +223,7 @@
 
 async def _run_schedule(schedule: list[int]) -> tuple[list[int], str]:
     """Runs one schedule; returns the number of choices at each step."""
-    clock = _virtual.VirtualClock()
+    clock = _virtual_time.VirtualClock()
     world = _World(clock)
     await clock.sleep(1)
     await _pass_time()
@@ -285,7 +285,7 @@
 
 def test_every_order_of_messages_runs_the_work_once() -> None:
     """Guards against a second run or a false answer in any order."""
-    count, fault = _virtual.run(_explore())
+    count, fault = _virtual_time.run(_explore())
     assert fault == ""
     assert count > 1_500
 
@@ -302,7 +302,7 @@
         return begin(self, object(), *rest)  # type: ignore[arg-type]
 
     monkeypatch.setattr(requests.RequestRecords, "begin", forgetful)
-    _, fault = _virtual.run(_explore())
+    _, fault = _virtual_time.run(_explore())
     assert fault.startswith("ran twice")
 
 
@@ -319,5 +319,5 @@
         return await accept(self, dataclasses.replace(handoff, executor=own))
 
     monkeypatch.setattr(requests.RequestEngine, "accept_handoff", gullible)
-    _, fault = _virtual.run(_explore())
+    _, fault = _virtual_time.run(_explore())
     assert fault.startswith("ran twice")
--- a/libs/lab/tests/test_packet_fleet.py
+++ b/libs/lab/tests/test_packet_fleet.py
@@ -75,7 +75,7 @@
     clients = open_clients(fleet, 80)
     fleet.rotation = fleet.balancers[1:]
     request_on_all(fleet, clients)
-    assert fleet.broken == []
+    assert fleet.broken_flows == []
     assert fleet.answered_share(CALM_MS) == 1.0
 
 
@@ -95,7 +95,7 @@
     fleet.publish_registry()
     fleet.run(400)
     request_on_all(fleet, clients)
-    assert fleet.broken == []
+    assert fleet.broken_flows == []
     assert outcomes(fleet) == {_packet_fleet.RequestOutcome.ANSWERED}
 
 
@@ -110,7 +110,7 @@
         agent.report(flows.TargetState.READY, 2)
     fleet.run(400)
     request_on_all(fleet, clients)
-    assert fleet.broken == []
+    assert fleet.broken_flows == []
     assert outcomes(fleet) == {_packet_fleet.RequestOutcome.ANSWERED}
 
 
@@ -120,7 +120,7 @@
     clients = open_clients(fleet, 80)
     fleet.targets[0].crash()
     request_on_all(fleet, clients)
-    assert fleet.broken == []
+    assert fleet.broken_flows == []
     lost = [
         result
         for result in fleet.results
@@ -176,21 +176,21 @@
     request_on_all(fleet, clients)
     open_clients(fleet, 50)
     assert len(fleet.targets[1].opened) == opened_count
-    assert fleet.broken == []
+    assert fleet.broken_flows == []
 
 
 def test_an_agent_that_the_registry_hides_keeps_its_flows() -> None:
     """Guards against resets by homes that see the registry only."""
     fleet = _packet_fleet.PacketFleet(6, PLANS, long_lived=True)
     clients = open_clients(fleet, 80)
-    fleet.hidden.add(fleet.agents[0].address)
+    fleet.unregistered.add(fleet.agents[0].address)
     fleet.publish_registry()
     fleet.run(6_000)
     for balancer in fleet.balancers:
         balancer.start()
     fleet.publish_registry()
     request_on_all(fleet, clients)
-    assert fleet.broken == []
+    assert fleet.broken_flows == []
     assert outcomes(fleet) == {_packet_fleet.RequestOutcome.ANSWERED}
 
 
