--- a/libs/lab/tests/test_at_most_once.py
+++ b/libs/lab/tests/test_at_most_once.py
@@ -1,4 +1,4 @@
-"""At most one run and true answers, under faults and with broken code."""
+"""At-most-once execution and correct answers, under faults and mutations."""
 
 import dataclasses
 
@@ -10,14 +10,14 @@
 from fireflyford.lab import _history
 from fireflyford.requests import _scheduler
 
-# CI runs these; the experiment `at-most-once` runs at least 200.
+# The experiment `at-most-once` runs 200 seeds.
 _SEEDS = range(12)
 Outcome = core.Outcome[requests.Response]
 
 
 @pytest.mark.parametrize("seed", _SEEDS)
-def test_faults_break_no_promise(seed: int) -> None:
-    """Guards against second runs and false answers under faults."""
+def test_faults_violate_no_guarantee(seed: int) -> None:
+    """Guards against repeated executions and false answers under faults."""
     result = _fault_runs.run_once(seed)
     assert result.violations == ()
     assert result.execution_count > 20
@@ -31,25 +31,25 @@
     }
 
 
-def test_checker_sees_records_that_let_copies_run(
+def test_checker_detects_missing_records(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Guards against a checker that misses second runs of a ticket."""
+    """Guards against a checker that misses repeated executions."""
     begin = requests.RequestRecords.begin
 
-    def forgetful(
+    def begin_without_record(
         self: requests.RequestRecords, key: object, *rest: object
     ) -> core.Outcome[requests.Claim]:
         return begin(self, object(), *rest)  # type: ignore[arg-type]
 
-    monkeypatch.setattr(requests.RequestRecords, "begin", forgetful)
+    monkeypatch.setattr(requests.RequestRecords, "begin", begin_without_record)
     assert _history.Rule.RAN_TWICE in _broken_rules(range(4))
 
 
-def test_checker_sees_records_dropped_before_tickets_expire(
+def test_checker_detects_records_dropped_before_tickets_expire(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Guards against a run of a copy that comes after its record is gone."""
+    """Guards against executions of copies that outlive their record."""
 
     def expire_early(self: requests.RequestRecords) -> None:
         while self._by_age and self._by_age[0][0] < self._clock.now_ms() - 500:
@@ -59,46 +59,48 @@
     assert _history.Rule.RAN_TWICE in _broken_rules(range(4))
 
 
-def test_checker_sees_false_not_run(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guards against a checker that misses "not run" for work that ran."""
+def test_checker_detects_false_not_run(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a checker that misses false "not run" answers."""
 
-    def pretend(outcome: Outcome) -> bool:
+    def is_failure(outcome: Outcome) -> bool:
         return isinstance(outcome, core.Failure)
 
     original = _scheduler.Scheduler._run_at_peer
 
-    async def lying(
+    async def report_not_run(
         self: _scheduler.Scheduler, *args: object
     ) -> core.Outcome[requests.Response]:
         outcome = await original(self, *args)  # type: ignore[arg-type]
-        if pretend(outcome):
+        if is_failure(outcome):
             return core.Failure(core.ErrorKind.NO_TARGET, "not run")
         return outcome
 
-    monkeypatch.setattr(_scheduler.Scheduler, "_run_at_peer", lying)
-    # Seed 14 loses replies of peers.
+    monkeypatch.setattr(_scheduler.Scheduler, "_run_at_peer", report_not_run)
+    # The fault of seed 14 is the loss of peers' replies.
     assert _fault_runs.choose_faults(14) == (_fault_runs.Fault.LOST_REPLY,)
     rules = _broken_rules(range(14, 15))
     assert _history.Rule.NOT_RUN_BUT_RAN in rules
 
 
-def test_checker_sees_work_meant_for_another_incarnation(
+def test_checker_detects_work_addressed_to_another_incarnation(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Guards against copies that run at a restarted peer."""
+    """Guards against copies that are executed by a restarted peer."""
     accept = requests.RequestEngine.accept_handoff
 
-    async def gullible(
+    async def accept_any_incarnation(
         self: requests.RequestEngine, handoff: requests.Handoff
     ) -> Outcome:
-        same = dataclasses.replace(
+        readdressed = dataclasses.replace(
             handoff,
             executor=self.issuer.incarnation,
             stamp_ms=self._clock.now_ms(),
         )
-        return await accept(self, same)
+        return await accept(self, readdressed)
 
-    monkeypatch.setattr(requests.RequestEngine, "accept_handoff", gullible)
+    monkeypatch.setattr(
+        requests.RequestEngine, "accept_handoff", accept_any_incarnation
+    )
     run = _fault_runs._FaultRun(
         5, (_fault_runs.Fault.LATE_COPY, _fault_runs.Fault.REUSED_ADDRESS)
     )
@@ -119,7 +121,7 @@
 def test_checker_names_the_broken_rule(
     execution: str, body: bytes | None, ran: int, rule: str
 ) -> None:
-    """Guards against a rule of the checker that never fires."""
+    """Guards against a rule that the checker never reports."""
     answer = _history.Answer("o", "o/0", core.Execution[execution], body)
     runs = [_history.ExecutionRecord("o", "o/0", "backend")] * ran
     found = _history.check([answer], runs, {"o/0": b"a"})
--- a/libs/lab/tests/test_configuration.py
+++ b/libs/lab/tests/test_configuration.py
@@ -1,4 +1,4 @@
-"""Pushed configurations in running balancers and agents."""
+"""Configuration pushes to running balancers and agents."""
 
 import asyncio
 import dataclasses
@@ -18,13 +18,13 @@
     for service in _deployments.BANTAY.services[:1]
 )
 BASE = dataclasses.replace(_deployments.BANTAY, services=SERVICES)
-NO_ANSWER_S = 1.0
+CONNECT_TIMEOUT_S = 1.0
 
 
 async def _push(
     fleet: _fleet.Fleet, base: int, service: config.Service
 ) -> None:
-    """Pushes a changed service and waits until all instances run it."""
+    """Pushes a changed service and waits until all instances apply it."""
     client = store.EtcdStore([fleet.store_address])
     config_store = store.ConfigStore(client, core.SystemClock())
     deployment = dataclasses.replace(fleet.deployment, services=(service,))
@@ -32,16 +32,16 @@
     assert isinstance(await config_store.push(push), core.Ok)
     instances = (*fleet.balancers.values(), *fleet.targets.values())
     for instance in instances:
-        while await _version(instance.status_address) <= base:
+        while await _config_version(instance.status_address) <= base:
             await asyncio.sleep(0.02)
 
 
-async def _version(address: core.Address) -> int:
+async def _config_version(address: core.Address) -> int:
     status = await _fleet.fetch_status(address)
     return int(str(status["config"]["version"]))
 
 
-async def _follow(fleet: _fleet.Fleet) -> None:
+async def _run_drain(fleet: _fleet.Fleet) -> None:
     await fleet.start()
     service = fleet.deployment.services[0]
     client = caller.Client(
@@ -49,7 +49,7 @@
         service.name,
         fleet.authorities_path(service.name),
     )
-    renamed = dataclasses.replace(
+    draining_service = dataclasses.replace(
         service,
         treatments=(config.Treatment("work", "GET", "/work"),),
         draining=True,
@@ -57,22 +57,27 @@
     async with client.connect() as connection:
         before = await client.request(connection, "GET", "/work", b"")
         assert isinstance(before, core.Failure)
-        await _push(fleet, 0, renamed)
+        await _push(fleet, 0, draining_service)
         after = await client.request(connection, "GET", "/work", b"")
         assert isinstance(after, core.Ok)
         with pytest.raises(TimeoutError):
-            async with asyncio.timeout(NO_ANSWER_S), client.connect():
+            async with asyncio.timeout(CONNECT_TIMEOUT_S), client.connect():
                 pass
-        await _push(fleet, 1, dataclasses.replace(renamed, draining=False))
-        async with asyncio.timeout(NO_ANSWER_S), client.connect() as other:
+        await _push(
+            fleet, 1, dataclasses.replace(draining_service, draining=False)
+        )
+        async with (
+            asyncio.timeout(CONNECT_TIMEOUT_S),
+            client.connect() as other,
+        ):
             outcome = await client.request(other, "GET", "/work", b"")
             assert isinstance(outcome, core.Ok)
 
 
 def test_a_draining_service_keeps_its_flows_and_takes_no_new_ones() -> None:
-    """Guards against pushed changes that do not reach agents and balancers."""
+    """Guards against pushes that do not reach agents and balancers."""
     fleet = _fleet.Fleet(BASE, random.Random(1), balancer_count=2)
     try:
-        asyncio.run(_follow(fleet))
+        asyncio.run(_run_drain(fleet))
     finally:
         fleet.stop()
--- a/libs/lab/tests/test_path.py
+++ b/libs/lab/tests/test_end_to_end.py
@@ -1,4 +1,4 @@
-"""The whole path with real processes."""
+"""End-to-end requests through real processes."""
 
 import asyncio
 import random
@@ -44,7 +44,7 @@
 
 
 def test_every_caller_gets_its_own_answer() -> None:
-    """Guards against answers that go to another request or service."""
+    """Guards against responses that go to another request or service."""
     fleet = _fleet.Fleet(_deployments.BANTAY, random.Random(1))
     try:
         bodies = asyncio.run(_run_services(fleet))
--- a/libs/lab/tests/test_faults.py
+++ b/libs/lab/tests/test_faults.py
@@ -1,4 +1,4 @@
-"""The fault proxy's draws and links."""
+"""Random choices and links of the fault proxy."""
 
 import asyncio
 from typing import Any
@@ -20,14 +20,14 @@
 
 
 def test_draws_repeat_with_the_seed() -> None:
-    """Guards against runs that cannot be repeated."""
+    """Guards against runs that are not reproducible."""
     faults = _faults.Faults(loss_ratio=0.3, jitter_ms=5, duplicate_ratio=0.2)
     assert delays(faults, 1, 100) == delays(faults, 1, 100)
     assert delays(faults, 1, 100) != delays(faults, 2, 100)
 
 
 def test_ratios_are_kept() -> None:
-    """Guards against faults that are rarer or more frequent than asked."""
+    """Guards against faults that are rarer or more frequent than configured."""
     lost = delays(_faults.Faults(loss_ratio=0.25), 3, 4_000).count([])
     assert 900 < lost < 1_100
     late = delays(_faults.Faults(late_ratio=0.5, late_ms=60_000), 3, 4_000)
@@ -35,21 +35,21 @@
 
 
 def test_a_cut_stops_one_direction() -> None:
-    """Guards against a one-way cut that stops both ways."""
+    """Guards against a one-way cut that blocks both directions."""
     plan = _faults.FaultPlan(_faults.Faults(cut=_faults.Cut.FORWARD), 1)
     assert plan.delays_ms(0.0, 100, FORWARD) == []
     assert plan.delays_ms(0.0, 100, BACKWARD) == [0.0]
 
 
 def test_a_rate_limit_queues_and_then_drops() -> None:
-    """Guards against a rate limit with an endless queue."""
+    """Guards against a rate limit with an unbounded queue."""
     queued = delays(_faults.Faults(rate_bytes_per_s=10_000), 1, 20)
     assert queued[:3] == [[0.0], [100.0], [200.0]]
     assert queued[-1] == []
 
 
 def test_ratios_are_checked() -> None:
-    """Guards against a percentage where a ratio is meant."""
+    """Guards against a percentage in place of a ratio."""
     with pytest.raises(ValueError, match="loss_ratio"):
         _faults.Faults(loss_ratio=30)
 
@@ -88,7 +88,7 @@
 
 
 def test_open_flows_freeze_while_new_ones_work() -> None:
-    """Guards against a silent path that also stops new connections."""
+    """Guards against a frozen path that also blocks new connections."""
 
     async def run() -> list[bool]:
         loop = asyncio.get_running_loop()
@@ -114,7 +114,7 @@
 
 
 def test_streams_pass_freeze_and_reset() -> None:
-    """Guards against streams that close where they should stay silent."""
+    """Guards against frozen streams that close instead of staying open."""
 
     async def run() -> None:
         target, listen = _ports.free_address(), _ports.free_address()
--- a/libs/lab/tests/test_flow_handover.py
+++ b/libs/lab/tests/test_flow_handover.py
@@ -1,4 +1,4 @@
-"""Every order of the messages of a small handover, with faults."""
+"""Exhaustive exploration of the message orders of a handover, with faults."""
 
 from collections.abc import Iterator
 import copy
@@ -29,15 +29,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Faults:
-    """How many faults of each kind one run may still have."""
+    """Remaining number of faults of each kind in one run."""
 
     losses: int = 0
     duplicates: int = 0
     crashes: int = 0
 
 
-class World:
-    """One state of the exploration."""
+class ExplorationState:
+    """State of the exploration."""
 
     def __init__(
         self,
@@ -46,14 +46,14 @@
         faults: Faults,
         owner: core.Holder | None,
     ) -> None:
-        """Takes the state; an `owner` that lives must keep the flow."""
+        """Takes the parts of the state; a live `owner` must keep the flow."""
         self.network = network
         self.routers = routers
         self.faults = faults
         self.owner = owner
 
     def fingerprint(self) -> str:
-        """Returns a text equal for equal states."""
+        """Returns a text that is the same for equal states."""
         nodes = [
             (
                 str(address),
@@ -65,17 +65,21 @@
             )
             for address, node in self.network.nodes.items()
         ]
-        flying = sorted(map(repr, self.network.in_flight))
-        places = sorted({str(d.holder) for d in self.network.deliveries})
-        return repr((nodes, flying, places, self.faults, self.owner))
+        in_flight = sorted(map(repr, self.network.in_flight))
+        delivery_holders = sorted(
+            {str(d.holder) for d in self.network.deliveries}
+        )
+        return repr(
+            (nodes, in_flight, delivery_holders, self.faults, self.owner)
+        )
 
 
-def make_world(
+def make_state(
     views: list[list[routing.Target]],
     faults: Faults,
     owner: routing.Target | None,
     table: _flow_network.FlowTableFactory = routing.FlowTable,
-) -> World:
+) -> ExplorationState:
     network = _flow_network.FlowNetwork(table)
     routers = [routing.Router(network.clock) for _ in views]
     if owner is not None:
@@ -96,70 +100,70 @@
         node.replace_targets(views[-1])
     for router, balancer in zip(routers, BALANCERS, strict=True):
         network.send(router, balancer, KEY)
-    return World(
+    return ExplorationState(
         network, routers, faults, None if owner is None else owner.holder
     )
 
 
-def clone(world: World) -> World:
-    """Copies a state; rings never change, and copying them takes longest."""
-    rings = [router._ring for router in world.routers]
-    rings += [old for router in world.routers for _, old in router._history]
-    for node in world.network.nodes.values():
+def clone(state: ExplorationState) -> ExplorationState:
+    """Copies a state; shares its rings, which are immutable and costly."""
+    rings = [router._ring for router in state.routers]
+    rings += [old for router in state.routers for _, old in router._history]
+    for node in state.network.nodes.values():
         rings += [node._ring, node._ring_without_self]
-    return copy.deepcopy(world, {id(ring): ring for ring in rings})
+    return copy.deepcopy(state, {id(ring): ring for ring in rings})
 
 
-def next_worlds(world: World) -> Iterator[World]:
-    faults = world.faults
+def next_states(state: ExplorationState) -> Iterator[ExplorationState]:
+    faults = state.faults
     seen = set()
-    for index, message in enumerate(world.network.in_flight):
+    for index, message in enumerate(state.network.in_flight):
         if repr(message) in seen:
             continue
         seen.add(repr(message))
-        after = clone(world)
+        after = clone(state)
         after.network.deliver(after.network.in_flight.pop(index))
         yield after
         if faults.duplicates:
-            after = clone(world)
+            after = clone(state)
             after.faults = dataclasses.replace(
                 faults, duplicates=faults.duplicates - 1
             )
             after.network.deliver(after.network.in_flight[index])
             yield after
         if faults.losses:
-            after = clone(world)
+            after = clone(state)
             after.faults = dataclasses.replace(faults, losses=faults.losses - 1)
             after.network.in_flight.pop(index)
             yield after
-    if faults.crashes and world.owner is not None:
-        after = clone(world)
+    if faults.crashes and state.owner is not None:
+        after = clone(state)
         after.faults = dataclasses.replace(faults, crashes=0)
-        after.network.kill(world.owner.address)
+        after.network.kill(state.owner.address)
         after.owner = None
         yield after
 
 
-def check_safe(world: World) -> None:
-    assert world.network.max_hops <= routing.MAX_HOPS
-    if world.owner is not None:
-        assert world.network.holders(KEY) == [world.owner]
-        assert {d.holder for d in world.network.deliveries} <= {world.owner}
+def check_safe(state: ExplorationState) -> None:
+    assert state.network.max_hops <= routing.MAX_HOPS
+    if state.owner is not None:
+        assert state.network.holders(KEY) == [state.owner]
+        assert {d.holder for d in state.network.deliveries} <= {state.owner}
 
 
-def check_end(world: World) -> None:
-    """Checks that one agent holds the flow once the network is quiet."""
-    network = world.network
+def check_final_state(state: ExplorationState) -> None:
+    """Checks that exactly one agent holds the flow once messages stop."""
+    network = state.network
     alive = set(network.nodes)
-    for router in world.routers:
-        # Views exclude a dead target before directory entries time out.
+    for router in state.routers:
+        # Views drop a dead target before its directory entries time out.
         router.replace_targets(
             target for target in router._targets if target.address in alive
         )
     for _ in range(8):
         network.clock.time_ms += routing.MAX_MESSAGE_AGE_MS // 2
         network.retry_all()
-        for router, balancer in zip(world.routers, BALANCERS, strict=True):
+        for router, balancer in zip(state.routers, BALANCERS, strict=True):
             network.send(router, balancer, KEY)
         network.deliver_all()
     for _ in range(6):
@@ -169,25 +173,25 @@
     holders = network.holders(KEY)
     assert len(holders) == 1, holders
     network.deliveries.clear()
-    for router, balancer in zip(world.routers, BALANCERS, strict=True):
+    for router, balancer in zip(state.routers, BALANCERS, strict=True):
         network.send(router, balancer, KEY)
     network.deliver_all()
     assert [d.holder for d in network.deliveries] == holders * 2
 
 
-def explore(start: World) -> int:
+def explore(initial_state: ExplorationState) -> int:
     seen: set[str] = set()
-    waiting = [start]
-    while waiting:
-        world = waiting.pop()
-        mark = world.fingerprint()
-        if mark in seen:
+    unexplored = [initial_state]
+    while unexplored:
+        state = unexplored.pop()
+        fingerprint = state.fingerprint()
+        if fingerprint in seen:
             continue
-        seen.add(mark)
-        check_safe(world)
-        if not world.network.in_flight:
-            check_end(clone(world))
-        waiting.extend(next_worlds(world))
+        seen.add(fingerprint)
+        check_safe(state)
+        if not state.network.in_flight:
+            check_final_state(clone(state))
+        unexplored.extend(next_states(state))
     return len(seen)
 
 
@@ -208,11 +212,11 @@
 @pytest.mark.parametrize(
     "faults", [Faults(losses=1), Faults(duplicates=1), Faults(crashes=1)]
 )
-def test_a_living_owner_keeps_its_flow(
+def test_a_live_owner_keeps_its_flow(
     views: tuple[list[list[routing.Target]], routing.Target], faults: Faults
 ) -> None:
-    """Guards against a second holder during a handover with one fault."""
-    assert explore(make_world(views[0], faults, views[1])) > 10
+    """Guards against a second holder in a handover with one fault."""
+    assert explore(make_state(views[0], faults, views[1])) > 10
 
 
 @pytest.mark.parametrize(
@@ -223,42 +227,42 @@
         (drain_views()[0], Faults(losses=1)),
     ],
 )
-def test_agents_that_both_adopt_agree(
+def test_two_adopting_agents_converge(
     views: list[list[routing.Target]], faults: Faults
 ) -> None:
-    """Guards against two holders of a flow that starts in two views."""
-    assert explore(make_world(views, faults, None)) > 10
+    """Guards against two holders of a flow that starts under two views."""
+    assert explore(make_state(views, faults, None)) > 10
 
 
-class StubbornTable(routing.FlowTable):
-    """Mutant that never gives a flow up."""
+class NeverYieldingTable(routing.FlowTable):
+    """Faulty table that never gives up a flow."""
 
     def handle_notice(
         self, notice: routing.Notice, sender: core.Holder
     ) -> routing.Decision:
-        """Ignores every claim while it holds the flow."""
+        """Ignores all notices about a flow that it holds."""
         if self.holds(notice.flow_key):
             return routing.Decision(routing.Action.DROP)
         return super().handle_notice(notice, sender)
 
 
-class HastyTable(routing.FlowTable):
-    """Mutant that adopts a new flow without a search."""
+class NoSearchTable(routing.FlowTable):
+    """Faulty table that adopts a new flow without a search."""
 
     def handle_datagram(
         self, datagram: routing.ForwardedDatagram
     ) -> routing.Decision:
-        """Forgets the candidates."""
+        """Drops the candidates of the chain."""
         if datagram.hops == 0:
             datagram = dataclasses.replace(datagram, chain=())
         return super().handle_datagram(datagram)
 
 
-def test_the_exploration_notices_faulty_tables() -> None:
-    """Guards against an exploration that could never fail."""
+def test_exploration_detects_faulty_tables() -> None:
+    """Guards against an exploration that cannot detect faults."""
     views, owner = join_views()
     with pytest.raises(AssertionError):
-        explore(make_world(views, Faults(), owner, HastyTable))
-    late = Faults(losses=3)
+        explore(make_state(views, Faults(), owner, NoSearchTable))
+    losses = Faults(losses=3)
     with pytest.raises(AssertionError):
-        explore(make_world(views, late, None, StubbornTable))
+        explore(make_state(views, losses, None, NeverYieldingTable))
--- a/libs/lab/tests/test_flow_model.py
+++ b/libs/lab/tests/test_flow_model.py
@@ -1,4 +1,4 @@
-"""Routing and search against a plain model, under changing views."""
+"""Model-based test of routing and search under changing views."""
 
 import dataclasses
 
@@ -15,24 +15,24 @@
 FLOWS = tuple(
     routing.hash_flow(f"caller-{index}".encode()) for index in range(6)
 )
-# Changes that a balancer's view may be behind, as many as a chain names
-# candidates.
+# Maximum number of changes by which a view may lag. It is the number of
+# candidates in a chain.
 MAX_LAG = 3
 MAX_TARGETS = 7
 
 
 class RoutingModel(stateful.RuleBasedStateMachine):
-    """The model is one owner for each flow."""
+    """State machine whose model assigns one owner to each flow."""
 
     def __init__(self) -> None:
-        """Starts three targets that every party knows."""
+        """Starts three targets that all balancers and agents know."""
         super().__init__()
         self.network = _flow_network.FlowNetwork()
         self.routers = [
             routing.Router(self.network.clock) for _ in range(BALANCER_COUNT)
         ]
-        self.seen = [0] * BALANCER_COUNT
-        self.agents_seen = 0
+        self.view_indexes = [0] * BALANCER_COUNT
+        self.agents_view_index = 0
         self.views: list[tuple[routing.Target, ...]] = []
         self.targets: dict[str, routing.Target] = {}
         self.owners: dict[int, core.Holder] = {}
@@ -55,31 +55,31 @@
         self.network.start(target)
 
     def publish(self) -> None:
-        """Makes a new view; parties too far behind take it."""
+        """Publishes a new view; views that lag too far are refreshed."""
         view = tuple(self.targets.values())
         self.views.append(view)
         self.network.clock.time_ms += 300
-        for index, seen in enumerate(self.seen):
-            if len(self.views) - 1 - seen > MAX_LAG:
+        for index, view_index in enumerate(self.view_indexes):
+            if len(self.views) - 1 - view_index > MAX_LAG:
                 self.refresh(index)
-        if len(self.views) - 1 - self.agents_seen > MAX_LAG:
+        if len(self.views) - 1 - self.agents_view_index > MAX_LAG:
             self.refresh_agents()
 
     def refresh_agents(self) -> None:
-        """Gives every agent the newest view."""
-        self.agents_seen = len(self.views) - 1
+        """Updates all agents to the latest view."""
+        self.agents_view_index = len(self.views) - 1
         for node in self.network.nodes.values():
             node.replace_targets(self.views[-1])
             self.network.announce(node)
         self.network.deliver_all()
 
     def refresh(self, index: int) -> None:
-        """Gives one balancer the newest view."""
-        self.seen[index] = len(self.views) - 1
+        """Updates one balancer to the latest view."""
+        self.view_indexes[index] = len(self.views) - 1
         self.routers[index].replace_targets(self.views[-1])
 
     def pick(self, number: int) -> routing.Target:
-        """Returns some target."""
+        """Returns the target that a random number selects."""
         return list(self.targets.values())[number % len(self.targets)]
 
     @stateful.precondition(lambda self: len(self.targets) < MAX_TARGETS)
@@ -91,7 +91,7 @@
 
     @stateful.rule(number=strategies.integers(0, 20))
     def drain(self, number: int) -> None:
-        """A target starts to drain, unless it is the last one."""
+        """A target starts to drain, unless it is the last accepting one."""
         accepting = [t for t in self.targets.values() if t.accepts_flows]
         target = accepting[number % len(accepting)]
         if len(accepting) > 1:
@@ -103,7 +103,7 @@
 
     @stateful.rule(number=strategies.integers(0, 20))
     def kill(self, number: int) -> None:
-        """A target dies, unless it is the last that accepts flows."""
+        """A target crashes, unless it is the last that accepts flows."""
         target = self.pick(number)
         accepting = [t for t in self.targets.values() if t.accepts_flows]
         if accepting == [target]:
@@ -119,7 +119,7 @@
         weight=strategies.sampled_from([0.25, 0.5, 1.0, 2.0, 4.0]),
     )
     def change_weight(self, number: int, weight: float) -> None:
-        """A target reports another weight."""
+        """A target reports a new weight."""
         target = self.pick(number)
         self.targets[target.name] = dataclasses.replace(target, weight=weight)
         self.publish()
@@ -139,7 +139,7 @@
         index=strategies.integers(0, BALANCER_COUNT - 1),
     )
     def send(self, flow: int, index: int) -> None:
-        """A caller sends; only the owner may get the datagram."""
+        """A caller sends a datagram; only the owner may receive it."""
         network = self.network
         network.deliveries.clear()
         balancer = core.Address("10.0.0.1", index)
@@ -160,13 +160,13 @@
 
     @stateful.invariant()
     def each_flow_has_one_owner(self) -> None:
-        """No two agents hold one flow."""
+        """No flow has two holders."""
         for flow in FLOWS:
             assert len(self.network.holders(flow)) <= 1
 
     @stateful.invariant()
     def hops_are_bounded(self) -> None:
-        """No datagram passes more agents than allowed."""
+        """No datagram exceeds the maximum number of hops."""
         assert self.network.max_hops <= routing.MAX_HOPS
 
 
@@ -179,6 +179,8 @@
 )
 
 
+# Hypothesis derives the examples from the source of this class, without its
+# comments, and from the order of the names of the rules.
 class BlindModel(RoutingModel):
     """Mutant whose balancers name no earlier holders."""
 
@@ -200,8 +202,8 @@
         return dataclasses.replace(route, candidates=())
 
 
-def test_the_model_notices_balancers_that_name_no_holders() -> None:
-    """Guards against a model test that could never fail."""
+def test_the_model_detects_routes_without_candidates() -> None:
+    """Guards against a model test that cannot detect faults."""
     with pytest.raises(AssertionError):
         stateful.run_state_machine_as_test(
             BlindModel,
--- a/libs/lab/tests/test_flows.py
+++ b/libs/lab/tests/test_flows.py
@@ -1,4 +1,4 @@
-"""Open flows through changes and failures, with real processes."""
+"""Open flows under planned changes and failures, with real processes."""
 
 import asyncio
 import dataclasses
@@ -7,7 +7,7 @@
 from fireflyford.lab.experiments import _flows
 
 
-def missed(experiment: _flow_run.FlowExperiment) -> list[str]:
+def missed_targets(experiment: _flow_run.FlowExperiment) -> list[str]:
     result = asyncio.run(experiment.run(seed=1))
     return [
         f"{item.name}: {item.value}" for item in result.figures if not item.ok
@@ -16,10 +16,10 @@
 
 def test_flows_survive_planned_changes() -> None:
     """Guards against flows that a planned change breaks or misroutes."""
-    assert missed(_flows.RollingBoth(_flow_run.SMALL)) == []
+    assert missed_targets(_flows.RollingBoth(_flow_run.SMALL)) == []
 
 
 def test_flows_recover_from_two_failures_at_once() -> None:
-    """Guards against feeds that stay silent, and wrong "not run" answers."""
+    """Guards against stalled feeds and false "not run" answers."""
     scale = dataclasses.replace(_flow_run.SMALL, settle_ms=5_000)
-    assert missed(_flows.KillAndSilence(scale)) == []
+    assert missed_targets(_flows.KillAndSilence(scale)) == []
--- a/libs/lab/tests/test_interleavings.py
+++ b/libs/lab/tests/test_interleavings.py
@@ -1,8 +1,8 @@
-"""Every order of messages, with a loss, a copy and a crash, for one order.
+"""Exhaustive exploration of the message interleavings of one order.
 
-Two real engines, an issuer and its peer, pass one ticketed request between
-them. The test chooses each step: which message arrives, is copied or lost,
-which work ends, who crashes. It runs every sequence of choices up to a depth.
+Two production engines, a ticket issuer and its peer, exchange one order. Each
+step of a schedule delivers, duplicates or loses a message, completes work or
+crashes an engine. The test runs all schedules up to a maximum length.
 """
 
 import asyncio
@@ -17,18 +17,18 @@
 from fireflyford import requests
 from fireflyford.lab import _virtual_time
 
-_MAX_CHOICES = 5
-_PASSES = 8
+_MAX_STEPS = 5
+_YIELD_COUNT = 8
 _ORDER = config.Treatment(
     name="order", method="POST", path_prefix="/", idempotent=False
 )
 _ADDRESSES = (core.Address("10.0.0.1", 1), core.Address("10.0.0.2", 2))
-_LOST = core.Failure(core.ErrorKind.OUTCOME_UNKNOWN, "lost")
+_MESSAGE_LOST = core.Failure(core.ErrorKind.OUTCOME_UNKNOWN, "lost")
 Outcome = core.Outcome[requests.Response]
 
 
-class _ToPeer(requests.Placement):
-    """Hands every request over, as the riskiest choice."""
+class _PeerOnlyPlacement(requests.Placement):
+    """Hands off every request to the peer, which is the riskiest choice."""
 
     def choose(
         self, candidates: Sequence[requests.Candidate]
@@ -37,16 +37,16 @@
 
 
 class _Executor(requests.Executor):
-    def __init__(self, world: "_World", index: int) -> None:
-        self._world = world
+    def __init__(self, simulation: "_Simulation", index: int) -> None:
+        self._simulation = simulation
         self._index = index
 
     async def execute(self, work: requests.WorkItem) -> Outcome:
-        self._world.run_count += 1
+        self._simulation.run_count += 1
         done: asyncio.Future[Outcome] = (
             asyncio.get_running_loop().create_future()
         )
-        self._world.running.append((self._index, done))
+        self._simulation.running.append((self._index, done))
         return await done
 
 
@@ -59,13 +59,13 @@
 
 
 class _Channel(requests.PeerChannel):
-    def __init__(self, world: "_World") -> None:
-        self._world = world
+    def __init__(self, simulation: "_Simulation") -> None:
+        self._simulation = simulation
 
     async def execute(
         self, address: core.Address, handoff: requests.Handoff
     ) -> Outcome:
-        return await self._world.post(
+        return await self._simulation.post(
             address, lambda engine: engine.accept_handoff(handoff)
         )
 
@@ -75,22 +75,22 @@
         ticket: requests.Ticket,
         work: requests.WorkItem,
     ) -> Outcome:
-        return await self._world.post(
+        return await self._simulation.post(
             address, lambda engine: engine.accept_presented(ticket, work)
         )
 
     async def exchange(
         self, address: core.Address, report: requests.TargetReport
     ) -> core.Outcome[requests.TargetReport]:
-        engine = self._world.engines[_ADDRESSES.index(address)]
+        engine = self._simulation.engines[_ADDRESSES.index(address)]
         return core.Ok(engine.accept_report(report))
 
     def cancel(self, address: core.Address, key: tuple[int, int]) -> None:
         pass
 
 
-class _World:
-    """The engines, the messages on the way, and what the caller was told."""
+class _Simulation:
+    """The engines, the messages in transit and the answers to the caller."""
 
     def __init__(self, clock: core.Clock) -> None:
         self.clock = clock
@@ -98,9 +98,9 @@
         self.messages: list[_Message] = []
         self.running: list[tuple[int, asyncio.Future[Outcome]]] = []
         self.run_count = 0
-        self.told: list[Outcome] = []
+        self.answers: list[Outcome] = []
         self.tasks: list[asyncio.Task[None]] = []
-        self.budget = {"copy": 1, "lose": 1, "crash": 1}
+        self.fault_budget = {"copy": 1, "lose": 1, "crash": 1}
         self.incarnation = 0
         for index in (0, 1):
             self.engines.append(self._start(index))
@@ -116,7 +116,7 @@
             self.clock,
             _Executor(self, index),
             2,
-            _ToPeer(),
+            _PeerOnlyPlacement(),
             info,
             _Channel(self),
         )
@@ -147,23 +147,23 @@
             "id", _ORDER, "POST", "/", b"", "caller", now_ms, now_ms + 2_000
         )
         run = self.engines[index].submit(work, self.ticket)
-        self.tasks.append(asyncio.create_task(self._tell(run)))
+        self.tasks.append(asyncio.create_task(self._record_answer(run)))
 
-    async def _tell(self, run: object) -> None:
+    async def _record_answer(self, run: object) -> None:
         assert asyncio.iscoroutine(run)
-        self.told.append(await run)
+        self.answers.append(await run)
 
     def choices(self) -> list[Callable[[], None]]:
         found: list[Callable[[], None]] = []
         for message in self.messages:
             found.append(lambda m=message: self._arrive(m))  # type: ignore
-            if message.answer is None and self.budget["copy"]:
+            if message.answer is None and self.fault_budget["copy"]:
                 found.append(lambda m=message: self._copy(m))  # type: ignore
-            if self.budget["lose"]:
+            if self.fault_budget["lose"]:
                 found.append(lambda m=message: self._lose(m))  # type: ignore
         if self.running:
             found.append(self._finish)
-        if self.budget["crash"]:
+        if self.fault_budget["crash"]:
             found.append(lambda: self._crash(0))
             found.append(lambda: self._crash(1))
         return found
@@ -187,14 +187,14 @@
             self.messages.append(dataclasses.replace(message, answer=outcome))
 
     def _copy(self, message: _Message) -> None:
-        self.budget["copy"] -= 1
+        self.fault_budget["copy"] -= 1
         self.messages.append(dataclasses.replace(message, reply=None))
 
     def _lose(self, message: _Message) -> None:
-        self.budget["lose"] -= 1
+        self.fault_budget["lose"] -= 1
         self.messages.remove(message)
         if message.reply is not None and not message.reply.done():
-            message.reply.set_result(_LOST)
+            message.reply.set_result(_MESSAGE_LOST)
 
     def _finish(self) -> None:
         _, done = self.running.pop(0)
@@ -202,8 +202,8 @@
             done.set_result(core.Ok(requests.Response(200, (), b"")))
 
     def _crash(self, index: int) -> None:
-        """Restarts an engine; work that has started stays started."""
-        self.budget["crash"] -= 1
+        """Restarts an engine; work that has started still counts as run."""
+        self.fault_budget["crash"] -= 1
         self.engines[index].close()
         self.running = [item for item in self.running if item[0] != index]
         self.engines[index] = self._start(index)
@@ -216,67 +216,68 @@
             task.cancel()
 
 
-async def _pass_time() -> None:
-    for _ in range(_PASSES):
+async def _let_tasks_run() -> None:
+    for _ in range(_YIELD_COUNT):
         await asyncio.sleep(0)
 
 
 async def _run_schedule(schedule: list[int]) -> tuple[list[int], str]:
     """Runs one schedule; returns the number of choices at each step."""
     clock = _virtual_time.VirtualClock()
-    world = _World(clock)
+    simulation = _Simulation(clock)
     await clock.sleep(1)
-    await _pass_time()
-    world.present(0)
-    world.present(1)
-    await _pass_time()
-    widths = []
-    for step in range(_MAX_CHOICES):
-        choices = world.choices()
+    await _let_tasks_run()
+    simulation.present(0)
+    simulation.present(1)
+    await _let_tasks_run()
+    choice_counts = []
+    for step in range(_MAX_STEPS):
+        choices = simulation.choices()
         if not choices:
             break
-        widths.append(len(choices))
+        choice_counts.append(len(choices))
         choices[schedule[step] if step < len(schedule) else 0]()
-        await _pass_time()
-    # What is left on the way arrives in order.
-    while world.messages or world.running:
-        if world.messages:
-            world._arrive(world.messages[0])
+        await _let_tasks_run()
+    # The remaining messages arrive in order.
+    while simulation.messages or simulation.running:
+        if simulation.messages:
+            simulation._arrive(simulation.messages[0])
         else:
-            world._finish()
-        await _pass_time()
-    fault = _judge(world)
-    world.close()
-    await _pass_time()
-    return widths, fault
+            simulation._finish()
+        await _let_tasks_run()
+    violation = _check_history(simulation)
+    simulation.close()
+    await _let_tasks_run()
+    return choice_counts, violation
 
 
-def _judge(world: _World) -> str:
-    if world.run_count > 1:
+def _check_history(simulation: _Simulation) -> str:
+    if simulation.run_count > 1:
         return "ran twice"
-    for outcome in world.told:
+    for outcome in simulation.answers:
         if isinstance(outcome, core.Ok):
-            if world.run_count == 0:
+            if simulation.run_count == 0:
                 return "complete but not run"
         elif (
-            outcome.spec.execution is core.Execution.NOT_RUN and world.run_count
+            outcome.spec.execution is core.Execution.NOT_RUN
+            and simulation.run_count
         ):
             return "not run but ran"
     return ""
 
 
 async def _explore() -> tuple[int, str]:
-    """Runs all schedules; returns their number and the first fault."""
+    """Runs all schedules; returns their number and the first violation."""
     schedule: list[int] = []
     count = 0
     while True:
-        widths, fault = await _run_schedule(schedule)
+        choice_counts, violation = await _run_schedule(schedule)
         count += 1
-        if fault:
-            return count, f"{fault}: {schedule}"
-        schedule += [0] * (len(widths) - len(schedule))
-        schedule = schedule[: len(widths)]
-        while schedule and schedule[-1] + 1 >= widths[len(schedule) - 1]:
+        if violation:
+            return count, f"{violation}: {schedule}"
+        schedule += [0] * (len(choice_counts) - len(schedule))
+        schedule = schedule[: len(choice_counts)]
+        while schedule and schedule[-1] + 1 >= choice_counts[len(schedule) - 1]:
             schedule.pop()
         if not schedule:
             return count, ""
@@ -284,40 +285,42 @@
 
 
 def test_every_order_of_messages_runs_the_work_once() -> None:
-    """Guards against a second run or a false answer in any order."""
-    count, fault = _virtual_time.run(_explore())
-    assert fault == ""
+    """Guards against repeated execution or false answers in any order."""
+    count, violation = _virtual_time.run(_explore())
+    assert violation == ""
     assert count > 1_500
 
 
 def test_exploration_finds_missing_records(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Guards against an exploration that cannot see a second run."""
+    """Guards against an exploration that cannot detect a second execution."""
     begin = requests.RequestRecords.begin
 
-    def forgetful(
+    def begin_without_record(
         self: requests.RequestRecords, key: object, *rest: object
     ) -> core.Outcome[requests.Claim]:
         return begin(self, object(), *rest)  # type: ignore[arg-type]
 
-    monkeypatch.setattr(requests.RequestRecords, "begin", forgetful)
-    _, fault = _virtual_time.run(_explore())
-    assert fault.startswith("ran twice")
+    monkeypatch.setattr(requests.RequestRecords, "begin", begin_without_record)
+    _, violation = _virtual_time.run(_explore())
+    assert violation.startswith("ran twice")
 
 
 def test_exploration_finds_a_missing_incarnation_check(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Guards against copies that run again at a restarted peer."""
+    """Guards against copies that a restarted peer executes again."""
     accept = requests.RequestEngine.accept_handoff
 
-    async def gullible(
+    async def accept_any_incarnation(
         self: requests.RequestEngine, handoff: requests.Handoff
     ) -> Outcome:
         own = self.issuer.incarnation
         return await accept(self, dataclasses.replace(handoff, executor=own))
 
-    monkeypatch.setattr(requests.RequestEngine, "accept_handoff", gullible)
-    _, fault = _virtual_time.run(_explore())
-    assert fault.startswith("ran twice")
+    monkeypatch.setattr(
+        requests.RequestEngine, "accept_handoff", accept_any_incarnation
+    )
+    _, violation = _virtual_time.run(_explore())
+    assert violation.startswith("ran twice")
--- a/libs/lab/tests/test_language.py
+++ b/libs/lab/tests/test_language.py
@@ -1,4 +1,4 @@
-"""The scenario language."""
+"""Parser of the scenario language."""
 
 import pytest
 
@@ -50,7 +50,7 @@
 def test_a_wrong_step_names_its_place(
     wrong: str, place: str, nearest: str
 ) -> None:
-    """Guards against errors that do not say where and what was meant."""
+    """Guards against errors without the place and the closest valid step."""
     text = f"deployment bantay with 3 balancers\n\n{wrong}\nwait 1 s\n"
     outcome = scenarios.parse(text, "bad.scenario")
     assert isinstance(outcome, core.Failure)
--- a/libs/lab/tests/test_packet_fleet.py
+++ b/libs/lab/tests/test_packet_fleet.py
@@ -1,13 +1,14 @@
-"""Flows on the decision code in virtual time, under changes and failures."""
+"""Simulated flows with production decision code, changes and failures."""
 
 import pytest
 
 from fireflyford import flows
 from fireflyford.lab import _packet_fleet
 
-PLANS = [_packet_fleet.TargetSpec() for _ in range(7)]
-# A calm request takes two round trips to the balancer and 30 ms of work.
-CALM_MS = 60
+SPECS = [_packet_fleet.TargetSpec() for _ in range(7)]
+# Without queueing, a request takes two round trips to the balancer and 30 ms of
+# service time.
+IDLE_RESPONSE_MS = 60
 
 
 def open_clients(
@@ -30,7 +31,7 @@
 ) -> None:
     fleet.results.clear()
     for client in clients:
-        # A client whose flow was reset would open another one.
+        # A client whose flow was reset would open a new flow instead.
         if not client.is_ended:
             client.request()
             fleet.run(gap_ms)
@@ -44,22 +45,22 @@
 
 
 @pytest.mark.parametrize("seed", range(3))
-def test_a_calm_fleet_serves_everything(seed: int) -> None:
-    """Guards against needless hops, waits and copies."""
-    fleet = _packet_fleet.PacketFleet(seed, PLANS)
+def test_an_undisturbed_fleet_answers_all_requests(seed: int) -> None:
+    """Guards against unnecessary hops, waits and retransmissions."""
+    fleet = _packet_fleet.PacketFleet(seed, SPECS)
     open_clients(fleet, 100)
-    assert fleet.answered_share(CALM_MS) == 1.0
+    assert fleet.answered_share(IDLE_RESPONSE_MS) == 1.0
 
 
 def test_each_request_is_delivered_once() -> None:
-    """Guards against copies from balancers that do not know an agent yet."""
-    fleet = _packet_fleet.PacketFleet(1, PLANS)
-    unknown = fleet.agents[0].address
+    """Guards against duplicates from balancers that lack a new agent."""
+    fleet = _packet_fleet.PacketFleet(1, SPECS)
+    undiscovered = fleet.agents[0].address
     for balancer in fleet.balancers:
         balancer.view.replace_entries(
             node.instance
             for node in (*fleet.agents, *fleet.balancers)
-            if node.address != unknown
+            if node.address != undiscovered
         )
     open_clients(fleet, 30)
     assert outcomes(fleet) == {_packet_fleet.RequestOutcome.ANSWERED}
@@ -70,19 +71,19 @@
 
 @pytest.mark.parametrize("seed", range(3))
 def test_flows_stay_when_the_rotation_changes(seed: int) -> None:
-    """Guards against flows that depend on the balancer of their opening."""
-    fleet = _packet_fleet.PacketFleet(seed, PLANS, 4, long_lived=True)
+    """Guards against flows that depend on the balancer that opened them."""
+    fleet = _packet_fleet.PacketFleet(seed, SPECS, 4, long_lived=True)
     clients = open_clients(fleet, 80)
     fleet.rotation = fleet.balancers[1:]
     request_on_all(fleet, clients)
     assert fleet.broken_flows == []
-    assert fleet.answered_share(CALM_MS) == 1.0
+    assert fleet.answered_share(IDLE_RESPONSE_MS) == 1.0
 
 
 @pytest.mark.parametrize("seed", range(3))
 def test_flows_survive_a_restart_of_any_agent(seed: int) -> None:
-    """Guards against state that only the agents' memory holds."""
-    fleet = _packet_fleet.PacketFleet(seed, PLANS, long_lived=True)
+    """Guards against state that is lost when an agent restarts."""
+    fleet = _packet_fleet.PacketFleet(seed, SPECS, long_lived=True)
     clients = open_clients(fleet, 80)
     for agent in fleet.agents[:3]:
         agent.up = False
@@ -100,8 +101,8 @@
 
 
 def test_flows_survive_a_restart_of_all_processes() -> None:
-    """Guards against agents that forget what their backend servers hold."""
-    fleet = _packet_fleet.PacketFleet(1, PLANS, long_lived=True)
+    """Guards against restarted agents that reset flows of their servers."""
+    fleet = _packet_fleet.PacketFleet(1, SPECS, long_lived=True)
     clients = open_clients(fleet, 80)
     for node in (*fleet.agents, *fleet.balancers):
         node.start()
@@ -115,26 +116,26 @@
 
 
 def test_a_crashed_target_resets_its_flows_at_once() -> None:
-    """Guards against clients that wait for a backend server that is gone."""
-    fleet = _packet_fleet.PacketFleet(2, PLANS, long_lived=True)
+    """Guards against clients that wait for a crashed backend server."""
+    fleet = _packet_fleet.PacketFleet(2, SPECS, long_lived=True)
     clients = open_clients(fleet, 80)
     fleet.targets[0].crash()
     request_on_all(fleet, clients)
     assert fleet.broken_flows == []
-    lost = [
+    failed = [
         result
         for result in fleet.results
         if result.outcome is not _packet_fleet.RequestOutcome.ANSWERED
     ]
     assert len([client for client in clients if client.is_ended]) >= 5
-    for result in lost:
+    for result in failed:
         assert result.outcome is _packet_fleet.RequestOutcome.RESET
         assert result.duration_ms <= 50
 
 
-def test_a_vanished_target_ends_its_flows_when_it_is_gone() -> None:
-    """Guards against flows that wait for a machine that lost its power."""
-    fleet = _packet_fleet.PacketFleet(3, PLANS, long_lived=True)
+def test_flows_of_a_vanished_target_end_after_its_removal() -> None:
+    """Guards against flows that wait for a machine that lost power."""
+    fleet = _packet_fleet.PacketFleet(3, SPECS, long_lived=True)
     clients = open_clients(fleet, 80)
     fleet.targets[0].crash()
     fleet.agents[0].up = False
@@ -147,29 +148,29 @@
             _packet_fleet.RequestOutcome.ANSWERED,
             _packet_fleet.RequestOutcome.RESET,
         )
-        assert result.duration_ms <= CALM_MS
+        assert result.duration_ms <= IDLE_RESPONSE_MS
 
 
 def test_a_draining_target_gets_no_new_flow() -> None:
-    """Guards against homes and balancers that have not heard of a drain."""
-    fleet = _packet_fleet.PacketFleet(4, PLANS)
+    """Guards against new flows from peers that do not yet know of a drain."""
+    fleet = _packet_fleet.PacketFleet(4, SPECS)
     fleet.agents[2].report(flows.TargetState.DRAINING, 2)
     drained_ms = fleet.clock.now_ms()
     open_clients(fleet, 100, gap_ms=5)
-    assert fleet.answered_share(2 * CALM_MS) == 1.0
+    assert fleet.answered_share(2 * IDLE_RESPONSE_MS) == 1.0
     assert all(at_ms < drained_ms for at_ms, _ in fleet.targets[2].opened)
 
 
 def test_a_reused_address_gets_no_flow_of_the_earlier_service() -> None:
-    """Guards against routing to a backend server by its address alone."""
-    fleet = _packet_fleet.PacketFleet(5, PLANS, long_lived=True)
+    """Guards against routing that identifies a target by address alone."""
+    fleet = _packet_fleet.PacketFleet(5, SPECS, long_lived=True)
     clients = open_clients(fleet, 80)
     agent = fleet.agents[1]
     fleet.targets[1].crash()
-    other = _packet_fleet.TargetSpec(service="sheets")
-    fleet.targets[1].spec = other
+    other_spec = _packet_fleet.TargetSpec(service="sheets")
+    fleet.targets[1].spec = other_spec
     fleet.targets[1].up = True
-    # The balancers and the other agents do not know yet.
+    # The balancers and the other agents do not know of the change yet.
     agent.start()
     agent.report(flows.TargetState.READY, 1)
     opened_count = len(fleet.targets[1].opened)
@@ -180,8 +181,8 @@
 
 
 def test_an_agent_that_the_registry_hides_keeps_its_flows() -> None:
-    """Guards against resets by homes that see the registry only."""
-    fleet = _packet_fleet.PacketFleet(6, PLANS, long_lived=True)
+    """Guards against resets by directory agents that use only the registry."""
+    fleet = _packet_fleet.PacketFleet(6, SPECS, long_lived=True)
     clients = open_clients(fleet, 80)
     fleet.unregistered.add(fleet.agents[0].address)
     fleet.publish_registry()
@@ -195,62 +196,63 @@
 
 
 def test_a_returning_crowd_is_served_without_sheds() -> None:
-    """Load: all clients of two seconds come back in a moment.
+    """Load: all clients of a two-second period reconnect at once.
 
-    Guards against the first backend servers to be ready getting more than
-    they can queue, and against work that counts for clients that are gone.
+    Guards against overload of the backend servers that become ready first,
+    and against work for clients that have already given up.
     """
-    fleet = _packet_fleet.PacketFleet(7, PLANS)
+    fleet = _packet_fleet.PacketFleet(7, SPECS)
     clients = [fleet.client() for _ in range(350)]
     for client in clients:
         client.open()
     fleet.run(4_000)
-    kinds = [result.outcome for result in fleet.results]
-    assert _packet_fleet.RequestOutcome.SHED not in kinds
+    observed = [result.outcome for result in fleet.results]
+    assert _packet_fleet.RequestOutcome.SHED not in observed
     # 350 requests of 30 ms on 14 slots take 750 ms.
-    assert kinds.count(_packet_fleet.RequestOutcome.ANSWERED) >= 0.6 * len(
-        kinds
+    assert observed.count(_packet_fleet.RequestOutcome.ANSWERED) >= 0.6 * len(
+        observed
     )
-    assert _packet_fleet.RequestOutcome.TIMED_OUT not in kinds
+    assert _packet_fleet.RequestOutcome.TIMED_OUT not in observed
     since_ms = fleet.clock.now_ms()
     open_clients(fleet, 100)
-    assert fleet.answered_share(CALM_MS, since_ms) == 1.0
+    assert fleet.answered_share(IDLE_RESPONSE_MS, since_ms) == 1.0
 
 
 @pytest.mark.parametrize("slot_count", [1, 2])
 def test_a_returning_crowd_is_served_on_old_loads(slot_count: int) -> None:
-    """Load: a crowd that returns at once, with loads that are 2 s old.
+    """Load: many clients reconnect at once, with load reports 2 s old.
 
-    With some 60 agents the control budget allows no more. Guards against
-    flows that wait or are refused while backend servers are idle, since an
-    old load still shows requests that ended long ago.
+    The control budget allows no more frequent reports with about 60 agents.
+    Guards against flows that are queued or refused while backend servers are
+    idle, because a stale report still counts requests that have completed.
     """
     results = []
     for interval_ms in (_packet_fleet.LOAD_INTERVAL_MS, 2_000):
-        plans = [_packet_fleet.TargetSpec(slot_count=slot_count)] * 14
+        specs = [_packet_fleet.TargetSpec(slot_count=slot_count)] * 14
         fleet = _packet_fleet.PacketFleet(
-            9, plans, load_interval_ms=interval_ms
+            9, specs, load_interval_ms=interval_ms
         )
-        # What the slots do in 320 ms.
+        # The work that the slots complete in about 320 ms.
         for _ in range(150 * slot_count):
             fleet.client().open()
         fleet.run(50)
-        # 60 % of what the backend servers can do.
+        # 60 % of the capacity of the backend servers.
         open_clients(fleet, 800 * slot_count, 4 // slot_count)
         fleet.run(3_000)
         results.append(fleet)
     fresh, old = results
     assert outcomes(old) == {_packet_fleet.RequestOutcome.ANSWERED}
-    limit_ms = 3 * CALM_MS
+    limit_ms = 3 * IDLE_RESPONSE_MS
     assert old.answered_share(limit_ms) >= 0.9 * fresh.answered_share(limit_ms)
 
 
 def test_first_packets_lost_at_a_restarting_agent_come_again() -> None:
-    """Load: requests that arrive in the last moment of an outage.
+    """Load: requests that arrive at the end of an outage of all agents.
 
-    Guards against waiting for the client's own copy.
+    Guards against first packets that only a retransmission by the client
+    delivers.
     """
-    fleet = _packet_fleet.PacketFleet(8, PLANS)
+    fleet = _packet_fleet.PacketFleet(8, SPECS)
     for agent in fleet.agents:
         agent.up = False
     clients = [fleet.client() for _ in range(20)]
@@ -266,25 +268,28 @@
             agent.address, agent.flows.forwarder.load()
         )
     fleet.run(2_000)
-    assert fleet.answered_share(OUTAGE_LIMIT_MS) == 1.0
+    assert fleet.answered_share(OUTAGE_RESPONSE_LIMIT_MS) == 1.0
 
 
-# The outage of 120 ms, one repetition after at most 240 ms, the work, and the
-# wait for a slot; the client's copy would come 600 ms after its first packet.
-OUTAGE_LIMIT_MS = 450
+# The outage of 120 ms, one retransmission after at most 240 ms, the service
+# time and the wait for a slot. The client's own retransmission would come
+# 600 ms after its first packet.
+OUTAGE_RESPONSE_LIMIT_MS = 450
 
 
 @pytest.mark.parametrize("seed", range(3))
-def test_placement_by_completion_beats_random_at_the_crest(seed: int) -> None:
-    """Load: 70 % of capacity on backend servers of threefold speeds.
+def test_placement_by_completion_beats_random_under_high_load(
+    seed: int,
+) -> None:
+    """Load: 70 % of capacity; service times differ by a factor of 2.4.
 
-    Baseline in the same run: random placement without regard to load.
+    The baseline is random placement that ignores load, under the same load.
     """
     speeds_ms = (18, 43, 43, 18, 43, 43, 43)
-    plans = [_packet_fleet.TargetSpec(service_ms=item) for item in speeds_ms]
-    shares = []
+    specs = [_packet_fleet.TargetSpec(service_ms=item) for item in speeds_ms]
+    answered_shares = []
     for random_placement in (False, True):
-        fleet = _packet_fleet.PacketFleet(seed, plans)
+        fleet = _packet_fleet.PacketFleet(seed, specs)
         if random_placement:
             policy = flows.Random(fleet.rng)
             fleet.make_placement = lambda _, policy=policy: policy
@@ -299,7 +304,7 @@
             gap_ms = fleet.rng.expovariate(1 / 3.2)
             fleet.run(max(1, round(gap_ms)))
         fleet.run(3_000)
-        shares.append(fleet.answered_share(100))
-    assert shares[0] >= 0.95
-    # At most half as many late answers as the baseline.
-    assert 1 - shares[0] <= (1 - shares[1]) / 2
+        answered_shares.append(fleet.answered_share(100))
+    assert answered_shares[0] >= 0.95
+    # At most half as many late responses as the baseline.
+    assert 1 - answered_shares[0] <= (1 - answered_shares[1]) / 2
--- a/libs/lab/tests/test_packet_flows.py
+++ b/libs/lab/tests/test_packet_flows.py
@@ -1,4 +1,4 @@
-"""Placement of single requests near capacity, against other policies."""
+"""Placement of single requests near capacity, compared with baselines."""
 
 import pytest
 
@@ -12,16 +12,18 @@
 def test_placement_beats_every_baseline_near_capacity(
     slot_count: int, utilization: float
 ) -> None:
-    """Load: single requests near capacity, homes with loads 100 ms old.
+    """Load: single requests near capacity, with load reports 100 ms old.
 
-    Guards against homes that all choose the same backend server, since all of
-    them read the same old loads.
+    Guards against directory agents that all choose the same backend server,
+    because they all use the same stale load reports.
     """
     plan = _packet_flows.LoadPlan(1, slot_count, utilization, REQUEST_COUNT)
-    built, *others = _packet_flows.policies(plan.seed)
-    result = _packet_flows.run_single(built, plan)
-    for other in others:
-        baseline = _packet_flows.run_single(other, plan)
-        assert result.mean_ms < baseline.mean_ms, other.name
-        assert result.p99_ms <= baseline.p99_ms, other.name
-        assert result.in_aim_share >= baseline.in_aim_share, other.name
+    production, *baselines = _packet_flows.policies(plan.seed)
+    result = _packet_flows.run_single(production, plan)
+    for baseline in baselines:
+        baseline_result = _packet_flows.run_single(baseline, plan)
+        assert result.mean_ms < baseline_result.mean_ms, baseline.name
+        assert result.p99_ms <= baseline_result.p99_ms, baseline.name
+        assert result.in_aim_share >= baseline_result.in_aim_share, (
+            baseline.name
+        )
--- a/libs/lab/tests/test_ports.py
+++ b/libs/lab/tests/test_ports.py
@@ -1,4 +1,4 @@
-"""Ports of processes that are started later."""
+"""Allocation of free ports."""
 
 import socket
 import subprocess
@@ -6,36 +6,34 @@
 
 from fireflyford.lab import _ports
 
-PROGRAM = """
+SCRIPT = """
 from fireflyford.lab import _ports
 print([_ports.free_address().port for _ in range(150)])
 """
 
 
 def test_runs_side_by_side_get_different_ports() -> None:
-    """Guards against a process that talks to another run's processes."""
-    runs = [
-        subprocess.Popen(
-            [sys.executable, "-c", PROGRAM], stdout=subprocess.PIPE
-        )
+    """Guards against ports shared with the processes of another run."""
+    processes = [
+        subprocess.Popen([sys.executable, "-c", SCRIPT], stdout=subprocess.PIPE)
         for _ in range(2)
     ]
     own = [_ports.free_address().port for _ in range(150)]
-    outputs = [run.communicate()[0].decode() for run in runs]
+    outputs = [process.communicate()[0].decode() for process in processes]
     ports = own + [
         int(port)
         for output in outputs
         for port in output.strip("[]\n").split(", ")
     ]
-    # The two runs may end one after the other and so share blocks, but
-    # neither may have a port of this process, which still holds its blocks.
+    # The two processes may exit one after the other and so use the same blocks.
+    # Neither may get a port of this process, which still holds its blocks.
     assert not set(own) & set(ports[150:])
     assert len(set(own)) == 150
 
 
 def test_a_port_in_use_is_left_out() -> None:
-    """Guards against ports that a program outside the lab uses."""
+    """Guards against ports that another program uses."""
     port = _ports.free_address().port
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as used:
-        used.bind(("127.0.0.1", port + 1))
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as occupied:
+        occupied.bind(("127.0.0.1", port + 1))
         assert _ports.free_address().port != port + 1
--- a/libs/lab/tests/test_results.py
+++ b/libs/lab/tests/test_results.py
@@ -1,4 +1,4 @@
-"""Results of experiments: verdicts, pictures and comparisons."""
+"""Results of experiments: verdicts, plots and comparisons."""
 
 import json
 import pathlib
@@ -40,10 +40,10 @@
     assert json.loads(_commands._encode(result(101.0)))["ok"] is False
 
 
-def test_a_result_becomes_a_picture(tmp_path: pathlib.Path) -> None:
-    """Guards against a plot command that writes nothing."""
-    picture = _plot.plot_result(write(tmp_path / "a.json", 50.0))
-    assert picture.read_bytes().startswith(b"\x89PNG")
+def test_a_result_is_plotted(tmp_path: pathlib.Path) -> None:
+    """Guards against a plot command that writes no image."""
+    plot_path = _plot.plot_result(write(tmp_path / "a.json", 50.0))
+    assert plot_path.read_bytes().startswith(b"\x89PNG")
 
 
 def test_two_results_are_compared(tmp_path: pathlib.Path) -> None:
--- a/libs/lab/tests/test_service_runs.py
+++ b/libs/lab/tests/test_service_runs.py
@@ -1,4 +1,4 @@
-"""Runs in virtual time: faults end, and policies differ."""
+"""Simulated runs of a service: faults and policies take effect."""
 
 import dataclasses
 
@@ -21,22 +21,22 @@
 def test_goodput_survives_a_lost_target(
     fault: _service_runs.TargetFault,
 ) -> None:
-    """Guards against a fault that stops the other targets or never ends."""
+    """Guards against a fault that stalls the other targets or the run."""
     result = _service_runs.run(dataclasses.replace(_PLAN, fault=fault))
-    left = 1.0 if fault is _service_runs.TargetFault.NONE else 2 / 3
-    assert result.goodput_ratio(2_500, 4_000) > 0.8 * left
+    live_ratio = 1.0 if fault is _service_runs.TargetFault.NONE else 2 / 3
+    assert result.goodput_ratio(2_500, 4_000) > 0.8 * live_ratio
 
 
 def test_fifo_replaces_the_order_of_the_engine() -> None:
-    """Guards against an empty queue that counts as "no queue given"."""
-    # Long work has to queue before short work, or both orders are the same.
+    """Guards against an empty queue that is treated as no queue at all."""
+    # Both orders are the same unless long requests queue ahead of short ones.
     plan = dataclasses.replace(_PLAN, load_ratio=1.3, long_ratio=0.3)
     fifo = dataclasses.replace(plan, policy=_service_runs.Policy.FIFO)
-    ours, other = _service_runs.run(plan), _service_runs.run(fifo)
-    assert [s.job for s in sorted(ours.samples, key=_number)] == [
-        s.job for s in sorted(other.samples, key=_number)
+    default_run, fifo_run = _service_runs.run(plan), _service_runs.run(fifo)
+    assert [s.job for s in sorted(default_run.samples, key=_number)] == [
+        s.job for s in sorted(fifo_run.samples, key=_number)
     ]
-    assert ours.elapsed_ms("short") != other.elapsed_ms("short")
+    assert default_run.elapsed_ms("short") != fifo_run.elapsed_ms("short")
 
 
 def _number(sample: _load.Sample) -> int:
@@ -44,7 +44,7 @@
 
 
 def test_ideal_scheduler_runs_short_work_first() -> None:
-    """Guards against a bound that a real scheduler could beat."""
+    """Guards against an ideal bound that a real scheduler could exceed."""
     plan = dataclasses.replace(_PLAN, speeds=(0.5,))
     jobs = [("long", 0.0, 50.0), ("long", 1.0, 50.0), ("short", 2.0, 10.0)]
     samples = tuple(
--- a/libs/lab/tests/test_tls.py
+++ b/libs/lab/tests/test_tls.py
@@ -1,4 +1,4 @@
-"""Certificates that an agent must refuse at start."""
+"""Validation of an agent's certificate and key at start."""
 
 import pathlib
 
@@ -8,7 +8,9 @@
 from fireflyford.lab import _certificates
 
 
-def load(certificate: pathlib.Path, key: pathlib.Path) -> core.Failure | None:
+def load_tls_failure(
+    certificate: pathlib.Path, key: pathlib.Path
+) -> core.Failure | None:
     options = settings.AgentSettings(
         instance_id="tahian-1",
         region="visayas",
@@ -29,13 +31,18 @@
 
 
 def test_a_valid_certificate_is_loaded(tmp_path: pathlib.Path) -> None:
-    """Guards against refusing a good certificate."""
-    assert load(*_certificates.make_certificate(tmp_path, "tahian")) is None
+    """Guards against the refusal of a valid certificate."""
+    assert (
+        load_tls_failure(*_certificates.make_certificate(tmp_path, "tahian"))
+        is None
+    )
 
 
 def test_an_expired_certificate_is_refused(tmp_path: pathlib.Path) -> None:
-    """Guards against starting with a certificate callers will refuse."""
-    failure = load(*_certificates.make_certificate(tmp_path, "tahian", -1))
+    """Guards against a start with a certificate that callers refuse."""
+    failure = load_tls_failure(
+        *_certificates.make_certificate(tmp_path, "tahian", -1)
+    )
     assert failure is not None
     assert "expired at" in failure.message
 
@@ -43,8 +50,10 @@
 def test_a_certificate_of_another_service_is_refused(
     tmp_path: pathlib.Path,
 ) -> None:
-    """Guards against answering for a service with another's certificate."""
-    failure = load(*_certificates.make_certificate(tmp_path, "padron"))
+    """Guards against the use of another service's certificate."""
+    failure = load_tls_failure(
+        *_certificates.make_certificate(tmp_path, "padron")
+    )
     assert failure is not None
     assert "not issued for tahian" in failure.message
 
@@ -52,10 +61,10 @@
 def test_a_key_of_another_certificate_is_refused(
     tmp_path: pathlib.Path,
 ) -> None:
-    """Guards against a handshake that fails for every caller."""
+    """Guards against a key mismatch that fails every handshake."""
     certificate, _ = _certificates.make_certificate(tmp_path, "tahian")
     _, other_key = _certificates.make_certificate(tmp_path, "padron")
-    failure = load(certificate, other_key)
+    failure = load_tls_failure(certificate, other_key)
     assert failure is not None
     assert "does not belong" in failure.message
 
@@ -64,6 +73,6 @@
     """Guards against key material in an error message."""
     certificate, key = _certificates.make_certificate(tmp_path, "tahian")
     key.write_text(key.read_text().replace("PRIVATE", "PRIVATE SECRET"))
-    failure = load(certificate, key)
+    failure = load_tls_failure(certificate, key)
     assert failure is not None
     assert "SECRET" not in failure.message
