--- a/libs/lab/src/fireflyford/lab/experiments/_flow_experiment.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_flow_experiment.py
@@ -11,10 +11,10 @@
 
 from fireflyford import config
 from fireflyford import core
+from fireflyford.lab import _caller_processes
 from fireflyford.lab import _callers
 from fireflyford.lab import _deployments
 from fireflyford.lab import _fleet
-from fireflyford.lab import _processes
 from fireflyford.lab.experiments import _framework
 
 _MAX_SILENCE_MS = 5_000
@@ -71,8 +71,8 @@
     def __init__(self, fleet: _fleet.Fleet) -> None:
         """Initializes a run without callers."""
         self.fleet = fleet
-        self.callers: list[_processes.CallerProcess] = []
-        self.fast_callers: list[_processes.CallerProcess] = []
+        self.callers: list[_caller_processes.CallerProcess] = []
+        self.fast_callers: list[_caller_processes.CallerProcess] = []
         self.exit_codes: list[int] = []
         # Feeds that were open on targets when these were killed.
         self.lost_feed_count = 0
@@ -80,8 +80,8 @@
 
     async def open_callers(self, scale: Scale) -> None:
         """Starts the caller processes and waits until they are ready."""
-        load = _callers.Load(scale.feed_count, scale.order_count)
-        fast = _callers.Load(
+        load = _callers.CallerLoad(scale.feed_count, scale.order_count)
+        fast = _callers.CallerLoad(
             scale.fast_feed_count, feed_interval_ms=_FAST_FEED_INTERVAL_MS
         )
         services = self.fleet.deployment.services
@@ -89,12 +89,12 @@
         for index in range(scale.process_count):
             service = services[1 if index % 3 == 1 else 0]
             self.callers.append(
-                await _processes.start_callers(
+                await _caller_processes.start_callers(
                     self.fleet, service, load, f"caller-{index}"
                 )
             )
         self.fast_callers.append(
-            await _processes.start_callers(
+            await _caller_processes.start_callers(
                 self.fleet, services[0], fast, "fast"
             )
         )
@@ -122,15 +122,17 @@
         """Returns the sum of a counter over all agents of the run."""
         return sum(counters[name] for counters in self._counters.values())
 
-    async def finish(self) -> tuple[_callers.Figures, _callers.Figures]:
+    async def finish(
+        self,
+    ) -> tuple[_callers.CallerStatistics, _callers.CallerStatistics]:
         """Stops the callers; returns the figures of regular and fast feeds."""
         parts = await asyncio.gather(*(item.finish() for item in self.callers))
         fast = await asyncio.gather(
             *(item.finish() for item in self.fast_callers)
         )
         return (
-            _callers.add_figures(list(parts)),
-            _callers.add_figures(list(fast)),
+            _callers.merge_statistics(list(parts)),
+            _callers.merge_statistics(list(fast)),
         )
 
     def kill_callers(self) -> None:
@@ -214,7 +216,7 @@
                 for item in run.fleet.executions()
                 if item["body"]
             )
-        combined = _callers.add_figures([figures, fast])
+        combined = _callers.merge_statistics([figures, fast])
         return _framework.Result(
             self.name,
             seed,
@@ -253,7 +255,10 @@
         return True
 
     def _feed_figures(
-        self, figures: _callers.Figures, fast: _callers.Figures, run: FlowRun
+        self,
+        figures: _callers.CallerStatistics,
+        fast: _callers.CallerStatistics,
+        run: FlowRun,
     ) -> tuple[_framework.Figure, ...]:
         allowed_broken_count = self.max_broken_feeds + run.lost_feed_count
         return (
@@ -279,7 +284,9 @@
         )
 
     def _request_figures(
-        self, figures: _callers.Figures, executions: collections.Counter[str]
+        self,
+        figures: _callers.CallerStatistics,
+        executions: collections.Counter[str],
     ) -> tuple[_framework.Figure, ...]:
         refused = set(figures.refused_bodies)
         return (
--- a/libs/lab/src/fireflyford/lab/experiments/_flows.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_flows.py
@@ -207,8 +207,8 @@
             for item in run.fleet.targets.values()
             if item.service == "padron"
         )
-        plain_feed = await _plain_client.open_on(run.fleet, target, "/feed")
-        long_request = await _plain_client.open_on(
+        plain_feed = await _plain_client.open_on_target(run.fleet, target, "/feed")
+        long_request = await _plain_client.open_on_target(
             run.fleet, target, f"/sheets/long?ms={_LONG_REQUEST_MS}"
         )
         _drop_control_traffic(run, target)
--- a/libs/lab/src/fireflyford/lab/experiments/_packet_flows.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_packet_flows.py
@@ -34,7 +34,7 @@
 _UTILIZATIONS = (0.7, 0.9)
 # Lower bound of the network delay, for the first packet and for the request:
 # from client to balancer, by the directory agent to the agent, and the answer.
-_MIN_PATH_DELAY_MS = 4 * _packet_fleet.CLIENT_MS + 2 * _packet_fleet.LINK_MS
+_MIN_PATH_DELAY_MS = 4 * _packet_fleet.CLIENT_DELAY_MS + 2 * _packet_fleet.LINK_DELAY_MS
 
 
 @dataclasses.dataclass(frozen=True)
@@ -55,9 +55,11 @@
     rng = random.Random(seed)
     return [
         Policy("built", None),
-        Policy("ring with search", _packet_baselines.AtHome),
+        Policy("ring with search", _packet_baselines.DirectoryAgentFirst),
         Policy("random", lambda _: flows.Random(rng)),
-        Policy("two choices", lambda _: _packet_baselines.TwoChoices(rng)),
+        Policy(
+            "two choices", lambda _: _packet_baselines.PowerOfTwoChoices(rng)
+        ),
         Policy(
             "join idle queue", lambda _: _packet_baselines.JoinIdleQueue(rng)
         ),
@@ -109,13 +111,13 @@
 
 def _count_broken_flows(change: _Change, policy: Policy, seed: int) -> int:
     """Counts flows that break although their backend server is running."""
-    plans = [_packet_fleet.TargetPlan() for _ in range(_AGENT_COUNT)]
+    plans = [_packet_fleet.TargetSpec() for _ in range(_AGENT_COUNT)]
     fleet = _packet_fleet.PacketFleet(
-        seed, plans, _BALANCER_COUNT, policy.factory, lasting=True
+        seed, plans, _BALANCER_COUNT, policy.factory, long_lived=True
     )
     if change.prepare is not None:
         change.prepare(fleet)
-        fleet.register()
+        fleet.publish_registry()
     clients = []
     for _ in range(_FLOW_COUNT):
         clients.append(fleet.client())
@@ -123,7 +125,7 @@
         fleet.run(_FLOW_INTERVAL_MS)
     fleet.run(_SETTLE_MS)
     change.apply(fleet)
-    fleet.register()
+    fleet.publish_registry()
     open_clients = [
         item for item in clients if fleet.holder(item.flow) is not None
     ]
@@ -132,8 +134,8 @@
         client.request()
         fleet.run(_FLOW_INTERVAL_MS)
     fleet.run(_SETTLE_MS)
-    answered = collections.Counter(result.ending for result in fleet.results)
-    return len(open_clients) - answered[_packet_fleet.Ending.ANSWERED]
+    answered = collections.Counter(result.outcome for result in fleet.results)
+    return len(open_clients) - answered[_packet_fleet.RequestOutcome.ANSWERED]
 
 
 def _count_moved_flows(
@@ -198,10 +200,10 @@
     utilization: float
     request_count: int = _REQUEST_COUNT
 
-    def targets(self) -> list[_packet_fleet.TargetPlan]:
+    def targets(self) -> list[_packet_fleet.TargetSpec]:
         """Returns the backend servers."""
         return [
-            _packet_fleet.TargetPlan(
+            _packet_fleet.TargetSpec(
                 slot_count=self.slot_count, service_ms=item
             )
             for item in _SERVICE_MS
@@ -222,15 +224,15 @@
 def _summarize(
     fleet: _packet_fleet.PacketFleet, duration_ms: int
 ) -> RequestResult:
-    answered = _packet_fleet.Ending.ANSWERED
+    answered = _packet_fleet.RequestOutcome.ANSWERED
     times = sorted(
-        item.duration_ms for item in fleet.results if item.ending is answered
+        item.duration_ms for item in fleet.results if item.outcome is answered
     )
     within_objective_count = sum(
         item <= _LATENCY_OBJECTIVE_MS for item in times
     )
     utilizations = [
-        target.worked_ms / target.plan.slot_count / duration_ms
+        target.busy_ms / target.spec.slot_count / duration_ms
         for target in fleet.targets
     ]
     return RequestResult(
@@ -248,7 +250,7 @@
     )
     arrivals = plan.arrivals_ms()
     for at_ms in arrivals:
-        fleet.after(at_ms, fleet.client().open)
+        fleet.call_later(at_ms, fleet.client().open)
     fleet.run(arrivals[-1] + _SETTLE_MS)
     return _summarize(fleet, arrivals[-1])
 
@@ -260,7 +262,7 @@
         plan.targets(),
         _BALANCER_COUNT,
         policy.factory,
-        lasting=True,
+        long_lived=True,
     )
     clients = []
     for _ in range(_LONG_LIVED_FLOW_COUNT):
@@ -270,17 +272,17 @@
     fleet.run(_SETTLE_MS)
     fleet.results.clear()
     for target in fleet.targets:
-        target.worked_ms = 0
+        target.busy_ms = 0
     arrivals = plan.arrivals_ms()
     rng = random.Random(plan.seed)
 
     def send() -> None:
-        idle = [item for item in clients if not item.waits]
+        idle = [item for item in clients if not item.is_waiting]
         if idle:
             rng.choice(idle).request()
 
     for at_ms in arrivals:
-        fleet.after(at_ms, send)
+        fleet.call_later(at_ms, send)
     fleet.run(arrivals[-1] + _SETTLE_MS)
     return _summarize(fleet, arrivals[-1])
 
@@ -291,7 +293,7 @@
     arrivals = plan.arrivals_ms()
     times = sorted(
         item + _MIN_PATH_DELAY_MS
-        for item in _packet_baselines.central_queue_ms(arrivals, slots)
+        for item in _packet_baselines.central_queue_response_ms(arrivals, slots)
     )
     within_objective_count = sum(
         item <= _LATENCY_OBJECTIVE_MS for item in times
--- a/libs/store/tests/test_config_store.py
+++ b/libs/store/tests/test_config_store.py
@@ -164,7 +164,7 @@
         text = with_targets(7) + " " * store.MAX_VALUE_BYTES
         outcome = await push(config_store, text, 0)
         assert kind(outcome) is core.ErrorKind.CONFIG_TOO_LARGE
-        assert not server.counts
+        assert not server.call_counts
 
     run_with_store(body)
 
@@ -175,7 +175,7 @@
     async def body(config_store: store.ConfigStore, server: Server) -> None:
         outcome = await push(config_store, with_targets(0), 0)
         assert kind(outcome) is core.ErrorKind.BAD_CONFIG
-        assert not server.counts
+        assert not server.call_counts
 
     run_with_store(body)
 
@@ -287,7 +287,7 @@
             )
         )
         fault_task.cancel()
-        server.switches = _store_server.Switches()
+        server.switches = _store_server.FaultSwitches()
         history = await config_store.history(100)
         assert isinstance(history, core.Ok)
         audited = [entry.identity for entry in reversed(history.value)]
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -83,7 +83,7 @@
     """Guards against an applied write reported as not applied."""
 
     async def work(server: Server, client: _store.PlatformStore) -> None:
-        server.state.hidden_writes = 1
+        server.state.unanswered_write_count = 1
         outcome = await client.commit([], [store.Write("a", b"1")])
         assert isinstance(outcome, core.Failure)
         assert outcome.kind is core.ErrorKind.STORE_OUTCOME_UNKNOWN
@@ -96,7 +96,7 @@
     """Guards against an unknown outcome of a call that the store rejected."""
 
     async def work(server: Server, client: _store.PlatformStore) -> None:
-        server.state.refusal = 503
+        server.state.refusal_status = 503
         outcome = await client.commit([], [store.Write("a", b"1")])
         assert isinstance(outcome, core.Failure)
         assert outcome.kind is core.ErrorKind.STORE_UNAVAILABLE
@@ -129,7 +129,7 @@
         start = server.state.revision
         server.state.put("a/1", b"1")
         server.state.put("a/2", b"2")
-        server.state.forget_history()
+        server.state.compact_history()
         async for change in client.watch("a/", start + 1, 200):
             assert isinstance(change, core.Failure)
 
@@ -197,10 +197,10 @@
             assert await _platform_store.wait_until(
                 lambda: instance.address in fleet
             )
-            server.state.refusal = 503
+            server.state.refusal_status = 503
             server.state.delete(key)
             await asyncio.sleep(1)
-            server.state.refusal = 0
+            server.state.refusal_status = 0
             assert await _platform_store.wait_until(lambda: key in items, 2_000)
 
     run_with_store(work)
@@ -267,10 +267,10 @@
         key = f"{_registry.PREFIX}{instance.address}"
         async with running(registry):
             await wait_for_entry(server, key)
-        server.state.refusal = 503
+        server.state.refusal_status = 503
         leaving = asyncio.create_task(registry.withdraw(3_000))
         await asyncio.sleep(0.5)
-        server.state.refusal = 0
+        server.state.refusal_status = 0
         await leaving
         assert key not in server.state.items
 
