--- a/libs/lab/src/fireflyford/lab/experiments/_flows.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_flows.py
@@ -207,7 +207,9 @@
             for item in run.fleet.targets.values()
             if item.service == "padron"
         )
-        plain_feed = await _plain_client.open_on_target(run.fleet, target, "/feed")
+        plain_feed = await _plain_client.open_on_target(
+            run.fleet, target, "/feed"
+        )
         long_request = await _plain_client.open_on_target(
             run.fleet, target, f"/sheets/long?ms={_LONG_REQUEST_MS}"
         )
--- a/libs/lab/src/fireflyford/lab/experiments/_packet_flows.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_packet_flows.py
@@ -34,7 +34,9 @@
 _UTILIZATIONS = (0.7, 0.9)
 # Lower bound of the network delay, for the first packet and for the request:
 # from client to balancer, by the directory agent to the agent, and the answer.
-_MIN_PATH_DELAY_MS = 4 * _packet_fleet.CLIENT_DELAY_MS + 2 * _packet_fleet.LINK_DELAY_MS
+_MIN_PATH_DELAY_MS = (
+    4 * _packet_fleet.CLIENT_DELAY_MS + 2 * _packet_fleet.LINK_DELAY_MS
+)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/libs/lab/src/fireflyford/lab/experiments/_request_processes.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_request_processes.py
@@ -121,7 +121,9 @@
         async with _process_runs.running_service(seed, speeds) as fleet:
             by_name = dict(zip(fleet.targets, speeds, strict=True))
             samples, _ = await _process_runs.run_load(fleet, demand)
-            work_ms = _process_runs.busy_ms_by_target(fleet.executions(), by_name)
+            work_ms = _process_runs.busy_ms_by_target(
+                fleet.executions(), by_name
+            )
         seconds = sorted({second for _, second in work_ms})[4:-3]
         ratios = []
         totals = dict.fromkeys(by_name, 0.0)
--- a/libs/lab/tests/test_flows.py
+++ b/libs/lab/tests/test_flows.py
@@ -16,7 +16,9 @@
 
 def test_flows_survive_planned_changes() -> None:
     """Guards against flows that a planned change breaks or misroutes."""
-    assert missed_targets(_flows.RollingBoth(_flow_experiment.SMALL_SCALE)) == []
+    assert (
+        missed_targets(_flows.RollingBoth(_flow_experiment.SMALL_SCALE)) == []
+    )
 
 
 def test_flows_recover_from_two_failures_at_once() -> None:
--- a/libs/lab/tests/test_packet_flows.py
+++ b/libs/lab/tests/test_packet_flows.py
@@ -25,7 +25,6 @@
         assert result.mean_ms < baseline_result.mean_ms, baseline.name
         assert result.p99_ms <= baseline_result.p99_ms, baseline.name
         assert (
-            result.within_objective_ratio >= baseline_result.within_objective_ratio
-        ), (
-            baseline.name
-        )
+            result.within_objective_ratio
+            >= baseline_result.within_objective_ratio
+        ), baseline.name
