--- a/libs/flows/src/fireflyford/flows/__init__.py
+++ b/libs/flows/src/fireflyford/flows/__init__.py
@@ -26,7 +26,7 @@
 from fireflyford.flows._messages import PlacementRefused
 from fireflyford.flows._messages import Send
 from fireflyford.flows._placement import Candidate
-from fireflyford.flows._placement import LeastCompletion
+from fireflyford.flows._placement import EarliestCompletion
 from fireflyford.flows._placement import Placement
 from fireflyford.flows._placement import Random
 from fireflyford.flows._target_monitor import TargetLiveness
@@ -53,6 +53,7 @@
     "Candidate",
     "DeclineReason",
     "Deliver",
+    "EarliestCompletion",
     "Fleet",
     "FlowAnnouncement",
     "FlowLocated",
@@ -61,7 +62,6 @@
     "Handling",
     "Heartbeat",
     "Instance",
-    "LeastCompletion",
     "Load",
     "LoadReport",
     "Message",
--- a/libs/flows/src/fireflyford/flows/_placement.py
+++ b/libs/flows/src/fireflyford/flows/_placement.py
@@ -124,7 +124,7 @@
         return self._rng.choice(candidates)
 
 
-class LeastCompletion(Placement):
+class EarliestCompletion(Placement):
     """Earliest completion for single requests, even load for long-lived flows.
 
     Handles backend servers of unequal speed and requests that arrive faster
--- a/libs/flows/src/fireflyford/flows/_target_forwarder.py
+++ b/libs/flows/src/fireflyford/flows/_target_forwarder.py
@@ -237,8 +237,8 @@
     def receive_from_target(self, packet: _types.Packet) -> list[_types.Action]:
         """Handles a packet from the backend server."""
         self.record_keepalive()
-        if packet.bounced:
-            return self._handle_bounced(packet)
+        if packet.returned:
+            return self._handle_returned(packet)
         if self.state is _types.TargetState.DOWN:
             telemetry.log("target-back")
             self.state = _types.TargetState.UNKNOWN
@@ -276,7 +276,7 @@
             *(_messages.Send(to, located) for to in sorted(receivers)),
         ]
 
-    def _handle_bounced(self, packet: _types.Packet) -> list[_types.Action]:
+    def _handle_returned(self, packet: _types.Packet) -> list[_types.Action]:
         if packet.opens:
             opening = self._openings.pop(packet.flow, None)
             if opening is None:
--- a/libs/flows/src/fireflyford/flows/_types.py
+++ b/libs/flows/src/fireflyford/flows/_types.py
@@ -22,7 +22,7 @@
         acknowledges: Whether `ack` is valid.
         ends: Whether its sender will send no more data.
         resets: Whether it resets the flow.
-        bounced: Whether the backend server returned it.
+        returned: Whether the backend server returned it.
         payload_bytes: Length of its payload.
         seq: Sequence number of the first payload byte.
         ack: Sequence number that its sender expects next.
@@ -35,7 +35,7 @@
     acknowledges: bool = False
     ends: bool = False
     resets: bool = False
-    bounced: bool = False
+    returned: bool = False
     payload_bytes: int = 0
     seq: int = 0
     ack: int = 0
--- a/libs/flows/tests/test_decisions.py
+++ b/libs/flows/tests/test_decisions.py
@@ -150,7 +150,7 @@
     """Guards against a client that waits after a backend server restart."""
     _, _, forwarder = make_forwarder()
     open_flow(forwarder)
-    returned = dataclasses.replace(data_packet(), bounced=True)
+    returned = dataclasses.replace(data_packet(), returned=True)
     actions = forwarder.receive_from_target(returned)
     assert actions == [flows.Reset(FLOW, SEQ + 1)]
     assert FLOW not in forwarder.tracker
@@ -164,7 +164,7 @@
     forwarder.receive(BALANCER, forward(flows.Handling.HELD), closing)
     assert (
         forwarder.receive_from_target(
-            dataclasses.replace(closing, bounced=True)
+            dataclasses.replace(closing, returned=True)
         )
         == []
     )
@@ -271,7 +271,7 @@
     clock = Clock(1_000_000)
     fleet = flows.Fleet(clock)
     fleet.replace_entries([instance(OWN), instance(PEER)])
-    policy = flows.LeastCompletion(random.Random(1))
+    policy = flows.EarliestCompletion(random.Random(1))
     decisions = flows.AgentFlows(clock, instance(OWN), fleet, policy)
     for address in (OWN, PEER):
         load = flows.Load(flows.TargetState.READY, 2)
--- a/libs/lab/src/fireflyford/lab/_packet_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_packet_fleet.py
@@ -136,10 +136,10 @@
             self._accept(packet)
             return
         if packet.flow not in self.initial_seqs:
-            bounced = dataclasses.replace(
-                packet, bounced=True, delivery_tag=delivery_tag
+            returned = dataclasses.replace(
+                packet, returned=True, delivery_tag=delivery_tag
             )
-            node.answer(bounced)
+            node.answer(returned)
             return
         if packet.payload_bytes:
             self.request_counts[packet.flow, packet.seq] += 1
@@ -478,7 +478,7 @@
         """
         self.rng = random.Random(seed)
         self.clock = EventClock(1_000_000)
-        policy = flows.LeastCompletion(random.Random(seed))
+        policy = flows.EarliestCompletion(random.Random(seed))
         self.make_placement = make_placement or (lambda _: policy)
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._event_numbers = itertools.count()
--- a/libs/runtime/src/fireflyford/runtime/_agent.py
+++ b/libs/runtime/src/fireflyford/runtime/_agent.py
@@ -37,7 +37,7 @@
             clock,
             self.own_instance,
             self.fleet,
-            flows.LeastCompletion(self.rng),
+            flows.EarliestCompletion(self.rng),
         )
         self.target_monitor = flows.TargetMonitor(
             clock,
--- a/tests/adapter/test_formats.py
+++ b/tests/adapter/test_formats.py
@@ -16,7 +16,7 @@
 CLIENT = core.Address("100.64.0.9", 40_002)
 ROUTE = core.Address("198.18.0.3", 8_443)
 FLOW = _packet.flow_id(CLIENT, ROUTE)
-SYN, ACK, FIN, RST, BOUNCED = 128, 1, 2, 16, 8
+SYN, ACK, FIN, RST, RETURNED = 128, 1, 2, 16, 8
 
 
 def encode(
@@ -80,15 +80,15 @@
     assert decode(encode(SYN)).flow == FLOW
     answer = decode(encode(SYN | ACK, to_client=True), by_target=True)
     assert answer.flow == FLOW
-    returned = decode(encode(SYN | BOUNCED, echo=77), by_target=True)
-    assert returned.flow == FLOW
-    assert returned.bounced
-    assert returned.delivery_tag == 77
+    packet = decode(encode(SYN | RETURNED, echo=77), by_target=True)
+    assert packet.flow == FLOW
+    assert packet.returned
+    assert packet.delivery_tag == 77
 
 
 def test_delivery_changes_only_the_tag_and_the_returned_flag() -> None:
     """Guards against other changes to the packet of a client."""
-    data = encode(ACK | BOUNCED, b"payload", seq=5, ack=6)
+    data = encode(ACK | RETURNED, b"payload", seq=5, ack=6)
     codec = _packet.PlatformPacketCodec()
     delivered = codec.encode_delivery(decode(data, by_target=True), 0xABCD)
     assert delivered == encode(ACK, b"payload", seq=5, ack=6, echo=0xABCD)
--- a/tests/adapter/test_processes.py
+++ b/tests/adapter/test_processes.py
@@ -23,7 +23,7 @@
 SERVICE = "board"
 ROUTE = core.Address("198.18.0.1", 8_443)
 CLIENT_HOST = "127.1.0.7"
-SYN, ACK, RST, BOUNCED = 128, 1, 16, 8
+SYN, ACK, RST, RETURNED = 128, 1, 16, 8
 FLAGS_OFFSET = 18
 STORE_HOST = "127.1.0.99"
 PACKET_PORT = 18_172
@@ -100,7 +100,7 @@
             )
         else:
             returned = bytearray(data)
-            returned[FLAGS_OFFSET] |= BOUNCED
+            returned[FLAGS_OFFSET] |= RETURNED
             response = bytes(returned)
         self._transport.sendto(response, outbound)
 
