Use one word for each thing in the library of flows

Docstrings that were inexact: Fleet.accepts_flows (says what it returns, not only its use), the fleet (contains this instance as well), the last resort of the placer (also agents of unknown state), the late answer after an abandoned attempt, first_seq of an adopted flow.

--- a/libs/flows/src/fireflyford/flows/_agent.py
+++ b/libs/flows/src/fireflyford/flows/_agent.py
@@ -16,7 +16,7 @@
     def __init__(
         self,
         clock: core.Clock,
-        own: _types.Instance,
+        own_instance: _types.Instance,
         fleet: _fleet.Fleet,
         placement: _placement.Placement,
     ) -> None:
@@ -24,15 +24,17 @@
 
         Args:
             clock: Source of time.
-            own: This agent.
-            fleet: View of the other instances.
+            own_instance: This agent.
+            fleet: View of all instances.
             placement: Policy for new flows.
         """
-        self._own = own
+        self._own_instance = own_instance
         self._fleet = fleet
-        self.forwarder = _target_forwarder.TargetForwarder(clock, own, fleet)
+        self.forwarder = _target_forwarder.TargetForwarder(
+            clock, own_instance, fleet
+        )
         self.directory = _flow_directory.FlowDirectory(
-            clock, own, fleet, placement
+            clock, own_instance, fleet, placement
         )
         self._announced_generation = -1
 
@@ -43,7 +45,7 @@
         packet: _types.Packet,
     ) -> list[_types.Action]:
         """Handles a packet forwarded by a balancer or another agent."""
-        if forward.service != self._own.service:
+        if forward.service != self._own_instance.service:
             return self._decline_other_service(sender, forward, packet)
         if forward.handling is _messages.Handling.RESOLVE:
             return self.directory.resolve(forward, packet)
@@ -69,7 +71,7 @@
         return []
 
     def sweep(self) -> list[_types.Action]:
-        """Handles timeouts, and announces flows after a change of the view."""
+        """Handles timeouts, and announces flows after a change of the fleet."""
         actions = [*self.forwarder.sweep(), *self.directory.sweep()]
         if self._fleet.generation != self._announced_generation:
             self._announced_generation = self._fleet.generation
@@ -78,7 +80,7 @@
 
     def expire(self) -> None:
         """Removes idle flows and idle directory entries."""
-        self.forwarder.tracker.sweep()
+        self.forwarder.tracker.expire()
         self.directory.expire()
 
     def _decline_other_service(
@@ -87,7 +89,10 @@
         forward: _messages.Forward,
         packet: _types.Packet,
     ) -> list[_types.Action]:
-        """Declines a packet for a service that used this address before."""
+        """Declines a packet of another service.
+
+        The sender still knows an earlier agent at this address.
+        """
         telemetry.log(
             "foreign-service",
             flow=_types.describe_flow(packet.flow),
--- a/libs/flows/src/fireflyford/flows/_balancer.py
+++ b/libs/flows/src/fireflyford/flows/_balancer.py
@@ -24,8 +24,8 @@
 DIRECTORY_TIMEOUT_MS = 150
 SUSPECT_MS = 1_000
 # Delay before an unanswered packet is sent again; it doubles with each retry.
-# The client retransmits only 200, 600 and 1,400 ms after its first packet, so a
-# restarted agent gets the packet sooner.
+# A restarted agent gets the packet sooner than by waiting for the client, which
+# retransmits 200, 600 and 1,400 ms after its first packet.
 RETRY_MS = 80
 MAX_RETRY_MS = 800
 # By then the client has given up opening the flow or retransmitted its packet.
@@ -34,7 +34,7 @@
 # suspects.
 DIRECTORY_CANDIDATE_COUNT = 4
 # Limit of packets that wait for the directory agent's answer.
-MAX_PENDING = 16_384
+MAX_PENDING_PACKETS = 16_384
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,8 +101,8 @@
         self.received_ms = now_ms
         self.sent_ms = now_ms
         self.retry_delay_ms = retry_delay_ms
-        # Whether the directory agent has queued the packet until a backend
-        # server has room.
+        # Whether the directory agent has queued the flow until a backend server
+        # has room.
         self.is_queued = False
 
 
@@ -110,17 +110,20 @@
     """Handles every packet and message of one balancer."""
 
     def __init__(
-        self, clock: core.Clock, own: _types.Instance, fleet: _fleet.Fleet
+        self,
+        clock: core.Clock,
+        own_instance: _types.Instance,
+        fleet: _fleet.Fleet,
     ) -> None:
         """Initializes a balancer without a configuration.
 
         Args:
             clock: Source of time.
-            own: This balancer.
-            fleet: View of the other instances.
+            own_instance: This balancer.
+            fleet: View of all instances.
         """
         self._clock = clock
-        self._own = own
+        self._own_instance = own_instance
         self._fleet = fleet
         self._table: RouteTable | None = None
         # Services of each route in earlier versions of the configuration.
@@ -132,7 +135,7 @@
         self._pending: collections.OrderedDict[bytes, _PendingPacket] = (
             collections.OrderedDict()
         )
-        self._suspects: dict[core.Address, int] = {}
+        self._suspect_until_ms: dict[core.Address, int] = {}
         self._timer = _response_timer.ResponseTimer(RETRY_MS, MAX_RETRY_MS)
         # Whether the configuration is known to be the latest version.
         self.is_current = False
@@ -197,8 +200,8 @@
                 return []
             self._suspect_if_overdue(pending)
             if not packet.opens and pending.service in services:
-                at = services.index(pending.service)
-                services = services[at:]
+                index = services.index(pending.service)
+                services = services[index:]
         return self._resolve(packet, services, route)
 
     def handle_message(
@@ -213,7 +216,7 @@
                 del self._holders[message.flow]
             return []
         elif isinstance(message, _messages.FlowNotFound):
-            return self._try_next(message)
+            return self._handle_not_found(message)
         elif isinstance(message, _messages.PlacementQueued):
             pending = self._pending.get(message.flow)
             if pending is not None:
@@ -291,7 +294,7 @@
         )
         self._pending[packet.flow] = pending
         self._pending.move_to_end(packet.flow)
-        if len(self._pending) > MAX_PENDING:
+        if len(self._pending) > MAX_PENDING_PACKETS:
             self._pending.popitem(last=False)
         if directory_agent is None:
             telemetry.log(
@@ -318,7 +321,7 @@
         )
         now_ms = self._clock.now_ms()
         for directory_agent in directory_agents:
-            if self._suspects.get(directory_agent, 0) <= now_ms:
+            if self._suspect_until_ms.get(directory_agent, 0) <= now_ms:
                 return directory_agent
         return directory_agents[0] if directory_agents else None
 
@@ -329,16 +332,18 @@
             return
         limit_ms = max(DIRECTORY_TIMEOUT_MS, self._timer.timeout_ms())
         if now_ms - pending.sent_ms >= limit_ms:
-            if self._suspects.get(pending.directory_agent, 0) <= now_ms:
+            if self._suspect_until_ms.get(pending.directory_agent, 0) <= now_ms:
                 telemetry.log(
                     "home-silent",
                     flow=_types.describe_flow(pending.packet.flow),
                     home=pending.directory_agent,
                 )
-            self._suspects[pending.directory_agent] = now_ms + SUSPECT_MS
+            self._suspect_until_ms[pending.directory_agent] = (
+                now_ms + SUSPECT_MS
+            )
 
     def _record_holder(self, sender: core.Address, flow: bytes) -> None:
-        self._suspects.pop(sender, None)
+        self._suspect_until_ms.pop(sender, None)
         pending = self._pending.pop(flow, None)
         if pending is not None:
             duration_ms = self._clock.now_ms() - pending.received_ms
@@ -356,8 +361,10 @@
         if len(self._holders) > MAX_CACHED_HOLDERS:
             self._holders.popitem(last=False)
 
-    def _try_next(self, message: _messages.FlowNotFound) -> list[_types.Action]:
-        """Asks another service of the route, or resets the flow."""
+    def _handle_not_found(
+        self, message: _messages.FlowNotFound
+    ) -> list[_types.Action]:
+        """Resolves a flow at another service of its route, or resets it."""
         flow = message.flow
         pending = self._pending.pop(flow, None)
         route = None
@@ -414,7 +421,7 @@
         message = _messages.Forward(
             handling,
             service,
-            self._own.address,
+            self._own_instance.address,
             to,
             0,
             route.long_lived,
--- a/libs/flows/src/fireflyford/flows/_fleet.py
+++ b/libs/flows/src/fireflyford/flows/_fleet.py
@@ -1,8 +1,8 @@
-"""View of the instances of the system at one of them.
+"""View that one instance has of all instances.
 
 Merges two sources: entries in the registry, which persist while an instance is
 unreachable, and heartbeats, which need no store. An instance is removed from
-the view only when it has no entry and its heartbeats have timed out.
+the view only when it has no entry and its keepalives have timed out.
 """
 
 from collections.abc import Iterable
@@ -13,9 +13,9 @@
 from fireflyford.flows import _messages
 from fireflyford.flows import _types
 
-# Time without a heartbeat after which an instance without an entry is removed:
-# a few heartbeats may be lost, and a process restarts within this time.
-HEARTBEAT_TIMEOUT_MS = 3_000
+# Time without a keepalive after which an instance without an entry is removed:
+# a few keepalives may be lost, and a process restarts within this time.
+KEEPALIVE_TIMEOUT_MS = 3_000
 
 
 class Fleet:
@@ -25,12 +25,12 @@
         """Initializes an empty view.
 
         Args:
-            clock: Source of time for the age of heartbeats.
+            clock: Source of time for the age of keepalives.
         """
         self._clock = clock
         self._registered: dict[str, _types.Instance] = {}
         # Time of the last keepalive of each instance, and the instance itself.
-        self._heartbeats: dict[core.Address, tuple[int, _types.Instance]] = {}
+        self._keepalives: dict[core.Address, tuple[int, _types.Instance]] = {}
         self._loads: dict[core.Address, _types.Load] = {}
         self._present: dict[core.Address, _types.Instance] = {}
         self._rings: dict[str, routing.TargetRing] = {}
@@ -75,11 +75,11 @@
         if known is not None and known.incarnation > instance.incarnation:
             return
         if heartbeat.leaving:
-            self._heartbeats.pop(address, None)
+            self._keepalives.pop(address, None)
             if self._registered.pop(str(address), None) or known:
                 self.refresh()
             return
-        self._heartbeats[address] = (self._clock.now_ms(), instance)
+        self._keepalives[address] = (self._clock.now_ms(), instance)
         if known != instance:
             self.refresh()
         self.record_load(address, heartbeat.load)
@@ -89,7 +89,7 @@
         instance = self._present.get(address)
         if instance is None:
             return
-        self._heartbeats[address] = (self._clock.now_ms(), instance)
+        self._keepalives[address] = (self._clock.now_ms(), instance)
         accepted = self.accepts_flows(address)
         self._loads[address] = load
         if accepted != self.accepts_flows(address):
@@ -97,15 +97,19 @@
             self.generation += 1
 
     def refresh(self) -> list[_types.Instance]:
-        """Merges both sources again; call it periodically to expire heartbeats.
+        """Merges both sources again.
+
+        Must be called periodically, so that keepalives time out.
 
         Returns:
             Instances whose process was not known before.
         """
-        oldest_ms = self._clock.now_ms() - HEARTBEAT_TIMEOUT_MS
+        oldest_ms = self._clock.now_ms() - KEEPALIVE_TIMEOUT_MS
         present: dict[core.Address, _types.Instance] = {}
         live = [
-            item for at, item in self._heartbeats.values() if at >= oldest_ms
+            item
+            for received_ms, item in self._keepalives.values()
+            if received_ms >= oldest_ms
         ]
         for instance in (*self._registered.values(), *live):
             other = present.get(instance.address)
@@ -157,7 +161,7 @@
         return sum(map(self.is_agent, self._present))
 
     def load(self, address: core.Address) -> _types.Load:
-        """Returns the last reported load of an agent."""
+        """Returns the last reported load of an agent, or the default load."""
         return self._loads.get(address, _types.Load())
 
     def is_load_known(self, address: core.Address) -> bool:
@@ -173,7 +177,10 @@
         )
 
     def accepts_flows(self, address: core.Address) -> bool:
-        """Returns whether an agent may be the directory agent of flows."""
+        """Returns whether the backend server of an agent may accept new flows.
+
+        The ring prefers such agents as directory agents.
+        """
         return self.load(address).state in (
             _types.TargetState.UNKNOWN,
             _types.TargetState.READY,
@@ -181,7 +188,7 @@
 
     def keepalive_age_ms(self, address: core.Address) -> int | None:
         """Returns the time since the last keepalive, None if there was none."""
-        last = self._heartbeats.get(address)
+        last = self._keepalives.get(address)
         return None if last is None else self._clock.now_ms() - last[0]
 
     def agents(self, service: str) -> tuple[_types.Instance, ...]:
--- a/libs/flows/src/fireflyford/flows/_flow_directory.py
+++ b/libs/flows/src/fireflyford/flows/_flow_directory.py
@@ -22,7 +22,7 @@
 
 
 class _Entry:
-    """Directory entry."""
+    """Holder of one flow."""
 
     def __init__(self, holder: core.Address, now_ms: int):
         self.holder = holder
@@ -35,7 +35,7 @@
     def __init__(
         self,
         clock: core.Clock,
-        own: _types.Instance,
+        own_instance: _types.Instance,
         fleet: _fleet.Fleet,
         placement: _placement.Placement,
     ) -> None:
@@ -43,18 +43,22 @@
 
         Args:
             clock: Source of time.
-            own: This agent.
-            fleet: View of the other instances.
+            own_instance: This agent.
+            fleet: View of all instances.
             placement: Policy for new flows.
         """
         self._clock = clock
-        self._own = own
+        self._own_instance = own_instance
         self._fleet = fleet
         self._entries: collections.OrderedDict[bytes, _Entry] = (
             collections.OrderedDict()
         )
-        self._placer = _flow_placer.FlowPlacer(clock, own, fleet, placement)
-        self._searches = _holder_search.HolderSearches(clock, own, fleet)
+        self._placer = _flow_placer.FlowPlacer(
+            clock, own_instance, fleet, placement
+        )
+        self._searches = _holder_search.HolderSearches(
+            clock, own_instance, fleet
+        )
 
     def __len__(self) -> int:
         """Returns the number of directory entries."""
@@ -72,8 +76,8 @@
             entry.last_used_ms = self._clock.now_ms()
             self._entries.move_to_end(packet.flow)
             handling = _messages.Handling.HELD
-            own = self._own.address
-            return [forward.relay(handling, own, entry.holder, packet)]
+            own_address = self._own_instance.address
+            return [forward.relay(handling, own_address, entry.holder, packet)]
         if packet.opens:
             return self._placer.begin(forward, packet)
         return self._searches.begin(forward, packet)
@@ -116,7 +120,7 @@
         self._placer.record_load(sender, load)
 
     def sweep(self) -> list[_types.Action]:
-        """Handles offers and searches that have timed out."""
+        """Handles timeouts of offers and searches, and retries queued flows."""
         self._searches.sweep()
         return self._placer.sweep()
 
--- a/libs/flows/src/fireflyford/flows/_flow_placer.py
+++ b/libs/flows/src/fireflyford/flows/_flow_placer.py
@@ -48,7 +48,7 @@
         self.tried_agents: set[core.Address] = set()
         self.offered_to: core.Address | None = None
         self.deadline_ms = 0
-        self.busy_count = 0
+        self.busy_decline_count = 0
         self.offer_count = 0
         self.unanswered_count = 0
         self.is_abandoned = False
@@ -63,7 +63,7 @@
     def __init__(
         self,
         clock: core.Clock,
-        own: _types.Instance,
+        own_instance: _types.Instance,
         fleet: _fleet.Fleet,
         placement: _placement.Placement,
     ) -> None:
@@ -71,16 +71,16 @@
 
         Args:
             clock: Source of time.
-            own: This agent.
-            fleet: View of the other instances.
+            own_instance: This agent.
+            fleet: View of all instances.
             placement: Policy for new flows.
         """
         self._clock = clock
-        self._own = own
+        self._own_instance = own_instance
         self._fleet = fleet
         self._placement = placement
         self._attempts: dict[bytes, _PlacementAttempt] = {}
-        self._suspects: dict[core.Address, int] = {}
+        self._suspect_until_ms: dict[core.Address, int] = {}
         self._timer = _response_timer.ResponseTimer(
             OFFER_TIMEOUT_MS, MAX_OFFER_TIMEOUT_MS
         )
@@ -100,7 +100,7 @@
 
     def finish(self, sender: core.Address, flow: bytes) -> None:
         """Completes a placement after the sender has accepted the flow."""
-        self._suspects.pop(sender, None)
+        self._suspect_until_ms.pop(sender, None)
         attempt = self._attempts.pop(flow, None)
         if attempt is None:
             return
@@ -134,7 +134,7 @@
                 slots=message.load.slot_count,
             )
         if message.reason is _messages.DeclineReason.BUSY:
-            attempt.busy_count += 1
+            attempt.busy_decline_count += 1
         else:
             attempt.tried_agents.add(sender)
         attempt.reason = message.reason
@@ -171,12 +171,12 @@
             holder=offered_to,
         )
         self._timer.record_timeout()
-        self._suspects[offered_to] = now_ms + SUSPECT_MS
+        self._suspect_until_ms[offered_to] = now_ms + SUSPECT_MS
         attempt.tried_agents.add(offered_to)
         attempt.unanswered_count += 1
         if attempt.unanswered_count < MAX_UNANSWERED_OFFERS:
             return self._place(attempt)
-        # A late answer is still used for the flow and for the timer.
+        # The attempt is kept because a late acceptance still updates the timer.
         attempt.is_abandoned = True
         attempt.deadline_ms = now_ms + MAX_OFFER_TIMEOUT_MS
         return []
@@ -193,7 +193,8 @@
         attempt.offered_ms = now_ms
         attempt.deadline_ms = now_ms + self._timer.timeout_ms()
         allow_queueing = (
-            attempt.busy_count >= MAX_BUSY_DECLINES or len(candidates) == 1
+            attempt.busy_decline_count >= MAX_BUSY_DECLINES
+            or len(candidates) == 1
         )
         attempt.offer_count += 1
         if attempt.offer_count <= MAX_LOGGED_OFFERS:
@@ -212,7 +213,7 @@
         return [
             attempt.forward.relay(
                 _messages.Handling.PLACE,
-                self._own.address,
+                self._own_instance.address,
                 chosen.address,
                 attempt.packet,
                 allow_queueing,
@@ -250,7 +251,7 @@
         ]
 
     def _log_queued(self, attempt: _PlacementAttempt) -> None:
-        agents = self._fleet.agents(self._own.service)
+        agents = self._fleet.agents(self._own_instance.service)
         loads = [self._expected_load(agent.address) for agent in agents]
         telemetry.log(
             "flow-waits",
@@ -268,10 +269,13 @@
     def _candidates(
         self, attempt: _PlacementAttempt
     ) -> list[_placement.Candidate]:
-        """Returns the agents with room, suspects only as a last resort."""
+        """Returns the agents with room.
+
+        Suspects and agents whose target state is unknown are a last resort.
+        """
         now_ms = self._clock.now_ms()
         preferred, last_resort = [], []
-        for agent in self._fleet.agents(self._own.service):
+        for agent in self._fleet.agents(self._own_instance.service):
             if agent.address in attempt.tried_agents:
                 continue
             load = self._expected_load(agent.address)
@@ -279,7 +283,7 @@
                 agent.address,
                 load,
                 self._recent_placement_count(agent.address),
-                agent.availability_zone == self._own.availability_zone,
+                agent.availability_zone == self._own_instance.availability_zone,
             )
             is_load_known = self._fleet.is_load_known(agent.address)
             if is_load_known and load.state in _DECLINING_STATES:
@@ -289,7 +293,7 @@
                 continue
             if (
                 load.state is _types.TargetState.READY
-                and self._suspects.get(agent.address, 0) <= now_ms
+                and self._suspect_until_ms.get(agent.address, 0) <= now_ms
             ):
                 preferred.append(candidate)
             else:
@@ -304,9 +308,9 @@
         """Returns the flows placed at an agent since its last load report."""
         oldest_ms = self._clock.now_ms() - _flow_tracker.RESERVATION_MS
         times = [
-            at
-            for at in self._recent_placements.get(address, ())
-            if at >= oldest_ms
+            placed_ms
+            for placed_ms in self._recent_placements.get(address, ())
+            if placed_ms >= oldest_ms
         ]
         self._recent_placements[address] = times
         return len(times)
--- a/libs/flows/src/fireflyford/flows/_flow_tracker.py
+++ b/libs/flows/src/fireflyford/flows/_flow_tracker.py
@@ -85,11 +85,11 @@
         return len(self._flows)
 
     def __contains__(self, flow: bytes) -> bool:
-        """Returns whether a flow is held."""
+        """Returns whether a flow is tracked."""
         return flow in self._flows
 
     def get(self, flow: bytes) -> TrackedFlow | None:
-        """Returns a flow, or None."""
+        """Returns a flow, None if it is not tracked."""
         return self._flows.get(flow)
 
     def open_flows(self) -> tuple[bytes, ...]:
@@ -101,7 +101,14 @@
     def add(
         self, flow: bytes, long_lived: bool, first_seq: int | None
     ) -> TrackedFlow:
-        """Adds a flow that the backend server has accepted."""
+        """Adds a flow that the backend server has accepted.
+
+        Args:
+            flow: The flow.
+            long_lived: Whether it is expected to carry many requests.
+            first_seq: First sequence number of the backend server, None for a
+                flow that was opened before this process started.
+        """
         tracked = TrackedFlow(self._clock.now_ms(), long_lived)
         if first_seq is None:
             tracked.reserved_until_ms = tracked.opened_ms
@@ -194,7 +201,7 @@
             service_ms=round(self.service_ms, 1),
         )
 
-    def sweep(self) -> None:
+    def expire(self) -> None:
         """Removes ended and idle flows, and times out unanswered requests."""
         now_ms = self._clock.now_ms()
         for flow, tracked in tuple(self._flows.items()):
--- a/libs/flows/src/fireflyford/flows/_holder_search.py
+++ b/libs/flows/src/fireflyford/flows/_holder_search.py
@@ -14,7 +14,7 @@
 # Minimum delay between searches for a flow after one has failed; balancers and
 # the client keep sending its packets.
 SEARCH_RETRY_DELAY_MS = 250
-# Packets of one flow that are queued during a search: a window of the client.
+# Packets of one flow that are queued during a search: one window of the client.
 MAX_QUEUED_PACKETS = 16
 MAX_SEARCHES = 4_096
 # A directory agent that has just started may not know agents without a registry
@@ -36,7 +36,7 @@
         self.forward = forward
         self.started_ms = now_ms
         self.deadline_ms = deadline_ms
-        self.unanswered: set[core.Address] = set()
+        self.awaited_agents: set[core.Address] = set()
         # The first packet is sent with the search itself.
         self.packets = [packet]
 
@@ -45,18 +45,21 @@
     """Asks all agents of a service for the holders of flows."""
 
     def __init__(
-        self, clock: core.Clock, own: _types.Instance, fleet: _fleet.Fleet
+        self,
+        clock: core.Clock,
+        own_instance: _types.Instance,
+        fleet: _fleet.Fleet,
     ) -> None:
-        """Initializes the searches of an agent, none of which is in progress.
+        """Initializes the searches of an agent with none in progress.
 
         Args:
             clock: Source of time.
-            own: This agent.
-            fleet: View of the other instances.
+            own_instance: This agent.
+            fleet: View of all instances.
         """
         self._clock = clock
         self._started_ms = clock.now_ms()
-        self._own = own
+        self._own_instance = own_instance
         self._fleet = fleet
         self._searches: dict[bytes, _Search] = {}
         self._timer = _response_timer.ResponseTimer(
@@ -83,18 +86,18 @@
             return []
         deadline_ms = now_ms + self._timer.timeout_ms()
         search = _Search(forward, packet, now_ms, deadline_ms)
-        agents = self._fleet.agents(self._own.service)
-        search.unanswered = {agent.address for agent in agents}
+        agents = self._fleet.agents(self._own_instance.service)
+        search.awaited_agents = {agent.address for agent in agents}
         self._searches[packet.flow] = search
         telemetry.log(
             "flow-searched",
             flow=_types.describe_flow(packet.flow),
-            agents=len(search.unanswered),
+            agents=len(search.awaited_agents),
         )
         handling = _messages.Handling.SEARCH
         return [
-            forward.relay(handling, self._own.address, address, packet)
-            for address in search.unanswered
+            forward.relay(handling, self._own_instance.address, address, packet)
+            for address in search.awaited_agents
         ]
 
     def finish(self, flow: bytes, holder: core.Address) -> list[_types.Action]:
@@ -104,7 +107,9 @@
             return []
         handling = _messages.Handling.HELD
         return [
-            search.forward.relay(handling, self._own.address, holder, packet)
+            search.forward.relay(
+                handling, self._own_instance.address, holder, packet
+            )
             for packet in search.packets[1:]
         ]
 
@@ -118,8 +123,8 @@
         search = self._searches.get(flow)
         if search is None:
             return []
-        search.unanswered.discard(sender)
-        if search.unanswered:
+        search.awaited_agents.discard(sender)
+        if search.awaited_agents:
             return []
         del self._searches[flow]
         now_ms = self._clock.now_ms()
@@ -130,7 +135,7 @@
         telemetry.log(
             "flow-unknown",
             flow=_types.describe_flow(flow),
-            service=self._own.service,
+            service=self._own_instance.service,
         )
         last = search.packets[-1]
         unknown = _messages.FlowNotFound(
@@ -150,8 +155,8 @@
             telemetry.log(
                 "flow-search-timeout",
                 flow=_types.describe_flow(flow),
-                silent_count=len(search.unanswered),
-                silent=min(search.unanswered, default=None),
+                silent_count=len(search.awaited_agents),
+                silent=min(search.awaited_agents, default=None),
             )
 
     def _record_failure(self, flow: bytes) -> None:
--- a/libs/flows/src/fireflyford/flows/_messages.py
+++ b/libs/flows/src/fireflyford/flows/_messages.py
@@ -99,7 +99,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlacementDeclined:
-    """The sender declines a new flow, none of which was processed there."""
+    """The sender declines a new flow and has processed nothing of it."""
 
     flow: bytes
     reason: DeclineReason
@@ -130,7 +130,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlacementQueued:
-    """A new flow is queued until a backend server has room."""
+    """A new flow has to wait for room; from directory agent to balancer."""
 
     flow: bytes
 
@@ -152,7 +152,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Keepalive of an instance, with its own entry and its load.
+    """Keepalive of an instance, with its entry and its load.
 
     Attributes:
         instance: Entry of the sender.
--- a/libs/flows/src/fireflyford/flows/_placement.py
+++ b/libs/flows/src/fireflyford/flows/_placement.py
@@ -14,8 +14,6 @@
 # Service times are clamped to this factor around the median, which limits the
 # effect of a wrong measurement.
 MAX_SPEED_FACTOR = 4.0
-
-
 # Random candidates compared for a single request. Directory agents see loads
 # that are at least 0.1 s old; if each chose the best of all, they would all
 # choose the same one. Two is the smallest number that leaves a choice
@@ -147,7 +145,7 @@
             item.load.service_ms for item in candidates if item.load.service_ms
         ]
         median_ms = statistics.median(times) if times else DEFAULT_SERVICE_MS
-        cost = _share_cost
+        cost = _long_lived_cost
         if not long_lived:
             cost = _completion_cost
             count = min(SAMPLE_COUNT, len(candidates))
@@ -169,15 +167,17 @@
 
 
 def _completion_cost(item: Candidate, service_ms: float) -> tuple[float, ...]:
+    """Returns the time until a new request would finish, and tie-breakers."""
     load = item.load
     ahead_count = item.pending_count
     queued = max(0, ahead_count - load.slot_count + 1)
     wait_ms = service_ms * queued / load.slot_count
-    share = service_ms * load.long_lived_count / load.slot_count
-    return (wait_ms + service_ms, share, not item.in_same_zone)
+    long_lived_share = service_ms * load.long_lived_count / load.slot_count
+    return (wait_ms + service_ms, long_lived_share, not item.in_same_zone)
 
 
-def _share_cost(item: Candidate, service_ms: float) -> tuple[float, ...]:
+def _long_lived_cost(item: Candidate, service_ms: float) -> tuple[float, ...]:
+    """Returns the capacity used with this flow added, and tie-breakers."""
     load = item.load
     flow_count = load.long_lived_count + item.placed_count + 1
     ahead_count = load.pending_count
--- a/libs/flows/src/fireflyford/flows/_target_forwarder.py
+++ b/libs/flows/src/fireflyford/flows/_target_forwarder.py
@@ -16,12 +16,14 @@
 from fireflyford.flows import _placement
 from fireflyford.flows import _types
 
-# A running backend server accepts a new flow within a millisecond.
+# Time limit for the backend server to accept a new flow; a running one takes
+# less than a millisecond.
 OPENING_LIMIT_MS = 50
-# A running backend server also returns a packet within a millisecond.
+# Time limit for the backend server to return a probe, which also takes a
+# running one less than a millisecond.
 PROBE_LIMIT_MS = 50
-# A running backend server sends a report within this time: the interval is at
-# most 1.2 s, and one report may be lost.
+# A running backend server sends a report within this time after the start of
+# the agent: the interval is at most 1.2 s, and one report may be lost.
 FIRST_KEEPALIVE_MS = 2_500
 # A delivery tag identifies a delivered packet; a returned packet carries it.
 _MAX_DELIVERY_TAG = 0x7FFFFFFF
@@ -56,19 +58,19 @@
     def __init__(
         self,
         clock: core.Clock,
-        own: _types.Instance,
+        own_instance: _types.Instance,
         fleet: _fleet.Fleet,
     ) -> None:
         """Initializes a forwarder without flows.
 
         Args:
             clock: Source of time.
-            own: This agent.
-            fleet: View of the other instances.
+            own_instance: This agent.
+            fleet: View of all instances.
         """
         self._clock = clock
         self._started_ms = clock.now_ms()
-        self._own = own
+        self._own_instance = own_instance
         self._fleet = fleet
         # Whether the backend server has sent anything since this process
         # started.
@@ -77,7 +79,7 @@
         self.state = _types.TargetState.UNKNOWN
         # Whether the backend server may hold flows that were opened before
         # this process started.
-        self.may_hold_unknown = True
+        self.may_hold_untracked_flows = True
         self._openings: dict[bytes, _Opening] = {}
         self._probes: collections.OrderedDict[int, _Probe] = (
             collections.OrderedDict()
@@ -112,7 +114,7 @@
             if packet.flow in self._openings:
                 return []
             return self._report_not_held(sender, forward, packet)
-        if tracked is None and self.may_hold_unknown:
+        if tracked is None and self.may_hold_untracked_flows:
             return self._probe(sender, forward, packet)
         return self._report_not_held(sender, forward, packet)
 
@@ -192,7 +194,10 @@
         forward: _messages.Forward,
         packet: _types.Packet,
     ) -> list[_types.Action]:
-        """Reports a flow as not held and relays its packet unless searched."""
+        """Reports a flow as not held and relays its packet.
+
+        The packet of a search is not relayed, because all agents receive it.
+        """
         actions: list[_types.Action] = [
             _messages.Send(sender, _messages.NotHeld(packet.flow))
         ]
@@ -206,7 +211,7 @@
         if forward.hop_count >= MAX_HOPS:
             return []
         directory_agents = self._fleet.directory_agents(
-            self._own.service, packet.flow, 1
+            self._own_instance.service, packet.flow, 1
         )
         if not directory_agents:
             return []
@@ -345,7 +350,7 @@
             return []
         telemetry.log("target-down", reason=reason, held=len(self.tracker))
         self.state = _types.TargetState.DOWN
-        self.may_hold_unknown = False
+        self.may_hold_untracked_flows = False
         actions: list[_types.Action] = []
         for flow, opening in tuple(self._openings.items()):
             actions.append(
@@ -386,8 +391,9 @@
                 break
             is_starting = now_ms - self._started_ms < FIRST_KEEPALIVE_MS
             if not self._has_keepalive and is_starting:
-                # A packet that is not returned shows a held flow only if the
-                # server runs, which its first report has yet to show.
+                # A packet that is not returned belongs to a held flow only if
+                # the backend server is running. That is not known before its
+                # first report.
                 break
             if not self._has_keepalive:
                 actions += self._report_not_held(
@@ -425,7 +431,7 @@
         return [
             _messages.Send(directory_agent, _messages.FlowAnnouncement((flow,)))
             for directory_agent in self._fleet.directory_agents(
-                self._own.service, flow, 1
+                self._own_instance.service, flow, 1
             )
         ]
 
@@ -434,16 +440,16 @@
         by_agent: dict[core.Address, list[bytes]] = {}
         for flow in self.tracker.open_flows():
             for directory_agent in self._fleet.directory_agents(
-                self._own.service, flow, 1
+                self._own_instance.service, flow, 1
             ):
                 by_agent.setdefault(directory_agent, []).append(flow)
         return [
             _messages.Send(
                 directory_agent,
                 _messages.FlowAnnouncement(
-                    tuple(flows[at : at + ANNOUNCEMENT_BATCH_COUNT])
+                    tuple(flows[start : start + ANNOUNCEMENT_BATCH_COUNT])
                 ),
             )
             for directory_agent, flows in by_agent.items()
-            for at in range(0, len(flows), ANNOUNCEMENT_BATCH_COUNT)
+            for start in range(0, len(flows), ANNOUNCEMENT_BATCH_COUNT)
         ]
--- a/libs/flows/src/fireflyford/flows/_target_monitor.py
+++ b/libs/flows/src/fireflyford/flows/_target_monitor.py
@@ -8,9 +8,9 @@
 from fireflyford.flows import _target_forwarder
 from fireflyford.flows import _types
 
-# Report intervals without a report after which a backend server gets no new
-# flows; a report may be lost and the next one late.
-MISSED_REPORTS = 3.5
+# Time without a report, in report intervals, after which a backend server gets
+# no new flows; a report may be lost and the next one late.
+REPORT_TIMEOUT_INTERVALS = 3.5
 
 
 class TargetLiveness(enum.Enum):
@@ -71,7 +71,7 @@
         self._clock = clock
         self._service = service
         self._forwarder = forwarder
-        self._report_timeout_ms = report_interval_ms * MISSED_REPORTS
+        self._report_timeout_ms = report_interval_ms * REPORT_TIMEOUT_INTERVALS
         self._last: TargetReport | None = None
         self._last_report_ms = clock.now_ms()
         self.has_left = False
