Reword the processes, the adapter and their tests

In the codec of the adapter and its test: by_target -> from_target. In tests: heard -> sent_ms, at_ms -> next_ms, wait_in_vain -> respond_late.

Docstrings: a balancer sends heartbeats to all instances, this one is left out where they are sent; an agent leaves only if its backend server is gone.

--- a/libs/flows/src/fireflyford/flows/_placement.py
+++ b/libs/flows/src/fireflyford/flows/_placement.py
@@ -177,7 +177,7 @@
 
 
 def _long_lived_cost(item: Candidate, service_ms: float) -> tuple[float, ...]:
-    """Returns the capacity used with this flow added, and tie-breakers."""
+    """Returns the capacity that open flows would use, and tie-breakers."""
     load = item.load
     flow_count = load.long_lived_count + item.placed_count + 1
     ahead_count = load.pending_count
--- a/libs/runtime/src/fireflyford/runtime/_agent.py
+++ b/libs/runtime/src/fireflyford/runtime/_agent.py
@@ -67,7 +67,7 @@
         )
         await self._target_socket.open(remote=self.options.backend_address)
         await self._outbound_socket.open(local=self.options.outbound_address)
-        self.link.attach_target(self._target_socket)
+        self.link.attach_target_socket(self._target_socket)
         await self.start()
         self.start_task("loads", self._report_loads())
         self.start_task("signs", self._send_keepalives())
@@ -76,12 +76,13 @@
         await self.shut_down()
 
     async def _leave_if_target_gone(self) -> None:
-        """Runs until the backend server's liveness is known or time is up.
+        """Leaves if the backend server is gone.
 
-        If the backend server is alive, its flows and the registry entry are
-        left to the next process of this agent. If it is gone, its flows are
-        reset and the entry is withdrawn, because every search for a flow
-        would otherwise wait for this agent.
+        Waits until its liveness is known or the grace period is used up. If
+        the backend server is alive, its flows and the registry entry are left
+        to the next process of this agent. If it is gone, its flows are reset
+        and the entry is withdrawn, because every search for a flow would
+        otherwise wait for this agent.
         """
         liveness = self.target_monitor.liveness(self.stop_requested_ms)
         while (
@@ -123,7 +124,7 @@
         )
 
     def _discard(self, data: bytes, sender: core.Address) -> None:
-        """Drops datagrams on the delivery socket; replies use another one."""
+        """Drops a datagram; the backend server sends to the outbound socket."""
 
     def _handle_target_refused(self) -> None:
         self.link.execute(self.flows.forwarder.mark_down("port closed"))
--- a/libs/runtime/src/fireflyford/runtime/_balancer.py
+++ b/libs/runtime/src/fireflyford/runtime/_balancer.py
@@ -28,7 +28,7 @@
 
 
 class Balancer(_process.FlowProcess):
-    """A balancer."""
+    """The process that forwards packets of clients to agents."""
 
     role = core.Role.BALANCER
 
@@ -135,7 +135,7 @@
         self.link.execute(self.flows.sweep())
 
     def heartbeat_receivers(self) -> list[core.Address]:
-        """Returns all other instances."""
+        """Returns all instances."""
         return [item.address for item in self.fleet.instances()]
 
     def config_version(self) -> int:
--- a/libs/runtime/src/fireflyford/runtime/_config_source.py
+++ b/libs/runtime/src/fireflyford/runtime/_config_source.py
@@ -80,7 +80,7 @@
 
 
 class PeerClient(abc.ABC):
-    """Client for documents on the status pages of peers."""
+    """Client for documents that peers serve at their status addresses."""
 
     @abc.abstractmethod
     async def read(
--- a/libs/runtime/src/fireflyford/runtime/_heartbeats.py
+++ b/libs/runtime/src/fireflyford/runtime/_heartbeats.py
@@ -78,6 +78,11 @@
 
 
 def _interval_ms(
-    receiver_count: int, size_bytes: int, budget: int, minimum_ms: int
+    receiver_count: int,
+    size_bytes: int,
+    budget_bytes_per_s: int,
+    minimum_ms: int,
 ) -> int:
-    return max(minimum_ms, receiver_count * size_bytes * 1_000 // budget)
+    return max(
+        minimum_ms, receiver_count * size_bytes * 1_000 // budget_bytes_per_s
+    )
--- a/libs/runtime/src/fireflyford/runtime/_link.py
+++ b/libs/runtime/src/fireflyford/runtime/_link.py
@@ -119,9 +119,9 @@
         """Opens the socket."""
         await self._socket.open(local=self._own_address)
 
-    def attach_target(self, target: DatagramSocket) -> None:
+    def attach_target_socket(self, target_socket: DatagramSocket) -> None:
         """Sets the socket that delivers packets to the backend server."""
-        self._target_socket = target
+        self._target_socket = target_socket
 
     def close(self) -> None:
         """Closes the socket."""
--- a/libs/runtime/src/fireflyford/runtime/_process.py
+++ b/libs/runtime/src/fireflyford/runtime/_process.py
@@ -177,8 +177,8 @@
         self.start_task("registry", self.registry.follower.run())
         self.start_task("seeds", self._query_seeds())
         self.start_task("beats", self._heartbeat_loop())
-        self.start_task("sweep", self._sweep())
-        self.start_task("expire", self._expire())
+        self.start_task("sweep", self._sweep_loop())
+        self.start_task("expire", self._expire_loop())
 
     async def leave(self) -> None:
         """Announces that this instance leaves and withdraws its entry."""
@@ -232,7 +232,7 @@
             if address != self.own_instance.address:
                 self.link.send(address, heartbeat)
 
-    async def _sweep(self) -> None:
+    async def _sweep_loop(self) -> None:
         while True:
             due_ms = self.clock.now_ms() + SWEEP_INTERVAL_MS
             await self.clock.sleep(SWEEP_INTERVAL_MS)
@@ -240,7 +240,7 @@
             telemetry.observe("event_loop_delay", delay_ms)
             self.sweep()
 
-    async def _expire(self) -> None:
+    async def _expire_loop(self) -> None:
         while True:
             await self.clock.sleep(EXPIRE_INTERVAL_MS)
             self.fleet.refresh()
@@ -250,6 +250,7 @@
         """Discards state that has not been used recently."""
 
     def _complete_join(self, previous: flows.Instance | None) -> None:
+        """Announces this instance after the first read of the registry."""
         self.handle_registry_loaded(previous)
         self.send_heartbeats(self.announcement_receivers())
 
--- a/libs/runtime/src/fireflyford/runtime/_registry.py
+++ b/libs/runtime/src/fireflyford/runtime/_registry.py
@@ -20,8 +20,9 @@
 # Heartbeats announce starts, drains and leaves at once, so the watch may lag.
 # Less than the silence after which an instance without an entry is removed.
 WATCH_DELAY_MS = 1_500
-# Applies until the watch shows the own entry, and thereby any entry written
-# before it: of two instances that start together, one finds the other soon.
+# Applies until the watch shows the entry of this instance, and thereby any
+# entry written before it: of two instances that start together, one finds the
+# other soon.
 JOIN_WATCH_DELAY_MS = 100
 # Delay after a failed write.
 RETRY_MS = 400
@@ -30,7 +31,7 @@
 
 
 class Registry(_prefix_follower.PrefixListener):
-    """Publishes the own entry and keeps the fleet up to date."""
+    """Publishes the entry of this instance and keeps the fleet up to date."""
 
     def __init__(
         self,
@@ -72,7 +73,7 @@
         )
 
     async def publish(self) -> None:
-        """Publishes the own entry and renews its lease until cancelled."""
+        """Publishes the entry and renews its lease until cancelled."""
         # Reads the entry of a previous process before it is overwritten.
         await self._is_loaded.wait()
         while True:
@@ -84,7 +85,7 @@
             await self._wait_for_change(pause_ms * self._rng.uniform(0.9, 1.0))
 
     def update(self, own_instance: flows.Instance) -> None:
-        """Replaces the own entry; a failed write is repeated."""
+        """Replaces the entry of this instance; a failed write is repeated."""
         self._own_instance = own_instance
         self._needs_write = True
         self._changed.set()
@@ -95,7 +96,7 @@
         self._changed.set()
 
     async def withdraw(self, limit_ms: int) -> None:
-        """Removes the own entry; retries while the store is unavailable.
+        """Removes the entry; retries while the store is unavailable.
 
         Args:
             limit_ms: Time limit.
@@ -120,7 +121,7 @@
         return True
 
     async def _wait_for_change(self, duration_ms: float) -> None:
-        """Waits for a time, or until the own entry has to be written."""
+        """Waits for `duration_ms`, or until the entry has to be written."""
         tasks = [
             asyncio.create_task(self._clock.sleep(duration_ms)),
             asyncio.create_task(self._changed.wait()),
@@ -163,7 +164,7 @@
 
     def handle_full_read(self, result: store.ReadResult) -> None:
         """Replaces the entries in the fleet."""
-        instances = _instances(result)
+        instances = _decode_instances(result)
         own_entries = [
             item
             for item in instances
@@ -189,12 +190,14 @@
         """Updates changed entries in the fleet."""
         if self._key in result.deleted:
             self._schedule_write()
-        written = _instances(result)
-        gone = {key.removeprefix(PREFIX) for key in result.deleted}
-        self._on_discovered(self._fleet.update_entries(written, gone))
+        written = _decode_instances(result)
+        deleted_addresses = {key.removeprefix(PREFIX) for key in result.deleted}
+        self._on_discovered(
+            self._fleet.update_entries(written, deleted_addresses)
+        )
 
 
-def _instances(result: store.ReadResult) -> list[flows.Instance]:
+def _decode_instances(result: store.ReadResult) -> list[flows.Instance]:
     found = []
     for entry in result.entries:
         try:
--- a/libs/runtime/src/fireflyford/runtime/_settings.py
+++ b/libs/runtime/src/fireflyford/runtime/_settings.py
@@ -28,7 +28,7 @@
         seed_addresses: Status addresses of instances that may be running.
         store_address: Address of the store.
         config_key: Key of the configuration in the store.
-        report_interval_ms: How often the backend server reports.
+        report_interval_ms: Interval between reports of the backend server.
         grace_ms: Time from the signal to stop to the end of the process.
     """
 
--- a/libs/runtime/tests/test_heartbeats.py
+++ b/libs/runtime/tests/test_heartbeats.py
@@ -28,14 +28,14 @@
     """
     rng = random.Random(seed)
     interval_ms = _heartbeats.keepalive_interval_ms(balancers)
-    heard = []
+    sent_ms = []
     for _ in range(agents):
-        at_ms = rng.uniform(0, 300)
-        while at_ms < 60_000:
-            heard.append(at_ms)
-            at_ms += _heartbeats.apply_jitter(interval_ms, rng)
-    heard.sort()
-    gaps = [later - earlier for earlier, later in itertools.pairwise(heard)]
+        next_ms = rng.uniform(0, 300)
+        while next_ms < 60_000:
+            sent_ms.append(next_ms)
+            next_ms += _heartbeats.apply_jitter(interval_ms, rng)
+    sent_ms.sort()
+    gaps = [later - earlier for earlier, later in itertools.pairwise(sent_ms)]
     assert max(gaps) < _balancer.AGENT_SILENCE_LIMIT_MS
 
 
--- a/tests/adapter/test_formats.py
+++ b/tests/adapter/test_formats.py
@@ -51,11 +51,11 @@
     )
 
 
-def decode(data: bytes, by_target: bool = False) -> flows.Packet:
+def decode(data: bytes, from_target: bool = False) -> flows.Packet:
     codec = _packet.PlatformPacketCodec()
     outcome = (
         codec.decode_target_packet(data)
-        if by_target
+        if from_target
         else codec.decode_client_packet(data)
     )
     assert isinstance(outcome, core.Ok)
@@ -78,9 +78,9 @@
 def test_both_directions_and_returned_packets_have_the_same_flow() -> None:
     """Guards against packets from a backend server under another flow."""
     assert decode(encode(SYN)).flow == FLOW
-    answer = decode(encode(SYN | ACK, to_client=True), by_target=True)
+    answer = decode(encode(SYN | ACK, to_client=True), from_target=True)
     assert answer.flow == FLOW
-    packet = decode(encode(SYN | RETURNED, echo=77), by_target=True)
+    packet = decode(encode(SYN | RETURNED, echo=77), from_target=True)
     assert packet.flow == FLOW
     assert packet.returned
     assert packet.delivery_tag == 77
@@ -90,7 +90,7 @@
     """Guards against other changes to the packet of a client."""
     data = encode(ACK | RETURNED, b"payload", seq=5, ack=6)
     codec = _packet.PlatformPacketCodec()
-    delivered = codec.encode_delivery(decode(data, by_target=True), 0xABCD)
+    delivered = codec.encode_delivery(decode(data, from_target=True), 0xABCD)
     assert delivered == encode(ACK, b"payload", seq=5, ack=6, echo=0xABCD)
 
 
--- a/tests/adapter/test_processes.py
+++ b/tests/adapter/test_processes.py
@@ -135,7 +135,7 @@
 def from_client(
     client: core.Address, flags: int, data: bytes = b"", ack: int = 0
 ) -> bytes:
-    # A packet to the client with both ends swapped.
+    # Encoded as a packet to a client, with both ends swapped.
     flow = _packet.flow_id(ROUTE, client)
     packet = bytearray(to_client(flow, flags, data, seq=5))
     packet[32:36] = ack.to_bytes(4, "little")
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -285,7 +285,7 @@
     A call without a response takes longer than the limit.
     """
 
-    async def wait_in_vain(lease_id: int) -> core.Outcome[None]:
+    async def respond_late(lease_id: int) -> core.Outcome[None]:
         del lease_id
         await asyncio.sleep(_store.TIMEOUT_MS / 1_000)
         return core.Ok(None)
@@ -295,7 +295,7 @@
         key = f"{_registry.PREFIX}{instance.address}"
         async with running(registry):
             await wait_for_entry(server, key)
-        monkeypatch.setattr(client, "revoke_lease", wait_in_vain)
+        monkeypatch.setattr(client, "revoke_lease", respond_late)
         started_ms = core.SystemClock().now_ms()
         await registry.withdraw(300)
         assert core.SystemClock().now_ms() - started_ms < 1_000
