--- a/libs/runtime/src/fireflyford/runtime/_agent.py
+++ b/libs/runtime/src/fireflyford/runtime/_agent.py
@@ -78,7 +78,7 @@
     async def _leave_if_target_gone(self) -> None:
         """Leaves if the backend server is gone.
 
-        Waits until its liveness is known or the grace period is used up. If
+        Waits until its liveness is known or the grace period is over. If
         the backend server is alive, its flows and the registry entry are left
         to the next process of this agent. If it is gone, its flows are reset
         and the entry is withdrawn, because every search for a flow would
--- a/libs/runtime/src/fireflyford/runtime/_process.py
+++ b/libs/runtime/src/fireflyford/runtime/_process.py
@@ -275,8 +275,8 @@
         """Replies to the first heartbeat of a process with introductions.
 
         The new process finds most instances in the registry. Instances without
-        an entry there, such as those that the store rejects, are introduced to
-        it, and it to them.
+        an entry there, such as those whose calls the store rejects, are
+        introduced to it, and it to them.
         """
         new_instance = heartbeat.instance
         known = self.fleet.find(new_instance.address)
