Name searches and directory entries of the flow table plainly

Local and private names only, no behaviour: the parameter searching, a search entry or None, is search (it read as a flag); listed is directory_entry; the others that a search asks are candidates, as its comment calls them; taken and kept in Router.replace_targets are new_targets and history; _PRESENT in _targets is _LIVE_STATES, after Member.is_live.

Three comments or docstrings are clearer. A comment in test_a_flood_of_keys_breaks_no_open_flow derives its figure of 7; its checks are as before.

--- a/libs/routing/src/fireflyford/routing/_flow_limits.py
+++ b/libs/routing/src/fireflyford/routing/_flow_limits.py
@@ -15,7 +15,7 @@
 SEARCH_TIMEOUT_MS = 200
 TENTATIVE_LIFETIME_MS = 2_000
 # An agent that handled no datagram of a flow for longer than this is treated as
-# paused. Exceeds the 3 s within which members learn of a dead one.
+# paused. Exceeds the 3 s within which all members learn of a death.
 PAUSE_THRESHOLD_MS = 4_000
 CONFIRMATION_INTERVAL_MS = 1_000
 # A holder confirms one datagram per second, so this many unconfirmed datagrams
--- a/libs/routing/src/fireflyford/routing/_flow_table.py
+++ b/libs/routing/src/fireflyford/routing/_flow_table.py
@@ -70,12 +70,12 @@
             if self._should_follow(entry, datagram):
                 return self._forward_to_holder(entry, datagram)
             entry = None
-        searching = entry if isinstance(entry, _entries.SearchEntry) else None
+        search = entry if isinstance(entry, _entries.SearchEntry) else None
         if datagram.hops == 0:
-            return self._search(searching, datagram)
+            return self._search(search, datagram)
         if not datagram.chain:
-            return self._end_search(searching, datagram)
-        return self._relay_search(searching, datagram)
+            return self._end_search(search, datagram)
+        return self._relay_search(search, datagram)
 
     def handle_notice(
         self, notice: _flow_messages.Notice, sender: core.Holder
@@ -84,13 +84,19 @@
 
         Args:
             notice: The notice.
-            sender: Agent that sent it, which need not be the claiming one.
+            sender: Agent that sent it, which may differ from
+                `notice.holder`.
         """
         key = notice.flow_key
         entry = self._entries.touch(key, self._clock.now_ms())
-        listed = entry if isinstance(entry, _entries.DirectoryEntry) else None
+        directory_entry = (
+            entry if isinstance(entry, _entries.DirectoryEntry) else None
+        )
         if notice.released:
-            if listed is not None and listed.holder == notice.holder:
+            if (
+                directory_entry is not None
+                and directory_entry.holder == notice.holder
+            ):
                 self._entries.remove(key)
             return _drop()
         if notice.holder == self._own:
@@ -98,13 +104,13 @@
         if isinstance(entry, _entries.HeldEntry):
             return self._resolve_claim(entry, notice, sender)
         self._add_directory_entry(key, notice.holder)
-        if listed is None or listed.tentative:
+        if directory_entry is None or directory_entry.tentative:
             return _drop()
-        if listed.holder == notice.holder:
+        if directory_entry.holder == notice.holder:
             return _drop()
         # Forwarded to the previous holder, which disputes the claim if it is
         # still alive.
-        return _drop((dataclasses.replace(notice, to=listed.holder),))
+        return _drop((dataclasses.replace(notice, to=directory_entry.holder),))
 
     def remove_holders(self, dead: Set[core.Holder]) -> None:
         """Removes directory entries whose holder is known to be dead."""
@@ -189,8 +195,8 @@
         """
         now_ms = self._clock.now_ms()
         if entry.tentative:
-            # A search that its own agent sends here with an empty chain shows
-            # that the agent is draining and does not adopt the flow.
+            # The searching agent sends its own search on with an empty chain
+            # only if it is draining and does not adopt the flow.
             ends_here = datagram.hops > 0 and not datagram.chain
             invalid = (
                 now_ms - entry.added_ms > _flow_limits.TENTATIVE_LIFETIME_MS
@@ -240,61 +246,61 @@
 
     def _search(
         self,
-        searching: _entries.SearchEntry | None,
+        search: _entries.SearchEntry | None,
         datagram: _flow_messages.ForwardedDatagram,
     ) -> _flow_messages.Decision:
         """Starts or repeats the search for a datagram sent by a balancer."""
         now_ms = self._clock.now_ms()
-        if searching is not None and now_ms < searching.deadline_ms:
+        if search is not None and now_ms < search.deadline_ms:
             return _flow_messages.Decision(_flow_messages.Action.HOLD)
-        if searching is None or (
-            now_ms - searching.deadline_ms > _flow_limits.PAUSE_THRESHOLD_MS
+        if search is None or (
+            now_ms - search.deadline_ms > _flow_limits.PAUSE_THRESHOLD_MS
         ):
             timestamp_ms = self._timestamp_ms()
             if self._placement.successor(datagram.flow_key) is not None:
                 # A draining agent does not adopt flows. The later timestamp
                 # gives precedence to the search of any other agent.
                 timestamp_ms += _flow_limits.MAX_MESSAGE_AGE_MS // 2
-            searching = _entries.SearchEntry(
+            search = _entries.SearchEntry(
                 now_ms, timestamp_ms, self._make_chain(datagram), now_ms
             )
-            if not self._entries.put(datagram.flow_key, searching):
+            if not self._entries.put(datagram.flow_key, search):
                 return _drop()
         else:
-            searching.attempt_count += 1
+            search.attempt_count += 1
             # Rotates the candidates, because the first one may be dead.
-            *others, own = searching.chain
-            searching.chain = (*others[1:], *others[:1], own)
-        others_count = len(searching.chain) - 1
+            *candidates, own = search.chain
+            search.chain = (*candidates[1:], *candidates[:1], own)
+        candidate_count = len(search.chain) - 1
         # One attempt more than there are candidates, so that a single lost
         # datagram cannot lead to a second holder.
-        if not others_count or searching.attempt_count > others_count:
-            return self._adopt(searching, datagram)
-        searching.deadline_ms = now_ms + _flow_limits.SEARCH_TIMEOUT_MS
-        to, *rest = searching.chain
+        if not candidate_count or search.attempt_count > candidate_count:
+            return self._adopt(search, datagram)
+        search.deadline_ms = now_ms + _flow_limits.SEARCH_TIMEOUT_MS
+        to, *rest = search.chain
         return _flow_messages.Decision(
             _flow_messages.Action.FORWARD,
             to,
             tuple(rest),
-            searching.timestamp_ms,
+            search.timestamp_ms,
         )
 
     def _relay_search(
         self,
-        searching: _entries.SearchEntry | None,
+        search: _entries.SearchEntry | None,
         datagram: _flow_messages.ForwardedDatagram,
     ) -> _flow_messages.Decision:
         """Handles a forwarded datagram that has candidates left to ask."""
         searcher = datagram.chain[-1]
         notices: tuple[_flow_messages.Notice, ...] = ()
-        if searching is not None:
+        if search is not None:
             if not datagram.timestamp_ms or (
-                (searching.timestamp_ms, self._own)
+                (search.timestamp_ms, self._own)
                 < (datagram.timestamp_ms, searcher)
             ):
-                if searcher not in searching.competing_agents:
-                    competing_agents = (*searching.competing_agents, searcher)
-                    searching.competing_agents = competing_agents[
+                if searcher not in search.competing_agents:
+                    competing_agents = (*search.competing_agents, searcher)
+                    search.competing_agents = competing_agents[
                         -_flow_limits.MAX_COMPETING_AGENTS :
                     ]
                 return _flow_messages.Decision(_flow_messages.Action.HOLD)
@@ -320,30 +326,25 @@
 
     def _end_search(
         self,
-        searching: _entries.SearchEntry | None,
+        search: _entries.SearchEntry | None,
         datagram: _flow_messages.ForwardedDatagram,
     ) -> _flow_messages.Decision:
         """Handles a search that has asked all candidates without a result."""
-        if (
-            searching is not None
-            and searching.timestamp_ms != datagram.timestamp_ms
-        ):
+        if search is not None and search.timestamp_ms != datagram.timestamp_ms:
             # A draining agent passed its search on while this agent runs its
             # own.
             return _flow_messages.Decision(_flow_messages.Action.HOLD)
-        return self._adopt(searching, datagram)
+        return self._adopt(search, datagram)
 
     def _adopt(
         self,
-        searching: _entries.SearchEntry | None,
+        search: _entries.SearchEntry | None,
         datagram: _flow_messages.ForwardedDatagram,
     ) -> _flow_messages.Decision:
         """Adopts a flow, or passes it to the successor while draining."""
         key = datagram.flow_key
         timestamp_ms = (
-            self._timestamp_ms()
-            if searching is None
-            else searching.timestamp_ms
+            self._timestamp_ms() if search is None else search.timestamp_ms
         )
         successor = self._placement.successor(key)
         if successor is not None:
@@ -359,10 +360,10 @@
             self._entries.remove(key)
             return _drop()
         recipients = datagram.chain
-        if searching is not None:
-            recipients = (*searching.chain, *searching.competing_agents)
+        if search is not None:
+            recipients = (*search.chain, *search.competing_agents)
         notices = self._announce(entry, key, recipients, 0)
-        if datagram.hops and searching is None:
+        if datagram.hops and search is None:
             notices += self._confirm(entry, datagram)
         return _flow_messages.Decision(
             _flow_messages.Action.DELIVER, notices=notices
--- a/libs/routing/src/fireflyford/routing/_router.py
+++ b/libs/routing/src/fireflyford/routing/_router.py
@@ -129,17 +129,19 @@
         Returns:
             Whether the targets have changed.
         """
-        taken = tuple(sorted(targets, key=lambda item: item.name))
-        if taken == self._targets:
+        new_targets = tuple(sorted(targets, key=lambda item: item.name))
+        if new_targets == self._targets:
             return False
         now_ms = self._clock.now_ms()
         if self._targets:
-            kept = ((now_ms, self._ring), *self._history)
-            self._history = kept[:MAX_HISTORY_RINGS]
-        self._targets = taken
+            history = ((now_ms, self._ring), *self._history)
+            self._history = history[:MAX_HISTORY_RINGS]
+        self._targets = new_targets
         self.generation += 1
-        self._present_holders = frozenset(target.holder for target in taken)
-        self._ring = _ring.TargetRing(taken)
+        self._present_holders = frozenset(
+            target.holder for target in new_targets
+        )
+        self._ring = _ring.TargetRing(new_targets)
         return True
 
     def choose(self, hint: Hint) -> Route | None:
--- a/libs/routing/src/fireflyford/routing/_targets.py
+++ b/libs/routing/src/fireflyford/routing/_targets.py
@@ -7,7 +7,7 @@
 from fireflyford.routing import _ring
 from fireflyford.routing import _weights
 
-_PRESENT = (membership.State.ALIVE, membership.State.DRAINING)
+_LIVE_STATES = (membership.State.ALIVE, membership.State.DRAINING)
 
 
 def group_by_service(
@@ -26,7 +26,7 @@
         if (
             member.role is core.Role.AGENT
             and member.service in found
-            and member.state in _PRESENT
+            and member.state in _LIVE_STATES
         ):
             found[member.service].append(member)
     for service, members in found.items():
--- a/libs/routing/tests/test_flow_table.py
+++ b/libs/routing/tests/test_flow_table.py
@@ -43,6 +43,8 @@
             routing.ForwardedDatagram(1_000 + key, BALANCER, 0, (PEER,))
         )
         table.handle_notice(routing.Notice(OWN, 2_000 + key, PEER, 5), PEER)
+    # Each step adds a held flow, a search and a directory entry, in this order,
+    # so the table is full after the seventh flow and the seventh search.
     assert len(table) <= 20
     assert table.held_count == 7
     assert all(table.holds(key) for key in range(7))
