Name the indexes of the member table and the answer to heartbeats

Private names only, no behaviour: the table's _names, _addresses, _services and _balancers, which all hold instance names, are _names_by_fingerprint, _names_by_address, _names_by_service and _balancer_names. The observer's _notify_member is _answer_heartbeat, since it answers one, and _assigned_count is _assigned_change_count, since it holds a change_count and no number of members. The tests' cut takes senders and receivers; its local targets are destinations, since a target is something else here.

Text changed: fetch_bulk says 'no valid reply to topic' in place of 'no answer to topic', because a reply that is empty or not authentic has arrived in this case.

Docstrings call a heartbeat a heartbeat, not a keepalive. Assertions of the tests are as before.

--- a/libs/membership/src/fireflyford/membership/_anti_entropy.py
+++ b/libs/membership/src/fireflyford/membership/_anti_entropy.py
@@ -34,7 +34,7 @@
         table: _table.MemberTable,
         versions: _config_versions.ConfigVersionNotifier,
     ) -> None:
-        """Creates the state and registers the pull handler; `run` starts."""
+        """Registers the pull handler; `run` starts the comparisons."""
         self._clock = clock
         self._rng = rng
         self._channel = channel
--- a/libs/membership/src/fireflyford/membership/_bulk.py
+++ b/libs/membership/src/fireflyford/membership/_bulk.py
@@ -114,7 +114,7 @@
     except pynng.NNGException as error:
         return _unreachable(address, str(error))
     if body is None:
-        return _unreachable(address, f"no answer to topic {topic}")
+        return _unreachable(address, f"no valid reply to topic {topic}")
     return core.Ok(body)
 
 
--- a/libs/membership/src/fireflyford/membership/_channel.py
+++ b/libs/membership/src/fireflyford/membership/_channel.py
@@ -46,7 +46,7 @@
     async def fetch_differing_buckets(
         self, address: core.Address, digests: tuple[int, ...]
     ) -> tuple[int, ...] | None:
-        """Requests from a bulk address which buckets differ.
+        """Asks the balancer at a bulk address which buckets differ.
 
         Returns:
             Numbers of the buckets, or None if there is no answer.
@@ -155,7 +155,7 @@
     async def fetch_differing_buckets(
         self, address: core.Address, digests: tuple[int, ...]
     ) -> tuple[int, ...] | None:
-        """Requests from a bulk address which buckets differ."""
+        """Asks the balancer at a bulk address which buckets differ."""
         payload = _codec.encode_digests(digests)
         answer = await self._fetch(address, _DIGESTS_TOPIC, payload)
         try:
--- a/libs/membership/src/fireflyford/membership/_codec.py
+++ b/libs/membership/src/fireflyford/membership/_codec.py
@@ -213,8 +213,8 @@
     return _messages.Announcement(_member_from_wire(wire), acknowledged)
 
 
-def _build_acknowledgement(answer: int) -> _messages.Acknowledgement:
-    return _messages.Acknowledgement(_messages.HeartbeatStatus(answer))
+def _build_acknowledgement(status: int) -> _messages.Acknowledgement:
+    return _messages.Acknowledgement(_messages.HeartbeatStatus(status))
 
 
 def _build_update(
--- a/libs/membership/src/fireflyford/membership/_gossip.py
+++ b/libs/membership/src/fireflyford/membership/_gossip.py
@@ -98,6 +98,8 @@
         max_transmissions = self._transmission_limit()
         full = old is None or old.incarnation != new.incarnation
         if not full and old is not None and old.state is new.state:
+            # A new version with the same state and weight refutes the member's
+            # death, which is urgent.
             refuted = new.weight == old.weight
             max_transmissions = (
                 max_transmissions if refuted else WEIGHT_TRANSMISSION_COUNT
--- a/libs/membership/src/fireflyford/membership/_mass_failure.py
+++ b/libs/membership/src/fireflyford/membership/_mass_failure.py
@@ -38,7 +38,11 @@
         return tuple(self._unconfirmed_ms)
 
     def confirm_expired(self) -> bool:
-        """Confirms deaths older than the limit; returns whether any were."""
+        """Confirms deaths older than the limit.
+
+        Returns:
+            Whether there were any.
+        """
         limit_ms = self._clock.now_ms() - DEATH_CONFIRMATION_MS
         old = [
             name
--- a/libs/membership/src/fireflyford/membership/_memory_network.py
+++ b/libs/membership/src/fireflyford/membership/_memory_network.py
@@ -154,7 +154,7 @@
     async def fetch_differing_buckets(
         self, address: core.Address, digests: tuple[int, ...]
     ) -> tuple[int, ...] | None:
-        """Requests from a bulk address which buckets differ."""
+        """Asks the balancer at a bulk address which buckets differ."""
         handler = await self._reach_peer(address)
         return None if handler is None else handler.differing_buckets(digests)
 
--- a/libs/membership/src/fireflyford/membership/_messages.py
+++ b/libs/membership/src/fireflyford/membership/_messages.py
@@ -48,7 +48,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Keepalive from a member to an observer that has its record.
+    """Periodic message to an observer that has the sender's record.
 
     Attributes:
         fingerprint: Fingerprint of the sender.
@@ -71,14 +71,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Acknowledgement:
-    """Answer to a heartbeat without new records."""
+    """Answer to a heartbeat, with a status instead of records."""
 
     status: HeartbeatStatus
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Update:
-    """Answer to a heartbeat with records that the member needs.
+    """Answer to a heartbeat, with records that the member needs.
 
     Attributes:
         sequence: Sequence number that the next heartbeat acknowledges; 0 for
--- a/libs/membership/src/fireflyford/membership/_needed_records.py
+++ b/libs/membership/src/fireflyford/membership/_needed_records.py
@@ -7,8 +7,8 @@
 from fireflyford.membership import _table
 from fireflyford.membership import _types
 
-# Number of balancers through which an agent returns datagrams when it knows no
-# other.
+# Number of nearby balancers that each agent is told of, so that it can return
+# datagrams even if it knows no other balancer.
 _RETURN_BALANCER_COUNT = 4
 
 
--- a/libs/membership/src/fireflyford/membership/_observation.py
+++ b/libs/membership/src/fireflyford/membership/_observation.py
@@ -27,7 +27,7 @@
 
 
 class Observation:
-    """Keepalives of one member and the records that it has acknowledged."""
+    """Heartbeats of one member and the records that it has acknowledged."""
 
     def __init__(
         self,
@@ -62,7 +62,7 @@
         self._config_version = 0
 
     def apply_heartbeat(self, now_ms: int, acknowledged: int) -> None:
-        """Applies a keepalive and the sequence number that it acknowledges."""
+        """Applies a heartbeat and the sequence number that it acknowledges."""
         self.silent_since_ms = now_ms
         self.received_heartbeat = True
         self.heartbeat_count += 1
@@ -104,7 +104,11 @@
     def find_missing(
         self, needed: Iterable[_types.Member], change_count: int
     ) -> UpdateContent:
-        """Returns unacknowledged records of `needed`, up to the limits."""
+        """Returns unacknowledged records of `needed`, up to the limits.
+
+        The caller sends them in the next update. They count as acknowledged
+        when a heartbeat acknowledges its sequence number.
+        """
         members = []
         changes = []
         for member in needed:
--- a/libs/membership/src/fireflyford/membership/_observer.py
+++ b/libs/membership/src/fireflyford/membership/_observer.py
@@ -77,7 +77,7 @@
         # they were when that was found.
         self._observed_elsewhere: dict[str, tuple[str, ...]] = {}
         self._tasks: asyncio.TaskGroup | None = None
-        self._assigned_count = -1
+        self._assigned_change_count = -1
         table.on_accept(self._handle_record)
 
     async def run(self) -> None:
@@ -165,7 +165,7 @@
             self._acknowledge(address, _messages.HeartbeatStatus.REFUSED)
             return
         observation = self._apply_heartbeat(member, address, acknowledged)
-        self._notify_member(observation, member)
+        self._answer_heartbeat(observation, member)
 
     def _is_at_capacity(self) -> bool:
         balancer_count = len(self._table.observing_balancers())
@@ -293,7 +293,7 @@
 
     def _assign(self) -> None:
         """Starts to observe newly assigned members, in bounded steps."""
-        if self._assigned_count == self._table.change_count:
+        if self._assigned_change_count == self._table.change_count:
             return
         count = self._table.change_count
         self._assignments.replace_balancers(
@@ -313,7 +313,7 @@
             if remaining < 0:
                 return
             self._observe_if_assigned(member)
-        self._assigned_count = count
+        self._assigned_change_count = count
 
     def _observe_if_assigned(self, member: _types.Member) -> None:
         own = self._table.own.instance_id
@@ -328,7 +328,7 @@
             grace_ms = _TAKEOVER_GRACE_MS - FAILURE_TIMEOUT_MS
             self._observe(member, self._clock.now_ms() + grace_ms)
 
-    def _notify_member(
+    def _answer_heartbeat(
         self, observation: _observation.Observation, member: _types.Member
     ) -> None:
         version = self._table.own.config_version
--- a/libs/membership/src/fireflyford/membership/_observer_sessions.py
+++ b/libs/membership/src/fireflyford/membership/_observer_sessions.py
@@ -216,7 +216,7 @@
             self._contact_any_member()
 
     def _contact_any_member(self) -> None:
-        """Contacts a random live member; agents know balancers as well."""
+        """Contacts a random live member; an agent answers with balancers."""
         own = self._table.own.instance_id
         live = [
             member
--- a/libs/membership/src/fireflyford/membership/_rendezvous.py
+++ b/libs/membership/src/fireflyford/membership/_rendezvous.py
@@ -23,7 +23,7 @@
     Args:
         key: Key that the scores are computed for.
         members: Members to select from.
-        count: Number of members to select; fewer if there are not as many.
+        count: Number of members to select; all if there are fewer.
     """
     key_hash = _key_hash(key)
     return tuple(
@@ -66,8 +66,8 @@
     def candidates(self, instance_id: str) -> tuple[str, ...]:
         """Returns the names of a member's candidates.
 
-        They are in order of their scores; the first `OBSERVER_COUNT` are to
-        observe the member.
+        The names are in descending order of score; the first `OBSERVER_COUNT`
+        balancers are to observe the member.
         """
         found = self._candidates.get(instance_id)
         if found is None:
--- a/libs/membership/src/fireflyford/membership/_table.py
+++ b/libs/membership/src/fireflyford/membership/_table.py
@@ -26,7 +26,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Tombstone:
-    """Last content of a removed record; records not newer are refused."""
+    """Last content of a removed record; only newer records are accepted."""
 
     member: _types.Member
     until_ms: int
@@ -42,10 +42,10 @@
         self.withdrawn = False
         self.change_count = 0
         self._members: dict[str, _types.Member] = {}
-        self._names: dict[int, str] = {}
-        self._addresses: dict[core.Address, str] = {}
-        self._services: dict[str, set[str]] = {}
-        self._balancers: set[str] = set()
+        self._names_by_fingerprint: dict[int, str] = {}
+        self._names_by_address: dict[core.Address, str] = {}
+        self._names_by_service: dict[str, set[str]] = {}
+        self._balancer_names: set[str] = set()
         self._ended_ms: dict[str, int] = {}
         self._tombstones: dict[str, _Tombstone] = {}
         self._digests = [0] * BUCKET_COUNT
@@ -73,7 +73,7 @@
 
     def find_by_fingerprint(self, fingerprint: int) -> _types.Member | None:
         """Returns the member with a fingerprint, if it is known."""
-        name = self._names.get(fingerprint)
+        name = self._names_by_fingerprint.get(fingerprint)
         return None if name is None else self._members[name]
 
     @property
@@ -83,16 +83,19 @@
 
     def find_by_address(self, address: core.Address) -> _types.Member | None:
         """Returns the member with a control address, if it is known."""
-        name = self._addresses.get(address)
+        name = self._names_by_address.get(address)
         return None if name is None else self._members.get(name)
 
     def service_members(self, service: str) -> list[_types.Member]:
         """Returns all known agents of a service, including ended ones."""
-        return [self._members[name] for name in self._services.get(service, ())]
+        return [
+            self._members[name]
+            for name in self._names_by_service.get(service, ())
+        ]
 
     def balancers(self) -> list[_types.Member]:
         """Returns all known balancers, including ended ones."""
-        return [self._members[name] for name in self._balancers]
+        return [self._members[name] for name in self._balancer_names]
 
     def observing_balancers(self) -> list[_types.Member]:
         """Returns the balancers that can observe members.
@@ -232,6 +235,12 @@
         return None
 
     def _handle_own_record(self, member: _types.Member) -> bool:
+        """Refutes a record of this instance, or withdraws for a successor.
+
+        Returns:
+            Whether the record has this instance's name, in which case it is
+            not merged.
+        """
         own = self.own
         same_name = member.instance_id == own.instance_id
         same_address = member.control_address == own.control_address
@@ -251,13 +260,16 @@
             self._remove(known)
         name = member.instance_id
         self._members[name] = member
-        self._names[member.fingerprint] = name
-        if member.is_live or member.control_address not in self._addresses:
-            self._addresses[member.control_address] = name
+        self._names_by_fingerprint[member.fingerprint] = name
+        if (
+            member.is_live
+            or member.control_address not in self._names_by_address
+        ):
+            self._names_by_address[member.control_address] = name
         if member.role is core.Role.BALANCER:
-            self._balancers.add(name)
+            self._balancer_names.add(name)
         else:
-            self._services.setdefault(member.service, set()).add(name)
+            self._names_by_service.setdefault(member.service, set()).add(name)
         if not member.is_live:
             self._ended_ms[name] = self._clock.now_ms()
         self._tombstones.pop(name, None)
@@ -266,15 +278,15 @@
     def _remove(self, member: _types.Member) -> None:
         name = member.instance_id
         del self._members[name]
-        del self._names[member.fingerprint]
-        if self._addresses.get(member.control_address) == name:
-            del self._addresses[member.control_address]
-        self._balancers.discard(name)
+        del self._names_by_fingerprint[member.fingerprint]
+        if self._names_by_address.get(member.control_address) == name:
+            del self._names_by_address[member.control_address]
+        self._balancer_names.discard(name)
         if member.role is core.Role.AGENT:
-            names = self._services[member.service]
+            names = self._names_by_service[member.service]
             names.discard(name)
             if not names:
-                del self._services[member.service]
+                del self._names_by_service[member.service]
         self._ended_ms.pop(name, None)
         self._digests[_bucket(member)] ^= _record_digest(member)
 
--- a/libs/membership/src/fireflyford/membership/_types.py
+++ b/libs/membership/src/fireflyford/membership/_types.py
@@ -14,7 +14,10 @@
 
 
 class State(enum.Enum):
-    """State of a member; of two records of one version, the higher wins."""
+    """State of a member.
+
+    Of two records of one version, the one with the higher state wins.
+    """
 
     ALIVE = 0
     DRAINING = 1
--- a/libs/membership/src/fireflyford/membership/_weight_throttle.py
+++ b/libs/membership/src/fireflyford/membership/_weight_throttle.py
@@ -28,7 +28,7 @@
         """Returns the weight to announce now, if one is due.
 
         Args:
-            member_count: Number of members in the fleet.
+            member_count: Number of members in the cluster.
         """
         change = abs(self._pending - self._announced)
         if change < MIN_CHANGE_RATIO * self._announced or not change:
--- a/libs/membership/tests/conftest.py
+++ b/libs/membership/tests/conftest.py
@@ -132,13 +132,15 @@
         for name in list(self.members):
             await self.kill(name)
 
-    def cut(self, left: set[str], right: set[str]) -> None:
-        """Drops messages from `left` to `right`, but not the reverse."""
-        sources = {self.records[name].control_address for name in left}
-        targets = {self.records[name].control_address for name in right}
+    def cut(self, senders: set[str], receivers: set[str]) -> None:
+        """Drops messages from `senders` to `receivers`, but not the reverse."""
+        sources = {self.records[name].control_address for name in senders}
+        destinations = {
+            self.records[name].control_address for name in receivers
+        }
         self.network.block(
             lambda source, destination: (
-                source in sources and destination in targets
+                source in sources and destination in destinations
             )
         )
 
--- a/libs/membership/tests/test_failures.py
+++ b/libs/membership/tests/test_failures.py
@@ -9,7 +9,9 @@
 DRAINING = membership.State.DRAINING
 DEAD = membership.State.DEAD
 LEFT = membership.State.LEFT
+# Time within which all balancers must learn of a change.
 BOUND_MS = 3_000
+# Time after which the members of a new fleet know each other.
 SETTLE_MS = 8_000
 
 
@@ -332,7 +334,7 @@
 
 
 def test_a_removed_member_does_not_reappear(simulate) -> None:
-    """Guards against a removed record that a long-paused balancer returns."""
+    """Guards against a stale record that reintroduces a removed member."""
 
     async def scenario(fleet) -> None:
         fleet.start_many(balancers=3, agents=2)
--- a/libs/membership/tests/test_merge.py
+++ b/libs/membership/tests/test_merge.py
@@ -47,7 +47,7 @@
 
 
 class Merge(stateful.RuleBasedStateMachine):
-    """Merges records, changes and pulls into two tables in any order."""
+    """Merges records and changes into two tables, which exchange records."""
 
     def __init__(self) -> None:
         """Starts with two empty tables and two empty models."""
