Say what utilization and interval the request constants mean

Private names only, no behaviour: _SHORT_TARGET_UTILIZATION in _slot_limits is _RESERVED_SLOT_UTILIZATION, since target means a backend server with its agent here and the value is the utilization of the slots reserved for short requests; MIN_INTERVAL_MS in _peers is MIN_EXCHANGE_INTERVAL_MS.

Comments and docstrings: what bounds the exchange interval, what IDLE_INTERVAL_FACTOR multiplies, what the two heaps of SlotPool.expected_wait_ms hold, what the stateful test of the records does. No string and no assertion changed.

--- a/libs/requests/src/fireflyford/requests/_admission.py
+++ b/libs/requests/src/fireflyford/requests/_admission.py
@@ -60,7 +60,7 @@
         """Returns a refusal, or None to admit; see `check`."""
 
     def record_wait(self, expected_ms: float, actual_ms: float) -> None:
-        """Adjusts the correction of estimates by an observed wait."""
+        """Adjusts the correction of estimates to an observed wait."""
         if expected_ms < _MIN_SAMPLE_WAIT_MS:
             return
         low, high = _CORRECTION_RANGE
--- a/libs/requests/src/fireflyford/requests/_engine.py
+++ b/libs/requests/src/fireflyford/requests/_engine.py
@@ -64,7 +64,7 @@
             placement,
             info,
             self._channel,
-            # Not `or`: an empty queue is falsy and would be replaced.
+            # An empty queue is falsy, so `or` would replace it.
             _queue.FairQueue(slot_count) if queue is None else queue,
             admission or _admission.ExpectedWaitAdmission(),
         )
--- a/libs/requests/src/fireflyford/requests/_peers.py
+++ b/libs/requests/src/fireflyford/requests/_peers.py
@@ -18,9 +18,11 @@
 # Heartbeats use up to 440 of the 3,000 bytes per second that a node may spend
 # on control traffic.
 REPORT_BUDGET_BYTES_PER_S = 2_000
-# Responses to handoffs carry reports too, so the targets that receive requests
-# are known more precisely than from the exchanges alone.
-MIN_INTERVAL_MS = 50
+# Exchanges need not be more frequent: responses to handoffs carry reports too,
+# so the targets that receive requests are known more precisely than from the
+# exchanges alone.
+MIN_EXCHANGE_INTERVAL_MS = 50
+# Exchanges are less frequent by this factor while both targets are idle.
 IDLE_INTERVAL_FACTOR = 4
 _EXCHANGE_TIMEOUT_MS = 1_000
 # One-way delays in the deployments are below 1 ms; a handoff costs a message in
@@ -178,7 +180,7 @@
         """Interval of exchanges with one peer that fits the byte budget."""
         bytes_per_round = EXCHANGE_BYTES * len(self._peers)
         budget_ms = bytes_per_round / REPORT_BUDGET_BYTES_PER_S * 1_000
-        return max(MIN_INTERVAL_MS, budget_ms)
+        return max(MIN_EXCHANGE_INTERVAL_MS, budget_ms)
 
     @property
     def max_report_age_ms(self) -> float:
--- a/libs/requests/src/fireflyford/requests/_placement.py
+++ b/libs/requests/src/fireflyford/requests/_placement.py
@@ -131,8 +131,8 @@
 class ShortestExpectedDelay(Placement):
     """Chooses the shortest expected delay among several random targets.
 
-    The delay is the sum of round trip, wait and service time, plus a weight for
-    recent utilization.
+    The delay is the sum of round trip, wait and service time, plus a penalty
+    for recent utilization.
     """
 
     def __init__(
--- a/libs/requests/src/fireflyford/requests/_scheduler.py
+++ b/libs/requests/src/fireflyford/requests/_scheduler.py
@@ -114,6 +114,7 @@
         )
 
     def _wait_ms(self, size: config.SizeClass, service_ms: float) -> float:
+        """Returns the expected wait of a request that arrives now."""
         now_ms = self._clock.now_ms()
         treatment = config.Treatment(
             name="", method="", path_prefix="", size=size
--- a/libs/requests/src/fireflyford/requests/_service_times.py
+++ b/libs/requests/src/fireflyford/requests/_service_times.py
@@ -35,7 +35,7 @@
     def record_success(
         self, treatment: config.Treatment, elapsed_ms: float
     ) -> None:
-        """Updates the estimates by a completed request."""
+        """Updates the estimates with a completed request."""
         self.completed_count += 1
         self.failure_ratio *= 1 - _FAILURE_EWMA_GAIN
         self._update_means(treatment, max(_MIN_SERVICE_MS, elapsed_ms))
--- a/libs/requests/src/fireflyford/requests/_slot_limits.py
+++ b/libs/requests/src/fireflyford/requests/_slot_limits.py
@@ -7,7 +7,7 @@
 
 # Reserves two thirds more slots for short requests than they use. With fewer,
 # their waits grow to many service times whenever long requests fill the rest.
-_SHORT_TARGET_UTILIZATION = 0.6
+_RESERVED_SLOT_UTILIZATION = 0.6
 # At least this fraction of all slots stays available to long requests.
 _MIN_LONG_SLOT_RATIO = 0.5
 _MIN_LONG_LOAD = 0.01
@@ -28,7 +28,7 @@
     """
     slots = sum(report.slot_count for report in reports.values())
     short_load = sum(report.short_load for report in reports.values())
-    short_demand = short_load / _SHORT_TARGET_UTILIZATION
+    short_demand = short_load / _RESERVED_SLOT_UTILIZATION
     long_load = sum(report.long_load for report in reports.values())
     target_slots = reports[target_id].slot_count
     if long_load < _MIN_LONG_LOAD:
--- a/libs/requests/src/fireflyford/requests/_slots.py
+++ b/libs/requests/src/fireflyford/requests/_slots.py
@@ -194,6 +194,8 @@
     def expected_wait_ms(self, entry: _queue.QueueEntry) -> float:
         """Returns the expected wait of an entry that has not been queued."""
         now_ms = self._clock.now_ms()
+        # Times until slots become free: of all slots, and of those that long
+        # requests may use.
         free_ms = [0.0] * self.idle_count
         long_free_ms = [0.0] * max(
             0, self.long_slot_limit - self._long_running_count()
--- a/libs/requests/tests/test_records_stateful.py
+++ b/libs/requests/tests/test_records_stateful.py
@@ -25,10 +25,10 @@
 
 
 class RecordsMachine(stateful.RuleBasedStateMachine):
-    """Claims, finishes and repeats tickets with issue times.
+    """Issues tickets, presents them repeatedly and finishes their requests.
 
-    The model remembers every ticket that ran, and its outcome. Records may be
-    dropped, but requests with their tickets must be refused then.
+    The model remembers every ticket that ran, and its outcome. The table may
+    drop records, but must then refuse requests with their tickets.
     """
 
     def __init__(self) -> None:
