--- a/libs/routing/src/fireflyford/routing/_flow_limits.py
+++ b/libs/routing/src/fireflyford/routing/_flow_limits.py
@@ -5,6 +5,7 @@
 
 from fireflyford import core
 
+# All candidates and the way back to the searching agent.
 MAX_HOPS = 4
 FLOW_IDLE_TIMEOUT_MS = 120_000
 MAX_ENTRIES = 100_000
@@ -30,6 +31,7 @@
 TIMESTAMP_RANGE_MS = 1 << 40
 MAX_NOTIFIED_AGENTS = 8
 MAX_COMPETING_AGENTS = 4
+# Forwarding headers carry at most this many holders.
 MAX_CANDIDATES = 3
 
 
