--- a/libs/routing/src/fireflyford/routing/_flow_limits.py
+++ b/libs/routing/src/fireflyford/routing/_flow_limits.py
@@ -5,6 +5,7 @@
 
 from fireflyford import core
 
+# All candidates and the way back to the searching agent.
 MAX_HOPS = 4
 FLOW_IDLE_TIMEOUT_MS = 120_000
 MAX_ENTRIES = 100_000
@@ -15,7 +16,7 @@
 SEARCH_TIMEOUT_MS = 200
 TENTATIVE_LIFETIME_MS = 2_000
 # An agent that handled no datagram of a flow for longer than this is treated as
-# paused. Exceeds the 3 s within which members learn of a dead one.
+# paused. Exceeds the 3 s within which all members learn of a death.
 PAUSE_THRESHOLD_MS = 4_000
 CONFIRMATION_INTERVAL_MS = 1_000
 # A holder confirms one datagram per second, so this many unconfirmed datagrams
@@ -30,6 +31,7 @@
 TIMESTAMP_RANGE_MS = 1 << 40
 MAX_NOTIFIED_AGENTS = 8
 MAX_COMPETING_AGENTS = 4
+# Forwarding headers carry at most this many holders.
 MAX_CANDIDATES = 3
 
 
