--- a/libs/wire/src/fireflyford/wire/__init__.py
+++ b/libs/wire/src/fireflyford/wire/__init__.py
@@ -1,4 +1,4 @@
-"""Codecs of forwarding headers, connection IDs and QUIC headers."""
+"""Codecs for forwarding headers, connection IDs and QUIC headers."""
 
 from fireflyford.wire._connection_id import CONNECTION_ID_BYTES
 from fireflyford.wire._connection_id import ConnectionId
--- a/libs/wire/src/fireflyford/wire/_forward.py
+++ b/libs/wire/src/fireflyford/wire/_forward.py
@@ -29,14 +29,15 @@
 _BALANCER_FLAG = 0x80
 _TAG_END = _FIXED_FIELDS.size + _TAG_BYTES
 FORWARD_HEADER_BYTES = _TAG_END
-# One more than the three previous holders that a balancer lists.
+# A search for the holder of a flow asks up to `MAX_HOLDERS` agents and then
+# returns to the agent that started it.
 MAX_HOPS = 4
 MAX_HOLDERS = 3
 # Timestamps are wall-clock milliseconds in 40 bits, which wrap after 34 years.
 TIMESTAMP_MASK = (1 << 40) - 1
 _IPV4_PREFIX = b"\0" * 10 + b"\xff\xff"
-# Addresses of balancers and agents recur, but a service may have millions of
-# callers, so the caches are small.
+# Addresses of balancers and agents recur and are worth caching. A service may
+# have millions of callers, whose addresses must not fill the memory.
 _ADDRESS_CACHE_SIZE = 4_096
 
 
@@ -57,7 +58,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ForwardHeader:
-    """Source and destination of a forwarded datagram.
+    """Fields of a forwarding header, without its authentication tag.
 
     Attributes:
         kind: Type of the datagram.
@@ -218,7 +219,7 @@
             return None
         balancer = None
         if fields[9] & _BALANCER_FLAG:
-            balancer = _holder_address(*_BALANCER.unpack_from(extension))
+            balancer = _ipv4_address(*_BALANCER.unpack_from(extension))
             extension = extension[_BALANCER.size :]
         header = ForwardHeader(
             kind=kind,
@@ -267,13 +268,13 @@
 
 def _unpack_holders(data: bytes) -> tuple[core.Holder, ...]:
     return tuple(
-        core.Holder(_holder_address(host, port), incarnation)
+        core.Holder(_ipv4_address(host, port), incarnation)
         for host, port, incarnation in _HOLDER.iter_unpack(data)
     )
 
 
 @functools.lru_cache(_ADDRESS_CACHE_SIZE)
-def _holder_address(host: bytes, port: int) -> core.Address:
+def _ipv4_address(host: bytes, port: int) -> core.Address:
     return core.Address(socket.inet_ntoa(host), port)
 
 
--- a/libs/wire/tests/test_codecs.py
+++ b/libs/wire/tests/test_codecs.py
@@ -1,4 +1,4 @@
-"""Codecs with arbitrary, truncated and modified input."""
+"""Tests of the codecs with arbitrary, truncated and modified input."""
 
 import hypothesis
 from hypothesis import strategies
