--- a/libs/balancer/src/fireflyford/balancer/_configuration.py
+++ b/libs/balancer/src/fireflyford/balancer/_configuration.py
@@ -149,7 +149,7 @@
         )
 
     async def run(self) -> None:
-        """Runs both until cancelled."""
+        """Runs the follower and the join entry until cancelled."""
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self.follower.run())
             if self._join_entry is not None:
--- a/libs/balancer/src/fireflyford/balancer/_forwarder.py
+++ b/libs/balancer/src/fireflyford/balancer/_forwarder.py
@@ -16,13 +16,23 @@
 # Maximum number of routes cached for active flows. The oldest entry is evicted
 # first, so memory use does not grow with the number of open flows.
 _MAX_CACHED_ROUTES = 4_096
-
-
 _SHORT_HEADER_BYTES = 1 + wire.CONNECTION_ID_BYTES
 
 
 class Counters:
-    """Datagrams since the process started, by outcome."""
+    """Datagrams since the process started, by outcome.
+
+    Attributes:
+        to_agent_count: Datagrams of callers that were forwarded to an agent.
+        to_caller_count: Responses that were forwarded to a caller.
+        malformed_count: Datagrams of callers that were dropped because they
+            are empty, too long, or QUIC packets that neither belong to a flow
+            nor start one.
+        foreign_count: Datagrams from the link that were dropped because their
+            forwarding header is invalid or their service is unknown.
+        no_target_count: Datagrams of callers that were dropped because their
+            service has no target.
+    """
 
     def __init__(self) -> None:
         """Starts all counters at zero."""
@@ -71,7 +81,7 @@
     def read(
         self, datagram: bytes, caller: tuple[str, int]
     ) -> routing.Hint | None:
-        """Returns the holder, or the flow key of a new connection."""
+        """Returns a hint that names the holder, or one for a new connection."""
         packet = wire.parse_invariant_header(datagram)
         if packet is None:
             return None
@@ -102,7 +112,7 @@
     def read(
         self, datagram: bytes, caller: tuple[str, int]
     ) -> routing.Hint | None:
-        """Returns the flow key of the caller."""
+        """Returns a hint with the flow key of the caller."""
         return routing.UnidentifiedFlowHint(
             xxhash.xxh64_intdigest(
                 f"{caller[0]} {caller[1]}".encode(), self._seed
@@ -215,7 +225,7 @@
 
 
 class Link:
-    """Socket towards the agents."""
+    """Socket that exchanges forwarded datagrams with the agents."""
 
     def __init__(self, codec: wire.ForwardCodec, counters: Counters) -> None:
         """Initializes the link.
--- a/libs/balancer/src/fireflyford/balancer/_forwarding.py
+++ b/libs/balancer/src/fireflyford/balancer/_forwarding.py
@@ -148,7 +148,8 @@
 ) -> None:
     """Updates the targets of each router, yielding after each ring.
 
-    Forwarding is then paused for the time to build one ring at most, not 420.
+    Forwarding thus pauses for one ring at a time, not for the rings of all
+    services, of which there may be 420.
 
     Args:
         routers: Routers by service.
--- a/libs/balancer/src/fireflyford/balancer/_socket.py
+++ b/libs/balancer/src/fireflyford/balancer/_socket.py
@@ -19,7 +19,7 @@
 
 
 class DatagramSocket:
-    """A bound UDP socket; `run` is its task."""
+    """A bound UDP socket; `run` reads from it."""
 
     def __init__(self, address: core.Address) -> None:
         """Binds the socket.
