Describe the statistics and the replacement rule of feeds in the caller library

Renames the parameter outcome_lost of may_retry to response_lost, and report to statistics in the tests of the feed reader, since a report is a message of a target.

--- a/libs/caller/src/fireflyford/caller/__init__.py
+++ b/libs/caller/src/fireflyford/caller/__init__.py
@@ -1,4 +1,4 @@
-"""Client library: requests with retries and feeds that resume."""
+"""Caller library: requests with retries and feeds that resume."""
 
 from fireflyford.caller._client import Client
 from fireflyford.caller._connection import CALLER_HEADER
--- a/libs/caller/src/fireflyford/caller/_client.py
+++ b/libs/caller/src/fireflyford/caller/_client.py
@@ -26,7 +26,7 @@
             address: Address of the service.
             service: Name of the service.
             authorities_path: PEM file with the trusted certificate authorities.
-            token: Access token, if the service requires one.
+            token: Caller token, if the service requires one.
         """
         self._token = token
         self._address = address
--- a/libs/caller/src/fireflyford/caller/_connection.py
+++ b/libs/caller/src/fireflyford/caller/_connection.py
@@ -29,7 +29,8 @@
 # At least three probes are unanswered by then, so an instance that pauses for
 # 1 s is not suspected.
 SUSPECT_AFTER_MS = 2_000.0
-# Outstanding requests on a path that stays silent end with an unknown outcome.
+# The connection is closed after this silence, and its outstanding requests end
+# with an unknown outcome.
 ABANDON_AFTER_MS = 4_000.0
 
 
@@ -125,8 +126,8 @@
         try:
             await super().ping()
         finally:
-            # After cancellation nobody awaits the future, so its exception is
-            # retrieved here.
+            # After cancellation nobody awaits the future. asyncio would log its
+            # exception as never retrieved, so it is retrieved here.
             for waiter in self._ping_waiters.values():
                 waiter.add_done_callback(asyncio.Future.exception)
 
@@ -134,8 +135,8 @@
         try:
             await super().wait_connected()
         finally:
-            # After cancellation nobody awaits the future, so its exception is
-            # retrieved here.
+            # After cancellation nobody awaits the future. asyncio would log its
+            # exception as never retrieved, so it is retrieved here.
             if self._connected_waiter is not None:
                 self._connected_waiter.add_done_callback(
                     asyncio.Future.exception
@@ -312,7 +313,7 @@
         address: Address of the service.
         service: Name of the service, which its certificate must contain.
         authorities_path: PEM file with the trusted certificate authorities.
-        token: Access token, if the service requires one.
+        token: Caller token, if the service requires one.
 
     Raises:
         ConnectionError: The connection could not be opened.
--- a/libs/caller/src/fireflyford/caller/_feeds.py
+++ b/libs/caller/src/fireflyford/caller/_feeds.py
@@ -26,8 +26,8 @@
 _CLOSE_TIMEOUT_MS = 1_500
 _DEFAULT_JITTER_MS = 200
 _MAX_JITTER_MS = 2_000
-# Upper bounds of the exponential backoff. Without it, an instance that is short
-# of CPU would spend it on handshakes that are abandoned.
+# Upper bounds of the exponential backoff. Without a backoff, an instance that
+# is short of CPU would spend its time on handshakes that callers abandon.
 _MAX_OPEN_TIMEOUT_MS = 6_000
 _MAX_BACKOFF_MS = 8_000
 
@@ -50,10 +50,20 @@
 
 
 class FeedStatistics:
-    """Counters of a feed since it was opened."""
+    """Counters of a feed since it was opened.
+
+    Attributes:
+        event_count: Events received, without repeated ones.
+        moved_count: Moves to another connection that an agent asked for.
+        broken_count: Failures, also suspected ones, of the connection that
+            carried the feed.
+        gap_count: Gaps in the sequence numbers of a resumed feed.
+        repeated_count: Events received again and skipped.
+        longest_silence_ms: Longest time between two successive events.
+    """
 
     def __init__(self) -> None:
-        """Creates counters of zero."""
+        """Starts all counters at zero."""
         self.event_count = 0
         self.moved_count = 0
         self.broken_count = 0
@@ -145,7 +155,8 @@
                 )
                 try:
                     ended = await self._read(stream)
-                    # Sent before the connection is closed, which takes longer.
+                    # Closing the stream waits for the peer, so the reader is
+                    # notified first.
                     self._notify(ended)
                 finally:
                     await _close_stream(connection, stream)
@@ -218,7 +229,7 @@
         return 0 if self._restarting else self._position
 
     def update_jitter(self, headers: dict[str, str]) -> None:
-        """Sets the jitter of resuming after a failure from a response."""
+        """Sets the jitter before a resumption to the value in a response."""
         text = headers.get(RESUME_JITTER_HEADER, "")
         if text.isdecimal():
             self._jitter_ms = min(int(text), _MAX_JITTER_MS)
@@ -248,6 +259,7 @@
                 return
 
     def _accept_event(self, source: _FeedConnection, event: FeedEvent) -> bool:
+        """Counts an event; returns False if it was received before."""
         if event.sequence <= self._position:
             self._statistics.repeated_count += 1
             return False
@@ -270,7 +282,9 @@
         if source is not self._replacement:
             return
         if not source.after and self._position and not self._restarting:
-            # The old connection has delivered its first event since.
+            # No event had been received when this connection was opened, but
+            # the old one has delivered some since. The feed of this one could
+            # start later and leave a gap.
             source.task.cancel()
             self._replacement = None
             self._open_replacement(0)
@@ -297,6 +311,7 @@
             self._resume_after_failure()
 
     def _handle_end(self, source: _FeedConnection, ended: _Ended) -> bool:
+        """Opens a replacement if needed; returns whether the feed has ended."""
         failure = ended.failure
         if failure is not None and not failure.spec.retry_allowed:
             raise FeedRefusedError(failure)
--- a/libs/caller/src/fireflyford/caller/_requests.py
+++ b/libs/caller/src/fireflyford/caller/_requests.py
@@ -132,8 +132,8 @@
                 ticket_requested = True
                 ticket = attempt.ticket
                 continue
-            outcome_lost = bool(ticket) and not attempt.response_received
-            if not may_retry(request, outcome, outcome_lost):
+            response_lost = bool(ticket) and not attempt.response_received
+            if not may_retry(request, outcome, response_lost):
                 self._cache_ticket(connection, attempt.ticket)
                 return outcome
             if not await self._wait_to_retry(outcome, deadline_s):
@@ -211,20 +211,20 @@
 
 
 def may_retry(
-    request: Request, failure: core.Failure, outcome_lost: bool
+    request: Request, failure: core.Failure, response_lost: bool
 ) -> bool:
     """Returns whether a request may be sent again.
 
     Args:
         request: The request.
         failure: Outcome of the last attempt.
-        outcome_lost: Whether the response to a request with a ticket was lost.
+        response_lost: Whether the response to a request with a ticket was lost.
             The same ticket then returns the outcome and never starts a second
             run.
     """
     if failure.spec.execution is core.Execution.NOT_RUN:
         return failure.spec.retry_allowed
-    return request.idempotent or outcome_lost
+    return request.idempotent or response_lost
 
 
 def make_request(
--- a/libs/caller/tests/test_feed_reader.py
+++ b/libs/caller/tests/test_feed_reader.py
@@ -1,4 +1,4 @@
-"""Feed reader on connections with scripted events and failures."""
+"""Tests of the feed reader on connections with scripted events and failures."""
 
 import asyncio
 from collections.abc import AsyncIterator
@@ -75,10 +75,10 @@
 def read(
     service: _Service, max_count: int, after: int = 0
 ) -> tuple[list[int], _feeds.FeedStatistics]:
-    report = _feeds.FeedStatistics()
+    statistics = _feeds.FeedStatistics()
 
     async def run() -> list[int]:
-        reader = _feeds.FeedReader(service.connect, "/feed", after, report)
+        reader = _feeds.FeedReader(service.connect, "/feed", after, statistics)
         seen = []
         async with asyncio.timeout(5):
             async for event in reader.events():
@@ -90,7 +90,7 @@
         return seen
 
     with mock.patch.object(_feeds, "_DEFAULT_JITTER_MS", 1):
-        return asyncio.run(run()), report
+        return asyncio.run(run()), statistics
 
 
 def test_move_neither_loses_nor_repeats_events() -> None:
@@ -99,9 +99,9 @@
         [HEAD, data(1, 2), control("resume"), data(3)],
         [HEAD, data(3, 4, 5)],
     )
-    seen, report = read(service, 5)
+    seen, statistics = read(service, 5)
     assert seen == [1, 2, 3, 4, 5]
-    assert (report.moved_count, report.broken_count) == (1, 0)
+    assert (statistics.moved_count, statistics.broken_count) == (1, 0)
 
 
 def test_old_stream_is_closed_after_new_one_is_open() -> None:
@@ -129,10 +129,10 @@
 def test_broken_feed_resumes_after_last_event() -> None:
     """Guards against a gap when a target fails."""
     service = _Service([HEAD, data(7, 8), BROKEN], [HEAD, data(9), COMPLETE])
-    seen, report = read(service, 99)
+    seen, statistics = read(service, 99)
     assert seen == [7, 8, 9]
     assert service.paths == ["/feed?after=0", "/feed?after=8"]
-    assert report.broken_count == 1
+    assert statistics.broken_count == 1
 
 
 def test_silent_path_is_replaced_while_open() -> None:
@@ -140,9 +140,9 @@
     service = _Service(
         [HEAD, data(1), _connection.PathSuspected()], [HEAD, data(2), COMPLETE]
     )
-    seen, report = read(service, 99)
+    seen, statistics = read(service, 99)
     assert seen == [1, 2]
-    assert report.broken_count == 1
+    assert statistics.broken_count == 1
 
 
 def test_first_event_during_replacement_leaves_no_gap() -> None:
@@ -156,10 +156,10 @@
         [HEAD, data(4), COMPLETE],
     )
     service.late_event = data(3)
-    seen, report = read(service, 99)
+    seen, statistics = read(service, 99)
     assert seen == [3, 4]
     assert service.paths[-1] == "/feed?after=3"
-    assert report.gap_count == 0
+    assert statistics.gap_count == 0
 
 
 def test_replaced_stream_is_cancelled() -> None:
--- a/libs/caller/tests/test_requests.py
+++ b/libs/caller/tests/test_requests.py
@@ -1,4 +1,4 @@
-"""Tickets and retries of the client library."""
+"""Tests of tickets and retries in the caller library."""
 
 import asyncio
 import contextlib
