Say in the agent what each counter and the rotation of return paths is

Renames expects_ack to awaits_ack, the name of the property that it is passed; _tag to _compute_tag in the codecs of peers and tickets, as in the wire library; and the local peer_count, which counted pending requests, to pending_count. In tests: LIBRARY to CALLER_LIBRARY_HEADERS, PARTS to PART_COUNT, and handover to handoff in a test name. No check changed.

--- a/libs/agent/src/fireflyford/agent/_admission.py
+++ b/libs/agent/src/fireflyford/agent/_admission.py
@@ -26,8 +26,8 @@
         """Initializes an empty queue.
 
         Args:
-            admit: Opens a flow, given its first destination ID and the
-                datagrams received for it so far.
+            admit: Opens a flow, given its original destination connection ID
+                and the datagrams received for it so far.
         """
         self._admit = admit
         self._tokens = float(BURST_FLOWS)
--- a/libs/agent/src/fireflyford/agent/_backend_client.py
+++ b/libs/agent/src/fireflyford/agent/_backend_client.py
@@ -68,6 +68,7 @@
     def _to_outcome(
         self, work: requests.WorkItem, reply: httpclient.HTTPResponse
     ) -> core.Outcome[requests.Response]:
+        # tornado reports timeouts and lost connections as status 599.
         if reply.code == 599:
             self._cancel(work.request_id)
             return core.Failure(
--- a/libs/agent/src/fireflyford/agent/_backend_monitor.py
+++ b/libs/agent/src/fireflyford/agent/_backend_monitor.py
@@ -38,7 +38,7 @@
         self.is_up = True
 
     def on_change(self, listener: Callable[[bool], None]) -> None:
-        """Registers a listener for whether the backend server is up."""
+        """Registers a listener, which is passed the new value of `is_up`."""
         self._listeners.append(listener)
 
     async def connect(self) -> iostream.IOStream:
--- a/libs/agent/src/fireflyford/agent/_connection.py
+++ b/libs/agent/src/fireflyford/agent/_connection.py
@@ -30,13 +30,13 @@
 # RFC 9114, section 5.2: stream ID of an initial GOAWAY, with which a server
 # still accepts the requests that are in flight.
 _GOAWAY_STREAM_ID = (1 << 62) - 4
-# Above the datagrams of a congestion window; a longer queue means that the
+# More datagrams than a congestion window holds; a longer queue means that the
 # task is stuck.
 _MAX_QUEUED_DATAGRAMS = 1_024
 # A path without incoming datagrams is probed while requests are open. A caller
 # that uses the caller library has resumed elsewhere well before the last probe,
-# so its connection is closed and its work freed; other callers keep their
-# connection until the QUIC idle timeout.
+# so its connection is closed and its requests are cancelled; other callers keep
+# their connection until the QUIC idle timeout.
 _PROBE_INTERVAL_S = (1.0, 2.0)
 _MAX_PROBES = 5
 
@@ -120,8 +120,8 @@
             quic: Server side of the QUIC connection.
             handler: Handler of requests.
             send: Sends a payload through a balancer to a caller's address.
-            track_id: Called with every event, among them connection IDs that
-                are issued or retired.
+            track_id: Called with every QUIC event, so that the endpoint can
+                track the connection IDs that are issued and retired.
             return_path: Selects the balancer that carries responses.
         """
         self._quic = quic
--- a/libs/agent/src/fireflyford/agent/_datagram.py
+++ b/libs/agent/src/fireflyford/agent/_datagram.py
@@ -13,11 +13,11 @@
 
 SendDatagram = Callable[[bytes, core.Address], None]
 
-# Payload of a notice: its send time in ms of the time of day. Late notices are
-# discarded because they may contradict newer ones.
+# Payload of a notice: the wall-clock time in ms at which it was sent. Late
+# notices are discarded because they may contradict newer ones.
 _SEND_TIME = struct.Struct("!Q")
 _SWEEP_INTERVAL_MS = 50
-# An announcement iterates over all flows, about 10 ms for 4,000 flows.
+# An announcement iterates over all flows, which takes about 10 ms for 4,000.
 _ANNOUNCE_INTERVAL_MS = 1_000
 # Bounds on datagrams that wait for a search, which takes a few milliseconds.
 _MAX_WAITING_DATAGRAMS = 1_024
@@ -27,7 +27,18 @@
 
 
 class FlowCounters:
-    """Events of plain-datagram flows since the process started."""
+    """Events of plain-datagram flows since the process started.
+
+    Attributes:
+        delivered_count: Datagrams that were queued for the backend server.
+        passed_on_count: Datagrams that were forwarded to another agent.
+        dropped_count: Datagrams and malformed notices that were dropped.
+        late_notice_count: Notices that were discarded because their send time
+            differs too much from the wall clock.
+        lost_flow_count: Flows that were given up to another agent that had
+            adopted them.
+        notice_count: Notices that were sent.
+    """
 
     def __init__(self) -> None:
         """Starts all counters at zero."""
@@ -108,7 +119,7 @@
         Args:
             clock: Source of time.
             service: Service of the target.
-            own_holder: Holder that stands for this agent.
+            own_holder: This agent as a holder of flows.
             codec: Encoding of forwarding headers.
             backend_address: Address where the backend server receives
                 datagrams.
@@ -176,8 +187,8 @@
             self._handle_datagram(
                 _VerifiedDatagram(header, payload, sender, now_ms)
             )
-            # The datagram may be a search that came back, which decides the
-            # flow, so the datagrams waiting for it are retried.
+            # The datagram may be a search that came back, which decides where
+            # the flow is held, so the datagrams waiting for it are retried.
             self._retry(header.flow_key)
         elif len(header.holders) == 1 and len(payload) == _SEND_TIME.size:
             self._handle_notice(header, _SEND_TIME.unpack(payload)[0], sender)
@@ -232,7 +243,7 @@
             self.counters.lost_flow_count += 1
             self._close(header.flow_key)
 
-    # Outgoing.
+    # Sending to the backend server, to callers and to other agents.
 
     def _deliver(
         self,
--- a/libs/agent/src/fireflyford/agent/_endpoint.py
+++ b/libs/agent/src/fireflyford/agent/_endpoint.py
@@ -27,7 +27,20 @@
 
 
 class Counters:
-    """Datagrams since the process started, by outcome."""
+    """Events on the link socket since the process started.
+
+    Attributes:
+        received_count: Datagrams that were passed to the flows of this target.
+        foreign_count: Datagrams that were dropped because their forwarding
+            header or their QUIC header is invalid.
+        misrouted_count: Datagrams that were dropped because they are of
+            another type or for another service or incarnation.
+        unknown_flow_count: Datagrams that were dropped because they neither
+            belong to a flow nor start one.
+        relayed_count: Datagrams of new flows that were relayed to a peer.
+        rotated_count: Times that the responses of a connection were moved to
+            another balancer.
+    """
 
     def __init__(self) -> None:
         """Starts all counters at zero."""
@@ -65,9 +78,9 @@
             connection_id_codec: Encoding of connection IDs.
             configuration: TLS and transport parameters.
             handler: Handler of requests.
-            find_relay_peer: Given the first destination ID of a new flow,
-                returns the peer to relay it to, or None if this agent
-                accepts the flow.
+            find_relay_peer: Given the original destination connection ID of a
+                new flow, returns the peer to relay it to, or None if this
+                agent accepts the flow.
             balancers: Source of the balancers that carry responses.
             datagram_flows: Receives all datagrams if the service uses plain
                 datagrams; None for QUIC.
--- a/libs/agent/src/fireflyford/agent/_feeds.py
+++ b/libs/agent/src/fireflyford/agent/_feeds.py
@@ -261,11 +261,15 @@
         await self.response.write(lines + newline, end=False)
 
     async def _stop_parsing(self) -> None:
+        """Passes on the buffered and all further content unparsed."""
         self.resumable = False
         await self.response.write(self._partial_line, end=False)
 
     async def write_control_line(self, window_ms: int) -> None:
-        """Writes a control line; the stream is always at a line boundary."""
+        """Writes a control line if the feed has started and is resumable.
+
+        The stream is at a line boundary, as only complete lines are written.
+        """
         resume = self._treatment.on_move is config.MovePolicy.RESUME
         line = msgspec.json.encode(
             {
--- a/libs/agent/src/fireflyford/agent/_peer_codec.py
+++ b/libs/agent/src/fireflyford/agent/_peer_codec.py
@@ -12,7 +12,6 @@
 _TAG_BYTES = 8
 MAX_MESSAGE_BYTES = 80 << 20
 
-
 # Reports are sent without field names, which would be most of their size.
 ReportRow = tuple[Any, ...]
 _REPORT_FIELDS = tuple(
@@ -112,7 +111,7 @@
     def encode(self, message: Call | Reply) -> bytes:
         """Returns an encoded message with its tag."""
         body = msgspec.msgpack.encode(message)
-        return self._tag(body) + body
+        return self._compute_tag(body) + body
 
     def decode_call(self, data: bytes) -> Call | None:
         """Returns a call, or None if the tag or the encoding is invalid."""
@@ -132,9 +131,9 @@
 
     def _verify(self, data: bytes) -> bytes | None:
         tag, body = data[:_TAG_BYTES], data[_TAG_BYTES:]
-        return body if tag == self._tag(body) else None
+        return body if tag == self._compute_tag(body) else None
 
-    def _tag(self, body: bytes) -> bytes:
+    def _compute_tag(self, body: bytes) -> bytes:
         return hashlib.blake2s(
             body, key=self._key, digest_size=_TAG_BYTES, person=b"peer"
         ).digest()
--- a/libs/agent/src/fireflyford/agent/_process.py
+++ b/libs/agent/src/fireflyford/agent/_process.py
@@ -234,7 +234,7 @@
         self._send_goaways()
         move_task = asyncio.create_task(self._feeds.start_move())
         # Balancers learn of the drain during this time. New flows from a
-        # balancer that does not are relayed to peers.
+        # balancer that has not learned of it are relayed to peers.
         await self._clock.sleep(DRAIN_NOTICE_MS)
         self._engine.drain()
         while self._unfinished_count() and self._clock.now_ms() < limit_ms:
@@ -273,10 +273,10 @@
 
     def _unfinished_count(self) -> int:
         flow_count = 0 if self._flows is None else self._flows.open_count
-        peer_count = self._engine.pending_count
+        pending_count = self._engine.pending_count
         return (
             flow_count
-            + peer_count
+            + pending_count
             + sum(
                 connection.request_count
                 for connection in self._endpoint.connections
--- a/libs/agent/src/fireflyford/agent/_quic.py
+++ b/libs/agent/src/fireflyford/agent/_quic.py
@@ -59,7 +59,8 @@
         Args:
             configuration: TLS and transport parameters.
             connection_id_source: Generator of connection IDs.
-            original_destination: Destination ID of the first datagram.
+            original_destination: Destination connection ID of the first
+                datagram.
         """
         self._connection_id_source = connection_id_source
         super().__init__(
--- a/libs/agent/src/fireflyford/agent/_return_path.py
+++ b/libs/agent/src/fireflyford/agent/_return_path.py
@@ -32,7 +32,11 @@
 
 
 class ReturnPath:
-    """Balancer that carries the responses of one connection."""
+    """Balancer that carries the responses of one connection.
+
+    The path rotates to another balancer if the current one is unavailable, or
+    if the caller acknowledges nothing for `RESPONSE_TIMEOUT_S`.
+    """
 
     def __init__(
         self, source: BalancerSource, count_rotation: Callable[[], None]
@@ -73,19 +77,19 @@
         if self._failed:
             self._failed.clear()
 
-    def choose(self, now_s: float, expects_ack: bool) -> core.Address | None:
+    def choose(self, now_s: float, awaits_ack: bool) -> core.Address | None:
         """Returns the balancer for the next outgoing datagram.
 
         Args:
             now_s: Event loop time.
-            expects_ack: Whether the caller has to acknowledge data.
+            awaits_ack: Whether the caller has to acknowledge data.
         """
         if self._balancer is None:
             return None
         if self._source.is_unavailable(self._balancer):
             self._rotate(now_s)
         elif self._waiting_since_s is None:
-            if expects_ack:
+            if awaits_ack:
                 self._waiting_since_s = now_s
         elif now_s - self._waiting_since_s >= RESPONSE_TIMEOUT_S:
             self._rotate(now_s)
--- a/libs/agent/src/fireflyford/agent/_ticket_codec.py
+++ b/libs/agent/src/fireflyford/agent/_ticket_codec.py
@@ -32,7 +32,9 @@
             ticket.serial,
             ticket.issued_ms.to_bytes(_TIME_BYTES, "big"),
         )
-        return base64.urlsafe_b64encode(fields + self._tag(fields)).decode()
+        return base64.urlsafe_b64encode(
+            fields + self._compute_tag(fields)
+        ).decode()
 
     def decode(self, text: str) -> core.Outcome[requests.Ticket]:
         """Returns the decoded ticket, or a `TICKET_INVALID` failure."""
@@ -41,7 +43,7 @@
         except (binascii.Error, ValueError):
             return _ticket_invalid()
         fields, tag = data[: _TICKET_LAYOUT.size], data[_TICKET_LAYOUT.size :]
-        if len(data) != TICKET_BYTES or tag != self._tag(fields):
+        if len(data) != TICKET_BYTES or tag != self._compute_tag(fields):
             return _ticket_invalid()
         host, port, incarnation, serial, issued_bytes = _TICKET_LAYOUT.unpack(
             fields
@@ -56,7 +58,7 @@
             )
         )
 
-    def _tag(self, fields: bytes) -> bytes:
+    def _compute_tag(self, fields: bytes) -> bytes:
         return hashlib.blake2s(
             fields, key=self._key, digest_size=_TAG_BYTES, person=b"ticket"
         ).digest()
--- a/libs/agent/tests/test_connection.py
+++ b/libs/agent/tests/test_connection.py
@@ -20,7 +20,7 @@
 BALANCER = core.Address("127.0.0.1", 2)
 CALLER = core.Address("127.0.0.1", 3)
 PART = b"x" * 65_536
-PARTS = 40
+PART_COUNT = 40
 
 
 class _Balancers(_return_path.BalancerSource):
@@ -49,7 +49,7 @@
             if request.path == "/wait":
                 await asyncio.sleep(3600)
             response.start(200, ())
-            for _ in range(PARTS):
+            for _ in range(PART_COUNT):
                 self.written_bytes += len(PART)
                 await response.write(PART, end=False)
             await response.write(b"", end=True)
@@ -189,11 +189,11 @@
         pair.send_request("/heavy")
         for _ in range(100):
             await pair.pump(0.1)
-            if pair.received_bytes == PARTS * len(PART):
+            if pair.received_bytes == PART_COUNT * len(PART):
                 break
         return pair.received_bytes
 
-    assert asyncio.run(run()) == PARTS * len(PART)
+    assert asyncio.run(run()) == PART_COUNT * len(PART)
 
 
 def test_cancellation_frees_the_work(tls: Any) -> None:
--- a/libs/agent/tests/test_feeds.py
+++ b/libs/agent/tests/test_feeds.py
@@ -16,7 +16,7 @@
 from fireflyford.agent import _feeds
 
 TREATMENT = config.Treatment("feed", "GET", "/feed", kind=config.Kind.FEED)
-LIBRARY = ((caller.CALLER_HEADER, "1"),)
+CALLER_LIBRARY_HEADERS = ((caller.CALLER_HEADER, "1"),)
 BROKEN = _backend_feeds.FeedBrokenError("broken")
 
 
@@ -86,7 +86,7 @@
 
 def serve(
     source: _ScriptedSource,
-    headers: _connection.Headers = LIBRARY,
+    headers: _connection.Headers = CALLER_LIBRARY_HEADERS,
     check: Callable[[], Awaitable[bool]] = backend_reachable,
     treatment: config.Treatment = TREATMENT,
     move: bool = False,
--- a/libs/agent/tests/test_peer.py
+++ b/libs/agent/tests/test_peer.py
@@ -100,7 +100,7 @@
     return copies, executor.run_count
 
 
-def test_copy_of_a_handover_gets_the_first_response() -> None:
+def test_copy_of_a_handoff_gets_the_first_response() -> None:
     """Guards against running handed-over work twice at the peer."""
     copies, run_count = asyncio.run(_call_twice())
     assert (
