Name Meter.counter like its siblings gauge and histogram

Meter.count registers a counter and counts nothing; Meter.counter now, as Meter.gauge and Meter.histogram. Every use in agent and balancer follows.

--- a/libs/agent/src/fireflyford/agent/_process.py
+++ b/libs/agent/src/fireflyford/agent/_process.py
@@ -302,21 +302,21 @@
     def _make_meter(self) -> telemetry.Meter:
         meter = telemetry.Meter()
         counters = self._endpoint.counters
-        meter.count("received_datagrams", lambda: counters.received_count)
-        meter.count("foreign_datagrams", lambda: counters.foreign_count)
-        meter.count("misrouted_datagrams", lambda: counters.misrouted_count)
-        meter.count(
+        meter.counter("received_datagrams", lambda: counters.received_count)
+        meter.counter("foreign_datagrams", lambda: counters.foreign_count)
+        meter.counter("misrouted_datagrams", lambda: counters.misrouted_count)
+        meter.counter(
             "unknown_flow_datagrams", lambda: counters.unknown_flow_count
         )
         meter.gauge("open_connections", lambda: len(self._endpoint.connections))
-        meter.count("relayed_datagrams", lambda: counters.relayed_count)
-        meter.count("rotated_return_paths", lambda: counters.rotated_count)
-        meter.count(
+        meter.counter("relayed_datagrams", lambda: counters.relayed_count)
+        meter.counter("rotated_return_paths", lambda: counters.rotated_count)
+        meter.counter(
             "dropped_new_flows",
             lambda: self._endpoint.admission.dropped_count,
         )
-        meter.count("moved_feeds", lambda: self._feeds.moved_count)
-        meter.count("resumed_feeds", lambda: self._feeds.resumed_count)
+        meter.counter("moved_feeds", lambda: self._feeds.moved_count)
+        meter.counter("resumed_feeds", lambda: self._feeds.resumed_count)
         meter.gauge("open_feeds", lambda: self._feeds.feed_count)
         meter.gauge("requests_in_flight", lambda: self._engine.in_flight_count)
         _add_admission_metrics(meter, self._engine)
@@ -352,9 +352,9 @@
 ) -> None:
     scheduler = engine.scheduler
     admission = scheduler.admission
-    meter.count("requests_admitted", lambda: admission.admitted_count)
-    meter.count("requests_refused", lambda: admission.refused_count)
-    meter.count("requests_handed_over", lambda: scheduler.handed_over_count)
+    meter.counter("requests_admitted", lambda: admission.admitted_count)
+    meter.counter("requests_refused", lambda: admission.refused_count)
+    meter.counter("requests_handed_over", lambda: scheduler.handed_over_count)
     meter.gauge("requests_running", lambda: scheduler.slots.running_count)
     meter.gauge("requests_queued", lambda: scheduler.slots.queued_count)
     meter.gauge("slot_utilization", scheduler.slots.utilization)
--- a/libs/balancer/src/fireflyford/balancer/_process.py
+++ b/libs/balancer/src/fireflyford/balancer/_process.py
@@ -160,15 +160,15 @@
     def _make_meter(self) -> telemetry.Meter:
         meter = telemetry.Meter()
         counters = self._counters
-        meter.count("to_agent_datagrams", lambda: counters.to_agent_count)
-        meter.count("to_caller_datagrams", lambda: counters.to_caller_count)
-        meter.count("malformed_datagrams", lambda: counters.malformed_count)
-        meter.count("foreign_datagrams", lambda: counters.foreign_count)
-        meter.count("no_target_datagrams", lambda: counters.no_target_count)
-        meter.count(
+        meter.counter("to_agent_datagrams", lambda: counters.to_agent_count)
+        meter.counter("to_caller_datagrams", lambda: counters.to_caller_count)
+        meter.counter("malformed_datagrams", lambda: counters.malformed_count)
+        meter.counter("foreign_datagrams", lambda: counters.foreign_count)
+        meter.counter("no_target_datagrams", lambda: counters.no_target_count)
+        meter.counter(
             "control_sent_bytes", lambda: self._channel.sent_bytes, "By"
         )
-        meter.count(
+        meter.counter(
             "control_received_bytes",
             lambda: self._channel.received_bytes,
             "By",
--- a/libs/telemetry/src/fireflyford/telemetry/_metrics.py
+++ b/libs/telemetry/src/fireflyford/telemetry/_metrics.py
@@ -22,7 +22,7 @@
         provider = sdk_metrics.MeterProvider(metric_readers=[reader])
         self._meter = provider.get_meter("fireflyford")
 
-    def count(
+    def counter(
         self, name: str, read: Callable[[], int], unit: str = "1"
     ) -> None:
         """Registers a counter whose value `read` returns."""
