Rename exported names of config and store

config.find_stranded -> config.find_breaking_changes config.Deployment.only -> config.Deployment.restricted_to store.ConfigRecord.read -> store.ConfigRecord.parse; ConfigStore.read reads the store, while the record only parses its text.

--- a/libs/cli/src/fireflyford/cli/_config_commands.py
+++ b/libs/cli/src/fireflyford/cli/_config_commands.py
@@ -206,7 +206,7 @@
         return record
     if record.value is None:
         return core.Ok("\n".join(config.compare(None, loaded.value)))
-    stored = record.value.read()
+    stored = record.value.parse()
     if isinstance(stored, core.Failure):
         return stored
     print(f"against version {record.value.version}", file=sys.stderr)
--- a/libs/cli/src/fireflyford/cli/_targets.py
+++ b/libs/cli/src/fireflyford/cli/_targets.py
@@ -97,7 +97,7 @@
     if isinstance(current, core.Failure):
         return current
     if current.value is not None:
-        lines = config.find_stranded(current.value, new)
+        lines = config.find_breaking_changes(current.value, new)
         if lines:
             return core.Failure(core.ErrorKind.BAD_CONFIG, "; ".join(lines))
     fetched = await _fetch_agents("", instance)
--- a/libs/config/src/fireflyford/config/__init__.py
+++ b/libs/config/src/fireflyford/config/__init__.py
@@ -2,7 +2,7 @@
 
 from fireflyford.config._check import check
 from fireflyford.config._compare import compare
-from fireflyford.config._compare import find_stranded
+from fireflyford.config._compare import find_breaking_changes
 from fireflyford.config._text import parse
 from fireflyford.config._text import render
 from fireflyford.config._types import FORMAT
@@ -31,7 +31,7 @@
     "Treatment",
     "check",
     "compare",
-    "find_stranded",
+    "find_breaking_changes",
     "parse",
     "render",
 ]
--- a/libs/config/src/fireflyford/config/_compare.py
+++ b/libs/config/src/fireflyford/config/_compare.py
@@ -28,7 +28,7 @@
     return tuple(_diff(msgspec.to_builtins(old), msgspec.to_builtins(new), ""))
 
 
-def find_stranded(
+def find_breaking_changes(
     old: _types.Deployment, new: _types.Deployment
 ) -> tuple[str, ...]:
     """Returns one line per service whose flows the change would break.
@@ -39,7 +39,7 @@
     lines = []
     for service in old.services:
         replacement = new.service(service.name)
-        change = _breaking_change(service, replacement)
+        change = _describe_breaking_change(service, replacement)
         if change and not service.draining:
             lines.append(
                 f"service {service.name} would {change} while it may hold "
@@ -49,7 +49,9 @@
     return tuple(lines)
 
 
-def _breaking_change(old: _types.Service, new: _types.Service | None) -> str:
+def _describe_breaking_change(
+    old: _types.Service, new: _types.Service | None
+) -> str:
     if new is None:
         return "be removed"
     if new.address != old.address:
--- a/libs/config/src/fireflyford/config/_types.py
+++ b/libs/config/src/fireflyford/config/_types.py
@@ -158,7 +158,7 @@
                 return service
         return None
 
-    def only(self, service_name: str) -> "Deployment":
+    def restricted_to(self, service_name: str) -> "Deployment":
         """Returns a copy restricted to one service, for its agents."""
         kept = tuple(
             service for service in self.services if service.name == service_name
--- a/libs/config/tests/test_check.py
+++ b/libs/config/tests/test_check.py
@@ -122,9 +122,9 @@
     new: config.Deployment, expected: str
 ) -> None:
     """Guards against a change that breaks the flows of a service."""
-    lines = config.find_stranded(BASE, new)
+    lines = config.find_breaking_changes(BASE, new)
     assert [expected in line for line in lines] == [True] * bool(expected)
-    assert config.find_stranded(with_service(draining=True), new) == ()
+    assert config.find_breaking_changes(with_service(draining=True), new) == ()
 
 
 @pytest.mark.parametrize(
--- a/libs/store/src/fireflyford/store/_config_store.py
+++ b/libs/store/src/fireflyford/store/_config_store.py
@@ -215,7 +215,7 @@
                 f"configuration too large: {size_bytes} bytes, limit "
                 f"{MAX_VALUE_BYTES} bytes; nothing was written",
             )
-        parsed = record.read()
+        parsed = record.parse()
         if isinstance(parsed, core.Failure):
             return parsed
         errors = config.check(parsed.value)
@@ -345,19 +345,19 @@
 def _check_change(
     current: _record.ConfigRecord | None, record: _record.ConfigRecord
 ) -> core.Outcome[tuple[str, ...]]:
-    new = record.read()
+    new = record.parse()
     if isinstance(new, core.Failure):
         return new
     if current is None:
         return core.Ok(config.compare(None, new.value))
-    old = current.read()
+    old = current.parse()
     if isinstance(old, core.Failure):
         return core.Failure(
             old.kind,
             f"cannot check the change, because version {current.version} in "
             f"the store cannot be parsed: {old.message}",
         )
-    violations = config.find_stranded(old.value, new.value)
+    violations = config.find_breaking_changes(old.value, new.value)
     if violations:
         return core.Failure(core.ErrorKind.BAD_CONFIG, "; ".join(violations))
     return core.Ok(config.compare(old.value, new.value))
--- a/libs/store/src/fireflyford/store/_follower.py
+++ b/libs/store/src/fireflyford/store/_follower.py
@@ -182,7 +182,7 @@
             return False
         self._highest = record
         self._compressed_highest = b""
-        parsed = record.read()
+        parsed = record.parse()
         if isinstance(parsed, core.Failure):
             self._reject(record.version, parsed.message)
         else:
@@ -229,7 +229,7 @@
             return None
         if record.version <= request.above:
             return None
-        text = config.render(deployment.only(request.service))
+        text = config.render(deployment.restricted_to(request.service))
         return dataclasses.replace(record, text=text)
 
     async def run(self) -> None:
--- a/libs/store/src/fireflyford/store/_record.py
+++ b/libs/store/src/fireflyford/store/_record.py
@@ -39,7 +39,7 @@
     text: str
     format: int = RECORD_FORMAT
 
-    def read(self) -> core.Outcome[config.Deployment]:
+    def parse(self) -> core.Outcome[config.Deployment]:
         """Parses the deployment, or fails with `BAD_CONFIG`."""
         if self.format != RECORD_FORMAT:
             return core.Failure(
