Say 'in force' in the store library as the rest of the code does

The library called the configuration in force 'active' as well, also in an alarm and two error messages; no test or page matches these words. The alarm of a restored store now names the version received earlier, since that version need not be in force. A cancelled watch without a result gives the reason 'no result' instead of 'error'.

Private names: _active -> _applied, _rejected_alarm -> _rejection_alarm; _STATE, _HEAD, _FLOOR, _VERSION, _AUDIT -> the same with _PREFIX or _KEY; *Reply and reply -> *Response and response, as in the messages and in etcd's API; TIMEOUT_MS -> REQUEST_TIMEOUT_MS; _MAX_MESSAGE_BYTES -> _MAX_RECORD_BYTES; reading -> result, outcome. Tests: test_expired_lease_is_renewed -> test_entry_is_rewritten_after_lease_expiry, and 'active' in two names.

--- a/libs/store/src/fireflyford/store/_config_store.py
+++ b/libs/store/src/fireflyford/store/_config_store.py
@@ -2,7 +2,8 @@
 
 Keys below `fireflyford/config/`:
 
-- `state/head`: version and identity of the current record; each push swaps it.
+- `state/head`: version and identity of the current record; each push replaces
+  it by compare-and-swap.
 - `state/floor`: written by readers only after a restore (see `Floor`).
 - `version/<number>`: complete records, the last `HISTORY_COUNT`.
 - `audit/<number>`: audit trail, the last `AUDIT_COUNT`.
@@ -32,11 +33,11 @@
 _MAX_AUDITED_CHANGES = 20
 # A conflict message lists only the latest pushes; `config history` shows all.
 _MAX_LISTED_PUSHES = 5
-_STATE = "fireflyford/config/state/"
-_HEAD = _STATE + "head"
-_FLOOR = _STATE + "floor"
-_VERSION = "fireflyford/config/version/"
-_AUDIT = "fireflyford/config/audit/"
+_STATE_PREFIX = "fireflyford/config/state/"
+_HEAD_KEY = _STATE_PREFIX + "head"
+_FLOOR_KEY = _STATE_PREFIX + "floor"
+_VERSION_PREFIX = "fireflyford/config/version/"
+_AUDIT_PREFIX = "fireflyford/config/audit/"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -77,7 +78,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class ConfigState:
-    """Head and floor in the store at one revision."""
+    """Head and floor in the store at one revision.
+
+    Attributes:
+        head: Reference to the latest record, version 0 if there is none.
+        floor_version: Lowest base version that a push may have.
+        head_value: Stored bytes of the head, None if the key is absent.
+        floor_value: Stored bytes of the floor, None if the key is absent.
+        revision: Store revision of the read.
+    """
 
     head: _record.Head
     floor_version: int
@@ -120,11 +129,11 @@
 
     async def read_state(self) -> core.Outcome[ConfigState]:
         """Reads head and floor in one call."""
-        outcome = await self._store.read(_STATE)
+        outcome = await self._store.read(_STATE_PREFIX)
         if isinstance(outcome, core.Failure):
             return outcome
-        reading = outcome.value
-        head_value, floor_value = reading.get(_HEAD), reading.get(_FLOOR)
+        result = outcome.value
+        head_value, floor_value = result.get(_HEAD_KEY), result.get(_FLOOR_KEY)
         floor = _record.decode(floor_value, _record.Floor)
         return core.Ok(
             ConfigState(
@@ -133,7 +142,7 @@
                 floor_version=0 if floor is None else floor.version,
                 head_value=head_value,
                 floor_value=floor_value,
-                revision=reading.revision,
+                revision=result.revision,
             )
         )
 
@@ -157,7 +166,7 @@
         self, limit: int
     ) -> core.Outcome[tuple[_record.AuditEntry, ...]]:
         """Reads the audit trail, newest first."""
-        outcome = await self._store.read(_AUDIT, limit, descending=True)
+        outcome = await self._store.read(_AUDIT_PREFIX, limit, descending=True)
         if isinstance(outcome, core.Failure):
             return outcome
         entries = (
@@ -180,7 +189,7 @@
         self, start_revision: int, duration_ms: int
     ) -> AsyncIterator[core.Outcome[_record.ConfigRecord]]:
         """Yields newly accepted records; see `Store.watch`."""
-        watch = self._store.watch(_VERSION, start_revision, duration_ms)
+        watch = self._store.watch(_VERSION_PREFIX, start_revision, duration_ms)
         async for outcome in watch:
             if isinstance(outcome, core.Failure):
                 yield outcome
@@ -195,8 +204,8 @@
         if version <= state.floor_version:
             return
         await self._store.commit(
-            [_store.Precondition(_FLOOR, state.floor_value)],
-            [_store.Write(_FLOOR, _record.encode(_record.Floor(version)))],
+            [_store.Precondition(_FLOOR_KEY, state.floor_value)],
+            [_store.Write(_FLOOR_KEY, _record.encode(_record.Floor(version)))],
         )
 
     def _make_record(self, push: Push) -> core.Outcome[_record.ConfigRecord]:
@@ -261,11 +270,11 @@
         )
         outcome = await self._store.commit(
             [
-                _store.Precondition(_HEAD, state.head_value),
-                _store.Precondition(_FLOOR, state.floor_value),
+                _store.Precondition(_HEAD_KEY, state.head_value),
+                _store.Precondition(_FLOOR_KEY, state.floor_value),
             ],
             [
-                _store.Write(_HEAD, _record.encode(head)),
+                _store.Write(_HEAD_KEY, _record.encode(head)),
                 _store.Write(
                     _version_key(record.version), _record.encode(record)
                 ),
@@ -328,6 +337,8 @@
         return False
     if outcome.kind is core.ErrorKind.STORE_OUTCOME_UNKNOWN:
         return True
+    # An earlier attempt may have been applied, so an unavailable store does not
+    # prove that nothing was written.
     return (
         has_unknown_attempt and outcome.kind is core.ErrorKind.STORE_UNAVAILABLE
     )
@@ -368,7 +379,7 @@
         core.ErrorKind.CONFIG_STALE,
         f"the store was restored from an older snapshot: it has version "
         f"{state.head.version}, but instances run up to version "
-        f"{state.floor_version}. Save the active configuration with "
+        f"{state.floor_version}. Save the configuration in force with "
         "`config show --instance ADDRESS`, review it, and push it with "
         f"--base {state.floor_version}",
     )
@@ -390,14 +401,17 @@
 def _expired_ranges(version: int) -> tuple[_store.DeleteRange, ...]:
     return tuple(
         _store.DeleteRange(prefix, f"{prefix}{version - count + 1:012d}")
-        for prefix, count in ((_VERSION, HISTORY_COUNT), (_AUDIT, AUDIT_COUNT))
+        for prefix, count in (
+            (_VERSION_PREFIX, HISTORY_COUNT),
+            (_AUDIT_PREFIX, AUDIT_COUNT),
+        )
         if version > count
     )
 
 
 def _version_key(version: int) -> str:
-    return f"{_VERSION}{version:012d}"
+    return f"{_VERSION_PREFIX}{version:012d}"
 
 
 def _audit_key(version: int) -> str:
-    return f"{_AUDIT}{version:012d}"
+    return f"{_AUDIT_PREFIX}{version:012d}"
--- a/libs/store/src/fireflyford/store/_etcd.py
+++ b/libs/store/src/fireflyford/store/_etcd.py
@@ -23,7 +23,7 @@
 
 # The store usually responds within milliseconds; a second without a response
 # indicates a fault.
-TIMEOUT_MS = 1_000
+REQUEST_TIMEOUT_MS = 1_000
 CONNECT_TIMEOUT_MS = 500
 # Concurrent connections: one watch and a few calls.
 _MAX_CONNECTIONS = 16
@@ -46,30 +46,30 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class _RangeReply:
+class _RangeResponse:
     header: _Header = _Header()
     kvs: tuple[_KeyValue, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
-class _TxnReply:
+class _TxnResponse:
     header: _Header = _Header()
     succeeded: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
-class _LeaseReply:
+class _LeaseResponse:
     ID: int = 0
     TTL: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
-class _KeepAliveReply:
-    result: _LeaseReply = _LeaseReply()
+class _KeepAliveResponse:
+    result: _LeaseResponse = _LeaseResponse()
 
 
 @dataclasses.dataclass(frozen=True)
-class _EmptyReply:
+class _EmptyResponse:
     pass
 
 
@@ -88,7 +88,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class _WatchReply:
+class _WatchResponse:
     result: _WatchResult | None = None
 
 
@@ -98,7 +98,7 @@
     def __init__(
         self,
         gateways: Sequence[core.Address],
-        timeout_ms: int = TIMEOUT_MS,
+        timeout_ms: int = REQUEST_TIMEOUT_MS,
     ) -> None:
         """Creates a client without opening a connection.
 
@@ -128,11 +128,13 @@
             "sort_order": "DESCEND" if descending else "ASCEND",
             "sort_target": "KEY",
         }
-        reply = await self._call("/v3/kv/range", body, _RangeReply)
-        if isinstance(reply, core.Failure):
-            return reply
-        entries = tuple(item.entry() for item in reply.value.kvs)
-        return core.Ok(_store.ReadResult(entries, reply.value.header.revision))
+        response = await self._call("/v3/kv/range", body, _RangeResponse)
+        if isinstance(response, core.Failure):
+            return response
+        entries = tuple(item.entry() for item in response.value.kvs)
+        return core.Ok(
+            _store.ReadResult(entries, response.value.header.revision)
+        )
 
     async def commit(
         self,
@@ -144,10 +146,12 @@
             "compare": [_encode_precondition(item) for item in preconditions],
             "success": [_encode_write(item) for item in writes],
         }
-        reply = await self._call("/v3/kv/txn", body, _TxnReply, is_write=True)
-        if isinstance(reply, core.Failure):
-            return reply
-        value = reply.value
+        response = await self._call(
+            "/v3/kv/txn", body, _TxnResponse, is_write=True
+        )
+        if isinstance(response, core.Failure):
+            return response
+        value = response.value
         return core.Ok(
             _store.CommitResult(value.succeeded, value.header.revision)
         )
@@ -155,28 +159,30 @@
     async def grant_lease(self, duration_s: int) -> core.Outcome[int]:
         """Creates a lease with /v3/lease/grant."""
         body = {"TTL": str(duration_s), "ID": "0"}
-        reply = await self._call(
-            "/v3/lease/grant", body, _LeaseReply, is_write=True
+        response = await self._call(
+            "/v3/lease/grant", body, _LeaseResponse, is_write=True
         )
-        if isinstance(reply, core.Failure):
-            return reply
-        return core.Ok(reply.value.ID)
+        if isinstance(response, core.Failure):
+            return response
+        return core.Ok(response.value.ID)
 
     async def renew_lease(self, lease_id: int) -> core.Outcome[bool]:
         """Renews a lease with /v3/lease/keepalive."""
         body = {"ID": str(lease_id)}
-        reply = await self._call("/v3/lease/keepalive", body, _KeepAliveReply)
-        if isinstance(reply, core.Failure):
-            return reply
-        return core.Ok(reply.value.result.TTL > 0)
+        response = await self._call(
+            "/v3/lease/keepalive", body, _KeepAliveResponse
+        )
+        if isinstance(response, core.Failure):
+            return response
+        return core.Ok(response.value.result.TTL > 0)
 
     async def revoke_lease(self, lease_id: int) -> core.Outcome[None]:
         """Revokes a lease with /v3/kv/lease/revoke."""
         body = {"ID": str(lease_id)}
-        reply = await self._call(
-            "/v3/kv/lease/revoke", body, _EmptyReply, is_write=True
+        response = await self._call(
+            "/v3/kv/lease/revoke", body, _EmptyResponse, is_write=True
         )
-        return reply if isinstance(reply, core.Failure) else core.Ok(None)
+        return response if isinstance(response, core.Failure) else core.Ok(None)
 
     async def watch(
         self, prefix: str, start_revision: int, duration_ms: int
@@ -188,9 +194,9 @@
         )
         try:
             while (line := await lines.get()) is not None:
-                reading = _decode_watch(line)
-                yield reading
-                if isinstance(reading, core.Failure):
+                outcome = _decode_watch(line)
+                yield outcome
+                if isinstance(outcome, core.Failure):
                     return
             failure = await stream
             if failure is not None:
@@ -230,8 +236,8 @@
         try:
             await self._http_client().fetch(request)
         except (OSError, httpclient.HTTPError) as error:
-            # The HTTP client cannot abort a request, so a watch ends by the
-            # request timeout.
+            # The HTTP client cannot abort a request, so a watch ends with the
+            # client's error "Timeout during request".
             if "during request" in str(error):
                 return None
             self._switch_gateway()
@@ -257,10 +263,10 @@
                 self._timeout_ms,
             )
             try:
-                reply = await self._http_client().fetch(request)
+                response = await self._http_client().fetch(request)
                 return core.Ok(
                     msgspec.json.decode(
-                        reply.body, type=response_type, strict=False
+                        response.body, type=response_type, strict=False
                     )
                 )
             except msgspec.DecodeError as error:
@@ -330,12 +336,12 @@
 
 def _decode_watch(line: bytes) -> core.Outcome[_store.ReadResult]:
     try:
-        reply = msgspec.json.decode(line, type=_WatchReply, strict=False)
+        response = msgspec.json.decode(line, type=_WatchResponse, strict=False)
     except msgspec.DecodeError as error:
         return _unavailable(f"cannot decode the watch response: {error}")
-    result = reply.result
+    result = response.result
     if result is None or result.canceled:
-        reason = "error" if result is None else result.cancel_reason
+        reason = "no result" if result is None else result.cancel_reason
         return _unavailable(f"the store cancelled the watch: {reason}")
     entries = tuple(
         event.kv.entry() for event in result.events if event.type == "PUT"
@@ -347,6 +353,7 @@
 
 
 def _was_not_sent(error: Exception) -> bool:
+    """Returns whether the request certainly did not reach the store."""
     return isinstance(error, ConnectionRefusedError) or (
         "while connecting" in str(error)
     )
@@ -355,6 +362,6 @@
 def _unavailable(reason: str) -> core.Failure:
     return core.Failure(
         core.ErrorKind.STORE_UNAVAILABLE,
-        f"the store does not answer ({reason}); the active configuration is "
-        "kept, try again later",
+        f"the store does not answer ({reason}); the configuration in force "
+        "is kept, try again later",
     )
--- a/libs/store/src/fireflyford/store/_follower.py
+++ b/libs/store/src/fireflyford/store/_follower.py
@@ -23,16 +23,16 @@
 READER_KEY = "config-reader"
 READER_COUNT = 3
 # Bounds the delay caused by a watch that hangs without an error; a
-# configuration must be active within 3 s.
+# configuration must be in force within 3 s.
 WATCH_DURATION_MS = 2_000
 # Interval at which an instance checks whether it has become a reader.
 _READER_POLL_INTERVAL_MS = 500
 # Retry interval while the store is unavailable. At 500 ms, readers missed a
-# version that was accepted right after an outage and 200 ms before the next.
+# version that was accepted in the 200 ms between two outages.
 _RETRY_INTERVAL_MS = 100
 # Spreads the pulls of instances that learn of a version simultaneously.
 _MAX_PULL_JITTER_MS = 100
-# A new instance that has not received the active version by then starts with
+# A new instance that has not received the version in force by then starts with
 # its configuration file.
 SYNC_TIMEOUT_MS = 3_000
 _SYNC_POLL_INTERVAL_MS = 20
@@ -54,7 +54,7 @@
 
     @abc.abstractmethod
     def is_reader(self) -> bool:
-        """Whether this instance reads the store, in its own membership view."""
+        """Returns whether this instance is a reader, in its own view."""
 
     @abc.abstractmethod
     def sources(self, above: int) -> Sequence[PullSource]:
@@ -75,7 +75,7 @@
     """Applies the newest configuration and serves it to peers.
 
     A record that this instance cannot parse is served to peers but not
-    applied; the previous configuration stays active unchanged.
+    applied; the previous configuration stays in force unchanged.
     """
 
     def __init__(
@@ -103,24 +103,25 @@
         self._apply = apply
         self._config_store = config_store
         self._service = service
-        self._active: _record.ConfigRecord | None = None
+        self._applied: _record.ConfigRecord | None = None
         self._deployment: config.Deployment | None = None
         self._highest: _record.ConfigRecord | None = None
         # Cached, because compression takes milliseconds and many peers pull
         # simultaneously.
         self._compressed_highest = b""
         self._announced = asyncio.Event()
+        # Head version that raised `_store_alarm`, -1 for none.
         self._alarmed_version = -1
         self._is_store_empty = False
         self._created_ms = clock.now_ms()
-        self._rejected_alarm = ""
+        self._rejection_alarm = ""
         self._store_alarm = ""
         self.stale_answer_count = 0
 
     @property
     def version(self) -> int:
-        """Active version, 0 for the configuration file."""
-        return 0 if self._active is None else self._active.version
+        """Version in force, 0 for the configuration file."""
+        return 0 if self._applied is None else self._applied.version
 
     @property
     def highest_version(self) -> int:
@@ -132,7 +133,7 @@
         """Whether the initial synchronization has finished or timed out.
 
         Serving earlier could use a configuration file that is older than the
-        version that was active before a restart.
+        version that was in force before a restart.
         """
         elapsed_ms = self._clock.now_ms() - self._created_ms
         if elapsed_ms >= SYNC_TIMEOUT_MS:
@@ -150,11 +151,11 @@
     @property
     def alarm(self) -> str:
         """Condition that needs operator action, or an empty string."""
-        return self._store_alarm or self._rejected_alarm
+        return self._store_alarm or self._rejection_alarm
 
     def status(self) -> dict[str, object]:
         """Returns the configuration state for the status page."""
-        record = self._active
+        record = self._applied
         return {
             "version": self.version,
             "highest_version": self.highest_version,
@@ -186,9 +187,9 @@
         if isinstance(parsed, core.Failure):
             self._reject(record.version, parsed.message)
         else:
-            self._active = record
+            self._applied = record
             self._deployment = parsed.value
-            self._rejected_alarm = ""
+            self._rejection_alarm = ""
             self._apply(parsed.value)
             telemetry.log(
                 "config-in-force", version=record.version, source=source
@@ -198,8 +199,8 @@
 
     def _reject(self, version: int, reason: str) -> None:
         alarm = f"version {version} was not applied: {reason}"
-        if alarm != self._rejected_alarm:
-            self._rejected_alarm = alarm
+        if alarm != self._rejection_alarm:
+            self._rejection_alarm = alarm
             telemetry.log(
                 "config-held-back",
                 version=version,
@@ -224,7 +225,7 @@
     def _service_record(
         self, request: _record.PullRequest
     ) -> _record.ConfigRecord | None:
-        record, deployment = self._active, self._deployment
+        record, deployment = self._applied, self._deployment
         if record is None or deployment is None:
             return None
         if record.version <= request.above:
@@ -281,7 +282,7 @@
         config_store: _config_store.ConfigStore,
         state: _config_store.ConfigState,
     ) -> None:
-        """Raises an alarm if the store no longer has the active version."""
+        """Raises an alarm if the store lost the highest record received."""
         highest = self._highest
         if highest is None or state.head.version > highest.version:
             self._store_alarm = ""
@@ -297,9 +298,10 @@
         if self._alarmed_version != state.head.version:
             self._alarmed_version = state.head.version
             self._store_alarm = (
-                f"version {state.head.version} in the store differs from the "
-                f"active version {highest.version}; the store was restored "
-                f"from an older snapshot: push again with --base {floor}"
+                f"version {state.head.version} in the store differs from "
+                f"version {highest.version} received earlier; the store was "
+                "restored from an older snapshot: push again with "
+                f"--base {floor}"
             )
             telemetry.log(
                 "config-store-went-back",
--- a/libs/store/src/fireflyford/store/_record.py
+++ b/libs/store/src/fireflyford/store/_record.py
@@ -14,7 +14,7 @@
 # Format version of `ConfigRecord`; its text has a separate format version.
 RECORD_FORMAT = 1
 # Above the store's value limit, so that no record is truncated.
-_MAX_MESSAGE_BYTES = 4 << 20
+_MAX_RECORD_BYTES = 4 << 20
 
 
 @dataclasses.dataclass(frozen=True)
@@ -64,8 +64,8 @@
 class Floor:
     """Lowest base version that a push may have.
 
-    Readers write it if the store's version is behind the active one, which
-    happens after a restore from an older snapshot.
+    Readers write it if the store's version is behind the version in force,
+    which happens after a restore from an older snapshot.
     """
 
     version: int
@@ -141,7 +141,7 @@
 def decompress_record(data: bytes) -> ConfigRecord | None:
     """Decodes the output of `compress_record`; None if invalid."""
     try:
-        body = zlib.decompressobj().decompress(data, _MAX_MESSAGE_BYTES)
+        body = zlib.decompressobj().decompress(data, _MAX_RECORD_BYTES)
     except zlib.error:
         return None
     return decode(body, ConfigRecord)
--- a/libs/store/tests/test_config_store.py
+++ b/libs/store/tests/test_config_store.py
@@ -59,7 +59,7 @@
 
 
 def test_one_of_two_concurrent_pushes_succeeds() -> None:
-    """Guards against lost updates and conflicts without an author."""
+    """Guards against lost updates, and conflicts that name no author."""
 
     async def body(config_store: store.ConfigStore, _: Server) -> None:
         await push(config_store, with_targets(7), 0)
@@ -116,7 +116,7 @@
 
 
 def test_push_to_unavailable_store_writes_nothing() -> None:
-    """Guards against a push that hangs or results a false success."""
+    """Guards against a push that hangs or reports a false success."""
 
     async def body(config_store: store.ConfigStore, server: Server) -> None:
         server.switches.down = True
@@ -201,7 +201,7 @@
     run_with_store(body)
 
 
-def test_push_after_restore_requires_active_base() -> None:
+def test_push_after_restore_requires_base_in_force() -> None:
     """Guards against accepted pushes that no instance would apply."""
 
     async def body(config_store: store.ConfigStore, server: Server) -> None:
--- a/libs/store/tests/test_follower.py
+++ b/libs/store/tests/test_follower.py
@@ -111,7 +111,7 @@
 
 
 def test_stale_peer_is_ignored() -> None:
-    """Guards against a rollback by a peer that announces a missing version."""
+    """Guards against a rollback by a peer without the version it announced."""
 
     async def body() -> None:
         stale, instance = Instance(), Instance()
@@ -142,7 +142,7 @@
     asyncio.run(body())
 
 
-def test_new_instance_waits_for_active_version() -> None:
+def test_new_instance_waits_for_version_in_force() -> None:
     """Guards against a restart that serves an outdated configuration file."""
 
     async def body() -> None:
@@ -212,9 +212,9 @@
 
 
 async def _run_with_restored_store(
-    active_record: store.ConfigRecord, pushes_after: Sequence[str]
+    record_in_force: store.ConfigRecord, pushes_after: Sequence[str]
 ) -> tuple[Instance, core.Outcome[store.ConfigState]]:
-    """Runs a reader whose store is behind the active version."""
+    """Runs a reader whose store is behind the version in force."""
     server = _store_server.StoreServer()
     address = _ports.free_address()
     server.listen(address)
@@ -222,7 +222,7 @@
         store.EtcdStore([address]), core.SystemClock()
     )
     instance = Instance(config_store)
-    instance.follower.apply_if_newer(active_record, "test")
+    instance.follower.apply_if_newer(record_in_force, "test")
     for base, author in enumerate(pushes_after):
         push = store.Push(config.render(BASE), base, author)
         await config_store.push(push)
--- a/libs/store/tests/test_join.py
+++ b/libs/store/tests/test_join.py
@@ -38,7 +38,7 @@
     return entry, seeds
 
 
-def test_expired_lease_is_renewed() -> None:
+def test_entry_is_rewritten_after_lease_expiry() -> None:
     """Guards against an entry that is not rewritten after its lease expired."""
     entry, seeds = asyncio.run(_run_past_lease_expiry())
     assert entry.expired_count == 1
