--- a/libs/config/src/fireflyford/config/_check.py
+++ b/libs/config/src/fireflyford/config/_check.py
@@ -90,37 +90,37 @@
         yield from _find_shadowed(prefix, service.treatments[:index], treatment)
 
 
-def _check_treatment(prefix: str, item: _types.Treatment) -> Iterator[str]:
-    prefix = f"{prefix}: treatment {item.name}"
-    if not _NAME_PATTERN.fullmatch(item.name):
+def _check_treatment(prefix: str, treatment: _types.Treatment) -> Iterator[str]:
+    prefix = f"{prefix}: treatment {treatment.name}"
+    if not _NAME_PATTERN.fullmatch(treatment.name):
         yield (
             f"{prefix}: the name must have 1 to 63 characters a-z, 0-9 or "
             "hyphen"
         )
-    if item.method not in _METHODS:
+    if treatment.method not in _METHODS:
         expected = ", ".join(sorted(_METHODS))
-        yield f"{prefix}: `method` is {item.method!r}, expected {expected}"
-    if not item.path_prefix.startswith("/"):
+        yield f"{prefix}: `method` is {treatment.method!r}, expected {expected}"
+    if not treatment.path_prefix.startswith("/"):
         yield (
-            f"{prefix}: `path_prefix` is {item.path_prefix!r}, expected a "
+            f"{prefix}: `path_prefix` is {treatment.path_prefix!r}, expected a "
             "path that starts with /"
         )
-    if not 1 <= item.deadline_ms <= MAX_DEADLINE_MS:
+    if not 1 <= treatment.deadline_ms <= MAX_DEADLINE_MS:
         yield (
-            f"{prefix}: `deadline_ms` is {item.deadline_ms}, expected 1 to "
-            f"{MAX_DEADLINE_MS}"
+            f"{prefix}: `deadline_ms` is {treatment.deadline_ms}, expected "
+            f"1 to {MAX_DEADLINE_MS}"
         )
-    if not 0 <= item.priority <= MAX_PRIORITY:
+    if not 0 <= treatment.priority <= MAX_PRIORITY:
         yield (
-            f"{prefix}: `priority` is {item.priority}, expected 0 to "
+            f"{prefix}: `priority` is {treatment.priority}, expected 0 to "
             f"{MAX_PRIORITY}"
         )
-    if item.kind is _types.Kind.FEED and item.method != "GET":
-        yield f"{prefix}: a feed needs method GET, not {item.method}"
-    if item.idempotent and item.method in _NON_IDEMPOTENT_METHODS:
+    if treatment.kind is _types.Kind.FEED and treatment.method != "GET":
+        yield f"{prefix}: a feed needs method GET, not {treatment.method}"
+    if treatment.idempotent and treatment.method in _NON_IDEMPOTENT_METHODS:
         yield (
-            f"{prefix}: {item.method} is not idempotent; set `idempotent` to "
-            "false, so that requests are executed at most once"
+            f"{prefix}: {treatment.method} is not idempotent; set "
+            "`idempotent` to false, so that requests are executed at most once"
         )
 
 
