--- a/libs/telemetry/src/fireflyford/telemetry/_instruments.py
+++ b/libs/telemetry/src/fireflyford/telemetry/_instruments.py
@@ -9,12 +9,13 @@
 
 from fireflyford.telemetry import _exposition
 
-# Upper bucket bounds, from the transit time of a packet to the longest client
-# wait.
+# Upper bucket bounds, from the transit time of a packet to the longest time
+# that a caller waits.
 BOUNDS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000)
 # Limit per process; each series takes about 100 bytes in a scrape.
 MAX_SERIES = 300
-# Reasons that are identifiers; other reasons are messages of external programs.
+# Reasons that match become labels; all others are error messages of external
+# programs, whose number is unbounded.
 _IDENTIFIER_PATTERN = re.compile(r"[a-z0-9_-]{1,40}")
 _OVERFLOW_LABEL = "other"
 
--- a/libs/telemetry/src/fireflyford/telemetry/_writer.py
+++ b/libs/telemetry/src/fireflyford/telemetry/_writer.py
@@ -20,7 +20,7 @@
     """
 
     def __init__(self, stream: TextIO) -> None:
-        """Takes a stream; its file descriptor, if any, becomes non-blocking."""
+        """Sets the stream's file descriptor, if any, to non-blocking mode."""
         self._stream = stream
         self._buffer: collections.deque[bytes] = collections.deque()
         self._tokens = BURST_LINES
