Reword what was vague in the command line

Names: _instances.fetch_all -> fetch_statuses; options -> loaded, as in explain; _PROGRAM_VALUE -> _PROGRAM_VARIABLE; hidden_count -> omitted_count, as in the store library; ticket, which holds a rule for retries, -> retry_rule; _FIELD -> _FIELD_PATTERN; test_a_token_is_keyed_by_its_name -> test_an_issued_token_is_valid.

No test and no page matches them. The help of 'token' no longer says 'closed service', which the code explains nowhere.

--- a/libs/cli/src/fireflyford/cli/_commands.py
+++ b/libs/cli/src/fireflyford/cli/_commands.py
@@ -121,7 +121,7 @@
     def token(
         self, name: str, settings_path: str = "", key_hex: str = ""
     ) -> _job.Job:
-        """Issues the token that a caller needs for a closed service.
+        """Issues the token that a caller needs if its service requires one.
 
         Args:
             name: Name of the caller.
@@ -149,18 +149,18 @@
 
 
 def _run_balancer(path: str) -> core.Outcome[str]:
-    options = settings.load(path, settings.BalancerSettings)
-    if isinstance(options, core.Failure):
-        return options
-    outcome = balancer.run(options.value)
+    loaded = settings.load(path, settings.BalancerSettings)
+    if isinstance(loaded, core.Failure):
+        return loaded
+    outcome = balancer.run(loaded.value)
     return outcome if isinstance(outcome, core.Failure) else core.Ok("")
 
 
 def _run_agent(path: str) -> core.Outcome[str]:
-    options = settings.load(path, settings.AgentSettings)
-    if isinstance(options, core.Failure):
-        return options
-    outcome = agent.run(options.value)
+    loaded = settings.load(path, settings.AgentSettings)
+    if isinstance(loaded, core.Failure):
+        return loaded
+    outcome = agent.run(loaded.value)
     return outcome if isinstance(outcome, core.Failure) else core.Ok("")
 
 
@@ -168,10 +168,10 @@
     name: str, settings_path: str, key_hex: str
 ) -> core.Outcome[str]:
     if settings_path:
-        options = settings.load(settings_path, settings.AgentSettings)
-        if isinstance(options, core.Failure):
-            return options
-        key_hex = options.value.caller_key_hex
+        loaded = settings.load(settings_path, settings.AgentSettings)
+        if isinstance(loaded, core.Failure):
+            return loaded
+        key_hex = loaded.value.caller_key_hex
     try:
         key = bytes.fromhex(key_hex)
     except ValueError:
--- a/libs/cli/src/fireflyford/cli/_config_commands.py
+++ b/libs/cli/src/fireflyford/cli/_config_commands.py
@@ -15,14 +15,14 @@
 from fireflyford.cli import _targets
 
 _PROGRAM_SUFFIX = ".py"
-_PROGRAM_VALUE = "DEPLOYMENT"
+_PROGRAM_VARIABLE = "DEPLOYMENT"
 
 
 class ConfigCommands:
     """Reviews, pushes and shows configurations.
 
     A file is either a printed configuration (JSON) or an operator's program
-    (.py) with a value DEPLOYMENT.
+    (.py) that defines DEPLOYMENT.
     """
 
     def check(self, file: str) -> _job.Job:
@@ -114,7 +114,7 @@
 async def read_audit(
     limit: int, gateways: str, details: bool
 ) -> core.Outcome[str]:
-    """Formats the audit trail, newest first."""
+    """Reads and formats the audit trail, newest first."""
     opened = _open_store(gateways)
     if isinstance(opened, core.Failure):
         return opened
@@ -126,9 +126,9 @@
         lines.append(_format_entry(entry))
         if details:
             lines += [f"    {change}" for change in entry.changes]
-            hidden_count = entry.change_count - len(entry.changes)
-            if hidden_count:
-                lines.append(f"    and {hidden_count} more")
+            omitted_count = entry.change_count - len(entry.changes)
+            if omitted_count:
+                lines.append(f"    and {omitted_count} more")
     return core.Ok("\n".join(lines) or "no configuration was pushed yet")
 
 
@@ -162,14 +162,14 @@
 
 def _load_program(file: str) -> core.Outcome[config.Deployment]:
     try:
-        value = runpy.run_path(file).get(_PROGRAM_VALUE)
+        value = runpy.run_path(file).get(_PROGRAM_VARIABLE)
     except OSError:
         raise
     except Exception as error:  # The operator's program may raise anything.
         return _config_error(file, f"the program failed: {error!r}")
     if not isinstance(value, config.Deployment):
         return _config_error(
-            file, f"the program has no {_PROGRAM_VALUE}; add one"
+            file, f"the program has no {_PROGRAM_VARIABLE}; add one"
         )
     return core.Ok(value)
 
@@ -291,8 +291,8 @@
     head_version = state.value.head.version
     if head_version < state.value.floor_version:
         print(
-            f"alarm: the store holds version {head_version}, but instances "
-            f"run another one: it was restored from an older snapshot; see "
+            "alarm: the store was restored from an older snapshot and has "
+            f"version {head_version}, but instances run another one; see "
             "`config show --instance ADDRESS` and push with "
             f"--base {state.value.floor_version}",
             file=sys.stderr,
--- a/libs/cli/src/fireflyford/cli/_explain.py
+++ b/libs/cli/src/fireflyford/cli/_explain.py
@@ -57,7 +57,7 @@
     )
     if isinstance(flow, core.Failure):
         return flow
-    lines = [f"as {status.instance_id} sees it:", *flow.value]
+    lines = [f"in the view of {status.instance_id}:", *flow.value]
     if path:
         lines += _explain_request(service_config, method, path)
     return core.Ok("\n".join(lines))
@@ -169,12 +169,12 @@
         f"request: treatment {treatment.name}, the first that matches "
         f"{treatment.method} {treatment.path_prefix}"
     )
-    ticket = (
+    retry_rule = (
         "runs again on a retry"
         if treatment.idempotent
-        else ("needs a ticket and runs at most once")
+        else "needs a ticket and runs at most once"
     )
-    yield f"  {treatment.kind.value}, {treatment.size.value}, {ticket}"
+    yield f"  {treatment.kind.value}, {treatment.size.value}, {retry_rule}"
     yield (
         f"  deadline {treatment.deadline_ms} ms, priority "
         f"{treatment.priority}, under overload: {treatment.at_crest.value}"
--- a/libs/cli/src/fireflyford/cli/_instances.py
+++ b/libs/cli/src/fireflyford/cli/_instances.py
@@ -87,13 +87,13 @@
             if status.value.role == core.Role.BALANCER.value:
                 return core.Ok((address, status.value))
             status = _unreachable(
-                address, "is not a balancer; give the status port of one"
+                address, "expected a balancer, found another role"
             )
         failure = status
     return failure or _unreachable("--instance", "no address")
 
 
-async def fetch_all(
+async def fetch_statuses(
     addresses: Iterable[str],
 ) -> list[core.Outcome[InstanceStatus]]:
     """Fetches the status of instances, with limited concurrency."""
--- a/libs/cli/src/fireflyford/cli/_targets.py
+++ b/libs/cli/src/fireflyford/cli/_targets.py
@@ -155,7 +155,7 @@
         and member.state in ("alive", "draining")
         and service in ("", member.service)
     }
-    statuses = await _instances.fetch_all(
+    statuses = await _instances.fetch_statuses(
         member.status_address for member in agents.values()
     )
     return core.Ok(
--- a/libs/cli/src/fireflyford/cli/_trace.py
+++ b/libs/cli/src/fireflyford/cli/_trace.py
@@ -7,8 +7,8 @@
 
 from fireflyford import core
 
-# Events this close to the last line of a flow may have caused its end; the
-# deadline of most requests.
+# Events within this time of the last line of a flow may have caused its end.
+# Equals the deadline of most requests.
 CAUSE_WINDOW_S = 4.0
 # Events that concern all flows of the instance that logs them.
 _CAUSE_EVENTS = frozenset(
@@ -25,7 +25,7 @@
         "log-lines-dropped",
     }
 )
-_FIELD = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"|\S+)')
+_FIELD_PATTERN = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"|\S+)')
 
 
 @dataclasses.dataclass(frozen=True)
@@ -33,7 +33,7 @@
     """One log line.
 
     Attributes:
-        time_s: Time of day, Unix seconds.
+        time_s: Unix time in seconds.
         event: Name of the event.
         instance: Instance that logged it.
         flow: Flow that it concerns, empty for none.
@@ -53,7 +53,9 @@
     >>> parse_line("time=1.5 event=started instance=agent-1").event
     'started'
     """
-    fields = {key: value.strip('"') for key, value in _FIELD.findall(text)}
+    fields = {
+        key: value.strip('"') for key, value in _FIELD_PATTERN.findall(text)
+    }
     try:
         time_s = float(fields["time"])
     except (KeyError, ValueError):
--- a/libs/cli/tests/test_cli.py
+++ b/libs/cli/tests/test_cli.py
@@ -36,7 +36,7 @@
     return code, captured.out, captured.err
 
 
-def test_a_token_is_keyed_by_its_name(
+def test_an_issued_token_is_valid(
     monkeypatch: pytest.MonkeyPatch, capsys: Output
 ) -> None:
     """Guards against tokens that agents reject."""
