--- a/examples/hanul.py
+++ b/examples/hanul.py
@@ -32,13 +32,13 @@
     return config.Service(name, address, target_count, treatments=treatments)
 
 
-DESK = service(
+AUCTION_DESK = service(
     "auction-desk", 4433, 7, "reservation", "lot-sheet", "price-board"
 )
-SHEETS = service(
+CATALOGUE = service(
     "catalogue", 4434, 3, "sheet-order", "photo-sheet", "news-feed"
 )
-DEPLOYMENT = config.Deployment("hanul", (REGION,), (DESK, SHEETS))
+DEPLOYMENT = config.Deployment("hanul", (REGION,), (AUCTION_DESK, CATALOGUE))
 
 if __name__ == "__main__":
     print(config.render(DEPLOYMENT), end="")
