--- a/libs/cli/src/fireflyford/cli/_explain.py
+++ b/libs/cli/src/fireflyford/cli/_explain.py
@@ -57,7 +57,7 @@
     )
     if isinstance(flow, core.Failure):
         return flow
-    lines = [f"in the view of {status.instance_id}:", *flow.value]
+    lines = [f"as {status.instance_id} sees it:", *flow.value]
     if path:
         lines += _explain_request(service_config, method, path)
     return core.Ok("\n".join(lines))
--- a/libs/store/src/fireflyford/store/_etcd.py
+++ b/libs/store/src/fireflyford/store/_etcd.py
@@ -341,7 +341,7 @@
         return _unavailable(f"cannot decode the watch response: {error}")
     result = response.result
     if result is None or result.canceled:
-        reason = "no result" if result is None else result.cancel_reason
+        reason = "error" if result is None else result.cancel_reason
         return _unavailable(f"the store cancelled the watch: {reason}")
     entries = tuple(
         event.kv.entry() for event in result.events if event.type == "PUT"
