--- a/libs/cli/src/fireflyford/cli/_explain.py
+++ b/libs/cli/src/fireflyford/cli/_explain.py
@@ -169,12 +169,12 @@
         f"request: treatment {treatment.name}, the first that matches "
         f"{treatment.method} {treatment.path_prefix}"
     )
-    ticket = (
+    retry_rule = (
         "runs again on a retry"
         if treatment.idempotent
-        else ("needs a ticket and runs at most once")
+        else "needs a ticket and runs at most once"
     )
-    yield f"  {treatment.kind.value}, {treatment.size.value}, {ticket}"
+    yield f"  {treatment.kind.value}, {treatment.size.value}, {retry_rule}"
     yield (
         f"  deadline {treatment.deadline_ms} ms, priority "
         f"{treatment.priority}, under overload: {treatment.at_crest.value}"
