Reword comments of the lab that needed a second reading

Say what a time-out, a report or a lease means where only the code told it, and call the stand-in store and the default policies by one name. An error text changes: a caller process that prints something other than ready was reported as one that exited.

--- a/libs/lab/src/fireflyford/lab/_backend.py
+++ b/libs/lab/src/fireflyford/lab/_backend.py
@@ -29,10 +29,10 @@
     """Simulated behaviour of a backend server.
 
     Attributes:
-        slot_count: Requests that run at a time.
+        slot_count: Number of requests that run concurrently.
         speed: Speed relative to the nominal execution times.
         cold_count: Number of first requests that take three times as long.
-        max_waiting_count: Waiting requests from which on it sheds load.
+        max_waiting_count: Sheds load once this many requests are waiting.
         report_lag_ms: Age of the reported load and health.
         reports_idle: Whether it always reports no load.
         reports_healthy: Whether it always reports good health.
@@ -261,10 +261,10 @@
     Args:
         address: `ip:port` to listen on.
         name: Name in the execution log.
-        slot_count: Requests that run at a time.
+        slot_count: Number of requests that run concurrently.
         speed: Speed relative to the nominal execution times.
         cold_count: Number of first requests that take three times as long.
-        max_waiting_count: Waiting requests from which on it sheds load.
+        max_waiting_count: Sheds load once this many requests are waiting.
         report_lag_ms: Age of the reported load and health.
         reports_idle: Whether it always reports no load.
         reports_healthy: Whether it always reports good health.
--- a/libs/lab/src/fireflyford/lab/_caller_processes.py
+++ b/libs/lab/src/fireflyford/lab/_caller_processes.py
@@ -22,15 +22,18 @@
         self._process = process
 
     async def wait_ready(self) -> None:
-        """Waits until all feeds deliver events.
+        """Waits until all feeds deliver events or their opening times out.
 
         Raises:
-            TimeoutError: They do not within 60 s.
+            TimeoutError: The process did not print `ready` within 60 s.
             RuntimeError: The process exited or printed something else.
         """
         async with asyncio.timeout(_READY_TIMEOUT_S):
             if await self._read_line() != b"ready":
-                raise RuntimeError("caller process exited before it was ready")
+                raise RuntimeError(
+                    "caller process exited or printed something other than "
+                    "`ready`"
+                )
 
     async def finish(self) -> _callers.CallerStatistics:
         """Stops the callers and returns their statistics."""
--- a/libs/lab/src/fireflyford/lab/_callers.py
+++ b/libs/lab/src/fireflyford/lab/_callers.py
@@ -1,8 +1,8 @@
 """Callers in a separate process that keep feeds open and send requests.
 
 Usage: `fireflyford-lab callers --address IP:PORT --service NAME ...`. It
-prints `ready` once all feeds deliver events, and its statistics as one JSON
-object when its standard input closes.
+prints `ready` once all feeds deliver events or their opening times out, and
+its statistics as one JSON object when its standard input closes.
 """
 
 import asyncio
@@ -137,7 +137,7 @@
         self.started.set()
 
     def start_measurement(self) -> None:
-        """Resets what the opening of the flows has affected."""
+        """Discards what was measured while the flows were being opened."""
         self._initial_counts = (
             self.statistics.moved_count,
             self.statistics.broken_count,
--- a/libs/lab/src/fireflyford/lab/_commands.py
+++ b/libs/lab/src/fireflyford/lab/_commands.py
@@ -21,7 +21,7 @@
 
 
 class Commands:
-    """Experiments with real processes on loopback."""
+    """Experiments and scenarios, with real processes or in virtual time."""
 
     def __init__(self) -> None:
         """Adds the commands that other modules implement."""
--- a/libs/lab/src/fireflyford/lab/_fault_links.py
+++ b/libs/lab/src/fireflyford/lab/_fault_links.py
@@ -72,7 +72,7 @@
         return self._plans.get(source) or self._plans[""]
 
     def is_frozen(self, flow: bytes, source: str) -> bool:
-        """Returns whether a flow is frozen and all its traffic is held."""
+        """Returns whether a flow is frozen, so that no traffic passes."""
         key = source if source in self._plans else ""
         return flow in self._frozen.get(key, ())
 
--- a/libs/lab/src/fireflyford/lab/_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_fleet.py
@@ -24,8 +24,8 @@
 
 _START_TIMEOUT_MS = 60_000
 _POLL_MS = 50
-# Health checks of the simulated fabric. A balancer that fails two in a row gets
-# no more datagrams.
+# Health checks of the fabric. A balancer that fails two in a row gets no more
+# datagrams.
 _HEALTH_INTERVAL_MS = 500
 _UNHEALTHY_THRESHOLD = 2
 _STATUS_TIMEOUT_S = 1.0
@@ -255,8 +255,8 @@
             if item.process.poll() is None
         ]
         for balancer in running:
-            # Processes that stop during the wait are left out: such a balancer
-            # need not know any target, and no balancer such a target.
+            # Skips balancers that exit and targets that are removed during the
+            # wait.
             while balancer.process.poll() is None and (
                 missing := (expected - await self._alive_members(balancer))
                 & self.targets.keys()
--- a/libs/lab/src/fireflyford/lab/_model.py
+++ b/libs/lab/src/fireflyford/lab/_model.py
@@ -38,6 +38,7 @@
         self.speed = speed
         self._slots = asyncio.Semaphore(slot_count)
         self.executions: list[Execution] = []
+        # Busy time of all slots, by second.
         self.busy_ms: collections.Counter[int] = collections.Counter()
         self.running_count = 0
         self.dead = False
--- a/libs/lab/src/fireflyford/lab/_packet_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_packet_fleet.py
@@ -86,7 +86,7 @@
     """Parameters of a backend server.
 
     Attributes:
-        slot_count: Requests that run at a time.
+        slot_count: Number of requests that run concurrently.
         queue_count: Maximum length of the queue; further requests are shed.
         service_ms: Service time of a request.
         service: Service to which the backend server belongs.
--- a/libs/lab/src/fireflyford/lab/_platform_store.py
+++ b/libs/lab/src/fireflyford/lab/_platform_store.py
@@ -54,6 +54,7 @@
         """Starts empty."""
         self.revision = FIRST_REVISION
         self.items: dict[str, Item] = {}
+        # Duration and expiry time of each lease, in s.
         self.leases: dict[int, tuple[float, float]] = {}
         self.events: list[dict[str, Any]] = []
         self.first_event_revision = FIRST_REVISION
--- a/libs/lab/src/fireflyford/lab/_plot.py
+++ b/libs/lab/src/fireflyford/lab/_plot.py
@@ -16,7 +16,7 @@
 
     Raises:
         OSError: The file cannot be read.
-        msgspec.DecodeError: The file is not a result.
+        msgspec.DecodeError: The file is not valid JSON.
     """
     fields: dict[str, Any] = msgspec.json.decode(
         pathlib.Path(path).read_bytes()
--- a/libs/lab/src/fireflyford/lab/_store_server.py
+++ b/libs/lab/src/fireflyford/lab/_store_server.py
@@ -62,6 +62,7 @@
         self.revision = 1
         self.values: dict[bytes, _StoredValue] = {}
         self.events: list[_Event] = []
+        # Duration and expiry time of each lease, in s.
         self.leases: dict[int, tuple[int, float]] = {}
         self.changed = asyncio.Condition()
         self._snapshot: tuple[int, dict[bytes, _StoredValue]] = (1, {})
@@ -97,7 +98,7 @@
         return self._next_lease_id
 
     def renew(self, lease_id: int) -> int:
-        """Renews a lease; returns its duration, 0 when it has lapsed."""
+        """Renews a lease; returns its duration, 0 if it has expired."""
         if lease_id not in self.leases:
             return 0
         duration_s, _ = self.leases[lease_id]
--- a/libs/lab/src/fireflyford/lab/experiments/_config_trial.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_config_trial.py
@@ -119,7 +119,7 @@
         return version
 
     async def wait_ready_version(self, name: str) -> int:
-        """Returns the version of a new balancer once it is ready, or -1."""
+        """Returns the version of a balancer once it is ready, -1 on timeout."""
         address = self.fleet.balancers[name].status_address
         client = httpclient.AsyncHTTPClient()
         limit_ms = CLOCK.now_ms() + _TIMEOUT_MS
--- a/libs/lab/src/fireflyford/lab/experiments/_configuration.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_configuration.py
@@ -1,7 +1,7 @@
 """Experiments on configuration pushes, propagation and store failures.
 
-Every experiment runs real balancers, agents and the test store, and samples
-the version of every balancer meanwhile.
+Every experiment runs real balancers, agents and the stand-in store, and
+samples the version of every balancer meanwhile.
 """
 
 import asyncio
@@ -227,7 +227,7 @@
     async def _replace_balancers(
         self, trial: _config_trial.Trial
     ) -> list[Figure]:
-        """Replaces three balancers, one a reader, while the store is down."""
+        """Replaces three balancers, one a config reader, in a store outage."""
         await trial.set_store_faults(down=True)
         old_count = 0
         for name in list(trial.fleet.balancers)[:3]:
--- a/libs/lab/src/fireflyford/lab/experiments/_control_fleet.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_control_fleet.py
@@ -40,7 +40,7 @@
     tasks: tuple[asyncio.Task[None], ...]
 
     def traffic(self) -> tuple[int, int]:
-        """Returns the bytes with headers, and datagrams, of both directions."""
+        """Returns bytes, with headers, and datagrams, sent and received."""
         channel = self.channel
         count = channel.sent_count + channel.received_count
         total_bytes = (
--- a/libs/lab/src/fireflyford/lab/experiments/_flow_experiment.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_flow_experiment.py
@@ -74,7 +74,7 @@
         self.callers: list[_caller_processes.CallerProcess] = []
         self.fast_callers: list[_caller_processes.CallerProcess] = []
         self.exit_codes: list[int] = []
-        # Feeds that were open on targets when these were killed.
+        # Feeds that were open on targets when the targets were killed.
         self.lost_feed_count = 0
         self._counters: dict[str, dict[str, int]] = {}
 
--- a/libs/lab/src/fireflyford/lab/experiments/_packet_flows.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_packet_flows.py
@@ -32,8 +32,9 @@
 _REQUEST_COUNT = 4_000
 _LONG_LIVED_FLOW_COUNT = 60
 _UTILIZATIONS = (0.7, 0.9)
-# Lower bound of the network delay, for the first packet and for the request:
-# from client to balancer, by the directory agent to the agent, and the answer.
+# Lower bound of the network delay: one round trip to open the flow and one for
+# the request. Each packet goes from the client through a balancer to the agent,
+# at best without a hop through another agent; the answer goes directly back.
 _MIN_PATH_DELAY_MS = (
     4 * _packet_fleet.CLIENT_DELAY_MS + 2 * _packet_fleet.LINK_DELAY_MS
 )
--- a/libs/lab/src/fireflyford/lab/experiments/_quic_cost.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_quic_cost.py
@@ -178,7 +178,7 @@
         return "CPU and memory of QUIC through aioquic, both ends"
 
     async def run(self, seed: int) -> _framework.Result:
-        """Runs the experiment once; only keys are random, not by `seed`."""
+        """Runs the experiment once; only keys are random, and not seeded."""
         figures = await asyncio.to_thread(_measure)
         return _framework.Result(self.name, seed, figures)
 
--- a/libs/lab/src/fireflyford/lab/experiments/_request_processes.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_request_processes.py
@@ -1,7 +1,7 @@
 """End-to-end experiments on requests with real processes.
 
 The other experiments on requests use virtual time; these check that the same
-decisions hold with sockets, test backend servers and a busy machine.
+decisions hold with sockets and processes on a busy machine.
 """
 
 import asyncio
@@ -86,8 +86,7 @@
                 "ratio",
                 1.5,
             ),
-            # Does not count the fetch of a ticket by the first request of a
-            # connection, since these requests need no ticket.
+            # No attempt fetches a ticket, since these requests need none.
             _framework.Figure(
                 "attempts per request", attempts / len(samples), "ratio", 1.1
             ),
--- a/libs/lab/src/fireflyford/lab/experiments/_requests.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_requests.py
@@ -43,7 +43,7 @@
 
 
 class Imbalance(_framework.Experiment):
-    """Utilization of targets of different speeds that report wrong loads."""
+    """Utilization of targets of different speeds with inaccurate reports."""
 
     @property
     def name(self) -> str:
@@ -56,7 +56,7 @@
         return "use of targets by second, 70 % load, fourfold speeds"
 
     async def run(self, seed: int) -> _framework.Result:
-        """Runs our placement policy and the baselines."""
+        """Runs the default placement policy and the baselines."""
         policies = (
             _Policy.DEFAULT,
             _Policy.RANDOM,
@@ -167,7 +167,7 @@
         return "demand peak of 300 % for 10 s, with and without a fault"
 
     async def run(self, seed: int) -> _framework.Result:
-        """Runs the peak with our policy, the baselines, and with faults."""
+        """Runs the peak with default policies, baselines and faults."""
         plan = _service_runs.Plan(
             seed,
             mean_ms=40.0,
--- a/libs/lab/src/fireflyford/lab/scenarios/_process_environment.py
+++ b/libs/lab/src/fireflyford/lab/scenarios/_process_environment.py
@@ -162,6 +162,7 @@
         await asyncio.gather(*self._actions)
         parts = [await feeds.stop() for feeds in self._feeds]
         self._feed_figures = _callers.merge_statistics(parts)
+        # The first two tasks, health checks and polling, run until `close`.
         for task in self._tasks[2:]:
             task.cancel()
         for load in self._loads:
--- a/libs/lab/tests/test_flow_handover.py
+++ b/libs/lab/tests/test_flow_handover.py
@@ -37,7 +37,7 @@
 
 
 class ExplorationState:
-    """State of the exploration."""
+    """Agents, routers, messages in transit and remaining faults of a run."""
 
     def __init__(
         self,
--- a/libs/lab/tests/test_interleavings.py
+++ b/libs/lab/tests/test_interleavings.py
@@ -52,6 +52,8 @@
 
 @dataclasses.dataclass(frozen=True, eq=False)
 class _Message:
+    """A request in transit, or its answer if `answer` is set."""
+
     receiver: int
     start: Callable[[requests.RequestEngine], object]
     reply: "asyncio.Future[Outcome] | None"
--- a/libs/lab/tests/test_ports.py
+++ b/libs/lab/tests/test_ports.py
@@ -25,8 +25,9 @@
         for output in outputs
         for port in output.strip("[]\n").split(", ")
     ]
-    # The two processes may exit one after the other and so use the same blocks.
-    # Neither may get a port of this process, which still holds its blocks.
+    # The two processes may use the same blocks if one exits before the other
+    # starts. Neither may get a port of this process, which still holds its
+    # blocks.
     assert not set(own) & set(ports[150:])
     assert len(set(own)) == 150
 
