Rename what the lab calls by a vague name or by two names

Job.name is the kind of a request: kind. FlowRun named both a simulation and a run with processes: the simulation is FlowSimulation, with baseline_counts beside its list of baselines (was baselines) and _schedule_view_updates (was _spread). RequestResult named one request and a whole run: the run is RunSummary. PlacementMaker is PlacementFactory, as for requests. exit_codes is exit_statuses, as in the docstrings. The duration_ms of a scenario's requests is their nominal execution time: nominal_ms; durations_ms is elapsed_ms. Message.packet and Delivery.packet are numbers: packet_number.

Local names: a ticket's name is ticket_name and the ticket itself ticket (were ticket, issued and header); handler (was answer) for a function; settings (was options), profile (demand), speeds_by_name (by_name), plot_path (target), ratios (shares), transmission_ratio (round_ratio), specs (plans), service_times_ms (speeds_ms in a test).

--- a/libs/lab/src/fireflyford/lab/_backend.py
+++ b/libs/lab/src/fireflyford/lab/_backend.py
@@ -88,8 +88,8 @@
         now_ms = time.monotonic() * 1000
         healthy = not (self.draining or self.failing)
         self._reports.append((now_ms, len(self.tasks), healthy))
-        limit_ms = now_ms - self.behaviour.report_lag_ms
-        while len(self._reports) > 1 and self._reports[1][0] <= limit_ms:
+        as_of_ms = now_ms - self.behaviour.report_lag_ms
+        while len(self._reports) > 1 and self._reports[1][0] <= as_of_ms:
             self._reports.popleft()
         _, load, healthy = self._reports[0]
         return (
--- a/libs/lab/src/fireflyford/lab/_fault_runs.py
+++ b/libs/lab/src/fireflyford/lab/_fault_runs.py
@@ -120,15 +120,17 @@
                 return
             await self._clock.sleep(self._rng.uniform(10, 200))
 
-    async def _attempt(self, name: str, ticket: str) -> _history.Answer | None:
+    async def _attempt(
+        self, name: str, ticket_name: str
+    ) -> _history.Answer | None:
         alive = [n for n in self._service.nodes if not n.dead.is_set()]
         issuer = self._rng.choice(alive)
-        issued = issuer.engine.issuer.issue()
-        self._bodies[ticket] = ticket.encode()
+        ticket = issuer.engine.issuer.issue()
+        self._bodies[ticket_name] = ticket_name.encode()
         if self._rng.random() < 0.3:
-            self._copy_later(name, ticket, issued, self._copy_delay_ms())
+            self._copy_later(name, ticket_name, ticket, self._copy_delay_ms())
         target = issuer if self._rng.random() < 0.7 else self._rng.choice(alive)
-        run = self._present(name, ticket, issued, target.info.address)
+        run = self._present(name, ticket_name, ticket, target.info.address)
         if Fault.CANCEL in self._faults and self._rng.random() < 0.4:
             await self._cancel(run)
             return None
@@ -147,12 +149,16 @@
         await asyncio.wait({task})
 
     def _copy_later(
-        self, name: str, ticket: str, issued: requests.Ticket, late_ms: float
+        self,
+        name: str,
+        ticket_name: str,
+        ticket: requests.Ticket,
+        delay_ms: float,
     ) -> None:
         async def copy() -> None:
-            await self._clock.sleep(late_ms)
+            await self._clock.sleep(delay_ms)
             address = self._rng.choice(self._service.nodes).info.address
-            await self._present(name, ticket, issued, address)
+            await self._present(name, ticket_name, ticket, address)
 
         task = asyncio.create_task(copy())
         self._copies.add(task)
@@ -161,14 +167,14 @@
     async def _present(
         self,
         name: str,
-        ticket: str,
-        issued: requests.Ticket,
+        ticket_name: str,
+        ticket: requests.Ticket,
         address: core.Address,
     ) -> _history.Answer:
         now_ms = self._clock.now_ms()
-        body = ticket.encode()
+        body = ticket_name.encode()
         work = requests.WorkItem(
-            request_id=ticket,
+            request_id=ticket_name,
             treatment=_ORDER,
             method="POST",
             path=f"/orders?ms={20 + len(name) % 3 * 30}",
@@ -179,14 +185,14 @@
         )
         outcome = await self._service.network.deliver(
             address,
-            lambda node: asyncio.create_task(node.engine.submit(work, issued)),
+            lambda node: asyncio.create_task(node.engine.submit(work, ticket)),
         )
         if isinstance(outcome, core.Ok):
             execution = core.Execution.RAN
             answer_body: bytes | None = outcome.value.body
         else:
             execution, answer_body = outcome.spec.execution, None
-        answer = _history.Answer(name, ticket, execution, answer_body)
+        answer = _history.Answer(name, ticket_name, execution, answer_body)
         self._answers.append(answer)
         return answer
 
--- a/libs/lab/src/fireflyford/lab/_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_fleet.py
@@ -181,10 +181,10 @@
             service.name: _ports.free_address()
             for service in self.deployment.services
         }
-        options = self._common_settings(name) | {
+        settings = self._common_settings(name) | {
             "listeners": {key: str(value) for key, value in listeners.items()}
         }
-        process = self._spawn(name, "balancer", options)
+        process = self._spawn(name, "balancer", settings)
         started = BalancerProcess(
             name=name,
             process=process,
@@ -196,8 +196,10 @@
                 )
                 for service, address in listeners.items()
             },
-            control_address=core.Address.parse(str(options["control_address"])),
-            status_address=core.Address.parse(str(options["status_address"])),
+            control_address=core.Address.parse(
+                str(settings["control_address"])
+            ),
+            status_address=core.Address.parse(str(settings["status_address"])),
         )
         self.balancers[name] = started
         return started
@@ -218,7 +220,7 @@
             stderr=(self._directory / f"{name}.backend.log").open("wb"),
         )
         self._processes.append(backend)
-        options = self._common_settings(name) | {
+        settings = self._common_settings(name) | {
             "service": service,
             "backend_address": str(
                 self._through_proxy(
@@ -228,15 +230,15 @@
             "certificate_path": str(self._directory / f"{service}.pem"),
             "private_key_path": str(self._directory / f"{service}.key"),
         }
-        agent = self._spawn(name, "agent", options)
+        agent = self._spawn(name, "agent", settings)
         target = Target(
             name=name,
             service=service,
             backend=backend,
             agent=agent,
-            status_address=core.Address.parse(str(options["status_address"])),
+            status_address=core.Address.parse(str(settings["status_address"])),
             control_listen=core.Address.parse(
-                str(options["control_bind_address"])
+                str(settings["control_bind_address"])
             ),
         )
         self.targets[name] = target
@@ -300,9 +302,9 @@
         """
         self.start_balancer()
         await self.wait_for_discovery()
-        code = await self.stop_gracefully(balancer.process)
+        exit_status = await self.stop_gracefully(balancer.process)
         self.balancers.pop(balancer.name, None)
-        return code
+        return exit_status
 
     async def replace_target(self, target: Target) -> int:
         """Starts a new target, then stops this one gracefully."""
@@ -313,9 +315,9 @@
     async def remove_target(self, target: Target) -> int:
         """Stops a target gracefully: first its agent, then its server."""
         self.targets.pop(target.name, None)
-        status = await self.stop_gracefully(target.agent)
+        exit_status = await self.stop_gracefully(target.agent)
         await self.stop_gracefully(target.backend)
-        return status
+        return exit_status
 
     def kill_target(self, target: Target) -> None:
         """Kills the agent and the backend server of a target."""
@@ -416,10 +418,10 @@
         }
 
     def _spawn(
-        self, name: str, role: str, options: dict[str, object]
+        self, name: str, role: str, settings: dict[str, object]
     ) -> subprocess.Popen[bytes]:
         path = self._directory / f"{name}.json"
-        path.write_text(json.dumps(options, indent=2))
+        path.write_text(json.dumps(settings, indent=2))
         command = [str(pathlib.Path(sys.executable).parent / "fireflyford")]
         process = subprocess.Popen(
             [*command, role, str(path)],
--- a/libs/lab/src/fireflyford/lab/_flow_network.py
+++ b/libs/lab/src/fireflyford/lab/_flow_network.py
@@ -43,13 +43,13 @@
         recipient: Agent that the message is addressed to.
         sender: Link address of the sender.
         body: Datagram or notice.
-        packet: Sequence number of the caller's datagram, 0 for a notice.
+        packet_number: Number of the caller's datagram, 0 for a notice.
     """
 
     recipient: core.Holder
     sender: core.Address
     body: routing.ForwardedDatagram | routing.Notice
-    packet: int = 0
+    packet_number: int = 0
 
 
 class Node(routing.FlowPlacement):
@@ -97,7 +97,7 @@
 class Delivery:
     """A caller's datagram that reached a backend server."""
 
-    packet: int
+    packet_number: int
     flow_key: int
     holder: core.Holder
     hops: int
@@ -205,7 +205,9 @@
         self._send_notices(node, decision.notices)
         if decision.action is routing.Action.DELIVER:
             self.deliveries.append(
-                Delivery(message.packet, body.flow_key, node.holder, body.hops)
+                Delivery(
+                    message.packet_number, body.flow_key, node.holder, body.hops
+                )
             )
         elif decision.action is routing.Action.FORWARD:
             assert decision.to is not None
@@ -218,7 +220,10 @@
             )
             self.in_flight.append(
                 Message(
-                    decision.to, node.holder.address, forwarded, message.packet
+                    decision.to,
+                    node.holder.address,
+                    forwarded,
+                    message.packet_number,
                 )
             )
         elif (
--- a/libs/lab/src/fireflyford/lab/_flow_run.py
+++ b/libs/lab/src/fireflyford/lab/_flow_run.py
@@ -65,7 +65,7 @@
             self.broken_flows.add(flow_key)
 
 
-class FlowRun:
+class FlowSimulation:
     """Runs one plan with the production routing code and with baselines."""
 
     def __init__(self, plan: Plan, rng: random.Random) -> None:
@@ -85,14 +85,14 @@
         self._flows: list[int] = []
         self._seen_deliveries = 0
         self.delivery_counts = DeliveryCounts()
-        self.baselines: dict[str, DeliveryCounts] = {}
+        self.baseline_counts: dict[str, DeliveryCounts] = {}
         self._baselines: list[_flow_baselines.Baseline] = [
             _flow_baselines.ModuloHash(),
             _flow_baselines.RendezvousHash(),
             _flow_baselines.BalancerFlowTable(),
         ]
         for baseline in self._baselines:
-            self.baselines[baseline.name] = DeliveryCounts()
+            self.baseline_counts[baseline.name] = DeliveryCounts()
         self.hops: list[int] = []
         self._killed_holders: set[core.Holder] = set()
         self.sent_count = 0
@@ -180,7 +180,7 @@
         for baseline in self._baselines:
             chosen = baseline.choose(index, self._views[index], flow_key)
             if chosen in alive:
-                self.baselines[baseline.name].add(flow_key, chosen, alive)
+                self.baseline_counts[baseline.name].add(flow_key, chosen, alive)
 
     # Changes.
 
@@ -212,9 +212,9 @@
             del self._targets[target.name]
             self._killed_holders.add(target.holder)
             self.network.kill(target.address)
-        self._spread(tuple(self._targets.values()))
+        self._schedule_view_updates(tuple(self._targets.values()))
 
-    def _spread(self, view: Sequence[routing.Target]) -> None:
+    def _schedule_view_updates(self, view: Sequence[routing.Target]) -> None:
         now_ms = self._clock.time_ms
         for index in range(self._plan.balancer_count):
             delay_ms = self._rng.uniform(*_VIEW_DELAY_MS)
--- a/libs/lab/src/fireflyford/lab/_load.py
+++ b/libs/lab/src/fireflyford/lab/_load.py
@@ -17,13 +17,13 @@
 
     Attributes:
         number: Sequence number of the request in the run.
-        name: Kind of the request, by which results are grouped.
+        kind: Kind of the request, by which results are grouped.
         nominal_ms: Execution time on a backend server of speed 1.
         deadline_ms: Time after which a response is of no use.
     """
 
     number: int
-    name: str
+    kind: str
     nominal_ms: float
     deadline_ms: int
 
@@ -77,8 +77,8 @@
     async def send_one(job: Job, started_ms: float) -> None:
         outcome = await send(job)
         elapsed_ms = (loop.time() - start_s) * 1000 - started_ms
-        kind = outcome.kind if isinstance(outcome, core.Failure) else None
-        samples.append(Sample(job, started_ms, elapsed_ms, kind))
+        failure = outcome.kind if isinstance(outcome, core.Failure) else None
+        samples.append(Sample(job, started_ms, elapsed_ms, failure))
 
     arrival_ms = 0.0
     number = 0
--- a/libs/lab/src/fireflyford/lab/_model.py
+++ b/libs/lab/src/fireflyford/lab/_model.py
@@ -145,7 +145,7 @@
     async def call(
         self,
         address: core.Address,
-        answer: Callable[
+        handler: Callable[
             [ModelNode], "asyncio.Task[core.Outcome[requests.Response]]"
         ],
     ) -> core.Outcome[requests.Response]:
@@ -154,10 +154,10 @@
             return core.Failure(core.ErrorKind.INSTANCE_UNREACHABLE, "gone")
         await self._clock.sleep(_LINK_DELAY_MS)
         if self._rng.random() < self.faults.duplicate_ratio:
-            copy = asyncio.create_task(self._deliver_late(address, answer))
+            copy = asyncio.create_task(self._deliver_late(address, handler))
             self._copy_tasks.add(copy)
             copy.add_done_callback(self._copy_tasks.discard)
-        outcome = await self.deliver(address, answer)
+        outcome = await self.deliver(address, handler)
         await self._clock.sleep(_LINK_DELAY_MS)
         if self._rng.random() < self.faults.lost_reply_ratio:
             return core.Failure(core.ErrorKind.OUTCOME_UNKNOWN, "reply lost")
@@ -166,17 +166,17 @@
     async def _deliver_late(
         self,
         address: core.Address,
-        answer: Callable[
+        handler: Callable[
             [ModelNode], "asyncio.Task[core.Outcome[requests.Response]]"
         ],
     ) -> None:
         await self._clock.sleep(self._rng.uniform(0, self.faults.late_ms))
-        await self.deliver(address, answer)
+        await self.deliver(address, handler)
 
     async def deliver(
         self,
         address: core.Address,
-        answer: Callable[
+        handler: Callable[
             [ModelNode], "asyncio.Task[core.Outcome[requests.Response]]"
         ],
     ) -> core.Outcome[requests.Response]:
@@ -188,7 +188,7 @@
         node = self.nodes.get(address)
         if node is None or node.dead.is_set():
             return core.Failure(core.ErrorKind.OUTCOME_UNKNOWN, "died")
-        task = answer(node)
+        task = handler(node)
         death_task = asyncio.create_task(node.dead.wait())
         try:
             await asyncio.wait(
--- a/libs/lab/src/fireflyford/lab/_packet_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_packet_fleet.py
@@ -30,7 +30,7 @@
 ROUTE_ADDRESS = core.Address("198.18.0.1", 443)
 SERVICE = "board"
 
-PlacementMaker = Callable[[core.Address], flows.Placement]
+PlacementFactory = Callable[[core.Address], flows.Placement]
 
 
 class EventClock(core.ManualClock):
@@ -414,7 +414,7 @@
             if (
                 self.is_waiting
                 and not self.is_ended
-                and request_started_ms == (self._started_ms)
+                and request_started_ms == self._started_ms
             ):
                 self._fleet.send_from_client(
                     flows.Packet(
@@ -459,7 +459,7 @@
         seed: int,
         specs: list[TargetSpec],
         balancer_count: int = 3,
-        make_placement: PlacementMaker | None = None,
+        make_placement: PlacementFactory | None = None,
         long_lived: bool = False,
         load_interval_ms: int = LOAD_INTERVAL_MS,
     ) -> None:
@@ -613,8 +613,8 @@
             client = self._clients.get(action.packet.flow)
             packet = action.packet
             if client is not None:
-                take = client.receive
-                self.call_later(CLIENT_DELAY_MS, lambda: take(packet))
+                deliver = client.receive
+                self.call_later(CLIENT_DELAY_MS, lambda: deliver(packet))
         elif isinstance(action, flows.Reset):
             client = self._clients.get(action.flow)
             if client is not None:
--- a/libs/lab/src/fireflyford/lab/_plot.py
+++ b/libs/lab/src/fireflyford/lab/_plot.py
@@ -47,10 +47,10 @@
         _draw_figures(axes[0, 0], result["figures"])
     figure.suptitle(f"{result['name']}, seed {result['seed']}")
     figure.tight_layout()
-    target = pathlib.Path(path).with_suffix(".png")
-    figure.savefig(target)
+    plot_path = pathlib.Path(path).with_suffix(".png")
+    figure.savefig(plot_path)
     pyplot.close(figure)
-    return target
+    return plot_path
 
 
 def _draw_series(axis: Any, item: dict[str, Any]) -> None:
@@ -69,8 +69,8 @@
 
 def _draw_figures(axis: Any, figures: list[dict[str, Any]]) -> None:
     shown = [item for item in figures if item["target"]]
-    shares = [item["value"] / item["target"] for item in shown]
-    axis.barh([item["name"] for item in shown], shares)
+    ratios = [item["value"] / item["target"] for item in shown]
+    axis.barh([item["name"] for item in shown], ratios)
     axis.axvline(1.0, color="red", label="target")
     axis.set_xlabel("value / target")
     axis.legend()
--- a/libs/lab/src/fireflyford/lab/_process_runs.py
+++ b/libs/lab/src/fireflyford/lab/_process_runs.py
@@ -297,16 +297,16 @@
         self, name: str, first: caller.Connection, second: caller.Connection
     ) -> None:
         for attempt in range(2):
-            ticket = f"{name}/{attempt}"
-            self.bodies[ticket] = ticket.encode()
-            _, header = await self._present_ticket(first, ticket, "")
-            if not header:
+            ticket_name = f"{name}/{attempt}"
+            self.bodies[ticket_name] = ticket_name.encode()
+            _, ticket = await self._present_ticket(first, ticket_name, "")
+            if not ticket:
                 return
-            copies = [self._send_copy(name, first, ticket, header, 0)]
+            copies = [self._send_copy(name, first, ticket_name, ticket, 0)]
             if self._rng.random() < 0.6:
                 delay_s = self._rng.uniform(0, 0.3)
                 copies.append(
-                    self._send_copy(name, second, ticket, header, delay_s)
+                    self._send_copy(name, second, ticket_name, ticket, delay_s)
                 )
             answers = await asyncio.gather(*copies)
             if any(
@@ -318,36 +318,42 @@
         self,
         name: str,
         connection: caller.Connection,
+        ticket_name: str,
         ticket: str,
-        header: str,
         delay_s: float,
     ) -> _history.Answer:
         await asyncio.sleep(delay_s)
-        outcome, _ = await self._present_ticket(connection, ticket, header)
+        outcome, _ = await self._present_ticket(connection, ticket_name, ticket)
         if isinstance(outcome, core.Ok):
             answer = _history.Answer(
-                name, ticket, core.Execution.RAN, outcome.value
+                name, ticket_name, core.Execution.RAN, outcome.value
             )
         else:
-            answer = _history.Answer(name, ticket, outcome.spec.execution)
+            answer = _history.Answer(name, ticket_name, outcome.spec.execution)
         self.answers.append(answer)
         return answer
 
     async def _present_ticket(
-        self, connection: caller.Connection, ticket: str, header: str
+        self, connection: caller.Connection, ticket_name: str, ticket: str
     ) -> tuple[core.Outcome[bytes], str]:
-        """Sends one copy of a request; returns its outcome and a new ticket.
+        """Sends a request with a ticket, or without one if it is empty.
 
         Uses the connection directly, because the client library never sends
         duplicates.
+
+        Returns:
+            Outcome of the request and the ticket that the agent issued, empty
+            if it issued none.
         """
         headers = [("fireflyford-deadline-ms", str(self._DEADLINE_MS))]
-        if header:
-            headers.append((_TICKET_HEADER, header))
-        # All copies of a ticket have to be identical.
-        length_ms = 20 + len(ticket) % 3 * 50
+        if ticket:
+            headers.append((_TICKET_HEADER, ticket))
+        # All requests with the same ticket have to be identical.
+        length_ms = 20 + len(ticket_name) % 3 * 50
         path = f"/orders?ms={length_ms}"
-        stream = connection.send("POST", path, ticket.encode(), tuple(headers))
+        stream = connection.send(
+            "POST", path, ticket_name.encode(), tuple(headers)
+        )
         fields: dict[str, str] = {}
         body = b""
         unknown = core.Failure(
--- a/libs/lab/src/fireflyford/lab/_service_runs.py
+++ b/libs/lab/src/fireflyford/lab/_service_runs.py
@@ -157,13 +157,13 @@
         ]
 
     def elapsed_ms(
-        self, name: str, start_ms: float = 0, end_ms: float = 1e9
+        self, kind: str, start_ms: float = 0, end_ms: float = 1e9
     ) -> list[float]:
         """Returns times of complete responses by kind and arrival time."""
         return [
             sample.elapsed_ms
             for sample in self.samples
-            if sample.job.name == name
+            if sample.job.kind == kind
             and sample.failure is None
             and start_ms <= sample.started_ms < end_ms
         ]
@@ -264,7 +264,7 @@
     async def _attempt(
         self, job: _load.Job, caller: int, end_ms: int
     ) -> core.Outcome[requests.Response]:
-        treatment = _TREATMENTS[job.name]
+        treatment = _TREATMENTS[job.kind]
         work = requests.WorkItem(
             request_id=str(job.number),
             treatment=treatment,
@@ -358,7 +358,7 @@
             start_ms = max(start_ms, jobs[index].started_ms)
         while index < len(jobs) and jobs[index].started_ms <= start_ms:
             sample = jobs[index]
-            rank = int(sample.job.name == "long")
+            rank = int(sample.job.kind == "long")
             item = (rank, sample.started_ms, sample.job.nominal_ms)
             heapq.heappush(waiting, item)
             index += 1
--- a/libs/lab/src/fireflyford/lab/experiments/_config_trial.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_config_trial.py
@@ -122,8 +122,8 @@
         """Returns the version of a balancer once it is ready, -1 on timeout."""
         address = self.fleet.balancers[name].status_address
         client = httpclient.AsyncHTTPClient()
-        limit_ms = CLOCK.now_ms() + _TIMEOUT_MS
-        while CLOCK.now_ms() < limit_ms:
+        deadline_ms = CLOCK.now_ms() + _TIMEOUT_MS
+        while CLOCK.now_ms() < deadline_ms:
             with contextlib.suppress(OSError, httpclient.HTTPError):
                 await client.fetch(f"http://{address}/readyz")
                 return await self.sample_version(name)
--- a/libs/lab/src/fireflyford/lab/experiments/_control.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_control.py
@@ -149,10 +149,12 @@
         ]
     )
     largest = samples[-1]
-    round_ratio = math.log2(FULL_BALANCER_COUNT) / math.log2(
+    # A record is sent a number of times that grows with the logarithm of the
+    # number of balancers.
+    transmission_ratio = math.log2(FULL_BALANCER_COUNT) / math.log2(
         largest.balancer_count
     )
-    change_bytes = largest.change_bytes * round_ratio
+    change_bytes = largest.change_bytes * transmission_ratio
     change_rate = change_bytes * CHANGES_PER_DAY / _SECONDS_PER_DAY
     loads = full_scale_loads()
     worst_bytes = predict_bytes_per_s(max(loads)) + change_rate
--- a/libs/lab/src/fireflyford/lab/experiments/_datagram_flows.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_datagram_flows.py
@@ -22,14 +22,14 @@
 _KILLS_AND_CHANGES = ("kill", "join", "kill", "drain", "kill")
 
 
-def _run(plan: _flow_run.Plan, seed: int) -> _flow_run.FlowRun:
-    run = _flow_run.FlowRun(plan, random.Random(seed))
+def _run(plan: _flow_run.Plan, seed: int) -> _flow_run.FlowSimulation:
+    run = _flow_run.FlowSimulation(plan, random.Random(seed))
     run.run()
     return run
 
 
 def _make_figures(
-    title: str, run: _flow_run.FlowRun
+    title: str, run: _flow_run.FlowSimulation
 ) -> list[_framework.Figure]:
     lost_count = run.sent_count - run.delivery_counts.delivered_count
     figures = [
@@ -53,16 +53,16 @@
             f"{title}, most hops", run.network.max_hops, "hops", 4.0
         ),
     ]
-    for name, tally in run.baselines.items():
+    for name, counts in run.baseline_counts.items():
         figures.append(
             _framework.Figure(
-                f"{title}, {name}: broken", len(tally.broken_flows), "flows"
+                f"{title}, {name}: broken", len(counts.broken_flows), "flows"
             )
         )
         figures.append(
             _framework.Figure(
                 f"{title}, {name}: misrouted",
-                tally.misrouted_count,
+                counts.misrouted_count,
                 "packets",
             )
         )
--- a/libs/lab/src/fireflyford/lab/experiments/_flow_experiment.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_flow_experiment.py
@@ -73,7 +73,7 @@
         self.fleet = fleet
         self.callers: list[_caller_processes.CallerProcess] = []
         self.fast_callers: list[_caller_processes.CallerProcess] = []
-        self.exit_codes: list[int] = []
+        self.exit_statuses: list[int] = []
         # Feeds that were open on targets when the targets were killed.
         self.lost_feed_count = 0
         self._counters: dict[str, dict[str, int]] = {}
@@ -232,7 +232,7 @@
                 ),
                 _count(
                     "bad exit statuses",
-                    sum(code != 0 for code in run.exit_codes),
+                    sum(status != 0 for status in run.exit_statuses),
                     0,
                 ),
                 _framework.Figure(
--- a/libs/lab/src/fireflyford/lab/experiments/_flows.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_flows.py
@@ -36,8 +36,8 @@
         """Replaces the balancers."""
         balancers = list(run.fleet.balancers.values())
         for balancer in balancers[: self._scale.change_count]:
-            code = await run.fleet.replace_balancer(balancer)
-            run.exit_codes.append(code)
+            exit_status = await run.fleet.replace_balancer(balancer)
+            run.exit_statuses.append(exit_status)
 
 
 class RollingBackends(_flow_experiment.FlowExperiment):
@@ -54,7 +54,7 @@
             list(run.fleet.targets.values()), self._scale.change_count
         )
         for target in targets:
-            run.exit_codes.append(await run.fleet.replace_target(target))
+            run.exit_statuses.append(await run.fleet.replace_target(target))
 
 
 class RollingBoth(_flow_experiment.FlowExperiment):
@@ -218,8 +218,8 @@
         stopping = asyncio.create_task(run.fleet.remove_target(target))
         failed_count = await _count_failed_connections(run, target)
         await asyncio.sleep(1)
-        code = await stopping
-        run.exit_codes.append(code)
+        exit_status = await stopping
+        run.exit_statuses.append(exit_status)
         plain_ms = await plain_feed.wait_closed_ms() - start_ms
         late_executions = [
             item
--- a/libs/lab/src/fireflyford/lab/experiments/_packet_flows.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_packet_flows.py
@@ -50,7 +50,7 @@
     """
 
     name: str
-    factory: _packet_fleet.PlacementMaker | None
+    factory: _packet_fleet.PlacementFactory | None
 
 
 def policies(seed: int) -> list[Policy]:
@@ -114,9 +114,9 @@
 
 def _count_broken_flows(change: _Change, policy: Policy, seed: int) -> int:
     """Counts flows that break although their backend server is running."""
-    plans = [_packet_fleet.TargetSpec() for _ in range(_AGENT_COUNT)]
+    specs = [_packet_fleet.TargetSpec() for _ in range(_AGENT_COUNT)]
     fleet = _packet_fleet.PacketFleet(
-        seed, plans, _BALANCER_COUNT, policy.factory, long_lived=True
+        seed, specs, _BALANCER_COUNT, policy.factory, long_lived=True
     )
     if change.prepare is not None:
         change.prepare(fleet)
@@ -169,7 +169,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class RequestResult:
+class RunSummary:
     """Response times and utilization of one run near capacity.
 
     Attributes:
@@ -226,7 +226,7 @@
 
 def _summarize(
     fleet: _packet_fleet.PacketFleet, duration_ms: int
-) -> RequestResult:
+) -> RunSummary:
     answered = _packet_fleet.RequestOutcome.ANSWERED
     times = sorted(
         item.duration_ms for item in fleet.results if item.outcome is answered
@@ -238,7 +238,7 @@
         target.busy_ms / target.spec.slot_count / duration_ms
         for target in fleet.targets
     ]
-    return RequestResult(
+    return RunSummary(
         within_objective_count / max(1, len(fleet.results)),
         statistics.fmean(times),
         times[int(0.99 * len(times))],
@@ -246,7 +246,7 @@
     )
 
 
-def run_short_lived(policy: Policy, plan: RequestPlan) -> RequestResult:
+def run_short_lived(policy: Policy, plan: RequestPlan) -> RunSummary:
     """Simulates one short-lived flow for each request."""
     fleet = _packet_fleet.PacketFleet(
         plan.seed, plan.targets(), _BALANCER_COUNT, policy.factory
@@ -258,7 +258,7 @@
     return _summarize(fleet, arrivals[-1])
 
 
-def run_long_lived(policy: Policy, plan: RequestPlan) -> RequestResult:
+def run_long_lived(policy: Policy, plan: RequestPlan) -> RunSummary:
     """Simulates long-lived flows that carry all requests."""
     fleet = _packet_fleet.PacketFleet(
         plan.seed,
@@ -290,7 +290,7 @@
     return _summarize(fleet, arrivals[-1])
 
 
-def run_central_queue(plan: RequestPlan) -> RequestResult:
+def run_central_queue(plan: RequestPlan) -> RunSummary:
     """Returns the bound of a work-conserving central queue."""
     slots = [item for item in _SERVICE_MS for _ in range(plan.slot_count)]
     arrivals = plan.arrivals_ms()
@@ -301,7 +301,7 @@
     within_objective_count = sum(
         item <= _LATENCY_OBJECTIVE_MS for item in times
     )
-    return RequestResult(
+    return RunSummary(
         within_objective_count / len(times),
         statistics.fmean(times),
         times[int(0.99 * len(times))],
@@ -309,9 +309,7 @@
     )
 
 
-def _request_figures(
-    title: str, result: RequestResult
-) -> list[_framework.Figure]:
+def _request_figures(title: str, result: RunSummary) -> list[_framework.Figure]:
     return [
         _framework.Figure(
             f"{title}: in aim", result.within_objective_ratio, "share"
--- a/libs/lab/src/fireflyford/lab/experiments/_request_processes.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_request_processes.py
@@ -48,7 +48,7 @@
                 return capacity * 0.5
             return capacity * (0.5 + 2.5 * min(1.0, (time_ms - 4_000) / 1000))
 
-        demand = _process_runs.LoadProfile(
+        profile = _process_runs.LoadProfile(
             seed, mean_ms, _CONNECTION_COUNT, 20_000, rate
         )
         async with _process_runs.running_service(seed, (1.0,) * 7) as fleet:
@@ -56,7 +56,7 @@
             measured_capacity = await _process_runs.measure_capacity(
                 fleet, mean_ms, 2 * slot_count, _CAPACITY_RUN_S
             )
-            samples, attempts = await _process_runs.run_load(fleet, demand)
+            samples, attempts = await _process_runs.run_load(fleet, profile)
         goodput = _goodput_ms(samples, 5_000, 15_000) / 10_000
         refusals = [
             sample.elapsed_ms
@@ -114,22 +114,26 @@
         speeds = (0.5, 2.0, 1.0, 0.5, 1.5, 2.0, 1.0)
         mean_ms = 80.0
         rate = 0.7 * 2 * sum(speeds) / mean_ms * 1000
-        demand = _process_runs.LoadProfile(
+        profile = _process_runs.LoadProfile(
             seed, mean_ms, _CONNECTION_COUNT, 16_000, lambda time_ms: rate
         )
         async with _process_runs.running_service(seed, speeds) as fleet:
-            by_name = dict(zip(fleet.targets, speeds, strict=True))
-            samples, _ = await _process_runs.run_load(fleet, demand)
+            speeds_by_name = dict(zip(fleet.targets, speeds, strict=True))
+            samples, _ = await _process_runs.run_load(fleet, profile)
             work_ms = _process_runs.busy_ms_by_target(
-                fleet.executions(), by_name
+                fleet.executions(), speeds_by_name
             )
         seconds = sorted({second for _, second in work_ms})[4:-3]
         ratios = []
-        totals = dict.fromkeys(by_name, 0.0)
+        totals = dict.fromkeys(speeds_by_name, 0.0)
         for second in seconds:
-            busy_ms = [work_ms.get((name, second), 0.0) for name in by_name]
+            busy_ms = [
+                work_ms.get((name, second), 0.0) for name in speeds_by_name
+            ]
             ratios.append(max(busy_ms) / statistics.mean(busy_ms))
-            for name, target_busy_ms in zip(by_name, busy_ms, strict=True):
+            for name, target_busy_ms in zip(
+                speeds_by_name, busy_ms, strict=True
+            ):
                 totals[name] += target_busy_ms
         total_ratio = max(totals.values()) / statistics.mean(totals.values())
         figures = (
--- a/libs/lab/src/fireflyford/lab/experiments/_requests.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_requests.py
@@ -276,7 +276,7 @@
 
 
 def _completed_ratio(result: _service_runs.RunResult) -> float:
-    short = [s for s in result.samples if s.job.name == "short"]
+    short = [s for s in result.samples if s.job.kind == "short"]
     return sum(sample.within_deadline for sample in short) / len(short)
 
 
--- a/libs/lab/src/fireflyford/lab/scenarios/_environment.py
+++ b/libs/lab/src/fireflyford/lab/scenarios/_environment.py
@@ -20,9 +20,16 @@
 
     @abc.abstractmethod
     def add_requests(
-        self, service: str, kind: str, rate_per_s: float, duration_ms: float
+        self, service: str, kind: str, rate_per_s: float, nominal_ms: float
     ) -> None:
-        """Starts sending orders or sheets at a constant rate until the end."""
+        """Starts sending orders or sheets at a constant rate until the end.
+
+        Args:
+            service: Service to call.
+            kind: `orders` or `sheets`.
+            rate_per_s: Requests started per second.
+            nominal_ms: Nominal execution time of each request.
+        """
 
     @abc.abstractmethod
     async def perform_action(
--- a/libs/lab/src/fireflyford/lab/scenarios/_language.py
+++ b/libs/lab/src/fireflyford/lab/scenarios/_language.py
@@ -57,12 +57,12 @@
     service: str
     kind: str
     rate_per_s: float
-    duration_ms: float
+    nominal_ms: float
 
     async def perform(self, environment: _environment.Environment) -> None:
         """Starts the load."""
         environment.add_requests(
-            self.service, self.kind, self.rate_per_s, self.duration_ms
+            self.service, self.kind, self.rate_per_s, self.nominal_ms
         )
 
 
@@ -216,8 +216,8 @@
 
 
 def _make_requests(kind: str, children: list[lark.Token]) -> Requests:
-    rate, service, duration = children
-    return Requests(str(service), kind, float(rate), float(duration))
+    rate, service, nominal_ms = children
+    return Requests(str(service), kind, float(rate), float(nominal_ms))
 
 
 def _token_type(child: object) -> str:
--- a/libs/lab/src/fireflyford/lab/scenarios/_load.py
+++ b/libs/lab/src/fireflyford/lab/scenarios/_load.py
@@ -33,20 +33,20 @@
         self._session = caller.Session(client.connect)
         self._tasks: set[asyncio.Task[None]] = set()
         self.counts: collections.Counter[str] = collections.Counter()
-        self.durations_ms: list[float] = []
+        self.elapsed_ms: list[float] = []
         self.refused_bodies: set[str] = set()
 
-    async def run(self, duration_ms: float) -> None:
+    async def run(self, nominal_ms: float) -> None:
         """Starts requests at the constant rate until cancelled.
 
         Args:
-            duration_ms: Nominal service time at the backend server.
+            nominal_ms: Nominal execution time of each request.
         """
         request_number = 0
         while True:
             request_number += 1
             body = f"{self._name}-{request_number}"
-            task = asyncio.create_task(self._send(body, duration_ms))
+            task = asyncio.create_task(self._send(body, nominal_ms))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
             await asyncio.sleep(1 / self._rate_per_s)
@@ -57,19 +57,17 @@
             await asyncio.wait(self._tasks)
         await self._session.close()
 
-    async def _send(self, body: str, duration_ms: float) -> None:
+    async def _send(self, body: str, nominal_ms: float) -> None:
         try:
             connection = await self._session.connection()
         except ConnectionError:
             # No request was sent, so there is no outcome to count.
             await asyncio.sleep(_RECONNECT_DELAY_S)
             return
-        path = f"/orders?ms={duration_ms:g}"
+        path = f"/orders?ms={nominal_ms:g}"
         expected = body.encode()
         if self.kind == "sheets":
-            path = (
-                f"/sheets/{body}?ms={duration_ms:g}&bytes={_SHEET_SIZE_BYTES}"
-            )
+            path = f"/sheets/{body}?ms={nominal_ms:g}&bytes={_SHEET_SIZE_BYTES}"
             expected = path.encode() + b"." * _SHEET_SIZE_BYTES
         start_s = time.monotonic()
         outcome = await self._client.request(
@@ -79,7 +77,7 @@
             body.encode() if self.kind == "orders" else b"",
             deadline_ms=_DEADLINE_MS[self.kind],
         )
-        self.durations_ms.append((time.monotonic() - start_s) * 1000)
+        self.elapsed_ms.append((time.monotonic() - start_s) * 1000)
         self._count_outcome(outcome, body, expected)
 
     def _count_outcome(
--- a/libs/lab/src/fireflyford/lab/scenarios/_process_environment.py
+++ b/libs/lab/src/fireflyford/lab/scenarios/_process_environment.py
@@ -102,13 +102,13 @@
         await feeds.open()
 
     def add_requests(
-        self, service: str, kind: str, rate_per_s: float, duration_ms: float
+        self, service: str, kind: str, rate_per_s: float, nominal_ms: float
     ) -> None:
         """Starts sending orders or sheets at a constant rate until the end."""
         name = f"{kind}-{len(self._loads)}"
         load = _load.RequestLoad(self._client(service), name, kind, rate_per_s)
         self._loads.append(load)
-        self._tasks.append(asyncio.create_task(load.run(duration_ms)))
+        self._tasks.append(asyncio.create_task(load.run(nominal_ms)))
 
     def random_delay_s(self, limit_s: float) -> float:
         """Returns a random delay that follows from the seed."""
@@ -206,7 +206,7 @@
             value
             for load in self._loads
             if load.kind == kind
-            for value in load.durations_ms
+            for value in load.elapsed_ms
         )
         return values[int(0.99 * (len(values) - 1))] if values else 0.0
 
--- a/libs/lab/tests/test_packet_fleet.py
+++ b/libs/lab/tests/test_packet_fleet.py
@@ -285,8 +285,10 @@
 
     The baseline is random placement that ignores load, under the same load.
     """
-    speeds_ms = (18, 43, 43, 18, 43, 43, 43)
-    specs = [_packet_fleet.TargetSpec(service_ms=item) for item in speeds_ms]
+    service_times_ms = (18, 43, 43, 18, 43, 43, 43)
+    specs = [
+        _packet_fleet.TargetSpec(service_ms=item) for item in service_times_ms
+    ]
     answered_shares = []
     for random_placement in (False, True):
         fleet = _packet_fleet.PacketFleet(seed, specs)
--- a/libs/lab/tests/test_service_runs.py
+++ b/libs/lab/tests/test_service_runs.py
@@ -48,8 +48,8 @@
     plan = dataclasses.replace(_PLAN, speeds=(0.5,))
     jobs = [("long", 0.0, 50.0), ("long", 1.0, 50.0), ("short", 2.0, 10.0)]
     samples = tuple(
-        _load.Sample(_load.Job(i, name, length_ms, 2_000), start_ms, 0, None)
-        for i, (name, start_ms, length_ms) in enumerate(jobs)
+        _load.Sample(_load.Job(i, kind, length_ms, 2_000), start_ms, 0, None)
+        for i, (kind, start_ms, length_ms) in enumerate(jobs)
     )
     result = _service_runs.RunResult(plan, samples, (), 3)
     assert _service_runs.ideal_elapsed_ms(result) == [58.0]
