Name the end of expired leases alike in both stand-in stores

StoreState.end_lapsed_leases and StoreState.expire do the same in the stand-ins for etcd and for the platform's store: both are end_expired_leases, in the store library's word. The one use outside the lab, in libs/store/tests, is renamed with it.

--- a/libs/lab/src/fireflyford/lab/_platform_store.py
+++ b/libs/lab/src/fireflyford/lab/_platform_store.py
@@ -84,7 +84,7 @@
         self.events.clear()
         self.first_event_revision = self.revision
 
-    def expire(self) -> None:
+    def end_expired_leases(self) -> None:
         """Ends the leases that were not renewed in time."""
         now_s = time.monotonic()
         for lease, (_, end_s) in tuple(self.leases.items()):
@@ -243,12 +243,12 @@
         ]
         application = web.Application(rules, log_function=lambda _: None)
         self._server = application.listen(self.address.port, self.address.host)
-        self._task = asyncio.create_task(self._expire())
+        self._task = asyncio.create_task(self._expire_leases())
 
-    async def _expire(self) -> None:
+    async def _expire_leases(self) -> None:
         while True:
             await asyncio.sleep(_EXPIRY_INTERVAL_S)
-            self.state.expire()
+            self.state.end_expired_leases()
 
     def stop(self) -> None:
         """Stops the server."""
--- a/libs/lab/src/fireflyford/lab/_store_server.py
+++ b/libs/lab/src/fireflyford/lab/_store_server.py
@@ -117,8 +117,8 @@
         for key in keys:
             self.delete(key, key + b"\0")
 
-    def end_lapsed_leases(self, every: bool = False) -> None:
-        """Ends expired leases, or all leases if `every` is set."""
+    def end_expired_leases(self, every: bool = False) -> None:
+        """Ends the expired leases, or all leases if `every` is set."""
         now = time.monotonic()
         for lease_id, (_, expiry) in list(self.leases.items()):
             if every or expiry < now:
@@ -189,7 +189,7 @@
     async def _expire_leases(self) -> None:
         while True:
             await asyncio.sleep(_LEASE_CHECK_MS / 1000)
-            self.state.end_lapsed_leases()
+            self.state.end_expired_leases()
             await self.state.notify_watches()
 
 
@@ -398,7 +398,7 @@
             "lose_answer_count", switches.lose_answer_count
         )
         if requested.get("lapse_leases"):
-            state.end_lapsed_leases(every=True)
+            state.end_expired_leases(every=True)
         if requested.get("save_snapshot"):
             state.save_snapshot()
         if requested.get("restore_snapshot"):
--- a/libs/store/tests/test_join.py
+++ b/libs/store/tests/test_join.py
@@ -29,7 +29,7 @@
     other = store.JoinEntry(client, clock, "b", OTHER, lambda: True)
     tasks = [asyncio.create_task(item.run()) for item in (entry, other)]
     await asyncio.sleep(0.2)
-    server.state.end_lapsed_leases(every=True)
+    server.state.end_expired_leases(every=True)
     await asyncio.sleep(0.2)
     seeds = await store.find_seeds(["127.0.0.1:1"], [str(address)])
     for task in tasks:
