Name the fleet of the configuration experiments a harness

A trial is a run on a scratch copy in this project, so the class Trial, its module _config_trial and run_trial are ConfigHarness, _config_harness and running_harness. Statistics of callers were called figures beside the figures made from them: statistics, fast_statistics, _feed_statistics.

--- a/libs/lab/src/fireflyford/lab/experiments/_config_trial.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_config_harness.py
@@ -24,11 +24,11 @@
 Figure = _framework.Figure
 
 
-class Trial:
-    """A running fleet, its store, and the versions sampled so far."""
+class ConfigHarness:
+    """Pushes configurations to a running fleet and samples its versions."""
 
     def __init__(self, fleet: _fleet.Fleet, rng: random.Random) -> None:
-        """Initializes a trial on a running fleet."""
+        """Takes a running fleet."""
         self.fleet = fleet
         self.rng = rng
         self.config_store = store.ConfigStore(
@@ -132,9 +132,9 @@
 
 
 @contextlib.asynccontextmanager
-async def run_trial(
+async def running_harness(
     seed: int, balancer_count: int = _BALANCER_COUNT
-) -> AsyncIterator[Trial]:
+) -> AsyncIterator[ConfigHarness]:
     """Runs balancers, one target of each service, and the store."""
     base = _deployments.BANTAY
     services = tuple(
@@ -149,7 +149,7 @@
         await fleet.start()
         # Config readers are selected once all balancers know each other.
         await CLOCK.sleep(2_000)
-        yield Trial(fleet, rng)
+        yield ConfigHarness(fleet, rng)
     finally:
         fleet.stop()
 
--- a/libs/lab/src/fireflyford/lab/experiments/_configuration.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_configuration.py
@@ -10,7 +10,7 @@
 
 from fireflyford import core
 from fireflyford import store
-from fireflyford.lab.experiments import _config_trial
+from fireflyford.lab.experiments import _config_harness
 from fireflyford.lab.experiments import _framework
 
 Figure = _framework.Figure
@@ -44,49 +44,50 @@
     async def run(self, seed: int) -> _framework.Result:
         """Runs 20 rounds."""
         rounds: list[_PushRound] = []
-        async with _config_trial.run_trial(seed) as trial:
+        async with _config_harness.running_harness(seed) as harness:
             for version in range(self._ROUND_COUNT):
-                rounds.append(await self._run_round(trial, version))
-            history = await trial.config_store.history(100)
-            rollback_count = trial.rollback_count
+                rounds.append(await self._run_round(harness, version))
+            history = await harness.config_store.history(100)
+            rollback_count = harness.rollback_count
         entries = history.value if isinstance(history, core.Ok) else ()
         return _framework.Result(
             self.name,
             seed,
             (
                 Figure("pushes", sum(item.push_count for item in rounds), "1"),
-                _config_trial.zero_figure(
+                _config_harness.zero_figure(
                     "rounds without exactly one winner",
                     sum(item.winner_count != 1 for item in rounds),
                 ),
-                _config_trial.zero_figure(
+                _config_harness.zero_figure(
                     "losers not told who changed what",
                     sum(item.winner_not_named_count for item in rounds),
                 ),
-                _config_trial.zero_figure(
+                _config_harness.zero_figure(
                     "versions missing in the audit trail",
                     self._ROUND_COUNT - len(entries),
                 ),
-                _config_trial.activation_figure(
+                _config_harness.activation_figure(
                     [item.elapsed_ms for item in rounds]
                 ),
-                _config_trial.zero_figure(
+                _config_harness.zero_figure(
                     "versions that went back", rollback_count
                 ),
             ),
         )
 
     async def _run_round(
-        self, trial: _config_trial.Trial, version: int
+        self, harness: _config_harness.ConfigHarness, version: int
     ) -> _PushRound:
         authors = [
-            f"operator-{index}" for index in range(trial.rng.choice((2, 3, 4)))
+            f"operator-{index}"
+            for index in range(harness.rng.choice((2, 3, 4)))
         ]
         activation = asyncio.create_task(
-            trial.measure_activation_ms(version + 1)
+            harness.measure_activation_ms(version + 1)
         )
         outcomes = await asyncio.gather(
-            *(trial.push(version, author) for author in authors)
+            *(harness.push(version, author) for author in authors)
         )
         winners = [
             item.value.record.author
@@ -128,45 +129,47 @@
         """Runs 20 rounds, some on a slow store."""
         failed_count = unrecognized_count = 0
         times_ms: list[float] = []
-        async with _config_trial.run_trial(seed) as trial:
+        async with _config_harness.running_harness(seed) as harness:
             for version in range(self._ROUND_COUNT):
-                await trial.set_store_faults(
-                    lose_answer_count=trial.rng.choice((1, 2)),
-                    slow_ms=trial.rng.choice((0, 0, 50, 300)),
+                await harness.set_store_faults(
+                    lose_answer_count=harness.rng.choice((1, 2)),
+                    slow_ms=harness.rng.choice((0, 0, 50, 300)),
+                )
+                push = store.Push(
+                    harness.make_config_text(), version, "operator"
                 )
-                push = store.Push(trial.make_config_text(), version, "operator")
                 activation = asyncio.create_task(
-                    trial.measure_activation_ms(version + 1)
+                    harness.measure_activation_ms(version + 1)
                 )
-                first = await trial.config_store.push(push)
-                again = await trial.config_store.push(push)
-                await trial.set_store_faults(lose_answer_count=0, slow_ms=0)
+                first = await harness.config_store.push(push)
+                again = await harness.config_store.push(push)
+                await harness.set_store_faults(lose_answer_count=0, slow_ms=0)
                 failed_count += not isinstance(first, core.Ok)
                 unrecognized_count += not (
                     isinstance(again, core.Ok) and again.value.already_applied
                 )
                 times_ms.append(await activation)
-            history = await trial.config_store.history(100)
-            rollback_count = trial.rollback_count
+            history = await harness.config_store.history(100)
+            rollback_count = harness.rollback_count
         entries = history.value if isinstance(history, core.Ok) else ()
         distinct_count = len({item.identity for item in entries})
         return _framework.Result(
             self.name,
             seed,
             (
-                _config_trial.zero_figure(
+                _config_harness.zero_figure(
                     "accepted pushes reported as failed", failed_count
                 ),
-                _config_trial.zero_figure(
+                _config_harness.zero_figure(
                     "retried pushes not recognised", unrecognized_count
                 ),
-                _config_trial.zero_figure(
+                _config_harness.zero_figure(
                     "pushes not applied exactly once",
                     abs(len(entries) - self._ROUND_COUNT)
                     + abs(distinct_count - self._ROUND_COUNT),
                 ),
-                _config_trial.activation_figure(times_ms),
-                _config_trial.zero_figure(
+                _config_harness.activation_figure(times_ms),
+                _config_harness.zero_figure(
                     "versions that went back", rollback_count
                 ),
             ),
@@ -190,17 +193,17 @@
 
     async def run(self, seed: int) -> _framework.Result:
         """Runs outages, restarts and a restore, then counts store calls."""
-        async with _config_trial.run_trial(seed) as trial:
+        async with _config_harness.running_harness(seed) as harness:
             times_ms = [
-                await self._run_outage(trial, version)
+                await self._run_outage(harness, version)
                 for version in range(self._ROUND_COUNT)
             ]
             figures = [
-                _config_trial.activation_figure(times_ms),
-                *await self._replace_balancers(trial),
-                *await self._restore_snapshot(trial),
-                _config_trial.zero_figure(
-                    "versions that went back", trial.rollback_count
+                _config_harness.activation_figure(times_ms),
+                *await self._replace_balancers(harness),
+                *await self._restore_snapshot(harness),
+                _config_harness.zero_figure(
+                    "versions that went back", harness.rollback_count
                 ),
             ]
         return _framework.Result(
@@ -208,74 +211,75 @@
         )
 
     async def _run_outage(
-        self, trial: _config_trial.Trial, version: int
+        self, harness: _config_harness.ConfigHarness, version: int
     ) -> float:
         activation = asyncio.create_task(
-            trial.measure_activation_ms(version + 1)
+            harness.measure_activation_ms(version + 1)
         )
-        await trial.push(version)
-        accepted_ms = _config_trial.CLOCK.now_ms()
-        await _config_trial.CLOCK.sleep(
-            200 - (_config_trial.CLOCK.now_ms() - accepted_ms)
+        await harness.push(version)
+        accepted_ms = _config_harness.CLOCK.now_ms()
+        await _config_harness.CLOCK.sleep(
+            200 - (_config_harness.CLOCK.now_ms() - accepted_ms)
         )
-        await trial.set_store_faults(down=True)
+        await harness.set_store_faults(down=True)
         elapsed_ms = await activation
-        await _config_trial.CLOCK.sleep(trial.rng.uniform(0, 2_000))
-        await trial.set_store_faults(down=False)
+        await _config_harness.CLOCK.sleep(harness.rng.uniform(0, 2_000))
+        await harness.set_store_faults(down=False)
         return elapsed_ms
 
     async def _replace_balancers(
-        self, trial: _config_trial.Trial
+        self, harness: _config_harness.ConfigHarness
     ) -> list[Figure]:
         """Replaces three balancers, one a config reader, in a store outage."""
-        await trial.set_store_faults(down=True)
+        await harness.set_store_faults(down=True)
         old_count = 0
-        for name in list(trial.fleet.balancers)[:3]:
-            balancer = trial.fleet.balancers.pop(name)
-            trial.fleet.kill(balancer.process)
-            started = trial.fleet.start_balancer()
-            version = await trial.wait_ready_version(started.name)
-            old_count += version != trial.accepted_version
-        await trial.set_store_faults(down=False)
+        for name in list(harness.fleet.balancers)[:3]:
+            balancer = harness.fleet.balancers.pop(name)
+            harness.fleet.kill(balancer.process)
+            started = harness.fleet.start_balancer()
+            version = await harness.wait_ready_version(started.name)
+            old_count += version != harness.accepted_version
+        await harness.set_store_faults(down=False)
         return [
-            _config_trial.zero_figure(
+            _config_harness.zero_figure(
                 "restarts that served an old version", old_count
             ),
-            Figure("accepted version", trial.accepted_version, "1"),
+            Figure("accepted version", harness.accepted_version, "1"),
         ]
 
     async def _restore_snapshot(
-        self, trial: _config_trial.Trial
+        self, harness: _config_harness.ConfigHarness
     ) -> list[Figure]:
         """Restores a snapshot that is two pushes old."""
-        await trial.set_store_faults(save_snapshot=True)
-        before = trial.accepted_version
+        await harness.set_store_faults(save_snapshot=True)
+        before = harness.accepted_version
         for base in (before, before + 1):
-            await trial.push(base)
-        latest = trial.accepted_version
-        await trial.measure_activation_ms(latest)
-        await trial.set_store_faults(restore_snapshot=True)
-        await _config_trial.CLOCK.sleep(3_000)
+            await harness.push(base)
+        latest = harness.accepted_version
+        await harness.measure_activation_ms(latest)
+        await harness.set_store_faults(restore_snapshot=True)
+        await _config_harness.CLOCK.sleep(3_000)
         versions = [
-            await trial.sample_version(name) for name in trial.fleet.balancers
+            await harness.sample_version(name)
+            for name in harness.fleet.balancers
         ]
-        stale = await trial.push(before)
+        stale = await harness.push(before)
         activation = asyncio.create_task(
-            trial.measure_activation_ms(latest + 1)
+            harness.measure_activation_ms(latest + 1)
         )
-        repaired = await trial.push(latest)
+        repaired = await harness.push(latest)
         elapsed_ms = await activation
         return [
-            _config_trial.zero_figure(
+            _config_harness.zero_figure(
                 "balancers that followed the restored store",
                 sum(version != latest for version in versions),
             ),
-            _config_trial.zero_figure(
+            _config_harness.zero_figure(
                 "pushes from the restored version that were accepted",
                 not isinstance(stale, core.Failure)
                 or stale.kind is not core.ErrorKind.CONFIG_STALE,
             ),
-            _config_trial.zero_figure(
+            _config_harness.zero_figure(
                 "pushes with the base in force that were refused",
                 isinstance(repaired, core.Failure),
             ),
@@ -283,7 +287,7 @@
                 "time until in force after the restore",
                 elapsed_ms,
                 "ms",
-                _config_trial.MAX_ACTIVATION_MS,
+                _config_harness.MAX_ACTIVATION_MS,
             ),
         ]
 
@@ -302,18 +306,18 @@
 
 
 async def _measure_store_calls(seed: int, count: int) -> tuple[float, int]:
-    async with _config_trial.run_trial(seed, count) as trial:
-        await _config_trial.CLOCK.sleep(2_000)
+    async with _config_harness.running_harness(seed, count) as harness:
+        await _config_harness.CLOCK.sleep(2_000)
         before, start_ms = (
-            await trial.count_store_calls(),
-            _config_trial.CLOCK.now_ms(),
+            await harness.count_store_calls(),
+            _config_harness.CLOCK.now_ms(),
         )
         watches = []
         for _ in range(10):
-            await _config_trial.CLOCK.sleep(1_000)
-            after = await trial.count_store_calls()
+            await _config_harness.CLOCK.sleep(1_000)
+            after = await harness.count_store_calls()
             watches.append(after["watches"])
-        elapsed_ms = _config_trial.CLOCK.now_ms() - start_ms
+        elapsed_ms = _config_harness.CLOCK.now_ms() - start_ms
     rate = (after["calls"] - before["calls"]) * 1000 / elapsed_ms
     return rate, max(watches)
 
@@ -336,39 +340,41 @@
     async def run(self, seed: int) -> _framework.Result:
         """Pauses a randomly chosen reader while operators push."""
         times_ms: list[float] = []
-        async with _config_trial.run_trial(seed) as trial:
-            readers = await self._list_readers(trial)
-            paused = trial.rng.choice(readers)
-            process = trial.fleet.balancers[paused].process
+        async with _config_harness.running_harness(seed) as harness:
+            readers = await self._list_readers(harness)
+            paused = harness.rng.choice(readers)
+            process = harness.fleet.balancers[paused].process
             process.send_signal(signal.SIGSTOP)
-            running = [name for name in trial.fleet.balancers if name != paused]
+            running = [
+                name for name in harness.fleet.balancers if name != paused
+            ]
             try:
-                await _config_trial.CLOCK.sleep(
+                await _config_harness.CLOCK.sleep(
                     (store.LEASE_DURATION_S + 3) * 1000
                 )
-                during = await self._list_readers(trial)
+                during = await self._list_readers(harness)
                 activation = asyncio.create_task(
-                    trial.measure_activation_ms(1, running)
+                    harness.measure_activation_ms(1, running)
                 )
-                await trial.push(0)
+                await harness.push(0)
                 times_ms.append(await activation)
             finally:
                 process.send_signal(signal.SIGCONT)
-            times_ms.append(await trial.measure_activation_ms(1))
-            await _config_trial.CLOCK.sleep(4_000)
-            after = await self._list_readers(trial)
-            activation = asyncio.create_task(trial.measure_activation_ms(2))
-            await trial.push(1)
+            times_ms.append(await harness.measure_activation_ms(1))
+            await _config_harness.CLOCK.sleep(4_000)
+            after = await self._list_readers(harness)
+            activation = asyncio.create_task(harness.measure_activation_ms(2))
+            await harness.push(1)
             times_ms.append(await activation)
-            joined = trial.fleet.start_balancer()
-            version = await trial.wait_ready_version(joined.name)
-            rollback_count = trial.rollback_count
+            joined = harness.fleet.start_balancer()
+            version = await harness.wait_ready_version(joined.name)
+            rollback_count = harness.rollback_count
         return _framework.Result(
             self.name,
             seed,
             (
                 Figure("join entries before the pause", len(readers), "1", 3),
-                _config_trial.zero_figure(
+                _config_harness.zero_figure(
                     "entry of the paused holder kept", paused in during
                 ),
                 Figure(
@@ -379,18 +385,20 @@
                     _framework.Bound.AT_LEAST,
                 ),
                 Figure("join entries after the pause", len(after), "1", 4),
-                _config_trial.activation_figure(times_ms),
-                _config_trial.zero_figure(
+                _config_harness.activation_figure(times_ms),
+                _config_harness.zero_figure(
                     "balancer that joined with an old version", version != 2
                 ),
-                _config_trial.zero_figure(
+                _config_harness.zero_figure(
                     "versions that went back", rollback_count
                 ),
             ),
         )
 
-    async def _list_readers(self, trial: _config_trial.Trial) -> list[str]:
-        client = store.EtcdStore([trial.fleet.store_address])
+    async def _list_readers(
+        self, harness: _config_harness.ConfigHarness
+    ) -> list[str]:
+        client = store.EtcdStore([harness.fleet.store_address])
         outcome = await client.read("fireflyford/join/")
         entries = outcome.value.entries if isinstance(outcome, core.Ok) else ()
         return [entry.key.rpartition("/")[2] for entry in entries]
--- a/libs/lab/src/fireflyford/lab/experiments/_flow_experiment.py
+++ b/libs/lab/src/fireflyford/lab/experiments/_flow_experiment.py
@@ -125,7 +125,7 @@
     async def finish(
         self,
     ) -> tuple[_callers.CallerStatistics, _callers.CallerStatistics]:
-        """Stops the callers; returns the figures of regular and fast feeds."""
+        """Stops the callers; returns statistics of regular and fast feeds."""
         parts = await asyncio.gather(*(item.finish() for item in self.callers))
         fast = await asyncio.gather(
             *(item.finish() for item in self.fast_callers)
@@ -210,19 +210,19 @@
             finished = await self._disturb_within_timeout(run, seed)
             await asyncio.sleep(self._scale.settle_ms / 1000)
             duration_s = time.monotonic() - start_s
-            figures, fast = await run.finish()
+            statistics, fast_statistics = await run.finish()
             executions = collections.Counter(
                 str(item["body"])
                 for item in run.fleet.executions()
                 if item["body"]
             )
-        combined = _callers.merge_statistics([figures, fast])
+        combined = _callers.merge_statistics([statistics, fast_statistics])
         return _framework.Result(
             self.name,
             seed,
             (
-                *self._feed_figures(combined, fast, run),
-                *self._request_figures(figures, executions),
+                *self._feed_figures(combined, fast_statistics, run),
+                *self._request_figures(statistics, executions),
                 _count(
                     "misrouted datagrams", run.sum_counter("misrouted_count"), 0
                 ),
@@ -256,28 +256,28 @@
 
     def _feed_figures(
         self,
-        figures: _callers.CallerStatistics,
-        fast: _callers.CallerStatistics,
+        statistics: _callers.CallerStatistics,
+        fast_statistics: _callers.CallerStatistics,
         run: FlowRun,
     ) -> tuple[_framework.Figure, ...]:
         allowed_broken_count = self.max_broken_feeds + run.lost_feed_count
         return (
-            _count("open feeds", figures.feeds),
-            _count("feed events", figures.events),
-            _count("moved feeds", figures.moved),
-            _count("broken feeds", figures.broken, allowed_broken_count),
-            _count("refused feeds", figures.refused_feeds, 0),
-            _count("gaps", figures.gaps, 0),
-            _count("duplicates", figures.duplicates, 0),
+            _count("open feeds", statistics.feeds),
+            _count("feed events", statistics.events),
+            _count("moved feeds", statistics.moved),
+            _count("broken feeds", statistics.broken, allowed_broken_count),
+            _count("refused feeds", statistics.refused_feeds, 0),
+            _count("gaps", statistics.gaps, 0),
+            _count("duplicates", statistics.duplicates, 0),
             _framework.Figure(
                 "longest silence of a feed",
-                figures.longest_silence_ms,
+                statistics.longest_silence_ms,
                 "ms",
                 _MAX_SILENCE_MS,
             ),
             _framework.Figure(
                 "longest silence, 100 ms interval",
-                fast.longest_silence_ms,
+                fast_statistics.longest_silence_ms,
                 "ms",
                 _MAX_SILENCE_MS,
             ),
@@ -285,18 +285,20 @@
 
     def _request_figures(
         self,
-        figures: _callers.CallerStatistics,
+        statistics: _callers.CallerStatistics,
         executions: collections.Counter[str],
     ) -> tuple[_framework.Figure, ...]:
-        refused = set(figures.refused_bodies)
+        refused = set(statistics.refused_bodies)
         return (
-            _count("order connections", figures.connections),
-            _count("requests complete", figures.complete),
-            _count("requests refused", figures.refused),
+            _count("order connections", statistics.connections),
+            _count("requests complete", statistics.complete),
+            _count("requests refused", statistics.refused),
             _count(
-                "requests unknown", figures.unknown, self.max_unknown_requests
+                "requests unknown",
+                statistics.unknown,
+                self.max_unknown_requests,
             ),
-            _count("wrong answers", figures.wrong, 0),
+            _count("wrong answers", statistics.wrong, 0),
             _count(
                 "refused as not run, but ran", len(refused & set(executions)), 0
             ),
--- a/libs/lab/src/fireflyford/lab/scenarios/_process_environment.py
+++ b/libs/lab/src/fireflyford/lab/scenarios/_process_environment.py
@@ -14,7 +14,7 @@
 from fireflyford.lab import _deployments
 from fireflyford.lab import _faults
 from fireflyford.lab import _fleet
-from fireflyford.lab.experiments import _config_trial
+from fireflyford.lab.experiments import _config_harness
 from fireflyford.lab.scenarios import _environment
 from fireflyford.lab.scenarios import _load
 
@@ -31,12 +31,12 @@
         """Initializes the environment with the seed of all random choices."""
         self._rng = random.Random(seed)
         self._fleet: _fleet.Fleet | None = None
-        self._trial: _config_trial.Trial | None = None
+        self._harness: _config_harness.ConfigHarness | None = None
         self._feeds: list[_callers.CallerGroup] = []
         self._loads: list[_load.RequestLoad] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._actions: list[asyncio.Task[None]] = []
-        self._feed_figures = _callers.CallerStatistics()
+        self._feed_statistics = _callers.CallerStatistics()
         self._misrouted: dict[str, int] = {}
         self._config_delays_ms: list[float] = []
         self._lost_push_count = 0
@@ -54,15 +54,15 @@
         return self._fleet
 
     @property
-    def trial(self) -> _config_trial.Trial:
+    def harness(self) -> _config_harness.ConfigHarness:
         """Pushes and samples configuration versions.
 
         Raises:
             RuntimeError: The scenario has not deployed anything yet.
         """
-        if self._trial is None:
+        if self._harness is None:
             raise RuntimeError("the first step must be a deployment")
-        return self._trial
+        return self._harness
 
     def close(self) -> None:
         """Stops all tasks and processes."""
@@ -85,7 +85,7 @@
             raise ValueError(f"no deployment {deployment}; there are {names}")
         self._fleet = _fleet.Fleet(found, self._rng, balancer_count, _PROXIED)
         await self._fleet.start()
-        self._trial = _config_trial.Trial(self._fleet, self._rng)
+        self._harness = _config_harness.ConfigHarness(self._fleet, self._rng)
         self._tasks.append(asyncio.create_task(self._fleet.check_health()))
         self._tasks.append(asyncio.create_task(self._poll_instances()))
 
@@ -161,7 +161,7 @@
         self._finished = True
         await asyncio.gather(*self._actions)
         parts = [await feeds.stop() for feeds in self._feeds]
-        self._feed_figures = _callers.merge_statistics(parts)
+        self._feed_statistics = _callers.merge_statistics(parts)
         # The first two tasks, health checks and polling, run until `close`.
         for task in self._tasks[2:]:
             task.cancel()
@@ -170,7 +170,7 @@
 
     async def measure(self, name: str) -> float:
         """Returns the value of a figure; times are in ms."""
-        feeds = self._feed_figures
+        feeds = self._feed_statistics
         counts: collections.Counter[str] = collections.Counter()
         for load in self._loads:
             counts.update(load.counts)
@@ -197,7 +197,7 @@
             "sheets_p99": self._p99_ms("sheets"),
             "config_delay": max(self._config_delays_ms, default=0.0),
             "lost_pushes": self._lost_push_count,
-            "config_reversions": self.trial.rollback_count,
+            "config_reversions": self.harness.rollback_count,
         }
         return float(figures[name])
 
@@ -228,7 +228,7 @@
                     counters = status["counters"]
                     self._misrouted[name] = counters["misrouted_count"]
             for name in list(self.fleet.balancers):
-                await self.trial.sample_version(name)
+                await self.harness.sample_version(name)
             await asyncio.sleep(_POLL_INTERVAL_MS / 1000)
 
     def _choose_balancer(self) -> _fleet.BalancerProcess:
@@ -302,22 +302,22 @@
         await _pause(self._choose_target(service).backend, values[0])
 
     async def _store_down(self, service: str, values: list[float]) -> None:
-        await self.trial.set_store_faults(down=True)
+        await self.harness.set_store_faults(down=True)
         await asyncio.sleep(values[0])
-        await self.trial.set_store_faults(down=False)
+        await self.harness.set_store_faults(down=False)
 
     async def _store_slow(self, service: str, values: list[float]) -> None:
-        await self.trial.set_store_faults(slow_ms=values[0])
+        await self.harness.set_store_faults(slow_ms=values[0])
         await asyncio.sleep(values[1])
-        await self.trial.set_store_faults(slow_ms=0)
+        await self.harness.set_store_faults(slow_ms=0)
 
     async def _store_lost_answer(
         self, service: str, values: list[float]
     ) -> None:
-        await self.trial.set_store_faults(lose_answer_count=1)
+        await self.harness.set_store_faults(lose_answer_count=1)
 
     async def _store_lease(self, service: str, values: list[float]) -> None:
-        await self.trial.set_store_faults(lapse_leases=True)
+        await self.harness.set_store_faults(lapse_leases=True)
 
     async def _lose_datagrams(self, service: str, values: list[float]) -> None:
         self._set_faults(_faults.Faults(loss_ratio=values[0] / 100))
@@ -337,20 +337,20 @@
             proxy.set_faults(name, faults)
 
     async def _push_config(self, service: str, values: list[float]) -> None:
-        base = self.trial.accepted_version
+        base = self.harness.accepted_version
         await self._push_and_measure(base, 1)
 
     async def _push_race(self, service: str, values: list[float]) -> None:
-        base = self.trial.accepted_version
+        base = self.harness.accepted_version
         await self._push_and_measure(base, 2)
 
     async def _push_and_measure(self, base: int, operator_count: int) -> None:
         activation = asyncio.create_task(
-            self.trial.measure_activation_ms(base + 1)
+            self.harness.measure_activation_ms(base + 1)
         )
         outcomes = await asyncio.gather(
             *(
-                self.trial.push(base, f"operator-{index}")
+                self.harness.push(base, f"operator-{index}")
                 for index in range(operator_count)
             )
         )
