--- a/libs/lab/src/fireflyford/lab/_backend.py
+++ b/libs/lab/src/fireflyford/lab/_backend.py
@@ -29,10 +29,10 @@
     """Simulated behaviour of a backend server.
 
     Attributes:
-        slot_count: Requests that run at a time.
+        slot_count: Number of requests that run concurrently.
         speed: Speed relative to the nominal execution times.
         cold_count: Number of first requests that take three times as long.
-        max_waiting_count: Waiting requests from which on it sheds load.
+        max_waiting_count: Sheds load once this many requests are waiting.
         report_lag_ms: Age of the reported load and health.
         reports_idle: Whether it always reports no load.
         reports_healthy: Whether it always reports good health.
@@ -88,8 +88,8 @@
         now_ms = time.monotonic() * 1000
         healthy = not (self.draining or self.failing)
         self._reports.append((now_ms, len(self.tasks), healthy))
-        limit_ms = now_ms - self.behaviour.report_lag_ms
-        while len(self._reports) > 1 and self._reports[1][0] <= limit_ms:
+        as_of_ms = now_ms - self.behaviour.report_lag_ms
+        while len(self._reports) > 1 and self._reports[1][0] <= as_of_ms:
             self._reports.popleft()
         _, load, healthy = self._reports[0]
         return (
@@ -261,10 +261,10 @@
     Args:
         address: `ip:port` to listen on.
         name: Name in the execution log.
-        slot_count: Requests that run at a time.
+        slot_count: Number of requests that run concurrently.
         speed: Speed relative to the nominal execution times.
         cold_count: Number of first requests that take three times as long.
-        max_waiting_count: Waiting requests from which on it sheds load.
+        max_waiting_count: Sheds load once this many requests are waiting.
         report_lag_ms: Age of the reported load and health.
         reports_idle: Whether it always reports no load.
         reports_healthy: Whether it always reports good health.
--- a/libs/lab/src/fireflyford/lab/_store_server.py
+++ b/libs/lab/src/fireflyford/lab/_store_server.py
@@ -62,6 +62,7 @@
         self.revision = 1
         self.values: dict[bytes, _StoredValue] = {}
         self.events: list[_Event] = []
+        # Duration and expiry time of each lease, in s.
         self.leases: dict[int, tuple[int, float]] = {}
         self.changed = asyncio.Condition()
         self._snapshot: tuple[int, dict[bytes, _StoredValue]] = (1, {})
@@ -97,7 +98,7 @@
         return self._next_lease_id
 
     def renew(self, lease_id: int) -> int:
-        """Renews a lease; returns its duration, 0 when it has lapsed."""
+        """Renews a lease; returns its duration, 0 if it has expired."""
         if lease_id not in self.leases:
             return 0
         duration_s, _ = self.leases[lease_id]
@@ -116,8 +117,8 @@
         for key in keys:
             self.delete(key, key + b"\0")
 
-    def end_lapsed_leases(self, every: bool = False) -> None:
-        """Ends expired leases, or all leases if `every` is set."""
+    def end_expired_leases(self, every: bool = False) -> None:
+        """Ends the expired leases, or all leases if `every` is set."""
         now = time.monotonic()
         for lease_id, (_, expiry) in list(self.leases.items()):
             if every or expiry < now:
@@ -188,7 +189,7 @@
     async def _expire_leases(self) -> None:
         while True:
             await asyncio.sleep(_LEASE_CHECK_MS / 1000)
-            self.state.end_lapsed_leases()
+            self.state.end_expired_leases()
             await self.state.notify_watches()
 
 
@@ -397,7 +398,7 @@
             "lose_answer_count", switches.lose_answer_count
         )
         if requested.get("lapse_leases"):
-            state.end_lapsed_leases(every=True)
+            state.end_expired_leases(every=True)
         if requested.get("save_snapshot"):
             state.save_snapshot()
         if requested.get("restore_snapshot"):
