Name the tests of flows, runtime, store, config, telemetry, cli and layout by behaviour

Names in the usual terms of the field; no test or assertion changed.

libs/cli/tests/test_cli.py: - test_an_issued_token_is_valid -> test_token_command_prints_valid_token - test_hexadecimal_digits_stay_text -> test_hexadecimal_key_is_not_parsed_as_number - test_an_error_is_one_line_with_its_exit_code -> test_error_is_printed_on_one_line_with_exit_code - test_every_fault_of_a_file_is_printed -> test_config_check_prints_all_errors - test_an_unknown_flag_runs_nothing -> test_command_with_unknown_flag_does_not_run - test_operators_work_with_running_instances -> test_commands_work_with_running_instances - _check_instances -> _check_instance_commands

libs/cli/tests/test_trace.py: - test_a_trace_shows_the_flow_and_its_cause -> test_trace_shows_events_of_flow_and_cause_of_reset - test_an_unknown_flow_is_reported -> test_unknown_flow_or_missing_log_is_reported

libs/config/tests/test_check.py: - test_invalid_text_is_rejected -> test_invalid_configuration_text_is_rejected

libs/config/tests/test_examples.py: - test_rendered_text_is_current -> test_committed_example_matches_program_output

libs/flows/tests/test_decisions.py: - sent -> sent_messages - test_packet_for_another_sequence_is_not_delivered -> test_packet_with_mismatched_sequence_is_not_delivered - test_balancer_that_asks_directory_agent_is_always_notified -> test_holder_notifies_balancer_of_packet_from_directory_agent - test_new_flow_is_declined_by_target_state -> test_new_flow_is_declined_if_target_is_not_ready - test_probes_are_answered_when_target_goes_down -> test_probed_flow_is_reported_not_held_when_target_goes_down - test_target_without_room_declines_flow_that_allows_queueing -> test_busy_target_declines_flow_that_allows_queueing - make_probed_forwarder -> make_probing_forwarder - test_unreturned_packet_is_adopted_if_target_is_alive -> test_flow_of_unreturned_packet_is_adopted_if_target_is_alive - test_placements_are_counted_until_reported_or_expired -> test_queued_flow_is_placed_after_unreported_placements_expire - test_flow_without_room_is_refused_before_client_gives_up -> test_queued_flow_is_refused_before_client_timeout - test_new_directory_agent_reports_no_flow_as_not_found -> test_new_directory_agent_does_not_report_flow_not_found - test_flow_of_changed_route_is_found_at_earlier_service -> test_flow_of_changed_route_is_searched_at_earlier_service - test_directory_agent_that_does_not_answer_is_skipped -> test_directory_agent_timeout_retries_next_candidate - test_reports_are_applied_in_order_of_sending -> test_out_of_order_target_report_is_ignored - test_only_report_after_signal_shows_that_target_is_alive -> test_target_liveness_requires_report_after_signal - test_target_without_reports_gets_no_new_flows -> test_missing_reports_make_target_state_unknown - test_heartbeat_of_earlier_process_is_ignored -> test_heartbeat_of_earlier_incarnation_is_ignored

libs/runtime/tests/test_heartbeats.py: - test_gaps_between_keepalives_stay_below_the_silence_limit -> test_gaps_between_keepalives_stay_below_silence_limit - test_messages_fit_their_assumed_sizes -> test_encoded_messages_fit_budgeted_sizes - test_control_traffic_stays_within_the_budget -> test_control_traffic_stays_within_budget

libs/runtime/tests/test_link_codec.py: - test_messages_survive_a_round_trip -> test_messages_round_trip

libs/store/tests/test_config_store.py: - with_targets -> config_text - kind -> error_kind - test_one_of_two_concurrent_pushes_succeeds -> test_only_one_of_two_concurrent_pushes_succeeds - test_push_with_lost_response_is_accepted -> test_push_with_lost_response_is_reported_as_applied - test_store_failure_during_push_is_resolved -> test_push_outcome_is_resolved_after_store_outage

libs/store/tests/test_follower.py: - Instance -> FollowerFixture - test_versions_only_increase -> test_applied_version_never_decreases - test_new_instance_waits_for_version_in_force -> test_new_instance_is_synced_after_applying_version_in_force - test_newer_format_is_not_applied_but_served -> test_configuration_in_newer_format_is_served_but_not_applied - test_unknown_field_prevents_application -> test_configuration_with_unknown_field_is_not_applied - test_restored_store_does_not_roll_back -> test_restored_store_does_not_roll_back_configuration - test_records_with_same_version_are_distinguished -> test_version_reused_after_restore_is_detected

libs/store/tests/test_join.py: - test_unavailable_store_keeps_configured_seeds -> test_configured_seeds_are_used_if_store_is_unavailable

libs/telemetry/tests/test_instruments.py: - test_messages_as_reasons_share_one_series -> test_free_text_reasons_share_one_series - test_number_of_series_is_bounded -> test_series_count_is_bounded - test_buckets_are_cumulative -> test_histogram_buckets_are_cumulative

tests/test_event_names.py: - first_arguments -> literal_first_arguments

tests/test_layout.py: - sources -> source_files - test_only_the_adapter_imports_the_platform -> test_libraries_do_not_import_platform - test_the_adapter_imports_only_front_end_libraries -> test_adapter_imports_only_front_end_libraries - test_a_flow_process_starts_small -> test_platform_process_does_not_import_quic_front_end_dependencies - test_private_modules_stay_private -> test_libraries_import_no_private_modules_of_other_libraries

--- a/libs/cli/tests/test_cli.py
+++ b/libs/cli/tests/test_cli.py
@@ -36,7 +36,7 @@
     return code, captured.out, captured.err
 
 
-def test_an_issued_token_is_valid(
+def test_token_command_prints_valid_token(
     monkeypatch: pytest.MonkeyPatch, capsys: Output
 ) -> None:
     """Guards against tokens that agents reject."""
@@ -47,7 +47,7 @@
     assert (code, out) == (0, f"{token}\n")
 
 
-def test_hexadecimal_digits_stay_text(
+def test_hexadecimal_key_is_not_parsed_as_number(
     monkeypatch: pytest.MonkeyPatch, capsys: Output
 ) -> None:
     """Guards against a key such as 00e1 being parsed as a number."""
@@ -69,7 +69,7 @@
         (("balancer", "/none"), 2, "/none"),
     ],
 )
-def test_an_error_is_one_line_with_its_exit_code(
+def test_error_is_printed_on_one_line_with_exit_code(
     monkeypatch: pytest.MonkeyPatch,
     capsys: Output,
     arguments: tuple[str, ...],
@@ -77,17 +77,17 @@
     message: str,
 ) -> None:
     """Guards against tracebacks, and exit codes that are not documented."""
-    found, out, err = run_cli(monkeypatch, capsys, *arguments)
-    assert (found, out) == (code, "")
+    actual_code, out, err = run_cli(monkeypatch, capsys, *arguments)
+    assert (actual_code, out) == (code, "")
     assert message in err
     assert err.startswith("fireflyford: ")
     assert err.count("\n") == 1
 
 
-def test_every_fault_of_a_file_is_printed(
+def test_config_check_prints_all_errors(
     monkeypatch: pytest.MonkeyPatch, capsys: Output, tmp_path: pathlib.Path
 ) -> None:
-    """Guards against validation that stops at the first fault."""
+    """Guards against validation that stops at the first error."""
     invalid = dataclasses.replace(BASE, regions=(), name="")
     path = tmp_path / "wrong.json"
     path.write_text(config.render(invalid))
@@ -96,7 +96,7 @@
     assert len(err.splitlines()) == 3
 
 
-def test_an_unknown_flag_runs_nothing(
+def test_command_with_unknown_flag_does_not_run(
     monkeypatch: pytest.MonkeyPatch, capsys: Output
 ) -> None:
     """Guards against a push that runs before all its flags are parsed."""
@@ -148,7 +148,7 @@
         return code, output.getvalue()
 
 
-def test_operators_work_with_running_instances(
+def test_commands_work_with_running_instances(
     tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against commands that do not match the running processes."""
@@ -199,12 +199,14 @@
     assert "version 1 from 0" in (await runner.run("config", "history"))[1]
     assert "+ deployment bantay" in (await runner.run("audit"))[1]
     assert "\n{" in (await runner.run("config", "show"))[1]
-    await _check_instances(fleet, runner)
-    refused = await _push_while_connected(fleet, runner, directory)
-    assert "padron would be removed, but holds 1 connections" in refused
+    await _check_instance_commands(fleet, runner)
+    rejection = await _push_while_connected(fleet, runner, directory)
+    assert "padron would be removed, but holds 1 connections" in rejection
 
 
-async def _check_instances(fleet: _fleet.Fleet, runner: _CommandRunner) -> None:
+async def _check_instance_commands(
+    fleet: _fleet.Fleet, runner: _CommandRunner
+) -> None:
     target = next(
         name for name, item in fleet.targets.items() if item.service == "padron"
     )
--- a/libs/cli/tests/test_trace.py
+++ b/libs/cli/tests/test_trace.py
@@ -6,11 +6,11 @@
 from fireflyford.cli import _trace
 
 FLOW = "100.64.0.7:4001>198.18.0.1:443"
-BALANCER = f"""\
+BALANCER_LOG = f"""\
 time=30.010 event=flow-reset flow="{FLOW}" reason=no-holder instance=edge-1
 time=12.000 event=store-lost prefix=op/config instance=edge-1
 """
-AGENT = f"""\
+AGENT_LOG = f"""\
 time=10.000 event=flow-opened flow="{FLOW}" balancer=10.0.0.1:1 instance=side-1
 time=29.900 event=target-down reason="port closed" held=3 instance=side-1
 time=29.950 event=flow-opened flow="100.64.0.8:1>198.18.0.1:443" instance=side-1
@@ -19,9 +19,11 @@
 """
 
 
-def test_a_trace_shows_the_flow_and_its_cause(tmp_path: pathlib.Path) -> None:
+def test_trace_shows_events_of_flow_and_cause_of_reset(
+    tmp_path: pathlib.Path,
+) -> None:
     """Guards against missing the cause in the log of another instance."""
-    for name, text in (("edge", BALANCER), ("side", AGENT)):
+    for name, text in (("edge", BALANCER_LOG), ("side", AGENT_LOG)):
         (tmp_path / name).write_text(text)
     paths = (str(tmp_path / "edge"), str(tmp_path / "side"))
     outcome = _trace.trace(FLOW, paths)
@@ -36,11 +38,11 @@
     assert "100.64.0.8" not in outcome.value
 
 
-def test_an_unknown_flow_is_reported(
+def test_unknown_flow_or_missing_log_is_reported(
     tmp_path: pathlib.Path,
 ) -> None:
     """Guards against empty output for an unknown flow or a missing file."""
-    (tmp_path / "edge").write_text(BALANCER)
+    (tmp_path / "edge").write_text(BALANCER_LOG)
     outcome = _trace.trace("100.64.9.9:1", (str(tmp_path / "edge"),))
     assert isinstance(outcome, core.Failure)
     outcome = _trace.trace(FLOW, (str(tmp_path / "missing"),))
--- a/libs/config/tests/test_check.py
+++ b/libs/config/tests/test_check.py
@@ -138,7 +138,9 @@
         ('"name"', "name", "JSON is malformed"),
     ],
 )
-def test_invalid_text_is_rejected(old: str, new: str, expected: str) -> None:
+def test_invalid_configuration_text_is_rejected(
+    old: str, new: str, expected: str
+) -> None:
     """Guards against a text that is parsed partially."""
     text = config.render(BASE).replace(old, new, 1)
     outcome = config.parse(text)
--- a/libs/config/tests/test_examples.py
+++ b/libs/config/tests/test_examples.py
@@ -13,7 +13,7 @@
 
 
 @pytest.mark.parametrize("name", ["bantay", "hanul"])
-def test_rendered_text_is_current(
+def test_committed_example_matches_program_output(
     name: str, capsys: pytest.CaptureFixture[str]
 ) -> None:
     """Guards against a committed text that differs from the program output."""
--- a/libs/flows/tests/test_decisions.py
+++ b/libs/flows/tests/test_decisions.py
@@ -1,4 +1,4 @@
-"""Tests of individual decisions of agents and balancers."""
+"""Tests of placement, search and liveness decisions of agents and balancers."""
 
 import dataclasses
 import random
@@ -60,7 +60,7 @@
     return clock, fleet, forwarder
 
 
-def sent(actions: list[flows.Action], kind: type) -> list[flows.Send]:
+def sent_messages(actions: list[flows.Action], kind: type) -> list[flows.Send]:
     return [
         action
         for action in actions
@@ -83,7 +83,7 @@
     )
 
 
-def test_packet_for_another_sequence_is_not_delivered() -> None:
+def test_packet_with_mismatched_sequence_is_not_delivered() -> None:
     """Guards against delivery to the wrong backend server.
 
     Two backend servers answered the opening packet, and the client
@@ -95,10 +95,10 @@
         PEER, forward(flows.Handling.SEARCH), data_packet(ack=SEQ + 5_000)
     )
     assert not any(isinstance(item, flows.Deliver) for item in actions)
-    assert sent(actions, flows.NotHeld)
+    assert sent_messages(actions, flows.NotHeld)
 
 
-def test_balancer_that_asks_directory_agent_is_always_notified() -> None:
+def test_holder_notifies_balancer_of_packet_from_directory_agent() -> None:
     """Guards against duplicate delivery of a request.
 
     A balancer whose view of the instances lacks the holder asks the directory
@@ -109,7 +109,9 @@
     actions = forwarder.receive(
         PEER, forward(flows.Handling.HELD), data_packet()
     )
-    assert [item.to for item in sent(actions, flows.FlowLocated)] == [BALANCER]
+    assert [item.to for item in sent_messages(actions, flows.FlowLocated)] == [
+        BALANCER
+    ]
 
 
 def test_late_answer_to_opening_packet_is_dropped() -> None:
@@ -118,7 +120,7 @@
     opening = flows.Packet(FLOW, b"", opens=True)
     forwarder.receive(BALANCER, forward(flows.Handling.PLACE), opening)
     clock.set(1_000_000 + _target_forwarder.OPENING_LIMIT_MS)
-    declined = sent(forwarder.sweep(), flows.PlacementDeclined)
+    declined = sent_messages(forwarder.sweep(), flows.PlacementDeclined)
     assert len(declined) == 1
     accepted = flows.Packet(FLOW, b"", opens=True, acknowledges=True, seq=SEQ)
     assert forwarder.receive_from_target(accepted) == []
@@ -132,7 +134,7 @@
         (flows.TargetState.UNKNOWN, flows.DeclineReason.UNKNOWN_STATE),
     ],
 )
-def test_new_flow_is_declined_by_target_state(
+def test_new_flow_is_declined_if_target_is_not_ready(
     state: flows.TargetState, reason: flows.DeclineReason
 ) -> None:
     """Guards against new flows at a backend server that is not ready."""
@@ -140,7 +142,7 @@
     forwarder.update_state(state, 2)
     opening = flows.Packet(FLOW, b"", opens=True)
     actions = forwarder.receive(PEER, forward(flows.Handling.PLACE), opening)
-    (declined,) = sent(actions, flows.PlacementDeclined)
+    (declined,) = sent_messages(actions, flows.PlacementDeclined)
     assert isinstance(declined.message, flows.PlacementDeclined)
     assert declined.message.reason is reason
     assert len(actions) == 1
@@ -170,27 +172,25 @@
     )
 
 
-def test_probes_are_answered_when_target_goes_down() -> None:
+def test_probed_flow_is_reported_not_held_when_target_goes_down() -> None:
     """Guards against a search that waits for an agent whose target is down."""
     _, _, forwarder = make_forwarder()
     forwarder.receive(PEER, forward(flows.Handling.SEARCH), data_packet())
-    assert sent(forwarder.mark_down("port closed"), flows.NotHeld)
+    assert sent_messages(forwarder.mark_down("port closed"), flows.NotHeld)
 
 
 def test_abandoned_request_is_not_counted() -> None:
     """Guards against slots occupied by requests that clients have abandoned.
 
-    While a backend server is slow, clients give up; if their requests stayed
-    counted, every backend server would look full.
+    While a backend server is slow, clients time out; if their requests stayed
+    counted, every backend server would appear full.
     """
     _, _, forwarder = make_forwarder()
     open_flow(forwarder)
     forwarder.receive(BALANCER, forward(flows.Handling.HELD), data_packet())
     assert forwarder.load().busy_count == 1
-    given_up = flows.Packet(
-        FLOW, b"", acknowledges=True, ends=True, ack=SEQ + 1
-    )
-    forwarder.receive(BALANCER, forward(flows.Handling.HELD), given_up)
+    closing = flows.Packet(FLOW, b"", acknowledges=True, ends=True, ack=SEQ + 1)
+    forwarder.receive(BALANCER, forward(flows.Handling.HELD), closing)
     assert forwarder.load().busy_count == 0
     assert forwarder.load().reserved_count == 0
 
@@ -204,10 +204,10 @@
     assert forwarder.load().busy_count == 1
 
 
-def test_target_without_room_declines_flow_that_allows_queueing() -> None:
+def test_busy_target_declines_flow_that_allows_queueing() -> None:
     """Guards against queues so long that the backend server would shed them.
 
-    They arise when many clients return at once after an outage.
+    They arise when many clients reconnect at once after an outage.
     """
     _, _, forwarder = make_forwarder()
     limit = 2 * _placement.PENDING_PER_SLOT
@@ -215,7 +215,7 @@
         open_flow(forwarder, FLOW[:5] + bytes((index,)) + FLOW[6:])
     opening = flows.Packet(FLOW[:5] + b"\xff" + FLOW[6:], b"", opens=True)
     actions = forwarder.receive(PEER, forward(flows.Handling.PLACE), opening)
-    (declined,) = sent(actions, flows.PlacementDeclined)
+    (declined,) = sent_messages(actions, flows.PlacementDeclined)
     assert isinstance(declined.message, flows.PlacementDeclined)
     assert declined.message.reason is flows.DeclineReason.BUSY
 
@@ -229,7 +229,7 @@
     assert forwarder.load().reserved_count == 0
 
 
-def make_probed_forwarder() -> tuple[Clock, _target_forwarder.TargetForwarder]:
+def make_probing_forwarder() -> tuple[Clock, _target_forwarder.TargetForwarder]:
     """Returns a new forwarder that probes a packet of an unknown flow."""
     clock = Clock(1_000_000)
     fleet = flows.Fleet(clock)
@@ -247,24 +247,26 @@
 
     After a power cut, its agent was restarted and the backend server was not.
     """
-    clock, forwarder = make_probed_forwarder()
+    clock, forwarder = make_probing_forwarder()
     clock.set(1_000_000 + _target_forwarder.PROBE_LIMIT_MS)
     assert forwarder.sweep() == []
     clock.set(1_000_000 + _target_forwarder.FIRST_KEEPALIVE_MS)
     actions = forwarder.sweep()
     assert FLOW not in forwarder.tracker
-    assert [item.to for item in sent(actions, flows.NotHeld)] == [PEER]
+    assert [item.to for item in sent_messages(actions, flows.NotHeld)] == [PEER]
 
 
-def test_unreturned_packet_is_adopted_if_target_is_alive() -> None:
+def test_flow_of_unreturned_packet_is_adopted_if_target_is_alive() -> None:
     """Guards against a slow request mistaken for a flow held elsewhere."""
-    clock, forwarder = make_probed_forwarder()
+    clock, forwarder = make_probing_forwarder()
     monitor = flows.TargetMonitor(clock, "board", forwarder, 1_200)
     clock.set(1_000_700)
     monitor.record_report(report(1))
     actions = forwarder.sweep()
     assert FLOW in forwarder.tracker
-    assert [item.to for item in sent(actions, flows.FlowLocated)] == [BALANCER]
+    assert [item.to for item in sent_messages(actions, flows.FlowLocated)] == [
+        BALANCER
+    ]
 
 
 def make_agent() -> tuple[Clock, flows.Fleet, flows.AgentFlows]:
@@ -279,8 +281,8 @@
     return clock, fleet, decisions
 
 
-def test_placements_are_counted_until_reported_or_expired() -> None:
-    """Guards against backend servers that look full indefinitely.
+def test_queued_flow_is_placed_after_unreported_placements_expire() -> None:
+    """Guards against backend servers that appear full indefinitely.
 
     An unchanged load is not reported again immediately.
     """
@@ -294,40 +296,40 @@
         )
     queued_flow = FLOW[:5] + b"\xfe" + FLOW[6:]
     opening = flows.Packet(queued_flow, b"", opens=True)
-    request = forward(flows.Handling.RESOLVE)
-    first = decisions.receive(BALANCER, request, opening)
-    assert sent(first, flows.PlacementQueued)
+    resolve = forward(flows.Handling.RESOLVE)
+    first = decisions.receive(BALANCER, resolve, opening)
+    assert sent_messages(first, flows.PlacementQueued)
     clock.set(1_000_000 + _flow_tracker.RESERVATION_MS + 40)
     placed = [
         action.message
-        for action in sent(decisions.sweep(), flows.Forward)
+        for action in sent_messages(decisions.sweep(), flows.Forward)
         if isinstance(action.message, flows.Forward)
     ]
     assert placed
     assert all(item.handling is flows.Handling.PLACE for item in placed)
 
 
-def test_flow_without_room_is_refused_before_client_gives_up() -> None:
-    """Guards against flows that stay queued until their clients give up."""
+def test_queued_flow_is_refused_before_client_timeout() -> None:
+    """Guards against flows that stay queued until their clients time out."""
     clock, _, decisions = make_agent()
 
     def report_full() -> None:
         for address in (OWN, PEER):
-            full = flows.Load(flows.TargetState.READY, 2, busy_count=8)
-            decisions.directory.record_load(address, full)
+            full_load = flows.Load(flows.TargetState.READY, 2, busy_count=8)
+            decisions.directory.record_load(address, full_load)
 
     report_full()
     opening = flows.Packet(FLOW, b"", opens=True)
-    request = forward(flows.Handling.RESOLVE)
-    assert sent(
-        decisions.receive(BALANCER, request, opening), flows.PlacementQueued
+    resolve = forward(flows.Handling.RESOLVE)
+    assert sent_messages(
+        decisions.receive(BALANCER, resolve, opening), flows.PlacementQueued
     )
     refused = []
-    # The client gives up 1,400 ms after its first packet.
+    # The client times out 1,400 ms after its first packet.
     for now_ms in range(1_000_020, 1_001_000, 20):
         clock.set(now_ms)
         report_full()
-        refused += sent(decisions.sweep(), flows.PlacementRefused)
+        refused += sent_messages(decisions.sweep(), flows.PlacementRefused)
     assert len(refused) == 1
 
 
@@ -335,27 +337,27 @@
     """Guards against waiting for requests that have already finished."""
     clock, _, decisions = make_agent()
     for address in (OWN, PEER):
-        full = flows.Load(
+        full_load = flows.Load(
             flows.TargetState.READY, 2, busy_count=4, reserved_count=4
         )
-        decisions.directory.record_load(address, full)
+        decisions.directory.record_load(address, full_load)
     opening = flows.Packet(FLOW, b"", opens=True)
-    request = forward(flows.Handling.RESOLVE)
-    assert sent(
-        decisions.receive(BALANCER, request, opening), flows.PlacementQueued
+    resolve = forward(flows.Handling.RESOLVE)
+    assert sent_messages(
+        decisions.receive(BALANCER, resolve, opening), flows.PlacementQueued
     )
     # Two slots finish eight requests of 30 ms in 120 ms.
     clock.set(1_000_130)
-    (offer,) = sent(decisions.sweep(), flows.Forward)
+    (offer,) = sent_messages(decisions.sweep(), flows.Forward)
     assert isinstance(offer.message, flows.Forward)
     assert offer.message.handling is flows.Handling.PLACE
 
 
-def test_new_directory_agent_reports_no_flow_as_not_found() -> None:
+def test_new_directory_agent_does_not_report_flow_not_found() -> None:
     """Guards against resets while a new agent may not know all other agents."""
     _, _, decisions = make_agent()
-    request = forward(flows.Handling.RESOLVE)
-    decisions.receive(BALANCER, request, data_packet())
+    resolve = forward(flows.Handling.RESOLVE)
+    decisions.receive(BALANCER, resolve, data_packet())
     actions = []
     for address in (OWN, PEER):
         actions += decisions.handle_message(address, flows.NotHeld(FLOW))
@@ -366,8 +368,8 @@
     """Guards against clients that wait for a flow without a holder."""
     clock, _, decisions = make_agent()
     clock.set(1_010_000)
-    request = forward(flows.Handling.RESOLVE)
-    decisions.receive(BALANCER, request, data_packet())
+    resolve = forward(flows.Handling.RESOLVE)
+    decisions.receive(BALANCER, resolve, data_packet())
     assert decisions.handle_message(OWN, flows.NotHeld(FLOW)) == []
     actions = decisions.handle_message(PEER, flows.NotHeld(FLOW))
     assert actions == [
@@ -415,33 +417,37 @@
     assert decisions.receive(packet) == []
 
 
-def test_flow_of_changed_route_is_found_at_earlier_service() -> None:
+def test_flow_of_changed_route_is_searched_at_earlier_service() -> None:
     """Guards against a configuration change that moves open flows."""
     clock, fleet, decisions = make_balancer("old")
     old = dataclasses.replace(instance(PEER), service="old")
     fleet.replace_entries([instance(OWN), old])
     decisions.apply(make_table(2, "board"))
-    (first,) = sent(decisions.receive(data_packet()), flows.Forward)
+    (first,) = sent_messages(decisions.receive(data_packet()), flows.Forward)
     assert first.to == OWN
     clock.set(1_000_010)
-    unknown = flows.FlowNotFound(FLOW, SEQ + 1, True)
-    (second,) = sent(decisions.handle_message(OWN, unknown), flows.Forward)
+    not_found = flows.FlowNotFound(FLOW, SEQ + 1, True)
+    (second,) = sent_messages(
+        decisions.handle_message(OWN, not_found), flows.Forward
+    )
     assert second.to == PEER
-    assert decisions.handle_message(PEER, unknown) == [
+    assert decisions.handle_message(PEER, not_found) == [
         flows.Reset(FLOW, SEQ + 1)
     ]
 
 
-def test_directory_agent_that_does_not_answer_is_skipped() -> None:
+def test_directory_agent_timeout_retries_next_candidate() -> None:
     """Guards against new flows that wait for an agent that no longer runs."""
     clock, _, decisions = make_balancer()
     opening = flows.Packet(FLOW, b"", opens=True)
-    (first,) = sent(decisions.receive(opening), flows.Forward)
-    asked = {first.to}
+    (first,) = sent_messages(decisions.receive(opening), flows.Forward)
+    tried_agents = {first.to}
     for now_ms in range(1_000_020, 1_000_600, 20):
         clock.set(now_ms)
-        asked |= {item.to for item in sent(decisions.sweep(), flows.Forward)}
-    assert asked == {OWN, PEER}
+        tried_agents |= {
+            item.to for item in sent_messages(decisions.sweep(), flows.Forward)
+        }
+    assert tried_agents == {OWN, PEER}
 
 
 def report(
@@ -455,7 +461,7 @@
     )
 
 
-def test_reports_are_applied_in_order_of_sending() -> None:
+def test_out_of_order_target_report_is_ignored() -> None:
     """Guards against late reports of earlier starts and states."""
     clock, _, forwarder = make_forwarder()
     monitor = flows.TargetMonitor(clock, "board", forwarder, 1_200)
@@ -481,7 +487,7 @@
     assert not monitor.has_left
 
 
-def test_only_report_after_signal_shows_that_target_is_alive() -> None:
+def test_target_liveness_requires_report_after_signal() -> None:
     """Guards against an agent that exits while searches await its answer."""
     clock, _, forwarder = make_forwarder()
     monitor = flows.TargetMonitor(clock, "board", forwarder, 1_200)
@@ -503,7 +509,7 @@
     assert monitor.liveness(signal_ms) is flows.TargetLiveness.GONE
 
 
-def test_target_without_reports_gets_no_new_flows() -> None:
+def test_missing_reports_make_target_state_unknown() -> None:
     """Guards against flows to a backend server that may no longer run."""
     clock, _, forwarder = make_forwarder()
     monitor = flows.TargetMonitor(clock, "board", forwarder, 1_200)
@@ -515,7 +521,7 @@
     assert forwarder.state is flows.TargetState.READY
 
 
-def test_heartbeat_of_earlier_process_is_ignored() -> None:
+def test_heartbeat_of_earlier_incarnation_is_ignored() -> None:
     """Guards against late heartbeats of an earlier process at the address."""
     clock = Clock(1_000_000)
     fleet = flows.Fleet(clock)
@@ -541,13 +547,13 @@
     for flow_index in range(50):
         flow = FLOW[:5] + bytes((flow_index,)) + FLOW[6:]
         opening = flows.Packet(flow, b"", opens=True)
-        request = forward(flows.Handling.RESOLVE)
-        offers += sent(
-            decisions.receive(BALANCER, request, opening), flows.Forward
+        resolve = forward(flows.Handling.RESOLVE)
+        offers += sent_messages(
+            decisions.receive(BALANCER, resolve, opening), flows.Forward
         )
         for _ in range(10):
             clock.set(clock.now_ms() + 20)
-            offers += sent(decisions.sweep(), flows.Forward)
+            offers += sent_messages(decisions.sweep(), flows.Forward)
         # The answer to the first offer arrives after 200 ms.
         load = flows.Load(flows.TargetState.READY, 2)
         decisions.handle_message(PEER, flows.FlowLocated(flow, load))
@@ -559,13 +565,13 @@
     """Guards against a search for every retransmission of a packet."""
     clock, _, decisions = make_agent()
     clock.set(1_010_000)
-    request = forward(flows.Handling.RESOLVE)
-    first = decisions.receive(BALANCER, request, data_packet())
-    assert len(sent(first, flows.Forward)) == 2
+    resolve = forward(flows.Handling.RESOLVE)
+    first = decisions.receive(BALANCER, resolve, data_packet())
+    assert len(sent_messages(first, flows.Forward)) == 2
     for address in (OWN, PEER):
         decisions.handle_message(address, flows.NotHeld(FLOW))
     clock.set(1_010_100)
-    assert decisions.receive(BALANCER, request, data_packet()) == []
+    assert decisions.receive(BALANCER, resolve, data_packet()) == []
     clock.set(1_010_400)
-    again = decisions.receive(BALANCER, request, data_packet())
-    assert len(sent(again, flows.Forward)) == 2
+    repeated = decisions.receive(BALANCER, resolve, data_packet())
+    assert len(sent_messages(repeated, flows.Forward)) == 2
--- a/libs/runtime/tests/test_heartbeats.py
+++ b/libs/runtime/tests/test_heartbeats.py
@@ -17,10 +17,10 @@
 
 @pytest.mark.parametrize(("agents", "balancers"), [(10, 6), (62, 24)])
 @pytest.mark.parametrize("seed", range(3))
-def test_gaps_between_keepalives_stay_below_the_silence_limit(
+def test_gaps_between_keepalives_stay_below_silence_limit(
     agents: int, balancers: int, seed: int
 ) -> None:
-    """Guards against keepalives of all agents that are sent in step.
+    """Guards against synchronized keepalives of all agents.
 
     Without jitter, agents that start together keep sending at the same time.
     With 24 balancers the gaps were three seconds long, and no balancer was
@@ -39,8 +39,8 @@
     assert max(gaps) < _balancer.AGENT_SILENCE_LIMIT_MS
 
 
-def test_messages_fit_their_assumed_sizes() -> None:
-    """Guards against a budget based on sizes that messages exceed."""
+def test_encoded_messages_fit_budgeted_sizes() -> None:
+    """Guards against messages larger than the sizes in the budget."""
     load = flows.Load(flows.TargetState.READY, 2, 100, 100, 2_000, 123.4)
     instance = flows.Instance(
         "side-changwon-shed-12",
@@ -63,7 +63,7 @@
 
 
 @pytest.mark.parametrize("receivers", [1, 10, 86, 590])
-def test_control_traffic_stays_within_the_budget(receivers: int) -> None:
+def test_control_traffic_stays_within_budget(receivers: int) -> None:
     """Guards against control traffic that grows with the fleet.
 
     The limit is 3 KB/s for each node.
--- a/libs/runtime/tests/test_link_codec.py
+++ b/libs/runtime/tests/test_link_codec.py
@@ -45,7 +45,7 @@
 
 
 @pytest.mark.parametrize("message", MESSAGES, ids=lambda item: type(item))
-def test_messages_survive_a_round_trip(message: flows.Message) -> None:
+def test_messages_round_trip(message: flows.Message) -> None:
     """Guards against swapped or lost fields."""
     assert _link_codec.unpack(_link_codec.pack(message)) == core.Ok(message)
 
@@ -63,6 +63,6 @@
     message: flows.Message, data: strategies.DataObject
 ) -> None:
     """Guards against a truncated message decoded as a complete one."""
-    whole = _link_codec.pack(message)
-    length = data.draw(strategies.integers(0, len(whole) - 1))
-    assert isinstance(_link_codec.unpack(whole[:length]), core.Failure)
+    encoded = _link_codec.pack(message)
+    length = data.draw(strategies.integers(0, len(encoded) - 1))
+    assert isinstance(_link_codec.unpack(encoded[:length]), core.Failure)
--- a/libs/store/tests/test_config_store.py
+++ b/libs/store/tests/test_config_store.py
@@ -20,7 +20,7 @@
 Server = _store_server.StoreServer
 
 
-def with_targets(count: int) -> str:
+def config_text(count: int) -> str:
     services = (
         dataclasses.replace(BASE.services[0], target_count=count),
         *BASE.services[1:],
@@ -54,18 +54,20 @@
     return await config_store.push(store.Push(text, base, author))
 
 
-def kind(outcome: core.Outcome[store.AcceptedPush]) -> core.ErrorKind | None:
+def error_kind(
+    outcome: core.Outcome[store.AcceptedPush],
+) -> core.ErrorKind | None:
     return outcome.kind if isinstance(outcome, core.Failure) else None
 
 
-def test_one_of_two_concurrent_pushes_succeeds() -> None:
+def test_only_one_of_two_concurrent_pushes_succeeds() -> None:
     """Guards against lost updates, and conflicts that name no author."""
 
     async def body(config_store: store.ConfigStore, _: Server) -> None:
-        await push(config_store, with_targets(7), 0)
+        await push(config_store, config_text(7), 0)
         outcomes = await asyncio.gather(
-            push(config_store, with_targets(8), 1, "ana"),
-            push(config_store, with_targets(9), 1, "ben"),
+            push(config_store, config_text(8), 1, "ana"),
+            push(config_store, config_text(9), 1, "ben"),
         )
         rejected = [item for item in outcomes if isinstance(item, core.Failure)]
         assert [item.kind for item in rejected] == [
@@ -82,12 +84,12 @@
     run_with_store(body)
 
 
-def test_push_with_lost_response_is_accepted() -> None:
+def test_push_with_lost_response_is_reported_as_applied() -> None:
     """Guards against a false failure or a second write of a push."""
 
     async def body(config_store: store.ConfigStore, server: Server) -> None:
         server.switches.lose_answer_count = 1
-        outcome = await push(config_store, with_targets(7), 0)
+        outcome = await push(config_store, config_text(7), 0)
         assert isinstance(outcome, core.Ok)
         assert outcome.value.already_applied
         history = await config_store.history(10)
@@ -101,13 +103,13 @@
     """Guards against retries that conflict with themselves or write twice."""
 
     async def body(config_store: store.ConfigStore, _: Server) -> None:
-        first = await push(config_store, with_targets(7), 0)
-        await push(config_store, with_targets(8), 1, "ben")
-        again = await push(config_store, with_targets(7), 0)
+        first = await push(config_store, config_text(7), 0)
+        await push(config_store, config_text(8), 1, "ben")
+        retried = await push(config_store, config_text(7), 0)
         assert isinstance(first, core.Ok)
-        assert isinstance(again, core.Ok)
-        assert again.value.record == first.value.record
-        assert again.value.already_applied
+        assert isinstance(retried, core.Ok)
+        assert retried.value.record == first.value.record
+        assert retried.value.already_applied
         state = await config_store.read_state()
         assert isinstance(state, core.Ok)
         assert state.value.head.version == 2
@@ -120,20 +122,20 @@
 
     async def body(config_store: store.ConfigStore, server: Server) -> None:
         server.switches.down = True
-        outcome = await push(config_store, with_targets(7), 0)
-        assert kind(outcome) is core.ErrorKind.STORE_UNAVAILABLE
+        outcome = await push(config_store, config_text(7), 0)
+        assert error_kind(outcome) is core.ErrorKind.STORE_UNAVAILABLE
         server.switches.down = False
         assert await config_store.read() == core.Ok(None)
 
     run_with_store(body)
 
 
-def test_store_failure_during_push_is_resolved() -> None:
+def test_push_outcome_is_resolved_after_store_outage() -> None:
     """Guards against a false result if the store fails during a push."""
 
     async def body(config_store: store.ConfigStore, server: Server) -> None:
         server.switches.lose_answer_count = 1
-        task = asyncio.create_task(push(config_store, with_targets(7), 0))
+        task = asyncio.create_task(push(config_store, config_text(7), 0))
         while server.switches.lose_answer_count:
             await asyncio.sleep(0.001)
         server.switches.down = True
@@ -151,7 +153,7 @@
     """Guards against one unreachable gateway that blocks all pushes."""
 
     async def body(config_store: store.ConfigStore, _: Server) -> None:
-        outcome = await push(config_store, with_targets(7), 0)
+        outcome = await push(config_store, config_text(7), 0)
         assert isinstance(outcome, core.Ok)
 
     run_with_store(body, unreachable_gateway_count=1)
@@ -161,9 +163,9 @@
     """Guards against values above the store's size limit."""
 
     async def body(config_store: store.ConfigStore, server: Server) -> None:
-        text = with_targets(7) + " " * store.MAX_VALUE_BYTES
+        text = config_text(7) + " " * store.MAX_VALUE_BYTES
         outcome = await push(config_store, text, 0)
-        assert kind(outcome) is core.ErrorKind.CONFIG_TOO_LARGE
+        assert error_kind(outcome) is core.ErrorKind.CONFIG_TOO_LARGE
         assert not server.call_counts
 
     run_with_store(body)
@@ -173,8 +175,8 @@
     """Guards against invalid configurations pushed without a prior check."""
 
     async def body(config_store: store.ConfigStore, server: Server) -> None:
-        outcome = await push(config_store, with_targets(0), 0)
-        assert kind(outcome) is core.ErrorKind.BAD_CONFIG
+        outcome = await push(config_store, config_text(0), 0)
+        assert error_kind(outcome) is core.ErrorKind.BAD_CONFIG
         assert not server.call_counts
 
     run_with_store(body)
@@ -190,7 +192,7 @@
     )
 
     async def body(config_store: store.ConfigStore, _: Server) -> None:
-        await push(config_store, with_targets(7), 0)
+        await push(config_store, config_text(7), 0)
         outcome = await push(config_store, removed, 1)
         assert isinstance(outcome, core.Failure)
         assert outcome.kind is core.ErrorKind.BAD_CONFIG
@@ -205,17 +207,17 @@
     """Guards against accepted pushes that no instance would apply."""
 
     async def body(config_store: store.ConfigStore, server: Server) -> None:
-        await push(config_store, with_targets(5), 0)
+        await push(config_store, config_text(5), 0)
         server.state.save_snapshot()
-        await push(config_store, with_targets(6), 1)
-        await push(config_store, with_targets(7), 2)
+        await push(config_store, config_text(6), 1)
+        await push(config_store, config_text(7), 2)
         server.state.restore_snapshot()
         state = await config_store.read_state()
         assert isinstance(state, core.Ok)
         await config_store.raise_floor(state.value, 3)
-        stale = await push(config_store, with_targets(8), 1)
-        assert kind(stale) is core.ErrorKind.CONFIG_STALE
-        outcome = await push(config_store, with_targets(8), 3)
+        stale = await push(config_store, config_text(8), 1)
+        assert error_kind(stale) is core.ErrorKind.CONFIG_STALE
+        outcome = await push(config_store, config_text(8), 3)
         assert isinstance(outcome, core.Ok)
         assert outcome.value.record.version == 4
         assert outcome.value.replaced_version == 1
@@ -228,7 +230,7 @@
 
     async def body(config_store: store.ConfigStore, server: Server) -> None:
         for version in range(55):
-            await push(config_store, with_targets(5 + version), version)
+            await push(config_store, config_text(5 + version), version)
         prefix = b"fireflyford/config/version/"
         kept = [key for key in server.state.values if key.startswith(prefix)]
         assert len(kept) == 50
@@ -264,7 +266,7 @@
         if isinstance(state, core.Failure):
             continue
         base = state.value.head.version
-        request = store.Push(with_targets(rng.randint(1, 99)), base, author)
+        request = store.Push(config_text(rng.randint(1, 99)), base, author)
         for _ in range(rng.choice((1, 2))):
             outcome = await config_store.push(request)
             results.append((request.identity, outcome))
@@ -304,7 +306,7 @@
         not_written = core.ErrorKind.STORE_UNAVAILABLE
         for identity in {item for item, _ in all_results}:
             outcomes = [out for item, out in all_results if item == identity]
-            if all(kind(outcome) is not_written for outcome in outcomes):
+            if all(error_kind(outcome) is not_written for outcome in outcomes):
                 assert identity not in audited
 
     run_with_store(body)
--- a/libs/store/tests/test_follower.py
+++ b/libs/store/tests/test_follower.py
@@ -63,7 +63,7 @@
         )
 
 
-class Instance:
+class FollowerFixture:
     """A follower and the deployments that it applied."""
 
     def __init__(
@@ -83,7 +83,9 @@
             service,
         )
 
-    def receive_announcement(self, version: int, other: "Instance") -> None:
+    def receive_announcement(
+        self, version: int, other: "FollowerFixture"
+    ) -> None:
         """Receives the announcement of a version by a peer."""
         self.peers.announcements.append((version, other.follower))
         self.follower.notify()
@@ -95,12 +97,12 @@
         task.cancel()
 
 
-def test_versions_only_increase() -> None:
+def test_applied_version_never_decreases() -> None:
     """Guards against a rollback by records that arrive out of order."""
     unreadable = config.render(dataclasses.replace(BASE, format=2))
     for seed in range(50):
         rng = random.Random(seed)
-        instance = Instance()
+        instance = FollowerFixture()
         versions = []
         for version in rng.choices(range(1, 30), k=60):
             text = unreadable if version % 5 == 0 else ""
@@ -114,7 +116,7 @@
     """Guards against a rollback by a peer without the version it announced."""
 
     async def body() -> None:
-        stale, instance = Instance(), Instance()
+        stale, instance = FollowerFixture(), FollowerFixture()
         stale.follower.apply_if_newer(make_record(3), "test")
         instance.follower.apply_if_newer(make_record(5), "test")
         instance.receive_announcement(9, stale)
@@ -132,7 +134,7 @@
     async def body() -> None:
         client = store.EtcdStore([_ports.free_address()])
         config_store = store.ConfigStore(client, core.SystemClock())
-        peer, instance = Instance(), Instance(config_store)
+        peer, instance = FollowerFixture(), FollowerFixture(config_store)
         peer.follower.apply_if_newer(make_record(4), "test")
         instance.receive_announcement(4, peer)
         await instance.run(250)
@@ -142,11 +144,11 @@
     asyncio.run(body())
 
 
-def test_new_instance_waits_for_version_in_force() -> None:
+def test_new_instance_is_synced_after_applying_version_in_force() -> None:
     """Guards against a restart that serves an outdated configuration file."""
 
     async def body() -> None:
-        peer, instance = Instance(), Instance()
+        peer, instance = FollowerFixture(), FollowerFixture()
         peer.follower.apply_if_newer(make_record(4), "test")
         assert not instance.follower.synced
         instance.receive_announcement(4, peer)
@@ -159,7 +161,7 @@
 
 def test_instance_without_any_version_is_synced() -> None:
     """Guards against a wait for a version that no instance has."""
-    peer, instance = Instance(), Instance()
+    peer, instance = FollowerFixture(), FollowerFixture()
     instance.receive_announcement(0, peer)
     assert instance.follower.synced
 
@@ -168,7 +170,7 @@
     """Guards against configurations of other services on an agent."""
 
     async def body() -> None:
-        balancer, agent = Instance(), Instance(service="padron")
+        balancer, agent = FollowerFixture(), FollowerFixture(service="padron")
         balancer.follower.apply_if_newer(make_record(2), "test")
         agent.receive_announcement(2, balancer)
         await agent.run(250)
@@ -177,12 +179,12 @@
     asyncio.run(body())
 
 
-def test_newer_format_is_not_applied_but_served() -> None:
+def test_configuration_in_newer_format_is_served_but_not_applied() -> None:
     """Guards against partial application or loss of a newer format."""
     newer = dataclasses.replace(BASE, name="later", format=2)
 
     async def body() -> None:
-        first, second = Instance(), Instance()
+        first, second = FollowerFixture(), FollowerFixture()
         first.follower.apply_if_newer(make_record(1), "test")
         assert first.follower.apply_if_newer(
             make_record(2, config.render(newer)), "test"
@@ -200,20 +202,20 @@
     asyncio.run(body())
 
 
-def test_unknown_field_prevents_application() -> None:
+def test_configuration_with_unknown_field_is_not_applied() -> None:
     """Guards against a configuration applied without its unknown fields."""
     text = config.render(BASE).replace(
         '"target_count": 7', '"target_count": 7, "shadow": true'
     )
-    instance = Instance()
+    instance = FollowerFixture()
     instance.follower.apply_if_newer(make_record(1, text), "test")
     assert instance.applied == []
     assert "services[0].shadow" in instance.follower.alarm
 
 
 async def _run_with_restored_store(
-    record_in_force: store.ConfigRecord, pushes_after: Sequence[str]
-) -> tuple[Instance, core.Outcome[store.ConfigState]]:
+    record_in_force: store.ConfigRecord, authors: Sequence[str]
+) -> tuple[FollowerFixture, core.Outcome[store.ConfigState]]:
     """Runs a reader whose store is behind the version in force."""
     server = _store_server.StoreServer()
     address = _ports.free_address()
@@ -221,9 +223,9 @@
     config_store = store.ConfigStore(
         store.EtcdStore([address]), core.SystemClock()
     )
-    instance = Instance(config_store)
+    instance = FollowerFixture(config_store)
     instance.follower.apply_if_newer(record_in_force, "test")
-    for base, author in enumerate(pushes_after):
+    for base, author in enumerate(authors):
         push = store.Push(config.render(BASE), base, author)
         await config_store.push(push)
     await instance.run(300)
@@ -232,7 +234,7 @@
     return instance, state
 
 
-def test_restored_store_does_not_roll_back() -> None:
+def test_restored_store_does_not_roll_back_configuration() -> None:
     """Guards against a rollback by a store restored from a snapshot."""
     instance, state = asyncio.run(
         _run_with_restored_store(make_record(3), ["ana"])
@@ -243,7 +245,7 @@
     assert state.value.floor_version == 3
 
 
-def test_records_with_same_version_are_distinguished() -> None:
+def test_version_reused_after_restore_is_detected() -> None:
     """Guards against a version number that is reused after a restore."""
     instance, state = asyncio.run(
         _run_with_restored_store(make_record(1), ["ben"])
--- a/libs/store/tests/test_join.py
+++ b/libs/store/tests/test_join.py
@@ -45,7 +45,7 @@
     assert seeds == ("127.0.0.1:1", str(CONTROL), str(OTHER))
 
 
-def test_unavailable_store_keeps_configured_seeds() -> None:
+def test_configured_seeds_are_used_if_store_is_unavailable() -> None:
     """Guards against a start that fails without the store."""
     gateway = str(_ports.free_address())
     seeds = asyncio.run(store.find_seeds(["127.0.0.1:1"], [gateway]))
--- a/libs/telemetry/tests/test_instruments.py
+++ b/libs/telemetry/tests/test_instruments.py
@@ -10,7 +10,7 @@
 from fireflyford.telemetry import _logs
 
 
-def test_messages_as_reasons_share_one_series() -> None:
+def test_free_text_reasons_share_one_series() -> None:
     """Guards against one series per error message of an external program."""
     instruments = _instruments.Instruments()
     for index in range(10):
@@ -20,7 +20,7 @@
     assert lines[1:] == [expected]
 
 
-def test_number_of_series_is_bounded() -> None:
+def test_series_count_is_bounded() -> None:
     """Guards against unbounded memory with many event names."""
     instruments = _instruments.Instruments()
     for index in range(_instruments.MAX_SERIES + 50):
@@ -31,7 +31,7 @@
     assert 'fireflyford_events_total{event="other",reason=""} 50' in lines
 
 
-def test_buckets_are_cumulative() -> None:
+def test_histogram_buckets_are_cumulative() -> None:
     """Guards against wrong quantiles from non-cumulative buckets."""
     instruments = _instruments.Instruments()
     for duration_ms in (0.5, 5, 5.1, 9_000):
--- a/tests/test_event_names.py
+++ b/tests/test_event_names.py
@@ -14,7 +14,7 @@
 _QUOTED_NAME = re.compile(r"`([a-z]+(?:[-_][a-z]+)*)`")
 
 
-def first_arguments(functions: tuple[str, ...]) -> set[str]:
+def literal_first_arguments(functions: tuple[str, ...]) -> set[str]:
     """Returns the literal first arguments of all calls of the functions."""
     found: set[str] = set()
     for folder in FOLDERS:
@@ -41,11 +41,11 @@
 
 def test_every_event_is_documented() -> None:
     """Guards against log events that are missing in the documentation."""
-    logged = first_arguments(("telemetry.log", "log"))
+    logged = literal_first_arguments(("telemetry.log", "log"))
     assert logged | {"log-lines-dropped"} == documented_names("Event")
 
 
 def test_every_histogram_is_documented() -> None:
     """Guards against histograms that are missing in the documentation."""
-    observed = first_arguments(("telemetry.observe",))
+    observed = literal_first_arguments(("telemetry.observe",))
     assert observed == documented_names("Histogram")
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -45,7 +45,7 @@
     return found
 
 
-def sources(library: str) -> list[pathlib.Path]:
+def source_files(library: str) -> list[pathlib.Path]:
     return sorted((LIBS / library / "src").rglob("*.py"))
 
 
@@ -53,22 +53,22 @@
 def test_libraries_import_only_lower_layers(library: str) -> None:
     """Guards against a library that imports one of a higher layer."""
     allowed = set(LAYERS[: LAYERS.index(library) + 1])
-    for path in sources(library):
+    for path in source_files(library):
         for module in imported_modules(path):
             parts = module.split(".")
             if parts[0] == "fireflyford" and len(parts) > 1:
                 assert parts[1] in allowed, f"{path.name} imports {module}"
 
 
-def test_only_the_adapter_imports_the_platform() -> None:
+def test_libraries_do_not_import_platform() -> None:
     """Guards against dependencies of libraries on the platform's formats."""
     for library in LAYERS[:-1]:
-        for path in sources(library):
+        for path in source_files(library):
             for module in imported_modules(path):
                 assert not module.startswith("fireflyford.platform"), path
 
 
-def test_the_adapter_imports_only_front_end_libraries() -> None:
+def test_adapter_imports_only_front_end_libraries() -> None:
     """Guards against decision code or private imports in the adapter."""
     allowed = {"core", "telemetry", "store", "flows", "runtime", "platform"}
     for path in ADAPTER.rglob("*.py"):
@@ -81,15 +81,21 @@
                 assert not parts[2].startswith("_"), f"{path}: {module}"
 
 
-def test_a_flow_process_starts_small() -> None:
+def test_platform_process_does_not_import_quic_front_end_dependencies() -> None:
     """Guards against loading libraries that only the QUIC front end needs.
 
     Processes on the platform are small and restart often.
     """
-    heavy = ("aioquic", "pynng", "fire", "opentelemetry", "cryptography")
+    quic_only = (
+        "aioquic",
+        "pynng",
+        "fire",
+        "opentelemetry",
+        "cryptography",
+    )
     program = (
         "import sys, fireflyford.platform.__main__;"
-        f"print([name for name in {heavy!r} if name in sys.modules])"
+        f"print([name for name in {quic_only!r} if name in sys.modules])"
     )
     found = subprocess.run(
         [sys.executable, "-c", program],
@@ -102,9 +108,11 @@
 
 
 @pytest.mark.parametrize("library", LAYERS)
-def test_private_modules_stay_private(library: str) -> None:
+def test_libraries_import_no_private_modules_of_other_libraries(
+    library: str,
+) -> None:
     """Guards against imports that bypass another library's interface."""
-    for path in sources(library):
+    for path in source_files(library):
         for module in imported_modules(path):
             parts = module.split(".")
             if parts[0] != "fireflyford" or len(parts) < 3:
@@ -116,7 +124,7 @@
 @pytest.mark.parametrize("library", DECISION_LIBRARIES)
 def test_decision_libraries_import_no_encodings(library: str) -> None:
     """Guards against sockets or message encodings in decision code."""
-    for path in sources(library):
+    for path in source_files(library):
         packages = {module.split(".")[0] for module in imported_modules(path)}
         assert not packages & ENCODING_MODULES, path
         assert "fireflyford.wire" not in imported_modules(path), path
