Name the tests of agent by behaviour

Names in the usual terms of the field; no test or assertion changed.

libs/agent/tests/test_admission.py: - test_a_burst_is_admitted_at_a_limited_rate -> test_burst_of_new_flows_is_rate_limited - test_waiting_flows_are_bounded_and_keep_their_order -> test_queued_flows_are_bounded_and_admitted_in_order - test_a_repeated_first_datagram_opens_one_flow -> test_retransmitted_first_datagram_opens_one_flow

libs/agent/tests/test_authorization.py: - test_a_caller_with_a_token_is_served -> test_caller_with_valid_token_is_served - test_an_unauthorized_caller_is_rejected -> test_unauthorized_caller_is_rejected - test_an_open_service_needs_no_token -> test_service_without_key_requires_no_token

libs/agent/tests/test_backend_monitor.py: - test_a_refused_connection_is_a_loss_and_is_recovered -> test_backend_server_is_down_while_connections_are_refused - test_a_backend_server_that_starts_later_is_no_loss -> test_backend_server_is_not_reported_down_before_first_connection

libs/agent/tests/test_connection.py: - _Balancers -> _FakeBalancerSource - _Pair -> _ConnectedPair - test_a_slow_caller_bounds_what_the_agent_buffers -> test_response_buffer_is_bounded_for_slow_caller - test_a_caller_that_reads_gets_the_whole_response -> test_caller_receives_complete_large_response - test_cancellation_frees_the_work -> test_cancelled_request_stops_handler - test_a_request_body_is_bounded -> test_oversized_request_body_is_rejected

libs/agent/tests/test_datagram.py: - Placement -> FakePlacement - Echo -> EchoServer - _run_through_changes -> _exchange_while_targets_change - test_flows_keep_their_backend_server_through_changes -> test_flows_keep_backend_server_when_targets_change - _send_mismatches -> _send_mismatched_datagrams - _fuzz -> _fuzz_datagrams - test_agents_survive_arbitrary_datagrams -> test_arbitrary_datagrams_and_notices_are_dropped - _fuzz_signed -> _fuzz_signed_headers - test_agents_survive_any_signed_header -> test_arbitrary_signed_headers_do_not_stop_agent

libs/agent/tests/test_feeds.py: - line -> event_line - _Response -> _RecordingResponse - test_a_broken_feed_resumes_after_the_last_event -> test_broken_feed_resumes_after_last_event - test_half_a_line_is_not_followed_by_another_line -> test_incomplete_line_is_not_forwarded - test_plain_callers_get_no_control_line -> test_plain_caller_receives_no_control_line - test_the_treatment_decides_how_a_feed_moves -> test_treatment_determines_move_policy - test_callers_move_when_the_backend_server_is_gone -> test_feed_is_moved_if_backend_server_is_unreachable - test_plain_callers_are_cut_when_the_backend_server_is_gone -> test_plain_feed_is_aborted_if_backend_server_is_unreachable - test_a_silent_backend_stream_is_replaced -> test_silent_backend_stream_is_replaced - test_content_without_sequence_numbers_passes_unchanged -> test_feed_without_sequence_numbers_is_forwarded_unchanged

libs/agent/tests/test_peer.py: - test_ticket_survives_its_text_form -> test_ticket_round_trip - test_forged_ticket_is_refused -> test_forged_ticket_is_rejected - _Echo -> _EchoExecutor - _engine -> _make_engine - _handoff -> _make_handoff - _call_twice -> _execute_twice - test_copy_of_a_handoff_gets_the_first_response -> test_duplicate_handoff_returns_first_response - _lose_peer -> _stop_peer_during_call - test_lost_peer_is_unknown_and_unreachable_peer_is_not_run -> test_outcome_is_unknown_only_if_peer_was_reachable

libs/agent/tests/test_return_path.py: - _Balancers -> _FakeBalancerSource - test_responses_use_the_last_balancer_while_datagrams_arrive -> test_responses_use_last_balancer_while_datagrams_arrive - test_an_acknowledgement_alone_starts_no_rotation -> test_rotation_requires_awaited_acknowledgement - test_a_draining_balancer_is_replaced_at_once -> test_draining_balancer_is_replaced_immediately - test_the_only_balancer_is_kept -> test_only_balancer_is_kept - test_a_relayed_flow_responds_through_a_balancer -> test_responses_of_relayed_flow_use_balancer - test_weights_decide_the_share_of_rotations -> test_rotation_skips_balancer_with_zero_weight

--- a/libs/agent/tests/test_admission.py
+++ b/libs/agent/tests/test_admission.py
@@ -18,22 +18,22 @@
         )
         for number in range(count):
             admission.submit(number.to_bytes(4, "big"), DATAGRAM)
-        at_once = len(admitted)
+        immediate_count = len(admitted)
         await asyncio.sleep(wait_s)
-        return at_once
+        return immediate_count
 
-    at_once = asyncio.run(run())
-    return admitted, at_once
+    immediate_count = asyncio.run(run())
+    return admitted, immediate_count
 
 
-def test_a_burst_is_admitted_at_a_limited_rate() -> None:
+def test_burst_of_new_flows_is_rate_limited() -> None:
     """Guards against handshakes that starve open flows."""
-    admitted, at_once = submit_many(60, 0.2)
-    assert at_once == _admission.BURST_FLOWS
-    assert at_once < len(admitted) < 60
+    admitted, immediate_count = submit_many(60, 0.2)
+    assert immediate_count == _admission.BURST_FLOWS
+    assert immediate_count < len(admitted) < 60
 
 
-def test_waiting_flows_are_bounded_and_keep_their_order() -> None:
+def test_queued_flows_are_bounded_and_admitted_in_order() -> None:
     """Guards against memory growth during a flood of new flows."""
     admitted, _ = submit_many(1_000, 1.6)
     limit = _admission.BURST_FLOWS + _admission.MAX_QUEUED_FLOWS
@@ -41,7 +41,7 @@
     assert len(admitted) <= limit
 
 
-def test_a_repeated_first_datagram_opens_one_flow() -> None:
+def test_retransmitted_first_datagram_opens_one_flow() -> None:
     """Guards against two connections for a caller that retransmits."""
     opened: list[int] = []
 
--- a/libs/agent/tests/test_authorization.py
+++ b/libs/agent/tests/test_authorization.py
@@ -54,7 +54,7 @@
     return recorder
 
 
-def test_a_caller_with_a_token_is_served() -> None:
+def test_caller_with_valid_token_is_served() -> None:
     """Guards against rejecting an authorized caller."""
     recorder = authorize("Bearer " + agent.make_token(KEY, "field"))
     assert recorder.handled_count == 1
@@ -70,13 +70,13 @@
         "Bearer f\u00e9ld.00",
     ],
 )
-def test_an_unauthorized_caller_is_rejected(authorization: str) -> None:
-    """Guards against doing work for an unauthorized caller."""
+def test_unauthorized_caller_is_rejected(authorization: str) -> None:
+    """Guards against running a request of an unauthorized caller."""
     recorder = authorize(authorization)
     assert recorder.handled_count == 0
     assert recorder.status_code == 403
 
 
-def test_an_open_service_needs_no_token() -> None:
+def test_service_without_key_requires_no_token() -> None:
     """Guards against rejecting all callers when no key is set."""
     assert authorize("", key=b"").handled_count == 1
--- a/libs/agent/tests/test_backend_monitor.py
+++ b/libs/agent/tests/test_backend_monitor.py
@@ -7,7 +7,7 @@
 from fireflyford.agent import _backend_monitor
 
 
-def test_a_refused_connection_is_a_loss_and_is_recovered() -> None:
+def test_backend_server_is_down_while_connections_are_refused() -> None:
     """Guards against new flows at an agent whose backend server is down."""
     changes: list[bool] = []
 
@@ -31,7 +31,7 @@
     assert changes == [False, True]
 
 
-def test_a_backend_server_that_starts_later_is_no_loss() -> None:
+def test_backend_server_is_not_reported_down_before_first_connection() -> None:
     """Guards against an agent that leaves the ring during its start."""
 
     async def run() -> bool:
--- a/libs/agent/tests/test_connection.py
+++ b/libs/agent/tests/test_connection.py
@@ -23,7 +23,7 @@
 PART_COUNT = 40
 
 
-class _Balancers(_return_path.BalancerSource):
+class _FakeBalancerSource(_return_path.BalancerSource):
     def weights(self) -> dict[core.Address, float]:
         return {BALANCER: 1.0}
 
@@ -72,7 +72,7 @@
             super()._write_connection_limits(*args, **kwargs)
 
 
-class _Pair:
+class _ConnectedPair:
     """A connection of the agent and a client, connected in memory."""
 
     def __init__(self, handler: _Handler, tls: Any, reads: bool = True) -> None:
@@ -97,7 +97,7 @@
             handler,
             self._receive,
             lambda connection, event: None,
-            _return_path.ReturnPath(_Balancers(), lambda: None),
+            _return_path.ReturnPath(_FakeBalancerSource(), lambda: None),
         )
         self.task = asyncio.create_task(self.server.run())
         self.received_bytes = 0
@@ -161,12 +161,12 @@
     return configuration
 
 
-def test_a_slow_caller_bounds_what_the_agent_buffers(tls: Any) -> None:
+def test_response_buffer_is_bounded_for_slow_caller(tls: Any) -> None:
     """Guards against a large response that fills the agent's memory."""
 
     async def run() -> tuple[int, int]:
         handler = _Handler()
-        pair = _Pair(handler, tls, reads=False)
+        pair = _ConnectedPair(handler, tls, reads=False)
         await pair.pump(0.1)
         pair.send_request("/heavy")
         await pair.pump(0.8)
@@ -180,11 +180,11 @@
     )
 
 
-def test_a_caller_that_reads_gets_the_whole_response(tls: Any) -> None:
+def test_caller_receives_complete_large_response(tls: Any) -> None:
     """Guards against a writer that is not woken when space is free."""
 
     async def run() -> int:
-        pair = _Pair(_Handler(), tls)
+        pair = _ConnectedPair(_Handler(), tls)
         await pair.pump(0.1)
         pair.send_request("/heavy")
         for _ in range(100):
@@ -196,12 +196,12 @@
     assert asyncio.run(run()) == PART_COUNT * len(PART)
 
 
-def test_cancellation_frees_the_work(tls: Any) -> None:
-    """Guards against work that continues after the caller cancelled."""
+def test_cancelled_request_stops_handler(tls: Any) -> None:
+    """Guards against a handler that continues after the caller cancelled."""
 
     async def run() -> bool:
         handler = _Handler()
-        pair = _Pair(handler, tls)
+        pair = _ConnectedPair(handler, tls)
         await pair.pump(0.1)
         stream_id = pair.send_request("/wait")
         await pair.pump(0.05)
@@ -214,12 +214,12 @@
     assert asyncio.run(run())
 
 
-def test_a_request_body_is_bounded(tls: Any) -> None:
+def test_oversized_request_body_is_rejected(tls: Any) -> None:
     """Guards against request bodies that fill the agent's memory."""
 
     async def run() -> tuple[list[int], int]:
         handler = _Handler()
-        pair = _Pair(handler, tls)
+        pair = _ConnectedPair(handler, tls)
         await pair.pump(0.1)
         pair.send_request(
             "/heavy", b"b" * (3 * _connection.MAX_REQUEST_BODY_BYTES)
--- a/libs/agent/tests/test_datagram.py
+++ b/libs/agent/tests/test_datagram.py
@@ -23,7 +23,7 @@
 CODEC = wire.ForwardCodec(KEY)
 
 
-class Placement(routing.FlowPlacement):
+class FakePlacement(routing.FlowPlacement):
     """Placement with a successor that can be set to simulate draining."""
 
     def __init__(self) -> None:
@@ -39,7 +39,7 @@
         return self.next_holder
 
 
-class Echo(asyncio.DatagramProtocol):
+class EchoServer(asyncio.DatagramProtocol):
     """Backend server that echoes datagrams prefixed with its name."""
 
     def __init__(self, name: bytes) -> None:
@@ -62,13 +62,13 @@
         """Initializes the agent; `open` opens the sockets."""
         self.name = name
         self.incarnation = incarnation
-        self.placement = Placement()
+        self.placement = FakePlacement()
 
     async def open(self) -> None:
         """Opens the sockets of the backend server and the link."""
         loop = asyncio.get_running_loop()
         backend, _ = await loop.create_datagram_endpoint(
-            lambda: Echo(self.name.encode()), local_addr=LOCAL
+            lambda: EchoServer(self.name.encode()), local_addr=LOCAL
         )
         link = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         link.bind(LOCAL)
@@ -140,7 +140,7 @@
     return caller
 
 
-async def _run_through_changes() -> list[set[bytes]]:
+async def _exchange_while_targets_change() -> list[set[bytes]]:
     agents = [
         AgentFixture(f"agent-{number}", number + 1) for number in range(4)
     ]
@@ -152,28 +152,28 @@
     responses = [{await exchange(caller, old, b"1")} for caller in callers]
     for caller, seen in zip(callers, responses, strict=True):
         seen.add(await exchange(caller, new, b"1"))
-    # One agent drains; only that agent and one balancer know of it.
-    leaving = agents[0]
-    leaving.placement.next_holder = targets[1].holder
+    # One agent drains; only that agent and one balancer have been notified.
+    draining = agents[0]
+    draining.placement.next_holder = targets[1].holder
     new.router.replace_targets(targets[1:])
     for caller, seen in zip(callers, responses, strict=True):
         seen.add(await exchange(caller, new, b"1"))
         seen.add(await exchange(caller, old, b"1"))
-    late = open_caller()
-    first = await exchange(late, old, b"2")
-    responses.append({first, await exchange(late, new, b"2")})
+    late_caller = open_caller()
+    first = await exchange(late_caller, old, b"2")
+    responses.append({first, await exchange(late_caller, new, b"2")})
     assert not first.startswith(b"agent-0")
     assert sum(agent.flows.open_count for agent in agents) == 31
     for agent in agents:
         agent.task.cancel()
-    for caller in (*callers, late):
+    for caller in (*callers, late_caller):
         caller.close()
     return responses
 
 
-def test_flows_keep_their_backend_server_through_changes() -> None:
+def test_flows_keep_backend_server_when_targets_change() -> None:
     """Guards against flows that move and responses that are misrouted."""
-    responses = asyncio.run(_run_through_changes())
+    responses = asyncio.run(_exchange_while_targets_change())
     assert all(len(seen) == 1 for seen in responses)
     assert len(set.union(*responses)) >= 3
 
@@ -189,7 +189,7 @@
     return wire.ForwardHeader(**(known | fields))
 
 
-async def _send_mismatches() -> _endpoint.Counters:
+async def _send_mismatched_datagrams() -> _endpoint.Counters:
     agent = AgentFixture("agent", 2)
     await agent.open()
     balancer_address = ("127.0.0.1", 9)
@@ -211,12 +211,12 @@
 
 def test_mismatched_datagrams_are_dropped_and_counted() -> None:
     """Guards against late datagrams for an earlier agent at the address."""
-    counters = asyncio.run(_send_mismatches())
+    counters = asyncio.run(_send_mismatched_datagrams())
     assert counters.misrouted_count == 4
     assert counters.foreign_count == 1
 
 
-async def _fuzz(datagrams: list[bytes], notices: list[bytes]) -> None:
+async def _fuzz_datagrams(datagrams: list[bytes], notices: list[bytes]) -> None:
     agent = AgentFixture("agent", 2)
     await agent.open()
     holder = core.Holder(core.Address("127.0.0.1", 9), 3)
@@ -240,11 +240,11 @@
     strategies.lists(strategies.binary(max_size=120), max_size=8),
     strategies.lists(strategies.binary(max_size=9), max_size=8),
 )
-def test_agents_survive_arbitrary_datagrams(
+def test_arbitrary_datagrams_and_notices_are_dropped(
     datagrams: list[bytes], notices: list[bytes]
 ) -> None:
     """Guards against exceptions and against old or malformed notices."""
-    asyncio.run(_fuzz(datagrams, notices))
+    asyncio.run(_fuzz_datagrams(datagrams, notices))
 
 
 addresses = strategies.builds(
@@ -264,7 +264,7 @@
 )
 
 
-async def _fuzz_signed(headers: list[dict[str, object]]) -> None:
+async def _fuzz_signed_headers(headers: list[dict[str, object]]) -> None:
     agent = AgentFixture("agent", 2)
     await agent.open()
     sent_ms = core.SystemClock().wall_ms().to_bytes(8, "big")
@@ -281,8 +281,8 @@
 
 @hypothesis.settings(max_examples=60, deadline=None, derandomize=True)
 @hypothesis.given(strategies.lists(fields, max_size=30))
-def test_agents_survive_any_signed_header(
+def test_arbitrary_signed_headers_do_not_stop_agent(
     headers: list[dict[str, object]],
 ) -> None:
     """Guards against exceptions for headers that no peer would send."""
-    asyncio.run(_fuzz_signed(headers))
+    asyncio.run(_fuzz_signed_headers(headers))
--- a/libs/agent/tests/test_feeds.py
+++ b/libs/agent/tests/test_feeds.py
@@ -20,7 +20,7 @@
 BROKEN = _backend_feeds.FeedBrokenError("broken")
 
 
-def line(sequence: int) -> bytes:
+def event_line(sequence: int) -> bytes:
     return json.dumps({"sequence": sequence, "value": "x"}).encode() + b"\n"
 
 
@@ -51,7 +51,7 @@
                 yield chunk
 
 
-class _Response(_connection.ResponseStream):
+class _RecordingResponse(_connection.ResponseStream):
     def __init__(self) -> None:
         self.writes: list[bytes] = []
         self.ended = False
@@ -90,11 +90,11 @@
     check: Callable[[], Awaitable[bool]] = backend_reachable,
     treatment: config.Treatment = TREATMENT,
     move: bool = False,
-) -> _Response:
+) -> _RecordingResponse:
     request = _connection.Request(
         "GET", "/feed?after=0", headers, b"", core.Address("127.0.0.1", 1)
     )
-    response = _Response()
+    response = _RecordingResponse()
 
     async def run() -> None:
         server = _feeds.FeedServer(core.SystemClock(), source, check, lambda: 3)
@@ -109,31 +109,37 @@
     return response
 
 
-def test_a_broken_feed_resumes_after_the_last_event() -> None:
+def test_broken_feed_resumes_after_last_event() -> None:
     """Guards against gaps and repetitions when a backend stream breaks."""
-    source = _ScriptedSource([line(1), line(2), BROKEN], [line(3)])
+    source = _ScriptedSource(
+        [event_line(1), event_line(2), BROKEN], [event_line(3)]
+    )
     response = serve(source)
     assert source.paths == ["/feed?after=0", "/feed?after=2"]
     assert [item["sequence"] for item in response.lines] == [1, 2, 3]
     assert response.ended
 
 
-def test_half_a_line_is_not_followed_by_another_line() -> None:
+def test_incomplete_line_is_not_forwarded() -> None:
     """Guards against control lines or resumed events inside an event."""
-    source = _ScriptedSource([line(1) + line(2)[:9], BROKEN], [line(2), None])
+    source = _ScriptedSource(
+        [event_line(1) + event_line(2)[:9], BROKEN], [event_line(2), None]
+    )
     response = serve(source, move=True)
     kinds = [item.get("sequence", "control") for item in response.lines]
     assert kinds == [1, 2, "control"]
 
 
-def test_plain_callers_get_no_control_line() -> None:
+def test_plain_caller_receives_no_control_line() -> None:
     """Guards against control lines that a plain HTTP/3 client cannot parse."""
-    response = serve(_ScriptedSource([line(1), None]), headers=(), move=True)
+    response = serve(
+        _ScriptedSource([event_line(1), None]), headers=(), move=True
+    )
     assert response.lines == [{"sequence": 1, "value": "x"}]
     assert not response.ended and not response.aborted
 
 
-def test_the_treatment_decides_how_a_feed_moves() -> None:
+def test_treatment_determines_move_policy() -> None:
     """Guards against resumption if the treatment requires a reconnection."""
     treatment = config.Treatment(
         "feed",
@@ -143,38 +149,40 @@
         on_move=config.MovePolicy.RECONNECT,
     )
     response = serve(
-        _ScriptedSource([line(1), None]), treatment=treatment, move=True
+        _ScriptedSource([event_line(1), None]), treatment=treatment, move=True
     )
     assert response.lines[-1]["fireflyford-control"] == "reconnect"
 
 
-def test_callers_move_when_the_backend_server_is_gone() -> None:
+def test_feed_is_moved_if_backend_server_is_unreachable() -> None:
     """Guards against feeds that stay at an agent without a backend server."""
     response = serve(
-        _ScriptedSource([line(1), BROKEN]), check=backend_unreachable
+        _ScriptedSource([event_line(1), BROKEN]), check=backend_unreachable
     )
     assert response.lines[-1]["fireflyford-control"] == "resume"
     assert not response.ended
 
 
-def test_plain_callers_are_cut_when_the_backend_server_is_gone() -> None:
+def test_plain_feed_is_aborted_if_backend_server_is_unreachable() -> None:
     """Guards against an incomplete feed that looks complete."""
     response = serve(
-        _ScriptedSource([line(1), BROKEN]),
+        _ScriptedSource([event_line(1), BROKEN]),
         headers=(),
         check=backend_unreachable,
     )
     assert response.aborted and not response.ended
 
 
-def test_a_silent_backend_stream_is_replaced() -> None:
+def test_silent_backend_stream_is_replaced() -> None:
     """Guards against a feed that stays on a stalled stream."""
     with mock.patch.object(_feeds, "_FEED_TIMEOUT_MS", (10.0, 20.0)):
-        response = serve(_ScriptedSource([line(1), None], [line(2)]))
+        response = serve(
+            _ScriptedSource([event_line(1), None], [event_line(2)])
+        )
     assert [item["sequence"] for item in response.lines] == [1, 2]
 
 
-def test_content_without_sequence_numbers_passes_unchanged() -> None:
+def test_feed_without_sequence_numbers_is_forwarded_unchanged() -> None:
     """Guards against lost bytes in feeds of another format."""
     chunks: list[bytes | Exception | None] = [
         b"data: a\n\ndata",
--- a/libs/agent/tests/test_peer.py
+++ b/libs/agent/tests/test_peer.py
@@ -17,7 +17,7 @@
 )
 
 
-def test_ticket_survives_its_text_form() -> None:
+def test_ticket_round_trip() -> None:
     """Guards against lost fields and against a longer header."""
     codec = _ticket_codec.TicketCodec(_KEY)
     address = core.Address("127.0.0.1", 7_001)
@@ -27,7 +27,7 @@
     assert len(base64.urlsafe_b64decode(text)) == 32
 
 
-def test_forged_ticket_is_refused() -> None:
+def test_forged_ticket_is_rejected() -> None:
     """Guards against accepting a ticket that no agent issued."""
     codec = _ticket_codec.TicketCodec(_KEY)
     ticket = requests.Ticket(core.Address("127.0.0.1", 1), 1, 1, 1)
@@ -38,7 +38,7 @@
         assert outcome.kind is core.ErrorKind.TICKET_INVALID
 
 
-class _Echo(requests.Executor):
+class _EchoExecutor(requests.Executor):
     def __init__(self) -> None:
         self.started = asyncio.Event()
         self.run_count = 0
@@ -59,7 +59,7 @@
         return core.Address("127.0.0.1", probe.getsockname()[1])
 
 
-def _engine(
+def _make_engine(
     address: core.Address, executor: requests.Executor
 ) -> requests.RequestEngine:
     info = requests.PeerInfo("peer", address, 9, "")
@@ -68,7 +68,7 @@
     )
 
 
-def _handoff(path: str, serial: int = 1) -> requests.Handoff:
+def _make_handoff(path: str, serial: int = 1) -> requests.Handoff:
     now_ms = _CLOCK.now_ms()
     work = requests.WorkItem(
         "id",
@@ -83,56 +83,64 @@
     return requests.Handoff(5, serial, 9, now_ms, 2_000, 1e9, work)
 
 
-async def _call_twice() -> tuple[list[core.Outcome[requests.Response]], int]:
-    address, executor = _free_address(), _Echo()
-    engine = _engine(address, executor)
+async def _execute_twice() -> tuple[list[core.Outcome[requests.Response]], int]:
+    address, executor = _free_address(), _EchoExecutor()
+    engine = _make_engine(address, executor)
     server = _peer_channel.PeerServer(_CLOCK, _KEY, engine)
     task = asyncio.create_task(server.run(address))
     peers = _peer_channel.PynngPeerChannel(_CLOCK, _KEY)
     try:
         await asyncio.sleep(0.05)
-        copies = [await peers.execute(address, _handoff("/")) for _ in "ab"]
+        outcomes = [
+            await peers.execute(address, _make_handoff("/")) for _ in "ab"
+        ]
     finally:
         task.cancel()
         await asyncio.wait({task})
         peers.close()
         engine.close()
-    return copies, executor.run_count
+    return outcomes, executor.run_count
 
 
-def test_copy_of_a_handoff_gets_the_first_response() -> None:
-    """Guards against running handed-over work twice at the peer."""
-    copies, run_count = asyncio.run(_call_twice())
+def test_duplicate_handoff_returns_first_response() -> None:
+    """Guards against running a handed-over request twice at the peer."""
+    outcomes, run_count = asyncio.run(_execute_twice())
     assert (
-        copies[0] == copies[1] == core.Ok(requests.Response(200, (), b"body"))
+        outcomes[0]
+        == outcomes[1]
+        == core.Ok(requests.Response(200, (), b"body"))
     )
     assert run_count == 1
 
 
-async def _lose_peer() -> list[core.Outcome[requests.Response]]:
-    address, executor = _free_address(), _Echo()
-    engine = _engine(address, executor)
+async def _stop_peer_during_call() -> list[core.Outcome[requests.Response]]:
+    address, executor = _free_address(), _EchoExecutor()
+    engine = _make_engine(address, executor)
     server = _peer_channel.PeerServer(_CLOCK, _KEY, engine)
     task = asyncio.create_task(server.run(address))
     peers = _peer_channel.PynngPeerChannel(_CLOCK, _KEY)
     try:
         await asyncio.sleep(0.05)
-        call = asyncio.create_task(peers.execute(address, _handoff("/hang")))
+        call = asyncio.create_task(
+            peers.execute(address, _make_handoff("/hang"))
+        )
         await executor.started.wait()
         task.cancel()
         await asyncio.wait({task})
-        lost = await asyncio.wait_for(call, 5)
-        unreachable = await peers.execute(_free_address(), _handoff("/", 2))
+        stopped = await asyncio.wait_for(call, 5)
+        unreachable = await peers.execute(
+            _free_address(), _make_handoff("/", 2)
+        )
     finally:
         peers.close()
         engine.close()
-    return [lost, unreachable]
+    return [stopped, unreachable]
 
 
-def test_lost_peer_is_unknown_and_unreachable_peer_is_not_run() -> None:
-    """Guards against reporting "not run" for work that a peer received."""
-    lost, unreachable = asyncio.run(_lose_peer())
-    assert isinstance(lost, core.Failure)
-    assert lost.kind is core.ErrorKind.OUTCOME_UNKNOWN
+def test_outcome_is_unknown_only_if_peer_was_reachable() -> None:
+    """Guards against reporting "not run" for a request that a peer received."""
+    stopped, unreachable = asyncio.run(_stop_peer_during_call())
+    assert isinstance(stopped, core.Failure)
+    assert stopped.kind is core.ErrorKind.OUTCOME_UNKNOWN
     assert isinstance(unreachable, core.Failure)
     assert unreachable.kind is core.ErrorKind.INSTANCE_UNREACHABLE
--- a/libs/agent/tests/test_return_path.py
+++ b/libs/agent/tests/test_return_path.py
@@ -8,7 +8,7 @@
 THIRD = core.Address("127.0.0.1", 3)
 
 
-class _Balancers(_return_path.BalancerSource):
+class _FakeBalancerSource(_return_path.BalancerSource):
     def __init__(self) -> None:
         self.alive = {FIRST: 1.0, SECOND: 1.0, THIRD: 1.0}
         self.unavailable: set[core.Address] = set()
@@ -20,15 +20,15 @@
         return address in self.unavailable
 
 
-def make_path(balancers: _Balancers) -> _return_path.ReturnPath:
+def make_path(balancers: _FakeBalancerSource) -> _return_path.ReturnPath:
     path = _return_path.ReturnPath(balancers, lambda: None)
     path.record_receipt(FIRST)
     return path
 
 
-def test_responses_use_the_last_balancer_while_datagrams_arrive() -> None:
+def test_responses_use_last_balancer_while_datagrams_arrive() -> None:
     """Guards against rotation away from a balancer that works."""
-    path = make_path(_Balancers())
+    path = make_path(_FakeBalancerSource())
     for step in range(20):
         assert path.choose(step * 0.1, True) == FIRST
         path.record_receipt(FIRST)
@@ -36,47 +36,47 @@
 
 def test_rotation_tries_every_live_balancer() -> None:
     """Guards against a flow that keeps sending through a dead balancer."""
-    path = make_path(_Balancers())
+    path = make_path(_FakeBalancerSource())
     path.choose(0.0, True)
     tried = [path.choose(0.31 * step, True) for step in (1, 2)]
     assert set(tried) == {SECOND, THIRD}
 
 
-def test_an_acknowledgement_alone_starts_no_rotation() -> None:
+def test_rotation_requires_awaited_acknowledgement() -> None:
     """Guards against rotation while no acknowledgement is awaited."""
-    path = make_path(_Balancers())
+    path = make_path(_FakeBalancerSource())
     path.choose(0.0, False)
     assert path.choose(9.0, True) == FIRST
 
 
-def test_a_draining_balancer_is_replaced_at_once() -> None:
+def test_draining_balancer_is_replaced_immediately() -> None:
     """Guards against a stall of 300 ms at every planned replacement."""
-    balancers = _Balancers()
+    balancers = _FakeBalancerSource()
     path = make_path(balancers)
     balancers.unavailable.add(FIRST)
     balancers.alive = {SECOND: 1.0}
     assert path.choose(0.0, True) == SECOND
 
 
-def test_the_only_balancer_is_kept() -> None:
+def test_only_balancer_is_kept() -> None:
     """Guards against an agent that stops sending without an alternative."""
-    balancers = _Balancers()
+    balancers = _FakeBalancerSource()
     balancers.alive = {FIRST: 1.0}
     path = make_path(balancers)
     path.choose(0.0, True)
     assert path.choose(1.0, True) == FIRST
 
 
-def test_a_relayed_flow_responds_through_a_balancer() -> None:
+def test_responses_of_relayed_flow_use_balancer() -> None:
     """Guards against responses sent to the agent that relayed the flow."""
-    path = _return_path.ReturnPath(_Balancers(), lambda: None)
+    path = _return_path.ReturnPath(_FakeBalancerSource(), lambda: None)
     path.record_receipt(None)
     assert path.choose(0.0, True) in (FIRST, SECOND, THIRD)
 
 
-def test_weights_decide_the_share_of_rotations() -> None:
+def test_rotation_skips_balancer_with_zero_weight() -> None:
     """Guards against rotation to balancers without capacity."""
-    balancers = _Balancers()
+    balancers = _FakeBalancerSource()
     balancers.alive = {FIRST: 1.0, SECOND: 0.0, THIRD: 1.0}
     for _ in range(20):
         path = make_path(balancers)
