Name the tests of balancer, caller and wire by behaviour

Names in the usual terms of the field; no test or assertion changed.

libs/balancer/tests/test_forwarder.py: - test_a_connection_id_of_another_service_is_dropped -> test_packet_with_connection_id_of_other_service_is_dropped - test_responses_of_other_services_and_keys_are_dropped -> test_responses_with_other_service_or_key_are_dropped - test_an_oversized_datagram_is_dropped -> test_oversized_datagram_is_dropped - test_cached_routes_follow_the_ring_and_are_bounded -> test_route_cache_follows_target_changes_and_is_bounded - _flood -> _send_datagrams - test_sockets_survive_arbitrary_datagrams -> test_arbitrary_datagrams_do_not_stop_socket_tasks - test_a_failing_task_ends_the_process -> test_failed_task_ends_process

libs/balancer/tests/test_readers.py: - test_each_region_has_three_readers -> test_each_region_has_at_most_three_readers - test_a_dead_reader_is_replaced_and_the_others_stay -> test_only_dead_reader_is_replaced

libs/balancer/tests/test_transport.py: - test_a_pushed_transport_is_applied -> test_pushed_transport_change_is_applied_to_listener

libs/caller/tests/test_feed_reader.py: - _Service -> _FakeService - test_silent_path_is_replaced_while_open -> test_stream_on_silent_path_is_replaced - test_complete_feed_ends -> test_complete_feed_is_not_reopened

libs/caller/tests/test_requests.py: - _Stream -> _ScriptedStream - _Connection -> _ScriptedConnection - test_non_idempotent_request_fetches_a_ticket_first -> test_non_idempotent_request_fetches_ticket_first - test_refused_request_is_retried_with_a_new_ticket -> test_refused_request_is_retried_with_new_ticket - test_lost_response_is_requested_with_the_same_ticket -> test_request_with_lost_response_is_retried_with_same_ticket - test_idempotent_request_is_retried_within_the_budget -> test_idempotent_request_is_retried_within_budget

libs/wire/tests/test_codecs.py: - test_truncated_and_changed_headers_are_rejected -> test_truncated_and_modified_headers_are_rejected - test_specialized_codecs_agree_with_general_ones -> test_specialized_codecs_match_general_codecs - test_connection_ids_round_trip_for_one_service -> test_connection_ids_round_trip_only_within_service

--- a/libs/balancer/tests/test_forwarder.py
+++ b/libs/balancer/tests/test_forwarder.py
@@ -60,20 +60,23 @@
     assert fixture.counters.to_caller_count == 0
 
 
-def test_a_connection_id_of_another_service_is_dropped() -> None:
+def test_packet_with_connection_id_of_other_service_is_dropped() -> None:
     """Guards against packets that reach a target of another service."""
     datagram = b"\x40" + TAHIAN_CODEC.encode(
         wire.ConnectionId(HOLDER.address, 1, b"abcd")
     )
-    right, wrong = ServiceFixture("tahian"), ServiceFixture("padron")
-    for fixture in (right, wrong):
+    own_service, other_service = (
+        ServiceFixture("tahian"),
+        ServiceFixture("padron"),
+    )
+    for fixture in (own_service, other_service):
         fixture.listener.receive(datagram + bytes(30), CALLER)
-    assert right.counters.to_agent_count == 1
-    assert wrong.counters.to_agent_count == 0
-    assert wrong.counters.malformed_count == 1
+    assert own_service.counters.to_agent_count == 1
+    assert other_service.counters.to_agent_count == 0
+    assert other_service.counters.malformed_count == 1
 
 
-def test_responses_of_other_services_and_keys_are_dropped() -> None:
+def test_responses_with_other_service_or_key_are_dropped() -> None:
     """Guards against responses sent from the wrong service address."""
     fixture = ServiceFixture()
     for service, key in (("padron", KEY), ("tahian", b"o" * 16)):
@@ -90,14 +93,14 @@
     assert fixture.counters.to_caller_count == 0
 
 
-def test_an_oversized_datagram_is_dropped() -> None:
+def test_oversized_datagram_is_dropped() -> None:
     """Guards against a payload that leaves no room for the header."""
     fixture = ServiceFixture()
     fixture.listener.receive(b"\x40" * 65_500, CALLER)
     assert fixture.counters.malformed_count == 1
 
 
-def test_cached_routes_follow_the_ring_and_are_bounded() -> None:
+def test_route_cache_follows_target_changes_and_is_bounded() -> None:
     """Guards against stale routes and memory growth with open flows."""
     fixture = ServiceFixture()
     fixture.listener._reader = balancer.DatagramHintReader("tahian")
@@ -113,7 +116,7 @@
     assert len(fixture.listener._route_cache) <= 4_096
 
 
-async def _flood(datagrams: list[bytes]) -> tuple[int, bytes]:
+async def _send_datagrams(datagrams: list[bytes]) -> tuple[int, bytes]:
     """Sends datagrams to real sockets, then one that must be forwarded."""
     fixture = ServiceFixture()
     agent = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -125,13 +128,13 @@
         asyncio.create_task(fixture.listener.run(front)),
         asyncio.create_task(fixture.link.run(back)),
     ]
-    good = b"\x40" + TAHIAN_CODEC.encode(wire.ConnectionId(target, 1, b"abcd"))
+    valid = b"\x40" + TAHIAN_CODEC.encode(wire.ConnectionId(target, 1, b"abcd"))
     with agent, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as caller:
         for datagram in datagrams:
             caller.sendto(datagram, front.address.pair)
             caller.sendto(datagram, back.address.pair)
             await asyncio.sleep(0)
-        caller.sendto(good, front.address.pair)
+        caller.sendto(valid, front.address.pair)
         received = await asyncio.to_thread(agent.recv, 2_000)
     for task in tasks:
         task.cancel()
@@ -140,9 +143,11 @@
 
 @hypothesis.settings(max_examples=10, deadline=None, derandomize=True)
 @hypothesis.given(strategies.lists(strategies.binary(max_size=1_300)))
-def test_sockets_survive_arbitrary_datagrams(datagrams: list[bytes]) -> None:
+def test_arbitrary_datagrams_do_not_stop_socket_tasks(
+    datagrams: list[bytes],
+) -> None:
     """Guards against a bad datagram that ends the task of a socket."""
-    counted_datagrams, payload = asyncio.run(_flood(datagrams))
+    counted_datagrams, payload = asyncio.run(_send_datagrams(datagrams))
     assert counted_datagrams >= 1
     assert payload.startswith(b"\x40")
 
@@ -169,7 +174,7 @@
     await asyncio.sleep(5)
 
 
-def test_a_failing_task_ends_the_process() -> None:
+def test_failed_task_ends_process() -> None:
     """Guards against a balancer that looks healthy but forwards nothing."""
     with pytest.raises(SystemExit):
         asyncio.run(_start_failing_task())
--- a/libs/balancer/tests/test_readers.py
+++ b/libs/balancer/tests/test_readers.py
@@ -38,7 +38,7 @@
     }
 
 
-def test_each_region_has_three_readers() -> None:
+def test_each_region_has_at_most_three_readers() -> None:
     """Guards against store calls that grow with the number of instances."""
     view = membership.View(members())
     assert {name: len(readers(view, name)) for name in REGION_SIZES} == {
@@ -48,17 +48,17 @@
     }
 
 
-def test_a_dead_reader_is_replaced_and_the_others_stay() -> None:
+def test_only_dead_reader_is_replaced() -> None:
     """Guards against a region without readers after failures."""
     known = members()
     before = readers(membership.View(known), "north")
-    lost = sorted(before)[0]
+    dead = sorted(before)[0]
     changed = [
         dataclasses.replace(item, state=membership.State.DEAD)
-        if item.instance_id == lost
+        if item.instance_id == dead
         else item
         for item in known
     ]
     after = readers(membership.View(changed), "north")
     assert len(after) == 3
-    assert before - after == {lost}
+    assert before - after == {dead}
--- a/libs/balancer/tests/test_transport.py
+++ b/libs/balancer/tests/test_transport.py
@@ -32,7 +32,7 @@
 )
 
 
-def test_a_pushed_transport_is_applied() -> None:
+def test_pushed_transport_change_is_applied_to_listener() -> None:
     """Guards against plain datagrams dropped as malformed QUIC packets."""
     forwarding = _forwarding.Forwarding(OPTIONS, core.ManualClock())
     counters = forwarding.counters
--- a/libs/caller/tests/test_feed_reader.py
+++ b/libs/caller/tests/test_feed_reader.py
@@ -31,7 +31,7 @@
     return _connection.BodyChunk(json.dumps(fields).encode() + b"\n")
 
 
-class _Service:
+class _FakeService:
     """Fake service that delivers one list of events per connection."""
 
     def __init__(
@@ -73,7 +73,7 @@
 
 
 def read(
-    service: _Service, max_count: int, after: int = 0
+    service: _FakeService, max_count: int, after: int = 0
 ) -> tuple[list[int], _feeds.FeedStatistics]:
     statistics = _feeds.FeedStatistics()
 
@@ -95,7 +95,7 @@
 
 def test_move_neither_loses_nor_repeats_events() -> None:
     """Guards against gaps and repeated events in a planned move."""
-    service = _Service(
+    service = _FakeService(
         [HEAD, data(1, 2), control("resume"), data(3)],
         [HEAD, data(3, 4, 5)],
     )
@@ -106,7 +106,7 @@
 
 def test_old_stream_is_closed_after_new_one_is_open() -> None:
     """Guards against closing the old connection before a new one is open."""
-    service = _Service(
+    service = _FakeService(
         [HEAD, data(1), control("resume")],
         [ConnectionError("refused")],
         [HEAD, data(2)],
@@ -128,16 +128,18 @@
 
 def test_broken_feed_resumes_after_last_event() -> None:
     """Guards against a gap when a target fails."""
-    service = _Service([HEAD, data(7, 8), BROKEN], [HEAD, data(9), COMPLETE])
+    service = _FakeService(
+        [HEAD, data(7, 8), BROKEN], [HEAD, data(9), COMPLETE]
+    )
     seen, statistics = read(service, 99)
     assert seen == [7, 8, 9]
     assert service.paths == ["/feed?after=0", "/feed?after=8"]
     assert statistics.broken_count == 1
 
 
-def test_silent_path_is_replaced_while_open() -> None:
+def test_stream_on_silent_path_is_replaced() -> None:
     """Guards against waiting on a path that delivers no datagrams."""
-    service = _Service(
+    service = _FakeService(
         [HEAD, data(1), _connection.PathSuspected()], [HEAD, data(2), COMPLETE]
     )
     seen, statistics = read(service, 99)
@@ -150,7 +152,7 @@
 
     The replacement was opened without a position, so it would start later.
     """
-    service = _Service(
+    service = _FakeService(
         [HEAD, _connection.PathSuspected()],
         [HEAD, data(5), COMPLETE],
         [HEAD, data(4), COMPLETE],
@@ -164,16 +166,16 @@
 
 def test_replaced_stream_is_cancelled() -> None:
     """Guards against a drain that waits for feeds that have moved."""
-    service = _Service(
+    service = _FakeService(
         [HEAD, data(1), control("resume")], [HEAD, data(2), data(3)]
     )
     read(service, 3)
     service.streams[0].cancel.assert_called_once()
 
 
-def test_complete_feed_ends() -> None:
+def test_complete_feed_is_not_reopened() -> None:
     """Guards against reopening a finished feed endlessly."""
-    seen, _ = read(_Service([HEAD, data(1), COMPLETE]), 99)
+    seen, _ = read(_FakeService([HEAD, data(1), COMPLETE]), 99)
     assert seen == [1]
 
 
@@ -181,13 +183,13 @@
     """Guards against endless retries of a permanently refused feed."""
     refusal = _connection.ResponseHead(403, {"fireflyford-error": "forbidden"})
     with pytest.raises(_feeds.FeedRefusedError):
-        read(_Service([refusal, COMPLETE]), 1)
+        read(_FakeService([refusal, COMPLETE]), 1)
 
 
 def test_refusal_by_draining_target_is_retried() -> None:
     """Guards against a feed that ends because a target is draining."""
     refusal = _connection.ResponseHead(503, {"fireflyford-error": "draining"})
-    seen, _ = read(_Service([refusal, COMPLETE], [HEAD, data(1)]), 1)
+    seen, _ = read(_FakeService([refusal, COMPLETE], [HEAD, data(1)]), 1)
     assert seen == [1]
 
 
--- a/libs/caller/tests/test_requests.py
+++ b/libs/caller/tests/test_requests.py
@@ -12,7 +12,7 @@
 _ScriptedResponse = tuple[core.ErrorKind | None, str] | None
 
 
-class _Stream:
+class _ScriptedStream:
     def __init__(self, response: _ScriptedResponse) -> None:
         self.events: asyncio.Queue[_connection.StreamEvent] = asyncio.Queue()
         if response is None:
@@ -29,7 +29,7 @@
         pass
 
 
-class _Connection:
+class _ScriptedConnection:
     """Returns scripted responses; None stands for a lost connection."""
 
     def __init__(self, *responses: _ScriptedResponse) -> None:
@@ -43,14 +43,14 @@
         path: str,
         body: bytes,
         headers: tuple[tuple[str, str], ...],
-    ) -> _Stream:
+    ) -> _ScriptedStream:
         del method, path, body
         self.tickets.append(dict(headers).get("fireflyford-ticket", ""))
-        return _Stream(self._responses.pop(0))
+        return _ScriptedStream(self._responses.pop(0))
 
 
 def _send(
-    connection: _Connection, method: str
+    connection: _ScriptedConnection, method: str
 ) -> core.Outcome[_requests.Response]:
     untyped: Any = connection
 
@@ -65,18 +65,18 @@
     return asyncio.run(run())
 
 
-def test_non_idempotent_request_fetches_a_ticket_first() -> None:
+def test_non_idempotent_request_fetches_ticket_first() -> None:
     """Guards against a non-idempotent request without a ticket."""
-    connection = _Connection(
+    connection = _ScriptedConnection(
         (core.ErrorKind.TICKET_REQUIRED, "t1"), (None, "t2")
     )
     assert isinstance(_send(connection, "POST"), core.Ok)
     assert connection.tickets == ["", "t1"]
 
 
-def test_refused_request_is_retried_with_a_new_ticket() -> None:
+def test_refused_request_is_retried_with_new_ticket() -> None:
     """Guards against reusing a ticket whose refusal is final."""
-    connection = _Connection(
+    connection = _ScriptedConnection(
         (core.ErrorKind.TICKET_REQUIRED, "t1"),
         (core.ErrorKind.OVERLOADED, "t2"),
         (None, "t3"),
@@ -87,7 +87,7 @@
 
 def test_unknown_outcome_is_not_retried() -> None:
     """Guards against a second run after an unknown outcome."""
-    connection = _Connection(
+    connection = _ScriptedConnection(
         (core.ErrorKind.TICKET_REQUIRED, "t1"),
         (core.ErrorKind.OUTCOME_UNKNOWN, "t2"),
         (None, "t3"),
@@ -97,18 +97,18 @@
     assert connection.tickets == ["", "t1"]
 
 
-def test_lost_response_is_requested_with_the_same_ticket() -> None:
+def test_request_with_lost_response_is_retried_with_same_ticket() -> None:
     """Guards against a new ticket for a request that may have run."""
-    connection = _Connection(
+    connection = _ScriptedConnection(
         (core.ErrorKind.TICKET_REQUIRED, "t1"), None, (None, "t2")
     )
     assert isinstance(_send(connection, "POST"), core.Ok)
     assert connection.tickets == ["", "t1", "t1"]
 
 
-def test_idempotent_request_is_retried_within_the_budget() -> None:
+def test_idempotent_request_is_retried_within_budget() -> None:
     """Guards against unlimited retries."""
     unknown = (core.ErrorKind.OUTCOME_UNKNOWN, "t")
-    connection = _Connection(unknown, unknown, unknown)
+    connection = _ScriptedConnection(unknown, unknown, unknown)
     assert isinstance(_send(connection, "GET"), core.Failure)
     assert len(connection.tickets) == 2
--- a/libs/wire/tests/test_codecs.py
+++ b/libs/wire/tests/test_codecs.py
@@ -63,7 +63,7 @@
 
 @settings
 @hypothesis.given(headers, strategies.binary(max_size=40), strategies.data())
-def test_truncated_and_changed_headers_are_rejected(
+def test_truncated_and_modified_headers_are_rejected(
     header: wire.ForwardHeader, payload: bytes, data: strategies.DataObject
 ) -> None:
     """Guards against a header field or holder that is not authenticated."""
@@ -73,15 +73,15 @@
         authenticated_size = len(packed)
     index = data.draw(strategies.integers(0, authenticated_size - 1))
     assert CODEC.unpack(packed[:index]) is None
-    changed = bytearray(packed)
-    changed[index] ^= data.draw(strategies.integers(1, 255))
-    assert CODEC.unpack(bytes(changed)) is None
+    modified = bytearray(packed)
+    modified[index] ^= data.draw(strategies.integers(1, 255))
+    assert CODEC.unpack(bytes(modified)) is None
     assert wire.ForwardCodec(b"o" * 16).unpack(packed) is None
 
 
 @settings
 @hypothesis.given(headers, strategies.binary(max_size=40))
-def test_specialized_codecs_agree_with_general_ones(
+def test_specialized_codecs_match_general_codecs(
     header: wire.ForwardHeader, payload: bytes
 ) -> None:
     """Guards against differences between the two implementations."""
@@ -114,7 +114,7 @@
 @hypothesis.given(
     addresses, strategies.integers(0, 2**32 - 1), strategies.data()
 )
-def test_connection_ids_round_trip_for_one_service(
+def test_connection_ids_round_trip_only_within_service(
     agent: core.Address, incarnation: int, data: strategies.DataObject
 ) -> None:
     """Guards against connection IDs that another service accepts."""
@@ -123,10 +123,10 @@
     assert CONNECTION_IDS.decode(encoded) == connection_id
     other = wire.ConnectionIdCodec([b"r" * 16], "padron")
     assert other.decode(encoded) is None
-    changed = bytearray(encoded)
+    modified = bytearray(encoded)
     index = data.draw(strategies.integers(0, len(encoded) - 1))
-    changed[index] ^= data.draw(strategies.integers(1, 255))
-    assert CONNECTION_IDS.decode(bytes(changed)) is None
+    modified[index] ^= data.draw(strategies.integers(1, 255))
+    assert CONNECTION_IDS.decode(bytes(modified)) is None
 
 
 def test_too_many_holders_are_rejected() -> None:
