Name the tests of adapter by behaviour

Names in the usual terms of the field; no test or assertion changed.

tests/adapter/test_doctests.py: - test_examples_hold -> test_docstring_examples_pass

tests/adapter/test_formats.py: - test_both_directions_and_returned_packets_have_the_same_flow -> test_both_directions_and_returned_packets_have_same_flow - test_delivery_changes_only_the_tag_and_the_returned_flag -> test_delivery_changes_only_tag_and_returned_flag - test_reset_is_sent_by_the_route -> test_reset_is_encoded_as_packet_from_route

tests/adapter/test_processes.py: - wait_ready -> wait_until_ready - test_a_stopping_agent_answers_for_a_target_that_is_gone -> test_stopping_agent_resets_flows_of_target_that_is_gone - test_signals -> test_sighup_reloads_and_sigterm_stops_processes - test_status_and_metrics -> test_status_and_metrics_contain_required_fields - work -> run_check

tests/adapter/test_store.py: - test_reads_all_pages -> test_read_returns_all_pages - test_commit_checks_its_preconditions -> test_commit_with_failed_precondition_is_not_applied - test_commit_without_a_response_has_an_unknown_outcome -> test_commit_without_response_has_unknown_outcome - test_rejected_commit_has_a_known_outcome -> test_rejected_commit_has_known_outcome - test_watch_fails_when_its_history_is_gone -> test_watch_fails_if_history_is_compacted - test_lost_entry_is_written_again_after_an_outage -> test_deleted_entry_is_rewritten_after_outage - test_instances_that_start_together_find_each_other -> test_instances_started_together_discover_each_other - test_withdrawn_entry_is_not_written_again -> test_withdrawn_entry_is_not_rewritten - test_withdrawal_is_retried_until_the_store_recovers -> test_withdrawal_is_retried_until_store_recovers - test_withdrawal_stops_at_its_time_limit -> test_withdrawal_stops_at_time_limit - test_restarted_agent_reads_the_drain_state_before_it_writes -> test_restarted_agent_reads_drain_state_before_writing - main -> run_body - work -> body

--- a/tests/adapter/test_doctests.py
+++ b/tests/adapter/test_doctests.py
@@ -11,7 +11,7 @@
 from fireflyford import platform
 
 
-def test_examples_hold() -> None:
+def test_docstring_examples_pass() -> None:
     """Guards against examples that do not match the code."""
     attempted_count = 0
     for found in pkgutil.iter_modules(platform.__path__):
--- a/tests/adapter/test_formats.py
+++ b/tests/adapter/test_formats.py
@@ -75,18 +75,18 @@
     assert flows.route_address(FLOW) == ROUTE
 
 
-def test_both_directions_and_returned_packets_have_the_same_flow() -> None:
+def test_both_directions_and_returned_packets_have_same_flow() -> None:
     """Guards against packets from a backend server under another flow."""
     assert decode(encode(SYN)).flow == FLOW
-    answer = decode(encode(SYN | ACK, to_client=True), from_target=True)
-    assert answer.flow == FLOW
+    response = decode(encode(SYN | ACK, to_client=True), from_target=True)
+    assert response.flow == FLOW
     packet = decode(encode(SYN | RETURNED, echo=77), from_target=True)
     assert packet.flow == FLOW
     assert packet.returned
     assert packet.delivery_tag == 77
 
 
-def test_delivery_changes_only_the_tag_and_the_returned_flag() -> None:
+def test_delivery_changes_only_tag_and_returned_flag() -> None:
     """Guards against other changes to the packet of a client."""
     data = encode(ACK | RETURNED, b"payload", seq=5, ack=6)
     codec = _packet.PlatformPacketCodec()
@@ -94,7 +94,7 @@
     assert delivered == encode(ACK, b"payload", seq=5, ack=6, echo=0xABCD)
 
 
-def test_reset_is_sent_by_the_route() -> None:
+def test_reset_is_encoded_as_packet_from_route() -> None:
     """Guards against resets that the client ignores."""
     data = _packet.PlatformPacketCodec().encode_reset(FLOW, 0x01020304)
     expected = bytearray(encode(RST, seq=0x01020304, to_client=True))
--- a/tests/adapter/test_processes.py
+++ b/tests/adapter/test_processes.py
@@ -286,7 +286,7 @@
     return status == 200
 
 
-async def wait_ready(host: str) -> None:
+async def wait_until_ready(host: str) -> None:
     for _ in range(200):
         if await is_ready(host):
             return
@@ -307,9 +307,9 @@
     for index, target in enumerate(targets):
         await target.open()
         fleet.start(f"agent-{index}", target.host, True)
-    await wait_ready(BALANCER_HOST)
+    await wait_until_ready(BALANCER_HOST)
     for target in targets:
-        await wait_ready(target.host)
+        await wait_until_ready(target.host)
         assert await target.report() == 200
     # Load reports reach the peers within a few report intervals.
     await asyncio.sleep(0.6)
@@ -347,7 +347,7 @@
             fleet.processes[name].send_signal(signal.SIGKILL)
             fleet.processes[name].wait()
             fleet.start(name, host, name != "balancer")
-            await wait_ready(host)
+            await wait_until_ready(host)
         await asyncio.sleep(0.6)
         for address in addresses:
             request = from_client(address, ACK, b"x", ack=1_001)
@@ -363,27 +363,27 @@
         assert targets[1].flows == opened
 
         # Flows of a backend server whose port is closed are reset.
-        gone = targets[2]
-        await gone.close()
+        closed_target = targets[2]
+        await closed_target.close()
         address = next(
             address
             for address in addresses
-            if holders[address].endswith(gone.host.encode())
+            if holders[address].endswith(closed_target.host.encode())
         )
         request = from_client(address, ACK, b"x", ack=1_001)
         ended = await client.exchange(request)
         assert ended[FLAGS_OFFSET] == RST
 
-    async def work() -> None:
+    async def run_check() -> None:
         async with running(fleet) as (targets, client):
             await check(targets, client)
 
-    asyncio.run(work())
+    asyncio.run(run_check())
     assert "event=task-failed" not in fleet.log("balancer")
     assert "event=task-failed" not in fleet.log("agent-0")
 
 
-def test_a_stopping_agent_answers_for_a_target_that_is_gone(
+def test_stopping_agent_resets_flows_of_target_that_is_gone(
     fleet: Fleet,
 ) -> None:
     """Guards against searches that wait for an agent that has just stopped.
@@ -396,23 +396,23 @@
         addresses = [
             core.Address(CLIENT_HOST, 42_000 + index) for index in range(12)
         ]
-        gone = targets[0]
-        lost = []
+        closed_target = targets[0]
+        affected = []
         for address in addresses:
             await client.exchange(from_client(address, SYN))
             request = from_client(address, ACK, b"x", ack=1_001)
             response = await client.exchange(request)
-            if response.endswith(gone.host.encode()):
-                lost.append(address)
-        assert lost
+            if response.endswith(closed_target.host.encode()):
+                affected.append(address)
+        assert affected
         fleet.processes["agent-0"].kill()
         fleet.processes["agent-0"].wait()
-        await gone.close()
-        fleet.start("agent-0", gone.host, True)
-        await wait_ready(gone.host)
+        await closed_target.close()
+        fleet.start("agent-0", closed_target.host, True)
+        await wait_until_ready(closed_target.host)
         fleet.processes["agent-0"].terminate()
         await asyncio.sleep(0.1)
-        for address in lost:
+        for address in affected:
             request = from_client(address, ACK, b"x", ack=1_001)
             # An entry that is not withdrawn would stay for three seconds.
             response = await client.exchange(request, RETRANSMISSION_DELAYS_MS)
@@ -423,14 +423,14 @@
         assert ended
         assert "event=entry-withdrawn" in fleet.log("agent-0")
 
-    async def work() -> None:
+    async def run_check() -> None:
         async with running(fleet) as (targets, client):
             await check(targets, client)
 
-    asyncio.run(work())
+    asyncio.run(run_check())
 
 
-def test_signals(fleet: Fleet) -> None:
+def test_sighup_reloads_and_sigterm_stops_processes(fleet: Fleet) -> None:
     """Guards against an exit on SIGHUP and a stop beyond the grace period."""
 
     async def check(targets: list[Target]) -> None:
@@ -453,14 +453,14 @@
         for name, process in fleet.processes.items():
             assert process.returncode == 0, fleet.log(name)
 
-    async def work() -> None:
+    async def run_check() -> None:
         async with running(fleet) as (targets, _):
             await check(targets)
 
-    asyncio.run(work())
+    asyncio.run(run_check())
 
 
-def test_status_and_metrics(fleet: Fleet) -> None:
+def test_status_and_metrics_contain_required_fields(fleet: Fleet) -> None:
     """Guards against missing status fields and metrics."""
 
     async def check(targets: list[Target]) -> None:
@@ -468,9 +468,9 @@
         address = core.Address(BALANCER_HOST, status_port)
         status, body = await call(address, "GET", "/status")
         assert status == 200
-        described = json.loads(body)
-        assert described["config_version"] == CONFIG["version"]
-        assert described["ready"]
+        fields = json.loads(body)
+        assert fields["config_version"] == CONFIG["version"]
+        assert fields["ready"]
         _, text = await call(address, "GET", "/metrics")
         assert b"fireflyford_config_version 3" in text
         for sample in (
@@ -485,13 +485,11 @@
         reads = rb'fireflyford_store_call_ms_count\{kind="read-200"\} [23]\n'
         assert re.search(reads, text)
         agent = core.Address(AGENT_HOSTS[0], status_port)
-        described = json.loads((await call(agent, "GET", "/status"))[1])
-        assert described["target_state"] == (
-            flows.TargetState.READY.name.lower()
-        )
+        fields = json.loads((await call(agent, "GET", "/status"))[1])
+        assert fields["target_state"] == flows.TargetState.READY.name.lower()
 
-    async def work() -> None:
+    async def run_check() -> None:
         async with running(fleet) as (targets, _):
             await check(targets)
 
-    asyncio.run(work())
+    asyncio.run(run_check())
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -30,17 +30,17 @@
 
 
 def run_with_store(
-    work: Callable[[Server, _store.PlatformStore], Awaitable[None]],
+    body: Callable[[Server, _store.PlatformStore], Awaitable[None]],
 ) -> None:
-    async def main() -> None:
+    async def run_body() -> None:
         server = Server(free_address())
         server.start()
         try:
-            await work(server, _store.PlatformStore(server.address))
+            await body(server, _store.PlatformStore(server.address))
         finally:
             server.stop()
 
-    asyncio.run(main())
+    asyncio.run(run_body())
 
 
 def value_of(outcome: core.Outcome[store.ReadResult], key: str) -> bytes | None:
@@ -48,10 +48,10 @@
     return outcome.value.get(key)
 
 
-def test_reads_all_pages() -> None:
+def test_read_returns_all_pages() -> None:
     """Guards against reads that miss entries beyond the first page."""
 
-    async def work(server: Server, client: _store.PlatformStore) -> None:
+    async def body(server: Server, client: _store.PlatformStore) -> None:
         for index in range(5):
             server.state.put(f"a/{index}", b"%d" % index)
         server.state.put("b/0", b"other")
@@ -60,13 +60,13 @@
         values = [entry.value for entry in outcome.value.entries]
         assert values == [b"0", b"1", b"2", b"3", b"4"]
 
-    run_with_store(work)
+    run_with_store(body)
 
 
-def test_commit_checks_its_preconditions() -> None:
+def test_commit_with_failed_precondition_is_not_applied() -> None:
     """Guards against overwriting the change of another writer."""
 
-    async def work(server: Server, client: _store.PlatformStore) -> None:
+    async def body(server: Server, client: _store.PlatformStore) -> None:
         none = store.Precondition("a", None)
         first = await client.commit([none], [store.Write("a", b"1")])
         second = await client.commit([none], [store.Write("a", b"2")])
@@ -76,26 +76,26 @@
         assert not second.value.applied
         assert server.state.items["a"].value == b"1"
 
-    run_with_store(work)
+    run_with_store(body)
 
 
-def test_commit_without_a_response_has_an_unknown_outcome() -> None:
+def test_commit_without_response_has_unknown_outcome() -> None:
     """Guards against an applied write reported as not applied."""
 
-    async def work(server: Server, client: _store.PlatformStore) -> None:
+    async def body(server: Server, client: _store.PlatformStore) -> None:
         server.state.unanswered_write_count = 1
         outcome = await client.commit([], [store.Write("a", b"1")])
         assert isinstance(outcome, core.Failure)
         assert outcome.kind is core.ErrorKind.STORE_OUTCOME_UNKNOWN
         assert value_of(await client.read("a"), "a") == b"1"
 
-    run_with_store(work)
+    run_with_store(body)
 
 
-def test_rejected_commit_has_a_known_outcome() -> None:
+def test_rejected_commit_has_known_outcome() -> None:
     """Guards against an unknown outcome of a call that the store rejected."""
 
-    async def work(server: Server, client: _store.PlatformStore) -> None:
+    async def body(server: Server, client: _store.PlatformStore) -> None:
         server.state.refusal_status = 503
         outcome = await client.commit([], [store.Write("a", b"1")])
         assert isinstance(outcome, core.Failure)
@@ -103,13 +103,13 @@
         reading = await client.read("a")
         assert isinstance(reading, core.Failure)
 
-    run_with_store(work)
+    run_with_store(body)
 
 
 def test_watch_returns_writes_and_deletions() -> None:
     """Guards against entries that are kept after their deletion."""
 
-    async def work(server: Server, client: _store.PlatformStore) -> None:
+    async def body(server: Server, client: _store.PlatformStore) -> None:
         start = server.state.revision
         server.state.put("a/1", b"1")
         server.state.put("a/2", b"2")
@@ -119,13 +119,13 @@
             assert [item.key for item in change.value.entries] == ["a/2"]
             assert change.value.deleted == ("a/1",)
 
-    run_with_store(work)
+    run_with_store(body)
 
 
-def test_watch_fails_when_its_history_is_gone() -> None:
+def test_watch_fails_if_history_is_compacted() -> None:
     """Guards against a watch that skips changes without an error."""
 
-    async def work(server: Server, client: _store.PlatformStore) -> None:
+    async def body(server: Server, client: _store.PlatformStore) -> None:
         start = server.state.revision
         server.state.put("a/1", b"1")
         server.state.put("a/2", b"2")
@@ -133,7 +133,7 @@
         async for change in client.watch("a/", start + 1, 200):
             assert isinstance(change, core.Failure)
 
-    run_with_store(work)
+    run_with_store(body)
 
 
 def make_registry(
@@ -181,14 +181,14 @@
     assert await _platform_store.wait_until(lambda: key in items)
 
 
-def test_lost_entry_is_written_again_after_an_outage() -> None:
+def test_deleted_entry_is_rewritten_after_outage() -> None:
     """Guards against an instance without an entry after an outage.
 
     The store deletes the key without ending the lease, and the deletion is not
     reported. The entry must be back within two seconds of the recovery.
     """
 
-    async def work(server: Server, client: _store.PlatformStore) -> None:
+    async def body(server: Server, client: _store.PlatformStore) -> None:
         instance, fleet, registry = make_registry(client)
         key = f"{_registry.PREFIX}{instance.address}"
         items = server.state.items
@@ -203,17 +203,17 @@
             server.state.refusal_status = 0
             assert await _platform_store.wait_until(lambda: key in items, 2_000)
 
-    run_with_store(work)
+    run_with_store(body)
 
 
-def test_instances_that_start_together_find_each_other() -> None:
+def test_instances_started_together_discover_each_other() -> None:
     """Guards against instances that discover each other too late.
 
     Each reads the registry before the other has written its entry. The limit
     is the time that the process tests wait before they open the first flow.
     """
 
-    async def work(server: Server, client: _store.PlatformStore) -> None:
+    async def body(server: Server, client: _store.PlatformStore) -> None:
         discovered: list[flows.Instance] = []
         _, _, registry = make_registry(client, on_discovered=discovered.extend)
         following = asyncio.create_task(registry.follower.run())
@@ -236,18 +236,18 @@
                 value = json.dumps(_link_codec.pack_instance(other)).encode()
                 server.state.put(f"{_registry.PREFIX}{other.address}", value)
                 assert await _platform_store.wait_until(
-                    lambda sought=other: sought in discovered, 600
+                    lambda expected=other: expected in discovered, 600
                 )
         finally:
             following.cancel()
 
-    run_with_store(work)
+    run_with_store(body)
 
 
-def test_withdrawn_entry_is_not_written_again() -> None:
+def test_withdrawn_entry_is_not_rewritten() -> None:
     """Guards against a pending change that restores a withdrawn entry."""
 
-    async def work(server: Server, client: _store.PlatformStore) -> None:
+    async def body(server: Server, client: _store.PlatformStore) -> None:
         instance, _, registry = make_registry(client)
         key = f"{_registry.PREFIX}{instance.address}"
         async with running(registry):
@@ -256,13 +256,13 @@
         await asyncio.sleep(0.3)
         assert key not in server.state.items
 
-    run_with_store(work)
+    run_with_store(body)
 
 
-def test_withdrawal_is_retried_until_the_store_recovers() -> None:
+def test_withdrawal_is_retried_until_store_recovers() -> None:
     """Guards against stale entries of instances that left in an outage."""
 
-    async def work(server: Server, client: _store.PlatformStore) -> None:
+    async def body(server: Server, client: _store.PlatformStore) -> None:
         instance, _, registry = make_registry(client)
         key = f"{_registry.PREFIX}{instance.address}"
         async with running(registry):
@@ -274,10 +274,10 @@
         await leaving
         assert key not in server.state.items
 
-    run_with_store(work)
+    run_with_store(body)
 
 
-def test_withdrawal_stops_at_its_time_limit(
+def test_withdrawal_stops_at_time_limit(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against a process that exceeds its grace period in an outage.
@@ -290,7 +290,7 @@
         await asyncio.sleep(_store.TIMEOUT_MS / 1_000)
         return core.Ok(None)
 
-    async def work(server: Server, client: _store.PlatformStore) -> None:
+    async def body(server: Server, client: _store.PlatformStore) -> None:
         instance, _, registry = make_registry(client)
         key = f"{_registry.PREFIX}{instance.address}"
         async with running(registry):
@@ -300,16 +300,18 @@
         await registry.withdraw(300)
         assert core.SystemClock().now_ms() - started_ms < 1_000
 
-    run_with_store(work)
+    run_with_store(body)
 
 
-def test_restarted_agent_reads_the_drain_state_before_it_writes() -> None:
+def test_restarted_agent_reads_drain_state_before_writing() -> None:
     """Guards against a drain that is lost when the agent restarts."""
 
-    async def work(server: Server, client: _store.PlatformStore) -> None:
+    async def body(server: Server, client: _store.PlatformStore) -> None:
         instance, _, registry = make_registry(client)
         previous_entries: list[flows.Instance | None] = []
-        _, _, later = make_registry(client, previous_entries.append, 2)
+        _, _, restarted_registry = make_registry(
+            client, previous_entries.append, 2
+        )
         items = server.state.items
         key = f"{_registry.PREFIX}{instance.address}"
         async with running(registry):
@@ -319,11 +321,11 @@
             assert await _platform_store.wait_until(
                 lambda: items[key].value != first_value
             )
-        async with running(later):
+        async with running(restarted_registry):
             assert await _platform_store.wait_until(
                 lambda: bool(previous_entries)
             )
         assert previous_entries[0] is not None
         assert previous_entries[0].is_draining
 
-    run_with_store(work)
+    run_with_store(body)
