--- a/libs/agent/tests/test_backend_monitor.py
+++ b/libs/agent/tests/test_backend_monitor.py
@@ -1,4 +1,4 @@
-"""Tests of the detection of a lost backend server."""
+"""Tests of the detection of an unreachable backend server."""
 
 import asyncio
 import socket
--- a/libs/agent/tests/test_datagram.py
+++ b/libs/agent/tests/test_datagram.py
@@ -172,7 +172,7 @@
 
 
 def test_flows_keep_backend_server_when_targets_change() -> None:
-    """Guards against flows that move and responses that are misrouted."""
+    """Guards against flows that change target and misrouted responses."""
     responses = asyncio.run(_exchange_while_targets_change())
     assert all(len(seen) == 1 for seen in responses)
     assert len(set.union(*responses)) >= 3
--- a/libs/agent/tests/test_feeds.py
+++ b/libs/agent/tests/test_feeds.py
@@ -164,7 +164,7 @@
 
 
 def test_plain_feed_is_aborted_if_backend_server_is_unreachable() -> None:
-    """Guards against an incomplete feed that looks complete."""
+    """Guards against an incomplete feed that appears complete."""
     response = serve(
         _ScriptedSource([event_line(1), BROKEN]),
         headers=(),
--- a/libs/agent/tests/test_return_path.py
+++ b/libs/agent/tests/test_return_path.py
@@ -10,11 +10,11 @@
 
 class _FakeBalancerSource(_return_path.BalancerSource):
     def __init__(self) -> None:
-        self.alive = {FIRST: 1.0, SECOND: 1.0, THIRD: 1.0}
+        self.balancer_weights = {FIRST: 1.0, SECOND: 1.0, THIRD: 1.0}
         self.unavailable: set[core.Address] = set()
 
     def weights(self) -> dict[core.Address, float]:
-        return self.alive
+        return self.balancer_weights
 
     def is_unavailable(self, address: core.Address) -> bool:
         return address in self.unavailable
@@ -54,14 +54,14 @@
     balancers = _FakeBalancerSource()
     path = make_path(balancers)
     balancers.unavailable.add(FIRST)
-    balancers.alive = {SECOND: 1.0}
+    balancers.balancer_weights = {SECOND: 1.0}
     assert path.choose(0.0, True) == SECOND
 
 
 def test_only_balancer_is_kept() -> None:
     """Guards against an agent that stops sending without an alternative."""
     balancers = _FakeBalancerSource()
-    balancers.alive = {FIRST: 1.0}
+    balancers.balancer_weights = {FIRST: 1.0}
     path = make_path(balancers)
     path.choose(0.0, True)
     assert path.choose(1.0, True) == FIRST
@@ -77,7 +77,7 @@
 def test_rotation_skips_balancer_with_zero_weight() -> None:
     """Guards against rotation to balancers without capacity."""
     balancers = _FakeBalancerSource()
-    balancers.alive = {FIRST: 1.0, SECOND: 0.0, THIRD: 1.0}
+    balancers.balancer_weights = {FIRST: 1.0, SECOND: 0.0, THIRD: 1.0}
     for _ in range(20):
         path = make_path(balancers)
         path.choose(0.0, True)
--- a/libs/balancer/tests/test_forwarder.py
+++ b/libs/balancer/tests/test_forwarder.py
@@ -94,7 +94,7 @@
 
 
 def test_oversized_datagram_is_dropped() -> None:
-    """Guards against a payload that leaves no room for the header."""
+    """Guards against a payload too large to be sent with the header."""
     fixture = ServiceFixture()
     fixture.listener.receive(b"\x40" * 65_500, CALLER)
     assert fixture.counters.malformed_count == 1
@@ -175,6 +175,6 @@
 
 
 def test_failed_task_ends_process() -> None:
-    """Guards against a balancer that looks healthy but forwards nothing."""
+    """Guards against a balancer that appears healthy but forwards nothing."""
     with pytest.raises(SystemExit):
         asyncio.run(_start_failing_task())
--- a/libs/flows/tests/test_decisions.py
+++ b/libs/flows/tests/test_decisions.py
@@ -354,7 +354,7 @@
 
 
 def test_new_directory_agent_does_not_report_flow_not_found() -> None:
-    """Guards against resets while a new agent may not know all other agents."""
+    """Guards against resets before a new agent has discovered all others."""
     _, _, decisions = make_agent()
     resolve = forward(flows.Handling.RESOLVE)
     decisions.receive(BALANCER, resolve, data_packet())
@@ -405,14 +405,14 @@
 
 
 def test_flow_without_route_is_reset_only_if_configuration_is_current() -> None:
-    """Guards against resets on routes that this balancer does not know yet."""
+    """Guards against resets on routes that the balancer has not received."""
     _, _, decisions = make_balancer()
     other = FLOW[:10] + bytes((0, 99))
     opening = flows.Packet(other, b"", opens=True)
     assert decisions.receive(opening) == []
     decisions.is_current = True
     assert decisions.receive(opening) == [flows.Reset(other, 0)]
-    # An open flow may belong to a route that only other balancers know.
+    # An open flow may belong to a route that only other balancers have.
     packet = dataclasses.replace(data_packet(), flow=other)
     assert decisions.receive(packet) == []
 
@@ -470,7 +470,7 @@
     assert forwarder.state is flows.TargetState.DRAINING
     monitor.record_report(report(6))
     assert forwarder.state is flows.TargetState.DRAINING
-    # After a restart under the same name, the sequence starts again.
+    # After a restart under the same name, the sequence numbers restart.
     monitor.record_report(report(1, started_ms=2_000))
     assert forwarder.state is flows.TargetState.READY
     monitor.record_report(report(99, flows.TargetState.DRAINING))
@@ -536,7 +536,7 @@
 
 
 def test_slow_agents_do_not_increase_number_of_offers() -> None:
-    """Guards against offers and searches that multiply until nothing is served.
+    """Guards against offers and searches that multiply until no flow is served.
 
     Every answer arrives after its initial timeout. After a power cut on
     machines with 0.15 of a core, several directory agents offered each new flow
