Name membership tests by the behaviour that they check

Drop articles and figurative names: "is no death" became "declares no member dead", "wins" became "replaces record", "are known in time" became "propagate in time", "far more than its share" became "are balanced across balancers". test_earlier_incarnation_withdraws uses the code's word for an earlier start.

--- a/libs/membership/tests/test_bulk.py
+++ b/libs/membership/tests/test_bulk.py
@@ -28,13 +28,13 @@
         await asyncio.gather(task, return_exceptions=True)
 
 
-def test_a_request_is_answered() -> None:
+def test_fetch_bulk_returns_reply() -> None:
     """Guards against a lost or altered reply."""
     address = _free_address()
     assert asyncio.run(_fetch(address, KEY)) == core.Ok(b"abab")
 
 
-def test_a_wrong_link_key_is_refused() -> None:
+def test_wrong_link_key_is_refused() -> None:
     """Guards against replies to instances without the link key."""
     address = _free_address()
     outcome = asyncio.run(_fetch(address, OTHER_KEY))
@@ -42,7 +42,7 @@
     assert outcome.kind is core.ErrorKind.INSTANCE_UNREACHABLE
 
 
-def test_a_server_stops_while_it_replies() -> None:
+def test_server_stops_when_cancelled_during_reply() -> None:
     """Guards against a cancellation that is lost while a reply is sent."""
 
     async def body() -> None:
--- a/libs/membership/tests/test_codec.py
+++ b/libs/membership/tests/test_codec.py
@@ -38,13 +38,13 @@
 
 
 @pytest.mark.parametrize("message", MESSAGES)
-def test_a_message_survives_its_encoding(message: _messages.Message) -> None:
+def test_encode_decode_round_trip(message: _messages.Message) -> None:
     """Guards against fields that are lost or altered in transit."""
     assert _codec.decode(_codec.encode(message)) == message
 
 
 @pytest.mark.parametrize("message", MESSAGES)
-def test_a_damaged_message_is_refused(message: _messages.Message) -> None:
+def test_truncated_message_is_refused(message: _messages.Message) -> None:
     """Guards against an unexpected exception in the receiving task."""
     data = _codec.encode(message)
     for end in range(len(data)):
@@ -52,7 +52,7 @@
             _codec.decode(data[:end])
 
 
-def test_frequent_messages_are_small() -> None:
+def test_frequent_messages_stay_within_size_limits() -> None:
     """Guards against frequent messages that exceed the traffic budget."""
     assert len(_codec.encode(MESSAGES[0])) <= 16
     assert len(_codec.encode(MESSAGES[2])) <= 4
--- a/libs/membership/tests/test_failures.py
+++ b/libs/membership/tests/test_failures.py
@@ -9,13 +9,13 @@
 DRAINING = membership.State.DRAINING
 DEAD = membership.State.DEAD
 LEFT = membership.State.LEFT
-# Time within which all balancers must learn of a change.
-BOUND_MS = 3_000
+# Time within which a change must reach all balancers.
+PROPAGATION_LIMIT_MS = 3_000
 # Time after which the members of a new fleet know each other.
 SETTLE_MS = 8_000
 
 
-def test_a_dead_target_is_out_of_every_view_in_time(simulate) -> None:
+def test_dead_target_is_detected_by_all_balancers_in_time(simulate) -> None:
     """Guards against a dead target that stays alive in a balancer's view."""
 
     async def scenario(fleet) -> None:
@@ -23,14 +23,14 @@
         await fleet.run(SETTLE_MS)
         assert fleet.states("tahian-0") == {ALIVE}
         await fleet.kill("tahian-0")
-        await fleet.run(BOUND_MS)
+        await fleet.run(PROPAGATION_LIMIT_MS)
         assert fleet.states("tahian-0") == {DEAD}
 
     for seed in range(5):
         simulate(scenario, seed)
 
 
-def test_loss_causes_no_false_death(simulate) -> None:
+def test_datagram_loss_declares_no_member_dead(simulate) -> None:
     """Guards against deaths declared because of lost datagrams."""
 
     async def scenario(fleet) -> None:
@@ -51,7 +51,7 @@
     simulate(scenario, loss_ratio=0.1)
 
 
-def test_a_pause_of_a_second_is_no_death(simulate) -> None:
+def test_brief_pause_declares_no_member_dead(simulate) -> None:
     """Guards against declaring a briefly paused backend server dead."""
 
     async def scenario(fleet) -> None:
@@ -70,23 +70,23 @@
     simulate(scenario)
 
 
-def test_a_long_pause_is_refuted(simulate) -> None:
+def test_resumed_member_refutes_its_death(simulate) -> None:
     """Guards against a member that stays dead after it has resumed."""
 
     async def scenario(fleet) -> None:
         fleet.start_many(balancers=5, agents=4)
         await fleet.run(SETTLE_MS)
         fleet.pause("tahian-1")
-        await fleet.run(BOUND_MS)
+        await fleet.run(PROPAGATION_LIMIT_MS)
         assert fleet.states("tahian-1") == {DEAD}
         fleet.resume("tahian-1")
-        await fleet.run(BOUND_MS)
+        await fleet.run(PROPAGATION_LIMIT_MS)
         assert fleet.states("tahian-1") == {ALIVE}
 
     simulate(scenario)
 
 
-def test_a_paused_observer_declares_nobody_dead(simulate) -> None:
+def test_resumed_observer_declares_no_member_dead(simulate) -> None:
     """Guards against an observer that mistakes its own pause for silence."""
 
     async def scenario(fleet) -> None:
@@ -96,7 +96,7 @@
         await fleet.run(5_000)
         assert fleet.states("balancer-1") == {DEAD}
         fleet.resume("balancer-1")
-        await fleet.run(2 * BOUND_MS)
+        await fleet.run(2 * PROPAGATION_LIMIT_MS)
         for name in fleet.records:
             assert fleet.states(name) == {ALIVE}
             record = fleet.members["balancer-0"].view().members[name]
@@ -105,7 +105,9 @@
     simulate(scenario)
 
 
-def test_a_one_way_cut_to_one_observer_is_no_death(simulate) -> None:
+def test_one_way_cut_to_single_observer_declares_no_member_dead(
+    simulate,
+) -> None:
     """Guards against a death declared by a single observer."""
 
     async def scenario(fleet) -> None:
@@ -125,7 +127,7 @@
     simulate(scenario)
 
 
-def test_a_target_that_dies_with_both_observers_is_found(simulate) -> None:
+def test_target_death_with_both_observers_is_detected(simulate) -> None:
     """Guards against a dead target whose observers died with it."""
 
     async def scenario(fleet) -> None:
@@ -140,25 +142,25 @@
     simulate(scenario)
 
 
-def test_draining_and_leaving_are_known_in_time(simulate) -> None:
+def test_draining_and_left_states_propagate_in_time(simulate) -> None:
     """Guards against new flows on a target that is leaving."""
 
     async def scenario(fleet) -> None:
         fleet.start_many(balancers=8, agents=4)
         await fleet.run(SETTLE_MS)
         fleet.members["tahian-0"].update(state=DRAINING)
-        await fleet.run(BOUND_MS)
+        await fleet.run(PROPAGATION_LIMIT_MS)
         assert fleet.states("tahian-0") == {DRAINING}
         assert fleet.state("tahian-1", "tahian-0") is DRAINING
         fleet.members["tahian-0"].update(state=LEFT)
         await fleet.kill("tahian-0")
-        await fleet.run(BOUND_MS)
+        await fleet.run(PROPAGATION_LIMIT_MS)
         assert fleet.states("tahian-0") == {LEFT}
 
     simulate(scenario, loss_ratio=0.02)
 
 
-def test_a_stale_record_changes_nothing(simulate) -> None:
+def test_stale_record_does_not_replace_newer_record(simulate) -> None:
     """Guards against an old record that replaces a newer one."""
 
     async def scenario(fleet) -> None:
@@ -166,18 +168,18 @@
         await fleet.run(SETTLE_MS)
         stale = fleet.records["tahian-0"]
         await fleet.kill("tahian-0")
-        await fleet.run(BOUND_MS)
+        await fleet.run(PROPAGATION_LIMIT_MS)
         table = fleet.members["balancer-0"]._table
         table.merge([stale])
         table.merge([dataclasses.replace(stale, incarnation=1, version=99)])
-        await fleet.run(BOUND_MS)
+        await fleet.run(PROPAGATION_LIMIT_MS)
         assert fleet.states("tahian-0") == {DEAD}
 
     simulate(scenario)
 
 
-def test_a_restart_on_the_same_address_wins(simulate) -> None:
-    """Guards against the record of an earlier start surviving in a view."""
+def test_restart_on_same_address_replaces_record(simulate) -> None:
+    """Guards against a view that keeps the earlier incarnation."""
 
     async def scenario(fleet) -> None:
         fleet.start_many(balancers=4, agents=2)
@@ -186,7 +188,7 @@
         await fleet.kill("tahian-0")
         await fleet.run(700)
         fleet.start("tahian-0", "tahian", control=first.control_address)
-        await fleet.run(BOUND_MS)
+        await fleet.run(PROPAGATION_LIMIT_MS)
         assert fleet.states("tahian-0") == {ALIVE}
         for member in fleet.members.values():
             record = member.view().members["tahian-0"]
@@ -195,7 +197,7 @@
     simulate(scenario)
 
 
-def test_an_earlier_start_withdraws(simulate) -> None:
+def test_earlier_incarnation_withdraws(simulate) -> None:
     """Guards against a resumed process that competes with its successor."""
 
     async def scenario(fleet) -> None:
@@ -206,10 +208,10 @@
         first.on_withdrawal(lambda: withdrawn.append(True))
         fleet.start("tahian-0", "tahian")
         successor = fleet.records["tahian-0"]
-        await fleet.run(BOUND_MS)
+        await fleet.run(PROPAGATION_LIMIT_MS)
         assert withdrawn == [True]
         assert first.view().members["tahian-0"].state is LEFT
-        await fleet.run(BOUND_MS)
+        await fleet.run(PROPAGATION_LIMIT_MS)
         assert fleet.states("tahian-0") == {ALIVE}
         for balancer in fleet.members.values():
             record = balancer.view().members["tahian-0"]
@@ -218,7 +220,7 @@
     simulate(scenario)
 
 
-def test_half_of_a_zone_stays_eligible_as_a_last_resort(simulate) -> None:
+def test_mass_failure_in_zone_keeps_last_resort_targets(simulate) -> None:
     """Guards against a service without targets after a network fault."""
 
     async def scenario(fleet) -> None:
@@ -231,14 +233,14 @@
         for name in names[:2]:
             await fleet.kill(name)
         fleet.pause(names[2])
-        await fleet.run(BOUND_MS)
+        await fleet.run(PROPAGATION_LIMIT_MS)
         view = fleet.members["balancer-0"].view()
         unconfirmed = [
             member.instance_id for member in view.last_resort_targets("tahian")
         ]
         assert unconfirmed == names[:3]
         fleet.resume(names[2])
-        await fleet.run(BOUND_MS)
+        await fleet.run(PROPAGATION_LIMIT_MS)
         view = fleet.members["balancer-0"].view()
         unconfirmed = [
             member.instance_id for member in view.last_resort_targets("tahian")
@@ -252,7 +254,7 @@
     simulate(scenario)
 
 
-def test_a_single_death_is_no_mass_failure(simulate) -> None:
+def test_single_death_yields_no_last_resort_targets(simulate) -> None:
     """Guards against last-resort targets after a single death."""
 
     async def scenario(fleet) -> None:
@@ -261,7 +263,7 @@
             fleet.start(f"tahian-{index}", "tahian", zone="iloilo")
         await fleet.run(SETTLE_MS)
         await fleet.kill("tahian-0")
-        await fleet.run(BOUND_MS)
+        await fleet.run(PROPAGATION_LIMIT_MS)
         view = fleet.members["balancer-0"].view()
         assert fleet.states("tahian-0") == {DEAD}
         assert view.last_resort_targets("tahian") == ()
@@ -269,7 +271,9 @@
     simulate(scenario)
 
 
-def test_partitioned_regions_go_on_and_merge(simulate) -> None:
+def test_partitioned_regions_keep_local_members_and_merge_after_healing(
+    simulate,
+) -> None:
     """Guards against views that still differ after a partition has healed."""
 
     async def scenario(fleet) -> None:
@@ -296,7 +300,7 @@
     simulate(scenario)
 
 
-def test_any_live_seed_is_sufficient(simulate) -> None:
+def test_join_succeeds_with_single_live_seed(simulate) -> None:
     """Guards against joining that depends on one seed or on a balancer."""
 
     async def scenario(fleet) -> None:
@@ -317,7 +321,7 @@
     simulate(scenario)
 
 
-def test_a_seed_that_starts_last_is_found(simulate) -> None:
+def test_initially_unreachable_seed_is_discovered(simulate) -> None:
     """Guards against missing a seed that was contacted before it listened."""
 
     async def scenario(fleet) -> None:
@@ -326,14 +330,14 @@
         fleet.cut(others, {"balancer-0"})
         await fleet.run(5_000)
         fleet.network.heal()
-        await fleet.run(BOUND_MS)
+        await fleet.run(PROPAGATION_LIMIT_MS)
         assert len(fleet.members["balancer-0"].view().members) == 6
         assert fleet.states("balancer-0") == {ALIVE}
 
     simulate(scenario)
 
 
-def test_a_removed_member_does_not_reappear(simulate) -> None:
+def test_removed_member_does_not_reappear(simulate) -> None:
     """Guards against a stale record that reintroduces a removed member."""
 
     async def scenario(fleet) -> None:
@@ -341,7 +345,7 @@
         await fleet.run(SETTLE_MS)
         stale = fleet.records["tahian-0"]
         await fleet.kill("tahian-0")
-        await fleet.run(BOUND_MS)
+        await fleet.run(PROPAGATION_LIMIT_MS)
         for member in fleet.members.values():
             table = member._table
             table._ended_ms = dict.fromkeys(table._ended_ms, -(1 << 40))
@@ -359,7 +363,7 @@
     simulate(scenario)
 
 
-def test_a_config_version_reaches_everyone_in_time(simulate) -> None:
+def test_config_version_reaches_all_instances_in_time(simulate) -> None:
     """Guards against an instance that misses a configuration version."""
 
     async def scenario(fleet) -> None:
@@ -367,17 +371,19 @@
         await fleet.run(SETTLE_MS)
         announcers = {}
 
-        def listen(name: str, member: membership.Membership) -> None:
-            def take(announcer: membership.Member, version: int) -> None:
+        def subscribe(name: str, member: membership.Membership) -> None:
+            def record_announcer(
+                announcer: membership.Member, version: int
+            ) -> None:
                 announcers.setdefault(name, announcer)
                 member.update(config_version=version)
 
-            member.on_config_version(take)
+            member.on_config_version(record_announcer)
 
         for name, member in fleet.members.items():
-            listen(name, member)
+            subscribe(name, member)
         fleet.members["balancer-3"].update(config_version=7)
-        await fleet.run(BOUND_MS)
+        await fleet.run(PROPAGATION_LIMIT_MS)
         assert set(announcers) == set(fleet.members) - {"balancer-3"}
         assert all(
             announcer.role is core.Role.BALANCER
@@ -387,7 +393,7 @@
     simulate(scenario, loss_ratio=0.02)
 
 
-def test_no_balancer_observes_far_more_than_its_share(simulate) -> None:
+def test_observed_members_are_balanced_across_balancers(simulate) -> None:
     """Guards against a balancer with far more control traffic than others."""
 
     async def scenario(fleet) -> None:
@@ -402,7 +408,7 @@
         assert max(counts) <= 1.25 * 12 + 2
         assert sum(counts) >= 2 * 36
         await fleet.kill("tahian-7")
-        await fleet.run(BOUND_MS)
+        await fleet.run(PROPAGATION_LIMIT_MS)
         assert fleet.states("tahian-7") == {DEAD}
 
     simulate(scenario)
@@ -421,7 +427,7 @@
             await fleet.run(100)
         agent.update(weight=3.0)
         agent.update(weight=2.95)
-        await fleet.run(BOUND_MS)
+        await fleet.run(PROPAGATION_LIMIT_MS)
         record = fleet.members["balancer-0"].view().members["tahian-0"]
         assert record.weight == 2.95
         assert record.version <= 12
--- a/libs/membership/tests/test_merge.py
+++ b/libs/membership/tests/test_merge.py
@@ -15,7 +15,7 @@
 OWN = "own"
 
 
-def record(
+def make_record(
     name: str, incarnation: int, version: int, state: membership.State
 ) -> membership.Member:
     port = 1_000 + 10 * [*NAMES, OWN].index(name)
@@ -38,7 +38,7 @@
 
 
 RECORDS = strategies.builds(
-    record,
+    make_record,
     strategies.sampled_from(NAMES),
     strategies.integers(1, 3),
     strategies.integers(0, 3),
@@ -46,14 +46,14 @@
 )
 
 
-class Merge(stateful.RuleBasedStateMachine):
+class MergeMachine(stateful.RuleBasedStateMachine):
     """Merges records and changes into two tables, which exchange records."""
 
     def __init__(self) -> None:
         """Starts with two empty tables and two empty models."""
         super().__init__()
         clock = core.ManualClock(1_000)
-        own = record(OWN, 5, 0, membership.State.ALIVE)
+        own = make_record(OWN, 5, 0, membership.State.ALIVE)
         self.clock = clock
         self.tables = [_table.MemberTable(clock, own) for _ in range(2)]
         # The highest record merged for each name, and the names whose records
@@ -61,7 +61,7 @@
         self.models: list[dict[str, membership.Member]] = [{}, {}]
         self.expired: list[set[str]] = [set(), set()]
 
-    def _expect(self, side: int, member: membership.Member) -> None:
+    def _update_model(self, side: int, member: membership.Member) -> None:
         known = self.models[side].get(member.instance_id)
         if known is None or member.order > known.order:
             self.models[side][member.instance_id] = member
@@ -71,7 +71,7 @@
     def merge_record(self, side: int, member: membership.Member) -> None:
         """Merges a full record."""
         self.tables[side].merge([member])
-        self._expect(side, member)
+        self._update_model(side, member)
 
     @stateful.rule(side=strategies.integers(0, 1), member=RECORDS)
     def merge_change(self, side: int, member: membership.Member) -> None:
@@ -85,7 +85,7 @@
             and known.incarnation == member.incarnation
             and member.instance_id not in self.expired[side]
         ):
-            self._expect(side, member)
+            self._update_model(side, member)
 
     @stateful.rule(side=strategies.integers(0, 1))
     def expire(self, side: int) -> None:
@@ -104,15 +104,15 @@
     @stateful.rule()
     def exchange(self) -> None:
         """Merges all records of each side into the other."""
-        everything = [list(table.members.values()) for table in self.tables]
+        all_members = [list(table.members.values()) for table in self.tables]
         for side, other in ((0, 1), (1, 0)):
-            self.tables[side].merge(everything[other])
-            for member in everything[other]:
+            self.tables[side].merge(all_members[other])
+            for member in all_members[other]:
                 if member.instance_id != OWN:
-                    self._expect(side, member)
+                    self._update_model(side, member)
 
     @stateful.invariant()
-    def tables_match_the_models(self) -> None:
+    def tables_match_models(self) -> None:
         """Each table holds the highest records that have not expired."""
         for side, table in enumerate(self.tables):
             expected = {
@@ -139,30 +139,32 @@
         assert (live[0] == live[1]) == (roots[0] == roots[1])
 
 
-TestMerge = Merge.TestCase
+TestMerge = MergeMachine.TestCase
 TestMerge.settings = settings(
     max_examples=100, stateful_step_count=30, deadline=None, derandomize=True
 )
 
 
-def test_a_record_of_the_own_death_is_refuted() -> None:
+def test_member_refutes_record_of_its_own_death() -> None:
     """Guards against a live member that accepts a record of its death."""
-    own = record(OWN, 5, 0, membership.State.ALIVE)
+    own = make_record(OWN, 5, 0, membership.State.ALIVE)
     table = _table.MemberTable(core.ManualClock(1_000), own)
-    table.merge([record(OWN, 5, 3, membership.State.DEAD)])
+    table.merge([make_record(OWN, 5, 3, membership.State.DEAD)])
     assert table.own.order == (5, 4, membership.State.ALIVE.value)
     assert not table.withdrawn
 
 
-def test_rendezvous_selection_moves_few_keys() -> None:
+def test_rendezvous_selection_moves_few_keys_when_balancer_leaves() -> None:
     """Guards against all observers changing when one balancer leaves."""
     rng = random.Random(1)
     balancers = [
-        record("balancer-0", 1, 0, membership.State.ALIVE),
+        make_record("balancer-0", 1, 0, membership.State.ALIVE),
         *(
             membership.Member(
                 **{
-                    **vars(record("balancer-0", 1, 0, membership.State.ALIVE)),
+                    **vars(
+                        make_record("balancer-0", 1, 0, membership.State.ALIVE)
+                    ),
                     "instance_id": f"balancer-{rng.getrandbits(32)}",
                 }
             )
