--- a/libs/requests/tests/test_records_stateful.py
+++ b/libs/requests/tests/test_records_stateful.py
@@ -57,15 +57,15 @@
         """Presents a ticket, possibly not for the first time."""
         if key not in self.issued:
             return
-        claimed = self.records.begin(key, self.issued[key], b"original")
+        claim = self.records.begin(key, self.issued[key], b"original")
         age_ms = self.clock.now_ms() - self.issued[key]
-        if isinstance(claimed, core.Failure):
-            assert claimed.kind is core.ErrorKind.TICKET_TOO_OLD
+        if isinstance(claim, core.Failure):
+            assert claim.kind is core.ErrorKind.TICKET_TOO_OLD
             assert age_ms > _RETENTION_MS or self.records.dropped_count
             return
         assert age_ms <= _RETENTION_MS
-        record = claimed.value.record
-        if claimed.value.first:
+        record = claim.value.record
+        if claim.value.first:
             assert key not in self.running, "a second run"
             assert key not in self.outcomes, "a second run after the first"
             self.running[key] = record
@@ -79,8 +79,8 @@
         """Presents a used ticket with a different request."""
         if key not in self.running and key not in self.outcomes:
             return
-        claimed = self.records.begin(key, self.issued[key], b"other")
-        assert isinstance(claimed, core.Failure)
+        claim = self.records.begin(key, self.issued[key], b"other")
+        assert isinstance(claim, core.Failure)
 
     @stateful.rule(key=_KEYS, size_bytes=strategies.integers(0, 12))
     def finish(self, key: int, size_bytes: int) -> None:
@@ -91,13 +91,13 @@
             self.records.finish(record, self.outcomes[key])
 
     @stateful.invariant()
-    def stay_within_bounds(self) -> None:
+    def records_stay_within_bounds(self) -> None:
         """Checks the bounds on records and bytes."""
         assert len(self.records) <= _MAX_COUNT
         assert 0 <= self.records.kept_bytes <= _MAX_BYTES
 
 
-def test_records_follow_the_reference_model() -> None:
+def test_records_match_reference_model() -> None:
     """Guards against second runs, changed responses and unbounded memory."""
     stateful.run_state_machine_as_test(
         RecordsMachine,
--- a/libs/requests/tests/test_speed.py
+++ b/libs/requests/tests/test_speed.py
@@ -8,7 +8,7 @@
 from fireflyford.requests import _targets
 
 
-def report(
+def make_report(
     short_ms: float, completed_count: int = 100
 ) -> _targets.TargetReport:
     values = {
@@ -22,20 +22,20 @@
     return _targets.TargetReport(**values)  # type: ignore[arg-type]
 
 
-def test_a_faster_target_gets_a_higher_weight() -> None:
-    """Guards against equal weights for machines of unequal speed."""
-    peers = [report(20.0), report(20.0)]
-    assert _speed.relative_speed(report(10.0), peers) == pytest.approx(2.0)
+def test_faster_target_has_higher_relative_speed() -> None:
+    """Guards against equal relative speeds of unequal machines."""
+    peers = [make_report(20.0), make_report(20.0)]
+    assert _speed.relative_speed(make_report(10.0), peers) == pytest.approx(2.0)
 
 
-def test_a_new_target_has_the_median_weight() -> None:
-    """Guards against a weight computed from too few requests."""
-    new = report(1.0, completed_count=3)
-    assert _speed.relative_speed(new, [report(20.0)]) == 1.0
+def test_target_with_few_requests_has_median_speed() -> None:
+    """Guards against a speed computed from too few requests."""
+    new = make_report(1.0, completed_count=3)
+    assert _speed.relative_speed(new, [make_report(20.0)]) == 1.0
 
 
-def test_reported_load_does_not_affect_speed() -> None:
-    """Guards against backend servers that report a wrong load."""
-    misreporting = dataclasses.replace(report(20.0), reported_load=1e9)
-    peers = [report(20.0), report(20.0)]
+def test_reported_load_does_not_affect_relative_speed() -> None:
+    """Guards against backend servers whose reported load is wrong."""
+    misreporting = dataclasses.replace(make_report(20.0), reported_load=1e9)
+    peers = [make_report(20.0), make_report(20.0)]
     assert _speed.relative_speed(misreporting, peers) == pytest.approx(1.0)
