Name routing tests by the behaviour that they check

"make room" became "are evicted for new flows", "flows end" became "flow expires", "makes no flow" became "creates no flow", "rebuilds nothing" became "do not rebuild ring", "a named holder needs no view" became "holder hint is routed without targets".

--- a/libs/routing/tests/test_flow_table.py
+++ b/libs/routing/tests/test_flow_table.py
@@ -34,7 +34,7 @@
     return clock, routing.FlowTable(clock, OWN, EmptyPlacement(), limits)
 
 
-def test_a_flood_of_keys_breaks_no_open_flow() -> None:
+def test_flood_of_keys_evicts_no_open_flow() -> None:
     """Guards against unbounded memory and against eviction of open flows."""
     _, table = make_table(max_entries=20, max_held_flows=10)
     for key in range(100):
@@ -58,7 +58,7 @@
     assert table.held_count == 10
 
 
-def test_unused_directory_entries_make_room() -> None:
+def test_unused_directory_entries_are_evicted_for_new_flows() -> None:
     """Guards against unused entries that block new flows for minutes."""
     clock, table = make_table(max_entries=20)
     for key in range(100):
@@ -71,7 +71,7 @@
     assert len(table) <= 20
 
 
-def test_idle_flows_end() -> None:
+def test_idle_flow_expires() -> None:
     """Guards against idle flows whose sockets are never closed."""
     clock, table = make_table()
     table.handle_datagram(routing.ForwardedDatagram(1, BALANCER))
@@ -82,7 +82,7 @@
     assert table.held_count == 1
 
 
-def test_a_late_search_makes_no_flow() -> None:
+def test_late_search_creates_no_flow() -> None:
     """Guards against a delayed search that creates a second holder."""
     clock, table = make_table()
     search = routing.ForwardedDatagram(1, PEER.address, 4, (), clock.wall_ms())
@@ -91,7 +91,7 @@
     assert not table.holds(1)
 
 
-def test_a_paused_holder_yields_its_flow() -> None:
+def test_resumed_holder_gives_up_flow_claimed_by_peer() -> None:
     """Guards against a flow that returns to a holder after a long pause."""
     clock, table = make_table()
     table.handle_datagram(routing.ForwardedDatagram(1, BALANCER))
@@ -101,7 +101,7 @@
     assert not table.holds(1)
 
 
-def test_an_unresponsive_holder_is_replaced() -> None:
+def test_unresponsive_holder_is_replaced() -> None:
     """Guards against forwarding to a dead agent indefinitely."""
     clock, table = make_table()
     table.handle_notice(routing.Notice(OWN, 1, PEER, 5), PEER)
@@ -116,7 +116,7 @@
     assert last.action is routing.Action.DELIVER
 
 
-def test_a_rare_datagram_does_not_end_a_directory_entry() -> None:
+def test_infrequent_datagrams_keep_directory_entry() -> None:
     """Guards against dropping an entry after one lost confirmation."""
     clock, table = make_table()
     table.handle_notice(routing.Notice(OWN, 1, PEER, 5), PEER)
@@ -126,14 +126,14 @@
         assert decision.to == PEER
 
 
-def test_a_stray_search_of_the_holder_keeps_its_entry() -> None:
+def test_duplicate_search_from_holder_keeps_directory_entry() -> None:
     """Guards against a duplicate search that leads to a second holder."""
     clock, table = make_table()
     table.handle_notice(routing.Notice(OWN, 1, PEER, clock.wall_ms()), PEER)
-    stray = routing.ForwardedDatagram(
+    duplicate_search = routing.ForwardedDatagram(
         1, PEER.address, 1, (PEER,), clock.wall_ms()
     )
-    table.handle_datagram(stray)
+    table.handle_datagram(duplicate_search)
     clock.set(clock.now_ms() + 10_000)
     assert (
         table.handle_datagram(routing.ForwardedDatagram(1, BALANCER)).to == PEER
--- a/libs/routing/tests/test_ring.py
+++ b/libs/routing/tests/test_ring.py
@@ -20,7 +20,7 @@
     ]
 
 
-def routes(router: routing.Router, keys: range) -> list[routing.Route]:
+def choose_routes(router: routing.Router, keys: range) -> list[routing.Route]:
     found = [
         router.choose(
             routing.UnidentifiedFlowHint(routing.hash_flow(b"%d" % key))
@@ -36,7 +36,7 @@
 
 @hypothesis.settings(max_examples=200, deadline=None, derandomize=True)
 @hypothesis.given(strategies.lists(weights, min_size=1, max_size=9))
-def test_weights_are_bounded(values: list[float]) -> None:
+def test_normalized_weights_are_bounded(values: list[float]) -> None:
     """Guards against a wrong weight that overloads or starves a target."""
     targets = [
         dataclasses.replace(target, weight=weight)
@@ -49,7 +49,7 @@
         assert 0.25 <= target.weight <= 4.0
 
 
-def test_weights_keep_their_order_around_the_median() -> None:
+def test_normalized_weights_are_relative_to_median() -> None:
     """Guards against normalization that loses the ratios between weights."""
     targets = [
         dataclasses.replace(target, weight=weight)
@@ -61,7 +61,7 @@
     assert found == [0.5, 1.0, 1.0, 2.0, 4.0]
 
 
-def test_share_follows_weight() -> None:
+def test_share_of_keys_follows_target_weight() -> None:
     """Guards against a ring that ignores weights."""
     targets = make_targets(4)
     targets[0] = dataclasses.replace(targets[0], weight=4.0)
@@ -74,35 +74,37 @@
     assert 3_200 < counts["target-1"] < 4_800
 
 
-def test_a_draining_target_is_listed_but_not_first() -> None:
+def test_draining_target_is_candidate_but_not_first_choice() -> None:
     """Guards against new flows on a draining target and lost open flows."""
     clock = core.ManualClock()
     router = routing.Router(clock)
     targets = make_targets(5)
     router.replace_targets(targets)
-    before = routes(router, range(300))
-    leaving = dataclasses.replace(targets[2], accepts_flows=False)
-    router.replace_targets([*targets[:2], leaving, *targets[3:]])
-    after = routes(router, range(300))
+    before = choose_routes(router, range(300))
+    draining_target = dataclasses.replace(targets[2], accepts_flows=False)
+    router.replace_targets([*targets[:2], draining_target, *targets[3:]])
+    after = choose_routes(router, range(300))
     for old, new in zip(before, after, strict=True):
-        assert new.address != leaving.address
-        if old.address == leaving.address:
-            assert leaving.holder in new.candidates
+        assert new.address != draining_target.address
+        if old.address == draining_target.address:
+            assert draining_target.holder in new.candidates
 
 
-def test_a_balancer_that_starts_late_lists_the_draining_target() -> None:
+def test_new_balancer_lists_draining_target_as_candidate() -> None:
     """Guards against lost flows at a balancer without previous rings."""
     targets = make_targets(5)
     old = routing.Router(core.ManualClock())
     old.replace_targets(targets)
-    leaving = dataclasses.replace(targets[2], accepts_flows=False)
+    draining_target = dataclasses.replace(targets[2], accepts_flows=False)
     new = routing.Router(core.ManualClock())
-    new.replace_targets([*targets[:2], leaving, *targets[3:]])
+    new.replace_targets([*targets[:2], draining_target, *targets[3:]])
     for before, after in zip(
-        routes(old, range(300)), routes(new, range(300)), strict=True
+        choose_routes(old, range(300)),
+        choose_routes(new, range(300)),
+        strict=True,
     ):
-        if before.address == leaving.address:
-            assert after.candidates[0] == leaving.holder
+        if before.address == draining_target.address:
+            assert after.candidates[0] == draining_target.holder
 
 
 def test_ring_history_is_kept_but_bounded() -> None:
@@ -111,10 +113,10 @@
     router = routing.Router(clock)
     targets = make_targets(6)
     router.replace_targets(targets)
-    before = routes(router, range(200))
-    light = dataclasses.replace(targets[0], weight=0.25)
-    router.replace_targets([light, *targets[1:]])
-    for old, new in zip(before, routes(router, range(200)), strict=True):
+    before = choose_routes(router, range(200))
+    reweighted = dataclasses.replace(targets[0], weight=0.25)
+    router.replace_targets([reweighted, *targets[1:]])
+    for old, new in zip(before, choose_routes(router, range(200)), strict=True):
         known = {new.address, *(item.address for item in new.candidates)}
         assert old.address in known
     for weight in range(1, 40):
@@ -123,7 +125,7 @@
     assert len(router._history) <= 4
 
 
-def test_an_unchanged_view_rebuilds_nothing() -> None:
+def test_unchanged_targets_do_not_rebuild_ring() -> None:
     """Guards against rebuilding a ring when only other services change."""
     router = routing.Router(core.ManualClock())
     assert router.replace_targets(make_targets(3))
@@ -132,7 +134,7 @@
     assert router.generation == generation
 
 
-def test_a_named_holder_needs_no_view() -> None:
+def test_holder_hint_is_routed_without_targets() -> None:
     """Guards against a balancer without targets that drops open flows."""
     router = routing.Router(core.ManualClock())
     holder = core.Holder(core.Address("10.0.9.9", 9), 77)
