Name lab tests of requests, faults and tools by behaviour

"violate no guarantee" became "run with faults has no violations", "names the broken rule" became "reports violated rule", "work addressed to another incarnation" became "missing incarnation check", "every order of messages runs the work once" became "request runs at most once in any message order", "is left out" became "is skipped", "lost target" became "target fault".

--- a/libs/lab/tests/test_at_most_once.py
+++ b/libs/lab/tests/test_at_most_once.py
@@ -16,14 +16,14 @@
 
 
 @pytest.mark.parametrize("seed", _SEEDS)
-def test_faults_violate_no_guarantee(seed: int) -> None:
+def test_run_with_faults_has_no_violations(seed: int) -> None:
     """Guards against repeated executions and false answers under faults."""
     result = _fault_runs.run_once(seed)
     assert result.violations == ()
     assert result.execution_count > 20
 
 
-def _broken_rules(seeds: range) -> set[_history.Rule]:
+def _violated_rules(seeds: range) -> set[_history.Rule]:
     return {
         violation.rule
         for seed in seeds
@@ -43,7 +43,7 @@
         return begin(self, object(), *rest)  # type: ignore[arg-type]
 
     monkeypatch.setattr(requests.RequestRecords, "begin", begin_without_record)
-    assert _history.Rule.RAN_TWICE in _broken_rules(range(4))
+    assert _history.Rule.RAN_TWICE in _violated_rules(range(4))
 
 
 def test_checker_detects_records_dropped_before_tickets_expire(
@@ -56,10 +56,12 @@
             self._drop_oldest()
 
     monkeypatch.setattr(requests.RequestRecords, "_expire", expire_early)
-    assert _history.Rule.RAN_TWICE in _broken_rules(range(4))
+    assert _history.Rule.RAN_TWICE in _violated_rules(range(4))
 
 
-def test_checker_detects_false_not_run(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_checker_detects_not_run_answer_to_executed_request(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Guards against a checker that misses false "not run" answers."""
 
     def is_failure(outcome: Outcome) -> bool:
@@ -67,7 +69,7 @@
 
     original = _scheduler.Scheduler._run_at_peer
 
-    async def report_not_run(
+    async def answer_not_run(
         self: _scheduler.Scheduler, *args: object
     ) -> core.Outcome[requests.Response]:
         outcome = await original(self, *args)  # type: ignore[arg-type]
@@ -75,14 +77,14 @@
             return core.Failure(core.ErrorKind.NO_TARGET, "not run")
         return outcome
 
-    monkeypatch.setattr(_scheduler.Scheduler, "_run_at_peer", report_not_run)
+    monkeypatch.setattr(_scheduler.Scheduler, "_run_at_peer", answer_not_run)
     # The fault of seed 14 is the loss of peers' replies.
     assert _fault_runs.choose_faults(14) == (_fault_runs.Fault.LOST_REPLY,)
-    rules = _broken_rules(range(14, 15))
+    rules = _violated_rules(range(14, 15))
     assert _history.Rule.NOT_RUN_BUT_RAN in rules
 
 
-def test_checker_detects_work_addressed_to_another_incarnation(
+def test_checker_detects_missing_incarnation_check(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against copies that are executed by a restarted peer."""
@@ -110,7 +112,7 @@
 
 
 @pytest.mark.parametrize(
-    ("execution", "body", "ran", "rule"),
+    ("execution", "body", "execution_count", "rule"),
     [
         ("NOT_RUN", None, 1, "NOT_RUN_BUT_RAN"),
         ("RAN", b"a", 0, "COMPLETE_BUT_NOT_RUN"),
@@ -118,11 +120,13 @@
         ("UNKNOWN", None, 2, "RAN_TWICE"),
     ],
 )
-def test_checker_names_the_broken_rule(
-    execution: str, body: bytes | None, ran: int, rule: str
+def test_checker_reports_violated_rule(
+    execution: str, body: bytes | None, execution_count: int, rule: str
 ) -> None:
     """Guards against a rule that the checker never reports."""
     answer = _history.Answer("o", "o/0", core.Execution[execution], body)
-    runs = [_history.ExecutionRecord("o", "o/0", "backend")] * ran
-    found = _history.check([answer], runs, {"o/0": b"a"})
+    executions = [
+        _history.ExecutionRecord("o", "o/0", "backend")
+    ] * execution_count
+    found = _history.check([answer], executions, {"o/0": b"a"})
     assert [violation.rule for violation in found] == [_history.Rule[rule]]
--- a/libs/lab/tests/test_configuration.py
+++ b/libs/lab/tests/test_configuration.py
@@ -21,7 +21,7 @@
 CONNECT_TIMEOUT_S = 1.0
 
 
-async def _push(
+async def _push_and_wait_until_applied(
     fleet: _fleet.Fleet, base: int, service: config.Service
 ) -> None:
     """Pushes a changed service and waits until all instances apply it."""
@@ -57,24 +57,24 @@
     async with client.connect() as connection:
         before = await client.request(connection, "GET", "/work", b"")
         assert isinstance(before, core.Failure)
-        await _push(fleet, 0, draining_service)
+        await _push_and_wait_until_applied(fleet, 0, draining_service)
         after = await client.request(connection, "GET", "/work", b"")
         assert isinstance(after, core.Ok)
         with pytest.raises(TimeoutError):
             async with asyncio.timeout(CONNECT_TIMEOUT_S), client.connect():
                 pass
-        await _push(
+        await _push_and_wait_until_applied(
             fleet, 1, dataclasses.replace(draining_service, draining=False)
         )
         async with (
             asyncio.timeout(CONNECT_TIMEOUT_S),
-            client.connect() as other,
+            client.connect() as new_connection,
         ):
-            outcome = await client.request(other, "GET", "/work", b"")
+            outcome = await client.request(new_connection, "GET", "/work", b"")
             assert isinstance(outcome, core.Ok)
 
 
-def test_a_draining_service_keeps_its_flows_and_takes_no_new_ones() -> None:
+def test_draining_service_keeps_open_flows_and_accepts_no_new_flows() -> None:
     """Guards against pushes that do not reach agents and balancers."""
     fleet = _fleet.Fleet(BASE, random.Random(1), balancer_count=2)
     try:
--- a/libs/lab/tests/test_end_to_end.py
+++ b/libs/lab/tests/test_end_to_end.py
@@ -9,7 +9,7 @@
 from fireflyford.lab import _fleet
 
 
-async def _send_crossed(client: caller.Client) -> list[bytes]:
+async def _send_concurrent_requests(client: caller.Client) -> list[bytes]:
     async with client.connect() as connection:
         outcomes = await asyncio.gather(
             *(
@@ -30,7 +30,7 @@
     ]
 
 
-async def _run_services(fleet: _fleet.Fleet) -> dict[str, list[bytes]]:
+async def _request_all_services(fleet: _fleet.Fleet) -> dict[str, list[bytes]]:
     await fleet.start()
     bodies = {}
     for service in fleet.deployment.services:
@@ -39,15 +39,15 @@
             service.name,
             fleet.authorities_path(service.name),
         )
-        bodies[service.name] = await _send_crossed(client)
+        bodies[service.name] = await _send_concurrent_requests(client)
     return bodies
 
 
-def test_every_caller_gets_its_own_answer() -> None:
+def test_each_concurrent_request_gets_its_own_response() -> None:
     """Guards against responses that go to another request or service."""
     fleet = _fleet.Fleet(_deployments.BANTAY, random.Random(1))
     try:
-        bodies = asyncio.run(_run_services(fleet))
+        bodies = asyncio.run(_request_all_services(fleet))
     finally:
         fleet.stop()
     expected = [f"order-{index}".encode() for index in range(8)]
--- a/libs/lab/tests/test_interleavings.py
+++ b/libs/lab/tests/test_interleavings.py
@@ -1,8 +1,8 @@
-"""Exhaustive exploration of the message interleavings of one order.
+"""Exhaustive exploration of the message interleavings of one request.
 
-Two production engines, a ticket issuer and its peer, exchange one order. Each
-step of a schedule delivers, duplicates or loses a message, completes work or
-crashes an engine. The test runs all schedules up to a maximum length.
+Two production engines, a ticket issuer and its peer, exchange one request. Each
+step of a schedule delivers, duplicates or loses a message, completes a request
+or crashes an engine. The test runs all schedules up to a maximum length.
 """
 
 import asyncio
@@ -19,7 +19,7 @@
 
 _MAX_STEPS = 5
 _YIELD_COUNT = 8
-_ORDER = config.Treatment(
+_TREATMENT = config.Treatment(
     name="order", method="POST", path_prefix="/", idempotent=False
 )
 _ADDRESSES = (core.Address("10.0.0.1", 1), core.Address("10.0.0.2", 2))
@@ -42,7 +42,7 @@
         self._index = index
 
     async def execute(self, work: requests.WorkItem) -> Outcome:
-        self._simulation.run_count += 1
+        self._simulation.execution_count += 1
         done: asyncio.Future[Outcome] = (
             asyncio.get_running_loop().create_future()
         )
@@ -55,7 +55,7 @@
     """A request in transit, or its answer if `answer` is set."""
 
     receiver: int
-    start: Callable[[requests.RequestEngine], object]
+    handle: Callable[[requests.RequestEngine], object]
     reply: "asyncio.Future[Outcome] | None"
     answer: "Outcome | None" = None
 
@@ -99,17 +99,17 @@
         self.engines: list[requests.RequestEngine] = []
         self.messages: list[_Message] = []
         self.running: list[tuple[int, asyncio.Future[Outcome]]] = []
-        self.run_count = 0
+        self.execution_count = 0
         self.answers: list[Outcome] = []
         self.tasks: list[asyncio.Task[None]] = []
-        self.fault_budget = {"copy": 1, "lose": 1, "crash": 1}
+        self.fault_budget = {"duplicate": 1, "lose": 1, "crash": 1}
         self.incarnation = 0
         for index in (0, 1):
-            self.engines.append(self._start(index))
-        self._connect()
+            self.engines.append(self._start_engine(index))
+        self._connect_peers()
         self.ticket = self.engines[0].issuer.issue()
 
-    def _start(self, index: int) -> requests.RequestEngine:
+    def _start_engine(self, index: int) -> requests.RequestEngine:
         self.incarnation += 1
         info = requests.PeerInfo(
             f"t{index}", _ADDRESSES[index], self.incarnation, ""
@@ -123,7 +123,7 @@
             _Channel(self),
         )
 
-    def _connect(self) -> None:
+    def _connect_peers(self) -> None:
         for index, engine in enumerate(self.engines):
             peer = self.engines[1 - index].issuer
             info = requests.PeerInfo(
@@ -134,19 +134,19 @@
     async def post(
         self,
         address: core.Address,
-        start: Callable[[requests.RequestEngine], object],
+        handle: Callable[[requests.RequestEngine], object],
     ) -> Outcome:
         reply: asyncio.Future[Outcome] = (
             asyncio.get_running_loop().create_future()
         )
         receiver = _ADDRESSES.index(address)
-        self.messages.append(_Message(receiver, start, reply))
+        self.messages.append(_Message(receiver, handle, reply))
         return await reply
 
-    def present(self, index: int) -> None:
+    def submit(self, index: int) -> None:
         now_ms = self.clock.now_ms()
         work = requests.WorkItem(
-            "id", _ORDER, "POST", "/", b"", "caller", now_ms, now_ms + 2_000
+            "id", _TREATMENT, "POST", "/", b"", "caller", now_ms, now_ms + 2_000
         )
         run = self.engines[index].submit(work, self.ticket)
         self.tasks.append(asyncio.create_task(self._record_answer(run)))
@@ -155,41 +155,41 @@
         assert asyncio.iscoroutine(run)
         self.answers.append(await run)
 
-    def choices(self) -> list[Callable[[], None]]:
+    def possible_steps(self) -> list[Callable[[], None]]:
         found: list[Callable[[], None]] = []
         for message in self.messages:
-            found.append(lambda m=message: self._arrive(m))  # type: ignore
-            if message.answer is None and self.fault_budget["copy"]:
-                found.append(lambda m=message: self._copy(m))  # type: ignore
+            found.append(lambda m=message: self._deliver(m))  # type: ignore
+            if message.answer is None and self.fault_budget["duplicate"]:
+                found.append(lambda m=message: self._duplicate(m))  # type: ignore
             if self.fault_budget["lose"]:
                 found.append(lambda m=message: self._lose(m))  # type: ignore
         if self.running:
-            found.append(self._finish)
+            found.append(self._complete)
         if self.fault_budget["crash"]:
             found.append(lambda: self._crash(0))
             found.append(lambda: self._crash(1))
         return found
 
-    def _arrive(self, message: _Message) -> None:
+    def _deliver(self, message: _Message) -> None:
         self.messages.remove(message)
         if message.answer is not None:
             assert message.reply is not None
             if not message.reply.done():
                 message.reply.set_result(message.answer)
             return
-        run = message.start(self.engines[message.receiver])
+        run = message.handle(self.engines[message.receiver])
         assert asyncio.iscoroutine(run)
-        task = asyncio.create_task(self._answer(message, run))
+        task = asyncio.create_task(self._process(message, run))
         self.tasks.append(task)
 
-    async def _answer(self, message: _Message, run: object) -> None:
+    async def _process(self, message: _Message, run: object) -> None:
         assert asyncio.iscoroutine(run)
         outcome = await run
         if message.reply is not None:
             self.messages.append(dataclasses.replace(message, answer=outcome))
 
-    def _copy(self, message: _Message) -> None:
-        self.fault_budget["copy"] -= 1
+    def _duplicate(self, message: _Message) -> None:
+        self.fault_budget["duplicate"] -= 1
         self.messages.append(dataclasses.replace(message, reply=None))
 
     def _lose(self, message: _Message) -> None:
@@ -198,18 +198,18 @@
         if message.reply is not None and not message.reply.done():
             message.reply.set_result(_MESSAGE_LOST)
 
-    def _finish(self) -> None:
+    def _complete(self) -> None:
         _, done = self.running.pop(0)
         if not done.done():
             done.set_result(core.Ok(requests.Response(200, (), b"")))
 
     def _crash(self, index: int) -> None:
-        """Restarts an engine; work that has started still counts as run."""
+        """Restarts an engine; a started request still counts as executed."""
         self.fault_budget["crash"] -= 1
         self.engines[index].close()
         self.running = [item for item in self.running if item[0] != index]
-        self.engines[index] = self._start(index)
-        self._connect()
+        self.engines[index] = self._start_engine(index)
+        self._connect_peers()
 
     def close(self) -> None:
         for engine in self.engines:
@@ -229,40 +229,40 @@
     simulation = _Simulation(clock)
     await clock.sleep(1)
     await _let_tasks_run()
-    simulation.present(0)
-    simulation.present(1)
+    simulation.submit(0)
+    simulation.submit(1)
     await _let_tasks_run()
     choice_counts = []
     for step in range(_MAX_STEPS):
-        choices = simulation.choices()
-        if not choices:
+        possible_steps = simulation.possible_steps()
+        if not possible_steps:
             break
-        choice_counts.append(len(choices))
-        choices[schedule[step] if step < len(schedule) else 0]()
+        choice_counts.append(len(possible_steps))
+        possible_steps[schedule[step] if step < len(schedule) else 0]()
         await _let_tasks_run()
     # The remaining messages arrive in order.
     while simulation.messages or simulation.running:
         if simulation.messages:
-            simulation._arrive(simulation.messages[0])
+            simulation._deliver(simulation.messages[0])
         else:
-            simulation._finish()
+            simulation._complete()
         await _let_tasks_run()
-    violation = _check_history(simulation)
+    violation = _find_violation(simulation)
     simulation.close()
     await _let_tasks_run()
     return choice_counts, violation
 
 
-def _check_history(simulation: _Simulation) -> str:
-    if simulation.run_count > 1:
+def _find_violation(simulation: _Simulation) -> str:
+    if simulation.execution_count > 1:
         return "ran twice"
     for outcome in simulation.answers:
         if isinstance(outcome, core.Ok):
-            if simulation.run_count == 0:
+            if simulation.execution_count == 0:
                 return "complete but not run"
         elif (
             outcome.spec.execution is core.Execution.NOT_RUN
-            and simulation.run_count
+            and simulation.execution_count
         ):
             return "not run but ran"
     return ""
@@ -286,14 +286,14 @@
         schedule[-1] += 1
 
 
-def test_every_order_of_messages_runs_the_work_once() -> None:
+def test_request_runs_at_most_once_in_any_message_order() -> None:
     """Guards against repeated execution or false answers in any order."""
     count, violation = _virtual_time.run(_explore())
     assert violation == ""
     assert count > 1_500
 
 
-def test_exploration_finds_missing_records(
+def test_exploration_detects_missing_records(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against an exploration that cannot detect a second execution."""
@@ -309,7 +309,7 @@
     assert violation.startswith("ran twice")
 
 
-def test_exploration_finds_a_missing_incarnation_check(
+def test_exploration_detects_missing_incarnation_check(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against copies that a restarted peer executes again."""
--- a/libs/lab/tests/test_language.py
+++ b/libs/lab/tests/test_language.py
@@ -5,7 +5,7 @@
 from fireflyford import core
 from fireflyford.lab import scenarios
 
-TEXT = """
+SCENARIO = """
 # Two failures at once.
 deployment bantay with 3 balancers
 20 feeds on tahian
@@ -17,9 +17,9 @@
 """
 
 
-def test_a_scenario_is_parsed() -> None:
-    """Guards against steps that are lost or change their meaning."""
-    outcome = scenarios.parse(TEXT, "two.scenario")
+def test_parse_returns_all_steps_in_order() -> None:
+    """Guards against steps that are missing or misinterpreted."""
+    outcome = scenarios.parse(SCENARIO, "two.scenario")
     assert isinstance(outcome, core.Ok)
     names = [type(step).__name__ for step in outcome.value]
     assert names == [
@@ -35,7 +35,7 @@
 
 
 @pytest.mark.parametrize(
-    ("wrong", "place", "nearest"),
+    ("invalid_step", "position", "nearest_step"),
     [
         ("kil a balancer", "3:1", "kill a balancer"),
         ("kill a balancr", "3:8", "kill a balancer"),
@@ -47,12 +47,12 @@
         ),
     ],
 )
-def test_a_wrong_step_names_its_place(
-    wrong: str, place: str, nearest: str
+def test_error_for_invalid_step_gives_position_and_nearest_step(
+    invalid_step: str, position: str, nearest_step: str
 ) -> None:
-    """Guards against errors without the place and the closest valid step."""
-    text = f"deployment bantay with 3 balancers\n\n{wrong}\nwait 1 s\n"
+    """Guards against errors without the position and the closest valid step."""
+    text = f"deployment bantay with 3 balancers\n\n{invalid_step}\nwait 1 s\n"
     outcome = scenarios.parse(text, "bad.scenario")
     assert isinstance(outcome, core.Failure)
-    assert outcome.message.startswith(f"bad.scenario:{place}: ")
-    assert outcome.message.endswith(f"`{nearest}`")
+    assert outcome.message.startswith(f"bad.scenario:{position}: ")
+    assert outcome.message.endswith(f"`{nearest_step}`")
--- a/libs/lab/tests/test_ports.py
+++ b/libs/lab/tests/test_ports.py
@@ -12,7 +12,7 @@
 """
 
 
-def test_runs_side_by_side_get_different_ports() -> None:
+def test_concurrent_processes_get_distinct_ports() -> None:
     """Guards against ports shared with the processes of another run."""
     processes = [
         subprocess.Popen([sys.executable, "-c", SCRIPT], stdout=subprocess.PIPE)
@@ -32,7 +32,7 @@
     assert len(set(own)) == 150
 
 
-def test_a_port_in_use_is_left_out() -> None:
+def test_port_in_use_is_skipped() -> None:
     """Guards against ports that another program uses."""
     port = _ports.free_address().port
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as occupied:
--- a/libs/lab/tests/test_results.py
+++ b/libs/lab/tests/test_results.py
@@ -8,7 +8,7 @@
 from fireflyford.lab import experiments
 
 
-def result(value: float) -> experiments.Result:
+def make_result(value: float) -> experiments.Result:
     return experiments.Result(
         name="drain",
         seed=1,
@@ -28,27 +28,28 @@
     )
 
 
-def write(path: pathlib.Path, value: float) -> str:
-    path.write_bytes(_commands._encode(result(value)))
+def write_result(path: pathlib.Path, value: float) -> str:
+    path.write_bytes(_commands._encode(make_result(value)))
     return str(path)
 
 
-def test_a_missed_target_is_reported() -> None:
+def test_result_with_missed_target_is_not_ok() -> None:
     """Guards against a result that hides a missed target."""
-    assert result(100.0).ok
-    assert not result(101.0).ok
-    assert json.loads(_commands._encode(result(101.0)))["ok"] is False
+    assert make_result(100.0).ok
+    assert not make_result(101.0).ok
+    assert json.loads(_commands._encode(make_result(101.0)))["ok"] is False
 
 
-def test_a_result_is_plotted(tmp_path: pathlib.Path) -> None:
+def test_plot_result_writes_png(tmp_path: pathlib.Path) -> None:
     """Guards against a plot command that writes no image."""
-    plot_path = _plot.plot_result(write(tmp_path / "a.json", 50.0))
+    plot_path = _plot.plot_result(write_result(tmp_path / "a.json", 50.0))
     assert plot_path.read_bytes().startswith(b"\x89PNG")
 
 
-def test_two_results_are_compared(tmp_path: pathlib.Path) -> None:
+def test_compare_results_shows_ratio(tmp_path: pathlib.Path) -> None:
     """Guards against a comparison without the ratio."""
     lines = _plot.compare_results(
-        write(tmp_path / "a.json", 50.0), write(tmp_path / "b.json", 75.0)
+        write_result(tmp_path / "a.json", 50.0),
+        write_result(tmp_path / "b.json", 75.0),
     )
     assert "1.500" in lines[0]
--- a/libs/lab/tests/test_service_runs.py
+++ b/libs/lab/tests/test_service_runs.py
@@ -18,7 +18,7 @@
 
 
 @pytest.mark.parametrize("fault", list(_service_runs.TargetFault))
-def test_goodput_survives_a_lost_target(
+def test_target_fault_does_not_reduce_goodput_of_other_targets(
     fault: _service_runs.TargetFault,
 ) -> None:
     """Guards against a fault that stalls the other targets or the run."""
@@ -27,23 +27,23 @@
     assert result.goodput_ratio(2_500, 4_000) > 0.8 * live_ratio
 
 
-def test_fifo_replaces_the_order_of_the_engine() -> None:
+def test_fifo_policy_replaces_default_queue_order() -> None:
     """Guards against an empty queue that is treated as no queue at all."""
     # Both orders are the same unless long requests queue ahead of short ones.
     plan = dataclasses.replace(_PLAN, load_ratio=1.3, long_ratio=0.3)
     fifo = dataclasses.replace(plan, policy=_service_runs.Policy.FIFO)
     default_run, fifo_run = _service_runs.run(plan), _service_runs.run(fifo)
-    assert [s.job for s in sorted(default_run.samples, key=_number)] == [
-        s.job for s in sorted(fifo_run.samples, key=_number)
+    assert [s.job for s in sorted(default_run.samples, key=_job_number)] == [
+        s.job for s in sorted(fifo_run.samples, key=_job_number)
     ]
     assert default_run.elapsed_ms("short") != fifo_run.elapsed_ms("short")
 
 
-def _number(sample: _load.Sample) -> int:
+def _job_number(sample: _load.Sample) -> int:
     return sample.job.number
 
 
-def test_ideal_scheduler_runs_short_work_first() -> None:
+def test_ideal_scheduler_runs_short_requests_first() -> None:
     """Guards against an ideal bound that a real scheduler could exceed."""
     plan = dataclasses.replace(_PLAN, speeds=(0.5,))
     jobs = [("long", 0.0, 50.0), ("long", 1.0, 50.0), ("short", 2.0, 10.0)]
--- a/libs/lab/tests/test_tls.py
+++ b/libs/lab/tests/test_tls.py
@@ -30,7 +30,7 @@
     return outcome if isinstance(outcome, core.Failure) else None
 
 
-def test_a_valid_certificate_is_loaded(tmp_path: pathlib.Path) -> None:
+def test_valid_certificate_is_loaded(tmp_path: pathlib.Path) -> None:
     """Guards against the refusal of a valid certificate."""
     assert (
         load_tls_failure(*_certificates.make_certificate(tmp_path, "tahian"))
@@ -38,7 +38,7 @@
     )
 
 
-def test_an_expired_certificate_is_refused(tmp_path: pathlib.Path) -> None:
+def test_expired_certificate_is_refused(tmp_path: pathlib.Path) -> None:
     """Guards against a start with a certificate that callers refuse."""
     failure = load_tls_failure(
         *_certificates.make_certificate(tmp_path, "tahian", -1)
@@ -47,7 +47,7 @@
     assert "expired at" in failure.message
 
 
-def test_a_certificate_of_another_service_is_refused(
+def test_certificate_of_another_service_is_refused(
     tmp_path: pathlib.Path,
 ) -> None:
     """Guards against the use of another service's certificate."""
@@ -58,7 +58,7 @@
     assert "not issued for tahian" in failure.message
 
 
-def test_a_key_of_another_certificate_is_refused(
+def test_key_of_another_certificate_is_refused(
     tmp_path: pathlib.Path,
 ) -> None:
     """Guards against a key mismatch that fails every handshake."""
@@ -69,7 +69,9 @@
     assert "does not belong" in failure.message
 
 
-def test_a_damaged_key_is_not_quoted(tmp_path: pathlib.Path) -> None:
+def test_error_for_malformed_key_contains_no_key_material(
+    tmp_path: pathlib.Path,
+) -> None:
     """Guards against key material in an error message."""
     certificate, key = _certificates.make_certificate(tmp_path, "tahian")
     key.write_text(key.read_text().replace("PRIVATE", "PRIVATE SECRET"))
