Name lab tests of flows and the packet fleet by behaviour

The agent that has a flow is its holder, no longer its owner. test_a_returning_crowd_is_served_without_sheds became test_reconnect_burst_is_served_without_shedding, test_a_returning_crowd_is_served_on_old_loads became test_reconnect_burst_is_served_with_stale_load_reports, test_first_packets_lost_at_a_restarting_agent_come_again became test_first_packets_lost_during_agent_outage_are_retransmitted. Tests of log diagnosis say what the log shows.

--- a/libs/lab/tests/test_flow_handover.py
+++ b/libs/lab/tests/test_flow_handover.py
@@ -21,7 +21,7 @@
     )
 
 
-def ordered_names(names: str) -> list[str]:
+def names_in_ring_order(names: str) -> list[str]:
     """Returns names in the order in which the ring prefers them for KEY."""
     ring = routing.TargetRing(make_target(name) for name in names)
     return [target.name for target in ring.walk(KEY, len(names))]
@@ -44,13 +44,13 @@
         network: _flow_network.FlowNetwork,
         routers: list[routing.Router],
         faults: Faults,
-        owner: core.Holder | None,
+        holder: core.Holder | None,
     ) -> None:
-        """Takes the parts of the state; a live `owner` must keep the flow."""
+        """Takes the parts of the state; a live `holder` must keep the flow."""
         self.network = network
         self.routers = routers
         self.faults = faults
-        self.owner = owner
+        self.holder = holder
 
     def fingerprint(self) -> str:
         """Returns a text that is the same for equal states."""
@@ -70,21 +70,21 @@
             {str(d.holder) for d in self.network.deliveries}
         )
         return repr(
-            (nodes, in_flight, delivery_holders, self.faults, self.owner)
+            (nodes, in_flight, delivery_holders, self.faults, self.holder)
         )
 
 
 def make_state(
     views: list[list[routing.Target]],
     faults: Faults,
-    owner: routing.Target | None,
+    holding_target: routing.Target | None,
     table: _flow_network.FlowTableFactory = routing.FlowTable,
 ) -> ExplorationState:
     network = _flow_network.FlowNetwork(table)
     routers = [routing.Router(network.clock) for _ in views]
-    if owner is not None:
-        network.start(owner)
-        routers[0].replace_targets([dataclasses.replace(owner)])
+    if holding_target is not None:
+        network.start(holding_target)
+        routers[0].replace_targets([dataclasses.replace(holding_target)])
         network.send(routers[0], BALANCERS[0], KEY)
         network.deliver_all()
         network.deliveries.clear()
@@ -101,7 +101,10 @@
     for router, balancer in zip(routers, BALANCERS, strict=True):
         network.send(router, balancer, KEY)
     return ExplorationState(
-        network, routers, faults, None if owner is None else owner.holder
+        network,
+        routers,
+        faults,
+        None if holding_target is None else holding_target.holder,
     )
 
 
@@ -136,19 +139,19 @@
             after.faults = dataclasses.replace(faults, losses=faults.losses - 1)
             after.network.in_flight.pop(index)
             yield after
-    if faults.crashes and state.owner is not None:
+    if faults.crashes and state.holder is not None:
         after = clone(state)
         after.faults = dataclasses.replace(faults, crashes=0)
-        after.network.kill(state.owner.address)
-        after.owner = None
+        after.network.kill(state.holder.address)
+        after.holder = None
         yield after
 
 
-def check_safe(state: ExplorationState) -> None:
+def check_single_holder(state: ExplorationState) -> None:
     assert state.network.max_hops <= routing.MAX_HOPS
-    if state.owner is not None:
-        assert state.network.holders(KEY) == [state.owner]
-        assert {d.holder for d in state.network.deliveries} <= {state.owner}
+    if state.holder is not None:
+        assert state.network.holders(KEY) == [state.holder]
+        assert {d.holder for d in state.network.deliveries} <= {state.holder}
 
 
 def check_final_state(state: ExplorationState) -> None:
@@ -188,7 +191,7 @@
         if fingerprint in seen:
             continue
         seen.add(fingerprint)
-        check_safe(state)
+        check_single_holder(state)
         if not state.network.in_flight:
             check_final_state(clone(state))
         unexplored.extend(next_states(state))
@@ -196,23 +199,23 @@
 
 
 def join_views() -> tuple[list[list[routing.Target]], routing.Target]:
-    joining, owner, other = ordered_names("abc")
-    old = [make_target(owner), make_target(other)]
-    return [old, [*old, make_target(joining)]], make_target(owner)
+    joining, holder, other = names_in_ring_order("abc")
+    old = [make_target(holder), make_target(other)]
+    return [old, [*old, make_target(joining)]], make_target(holder)
 
 
 def drain_views() -> tuple[list[list[routing.Target]], routing.Target]:
-    owner, second, third = ordered_names("abc")
+    holder, second, third = names_in_ring_order("abc")
     rest = [make_target(second), make_target(third)]
-    old = [make_target(owner), *rest]
-    return [old, [make_target(owner, True), *rest]], make_target(owner)
+    old = [make_target(holder), *rest]
+    return [old, [make_target(holder, True), *rest]], make_target(holder)
 
 
 @pytest.mark.parametrize("views", [join_views(), drain_views()])
 @pytest.mark.parametrize(
     "faults", [Faults(losses=1), Faults(duplicates=1), Faults(crashes=1)]
 )
-def test_a_live_owner_keeps_its_flow(
+def test_live_holder_keeps_flow_under_single_fault(
     views: tuple[list[list[routing.Target]], routing.Target], faults: Faults
 ) -> None:
     """Guards against a second holder in a handover with one fault."""
@@ -227,20 +230,20 @@
         (drain_views()[0], Faults(losses=1)),
     ],
 )
-def test_two_adopting_agents_converge(
+def test_concurrent_adoptions_converge_to_single_holder(
     views: list[list[routing.Target]], faults: Faults
 ) -> None:
     """Guards against two holders of a flow that starts under two views."""
     assert explore(make_state(views, faults, None)) > 10
 
 
-class NeverYieldingTable(routing.FlowTable):
-    """Faulty table that never gives up a flow."""
+class NoticeIgnoringTable(routing.FlowTable):
+    """Faulty table that ignores notices about flows that it holds."""
 
     def handle_notice(
         self, notice: routing.Notice, sender: core.Holder
     ) -> routing.Decision:
-        """Ignores all notices about a flow that it holds."""
+        """Drops each notice about a held flow."""
         if self.holds(notice.flow_key):
             return routing.Decision(routing.Action.DROP)
         return super().handle_notice(notice, sender)
@@ -258,11 +261,11 @@
         return super().handle_datagram(datagram)
 
 
-def test_exploration_detects_faulty_tables() -> None:
+def test_exploration_detects_faulty_flow_tables() -> None:
     """Guards against an exploration that cannot detect faults."""
-    views, owner = join_views()
+    views, holding_target = join_views()
     with pytest.raises(AssertionError):
-        explore(make_state(views, Faults(), owner, NoSearchTable))
+        explore(make_state(views, Faults(), holding_target, NoSearchTable))
     losses = Faults(losses=3)
     with pytest.raises(AssertionError):
-        explore(make_state(views, losses, None, NeverYieldingTable))
+        explore(make_state(views, losses, None, NoticeIgnoringTable))
--- a/libs/lab/tests/test_flow_model.py
+++ b/libs/lab/tests/test_flow_model.py
@@ -22,7 +22,7 @@
 
 
 class RoutingModel(stateful.RuleBasedStateMachine):
-    """State machine whose model assigns one owner to each flow."""
+    """State machine whose model assigns one holder to each flow."""
 
     def __init__(self) -> None:
         """Starts three targets that all balancers and agents know."""
@@ -35,11 +35,11 @@
         self.agents_view_index = 0
         self.views: list[tuple[routing.Target, ...]] = []
         self.targets: dict[str, routing.Target] = {}
-        self.owners: dict[int, core.Holder] = {}
+        self.holders_by_flow: dict[int, core.Holder] = {}
         self.started_count = 0
         for _ in range(3):
             self.start_target()
-        self.publish()
+        self.publish_view()
         self.refresh_agents()
         for index in range(BALANCER_COUNT):
             self.refresh(index)
@@ -54,7 +54,7 @@
         self.targets[target.name] = target
         self.network.start(target)
 
-    def publish(self) -> None:
+    def publish_view(self) -> None:
         """Publishes a new view; views that lag too far are refreshed."""
         view = tuple(self.targets.values())
         self.views.append(view)
@@ -78,7 +78,7 @@
         self.view_indexes[index] = len(self.views) - 1
         self.routers[index].replace_targets(self.views[-1])
 
-    def pick(self, number: int) -> routing.Target:
+    def select_target(self, number: int) -> routing.Target:
         """Returns the target that a random number selects."""
         return list(self.targets.values())[number % len(self.targets)]
 
@@ -87,7 +87,7 @@
     def join(self) -> None:
         """A target joins."""
         self.start_target()
-        self.publish()
+        self.publish_view()
 
     @stateful.rule(number=strategies.integers(0, 20))
     def drain(self, number: int) -> None:
@@ -99,12 +99,12 @@
                 target, accepts_flows=False
             )
             self.network.nodes[target.address].draining = True
-            self.publish()
+            self.publish_view()
 
     @stateful.rule(number=strategies.integers(0, 20))
     def kill(self, number: int) -> None:
         """A target crashes, unless it is the last that accepts flows."""
-        target = self.pick(number)
+        target = self.select_target(number)
         accepting = [t for t in self.targets.values() if t.accepts_flows]
         if accepting == [target]:
             return
@@ -112,7 +112,7 @@
         self.network.kill(target.address)
         for node in self.network.nodes.values():
             node.table.remove_holders({target.holder})
-        self.publish()
+        self.publish_view()
 
     @stateful.rule(
         number=strategies.integers(0, 20),
@@ -120,18 +120,18 @@
     )
     def change_weight(self, number: int, weight: float) -> None:
         """A target reports a new weight."""
-        target = self.pick(number)
+        target = self.select_target(number)
         self.targets[target.name] = dataclasses.replace(target, weight=weight)
-        self.publish()
+        self.publish_view()
 
     @stateful.rule(index=strategies.integers(0, BALANCER_COUNT - 1))
-    def see_newest_view(self, index: int) -> None:
-        """One balancer catches up."""
+    def one_balancer_receives_latest_view(self, index: int) -> None:
+        """One balancer receives the latest view."""
         self.refresh(index)
 
     @stateful.rule()
-    def agents_see_newest_view(self) -> None:
-        """The agents catch up."""
+    def agents_receive_latest_view(self) -> None:
+        """All agents receive the latest view."""
         self.refresh_agents()
 
     @stateful.rule(
@@ -139,7 +139,7 @@
         index=strategies.integers(0, BALANCER_COUNT - 1),
     )
     def send(self, flow: int, index: int) -> None:
-        """A caller sends a datagram; only the owner may receive it."""
+        """A caller sends a datagram; only the holder may receive it."""
         network = self.network
         network.deliveries.clear()
         balancer = core.Address("10.0.0.1", index)
@@ -151,15 +151,15 @@
             network.clock.time_ms += 250
             network.retry_all()
         for delivery in network.deliveries:
-            owner = self.owners.get(flow)
-            alive = owner is not None and owner.address in network.nodes
+            holder = self.holders_by_flow.get(flow)
+            alive = holder is not None and holder.address in network.nodes
             if not alive:
-                owner = self.owners[flow] = delivery.holder
-            assert delivery.holder == owner
+                holder = self.holders_by_flow[flow] = delivery.holder
+            assert delivery.holder == holder
         network.deliveries.clear()
 
     @stateful.invariant()
-    def each_flow_has_one_owner(self) -> None:
+    def each_flow_has_at_most_one_holder(self) -> None:
         """No flow has two holders."""
         for flow in FLOWS:
             assert len(self.network.holders(flow)) <= 1
@@ -180,7 +180,8 @@
 
 
 # Hypothesis derives the examples from the source of this class, without its
-# comments, and from the order of the names of the rules.
+# comments, and from the order of the names of the rules. Other examples may not
+# reveal the missing candidates.
 class BlindModel(RoutingModel):
     """Mutant whose balancers name no earlier holders."""
 
@@ -202,7 +203,7 @@
         return dataclasses.replace(route, candidates=())
 
 
-def test_the_model_detects_routes_without_candidates() -> None:
+def test_model_detects_routes_without_candidates() -> None:
     """Guards against a model test that cannot detect faults."""
     with pytest.raises(AssertionError):
         stateful.run_state_machine_as_test(
--- a/libs/lab/tests/test_flows.py
+++ b/libs/lab/tests/test_flows.py
@@ -14,14 +14,14 @@
     ]
 
 
-def test_flows_survive_planned_changes() -> None:
+def test_open_flows_survive_rolling_replacements() -> None:
     """Guards against flows that a planned change breaks or misroutes."""
     assert (
         missed_targets(_flows.RollingBoth(_flow_experiment.SMALL_SCALE)) == []
     )
 
 
-def test_flows_recover_from_two_failures_at_once() -> None:
+def test_flows_recover_from_concurrent_kills_and_silent_path() -> None:
     """Guards against stalled feeds and false "not run" answers."""
     scale = dataclasses.replace(_flow_experiment.SMALL_SCALE, settle_ms=5_000)
     assert missed_targets(_flows.KillAndSilence(scale)) == []
--- a/libs/lab/tests/test_log_diagnosis.py
+++ b/libs/lab/tests/test_log_diagnosis.py
@@ -28,7 +28,7 @@
     return [line["message_type"] for line in log_lines]
 
 
-def test_a_request_refused_under_overload(
+def test_log_shows_cause_of_refusal_under_overload(
     log_lines: list[dict[str, object]],
 ) -> None:
     """Guards against refusals whose cause the log does not show."""
@@ -58,7 +58,7 @@
     assert sum(int(str(stage)) for stage in stages) == 8
 
 
-def test_a_flow_lost_with_its_backend_server(
+def test_log_shows_holder_of_flow_and_crash_of_its_target(
     log_lines: list[dict[str, object]],
 ) -> None:
     """Guards against resets for which the log does not show the holder."""
@@ -73,18 +73,18 @@
     client.request()
     fleet.run(500)
     assert client.is_ended
-    opened = [
+    placements = [
         line
         for line in lines_of_flow(log_lines, client.flow)
         if line["message_type"] == "flow-placed"
     ]
-    assert opened[-1]["holder"] == fleet.agents[holder.index].address
+    assert placements[-1]["holder"] == fleet.agents[holder.index].address
     down = [line for line in log_lines if line["message_type"] == "target-down"]
     assert down
     assert down[-1]["reason"] == "port closed"
 
 
-def test_a_request_handled_by_an_old_configuration(
+def test_log_shows_config_version_of_reset_flow(
     log_lines: list[dict[str, object]],
 ) -> None:
     """Guards against resets without the version of the configuration."""
@@ -97,13 +97,13 @@
     for client in clients:
         client.open()
     fleet.run(500)
-    rejected = [
+    resets = [
         line
         for line in log_lines
         if line["message_type"] == "flow-reset" and line["reason"] == "no-route"
     ]
-    assert rejected
-    assert all(line["version"] == 2 for line in rejected)
+    assert resets
+    assert all(line["version"] == 2 for line in resets)
     applied = [
         line for line in log_lines if line["message_type"] == "config-applied"
     ]
--- a/libs/lab/tests/test_packet_fleet.py
+++ b/libs/lab/tests/test_packet_fleet.py
@@ -45,14 +45,14 @@
 
 
 @pytest.mark.parametrize("seed", range(3))
-def test_an_undisturbed_fleet_answers_all_requests(seed: int) -> None:
+def test_fleet_without_faults_answers_all_requests_in_time(seed: int) -> None:
     """Guards against unnecessary hops, waits and retransmissions."""
     fleet = _packet_fleet.PacketFleet(seed, SPECS)
     open_clients(fleet, 100)
     assert fleet.answered_share(IDLE_RESPONSE_MS) == 1.0
 
 
-def test_each_request_is_delivered_once() -> None:
+def test_undiscovered_agent_causes_no_duplicate_requests() -> None:
     """Guards against duplicates from balancers that lack a new agent."""
     fleet = _packet_fleet.PacketFleet(1, SPECS)
     undiscovered = fleet.agents[0].address
@@ -70,7 +70,9 @@
 
 
 @pytest.mark.parametrize("seed", range(3))
-def test_flows_stay_when_the_rotation_changes(seed: int) -> None:
+def test_open_flows_survive_removal_of_balancer_from_rotation(
+    seed: int,
+) -> None:
     """Guards against flows that depend on the balancer that opened them."""
     fleet = _packet_fleet.PacketFleet(seed, SPECS, 4, long_lived=True)
     clients = open_clients(fleet, 80)
@@ -81,7 +83,7 @@
 
 
 @pytest.mark.parametrize("seed", range(3))
-def test_flows_survive_a_restart_of_any_agent(seed: int) -> None:
+def test_open_flows_survive_restarts_of_agents_and_balancers(seed: int) -> None:
     """Guards against state that is lost when an agent restarts."""
     fleet = _packet_fleet.PacketFleet(seed, SPECS, long_lived=True)
     clients = open_clients(fleet, 80)
@@ -100,7 +102,7 @@
     assert outcomes(fleet) == {_packet_fleet.RequestOutcome.ANSWERED}
 
 
-def test_flows_survive_a_restart_of_all_processes() -> None:
+def test_open_flows_survive_simultaneous_restart_of_all_processes() -> None:
     """Guards against restarted agents that reset flows of their servers."""
     fleet = _packet_fleet.PacketFleet(1, SPECS, long_lived=True)
     clients = open_clients(fleet, 80)
@@ -115,7 +117,7 @@
     assert outcomes(fleet) == {_packet_fleet.RequestOutcome.ANSWERED}
 
 
-def test_a_crashed_target_resets_its_flows_at_once() -> None:
+def test_flows_of_crashed_target_are_reset_immediately() -> None:
     """Guards against clients that wait for a crashed backend server."""
     fleet = _packet_fleet.PacketFleet(2, SPECS, long_lived=True)
     clients = open_clients(fleet, 80)
@@ -133,7 +135,7 @@
         assert result.duration_ms <= 50
 
 
-def test_flows_of_a_vanished_target_end_after_its_removal() -> None:
+def test_failed_machine_causes_no_timeouts_after_registry_removal() -> None:
     """Guards against flows that wait for a machine that lost power."""
     fleet = _packet_fleet.PacketFleet(3, SPECS, long_lived=True)
     clients = open_clients(fleet, 80)
@@ -151,7 +153,7 @@
         assert result.duration_ms <= IDLE_RESPONSE_MS
 
 
-def test_a_draining_target_gets_no_new_flow() -> None:
+def test_draining_target_gets_no_new_flows() -> None:
     """Guards against new flows from peers that do not yet know of a drain."""
     fleet = _packet_fleet.PacketFleet(4, SPECS)
     fleet.agents[2].report(flows.TargetState.DRAINING, 2)
@@ -161,7 +163,7 @@
     assert all(at_ms < drained_ms for at_ms, _ in fleet.targets[2].opened)
 
 
-def test_a_reused_address_gets_no_flow_of_the_earlier_service() -> None:
+def test_reused_address_gets_no_flows_of_earlier_service() -> None:
     """Guards against routing that identifies a target by address alone."""
     fleet = _packet_fleet.PacketFleet(5, SPECS, long_lived=True)
     clients = open_clients(fleet, 80)
@@ -180,7 +182,7 @@
     assert fleet.broken_flows == []
 
 
-def test_an_agent_that_the_registry_hides_keeps_its_flows() -> None:
+def test_unregistered_agent_keeps_open_flows() -> None:
     """Guards against resets by directory agents that use only the registry."""
     fleet = _packet_fleet.PacketFleet(6, SPECS, long_lived=True)
     clients = open_clients(fleet, 80)
@@ -195,7 +197,7 @@
     assert outcomes(fleet) == {_packet_fleet.RequestOutcome.ANSWERED}
 
 
-def test_a_returning_crowd_is_served_without_sheds() -> None:
+def test_reconnect_burst_is_served_without_shedding() -> None:
     """Load: all clients of a two-second period reconnect at once.
 
     Guards against overload of the backend servers that become ready first,
@@ -219,7 +221,9 @@
 
 
 @pytest.mark.parametrize("slot_count", [1, 2])
-def test_a_returning_crowd_is_served_on_old_loads(slot_count: int) -> None:
+def test_reconnect_burst_is_served_with_stale_load_reports(
+    slot_count: int,
+) -> None:
     """Load: many clients reconnect at once, with load reports 2 s old.
 
     The control budget allows no more frequent reports with about 60 agents.
@@ -240,13 +244,15 @@
         open_clients(fleet, 800 * slot_count, 4 // slot_count)
         fleet.run(3_000)
         results.append(fleet)
-    fresh, old = results
-    assert outcomes(old) == {_packet_fleet.RequestOutcome.ANSWERED}
+    fresh, stale = results
+    assert outcomes(stale) == {_packet_fleet.RequestOutcome.ANSWERED}
     limit_ms = 3 * IDLE_RESPONSE_MS
-    assert old.answered_share(limit_ms) >= 0.9 * fresh.answered_share(limit_ms)
+    assert stale.answered_share(limit_ms) >= 0.9 * fresh.answered_share(
+        limit_ms
+    )
 
 
-def test_first_packets_lost_at_a_restarting_agent_come_again() -> None:
+def test_first_packets_lost_during_agent_outage_are_retransmitted() -> None:
     """Load: requests that arrive at the end of an outage of all agents.
 
     Guards against first packets that only a retransmission by the client
@@ -278,7 +284,7 @@
 
 
 @pytest.mark.parametrize("seed", range(3))
-def test_placement_by_completion_beats_random_under_high_load(
+def test_earliest_completion_beats_random_placement_under_high_load(
     seed: int,
 ) -> None:
     """Load: 70 % of capacity; service times differ by a factor of 2.4.
