Explain tickets, handoffs and slots in the request engine and scheduler

DispatchState.started is now may_have_run, dispatch dispatch_state, claim claimed, owner is_first, limit_ms timeout_ms, RequestEngine._tasks _tasks_by_key, Scheduler._wait_ms _expected_wait_ms, _handoff_serial _handoff_serials, _wait_limit_ms _max_wait_ms, _is_not_run _was_not_run.

--- a/libs/requests/src/fireflyford/requests/_engine.py
+++ b/libs/requests/src/fireflyford/requests/_engine.py
@@ -1,4 +1,11 @@
-"""Processing of requests in an agent, from the ticket to the outcome."""
+"""Processing of requests in an agent, from the ticket to the outcome.
+
+A request that may run only once needs a ticket. The agent that issued the
+ticket keeps a record of the request and answers repetitions from it; any other
+agent forwards the request to the issuer. Independently of that, the scheduler
+runs a request at the local target or hands it off to a peer, another target of
+the service, which keeps a record of the handoff.
+"""
 
 import asyncio
 from collections.abc import Coroutine
@@ -20,9 +27,9 @@
 from fireflyford.requests import _tickets
 from fireflyford.requests import _work_item
 
-# Cancellation argument for a request whose connection was lost. The caller has
-# not cancelled it, so a request with a ticket keeps running and its outcome is
-# available when the ticket is presented again.
+# Argument of `task.cancel` for a request whose connection was lost. The caller
+# has not cancelled it, so a request with a ticket keeps running and its outcome
+# is available when the ticket is presented again.
 CONNECTION_LOST = "connection-lost"
 
 
@@ -68,21 +75,25 @@
             _queue.FairQueue(slot_count) if queue is None else queue,
             admission or _admission.ExpectedWaitAdmission(),
         )
+        # Requests with tickets of this agent, by serial number of the ticket.
         self.records = _records.RequestRecords(
             clock, _tickets.TICKET_RETENTION_MS
         )
+        # Requests that peers have handed off to this target, by handoff key.
         self.handoff_records = _records.RequestRecords(
             clock, _targets.HANDOFF_WINDOW_MS
         )
-        self._tasks: dict[
+        # Tasks of the recorded requests that have no outcome yet.
+        self._tasks_by_key: dict[
             Hashable, asyncio.Task[core.Outcome[_work_item.Response]]
         ] = {}
+        # Number of requests in `submit`.
         self.in_flight_count = 0
 
     @property
     def pending_count(self) -> int:
         """Number of recorded requests without an outcome, handoffs included."""
-        return len(self._tasks)
+        return len(self._tasks_by_key)
 
     def drain(self) -> None:
         """Refuses new requests from now on."""
@@ -93,7 +104,7 @@
         self.scheduler.peers.replace(infos)
 
     def relative_speed(self) -> float:
-        """Returns the service rate relative to the median of the service."""
+        """Returns the service rate relative to the median of all targets."""
         reports = [
             peer.report
             for peer in self.scheduler.peers.usable()
@@ -102,7 +113,7 @@
         return _speed.relative_speed(self.scheduler.report(), reports)
 
     def status(self) -> dict[str, object]:
-        """Returns the fields of the status page on admission."""
+        """Returns the `admission` section of the status page."""
         scheduler = self.scheduler
         return {
             "report": dataclasses.asdict(scheduler.report()),
@@ -127,7 +138,8 @@
 
         Args:
             work: The request.
-            ticket: Its ticket; required unless the request is idempotent.
+            ticket: Its ticket, issued by this or another agent; required
+                unless the request is idempotent.
         """
         self.in_flight_count += 1
         try:
@@ -149,32 +161,36 @@
     async def _submit_as_issuer(
         self, work: _work_item.WorkItem, ticket: _tickets.Ticket
     ) -> core.Outcome[_work_item.Response]:
-        claim = self.records.begin(
+        """Starts a request, or waits for the outcome if it is a repetition."""
+        claimed = self.records.begin(
             ticket.serial, ticket.issued_ms, _fingerprint(work)
         )
-        if isinstance(claim, core.Failure):
-            return claim
-        record = claim.value.record
-        if claim.value.first:
-            dispatch = _scheduler.DispatchState()
-            run = self.scheduler.place(work, dispatch)
-            self._start_task(self.records, record, run, dispatch)
-        return await self._await_outcome(record, work, owner=claim.value.first)
+        if isinstance(claimed, core.Failure):
+            return claimed
+        record = claimed.value.record
+        if claimed.value.first:
+            dispatch_state = _scheduler.DispatchState()
+            run = self.scheduler.place(work, dispatch_state)
+            self._start_task(self.records, record, run, dispatch_state)
+        return await self._await_outcome(
+            record, work, is_first=claimed.value.first
+        )
 
     async def _submit_to_issuer(
         self, work: _work_item.WorkItem, ticket: _tickets.Ticket
     ) -> core.Outcome[_work_item.Response]:
+        """Forwards a request to the agent that issued its ticket."""
         if ticket.issuer == self.issuer.address:
             return _unknown_outcome(
                 "the agent that issued the ticket has restarted"
             )
-        limit_ms = (
+        timeout_ms = (
             work.deadline_ms
             - self._clock.now_ms()
             + _scheduler.RESPONSE_GRACE_MS
         )
         try:
-            async with asyncio.timeout(max(0, limit_ms) / 1000):
+            async with asyncio.timeout(max(0, timeout_ms) / 1000):
                 outcome = await self._channel.present(
                     ticket.issuer, ticket, work
                 )
@@ -201,7 +217,7 @@
     async def accept_presented(
         self, ticket: _tickets.Ticket, work: _work_item.WorkItem
     ) -> core.Outcome[_work_item.Response]:
-        """Processes a request whose ticket was presented at a peer."""
+        """Processes a request that a peer forwards to its ticket's issuer."""
         if not self.issuer.is_issuer_of(ticket):
             return _unknown_outcome(
                 "the ticket was issued by another incarnation of the agent"
@@ -220,30 +236,35 @@
             return _unknown_outcome(
                 "the handoff was sent to another incarnation of the agent"
             )
-        claim = self.handoff_records.begin(
+        claimed = self.handoff_records.begin(
             handoff.key, handoff.stamp_ms, _fingerprint(handoff.work)
         )
-        if isinstance(claim, core.Failure):
+        if isinstance(claimed, core.Failure):
             return _unknown_outcome(
                 "the handoff is too old to tell whether it ran"
             )
-        record = claim.value.record
-        if claim.value.first:
+        record = claimed.value.record
+        if claimed.value.first:
             work = dataclasses.replace(
                 handoff.work,
                 arrived_ms=self._clock.now_ms(),
+                # The stamp is the peer's estimate of this agent's clock.
                 deadline_ms=handoff.stamp_ms + handoff.remaining_ms,
             )
-            dispatch = _scheduler.DispatchState()
+            dispatch_state = _scheduler.DispatchState()
             run = self.scheduler.run_locally(
-                work, dispatch, handoff.max_wait_ms
+                work, dispatch_state, handoff.max_wait_ms
             )
-            self._start_task(self.handoff_records, record, run, dispatch)
+            self._start_task(self.handoff_records, record, run, dispatch_state)
         return await record.wait()
 
     def cancel_handoff(self, key: tuple[int, int]) -> None:
-        """Cancels a request that a peer handed off."""
-        task = self._tasks.get(key)
+        """Cancels a request that a peer handed off.
+
+        Args:
+            key: Key of the handoff.
+        """
+        task = self._tasks_by_key.get(key)
         if task is not None:
             task.cancel()
 
@@ -252,19 +273,27 @@
         records: _records.RequestRecords,
         record: _records.RequestRecord,
         run: Coroutine[Any, Any, core.Outcome[_work_item.Response]],
-        dispatch: _scheduler.DispatchState,
+        dispatch_state: _scheduler.DispatchState,
     ) -> None:
-        """Runs a recorded request in a task independent of its waiters."""
+        """Runs a recorded request in a task independent of its waiters.
+
+        Args:
+            records: Table that the record belongs to.
+            record: Record of the request, which receives the outcome.
+            run: Runs the request.
+            dispatch_state: Updated by `run`; tells after a cancellation
+                whether the request may have run.
+        """
         task = asyncio.create_task(run)
-        self._tasks[record.key] = task
+        self._tasks_by_key[record.key] = task
 
         # Set in a callback because a task that is cancelled before its first
         # step never reaches a `finally` block.
         def record_outcome(
             finished: asyncio.Task[core.Outcome[_work_item.Response]],
         ) -> None:
-            self._tasks.pop(record.key, None)
-            records.finish(record, _task_outcome(finished, dispatch))
+            self._tasks_by_key.pop(record.key, None)
+            records.finish(record, _task_outcome(finished, dispatch_state))
 
         task.add_done_callback(record_outcome)
 
@@ -272,20 +301,25 @@
         self,
         record: _records.RequestRecord,
         work: _work_item.WorkItem,
-        owner: bool,
+        is_first: bool,
     ) -> core.Outcome[_work_item.Response]:
         """Waits for a recorded outcome.
 
-        Cancelling the owner cancels the request too, unless only its connection
-        was lost.
+        Args:
+            record: Record of the request.
+            work: The request, or a repetition of it.
+            is_first: Whether `work` is the request itself. If so, cancelling
+                the wait cancels the request, unless only the connection was
+                lost.
         """
-        limit_ms = (
+        # A run at a peer may itself take a grace period beyond the deadline.
+        timeout_ms = (
             work.deadline_ms
             - self._clock.now_ms()
             + 2 * _scheduler.RESPONSE_GRACE_MS
         )
         try:
-            async with asyncio.timeout(max(0, limit_ms) / 1000):
+            async with asyncio.timeout(max(0, timeout_ms) / 1000):
                 return await record.wait()
         except TimeoutError:
             return core.Failure(
@@ -293,20 +327,21 @@
                 "the original request is still running",
             )
         except asyncio.CancelledError as error:
-            task = self._tasks.get(record.key)
+            task = self._tasks_by_key.get(record.key)
             connection_lost = error.args[:1] == (CONNECTION_LOST,)
-            if owner and not connection_lost and task is not None:
+            if is_first and not connection_lost and task is not None:
                 task.cancel()
             raise
 
     def close(self) -> None:
         """Cancels all tasks of the engine."""
         self.scheduler.peers.close()
-        for task in list(self._tasks.values()):
+        for task in list(self._tasks_by_key.values()):
             task.cancel()
 
 
 def _fingerprint(work: _work_item.WorkItem) -> bytes:
+    """Returns a digest of the content, which repetitions must match."""
     digest = hashlib.blake2s(digest_size=16)
     for part in (work.method.encode(), work.path.encode(), work.body):
         digest.update(len(part).to_bytes(8, "big") + part)
@@ -315,12 +350,13 @@
 
 def _task_outcome(
     task: "asyncio.Task[core.Outcome[_work_item.Response]]",
-    dispatch: _scheduler.DispatchState,
+    dispatch_state: _scheduler.DispatchState,
 ) -> core.Outcome[_work_item.Response]:
+    """Returns the outcome of a request whose task has ended."""
     if not task.cancelled():
         error = task.exception()
         return task.result() if error is None else _unknown_outcome(repr(error))
-    if dispatch.started:
+    if dispatch_state.may_have_run:
         return _unknown_outcome("cancelled after the request was dispatched")
     return core.Failure(
         core.ErrorKind.CANCELLED_BEFORE_START,
--- a/libs/requests/src/fireflyford/requests/_scheduler.py
+++ b/libs/requests/src/fireflyford/requests/_scheduler.py
@@ -1,4 +1,10 @@
-"""Admission, placement and execution of requests."""
+"""Admission, placement and execution of requests.
+
+The agent of each target of a service limits the requests that its backend
+server runs at a time; a slot is the permission to run one. A request runs at
+the target whose agent has received it, or is handed off to a peer, another
+target of the service.
+"""
 
 import asyncio
 import itertools
@@ -20,20 +26,22 @@
 # Each refusal costs a round trip of about 2 ms.
 _MAX_PEER_REFUSALS = 2
 _UNLIMITED_WAIT_MS = 1e9
-# Additional waits up to this fraction of the service time do not justify
-# another round trip.
+# A peer refuses a handoff whose request would wait longer than the sender
+# expected, unless the additional wait is at most this fraction of the service
+# time and so does not justify another round trip.
 _WAIT_TOLERANCE_RATIO = 0.3
 
 
 class DispatchState:
-    """Whether a request may have run.
+    """Whether a request may have run at a backend server.
 
-    `started` is set before the first byte of the request is sent.
+    `may_have_run` is set before the first byte of the request is sent, and
+    cleared if the outcome says that the request did not run.
     """
 
     def __init__(self) -> None:
         """Creates the state of a request that has not been sent."""
-        self.started = False
+        self.may_have_run = False
 
 
 class Scheduler:
@@ -78,10 +86,12 @@
             info.target_id,
             info.availability_zone,
             self.report,
+            # Reports are exchanged more often while requests run.
             lambda: self.slots.running_count > 0,
         )
-        self._handoff_serial = itertools.count(1)
+        self._handoff_serials = itertools.count(1)
         self._draining = False
+        # Load that the backend server reports, for the report to the peers.
         self.reported_load = 0.0
         self.handed_over_count = 0
 
@@ -91,30 +101,41 @@
 
     def report(self) -> _targets.TargetReport:
         """Returns the current measurements of this target."""
-        times = self.service_times
-        short_ms = times.mean_ms(config.SizeClass.SHORT)
-        long_ms = times.mean_ms(config.SizeClass.LONG)
+        estimates = self.service_times
+        short_service_ms = estimates.mean_ms(config.SizeClass.SHORT)
+        long_service_ms = estimates.mean_ms(config.SizeClass.LONG)
         return _targets.TargetReport(
             target_id=self._target_id,
             incarnation=self._incarnation,
             clock_ms=self._clock.now_ms(),
             slot_count=self.slots.slot_count,
             idle_count=self.slots.idle_count,
-            short_wait_ms=self._wait_ms(config.SizeClass.SHORT, short_ms),
-            long_wait_ms=self._wait_ms(config.SizeClass.LONG, long_ms),
-            short_ms=short_ms,
-            long_ms=long_ms,
-            failure_ratio=times.failure_ratio,
+            short_wait_ms=self._expected_wait_ms(
+                config.SizeClass.SHORT, short_service_ms
+            ),
+            long_wait_ms=self._expected_wait_ms(
+                config.SizeClass.LONG, long_service_ms
+            ),
+            short_ms=short_service_ms,
+            long_ms=long_service_ms,
+            failure_ratio=estimates.failure_ratio,
             utilization_ratio=self.slots.utilization(),
             short_load=self.slots.load(config.SizeClass.SHORT),
             long_load=self.slots.load(config.SizeClass.LONG),
-            completed_count=times.completed_count,
+            completed_count=estimates.completed_count,
             draining=self._draining,
             reported_load=self.reported_load,
         )
 
-    def _wait_ms(self, size: config.SizeClass, service_ms: float) -> float:
-        """Returns the expected wait of a request that arrives now."""
+    def _expected_wait_ms(
+        self, size: config.SizeClass, service_ms: float
+    ) -> float:
+        """Returns the expected wait of a request that arrives now.
+
+        Args:
+            size: Size class of the request; its other properties are defaults.
+            service_ms: Expected service time of the request.
+        """
         now_ms = self._clock.now_ms()
         treatment = config.Treatment(
             name="", method="", path_prefix="", size=size
@@ -126,13 +147,17 @@
         return self.slots.expected_wait_ms(entry)
 
     async def place(
-        self, work: _work_item.WorkItem, dispatch: DispatchState
+        self, work: _work_item.WorkItem, dispatch_state: DispatchState
     ) -> core.Outcome[_work_item.Response]:
         """Runs a request at the target that the placement policy chooses.
 
-        A peer that is busier than it reported refuses immediately, and the
-        policy chooses again. After `_MAX_PEER_REFUSALS` refusals the next
-        choice is final.
+        The local target is a candidate unless it is draining. A peer that is
+        busier than it reported refuses immediately, and the policy chooses
+        again. After `_MAX_PEER_REFUSALS` refusals the next choice is final.
+
+        Args:
+            work: The request.
+            dispatch_state: Receives whether the request may have run.
         """
         refused: set[str] = set()
         while True:
@@ -142,12 +167,16 @@
             chosen = self._placement.choose(candidates)
             peer = self.peers.get(chosen.target_id)
             if chosen.is_local or peer is None:
-                return await self.run_locally(work, dispatch)
+                return await self.run_locally(work, dispatch_state)
             is_final = len(refused) >= _MAX_PEER_REFUSALS
             outcome = await self._run_at_peer(
-                peer, chosen, work, dispatch, is_final
+                peer, chosen, work, dispatch_state, is_final
             )
-            if dispatch.started or is_final or not _may_run_elsewhere(outcome):
+            if (
+                dispatch_state.may_have_run
+                or is_final
+                or not _may_run_elsewhere(outcome)
+            ):
                 return outcome
             refused.add(chosen.target_id)
 
@@ -159,10 +188,10 @@
         return local + [c for c in peers if c.target_id not in refused]
 
     def _local_candidate(self, work: _work_item.WorkItem) -> _targets.Candidate:
-        times = self.service_times
+        estimates = self.service_times
         size = work.treatment.size
         entry = self._queue.make_entry(
-            work, times.expected_ms(work.treatment), self._clock.now_ms()
+            work, estimates.expected_ms(work.treatment), self._clock.now_ms()
         )
         return _targets.Candidate(
             target_id=self._target_id,
@@ -171,10 +200,10 @@
             hop_ms=0,
             slot_count=self.slots.slot_count,
             wait_ms=self.slots.expected_wait_ms(entry),
-            service_ms=times.mean_ms(size),
-            failure_ratio=times.failure_ratio,
+            service_ms=estimates.mean_ms(size),
+            failure_ratio=estimates.failure_ratio,
             utilization_ratio=self.slots.utilization(),
-            completed_count=times.completed_count,
+            completed_count=estimates.completed_count,
             reported_load=self.reported_load,
         )
 
@@ -183,9 +212,18 @@
         peer: _targets.Peer,
         chosen: _targets.Candidate,
         work: _work_item.WorkItem,
-        dispatch: DispatchState,
+        dispatch_state: DispatchState,
         is_final: bool,
     ) -> core.Outcome[_work_item.Response]:
+        """Hands off a request to a peer if the admission policy allows it.
+
+        Args:
+            peer: The peer.
+            chosen: State of the peer on which the choice was based.
+            work: The request.
+            dispatch_state: Receives whether the request may have run.
+            is_final: Whether the peer may not refuse because of a longer wait.
+        """
         now_ms = self._clock.now_ms()
         refusal = self.admission.check(
             work, chosen.wait_ms, chosen.service_ms, now_ms
@@ -194,21 +232,21 @@
             return refusal
         handoff = _peers.Handoff(
             origin=self._incarnation,
-            serial=next(self._handoff_serial),
+            serial=next(self._handoff_serials),
             executor=peer.info.incarnation,
             stamp_ms=peer.clock_ms(now_ms),
             remaining_ms=work.deadline_ms - now_ms,
             max_wait_ms=_UNLIMITED_WAIT_MS
             if is_final
-            else _wait_limit_ms(chosen),
+            else _max_wait_ms(chosen),
             work=work,
         )
         peer.record_handoff(now_ms, chosen.service_ms)
         self.handed_over_count += 1
-        dispatch.started = True
-        limit_ms = handoff.remaining_ms + RESPONSE_GRACE_MS
+        dispatch_state.may_have_run = True
+        timeout_ms = handoff.remaining_ms + RESPONSE_GRACE_MS
         try:
-            async with asyncio.timeout(limit_ms / 1000):
+            async with asyncio.timeout(timeout_ms / 1000):
                 outcome = await self._channel.execute(
                     peer.info.address, handoff
                 )
@@ -221,8 +259,9 @@
         except asyncio.CancelledError:
             self._channel.cancel(peer.info.address, handoff.key)
             raise
-        if _is_not_run(outcome):
-            dispatch.started = False
+        if _was_not_run(outcome):
+            dispatch_state.may_have_run = False
+            # The retry delay of a refusal serves as the expected wait there.
             if isinstance(outcome, core.Failure) and outcome.retry_after_ms:
                 peer.record_refusal(
                     self._clock.now_ms(), outcome.retry_after_ms
@@ -232,10 +271,16 @@
     async def run_locally(
         self,
         work: _work_item.WorkItem,
-        dispatch: DispatchState,
+        dispatch_state: DispatchState,
         max_wait_ms: float = _UNLIMITED_WAIT_MS,
     ) -> core.Outcome[_work_item.Response]:
-        """Runs a request at this target if it is admitted."""
+        """Runs a request at this target if it is admitted.
+
+        Args:
+            work: The request.
+            dispatch_state: Receives whether the request may have run.
+            max_wait_ms: Expected wait above which the request is refused.
+        """
         if self._draining:
             return _draining_failure()
         now_ms = self._clock.now_ms()
@@ -255,16 +300,17 @@
             return refusal
         self.admission.record_wait(wait_ms, self._clock.now_ms() - now_ms)
         try:
-            return await self._execute(work, dispatch)
+            return await self._execute(work, dispatch_state)
         finally:
             self.slots.release(entry)
             self._update_long_slot_limit()
 
     async def _execute(
-        self, work: _work_item.WorkItem, dispatch: DispatchState
+        self, work: _work_item.WorkItem, dispatch_state: DispatchState
     ) -> core.Outcome[_work_item.Response]:
+        """Runs a request that has a slot, and measures its service time."""
         start_ms = self._clock.now_ms()
-        dispatch.started = True
+        dispatch_state.may_have_run = True
         try:
             async with asyncio.timeout((work.deadline_ms - start_ms) / 1000):
                 outcome = await self._executor.execute(work)
@@ -279,11 +325,12 @@
             self.service_times.record_success(work.treatment, elapsed_ms)
         else:
             self.service_times.record_failure()
-        if _is_not_run(outcome):
-            dispatch.started = False
+        if _was_not_run(outcome):
+            dispatch_state.may_have_run = False
         return outcome
 
     def _update_long_slot_limit(self) -> None:
+        """Updates the number of slots that long requests may use here."""
         reports = {self._target_id: self.report()}
         for peer in self.peers.usable():
             if peer.report is not None:
@@ -293,7 +340,8 @@
         )
 
 
-def _wait_limit_ms(chosen: _targets.Candidate) -> float:
+def _max_wait_ms(chosen: _targets.Candidate) -> float:
+    """Returns the expected wait above which a peer is to refuse a handoff."""
     return chosen.wait_ms + chosen.service_ms * _WAIT_TOLERANCE_RATIO
 
 
@@ -307,7 +355,8 @@
     )
 
 
-def _is_not_run(outcome: core.Outcome[_work_item.Response]) -> bool:
+def _was_not_run(outcome: core.Outcome[_work_item.Response]) -> bool:
+    """Returns whether the request has certainly not run."""
     return (
         isinstance(outcome, core.Failure)
         and outcome.spec.execution is core.Execution.NOT_RUN
