Explain policies, faults and measures in the simulated service runs

_PLACEMENTS is now _BASELINE_PLACEMENTS, _TREATMENTS _TREATMENTS_BY_KIND, _budgets _retry_budgets, fifo is_baseline, length_ms nominal_ms, caller caller_index.

--- a/libs/lab/src/fireflyford/lab/_service_runs.py
+++ b/libs/lab/src/fireflyford/lab/_service_runs.py
@@ -1,4 +1,9 @@
-"""Simulation of one service under load in virtual time."""
+"""Simulation of one service under load in virtual time.
+
+The request engines of the agents are those in production; callers, network and
+backend servers are simulated. A node is a target with its simulated backend
+server.
+"""
 
 import asyncio
 import dataclasses
@@ -15,7 +20,9 @@
 from fireflyford.lab import _virtual_time
 
 _CALLER_COUNT = 40
+# Time before the load starts, in which the targets exchange first reports.
 _WARM_UP_MS = 1_000
+# Age of the load that backend servers report when it takes effect.
 _REPORT_LAG_MS = 1_000
 # Erlang-4 service times: a moderate variance, as is typical of requests of one
 # kind.
@@ -29,16 +36,18 @@
     size=config.SizeClass.LONG,
     deadline_ms=20_000,
 )
-_TREATMENTS = {"short": SHORT, "long": LONG}
+_TREATMENTS_BY_KIND = {"short": SHORT, "long": LONG}
 
 
 class Policy(enum.Enum):
     """Policies of placement, queueing and admission that are compared.
 
+    All except `DEFAULT` are baselines, which use a FIFO queue and admit every
+    request. They differ in the placement of requests.
+
     Attributes:
         DEFAULT: The policies that agents use.
-        FIFO: Default placement with a FIFO queue that admits everything, as
-            for all policies below.
+        FIFO: The placement policy that agents use.
         RANDOM: A random target.
         ROUND_ROBIN: Each target in turn.
         LEAST_REPORTED: The target with the lowest reported load.
@@ -53,7 +62,7 @@
     TWO_CHOICES = "two-choices-reported"
 
 
-_PLACEMENTS: dict[Policy, _model.PlacementFactory] = {
+_BASELINE_PLACEMENTS: dict[Policy, _model.PlacementFactory] = {
     Policy.RANDOM: requests.RandomPlacement,
     Policy.ROUND_ROBIN: lambda rng: requests.RoundRobin(rng.randrange(100)),
     Policy.LEAST_REPORTED: requests.LeastReportedLoad,
@@ -62,12 +71,20 @@
 
 
 def _fifo_queue(slot_count: int) -> requests.WorkQueue:
+    """Returns the queue of the baselines, which ignores the slot count."""
     del slot_count
     return requests.FifoQueue(max_count=256)
 
 
 class TargetFault(enum.Enum):
-    """Fault of one target during the run."""
+    """Fault of one target during the run.
+
+    Attributes:
+        NONE: No fault.
+        KILL: The agent and the backend server crash.
+        PAUSE: Both stop responding until the end of the run.
+        FAIL_FAST: The backend server fails every request immediately.
+    """
 
     NONE = "none"
     KILL = "kill"
@@ -79,24 +96,27 @@
 class Plan:
     """Parameters of one run.
 
+    Times count from the start of the load.
+
     Attributes:
         seed: Seed of all random choices.
         policy: Policies of placement, queueing and admission.
         speeds: Relative speed of each target.
-        mean_ms: Mean execution time of short requests at speed 1.
+        mean_ms: Mean execution time of short requests on a backend server of
+            speed 1.
         long_ratio: Fraction of requests that are long.
         long_factor: Execution time of a long request relative to the mean of
             short ones.
         duration_ms: Time during which requests arrive.
-        load_ratio: Offered load relative to capacity outside the peak.
-        peak_ratio: Offered load relative to capacity at the peak; 0 for no
-            peak.
+        load_ratio: Offered load outside the peak, relative to the capacity.
+        peak_ratio: Offered load at the peak, relative to the capacity; 0 for
+            no peak.
         peak_start_ms: Start of the increase to the peak, which takes 1 s.
         peak_end_ms: End of the peak.
         fault: Fault of one target.
         fault_ms: Time of the fault.
-        inaccurate_reports: Whether the load reports of two targets always say
-            idle. The reports of the others lag in every run.
+        inaccurate_reports: Whether two targets always report a load of 0, in
+            addition to the lag that all load reports have in every run.
     """
 
     seed: int
@@ -116,20 +136,21 @@
 
     @property
     def slots(self) -> float:
-        """Capacity of the service in slots of speed 1."""
+        """Capacity of the service in slots of speed 1, two for each target."""
         return 2 * sum(self.speeds)
 
     def rate(self, time_ms: float) -> float:
-        """Returns the offered load in requests per second."""
+        """Returns the offered load in requests per second at a time."""
+        # Mean execution time of all requests, short and long.
         work_ms = self.mean_ms * (1 + self.long_ratio * (self.long_factor - 1))
-        capacity = self.slots / work_ms * 1000
-        ratio = self.load_ratio
+        capacity_per_s = self.slots / work_ms * 1000
+        load_ratio = self.load_ratio
         if self.peak_ratio and (
             self.peak_start_ms <= time_ms < self.peak_end_ms
         ):
-            rise = min(1.0, (time_ms - self.peak_start_ms) / 1000)
-            ratio += (self.peak_ratio - self.load_ratio) * rise
-        return capacity * ratio
+            rise_ratio = min(1.0, (time_ms - self.peak_start_ms) / 1000)
+            load_ratio += (self.peak_ratio - self.load_ratio) * rise_ratio
+        return capacity_per_s * load_ratio
 
 
 @dataclasses.dataclass(frozen=True)
@@ -139,7 +160,8 @@
     Attributes:
         plan: Parameters of the run.
         samples: Outcome of each request.
-        utilization_ratios: Slot utilization of each target for each second.
+        utilization_ratios: One row for each second of the load, with the slot
+            utilization of each target.
         attempt_count: Attempts of all requests, including retries.
     """
 
@@ -149,17 +171,27 @@
     attempt_count: int
 
     def imbalances(self, first_second: int) -> list[float]:
-        """Returns the highest utilization over the mean for each second."""
-        last = self.plan.duration_ms // 1000
+        """Returns the highest utilization divided by the mean, by second.
+
+        Args:
+            first_second: First second of the load to include.
+        """
+        end_second = self.plan.duration_ms // 1000
         return [
             max(row) / statistics.mean(row)
-            for row in self.utilization_ratios[first_second:last]
+            for row in self.utilization_ratios[first_second:end_second]
         ]
 
     def elapsed_ms(
         self, kind: str, start_ms: float = 0, end_ms: float = 1e9
     ) -> list[float]:
-        """Returns times of complete responses by kind and arrival time."""
+        """Returns the response times of the requests that did not fail.
+
+        Args:
+            kind: Kind of the requests, `short` or `long`.
+            start_ms: Earliest time of arrival.
+            end_ms: Upper bound of the time of arrival, exclusive.
+        """
         return [
             sample.elapsed_ms
             for sample in self.samples
@@ -169,7 +201,15 @@
         ]
 
     def goodput_ratio(self, start_ms: float, end_ms: float) -> float:
-        """Returns the work completed within its deadline over the capacity."""
+        """Returns the useful work in a period as a fraction of the capacity.
+
+        This is the execution time at speed 1 of the requests that completed in
+        the period and within their deadline.
+
+        Args:
+            start_ms: Start of the period.
+            end_ms: End of the period.
+        """
         work_ms = sum(
             sample.job.nominal_ms
             for sample in self.samples
@@ -185,21 +225,30 @@
 
 
 class _Run:
+    """Simulated service and callers of one run."""
+
     def __init__(self, plan: Plan) -> None:
         self._plan = plan
         self._rng = random.Random(plan.seed)
         # A separate random source, so that every policy sees the same arrivals.
         self._load_rng = random.Random(f"load-{plan.seed}")
         self._clock = _virtual_time.VirtualClock()
-        fifo = plan.policy is not Policy.DEFAULT
+        is_baseline = plan.policy is not Policy.DEFAULT
         self._service = _model.ModelService(
             self._clock,
             self._rng,
-            _PLACEMENTS.get(plan.policy, _model.shortest_expected_delay),
-            _fifo_queue if fifo else requests.FairQueue,
-            requests.AdmitAll if fifo else requests.ExpectedWaitAdmission,
+            _BASELINE_PLACEMENTS.get(
+                plan.policy, _model.shortest_expected_delay
+            ),
+            _fifo_queue if is_baseline else requests.FairQueue,
+            requests.AdmitAll
+            if is_baseline
+            else requests.ExpectedWaitAdmission,
         )
-        self._budgets = [requests.RetryBudget() for _ in range(_CALLER_COUNT)]
+        # Indexed by caller, as are the connected nodes.
+        self._retry_budgets = [
+            requests.RetryBudget() for _ in range(_CALLER_COUNT)
+        ]
         self._connected_nodes: list[_model.ModelNode] = []
         self._attempt_count = 0
 
@@ -207,6 +256,7 @@
         plan = self._plan
         for index, speed in enumerate(plan.speeds):
             self._service.start_node(index, speed)
+        # Tells every node of its peers.
         self._service.connect()
         nodes = self._service.nodes
         self._connected_nodes = [
@@ -237,45 +287,47 @@
     def _make_job(self, number: int) -> _load.Job:
         plan = self._plan
         if self._load_rng.random() < plan.long_ratio:
-            length_ms = plan.mean_ms * plan.long_factor
-            return _load.Job(number, "long", length_ms, LONG.deadline_ms)
-        length_ms = self._load_rng.gammavariate(
+            nominal_ms = plan.mean_ms * plan.long_factor
+            return _load.Job(number, "long", nominal_ms, LONG.deadline_ms)
+        nominal_ms = self._load_rng.gammavariate(
             _ERLANG_SHAPE, plan.mean_ms / _ERLANG_SHAPE
         )
-        return _load.Job(number, "short", length_ms, SHORT.deadline_ms)
+        return _load.Job(number, "short", nominal_ms, SHORT.deadline_ms)
 
     async def _send(self, job: _load.Job) -> core.Outcome[requests.Response]:
-        caller = job.number % _CALLER_COUNT
+        """Sends a request and retries it within the caller's retry budget."""
+        caller_index = job.number % _CALLER_COUNT
         end_ms = self._clock.now_ms() + job.deadline_ms
         while True:
             self._attempt_count += 1
-            outcome = await self._attempt(job, caller, end_ms)
+            outcome = await self._attempt(job, caller_index, end_ms)
             if isinstance(outcome, core.Ok):
-                self._budgets[caller].record_success()
+                self._retry_budgets[caller_index].record_success()
                 return outcome
             delay_ms = requests.retry_delay_ms(
                 self._rng, outcome.retry_after_ms
             )
-            late = self._clock.now_ms() + delay_ms >= end_ms
-            if late or not self._budgets[caller].try_spend():
+            too_late = self._clock.now_ms() + delay_ms >= end_ms
+            if too_late or not self._retry_budgets[caller_index].try_spend():
                 return outcome
             await self._clock.sleep(delay_ms)
 
     async def _attempt(
-        self, job: _load.Job, caller: int, end_ms: int
+        self, job: _load.Job, caller_index: int, end_ms: int
     ) -> core.Outcome[requests.Response]:
-        treatment = _TREATMENTS[job.kind]
+        """Sends a request once, through the node of the caller's connection."""
+        treatment = _TREATMENTS_BY_KIND[job.kind]
         work = requests.WorkItem(
             request_id=str(job.number),
             treatment=treatment,
             method=treatment.method,
             path=f"{treatment.path_prefix}?ms={job.nominal_ms}",
             body=b"",
-            caller=f"caller-{caller}",
+            caller=f"caller-{caller_index}",
             arrived_ms=self._clock.now_ms(),
             deadline_ms=end_ms,
         )
-        connected_node = self._connected_nodes[caller]
+        connected_node = self._connected_nodes[caller_index]
         outcome: core.Outcome[requests.Response]
         try:
             async with asyncio.timeout(job.deadline_ms / 1000):
@@ -290,7 +342,9 @@
             )
         if connected_node.dead.is_set() or connected_node.paused:
             # The caller reconnects when its connection stops responding.
-            self._connected_nodes[caller] = self._rng.choice(self._live_nodes())
+            self._connected_nodes[caller_index] = self._rng.choice(
+                self._live_nodes()
+            )
         return outcome
 
     def _live_nodes(self) -> list[_model.ModelNode]:
@@ -301,7 +355,7 @@
         ]
 
     async def _report_load(self) -> None:
-        """Updates load reports with a lag of 1 s; two may always say idle."""
+        """Updates the load that backend servers report, with a lag."""
         nodes = self._service.nodes
         while True:
             loads = [float(node.backend.running_count) for node in nodes]
@@ -313,11 +367,13 @@
                 )
 
     async def _inject_fault(self) -> None:
+        """Causes the fault of the plan at the first node."""
         await self._clock.sleep(self._plan.fault_ms)
         node = self._service.nodes[0]
         if self._plan.fault is TargetFault.KILL:
             node.kill()
-            # Failure detection takes at most 3 s.
+            # The peers drop the node after 2 s; failure detection takes at most
+            # 3 s.
             await self._clock.sleep(2_000)
             self._service.connect()
         elif self._plan.fault is TargetFault.PAUSE:
@@ -326,44 +382,48 @@
             node.backend.failing = True
 
     def _utilization_ratios(self) -> tuple[tuple[float, ...], ...]:
-        first = _WARM_UP_MS // 1000
-        last = first + self._plan.duration_ms // 1000
+        # Busy time is recorded by second from the start of the warm-up.
+        first_second = _WARM_UP_MS // 1000
+        end_second = first_second + self._plan.duration_ms // 1000
         return tuple(
             tuple(
                 backend.busy_ms[second] / (backend.slot_count * 1000)
                 for backend in self._service.backends
             )
-            for second in range(first, last)
+            for second in range(first_second, end_second)
         )
 
 
 def ideal_elapsed_ms(result: RunResult) -> list[float]:
     """Returns response times of short requests under an ideal scheduler.
 
-    The ideal scheduler is a single queue with complete knowledge. It never
-    leaves a slot idle while work waits and runs short requests first, on the
-    same arrivals.
+    The ideal scheduler has a single queue and complete knowledge of the slots
+    and requests. It never leaves a slot idle while a request waits, and runs
+    short requests before long ones.
 
     Args:
         result: Run whose arrivals are used; all speeds must be 1.
     """
-    jobs = sorted(result.samples, key=lambda sample: sample.started_ms)
+    samples = sorted(result.samples, key=lambda sample: sample.started_ms)
+    # Heap of the times at which slots become free.
     free_ms = [0.0] * round(result.plan.slots)
+    # Heap of the rank (0 for short requests, 1 for long ones), the time of
+    # arrival and the execution time of the waiting requests.
     waiting: list[tuple[int, float, float]] = []
-    elapsed: list[float] = []
+    elapsed_ms: list[float] = []
     index = 0
-    while index < len(jobs) or waiting:
+    while index < len(samples) or waiting:
         start_ms = heapq.heappop(free_ms)
-        if not waiting and index < len(jobs):
-            start_ms = max(start_ms, jobs[index].started_ms)
-        while index < len(jobs) and jobs[index].started_ms <= start_ms:
-            sample = jobs[index]
+        if not waiting and index < len(samples):
+            start_ms = max(start_ms, samples[index].started_ms)
+        while index < len(samples) and samples[index].started_ms <= start_ms:
+            sample = samples[index]
             rank = int(sample.job.kind == "long")
             item = (rank, sample.started_ms, sample.job.nominal_ms)
             heapq.heappush(waiting, item)
             index += 1
-        rank, arrived_ms, length_ms = heapq.heappop(waiting)
-        heapq.heappush(free_ms, start_ms + length_ms)
+        rank, arrived_ms, nominal_ms = heapq.heappop(waiting)
+        heapq.heappush(free_ms, start_ms + nominal_ms)
         if rank == 0:
-            elapsed.append(start_ms + length_ms - arrived_ms)
-    return elapsed
+            elapsed_ms.append(start_ms + nominal_ms - arrived_ms)
+    return elapsed_ms
