Explain offers in the flow placer

Renames tried_agents to excluded_agents, deadline_ms to due_ms, reason to decline_reason, unanswered_count to unanswered_offer_count and in_time to is_latest_offer.

--- a/libs/flows/src/fireflyford/flows/_flow_placer.py
+++ b/libs/flows/src/fireflyford/flows/_flow_placer.py
@@ -1,4 +1,8 @@
-"""Placement of new flows by offers to agents until one accepts."""
+"""Placement of new flows by their directory agent.
+
+The directory agent offers a flow to one agent after another until one accepts
+it. An offer is the opening packet, relayed with `Handling.PLACE`.
+"""
 
 from fireflyford import core
 from fireflyford import telemetry
@@ -18,11 +22,11 @@
 # Offers of one flow that may remain unanswered; more would add to the load that
 # makes the agents slow.
 MAX_UNANSWERED_OFFERS = 3
-# How long an agent that has not answered is a suspect, which is offered flows
-# only if no other agent has room.
+# An agent that has not answered an offer in time is a suspect for this time: it
+# is offered flows only if no other agent has room.
 SUSPECT_MS = 1_000
-# Declines for lack of a free slot after which any agent with room may queue the
-# flow.
+# After this many declines for lack of a free slot, an agent with room may
+# accept the flow even if its requests have to wait for a slot.
 MAX_BUSY_DECLINES = 2
 # A new flow is refused if no backend server has had room within this time. The
 # client retransmits its opening packet for 600 ms and gives up 1.4 s after the
@@ -30,7 +34,7 @@
 QUEUE_LIMIT_MS = 800
 # Interval at which placement of a queued flow is tried again.
 QUEUE_RETRY_MS = 20
-# Bounds the log lines of a queued flow, which may make an offer every 20 ms.
+# Bounds the log lines of a queued flow, which may be offered every 20 ms.
 MAX_LOGGED_OFFERS = 3
 # Target states in which an agent declines every new flow.
 _DECLINING_STATES = frozenset(_types.TargetState) - {_types.TargetState.READY}
@@ -45,15 +49,21 @@
         self.forward = forward
         self.packet = packet
         self.started_ms = now_ms
-        self.tried_agents: set[core.Address] = set()
+        # Agents that are not offered the flow again until it is queued.
+        self.excluded_agents: set[core.Address] = set()
+        # Agent of the latest offer, None while the flow is queued.
         self.offered_to: core.Address | None = None
-        self.deadline_ms = 0
+        # Time at which the offer times out, placement of a queued flow is tried
+        # again, or an abandoned attempt is removed.
+        self.due_ms = 0
         self.busy_decline_count = 0
         self.offer_count = 0
-        self.unanswered_count = 0
+        self.unanswered_offer_count = 0
         self.is_abandoned = False
         self.offered_ms = now_ms
-        self.reason = _messages.DeclineReason.UNKNOWN_STATE
+        # Why no agent has accepted the flow so far.
+        self.decline_reason = _messages.DeclineReason.UNKNOWN_STATE
+        # Whether the flow has been queued here because no agent had room.
         self.is_queued = False
 
 
@@ -105,8 +115,9 @@
         if attempt is None:
             return
         now_ms = self._clock.now_ms()
-        in_time = attempt.offered_to == sender
-        since_ms = attempt.offered_ms if in_time else attempt.started_ms
+        is_latest_offer = attempt.offered_to == sender
+        # The time of an earlier offer is not kept.
+        since_ms = attempt.offered_ms if is_latest_offer else attempt.started_ms
         self._timer.record_response(now_ms - since_ms)
         kind = "waited" if attempt.is_queued else "at-once"
         telemetry.observe("flow_placement", now_ms - attempt.started_ms, kind)
@@ -136,8 +147,8 @@
         if message.reason is _messages.DeclineReason.BUSY:
             attempt.busy_decline_count += 1
         else:
-            attempt.tried_agents.add(sender)
-        attempt.reason = message.reason
+            attempt.excluded_agents.add(sender)
+        attempt.decline_reason = message.reason
         return self._place(attempt)
 
     def record_load(self, sender: core.Address, load: _types.Load) -> None:
@@ -150,7 +161,7 @@
         now_ms = self._clock.now_ms()
         actions: list[_types.Action] = []
         for flow, attempt in tuple(self._attempts.items()):
-            if now_ms < attempt.deadline_ms:
+            if now_ms < attempt.due_ms:
                 continue
             if attempt.is_abandoned:
                 del self._attempts[flow]
@@ -172,17 +183,17 @@
         )
         self._timer.record_timeout()
         self._suspect_until_ms[offered_to] = now_ms + SUSPECT_MS
-        attempt.tried_agents.add(offered_to)
-        attempt.unanswered_count += 1
-        if attempt.unanswered_count < MAX_UNANSWERED_OFFERS:
+        attempt.excluded_agents.add(offered_to)
+        attempt.unanswered_offer_count += 1
+        if attempt.unanswered_offer_count < MAX_UNANSWERED_OFFERS:
             return self._place(attempt)
         # The attempt is kept because a late acceptance still updates the timer.
         attempt.is_abandoned = True
-        attempt.deadline_ms = now_ms + MAX_OFFER_TIMEOUT_MS
+        attempt.due_ms = now_ms + MAX_OFFER_TIMEOUT_MS
         return []
 
     def _place(self, attempt: _PlacementAttempt) -> list[_types.Action]:
-        """Offers a new flow to an agent, or queues it."""
+        """Offers a new flow to an agent, or queues it if none has room."""
         candidates = self._candidates(attempt)
         if not candidates:
             return self._queue(attempt)
@@ -191,7 +202,7 @@
         self._recent_placements.setdefault(chosen.address, []).append(now_ms)
         attempt.offered_to = chosen.address
         attempt.offered_ms = now_ms
-        attempt.deadline_ms = now_ms + self._timer.timeout_ms()
+        attempt.due_ms = now_ms + self._timer.timeout_ms()
         allow_queueing = (
             attempt.busy_decline_count >= MAX_BUSY_DECLINES
             or len(candidates) == 1
@@ -229,18 +240,18 @@
             telemetry.log(
                 "flow-refused",
                 flow=_types.describe_flow(flow),
-                reason=attempt.reason.name.lower(),
+                reason=attempt.decline_reason.name.lower(),
                 offers=attempt.offer_count,
                 waited_ms=now_ms - attempt.started_ms,
             )
-            refusal = _messages.PlacementRefused(flow, attempt.reason)
+            refusal = _messages.PlacementRefused(flow, attempt.decline_reason)
             return [_messages.Send(attempt.forward.balancer, refusal)]
         is_newly_queued = not attempt.is_queued
         attempt.offered_to = None
         attempt.is_queued = True
-        attempt.deadline_ms = now_ms + QUEUE_RETRY_MS
+        attempt.due_ms = now_ms + QUEUE_RETRY_MS
         # Agents that declined the flow may accept it on the next try.
-        attempt.tried_agents.clear()
+        attempt.excluded_agents.clear()
         if not is_newly_queued:
             return []
         self._log_queued(attempt)
@@ -256,7 +267,7 @@
         telemetry.log(
             "flow-waits",
             flow=_types.describe_flow(attempt.packet.flow),
-            reason=attempt.reason.name.lower(),
+            reason=attempt.decline_reason.name.lower(),
             agents=len(loads),
             slots=sum(load.slot_count for load in loads),
             busy=sum(load.busy_count for load in loads),
@@ -276,7 +287,7 @@
         now_ms = self._clock.now_ms()
         preferred, last_resort = [], []
         for agent in self._fleet.agents(self._own_instance.service):
-            if agent.address in attempt.tried_agents:
+            if agent.address in attempt.excluded_agents:
                 continue
             load = self._expected_load(agent.address)
             candidate = _placement.Candidate(
@@ -289,7 +300,7 @@
             if is_load_known and load.state in _DECLINING_STATES:
                 continue
             if not _placement.has_room(load, candidate.placed_count):
-                attempt.reason = _messages.DeclineReason.BUSY
+                attempt.decline_reason = _messages.DeclineReason.BUSY
                 continue
             if (
                 load.state is _types.TargetState.READY
@@ -305,7 +316,10 @@
         return _placement.expected_load(self._fleet.load(address), age_ms)
 
     def _recent_placement_count(self, address: core.Address) -> int:
-        """Returns the flows placed at an agent since its last load report."""
+        """Returns the number of flows placed since the last load report.
+
+        A flow counts only as long as its agent would reserve a slot for it.
+        """
         oldest_ms = self._clock.now_ms() - _flow_tracker.RESERVATION_MS
         times = [
             placed_ms
