--- a/libs/flows/src/fireflyford/flows/_target_forwarder.py
+++ b/libs/flows/src/fireflyford/flows/_target_forwarder.py
@@ -25,9 +25,10 @@
 # A running backend server sends a report within this time after the start of
 # the agent: the interval is at most 1.2 s, and one report may be lost.
 FIRST_KEEPALIVE_MS = 2_500
-# A delivery tag identifies a delivered packet; a returned packet carries it.
+# A delivery tag identifies a delivered probe, and a returned packet carries it;
+# 0 means no tag.
 _MAX_DELIVERY_TAG = 0x7FFFFFFF
-# Prevents forwarding loops between agents whose views differ.
+# Prevents forwarding loops between agents whose views of the fleet differ.
 MAX_HOPS = 4
 # Flows announced in one message.
 ANNOUNCEMENT_BATCH_COUNT = 64
@@ -98,7 +99,11 @@
         forward: _messages.Forward,
         packet: _types.Packet,
     ) -> list[_types.Action]:
-        """Handles a packet for the backend server."""
+        """Handles a packet for the backend server.
+
+        With `Handling.PLACE` the packet offers a new flow, with `HELD` its flow
+        is presumed to be held here, and with `SEARCH` every agent receives it.
+        """
         if forward.handling is _messages.Handling.PLACE:
             return self._open(sender, forward, packet)
         tracked = self.tracker.get(packet.flow)
@@ -259,6 +264,7 @@
         return actions
 
     def _handle_accepted(self, packet: _types.Packet) -> list[_types.Action]:
+        """Handles the backend server's answer that accepts a flow."""
         tracked = self.tracker.get(packet.flow)
         if tracked is not None:
             return [_types.Reply(packet)]
@@ -320,7 +326,12 @@
         self._has_keepalive = True
 
     def update_state(self, state: _types.TargetState, slot_count: int) -> None:
-        """Applies the state that the backend server reports."""
+        """Applies the state that the backend server reports.
+
+        Args:
+            state: State of the backend server.
+            slot_count: Requests that it processes concurrently.
+        """
         self.tracker.slot_count = max(1, slot_count)
         if state is not self.state:
             telemetry.log(
@@ -344,7 +355,7 @@
     def mark_down(self, reason: str) -> list[_types.Action]:
         """Handles the failure of the backend server.
 
-        Its flows are lost, so they are reset for the clients that wait.
+        Its flows are lost, so the open ones are reset at their clients.
         """
         if self.state is _types.TargetState.DOWN:
             return []
@@ -391,9 +402,9 @@
                 break
             is_starting = now_ms - self._started_ms < FIRST_KEEPALIVE_MS
             if not self._has_keepalive and is_starting:
-                # A packet that is not returned belongs to a held flow only if
-                # the backend server is running. That is not known before its
-                # first report.
+                # A probe that is not returned shows that the flow is held only
+                # if the backend server is running, which is not known before
+                # its first report.
                 break
             if not self._has_keepalive:
                 actions += self._report_not_held(
@@ -408,7 +419,7 @@
         """Starts to track a flow that was opened before this process started.
 
         The backend server has sent a packet of the flow, or has not returned
-        one in time.
+        a probe in time.
         """
         telemetry.log("flow-adopted", flow=_types.describe_flow(flow))
         probes = [
