--- a/libs/flows/src/fireflyford/flows/_balancer.py
+++ b/libs/flows/src/fireflyford/flows/_balancer.py
@@ -1,7 +1,9 @@
-"""Decisions of one balancer.
+"""Decisions of one balancer about the packets of clients.
 
-A balancer keeps no state that a flow depends on: its table of holders is a
-cache in front of the directories at the agents.
+The holder of a flow is the agent whose backend server has the flow; the flow's
+directory agent records the holder, or places the flow if it is new. A balancer
+keeps no state that a flow depends on: its table of holders is a cache in front
+of the directories at the agents.
 """
 
 import collections
@@ -19,18 +21,19 @@
 # A cached holder takes some 100 bytes.
 MAX_CACHED_HOLDERS = 65_536
 # A directory agent that has not answered within this time is a suspect for
-# `SUSPECT_MS`. Covers the time limits of an offer
-# (`_flow_placer.OFFER_TIMEOUT_MS`) and of a search.
+# `SUSPECT_MS`: another agent is asked instead. Covers the time limits of an
+# offer (`_flow_placer.OFFER_TIMEOUT_MS`) and of a search.
 DIRECTORY_TIMEOUT_MS = 150
 SUSPECT_MS = 1_000
 # Delay before an unanswered packet is sent again; it doubles with each retry.
-# A restarted agent gets the packet sooner than by waiting for the client, which
-# retransmits 200, 600 and 1,400 ms after its first packet.
+# A retry reaches a restarted agent sooner than the retransmissions of the
+# client, 200, 600 and 1,400 ms after its first packet.
 RETRY_MS = 80
 MAX_RETRY_MS = 800
-# By then the client has given up opening the flow or retransmitted its packet.
+# Time after which a packet is no longer retried. By then the client has given
+# up opening the flow or retransmitted its packet.
 RETRY_LIMIT_MS = 1_300
-# Agents on the ring that may act as directory agent while earlier ones are
+# Agents on the hash ring that may act as directory agent while earlier ones are
 # suspects.
 DIRECTORY_CANDIDATE_COUNT = 4
 # Limit of packets that wait for the directory agent's answer.
@@ -95,6 +98,7 @@
     ):
         self.packet = packet
         self.service = service
+        # Services to ask if this one does not hold the flow.
         self.other_services = other_services
         self.directory_agent = directory_agent
         self.route = route
@@ -128,7 +132,9 @@
         self._table: RouteTable | None = None
         # Services of each route in earlier versions of the configuration.
         self._earlier_services: dict[core.Address, tuple[str, ...]] = {}
-        self._removed_routes: set[core.Address] = set()
+        # Addresses of routes that only earlier versions contain.
+        self._removed_addresses: set[core.Address] = set()
+        # Holder and service of each flow, least recently used first.
         self._holders: collections.OrderedDict[
             bytes, tuple[core.Address, str]
         ] = collections.OrderedDict()
@@ -162,8 +168,8 @@
                     dict.fromkeys([*services, *known])
                 )
                 if address not in table.routes:
-                    self._removed_routes.add(address)
-        self._removed_routes -= table.routes.keys()
+                    self._removed_addresses.add(address)
+        self._removed_addresses -= table.routes.keys()
         telemetry.log(
             "config-applied",
             version=table.version,
@@ -200,6 +206,7 @@
                 return []
             self._suspect_if_overdue(pending)
             if not packet.opens and pending.service in services:
+                # The flow was not found at the services before it.
                 index = services.index(pending.service)
                 services = services[index:]
         return self._resolve(packet, services, route)
@@ -281,6 +288,10 @@
     def _resolve(
         self, packet: _types.Packet, services: list[str], route: Route
     ) -> list[_types.Action]:
+        """Asks the directory agent of the first service for the holder.
+
+        The other services are asked in turn if the flow is not found.
+        """
         service, *other_services = services
         directory_agent = self._directory_agent(service, packet.flow)
         pending = _PendingPacket(
@@ -397,7 +408,7 @@
         self, packet: _types.Packet, address: core.Address
     ) -> list[_types.Action]:
         """Resets a flow if its route is known not to exist."""
-        is_certain = address in self._removed_routes or packet.opens
+        is_certain = address in self._removed_addresses or packet.opens
         if self._table is None or not self.is_current or not is_certain:
             return []
         if packet.resets:
