--- a/libs/flows/src/fireflyford/flows/_holder_search.py
+++ b/libs/flows/src/fireflyford/flows/_holder_search.py
@@ -1,4 +1,4 @@
-"""Search for the holders of flows without a directory entry."""
+"""Search by a directory agent for the holders of flows without an entry."""
 
 from fireflyford import core
 from fireflyford import telemetry
@@ -11,11 +11,12 @@
 # after 200 ms.
 SEARCH_TIMEOUT_MS = 150
 MAX_SEARCH_TIMEOUT_MS = 1_000
-# Minimum delay between searches for a flow after one has failed; balancers and
-# the client keep sending its packets.
+# Minimum delay after a failed search before the next one for the same flow;
+# balancers and the client keep sending its packets.
 SEARCH_RETRY_DELAY_MS = 250
 # Packets of one flow that are queued during a search: one window of the client.
 MAX_QUEUED_PACKETS = 16
+# Limit of searches in progress; a packet that would need another is dropped.
 MAX_SEARCHES = 4_096
 # A directory agent that has just started may not know agents without a registry
 # entry. Until their heartbeats have had time to arrive, a search never reports
@@ -138,10 +139,10 @@
             service=self._own_instance.service,
         )
         last = search.packets[-1]
-        unknown = _messages.FlowNotFound(
+        not_found = _messages.FlowNotFound(
             flow, last.ack, last.payload_bytes > 0 and not last.resets
         )
-        return [_messages.Send(search.forward.balancer, unknown)]
+        return [_messages.Send(search.forward.balancer, not_found)]
 
     def sweep(self) -> None:
         """Ends searches that have timed out."""
@@ -165,7 +166,7 @@
         self._failures.pop(flow, None)
         self._failures[flow] = now_ms
         while self._failures:
-            oldest, failed_ms = next(iter(self._failures.items()))
+            oldest_flow, failed_ms = next(iter(self._failures.items()))
             if now_ms - failed_ms < SEARCH_RETRY_DELAY_MS:
                 break
-            del self._failures[oldest]
+            del self._failures[oldest_flow]
