--- a/libs/flows/src/fireflyford/flows/_flow_tracker.py
+++ b/libs/flows/src/fireflyford/flows/_flow_tracker.py
@@ -1,4 +1,7 @@
-"""Flows and load of the backend server of an agent."""
+"""Flows and load of the backend server of an agent.
+
+A backend server processes as many requests concurrently as it has slots.
+"""
 
 import collections
 
@@ -15,7 +18,7 @@
 # Ended flows are kept for late retransmissions of both sides, which are up to
 # 1.6 s apart.
 ENDED_FLOW_RETENTION_MS = 10_000
-# Age and idle time after which a flow may be discarded.
+# A flow is discarded at this age, or after this time without a packet.
 FLOW_LIFETIME_MS = 120_000
 FLOW_IDLE_MS = 60_000
 # Weight of a new sample in the mean service time.
@@ -45,6 +48,8 @@
         self.client_seq_end: int | None = None
         self.client_ack = 0
         self.reserved_until_ms = now_ms + RESERVATION_MS
+        # Arrival time of the request in progress, and whether a slot was free
+        # for it.
         self.busy_since_ms: int | None = None
         self.had_free_slot = False
         self.ended = False
@@ -52,8 +57,9 @@
     def matches(self, packet: _types.Packet) -> bool:
         """Returns whether a client's packet belongs to this flow.
 
-        If another backend server also answered the first packet, the client
-        may have opened the flow there and acknowledges that sequence instead.
+        Another backend server may also have accepted the flow. If the client
+        has opened it there, it acknowledges that server's sequence numbers,
+        which this one has not sent.
         """
         if packet.opens or self.first_seq is None or not packet.acknowledges:
             return True
@@ -77,7 +83,9 @@
             collections.OrderedDict()
         )
         self.slot_count = slot_count
+        # Mean time from a request to its response, 0 until one is measured.
         self.service_ms = 0.0
+        # Requests in progress, including those that wait for a slot.
         self._busy_count = 0
 
     def __len__(self) -> int:
@@ -202,7 +210,7 @@
         )
 
     def expire(self) -> None:
-        """Removes ended and idle flows, and times out unanswered requests."""
+        """Removes ended, idle and old flows, and times out requests."""
         now_ms = self._clock.now_ms()
         for flow, tracked in tuple(self._flows.items()):
             idle_ms = now_ms - tracked.last_used_ms
@@ -245,6 +253,7 @@
 
 
 def _has_new_data(known_end: int | None, packet: _types.Packet) -> bool:
+    """Returns whether a packet carries data beyond the known end."""
     if known_end is None:
         return True
     ahead = _types.sequence_distance(known_end, _sequence_end(packet))
