--- a/libs/flows/src/fireflyford/flows/_balancer.py
+++ b/libs/flows/src/fireflyford/flows/_balancer.py
@@ -25,7 +25,8 @@
 # offer (`_flow_placer.OFFER_TIMEOUT_MS`) and of a search.
 DIRECTORY_TIMEOUT_MS = 150
 SUSPECT_MS = 1_000
-# Delay before an unanswered packet is sent again; it doubles with each retry.
+# Bounds of the delay before an unanswered packet is sent again. It follows the
+# measured response times, and doubles with each further retry of the packet.
 # A retry reaches a restarted agent sooner than the retransmissions of the
 # client, 200, 600 and 1,400 ms after its first packet.
 RETRY_MS = 80
--- a/libs/flows/src/fireflyford/flows/_flow_placer.py
+++ b/libs/flows/src/fireflyford/flows/_flow_placer.py
@@ -13,10 +13,10 @@
 from fireflyford.flows import _response_timer
 from fireflyford.flows import _types
 
-# Minimum time after which an unanswered offer goes to another agent. Covers the
-# agent's own limit for its backend server
-# (`_target_forwarder.OPENING_LIMIT_MS`) plus a round trip between availability
-# zones.
+# Bounds of the time after which an unanswered offer goes to another agent; it
+# follows the measured response times. The minimum covers the agent's own limit
+# for its backend server (`_target_forwarder.OPENING_LIMIT_MS`) plus a round
+# trip between availability zones.
 OFFER_TIMEOUT_MS = 70
 MAX_OFFER_TIMEOUT_MS = 600
 # Offers of one flow that may remain unanswered; more would add to the load that
@@ -282,7 +282,9 @@
     ) -> list[_placement.Candidate]:
         """Returns the agents with room.
 
-        Suspects and agents whose target state is unknown are a last resort.
+        An agent has room while its backend server is below the limit of pending
+        requests for each slot. Suspects and agents whose target state is
+        unknown are a last resort.
         """
         now_ms = self._clock.now_ms()
         preferred, last_resort = [], []
@@ -312,6 +314,10 @@
         return preferred or last_resort
 
     def _expected_load(self, address: core.Address) -> _types.Load:
+        """Estimates the current load of an agent from its last report.
+
+        Each keepalive reports the load, so the report has the same age.
+        """
         age_ms = self._fleet.keepalive_age_ms(address) or 0
         return _placement.expected_load(self._fleet.load(address), age_ms)
 
--- a/libs/flows/src/fireflyford/flows/_holder_search.py
+++ b/libs/flows/src/fireflyford/flows/_holder_search.py
@@ -7,8 +7,9 @@
 from fireflyford.flows import _response_timer
 from fireflyford.flows import _types
 
-# Minimum time limit for answers to a search; the client retransmits its packet
-# after 200 ms.
+# Bounds of the time limit for answers to a search, which follows the measured
+# response times. The minimum is below the 200 ms after which the client
+# retransmits its packet.
 SEARCH_TIMEOUT_MS = 150
 MAX_SEARCH_TIMEOUT_MS = 1_000
 # Minimum delay after a failed search before the next one for the same flow;
