--- a/libs/routing/src/fireflyford/routing/_entries.py
+++ b/libs/routing/src/fireflyford/routing/_entries.py
@@ -6,15 +6,18 @@
 from fireflyford import core
 from fireflyford.routing import _flow_messages
 
-# A full table evicts an entry of a flow that is held elsewhere once the entry
-# is idle for this long. Searches take far less time, so none is evicted while
-# it runs.
+# A full table evicts its least recently used entry if that is idle for at least
+# this long and is not a held flow. Searches take far less time, so none is
+# evicted while it runs.
 MIN_EVICTION_IDLE_MS = 5_000
 
 
 class Entry:
     """State of one flow at this agent.
 
+    Attributes named `*timestamp_ms` are the low 40 bits of the wall-clock time,
+    as messages carry them between agents. All other times are monotonic.
+
     Attributes:
         used_ms: Time of the last use.
     """
@@ -48,10 +51,12 @@
     Attributes:
         timestamp_ms: Wall-clock start of the search.
         chain: Candidates to ask in order, followed by this agent.
-        attempt_count: Searches repeated after a timeout.
+        attempt_count: Number of attempts after the first, each made after a
+            timeout.
         deadline_ms: Time at which the current attempt times out.
         competing_agents: Agents whose datagrams of the flow were held back
-            until this search ends.
+            until this search ends. They are notified if this agent adopts the
+            flow.
     """
 
     def __init__(
@@ -73,16 +78,19 @@
 class DirectoryEntry(Entry):
     """Entry of a flow that another agent holds.
 
-    A tentative entry records that the other agent started a search at
-    `timestamp_ms` and adopts the flow if no agent holds it.
+    A tentative entry names the agent that is expected to adopt the flow if the
+    search begun at `timestamp_ms` finds no holder. It is the searching agent
+    or, if a draining agent has passed its search on, that agent's successor.
 
     Attributes:
         holder: The other agent.
-        tentative: Whether the other agent is still searching.
+        tentative: Whether the other agent has not announced yet that it holds
+            the flow.
         timestamp_ms: Wall-clock start of the search for a tentative entry.
         added_ms: Time at which the entry was added.
-        unconfirmed_count: Datagrams forwarded to the holder that it should
-            have confirmed.
+        unconfirmed_count: Number of forwarded datagrams, at most one for each
+            confirmation interval, since the holder last confirmed that it holds
+            the flow. A confirmation replaces the entry.
         last_counted_ms: Time at which `unconfirmed_count` last increased.
     """
 
@@ -164,8 +172,9 @@
         """Adds or replaces an entry.
 
         Returns:
-            False if the table is full. Held flows are never evicted, so a
-            flood of new keys cannot break open flows.
+            False if a limit is reached and the entry was not stored. Held
+            flows are never evicted, so a flood of new keys cannot break open
+            flows.
         """
         known = self._by_key.get(flow_key)
         if known is None and not self._make_room(entry.used_ms):
@@ -203,12 +212,12 @@
         Returns:
             Keys of the held flows among the removed entries.
         """
-        dropped = []
+        held_keys = []
         while self._by_key:
             key, entry = next(iter(self._by_key.items()))
             if entry.used_ms >= oldest_ms:
                 break
             if isinstance(entry, HeldEntry):
-                dropped.append(key)
+                held_keys.append(key)
             self.remove(key)
-        return tuple(dropped)
+        return tuple(held_keys)
--- a/libs/routing/src/fireflyford/routing/_flow_table.py
+++ b/libs/routing/src/fireflyford/routing/_flow_table.py
@@ -1,4 +1,7 @@
-"""Flow table of an agent, which finds holders of flows without identifier."""
+"""Flow table of an agent, by which agents find the holder of a flow.
+
+Used for flows whose datagrams carry no identifier that names the holder.
+"""
 
 from collections.abc import Set
 import dataclasses
@@ -12,6 +15,12 @@
 class FlowTable:
     """Flows held by one agent and a directory of flows held by others.
 
+    An agent that receives a datagram of an unknown flow from a balancer starts
+    a search: it forwards the datagram along a chain of candidates that may hold
+    the flow, with itself as the last one. If the datagram comes back, or all
+    attempts time out, the agent adopts the flow and sends notices to the
+    candidates, which add directory entries.
+
     Methods take and return typed values and do no I/O; the code that calls
     them carries the decisions out. Competing claims to a flow are ordered by
     (timestamp, holder) and every agent accepts the lower one, so agents that
@@ -71,6 +80,7 @@
                 return self._forward_to_holder(entry, datagram)
             entry = None
         search = entry if isinstance(entry, _entries.SearchEntry) else None
+        # Only a datagram that comes directly from a balancer has no hops.
         if datagram.hops == 0:
             return self._search(search, datagram)
         if not datagram.chain:
@@ -86,6 +96,10 @@
             notice: The notice.
             sender: Agent that sent it, which may differ from
                 `notice.holder`.
+
+        Returns:
+            Decision with the action `DROP`, since a notice has no datagram to
+            handle. It may contain notices to send.
         """
         key = notice.flow_key
         entry = self._entries.touch(key, self._clock.now_ms())
@@ -108,8 +122,8 @@
             return _drop()
         if directory_entry.holder == notice.holder:
             return _drop()
-        # Forwarded to the previous holder, which disputes the claim if it is
-        # still alive.
+        # Forwarded to the previous holder, which disputes the claim if it still
+        # holds the flow.
         return _drop((dataclasses.replace(notice, to=directory_entry.holder),))
 
     def remove_holders(self, dead: Set[core.Holder]) -> None:
@@ -124,9 +138,9 @@
     def announce(self) -> tuple[_flow_messages.Notice, ...]:
         """Announces held flows to the targets on which they are now placed.
 
-        Called after this agent's view has changed. Without it, a flow could
-        not be found after it was idle for more ring changes than a chain has
-        candidates.
+        Called after this agent's view has changed. Otherwise a flow could not
+        be found again if, while it was idle, the ring changed more often than a
+        chain has candidates.
         """
         notices: list[_flow_messages.Notice] = []
         for key, entry in self._entries:
@@ -171,6 +185,7 @@
         Searches are always answered. Confirmations to an agent that follows a
         directory entry are limited to one per interval.
         """
+        # A search has a timestamp; the searching agent is last in its chain.
         if datagram.timestamp_ms and datagram.chain:
             return self._announce(
                 entry, datagram.flow_key, datagram.chain[-1:], 0
@@ -191,12 +206,14 @@
     ) -> bool:
         """Returns whether to forward to the holder that an entry names.
 
-        Removes the entry if it is no longer valid.
+        If not, the datagram is handled as if there were no entry. The entry
+        itself is removed only if it is no longer valid.
         """
         now_ms = self._clock.now_ms()
         if entry.tentative:
-            # The searching agent sends its own search on with an empty chain
-            # only if it is draining and does not adopt the flow.
+            # A search that comes from the searching agent with an empty chain
+            # was passed on to this agent, because the searching agent is
+            # draining and does not adopt the flow.
             ends_here = datagram.hops > 0 and not datagram.chain
             invalid = (
                 now_ms - entry.added_ms > _flow_limits.TENTATIVE_LIFETIME_MS
@@ -204,8 +221,8 @@
             )
             bypass = entry.permits_search(datagram)
         else:
-            # A stray copy of the search after which the holder adopted the
-            # flow does not invalidate the entry.
+            # A late copy of the search by which the holder adopted the flow
+            # goes on along its chain and does not invalidate the entry.
             bypass = datagram.timestamp_ms != 0 and datagram.chain[-1:] == (
                 entry.holder,
             )
@@ -214,6 +231,8 @@
                 and now_ms - entry.last_counted_ms
                 >= _flow_limits.CONFIRMATION_INTERVAL_MS
             )
+            # A holder delivers datagrams of its flow. If it forwards one, it no
+            # longer holds the flow.
             by_holder = datagram.sender == entry.holder.address
             invalid = unresponsive or (by_holder and not bypass)
         if invalid:
@@ -253,13 +272,16 @@
         now_ms = self._clock.now_ms()
         if search is not None and now_ms < search.deadline_ms:
             return _flow_messages.Decision(_flow_messages.Action.HOLD)
+        # A search whose last attempt ended long ago is started afresh.
         if search is None or (
             now_ms - search.deadline_ms > _flow_limits.PAUSE_THRESHOLD_MS
         ):
             timestamp_ms = self._timestamp_ms()
             if self._placement.successor(datagram.flow_key) is not None:
-                # A draining agent does not adopt flows. The later timestamp
-                # gives precedence to the search of any other agent.
+                # There is a successor only while this agent is draining and
+                # does not adopt flows. The later timestamp gives precedence to
+                # the search of any other agent, and is not late enough for
+                # others to discard the search as stale.
                 timestamp_ms += _flow_limits.MAX_MESSAGE_AGE_MS // 2
             search = _entries.SearchEntry(
                 now_ms, timestamp_ms, self._make_chain(datagram), now_ms
@@ -298,6 +320,8 @@
                 (search.timestamp_ms, self._own)
                 < (datagram.timestamp_ms, searcher)
             ):
+                # This agent's own search takes precedence; the datagram waits
+                # for its result.
                 if searcher not in search.competing_agents:
                     competing_agents = (*search.competing_agents, searcher)
                     search.competing_agents = competing_agents[
@@ -312,6 +336,8 @@
                 datagram.flow_key, searcher, datagram.timestamp_ms
             )
         else:
+            # Without a timestamp, the datagram follows a directory entry. If
+            # the sender's entry names this agent, it is wrong.
             notices = (self._make_release_notice(datagram),)
         if datagram.hops >= _flow_limits.MAX_HOPS:
             return _drop(notices)
@@ -331,8 +357,8 @@
     ) -> _flow_messages.Decision:
         """Handles a search that has asked all candidates without a result."""
         if search is not None and search.timestamp_ms != datagram.timestamp_ms:
-            # A draining agent passed its search on while this agent runs its
-            # own.
+            # A draining agent passed its search on to this agent, which runs
+            # its own; the datagram waits for the result.
             return _flow_messages.Decision(_flow_messages.Action.HOLD)
         return self._adopt(search, datagram)
 
@@ -376,7 +402,8 @@
         sender: core.Holder,
     ) -> _flow_messages.Decision:
         """Decides between this agent and another that claims a held flow."""
-        # The flow was adopted elsewhere while this agent was paused.
+        # This agent handled no datagram of the flow for so long before the
+        # other one adopted it that it is treated as paused.
         was_paused = (
             entry.last_datagram_timestamp_ms + _flow_limits.PAUSE_THRESHOLD_MS
             < notice.timestamp_ms
@@ -406,8 +433,8 @@
     ) -> _flow_messages.Notice:
         """Returns a notice to the sender that this agent does not hold a flow.
 
-        The receiver removes only a directory entry that names this agent.
-        Incarnation 0 matches every incarnation of the sender.
+        The receiver of the notice removes only a directory entry that names
+        this agent. Incarnation 0 matches every incarnation of the sender.
         """
         sender = core.Holder(datagram.sender, 0)
         return _flow_messages.Notice(
@@ -418,22 +445,25 @@
         self,
         entry: _entries.HeldEntry,
         flow_key: int,
-        candidates: tuple[core.Holder, ...],
+        recipients: tuple[core.Holder, ...],
         interval_ms: int,
     ) -> tuple[_flow_messages.Notice, ...]:
-        """Returns notices to agents not notified within `interval_ms`."""
+        """Returns notices that this agent holds the flow.
+
+        Leaves out recipients that were notified within `interval_ms`.
+        """
         now_ms = self._clock.now_ms()
         notices = []
-        for candidate in candidates:
-            notified_ms = entry.notified_ms.get(candidate, now_ms - interval_ms)
-            if candidate == self._own or now_ms - notified_ms < interval_ms:
+        for recipient in recipients:
+            notified_ms = entry.notified_ms.get(recipient, now_ms - interval_ms)
+            if recipient == self._own or now_ms - notified_ms < interval_ms:
                 continue
             if len(entry.notified_ms) >= _flow_limits.MAX_NOTIFIED_AGENTS:
                 del entry.notified_ms[next(iter(entry.notified_ms))]
-            entry.notified_ms[candidate] = now_ms
+            entry.notified_ms[recipient] = now_ms
             notices.append(
                 _flow_messages.Notice(
-                    candidate, flow_key, self._own, entry.timestamp_ms
+                    recipient, flow_key, self._own, entry.timestamp_ms
                 )
             )
         return tuple(notices)
@@ -444,7 +474,8 @@
         """Returns the candidates to ask, followed by this agent."""
         others = [item for item in datagram.chain if item != self._own]
         if self._placement.successor(datagram.flow_key) is not None:
-            # Leaves one hop for the successor that adopts the flow.
+            # While draining, leaves one hop for the successor that adopts the
+            # flow.
             others = others[: _flow_limits.MAX_CANDIDATES - 1]
         return (*others, self._own)
 
--- a/libs/routing/src/fireflyford/routing/_router.py
+++ b/libs/routing/src/fireflyford/routing/_router.py
@@ -1,4 +1,4 @@
-"""Stateless routing of datagrams to agents."""
+"""Routing of datagrams to agents, without state for each flow."""
 
 import abc
 from collections.abc import Iterable
@@ -7,8 +7,8 @@
 from fireflyford import core
 from fireflyford.routing import _ring
 
-# Maximum number of possible holders sent along with a datagram of a flow
-# without identifier.
+# Maximum number of possible holders sent along with a datagram that names no
+# holder and may belong to an open flow.
 MAX_CANDIDATES = 3
 # Previous rings are kept long enough for every balancer to receive the new view
 # and for every holder to announce its flows to the new candidates.
@@ -72,7 +72,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UnidentifiedFlowHint(Hint):
-    """Hint of a datagram without identifier, in a new or an open flow."""
+    """Hint of a datagram in a new or open flow that never names its holder."""
 
     key: int
 
@@ -94,7 +94,8 @@
     """Destination of one datagram.
 
     Attributes:
-        address: Link address of the agent.
+        address: Link address of the agent, at which it receives forwarded
+            datagrams.
         incarnation: Required incarnation of the agent; 0 accepts any.
         candidates: Other agents that may hold the flow, in search order.
     """
@@ -147,7 +148,8 @@
     def choose(self, hint: Hint) -> Route | None:
         """Returns the route of a datagram, or None if there is no target.
 
-        A holder named by the datagram is used even if it is not in the view.
+        A holder named by the datagram is used even if it is not among the
+        targets of this router.
         """
         holder = hint.holder()
         if holder is not None:
@@ -165,7 +167,10 @@
         )
 
     def _choose_draining(self, hint: Hint) -> Route | None:
-        """Routes to a draining target, so open flows reach their holders."""
+        """Routes to a draining target when no target accepts new flows.
+
+        This lets datagrams of open flows reach their holders.
+        """
         if not hint.needs_search():
             return None
         found = self._ring.walk(hint.flow_key(), 1)
@@ -185,6 +190,7 @@
         move to the next one, and when a target joins, it takes keys from the
         next one.
         """
+        # Used as an ordered set.
         found: dict[core.Holder, None] = {}
         if self._history:
             for ring in self._recent_rings():
@@ -194,12 +200,14 @@
                     and earlier.holder in self._present_holders
                 ):
                     found[earlier.holder] = None
+        # One more than the maximum, since `first` is removed below.
         for target in self._ring.walk(flow_key, MAX_CANDIDATES + 1):
             found.setdefault(target.holder, None)
         found.pop(first, None)
         return tuple(found)[:MAX_CANDIDATES]
 
     def _recent_rings(self) -> list[_ring.TargetRing]:
+        """Returns the previous rings that are not too old; forgets the rest."""
         oldest_ms = self._clock.now_ms() - RING_HISTORY_MS
         if self._history[-1][0] < oldest_ms:
             self._history = tuple(
