Explain the member table and gossip to new readers

_gossip: _FLUSH_INTERVAL_MS becomes _MIN_FLUSH_INTERVAL_MS, _MEMBERS_PER_MESSAGE and _CHANGES_PER_MESSAGE become _MAX_MEMBERS_PER_MESSAGE and _MAX_CHANGES_PER_MESSAGE, _active becomes _is_balancer, _config_version becomes _announced_config_version, _check_config_version becomes _announce_config_version, item and pending become pending and least_sent_first, refuted becomes is_refutation.

--- a/libs/membership/src/fireflyford/membership/_gossip.py
+++ b/libs/membership/src/fireflyford/membership/_gossip.py
@@ -11,16 +11,18 @@
 from fireflyford.membership import _types
 
 GOSSIP_INTERVAL_MS = 200
+# Number of balancers that receive a message in each round.
 FAN_OUT = 3
 # A change of weight alone is not urgent. Balancers missed by these few
 # transmissions are updated by anti-entropy.
 WEIGHT_TRANSMISSION_COUNT = 6
-# Minimum time between rounds when updates do not wait for the gossip interval.
-_FLUSH_INTERVAL_MS = 50
-# Together these limits keep a message below 1,200 bytes, which avoids
+# Minimum time between the last round and one that does not wait for the gossip
+# interval.
+_MIN_FLUSH_INTERVAL_MS = 50
+# Together these limits keep a message below 1,200 bytes, which avoids IP
 # fragmentation.
-_MEMBERS_PER_MESSAGE = 6
-_CHANGES_PER_MESSAGE = 20
+_MAX_MEMBERS_PER_MESSAGE = 6
+_MAX_CHANGES_PER_MESSAGE = 20
 
 
 class _PendingRecord:
@@ -28,7 +30,8 @@
 
     Attributes:
         max_transmissions: Number of times that the record is sent.
-        full: Whether to send the full record instead of the change.
+        full: Whether to send the full record instead of the fields that change
+            within an incarnation.
         sent_count: Number of transmissions so far.
     """
 
@@ -39,7 +42,10 @@
 
 
 class Gossip:
-    """Sends recently accepted records to random other balancers."""
+    """Sends recently accepted records to random other balancers.
+
+    Each message also carries the configuration version in force.
+    """
 
     def __init__(
         self,
@@ -56,11 +62,13 @@
         self._table = table
         self._versions = versions
         self._pending_records: dict[str, _PendingRecord] = {}
-        self._config_version = 0
+        self._announced_config_version = 0
+        # Messages still to be sent with a new configuration version, even if no
+        # record is pending.
         self._remaining_config_transmissions = 0
-        self._last_round_ms = -_FLUSH_INTERVAL_MS
+        self._last_round_ms = -_MIN_FLUSH_INTERVAL_MS
         # Agents know only part of the members and do not gossip.
-        self._active = table.own.role is core.Role.BALANCER
+        self._is_balancer = table.own.role is core.Role.BALANCER
         table.on_accept(self._enqueue)
 
     async def run(self) -> None:
@@ -70,9 +78,12 @@
             self._send_round()
 
     def flush(self) -> None:
-        """Sends a round now, unless one was sent very recently."""
+        """Sends a round now, unless one was sent very recently.
+
+        Does nothing at an agent.
+        """
         elapsed_ms = self._clock.now_ms() - self._last_round_ms
-        if self._active and elapsed_ms >= _FLUSH_INTERVAL_MS:
+        if self._is_balancer and elapsed_ms >= _MIN_FLUSH_INTERVAL_MS:
             self._send_round()
 
     def receive(self, address: core.Address, gossip: _messages.Gossip) -> None:
@@ -83,6 +94,8 @@
             # The first transmissions do not wait for the interval, because
             # the delays would add up over the hops to 590 balancers.
             self.flush()
+        # Tombstones for records that this balancer has removed and the sender
+        # has not.
         if corrections:
             self._channel.send(
                 address, self._make_message((), tuple(corrections))
@@ -93,16 +106,18 @@
     def _enqueue(
         self, old: _types.Member | None, new: _types.Member, propagate: bool
     ) -> None:
-        if not propagate or not self._active:
+        if not propagate or not self._is_balancer:
             return
         max_transmissions = self._transmission_limit()
         full = old is None or old.incarnation != new.incarnation
         if not full and old is not None and old.state is new.state:
-            # A new version with the same state and weight refutes the member's
-            # death, which is urgent.
-            refuted = new.weight == old.weight
+            # A member that refutes its death sends a new version with the same
+            # state and weight, which is urgent.
+            is_refutation = new.weight == old.weight
             max_transmissions = (
-                max_transmissions if refuted else WEIGHT_TRANSMISSION_COUNT
+                max_transmissions
+                if is_refutation
+                else WEIGHT_TRANSMISSION_COUNT
             )
         queued = self._pending_records.get(new.instance_id)
         if queued is not None:
@@ -115,12 +130,17 @@
         )
 
     def _transmission_limit(self) -> int:
+        """Returns how often to send an urgent record or configuration version.
+
+        The number of rounds until gossip has reached all balancers grows with
+        the logarithm of their number.
+        """
         count = len(self._table.balancers())
         return math.ceil(3 * math.log2(max(count, 2)))
 
     def _send_round(self) -> None:
         self._last_round_ms = self._clock.now_ms()
-        self._check_config_version()
+        self._announce_config_version()
         if (
             not self._pending_records
             and not self._remaining_config_transmissions
@@ -136,10 +156,11 @@
             0, self._remaining_config_transmissions - len(peers)
         )
 
-    def _check_config_version(self) -> None:
+    def _announce_config_version(self) -> None:
+        """Starts to announce the version in force, if that has increased."""
         version = self._table.own.config_version
-        if version > self._config_version:
-            self._config_version = version
+        if version > self._announced_config_version:
+            self._announced_config_version = version
             self._remaining_config_transmissions = self._transmission_limit()
 
     def _choose_peers(self) -> list[_types.Member]:
@@ -154,24 +175,24 @@
     def _next_message(self) -> _messages.Gossip:
         members: list[_types.Member] = []
         changes: list[_messages.RecordChange] = []
-        pending = sorted(
+        least_sent_first = sorted(
             self._pending_records.items(), key=lambda pair: pair[1].sent_count
         )
-        for name, item in pending:
+        for name, pending in least_sent_first:
             member = self._table.members.get(name)
             if member is None:
                 del self._pending_records[name]
-            elif item.full and len(members) < _MEMBERS_PER_MESSAGE:
+            elif pending.full and len(members) < _MAX_MEMBERS_PER_MESSAGE:
                 members.append(member)
-                self._count_transmission(name, item)
-            elif not item.full and len(changes) < _CHANGES_PER_MESSAGE:
+                self._count_transmission(name, pending)
+            elif not pending.full and len(changes) < _MAX_CHANGES_PER_MESSAGE:
                 changes.append(_messages.RecordChange.from_member(member))
-                self._count_transmission(name, item)
+                self._count_transmission(name, pending)
         return self._make_message(tuple(members), tuple(changes))
 
-    def _count_transmission(self, name: str, item: _PendingRecord) -> None:
-        item.sent_count += 1
-        if item.sent_count >= item.max_transmissions:
+    def _count_transmission(self, name: str, pending: _PendingRecord) -> None:
+        pending.sent_count += 1
+        if pending.sent_count >= pending.max_transmissions:
             del self._pending_records[name]
 
     def _make_message(
--- a/libs/membership/src/fireflyford/membership/_table.py
+++ b/libs/membership/src/fireflyford/membership/_table.py
@@ -12,9 +12,12 @@
 from fireflyford.membership import _messages
 from fireflyford.membership import _types
 
+# Records are divided into buckets by instance name, so that balancers whose
+# tables differ exchange only the buckets with different digests.
 BUCKET_COUNT = 64
-# Records of ended members are kept for longer than partitions last, so that the
-# balancers of both sides find each other again.
+# Records of ended members, which are dead or have left, are kept for longer
+# than partitions last. In a partition each side declares the other dead, and
+# its balancers find those of the other side again by these records.
 ENDED_RETENTION_MS = 3_600_000
 # A member that was paused for less than this cannot reintroduce a removed
 # record.
@@ -33,7 +36,17 @@
 
 
 class MemberTable:
-    """Accepts or refuses records and notifies listeners of changes."""
+    """Accepts or refuses records and notifies listeners of changes.
+
+    Of the records of one instance, the one with the highest `order`, which is
+    (incarnation, version, state), is kept.
+
+    Attributes:
+        own: Record of this instance.
+        withdrawn: Whether an instance that started later has taken this
+            instance's name or address, so that this instance has to leave.
+        change_count: Number of changes so far.
+    """
 
     def __init__(self, clock: core.Clock, own: _types.Member) -> None:
         """Creates a table that holds this instance's own record."""
@@ -48,6 +61,8 @@
         self._balancer_names: set[str] = set()
         self._ended_ms: dict[str, int] = {}
         self._tombstones: dict[str, _Tombstone] = {}
+        # The digest of a bucket is the XOR of its records' digests, so the same
+        # operation adds and removes a record.
         self._digests = [0] * BUCKET_COUNT
         self._accept_listeners: list[AcceptListener] = []
         self._batch_listeners: list[Callable[[], None]] = []
@@ -72,7 +87,10 @@
         self._own_change_listeners.append(listener)
 
     def find_by_fingerprint(self, fingerprint: int) -> _types.Member | None:
-        """Returns the member with a fingerprint, if it is known."""
+        """Returns the member with a fingerprint, if it is known.
+
+        A fingerprint is a hash of the instance name and the incarnation.
+        """
         name = self._names_by_fingerprint.get(fingerprint)
         return None if name is None else self._members[name]
 
@@ -98,7 +116,7 @@
         return [self._members[name] for name in self._balancer_names]
 
     def observing_balancers(self) -> list[_types.Member]:
-        """Returns the balancers that can observe members.
+        """Returns the possible observers, which receive members' heartbeats.
 
         Draining balancers are used only if no balancer is alive.
         """
@@ -122,7 +140,8 @@
             propagate: Whether accepted records may be sent to other members.
 
         Returns:
-            Tombstones that correct records of removed members at the sender.
+            Tombstones that superseded some of `members`, for the sender, which
+            still has these records.
         """
         count = self.change_count
         corrections = []
@@ -231,11 +250,17 @@
             member.order == known.order
             and member.config_version > known.config_version
         ):
+            # Not notified, since configuration versions are propagated
+            # separately.
             self._members[member.instance_id] = member
         return None
 
     def _handle_own_record(self, member: _types.Member) -> bool:
-        """Refutes a record of this instance, or withdraws for a successor.
+        """Refutes a record of this instance, or withdraws for a later start.
+
+        A record of this incarnation that is newer than the own one was made by
+        another member, for example to declare this instance dead. The next
+        version of the own record refutes it.
 
         Returns:
             Whether the record has this instance's name, in which case it is
@@ -261,6 +286,8 @@
         name = member.instance_id
         self._members[name] = member
         self._names_by_fingerprint[member.fingerprint] = name
+        # A live member may reuse the address of an ended one, but an ended one
+        # does not replace another member.
         if (
             member.is_live
             or member.control_address not in self._names_by_address
