--- a/libs/agent/src/fireflyford/agent/_connection.py
+++ b/libs/agent/src/fireflyford/agent/_connection.py
@@ -27,16 +27,19 @@
 _MIN_STREAM_BUFFER_BYTES = 16 << 10
 # A caller that acknowledges nothing for this long is considered gone.
 WRITE_STALL_TIMEOUT_S = 30.0
-# RFC 9114, section 5.2: stream ID of an initial GOAWAY, with which a server
-# still accepts the requests that are in flight.
+# Highest ID of a request stream. A GOAWAY with this ID asks the caller to send
+# new requests elsewhere, but the server still accepts the requests that are in
+# flight (RFC 9114, section 5.2).
 _GOAWAY_STREAM_ID = (1 << 62) - 4
 # More datagrams than a congestion window holds; a longer queue means that the
 # task is stuck.
 _MAX_QUEUED_DATAGRAMS = 1_024
-# A path without incoming datagrams is probed while requests are open. A caller
-# that uses the caller library has resumed elsewhere well before the last probe,
-# so its connection is closed and its requests are cancelled; other callers keep
-# their connection until the QUIC idle timeout.
+# While requests are open, a path without incoming datagrams is probed with PING
+# frames, at random intervals within these bounds. A caller that uses the caller
+# library (`fireflyford.caller`) has abandoned the path and resumed its feeds on
+# another connection well before the last probe, so its connection is closed and
+# its requests are cancelled; other callers keep their connection until the QUIC
+# idle timeout.
 _PROBE_INTERVAL_S = (1.0, 2.0)
 _MAX_PROBES = 5
 
@@ -95,7 +98,7 @@
         payload: The QUIC datagram.
         caller: Source address of the caller.
         balancer: Link address of the balancer that forwarded it, or None if
-            a peer relayed it.
+            another agent relayed it.
     """
 
     payload: bytes
@@ -119,10 +122,14 @@
         Args:
             quic: Server side of the QUIC connection.
             handler: Handler of requests.
-            send: Sends a payload through a balancer to a caller's address.
+            send: Sends a QUIC datagram; called with the link address of the
+                balancer that forwards it, the address of the caller, and the
+                datagram.
             track_id: Called with every QUIC event, so that the endpoint can
                 track the connection IDs that are issued and retired.
-            return_path: Selects the balancer that carries responses.
+            return_path: Selects the balancer that carries responses. It
+                rotates to another one if the balancer is unavailable or the
+                caller acknowledges nothing.
         """
         self._quic = quic
         self._http: h3_connection.H3Connection | None = None
@@ -130,20 +137,24 @@
         self._send = send
         self._track_id = track_id
         self.return_path = return_path
+        # None wakes the task without a datagram.
         self._queue: asyncio.Queue[ReceivedDatagram | None] = asyncio.Queue(
             maxsize=_MAX_QUEUED_DATAGRAMS
         )
         self._pending_requests: dict[int, _PendingRequest] = {}
         self._tasks: dict[int, asyncio.Task[None]] = {}
         self._closed = False
+        # Set at the end of every step, when the received acknowledgements have
+        # been processed.
         self._send_progress = asyncio.Event()
         self._pending_body_bytes = 0
         self._uses_caller_library = False
         self._next_probe_s = 0.0
         self._probe_count = 0
         # Retransmissions through other balancers since the last received
-        # datagram.
+        # datagram, at most `_MAX_PROBES`.
         self._rotation_count = 0
+        # Source address of the last received datagram.
         self.caller = core.Address("0.0.0.0", 0)
         # Connection IDs registered for this connection at the endpoint.
         self.connection_ids: set[bytes] = set()
@@ -167,6 +178,8 @@
         """Sends GOAWAY: new requests need another connection."""
         if self._closed or self._http is None:
             return
+        # aioquic has no API for GOAWAY, so private fields are used; its version
+        # is pinned.
         control_stream_id = self._http._local_control_stream_id
         if control_stream_id is None:
             return
@@ -174,8 +187,6 @@
             h3_connection.FrameType.GOAWAY,
             quic_buffer.encode_uint_var(_GOAWAY_STREAM_ID),
         )
-        # aioquic has no API for GOAWAY, so private fields are used; its version
-        # is pinned.
         self._quic.send_stream_data(control_stream_id, frame)
         self.wake()
 
@@ -190,6 +201,8 @@
             while not self._closed:
                 await self._step()
         finally:
+            # The argument of `cancel` marks that the caller has not cancelled
+            # the requests; those with a ticket keep running.
             for task in self._tasks.values():
                 task.cancel(requests.CONNECTION_LOST)
 
@@ -218,6 +231,7 @@
         )
 
     def _next_rotation_s(self) -> float | None:
+        """Returns when to retransmit through another balancer, if at all."""
         if self._rotation_count >= _MAX_PROBES or not self._quic.awaits_ack:
             return None
         return self.return_path.next_rotation_s(self._quic.round_trip_s)
@@ -225,6 +239,7 @@
     def _handle_timers(self, now_s: float) -> None:
         rotation_s = self._next_rotation_s()
         if rotation_s is not None and rotation_s <= now_s:
+            # `_transmit` sends the data; the return path rotates then.
             self._rotation_count += 1
             self._quic.retransmit(now_s)
         timer_s = self._quic.get_timer()
--- a/libs/agent/src/fireflyford/agent/_datagram.py
+++ b/libs/agent/src/fireflyford/agent/_datagram.py
@@ -1,4 +1,11 @@
-"""Plain-datagram flows: search, adoption and relay to the backend server."""
+"""Plain-datagram flows: search, adoption and relay to the backend server.
+
+Plain datagrams carry no identifier of their flow, so a balancer may forward
+them to an agent that does not hold the flow. That agent sends the datagram on
+to other agents in search of the holder, and adopts the flow if none of them
+holds it. In notices, agents tell each other which flows they have adopted or do
+not hold. `routing.FlowTable` makes the decisions; this module carries them out.
+"""
 
 import asyncio
 from collections.abc import Callable
@@ -23,12 +30,15 @@
 _MAX_WAITING_DATAGRAMS = 1_024
 _MAX_WAITING_PER_FLOW = 16
 _MAX_WAIT_MS = 1_000
+# Bound on datagrams of one flow that are queued for the backend server.
 _MAX_QUEUED_DATAGRAMS = 256
 
 
 class FlowCounters:
     """Events of plain-datagram flows since the process started.
 
+    The status of the agent shows them under their attribute names.
+
     Attributes:
         delivered_count: Datagrams that were queued for the backend server.
         passed_on_count: Datagrams that were forwarded to another agent.
@@ -51,8 +61,15 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _VerifiedDatagram:
-    """An authenticated datagram; it may have to wait for a search to end."""
+class _ReceivedDatagram:
+    """A datagram from a caller, which may have to wait for a search to end.
+
+    Attributes:
+        header: Authenticated forwarding header.
+        payload: The datagram as the caller sent it.
+        sender: Link address of the balancer or agent that forwarded it here.
+        received_ms: Time of receipt.
+    """
 
     header: wire.ForwardHeader
     payload: bytes
@@ -61,7 +78,14 @@
 
 
 class _Flow(asyncio.DatagramProtocol):
-    """A flow held by this agent, with its socket to the backend server."""
+    """A flow held by this agent, with its socket to the backend server.
+
+    Attributes:
+        caller: Address of the caller.
+        balancer: Link address of the balancer that carries responses, which is
+            the one that forwarded the last datagram.
+        task: Task of `run`.
+    """
 
     def __init__(
         self,
@@ -119,11 +143,13 @@
         Args:
             clock: Source of time.
             service: Service of the target.
-            own_holder: This agent as a holder of flows.
+            own_holder: Link address and incarnation of this agent, which
+                identify it as a holder of flows.
             codec: Encoding of forwarding headers.
             backend_address: Address where the backend server receives
                 datagrams.
-            placement: Placement of flows in this agent's view.
+            placement: Placement of flows according to this agent's membership
+                view.
         """
         self._clock = clock
         self._service_tag = core.service_tag(service)
@@ -132,8 +158,10 @@
         self._backend_address = backend_address
         self._table = routing.FlowTable(clock, own_holder, placement)
         self._send: SendDatagram | None = None
+        # Both are keyed by flow key. Datagrams wait while a search for the
+        # holder of their flow runs.
         self._flows: dict[int, _Flow] = {}
-        self._waiting: dict[int, list[_VerifiedDatagram]] = {}
+        self._waiting: dict[int, list[_ReceivedDatagram]] = {}
         self._waiting_count = 0
         self._view_changed = False
         self._next_announce_ms = 0
@@ -163,6 +191,7 @@
                 self._close(key)
 
     def _announce_if_due(self) -> None:
+        """Announces held flows to the agents at which they are now placed."""
         now_ms = self._clock.now_ms()
         if self._view_changed and now_ms >= self._next_announce_ms:
             self._view_changed = False
@@ -185,7 +214,7 @@
         if header.kind is wire.ForwardType.TO_AGENT:
             now_ms = self._clock.now_ms()
             self._handle_datagram(
-                _VerifiedDatagram(header, payload, sender, now_ms)
+                _ReceivedDatagram(header, payload, sender, now_ms)
             )
             # The datagram may be a search that came back, which decides where
             # the flow is held, so the datagrams waiting for it are retried.
@@ -196,7 +225,7 @@
         else:
             self.counters.dropped_count += 1
 
-    def _handle_datagram(self, datagram: _VerifiedDatagram) -> None:
+    def _handle_datagram(self, datagram: _ReceivedDatagram) -> None:
         header = datagram.header
         decision = self._table.handle_datagram(
             routing.ForwardedDatagram(
@@ -209,6 +238,8 @@
         )
         self._send_notices(decision.notices)
         if decision.action is routing.Action.DELIVER:
+            # Only agents set `header.balancer`; without it, the sender is the
+            # balancer.
             balancer = header.balancer or datagram.sender
             self._deliver(header, datagram.payload, balancer)
         elif decision.action is routing.Action.FORWARD:
@@ -237,6 +268,7 @@
             header.timestamp_ms,
             header.kind is wire.ForwardType.RELEASE,
         )
+        # The incarnation of the sender is not in the header, hence 0.
         decision = self._table.handle_notice(notice, core.Holder(sender, 0))
         self._send_notices(decision.notices)
         if decision.flow_lost:
@@ -275,7 +307,7 @@
         self._transmit(header, payload, flow.balancer)
 
     def _forward(
-        self, decision: routing.Decision, datagram: _VerifiedDatagram
+        self, decision: routing.Decision, datagram: _ReceivedDatagram
     ) -> None:
         destination = cast(core.Holder, decision.to)
         header = datagram.header
@@ -324,7 +356,7 @@
 
     # Datagrams that wait for a search.
 
-    def _enqueue_waiting(self, datagram: _VerifiedDatagram) -> None:
+    def _enqueue_waiting(self, datagram: _ReceivedDatagram) -> None:
         key = datagram.header.flow_key
         waiting = self._waiting.get(key, [])
         if (
--- a/libs/agent/src/fireflyford/agent/_endpoint.py
+++ b/libs/agent/src/fireflyford/agent/_endpoint.py
@@ -1,4 +1,8 @@
-"""Link socket of an agent: dispatches datagrams to connections."""
+"""Link socket of an agent: dispatches datagrams to connections.
+
+The link carries datagrams between balancers and agents, and between agents.
+Each consists of a forwarding header and a payload, such as a QUIC datagram.
+"""
 
 import asyncio
 from collections.abc import Callable
@@ -29,6 +33,8 @@
 class Counters:
     """Events on the link socket since the process started.
 
+    The status of the agent shows them under their attribute names.
+
     Attributes:
         received_count: Datagrams that were passed to the flows of this target.
         foreign_count: Datagrams that were dropped because their forwarding
@@ -37,7 +43,8 @@
             another type or for another service or incarnation.
         unknown_flow_count: Datagrams that were dropped because they neither
             belong to a flow nor start one.
-        relayed_count: Datagrams of new flows that were relayed to a peer.
+        relayed_count: Datagrams of new flows that were relayed to another
+            agent.
         rotated_count: Times that the responses of a connection were moved to
             another balancer.
     """
@@ -53,7 +60,7 @@
 
 
 class Endpoint(asyncio.DatagramProtocol):
-    """Terminates the flows of one target."""
+    """Receives the datagrams of one target and terminates its flows."""
 
     def __init__(
         self,
@@ -72,15 +79,16 @@
 
         Args:
             service: Service of the target.
-            incarnation: Link incarnation of this agent.
+            incarnation: Link incarnation of this agent: the lower 32 bits of
+                its incarnation, as in forwarding headers.
             address: Link address of this agent.
             codec: Encoding of forwarding headers.
             connection_id_codec: Encoding of connection IDs.
             configuration: TLS and transport parameters.
             handler: Handler of requests.
             find_relay_peer: Given the original destination connection ID of a
-                new flow, returns the peer to relay it to, or None if this
-                agent accepts the flow.
+                new flow, returns the link address of the agent to relay it
+                to, or None if this agent accepts the flow.
             balancers: Source of the balancers that carry responses.
             datagram_flows: Receives all datagrams if the service uses plain
                 datagrams; None for QUIC.
@@ -99,6 +107,7 @@
         self._admission = _admission.FlowAdmission(self._admit)
         self._transport: asyncio.DatagramTransport | None = None
         self._connections_by_id: dict[bytes, _connection.Connection] = {}
+        # Open connections and the tasks that run them.
         self.connections: dict[_connection.Connection, asyncio.Task[None]] = {}
         self.counters = Counters()
 
@@ -132,12 +141,14 @@
                 header, payload, core.Address(*addr[:2])
             )
             return
+        # Header fields that are the same in all versions of QUIC (RFC 8999).
         invariant_header = wire.parse_invariant_header(payload)
         if invariant_header is None:
             self.counters.foreign_count += 1
             return
         self.counters.received_count += 1
-        # A relayed datagram comes from a peer, which carries no responses.
+        # A datagram with hops was relayed by another agent, which does not
+        # carry responses.
         balancer = None if header.hops else core.Address(*addr[:2])
         datagram = _connection.ReceivedDatagram(
             payload, header.caller, balancer
@@ -156,6 +167,7 @@
             if self._datagram_flows is None
             else _DATAGRAM_FORWARD_TYPES
         )
+        # Incarnation 0, as for new flows, matches any incarnation.
         return (
             header.kind in accepted_types
             and header.service == self._service_tag
@@ -165,6 +177,7 @@
     def _handle_unknown_id(
         self, header: wire.ForwardHeader, datagram: _connection.ReceivedDatagram
     ) -> None:
+        """Relays or admits a new flow; drops any other datagram."""
         payload = datagram.payload
         destination_id = None
         if header.incarnation == 0 and len(payload) >= wire.MIN_INITIAL_BYTES:
@@ -265,6 +278,7 @@
 
 
 def _initial_destination_id(payload: bytes) -> bytes | None:
+    """Returns the destination ID of an Initial packet, None for any other."""
     try:
         header = quic_packet.pull_quic_header(
             quic_packet.Buffer(data=payload),
