--- a/libs/requests/src/fireflyford/requests/_queue.py
+++ b/libs/requests/src/fireflyford/requests/_queue.py
@@ -17,11 +17,15 @@
 # requests wait longer but do not starve.
 PRIORITY_STEP_MS = 40
 _MAX_PRIORITY = 9
-# Short requests may overtake a long one for this fraction of its service time.
+# Short requests may overtake a long one if they arrive within this fraction of
+# its expected service time.
 _LONG_DEFERRAL_RATIO = 0.2
+# Callers without queued requests are removed from the fairness state only when
+# it has more entries than this.
 _IDLE_EVICTION_THRESHOLD = 1_024
 
-
+# Caller and size class, between which slots are shared fairly. The size class
+# is included so that long requests of a caller do not delay its short ones.
 _FairnessKey = tuple[str, config.SizeClass]
 
 
@@ -56,7 +60,10 @@
 
     @abc.abstractmethod
     def push(self, entry: QueueEntry) -> QueueEntry | None:
-        """Adds an entry; returns the entry that was evicted, if any."""
+        """Adds an entry; returns the entry that was evicted, if any.
+
+        The evicted entry may be the added one.
+        """
 
     @abc.abstractmethod
     def pop(self, allow_long: bool) -> QueueEntry | None:
@@ -68,7 +75,7 @@
 
     @abc.abstractmethod
     def entries_ahead(self, entry: QueueEntry) -> Iterator[QueueEntry]:
-        """Yields the entries that would start before `entry`."""
+        """Yields the queued entries that would start before a new one."""
 
     @abc.abstractmethod
     def __len__(self) -> int:
@@ -76,7 +83,7 @@
 
 
 class FifoQueue(WorkQueue):
-    """Baseline with a single queue in order of arrival."""
+    """A single queue in order of arrival, as a baseline for comparisons."""
 
     def __init__(self, max_count: int = DEFAULT_MAX_COUNT) -> None:
         """Creates an empty queue.
@@ -114,7 +121,7 @@
         self._entries.pop(entry, None)
 
     def entries_ahead(self, entry: QueueEntry) -> Iterator[QueueEntry]:
-        """Yields all entries."""
+        """Yields all entries, since a new one is last."""
         del entry
         return iter(self._entries)
 
@@ -158,8 +165,8 @@
             for size in config.SizeClass
         }
         self._sequence = itertools.count()
-        # Keyed by size class too, so that long requests of a caller do not
-        # delay its short ones.
+        # Time at which all requests pushed so far under a key would finish on
+        # the fair share of their caller.
         self._virtual_finish_ms: dict[_FairnessKey, float] = {}
         self._queued_by_caller: collections.Counter[_FairnessKey] = (
             collections.Counter()
@@ -184,6 +191,8 @@
         """Adds an entry; a full queue evicts its last one."""
         fairness_key = (entry.work.caller, entry.size)
         self._queued_by_caller[fairness_key] += 1
+        # Time that the request takes if the slots are divided equally among
+        # the callers with queued requests.
         cost_ms = (
             entry.expected_ms * len(self._queued_by_caller) / self._slot_count
         )
--- a/libs/requests/src/fireflyford/requests/_slots.py
+++ b/libs/requests/src/fireflyford/requests/_slots.py
@@ -10,8 +10,8 @@
 from fireflyford.requests import _targets
 
 _LOAD_TIME_CONSTANT_MS = 4_000.0
-# A request that has run past its expected service time is assumed to need this
-# fraction of it again.
+# Minimum remaining time of a running request, as a fraction of its expected
+# service time. It applies to requests that run longer than expected.
 _OVERDUE_REMAINING_RATIO = 0.25
 
 
@@ -46,7 +46,15 @@
 
 
 class SlotPool:
-    """Allocates slots to queued requests and measures their utilization."""
+    """Allocates slots to queued requests and measures their utilization.
+
+    Each slot runs one request at a time.
+
+    Attributes:
+        slot_count: Number of slots.
+        long_slot_limit: Maximum number of slots that long requests may occupy
+            at the same time. It may be changed at any time.
+    """
 
     def __init__(
         self, clock: core.Clock, queue: _queue.WorkQueue, slot_count: int
@@ -67,7 +75,9 @@
         self._queue = queue
         self.slot_count = slot_count
         self.long_slot_limit = slot_count
+        # Start times of the running requests in ms.
         self._running: dict[_queue.QueueEntry, int] = {}
+        # Results of the waiting calls of `acquire`.
         self._waiters: dict[
             _queue.QueueEntry, asyncio.Future[core.Failure | None]
         ] = {}
@@ -142,6 +152,7 @@
         entry: _queue.QueueEntry,
         future: "asyncio.Future[core.Failure | None]",
     ) -> None:
+        """Stops waiting; releases the slot if it was assigned meanwhile."""
         self._queue.remove(entry)
         granted = (
             future.done() and not future.cancelled() and not future.result()
@@ -192,10 +203,13 @@
         self._load_by_size[config.SizeClass.SHORT].set_level(count - long_count)
 
     def expected_wait_ms(self, entry: _queue.QueueEntry) -> float:
-        """Returns the expected wait of an entry that has not been queued."""
+        """Returns the expected wait of an entry that has not been queued.
+
+        Simulates the assignment of slots to all entries ahead of it.
+        """
         now_ms = self._clock.now_ms()
-        # Times until slots become free: of all slots, and of those that long
-        # requests may use.
+        # Times from now until slots become free: of all slots, and of those
+        # that long requests may use.
         free_ms = [0.0] * self.idle_count
         long_free_ms = [0.0] * max(
             0, self.long_slot_limit - self._long_running_count()
@@ -218,7 +232,13 @@
 def _assign_slot(
     free_ms: list[float], long_free_ms: list[float], entry: _queue.QueueEntry
 ) -> float:
-    """Assigns the earliest free slot to `entry`; returns its start time."""
+    """Assigns the earliest free slot to `entry`; returns when it starts.
+
+    Args:
+        free_ms: Heap of the times until slots become free.
+        long_free_ms: The same for the slots that long requests may use.
+        entry: A request of either size class.
+    """
     start_ms = heapq.heappop(free_ms)
     if entry.size is config.SizeClass.LONG:
         start_ms = max(start_ms, heapq.heappop(long_free_ms))
