--- a/libs/caller/src/fireflyford/caller/_feeds.py
+++ b/libs/caller/src/fireflyford/caller/_feeds.py
@@ -1,8 +1,10 @@
 """Feeds that move between connections without losing events.
 
-A replacement connection is opened while the current one still delivers. It
-requests the events after the last one received and takes over when the service
-has accepted the feed; only then is the old connection closed.
+A feed moves when its agent asks for that or when its connection fails. A
+replacement connection is opened, while the current one delivers if it still
+can. The replacement requests the events after the last one received and takes
+over when the service has accepted the feed; only then is the old connection
+closed.
 """
 
 import asyncio
@@ -17,6 +19,8 @@
 from fireflyford import core
 from fireflyford.caller import _connection
 
+# Response header with the maximum random delay before a feed is resumed after a
+# failure, so that the callers of a failed agent do not all reconnect at once.
 RESUME_JITTER_HEADER = "fireflyford-resume-jitter-ms"
 _ERROR_HEADER = "fireflyford-error"
 _RETRY_AFTER_HEADER = "retry-after-ms"
@@ -88,11 +92,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class _ControlLine:
-    """A control line sent by the agent.
+    """Line with which the agent asks to move the feed to a new connection.
 
     Attributes:
-        resume: Whether to resume after the last event instead of restarting.
-        window_ms: Time over which the moves of feeds are to be spread.
+        resume: Whether to resume after the last event instead of restarting
+            the feed at its current event, which may skip events.
+        window_ms: Time over which the agent wants the moves of its feeds to be
+            spread.
     """
 
     resume: bool
@@ -112,13 +118,21 @@
     failure: core.Failure | None = None
 
 
+# What a connection reports to the reader.
 _Item = (
     FeedEvent | _Accepted | _ControlLine | _connection.PathSuspected | _Ended
 )
 
 
 class _FeedConnection:
-    """One connection that carries the feed, with its task."""
+    """One connection that carries the feed, with its task.
+
+    Attributes:
+        after: Sequence number after which this connection requested the feed;
+            with 0, the feed starts at its current event.
+        task: Opens the connection and reads the feed; cancelling it closes the
+            connection.
+    """
 
     def __init__(
         self, reader: "FeedReader", delay_ms: float, open_timeout_ms: float
@@ -215,9 +229,11 @@
             asyncio.Queue()
         )
         self._statistics = statistics
+        # Sequence number of the last event received.
         self._position = after
         self._jitter_ms = _DEFAULT_JITTER_MS
-        self._attempt = 0
+        self._failed_attempt_count = 0
+        # Whether the replacement restarts the feed instead of resuming it.
         self._restarting = False
         self._current: _FeedConnection | None = None
         self._replacement: _FeedConnection | None = None
@@ -225,11 +241,11 @@
         self._last_event_s = time.monotonic()
 
     def next_position(self) -> int:
-        """Returns the position to request on a new connection."""
+        """Returns the sequence number after which to request the feed."""
         return 0 if self._restarting else self._position
 
     def update_jitter(self, headers: dict[str, str]) -> None:
-        """Sets the jitter before a resumption to the value in a response."""
+        """Sets the maximum jitter to the value in the response headers."""
         text = headers.get(RESUME_JITTER_HEADER, "")
         if text.isdecimal():
             self._jitter_ms = min(int(text), _MAX_JITTER_MS)
@@ -263,7 +279,7 @@
         if event.sequence <= self._position:
             self._statistics.repeated_count += 1
             return False
-        # A restarted feed skips the events that were missed.
+        # A restarted feed (`after` is 0) may skip events; that is not a gap.
         expected = self._position + 1
         if source.after and event.sequence != expected:
             self._statistics.gap_count += 1
@@ -279,12 +295,14 @@
         return True
 
     def _promote(self, source: _FeedConnection) -> None:
+        """Makes an accepted replacement the current connection."""
         if source is not self._replacement:
             return
         if not source.after and self._position and not self._restarting:
-            # No event had been received when this connection was opened, but
-            # the old one has delivered some since. The feed of this one could
-            # start later and leave a gap.
+            # The replacement requested the feed without a position because no
+            # event had been received yet, but the current connection has
+            # delivered some since. The replacement could start later and leave
+            # a gap.
             source.task.cancel()
             self._replacement = None
             self._open_replacement(0)
@@ -292,7 +310,7 @@
         if self._current is not None:
             self._current.task.cancel()
         self._current, self._replacement = source, None
-        self._attempt = 0
+        self._failed_attempt_count = 0
         self._restarting = False
 
     def _start_move(
@@ -304,6 +322,7 @@
             self._open_replacement(random.uniform(0, control.window_ms))
 
     def _handle_suspected(self, source: _FeedConnection) -> None:
+        """Replaces a connection on which the agent has been silent too long."""
         if source is self._replacement:
             source.task.cancel()
             self._retry_replacement(0)
@@ -336,14 +355,17 @@
 
     def _retry_replacement(self, min_delay_ms: int) -> None:
         """Opens another replacement after one has failed, with a backoff."""
-        self._attempt += 1
-        backoff_ms = max(self._jitter_ms * 2**self._attempt, min_delay_ms)
+        self._failed_attempt_count += 1
+        backoff_ms = max(
+            self._jitter_ms * 2**self._failed_attempt_count, min_delay_ms
+        )
         capped_ms = min(backoff_ms, _MAX_BACKOFF_MS)
         self._open_replacement(random.uniform(0.5, 1) * capped_ms)
 
     def _open_replacement(self, delay_ms: float) -> None:
         timeout_ms = min(
-            _OPEN_TIMEOUT_MS * 2**self._attempt, _MAX_OPEN_TIMEOUT_MS
+            _OPEN_TIMEOUT_MS * 2**self._failed_attempt_count,
+            _MAX_OPEN_TIMEOUT_MS,
         )
         source = _FeedConnection(self, delay_ms, timeout_ms)
         self._replacement = source
