--- a/libs/store/src/fireflyford/store/_follower.py
+++ b/libs/store/src/fireflyford/store/_follower.py
@@ -1,8 +1,8 @@
 """Distribution of configurations to instances, in rising version order.
 
-A few readers per region read and watch the store. All instances pull newer
-versions that their peers announce. `ConfigFollower.apply_if_newer` is the only
-place where a configuration takes effect.
+A few instances per region, the readers, read and watch the store. All instances
+pull newer versions that their peers announce. `ConfigFollower.apply_if_newer`
+is the only place where a configuration takes effect.
 """
 
 import abc
@@ -18,6 +18,7 @@
 from fireflyford.store import _config_store
 from fireflyford.store import _record
 
+# Topic of pulls, in messages between peers.
 CONFIG_TOPIC = "config"
 # Rendezvous hashing key that selects the readers of a region.
 READER_KEY = "config-reader"
@@ -93,7 +94,8 @@
             clock: Clock for waits and timeouts.
             rng: Random source for jitter and for the choice of peers.
             peers: Access to other instances.
-            apply: Applies a deployment to this process.
+            apply: Applies a deployment, the parsed configuration, to this
+                process.
             config_store: Store to read, or None if this instance never reads.
             service: Service to restrict pulls to, or empty for all services.
         """
@@ -110,12 +112,13 @@
         # simultaneously.
         self._compressed_highest = b""
         self._announced = asyncio.Event()
-        # Head version that raised `_store_alarm`, -1 for none.
+        # Version in the store that raised `_store_alarm`, -1 for none.
         self._alarmed_version = -1
         self._is_store_empty = False
         self._created_ms = clock.now_ms()
         self._rejection_alarm = ""
         self._store_alarm = ""
+        # Answers to pulls that did not contain the announced version.
         self.stale_answer_count = 0
 
     @property
@@ -138,6 +141,7 @@
         elapsed_ms = self._clock.now_ms() - self._created_ms
         if elapsed_ms >= SYNC_TIMEOUT_MS:
             return True
+        # -1 includes peers that announce version 0.
         versions = [peer.version for peer in self._peers.sources(-1)]
         if versions:
             return self.highest_version >= max(versions)
@@ -214,7 +218,7 @@
         if request is None or request.above >= self.highest_version:
             return b""
         if request.service:
-            filtered = self._service_record(request)
+            filtered = self._make_service_record(request)
             return (
                 b"" if filtered is None else _record.compress_record(filtered)
             )
@@ -222,9 +226,14 @@
             self._compressed_highest = _record.compress_record(self._highest)
         return self._compressed_highest
 
-    def _service_record(
+    def _make_service_record(
         self, request: _record.PullRequest
     ) -> _record.ConfigRecord | None:
+        """Returns the record in force, restricted to the requested service.
+
+        A higher record cannot be restricted, as it could not be parsed. Returns
+        None if the record in force is not newer than requested.
+        """
         record, deployment = self._applied, self._deployment
         if record is None or deployment is None:
             return None
@@ -254,6 +263,7 @@
                 if isinstance(outcome, core.Ok):
                     self.apply_if_newer(outcome.value, "store")
                 else:
+                    # The watch ends here; the store is read again.
                     await self._clock.sleep(_RETRY_INTERVAL_MS)
 
     async def _read_store(
@@ -282,7 +292,7 @@
         config_store: _config_store.ConfigStore,
         state: _config_store.ConfigState,
     ) -> None:
-        """Raises an alarm if the store lost the highest record received."""
+        """Raises alarm and floor if the store lost the highest record."""
         highest = self._highest
         if highest is None or state.head.version > highest.version:
             self._store_alarm = ""
@@ -291,8 +301,9 @@
             self._alarmed_version = -1
             self._store_alarm = ""
             return
-        # If two records have the same version, that version is ambiguous as a
-        # base, so the floor is one higher.
+        # The floor is the lowest base version that a push may have. If two
+        # records have the same version, that version is ambiguous as a base, so
+        # the floor is one higher.
         same_version = state.head.version == highest.version
         floor = highest.version + same_version
         if self._alarmed_version != state.head.version:
