Name write requests of the registry and clarify its comments

- _changed -> _write_requested
- _wait_for_change -> _wait_for_write_request
- _schedule_write -> _request_write
- _DECODER -> _ENTRY_DECODER

--- a/libs/runtime/src/fireflyford/runtime/_prefix_follower.py
+++ b/libs/runtime/src/fireflyford/runtime/_prefix_follower.py
@@ -88,7 +88,12 @@
                 )
 
     async def _read_and_watch(self) -> bool:
-        """Follows until a call fails; returns whether the read succeeded."""
+        """Reads the prefix, then watches it until a call fails.
+
+        Returns:
+            Whether the read succeeded. If only a watch failed, the next read
+            follows without delay.
+        """
         outcome = await self._client.read(self._prefix)
         if isinstance(outcome, core.Failure):
             self._mark_unreachable(outcome.message)
--- a/libs/runtime/src/fireflyford/runtime/_registry.py
+++ b/libs/runtime/src/fireflyford/runtime/_registry.py
@@ -17,17 +17,19 @@
 # A lease outlives two failed renewals.
 LEASE_DURATION_S = 3
 RENEW_INTERVAL_MS = 900
-# Heartbeats announce starts, drains and leaves at once, so the watch may lag.
-# Less than the silence after which an instance without an entry is removed.
+# Delay between changes and the next watch. Heartbeats announce starts, drains
+# and leaves at once, so the watch may lag, but by less than the time without
+# keepalives after which the fleet removes an instance that has no entry.
 WATCH_DELAY_MS = 1_500
-# Applies until the watch shows the entry of this instance, and thereby any
-# entry written before it: of two instances that start together, one finds the
-# other soon.
+# Applies until the watch has returned the entry of this instance, and thus all
+# entries written before it: of two instances that start together, the one that
+# writes its entry later soon finds the other.
 JOIN_WATCH_DELAY_MS = 100
 # Delay after a failed write.
 RETRY_MS = 400
 
-_DECODER = msgspec.json.Decoder(tuple[str, str, str, str, str, int, bool])
+# Fields in the order of `_link_codec.pack_instance`.
+_ENTRY_DECODER = msgspec.json.Decoder(tuple[str, str, str, str, str, int, bool])
 
 
 class Registry(_prefix_follower.PrefixListener):
@@ -50,11 +52,11 @@
             clock: Source of time.
             rng: Source of jitter.
             own_instance: Instance to publish.
-            fleet: Updated with the entries of the registry.
+            fleet: View of all instances, updated with the registry entries.
             on_loaded: Called after the first read with the entry that a
-                previous process left at this address.
+                previous process left at this address, None if there was none.
             on_discovered: Called after each later read or change with the
-                processes that were not known before.
+                instances whose process was not known before.
         """
         self._client = client
         self._clock = clock
@@ -65,7 +67,7 @@
         self._on_loaded = on_loaded
         self._on_discovered = on_discovered
         self._is_loaded = asyncio.Event()
-        self._changed = asyncio.Event()
+        self._write_requested = asyncio.Event()
         self._lease_id = 0
         self._needs_write = True
         self.follower = _prefix_follower.PrefixFollower(
@@ -74,7 +76,7 @@
 
     async def publish(self) -> None:
         """Publishes the entry and renews its lease until cancelled."""
-        # Reads the entry of a previous process before it is overwritten.
+        # The entry of a previous process must be read before it is overwritten.
         await self._is_loaded.wait()
         while True:
             if not self._lease_id or self._needs_write:
@@ -82,18 +84,20 @@
             else:
                 succeeded = await self._renew()
             pause_ms = RENEW_INTERVAL_MS if succeeded else RETRY_MS
-            await self._wait_for_change(pause_ms * self._rng.uniform(0.9, 1.0))
+            await self._wait_for_write_request(
+                pause_ms * self._rng.uniform(0.9, 1.0)
+            )
 
     def update(self, own_instance: flows.Instance) -> None:
         """Replaces the entry of this instance; a failed write is repeated."""
         self._own_instance = own_instance
         self._needs_write = True
-        self._changed.set()
+        self._write_requested.set()
 
-    def _schedule_write(self) -> None:
-        """Schedules a write of an entry that the store no longer has."""
+    def _request_write(self) -> None:
+        """Requests a write of the entry, which the store does not have."""
         self._needs_write = True
-        self._changed.set()
+        self._write_requested.set()
 
     async def withdraw(self, limit_ms: int) -> None:
         """Removes the entry; retries while the store is unavailable.
@@ -120,16 +124,16 @@
         telemetry.log("entry-withdrawn", lease_id=lease_id)
         return True
 
-    async def _wait_for_change(self, duration_ms: float) -> None:
+    async def _wait_for_write_request(self, duration_ms: float) -> None:
         """Waits for `duration_ms`, or until the entry has to be written."""
         tasks = [
             asyncio.create_task(self._clock.sleep(duration_ms)),
-            asyncio.create_task(self._changed.wait()),
+            asyncio.create_task(self._write_requested.wait()),
         ]
         await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         for task in tasks:
             task.cancel()
-        self._changed.clear()
+        self._write_requested.clear()
 
     async def _write(self) -> bool:
         if not self._lease_id:
@@ -171,7 +175,7 @@
             if item.address == self._own_instance.address
         ]
         if not own_entries:
-            self._schedule_write()
+            self._request_write()
         found = self._fleet.replace_entries(instances)
         if self._is_loaded.is_set():
             self._on_discovered(found)
@@ -189,7 +193,7 @@
     def handle_changes(self, result: store.ReadResult) -> None:
         """Updates changed entries in the fleet."""
         if self._key in result.deleted:
-            self._schedule_write()
+            self._request_write()
         written = _decode_instances(result)
         deleted_addresses = {key.removeprefix(PREFIX) for key in result.deleted}
         self._on_discovered(
@@ -201,7 +205,7 @@
     found = []
     for entry in result.entries:
         try:
-            fields = _DECODER.decode(entry.value)
+            fields = _ENTRY_DECODER.decode(entry.value)
             found.append(_link_codec.unpack_instance(fields))
         except ValueError as error:
             telemetry.log("bad-entry", key=entry.key, reason=str(error))
