Clarify comments of balancer and agent processes

The sockets, the fleet, the link and the flows of a process are explained where they are created. The log line of a reload says that it has no effect. No name changed.

--- a/libs/runtime/src/fireflyford/runtime/_agent.py
+++ b/libs/runtime/src/fireflyford/runtime/_agent.py
@@ -1,4 +1,4 @@
-"""Agent process that forwards packets of flows."""
+"""Agent process that forwards packets of flows to its backend server."""
 
 import dataclasses
 from typing import Any
@@ -33,6 +33,8 @@
             clock: Source of time.
         """
         super().__init__(options, front_end, clock, options.service)
+        # Decides how packets and messages are handled. Its `forwarder` tracks
+        # the flows of the backend server; its `directory` places new flows.
         self.flows = flows.AgentFlows(
             clock,
             self.own_instance,
@@ -45,9 +47,11 @@
             self.flows.forwarder,
             options.report_interval_ms,
         )
+        # Delivers packets to the backend server.
         self._target_socket = _link.DatagramSocket(
             self._discard, on_refused=self._handle_target_refused
         )
+        # Receives the packets that the backend server sends or returns.
         self._outbound_socket = _link.DatagramSocket(self._receive_from_target)
         self._codec = front_end.packet_codec
 
@@ -169,7 +173,7 @@
         return self.heartbeat_receivers() + [item.address for item in peers]
 
     async def _send_keepalives(self) -> None:
-        """Sends keepalives to the balancers."""
+        """Sends load reports to the balancers, as keepalives."""
         while True:
             receivers = self.heartbeat_receivers()
             keepalive = flows.LoadReport(self.load())
@@ -181,7 +185,11 @@
             )
 
     async def _report_loads(self) -> None:
-        """Sends load reports to the agents of the service."""
+        """Sends load reports to the other agents of the service.
+
+        A report is sent when the load has changed, and otherwise repeated after
+        `_heartbeats.LOAD_REPORT_REPEAT_MS`.
+        """
         last_sent_load = None
         last_sent_ms = 0
         while True:
@@ -200,7 +208,8 @@
                 report = flows.LoadReport(load)
                 for address in peers:
                     self.link.send(address, report)
-            # The directory of this agent places flows by load as well.
+            # This agent receives no report of its own, but its directory also
+            # places flows by load.
             self.flows.directory.record_load(self.own_instance.address, load)
             await self.clock.sleep(
                 _heartbeats.load_report_interval_ms(len(peers))
--- a/libs/runtime/src/fireflyford/runtime/_balancer.py
+++ b/libs/runtime/src/fireflyford/runtime/_balancer.py
@@ -1,4 +1,4 @@
-"""Balancer process that forwards packets of flows."""
+"""Balancer process that forwards packets of clients to agents."""
 
 import asyncio
 from typing import Any
@@ -12,10 +12,12 @@
 from fireflyford.runtime import _process
 from fireflyford.runtime import _settings
 
-# The fabric checks readiness twice a second and stops sending packets after
-# two failed checks.
+# Minimum time from the signal to stop to the end of draining. The fabric, which
+# spreads packets of clients across the balancers, checks readiness twice a
+# second and stops sending packets after two failed checks.
 MIN_DRAIN_MS = 1_200
-# After this time without client packets the fabric has stopped sending.
+# After this time without packets of clients, the fabric is assumed to have
+# stopped sending.
 IDLE_LIMIT_MS = 300
 _DRAIN_POLL_MS = 50
 # A balancer that receives no messages from agents for this time is not ready.
@@ -47,6 +49,7 @@
             clock: Source of time.
         """
         super().__init__(options, front_end, clock, "")
+        # Decides where packets are forwarded.
         self.flows = flows.BalancerFlows(clock, self.own_instance, self.fleet)
         self.config = _config_source.ConfigSource(
             self.store,
@@ -59,6 +62,7 @@
         self._codec = front_end.packet_codec
         self._client_socket = _link.DatagramSocket(self._receive_packet)
         self._last_packet_ms = clock.now_ms()
+        # Versions of the configuration to pull, by link address of the peer.
         self._announced_versions: dict[core.Address, int] = {}
         self._version_announced = asyncio.Event()
         self._last_agent_message_ms: int | None = None
@@ -127,6 +131,8 @@
 
     def sweep(self) -> None:
         """Handles expired timeouts."""
+        # The configuration is known to be the latest only while the store
+        # responds.
         follower = self.config.follower
         self.flows.is_current = (
             follower.last_response_ms is not None
@@ -156,6 +162,7 @@
             while self._announced_versions:
                 sender, version = self._announced_versions.popitem()
                 if version > self.flows.version:
+                    # All instances are assumed to use the same status port.
                     await self._pull_config(
                         core.Address(
                             sender.host, self.options.status_address.port
--- a/libs/runtime/src/fireflyford/runtime/_process.py
+++ b/libs/runtime/src/fireflyford/runtime/_process.py
@@ -26,15 +26,17 @@
 from fireflyford.runtime import _settings
 
 INSTANCES_PATH = "/instances"
-# Short enough for decision timeouts of tens of milliseconds.
+# Interval at which timeouts are checked; the shortest are tens of milliseconds.
 SWEEP_INTERVAL_MS = 20
 EXPIRE_INTERVAL_MS = 1_000
-# Reserved for shutdown before the platform kills the process.
+# Last part of the grace period, reserved for shutdown before the platform kills
+# the process.
 GRACE_RESERVE_MS = 1_000
 # Part of the reserve for withdrawing the registry entry; a call to the store
 # takes a few milliseconds.
 WITHDRAW_RESERVE_MS = 500
-# Also lets the tasks of this process start before the first query.
+# Interval between queries of the seeds. The first query waits as long, so that
+# the other tasks of this process start before it.
 SEED_QUERY_INTERVAL_MS = 300
 
 
@@ -51,7 +53,7 @@
 
 
 class FlowProcess:
-    """Sockets, registry, heartbeats and signal handling of a process."""
+    """Sockets, registry, heartbeats and signals of a balancer or an agent."""
 
     role: core.Role
 
@@ -81,8 +83,10 @@
             service=service,
             availability_zone=options.availability_zone,
             address=options.link_address,
+            # Distinguishes this process from earlier ones of the instance.
             incarnation=clock.wall_ms(),
         )
+        # All instances known from the registry or from heartbeats.
         self.fleet = flows.Fleet(clock)
         self.store: store.Store = front_end.open_store()
         self.registry = _registry.Registry(
@@ -95,6 +99,8 @@
             self._introduce_self,
         )
         self.peer_client = _config_source.HttpPeerClient()
+        # Exchanges messages with other instances and executes the actions that
+        # the decision code in `flows` returns.
         self.link = _link.Link(
             options.link_address,
             front_end.packet_codec,
@@ -124,11 +130,11 @@
         raise NotImplementedError
 
     def load(self) -> flows.Load:
-        """Returns the load to announce."""
+        """Returns the load to announce in heartbeats."""
         return flows.Load()
 
     def config_version(self) -> int:
-        """Returns the version of the configuration to announce."""
+        """Returns the configuration version to announce, 0 for none."""
         return 0
 
     def heartbeat_receivers(self) -> list[core.Address]:
@@ -136,7 +142,7 @@
         raise NotImplementedError
 
     def announcement_receivers(self) -> list[core.Address]:
-        """Returns the receivers of heartbeats on a start, drain or leave."""
+        """Returns the receivers of heartbeats sent on start, drain or leave."""
         return self.heartbeat_receivers()
 
     # Lifecycle.
@@ -181,7 +187,7 @@
         self.start_task("expire", self._expire_loop())
 
     async def leave(self) -> None:
-        """Announces that this instance leaves and withdraws its entry."""
+        """Announces that this instance leaves; withdraws its registry entry."""
         # A task that is still running would write the entry again.
         for task in self._tasks:
             task.cancel()
@@ -191,7 +197,7 @@
         )
 
     def remaining_grace_ms(self) -> int:
-        """Returns the rest of the grace period after the signal to stop."""
+        """Returns the rest of the grace period, less `GRACE_RESERVE_MS`."""
         spent_ms = self.clock.now_ms() - self.stop_requested_ms
         return self.options.grace_ms - GRACE_RESERVE_MS - spent_ms
 
@@ -210,7 +216,7 @@
         self.stopping.set()
 
     def _reload(self) -> None:
-        telemetry.log("reload", effect="settings are read at each start")
+        telemetry.log("reload", effect="none: settings are read only at start")
 
     async def _heartbeat_loop(self) -> None:
         while True:
@@ -247,7 +253,7 @@
             self.expire()
 
     def expire(self) -> None:
-        """Discards state that has not been used recently."""
+        """Discards unused state; called every `EXPIRE_INTERVAL_MS`."""
 
     def _complete_join(self, previous: flows.Instance | None) -> None:
         """Announces this instance after the first read of the registry."""
@@ -268,15 +274,17 @@
         """Handles the first complete read of the registry.
 
         Args:
-            previous: Entry that a previous process left at this address.
+            previous: Entry that a previous process left at this address, None
+                if there was none.
         """
 
     def introduce(self, heartbeat: flows.Heartbeat) -> None:
         """Replies to the first heartbeat of a process with introductions.
 
-        The new process finds most instances in the registry. Instances without
-        an entry there, such as those whose calls the store rejects, are
-        introduced to it, and it to them.
+        The new process finds most instances in the registry. For each instance
+        without an entry there, such as one whose calls the store rejects, sends
+        a heartbeat of that instance to the new process, and the heartbeat of
+        the new process to that instance.
         """
         new_instance = heartbeat.instance
         known = self.fleet.find(new_instance.address)
@@ -296,7 +304,7 @@
             self.link.send(other.address, heartbeat)
 
     async def _query_seeds(self) -> None:
-        """Learns instances from seeds until the store responds."""
+        """Queries the seeds repeatedly until the store responds."""
         while self.registry.follower.last_response_ms is None:
             await self.clock.sleep(SEED_QUERY_INTERVAL_MS)
             if self.registry.follower.last_response_ms is not None:
@@ -306,7 +314,7 @@
                     await self.join_via_seed(seed)
 
     async def join_via_seed(self, seed: core.Address) -> None:
-        """Learns the instances that a running instance knows."""
+        """Adds the instances that a running instance knows to the fleet."""
         outcome = await self.peer_client.read(seed, INSTANCES_PATH)
         if isinstance(outcome, core.Failure):
             telemetry.log("seed-silent", seed=seed, reason=outcome.message)
@@ -366,7 +374,7 @@
         return counts + telemetry.expose_instruments()
 
     def age_ms(self, last_response_ms: int | None) -> int:
-        """Returns the time since the last response, -1 if there was none."""
+        """Returns the time since a store response, -1 if there was none."""
         return (
             -1
             if last_response_ms is None
@@ -392,7 +400,7 @@
 
     Args:
         options: Settings of the process.
-        create_process: Creates the process in the running event loop.
+        create_process: Called in the event loop to create the process.
     """
     telemetry.configure_logs(sys.stdout, options.instance_id)
 
