--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -18,12 +18,20 @@
     agents = {"queue": 3, "desk": 3}  # noqa: RUF012
 
     def first_config(self) -> bytes:
-        """Sends new flows of the feed to the service `queue`."""
-        return self._config(3, "queue")
+        """Sends new flows to `queue`; of one route a tenth to `desk`."""
+        feed = fleet.route("feed", self.address(8_443), "safe", "queue")
+        board = fleet.weighted_route(
+            "board", self.address(8_444), "safe", {"queue": 90, "desk": 10}
+        )
+        return fleet.config(3, [feed, board], ["queue", "desk"])
 
-    def _config(self, version: int, service: str) -> bytes:
-        feed = fleet.route("feed", self.address(8_443), "safe", service)
-        return fleet.config(version, [feed], ["queue", "desk"])
+    def second_config(self) -> bytes:
+        """Sends all new flows of the same routes to `desk`."""
+        feed = fleet.route("feed", self.address(8_443), "safe", "desk")
+        board = fleet.weighted_route(
+            "board", self.address(8_444), "safe", {"queue": 0, "desk": 100}
+        )
+        return fleet.config(8, [feed, board], ["queue", "desk"])
 
     async def _use(self, flow: client.Flow, end_s: float) -> None:
         """Sends requests on a flow until a time or until the flow ends."""
@@ -36,7 +44,7 @@
         flows = []
         for index in range(FLOW_COUNT):
             flow = await self.client.open(
-                self.address(8_443), FIRST_PORT + index
+                self.address(8_443 + index % 2), FIRST_PORT + index
             )
             assert flow is not None
             flows.append(flow)
@@ -44,7 +52,7 @@
         users = [asyncio.create_task(self._use(flow, end_s)) for flow in flows]
         await asyncio.sleep(2.0)
         self.write_config(
-            self._config(8, "desk"), "new flows of the route go to desk"
+            self.second_config(), "new flows of both routes go to desk"
         )
         await asyncio.sleep(fleet.BOUNDS["config_apply_ms"] / 1_000 + 1.0)
         fresh = await self.client.order(
@@ -77,7 +85,7 @@
                 and not any(flow.key in item.resets_sent for item in holders)
             ):
                 self.findings.append(
-                    f"FLOW: {flow.name}, open at "
+                    f"FLOW: {flow.name} of route {flow.key[3]}, open at "
                     f"{', '.join(item.name for item in holders)} for "
                     f"{age_s:.1f} s, got {packet.describe()}"
                 )
--- a/review/5/scenario.py
+++ b/review/5/scenario.py
@@ -8,9 +8,10 @@
 from standins import fleet
 from standins import scenario
 
-FLOW_COUNT = 80
+FLOW_COUNT = 60
 FIRST_PORT = 43_000
 REQUEST_INTERVAL_S = 1.0
+OPENING_S = 0.15
 # The longest freeze in the site file (`node_freeze`).
 FREEZE_S = 4.0
 
@@ -44,7 +45,8 @@
         for index in range(FLOW_COUNT):
             use = self._use(FIRST_PORT + index, end_s)
             users.append(asyncio.create_task(use))
-            await asyncio.sleep(FREEZE_S / FLOW_COUNT)
+            await asyncio.sleep(OPENING_S / FLOW_COUNT)
+        await asyncio.sleep(FREEZE_S - OPENING_S)
         if self.trouble:
             self.deployment.signal("queue-1", signal.SIGCONT)
         # All machines are in touch again after the stable window.
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -303,7 +303,11 @@
 
 
 def route(
-    name: str, address: tuple[str, int], kind: str, service: str
+    name: str,
+    address: tuple[str, int],
+    kind: str,
+    service: str,
+    timeout_ms: int = 2_500,
 ) -> dict[str, Any]:
     """Returns one route of a configuration."""
     return {
@@ -311,9 +315,26 @@
         "host": address[0],
         "prefix": f"/{address[1]}/",
         "type": kind,
-        "timeout_ms": 2_500,
+        "timeout_ms": timeout_ms,
         "aim_ms": 150,
         "priority": 2,
         "service": service,
         "max_attempts": 2,
     }
+
+
+def weighted_route(
+    name: str,
+    address: tuple[str, int],
+    kind: str,
+    weights: dict[str, int],
+    timeout_ms: int = 2_500,
+) -> dict[str, Any]:
+    """Returns one route whose new flows are spread over services."""
+    document = route(name, address, kind, "", timeout_ms)
+    del document["service"]
+    document["backends"] = [
+        {"service": service, "weight": weight}
+        for service, weight in weights.items()
+    ]
+    return document
