--- a/review/3/scenario.py
+++ b/review/3/scenario.py
@@ -1,62 +1,70 @@
-"""A client uses the port of an idle flow again while its server drains."""
+"""A client uses a port again after its route was given to another service."""
 
 import asyncio
-import time
 
 from standins import fleet
 from standins import scenario
 
-PORT_COUNT = 18
-FIRST_PORT = 42_000
+PORT_COUNT = 12
+FIRST_PORT = 41_000
+# Longer than `flow_lifetime_s` and than any `idle_timeout_ms`.
+PAUSE_S = 62.0
 
 
 class Case(scenario.Scenario):
-    """Feeds are left idle, discarded, and opened again from the same ports."""
+    """Orders from ports whose earlier flows were closed a minute ago."""
 
-    agents = {"queue": 3}  # noqa: RUF012
+    agents = {"queue": 3, "desk": 3}  # noqa: RUF012
 
     def first_config(self) -> bytes:
-        """Has one route."""
-        feed = fleet.route("feed", self.address(8_443), "safe", "queue")
-        return fleet.config(3, [feed], ["queue"])
+        """Sends new flows of the orders to the service `queue`."""
+        return self._config(3, "queue")
+
+    def _config(self, version: int, service: str) -> bytes:
+        order = fleet.route(
+            "orders", self.address(8_080), "non_idempotent", service
+        )
+        return fleet.config(version, [order], ["queue", "desk"])
+
+    def _service_of(self, request_id: str) -> str:
+        found = [
+            item.service
+            for item in self.servers.values()
+            if any(run[1] == request_id for run in item.runs)
+        ]
+        return ",".join(found) or "none"
 
     async def play(self) -> None:
         """Plays the case."""
-        route = self.address(8_443)
+        route = self.address(8_080)
         ports = [FIRST_PORT + index for index in range(PORT_COUNT)]
         for port in ports:
-            flow = await self.client.open(route, port)
-            assert flow is not None
-            request_id, body = await self.client.request(flow)
+            request_id, body = await self.client.order(route, port)
             self.log.say(f"port {port}: {request_id} answered: {body}")
-        # Both ends discard flows that are idle for `idle_timeout_ms`.
-        await asyncio.sleep(fleet.IDLE_TIMEOUT_MS / 1_000 + 1.0)
-        assert not any(item.flows for item in self.servers.values())
-        self.log.say("all flows were idle and are discarded at both ends")
-        leaving = self.servers["queue-1"]
+        await asyncio.sleep(1.0)
+        expected = "queue"
         if self.trouble:
-            await leaving.drain()
-        await asyncio.sleep(fleet.BOUNDS["drain_ms"] / 1_000 + 2.0)
+            self.write_config(
+                fleet.config(8, [], ["queue", "desk"]), "the route is removed"
+            )
+            await asyncio.sleep(2.0)
+            self.write_config(
+                self._config(11, "desk"), "the route is added, to desk"
+            )
+            expected = "desk"
+        await asyncio.sleep(PAUSE_S)
+        # Each port is used once before and once now; the others are new.
         for port in [*ports, *(port + 500 for port in ports)]:
-            flow = await self.client.open(route, port)
-            if flow is None:
-                self.log.say(f"port {port}: not opened")
-                continue
-            request_id, body = await self.client.request(flow)
-            self.log.say(f"port {port}: {request_id} answered: {body}")
-        confirmed_s = leaving.drain_confirmed_s
-        if confirmed_s is None:
-            return
-        bound_s = fleet.BOUNDS["drain_ms"] / 1_000
-        now_s = time.monotonic()
-        for key, accepted_s in leaving.accepted:
-            late_s = accepted_s - confirmed_s
-            runs = [run[1] for run in leaving.runs if run[0] == key]
-            if late_s > bound_s and accepted_s <= now_s and runs:
+            request_id, body = await self.client.order(route, port)
+            service = self._service_of(request_id)
+            self.log.say(
+                f"port {port}: {request_id} run by {service}, answered: {body}"
+            )
+            if service not in (expected, "none"):
                 self.findings.append(
-                    f"DRAIN: the opening packet of port {key[1]} reached "
-                    f"{leaving.name} {late_s:.1f} s after its drain was "
-                    f"confirmed; it ran {runs[-1]}"
+                    f"CONFIG: {request_id} of port {port}, sent {PAUSE_S:.0f} "
+                    f"s after the confirmation, was run by {service}; its "
+                    f"route names {expected}"
                 )
 
 
--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -80,6 +80,11 @@
         self.resets_sent: list[packets.FlowKey] = []
         self.bounced_count = 0
         self.damaged_count = 0
+        # Flow and time of each packet that reached this server.
+        self.received: list[tuple[packets.FlowKey, float]] = []
+        # Whether the server is down without a sign: its port stays open, but
+        # it answers nothing and reports nothing.
+        self.is_dark = False
         self.is_alive = False
 
     async def start(self) -> None:
@@ -142,9 +147,22 @@
         )
         return 200 <= status < 300
 
+    async def go_dark(self, duration_s: float) -> None:
+        """Crashes without a sign, and starts again after some time."""
+        self._log.say(f"{self.name}: dark")
+        self.is_dark = True
+        for flow in tuple(self.flows.values()):
+            self._discard(flow, "crash")
+        await asyncio.sleep(duration_s)
+        self._born_ms = int(time.time() * 1_000)
+        self._sequence = 0
+        self.is_dark = False
+        self._log.say(f"{self.name}: started again")
+
     async def _report_loop(self) -> None:
         while True:
-            await self.report()
+            if not self.is_dark:
+                await self.report()
             jitter = random.uniform(0.95, 1.05)
             await asyncio.sleep(self._heartbeat_ms / 1_000 * jitter)
 
@@ -173,11 +191,15 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Handles a packet that the agent delivered."""
         packet = packets.decode(data)
+        key = (packet.src, packet.sport, packet.dst, packet.dport)
+        self.received.append((key, time.monotonic()))
+        if self.is_dark:
+            self._log.write(f"{self.name} is dark, gets {packet.describe()}")
+            return
         if not packets.is_intact(packet):
             self.damaged_count += 1
             self._log.say(f"{self.name}: damaged {packet.describe()}")
             return
-        key = (packet.src, packet.sport, packet.dst, packet.dport)
         flow = self.flows.get(key)
         if packet.flags & packets.SYN:
             self._handle_opening(key, flow, packet)
