--- a/review/build.sh
+++ b/review/build.sh
@@ -3,5 +3,5 @@
 # they can be loaded. They use the standard library only.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-python3 -m compileall -q review/standins review/[1-5]
+python3 -m compileall -q review/standins review/[1-5] review/other
 PYTHONPATH=review python3 -c "import standins.scenario"
--- a/review/standins/scenario.py
+++ b/review/standins/scenario.py
@@ -4,6 +4,7 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 
 from standins import client
@@ -69,6 +70,12 @@
 
     async def run(self) -> int:
         """Runs the case and returns the exit status."""
+        task = asyncio.current_task()
+        assert task is not None
+        # The processes are ended also if the script is stopped.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, task.cancel
+        )
         deployment = self.deployment
         names = [*deployment.balancers, *deployment.agents]
         try:
@@ -89,7 +96,8 @@
                     fleet.BOUNDS["stable_window_ms"] / 1_000 + 0.5
                 )
                 await self.play()
-        except (TimeoutError, OSError, fleet.CannotRunError) as error:
+        except Exception as error:
+            # Whatever fails here is no verdict on the programs under review.
             self.log.say(f"the case could not run: {error!r}")
             return EXIT_CANNOT_RUN
         finally:
@@ -112,8 +120,8 @@
     """Runs a scenario as a program."""
     folder = pathlib.Path(file).resolve().parent
     try:
-        case = scenario(folder)
-    except fleet.CannotRunError as error:
-        print(f"the case cannot run: {error}")
-        sys.exit(EXIT_CANNOT_RUN)
-    sys.exit(asyncio.run(case.run()))
+        status = asyncio.run(scenario(folder).run())
+    except (Exception, asyncio.CancelledError) as error:
+        print(f"the case cannot run: {error!r}")
+        status = EXIT_CANNOT_RUN
+    sys.exit(status)
