Log which service a negative answer is about

flow-not-found names the service that answered, the one whose answer was awaited, the time since it was asked and the services that are still to be asked.

--- a/libs/flows/src/fireflyford/flows/_balancer.py
+++ b/libs/flows/src/fireflyford/flows/_balancer.py
@@ -224,7 +224,7 @@
                 del self._holders[message.flow]
             return []
         elif isinstance(message, _messages.FlowNotFound):
-            return self._handle_not_found(message)
+            return self._handle_not_found(sender, message)
         elif isinstance(message, _messages.PlacementQueued):
             pending = self._pending.get(message.flow)
             if pending is not None:
@@ -378,11 +378,12 @@
             self._holders.popitem(last=False)
 
     def _handle_not_found(
-        self, message: _messages.FlowNotFound
+        self, sender: core.Address, message: _messages.FlowNotFound
     ) -> list[_types.Action]:
         """Resolves a flow at another service of its route, or resets it."""
         flow = message.flow
         pending = self._pending.pop(flow, None)
+        self._log_not_found(sender, flow, pending)
         route = None
         if self._table is not None:
             route = self._table.routes.get(_types.route_address(flow))
@@ -395,6 +396,25 @@
         )
         return [_types.Reset(flow, message.ack)]
 
+    def _log_not_found(
+        self,
+        sender: core.Address,
+        flow: bytes,
+        pending: _PendingPacket | None,
+    ) -> None:
+        """Logs which service has answered, and which one was awaited."""
+        directory_agent = self._fleet.find(sender)
+        telemetry.log(
+            "flow-not-found",
+            flow=_types.describe_flow(flow),
+            home=sender,
+            service=directory_agent and directory_agent.service,
+            awaited=pending and pending.service,
+            asked_ms=pending and self._clock.now_ms() - pending.received_ms,
+            remaining=pending and ",".join(pending.other_services),
+            version=self.version,
+        )
+
     def _handle_refused(
         self, message: _messages.PlacementRefused
     ) -> list[_types.Action]:
