Search unknown flows at all services before a reset

Cause: a balancer took the services that it had seen for a route for all services at which its flows can be open. It knows only the versions of the configuration that it applied itself.

Evidence: with flow-not-found logged, each of 22 resets follows service=desk awaited=desk remaining="" at a balancer that had started after the change; service queue was not asked.

Change: a flow that the balancer does not know is asked for at every service that has agents, those of its route first. One whose holder was reported to it is asked for at that service only; the client's sequence number tells it from a later flow on the same port. Neither a balancer nor a directory agent reports a flow as lost before the instances have been listed once. This works because agents are the only source for what is open, whatever versions were applied.

Before: test_restarted_balancer_searches_services_of_earlier_versions, test_balancer_without_complete_view_resets_no_flow and test_flows_of_earlier_service_survive_restart_of_all_balancers failed (80 of 80 flows broken in the last one).

--- a/libs/flows/src/fireflyford/flows/_balancer.py
+++ b/libs/flows/src/fireflyford/flows/_balancer.py
@@ -2,8 +2,13 @@
 
 The holder of a flow is the agent whose backend server has the flow; the flow's
 directory agent records the holder, or places the flow if it is new. A balancer
-keeps no state that a flow depends on: its table of holders is a cache in front
-of the directories at the agents.
+keeps no state that a flow depends on: its table of known flows is a cache in
+front of the directories at the agents.
+
+Only agents know which flows are open. A balancer knows the services of a route
+in the versions of the configuration that it has applied, which need not be all
+that flows were opened under. A flow that it does not know may therefore be held
+at any service, and is reset only when none has it.
 """
 
 import collections
@@ -18,8 +23,12 @@
 from fireflyford.flows import _response_timer
 from fireflyford.flows import _types
 
-# A cached holder takes some 100 bytes.
-MAX_CACHED_HOLDERS = 65_536
+# A known flow takes some 200 bytes.
+MAX_KNOWN_FLOWS = 65_536
+# Sequence numbers that are at most this far apart belong to the same flow. More
+# than a client sends or receives between two packets through one balancer; two
+# flows start that close to each other with a probability of 1 in 2,048.
+SAME_FLOW_WINDOW_BYTES = 1 << 20
 # A directory agent that has not answered within this time is a suspect for
 # `SUSPECT_MS`: another agent is asked instead. Covers the time limits of an
 # offer (`_flow_placer.OFFER_TIMEOUT_MS`) and of a search.
@@ -84,6 +93,51 @@
     routes: Mapping[core.Address, Route]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _KnownFlow:
+    """A flow whose holder has been reported to this balancer.
+
+    Attributes:
+        service: Service of the holder, which never changes.
+        holder: The holder, None after it has reported that it no longer holds
+            the flow.
+        seq: A recent sequence number of the client, which distinguishes the
+            flow from others that use the same ports.
+        ack: A recent acknowledgment number of the client, None before the
+            first one.
+    """
+
+    service: str
+    holder: core.Address | None
+    seq: int
+    ack: int | None
+
+    def matches(self, packet: _types.Packet) -> bool:
+        """Returns whether a packet belongs to this flow."""
+        return _is_near(self.seq, packet.seq)
+
+    def update(self, packet: _types.Packet) -> "_KnownFlow":
+        """Returns the flow with the sequence numbers of a packet of it."""
+        if (
+            self.ack is not None
+            and _is_near(self.seq, packet.seq, SAME_FLOW_WINDOW_BYTES // 2)
+            and _is_near(self.ack, packet.ack, SAME_FLOW_WINDOW_BYTES // 2)
+        ):
+            return self
+        ack = packet.ack if packet.acknowledges else self.ack
+        return dataclasses.replace(self, seq=packet.seq, ack=ack)
+
+
+def _is_near(
+    first: int, second: int, limit_bytes: int = SAME_FLOW_WINDOW_BYTES
+) -> bool:
+    """Returns whether two sequence numbers may be of the same flow."""
+    return (
+        _types.sequence_distance(first, second) < limit_bytes
+        or _types.sequence_distance(second, first) < limit_bytes
+    )
+
+
 class _PendingPacket:
     """A packet whose flow the directory agent has been asked to resolve."""
 
@@ -131,14 +185,15 @@
         self._own_instance = own_instance
         self._fleet = fleet
         self._table: RouteTable | None = None
-        # Services of each route in earlier versions of the configuration.
+        # Services of each route in earlier versions that this process has
+        # applied. There may be more, so these are only asked first.
         self._earlier_services: dict[core.Address, tuple[str, ...]] = {}
         # Addresses of routes that only earlier versions contain.
         self._removed_addresses: set[core.Address] = set()
-        # Holder and service of each flow, least recently used first.
-        self._holders: collections.OrderedDict[
-            bytes, tuple[core.Address, str]
-        ] = collections.OrderedDict()
+        # Least recently used first.
+        self._known_flows: collections.OrderedDict[bytes, _KnownFlow] = (
+            collections.OrderedDict()
+        )
         self._pending: collections.OrderedDict[bytes, _PendingPacket] = (
             collections.OrderedDict()
         )
@@ -154,8 +209,8 @@
 
     @property
     def cached_count(self) -> int:
-        """Number of flows whose holder is cached."""
-        return len(self._holders)
+        """Number of flows whose holder has been reported."""
+        return len(self._known_flows)
 
     def apply(self, table: RouteTable) -> bool:
         """Applies a configuration; returns False if it is not newer."""
@@ -188,18 +243,23 @@
             route = self._table.routes.get(address)
         if route is None or not route.shares:
             return self._reset_unrouted(packet, address)
-        known = self._holders.get(packet.flow)
-        if known is not None:
-            holder, service = known
-            if holder in self._fleet:
-                self._holders.move_to_end(packet.flow)
+        known = self._known_flows.get(packet.flow)
+        if known is not None and known.matches(packet):
+            if known.holder is not None and known.holder in self._fleet:
+                self._known_flows[packet.flow] = known.update(packet)
+                self._known_flows.move_to_end(packet.flow)
                 return [
                     self._forward(
-                        _messages.Handling.HELD, holder, packet, service, route
+                        _messages.Handling.HELD,
+                        known.holder,
+                        packet,
+                        known.service,
+                        route,
                     )
                 ]
-            del self._holders[packet.flow]
-        services = self._candidate_services(route, packet)
+        else:
+            known = None
+        services = self._candidate_services(route, packet, known)
         pending = self._pending.get(packet.flow)
         if pending is not None:
             if packet.opens and pending.packet.opens:
@@ -219,10 +279,11 @@
         if isinstance(message, _messages.FlowLocated):
             self._record_holder(sender, message.flow)
         elif isinstance(message, _messages.NotHeld):
-            known = self._holders.get(message.flow)
-            if known is not None and known[0] == sender:
-                del self._holders[message.flow]
-            return []
+            known = self._known_flows.get(message.flow)
+            if known is not None and known.holder == sender:
+                self._known_flows[message.flow] = dataclasses.replace(
+                    known, holder=None
+                )
         elif isinstance(message, _messages.FlowNotFound):
             return self._handle_not_found(sender, message)
         elif isinstance(message, _messages.PlacementQueued):
@@ -280,15 +341,20 @@
         ]
 
     def _candidate_services(
-        self, route: Route, packet: _types.Packet
+        self, route: Route, packet: _types.Packet, known: _KnownFlow | None
     ) -> list[str]:
         """Returns the services that may hold the flow, most likely first."""
         first = route.service(packet.flow)
         if packet.opens:
             return [first]
-        other_services = [share.service for share in route.shares]
+        if known is not None:
+            return [known.service]
+        of_route = [share.service for share in route.shares]
         earlier = self._earlier_services.get(route.address, ())
-        return list(dict.fromkeys([first, *other_services, *earlier]))
+        # A route may have had other services before this process applied its
+        # first configuration.
+        others = self._fleet.services()
+        return list(dict.fromkeys([first, *of_route, *earlier, *others]))
 
     def _resolve(
         self, packet: _types.Packet, services: list[str], route: Route
@@ -361,21 +427,26 @@
     def _record_holder(self, sender: core.Address, flow: bytes) -> None:
         self._suspect_until_ms.pop(sender, None)
         pending = self._pending.pop(flow, None)
+        known = self._known_flows.pop(flow, None)
+        holder = self._fleet.find(sender)
         if pending is not None:
             duration_ms = self._clock.now_ms() - pending.received_ms
             self._timer.record_response(duration_ms)
-            kind = "new" if pending.packet.opens else "known"
+            packet = pending.packet
+            kind = "new" if packet.opens else "known"
             telemetry.observe("flow_locate", duration_ms, kind)
-            service = pending.service
-        else:
-            instance = self._fleet.find(sender)
-            if instance is None:
-                return
-            service = instance.service
-        self._holders[flow] = (sender, service)
-        self._holders.move_to_end(flow)
-        if len(self._holders) > MAX_CACHED_HOLDERS:
-            self._holders.popitem(last=False)
+            service = pending.service if holder is None else holder.service
+            ack = packet.ack if packet.acknowledges else None
+            known = _KnownFlow(service, sender, packet.seq, ack)
+        elif known is not None and holder is not None:
+            known = dataclasses.replace(
+                known, service=holder.service, holder=sender
+            )
+        if known is None:
+            return
+        self._known_flows[flow] = known
+        if len(self._known_flows) > MAX_KNOWN_FLOWS:
+            self._known_flows.popitem(last=False)
 
     def _handle_not_found(
         self, sender: core.Address, message: _messages.FlowNotFound
@@ -389,7 +460,7 @@
             route = self._table.routes.get(_types.route_address(flow))
         if pending is not None and pending.other_services and route is not None:
             return self._resolve(pending.packet, pending.other_services, route)
-        if not message.expects_response:
+        if not message.expects_response or not self._fleet.is_complete:
             return []
         telemetry.log(
             "flow-reset", flow=_types.describe_flow(flow), reason="no-holder"
--- a/libs/flows/src/fireflyford/flows/_fleet.py
+++ b/libs/flows/src/fireflyford/flows/_fleet.py
@@ -57,6 +57,10 @@
         # Increases whenever the agents change or one of them starts or stops
         # accepting new flows.
         self.generation = 0
+        # Whether all instances have been listed once, by the registry or by an
+        # instance that is present. Until then, an instance that is not known
+        # may still be there.
+        self.is_complete = False
         # Time without a keepalive after which an instance without an entry is
         # removed. Keepalives are the rarer, the larger the fleet is.
         self.keepalive_timeout_ms = KEEPALIVE_TIMEOUT_MS
@@ -72,6 +76,7 @@
         self._registered = {item.address: item for item in instances}
         for address in self._registered:
             self._unseen_since_ms.pop(address, None)
+        self.is_complete = True
         return self.refresh()
 
     def update_entries(
@@ -308,6 +313,12 @@
         """Returns the agents of one service."""
         return tuple(self._agents.get(service, {}).values())
 
+    def services(self) -> tuple[str, ...]:
+        """Returns the services that have agents."""
+        return tuple(
+            service for service, agents in self._agents.items() if agents
+        )
+
     def instances(self) -> tuple[_types.Instance, ...]:
         """Returns all instances."""
         return tuple(self._present.values())
--- a/libs/flows/src/fireflyford/flows/_holder_search.py
+++ b/libs/flows/src/fireflyford/flows/_holder_search.py
@@ -20,8 +20,8 @@
 # Limit of searches in progress; a packet that would need another is dropped.
 MAX_SEARCHES = 4_096
 # A directory agent that has just started may not know agents without a registry
-# entry. Until their heartbeats have had time to arrive, a search never reports
-# a flow as not found.
+# entry. Until their heartbeats have had time to arrive, and as long as the
+# instances have not been listed, a search never reports a flow as not found.
 STARTUP_GRACE_MS = 300
 
 
@@ -137,7 +137,8 @@
         del self._searches[flow]
         now_ms = self._clock.now_ms()
         self._timer.record_response(now_ms - search.started_ms)
-        if now_ms - self._started_ms < STARTUP_GRACE_MS:
+        is_new = now_ms - self._started_ms < STARTUP_GRACE_MS
+        if is_new or not self._fleet.is_complete:
             return []
         self._record_failure(flow)
         telemetry.log(
--- a/libs/flows/tests/test_decisions.py
+++ b/libs/flows/tests/test_decisions.py
@@ -19,6 +19,7 @@
 FLOW = bytes((10, 9, 0, 7, 1, 1, 198, 18, 0, 1, 1, 187))
 ROUTE = core.Address("198.18.0.1", 443)
 SEQ = 4_000_000_000
+NOT_FOUND = flows.FlowNotFound(FLOW, SEQ + 1, True)
 
 
 class Clock(core.ManualClock):
@@ -438,6 +439,87 @@
     ]
 
 
+def test_restarted_balancer_searches_services_of_earlier_versions() -> None:
+    """Guards against resets of flows that a route change has left in place.
+
+    A balancer that starts after the change knows the new service only.
+    """
+    clock, fleet, decisions = make_balancer("board")
+    earlier = dataclasses.replace(instance(PEER), service="earlier")
+    fleet.replace_entries([instance(OWN), earlier])
+    (first,) = sent_messages(decisions.receive(data_packet()), flows.Forward)
+    assert first.to == OWN
+    clock.set(1_010_000)
+    (second,) = sent_messages(
+        decisions.handle_message(OWN, NOT_FOUND), flows.Forward
+    )
+    assert second.to == PEER
+    assert second.message.service == "earlier"
+    assert decisions.handle_message(PEER, NOT_FOUND) == [
+        flows.Reset(FLOW, SEQ + 1)
+    ]
+
+
+def locate_flow(decisions: flows.BalancerFlows) -> None:
+    """Makes the balancer know that `PEER` holds the flow."""
+    decisions.receive(data_packet())
+    load = flows.Load(flows.TargetState.READY, 2)
+    decisions.handle_message(PEER, flows.FlowLocated(FLOW, load))
+
+
+@pytest.mark.parametrize("seq", [10, 3_000_000_000])
+def test_lost_flow_is_searched_at_its_known_service_only(seq: int) -> None:
+    """Guards against searches at every service for each lost flow.
+
+    A flow that uses the port after the known one may be held elsewhere.
+    """
+    _, fleet, decisions = make_balancer("board")
+    other = dataclasses.replace(
+        instance(core.Address("10.0.1.3", 7_000)), service="other"
+    )
+    fleet.replace_entries([instance(OWN), instance(PEER), other])
+    locate_flow(decisions)
+    decisions.handle_message(PEER, flows.NotHeld(FLOW))
+    packet = data_packet(seq=seq)
+    (first,) = sent_messages(decisions.receive(packet), flows.Forward)
+    (action,) = decisions.handle_message(first.to, NOT_FOUND)
+    if seq == 10:
+        assert action == flows.Reset(FLOW, SEQ + 1)
+    else:
+        assert sent_messages([action], flows.Forward)[0].to == other.address
+
+
+def test_new_flow_is_placed_only_at_service_of_its_route() -> None:
+    """Guards against new flows at a service that the route does not name."""
+    _, fleet, decisions = make_balancer("board")
+    other = dataclasses.replace(instance(PEER), service="other")
+    fleet.replace_entries([instance(OWN), other])
+    opening = flows.Packet(FLOW, b"", opens=True)
+    decisions.receive(opening)
+    refused = flows.PlacementRefused(FLOW, flows.DeclineReason.BUSY)
+    assert decisions.handle_message(OWN, refused) == [flows.Reset(FLOW, 0)]
+
+
+def test_balancer_without_complete_view_resets_no_flow() -> None:
+    """Guards against resets before the service of the holder is known."""
+    clock = Clock(1_000_000)
+    fleet = flows.Fleet(clock)
+    decisions = flows.BalancerFlows(
+        clock, instance(BALANCER, core.Role.BALANCER), fleet
+    )
+    decisions.apply(make_table(1, "board"))
+    fleet.apply_heartbeat(
+        flows.Heartbeat(instance(OWN), flows.Load(), 0, False)
+    )
+    decisions.receive(data_packet())
+    assert decisions.handle_message(OWN, NOT_FOUND) == []
+    fleet.replace_entries([instance(OWN)])
+    decisions.receive(data_packet())
+    assert decisions.handle_message(OWN, NOT_FOUND) == [
+        flows.Reset(FLOW, SEQ + 1)
+    ]
+
+
 def test_directory_agent_timeout_retries_next_candidate() -> None:
     """Guards against new flows that wait for an agent that no longer runs."""
     clock, _, decisions = make_balancer()
--- a/libs/lab/src/fireflyford/lab/_packet_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_packet_fleet.py
@@ -488,10 +488,8 @@
         self.results: list[RequestResult] = []
         self.broken_flows: list[bytes] = []
         self.shed_flows: set[bytes] = set()
-        route = flows.Route(
-            "board", ROUTE_ADDRESS, (flows.Share(SERVICE, 1),), long_lived
-        )
-        self.table = flows.RouteTable(1, {ROUTE_ADDRESS: route})
+        self._long_lived = long_lived
+        self.table = self._make_table(1, SERVICE)
         self.targets = [
             Target(self, spec, index) for index, spec in enumerate(specs)
         ]
@@ -513,6 +511,22 @@
         self._every(HEARTBEAT_INTERVAL_MS, self._send_heartbeats)
         self._report_loads()
 
+    def _make_table(self, version: int, service: str) -> flows.RouteTable:
+        route = flows.Route(
+            "board",
+            ROUTE_ADDRESS,
+            (flows.Share(service, 1),),
+            self._long_lived,
+        )
+        return flows.RouteTable(version, {ROUTE_ADDRESS: route})
+
+    def move_route(self, service: str) -> None:
+        """Applies a configuration that sends new flows to another service."""
+        self.table = self._make_table(self.table.version + 1, service)
+        for balancer in self.balancers:
+            if balancer.up:
+                balancer.flows.apply(self.table)
+
     # Event queue.
 
     def call_later(self, delay_ms: int, work: Callable[[], None]) -> None:
--- a/libs/lab/tests/test_packet_fleet.py
+++ b/libs/lab/tests/test_packet_fleet.py
@@ -182,6 +182,23 @@
     assert fleet.broken_flows == []
 
 
+def test_flows_of_earlier_service_survive_restart_of_all_balancers() -> None:
+    """Guards against resets by balancers that know only the newest routes.
+
+    No process that has applied the earlier version is left.
+    """
+    other_specs = [_packet_fleet.TargetSpec(service="sheets")] * 3
+    fleet = _packet_fleet.PacketFleet(7, SPECS + other_specs, long_lived=True)
+    clients = open_clients(fleet, 80)
+    fleet.move_route("sheets")
+    for balancer in fleet.balancers:
+        balancer.start()
+    fleet.publish_registry()
+    request_on_all(fleet, clients)
+    assert fleet.broken_flows == []
+    assert outcomes(fleet) == {_packet_fleet.RequestOutcome.ANSWERED}
+
+
 def test_unregistered_agent_keeps_open_flows() -> None:
     """Guards against resets by directory agents that use only the registry."""
     fleet = _packet_fleet.PacketFleet(6, SPECS, long_lived=True)
--- a/libs/runtime/src/fireflyford/runtime/_process.py
+++ b/libs/runtime/src/fireflyford/runtime/_process.py
@@ -433,6 +433,7 @@
                 self.fleet.apply_heartbeat(
                     flows.Heartbeat(instance, flows.Load(), 0, False)
                 )
+        self.fleet.is_complete = True
         self.send_heartbeats([item.address for item in found])
         telemetry.log(
             "seed-answered",
