Count an answer about a flow only for the question that it answers

Cause: a balancer took every FlowNotFound for the answer to what it asks now, whoever sent it, about whichever flow of the port, and even if it asked nothing.

Change: an answer counts if it is of the service that is awaited and its acknowledgment number is of the flow. Without a question it counts only if the last known holder, of the same service, no longer has the flow. Refusals and delays of placements count only from the directory agent that was asked last. A late answer thus changes nothing, however many directory agents were asked.

Before: test_second_answer_of_a_service_is_not_taken_for_that_of_the_next, test_answer_without_open_question_resets_no_flow, test_answer_about_an_earlier_flow_of_the_port_is_ignored and test_late_answer_about_a_placement_is_ignored failed.

--- a/libs/flows/src/fireflyford/flows/_balancer.py
+++ b/libs/flows/src/fireflyford/flows/_balancer.py
@@ -116,6 +116,14 @@
         """Returns whether a packet belongs to this flow."""
         return _is_near(self.seq, packet.seq)
 
+    def is_of(self, service: str | None, ack: int) -> bool:
+        """Returns whether an answer of a service is about this flow."""
+        return (
+            self.service == service
+            and self.ack is not None
+            and _is_near(self.ack, ack)
+        )
+
     def update(self, packet: _types.Packet) -> "_KnownFlow":
         """Returns the flow with the sequence numbers of a packet of it."""
         if (
@@ -164,6 +172,29 @@
         # has room.
         self.is_queued = False
 
+    def awaits(self, service: str | None, ack: int) -> bool:
+        """Returns whether an answer of a service is about this packet's flow.
+
+        Args:
+            service: Service of the directory agent that answers.
+            ack: Acknowledgment number of the client's packet that the directory
+                agent has asked about. It is in the sequence of the backend
+                server, which differs from that of an earlier flow.
+        """
+        return (
+            not self.packet.opens
+            and self.service == service
+            and _is_near(self.packet.ack, ack)
+        )
+
+    def continues(self, packet: _types.Packet) -> bool:
+        """Returns whether a packet asks for the same open flow as this one."""
+        return (
+            not packet.opens
+            and not self.packet.opens
+            and _is_near(self.packet.seq, packet.seq)
+        )
+
 
 class BalancerFlows:
     """Handles every packet and message of one balancer."""
@@ -266,10 +297,9 @@
                 # A retransmission; the first packet is already being retried.
                 return []
             self._suspect_if_overdue(pending)
-            if not packet.opens and pending.service in services:
-                # The flow was not found at the services before it.
-                index = services.index(pending.service)
-                services = services[index:]
+            if pending.continues(packet):
+                # The flow was not found at the services before these.
+                services = [pending.service, *pending.other_services]
         return self._resolve(packet, services, route)
 
     def handle_message(
@@ -287,14 +317,14 @@
         elif isinstance(message, _messages.FlowNotFound):
             return self._handle_not_found(sender, message)
         elif isinstance(message, _messages.PlacementQueued):
-            pending = self._pending.get(message.flow)
+            pending = self._pending_placement(sender, message.flow)
             if pending is not None:
                 pending.is_queued = True
                 self._timer.record_response(
                     self._clock.now_ms() - pending.received_ms
                 )
         elif isinstance(message, _messages.PlacementRefused):
-            return self._handle_refused(message)
+            return self._handle_refused(sender, message)
         elif isinstance(message, _messages.LoadReport):
             self._fleet.record_load(sender, message.load)
         elif isinstance(message, _messages.Heartbeat):
@@ -453,45 +483,71 @@
     ) -> list[_types.Action]:
         """Resolves a flow at another service of its route, or resets it."""
         flow = message.flow
-        pending = self._pending.pop(flow, None)
-        self._log_not_found(sender, flow, pending)
-        route = None
-        if self._table is not None:
-            route = self._table.routes.get(_types.route_address(flow))
-        if pending is not None and pending.other_services and route is not None:
-            return self._resolve(pending.packet, pending.other_services, route)
-        if not message.expects_response or not self._fleet.is_complete:
-            return []
-        telemetry.log(
-            "flow-reset", flow=_types.describe_flow(flow), reason="no-holder"
-        )
-        return [_types.Reset(flow, message.ack)]
-
-    def _log_not_found(
-        self,
-        sender: core.Address,
-        flow: bytes,
-        pending: _PendingPacket | None,
-    ) -> None:
-        """Logs which service has answered, and which one was awaited."""
         directory_agent = self._fleet.find(sender)
+        service = None if directory_agent is None else directory_agent.service
+        pending = self._pending.get(flow)
+        is_answer = pending is not None and pending.awaits(service, message.ack)
+        known = self._known_flows.get(flow)
         telemetry.log(
             "flow-not-found",
             flow=_types.describe_flow(flow),
             home=sender,
-            service=directory_agent and directory_agent.service,
+            service=service,
             awaited=pending and pending.service,
             asked_ms=pending and self._clock.now_ms() - pending.received_ms,
             remaining=pending and ",".join(pending.other_services),
+            counts=is_answer,
             version=self.version,
         )
+        if pending is not None and is_answer:
+            del self._pending[flow]
+            if pending.other_services:
+                return self._resolve(
+                    pending.packet, pending.other_services, pending.route
+                )
+        elif (
+            known is None
+            or known.holder in self._fleet
+            or not known.is_of(service, message.ack)
+        ):
+            # Without a question, an answer counts only if the last holder no
+            # longer has the flow: it has relayed the packet to its service.
+            return []
+        if not message.expects_response or not self._fleet.is_complete:
+            return []
+        self._known_flows.pop(flow, None)
+        telemetry.log(
+            "flow-reset", flow=_types.describe_flow(flow), reason="no-holder"
+        )
+        return [_types.Reset(flow, message.ack)]
+
+    def _pending_placement(
+        self, sender: core.Address, flow: bytes
+    ) -> _PendingPacket | None:
+        """Returns the new flow that the sender was asked last to place.
+
+        Another directory agent may have placed the flow by the time that an
+        earlier one answers.
+        """
+        pending = self._pending.get(flow)
+        if (
+            pending is not None
+            and pending.packet.opens
+            and pending.directory_agent == sender
+        ):
+            return pending
+        telemetry.log(
+            "late-answer", flow=_types.describe_flow(flow), home=sender
+        )
+        return None
 
     def _handle_refused(
-        self, message: _messages.PlacementRefused
+        self, sender: core.Address, message: _messages.PlacementRefused
     ) -> list[_types.Action]:
-        pending = self._pending.pop(message.flow, None)
-        if pending is None or not pending.packet.opens:
+        pending = self._pending_placement(sender, message.flow)
+        if pending is None:
             return []
+        del self._pending[message.flow]
         telemetry.log(
             "flow-reset",
             flow=_types.describe_flow(message.flow),
--- a/libs/flows/tests/test_decisions.py
+++ b/libs/flows/tests/test_decisions.py
@@ -520,6 +520,114 @@
     ]
 
 
+OTHER = core.Address("10.0.1.3", 7_000)
+
+
+def make_two_services() -> tuple[Clock, flows.BalancerFlows]:
+    """Makes a balancer of a route to `board` that knows `other` as well."""
+    clock, fleet, decisions = make_balancer("board")
+    other = dataclasses.replace(instance(OTHER), service="other")
+    fleet.replace_entries([instance(OWN), instance(PEER), other])
+    return clock, decisions
+
+
+def test_second_answer_of_a_service_is_not_taken_for_that_of_the_next() -> None:
+    """Guards against resets when an agent wakes and its peers answer at once.
+
+    Several directory agents were asked while each waited for the frozen one.
+    """
+    _, decisions = make_two_services()
+    decisions.receive(data_packet())
+    (second,) = sent_messages(
+        decisions.handle_message(OWN, NOT_FOUND), flows.Forward
+    )
+    assert second.to == OTHER
+    assert decisions.handle_message(PEER, NOT_FOUND) == []
+    assert decisions.handle_message(OTHER, NOT_FOUND) == [
+        flows.Reset(FLOW, SEQ + 1)
+    ]
+
+
+@pytest.mark.parametrize("holder", [None, OTHER, OWN])
+def test_answer_without_open_question_resets_no_flow(
+    holder: core.Address | None,
+) -> None:
+    """Guards against resets by an answer that is older than its question.
+
+    The packet was given up, or the holder has become known meanwhile.
+    """
+    clock, decisions = make_two_services()
+    decisions.receive(data_packet())
+    if holder is not None:
+        decisions.handle_message(holder, flows.FlowLocated(FLOW, flows.Load()))
+    clock.set(1_010_000)
+    decisions.sweep()
+    assert decisions.handle_message(PEER, NOT_FOUND) == []
+
+
+def test_answer_about_an_earlier_flow_of_the_port_is_ignored() -> None:
+    """Guards against resets of a flow whose port was used before."""
+    _, decisions = make_two_services()
+    decisions.receive(data_packet())
+    late = dataclasses.replace(NOT_FOUND, ack=SEQ - 2_000_000_000)
+    assert decisions.handle_message(PEER, late) == []
+    assert decisions.has_timeouts()
+
+
+def test_flow_lost_by_its_known_holder_is_reset_at_once() -> None:
+    """Guards against clients that wait for the next packet of a lost flow.
+
+    Its holder relays the packet to the directory agent, so the balancer has
+    asked nothing.
+    """
+    _, decisions = make_two_services()
+    locate_flow(decisions)
+    (relayed,) = sent_messages(decisions.receive(data_packet()), flows.Forward)
+    assert relayed.message.handling is flows.Handling.HELD
+    decisions.handle_message(PEER, flows.NotHeld(FLOW))
+    assert decisions.handle_message(OWN, NOT_FOUND) == [
+        flows.Reset(FLOW, SEQ + 1)
+    ]
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        flows.PlacementRefused(FLOW, flows.DeclineReason.BUSY),
+        flows.PlacementQueued(FLOW),
+    ],
+)
+def test_late_answer_about_a_placement_is_ignored(
+    answer: flows.Message,
+) -> None:
+    """Guards against resets of a flow that another agent is placing.
+
+    The first directory agent was frozen, and answers after a retry.
+    """
+    clock, decisions = make_two_services()
+    opening = flows.Packet(FLOW, b"", opens=True)
+    (first,) = sent_messages(decisions.receive(opening), flows.Forward)
+    retries: list[flows.Send] = []
+    while not retries or retries[-1].to == first.to:
+        clock.set(clock.now_ms() + 20)
+        retries += sent_messages(decisions.sweep(), flows.Forward)
+    assert decisions.handle_message(first.to, answer) == []
+    count = len(retries)
+    while len(retries) == count:
+        clock.set(clock.now_ms() + 20)
+        retries += sent_messages(decisions.sweep(), flows.Forward)
+        assert decisions.has_timeouts()
+
+
+def test_late_holder_of_another_service_is_asked_as_such() -> None:
+    """Guards against a holder that is recorded with a service it is not of."""
+    _, decisions = make_two_services()
+    decisions.receive(data_packet())
+    decisions.handle_message(OTHER, flows.FlowLocated(FLOW, flows.Load()))
+    (packet,) = sent_messages(decisions.receive(data_packet()), flows.Forward)
+    assert (packet.to, packet.message.service) == (OTHER, "other")
+
+
 def test_directory_agent_timeout_retries_next_candidate() -> None:
     """Guards against new flows that wait for an agent that no longer runs."""
     clock, _, decisions = make_balancer()
