Tell a new flow from the one before it on the same ports

Cause: addresses and ports were taken for the identity of a flow. The balancer sent an opening packet to the holder of the flow that used the ports before.

Change: a known flow holds a sequence number of the client. Only a copy of its opening packet belongs to it; any other opens a new flow, which is placed by the configuration in force. The same holds for a packet that waits for an answer. Sequence numbers start at random, so they differ where ports do not.

--- a/libs/flows/src/fireflyford/flows/_balancer.py
+++ b/libs/flows/src/fireflyford/flows/_balancer.py
@@ -113,7 +113,13 @@
     ack: int | None
 
     def matches(self, packet: _types.Packet) -> bool:
-        """Returns whether a packet belongs to this flow."""
+        """Returns whether a packet belongs to this flow.
+
+        An opening packet belongs to it if it is a copy of the one that opened
+        it; any other one opens a new flow.
+        """
+        if packet.opens:
+            return self.seq == packet.seq
         return _is_near(self.seq, packet.seq)
 
     def is_of(self, service: str | None, ack: int) -> bool:
@@ -187,6 +193,12 @@
             and _is_near(self.packet.ack, ack)
         )
 
+    def is_copied_by(self, packet: _types.Packet) -> bool:
+        """Returns whether a packet is a copy of this opening packet."""
+        return (
+            packet.opens and self.packet.opens and self.packet.seq == packet.seq
+        )
+
     def continues(self, packet: _types.Packet) -> bool:
         """Returns whether a packet asks for the same open flow as this one."""
         return (
@@ -275,26 +287,32 @@
         if route is None or not route.shares:
             return self._reset_unrouted(packet, address)
         known = self._known_flows.get(packet.flow)
-        if known is not None and known.matches(packet):
-            if known.holder is not None and known.holder in self._fleet:
-                self._known_flows[packet.flow] = known.update(packet)
-                self._known_flows.move_to_end(packet.flow)
-                return [
-                    self._forward(
-                        _messages.Handling.HELD,
-                        known.holder,
-                        packet,
-                        known.service,
-                        route,
-                    )
-                ]
-        else:
+        if known is not None and not known.matches(packet):
+            # Another flow that uses the same ports.
+            if packet.opens:
+                self._forget_earlier_flow(packet.flow, known, route)
             known = None
+        if (
+            known is not None
+            and known.holder is not None
+            and known.holder in self._fleet
+        ):
+            self._known_flows[packet.flow] = known.update(packet)
+            self._known_flows.move_to_end(packet.flow)
+            return [
+                self._forward(
+                    _messages.Handling.HELD,
+                    known.holder,
+                    packet,
+                    known.service,
+                    route,
+                )
+            ]
         services = self._candidate_services(route, packet, known)
         pending = self._pending.get(packet.flow)
         if pending is not None:
-            if packet.opens and pending.packet.opens:
-                # A retransmission; the first packet is already being retried.
+            if pending.is_copied_by(packet):
+                # The first copy is already being retried.
                 return []
             self._suspect_if_overdue(pending)
             if pending.continues(packet):
@@ -302,6 +320,24 @@
                 services = [pending.service, *pending.other_services]
         return self._resolve(packet, services, route)
 
+    def _forget_earlier_flow(
+        self, flow: bytes, known: _KnownFlow, route: Route
+    ) -> None:
+        """Forgets a flow whose ports the client uses for a new one.
+
+        The new flow is placed by the configuration in force, whatever the
+        earlier one was placed by.
+        """
+        telemetry.log(
+            "port-used-again",
+            flow=_types.describe_flow(flow),
+            holder=known.holder,
+            held_at=known.service,
+            service=route.service(flow),
+            version=self.version,
+        )
+        del self._known_flows[flow]
+
     def handle_message(
         self, sender: core.Address, message: _messages.Message
     ) -> list[_types.Action]:
@@ -459,6 +495,15 @@
         pending = self._pending.pop(flow, None)
         known = self._known_flows.pop(flow, None)
         holder = self._fleet.find(sender)
+        if (
+            pending is not None
+            and pending.packet.opens
+            and holder is not None
+            and holder.service != pending.service
+        ):
+            # Late news of an earlier flow that used the same ports.
+            self._pending[flow] = pending
+            return
         if pending is not None:
             duration_ms = self._clock.now_ms() - pending.received_ms
             self._timer.record_response(duration_ms)
--- a/libs/flows/tests/test_decisions.py
+++ b/libs/flows/tests/test_decisions.py
@@ -628,6 +628,54 @@
     assert (packet.to, packet.message.service) == (OTHER, "other")
 
 
+@pytest.mark.parametrize("is_located", [True, False])
+def test_new_flow_on_used_port_goes_to_service_of_its_route(
+    is_located: bool,
+) -> None:
+    """Guards against new flows at the service of the flow before.
+
+    Its holder may be known, or the opening packet may still be retried.
+    """
+    clock, decisions = make_two_services()
+    opening = flows.Packet(FLOW, b"", opens=True, seq=9)
+    (first,) = sent_messages(decisions.receive(opening), flows.Forward)
+    if is_located:
+        decisions.handle_message(
+            first.to, flows.FlowLocated(FLOW, flows.Load())
+        )
+        decisions.receive(data_packet())
+    decisions.apply(make_table(2, "other"))
+    clock.set(1_000_900)
+    reopening = dataclasses.replace(opening, seq=2_000_000_000)
+    (message,) = sent_messages(decisions.receive(reopening), flows.Forward)
+    assert message.to == OTHER
+    assert message.message.service == "other"
+    assert message.message.handling is flows.Handling.RESOLVE
+    assert decisions.receive(reopening) == []
+
+
+def test_copy_of_opening_packet_goes_to_holder() -> None:
+    """Guards against a second placement of a flow that is being opened."""
+    _, decisions = make_two_services()
+    opening = flows.Packet(FLOW, b"", opens=True, seq=9)
+    decisions.receive(opening)
+    decisions.handle_message(PEER, flows.FlowLocated(FLOW, flows.Load()))
+    decisions.apply(make_table(2, "other"))
+    (message,) = sent_messages(decisions.receive(opening), flows.Forward)
+    assert message.to == PEER
+    assert message.message.handling is flows.Handling.HELD
+
+
+def test_late_news_of_the_earlier_flow_does_not_locate_the_new_one() -> None:
+    """Guards against packets of a new flow at the holder of the one before."""
+    _, decisions = make_two_services()
+    opening = flows.Packet(FLOW, b"", opens=True, seq=9)
+    decisions.receive(opening)
+    decisions.handle_message(OTHER, flows.FlowLocated(FLOW, flows.Load()))
+    assert decisions.has_timeouts()
+    assert decisions.cached_count == 0
+
+
 def test_directory_agent_timeout_retries_next_candidate() -> None:
     """Guards against new flows that wait for an agent that no longer runs."""
     clock, _, decisions = make_balancer()
