Place new flows on ports of tracked flows by state and load

An agent took an opening packet of a flow that it tracks for a copy and delivered it whatever the state of its backend server; a directory agent dropped it while it placed an earlier flow of the ports.

Evidence: the claim's path was read in the code and shown by test_draining_target_gets_no_new_flow_on_port_of_tracked_flow; flow-replaced logs the decision now.

Change: a tracked flow holds the sequence number of its opening packet. Only a copy belongs to it; any other opening packet ends it and is placed anew.

test_flow_that_is_opened_anew_is_tracked_anew expected the delivery without a decision, which is the fault. It now asks for the relay to the directory agent, for the delivery after the offer, and as before for that of the request.

--- a/libs/flows/src/fireflyford/flows/_flow_placer.py
+++ b/libs/flows/src/fireflyford/flows/_flow_placer.py
@@ -101,7 +101,8 @@
         self, forward: _messages.Forward, packet: _types.Packet
     ) -> list[_types.Action]:
         """Starts to place a new flow, unless that is already in progress."""
-        if packet.flow in self._attempts:
+        known = self._attempts.get(packet.flow)
+        if known is not None and known.packet.seq == packet.seq:
             # A retransmission; the attempt in progress has its own timeout.
             return []
         attempt = _PlacementAttempt(forward, packet, self._clock.now_ms())
--- a/libs/flows/src/fireflyford/flows/_flow_tracker.py
+++ b/libs/flows/src/fireflyford/flows/_flow_tracker.py
@@ -31,16 +31,21 @@
 class TrackedFlow:
     """One flow that the backend server holds."""
 
-    def __init__(self, now_ms: int, long_lived: bool) -> None:
+    def __init__(
+        self, now_ms: int, long_lived: bool, opening_seq: int | None
+    ) -> None:
         """Initializes a flow with a reserved slot.
 
         Args:
             now_ms: Time of the clock.
             long_lived: Whether it is expected to carry many requests.
+            opening_seq: Sequence number of the client's opening packet, None
+                if the agent has restarted since.
         """
         self.opened_ms = now_ms
         self.last_used_ms = now_ms
         self.long_lived = long_lived
+        self.opening_seq = opening_seq
         # First sequence number of the backend server (None if the agent has
         # restarted since), and the end of the data that it has sent so far.
         self.first_seq: int | None = None
@@ -62,11 +67,16 @@
     def matches(self, packet: _types.Packet) -> bool:
         """Returns whether a client's packet belongs to this flow.
 
+        An opening packet belongs to it if it is a copy of the one that opened
+        it; with any other one, the client uses the ports for a new flow.
+
         Another backend server may also have accepted the flow. If the client
         has opened it there, it acknowledges that server's sequence numbers,
         which this one has not sent.
         """
-        if packet.opens or self.first_seq is None or not packet.acknowledges:
+        if packet.opens:
+            return not self.ended and self.opening_seq == packet.seq
+        if self.first_seq is None or not packet.acknowledges:
             return True
         sent = _types.sequence_distance(self.first_seq, self.sent_seq_end)
         acknowledged = _types.sequence_distance(self.first_seq, packet.ack)
@@ -115,7 +125,11 @@
         )
 
     def add(
-        self, flow: bytes, long_lived: bool, first_seq: int | None
+        self,
+        flow: bytes,
+        long_lived: bool,
+        first_seq: int | None,
+        opening_seq: int | None,
     ) -> TrackedFlow:
         """Adds a flow that the backend server has accepted.
 
@@ -124,8 +138,10 @@
             long_lived: Whether it is expected to carry many requests.
             first_seq: First sequence number of the backend server, None for a
                 flow that was opened before this process started.
+            opening_seq: Sequence number of the client's opening packet, None
+                for such a flow.
         """
-        tracked = TrackedFlow(self._clock.now_ms(), long_lived)
+        tracked = TrackedFlow(self._clock.now_ms(), long_lived, opening_seq)
         if first_seq is None:
             tracked.reserved_until_ms = tracked.opened_ms
         else:
--- a/libs/flows/src/fireflyford/flows/_target_forwarder.py
+++ b/libs/flows/src/fireflyford/flows/_target_forwarder.py
@@ -44,6 +44,8 @@
 
     forward: _messages.Forward
     sender: core.Address
+    # Sequence number of the opening packet.
+    seq: int
     deadline_ms: int
 
 
@@ -113,11 +115,7 @@
         """
         if forward.handling is _messages.Handling.PLACE:
             return self._open(sender, forward, packet)
-        tracked = self.tracker.get(packet.flow)
-        if tracked is not None and tracked.ended and packet.opens:
-            # The client uses the port again, so its new flow is placed anew.
-            self.tracker.remove(packet.flow)
-            tracked = None
+        tracked = self._tracked_flow(packet)
         if self.state is _types.TargetState.DOWN:
             return self._report_not_held(sender, forward, packet)
         if tracked is not None and tracked.matches(packet):
@@ -141,10 +139,7 @@
         forward: _messages.Forward,
         packet: _types.Packet,
     ) -> list[_types.Action]:
-        tracked = self.tracker.get(packet.flow)
-        if tracked is not None and tracked.ended:
-            self.tracker.remove(packet.flow)
-            tracked = None
+        tracked = self._tracked_flow(packet)
         if tracked is not None:
             self.tracker.record_client_packet(tracked, packet)
             return [
@@ -159,11 +154,34 @@
         if reason is not None:
             return [self._decline(sender, packet.flow, reason)]
         opening = _Opening(
-            forward, sender, self._clock.now_ms() + OPENING_LIMIT_MS
+            forward,
+            sender,
+            packet.seq,
+            self._clock.now_ms() + OPENING_LIMIT_MS,
         )
         self._openings[packet.flow] = opening
         return [_types.Deliver(packet)]
 
+    def _tracked_flow(
+        self, packet: _types.Packet
+    ) -> _flow_tracker.TrackedFlow | None:
+        """Returns the tracked flow that a client's packet may belong to.
+
+        If the client uses the ports of a tracked flow for a new one, that one
+        is over, and the new one is placed like any other.
+        """
+        tracked = self.tracker.get(packet.flow)
+        if tracked is None or not packet.opens or tracked.matches(packet):
+            return tracked
+        telemetry.log(
+            "flow-replaced",
+            flow=_types.describe_flow(packet.flow),
+            ended=tracked.ended,
+            state=self.state.name.lower(),
+        )
+        self.tracker.remove(packet.flow)
+        return None
+
     def _decline_reason(
         self, forward: _messages.Forward
     ) -> _messages.DeclineReason | None:
@@ -284,14 +302,19 @@
         if tracked is not None:
             if tracked.first_seq not in (None, packet.seq):
                 # The client has started again and uses the port once more.
-                self.tracker.add(packet.flow, tracked.long_lived, packet.seq)
+                self.tracker.add(
+                    packet.flow,
+                    tracked.long_lived,
+                    packet.seq,
+                    tracked.opening_seq,
+                )
             return [_types.Reply(packet)]
         opening = self._openings.pop(packet.flow, None)
         if opening is None:
             # The offer timed out, so the flow may be placed elsewhere.
             return []
         tracked = self.tracker.add(
-            packet.flow, opening.forward.long_lived, packet.seq
+            packet.flow, opening.forward.long_lived, packet.seq, opening.seq
         )
         # The message below tells the directory agent that offered the flow.
         process = self._directory_process(packet.flow)
@@ -503,7 +526,7 @@
             if probe.packet.flow == flow
         ]
         long_lived = any(probe.forward.long_lived for _, probe in probes)
-        tracked = self.tracker.add(flow, long_lived, None)
+        tracked = self.tracker.add(flow, long_lived, None, None)
         for delivery_tag, _ in probes:
             del self._probes[delivery_tag]
         located = _messages.FlowLocated(flow, self.load())
--- a/libs/flows/tests/test_decisions.py
+++ b/libs/flows/tests/test_decisions.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+import types
 
 import pytest
 
@@ -63,7 +64,9 @@
     return clock, fleet, forwarder
 
 
-def sent_messages(actions: list[flows.Action], kind: type) -> list[flows.Send]:
+def sent_messages(
+    actions: list[flows.Action], kind: type | types.UnionType
+) -> list[flows.Send]:
     return [
         action
         for action in actions
@@ -943,7 +946,7 @@
         choice = rng.randrange(6)
         if choice == 0 or tracked is None:
             first_seq = rng.choice([None, SEQ])
-            tracker.add(flow, rng.random() < 0.5, first_seq)
+            tracker.add(flow, rng.random() < 0.5, first_seq, 1)
         elif choice == 1:
             tracker.remove(flow)
         else:
@@ -1168,7 +1171,12 @@
     _, _, forwarder = make_forwarder()
     open_flow(forwarder)
     opening = flows.Packet(FLOW, b"", opens=True, seq=77)
-    forwarder.receive(BALANCER, forward(flows.Handling.HELD), opening)
+    actions = forwarder.receive(BALANCER, forward(flows.Handling.HELD), opening)
+    # The directory agent places it like any other new flow.
+    (relayed,) = sent_messages(actions, flows.Forward)
+    assert relayed.message.handling is flows.Handling.RESOLVE
+    offered = forwarder.receive(PEER, forward(flows.Handling.PLACE), opening)
+    assert any(isinstance(item, flows.Deliver) for item in offered)
     accepted = flows.Packet(FLOW, b"", opens=True, acknowledges=True, seq=500)
     assert forwarder.receive_from_target(accepted)
     request = data_packet(ack=501, seq=78)
@@ -1176,6 +1184,54 @@
     assert any(isinstance(item, flows.Deliver) for item in actions)
 
 
+@pytest.mark.parametrize(
+    "handling", [flows.Handling.HELD, flows.Handling.PLACE]
+)
+def test_draining_target_gets_no_new_flow_on_port_of_tracked_flow(
+    handling: flows.Handling,
+) -> None:
+    """Guards against new flows that a leaving backend server loses.
+
+    The client has discarded an idle flow that the agent still tracks.
+    """
+    _, _, forwarder = make_forwarder()
+    open_flow(forwarder)
+    forwarder.update_state(flows.TargetState.DRAINING, 2)
+    opening = flows.Packet(FLOW, b"", opens=True, seq=77)
+    actions = forwarder.receive(BALANCER, forward(handling), opening)
+    assert not any(isinstance(item, flows.Deliver) for item in actions)
+    assert sent_messages(actions, flows.NotHeld | flows.PlacementDeclined)
+
+
+@pytest.mark.parametrize(
+    "handling", [flows.Handling.HELD, flows.Handling.PLACE]
+)
+def test_copy_of_opening_packet_is_delivered_by_holder(
+    handling: flows.Handling,
+) -> None:
+    """Guards against a second placement when the first answer is lost."""
+    _, _, forwarder = make_forwarder()
+    open_flow(forwarder)
+    forwarder.update_state(flows.TargetState.DRAINING, 2)
+    copy = flows.Packet(FLOW, b"", opens=True)
+    actions = forwarder.receive(BALANCER, forward(handling), copy)
+    assert any(isinstance(item, flows.Deliver) for item in actions)
+
+
+def test_flow_that_is_opened_anew_replaces_one_that_is_being_placed() -> None:
+    """Guards against answers to a client that has started again meanwhile."""
+    _, _, decisions = make_agent()
+    resolve = forward(flows.Handling.RESOLVE)
+    opening = flows.Packet(FLOW, b"", opens=True, seq=9)
+    assert decisions.receive(BALANCER, resolve, opening)
+    assert decisions.receive(BALANCER, resolve, opening) == []
+    again = dataclasses.replace(opening, seq=77)
+    (offer,) = sent_messages(
+        decisions.receive(BALANCER, resolve, again), flows.Forward
+    )
+    assert offer.message.handling is flows.Handling.PLACE
+
+
 def test_placement_on_port_of_ended_flow_is_accepted_once() -> None:
     """Guards against a flow that is accepted here and offered elsewhere."""
     clock, _, forwarder = make_forwarder()
