Count the messages that flows cost in the lab

fireflyford-lab run flow-messages counts messages between instances for each flow by its state, in virtual time. A test holds the costs of open flows to their hops.

--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 	$(BIN)/fireflyford-lab demo --deployment $(DEPLOYMENT) --seed $(SEED)
 
 # Experiments that bound what forwarding and QUIC cost.
-BENCH := forwarding quic-cost datagram-flows datagram-processes packet-flows
+BENCH := forwarding quic-cost datagram-flows datagram-processes packet-flows flow-messages
 
 bench: setup
 	failed=0; for name in $(BENCH); do echo "== $$name"; $(BIN)/fireflyford-lab run $$name --seed $(SEED) || failed=1; done; exit $$failed
--- a/libs/lab/src/fireflyford/lab/_packet_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_packet_fleet.py
@@ -488,6 +488,8 @@
         self.results: list[RequestResult] = []
         self.broken_flows: list[bytes] = []
         self.shed_flows: set[bytes] = set()
+        # Messages about flows, without keepalives and load reports.
+        self.flow_message_count = 0
         self._long_lived = long_lived
         self.table = self._make_table(1, SERVICE)
         self.targets = [
@@ -618,6 +620,9 @@
     def perform(self, sender: core.Address, action: flows.Action) -> None:
         """Performs an action that sends something from an instance."""
         if isinstance(action, flows.Send):
+            self.flow_message_count += not isinstance(
+                action.message, flows.Heartbeat | flows.LoadReport
+            )
             node = self._node(action.to)
             delay_ms = 0 if action.to == sender else LINK_DELAY_MS
             message = action.message
--- a/libs/lab/tests/test_packet_fleet.py
+++ b/libs/lab/tests/test_packet_fleet.py
@@ -333,3 +333,22 @@
     assert answered_shares[0] >= 0.95
     # At most half as many late responses as the baseline.
     assert 1 - answered_shares[0] <= (1 - answered_shares[1]) / 2
+
+
+def test_open_flow_costs_one_message_for_each_hop() -> None:
+    """Guards against safeguards that ask more instances for every packet.
+
+    A balancer that knows the flow sends one message to the holder. One that
+    does not sends it by the directory agent, and the holder notifies it.
+    """
+    specs = [*SPECS, _packet_fleet.TargetSpec(service="sheets")]
+    fleet = _packet_fleet.PacketFleet(9, specs, long_lived=True)
+    clients = open_clients(fleet, 40)
+    for hop_count in (1, 3):
+        before_count = fleet.flow_message_count
+        request_on_all(fleet, clients)
+        added_count = fleet.flow_message_count - before_count
+        assert added_count <= hop_count * len(clients)
+        for balancer in fleet.balancers:
+            balancer.start()
+        fleet.publish_registry()
