--- a/libs/flows/src/fireflyford/flows/_balancer.py
+++ b/libs/flows/src/fireflyford/flows/_balancer.py
@@ -526,7 +526,7 @@
     def _handle_not_found(
         self, sender: core.Address, message: _messages.FlowNotFound
     ) -> list[_types.Action]:
-        """Resolves a flow at another service of its route, or resets it."""
+        """Asks the next service that may hold a flow, or resets the flow."""
         flow = message.flow
         directory_agent = self._fleet.find(sender)
         service = None if directory_agent is None else directory_agent.service
