Carry route terms and evacuated zones with opening packets

Cause: priority, latency objective and time limit of a route are not read, and evacuations of zones are not known, so no instance can decide by them.

Change: routes have terms where a service's time limits leave no room for a second attempt or its cold backend servers are limited. Opening packets carry them and the view of evacuated zones. Version 2 of the link protocol marks messages with added fields; a process sends it only to peers that are known to decode it, and other messages keep the bytes of the earlier release. Routes move to a module of their own. Nothing acts on the new fields yet.

--- a/libs/flows/src/fireflyford/flows/__init__.py
+++ b/libs/flows/src/fireflyford/flows/__init__.py
@@ -7,9 +7,7 @@
 
 from fireflyford.flows._agent import AgentFlows
 from fireflyford.flows._balancer import BalancerFlows
-from fireflyford.flows._balancer import Route
-from fireflyford.flows._balancer import RouteTable
-from fireflyford.flows._balancer import Share
+from fireflyford.flows._evacuation import EvacuationView
 from fireflyford.flows._fleet import KEEPALIVE_TIMEOUT_MS
 from fireflyford.flows._fleet import Fleet
 from fireflyford.flows._messages import DeclineReason
@@ -25,11 +23,18 @@
 from fireflyford.flows._messages import PlacementDeclined
 from fireflyford.flows._messages import PlacementQueued
 from fireflyford.flows._messages import PlacementRefused
+from fireflyford.flows._messages import ProtocolAnnouncement
 from fireflyford.flows._messages import Send
+from fireflyford.flows._messages import SlotGranted
 from fireflyford.flows._placement import Candidate
 from fireflyford.flows._placement import EarliestCompletion
 from fireflyford.flows._placement import Placement
 from fireflyford.flows._placement import Random
+from fireflyford.flows._routes import Route
+from fireflyford.flows._routes import RouteTable
+from fireflyford.flows._routes import RouteTerms
+from fireflyford.flows._routes import Share
+from fireflyford.flows._routes import make_route_table
 from fireflyford.flows._target_monitor import TargetLiveness
 from fireflyford.flows._target_monitor import TargetMonitor
 from fireflyford.flows._target_monitor import TargetReport
@@ -56,6 +61,7 @@
     "DeclineReason",
     "Deliver",
     "EarliestCompletion",
+    "EvacuationView",
     "Fleet",
     "FlowAnnouncement",
     "FlowLocated",
@@ -73,18 +79,22 @@
     "PlacementDeclined",
     "PlacementQueued",
     "PlacementRefused",
+    "ProtocolAnnouncement",
     "Random",
     "Reply",
     "Reset",
     "Route",
     "RouteTable",
+    "RouteTerms",
     "Send",
     "Share",
+    "SlotGranted",
     "TargetLiveness",
     "TargetMonitor",
     "TargetReport",
     "TargetState",
     "client_address",
     "describe_flow",
+    "make_route_table",
     "route_address",
 ]
--- a/libs/flows/src/fireflyford/flows/_balancer.py
+++ b/libs/flows/src/fireflyford/flows/_balancer.py
@@ -12,15 +12,15 @@
 """
 
 import collections
-from collections.abc import Mapping
 import dataclasses
 
 from fireflyford import core
-from fireflyford import routing
 from fireflyford import telemetry
+from fireflyford.flows import _evacuation
 from fireflyford.flows import _fleet
 from fireflyford.flows import _messages
 from fireflyford.flows import _response_timer
+from fireflyford.flows import _routes
 from fireflyford.flows import _types
 
 # A known flow takes some 200 bytes.
@@ -50,49 +50,6 @@
 MAX_PENDING_PACKETS = 16_384
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Share:
-    """A service and its weight among the services of a route."""
-
-    service: str
-    weight: int
-
-
-@dataclasses.dataclass(frozen=True)
-class Route:
-    """Destination of the flows to one address and port.
-
-    Attributes:
-        name: Name of the route.
-        address: Address and port to which clients send.
-        shares: Weighted services for new flows.
-        long_lived: Whether flows of this route carry many requests.
-    """
-
-    name: str
-    address: core.Address
-    shares: tuple[Share, ...]
-    long_lived: bool
-
-    def service(self, flow: bytes) -> str:
-        """Returns the service of a new flow, chosen by hash and weight."""
-        total = sum(share.weight for share in self.shares)
-        point = routing.hash_flow(flow) % max(1, total)
-        for share in self.shares:
-            point -= share.weight
-            if point < 0:
-                return share.service
-        return self.shares[0].service
-
-
-@dataclasses.dataclass(frozen=True)
-class RouteTable:
-    """Routes of one version of the configuration."""
-
-    version: int
-    routes: Mapping[core.Address, Route]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _KnownFlow:
     """A flow whose holder has been reported to this balancer.
@@ -161,7 +118,7 @@
         service: str,
         other_services: list[str],
         directory_agent: core.Address | None,
-        route: Route,
+        route: _routes.Route,
         now_ms: int,
         retry_delay_ms: int,
     ):
@@ -227,7 +184,7 @@
         self._clock = clock
         self._own_instance = own_instance
         self._fleet = fleet
-        self._table: RouteTable | None = None
+        self._table: _routes.RouteTable | None = None
         # Services of each route in earlier versions that this process has
         # applied. There may be more, so these are only asked first.
         self._earlier_services: dict[core.Address, tuple[str, ...]] = {}
@@ -244,6 +201,9 @@
         self._timer = _response_timer.ResponseTimer(RETRY_MS, MAX_RETRY_MS)
         # Whether the configuration is known to be the latest version.
         self.is_current = False
+        # Evacuated zones, sent with opening packets; None if zones cannot be
+        # evacuated or no view is known yet.
+        self.evacuation: _evacuation.EvacuationView | None = None
 
     @property
     def version(self) -> int:
@@ -255,7 +215,7 @@
         """Number of flows whose holder has been reported."""
         return len(self._known_flows)
 
-    def apply(self, table: RouteTable) -> bool:
+    def apply(self, table: _routes.RouteTable) -> bool:
         """Applies a configuration; returns False if it is not newer."""
         if table.version <= self.version:
             return False
@@ -321,7 +281,7 @@
         return self._resolve(packet, services, route)
 
     def _forget_earlier_flow(
-        self, flow: bytes, known: _KnownFlow, route: Route
+        self, flow: bytes, known: _KnownFlow, route: _routes.Route
     ) -> None:
         """Forgets a flow whose ports the client uses for a new one.
 
@@ -407,7 +367,10 @@
         ]
 
     def _candidate_services(
-        self, route: Route, packet: _types.Packet, known: _KnownFlow | None
+        self,
+        route: _routes.Route,
+        packet: _types.Packet,
+        known: _KnownFlow | None,
     ) -> list[str]:
         """Returns the services that may hold the flow, most likely first."""
         first = route.service(packet.flow)
@@ -423,7 +386,7 @@
         return list(dict.fromkeys([first, *of_route, *earlier, *others]))
 
     def _resolve(
-        self, packet: _types.Packet, services: list[str], route: Route
+        self, packet: _types.Packet, services: list[str], route: _routes.Route
     ) -> list[_types.Action]:
         """Asks the directory agent of the first service for the holder.
 
@@ -624,7 +587,7 @@
         to: core.Address,
         packet: _types.Packet,
         service: str,
-        route: Route,
+        route: _routes.Route,
     ) -> _messages.Send:
         message = _messages.Forward(
             handling,
@@ -635,5 +598,7 @@
             route.long_lived,
             False,
             packet.data,
+            route.terms if packet.opens else None,
+            self.evacuation if packet.opens else None,
         )
         return _messages.Send(to, message)
--- a/libs/flows/src/fireflyford/flows/_messages.py
+++ b/libs/flows/src/fireflyford/flows/_messages.py
@@ -4,6 +4,8 @@
 import enum
 
 from fireflyford import core
+from fireflyford.flows import _evacuation
+from fireflyford.flows import _routes
 from fireflyford.flows import _types
 
 
@@ -37,6 +39,10 @@
         allow_queueing: Whether the receiver accepts the flow even if its
             requests have to wait for a slot.
         data: The encoded packet.
+        terms: Terms under which a new flow is placed, None to place it by load
+            alone or for other packets.
+        evacuation: Evacuated zones as known to the sender, None if it knows
+            none or for other packets.
     """
 
     handling: Handling
@@ -47,6 +53,8 @@
     long_lived: bool
     allow_queueing: bool
     data: bytes
+    terms: _routes.RouteTerms | None = None
+    evacuation: _evacuation.EvacuationView | None = None
 
     def relay(
         self,
@@ -95,6 +103,10 @@
     FULL = 4
     SILENT = 5
     OTHER_SERVICE = 6
+    EVACUATED = 7
+    COLD = 8
+    # The flow cannot be served within its time limit any more.
+    TOO_LATE = 9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -175,6 +187,24 @@
     load: _types.Load
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotGranted:
+    """The sender keeps a free slot for a waiting flow for a short time."""
+
+    flow: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProtocolAnnouncement:
+    """The sender decodes messages of this version of the protocol.
+
+    Attributes:
+        version: Highest version that the sender decodes.
+    """
+
+    version: int
+
+
 Message = (
     Forward
     | FlowLocated
@@ -186,6 +216,8 @@
     | FlowAnnouncement
     | Heartbeat
     | LoadReport
+    | SlotGranted
+    | ProtocolAnnouncement
 )
 
 
--- a/libs/flows/src/fireflyford/flows/_types.py
+++ b/libs/flows/src/fireflyford/flows/_types.py
@@ -27,6 +27,8 @@
         seq: Sequence number of the first payload byte.
         ack: Sequence number that its sender expects next.
         delivery_tag: Value that the agent attached on delivery.
+        opening_age_ms: For a copy of an opening packet, time since the client
+            sent the first one.
     """
 
     flow: bytes
@@ -40,6 +42,7 @@
     seq: int = 0
     ack: int = 0
     delivery_tag: int = 0
+    opening_age_ms: int = 0
 
 
 @functools.lru_cache(4_096)
@@ -113,6 +116,7 @@
         long_lived_count: Open flows that carry many requests.
         service_ms: Mean time from a request to its response, measured while
             a slot was free; 0 when unknown.
+        warmup_left_ms: How long the backend server stays cold, 0 if it is warm.
     """
 
     state: TargetState = TargetState.UNKNOWN
@@ -121,6 +125,7 @@
     reserved_count: int = 0
     long_lived_count: int = 0
     service_ms: float = 0.0
+    warmup_left_ms: int = 0
 
     @property
     def pending_count(self) -> int:
--- a/libs/runtime/src/fireflyford/runtime/_link.py
+++ b/libs/runtime/src/fireflyford/runtime/_link.py
@@ -18,6 +18,7 @@
 # Addresses of instances and clients that are kept after their first datagram;
 # checking an address takes longer than handling the rest of a datagram.
 _CACHED_ADDRESSES = 8_192
+_PROTOCOL_ANNOUNCEMENT = flows.ProtocolAnnouncement(_link_codec.PROTOCOL)
 
 
 @functools.lru_cache(_CACHED_ADDRESSES)
@@ -124,7 +125,10 @@
         self._target_socket: DatagramSocket | None = None
         # The message that was encoded last; many are sent to all instances.
         self._encoded_message: flows.Message | None = None
+        self._encoded_protocol = 0
         self._encoded_data = b""
+        # Instances that are known to decode version 2 of the protocol.
+        self._second_protocol: set[core.Address] = set()
         self.counters = LinkCounters()
 
     async def open(self) -> None:
@@ -145,7 +149,19 @@
         if isinstance(outcome, core.Failure):
             self.counters.malformed_count += 1
             return
-        self._handle_message(sender, outcome.value)
+        if _link_codec.is_of_second_protocol(data):
+            self._second_protocol.add(sender)
+        if not isinstance(outcome.value, flows.ProtocolAnnouncement):
+            self._handle_message(sender, outcome.value)
+
+    def announce_protocol(self, to: core.Address) -> None:
+        """Tells a peer the version, unless the peer is known to have it too."""
+        if to not in self._second_protocol:
+            self.send(to, _PROTOCOL_ANNOUNCEMENT)
+
+    def forget_protocol(self, address: core.Address) -> None:
+        """Assumes version 1 for a new process at an address."""
+        self._second_protocol.discard(address)
 
     def execute(self, actions: list[flows.Action]) -> None:
         """Executes actions in order."""
@@ -168,7 +184,7 @@
             loop = asyncio.get_running_loop()
             loop.call_soon(self._handle_message, to, message)
             return
-        data = self._encode(message)
+        data = self._encode(message, to)
         if isinstance(message, flows.Forward):
             self.counters.forwarded_count += 1
         else:
@@ -176,11 +192,18 @@
             self.counters.control_sent_bytes += len(data)
         self._socket.send(data, to)
 
-    def _encode(self, message: flows.Message) -> bytes:
-        """Encodes a message, once for all its receivers."""
-        if message is not self._encoded_message:
-            self._encoded_data = _link_codec.pack(message)
+    def _encode(self, message: flows.Message, to: core.Address) -> bytes:
+        """Encodes a message, once for all receivers of the same version."""
+        protocol = _link_codec.FIRST_PROTOCOL
+        if to in self._second_protocol:
+            protocol = _link_codec.PROTOCOL
+        if (
+            message is not self._encoded_message
+            or protocol != self._encoded_protocol
+        ):
+            self._encoded_data = _link_codec.pack(message, protocol)
             self._encoded_message = message
+            self._encoded_protocol = protocol
         return self._encoded_data
 
     def _deliver(self, action: flows.Deliver) -> None:
--- a/libs/runtime/src/fireflyford/runtime/_link_codec.py
+++ b/libs/runtime/src/fireflyford/runtime/_link_codec.py
@@ -3,8 +3,13 @@
 A message is one byte for its type and a msgpack array of its fields. Instances
 and loads are nested arrays; addresses are `ip:port`. Values out of range are
 rejected here, so that everything that was decoded can be encoded again.
+
+Version 1 of the protocol is that of earlier releases, which drop types and
+arrays that they do not know. Version 2 adds types and fields; a message that
+has added fields is marked by `EXTENDED` in its first byte.
 """
 
+import dataclasses
 import functools
 import ipaddress
 from typing import Any
@@ -21,6 +26,16 @@
 # Far above the time limit of any request.
 MAX_SERVICE_MS = 3_600_000.0
 MAX_VERSION = (1 << 63) - 1
+# Far more than the availability zones of any deployment.
+MAX_ZONE_COUNT = 64
+# Versions of the protocol.
+FIRST_PROTOCOL = 1
+PROTOCOL = 2
+# Marks a message with the fields of version 2.
+EXTENDED = 0x80
+# Reasons that version 1 does not have are sent as `BUSY` there: the flow has
+# not run and may be placed elsewhere.
+_LAST_FIRST_PROTOCOL_REASON = flows.DeclineReason.OTHER_SERVICE
 
 _MESSAGE_TYPES: dict[int, type[Any]] = {
     1: flows.Forward,
@@ -33,6 +48,8 @@
     8: flows.Heartbeat,
     9: flows.LoadReport,
     10: flows.PlacementQueued,
+    11: flows.ProtocolAnnouncement,
+    12: flows.SlotGranted,
 }
 _TYPE_CODES = {
     message_type: code for code, message_type in _MESSAGE_TYPES.items()
@@ -52,9 +69,35 @@
     8: tuple[_Instance, _Load, int, bool],
     9: tuple[_Load],
     10: tuple[bytes],
+    11: tuple[int],
+    12: tuple[bytes],
+}
+_ExtendedLoad = tuple[int, int, int, int, int, float, int]
+_Terms = tuple[int, int, int, bool, float]
+_Evacuation = tuple[int, int, tuple[str, ...]]
+_EXTENDED_FIELDS: dict[int, Any] = {
+    1: tuple[
+        int,
+        str,
+        _Address,
+        _Address,
+        int,
+        bool,
+        bool,
+        bytes,
+        _Terms | None,
+        _Evacuation | None,
+    ],
+    2: tuple[bytes, _ExtendedLoad],
+    3: tuple[bytes, int, _ExtendedLoad],
+    8: tuple[_Instance, _ExtendedLoad, int, bool],
+    9: tuple[_ExtendedLoad],
 }
 _DECODERS = {
     code: msgspec.msgpack.Decoder(fields) for code, fields in _FIELDS.items()
+} | {
+    code | EXTENDED: msgspec.msgpack.Decoder(fields)
+    for code, fields in _EXTENDED_FIELDS.items()
 }
 _ENCODER = msgspec.msgpack.Encoder()
 _ENTRY_DECODER = msgspec.json.Decoder(_Instance)
@@ -87,8 +130,8 @@
     return str(address)
 
 
-def _pack_load(load: flows.Load) -> _Load:
-    return (
+def _pack_load(load: flows.Load, extended: bool) -> _Load | _ExtendedLoad:
+    fields = (
         load.state,
         load.slot_count,
         load.busy_count,
@@ -96,11 +139,15 @@
         load.long_lived_count,
         load.service_ms,
     )
+    return (*fields, load.warmup_left_ms) if extended else fields
 
 
-def _unpack_load(fields: _Load) -> flows.Load:
-    state, *counts, service_ms = fields
-    slots, busy, reserved, long_lived = map(int, counts)
+def _unpack_load(fields: _Load | _ExtendedLoad) -> flows.Load:
+    state, slots, busy, reserved, long_lived, service_ms, *added = fields
+    counts = (slots, busy, reserved, long_lived)
+    warmup_left_ms = int(added[0]) if added else 0
+    if not 0 <= warmup_left_ms <= MAX_SERVICE_MS:
+        raise ValueError(f"warm-up time out of range in load {fields}")
     if slots < 1 or min(counts) < 0 or max(counts) > MAX_COUNT:
         raise ValueError(f"count out of range in load {fields}")
     if not 0 <= service_ms <= MAX_SERVICE_MS:
@@ -112,24 +159,110 @@
         reserved,
         long_lived,
         float(service_ms),
+        warmup_left_ms,
     )
 
 
+def _unpack_terms(fields: _Terms | None) -> flows.RouteTerms | None:
+    if fields is None:
+        return None
+    priority, objective_ms, limit_ms, _, warmup_per_s = fields
+    if not 0 <= priority <= MAX_COUNT or not 0 <= warmup_per_s <= MAX_COUNT:
+        raise ValueError(f"terms {fields} are out of range")
+    if not 0 <= min(objective_ms, limit_ms) <= max(objective_ms, limit_ms):
+        raise ValueError(f"times out of range in terms {fields}")
+    if max(objective_ms, limit_ms) > MAX_SERVICE_MS:
+        raise ValueError(f"times out of range in terms {fields}")
+    return flows.RouteTerms(*fields)
+
+
+def _unpack_evacuation(
+    fields: _Evacuation | None,
+) -> flows.EvacuationView | None:
+    if fields is None:
+        return None
+    era, revision, zones = fields
+    if not (0 <= era <= MAX_VERSION and 0 <= revision <= MAX_VERSION):
+        raise ValueError(f"position ({era}, {revision}) is out of range")
+    if len(zones) > MAX_ZONE_COUNT:
+        raise ValueError(f"{len(zones)} zones in a message")
+    return flows.EvacuationView(era, revision, zones)
+
+
 def _check_flow(flow: bytes) -> bytes:
     if len(flow) != flows.FLOW_ID_BYTES:
         raise ValueError(f"flow identifier of {len(flow)} bytes")
     return flow
 
 
-def pack(message: flows.Message) -> bytes:
-    """Encodes a message."""
-    code = _TYPE_CODES[type(message)]
-    return bytes((code,)) + _ENCODER.encode(_fields(message))
+def pack(message: flows.Message, protocol: int = PROTOCOL) -> bytes:
+    """Encodes a message.
+
+    Args:
+        message: The message.
+        protocol: Version of the protocol that the receiver decodes. Without
+            need, nothing that earlier versions cannot decode is sent.
+    """
+    extended = protocol >= PROTOCOL and _has_added_fields(message)
+    code = _TYPE_CODES[type(message)] | (EXTENDED if extended else 0)
+    if protocol < PROTOCOL:
+        message = _restrict_reason(message)
+    return bytes((code,)) + _ENCODER.encode(_fields(message, extended))
+
+
+def is_of_second_protocol(data: bytes) -> bool:
+    """Returns whether only a process that knows version 2 sends this message.
+
+    >>> is_of_second_protocol(pack(flows.ProtocolAnnouncement(PROTOCOL)))
+    True
+    """
+    return bool(data) and data[0] >= _TYPE_CODES[flows.ProtocolAnnouncement]
 
 
-def _fields(message: flows.Message) -> tuple[Any, ...]:
+def _has_added_fields(message: flows.Message) -> bool:
     if isinstance(message, flows.Forward):
-        return (
+        return message.terms is not None or message.evacuation is not None
+    if isinstance(
+        message,
+        flows.FlowLocated
+        | flows.PlacementDeclined
+        | flows.Heartbeat
+        | flows.LoadReport,
+    ):
+        return message.load.warmup_left_ms > 0
+    return False
+
+
+def _restrict_reason(message: flows.Message) -> flows.Message:
+    if (
+        isinstance(message, flows.PlacementDeclined | flows.PlacementRefused)
+        and message.reason > _LAST_FIRST_PROTOCOL_REASON
+    ):
+        return dataclasses.replace(message, reason=flows.DeclineReason.BUSY)
+    return message
+
+
+def _added_forward_fields(message: flows.Forward) -> tuple[Any, ...]:
+    terms, evacuation = message.terms, message.evacuation
+    return (
+        None
+        if terms is None
+        else (
+            terms.priority,
+            terms.objective_ms,
+            terms.limit_ms,
+            terms.repeatable,
+            terms.warmup_per_s,
+        ),
+        None
+        if evacuation is None
+        else (evacuation.era, evacuation.revision, evacuation.zones),
+    )
+
+
+def _fields(message: flows.Message, extended: bool) -> tuple[Any, ...]:
+    if isinstance(message, flows.Forward):
+        fields = (
             message.handling,
             message.service,
             _format_address(message.balancer),
@@ -139,12 +272,21 @@
             message.allow_queueing,
             message.data,
         )
+        return fields + _added_forward_fields(message) if extended else fields
     if isinstance(message, flows.FlowLocated):
-        return (message.flow, _pack_load(message.load))
+        return (message.flow, _pack_load(message.load, extended))
     if isinstance(message, flows.PlacementDeclined):
-        return (message.flow, message.reason, _pack_load(message.load))
-    if isinstance(message, flows.NotHeld | flows.PlacementQueued):
+        return (
+            message.flow,
+            message.reason,
+            _pack_load(message.load, extended),
+        )
+    if isinstance(
+        message, flows.NotHeld | flows.PlacementQueued | flows.SlotGranted
+    ):
         return (message.flow,)
+    if isinstance(message, flows.ProtocolAnnouncement):
+        return (message.version,)
     if isinstance(message, flows.FlowNotFound):
         return (message.flow, message.ack, message.expects_response)
     if isinstance(message, flows.PlacementRefused):
@@ -152,10 +294,10 @@
     if isinstance(message, flows.FlowAnnouncement):
         return (message.flows,)
     if isinstance(message, flows.LoadReport):
-        return (_pack_load(message.load),)
+        return (_pack_load(message.load, extended),)
     return (
         pack_instance(message.instance),
-        _pack_load(message.load),
+        _pack_load(message.load, extended),
         message.config_version,
         message.leaving,
     )
@@ -245,10 +387,11 @@
 
 def _unpack(code: int, body: bytes) -> flows.Message:
     fields = _DECODERS[code].decode(body)
-    message_type = _MESSAGE_TYPES[code]
+    message_type = _MESSAGE_TYPES[code & ~EXTENDED]
     if message_type is flows.Forward:
         handling, service, balancer, directory_agent, *rest = fields
-        hop_count, long_lived, allow_queueing, data = rest
+        hop_count, long_lived, allow_queueing, data, *added = rest
+        terms, evacuation = added or (None, None)
         return flows.Forward(
             flows.Handling(handling),
             service,
@@ -258,7 +401,14 @@
             long_lived,
             allow_queueing,
             data,
+            _unpack_terms(terms),
+            _unpack_evacuation(evacuation),
         )
+    if message_type is flows.ProtocolAnnouncement:
+        (version,) = fields
+        if not FIRST_PROTOCOL <= version <= MAX_COUNT:
+            raise ValueError(f"protocol {version} is out of range")
+        return flows.ProtocolAnnouncement(version)
     if message_type is flows.FlowLocated:
         return flows.FlowLocated(
             _check_flow(fields[0]), _unpack_load(fields[1])
--- a/libs/runtime/src/fireflyford/runtime/_process.py
+++ b/libs/runtime/src/fireflyford/runtime/_process.py
@@ -284,6 +284,7 @@
         for address in receivers:
             if address != self.own_instance.address:
                 self.link.send(address, heartbeat)
+                self.link.announce_protocol(address)
 
     async def _sweep_loop(self) -> None:
         while True:
@@ -374,6 +375,7 @@
             if latest > new_instance.incarnation:
                 self._report_outdated(new_instance, latest)
             return
+        self.link.forget_protocol(new_instance.address)
         self.send_heartbeats([new_instance.address])
         instance_count = len(self.fleet.instances())
         unregistered = self.fleet.unregistered(
--- a/libs/runtime/src/fireflyford/runtime/_settings.py
+++ b/libs/runtime/src/fireflyford/runtime/_settings.py
@@ -30,6 +30,11 @@
         config_key: Key of the configuration in the store.
         report_interval_ms: Interval between reports of the backend server.
         grace_ms: Time from the signal to stop to the end of the process.
+        evacuation_prefix: Prefix of the keys that evacuate a zone, empty if
+            zones cannot be evacuated.
+        warmup_overage: Factor of the new flows that a cold backend server
+            bears, 0 if they are not limited.
+        warmup_slack: New flows a second that are allowed beyond that.
     """
 
     instance_id: str
@@ -48,3 +53,6 @@
     config_key: str
     report_interval_ms: int
     grace_ms: int
+    evacuation_prefix: str = ""
+    warmup_overage: float = 0.0
+    warmup_slack: float = 0.0
--- a/libs/runtime/tests/test_link_codec.py
+++ b/libs/runtime/tests/test_link_codec.py
@@ -46,6 +46,72 @@
     flows.Heartbeat(INSTANCE, LOAD, 12, False),
     flows.LoadReport(LOAD),
 ]
+TERMS = flows.RouteTerms(1, 370, 1_617, True, 2.5)
+EVACUATION = flows.EvacuationView(2, 412, ("a", "b"))
+COLD_LOAD = dataclasses.replace(LOAD, warmup_left_ms=1_500)
+EXTENDED_MESSAGES = [
+    dataclasses.replace(MESSAGES[0], terms=TERMS, evacuation=EVACUATION),
+    dataclasses.replace(MESSAGES[0], terms=TERMS),
+    dataclasses.replace(MESSAGES[0], evacuation=EVACUATION),
+    flows.FlowLocated(FLOW, COLD_LOAD),
+    flows.PlacementDeclined(FLOW, flows.DeclineReason.EVACUATED, COLD_LOAD),
+    flows.Heartbeat(INSTANCE, COLD_LOAD, 12, False),
+    flows.LoadReport(COLD_LOAD),
+    flows.ProtocolAnnouncement(2),
+    flows.SlotGranted(FLOW),
+]
+# `MESSAGES` as release 0.1 encodes them.
+FIRST_PROTOCOL_DATA = [
+    bytes.fromhex(item)
+    for item in (
+        "019802a5626f617264ad31302e302e302e313a37303030ad31302e302e30"
+        "2e323a3730303002c3c2c40464617461",
+        "0292c40c000102030405060708090a0b960102010328cb403a800000000000",
+        "0393c40c000102030405060708090a0b01960102010328cb403a800000000000",
+        "0491c40c000102030405060708090a0b",
+        "0593c40c000102030405060708090a0b4dc3",
+        "0a91c40c000102030405060708090a0b",
+        "0692c40c000102030405060708090a0b00",
+        "079192c40c000102030405060708090a0bc40c0b0a09080706050403020100",
+        "089497a76167656e742d31a56167656e74a5626f617264a161ad31302e30"
+        "2e302e313a37303030cf0000018bcfe56800c3960102010328cb403a8000"
+        "000000000cc2",
+        "0991960102010328cb403a800000000000",
+    )
+]
+
+
+@pytest.mark.parametrize(
+    ("message", "data"), list(zip(MESSAGES, FIRST_PROTOCOL_DATA, strict=True))
+)
+def test_messages_of_earlier_release_are_kept(
+    message: flows.Message, data: bytes
+) -> None:
+    """Guards against releases that drop messages of each other."""
+    assert _link_codec.pack(message, _link_codec.FIRST_PROTOCOL) == data
+    assert _link_codec.pack(message, _link_codec.PROTOCOL) == data
+    assert _link_codec.unpack(data) == core.Ok(message)
+
+
+@pytest.mark.parametrize("message", EXTENDED_MESSAGES, ids=type)
+def test_extended_messages_round_trip(message: flows.Message) -> None:
+    """Guards against terms or views that are lost between two instances."""
+    data = _link_codec.pack(message)
+    assert _link_codec.unpack(data) == core.Ok(message)
+    assert _link_codec.is_of_second_protocol(data)
+
+
+def test_added_fields_are_left_out_for_earlier_release() -> None:
+    """Guards against opening packets that an earlier release cannot decode."""
+    data = _link_codec.pack(EXTENDED_MESSAGES[0], _link_codec.FIRST_PROTOCOL)
+    assert data == FIRST_PROTOCOL_DATA[0]
+    declined = flows.PlacementDeclined(
+        FLOW, flows.DeclineReason.EVACUATED, COLD_LOAD
+    )
+    data = _link_codec.pack(declined, _link_codec.FIRST_PROTOCOL)
+    assert _link_codec.unpack(data) == core.Ok(
+        flows.PlacementDeclined(FLOW, flows.DeclineReason.BUSY, LOAD)
+    )
 
 
 @pytest.mark.parametrize("message", MESSAGES, ids=lambda item: type(item))
