Receive packets while a program loads and fetch the first configuration from peers

Cause: after a power cut clients send three copies of an opening packet within 600 ms, and a process needs 0.2 to 0.4 s to load; packets that arrive meanwhile find no socket. Balancers on slow links then need 1.1 s to read a configuration of 1,800 routes from the store.

Change: the packet sockets are bound before the rest of the program is loaded. A balancer keeps packets until its first configuration, which it announces; one that finds a running balancer takes the configuration from there, compressed, and reads the store up to 1.2 s later.

--- a/libs/flows/src/fireflyford/flows/__init__.py
+++ b/libs/flows/src/fireflyford/flows/__init__.py
@@ -35,6 +35,7 @@
 from fireflyford.flows._routes import RouteTerms
 from fireflyford.flows._routes import Share
 from fireflyford.flows._routes import make_route_table
+from fireflyford.flows._startup_packets import StartupPackets
 from fireflyford.flows._target_monitor import TargetLiveness
 from fireflyford.flows._target_monitor import TargetMonitor
 from fireflyford.flows._target_monitor import TargetReport
@@ -89,6 +90,7 @@
     "Send",
     "Share",
     "SlotGranted",
+    "StartupPackets",
     "TargetLiveness",
     "TargetMonitor",
     "TargetReport",
--- a/libs/runtime/src/fireflyford/runtime/_agent.py
+++ b/libs/runtime/src/fireflyford/runtime/_agent.py
@@ -23,6 +23,7 @@
         options: _settings.FlowSettings,
         front_end: _front_end.FrontEnd,
         clock: core.Clock,
+        sockets: _process.BoundSockets | None = None,
     ) -> None:
         """Prepares an agent.
 
@@ -31,8 +32,11 @@
             front_end: Packet encoding, configuration format, store and HTTP
                 handlers.
             clock: Source of time.
+            sockets: Datagram sockets that are bound already, by address.
         """
-        super().__init__(options, front_end, clock, options.service)
+        super().__init__(
+            options, front_end, clock, options.service, sockets or {}
+        )
         # Decides how packets and messages are handled. Its `forwarder` tracks
         # the flows of the backend server; its `directory` places new flows.
         self.flows = flows.AgentFlows(
@@ -70,7 +74,10 @@
             ),
         )
         await self._target_socket.open(remote=self.options.backend_address)
-        await self._outbound_socket.open(local=self.options.outbound_address)
+        await self._outbound_socket.open(
+            local=self.options.outbound_address,
+            bound=self.bound_socket(self.options.outbound_address),
+        )
         self.link.attach_target_socket(self._target_socket)
         await self.start()
         self.start_task("loads", self._report_loads)
@@ -248,9 +255,11 @@
 
 
 def run_agent(
-    options: _settings.FlowSettings, front_end: _front_end.FrontEnd
+    options: _settings.FlowSettings,
+    front_end: _front_end.FrontEnd,
+    sockets: _process.BoundSockets | None = None,
 ) -> None:
     """Runs an agent until it is stopped by a signal."""
     _process.run_until_stopped(
-        options, lambda clock: Agent(options, front_end, clock)
+        options, lambda clock: Agent(options, front_end, clock, sockets)
     )
--- a/libs/runtime/src/fireflyford/runtime/_balancer.py
+++ b/libs/runtime/src/fireflyford/runtime/_balancer.py
@@ -25,6 +25,13 @@
 # the gaps between messages stay shorter.
 AGENT_SILENCE_LIMIT_MS = 1_000
 MANY_AGENTS = 4
+# Heartbeats of running balancers that arrived while this one was loaded are
+# read within this time, and a running one answers the first heartbeat.
+PEER_CONFIG_WAIT_MS = 25
+# Bounds of the delay of the first read of the store if another balancer has the
+# configuration. Far below the time in which a configuration must be in force.
+MIN_STORE_READ_DELAY_MS = 600
+MAX_STORE_READ_DELAY_MS = 1_200
 # Applies with fewer agents, where a few lost keepalives leave longer gaps.
 FEW_AGENTS_SILENCE_LIMIT_MS = 3_500
 
@@ -39,6 +46,7 @@
         options: _settings.FlowSettings,
         front_end: _front_end.FrontEnd,
         clock: core.Clock,
+        sockets: _process.BoundSockets | None = None,
     ) -> None:
         """Prepares a balancer.
 
@@ -47,8 +55,9 @@
             front_end: Packet encoding, configuration format, store and HTTP
                 handlers.
             clock: Source of time.
+            sockets: Datagram sockets that are bound already, by address.
         """
-        super().__init__(options, front_end, clock, "")
+        super().__init__(options, front_end, clock, "", sockets or {})
         # Decides where packets are forwarded.
         self.flows = flows.BalancerFlows(clock, self.own_instance, self.fleet)
         self.config = _config_source.ConfigSource(
@@ -57,25 +66,31 @@
             self.rng,
             options.config_key,
             front_end.config_format,
-            self.flows.apply,
+            self._apply_config,
         )
+        self._startup_packets = flows.StartupPackets(clock)
         self._codec = front_end.packet_codec
         self._client_socket = _link.DatagramSocket(self._receive_packet)
         self._last_packet_ms = clock.now_ms()
         # Versions of the configuration to pull, by link address of the peer.
         self._announced_versions: dict[core.Address, int] = {}
         self._version_announced = asyncio.Event()
+        # Whether the configuration is being fetched from a peer.
+        self._is_pulling = False
         self._last_agent_message_ms: int | None = None
 
     async def run(self) -> None:
         """Runs until the process is stopped by a signal."""
-        await self._client_socket.open(local=self.options.packet_address)
+        await self._client_socket.open(
+            local=self.options.packet_address,
+            bound=self.bound_socket(self.options.packet_address),
+        )
         self.listen(
             self.options.readiness_check_address,
             self.front_end.readiness_handlers(self.is_ready),
         )
         await self.start()
-        self.start_task("config", self.config.follower.run)
+        self.start_task("config", self._follow_config)
         self.start_task("pull", self._pull_configs)
         await self.stopping.wait()
         await self._drain()
@@ -114,8 +129,30 @@
         if isinstance(outcome, core.Failure):
             self.link.counters.malformed_count += 1
             return
+        if not self.flows.version:
+            self._startup_packets.add(outcome.value)
+            return
         self.link.execute(self.flows.receive(outcome.value))
 
+    def _apply_config(self, table: flows.RouteTable) -> bool:
+        """Applies a configuration; returns False if it is not newer.
+
+        The first one is announced to the other balancers, which may be waiting
+        for theirs over a slow link.
+        """
+        is_first = not self.flows.version
+        if not self.flows.apply(table):
+            return False
+        if is_first:
+            self.send_heartbeats(
+                [item.address for item in self.fleet.balancers()]
+            )
+            packets = self._startup_packets.release()
+            telemetry.log("startup-packets", count=len(packets))
+            for packet in packets:
+                self.link.execute(self.flows.receive(packet))
+        return True
+
     def handle_message(
         self, sender: core.Address, message: flows.Message
     ) -> None:
@@ -165,6 +202,23 @@
         if not self.flows.version:
             await self._pull_config(seed)
 
+    async def _follow_config(self) -> None:
+        """Follows the configuration in the store.
+
+        A balancer that starts beside running ones has it from one of them at
+        once, compressed. The read of the store, which takes a second for a
+        large configuration over a slow link, then waits until the packets that
+        have queued up since the start are forwarded.
+        """
+        await self.clock.sleep(PEER_CONFIG_WAIT_MS)
+        if self._announced_versions or self._is_pulling or self.flows.version:
+            await self.clock.sleep(
+                self.rng.uniform(
+                    MIN_STORE_READ_DELAY_MS, MAX_STORE_READ_DELAY_MS
+                )
+            )
+        await self.config.follower.run()
+
     async def _pull_configs(self) -> None:
         """Fetches configuration versions that peers announce in heartbeats."""
         while True:
@@ -173,12 +227,14 @@
             while self._announced_versions:
                 sender, version = self._announced_versions.popitem()
                 if version > self.flows.version:
+                    self._is_pulling = True
                     # All instances are assumed to use the same status port.
                     await self._pull_config(
                         core.Address(
                             sender.host, self.options.status_address.port
                         )
                     )
+                    self._is_pulling = False
 
     async def _pull_config(self, address: core.Address) -> None:
         outcome = await self.peer_client.read(
@@ -219,9 +275,11 @@
 
 
 def run_balancer(
-    options: _settings.FlowSettings, front_end: _front_end.FrontEnd
+    options: _settings.FlowSettings,
+    front_end: _front_end.FrontEnd,
+    sockets: _process.BoundSockets | None = None,
 ) -> None:
     """Runs a balancer until it is stopped by a signal."""
     _process.run_until_stopped(
-        options, lambda clock: Balancer(options, front_end, clock)
+        options, lambda clock: Balancer(options, front_end, clock, sockets)
     )
--- a/libs/runtime/src/fireflyford/runtime/_link.py
+++ b/libs/runtime/src/fireflyford/runtime/_link.py
@@ -48,9 +48,22 @@
         self,
         local: core.Address | None = None,
         remote: core.Address | None = None,
+        bound: socket.socket | None = None,
     ) -> None:
-        """Binds to `local` or connects to `remote`."""
+        """Binds to `local` or connects to `remote`.
+
+        Args:
+            local: Address at which datagrams are received.
+            remote: The only peer.
+            bound: Socket that is already bound to `local`, with the datagrams
+                that have arrived since.
+        """
         loop = asyncio.get_running_loop()
+        if bound is not None:
+            self._transport, _ = await loop.create_datagram_endpoint(
+                lambda: self, sock=bound
+            )
+            return
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: self,
             local_addr=local.pair if local else None,
@@ -131,9 +144,9 @@
         self._second_protocol: set[core.Address] = set()
         self.counters = LinkCounters()
 
-    async def open(self) -> None:
-        """Opens the socket."""
-        await self._socket.open(local=self._own_address)
+    async def open(self, bound: socket.socket | None = None) -> None:
+        """Opens the socket, or uses one that is already bound."""
+        await self._socket.open(local=self._own_address, bound=bound)
 
     def attach_target_socket(self, target_socket: DatagramSocket) -> None:
         """Sets the socket that delivers packets to the backend server."""
--- a/libs/runtime/src/fireflyford/runtime/_process.py
+++ b/libs/runtime/src/fireflyford/runtime/_process.py
@@ -4,11 +4,15 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
+from collections.abc import Mapping
 import dataclasses
+import functools
+import gzip
 import json
 import os
 import random
 import signal
+import socket
 import sys
 from typing import Any
 
@@ -49,6 +53,21 @@
 # Interval between queries of the seeds. The first query waits as long, so that
 # the other tasks of this process start before it.
 SEED_QUERY_INTERVAL_MS = 300
+# Smaller documents fit a few packets as they are.
+MIN_COMPRESSED_BYTES = 4_096
+# Repetitive JSON shrinks to a tenth at the fastest level too.
+_COMPRESSION_LEVEL = 1
+
+
+@functools.lru_cache(maxsize=2)
+def _compress(document: bytes) -> bytes:
+    """Compresses a document, once for all who ask for the same version."""
+    return gzip.compress(document, _COMPRESSION_LEVEL, mtime=0)
+
+
+# Datagram sockets that were bound before the process was prepared, by host and
+# port.
+BoundSockets = Mapping[tuple[str, int], socket.socket]
 
 
 class DocumentHandler(web.RequestHandler):
@@ -59,8 +78,13 @@
         self._read = read
 
     def get(self) -> None:
-        """Responds with the document."""
-        self.finish(self._read())
+        """Responds with the document, compressed if the client decodes that."""
+        document = self._read()
+        accepted = self.request.headers.get("Accept-Encoding", "")
+        if "gzip" in accepted and len(document) >= MIN_COMPRESSED_BYTES:
+            self.set_header("Content-Encoding", "gzip")
+            document = _compress(document)
+        self.finish(document)
 
 
 class FlowProcess(abc.ABC):
@@ -74,6 +98,7 @@
         front_end: _front_end.FrontEnd,
         clock: core.Clock,
         service: str,
+        sockets: BoundSockets,
     ) -> None:
         """Prepares a process.
 
@@ -83,7 +108,9 @@
                 handlers.
             clock: Source of time.
             service: Service of an agent, empty for a balancer.
+            sockets: Datagram sockets that are bound already, by address.
         """
+        self._bound_sockets = sockets
         self.options = options
         self.clock = clock
         self.front_end = front_end
@@ -224,7 +251,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        await self.link.open()
+        await self.link.open(self.bound_socket(self.options.link_address))
         self.listen(self.options.status_address, self._status_handlers())
         self.start_task("publish", self.registry.publish)
         self.start_task("registry", self.registry.follower.run)
@@ -233,6 +260,14 @@
         self.start_task("sweep", self._sweep_loop)
         self.start_task("expire", self._expire_loop)
 
+    def bound_socket(
+        self, address: core.Address | None
+    ) -> socket.socket | None:
+        """Returns the socket that is already bound to an address, if any."""
+        return (
+            None if address is None else self._bound_sockets.get(address.pair)
+        )
+
     async def leave(self) -> None:
         """Announces that this instance leaves; withdraws its registry entry."""
         # A task that is still running would write the entry again.
