Take a flow as held or open only on evidence, and bound entries

A probe that was not returned within 50 ms counted as proof that the backend server holds the flow if that server had ever sent anything. A dark server therefore drew searched flows of living ones to itself. Probes move to `_flow_probes.py`; a flow is adopted only if the server has sent something since the delivery, and a server that stays silent for 2.5 s after a probe no longer keeps a search open.

A SYN+ACK of the backend server counted as an open flow, so a flow that the client had opened elsewhere was reset when that server left. A flow is open once the client acknowledges a sequence number of the server. A directory agent keeps the holder that it knew before, so a flow that two servers have accepted is found without a search.

An entry with the largest incarnation made an agent raise its own above the bound that its peers accept. Entries are bounded well below it.

--- a/libs/flows/src/fireflyford/flows/_flow_directory.py
+++ b/libs/flows/src/fireflyford/flows/_flow_directory.py
@@ -26,6 +26,9 @@
 
     def __init__(self, holder: core.Address, now_ms: int):
         self.holder = holder
+        # Agent that was recorded before. If two backend servers have accepted
+        # the flow, the client has opened it at one of them.
+        self.previous_holder: core.Address | None = None
         self.last_used_ms = now_ms
 
 
@@ -103,7 +106,14 @@
         """Removes the sender as holder of a flow and continues a search."""
         entry = self._entries.get(flow)
         if entry is not None and entry.holder == sender:
-            del self._entries[flow]
+            if entry.previous_holder in self._fleet:
+                assert entry.previous_holder is not None
+                entry.holder = entry.previous_holder
+                entry.previous_holder = None
+            else:
+                del self._entries[flow]
+        elif entry is not None and entry.previous_holder == sender:
+            entry.previous_holder = None
         return self._searches.handle_not_held(sender, flow)
 
     def handle_announcement(
@@ -143,6 +153,14 @@
         """Records the holder of a flow and completes a search for it."""
         if len(self._entries) >= MAX_ENTRIES and flow not in self._entries:
             self._entries.popitem(last=False)
-        self._entries[flow] = _Entry(holder, self._clock.now_ms())
+        known = self._entries.get(flow)
+        entry = _Entry(holder, self._clock.now_ms())
+        if known is not None:
+            entry.previous_holder = (
+                known.previous_holder
+                if known.holder == holder
+                else known.holder
+            )
+        self._entries[flow] = entry
         self._entries.move_to_end(flow)
         return self._searches.finish(flow, holder)
--- a/libs/flows/src/fireflyford/flows/_flow_tracker.py
+++ b/libs/flows/src/fireflyford/flows/_flow_tracker.py
@@ -50,8 +50,11 @@
         # restarted since), and the end of the data that it has sent so far.
         self.first_seq: int | None = None
         self.sent_seq_end = 0
-        # Whether the backend server has sent a packet of this flow. A flow of a
-        # probe that was not returned in time is only presumed to be held.
+        # Whether the flow is known to be open here: the client has
+        # acknowledged a sequence number of the backend server, or that one has
+        # sent more than its acceptance. The client may have opened an accepted
+        # flow at another backend server, and a flow of a probe that was not
+        # returned in time is only presumed to be held.
         self.is_confirmed = False
         self.client_seq_end: int | None = None
         self.client_ack = 0
@@ -82,6 +85,18 @@
         acknowledged = _types.sequence_distance(self.first_seq, packet.ack)
         return 0 < acknowledged <= sent
 
+    def is_opened_by(self, packet: _types.Packet) -> bool:
+        """Returns whether a client's packet shows that the flow is open here.
+
+        A backend server that has accepted a flow may not be the only one. The
+        flow opens where the client acknowledges the sequence number.
+        """
+        return (
+            self.first_seq is not None
+            and packet.acknowledges
+            and self.matches(packet)
+        )
+
 
 class FlowTracker:
     """Flows that the backend server is known to hold, and their load."""
@@ -146,7 +161,6 @@
             tracked.reserved_until_ms = tracked.opened_ms
         else:
             tracked.first_seq = first_seq
-            tracked.is_confirmed = True
             tracked.sent_seq_end = (first_seq + 1) % _types.SEQUENCE_MODULUS
         self.remove(flow)
         self._flows[flow] = tracked
@@ -177,6 +191,8 @@
         if packet.opens:
             return
         tracked.client_ack = packet.ack
+        if not tracked.is_confirmed and tracked.is_opened_by(packet):
+            tracked.is_confirmed = True
         if packet.resets or packet.ends:
             # The client no longer waits for a response.
             self._finish_request(tracked)
--- a/libs/flows/src/fireflyford/flows/_target_forwarder.py
+++ b/libs/flows/src/fireflyford/flows/_target_forwarder.py
@@ -5,13 +5,12 @@
 accept.
 """
 
-import collections
 import dataclasses
-import math
 
 from fireflyford import core
 from fireflyford import telemetry
 from fireflyford.flows import _fleet
+from fireflyford.flows import _flow_probes
 from fireflyford.flows import _flow_tracker
 from fireflyford.flows import _messages
 from fireflyford.flows import _placement
@@ -20,18 +19,8 @@
 # Time limit for the backend server to accept a new flow; a running one takes
 # less than a millisecond.
 OPENING_LIMIT_MS = 50
-# Time limit for the backend server to return a probe, which also takes a
-# running one less than a millisecond.
-PROBE_LIMIT_MS = 50
-# A running backend server sends a report within this time after the start of
-# the agent: the interval is at most 1.2 s, and one report may be lost.
-FIRST_KEEPALIVE_MS = 2_500
-# Probability of taking a running backend server for one that does not run,
-# because it holds all the flows whose probes it has not returned.
-_MAX_ERROR_PROBABILITY = 1e-5
-# A delivery tag identifies a delivered probe, and a returned packet carries it;
-# 0 means no tag.
-_MAX_DELIVERY_TAG = 0x7FFFFFFF
+PROBE_LIMIT_MS = _flow_probes.PROBE_LIMIT_MS
+FIRST_KEEPALIVE_MS = _flow_probes.FIRST_KEEPALIVE_MS
 # Prevents forwarding loops between agents whose views of the fleet differ.
 MAX_HOPS = 4
 # Flows announced in one message.
@@ -49,16 +38,6 @@
     deadline_ms: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Probe:
-    """A packet that tests whether the backend server holds a flow."""
-
-    forward: _messages.Forward
-    sender: core.Address
-    packet: _types.Packet
-    deadline_ms: int
-
-
 class TargetForwarder:
     """Delivers packets to one backend server and tracks its flows."""
 
@@ -76,25 +55,15 @@
             fleet: View of all instances.
         """
         self._clock = clock
-        self._started_ms = clock.now_ms()
         self._own_instance = own_instance
         self._fleet = fleet
-        # Whether the backend server has sent anything since this process
-        # started.
-        self._has_keepalive = False
-        # Whether the backend server is taken for not running until it sends
-        # something.
-        self._is_presumed_gone = False
         self.tracker = _flow_tracker.FlowTracker(clock)
         self.state = _types.TargetState.UNKNOWN
         # Whether the backend server may hold flows that were opened before
         # this process started.
         self.may_hold_untracked_flows = True
         self._openings: dict[bytes, _Opening] = {}
-        self._probes: collections.OrderedDict[int, _Probe] = (
-            collections.OrderedDict()
-        )
-        self._last_delivery_tag = 0
+        self._probes = _flow_probes.FlowProbes(clock, own_instance, fleet)
 
     def load(self) -> _types.Load:
         """Returns the load of the backend server."""
@@ -128,9 +97,13 @@
             if packet.flow in self._openings:
                 return []
             return self._report_not_held(sender, forward, packet)
-        may_hold = self.may_hold_untracked_flows and not self._is_presumed_gone
+        may_hold = (
+            self.may_hold_untracked_flows
+            and not self._probes.is_target_presumed_gone
+        )
         if tracked is None and may_hold:
-            return self._probe(sender, forward, packet)
+            delivery_tag = self._probes.add(forward, sender, packet)
+            return [_types.Deliver(packet, delivery_tag)]
         return self._report_not_held(sender, forward, packet)
 
     def _open(
@@ -212,20 +185,6 @@
             _messages.PlacementDeclined(flow, reason, self.load()),
         )
 
-    def _probe(
-        self,
-        sender: core.Address,
-        forward: _messages.Forward,
-        packet: _types.Packet,
-    ) -> list[_types.Action]:
-        self._last_delivery_tag = (
-            self._last_delivery_tag % _MAX_DELIVERY_TAG + 1
-        )
-        self._probes[self._last_delivery_tag] = _Probe(
-            forward, sender, packet, self._clock.now_ms() + PROBE_LIMIT_MS
-        )
-        return [_types.Deliver(packet, self._last_delivery_tag)]
-
     def _report_not_held(
         self,
         sender: core.Address,
@@ -347,7 +306,7 @@
                 )
             ]
         probe = (
-            self._probes.pop(packet.delivery_tag, None)
+            self._probes.take_returned(packet.delivery_tag)
             if packet.delivery_tag
             else None
         )
@@ -358,7 +317,7 @@
         tracked = self.tracker.get(packet.flow)
         if tracked is None or tracked.ended:
             return []
-        if not tracked.is_confirmed:
+        if not tracked.is_confirmed and not tracked.is_opened_by(packet):
             return self._disown(packet.flow)
         telemetry.log(
             "flow-lost-by-target", flow=_types.describe_flow(packet.flow)
@@ -369,7 +328,7 @@
         return [_types.Reset(packet.flow, packet.ack)]
 
     def _disown(self, flow: bytes) -> list[_types.Action]:
-        """Stops tracking a flow that was wrongly presumed to be held here.
+        """Stops tracking a flow that was wrongly taken to be open here.
 
         Another backend server may hold it, so it is not reset. Its directory
         agent searches again when the client's next packet arrives.
@@ -387,8 +346,11 @@
 
     def record_keepalive(self) -> None:
         """Records that the backend server has sent something."""
-        self._has_keepalive = True
-        self._is_presumed_gone = False
+        self._probes.record_heard()
+
+    def record_restart(self) -> None:
+        """Records that another process of the backend server has started."""
+        self._probes.record_restart()
 
     def update_state(self, state: _types.TargetState, slot_count: int) -> None:
         """Applies the state that the backend server reports.
@@ -421,7 +383,8 @@
         """Handles the failure of the backend server.
 
         Its flows are lost, so the open ones are reset at their clients. Flows
-        that are only presumed to be held here may be open elsewhere.
+        that are only presumed to be held here, and those that the client has
+        not acknowledged, may be open elsewhere.
         """
         if self.state is _types.TargetState.DOWN:
             return []
@@ -436,11 +399,10 @@
                 )
             )
         self._openings.clear()
-        for probe in self._probes.values():
+        for probe in self._probes.clear():
             actions += self._report_not_held(
                 probe.sender, probe.forward, probe.packet
             )
-        self._probes.clear()
         for flow in self.tracker.open_flows():
             tracked = self.tracker.get(flow)
             assert tracked is not None
@@ -467,70 +429,30 @@
                         opening.sender, flow, _messages.DeclineReason.SILENT
                     )
                 )
-        while self._probes:
-            delivery_tag, probe = next(iter(self._probes.items()))
-            if now_ms < probe.deadline_ms:
-                break
-            if not self._has_keepalive and not self._is_target_gone():
-                # A probe that is not returned shows that the flow is held only
-                # if the backend server is running, which is not known before
-                # its first report.
-                break
-            if not self._has_keepalive:
-                actions += self._report_not_held(
-                    probe.sender, probe.forward, probe.packet
-                )
-            elif probe.packet.flow not in self.tracker:
-                actions += self._adopt(probe.packet.flow)
-            self._probes.pop(delivery_tag, None)
+        results = self._probes.take_results()
+        for probe in results.not_held:
+            actions += self._report_not_held(
+                probe.sender, probe.forward, probe.packet
+            )
+        for probe in results.held:
+            if probe.packet.flow not in self.tracker:
+                actions += self._adopt(probe.packet.flow, probe)
         return actions
 
-    def _is_target_gone(self) -> bool:
-        """Returns whether a backend server that has sent nothing is not there.
-
-        A running one reports within `FIRST_KEEPALIVE_MS`, and returns packets
-        of flows that it does not hold at once. Searches reach all agents, so
-        each of their flows is held here with a probability of one in as many.
-        """
-        now_ms = self._clock.now_ms()
-        if now_ms - self._started_ms >= FIRST_KEEPALIVE_MS:
-            return True
-        if self._is_presumed_gone:
-            return True
-        agent_count = len(self._fleet.agents(self._own_instance.service))
-        if agent_count < 2:
-            return False
-        needed_count = math.log(1 / _MAX_ERROR_PROBABILITY, agent_count)
-        searched_flows = {
-            probe.packet.flow
-            for probe in self._probes.values()
-            if probe.forward.handling is _messages.Handling.SEARCH
-            and now_ms >= probe.deadline_ms
-        }
-        if len(searched_flows) < needed_count:
-            return False
-        self._is_presumed_gone = True
-        telemetry.log("target-presumed-gone", probes=len(searched_flows))
-        return True
-
-    def _adopt(self, flow: bytes) -> list[_types.Action]:
+    def _adopt(
+        self, flow: bytes, *unreturned: _flow_probes.Probe
+    ) -> list[_types.Action]:
         """Starts to track a flow that was opened before this process started.
 
         The backend server has sent a packet of the flow, or has not returned
-        a probe in time.
+        a probe in time although it was running.
         """
         telemetry.log("flow-adopted", flow=_types.describe_flow(flow))
-        probes = [
-            (delivery_tag, probe)
-            for delivery_tag, probe in self._probes.items()
-            if probe.packet.flow == flow
-        ]
-        long_lived = any(probe.forward.long_lived for _, probe in probes)
+        probes = [*unreturned, *self._probes.take_flow(flow)]
+        long_lived = any(probe.forward.long_lived for probe in probes)
         tracked = self.tracker.add(flow, long_lived, None, None)
-        for delivery_tag, _ in probes:
-            del self._probes[delivery_tag]
         located = _messages.FlowLocated(flow, self.load())
-        balancers = {probe.forward.balancer for _, probe in probes}
+        balancers = {probe.forward.balancer for probe in probes}
         return [
             *self._announce(flow, tracked),
             *(_messages.Send(to, located) for to in sorted(balancers)),
--- a/libs/flows/src/fireflyford/flows/_target_monitor.py
+++ b/libs/flows/src/fireflyford/flows/_target_monitor.py
@@ -101,6 +101,7 @@
                 target=report.target_id,
                 started_ms=report.started_ms,
             )
+            self._forwarder.record_restart()
         elif last is not None and last.state is _types.TargetState.DRAINING:
             # A backend server cannot leave the draining state.
             report = dataclasses.replace(
--- a/libs/runtime/src/fireflyford/runtime/_link_codec.py
+++ b/libs/runtime/src/fireflyford/runtime/_link_codec.py
@@ -21,6 +21,10 @@
 
 # Incarnations are in ms since the Unix epoch; this is the year 10889.
 MAX_INCARNATION = (1 << 48) - 1
+# Largest incarnation in an entry, the year 2248. An instance that finds a
+# larger one at its address raises its own above it, which must remain below
+# `MAX_INCARNATION`, also after many restarts.
+MAX_ENTRY_INCARNATION = (1 << 43) - 1
 # More than the slots, requests or flows of any backend server.
 MAX_COUNT = 1_000_000
 # Far above the time limit of any request.
@@ -357,9 +361,14 @@
         ValueError: The document is no entry of an instance.
     """
     try:
-        return unpack_instance(_ENTRY_DECODER.decode(document))
+        instance = unpack_instance(_ENTRY_DECODER.decode(document))
     except RecursionError as error:
         raise ValueError(f"nested too deeply: {error}") from error
+    if instance.incarnation > MAX_ENTRY_INCARNATION:
+        raise ValueError(
+            f"incarnation {instance.incarnation} is not a start time"
+        )
+    return instance
 
 
 def unpack_entries(document: bytes) -> tuple[list[flows.Instance], int]:
--- a/libs/runtime/src/fireflyford/runtime/_process.py
+++ b/libs/runtime/src/fireflyford/runtime/_process.py
@@ -336,6 +336,10 @@
         """
         if incarnation <= self.own_instance.incarnation:
             return
+        if incarnation >= _link_codec.MAX_INCARNATION:
+            # Peers would reject a larger one, and every message that has it.
+            telemetry.log("incarnation-ignored", known=incarnation)
+            return
         telemetry.log(
             "incarnation-raised",
             before=self.own_instance.incarnation,
--- a/libs/runtime/tests/test_link_codec.py
+++ b/libs/runtime/tests/test_link_codec.py
@@ -236,3 +236,21 @@
     ):
         encoded = _link_codec.pack(message)
         assert isinstance(_link_codec.unpack(encoded), core.Failure)
+
+
+def test_entry_with_incarnation_that_is_no_start_time_is_rejected() -> None:
+    """Guards against an instance that raises its own number out of range.
+
+    Another writer leaves an entry for its address with the largest incarnation
+    (review/other/odd-entry).
+    """
+    entry = list(_link_codec.pack_instance(INSTANCE))
+    entry[5] = _link_codec.MAX_ENTRY_INCARNATION
+    _link_codec.unpack_entry(msgspec.json.encode(entry))
+    for incarnation in (
+        _link_codec.MAX_ENTRY_INCARNATION + 1,
+        _link_codec.MAX_INCARNATION,
+    ):
+        entry[5] = incarnation
+        with pytest.raises(ValueError, match="start time"):
+            _link_codec.unpack_entry(msgspec.json.encode(entry))
--- a/tests/adapter/test_process_parts.py
+++ b/tests/adapter/test_process_parts.py
@@ -10,6 +10,7 @@
 from fireflyford import runtime
 from fireflyford.platform import _front_end
 from fireflyford.runtime import _balancer
+from fireflyford.runtime import _link_codec
 from fireflyford.runtime import _process
 
 STORE = core.Address("127.1.0.99", 1)
@@ -95,6 +96,22 @@
     run(body)
 
 
+def test_incarnation_that_cannot_be_exceeded_is_ignored() -> None:
+    """Guards against an incarnation that every peer rejects."""
+
+    async def body(process: RecordedBalancer) -> None:
+        own = process.own_instance
+        process.supersede(_link_codec.MAX_INCARNATION)
+        assert process.own_instance == own
+        process.supersede(_link_codec.MAX_INCARNATION - 1)
+        heard = _link_codec.unpack(
+            _link_codec.pack(heartbeat(process.own_instance))
+        )
+        assert isinstance(heard, core.Ok)
+
+    run(body)
+
+
 def test_process_with_clock_set_back_is_told_its_predecessor() -> None:
     """Guards against heartbeats that are ignored for good."""
 
