Start second attempts of slow repeatable requests within a limit

A few slow executions determine p99 of a service. A service may now set `second_attempt_ratio` (0 to 0.2, default 0). When an idempotent request takes longer than a measured quantile of its kind, its agent starts it at a second, idle target; the first response counts and the other attempt is cancelled, at its peer as well. A budget in each agent, in ms of expected work, refills with completed requests; nothing is started while the targets are 85 % used. Texts without the setting are rendered as before, so that instances of the last release read them.

--- a/libs/agent/src/fireflyford/agent/_process.py
+++ b/libs/agent/src/fireflyford/agent/_process.py
@@ -227,6 +227,15 @@
         if service is not None:
             self._handler.service = service
             self._authorization.service = service
+            self._apply_second_attempt_limit(service.second_attempt_ratio)
+
+    def _apply_second_attempt_limit(self, ratio: float) -> None:
+        policy = self._engine.second_attempts
+        if ratio != policy.limit_ratio:
+            telemetry.log(
+                "second-attempt-limit", ratio=ratio, before=policy.limit_ratio
+            )
+            policy.set_limit(ratio)
 
     async def _drain(self) -> None:
         limit_ms = self._clock.now_ms() + self._options.drain_limit_ms
@@ -359,6 +368,16 @@
     meter.gauge("requests_queued", lambda: scheduler.slots.queued_count)
     meter.gauge("slot_utilization", scheduler.slots.utilization)
     meter.gauge("request_records", lambda: len(engine.records))
+    second = engine.second_attempts
+    meter.counter("second_attempts", lambda: second.attempt_count)
+    meter.counter("second_attempts_won", lambda: second.win_count)
+    meter.counter(
+        "second_attempts_over_budget", lambda: second.over_budget_count
+    )
+    meter.counter(
+        "second_attempts_under_overload", lambda: second.overload_count
+    )
+    meter.gauge("second_attempt_work", lambda: second.extra_work_ratio)
 
 
 def _peer_info(member: membership.Member) -> requests.PeerInfo:
--- a/libs/config/src/fireflyford/config/_check.py
+++ b/libs/config/src/fireflyford/config/_check.py
@@ -18,6 +18,9 @@
 # Methods that HTTP defines as not idempotent (RFC 9110, 9.2.2).
 _NON_IDEMPOTENT_METHODS = frozenset({"PATCH", "POST"})
 
+# More extra work would cost the other requests more than it saves.
+MAX_SECOND_ATTEMPT_RATIO = 0.2
+
 
 def check(deployment: _types.Deployment) -> tuple[str, ...]:
     """Returns one line per error, empty for a valid deployment."""
@@ -77,7 +80,18 @@
         value = getattr(service, field)
         if value < 1:
             yield f"{prefix}: `{field}` is {value}, expected 1 or more"
+    ratio = service.second_attempt_ratio
+    if not 0 <= ratio <= MAX_SECOND_ATTEMPT_RATIO:
+        yield (
+            f"{prefix}: `second_attempt_ratio` is {ratio:g}, expected 0 to "
+            f"{MAX_SECOND_ATTEMPT_RATIO:g}"
+        )
     quic = service.transport is _types.Transport.QUIC
+    if ratio and not quic:
+        yield (
+            f"{prefix}: datagram flows have no second attempts; remove "
+            "`second_attempt_ratio`"
+        )
     if quic and not service.treatments:
         yield f"{prefix}: no treatment; add one for each kind of request"
     if not quic and service.treatments:
--- a/libs/config/src/fireflyford/config/_text.py
+++ b/libs/config/src/fireflyford/config/_text.py
@@ -18,7 +18,12 @@
 
 def render(deployment: _types.Deployment) -> str:
     """Returns the configuration text for review and push."""
-    data = msgspec.json.encode(deployment, order="deterministic")
+    fields = msgspec.to_builtins(deployment)
+    for service in fields["services"]:
+        # Instances of the last release reject fields that they do not know.
+        if not service["second_attempt_ratio"]:
+            del service["second_attempt_ratio"]
+    data = msgspec.json.encode(fields)
     return msgspec.json.format(data, indent=2).decode() + "\n"
 
 
--- a/libs/config/src/fireflyford/config/_types.py
+++ b/libs/config/src/fireflyford/config/_types.py
@@ -88,6 +88,9 @@
         draining: Whether the service accepts no new flows. A service may be
             removed or moved to another address only after a configuration in
             which it is draining.
+        second_attempt_ratio: Extra work that second attempts of idempotent
+            requests may cause, relative to the completed work; 0 disables
+            them.
     """
 
     name: str
@@ -99,6 +102,7 @@
     transport: Transport = Transport.QUIC
     callers: tuple[str, ...] = ()
     draining: bool = False
+    second_attempt_ratio: float = 0.0
 
     def treatment(self, method: str, path: str) -> Treatment | None:
         """Returns the first treatment that matches a request, or None."""
--- a/libs/config/tests/test_check.py
+++ b/libs/config/tests/test_check.py
@@ -43,6 +43,16 @@
         (with_service(target_count=0), "`target_count` is 0, expected 1 or"),
         (with_service(slots_per_target=0), "`slots_per_target` is 0"),
         (with_service(connections_per_target=-1), "`connections_per_target` i"),
+        (
+            with_service(second_attempt_ratio=0.5),
+            "`second_attempt_ratio` is 0.5, expected 0 to 0.2",
+        ),
+        (
+            with_service(
+                transport=config.Transport.DATAGRAM, second_attempt_ratio=0.1
+            ),
+            "datagram flows have no second attempts",
+        ),
         (with_service(treatments=()), "no treatment; add one for each kind"),
         (with_service(callers=("a", "a")), "caller a appears 2 times"),
         (
@@ -146,3 +156,10 @@
     outcome = config.parse(text)
     assert isinstance(outcome, core.Failure)
     assert expected in outcome.message
+
+
+def test_text_without_second_attempts_is_readable_by_last_release() -> None:
+    """Guards against a field that instances of the last release reject."""
+    assert "second_attempt_ratio" not in config.render(BASE)
+    limited = with_service(second_attempt_ratio=0.05)
+    assert config.parse(config.render(limited)) == core.Ok(limited)
--- a/libs/lab/src/fireflyford/lab/_model.py
+++ b/libs/lab/src/fireflyford/lab/_model.py
@@ -44,6 +44,13 @@
         self.dead = False
         self.paused = False
         self.failing = False
+        self._draw_factor: Callable[[], float] = lambda: 1.0
+
+    def slow_executions(
+        self, rng: random.Random, ratio: float, factor: float
+    ) -> None:
+        """Makes a fraction of the executions take longer."""
+        self._draw_factor = lambda: factor if rng.random() < ratio else 1.0
 
     async def execute(
         self, work: requests.WorkItem
@@ -64,7 +71,9 @@
         self.executions.append(Execution(self.name, work.body, start_ms))
         self.running_count += 1
         try:
-            duration_ms = nominal_ms(work.path) / self.speed
+            duration_ms = (
+                nominal_ms(work.path) / self.speed * self._draw_factor()
+            )
             await self._clock.sleep(duration_ms)
             await self._wait_while_paused()
         finally:
--- a/libs/lab/src/fireflyford/lab/_service_runs.py
+++ b/libs/lab/src/fireflyford/lab/_service_runs.py
@@ -117,6 +117,10 @@
         fault_ms: Time of the fault.
         inaccurate_reports: Whether two targets always report a load of 0, in
             addition to the lag that all load reports have in every run.
+        second_attempt_ratio: Limit of second attempts, 0 for none.
+        slow_ratio: Fraction of executions at each backend server that take
+            `slow_factor` times as long, independently of the request.
+        slow_factor: See `slow_ratio`.
     """
 
     seed: int
@@ -133,6 +137,9 @@
     fault: TargetFault = TargetFault.NONE
     fault_ms: int = 9_000
     inaccurate_reports: bool = False
+    second_attempt_ratio: float = 0.0
+    slow_ratio: float = 0.0
+    slow_factor: float = 10.0
 
     @property
     def slots(self) -> float:
@@ -163,12 +170,18 @@
         utilization_ratios: One row for each second of the load, with the slot
             utilization of each target.
         attempt_count: Attempts of all requests, including retries.
+        second_attempt_count: Second attempts of agents.
+        win_count: Second attempts that responded before the first one.
+        busy_ms: Time that slots were in use at all backend servers.
     """
 
     plan: Plan
     samples: tuple[_load.Sample, ...]
     utilization_ratios: tuple[tuple[float, ...], ...]
     attempt_count: int
+    second_attempt_count: int = 0
+    win_count: int = 0
+    busy_ms: float = 0.0
 
     def imbalances(self, first_second: int) -> list[float]:
         """Returns the highest utilization divided by the mean, by second.
@@ -224,6 +237,11 @@
     return _virtual_time.run(_Run(plan).run())
 
 
+async def run_in_thread(plan: Plan) -> RunResult:
+    """Runs a plan in virtual time beside the running event loop."""
+    return await asyncio.to_thread(run, plan)
+
+
 class _Run:
     """Simulated service and callers of one run."""
 
@@ -255,7 +273,14 @@
     async def run(self) -> RunResult:
         plan = self._plan
         for index, speed in enumerate(plan.speeds):
-            self._service.start_node(index, speed)
+            node = self._service.start_node(index, speed)
+            node.engine.second_attempts.set_limit(plan.second_attempt_ratio)
+            if plan.slow_ratio:
+                node.backend.slow_executions(
+                    random.Random(f"slow-{plan.seed}-{index}"),
+                    plan.slow_ratio,
+                    plan.slow_factor,
+                )
         # Tells every node of its peers.
         self._service.connect()
         nodes = self._service.nodes
@@ -282,6 +307,9 @@
             tuple(samples),
             self._utilization_ratios(),
             self._attempt_count,
+            sum(n.engine.second_attempts.attempt_count for n in nodes),
+            sum(n.engine.second_attempts.win_count for n in nodes),
+            sum(sum(b.busy_ms.values()) for b in self._service.backends),
         )
 
     def _make_job(self, number: int) -> _load.Job:
--- a/libs/requests/src/fireflyford/requests/__init__.py
+++ b/libs/requests/src/fireflyford/requests/__init__.py
@@ -7,6 +7,7 @@
 from fireflyford.requests._budget import retry_delay_ms
 from fireflyford.requests._engine import CONNECTION_LOST
 from fireflyford.requests._engine import RequestEngine
+from fireflyford.requests._hedging import SecondAttempts
 from fireflyford.requests._peers import Handoff
 from fireflyford.requests._peers import NullPeerChannel
 from fireflyford.requests._peers import PeerChannel
@@ -64,6 +65,7 @@
     "Response",
     "RetryBudget",
     "RoundRobin",
+    "SecondAttempts",
     "ServiceTimeEstimates",
     "ShortestExpectedDelay",
     "SlotPool",
--- a/libs/requests/src/fireflyford/requests/_engine.py
+++ b/libs/requests/src/fireflyford/requests/_engine.py
@@ -17,11 +17,13 @@
 
 from fireflyford import core
 from fireflyford.requests import _admission
+from fireflyford.requests import _hedging
 from fireflyford.requests import _peers
 from fireflyford.requests import _placement
 from fireflyford.requests import _queue
 from fireflyford.requests import _records
 from fireflyford.requests import _scheduler
+from fireflyford.requests import _second_attempts
 from fireflyford.requests import _speed
 from fireflyford.requests import _targets
 from fireflyford.requests import _tickets
@@ -75,6 +77,11 @@
             _queue.FairQueue(slot_count) if queue is None else queue,
             admission or _admission.ExpectedWaitAdmission(),
         )
+        # Decides about second attempts of requests that may be repeated.
+        self.second_attempts = _hedging.SecondAttempts()
+        self._attempt_runner = _second_attempts.AttemptRunner(
+            clock, self.scheduler, self.second_attempts
+        )
         # Requests with tickets of this agent, by serial number of the ticket.
         self.records = _records.RequestRecords(
             clock, _tickets.TICKET_RETENTION_MS
@@ -124,6 +131,7 @@
             "refused_count": scheduler.admission.refused_count,
             "wait_correction_ratio": scheduler.admission.wait_correction_ratio,
             "handed_over_count": scheduler.handed_over_count,
+            "second_attempts": self.second_attempts.status(),
             "record_count": len(self.records),
             "dropped_record_count": self.records.dropped_count,
             "usable_peers": [
@@ -144,9 +152,7 @@
         self.in_flight_count += 1
         try:
             if work.treatment.idempotent:
-                return await self.scheduler.place(
-                    work, _scheduler.DispatchState()
-                )
+                return await self._attempt_runner.run(work)
             if ticket is None:
                 return core.Failure(
                     core.ErrorKind.TICKET_REQUIRED,
--- a/libs/requests/src/fireflyford/requests/_scheduler.py
+++ b/libs/requests/src/fireflyford/requests/_scheduler.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections.abc import Collection
 import itertools
 
 from fireflyford import config
@@ -42,6 +43,8 @@
     def __init__(self) -> None:
         """Creates the state of a request that has not been sent."""
         self.may_have_run = False
+        # Target of the latest attempt, empty before the first choice.
+        self.target_id = ""
 
 
 class Scheduler:
@@ -161,10 +164,11 @@
         """
         refused: set[str] = set()
         while True:
-            candidates = self._candidates(work, refused)
+            candidates = self.candidates(work, refused)
             if not candidates:
                 return _draining_failure()
             chosen = self._placement.choose(candidates)
+            dispatch_state.target_id = chosen.target_id
             peer = self.peers.get(chosen.target_id)
             if chosen.is_local or peer is None:
                 return await self.run_locally(work, dispatch_state)
@@ -180,9 +184,41 @@
                 return outcome
             refused.add(chosen.target_id)
 
-    def _candidates(
-        self, work: _work_item.WorkItem, refused: set[str]
+    def choose_idle(
+        self, candidates: list[_targets.Candidate], excluded_id: str
+    ) -> _targets.Candidate | None:
+        """Returns a target where a request would start at once, if any.
+
+        Args:
+            candidates: All targets.
+            excluded_id: Name of a target that is not chosen.
+        """
+        idle = [
+            item
+            for item in candidates
+            if item.target_id != excluded_id and item.wait_ms <= 0
+        ]
+        return self._placement.choose(idle) if idle else None
+
+    async def run_at(
+        self, chosen: _targets.Candidate, work: _work_item.WorkItem
+    ) -> core.Outcome[_work_item.Response]:
+        """Runs a request at one target, which refuses it if it is busy."""
+        state = DispatchState()
+        peer = self.peers.get(chosen.target_id)
+        if chosen.is_local or peer is None:
+            return await self.run_locally(work, state, _max_wait_ms(chosen))
+        return await self._run_at_peer(peer, chosen, work, state, False)
+
+    def candidates(
+        self, work: _work_item.WorkItem, refused: Collection[str] = ()
     ) -> list[_targets.Candidate]:
+        """Returns the targets that accept requests.
+
+        Args:
+            work: The request.
+            refused: Names of peers that have refused it.
+        """
         local = [] if self._draining else [self._local_candidate(work)]
         peers = self.peers.candidates(work.treatment.size)
         return local + [c for c in peers if c.target_id not in refused]
