Offer slow new flows to a second agent within a limit

An opening packet that its first agent does not answer waits at least 70 ms for the next one. With `second_offer_ratio` in the settings file (0 to 0.2, default 0), a directory agent offers the flow to a second agent after 95 % of the last acceptances would have arrived; only for repeatable routes with terms and while no flow waits for room. The later of two acceptances does not replace the first in the directory. A long-lived flow that was accepted and not opened within 2 s no longer counts in the load.

--- a/libs/flows/src/fireflyford/flows/_agent.py
+++ b/libs/flows/src/fireflyford/flows/_agent.py
@@ -19,6 +19,7 @@
         own_instance: _types.Instance,
         fleet: _fleet.Fleet,
         placement: _placement.Placement,
+        second_offer_ratio: float = 0.0,
     ) -> None:
         """Initializes an agent without flows.
 
@@ -27,6 +28,8 @@
             own_instance: This agent.
             fleet: View of all instances.
             placement: Policy for new flows.
+            second_offer_ratio: Second offers of new flows allowed for each
+                offer, 0 for none.
         """
         self._own_instance = own_instance
         self._fleet = fleet
@@ -34,7 +37,7 @@
             clock, own_instance, fleet
         )
         self.directory = _flow_directory.FlowDirectory(
-            clock, own_instance, fleet, placement
+            clock, own_instance, fleet, placement, second_offer_ratio
         )
         self._announced_generation = -1
 
--- a/libs/flows/src/fireflyford/flows/_flow_directory.py
+++ b/libs/flows/src/fireflyford/flows/_flow_directory.py
@@ -41,6 +41,7 @@
         own_instance: _types.Instance,
         fleet: _fleet.Fleet,
         placement: _placement.Placement,
+        second_offer_ratio: float = 0.0,
     ) -> None:
         """Initializes an empty directory.
 
@@ -49,6 +50,7 @@
             own_instance: This agent.
             fleet: View of all instances.
             placement: Policy for new flows.
+            second_offer_ratio: Second offers allowed for each offer.
         """
         self._clock = clock
         self._own_instance = own_instance
@@ -57,8 +59,9 @@
             collections.OrderedDict()
         )
         self._placer = _flow_placer.FlowPlacer(
-            clock, own_instance, fleet, placement
+            clock, own_instance, fleet, placement, second_offer_ratio
         )
+        self.second_offers = self._placer.second_offers
         self._searches = _holder_search.HolderSearches(
             clock, own_instance, fleet
         )
@@ -91,6 +94,16 @@
         """Records that the sender holds a flow."""
         self.record_load(sender, message.load)
         self._placer.finish(sender, message.flow)
+        entry = self._entries.get(message.flow)
+        if (
+            entry is not None
+            and entry.holder != sender
+            and self.second_offers.is_late_acceptance(sender, message.flow)
+        ):
+            # The client has most likely opened the flow where it was accepted
+            # first.
+            entry.previous_holder = sender
+            return []
         return self._record_holder(message.flow, sender)
 
     def handle_declined(
--- a/libs/flows/src/fireflyford/flows/_flow_placer.py
+++ b/libs/flows/src/fireflyford/flows/_flow_placer.py
@@ -11,6 +11,7 @@
 from fireflyford.flows import _messages
 from fireflyford.flows import _placement
 from fireflyford.flows import _response_timer
+from fireflyford.flows import _second_offer
 from fireflyford.flows import _types
 
 # Bounds of the time after which an unanswered offer goes to another agent; it
@@ -53,6 +54,8 @@
         self.excluded_agents: set[core.Address] = set()
         # Agent of the latest offer, None while the flow is queued.
         self.offered_to: core.Address | None = None
+        # Agent of a second offer beside the latest one.
+        self.also_offered_to: core.Address | None = None
         # Time at which the offer times out, placement of a queued flow is tried
         # again, or an abandoned attempt is removed.
         self.due_ms = 0
@@ -76,6 +79,7 @@
         own_instance: _types.Instance,
         fleet: _fleet.Fleet,
         placement: _placement.Placement,
+        second_offer_ratio: float = 0.0,
     ) -> None:
         """Initializes a placer without new flows.
 
@@ -84,6 +88,7 @@
             own_instance: This agent.
             fleet: View of all instances.
             placement: Policy for new flows.
+            second_offer_ratio: Second offers allowed for each offer.
         """
         self._clock = clock
         self._own_instance = own_instance
@@ -94,6 +99,9 @@
         self._timer = _response_timer.ResponseTimer(
             OFFER_TIMEOUT_MS, MAX_OFFER_TIMEOUT_MS
         )
+        self.second_offers = _second_offer.SecondOffers(
+            clock, second_offer_ratio
+        )
         # Times of the placements since the last load report of each agent.
         self._recent_placements: dict[core.Address, list[int]] = {}
 
@@ -124,6 +132,7 @@
         # The time of an earlier offer is not kept.
         since_ms = attempt.offered_ms if is_latest_offer else attempt.started_ms
         self._timer.record_response(now_ms - since_ms)
+        self._record_acceptance(attempt, sender, now_ms - since_ms)
         kind = "waited" if attempt.is_queued else "at-once"
         telemetry.observe("flow_placement", now_ms - attempt.started_ms, kind)
 
@@ -167,6 +176,7 @@
         actions: list[_types.Action] = []
         for flow, attempt in tuple(self._attempts.items()):
             if now_ms < attempt.due_ms:
+                actions += self._offer_second(attempt)
                 continue
             if attempt.is_abandoned:
                 del self._attempts[flow]
@@ -176,6 +186,61 @@
                 actions += self._handle_timeout(attempt, attempt.offered_to)
         return actions
 
+    def _offer_second(self, attempt: _PlacementAttempt) -> list[_types.Action]:
+        """Offers a flow to a second agent while the first has not answered."""
+        first = attempt.offered_to
+        if (
+            not self.second_offers.limit_ratio
+            or first is None
+            or attempt.also_offered_to is not None
+            or attempt.is_abandoned
+        ):
+            return []
+        now_ms = self._clock.now_ms()
+        waiting_count = sum(item.is_queued for item in self._attempts.values())
+        age_ms = now_ms - attempt.offered_ms
+        terms = attempt.forward.terms
+        if not self.second_offers.is_due(terms, age_ms, waiting_count):
+            return []
+        others = [
+            item for item in self._candidates(attempt) if item.address != first
+        ]
+        if not others:
+            return []
+        chosen = self._placement.choose(others, attempt.forward.long_lived)
+        self.second_offers.record_second_offer()
+        self._recent_placements.setdefault(chosen.address, []).append(now_ms)
+        attempt.also_offered_to = chosen.address
+        telemetry.log(
+            "flow-offered-twice",
+            flow=_types.describe_flow(attempt.packet.flow),
+            holder=chosen.address,
+            first=first,
+            age_ms=age_ms,
+        )
+        return [
+            attempt.forward.relay(
+                _messages.Handling.PLACE,
+                self._own_instance.address,
+                chosen.address,
+                attempt.packet,
+            )
+        ]
+
+    def _record_acceptance(
+        self, attempt: _PlacementAttempt, sender: core.Address, elapsed_ms: int
+    ) -> None:
+        """Records how an accepted flow was offered."""
+        first, second = attempt.offered_to, attempt.also_offered_to
+        if sender == first:
+            self.second_offers.record_acceptance(elapsed_ms)
+        if first is not None and second is not None:
+            is_second = sender == second
+            loser = first if is_second else second
+            self.second_offers.record_outcome(
+                attempt.packet.flow, is_second, loser
+            )
+
     def _handle_timeout(
         self, attempt: _PlacementAttempt, offered_to: core.Address
     ) -> list[_types.Action]:
@@ -207,6 +272,7 @@
         self._recent_placements.setdefault(chosen.address, []).append(now_ms)
         attempt.offered_to = chosen.address
         attempt.offered_ms = now_ms
+        self.second_offers.record_offer()
         attempt.due_ms = now_ms + self._timer.timeout_ms()
         allow_queueing = (
             attempt.busy_decline_count >= MAX_BUSY_DECLINES
--- a/libs/flows/src/fireflyford/flows/_flow_tracker.py
+++ b/libs/flows/src/fireflyford/flows/_flow_tracker.py
@@ -18,6 +18,9 @@
 # Ended flows are kept for late retransmissions of both sides, which are up to
 # 1.6 s apart.
 ENDED_FLOW_RETENTION_MS = 10_000
+# A client abandons an attempt to open a flow 1.4 s after its first packet. An
+# accepted flow that it has not acknowledged by then is open elsewhere.
+UNOPENED_LIMIT_MS = 2_000
 # A flow is discarded at this age, or after this time without a packet.
 FLOW_LIFETIME_MS = 120_000
 FLOW_IDLE_MS = 60_000
@@ -272,6 +275,16 @@
                 and now_ms - tracked.busy_since_ms > REQUEST_LIMIT_MS
             ):
                 self._finish_request(tracked)
+            elif (
+                tracked.long_lived
+                and not tracked.ended
+                and not tracked.is_confirmed
+                and tracked.first_seq is not None
+                and idle_ms > UNOPENED_LIMIT_MS
+            ):
+                # It is kept for a late client, but brings no work.
+                self._long_lived_count -= 1
+                tracked.long_lived = False
 
     def _mark_ended(self, tracked: TrackedFlow) -> None:
         if not tracked.ended:
--- a/libs/flows/tests/test_holding.py
+++ b/libs/flows/tests/test_holding.py
@@ -1,5 +1,6 @@
 """Tests of which agent takes a flow as held by its backend server."""
 
+import dataclasses
 import random
 
 from fireflyford import core
@@ -186,3 +187,24 @@
         BALANCER, forward(flows.Handling.RESOLVE), data_packet()
     )
     assert len(sent_messages(actions, flows.Forward)) == 2
+
+
+def test_unopened_flow_does_not_count_in_the_load() -> None:
+    """Guards against load that no client brings.
+
+    A long-lived flow that was accepted by two counts at both for a minute.
+    """
+    clock, forwarder = make_forwarder()
+    opening = flows.Packet(FLOW, b"", opens=True)
+    offer = dataclasses.replace(forward(flows.Handling.PLACE), long_lived=True)
+    forwarder.receive(BALANCER, offer, opening)
+    forwarder.receive_from_target(
+        flows.Packet(FLOW, b"", opens=True, acknowledges=True, seq=SEQ)
+    )
+    forwarder.tracker.expire()
+    assert forwarder.load().long_lived_count == 1
+    clock.set(START_MS + 2_100)
+    forwarder.tracker.expire()
+    assert forwarder.load().long_lived_count == 0
+    forwarder.tracker.remove(FLOW)
+    assert forwarder.load().long_lived_count == 0
--- a/libs/runtime/src/fireflyford/runtime/_agent.py
+++ b/libs/runtime/src/fireflyford/runtime/_agent.py
@@ -40,6 +40,7 @@
             self.own_instance,
             self.fleet,
             flows.EarliestCompletion(self.rng),
+            options.second_offer_ratio,
         )
         self.target_monitor = flows.TargetMonitor(
             clock,
@@ -234,6 +235,15 @@
             "service_ms": load.service_ms,
             "held_flows": len(self.flows.forwarder.tracker),
             "directory_entries": len(self.flows.directory),
+            "second_offers": self._second_offer_counts(),
+        }
+
+    def _second_offer_counts(self) -> dict[str, float]:
+        second = self.flows.directory.second_offers
+        return {
+            "second_offers": second.second_count,
+            "second_offers_won": second.win_count,
+            "second_offer_share": round(second.extra_ratio, 4),
         }
 
     def metrics(self) -> dict[str, float]:
@@ -244,6 +254,7 @@
             "held_flows": len(self.flows.forwarder.tracker),
             "directory_entries": len(self.flows.directory),
             "service_ms": load.service_ms,
+            **self._second_offer_counts(),
         }
 
 
--- a/libs/runtime/src/fireflyford/runtime/_settings.py
+++ b/libs/runtime/src/fireflyford/runtime/_settings.py
@@ -32,6 +32,8 @@
         grace_ms: Time from the signal to stop to the end of the process.
         evacuation_prefix: Prefix of the keys that evacuate a zone, empty if
             zones cannot be evacuated.
+        second_offer_ratio: Second offers of new flows allowed for each offer,
+            0 for none.
         warmup_overage: Factor of the new flows that a cold backend server
             bears, 0 if they are not limited.
         warmup_slack: New flows a second that are allowed beyond that.
@@ -54,5 +56,6 @@
     report_interval_ms: int
     grace_ms: int
     evacuation_prefix: str = ""
+    second_offer_ratio: float = 0.0
     warmup_overage: float = 0.0
     warmup_slack: float = 0.0
