--- a/libs/flows/src/fireflyford/flows/_flow_tracker.py
+++ b/libs/flows/src/fireflyford/flows/_flow_tracker.py
@@ -18,6 +18,9 @@
 # Ended flows are kept for late retransmissions of both sides, which are up to
 # 1.6 s apart.
 ENDED_FLOW_RETENTION_MS = 10_000
+# A client abandons an attempt to open a flow 1.4 s after its first packet. An
+# accepted flow that it has not acknowledged by then is open elsewhere.
+UNOPENED_LIMIT_MS = 2_000
 # A flow is discarded at this age, or after this time without a packet.
 FLOW_LIFETIME_MS = 120_000
 FLOW_IDLE_MS = 60_000
@@ -50,8 +53,11 @@
         # restarted since), and the end of the data that it has sent so far.
         self.first_seq: int | None = None
         self.sent_seq_end = 0
-        # Whether the backend server has sent a packet of this flow. A flow of a
-        # probe that was not returned in time is only presumed to be held.
+        # Whether the flow is known to be open here: the client has
+        # acknowledged a sequence number of the backend server, or that one has
+        # sent more than its acceptance. The client may have opened an accepted
+        # flow at another backend server, and a flow of a probe that was not
+        # returned in time is only presumed to be held.
         self.is_confirmed = False
         self.client_seq_end: int | None = None
         self.client_ack = 0
@@ -82,6 +88,18 @@
         acknowledged = _types.sequence_distance(self.first_seq, packet.ack)
         return 0 < acknowledged <= sent
 
+    def is_opened_by(self, packet: _types.Packet) -> bool:
+        """Returns whether a client's packet shows that the flow is open here.
+
+        A backend server that has accepted a flow may not be the only one. The
+        flow opens where the client acknowledges the sequence number.
+        """
+        return (
+            self.first_seq is not None
+            and packet.acknowledges
+            and self.matches(packet)
+        )
+
 
 class FlowTracker:
     """Flows that the backend server is known to hold, and their load."""
@@ -146,7 +164,6 @@
             tracked.reserved_until_ms = tracked.opened_ms
         else:
             tracked.first_seq = first_seq
-            tracked.is_confirmed = True
             tracked.sent_seq_end = (first_seq + 1) % _types.SEQUENCE_MODULUS
         self.remove(flow)
         self._flows[flow] = tracked
@@ -177,6 +194,8 @@
         if packet.opens:
             return
         tracked.client_ack = packet.ack
+        if not tracked.is_confirmed and tracked.is_opened_by(packet):
+            tracked.is_confirmed = True
         if packet.resets or packet.ends:
             # The client no longer waits for a response.
             self._finish_request(tracked)
@@ -256,6 +275,16 @@
                 and now_ms - tracked.busy_since_ms > REQUEST_LIMIT_MS
             ):
                 self._finish_request(tracked)
+            elif (
+                tracked.long_lived
+                and not tracked.ended
+                and not tracked.is_confirmed
+                and tracked.first_seq is not None
+                and idle_ms > UNOPENED_LIMIT_MS
+            ):
+                # It is kept for a late client, but brings no work.
+                self._long_lived_count -= 1
+                tracked.long_lived = False
 
     def _mark_ended(self, tracked: TrackedFlow) -> None:
         if not tracked.ended:
