Stop waiting for instances that leave queries unanswered

After a power cut, one agent that is gone for good but still has its registry entry left every search for a lost flow without a result, so no client was reset until the entry ended, up to 6 s later.

A search for a flow of repeatable requests ends in "not found" once all other agents have answered, and keeps their answers until then.

--- a/libs/flows/src/fireflyford/flows/__init__.py
+++ b/libs/flows/src/fireflyford/flows/__init__.py
@@ -9,6 +9,7 @@
 from fireflyford.flows._balancer import BalancerFlows
 from fireflyford.flows._evacuation import EvacuationView
 from fireflyford.flows._fleet import KEEPALIVE_TIMEOUT_MS
+from fireflyford.flows._fleet import SILENCE_LIMIT_MS
 from fireflyford.flows._fleet import Fleet
 from fireflyford.flows._messages import DeclineReason
 from fireflyford.flows._messages import FlowAnnouncement
@@ -23,6 +24,7 @@
 from fireflyford.flows._messages import PlacementDeclined
 from fireflyford.flows._messages import PlacementQueued
 from fireflyford.flows._messages import PlacementRefused
+from fireflyford.flows._messages import PlannedRestart
 from fireflyford.flows._messages import ProtocolAnnouncement
 from fireflyford.flows._messages import Send
 from fireflyford.flows._messages import SlotGranted
@@ -30,6 +32,7 @@
 from fireflyford.flows._placement import EarliestCompletion
 from fireflyford.flows._placement import Placement
 from fireflyford.flows._placement import Random
+from fireflyford.flows._responsiveness import Responsiveness
 from fireflyford.flows._routes import Route
 from fireflyford.flows._routes import RouteTable
 from fireflyford.flows._routes import RouteTerms
@@ -54,6 +57,7 @@
 __all__ = [
     "FLOW_ID_BYTES",
     "KEEPALIVE_TIMEOUT_MS",
+    "SILENCE_LIMIT_MS",
     "Action",
     "AgentFlows",
     "BalancerFlows",
@@ -79,10 +83,12 @@
     "PlacementDeclined",
     "PlacementQueued",
     "PlacementRefused",
+    "PlannedRestart",
     "ProtocolAnnouncement",
     "Random",
     "Reply",
     "Reset",
+    "Responsiveness",
     "Route",
     "RouteTable",
     "RouteTerms",
--- a/libs/flows/src/fireflyford/flows/_agent.py
+++ b/libs/flows/src/fireflyford/flows/_agent.py
@@ -6,6 +6,7 @@
 from fireflyford.flows import _flow_directory
 from fireflyford.flows import _messages
 from fireflyford.flows import _placement
+from fireflyford.flows import _responsiveness
 from fireflyford.flows import _target_forwarder
 from fireflyford.flows import _types
 
@@ -19,6 +20,7 @@
         own_instance: _types.Instance,
         fleet: _fleet.Fleet,
         placement: _placement.Placement,
+        responsiveness: _responsiveness.Responsiveness | None = None,
     ) -> None:
         """Initializes an agent without flows.
 
@@ -27,14 +29,19 @@
             own_instance: This agent.
             fleet: View of all instances.
             placement: Policy for new flows.
+            responsiveness: Judges the agents by their answers. Defaults to one
+                that expects announcements of restarts from all agents.
         """
+        self.responsiveness = responsiveness or _responsiveness.Responsiveness(
+            clock
+        )
         self._own_instance = own_instance
         self._fleet = fleet
         self.forwarder = _target_forwarder.TargetForwarder(
             clock, own_instance, fleet
         )
         self.directory = _flow_directory.FlowDirectory(
-            clock, own_instance, fleet, placement
+            clock, own_instance, fleet, placement, self.responsiveness
         )
         self._announced_generation = -1
 
@@ -45,6 +52,7 @@
         packet: _types.Packet,
     ) -> list[_types.Action]:
         """Handles a packet forwarded by a balancer or another agent."""
+        self.responsiveness.record_message(sender)
         if forward.service != self._own_instance.service:
             return self._decline_other_service(sender, forward, packet)
         if forward.handling is _messages.Handling.RESOLVE:
@@ -55,6 +63,7 @@
         self, sender: core.Address, message: _messages.Message
     ) -> list[_types.Action]:
         """Handles a message about flows or about an instance."""
+        self.responsiveness.record_message(sender)
         if isinstance(message, _messages.FlowLocated):
             return self.directory.handle_located(sender, message)
         if isinstance(message, _messages.PlacementDeclined):
@@ -65,13 +74,19 @@
             return self.directory.handle_announcement(sender, message.flows)
         if isinstance(message, _messages.LoadReport):
             self.directory.record_load(sender, message.load)
+        elif isinstance(message, _messages.PlannedRestart):
+            self.responsiveness.record_planned_restart(
+                message.address, message.incarnation
+            )
         elif isinstance(message, _messages.Heartbeat):
+            self.responsiveness.record_heartbeat(message)
             self._fleet.apply_heartbeat(message)
             self.directory.record_load(sender, message.load)
         return []
 
     def sweep(self) -> list[_types.Action]:
         """Handles timeouts, and announces flows after a change of the fleet."""
+        self.responsiveness.sweep()
         actions = [*self.forwarder.sweep(), *self.directory.sweep()]
         if self._fleet.generation != self._announced_generation:
             self._announced_generation = self._fleet.generation
--- a/libs/flows/src/fireflyford/flows/_balancer.py
+++ b/libs/flows/src/fireflyford/flows/_balancer.py
@@ -18,8 +18,10 @@
 from fireflyford import telemetry
 from fireflyford.flows import _evacuation
 from fireflyford.flows import _fleet
+from fireflyford.flows import _holder_watch
 from fireflyford.flows import _messages
 from fireflyford.flows import _response_timer
+from fireflyford.flows import _responsiveness
 from fireflyford.flows import _routes
 from fireflyford.flows import _types
 
@@ -29,11 +31,11 @@
 # than a client sends or receives between two packets through one balancer; two
 # flows start that close to each other with a probability of 1 in 2,048.
 SAME_FLOW_WINDOW_BYTES = 1 << 20
-# A directory agent that has not answered within this time is a suspect for
-# `SUSPECT_MS`: another agent is asked instead. Covers the time limits of an
-# offer (`_flow_placer.OFFER_TIMEOUT_MS`) and of a search.
+_UPDATE_WINDOW_BYTES = SAME_FLOW_WINDOW_BYTES // 2
+# A directory agent that has not answered within this time is avoided for a
+# while: another agent is asked instead. Covers the time limits of an offer
+# (`_flow_placer.OFFER_TIMEOUT_MS`) and of a search.
 DIRECTORY_TIMEOUT_MS = 150
-SUSPECT_MS = 1_000
 # Bounds of the delay before an unanswered packet is sent again. It follows the
 # measured response times, and doubles with each further retry of the packet.
 # A retry reaches a restarted agent sooner than the retransmissions of the
@@ -44,13 +46,13 @@
 # up opening the flow or retransmitted its packet.
 RETRY_LIMIT_MS = 1_300
 # Agents on the hash ring that may act as directory agent while earlier ones are
-# suspects.
+# avoided.
 DIRECTORY_CANDIDATE_COUNT = 4
 # Limit of packets that wait for the directory agent's answer.
 MAX_PENDING_PACKETS = 16_384
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class _KnownFlow:
     """A flow whose holder has been reported to this balancer.
 
@@ -62,22 +64,48 @@
             flow from others that use the same ports.
         ack: A recent acknowledgment number of the client, None before the
             first one.
+        data_seq: Highest sequence number of data of a long-lived flow, None
+            before the first one.
     """
 
     service: str
     holder: core.Address | None
     seq: int
     ack: int | None
+    data_seq: int | None = None
 
-    def matches(self, packet: _types.Packet) -> bool:
+    def accept(self, packet: _types.Packet) -> bool:
         """Returns whether a packet belongs to this flow.
 
         An opening packet belongs to it if it is a copy of the one that opened
-        it; any other one opens a new flow.
+        it; any other one opens a new flow. The sequence numbers follow those of
+        the packets once they are half a window apart.
         """
         if packet.opens:
             return self.seq == packet.seq
-        return _is_near(self.seq, packet.seq)
+        distance = (packet.seq - self.seq) % _types.SEQUENCE_MODULUS
+        if distance > _types.SEQUENCE_MODULUS // 2:
+            distance = _types.SEQUENCE_MODULUS - distance
+        if distance >= SAME_FLOW_WINDOW_BYTES:
+            return False
+        if (
+            distance >= _UPDATE_WINDOW_BYTES
+            or self.ack is None
+            or not _is_near(self.ack, packet.ack, _UPDATE_WINDOW_BYTES)
+        ):
+            self.seq = packet.seq
+            if packet.acknowledges:
+                self.ack = packet.ack
+        return True
+
+    def repeats(self, packet: _types.Packet) -> bool:
+        """Returns whether the data of a packet was seen before."""
+        if self.data_seq is not None:
+            ahead = (packet.seq - self.data_seq) % _types.SEQUENCE_MODULUS
+            if not 0 < ahead < _types.SEQUENCE_MODULUS // 2:
+                return True
+        self.data_seq = packet.seq
+        return False
 
     def is_of(self, service: str | None, ack: int) -> bool:
         """Returns whether an answer of a service is about this flow."""
@@ -87,17 +115,6 @@
             and _is_near(self.ack, ack)
         )
 
-    def update(self, packet: _types.Packet) -> "_KnownFlow":
-        """Returns the flow with the sequence numbers of a packet of it."""
-        if (
-            self.ack is not None
-            and _is_near(self.seq, packet.seq, SAME_FLOW_WINDOW_BYTES // 2)
-            and _is_near(self.ack, packet.ack, SAME_FLOW_WINDOW_BYTES // 2)
-        ):
-            return self
-        ack = packet.ack if packet.acknowledges else self.ack
-        return dataclasses.replace(self, seq=packet.seq, ack=ack)
-
 
 def _is_near(
     first: int, second: int, limit_bytes: int = SAME_FLOW_WINDOW_BYTES
@@ -173,6 +190,7 @@
         clock: core.Clock,
         own_instance: _types.Instance,
         fleet: _fleet.Fleet,
+        responsiveness: _responsiveness.Responsiveness | None = None,
     ) -> None:
         """Initializes a balancer without a configuration.
 
@@ -180,7 +198,15 @@
             clock: Source of time.
             own_instance: This balancer.
             fleet: View of all instances.
+            responsiveness: Judges the agents by their answers. Defaults to one
+                that expects announcements of restarts from all agents.
         """
+        self.responsiveness = responsiveness or _responsiveness.Responsiveness(
+            clock
+        )
+        self.holder_watch = _holder_watch.HolderWatch(
+            clock, fleet, self.responsiveness
+        )
         self._clock = clock
         self._own_instance = own_instance
         self._fleet = fleet
@@ -197,7 +223,8 @@
         self._pending: collections.OrderedDict[bytes, _PendingPacket] = (
             collections.OrderedDict()
         )
-        self._suspect_until_ms: dict[core.Address, int] = {}
+        # Directory agents that have not answered in time.
+        self._avoidance = _responsiveness.Avoidance(clock)
         self._timer = _response_timer.ResponseTimer(RETRY_MS, MAX_RETRY_MS)
         # Whether the configuration is known to be the latest version.
         self.is_current = False
@@ -247,7 +274,7 @@
         if route is None or not route.shares:
             return self._reset_unrouted(packet, address)
         known = self._known_flows.get(packet.flow)
-        if known is not None and not known.matches(packet):
+        if known is not None and not known.accept(packet):
             # Another flow that uses the same ports.
             if packet.opens:
                 self._forget_earlier_flow(packet.flow, known, route)
@@ -257,8 +284,9 @@
             and known.holder is not None
             and known.holder in self._fleet
         ):
-            self._known_flows[packet.flow] = known.update(packet)
             self._known_flows.move_to_end(packet.flow)
+            if packet.payload_bytes and route.long_lived:
+                self._watch_data(packet, route, known, known.holder)
             return [
                 self._forward(
                     _messages.Handling.HELD,
@@ -280,6 +308,21 @@
                 services = [pending.service, *pending.other_services]
         return self._resolve(packet, services, route)
 
+    def _watch_data(
+        self,
+        packet: _types.Packet,
+        route: _routes.Route,
+        known: _KnownFlow,
+        holder: core.Address,
+    ) -> None:
+        """Notices that the client of a long-lived flow repeats its data."""
+        if known.repeats(packet):
+            self.holder_watch.record_repeat(
+                packet, route, known.service, holder
+            )
+        elif len(self.holder_watch):
+            self.holder_watch.forget(packet.flow)
+
     def _forget_earlier_flow(
         self, flow: bytes, known: _KnownFlow, route: _routes.Route
     ) -> None:
@@ -302,14 +345,14 @@
         self, sender: core.Address, message: _messages.Message
     ) -> list[_types.Action]:
         """Handles a message about flows or about an instance."""
+        self.responsiveness.record_message(sender)
+        self._avoidance.record_message(sender)
         if isinstance(message, _messages.FlowLocated):
             self._record_holder(sender, message.flow)
         elif isinstance(message, _messages.NotHeld):
             known = self._known_flows.get(message.flow)
             if known is not None and known.holder == sender:
-                self._known_flows[message.flow] = dataclasses.replace(
-                    known, holder=None
-                )
+                known.holder = None
         elif isinstance(message, _messages.FlowNotFound):
             return self._handle_not_found(sender, message)
         elif isinstance(message, _messages.PlacementQueued):
@@ -323,18 +366,24 @@
             return self._handle_refused(sender, message)
         elif isinstance(message, _messages.LoadReport):
             self._fleet.record_load(sender, message.load)
+        elif isinstance(message, _messages.PlannedRestart):
+            self.responsiveness.record_planned_restart(
+                message.address, message.incarnation
+            )
         elif isinstance(message, _messages.Heartbeat):
+            self.responsiveness.record_heartbeat(message)
             self._fleet.apply_heartbeat(message)
         return []
 
     def has_timeouts(self) -> bool:
         """Returns whether a packet awaits the answer of a directory agent."""
-        return bool(self._pending)
+        return bool(self._pending or len(self.holder_watch))
 
     def sweep(self) -> list[_types.Action]:
-        """Retries unanswered packets until their time limit."""
+        """Retries unanswered packets and resets flows of silent holders."""
         now_ms = self._clock.now_ms()
-        actions: list[_types.Action] = []
+        self.responsiveness.sweep()
+        actions = self._reset_stranded() if len(self.holder_watch) else []
         for flow, pending in tuple(self._pending.items()):
             if now_ms - pending.received_ms >= RETRY_LIMIT_MS:
                 del self._pending[flow]
@@ -345,6 +394,29 @@
                 actions += self._retry(pending)
         return actions
 
+    def _reset_stranded(self) -> list[_types.Action]:
+        """Resets flows whose clients wait for a silent holder.
+
+        The client opens a new flow and still meets its time limit.
+        """
+        if not self._fleet.is_complete:
+            return []
+        actions: list[_types.Action] = []
+        for waiting in self.holder_watch.take_stranded():
+            packet = waiting.packet
+            known = self._known_flows.get(packet.flow)
+            if known is None or known.holder != waiting.holder:
+                continue
+            del self._known_flows[packet.flow]
+            telemetry.log(
+                "flow-reset",
+                flow=_types.describe_flow(packet.flow),
+                reason="holder-silent",
+                holder=waiting.holder,
+            )
+            actions.append(_types.Reset(packet.flow, packet.ack))
+        return actions
+
     def _retry(self, pending: _PendingPacket) -> list[_types.Action]:
         self._timer.record_timeout()
         self._suspect_if_overdue(pending)
@@ -430,31 +502,28 @@
         directory_agents = self._fleet.directory_agents(
             service, flow, DIRECTORY_CANDIDATE_COUNT
         )
-        now_ms = self._clock.now_ms()
         for directory_agent in directory_agents:
-            if self._suspect_until_ms.get(directory_agent, 0) <= now_ms:
+            if directory_agent not in self._avoidance:
                 return directory_agent
         return directory_agents[0] if directory_agents else None
 
     def _suspect_if_overdue(self, pending: _PendingPacket) -> None:
-        """Marks a directory agent as suspect if it has not answered in time."""
+        """Avoids a directory agent that has not answered in time."""
         now_ms = self._clock.now_ms()
         if pending.directory_agent is None:
             return
         limit_ms = max(DIRECTORY_TIMEOUT_MS, self._timer.timeout_ms())
         if now_ms - pending.sent_ms >= limit_ms:
-            if self._suspect_until_ms.get(pending.directory_agent, 0) <= now_ms:
+            avoided_ms = self._avoidance.record_silence(pending.directory_agent)
+            if avoided_ms:
                 telemetry.log(
                     "home-silent",
                     flow=_types.describe_flow(pending.packet.flow),
                     home=pending.directory_agent,
+                    avoided_ms=avoided_ms,
                 )
-            self._suspect_until_ms[pending.directory_agent] = (
-                now_ms + SUSPECT_MS
-            )
 
     def _record_holder(self, sender: core.Address, flow: bytes) -> None:
-        self._suspect_until_ms.pop(sender, None)
         pending = self._pending.pop(flow, None)
         known = self._known_flows.pop(flow, None)
         holder = self._fleet.find(sender)
@@ -475,11 +544,10 @@
             telemetry.observe("flow_locate", duration_ms, kind)
             service = pending.service if holder is None else holder.service
             ack = packet.ack if packet.acknowledges else None
-            known = _KnownFlow(service, sender, packet.seq, ack)
+            data_seq = packet.seq if packet.payload_bytes else None
+            known = _KnownFlow(service, sender, packet.seq, ack, data_seq)
         elif known is not None and holder is not None:
-            known = dataclasses.replace(
-                known, service=holder.service, holder=sender
-            )
+            known.service, known.holder = holder.service, sender
         if known is None:
             return
         self._known_flows[flow] = known
@@ -589,6 +657,8 @@
         service: str,
         route: _routes.Route,
     ) -> _messages.Send:
+        if handling is _messages.Handling.RESOLVE:
+            self.responsiveness.record_query(to)
         message = _messages.Forward(
             handling,
             service,
--- a/libs/flows/src/fireflyford/flows/_fleet.py
+++ b/libs/flows/src/fireflyford/flows/_fleet.py
@@ -16,6 +16,8 @@
 # Minimum time without a keepalive after which an instance without an entry is
 # removed: a few keepalives may be lost, and a process restarts within it.
 KEEPALIVE_TIMEOUT_MS = 3_000
+# Longest time between two reports of an agent that runs, for a small fleet.
+SILENCE_LIMIT_MS = 1_800
 # How long a process that has left is remembered: longer than the watch of the
 # registry may take to return its entry, and than datagrams are delayed.
 LEFT_RETENTION_MS = 30_000
@@ -64,6 +66,9 @@
         # Time without a keepalive after which an instance without an entry is
         # removed. Keepalives are the rarer, the larger the fleet is.
         self.keepalive_timeout_ms = KEEPALIVE_TIMEOUT_MS
+        # Time without a keepalive that the interval of keepalives or load
+        # reports to this instance does not explain.
+        self.silence_limit_ms = SILENCE_LIMIT_MS
 
     def replace_entries(
         self, instances: Iterable[_types.Instance]
@@ -309,6 +314,14 @@
         last = self._keepalives.get(address)
         return None if last is None else self._clock.now_ms() - last[0]
 
+    def is_silent(self, address: core.Address) -> bool:
+        """Returns whether no keepalive has arrived for longer than expected."""
+        last = self._keepalives.get(address)
+        return (
+            last is None
+            or self._clock.now_ms() - last[0] > self.silence_limit_ms
+        )
+
     def agents(self, service: str) -> tuple[_types.Instance, ...]:
         """Returns the agents of one service."""
         return tuple(self._agents.get(service, {}).values())
--- a/libs/flows/src/fireflyford/flows/_flow_directory.py
+++ b/libs/flows/src/fireflyford/flows/_flow_directory.py
@@ -14,6 +14,7 @@
 from fireflyford.flows import _holder_search
 from fireflyford.flows import _messages
 from fireflyford.flows import _placement
+from fireflyford.flows import _responsiveness
 from fireflyford.flows import _types
 
 MAX_ENTRIES = 200_000
@@ -38,6 +39,7 @@
         own_instance: _types.Instance,
         fleet: _fleet.Fleet,
         placement: _placement.Placement,
+        responsiveness: _responsiveness.Responsiveness,
     ) -> None:
         """Initializes an empty directory.
 
@@ -46,6 +48,7 @@
             own_instance: This agent.
             fleet: View of all instances.
             placement: Policy for new flows.
+            responsiveness: Judges the agents by their answers.
         """
         self._clock = clock
         self._own_instance = own_instance
@@ -54,10 +57,10 @@
             collections.OrderedDict()
         )
         self._placer = _flow_placer.FlowPlacer(
-            clock, own_instance, fleet, placement
+            clock, own_instance, fleet, placement, responsiveness
         )
         self._searches = _holder_search.HolderSearches(
-            clock, own_instance, fleet
+            clock, own_instance, fleet, responsiveness
         )
 
     def __len__(self) -> int:
@@ -121,8 +124,7 @@
 
     def sweep(self) -> list[_types.Action]:
         """Handles timeouts of offers and searches, and retries queued flows."""
-        self._searches.sweep()
-        return self._placer.sweep()
+        return [*self._searches.sweep(), *self._placer.sweep()]
 
     def has_timeouts(self) -> bool:
         """Returns whether an offer or a search awaits an answer."""
--- a/libs/flows/src/fireflyford/flows/_flow_placer.py
+++ b/libs/flows/src/fireflyford/flows/_flow_placer.py
@@ -11,6 +11,7 @@
 from fireflyford.flows import _messages
 from fireflyford.flows import _placement
 from fireflyford.flows import _response_timer
+from fireflyford.flows import _responsiveness
 from fireflyford.flows import _types
 
 # Bounds of the time after which an unanswered offer goes to another agent; it
@@ -76,6 +77,7 @@
         own_instance: _types.Instance,
         fleet: _fleet.Fleet,
         placement: _placement.Placement,
+        responsiveness: _responsiveness.Responsiveness,
     ) -> None:
         """Initializes a placer without new flows.
 
@@ -84,7 +86,9 @@
             own_instance: This agent.
             fleet: View of all instances.
             placement: Policy for new flows.
+            responsiveness: Judges the agents by their answers.
         """
+        self._responsiveness = responsiveness
         self._clock = clock
         self._own_instance = own_instance
         self._fleet = fleet
@@ -205,6 +209,7 @@
         chosen = self._placement.choose(candidates, attempt.forward.long_lived)
         now_ms = self._clock.now_ms()
         self._recent_placements.setdefault(chosen.address, []).append(now_ms)
+        self._responsiveness.record_query(chosen.address)
         attempt.offered_to = chosen.address
         attempt.offered_ms = now_ms
         attempt.due_ms = now_ms + self._timer.timeout_ms()
@@ -288,8 +293,8 @@
         """Returns the agents with room.
 
         An agent has room while its backend server is below the limit of pending
-        requests for each slot. Suspects and agents whose target state is
-        unknown are a last resort.
+        requests for each slot. Suspects, silent agents and agents whose target
+        state is unknown are a last resort.
         """
         now_ms = self._clock.now_ms()
         # Clients send to balancers in their own zone.
@@ -315,12 +320,21 @@
             if (
                 load.state is _types.TargetState.READY
                 and self._suspect_until_ms.get(agent.address, 0) <= now_ms
+                and self._is_in_touch(agent.address)
             ):
                 preferred.append(candidate)
             else:
                 last_resort.append(candidate)
         return preferred or last_resort
 
+    def _is_in_touch(self, address: core.Address) -> bool:
+        """Returns whether an agent answers and reports its load on time."""
+        if address == self._own_instance.address:
+            return True
+        return not self._fleet.is_silent(
+            address
+        ) and not self._responsiveness.is_unresponsive(address)
+
     def _expected_load(self, address: core.Address) -> _types.Load:
         """Estimates the current load of an agent from its last report.
 
--- a/libs/flows/src/fireflyford/flows/_flow_tracker.py
+++ b/libs/flows/src/fireflyford/flows/_flow_tracker.py
@@ -169,28 +169,34 @@
 
     def record_client_packet(
         self, tracked: TrackedFlow, packet: _types.Packet
-    ) -> None:
-        """Updates a flow for a packet from the client."""
+    ) -> bool:
+        """Updates a flow for a packet from the client.
+
+        Returns:
+            Whether the client repeats data.
+        """
         now_ms = self._clock.now_ms()
         tracked.last_used_ms = now_ms
         self._flows.move_to_end(packet.flow)
         if packet.opens:
-            return
+            return False
         tracked.client_ack = packet.ack
         if packet.resets or packet.ends:
             # The client no longer waits for a response.
             self._finish_request(tracked)
             self._mark_ended(tracked)
-            return
-        if packet.payload_bytes and _has_new_data(
-            tracked.client_seq_end, packet
-        ):
+            return False
+        if not packet.payload_bytes:
+            return False
+        if _has_new_data(tracked.client_seq_end, packet):
             tracked.client_seq_end = _sequence_end(packet)
             tracked.reserved_until_ms = now_ms
             if tracked.busy_since_ms is None and not tracked.ended:
                 tracked.busy_since_ms = now_ms
                 tracked.had_free_slot = self._busy_count < self.slot_count
                 self._busy_count += 1
+            return False
+        return True
 
     def record_target_packet(
         self, tracked: TrackedFlow, packet: _types.Packet
--- a/libs/flows/src/fireflyford/flows/_holder_search.py
+++ b/libs/flows/src/fireflyford/flows/_holder_search.py
@@ -1,10 +1,19 @@
-"""Search by a directory agent for the holders of flows without an entry."""
+"""Search by a directory agent for the holders of flows without an entry.
+
+A flow is not found when all agents of the service have answered that they do
+not hold it. For flows whose requests may be repeated, agents that have become
+unresponsive are not waited for: a client whose flow is reset in time can repeat
+its request. Such a search keeps the answers until then.
+"""
+
+from collections.abc import Iterable
 
 from fireflyford import core
 from fireflyford import telemetry
 from fireflyford.flows import _fleet
 from fireflyford.flows import _messages
 from fireflyford.flows import _response_timer
+from fireflyford.flows import _responsiveness
 from fireflyford.flows import _types
 
 # Bounds of the time limit for answers to a search, which follows the measured
@@ -15,6 +24,11 @@
 # Minimum delay after a failed search before the next one for the same flow;
 # balancers and the client keep sending its packets.
 SEARCH_RETRY_DELAY_MS = 250
+# A search for a flow whose requests may be repeated asks the silent agents
+# again at this interval, the same at which other flows are searched anew.
+SEARCH_REPEAT_MS = SEARCH_TIMEOUT_MS + SEARCH_RETRY_DELAY_MS
+# End of such a search: its client has by then given up.
+SEARCH_LIMIT_MS = 1_500
 # Packets of one flow that are queued during a search: one window of the client.
 MAX_QUEUED_PACKETS = 16
 # Limit of searches in progress; a packet that would need another is dropped.
@@ -38,6 +52,9 @@
         self.forward = forward
         self.started_ms = now_ms
         self.deadline_ms = deadline_ms
+        # Time of the last query of all awaited agents.
+        self.asked_ms = now_ms
+        self.is_overdue = False
         self.awaited_agents: set[core.Address] = set()
         # The first packet is sent with the search itself.
         self.packets = [packet]
@@ -51,6 +68,7 @@
         clock: core.Clock,
         own_instance: _types.Instance,
         fleet: _fleet.Fleet,
+        responsiveness: _responsiveness.Responsiveness,
     ) -> None:
         """Initializes the searches of an agent with none in progress.
 
@@ -58,7 +76,9 @@
             clock: Source of time.
             own_instance: This agent.
             fleet: View of all instances.
+            responsiveness: Judges the agents by their answers.
         """
+        self._responsiveness = responsiveness
         self._clock = clock
         self._started_ms = clock.now_ms()
         self._own_instance = own_instance
@@ -67,6 +87,8 @@
         self._timer = _response_timer.ResponseTimer(
             SEARCH_TIMEOUT_MS, MAX_SEARCH_TIMEOUT_MS
         )
+        # Agents were removed from running searches for this view of the fleet.
+        self._generation = fleet.generation
         # Time of the last failed search for each flow, oldest first.
         self._failures: dict[bytes, int] = {}
 
@@ -82,6 +104,8 @@
         if search is not None:
             if len(search.packets) < MAX_QUEUED_PACKETS:
                 search.packets.append(packet)
+            # The balancer that has asked last waits for the answer.
+            search.forward = forward
             return []
         now_ms = self._clock.now_ms()
         failed_ms = self._failures.get(
@@ -100,13 +124,22 @@
             flow=_types.describe_flow(packet.flow),
             agents=len(search.awaited_agents),
         )
+        return self._ask(search, search.awaited_agents)
+
+    def _ask(
+        self, search: _Search, agents: Iterable[core.Address]
+    ) -> list[_types.Action]:
+        """Sends the last packet of a search to agents."""
         own_address = self._own_instance.address
         handling = _messages.Handling.SEARCH
-        send = forward.relay(handling, own_address, own_address, packet)
-        return [
-            _messages.Send(address, send.message)
-            for address in search.awaited_agents
-        ]
+        send = search.forward.relay(
+            handling, own_address, own_address, search.packets[-1]
+        )
+        actions: list[_types.Action] = []
+        for address in agents:
+            self._responsiveness.record_query(address)
+            actions.append(_messages.Send(address, send.message))
+        return actions
 
     def finish(self, flow: bytes, holder: core.Address) -> list[_types.Action]:
         """Completes the search for a flow; queued packets go to the holder."""
@@ -132,13 +165,48 @@
         if search is None:
             return []
         search.awaited_agents.discard(sender)
-        if search.awaited_agents:
+        if not search.awaited_agents:
+            return self._conclude(flow, search)
+        if search.forward.long_lived and search.awaited_agents <= (
+            self._unresponsive()
+        ):
+            return self._conclude_without_silent(flow, search)
+        return []
+
+    def _unresponsive(self) -> frozenset[core.Address]:
+        """Returns the agents for which no repeatable request waits."""
+        agents = self._fleet.agents(self._own_instance.service)
+        return self._responsiveness.unresponsive(
+            agent.address for agent in agents
+        )
+
+    def _may_miss_agents(self) -> bool:
+        """Returns whether there may be agents that were not asked."""
+        age_ms = self._clock.now_ms() - self._started_ms
+        return age_ms < STARTUP_GRACE_MS or not self._fleet.is_complete
+
+    def _conclude_without_silent(
+        self, flow: bytes, search: _Search
+    ) -> list[_types.Action]:
+        """Ends a search for which only unresponsive agents are awaited."""
+        if self._may_miss_agents():
             return []
+        telemetry.log(
+            "flow-search-cut-short",
+            flow=_types.describe_flow(flow),
+            silent_count=len(search.awaited_agents),
+            silent=min(search.awaited_agents, default=None),
+            searched_ms=self._clock.now_ms() - search.started_ms,
+        )
+        return self._conclude(flow, search)
+
+    def _conclude(self, flow: bytes, search: _Search) -> list[_types.Action]:
+        """Ends a search without a holder and notifies the balancer."""
         del self._searches[flow]
         now_ms = self._clock.now_ms()
-        self._timer.record_response(now_ms - search.started_ms)
-        is_new = now_ms - self._started_ms < STARTUP_GRACE_MS
-        if is_new or not self._fleet.is_complete:
+        if not search.is_overdue:
+            self._timer.record_response(now_ms - search.started_ms)
+        if self._may_miss_agents():
             return []
         self._record_failure(flow)
         telemetry.log(
@@ -154,21 +222,70 @@
         )
         return [_messages.Send(search.forward.balancer, not_found)]
 
-    def sweep(self) -> None:
-        """Ends searches that have timed out."""
+    def sweep(self) -> list[_types.Action]:
+        """Ends searches that have timed out or await only silent agents."""
+        if not self._searches:
+            return []
         now_ms = self._clock.now_ms()
+        actions: list[_types.Action] = []
+        unresponsive = self._unresponsive()
+        has_changed = self._generation != self._fleet.generation
+        self._generation = self._fleet.generation
         for flow, search in tuple(self._searches.items()):
-            if now_ms < search.deadline_ms:
-                continue
-            del self._searches[flow]
+            if has_changed:
+                # An agent that has left no longer holds flows.
+                search.awaited_agents = {
+                    address
+                    for address in search.awaited_agents
+                    if address in self._fleet
+                }
+            if not search.awaited_agents:
+                actions += self._conclude(flow, search)
+            elif search.forward.long_lived:
+                actions += self._continue(flow, search, unresponsive)
+            elif now_ms >= search.deadline_ms:
+                self._time_out(flow, search)
+        return actions
+
+    def _continue(
+        self,
+        flow: bytes,
+        search: _Search,
+        unresponsive: frozenset[core.Address],
+    ) -> list[_types.Action]:
+        """Ends a search for a flow of repeatable requests, or asks again."""
+        now_ms = self._clock.now_ms()
+        if search.awaited_agents <= unresponsive:
+            return self._conclude_without_silent(flow, search)
+        if now_ms - search.started_ms >= SEARCH_LIMIT_MS:
+            self._time_out(flow, search)
+            return []
+        if now_ms < search.deadline_ms:
+            return []
+        if not search.is_overdue:
+            search.is_overdue = True
             self._timer.record_timeout()
-            self._record_failure(flow)
-            telemetry.log(
-                "flow-search-timeout",
-                flow=_types.describe_flow(flow),
-                silent_count=len(search.awaited_agents),
-                silent=min(search.awaited_agents, default=None),
-            )
+        if now_ms - search.asked_ms >= SEARCH_REPEAT_MS:
+            search.asked_ms = now_ms
+            return self._ask(search, search.awaited_agents)
+        # Keeps the silent agents under observation; one query of any search
+        # counts for all.
+        return self._ask(
+            search,
+            filter(self._responsiveness.needs_query, search.awaited_agents),
+        )
+
+    def _time_out(self, flow: bytes, search: _Search) -> None:
+        del self._searches[flow]
+        if not search.is_overdue:
+            self._timer.record_timeout()
+        self._record_failure(flow)
+        telemetry.log(
+            "flow-search-timeout",
+            flow=_types.describe_flow(flow),
+            silent_count=len(search.awaited_agents),
+            silent=min(search.awaited_agents, default=None),
+        )
 
     def _record_failure(self, flow: bytes) -> None:
         """Records that a search has failed, and removes old records."""
--- a/libs/flows/src/fireflyford/flows/_messages.py
+++ b/libs/flows/src/fireflyford/flows/_messages.py
@@ -205,6 +205,19 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlannedRestart:
+    """A process stops while its backend server runs; another one will follow.
+
+    Attributes:
+        address: Address of the process, which others may tell new instances.
+        incarnation: Incarnation of the process.
+    """
+
+    address: core.Address
+    incarnation: int
+
+
 Message = (
     Forward
     | FlowLocated
@@ -218,6 +231,7 @@
     | LoadReport
     | SlotGranted
     | ProtocolAnnouncement
+    | PlannedRestart
 )
 
 
--- a/libs/flows/src/fireflyford/flows/_target_forwarder.py
+++ b/libs/flows/src/fireflyford/flows/_target_forwarder.py
@@ -119,10 +119,15 @@
         if self.state is _types.TargetState.DOWN:
             return self._report_not_held(sender, forward, packet)
         if tracked is not None and tracked.matches(packet):
-            self.tracker.record_client_packet(tracked, packet)
+            is_repeat = self.tracker.record_client_packet(tracked, packet)
             return [
                 _types.Deliver(packet),
-                *self._notify_located(packet.flow, forward, sender),
+                *self._notify_located(
+                    packet.flow,
+                    forward,
+                    sender,
+                    is_repeat and tracked.long_lived,
+                ),
             ]
         if packet.opens:
             if packet.flow in self._openings:
@@ -260,15 +265,26 @@
         ]
 
     def _notify_located(
-        self, flow: bytes, forward: _messages.Forward, sender: core.Address
+        self,
+        flow: bytes,
+        forward: _messages.Forward,
+        sender: core.Address,
+        confirms: bool,
     ) -> list[_types.Action]:
         """Notifies the instances that did not know the holder of the flow.
 
         A balancer that has asked the directory agent retries its packet until
         it is notified, so each such packet is answered.
+
+        Args:
+            flow: The flow.
+            forward: Message with the packet.
+            sender: Instance that sent the message.
+            confirms: Whether to notify a balancer that knows the holder too.
+                One that sees repeated data takes a silent holder for gone.
         """
         receivers = []
-        if sender != forward.balancer:
+        if sender != forward.balancer or confirms:
             receivers.append(forward.balancer)
         if forward.handling is _messages.Handling.SEARCH:
             receivers.append(forward.directory_agent)
--- a/libs/flows/src/fireflyford/flows/_target_monitor.py
+++ b/libs/flows/src/fireflyford/flows/_target_monitor.py
@@ -11,6 +11,9 @@
 # Time without a report, in report intervals, after which a backend server gets
 # no new flows; a report may be lost and the next one late.
 REPORT_TIMEOUT_INTERVALS = 3.5
+# A backend server and its agent that start within this time of each other have
+# both been lost, by a power cut for example.
+JOINT_START_MS = 3_000
 
 
 class TargetLiveness(enum.Enum):
@@ -138,6 +141,13 @@
             return TargetLiveness.GONE
         return TargetLiveness.UNKNOWN
 
+    def has_started_near(self, wall_ms: int) -> bool:
+        """Returns whether the backend server started at about a time of day."""
+        return (
+            self._last is not None
+            and abs(self._last.started_ms - wall_ms) <= JOINT_START_MS
+        )
+
     def sweep(self) -> None:
         """Stops new flows to a backend server that no longer sends reports."""
         report_age_ms = self._clock.now_ms() - self._last_report_ms
--- a/libs/runtime/src/fireflyford/runtime/_agent.py
+++ b/libs/runtime/src/fireflyford/runtime/_agent.py
@@ -40,6 +40,7 @@
             self.own_instance,
             self.fleet,
             flows.EarliestCompletion(self.rng),
+            responsiveness=self.responsiveness,
         )
         self.target_monitor = flows.TargetMonitor(
             clock,
@@ -47,6 +48,7 @@
             self.flows.forwarder,
             options.report_interval_ms,
         )
+        self._started_wall_ms = clock.wall_ms()
         # Delivers packets to the backend server.
         self._target_socket = _link.DatagramSocket(
             self._discard, on_refused=self._handle_target_refused
@@ -87,7 +89,12 @@
         to the next process of this agent. If it is gone, its flows are reset
         and the entry is withdrawn, because every search for a flow would
         otherwise wait for this agent.
+
+        The restart is announced when the signal arrives, because the platform
+        may end the process early, and when the process ends, because the next
+        one is waited for from then on.
         """
+        self._announce_restart()
         liveness = self.target_monitor.liveness(self.stop_requested_ms)
         while (
             liveness is flows.TargetLiveness.UNKNOWN
@@ -99,6 +106,17 @@
         if liveness is flows.TargetLiveness.GONE:
             self.link.execute(self.flows.forwarder.mark_down("left"))
             await self.leave()
+        else:
+            self._announce_restart()
+
+    def _announce_restart(self) -> None:
+        """Tells all instances that another process of this agent follows."""
+        message = flows.PlannedRestart(
+            self.own_instance.address, self.own_instance.incarnation
+        )
+        for instance in self.fleet.instances():
+            if instance.address != self.own_instance.address:
+                self.link.send(instance.address, message)
 
     def handle_message(
         self, sender: core.Address, message: flows.Message
@@ -153,6 +171,9 @@
             self.registry.update(self.own_instance)
             self.send_heartbeats(self.announcement_receivers())
         self.target_monitor.sweep()
+        self.responsiveness.is_after_crash = (
+            self.target_monitor.has_started_near(self._started_wall_ms)
+        )
         self.link.execute(self.flows.sweep())
 
     def has_timeouts(self) -> bool:
@@ -163,6 +184,10 @@
         """Returns the number of agents of its service."""
         return len(self.fleet.agents(self.own_instance.service))
 
+    def silence_limit_ms(self) -> int:
+        """Returns two intervals of the load reports of its peers."""
+        return _heartbeats.report_silence_ms(self.load_report_sender_count())
+
     def expire(self) -> None:
         """Discards state that has not been used recently."""
         self.flows.expire()
--- a/libs/runtime/src/fireflyford/runtime/_balancer.py
+++ b/libs/runtime/src/fireflyford/runtime/_balancer.py
@@ -8,6 +8,7 @@
 from fireflyford import telemetry
 from fireflyford.runtime import _config_source
 from fireflyford.runtime import _front_end
+from fireflyford.runtime import _heartbeats
 from fireflyford.runtime import _link
 from fireflyford.runtime import _process
 from fireflyford.runtime import _settings
@@ -50,7 +51,9 @@
         """
         super().__init__(options, front_end, clock, "")
         # Decides where packets are forwarded.
-        self.flows = flows.BalancerFlows(clock, self.own_instance, self.fleet)
+        self.flows = flows.BalancerFlows(
+            clock, self.own_instance, self.fleet, self.responsiveness
+        )
         self.config = _config_source.ConfigSource(
             self.store,
             clock,
@@ -151,6 +154,10 @@
         """Returns 0: agents report their load to each other only."""
         return 0
 
+    def silence_limit_ms(self) -> int:
+        """Returns the longest time between two keepalives of an agent."""
+        return _heartbeats.keepalive_silence_ms(len(self.fleet.balancers()))
+
     def heartbeat_receivers(self) -> list[core.Address]:
         """Returns all instances."""
         return [item.address for item in self.fleet.instances()]
--- a/libs/runtime/src/fireflyford/runtime/_heartbeats.py
+++ b/libs/runtime/src/fireflyford/runtime/_heartbeats.py
@@ -117,6 +117,27 @@
     )
 
 
+def keepalive_silence_ms(balancer_count: int) -> int:
+    """Returns the longest time between two keepalives of an agent that runs.
+
+    >>> keepalive_silence_ms(17)
+    1670
+    """
+    longest_ms = keepalive_interval_ms(balancer_count) * (1 + JITTER_RATIO)
+    return int(longest_ms) + KEEPALIVE_DELAY_ALLOWANCE_MS
+
+
+def report_silence_ms(peer_count: int) -> int:
+    """Returns two intervals of load reports, which are sent if unchanged too.
+
+    >>> report_silence_ms(6), report_silence_ms(37)
+    (1605, 2668)
+    """
+    interval_ms = load_report_interval_ms(peer_count)
+    repeat_ms = interval_ms + LOAD_REPORT_REPEAT_MS
+    return max(2 * interval_ms, repeat_ms + KEEPALIVE_DELAY_ALLOWANCE_MS)
+
+
 def watch_delay_ms(instance_count: int) -> int:
     """Returns the time between changes and the next watch of the registry.
 
--- a/libs/runtime/src/fireflyford/runtime/_link.py
+++ b/libs/runtime/src/fireflyford/runtime/_link.py
@@ -159,6 +159,10 @@
         if to not in self._second_protocol:
             self.send(to, _PROTOCOL_ANNOUNCEMENT)
 
+    def speaks_second_protocol(self, address: core.Address) -> bool:
+        """Returns whether an instance is known to decode version 2."""
+        return address in self._second_protocol
+
     def forget_protocol(self, address: core.Address) -> None:
         """Assumes version 1 for a new process at an address."""
         self._second_protocol.discard(address)
--- a/libs/runtime/src/fireflyford/runtime/_link_codec.py
+++ b/libs/runtime/src/fireflyford/runtime/_link_codec.py
@@ -50,6 +50,7 @@
     10: flows.PlacementQueued,
     11: flows.ProtocolAnnouncement,
     12: flows.SlotGranted,
+    13: flows.PlannedRestart,
 }
 _TYPE_CODES = {
     message_type: code for code, message_type in _MESSAGE_TYPES.items()
@@ -71,6 +72,7 @@
     10: tuple[bytes],
     11: tuple[int],
     12: tuple[bytes],
+    13: tuple[_Address, int],
 }
 _ExtendedLoad = tuple[int, int, int, int, int, float, int]
 _Terms = tuple[int, int, int, bool, float]
@@ -287,6 +289,8 @@
         return (message.flow,)
     if isinstance(message, flows.ProtocolAnnouncement):
         return (message.version,)
+    if isinstance(message, flows.PlannedRestart):
+        return (_format_address(message.address), message.incarnation)
     if isinstance(message, flows.FlowNotFound):
         return (message.flow, message.ack, message.expects_response)
     if isinstance(message, flows.PlacementRefused):
@@ -409,6 +413,13 @@
         if not FIRST_PROTOCOL <= version <= MAX_COUNT:
             raise ValueError(f"protocol {version} is out of range")
         return flows.ProtocolAnnouncement(version)
+    if message_type is flows.PlannedRestart:
+        address, incarnation = fields
+        if not 0 <= incarnation <= MAX_INCARNATION:
+            raise ValueError(f"incarnation {incarnation} is out of range")
+        return flows.PlannedRestart(
+            _parse_instance_address(address), incarnation
+        )
     if message_type is flows.FlowLocated:
         return flows.FlowLocated(
             _check_flow(fields[0]), _unpack_load(fields[1])
--- a/libs/runtime/src/fireflyford/runtime/_process.py
+++ b/libs/runtime/src/fireflyford/runtime/_process.py
@@ -118,6 +118,11 @@
             options.client_port,
             self.handle_message,
         )
+        # Judges other instances by their answers. Those of the last release
+        # do not announce planned restarts.
+        self.responsiveness = flows.Responsiveness(
+            clock, self.link.speaks_second_protocol
+        )
         self.stopping = asyncio.Event()
         # Time of the signal to stop.
         self.stop_requested_ms = 0
@@ -162,6 +167,10 @@
             len(self.fleet.balancers()), self.load_report_sender_count()
         )
 
+    @abc.abstractmethod
+    def silence_limit_ms(self) -> int:
+        """Returns the silence of an agent that its reports do not explain."""
+
     @abc.abstractmethod
     def load_report_sender_count(self) -> int:
         """Returns how many agents send load reports to this instance."""
@@ -301,6 +310,7 @@
         while True:
             await self.clock.sleep(EXPIRE_INTERVAL_MS)
             self.fleet.keepalive_timeout_ms = self.keepalive_timeout_ms()
+            self.fleet.silence_limit_ms = self.silence_limit_ms()
             self.fleet.refresh()
             self.expire()
 
@@ -362,7 +372,7 @@
         The new process finds most instances in the registry. For each instance
         without an entry there, such as one whose calls the store rejects, sends
         a heartbeat of that instance to the new process, and the heartbeat of
-        the new process to that instance.
+        the new process to that instance. Passes on announced restarts.
         """
         new_instance = heartbeat.instance
         if new_instance.address == self.own_instance.address:
@@ -378,6 +388,15 @@
         self.link.forget_protocol(new_instance.address)
         self.send_heartbeats([new_instance.address])
         instance_count = len(self.fleet.instances())
+        # The new process has missed earlier announcements of restarts.
+        for address, incarnation in self.responsiveness.restarting():
+            if address == new_instance.address:
+                continue
+            if self.rng.random() * instance_count <= INTRODUCER_COUNT:
+                self.link.send(
+                    new_instance.address,
+                    flows.PlannedRestart(address, incarnation),
+                )
         unregistered = self.fleet.unregistered(
             _heartbeats.entry_delay_ms(instance_count)
         )
@@ -471,6 +490,8 @@
             "stopping": self.stopping.is_set(),
             "store_lost": self.registry.follower.is_unreachable,
             "instances": len(self.fleet.instances()),
+            "unresponsive": self.responsiveness.unresponsive_count(),
+            "restarting": len(self.responsiveness.restarting()),
             "counters": vars(self.link.counters),
         }
 
@@ -493,6 +514,9 @@
         """Returns the counters and gauges of the process."""
         values: dict[str, float] = dict(vars(self.link.counters))
         values["instances"] = len(self.fleet.instances())
+        values["unresponsive_instances"] = (
+            self.responsiveness.unresponsive_count()
+        )
         values["store_lost"] = self.registry.follower.is_unreachable
         values["view_age_ms"] = self.age_ms(
             self.registry.follower.last_response_ms
