Answer repeated packets of a search that waits for silent agents

The balancer took a directory agent that waited for silent agents for silent itself and asked up to four, each of which searched anew. It is told now that the search goes on, and a packet that passed the answer on its way is answered again.

--- a/libs/flows/src/fireflyford/flows/_balancer.py
+++ b/libs/flows/src/fireflyford/flows/_balancer.py
@@ -149,7 +149,7 @@
         self.sent_ms = now_ms
         self.retry_delay_ms = retry_delay_ms
         # Whether the directory agent has queued the flow until a backend server
-        # has room.
+        # has room, or searches it and waits for silent agents.
         self.is_queued = False
 
     def awaits(self, service: str | None, ack: int) -> bool:
@@ -356,12 +356,7 @@
         elif isinstance(message, _messages.FlowNotFound):
             return self._handle_not_found(sender, message)
         elif isinstance(message, _messages.PlacementQueued):
-            pending = self._pending_placement(sender, message.flow)
-            if pending is not None:
-                pending.is_queued = True
-                self._timer.record_response(
-                    self._clock.now_ms() - pending.received_ms
-                )
+            self._handle_queued(sender, message.flow)
         elif isinstance(message, _messages.PlacementRefused):
             return self._handle_refused(sender, message)
         elif isinstance(message, _messages.LoadReport):
@@ -387,13 +382,37 @@
         for flow, pending in tuple(self._pending.items()):
             if now_ms - pending.received_ms >= RETRY_LIMIT_MS:
                 del self._pending[flow]
-            elif (
-                now_ms - pending.sent_ms >= pending.retry_delay_ms
-                and not pending.is_queued
-            ):
+            elif not pending.is_queued and self._is_retry_due(pending):
                 actions += self._retry(pending)
         return actions
 
+    def _is_retry_due(self, pending: _PendingPacket) -> bool:
+        """Returns whether to send a packet again, maybe to another agent.
+
+        The silence of a directory agent towards one packet ends the wait of
+        the others for it, however long answers take at the moment.
+        """
+        waited_ms = self._clock.now_ms() - pending.sent_ms
+        if waited_ms >= pending.retry_delay_ms:
+            return True
+        asked = pending.directory_agent
+        return (
+            waited_ms >= DIRECTORY_TIMEOUT_MS
+            and asked is not None
+            and (asked in self._avoidance or self._is_silent(asked))
+        )
+
+    def _is_silent(self, address: core.Address) -> bool:
+        """Returns whether an agent neither answers nor sends keepalives.
+
+        One that runs answers late while it searches a flow in vain.
+        """
+        return (
+            self._fleet.is_silent(address)
+            and self.responsiveness.unanswered_ms(address)
+            >= DIRECTORY_TIMEOUT_MS
+        )
+
     def _reset_stranded(self) -> list[_types.Action]:
         """Resets flows whose clients wait for a silent holder.
 
@@ -510,10 +529,12 @@
     def _suspect_if_overdue(self, pending: _PendingPacket) -> None:
         """Avoids a directory agent that has not answered in time."""
         now_ms = self._clock.now_ms()
-        if pending.directory_agent is None:
+        if pending.directory_agent is None or pending.is_queued:
             return
         limit_ms = max(DIRECTORY_TIMEOUT_MS, self._timer.timeout_ms())
-        if now_ms - pending.sent_ms >= limit_ms:
+        if now_ms - pending.sent_ms >= limit_ms or self._is_silent(
+            pending.directory_agent
+        ):
             avoided_ms = self._avoidance.record_silence(pending.directory_agent)
             if avoided_ms:
                 telemetry.log(
@@ -597,6 +618,21 @@
         )
         return [_types.Reset(flow, message.ack)]
 
+    def _handle_queued(self, sender: core.Address, flow: bytes) -> None:
+        """Stops asking a directory agent that is at work on a flow."""
+        pending = self._pending.get(flow)
+        if pending is not None and not pending.packet.opens:
+            # The time of a search that waits for silent agents says nothing
+            # about that of an answer.
+            pending.is_queued = pending.directory_agent == sender
+            return
+        pending = self._pending_placement(sender, flow)
+        if pending is not None:
+            pending.is_queued = True
+            self._timer.record_response(
+                self._clock.now_ms() - pending.received_ms
+            )
+
     def _pending_placement(
         self, sender: core.Address, flow: bytes
     ) -> _PendingPacket | None:
--- a/libs/flows/src/fireflyford/flows/_holder_search.py
+++ b/libs/flows/src/fireflyford/flows/_holder_search.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Iterable
+import dataclasses
 
 from fireflyford import core
 from fireflyford import telemetry
@@ -60,6 +61,20 @@
         self.packets = [packet]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Failure:
+    """A search without a holder.
+
+    Attributes:
+        failed_ms: Time of its end.
+        is_known: Whether the agents have answered that they do not hold the
+            flow; otherwise it has timed out.
+    """
+
+    failed_ms: int
+    is_known: bool
+
+
 class HolderSearches:
     """Asks all agents of a service for the holders of flows."""
 
@@ -89,8 +104,8 @@
         )
         # Agents were removed from running searches for this view of the fleet.
         self._generation = fleet.generation
-        # Time of the last failed search for each flow, oldest first.
-        self._failures: dict[bytes, int] = {}
+        # The last failed search for each flow, oldest first.
+        self._failures: dict[bytes, _Failure] = {}
 
     def __len__(self) -> int:
         """Returns the number of searches in progress."""
@@ -106,13 +121,18 @@
                 search.packets.append(packet)
             # The balancer that has asked last waits for the answer.
             search.forward = forward
-            return []
+            return self._report_wait(packet.flow, search)
         now_ms = self._clock.now_ms()
-        failed_ms = self._failures.get(
-            packet.flow, now_ms - SEARCH_RETRY_DELAY_MS
-        )
-        is_too_early = now_ms - failed_ms < SEARCH_RETRY_DELAY_MS
-        if is_too_early or len(self._searches) >= MAX_SEARCHES:
+        failure = self._failures.get(packet.flow)
+        if (
+            failure is not None
+            and now_ms - failure.failed_ms < SEARCH_RETRY_DELAY_MS
+        ):
+            # The client's next copy may have passed the answer on its way.
+            if failure.is_known and forward.long_lived:
+                return [self._report_not_found(forward, packet)]
+            return []
+        if len(self._searches) >= MAX_SEARCHES:
             return []
         deadline_ms = now_ms + self._timer.timeout_ms()
         search = _Search(forward, packet, now_ms, deadline_ms)
@@ -208,19 +228,24 @@
             self._timer.record_response(now_ms - search.started_ms)
         if self._may_miss_agents():
             return []
-        self._record_failure(flow)
+        self._record_failure(flow, is_known=True)
         telemetry.log(
             "flow-unknown",
             flow=_types.describe_flow(flow),
             service=self._own_instance.service,
         )
-        last = search.packets[-1]
+        return [self._report_not_found(search.forward, search.packets[-1])]
+
+    def _report_not_found(
+        self, forward: _messages.Forward, last: _types.Packet
+    ) -> _messages.Send:
+        """Returns the answer to the balancer that no agent holds a flow."""
         # A client repeats data and the end of a flow until they are answered.
         expects_response = last.payload_bytes > 0 or last.ends
         not_found = _messages.FlowNotFound(
-            flow, last.ack, expects_response and not last.resets
+            last.flow, last.ack, expects_response and not last.resets
         )
-        return [_messages.Send(search.forward.balancer, not_found)]
+        return _messages.Send(forward.balancer, not_found)
 
     def sweep(self) -> list[_types.Action]:
         """Ends searches that have timed out or await only silent agents."""
@@ -265,21 +290,37 @@
         if not search.is_overdue:
             search.is_overdue = True
             self._timer.record_timeout()
+            return [
+                *self._report_wait(flow, search),
+                *self._ask_observed(search),
+            ]
         if now_ms - search.asked_ms >= SEARCH_REPEAT_MS:
             search.asked_ms = now_ms
             return self._ask(search, search.awaited_agents)
-        # Keeps the silent agents under observation; one query of any search
-        # counts for all.
+        return self._ask_observed(search)
+
+    def _ask_observed(self, search: _Search) -> list[_types.Action]:
+        """Asks silent agents again that no other search has asked recently.
+
+        One query of any search counts in the judgement of an agent.
+        """
         return self._ask(
             search,
             filter(self._responsiveness.needs_query, search.awaited_agents),
         )
 
+    def _report_wait(self, flow: bytes, search: _Search) -> list[_types.Action]:
+        """Tells the balancer that it need not ask again or elsewhere."""
+        if not search.is_overdue:
+            return []
+        queued = _messages.PlacementQueued(flow)
+        return [_messages.Send(search.forward.balancer, queued)]
+
     def _time_out(self, flow: bytes, search: _Search) -> None:
         del self._searches[flow]
         if not search.is_overdue:
             self._timer.record_timeout()
-        self._record_failure(flow)
+        self._record_failure(flow, is_known=False)
         telemetry.log(
             "flow-search-timeout",
             flow=_types.describe_flow(flow),
@@ -287,13 +328,13 @@
             silent=min(search.awaited_agents, default=None),
         )
 
-    def _record_failure(self, flow: bytes) -> None:
+    def _record_failure(self, flow: bytes, is_known: bool) -> None:
         """Records that a search has failed, and removes old records."""
         now_ms = self._clock.now_ms()
         self._failures.pop(flow, None)
-        self._failures[flow] = now_ms
+        self._failures[flow] = _Failure(now_ms, is_known)
         while self._failures:
-            oldest_flow, failed_ms = next(iter(self._failures.items()))
-            if now_ms - failed_ms < SEARCH_RETRY_DELAY_MS:
+            oldest_flow, failure = next(iter(self._failures.items()))
+            if now_ms - failure.failed_ms < SEARCH_RETRY_DELAY_MS:
                 break
             del self._failures[oldest_flow]
--- a/libs/flows/src/fireflyford/flows/_messages.py
+++ b/libs/flows/src/fireflyford/flows/_messages.py
@@ -142,7 +142,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlacementQueued:
-    """A new flow has to wait for room; from directory agent to balancer."""
+    """A flow has to wait; from directory agent to balancer.
+
+    A new flow waits for room, another one for answers to a search.
+    """
 
     flow: bytes
 
