Test unresponsive instances in simulated fleets

Covers a power cut with one agent gone for good, a planned restart during searches, a frozen and a cut-off directory agent, a dark and a slow holder. Without the share limit, the wait for unheard instances, the wait for announced restarts or the detection of own pauses, one of the tests fails.

--- a/libs/lab/src/fireflyford/lab/_packet_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_packet_fleet.py
@@ -269,6 +269,12 @@
             fleet.clock, self.target.spec.service, self.flows.forwarder, 1_200
         )
 
+    def announce_restart(self) -> None:
+        """Tells all instances that another process of this agent follows."""
+        message = flows.PlannedRestart(self.address, self.instance.incarnation)
+        for peer in self.view.instances():
+            self._fleet.perform(self.address, flows.Send(peer.address, message))
+
     def receive(self, sender: core.Address, message: flows.Message) -> None:
         """Handles a message."""
         if not self.up:
@@ -505,6 +511,8 @@
         self.rotation = list(self.balancers)
         # Instances that are missing from the registry.
         self.unregistered: set[core.Address] = set()
+        # Pairs of sender and receiver between which messages are lost.
+        self.cut_links: set[tuple[core.Address, core.Address]] = set()
         self.publish_registry()
         for node in self.agents:
             node.report(flows.TargetState.READY, 1)
@@ -587,6 +595,29 @@
             if node.up:
                 node.view.refresh()
 
+    def cut_power(self, gone: AgentNode) -> None:
+        """Kills everything and starts it anew, except one agent.
+
+        The registry entry of that agent stays.
+        """
+        for target in self.targets:
+            target.crash()
+            target.up = target is not gone.target
+        entries = []
+        for node in self._nodes():
+            if node is gone:
+                node.up = False
+            else:
+                node.start()
+            entries.append(node.instance)
+        for node in self._nodes():
+            if node.up:
+                node.view.replace_entries(entries)
+        for agent in self.agents:
+            if agent.up:
+                agent.report(flows.TargetState.READY, 2)
+                agent.flows.responsiveness.is_after_crash = True
+
     def publish_registry(self) -> None:
         """Sends the current registry to all running processes."""
         instances = [
@@ -623,6 +654,8 @@
             self.flow_message_count += not isinstance(
                 action.message, flows.Heartbeat | flows.LoadReport
             )
+            if (sender, action.to) in self.cut_links:
+                return
             node = self._node(action.to)
             delay_ms = 0 if action.to == sender else LINK_DELAY_MS
             message = action.message
