--- a/libs/flows/src/fireflyford/flows/_balancer.py
+++ b/libs/flows/src/fireflyford/flows/_balancer.py
@@ -31,7 +31,10 @@
 # than a client sends or receives between two packets through one balancer; two
 # flows start that close to each other with a probability of 1 in 2,048.
 SAME_FLOW_WINDOW_BYTES = 1 << 20
+# A known flow follows the sequence numbers of packets beyond this window.
 _UPDATE_WINDOW_BYTES = SAME_FLOW_WINDOW_BYTES // 2
+_SEQUENCE_MODULUS = _types.SEQUENCE_MODULUS
+_UPDATE_WINDOW_END = _SEQUENCE_MODULUS - _UPDATE_WINDOW_BYTES
 # A directory agent that has not answered within this time is avoided for a
 # while: another agent is asked instead. Covers the time limits of an offer
 # (`_flow_placer.OFFER_TIMEOUT_MS`) and of a search.
@@ -66,6 +69,7 @@
             first one.
         data_seq: Highest sequence number of data of a long-lived flow, None
             before the first one.
+        has_repeats: Whether the client has repeated this data.
     """
 
     service: str
@@ -73,6 +77,7 @@
     seq: int
     ack: int | None
     data_seq: int | None = None
+    has_repeats: bool = False
 
     def accept(self, packet: _types.Packet) -> bool:
         """Returns whether a packet belongs to this flow.
@@ -83,30 +88,25 @@
         """
         if packet.opens:
             return self.seq == packet.seq
-        distance = (packet.seq - self.seq) % _types.SEQUENCE_MODULUS
-        if distance > _types.SEQUENCE_MODULUS // 2:
-            distance = _types.SEQUENCE_MODULUS - distance
-        if distance >= SAME_FLOW_WINDOW_BYTES:
+        distance = (packet.seq - self.seq) % _SEQUENCE_MODULUS
+        if (
+            SAME_FLOW_WINDOW_BYTES
+            <= distance
+            <= _SEQUENCE_MODULUS - SAME_FLOW_WINDOW_BYTES
+        ):
             return False
         if (
-            distance >= _UPDATE_WINDOW_BYTES
-            or self.ack is None
-            or not _is_near(self.ack, packet.ack, _UPDATE_WINDOW_BYTES)
+            self.ack is None
+            or _UPDATE_WINDOW_BYTES <= distance <= _UPDATE_WINDOW_END
+            or _UPDATE_WINDOW_BYTES
+            <= (packet.ack - self.ack) % _SEQUENCE_MODULUS
+            <= _UPDATE_WINDOW_END
         ):
             self.seq = packet.seq
             if packet.acknowledges:
                 self.ack = packet.ack
         return True
 
-    def repeats(self, packet: _types.Packet) -> bool:
-        """Returns whether the data of a packet was seen before."""
-        if self.data_seq is not None:
-            ahead = (packet.seq - self.data_seq) % _types.SEQUENCE_MODULUS
-            if not 0 < ahead < _types.SEQUENCE_MODULUS // 2:
-                return True
-        self.data_seq = packet.seq
-        return False
-
     def is_of(self, service: str | None, ack: int) -> bool:
         """Returns whether an answer of a service is about this flow."""
         return (
@@ -116,13 +116,12 @@
         )
 
 
-def _is_near(
-    first: int, second: int, limit_bytes: int = SAME_FLOW_WINDOW_BYTES
-) -> bool:
+def _is_near(first: int, second: int) -> bool:
     """Returns whether two sequence numbers may be of the same flow."""
+    distance = (second - first) % _SEQUENCE_MODULUS
     return (
-        _types.sequence_distance(first, second) < limit_bytes
-        or _types.sequence_distance(second, first) < limit_bytes
+        distance < SAME_FLOW_WINDOW_BYTES
+        or distance > _SEQUENCE_MODULUS - SAME_FLOW_WINDOW_BYTES
     )
 
 
@@ -286,7 +285,21 @@
         ):
             self._known_flows.move_to_end(packet.flow)
             if packet.payload_bytes and route.long_lived:
-                self._watch_data(packet, route, known, known.holder)
+                if (
+                    known.data_seq is None
+                    or 0
+                    < (packet.seq - known.data_seq) % _SEQUENCE_MODULUS
+                    < _SEQUENCE_MODULUS // 2
+                ):
+                    known.data_seq = packet.seq
+                    if known.has_repeats:
+                        known.has_repeats = False
+                        self.holder_watch.forget(packet.flow)
+                else:
+                    known.has_repeats = True
+                    self.holder_watch.record_repeat(
+                        packet, route, known.service, known.holder
+                    )
             return [
                 self._forward(
                     _messages.Handling.HELD,
@@ -308,21 +321,6 @@
                 services = [pending.service, *pending.other_services]
         return self._resolve(packet, services, route)
 
-    def _watch_data(
-        self,
-        packet: _types.Packet,
-        route: _routes.Route,
-        known: _KnownFlow,
-        holder: core.Address,
-    ) -> None:
-        """Notices that the client of a long-lived flow repeats its data."""
-        if known.repeats(packet):
-            self.holder_watch.record_repeat(
-                packet, route, known.service, holder
-            )
-        elif len(self.holder_watch):
-            self.holder_watch.forget(packet.flow)
-
     def _forget_earlier_flow(
         self, flow: bytes, known: _KnownFlow, route: _routes.Route
     ) -> None:
