--- a/libs/flows/src/fireflyford/flows/_agent.py
+++ b/libs/flows/src/fireflyford/flows/_agent.py
@@ -52,7 +52,10 @@
         packet: _types.Packet,
     ) -> list[_types.Action]:
         """Handles a packet forwarded by a balancer or another agent."""
-        self.responsiveness.record_message(sender)
+        if forward.handling is not _messages.Handling.HELD:
+            # Most packets are for the holder. They cost no extra time, as their
+            # senders send other messages too.
+            self.responsiveness.record_message(sender)
         if forward.service != self._own_instance.service:
             return self._decline_other_service(sender, forward, packet)
         if forward.handling is _messages.Handling.RESOLVE:
--- a/libs/flows/src/fireflyford/flows/_responsiveness.py
+++ b/libs/flows/src/fireflyford/flows/_responsiveness.py
@@ -105,6 +105,8 @@
     def record_message(self, address: core.Address) -> None:
         """Records a message of an instance, which ends its silence."""
         self._heard.add(address)
+        if not self._silences:
+            return
         silence = self._silences.pop(address, None)
         if silence is not None and silence.is_logged:
             telemetry.log(
@@ -280,4 +282,5 @@
 
     def record_message(self, address: core.Address) -> None:
         """Records a message of an instance, which is asked again."""
-        self._avoided.pop(address, None)
+        if self._avoided:
+            self._avoided.pop(address, None)
