--- a/libs/flows/src/fireflyford/flows/_agent.py
+++ b/libs/flows/src/fireflyford/flows/_agent.py
@@ -6,6 +6,7 @@
 from fireflyford.flows import _flow_directory
 from fireflyford.flows import _messages
 from fireflyford.flows import _placement
+from fireflyford.flows import _responsiveness
 from fireflyford.flows import _target_forwarder
 from fireflyford.flows import _types
 
@@ -20,6 +21,7 @@
         fleet: _fleet.Fleet,
         placement: _placement.Placement,
         second_offer_ratio: float = 0.0,
+        responsiveness: _responsiveness.Responsiveness | None = None,
     ) -> None:
         """Initializes an agent without flows.
 
@@ -30,14 +32,24 @@
             placement: Policy for new flows.
             second_offer_ratio: Second offers of new flows allowed for each
                 offer, 0 for none.
+            responsiveness: Judges the agents by their answers. Defaults to one
+                that expects announcements of restarts from all agents.
         """
+        self.responsiveness = responsiveness or _responsiveness.Responsiveness(
+            clock
+        )
         self._own_instance = own_instance
         self._fleet = fleet
         self.forwarder = _target_forwarder.TargetForwarder(
             clock, own_instance, fleet
         )
         self.directory = _flow_directory.FlowDirectory(
-            clock, own_instance, fleet, placement, second_offer_ratio
+            clock,
+            own_instance,
+            fleet,
+            placement,
+            self.responsiveness,
+            second_offer_ratio,
         )
         self._announced_generation = -1
 
@@ -48,6 +60,10 @@
         packet: _types.Packet,
     ) -> list[_types.Action]:
         """Handles a packet forwarded by a balancer or another agent."""
+        if forward.handling is not _messages.Handling.HELD:
+            # Most packets are for the holder. They cost no extra time, as their
+            # senders send other messages too.
+            self.responsiveness.record_message(sender)
         if forward.service != self._own_instance.service:
             return self._decline_other_service(sender, forward, packet)
         if forward.handling is _messages.Handling.RESOLVE:
@@ -58,6 +74,7 @@
         self, sender: core.Address, message: _messages.Message
     ) -> list[_types.Action]:
         """Handles a message about flows or about an instance."""
+        self.responsiveness.record_message(sender)
         if isinstance(message, _messages.FlowLocated):
             return self.directory.handle_located(sender, message)
         if isinstance(message, _messages.PlacementDeclined):
@@ -68,13 +85,19 @@
             return self.directory.handle_announcement(sender, message.flows)
         if isinstance(message, _messages.LoadReport):
             self.directory.record_load(sender, message.load)
+        elif isinstance(message, _messages.PlannedRestart):
+            self.responsiveness.record_planned_restart(
+                message.address, message.incarnation
+            )
         elif isinstance(message, _messages.Heartbeat):
+            self.responsiveness.record_heartbeat(message)
             self._fleet.apply_heartbeat(message)
             self.directory.record_load(sender, message.load)
         return []
 
     def sweep(self) -> list[_types.Action]:
         """Handles timeouts, and announces flows after a change of the fleet."""
+        self.responsiveness.sweep()
         actions = [*self.forwarder.sweep(), *self.directory.sweep()]
         if self._fleet.generation != self._announced_generation:
             self._announced_generation = self._fleet.generation
--- a/libs/flows/src/fireflyford/flows/_flow_directory.py
+++ b/libs/flows/src/fireflyford/flows/_flow_directory.py
@@ -14,6 +14,7 @@
 from fireflyford.flows import _holder_search
 from fireflyford.flows import _messages
 from fireflyford.flows import _placement
+from fireflyford.flows import _responsiveness
 from fireflyford.flows import _types
 
 MAX_ENTRIES = 200_000
@@ -41,6 +42,7 @@
         own_instance: _types.Instance,
         fleet: _fleet.Fleet,
         placement: _placement.Placement,
+        responsiveness: _responsiveness.Responsiveness,
         second_offer_ratio: float = 0.0,
     ) -> None:
         """Initializes an empty directory.
@@ -50,6 +52,7 @@
             own_instance: This agent.
             fleet: View of all instances.
             placement: Policy for new flows.
+            responsiveness: Judges the agents by their answers.
             second_offer_ratio: Second offers allowed for each offer.
         """
         self._clock = clock
@@ -59,11 +62,16 @@
             collections.OrderedDict()
         )
         self._placer = _flow_placer.FlowPlacer(
-            clock, own_instance, fleet, placement, second_offer_ratio
+            clock,
+            own_instance,
+            fleet,
+            placement,
+            responsiveness,
+            second_offer_ratio,
         )
         self.second_offers = self._placer.second_offers
         self._searches = _holder_search.HolderSearches(
-            clock, own_instance, fleet
+            clock, own_instance, fleet, responsiveness
         )
 
     def __len__(self) -> int:
@@ -144,8 +152,7 @@
 
     def sweep(self) -> list[_types.Action]:
         """Handles timeouts of offers and searches, and retries queued flows."""
-        self._searches.sweep()
-        return self._placer.sweep()
+        return [*self._searches.sweep(), *self._placer.sweep()]
 
     def has_timeouts(self) -> bool:
         """Returns whether an offer or a search awaits an answer."""
--- a/libs/flows/src/fireflyford/flows/_messages.py
+++ b/libs/flows/src/fireflyford/flows/_messages.py
@@ -142,7 +142,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlacementQueued:
-    """A new flow has to wait for room; from directory agent to balancer."""
+    """A flow has to wait; from directory agent to balancer.
+
+    A new flow waits for room, another one for answers to a search.
+    """
 
     flow: bytes
 
@@ -205,6 +208,19 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlannedRestart:
+    """A process stops while its backend server runs; another one will follow.
+
+    Attributes:
+        address: Address of the process, which others may tell new instances.
+        incarnation: Incarnation of the process.
+    """
+
+    address: core.Address
+    incarnation: int
+
+
 Message = (
     Forward
     | FlowLocated
@@ -218,6 +234,7 @@
     | LoadReport
     | SlotGranted
     | ProtocolAnnouncement
+    | PlannedRestart
 )
 
 
