Send no new flows to evacuated zones

Change: where bounds.evacuation_ms is set, balancers watch op/ in place of op/config and send the newest view of evacuated zones with opening packets. Agents keep the newest view, directory agents offer nothing to agents in evacuated zones, and those decline new flows directly before delivery. A service whose agents are all in evacuated zones refuses new flows at once. A balancer without the store takes the view of its peers, and is not ready without one. Offers that waited in the socket of a paused agent are declined.

--- a/libs/flows/src/fireflyford/flows/_agent.py
+++ b/libs/flows/src/fireflyford/flows/_agent.py
@@ -2,6 +2,7 @@
 
 from fireflyford import core
 from fireflyford import telemetry
+from fireflyford.flows import _evacuation
 from fireflyford.flows import _fleet
 from fireflyford.flows import _flow_directory
 from fireflyford.flows import _messages
@@ -30,11 +31,14 @@
         """
         self._own_instance = own_instance
         self._fleet = fleet
+        # Evacuated zones, as known from opening packets.
+        self.evacuation = _evacuation.Evacuations()
+        self._pause_guard = _evacuation.PauseGuard(clock)
         self.forwarder = _target_forwarder.TargetForwarder(
-            clock, own_instance, fleet
+            clock, own_instance, fleet, self.evacuation
         )
         self.directory = _flow_directory.FlowDirectory(
-            clock, own_instance, fleet, placement
+            clock, own_instance, fleet, placement, self.evacuation
         )
         self._announced_generation = -1
 
@@ -45,10 +49,20 @@
         packet: _types.Packet,
     ) -> list[_types.Action]:
         """Handles a packet forwarded by a balancer or another agent."""
+        if packet.opens:
+            self.evacuation.learn(forward.evacuation, sender)
+            forward = forward.with_newest(self.evacuation.view)
         if forward.service != self._own_instance.service:
             return self._decline_other_service(sender, forward, packet)
         if forward.handling is _messages.Handling.RESOLVE:
             return self.directory.resolve(forward, packet)
+        if (
+            forward.handling is _messages.Handling.PLACE
+            and self.evacuation.view is not None
+            and self._pause_guard.is_backlog()
+        ):
+            # The zone may have been evacuated during the pause.
+            return self.forwarder.decline_unless_known(sender, packet)
         return self.forwarder.receive(sender, forward, packet)
 
     def handle_message(
@@ -72,6 +86,7 @@
 
     def sweep(self) -> list[_types.Action]:
         """Handles timeouts, and announces flows after a change of the fleet."""
+        self._pause_guard.sweep()
         actions = [*self.forwarder.sweep(), *self.directory.sweep()]
         if self._fleet.generation != self._announced_generation:
             self._announced_generation = self._fleet.generation
--- a/libs/flows/src/fireflyford/flows/_balancer.py
+++ b/libs/flows/src/fireflyford/flows/_balancer.py
@@ -201,9 +201,9 @@
         self._timer = _response_timer.ResponseTimer(RETRY_MS, MAX_RETRY_MS)
         # Whether the configuration is known to be the latest version.
         self.is_current = False
-        # Evacuated zones, sent with opening packets; None if zones cannot be
-        # evacuated or no view is known yet.
-        self.evacuation: _evacuation.EvacuationView | None = None
+        # Evacuated zones, sent with opening packets; without a view if zones
+        # cannot be evacuated or none is known yet.
+        self.evacuation = _evacuation.Evacuations()
 
     @property
     def version(self) -> int:
@@ -599,6 +599,6 @@
             False,
             packet.data,
             route.terms if packet.opens else None,
-            self.evacuation if packet.opens else None,
+            self.evacuation.view if packet.opens else None,
         )
         return _messages.Send(to, message)
--- a/libs/flows/src/fireflyford/flows/_evacuation.py
+++ b/libs/flows/src/fireflyford/flows/_evacuation.py
@@ -1,7 +1,22 @@
-"""Availability zones that operators have evacuated."""
+"""Availability zones that operators have evacuated.
+
+A zone is evacuated while its key exists in the store. Balancers read the keys;
+agents learn the evacuated zones from opening packets.
+"""
 
 import dataclasses
 
+from fireflyford import core
+from fireflyford import telemetry
+
+# A process that has done nothing for this time was paused: its event loop is
+# otherwise active every 60 ms. Datagrams that waited meanwhile are of unknown
+# age. Shorter than the time in which an evacuation takes effect, 5 s.
+PAUSE_MS = 1_000
+# Sweeps after a pause until the datagrams that waited have been read. The first
+# one may be due before any of them.
+_SWEEPS_AFTER_PAUSE = 2
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EvacuationView:
@@ -27,3 +42,79 @@
             other.era,
             other.revision,
         )
+
+
+class Evacuations:
+    """The newest view of evacuated zones that an instance has seen."""
+
+    def __init__(self) -> None:
+        """Initializes without a view: no zone is known to be evacuated."""
+        self._view: EvacuationView | None = None
+
+    @property
+    def view(self) -> EvacuationView | None:
+        """The newest view, None before the first one."""
+        return self._view
+
+    @property
+    def zones(self) -> tuple[str, ...]:
+        """Evacuated zones, none before the first view."""
+        return () if self._view is None else self._view.zones
+
+    def learn(self, view: EvacuationView | None, source: object) -> bool:
+        """Keeps a view if it is newer than the known one.
+
+        Args:
+            view: A view, None if the source has none.
+            source: The instance that sent it, or the store.
+
+        Returns:
+            Whether the evacuated zones have changed.
+        """
+        # Nearly every opening packet carries the known view again.
+        if view is None or not view.is_newer_than(self._view):
+            return False
+        before = self.zones
+        self._view = view
+        if view.zones == before:
+            return False
+        telemetry.log(
+            "evacuation-changed",
+            zones=",".join(view.zones),
+            before=",".join(before),
+            era=view.era,
+            revision=view.revision,
+            source=source,
+        )
+        return True
+
+
+class PauseGuard:
+    """Detects that the process was paused for longer than `PAUSE_MS`."""
+
+    def __init__(self, clock: core.Clock) -> None:
+        """Starts with a process that is not paused."""
+        self._clock = clock
+        self._last_ms = clock.now_ms()
+        self._sweeps_left = 0
+
+    def is_backlog(self) -> bool:
+        """Returns whether a message may have waited during a pause."""
+        self._record_activity()
+        return self._sweeps_left > 0
+
+    def sweep(self) -> None:
+        """Records a sweep of the event loop."""
+        was_paused = self._record_activity()
+        if self._sweeps_left and not was_paused:
+            self._sweeps_left -= 1
+
+    def _record_activity(self) -> bool:
+        now_ms = self._clock.now_ms()
+        pause_ms = now_ms - self._last_ms
+        self._last_ms = now_ms
+        if pause_ms <= PAUSE_MS:
+            return False
+        telemetry.log("process-paused", duration_ms=pause_ms)
+        self._sweeps_left = _SWEEPS_AFTER_PAUSE
+        return True
--- a/libs/flows/src/fireflyford/flows/_flow_directory.py
+++ b/libs/flows/src/fireflyford/flows/_flow_directory.py
@@ -9,6 +9,7 @@
 import collections
 
 from fireflyford import core
+from fireflyford.flows import _evacuation
 from fireflyford.flows import _fleet
 from fireflyford.flows import _flow_placer
 from fireflyford.flows import _holder_search
@@ -38,6 +39,7 @@
         own_instance: _types.Instance,
         fleet: _fleet.Fleet,
         placement: _placement.Placement,
+        evacuation: _evacuation.Evacuations | None = None,
     ) -> None:
         """Initializes an empty directory.
 
@@ -46,6 +48,7 @@
             own_instance: This agent.
             fleet: View of all instances.
             placement: Policy for new flows.
+            evacuation: Evacuated zones, None if there are none.
         """
         self._clock = clock
         self._own_instance = own_instance
@@ -54,7 +57,7 @@
             collections.OrderedDict()
         )
         self._placer = _flow_placer.FlowPlacer(
-            clock, own_instance, fleet, placement
+            clock, own_instance, fleet, placement, evacuation
         )
         self._searches = _holder_search.HolderSearches(
             clock, own_instance, fleet
--- a/libs/flows/src/fireflyford/flows/_flow_placer.py
+++ b/libs/flows/src/fireflyford/flows/_flow_placer.py
@@ -4,8 +4,11 @@
 it. An offer is the opening packet, relayed with `Handling.PLACE`.
 """
 
+from collections.abc import Sequence
+
 from fireflyford import core
 from fireflyford import telemetry
+from fireflyford.flows import _evacuation
 from fireflyford.flows import _fleet
 from fireflyford.flows import _flow_tracker
 from fireflyford.flows import _messages
@@ -51,6 +54,8 @@
         self.started_ms = now_ms
         # Agents that are not offered the flow again until it is queued.
         self.excluded_agents: set[core.Address] = set()
+        # Agents that declined the flow because their zone is evacuated.
+        self.evacuated_agents: set[core.Address] = set()
         # Agent of the latest offer, None while the flow is queued.
         self.offered_to: core.Address | None = None
         # Time at which the offer times out, placement of a queued flow is tried
@@ -76,6 +81,7 @@
         own_instance: _types.Instance,
         fleet: _fleet.Fleet,
         placement: _placement.Placement,
+        evacuation: _evacuation.Evacuations | None = None,
     ) -> None:
         """Initializes a placer without new flows.
 
@@ -84,7 +90,9 @@
             own_instance: This agent.
             fleet: View of all instances.
             placement: Policy for new flows.
+            evacuation: Evacuated zones, None if there are none.
         """
+        self._evacuation = evacuation or _evacuation.Evacuations()
         self._clock = clock
         self._own_instance = own_instance
         self._fleet = fleet
@@ -153,6 +161,8 @@
             attempt.busy_decline_count += 1
         else:
             attempt.excluded_agents.add(sender)
+        if message.reason is _messages.DeclineReason.EVACUATED:
+            attempt.evacuated_agents.add(sender)
         attempt.decline_reason = message.reason
         return self._place(attempt)
 
@@ -199,7 +209,10 @@
 
     def _place(self, attempt: _PlacementAttempt) -> list[_types.Action]:
         """Offers a new flow to an agent, or queues it if none has room."""
-        candidates = self._candidates(attempt)
+        agents = self._agents(attempt)
+        if not agents and self._is_evacuated():
+            return self._refuse(attempt, _messages.DeclineReason.EVACUATED)
+        candidates = self._candidates(attempt, agents)
         if not candidates:
             return self._queue(attempt)
         chosen = self._placement.choose(candidates, attempt.forward.long_lived)
@@ -226,8 +239,10 @@
                 candidates=len(candidates),
                 firm=allow_queueing,
             )
+        # The flow may have waited since its opening packet arrived.
+        forward = attempt.forward.with_newest(self._evacuation.view)
         return [
-            attempt.forward.relay(
+            forward.relay(
                 _messages.Handling.PLACE,
                 self._own_instance.address,
                 chosen.address,
@@ -241,16 +256,7 @@
         now_ms = self._clock.now_ms()
         flow = attempt.packet.flow
         if now_ms - attempt.started_ms >= QUEUE_LIMIT_MS:
-            del self._attempts[flow]
-            telemetry.log(
-                "flow-refused",
-                flow=_types.describe_flow(flow),
-                reason=attempt.decline_reason.name.lower(),
-                offers=attempt.offer_count,
-                waited_ms=now_ms - attempt.started_ms,
-            )
-            refusal = _messages.PlacementRefused(flow, attempt.decline_reason)
-            return [_messages.Send(attempt.forward.balancer, refusal)]
+            return self._refuse(attempt, attempt.decline_reason)
         is_newly_queued = not attempt.is_queued
         attempt.offered_to = None
         attempt.is_queued = True
@@ -266,6 +272,24 @@
             )
         ]
 
+    def _refuse(
+        self,
+        attempt: _PlacementAttempt,
+        reason: _messages.DeclineReason,
+    ) -> list[_types.Action]:
+        """Ends a placement that no agent has accepted."""
+        flow = attempt.packet.flow
+        del self._attempts[flow]
+        telemetry.log(
+            "flow-refused",
+            flow=_types.describe_flow(flow),
+            reason=reason.name.lower(),
+            offers=attempt.offer_count,
+            waited_ms=self._clock.now_ms() - attempt.started_ms,
+        )
+        refusal = _messages.PlacementRefused(flow, reason)
+        return [_messages.Send(attempt.forward.balancer, refusal)]
+
     def _log_queued(self, attempt: _PlacementAttempt) -> None:
         agents = self._fleet.agents(self._own_instance.service)
         loads = [self._expected_load(agent.address) for agent in agents]
@@ -282,8 +306,31 @@
             ),
         )
 
+    def _agents(self, attempt: _PlacementAttempt) -> Sequence[_types.Instance]:
+        """Returns the agents of the service that are not evacuated."""
+        agents = self._fleet.agents(self._own_instance.service)
+        zones = self._evacuation.zones
+        if not zones and not attempt.evacuated_agents:
+            return agents
+        return [
+            agent
+            for agent in agents
+            if agent.availability_zone not in zones
+            and agent.address not in attempt.evacuated_agents
+        ]
+
+    def _is_evacuated(self) -> bool:
+        """Returns whether a service without such agents is evacuated.
+
+        Agents elsewhere may be missing before the first read of the registry.
+        """
+        agents = self._fleet.agents(self._own_instance.service)
+        return bool(agents) and self._fleet.is_complete
+
     def _candidates(
-        self, attempt: _PlacementAttempt
+        self,
+        attempt: _PlacementAttempt,
+        agents: Sequence[_types.Instance],
     ) -> list[_placement.Candidate]:
         """Returns the agents with room.
 
@@ -296,7 +343,7 @@
         balancer = self._fleet.find(attempt.forward.balancer)
         client_zone = (balancer or self._own_instance).availability_zone
         preferred, last_resort = [], []
-        for agent in self._fleet.agents(self._own_instance.service):
+        for agent in agents:
             if agent.address in attempt.excluded_agents:
                 continue
             load = self._expected_load(agent.address)
--- a/libs/flows/src/fireflyford/flows/_messages.py
+++ b/libs/flows/src/fireflyford/flows/_messages.py
@@ -56,6 +56,12 @@
     terms: _routes.RouteTerms | None = None
     evacuation: _evacuation.EvacuationView | None = None
 
+    def with_newest(self, view: _evacuation.EvacuationView | None) -> "Forward":
+        """Returns the message with a view if that is newer than its own."""
+        if view is None or not view.is_newer_than(self.evacuation):
+            return self
+        return dataclasses.replace(self, evacuation=view)
+
     def relay(
         self,
         handling: Handling,
--- a/libs/flows/src/fireflyford/flows/_target_forwarder.py
+++ b/libs/flows/src/fireflyford/flows/_target_forwarder.py
@@ -11,6 +11,7 @@
 
 from fireflyford import core
 from fireflyford import telemetry
+from fireflyford.flows import _evacuation
 from fireflyford.flows import _fleet
 from fireflyford.flows import _flow_tracker
 from fireflyford.flows import _messages
@@ -67,6 +68,7 @@
         clock: core.Clock,
         own_instance: _types.Instance,
         fleet: _fleet.Fleet,
+        evacuation: _evacuation.Evacuations | None = None,
     ) -> None:
         """Initializes a forwarder without flows.
 
@@ -74,7 +76,9 @@
             clock: Source of time.
             own_instance: This agent.
             fleet: View of all instances.
+            evacuation: Evacuated zones, None if there are none.
         """
+        self._evacuation = evacuation or _evacuation.Evacuations()
         self._clock = clock
         self._started_ms = clock.now_ms()
         self._own_instance = own_instance
@@ -139,17 +143,9 @@
         forward: _messages.Forward,
         packet: _types.Packet,
     ) -> list[_types.Action]:
-        tracked = self._tracked_flow(packet)
-        if tracked is not None:
-            self.tracker.record_client_packet(tracked, packet)
-            return [
-                _types.Deliver(packet),
-                _messages.Send(
-                    sender, _messages.FlowLocated(packet.flow, self.load())
-                ),
-            ]
-        if packet.flow in self._openings:
-            return []
+        known = self._handle_known(sender, packet)
+        if known is not None:
+            return known
         reason = self._decline_reason(forward)
         if reason is not None:
             return [self._decline(sender, packet.flow, reason)]
@@ -162,6 +158,31 @@
         self._openings[packet.flow] = opening
         return [_types.Deliver(packet)]
 
+    def _handle_known(
+        self, sender: core.Address, packet: _types.Packet
+    ) -> list[_types.Action] | None:
+        """Handles a copy of an opening packet; returns None for a new one."""
+        tracked = self._tracked_flow(packet)
+        if tracked is not None:
+            self.tracker.record_client_packet(tracked, packet)
+            return [
+                _types.Deliver(packet),
+                _messages.Send(
+                    sender, _messages.FlowLocated(packet.flow, self.load())
+                ),
+            ]
+        return [] if packet.flow in self._openings else None
+
+    def decline_unless_known(
+        self, sender: core.Address, packet: _types.Packet
+    ) -> list[_types.Action]:
+        """Declines an offered flow of which nothing has been delivered."""
+        known = self._handle_known(sender, packet)
+        if known is not None:
+            return known
+        reason = _messages.DeclineReason.UNKNOWN_STATE
+        return [self._decline(sender, packet.flow, reason)]
+
     def _tracked_flow(
         self, packet: _types.Packet
     ) -> _flow_tracker.TrackedFlow | None:
@@ -186,6 +207,8 @@
         self, forward: _messages.Forward
     ) -> _messages.DeclineReason | None:
         reasons = _messages.DeclineReason
+        if self._own_instance.availability_zone in self._evacuation.zones:
+            return reasons.EVACUATED
         if self.state is _types.TargetState.DRAINING:
             return reasons.DRAINING
         if self.state is _types.TargetState.DOWN:
--- a/libs/lab/src/fireflyford/lab/_packet_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_packet_fleet.py
@@ -30,6 +30,7 @@
 REQUEST_SEND_TIMES_MS = (0, 200, 600, 1_400)
 ROUTE_ADDRESS = core.Address("198.18.0.1", 443)
 SERVICE = "board"
+ZONE = "zone"
 
 PlacementFactory = Callable[[core.Address], flows.Placement]
 
@@ -91,12 +92,14 @@
         queue_count: Maximum length of the queue; further requests are shed.
         service_ms: Service time of a request.
         service: Service to which the backend server belongs.
+        zone: Availability zone of the backend server.
     """
 
     slot_count: int = 2
     queue_count: int = 8
     service_ms: int = 30
     service: str = SERVICE
+    zone: str = ZONE
 
 
 class Target:
@@ -223,7 +226,7 @@
             f"{self._role.value}-{self.address.host}",
             self._role,
             self.service(),
-            "zone",
+            self.zone(),
             self.address,
             clock.wall_ms(),
         )
@@ -234,6 +237,10 @@
         """Returns the service of an agent, empty for a balancer."""
         return ""
 
+    def zone(self) -> str:
+        """Returns the availability zone of the process."""
+        return ZONE
+
     @abc.abstractmethod
     def create_logic(self) -> None:
         """Creates the decision code of a new process."""
@@ -256,9 +263,15 @@
         """Returns the service of the backend server."""
         return self.target.spec.service
 
+    def zone(self) -> str:
+        """Returns the availability zone of the backend server."""
+        return self.target.spec.zone
+
     def create_logic(self) -> None:
         """Creates the decision code of a new process."""
         fleet = self._fleet
+        # Messages that arrived while the process is paused, None if it runs.
+        self.backlog: list[tuple[core.Address, flows.Message]] | None = None
         self.flows = flows.AgentFlows(
             fleet.clock,
             self.instance,
@@ -270,15 +283,28 @@
         )
 
     def receive(self, sender: core.Address, message: flows.Message) -> None:
-        """Handles a message."""
+        """Handles a message, or keeps it while the process is paused."""
         if not self.up:
             return
+        if self.backlog is not None:
+            self.backlog.append((sender, message))
+            return
         if isinstance(message, flows.Forward):
             packet = self._fleet.packet(message.data)
             self.run(self.flows.receive(sender, message, packet))
         else:
             self.run(self.flows.handle_message(sender, message))
 
+    def pause(self) -> None:
+        """Stops the process; its sockets keep what arrives."""
+        self.backlog = []
+
+    def resume(self) -> None:
+        """Continues a paused process, which first reads its sockets."""
+        backlog, self.backlog = self.backlog or [], None
+        for sender, message in backlog:
+            self.receive(sender, message)
+
     def answer(self, packet: flows.Packet) -> None:
         """Handles a packet from the backend server."""
         if self.up:
@@ -529,6 +555,17 @@
             if balancer.up:
                 balancer.flows.apply(self.table)
 
+    def evacuate(
+        self,
+        revision: int,
+        zones: tuple[str, ...],
+        balancers: list[BalancerNode] | None = None,
+    ) -> None:
+        """Shows balancers, by default all, which zones are evacuated."""
+        view = flows.EvacuationView(0, revision, zones)
+        for balancer in self.balancers if balancers is None else balancers:
+            balancer.flows.evacuation.learn(view, "store")
+
     # Event queue.
 
     def call_later(self, delay_ms: int, work: Callable[[], None]) -> None:
@@ -554,7 +591,7 @@
 
     def _sweep(self) -> None:
         for agent in self.agents:
-            if agent.up:
+            if agent.up and agent.backlog is None:
                 agent.run(agent.flows.sweep())
         for balancer in self.balancers:
             if balancer.up:
@@ -562,7 +599,7 @@
 
     def _report_loads(self) -> None:
         for agent in self.agents:
-            if not agent.up:
+            if not agent.up or agent.backlog is not None:
                 continue
             load = agent.flows.forwarder.load()
             agent.flows.directory.record_load(agent.address, load)
@@ -575,7 +612,7 @@
 
     def _send_heartbeats(self) -> None:
         for agent in self.agents:
-            if agent.up:
+            if agent.up and agent.backlog is None:
                 heartbeat = flows.Heartbeat(
                     agent.instance, agent.flows.forwarder.load(), 0, False
                 )
--- a/libs/runtime/src/fireflyford/runtime/_agent.py
+++ b/libs/runtime/src/fireflyford/runtime/_agent.py
@@ -6,6 +6,7 @@
 from fireflyford import core
 from fireflyford import flows
 from fireflyford import telemetry
+from fireflyford.runtime import _evacuation_source
 from fireflyford.runtime import _front_end
 from fireflyford.runtime import _heartbeats
 from fireflyford.runtime import _link
@@ -223,6 +224,19 @@
                 _heartbeats.load_report_interval_ms(len(peers))
             )
 
+    def extra_status_handlers(self) -> _front_end.Handlers:
+        """Returns the handler that serves the evacuated zones to balancers."""
+        return [
+            (
+                _evacuation_source.EVACUATION_PATH,
+                _process.DocumentHandler,
+                {"read": self._evacuation_page},
+            ),
+        ]
+
+    def _evacuation_page(self) -> bytes:
+        return _evacuation_source.pack_view(self.flows.evacuation.view)
+
     def status(self) -> dict[str, Any]:
         """Returns the content of the status page."""
         load = self.load()
@@ -234,6 +248,7 @@
             "service_ms": load.service_ms,
             "held_flows": len(self.flows.forwarder.tracker),
             "directory_entries": len(self.flows.directory),
+            "evacuated_zones": self.flows.evacuation.zones,
         }
 
     def metrics(self) -> dict[str, float]:
@@ -244,6 +259,7 @@
             "held_flows": len(self.flows.forwarder.tracker),
             "directory_entries": len(self.flows.directory),
             "service_ms": load.service_ms,
+            "evacuated_zones": len(self.flows.evacuation.zones),
         }
 
 
--- a/libs/runtime/src/fireflyford/runtime/_balancer.py
+++ b/libs/runtime/src/fireflyford/runtime/_balancer.py
@@ -7,6 +7,7 @@
 from fireflyford import flows
 from fireflyford import telemetry
 from fireflyford.runtime import _config_source
+from fireflyford.runtime import _evacuation_source
 from fireflyford.runtime import _front_end
 from fireflyford.runtime import _link
 from fireflyford.runtime import _process
@@ -58,6 +59,8 @@
             options.config_key,
             front_end.config_format,
             self.flows.apply,
+            options.evacuation_prefix,
+            self.flows.evacuation,
         )
         self._codec = front_end.packet_codec
         self._client_socket = _link.DatagramSocket(self._receive_packet)
@@ -77,6 +80,8 @@
         await self.start()
         self.start_task("config", self.config.follower.run)
         self.start_task("pull", self._pull_configs)
+        if self.options.evacuation_prefix:
+            self.start_task("evacuation", self._poll_evacuation)
         await self.stopping.wait()
         await self._drain()
         self._client_socket.close()
@@ -86,6 +91,9 @@
         """Returns whether the fabric may send packets to this balancer."""
         if self.stopping.is_set() or not self.flows.version:
             return False
+        if self.options.evacuation_prefix and not self.flows.evacuation.view:
+            # It would send new flows to evacuated zones.
+            return False
         last_message_ms = self._last_agent_message_ms
         if last_message_ms is None:
             return False
@@ -164,6 +172,8 @@
         await super().join_via_seed(seed)
         if not self.flows.version:
             await self._pull_config(seed)
+        elif self.options.evacuation_prefix and not self.flows.evacuation.view:
+            await self._pull_evacuation(seed)
 
     async def _pull_configs(self) -> None:
         """Fetches configuration versions that peers announce in heartbeats."""
@@ -188,22 +198,78 @@
             telemetry.log("config-not-pulled", reason=outcome.message)
         elif outcome.value:
             self.config.apply_document(outcome.value, str(address))
+        if self.options.evacuation_prefix:
+            await self._pull_evacuation(address)
+
+    async def _pull_evacuation(self, address: core.Address) -> None:
+        document = await self.peer_client.read(
+            address, _evacuation_source.EVACUATION_PATH
+        )
+        view = (
+            document
+            if isinstance(document, core.Failure)
+            else _evacuation_source.unpack_view(document.value)
+        )
+        if isinstance(view, core.Failure):
+            telemetry.log("evacuation-not-pulled", reason=view.message)
+        else:
+            self.flows.evacuation.learn(view.value, address)
+
+    async def _poll_evacuation(self) -> None:
+        """Reads the views of other balancers while the store is silent.
+
+        The store may reject this balancer while it serves others. Without new
+        flows through those, agents would not learn of an evacuation either.
+        """
+        while True:
+            await self.clock.sleep(_evacuation_source.PEER_POLL_MS)
+            if not self._is_store_silent():
+                continue
+            peers = [
+                item.address
+                for item in self.fleet.balancers()
+                if item.address != self.own_instance.address
+            ]
+            if peers:
+                host = self.rng.choice(peers).host
+                # All instances are assumed to use the same status port.
+                await self._pull_evacuation(
+                    core.Address(host, self.options.status_address.port)
+                )
+
+    def _is_store_silent(self) -> bool:
+        follower = self.config.follower
+        age_ms = self.age_ms(follower.last_response_ms)
+        return (
+            follower.is_unreachable
+            or age_ms < 0
+            or age_ms > _evacuation_source.STORE_SILENCE_MS
+        )
 
     def extra_status_handlers(self) -> list[Any]:
-        """Returns the handler that serves the configuration to peers."""
+        """Returns the handlers that serve configuration and evacuations."""
         return [
             (
                 _config_source.CONFIG_PATH,
                 _process.DocumentHandler,
                 {"read": lambda: self.config.document},
-            )
+            ),
+            (
+                _evacuation_source.EVACUATION_PATH,
+                _process.DocumentHandler,
+                {"read": self._evacuation_page},
+            ),
         ]
 
+    def _evacuation_page(self) -> bytes:
+        return _evacuation_source.pack_view(self.flows.evacuation.view)
+
     def status(self) -> dict[str, Any]:
         """Returns the content of the status page."""
         return super().status() | {
             "config_version": self.flows.version,
             "config_current": self.flows.is_current,
+            "evacuated_zones": self.flows.evacuation.zones,
             "cached_flows": self.flows.cached_count,
             "ready": self.is_ready(),
         }
@@ -213,6 +279,7 @@
         return super().metrics() | {
             "config_version": self.flows.version,
             "config_age_ms": self.age_ms(self.config.follower.last_response_ms),
+            "evacuated_zones": len(self.flows.evacuation.zones),
             "cached_flows": self.flows.cached_count,
             "ready": self.is_ready(),
         }
--- a/libs/runtime/src/fireflyford/runtime/_config_source.py
+++ b/libs/runtime/src/fireflyford/runtime/_config_source.py
@@ -10,6 +10,7 @@
 from fireflyford import flows
 from fireflyford import store
 from fireflyford import telemetry
+from fireflyford.runtime import _evacuation_source
 from fireflyford.runtime import _front_end
 from fireflyford.runtime import _http
 from fireflyford.runtime import _prefix_follower
@@ -32,6 +33,8 @@
         key: str,
         config_format: _front_end.ConfigFormat,
         apply: Callable[[flows.RouteTable], bool],
+        evacuation_prefix: str,
+        evacuations: flows.Evacuations,
     ) -> None:
         """Prepares to follow the configuration.
 
@@ -43,13 +46,23 @@
             config_format: Format of the document.
             apply: Applies a configuration if it is newer; returns whether it
                 was.
+            evacuation_prefix: Prefix of the keys that evacuate a zone, empty
+                if zones cannot be evacuated.
+            evacuations: Learns the evacuated zones.
         """
+        self._evacuation_keys = _evacuation_source.EvacuationKeys(
+            evacuation_prefix, evacuations
+        )
         self._format = config_format
         self._key = key
         self._apply = apply
         self.document = b""
         self.follower = _prefix_follower.PrefixFollower(
-            client, clock, rng, key, self
+            client,
+            clock,
+            rng,
+            _evacuation_source.common_prefix(key, evacuation_prefix),
+            self,
         )
 
     def apply_document(self, document: bytes, source: str) -> bool:
@@ -69,11 +82,16 @@
         return True
 
     def handle_full_read(self, result: store.ReadResult) -> None:
-        """Applies the configuration of a full read."""
-        self.handle_changes(result)
+        """Applies the configuration and evacuations of a full read."""
+        self._evacuation_keys.replace(result)
+        self._apply_config(result)
 
     def handle_changes(self, result: store.ReadResult) -> None:
-        """Applies a changed configuration."""
+        """Applies a changed configuration and changed evacuations."""
+        self._evacuation_keys.change(result)
+        self._apply_config(result)
+
+    def _apply_config(self, result: store.ReadResult) -> None:
         for entry in result.entries:
             if entry.key == self._key:
                 self.apply_document(entry.value, "store")
--- a/libs/runtime/src/fireflyford/runtime/_link_codec.py
+++ b/libs/runtime/src/fireflyford/runtime/_link_codec.py
@@ -181,7 +181,13 @@
 ) -> flows.EvacuationView | None:
     if fields is None:
         return None
-    era, revision, zones = fields
+    return check_view(*fields)
+
+
+def check_view(
+    era: int, revision: int, zones: tuple[str, ...]
+) -> flows.EvacuationView:
+    """Returns a view; raises `ValueError` if it is out of range."""
     if not (0 <= era <= MAX_VERSION and 0 <= revision <= MAX_VERSION):
         raise ValueError(f"position ({era}, {revision}) is out of range")
     if len(zones) > MAX_ZONE_COUNT:
--- a/tests/adapter/test_processes.py
+++ b/tests/adapter/test_processes.py
@@ -221,7 +221,6 @@
         "internal_ports": [LINK_PORT, LINK_PORT + 15],
         "seeds": [],
         "heartbeat_ms": 1_200,
-        "bounds": {"grace_s": 3},
         "platform": {"address": str(store)},
     }
     if is_agent:
@@ -242,13 +241,18 @@
             probe.bind((STORE_HOST, 0))
             self.store = core.Address(STORE_HOST, probe.getsockname()[1])
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.server: _platform_store.PlatformStoreServer | None = None
+        # Settings that differ from the usual ones, of one process or of all.
+        self.zones: dict[str, str] = {}
+        self.bounds: dict[str, object] = {}
 
     def start(self, name: str, host: str, is_agent: bool) -> None:
         """Starts a process."""
         path = self._folder / f"{name}.json"
-        path.write_text(
-            json.dumps(boot_document(name, host, is_agent, self.store))
-        )
+        document = boot_document(name, host, is_agent, self.store)
+        document["zone"] = self.zones.get(name, "a")
+        document["bounds"] = {"grace_s": 3} | self.bounds
+        path.write_text(json.dumps(document))
         program = "agent" if is_agent else "balancer"
         with (self._folder / f"{name}.log").open("ab") as log:
             self.processes[name] = subprocess.Popen(
@@ -302,6 +306,7 @@
     server = _platform_store.PlatformStoreServer(fleet.store)
     server.state.put("op/config", json.dumps(CONFIG).encode())
     server.start()
+    fleet.server = server
     fleet.start("balancer", BALANCER_HOST, False)
     targets = [Target(host) for host in AGENT_HOSTS]
     for index, target in enumerate(targets):
@@ -383,6 +388,77 @@
     assert "event=task-failed" not in fleet.log("agent-0")
 
 
+def test_evacuated_zone_gets_no_new_flows(fleet: Fleet) -> None:
+    """Guards against new flows in a zone, also after a restart or a freeze."""
+    fleet.zones = {"agent-0": "b"}
+    fleet.bounds = {"evacuation_ms": 5_000}
+    ports = iter(range(42_000, 43_000))
+
+    async def open_flows(
+        targets: list[Target], client: ClientSocket
+    ) -> list[core.Address]:
+        # Without a report for 4.2 s, a backend server gets no new flows.
+        for target in targets:
+            assert await target.report() == 200
+        addresses = [core.Address(CLIENT_HOST, next(ports)) for _ in range(12)]
+        for address in addresses:
+            accepted = await client.exchange(
+                from_client(address, SYN), RETRANSMISSION_DELAYS_MS
+            )
+            assert accepted[FLAGS_OFFSET] == SYN | ACK
+        return addresses
+
+    async def check(targets: list[Target], client: ClientSocket) -> None:
+        assert fleet.server is not None
+        addresses = await open_flows(targets, client)
+        opened = set(targets[0].flows)
+        assert opened
+        fleet.server.state.put("op/evacuate/b", b"{}")
+        await asyncio.sleep(0.3)
+        await open_flows(targets, client)
+        assert targets[0].flows == opened
+
+        fleet.processes["agent-0"].send_signal(signal.SIGKILL)
+        fleet.processes["agent-0"].wait()
+        fleet.start("agent-0", AGENT_HOSTS[0], True)
+        await wait_until_ready(AGENT_HOSTS[0])
+        await asyncio.sleep(0.6)
+        await open_flows(targets, client)
+        assert targets[0].flows == opened
+
+        fleet.processes["agent-0"].send_signal(signal.SIGSTOP)
+        await asyncio.sleep(1.2)
+        fleet.processes["agent-0"].send_signal(signal.SIGCONT)
+        await asyncio.sleep(0.2)
+        await open_flows(targets, client)
+        assert targets[0].flows == opened
+
+        for address in addresses:
+            request = from_client(address, ACK, b"x", ack=1_001)
+            answer = await client.exchange(request, RETRANSMISSION_DELAYS_MS)
+            assert answer[36:37] == b"x"
+
+        fleet.server.state.delete("op/evacuate/b")
+        await asyncio.sleep(0.3)
+        await open_flows(targets, client)
+        assert targets[0].flows > opened
+
+        fleet.server.state.put("op/evacuate/b", b"{}")
+        await asyncio.sleep(0.3)
+        fleet.server.stop()
+        opened = set(targets[0].flows)
+        await open_flows(targets, client)
+        assert targets[0].flows == opened
+
+    async def run_check() -> None:
+        async with running(fleet) as (targets, client):
+            await check(targets, client)
+
+    asyncio.run(run_check())
+    assert "event=task-failed" not in fleet.log("balancer")
+    assert "event=evacuation-changed" in fleet.log("agent-0")
+
+
 def test_stopping_agent_resets_flows_of_target_that_is_gone(
     fleet: Fleet,
 ) -> None:
