Limit new flows to cold backend servers

Change: the agent of a backend server bounds its new flows in any second while it is cold by its reports, or may be cold after a start, a closed port, a lost flow, a pause or an evacuation. A restarted agent assumes that its predecessor has used the allowance. Directory agents learn the remaining time from load reports and prefer warm backend servers with a free slot. Numbers in route terms are kept within what messages between instances carry.

Without the settings nothing is limited. Tests of flows, runtime, store, adapter and lab fleets pass.

--- a/libs/flows/src/fireflyford/flows/_agent.py
+++ b/libs/flows/src/fireflyford/flows/_agent.py
@@ -9,6 +9,10 @@
 from fireflyford.flows import _placement
 from fireflyford.flows import _target_forwarder
 from fireflyford.flows import _types
+from fireflyford.flows import _warm_up
+
+# Time after a pause in which reports that waited meanwhile may be read.
+REPORT_BACKLOG_MS = 100
 
 
 class AgentFlows:
@@ -20,6 +24,8 @@
         own_instance: _types.Instance,
         fleet: _fleet.Fleet,
         placement: _placement.Placement,
+        warmup_overage: float = 0.0,
+        warmup_slack: float = 0.0,
     ) -> None:
         """Initializes an agent without flows.
 
@@ -28,14 +34,22 @@
             own_instance: This agent.
             fleet: View of all instances.
             placement: Policy for new flows.
+            warmup_overage: Factor of the new flows that a cold backend server
+                bears, 0 if they are not limited.
+            warmup_slack: New flows a second that are allowed beyond that.
         """
         self._own_instance = own_instance
         self._fleet = fleet
         # Evacuated zones, as known from opening packets.
         self.evacuation = _evacuation.Evacuations()
-        self._pause_guard = _evacuation.PauseGuard(clock)
+        # Bounds the new flows of a cold backend server.
+        self.warm_up = _warm_up.WarmUpLimit(clock, warmup_overage, warmup_slack)
+        # Reports may have waited during a pause as well.
+        self._pause_guard = _evacuation.PauseGuard(
+            clock, lambda: self.warm_up.assume_cold("pause", REPORT_BACKLOG_MS)
+        )
         self.forwarder = _target_forwarder.TargetForwarder(
-            clock, own_instance, fleet, self.evacuation
+            clock, own_instance, fleet, self.evacuation, self.warm_up
         )
         self.directory = _flow_directory.FlowDirectory(
             clock, own_instance, fleet, placement, self.evacuation
@@ -50,16 +64,18 @@
     ) -> list[_types.Action]:
         """Handles a packet forwarded by a balancer or another agent."""
         if packet.opens:
-            self.evacuation.learn(forward.evacuation, sender)
+            self._learn_evacuation(forward.evacuation, sender)
             forward = forward.with_newest(self.evacuation.view)
         if forward.service != self._own_instance.service:
             return self._decline_other_service(sender, forward, packet)
+        if packet.opens:
+            self.warm_up.learn_rate(forward.terms)
         if forward.handling is _messages.Handling.RESOLVE:
             return self.directory.resolve(forward, packet)
         if (
             forward.handling is _messages.Handling.PLACE
-            and self.evacuation.view is not None
             and self._pause_guard.is_backlog()
+            and self.evacuation.view is not None
         ):
             # The zone may have been evacuated during the pause.
             return self.forwarder.decline_unless_known(sender, packet)
@@ -102,6 +118,28 @@
         self.forwarder.tracker.expire()
         self.directory.expire()
 
+    def _learn_evacuation(
+        self, view: _evacuation.EvacuationView | None, sender: core.Address
+    ) -> None:
+        """Keeps a newer view; the backend server may be cold after it.
+
+        A process that has just started does not know whether its zone was
+        evacuated before the first view.
+        """
+        zone = self._own_instance.availability_zone
+        may_return = (
+            self.evacuation.view is None or zone in self.evacuation.zones
+        )
+        self.evacuation.learn(view, sender)
+        if (
+            may_return
+            and self.evacuation.view is not None
+            and zone not in self.evacuation.zones
+        ):
+            self.warm_up.assume_cold(
+                "evacuation-ended", _warm_up.REPORT_DELAY_MS
+            )
+
     def _decline_other_service(
         self,
         sender: core.Address,
--- a/libs/flows/src/fireflyford/flows/_evacuation.py
+++ b/libs/flows/src/fireflyford/flows/_evacuation.py
@@ -4,6 +4,7 @@
 agents learn the evacuated zones from opening packets.
 """
 
+from collections.abc import Callable
 import dataclasses
 
 from fireflyford import core
@@ -92,9 +93,17 @@
 class PauseGuard:
     """Detects that the process was paused for longer than `PAUSE_MS`."""
 
-    def __init__(self, clock: core.Clock) -> None:
-        """Starts with a process that is not paused."""
+    def __init__(
+        self, clock: core.Clock, handle_pause: Callable[[], None]
+    ) -> None:
+        """Starts with a process that is not paused.
+
+        Args:
+            clock: Source of time.
+            handle_pause: Called after each pause.
+        """
         self._clock = clock
+        self._handle_pause = handle_pause
         self._last_ms = clock.now_ms()
         self._sweeps_left = 0
 
@@ -117,4 +126,5 @@
             return False
         telemetry.log("process-paused", duration_ms=pause_ms)
         self._sweeps_left = _SWEEPS_AFTER_PAUSE
+        self._handle_pause()
         return True
--- a/libs/flows/src/fireflyford/flows/_flow_placer.py
+++ b/libs/flows/src/fireflyford/flows/_flow_placer.py
@@ -15,6 +15,7 @@
 from fireflyford.flows import _placement
 from fireflyford.flows import _response_timer
 from fireflyford.flows import _types
+from fireflyford.flows import _warm_up
 
 # Bounds of the time after which an unanswered offer goes to another agent; it
 # follows the measured response times. The minimum covers the agent's own limit
@@ -99,6 +100,8 @@
         self._placement = placement
         self._attempts: dict[bytes, _PlacementAttempt] = {}
         self._suspect_until_ms: dict[core.Address, int] = {}
+        # Agents that have declined a flow because of a cold backend server.
+        self._cold_until_ms: dict[core.Address, int] = {}
         self._timer = _response_timer.ResponseTimer(
             OFFER_TIMEOUT_MS, MAX_OFFER_TIMEOUT_MS
         )
@@ -161,6 +164,9 @@
             attempt.busy_decline_count += 1
         else:
             attempt.excluded_agents.add(sender)
+        if message.reason is _messages.DeclineReason.COLD:
+            now_ms = self._clock.now_ms()
+            self._cold_until_ms[sender] = now_ms + _warm_up.RETRY_MS
         if message.reason is _messages.DeclineReason.EVACUATED:
             attempt.evacuated_agents.add(sender)
         attempt.decline_reason = message.reason
@@ -331,7 +337,7 @@
         self,
         attempt: _PlacementAttempt,
         agents: Sequence[_types.Instance],
-    ) -> list[_placement.Candidate]:
+    ) -> Sequence[_placement.Candidate]:
         """Returns the agents with room.
 
         An agent has room while its backend server is below the limit of pending
@@ -342,7 +348,9 @@
         # Clients send to balancers in their own zone.
         balancer = self._fleet.find(attempt.forward.balancer)
         client_zone = (balancer or self._own_instance).availability_zone
-        preferred, last_resort = [], []
+        preferred: list[_placement.Candidate] = []
+        cold: list[_placement.Candidate] = []
+        last_resort: list[_placement.Candidate] = []
         for agent in agents:
             if agent.address in attempt.excluded_agents:
                 continue
@@ -356,6 +364,9 @@
             is_load_known = self._fleet.is_load_known(agent.address)
             if is_load_known and load.state in _DECLINING_STATES:
                 continue
+            if self._cold_until_ms.get(agent.address, 0) > now_ms:
+                attempt.decline_reason = _messages.DeclineReason.COLD
+                continue
             if not _placement.has_room(load, candidate.placed_count):
                 attempt.decline_reason = _messages.DeclineReason.BUSY
                 continue
@@ -363,10 +374,16 @@
                 load.state is _types.TargetState.READY
                 and self._suspect_until_ms.get(agent.address, 0) <= now_ms
             ):
-                preferred.append(candidate)
+                is_cold = load.warmup_left_ms and self._is_cold(agent.address)
+                (cold if is_cold else preferred).append(candidate)
             else:
                 last_resort.append(candidate)
-        return preferred or last_resort
+        return _warm_up.prefer_warm(preferred, cold) or last_resort
+
+    def _is_cold(self, address: core.Address) -> bool:
+        """Returns whether a backend server is cold, by its last report."""
+        age_ms = self._fleet.keepalive_age_ms(address) or 0
+        return age_ms < self._fleet.load(address).warmup_left_ms
 
     def _expected_load(self, address: core.Address) -> _types.Load:
         """Estimates the current load of an agent from its last report.
--- a/libs/flows/src/fireflyford/flows/_target_forwarder.py
+++ b/libs/flows/src/fireflyford/flows/_target_forwarder.py
@@ -17,6 +17,7 @@
 from fireflyford.flows import _messages
 from fireflyford.flows import _placement
 from fireflyford.flows import _types
+from fireflyford.flows import _warm_up
 
 # Time limit for the backend server to accept a new flow; a running one takes
 # less than a millisecond.
@@ -69,6 +70,7 @@
         own_instance: _types.Instance,
         fleet: _fleet.Fleet,
         evacuation: _evacuation.Evacuations | None = None,
+        warm_up: _warm_up.WarmUpLimit | None = None,
     ) -> None:
         """Initializes a forwarder without flows.
 
@@ -77,7 +79,10 @@
             own_instance: This agent.
             fleet: View of all instances.
             evacuation: Evacuated zones, None if there are none.
+            warm_up: Limit of new flows while the backend server is cold, None
+                if there is none.
         """
+        self.warm_up = warm_up or _warm_up.WarmUpLimit(clock)
         self._evacuation = evacuation or _evacuation.Evacuations()
         self._clock = clock
         self._started_ms = clock.now_ms()
@@ -102,7 +107,13 @@
 
     def load(self) -> _types.Load:
         """Returns the load of the backend server."""
-        return self.tracker.load(self.state)
+        load = self.tracker.load(self.state)
+        left_ms = self.warm_up.left_ms()
+        return (
+            dataclasses.replace(load, warmup_left_ms=left_ms)
+            if left_ms
+            else load
+        )
 
     # Packets of clients.
 
@@ -146,7 +157,7 @@
         known = self._handle_known(sender, packet)
         if known is not None:
             return known
-        reason = self._decline_reason(forward)
+        reason = self._decline_reason(forward, packet)
         if reason is not None:
             return [self._decline(sender, packet.flow, reason)]
         opening = _Opening(
@@ -156,6 +167,7 @@
             self._clock.now_ms() + OPENING_LIMIT_MS,
         )
         self._openings[packet.flow] = opening
+        self.warm_up.record_delivery(packet.flow, packet.seq)
         return [_types.Deliver(packet)]
 
     def _handle_known(
@@ -204,7 +216,7 @@
         return None
 
     def _decline_reason(
-        self, forward: _messages.Forward
+        self, forward: _messages.Forward, packet: _types.Packet
     ) -> _messages.DeclineReason | None:
         reasons = _messages.DeclineReason
         if self._own_instance.availability_zone in self._evacuation.zones:
@@ -222,6 +234,8 @@
             return reasons.BUSY
         if not _placement.has_room(load, len(self._openings)):
             return reasons.BUSY
+        if not self.warm_up.allows(packet.flow, packet.seq):
+            return reasons.COLD
         return None
 
     def _decline(
@@ -386,6 +400,7 @@
         telemetry.log(
             "flow-lost-by-target", flow=_types.describe_flow(packet.flow)
         )
+        self.warm_up.assume_cold("flow-lost")
         self.tracker.remove(packet.flow)
         if packet.resets:
             return []
@@ -450,6 +465,7 @@
             return []
         telemetry.log("target-down", reason=reason, held=len(self.tracker))
         self.state = _types.TargetState.DOWN
+        self.warm_up.assume_cold("target-down")
         self.may_hold_untracked_flows = False
         actions: list[_types.Action] = []
         for flow, opening in tuple(self._openings.items()):
--- a/libs/flows/src/fireflyford/flows/_target_monitor.py
+++ b/libs/flows/src/fireflyford/flows/_target_monitor.py
@@ -40,6 +40,7 @@
         slot_count: Requests that it processes concurrently.
         started_ms: Start time in ms since the Unix epoch.
         sequence: Increases with each report since that start.
+        warmup_left_ms: How long it stays cold, 0 if it is warm.
     """
 
     target_id: str
@@ -48,6 +49,7 @@
     slot_count: int
     started_ms: int
     sequence: int
+    warmup_left_ms: int = 0
 
 
 class TargetMonitor:
@@ -110,6 +112,9 @@
         self._forwarder.record_keepalive()
         self._last_report_ms = self._clock.now_ms()
         self.has_left = False
+        self._forwarder.warm_up.record_report(
+            report.warmup_left_ms, report.started_ms
+        )
         self._forwarder.update_state(report.state, report.slot_count)
 
     def record_leave(self, target_id: str) -> None:
--- a/libs/lab/src/fireflyford/lab/_packet_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_packet_fleet.py
@@ -277,6 +277,8 @@
             self.instance,
             self.view,
             fleet.make_placement(self.address),
+            fleet.warmup_overage,
+            fleet.warmup_slack,
         )
         self.monitor = flows.TargetMonitor(
             fleet.clock, self.target.spec.service, self.flows.forwarder, 1_200
@@ -314,12 +316,23 @@
         """Handles a closed port at the backend server."""
         self.run(self.flows.forwarder.mark_down("port closed"))
 
-    def report(self, state: flows.TargetState, sequence: int) -> None:
+    def report(
+        self,
+        state: flows.TargetState,
+        sequence: int,
+        warmup_left_ms: int = 0,
+    ) -> None:
         """Handles a status report of the backend server."""
         spec = self.target.spec
         self.monitor.record_report(
             flows.TargetReport(
-                "target", spec.service, state, spec.slot_count, 1, sequence
+                "target",
+                spec.service,
+                state,
+                spec.slot_count,
+                1,
+                sequence,
+                warmup_left_ms,
             )
         )
 
@@ -489,6 +502,9 @@
         make_placement: PlacementFactory | None = None,
         long_lived: bool = False,
         load_interval_ms: int = LOAD_INTERVAL_MS,
+        terms: flows.RouteTerms | None = None,
+        warmup_overage: float = 0.0,
+        warmup_slack: float = 0.0,
     ) -> None:
         """Starts all processes with the same view.
 
@@ -502,6 +518,9 @@
             load_interval_ms: Interval at which agents report their load. In
                 production the control budget makes it longer the more agents
                 there are.
+            terms: Terms of the route.
+            warmup_overage: Setting of the agents, see `flows.AgentFlows`.
+            warmup_slack: Setting of the agents.
         """
         self.rng = random.Random(seed)
         self.clock = EventClock(1_000_000)
@@ -517,6 +536,9 @@
         # Messages about flows, without keepalives and load reports.
         self.flow_message_count = 0
         self._long_lived = long_lived
+        self._terms = terms
+        self.warmup_overage = warmup_overage
+        self.warmup_slack = warmup_slack
         self.table = self._make_table(1, SERVICE)
         self.targets = [
             Target(self, spec, index) for index, spec in enumerate(specs)
@@ -545,6 +567,7 @@
             ROUTE_ADDRESS,
             (flows.Share(service, 1),),
             self._long_lived,
+            self._terms,
         )
         return flows.RouteTable(version, {ROUTE_ADDRESS: route})
 
--- a/libs/runtime/src/fireflyford/runtime/_agent.py
+++ b/libs/runtime/src/fireflyford/runtime/_agent.py
@@ -41,6 +41,8 @@
             self.own_instance,
             self.fleet,
             flows.EarliestCompletion(self.rng),
+            options.warmup_overage,
+            options.warmup_slack,
         )
         self.target_monitor = flows.TargetMonitor(
             clock,
@@ -248,6 +250,7 @@
             "service_ms": load.service_ms,
             "held_flows": len(self.flows.forwarder.tracker),
             "directory_entries": len(self.flows.directory),
+            "warmup_left_ms": load.warmup_left_ms,
             "evacuated_zones": self.flows.evacuation.zones,
         }
 
@@ -259,6 +262,7 @@
             "held_flows": len(self.flows.forwarder.tracker),
             "directory_entries": len(self.flows.directory),
             "service_ms": load.service_ms,
+            "warmup_left_ms": load.warmup_left_ms,
             "evacuated_zones": len(self.flows.evacuation.zones),
         }
 
--- a/tests/adapter/test_formats.py
+++ b/tests/adapter/test_formats.py
@@ -208,6 +208,30 @@
     assert plain.service(FLOW) == "board"
 
 
+def test_numbers_of_terms_are_kept_within_what_messages_carry() -> None:
+    """Guards against odd numbers that make receivers drop opening packets.
+
+    The lowest rate of a route's services is the bound of each of them.
+    """
+    route = CONFIG["routes"][0] | {  # type: ignore[index,operator]
+        "priority": -1,
+        "timeout_ms": 1e300,
+        "aim_ms": -5,
+    }
+    services = [
+        {"name": "board", "warmup_per_s": 9},
+        {"name": "sheets", "warmup_per_s": 4},
+    ]
+    document = CONFIG | {"routes": [route], "services": services}
+    text = json.dumps(document).encode()
+    outcome = _config.OperatorConfigFormat().parse(text)
+    assert isinstance(outcome, core.Ok)
+    (parsed,) = outcome.value.routes.values()
+    assert parsed.terms == flows.RouteTerms(
+        0, 0, _config.MAX_TIME_MS, True, 4.0
+    )
+
+
 @pytest.mark.parametrize(
     "document",
     [
@@ -248,6 +272,30 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("value", "left_ms"),
+    [
+        (1_850, 1_850),
+        (0.5, 1),
+        (0, 0),
+        (-1, 0),
+        (10**30, 0),
+        ("2 s", 0),
+        (None, 0),
+        (True, 0),
+        ([], 0),
+    ],
+)
+def test_odd_warm_up_time_leaves_the_report_in_force(
+    value: object, left_ms: int
+) -> None:
+    """Guards against a backend server that is lost for one odd field."""
+    body = json.dumps(REPORT | {"warmup_left_ms": value}).encode()
+    report = _api.parse_report("i-1", body)
+    assert report is not None
+    assert report.warmup_left_ms == left_ms
+
+
 @pytest.mark.parametrize(
     "change",
     [
--- a/tests/adapter/test_processes.py
+++ b/tests/adapter/test_processes.py
@@ -104,7 +104,9 @@
             response = bytes(returned)
         self._transport.sendto(response, outbound)
 
-    async def report(self, state: str = "ready") -> int:
+    async def report(
+        self, state: str = "ready", warmup_left_ms: int = 0
+    ) -> int:
         """Sends a report to the agent; returns the HTTP status."""
         self.sequence += 1
         body = json.dumps(
@@ -114,6 +116,7 @@
                 "slots": 2,
                 "seq": self.sequence,
                 "born": 1_700_000_000_000,
+                "warmup_left_ms": warmup_left_ms,
             }
         ).encode()
         return await post(
@@ -459,6 +462,44 @@
     assert "event=evacuation-changed" in fleet.log("agent-0")
 
 
+def test_cold_targets_get_a_bounded_number_of_new_flows(fleet: Fleet) -> None:
+    """Guards against a limit that settings and messages do not carry."""
+    fleet.bounds = {"warmup_overage": 1.0, "warmup_slack": 1.0}
+    services = [{"name": SERVICE, "warmup_per_s": 1.0}]
+
+    async def check(targets: list[Target], client: ClientSocket) -> None:
+        assert fleet.server is not None
+        assert client.transport is not None
+        config = json.dumps(CONFIG | {"version": 4, "services": services})
+        fleet.server.state.put("op/config", config.encode())
+        await asyncio.sleep(0.3)
+        for target in targets:
+            assert await target.report(warmup_left_ms=5_000) == 200
+        for index in range(20):
+            address = core.Address(CLIENT_HOST, 44_000 + index)
+            data = from_client(address, SYN)
+            client.transport.sendto(data, (BALANCER_HOST, PACKET_PORT))
+        await asyncio.sleep(0.7)
+        # floor(1 x 1 + 1) for each in the first second.
+        assert [len(target.flows) for target in targets] == [2, 2, 2]
+        for target in targets:
+            assert await target.report() == 200
+        address = core.Address(CLIENT_HOST, 45_000)
+        accepted = await client.exchange(
+            from_client(address, SYN), RETRANSMISSION_DELAYS_MS
+        )
+        assert accepted[FLAGS_OFFSET] == SYN | ACK
+
+    async def run_check() -> None:
+        async with running(fleet) as (targets, client):
+            await check(targets, client)
+
+    asyncio.run(run_check())
+    assert "reason=cold" in "".join(
+        fleet.log(f"agent-{index}") for index in range(3)
+    )
+
+
 def test_stopping_agent_resets_flows_of_target_that_is_gone(
     fleet: Fleet,
 ) -> None:
