--- a/libs/flows/src/fireflyford/flows/_agent.py
+++ b/libs/flows/src/fireflyford/flows/_agent.py
@@ -2,6 +2,7 @@
 
 from fireflyford import core
 from fireflyford import telemetry
+from fireflyford.flows import _evacuation
 from fireflyford.flows import _fleet
 from fireflyford.flows import _flow_directory
 from fireflyford.flows import _messages
@@ -9,6 +10,10 @@
 from fireflyford.flows import _responsiveness
 from fireflyford.flows import _target_forwarder
 from fireflyford.flows import _types
+from fireflyford.flows import _warm_up
+
+# Time after a pause in which reports that waited meanwhile may be read.
+REPORT_BACKLOG_MS = 100
 
 
 class AgentFlows:
@@ -22,6 +27,8 @@
         placement: _placement.Placement,
         second_offer_ratio: float = 0.0,
         responsiveness: _responsiveness.Responsiveness | None = None,
+        warmup_overage: float = 0.0,
+        warmup_slack: float = 0.0,
     ) -> None:
         """Initializes an agent without flows.
 
@@ -34,14 +41,25 @@
                 offer, 0 for none.
             responsiveness: Judges the agents by their answers. Defaults to one
                 that expects announcements of restarts from all agents.
+            warmup_overage: Factor of the new flows that a cold backend server
+                bears, 0 if they are not limited.
+            warmup_slack: New flows a second that are allowed beyond that.
         """
         self.responsiveness = responsiveness or _responsiveness.Responsiveness(
             clock
         )
         self._own_instance = own_instance
         self._fleet = fleet
+        # Evacuated zones, as known from opening packets.
+        self.evacuation = _evacuation.Evacuations()
+        # Bounds the new flows of a cold backend server.
+        self.warm_up = _warm_up.WarmUpLimit(clock, warmup_overage, warmup_slack)
+        # Reports may have waited during a pause as well.
+        self._pause_guard = _evacuation.PauseGuard(
+            clock, lambda: self.warm_up.assume_cold("pause", REPORT_BACKLOG_MS)
+        )
         self.forwarder = _target_forwarder.TargetForwarder(
-            clock, own_instance, fleet
+            clock, own_instance, fleet, self.evacuation, self.warm_up
         )
         self.directory = _flow_directory.FlowDirectory(
             clock,
@@ -50,6 +68,7 @@
             placement,
             self.responsiveness,
             second_offer_ratio,
+            evacuation=self.evacuation,
         )
         self._announced_generation = -1
 
@@ -64,10 +83,22 @@
             # Most packets are for the holder. They cost no extra time, as their
             # senders send other messages too.
             self.responsiveness.record_message(sender)
+        if packet.opens:
+            self._learn_evacuation(forward.evacuation, sender)
+            forward = forward.with_newest(self.evacuation.view)
         if forward.service != self._own_instance.service:
             return self._decline_other_service(sender, forward, packet)
+        if packet.opens:
+            self.warm_up.learn_rate(forward.terms)
         if forward.handling is _messages.Handling.RESOLVE:
             return self.directory.resolve(forward, packet)
+        if (
+            forward.handling is _messages.Handling.PLACE
+            and self._pause_guard.is_backlog()
+            and self.evacuation.view is not None
+        ):
+            # The zone may have been evacuated during the pause.
+            return self.forwarder.decline_unless_known(sender, packet)
         return self.forwarder.receive(sender, forward, packet)
 
     def handle_message(
@@ -98,6 +129,7 @@
     def sweep(self) -> list[_types.Action]:
         """Handles timeouts, and announces flows after a change of the fleet."""
         self.responsiveness.sweep()
+        self._pause_guard.sweep()
         actions = [*self.forwarder.sweep(), *self.directory.sweep()]
         if self._fleet.generation != self._announced_generation:
             self._announced_generation = self._fleet.generation
@@ -113,6 +145,28 @@
         self.forwarder.tracker.expire()
         self.directory.expire()
 
+    def _learn_evacuation(
+        self, view: _evacuation.EvacuationView | None, sender: core.Address
+    ) -> None:
+        """Keeps a newer view; the backend server may be cold after it.
+
+        A process that has just started does not know whether its zone was
+        evacuated before the first view.
+        """
+        zone = self._own_instance.availability_zone
+        may_return = (
+            self.evacuation.view is None or zone in self.evacuation.zones
+        )
+        self.evacuation.learn(view, sender)
+        if (
+            may_return
+            and self.evacuation.view is not None
+            and zone not in self.evacuation.zones
+        ):
+            self.warm_up.assume_cold(
+                "evacuation-ended", _warm_up.REPORT_DELAY_MS
+            )
+
     def _decline_other_service(
         self,
         sender: core.Address,
--- a/libs/flows/src/fireflyford/flows/_flow_directory.py
+++ b/libs/flows/src/fireflyford/flows/_flow_directory.py
@@ -9,6 +9,7 @@
 import collections
 
 from fireflyford import core
+from fireflyford.flows import _evacuation
 from fireflyford.flows import _fleet
 from fireflyford.flows import _flow_placer
 from fireflyford.flows import _holder_search
@@ -44,6 +45,7 @@
         placement: _placement.Placement,
         responsiveness: _responsiveness.Responsiveness,
         second_offer_ratio: float = 0.0,
+        evacuation: _evacuation.Evacuations | None = None,
     ) -> None:
         """Initializes an empty directory.
 
@@ -54,6 +56,7 @@
             placement: Policy for new flows.
             responsiveness: Judges the agents by their answers.
             second_offer_ratio: Second offers allowed for each offer.
+            evacuation: Evacuated zones, None if there are none.
         """
         self._clock = clock
         self._own_instance = own_instance
@@ -68,6 +71,7 @@
             placement,
             responsiveness,
             second_offer_ratio,
+            evacuation=evacuation,
         )
         self.second_offers = self._placer.second_offers
         self._searches = _holder_search.HolderSearches(
--- a/libs/flows/src/fireflyford/flows/_flow_placer.py
+++ b/libs/flows/src/fireflyford/flows/_flow_placer.py
@@ -4,8 +4,11 @@
 it. An offer is the opening packet, relayed with `Handling.PLACE`.
 """
 
+from collections.abc import Sequence
+
 from fireflyford import core
 from fireflyford import telemetry
+from fireflyford.flows import _evacuation
 from fireflyford.flows import _fleet
 from fireflyford.flows import _flow_tracker
 from fireflyford.flows import _messages
@@ -14,6 +17,7 @@
 from fireflyford.flows import _responsiveness
 from fireflyford.flows import _second_offer
 from fireflyford.flows import _types
+from fireflyford.flows import _warm_up
 
 # Bounds of the time after which an unanswered offer goes to another agent; it
 # follows the measured response times. The minimum covers the agent's own limit
@@ -53,6 +57,8 @@
         self.started_ms = now_ms
         # Agents that are not offered the flow again until it is queued.
         self.excluded_agents: set[core.Address] = set()
+        # Agents that declined the flow because their zone is evacuated.
+        self.evacuated_agents: set[core.Address] = set()
         # Agent of the latest offer, None while the flow is queued.
         self.offered_to: core.Address | None = None
         # Agent of a second offer beside the latest one.
@@ -82,6 +88,7 @@
         placement: _placement.Placement,
         responsiveness: _responsiveness.Responsiveness,
         second_offer_ratio: float = 0.0,
+        evacuation: _evacuation.Evacuations | None = None,
     ) -> None:
         """Initializes a placer without new flows.
 
@@ -92,14 +99,18 @@
             placement: Policy for new flows.
             responsiveness: Judges the agents by their answers.
             second_offer_ratio: Second offers allowed for each offer.
+            evacuation: Evacuated zones, None if there are none.
         """
         self._responsiveness = responsiveness
+        self._evacuation = evacuation or _evacuation.Evacuations()
         self._clock = clock
         self._own_instance = own_instance
         self._fleet = fleet
         self._placement = placement
         self._attempts: dict[bytes, _PlacementAttempt] = {}
         self._suspect_until_ms: dict[core.Address, int] = {}
+        # Agents that have declined a flow because of a cold backend server.
+        self._cold_until_ms: dict[core.Address, int] = {}
         self._timer = _response_timer.ResponseTimer(
             OFFER_TIMEOUT_MS, MAX_OFFER_TIMEOUT_MS
         )
@@ -166,6 +177,11 @@
             attempt.busy_decline_count += 1
         else:
             attempt.excluded_agents.add(sender)
+        if message.reason is _messages.DeclineReason.COLD:
+            now_ms = self._clock.now_ms()
+            self._cold_until_ms[sender] = now_ms + _warm_up.RETRY_MS
+        if message.reason is _messages.DeclineReason.EVACUATED:
+            attempt.evacuated_agents.add(sender)
         attempt.decline_reason = message.reason
         return self._place(attempt)
 
@@ -207,7 +223,9 @@
         if not self.second_offers.is_due(terms, age_ms, waiting_count):
             return []
         others = [
-            item for item in self._candidates(attempt) if item.address != first
+            item
+            for item in self._candidates(attempt, self._agents(attempt))
+            if item.address != first
         ]
         if not others:
             return []
@@ -268,7 +286,10 @@
 
     def _place(self, attempt: _PlacementAttempt) -> list[_types.Action]:
         """Offers a new flow to an agent, or queues it if none has room."""
-        candidates = self._candidates(attempt)
+        agents = self._agents(attempt)
+        if not agents and self._is_evacuated():
+            return self._refuse(attempt, _messages.DeclineReason.EVACUATED)
+        candidates = self._candidates(attempt, agents)
         if not candidates:
             return self._queue(attempt)
         chosen = self._placement.choose(candidates, attempt.forward.long_lived)
@@ -297,8 +318,10 @@
                 candidates=len(candidates),
                 firm=allow_queueing,
             )
+        # The flow may have waited since its opening packet arrived.
+        forward = attempt.forward.with_newest(self._evacuation.view)
         return [
-            attempt.forward.relay(
+            forward.relay(
                 _messages.Handling.PLACE,
                 self._own_instance.address,
                 chosen.address,
@@ -312,16 +335,7 @@
         now_ms = self._clock.now_ms()
         flow = attempt.packet.flow
         if now_ms - attempt.started_ms >= QUEUE_LIMIT_MS:
-            del self._attempts[flow]
-            telemetry.log(
-                "flow-refused",
-                flow=_types.describe_flow(flow),
-                reason=attempt.decline_reason.name.lower(),
-                offers=attempt.offer_count,
-                waited_ms=now_ms - attempt.started_ms,
-            )
-            refusal = _messages.PlacementRefused(flow, attempt.decline_reason)
-            return [_messages.Send(attempt.forward.balancer, refusal)]
+            return self._refuse(attempt, attempt.decline_reason)
         is_newly_queued = not attempt.is_queued
         attempt.offered_to = None
         attempt.is_queued = True
@@ -337,6 +351,24 @@
             )
         ]
 
+    def _refuse(
+        self,
+        attempt: _PlacementAttempt,
+        reason: _messages.DeclineReason,
+    ) -> list[_types.Action]:
+        """Ends a placement that no agent has accepted."""
+        flow = attempt.packet.flow
+        del self._attempts[flow]
+        telemetry.log(
+            "flow-refused",
+            flow=_types.describe_flow(flow),
+            reason=reason.name.lower(),
+            offers=attempt.offer_count,
+            waited_ms=self._clock.now_ms() - attempt.started_ms,
+        )
+        refusal = _messages.PlacementRefused(flow, reason)
+        return [_messages.Send(attempt.forward.balancer, refusal)]
+
     def _log_queued(self, attempt: _PlacementAttempt) -> None:
         agents = self._fleet.agents(self._own_instance.service)
         loads = [self._expected_load(agent.address) for agent in agents]
@@ -353,9 +385,32 @@
             ),
         )
 
+    def _agents(self, attempt: _PlacementAttempt) -> Sequence[_types.Instance]:
+        """Returns the agents of the service that are not evacuated."""
+        agents = self._fleet.agents(self._own_instance.service)
+        zones = self._evacuation.zones
+        if not zones and not attempt.evacuated_agents:
+            return agents
+        return [
+            agent
+            for agent in agents
+            if agent.availability_zone not in zones
+            and agent.address not in attempt.evacuated_agents
+        ]
+
+    def _is_evacuated(self) -> bool:
+        """Returns whether a service without such agents is evacuated.
+
+        Agents elsewhere may be missing before the first read of the registry.
+        """
+        agents = self._fleet.agents(self._own_instance.service)
+        return bool(agents) and self._fleet.is_complete
+
     def _candidates(
-        self, attempt: _PlacementAttempt
-    ) -> list[_placement.Candidate]:
+        self,
+        attempt: _PlacementAttempt,
+        agents: Sequence[_types.Instance],
+    ) -> Sequence[_placement.Candidate]:
         """Returns the agents with room.
 
         An agent has room while its backend server is below the limit of pending
@@ -366,8 +421,10 @@
         # Clients send to balancers in their own zone.
         balancer = self._fleet.find(attempt.forward.balancer)
         client_zone = (balancer or self._own_instance).availability_zone
-        preferred, last_resort = [], []
-        for agent in self._fleet.agents(self._own_instance.service):
+        preferred: list[_placement.Candidate] = []
+        cold: list[_placement.Candidate] = []
+        last_resort: list[_placement.Candidate] = []
+        for agent in agents:
             if agent.address in attempt.excluded_agents:
                 continue
             load = self._expected_load(agent.address)
@@ -380,6 +437,9 @@
             is_load_known = self._fleet.is_load_known(agent.address)
             if is_load_known and load.state in _DECLINING_STATES:
                 continue
+            if self._cold_until_ms.get(agent.address, 0) > now_ms:
+                attempt.decline_reason = _messages.DeclineReason.COLD
+                continue
             if not _placement.has_room(load, candidate.placed_count):
                 attempt.decline_reason = _messages.DeclineReason.BUSY
                 continue
@@ -388,10 +448,16 @@
                 and self._suspect_until_ms.get(agent.address, 0) <= now_ms
                 and self._is_in_touch(agent.address)
             ):
-                preferred.append(candidate)
+                is_cold = load.warmup_left_ms and self._is_cold(agent.address)
+                (cold if is_cold else preferred).append(candidate)
             else:
                 last_resort.append(candidate)
-        return preferred or last_resort
+        return _warm_up.prefer_warm(preferred, cold) or last_resort
+
+    def _is_cold(self, address: core.Address) -> bool:
+        """Returns whether a backend server is cold, by its last report."""
+        age_ms = self._fleet.keepalive_age_ms(address) or 0
+        return age_ms < self._fleet.load(address).warmup_left_ms
 
     def _is_in_touch(self, address: core.Address) -> bool:
         """Returns whether an agent answers and reports its load on time."""
--- a/libs/flows/src/fireflyford/flows/_target_forwarder.py
+++ b/libs/flows/src/fireflyford/flows/_target_forwarder.py
@@ -9,12 +9,14 @@
 
 from fireflyford import core
 from fireflyford import telemetry
+from fireflyford.flows import _evacuation
 from fireflyford.flows import _fleet
 from fireflyford.flows import _flow_probes
 from fireflyford.flows import _flow_tracker
 from fireflyford.flows import _messages
 from fireflyford.flows import _placement
 from fireflyford.flows import _types
+from fireflyford.flows import _warm_up
 
 # Time limit for the backend server to accept a new flow; a running one takes
 # less than a millisecond.
@@ -46,6 +48,8 @@
         clock: core.Clock,
         own_instance: _types.Instance,
         fleet: _fleet.Fleet,
+        evacuation: _evacuation.Evacuations | None = None,
+        warm_up: _warm_up.WarmUpLimit | None = None,
     ) -> None:
         """Initializes a forwarder without flows.
 
@@ -53,7 +57,12 @@
             clock: Source of time.
             own_instance: This agent.
             fleet: View of all instances.
+            evacuation: Evacuated zones, None if there are none.
+            warm_up: Limit of new flows while the backend server is cold, None
+                if there is none.
         """
+        self.warm_up = warm_up or _warm_up.WarmUpLimit(clock)
+        self._evacuation = evacuation or _evacuation.Evacuations()
         self._clock = clock
         self._own_instance = own_instance
         self._fleet = fleet
@@ -67,7 +76,13 @@
 
     def load(self) -> _types.Load:
         """Returns the load of the backend server."""
-        return self.tracker.load(self.state)
+        load = self.tracker.load(self.state)
+        left_ms = self.warm_up.left_ms()
+        return (
+            dataclasses.replace(load, warmup_left_ms=left_ms)
+            if left_ms
+            else load
+        )
 
     # Packets of clients.
 
@@ -117,18 +132,10 @@
         forward: _messages.Forward,
         packet: _types.Packet,
     ) -> list[_types.Action]:
-        tracked = self._tracked_flow(packet)
-        if tracked is not None:
-            self.tracker.record_client_packet(tracked, packet)
-            return [
-                _types.Deliver(packet),
-                _messages.Send(
-                    sender, _messages.FlowLocated(packet.flow, self.load())
-                ),
-            ]
-        if packet.flow in self._openings:
-            return []
-        reason = self._decline_reason(forward)
+        known = self._handle_known(sender, packet)
+        if known is not None:
+            return known
+        reason = self._decline_reason(forward, packet)
         if reason is not None:
             return [self._decline(sender, packet.flow, reason)]
         opening = _Opening(
@@ -138,8 +145,34 @@
             self._clock.now_ms() + OPENING_LIMIT_MS,
         )
         self._openings[packet.flow] = opening
+        self.warm_up.record_delivery(packet.flow, packet.seq)
         return [_types.Deliver(packet)]
 
+    def _handle_known(
+        self, sender: core.Address, packet: _types.Packet
+    ) -> list[_types.Action] | None:
+        """Handles a copy of an opening packet; returns None for a new one."""
+        tracked = self._tracked_flow(packet)
+        if tracked is not None:
+            self.tracker.record_client_packet(tracked, packet)
+            return [
+                _types.Deliver(packet),
+                _messages.Send(
+                    sender, _messages.FlowLocated(packet.flow, self.load())
+                ),
+            ]
+        return [] if packet.flow in self._openings else None
+
+    def decline_unless_known(
+        self, sender: core.Address, packet: _types.Packet
+    ) -> list[_types.Action]:
+        """Declines an offered flow of which nothing has been delivered."""
+        known = self._handle_known(sender, packet)
+        if known is not None:
+            return known
+        reason = _messages.DeclineReason.UNKNOWN_STATE
+        return [self._decline(sender, packet.flow, reason)]
+
     def _tracked_flow(
         self, packet: _types.Packet
     ) -> _flow_tracker.TrackedFlow | None:
@@ -161,9 +194,11 @@
         return None
 
     def _decline_reason(
-        self, forward: _messages.Forward
+        self, forward: _messages.Forward, packet: _types.Packet
     ) -> _messages.DeclineReason | None:
         reasons = _messages.DeclineReason
+        if self._own_instance.availability_zone in self._evacuation.zones:
+            return reasons.EVACUATED
         if self.state is _types.TargetState.DRAINING:
             return reasons.DRAINING
         if self.state is _types.TargetState.DOWN:
@@ -177,6 +212,8 @@
             return reasons.BUSY
         if not _placement.has_room(load, len(self._openings)):
             return reasons.BUSY
+        if not self.warm_up.allows(packet.flow, packet.seq):
+            return reasons.COLD
         return None
 
     def _decline(
@@ -338,6 +375,7 @@
         telemetry.log(
             "flow-lost-by-target", flow=_types.describe_flow(packet.flow)
         )
+        self.warm_up.assume_cold("flow-lost")
         self.tracker.remove(packet.flow)
         if packet.resets:
             return []
@@ -406,6 +444,7 @@
             return []
         telemetry.log("target-down", reason=reason, held=len(self.tracker))
         self.state = _types.TargetState.DOWN
+        self.warm_up.assume_cold("target-down")
         self.may_hold_untracked_flows = False
         actions: list[_types.Action] = []
         for flow, opening in tuple(self._openings.items()):
--- a/libs/lab/src/fireflyford/lab/_packet_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_packet_fleet.py
@@ -30,6 +30,7 @@
 REQUEST_SEND_TIMES_MS = (0, 200, 600, 1_400)
 ROUTE_ADDRESS = core.Address("198.18.0.1", 443)
 SERVICE = "board"
+ZONE = "zone"
 
 PlacementFactory = Callable[[core.Address], flows.Placement]
 
@@ -91,12 +92,14 @@
         queue_count: Maximum length of the queue; further requests are shed.
         service_ms: Service time of a request.
         service: Service to which the backend server belongs.
+        zone: Availability zone of the backend server.
     """
 
     slot_count: int = 2
     queue_count: int = 8
     service_ms: int = 30
     service: str = SERVICE
+    zone: str = ZONE
 
 
 class Target:
@@ -223,7 +226,7 @@
             f"{self._role.value}-{self.address.host}",
             self._role,
             self.service(),
-            "zone",
+            self.zone(),
             self.address,
             clock.wall_ms(),
         )
@@ -234,6 +237,10 @@
         """Returns the service of an agent, empty for a balancer."""
         return ""
 
+    def zone(self) -> str:
+        """Returns the availability zone of the process."""
+        return ZONE
+
     @abc.abstractmethod
     def create_logic(self) -> None:
         """Creates the decision code of a new process."""
@@ -256,14 +263,22 @@
         """Returns the service of the backend server."""
         return self.target.spec.service
 
+    def zone(self) -> str:
+        """Returns the availability zone of the backend server."""
+        return self.target.spec.zone
+
     def create_logic(self) -> None:
         """Creates the decision code of a new process."""
         fleet = self._fleet
+        # Messages that arrived while the process is paused, None if it runs.
+        self.backlog: list[tuple[core.Address, flows.Message]] | None = None
         self.flows = flows.AgentFlows(
             fleet.clock,
             self.instance,
             self.view,
             fleet.make_placement(self.address),
+            warmup_overage=fleet.warmup_overage,
+            warmup_slack=fleet.warmup_slack,
         )
         self.monitor = flows.TargetMonitor(
             fleet.clock, self.target.spec.service, self.flows.forwarder, 1_200
@@ -276,15 +291,28 @@
             self._fleet.perform(self.address, flows.Send(peer.address, message))
 
     def receive(self, sender: core.Address, message: flows.Message) -> None:
-        """Handles a message."""
+        """Handles a message, or keeps it while the process is paused."""
         if not self.up:
             return
+        if self.backlog is not None:
+            self.backlog.append((sender, message))
+            return
         if isinstance(message, flows.Forward):
             packet = self._fleet.packet(message.data)
             self.run(self.flows.receive(sender, message, packet))
         else:
             self.run(self.flows.handle_message(sender, message))
 
+    def pause(self) -> None:
+        """Stops the process; its sockets keep what arrives."""
+        self.backlog = []
+
+    def resume(self) -> None:
+        """Continues a paused process, which first reads its sockets."""
+        backlog, self.backlog = self.backlog or [], None
+        for sender, message in backlog:
+            self.receive(sender, message)
+
     def answer(self, packet: flows.Packet) -> None:
         """Handles a packet from the backend server."""
         if self.up:
@@ -294,12 +322,23 @@
         """Handles a closed port at the backend server."""
         self.run(self.flows.forwarder.mark_down("port closed"))
 
-    def report(self, state: flows.TargetState, sequence: int) -> None:
+    def report(
+        self,
+        state: flows.TargetState,
+        sequence: int,
+        warmup_left_ms: int = 0,
+    ) -> None:
         """Handles a status report of the backend server."""
         spec = self.target.spec
         self.monitor.record_report(
             flows.TargetReport(
-                "target", spec.service, state, spec.slot_count, 1, sequence
+                "target",
+                spec.service,
+                state,
+                spec.slot_count,
+                1,
+                sequence,
+                warmup_left_ms,
             )
         )
 
@@ -469,6 +508,9 @@
         make_placement: PlacementFactory | None = None,
         long_lived: bool = False,
         load_interval_ms: int = LOAD_INTERVAL_MS,
+        terms: flows.RouteTerms | None = None,
+        warmup_overage: float = 0.0,
+        warmup_slack: float = 0.0,
     ) -> None:
         """Starts all processes with the same view.
 
@@ -482,6 +524,9 @@
             load_interval_ms: Interval at which agents report their load. In
                 production the control budget makes it longer the more agents
                 there are.
+            terms: Terms of the route.
+            warmup_overage: Setting of the agents, see `flows.AgentFlows`.
+            warmup_slack: Setting of the agents.
         """
         self.rng = random.Random(seed)
         self.clock = EventClock(1_000_000)
@@ -497,6 +542,9 @@
         # Messages about flows, without keepalives and load reports.
         self.flow_message_count = 0
         self._long_lived = long_lived
+        self._terms = terms
+        self.warmup_overage = warmup_overage
+        self.warmup_slack = warmup_slack
         self.table = self._make_table(1, SERVICE)
         self.targets = [
             Target(self, spec, index) for index, spec in enumerate(specs)
@@ -527,6 +575,7 @@
             ROUTE_ADDRESS,
             (flows.Share(service, 1),),
             self._long_lived,
+            self._terms,
         )
         return flows.RouteTable(version, {ROUTE_ADDRESS: route})
 
@@ -537,6 +586,17 @@
             if balancer.up:
                 balancer.flows.apply(self.table)
 
+    def evacuate(
+        self,
+        revision: int,
+        zones: tuple[str, ...],
+        balancers: list[BalancerNode] | None = None,
+    ) -> None:
+        """Shows balancers, by default all, which zones are evacuated."""
+        view = flows.EvacuationView(0, revision, zones)
+        for balancer in self.balancers if balancers is None else balancers:
+            balancer.flows.evacuation.learn(view, "store")
+
     # Event queue.
 
     def call_later(self, delay_ms: int, work: Callable[[], None]) -> None:
@@ -562,7 +622,7 @@
 
     def _sweep(self) -> None:
         for agent in self.agents:
-            if agent.up:
+            if agent.up and agent.backlog is None:
                 agent.run(agent.flows.sweep())
         for balancer in self.balancers:
             if balancer.up:
@@ -570,7 +630,7 @@
 
     def _report_loads(self) -> None:
         for agent in self.agents:
-            if not agent.up:
+            if not agent.up or agent.backlog is not None:
                 continue
             load = agent.flows.forwarder.load()
             agent.flows.directory.record_load(agent.address, load)
@@ -583,7 +643,7 @@
 
     def _send_heartbeats(self) -> None:
         for agent in self.agents:
-            if agent.up:
+            if agent.up and agent.backlog is None:
                 heartbeat = flows.Heartbeat(
                     agent.instance, agent.flows.forwarder.load(), 0, False
                 )
--- a/libs/runtime/src/fireflyford/runtime/_agent.py
+++ b/libs/runtime/src/fireflyford/runtime/_agent.py
@@ -6,6 +6,7 @@
 from fireflyford import core
 from fireflyford import flows
 from fireflyford import telemetry
+from fireflyford.runtime import _evacuation_source
 from fireflyford.runtime import _front_end
 from fireflyford.runtime import _heartbeats
 from fireflyford.runtime import _link
@@ -44,8 +45,10 @@
             self.own_instance,
             self.fleet,
             flows.EarliestCompletion(self.rng),
-            options.second_offer_ratio,
+            second_offer_ratio=options.second_offer_ratio,
             responsiveness=self.responsiveness,
+            warmup_overage=options.warmup_overage,
+            warmup_slack=options.warmup_slack,
         )
         self.target_monitor = flows.TargetMonitor(
             clock,
@@ -256,6 +259,19 @@
                 _heartbeats.load_report_interval_ms(len(peers))
             )
 
+    def extra_status_handlers(self) -> _front_end.Handlers:
+        """Returns the handler that serves the evacuated zones to balancers."""
+        return [
+            (
+                _evacuation_source.EVACUATION_PATH,
+                _process.DocumentHandler,
+                {"read": self._evacuation_page},
+            ),
+        ]
+
+    def _evacuation_page(self) -> bytes:
+        return _evacuation_source.pack_view(self.flows.evacuation.view)
+
     def status(self) -> dict[str, Any]:
         """Returns the content of the status page."""
         load = self.load()
@@ -268,6 +284,8 @@
             "held_flows": len(self.flows.forwarder.tracker),
             "directory_entries": len(self.flows.directory),
             "second_offers": self._second_offer_counts(),
+            "warmup_left_ms": load.warmup_left_ms,
+            "evacuated_zones": self.flows.evacuation.zones,
         }
 
     def _second_offer_counts(self) -> dict[str, float]:
@@ -287,6 +305,8 @@
             "directory_entries": len(self.flows.directory),
             "service_ms": load.service_ms,
             **self._second_offer_counts(),
+            "warmup_left_ms": load.warmup_left_ms,
+            "evacuated_zones": len(self.flows.evacuation.zones),
         }
 
 
