--- a/libs/cli/src/fireflyford/cli/_config_commands.py
+++ b/libs/cli/src/fireflyford/cli/_config_commands.py
@@ -1,6 +1,7 @@
 """Commands of the group `config`, and the audit trail."""
 
 import getpass
+import json
 import os
 import pathlib
 import runpy
@@ -16,6 +17,7 @@
 
 _PROGRAM_SUFFIX = ".py"
 _PROGRAM_VARIABLE = "DEPLOYMENT"
+_FORMATS = ("text", "json")
 
 
 class ConfigCommands:
@@ -25,13 +27,23 @@
     (.py) that defines DEPLOYMENT.
     """
 
-    def check(self, file: str) -> _job.Job:
+    def check(
+        self, file: str, against: str = "", format: str = "text"
+    ) -> _job.Job:
         """Validates a configuration and prints each fault on a line.
 
+        Errors prevent a push; the exit status is 2 if there are any. Warnings
+        name entries that never match and limits that cannot hold; the exit
+        status is 0 if there are only warnings or differences.
+
         Args:
             file: Configuration or program.
+            against: Configuration in force, as `config show` prints it, or a
+                program: differences are printed, and changes that would break
+                flows are errors.
+            format: `text`, or `json` for one document on standard output.
         """
-        return _job.Job(lambda: _check(file))
+        return _job.Job(lambda: _check(file, against, format))
 
     def print(self, file: str) -> _job.Job:
         """Prints a configuration in its canonical form, for review.
@@ -174,20 +186,61 @@
     return core.Ok(value)
 
 
-def _check(file: str) -> core.Outcome[str]:
-    loaded = _load(file)
-    if isinstance(loaded, core.Failure):
-        return loaded
-    faults = config.check(loaded.value)
-    for line in faults:
-        print(f"{file}: {line}", file=sys.stderr)
-    if faults:
+def _check(file: str, against: str, output_format: str) -> core.Outcome[str]:
+    if output_format not in _FORMATS:
+        return core.Failure(
+            core.ErrorKind.BAD_REQUEST,
+            f"--format is {output_format!r}, expected {' or '.join(_FORMATS)}",
+        )
+    in_force = _load(against) if against else core.Ok(None)
+    if isinstance(in_force, core.Failure):
+        return in_force
+    review = _review(str(file), in_force.value)
+    if isinstance(review, core.Failure):
+        return review
+    found = review.value
+    if output_format == "json":
+        text = json.dumps({"file": str(file)} | found.document(), indent=2)
+    else:
+        _print_findings(str(file), found)
+        text = "\n".join(found.differences)
+    if found.error_count:
+        if text:
+            print(text)
         return _config_error(
-            file, f"{len(faults)} faults; correct the lines above"
+            file, f"{found.error_count} faults; correct the lines above"
         )
+    if output_format == "json" or found.differences:
+        return core.Ok(text)
+    if against:
+        return core.Ok(f"{file}: no faults, no difference from {against}")
     return core.Ok(f"{file}: no faults")
 
 
+def _review(
+    file: str, in_force: config.Deployment | None
+) -> core.Outcome[config.Review]:
+    if file.endswith(_PROGRAM_SUFFIX):
+        loaded = _load(file)
+        if isinstance(loaded, core.Failure):
+            return loaded
+        return core.Ok(config.review_deployment(loaded.value, in_force))
+    try:
+        text = pathlib.Path(file).read_bytes()
+    except OSError as error:
+        return _config_error(file, error.strerror or str(error))
+    return core.Ok(config.review_text(text, in_force))
+
+
+def _print_findings(file: str, review: config.Review) -> None:
+    for item in review.findings:
+        position = file if item.line is None else f"{file}:{item.line}"
+        label = ""
+        if item.severity is config.Severity.WARNING:
+            label = "warning: "
+        print(f"{position}: {label}{item.message}", file=sys.stderr)
+
+
 def _print(file: str) -> core.Outcome[str]:
     loaded = _load(file)
     if isinstance(loaded, core.Failure):
--- a/libs/cli/tests/test_cli.py
+++ b/libs/cli/tests/test_cli.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import io
+import json
 import pathlib
 import random
 import sys
@@ -96,6 +97,42 @@
     assert len(err.splitlines()) == 3
 
 
+def test_config_check_compares_and_prints_json(
+    monkeypatch: pytest.MonkeyPatch, capsys: Output, tmp_path: pathlib.Path
+) -> None:
+    """Guards against an exit status or a document that programs misread."""
+    in_force, changed = tmp_path / "in-force.json", tmp_path / "changed.json"
+    in_force.write_text(config.render(BASE))
+    first, *others = BASE.services
+    larger = dataclasses.replace(first, target_count=first.target_count + 1)
+    services = (larger, *others)
+    changed.write_text(
+        config.render(dataclasses.replace(BASE, services=services))
+    )
+    check = ("config", "check", str(changed), "--against", str(in_force))
+    code, out, err = run_cli(monkeypatch, capsys, *check)
+    assert (code, err) == (0, "")
+    assert out.startswith("~ services.tahian.target_count")
+    code, out, _ = run_cli(monkeypatch, capsys, *check, "--format", "json")
+    document = json.loads(out)
+    assert (code, document["findings"]) == (0, [])
+    assert len(document["differences"]) == 1
+
+    services = (dataclasses.replace(first, address="127.0.0.1:9"), *others)
+    changed.write_text(
+        config.render(dataclasses.replace(BASE, services=services))
+    )
+    code, out, _ = run_cli(monkeypatch, capsys, *check, "--format", "json")
+    (finding,) = json.loads(out)["findings"]
+    assert (code, finding["severity"]) == (2, "error")
+    assert finding["line"] > 1
+    code, _, err = run_cli(monkeypatch, capsys, *check)
+    assert code == 2
+    assert f"{changed}:{finding['line']}: service tahian would move" in err
+    code, _, err = run_cli(monkeypatch, capsys, *check[:3], "--format", "yaml")
+    assert (code, "expected text or json" in err) == (2, True)
+
+
 def test_command_with_unknown_flag_does_not_run(
     monkeypatch: pytest.MonkeyPatch, capsys: Output
 ) -> None:
--- a/libs/config/src/fireflyford/config/__init__.py
+++ b/libs/config/src/fireflyford/config/__init__.py
@@ -3,6 +3,11 @@
 from fireflyford.config._check import check
 from fireflyford.config._compare import compare
 from fireflyford.config._compare import find_breaking_changes
+from fireflyford.config._faults import Severity
+from fireflyford.config._review import Finding
+from fireflyford.config._review import Review
+from fireflyford.config._review import review_deployment
+from fireflyford.config._review import review_text
 from fireflyford.config._text import parse
 from fireflyford.config._text import render
 from fireflyford.config._types import FORMAT
@@ -22,10 +27,13 @@
     "AvailabilityZone",
     "CrestPolicy",
     "Deployment",
+    "Finding",
     "Kind",
     "MovePolicy",
     "Region",
+    "Review",
     "Service",
+    "Severity",
     "SizeClass",
     "Transport",
     "Treatment",
@@ -34,4 +42,6 @@
     "find_breaking_changes",
     "parse",
     "render",
+    "review_deployment",
+    "review_text",
 ]
--- a/libs/config/src/fireflyford/config/_check.py
+++ b/libs/config/src/fireflyford/config/_check.py
@@ -3,9 +3,11 @@
 import collections
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Sequence
 import re
 
 from fireflyford import core
+from fireflyford.config import _faults
 from fireflyford.config import _types
 
 # Names are used in DNS names, certificates and store keys.
@@ -24,150 +26,215 @@
 
 def check(deployment: _types.Deployment) -> tuple[str, ...]:
     """Returns one line per error, empty for a valid deployment."""
-    return tuple(_find_errors(deployment))
+    return tuple(fault.message for fault in find_faults(deployment))
 
 
-def _find_errors(deployment: _types.Deployment) -> Iterator[str]:
-    yield from _check_name("deployment", deployment.name)
+def find_faults(
+    deployment: _types.Deployment,
+) -> Iterator[_faults.Fault]:
+    """Returns the errors of a deployment, none for a valid one."""
+    yield from _check_name(("name",), "deployment", deployment.name)
     if not deployment.regions:
-        yield "the deployment has no region; add at least one"
+        yield _faults.Fault(
+            ("regions",), "the deployment has no region; add at least one"
+        )
     if not deployment.services:
-        yield "the deployment has no service; add at least one"
-    names = [region.name for region in deployment.regions]
-    yield from _find_duplicates("region", names)
-    for region in deployment.regions:
-        yield from _check_region(region)
+        yield _faults.Fault(
+            ("services",), "the deployment has no service; add at least one"
+        )
+    regions = [
+        (("regions", index, "name"), region.name)
+        for index, region in enumerate(deployment.regions)
+    ]
+    yield from _find_duplicates("region", regions)
+    for index, region in enumerate(deployment.regions):
+        yield from _check_region(("regions", index), region)
     zones = [
-        zone.name
-        for region in deployment.regions
-        for zone in region.availability_zones
+        (("regions", index, "availability_zones", number, "name"), zone.name)
+        for index, region in enumerate(deployment.regions)
+        for number, zone in enumerate(region.availability_zones)
     ]
     yield from _find_duplicates("availability zone", zones)
-    services = deployment.services
-    yield from _find_duplicates("service", (item.name for item in services))
-    for service in services:
-        yield from _check_service(service)
-    yield from _find_shared_addresses(services)
+    services = [
+        (("services", index, "name"), service.name)
+        for index, service in enumerate(deployment.services)
+    ]
+    yield from _find_duplicates("service", services)
+    for index, service in enumerate(deployment.services):
+        yield from _check_service(("services", index), service)
+    yield from _find_shared_addresses(deployment.services)
 
 
-def _check_region(region: _types.Region) -> Iterator[str]:
+def _check_region(
+    path: _faults.Path, region: _types.Region
+) -> Iterator[_faults.Fault]:
     prefix = f"region {region.name}"
-    yield from _check_name("region", region.name)
+    yield from _check_name((*path, "name"), "region", region.name)
+    zones_path = (*path, "availability_zones")
     if not region.availability_zones:
-        yield f"{prefix}: no availability zone; add at least one"
-    for zone in region.availability_zones:
-        yield from _check_name(f"{prefix}: availability zone", zone.name)
+        yield _faults.Fault(
+            zones_path, f"{prefix}: no availability zone; add at least one"
+        )
+    for index, zone in enumerate(region.availability_zones):
+        yield from _check_name(
+            (*zones_path, index, "name"),
+            f"{prefix}: availability zone",
+            zone.name,
+        )
     for field, value in (
         ("zone_delay_ms", region.zone_delay_ms),
         ("caller_delay_ms", region.caller_delay_ms),
     ):
         if not 0 <= value <= MAX_DELAY_MS:
-            yield (
+            yield _faults.Fault(
+                (*path, field),
                 f"{prefix}: `{field}` is {value:g}, expected 0 to "
-                f"{MAX_DELAY_MS}"
+                f"{MAX_DELAY_MS}",
             )
 
 
-def _check_service(service: _types.Service) -> Iterator[str]:
+def _check_service(
+    path: _faults.Path, service: _types.Service
+) -> Iterator[_faults.Fault]:
     prefix = f"service {service.name}"
-    yield from _check_name("service", service.name)
+    yield from _check_name((*path, "name"), "service", service.name)
     if _parse_address(service.address) is None:
-        yield (
+        yield _faults.Fault(
+            (*path, "address"),
             f"{prefix}: `address` is {service.address!r}, expected `ip:port` "
-            "with a port from 1 to 65535"
+            "with a port from 1 to 65535",
         )
     for field in ("target_count", "slots_per_target", "connections_per_target"):
         value = getattr(service, field)
         if value < 1:
-            yield f"{prefix}: `{field}` is {value}, expected 1 or more"
+            yield _faults.Fault(
+                (*path, field),
+                f"{prefix}: `{field}` is {value}, expected 1 or more",
+            )
     ratio = service.second_attempt_ratio
+    ratio_path = (*path, "second_attempt_ratio")
     if not 0 <= ratio <= MAX_SECOND_ATTEMPT_RATIO:
-        yield (
+        yield _faults.Fault(
+            ratio_path,
             f"{prefix}: `second_attempt_ratio` is {ratio:g}, expected 0 to "
-            f"{MAX_SECOND_ATTEMPT_RATIO:g}"
+            f"{MAX_SECOND_ATTEMPT_RATIO:g}",
         )
     quic = service.transport is _types.Transport.QUIC
     if ratio and not quic:
-        yield (
+        yield _faults.Fault(
+            ratio_path,
             f"{prefix}: datagram flows have no second attempts; remove "
-            "`second_attempt_ratio`"
+            "`second_attempt_ratio`",
         )
+    treatments_path = (*path, "treatments")
     if quic and not service.treatments:
-        yield f"{prefix}: no treatment; add one for each kind of request"
+        yield _faults.Fault(
+            treatments_path,
+            f"{prefix}: no treatment; add one for each kind of request",
+        )
     if not quic and service.treatments:
-        yield f"{prefix}: datagram flows have no treatments; remove them"
-    yield from _find_duplicates(f"{prefix}: caller", service.callers)
-    names = (item.name for item in service.treatments)
+        yield _faults.Fault(
+            treatments_path,
+            f"{prefix}: datagram flows have no treatments; remove them",
+        )
+    callers = [
+        ((*path, "callers", index), name)
+        for index, name in enumerate(service.callers)
+    ]
+    yield from _find_duplicates(f"{prefix}: caller", callers)
+    names = [
+        ((*treatments_path, index, "name"), item.name)
+        for index, item in enumerate(service.treatments)
+    ]
     yield from _find_duplicates(f"{prefix}: treatment", names)
     for index, treatment in enumerate(service.treatments):
-        yield from _check_treatment(prefix, treatment)
-        yield from _find_shadowed(prefix, service.treatments[:index], treatment)
+        position = (*treatments_path, index)
+        yield from _check_treatment(position, prefix, treatment)
+        yield from _find_shadowed(
+            position, prefix, service.treatments[:index], treatment
+        )
 
 
-def _check_treatment(prefix: str, treatment: _types.Treatment) -> Iterator[str]:
+def _check_treatment(
+    path: _faults.Path, prefix: str, treatment: _types.Treatment
+) -> Iterator[_faults.Fault]:
     prefix = f"{prefix}: treatment {treatment.name}"
     if not _NAME_PATTERN.fullmatch(treatment.name):
-        yield (
+        yield _faults.Fault(
+            (*path, "name"),
             f"{prefix}: the name must have 1 to 63 characters a-z, 0-9 or "
-            "hyphen"
+            "hyphen",
         )
     if treatment.method not in _METHODS:
         expected = ", ".join(sorted(_METHODS))
-        yield f"{prefix}: `method` is {treatment.method!r}, expected {expected}"
+        yield _faults.Fault(
+            (*path, "method"),
+            f"{prefix}: `method` is {treatment.method!r}, expected {expected}",
+        )
     if not treatment.path_prefix.startswith("/"):
-        yield (
+        yield _faults.Fault(
+            (*path, "path_prefix"),
             f"{prefix}: `path_prefix` is {treatment.path_prefix!r}, expected a "
-            "path that starts with /"
+            "path that starts with /",
         )
     if not 1 <= treatment.deadline_ms <= MAX_DEADLINE_MS:
-        yield (
+        yield _faults.Fault(
+            (*path, "deadline_ms"),
             f"{prefix}: `deadline_ms` is {treatment.deadline_ms}, expected "
-            f"1 to {MAX_DEADLINE_MS}"
+            f"1 to {MAX_DEADLINE_MS}",
         )
     if not 0 <= treatment.priority <= MAX_PRIORITY:
-        yield (
+        yield _faults.Fault(
+            (*path, "priority"),
             f"{prefix}: `priority` is {treatment.priority}, expected 0 to "
-            f"{MAX_PRIORITY}"
+            f"{MAX_PRIORITY}",
         )
     if treatment.kind is _types.Kind.FEED and treatment.method != "GET":
-        yield f"{prefix}: a feed needs method GET, not {treatment.method}"
+        yield _faults.Fault(
+            (*path, "method"),
+            f"{prefix}: a feed needs method GET, not {treatment.method}",
+        )
     if treatment.idempotent and treatment.method in _NON_IDEMPOTENT_METHODS:
-        yield (
+        yield _faults.Fault(
+            (*path, "idempotent"),
             f"{prefix}: {treatment.method} is not idempotent; set "
-            "`idempotent` to false, so that requests are executed at most once"
+            "`idempotent` to false, so that requests are executed at most once",
         )
 
 
 def _find_shadowed(
+    path: _faults.Path,
     prefix: str,
     earlier: Iterable[_types.Treatment],
     treatment: _types.Treatment,
-) -> Iterator[str]:
+) -> Iterator[_faults.Fault]:
     for other in earlier:
         if (
             other.method == treatment.method
             and treatment.path_prefix.startswith(other.path_prefix)
         ):
-            yield (
+            yield _faults.Fault(
+                path,
                 f"{prefix}: treatment {treatment.name} never applies, because "
-                f"{other.name} matches the same paths first; change the order"
+                f"{other.name} matches the same paths first; change the order",
             )
             return
 
 
 def _find_shared_addresses(
     services: tuple[_types.Service, ...],
-) -> Iterator[str]:
+) -> Iterator[_faults.Fault]:
     owners: dict[core.Address, str] = {}
-    for service in services:
+    for index, service in enumerate(services):
         address = _parse_address(service.address)
         if address is None:
             continue
         owner = owners.setdefault(address, service.name)
         if owner != service.name:
-            yield (
+            yield _faults.Fault(
+                ("services", index, "address"),
                 f"services {owner} and {service.name} share the address "
-                f"{address}; use a different address for each"
+                f"{address}; use a different address for each",
             )
 
 
@@ -179,15 +246,26 @@
     return address if address.port else None
 
 
-def _check_name(label: str, name: str) -> Iterator[str]:
+def _check_name(
+    path: _faults.Path, label: str, name: str
+) -> Iterator[_faults.Fault]:
     if not _NAME_PATTERN.fullmatch(name):
-        yield (
+        yield _faults.Fault(
+            path,
             f"{label} {name!r}: the name must have 1 to 63 characters a-z, "
-            "0-9 or hyphen"
+            "0-9 or hyphen",
         )
 
 
-def _find_duplicates(label: str, names: Iterable[str]) -> Iterator[str]:
-    for name, count in collections.Counter(names).items():
+def _find_duplicates(
+    label: str, names: Sequence[tuple[_faults.Path, str]]
+) -> Iterator[_faults.Fault]:
+    """Returns one fault for each name that appears again, at the last one."""
+    counts = collections.Counter(name for _, name in names)
+    paths = {name: path for path, name in names}
+    for name, count in counts.items():
         if count > 1:
-            yield f"{label} {name} appears {count} times; names must be unique"
+            yield _faults.Fault(
+                paths[name],
+                f"{label} {name} appears {count} times; names must be unique",
+            )
