Compare configurations without fields that are left out of the text

Cause: a parsed deployment does not carry `second_attempt_ratio` when the text leaves it out, so that a review reported a difference to itself. Change: differences are taken from the fields of the text.

--- a/libs/config/src/fireflyford/config/_text.py
+++ b/libs/config/src/fireflyford/config/_text.py
@@ -16,14 +16,19 @@
     format: int = _types.FORMAT
 
 
-def render(deployment: _types.Deployment) -> str:
-    """Returns the configuration text for review and push."""
-    fields = msgspec.to_builtins(deployment)
+def to_fields(deployment: _types.Deployment) -> dict[str, Any]:
+    """Returns the fields of the text, as built-in types."""
+    fields: dict[str, Any] = msgspec.to_builtins(deployment)
     for service in fields["services"]:
         # Instances of the last release reject fields that they do not know.
-        if not service["second_attempt_ratio"]:
-            del service["second_attempt_ratio"]
-    data = msgspec.json.encode(fields)
+        if not service.get("second_attempt_ratio"):
+            service.pop("second_attempt_ratio", None)
+    return fields
+
+
+def render(deployment: _types.Deployment) -> str:
+    """Returns the configuration text for review and push."""
+    data = msgspec.json.encode(to_fields(deployment))
     return msgspec.json.format(data, indent=2).decode() + "\n"
 
 
