Let flows with terms wait in order for slots of backend servers

Cause: while there is more work than slots, directory agents offer new flows every 20 ms to agents that decline, and backend servers hold up to four requests per slot, so that everything that is served is late.

Change: an agent admits a flow with terms if it starts at once or is expected to finish within its objective, with at most one request per slot beyond those that run. Any other flow waits on a list of the agent, which grants a freed slot to the next flow in order (`SlotGranted`). The directory agent lets a flow wait with at most three agents, offers it on a grant, and ends the other waits when it is placed (`PlacementWithdrawn`, link type 13). A flow that can no longer be served within its limit is refused as too late. Flows without terms are placed as before.

--- a/libs/flows/src/fireflyford/flows/__init__.py
+++ b/libs/flows/src/fireflyford/flows/__init__.py
@@ -23,6 +23,7 @@
 from fireflyford.flows._messages import PlacementDeclined
 from fireflyford.flows._messages import PlacementQueued
 from fireflyford.flows._messages import PlacementRefused
+from fireflyford.flows._messages import PlacementWithdrawn
 from fireflyford.flows._messages import ProtocolAnnouncement
 from fireflyford.flows._messages import Send
 from fireflyford.flows._messages import SlotGranted
@@ -50,6 +51,11 @@
 from fireflyford.flows._types import client_address
 from fireflyford.flows._types import describe_flow
 from fireflyford.flows._types import route_address
+from fireflyford.flows._waiting_list import EarliestLimit
+from fireflyford.flows._waiting_list import FirstComeFirstServed
+from fireflyford.flows._waiting_list import NewestFirst
+from fireflyford.flows._waiting_list import NewestInGroup
+from fireflyford.flows._waiting_list import WaitingOrder
 
 __all__ = [
     "FLOW_ID_BYTES",
@@ -61,7 +67,9 @@
     "DeclineReason",
     "Deliver",
     "EarliestCompletion",
+    "EarliestLimit",
     "EvacuationView",
+    "FirstComeFirstServed",
     "Fleet",
     "FlowAnnouncement",
     "FlowLocated",
@@ -73,12 +81,15 @@
     "Load",
     "LoadReport",
     "Message",
+    "NewestFirst",
+    "NewestInGroup",
     "NotHeld",
     "Packet",
     "Placement",
     "PlacementDeclined",
     "PlacementQueued",
     "PlacementRefused",
+    "PlacementWithdrawn",
     "ProtocolAnnouncement",
     "Random",
     "Reply",
@@ -93,6 +104,7 @@
     "TargetMonitor",
     "TargetReport",
     "TargetState",
+    "WaitingOrder",
     "client_address",
     "describe_flow",
     "make_route_table",
--- a/libs/flows/src/fireflyford/flows/_agent.py
+++ b/libs/flows/src/fireflyford/flows/_agent.py
@@ -8,6 +8,7 @@
 from fireflyford.flows import _placement
 from fireflyford.flows import _target_forwarder
 from fireflyford.flows import _types
+from fireflyford.flows import _waiting_list
 
 
 class AgentFlows:
@@ -19,6 +20,7 @@
         own_instance: _types.Instance,
         fleet: _fleet.Fleet,
         placement: _placement.Placement,
+        order: _waiting_list.WaitingOrder | None = None,
     ) -> None:
         """Initializes an agent without flows.
 
@@ -27,11 +29,12 @@
             own_instance: This agent.
             fleet: View of all instances.
             placement: Policy for new flows.
+            order: Order of flows with terms that wait for a slot.
         """
         self._own_instance = own_instance
         self._fleet = fleet
         self.forwarder = _target_forwarder.TargetForwarder(
-            clock, own_instance, fleet
+            clock, own_instance, fleet, order
         )
         self.directory = _flow_directory.FlowDirectory(
             clock, own_instance, fleet, placement
@@ -61,6 +64,10 @@
             return self.directory.handle_declined(sender, message)
         if isinstance(message, _messages.NotHeld):
             return self.directory.handle_not_held(sender, message.flow)
+        if isinstance(message, _messages.SlotGranted):
+            return self.directory.handle_granted(sender, message.flow)
+        if isinstance(message, _messages.PlacementWithdrawn):
+            return self.forwarder.handle_withdrawn(sender, message.flow)
         if isinstance(message, _messages.FlowAnnouncement):
             return self.directory.handle_announcement(sender, message.flows)
         if isinstance(message, _messages.LoadReport):
--- a/libs/flows/src/fireflyford/flows/_flow_directory.py
+++ b/libs/flows/src/fireflyford/flows/_flow_directory.py
@@ -87,8 +87,10 @@
     ) -> list[_types.Action]:
         """Records that the sender holds a flow."""
         self.record_load(sender, message.load)
-        self._placer.finish(sender, message.flow)
-        return self._record_holder(message.flow, sender)
+        return [
+            *self._placer.finish(sender, message.flow),
+            *self._record_holder(message.flow, sender),
+        ]
 
     def handle_declined(
         self, sender: core.Address, message: _messages.PlacementDeclined
@@ -97,6 +99,12 @@
         self.record_load(sender, message.load)
         return self._placer.handle_declined(sender, message)
 
+    def handle_granted(
+        self, sender: core.Address, flow: bytes
+    ) -> list[_types.Action]:
+        """Offers a waiting flow to an agent that keeps a slot for it."""
+        return self._placer.handle_granted(sender, flow)
+
     def handle_not_held(
         self, sender: core.Address, flow: bytes
     ) -> list[_types.Action]:
--- a/libs/flows/src/fireflyford/flows/_flow_placer.py
+++ b/libs/flows/src/fireflyford/flows/_flow_placer.py
@@ -6,6 +6,7 @@
 
 from fireflyford import core
 from fireflyford import telemetry
+from fireflyford.flows import _admission
 from fireflyford.flows import _fleet
 from fireflyford.flows import _flow_tracker
 from fireflyford.flows import _messages
@@ -36,6 +37,16 @@
 QUEUE_RETRY_MS = 20
 # Bounds the log lines of a queued flow, which may be offered every 20 ms.
 MAX_LOGGED_OFFERS = 3
+# A flow with terms waits with at most this many agents: with more, most grants
+# are for flows that have found a slot elsewhere; one slow backend server in
+# three does not hold a flow up.
+MAX_WAITING_AGENTS = 3
+# Interval at which placement of a flow that waits with agents is tried again.
+# They grant it a slot themselves; this replaces entries of agents that left.
+WAITING_RETRY_MS = 100
+# After this time without a grant, the flow leaves the agent with which it has
+# waited longest for another one. A grant or an entry may have been lost.
+WAITING_RENEWAL_MS = 400
 # Target states in which an agent declines every new flow.
 _DECLINING_STATES = frozenset(_types.TargetState) - {_types.TargetState.READY}
 
@@ -65,6 +76,16 @@
         self.decline_reason = _messages.DeclineReason.UNKNOWN_STATE
         # Whether the flow has been queued here because no agent had room.
         self.is_queued = False
+        # Agents on whose waiting lists the flow is, in the order in which it
+        # came to be there, with the time.
+        self.waiting_agents: dict[core.Address, int] = {}
+        # Agents that keep a slot for the flow while it is offered to another
+        # one, with the time of the grant.
+        self.grants: dict[core.Address, int] = {}
+
+    def age_ms(self, now_ms: int) -> int:
+        """Returns the time since the client's first opening packet."""
+        return now_ms - self.started_ms + self.packet.opening_age_ms
 
 
 class FlowPlacer:
@@ -113,12 +134,12 @@
         """Returns the number of new flows that no agent has accepted yet."""
         return len(self._attempts)
 
-    def finish(self, sender: core.Address, flow: bytes) -> None:
+    def finish(self, sender: core.Address, flow: bytes) -> list[_types.Action]:
         """Completes a placement after the sender has accepted the flow."""
         self._suspect_until_ms.pop(sender, None)
         attempt = self._attempts.pop(flow, None)
         if attempt is None:
-            return
+            return []
         now_ms = self._clock.now_ms()
         is_latest_offer = attempt.offered_to == sender
         # The time of an earlier offer is not kept.
@@ -126,12 +147,17 @@
         self._timer.record_response(now_ms - since_ms)
         kind = "waited" if attempt.is_queued else "at-once"
         telemetry.observe("flow_placement", now_ms - attempt.started_ms, kind)
+        return self._withdraw(attempt, sender)
 
     def handle_declined(
         self, sender: core.Address, message: _messages.PlacementDeclined
     ) -> list[_types.Action]:
         """Offers a flow to another agent after the sender has declined it."""
         attempt = self._attempts.get(message.flow)
+        if attempt is not None and attempt.offered_to != sender:
+            # The agent has given up its waiting list.
+            attempt.waiting_agents.pop(sender, None)
+            attempt.grants.pop(sender, None)
         if (
             attempt is None
             or attempt.offered_to != sender
@@ -149,11 +175,32 @@
                 reserved=message.load.reserved_count,
                 slots=message.load.slot_count,
             )
-        if message.reason is _messages.DeclineReason.BUSY:
-            attempt.busy_decline_count += 1
-        else:
-            attempt.excluded_agents.add(sender)
         attempt.decline_reason = message.reason
+        if (
+            message.reason is _messages.DeclineReason.TOO_LATE
+            and not attempt.unanswered_offer_count
+        ):
+            return self._refuse(attempt)
+        if message.reason is not _messages.DeclineReason.BUSY:
+            attempt.excluded_agents.add(sender)
+        elif attempt.forward.terms is not None:
+            now_ms = self._clock.now_ms()
+            attempt.waiting_agents.setdefault(sender, now_ms)
+        else:
+            attempt.busy_decline_count += 1
+        return self._place(attempt)
+
+    def handle_granted(
+        self, sender: core.Address, flow: bytes
+    ) -> list[_types.Action]:
+        """Offers a waiting flow to the sender, which keeps a slot for it."""
+        attempt = self._attempts.get(flow)
+        if attempt is None or attempt.is_abandoned:
+            return [_messages.Send(sender, _messages.PlacementWithdrawn(flow))]
+        attempt.waiting_agents.pop(sender, None)
+        attempt.grants[sender] = self._clock.now_ms()
+        if attempt.offered_to is not None:
+            return []
         return self._place(attempt)
 
     def record_load(self, sender: core.Address, load: _types.Load) -> None:
@@ -192,14 +239,35 @@
         attempt.unanswered_offer_count += 1
         if attempt.unanswered_offer_count < MAX_UNANSWERED_OFFERS:
             return self._place(attempt)
-        # The attempt is kept because a late acceptance still updates the timer.
+        return self._abandon(attempt)
+
+    def _abandon(self, attempt: _PlacementAttempt) -> list[_types.Action]:
+        """Stops the placement of a flow that is left without an answer.
+
+        The attempt is kept because a late acceptance still updates the timer.
+        """
         attempt.is_abandoned = True
-        attempt.due_ms = now_ms + MAX_OFFER_TIMEOUT_MS
-        return []
+        attempt.due_ms = self._clock.now_ms() + MAX_OFFER_TIMEOUT_MS
+        actions = self._withdraw(attempt, None)
+        attempt.waiting_agents.clear()
+        attempt.grants.clear()
+        return actions
 
     def _place(self, attempt: _PlacementAttempt) -> list[_types.Action]:
         """Offers a new flow to an agent, or queues it if none has room."""
-        candidates = self._candidates(attempt)
+        if self._is_too_late(attempt):
+            attempt.decline_reason = _messages.DeclineReason.TOO_LATE
+            if attempt.unanswered_offer_count:
+                # A slow agent may have opened the flow.
+                return self._abandon(attempt)
+            return self._refuse(attempt)
+        candidates = self._granting(attempt)
+        if not candidates and attempt.forward.terms is not None:
+            withdrawals = self._renew_waiting(attempt)
+            if withdrawals:
+                return [*withdrawals, *self._place(attempt)]
+        if not candidates:
+            candidates = self._candidates(attempt)
         if not candidates:
             return self._queue(attempt)
         chosen = self._placement.choose(candidates, attempt.forward.long_lived)
@@ -240,21 +308,15 @@
         """Queues a new flow, or refuses it after its time limit."""
         now_ms = self._clock.now_ms()
         flow = attempt.packet.flow
-        if now_ms - attempt.started_ms >= QUEUE_LIMIT_MS:
-            del self._attempts[flow]
-            telemetry.log(
-                "flow-refused",
-                flow=_types.describe_flow(flow),
-                reason=attempt.decline_reason.name.lower(),
-                offers=attempt.offer_count,
-                waited_ms=now_ms - attempt.started_ms,
-            )
-            refusal = _messages.PlacementRefused(flow, attempt.decline_reason)
-            return [_messages.Send(attempt.forward.balancer, refusal)]
+        has_terms = attempt.forward.terms is not None
+        if not has_terms and now_ms - attempt.started_ms >= QUEUE_LIMIT_MS:
+            return self._refuse(attempt)
         is_newly_queued = not attempt.is_queued
         attempt.offered_to = None
         attempt.is_queued = True
-        attempt.due_ms = now_ms + QUEUE_RETRY_MS
+        attempt.due_ms = now_ms + (
+            WAITING_RETRY_MS if has_terms else QUEUE_RETRY_MS
+        )
         # Agents that declined the flow may accept it on the next try.
         attempt.excluded_agents.clear()
         if not is_newly_queued:
@@ -266,6 +328,75 @@
             )
         ]
 
+    def _refuse(self, attempt: _PlacementAttempt) -> list[_types.Action]:
+        """Refuses a new flow, which no backend server has received."""
+        flow = attempt.packet.flow
+        del self._attempts[flow]
+        telemetry.log(
+            "flow-refused",
+            flow=_types.describe_flow(flow),
+            reason=attempt.decline_reason.name.lower(),
+            offers=attempt.offer_count,
+            waited_ms=self._clock.now_ms() - attempt.started_ms,
+        )
+        refusal = _messages.PlacementRefused(flow, attempt.decline_reason)
+        return [
+            _messages.Send(attempt.forward.balancer, refusal),
+            *self._withdraw(attempt, None),
+        ]
+
+    def _is_too_late(self, attempt: _PlacementAttempt) -> bool:
+        """Returns whether a flow with terms can no longer be served."""
+        terms = attempt.forward.terms
+        if terms is None:
+            return False
+        now_ms = self._clock.now_ms()
+        own_load = self._fleet.load(self._own_instance.address)
+        return attempt.age_ms(now_ms) > _admission.latest_start_ms(
+            terms.limit_ms, own_load.service_ms
+        )
+
+    def _renew_waiting(self, attempt: _PlacementAttempt) -> list[_types.Action]:
+        """Ends waits at agents that accept no flow, and one that is too old."""
+        waiting = attempt.waiting_agents
+        for agent in tuple(waiting):
+            state = self._fleet.load(agent).state
+            if agent not in self._fleet or state in _DECLINING_STATES:
+                del waiting[agent]
+        now_ms = self._clock.now_ms()
+        if len(waiting) < MAX_WAITING_AGENTS:
+            return []
+        agent, since_ms = next(iter(waiting.items()))
+        if now_ms - since_ms < WAITING_RENEWAL_MS:
+            return []
+        del waiting[agent]
+        message = _messages.PlacementWithdrawn(attempt.packet.flow)
+        return [_messages.Send(agent, message)]
+
+    def _withdraw(
+        self, attempt: _PlacementAttempt, holder: core.Address | None
+    ) -> list[_types.Action]:
+        """Ends the wait of a flow at all agents but its holder."""
+        message = _messages.PlacementWithdrawn(attempt.packet.flow)
+        agents = {**attempt.waiting_agents, **attempt.grants}
+        return [
+            _messages.Send(agent, message)
+            for agent in agents
+            if agent != holder
+        ]
+
+    def _granting(
+        self, attempt: _PlacementAttempt
+    ) -> list[_placement.Candidate]:
+        """Returns the agent that has kept a slot for the flow longest."""
+        oldest_ms = self._clock.now_ms() - _admission.GRANT_MS
+        while attempt.grants:
+            agent = next(iter(attempt.grants))
+            granted_ms = attempt.grants.pop(agent)
+            if granted_ms > oldest_ms and agent in self._fleet:
+                return [_placement.Candidate(agent, self._fleet.load(agent))]
+        return []
+
     def _log_queued(self, attempt: _PlacementAttempt) -> None:
         agents = self._fleet.agents(self._own_instance.service)
         loads = [self._expected_load(agent.address) for agent in agents]
@@ -291,13 +422,20 @@
         requests for each slot. Suspects and agents whose target state is
         unknown are a last resort.
         """
+        if len(attempt.waiting_agents) >= MAX_WAITING_AGENTS:
+            return []
         now_ms = self._clock.now_ms()
         # Clients send to balancers in their own zone.
         balancer = self._fleet.find(attempt.forward.balancer)
         client_zone = (balancer or self._own_instance).availability_zone
-        preferred, last_resort = [], []
+        terms = attempt.forward.terms
+        has_room = _placement.has_room if terms is None else _admission.has_room
+        preferred, last_resort, full = [], [], []
         for agent in self._fleet.agents(self._own_instance.service):
-            if agent.address in attempt.excluded_agents:
+            if (
+                agent.address in attempt.excluded_agents
+                or agent.address in attempt.waiting_agents
+            ):
                 continue
             load = self._expected_load(agent.address)
             candidate = _placement.Candidate(
@@ -309,8 +447,9 @@
             is_load_known = self._fleet.is_load_known(agent.address)
             if is_load_known and load.state in _DECLINING_STATES:
                 continue
-            if not _placement.has_room(load, candidate.placed_count):
+            if not has_room(load, candidate.placed_count):
                 attempt.decline_reason = _messages.DeclineReason.BUSY
+                full.append(candidate)
                 continue
             if (
                 load.state is _types.TargetState.READY
@@ -319,7 +458,10 @@
                 preferred.append(candidate)
             else:
                 last_resort.append(candidate)
-        return preferred or last_resort
+        if terms is None:
+            return preferred or last_resort
+        # Without room, an agent takes the flow on its waiting list.
+        return preferred or full or last_resort
 
     def _expected_load(self, address: core.Address) -> _types.Load:
         """Estimates the current load of an agent from its last report.
--- a/libs/flows/src/fireflyford/flows/_messages.py
+++ b/libs/flows/src/fireflyford/flows/_messages.py
@@ -194,6 +194,13 @@
     flow: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlacementWithdrawn:
+    """The sender no longer asks for a slot for a waiting flow."""
+
+    flow: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProtocolAnnouncement:
     """The sender decodes messages of this version of the protocol.
@@ -218,6 +225,7 @@
     | LoadReport
     | SlotGranted
     | ProtocolAnnouncement
+    | PlacementWithdrawn
 )
 
 
--- a/libs/flows/src/fireflyford/flows/_target_forwarder.py
+++ b/libs/flows/src/fireflyford/flows/_target_forwarder.py
@@ -11,11 +11,13 @@
 
 from fireflyford import core
 from fireflyford import telemetry
+from fireflyford.flows import _admission
 from fireflyford.flows import _fleet
 from fireflyford.flows import _flow_tracker
 from fireflyford.flows import _messages
 from fireflyford.flows import _placement
 from fireflyford.flows import _types
+from fireflyford.flows import _waiting_list
 
 # Time limit for the backend server to accept a new flow; a running one takes
 # less than a millisecond.
@@ -67,6 +69,7 @@
         clock: core.Clock,
         own_instance: _types.Instance,
         fleet: _fleet.Fleet,
+        order: _waiting_list.WaitingOrder | None = None,
     ) -> None:
         """Initializes a forwarder without flows.
 
@@ -74,6 +77,7 @@
             clock: Source of time.
             own_instance: This agent.
             fleet: View of all instances.
+            order: Order of flows with terms that wait for a slot.
         """
         self._clock = clock
         self._started_ms = clock.now_ms()
@@ -86,6 +90,10 @@
         # something.
         self._is_presumed_gone = False
         self.tracker = _flow_tracker.FlowTracker(clock)
+        # Flows with terms that wait for a slot.
+        self.admission = _admission.Admission(
+            clock, fleet, order or _waiting_list.NewestInGroup()
+        )
         self.state = _types.TargetState.UNKNOWN
         # Whether the backend server may hold flows that were opened before
         # this process started.
@@ -123,6 +131,7 @@
             return [
                 _types.Deliver(packet),
                 *self._notify_located(packet.flow, forward, sender),
+                *(self.grant_slots() if packet.ends or packet.resets else ()),
             ]
         if packet.opens:
             if packet.flow in self._openings:
@@ -150,7 +159,7 @@
             ]
         if packet.flow in self._openings:
             return []
-        reason = self._decline_reason(forward)
+        reason = self._decline_reason(sender, forward, packet)
         if reason is not None:
             return [self._decline(sender, packet.flow, reason)]
         opening = _Opening(
@@ -183,7 +192,10 @@
         return None
 
     def _decline_reason(
-        self, forward: _messages.Forward
+        self,
+        sender: core.Address,
+        forward: _messages.Forward,
+        packet: _types.Packet,
     ) -> _messages.DeclineReason | None:
         reasons = _messages.DeclineReason
         if self.state is _types.TargetState.DRAINING:
@@ -193,6 +205,10 @@
         if self.state is _types.TargetState.UNKNOWN:
             return reasons.UNKNOWN_STATE
         load = self.load()
+        if forward.terms is not None:
+            return self.admission.decide(
+                sender, forward, packet, load, len(self._openings)
+            )
         pending = load.pending_count + len(self._openings)
         needs_free_slot = not forward.allow_queueing and not forward.long_lived
         if needs_free_slot and pending >= load.slot_count:
@@ -279,6 +295,24 @@
 
     def receive_from_target(self, packet: _types.Packet) -> list[_types.Action]:
         """Handles a packet from the backend server."""
+        return [*self._record_target_packet(packet), *self.grant_slots()]
+
+    def grant_slots(self) -> list[_types.Action]:
+        """Grants free slots to flows with terms that wait for one."""
+        if not len(self.admission):
+            return []
+        return self.admission.grant_slots(self.load(), len(self._openings))
+
+    def handle_withdrawn(
+        self, sender: core.Address, flow: bytes
+    ) -> list[_types.Action]:
+        """Removes a waiting flow that its directory agent has placed."""
+        self.admission.withdraw(sender, flow)
+        return self.grant_slots()
+
+    def _record_target_packet(
+        self, packet: _types.Packet
+    ) -> list[_types.Action]:
         self.record_keepalive()
         if packet.returned:
             return self._handle_returned(packet)
@@ -447,13 +481,13 @@
             if tracked.is_confirmed:
                 actions.append(_types.Reset(flow, tracked.client_ack))
         self.tracker.clear()
-        return actions
+        return actions + self.grant_slots()
 
     # Timeouts and announcements.
 
     def has_timeouts(self) -> bool:
         """Returns whether the backend server has packets to answer."""
-        return bool(self._openings or self._probes)
+        return bool(self._openings or self._probes or len(self.admission))
 
     def sweep(self) -> list[_types.Action]:
         """Handles openings and probes that have timed out."""
@@ -483,7 +517,7 @@
             elif probe.packet.flow not in self.tracker:
                 actions += self._adopt(probe.packet.flow)
             self._probes.pop(delivery_tag, None)
-        return actions
+        return actions + self.grant_slots()
 
     def _is_target_gone(self) -> bool:
         """Returns whether a backend server that has sent nothing is not there.
--- a/libs/lab/src/fireflyford/lab/_packet_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_packet_fleet.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 import dataclasses
 import enum
+import functools
 import heapq
 import itertools
 import random
@@ -169,8 +170,9 @@
 
     def _start_work(self, flow: bytes) -> None:
         self.running.append(flow)
-        self.busy_ms += self.spec.service_ms
-        self._fleet.call_later(self.spec.service_ms, lambda: self._finish(flow))
+        service_ms = self._fleet.service_ms(self, flow)
+        self.busy_ms += service_ms
+        self._fleet.call_later(service_ms, lambda: self._finish(flow))
 
     def _finish(self, flow: bytes) -> None:
         if flow not in self.running:
@@ -264,6 +266,7 @@
             self.instance,
             self.view,
             fleet.make_placement(self.address),
+            fleet.order,
         )
         self.monitor = flows.TargetMonitor(
             fleet.clock, self.target.spec.service, self.flows.forwarder, 1_200
@@ -351,15 +354,36 @@
         self._started_ms = 0
         self.is_waiting = False
         self._deadline_ms = 0
+        # Called with the result of each request.
+        self.on_result: Callable[[RequestResult], None] | None = None
 
-    def open(self, deadline_ms: int = 2_500) -> None:
-        """Opens the flow and sends a request."""
+    def open(self, deadline_ms: int = 2_500, age_ms: int = 0) -> None:
+        """Opens the flow and sends a request.
+
+        Args:
+            deadline_ms: Time until the client gives up.
+            age_ms: Time since the first opening packet, if earlier ones have
+                reached no balancer. The client then sends a copy at once.
+        """
         self._started_ms = self._fleet.clock.now_ms()
         self._deadline_ms = deadline_ms
         self.is_waiting = True
-        for delay_ms in OPENING_SEND_TIMES_MS:
-            self._fleet.call_later(delay_ms, self._send_opening)
-        self._fleet.call_later(OPENING_TIMEOUT_MS, self._time_out_opening)
+        if age_ms:
+            known_ms = max(
+                sent_ms
+                for sent_ms in OPENING_SEND_TIMES_MS
+                if sent_ms <= age_ms
+            )
+            self._send_opening(known_ms)
+        for sent_ms in OPENING_SEND_TIMES_MS:
+            if sent_ms >= age_ms:
+                self._fleet.call_later(
+                    sent_ms - age_ms,
+                    functools.partial(self._send_opening, sent_ms),
+                )
+        self._fleet.call_later(
+            OPENING_TIMEOUT_MS - age_ms, self._time_out_opening
+        )
 
     def request(self, deadline_ms: int = 2_500) -> None:
         """Sends a request on the open flow."""
@@ -395,10 +419,16 @@
                 RequestOutcome.RESET if self.is_open else RequestOutcome.REFUSED
             )
 
-    def _send_opening(self) -> None:
+    def _send_opening(self, age_ms: int) -> None:
         if not self.is_open and not self.is_ended:
             self._fleet.send_from_client(
-                flows.Packet(self.flow, b"", opens=True, seq=self._seq)
+                flows.Packet(
+                    self.flow,
+                    b"",
+                    opens=True,
+                    seq=self._seq,
+                    opening_age_ms=age_ms,
+                )
             )
 
     def _time_out_opening(self) -> None:
@@ -442,14 +472,15 @@
 
     def _end(self, outcome: RequestOutcome) -> None:
         self.is_waiting = False
-        self._fleet.results.append(
-            RequestResult(
-                self.flow,
-                self._started_ms,
-                self._fleet.clock.now_ms(),
-                outcome,
-            )
+        result = RequestResult(
+            self.flow,
+            self._started_ms,
+            self._fleet.clock.now_ms(),
+            outcome,
         )
+        self._fleet.results.append(result)
+        if self.on_result is not None:
+            self.on_result(result)
 
 
 class PacketFleet:
@@ -463,6 +494,8 @@
         make_placement: PlacementFactory | None = None,
         long_lived: bool = False,
         load_interval_ms: int = LOAD_INTERVAL_MS,
+        routes: tuple[flows.Route, ...] = (),
+        order: flows.WaitingOrder | None = None,
     ) -> None:
         """Starts all processes with the same view.
 
@@ -476,6 +509,8 @@
             load_interval_ms: Interval at which agents report their load. In
                 production the control budget makes it longer the more agents
                 there are.
+            routes: Routes in place of one without terms to `SERVICE`.
+            order: Order of waiting flows, the production order by default.
         """
         self.rng = random.Random(seed)
         self.clock = EventClock(1_000_000)
@@ -491,7 +526,12 @@
         # Messages about flows, without keepalives and load reports.
         self.flow_message_count = 0
         self._long_lived = long_lived
-        self.table = self._make_table(1, SERVICE)
+        self.order = order
+        self.table = (
+            flows.make_route_table(1, routes)
+            if routes
+            else self._make_table(1, SERVICE)
+        )
         self.targets = [
             Target(self, spec, index) for index, spec in enumerate(specs)
         ]
@@ -503,6 +543,7 @@
             BalancerNode(self, index) for index in range(balancer_count)
         ]
         self.rotation = list(self.balancers)
+        self._nodes_by_address = {node.address: node for node in self._nodes()}
         # Instances that are missing from the registry.
         self.unregistered: set[core.Address] = set()
         self.publish_registry()
@@ -598,6 +639,11 @@
             if node.up:
                 node.view.replace_entries(instances)
 
+    def service_ms(self, target: Target, flow: bytes) -> int:
+        """Returns the service time of the next request of a flow."""
+        del flow
+        return target.spec.service_ms
+
     # Packets and messages.
 
     def packet(self, data: bytes) -> flows.Packet:
@@ -644,21 +690,18 @@
         return [*self.agents, *self.balancers]
 
     def _node(self, address: core.Address) -> AgentNode | BalancerNode | None:
-        for node in self._nodes():
-            if node.address == address:
-                return node
-        return None
+        return self._nodes_by_address.get(address)
 
     # Clients.
 
-    def client(self) -> Client:
-        """Returns a client with a new flow."""
+    def client(self, route: core.Address = ROUTE_ADDRESS) -> Client:
+        """Returns a client with a new flow to a route."""
         number = len(self._clients)
         host = 0x0A800000 + number // 40_000
         port = 1_024 + number % 40_000
         flow = host.to_bytes(4, "big") + port.to_bytes(2, "big")
-        flow += bytes(int(part) for part in ROUTE_ADDRESS.host.split("."))
-        flow += ROUTE_ADDRESS.port.to_bytes(2, "big")
+        flow += bytes(int(part) for part in route.host.split("."))
+        flow += route.port.to_bytes(2, "big")
         client = Client(self, flow)
         self._clients[flow] = client
         return client
--- a/libs/runtime/src/fireflyford/runtime/_agent.py
+++ b/libs/runtime/src/fireflyford/runtime/_agent.py
@@ -234,6 +234,7 @@
             "service_ms": load.service_ms,
             "held_flows": len(self.flows.forwarder.tracker),
             "directory_entries": len(self.flows.directory),
+            "waiting_flows": len(self.flows.forwarder.admission),
         }
 
     def metrics(self) -> dict[str, float]:
@@ -243,6 +244,7 @@
             "busy_requests": load.busy_count,
             "held_flows": len(self.flows.forwarder.tracker),
             "directory_entries": len(self.flows.directory),
+            "waiting_flows": len(self.flows.forwarder.admission),
             "service_ms": load.service_ms,
         }
 
--- a/libs/runtime/src/fireflyford/runtime/_link_codec.py
+++ b/libs/runtime/src/fireflyford/runtime/_link_codec.py
@@ -50,6 +50,7 @@
     10: flows.PlacementQueued,
     11: flows.ProtocolAnnouncement,
     12: flows.SlotGranted,
+    13: flows.PlacementWithdrawn,
 }
 _TYPE_CODES = {
     message_type: code for code, message_type in _MESSAGE_TYPES.items()
@@ -71,6 +72,7 @@
     10: tuple[bytes],
     11: tuple[int],
     12: tuple[bytes],
+    13: tuple[bytes],
 }
 _ExtendedLoad = tuple[int, int, int, int, int, float, int]
 _Terms = tuple[int, int, int, bool, float]
@@ -282,7 +284,11 @@
             _pack_load(message.load, extended),
         )
     if isinstance(
-        message, flows.NotHeld | flows.PlacementQueued | flows.SlotGranted
+        message,
+        flows.NotHeld
+        | flows.PlacementQueued
+        | flows.SlotGranted
+        | flows.PlacementWithdrawn,
     ):
         return (message.flow,)
     if isinstance(message, flows.ProtocolAnnouncement):
--- a/libs/runtime/tests/test_link_codec.py
+++ b/libs/runtime/tests/test_link_codec.py
@@ -59,6 +59,7 @@
     flows.LoadReport(COLD_LOAD),
     flows.ProtocolAnnouncement(2),
     flows.SlotGranted(FLOW),
+    flows.PlacementWithdrawn(FLOW),
 ]
 # `MESSAGES` as release 0.1 encodes them.
 FIRST_PROTOCOL_DATA = [
