Grant slots by earliest limit on short waiting lists, newest on long

Cause: a flow that moved to another waiting list every 400 ms counted as new there, because its opening packet does not tell how long it waited, and doubled the messages. With the newest first, flows are late for no reason while the list is short.

Change: a flow stays with the agents with which it waits unless they have restarted, left or accept no flow. The first two offers ask for a free slot, as without terms. The default order is `Deadline`: the earlier limit first while the backend server would serve its list within 300 ms, otherwise the newest flow.

--- a/libs/flows/src/fireflyford/flows/__init__.py
+++ b/libs/flows/src/fireflyford/flows/__init__.py
@@ -51,6 +51,7 @@
 from fireflyford.flows._types import client_address
 from fireflyford.flows._types import describe_flow
 from fireflyford.flows._types import route_address
+from fireflyford.flows._waiting_list import Deadline
 from fireflyford.flows._waiting_list import EarliestLimit
 from fireflyford.flows._waiting_list import FirstComeFirstServed
 from fireflyford.flows._waiting_list import NewestFirst
@@ -64,6 +65,7 @@
     "AgentFlows",
     "BalancerFlows",
     "Candidate",
+    "Deadline",
     "DeclineReason",
     "Deliver",
     "EarliestCompletion",
--- a/libs/flows/src/fireflyford/flows/_admission.py
+++ b/libs/flows/src/fireflyford/flows/_admission.py
@@ -131,6 +131,11 @@
         if self._is_admitted(
             load, added_count, service_ms, terms.objective_ms - age_ms
         ):
+            pending = load.pending_count + added_count
+            may_queue = forward.allow_queueing or forward.long_lived
+            if pending >= load.slot_count and not may_queue:
+                # Another backend server may have a free slot.
+                return _messages.DeclineReason.BUSY
             self._waiting.remove(packet.flow)
             self._last_admitted_ms = now_ms
             return None
@@ -185,6 +190,7 @@
         if load.state is not _types.TargetState.READY:
             return self._decline_all(load)
         now_ms = self._clock.now_ms()
+        self._waiting.slot_count = load.slot_count
         self._expire(now_ms, load.service_ms)
         actions: list[_types.Action] = []
         while self._waiting and self._may_grant(load, opening_count, now_ms):
--- a/libs/flows/src/fireflyford/flows/_flow_placer.py
+++ b/libs/flows/src/fireflyford/flows/_flow_placer.py
@@ -43,10 +43,9 @@
 MAX_WAITING_AGENTS = 3
 # Interval at which placement of a flow that waits with agents is tried again.
 # They grant it a slot themselves; this replaces entries of agents that left.
+# Entries of other agents stay: a flow that moved to another list would count as
+# a new one there, because the opening packet does not tell how long it waited.
 WAITING_RETRY_MS = 100
-# After this time without a grant, the flow leaves the agent with which it has
-# waited longest for another one. A grant or an entry may have been lost.
-WAITING_RENEWAL_MS = 400
 # Target states in which an agent declines every new flow.
 _DECLINING_STATES = frozenset(_types.TargetState) - {_types.TargetState.READY}
 
@@ -77,7 +76,7 @@
         # Whether the flow has been queued here because no agent had room.
         self.is_queued = False
         # Agents on whose waiting lists the flow is, in the order in which it
-        # came to be there, with the time.
+        # came to be there, with the incarnation of the agent.
         self.waiting_agents: dict[core.Address, int] = {}
         # Agents that keep a slot for the flow while it is offered to another
         # one, with the time of the grant.
@@ -184,8 +183,13 @@
         if message.reason is not _messages.DeclineReason.BUSY:
             attempt.excluded_agents.add(sender)
         elif attempt.forward.terms is not None:
-            now_ms = self._clock.now_ms()
-            attempt.waiting_agents.setdefault(sender, now_ms)
+            if _admission.has_room(message.load, 0):
+                # Other backend servers may have a free slot.
+                attempt.busy_decline_count += 1
+                attempt.excluded_agents.add(sender)
+            else:
+                incarnation = self._incarnation(sender)
+                attempt.waiting_agents.setdefault(sender, incarnation)
         else:
             attempt.busy_decline_count += 1
         return self._place(attempt)
@@ -262,11 +266,8 @@
                 return self._abandon(attempt)
             return self._refuse(attempt)
         candidates = self._granting(attempt)
-        if not candidates and attempt.forward.terms is not None:
-            withdrawals = self._renew_waiting(attempt)
-            if withdrawals:
-                return [*withdrawals, *self._place(attempt)]
         if not candidates:
+            self._discard_ended_waits(attempt)
             candidates = self._candidates(attempt)
         if not candidates:
             return self._queue(attempt)
@@ -277,7 +278,8 @@
         attempt.offered_ms = now_ms
         attempt.due_ms = now_ms + self._timer.timeout_ms()
         allow_queueing = (
-            attempt.busy_decline_count >= MAX_BUSY_DECLINES
+            attempt.busy_decline_count + len(attempt.waiting_agents)
+            >= MAX_BUSY_DECLINES
             or len(candidates) == 1
         )
         attempt.offer_count += 1
@@ -356,22 +358,18 @@
             terms.limit_ms, own_load.service_ms
         )
 
-    def _renew_waiting(self, attempt: _PlacementAttempt) -> list[_types.Action]:
-        """Ends waits at agents that accept no flow, and one that is too old."""
-        waiting = attempt.waiting_agents
-        for agent in tuple(waiting):
-            state = self._fleet.load(agent).state
-            if agent not in self._fleet or state in _DECLINING_STATES:
-                del waiting[agent]
-        now_ms = self._clock.now_ms()
-        if len(waiting) < MAX_WAITING_AGENTS:
-            return []
-        agent, since_ms = next(iter(waiting.items()))
-        if now_ms - since_ms < WAITING_RENEWAL_MS:
-            return []
-        del waiting[agent]
-        message = _messages.PlacementWithdrawn(attempt.packet.flow)
-        return [_messages.Send(agent, message)]
+    def _discard_ended_waits(self, attempt: _PlacementAttempt) -> None:
+        """Forgets waits at agents that have restarted or accept no flow."""
+        for agent, incarnation in tuple(attempt.waiting_agents.items()):
+            if (
+                self._incarnation(agent) != incarnation
+                or self._fleet.load(agent).state in _DECLINING_STATES
+            ):
+                del attempt.waiting_agents[agent]
+
+    def _incarnation(self, agent: core.Address) -> int:
+        instance = self._fleet.find(agent)
+        return -1 if instance is None else instance.incarnation
 
     def _withdraw(
         self, attempt: _PlacementAttempt, holder: core.Address | None
--- a/libs/flows/src/fireflyford/flows/_target_forwarder.py
+++ b/libs/flows/src/fireflyford/flows/_target_forwarder.py
@@ -92,7 +92,7 @@
         self.tracker = _flow_tracker.FlowTracker(clock)
         # Flows with terms that wait for a slot.
         self.admission = _admission.Admission(
-            clock, fleet, order or _waiting_list.NewestInGroup()
+            clock, fleet, order or _waiting_list.Deadline()
         )
         self.state = _types.TargetState.UNKNOWN
         # Whether the backend server may hold flows that were opened before
--- a/libs/flows/src/fireflyford/flows/_waiting_list.py
+++ b/libs/flows/src/fireflyford/flows/_waiting_list.py
@@ -22,6 +22,10 @@
 # service time is left. Service times vary, and so does the work of requests
 # on open flows that are ahead.
 SERVICE_MARGIN = 2.0
+# A list is short if one backend server alone would serve it within this time,
+# about the smallest objective in use. Each flow is on up to three lists, so the
+# wait is shorter.
+SHORT_DRAIN_MS = 300
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,12 +82,14 @@
     Attributes:
         now_ms: Time of the clock.
         service_ms: Mean service time.
+        drain_ms: Time until all waiting flows are served here.
         client_grants: Grants to each client in the last second.
         zone_grants: Grants to each zone in the last second.
     """
 
     now_ms: int
     service_ms: float
+    drain_ms: float
     client_grants: collections.Counter[str]
     zone_grants: collections.Counter[str]
 
@@ -141,6 +147,21 @@
         return (*_group_key(item, turn), -item.opened_ms)
 
 
+class Deadline(WaitingOrder):
+    """`EarliestLimit` for a short list, `NewestInGroup` for a long one.
+
+    While all flows of the list can meet the objective, the earliest limit
+    first makes the fewest late. With more work than that, it would serve each
+    flow just when it is about to be late, and the newest have time to spare.
+    """
+
+    def key(self, item: WaitingFlow, turn: Turn) -> tuple[float, ...]:
+        """Returns group, priority, grants and the time that decides."""
+        is_short = turn.drain_ms <= SHORT_DRAIN_MS
+        decisive_ms = item.limit_at_ms if is_short else -item.opened_ms
+        return (*_group_key(item, turn), decisive_ms)
+
+
 def _group_key(item: WaitingFlow, turn: Turn) -> tuple[float, ...]:
     if turn.meets(item.objective_at_ms):
         group = 0
@@ -172,6 +193,8 @@
         self._client_grants: collections.Counter[str] = collections.Counter()
         self._zone_grants: collections.Counter[str] = collections.Counter()
         self._grant_count = 0
+        # Slots of the backend server.
+        self.slot_count = 1
 
     def __len__(self) -> int:
         """Returns the number of waiting flows."""
@@ -239,4 +262,10 @@
             self._zone_grants[zone] -= 1
             if not self._client_grants[client]:
                 del self._client_grants[client]
-        return Turn(now_ms, service_ms, self._client_grants, self._zone_grants)
+        return Turn(
+            now_ms,
+            service_ms,
+            service_ms * len(self._flows) / self.slot_count,
+            self._client_grants,
+            self._zone_grants,
+        )
