--- a/libs/flows/src/fireflyford/flows/__init__.py
+++ b/libs/flows/src/fireflyford/flows/__init__.py
@@ -25,6 +25,7 @@
 from fireflyford.flows._messages import PlacementDeclined
 from fireflyford.flows._messages import PlacementQueued
 from fireflyford.flows._messages import PlacementRefused
+from fireflyford.flows._messages import PlacementWithdrawn
 from fireflyford.flows._messages import PlannedRestart
 from fireflyford.flows._messages import ProtocolAnnouncement
 from fireflyford.flows._messages import Send
@@ -55,6 +56,12 @@
 from fireflyford.flows._types import client_address
 from fireflyford.flows._types import describe_flow
 from fireflyford.flows._types import route_address
+from fireflyford.flows._waiting_list import Deadline
+from fireflyford.flows._waiting_list import EarliestLimit
+from fireflyford.flows._waiting_list import FirstComeFirstServed
+from fireflyford.flows._waiting_list import NewestFirst
+from fireflyford.flows._waiting_list import NewestInGroup
+from fireflyford.flows._waiting_list import WaitingOrder
 
 __all__ = [
     "FLOW_ID_BYTES",
@@ -64,11 +71,14 @@
     "AgentFlows",
     "BalancerFlows",
     "Candidate",
+    "Deadline",
     "DeclineReason",
     "Deliver",
     "EarliestCompletion",
+    "EarliestLimit",
     "EvacuationView",
     "Evacuations",
+    "FirstComeFirstServed",
     "Fleet",
     "FlowAnnouncement",
     "FlowLocated",
@@ -80,12 +90,15 @@
     "Load",
     "LoadReport",
     "Message",
+    "NewestFirst",
+    "NewestInGroup",
     "NotHeld",
     "Packet",
     "Placement",
     "PlacementDeclined",
     "PlacementQueued",
     "PlacementRefused",
+    "PlacementWithdrawn",
     "PlannedRestart",
     "ProtocolAnnouncement",
     "Random",
@@ -103,6 +116,7 @@
     "TargetMonitor",
     "TargetReport",
     "TargetState",
+    "WaitingOrder",
     "client_address",
     "describe_flow",
     "make_route_table",
--- a/libs/flows/src/fireflyford/flows/_agent.py
+++ b/libs/flows/src/fireflyford/flows/_agent.py
@@ -10,6 +10,7 @@
 from fireflyford.flows import _responsiveness
 from fireflyford.flows import _target_forwarder
 from fireflyford.flows import _types
+from fireflyford.flows import _waiting_list
 from fireflyford.flows import _warm_up
 
 # Time after a pause in which reports that waited meanwhile may be read.
@@ -29,6 +30,7 @@
         responsiveness: _responsiveness.Responsiveness | None = None,
         warmup_overage: float = 0.0,
         warmup_slack: float = 0.0,
+        order: _waiting_list.WaitingOrder | None = None,
     ) -> None:
         """Initializes an agent without flows.
 
@@ -44,6 +46,7 @@
             warmup_overage: Factor of the new flows that a cold backend server
                 bears, 0 if they are not limited.
             warmup_slack: New flows a second that are allowed beyond that.
+            order: Order of flows with terms that wait for a slot.
         """
         self.responsiveness = responsiveness or _responsiveness.Responsiveness(
             clock
@@ -59,7 +62,12 @@
             clock, lambda: self.warm_up.assume_cold("pause", REPORT_BACKLOG_MS)
         )
         self.forwarder = _target_forwarder.TargetForwarder(
-            clock, own_instance, fleet, self.evacuation, self.warm_up
+            clock,
+            own_instance,
+            fleet,
+            self.evacuation,
+            self.warm_up,
+            order,
         )
         self.directory = _flow_directory.FlowDirectory(
             clock,
@@ -112,6 +120,10 @@
             return self.directory.handle_declined(sender, message)
         if isinstance(message, _messages.NotHeld):
             return self.directory.handle_not_held(sender, message.flow)
+        if isinstance(message, _messages.SlotGranted):
+            return self.directory.handle_granted(sender, message.flow)
+        if isinstance(message, _messages.PlacementWithdrawn):
+            return self.forwarder.handle_withdrawn(sender, message.flow)
         if isinstance(message, _messages.FlowAnnouncement):
             return self.directory.handle_announcement(sender, message.flows)
         if isinstance(message, _messages.LoadReport):
--- a/libs/flows/src/fireflyford/flows/_flow_directory.py
+++ b/libs/flows/src/fireflyford/flows/_flow_directory.py
@@ -105,7 +105,7 @@
     ) -> list[_types.Action]:
         """Records that the sender holds a flow."""
         self.record_load(sender, message.load)
-        self._placer.finish(sender, message.flow)
+        actions = self._placer.finish(sender, message.flow)
         entry = self._entries.get(message.flow)
         if (
             entry is not None
@@ -115,8 +115,8 @@
             # The client has most likely opened the flow where it was accepted
             # first.
             entry.previous_holder = sender
-            return []
-        return self._record_holder(message.flow, sender)
+            return actions
+        return [*actions, *self._record_holder(message.flow, sender)]
 
     def handle_declined(
         self, sender: core.Address, message: _messages.PlacementDeclined
@@ -125,6 +125,12 @@
         self.record_load(sender, message.load)
         return self._placer.handle_declined(sender, message)
 
+    def handle_granted(
+        self, sender: core.Address, flow: bytes
+    ) -> list[_types.Action]:
+        """Offers a waiting flow to an agent that keeps a slot for it."""
+        return self._placer.handle_granted(sender, flow)
+
     def handle_not_held(
         self, sender: core.Address, flow: bytes
     ) -> list[_types.Action]:
--- a/libs/flows/src/fireflyford/flows/_flow_placer.py
+++ b/libs/flows/src/fireflyford/flows/_flow_placer.py
@@ -8,6 +8,7 @@
 
 from fireflyford import core
 from fireflyford import telemetry
+from fireflyford.flows import _admission
 from fireflyford.flows import _evacuation
 from fireflyford.flows import _fleet
 from fireflyford.flows import _flow_tracker
@@ -42,6 +43,15 @@
 QUEUE_RETRY_MS = 20
 # Bounds the log lines of a queued flow, which may be offered every 20 ms.
 MAX_LOGGED_OFFERS = 3
+# A flow with terms waits with at most this many agents: with more, most grants
+# are for flows that have found a slot elsewhere; one slow backend server in
+# three does not hold a flow up.
+MAX_WAITING_AGENTS = 3
+# Interval at which placement of a flow that waits with agents is tried again.
+# They grant it a slot themselves; this replaces entries of agents that left.
+# Entries of other agents stay: a flow that moved to another list would count as
+# a new one there, because the opening packet does not tell how long it waited.
+WAITING_RETRY_MS = 100
 # Target states in which an agent declines every new flow.
 _DECLINING_STATES = frozenset(_types.TargetState) - {_types.TargetState.READY}
 
@@ -75,6 +85,16 @@
         self.decline_reason = _messages.DeclineReason.UNKNOWN_STATE
         # Whether the flow has been queued here because no agent had room.
         self.is_queued = False
+        # Agents on whose waiting lists the flow is, in the order in which it
+        # came to be there, with the incarnation of the agent.
+        self.waiting_agents: dict[core.Address, int] = {}
+        # Agents that keep a slot for the flow while it is offered to another
+        # one, with the time of the grant.
+        self.grants: dict[core.Address, int] = {}
+
+    def age_ms(self, now_ms: int) -> int:
+        """Returns the time since the client's first opening packet."""
+        return now_ms - self.started_ms + self.packet.opening_age_ms
 
 
 class FlowPlacer:
@@ -136,12 +156,12 @@
         """Returns the number of new flows that no agent has accepted yet."""
         return len(self._attempts)
 
-    def finish(self, sender: core.Address, flow: bytes) -> None:
+    def finish(self, sender: core.Address, flow: bytes) -> list[_types.Action]:
         """Completes a placement after the sender has accepted the flow."""
         self._suspect_until_ms.pop(sender, None)
         attempt = self._attempts.pop(flow, None)
         if attempt is None:
-            return
+            return []
         now_ms = self._clock.now_ms()
         is_latest_offer = attempt.offered_to == sender
         # The time of an earlier offer is not kept.
@@ -150,12 +170,17 @@
         self._record_acceptance(attempt, sender, now_ms - since_ms)
         kind = "waited" if attempt.is_queued else "at-once"
         telemetry.observe("flow_placement", now_ms - attempt.started_ms, kind)
+        return self._withdraw(attempt, sender)
 
     def handle_declined(
         self, sender: core.Address, message: _messages.PlacementDeclined
     ) -> list[_types.Action]:
         """Offers a flow to another agent after the sender has declined it."""
         attempt = self._attempts.get(message.flow)
+        if attempt is not None and attempt.offered_to != sender:
+            # The agent has given up its waiting list.
+            attempt.waiting_agents.pop(sender, None)
+            attempt.grants.pop(sender, None)
         if (
             attempt is None
             or attempt.offered_to != sender
@@ -173,16 +198,42 @@
                 reserved=message.load.reserved_count,
                 slots=message.load.slot_count,
             )
-        if message.reason is _messages.DeclineReason.BUSY:
-            attempt.busy_decline_count += 1
-        else:
-            attempt.excluded_agents.add(sender)
         if message.reason is _messages.DeclineReason.COLD:
             now_ms = self._clock.now_ms()
             self._cold_until_ms[sender] = now_ms + _warm_up.RETRY_MS
         if message.reason is _messages.DeclineReason.EVACUATED:
             attempt.evacuated_agents.add(sender)
         attempt.decline_reason = message.reason
+        if (
+            message.reason is _messages.DeclineReason.TOO_LATE
+            and not attempt.unanswered_offer_count
+        ):
+            return self._refuse(attempt)
+        if message.reason is not _messages.DeclineReason.BUSY:
+            attempt.excluded_agents.add(sender)
+        elif attempt.forward.terms is not None:
+            if _admission.has_room(message.load, 0):
+                # Other backend servers may have a free slot.
+                attempt.busy_decline_count += 1
+                attempt.excluded_agents.add(sender)
+            else:
+                incarnation = self._incarnation(sender)
+                attempt.waiting_agents.setdefault(sender, incarnation)
+        else:
+            attempt.busy_decline_count += 1
+        return self._place(attempt)
+
+    def handle_granted(
+        self, sender: core.Address, flow: bytes
+    ) -> list[_types.Action]:
+        """Offers a waiting flow to the sender, which keeps a slot for it."""
+        attempt = self._attempts.get(flow)
+        if attempt is None or attempt.is_abandoned:
+            return [_messages.Send(sender, _messages.PlacementWithdrawn(flow))]
+        attempt.waiting_agents.pop(sender, None)
+        attempt.grants[sender] = self._clock.now_ms()
+        if attempt.offered_to is not None:
+            return []
         return self._place(attempt)
 
     def record_load(self, sender: core.Address, load: _types.Load) -> None:
@@ -279,17 +330,36 @@
         attempt.unanswered_offer_count += 1
         if attempt.unanswered_offer_count < MAX_UNANSWERED_OFFERS:
             return self._place(attempt)
-        # The attempt is kept because a late acceptance still updates the timer.
+        return self._abandon(attempt)
+
+    def _abandon(self, attempt: _PlacementAttempt) -> list[_types.Action]:
+        """Stops the placement of a flow that is left without an answer.
+
+        The attempt is kept because a late acceptance still updates the timer.
+        """
         attempt.is_abandoned = True
-        attempt.due_ms = now_ms + MAX_OFFER_TIMEOUT_MS
-        return []
+        attempt.due_ms = self._clock.now_ms() + MAX_OFFER_TIMEOUT_MS
+        actions = self._withdraw(attempt, None)
+        attempt.waiting_agents.clear()
+        attempt.grants.clear()
+        return actions
 
     def _place(self, attempt: _PlacementAttempt) -> list[_types.Action]:
         """Offers a new flow to an agent, or queues it if none has room."""
         agents = self._agents(attempt)
         if not agents and self._is_evacuated():
-            return self._refuse(attempt, _messages.DeclineReason.EVACUATED)
-        candidates = self._candidates(attempt, agents)
+            attempt.decline_reason = _messages.DeclineReason.EVACUATED
+            return self._refuse(attempt)
+        if self._is_too_late(attempt):
+            attempt.decline_reason = _messages.DeclineReason.TOO_LATE
+            if attempt.unanswered_offer_count:
+                # A slow agent may have opened the flow.
+                return self._abandon(attempt)
+            return self._refuse(attempt)
+        candidates: Sequence[_placement.Candidate] = self._granting(attempt)
+        if not candidates:
+            self._discard_ended_waits(attempt)
+            candidates = self._candidates(attempt, agents)
         if not candidates:
             return self._queue(attempt)
         chosen = self._placement.choose(candidates, attempt.forward.long_lived)
@@ -301,7 +371,8 @@
         self.second_offers.record_offer()
         attempt.due_ms = now_ms + self._timer.timeout_ms()
         allow_queueing = (
-            attempt.busy_decline_count >= MAX_BUSY_DECLINES
+            attempt.busy_decline_count + len(attempt.waiting_agents)
+            >= MAX_BUSY_DECLINES
             or len(candidates) == 1
         )
         attempt.offer_count += 1
@@ -334,12 +405,15 @@
         """Queues a new flow, or refuses it after its time limit."""
         now_ms = self._clock.now_ms()
         flow = attempt.packet.flow
-        if now_ms - attempt.started_ms >= QUEUE_LIMIT_MS:
-            return self._refuse(attempt, attempt.decline_reason)
+        has_terms = attempt.forward.terms is not None
+        if not has_terms and now_ms - attempt.started_ms >= QUEUE_LIMIT_MS:
+            return self._refuse(attempt)
         is_newly_queued = not attempt.is_queued
         attempt.offered_to = None
         attempt.is_queued = True
-        attempt.due_ms = now_ms + QUEUE_RETRY_MS
+        attempt.due_ms = now_ms + (
+            WAITING_RETRY_MS if has_terms else QUEUE_RETRY_MS
+        )
         # Agents that declined the flow may accept it on the next try.
         attempt.excluded_agents.clear()
         if not is_newly_queued:
@@ -351,23 +425,70 @@
             )
         ]
 
-    def _refuse(
-        self,
-        attempt: _PlacementAttempt,
-        reason: _messages.DeclineReason,
-    ) -> list[_types.Action]:
-        """Ends a placement that no agent has accepted."""
+    def _refuse(self, attempt: _PlacementAttempt) -> list[_types.Action]:
+        """Refuses a new flow, which no backend server has received."""
         flow = attempt.packet.flow
         del self._attempts[flow]
         telemetry.log(
             "flow-refused",
             flow=_types.describe_flow(flow),
-            reason=reason.name.lower(),
+            reason=attempt.decline_reason.name.lower(),
             offers=attempt.offer_count,
             waited_ms=self._clock.now_ms() - attempt.started_ms,
         )
-        refusal = _messages.PlacementRefused(flow, reason)
-        return [_messages.Send(attempt.forward.balancer, refusal)]
+        refusal = _messages.PlacementRefused(flow, attempt.decline_reason)
+        return [
+            _messages.Send(attempt.forward.balancer, refusal),
+            *self._withdraw(attempt, None),
+        ]
+
+    def _is_too_late(self, attempt: _PlacementAttempt) -> bool:
+        """Returns whether a flow with terms can no longer be served."""
+        terms = attempt.forward.terms
+        if terms is None:
+            return False
+        now_ms = self._clock.now_ms()
+        own_load = self._fleet.load(self._own_instance.address)
+        return attempt.age_ms(now_ms) > _admission.latest_start_ms(
+            terms.limit_ms, own_load.service_ms
+        )
+
+    def _discard_ended_waits(self, attempt: _PlacementAttempt) -> None:
+        """Forgets waits at agents that have restarted or accept no flow."""
+        for agent, incarnation in tuple(attempt.waiting_agents.items()):
+            if (
+                self._incarnation(agent) != incarnation
+                or self._fleet.load(agent).state in _DECLINING_STATES
+            ):
+                del attempt.waiting_agents[agent]
+
+    def _incarnation(self, agent: core.Address) -> int:
+        instance = self._fleet.find(agent)
+        return -1 if instance is None else instance.incarnation
+
+    def _withdraw(
+        self, attempt: _PlacementAttempt, holder: core.Address | None
+    ) -> list[_types.Action]:
+        """Ends the wait of a flow at all agents but its holder."""
+        message = _messages.PlacementWithdrawn(attempt.packet.flow)
+        agents = {**attempt.waiting_agents, **attempt.grants}
+        return [
+            _messages.Send(agent, message)
+            for agent in agents
+            if agent != holder
+        ]
+
+    def _granting(
+        self, attempt: _PlacementAttempt
+    ) -> list[_placement.Candidate]:
+        """Returns the agent that has kept a slot for the flow longest."""
+        oldest_ms = self._clock.now_ms() - _admission.GRANT_MS
+        while attempt.grants:
+            agent = next(iter(attempt.grants))
+            granted_ms = attempt.grants.pop(agent)
+            if granted_ms > oldest_ms and agent in self._fleet:
+                return [_placement.Candidate(agent, self._fleet.load(agent))]
+        return []
 
     def _log_queued(self, attempt: _PlacementAttempt) -> None:
         agents = self._fleet.agents(self._own_instance.service)
@@ -417,15 +538,23 @@
         requests for each slot. Suspects, silent agents and agents whose target
         state is unknown are a last resort.
         """
+        if len(attempt.waiting_agents) >= MAX_WAITING_AGENTS:
+            return []
         now_ms = self._clock.now_ms()
         # Clients send to balancers in their own zone.
         balancer = self._fleet.find(attempt.forward.balancer)
         client_zone = (balancer or self._own_instance).availability_zone
+        terms = attempt.forward.terms
+        has_room = _placement.has_room if terms is None else _admission.has_room
         preferred: list[_placement.Candidate] = []
         cold: list[_placement.Candidate] = []
+        full: list[_placement.Candidate] = []
         last_resort: list[_placement.Candidate] = []
         for agent in agents:
-            if agent.address in attempt.excluded_agents:
+            if (
+                agent.address in attempt.excluded_agents
+                or agent.address in attempt.waiting_agents
+            ):
                 continue
             load = self._expected_load(agent.address)
             candidate = _placement.Candidate(
@@ -440,8 +569,9 @@
             if self._cold_until_ms.get(agent.address, 0) > now_ms:
                 attempt.decline_reason = _messages.DeclineReason.COLD
                 continue
-            if not _placement.has_room(load, candidate.placed_count):
+            if not has_room(load, candidate.placed_count):
                 attempt.decline_reason = _messages.DeclineReason.BUSY
+                full.append(candidate)
                 continue
             if (
                 load.state is _types.TargetState.READY
@@ -452,7 +582,11 @@
                 (cold if is_cold else preferred).append(candidate)
             else:
                 last_resort.append(candidate)
-        return _warm_up.prefer_warm(preferred, cold) or last_resort
+        warm = _warm_up.prefer_warm(preferred, cold)
+        if terms is None:
+            return warm or last_resort
+        # Without room, an agent takes the flow on its waiting list.
+        return warm or full or last_resort
 
     def _is_cold(self, address: core.Address) -> bool:
         """Returns whether a backend server is cold, by its last report."""
--- a/libs/flows/src/fireflyford/flows/_target_forwarder.py
+++ b/libs/flows/src/fireflyford/flows/_target_forwarder.py
@@ -9,6 +9,7 @@
 
 from fireflyford import core
 from fireflyford import telemetry
+from fireflyford.flows import _admission
 from fireflyford.flows import _evacuation
 from fireflyford.flows import _fleet
 from fireflyford.flows import _flow_probes
@@ -16,6 +17,7 @@
 from fireflyford.flows import _messages
 from fireflyford.flows import _placement
 from fireflyford.flows import _types
+from fireflyford.flows import _waiting_list
 from fireflyford.flows import _warm_up
 
 # Time limit for the backend server to accept a new flow; a running one takes
@@ -50,6 +52,7 @@
         fleet: _fleet.Fleet,
         evacuation: _evacuation.Evacuations | None = None,
         warm_up: _warm_up.WarmUpLimit | None = None,
+        order: _waiting_list.WaitingOrder | None = None,
     ) -> None:
         """Initializes a forwarder without flows.
 
@@ -60,6 +63,7 @@
             evacuation: Evacuated zones, None if there are none.
             warm_up: Limit of new flows while the backend server is cold, None
                 if there is none.
+            order: Order of flows with terms that wait for a slot.
         """
         self.warm_up = warm_up or _warm_up.WarmUpLimit(clock)
         self._evacuation = evacuation or _evacuation.Evacuations()
@@ -67,6 +71,10 @@
         self._own_instance = own_instance
         self._fleet = fleet
         self.tracker = _flow_tracker.FlowTracker(clock)
+        # Flows with terms that wait for a slot.
+        self.admission = _admission.Admission(
+            clock, fleet, order or _waiting_list.Deadline()
+        )
         self.state = _types.TargetState.UNKNOWN
         # Whether the backend server may hold flows that were opened before
         # this process started.
@@ -112,6 +120,7 @@
                     sender,
                     is_repeat and tracked.long_lived,
                 ),
+                *(self.grant_slots() if packet.ends or packet.resets else ()),
             ]
         if packet.opens:
             if packet.flow in self._openings:
@@ -135,7 +144,7 @@
         known = self._handle_known(sender, packet)
         if known is not None:
             return known
-        reason = self._decline_reason(forward, packet)
+        reason = self._decline_reason(sender, forward, packet)
         if reason is not None:
             return [self._decline(sender, packet.flow, reason)]
         opening = _Opening(
@@ -194,7 +203,10 @@
         return None
 
     def _decline_reason(
-        self, forward: _messages.Forward, packet: _types.Packet
+        self,
+        sender: core.Address,
+        forward: _messages.Forward,
+        packet: _types.Packet,
     ) -> _messages.DeclineReason | None:
         reasons = _messages.DeclineReason
         if self._own_instance.availability_zone in self._evacuation.zones:
@@ -205,15 +217,19 @@
             return reasons.DOWN
         if self.state is _types.TargetState.UNKNOWN:
             return reasons.UNKNOWN_STATE
+        if not self.warm_up.allows(packet.flow, packet.seq):
+            return reasons.COLD
         load = self.load()
+        if forward.terms is not None:
+            return self.admission.decide(
+                sender, forward, packet, load, len(self._openings)
+            )
         pending = load.pending_count + len(self._openings)
         needs_free_slot = not forward.allow_queueing and not forward.long_lived
         if needs_free_slot and pending >= load.slot_count:
             return reasons.BUSY
         if not _placement.has_room(load, len(self._openings)):
             return reasons.BUSY
-        if not self.warm_up.allows(packet.flow, packet.seq):
-            return reasons.COLD
         return None
 
     def _decline(
@@ -291,6 +307,24 @@
 
     def receive_from_target(self, packet: _types.Packet) -> list[_types.Action]:
         """Handles a packet from the backend server."""
+        return [*self._record_target_packet(packet), *self.grant_slots()]
+
+    def grant_slots(self) -> list[_types.Action]:
+        """Grants free slots to flows with terms that wait for one."""
+        if not len(self.admission):
+            return []
+        return self.admission.grant_slots(self.load(), len(self._openings))
+
+    def handle_withdrawn(
+        self, sender: core.Address, flow: bytes
+    ) -> list[_types.Action]:
+        """Removes a waiting flow that its directory agent has placed."""
+        self.admission.withdraw(sender, flow)
+        return self.grant_slots()
+
+    def _record_target_packet(
+        self, packet: _types.Packet
+    ) -> list[_types.Action]:
         self.record_keepalive()
         if packet.returned:
             return self._handle_returned(packet)
@@ -464,13 +498,13 @@
             if tracked.is_confirmed:
                 actions.append(_types.Reset(flow, tracked.client_ack))
         self.tracker.clear()
-        return actions
+        return actions + self.grant_slots()
 
     # Timeouts and announcements.
 
     def has_timeouts(self) -> bool:
         """Returns whether the backend server has packets to answer."""
-        return bool(self._openings or self._probes)
+        return bool(self._openings or self._probes or len(self.admission))
 
     def sweep(self) -> list[_types.Action]:
         """Handles openings and probes that have timed out."""
@@ -492,7 +526,7 @@
         for probe in results.held:
             if probe.packet.flow not in self.tracker:
                 actions += self._adopt(probe.packet.flow, probe)
-        return actions
+        return actions + self.grant_slots()
 
     def _adopt(
         self, flow: bytes, *unreturned: _flow_probes.Probe
--- a/libs/runtime/src/fireflyford/runtime/_agent.py
+++ b/libs/runtime/src/fireflyford/runtime/_agent.py
@@ -286,6 +286,7 @@
             "second_offers": self._second_offer_counts(),
             "warmup_left_ms": load.warmup_left_ms,
             "evacuated_zones": self.flows.evacuation.zones,
+            "waiting_flows": len(self.flows.forwarder.admission),
         }
 
     def _second_offer_counts(self) -> dict[str, float]:
@@ -303,6 +304,7 @@
             "busy_requests": load.busy_count,
             "held_flows": len(self.flows.forwarder.tracker),
             "directory_entries": len(self.flows.directory),
+            "waiting_flows": len(self.flows.forwarder.admission),
             "service_ms": load.service_ms,
             **self._second_offer_counts(),
             "warmup_left_ms": load.warmup_left_ms,
--- a/libs/runtime/src/fireflyford/runtime/_link_codec.py
+++ b/libs/runtime/src/fireflyford/runtime/_link_codec.py
@@ -55,6 +55,7 @@
     11: flows.ProtocolAnnouncement,
     12: flows.SlotGranted,
     13: flows.PlannedRestart,
+    14: flows.PlacementWithdrawn,
 }
 _TYPE_CODES = {
     message_type: code for code, message_type in _MESSAGE_TYPES.items()
@@ -77,6 +78,7 @@
     11: tuple[int],
     12: tuple[bytes],
     13: tuple[_Address, int],
+    14: tuple[bytes],
 }
 _ExtendedLoad = tuple[int, int, int, int, int, float, int]
 _Terms = tuple[int, int, int, bool, float]
@@ -294,7 +296,11 @@
             _pack_load(message.load, extended),
         )
     if isinstance(
-        message, flows.NotHeld | flows.PlacementQueued | flows.SlotGranted
+        message,
+        flows.NotHeld
+        | flows.PlacementQueued
+        | flows.SlotGranted
+        | flows.PlacementWithdrawn,
     ):
         return (message.flow,)
     if isinstance(message, flows.ProtocolAnnouncement):
