--- a/libs/config/src/fireflyford/config/_compare.py
+++ b/libs/config/src/fireflyford/config/_compare.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from fireflyford.config import _text
 from fireflyford.config import _types
 
 # List elements are matched by this field, so that an insertion does not report
@@ -25,7 +26,7 @@
     """
     if old is None:
         return (f"+ deployment {new.name}",)
-    return tuple(_diff(msgspec.to_builtins(old), msgspec.to_builtins(new), ""))
+    return tuple(_diff(_text.to_fields(old), _text.to_fields(new), ""))
 
 
 def find_breaking_changes(
--- a/libs/config/src/fireflyford/config/_text.py
+++ b/libs/config/src/fireflyford/config/_text.py
@@ -18,15 +18,24 @@
 
 def render(deployment: _types.Deployment) -> str:
     """Returns the configuration text for review and push."""
-    fields = msgspec.to_builtins(deployment)
-    for service in fields["services"]:
-        # Instances of the last release reject fields that they do not know.
-        if not service["second_attempt_ratio"]:
-            del service["second_attempt_ratio"]
-    data = msgspec.json.encode(fields)
+    data = msgspec.json.encode(to_fields(deployment))
     return msgspec.json.format(data, indent=2).decode() + "\n"
 
 
+def to_fields(deployment: _types.Deployment) -> dict[str, Any]:
+    """Returns the fields of the configuration text.
+
+    Those that instances of the last release do not know, and reject, are left
+    out unless they are set. A parsed deployment lacks them anyway: msgspec does
+    not set the defaults of fields that a text leaves out.
+    """
+    fields: dict[str, Any] = msgspec.to_builtins(deployment)
+    for service in fields["services"]:
+        if not service.get("second_attempt_ratio"):
+            service.pop("second_attempt_ratio", None)
+    return fields
+
+
 def parse(text: str | bytes) -> core.Outcome[_types.Deployment]:
     """Parses a configuration text completely.
 
--- a/libs/config/tests/test_check.py
+++ b/libs/config/tests/test_check.py
@@ -163,3 +163,14 @@
     assert "second_attempt_ratio" not in config.render(BASE)
     limited = with_service(second_attempt_ratio=0.05)
     assert config.parse(config.render(limited)) == core.Ok(limited)
+
+
+def test_unset_second_attempt_ratio_is_no_difference() -> None:
+    """Guards against a difference between a text and its deployment."""
+    parsed = config.parse(config.render(BASE))
+    assert isinstance(parsed, core.Ok)
+    assert config.render(parsed.value) == config.render(BASE)
+    assert config.compare(parsed.value, BASE) == ()
+    assert config.compare(BASE, with_service(second_attempt_ratio=0.05)) == (
+        "+ services.tahian.second_attempt_ratio",
+    )
--- a/libs/lab/src/fireflyford/lab/_model.py
+++ b/libs/lab/src/fireflyford/lab/_model.py
@@ -44,6 +44,8 @@
         self.dead = False
         self.paused = False
         self.failing = False
+        # Whether an execution goes on after its request was cancelled.
+        self.finishes_cancelled = False
         self._draw_factor: Callable[[], float] = lambda: 1.0
 
     def slow_executions(
@@ -60,6 +62,15 @@
             return core.Failure(core.ErrorKind.BACKEND_REFUSED, "dead")
         if self.failing:
             return core.Failure(core.ErrorKind.BACKEND_FAILED, "failing")
+        if self.finishes_cancelled:
+            return await asyncio.shield(
+                asyncio.create_task(self._run_in_slot(work))
+            )
+        return await self._run_in_slot(work)
+
+    async def _run_in_slot(
+        self, work: requests.WorkItem
+    ) -> core.Outcome[requests.Response]:
         async with self._slots:
             await self._wait_while_paused()
             return await self._run(work)
--- a/libs/lab/src/fireflyford/lab/_service_runs.py
+++ b/libs/lab/src/fireflyford/lab/_service_runs.py
@@ -121,6 +121,8 @@
         slow_ratio: Fraction of executions at each backend server that take
             `slow_factor` times as long, independently of the request.
         slow_factor: See `slow_ratio`.
+        finishes_cancelled: Whether backend servers go on with executions whose
+            request was cancelled.
     """
 
     seed: int
@@ -140,6 +142,7 @@
     second_attempt_ratio: float = 0.0
     slow_ratio: float = 0.0
     slow_factor: float = 10.0
+    finishes_cancelled: bool = False
 
     @property
     def slots(self) -> float:
@@ -275,6 +278,7 @@
         for index, speed in enumerate(plan.speeds):
             node = self._service.start_node(index, speed)
             node.engine.second_attempts.set_limit(plan.second_attempt_ratio)
+            node.backend.finishes_cancelled = plan.finishes_cancelled
             if plan.slow_ratio:
                 node.backend.slow_executions(
                     random.Random(f"slow-{plan.seed}-{index}"),
--- a/tests/adapter/test_formats.py
+++ b/tests/adapter/test_formats.py
@@ -149,6 +149,14 @@
     assert options.grace_ms == 6_000
 
 
+def test_limit_of_second_offers_is_off_unless_set() -> None:
+    """Guards against second offers that no operator has allowed."""
+    for change, expected in (({}, 0.0), ({"second_offer_ratio": 0.05}, 0.05)):
+        outcome = _settings.parse_settings(json.dumps(BOOT | change).encode())
+        assert isinstance(outcome, core.Ok)
+        assert outcome.value.second_offer_ratio == expected
+
+
 @pytest.mark.parametrize(
     "change",
     [
@@ -156,6 +164,8 @@
         {"listen": {}},
         {"platform": {"address": "nowhere"}},
         {"bounds": {}},
+        {"second_offer_ratio": 0.3},
+        {"second_offer_ratio": -0.01},
     ],
 )
 def test_invalid_settings_are_rejected(change: dict[str, object]) -> None:
