--- a/libs/flows/src/fireflyford/flows/_flow_probes.py
+++ b/libs/flows/src/fireflyford/flows/_flow_probes.py
@@ -160,7 +160,8 @@
         """Removes and returns the probes whose outcome is known."""
         now_ms = self._clock.now_ms()
         was_frozen = now_ms - self._last_check_ms > _MAX_CHECK_GAP_MS
-        if was_frozen and self._heard_count and self._awaited_since_ms:
+        is_awaited = self._awaited_since_ms is not None
+        if was_frozen and self._heard_count and is_awaited:
             self._awaited_since_ms = now_ms
         self._last_check_ms = now_ms
         held: list[Probe] = []
