Show that an agent runs while it withholds an answer to a search

A restarted agent answers no search for a flow that its backend server has not returned, until the first report of that server, up to 2.5 s after the start. Load reports of large services are more than a second apart, so a directory agent would have taken it for gone and reset the flow.

--- a/libs/flows/src/fireflyford/flows/_balancer.py
+++ b/libs/flows/src/fireflyford/flows/_balancer.py
@@ -622,7 +622,8 @@
         if pending is not None and not pending.packet.opens:
             # The time of a search that waits for silent agents says nothing
             # about that of an answer.
-            pending.is_queued = pending.directory_agent == sender
+            if pending.directory_agent == sender:
+                pending.is_queued = True
             return
         pending = self._pending_placement(sender, flow)
         if pending is not None:
--- a/libs/flows/src/fireflyford/flows/_target_forwarder.py
+++ b/libs/flows/src/fireflyford/flows/_target_forwarder.py
@@ -32,6 +32,10 @@
 # A delivery tag identifies a delivered probe, and a returned packet carries it;
 # 0 means no tag.
 _MAX_DELIVERY_TAG = 0x7FFFFFFF
+# Interval at which an agent that withholds an answer to a search shows that it
+# runs: well below the silence after which it would be taken for gone
+# (`_responsiveness.MIN_SILENCE_MS`). Load reports can be further apart.
+WITHHELD_REPORT_MS = 150
 # Prevents forwarding loops between agents whose views of the fleet differ.
 MAX_HOPS = 4
 # Flows announced in one message.
@@ -95,6 +99,8 @@
             collections.OrderedDict()
         )
         self._last_delivery_tag = 0
+        # When load reports were last sent in place of an answer to a search.
+        self._withheld_report_ms = self._started_ms
 
     def load(self) -> _types.Load:
         """Returns the load of the backend server."""
@@ -491,6 +497,7 @@
                 # A probe that is not returned shows that the flow is held only
                 # if the backend server is running, which is not known before
                 # its first report.
+                actions += self._report_withheld(now_ms)
                 break
             if not self._has_keepalive:
                 actions += self._report_not_held(
@@ -501,6 +508,20 @@
             self._probes.pop(delivery_tag, None)
         return actions
 
+    def _report_withheld(self, now_ms: int) -> list[_types.Action]:
+        """Shows the senders of overdue searches that this process runs."""
+        if now_ms - self._withheld_report_ms < WITHHELD_REPORT_MS:
+            return []
+        self._withheld_report_ms = now_ms
+        senders = {
+            probe.sender
+            for probe in self._probes.values()
+            if probe.forward.handling is _messages.Handling.SEARCH
+            and now_ms >= probe.deadline_ms
+        }
+        report = _messages.LoadReport(self.load())
+        return [_messages.Send(to, report) for to in sorted(senders)]
+
     def _is_target_gone(self) -> bool:
         """Returns whether a backend server that has sent nothing is not there.
 
--- a/libs/flows/tests/test_responsiveness.py
+++ b/libs/flows/tests/test_responsiveness.py
@@ -1,11 +1,14 @@
 """Tests of the judgement of silent instances and of what follows from it."""
 
+import itertools
+
 import pytest
 
 from fireflyford import core
 from fireflyford import flows
 from fireflyford.flows import _holder_watch
 from fireflyford.flows import _responsiveness
+from fireflyford.flows import _target_forwarder
 
 PEER = core.Address("10.0.1.2", 7_000)
 OTHER = core.Address("10.0.1.3", 7_000)
@@ -194,3 +197,37 @@
 def test_flow_of_restarting_holder_is_kept() -> None:
     """Guards against resets by balancers during planned work."""
     assert watch_silent_holder(False, is_restarting=True) == (0, [])
+
+
+def test_agent_that_withholds_an_answer_shows_that_it_runs() -> None:
+    """Guards against flows reset while their restarted agent runs.
+
+    It does not know yet whether its backend server, which has not answered,
+    runs, and load reports can be more than a second apart.
+    """
+    clock = Clock(1_000_000)
+    fleet = flows.Fleet(clock)
+    own, *others = (
+        flows.Instance(str(item), core.Role.AGENT, "board", "a", item, 1)
+        for item in (core.Address("10.0.1.1", 7_000), PEER, OTHER)
+    )
+    fleet.replace_entries([own, *others])
+    forwarder = _target_forwarder.TargetForwarder(clock, own, fleet)
+    packet = flows.Packet(FLOW, b"", acknowledges=True, payload_bytes=1)
+    search = flows.Forward(
+        flows.Handling.SEARCH, "board", OTHER, PEER, 1, True, False, b""
+    )
+    forwarder.receive(PEER, search, packet)
+    reported_ms = []
+    for now_ms in range(0, 1_000, SWEEP_MS):
+        for action in forwarder.sweep():
+            assert isinstance(action, flows.Send)
+            assert isinstance(action.message, flows.LoadReport)
+            assert action.to == PEER
+            reported_ms.append(now_ms)
+        clock.advance_ms(SWEEP_MS)
+    gaps = [
+        later - earlier for earlier, later in itertools.pairwise(reported_ms)
+    ]
+    assert reported_ms[0] <= 200
+    assert max(gaps) < _responsiveness.MIN_SILENCE_MS / 2
