Ask agents that appear during a search before it ends

A search that waits for silent agents lasts long enough for the holder to be discovered meanwhile; the flow was reset although the holder was running.

--- a/libs/flows/src/fireflyford/flows/_holder_search.py
+++ b/libs/flows/src/fireflyford/flows/_holder_search.py
@@ -56,6 +56,7 @@
         # Time of the last query of all awaited agents.
         self.asked_ms = now_ms
         self.is_overdue = False
+        self.asked_agents: set[core.Address] = set()
         self.awaited_agents: set[core.Address] = set()
         # The first packet is sent with the search itself.
         self.packets = [packet]
@@ -138,6 +139,7 @@
         search = _Search(forward, packet, now_ms, deadline_ms)
         agents = self._fleet.agents(self._own_instance.service)
         search.awaited_agents = {agent.address for agent in agents}
+        search.asked_agents = set(search.awaited_agents)
         self._searches[packet.flow] = search
         telemetry.log(
             "flow-searched",
@@ -187,8 +189,11 @@
         search.awaited_agents.discard(sender)
         if not search.awaited_agents:
             return self._conclude(flow, search)
-        if search.forward.long_lived and search.awaited_agents <= (
-            self._unresponsive()
+        is_unresponsive = self._responsiveness.is_unresponsive
+        if (
+            search.forward.long_lived
+            and all(map(is_unresponsive, search.awaited_agents))
+            and search.awaited_agents <= self._unresponsive()
         ):
             return self._conclude_without_silent(flow, search)
         return []
@@ -221,7 +226,16 @@
         return self._conclude(flow, search)
 
     def _conclude(self, flow: bytes, search: _Search) -> list[_types.Action]:
-        """Ends a search without a holder and notifies the balancer."""
+        """Ends a search without a holder and notifies the balancer.
+
+        Agents that have appeared since the start of the search are asked first.
+        """
+        agents = self._fleet.agents(self._own_instance.service)
+        found = {item.address for item in agents} - search.asked_agents
+        if found:
+            search.awaited_agents |= found
+            search.asked_agents |= found
+            return self._ask(search, found)
         del self._searches[flow]
         now_ms = self._clock.now_ms()
         if not search.is_overdue:
--- a/libs/lab/tests/test_unresponsive_instances.py
+++ b/libs/lab/tests/test_unresponsive_instances.py
@@ -218,3 +218,31 @@
     fleet.run(4_000)
     assert fleet.broken_flows == []
     assert not any(result.outcome is RESET for result in fleet.results)
+
+
+def test_agent_that_appears_during_a_search_is_asked() -> None:
+    """Guards against a reset while the holder has not been discovered yet."""
+    fleet, clients = make_fleet()
+    holder, silent = fleet.agents[:2]
+    affected = clients_of(fleet, clients, holder)
+    silent.up = False
+    forget_holders(fleet, fleet.agents)
+    instances = [node.instance for node in (*fleet.agents, *fleet.balancers)]
+    for agent in fleet.agents[2:]:
+        # Load reports and registry have not shown the holder yet.
+        fleet.cut_links.add((holder.address, agent.address))
+        agent.view = flows.Fleet(fleet.clock)
+        agent.create_logic()
+        agent.view.replace_entries(
+            item for item in instances if item != holder.instance
+        )
+        agent.report(flows.TargetState.READY, 2)
+        agent.flows.responsiveness.is_after_crash = True
+    fleet.run(400)
+    request(fleet, affected, 1)
+    fleet.run(400)
+    fleet.cut_links.clear()
+    for agent in fleet.agents[2:]:
+        agent.view.replace_entries(instances)
+    fleet.run(3_000)
+    assert fleet.broken_flows == []
