--- a/libs/flows/src/fireflyford/flows/_flow_probes.py
+++ b/libs/flows/src/fireflyford/flows/_flow_probes.py
@@ -183,6 +183,16 @@
             del self._probes[tag]
         return Results(tuple(held), tuple(not_held))
 
+    def overdue_searchers(self) -> set[core.Address]:
+        """Returns the senders of searches whose answers are withheld."""
+        now_ms = self._clock.now_ms()
+        return {
+            probe.sender
+            for probe in self._probes.values()
+            if probe.forward.handling is _messages.Handling.SEARCH
+            and now_ms >= probe.deadline_ms
+        }
+
     def _is_target_gone(self) -> bool:
         """Returns whether a backend server that sends nothing is not there.
 
--- a/libs/flows/src/fireflyford/flows/_target_forwarder.py
+++ b/libs/flows/src/fireflyford/flows/_target_forwarder.py
@@ -25,6 +25,10 @@
 OPENING_LIMIT_MS = 50
 PROBE_LIMIT_MS = _flow_probes.PROBE_LIMIT_MS
 FIRST_KEEPALIVE_MS = _flow_probes.FIRST_KEEPALIVE_MS
+# Interval at which an agent that withholds an answer to a search shows that it
+# runs: well below the silence after which it would be taken for gone
+# (`_responsiveness.MIN_SILENCE_MS`). Load reports can be further apart.
+WITHHELD_REPORT_MS = 150
 # Prevents forwarding loops between agents whose views of the fleet differ.
 MAX_HOPS = 4
 # Flows announced in one message.
@@ -81,6 +85,8 @@
         self.may_hold_untracked_flows = True
         self._openings: dict[bytes, _Opening] = {}
         self._probes = _flow_probes.FlowProbes(clock, own_instance, fleet)
+        # When load reports were last sent in place of an answer to a search.
+        self._withheld_report_ms = clock.now_ms()
 
     def load(self) -> _types.Load:
         """Returns the load of the backend server."""
@@ -526,8 +532,20 @@
         for probe in results.held:
             if probe.packet.flow not in self.tracker:
                 actions += self._adopt(probe.packet.flow, probe)
+        actions += self._report_withheld(now_ms)
         return actions + self.grant_slots()
 
+    def _report_withheld(self, now_ms: int) -> list[_types.Action]:
+        """Shows the senders of overdue searches that this process runs."""
+        if now_ms - self._withheld_report_ms < WITHHELD_REPORT_MS:
+            return []
+        senders = self._probes.overdue_searchers()
+        if not senders:
+            return []
+        self._withheld_report_ms = now_ms
+        report = _messages.LoadReport(self.load())
+        return [_messages.Send(to, report) for to in sorted(senders)]
+
     def _adopt(
         self, flow: bytes, *unreturned: _flow_probes.Probe
     ) -> list[_types.Action]:
