Halve the calls of the registry to the store

Every change of an entry ended every watch, and the next watch followed 1.5 to 3.3 s later; leases of 3 s were renewed every 0.9 s. Heartbeats announce starts, drains and leaves, so the watch only has to show entries of instances that failed. It now pauses for 12 s, or for 8 s while an agent that has an entry is silent; idle watches last 30 s, leases 6 s or more. A cut watch goes on from its position, a failed write keeps its lease, and a new process watches once its entry is written. A 410 is told apart from an outage (STORE_HISTORY_GONE).

--- a/libs/core/src/fireflyford/core/_errors.py
+++ b/libs/core/src/fireflyford/core/_errors.py
@@ -34,6 +34,7 @@
     CONFIG_STALE = "config-stale"
     STORE_UNAVAILABLE = "store-unavailable"
     STORE_OUTCOME_UNKNOWN = "store-outcome-unknown"
+    STORE_HISTORY_GONE = "store-history-gone"
     INSTANCE_UNREACHABLE = "instance-unreachable"
     BAD_CERTIFICATE = "bad-certificate"
     BAD_MESSAGE = "bad-message"
@@ -121,6 +122,7 @@
         ErrorKind.CONFIG_STALE: ErrorSpec(409, _NOT_RUN, 7, False),
         ErrorKind.STORE_UNAVAILABLE: ErrorSpec(503, _NOT_RUN, 8, True),
         ErrorKind.STORE_OUTCOME_UNKNOWN: ErrorSpec(504, _UNKNOWN, 6, False),
+        ErrorKind.STORE_HISTORY_GONE: ErrorSpec(503, _NOT_RUN, 8, True),
         ErrorKind.INSTANCE_UNREACHABLE: ErrorSpec(503, _NOT_RUN, 8, True),
         ErrorKind.BAD_CERTIFICATE: ErrorSpec(500, _NOT_RUN, 2, False),
         ErrorKind.BAD_MESSAGE: ErrorSpec(400, _NOT_RUN, 2, False),
--- a/libs/flows/src/fireflyford/flows/_fleet.py
+++ b/libs/flows/src/fireflyford/flows/_fleet.py
@@ -309,6 +309,21 @@
         last = self._keepalives.get(address)
         return None if last is None else self._clock.now_ms() - last[0]
 
+    def has_silent_agents(self, limit_ms: int) -> bool:
+        """Returns whether an agent with an entry has just become silent.
+
+        Args:
+            limit_ms: Silence after which an agent no longer counts.
+        """
+        newest_ms = self._clock.now_ms() - self.keepalive_timeout_ms
+        oldest_ms = self._clock.now_ms() - limit_ms
+        return any(
+            oldest_ms <= heard_ms < newest_ms
+            and instance.role is core.Role.AGENT
+            and address in self._registered
+            for address, (heard_ms, instance) in self._keepalives.items()
+        )
+
     def agents(self, service: str) -> tuple[_types.Instance, ...]:
         """Returns the agents of one service."""
         return tuple(self._agents.get(service, {}).values())
--- a/libs/lab/src/fireflyford/lab/_platform_store.py
+++ b/libs/lab/src/fireflyford/lab/_platform_store.py
@@ -48,10 +48,13 @@
             none.
         unanswered_write_count: Number of next writes that are applied but get
             no response.
+        page_size: Number of items in a page of a read; small, so that reads of
+            a few items test the paging.
     """
 
     def __init__(self) -> None:
         """Starts empty."""
+        self.page_size = 2
         self.revision = FIRST_REVISION
         self.items: dict[str, Item] = {}
         # Duration and expiry time of each lease, in s.
@@ -122,7 +125,7 @@
 
 class _RangeHandler(_StoreHandler):
     def get(self) -> None:
-        """Returns the items under a prefix, in pages of two."""
+        """Returns the items under a prefix, in pages."""
         prefix = self.get_query_argument("prefix")
         after = self.get_query_argument("after", "")
         found = [
@@ -130,7 +133,7 @@
             for key, item in sorted(self.state.items.items())
             if key.startswith(prefix) and key > after
         ]
-        page = found[:2]
+        page = found[: self.state.page_size]
         self.send_document(
             {
                 "items": [item.document() for item in page],
--- a/libs/runtime/src/fireflyford/runtime/_heartbeats.py
+++ b/libs/runtime/src/fireflyford/runtime/_heartbeats.py
@@ -33,14 +33,30 @@
 # fleet causes calls in proportion to the square of its size unless the watches
 # pause. Together they make about 25 calls per second.
 REGISTRY_PAUSE_PER_INSTANCE_MS = 40
-# Applies to small fleets: heartbeats announce starts, drains and leaves, so the
-# watch only has to show the entries of instances that have failed.
-MIN_WATCH_DELAY_MS = 1_500
-# The store keeps its history for 20 s; a later watch would need a full read.
-MAX_WATCH_DELAY_MS = 12_000
+# Heartbeats announce starts, drains and leaves, so the watch only has to show
+# the entries of instances that have failed or that were not heard; while nobody
+# is silent, most of the history of the store, 20 s, passes between two watches.
+# A later watch would need a full read.
+WATCH_DELAY_MS = 12_000
+# Applies while an agent that has an entry is silent: its entry is about to
+# lapse, and flows are searched there until the watch shows that.
+MIN_SILENCE_WATCH_DELAY_MS = 8_000
+# How long a silent agent shortens the delay: longer than the longest lease. An
+# agent that keeps its entry longer is cut off, but alive.
+SILENCE_LIMIT_MS = 15_000
+# Applies to the second watch of a process: it shows the entries of instances
+# that started at the same time.
+MIN_JOIN_WATCH_DELAY_MS = 1_500
+# A watch that no longer receives changes does not delay heartbeats, so it may
+# stay unnoticed for the longest time that the store lets a watch wait.
+REGISTRY_WATCH_LIMIT_MS = 30_000
+# Instances that start together do not call the store in step.
+WATCH_DELAY_JITTER_RATIO = 0.15
 # Time for the calls that write an entry and return it.
 ENTRY_DELAY_ALLOWANCE_MS = 1_000
-MIN_LEASE_DURATION_S = 3
+# A renewal costs a tenth of a read; with 3 s, renewals would cost as much as
+# the watches. Searches and placements do not wait for the end of a lease.
+MIN_LEASE_DURATION_S = 6
 MAX_LEASE_DURATION_S = 9
 # A lease outlives two failed renewals.
 RENEWALS_PER_LEASE = 3.3
@@ -117,30 +133,47 @@
     )
 
 
-def watch_delay_ms(instance_count: int) -> int:
-    """Returns the time between changes and the next watch of the registry.
+def silence_watch_delay_ms(instance_count: int) -> int:
+    """Returns the delay of a watch while an agent with an entry is silent.
 
-    >>> watch_delay_ms(17), watch_delay_ms(195), watch_delay_ms(4_590)
-    (1500, 7800, 12000)
+    >>> silence_watch_delay_ms(17), silence_watch_delay_ms(195)
+    (8000, 8000)
     """
-    delay_ms = instance_count * REGISTRY_PAUSE_PER_INSTANCE_MS
-    return min(max(delay_ms, MIN_WATCH_DELAY_MS), MAX_WATCH_DELAY_MS)
+    return _watch_delay_ms(instance_count, MIN_SILENCE_WATCH_DELAY_MS)
+
+
+def join_watch_delay_ms(instance_count: int) -> int:
+    """Returns the time from the watch that shows the own entry to the next.
+
+    >>> join_watch_delay_ms(17), join_watch_delay_ms(195)
+    (1500, 7800)
+    """
+    return _watch_delay_ms(instance_count, MIN_JOIN_WATCH_DELAY_MS)
 
 
 def entry_delay_ms(instance_count: int) -> int:
-    """Returns how long a new entry may take until every watch has shown it.
+    """Returns after how long an instance without an entry is introduced.
+
+    Others may not have seen the entry of an instance for the delay of a watch,
+    but one whose writes the store rejects is introduced sooner, since a process
+    that does not know it may take its flows for lost.
 
     >>> entry_delay_ms(17)
     2500
     """
-    return watch_delay_ms(instance_count) + ENTRY_DELAY_ALLOWANCE_MS
+    return join_watch_delay_ms(instance_count) + ENTRY_DELAY_ALLOWANCE_MS
+
+
+def _watch_delay_ms(instance_count: int, minimum_ms: int) -> int:
+    delay_ms = instance_count * REGISTRY_PAUSE_PER_INSTANCE_MS
+    return min(max(delay_ms, minimum_ms), WATCH_DELAY_MS)
 
 
 def lease_duration_s(instance_count: int) -> int:
     """Returns the duration of the lease of a registry entry.
 
     >>> lease_duration_s(17), lease_duration_s(195), lease_duration_s(4_590)
-    (3, 7, 9)
+    (6, 7, 9)
     """
     duration_s = instance_count * REGISTRY_PAUSE_PER_INSTANCE_MS // 1_000
     return min(max(duration_s, MIN_LEASE_DURATION_S), MAX_LEASE_DURATION_S)
--- a/libs/runtime/src/fireflyford/runtime/_prefix_follower.py
+++ b/libs/runtime/src/fireflyford/runtime/_prefix_follower.py
@@ -11,11 +11,12 @@
 # Watches are renewed after this time, which bounds how long a watch that no
 # longer receives changes stays unnoticed.
 WATCH_LIMIT_MS = 10_000
-# Delays after a failed call: short enough for entries to be written again
-# within 2 s of the store's recovery, long enough not to overload a failing
-# store.
+# Delays after a failed call: short enough for a configuration to be in force
+# within its 5 s, long enough not to overload a failing store.
 RETRY_MIN_MS = 200
 RETRY_MAX_MS = 800
+# Keeps the doubled delay a small number in a long outage.
+_MAX_DOUBLING_COUNT = 10
 
 
 class PrefixListener(abc.ABC):
@@ -36,6 +37,26 @@
         """
         return 0
 
+    def first_watch_delay_ms(self) -> int:
+        """Returns the delay between a full read and the first watch."""
+        return 0
+
+    def watch_limit_ms(self) -> int:
+        """Returns after how long a watch without changes is renewed."""
+        return WATCH_LIMIT_MS
+
+    def retry_max_ms(self) -> int:
+        """Returns the longest delay after a failed read."""
+        return RETRY_MAX_MS
+
+    def continues_cut_watch(self) -> bool:
+        """Returns whether a cut watch goes on from its position.
+
+        Otherwise the prefix is read again after each failed watch, which shows
+        sooner whether the store is available.
+        """
+        return False
+
     def handle_failure(self, reason: str) -> None:
         """Handles a failed call to the store."""
         del reason
@@ -67,7 +88,12 @@
         self._prefix = prefix
         self._listener = listener
         self._is_unreachable = False
+        # Whether the last watch failed and goes on from its position.
+        self._is_cut = False
         self._resume_requested = asyncio.Event()
+        # How long the present pause has to last at least, in spite of a request
+        # to resume; None without such a request.
+        self._min_pause_ms: int | None = None
         # Time of the last response of the store, None before the first one.
         self.last_response_ms: int | None = None
 
@@ -84,10 +110,11 @@
                 failure_count = 0
             else:
                 failure_count += 1
-                max_delay_ms = min(RETRY_MAX_MS, RETRY_MIN_MS << failure_count)
-                await self._clock.sleep(
-                    self._rng.uniform(RETRY_MIN_MS, max_delay_ms)
+                max_delay_ms = min(
+                    self._listener.retry_max_ms(),
+                    RETRY_MIN_MS << min(failure_count, _MAX_DOUBLING_COUNT),
                 )
+                await self._pause(self._rng.uniform(RETRY_MIN_MS, max_delay_ms))
 
     async def _read_and_watch(self) -> bool:
         """Reads the prefix, then watches it until a call fails.
@@ -102,33 +129,79 @@
             return False
         self._mark_reachable()
         self._listener.handle_full_read(outcome.value)
+        await self._pause(self._listener.first_watch_delay_ms())
         revision = outcome.value.revision
         while True:
             async for change in self._client.watch(
-                self._prefix, revision + 1, WATCH_LIMIT_MS
+                self._prefix, revision + 1, self._listener.watch_limit_ms()
             ):
                 if isinstance(change, core.Failure):
-                    self._mark_unreachable(change.message)
-                    return True
+                    if not self._may_continue(change):
+                        self._handle_watch_failure(change)
+                        return True
+                    self._is_cut = True
+                    telemetry.log(
+                        "watch-cut", prefix=self._prefix, reason=change.message
+                    )
+                    await self._pause(
+                        self._rng.uniform(RETRY_MIN_MS, RETRY_MAX_MS)
+                    )
+                    break
                 self._mark_reachable()
                 revision = max(revision, change.value.revision)
                 if change.value.entries or change.value.deleted:
                     self._listener.handle_changes(change.value)
                     await self._pause(self._listener.watch_delay_ms())
 
-    def resume(self) -> None:
-        """Ends the pause before the next watch."""
+    def _may_continue(self, failure: core.Failure) -> bool:
+        """Returns whether a failed watch may go on from its position.
+
+        It may after one failure. Entries may lapse in a longer outage, and the
+        store may not report that, so a second failure asks for a full read.
+        """
+        return (
+            self._listener.continues_cut_watch()
+            and not self._is_cut
+            and failure.kind is core.ErrorKind.STORE_UNAVAILABLE
+        )
+
+    def _handle_watch_failure(self, failure: core.Failure) -> None:
+        """Records a failed watch that a full read follows."""
+        if failure.kind is core.ErrorKind.STORE_HISTORY_GONE:
+            telemetry.log("history-gone", prefix=self._prefix)
+        else:
+            self._mark_unreachable(failure.message)
+
+    def resume(self, min_pause_ms: int = 0) -> None:
+        """Ends the pause before the next call.
+
+        Args:
+            min_pause_ms: How long the pause has to last at least.
+        """
+        if self._min_pause_ms is not None:
+            min_pause_ms = min(min_pause_ms, self._min_pause_ms)
+        self._min_pause_ms = min_pause_ms
         self._resume_requested.set()
 
-    async def _pause(self, duration_ms: int) -> None:
-        """Waits for `duration_ms`, or until `resume` is called."""
+    async def _pause(self, duration_ms: float) -> None:
+        """Waits for `duration_ms`, or until `resume` ends the pause."""
         self._resume_requested.clear()
-        await self._clock.wait_for(self._resume_requested, duration_ms)
+        self._min_pause_ms = None
+        started_ms = self._clock.now_ms()
+        while True:
+            if self._min_pause_ms is not None:
+                duration_ms = min(duration_ms, self._min_pause_ms)
+            remaining_ms = started_ms + duration_ms - self._clock.now_ms()
+            if remaining_ms <= 0:
+                return
+            await self._clock.wait_for(self._resume_requested, remaining_ms)
+            self._resume_requested.clear()
 
     def _mark_reachable(self) -> None:
         if self._is_unreachable:
             telemetry.log("store-regained", prefix=self._prefix)
         self._is_unreachable = False
+        self._is_cut = False
         self.last_response_ms = self._clock.now_ms()
 
     def _mark_unreachable(self, reason: str) -> None:
--- a/libs/runtime/src/fireflyford/runtime/_process.py
+++ b/libs/runtime/src/fireflyford/runtime/_process.py
@@ -302,6 +302,7 @@
             await self.clock.sleep(EXPIRE_INTERVAL_MS)
             self.fleet.keepalive_timeout_ms = self.keepalive_timeout_ms()
             self.fleet.refresh()
+            self.registry.check_silence()
             self.expire()
 
     @abc.abstractmethod
--- a/libs/runtime/src/fireflyford/runtime/_registry.py
+++ b/libs/runtime/src/fireflyford/runtime/_registry.py
@@ -18,10 +18,17 @@
 PREFIX = "fireflyford/instances/"
 # Applies until the watch has returned the entry of this instance, and thus all
 # entries written before it: of two instances that start together, the one that
-# writes its entry later soon finds the other.
-JOIN_WATCH_DELAY_MS = 100
-# Delay after a failed write.
+# writes its entry later soon finds the other. A successful write ends the
+# delay, so that one watch returns both.
+JOIN_WATCH_DELAY_MS = 250
+# Delay after a failed renewal.
 RETRY_MS = 400
+# Delay after a failed write, which costs ten times as much; the entry is back
+# within 2 s of the recovery of the store.
+WRITE_RETRY_MS = 800
+# Longest delay after a failed read: the first call to the store that succeeds
+# after a failure ends the delay.
+READ_RETRY_MAX_MS = 3_000
 
 
 class Registry(_prefix_follower.PrefixListener):
@@ -61,10 +68,13 @@
         self._is_loaded = asyncio.Event()
         self._write_requested = asyncio.Event()
         self._lease_id = 0
+        self._lease_granted_ms = 0
         self._lease_duration_s = _heartbeats.MIN_LEASE_DURATION_S
         self._needs_write = True
         # The entry as it was last written.
         self._written_value = b""
+        # Whether a watch has returned the entry of this instance.
+        self._has_joined = False
         self.follower = _prefix_follower.PrefixFollower(
             client, clock, rng, PREFIX, self
         )
@@ -75,7 +85,8 @@
         await self._is_loaded.wait()
         had_failed = False
         while True:
-            if not self._lease_id or self._needs_write:
+            is_write = not self._lease_id or self._needs_write
+            if is_write:
                 succeeded = await self._write()
             else:
                 succeeded = await self._renew()
@@ -83,17 +94,26 @@
                 # The store may have lost entries while it was unavailable.
                 self.follower.resume()
             had_failed = not succeeded
-            pause_ms = float(RETRY_MS)
+            pause_ms = float(WRITE_RETRY_MS if is_write else RETRY_MS)
             if succeeded:
-                pause_ms = (
-                    self._lease_duration_s
-                    * 1_000
-                    / _heartbeats.RENEWALS_PER_LEASE
-                )
+                pause_ms = self._renewal_interval_ms()
             await self._wait_for_write_request(
                 pause_ms * self._rng.uniform(0.9, 1.0)
             )
 
+    def _renewal_interval_ms(self) -> float:
+        return self._lease_duration_s * 1_000 / _heartbeats.RENEWALS_PER_LEASE
+
+    def check_silence(self) -> None:
+        """Shortens the pause of the watch while an agent is silent.
+
+        Called periodically.
+        """
+        if self._fleet.has_silent_agents(_heartbeats.SILENCE_LIMIT_MS):
+            self.follower.resume(
+                _heartbeats.silence_watch_delay_ms(len(self._fleet.instances()))
+            )
+
     def update(self, own_instance: flows.Instance) -> None:
         """Replaces the entry of this instance; a failed write is repeated."""
         self._own_instance = own_instance
@@ -146,6 +166,7 @@
                 return False
             self._lease_duration_s = duration_s
             self._lease_id = lease.value
+            self._lease_granted_ms = self._clock.now_ms()
         value = msgspec.json.encode(
             _link_codec.pack_instance(self._own_instance)
         )
@@ -155,10 +176,15 @@
         outcome = await self._client.commit([], [write])
         if isinstance(outcome, core.Failure):
             telemetry.log("entry-not-written", reason=outcome.message)
-            # The lease may have expired; a new one is always safe.
-            self._lease_id = 0
+            self._needs_write = True
+            age_ms = self._clock.now_ms() - self._lease_granted_ms
+            if age_ms >= self._renewal_interval_ms():
+                # The lease may have expired; a new one is always safe.
+                self._lease_id = 0
             return False
         telemetry.log("entry-written", lease_id=self._lease_id)
+        if not self._has_joined:
+            self.follower.resume()
         return True
 
     async def _renew(self) -> bool:
@@ -197,10 +223,43 @@
 
     def watch_delay_ms(self) -> int:
         """Returns the delay before the next watch."""
-        known = self._fleet.find(self._own_instance.address)
-        if known is None or known.incarnation != self._own_instance.incarnation:
+        if not self._is_own_entry_known():
             return JOIN_WATCH_DELAY_MS
-        return _heartbeats.watch_delay_ms(len(self._fleet.instances()))
+        instance_count = len(self._fleet.instances())
+        if not self._has_joined:
+            self._has_joined = True
+            return _heartbeats.join_watch_delay_ms(instance_count)
+        if self._fleet.has_silent_agents(_heartbeats.SILENCE_LIMIT_MS):
+            return _heartbeats.silence_watch_delay_ms(instance_count)
+        jitter_ratio = _heartbeats.WATCH_DELAY_JITTER_RATIO
+        return int(
+            _heartbeats.WATCH_DELAY_MS
+            * self._rng.uniform(1 - jitter_ratio, 1 + jitter_ratio)
+        )
+
+    def first_watch_delay_ms(self) -> int:
+        """Returns the delay between a full read and the first watch."""
+        return 0 if self._is_own_entry_known() else JOIN_WATCH_DELAY_MS
+
+    def watch_limit_ms(self) -> int:
+        """Returns after how long a watch without changes is renewed."""
+        return _heartbeats.REGISTRY_WATCH_LIMIT_MS
+
+    def retry_max_ms(self) -> int:
+        """Returns the longest delay after a failed read."""
+        return READ_RETRY_MAX_MS
+
+    def continues_cut_watch(self) -> bool:
+        """Returns True: a large registry takes several calls to read."""
+        return True
+
+    def _is_own_entry_known(self) -> bool:
+        """Returns whether the entry of this process has been read."""
+        known = self._fleet.find(self._own_instance.address)
+        return (
+            known is not None
+            and known.incarnation == self._own_instance.incarnation
+        )
 
     def handle_changes(self, result: store.ReadResult) -> None:
         """Updates changed entries in the fleet."""
--- a/libs/store/src/fireflyford/store/_store.py
+++ b/libs/store/src/fireflyford/store/_store.py
@@ -134,7 +134,9 @@
         """Yields changes below `prefix`, starting at `start_revision`.
 
         Ends after `duration_ms`, or with a failure if the watch is interrupted.
-        After a failure the caller must read again before the next watch.
+        After a failure the caller must read again before the next watch, unless
+        the store reports missing history: then a watch from the same revision
+        fails with `STORE_HISTORY_GONE` when that has become necessary.
         """
 
 
