Follow a restore of the store by its era

The store may come back from a copy: writes and leases are gone, revisions and lease identifiers are issued again, and the Store-Era of responses rises. Watches from revisions that were undone waited for changes that would not come, and a lease could be renewed or ended that belonged to another instance.

The client reads the era of every response. The simulated store can be restored from a copy.

--- a/libs/flows/src/fireflyford/flows/__init__.py
+++ b/libs/flows/src/fireflyford/flows/__init__.py
@@ -7,6 +7,7 @@
 
 from fireflyford.flows._agent import AgentFlows
 from fireflyford.flows._balancer import BalancerFlows
+from fireflyford.flows._evacuation import EvacuationHistory
 from fireflyford.flows._evacuation import EvacuationView
 from fireflyford.flows._fleet import KEEPALIVE_TIMEOUT_MS
 from fireflyford.flows._fleet import Fleet
@@ -61,6 +62,7 @@
     "DeclineReason",
     "Deliver",
     "EarliestCompletion",
+    "EvacuationHistory",
     "EvacuationView",
     "Fleet",
     "FlowAnnouncement",
--- a/libs/flows/src/fireflyford/flows/_fleet.py
+++ b/libs/flows/src/fireflyford/flows/_fleet.py
@@ -41,6 +41,10 @@
         """
         self._clock = clock
         self._registered: dict[core.Address, _types.Instance] = {}
+        # Registered instances whose entries the store has lost, and until when
+        # they are retained.
+        self._retained: set[core.Address] = set()
+        self._retention_end_ms: int | None = None
         # Time of the last keepalive of each instance, and the instance itself.
         self._keepalives: dict[core.Address, tuple[int, _types.Instance]] = {}
         # Time and incarnation of processes that announced that they leave.
@@ -65,6 +69,47 @@
         # removed. Keepalives are the rarer, the larger the fleet is.
         self.keepalive_timeout_ms = KEEPALIVE_TIMEOUT_MS
 
+    def retain_entries(self, duration_ms: int) -> None:
+        """Retains instances with entries, although the store loses entries.
+
+        Called when the store has been restored from a copy, which may lack
+        entries or contain those of earlier processes. The instances write their
+        entries again.
+
+        Args:
+            duration_ms: Time after which an instance without an entry remains
+                only if it sends keepalives.
+        """
+        self._retention_end_ms = self._clock.now_ms() + duration_ms
+
+    def _is_retaining(self) -> bool:
+        return (
+            self._retention_end_ms is not None
+            and self._clock.now_ms() < self._retention_end_ms
+        )
+
+    def _end_retention(self) -> None:
+        """Drops retained instances whose entries have not come back."""
+        if self._retention_end_ms is None or self._is_retaining():
+            return
+        self._retention_end_ms = None
+        for address in self._retained:
+            self._registered.pop(address, None)
+        telemetry.log("retention-ended", dropped=len(self._retained))
+        self._retained.clear()
+
+    def _retain_newer(
+        self, entries: dict[core.Address, _types.Instance]
+    ) -> None:
+        """Adds registered instances that are missing or later processes."""
+        for address, known in self._registered.items():
+            entry = entries.get(address)
+            if entry is None or entry.incarnation < known.incarnation:
+                entries[address] = known
+                self._retained.add(address)
+            else:
+                self._retained.discard(address)
+
     def replace_entries(
         self, instances: Iterable[_types.Instance]
     ) -> list[_types.Instance]:
@@ -73,7 +118,12 @@
         Returns:
             Instances whose process was not known before.
         """
-        self._registered = {item.address: item for item in instances}
+        entries = {item.address: item for item in instances}
+        if self._is_retaining():
+            self._retain_newer(entries)
+        else:
+            self._retained.clear()
+        self._registered = entries
         for address in self._registered:
             self._unseen_since_ms.pop(address, None)
         self.is_complete = True
@@ -94,11 +144,25 @@
             Instances whose process was not known before.
         """
         changed: dict[core.Address, None] = {}
+        is_retaining = self._is_retaining()
         for address in deleted:
+            if is_retaining and address in self._registered:
+                # The lease in the copy ended before the instance has written
+                # its entry again.
+                self._retained.add(address)
+                continue
             self._registered.pop(address, None)
             changed[address] = None
         for instance in put:
+            known = self._registered.get(instance.address)
+            if (
+                is_retaining
+                and known is not None
+                and known.incarnation > instance.incarnation
+            ):
+                continue
             self._registered[instance.address] = instance
+            self._retained.discard(instance.address)
             self._unseen_since_ms.pop(instance.address, None)
             changed[instance.address] = None
         return self._update(changed)
@@ -115,6 +179,7 @@
             self._left[address] = (now_ms, instance.incarnation)
             self._keepalives.pop(address, None)
             self._registered.pop(address, None)
+            self._retained.discard(address)
             self._update([address])
             return
         if self._has_left(instance):
@@ -143,6 +208,7 @@
         Returns:
             Instances whose process was not known before.
         """
+        self._end_retention()
         oldest_ms = self._clock.now_ms() - LEFT_RETENTION_MS
         self._left = {
             address: left
--- a/libs/lab/src/fireflyford/lab/_platform_store.py
+++ b/libs/lab/src/fireflyford/lab/_platform_store.py
@@ -40,6 +40,17 @@
         }
 
 
+@dataclasses.dataclass(frozen=True)
+class Copy:
+    """State of the store at one time, from which it can be restored."""
+
+    revision: int
+    items: dict[str, Item]
+    leases: dict[int, tuple[float, float]]
+    events: tuple[dict[str, Any], ...]
+    first_event_revision: int
+
+
 class StoreState:
     """Items, leases and event history of the store.
 
@@ -50,11 +61,15 @@
             no response.
         page_size: Number of items in a page of a read; small, so that reads of
             a few items test the paging.
+        era: Rises by one with each restore.
+        sends_era: Whether answers carry the era.
     """
 
     def __init__(self) -> None:
         """Starts empty."""
         self.page_size = 2
+        self.era = 1
+        self.sends_era = True
         self.revision = FIRST_REVISION
         self.items: dict[str, Item] = {}
         # Duration and expiry time of each lease, in s.
@@ -65,6 +80,28 @@
         self.unanswered_write_count = 0
         self.calls: list[str] = []
 
+    def save_copy(self) -> Copy:
+        """Returns a copy for `restore`."""
+        return Copy(
+            self.revision,
+            dict(self.items),
+            dict(self.leases),
+            tuple(self.events),
+            self.first_event_revision,
+        )
+
+    def restore(self, copy: Copy) -> None:
+        """Goes back to a copy: later writes and leases are gone.
+
+        Revisions and identifiers of leases are issued again.
+        """
+        self.revision = copy.revision
+        self.items = dict(copy.items)
+        self.leases = dict(copy.leases)
+        self.events = list(copy.events)
+        self.first_event_revision = copy.first_event_revision
+        self.era += 1
+
     def put(self, key: str, value: bytes, lease: int = 0) -> None:
         """Writes a key."""
         self.revision += 1
@@ -108,6 +145,12 @@
     def initialize(self, state: StoreState) -> None:
         self.state = state
 
+    def set_default_headers(self) -> None:
+        """Adds the present era; also called for an error."""
+        state: StoreState = self.settings["state"]
+        if state.sends_era:
+            self.set_header("Store-Era", str(state.era))
+
     def prepare(self) -> None:
         """Records the call and refuses it if that fault is set."""
         self.state.calls.append(f"{self.request.method} {self.request.path}")
@@ -119,6 +162,8 @@
     ) -> None:
         """Sends a JSON document as the response."""
         self.set_status(status)
+        # The era may have risen while a watch waited.
+        self.set_default_headers()
         self.set_header("Content-Type", "application/json")
         self.finish(json.dumps(document))
 
@@ -151,7 +196,8 @@
         wait_s = int(self.get_query_argument("wait_ms")) / 1_000
         end_s = time.monotonic() + wait_s
         while True:
-            if after < self.state.first_event_revision - 1:
+            oldest = self.state.first_event_revision - 1
+            if not oldest <= after <= self.state.revision:
                 self.send_error(410)
                 return
             events = [
@@ -244,7 +290,9 @@
             (r"/kv-keep/(\d+)", _RenewHandler, arguments),
             (r"/kv-lease-end/(\d+)", _EndHandler, arguments),
         ]
-        application = web.Application(rules, log_function=lambda _: None)
+        application = web.Application(
+            rules, log_function=lambda _: None, state=self.state
+        )
         self._server = application.listen(self.address.port, self.address.host)
         self._task = asyncio.create_task(self._expire_leases())
 
--- a/libs/runtime/src/fireflyford/runtime/_config_source.py
+++ b/libs/runtime/src/fireflyford/runtime/_config_source.py
@@ -48,6 +48,7 @@
         self._key = key
         self._apply = apply
         self.document = b""
+        self._version = 0
         self.follower = _prefix_follower.PrefixFollower(
             client, clock, rng, key, self
         )
@@ -60,11 +61,17 @@
                 "config-held-back", source=source, reason=outcome.message
             )
             return False
+        version = outcome.value.version
+        if version < self._version and source == "store":
+            # The store was restored from a copy; the operator writes the
+            # version in force again.
+            telemetry.log(
+                "config-behind", version=version, kept_version=self._version
+            )
         if not self._apply(outcome.value):
             return False
-        telemetry.log(
-            "config-taken", source=source, version=outcome.value.version
-        )
+        self._version = version
+        telemetry.log("config-taken", source=source, version=version)
         self.document = document
         return True
 
--- a/libs/runtime/src/fireflyford/runtime/_prefix_follower.py
+++ b/libs/runtime/src/fireflyford/runtime/_prefix_follower.py
@@ -15,6 +15,9 @@
 # within its 5 s, long enough not to overload a failing store.
 RETRY_MIN_MS = 200
 RETRY_MAX_MS = 800
+# After a restore of the store, all instances read everything again; their calls
+# are spread over this time.
+RESTORE_SPREAD_MS = 500
 # Keeps the doubled delay a small number in a long outage.
 _MAX_DOUBLING_COUNT = 10
 
@@ -90,6 +93,14 @@
         self._is_unreachable = False
         # Whether the last watch failed and goes on from its position.
         self._is_cut = False
+        self._work: asyncio.Future[bool] | None = None
+        # Era of the last full read, None before the first one.
+        self._read_era: int | None = None
+        # Era after whose rise everything is, or was last, read again.
+        self._restored_era: int | None = None
+        # Rises of the era after which everything was read again.
+        self.restore_count = 0
+        client.add_era_listener(self._handle_new_era)
         self._resume_requested = asyncio.Event()
         # How long the present pause has to last at least, in spite of a request
         # to resume; None without such a request.
@@ -106,7 +117,7 @@
         """Follows until cancelled."""
         failure_count = 0
         while True:
-            if await self._read_and_watch():
+            if await self._read_in_one_era():
                 failure_count = 0
             else:
                 failure_count += 1
@@ -116,6 +127,28 @@
                 )
                 await self._pause(self._rng.uniform(RETRY_MIN_MS, max_delay_ms))
 
+    async def _read_in_one_era(self) -> bool:
+        """Reads and watches until a call fails or the era rises."""
+        era = self._client.era
+        if self._read_era not in (None, era) and self._restored_era != era:
+            self._restored_era = era
+            self.restore_count += 1
+            await self._pause(self._rng.uniform(0, RESTORE_SPREAD_MS))
+        self._work = asyncio.ensure_future(self._read_and_watch())
+        try:
+            await asyncio.wait([self._work])
+            return self._work.cancelled() or self._work.result()
+        finally:
+            self._work.cancel()
+            self._work = None
+
+    def _handle_new_era(self) -> None:
+        """Ends a watch of an earlier era, which may wait for its limit."""
+        # A response to a call of this follower shows the era by itself.
+        if self._work is not None and asyncio.current_task() is not self._work:
+            self._work.cancel()
+        self.resume()
+
     async def _read_and_watch(self) -> bool:
         """Reads the prefix, then watches it until a call fails.
 
@@ -128,12 +161,15 @@
             self._mark_unreachable(outcome.message)
             return False
         self._mark_reachable()
+        self._read_era = outcome.value.era
         self._listener.handle_full_read(outcome.value)
         await self._pause(self._listener.first_watch_delay_ms())
-        revision = outcome.value.revision
+        position = outcome.value.position
         while True:
             async for change in self._client.watch(
-                self._prefix, revision + 1, self._listener.watch_limit_ms()
+                self._prefix,
+                position.revision + 1,
+                self._listener.watch_limit_ms(),
             ):
                 if isinstance(change, core.Failure):
                     if not self._may_continue(change):
@@ -148,7 +184,10 @@
                     )
                     break
                 self._mark_reachable()
-                revision = max(revision, change.value.revision)
+                if change.value.era != position.era:
+                    # Changes from before the restore may be undone.
+                    return True
+                position = max(position, change.value.position)
                 if change.value.entries or change.value.deleted:
                     self._listener.handle_changes(change.value)
                     await self._pause(self._listener.watch_delay_ms())
--- a/libs/runtime/src/fireflyford/runtime/_process.py
+++ b/libs/runtime/src/fireflyford/runtime/_process.py
@@ -471,6 +471,8 @@
             "process_id": os.getpid(),
             "stopping": self.stopping.is_set(),
             "store_lost": self.registry.follower.is_unreachable,
+            "store_era": self.store.era,
+            "store_restores": self.registry.follower.restore_count,
             "instances": len(self.fleet.instances()),
             "counters": vars(self.link.counters),
         }
@@ -495,6 +497,8 @@
         values: dict[str, float] = dict(vars(self.link.counters))
         values["instances"] = len(self.fleet.instances())
         values["store_lost"] = self.registry.follower.is_unreachable
+        values["store_era"] = self.store.era
+        values["store_restores"] = self.registry.follower.restore_count
         values["view_age_ms"] = self.age_ms(
             self.registry.follower.last_response_ms
         )
--- a/libs/runtime/src/fireflyford/runtime/_registry.py
+++ b/libs/runtime/src/fireflyford/runtime/_registry.py
@@ -69,6 +69,11 @@
         self._write_requested = asyncio.Event()
         self._lease_id = 0
         self._lease_granted_ms = 0
+        # Whether the next write waits, so that instances do not write together.
+        self._is_spread = False
+        # Era of the entries in the fleet, None before the first read.
+        self._view_era: int | None = None
+        client.add_era_listener(self._handle_new_era)
         self._lease_duration_s = _heartbeats.MIN_LEASE_DURATION_S
         self._needs_write = True
         # The entry as it was last written.
@@ -85,6 +90,11 @@
         await self._is_loaded.wait()
         had_failed = False
         while True:
+            if self._is_spread:
+                self._is_spread = False
+                await self._clock.sleep(
+                    self._rng.uniform(0, _prefix_follower.RESTORE_SPREAD_MS)
+                )
             is_write = not self._lease_id or self._needs_write
             if is_write:
                 succeeded = await self._write()
@@ -104,6 +114,16 @@
     def _renewal_interval_ms(self) -> float:
         return self._lease_duration_s * 1_000 / _heartbeats.RENEWALS_PER_LEASE
 
+    def _handle_new_era(self) -> None:
+        """Gives up the lease of the earlier era and has the entry written.
+
+        The store may have lost both, and may have issued the identifier of the
+        lease again to another instance.
+        """
+        self._lease_id = 0
+        self._is_spread = True
+        self._request_write()
+
     def check_silence(self) -> None:
         """Shortens the pause of the watch while an agent is silent.
 
@@ -131,16 +151,23 @@
         Args:
             limit_ms: Time limit.
         """
-        lease_id, self._lease_id = self._lease_id, 0
+        lease_id = self._lease_id
         if not lease_id:
             return
         try:
             async with asyncio.timeout(max(0, limit_ms) / 1_000):
                 while not await self._end_lease(lease_id):
                     await self._clock.sleep(RETRY_MS)
+                    if self._lease_id != lease_id:
+                        # An entry of an earlier era ends with its lease.
+                        telemetry.log(
+                            "entry-not-withdrawn", reason="earlier-era"
+                        )
+                        break
         except TimeoutError:
             # The entry is deleted when the lease expires.
             telemetry.log("entry-not-withdrawn", reason="no time left")
+        self._lease_id = 0
 
     async def _end_lease(self, lease_id: int) -> bool:
         outcome = await self._client.revoke_lease(lease_id)
@@ -191,6 +218,9 @@
         outcome = await self._client.renew_lease(self._lease_id)
         if isinstance(outcome, core.Failure):
             return False
+        if not self._lease_id:
+            # The response showed a new era; the entry is written next.
+            return True
         if not outcome.value:
             telemetry.log("lease-lapsed", lease_id=self._lease_id)
             self._lease_id = 0
@@ -207,6 +237,13 @@
         ]
         if not own_entries or self._is_overwritten(result):
             self._request_write()
+        if self._view_era is not None and result.era > self._view_era:
+            # The copy may lack entries that their instances write again.
+            duration_s = _heartbeats.lease_duration_s(
+                len(self._fleet.instances())
+            )
+            self._fleet.retain_entries(duration_s * 1_000)
+        self._view_era = result.era
         found = self._fleet.replace_entries(instances)
         if self._is_loaded.is_set():
             self._on_discovered(found)
--- a/libs/store/src/fireflyford/store/__init__.py
+++ b/libs/store/src/fireflyford/store/__init__.py
@@ -25,6 +25,7 @@
     from fireflyford.store._store import CommitResult
     from fireflyford.store._store import DeleteRange
     from fireflyford.store._store import Entry
+    from fireflyford.store._store import Position
     from fireflyford.store._store import Precondition
     from fireflyford.store._store import ReadResult
     from fireflyford.store._store import Store
@@ -48,6 +49,7 @@
     "Entry",
     "EtcdStore",
     "JoinEntry",
+    "Position",
     "Precondition",
     "PullSource",
     "Push",
@@ -89,6 +91,7 @@
             "CommitResult",
             "DeleteRange",
             "Entry",
+            "Position",
             "Precondition",
             "ReadResult",
             "Store",
--- a/libs/store/src/fireflyford/store/_store.py
+++ b/libs/store/src/fireflyford/store/_store.py
@@ -2,12 +2,32 @@
 
 import abc
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
 
 from fireflyford import core
 
 
+@dataclasses.dataclass(frozen=True, order=True)
+class Position:
+    """A position in the history of a store.
+
+    Revisions are issued again after a restore from a copy, which raises the
+    era, so they are compared only within one era.
+
+    >>> Position(1, 90) < Position(2, 20)
+    True
+
+    Attributes:
+        era: Era of the store, 0 where it has none.
+        revision: Revision in that era.
+    """
+
+    era: int
+    revision: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Entry:
     """A key-value pair.
@@ -31,11 +51,18 @@
         entries: Entries found by a read, or written during a watch.
         revision: Store revision of the result.
         deleted: Keys deleted during a watch, always empty for a read.
+        era: Era of the store, 0 where it has none.
     """
 
     entries: tuple[Entry, ...]
     revision: int
     deleted: tuple[str, ...] = ()
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Position in the history of the store."""
+        return Position(self.era, self.revision)
 
     def get(self, key: str) -> bytes | None:
         """Returns the value of a key, or None if it was not found."""
@@ -95,6 +122,19 @@
     `STORE_OUTCOME_UNKNOWN`.
     """
 
+    @property
+    def era(self) -> int:
+        """Latest era that a response has shown, 0 for none."""
+        return 0
+
+    def add_era_listener(self, listener: Callable[[], None]) -> None:
+        """Adds a function to call when a response shows a later era.
+
+        The first era that becomes known is no later one. The function is called
+        before the caller of the method receives that response.
+        """
+        del listener
+
     @abc.abstractmethod
     async def read(
         self, prefix: str, limit: int = 0, descending: bool = False
--- a/tests/adapter/test_processes.py
+++ b/tests/adapter/test_processes.py
@@ -242,6 +242,9 @@
             probe.bind((STORE_HOST, 0))
             self.store = core.Address(STORE_HOST, probe.getsockname()[1])
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        # The store while it runs, and its copy from before the first process.
+        self.server: _platform_store.PlatformStoreServer | None = None
+        self.copy: _platform_store.Copy | None = None
 
     def start(self, name: str, host: str, is_agent: bool) -> None:
         """Starts a process."""
@@ -301,6 +304,7 @@
     """Runs store, targets and processes; the fixture stops the processes."""
     server = _platform_store.PlatformStoreServer(fleet.store)
     server.state.put("op/config", json.dumps(CONFIG).encode())
+    fleet.server, fleet.copy = server, server.state.save_copy()
     server.start()
     fleet.start("balancer", BALANCER_HOST, False)
     targets = [Target(host) for host in AGENT_HOSTS]
@@ -383,6 +387,55 @@
     assert "event=task-failed" not in fleet.log("agent-0")
 
 
+def test_restored_store_breaks_no_flow(fleet: Fleet) -> None:
+    """Guards against flows and entries lost with the history of the store.
+
+    The copy is older than all entries. One agent is paused over the restore
+    and the balancer is restarted right after it.
+    """
+
+    async def check(targets: list[Target], client: ClientSocket) -> None:
+        del targets
+        assert fleet.server is not None
+        assert fleet.copy is not None
+        state = fleet.server.state
+        entries = {key for key in state.items if key != "op/config"}
+        assert len(entries) == len(fleet.processes)
+        addresses = [
+            core.Address(CLIENT_HOST, 43_000 + index) for index in range(12)
+        ]
+        holders = {}
+        for address in addresses:
+            await client.exchange(from_client(address, SYN))
+            request = from_client(address, ACK, b"x", ack=1_001)
+            holders[address] = (await client.exchange(request))[36:]
+        fleet.processes["agent-0"].send_signal(signal.SIGSTOP)
+        state.restore(fleet.copy)
+        fleet.processes["balancer"].kill()
+        fleet.processes["balancer"].wait()
+        fleet.start("balancer", BALANCER_HOST, False)
+        await asyncio.sleep(1)
+        fleet.processes["agent-0"].send_signal(signal.SIGCONT)
+        await wait_until_ready(BALANCER_HOST)
+        for address in addresses:
+            request = from_client(address, ACK, b"x", ack=1_001)
+            response = await client.exchange(request, RETRANSMISSION_DELAYS_MS)
+            assert response[36:] == holders[address]
+        # Renewals show the era; writes follow within half a second.
+        assert await _platform_store.wait_until(
+            lambda: entries <= state.items.keys(), 3_500
+        )
+
+    async def run_check() -> None:
+        async with running(fleet) as (targets, client):
+            await check(targets, client)
+
+    asyncio.run(run_check())
+    for name in ("agent-0", "agent-1"):
+        assert "event=store-restored" in fleet.log(name)
+        assert "event=task-failed" not in fleet.log(name)
+
+
 def test_stopping_agent_resets_flows_of_target_that_is_gone(
     fleet: Fleet,
 ) -> None:
@@ -414,7 +467,7 @@
         await asyncio.sleep(0.1)
         for address in affected:
             request = from_client(address, ACK, b"x", ack=1_001)
-            # An entry that is not withdrawn would stay for three seconds.
+            # An entry that is not withdrawn would stay for its lease.
             response = await client.exchange(request, RETRANSMISSION_DELAYS_MS)
             assert response[FLAGS_OFFSET] == RST
         ended = await _platform_store.wait_until(
