--- a/libs/flows/src/fireflyford/flows/_agent.py
+++ b/libs/flows/src/fireflyford/flows/_agent.py
@@ -54,7 +54,7 @@
         self._own_instance = own_instance
         self._fleet = fleet
         # Evacuated zones, as known from opening packets.
-        self.evacuation = _evacuation.Evacuations()
+        self.evacuation = _evacuation.Evacuations(clock)
         # Bounds the new flows of a cold backend server.
         self.warm_up = _warm_up.WarmUpLimit(clock, warmup_overage, warmup_slack)
         # Reports may have waited during a pause as well.
--- a/libs/flows/src/fireflyford/flows/_balancer.py
+++ b/libs/flows/src/fireflyford/flows/_balancer.py
@@ -229,7 +229,7 @@
         self.is_current = False
         # Evacuated zones, sent with opening packets; without a view if zones
         # cannot be evacuated or none is known yet.
-        self.evacuation = _evacuation.Evacuations()
+        self.evacuation = _evacuation.Evacuations(clock)
 
     @property
     def version(self) -> int:
--- a/libs/flows/src/fireflyford/flows/_evacuation.py
+++ b/libs/flows/src/fireflyford/flows/_evacuation.py
@@ -17,6 +17,9 @@
 # Sweeps after a pause until the datagrams that waited have been read. The first
 # one may be due before any of them.
 _SWEEPS_AFTER_PAUSE = 2
+# How long a zone that a restored store lacks stays evacuated: the operator
+# writes it again within this time.
+RESTORE_RETENTION_MS = 5_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,11 +49,25 @@
 
 
 class Evacuations:
-    """The newest view of evacuated zones that an instance has seen."""
+    """The newest view that an instance has seen, and the zones by it.
 
-    def __init__(self) -> None:
-        """Initializes without a view: no zone is known to be evacuated."""
+    A store that was restored from a copy may lack an evacuation, which the
+    operator writes again. Zones that were evacuated when the era rose therefore
+    remain so until a view of the later era contains them, from which time on
+    only the store counts, or until the retention has ended. The view itself
+    stays as it was read, so that all instances with one position agree on it.
+    """
+
+    def __init__(self, clock: core.Clock) -> None:
+        """Initializes without a view: no zone is known to be evacuated.
+
+        Args:
+            clock: Source of time.
+        """
+        self._clock = clock
         self._view: EvacuationView | None = None
+        self._retained: frozenset[str] = frozenset()
+        self._retention_end_ms = 0
 
     @property
     def view(self) -> EvacuationView | None:
@@ -60,7 +77,11 @@
     @property
     def zones(self) -> tuple[str, ...]:
         """Evacuated zones, none before the first view."""
-        return () if self._view is None else self._view.zones
+        if self._view is None:
+            return ()
+        if not self._retained or self._clock.now_ms() >= self._retention_end_ms:
+            return self._view.zones
+        return tuple(sorted(self._retained.union(self._view.zones)))
 
     def learn(self, view: EvacuationView | None, source: object) -> bool:
         """Keeps a view if it is newer than the known one.
@@ -76,12 +97,16 @@
         if view is None or not view.is_newer_than(self._view):
             return False
         before = self.zones
+        if self._view is not None and view.era > self._view.era:
+            self._retained = frozenset(before)
+            self._retention_end_ms = self._clock.now_ms() + RESTORE_RETENTION_MS
+        self._retained -= frozenset(view.zones)
         self._view = view
-        if view.zones == before:
+        if self.zones == before:
             return False
         telemetry.log(
             "evacuation-changed",
-            zones=",".join(view.zones),
+            zones=",".join(self.zones),
             before=",".join(before),
             era=view.era,
             revision=view.revision,
--- a/libs/flows/src/fireflyford/flows/_flow_placer.py
+++ b/libs/flows/src/fireflyford/flows/_flow_placer.py
@@ -122,7 +122,7 @@
             evacuation: Evacuated zones, None if there are none.
         """
         self._responsiveness = responsiveness
-        self._evacuation = evacuation or _evacuation.Evacuations()
+        self._evacuation = evacuation or _evacuation.Evacuations(clock)
         self._clock = clock
         self._own_instance = own_instance
         self._fleet = fleet
--- a/libs/flows/src/fireflyford/flows/_target_forwarder.py
+++ b/libs/flows/src/fireflyford/flows/_target_forwarder.py
@@ -70,7 +70,7 @@
             order: Order of flows with terms that wait for a slot.
         """
         self.warm_up = warm_up or _warm_up.WarmUpLimit(clock)
-        self._evacuation = evacuation or _evacuation.Evacuations()
+        self._evacuation = evacuation or _evacuation.Evacuations(clock)
         self._clock = clock
         self._own_instance = own_instance
         self._fleet = fleet
--- a/libs/lab/tests/test_zone_evacuation.py
+++ b/libs/lab/tests/test_zone_evacuation.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from fireflyford import core
 from fireflyford import flows
 from fireflyford.lab import _packet_fleet
 
@@ -250,7 +251,7 @@
     fleet = make_fleet(specs=SPECS[1:2])
     (agent,) = fleet.agents
     view = flows.EvacuationView(0, 20, ("b",))
-    agent.flows.forwarder._evacuation = flows.Evacuations()
+    agent.flows.forwarder._evacuation = flows.Evacuations(fleet.clock)
     agent.flows.forwarder._evacuation.learn(view, "test")
     open_clients(fleet, 1)
     fleet.run(20)
@@ -260,7 +261,7 @@
 
 def test_older_view_changes_nothing() -> None:
     """Guards against an evacuation that ends by a late packet."""
-    evacuations = flows.Evacuations()
+    evacuations = flows.Evacuations(core.ManualClock(1_000_000))
     evacuations.learn(flows.EvacuationView(0, 20, ("b",)), "store")
     assert not evacuations.learn(flows.EvacuationView(0, 19, ()), "late")
     assert not evacuations.learn(flows.EvacuationView(0, 20, ()), "late")
--- a/libs/runtime/src/fireflyford/runtime/_evacuation_source.py
+++ b/libs/runtime/src/fireflyford/runtime/_evacuation_source.py
@@ -88,10 +88,9 @@
         if len(zones) > _link_codec.MAX_ZONE_COUNT:
             telemetry.log("evacuation-keys-left-out", zones=len(zones))
             zones = zones[: _link_codec.MAX_ZONE_COUNT]
-        # Results of a store without eras are of era 0.
-        era = getattr(result, "era", 0)
         self._evacuations.learn(
-            flows.EvacuationView(era, result.revision, tuple(zones)), "store"
+            flows.EvacuationView(result.era, result.revision, tuple(zones)),
+            "store",
         )
 
     def _zone(self, key: str) -> str | None:
--- a/libs/runtime/src/fireflyford/runtime/_process.py
+++ b/libs/runtime/src/fireflyford/runtime/_process.py
@@ -347,6 +347,7 @@
             self.fleet.keepalive_timeout_ms = self.keepalive_timeout_ms()
             self.fleet.silence_limit_ms = self.silence_limit_ms()
             self.fleet.refresh()
+            self.registry.check_silence()
             self.expire()
 
     @abc.abstractmethod
@@ -534,6 +535,8 @@
             "process_id": os.getpid(),
             "stopping": self.stopping.is_set(),
             "store_lost": self.registry.follower.is_unreachable,
+            "store_era": self.store.era,
+            "store_restores": self.registry.follower.restore_count,
             "instances": len(self.fleet.instances()),
             "unresponsive": self.responsiveness.unresponsive_count(),
             "restarting": len(self.responsiveness.restarting()),
@@ -563,6 +566,8 @@
             self.responsiveness.unresponsive_count()
         )
         values["store_lost"] = self.registry.follower.is_unreachable
+        values["store_era"] = self.store.era
+        values["store_restores"] = self.registry.follower.restore_count
         values["view_age_ms"] = self.age_ms(
             self.registry.follower.last_response_ms
         )
--- a/tests/adapter/test_evacuation.py
+++ b/tests/adapter/test_evacuation.py
@@ -94,7 +94,7 @@
 
 
 def make_keys() -> tuple[_evacuation_source.EvacuationKeys, flows.Evacuations]:
-    evacuations = flows.Evacuations()
+    evacuations = flows.Evacuations(core.ManualClock(1_000_000))
     keys = _evacuation_source.EvacuationKeys("op/evacuate/", evacuations)
     return keys, evacuations
 
