Answer readiness of an agent only after it handles signals

An agent listened for the readiness check before it installed its signal handlers. SIGTERM in between ended it without the reset of flows whose backend server was gone, and its entry stayed for the lease. The check is answered after the start; a test of the order fails on the code before.

--- a/libs/runtime/src/fireflyford/runtime/_agent.py
+++ b/libs/runtime/src/fireflyford/runtime/_agent.py
@@ -64,16 +64,18 @@
             report_address,
             self.front_end.report_handlers(self.target_monitor),
         )
+        await self._target_socket.open(remote=self.options.backend_address)
+        await self._outbound_socket.open(local=self.options.outbound_address)
+        self.link.attach_target_socket(self._target_socket)
+        await self.start()
+        # Ready only now: before signals are handled, SIGTERM ends the process
+        # without the reset of flows whose backend server is gone.
         self.listen(
             self.options.readiness_check_address,
             self.front_end.readiness_handlers(
                 lambda: not self.stopping.is_set()
             ),
         )
-        await self._target_socket.open(remote=self.options.backend_address)
-        await self._outbound_socket.open(local=self.options.outbound_address)
-        self.link.attach_target_socket(self._target_socket)
-        await self.start()
         self.start_task("loads", self._report_loads)
         self.start_task("signs", self._send_keepalives)
         await self.stopping.wait()
--- a/tests/adapter/test_process_parts.py
+++ b/tests/adapter/test_process_parts.py
@@ -5,11 +5,15 @@
 from collections.abc import Callable
 import dataclasses
 
+import pytest
+
 from fireflyford import core
 from fireflyford import flows
 from fireflyford import runtime
 from fireflyford.platform import _front_end
+from fireflyford.runtime import _agent
 from fireflyford.runtime import _balancer
+from fireflyford.runtime import _link
 from fireflyford.runtime import _link_codec
 from fireflyford.runtime import _process
 
@@ -199,3 +203,46 @@
         assert mean_count < 2 * expected_count
 
     run(body)
+
+
+def test_agent_is_not_ready_before_it_handles_signals(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an agent that SIGTERM ends without any of its duties.
+
+    It answered that it was ready while the default handler was in force, so the
+    flows of a backend server that was gone were not reset.
+    """
+    steps: list[object] = []
+
+    async def record_start(process: _process.FlowProcess) -> None:
+        steps.append("handles signals")
+        process.stopping.set()
+
+    async def do_nothing(*args: object, **options: object) -> None:
+        del args, options
+
+    def record_listen(
+        process: _process.FlowProcess, address: core.Address, handlers: object
+    ) -> None:
+        del process, handlers
+        steps.append(address)
+
+    monkeypatch.setattr(_process.FlowProcess, "start", record_start)
+    monkeypatch.setattr(_process.FlowProcess, "listen", record_listen)
+    monkeypatch.setattr(_process.FlowProcess, "shut_down", do_nothing)
+    monkeypatch.setattr(_process.FlowProcess, "start_task", lambda *_: None)
+    monkeypatch.setattr(_agent.Agent, "_leave_if_target_gone", do_nothing)
+    monkeypatch.setattr(_link.DatagramSocket, "open", do_nothing)
+    options = dataclasses.replace(
+        OPTIONS, service="board", report_address=core.Address("10.0.0.1", 1)
+    )
+
+    async def main() -> None:
+        front_end = _front_end.PlatformFrontEnd(STORE)
+        clock = core.ManualClock(1_000_000)
+        await _agent.Agent(options, front_end, clock).run()
+
+    asyncio.run(main())
+    ready = steps.index(options.readiness_check_address)
+    assert steps.index("handles signals") < ready
