--- a/libs/flows/tests/test_decisions.py
+++ b/libs/flows/tests/test_decisions.py
@@ -1244,3 +1244,129 @@
     assert sent_messages(actions, flows.FlowLocated)
     clock.set(1_000_000 + _target_forwarder.OPENING_LIMIT_MS)
     assert forwarder.sweep() == []
+
+
+def probe_dark_target() -> tuple[Clock, _target_forwarder.TargetForwarder]:
+    """Returns a forwarder whose target reported and then became silent."""
+    clock, _, forwarder = make_forwarder()
+    flows.TargetMonitor(clock, "board", forwarder, 1_200).record_report(
+        report(1)
+    )
+    clock.set(1_000_000 + 10)
+    forwarder.receive(PEER, forward(flows.Handling.SEARCH), data_packet())
+    return clock, forwarder
+
+
+def sweep_until(
+    clock: Clock, forwarder: _target_forwarder.TargetForwarder, end_ms: int
+) -> list[flows.Action]:
+    actions: list[flows.Action] = []
+    while clock.now_ms() < end_ms:
+        clock.set(clock.now_ms() + 20)
+        actions += forwarder.sweep()
+    return actions
+
+
+def test_dark_target_draws_no_flow_to_itself() -> None:
+    """Guards against packets of a living server's flow at a dead one.
+
+    The dead one reported before, and returns nothing now (review/2).
+    """
+    clock, forwarder = probe_dark_target()
+    actions = sweep_until(clock, forwarder, 1_000_000 + 2_000)
+    assert FLOW not in forwarder.tracker
+    assert not sent_messages(actions, flows.FlowLocated)
+
+
+def test_search_does_not_wait_for_dark_target_for_long() -> None:
+    """Guards against clients of a lost flow that nobody resets."""
+    clock, forwarder = probe_dark_target()
+    actions = sweep_until(
+        clock, forwarder, 1_000_000 + 50 + _target_forwarder.FIRST_KEEPALIVE_MS
+    )
+    assert [item.to for item in sent_messages(actions, flows.NotHeld)] == [PEER]
+
+
+def test_frozen_agent_does_not_take_its_target_for_gone() -> None:
+    """Guards against resets by an agent that has not read its sockets yet."""
+    clock, forwarder = probe_dark_target()
+    sweep_until(clock, forwarder, 1_000_000 + 100)
+    clock.set(1_000_000 + 4_000)
+    assert not sent_messages(forwarder.sweep(), flows.NotHeld)
+
+
+def test_restarted_target_holds_no_flow_of_its_earlier_process() -> None:
+    """Guards against an adoption because the new process reports."""
+    clock, _, forwarder = make_forwarder()
+    monitor = flows.TargetMonitor(clock, "board", forwarder, 1_200)
+    monitor.record_report(report(1))
+    forwarder.receive(PEER, forward(flows.Handling.SEARCH), data_packet())
+    clock.set(1_000_700)
+    monitor.record_report(report(1, started_ms=2_000))
+    actions = forwarder.sweep()
+    assert FLOW not in forwarder.tracker
+    assert sent_messages(actions, flows.NotHeld)
+
+
+def test_flow_that_no_client_has_opened_is_not_reset() -> None:
+    """Guards against the reset of a flow that is open at another server.
+
+    An agent that was frozen offers an old opening packet again, and the server
+    accepts it (review/other/unopened-flow).
+    """
+    _, _, forwarder = make_forwarder()
+    open_flow(forwarder)
+    actions = forwarder.mark_down("left")
+    assert not any(isinstance(item, flows.Reset) for item in actions)
+
+
+def test_flow_that_the_client_has_acknowledged_is_reset() -> None:
+    """Guards against clients that wait for a server that is gone."""
+    _, _, forwarder = make_forwarder()
+    open_flow(forwarder)
+    acknowledgment = dataclasses.replace(data_packet(), payload_bytes=0)
+    forwarder.receive(BALANCER, forward(flows.Handling.HELD), acknowledgment)
+    actions = forwarder.mark_down("left")
+    assert any(isinstance(item, flows.Reset) for item in actions)
+
+
+def test_flow_accepted_twice_is_found_without_a_search() -> None:
+    """Guards against a search at all agents for a flow accepted by two."""
+    _, _, decisions = make_agent()
+    located = flows.FlowLocated(FLOW, flows.Load())
+    decisions.handle_message(PEER, located)
+    decisions.handle_message(OWN, located)
+    decisions.handle_message(OWN, flows.NotHeld(FLOW))
+    (action,) = decisions.receive(
+        BALANCER, forward(flows.Handling.RESOLVE), data_packet()
+    )
+    assert isinstance(action, flows.Send)
+    assert action.to == PEER
+    assert isinstance(action.message, flows.Forward)
+    assert action.message.handling is flows.Handling.HELD
+    decisions.handle_message(PEER, flows.NotHeld(FLOW))
+    actions = decisions.receive(
+        BALANCER, forward(flows.Handling.RESOLVE), data_packet()
+    )
+    assert len(sent_messages(actions, flows.Forward)) == 2
+
+
+def test_unopened_flow_does_not_count_in_the_load() -> None:
+    """Guards against load that no client brings.
+
+    A long-lived flow that was accepted by two counts at both for a minute.
+    """
+    clock, _, forwarder = make_forwarder()
+    opening = flows.Packet(FLOW, b"", opens=True)
+    offer = forward(flows.Handling.PLACE, long_lived=True)
+    forwarder.receive(BALANCER, offer, opening)
+    forwarder.receive_from_target(
+        flows.Packet(FLOW, b"", opens=True, acknowledges=True, seq=SEQ)
+    )
+    forwarder.tracker.expire()
+    assert forwarder.load().long_lived_count == 1
+    clock.set(1_000_000 + 2_100)
+    forwarder.tracker.expire()
+    assert forwarder.load().long_lived_count == 0
+    forwarder.tracker.remove(FLOW)
+    assert forwarder.load().long_lived_count == 0
