--- a/tests/adapter/test_processes.py
+++ b/tests/adapter/test_processes.py
@@ -492,6 +492,15 @@
         )
         assert accepted[FLAGS_OFFSET] == SYN | ACK
 
+    async def run_check() -> None:
+        async with running(fleet) as (targets, client):
+            await check(targets, client)
+
+    asyncio.run(run_check())
+    assert "reason=cold" in "".join(
+        fleet.log(f"agent-{index}") for index in range(3)
+    )
+
 
 def test_restored_store_breaks_no_flow(fleet: Fleet) -> None:
     """Guards against flows and entries lost with the history of the store.
@@ -537,10 +546,6 @@
             await check(targets, client)
 
     asyncio.run(run_check())
-    assert "reason=cold" in "".join(
-        fleet.log(f"agent-{index}") for index in range(3)
-    )
-
     for name in ("agent-0", "agent-1"):
         assert "event=store-restored" in fleet.log(name)
         assert "event=task-failed" not in fleet.log(name)
