Handle signals before a process reports that it is ready

A process answered readiness checks some milliseconds before it installed its signal handlers. A SIGTERM in between ended it without withdrawing its entry, and searches for its flows waited for it.

--- a/libs/runtime/src/fireflyford/runtime/_process.py
+++ b/libs/runtime/src/fireflyford/runtime/_process.py
@@ -212,6 +212,17 @@
             application.listen(address.port, address.host, backlog=256)
         )
 
+    def handle_signals(self) -> None:
+        """Handles signals from now on.
+
+        Called before the process reports that it is ready, so that it is not
+        ended by a signal without withdrawing its entry.
+        """
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+
     async def start(self) -> None:
         """Opens the link and starts the common tasks."""
         telemetry.log(
@@ -220,10 +231,6 @@
             service=self.own_instance.service,
             incarnation=self.own_instance.incarnation,
         )
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stop)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self.link.open()
         self.listen(self.options.status_address, self._status_handlers())
         self.start_task("publish", self.registry.publish)
@@ -518,7 +525,9 @@
     telemetry.configure_logs(sys.stdout, options.instance_id)
 
     async def main() -> None:
-        await create_process(core.SystemClock()).run()
+        process = create_process(core.SystemClock())
+        process.handle_signals()
+        await process.run()
 
     # This event loop needs about a quarter less processor time than asyncio's
     # own, because it reads all waiting datagrams in one iteration.
