Repeat the first read of the registry as soon as before

The longer delay after a failed read ends when a call of the publishing task succeeds, but that task waits for the first read. A process that started in an outage would have joined up to 3 s after it.

--- a/libs/runtime/src/fireflyford/runtime/_registry.py
+++ b/libs/runtime/src/fireflyford/runtime/_registry.py
@@ -284,6 +284,10 @@
 
     def retry_max_ms(self) -> int:
         """Returns the longest delay after a failed read."""
+        if not self._is_loaded.is_set():
+            # The entry is not written before the first read, so that no other
+            # call ends the delay.
+            return _prefix_follower.RETRY_MAX_MS
         return READ_RETRY_MAX_MS
 
     def continues_cut_watch(self) -> bool:
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -207,6 +207,26 @@
     run_with_store(body)
 
 
+def test_process_started_in_an_outage_joins_soon_after_it() -> None:
+    """Guards against a first read that is repeated too late.
+
+    The entry must be there within two seconds of the recovery.
+    """
+
+    async def body(server: Server, client: _store.PlatformStore) -> None:
+        instance, _, registry = make_registry(client)
+        server.state.refusal_status = 503
+        async with running(registry):
+            await asyncio.sleep(4)
+            server.state.refusal_status = 0
+            key = f"{_registry.PREFIX}{instance.address}"
+            assert await _platform_store.wait_until(
+                lambda: key in server.state.items, 2_000
+            )
+
+    run_with_store(body)
+
+
 def test_instances_started_together_discover_each_other() -> None:
     """Guards against instances that discover each other too late.
 
