Put agents of far slower backend servers on probation

Cause: a backend server that responds several times more slowly than the others takes waiting flows that others would serve in time.

Change: for flows with terms, a directory agent compares the service times in load reports. Above 3.5 times the median of the service an agent gets a trickle of new flows until it is below 2.5 times; at most a fifth of the agents at a time. Flows without terms are placed as before.

--- a/libs/flows/src/fireflyford/flows/_flow_placer.py
+++ b/libs/flows/src/fireflyford/flows/_flow_placer.py
@@ -10,6 +10,7 @@
 from fireflyford.flows import _fleet
 from fireflyford.flows import _flow_tracker
 from fireflyford.flows import _messages
+from fireflyford.flows import _outliers
 from fireflyford.flows import _placement
 from fireflyford.flows import _response_timer
 from fireflyford.flows import _types
@@ -111,6 +112,8 @@
         self._placement = placement
         self._attempts: dict[bytes, _PlacementAttempt] = {}
         self._suspect_until_ms: dict[core.Address, int] = {}
+        # Agents with slow backend servers, for flows with terms.
+        self._outliers = _outliers.Outliers(clock)
         self._timer = _response_timer.ResponseTimer(
             OFFER_TIMEOUT_MS, MAX_OFFER_TIMEOUT_MS
         )
@@ -274,6 +277,7 @@
         chosen = self._placement.choose(candidates, attempt.forward.long_lived)
         now_ms = self._clock.now_ms()
         self._recent_placements.setdefault(chosen.address, []).append(now_ms)
+        self._outliers.record_offer(chosen.address)
         attempt.offered_to = chosen.address
         attempt.offered_ms = now_ms
         attempt.due_ms = now_ms + self._timer.timeout_ms()
@@ -427,6 +431,8 @@
         balancer = self._fleet.find(attempt.forward.balancer)
         client_zone = (balancer or self._own_instance).availability_zone
         terms = attempt.forward.terms
+        if terms is not None and self._outliers.is_due():
+            self._compare_agents()
         has_room = _placement.has_room if terms is None else _admission.has_room
         preferred, last_resort, full = [], [], []
         for agent in self._fleet.agents(self._own_instance.service):
@@ -445,14 +451,16 @@
             is_load_known = self._fleet.is_load_known(agent.address)
             if is_load_known and load.state in _DECLINING_STATES:
                 continue
-            if not has_room(load, candidate.placed_count):
-                attempt.decline_reason = _messages.DeclineReason.BUSY
-                full.append(candidate)
-                continue
-            if (
+            is_preferred = (
                 load.state is _types.TargetState.READY
+                and (terms is None or self._outliers.accepts(agent.address))
                 and self._suspect_until_ms.get(agent.address, 0) <= now_ms
-            ):
+            )
+            if not has_room(load, candidate.placed_count):
+                attempt.decline_reason = _messages.DeclineReason.BUSY
+                if is_preferred:
+                    full.append(candidate)
+            elif is_preferred:
                 preferred.append(candidate)
             else:
                 last_resort.append(candidate)
@@ -461,6 +469,12 @@
         # Without room, an agent takes the flow on its waiting list.
         return preferred or full or last_resort
 
+    def _compare_agents(self) -> None:
+        agents = self._fleet.agents(self._own_instance.service)
+        self._outliers.update(
+            {item.address: self._fleet.load(item.address) for item in agents}
+        )
+
     def _expected_load(self, address: core.Address) -> _types.Load:
         """Estimates the current load of an agent from its last report.
 
