Keep the place of a flow whose offer comes after its grant

Cause: the opening packet does not tell how long a flow has waited. With an instance short of processor time, the offer may follow a grant after 20 ms; the flow then counted as new and preceded flows that could still be in time.

Change: an agent remembers expired grants for 300 ms, at most 64, and uses their opening time for a late offer.

Result: the added test fails with the opening time of the late packet.

--- a/libs/flows/src/fireflyford/flows/_admission.py
+++ b/libs/flows/src/fireflyford/flows/_admission.py
@@ -17,6 +17,11 @@
 # A grant that is not used within this time passes to the next flow. Covers two
 # messages between availability zones and the processing at a loaded instance.
 GRANT_MS = 20
+# The offer that follows an expired grant may still come within this time, if an
+# instance is short of processor time. The flow then keeps its place in order.
+LATE_OFFER_MS = 300
+# Bounds the memory of expired grants; a slot has at most 15 in that time.
+MAX_EXPIRED_GRANTS = 64
 # Requests and reserved flows for each slot, including the request in progress.
 # One request beyond it keeps the slot busy during the exchange of messages
 # that opens the next flow; more would wait where they cannot be ordered.
@@ -90,6 +95,8 @@
         self._fleet = fleet
         self._waiting = _waiting_list.WaitingList(order)
         self._grants: dict[bytes, _Grant] = {}
+        # Grants that have expired, oldest first.
+        self._expired: dict[bytes, _Grant] = {}
         self._last_admitted_ms = clock.now_ms()
 
     def __len__(self) -> int:
@@ -124,6 +131,9 @@
             )
             return None
         age_ms = packet.opening_age_ms
+        expired = self._expired.pop(packet.flow, None)
+        if expired is not None:
+            age_ms = max(age_ms, now_ms - expired.item.opened_ms)
         service_ms = load.service_ms or _placement.DEFAULT_SERVICE_MS
         if age_ms > latest_start_ms(terms.limit_ms, service_ms):
             return _messages.DeclineReason.TOO_LATE
@@ -236,7 +246,14 @@
         for flow, grant in tuple(self._grants.items()):
             if now_ms >= grant.expires_ms:
                 del self._grants[flow]
+                self._expired[flow] = grant
                 self._log_unused(flow, "timeout")
+        while self._expired:
+            flow, grant = next(iter(self._expired.items()))
+            is_recent = now_ms < grant.expires_ms + LATE_OFFER_MS
+            if is_recent and len(self._expired) <= MAX_EXPIRED_GRANTS:
+                break
+            del self._expired[flow]
         needed_ms = service_ms + _waiting_list.EXCHANGE_MS
         self._waiting.expire(now_ms + int(needed_ms))
 
--- a/libs/flows/tests/test_admission.py
+++ b/libs/flows/tests/test_admission.py
@@ -178,6 +178,24 @@
     assert granted(actions) == [flow_id(4)]
 
 
+def test_late_offer_after_a_grant_does_not_count_as_new() -> None:
+    """Guards against service of a flow whose client has given up."""
+    holder = Holder()
+    holder.fill()
+    holder.offer(3)
+    holder.clock.set(START_MS + TERMS.objective_ms)
+    assert granted(holder.answer(1)) == [flow_id(3)]
+    holder.offer(4)
+    holder.clock.set(START_MS + TERMS.objective_ms + _admission.GRANT_MS)
+    assert granted(holder.forwarder.sweep()) == [flow_id(4)]
+    # The slot of the expired grant is kept for another flow now.
+    assert holder.offer(3) is flows.DeclineReason.BUSY
+    assert holder.offer(4) is None
+    holder.accept(4)
+    holder.clock.set(START_MS + TERMS.limit_ms)
+    assert granted(holder.answer(2)) == []
+
+
 def test_flow_past_its_limit_is_declined_as_too_late() -> None:
     """Guards against service of requests whose clients have given up."""
     holder = Holder()
