--- a/libs/flows/src/fireflyford/flows/_flow_placer.py
+++ b/libs/flows/src/fireflyford/flows/_flow_placer.py
@@ -13,6 +13,7 @@
 from fireflyford.flows import _fleet
 from fireflyford.flows import _flow_tracker
 from fireflyford.flows import _messages
+from fireflyford.flows import _outliers
 from fireflyford.flows import _placement
 from fireflyford.flows import _response_timer
 from fireflyford.flows import _responsiveness
@@ -131,6 +132,8 @@
         self._suspect_until_ms: dict[core.Address, int] = {}
         # Agents that have declined a flow because of a cold backend server.
         self._cold_until_ms: dict[core.Address, int] = {}
+        # Agents with slow backend servers, for flows with terms.
+        self._outliers = _outliers.Outliers(clock)
         self._timer = _response_timer.ResponseTimer(
             OFFER_TIMEOUT_MS, MAX_OFFER_TIMEOUT_MS
         )
@@ -366,6 +369,7 @@
         now_ms = self._clock.now_ms()
         self._recent_placements.setdefault(chosen.address, []).append(now_ms)
         self._responsiveness.record_query(chosen.address)
+        self._outliers.record_offer(chosen.address)
         attempt.offered_to = chosen.address
         attempt.offered_ms = now_ms
         self.second_offers.record_offer()
@@ -545,6 +549,8 @@
         balancer = self._fleet.find(attempt.forward.balancer)
         client_zone = (balancer or self._own_instance).availability_zone
         terms = attempt.forward.terms
+        if terms is not None and self._outliers.is_due():
+            self._compare_agents()
         has_room = _placement.has_room if terms is None else _admission.has_room
         preferred: list[_placement.Candidate] = []
         cold: list[_placement.Candidate] = []
@@ -569,15 +575,17 @@
             if self._cold_until_ms.get(agent.address, 0) > now_ms:
                 attempt.decline_reason = _messages.DeclineReason.COLD
                 continue
-            if not has_room(load, candidate.placed_count):
-                attempt.decline_reason = _messages.DeclineReason.BUSY
-                full.append(candidate)
-                continue
-            if (
+            is_preferred = (
                 load.state is _types.TargetState.READY
+                and (terms is None or self._outliers.accepts(agent.address))
                 and self._suspect_until_ms.get(agent.address, 0) <= now_ms
                 and self._is_in_touch(agent.address)
-            ):
+            )
+            if not has_room(load, candidate.placed_count):
+                attempt.decline_reason = _messages.DeclineReason.BUSY
+                if is_preferred:
+                    full.append(candidate)
+            elif is_preferred:
                 is_cold = load.warmup_left_ms and self._is_cold(agent.address)
                 (cold if is_cold else preferred).append(candidate)
             else:
@@ -601,6 +609,12 @@
             address
         ) and not self._responsiveness.is_unresponsive(address)
 
+    def _compare_agents(self) -> None:
+        agents = self._fleet.agents(self._own_instance.service)
+        self._outliers.update(
+            {item.address: self._fleet.load(item.address) for item in agents}
+        )
+
     def _expected_load(self, address: core.Address) -> _types.Load:
         """Estimates the current load of an agent from its last report.
 
