Avoid availability zones that are reached in one direction only

A path between two zones may be lost in one direction. The receiving side misses messages, but nothing told the sending side: balancers asked and directory agents offered flows there in vain, and flows that a third zone placed behind the path lost the data of their clients.

Each process records when it last heard from each zone. An agent declines new flows of a zone that it does not hear and reports this to the instances there once a second; they avoid it, and reset long-lived flows that it holds when a client repeats its data without confirmation.

--- a/libs/flows/src/fireflyford/flows/__init__.py
+++ b/libs/flows/src/fireflyford/flows/__init__.py
@@ -22,6 +22,7 @@
 from fireflyford.flows._messages import LoadReport
 from fireflyford.flows._messages import Message
 from fireflyford.flows._messages import NotHeld
+from fireflyford.flows._messages import PathReport
 from fireflyford.flows._messages import PlacementDeclined
 from fireflyford.flows._messages import PlacementQueued
 from fireflyford.flows._messages import PlacementRefused
@@ -62,6 +63,7 @@
 from fireflyford.flows._waiting_list import NewestFirst
 from fireflyford.flows._waiting_list import NewestInGroup
 from fireflyford.flows._waiting_list import WaitingOrder
+from fireflyford.flows._zone_paths import ZonePaths
 
 __all__ = [
     "FLOW_ID_BYTES",
@@ -94,6 +96,7 @@
     "NewestInGroup",
     "NotHeld",
     "Packet",
+    "PathReport",
     "Placement",
     "PlacementDeclined",
     "PlacementQueued",
@@ -117,6 +120,7 @@
     "TargetReport",
     "TargetState",
     "WaitingOrder",
+    "ZonePaths",
     "client_address",
     "describe_flow",
     "make_route_table",
--- a/libs/flows/src/fireflyford/flows/_agent.py
+++ b/libs/flows/src/fireflyford/flows/_agent.py
@@ -12,6 +12,7 @@
 from fireflyford.flows import _types
 from fireflyford.flows import _waiting_list
 from fireflyford.flows import _warm_up
+from fireflyford.flows import _zone_paths
 
 # Time after a pause in which reports that waited meanwhile may be read.
 REPORT_BACKLOG_MS = 100
@@ -31,6 +32,7 @@
         warmup_overage: float = 0.0,
         warmup_slack: float = 0.0,
         order: _waiting_list.WaitingOrder | None = None,
+        zone_paths: _zone_paths.ZonePaths | None = None,
     ) -> None:
         """Initializes an agent without flows.
 
@@ -47,10 +49,15 @@
                 bears, 0 if they are not limited.
             warmup_slack: New flows a second that are allowed beyond that.
             order: Order of flows with terms that wait for a slot.
+            zone_paths: Knows which zones do not reach this process. Defaults
+                to one for a small fleet.
         """
         self.responsiveness = responsiveness or _responsiveness.Responsiveness(
             clock
         )
+        self.zone_paths = zone_paths or _zone_paths.ZonePaths(
+            clock, own_instance, fleet, self.responsiveness
+        )
         self._own_instance = own_instance
         self._fleet = fleet
         # Evacuated zones, as known from opening packets.
@@ -68,6 +75,7 @@
             self.evacuation,
             self.warm_up,
             order,
+            self.zone_paths,
         )
         self.directory = _flow_directory.FlowDirectory(
             clock,
@@ -77,6 +85,7 @@
             self.responsiveness,
             second_offer_ratio,
             evacuation=self.evacuation,
+            zone_paths=self.zone_paths,
         )
         self._announced_generation = -1
 
@@ -91,6 +100,7 @@
             # Most packets are for the holder. They cost no extra time, as their
             # senders send other messages too.
             self.responsiveness.record_message(sender)
+            self.zone_paths.record_message(sender)
         if packet.opens:
             self._learn_evacuation(forward.evacuation, sender)
             forward = forward.with_newest(self.evacuation.view)
@@ -114,6 +124,7 @@
     ) -> list[_types.Action]:
         """Handles a message about flows or about an instance."""
         self.responsiveness.record_message(sender)
+        self.zone_paths.record_message(sender)
         if isinstance(message, _messages.FlowLocated):
             return self.directory.handle_located(sender, message)
         if isinstance(message, _messages.PlacementDeclined):
@@ -132,6 +143,8 @@
             self.responsiveness.record_planned_restart(
                 message.address, message.incarnation
             )
+        elif isinstance(message, _messages.PathReport):
+            self.zone_paths.record_report(sender, message)
         elif isinstance(message, _messages.Heartbeat):
             self.responsiveness.record_heartbeat(message)
             self._fleet.apply_heartbeat(message)
@@ -142,7 +155,11 @@
         """Handles timeouts, and announces flows after a change of the fleet."""
         self.responsiveness.sweep()
         self._pause_guard.sweep()
-        actions = [*self.forwarder.sweep(), *self.directory.sweep()]
+        actions = [
+            *self.zone_paths.sweep(),
+            *self.forwarder.sweep(),
+            *self.directory.sweep(),
+        ]
         if self._fleet.generation != self._announced_generation:
             self._announced_generation = self._fleet.generation
             actions += self.forwarder.announce_moved()
--- a/libs/flows/src/fireflyford/flows/_balancer.py
+++ b/libs/flows/src/fireflyford/flows/_balancer.py
@@ -24,6 +24,7 @@
 from fireflyford.flows import _responsiveness
 from fireflyford.flows import _routes
 from fireflyford.flows import _types
+from fireflyford.flows import _zone_paths
 
 # A known flow takes some 200 bytes.
 MAX_KNOWN_FLOWS = 65_536
@@ -51,6 +52,9 @@
 # Agents on the hash ring that may act as directory agent while earlier ones are
 # avoided.
 DIRECTORY_CANDIDATE_COUNT = 4
+# Those considered while instances are not reached: a lost path affects a third
+# of all agents, so that a few in turn are not reached.
+REACHABLE_CANDIDATE_COUNT = 16
 # Limit of packets that wait for the directory agent's answer.
 MAX_PENDING_PACKETS = 16_384
 
@@ -190,6 +194,7 @@
         own_instance: _types.Instance,
         fleet: _fleet.Fleet,
         responsiveness: _responsiveness.Responsiveness | None = None,
+        zone_paths: _zone_paths.ZonePaths | None = None,
     ) -> None:
         """Initializes a balancer without a configuration.
 
@@ -199,12 +204,17 @@
             fleet: View of all instances.
             responsiveness: Judges the agents by their answers. Defaults to one
                 that expects announcements of restarts from all agents.
+            zone_paths: Knows which instances are not reached. Defaults to one
+                for a small fleet.
         """
         self.responsiveness = responsiveness or _responsiveness.Responsiveness(
             clock
         )
+        self.zone_paths = zone_paths or _zone_paths.ZonePaths(
+            clock, own_instance, fleet, self.responsiveness
+        )
         self.holder_watch = _holder_watch.HolderWatch(
-            clock, fleet, self.responsiveness
+            clock, fleet, self.responsiveness, self.zone_paths
         )
         self._clock = clock
         self._own_instance = own_instance
@@ -345,7 +355,9 @@
         """Handles a message about flows or about an instance."""
         self.responsiveness.record_message(sender)
         self._avoidance.record_message(sender)
+        self.zone_paths.record_message(sender)
         if isinstance(message, _messages.FlowLocated):
+            self.holder_watch.record_confirmation(message.flow, sender)
             self._record_holder(sender, message.flow)
         elif isinstance(message, _messages.NotHeld):
             known = self._known_flows.get(message.flow)
@@ -363,6 +375,8 @@
             self.responsiveness.record_planned_restart(
                 message.address, message.incarnation
             )
+        elif isinstance(message, _messages.PathReport):
+            self.zone_paths.record_report(sender, message)
         elif isinstance(message, _messages.Heartbeat):
             self.responsiveness.record_heartbeat(message)
             self._fleet.apply_heartbeat(message)
@@ -376,7 +390,9 @@
         """Retries unanswered packets and resets flows of silent holders."""
         now_ms = self._clock.now_ms()
         self.responsiveness.sweep()
-        actions = self._reset_stranded() if len(self.holder_watch) else []
+        actions = self.zone_paths.sweep()
+        if len(self.holder_watch):
+            actions += self._reset_stranded()
         for flow, pending in tuple(self._pending.items()):
             if now_ms - pending.received_ms >= RETRY_LIMIT_MS:
                 del self._pending[flow]
@@ -397,7 +413,11 @@
         return (
             waited_ms >= DIRECTORY_TIMEOUT_MS
             and asked is not None
-            and (asked in self._avoidance or self._is_silent(asked))
+            and (
+                asked in self._avoidance
+                or self._is_silent(asked)
+                or not self.zone_paths.is_reachable(asked)
+            )
         )
 
     def _is_silent(self, address: core.Address) -> bool:
@@ -520,10 +540,22 @@
             service, flow, DIRECTORY_CANDIDATE_COUNT
         )
         for directory_agent in directory_agents:
-            if directory_agent not in self._avoidance:
+            if self._may_ask(directory_agent):
                 return directory_agent
+        if not all(map(self.zone_paths.is_reachable, directory_agents)):
+            for directory_agent in self._fleet.directory_agents(
+                service, flow, REACHABLE_CANDIDATE_COUNT
+            ):
+                if self._may_ask(directory_agent):
+                    return directory_agent
         return directory_agents[0] if directory_agents else None
 
+    def _may_ask(self, directory_agent: core.Address) -> bool:
+        return (
+            directory_agent not in self._avoidance
+            and self.zone_paths.is_reachable(directory_agent)
+        )
+
     def _suspect_if_overdue(self, pending: _PendingPacket) -> None:
         """Avoids a directory agent that has not answered in time."""
         now_ms = self._clock.now_ms()
--- a/libs/flows/src/fireflyford/flows/_flow_directory.py
+++ b/libs/flows/src/fireflyford/flows/_flow_directory.py
@@ -17,6 +17,7 @@
 from fireflyford.flows import _placement
 from fireflyford.flows import _responsiveness
 from fireflyford.flows import _types
+from fireflyford.flows import _zone_paths
 
 MAX_ENTRIES = 200_000
 # Idle time after which an entry is removed.
@@ -46,6 +47,7 @@
         responsiveness: _responsiveness.Responsiveness,
         second_offer_ratio: float = 0.0,
         evacuation: _evacuation.Evacuations | None = None,
+        zone_paths: _zone_paths.ZonePaths | None = None,
     ) -> None:
         """Initializes an empty directory.
 
@@ -57,6 +59,7 @@
             responsiveness: Judges the agents by their answers.
             second_offer_ratio: Second offers allowed for each offer.
             evacuation: Evacuated zones, None if there are none.
+            zone_paths: Knows which instances are not reached.
         """
         self._clock = clock
         self._own_instance = own_instance
@@ -72,6 +75,7 @@
             responsiveness,
             second_offer_ratio,
             evacuation=evacuation,
+            zone_paths=zone_paths,
         )
         self.second_offers = self._placer.second_offers
         self._searches = _holder_search.HolderSearches(
--- a/libs/flows/src/fireflyford/flows/_flow_placer.py
+++ b/libs/flows/src/fireflyford/flows/_flow_placer.py
@@ -19,6 +19,7 @@
 from fireflyford.flows import _second_offer
 from fireflyford.flows import _types
 from fireflyford.flows import _warm_up
+from fireflyford.flows import _zone_paths
 
 # Bounds of the time after which an unanswered offer goes to another agent; it
 # follows the measured response times. The minimum covers the agent's own limit
@@ -32,6 +33,10 @@
 # An agent that has not answered an offer in time is a suspect for this time: it
 # is offered flows only if no other agent has room.
 SUSPECT_MS = 1_000
+# After an agent has declined a flow because the client's zone does not reach
+# it, its zone is the last resort for flows of that zone for this time. Each
+# flow would otherwise cost a declined offer; the path may return meanwhile.
+UNREACHABLE_MS = 500
 # After this many declines for lack of a free slot, an agent with room may
 # accept the flow even if its requests have to wait for a slot.
 MAX_BUSY_DECLINES = 2
@@ -69,6 +74,8 @@
         self.excluded_agents: set[core.Address] = set()
         # Agents that declined the flow because their zone is evacuated.
         self.evacuated_agents: set[core.Address] = set()
+        # Agents that packets of the client's balancer do not reach.
+        self.unreachable_agents: set[core.Address] = set()
         # Agent of the latest offer, None while the flow is queued.
         self.offered_to: core.Address | None = None
         # Agent of a second offer beside the latest one.
@@ -109,6 +116,7 @@
         responsiveness: _responsiveness.Responsiveness,
         second_offer_ratio: float = 0.0,
         evacuation: _evacuation.Evacuations | None = None,
+        zone_paths: _zone_paths.ZonePaths | None = None,
     ) -> None:
         """Initializes a placer without new flows.
 
@@ -120,9 +128,16 @@
             responsiveness: Judges the agents by their answers.
             second_offer_ratio: Second offers allowed for each offer.
             evacuation: Evacuated zones, None if there are none.
+            zone_paths: Knows which instances are not reached.
         """
         self._responsiveness = responsiveness
         self._evacuation = evacuation or _evacuation.Evacuations()
+        self._zone_paths = zone_paths or _zone_paths.ZonePaths(
+            clock, own_instance, fleet, responsiveness
+        )
+        # Ends of the times in which a zone of clients is taken not to reach
+        # a zone of agents, by both zones.
+        self._unreachable_until_ms: dict[tuple[str, str], int] = {}
         self._clock = clock
         self._own_instance = own_instance
         self._fleet = fleet
@@ -203,6 +218,8 @@
             self._cold_until_ms[sender] = now_ms + _warm_up.RETRY_MS
         if message.reason is _messages.DeclineReason.EVACUATED:
             attempt.evacuated_agents.add(sender)
+        if message.reason is _messages.DeclineReason.UNREACHABLE:
+            self._record_unreachable(attempt, sender)
         attempt.decline_reason = message.reason
         if (
             message.reason is _messages.DeclineReason.TOO_LATE
@@ -541,9 +558,7 @@
         if len(attempt.waiting_agents) >= MAX_WAITING_AGENTS:
             return []
         now_ms = self._clock.now_ms()
-        # Clients send to balancers in their own zone.
-        balancer = self._fleet.find(attempt.forward.balancer)
-        client_zone = (balancer or self._own_instance).availability_zone
+        client_zone = self._client_zone(attempt)
         terms = attempt.forward.terms
         has_room = _placement.has_room if terms is None else _admission.has_room
         preferred: list[_placement.Candidate] = []
@@ -554,6 +569,7 @@
             if (
                 agent.address in attempt.excluded_agents
                 or agent.address in attempt.waiting_agents
+                or agent.address in attempt.unreachable_agents
             ):
                 continue
             load = self._expected_load(agent.address)
@@ -569,6 +585,10 @@
             if self._cold_until_ms.get(agent.address, 0) > now_ms:
                 attempt.decline_reason = _messages.DeclineReason.COLD
                 continue
+            if not self._is_path_open(agent, client_zone):
+                if has_room(load, candidate.placed_count):
+                    last_resort.append(candidate)
+                continue
             if not has_room(load, candidate.placed_count):
                 attempt.decline_reason = _messages.DeclineReason.BUSY
                 full.append(candidate)
@@ -588,6 +608,33 @@
         # Without room, an agent takes the flow on its waiting list.
         return warm or full or last_resort
 
+    def _client_zone(self, attempt: _PlacementAttempt) -> str:
+        """Returns the zone of a client, which sends to balancers there."""
+        balancer = self._fleet.find(attempt.forward.balancer)
+        return (balancer or self._own_instance).availability_zone
+
+    def _record_unreachable(
+        self, attempt: _PlacementAttempt, agent: core.Address
+    ) -> None:
+        attempt.unreachable_agents.add(agent)
+        instance = self._fleet.find(agent)
+        if instance is not None:
+            zones = (self._client_zone(attempt), instance.availability_zone)
+            self._unreachable_until_ms[zones] = (
+                self._clock.now_ms() + UNREACHABLE_MS
+            )
+
+    def _is_path_open(self, agent: _types.Instance, client_zone: str) -> bool:
+        """Returns whether offers and packets of the client reach an agent."""
+        if agent.address == self._own_instance.address:
+            return self._zone_paths.is_heard(client_zone)
+        if self._unreachable_until_ms:
+            zones = (client_zone, agent.availability_zone)
+            until_ms = self._unreachable_until_ms.get(zones, 0)
+            if self._clock.now_ms() < until_ms:
+                return False
+        return self._zone_paths.is_reachable(agent.address)
+
     def _is_cold(self, address: core.Address) -> bool:
         """Returns whether a backend server is cold, by its last report."""
         age_ms = self._fleet.keepalive_age_ms(address) or 0
--- a/libs/flows/src/fireflyford/flows/_holder_watch.py
+++ b/libs/flows/src/fireflyford/flows/_holder_watch.py
@@ -11,6 +11,7 @@
 from fireflyford.flows import _responsiveness
 from fireflyford.flows import _routes
 from fireflyford.flows import _types
+from fireflyford.flows import _zone_paths
 
 # A client repeats its data 200, 600 and 1,400 ms after it has sent it, and has
 # waited long enough at the second repetition.
@@ -34,6 +35,8 @@
         holder: The holder to which the copy was forwarded.
         repeat_count: Repetitions so far.
         repeated_ms: Time of the last counted one.
+        unconfirmed_count: Repetitions since the holder last confirmed one.
+        unconfirmed_since_ms: Time of the first of these.
     """
 
     __slots__ = (
@@ -43,6 +46,8 @@
         "repeated_ms",
         "route",
         "service",
+        "unconfirmed_count",
+        "unconfirmed_since_ms",
     )
 
     def __init__(
@@ -60,6 +65,8 @@
         self.holder = holder
         self.repeat_count = 1
         self.repeated_ms = now_ms
+        self.unconfirmed_count = 1
+        self.unconfirmed_since_ms = now_ms
 
 
 class HolderWatch:
@@ -70,6 +77,7 @@
         clock: core.Clock,
         fleet: _fleet.Fleet,
         responsiveness: _responsiveness.Responsiveness,
+        zone_paths: _zone_paths.ZonePaths | None = None,
     ) -> None:
         """Initializes a watch without waiting clients.
 
@@ -77,11 +85,13 @@
             clock: Source of time.
             fleet: View of all instances.
             responsiveness: Judges instances by their answers.
+            zone_paths: Knows which instances are not reached, None if all are.
         """
         self._clock = clock
         self._started_ms = clock.now_ms()
         self._fleet = fleet
         self._responsiveness = responsiveness
+        self._zone_paths = zone_paths
         self._waiting: dict[bytes, WaitingClient] = {}
 
     def __len__(self) -> int:
@@ -112,6 +122,15 @@
         if now_ms - waiting.repeated_ms >= MIN_REPEAT_GAP_MS:
             waiting.repeat_count += 1
             waiting.repeated_ms = now_ms
+            if not waiting.unconfirmed_count:
+                waiting.unconfirmed_since_ms = now_ms
+            waiting.unconfirmed_count += 1
+
+    def record_confirmation(self, flow: bytes, holder: core.Address) -> None:
+        """Records that repeated data of a flow has reached its holder."""
+        waiting = self._waiting.get(flow)
+        if waiting is not None and waiting.holder == holder:
+            waiting.unconfirmed_count = 0
 
     def forget(self, flow: bytes) -> None:
         """Stops watching a flow that its client continues."""
@@ -131,11 +150,32 @@
             holder = waiting.holder
             if holder not in silent:
                 silent[holder] = self._is_silent(holder, waiting.service)
-            if silent[holder]:
+            if silent[holder] or self._is_cut_off(waiting):
                 del self._waiting[flow]
                 stranded.append(waiting)
         return stranded
 
+    def _is_cut_off(self, waiting: WaitingClient) -> bool:
+        """Returns whether data of a client no longer reaches its holder.
+
+        The holder reports that it does not hear this zone, and has confirmed
+        no copy although its messages arrive.
+        """
+        holder = waiting.holder
+        unconfirmed_ms = self._clock.now_ms() - waiting.unconfirmed_since_ms
+        if (
+            waiting.unconfirmed_count < MIN_REPEAT_COUNT
+            or unconfirmed_ms < MIN_UNCONFIRMED_MS
+            or self._zone_paths is None
+            or not self._zone_paths.is_reported(holder)
+            or not self._responsiveness.may_judge(holder)
+        ):
+            return False
+        telemetry.log(
+            "holder-cut-off", holder=holder, unconfirmed_ms=unconfirmed_ms
+        )
+        return True
+
     def _is_silent(self, holder: core.Address, service: str) -> bool:
         """Returns whether a holder neither confirms data nor reports."""
         unconfirmed_ms = self._responsiveness.unanswered_ms(holder)
--- a/libs/flows/src/fireflyford/flows/_messages.py
+++ b/libs/flows/src/fireflyford/flows/_messages.py
@@ -113,6 +113,8 @@
     COLD = 8
     # The flow cannot be served within its time limit any more.
     TOO_LATE = 9
+    # Packets of the client's balancer do not reach the agent.
+    UNREACHABLE = 10
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -234,6 +236,20 @@
     incarnation: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PathReport:
+    """Whether messages of the receiver's zone reach the sender.
+
+    Attributes:
+        zone: The availability zone of the receiver.
+        is_heard: False while no message of the zone arrives, True once when
+            one has arrived again.
+    """
+
+    zone: str
+    is_heard: bool
+
+
 Message = (
     Forward
     | FlowLocated
@@ -249,6 +265,7 @@
     | ProtocolAnnouncement
     | PlacementWithdrawn
     | PlannedRestart
+    | PathReport
 )
 
 
--- a/libs/flows/src/fireflyford/flows/_target_forwarder.py
+++ b/libs/flows/src/fireflyford/flows/_target_forwarder.py
@@ -19,6 +19,7 @@
 from fireflyford.flows import _types
 from fireflyford.flows import _waiting_list
 from fireflyford.flows import _warm_up
+from fireflyford.flows import _zone_paths
 
 # Time limit for the backend server to accept a new flow; a running one takes
 # less than a millisecond.
@@ -53,6 +54,7 @@
         evacuation: _evacuation.Evacuations | None = None,
         warm_up: _warm_up.WarmUpLimit | None = None,
         order: _waiting_list.WaitingOrder | None = None,
+        zone_paths: _zone_paths.ZonePaths | None = None,
     ) -> None:
         """Initializes a forwarder without flows.
 
@@ -64,7 +66,10 @@
             warm_up: Limit of new flows while the backend server is cold, None
                 if there is none.
             order: Order of flows with terms that wait for a slot.
+            zone_paths: Knows which zones do not reach this process, None if
+                all do.
         """
+        self._zone_paths = zone_paths
         self.warm_up = warm_up or _warm_up.WarmUpLimit(clock)
         self._evacuation = evacuation or _evacuation.Evacuations()
         self._clock = clock
@@ -217,6 +222,8 @@
             return reasons.DOWN
         if self.state is _types.TargetState.UNKNOWN:
             return reasons.UNKNOWN_STATE
+        if not self._hears(forward.balancer):
+            return reasons.UNREACHABLE
         if not self.warm_up.allows(packet.flow, packet.seq):
             return reasons.COLD
         load = self.load()
@@ -232,6 +239,15 @@
             return reasons.BUSY
         return None
 
+    def _hears(self, balancer: core.Address) -> bool:
+        """Returns whether packets of a balancer arrive, True if unknown."""
+        instance = self._fleet.find(balancer)
+        return (
+            self._zone_paths is None
+            or instance is None
+            or self._zone_paths.is_heard(instance.availability_zone)
+        )
+
     def _decline(
         self,
         directory_agent: core.Address,
--- a/libs/lab/src/fireflyford/lab/_packet_fleet.py
+++ b/libs/lab/src/fireflyford/lab/_packet_fleet.py
@@ -360,8 +360,14 @@
     def __init__(self, fleet: "PacketFleet", index: int):
         """Starts a process."""
         address = core.Address(f"10.0.0.{index + 1}", 7000)
+        zones = fleet.balancer_zones
+        self._zone = zones[index % len(zones)]
         super().__init__(fleet, core.Role.BALANCER, address)
 
+    def zone(self) -> str:
+        """Returns the availability zone of the balancer."""
+        return self._zone
+
     def create_logic(self) -> None:
         """Creates the decision code of a new process."""
         fleet = self._fleet
@@ -388,10 +394,11 @@
 class Client:
     """Client of one flow, with at most one request at a time."""
 
-    def __init__(self, fleet: "PacketFleet", flow: bytes):
+    def __init__(self, fleet: "PacketFleet", flow: bytes, zone: str | None):
         """Prepares a flow that is not yet open."""
         self._fleet = fleet
         self.flow = flow
+        self.zone = zone
         self.is_open = False
         self.is_ended = False
         self._first_seq = 0
@@ -544,6 +551,8 @@
         warmup_slack: float = 0.0,
         routes: tuple[flows.Route, ...] = (),
         order: flows.WaitingOrder | None = None,
+        balancer_zones: tuple[str, ...] = (ZONE,),
+        in_step: bool = True,
     ) -> None:
         """Starts all processes with the same view.
 
@@ -562,7 +571,10 @@
             warmup_slack: Setting of the agents.
             routes: Routes in place of one without terms to `SERVICE`.
             order: Order of waiting flows, the production order by default.
+            balancer_zones: Availability zones of the balancers, in rotation.
+            in_step: Whether all agents report their load at the same time.
         """
+        self.balancer_zones = balancer_zones
         self.rng = random.Random(seed)
         self.clock = EventClock(1_000_000)
         policy = flows.EarliestCompletion(random.Random(seed))
@@ -606,7 +618,10 @@
         for node in self.agents:
             node.report(flows.TargetState.READY, 1)
         self._every(SWEEP_INTERVAL_MS, self._sweep)
-        self._every(load_interval_ms, self._report_loads)
+        if in_step:
+            self._every(load_interval_ms, self._report_loads)
+        else:
+            self._spread_reports(load_interval_ms)
         self._every(HEARTBEAT_INTERVAL_MS, self._send_heartbeats)
         self._report_loads()
 
@@ -669,18 +684,27 @@
             if balancer.up:
                 balancer.run(balancer.flows.sweep())
 
+    def _spread_reports(self, interval_ms: int) -> None:
+        """Starts the load reports of each agent at a random time."""
+        rng = random.Random(len(self.agents))
+        for agent in self.agents:
+            report = functools.partial(self._report_load, agent)
+            start = functools.partial(self._every, interval_ms, report)
+            self.call_later(rng.randrange(interval_ms), start)
+
     def _report_loads(self) -> None:
         for agent in self.agents:
-            if not agent.up or agent.backlog is not None:
-                continue
-            load = agent.flows.forwarder.load()
-            agent.flows.directory.record_load(agent.address, load)
-            for peer in agent.view.agents(agent.instance.service):
-                if peer.address != agent.address:
-                    report = flows.LoadReport(load)
-                    self.perform(
-                        agent.address, flows.Send(peer.address, report)
-                    )
+            self._report_load(agent)
+
+    def _report_load(self, agent: AgentNode) -> None:
+        if not agent.up or agent.backlog is not None:
+            return
+        load = agent.flows.forwarder.load()
+        agent.flows.directory.record_load(agent.address, load)
+        for peer in agent.view.agents(agent.instance.service):
+            if peer.address != agent.address:
+                report = flows.LoadReport(load)
+                self.perform(agent.address, flows.Send(peer.address, report))
 
     def _send_heartbeats(self) -> None:
         for agent in self.agents:
@@ -748,8 +772,14 @@
         self._packets[data] = packet
         if not self.rotation:
             return
-        index = int.from_bytes(packet.flow, "big") % len(self.rotation)
-        balancer = self.rotation[index]
+        client = self._clients.get(packet.flow)
+        rotation = self.rotation
+        if client is not None and client.zone is not None:
+            rotation = [
+                item for item in rotation if item.zone() == client.zone
+            ] or rotation
+        index = int.from_bytes(packet.flow, "big") % len(rotation)
+        balancer = rotation[index]
         self.call_later(
             CLIENT_DELAY_MS, lambda: balancer.receive_packet(packet)
         )
@@ -779,6 +809,15 @@
             if client is not None:
                 self.call_later(CLIENT_DELAY_MS, client.reset)
 
+    def cut_path(self, source: str, destination: str) -> None:
+        """Loses all messages from one availability zone to another."""
+        self.cut_links |= {
+            (sender.address, receiver.address)
+            for sender in self._nodes()
+            for receiver in self._nodes()
+            if sender.zone() == source and receiver.zone() == destination
+        }
+
     def _nodes(self) -> list[AgentNode | BalancerNode]:
         return [*self.agents, *self.balancers]
 
@@ -787,15 +826,22 @@
 
     # Clients.
 
-    def client(self, route: core.Address = ROUTE_ADDRESS) -> Client:
-        """Returns a client with a new flow to a route."""
+    def client(
+        self, route: core.Address = ROUTE_ADDRESS, zone: str | None = None
+    ) -> Client:
+        """Returns a client with a new flow to a route.
+
+        Args:
+            route: The route.
+            zone: Zone whose balancers receive its packets, None for all.
+        """
         number = len(self._clients)
         host = 0x0A800000 + number // 40_000
         port = 1_024 + number % 40_000
         flow = host.to_bytes(4, "big") + port.to_bytes(2, "big")
         flow += bytes(int(part) for part in route.host.split("."))
         flow += route.port.to_bytes(2, "big")
-        client = Client(self, flow)
+        client = Client(self, flow, zone)
         self._clients[flow] = client
         return client
 
--- a/libs/runtime/src/fireflyford/runtime/_agent.py
+++ b/libs/runtime/src/fireflyford/runtime/_agent.py
@@ -49,6 +49,7 @@
             responsiveness=self.responsiveness,
             warmup_overage=options.warmup_overage,
             warmup_slack=options.warmup_slack,
+            zone_paths=self.zone_paths,
         )
         self.target_monitor = flows.TargetMonitor(
             clock,
@@ -195,6 +196,12 @@
         """Returns the number of agents of its service."""
         return len(self.fleet.agents(self.own_instance.service))
 
+    def report_interval_ms(self) -> int:
+        """Returns the longest interval between load reports of an agent."""
+        return _heartbeats.longest_report_interval_ms(
+            self.load_report_sender_count()
+        )
+
     def silence_limit_ms(self) -> int:
         """Returns two intervals of the load reports of its peers."""
         return _heartbeats.report_silence_ms(self.load_report_sender_count())
@@ -236,6 +243,9 @@
         """
         last_sent_load = None
         last_sent_ms = 0
+        # Agents of a zone that start together would otherwise report in step
+        # and leave gaps in which their zone is not heard.
+        phase = self.rng.random()
         while True:
             peers = [
                 item.address
@@ -255,9 +265,9 @@
             # This agent receives no report of its own, but its directory also
             # places flows by load.
             self.flows.directory.record_load(self.own_instance.address, load)
-            await self.clock.sleep(
-                _heartbeats.load_report_interval_ms(len(peers))
-            )
+            interval_ms = _heartbeats.load_report_interval_ms(len(peers))
+            await self.clock.sleep(interval_ms * phase)
+            phase = 1.0
 
     def extra_status_handlers(self) -> _front_end.Handlers:
         """Returns the handler that serves the evacuated zones to balancers."""
--- a/libs/runtime/src/fireflyford/runtime/_balancer.py
+++ b/libs/runtime/src/fireflyford/runtime/_balancer.py
@@ -62,7 +62,11 @@
         super().__init__(options, front_end, clock, "", sockets or {})
         # Decides where packets are forwarded.
         self.flows = flows.BalancerFlows(
-            clock, self.own_instance, self.fleet, self.responsiveness
+            clock,
+            self.own_instance,
+            self.fleet,
+            self.responsiveness,
+            self.zone_paths,
         )
         self.config = _config_source.ConfigSource(
             self.store,
@@ -203,6 +207,12 @@
         """Returns the longest time between two keepalives of an agent."""
         return _heartbeats.keepalive_silence_ms(len(self.fleet.balancers()))
 
+    def report_interval_ms(self) -> int:
+        """Returns the longest interval between keepalives of an agent."""
+        return _heartbeats.longest_keepalive_interval_ms(
+            len(self.fleet.balancers())
+        )
+
     def heartbeat_receivers(self) -> list[core.Address]:
         """Returns all instances."""
         return [item.address for item in self.fleet.instances()]
--- a/libs/runtime/src/fireflyford/runtime/_heartbeats.py
+++ b/libs/runtime/src/fireflyford/runtime/_heartbeats.py
@@ -5,6 +5,7 @@
 fleet as from a small one.
 """
 
+import math
 import random
 
 from fireflyford import flows
@@ -123,8 +124,31 @@
     >>> keepalive_silence_ms(17)
     1670
     """
-    longest_ms = keepalive_interval_ms(balancer_count) * (1 + JITTER_RATIO)
-    return int(longest_ms) + KEEPALIVE_DELAY_ALLOWANCE_MS
+    return (
+        longest_keepalive_interval_ms(balancer_count)
+        + KEEPALIVE_DELAY_ALLOWANCE_MS
+    )
+
+
+def longest_keepalive_interval_ms(balancer_count: int) -> int:
+    """Returns the longest intended time between two keepalives.
+
+    >>> longest_keepalive_interval_ms(23)
+    1435
+    """
+    return int(keepalive_interval_ms(balancer_count) * (1 + JITTER_RATIO))
+
+
+def longest_report_interval_ms(peer_count: int) -> int:
+    """Returns the time after which an unchanged load is reported again.
+
+    It is the first round that is due after `LOAD_REPORT_REPEAT_MS`.
+
+    >>> longest_report_interval_ms(11), longest_report_interval_ms(46)
+    (1131, 1577)
+    """
+    interval_ms = load_report_interval_ms(peer_count)
+    return interval_ms * math.ceil(LOAD_REPORT_REPEAT_MS / interval_ms)
 
 
 def report_silence_ms(peer_count: int) -> int:
--- a/libs/runtime/src/fireflyford/runtime/_link_codec.py
+++ b/libs/runtime/src/fireflyford/runtime/_link_codec.py
@@ -56,6 +56,7 @@
     12: flows.SlotGranted,
     13: flows.PlannedRestart,
     14: flows.PlacementWithdrawn,
+    15: flows.PathReport,
 }
 _TYPE_CODES = {
     message_type: code for code, message_type in _MESSAGE_TYPES.items()
@@ -79,6 +80,7 @@
     12: tuple[bytes],
     13: tuple[_Address, int],
     14: tuple[bytes],
+    15: tuple[str, bool],
 }
 _ExtendedLoad = tuple[int, int, int, int, int, float, int]
 _Terms = tuple[int, int, int, bool, float]
@@ -305,6 +307,8 @@
         return (message.flow,)
     if isinstance(message, flows.ProtocolAnnouncement):
         return (message.version,)
+    if isinstance(message, flows.PathReport):
+        return (message.zone, message.is_heard)
     if isinstance(message, flows.PlannedRestart):
         return (_format_address(message.address), message.incarnation)
     if isinstance(message, flows.FlowNotFound):
@@ -434,6 +438,8 @@
         if not FIRST_PROTOCOL <= version <= MAX_COUNT:
             raise ValueError(f"protocol {version} is out of range")
         return flows.ProtocolAnnouncement(version)
+    if message_type is flows.PathReport:
+        return flows.PathReport(*fields)
     if message_type is flows.PlannedRestart:
         address, incarnation = fields
         if not 0 <= incarnation <= MAX_INCARNATION:
--- a/libs/runtime/src/fireflyford/runtime/_process.py
+++ b/libs/runtime/src/fireflyford/runtime/_process.py
@@ -150,6 +150,11 @@
         self.responsiveness = flows.Responsiveness(
             clock, self.link.speaks_second_protocol
         )
+        # Knows which zones do not reach this process, and which instances this
+        # zone does not reach.
+        self.zone_paths = flows.ZonePaths(
+            clock, self.own_instance, self.fleet, self.responsiveness
+        )
         self.stopping = asyncio.Event()
         # Time of the signal to stop.
         self.stop_requested_ms = 0
@@ -198,6 +203,10 @@
     def silence_limit_ms(self) -> int:
         """Returns the silence of an agent that its reports do not explain."""
 
+    @abc.abstractmethod
+    def report_interval_ms(self) -> int:
+        """Returns the longest interval between two reports of an agent."""
+
     @abc.abstractmethod
     def load_report_sender_count(self) -> int:
         """Returns how many agents send load reports to this instance."""
@@ -346,6 +355,7 @@
             await self.clock.sleep(EXPIRE_INTERVAL_MS)
             self.fleet.keepalive_timeout_ms = self.keepalive_timeout_ms()
             self.fleet.silence_limit_ms = self.silence_limit_ms()
+            self.zone_paths.report_interval_ms = self.report_interval_ms()
             self.fleet.refresh()
             self.expire()
 
@@ -537,6 +547,8 @@
             "instances": len(self.fleet.instances()),
             "unresponsive": self.responsiveness.unresponsive_count(),
             "restarting": len(self.responsiveness.restarting()),
+            "zones_not_heard": self.zone_paths.unheard_zones(),
+            "paths_lost": self.zone_paths.unreachable_count(),
             "counters": vars(self.link.counters),
         }
 
@@ -562,6 +574,8 @@
         values["unresponsive_instances"] = (
             self.responsiveness.unresponsive_count()
         )
+        values["zones_not_heard"] = len(self.zone_paths.unheard_zones())
+        values["paths_lost"] = self.zone_paths.unreachable_count()
         values["store_lost"] = self.registry.follower.is_unreachable
         values["view_age_ms"] = self.age_ms(
             self.registry.follower.last_response_ms
--- a/libs/runtime/tests/test_link_codec.py
+++ b/libs/runtime/tests/test_link_codec.py
@@ -61,6 +61,8 @@
     flows.SlotGranted(FLOW),
     flows.PlannedRestart(INSTANCE.address, 1_700_000_000_000),
     flows.PlacementWithdrawn(FLOW),
+    flows.PathReport("b", False),
+    flows.PathReport("b", True),
 ]
 # `MESSAGES` as release 0.1 encodes them.
 FIRST_PROTOCOL_DATA = [
