Bound reports of zones that are not heard in large fleets

Each agent reports to a third of the balancers and of its service once a second. With several hundred instances that would exceed the limit for control messages. The interval now grows beyond 25 receivers, and each report carries its validity. A simulated agent with 200 receivers sends at most 25 reports a second.

--- a/libs/flows/src/fireflyford/flows/_messages.py
+++ b/libs/flows/src/fireflyford/flows/_messages.py
@@ -242,12 +242,12 @@
 
     Attributes:
         zone: The availability zone of the receiver.
-        is_heard: False while no message of the zone arrives, True once when
-            one has arrived again.
+        validity_ms: How long the receiver relies on it that no message of the
+            zone arrives, 0 once one has arrived again.
     """
 
     zone: str
-    is_heard: bool
+    validity_ms: int
 
 
 Message = (
--- a/libs/flows/src/fireflyford/flows/_zone_paths.py
+++ b/libs/flows/src/fireflyford/flows/_zone_paths.py
@@ -6,6 +6,7 @@
 instances there, which cannot notice it themselves.
 """
 
+from collections.abc import Iterable
 import math
 
 from fireflyford import core
@@ -29,10 +30,13 @@
 REPORT_INTERVAL_MS = 1_200
 # Messages that waited during a pause of this process are read within this time.
 SETTLING_MS = 1_000
-# Interval at which a process tells a zone that it does not hear it.
+# Least interval at which an agent tells a zone that it does not hear it.
 PATH_REPORT_INTERVAL_MS = 1_000
-# Tolerates one lost report.
-PATH_REPORT_VALIDITY_MS = 2_500
+# Receivers per second beyond which the interval grows: with some 40 bytes each,
+# a third of what a node may send for control (docs/CAPACITY.md).
+MAX_PATH_REPORTS_PER_S = 25
+# Intervals for which a report is valid; tolerates one lost report.
+PATH_REPORT_VALIDITY_RATIO = 2.5
 
 
 def silence_limit_ms(sender_count: int, interval_ms: int) -> int:
@@ -43,7 +47,7 @@
         interval_ms: Longest interval between two messages of one of them.
 
     >>> silence_limit_ms(16, 1_577), silence_limit_ms(4, 1_131)
-    (1212, 1395)
+    (1211, 1395)
     >>> silence_limit_ms(1, 1_200), silence_limit_ms(100, 1_500)
     (2700, 800)
     """
@@ -84,8 +88,9 @@
         # Zones that are heard again and have not been told yet.
         self._heard_again: list[str] = []
         self._next_report_ms = 0
-        # Times at which instances last told that they do not hear this zone.
-        self._reported_ms: dict[core.Address, int] = {}
+        # Instances that do not hear this zone, with the end of the validity of
+        # their reports.
+        self._reported_until_ms: dict[core.Address, int] = {}
         self._last_sweep_ms = clock.now_ms()
         # Silence before this time, the end of a pause, does not count.
         self._resumed_ms = clock.now_ms()
@@ -113,16 +118,18 @@
         if report.zone != self._own_instance.availability_zone:
             # The address belonged to an instance of another zone before.
             return
-        if report.is_heard:
-            if self._reported_ms.pop(sender, None) is not None:
+        if not report.validity_ms:
+            if self._reported_until_ms.pop(sender, None) is not None:
                 telemetry.log("path-restored", address=sender)
             return
         if self._is_paused():
-            # It may have waited during a pause. The next one comes in a second.
+            # It may have waited during a pause. Another one will follow.
             return
-        if sender not in self._reported_ms:
+        if sender not in self._reported_until_ms:
             telemetry.log("path-lost", address=sender)
-        self._reported_ms[sender] = self._clock.now_ms()
+        self._reported_until_ms[sender] = (
+            self._clock.now_ms() + report.validity_ms
+        )
 
     def is_heard(self, zone: str) -> bool:
         """Returns whether messages of a zone reach this process.
@@ -133,15 +140,12 @@
 
     def is_reported(self, address: core.Address) -> bool:
         """Returns whether an instance reports that it misses this zone."""
-        reported_ms = self._reported_ms.get(address)
-        return (
-            reported_ms is not None
-            and self._clock.now_ms() - reported_ms < PATH_REPORT_VALIDITY_MS
-        )
+        until_ms = self._reported_until_ms.get(address)
+        return until_ms is not None and self._clock.now_ms() < until_ms
 
     def is_reachable(self, address: core.Address) -> bool:
         """Returns whether questions reach an instance and answers come back."""
-        if not self._reported_ms and not self._unheard:
+        if not self._reported_until_ms and not self._unheard:
             return True
         instance = self._fleet.find(address)
         return not self.is_reported(address) and (
@@ -156,7 +160,7 @@
 
     def unreachable_count(self) -> int:
         """Returns the number of instances that do not hear this zone."""
-        return sum(map(self.is_reported, self._reported_ms))
+        return sum(map(self.is_reported, self._reported_until_ms))
 
     def sweep(self) -> list[_types.Action]:
         """Must be called periodically; finds zones that are not heard.
@@ -178,13 +182,21 @@
         actions: list[_types.Action] = [
             action
             for zone in self._heard_again
-            for action in self._report(zone, True)
+            for action in self._report([zone], 0)
         ]
         self._heard_again.clear()
         if now_ms >= self._next_report_ms:
-            self._next_report_ms = now_ms + PATH_REPORT_INTERVAL_MS
-            for zone in self._unheard:
-                actions += self._report(zone, False)
+            receiver_count = sum(
+                len(self._receivers(zone)) for zone in self._unheard
+            )
+            interval_ms = max(
+                PATH_REPORT_INTERVAL_MS,
+                receiver_count * 1_000 // MAX_PATH_REPORTS_PER_S,
+            )
+            self._next_report_ms = now_ms + interval_ms
+            actions += self._report(
+                self._unheard, int(interval_ms * PATH_REPORT_VALIDITY_RATIO)
+            )
         return actions
 
     def _is_paused(self) -> bool:
@@ -195,9 +207,9 @@
         )
 
     def _expire_reports(self) -> None:
-        for address in tuple(self._reported_ms):
+        for address in tuple(self._reported_until_ms):
             if not self.is_reported(address):
-                del self._reported_ms[address]
+                del self._reported_until_ms[address]
                 telemetry.log("path-restored", address=address)
 
     def _find_unheard(self) -> None:
@@ -258,20 +270,26 @@
                     counts[zone] = counts.get(zone, 0) + 1
         return counts
 
-    def _report(self, zone: str, is_heard: bool) -> list[_messages.Send]:
-        """Tells the instances of a zone that ask this agent.
+    def _report(
+        self, zones: Iterable[str], validity_ms: int
+    ) -> list[_types.Action]:
+        return [
+            _messages.Send(address, _messages.PathReport(zone, validity_ms))
+            for zone in zones
+            for address in self._receivers(zone)
+        ]
+
+    def _receivers(self, zone: str) -> list[core.Address]:
+        """Returns the instances of a zone that ask this agent.
 
         Nobody asks a balancer, or an agent of another service.
         """
         if self._own_instance.role is core.Role.BALANCER:
             return []
-        message = _messages.PathReport(zone, is_heard)
-        receivers = (
+        instances = (
             *self._fleet.balancers(),
             *self._fleet.agents(self._own_instance.service),
         )
         return [
-            _messages.Send(item.address, message)
-            for item in receivers
-            if item.availability_zone == zone
+            item.address for item in instances if item.availability_zone == zone
         ]
--- a/libs/flows/tests/test_zone_paths.py
+++ b/libs/flows/tests/test_zone_paths.py
@@ -1,5 +1,7 @@
 """Judgement of zones that do not reach a process."""
 
+import random
+
 from fireflyford import core
 from fireflyford import flows
 
@@ -69,9 +71,7 @@
     process.sent.clear()
     process.run(100, "abc")
     assert not process.paths.unheard_zones()
-    assert {item.message for item in process.sent} == {
-        flows.PathReport("c", True)
-    }
+    assert {item.message for item in process.sent} == {flows.PathReport("c", 0)}
 
 
 def test_chance_gaps_and_restarts_are_no_lost_path() -> None:
@@ -117,7 +117,7 @@
     process.clock.advance_ms(3_000)
     assert process.paths.is_heard("c")
     process.paths.record_report(
-        process.instances[8].address, flows.PathReport("a", False)
+        process.instances[8].address, flows.PathReport("a", 2_500)
     )
     assert not process.paths.unreachable_count()
 
@@ -126,11 +126,58 @@
     """Guards against an instance that stays avoided after a lost report."""
     process = Process()
     address = process.instances[8].address
-    process.paths.record_report(address, flows.PathReport("b", False))
+    process.paths.record_report(address, flows.PathReport("b", 2_500))
     assert process.paths.is_reachable(address)
-    process.paths.record_report(address, flows.PathReport("a", False))
+    process.paths.record_report(address, flows.PathReport("a", 2_500))
     assert not process.paths.is_reachable(address)
     process.run(2_400, "abc")
     assert not process.paths.is_reachable(address)
     process.run(100, "abc")
     assert process.paths.is_reachable(address)
+
+
+def test_reports_of_a_large_fleet_stay_within_their_budget() -> None:
+    """Guards against a fault that fills the limit of control messages."""
+    process = Process(agent_count=200)
+    process.run(LIMIT_MS, "ab")
+    process.sent.clear()
+    process.run(16_000, "ab")
+    assert 0 < len(process.sent) <= 16 * 25
+    (report,) = {item.message for item in process.sent}
+    assert report == flows.PathReport("c", 20_000)
+
+
+def test_only_flows_of_a_zone_that_is_not_heard_are_declined() -> None:
+    """Guards against flows whose data never arrives, and needless declines."""
+    process = Process()
+    agent = flows.AgentFlows(
+        process.clock,
+        process.own,
+        process.fleet,
+        flows.EarliestCompletion(random.Random(1)),
+        zone_paths=process.paths,
+    )
+    agent.forwarder.state = flows.TargetState.READY
+    process.run(LIMIT_MS, "ab")
+    directory_agent = process.instances[4].address
+    unknown = core.Address("10.0.9.9", 7_000)
+    reasons = []
+    for number, balancer in enumerate(
+        (process.instances[8].address, directory_agent, unknown)
+    ):
+        packet = flows.Packet(bytes(11) + bytes((number,)), b"", opens=True)
+        forward = flows.Forward(
+            flows.Handling.PLACE,
+            "board",
+            balancer,
+            directory_agent,
+            1,
+            True,
+            False,
+            b"",
+        )
+        (action,) = agent.receive(directory_agent, forward, packet)
+        reasons.append(
+            action.message.reason if isinstance(action, flows.Send) else None
+        )
+    assert reasons == [flows.DeclineReason.UNREACHABLE, None, None]
--- a/libs/runtime/src/fireflyford/runtime/_link_codec.py
+++ b/libs/runtime/src/fireflyford/runtime/_link_codec.py
@@ -80,7 +80,7 @@
     12: tuple[bytes],
     13: tuple[_Address, int],
     14: tuple[bytes],
-    15: tuple[str, bool],
+    15: tuple[str, int],
 }
 _ExtendedLoad = tuple[int, int, int, int, int, float, int]
 _Terms = tuple[int, int, int, bool, float]
@@ -308,7 +308,7 @@
     if isinstance(message, flows.ProtocolAnnouncement):
         return (message.version,)
     if isinstance(message, flows.PathReport):
-        return (message.zone, message.is_heard)
+        return (message.zone, message.validity_ms)
     if isinstance(message, flows.PlannedRestart):
         return (_format_address(message.address), message.incarnation)
     if isinstance(message, flows.FlowNotFound):
@@ -439,7 +439,10 @@
             raise ValueError(f"protocol {version} is out of range")
         return flows.ProtocolAnnouncement(version)
     if message_type is flows.PathReport:
-        return flows.PathReport(*fields)
+        zone, validity_ms = fields
+        if not 0 <= validity_ms <= MAX_SERVICE_MS:
+            raise ValueError(f"validity {validity_ms} ms is out of range")
+        return flows.PathReport(zone, validity_ms)
     if message_type is flows.PlannedRestart:
         address, incarnation = fields
         if not 0 <= incarnation <= MAX_INCARNATION:
--- a/libs/runtime/tests/test_link_codec.py
+++ b/libs/runtime/tests/test_link_codec.py
@@ -61,8 +61,8 @@
     flows.SlotGranted(FLOW),
     flows.PlannedRestart(INSTANCE.address, 1_700_000_000_000),
     flows.PlacementWithdrawn(FLOW),
-    flows.PathReport("b", False),
-    flows.PathReport("b", True),
+    flows.PathReport("b", 2_500),
+    flows.PathReport("b", 0),
 ]
 # `MESSAGES` as release 0.1 encodes them.
 FIRST_PROTOCOL_DATA = [
