Count copies of answered requests no more, and keep terms to routes in need

Cause: after a kill of all processes the sockets of a restarted agent hold the response of its backend server and the client's copies of the request. Each copy counted as a request in progress for 3 s, so that backend servers looked full and new flows were refused. Terms applied to all routes of a service if one route, also one without traffic, had a short time limit. Where requests are much shorter than the objective, two admitted requests for each slot left slots idle.

Change: data that a response acknowledges is no new request. A route has terms by its own time limit. As many flows are admitted as finish within 0.6 of the objective, between two and four for each slot. Tests of the waiting list use longer requests, of which two for each slot are admitted as before.

--- a/libs/flows/src/fireflyford/flows/_admission.py
+++ b/libs/flows/src/fireflyford/flows/_admission.py
@@ -22,12 +22,18 @@
 LATE_OFFER_MS = 300
 # Bounds the memory of expired grants; a slot has at most 15 in that time.
 MAX_EXPIRED_GRANTS = 64
-# Requests and reserved flows for each slot, including the request in progress.
-# One request beyond it keeps the slot busy during the exchange of messages
-# that opens the next flow; more would wait where they cannot be ordered.
-ADMITTED_PER_SLOT = 2
+# Bounds of the requests and reserved flows for each slot, including the request
+# in progress. One request beyond it keeps the slot busy during the exchange of
+# messages that opens the next flow; the upper bound is that of all flows.
+MIN_ADMITTED_PER_SLOT = 2
+MAX_ADMITTED_PER_SLOT = _placement.PENDING_PER_SLOT
+# Between these, as many are admitted as finish within this part of the latency
+# objective. The rest covers the exchange of messages and long requests. Where
+# requests are much shorter than the objective, a shallow queue would leave
+# slots idle during the exchange.
+ADMITTED_OBJECTIVE_RATIO = 0.6
 # A flow is granted a slot after this time even if requests on open flows alone
-# exceed `ADMITTED_PER_SLOT`. Those cannot be ordered, and new flows would wait
+# exceed the admitted number. Those cannot be ordered, and new flows would wait
 # for as long as there is more work than capacity.
 MAX_GRANT_GAP_MS = 250
 # By then a client's last copy of its opening packet has arrived, and a balancer
@@ -63,16 +69,31 @@
     return min(LATEST_START_MS, int(limit_ms - needed_ms))
 
 
-def has_room(load: _types.Load, added_count: int) -> bool:
+def has_room(load: _types.Load, added_count: int, objective_ms: int) -> bool:
     """Returns whether a new flow with terms may be admitted.
 
-    >>> has_room(_types.Load(slot_count=2, busy_count=3), 0)
-    True
-    >>> has_room(_types.Load(slot_count=2, busy_count=3), 1)
-    False
+    Args:
+        load: Load of a backend server.
+        added_count: Flows that are not part of the load yet.
+        objective_ms: Latency objective of the flow.
+
+    >>> long = _types.Load(slot_count=2, busy_count=3, service_ms=200.0)
+    >>> has_room(long, 0, 300), has_room(long, 1, 300)
+    (True, False)
+    >>> short = _types.Load(slot_count=1, busy_count=3, service_ms=30.0)
+    >>> has_room(short, 0, 300), has_room(short, 1, 300)
+    (True, False)
     """
+    service_ms = load.service_ms or _placement.DEFAULT_SERVICE_MS
+    admitted_per_slot = min(
+        max(
+            MIN_ADMITTED_PER_SLOT,
+            objective_ms * ADMITTED_OBJECTIVE_RATIO / service_ms,
+        ),
+        MAX_ADMITTED_PER_SLOT,
+    )
     pending = load.pending_count + added_count
-    return pending < load.slot_count * ADMITTED_PER_SLOT
+    return pending < int(load.slot_count * admitted_per_slot)
 
 
 class Admission:
@@ -98,6 +119,8 @@
         # Grants that have expired, oldest first.
         self._expired: dict[bytes, _Grant] = {}
         self._last_admitted_ms = clock.now_ms()
+        # Objective of the last flow that was offered.
+        self._objective_ms = 0
 
     def __len__(self) -> int:
         """Returns the number of flows that wait or hold a grant."""
@@ -122,6 +145,7 @@
         """
         terms = forward.terms
         assert terms is not None
+        self._objective_ms = terms.objective_ms
         now_ms = self._clock.now_ms()
         grant = self._grants.pop(packet.flow, None)
         if grant is not None:
@@ -176,7 +200,7 @@
         pending = load.pending_count + added_count
         if pending < load.slot_count:
             return True
-        if not has_room(load, added_count):
+        if not has_room(load, added_count, self._objective_ms):
             return False
         ahead_count = pending - load.slot_count + 1
         finish_ms = service_ms * (1 + ahead_count / load.slot_count)
@@ -228,7 +252,7 @@
         self, load: _types.Load, opening_count: int, now_ms: int
     ) -> bool:
         added_count = opening_count + len(self._grants)
-        if has_room(load, added_count):
+        if has_room(load, added_count, self._objective_ms):
             return True
         is_due = now_ms - self._last_admitted_ms >= MAX_GRANT_GAP_MS
         return is_due and _placement.has_room(load, added_count)
--- a/libs/flows/src/fireflyford/flows/_flow_placer.py
+++ b/libs/flows/src/fireflyford/flows/_flow_placer.py
@@ -232,7 +232,8 @@
         if message.reason is not _messages.DeclineReason.BUSY:
             attempt.excluded_agents.add(sender)
         elif attempt.forward.terms is not None:
-            if _admission.has_room(message.load, 0):
+            objective_ms = attempt.forward.terms.objective_ms
+            if _admission.has_room(message.load, 0, objective_ms):
                 # Other backend servers may have a free slot.
                 attempt.busy_decline_count += 1
                 attempt.excluded_agents.add(sender)
@@ -566,7 +567,6 @@
         terms = attempt.forward.terms
         if terms is not None and self._outliers.is_due():
             self._compare_agents()
-        has_room = _placement.has_room if terms is None else _admission.has_room
         preferred: list[_placement.Candidate] = []
         cold: list[_placement.Candidate] = []
         full: list[_placement.Candidate] = []
@@ -591,8 +591,14 @@
             if self._cold_until_ms.get(agent.address, 0) > now_ms:
                 attempt.decline_reason = _messages.DeclineReason.COLD
                 continue
+            if terms is None:
+                has_room = _placement.has_room(load, candidate.placed_count)
+            else:
+                has_room = _admission.has_room(
+                    load, candidate.placed_count, terms.objective_ms
+                )
             if not self._is_path_open(agent, client_zone):
-                if has_room(load, candidate.placed_count):
+                if has_room:
                     last_resort.append(candidate)
                 continue
             is_preferred = (
@@ -601,7 +607,7 @@
                 and self._suspect_until_ms.get(agent.address, 0) <= now_ms
                 and self._is_in_touch(agent.address)
             )
-            if not has_room(load, candidate.placed_count):
+            if not has_room:
                 attempt.decline_reason = _messages.DeclineReason.BUSY
                 if is_preferred:
                     full.append(candidate)
--- a/libs/flows/src/fireflyford/flows/_flow_tracker.py
+++ b/libs/flows/src/fireflyford/flows/_flow_tracker.py
@@ -236,6 +236,17 @@
                 )
             ):
                 tracked.sent_seq_end = end
+        if packet.payload_bytes and packet.acknowledges:
+            # Late copies of an answered request are not another one. They
+            # arrive together after a restart of the agent.
+            ahead = _types.sequence_distance(
+                tracked.client_seq_end or 0, packet.ack
+            )
+            if (
+                tracked.client_seq_end is None
+                or ahead < _types.SEQUENCE_MODULUS // 2
+            ):
+                tracked.client_seq_end = packet.ack
         if packet.payload_bytes and tracked.busy_since_ms is not None:
             duration_ms = tracked.last_used_ms - tracked.busy_since_ms
             kind = "free-slot" if tracked.had_free_slot else "queued"
--- a/libs/flows/src/fireflyford/flows/_routes.py
+++ b/libs/flows/src/fireflyford/flows/_routes.py
@@ -9,6 +9,9 @@
 
 # Time after which a client gives up an attempt to open a flow.
 OPENING_ATTEMPT_MS = 1_400
+# Time that another attempt needs, as a multiple of the latency objective: it
+# waits for room and is answered late while there is too little of it.
+_ATTEMPT_OBJECTIVE_RATIO = 2.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,7 +48,8 @@
         A refusal in time lets it try again, so such requests are admitted by
         their time limit.
         """
-        return 0 < self.limit_ms < OPENING_ATTEMPT_MS + self.objective_ms
+        needed_ms = self.objective_ms * _ATTEMPT_OBJECTIVE_RATIO
+        return 0 < self.limit_ms < OPENING_ATTEMPT_MS + needed_ms
 
 
 @dataclasses.dataclass(frozen=True)
@@ -86,26 +90,14 @@
 
 
 def make_route_table(version: int, routes: Iterable[Route]) -> RouteTable:
-    """Returns the table of a version.
-
-    Terms are kept where a service calls for them: all routes of a service are
-    placed by the same rule, because they compete for the same slots.
-    """
-    listed = tuple(routes)
-    services = {
-        share.service
-        for route in listed
-        for share in route.shares
-        if route.terms is not None
-        and (route.terms.leaves_no_second_attempt or route.terms.warmup_per_s)
-    }
+    """Returns the table of a version; routes keep terms only if in need."""
     return RouteTable(
-        version,
-        {route.address: _restrict_terms(route, services) for route in listed},
+        version, {route.address: _restrict_terms(route) for route in routes}
     )
 
 
-def _restrict_terms(route: Route, services: set[str]) -> Route:
-    if any(share.service in services for share in route.shares):
+def _restrict_terms(route: Route) -> Route:
+    terms = route.terms
+    if terms is None or terms.leaves_no_second_attempt or terms.warmup_per_s:
         return route
     return dataclasses.replace(route, terms=None)
