Split the decisions of balancers and of placement into smaller modules

Known flows, pending packets, placement attempts and the choice of candidates move to modules of their own. A known flow is a plain class, as other mutable state is. Behaviour is unchanged; the tests of flows, runtime and simulated fleets pass.

--- a/libs/flows/src/fireflyford/flows/_balancer.py
+++ b/libs/flows/src/fireflyford/flows/_balancer.py
@@ -12,14 +12,15 @@
 """
 
 import collections
-import dataclasses
 
 from fireflyford import core
 from fireflyford import telemetry
 from fireflyford.flows import _evacuation
 from fireflyford.flows import _fleet
 from fireflyford.flows import _holder_watch
+from fireflyford.flows import _known_flow
 from fireflyford.flows import _messages
+from fireflyford.flows import _pending_packet
 from fireflyford.flows import _response_timer
 from fireflyford.flows import _responsiveness
 from fireflyford.flows import _routes
@@ -28,14 +29,6 @@
 
 # A known flow takes some 200 bytes.
 MAX_KNOWN_FLOWS = 65_536
-# Sequence numbers that are at most this far apart belong to the same flow. More
-# than a client sends or receives between two packets through one balancer; two
-# flows start that close to each other with a probability of 1 in 2,048.
-SAME_FLOW_WINDOW_BYTES = 1 << 20
-# A known flow follows the sequence numbers of packets beyond this window.
-_UPDATE_WINDOW_BYTES = SAME_FLOW_WINDOW_BYTES // 2
-_SEQUENCE_MODULUS = _types.SEQUENCE_MODULUS
-_UPDATE_WINDOW_END = _SEQUENCE_MODULUS - _UPDATE_WINDOW_BYTES
 # A directory agent that has not answered within this time is avoided for a
 # while: another agent is asked instead. Covers the time limits of an offer
 # (`_flow_placer.OFFER_TIMEOUT_MS`) and of a search.
@@ -59,132 +52,6 @@
 MAX_PENDING_PACKETS = 16_384
 
 
-@dataclasses.dataclass(slots=True)
-class _KnownFlow:
-    """A flow whose holder has been reported to this balancer.
-
-    Attributes:
-        service: Service of the holder, which never changes.
-        holder: The holder, None after it has reported that it no longer holds
-            the flow.
-        seq: A recent sequence number of the client, which distinguishes the
-            flow from others that use the same ports.
-        ack: A recent acknowledgment number of the client, None before the
-            first one.
-        data_seq: Highest sequence number of data of a long-lived flow, None
-            before the first one.
-        has_repeats: Whether the client has repeated this data.
-    """
-
-    service: str
-    holder: core.Address | None
-    seq: int
-    ack: int | None
-    data_seq: int | None = None
-    has_repeats: bool = False
-
-    def accept(self, packet: _types.Packet) -> bool:
-        """Returns whether a packet belongs to this flow.
-
-        An opening packet belongs to it if it is a copy of the one that opened
-        it; any other one opens a new flow. The sequence numbers follow those of
-        the packets once they are half a window apart.
-        """
-        if packet.opens:
-            return self.seq == packet.seq
-        distance = (packet.seq - self.seq) % _SEQUENCE_MODULUS
-        if (
-            SAME_FLOW_WINDOW_BYTES
-            <= distance
-            <= _SEQUENCE_MODULUS - SAME_FLOW_WINDOW_BYTES
-        ):
-            return False
-        if (
-            self.ack is None
-            or _UPDATE_WINDOW_BYTES <= distance <= _UPDATE_WINDOW_END
-            or _UPDATE_WINDOW_BYTES
-            <= (packet.ack - self.ack) % _SEQUENCE_MODULUS
-            <= _UPDATE_WINDOW_END
-        ):
-            self.seq = packet.seq
-            if packet.acknowledges:
-                self.ack = packet.ack
-        return True
-
-    def is_of(self, service: str | None, ack: int) -> bool:
-        """Returns whether an answer of a service is about this flow."""
-        return (
-            self.service == service
-            and self.ack is not None
-            and _is_near(self.ack, ack)
-        )
-
-
-def _is_near(first: int, second: int) -> bool:
-    """Returns whether two sequence numbers may be of the same flow."""
-    distance = (second - first) % _SEQUENCE_MODULUS
-    return (
-        distance < SAME_FLOW_WINDOW_BYTES
-        or distance > _SEQUENCE_MODULUS - SAME_FLOW_WINDOW_BYTES
-    )
-
-
-class _PendingPacket:
-    """A packet whose flow the directory agent has been asked to resolve."""
-
-    def __init__(
-        self,
-        packet: _types.Packet,
-        service: str,
-        other_services: list[str],
-        directory_agent: core.Address | None,
-        route: _routes.Route,
-        now_ms: int,
-        retry_delay_ms: int,
-    ):
-        self.packet = packet
-        self.service = service
-        # Services to ask if this one does not hold the flow.
-        self.other_services = other_services
-        self.directory_agent = directory_agent
-        self.route = route
-        self.received_ms = now_ms
-        self.sent_ms = now_ms
-        self.retry_delay_ms = retry_delay_ms
-        # Whether the directory agent has queued the flow until a backend server
-        # has room, or searches it and waits for silent agents.
-        self.is_queued = False
-
-    def awaits(self, service: str | None, ack: int) -> bool:
-        """Returns whether an answer of a service is about this packet's flow.
-
-        Args:
-            service: Service of the directory agent that answers.
-            ack: Acknowledgment number of the client's packet that the directory
-                agent has asked about. It is in the sequence of the backend
-                server, which differs from that of an earlier flow.
-        """
-        return (
-            not self.packet.opens
-            and self.service == service
-            and _is_near(self.packet.ack, ack)
-        )
-
-    def is_copied_by(self, packet: _types.Packet) -> bool:
-        """Returns whether a packet is a copy of this opening packet."""
-        return (
-            packet.opens and self.packet.opens and self.packet.seq == packet.seq
-        )
-
-    def continues(self, packet: _types.Packet) -> bool:
-        """Returns whether a packet asks for the same open flow as this one."""
-        return (
-            not packet.opens
-            and not self.packet.opens
-            and _is_near(self.packet.seq, packet.seq)
-        )
-
-
 class BalancerFlows:
     """Handles every packet and message of one balancer."""
 
@@ -226,12 +93,12 @@
         # Addresses of routes that only earlier versions contain.
         self._removed_addresses: set[core.Address] = set()
         # Least recently used first.
-        self._known_flows: collections.OrderedDict[bytes, _KnownFlow] = (
-            collections.OrderedDict()
-        )
-        self._pending: collections.OrderedDict[bytes, _PendingPacket] = (
-            collections.OrderedDict()
-        )
+        self._known_flows: collections.OrderedDict[
+            bytes, _known_flow.KnownFlow
+        ] = collections.OrderedDict()
+        self._pending: collections.OrderedDict[
+            bytes, _pending_packet.PendingPacket
+        ] = collections.OrderedDict()
         # Directory agents that have not answered in time.
         self._avoidance = _responsiveness.Avoidance(clock)
         self._timer = _response_timer.ResponseTimer(RETRY_MS, MAX_RETRY_MS)
@@ -295,21 +162,7 @@
         ):
             self._known_flows.move_to_end(packet.flow)
             if packet.payload_bytes and route.long_lived:
-                if (
-                    known.data_seq is None
-                    or 0
-                    < (packet.seq - known.data_seq) % _SEQUENCE_MODULUS
-                    < _SEQUENCE_MODULUS // 2
-                ):
-                    known.data_seq = packet.seq
-                    if known.has_repeats:
-                        known.has_repeats = False
-                        self.holder_watch.forget(packet.flow)
-                else:
-                    known.has_repeats = True
-                    self.holder_watch.record_repeat(
-                        packet, route, known.service, known.holder
-                    )
+                self._watch_data(packet, route, known, known.holder)
             return [
                 self._forward(
                     _messages.Handling.HELD,
@@ -331,8 +184,24 @@
                 services = [pending.service, *pending.other_services]
         return self._resolve(packet, services, route)
 
+    def _watch_data(
+        self,
+        packet: _types.Packet,
+        route: _routes.Route,
+        known: _known_flow.KnownFlow,
+        holder: core.Address,
+    ) -> None:
+        """Notices that the client of a long-lived flow repeats its data."""
+        had_repeats = known.has_repeats
+        if not known.accept_data(packet):
+            self.holder_watch.record_repeat(
+                packet, route, known.service, holder
+            )
+        elif had_repeats:
+            self.holder_watch.forget(packet.flow)
+
     def _forget_earlier_flow(
-        self, flow: bytes, known: _KnownFlow, route: _routes.Route
+        self, flow: bytes, known: _known_flow.KnownFlow, route: _routes.Route
     ) -> None:
         """Forgets a flow whose ports the client uses for a new one.
 
@@ -400,7 +269,7 @@
                 actions += self._retry(pending)
         return actions
 
-    def _is_retry_due(self, pending: _PendingPacket) -> bool:
+    def _is_retry_due(self, pending: _pending_packet.PendingPacket) -> bool:
         """Returns whether to send a packet again, maybe to another agent.
 
         The silence of a directory agent towards one packet ends the wait of
@@ -454,7 +323,9 @@
             actions.append(_types.Reset(packet.flow, packet.ack))
         return actions
 
-    def _retry(self, pending: _PendingPacket) -> list[_types.Action]:
+    def _retry(
+        self, pending: _pending_packet.PendingPacket
+    ) -> list[_types.Action]:
         self._timer.record_timeout()
         self._suspect_if_overdue(pending)
         now_ms = self._clock.now_ms()
@@ -479,7 +350,7 @@
         self,
         route: _routes.Route,
         packet: _types.Packet,
-        known: _KnownFlow | None,
+        known: _known_flow.KnownFlow | None,
     ) -> list[str]:
         """Returns the services that may hold the flow, most likely first."""
         first = route.service(packet.flow)
@@ -503,7 +374,7 @@
         """
         service, *other_services = services
         directory_agent = self._directory_agent(service, packet.flow)
-        pending = _PendingPacket(
+        pending = _pending_packet.PendingPacket(
             packet,
             service,
             other_services,
@@ -556,7 +427,9 @@
             and self.zone_paths.is_reachable(directory_agent)
         )
 
-    def _suspect_if_overdue(self, pending: _PendingPacket) -> None:
+    def _suspect_if_overdue(
+        self, pending: _pending_packet.PendingPacket
+    ) -> None:
         """Avoids a directory agent that has not answered in time."""
         now_ms = self._clock.now_ms()
         if pending.directory_agent is None or pending.is_queued:
@@ -596,7 +469,9 @@
             service = pending.service if holder is None else holder.service
             ack = packet.ack if packet.acknowledges else None
             data_seq = packet.seq if packet.payload_bytes else None
-            known = _KnownFlow(service, sender, packet.seq, ack, data_seq)
+            known = _known_flow.KnownFlow(
+                service, sender, packet.seq, ack, data_seq
+            )
         elif known is not None and holder is not None:
             known.service, known.holder = holder.service, sender
         if known is None:
@@ -666,7 +541,7 @@
 
     def _pending_placement(
         self, sender: core.Address, flow: bytes
-    ) -> _PendingPacket | None:
+    ) -> _pending_packet.PendingPacket | None:
         """Returns the new flow that the sender was asked last to place.
 
         Another directory agent may have placed the flow by the time that an
--- a/libs/flows/tests/test_admission.py
+++ b/libs/flows/tests/test_admission.py
@@ -8,6 +8,7 @@
 from fireflyford import core
 from fireflyford import flows
 from fireflyford.flows import _admission
+from fireflyford.flows import _candidates
 from fireflyford.flows import _flow_placer
 from fireflyford.flows import _target_forwarder
 from fireflyford.flows import _waiting_list
@@ -388,7 +389,7 @@
     """Guards against thousands of offers to full backend servers."""
     directory = Directory()
     agents = directory.wait()
-    assert len(agents) == _flow_placer.MAX_WAITING_AGENTS
+    assert len(agents) == _candidates.MAX_WAITING_AGENTS
     actions = directory.sweep_until(START_MS + 1_000)
     assert actions == []
 
