--- a/libs/runtime/src/fireflyford/runtime/_agent.py
+++ b/libs/runtime/src/fireflyford/runtime/_agent.py
@@ -6,6 +6,7 @@
 from fireflyford import core
 from fireflyford import flows
 from fireflyford import telemetry
+from fireflyford.runtime import _documents
 from fireflyford.runtime import _evacuation_source
 from fireflyford.runtime import _front_end
 from fireflyford.runtime import _heartbeats
@@ -276,7 +277,7 @@
         return [
             (
                 _evacuation_source.EVACUATION_PATH,
-                _process.DocumentHandler,
+                _documents.DocumentHandler,
                 {"read": self._evacuation_page},
             ),
         ]
--- a/libs/runtime/src/fireflyford/runtime/_balancer.py
+++ b/libs/runtime/src/fireflyford/runtime/_balancer.py
@@ -7,6 +7,7 @@
 from fireflyford import flows
 from fireflyford import telemetry
 from fireflyford.runtime import _config_source
+from fireflyford.runtime import _documents
 from fireflyford.runtime import _evacuation_source
 from fireflyford.runtime import _front_end
 from fireflyford.runtime import _heartbeats
@@ -325,12 +326,12 @@
         return [
             (
                 _config_source.CONFIG_PATH,
-                _process.DocumentHandler,
+                _documents.DocumentHandler,
                 {"read": lambda: self.config.document},
             ),
             (
                 _evacuation_source.EVACUATION_PATH,
-                _process.DocumentHandler,
+                _documents.DocumentHandler,
                 {"read": self._evacuation_page},
             ),
         ]
--- a/libs/runtime/src/fireflyford/runtime/_process.py
+++ b/libs/runtime/src/fireflyford/runtime/_process.py
@@ -6,8 +6,6 @@
 from collections.abc import Coroutine
 from collections.abc import Mapping
 import dataclasses
-import functools
-import gzip
 import json
 import os
 import random
@@ -25,6 +23,7 @@
 from fireflyford import store
 from fireflyford import telemetry
 from fireflyford.runtime import _config_source
+from fireflyford.runtime import _documents
 from fireflyford.runtime import _front_end
 from fireflyford.runtime import _heartbeats
 from fireflyford.runtime import _link
@@ -53,40 +52,11 @@
 # Interval between queries of the seeds. The first query waits as long, so that
 # the other tasks of this process start before it.
 SEED_QUERY_INTERVAL_MS = 300
-# Smaller documents fit a few packets as they are.
-MIN_COMPRESSED_BYTES = 4_096
-# Repetitive JSON shrinks to a tenth at the fastest level too.
-_COMPRESSION_LEVEL = 1
-
-
-@functools.lru_cache(maxsize=2)
-def _compress(document: bytes) -> bytes:
-    """Compresses a document, once for all who ask for the same version."""
-    return gzip.compress(document, _COMPRESSION_LEVEL, mtime=0)
-
-
 # Datagram sockets that were bound before the process was prepared, by host and
 # port.
 BoundSockets = Mapping[tuple[str, int], socket.socket]
 
 
-class DocumentHandler(web.RequestHandler):
-    """Serves one document of the process."""
-
-    def initialize(self, read: Callable[[], bytes]) -> None:
-        """Sets the function that returns the document."""
-        self._read = read
-
-    def get(self) -> None:
-        """Responds with the document, compressed if the client decodes that."""
-        document = self._read()
-        accepted = self.request.headers.get("Accept-Encoding", "")
-        if "gzip" in accepted and len(document) >= MIN_COMPRESSED_BYTES:
-            self.set_header("Content-Encoding", "gzip")
-            document = _compress(document)
-        self.finish(document)
-
-
 class FlowProcess(abc.ABC):
     """Sockets, registry, heartbeats and signals of a balancer or an agent."""
 
@@ -534,9 +504,21 @@
 
     def _status_handlers(self) -> _front_end.Handlers:
         handlers: _front_end.Handlers = [
-            (INSTANCES_PATH, DocumentHandler, {"read": self._instances_page}),
-            ("/status", DocumentHandler, {"read": self._status_page}),
-            ("/metrics", DocumentHandler, {"read": self._metrics_page}),
+            (
+                INSTANCES_PATH,
+                _documents.DocumentHandler,
+                {"read": self._instances_page},
+            ),
+            (
+                "/status",
+                _documents.DocumentHandler,
+                {"read": self._status_page},
+            ),
+            (
+                "/metrics",
+                _documents.DocumentHandler,
+                {"read": self._metrics_page},
+            ),
         ]
         return handlers + self.extra_status_handlers()
 
--- a/tests/adapter/test_startup.py
+++ b/tests/adapter/test_startup.py
@@ -12,8 +12,8 @@
 from fireflyford import core
 from fireflyford.platform import _early_sockets
 from fireflyford.runtime import _config_source
+from fireflyford.runtime import _documents
 from fireflyford.runtime import _link
-from fireflyford.runtime import _process
 
 HOST = "127.1.0.77"
 LINK_PORT = 17_790
@@ -75,7 +75,7 @@
 
     def get_app(self) -> web.Application:
         """Serves one large document."""
-        handler = _process.DocumentHandler
+        handler = _documents.DocumentHandler
         return web.Application(
             [("/config", handler, {"read": lambda: DOCUMENT})]
         )
