Offer waiting flows to other agents that appear to have room

Cause: a flow with terms that waited with three agents was offered to no other one, so that it waited beside free slots: at 0.95 of the capacity of 38 warm backend servers its service was worse than without terms.

Change: a waiting flow is tried again each 20 ms at agents that appear to have room. One that has none takes the flow off its list again, so that a flow still waits with three agents.

--- a/libs/flows/src/fireflyford/flows/_candidates.py
+++ b/libs/flows/src/fireflyford/flows/_candidates.py
@@ -152,8 +152,6 @@
         requests for each slot. Suspects, silent agents and agents whose target
         state is unknown are a last resort.
         """
-        if len(attempt.waiting_agents) >= MAX_WAITING_AGENTS:
-            return []
         now_ms = self._clock.now_ms()
         client_zone = self._client_zone(attempt)
         terms = attempt.forward.terms
@@ -211,6 +209,8 @@
         warm = _warm_up.prefer_warm(preferred, cold)
         if terms is None:
             return warm or last_resort
+        if len(attempt.waiting_agents) >= MAX_WAITING_AGENTS:
+            return warm
         # Without room, an agent takes the flow on its waiting list.
         return warm or full or last_resort
 
--- a/libs/flows/src/fireflyford/flows/_flow_placer.py
+++ b/libs/flows/src/fireflyford/flows/_flow_placer.py
@@ -42,10 +42,11 @@
 # Bounds the log lines of a queued flow, which may be offered every 20 ms.
 MAX_LOGGED_OFFERS = 3
 # Interval at which placement of a flow that waits with agents is tried again.
-# They grant it a slot themselves; this replaces entries of agents that left.
-# Entries of other agents stay: a flow that moved to another list would count as
-# a new one there, because the opening packet does not tell how long it waited.
-WAITING_RETRY_MS = 100
+# They grant it a slot themselves, but another agent may have room sooner, and
+# entries of agents that left are replaced. Other entries stay: a flow that
+# moved to another list would count as a new one there, because the opening
+# packet does not tell how long it waited.
+WAITING_RETRY_MS = 20
 
 
 class FlowPlacer:
@@ -166,6 +167,7 @@
             and not attempt.unanswered_offer_count
         ):
             return self._refuse(attempt)
+        withdrawn: list[_types.Action] = []
         if message.reason is not _messages.DeclineReason.BUSY:
             attempt.excluded_agents.add(sender)
         elif attempt.forward.terms is not None:
@@ -174,12 +176,16 @@
                 # Other backend servers may have a free slot.
                 attempt.busy_decline_count += 1
                 attempt.excluded_agents.add(sender)
+            elif len(attempt.waiting_agents) >= _candidates.MAX_WAITING_AGENTS:
+                attempt.excluded_agents.add(sender)
+                withdrawal = _messages.PlacementWithdrawn(message.flow)
+                withdrawn = [_messages.Send(sender, withdrawal)]
             else:
                 incarnation = self._incarnation(sender)
                 attempt.waiting_agents.setdefault(sender, incarnation)
         else:
             attempt.busy_decline_count += 1
-        return self._place(attempt)
+        return [*withdrawn, *self._place(attempt)]
 
     def handle_granted(
         self, sender: core.Address, flow: bytes
