--- a/libs/flows/src/fireflyford/flows/_balancer.py
+++ b/libs/flows/src/fireflyford/flows/_balancer.py
@@ -176,8 +176,14 @@
         pending = self._pending.get(packet.flow)
         if pending is not None:
             if pending.is_copied_by(packet):
-                # The first copy is already being retried.
-                return []
+                # The copy states the age of the attempt.
+                pending.packet = packet
+                if not pending.is_queued:
+                    # It is already being retried.
+                    return []
+                # The directory agent may have been replaced meanwhile.
+                pending.is_queued = False
+                return self._send_again(pending)
             self._suspect_if_overdue(pending)
             if pending.continues(packet):
                 # The flow was not found at the services before these.
@@ -328,9 +334,14 @@
     ) -> list[_types.Action]:
         self._timer.record_timeout()
         self._suspect_if_overdue(pending)
-        now_ms = self._clock.now_ms()
-        pending.sent_ms = now_ms
         pending.retry_delay_ms *= 2
+        return self._send_again(pending)
+
+    def _send_again(
+        self, pending: _pending_packet.PendingPacket
+    ) -> list[_types.Action]:
+        """Sends a packet to its present directory agent once more."""
+        pending.sent_ms = self._clock.now_ms()
         packet = pending.packet
         directory_agent = self._directory_agent(pending.service, packet.flow)
         if directory_agent is None:
--- a/libs/flows/src/fireflyford/flows/_flow_placer.py
+++ b/libs/flows/src/fireflyford/flows/_flow_placer.py
@@ -47,6 +47,9 @@
 # moved to another list would count as a new one there, because the opening
 # packet does not tell how long it waited.
 WAITING_RETRY_MS = 20
+# Time after which a wait at an agent that reports room is taken for lost; a
+# report may be older than the wait before.
+MIN_WAIT_MS = 100
 
 
 class FlowPlacer:
@@ -107,6 +110,13 @@
         known = self._attempts.get(packet.flow)
         if known is not None and known.packet.seq == packet.seq:
             # A retransmission; the attempt in progress has its own timeout.
+            if known.is_queued and not known.is_abandoned:
+                return [
+                    _messages.Send(
+                        forward.balancer,
+                        _messages.PlacementQueued(packet.flow),
+                    )
+                ]
             return []
         attempt = _placement_attempt.PlacementAttempt(
             forward, packet, self._clock.now_ms()
@@ -181,8 +191,8 @@
                 withdrawal = _messages.PlacementWithdrawn(message.flow)
                 withdrawn = [_messages.Send(sender, withdrawal)]
             else:
-                incarnation = self._incarnation(sender)
-                attempt.waiting_agents.setdefault(sender, incarnation)
+                wait = (self._incarnation(sender), self._clock.now_ms())
+                attempt.waiting_agents.setdefault(sender, wait)
         else:
             attempt.busy_decline_count += 1
         return [*withdrawn, *self._place(attempt)]
@@ -438,11 +448,23 @@
     def _discard_ended_waits(
         self, attempt: _placement_attempt.PlacementAttempt
     ) -> None:
-        """Forgets waits at agents that have restarted or accept no flow."""
-        for agent, incarnation in tuple(attempt.waiting_agents.items()):
+        """Forgets waits that no grant will end.
+
+        The agent has restarted or accepts no flow, or it has had room for a
+        while, so that its entry or its grant is lost.
+        """
+        terms = attempt.forward.terms
+        if terms is None:
+            return
+        oldest_ms = self._clock.now_ms() - MIN_WAIT_MS
+        for agent, wait in tuple(attempt.waiting_agents.items()):
+            incarnation, since_ms = wait
+            load = self._fleet.load(agent)
+            has_room = _admission.has_room(load, 0, terms.objective_ms)
             if (
                 self._incarnation(agent) != incarnation
-                or self._fleet.load(agent).state in _candidates.DECLINING_STATES
+                or load.state in _candidates.DECLINING_STATES
+                or (since_ms < oldest_ms and has_room)
             ):
                 del attempt.waiting_agents[agent]
 
--- a/libs/flows/src/fireflyford/flows/_flow_probes.py
+++ b/libs/flows/src/fireflyford/flows/_flow_probes.py
@@ -159,7 +159,8 @@
     def take_results(self) -> Results:
         """Removes and returns the probes whose outcome is known."""
         now_ms = self._clock.now_ms()
-        was_frozen = now_ms - self._last_check_ms > _MAX_CHECK_GAP_MS
+        previous_ms = self._last_check_ms
+        was_frozen = now_ms - previous_ms > _MAX_CHECK_GAP_MS
         is_awaited = self._awaited_since_ms is not None
         if was_frozen and self._heard_count and is_awaited:
             self._awaited_since_ms = now_ms
@@ -175,8 +176,10 @@
                 held.append(probe)
             else:
                 if is_gone is None:
-                    is_gone = self._is_target_gone()
-                if not is_gone:
+                    is_gone = self._is_target_gone(previous_ms)
+                # What the backend server sent may be unread when the event loop
+                # is late; it is read between two checks.
+                if not is_gone or probe.deadline_ms > previous_ms:
                     # A backend server that sends nothing may not be running.
                     break
                 not_held.append(probe)
@@ -193,7 +196,7 @@
             and now_ms >= probe.deadline_ms
         }
 
-    def _is_target_gone(self) -> bool:
+    def _is_target_gone(self, previous_check_ms: int) -> bool:
         """Returns whether a backend server that sends nothing is not there.
 
         A running one reports within `FIRST_KEEPALIVE_MS`. Before its first
@@ -217,7 +220,7 @@
             probe.packet.flow
             for probe in self._probes.values()
             if probe.forward.handling is _messages.Handling.SEARCH
-            and now_ms >= probe.deadline_ms
+            and previous_check_ms >= probe.deadline_ms
         }
         if len(searched_flows) < needed_count:
             return False
--- a/libs/flows/src/fireflyford/flows/_placement_attempt.py
+++ b/libs/flows/src/fireflyford/flows/_placement_attempt.py
@@ -44,8 +44,8 @@
         # Whether the flow has been queued here because no agent had room.
         self.is_queued = False
         # Agents on whose waiting lists the flow is, in the order in which it
-        # came to be there, with the incarnation of the agent.
-        self.waiting_agents: dict[core.Address, int] = {}
+        # came to be there, with the incarnation of the agent and the time.
+        self.waiting_agents: dict[core.Address, tuple[int, int]] = {}
         # Agents that keep a slot for the flow while it is offered to another
         # one, with the time of the grant.
         self.grants: dict[core.Address, int] = {}
--- a/libs/flows/src/fireflyford/flows/_responsiveness.py
+++ b/libs/flows/src/fireflyford/flows/_responsiveness.py
@@ -92,6 +92,8 @@
         """Records a query that expects an answer."""
         now_ms = self._clock.now_ms()
         if self._restarts and self.is_restarting(address):
+            # Paces further queries, but is no evidence of silence.
+            self._silences[address] = _Silence(now_ms)
             return
         silence = self._silences.get(address)
         if silence is None or now_ms - silence.last_ms > MAX_QUERY_GAP_MS:
--- a/libs/flows/src/fireflyford/flows/_target_forwarder.py
+++ b/libs/flows/src/fireflyford/flows/_target_forwarder.py
@@ -129,7 +129,7 @@
                     packet.flow,
                     forward,
                     sender,
-                    is_repeat and tracked.long_lived,
+                    is_repeat and (tracked.long_lived or forward.long_lived),
                 ),
                 *(self.grant_slots() if packet.ends or packet.resets else ()),
             ]
@@ -157,6 +157,9 @@
             return known
         reason = self._decline_reason(sender, forward, packet)
         if reason is not None:
+            if reason is not _messages.DeclineReason.BUSY:
+                # The slot that was kept for the flow is free again.
+                self.admission.withdraw(sender, packet.flow)
             return [self._decline(sender, packet.flow, reason)]
         opening = _Opening(
             forward,
@@ -322,6 +325,8 @@
             receivers.append(forward.balancer)
         if forward.handling is _messages.Handling.SEARCH:
             receivers.append(forward.directory_agent)
+        if not receivers:
+            return []
         located = _messages.FlowLocated(flow, self.load())
         return [_messages.Send(to, located) for to in receivers]
 
--- a/libs/flows/src/fireflyford/flows/_types.py
+++ b/libs/flows/src/fireflyford/flows/_types.py
@@ -55,10 +55,9 @@
     return _address(flow[:6])
 
 
-@functools.lru_cache(1_024)
 def route_address(flow: bytes) -> core.Address:
     """Returns the address and port to which the client sends."""
-    return _address(flow[6:])
+    return _cached_address(flow[6:])
 
 
 def describe_flow(flow: bytes) -> str:
@@ -66,6 +65,12 @@
     return f"{client_address(flow)}>{route_address(flow)}"
 
 
+# There are far fewer routes than flows.
+@functools.lru_cache(4_096)
+def _cached_address(data: bytes) -> core.Address:
+    return _address(data)
+
+
 def _address(data: bytes) -> core.Address:
     host = ".".join(str(part) for part in data[:4])
     return core.Address(host, int.from_bytes(data[4:6], "big"))
--- a/libs/flows/src/fireflyford/flows/_waiting_list.py
+++ b/libs/flows/src/fireflyford/flows/_waiting_list.py
@@ -209,9 +209,13 @@
     ) -> WaitingFlow | None:
         """Adds a flow; returns the last flow in order if it has to leave.
 
-        A flow that waits already keeps its entry.
+        A flow that waits already keeps its place; another directory agent may
+        have taken it over.
         """
-        self._flows.setdefault(item.flow, item)
+        known = self._flows.get(item.flow, item)
+        self._flows[item.flow] = dataclasses.replace(
+            known, directory_agent=item.directory_agent
+        )
         if len(self._flows) <= MAX_WAITING_FLOWS:
             return None
         turn = self._turn(now_ms, service_ms)
--- a/libs/flows/src/fireflyford/flows/_warm_up.py
+++ b/libs/flows/src/fireflyford/flows/_warm_up.py
@@ -190,7 +190,9 @@
             return
         now_ms = self._clock.now_ms()
         self._expire(now_ms)
-        self._delivered.setdefault((flow, seq), now_ms)
+        # One that was returned and delivered again counts from now on.
+        self._delivered.pop((flow, seq), None)
+        self._delivered[flow, seq] = now_ms
 
     def _expire(self, now_ms: int) -> None:
         oldest_ms = now_ms - WINDOW_MS
--- a/libs/flows/tests/test_decisions.py
+++ b/libs/flows/tests/test_decisions.py
@@ -1037,6 +1037,8 @@
     runs, and its backend server never reports. Every search waits for it.
     """
     _, forwarder = make_silent_forwarder(flows.Handling.SEARCH, 8, 40)
+    # What the backend server sent may be unread at the first check.
+    assert sent_messages(forwarder.sweep(), flows.NotHeld) == []
     assert len(sent_messages(forwarder.sweep(), flows.NotHeld)) == 40
     packet = dataclasses.replace(data_packet(), flow=FLOW[::-1])
     actions = forwarder.receive(PEER, forward(flows.Handling.SEARCH), packet)
--- a/libs/runtime/src/fireflyford/runtime/_balancer.py
+++ b/libs/runtime/src/fireflyford/runtime/_balancer.py
@@ -145,7 +145,7 @@
         if isinstance(outcome, core.Failure):
             self.link.counters.malformed_count += 1
             return
-        if not self.flows.version:
+        if not self._can_route():
             self._startup_packets.add(outcome.value)
             return
         self.link.execute(self.flows.receive(outcome.value))
@@ -163,12 +163,26 @@
             self.send_heartbeats(
                 [item.address for item in self.fleet.balancers()]
             )
-            packets = self._startup_packets.release()
-            telemetry.log("startup-packets", count=len(packets))
-            for packet in packets:
-                self.link.execute(self.flows.receive(packet))
+            self._release_startup_packets()
         return True
 
+    def _can_route(self) -> bool:
+        """Returns whether routes and evacuated zones are known."""
+        if not self.flows.version:
+            return False
+        return not self.options.evacuation_prefix or bool(
+            self.flows.evacuation.view
+        )
+
+    def _release_startup_packets(self) -> None:
+        """Forwards the packets that have arrived before they could be."""
+        if not self._can_route() or not self._startup_packets:
+            return
+        packets = self._startup_packets.release()
+        telemetry.log("startup-packets", count=len(packets))
+        for packet in packets:
+            self.link.execute(self.flows.receive(packet))
+
     def handle_message(
         self, sender: core.Address, message: flows.Message
     ) -> None:
@@ -191,6 +205,7 @@
             follower.last_response_ms is not None
             and not follower.is_unreachable
         )
+        self._release_startup_packets()
         self.link.execute(self.flows.sweep())
 
     def has_timeouts(self) -> bool:
@@ -239,12 +254,15 @@
         have queued up since the start are forwarded.
         """
         await self.clock.sleep(PEER_CONFIG_WAIT_MS)
-        if self._announced_versions or self._is_pulling or self.flows.version:
-            await self.clock.sleep(
-                self.rng.uniform(
-                    MIN_STORE_READ_DELAY_MS, MAX_STORE_READ_DELAY_MS
-                )
-            )
+        delay_ms = self.rng.uniform(
+            MIN_STORE_READ_DELAY_MS, MAX_STORE_READ_DELAY_MS
+        )
+        due_ms = self.clock.now_ms() + delay_ms
+        while self.clock.now_ms() < due_ms and (
+            self._announced_versions or self._is_pulling or self.flows.version
+        ):
+            # A pull that fails does not delay the read.
+            await self.clock.sleep(PEER_CONFIG_WAIT_MS)
         await self.config.follower.run()
 
     async def _pull_configs(self) -> None:
--- a/libs/runtime/src/fireflyford/runtime/_link.py
+++ b/libs/runtime/src/fireflyford/runtime/_link.py
@@ -18,6 +18,8 @@
 # Addresses of instances and clients that are kept after their first datagram;
 # checking an address takes longer than handling the rest of a datagram.
 _CACHED_ADDRESSES = 8_192
+# An announcement may be lost, or overtake the heartbeat that it goes with.
+_REPEATED_ANNOUNCEMENT_COUNT = 3
 _PROTOCOL_ANNOUNCEMENT = flows.ProtocolAnnouncement(_link_codec.PROTOCOL)
 
 
@@ -142,6 +144,8 @@
         self._encoded_data = b""
         # Instances that are known to decode version 2 of the protocol.
         self._second_protocol: set[core.Address] = set()
+        # Announcements of the version to each instance.
+        self._announcement_counts: dict[core.Address, int] = {}
         self.counters = LinkCounters()
 
     async def open(self, bound: socket.socket | None = None) -> None:
@@ -168,8 +172,13 @@
             self._handle_message(sender, outcome.value)
 
     def announce_protocol(self, to: core.Address) -> None:
-        """Tells a peer the version, unless the peer is known to have it too."""
-        if to not in self._second_protocol:
+        """Tells a peer the version, unless the peer should know it by now."""
+        count = self._announcement_counts.get(to, 0)
+        if (
+            to not in self._second_protocol
+            or count < _REPEATED_ANNOUNCEMENT_COUNT
+        ):
+            self._announcement_counts[to] = count + 1
             self.send(to, _PROTOCOL_ANNOUNCEMENT)
 
     def speaks_second_protocol(self, address: core.Address) -> bool:
@@ -179,6 +188,7 @@
     def forget_protocol(self, address: core.Address) -> None:
         """Assumes version 1 for a new process at an address."""
         self._second_protocol.discard(address)
+        self._announcement_counts.pop(address, None)
 
     def execute(self, actions: list[flows.Action]) -> None:
         """Executes actions in order."""
