Leave messages of earlier tests out of the log that a test reads

Cause: eliot hands messages that were logged before the first destination to that destination, so that a test read the refusals of a test that ran before it in the same process. Change: the fixture drops what it is handed at its start. Result: both files pass together.

--- a/libs/lab/tests/test_log_diagnosis.py
+++ b/libs/lab/tests/test_log_diagnosis.py
@@ -13,6 +13,8 @@
 def log_lines() -> Iterator[list[dict[str, object]]]:
     captured: list[dict[str, object]] = []
     eliot.add_destinations(captured.append)
+    # The first destination gets the messages of earlier tests as well.
+    captured.clear()
     yield captured
     eliot.remove_destination(captured.append)
 
