--- a/libs/flows/src/fireflyford/flows/_flow_placer.py
+++ b/libs/flows/src/fireflyford/flows/_flow_placer.py
@@ -41,10 +41,12 @@
 QUEUE_RETRY_MS = 20
 # Bounds the log lines of a queued flow, which may be offered every 20 ms.
 MAX_LOGGED_OFFERS = 3
-# Bound of the interval at which placement of a flow that waits with agents is
-# tried again, which doubles with each try: under overload nobody has
-# room for long, and offers would take the processor time of the agents.
-MAX_WAITING_RETRY_MS = 160
+# Interval at which placement of a flow that waits with agents is tried again.
+# They grant it a slot themselves, but another agent may have room sooner, and
+# entries of agents that left are replaced. Other entries stay: a flow that
+# moved to another list would count as a new one there, because the opening
+# packet does not tell how long it waited.
+WAITING_RETRY_MS = 20
 # Time after which a wait at an agent that reports room is taken for lost; a
 # report may be older than the wait before.
 MIN_WAIT_MS = 100
@@ -397,12 +399,9 @@
         is_newly_queued = not attempt.is_queued
         attempt.offered_to = None
         attempt.is_queued = True
-        attempt.due_ms = now_ms + QUEUE_RETRY_MS
-        if has_terms:
-            attempt.due_ms = now_ms + attempt.waiting_retry_ms
-            attempt.waiting_retry_ms = min(
-                attempt.waiting_retry_ms * 2, MAX_WAITING_RETRY_MS
-            )
+        attempt.due_ms = now_ms + (
+            WAITING_RETRY_MS if has_terms else QUEUE_RETRY_MS
+        )
         # Agents that declined the flow may accept it on the next try.
         attempt.excluded_agents.clear()
         if not is_newly_queued:
--- a/libs/flows/src/fireflyford/flows/_placement_attempt.py
+++ b/libs/flows/src/fireflyford/flows/_placement_attempt.py
@@ -4,13 +4,6 @@
 from fireflyford.flows import _messages
 from fireflyford.flows import _types
 
-# First interval at which placement of a flow that waits with agents is tried again.
-# They grant it a slot themselves, but another agent may have room sooner, and
-# entries of agents that left are replaced. Other entries stay: a flow that
-# moved to another list would count as a new one there, because the opening
-# packet does not tell how long it waited.
-WAITING_RETRY_MS = 20
-
 
 class PlacementAttempt:
     """Placement of one new flow."""
@@ -48,8 +41,6 @@
         self.offered_ms = now_ms
         # Why no agent has accepted the flow so far.
         self.decline_reason = _messages.DeclineReason.UNKNOWN_STATE
-        # Delay before the next try of a flow that waits with agents.
-        self.waiting_retry_ms = WAITING_RETRY_MS
         # Whether the flow has been queued here because no agent had room.
         self.is_queued = False
         # Agents on whose waiting lists the flow is, in the order in which it
--- a/libs/flows/tests/test_admission.py
+++ b/libs/flows/tests/test_admission.py
@@ -10,7 +10,6 @@
 from fireflyford.flows import _admission
 from fireflyford.flows import _candidates
 from fireflyford.flows import _flow_placer
-from fireflyford.flows import _placement_attempt
 from fireflyford.flows import _target_forwarder
 from fireflyford.flows import _waiting_list
 
@@ -424,7 +423,7 @@
     directory.draining.add(agents[0])
     directory.decline(agents[0], flows.DeclineReason.DRAINING)
     actions = directory.sweep_until(
-        START_MS + _placement_attempt.WAITING_RETRY_MS + 20
+        START_MS + _flow_placer.WAITING_RETRY_MS + 20
     )
     (renewed,) = messages(actions, flows.Forward)
     assert renewed.to not in agents
