Remove duplicates and unused state from the decisions about flows

Cause: two modules mapped the state of a backend server to the reason of a decline, and a third listed these states. Change: one table of reasons, used by admission, candidates and forwarder. Queued flows are looked for only when a second offer is due. The order for short and long waiting lists calls the two orders that it describes. The route of a waiting client, the aliases of two constants and two unused parts of the waiting list are gone.

--- a/libs/flows/src/fireflyford/flows/_admission.py
+++ b/libs/flows/src/fireflyford/flows/_admission.py
@@ -287,10 +287,7 @@
         )
 
     def _decline_all(self, load: _types.Load) -> list[_types.Action]:
-        reason = {
-            _types.TargetState.DRAINING: _messages.DeclineReason.DRAINING,
-            _types.TargetState.DOWN: _messages.DeclineReason.DOWN,
-        }.get(load.state, _messages.DeclineReason.UNKNOWN_STATE)
+        reason = _messages.STATE_DECLINE_REASONS[load.state]
         items = [
             *(grant.item for grant in self._grants.values()),
             *self._waiting.clear(),
--- a/libs/flows/src/fireflyford/flows/_balancer.py
+++ b/libs/flows/src/fireflyford/flows/_balancer.py
@@ -162,7 +162,7 @@
         ):
             self._known_flows.move_to_end(packet.flow)
             if packet.payload_bytes and route.long_lived:
-                self._watch_data(packet, route, known, known.holder)
+                self._watch_data(packet, known, known.holder)
             return [
                 self._forward(
                     _messages.Handling.HELD,
@@ -193,16 +193,13 @@
     def _watch_data(
         self,
         packet: _types.Packet,
-        route: _routes.Route,
         known: _known_flow.KnownFlow,
         holder: core.Address,
     ) -> None:
         """Notices that the client of a long-lived flow repeats its data."""
         had_repeats = known.has_repeats
         if not known.accept_data(packet):
-            self.holder_watch.record_repeat(
-                packet, route, known.service, holder
-            )
+            self.holder_watch.record_repeat(packet, known.service, holder)
         elif had_repeats:
             self.holder_watch.forget(packet.flow)
 
--- a/libs/flows/src/fireflyford/flows/_candidates.py
+++ b/libs/flows/src/fireflyford/flows/_candidates.py
@@ -27,8 +27,6 @@
 # are for flows that have found a slot elsewhere; one slow backend server in
 # three does not hold a flow up.
 MAX_WAITING_AGENTS = 3
-# Target states in which an agent declines every new flow.
-DECLINING_STATES = frozenset(_types.TargetState) - {_types.TargetState.READY}
 
 
 class Candidates:
@@ -176,7 +174,9 @@
                 agent.availability_zone == client_zone,
             )
             is_load_known = self._fleet.is_load_known(agent.address)
-            if is_load_known and load.state in DECLINING_STATES:
+            if is_load_known and (
+                load.state in _messages.STATE_DECLINE_REASONS
+            ):
                 continue
             if self._cold_until_ms.get(agent.address, 0) > now_ms:
                 attempt.decline_reason = _messages.DeclineReason.COLD
--- a/libs/flows/src/fireflyford/flows/_flow_placer.py
+++ b/libs/flows/src/fireflyford/flows/_flow_placer.py
@@ -244,10 +244,11 @@
         ):
             return []
         now_ms = self._clock.now_ms()
-        waiting_count = sum(item.is_queued for item in self._attempts.values())
         age_ms = now_ms - attempt.offered_ms
-        terms = attempt.forward.terms
-        if not self.second_offers.is_due(terms, age_ms, waiting_count):
+        if not self.second_offers.is_due(attempt.forward.terms, age_ms):
+            return []
+        if any(item.is_queued for item in self._attempts.values()):
+            # Flows wait for a backend server with room.
             return []
         others = [
             item
@@ -463,7 +464,7 @@
             has_room = _admission.has_room(load, 0, terms.objective_ms)
             if (
                 self._incarnation(agent) != incarnation
-                or load.state in _candidates.DECLINING_STATES
+                or load.state in _messages.STATE_DECLINE_REASONS
                 or (since_ms < oldest_ms and has_room)
             ):
                 del attempt.waiting_agents[agent]
--- a/libs/flows/src/fireflyford/flows/_holder_watch.py
+++ b/libs/flows/src/fireflyford/flows/_holder_watch.py
@@ -9,7 +9,6 @@
 from fireflyford import telemetry
 from fireflyford.flows import _fleet
 from fireflyford.flows import _responsiveness
-from fireflyford.flows import _routes
 from fireflyford.flows import _types
 from fireflyford.flows import _zone_paths
 
@@ -30,7 +29,6 @@
 
     Attributes:
         packet: Latest copy of the data.
-        route: Route of the flow.
         service: Service of the holder.
         holder: The holder to which the copy was forwarded.
         repeat_count: Repetitions so far.
@@ -44,7 +42,6 @@
         "packet",
         "repeat_count",
         "repeated_ms",
-        "route",
         "service",
         "unconfirmed_count",
         "unconfirmed_since_ms",
@@ -53,14 +50,12 @@
     def __init__(
         self,
         packet: _types.Packet,
-        route: _routes.Route,
         service: str,
         holder: core.Address,
         now_ms: int,
     ) -> None:
         """Initializes a client that has repeated its data once."""
         self.packet = packet
-        self.route = route
         self.service = service
         self.holder = holder
         self.repeat_count = 1
@@ -101,7 +96,6 @@
     def record_repeat(
         self,
         packet: _types.Packet,
-        route: _routes.Route,
         service: str,
         holder: core.Address,
     ) -> None:
@@ -115,7 +109,7 @@
             or now_ms - waiting.repeated_ms > REPEAT_LIMIT_MS
         ):
             self._waiting[packet.flow] = WaitingClient(
-                packet, route, service, holder, now_ms
+                packet, service, holder, now_ms
             )
             return
         waiting.packet = packet
--- a/libs/flows/src/fireflyford/flows/_messages.py
+++ b/libs/flows/src/fireflyford/flows/_messages.py
@@ -117,6 +117,14 @@
     UNREACHABLE = 10
 
 
+# Why an agent declines every new flow in these states of its backend server.
+STATE_DECLINE_REASONS = {
+    _types.TargetState.DRAINING: DeclineReason.DRAINING,
+    _types.TargetState.DOWN: DeclineReason.DOWN,
+    _types.TargetState.UNKNOWN: DeclineReason.UNKNOWN_STATE,
+}
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlacementDeclined:
     """The sender declines a new flow and has processed nothing of it."""
--- a/libs/flows/src/fireflyford/flows/_second_offer.py
+++ b/libs/flows/src/fireflyford/flows/_second_offer.py
@@ -81,22 +81,17 @@
             self._delay_ms = ordered[rank - 1]
 
     def is_due(
-        self,
-        terms: _routes.RouteTerms | None,
-        offer_age_ms: int,
-        waiting_count: int,
+        self, terms: _routes.RouteTerms | None, offer_age_ms: int
     ) -> bool:
         """Returns whether a second offer may be made now.
 
         Args:
             terms: Terms of the flow's route.
             offer_age_ms: Time since the first offer.
-            waiting_count: Flows that wait for a backend server with room.
         """
         return (
             terms is not None
             and terms.repeatable
-            and not waiting_count
             and self._delay_ms is not None
             and offer_age_ms > self._delay_ms
             and self._budget_count >= 1.0
--- a/libs/flows/src/fireflyford/flows/_target_forwarder.py
+++ b/libs/flows/src/fireflyford/flows/_target_forwarder.py
@@ -24,8 +24,6 @@
 # Time limit for the backend server to accept a new flow; a running one takes
 # less than a millisecond.
 OPENING_LIMIT_MS = 50
-PROBE_LIMIT_MS = _flow_probes.PROBE_LIMIT_MS
-FIRST_KEEPALIVE_MS = _flow_probes.FIRST_KEEPALIVE_MS
 # Interval at which an agent that withholds an answer to a search shows that it
 # runs: well below the silence after which it would be taken for gone
 # (`_responsiveness.MIN_SILENCE_MS`). Load reports can be further apart.
@@ -225,12 +223,9 @@
         reasons = _messages.DeclineReason
         if self._own_instance.availability_zone in self._evacuation.zones:
             return reasons.EVACUATED
-        if self.state is _types.TargetState.DRAINING:
-            return reasons.DRAINING
-        if self.state is _types.TargetState.DOWN:
-            return reasons.DOWN
-        if self.state is _types.TargetState.UNKNOWN:
-            return reasons.UNKNOWN_STATE
+        state_reason = _messages.STATE_DECLINE_REASONS.get(self.state)
+        if state_reason is not None:
+            return state_reason
         if not self._hears(forward.balancer):
             return reasons.UNREACHABLE
         if not self.warm_up.allows(packet.flow, packet.seq):
--- a/libs/flows/src/fireflyford/flows/_waiting_list.py
+++ b/libs/flows/src/fireflyford/flows/_waiting_list.py
@@ -155,11 +155,16 @@
     flow just when it is about to be late, and the newest have time to spare.
     """
 
+    def __init__(self) -> None:
+        """Initializes the orders of both lists."""
+        self._short = EarliestLimit()
+        self._long = NewestInGroup()
+
     def key(self, item: WaitingFlow, turn: Turn) -> tuple[float, ...]:
         """Returns group, priority, grants and the time that decides."""
         is_short = turn.drain_ms <= SHORT_DRAIN_MS
-        decisive_ms = item.limit_at_ms if is_short else -item.opened_ms
-        return (*_group_key(item, turn), decisive_ms)
+        order = self._short if is_short else self._long
+        return order.key(item, turn)
 
 
 def _group_key(item: WaitingFlow, turn: Turn) -> tuple[float, ...]:
@@ -200,10 +205,6 @@
         """Returns the number of waiting flows."""
         return len(self._flows)
 
-    def __contains__(self, flow: object) -> bool:
-        """Returns whether a flow waits."""
-        return flow in self._flows
-
     def add(
         self, item: WaitingFlow, now_ms: int, service_ms: float
     ) -> WaitingFlow | None:
@@ -224,9 +225,9 @@
         )
         return self._flows.pop(last.flow)
 
-    def remove(self, flow: bytes) -> WaitingFlow | None:
-        """Removes a flow, and returns it if it was waiting."""
-        return self._flows.pop(flow, None)
+    def remove(self, flow: bytes) -> None:
+        """Removes a flow if it waits."""
+        self._flows.pop(flow, None)
 
     def expire(self, latest_start_ms: int) -> None:
         """Removes the flows whose time limit is not after a given time."""
--- a/libs/flows/tests/test_decisions.py
+++ b/libs/flows/tests/test_decisions.py
@@ -10,6 +10,7 @@
 from fireflyford import flows
 from fireflyford import routing
 from fireflyford.flows import _fleet
+from fireflyford.flows import _flow_probes
 from fireflyford.flows import _flow_tracker
 from fireflyford.flows import _placement
 from fireflyford.flows import _target_forwarder
@@ -254,9 +255,9 @@
     After a power cut, its agent was restarted and the backend server was not.
     """
     clock, forwarder = make_probing_forwarder()
-    clock.set(1_000_000 + _target_forwarder.PROBE_LIMIT_MS)
+    clock.set(1_000_000 + _flow_probes.PROBE_LIMIT_MS)
     assert forwarder.sweep() == []
-    clock.set(1_000_000 + _target_forwarder.FIRST_KEEPALIVE_MS)
+    clock.set(1_000_000 + _flow_probes.FIRST_KEEPALIVE_MS)
     actions = forwarder.sweep()
     assert FLOW not in forwarder.tracker
     assert [item.to for item in sent_messages(actions, flows.NotHeld)] == [PEER]
@@ -828,7 +829,7 @@
     """
     clock, forwarder = make_probing_forwarder()
     forwarder.record_keepalive()
-    clock.set(1_000_000 + _target_forwarder.PROBE_LIMIT_MS)
+    clock.set(1_000_000 + _flow_probes.PROBE_LIMIT_MS)
     forwarder.sweep()
     assert FLOW in forwarder.tracker
     late = dataclasses.replace(data_packet(), returned=True, delivery_tag=1)
@@ -844,7 +845,7 @@
     """
     clock, forwarder = make_probing_forwarder()
     forwarder.record_keepalive()
-    clock.set(1_000_000 + _target_forwarder.PROBE_LIMIT_MS)
+    clock.set(1_000_000 + _flow_probes.PROBE_LIMIT_MS)
     forwarder.sweep()
     forwarder.receive(BALANCER, forward(flows.Handling.HELD), data_packet())
     actions = forwarder.receive_from_target(
@@ -859,7 +860,7 @@
     """Guards against the reset of flows that may be held elsewhere."""
     clock, forwarder = make_probing_forwarder()
     forwarder.record_keepalive()
-    clock.set(1_000_000 + _target_forwarder.PROBE_LIMIT_MS)
+    clock.set(1_000_000 + _flow_probes.PROBE_LIMIT_MS)
     forwarder.sweep()
     actions = forwarder.mark_down("port closed")
     assert not any(isinstance(item, flows.Reset) for item in actions)
@@ -1026,7 +1027,7 @@
         flow = FLOW[:4] + number.to_bytes(2, "big") + FLOW[6:]
         packet = dataclasses.replace(data_packet(), flow=flow)
         forwarder.receive(PEER, forward(handling), packet)
-    clock.set(1_000_000 + _target_forwarder.PROBE_LIMIT_MS)
+    clock.set(1_000_000 + _flow_probes.PROBE_LIMIT_MS)
     return clock, forwarder
 
 
@@ -1284,7 +1285,7 @@
     """Guards against clients of a lost flow that nobody resets."""
     clock, forwarder = probe_dark_target()
     actions = sweep_until(
-        clock, forwarder, 1_000_000 + 50 + _target_forwarder.FIRST_KEEPALIVE_MS
+        clock, forwarder, 1_000_000 + 50 + _flow_probes.FIRST_KEEPALIVE_MS
     )
     assert [item.to for item in sent_messages(actions, flows.NotHeld)] == [PEER]
 
--- a/libs/flows/tests/test_responsiveness.py
+++ b/libs/flows/tests/test_responsiveness.py
@@ -175,7 +175,7 @@
             for address in agents[0 if sends_keepalives else 1 :]:
                 fleet.record_load(address, flows.Load())
         if now_ms in (1_700, 2_100, 2_900):
-            watch.record_repeat(packet, ROUTE, "board", PEER)
+            watch.record_repeat(packet, "board", PEER)
         stranded = watch.take_stranded()
         if stranded:
             return now_ms, stranded
