Measure the delays of second attempts and offers with one quantile

Cause: requests and flows each kept a window of recent times, a minimum of samples, an update interval and a nearest-rank quantile of their own. Change: core.RecentQuantile serves both. Windows and ratios stay with them.

--- a/libs/core/src/fireflyford/core/__init__.py
+++ b/libs/core/src/fireflyford/core/__init__.py
@@ -1,4 +1,4 @@
-"""Clocks, error kinds, outcomes and identifiers shared by all libraries."""
+"""Clocks, error kinds, outcomes and other types shared by all libraries."""
 
 from fireflyford.core._clock import Clock
 from fireflyford.core._clock import ManualClock
@@ -11,6 +11,7 @@
 from fireflyford.core._errors import Ok
 from fireflyford.core._errors import Outcome
 from fireflyford.core._lazy import lazy_exports
+from fireflyford.core._quantile import RecentQuantile
 from fireflyford.core._types import Address
 from fireflyford.core._types import Holder
 from fireflyford.core._types import Role
@@ -28,6 +29,7 @@
     "ManualClock",
     "Ok",
     "Outcome",
+    "RecentQuantile",
     "Role",
     "SystemClock",
     "lazy_exports",
--- a/libs/flows/src/fireflyford/flows/_second_offer.py
+++ b/libs/flows/src/fireflyford/flows/_second_offer.py
@@ -7,18 +7,11 @@
 without messages.
 """
 
-import collections
-import math
-
 from fireflyford import core
 from fireflyford.flows import _routes
 
 # Acceptances that the quantile is measured on.
 _WINDOW_COUNT = 256
-# Fewer acceptances give no usable quantile.
-_MIN_SAMPLE_COUNT = 50
-# The quantile is computed again after this many acceptances, to bound its cost.
-_UPDATE_INTERVAL_COUNT = 16
 # Quantile of the time of acceptances after which an offer counts as slow.
 _QUANTILE_RATIO = 0.95
 # Second offers that may be saved up; it bounds a burst after a quiet time.
@@ -41,11 +34,8 @@
         self._clock = clock
         self.limit_ratio = limit_ratio
         self._budget_count = 0.0
-        self._recent_ms: collections.deque[int] = collections.deque(
-            maxlen=_WINDOW_COUNT
-        )
-        self._new_count = 0
-        self._delay_ms: int | None = None
+        # After this time an offer counts as slow.
+        self._delay_ms = core.RecentQuantile(_WINDOW_COUNT)
         # Agents that may still accept a flow that another one has accepted,
         # and when that was, oldest first.
         self._losers: dict[bytes, tuple[core.Address, int]] = {}
@@ -67,18 +57,8 @@
 
     def record_acceptance(self, elapsed_ms: int) -> None:
         """Records the time from an offer to its acceptance."""
-        if not self.limit_ratio:
-            return
-        self._recent_ms.append(elapsed_ms)
-        self._new_count += 1
-        is_due = (
-            self._delay_ms is None or self._new_count >= _UPDATE_INTERVAL_COUNT
-        )
-        if is_due and len(self._recent_ms) >= _MIN_SAMPLE_COUNT:
-            self._new_count = 0
-            ordered = sorted(self._recent_ms)
-            rank = math.ceil(_QUANTILE_RATIO * len(ordered))
-            self._delay_ms = ordered[rank - 1]
+        if self.limit_ratio:
+            self._delay_ms.record(elapsed_ms, _QUANTILE_RATIO)
 
     def is_due(
         self, terms: _routes.RouteTerms | None, offer_age_ms: int
@@ -92,8 +72,8 @@
         return (
             terms is not None
             and terms.repeatable
-            and self._delay_ms is not None
-            and offer_age_ms > self._delay_ms
+            and self._delay_ms.value is not None
+            and offer_age_ms > self._delay_ms.value
             and self._budget_count >= 1.0
         )
 
--- a/libs/requests/src/fireflyford/requests/_hedging.py
+++ b/libs/requests/src/fireflyford/requests/_hedging.py
@@ -5,20 +5,15 @@
 each agent enforces it for the requests that it receives, without messages.
 """
 
-import collections
 from collections.abc import Sequence
-import math
 
 from fireflyford import config
+from fireflyford import core
 from fireflyford.requests import _targets
 
 # Completed requests of a kind that the quantile is measured on: enough for the
 # 0.99 quantile, few enough to follow a change of load within seconds.
 _WINDOW_COUNT = 512
-# Fewer completed requests give no usable quantile.
-_MIN_SAMPLE_COUNT = 50
-# The quantile is computed again after this many requests, to bound its cost.
-_UPDATE_INTERVAL_COUNT = 16
 # Bounds of the quantile of response times after which an attempt counts as
 # slow. Between them it follows the limit, so that the budget is spent on the
 # slowest requests.
@@ -40,9 +35,8 @@
         self._limit_ratio = 0.0
         # Extra work that may be spent, in ms of execution time.
         self._budget_ms = 0.0
-        self._recent_ms: dict[str, collections.deque[float]] = {}
-        self._new_counts: collections.Counter[str] = collections.Counter()
-        self._delays_ms: dict[str, float] = {}
+        # After this time an attempt counts as slow, by kind of request.
+        self._delays_ms: dict[str, core.RecentQuantile] = {}
         self._completed_work_ms = 0.0
         self._extra_work_ms = 0.0
         self.attempt_count = 0
@@ -62,7 +56,8 @@
             return
         self._limit_ratio = ratio
         self._budget_ms = 0.0
-        self._delays_ms.clear()
+        for delay_ms in self._delays_ms.values():
+            delay_ms.reset()
 
     @property
     def extra_work_ratio(self) -> float:
@@ -86,19 +81,10 @@
             self._budget_ms + self._limit_ratio * work_ms,
             _MAX_SAVED_REQUESTS * work_ms,
         )
-        name = treatment.name
-        recent_ms = self._recent_ms.setdefault(
-            name, collections.deque(maxlen=_WINDOW_COUNT)
+        delay_ms = self._delays_ms.setdefault(
+            treatment.name, core.RecentQuantile(_WINDOW_COUNT)
         )
-        recent_ms.append(elapsed_ms)
-        self._new_counts[name] += 1
-        is_due = (
-            name not in self._delays_ms
-            or self._new_counts[name] >= _UPDATE_INTERVAL_COUNT
-        )
-        if is_due and len(recent_ms) >= _MIN_SAMPLE_COUNT:
-            self._new_counts[name] = 0
-            self._delays_ms[name] = _quantile(recent_ms, self._quantile_ratio())
+        delay_ms.record(elapsed_ms, self._quantile_ratio())
 
     def delay_ms(self, treatment: config.Treatment) -> float | None:
         """Returns after which time a second attempt starts, None for never."""
@@ -107,7 +93,8 @@
         )
         if not self._limit_ratio or not is_repeatable:
             return None
-        return self._delays_ms.get(treatment.name)
+        delay_ms = self._delays_ms.get(treatment.name)
+        return None if delay_ms is None else delay_ms.value
 
     def try_start(
         self, candidates: Sequence[_targets.Candidate], work_ms: float
@@ -142,7 +129,11 @@
             "win_count": self.win_count,
             "over_budget_count": self.over_budget_count,
             "overload_count": self.overload_count,
-            "delays_ms": dict(self._delays_ms),
+            "delays_ms": {
+                name: delay_ms.value
+                for name, delay_ms in self._delays_ms.items()
+                if delay_ms.value is not None
+            },
         }
 
     def _quantile_ratio(self) -> float:
@@ -157,8 +148,3 @@
         for item in candidates
     )
     return busy_count >= MAX_UTILIZATION_RATIO * slot_count
-
-
-def _quantile(values: Sequence[float], ratio: float) -> float:
-    ordered = sorted(values)
-    return ordered[math.ceil(ratio * len(ordered)) - 1]
