Scan a reviewed configuration text once

Cause: lines and duplicate names came from two scans of the same text. Change: find_positions returns both. Result: no change of behaviour; the tests assert the same of its fields.

--- a/libs/config/src/fireflyford/config/_lines.py
+++ b/libs/config/src/fireflyford/config/_lines.py
@@ -1,6 +1,7 @@
 """Line numbers of the values in a JSON text."""
 
 from collections.abc import Mapping
+import dataclasses
 import json
 import re
 
@@ -11,25 +12,31 @@
 _TOKEN = re.compile(r'"(?:[^"\\]|\\.)*"|[{}\[\],:]|[^\s{}\[\],:"]+')
 
 
-def find_lines(text: str) -> Mapping[_faults.Path, int]:
-    r"""Returns the line of each value of a valid JSON text.
+@dataclasses.dataclass(frozen=True)
+class Positions:
+    """Positions of the values in a JSON text.
 
-    A value in an object has the line of its name. Names that appear twice have
-    the line of the last one, which is the one that counts.
-
-    >>> find_lines('{"a":\n [1,\n  2]}')[("a", 1)]
-    3
+    Attributes:
+        lines: Line of each value. A value in an object has the line of its
+            name. Names that appear twice have the line of the last one, which
+            is the one that counts.
+        duplicates: Paths of fields that an object has twice.
     """
-    return _Scanner(text).lines
 
+    lines: Mapping[_faults.Path, int]
+    duplicates: tuple[_faults.Path, ...]
 
-def find_duplicate_names(text: str) -> tuple[_faults.Path, ...]:
-    """Returns the paths of fields that an object has twice.
 
-    >>> find_duplicate_names('[{"a": 1, "a": 2}]')
+def find_positions(text: str) -> Positions:
+    r"""Returns the positions of the values of a valid JSON text.
+
+    >>> find_positions('{"a":\n [1,\n  2]}').lines[("a", 1)]
+    3
+    >>> find_positions('[{"a": 1, "a": 2}]').duplicates
     ((0, 'a'),)
     """
-    return tuple(dict.fromkeys(_Scanner(text).duplicates))
+    scanner = _Scanner(text)
+    return Positions(scanner.lines, tuple(dict.fromkeys(scanner.duplicates)))
 
 
 def line_of(lines: Mapping[_faults.Path, int], path: _faults.Path) -> int:
@@ -59,7 +66,7 @@
         return None
     try:
         msgspec.json.decode(text)
-        lines = find_lines(text.decode())
+        lines = find_positions(text.decode()).lines
     except (ValueError, RecursionError):
         return None
     parts = re.findall(r"\.([^.\[\]]+)|\[(\d+)\]", named[1])
--- a/libs/config/src/fireflyford/config/_review.py
+++ b/libs/config/src/fireflyford/config/_review.py
@@ -96,11 +96,11 @@
         for fault in _effects.find_ineffective(deployment)
         if fault.path not in invalid
     ]
-    lines = None if text is None else _lines.find_lines(text)
-    if text is not None:
+    positions = None if text is None else _lines.find_positions(text)
+    if positions is not None:
         faults += [
             _faults.Fault(path, "the field appears twice; remove one")
-            for path in _lines.find_duplicate_names(text)
+            for path in positions.duplicates
         ]
     differences: tuple[str, ...] = ()
     if in_force is not None:
@@ -111,7 +111,9 @@
             fault.severity,
             fault.message,
             _faults.format_path(fault.path),
-            None if lines is None else _lines.line_of(lines, fault.path),
+            None
+            if positions is None
+            else _lines.line_of(positions.lines, fault.path),
         )
         for fault in faults
     ]
--- a/libs/config/tests/test_review.py
+++ b/libs/config/tests/test_review.py
@@ -150,7 +150,7 @@
 ) -> None:
     """Guards against strings that are taken for the structure of the text."""
     text = json.dumps(value, indent=indent)
-    lines = _lines.find_lines(text)
+    lines = _lines.find_positions(text).lines
     pending: list[tuple[tuple[str | int, ...], object]] = [((), value)]
     count = 0
     while pending:
@@ -164,7 +164,7 @@
                 ((*path, index), part) for index, part in enumerate(item)
             ]
     assert len(lines) == count
-    assert not _lines.find_duplicate_names(text)
+    assert not _lines.find_positions(text).duplicates
 
 
 @given(strategies.binary(max_size=200))
