Share document handlers and conditions of a balancer

Cause: six places spelled out the handler of a document, two the status address of a peer, and three whether routes and evacuated zones are known. Change: _documents.serve, Balancer._status_address and Balancer._can_route serve all of them.

--- a/libs/runtime/src/fireflyford/runtime/_agent.py
+++ b/libs/runtime/src/fireflyford/runtime/_agent.py
@@ -275,10 +275,8 @@
     def extra_status_handlers(self) -> _front_end.Handlers:
         """Returns the handler that serves the evacuated zones to balancers."""
         return [
-            (
-                _evacuation_source.EVACUATION_PATH,
-                _documents.DocumentHandler,
-                {"read": self._evacuation_page},
+            _documents.serve(
+                _evacuation_source.EVACUATION_PATH, self._evacuation_page
             ),
         ]
 
--- a/libs/runtime/src/fireflyford/runtime/_balancer.py
+++ b/libs/runtime/src/fireflyford/runtime/_balancer.py
@@ -112,10 +112,7 @@
 
     def is_ready(self) -> bool:
         """Returns whether the fabric may send packets to this balancer."""
-        if self.stopping.is_set() or not self.flows.version:
-            return False
-        if self.options.evacuation_prefix and not self.flows.evacuation.view:
-            # It would send new flows to evacuated zones.
+        if self.stopping.is_set() or not self._can_route():
             return False
         last_message_ms = self._last_agent_message_ms
         if last_message_ms is None:
@@ -167,7 +164,10 @@
         return True
 
     def _can_route(self) -> bool:
-        """Returns whether routes and evacuated zones are known."""
+        """Returns whether routes and evacuated zones are known.
+
+        Without the latter, it would send new flows to evacuated zones.
+        """
         if not self.flows.version:
             return False
         return not self.options.evacuation_prefix or bool(
@@ -242,7 +242,7 @@
         await super().join_via_seed(seed)
         if not self.flows.version:
             await self._pull_config(seed)
-        elif self.options.evacuation_prefix and not self.flows.evacuation.view:
+        elif not self._can_route():
             await self._pull_evacuation(seed)
 
     async def _follow_config(self) -> None:
@@ -274,12 +274,7 @@
                 sender, version = self._announced_versions.popitem()
                 if version > self.flows.version:
                     self._is_pulling = True
-                    # All instances are assumed to use the same status port.
-                    await self._pull_config(
-                        core.Address(
-                            sender.host, self.options.status_address.port
-                        )
-                    )
+                    await self._pull_config(self._status_address(sender))
                     self._is_pulling = False
 
     async def _pull_config(self, address: core.Address) -> None:
@@ -324,11 +319,12 @@
                 if item.address != self.own_instance.address
             ]
             if peers:
-                host = self.rng.choice(peers).host
-                # All instances are assumed to use the same status port.
-                await self._pull_evacuation(
-                    core.Address(host, self.options.status_address.port)
-                )
+                peer = self.rng.choice(peers)
+                await self._pull_evacuation(self._status_address(peer))
+
+    def _status_address(self, peer: core.Address) -> core.Address:
+        # All instances are assumed to use the same status port.
+        return core.Address(peer.host, self.options.status_address.port)
 
     def _is_store_silent(self) -> bool:
         follower = self.config.follower
@@ -342,15 +338,11 @@
     def extra_status_handlers(self) -> list[Any]:
         """Returns the handlers that serve configuration and evacuations."""
         return [
-            (
-                _config_source.CONFIG_PATH,
-                _documents.DocumentHandler,
-                {"read": lambda: self.config.document},
+            _documents.serve(
+                _config_source.CONFIG_PATH, lambda: self.config.document
             ),
-            (
-                _evacuation_source.EVACUATION_PATH,
-                _documents.DocumentHandler,
-                {"read": self._evacuation_page},
+            _documents.serve(
+                _evacuation_source.EVACUATION_PATH, self._evacuation_page
             ),
         ]
 
--- a/libs/runtime/src/fireflyford/runtime/_documents.py
+++ b/libs/runtime/src/fireflyford/runtime/_documents.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import functools
 import gzip
+from typing import Any
 
 from tornado import web
 
@@ -33,3 +34,15 @@
             self.set_header("Content-Encoding", "gzip")
             document = _compress(document)
         self.finish(document)
+
+
+def serve(
+    path: str, read: Callable[[], bytes]
+) -> tuple[str, Any, dict[str, Any]]:
+    """Returns the handler of a document.
+
+    Args:
+        path: Path at the status address.
+        read: Returns the document.
+    """
+    return (path, DocumentHandler, {"read": read})
--- a/libs/runtime/src/fireflyford/runtime/_process.py
+++ b/libs/runtime/src/fireflyford/runtime/_process.py
@@ -504,21 +504,9 @@
 
     def _status_handlers(self) -> _front_end.Handlers:
         handlers: _front_end.Handlers = [
-            (
-                INSTANCES_PATH,
-                _documents.DocumentHandler,
-                {"read": self._instances_page},
-            ),
-            (
-                "/status",
-                _documents.DocumentHandler,
-                {"read": self._status_page},
-            ),
-            (
-                "/metrics",
-                _documents.DocumentHandler,
-                {"read": self._metrics_page},
-            ),
+            _documents.serve(INSTANCES_PATH, self._instances_page),
+            _documents.serve("/status", self._status_page),
+            _documents.serve("/metrics", self._metrics_page),
         ]
         return handlers + self.extra_status_handlers()
 
