Share the balancer settings of two test modules

Cause: both wrote out the same settings. Change: lab makes them; only the addresses and the prefix differ.

--- a/tests/adapter/test_process_parts.py
+++ b/tests/adapter/test_process_parts.py
@@ -9,7 +9,7 @@
 
 from fireflyford import core
 from fireflyford import flows
-from fireflyford import runtime
+from fireflyford.lab import _platform_settings
 from fireflyford.platform import _front_end
 from fireflyford.runtime import _agent
 from fireflyford.runtime import _balancer
@@ -20,24 +20,7 @@
 STORE = core.Address("127.1.0.99", 1)
 OWN = core.Address("10.0.0.1", 7_000)
 PEER = core.Address("10.0.0.2", 7_000)
-OPTIONS = runtime.FlowSettings(
-    instance_id="balancer-1",
-    availability_zone="a",
-    service="",
-    packet_address=core.Address("10.0.0.1", 8_172),
-    client_port=8_172,
-    readiness_check_address=core.Address("10.0.0.1", 8_167),
-    report_address=None,
-    outbound_address=None,
-    backend_address=None,
-    link_address=OWN,
-    status_address=core.Address("10.0.0.1", 7_001),
-    seed_addresses=(),
-    store_address=STORE,
-    config_key="op/config",
-    report_interval_ms=1_200,
-    grace_ms=6_000,
-)
+OPTIONS = _platform_settings.make_balancer_settings(OWN, STORE)
 
 
 class RecordedBalancer(_balancer.Balancer):
