--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -27,6 +27,8 @@
 HEADER = struct.Struct("<HIHIIHB5sIII")
 SYN, ACK, FIN, RST, BOUNCED = 128, 1, 2, 16, 8
 HEARTBEAT_MS = 1_200
+# Time after which the platform starts a process again that has ended.
+RESTART_DELAY_S = 0.5
 # Bounds of the small sites.
 BOUNDS = {
     "seed_lag_s": 3,
@@ -353,6 +355,11 @@
         self.state = "ready"
         self.flows: dict[tuple[int, int, int, int], _TargetFlow] = {}
         self.run_count = 0
+        self.started_s = 0.0
+        # How long it stays cold after a start.
+        self.warmup_ms = 0
+        # Flow, copy and arrival time of each opening packet that it took.
+        self.openings: list[tuple[str, int, float]] = []
         # Requests that it has run.
         self.ran: list[bytes] = []
         self._sequence = 0
@@ -363,14 +370,29 @@
         self._held_back: list[bytes] = []
 
     async def start(self) -> None:
-        """Starts to serve and to report."""
+        """Starts to serve and to report; holds nothing of before."""
         self._born_ms = int(time.time() * 1_000)
+        self.started_s = time.monotonic()
+        self.flows.clear()
+        self._sequence = 0
+        self.is_confirmed = False
         loop = asyncio.get_running_loop()
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: self, local_addr=(self.node.host, self._fleet.app_port)
         )
         self._task = asyncio.create_task(self._report())
 
+    def stop(self) -> None:
+        """Stops at once, as at a loss of power."""
+        assert self._transport is not None and self._task is not None
+        self._transport.abort()
+        self._task.cancel()
+
+    def warmup_left_ms(self) -> int:
+        """Returns how long it stays cold."""
+        age_ms = int(time.time() * 1_000) - self._born_ms
+        return max(0, self.warmup_ms - age_ms)
+
     async def _report(self) -> None:
         while True:
             if not self.is_frozen:
@@ -394,7 +416,7 @@
             "version": "v1",
             "slots": 4,
             "state": self.state,
-            "warmup_left_ms": 0,
+            "warmup_left_ms": self.warmup_left_ms(),
             "seq": self._sequence,
             "born": self._born_ms,
         }
@@ -440,6 +462,7 @@
                     False, first, (first + 1) % 2**32, (packet.seq + 1) % 2**32
                 )
                 self.flows[key] = flow
+                self.openings.append((name, packet.ack, time.monotonic()))
             self._record.write(f"{self.node.name}: opening packet of {name}")
             self._send(packet, SYN | ACK, flow.first_seq, flow.client_seq)
             return
@@ -530,6 +553,8 @@
         self.was_reset = False
         self.reset_reason = ""
         self.target: Target | None = None
+        # When each copy of the opening packet was sent.
+        self.opening_sent_s: list[float] = []
         self.arrived = asyncio.Event()
         self.answers: list[bytes] = []
         self.name = f"{host}:{port}"
@@ -552,8 +577,9 @@
     async def open(self) -> bool:
         """Opens the flow; returns whether a target accepted it."""
         for copy, wait_s in enumerate((0.2, 0.4, 0.8)):
+            self.opening_sent_s.append(time.monotonic())
             self._clients.send(self, self.packet(SYN, ack=copy))
-            if await self._wait(wait_s):
+            if await self._wait(wait_s) or self.was_reset:
                 break
         if not self.is_open:
             return False
@@ -669,6 +695,8 @@
         self.route_host, self.route_port = "198.18.0.1", 8_443
         self._tasks: list[asyncio.Task[None]] = []
         self._is_stopping = False
+        # Whether no process is started again, because there is no power.
+        self.is_dark = False
         self.settings_changes: dict[str, Any] = {}
 
     def new_host(self) -> str:
@@ -868,9 +896,9 @@
                 self.disturb(node)
                 if node.is_expected_to_run:
                     node.own_ends.append(process.returncode)
-                if not self._is_stopping:
+                if not self._is_stopping and not self.is_dark:
                     asyncio.get_running_loop().call_later(
-                        0.3, self._restart, node
+                        RESTART_DELAY_S, self._restart, node
                     )
 
     def _restart(self, node: Node) -> None:
